--- /dev/null
+++ b/cmd/src/bin/dalestand-standin.rs
@@ -0,0 +1,120 @@
+//! `dalestand-standin`: stand-ins of the outside systems, each a process of its own.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use dalestand_cmd::exit::Exit;
+use dalestand_cmd::flags::{FlagError, optional, required};
+use dalestand_standin::engine::{BatchSettings, EngineSettings, serve_engine};
+use dalestand_standin::key_value::serve_key_value;
+use dalestand_standin::machine_list::serve_machine_list;
+use dalestand_standin::weight_store::serve_weight_store;
+use dalestand_types::{EngineId, Incarnation, Role};
+use getopts::{Matches, Options};
+use tokio::net::TcpListener;
+
+const USAGE: &str = "usage: dalestand-standin kv|engine|machines|weights [flags]";
+
+/// Role change of the stand-in where no flag says otherwise, in milliseconds.
+const DEFAULT_ROLE_CHANGE_MS: u64 = 2_000;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let exit = match arguments.split_first() {
+        Some((kind, rest)) => run(kind, rest),
+        None => usage_error(USAGE),
+    };
+    exit.into()
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt(
+        "",
+        "listen",
+        "address to listen on (default 127.0.0.1:0)",
+        "ADDRESS",
+    );
+    options.optopt("", "name", "engine: its name", "NAME");
+    options.optopt(
+        "",
+        "incarnation",
+        "engine: number of its run (default 1)",
+        "NUMBER",
+    );
+    options.optopt(
+        "",
+        "weights",
+        "engine: address of the weight store",
+        "ADDRESS",
+    );
+    options.optopt(
+        "",
+        "role-change-ms",
+        "engine: length of a role change",
+        "MS",
+    );
+    options.optflag("h", "help", "show this help");
+    options
+}
+
+fn run(kind: &str, arguments: &[String]) -> Exit {
+    let options = options();
+    let matches = match options.parse(arguments) {
+        Ok(matches) => matches,
+        Err(error) => return usage_error(&error.to_string()),
+    };
+    if matches.opt_present("help") {
+        println!("{}", options.usage(USAGE));
+        return Exit::Success;
+    }
+    let kind = kind.to_owned();
+    actix_rt::System::new().block_on(async move {
+        match serve(&kind, &matches).await {
+            Ok(()) => Exit::Success,
+            Err(error) => usage_error(&error),
+        }
+    })
+}
+
+async fn serve(kind: &str, matches: &Matches) -> Result<(), String> {
+    let address: SocketAddr = optional(matches, "listen")
+        .map_err(|error| error.to_string())?
+        .unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(|error| error.to_string())?;
+    let address = listener.local_addr().map_err(|error| error.to_string())?;
+    let settings = match kind {
+        "engine" => Some(engine_settings(matches).map_err(|error| error.to_string())?),
+        _ => None,
+    };
+    println!("ready {address}");
+    match (kind, settings) {
+        ("kv", _) => serve_key_value(listener).await,
+        ("machines", _) => serve_machine_list(listener).await,
+        ("weights", _) => serve_weight_store(listener).await,
+        (_, Some(settings)) => serve_engine(listener, settings).await,
+        _ => return Err(USAGE.to_owned()),
+    }
+    Ok(())
+}
+
+fn engine_settings(matches: &Matches) -> Result<EngineSettings, FlagError> {
+    let name: String = required(matches, "name")?;
+    let role_change_ms = optional(matches, "role-change-ms")?.unwrap_or(DEFAULT_ROLE_CHANGE_MS);
+    Ok(EngineSettings {
+        engine: EngineId::from(name),
+        incarnation: Incarnation(optional(matches, "incarnation")?.unwrap_or(1)),
+        role: Role::Mixed,
+        batch: BatchSettings::default(),
+        role_change: Duration::from_millis(role_change_ms),
+        weight_store: optional(matches, "weights")?,
+    })
+}
+
+fn usage_error(message: &str) -> Exit {
+    eprintln!("{message}");
+    Exit::Usage
+}
--- /dev/null
+++ b/cmd/src/dev.rs
@@ -0,0 +1,277 @@
+//! `dalestand dev`: stand-ins and two nodes in one process, on loopback.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_rt::Arbiter;
+use dalestand_config::{Deployment, NodeSettings};
+use dalestand_node::{ApplyRequest, ApplyResponse, Listeners, NodeAddresses, StatusResponse};
+use dalestand_standin::engine::{BatchSettings, EngineSettings, serve_engine};
+use dalestand_standin::key_value::serve_key_value;
+use dalestand_standin::machine_list::serve_machine_list;
+use dalestand_standin::weight_store::serve_weight_store;
+use dalestand_telemetry::{LogOutput, logger};
+use dalestand_types::{
+    EngineId, Incarnation, Machine, MachineKind, MachineState, NodeId, Role, ZoneName,
+};
+use getopts::Options;
+use tokio::net::TcpListener;
+
+use crate::exit::Exit;
+use crate::flags::optional;
+
+/// The deployment that is applied at the start.
+const EXAMPLE: &str = include_str!("../../examples/lakeshore.toml");
+
+const DEFAULT_LISTEN: ([u8; 4], u16) = ([127, 0, 0, 1], 8080);
+const DEFAULT_OPERATORS: ([u8; 4], u16) = ([127, 0, 0, 1], 8081);
+const ROLE_CHANGE: Duration = Duration::from_secs(2);
+const READY_POLL: Duration = Duration::from_millis(100);
+
+/// Runs the stand-ins and two nodes until interrupted.
+pub fn run(arguments: &[String]) -> Exit {
+    let mut options = Options::new();
+    options.optopt(
+        "",
+        "listen",
+        "address for callers (default 127.0.0.1:8080)",
+        "ADDRESS",
+    );
+    options.optopt(
+        "",
+        "operators",
+        "address for operators (default 127.0.0.1:8081)",
+        "ADDRESS",
+    );
+    options.optflag("h", "help", "show this help");
+    let matches = match options.parse(arguments) {
+        Ok(matches) => matches,
+        Err(error) => return usage_error(&error.to_string()),
+    };
+    if matches.opt_present("help") {
+        println!("{}", options.usage("usage: dalestand dev [flags]"));
+        return Exit::Success;
+    }
+    let addresses = optional(&matches, "listen").and_then(|listen| {
+        let operators = optional(&matches, "operators")?;
+        Ok((
+            listen.unwrap_or_else(|| SocketAddr::from(DEFAULT_LISTEN)),
+            operators.unwrap_or_else(|| SocketAddr::from(DEFAULT_OPERATORS)),
+        ))
+    });
+    let (callers, operators) = match addresses {
+        Ok(addresses) => addresses,
+        Err(error) => return usage_error(&error.to_string()),
+    };
+    actix_rt::System::new().block_on(async move {
+        match start(callers, operators).await {
+            Ok(()) => Exit::Success,
+            Err(message) => {
+                eprintln!("{message}");
+                Exit::Failure
+            }
+        }
+    })
+}
+
+fn usage_error(message: &str) -> Exit {
+    eprintln!("{message}");
+    Exit::Usage
+}
+
+/// Starts a stand-in on an arbiter of its own and yields where it listens.
+fn start_standin<S>(serve: S) -> Result<SocketAddr, String>
+where
+    S: FnOnce(TcpListener) + Send + 'static,
+{
+    let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).map_err(|e| e.to_string())?;
+    listener
+        .set_nonblocking(true)
+        .map_err(|error| error.to_string())?;
+    let address = listener.local_addr().map_err(|error| error.to_string())?;
+    Arbiter::new().spawn_fn(move || {
+        if let Ok(listener) = TcpListener::from_std(listener) {
+            serve(listener);
+        }
+    });
+    Ok(address)
+}
+
+async fn start(callers: SocketAddr, operators: SocketAddr) -> Result<(), String> {
+    let key_value = start_standin(|listener| drop(actix_rt::spawn(serve_key_value(listener))))?;
+    let machine_list =
+        start_standin(|listener| drop(actix_rt::spawn(serve_machine_list(listener))))?;
+    let weights = start_standin(|listener| drop(actix_rt::spawn(serve_weight_store(listener))))?;
+    let deployment = Deployment::parse(EXAMPLE).map_err(|faults| faults.to_string())?;
+    for group in &deployment.groups {
+        for engine in &group.engines {
+            let address = start_engine(engine.clone(), weights)?;
+            let name = engine.as_str();
+            register(
+                machine_list,
+                name,
+                MachineKind::Engine,
+                &group.zone,
+                address,
+            )
+            .await?;
+        }
+    }
+    let zones: Vec<ZoneName> = deployment
+        .groups
+        .iter()
+        .map(|group| group.zone.clone())
+        .collect();
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let first = node_settings(
+        "node-1",
+        &zones[0],
+        callers,
+        operators,
+        key_value,
+        machine_list,
+    );
+    let second = node_settings("node-2", &zones[1], any, any, key_value, machine_list);
+    let log = logger(LogOutput::Terminal);
+    let mut runs = Vec::new();
+    let mut nodes: Vec<NodeAddresses> = Vec::new();
+    for settings in [first, second] {
+        let listeners = Listeners::open(&settings)
+            .await
+            .map_err(|report| format!("{report:?}"))?;
+        let peers = listeners.addresses().peers;
+        let name = settings.node.as_str().to_owned();
+        register(
+            machine_list,
+            &name,
+            MachineKind::Node,
+            &settings.zone,
+            peers,
+        )
+        .await?;
+        nodes.push(listeners.addresses());
+        runs.push(actix_rt::spawn(dalestand_node::run(
+            settings,
+            listeners,
+            log.clone(),
+        )));
+    }
+    apply_example(nodes[0].operators).await?;
+    wait_until_served(nodes[0].operators, &deployment).await?;
+    print_ready(&nodes);
+    for run in runs {
+        let ended = run.await.map_err(|error| error.to_string())?;
+        ended.map_err(|report| format!("{report:?}"))?;
+    }
+    Ok(())
+}
+
+fn start_engine(engine: EngineId, weights: SocketAddr) -> Result<SocketAddr, String> {
+    let settings = EngineSettings {
+        engine,
+        incarnation: Incarnation(1),
+        role: Role::Mixed,
+        batch: BatchSettings::default(),
+        role_change: ROLE_CHANGE,
+        weight_store: Some(weights),
+    };
+    start_standin(move |listener| drop(actix_rt::spawn(serve_engine(listener, settings))))
+}
+
+async fn register(
+    machine_list: SocketAddr,
+    name: &str,
+    kind: MachineKind,
+    zone: &ZoneName,
+    address: SocketAddr,
+) -> Result<(), String> {
+    let machine = Machine {
+        name: name.to_owned(),
+        kind,
+        zone: zone.clone(),
+        address,
+        incarnation: Incarnation(1),
+        state: MachineState::Live,
+    };
+    let url = format!("http://{machine_list}/v1/machines");
+    let sent = awc::Client::default().post(url).send_json(&machine);
+    sent.await.map_err(|error| error.to_string())?;
+    Ok(())
+}
+
+fn node_settings(
+    name: &str,
+    zone: &ZoneName,
+    callers: SocketAddr,
+    operators: SocketAddr,
+    key_value: SocketAddr,
+    machine_list: SocketAddr,
+) -> NodeSettings {
+    NodeSettings {
+        node: NodeId::from(name),
+        zone: zone.clone(),
+        caller_listen: callers,
+        operator_listen: operators,
+        peer_listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        key_value,
+        machine_list,
+        weight_store: None,
+        seeds: Vec::new(),
+        log_format: dalestand_config::LogFormat::Terminal,
+        lease_ms: 3_000,
+        machine_poll_ms: 500,
+        load_poll_ms: 300,
+    }
+}
+
+async fn apply_example(operators: SocketAddr) -> Result<(), String> {
+    let request = ApplyRequest {
+        text: EXAMPLE.to_owned(),
+        author: "dalestand dev".to_owned(),
+        expected: None,
+    };
+    let url = format!("http://{operators}/apply");
+    let sent = awc::Client::default().post(url).send_json(&request);
+    let mut response = sent.await.map_err(|error| error.to_string())?;
+    let answer: ApplyResponse = response.json().await.map_err(|error| error.to_string())?;
+    answer.error.map_or(Ok(()), Err)
+}
+
+async fn wait_until_served(operators: SocketAddr, deployment: &Deployment) -> Result<(), String> {
+    let wanted: usize = deployment
+        .groups
+        .iter()
+        .map(|group| group.engines.len())
+        .sum();
+    loop {
+        let url = format!("http://{operators}/status");
+        let sent = awc::Client::default().get(url).send();
+        let mut response = sent.await.map_err(|error| error.to_string())?;
+        let status: StatusResponse = response.json().await.map_err(|error| error.to_string())?;
+        let serving = status
+            .engines
+            .iter()
+            .filter(|row| row.accepting && row.role.is_some());
+        if status.ready && serving.count() == wanted {
+            return Ok(());
+        }
+        actix_rt::time::sleep(READY_POLL).await;
+    }
+}
+
+fn print_ready(nodes: &[NodeAddresses]) {
+    for node in nodes {
+        println!(
+            "node: callers http://{}, operators http://{}",
+            node.callers, node.operators
+        );
+    }
+    println!("ready http://{}", nodes[0].callers);
+    println!("try:");
+    println!(
+        "  curl -N http://{}/v1/completions -H 'content-type: application/json' \\\n    \
+         -d '{{\"model\":\"caption-llm\",\"prompt\":\"a glass plate of a harbour\",\
+         \"max_tokens\":20,\"stream\":true}}'",
+        nodes[0].callers
+    );
+}
--- /dev/null
+++ b/cmd/src/flags.rs
@@ -0,0 +1,52 @@
+//! Reading flags.
+
+use std::fmt::Display;
+use std::str::FromStr;
+
+use getopts::Matches;
+
+/// A flag is missing or its value is wrong.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum FlagError {
+    /// The flag must be given.
+    #[error("--{0} must be given")]
+    Missing(&'static str),
+    /// The flag's value cannot be read.
+    #[error("--{name} {value}: {message}")]
+    Invalid {
+        name: &'static str,
+        value: String,
+        message: String,
+    },
+}
+
+/// Reads a flag that may be absent.
+pub fn optional<T>(matches: &Matches, name: &'static str) -> Result<Option<T>, FlagError>
+where
+    T: FromStr,
+    T::Err: Display,
+{
+    let Some(value) = matches.opt_str(name) else {
+        return Ok(None);
+    };
+    match value.parse() {
+        Ok(parsed) => Ok(Some(parsed)),
+        Err(error) => {
+            let message = format!("{error}");
+            Err(FlagError::Invalid {
+                name,
+                value,
+                message,
+            })
+        }
+    }
+}
+
+/// Reads a flag that must be given.
+pub fn required<T>(matches: &Matches, name: &'static str) -> Result<T, FlagError>
+where
+    T: FromStr,
+    T::Err: Display,
+{
+    optional(matches, name)?.ok_or(FlagError::Missing(name))
+}
--- /dev/null
+++ b/cmd/tests/support/mod.rs
@@ -0,0 +1,181 @@
+//! Starts the programs as processes on loopback and ends them again.
+
+#![allow(dead_code)]
+
+use std::io::{BufRead as _, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Longest wait for a condition; only a fault reaches it.
+const CONDITION_LIMIT: Duration = Duration::from_secs(60);
+
+/// Pause between two looks at a condition.
+const CONDITION_POLL: Duration = Duration::from_millis(25);
+
+/// A process that is killed when dropped.
+pub struct Process {
+    child: Child,
+    /// The line it printed when it was ready.
+    pub ready: String,
+}
+
+impl Process {
+    /// Starts `program` and waits for its ready line.
+    pub fn start(program: &str, arguments: &[&str]) -> Self {
+        let mut child = Command::new(program)
+            .args(arguments)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        let stdout = child.stdout.take().expect("stdout is piped");
+        let mut ready = String::new();
+        BufReader::new(stdout)
+            .read_line(&mut ready)
+            .expect("a ready line");
+        assert!(
+            ready.starts_with("ready"),
+            "{program} {arguments:?} printed {ready:?}"
+        );
+        Self {
+            child,
+            ready: ready.trim().to_owned(),
+        }
+    }
+
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends it a signal, such as `TERM` or `STOP`.
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .args([format!("-{name}"), self.id().to_string()])
+            .status()
+            .expect("kill runs");
+        assert!(status.success());
+    }
+
+    /// Waits for its end and yields its exit code.
+    pub fn wait(&mut self) -> Option<i32> {
+        self.child
+            .wait()
+            .expect("the process can be waited for")
+            .code()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Starts a stand-in and yields it with its address.
+pub fn standin(arguments: &[&str]) -> (Process, SocketAddr) {
+    let process = Process::start(env!("CARGO_BIN_EXE_dalestand-standin"), arguments);
+    let address = process
+        .ready
+        .rsplit(' ')
+        .next()
+        .expect("an address")
+        .parse();
+    (process, address.expect("a socket address"))
+}
+
+/// A node process with its addresses.
+pub struct Node {
+    pub process: Process,
+    pub callers: SocketAddr,
+    pub operators: SocketAddr,
+    pub peers: SocketAddr,
+}
+
+impl Node {
+    /// Starts a node with the settings' text.
+    pub fn start(settings: &str) -> Self {
+        let directory = std::env::temp_dir();
+        let name = format!("dalestand-test-{}-{:x}.toml", std::process::id(), unique());
+        let path = directory.join(name);
+        std::fs::write(&path, settings).expect("the settings are written");
+        let text = path.to_str().expect("a path in UTF-8");
+        let arguments = ["node", "--settings", text];
+        let process = Process::start(env!("CARGO_BIN_EXE_dalestand"), &arguments);
+        let _ = std::fs::remove_file(&path);
+        let address = |key: &str| -> SocketAddr {
+            let words = process.ready.split(' ');
+            let value = words.filter_map(|word| word.strip_prefix(key)).next();
+            value
+                .expect("an address in the ready line")
+                .parse()
+                .expect("a socket address")
+        };
+        let callers = address("callers=");
+        let operators = address("operators=");
+        let peers = address("peers=");
+        Self {
+            process,
+            callers,
+            operators,
+            peers,
+        }
+    }
+}
+
+fn unique() -> u64 {
+    use std::sync::atomic::{AtomicU64, Ordering};
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
+
+/// Runs `dalestandctl` against a node.
+pub fn ctl(operators: SocketAddr, arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_dalestandctl"))
+        .args(["--node", &operators.to_string()])
+        .args(arguments)
+        .output()
+        .expect("dalestandctl runs")
+}
+
+/// Waits until `condition` yields a value.
+pub async fn eventually<T, F, W>(what: &str, mut condition: F) -> T
+where
+    F: FnMut() -> W,
+    W: Future<Output = Option<T>>,
+{
+    let deadline = Instant::now() + CONDITION_LIMIT;
+    loop {
+        if let Some(value) = condition().await {
+            return value;
+        }
+        assert!(Instant::now() < deadline, "never came true: {what}");
+        actix_rt::time::sleep(CONDITION_POLL).await;
+    }
+}
+
+/// Gets JSON.
+pub async fn get<T: DeserializeOwned>(address: SocketAddr, path: &str) -> T {
+    let sent = awc::Client::default()
+        .get(format!("http://{address}{path}"))
+        .send();
+    let mut response = sent.await.expect("an answer");
+    response.json().limit(64 << 20).await.expect("JSON")
+}
+
+/// Posts JSON and yields the status and body.
+pub async fn post<B: Serialize>(address: SocketAddr, path: &str, body: &B) -> (u16, String) {
+    let client = awc::Client::builder().timeout(CONDITION_LIMIT).finish();
+    let sent = client
+        .post(format!("http://{address}{path}"))
+        .send_json(body);
+    let mut response = sent.await.expect("an answer");
+    let status = response.status().as_u16();
+    let body = response.body().limit(64 << 20).await.expect("a body");
+    (status, String::from_utf8_lossy(&body).into_owned())
+}
--- /dev/null
+++ b/crates/decision/src/account.rs
@@ -0,0 +1,81 @@
+//! Plain accounts of decisions, for people.
+
+use std::fmt::Write as _;
+
+use crate::{AttemptOutcome, AttemptRecord, RequestRecord, RoleRecord};
+
+/// A plain account of what was decided about a request.
+pub fn account_of_request(record: &RequestRecord) -> String {
+    let mut text = format!(
+        "request {} for model {} under configuration {}",
+        record.request, record.model, record.revision
+    );
+    if let Some(tenant) = &record.tenant {
+        let _ = write!(text, ", tenant {tenant}");
+    }
+    text.push('\n');
+    for (number, attempt) in record.attempts.iter().enumerate() {
+        text.push_str(&account_of_attempt(number + 1, attempt));
+    }
+    if let Some(refusal) = &record.refusal {
+        let _ = writeln!(text, "  refused: {refusal}");
+    }
+    match record.run_state {
+        Some(state) => {
+            let _ = writeln!(text, "  result: {}", state.as_str());
+        }
+        None => text.push_str("  result: still running\n"),
+    }
+    text
+}
+
+fn account_of_attempt(number: usize, attempt: &AttemptRecord) -> String {
+    let mut text = format!(
+        "  attempt {number} after {} ms: engine {} ({})\n",
+        attempt.after_ms,
+        attempt.engine,
+        outcome_words(&attempt.outcome)
+    );
+    for candidate in &attempt.candidates {
+        let verdict = match (candidate.score, candidate.exclusion) {
+            (_, Some(exclusion)) => format!("left out: {exclusion:?}"),
+            (Some(score), None) => format!("score {score:.1}"),
+            (None, None) => "not scored".to_owned(),
+        };
+        let _ = writeln!(
+            text,
+            "    {}: {verdict}, known {} ms ago",
+            candidate.engine, candidate.information_age_ms
+        );
+    }
+    text
+}
+
+fn outcome_words(outcome: &AttemptOutcome) -> String {
+    match outcome {
+        AttemptOutcome::Running => "running".to_owned(),
+        AttemptOutcome::Complete { tokens } => format!("complete, {tokens} tokens"),
+        AttemptOutcome::NotRun { reason } => format!("not run: {reason}"),
+        AttemptOutcome::Unknown { reason } => format!("unknown whether it ran: {reason}"),
+        AttemptOutcome::Cancelled { tokens } => format!("cancelled after {tokens} tokens"),
+    }
+}
+
+/// A plain account of a role decision.
+pub fn account_of_role_change(record: &RoleRecord) -> String {
+    let from = record
+        .from
+        .map_or_else(|| "out of service".to_owned(), |role| role.to_string());
+    format!(
+        "order {} to engine {} of {}: {from} to {}, epoch {}, configuration {}, on reports up to \
+         {} ms old: {}\n",
+        record.order,
+        record.engine,
+        record.group,
+        record.to,
+        record.epoch,
+        record.revision,
+        record.information_age_ms,
+        record.reason
+    )
+}
--- /dev/null
+++ b/crates/decision/src/lib.rs
@@ -0,0 +1,12 @@
+//! Decision records and their plain account.
+//!
+//! Every decision leaves a typed record: what, when, on what information and how old that was,
+//! the candidates and their scores, the configuration it was made under, and what came of it.
+
+mod account;
+mod record;
+mod ring;
+
+pub use account::{account_of_request, account_of_role_change};
+pub use record::{AttemptOutcome, AttemptRecord, Candidate, Exclusion, RequestRecord, RoleRecord};
+pub use ring::DecisionRing;
--- /dev/null
+++ b/crates/gateway/src/shared.rs
@@ -0,0 +1,133 @@
+//! What the callers' half and the control half of a node share.
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use dalestand_config::Deployment;
+use dalestand_decision::DecisionRing;
+use dalestand_routing::{FleetView, Router, RouterConfig};
+use dalestand_telemetry::Metrics;
+use dalestand_types::{MonotonicTime, Revision, ZoneName};
+use slog::Logger;
+
+/// Decisions kept for operators' questions.
+const DECISIONS_KEPT: usize = 4_096;
+
+/// Reads the monotonic clock; the wall clock only for people to read.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock(Instant);
+
+impl Clock {
+    /// A clock that starts now.
+    pub fn start() -> Self {
+        Self(Instant::now())
+    }
+
+    /// Time since the start.
+    pub fn now(&self) -> MonotonicTime {
+        MonotonicTime(self.0.elapsed().as_micros() as u64)
+    }
+
+    /// Milliseconds since 1970, for people to read.
+    pub fn unix_ms(&self) -> u64 {
+        let passed = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        passed.as_millis() as u64
+    }
+}
+
+/// The configuration in force.
+#[derive(Clone, Debug)]
+pub struct ActiveConfiguration {
+    /// Its revision.
+    pub revision: Revision,
+    /// Its content.
+    pub deployment: Arc<Deployment>,
+}
+
+/// State shared by the halves of a node.
+pub struct Shared {
+    /// The clock of the node.
+    pub clock: Clock,
+    /// The node's zone.
+    pub zone: ZoneName,
+    /// The configuration in force, once there is one.
+    pub configuration: ArcSwapOption<ActiveConfiguration>,
+    /// What is known of the fleet.
+    pub fleet: ArcSwap<FleetView>,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// The log.
+    pub logger: Logger,
+    router: Mutex<Router>,
+    decisions: Mutex<DecisionRing>,
+    stopping: AtomicBool,
+    in_flight: AtomicUsize,
+}
+
+/// Counts a request in flight until dropped.
+pub struct RequestGuard(Arc<Shared>);
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.0.metrics.in_flight.dec();
+        self.0.in_flight.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl Shared {
+    /// State of a node that has just started.
+    pub fn new(zone: ZoneName, logger: Logger, metrics: Metrics) -> Self {
+        Self {
+            clock: Clock::start(),
+            zone,
+            configuration: ArcSwapOption::empty(),
+            fleet: ArcSwap::from_pointee(FleetView::default()),
+            metrics,
+            logger,
+            router: Mutex::new(Router::new(RouterConfig::default())),
+            decisions: Mutex::new(DecisionRing::new(DECISIONS_KEPT)),
+            stopping: AtomicBool::new(false),
+            in_flight: AtomicUsize::new(0),
+        }
+    }
+
+    /// The router.
+    pub fn router(&self) -> MutexGuard<'_, Router> {
+        self.router.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The decision records.
+    pub fn decisions(&self) -> MutexGuard<'_, DecisionRing> {
+        self.decisions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+
+    /// Takes a request in; `None` if a planned stop has begun. The count rises before the mark is
+    /// read, so that a stop which finds no request in flight has none that enters after it.
+    pub fn enter_request(self: &Arc<Self>) -> Option<RequestGuard> {
+        self.in_flight.fetch_add(1, Ordering::SeqCst);
+        self.metrics.in_flight.inc();
+        let guard = RequestGuard(Arc::clone(self));
+        (!self.stopping()).then_some(guard)
+    }
+
+    /// Requests in flight.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::SeqCst)
+    }
+
+    /// Begins a planned stop; yields whether it had not begun before.
+    pub fn begin_stop(&self) -> bool {
+        !self.stopping.swap(true, Ordering::SeqCst)
+    }
+}
--- /dev/null
+++ b/crates/history/src/lib.rs
@@ -0,0 +1,1 @@
+//! History recorder and checkers of concurrent runs.
--- /dev/null
+++ b/crates/http-server/src/lib.rs
@@ -0,0 +1,16 @@
+//! Thin layer over `actix-http`: an accept loop on the current arbiter and typed JSON answers.
+//!
+//! Each server of this project (callers, operators, stand-ins) runs on it, so that limits on
+//! connections, headers and bodies, and the planned stop, are written once.
+
+mod answer;
+mod body;
+mod error;
+mod server;
+
+pub use answer::{Answer, json_answer, status_answer, stream_answer, text_answer};
+pub use body::{read_body, read_json};
+pub use error::HttpServerError;
+pub use server::{Connections, ServerLimits, serve};
+
+pub use actix_http::{Method, Request, StatusCode};
--- /dev/null
+++ b/crates/http-server/src/server.rs
@@ -0,0 +1,118 @@
+//! Accept loop on the current arbiter.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use actix_http::{HttpService, Request};
+use actix_rt::net::TcpStream;
+use actix_service::{IntoServiceFactory as _, ServiceFactory as _, fn_service};
+use tokio::net::TcpListener;
+
+use crate::Answer;
+
+/// Pause after a failed accept (such as too many open files), so that it is not retried at once.
+const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Limits of one server.
+#[derive(Clone, Debug)]
+pub struct ServerLimits {
+    /// Most connections at once; more are closed at once.
+    pub max_connections: usize,
+    /// Time a caller has to send a request's head.
+    pub head_timeout: Duration,
+    /// Time an idle connection is kept.
+    pub keep_alive: Duration,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self {
+            max_connections: 16_384,
+            head_timeout: Duration::from_secs(10),
+            keep_alive: Duration::from_secs(75),
+        }
+    }
+}
+
+/// Count of open connections of one server.
+#[derive(Clone, Debug, Default)]
+pub struct Connections(Arc<AtomicUsize>);
+
+impl Connections {
+    /// Connections open now.
+    pub fn open(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn enter(&self) -> ConnectionGuard {
+        self.0.fetch_add(1, Ordering::Relaxed);
+        ConnectionGuard(self.clone())
+    }
+}
+
+struct ConnectionGuard(Connections);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Serves `handler` on `listener` until the returned future is dropped.
+///
+/// Connections run as local tasks of the current arbiter and outlive the accept loop, so that
+/// dropping it takes no request in flight with it.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    limits: ServerLimits,
+    connections: Connections,
+    handler: H,
+) where
+    H: Fn(Request) -> F + 'static,
+    F: Future<Output = Answer> + 'static,
+{
+    let handler = Rc::new(handler);
+    let service = fn_service(move |request: Request| {
+        let handler = Rc::clone(&handler);
+        async move { Ok::<Answer, Infallible>(handler(request).await) }
+    });
+    let factory = HttpService::build()
+        .client_request_timeout(limits.head_timeout)
+        .keep_alive(limits.keep_alive)
+        .h1(service.into_factory())
+        .tcp();
+    let Ok(connection_service) = factory.new_service(()).await else {
+        return;
+    };
+    let connection_service = Rc::new(connection_service);
+    loop {
+        let Ok((stream, peer)) = listener.accept().await else {
+            actix_rt::time::sleep(ACCEPT_RETRY_PAUSE).await;
+            continue;
+        };
+        if connections.open() >= limits.max_connections {
+            continue;
+        }
+        let guard = connections.enter();
+        let connection_service = Rc::clone(&connection_service);
+        actix_rt::spawn(async move {
+            let _guard = guard;
+            let _peer = peer;
+            serve_connection(&*connection_service, stream).await;
+        });
+    }
+}
+
+async fn serve_connection<S>(service: &S, stream: TcpStream)
+where
+    S: actix_service::Service<TcpStream>,
+{
+    // Small frames must not wait for acknowledgements of earlier ones.
+    let _ = stream.set_nodelay(true);
+    // A failed connection concerns its peer only; requests on it report their own outcome.
+    let _ = service.call(stream).await;
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,22 @@
+//! Experiments: simulator, load against a running fleet, hollow nodes, reports.
+//!
+//! Each command is one module with a `run` function, listed in [`COMMANDS`].
+
+mod error;
+
+use error_stack::Report;
+
+pub use error::LabError;
+
+/// One command of `dalestand-lab`.
+pub struct Command {
+    /// Its name.
+    pub name: &'static str,
+    /// What it does, in one line.
+    pub summary: &'static str,
+    /// Runs it with the arguments that follow its name.
+    pub run: fn(&[String]) -> Result<(), Report<LabError>>,
+}
+
+/// Every command.
+pub const COMMANDS: &[Command] = &[];
--- /dev/null
+++ b/crates/node/src/engines.rs
@@ -0,0 +1,26 @@
+//! Clients of engines, one an address.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use dalestand_platform::{Engine, HttpEngine};
+
+/// Keeps a client for each engine address, so that connections are used again.
+#[derive(Default)]
+pub(crate) struct EngineClients {
+    clients: HashMap<SocketAddr, Rc<dyn Engine>>,
+}
+
+impl EngineClients {
+    /// The client for `address`.
+    pub(crate) fn get(&mut self, address: SocketAddr) -> Rc<dyn Engine> {
+        let client = self.clients.entry(address);
+        Rc::clone(client.or_insert_with(|| Rc::new(HttpEngine::new(address))))
+    }
+
+    /// Drops the clients of addresses that are not in use.
+    pub(crate) fn retain(&mut self, in_use: impl Fn(&SocketAddr) -> bool) {
+        self.clients.retain(|address, _| in_use(address));
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,19 @@
+//! One node: the callers' half and the control half, on arbiters of their own.
+//!
+//! The two halves share [`dalestand_gateway::Shared`] only, so that a stall of the control half
+//! holds no caller's stream.
+
+mod admin;
+mod apply;
+mod cluster_driver;
+mod configuration;
+mod control_driver;
+mod engines;
+mod error;
+mod fleet;
+mod machines;
+mod node;
+
+pub use admin::{ApplyRequest, ApplyResponse, EngineRow, StatusResponse};
+pub use error::NodeError;
+pub use node::{Listeners, NodeAddresses, run};
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,204 @@
+//! Starts the halves of a node and stops them as planned.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_rt::Arbiter;
+use dalestand_cluster::{Cluster, ClusterConfig, Member};
+use dalestand_config::NodeSettings;
+use dalestand_gateway::{Shared, serve_callers};
+use dalestand_http_server::Connections;
+use dalestand_platform::{HttpKeyValue, KeyValue};
+use dalestand_telemetry::{Event, Metrics, log_event};
+use dalestand_types::Incarnation;
+use error_stack::{Report, ResultExt as _};
+use slog::Logger;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::admin::serve_operators;
+use crate::cluster_driver;
+use crate::configuration;
+use crate::control_driver::ControlDriver;
+use crate::error::NodeError;
+use crate::machines::{Machines, poll_machines};
+
+/// How often a stopping node looks whether its requests are over.
+const STOP_POLL: Duration = Duration::from_millis(20);
+
+/// Addresses a node listens on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NodeAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+    /// For other nodes.
+    pub peers: SocketAddr,
+}
+
+/// Open sockets of a node.
+pub struct Listeners {
+    callers: std::net::TcpListener,
+    operators: TcpListener,
+    peers: UdpSocket,
+    addresses: NodeAddresses,
+}
+
+impl Listeners {
+    /// Opens the sockets that the settings name.
+    pub async fn open(settings: &NodeSettings) -> Result<Self, Report<NodeError>> {
+        let callers = listen(settings.caller_listen).await?;
+        let operators = listen(settings.operator_listen).await?;
+        let context = || NodeError::Listen(settings.peer_listen.to_string());
+        let peers = UdpSocket::bind(settings.peer_listen)
+            .await
+            .change_context_lazy(context)?;
+        let addresses = NodeAddresses {
+            callers: callers.local_addr().change_context_lazy(context)?,
+            operators: operators.local_addr().change_context_lazy(context)?,
+            peers: peers.local_addr().change_context_lazy(context)?,
+        };
+        let callers = callers.into_std().change_context_lazy(context)?;
+        Ok(Self {
+            callers,
+            operators,
+            peers,
+            addresses,
+        })
+    }
+
+    /// Where the sockets listen.
+    pub fn addresses(&self) -> NodeAddresses {
+        self.addresses
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, Report<NodeError>> {
+    TcpListener::bind(address)
+        .await
+        .change_context_lazy(|| NodeError::Listen(address.to_string()))
+}
+
+/// Runs a node until a planned stop (SIGTERM or SIGINT) is over.
+pub async fn run(
+    settings: NodeSettings,
+    listeners: Listeners,
+    logger: Logger,
+) -> Result<(), Report<NodeError>> {
+    let metrics = Metrics::new().change_context(NodeError::Metrics)?;
+    let shared = Arc::new(Shared::new(settings.zone.clone(), logger, metrics));
+    let addresses = listeners.addresses;
+    log_event!(shared.logger, Event::NodeStarted, "node" => %settings.node,
+        "callers" => %addresses.callers, "operators" => %addresses.operators,
+        "peers" => %addresses.peers);
+    let mut terminate = signal(SignalKind::terminate()).change_context(NodeError::Signals)?;
+    let mut interrupt = signal(SignalKind::interrupt()).change_context(NodeError::Signals)?;
+
+    let callers = start_callers(Arc::clone(&shared), listeners.callers);
+    let control = start_control(
+        &settings,
+        &shared,
+        addresses,
+        listeners.operators,
+        listeners.peers,
+    );
+    log_readiness(Arc::clone(&shared));
+
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    shared.begin_stop();
+    log_event!(shared.logger, Event::StopBegun, "in_flight" => shared.in_flight());
+    // Further signals change nothing.
+    actix_rt::spawn(async move { while terminate.recv().await.is_some() {} });
+    while shared.in_flight() > 0 {
+        actix_rt::time::sleep(STOP_POLL).await;
+    }
+    control.release_leases().await;
+    callers.stop();
+    log_event!(shared.logger, Event::StopDone, "node" => %settings.node);
+    Ok(())
+}
+
+fn start_callers(shared: Arc<Shared>, listener: std::net::TcpListener) -> Arbiter {
+    let arbiter = Arbiter::new();
+    arbiter.spawn_fn(move || {
+        actix_rt::spawn(async move {
+            match TcpListener::from_std(listener) {
+                Ok(listener) => serve_callers(listener, shared, Connections::default()).await,
+                Err(error) => {
+                    log_event!(shared.logger, Event::ListenFailed, "error" => %error);
+                }
+            }
+        });
+    });
+    arbiter
+}
+
+fn start_control(
+    settings: &NodeSettings,
+    shared: &Arc<Shared>,
+    addresses: NodeAddresses,
+    operators: TcpListener,
+    peers: UdpSocket,
+) -> Rc<ControlDriver> {
+    let machines = Rc::new(RefCell::new(Machines::default()));
+    let me = Member {
+        node: settings.node.clone(),
+        incarnation: Incarnation(shared.clock.unix_ms()),
+        zone: settings.zone.clone(),
+        address: addresses.peers,
+        operator_address: addresses.operators,
+    };
+    let cluster = Cluster::new(me, settings.seeds.clone(), ClusterConfig::default());
+    let cluster = Rc::new(RefCell::new(cluster));
+    let key_value: Rc<dyn KeyValue> = Rc::new(HttpKeyValue::new(settings.key_value));
+    let control = ControlDriver::new(
+        settings.node.clone(),
+        Arc::clone(shared),
+        Rc::clone(&key_value),
+        Rc::clone(&cluster),
+        Rc::clone(&machines),
+        Duration::from_millis(settings.lease_ms),
+        Duration::from_millis(settings.load_poll_ms),
+    );
+    actix_rt::spawn(poll_machines(
+        Arc::clone(shared),
+        settings.machine_list,
+        Duration::from_millis(settings.machine_poll_ms),
+        Rc::clone(&machines),
+    ));
+    actix_rt::spawn(cluster_driver::drive(
+        Arc::clone(shared),
+        peers,
+        cluster,
+        machines,
+    ));
+    let follower = Arc::clone(shared);
+    let followed = Rc::clone(&key_value);
+    actix_rt::spawn(async move { configuration::follow(follower, &*followed).await });
+    actix_rt::spawn(Rc::clone(&control).run());
+    let admin = serve_operators(
+        operators,
+        Arc::clone(shared),
+        Rc::clone(&control),
+        key_value,
+    );
+    actix_rt::spawn(admin);
+    control
+}
+
+/// Logs readiness once a configuration is in force.
+fn log_readiness(shared: Arc<Shared>) {
+    actix_rt::spawn(async move {
+        while shared.configuration.load().is_none() {
+            actix_rt::time::sleep(STOP_POLL).await;
+        }
+        log_event!(shared.logger, Event::NodeReady, "zone" => %shared.zone);
+    });
+}
--- /dev/null
+++ b/crates/platform/src/engine_client.rs
@@ -0,0 +1,174 @@
+//! HTTP client of an engine.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use async_trait::async_trait;
+use awc::Client;
+use bytes::{Bytes, BytesMut};
+use dalestand_types::{
+    AttemptId, EngineLoad, EngineOrders, Epoch, GenerationFrame, GenerationRequest, Order,
+    OrderOutcome, Refusal,
+};
+use error_stack::Report;
+use futures_util::{Stream, StreamExt as _, stream};
+
+use crate::http::{JsonCaller, proves_nothing_sent};
+use crate::wire::Empty;
+use crate::wire::engine::{
+    CANCEL, CancelRequest, EPOCH, GENERATE, LOAD, ORDERS, RaiseEpochRequest,
+};
+use crate::{AttemptError, Engine, FrameStream, PlatformError};
+
+/// Time limit of an order, a load report or a cancel.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Largest frame taken from an engine, in bytes.
+const MAX_FRAME_BYTES: usize = 64 << 10;
+
+/// Largest refusal taken from an engine, in bytes.
+const MAX_REFUSAL_BYTES: usize = 16 << 10;
+
+/// Client of one engine over HTTP.
+pub struct HttpEngine {
+    caller: JsonCaller,
+    client: Client,
+    address: SocketAddr,
+}
+
+impl HttpEngine {
+    /// A client of the engine at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        let client = Client::builder()
+            .disable_timeout()
+            .disable_redirects()
+            .finish();
+        Self {
+            caller: JsonCaller::new("engine", address, CALL_TIMEOUT),
+            client,
+            address,
+        }
+    }
+}
+
+#[async_trait(?Send)]
+impl Engine for HttpEngine {
+    async fn generate(&self, request: &GenerationRequest) -> Result<FrameStream, AttemptError> {
+        let url = format!("http://{}{GENERATE}", self.address);
+        let mut response = self
+            .client
+            .post(url)
+            .send_json(request)
+            .await
+            .map_err(|error| {
+                if proves_nothing_sent(&error) {
+                    AttemptError::NotSent(error.to_string())
+                } else {
+                    AttemptError::BrokenOff(error.to_string())
+                }
+            })?;
+        if response.status() == StatusCode::OK {
+            return Ok(frames(response));
+        }
+        let status = response.status();
+        let body = response
+            .body()
+            .limit(MAX_REFUSAL_BYTES)
+            .await
+            .map_err(|error| AttemptError::BrokenOff(error.to_string()))?;
+        Err(refusal(status, &body))
+    }
+
+    async fn cancel(&self, attempt: AttemptId) -> Result<(), Report<PlatformError>> {
+        let _: Empty = self.caller.post(CANCEL, &CancelRequest { attempt }).await?;
+        Ok(())
+    }
+
+    async fn raise_epoch(&self, epoch: Epoch) -> Result<OrderOutcome, Report<PlatformError>> {
+        self.caller.post(EPOCH, &RaiseEpochRequest { epoch }).await
+    }
+
+    async fn order(&self, order: &Order) -> Result<OrderOutcome, Report<PlatformError>> {
+        self.caller.post(ORDERS, order).await
+    }
+
+    async fn orders(&self) -> Result<EngineOrders, Report<PlatformError>> {
+        self.caller.get(ORDERS).await
+    }
+
+    async fn load(&self) -> Result<EngineLoad, Report<PlatformError>> {
+        self.caller.get(LOAD).await
+    }
+}
+
+fn refusal(status: StatusCode, body: &[u8]) -> AttemptError {
+    let text = String::from_utf8_lossy(body);
+    if matches!(status, StatusCode::CONFLICT | StatusCode::TOO_MANY_REQUESTS) {
+        return match serde_json::from_slice::<Refusal>(body) {
+            Ok(refusal) => AttemptError::Refused(refusal),
+            Err(error) => AttemptError::BrokenOff(format!("{status}, {error}: {text}")),
+        };
+    }
+    if status.is_client_error() {
+        return AttemptError::Rejected(format!("{status}: {text}"));
+    }
+    AttemptError::BrokenOff(format!("{status}: {text}"))
+}
+
+/// Cuts an answer's bytes into lines and each line into a frame.
+fn frames<S>(body: S) -> FrameStream
+where
+    S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin + 'static,
+{
+    let reader = FrameReader {
+        body,
+        buffer: BytesMut::new(),
+        ended: false,
+    };
+    Box::pin(stream::unfold(reader, |mut reader| async move {
+        let item = reader.next_frame().await?;
+        reader.ended |= item.is_err();
+        Some((item, reader))
+    }))
+}
+
+struct FrameReader<S> {
+    body: S,
+    buffer: BytesMut,
+    ended: bool,
+}
+
+impl<S> FrameReader<S>
+where
+    S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
+{
+    async fn next_frame(&mut self) -> Option<Result<GenerationFrame, AttemptError>> {
+        loop {
+            if self.ended {
+                return None;
+            }
+            if let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
+                let line = self.buffer.split_to(end + 1);
+                return Some(parse_frame(&line[..end]));
+            }
+            if self.buffer.len() > MAX_FRAME_BYTES {
+                let message = format!("longer than {MAX_FRAME_BYTES} bytes");
+                return Some(Err(AttemptError::MalformedFrame(message)));
+            }
+            match self.body.next().await {
+                Some(Ok(chunk)) => self.buffer.extend_from_slice(&chunk),
+                Some(Err(error)) => return Some(Err(AttemptError::BrokenOff(error.to_string()))),
+                None if self.buffer.is_empty() => return None,
+                None => {
+                    let message = "ended within a frame".to_owned();
+                    return Some(Err(AttemptError::BrokenOff(message)));
+                }
+            }
+        }
+    }
+}
+
+fn parse_frame(line: &[u8]) -> Result<GenerationFrame, AttemptError> {
+    serde_json::from_slice(line).map_err(|error| AttemptError::MalformedFrame(error.to_string()))
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,24 @@
+//! The outside systems: traits for what they do and one HTTP client for each.
+//!
+//! The wire format of each system lives in one module under [`wire`]; another format is a change
+//! to that module and the client beside it.
+
+pub mod engine;
+pub mod engine_client;
+pub mod error;
+mod http;
+pub mod key_value;
+pub mod key_value_client;
+pub mod machine_list;
+pub mod weight_store;
+pub mod wire;
+
+pub use engine::{AttemptError, Engine, FrameStream};
+pub use engine_client::HttpEngine;
+pub use error::PlatformError;
+pub use key_value::{
+    CasOutcome, Entry, KeyValue, LeaseId, Listing, WatchBatch, WatchEvent, WriteExpectation,
+};
+pub use key_value_client::HttpKeyValue;
+pub use machine_list::{HttpMachineList, MachineList};
+pub use weight_store::{HttpWeightStore, WeightStore};
--- /dev/null
+++ b/crates/platform/src/machine_list.rs
@@ -0,0 +1,44 @@
+//! The platform's machine list.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use dalestand_types::Machine;
+use error_stack::Report;
+
+use crate::PlatformError;
+use crate::http::JsonCaller;
+use crate::wire::machine_list::{MACHINES, MachinesResponse};
+
+/// Time limit of a call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What the machine list does.
+#[async_trait(?Send)]
+pub trait MachineList {
+    /// Reads the whole list; it lags behind the truth.
+    async fn machines(&self) -> Result<Vec<Machine>, Report<PlatformError>>;
+}
+
+/// Client of the machine list over HTTP.
+pub struct HttpMachineList {
+    caller: JsonCaller,
+}
+
+impl HttpMachineList {
+    /// A client of the list at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            caller: JsonCaller::new("machine list", address, CALL_TIMEOUT),
+        }
+    }
+}
+
+#[async_trait(?Send)]
+impl MachineList for HttpMachineList {
+    async fn machines(&self) -> Result<Vec<Machine>, Report<PlatformError>> {
+        let response: MachinesResponse = self.caller.get(MACHINES).await?;
+        Ok(response.machines)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/wire.rs
@@ -0,0 +1,163 @@
+//! Wire formats shared by the HTTP clients here and by the stand-ins.
+
+use serde::{Deserialize, Serialize};
+
+/// Body of a 429 answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RetryAfter {
+    /// When to come back, in milliseconds.
+    pub retry_after_ms: u64,
+}
+
+/// An empty answer.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Empty {}
+
+/// Paths and bodies of the key-value service.
+pub mod key_value {
+    use dalestand_types::Revision;
+    use serde::{Deserialize, Serialize};
+
+    use crate::key_value::{Entry, LeaseId, WriteExpectation};
+
+    /// Reads one key.
+    pub const GET: &str = "/v1/get";
+    /// Reads all keys under a prefix.
+    pub const RANGE: &str = "/v1/range";
+    /// Writes or deletes a key by compare-and-swap.
+    pub const PUT: &str = "/v1/put";
+    /// Waits for changes under a prefix.
+    pub const WATCH: &str = "/v1/watch";
+    /// Grants a lease.
+    pub const LEASE_GRANT: &str = "/v1/lease/grant";
+    /// Renews a lease.
+    pub const LEASE_RENEW: &str = "/v1/lease/renew";
+    /// Gives a lease up; its keys go.
+    pub const LEASE_REVOKE: &str = "/v1/lease/revoke";
+
+    /// Body of [`GET`].
+    #[derive(Clone, Debug, Serialize, Deserialize)]
+    pub struct GetRequest {
+        pub key: String,
+    }
+
+    /// Answer to [`GET`].
+    #[derive(Clone, Debug, Serialize, Deserialize)]
+    pub struct GetResponse {
+        pub entry: Option<Entry>,
+    }
+
+    /// Body of [`RANGE`].
+    #[derive(Clone, Debug, Serialize, Deserialize)]
+    pub struct RangeRequest {
+        pub prefix: String,
+    }
+
+    /// Body of [`PUT`]; no value deletes the key.
+    #[derive(Clone, Debug, Serialize, Deserialize)]
+    pub struct PutRequest {
+        pub key: String,
+        pub value: Option<String>,
+        pub expectation: WriteExpectation,
+        pub lease: Option<LeaseId>,
+    }
+
+    /// Body of [`WATCH`]; answered at the first change, or empty after the wait.
+    #[derive(Clone, Debug, Serialize, Deserialize)]
+    pub struct WatchRequest {
+        pub prefix: String,
+        pub after: Revision,
+        pub wait_ms: u64,
+    }
+
+    /// Body of [`LEASE_GRANT`].
+    #[derive(Clone, Debug, Serialize, Deserialize)]
+    pub struct LeaseGrantRequest {
+        pub ttl_ms: u64,
+    }
+
+    /// Answer to [`LEASE_GRANT`].
+    #[derive(Clone, Debug, Serialize, Deserialize)]
+    pub struct LeaseGrantResponse {
+        pub lease: LeaseId,
+    }
+
+    /// Body of [`LEASE_RENEW`] and [`LEASE_REVOKE`].
+    #[derive(Clone, Debug, Serialize, Deserialize)]
+    pub struct LeaseRequest {
+        pub lease: LeaseId,
+    }
+
+    /// Answer to [`LEASE_RENEW`].
+    #[derive(Clone, Debug, Serialize, Deserialize)]
+    pub struct LeaseRenewResponse {
+        /// Whether the lease was still there.
+        pub alive: bool,
+    }
+}
+
+/// Paths and bodies of engines.
+pub mod engine {
+    use dalestand_types::{AttemptId, Epoch};
+    use serde::{Deserialize, Serialize};
+
+    /// Runs a request; answered by a frame a line.
+    pub const GENERATE: &str = "/v1/generate";
+    /// Stops an attempt.
+    pub const CANCEL: &str = "/v1/cancel";
+    /// Gives an order (POST) or reads the order state (GET).
+    pub const ORDERS: &str = "/v1/orders";
+    /// Raises the epoch.
+    pub const EPOCH: &str = "/v1/epoch";
+    /// Reads the last load report.
+    pub const LOAD: &str = "/v1/load";
+
+    /// Body of [`CANCEL`].
+    #[derive(Clone, Debug, Serialize, Deserialize)]
+    pub struct CancelRequest {
+        pub attempt: AttemptId,
+    }
+
+    /// Body of [`EPOCH`].
+    #[derive(Clone, Debug, Serialize, Deserialize)]
+    pub struct RaiseEpochRequest {
+        pub epoch: Epoch,
+    }
+}
+
+/// Paths and bodies of the machine list.
+pub mod machine_list {
+    use dalestand_types::Machine;
+    use serde::{Deserialize, Serialize};
+
+    /// Reads the list (GET) or registers a machine (POST).
+    pub const MACHINES: &str = "/v1/machines";
+
+    /// Answer to a read.
+    #[derive(Clone, Debug, Serialize, Deserialize)]
+    pub struct MachinesResponse {
+        pub machines: Vec<Machine>,
+    }
+}
+
+/// Paths and bodies of the weight store.
+pub mod weight_store {
+    use serde::{Deserialize, Serialize};
+
+    /// Asks for one transfer of weights; answered when the transfer may start.
+    pub const FETCH: &str = "/v1/fetch";
+
+    /// Body of [`FETCH`].
+    #[derive(Clone, Debug, Serialize, Deserialize)]
+    pub struct FetchRequest {
+        pub name: String,
+        pub version: String,
+    }
+
+    /// Answer to [`FETCH`].
+    #[derive(Clone, Debug, Serialize, Deserialize)]
+    pub struct FetchResponse {
+        /// How long the transfer takes, in milliseconds.
+        pub transfer_ms: u64,
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/mod.rs
@@ -0,0 +1,14 @@
+//! Stand-in of a model engine.
+//!
+//! It batches continuously, takes fenced orders, derives its text from the request (so that a
+//! wrong or cut answer is visible), and keeps append-only logs that tests read.
+
+mod batch;
+mod log;
+mod orders;
+mod server;
+pub mod text;
+
+pub use batch::{Batch, BatchSettings};
+pub use log::{OrderLogEntry, RunLogEntry, RunLogEvent};
+pub use server::{EngineFaults, EngineSettings, serve_engine};
--- /dev/null
+++ b/crates/standin/src/engine/text.rs
@@ -0,0 +1,33 @@
+//! Deterministic text: token `i` of an answer depends on the model, the prompt and `i` only.
+
+use std::fmt::Write as _;
+
+/// Seed of the text that answers `prompt`.
+pub fn seed(model: &str, prompt: &str) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(model.as_bytes());
+    hasher.update(&[0]);
+    hasher.update(prompt.as_bytes());
+    *hasher.finalize().as_bytes()
+}
+
+/// Token `position` of the text with that seed.
+pub fn token(seed: &[u8; 32], position: u32) -> String {
+    let mut word = String::with_capacity(12);
+    let start = position as usize % (seed.len() - 2);
+    let mark = u16::from_le_bytes([seed[start], seed[start + 1]]);
+    // Writing to a string cannot fail.
+    let _ = write!(word, "w{mark:04x}{position} ");
+    word
+}
+
+/// The whole answer to `prompt`, as one string.
+pub fn expected_text(model: &str, prompt: &str, tokens: u32) -> String {
+    let seed = seed(model, prompt);
+    (0..tokens).map(|position| token(&seed, position)).collect()
+}
+
+/// Tokens of a prompt: its words, at least one.
+pub fn count_tokens(prompt: &str) -> u32 {
+    (prompt.split_whitespace().count() as u32).max(1)
+}
--- /dev/null
+++ b/crates/standin/src/machine_list.rs
@@ -0,0 +1,111 @@
+//! Stand-in of the machine list: it shows what is registered, after a lag.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use dalestand_http_server::{
+    Answer, Connections, HttpServerError, Method, Request, ServerLimits, StatusCode, json_answer,
+    read_json, serve, status_answer, text_answer,
+};
+use dalestand_platform::wire::Empty;
+use dalestand_platform::wire::machine_list::{MACHINES, MachinesResponse};
+use dalestand_types::Machine;
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+
+const MAX_BODY_BYTES: usize = 1 << 20;
+
+/// Faults of the stand-in; `POST /faults` replaces them all.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct MachineListFaults {
+    /// Changes show this many milliseconds late.
+    pub lag_ms: u64,
+    /// Every call is answered 503.
+    pub outage: bool,
+}
+
+/// A change that may not show yet.
+enum Change {
+    Set(Machine),
+    Remove(String),
+}
+
+#[derive(Default)]
+struct State {
+    visible: BTreeMap<String, Machine>,
+    pending: VecDeque<(Instant, Change)>,
+    faults: MachineListFaults,
+}
+
+impl State {
+    fn change(&mut self, change: Change) {
+        let shows = Instant::now() + Duration::from_millis(self.faults.lag_ms);
+        self.pending.push_back((shows, change));
+    }
+
+    fn settle(&mut self, now: Instant) {
+        while self.pending.front().is_some_and(|(shows, _)| *shows <= now) {
+            match self.pending.pop_front() {
+                Some((_, Change::Set(machine))) => {
+                    self.visible.insert(machine.name.clone(), machine);
+                }
+                Some((_, Change::Remove(name))) => {
+                    self.visible.remove(&name);
+                }
+                None => {}
+            }
+        }
+    }
+}
+
+/// Serves the machine list on `listener`: `GET` reads, `POST` sets one machine, `DELETE` with the
+/// name as last part of the path removes one.
+pub async fn serve_machine_list(listener: TcpListener) {
+    let state = Rc::new(RefCell::new(State::default()));
+    serve(
+        listener,
+        ServerLimits::default(),
+        Connections::default(),
+        move |request| answer(Rc::clone(&state), request),
+    )
+    .await;
+}
+
+async fn answer(state: Rc<RefCell<State>>, mut request: Request) -> Answer {
+    match handle(&state, &mut request).await {
+        Ok(answer) => answer,
+        Err(error) => text_answer(error.status(), error.to_string()),
+    }
+}
+
+async fn handle(state: &RefCell<State>, request: &mut Request) -> Result<Answer, HttpServerError> {
+    let path = request.path().to_owned();
+    if path == "/faults" {
+        let faults: MachineListFaults = read_json(request, MAX_BODY_BYTES).await?;
+        state.borrow_mut().faults = faults;
+        return Ok(json_answer(StatusCode::OK, &Empty {}));
+    }
+    if state.borrow().faults.outage {
+        return Ok(status_answer(StatusCode::SERVICE_UNAVAILABLE));
+    }
+    if request.method() == Method::DELETE {
+        let name = path.rsplit('/').next().unwrap_or_default().to_owned();
+        state.borrow_mut().change(Change::Remove(name));
+        return Ok(json_answer(StatusCode::OK, &Empty {}));
+    }
+    if path != MACHINES {
+        return Ok(status_answer(StatusCode::NOT_FOUND));
+    }
+    if request.method() == Method::POST {
+        let machine: Machine = read_json(request, MAX_BODY_BYTES).await?;
+        state.borrow_mut().change(Change::Set(machine));
+        return Ok(json_answer(StatusCode::OK, &Empty {}));
+    }
+    let mut state = state.borrow_mut();
+    state.settle(Instant::now());
+    let machines = state.visible.values().cloned().collect();
+    Ok(json_answer(StatusCode::OK, &MachinesResponse { machines }))
+}
--- /dev/null
+++ b/crates/telemetry/src/event.rs
@@ -0,0 +1,79 @@
+//! The events. `docs/EVENTS.md` is their catalogue; a test holds the two against each other.
+
+use slog::Level;
+
+/// Defines the events: number, level and message of each.
+macro_rules! events {
+    ($($(#[$doc:meta])* $name:ident = ($number:literal, $level:ident, $message:literal);)+) => {
+        /// A numbered event. Numbers are never used again for another event.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum Event {
+            $($(#[$doc])* $name,)+
+        }
+
+        /// Every event.
+        pub const EVENTS: &[Event] = &[$(Event::$name,)+];
+
+        impl Event {
+            /// Its number.
+            pub fn number(self) -> u32 {
+                match self { $(Self::$name => $number,)+ }
+            }
+
+            /// Its level.
+            pub fn level(self) -> Level {
+                match self { $(Self::$name => Level::$level,)+ }
+            }
+
+            /// Its message.
+            pub fn message(self) -> &'static str {
+                match self { $(Self::$name => $message,)+ }
+            }
+        }
+    };
+}
+
+events! {
+    /// The process listens.
+    NodeStarted = (1001, Info, "node started");
+    /// A configuration is in force and callers are served.
+    NodeReady = (1002, Info, "node ready");
+    /// A planned stop has begun.
+    StopBegun = (1003, Info, "planned stop begun");
+    /// The planned stop is over.
+    StopDone = (1004, Info, "planned stop done");
+    /// A listener failed.
+    ListenFailed = (1005, Error, "listener failed");
+    /// A configuration came into force.
+    ConfigurationInForce = (1101, Info, "configuration in force");
+    /// A configuration in the key-value service could not be used.
+    ConfigurationUnusable = (1102, Error, "configuration unusable");
+    /// The key-value service failed.
+    KeyValueFailed = (1201, Warning, "key-value service failed");
+    /// The machine list failed.
+    MachineListFailed = (1202, Warning, "machine list failed");
+    /// A group's lease was acquired.
+    LeaseAcquired = (1301, Info, "lease acquired");
+    /// A group's lease was lost.
+    LeaseLost = (1302, Warning, "lease lost");
+    /// A group's lease was given up.
+    LeaseReleased = (1303, Info, "lease released");
+    /// An order was given to an engine.
+    OrderGiven = (1311, Info, "order given");
+    /// An engine refused an order.
+    OrderRefused = (1312, Warning, "order refused");
+    /// An engine did not answer its controller.
+    EngineSilent = (1313, Warning, "engine did not answer");
+    /// A node came up.
+    MemberUp = (1401, Info, "member up");
+    /// A node went down.
+    MemberDown = (1402, Warning, "member down");
+    /// A datagram could not be read.
+    DatagramUnreadable = (1403, Warning, "datagram unreadable");
+    /// A request was answered in whole.
+    RequestComplete = (1501, Debug, "request complete");
+    /// A request was refused or failed.
+    RequestFailed = (1502, Info, "request failed");
+    /// A frame of another attempt was discarded.
+    ForeignFrame = (1503, Warning, "frame of another attempt discarded");
+}
--- /dev/null
+++ b/crates/telemetry/src/logger.rs
@@ -0,0 +1,47 @@
+//! Loggers.
+
+use slog::{Drain as _, Logger, o};
+
+/// Records that may wait for the writer; more are dropped and counted, so that a slow writer never
+/// holds a request.
+const CHANNEL_RECORDS: usize = 4_096;
+
+/// How events are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogOutput {
+    /// One JSON object a line, on standard error.
+    Json,
+    /// Text for a terminal, on standard error.
+    Terminal,
+}
+
+/// A logger that writes to standard error from a thread of its own.
+pub fn logger(output: LogOutput) -> Logger {
+    match output {
+        LogOutput::Json => {
+            let drain = slog_json::Json::default(std::io::stderr()).fuse();
+            asynchronous(std::sync::Mutex::new(drain).fuse())
+        }
+        LogOutput::Terminal => {
+            let decorator = slog_term::TermDecorator::new().stderr().build();
+            let drain = slog_term::FullFormat::new(decorator).build().fuse();
+            asynchronous(drain)
+        }
+    }
+}
+
+/// A logger that writes nothing.
+pub fn discard_logger() -> Logger {
+    Logger::root(slog::Discard, o!())
+}
+
+fn asynchronous<D>(drain: D) -> Logger
+where
+    D: slog::Drain<Err = slog::Never, Ok = ()> + Send + 'static,
+{
+    let drain = slog_async::Async::new(drain)
+        .chan_size(CHANNEL_RECORDS)
+        .build()
+        .fuse();
+    Logger::root(drain, o!())
+}
--- /dev/null
+++ b/crates/telemetry/src/metrics.rs
@@ -0,0 +1,73 @@
+//! Metrics in the Prometheus text format.
+
+use prometheus::{Encoder as _, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+
+/// Metrics could not be set up or written.
+#[derive(Debug, thiserror::Error)]
+#[error("metrics failed: {0}")]
+pub struct MetricsError(#[from] prometheus::Error);
+
+/// Metrics of one node.
+#[derive(Clone)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by result (`complete`, `not-run`, `unknown`, `cancelled`).
+    pub requests: IntCounterVec,
+    /// Attempts sent to engines.
+    pub attempts: IntCounter,
+    /// Output tokens relayed to callers.
+    pub tokens: IntCounter,
+    /// Frames of another attempt that were discarded.
+    pub foreign_frames: IntCounter,
+    /// Requests in flight.
+    pub in_flight: IntGauge,
+    /// Revision of the configuration in force.
+    pub configuration_revision: IntGauge,
+    /// Live members of the cluster, this node left out.
+    pub members: IntGauge,
+    /// Group leases held.
+    pub leases: IntGauge,
+    /// Calls to the key-value service.
+    pub key_value_calls: IntCounter,
+}
+
+impl Metrics {
+    /// A fresh set.
+    pub fn new() -> Result<Self, MetricsError> {
+        let registry = Registry::new_custom(Some("dalestand".to_owned()), None)?;
+        let requests = IntCounterVec::new(
+            Opts::new("requests_total", "Requests by result."),
+            &["result"],
+        )?;
+        registry.register(Box::new(requests.clone()))?;
+        let counter = |name: &str, help: &str| -> Result<IntCounter, prometheus::Error> {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let gauge = |name: &str, help: &str| -> Result<IntGauge, prometheus::Error> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        Ok(Self {
+            requests,
+            attempts: counter("attempts_total", "Attempts sent to engines.")?,
+            tokens: counter("tokens_total", "Output tokens relayed to callers.")?,
+            foreign_frames: counter("foreign_frames_total", "Discarded frames.")?,
+            in_flight: gauge("requests_in_flight", "Requests in flight.")?,
+            configuration_revision: gauge("configuration_revision", "Revision in force.")?,
+            members: gauge("members", "Live members besides this node.")?,
+            leases: gauge("leases", "Group leases held.")?,
+            key_value_calls: counter("key_value_calls_total", "Key-value calls.")?,
+            registry,
+        })
+    }
+
+    /// All metrics as text.
+    pub fn text(&self) -> Result<String, MetricsError> {
+        let mut buffer = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut buffer)?;
+        Ok(String::from_utf8_lossy(&buffer).into_owned())
+    }
+}
--- /dev/null
+++ b/crates/types/src/generation.rs
@@ -0,0 +1,195 @@
+//! Requests for generation and what comes back.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+use crate::{AdapterName, Incarnation, ModelName, Revision, TenantName};
+
+/// Defines a random 128-bit identifier written as 32 hexadecimal digits.
+macro_rules! random_identifier {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub u128);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(formatter, "{:032x}", self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = std::num::ParseIntError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                u128::from_str_radix(text, 16).map(Self)
+            }
+        }
+
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                serializer.collect_str(self)
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                let text = String::deserialize(deserializer)?;
+                text.parse().map_err(serde::de::Error::custom)
+            }
+        }
+    };
+}
+
+random_identifier!(
+    /// A caller's request; the same over all attempts to serve it.
+    RequestId
+);
+random_identifier!(
+    /// One attempt to run a request on one engine; frames name it.
+    AttemptId
+);
+
+/// Importance of a request; a higher number goes first.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Priority(pub u8);
+
+/// A request as an engine takes it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GenerationRequest {
+    /// The caller's request.
+    pub request: RequestId,
+    /// This attempt; the engine runs an attempt at most once.
+    pub attempt: AttemptId,
+    /// Model to run.
+    pub model: ModelName,
+    /// Adapter to apply.
+    pub adapter: Option<AdapterName>,
+    /// The tenant on whose behalf it runs.
+    pub tenant: Option<TenantName>,
+    /// The prompt's text.
+    pub prompt: String,
+    /// Most output tokens to generate.
+    pub max_tokens: u32,
+    /// Output tokens the caller already holds; generation goes on after them.
+    pub resume_from: u32,
+    /// Importance.
+    pub priority: Priority,
+    /// Time left until the answer is of no use, in milliseconds.
+    pub deadline_ms: Option<u64>,
+    /// Configuration under which it was routed.
+    pub revision: Revision,
+    /// The run of the engine it is meant for, where known.
+    pub incarnation: Option<Incarnation>,
+    /// The key under which the request may run at most once, where it may not be repeated.
+    pub once_key: Option<String>,
+    /// Where to import the KV cache of the prompt from; the prompt is run here if absent.
+    pub import_from: Option<String>,
+    /// Run only the prompt and keep its KV cache for export.
+    pub prefill_only: bool,
+}
+
+/// Token counts of a finished request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Prompt tokens found in the prefix cache.
+    pub cached_tokens: u32,
+    /// Tokens generated, including those before a resume.
+    pub completion_tokens: u32,
+}
+
+/// Why generation ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FinishReason {
+    /// The answer was complete.
+    Stop,
+    /// `max_tokens` was reached.
+    Length,
+}
+
+/// One frame of an engine's answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "frame", rename_all = "snake_case")]
+pub enum GenerationFrame {
+    /// One output token. Positions start at 0 and rise by one.
+    Token {
+        attempt: AttemptId,
+        position: u32,
+        text: String,
+    },
+    /// The whole answer has been sent; `tokens` is the count of its tokens.
+    Finished {
+        attempt: AttemptId,
+        tokens: u32,
+        reason: FinishReason,
+        usage: Usage,
+    },
+    /// The engine gave up.
+    Failed { attempt: AttemptId, message: String },
+}
+
+/// Why an engine took no request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalReason {
+    /// No room for another request.
+    Full,
+    /// Out of service for a role change, or draining.
+    OutOfService,
+    /// Its role does not run this phase.
+    WrongRole,
+    /// The model or adapter is not loaded.
+    NotLoaded,
+    /// The engine's run is not the one the request names.
+    OtherIncarnation,
+    /// This attempt, or this key that may run once, was run before.
+    AlreadyRun,
+}
+
+/// An engine's refusal: the request did not run there (except for `AlreadyRun`).
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// Why.
+    pub reason: RefusalReason,
+    /// When room is expected, in milliseconds.
+    pub retry_after_ms: u64,
+}
+
+impl Refusal {
+    /// When to come back.
+    pub fn retry_after(&self) -> Duration {
+        Duration::from_millis(self.retry_after_ms)
+    }
+}
+
+/// What is known of whether a request ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RunState {
+    /// It is certain that no engine ran it.
+    NotRun,
+    /// It ran and the whole answer was delivered.
+    Complete,
+    /// It may have run, in whole or in part.
+    Unknown,
+}
+
+impl RunState {
+    /// The word used in headers and logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun => "not-run",
+            Self::Complete => "complete",
+            Self::Unknown => "unknown",
+        }
+    }
+}
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,28 @@
+//! Identifiers, epochs, revisions and the messages that pass between layers.
+//!
+//! Everything here is plain data: no I/O, no clock, no randomness. Other crates agree on these
+//! types so that the node, the simulator and the tests speak of the same things.
+
+pub mod generation;
+pub mod identifier;
+pub mod load;
+pub mod machine;
+pub mod order;
+pub mod role;
+pub mod time;
+
+pub use generation::{
+    AttemptId, FinishReason, GenerationFrame, GenerationRequest, Priority, Refusal, RefusalReason,
+    RequestId, RunState, Usage,
+};
+pub use identifier::{
+    AdapterName, EngineId, Epoch, GroupId, Incarnation, ModelName, NodeId, PoolName, Revision,
+    Sequence, TenantName, Version, ZoneName,
+};
+pub use load::{EngineDigest, EngineLoad, GroupDigest, LoadedModel};
+pub use machine::{Machine, MachineKind, MachineState};
+pub use order::{
+    EngineOrders, Order, OrderCommand, OrderId, OrderOutcome, OrderPhase, OrderStatus,
+};
+pub use role::Role;
+pub use time::MonotonicTime;
