Every fault of a file is listed at once, with its line and what would be right

Cause: a derived deserializer stops at its first fault, so an operator would mend a file one fault a run; references and contradictions had no line. Ruled out: repeated deserialization with the offending key taken out (a missing key cannot be taken out); a schema language (no line numbers). Change: a table reader that collects faults while serde reads each value; places kept by path so that checks of the whole file name lines too; unknown keys with a suggestion; settings from file and flags; what differs between two deployments. Before: one fault a run, line 0 for references. Conclusion: a file is used whole or not at all, and is mended in one go.

--- a/crates/config/src/deployment.rs
+++ b/crates/config/src/deployment.rs
@@ -1,14 +1,15 @@
 //! The deployment file: what operators declare about models, engines, callers and limits.
 
-use std::collections::BTreeSet;
-
 use dalestand_types::{
     AdapterName, EngineId, GroupId, ModelName, PoolName, Priority, Role, TenantName, Version,
     ZoneName,
 };
 use serde::{Deserialize, Serialize};
 
-use crate::fault::{Fault, Faults, line_of};
+use crate::deployment_reader::read_deployment;
+use crate::deployment_validation::validate_deployment;
+use crate::fault::Faults;
+use crate::reader::read_document;
 
 /// The only deployment format known.
 pub const FORMAT: u32 = 1;
@@ -18,41 +19,36 @@
 
 /// A checked deployment file.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Deployment {
     /// Version of the file's format.
     pub format: u32,
     /// Name of the deployment, for people.
     pub name: String,
     /// Rules for role changes.
-    #[serde(default)]
     pub roles: RoleRules,
     /// Who may call.
-    #[serde(default)]
     pub callers: CallerRules,
     /// Limits on requests.
-    #[serde(default)]
     pub limits: Limits,
     /// Models, with their adapters.
-    #[serde(default, rename = "model")]
+    #[serde(rename = "model")]
     pub models: Vec<Model>,
     /// Pools of engines.
-    #[serde(default, rename = "pool")]
+    #[serde(rename = "pool")]
     pub pools: Vec<Pool>,
     /// Groups: the engines of one pool in one zone.
-    #[serde(default, rename = "group")]
+    #[serde(rename = "group")]
     pub groups: Vec<Group>,
     /// Request classes: priority and deadlines.
-    #[serde(default, rename = "class")]
+    #[serde(rename = "class")]
     pub classes: Vec<Class>,
     /// Tenants.
-    #[serde(default, rename = "tenant")]
+    #[serde(rename = "tenant")]
     pub tenants: Vec<Tenant>,
 }
 
 /// Rules for role changes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
 pub struct RoleRules {
     /// Weight of role changes against goodput: 0 counts only goodput, 1 only role changes.
     pub change_weight: f64,
@@ -71,7 +67,6 @@
 
 /// Who may call.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
 pub struct CallerRules {
     /// Whether a request without a tenant's key is refused.
     pub require_key: bool,
@@ -85,7 +80,6 @@
 
 /// Limits on a single request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
 pub struct Limits {
     /// Largest request body, in bytes.
     pub max_body_bytes: usize,
@@ -107,7 +101,6 @@
 
 /// A model.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Model {
     /// Name callers use.
     pub name: ModelName,
@@ -116,13 +109,12 @@
     /// Size of the weights, in GiB.
     pub weights_gib: f64,
     /// Adapters of the model.
-    #[serde(default, rename = "adapter")]
+    #[serde(rename = "adapter")]
     pub adapters: Vec<Adapter>,
 }
 
 /// An adapter of a model; callers name it `MODEL:ADAPTER`.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Adapter {
     /// Name of the adapter.
     pub name: AdapterName,
@@ -132,26 +124,21 @@
 
 /// Engines that serve the same models under the same rules.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Pool {
     /// Name of the pool.
     pub name: PoolName,
     /// Models its engines serve.
     pub models: Vec<ModelName>,
     /// Whether a request may be run again; `false` means at most once.
-    #[serde(default = "default_true")]
-    pub repeatable: bool,
+        pub repeatable: bool,
     /// Role of engines before the first plan.
-    #[serde(default = "default_role")]
-    pub initial_role: Role,
+        pub initial_role: Role,
     /// Roles the planner may use.
-    #[serde(default = "default_roles")]
-    pub roles: Vec<Role>,
+        pub roles: Vec<Role>,
 }
 
 /// The engines of one pool in one zone; controlled under one lease.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Group {
     /// Pool of the engines.
     pub pool: PoolName,
@@ -170,7 +157,6 @@
 
 /// A class of requests.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Class {
     /// Name used in the `x-dalestand-class` header and by tenants.
     pub name: String,
@@ -184,7 +170,6 @@
 
 /// A tenant.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Tenant {
     /// Name of the tenant.
     pub name: TenantName,
@@ -198,31 +183,10 @@
     pub burst_tokens: u64,
 }
 
-fn default_true() -> bool {
-    true
-}
-
-fn default_role() -> Role {
-    Role::Mixed
-}
-
-fn default_roles() -> Vec<Role> {
-    Role::ALL.to_vec()
-}
-
 impl Deployment {
     /// Parses and checks a deployment file. Every fault found is listed.
     pub fn parse(text: &str) -> Result<Self, Faults> {
-        let deployment: Self = toml::from_str(text).map_err(|error| {
-            let line = error.span().map_or(0, |span| line_of(text, span.start));
-            Faults(vec![Fault::new(line, "", error.message())])
-        })?;
-        let faults = deployment.validate();
-        if faults.is_empty() {
-            Ok(deployment)
-        } else {
-            Err(Faults(faults))
-        }
+        read_document(text, read_deployment, validate_deployment)
     }
 
     /// The pool of that name.
@@ -244,66 +208,4 @@
     pub fn pool_of_model(&self, model: &ModelName) -> Option<&Pool> {
         self.pools.iter().find(|pool| pool.models.contains(model))
     }
-
-    fn validate(&self) -> Vec<Fault> {
-        let mut faults = Vec::new();
-        if self.format != FORMAT {
-            let message = format!("format {} is not known; use {FORMAT}", self.format);
-            faults.push(Fault::new(0, "format", message));
-        }
-        if !(0.0..=1.0).contains(&self.roles.change_weight) {
-            faults.push(Fault::new(
-                0,
-                "roles.change_weight",
-                "must lie between 0 and 1",
-            ));
-        }
-        self.validate_references(&mut faults);
-        self.validate_engines(&mut faults);
-        faults
-    }
-
-    fn validate_references(&self, faults: &mut Vec<Fault>) {
-        for pool in &self.pools {
-            for model in &pool.models {
-                if self.model(model).is_none() {
-                    let message = format!("model {model} is not declared by a [[model]]");
-                    faults.push(Fault::new(0, format!("pool.{}.models", pool.name), message));
-                }
-            }
-        }
-        for group in &self.groups {
-            if self.pool(&group.pool).is_none() {
-                let message = format!("pool {} is not declared by a [[pool]]", group.pool);
-                faults.push(Fault::new(0, format!("group.{}", group.id()), message));
-            }
-        }
-        for tenant in &self.tenants {
-            if self.class(&tenant.class).is_none() {
-                let message = format!("class {} is not declared by a [[class]]", tenant.class);
-                faults.push(Fault::new(
-                    0,
-                    format!("tenant.{}.class", tenant.name),
-                    message,
-                ));
-            }
-        }
-    }
-
-    fn validate_engines(&self, faults: &mut Vec<Fault>) {
-        let mut seen = BTreeSet::new();
-        for group in &self.groups {
-            let path = format!("group.{}.engines", group.id());
-            if group.engines.len() > MAX_GROUP_ENGINES {
-                let message = format!("at most {MAX_GROUP_ENGINES} engines a group");
-                faults.push(Fault::new(0, path.clone(), message));
-            }
-            for engine in &group.engines {
-                if !seen.insert(engine.clone()) {
-                    let message = format!("engine {engine} is listed twice; list it once");
-                    faults.push(Fault::new(0, path.clone(), message));
-                }
-            }
-        }
-    }
 }
--- /dev/null
+++ b/crates/config/src/deployment_reader.rs
@@ -0,0 +1,127 @@
+//! Reads the tables of a deployment file.
+
+use dalestand_types::{
+    AdapterName, ModelName, PoolName, Priority, Role, TenantName, Version, ZoneName,
+};
+
+use crate::deployment::{
+    Adapter, CallerRules, Class, Deployment, Group, Limits, Model, Pool, RoleRules, Tenant,
+};
+use crate::reader::TableReader;
+
+const A_NAME: &str = "a name in quotes";
+const A_COUNT: &str = "a whole number";
+const MILLISECONDS: &str = "a whole number of milliseconds";
+const TRUE_OR_FALSE: &str = "true or false";
+
+/// Reads the whole file.
+pub(crate) fn read_deployment(table: &TableReader<'_>) -> Deployment {
+    Deployment {
+        format: table.required("format", "the number of the format, 1", 1),
+        name: table.required("name", A_NAME, String::new()),
+        roles: table.table("roles", read_role_rules).unwrap_or_default(),
+        callers: table.table("callers", read_caller_rules).unwrap_or_default(),
+        limits: table.table("limits", read_limits).unwrap_or_default(),
+        models: table.tables("model", read_model),
+        pools: table.tables("pool", read_pool),
+        groups: table.tables("group", read_group),
+        classes: table.tables("class", read_class),
+        tenants: table.tables("tenant", read_tenant),
+    }
+}
+
+fn read_role_rules(table: &TableReader<'_>) -> RoleRules {
+    let default = RoleRules::default();
+    RoleRules {
+        change_weight: table.or(
+            "change_weight",
+            "a number between 0.0 and 1.0",
+            default.change_weight,
+        ),
+        max_changes_at_once: table.or(
+            "max_changes_at_once",
+            A_COUNT,
+            default.max_changes_at_once,
+        ),
+    }
+}
+
+fn read_caller_rules(table: &TableReader<'_>) -> CallerRules {
+    let default = CallerRules::default();
+    CallerRules { require_key: table.or("require_key", TRUE_OR_FALSE, default.require_key) }
+}
+
+fn read_limits(table: &TableReader<'_>) -> Limits {
+    let default = Limits::default();
+    Limits {
+        max_body_bytes: table.or("max_body_bytes", A_COUNT, default.max_body_bytes),
+        max_output_tokens: table.or("max_output_tokens", A_COUNT, default.max_output_tokens),
+        default_output_tokens: table.or(
+            "default_output_tokens",
+            A_COUNT,
+            default.default_output_tokens,
+        ),
+    }
+}
+
+fn read_model(table: &TableReader<'_>) -> Model {
+    Model {
+        name: table.required("name", A_NAME, ModelName::from("")),
+        version: table.required("version", "a version in quotes", Version::from("")),
+        weights_gib: table.required("weights_gib", "the size of the weights in GiB, as 14.0", 1.0),
+        adapters: table.tables("adapter", read_adapter),
+    }
+}
+
+fn read_adapter(table: &TableReader<'_>) -> Adapter {
+    Adapter {
+        name: table.required("name", A_NAME, AdapterName::from("")),
+        version: table.required("version", "a version in quotes", Version::from("")),
+    }
+}
+
+fn read_pool(table: &TableReader<'_>) -> Pool {
+    let roles = "a list of \"prefill\", \"decode\" and \"mixed\"";
+    Pool {
+        name: table.required("name", A_NAME, PoolName::from("")),
+        models: table.required("models", "a list of model names", Vec::new()),
+        repeatable: table.or("repeatable", TRUE_OR_FALSE, true),
+        initial_role: table.or(
+            "initial_role",
+            "\"prefill\", \"decode\" or \"mixed\"",
+            Role::Mixed,
+        ),
+        roles: table.or("roles", roles, Role::ALL.to_vec()),
+    }
+}
+
+fn read_group(table: &TableReader<'_>) -> Group {
+    Group {
+        pool: table.required("pool", "the name of a pool", PoolName::from("")),
+        zone: table.required("zone", "the name of a zone", ZoneName::from("")),
+        engines: table.required("engines", "a list of engine names", Vec::new()),
+    }
+}
+
+fn read_class(table: &TableReader<'_>) -> Class {
+    Class {
+        name: table.required("name", A_NAME, String::new()),
+        priority: table.required("priority", "a whole number from 0 to 255", Priority(0)),
+        first_token_ms: table.required("first_token_ms", MILLISECONDS, 1),
+        deadline_ms: table.required("deadline_ms", MILLISECONDS, 1),
+    }
+}
+
+fn read_tenant(table: &TableReader<'_>) -> Tenant {
+    Tenant {
+        name: table.required("name", A_NAME, TenantName::from("")),
+        key_blake3: table.required(
+            "key_blake3",
+            "the BLAKE3 hash of the key, 64 hexadecimal digits",
+            String::new(),
+        ),
+        class: table.required("class", "the name of a class", String::new()),
+        tokens_per_second: table.required("tokens_per_second", A_COUNT, 1),
+        burst_tokens: table.required("burst_tokens", A_COUNT, 1),
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,11 +4,16 @@
 //! fault found, each with its place and what would be right.
 
 pub mod deployment;
+mod deployment_reader;
+mod deployment_validation;
+pub mod difference;
 pub mod fault;
+mod reader;
 pub mod settings;
 
 pub use deployment::{
     Adapter, CallerRules, Class, Deployment, Group, Limits, Model, Pool, RoleRules, Tenant,
 };
+pub use difference::{Change, differences};
 pub use fault::{Fault, Faults};
-pub use settings::{LogFormat, NodeSettings};
+pub use settings::{LogFormat, NodeSettings, PartialSettings};
