Operators' programs whole: diff, roles, drain, key, JSON, completion, flags

Cause: `dalestandctl` could only apply, show status and print text; the operators' surface asked for no key; `dalestand dev` could not be stopped before its engines were ready, since it waited for them on the task that watches the stop (found by a SIGTERM 8 s after the start: the process lived on). Ruled out: a fault of the planned stop itself (both nodes logged event 1004). Change: one module a command; typed answers; key by BLAKE3 hash compared in constant time; a planned stop by POST /stop; settings by flags; dev waits for readiness beside the stop. Conclusion: operators can check, compare, apply, ask and stop by commands with documented exit codes.

--- a/cmd/src/bin/dalestand-standin.rs
+++ b/cmd/src/bin/dalestand-standin.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use dalestand_cmd::exit::Exit;
+use dalestand_cmd::exit::{Exit, usage_error};
 use dalestand_cmd::flags::{FlagError, optional, required};
 use dalestand_standin::engine::{BatchSettings, EngineSettings, serve_engine};
 use dalestand_standin::key_value::serve_key_value;
@@ -63,7 +63,7 @@
     let options = options();
     let matches = match options.parse(arguments) {
         Ok(matches) => matches,
-        Err(error) => return usage_error(&error.to_string()),
+        Err(error) => return usage_error(error),
     };
     if matches.opt_present("help") {
         println!("{}", options.usage(USAGE));
@@ -73,7 +73,7 @@
     actix_rt::System::new().block_on(async move {
         match serve(&kind, &matches).await {
             Ok(()) => Exit::Success,
-            Err(error) => usage_error(&error),
+            Err(error) => usage_error(error),
         }
     })
 }
@@ -113,8 +113,3 @@
         weight_store: optional(matches, "weights")?,
     })
 }
-
-fn usage_error(message: &str) -> Exit {
-    eprintln!("{message}");
-    Exit::Usage
-}
--- a/cmd/src/dev.rs
+++ b/cmd/src/dev.rs
@@ -5,7 +5,9 @@
 
 use actix_rt::Arbiter;
 use dalestand_config::{Deployment, NodeSettings};
-use dalestand_node::{ApplyRequest, ApplyResponse, Listeners, NodeAddresses, StatusResponse};
+use dalestand_node::{
+    ApplyRequest, ApplyResponse, EngineRow, Listeners, NodeAddresses, StatusResponse,
+};
 use dalestand_standin::engine::{BatchSettings, EngineSettings, serve_engine};
 use dalestand_standin::key_value::serve_key_value;
 use dalestand_standin::machine_list::serve_machine_list;
@@ -17,7 +19,7 @@
 use getopts::Options;
 use tokio::net::TcpListener;
 
-use crate::exit::Exit;
+use crate::exit::{Exit, failure, usage_error};
 use crate::flags::optional;
 
 /// The deployment that is applied at the start.
@@ -26,6 +28,10 @@
 const DEFAULT_LISTEN: ([u8; 4], u16) = ([127, 0, 0, 1], 8080);
 const DEFAULT_OPERATORS: ([u8; 4], u16) = ([127, 0, 0, 1], 8081);
 const ROLE_CHANGE: Duration = Duration::from_secs(2);
+/// Short, since two nodes step in for four zones: another zone's lease is taken after a wait.
+const LEASE_MS: u64 = 1_000;
+const MACHINE_POLL_MS: u64 = 500;
+const LOAD_POLL_MS: u64 = 300;
 const READY_POLL: Duration = Duration::from_millis(100);
 
 /// Runs the stand-ins and two nodes until interrupted.
@@ -46,7 +52,7 @@
     options.optflag("h", "help", "show this help");
     let matches = match options.parse(arguments) {
         Ok(matches) => matches,
-        Err(error) => return usage_error(&error.to_string()),
+        Err(error) => return usage_error(error),
     };
     if matches.opt_present("help") {
         println!("{}", options.usage("usage: dalestand dev [flags]"));
@@ -61,24 +67,16 @@
     });
     let (callers, operators) = match addresses {
         Ok(addresses) => addresses,
-        Err(error) => return usage_error(&error.to_string()),
+        Err(error) => return usage_error(error),
     };
     actix_rt::System::new().block_on(async move {
         match start(callers, operators).await {
             Ok(()) => Exit::Success,
-            Err(message) => {
-                eprintln!("{message}");
-                Exit::Failure
-            }
+            Err(message) => failure(message),
         }
     })
 }
 
-fn usage_error(message: &str) -> Exit {
-    eprintln!("{message}");
-    Exit::Usage
-}
-
 /// Starts a stand-in on an arbiter of its own and yields where it listens.
 fn start_standin<S>(serve: S) -> Result<SocketAddr, String>
 where
@@ -157,8 +155,15 @@
         )));
     }
     apply_example(nodes[0].operators).await?;
-    wait_until_served(nodes[0].operators, &deployment).await?;
-    print_ready(&nodes);
+    // A stop that is asked for before the fleet is ready ends the wait too.
+    actix_rt::spawn(async move {
+        if wait_until_served(nodes[0].operators, &deployment)
+            .await
+            .is_ok()
+        {
+            print_ready(&nodes);
+        }
+    });
     for run in runs {
         let ended = run.await.map_err(|error| error.to_string())?;
         ended.map_err(|report| format!("{report:?}"))?;
@@ -215,12 +220,13 @@
         peer_listen: SocketAddr::from(([127, 0, 0, 1], 0)),
         key_value,
         machine_list,
-        weight_store: None,
         seeds: Vec::new(),
         log_format: dalestand_config::LogFormat::Terminal,
-        lease_ms: 3_000,
-        machine_poll_ms: 500,
-        load_poll_ms: 300,
+        lease_ms: LEASE_MS,
+        machine_poll_ms: MACHINE_POLL_MS,
+        load_poll_ms: LOAD_POLL_MS,
+        operator_key_blake3: None,
+        peer_key: None,
     }
 }
 
@@ -248,10 +254,7 @@
         let sent = awc::Client::default().get(url).send();
         let mut response = sent.await.map_err(|error| error.to_string())?;
         let status: StatusResponse = response.json().await.map_err(|error| error.to_string())?;
-        let serving = status
-            .engines
-            .iter()
-            .filter(|row| row.accepting && row.role.is_some());
+        let serving = status.engines.iter().filter(|row| is_serving(row));
         if status.ready && serving.count() == wanted {
             return Ok(());
         }
@@ -259,6 +262,10 @@
     }
 }
 
+fn is_serving(row: &EngineRow) -> bool {
+    row.accepting && row.role.is_some() && !row.models.is_empty()
+}
+
 fn print_ready(nodes: &[NodeAddresses]) {
     for node in nodes {
         println!(
--- a/cmd/src/exit.rs
+++ b/cmd/src/exit.rs
@@ -1,5 +1,6 @@
 //! Exit codes of the programs.
 
+use std::fmt::Display;
 use std::process::ExitCode;
 
 /// How a program ends.
@@ -28,3 +29,15 @@
         })
     }
 }
+
+/// Says that a flag or file is wrong.
+pub fn usage_error(message: impl Display) -> Exit {
+    eprintln!("{message}");
+    Exit::Usage
+}
+
+/// Says why what was asked could not be done.
+pub fn failure(message: impl Display) -> Exit {
+    eprintln!("{message}");
+    Exit::Failure
+}
--- a/cmd/src/flags.rs
+++ b/cmd/src/flags.rs
@@ -50,3 +50,21 @@
 {
     optional(matches, name)?.ok_or(FlagError::Missing(name))
 }
+
+/// Reads a flag that may be given several times.
+pub fn several<T>(matches: &Matches, name: &'static str) -> Result<Vec<T>, FlagError>
+where
+    T: FromStr,
+    T::Err: Display,
+{
+    let values = matches.opt_strs(name).into_iter();
+    values
+        .map(|value| {
+            value.parse().map_err(|error: T::Err| FlagError::Invalid {
+                name,
+                message: error.to_string(),
+                value,
+            })
+        })
+        .collect()
+}
--- a/cmd/src/lib.rs
+++ b/cmd/src/lib.rs
@@ -1,5 +1,8 @@
-//! What the programs share: exit codes and flag reading.
+//! What the programs are made of: flags, exit codes and one module a command.
 
 pub mod dev;
 pub mod exit;
+pub mod files;
 pub mod flags;
+pub mod node;
+pub mod operator;
--- /dev/null
+++ b/cmd/src/operator/completion.rs
@@ -0,0 +1,15 @@
+//! Completion text for bash: `source <(dalestandctl completion)`.
+
+/// What bash is to read.
+pub(super) const BASH: &str = r#"_dalestandctl() {
+    local word="${COMP_WORDS[COMP_CWORD]}"
+    local before="${COMP_WORDS[COMP_CWORD-1]}"
+    case "$before" in
+        apply|diff|--key-file) COMPREPLY=($(compgen -f -- "$word")) ;;
+        explain) COMPREPLY=($(compgen -W "request engine" -- "$word")) ;;
+        *) COMPREPLY=($(compgen -W "apply diff status roles explain drain completion \
+            --node --key-file --json --author --after --help" -- "$word")) ;;
+    esac
+}
+complete -F _dalestandctl dalestandctl
+"#;
--- /dev/null
+++ b/cmd/src/operator/mod.rs
@@ -0,0 +1,95 @@
+//! `dalestandctl`: what operators ask and order, over a node's operators' surface.
+
+mod apply;
+mod client;
+mod completion;
+mod explain;
+mod roles;
+mod status;
+
+use getopts::{Matches, Options};
+
+use self::client::Client;
+use crate::exit::{Exit, usage_error};
+
+const USAGE: &str = "usage: dalestandctl [flags] COMMAND
+
+commands:
+  apply FILE            apply a deployment file as a whole
+  diff FILE             what a deployment file would change
+  status                what a node knows of the fleet
+  roles                 engines and their roles, by group
+  explain request ID    how a request was decided
+  explain engine ID     how an engine's role was decided
+  drain                 begin a planned stop of the node asked
+  completion            print the completion text for bash
+
+exit codes: 0 done, 1 failed, 2 wrong flag or file, 3 another change came first,
+4 not known whether it took effect";
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt(
+        "n",
+        "node",
+        "operators' address of a node (default 127.0.0.1:8081)",
+        "ADDRESS",
+    );
+    options.optopt(
+        "k",
+        "key-file",
+        "file that holds the operators' key",
+        "FILE",
+    );
+    options.optflag("j", "json", "print JSON");
+    options.optopt(
+        "",
+        "author",
+        "apply: who applies (default: operator)",
+        "NAME",
+    );
+    options.optopt(
+        "",
+        "after",
+        "apply: only if this revision stands there",
+        "REVISION",
+    );
+    options.optflag("h", "help", "show this help");
+    options
+}
+
+/// Runs `dalestandctl` with its arguments.
+pub fn run(arguments: &[String]) -> Exit {
+    let options = options();
+    let matches = match options.parse(arguments) {
+        Ok(matches) => matches,
+        Err(error) => return usage_error(error),
+    };
+    if matches.opt_present("help") {
+        println!("{}", options.usage(USAGE));
+        return Exit::Success;
+    }
+    match Client::from_flags(&matches) {
+        Ok(client) => actix_rt::System::new().block_on(dispatch(&matches, &client)),
+        Err(message) => usage_error(message),
+    }
+}
+
+async fn dispatch(matches: &Matches, client: &Client) -> Exit {
+    let json = matches.opt_present("json");
+    let words: Vec<&str> = matches.free.iter().map(String::as_str).collect();
+    match words.as_slice() {
+        ["apply", path] => apply::apply(client, matches, path).await,
+        ["diff", path] => apply::diff(client, path, json).await,
+        ["status"] => status::status(client, json).await,
+        ["roles"] => roles::roles(client, json).await,
+        ["explain", "request", id] => explain::request(client, id, json).await,
+        ["explain", "engine", id] => explain::engine(client, id, json).await,
+        ["drain"] => status::drain(client).await,
+        ["completion"] => {
+            print!("{}", completion::BASH);
+            Exit::Success
+        }
+        _ => usage_error(USAGE),
+    }
+}
--- a/crates/config/src/deployment.rs
+++ b/crates/config/src/deployment.rs
@@ -130,11 +130,11 @@
     /// Models its engines serve.
     pub models: Vec<ModelName>,
     /// Whether a request may be run again; `false` means at most once.
-        pub repeatable: bool,
+    pub repeatable: bool,
     /// Role of engines before the first plan.
-        pub initial_role: Role,
+    pub initial_role: Role,
     /// Roles the planner may use.
-        pub roles: Vec<Role>,
+    pub roles: Vec<Role>,
 }
 
 /// The engines of one pool in one zone; controlled under one lease.
--- a/crates/config/src/deployment_reader.rs
+++ b/crates/config/src/deployment_reader.rs
@@ -20,7 +20,9 @@
         format: table.required("format", "the number of the format, 1", 1),
         name: table.required("name", A_NAME, String::new()),
         roles: table.table("roles", read_role_rules).unwrap_or_default(),
-        callers: table.table("callers", read_caller_rules).unwrap_or_default(),
+        callers: table
+            .table("callers", read_caller_rules)
+            .unwrap_or_default(),
         limits: table.table("limits", read_limits).unwrap_or_default(),
         models: table.tables("model", read_model),
         pools: table.tables("pool", read_pool),
@@ -38,17 +40,15 @@
             "a number between 0.0 and 1.0",
             default.change_weight,
         ),
-        max_changes_at_once: table.or(
-            "max_changes_at_once",
-            A_COUNT,
-            default.max_changes_at_once,
-        ),
+        max_changes_at_once: table.or("max_changes_at_once", A_COUNT, default.max_changes_at_once),
     }
 }
 
 fn read_caller_rules(table: &TableReader<'_>) -> CallerRules {
     let default = CallerRules::default();
-    CallerRules { require_key: table.or("require_key", TRUE_OR_FALSE, default.require_key) }
+    CallerRules {
+        require_key: table.or("require_key", TRUE_OR_FALSE, default.require_key),
+    }
 }
 
 fn read_limits(table: &TableReader<'_>) -> Limits {
@@ -68,7 +68,11 @@
     Model {
         name: table.required("name", A_NAME, ModelName::from("")),
         version: table.required("version", "a version in quotes", Version::from("")),
-        weights_gib: table.required("weights_gib", "the size of the weights in GiB, as 14.0", 1.0),
+        weights_gib: table.required(
+            "weights_gib",
+            "the size of the weights in GiB, as 14.0",
+            1.0,
+        ),
         adapters: table.tables("adapter", read_adapter),
     }
 }
--- a/crates/config/src/deployment_validation.rs
+++ b/crates/config/src/deployment_validation.rs
@@ -49,8 +49,10 @@
         faults.add("limits.default_output_tokens", "must be above 0");
     }
     if limits.max_output_tokens < limits.default_output_tokens {
-        let message =
-            format!("must be at least default_output_tokens, {}", limits.default_output_tokens);
+        let message = format!(
+            "must be at least default_output_tokens, {}",
+            limits.default_output_tokens
+        );
         faults.add("limits.max_output_tokens", message);
     }
 }
@@ -95,9 +97,8 @@
     }
     let allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
     if name.len() > MAX_NAME_BYTES || !name.bytes().all(allowed) {
-        let message = format!(
-            "{name:?} must have at most {MAX_NAME_BYTES} letters, digits, '-', '_' or '.'"
-        );
+        let message =
+            format!("{name:?} must have at most {MAX_NAME_BYTES} letters, digits, '-', '_' or '.'");
         faults.add(path, message);
     }
 }
@@ -131,7 +132,11 @@
                 faults.add(format!("{path}.models"), message);
             }
         }
-        if !deployment.groups.iter().any(|group| group.pool == pool.name) {
+        if !deployment
+            .groups
+            .iter()
+            .any(|group| group.pool == pool.name)
+        {
             let message = format!("pool {} has no engines; add a [[group]] for it", pool.name);
             faults.add(path, message);
         }
@@ -161,12 +166,18 @@
             faults.add(format!("{path}.pool"), message);
         }
         if !groups.insert(group.id()) {
-            let message = format!("pool {} has a group in zone {} already", group.pool, group.zone);
+            let message = format!(
+                "pool {} has a group in zone {} already",
+                group.pool, group.zone
+            );
             faults.add(path.clone(), message);
         }
         let path = format!("{path}.engines");
         if !(1..=MAX_GROUP_ENGINES).contains(&group.engines.len()) {
-            faults.add(path.clone(), format!("must name 1 to {MAX_GROUP_ENGINES} engines"));
+            faults.add(
+                path.clone(),
+                format!("must name 1 to {MAX_GROUP_ENGINES} engines"),
+            );
         }
         for engine in &group.engines {
             validate_name(engine.as_str(), &path, faults);
@@ -197,7 +208,10 @@
         let path = format!("tenant[{index}]");
         validate_tenant(tenant, &path, faults);
         if !tenant.class.is_empty() && deployment.class(&tenant.class).is_none() {
-            let message = format!("class {} is not declared; add a [[class]] for it", tenant.class);
+            let message = format!(
+                "class {} is not declared; add a [[class]] for it",
+                tenant.class
+            );
             faults.add(format!("{path}.class"), message);
         }
         if let Some(first) = hashes.insert(&tenant.key_blake3, index)
@@ -220,8 +234,10 @@
         faults.add(format!("{path}.tokens_per_second"), "must be above 0");
     }
     if tenant.burst_tokens < tenant.tokens_per_second {
-        let message =
-            format!("must be at least tokens_per_second, {}", tenant.tokens_per_second);
+        let message = format!(
+            "must be at least tokens_per_second, {}",
+            tenant.tokens_per_second
+        );
         faults.add(format!("{path}.burst_tokens"), message);
     }
 }
--- a/crates/config/src/difference.rs
+++ b/crates/config/src/difference.rs
@@ -49,7 +49,11 @@
         (Some(Value::Object(old)), Some(Value::Object(new))) => {
             let keys: BTreeSet<&String> = old.keys().chain(new.keys()).collect();
             for key in keys {
-                let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+                let path = if path.is_empty() {
+                    key.clone()
+                } else {
+                    format!("{path}.{key}")
+                };
                 compare(&path, old.get(key), new.get(key), changes);
             }
         }
@@ -57,7 +61,8 @@
             let names: BTreeSet<String> = old.iter().chain(new).filter_map(name_of).collect();
             for name in names {
                 let find = |list: &'_ [Value]| -> Option<usize> {
-                    list.iter().position(|one| name_of(one).as_ref() == Some(&name))
+                    list.iter()
+                        .position(|one| name_of(one).as_ref() == Some(&name))
                 };
                 let before = find(old).map(|index| &old[index]);
                 let after = find(new).map(|index| &new[index]);
--- a/crates/config/src/fault.rs
+++ b/crates/config/src/fault.rs
@@ -61,12 +61,20 @@
     pub(crate) fn add(&mut self, path: impl Into<String>, message: impl Into<String>) {
         let path = path.into();
         let line = self.line_of(&path);
-        self.faults.push(Fault { line, path, message: message.into() });
+        self.faults.push(Fault {
+            line,
+            path,
+            message: message.into(),
+        });
     }
 
     /// Adds a fault on a known line.
     pub(crate) fn add_at(&mut self, line: usize, path: String, message: String) {
-        self.faults.push(Fault { line, path, message });
+        self.faults.push(Fault {
+            line,
+            path,
+            message,
+        });
     }
 
     /// The value if there was no fault, else all faults in the order of the file.
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -27,7 +27,9 @@
     let (table, errors) = DeTable::parse_recoverable(text);
     for error in errors {
         let line = error.span().map_or(0, |span| lines.line_of(span.start));
-        collector.borrow_mut().add_at(line, String::new(), error.message().to_owned());
+        collector
+            .borrow_mut()
+            .add_at(line, String::new(), error.message().to_owned());
     }
     let root = TableReader {
         lines: &lines,
@@ -135,7 +137,10 @@
             return Vec::new();
         };
         let Some(array) = value.get_ref().as_array() else {
-            self.fault(key, format!("must be an array of tables, each written [[{key}]]"));
+            self.fault(
+                key,
+                format!("must be an array of tables, each written [[{key}]]"),
+            );
             return Vec::new();
         };
         let mut read_tables = Vec::with_capacity(array.len());
@@ -176,12 +181,18 @@
         self.known.borrow_mut().insert(key);
         let value = self.table.get(key)?;
         let line = self.lines.line_of(value.span().start);
-        self.collector.borrow_mut().note_place(self.child(key), line);
+        self.collector
+            .borrow_mut()
+            .note_place(self.child(key), line);
         Some(value)
     }
 
     fn child(&self, key: &str) -> String {
-        if self.path.is_empty() { key.to_owned() } else { format!("{}.{key}", self.path) }
+        if self.path.is_empty() {
+            key.to_owned()
+        } else {
+            format!("{}.{key}", self.path)
+        }
     }
 
     fn fault(&self, key: &str, message: String) {
@@ -204,13 +215,17 @@
                 None => format!("unknown key; known here: {}", listing(&known)),
             };
             let line = self.lines.line_of(key.span().start);
-            self.collector.borrow_mut().add_at(line, self.child(name), message);
+            self.collector
+                .borrow_mut()
+                .add_at(line, self.child(name), message);
         }
     }
 }
 
 fn closest<'k>(name: &str, known: &BTreeSet<&'k str>) -> Option<&'k str> {
-    let scored = known.iter().map(|key| (*key, strsim::jaro_winkler(name, key)));
+    let scored = known
+        .iter()
+        .map(|key| (*key, strsim::jaro_winkler(name, key)));
     scored
         .filter(|(_, similarity)| *similarity >= SUGGESTION_SIMILARITY)
         .max_by(|one, other| one.1.total_cmp(&other.1))
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -193,7 +193,10 @@
         // A value that was there and wrong has a fault of its own.
         if !is_given && !faults.has_place(key) {
             let flag = key.replace('_', "-");
-            faults.add(key, format!("is missing; give it in the file or by --{flag}"));
+            faults.add(
+                key,
+                format!("is missing; give it in the file or by --{flag}"),
+            );
         }
     }
     validate_intervals(settings, faults);
@@ -218,11 +221,22 @@
     let written = |hash: &String| {
         hash.len() == HASH_DIGITS && hash.bytes().all(|byte| byte.is_ascii_hexdigit())
     };
-    if settings.operator_key_blake3.as_ref().is_some_and(|hash| !written(hash)) {
+    if settings
+        .operator_key_blake3
+        .as_ref()
+        .is_some_and(|hash| !written(hash))
+    {
         let message = format!("must have {HASH_DIGITS} hexadecimal digits, the key's BLAKE3 hash");
         faults.add("operator_key_blake3", message);
     }
-    if settings.peer_key.as_ref().is_some_and(|key| key.len() < MIN_PEER_KEY_BYTES) {
-        faults.add("peer_key", format!("must have at least {MIN_PEER_KEY_BYTES} characters"));
+    if settings
+        .peer_key
+        .as_ref()
+        .is_some_and(|key| key.len() < MIN_PEER_KEY_BYTES)
+    {
+        faults.add(
+            "peer_key",
+            format!("must have at least {MIN_PEER_KEY_BYTES} characters"),
+        );
     }
 }
--- a/crates/config/tests/deployment.rs
+++ b/crates/config/tests/deployment.rs
@@ -33,7 +33,11 @@
 #[case::seberang(SEBERANG, 12)]
 fn the_examples_have_no_fault(#[case] text: &str, #[case] engines: usize) {
     let deployment = Deployment::parse(text).expect("no fault");
-    let listed: usize = deployment.groups.iter().map(|group| group.engines.len()).sum();
+    let listed: usize = deployment
+        .groups
+        .iter()
+        .map(|group| group.engines.len())
+        .sum();
     assert_eq!(listed, engines);
 }
 
@@ -46,17 +50,32 @@
 }
 
 #[rstest]
-#[case::unknown_key("name = \"small\"", "name = \"small\"\nnaem = 1", 3, "did you mean name?")]
+#[case::unknown_key(
+    "name = \"small\"",
+    "name = \"small\"\nnaem = 1",
+    3,
+    "did you mean name?"
+)]
 #[case::wrong_type("weights_gib = 1.0", "weights_gib = \"big\"", 7, "size of the weights")]
 #[case::missing("version = \"1\"\n", "", 4, "version is missing")]
 #[case::reference("models = [\"m\"]", "models = [\"n\"]", 11, "model n is not declared")]
-#[case::range("name = \"small\"", "name = \"small\"\nroles.change_weight = 1.5", 3, "between 0.0")]
+#[case::range(
+    "name = \"small\"",
+    "name = \"small\"\nroles.change_weight = 1.5",
+    3,
+    "between 0.0"
+)]
 #[case::no_engine("engines = [\"e\"]", "engines = []", 16, "1 to 64 engines")]
 #[case::twice("engines = [\"e\"]", "engines = [\"e\", \"e\"]", 16, "list it once")]
 #[case::separator("engines = [\"e\"]", "engines = [\"e:1\"]", 16, "letters, digits")]
 #[case::format("format = 1", "format = 2", 1, "format 2 is not known")]
 #[case::not_toml("name = \"small\"", "name = ", 2, "")]
-#[case::roles("models = [\"m\"]", "models = [\"m\"]\nroles = [\"prefill\"]", 12, "cover prefill")]
+#[case::roles(
+    "models = [\"m\"]",
+    "models = [\"m\"]\nroles = [\"prefill\"]",
+    12,
+    "cover prefill"
+)]
 fn a_fault_names_its_line_and_what_would_be_right(
     #[case] right: &str,
     #[case] wrong: &str,
@@ -65,7 +84,9 @@
 ) {
     assert!(SMALL.contains(right));
     let faults = faults_of(&SMALL.replace(right, wrong));
-    let found = faults.iter().any(|fault| fault.line == line && fault.message.contains(message));
+    let found = faults
+        .iter()
+        .any(|fault| fault.line == line && fault.message.contains(message));
     assert!(found, "{faults:#?}");
 }
 
@@ -82,7 +103,10 @@
     sorted.sort_unstable();
     assert_eq!(lines, sorted);
     for line in [1, 4, 6, 11, 15] {
-        assert!(lines.contains(&line), "no fault on line {line}: {faults:#?}");
+        assert!(
+            lines.contains(&line),
+            "no fault on line {line}: {faults:#?}"
+        );
     }
 }
 
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -21,7 +21,10 @@
 
 #[test]
 fn a_flag_goes_before_the_file() {
-    let flags = PartialSettings { node: Some(NodeId::from("other")), ..Default::default() };
+    let flags = PartialSettings {
+        node: Some(NodeId::from("other")),
+        ..Default::default()
+    };
     let settings = NodeSettings::parse_with(FILE, flags).expect("no fault");
     assert_eq!(settings.node, NodeId::from("other"));
 }
@@ -30,7 +33,11 @@
 fn what_neither_gives_is_listed() {
     let faults = NodeSettings::parse("node = \"n\"").expect_err("values are missing");
     assert_eq!(faults.0.len(), 6);
-    assert!(faults.to_string().contains("give it in the file or by --peer-listen"));
+    assert!(
+        faults
+            .to_string()
+            .contains("give it in the file or by --peer-listen")
+    );
 }
 
 #[test]
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,9 @@
 mod machines;
 mod node;
 
-pub use admin::{ApplyRequest, ApplyResponse, EngineRow, StatusResponse};
+pub use admin::{
+    ApplyRequest, ApplyResponse, ConfigurationResponse, EngineControlRow, EngineExplanation,
+    EngineRow, MemberRow, RequestExplanation, StatusResponse,
+};
 pub use error::NodeError;
 pub use node::{Listeners, NodeAddresses, run};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -18,8 +18,9 @@
 use slog::Logger;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Notify;
 
-use crate::admin::serve_operators;
+use crate::admin::{Admin, serve_operators};
 use crate::cluster_driver;
 use crate::configuration;
 use crate::control_driver::ControlDriver;
@@ -99,18 +100,19 @@
     let mut interrupt = signal(SignalKind::interrupt()).change_context(NodeError::Signals)?;
 
     let callers = start_callers(Arc::clone(&shared), listeners.callers);
-    let control = start_control(
-        &settings,
-        &shared,
+    let stop_asked = Rc::new(Notify::new());
+    let sockets = ControlSockets {
+        operators: listeners.operators,
+        peers: listeners.peers,
         addresses,
-        listeners.operators,
-        listeners.peers,
-    );
+    };
+    let control = start_control(&settings, &shared, sockets, Rc::clone(&stop_asked));
     log_readiness(Arc::clone(&shared));
 
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        () = stop_asked.notified() => {}
     }
     shared.begin_stop();
     log_event!(shared.logger, Event::StopBegun, "in_flight" => shared.in_flight());
@@ -140,20 +142,26 @@
     arbiter
 }
 
+/// Sockets of the control half.
+struct ControlSockets {
+    operators: TcpListener,
+    peers: UdpSocket,
+    addresses: NodeAddresses,
+}
+
 fn start_control(
     settings: &NodeSettings,
     shared: &Arc<Shared>,
-    addresses: NodeAddresses,
-    operators: TcpListener,
-    peers: UdpSocket,
+    sockets: ControlSockets,
+    stop_asked: Rc<Notify>,
 ) -> Rc<ControlDriver> {
     let machines = Rc::new(RefCell::new(Machines::default()));
     let me = Member {
         node: settings.node.clone(),
         incarnation: Incarnation(shared.clock.unix_ms()),
         zone: settings.zone.clone(),
-        address: addresses.peers,
-        operator_address: addresses.operators,
+        address: sockets.addresses.peers,
+        operator_address: sockets.addresses.operators,
     };
     let cluster = Cluster::new(me, settings.seeds.clone(), ClusterConfig::default());
     let cluster = Rc::new(RefCell::new(cluster));
@@ -173,23 +181,27 @@
         Duration::from_millis(settings.machine_poll_ms),
         Rc::clone(&machines),
     ));
-    actix_rt::spawn(cluster_driver::drive(
+    let driver = cluster_driver::drive(
         Arc::clone(shared),
-        peers,
-        cluster,
+        sockets.peers,
+        Rc::clone(&cluster),
         machines,
-    ));
+    );
+    actix_rt::spawn(driver);
     let follower = Arc::clone(shared);
     let followed = Rc::clone(&key_value);
     actix_rt::spawn(async move { configuration::follow(follower, &*followed).await });
     actix_rt::spawn(Rc::clone(&control).run());
-    let admin = serve_operators(
-        operators,
-        Arc::clone(shared),
-        Rc::clone(&control),
+    let admin = Admin {
+        node: settings.node.clone(),
+        shared: Arc::clone(shared),
+        control: Rc::clone(&control),
+        cluster,
         key_value,
-    );
-    actix_rt::spawn(admin);
+        stop_asked,
+    };
+    let key_blake3 = settings.operator_key_blake3.clone();
+    actix_rt::spawn(serve_operators(sockets.operators, admin, key_blake3));
     control
 }
 
