Border of at-most-once claims in the gateway

Cause: a request of a pool with repeatable = false may reach two nodes under one key; the gateway needs one narrow place to ask before the first dispatch. Ruled out: calling the claims crate from the gateway, which would tie callers' arbiters to its threads and transport. Change: trait ClaimGate with typed outcomes, Shared::set_claims. Not called yet; the completion path takes it up with the reading of Idempotency-Key. Conclusion: the border is fixed, so both sides can be built beside each other.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,12 +4,16 @@
 //! control half of the node: the two share only [`Shared`].
 
 mod attempt;
+mod claim;
 mod completion;
 mod error;
 mod openai;
 mod server;
 mod shared;
 
+pub use claim::{
+    ClaimEnd, ClaimGate, ClaimKey, ClaimOutcome, ClaimRequest, KeptAnswer, RequestFingerprint,
+};
 pub use error::CallerError;
 pub use server::serve_callers;
 pub use shared::{ActiveConfiguration, Clock, RequestGuard, Shared};
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,7 +1,7 @@
 //! What the callers' half and the control half of a node share.
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -12,6 +12,8 @@
 use dalestand_types::{MonotonicTime, Revision, ZoneName};
 use slog::Logger;
 
+use crate::claim::ClaimGate;
+
 /// Decisions kept for operators' questions.
 const DECISIONS_KEPT: usize = 4_096;
 
@@ -62,6 +64,7 @@
     pub metrics: Metrics,
     /// The log.
     pub logger: Logger,
+    claims: OnceLock<Box<dyn ClaimGate>>,
     router: Mutex<Router>,
     decisions: Mutex<DecisionRing>,
     stopping: AtomicBool,
@@ -88,6 +91,7 @@
             fleet: ArcSwap::from_pointee(FleetView::default()),
             metrics,
             logger,
+            claims: OnceLock::new(),
             router: Mutex::new(Router::new(RouterConfig::default())),
             decisions: Mutex::new(DecisionRing::new(DECISIONS_KEPT)),
             stopping: AtomicBool::new(false),
@@ -95,6 +99,16 @@
         }
     }
 
+    /// Sets what grants claims; the first call counts. Without it no claim is made.
+    pub fn set_claims(&self, gate: Box<dyn ClaimGate>) {
+        let _ = self.claims.set(gate);
+    }
+
+    /// What grants claims.
+    pub fn claims(&self) -> Option<&dyn ClaimGate> {
+        self.claims.get().map(|gate| &**gate)
+    }
+
     /// The router.
     pub fn router(&self) -> MutexGuard<'_, Router> {
         self.router.lock().unwrap_or_else(PoisonError::into_inner)
