Histories of concurrent runs, with a checker for each rule

Cause: nothing could judge a run of several processes, and an engine's order and run logs died with its process, so a run with a killed engine had no history.

Ruled out: files (machines have no disks) and reading the logs over HTTP before each kill (the last entries before a crash are the ones that matter).

Change: crate history holds typed events, a recorder and one pure checker a rule, each yielding the first event that breaks it.

Conclusion: a recorder outside the engine keeps its history over kills.

--- a/cmd/src/bin/dalestand-standin.rs
+++ b/cmd/src/bin/dalestand-standin.rs
@@ -55,6 +55,11 @@
         "engine: length of a role change",
         "MS",
     );
+    options.optflag(
+        "",
+        "log-stdout",
+        "engine: print its order and run logs, a JSON object a line",
+    );
     options.optflag("h", "help", "show this help");
     options
 }
@@ -111,6 +116,7 @@
         batch: BatchSettings::default(),
         role_change: Duration::from_millis(role_change_ms),
         weight_store: optional(matches, "weights")?,
+        log_to_stdout: matches.opt_present("log-stdout"),
     })
 }
 
--- a/cmd/src/dev.rs
+++ b/cmd/src/dev.rs
@@ -174,6 +174,7 @@
         batch: BatchSettings::default(),
         role_change: ROLE_CHANGE,
         weight_store: Some(weights),
+        log_to_stdout: false,
     };
     start_standin(move |listener| drop(actix_rt::spawn(serve_engine(listener, settings))))
 }
--- /dev/null
+++ b/crates/history/src/checks/at_most_once.rs
@@ -0,0 +1,26 @@
+//! A request that may not be repeated runs at most once.
+
+use std::collections::HashMap;
+
+use dalestand_types::AttemptId;
+
+use crate::engine_log::{EngineLogEntry, RunLogEvent};
+use crate::event::{History, Violation};
+
+/// Checks that over all engines and all their runs one attempt at most was accepted under a key.
+pub fn at_most_once(history: &History) -> Result<(), Violation> {
+    let mut accepted: HashMap<&str, AttemptId> = HashMap::new();
+    for (place, line) in history.engine_lines() {
+        let EngineLogEntry::Run(run) = &line.entry else {
+            continue;
+        };
+        let (Some(key), RunLogEvent::Accepted) = (&run.once_key, &run.event) else {
+            continue;
+        };
+        if accepted.insert(key, run.attempt).is_some() {
+            let message = format!("{} ran key {key} a second time", line.engine);
+            return Err(Violation::new(place, message));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/history/src/checks/configuration.rs
@@ -0,0 +1,47 @@
+//! An accepted configuration comes into force everywhere and never reverts.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use dalestand_types::{MonotonicTime, NodeId, Revision};
+
+use crate::event::{Event, History, Violation};
+
+/// Checks that no node is ever seen with a lower revision than before.
+pub fn configuration_never_reverts(history: &History) -> Result<(), Violation> {
+    let mut in_force: HashMap<&NodeId, Revision> = HashMap::new();
+    for (place, recorded) in history.events.iter().enumerate() {
+        let Event::ConfigurationInForce { node, revision } = &recorded.event else {
+            continue;
+        };
+        let highest = in_force.entry(node).or_default();
+        if revision < highest {
+            let message = format!("{node} went back from revision {highest} to {revision}");
+            return Err(Violation::new(place, message));
+        }
+        *highest = *revision;
+    }
+    Ok(())
+}
+
+/// Checks that a node seen later than `limit` after an acceptance has at least that revision in
+/// force. Times are the recorder's.
+pub fn configuration_in_force(history: &History, limit: Duration) -> Result<(), Violation> {
+    let mut accepted: Vec<(MonotonicTime, Revision)> = Vec::new();
+    for (place, recorded) in history.events.iter().enumerate() {
+        match &recorded.event {
+            Event::ConfigurationAccepted { revision } => accepted.push((recorded.at, *revision)),
+            Event::ConfigurationInForce { node, revision } => {
+                let missed = accepted
+                    .iter()
+                    .find(|(at, needed)| recorded.at.since(*at) > limit && revision < needed);
+                if let Some((_, needed)) = missed {
+                    let message = format!("{node} has {revision} in force, {needed} was accepted");
+                    return Err(Violation::new(place, message));
+                }
+            }
+            _ => {}
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/history/src/checks/fencing.rs
@@ -0,0 +1,52 @@
+//! Orders from a process that has lost its authority change nothing.
+
+use std::collections::{HashMap, HashSet};
+
+use dalestand_types::{EngineId, Epoch};
+
+use crate::engine_log::{EngineLogEntry, OrderLogEntry};
+use crate::event::{Event, History, Violation};
+
+/// Checks that no epoch was granted twice, that every order taken carries a granted epoch, and
+/// that an engine takes no order under an epoch lower than one it has seen in any of its runs.
+pub fn fenced(history: &History) -> Result<(), Violation> {
+    let granted = granted_epochs(history)?;
+    let mut highest: HashMap<&EngineId, Epoch> = HashMap::new();
+    for (place, line) in history.engine_lines() {
+        let engine = &line.engine;
+        let EngineLogEntry::Order(entry) = &line.entry else {
+            continue;
+        };
+        let seen = highest.entry(engine).or_default();
+        match entry {
+            OrderLogEntry::EpochRaised { epoch, .. } => *seen = (*seen).max(*epoch),
+            OrderLogEntry::Taken { order, .. } => {
+                let id = order.id;
+                if id.epoch < *seen {
+                    let message = format!("{engine} took {id} after it had seen epoch {seen}");
+                    return Err(Violation::new(place, message));
+                }
+                if !granted.contains(&id.epoch) {
+                    let message = format!("{engine} took {id}, whose epoch was never granted");
+                    return Err(Violation::new(place, message));
+                }
+                *seen = id.epoch;
+            }
+            OrderLogEntry::Done { .. } | OrderLogEntry::Refused { .. } => {}
+        }
+    }
+    Ok(())
+}
+
+fn granted_epochs(history: &History) -> Result<HashSet<Epoch>, Violation> {
+    let mut granted = HashSet::new();
+    for (place, recorded) in history.events.iter().enumerate() {
+        if let Event::LeaseGranted { epoch, .. } = &recorded.event
+            && !granted.insert(*epoch)
+        {
+            let message = format!("epoch {epoch} was granted twice");
+            return Err(Violation::new(place, message));
+        }
+    }
+    Ok(granted)
+}
--- /dev/null
+++ b/crates/history/src/checks/leaving.rs
@@ -0,0 +1,36 @@
+//! A leaving engine gets no new work after a few seconds.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use dalestand_types::{EngineId, MonotonicTime};
+
+use crate::engine_log::{EngineLogEntry, RunLogEvent};
+use crate::event::{Event, History, Violation};
+
+/// Checks that an engine accepts nothing later than `grace` after the machine list first showed
+/// it as leaving. Times are the recorder's.
+pub fn no_work_for_leaving_engines(history: &History, grace: Duration) -> Result<(), Violation> {
+    let mut leaving: HashMap<&EngineId, MonotonicTime> = HashMap::new();
+    for (place, recorded) in history.events.iter().enumerate() {
+        match &recorded.event {
+            Event::EngineLeaving { engine } => {
+                leaving.entry(engine).or_insert(recorded.at);
+            }
+            Event::Engine(line) => {
+                let EngineLogEntry::Run(run) = &line.entry else {
+                    continue;
+                };
+                let late = leaving
+                    .get(&line.engine)
+                    .is_some_and(|since| recorded.at.since(*since) > grace);
+                if late && run.event == RunLogEvent::Accepted {
+                    let message = format!("{} got new work while it was leaving", line.engine);
+                    return Err(Violation::new(place, message));
+                }
+            }
+            _ => {}
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/history/src/checks/mod.rs
@@ -0,0 +1,19 @@
+//! The checkers, one rule a module.
+
+mod answers;
+mod at_most_once;
+mod configuration;
+mod fencing;
+mod leaving;
+mod not_run;
+mod orders;
+mod planned;
+
+pub use answers::whole_answers;
+pub use at_most_once::at_most_once;
+pub use configuration::{configuration_in_force, configuration_never_reverts};
+pub use fencing::fenced;
+pub use leaving::no_work_for_leaving_engines;
+pub use not_run::not_run_did_not_run;
+pub use orders::no_conflicting_orders;
+pub use planned::nothing_cut;
--- a/crates/standin/src/engine/log.rs
+++ b/crates/standin/src/engine/log.rs
@@ -1,60 +1,60 @@
 //! Append-only logs of what an engine ran and which orders it was given.
 
-use dalestand_types::{AttemptId, Epoch, Incarnation, Order, RequestId, Role};
-use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::io::Write as _;
 
-/// What happened to an attempt.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(tag = "event", rename_all = "snake_case")]
-pub enum RunLogEvent {
-    /// It was accepted and will run.
-    Accepted,
-    /// Its first token was generated.
-    Started,
-    /// All its tokens were generated.
-    Finished { tokens: u32 },
-    /// It was cancelled, or its connection was closed.
-    Cancelled { tokens: u32 },
-}
+use dalestand_history::{EngineLogEntry, EngineLogLine};
+pub use dalestand_history::{OrderLogEntry, RunLogEntry, RunLogEvent};
+use dalestand_types::{EngineId, Incarnation};
 
-/// One line of the run log.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RunLogEntry {
-    /// Microseconds since the engine's start.
-    pub at_micros: u64,
-    /// The caller's request.
-    pub request: RequestId,
-    /// The attempt.
-    pub attempt: AttemptId,
-    /// Key under which it may run once.
-    pub once_key: Option<String>,
-    /// What happened.
-    #[serde(flatten)]
-    pub event: RunLogEvent,
+/// The logs of one run of an engine.
+pub(crate) struct EngineLogs {
+    engine: EngineId,
+    incarnation: Incarnation,
+    to_stdout: bool,
+    /// Attempts that were run.
+    pub(crate) runs: RefCell<Vec<RunLogEntry>>,
+    /// Orders that were given.
+    pub(crate) orders: RefCell<Vec<OrderLogEntry>>,
 }
 
-/// One line of the order log.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(tag = "event", rename_all = "snake_case")]
-pub enum OrderLogEntry {
-    /// The highest epoch rose.
-    EpochRaised {
-        at_micros: u64,
-        incarnation: Incarnation,
-        epoch: Epoch,
-    },
-    /// An order was taken.
-    Taken { at_micros: u64, order: Order },
-    /// An order was finished.
-    Done {
-        at_micros: u64,
-        order: Order,
-        role: Option<Role>,
-    },
-    /// An order was refused, with the answer given.
-    Refused {
-        at_micros: u64,
-        order: Order,
-        answer: String,
-    },
+impl EngineLogs {
+    /// Empty logs. With `to_stdout`, entries are also printed, so that they outlive the process.
+    pub(crate) fn new(engine: EngineId, incarnation: Incarnation, to_stdout: bool) -> Self {
+        Self {
+            engine,
+            incarnation,
+            to_stdout,
+            runs: RefCell::default(),
+            orders: RefCell::default(),
+        }
+    }
+
+    /// Appends to the run log.
+    pub(crate) fn push_run(&self, entry: RunLogEntry) {
+        self.print(|| EngineLogEntry::Run(entry.clone()));
+        self.runs.borrow_mut().push(entry);
+    }
+
+    /// Appends to the order log.
+    pub(crate) fn push_order(&self, entry: OrderLogEntry) {
+        self.print(|| EngineLogEntry::Order(entry.clone()));
+        self.orders.borrow_mut().push(entry);
+    }
+
+    fn print(&self, entry: impl FnOnce() -> EngineLogEntry) {
+        if !self.to_stdout {
+            return;
+        }
+        let line = EngineLogLine {
+            engine: self.engine.clone(),
+            incarnation: self.incarnation,
+            entry: entry(),
+        };
+        if let Ok(mut text) = serde_json::to_vec(&line) {
+            text.push(b'\n');
+            // A reader that is gone is no fault of the engine.
+            let _ = std::io::stdout().lock().write_all(&text);
+        }
+    }
 }
--- a/crates/standin/src/engine/server.rs
+++ b/crates/standin/src/engine/server.rs
@@ -26,7 +26,7 @@
 use tokio::sync::{Notify, mpsc};
 
 use super::batch::{Batch, BatchSettings, StepOutput};
-use super::log::{OrderLogEntry, RunLogEntry, RunLogEvent};
+use super::log::{EngineLogs, OrderLogEntry, RunLogEntry, RunLogEvent};
 use super::orders::OrderBook;
 
 const MAX_BODY_BYTES: usize = 64 << 20;
@@ -58,6 +58,8 @@
     pub role_change: Duration,
     /// Where weights come from; loads are at once if absent.
     pub weight_store: Option<SocketAddr>,
+    /// Whether log entries are also printed, a JSON object a line.
+    pub log_to_stdout: bool,
 }
 
 /// Faults of the stand-in; `POST /faults` replaces them all.
@@ -80,8 +82,7 @@
     streams: RefCell<HashMap<AttemptId, mpsc::UnboundedSender<Bytes>>>,
     attempts: RefCell<HashSet<AttemptId>>,
     once_keys: RefCell<HashSet<String>>,
-    run_log: RefCell<Vec<RunLogEntry>>,
-    order_log: RefCell<Vec<OrderLogEntry>>,
+    logs: EngineLogs,
     faults: RefCell<EngineFaults>,
     reports: RefCell<u64>,
     work: Notify,
@@ -111,8 +112,11 @@
             streams: RefCell::default(),
             attempts: RefCell::default(),
             once_keys: RefCell::default(),
-            run_log: RefCell::default(),
-            order_log: RefCell::default(),
+            logs: EngineLogs::new(
+                settings.engine.clone(),
+                settings.incarnation,
+                settings.log_to_stdout,
+            ),
             faults: RefCell::default(),
             reports: RefCell::default(),
             work: Notify::new(),
@@ -126,7 +130,7 @@
     }
 
     fn log_run(&self, request: &GenerationRequest, event: RunLogEvent) {
-        self.run_log.borrow_mut().push(RunLogEntry {
+        self.logs.push_run(RunLogEntry {
             at_micros: self.at_micros(),
             request: request.request,
             attempt: request.attempt,
@@ -147,7 +151,7 @@
             } => (*attempt, RunLogEvent::Finished { tokens: *tokens }),
             _ => return,
         };
-        self.run_log.borrow_mut().push(RunLogEntry {
+        self.logs.push_run(RunLogEntry {
             at_micros: self.at_micros(),
             request: output.request,
             attempt,
@@ -286,7 +290,7 @@
         engine.orders.borrow_mut().finish();
         let role = engine.orders.borrow().state().role;
         let at_micros = engine.at_micros();
-        engine.order_log.borrow_mut().push(OrderLogEntry::Done {
+        engine.logs.push_order(OrderLogEntry::Done {
             at_micros,
             order,
             role,
@@ -345,8 +349,8 @@
             Ok(raise_epoch(engine, &body))
         }
         LOAD => Ok(json_answer(StatusCode::OK, &engine.load_report())),
-        "/log/runs" => Ok(json_answer(StatusCode::OK, &*engine.run_log.borrow())),
-        "/log/orders" => Ok(json_answer(StatusCode::OK, &*engine.order_log.borrow())),
+        "/log/runs" => Ok(json_answer(StatusCode::OK, &*engine.logs.runs.borrow())),
+        "/log/orders" => Ok(json_answer(StatusCode::OK, &*engine.logs.orders.borrow())),
         "/faults" => {
             *engine.faults.borrow_mut() = read_json(request, MAX_BODY_BYTES).await?;
             Ok(json_answer(StatusCode::OK, &Empty {}))
@@ -358,14 +362,11 @@
 fn raise_epoch(engine: &Engine, body: &RaiseEpochRequest) -> Answer {
     let outcome = engine.orders.borrow_mut().raise_epoch(body.epoch);
     if matches!(outcome, OrderOutcome::Accepted { .. }) {
-        engine
-            .order_log
-            .borrow_mut()
-            .push(OrderLogEntry::EpochRaised {
-                at_micros: engine.at_micros(),
-                incarnation: engine.settings.incarnation,
-                epoch: body.epoch,
-            });
+        engine.logs.push_order(OrderLogEntry::EpochRaised {
+            at_micros: engine.at_micros(),
+            incarnation: engine.settings.incarnation,
+            epoch: body.epoch,
+        });
     }
     order_answer(&outcome)
 }
@@ -384,7 +385,7 @@
     if !accepted {
         let order = order.clone();
         let answer = format!("{outcome:?}");
-        engine.order_log.borrow_mut().push(OrderLogEntry::Refused {
+        engine.logs.push_order(OrderLogEntry::Refused {
             at_micros,
             order,
             answer,
@@ -394,9 +395,8 @@
     if before != Some(order.id) {
         let order = order.clone();
         engine
-            .order_log
-            .borrow_mut()
-            .push(OrderLogEntry::Taken { at_micros, order });
+            .logs
+            .push_order(OrderLogEntry::Taken { at_micros, order });
         engine.order_taken.notify_one();
     }
     if take_count(&mut engine.faults.borrow_mut().lose_order_answers) {
