The gate of requests that may not be repeated

Cause: the callers' half needs one place to ask before the first dispatch of a request that may run once, and the control half needs one place to answer.

Ruled out: calling the claims driver directly, since it lives on another arbiter.

Change: trait ClaimGate with typed outcomes in crate gateway, set once in Shared. Nothing implements it yet and nothing calls it.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,12 +4,14 @@
 //! control half of the node: the two share only [`Shared`].
 
 mod attempt;
+mod claim_gate;
 mod completion;
 mod error;
 mod openai;
 mod server;
 mod shared;
 
+pub use claim_gate::{ClaimEnd, ClaimGate, ClaimOutcome, ClaimRequest};
 pub use error::CallerError;
 pub use server::serve_callers;
 pub use shared::{ActiveConfiguration, Clock, RequestGuard, Shared};
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,7 +1,7 @@
 //! What the callers' half and the control half of a node share.
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -12,6 +12,8 @@
 use dalestand_types::{MonotonicTime, Revision, ZoneName};
 use slog::Logger;
 
+use crate::claim_gate::ClaimGate;
+
 /// Decisions kept for operators' questions.
 const DECISIONS_KEPT: usize = 4_096;
 
@@ -62,6 +64,7 @@
     pub metrics: Metrics,
     /// The log.
     pub logger: Logger,
+    claim_gate: OnceLock<Box<dyn ClaimGate>>,
     router: Mutex<Router>,
     decisions: Mutex<DecisionRing>,
     stopping: AtomicBool,
@@ -88,6 +91,7 @@
             fleet: ArcSwap::from_pointee(FleetView::default()),
             metrics,
             logger,
+            claim_gate: OnceLock::new(),
             router: Mutex::new(Router::new(RouterConfig::default())),
             decisions: Mutex::new(DecisionRing::new(DECISIONS_KEPT)),
             stopping: AtomicBool::new(false),
@@ -100,6 +104,16 @@
         self.router.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The gate of requests that may not be repeated, once the control half has set it.
+    pub fn claim_gate(&self) -> Option<&dyn ClaimGate> {
+        self.claim_gate.get().map(AsRef::as_ref)
+    }
+
+    /// Sets the gate; a second one is dropped.
+    pub fn set_claim_gate(&self, gate: Box<dyn ClaimGate>) {
+        drop(self.claim_gate.set(gate));
+    }
+
     /// The decision records.
     pub fn decisions(&self) -> MutexGuard<'_, DecisionRing> {
         self.decisions
--- a/crates/types/src/generation.rs
+++ b/crates/types/src/generation.rs
@@ -52,6 +52,10 @@
     /// One attempt to run a request on one engine; frames name it.
     AttemptId
 );
+random_identifier!(
+    /// One claim of the right to run a request that may not be repeated.
+    ClaimId
+);
 
 /// Importance of a request; a higher number goes first.
 #[derive(
