planner: roles planned from measured demand, by gain against cost

Cause: the planner gave one role to all engines and knew no demand. Change: RolePlanner::observe takes the digests' counters, learns step costs by recursive least squares, follows the demand of both kinds with its trend, and plan changes an engine's role only when the gain over the expected stay of the mix exceeds the cost of the change (missed requests and the deployment's change_weight). Typed reason and inputs for the decision record. Digests of other groups of the pool may be given too; each plan names its own engines. Ruled out: planning on utilization thresholds, which has no notion of how long a mix lasts. Guards taken out one at a time (cargo test -p dalestand-planner): the bound on changes at once -> an_engine_in_mid_change_holds_back_further_changes fails; coverage of compositions -> a_demand_of_prompts_only_leaves_an_engine_for_output fails; coverage of the engines in service -> the_last_engine_in_service_for_a_phase_is_kept_while_another_is_changing fails.

--- /dev/null
+++ b/crates/planner/src/demand.rs
@@ -0,0 +1,102 @@
+//! Demand in tokens of both kinds, with its trend.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use dalestand_types::MonotonicTime;
+
+/// Time constant of the level, in seconds.
+const LEVEL_TIME_S: f64 = 4.0;
+
+/// Time constant of the trend, in seconds.
+const TREND_TIME_S: f64 = 12.0;
+
+/// Share of the trend that is believed in a forecast.
+const TREND_TRUST: f64 = 0.5;
+
+/// Shortest time between two samples.
+const SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Samples kept, one a [`SAMPLE_INTERVAL`].
+const HISTORY_SAMPLES: usize = 180;
+
+/// Tokens asked for in a second.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Demand {
+    /// Prompt tokens that no cache holds.
+    pub prefill_tokens_per_s: f64,
+    /// Output tokens.
+    pub decode_tokens_per_s: f64,
+}
+
+/// One kind of tokens: level and trend by double exponential smoothing.
+#[derive(Clone, Copy, Debug, Default)]
+struct Smoothed {
+    level: f64,
+    trend: f64,
+}
+
+impl Smoothed {
+    fn update(&mut self, value: f64, elapsed_s: f64) {
+        let level_gain = 1.0 - (-elapsed_s / LEVEL_TIME_S).exp();
+        let trend_gain = 1.0 - (-elapsed_s / TREND_TIME_S).exp();
+        let expected = self.level + self.trend * elapsed_s;
+        let level = expected + level_gain * (value - expected);
+        let slope = (level - self.level) / elapsed_s;
+        self.trend += trend_gain * (slope - self.trend);
+        self.level = level;
+    }
+
+    fn after(&self, seconds: f64) -> f64 {
+        (self.level + TREND_TRUST * self.trend * seconds).max(0.0)
+    }
+}
+
+/// Follows the demand of the engines under a plan.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct DemandEstimate {
+    prefill: Smoothed,
+    decode: Smoothed,
+    sampled_at: Option<MonotonicTime>,
+    history: VecDeque<Demand>,
+}
+
+impl DemandEstimate {
+    /// Takes in the demand as measured now; yields whether it was due.
+    pub(crate) fn sample(&mut self, now: MonotonicTime, measured: Demand) -> bool {
+        let Some(sampled_at) = self.sampled_at else {
+            self.sampled_at = Some(now);
+            self.prefill.level = measured.prefill_tokens_per_s;
+            self.decode.level = measured.decode_tokens_per_s;
+            return true;
+        };
+        let elapsed = now.since(sampled_at);
+        if elapsed < SAMPLE_INTERVAL {
+            return false;
+        }
+        let elapsed_s = elapsed.as_secs_f64();
+        self.prefill
+            .update(measured.prefill_tokens_per_s, elapsed_s);
+        self.decode.update(measured.decode_tokens_per_s, elapsed_s);
+        self.sampled_at = Some(now);
+        self.history.push_back(self.forecast(Duration::ZERO));
+        if self.history.len() > HISTORY_SAMPLES {
+            self.history.pop_front();
+        }
+        true
+    }
+
+    /// The demand expected after `ahead`.
+    pub(crate) fn forecast(&self, ahead: Duration) -> Demand {
+        let seconds = ahead.as_secs_f64();
+        Demand {
+            prefill_tokens_per_s: self.prefill.after(seconds),
+            decode_tokens_per_s: self.decode.after(seconds),
+        }
+    }
+
+    /// Samples of the last minutes, oldest first.
+    pub(crate) fn history(&self) -> impl Iterator<Item = &Demand> {
+        self.history.iter()
+    }
+}
--- /dev/null
+++ b/crates/planner/src/engine_state.rs
@@ -0,0 +1,121 @@
+//! What the planner knows of one engine.
+
+use std::time::Duration;
+
+use dalestand_types::{EngineDigest, EngineLoad, Incarnation, MonotonicTime, Role};
+
+use crate::demand::Demand;
+use crate::speeds::SpeedSample;
+
+/// Shortest time between two reports that are compared.
+const SHORTEST_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time within which a backlog of prompts is meant to be worked off, in seconds.
+const BACKLOG_TIME_S: f64 = 5.0;
+
+/// Weight of a new measurement in an engine's rates.
+const NEW_RATE_WEIGHT: f64 = 0.5;
+
+/// An engine with its last report and what it was seen to do.
+#[derive(Clone, Debug)]
+pub(crate) struct EngineState {
+    load: EngineLoad,
+    reported_at: MonotonicTime,
+    accepting: bool,
+    demand: Demand,
+}
+
+impl EngineState {
+    /// An engine that has reported once.
+    pub(crate) fn new(now: MonotonicTime, digest: &EngineDigest) -> Self {
+        Self {
+            load: digest.load.clone(),
+            reported_at: reported_at(now, digest),
+            accepting: digest.accepting,
+            demand: Demand::default(),
+        }
+    }
+
+    /// Takes a later report in; yields what the engine did since the last one if it was busy.
+    pub(crate) fn update(
+        &mut self,
+        now: MonotonicTime,
+        digest: &EngineDigest,
+    ) -> Option<SpeedSample> {
+        self.accepting = digest.accepting;
+        let load = &digest.load;
+        if load.incarnation != self.load.incarnation {
+            *self = Self::new(now, digest);
+            return None;
+        }
+        let reported_at = reported_at(now, digest);
+        let elapsed = reported_at.since(self.reported_at);
+        if load.sequence <= self.load.sequence || elapsed < SHORTEST_INTERVAL {
+            return None;
+        }
+        let sample = self.sample(load, elapsed.as_secs_f64());
+        self.measure_demand(load, &sample);
+        let busy = self.load.running.min(load.running) > 0 && self.load.role == load.role;
+        self.load = load.clone();
+        self.reported_at = reported_at;
+        busy.then_some(sample)
+    }
+
+    fn sample(&self, load: &EngineLoad, elapsed_s: f64) -> SpeedSample {
+        let run = |now: u64, before: u64| now.saturating_sub(before) as f64;
+        SpeedSample {
+            elapsed_s,
+            prefill_tokens: run(load.prefill_tokens_total, self.load.prefill_tokens_total),
+            decode_tokens: run(load.decode_tokens_total, self.load.decode_tokens_total),
+            running: f64::from(self.load.running + load.running) / 2.0,
+        }
+    }
+
+    /// Prompt tokens asked for are those run and those by which the queue has grown.
+    fn measure_demand(&mut self, load: &EngineLoad, sample: &SpeedSample) {
+        let growth = load.queued_prefill_tokens as f64 - self.load.queued_prefill_tokens as f64;
+        let offered = (sample.prefill_tokens + growth).max(0.0) / sample.elapsed_s;
+        let generated = sample.decode_tokens / sample.elapsed_s;
+        let known = &mut self.demand;
+        known.prefill_tokens_per_s += NEW_RATE_WEIGHT * (offered - known.prefill_tokens_per_s);
+        known.decode_tokens_per_s += NEW_RATE_WEIGHT * (generated - known.decode_tokens_per_s);
+    }
+
+    /// Demand that reaches this engine, with its backlog spread over a few seconds.
+    pub(crate) fn demand(&self) -> Demand {
+        let backlog = self.load.queued_prefill_tokens as f64 / BACKLOG_TIME_S;
+        Demand {
+            prefill_tokens_per_s: self.demand.prefill_tokens_per_s + backlog,
+            decode_tokens_per_s: self.demand.decode_tokens_per_s,
+        }
+    }
+
+    /// Its run.
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        self.load.incarnation
+    }
+
+    /// The role it reported; `None` while it is out of service.
+    pub(crate) fn role(&self) -> Option<Role> {
+        self.load.role
+    }
+
+    /// Whether it takes new work.
+    pub(crate) fn accepting(&self) -> bool {
+        self.accepting
+    }
+
+    /// Requests it holds.
+    pub(crate) fn held(&self) -> u32 {
+        self.load.running + self.load.waiting
+    }
+
+    /// Age of its last report.
+    pub(crate) fn age(&self, now: MonotonicTime) -> Duration {
+        now.since(self.reported_at)
+    }
+}
+
+fn reported_at(now: MonotonicTime, digest: &EngineDigest) -> MonotonicTime {
+    now.saturating_sub(Duration::from_millis(digest.age_ms))
+}
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -1,30 +1,21 @@
-//! Role plan of an engine group: demand estimate, hysteresis, cost of a change.
+//! Role plan of an engine group: demand measured in tokens, forecast over a change, and a change
+//! only where its gain outweighs its cost.
 //!
-//! Pure: the holder of the group's lease and the simulator call the same code.
+//! Pure: the holder of the group's lease and the simulator call the same code. Time comes in as an
+//! argument and there is no randomness, so equal inputs give equal plans.
 
-use std::collections::BTreeMap;
+mod composition;
+mod config;
+mod demand;
+mod engine_state;
+mod plan;
+mod planner;
+mod speeds;
+mod stay;
 
-use dalestand_types::{EngineId, Role};
-
-/// The role each engine of a group is to have.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct RolePlan {
-    /// Roles by engine.
-    pub roles: BTreeMap<EngineId, Role>,
-    /// Why the plan differs from the one before, in words.
-    pub reason: String,
-}
-
-impl RolePlan {
-    /// A plan that gives every engine the same role.
-    pub fn uniform(engines: &[EngineId], role: Role) -> Self {
-        let roles = engines
-            .iter()
-            .map(|engine| (engine.clone(), role))
-            .collect();
-        Self {
-            roles,
-            reason: format!("initial role {role}"),
-        }
-    }
-}
+pub use composition::{Composition, Workload};
+pub use config::PlannerConfig;
+pub use demand::Demand;
+pub use plan::{PlanInputs, PlanReason, RolePlan};
+pub use planner::RolePlanner;
+pub use speeds::{EngineSpeeds, SpeedEstimate};
--- /dev/null
+++ b/crates/planner/src/planner.rs
@@ -0,0 +1,330 @@
+//! The role planner of one group.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use dalestand_types::{EngineId, GroupDigest, GroupId, MonotonicTime, Role};
+
+use crate::composition::{Composition, Workload};
+use crate::config::PlannerConfig;
+use crate::demand::{Demand, DemandEstimate};
+use crate::engine_state::EngineState;
+use crate::plan::{PlanInputs, PlanReason, RolePlan};
+use crate::speeds::SpeedEstimate;
+use crate::stay::{Lean, StayEstimate};
+
+/// Fewest engines that are split into prefill and decode: fewer could not change without a gap.
+const SMALLEST_SPLIT: usize = 3;
+
+/// Ratio between the present and the usual mix from which the mix counts as leaning.
+const LEAN_RATIO: f64 = 1.15;
+
+/// Expected stay at which the present demand counts as much as that of the last minutes.
+const HALF_TRUST_STAY_S: f64 = 15.0;
+
+/// Largest weight of role changes that is told apart from one.
+const LARGEST_WEIGHT: f64 = 0.98;
+
+/// Expected share of requests gained that no change is made below.
+const SMALLEST_GAIN_SHARE: f64 = 0.004;
+
+/// Engines held by one step of the preference for engines with little to drain.
+const DRAIN_STEP: u32 = 16;
+
+/// One in so many samples of the last minutes is looked at.
+const HISTORY_STEP: usize = 6;
+
+/// Plans the roles of one group.
+///
+/// It may be given the digests of other groups of the same pool whose engines can share requests
+/// with this one. All are then planned as one, by a rule that leads each group's planner to the
+/// same choice, and each plan names this group's engines only.
+#[derive(Clone, Debug)]
+pub struct RolePlanner {
+    group: GroupId,
+    config: PlannerConfig,
+    engines: BTreeMap<EngineId, EngineState>,
+    own: BTreeSet<EngineId>,
+    assigned: BTreeMap<EngineId, Role>,
+    speeds: SpeedEstimate,
+    demand: DemandEstimate,
+    stay: StayEstimate,
+}
+
+/// A change of composition with its worth, in shares of the demand times seconds.
+struct Proposal {
+    target: Composition,
+    gain: f64,
+    cost: f64,
+}
+
+impl RolePlanner {
+    /// A planner that has seen no report.
+    pub fn new(group: GroupId, config: PlannerConfig) -> Self {
+        Self {
+            group,
+            speeds: SpeedEstimate::new(config.prior_speeds),
+            config,
+            engines: BTreeMap::new(),
+            own: BTreeSet::new(),
+            assigned: BTreeMap::new(),
+            demand: DemandEstimate::default(),
+            stay: StayEstimate::new(),
+        }
+    }
+
+    /// Takes a new configuration in without forgetting what was learnt.
+    pub fn set_config(&mut self, config: PlannerConfig) {
+        self.config = config;
+    }
+
+    /// Takes in a digest of this group, or of another group that is planned together with it.
+    pub fn observe(&mut self, now: MonotonicTime, digest: &GroupDigest) {
+        for report in &digest.engines {
+            let engine = &report.load.engine;
+            if digest.group == self.group {
+                self.own.insert(engine.clone());
+            }
+            let restarted = match self.engines.get_mut(engine) {
+                Some(known) => {
+                    let before = known.incarnation();
+                    if let Some(sample) = known.update(now, report) {
+                        self.speeds.observe(&sample);
+                    }
+                    before != report.load.incarnation
+                }
+                None => {
+                    let state = EngineState::new(now, report);
+                    self.engines.insert(engine.clone(), state);
+                    true
+                }
+            };
+            // A restarted engine is planned from the role it came back in.
+            if restarted {
+                self.assigned.remove(engine);
+            }
+            if let Some(role) = report.load.role {
+                self.assigned.entry(engine.clone()).or_insert(role);
+            }
+        }
+    }
+
+    /// The roles this group's engines are to have from now on.
+    pub fn plan(&mut self, now: MonotonicTime) -> RolePlan {
+        self.forget_silent(now);
+        let measured = self.measured_demand();
+        if self.demand.sample(now, measured) {
+            let lean = self.lean();
+            self.stay.observe(now, lean);
+        }
+        let current = Composition::of(self.assigned.values().copied());
+        let mut inputs = self.inputs(now, measured, current);
+        let reason = self.decide(now, current, &mut inputs);
+        let roles = self.assigned.iter();
+        let roles = roles
+            .filter(|(engine, _)| self.own.contains(*engine))
+            .map(|(engine, role)| (engine.clone(), *role))
+            .collect();
+        RolePlan {
+            roles,
+            reason,
+            inputs,
+        }
+    }
+
+    fn decide(
+        &mut self,
+        now: MonotonicTime,
+        current: Composition,
+        inputs: &mut PlanInputs,
+    ) -> PlanReason {
+        if self.assigned.is_empty() {
+            return PlanReason::NoReports;
+        }
+        let changing = self.changing();
+        if changing >= self.config.max_changes_at_once.max(1) {
+            return PlanReason::ChangesUnderWay { engines: changing };
+        }
+        let Some(proposal) = self.best_proposal(now, current) else {
+            return PlanReason::Keep;
+        };
+        inputs.target = proposal.target;
+        let Some((engine, role)) = self.first_step(&current, &proposal.target) else {
+            return PlanReason::WouldLeavePhaseEmpty;
+        };
+        // Another group's planner comes to the same step and takes it.
+        if self.own.contains(&engine) {
+            self.assigned.insert(engine, role);
+        }
+        PlanReason::Gain {
+            gain: proposal.gain,
+            cost: proposal.cost,
+        }
+    }
+
+    /// The composition whose gain over the expected stay exceeds its cost by most.
+    fn best_proposal(&self, now: MonotonicTime, current: Composition) -> Option<Proposal> {
+        let total = self.assigned.len();
+        let stay_s = self.stay.expected(now).as_secs_f64();
+        let served = |composition: &Composition| self.expected_share(composition, stay_s);
+        let before = served(&current);
+        let mut best: Option<Proposal> = None;
+        for target in self.compositions(total) {
+            let changes = current.changes_to(&target);
+            let share = served(&target) - before;
+            if changes == 0 || share < SMALLEST_GAIN_SHARE && current.covers() {
+                continue;
+            }
+            let gain = share * stay_s;
+            let cost = self.cost(&current, changes, before);
+            let better = best
+                .as_ref()
+                .is_none_or(|known| gain - cost > known.gain - known.cost);
+            if gain > cost && better {
+                best = Some(Proposal { target, gain, cost });
+            }
+        }
+        best
+    }
+
+    fn compositions(&self, total: usize) -> Vec<Composition> {
+        let mixed_allowed = self.config.allowed_roles.contains(&Role::Mixed);
+        if total < SMALLEST_SPLIT && mixed_allowed {
+            return Composition::all(total, &[Role::Mixed]);
+        }
+        Composition::all(total, &self.config.allowed_roles)
+    }
+
+    /// Share of requests in time, by the demand that is coming and, as far as the mix is not
+    /// expected to last, by that of the last minutes.
+    fn expected_share(&self, composition: &Composition, stay_s: f64) -> f64 {
+        let speeds = self.speeds.speeds();
+        let share = |demand: &Demand| composition.served_share(&Workload::of(demand, &speeds));
+        let coming = share(&self.demand.forecast(self.config.change_duration));
+        let trust = stay_s / (stay_s + HALF_TRUST_STAY_S);
+        let (sum, count) = self
+            .demand
+            .history()
+            .step_by(HISTORY_STEP)
+            .fold((0.0, 0), |(sum, count), demand| {
+                (sum + share(demand), count + 1)
+            });
+        let usual = if count == 0 {
+            coming
+        } else {
+            sum / f64::from(count)
+        };
+        trust * coming + (1.0 - trust) * usual
+    }
+
+    /// What the changes cost: requests that the engines miss while out of service, and the price
+    /// that the deployment's weight puts on each change.
+    fn cost(&self, current: &Composition, changes: usize, before: f64) -> f64 {
+        let speeds = self.speeds.speeds();
+        let workload = Workload::of(&self.demand.forecast(Duration::ZERO), &speeds);
+        let while_out = Role::ALL
+            .iter()
+            .filter(|role| current.count(**role) > 0)
+            .map(|role| current.without(*role).served_share(&workload))
+            .fold(0.0, f64::max);
+        let out_s = self.config.change_duration.as_secs_f64();
+        let missed = (before - while_out).max(0.0) * out_s;
+        let weight = self.config.change_weight.clamp(0.0, LARGEST_WEIGHT);
+        let engines = self.assigned.len().max(1) as f64;
+        let price = out_s / engines * weight / (1.0 - weight);
+        changes as f64 * (missed + price)
+    }
+
+    /// The engine to change first, and its new role.
+    fn first_step(&self, current: &Composition, target: &Composition) -> Option<(EngineId, Role)> {
+        let surplus = |role: Role| current.count(role) > target.count(role);
+        let role = Role::ALL
+            .into_iter()
+            .filter(|role| current.count(*role) < target.count(*role))
+            .max_by_key(|role| target.count(*role) - current.count(*role))?;
+        let candidates = self.assigned.iter().filter(|(_, held)| surplus(**held));
+        let engine = candidates
+            .filter(|(engine, _)| self.covered_without(engine))
+            .min_by_key(|(engine, _)| (self.held(engine) / DRAIN_STEP, (*engine).clone()))
+            .map(|(engine, _)| engine.clone())?;
+        Some((engine, role))
+    }
+
+    /// Whether the engines in service cover both phases without this one.
+    fn covered_without(&self, engine: &EngineId) -> bool {
+        let serving = self
+            .engines
+            .iter()
+            .filter(|(other, state)| *other != engine && state.accepting())
+            .filter_map(|(_, state)| state.role());
+        Composition::of(serving).covers()
+    }
+
+    fn held(&self, engine: &EngineId) -> u32 {
+        self.engines.get(engine).map_or(0, EngineState::held)
+    }
+
+    /// Engines that do not serve in the role they were given.
+    fn changing(&self) -> usize {
+        self.assigned
+            .iter()
+            .filter(|(engine, role)| {
+                let known = self.engines.get(*engine);
+                known.is_none_or(|state| state.role() != Some(**role) || !state.accepting())
+            })
+            .count()
+    }
+
+    fn forget_silent(&mut self, now: MonotonicTime) {
+        let limit = self.config.report_limit;
+        self.engines.retain(|_, state| state.age(now) <= limit);
+        let engines = &self.engines;
+        self.assigned
+            .retain(|engine, _| engines.contains_key(engine));
+    }
+
+    fn measured_demand(&self) -> Demand {
+        let mut sum = Demand::default();
+        for state in self.engines.values() {
+            let demand = state.demand();
+            sum.prefill_tokens_per_s += demand.prefill_tokens_per_s;
+            sum.decode_tokens_per_s += demand.decode_tokens_per_s;
+        }
+        sum
+    }
+
+    /// Whether the mix leans to one side of that of the last minutes.
+    fn lean(&self) -> Option<Lean> {
+        let speeds = self.speeds.speeds();
+        let mut usual = Demand::default();
+        for sample in self.demand.history() {
+            usual.prefill_tokens_per_s += sample.prefill_tokens_per_s;
+            usual.decode_tokens_per_s += sample.decode_tokens_per_s;
+        }
+        let ratio = |demand: &Demand| {
+            let work = Workload::of(demand, &speeds);
+            (work.prefill + f64::EPSILON) / (work.decode + f64::EPSILON)
+        };
+        let now = ratio(&self.demand.forecast(Duration::ZERO)) / ratio(&usual);
+        if now > LEAN_RATIO {
+            Some(Lean::Prefill)
+        } else if now < 1.0 / LEAN_RATIO {
+            Some(Lean::Decode)
+        } else {
+            None
+        }
+    }
+
+    fn inputs(&self, now: MonotonicTime, demand: Demand, current: Composition) -> PlanInputs {
+        let ages = self.engines.values().map(|state| state.age(now));
+        PlanInputs {
+            demand,
+            forecast: self.demand.forecast(self.config.change_duration),
+            speeds: self.speeds.speeds(),
+            current,
+            target: current,
+            expected_stay: self.stay.expected(now),
+            information_age: ages.max().unwrap_or_default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/planner/src/speeds.rs
@@ -0,0 +1,151 @@
+//! What an engine needs for a token, learnt from its own counters.
+
+/// Decoding sequences an engine is expected to carry when it is well used.
+const DECODE_BATCH: f64 = 48.0;
+
+/// Weight kept by what was learnt before when a new sample comes in.
+const FORGETTING: f64 = 0.995;
+
+/// Confidence in the prior: variance of each parameter relative to its square.
+const PRIOR_VARIANCE: f64 = 0.25;
+
+/// Parameters never fall below this share of the prior, nor rise above its inverse.
+const LEARNING_RANGE: f64 = 0.1;
+
+/// Costs of an engine's steps, in seconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineSpeeds {
+    /// Time of one prompt token.
+    pub prefill_token_s: f64,
+    /// Time of a decode step, whatever its batch.
+    pub decode_step_s: f64,
+    /// Added time of each sequence in a decode step.
+    pub decode_token_s: f64,
+    /// Share by which a step is slower when it runs prompts and output together.
+    pub mixed_overhead: f64,
+}
+
+impl Default for EngineSpeeds {
+    fn default() -> Self {
+        Self {
+            prefill_token_s: 40e-6,
+            decode_step_s: 8e-3,
+            decode_token_s: 50e-6,
+            mixed_overhead: 0.25,
+        }
+    }
+}
+
+impl EngineSpeeds {
+    /// Engine time of one output token in a well used batch, in seconds.
+    pub fn decode_work_s(&self) -> f64 {
+        self.decode_step_s / DECODE_BATCH + self.decode_token_s
+    }
+}
+
+/// What one busy engine did between two of its reports.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SpeedSample {
+    /// Time between the reports, in seconds.
+    pub elapsed_s: f64,
+    /// Prompt tokens run.
+    pub prefill_tokens: f64,
+    /// Output tokens generated.
+    pub decode_tokens: f64,
+    /// Sequences in the batch, on average.
+    pub running: f64,
+}
+
+/// Learns [`EngineSpeeds`] by recursive least squares on the time that busy engines spent.
+#[derive(Clone, Debug)]
+pub struct SpeedEstimate {
+    prior: EngineSpeeds,
+    /// Parameters relative to the prior: prompt token, step, output token.
+    scale: [f64; 3],
+    covariance: [[f64; 3]; 3],
+}
+
+impl SpeedEstimate {
+    /// An estimate that knows only the prior.
+    pub fn new(prior: EngineSpeeds) -> Self {
+        let mut covariance = [[0.0; 3]; 3];
+        for (place, row) in covariance.iter_mut().enumerate() {
+            row[place] = PRIOR_VARIANCE;
+        }
+        Self {
+            prior,
+            scale: [1.0; 3],
+            covariance,
+        }
+    }
+
+    /// The speeds as known now.
+    pub fn speeds(&self) -> EngineSpeeds {
+        EngineSpeeds {
+            prefill_token_s: self.prior.prefill_token_s * self.scale[0],
+            decode_step_s: self.prior.decode_step_s * self.scale[1],
+            decode_token_s: self.prior.decode_token_s * self.scale[2],
+            mixed_overhead: self.prior.mixed_overhead,
+        }
+    }
+
+    /// Takes in what a busy engine did. A sample without any token teaches nothing.
+    pub fn observe(&mut self, sample: &SpeedSample) {
+        if sample.elapsed_s <= 0.0 || sample.prefill_tokens + sample.decode_tokens <= 0.0 {
+            return;
+        }
+        let steps = sample.decode_tokens / sample.running.max(1.0);
+        let inputs = [
+            sample.prefill_tokens * self.prior.prefill_token_s / sample.elapsed_s,
+            steps * self.prior.decode_step_s / sample.elapsed_s,
+            sample.decode_tokens * self.prior.decode_token_s / sample.elapsed_s,
+        ];
+        let both = sample.prefill_tokens > 0.0 && sample.decode_tokens > 0.0;
+        let overhead = if both { self.prior.mixed_overhead } else { 0.0 };
+        // Only the steps that run a prompt are slower; they take about the prompt's share.
+        let target = 1.0 / (1.0 + overhead * inputs[0].min(1.0));
+        self.update(&inputs, target);
+    }
+
+    fn update(&mut self, inputs: &[f64; 3], target: f64) {
+        let spread = multiply(&self.covariance, inputs);
+        let denominator = FORGETTING + dot(inputs, &spread);
+        let error = target - dot(inputs, &self.scale);
+        for (scale, spread) in self.scale.iter_mut().zip(spread) {
+            let learnt = *scale + spread / denominator * error;
+            *scale = learnt.clamp(LEARNING_RANGE, 1.0 / LEARNING_RANGE);
+        }
+        for (row, row_spread) in self.covariance.iter_mut().zip(spread) {
+            for (value, column_spread) in row.iter_mut().zip(spread) {
+                *value = (*value - row_spread * column_spread / denominator) / FORGETTING;
+            }
+        }
+        self.bound_covariance();
+    }
+
+    /// Forgetting must not let the variance of a parameter that is never excited grow on.
+    fn bound_covariance(&mut self) {
+        let largest = (0..3)
+            .map(|place| self.covariance[place][place])
+            .fold(0.0, f64::max);
+        if largest <= PRIOR_VARIANCE {
+            return;
+        }
+        let factor = PRIOR_VARIANCE / largest;
+        for value in self.covariance.iter_mut().flatten() {
+            *value *= factor;
+        }
+    }
+}
+
+fn dot(left: &[f64; 3], right: &[f64; 3]) -> f64 {
+    left.iter().zip(right).map(|(one, other)| one * other).sum()
+}
+
+fn multiply(matrix: &[[f64; 3]; 3], vector: &[f64; 3]) -> [f64; 3] {
+    [
+        dot(&matrix[0], vector),
+        dot(&matrix[1], vector),
+        dot(&matrix[2], vector),
+    ]
+}
--- /dev/null
+++ b/crates/planner/tests/properties.rs
@@ -0,0 +1,314 @@
+//! Properties of the role planner under arbitrary demand.
+
+use dalestand_planner::{Composition, PlannerConfig, RolePlan, RolePlanner};
+use dalestand_types::{
+    EngineDigest, EngineId, EngineLoad, Epoch, GroupDigest, GroupId, Incarnation, MonotonicTime,
+    NodeId, Role, Sequence,
+};
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, RngSeed};
+
+const GROUP: &str = "pool@zone";
+const REPORT_MS: u64 = 1_000;
+
+/// A group of engines that obey a plan, each out of service for some seconds.
+struct Group {
+    engines: Vec<EngineLoad>,
+    out_seconds: Vec<u32>,
+    change_seconds: u32,
+    planner: RolePlanner,
+    now_ms: u64,
+}
+
+impl Group {
+    fn new(size: usize, config: PlannerConfig) -> Self {
+        let mixed = config.allowed_roles.contains(&Role::Mixed);
+        let engines = (0..size).map(|number| idle_engine(number, mixed)).collect();
+        let planner = RolePlanner::new(GroupId::from(GROUP), config);
+        Self {
+            engines,
+            out_seconds: vec![0; size],
+            change_seconds: 0,
+            planner,
+            now_ms: 0,
+        }
+    }
+
+    /// One second in which each engine did its share of these tokens.
+    fn second(&mut self, prefill: u64, decode: u64) -> RolePlan {
+        self.now_ms += REPORT_MS;
+        let size = self.engines.len() as u64;
+        for load in &mut self.engines {
+            load.sequence = load.sequence.next();
+            load.running = 8;
+            load.prefill_tokens_total += prefill / size;
+            load.decode_tokens_total += decode / size;
+        }
+        let digest = self.digest();
+        let now = MonotonicTime::from_millis(self.now_ms);
+        self.planner.observe(now, &digest);
+        self.planner.plan(now)
+    }
+
+    fn follow(&mut self, plan: &RolePlan) {
+        for (load, out) in self.engines.iter_mut().zip(&mut self.out_seconds) {
+            let planned = plan.roles.get(&load.engine).copied();
+            if load.role == planned {
+                continue;
+            }
+            if load.role.take().is_some() {
+                *out = self.change_seconds;
+            }
+            if *out == 0 {
+                load.role = planned;
+            } else {
+                *out -= 1;
+            }
+        }
+    }
+
+    fn digest(&self) -> GroupDigest {
+        let engines = self.engines.iter().map(|load| EngineDigest {
+            load: load.clone(),
+            age_ms: 0,
+            accepting: true,
+        });
+        GroupDigest {
+            group: GroupId::from(GROUP),
+            epoch: Epoch(1),
+            sequence: Sequence(self.now_ms),
+            holder: NodeId::from("node"),
+            engines: engines.collect(),
+        }
+    }
+
+    fn changing(&self, plan: &RolePlan) -> usize {
+        let changed = |load: &&EngineLoad| plan.roles.get(&load.engine).copied() != load.role;
+        self.engines.iter().filter(changed).count()
+    }
+}
+
+fn idle_engine(number: usize, mixed: bool) -> EngineLoad {
+    let role = match (mixed, number % 2) {
+        (true, _) => Role::Mixed,
+        (false, 0) => Role::Prefill,
+        (false, _) => Role::Decode,
+    };
+    EngineLoad {
+        engine: EngineId::from(format!("engine-{number}")),
+        incarnation: Incarnation(1),
+        sequence: Sequence(0),
+        role: Some(role),
+        running: 0,
+        waiting: 0,
+        queued_prefill_tokens: 0,
+        capacity: 128,
+        cache_tokens_used: 0,
+        cache_tokens_total: 100_000,
+        prefill_tokens_total: 0,
+        decode_tokens_total: 0,
+        models: Vec::new(),
+    }
+}
+
+fn config(weight: f64) -> PlannerConfig {
+    PlannerConfig {
+        change_weight: weight,
+        ..PlannerConfig::default()
+    }
+}
+
+/// Fixed seed, no files: the same cases each time.
+fn cases(count: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases: count,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(cases(64))]
+
+    #[test]
+    fn roles_always_cover_both_phases_and_changes_are_bounded(
+        size in 2_usize..10,
+        weight in 0.0_f64..1.0,
+        bound in 1_usize..4,
+        mixed in any::<bool>(),
+        change_seconds in 0_u32..6,
+        phases in prop::collection::vec(
+            (0_u64..200_000, prop_oneof![Just(0_u64), 0_u64..40_000], 5_u32..60),
+            1..6,
+        ),
+    ) {
+        let allowed_roles = Role::ALL.into_iter().filter(|role| mixed || *role != Role::Mixed);
+        let config = PlannerConfig {
+            max_changes_at_once: bound,
+            allowed_roles: allowed_roles.collect(),
+            ..config(weight)
+        };
+        let mut group = Group::new(size, config);
+        group.change_seconds = change_seconds;
+        for (prefill, decode, seconds) in phases {
+            for _ in 0..seconds {
+                let plan = group.second(prefill, decode);
+                prop_assert!(Composition::of(plan.roles.values().copied()).covers());
+                prop_assert!(group.changing(&plan) <= bound);
+                let serving = group.engines.iter().filter_map(|load| {
+                    let planned = plan.roles.get(&load.engine).copied();
+                    load.role.filter(|role| planned == Some(*role))
+                });
+                prop_assert!(Composition::of(serving).covers());
+                group.follow(&plan);
+            }
+        }
+    }
+
+    #[test]
+    fn equal_inputs_give_equal_plans(
+        size in 1_usize..10,
+        seconds in prop::collection::vec((0_u64..200_000, 0_u64..40_000), 1..40),
+    ) {
+        let mut one = Group::new(size, config(0.2));
+        let mut other = Group::new(size, config(0.2));
+        for (prefill, decode) in seconds {
+            let plan = one.second(prefill, decode);
+            prop_assert_eq!(&plan, &other.second(prefill, decode));
+            one.follow(&plan);
+            other.follow(&plan);
+        }
+    }
+}
+
+fn changes_over(group: &mut Group, seconds: u32, prefill: u64, decode: u64) -> usize {
+    let mut changes = 0;
+    for _ in 0..seconds {
+        let plan = group.second(prefill, decode);
+        changes += group.changing(&plan);
+        group.follow(&plan);
+    }
+    changes
+}
+
+/// Seconds of prompts only, up to the first plan that changes a role.
+fn until_a_change(group: &mut Group) -> RolePlan {
+    for _ in 0..240 {
+        let plan = group.second(190_000, 2_000);
+        if group.changing(&plan) > 0 {
+            return plan;
+        }
+    }
+    panic!("no change of role in four minutes of prompts only");
+}
+
+#[test]
+fn steady_demand_makes_no_changes_after_the_first_plan() {
+    let mut group = Group::new(9, config(0.2));
+    changes_over(&mut group, 120, 120_000, 10_000);
+    assert_eq!(changes_over(&mut group, 300, 120_000, 10_000), 0);
+}
+
+#[test]
+fn a_lasting_shift_is_followed_by_roles() {
+    let mut group = Group::new(9, config(0.0));
+    changes_over(&mut group, 60, 20_000, 30_000);
+    let changes = changes_over(&mut group, 240, 190_000, 2_000);
+    assert!(changes > 0);
+    assert!(changes < 10, "{changes} changes for one shift");
+}
+
+#[test]
+fn the_weight_of_changes_bounds_their_number() {
+    let run = |weight| {
+        let mut group = Group::new(9, config(weight));
+        let mut changes = 0;
+        for _ in 0..6 {
+            changes += changes_over(&mut group, 60, 190_000, 2_000);
+            changes += changes_over(&mut group, 60, 20_000, 30_000);
+        }
+        changes
+    };
+    let (few, many) = (run(0.8), run(0.0));
+    assert!(few <= many, "{few} changes at weight 0.8, {many} at 0");
+    assert_eq!(run(1.0), 0);
+}
+
+#[test]
+fn an_engine_in_mid_change_holds_back_further_changes() {
+    let mut group = Group::new(9, config(0.0));
+    let plan = until_a_change(&mut group);
+    assert_eq!(group.changing(&plan), 1);
+    // The engine drains and never comes back: nothing else may be taken out.
+    for _ in 0..60 {
+        let later = group.second(190_000, 2_000);
+        assert_eq!(later.roles, plan.roles);
+    }
+}
+
+#[test]
+fn an_engine_that_crashed_in_mid_change_is_planned_from_the_role_it_came_back_in() {
+    let mut group = Group::new(9, config(0.0));
+    let plan = until_a_change(&mut group);
+    let place = group
+        .engines
+        .iter()
+        .position(|load| plan.roles.get(&load.engine).copied() != load.role)
+        .expect("one engine changes");
+    group.engines[place].incarnation = Incarnation(2);
+    group.engines[place].sequence = Sequence(0);
+    let next = group.second(190_000, 2_000);
+    assert!(group.changing(&next) <= 1);
+    assert!(Composition::of(next.roles.values().copied()).covers());
+}
+
+/// Two prompt engines and two output engines whose changes never end; the demand turns round
+/// while the first change is under way.
+#[test]
+fn the_last_engine_in_service_for_a_phase_is_kept_while_another_is_changing() {
+    let mut group = Group::new(
+        4,
+        PlannerConfig {
+            max_changes_at_once: 3,
+            allowed_roles: vec![Role::Prefill, Role::Decode],
+            ..config(0.0)
+        },
+    );
+    group.change_seconds = u32::MAX;
+    // Engines that hold much are passed over, so that the one in mid change is not turned back.
+    group.engines[0].waiting = 100;
+    group.engines[2].waiting = 50;
+    let mut changed = 0;
+    for second in 0..240 {
+        let (prefill, decode) = if changed == 0 {
+            (0, 12_000)
+        } else {
+            (80_000, 0)
+        };
+        let plan = group.second(prefill, decode);
+        changed = changed.max(group.changing(&plan));
+        if changed > 0 {
+            group.engines[2].waiting = 200;
+        }
+        group.follow(&plan);
+        let serving = group.engines.iter().filter_map(|load| load.role);
+        assert!(
+            Composition::of(serving).covers(),
+            "empty at second {second}"
+        );
+    }
+    assert!(
+        changed >= 2,
+        "the demand turned round without a second change"
+    );
+}
+
+#[test]
+fn a_demand_of_prompts_only_leaves_an_engine_for_output() {
+    let allowed = [Role::Prefill, Role::Decode];
+    let all = Composition::all(5, &allowed);
+    assert!(all.iter().all(Composition::covers));
+    assert_eq!(all.len(), 4);
+}
