A question put to any node is answered by the one that keeps the record

Cause: decision records live in a ring of the node that took the request in, and an engine's order state with its group's lease holder; an operator would have to ask each of 380 nodes. Ruled out: spreading records (traffic grows with requests); asking all nodes (380 calls a question). Change: a request's identifier carries a 32-bit tag of its node; the node asked passes a question it has no record for on, once, to the node with that tag or to the holder of the engine's group, with the operator's key. Conclusion: one call, at most one more, whatever the fleet's size.

--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -51,7 +51,8 @@
     let active = usable_configuration(&shared)?;
     let limit = active.deployment.limits.max_body_bytes;
     let body: CompletionRequest = read_json(http_request, limit).await?;
-    let request = generation_request(&active, &body, &random)?;
+    let request_id = RequestId::new(shared.node.tag(), random.borrow_mut().random());
+    let request = generation_request(&active, &body, request_id)?;
     let record = RequestRecord {
         request: request.request,
         unix_ms: shared.clock.unix_ms(),
@@ -71,7 +72,6 @@
         max_tokens: request.max_tokens,
         tried: Vec::new(),
     };
-    let request_id = request.request;
     let started = attempt::start(&shared, &random, received_at, route, request).await;
     let accepted = started.inspect_err(|error| {
         finish_record(
@@ -110,7 +110,7 @@
 fn generation_request(
     active: &ActiveConfiguration,
     body: &CompletionRequest,
-    random: &RefCell<StdRng>,
+    request: RequestId,
 ) -> Result<GenerationRequest, CallerError> {
     let deployment = &active.deployment;
     let (model, adapter) = find_model(deployment, &body.model)?;
@@ -126,7 +126,7 @@
         });
     }
     Ok(GenerationRequest {
-        request: RequestId(random.borrow_mut().random()),
+        request,
         attempt: AttemptId(0),
         model,
         adapter,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -9,7 +9,7 @@
 use dalestand_decision::DecisionRing;
 use dalestand_routing::{FleetView, Router, RouterConfig};
 use dalestand_telemetry::Metrics;
-use dalestand_types::{MonotonicTime, Revision, ZoneName};
+use dalestand_types::{MonotonicTime, NodeId, Revision, ZoneName};
 use slog::Logger;
 
 use crate::claim::ClaimGate;
@@ -54,6 +54,8 @@
 pub struct Shared {
     /// The clock of the node.
     pub clock: Clock,
+    /// The node.
+    pub node: NodeId,
     /// The node's zone.
     pub zone: ZoneName,
     /// The configuration in force, once there is one.
@@ -83,9 +85,10 @@
 
 impl Shared {
     /// State of a node that has just started.
-    pub fn new(zone: ZoneName, logger: Logger, metrics: Metrics) -> Self {
+    pub fn new(node: NodeId, zone: ZoneName, logger: Logger, metrics: Metrics) -> Self {
         Self {
             clock: Clock::start(),
+            node,
             zone,
             configuration: ArcSwapOption::empty(),
             fleet: ArcSwap::from_pointee(FleetView::default()),
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -1,6 +1,7 @@
 //! Operators' HTTP surface.
 
 mod access;
+mod forward;
 mod message;
 
 use std::cell::RefCell;
@@ -15,7 +16,7 @@
     read_json, serve, text_answer,
 };
 use dalestand_platform::KeyValue;
-use dalestand_types::{EngineId, NodeId, RequestId};
+use dalestand_types::{EngineId, RequestId};
 use rand::RngExt as _;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
@@ -34,8 +35,6 @@
 
 /// What the operators' surface answers from.
 pub(crate) struct Admin {
-    /// The node.
-    pub(crate) node: NodeId,
     /// State shared with the callers' half.
     pub(crate) shared: Arc<Shared>,
     /// The control half.
@@ -97,10 +96,16 @@
         ));
     }
     if let Some(id) = path.strip_prefix("/explain/request/") {
-        return Ok(admin.explain_request(id));
+        let answer = admin.explain_request(id);
+        return Ok(admin
+            .or_forwarded(answer, request, admin.keeper_of_request(id))
+            .await);
     }
     if let Some(id) = path.strip_prefix("/explain/engine/") {
-        return Ok(admin.explain_engine(id));
+        let answer = admin.explain_engine(id);
+        return Ok(admin
+            .or_forwarded(answer, request, admin.holder_of_engine(id))
+            .await);
     }
     Ok(match path.as_str() {
         "/live" => text_answer(StatusCode::OK, "live\n"),
@@ -129,7 +134,7 @@
             operators: member.operator_address.to_string(),
         });
         StatusResponse {
-            node: self.node.clone(),
+            node: self.shared.node.clone(),
             zone: self.shared.zone.to_string(),
             ready: self.ready(),
             stopping: self.shared.stopping(),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -91,7 +91,12 @@
     logger: Logger,
 ) -> Result<(), Report<NodeError>> {
     let metrics = Metrics::new().change_context(NodeError::Metrics)?;
-    let shared = Arc::new(Shared::new(settings.zone.clone(), logger, metrics));
+    let shared = Arc::new(Shared::new(
+        settings.node.clone(),
+        settings.zone.clone(),
+        logger,
+        metrics,
+    ));
     let addresses = listeners.addresses;
     log_event!(shared.logger, Event::NodeStarted, "node" => %settings.node,
         "callers" => %addresses.callers, "operators" => %addresses.operators,
@@ -193,7 +198,6 @@
     actix_rt::spawn(async move { configuration::follow(follower, &*followed).await });
     actix_rt::spawn(Rc::clone(&control).run());
     let admin = Admin {
-        node: settings.node.clone(),
         shared: Arc::clone(shared),
         control: Rc::clone(&control),
         cluster,
--- a/crates/types/src/generation.rs
+++ b/crates/types/src/generation.rs
@@ -53,6 +53,23 @@
     AttemptId
 );
 
+/// Bits of a request's identifier below the tag of the node that took it in.
+const REQUEST_RANDOM_BITS: u32 = 96;
+
+impl RequestId {
+    /// An identifier that names the node which took the request in, so that any node can find the
+    /// one that keeps its record.
+    pub fn new(node_tag: u32, random: u128) -> Self {
+        let random = random & ((1 << REQUEST_RANDOM_BITS) - 1);
+        Self(u128::from(node_tag) << REQUEST_RANDOM_BITS | random)
+    }
+
+    /// Tag of the node that took the request in; see [`crate::NodeId::tag`].
+    pub fn node_tag(self) -> u32 {
+        (self.0 >> REQUEST_RANDOM_BITS) as u32
+    }
+}
+
 /// Importance of a request; a higher number goes first.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/crates/types/src/identifier.rs
+++ b/crates/types/src/identifier.rs
@@ -125,3 +125,12 @@
         Self::from(format!("{pool}@{zone}"))
     }
 }
+
+impl NodeId {
+    /// A short tag of the name. Two nodes may share one, so it only says where to look first.
+    pub fn tag(&self) -> u32 {
+        let hash = blake3::hash(self.as_str().as_bytes());
+        let [first, second, third, fourth, ..] = *hash.as_bytes();
+        u32::from_le_bytes([first, second, third, fourth])
+    }
+}
