Drain marks on engines, and `dalestand dev` with any deployment file

Ruled out: a mark in the deployment file (two operators' files would fight over it, and it is no part of what is declared); a key a mark (a range read for each lease taken); marks that live in the cluster's records only (lost when all nodes are replaced). Change: one record of all marks in the key-value service, written by compare-and- swap, spread as cluster records under that write's revision, read once by whoever takes a group's lease. `drain engine ID`, `undrain engine ID`. Conclusion: an engine that is drained gets no new work, what it ran was whole, and the mark outlives every node.

--- a/cmd/src/dev.rs
+++ b/cmd/src/dev.rs
@@ -20,6 +20,7 @@
 use tokio::net::TcpListener;
 
 use crate::exit::{Exit, failure, usage_error};
+use crate::files;
 use crate::flags::optional;
 
 /// The deployment that is applied at the start.
@@ -49,6 +50,12 @@
         "address for operators (default 127.0.0.1:8081)",
         "ADDRESS",
     );
+    options.optopt(
+        "",
+        "deployment",
+        "deployment file (default: the Lakeshore example)",
+        "FILE",
+    );
     options.optflag("h", "help", "show this help");
     let matches = match options.parse(arguments) {
         Ok(matches) => matches,
@@ -69,8 +76,17 @@
         Ok(addresses) => addresses,
         Err(error) => return usage_error(error),
     };
+    let text = match matches.opt_str("deployment").map(|path| files::read(&path)) {
+        Some(Ok(text)) => text,
+        Some(Err(error)) => return usage_error(error),
+        None => EXAMPLE.to_owned(),
+    };
+    let deployment = match Deployment::parse(&text) {
+        Ok(deployment) => deployment,
+        Err(faults) => return usage_error(faults),
+    };
     actix_rt::System::new().block_on(async move {
-        match start(callers, operators).await {
+        match start(callers, operators, text, deployment).await {
             Ok(()) => Exit::Success,
             Err(message) => failure(message),
         }
@@ -95,12 +111,16 @@
     Ok(address)
 }
 
-async fn start(callers: SocketAddr, operators: SocketAddr) -> Result<(), String> {
+async fn start(
+    callers: SocketAddr,
+    operators: SocketAddr,
+    text: String,
+    deployment: Deployment,
+) -> Result<(), String> {
     let key_value = start_standin(|listener| drop(actix_rt::spawn(serve_key_value(listener))))?;
     let machine_list =
         start_standin(|listener| drop(actix_rt::spawn(serve_machine_list(listener))))?;
     let weights = start_standin(|listener| drop(actix_rt::spawn(serve_weight_store(listener))))?;
-    let deployment = Deployment::parse(EXAMPLE).map_err(|faults| faults.to_string())?;
     for group in &deployment.groups {
         for engine in &group.engines {
             let address = start_engine(engine.clone(), weights)?;
@@ -115,21 +135,17 @@
             .await?;
         }
     }
-    let zones: Vec<ZoneName> = deployment
-        .groups
-        .iter()
-        .map(|group| group.zone.clone())
-        .collect();
+    let (first_zone, second_zone) = two_zones(&deployment)?;
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let first = node_settings(
         "node-1",
-        &zones[0],
+        &first_zone,
         callers,
         operators,
         key_value,
         machine_list,
     );
-    let second = node_settings("node-2", &zones[1], any, any, key_value, machine_list);
+    let second = node_settings("node-2", &second_zone, any, any, key_value, machine_list);
     let log = logger(LogOutput::Terminal);
     let mut runs = Vec::new();
     let mut nodes: Vec<NodeAddresses> = Vec::new();
@@ -154,14 +170,14 @@
             log.clone(),
         )));
     }
-    apply_example(nodes[0].operators).await?;
+    apply(nodes[0].operators, text).await?;
     // A stop that is asked for before the fleet is ready ends the wait too.
     actix_rt::spawn(async move {
         if wait_until_served(nodes[0].operators, &deployment)
             .await
             .is_ok()
         {
-            print_ready(&nodes);
+            print_ready(&nodes, &deployment);
         }
     });
     for run in runs {
@@ -171,6 +187,14 @@
     Ok(())
 }
 
+/// Zones of the two nodes: the first two of the deployment, or its only one twice.
+fn two_zones(deployment: &Deployment) -> Result<(ZoneName, ZoneName), String> {
+    let mut zones = deployment.groups.iter().map(|group| &group.zone);
+    let first = zones.next().ok_or("the deployment has no [[group]]")?;
+    let second = zones.find(|zone| *zone != first).unwrap_or(first);
+    Ok((first.clone(), second.clone()))
+}
+
 fn start_engine(engine: EngineId, weights: SocketAddr) -> Result<SocketAddr, String> {
     let settings = EngineSettings {
         engine,
@@ -231,9 +255,9 @@
     }
 }
 
-async fn apply_example(operators: SocketAddr) -> Result<(), String> {
+async fn apply(operators: SocketAddr, text: String) -> Result<(), String> {
     let request = ApplyRequest {
-        text: EXAMPLE.to_owned(),
+        text,
         author: "dalestand dev".to_owned(),
         expected: None,
     };
@@ -267,7 +291,7 @@
     row.accepting && row.role.is_some() && !row.models.is_empty()
 }
 
-fn print_ready(nodes: &[NodeAddresses]) {
+fn print_ready(nodes: &[NodeAddresses], deployment: &Deployment) {
     for node in nodes {
         println!(
             "node: callers http://{}, operators http://{}",
@@ -275,10 +299,13 @@
         );
     }
     println!("ready http://{}", nodes[0].callers);
+    let Some(model) = deployment.models.first().map(|model| &model.name) else {
+        return;
+    };
     println!("try:");
     println!(
         "  curl -N http://{}/v1/completions -H 'content-type: application/json' \\\n    \
-         -d '{{\"model\":\"caption-llm\",\"prompt\":\"a glass plate of a harbour\",\
+         -d '{{\"model\":\"{model}\",\"prompt\":\"a glass plate of a harbour\",\
          \"max_tokens\":20,\"stream\":true}}'",
         nodes[0].callers
     );
--- a/cmd/src/operator/apply.rs
+++ b/cmd/src/operator/apply.rs
@@ -10,8 +10,6 @@
 use crate::files::{self, FileError};
 use crate::flags::optional;
 
-const DEFAULT_AUTHOR: &str = "operator";
-
 /// Applies a deployment file as a whole.
 pub(super) async fn apply(client: &Client, matches: &Matches, path: &str) -> Exit {
     let text = match files::read(path) {
@@ -25,9 +23,7 @@
         Ok(expected) => expected.map(Revision),
         Err(error) => return usage_error(error),
     };
-    let author = matches
-        .opt_str("author")
-        .unwrap_or_else(|| DEFAULT_AUTHOR.to_owned());
+    let author = super::author(matches);
     let request = ApplyRequest {
         text,
         author,
--- a/cmd/src/operator/completion.rs
+++ b/cmd/src/operator/completion.rs
@@ -7,7 +7,8 @@
     case "$before" in
         apply|diff|--key-file) COMPREPLY=($(compgen -f -- "$word")) ;;
         explain) COMPREPLY=($(compgen -W "request engine" -- "$word")) ;;
-        *) COMPREPLY=($(compgen -W "apply diff status roles explain drain completion \
+        drain|undrain) COMPREPLY=($(compgen -W "engine" -- "$word")) ;;
+        *) COMPREPLY=($(compgen -W "apply diff status roles explain drain undrain completion \
             --node --key-file --json --author --after --help" -- "$word")) ;;
     esac
 }
--- a/cmd/src/operator/mod.rs
+++ b/cmd/src/operator/mod.rs
@@ -22,11 +22,15 @@
   explain request ID    how a request was decided
   explain engine ID     how an engine's role was decided
   drain                 begin a planned stop of the node asked
+  drain engine ID       let an engine finish its work and take no new
+  undrain engine ID     let it take work again
   completion            print the completion text for bash
 
 exit codes: 0 done, 1 failed, 2 wrong flag or file, 3 another change came first,
 4 not known whether it took effect";
 
+const DEFAULT_AUTHOR: &str = "operator";
+
 fn options() -> Options {
     let mut options = Options::new();
     options.optopt(
@@ -45,7 +49,7 @@
     options.optopt(
         "",
         "author",
-        "apply: who applies (default: operator)",
+        "who applies or drains (default: operator)",
         "NAME",
     );
     options.optopt(
@@ -86,6 +90,8 @@
         ["explain", "request", id] => explain::request(client, id, json).await,
         ["explain", "engine", id] => explain::engine(client, id, json).await,
         ["drain"] => status::drain(client).await,
+        ["drain", "engine", id] => status::drain_engine(client, id, true, author(matches)).await,
+        ["undrain", "engine", id] => status::drain_engine(client, id, false, author(matches)).await,
         ["completion"] => {
             print!("{}", completion::BASH);
             Exit::Success
@@ -93,3 +99,10 @@
         _ => usage_error(USAGE),
     }
 }
+
+/// Who orders a change, for people.
+fn author(matches: &Matches) -> String {
+    matches
+        .opt_str("author")
+        .unwrap_or_else(|| DEFAULT_AUTHOR.to_owned())
+}
--- a/cmd/src/operator/status.rs
+++ b/cmd/src/operator/status.rs
@@ -1,6 +1,7 @@
-//! `status` and `drain`.
+//! `status`, `drain` and `undrain`.
 
-use dalestand_node::StatusResponse;
+use dalestand_node::{DrainRequest, StatusResponse};
+use dalestand_types::{EngineId, Revision};
 
 use super::client::{Client, parse, print_json};
 use crate::exit::{Exit, failure};
@@ -74,3 +75,46 @@
         Err(error) => failure(error),
     }
 }
+
+/// Sets or takes off an engine's drain mark.
+pub(super) async fn drain_engine(
+    client: &Client,
+    engine: &str,
+    draining: bool,
+    author: String,
+) -> Exit {
+    let request = DrainRequest {
+        engine: EngineId::from(engine),
+        draining,
+        author,
+    };
+    let answer = match client.post("/drain", &request).await {
+        Ok(answer) => answer,
+        Err(error) => return failure(error),
+    };
+    if !answer.status.is_success() {
+        let message = String::from_utf8_lossy(&answer.body).into_owned();
+        return match answer.status.as_u16() {
+            409 => conflict(message),
+            504 => in_doubt(message),
+            _ => failure(message),
+        };
+    }
+    match parse::<Revision>(&answer.body) {
+        Ok(revision) => {
+            println!("in force from revision {revision}");
+            Exit::Success
+        }
+        Err(error) => failure(error),
+    }
+}
+
+fn conflict(message: String) -> Exit {
+    eprintln!("{message}");
+    Exit::Conflict
+}
+
+fn in_doubt(message: String) -> Exit {
+    eprintln!("{message}");
+    Exit::InDoubt
+}
--- /dev/null
+++ b/cmd/tests/drain.rs
@@ -0,0 +1,130 @@
+//! A drained engine takes no new work, finishes what it runs, and stays drained when every node is
+//! replaced.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use dalestand_node::StatusResponse;
+use dalestand_standin::engine::{RunLogEntry, RunLogEvent, text};
+use support::{Node, Process, ctl, eventually, get, post, standin};
+
+const DEPLOYMENT: &str = r#"format = 1
+name = "drain"
+callers.require_key = false
+
+[[model]]
+name = "m"
+version = "1"
+weights_gib = 1.0
+
+[[pool]]
+name = "p"
+models = ["m"]
+
+[[group]]
+pool = "p"
+zone = "z"
+engines = ["e1", "e2"]
+"#;
+
+/// Long enough for the mark to be set while the answer is under way.
+const LONG_ANSWER_TOKENS: u32 = 200;
+
+/// Requests sent after the mark is in force; each would reach the engine with a chance of a half.
+const LATER_REQUESTS: usize = 20;
+
+async fn start_engine(name: &str, machines: SocketAddr) -> (Process, SocketAddr) {
+    let (process, address) = standin(&["engine", "--name", name]);
+    let machine = serde_json::json!({
+        "name": name, "kind": "engine", "zone": "z", "address": address.to_string(),
+        "incarnation": 1, "state": "live"
+    });
+    post(machines, "/v1/machines", &machine).await;
+    (process, address)
+}
+
+fn start_node(name: &str, kv: SocketAddr, machines: SocketAddr) -> Node {
+    Node::start(&format!(
+        "node = \"{name}\"\nzone = \"z\"\ncaller_listen = \"127.0.0.1:0\"\n\
+         operator_listen = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\n\
+         key_value = \"{kv}\"\nmachine_list = \"{machines}\"\nload_poll_ms = 100\nlease_ms = 1000\n"
+    ))
+}
+
+/// Waits until a node serves with `accepting` engines that take new work.
+async fn wait_for_accepting(node: &Node, accepting: usize) {
+    eventually("the engines take work as marked", || async {
+        let status: StatusResponse = get(node.operators, "/status").await;
+        let serving = status
+            .engines
+            .iter()
+            .filter(|row| row.accepting && !row.models.is_empty());
+        let known = status.engines.len() == 2;
+        (known && serving.count() == accepting).then_some(())
+    })
+    .await;
+}
+
+async fn runs(engine: SocketAddr) -> Vec<RunLogEntry> {
+    get(engine, "/log/runs").await
+}
+
+#[actix_rt::test]
+async fn a_drained_engine_takes_no_new_work_and_cuts_none() {
+    let (_kv, kv) = standin(&["kv"]);
+    let (_machines, machines) = standin(&["machines"]);
+    let (_first, first) = start_engine("e1", machines).await;
+    let (_second, second) = start_engine("e2", machines).await;
+    let mut node = start_node("n1", kv, machines);
+    let apply = serde_json::json!({"text": DEPLOYMENT, "author": "test", "expected": null});
+    assert_eq!(post(node.operators, "/apply", &apply).await.0, 200);
+    wait_for_accepting(&node, 2).await;
+
+    let long = serde_json::json!({
+        "model": "m", "prompt": "a long caption", "max_tokens": LONG_ANSWER_TOKENS
+    });
+    let callers = node.callers;
+    let body = long.clone();
+    let answer = actix_rt::spawn(async move { post(callers, "/v1/completions", &body).await });
+    let busy = eventually("an engine runs the long answer", || async {
+        if !runs(first).await.is_empty() {
+            return Some(("e1", first));
+        }
+        (!runs(second).await.is_empty()).then_some(("e2", second))
+    })
+    .await;
+    let drained = ctl(node.operators, &["drain", "engine", busy.0]);
+    assert_eq!(drained.status.code(), Some(0), "{drained:?}");
+    wait_for_accepting(&node, 1).await;
+
+    let before = runs(busy.1)
+        .await
+        .iter()
+        .filter(|run| run.event == RunLogEvent::Accepted)
+        .count();
+    let short = serde_json::json!({"model": "m", "prompt": "a tag", "max_tokens": 1});
+    for _ in 0..LATER_REQUESTS {
+        assert_eq!(post(node.callers, "/v1/completions", &short).await.0, 200);
+    }
+    let (status, body) = answer.await.expect("the caller's task ends");
+    assert_eq!(status, 200, "{body}");
+    assert!(body.contains(text::expected_text("m", "a long caption", LONG_ANSWER_TOKENS).trim()));
+    let after = runs(busy.1)
+        .await
+        .iter()
+        .filter(|run| run.event == RunLogEvent::Accepted)
+        .count();
+    assert_eq!(before, after, "the drained engine took new work");
+
+    assert_eq!(ctl(node.operators, &["drain"]).status.code(), Some(0));
+    assert_eq!(node.process.wait(), Some(0));
+    let replacement = start_node("n2", kv, machines);
+    wait_for_accepting(&replacement, 1).await;
+    let undrained = ctl(replacement.operators, &["undrain", "engine", busy.0]);
+    assert_eq!(undrained.status.code(), Some(0), "{undrained:?}");
+    wait_for_accepting(&replacement, 2).await;
+
+    let unknown = ctl(replacement.operators, &["drain", "engine", "nowhere"]);
+    assert_eq!(unknown.status.code(), Some(1));
+}
--- a/crates/node/src/admin/message.rs
+++ b/crates/node/src/admin/message.rs
@@ -29,6 +29,18 @@
     pub in_doubt: bool,
 }
 
+/// Body of `POST /drain`; the answer has the revision of the mark in JSON.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DrainRequest {
+    /// The engine.
+    pub engine: EngineId,
+    /// Whether it is to take no new work.
+    pub draining: bool,
+    /// Who asks.
+    pub author: String,
+}
+
 /// Answer to `GET /configuration`: what stands in the key-value service.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ConfigurationResponse {
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -23,13 +23,14 @@
 
 use self::access::OperatorAccess;
 pub use self::message::{
-    ApplyRequest, ApplyResponse, ConfigurationResponse, EngineControlRow, EngineExplanation,
-    EngineRow, MemberRow, RequestExplanation, StatusResponse,
+    ApplyRequest, ApplyResponse, ConfigurationResponse, DrainRequest, EngineControlRow,
+    EngineExplanation, EngineRow, MemberRow, RequestExplanation, StatusResponse,
 };
 use crate::apply;
 use crate::configuration::{CONFIGURATION_KEY, ConfigurationRecord};
 use crate::control_driver::ControlDriver;
-use crate::error::ApplyError;
+use crate::drains::{DrainMark, Drains};
+use crate::error::{ApplyError, DrainError};
 
 const MAX_BODY_BYTES: usize = 16 << 20;
 
@@ -39,6 +40,8 @@
     pub(crate) shared: Arc<Shared>,
     /// The control half.
     pub(crate) control: Rc<ControlDriver>,
+    /// Drain marks.
+    pub(crate) drains: Rc<Drains>,
     /// The cluster.
     pub(crate) cluster: Rc<RefCell<Cluster>>,
     /// The key-value service.
@@ -82,6 +85,7 @@
     if request.method() == Method::POST {
         return match path.as_str() {
             "/apply" => Ok(admin.apply(read_json(request, MAX_BODY_BYTES).await?).await),
+            "/drain" => Ok(admin.drain(read_json(request, MAX_BODY_BYTES).await?).await),
             "/stop" => {
                 admin.stop_asked.notify_one();
                 Ok(text_answer(StatusCode::ACCEPTED, "planned stop begun\n"))
@@ -243,6 +247,34 @@
         }
     }
 
+    async fn drain(&self, body: DrainRequest) -> Answer {
+        let active = self.shared.configuration.load_full();
+        let known = active.is_some_and(|active| {
+            let mut groups = active.deployment.groups.iter();
+            groups.any(|group| group.engines.contains(&body.engine))
+        });
+        if !known {
+            let message = format!("no engine {} is configured", body.engine);
+            return text_answer(StatusCode::NOT_FOUND, message);
+        }
+        let mark = DrainMark {
+            draining: body.draining,
+            author: body.author,
+        };
+        match self.drains.set(&body.engine, &mark).await {
+            Ok(revision) => json_answer(StatusCode::OK, &revision),
+            Err(report) => {
+                let status = match report.current_context() {
+                    DrainError::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
+                    DrainError::Contended => StatusCode::CONFLICT,
+                    DrainError::InDoubt => StatusCode::GATEWAY_TIMEOUT,
+                    DrainError::Unreadable => StatusCode::INTERNAL_SERVER_ERROR,
+                };
+                text_answer(status, report.current_context().to_string())
+            }
+        }
+    }
+
     async fn apply(&self, body: ApplyRequest) -> Answer {
         let writer = format!("{:032x}", rand::rng().random::<u128>());
         let record = ConfigurationRecord {
--- a/crates/node/src/control_driver.rs
+++ b/crates/node/src/control_driver.rs
@@ -22,6 +22,7 @@
 use rand::RngExt as _;
 use serde::{Deserialize, Serialize};
 
+use crate::drains::Drains;
 use crate::engines::EngineClients;
 use crate::fleet::Digests;
 use crate::machines::Machines;
@@ -60,11 +61,11 @@
 
 /// The control half of a node.
 pub(crate) struct ControlDriver {
-    node: NodeId,
     shared: Arc<Shared>,
     key_value: Rc<dyn KeyValue>,
     cluster: Rc<RefCell<Cluster>>,
     machines: Rc<RefCell<Machines>>,
+    drains: Rc<Drains>,
     lease: Duration,
     load_poll: Duration,
     state: RefCell<State>,
@@ -73,21 +74,21 @@
 impl ControlDriver {
     /// A driver that controls nothing yet.
     pub(crate) fn new(
-        node: NodeId,
         shared: Arc<Shared>,
         key_value: Rc<dyn KeyValue>,
         cluster: Rc<RefCell<Cluster>>,
         machines: Rc<RefCell<Machines>>,
+        drains: Rc<Drains>,
         lease: Duration,
         load_poll: Duration,
     ) -> Rc<Self> {
         let state = RefCell::new(State::default());
         Rc::new(Self {
-            node,
             shared,
             key_value,
             cluster,
             machines,
+            drains,
             lease,
             load_poll,
             state,
@@ -238,9 +239,10 @@
         let machines = self.machines.borrow();
         state.clients.retain(|address| machines.uses(address));
         if let Some(active) = &state.configured {
+            let cluster = self.cluster.borrow();
             let view = state
                 .digests
-                .view(active.revision, &active.deployment, &machines);
+                .view(active.revision, &active.deployment, &machines, &cluster);
             self.shared.fleet.store(Arc::new(view));
         }
     }
@@ -327,6 +329,7 @@
                 log_event!(self.shared.logger, Event::LeaseAcquired,
                     "group" => %group, "epoch" => grant.epoch.0);
                 self.with_controller(group, |controller| controller.lease_acquired(grant));
+                self.restore_drains(group).await;
             }
             None => {
                 let jitter = rand::rng().random_range(0..ACQUIRE_RETRY.as_millis() as u64);
@@ -336,6 +339,23 @@
         }
     }
 
+    /// Spreads the drain marks of a group that was just taken over.
+    async fn restore_drains(&self, group: &GroupId) {
+        let engines: Vec<EngineId> = {
+            let state = self.state.borrow();
+            let controller = state.controllers.get(group);
+            let statuses = controller
+                .map(GroupController::statuses)
+                .unwrap_or_default();
+            statuses.into_iter().map(|status| status.engine).collect()
+        };
+        self.shared.metrics.key_value_calls.inc();
+        if let Err(error) = self.drains.restore(&engines).await {
+            log_event!(self.shared.logger, Event::DrainsUnread, "group" => %group,
+                "error" => %error);
+        }
+    }
+
     /// Asks for the group's lease; the epoch is the revision of the write that took its key.
     async fn try_acquire(&self, group: &GroupId, sent_at: MonotonicTime) -> Option<LeaseGrant> {
         self.shared.metrics.key_value_calls.inc_by(2);
@@ -349,7 +369,7 @@
         let key = holder_key(group);
         let writer = format!("{:032x}", rand::rng().random::<u128>());
         let record = HolderRecord {
-            node: self.node.clone(),
+            node: self.shared.node.clone(),
             writer,
         };
         let value = serde_json::to_string(&record).ok()?;
@@ -471,7 +491,7 @@
             group: group.clone(),
             epoch: grant.epoch,
             sequence: *sequence,
-            holder: self.node.clone(),
+            holder: self.shared.node.clone(),
             engines: reports.map(|sample| engine_digest(sample, now)).collect(),
         };
         let Ok(payload) = rmp_serde::to_vec(&digest) else {
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -33,3 +33,20 @@
     #[error("it is not known whether the configuration was applied")]
     InDoubt,
 }
+
+/// Why a drain mark was not set.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum DrainError {
+    /// The key-value service could not be used; nothing was changed.
+    #[error("the key-value service could not be used; nothing was changed")]
+    Unavailable,
+    /// The write's answer was lost; setting the mark again is safe.
+    #[error("it is not known whether the mark was set; setting it again is safe")]
+    InDoubt,
+    /// Other writes came first again and again; nothing was changed.
+    #[error("other changes came first; nothing was changed")]
+    Contended,
+    /// The record of all marks cannot be read or written.
+    #[error("the record of drain marks is unreadable")]
+    Unreadable,
+}
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -10,6 +10,7 @@
     EngineDigest, EngineId, GroupDigest, GroupId, MachineState, MonotonicTime, Revision,
 };
 
+use crate::drains::is_draining;
 use crate::machines::Machines;
 
 struct ReceivedDigest {
@@ -66,15 +67,16 @@
         revision: Revision,
         deployment: &Deployment,
         machines: &Machines,
+        cluster: &Cluster,
     ) -> FleetView {
         let groups = deployment.groups.iter();
         let engines = groups
-            .flat_map(|group| self.group_view(group, machines))
+            .flat_map(|group| self.group_view(group, machines, cluster))
             .collect();
         FleetView { revision, engines }
     }
 
-    fn group_view(&self, group: &Group, machines: &Machines) -> Vec<EngineView> {
+    fn group_view(&self, group: &Group, machines: &Machines, cluster: &Cluster) -> Vec<EngineView> {
         let Some(received) = self.by_group.get(&group.id()) else {
             return Vec::new();
         };
@@ -82,6 +84,10 @@
         reports
             .filter(|report| group.engines.contains(&report.load.engine))
             .filter_map(|report| engine_view(group, received.received_at, report, machines))
+            .map(|view| EngineView {
+                accepting: view.accepting && !is_draining(cluster, &view.engine),
+                ..view
+            })
             .collect()
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 mod cluster_driver;
 mod configuration;
 mod control_driver;
+mod drains;
 mod engines;
 mod error;
 mod fleet;
@@ -15,8 +16,8 @@
 mod node;
 
 pub use admin::{
-    ApplyRequest, ApplyResponse, ConfigurationResponse, EngineControlRow, EngineExplanation,
-    EngineRow, MemberRow, RequestExplanation, StatusResponse,
+    ApplyRequest, ApplyResponse, ConfigurationResponse, DrainRequest, EngineControlRow,
+    EngineExplanation, EngineRow, MemberRow, RequestExplanation, StatusResponse,
 };
 pub use error::NodeError;
 pub use node::{Listeners, NodeAddresses, run};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -24,6 +24,7 @@
 use crate::cluster_driver;
 use crate::configuration;
 use crate::control_driver::ControlDriver;
+use crate::drains::Drains;
 use crate::error::NodeError;
 use crate::machines::{Machines, poll_machines};
 
@@ -171,12 +172,13 @@
     let cluster = Cluster::new(me, settings.seeds.clone(), ClusterConfig::default());
     let cluster = Rc::new(RefCell::new(cluster));
     let key_value: Rc<dyn KeyValue> = Rc::new(HttpKeyValue::new(settings.key_value));
+    let drains = Rc::new(Drains::new(Rc::clone(&key_value), Rc::clone(&cluster)));
     let control = ControlDriver::new(
-        settings.node.clone(),
         Arc::clone(shared),
         Rc::clone(&key_value),
         Rc::clone(&cluster),
         Rc::clone(&machines),
+        Rc::clone(&drains),
         Duration::from_millis(settings.lease_ms),
         Duration::from_millis(settings.load_poll_ms),
     );
@@ -200,6 +202,7 @@
     let admin = Admin {
         shared: Arc::clone(shared),
         control: Rc::clone(&control),
+        drains,
         cluster,
         key_value,
         stop_asked,
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -64,6 +64,8 @@
     OrderRefused = (1312, Warning, "order refused");
     /// An engine did not answer its controller.
     EngineSilent = (1313, Warning, "engine did not answer");
+    /// The drain marks of a group that was taken over could not be read.
+    DrainsUnread = (1314, Warning, "drain marks unread");
     /// A node came up.
     MemberUp = (1401, Info, "member up");
     /// A node went down.
