dalestand-lab load: what a node adds to an engine's own times

Cause: nothing measured the callers' path. Ruled out: timing inside the node, which misses sockets and the scheduler. Change: lab command load (fixed streams, straight to an engine and through a node in one run; histograms of first token and gap, tokens a second, the node's processor time a relayed token less its idle share, growth of resident memory a stream); bench/load starts the processes; flags for the stand-in engine's batch.

--- a/cmd/src/bin/dalestand-standin.rs
+++ b/cmd/src/bin/dalestand-standin.rs
@@ -55,6 +55,26 @@
         "engine: length of a role change",
         "MS",
     );
+    options.optopt("", "capacity", "engine: most requests held", "NUMBER");
+    options.optopt(
+        "",
+        "max-running",
+        "engine: most requests generated at once",
+        "NUMBER",
+    );
+    options.optopt("", "step-ms", "engine: time of an empty step", "MS");
+    options.optopt(
+        "",
+        "step-us-per-request",
+        "engine: added time of a step for each request",
+        "MICROSECONDS",
+    );
+    options.optopt(
+        "",
+        "prefill-us-per-token",
+        "engine: time of a prompt token",
+        "MICROSECONDS",
+    );
     options.optflag("h", "help", "show this help");
     options
 }
@@ -108,12 +128,32 @@
         engine: EngineId::from(name),
         incarnation: Incarnation(optional(matches, "incarnation")?.unwrap_or(1)),
         role: Role::Mixed,
-        batch: BatchSettings::default(),
+        batch: batch_settings(matches)?,
         role_change: Duration::from_millis(role_change_ms),
         weight_store: optional(matches, "weights")?,
     })
 }
 
+fn batch_settings(matches: &Matches) -> Result<BatchSettings, FlagError> {
+    let mut batch = BatchSettings::default();
+    if let Some(capacity) = optional(matches, "capacity")? {
+        batch.capacity = capacity;
+    }
+    if let Some(max_running) = optional(matches, "max-running")? {
+        batch.max_running = max_running;
+    }
+    if let Some(milliseconds) = optional(matches, "step-ms")? {
+        batch.step = Duration::from_millis(milliseconds);
+    }
+    if let Some(microseconds) = optional(matches, "step-us-per-request")? {
+        batch.step_per_request = Duration::from_micros(microseconds);
+    }
+    if let Some(microseconds) = optional(matches, "prefill-us-per-token")? {
+        batch.prefill_per_token = Duration::from_micros(microseconds);
+    }
+    Ok(batch)
+}
+
 fn usage_error(message: &str) -> Exit {
     eprintln!("{message}");
     Exit::Usage
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each command is one module with a `run` function, listed in [`COMMANDS`].
 
 mod error;
+mod load;
 
 use error_stack::Report;
 
@@ -19,4 +20,8 @@
 }
 
 /// Every command.
-pub const COMMANDS: &[Command] = &[];
+pub const COMMANDS: &[Command] = &[Command {
+    name: "load",
+    summary: "streams against a node, an engine, or both",
+    run: load::run,
+}];
