routing: expected times at learnt speeds, split placement, prefix affinity, deadline check

Cause: the router scored engines by fixed constants, knew only engines that do both phases, cloned the view's names for every engine, and had no notion of a deadline. Change: the score is the expected time to the whole answer, from line fits of first token by tokens ahead and of token gap by requests held, learnt from what each pool and role does with this node's requests, with a factor for a slow engine. Own requests count until a report made after them comes in. A prompt may run on a prefill engine and its output elsewhere, whichever ends first. A prefix has a home by rendezvous hashing and no messages. An expected time beyond the deadline is refused at once with the time by which it is too long. A request whose prompt has run is never refused. Gateway: the calls that changed, nothing else; it does not ask for split placement yet and does not report first tokens. Ruled out: scoring every engine (all nodes then take the same one) and hashing names for requests without a known prefix. Guards taken out one at a time (cargo test -p dalestand-routing): the leaving check and the role check -> an_engine_that_is_out_leaving_or_in_the_wrong_role_ is_never_chosen fails; the rule for prefilled requests -> what_has_run_its_ prompt_is_never_refused_for_its_deadline fails; own work -> own_requests_spread_while_the_digest_stands_still fails. Put back: 9 passed.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,7 +6,7 @@
 
 use dalestand_decision::{AttemptOutcome, AttemptRecord};
 use dalestand_platform::{AttemptError, Engine as _, FrameStream, HttpEngine};
-use dalestand_routing::{EngineView, RouteDecision, RouteRequest};
+use dalestand_routing::{Completion, EngineView, Placement, RouteDecision, RouteRequest, Ticket};
 use dalestand_types::{AttemptId, GenerationRequest, MonotonicTime};
 use rand::rngs::StdRng;
 
@@ -29,22 +29,30 @@
 /// Counts a request at an engine until dropped.
 pub(crate) struct InFlightGuard {
     shared: Arc<Shared>,
-    engine: EngineView,
+    ticket: Ticket,
 }
 
 impl InFlightGuard {
-    fn new(shared: &Arc<Shared>, engine: EngineView) -> Self {
-        shared.router().sent(&engine.engine);
+    fn new(
+        shared: &Arc<Shared>,
+        engine: &EngineView,
+        route: &RouteRequest,
+        placement: Placement,
+    ) -> Self {
+        let now = shared.clock.now();
+        let ticket = shared.router().sent(now, engine, route, placement);
         Self {
             shared: Arc::clone(shared),
-            engine,
+            ticket,
         }
     }
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        self.shared.router().finished(&self.engine.engine);
+        let now = self.shared.clock.now();
+        let mut router = self.shared.router();
+        router.finished(now, &self.ticket, Completion::default());
     }
 }
 
@@ -62,8 +70,13 @@
         let decision = shared
             .router()
             .decide(now, &view, &route, &mut *random.borrow_mut());
-        let (engine, candidates) = match decision {
-            RouteDecision::Send { engine, candidates } => (engine, candidates),
+        let (engine, placement, candidates) = match decision {
+            RouteDecision::Send {
+                engine,
+                placement,
+                candidates,
+                ..
+            } => (engine, placement, candidates),
             RouteDecision::Refuse {
                 reason,
                 retry_after,
@@ -89,7 +102,7 @@
             .decisions()
             .update_request(request.request, |kept| kept.attempts.push(record));
         shared.metrics.attempts.inc();
-        let guard = InFlightGuard::new(shared, engine.clone());
+        let guard = InFlightGuard::new(shared, &engine, &route, placement);
         let error = match HttpEngine::new(engine.address).generate(&request).await {
             Ok(frames) => {
                 return Ok(AcceptedAttempt {
--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -11,7 +11,7 @@
 use dalestand_config::{Deployment, Pool};
 use dalestand_decision::{AttemptOutcome, RequestRecord};
 use dalestand_http_server::{Answer, Request, json_answer, read_json, stream_answer};
-use dalestand_routing::RouteRequest;
+use dalestand_routing::{RouteRequest, prompt_blocks};
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::{
     AdapterName, AttemptId, FinishReason, GenerationFrame, GenerationRequest, ModelName, Priority,
@@ -63,14 +63,15 @@
         run_state: None,
     };
     shared.decisions().put_request(record);
-    let route = RouteRequest {
-        model: request.model.clone(),
-        adapter: request.adapter.clone(),
-        zone: shared.zone.clone(),
-        prompt_tokens: body.prompt.split_whitespace().count() as u32,
-        max_tokens: request.max_tokens,
-        tried: Vec::new(),
-    };
+    let prompt_tokens = body.prompt.split_whitespace().count() as u32;
+    let mut route = RouteRequest::new(
+        request.model.clone(),
+        shared.zone.clone(),
+        prompt_tokens,
+        request.max_tokens,
+    );
+    route.adapter = request.adapter.clone();
+    route.blocks = prompt_blocks(&body.prompt);
     let request_id = request.request;
     let started = attempt::start(&shared, &random, received_at, route, request).await;
     let accepted = started.inspect_err(|error| {
--- /dev/null
+++ b/crates/routing/src/config.rs
@@ -0,0 +1,41 @@
+//! Settings of the router.
+
+use std::time::Duration;
+
+use crate::learning::PriorSpeeds;
+
+/// Settings of the router.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouterConfig {
+    /// Candidates drawn for one choice; drawing few avoids that all nodes take the same engine.
+    pub sample_size: usize,
+    /// An engine of which nothing was heard for this long is left out.
+    pub silence_limit: Duration,
+    /// Added score of an engine in another zone, in milliseconds.
+    pub other_zone_penalty_ms: f64,
+    /// Speeds assumed until they are learnt.
+    pub prior_speeds: PriorSpeeds,
+    /// Share of a deadline that the expected time may take for a request to be admitted.
+    pub admission_share: f64,
+    /// Shortest wait told to a refused caller.
+    pub shortest_retry_after: Duration,
+    /// Longest wait told to a refused caller.
+    pub longest_retry_after: Duration,
+    /// Leading prompt blocks remembered.
+    pub prefixes_remembered: usize,
+}
+
+impl Default for RouterConfig {
+    fn default() -> Self {
+        Self {
+            sample_size: 4,
+            silence_limit: Duration::from_secs(10),
+            other_zone_penalty_ms: 4.0,
+            prior_speeds: PriorSpeeds::default(),
+            admission_share: 0.9,
+            shortest_retry_after: Duration::from_secs(1),
+            longest_retry_after: Duration::from_secs(30),
+            prefixes_remembered: 8_192,
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/estimate.rs
@@ -0,0 +1,139 @@
+//! Times expected of an engine for a request.
+
+use std::time::Duration;
+
+use dalestand_types::Role;
+
+use crate::learning::Learned;
+use crate::prefix::{KnownPrefix, engine_hash, rendezvous_weight};
+use crate::request::{Expected, RouteRequest};
+use crate::track::Tracks;
+use crate::view::EngineView;
+
+/// What is expected of one engine, with what the ticket must remember of it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Estimate {
+    /// Time to the first token (to the end of the prompt for a prompt only), in seconds.
+    pub(crate) first_token_s: f64,
+    /// Time from the first token to the last, in seconds.
+    pub(crate) output_s: f64,
+    /// Prompt tokens expected in the engine's prefix cache.
+    pub(crate) prefix_tokens: u32,
+    /// Prompt tokens to be run up to the first token.
+    pub(crate) tokens_ahead: f64,
+    /// Requests held, with this one.
+    pub(crate) held: f64,
+    /// Whether requests wait for a place in the batch.
+    pub(crate) queued: bool,
+}
+
+impl Estimate {
+    /// Time to the end of the answer, in seconds.
+    pub(crate) fn whole_s(&self) -> f64 {
+        self.first_token_s + self.output_s
+    }
+
+    /// As durations.
+    pub(crate) fn expected(&self) -> Expected {
+        Expected {
+            first_token: Duration::from_secs_f64(self.first_token_s),
+            whole: Duration::from_secs_f64(self.whole_s()),
+        }
+    }
+}
+
+/// Estimates engines for one request.
+pub(crate) struct Estimator<'a> {
+    pub(crate) learned: &'a Learned,
+    pub(crate) tracks: &'a Tracks,
+    pub(crate) request: &'a RouteRequest,
+    pub(crate) prefix: Option<&'a KnownPrefix>,
+    /// Weight of the prefix's home among the usable engines.
+    pub(crate) home_weight: u64,
+    pub(crate) other_zone_s: f64,
+}
+
+impl Estimator<'_> {
+    /// Prompt and output on this engine.
+    pub(crate) fn whole(&self, engine: &EngineView, role: Role) -> Estimate {
+        let mut estimate = self.prompt(engine, role);
+        estimate.output_s = self.output_s(engine, role, estimate.held);
+        estimate
+    }
+
+    /// The prompt only.
+    pub(crate) fn prompt(&self, engine: &EngineView, role: Role) -> Estimate {
+        let mut estimate = self.load(engine, role);
+        let speeds = self.learned.role(&engine.pool, role);
+        let prefix_tokens = self.prefix_tokens(engine);
+        let trusted = f64::from(prefix_tokens) * speeds.prefix_trust;
+        let own = (f64::from(self.request.prompt_tokens) - trusted).max(1.0);
+        estimate.prefix_tokens = prefix_tokens;
+        estimate.tokens_ahead += own;
+        let slowness = self.learned.slowness(&engine.engine);
+        estimate.first_token_s += speeds.first_token.at(estimate.tokens_ahead) * slowness;
+        estimate
+    }
+
+    /// The output only, from an imported KV cache.
+    pub(crate) fn output(&self, engine: &EngineView, role: Role) -> Estimate {
+        let mut estimate = self.load(engine, role);
+        let speeds = self.learned.role(&engine.pool, role);
+        let import = speeds.import.at(f64::from(self.request.prompt_tokens));
+        estimate.first_token_s += import * self.learned.slowness(&engine.engine);
+        estimate.output_s = self.output_s(engine, role, estimate.held);
+        estimate
+    }
+
+    /// The engine's load as reported, with this node's own work since, before the request.
+    fn load(&self, engine: &EngineView, role: Role) -> Estimate {
+        let own = self.tracks.own_work(engine);
+        let reported = engine.running + engine.waiting;
+        let held = f64::from((reported + own.requests).max(own.in_flight) + 1);
+        let zone_s = if engine.zone == self.request.zone {
+            0.0
+        } else {
+            self.other_zone_s
+        };
+        Estimate {
+            first_token_s: zone_s + self.batch_wait_s(engine, role, own.requests),
+            output_s: 0.0,
+            prefix_tokens: 0,
+            tokens_ahead: engine.queued_prefill_tokens as f64 + own.prompt_tokens as f64,
+            held,
+            queued: engine.waiting > 0,
+        }
+    }
+
+    /// Wait for a place in a full batch: the requests ahead, at the rate at which places fall free.
+    fn batch_wait_s(&self, engine: &EngineView, role: Role, own_requests: u32) -> f64 {
+        if engine.waiting == 0 || engine.running == 0 {
+            return 0.0;
+        }
+        let ahead = f64::from(engine.waiting + own_requests);
+        let running = f64::from(engine.running);
+        let stay_s = self.output_s(engine, role, running);
+        ahead / running * stay_s
+    }
+
+    fn output_s(&self, engine: &EngineView, role: Role, held: f64) -> f64 {
+        let tokens = self
+            .learned
+            .output_tokens(&self.request.model, self.request.max_tokens);
+        let gap = self.learned.role(&engine.pool, role).token_gap.at(held);
+        tokens * gap * self.learned.slowness(&engine.engine)
+    }
+
+    fn prefix_tokens(&self, engine: &EngineView) -> u32 {
+        let Some(prefix) = self.prefix else {
+            return 0;
+        };
+        let hash = engine_hash(&engine.engine);
+        let home = rendezvous_weight(prefix.hash, hash) == self.home_weight;
+        if home || prefix.held_by(hash) {
+            prefix.tokens.min(self.request.prompt_tokens)
+        } else {
+            0
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/prefix.rs
@@ -0,0 +1,140 @@
+//! Prefix affinity without messages: nodes that see the same leading prompt blocks come to the
+//! same engine by rendezvous hashing, and each remembers where it sent a prefix itself.
+
+use std::collections::{HashMap, VecDeque};
+
+use dalestand_types::EngineId;
+
+/// Bytes of the first block; each further block doubles the length.
+const FIRST_BLOCK_BYTES: usize = 512;
+
+/// Most blocks of one prompt.
+const MAX_BLOCKS: usize = 10;
+
+/// Bytes that are taken for one token.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Engines remembered for one prefix.
+const HOLDERS_REMEMBERED: usize = 4;
+
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// A leading part of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PromptBlock {
+    /// Hash of the prompt up to the block's end.
+    pub hash: u64,
+    /// Tokens up to the block's end, as estimated.
+    pub tokens: u32,
+}
+
+/// The leading blocks of a prompt, each twice as long as the one before.
+pub fn prompt_blocks(prompt: &str) -> Vec<PromptBlock> {
+    let bytes = prompt.as_bytes();
+    let mut blocks = Vec::new();
+    let mut hash = FNV_OFFSET;
+    let mut start = 0;
+    let mut end = FIRST_BLOCK_BYTES;
+    while end <= bytes.len() && blocks.len() < MAX_BLOCKS {
+        hash = fnv(hash, &bytes[start..end]);
+        let tokens = (end / BYTES_PER_TOKEN) as u32;
+        blocks.push(PromptBlock { hash, tokens });
+        start = end;
+        end *= 2;
+    }
+    blocks
+}
+
+fn fnv(start: u64, bytes: &[u8]) -> u64 {
+    bytes.iter().fold(start, |hash, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME)
+    })
+}
+
+/// A number for an engine that all nodes agree on.
+pub(crate) fn engine_hash(engine: &EngineId) -> u64 {
+    fnv(FNV_OFFSET, engine.as_str().as_bytes())
+}
+
+/// Weight of an engine for a prefix; the engine of the highest weight is the prefix's home.
+pub(crate) fn rendezvous_weight(prefix: u64, engine: u64) -> u64 {
+    let mut mixed = prefix ^ engine.rotate_left(32);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
+
+/// A prefix that this node has seen before.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct KnownPrefix {
+    /// Hash of the prefix.
+    pub(crate) hash: u64,
+    /// Its tokens.
+    pub(crate) tokens: u32,
+    holders: VecDeque<u64>,
+}
+
+impl KnownPrefix {
+    /// Whether this node has sent the prefix to that engine lately.
+    pub(crate) fn held_by(&self, engine: u64) -> bool {
+        self.holders.contains(&engine)
+    }
+}
+
+/// Prefixes seen lately; bounded, the oldest go first.
+#[derive(Clone, Debug)]
+pub(crate) struct PrefixMemory {
+    capacity: usize,
+    holders: HashMap<u64, VecDeque<u64>>,
+    order: VecDeque<u64>,
+}
+
+impl PrefixMemory {
+    /// An empty memory for `capacity` prefixes.
+    pub(crate) fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            holders: HashMap::new(),
+            order: VecDeque::new(),
+        }
+    }
+
+    /// The longest leading part of the prompt that was seen before.
+    pub(crate) fn longest_known(&self, blocks: &[PromptBlock]) -> Option<KnownPrefix> {
+        blocks.iter().rev().find_map(|block| {
+            let holders = self.holders.get(&block.hash)?;
+            Some(KnownPrefix {
+                hash: block.hash,
+                tokens: block.tokens,
+                holders: holders.clone(),
+            })
+        })
+    }
+
+    /// Notes that a prompt was sent to an engine.
+    pub(crate) fn sent(&mut self, blocks: &[PromptBlock], engine: u64) {
+        for block in blocks {
+            self.note(block.hash, engine);
+        }
+        while self.order.len() > self.capacity {
+            if let Some(oldest) = self.order.pop_front() {
+                self.holders.remove(&oldest);
+            }
+        }
+    }
+
+    fn note(&mut self, hash: u64, engine: u64) {
+        if !self.holders.contains_key(&hash) {
+            self.order.push_back(hash);
+        }
+        let holders = self.holders.entry(hash).or_default();
+        if let Some(place) = holders.iter().position(|held| *held == engine) {
+            holders.remove(place);
+        }
+        holders.push_back(engine);
+        if holders.len() > HOLDERS_REMEMBERED {
+            holders.pop_front();
+        }
+    }
+}
