Cluster core: random probing, bounded gossip, repair and digest trees

Cause: each node told two peers everything it knew five times a second, members and records in one datagram; its size grew with the fleet and a load digest had no bound. Ruled out: full-mesh heartbeats (over the byte budget of a node at 380 nodes); suspicion with a timer at every node that hears of it (false alarms grow with the fleet, so only a node whose own rounds all failed calls a member down); gossip for load digests (each node gets several copies; a tree over the zone gives it one). Change: random probing with indirect rounds and refutation; rare news by gossip in a limited number of sends and bytes; bucket hashes compared with a random peer, and with members that are down; digests down a tree over the zone, seldom to other zones; no datagram above 1,400 bytes. The digest of an engine is packed (place in the group's list, models by hash). Nodes together read the machine list four times an interval and tell each other what changed. The picture of the fleet is rebuilt on change only.

--- a/crates/cluster/src/core.rs
+++ b/crates/cluster/src/core.rs
@@ -1,83 +1,91 @@
-//! The pure core: heartbeats and records spread to a few random peers each tick.
+//! The pure core of one node: what it knows, and what it does as time passes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::time::Duration;
 
-use dalestand_types::{MonotonicTime, NodeId};
+use bytes::Bytes;
+use dalestand_types::{GroupId, MonotonicTime, NodeId, ZoneName};
 use rand::{Rng, RngExt as _};
 
-use crate::message::Message;
-use crate::record::{Member, Record, RecordKey};
+use crate::budget::ByteBudget;
+use crate::config::{ClusterConfig, Output};
+use crate::membership::{Membership, Taken};
+use crate::message::{
+    Body, CodecError, ITEM_OVERHEAD_BYTES, Item, MAX_ITEM_BYTES, Message, encode, encode_item,
+};
+use crate::probe::{ProbeAction, Prober};
+use crate::record::{Member, Record, RecordKey, RecordVersion};
+use crate::rumour::{Rumours, Subject};
 
-/// Settings of the cluster.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ClusterConfig {
-    /// Peers told in one tick.
-    pub fan_out: usize,
-    /// A member whose heartbeat stood still for this long is down.
-    pub failure_timeout: Duration,
-}
-
-impl Default for ClusterConfig {
-    fn default() -> Self {
-        Self {
-            fan_out: 2,
-            failure_timeout: Duration::from_secs(4),
-        }
-    }
-}
-
-/// What the driver is to do or to know.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Output {
-    /// Send a datagram.
-    Send { to: SocketAddr, message: Message },
-    /// A record changed.
-    RecordChanged(Record),
-    /// A member came up.
-    MemberUp(Member),
-    /// A member went down.
-    MemberDown(NodeId),
-}
+/// Bytes of news that ride on a ping or an ack.
+const PIGGYBACK_BYTES: usize = 400;
 
-struct Peer {
-    member: Member,
-    heartbeat: u64,
-    heard_at: MonotonicTime,
-    alive: bool,
+/// A load digest of this node that waits for the next tick.
+pub(crate) struct OwnDigest {
+    pub(crate) encoded: Bytes,
+    pub(crate) home: ZoneName,
+    pub(crate) group: RecordKey,
+    pub(crate) version: RecordVersion,
 }
 
 /// One node's part of the cluster.
 pub struct Cluster {
-    config: ClusterConfig,
-    me: Member,
-    heartbeat: u64,
-    seeds: Vec<SocketAddr>,
-    peers: BTreeMap<NodeId, Peer>,
-    records: BTreeMap<RecordKey, Record>,
+    pub(crate) config: ClusterConfig,
+    pub(crate) membership: Membership,
+    pub(crate) prober: Prober,
+    pub(crate) rumours: Rumours,
+    pub(crate) records: BTreeMap<RecordKey, Record>,
+    pub(crate) seeds: Vec<SocketAddr>,
+    changed_digests: BTreeSet<GroupId>,
+    pub(crate) own_digests: Vec<OwnDigest>,
+    pub(crate) far_sent_at: BTreeMap<RecordKey, MonotonicTime>,
+    budget: ByteBudget,
+    pub(crate) started_at: Option<MonotonicTime>,
+    pub(crate) next_sync: MonotonicTime,
+    pub(crate) next_contact: MonotonicTime,
 }
 
 impl Cluster {
     /// A node that knows only its seeds.
     pub fn new(me: Member, seeds: Vec<SocketAddr>, config: ClusterConfig) -> Self {
-        let peers = BTreeMap::new();
-        Self {
+        let budget = ByteBudget::new(config.gossip_bytes_per_second);
+        let mut cluster = Self {
             config,
-            me,
-            heartbeat: 0,
-            seeds,
-            peers,
+            membership: Membership::new(me),
+            prober: Prober::default(),
+            rumours: Rumours::default(),
             records: BTreeMap::new(),
-        }
+            seeds: Vec::new(),
+            changed_digests: BTreeSet::new(),
+            own_digests: Vec::new(),
+            far_sent_at: BTreeMap::new(),
+            budget,
+            started_at: None,
+            next_sync: MonotonicTime::ZERO,
+            next_contact: MonotonicTime::ZERO,
+        };
+        cluster.add_seeds(seeds);
+        cluster
+    }
+
+    /// This node.
+    pub fn me(&self) -> &Member {
+        &self.membership.me().member
     }
 
     /// Live members, this one left out.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
-        self.peers
-            .values()
-            .filter(|peer| peer.alive)
-            .map(|peer| &peer.member)
+        self.membership.live_members()
+    }
+
+    /// A live member, this one left out.
+    pub fn member(&self, node: &NodeId) -> Option<&Member> {
+        self.members().find(|member| member.node == *node)
+    }
+
+    /// Number of live members, this one left out.
+    pub fn member_count(&self) -> usize {
+        self.membership.live().len()
     }
 
     /// A record.
@@ -90,121 +98,213 @@
         self.records.values()
     }
 
+    /// Groups whose digest changed since the last call.
+    pub fn take_changed_digests(&mut self) -> BTreeSet<GroupId> {
+        std::mem::take(&mut self.changed_digests)
+    }
+
     /// Adds addresses to find others by, such as the machine list's.
     pub fn add_seeds(&mut self, addresses: impl IntoIterator<Item = SocketAddr>) {
         for address in addresses {
-            if address != self.me.address && !self.seeds.contains(&address) {
+            if address != self.me().address && !self.seeds.contains(&address) {
                 self.seeds.push(address);
             }
         }
     }
 
-    /// Publishes a record; one that is not newer than what is known is dropped.
-    pub fn publish(&mut self, record: Record) -> bool {
-        self.take_record(record).is_some()
+    /// Publishes a record that every node is to get. Yields whether it is newer than what is known.
+    pub fn publish(&mut self, record: Record) -> Result<bool, CodecError> {
+        let encoded = encode_item(&Item::Record(record.clone()))?;
+        Ok(self.store(record, encoded).is_some())
+    }
+
+    /// Publishes a load digest: to the whole of zone `home` each time, to other zones at a lower
+    /// rate. It leaves with the next tick.
+    pub fn publish_digest(&mut self, record: Record, home: &ZoneName) -> Result<bool, CodecError> {
+        let encoded = encode_item(&Item::Record(record.clone()))?;
+        let Some(stored) = self.store(record, encoded.clone()) else {
+            return Ok(false);
+        };
+        self.own_digests.push(OwnDigest {
+            encoded,
+            home: home.clone(),
+            group: stored.key,
+            version: stored.version,
+        });
+        Ok(true)
     }
 
-    /// Passes time: finds members that went silent and tells a few peers what is known.
+    /// Passes time.
     pub fn tick<R: Rng>(&mut self, now: MonotonicTime, random: &mut R) -> Vec<Output> {
-        self.heartbeat += 1;
-        let mut outputs = self.find_failures(now);
-        let message = self.gossip();
-        for to in self.draw_targets(random) {
-            outputs.push(Output::Send {
-                to,
-                message: message.clone(),
-            });
-        }
+        self.started_at.get_or_insert(now);
+        let mut outputs = self.probe(now, random);
+        self.send_digests(now, random, &mut outputs);
+        self.sync_when_due(now, random, &mut outputs);
+        self.gossip(now, random, &mut outputs);
+        self.membership
+            .forget_down(now, self.config.forget_down_after);
         outputs
     }
 
-    /// Takes a datagram in.
-    pub fn receive(&mut self, now: MonotonicTime, message: Message) -> Vec<Output> {
-        let Message::Gossip { members, records } = message;
-        let mut outputs = Vec::new();
-        for (member, heartbeat) in members {
-            outputs.extend(self.hear(now, member, heartbeat));
-        }
-        for record in records {
-            outputs.extend(self.take_record(record).map(Output::RecordChanged));
-        }
-        outputs
+    /// Tells a few members that this node leaves as planned.
+    pub fn leave<R: Rng>(&mut self, random: &mut R) -> Vec<Output> {
+        let update = self.membership.leave();
+        self.spread(
+            Subject::Member(update.member.node.clone()),
+            &Item::Member(update),
+        );
+        let peers = self.membership.live().len();
+        let items = self.rumours.take(MAX_ITEM_BYTES, peers);
+        let targets = self.draw_live(self.config.fan_out * 2, random);
+        let message = Message {
+            body: Body::Gossip,
+            items,
+        };
+        targets
+            .into_iter()
+            .filter_map(|to| send(to, &message))
+            .collect()
     }
 
-    fn take_record(&mut self, record: Record) -> Option<Record> {
-        let newer = self
-            .records
-            .get(&record.key)
-            .is_none_or(|known| record.version > known.version);
-        if !newer {
+    /// Stores a record that is newer than the known one and passes a durable one on.
+    pub(crate) fn store(&mut self, record: Record, encoded: Bytes) -> Option<Record> {
+        let known = self.records.get(&record.key);
+        if known.is_some_and(|known| known.version >= record.version) {
             return None;
         }
+        match &record.key {
+            RecordKey::GroupDigest(group) => drop(self.changed_digests.insert(group.clone())),
+            key => self.rumours.add(Subject::Record(key.clone()), encoded),
+        }
         self.records.insert(record.key.clone(), record.clone());
         Some(record)
     }
 
-    fn hear(&mut self, now: MonotonicTime, member: Member, heartbeat: u64) -> Option<Output> {
-        if member.node == self.me.node {
-            return None;
+    /// Passes on what a claim changed.
+    pub(crate) fn absorb(&mut self, taken: Taken) -> Option<Output> {
+        if let Some(update) = taken.news {
+            let subject = Subject::Member(update.member.node.clone());
+            self.spread(subject, &Item::Member(update));
         }
-        let news = (member.incarnation, heartbeat);
-        if let Some(peer) = self.peers.get_mut(&member.node) {
-            if news <= (peer.member.incarnation, peer.heartbeat) {
-                return None;
-            }
-            let was_alive = std::mem::replace(&mut peer.alive, true);
-            *peer = Peer {
-                member: member.clone(),
-                heartbeat,
-                heard_at: now,
-                alive: true,
-            };
-            return (!was_alive).then_some(Output::MemberUp(member));
+        taken.output
+    }
+
+    /// Sends a message with as much news as may ride on it.
+    pub(crate) fn send_with_news(&mut self, to: SocketAddr, body: Body) -> Option<Output> {
+        let peers = self.membership.live().len();
+        let items = self.rumours.take(PIGGYBACK_BYTES, peers);
+        send(to, &Message { body, items })
+    }
+
+    fn spread(&mut self, subject: Subject, item: &Item) {
+        // A claim about a member always fits; one that does not is not spread.
+        if let Ok(encoded) = encode_item(item) {
+            self.rumours.add(subject, encoded);
         }
-        let peer = Peer {
-            member: member.clone(),
-            heartbeat,
-            heard_at: now,
-            alive: true,
-        };
-        self.peers.insert(member.node.clone(), peer);
-        Some(Output::MemberUp(member))
     }
 
-    fn find_failures(&mut self, now: MonotonicTime) -> Vec<Output> {
+    fn probe<R: Rng>(&mut self, now: MonotonicTime, random: &mut R) -> Vec<Output> {
+        let live = self.membership.live();
+        let actions = self.prober.tick(now, live, &self.config, random);
         let mut outputs = Vec::new();
-        for (node, peer) in &mut self.peers {
-            if peer.alive && now.since(peer.heard_at) > self.config.failure_timeout {
-                peer.alive = false;
-                outputs.push(Output::MemberDown(node.clone()));
+        for action in actions {
+            match action {
+                ProbeAction::CallDown(node) => {
+                    let taken = self.membership.call_down(now, &node);
+                    outputs.extend(self.absorb(taken));
+                }
+                ProbeAction::Ping {
+                    target,
+                    probe,
+                    indirect,
+                } => self.ping(&target, probe, indirect, random, &mut outputs),
             }
         }
         outputs
     }
 
-    fn gossip(&self) -> Message {
-        let mut members = vec![(self.me.clone(), self.heartbeat)];
-        let alive = self.peers.values().filter(|peer| peer.alive);
-        members.extend(alive.map(|peer| (peer.member.clone(), peer.heartbeat)));
-        Message::Gossip {
-            members,
-            records: self.records.values().cloned().collect(),
+    fn ping<R: Rng>(
+        &mut self,
+        target: &NodeId,
+        probe: u32,
+        indirect: bool,
+        random: &mut R,
+        outputs: &mut Vec<Output>,
+    ) {
+        let Some(update) = self.membership.update(target) else {
+            return;
+        };
+        let address = update.member.address;
+        let from = self.me().node.clone();
+        let body = Body::Ping {
+            probe,
+            origin: self.me().address,
+            target: target.clone(),
+            from: from.clone(),
+        };
+        outputs.extend(self.send_with_news(address, body));
+        if !indirect {
+            return;
+        }
+        for to in self.draw_live(self.config.indirect_probes, random) {
+            let body = Body::PingRequest {
+                probe,
+                target: target.clone(),
+                from: from.clone(),
+            };
+            outputs.extend(send_body(to, body));
         }
     }
 
-    fn draw_targets<R: Rng>(&self, random: &mut R) -> Vec<SocketAddr> {
-        let mut targets: Vec<SocketAddr> = self.members().map(|peer| peer.address).collect();
-        for seed in &self.seeds {
-            if !targets.contains(seed) {
-                targets.push(*seed);
-            }
+    fn gossip<R: Rng>(&mut self, now: MonotonicTime, random: &mut R, outputs: &mut Vec<Output>) {
+        if self.rumours.is_empty() || !self.budget.is_open(now) {
+            return;
         }
-        let count = self.config.fan_out.min(targets.len());
-        for place in 0..count {
-            let other = random.random_range(place..targets.len());
-            targets.swap(place, other);
+        let peers = self.membership.live().len();
+        for to in self.draw_live(self.config.fan_out, random) {
+            let items = self.rumours.take(MAX_ITEM_BYTES, peers);
+            if items.is_empty() {
+                return;
+            }
+            let bytes: usize = items
+                .iter()
+                .map(|item| item.len() + ITEM_OVERHEAD_BYTES)
+                .sum();
+            self.budget.spend(bytes);
+            let body = Body::Gossip;
+            outputs.extend(send(to, &Message { body, items }));
         }
-        targets.truncate(count);
-        targets
     }
+
+    pub(crate) fn draw_live<R: Rng>(&self, count: usize, random: &mut R) -> Vec<SocketAddr> {
+        let addresses = self.members().map(|member| member.address).collect();
+        draw(addresses, count, random)
+    }
+}
+
+/// Draws `count` different addresses.
+pub(crate) fn draw<R: Rng>(
+    mut addresses: Vec<SocketAddr>,
+    count: usize,
+    random: &mut R,
+) -> Vec<SocketAddr> {
+    let count = count.min(addresses.len());
+    for place in 0..count {
+        let other = random.random_range(place..addresses.len());
+        addresses.swap(place, other);
+    }
+    addresses.truncate(count);
+    addresses
+}
+
+/// A datagram without items.
+pub(crate) fn send_body(to: SocketAddr, body: Body) -> Option<Output> {
+    let items = Vec::new();
+    send(to, &Message { body, items })
+}
+
+/// A datagram. Its parts were checked when they were taken in, so encoding does not fail.
+pub(crate) fn send(to: SocketAddr, message: &Message) -> Option<Output> {
+    let datagram = encode(message).ok()?;
+    Some(Output::Send { to, datagram })
 }
--- /dev/null
+++ b/crates/cluster/tests/membership.rs
@@ -0,0 +1,95 @@
+//! Members are found, failures noticed, false alarms avoided, cuts overcome.
+
+mod network;
+
+use std::time::Duration;
+
+use dalestand_cluster::{RecordKey, RecordVersion};
+use dalestand_types::{NodeId, ZoneName};
+use network::{Faults, Network, record};
+
+const FIVE_PERCENT: Faults = Faults {
+    loss: 0.05,
+    repeat: 0.02,
+};
+const JOIN_LIMIT: Duration = Duration::from_secs(20);
+
+fn joined(seed: u64, nodes: usize) -> Network {
+    let mut network = Network::with_nodes(seed, FIVE_PERCENT, nodes, 4);
+    network.run_until(JOIN_LIMIT, Network::agrees);
+    network
+}
+
+#[test]
+fn nodes_that_know_one_seed_find_each_other_at_20_percent_loss() {
+    let faults = Faults {
+        loss: 0.2,
+        repeat: 0.1,
+    };
+    let mut network = Network::with_nodes(1, faults, 40, 4);
+    network.run_until(JOIN_LIMIT, Network::agrees);
+}
+
+#[test]
+fn a_dead_node_is_noticed_by_all_within_5_seconds() {
+    for seed in 0..10 {
+        let mut network = joined(seed, 40);
+        network.nodes[7].alive = false;
+        network.run_until(Duration::from_secs(5), Network::agrees);
+    }
+}
+
+#[test]
+fn no_live_node_is_called_down_at_5_percent_loss() {
+    let mut network = joined(3, 40);
+    network.run(Duration::from_secs(300));
+    assert_eq!(network.false_alarms(), 0);
+}
+
+#[test]
+fn a_zone_that_was_cut_off_is_whole_again_within_11_seconds() {
+    let mut network = joined(4, 40);
+    network.cut = vec![ZoneName::from("z1")];
+    network.run_until(Duration::from_secs(30), |network| {
+        network.live().all(|node| {
+            let inside = node.cluster.me().zone.as_str() == "z1";
+            node.cluster.member_count() == if inside { 9 } else { 29 }
+        })
+    });
+    let outside = network.nodes[0]
+        .cluster
+        .publish(record(RecordKey::Configuration, 9, 40));
+    assert_eq!(outside, Ok(true));
+    network.run(Duration::from_secs(3));
+    network.cut.clear();
+    let version = RecordVersion { major: 9, minor: 0 };
+    network.run_until(Duration::from_secs(11), |network| {
+        network.agrees() && network.all_have(&RecordKey::Configuration, version)
+    });
+}
+
+#[test]
+fn a_node_comes_back_at_another_address_as_another_run() {
+    let mut network = joined(5, 20);
+    network.nodes[7].alive = false;
+    let again = network.start("n007", 2, "z3");
+    network.run_until(JOIN_LIMIT, Network::agrees);
+    let address = network.nodes[again].cluster.me().address;
+    let seen = network.nodes[0].cluster.member(&NodeId::from("n007"));
+    assert_eq!(seen.map(|member| member.address), Some(address));
+}
+
+#[test]
+fn a_run_numbered_below_the_one_before_is_still_found() {
+    let mut network = joined(6, 20);
+    network.nodes[7].alive = false;
+    network.start("n007", 0, "z3");
+    network.run_until(JOIN_LIMIT, Network::agrees);
+}
+
+#[test]
+fn a_planned_leave_is_known_without_waiting_for_suspicion() {
+    let mut network = joined(7, 40);
+    network.leave(7);
+    network.run_until(Duration::from_secs(2), Network::agrees);
+}
--- a/crates/node/src/cluster_driver.rs
+++ b/crates/node/src/cluster_driver.rs
@@ -1,96 +1,148 @@
 //! Drives the cluster core over UDP.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use dalestand_cluster::{Cluster, Message, Output, decode, encode};
+use dalestand_cluster::{Cluster, Output, RecordKey};
 use dalestand_gateway::Shared;
 use dalestand_telemetry::{Event, log_event};
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
 use tokio::net::UdpSocket;
 
-use crate::machines::Machines;
+use crate::machines::{self, Machines};
 
 /// Time between two ticks of the core.
-const TICK: Duration = Duration::from_millis(200);
+const TICK: Duration = Duration::from_millis(50);
 
-/// Largest datagram.
-const MAX_DATAGRAM_BYTES: usize = 65_536;
+/// Room for a received datagram; a longer one is not of this protocol.
+const RECEIVE_BYTES: usize = 2_048;
+
+/// Decides which datagrams get through. Experiments and tests put losses and cuts in with it.
+pub trait LinkFilter: Send + Sync {
+    /// Whether a datagram to `to` gets through.
+    fn passes(&self, from: SocketAddr, to: SocketAddr) -> bool;
+}
+
+/// The way to the other nodes.
+pub(crate) struct PeerLink {
+    /// The socket.
+    pub(crate) socket: UdpSocket,
+    /// Where the socket listens.
+    pub(crate) address: SocketAddr,
+    /// Faults put in.
+    pub(crate) filter: Option<Arc<dyn LinkFilter>>,
+}
+
+impl PeerLink {
+    async fn send(&self, shared: &Shared, to: SocketAddr, datagram: &[u8]) {
+        let bytes = datagram.len() as u64;
+        shared.metrics.peer_bytes_sent.inc_by(bytes);
+        shared.metrics.peer_datagrams_sent.inc();
+        let filter = self.filter.as_ref();
+        if filter.is_none_or(|filter| filter.passes(self.address, to)) {
+            // A lost datagram is made good by later ones.
+            drop(self.socket.send_to(datagram, to).await);
+        }
+    }
+}
 
 /// Runs the cluster core until dropped.
 pub(crate) async fn drive(
     shared: Arc<Shared>,
-    socket: UdpSocket,
+    link: Rc<PeerLink>,
     cluster: Rc<RefCell<Cluster>>,
     machines: Rc<RefCell<Machines>>,
 ) {
     let mut random = StdRng::from_rng(&mut rand::rng());
     let mut interval = actix_rt::time::interval(TICK);
-    let mut buffer = vec![0_u8; MAX_DATAGRAM_BYTES];
+    let mut buffer = vec![0_u8; RECEIVE_BYTES];
+    let mut machine_changes = None;
     loop {
         let outputs = tokio::select! {
             _ = interval.tick() => {
                 let mut cluster = cluster.borrow_mut();
-                cluster.add_seeds(machines.borrow().node_addresses());
+                let machines = machines.borrow();
+                if machine_changes != Some(machines.changes()) {
+                    machine_changes = Some(machines.changes());
+                    cluster.add_seeds(machines.node_addresses());
+                }
                 cluster.tick(shared.clock.now(), &mut random)
             }
-            received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, _)) => receive(&shared, &cluster, &buffer[..length]),
+            received = link.socket.recv_from(&mut buffer) => match received {
+                Ok((length, from)) => {
+                    receive(&shared, &cluster, from, &buffer[..length], &mut random)
+                }
                 // Errors of earlier sends show here; the peer is found to be down by silence.
                 Err(_) => Vec::new(),
             },
         };
         for output in outputs {
-            carry_out(&shared, &socket, &cluster, output).await;
+            carry_out(&shared, &link, &cluster, &machines, output).await;
         }
     }
 }
 
-fn receive(shared: &Shared, cluster: &RefCell<Cluster>, datagram: &[u8]) -> Vec<Output> {
-    match decode(datagram) {
-        Ok(message) => cluster.borrow_mut().receive(shared.clock.now(), message),
-        Err(error) => {
-            log_event!(shared.logger, Event::DatagramUnreadable, "error" => %error);
-            Vec::new()
+/// Tells others that this node leaves as planned.
+pub(crate) async fn leave(shared: &Shared, link: &PeerLink, cluster: &RefCell<Cluster>) {
+    let outputs = cluster.borrow_mut().leave(&mut rand::rng());
+    for output in outputs {
+        if let Output::Send { to, datagram } = output {
+            link.send(shared, to, &datagram).await;
         }
     }
 }
 
+fn receive(
+    shared: &Shared,
+    cluster: &RefCell<Cluster>,
+    from: SocketAddr,
+    datagram: &[u8],
+    random: &mut StdRng,
+) -> Vec<Output> {
+    shared
+        .metrics
+        .peer_bytes_received
+        .inc_by(datagram.len() as u64);
+    shared.metrics.peer_datagrams_received.inc();
+    let now = shared.clock.now();
+    let taken = cluster.borrow_mut().receive(now, from, datagram, random);
+    taken.unwrap_or_else(|error| {
+        log_event!(shared.logger, Event::DatagramUnreadable, "error" => %error);
+        Vec::new()
+    })
+}
+
 async fn carry_out(
     shared: &Shared,
-    socket: &UdpSocket,
+    link: &PeerLink,
     cluster: &RefCell<Cluster>,
+    machines: &RefCell<Machines>,
     output: Output,
 ) {
     match output {
-        Output::Send { to, message } => send(shared, socket, to, &message).await,
-        Output::RecordChanged(_) => {}
+        Output::Send { to, datagram } => link.send(shared, to, &datagram).await,
+        Output::RecordChanged(record) => {
+            if let RecordKey::Machine(_) = record.key {
+                machines::take_record(shared.clock.now(), machines, &record);
+            }
+        }
         Output::MemberUp(member) => {
-            shared
-                .metrics
-                .members
-                .set(cluster.borrow().members().count() as i64);
+            count_members(shared, cluster);
             log_event!(shared.logger, Event::MemberUp, "node" => %member.node);
         }
         Output::MemberDown(node) => {
-            shared
-                .metrics
-                .members
-                .set(cluster.borrow().members().count() as i64);
+            count_members(shared, cluster);
+            shared.metrics.members_lost.inc();
             log_event!(shared.logger, Event::MemberDown, "node" => %node);
         }
     }
 }
 
-async fn send(shared: &Shared, socket: &UdpSocket, to: std::net::SocketAddr, message: &Message) {
-    match encode(message) {
-        // A lost datagram is made good by later ones.
-        Ok(datagram) => drop(socket.send_to(&datagram, to).await),
-        Err(error) => {
-            log_event!(shared.logger, Event::DatagramUnreadable, "error" => %error);
-        }
-    }
+fn count_members(shared: &Shared, cluster: &RefCell<Cluster>) {
+    let members = cluster.borrow().member_count();
+    shared.metrics.members.set(members as i64);
 }
--- a/crates/node/src/control_driver.rs
+++ b/crates/node/src/control_driver.rs
@@ -16,12 +16,13 @@
 use dalestand_platform::{CasOutcome, Engine, KeyValue, LeaseId, WriteExpectation};
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::{
-    EngineDigest, EngineId, EngineLoad, Epoch, GroupDigest, GroupId, MonotonicTime, NodeId, Order,
-    OrderOutcome, Sequence,
+    EngineDigest, EngineId, EngineLoad, Epoch, GroupId, MonotonicTime, NodeId, Order, OrderOutcome,
+    Sequence,
 };
 use rand::RngExt as _;
 use serde::{Deserialize, Serialize};
 
+use crate::digest_codec::CompactDigest;
 use crate::engines::EngineClients;
 use crate::fleet::Digests;
 use crate::machines::Machines;
@@ -56,6 +57,7 @@
     polled_at: HashMap<GroupId, MonotonicTime>,
     clients: EngineClients,
     digests: Digests,
+    machine_changes: u64,
 }
 
 /// The control half of a node.
@@ -126,7 +128,7 @@
         let groups = state.controllers.keys();
         groups
             .filter_map(|group| {
-                let holder = state.digests.digest(group)?.holder.clone();
+                let holder = state.digests.holder(group)?.clone();
                 Some((group.clone(), holder))
             })
             .collect()
@@ -223,7 +225,7 @@
     fn refresh_view(&self, now: MonotonicTime) {
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
-        state.digests.refresh(now, &self.cluster.borrow());
+        state.digests.refresh(now, &mut self.cluster.borrow_mut());
         let leases_held = state
             .controllers
             .values()
@@ -236,12 +238,18 @@
             }
         }
         let machines = self.machines.borrow();
-        state.clients.retain(|address| machines.uses(address));
+        if state.machine_changes != machines.changes() {
+            state.machine_changes = machines.changes();
+            state.clients.retain(|address| machines.uses(address));
+        }
         if let Some(active) = &state.configured {
+            let deployment = &active.deployment;
             let view = state
                 .digests
-                .view(active.revision, &active.deployment, &machines);
-            self.shared.fleet.store(Arc::new(view));
+                .view(now, active.revision, deployment, &machines);
+            if let Some(view) = view {
+                self.shared.fleet.store(Arc::new(view));
+            }
         }
     }
 
@@ -466,14 +474,16 @@
         };
         let sequence = state.sequences.entry(group.clone()).or_default();
         *sequence = sequence.next();
-        let reports = engines.iter().filter_map(|engine| state.loads.get(engine));
-        let digest = GroupDigest {
-            group: group.clone(),
-            epoch: grant.epoch,
-            sequence: *sequence,
-            holder: self.node.clone(),
-            engines: reports.map(|sample| engine_digest(sample, now)).collect(),
+        let Some(active) = &state.configured else {
+            return;
         };
+        let groups = &mut active.deployment.groups.iter();
+        let Some(configured) = groups.find(|one| one.id() == *group) else {
+            return;
+        };
+        let reports = engines.iter().filter_map(|engine| state.loads.get(engine));
+        let reports: Vec<EngineDigest> = reports.map(|sample| engine_digest(sample, now)).collect();
+        let digest = CompactDigest::pack(self.node.clone(), configured, &reports);
         let Ok(payload) = rmp_serde::to_vec(&digest) else {
             return;
         };
@@ -481,13 +491,15 @@
             major: grant.epoch.0,
             minor: sequence.0,
         };
-        let key = RecordKey::GroupDigest(group.clone());
         let record = Record {
-            key,
+            key: RecordKey::GroupDigest(group.clone()),
             version,
             payload: Bytes::from(payload),
         };
-        self.cluster.borrow_mut().publish(record);
+        let mut cluster = self.cluster.borrow_mut();
+        if let Err(error) = cluster.publish_digest(record, &configured.zone) {
+            log_event!(self.shared.logger, Event::DatagramUnreadable, "error" => %error);
+        }
     }
 
     fn client(&self, engine: &EngineId) -> Option<Rc<dyn Engine>> {
--- /dev/null
+++ b/crates/node/src/control_half.rs
@@ -0,0 +1,137 @@
+//! Assembles the control half of a node: cluster, machines, configuration, group controllers and
+//! the operators' surface. Hollow nodes of experiments run the same half without callers.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dalestand_cluster::{Cluster, ClusterConfig, Member};
+use dalestand_config::NodeSettings;
+use dalestand_gateway::Shared;
+use dalestand_platform::KeyValue;
+use dalestand_types::Incarnation;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::task::JoinHandle;
+
+use crate::admin::serve_operators;
+use crate::cluster_driver::{self, LinkFilter, PeerLink};
+use crate::configuration;
+use crate::control_driver::ControlDriver;
+use crate::machines::{Machines, poll_machines};
+use crate::node::NodeAddresses;
+
+/// What a control half is made of.
+pub struct ControlParts {
+    /// Settings of the node.
+    pub settings: NodeSettings,
+    /// State shared with the callers' half.
+    pub shared: Arc<Shared>,
+    /// Where the node listens.
+    pub addresses: NodeAddresses,
+    /// Socket for operators.
+    pub operators: TcpListener,
+    /// Socket for other nodes.
+    pub peers: UdpSocket,
+    /// The key-value service.
+    pub key_value: Rc<dyn KeyValue>,
+    /// Losses and cuts put in by an experiment.
+    pub filter: Option<Arc<dyn LinkFilter>>,
+}
+
+/// A running control half.
+pub struct ControlHalf {
+    shared: Arc<Shared>,
+    link: Rc<PeerLink>,
+    cluster: Rc<RefCell<Cluster>>,
+    control: Rc<ControlDriver>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl ControlHalf {
+    /// Gives up all leases and tells the other nodes that this one leaves.
+    pub async fn leave(&self) {
+        self.control.release_leases().await;
+        cluster_driver::leave(&self.shared, &self.link, &self.cluster).await;
+    }
+
+    /// Ends every task at once, as when the process is killed.
+    pub fn kill(self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+/// Starts a control half on the current arbiter.
+pub fn start_control(parts: ControlParts) -> ControlHalf {
+    let ControlParts {
+        settings,
+        shared,
+        addresses,
+        operators,
+        peers,
+        key_value,
+        filter,
+    } = parts;
+    let machines = Rc::new(RefCell::new(Machines::default()));
+    let me = Member {
+        node: settings.node.clone(),
+        incarnation: Incarnation(shared.clock.unix_ms()),
+        zone: settings.zone.clone(),
+        address: addresses.peers,
+        operator_address: addresses.operators,
+    };
+    let cluster = Cluster::new(me, settings.seeds.clone(), ClusterConfig::default());
+    let cluster = Rc::new(RefCell::new(cluster));
+    let link = Rc::new(PeerLink {
+        socket: peers,
+        address: addresses.peers,
+        filter,
+    });
+    let control = ControlDriver::new(
+        settings.node.clone(),
+        Arc::clone(&shared),
+        Rc::clone(&key_value),
+        Rc::clone(&cluster),
+        Rc::clone(&machines),
+        Duration::from_millis(settings.lease_ms),
+        Duration::from_millis(settings.load_poll_ms),
+    );
+    let poll = poll_machines(
+        Arc::clone(&shared),
+        settings.machine_list,
+        Duration::from_millis(settings.machine_poll_ms),
+        Rc::clone(&machines),
+        Rc::clone(&cluster),
+    );
+    let drive = cluster_driver::drive(
+        Arc::clone(&shared),
+        Rc::clone(&link),
+        Rc::clone(&cluster),
+        machines,
+    );
+    let follower = Arc::clone(&shared);
+    let followed = Rc::clone(&key_value);
+    let follow = async move { configuration::follow(follower, &*followed).await };
+    let admin = serve_operators(
+        operators,
+        Arc::clone(&shared),
+        Rc::clone(&control),
+        key_value,
+    );
+    let tasks = vec![
+        actix_rt::spawn(poll),
+        actix_rt::spawn(drive),
+        actix_rt::spawn(follow),
+        actix_rt::spawn(Rc::clone(&control).run()),
+        actix_rt::spawn(admin),
+    ];
+    ControlHalf {
+        shared,
+        link,
+        cluster,
+        control,
+        tasks,
+    }
+}
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -1,50 +1,61 @@
 //! Builds the picture of the fleet that requests are routed on.
+//!
+//! The engines of a group are rebuilt only when its digest, the configuration or the machines
+//! changed; the rest of the picture is copied.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
-use dalestand_cluster::{Cluster, RecordKey, RecordVersion};
+use dalestand_cluster::{Cluster, RecordKey};
 use dalestand_config::{Deployment, Group};
 use dalestand_routing::{EngineView, FleetView};
-use dalestand_types::{
-    EngineDigest, EngineId, GroupDigest, GroupId, MachineState, MonotonicTime, Revision,
-};
+use dalestand_types::{GroupId, MachineState, MonotonicTime, NodeId, Revision};
 
+use crate::digest_codec::{CompactDigest, EngineReport};
 use crate::machines::Machines;
 
+/// Least time between two pictures; digests are several times as old when they come in.
+const MIN_REBUILD_INTERVAL: Duration = Duration::from_millis(100);
+
 struct ReceivedDigest {
-    version: RecordVersion,
     received_at: MonotonicTime,
-    digest: GroupDigest,
+    digest: CompactDigest,
+}
+
+/// What the last picture was built from.
+#[derive(Clone, Copy, PartialEq, Eq)]
+struct Basis {
+    revision: Revision,
+    machines: u64,
 }
 
-/// Digests as they were received, decoded once.
+/// Digests as they were received, decoded once, and the engines built from them.
 #[derive(Default)]
 pub(crate) struct Digests {
     by_group: HashMap<GroupId, ReceivedDigest>,
+    built: HashMap<GroupId, Vec<EngineView>>,
+    basis: Option<Basis>,
+    changed: bool,
+    built_at: MonotonicTime,
 }
 
 impl Digests {
     /// Takes new digests from the cluster's records.
-    pub(crate) fn refresh(&mut self, now: MonotonicTime, cluster: &Cluster) {
-        for record in cluster.records() {
-            let RecordKey::GroupDigest(group) = &record.key else {
-                continue;
-            };
-            let known = self.by_group.get(group).map(|received| received.version);
-            if known == Some(record.version) {
-                continue;
-            }
+    pub(crate) fn refresh(&mut self, now: MonotonicTime, cluster: &mut Cluster) {
+        for group in cluster.take_changed_digests() {
+            let record = cluster.record(&RecordKey::GroupDigest(group.clone()));
             // A payload that cannot be read is skipped; the next digest replaces it.
-            let Ok(digest) = rmp_serde::from_slice(&record.payload) else {
+            let digest = record.and_then(|record| rmp_serde::from_slice(&record.payload).ok());
+            let Some(digest) = digest else {
                 continue;
             };
             let received = ReceivedDigest {
-                version: record.version,
                 received_at: now,
                 digest,
             };
-            self.by_group.insert(group.clone(), received);
+            self.built.remove(&group);
+            self.by_group.insert(group, received);
+            self.changed = true;
         }
     }
 
@@ -56,60 +67,88 @@
     }
 
     /// Who sent a group's last digest.
-    pub(crate) fn digest(&self, group: &GroupId) -> Option<&GroupDigest> {
-        self.by_group.get(group).map(|received| &received.digest)
+    pub(crate) fn holder(&self, group: &GroupId) -> Option<&NodeId> {
+        self.by_group
+            .get(group)
+            .map(|received| &received.digest.holder)
     }
 
-    /// The picture of the fleet.
+    /// The picture of the fleet, if it changed since the last call.
     pub(crate) fn view(
-        &self,
+        &mut self,
+        now: MonotonicTime,
         revision: Revision,
         deployment: &Deployment,
         machines: &Machines,
-    ) -> FleetView {
-        let groups = deployment.groups.iter();
-        let engines = groups
-            .flat_map(|group| self.group_view(group, machines))
-            .collect();
-        FleetView { revision, engines }
+    ) -> Option<FleetView> {
+        let basis = Basis {
+            revision,
+            machines: machines.changes(),
+        };
+        if self.basis != Some(basis) {
+            self.basis = Some(basis);
+            self.built.clear();
+            self.changed = true;
+        }
+        if !self.changed || now.since(self.built_at) < MIN_REBUILD_INTERVAL {
+            return None;
+        }
+        self.changed = false;
+        self.built_at = now;
+        let mut engines = Vec::new();
+        for group in &deployment.groups {
+            let id = group.id();
+            if !self.built.contains_key(&id) {
+                let built = self.group_view(&id, deployment, group, machines);
+                self.built.insert(id.clone(), built);
+            }
+            engines.extend_from_slice(&self.built[&id]);
+        }
+        Some(FleetView { revision, engines })
     }
 
-    fn group_view(&self, group: &Group, machines: &Machines) -> Vec<EngineView> {
-        let Some(received) = self.by_group.get(&group.id()) else {
+    fn group_view(
+        &self,
+        id: &GroupId,
+        deployment: &Deployment,
+        group: &Group,
+        machines: &Machines,
+    ) -> Vec<EngineView> {
+        let Some(received) = self.by_group.get(id) else {
             return Vec::new();
         };
-        let reports = received.digest.engines.iter();
+        let reports = received.digest.unpack(deployment, group);
+        let reports = reports.unwrap_or_default().into_iter();
         reports
-            .filter(|report| group.engines.contains(&report.load.engine))
-            .filter_map(|report| engine_view(group, received.received_at, report, machines))
+            .filter_map(|report| engine_view(id, group, received.received_at, report, machines))
             .collect()
     }
 }
 
 fn engine_view(
+    id: &GroupId,
     group: &Group,
     received_at: MonotonicTime,
-    report: &EngineDigest,
+    report: EngineReport,
     machines: &Machines,
 ) -> Option<EngineView> {
-    let load = &report.load;
-    let engine: EngineId = load.engine.clone();
+    let engine = group.engines.get(report.place)?.clone();
     let machine = machines.engine(&engine)?;
-    let live = machine.state == MachineState::Live && machine.incarnation == load.incarnation;
+    let live = machine.state == MachineState::Live && report.is_of(machine.incarnation);
     Some(EngineView {
         engine,
-        group: group.id(),
+        group: id.clone(),
         pool: group.pool.clone(),
         zone: group.zone.clone(),
         address: machine.address,
-        incarnation: load.incarnation,
-        role: load.role,
-        models: load.models.clone(),
-        running: load.running,
-        waiting: load.waiting,
-        queued_prefill_tokens: load.queued_prefill_tokens,
-        capacity: load.capacity,
-        reported_at: received_at.saturating_sub(Duration::from_millis(report.age_ms)),
+        incarnation: machine.incarnation,
+        role: report.role,
+        models: report.models,
+        running: report.running,
+        waiting: report.waiting,
+        queued_prefill_tokens: report.queued_prefill_tokens,
+        capacity: report.capacity,
+        reported_at: received_at.saturating_sub(report.age),
         accepting: live && report.accepting,
     })
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,8 @@
 mod cluster_driver;
 mod configuration;
 mod control_driver;
+mod control_half;
+mod digest_codec;
 mod engines;
 mod error;
 mod fleet;
@@ -15,5 +17,7 @@
 mod node;
 
 pub use admin::{ApplyRequest, ApplyResponse, EngineRow, StatusResponse};
+pub use cluster_driver::LinkFilter;
+pub use control_half::{ControlHalf, ControlParts, start_control};
 pub use error::NodeError;
 pub use node::{Listeners, NodeAddresses, run};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,30 +1,23 @@
 //! Starts the halves of a node and stops them as planned.
 
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use actix_rt::Arbiter;
-use dalestand_cluster::{Cluster, ClusterConfig, Member};
 use dalestand_config::NodeSettings;
 use dalestand_gateway::{Shared, serve_callers};
 use dalestand_http_server::Connections;
 use dalestand_platform::{HttpKeyValue, KeyValue};
 use dalestand_telemetry::{Event, Metrics, log_event};
-use dalestand_types::Incarnation;
 use error_stack::{Report, ResultExt as _};
 use slog::Logger;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::admin::serve_operators;
-use crate::cluster_driver;
-use crate::configuration;
-use crate::control_driver::ControlDriver;
+use crate::control_half::{ControlParts, start_control};
 use crate::error::NodeError;
-use crate::machines::{Machines, poll_machines};
 
 /// How often a stopping node looks whether its requests are over.
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -99,13 +92,17 @@
     let mut interrupt = signal(SignalKind::interrupt()).change_context(NodeError::Signals)?;
 
     let callers = start_callers(Arc::clone(&shared), listeners.callers);
-    let control = start_control(
-        &settings,
-        &shared,
+    let node = settings.node.clone();
+    let key_value: Rc<dyn KeyValue> = Rc::new(HttpKeyValue::new(settings.key_value));
+    let control = start_control(ControlParts {
+        settings,
+        shared: Arc::clone(&shared),
         addresses,
-        listeners.operators,
-        listeners.peers,
-    );
+        operators: listeners.operators,
+        peers: listeners.peers,
+        key_value,
+        filter: None,
+    });
     log_readiness(Arc::clone(&shared));
 
     tokio::select! {
@@ -119,9 +116,9 @@
     while shared.in_flight() > 0 {
         actix_rt::time::sleep(STOP_POLL).await;
     }
-    control.release_leases().await;
+    control.leave().await;
     callers.stop();
-    log_event!(shared.logger, Event::StopDone, "node" => %settings.node);
+    log_event!(shared.logger, Event::StopDone, "node" => %node);
     Ok(())
 }
 
@@ -140,59 +137,6 @@
     arbiter
 }
 
-fn start_control(
-    settings: &NodeSettings,
-    shared: &Arc<Shared>,
-    addresses: NodeAddresses,
-    operators: TcpListener,
-    peers: UdpSocket,
-) -> Rc<ControlDriver> {
-    let machines = Rc::new(RefCell::new(Machines::default()));
-    let me = Member {
-        node: settings.node.clone(),
-        incarnation: Incarnation(shared.clock.unix_ms()),
-        zone: settings.zone.clone(),
-        address: addresses.peers,
-        operator_address: addresses.operators,
-    };
-    let cluster = Cluster::new(me, settings.seeds.clone(), ClusterConfig::default());
-    let cluster = Rc::new(RefCell::new(cluster));
-    let key_value: Rc<dyn KeyValue> = Rc::new(HttpKeyValue::new(settings.key_value));
-    let control = ControlDriver::new(
-        settings.node.clone(),
-        Arc::clone(shared),
-        Rc::clone(&key_value),
-        Rc::clone(&cluster),
-        Rc::clone(&machines),
-        Duration::from_millis(settings.lease_ms),
-        Duration::from_millis(settings.load_poll_ms),
-    );
-    actix_rt::spawn(poll_machines(
-        Arc::clone(shared),
-        settings.machine_list,
-        Duration::from_millis(settings.machine_poll_ms),
-        Rc::clone(&machines),
-    ));
-    actix_rt::spawn(cluster_driver::drive(
-        Arc::clone(shared),
-        peers,
-        cluster,
-        machines,
-    ));
-    let follower = Arc::clone(shared);
-    let followed = Rc::clone(&key_value);
-    actix_rt::spawn(async move { configuration::follow(follower, &*followed).await });
-    actix_rt::spawn(Rc::clone(&control).run());
-    let admin = serve_operators(
-        operators,
-        Arc::clone(shared),
-        Rc::clone(&control),
-        key_value,
-    );
-    actix_rt::spawn(admin);
-    control
-}
-
 /// Logs readiness once a configuration is in force.
 fn log_readiness(shared: Arc<Shared>) {
     actix_rt::spawn(async move {
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -25,6 +25,16 @@
     pub configuration_revision: IntGauge,
     /// Live members of the cluster, this node left out.
     pub members: IntGauge,
+    /// Members that went down or left.
+    pub members_lost: IntCounter,
+    /// Bytes of datagrams sent to other nodes.
+    pub peer_bytes_sent: IntCounter,
+    /// Bytes of datagrams received from other nodes.
+    pub peer_bytes_received: IntCounter,
+    /// Datagrams sent to other nodes.
+    pub peer_datagrams_sent: IntCounter,
+    /// Datagrams received from other nodes.
+    pub peer_datagrams_received: IntCounter,
     /// Group leases held.
     pub leases: IntGauge,
     /// Calls to the key-value service.
@@ -58,6 +68,14 @@
             in_flight: gauge("requests_in_flight", "Requests in flight.")?,
             configuration_revision: gauge("configuration_revision", "Revision in force.")?,
             members: gauge("members", "Live members besides this node.")?,
+            members_lost: counter("members_lost_total", "Members that went down or left.")?,
+            peer_bytes_sent: counter("peer_bytes_sent_total", "Bytes sent to nodes.")?,
+            peer_bytes_received: counter("peer_bytes_received_total", "Bytes got from nodes.")?,
+            peer_datagrams_sent: counter("peer_datagrams_sent_total", "Datagrams sent.")?,
+            peer_datagrams_received: counter(
+                "peer_datagrams_received_total",
+                "Datagrams received.",
+            )?,
             leases: gauge("leases", "Group leases held.")?,
             key_value_calls: counter("key_value_calls_total", "Key-value calls.")?,
             registry,
