--- a/crates/node/src/cluster_driver.rs
+++ b/crates/node/src/cluster_driver.rs
@@ -6,8 +6,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use dalestand_cluster::{Cluster, Output, RecordKey};
 use dalestand_gateway::Shared;
+use dalestand_peer_seal::PeerSeal;
 use dalestand_telemetry::{Event, log_event};
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
@@ -33,19 +35,23 @@
     pub(crate) socket: UdpSocket,
     /// Where the socket listens.
     pub(crate) address: SocketAddr,
+    /// Authenticates datagrams.
+    pub(crate) seal: PeerSeal,
     /// Faults put in.
     pub(crate) filter: Option<Arc<dyn LinkFilter>>,
 }
 
 impl PeerLink {
-    async fn send(&self, shared: &Shared, to: SocketAddr, datagram: &[u8]) {
-        let bytes = datagram.len() as u64;
+    async fn send(&self, shared: &Shared, to: SocketAddr, datagram: Bytes) {
+        let mut sealed = Vec::from(datagram);
+        self.seal.seal(&mut sealed);
+        let bytes = sealed.len() as u64;
         shared.metrics.peer_bytes_sent.inc_by(bytes);
         shared.metrics.peer_datagrams_sent.inc();
         let filter = self.filter.as_ref();
         if filter.is_none_or(|filter| filter.passes(self.address, to)) {
             // A lost datagram is made good by later ones.
-            drop(self.socket.send_to(datagram, to).await);
+            drop(self.socket.send_to(&sealed, to).await);
         }
     }
 }
@@ -74,7 +80,7 @@
             }
             received = link.socket.recv_from(&mut buffer) => match received {
                 Ok((length, from)) => {
-                    receive(&shared, &cluster, from, &buffer[..length], &mut random)
+                    receive(&shared, &link, &cluster, from, &buffer[..length], &mut random)
                 }
                 // Errors of earlier sends show here; the peer is found to be down by silence.
                 Err(_) => Vec::new(),
@@ -91,13 +97,14 @@
     let outputs = cluster.borrow_mut().leave(&mut rand::rng());
     for output in outputs {
         if let Output::Send { to, datagram } = output {
-            link.send(shared, to, &datagram).await;
+            link.send(shared, to, datagram).await;
         }
     }
 }
 
 fn receive(
     shared: &Shared,
+    link: &PeerLink,
     cluster: &RefCell<Cluster>,
     from: SocketAddr,
     datagram: &[u8],
@@ -108,6 +115,13 @@
         .peer_bytes_received
         .inc_by(datagram.len() as u64);
     shared.metrics.peer_datagrams_received.inc();
+    let datagram = match link.seal.open(datagram) {
+        Ok(datagram) => datagram,
+        Err(error) => {
+            log_event!(shared.logger, Event::DatagramUnreadable, "error" => %error);
+            return Vec::new();
+        }
+    };
     let now = shared.clock.now();
     let taken = cluster.borrow_mut().receive(now, from, datagram, random);
     taken.unwrap_or_else(|error| {
@@ -124,7 +138,7 @@
     output: Output,
 ) {
     match output {
-        Output::Send { to, datagram } => link.send(shared, to, &datagram).await,
+        Output::Send { to, datagram } => link.send(shared, to, datagram).await,
         Output::RecordChanged(record) => {
             if let RecordKey::Machine(_) = record.key {
                 machines::take_record(shared.clock.now(), machines, &record);
--- a/crates/node/src/control_half.rs
+++ b/crates/node/src/control_half.rs
@@ -9,12 +9,14 @@
 use dalestand_cluster::{Cluster, ClusterConfig, Member};
 use dalestand_config::NodeSettings;
 use dalestand_gateway::Shared;
+use dalestand_peer_seal::PeerSeal;
 use dalestand_platform::KeyValue;
 use dalestand_types::Incarnation;
 use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
-use crate::admin::serve_operators;
+use crate::admin::{Admin, serve_operators};
 use crate::cluster_driver::{self, LinkFilter, PeerLink};
 use crate::configuration;
 use crate::control_driver::ControlDriver;
@@ -37,6 +39,8 @@
     pub key_value: Rc<dyn KeyValue>,
     /// Losses and cuts put in by an experiment.
     pub filter: Option<Arc<dyn LinkFilter>>,
+    /// Notified when an operator asks for a planned stop.
+    pub stop_asked: Rc<Notify>,
 }
 
 /// A running control half.
@@ -73,6 +77,7 @@
         peers,
         key_value,
         filter,
+        stop_asked,
     } = parts;
     let machines = Rc::new(RefCell::new(Machines::default()));
     let me = Member {
@@ -87,6 +92,7 @@
     let link = Rc::new(PeerLink {
         socket: peers,
         address: addresses.peers,
+        seal: PeerSeal::new(settings.peer_key.as_deref()),
         filter,
     });
     let control = ControlDriver::new(
@@ -114,12 +120,14 @@
     let follower = Arc::clone(&shared);
     let followed = Rc::clone(&key_value);
     let follow = async move { configuration::follow(follower, &*followed).await };
-    let admin = serve_operators(
-        operators,
-        Arc::clone(&shared),
-        Rc::clone(&control),
+    let admin = Admin {
+        shared: Arc::clone(&shared),
+        control: Rc::clone(&control),
+        cluster: Rc::clone(&cluster),
         key_value,
-    );
+        stop_asked,
+    };
+    let admin = serve_operators(operators, admin, settings.operator_key_blake3.clone());
     let tasks = vec![
         actix_rt::spawn(poll),
         actix_rt::spawn(drive),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,7 +16,10 @@
 mod machines;
 mod node;
 
-pub use admin::{ApplyRequest, ApplyResponse, EngineRow, StatusResponse};
+pub use admin::{
+    ApplyRequest, ApplyResponse, ConfigurationResponse, EngineControlRow, EngineExplanation,
+    EngineRow, MemberRow, RequestExplanation, StatusResponse,
+};
 pub use cluster_driver::LinkFilter;
 pub use control_half::{ControlHalf, ControlParts, start_control};
 pub use error::NodeError;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -15,6 +15,7 @@
 use slog::Logger;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Notify;
 
 use crate::control_half::{ControlParts, start_control};
 use crate::error::NodeError;
@@ -83,7 +84,12 @@
     logger: Logger,
 ) -> Result<(), Report<NodeError>> {
     let metrics = Metrics::new().change_context(NodeError::Metrics)?;
-    let shared = Arc::new(Shared::new(settings.zone.clone(), logger, metrics));
+    let shared = Arc::new(Shared::new(
+        settings.node.clone(),
+        settings.zone.clone(),
+        logger,
+        metrics,
+    ));
     let addresses = listeners.addresses;
     log_event!(shared.logger, Event::NodeStarted, "node" => %settings.node,
         "callers" => %addresses.callers, "operators" => %addresses.operators,
@@ -92,6 +98,7 @@
     let mut interrupt = signal(SignalKind::interrupt()).change_context(NodeError::Signals)?;
 
     let callers = start_callers(Arc::clone(&shared), listeners.callers);
+    let stop_asked = Rc::new(Notify::new());
     let node = settings.node.clone();
     let key_value: Rc<dyn KeyValue> = Rc::new(HttpKeyValue::new(settings.key_value));
     let control = start_control(ControlParts {
@@ -102,12 +109,14 @@
         peers: listeners.peers,
         key_value,
         filter: None,
+        stop_asked: Rc::clone(&stop_asked),
     });
     log_readiness(Arc::clone(&shared));
 
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        () = stop_asked.notified() => {}
     }
     shared.begin_stop();
     log_event!(shared.logger, Event::StopBegun, "in_flight" => shared.in_flight());
