--- a/crates/node/src/drains.rs
+++ b/crates/node/src/drains.rs
@@ -16,6 +16,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::error::DrainError;
+use crate::machines::Machines;
 
 /// Key of the record of all marks.
 const DRAINS_KEY: &str = "configuration/drains";
@@ -40,6 +41,7 @@
 pub(crate) struct Drains {
     key_value: Rc<dyn KeyValue>,
     cluster: Rc<RefCell<Cluster>>,
+    machines: Rc<RefCell<Machines>>,
 }
 
 /// Marks as they stand in the key-value service.
@@ -50,8 +52,16 @@
 
 impl Drains {
     /// Marks kept in `key_value` and spread by `cluster`.
-    pub(crate) fn new(key_value: Rc<dyn KeyValue>, cluster: Rc<RefCell<Cluster>>) -> Self {
-        Self { key_value, cluster }
+    pub(crate) fn new(
+        key_value: Rc<dyn KeyValue>,
+        cluster: Rc<RefCell<Cluster>>,
+        machines: Rc<RefCell<Machines>>,
+    ) -> Self {
+        Self {
+            key_value,
+            cluster,
+            machines,
+        }
     }
 
     /// Sets an engine's mark; in force here at once and elsewhere as records spread.
@@ -130,16 +140,22 @@
             },
             payload: Bytes::from(payload),
         };
-        self.cluster.borrow_mut().publish(record);
+        // A mark that is not newer than what is known changes nothing.
+        if let Ok(true) = self.cluster.borrow_mut().publish(record.clone()) {
+            take_record(&self.machines, &record);
+        }
     }
 }
 
-/// Whether an engine bears a drain mark, as far as this node knows.
-pub(crate) fn is_draining(cluster: &Cluster, engine: &EngineId) -> bool {
-    let record = cluster.record(&RecordKey::Drain(engine.to_string()));
-    record
-        .and_then(|record| rmp_serde::from_slice::<DrainMark>(&record.payload).ok())
-        .is_some_and(|mark| mark.draining)
+/// Puts a mark in force on this node.
+pub(crate) fn take_record(machines: &RefCell<Machines>, record: &Record) {
+    let RecordKey::Drain(engine) = &record.key else {
+        return;
+    };
+    if let Ok(mark) = rmp_serde::from_slice::<DrainMark>(&record.payload) {
+        let engine = EngineId::from(engine.as_str());
+        machines.borrow_mut().set_draining(engine, mark.draining);
+    }
 }
 
 fn unavailable(error: Report<PlatformError>) -> Report<DrainError> {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,8 @@
 mod cluster_driver;
 mod configuration;
 mod control_driver;
+mod control_half;
+mod digest_codec;
 mod drains;
 mod engines;
 mod error;
@@ -19,5 +21,7 @@
     ApplyRequest, ApplyResponse, ConfigurationResponse, DrainRequest, EngineControlRow,
     EngineExplanation, EngineRow, MemberRow, RequestExplanation, StatusResponse,
 };
+pub use cluster_driver::LinkFilter;
+pub use control_half::{ControlHalf, ControlParts, start_control};
 pub use error::NodeError;
 pub use node::{Listeners, NodeAddresses, run};
