Prompt on one engine, output on another, through the node

Cause: routing could place a request's prompt and output on two engines and nothing carried it out; a planner that gave prefill and decode roles would have left engines idle. Ruled out: moving the KV cache through the node (9.6 GB a second an engine at the size to come); splitting requests that may run once (two engines' records would have to be read together to prove one run). Change: a prefill-only attempt ends in a frame of its own; the decode engine fetches the cache by a handle (address and attempt) before it accepts; a cache that is gone is a refusal and the prompt is run again. Attempts tell the router first tokens and ends, which it learns from. Stand-in: exports with a lifetime and a fault that forgets them. Deployment file: fixed_roles of a group. Attempt records say what the engine was to do.

--- a/crates/config/src/deployment.rs
+++ b/crates/config/src/deployment.rs
@@ -1,5 +1,7 @@
 //! The deployment file: what operators declare about models, engines, callers and limits.
 
+use std::collections::BTreeMap;
+
 use dalestand_types::{
     AdapterName, EngineId, GroupId, ModelName, PoolName, Priority, Role, TenantName, Version,
     ZoneName,
@@ -146,6 +148,8 @@
     pub zone: ZoneName,
     /// The engines, by name in the machine list.
     pub engines: Vec<EngineId>,
+    /// Roles that the planner leaves as they are, by engine.
+    pub fixed_roles: BTreeMap<EngineId, Role>,
 }
 
 impl Group {
--- a/crates/config/src/deployment_reader.rs
+++ b/crates/config/src/deployment_reader.rs
@@ -1,5 +1,7 @@
 //! Reads the tables of a deployment file.
 
+use std::collections::BTreeMap;
+
 use dalestand_types::{
     AdapterName, ModelName, PoolName, Priority, Role, TenantName, Version, ZoneName,
 };
@@ -104,6 +106,11 @@
         pool: table.required("pool", "the name of a pool", PoolName::from("")),
         zone: table.required("zone", "the name of a zone", ZoneName::from("")),
         engines: table.required("engines", "a list of engine names", Vec::new()),
+        fixed_roles: table.or(
+            "fixed_roles",
+            "a table of engine names and roles, as { e1 = \"prefill\" }",
+            BTreeMap::new(),
+        ),
     }
 }
 
--- a/crates/config/src/deployment_validation.rs
+++ b/crates/config/src/deployment_validation.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::deployment::{Deployment, FORMAT, MAX_GROUP_ENGINES, Model, Pool, Tenant};
+use crate::deployment::{Deployment, FORMAT, Group, MAX_GROUP_ENGINES, Model, Pool, Tenant};
 use crate::fault::FaultCollector;
 
 /// Longest name.
@@ -57,6 +57,26 @@
     }
 }
 
+fn validate_fixed_roles(
+    deployment: &Deployment,
+    group: &Group,
+    path: &str,
+    faults: &mut FaultCollector,
+) {
+    let path = format!("{path}.fixed_roles");
+    let allowed = deployment.pool(&group.pool).map(|pool| &pool.roles);
+    for (engine, role) in &group.fixed_roles {
+        if !group.engines.contains(engine) {
+            let message = format!("engine {engine} is not among the group's engines");
+            faults.add(path.clone(), message);
+        }
+        if allowed.is_some_and(|roles| !roles.contains(role)) {
+            let message = format!("role {role} is not among the pool's roles");
+            faults.add(path.clone(), message);
+        }
+    }
+}
+
 /// Checks how names are written and that none of a kind is given twice.
 fn validate_names(deployment: &Deployment, faults: &mut FaultCollector) {
     let models = deployment.models.iter().map(|one| one.name.as_str());
@@ -172,6 +192,7 @@
             );
             faults.add(path.clone(), message);
         }
+        validate_fixed_roles(deployment, group, &path, faults);
         let path = format!("{path}.engines");
         if !(1..=MAX_GROUP_ENGINES).contains(&group.engines.len()) {
             faults.add(
--- a/crates/config/tests/deployment.rs
+++ b/crates/config/tests/deployment.rs
@@ -70,6 +70,18 @@
 #[case::separator("engines = [\"e\"]", "engines = [\"e:1\"]", 16, "letters, digits")]
 #[case::format("format = 1", "format = 2", 1, "format 2 is not known")]
 #[case::not_toml("name = \"small\"", "name = ", 2, "")]
+#[case::fixed_engine(
+    "engines = [\"e\"]",
+    "engines = [\"e\"]\nfixed_roles = { f = \"mixed\" }",
+    17,
+    "engine f is not among"
+)]
+#[case::fixed_role(
+    "engines = [\"e\"]",
+    "engines = [\"e\"]\nfixed_roles = { e = 1 }",
+    17,
+    "a table of"
+)]
 #[case::roles(
     "models = [\"m\"]",
     "models = [\"m\"]\nroles = [\"prefill\"]",
--- a/crates/decision/src/account.rs
+++ b/crates/decision/src/account.rs
@@ -2,6 +2,8 @@
 
 use std::fmt::Write as _;
 
+use dalestand_types::Placement;
+
 use crate::{AttemptOutcome, AttemptRecord, RequestRecord, RoleRecord};
 
 /// A plain account of what was decided about a request.
@@ -31,8 +33,9 @@
 
 fn account_of_attempt(number: usize, attempt: &AttemptRecord) -> String {
     let mut text = format!(
-        "  attempt {number} after {} ms: engine {} ({})\n",
+        "  attempt {number} after {} ms: {}engine {} ({})\n",
         attempt.after_ms,
+        placement_words(attempt.placement),
         attempt.engine,
         outcome_words(&attempt.outcome)
     );
@@ -51,9 +54,18 @@
     text
 }
 
+fn placement_words(placement: Placement) -> &'static str {
+    match placement {
+        Placement::Whole => "",
+        Placement::PrefillOnly => "prompt on ",
+        Placement::DecodeOnly => "output on ",
+    }
+}
+
 fn outcome_words(outcome: &AttemptOutcome) -> String {
     match outcome {
         AttemptOutcome::Running => "running".to_owned(),
+        AttemptOutcome::Prefilled => "prompt run, cache held for export".to_owned(),
         AttemptOutcome::Complete { tokens } => format!("complete, {tokens} tokens"),
         AttemptOutcome::NotRun { reason } => format!("not run: {reason}"),
         AttemptOutcome::Unknown { reason } => format!("unknown whether it ran: {reason}"),
--- a/crates/decision/src/record.rs
+++ b/crates/decision/src/record.rs
@@ -1,8 +1,8 @@
 //! Typed records of decisions.
 
 use dalestand_types::{
-    AttemptId, EngineId, Epoch, GroupId, ModelName, OrderId, RequestId, Revision, Role, RunState,
-    TenantName,
+    AttemptId, EngineId, Epoch, GroupId, ModelName, OrderId, Placement, RequestId, Revision, Role,
+    RunState, TenantName,
 };
 use serde::{Deserialize, Serialize};
 
@@ -45,6 +45,8 @@
 pub enum AttemptOutcome {
     /// Still running.
     Running,
+    /// The prompt ran and its KV cache is held for another engine.
+    Prefilled,
     /// The whole answer was delivered.
     Complete { tokens: u32 },
     /// It did not run there.
@@ -64,6 +66,8 @@
     pub after_ms: u64,
     /// The engine chosen.
     pub engine: EngineId,
+    /// What the engine was to do.
+    pub placement: Placement,
     /// The engines looked at.
     pub candidates: Vec<Candidate>,
     /// What came of it.
--- /dev/null
+++ b/crates/gateway/src/attempt/guard.rs
@@ -0,0 +1,55 @@
+//! Tells the router what this node has at an engine and how it came out.
+
+use std::sync::Arc;
+
+use dalestand_routing::{Completion, EngineView, RouteRequest, Ticket};
+use dalestand_types::{Placement, Usage};
+
+use crate::shared::Shared;
+
+/// Counts a request at an engine until dropped.
+pub(crate) struct InFlightGuard {
+    shared: Arc<Shared>,
+    ticket: Ticket,
+    completion: Completion,
+}
+
+impl InFlightGuard {
+    /// Counts a request that is about to be sent.
+    pub(super) fn new(
+        shared: &Arc<Shared>,
+        engine: &EngineView,
+        route: &RouteRequest,
+        placement: Placement,
+    ) -> Self {
+        let now = shared.clock.now();
+        let ticket = shared.router().sent(now, engine, route, placement);
+        Self {
+            shared: Arc::clone(shared),
+            ticket,
+            completion: Completion::default(),
+        }
+    }
+
+    /// Notes that the first token came in.
+    pub(crate) fn first_token(&mut self) {
+        let now = self.shared.clock.now();
+        self.shared.router().first_token(now, &mut self.ticket);
+    }
+
+    /// Notes that the attempt ran to its end.
+    pub(crate) fn complete(&mut self, output_tokens: u32, usage: Usage) {
+        self.completion = Completion {
+            output_tokens: Some(output_tokens),
+            cached_tokens: Some(usage.cached_tokens),
+        };
+    }
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        let now = self.shared.clock.now();
+        let mut router = self.shared.router();
+        router.finished(now, &self.ticket, self.completion);
+    }
+}
--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -73,6 +73,7 @@
     );
     route.adapter = request.adapter.clone();
     route.blocks = prompt_blocks(&body.prompt);
+    route.may_split = may_split(&active.deployment, &request.model);
     let started = attempt::start(&shared, &random, received_at, route, request).await;
     let accepted = started.inspect_err(|error| {
         finish_record(
@@ -98,6 +99,14 @@
     Ok(answer)
 }
 
+/// Whether the prompt and the output may run on two engines. A request that may run once stays on
+/// one, so that one engine's record of it is enough.
+fn may_split(deployment: &Deployment, model: &ModelName) -> bool {
+    deployment
+        .pool_of_model(model)
+        .is_some_and(|pool| pool.repeatable)
+}
+
 fn usable_configuration(shared: &Shared) -> Result<Arc<ActiveConfiguration>, CallerError> {
     shared
         .configuration
@@ -236,7 +245,7 @@
         }
         loop {
             match self.accepted.frames.next().await {
-                Some(Ok(frame)) if frame_attempt(&frame) != self.accepted.attempt => {
+                Some(Ok(frame)) if frame.attempt() != self.accepted.attempt => {
                     self.shared.metrics.foreign_frames.inc();
                     log_event!(self.shared.logger, Event::ForeignFrame, "request" => %self.request);
                 }
@@ -247,6 +256,9 @@
                     if position > self.next_position {
                         return Some(self.broken("a token is missing".to_owned()));
                     }
+                    if self.next_position == 0 {
+                        self.accepted.guard.first_token();
+                    }
                     self.next_position += 1;
                     self.shared.metrics.tokens.inc();
                     return Some(Piece::Token(text));
@@ -260,6 +272,7 @@
                     if tokens != self.next_position {
                         return Some(self.broken("tokens are missing at the end".to_owned()));
                     }
+                    self.accepted.guard.complete(tokens, usage);
                     self.finish(
                         AttemptOutcome::Complete { tokens },
                         RunState::Complete,
@@ -267,6 +280,9 @@
                     );
                     return Some(Piece::End(reason, usage));
                 }
+                Some(Ok(GenerationFrame::Prefilled { .. })) => {
+                    return Some(self.broken("the engine ran the prompt only".to_owned()));
+                }
                 Some(Ok(GenerationFrame::Failed { message, .. })) => {
                     return Some(self.broken(message));
                 }
@@ -378,14 +394,6 @@
     }
 }
 
-fn frame_attempt(frame: &GenerationFrame) -> AttemptId {
-    match frame {
-        GenerationFrame::Token { attempt, .. }
-        | GenerationFrame::Finished { attempt, .. }
-        | GenerationFrame::Failed { attempt, .. } => *attempt,
-    }
-}
-
 fn finish_word(reason: FinishReason) -> &'static str {
     match reason {
         FinishReason::Stop => "stop",
--- a/crates/node/src/control_driver.rs
+++ b/crates/node/src/control_driver.rs
@@ -563,13 +563,12 @@
                 .collect(),
         })
         .collect();
-    let desired = DesiredEngine {
-        role: pool.initial_role,
-        models,
+    let desired = |engine: &EngineId| DesiredEngine {
+        role: *group.fixed_roles.get(engine).unwrap_or(&pool.initial_role),
+        models: models.clone(),
     };
-    group
-        .engines
-        .iter()
-        .map(|engine| (engine.clone(), desired.clone()))
+    let engines = group.engines.iter();
+    engines
+        .map(|engine| (engine.clone(), desired(engine)))
         .collect()
 }
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -109,6 +109,8 @@
     pub const ORDERS: &str = "/v1/orders";
     /// Raises the epoch.
     pub const EPOCH: &str = "/v1/epoch";
+    /// Sends the KV cache of a prompt to the engine that asks; answered when it has been sent.
+    pub const CACHE_EXPORT: &str = "/v1/cache/export";
     /// Reads the last load report.
     pub const LOAD: &str = "/v1/load";
 
@@ -118,6 +120,19 @@
         pub attempt: AttemptId,
     }
 
+    /// Body of [`CACHE_EXPORT`]; the answer is [`CacheExportResponse`], or 404 if it is not held.
+    #[derive(Clone, Debug, Serialize, Deserialize)]
+    pub struct CacheExportRequest {
+        pub attempt: AttemptId,
+    }
+
+    /// Answer to [`CACHE_EXPORT`].
+    #[derive(Clone, Debug, Serialize, Deserialize)]
+    pub struct CacheExportResponse {
+        /// Prompt tokens whose KV cache was sent.
+        pub prompt_tokens: u32,
+    }
+
     /// Body of [`EPOCH`].
     #[derive(Clone, Debug, Serialize, Deserialize)]
     pub struct RaiseEpochRequest {
--- a/crates/routing/src/request.rs
+++ b/crates/routing/src/request.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use dalestand_decision::Candidate;
+pub use dalestand_types::Placement;
 use dalestand_types::{AdapterName, EngineId, ModelName, ZoneName};
 
 use crate::prefix::PromptBlock;
@@ -81,17 +82,6 @@
     DeadlineUnreachable,
 }
 
-/// What an engine is to do with a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Placement {
-    /// Run all of it.
-    Whole,
-    /// Run the prompt only; another decision names the engine for the output.
-    PrefillOnly,
-    /// Import the prompt's KV cache and generate the output.
-    DecodeOnly,
-}
-
 /// Times that the router expects, from now.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Expected {
--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -126,13 +126,18 @@
         self.counters
     }
 
-    /// Adds a request; higher priorities stand before lower ones.
+    /// Adds a request; higher priorities stand before lower ones. The prompt of one whose KV cache
+    /// was imported is not run again.
     pub fn add(&mut self, request: GenerationRequest) {
         let prompt_tokens = text::count_tokens(&request.prompt);
         let sequence = Sequence {
             seed: text::seed(request.model.as_str(), &request.prompt),
             prompt_tokens,
-            prefill_left: prompt_tokens,
+            prefill_left: if request.import_from.is_some() {
+                0
+            } else {
+                prompt_tokens
+            },
             position: request.resume_from,
             request,
         };
@@ -200,7 +205,7 @@
                 }
             }
             let frame = sequence.next_frame();
-            let finished = matches!(frame, GenerationFrame::Finished { .. });
+            let finished = frame.is_last();
             if !finished {
                 counters.decode_tokens += 1;
             }
@@ -215,12 +220,12 @@
 impl Sequence {
     fn next_frame(&mut self) -> GenerationFrame {
         let attempt = self.request.attempt;
+        if self.request.prefill_only {
+            let usage = self.usage();
+            return GenerationFrame::Prefilled { attempt, usage };
+        }
         if self.position >= self.request.max_tokens {
-            let usage = Usage {
-                prompt_tokens: self.prompt_tokens,
-                cached_tokens: 0,
-                completion_tokens: self.position,
-            };
+            let usage = self.usage();
             let reason = FinishReason::Length;
             return GenerationFrame::Finished {
                 attempt,
@@ -238,6 +243,14 @@
         }
     }
 
+    fn usage(&self) -> Usage {
+        Usage {
+            prompt_tokens: self.prompt_tokens,
+            cached_tokens: 0,
+            completion_tokens: self.position,
+        }
+    }
+
     fn output(&self, frame: GenerationFrame) -> StepOutput {
         let once_key = self.request.once_key.clone();
         StepOutput {
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -4,11 +4,14 @@
 //! wrong or cut answer is visible), and keeps append-only logs that tests read.
 
 mod batch;
+mod exports;
 mod log;
 mod orders;
 mod server;
 pub mod text;
+mod transfer;
 
 pub use batch::{Batch, BatchSettings};
+pub use exports::Exports;
 pub use log::{OrderLogEntry, RunLogEntry, RunLogEvent};
 pub use server::{EngineFaults, EngineSettings, serve_engine};
--- a/crates/standin/src/engine/server.rs
+++ b/crates/standin/src/engine/server.rs
@@ -13,12 +13,13 @@
 };
 use dalestand_platform::wire::Empty;
 use dalestand_platform::wire::engine::{
-    CANCEL, CancelRequest, EPOCH, GENERATE, LOAD, ORDERS, RaiseEpochRequest,
+    CACHE_EXPORT, CANCEL, CacheExportRequest, CacheExportResponse, CancelRequest, EPOCH, GENERATE,
+    LOAD, ORDERS, RaiseEpochRequest,
 };
 use dalestand_platform::{HttpWeightStore, WeightStore as _};
 use dalestand_types::{
-    AttemptId, EngineId, EngineLoad, GenerationFrame, GenerationRequest, Incarnation, Order,
-    OrderCommand, OrderOutcome, Refusal, RefusalReason, Role, Sequence,
+    AttemptId, EngineId, EngineLoad, GenerationFrame, GenerationRequest, Incarnation,
+    MonotonicTime, Order, OrderCommand, OrderOutcome, Refusal, RefusalReason, Role, Sequence,
 };
 use futures_util::stream;
 use serde::{Deserialize, Serialize};
@@ -26,8 +27,10 @@
 use tokio::sync::{Notify, mpsc};
 
 use super::batch::{Batch, BatchSettings, StepOutput};
+use super::exports::Exports;
 use super::log::{EngineLogs, OrderLogEntry, RunLogEntry, RunLogEvent};
 use super::orders::OrderBook;
+use super::transfer::{import, transfer_time};
 
 const MAX_BODY_BYTES: usize = 64 << 20;
 
@@ -72,6 +75,8 @@
     pub lose_order_answers: u32,
     /// This many coming requests are accepted and their connections then break.
     pub break_after_accept: u32,
+    /// This many coming prompts are run and their KV caches are not held.
+    pub forget_exports: u32,
 }
 
 struct Engine {
@@ -82,6 +87,7 @@
     streams: RefCell<HashMap<AttemptId, mpsc::UnboundedSender<Bytes>>>,
     attempts: RefCell<HashSet<AttemptId>>,
     once_keys: RefCell<HashSet<String>>,
+    exports: RefCell<Exports>,
     logs: EngineLogs,
     faults: RefCell<EngineFaults>,
     reports: RefCell<u64>,
@@ -112,6 +118,7 @@
             streams: RefCell::default(),
             attempts: RefCell::default(),
             once_keys: RefCell::default(),
+            exports: RefCell::default(),
             logs: EngineLogs::new(
                 settings.engine.clone(),
                 settings.incarnation,
@@ -129,6 +136,10 @@
         self.started.elapsed().as_micros() as u64
     }
 
+    fn now(&self) -> MonotonicTime {
+        MonotonicTime(self.at_micros())
+    }
+
     fn log_run(&self, request: &GenerationRequest, event: RunLogEvent) {
         self.logs.push_run(RunLogEntry {
             at_micros: self.at_micros(),
@@ -149,6 +160,9 @@
             GenerationFrame::Finished {
                 attempt, tokens, ..
             } => (*attempt, RunLogEvent::Finished { tokens: *tokens }),
+            GenerationFrame::Prefilled { attempt, .. } => {
+                (*attempt, RunLogEvent::Finished { tokens: 0 })
+            }
             _ => return,
         };
         self.logs.push_run(RunLogEntry {
@@ -182,7 +196,9 @@
         if orders.changes_role() {
             return Some(RefusalReason::OutOfService);
         }
-        if !role.runs_decode() && !request.prefill_only {
+        let needs_prefill = request.import_from.is_none();
+        let needs_decode = !request.prefill_only;
+        if (needs_prefill && !role.runs_prefill()) || (needs_decode && !role.runs_decode()) {
             return Some(RefusalReason::WrongRole);
         }
         if !orders.serves(&request.model, request.adapter.as_ref()) {
@@ -213,7 +229,7 @@
             waiting: batch.waiting(),
             queued_prefill_tokens: batch.queued_prefill_tokens(),
             capacity: self.settings.batch.capacity,
-            cache_tokens_used: 0,
+            cache_tokens_used: self.exports.borrow().tokens(self.now()),
             cache_tokens_total: CACHE_TOKENS,
             prefill_tokens_total: counters.prefill_tokens,
             decode_tokens_total: counters.decode_tokens,
@@ -235,29 +251,35 @@
         let outputs = engine.batch.borrow_mut().step();
         for output in outputs {
             engine.log_output(&output);
+            if let GenerationFrame::Prefilled { attempt, usage } = &output.frame {
+                hold_export(&engine, *attempt, usage.prompt_tokens);
+            }
             send_frame(&engine, &output.frame);
         }
     }
 }
 
+fn hold_export(engine: &Engine, attempt: AttemptId, prompt_tokens: u32) {
+    if take_count(&mut engine.faults.borrow_mut().forget_exports) {
+        return;
+    }
+    let now = engine.now();
+    let mut exports = engine.exports.borrow_mut();
+    exports.hold(now, attempt, prompt_tokens);
+}
+
 fn send_frame(engine: &Engine, frame: &GenerationFrame) {
-    let (attempt, last) = match frame {
-        GenerationFrame::Token { attempt, .. } => (*attempt, false),
-        GenerationFrame::Finished { attempt, .. } | GenerationFrame::Failed { attempt, .. } => {
-            (*attempt, true)
-        }
-    };
     let Ok(mut line) = serde_json::to_vec(frame) else {
         return;
     };
     line.push(b'\n');
     let mut streams = engine.streams.borrow_mut();
-    if let Some(sender) = streams.get(&attempt) {
+    if let Some(sender) = streams.get(&frame.attempt()) {
         // A receiver that is gone is noticed by its guard, which removes the attempt.
         let _ = sender.send(Bytes::from(line));
     }
-    if last {
-        streams.remove(&attempt);
+    if frame.is_last() {
+        streams.remove(&frame.attempt());
     }
 }
 
@@ -336,7 +358,11 @@
     let path = request.path().to_owned();
     let get = request.method() == Method::GET;
     match path.as_str() {
-        GENERATE => Ok(generate(engine, read_json(request, MAX_BODY_BYTES).await?)),
+        GENERATE => Ok(generate(engine, read_json(request, MAX_BODY_BYTES).await?).await),
+        CACHE_EXPORT => {
+            let body: CacheExportRequest = read_json(request, MAX_BODY_BYTES).await?;
+            Ok(export(engine, &body).await)
+        }
         CANCEL => {
             let body: CancelRequest = read_json(request, MAX_BODY_BYTES).await?;
             engine.streams.borrow_mut().remove(&body.attempt);
@@ -421,18 +447,45 @@
     true
 }
 
-fn generate(engine: &Rc<Engine>, request: GenerationRequest) -> Answer {
+/// Sends a cache on its way; answered once it has arrived.
+async fn export(engine: &Engine, body: &CacheExportRequest) -> Answer {
+    let found = engine.exports.borrow().find(engine.now(), body.attempt);
+    let Some(prompt_tokens) = found else {
+        return status_answer(StatusCode::NOT_FOUND);
+    };
+    actix_rt::time::sleep(transfer_time(prompt_tokens)).await;
+    json_answer(StatusCode::OK, &CacheExportResponse { prompt_tokens })
+}
+
+async fn generate(engine: &Rc<Engine>, request: GenerationRequest) -> Answer {
     if let Some(reason) = engine.refusal(&request) {
-        let refusal = Refusal {
-            reason,
-            retry_after_ms: FULL_RETRY_AFTER_MS,
-        };
-        let status = match reason {
-            RefusalReason::Full => StatusCode::TOO_MANY_REQUESTS,
-            _ => StatusCode::CONFLICT,
-        };
-        return json_answer(status, &refusal);
+        return refuse(reason);
     }
+    if let Some(handle) = request.import_from {
+        if import(handle).await.is_none() {
+            return refuse(RefusalReason::CacheNotFound);
+        }
+        // The engine may have left service, or filled up, while the cache was on its way.
+        if let Some(reason) = engine.refusal(&request) {
+            return refuse(reason);
+        }
+    }
+    accept(engine, request)
+}
+
+fn refuse(reason: RefusalReason) -> Answer {
+    let refusal = Refusal {
+        reason,
+        retry_after_ms: FULL_RETRY_AFTER_MS,
+    };
+    let status = match reason {
+        RefusalReason::Full => StatusCode::TOO_MANY_REQUESTS,
+        _ => StatusCode::CONFLICT,
+    };
+    json_answer(status, &refusal)
+}
+
+fn accept(engine: &Rc<Engine>, request: GenerationRequest) -> Answer {
     engine.attempts.borrow_mut().insert(request.attempt);
     if let Some(key) = &request.once_key {
         engine.once_keys.borrow_mut().insert(key.clone());
--- a/crates/types/src/generation.rs
+++ b/crates/types/src/generation.rs
@@ -1,6 +1,7 @@
 //! Requests for generation and what comes back.
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -107,11 +108,33 @@
     /// The key under which the request may run at most once, where it may not be repeated.
     pub once_key: Option<String>,
     /// Where to import the KV cache of the prompt from; the prompt is run here if absent.
-    pub import_from: Option<String>,
+    pub import_from: Option<CacheHandle>,
     /// Run only the prompt and keep its KV cache for export.
     pub prefill_only: bool,
 }
 
+/// Names the KV cache of a prompt that an engine ran and holds for export.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct CacheHandle {
+    /// The engine that holds it.
+    pub address: SocketAddr,
+    /// The attempt that ran the prompt there.
+    pub attempt: AttemptId,
+}
+
+/// What an engine is to do with a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Placement {
+    /// Run all of it.
+    #[default]
+    Whole,
+    /// Run the prompt only; another decision names the engine for the output.
+    PrefillOnly,
+    /// Import the prompt's KV cache and generate the output.
+    DecodeOnly,
+}
+
 /// Token counts of a finished request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Usage {
@@ -143,6 +166,8 @@
         position: u32,
         text: String,
     },
+    /// The prompt has run and its KV cache is held for export: the end of a prefill-only attempt.
+    Prefilled { attempt: AttemptId, usage: Usage },
     /// The whole answer has been sent; `tokens` is the count of its tokens.
     Finished {
         attempt: AttemptId,
@@ -154,6 +179,23 @@
     Failed { attempt: AttemptId, message: String },
 }
 
+impl GenerationFrame {
+    /// The attempt that the frame belongs to.
+    pub fn attempt(&self) -> AttemptId {
+        match self {
+            Self::Token { attempt, .. }
+            | Self::Prefilled { attempt, .. }
+            | Self::Finished { attempt, .. }
+            | Self::Failed { attempt, .. } => *attempt,
+        }
+    }
+
+    /// Whether no frame of the attempt follows this one.
+    pub fn is_last(&self) -> bool {
+        !matches!(self, Self::Token { .. })
+    }
+}
+
 /// Why an engine took no request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -168,6 +210,8 @@
     NotLoaded,
     /// The engine's run is not the one the request names.
     OtherIncarnation,
+    /// The KV cache to import is not held any more.
+    CacheNotFound,
     /// This attempt, or this key that may run once, was run before.
     AlreadyRun,
 }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -12,8 +12,8 @@
 pub mod time;
 
 pub use generation::{
-    AttemptId, FinishReason, GenerationFrame, GenerationRequest, Priority, Refusal, RefusalReason,
-    RequestId, RunState, Usage,
+    AttemptId, CacheHandle, FinishReason, GenerationFrame, GenerationRequest, Placement, Priority,
+    Refusal, RefusalReason, RequestId, RunState, Usage,
 };
 pub use identifier::{
     AdapterName, EngineId, Epoch, GroupId, Incarnation, ModelName, NodeId, PoolName, Revision,
