lab: emulator in virtual time with the node's own router and planner, and baselines

Cause: routing and role decisions could not be judged without a fleet. Change: dalestand-lab simulate SCENARIO.toml [--json] [--seed N]. Discrete events over engines with continuous batching, bounded KV and prefix caches, priorities with ageing, refusals, KV export and import, role changes that drain first, weight loads through a rate-limited store, crashes (also in mid change); nodes with their own late and lossy view; zones with delays and cuts. Policies: round-robin, least-loaded, static (best fixed split with hindsight, the node's router), threshold, oracle (an upper bound by weak duality), dalestand. Taken out one at a time: the rule that a broken attempt of a request that runs once is not started again, and the word of a broken attempt -> no_request_is_lost_or_run_twice_under_crashes_and_cuts fails.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each command is one module with a `run` function, listed in [`COMMANDS`].
 
 mod error;
+pub mod simulate;
 
 use error_stack::Report;
 
@@ -19,4 +20,8 @@
 }
 
 /// Every command.
-pub const COMMANDS: &[Command] = &[];
+pub const COMMANDS: &[Command] = &[Command {
+    name: "simulate",
+    summary: "run a scenario in virtual time under every policy",
+    run: simulate::run,
+}];
--- /dev/null
+++ b/crates/lab/src/simulate/fleet.rs
@@ -0,0 +1,195 @@
+//! The fixed fleet of a scenario: engines, groups and nodes by number.
+
+use std::collections::HashMap;
+
+use dalestand_planner::Composition;
+use dalestand_types::{
+    EngineId, GroupId, LoadedModel, ModelName, PoolName, Role, Version, ZoneName,
+};
+
+use super::scenario::{Fault, Pool, Scenario};
+use super::workload::SECOND_US;
+
+/// One engine.
+#[derive(Clone, Debug)]
+pub(crate) struct EngineInfo {
+    pub(crate) id: EngineId,
+    pub(crate) pool: usize,
+    pub(crate) zone: usize,
+    pub(crate) group: usize,
+}
+
+/// One group: the engines of a pool in a zone.
+#[derive(Clone, Debug)]
+pub(crate) struct GroupInfo {
+    pub(crate) id: GroupId,
+    pub(crate) pool: usize,
+    pub(crate) zone: usize,
+    pub(crate) engines: Vec<usize>,
+}
+
+/// A zone that is cut off for a time, in microseconds.
+#[derive(Clone, Copy, Debug)]
+struct Cut {
+    zone: usize,
+    from_us: u64,
+    until_us: u64,
+}
+
+/// The fleet.
+#[derive(Clone, Debug)]
+pub(crate) struct Fleet {
+    pub(crate) engines: Vec<EngineInfo>,
+    pub(crate) groups: Vec<GroupInfo>,
+    /// Zone of each node.
+    pub(crate) nodes: Vec<usize>,
+    pub(crate) zone_names: Vec<ZoneName>,
+    pub(crate) pool_names: Vec<PoolName>,
+    by_id: HashMap<EngineId, usize>,
+    /// One-way delay between zones, in microseconds.
+    delays_us: Vec<Vec<u64>>,
+    cuts: Vec<Cut>,
+}
+
+impl Fleet {
+    /// The fleet of a checked scenario.
+    pub(crate) fn new(scenario: &Scenario) -> Self {
+        let zone_names: Vec<ZoneName> = scenario
+            .zones
+            .iter()
+            .map(|zone| ZoneName::from(&*zone.name))
+            .collect();
+        let mut fleet = Self {
+            engines: Vec::new(),
+            groups: Vec::new(),
+            nodes: Vec::new(),
+            pool_names: scenario
+                .pools
+                .iter()
+                .map(|pool| PoolName::from(&*pool.name))
+                .collect(),
+            by_id: HashMap::new(),
+            delays_us: delays(scenario),
+            cuts: Vec::new(),
+            zone_names,
+        };
+        for (number, pool) in scenario.pools.iter().enumerate() {
+            fleet.add_pool(number, pool, scenario);
+        }
+        for (number, zone) in scenario.zones.iter().enumerate() {
+            fleet.nodes.extend(std::iter::repeat_n(number, zone.nodes));
+        }
+        fleet.cuts = cuts(scenario);
+        fleet
+    }
+
+    fn add_pool(&mut self, number: usize, pool: &Pool, scenario: &Scenario) {
+        for (zone, info) in scenario.zones.iter().enumerate() {
+            let count = pool.engines.get(&info.name).copied().unwrap_or(0);
+            if count == 0 {
+                continue;
+            }
+            let group = self.groups.len();
+            let first = self.engines.len();
+            for place in first..first + count {
+                let of_pool = self.engines.iter().filter(|one| one.pool == number).count();
+                let id = EngineId::from(format!("{}-{}", pool.name, of_pool + 1));
+                self.by_id.insert(id.clone(), place);
+                self.engines.push(EngineInfo {
+                    id,
+                    pool: number,
+                    zone,
+                    group,
+                });
+            }
+            self.groups.push(GroupInfo {
+                id: GroupId::of(&self.pool_names[number], &self.zone_names[zone]),
+                pool: number,
+                zone,
+                engines: (first..first + count).collect(),
+            });
+        }
+    }
+
+    /// The number of an engine.
+    pub(crate) fn engine(&self, id: &EngineId) -> Option<usize> {
+        self.by_id.get(id).copied()
+    }
+
+    /// Models of a pool's engines.
+    pub(crate) fn models(&self, pool: usize) -> Vec<LoadedModel> {
+        vec![LoadedModel {
+            model: ModelName::from(self.pool_names[pool].as_str()),
+            version: Version::from("1"),
+            adapters: Vec::new(),
+        }]
+    }
+
+    /// Roles of a fixed split, with the engines of each role spread over the zones.
+    pub(crate) fn split(&self, pool: usize, split: Composition) -> Vec<(usize, Role)> {
+        let mut members: Vec<(usize, usize)> = self
+            .groups
+            .iter()
+            .filter(|group| group.pool == pool)
+            .flat_map(|group| group.engines.iter().copied().enumerate())
+            .collect();
+        members.sort_unstable();
+        let prefill = std::iter::repeat_n(Role::Prefill, split.prefill);
+        let decode = std::iter::repeat_n(Role::Decode, split.decode);
+        let roles = prefill.chain(decode).chain(std::iter::repeat(Role::Mixed));
+        let members = members.into_iter().map(|(_, engine)| engine);
+        members.zip(roles).collect()
+    }
+
+    /// One-way delay between two zones, in microseconds.
+    pub(crate) fn delay_us(&self, from: usize, to: usize) -> u64 {
+        self.delays_us[from][to]
+    }
+
+    /// When a cut between two zones ends, if there is one now.
+    pub(crate) fn cut_until_us(&self, from: usize, to: usize, now_us: u64) -> Option<u64> {
+        if from == to {
+            return None;
+        }
+        let cuts = self.cuts.iter();
+        let between = cuts.filter(|cut| cut.zone == from || cut.zone == to);
+        let now = between.filter(|cut| (cut.from_us..cut.until_us).contains(&now_us));
+        now.map(|cut| cut.until_us).max()
+    }
+}
+
+fn delays(scenario: &Scenario) -> Vec<Vec<u64>> {
+    let network = &scenario.network;
+    let zones = &scenario.zones;
+    let between = |from: usize, to: usize| {
+        if from == to {
+            network.same_zone_us
+        } else if zones[from].region == zones[to].region {
+            network.other_zone_us
+        } else {
+            network.other_region_us
+        }
+    };
+    (0..zones.len())
+        .map(|from| (0..zones.len()).map(|to| between(from, to)).collect())
+        .collect()
+}
+
+fn cuts(scenario: &Scenario) -> Vec<Cut> {
+    scenario
+        .faults
+        .iter()
+        .filter_map(|fault| match fault {
+            Fault::Cut {
+                zone,
+                at_s,
+                length_s,
+            } => Some(Cut {
+                zone: scenario.zones.iter().position(|one| one.name == *zone)?,
+                from_us: (at_s * SECOND_US) as u64,
+                until_us: ((at_s + length_s) * SECOND_US) as u64,
+            }),
+            _ => None,
+        })
+        .collect()
+}
