--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod error;
 mod load;
+pub mod simulate;
 
 use error_stack::Report;
 
@@ -20,8 +21,15 @@
 }
 
 /// Every command.
-pub const COMMANDS: &[Command] = &[Command {
-    name: "load",
-    summary: "streams against a node, an engine, or both",
-    run: load::run,
-}];
+pub const COMMANDS: &[Command] = &[
+    Command {
+        name: "load",
+        summary: "streams against a node, an engine, or both",
+        run: load::run,
+    },
+    Command {
+        name: "simulate",
+        summary: "run a scenario in virtual time under every policy",
+        run: simulate::run,
+    },
+];
