lab hollow: what control costs, with many nodes in one process

The control half of a node is its own module, so that an experiment runs the same code over loopback with losses and cuts put in by a filter on the link. Datagrams carry the nodes' seal.

--- /dev/null
+++ b/crates/lab/src/hollow/fleet.rs
@@ -0,0 +1,218 @@
+//! The hollow nodes, as the experiment sees them.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use dalestand_config::{LogFormat, NodeSettings};
+use dalestand_gateway::Shared;
+use dalestand_node::{ApplyRequest, ApplyResponse, NodeAddresses};
+use dalestand_telemetry::{Metrics, discard_logger};
+use dalestand_types::{MachineKind, NodeId, Revision, ZoneName};
+use error_stack::Report;
+use tokio::sync::{mpsc, oneshot};
+
+use super::deployment::{node_name, zone};
+use super::failed;
+use super::link::FaultyLinks;
+use super::options::Options;
+use super::platform::Platform;
+use super::worker::{self, Command, HollowNode};
+use crate::LabError;
+
+/// Nodes that the others know from their settings.
+const SEEDS: usize = 3;
+
+/// One node as the experiment sees it.
+pub(super) struct Watched {
+    /// Its zone.
+    pub(super) zone: ZoneName,
+    /// Its state and metrics.
+    pub(super) shared: Arc<Shared>,
+    /// Where operators reach it.
+    pub(super) operators: SocketAddr,
+    /// Whether it has not been killed.
+    pub(super) alive: bool,
+}
+
+/// All nodes.
+pub(super) struct Fleet {
+    /// The nodes, by number.
+    pub(super) nodes: Vec<Watched>,
+    /// Faults of the links.
+    pub(super) links: Arc<FaultyLinks>,
+    workers: Vec<mpsc::UnboundedSender<Command>>,
+    client: awc::Client,
+}
+
+struct Sockets {
+    operators: std::net::TcpListener,
+    peers: std::net::UdpSocket,
+    addresses: NodeAddresses,
+}
+
+impl Fleet {
+    /// Starts all nodes at once.
+    pub(super) async fn start(
+        options: &Options,
+        platform: &Platform,
+    ) -> Result<Self, Report<LabError>> {
+        let sockets: std::io::Result<Vec<Sockets>> =
+            (0..options.nodes).map(|_| open_sockets()).collect();
+        let sockets = sockets.map_err(|error| failed(&error))?;
+        let peers: Vec<SocketAddr> = sockets.iter().map(|one| one.addresses.peers).collect();
+        let zones: HashMap<SocketAddr, ZoneName> = peers
+            .iter()
+            .enumerate()
+            .map(|(number, address)| (*address, zone(options, number)))
+            .collect();
+        let mut fleet = Self {
+            nodes: Vec::new(),
+            links: Arc::new(FaultyLinks::new(options.loss, zones)),
+            workers: (0..options.threads).map(|_| worker::start()).collect(),
+            client: awc::Client::builder()
+                .timeout(std::time::Duration::from_secs(30))
+                .finish(),
+        };
+        for (number, sockets) in sockets.into_iter().enumerate() {
+            let zone = zone(options, number);
+            let address = sockets.addresses.peers;
+            platform
+                .list(node_name(number), MachineKind::Node, zone.clone(), address)
+                .await?;
+            let seeds = &peers[..SEEDS.min(peers.len())];
+            fleet.start_node(number, zone, sockets, seeds, platform)?;
+        }
+        Ok(fleet)
+    }
+
+    fn start_node(
+        &mut self,
+        number: usize,
+        zone: ZoneName,
+        sockets: Sockets,
+        seeds: &[SocketAddr],
+        platform: &Platform,
+    ) -> Result<(), Report<LabError>> {
+        let node = NodeId::from(node_name(number));
+        let metrics = Metrics::new().map_err(|error| failed(&error))?;
+        let shared = Shared::new(node.clone(), zone.clone(), discard_logger(), metrics);
+        let shared = Arc::new(shared);
+        self.nodes.push(Watched {
+            zone: zone.clone(),
+            shared: Arc::clone(&shared),
+            operators: sockets.addresses.operators,
+            alive: true,
+        });
+        let addresses = sockets.addresses;
+        let settings = NodeSettings {
+            node,
+            zone,
+            caller_listen: addresses.callers,
+            operator_listen: addresses.operators,
+            peer_listen: addresses.peers,
+            key_value: platform.key_value,
+            machine_list: platform.machine_list,
+            seeds: seeds.to_vec(),
+            log_format: LogFormat::Json,
+            lease_ms: 6_000,
+            machine_poll_ms: 1_000,
+            load_poll_ms: 500,
+            operator_key_blake3: None,
+            peer_key: Some("key of the hollow nodes".to_owned()),
+        };
+        let started = HollowNode {
+            number,
+            settings,
+            shared,
+            operators: sockets.operators,
+            peers: sockets.peers,
+            addresses,
+            filter: Arc::clone(&self.links) as Arc<_>,
+        };
+        self.tell(number, Command::Start(Box::new(started)))
+    }
+
+    /// Kills a node.
+    pub(super) fn kill(&mut self, number: usize) -> Result<(), Report<LabError>> {
+        self.nodes[number].alive = false;
+        self.tell(number, Command::Kill(number))
+    }
+
+    /// The nodes that were not killed.
+    pub(super) fn live(&self) -> impl Iterator<Item = &Watched> {
+        self.nodes.iter().filter(|node| node.alive)
+    }
+
+    /// Processor time of all nodes' threads, in nanoseconds.
+    pub(super) async fn cpu_time(&self) -> Result<u64, Report<LabError>> {
+        let mut sum = 0;
+        for worker in &self.workers {
+            let (sender, receiver) = oneshot::channel();
+            worker
+                .send(Command::CpuTime(sender))
+                .map_err(|error| failed(&error))?;
+            let time = receiver.await.map_err(|error| failed(&error))?;
+            sum += time.map_err(|error| failed(&error))?;
+        }
+        Ok(sum)
+    }
+
+    /// Applies a deployment through a node.
+    pub(super) async fn apply(
+        &self,
+        number: usize,
+        text: String,
+    ) -> Result<Revision, Report<LabError>> {
+        let request = ApplyRequest {
+            text,
+            author: "hollow".to_owned(),
+            expected: None,
+        };
+        let url = format!("http://{}/apply", self.nodes[number].operators);
+        let sent = self.client.post(url).send_json(&request).await;
+        let mut answer = sent.map_err(|error| failed(&error))?;
+        let answer: ApplyResponse = answer.json().await.map_err(|error| failed(&error))?;
+        answer
+            .revision
+            .ok_or_else(|| failed(&answer.error.unwrap_or_else(|| "nothing applied".to_owned())))
+    }
+
+    fn tell(&self, number: usize, command: Command) -> Result<(), Report<LabError>> {
+        let worker = &self.workers[number % self.workers.len()];
+        worker.send(command).map_err(|error| failed(&error))
+    }
+}
+
+impl Watched {
+    /// Revision of the configuration in force.
+    pub(super) fn revision(&self) -> Revision {
+        let active = self.shared.configuration.load();
+        active
+            .as_ref()
+            .map_or(Revision(0), |active| active.revision)
+    }
+
+    /// Live members it knows, itself left out.
+    pub(super) fn members(&self) -> usize {
+        usize::try_from(self.shared.metrics.members.get()).unwrap_or(0)
+    }
+}
+
+fn open_sockets() -> std::io::Result<Sockets> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let operators = std::net::TcpListener::bind(any)?;
+    let peers = std::net::UdpSocket::bind(any)?;
+    operators.set_nonblocking(true)?;
+    peers.set_nonblocking(true)?;
+    let addresses = NodeAddresses {
+        callers: any,
+        operators: operators.local_addr()?,
+        peers: peers.local_addr()?,
+    };
+    Ok(Sockets {
+        operators,
+        peers,
+        addresses,
+    })
+}
--- /dev/null
+++ b/crates/lab/src/hollow/phases.rs
@@ -0,0 +1,223 @@
+//! The phases of an experiment: join, window, applies, deaths, cut.
+
+use std::time::{Duration, Instant};
+
+use actix_rt::time::sleep;
+use dalestand_types::{Revision, ZoneName};
+use error_stack::Report;
+
+use super::deployment;
+use super::failed;
+use super::fleet::Fleet;
+use super::measure::resident_bytes;
+use super::options::Options;
+use super::platform::Platform;
+use super::report::{HollowReport, Times};
+use crate::LabError;
+
+/// Longest wait for anything; only a fault reaches it.
+const WAIT_LIMIT: Duration = Duration::from_secs(120);
+
+/// Pause between two looks at the nodes.
+const POLL: Duration = Duration::from_millis(5);
+
+/// Pause after the join, so that its traffic is not measured with the window.
+const SETTLE: Duration = Duration::from_secs(10);
+
+/// How long a zone is cut off.
+const CUT: Duration = Duration::from_secs(15);
+
+/// Runs all phases.
+pub(super) async fn run(options: Options) -> Result<HollowReport, Report<LabError>> {
+    let platform = Platform::start(&options).await?;
+    let memory_before = resident_bytes().map_err(|error| failed(&error))?;
+    let started = Instant::now();
+    let mut fleet = Fleet::start(&options, &platform).await?;
+    let text = deployment::text(&options, 0);
+    let deployment_bytes = text.len();
+    fleet.apply(0, text).await?;
+    wait_until("all nodes joined", || is_joined(&fleet, &options)).await?;
+    let mut report = HollowReport {
+        nodes: options.nodes,
+        engines: options.engines,
+        tenants: options.tenants,
+        deployment_bytes,
+        loss: options.loss,
+        join_seconds: started.elapsed().as_secs_f64(),
+        join_key_value_calls: platform.key_value_calls().await?,
+        ..HollowReport::default()
+    };
+    sleep(SETTLE).await;
+    measure_window(&options, &platform, &fleet, &mut report).await?;
+    let memory = resident_bytes().map_err(|error| failed(&error))?;
+    report.memory_bytes = memory.saturating_sub(memory_before) as f64 / options.nodes as f64;
+    report.apply_in_force = measure_applies(&options, &fleet).await?;
+    report.false_alarms = lost_members(&fleet);
+    report.death_noticed = measure_deaths(&options, &mut fleet).await?;
+    if options.cut_zone {
+        measure_cut(&options, &fleet, &mut report).await?;
+    }
+    Ok(report)
+}
+
+fn is_joined(fleet: &Fleet, options: &Options) -> bool {
+    fleet.nodes.iter().all(|node| {
+        node.members() == options.nodes - 1
+            && node.revision() > Revision(0)
+            && node.shared.fleet.load().engines.len() == options.engines
+    })
+}
+
+async fn measure_window(
+    options: &Options,
+    platform: &Platform,
+    fleet: &Fleet,
+    report: &mut HollowReport,
+) -> Result<(), Report<LabError>> {
+    let calls = platform.key_value_calls().await?;
+    let cpu = fleet.cpu_time().await?;
+    let sent = bytes_sent(fleet);
+    let received = sum(fleet, |metrics| metrics.peer_bytes_received.get());
+    let datagrams = sum(fleet, |metrics| metrics.peer_datagrams_sent.get());
+    let start = Instant::now();
+    sleep(options.window).await;
+    let seconds = start.elapsed().as_secs_f64();
+    let per_node = 1.0 / (seconds * options.nodes as f64);
+    report.window_seconds = seconds;
+    report.cpu_share_of_core = (fleet.cpu_time().await? - cpu) as f64 / 1e9 * per_node;
+    let grown: Vec<u64> = bytes_sent(fleet)
+        .iter()
+        .zip(&sent)
+        .map(|(after, before)| after - before)
+        .collect();
+    report.sent_bytes_per_second = grown.iter().sum::<u64>() as f64 * per_node;
+    let most = grown.iter().max().copied().unwrap_or(0);
+    report.most_sent_bytes_per_second = most as f64 / seconds;
+    let received = sum(fleet, |metrics| metrics.peer_bytes_received.get()) - received;
+    report.received_bytes_per_second = received as f64 * per_node;
+    let datagrams = sum(fleet, |metrics| metrics.peer_datagrams_sent.get()) - datagrams;
+    report.sent_datagrams_per_second = datagrams as f64 * per_node;
+    let calls = platform.key_value_calls().await? - calls;
+    report.key_value_calls_per_second = calls as f64 / seconds;
+    Ok(())
+}
+
+/// Applies configurations one after the other, each through another node.
+async fn measure_applies(
+    options: &Options,
+    fleet: &Fleet,
+) -> Result<Option<Times>, Report<LabError>> {
+    let mut samples = Vec::new();
+    for edition in 1..=options.applies {
+        let number = edition * 31 % options.nodes;
+        let text = deployment::text(options, edition);
+        let revision = fleet.apply(number, text).await?;
+        samples.extend(times_in_force(fleet, revision).await?);
+    }
+    Ok(Times::of(samples))
+}
+
+async fn times_in_force(
+    fleet: &Fleet,
+    revision: Revision,
+) -> Result<Vec<Duration>, Report<LabError>> {
+    let accepted = Instant::now();
+    let mut waiting: Vec<usize> = (0..fleet.nodes.len())
+        .filter(|number| fleet.nodes[*number].alive)
+        .collect();
+    let mut samples = Vec::new();
+    while !waiting.is_empty() {
+        if accepted.elapsed() > WAIT_LIMIT {
+            return Err(failed(&format!(
+                "revision {revision} is not in force everywhere"
+            )));
+        }
+        waiting.retain(|number| {
+            let in_force = fleet.nodes[*number].revision() >= revision;
+            if in_force {
+                samples.push(accepted.elapsed());
+            }
+            !in_force
+        });
+        sleep(POLL).await;
+    }
+    Ok(samples)
+}
+
+async fn measure_deaths(
+    options: &Options,
+    fleet: &mut Fleet,
+) -> Result<Option<Times>, Report<LabError>> {
+    let mut samples = Vec::new();
+    for death in 0..options.kills {
+        fleet.kill(options.nodes - 1 - death)?;
+        let killed = Instant::now();
+        wait_until("a death is noticed by all", || knows_the_living(fleet)).await?;
+        samples.push(killed.elapsed());
+    }
+    Ok(Times::of(samples))
+}
+
+/// Cuts a zone off, applies a configuration outside it, and heals the cut.
+async fn measure_cut(
+    options: &Options,
+    fleet: &Fleet,
+    report: &mut HollowReport,
+) -> Result<(), Report<LabError>> {
+    let zone: ZoneName = deployment::zone(options, 1);
+    fleet.links.cut(Some(zone.clone()));
+    sleep(CUT).await;
+    let outside = fleet.nodes.iter().position(|node| node.zone != zone);
+    let outside = outside.ok_or_else(|| failed(&"every node is in the zone"))?;
+    let edition = options.applies + 1;
+    let text = deployment::text(options, edition);
+    let revision = fleet.apply(outside, text).await?;
+    fleet.links.cut(None);
+    let healed = Instant::now();
+    let sent: u64 = bytes_sent(fleet).iter().sum();
+    wait_until("the fleet is whole again", || {
+        knows_the_living(fleet) && fleet.live().all(|node| node.revision() >= revision)
+    })
+    .await?;
+    let seconds = healed.elapsed().as_secs_f64();
+    let sent = bytes_sent(fleet).iter().sum::<u64>() - sent;
+    report.cut_healed_seconds = Some(seconds);
+    let per_node = 1.0 / (seconds * fleet.live().count() as f64);
+    report.heal_sent_bytes_per_second = Some(sent as f64 * per_node);
+    Ok(())
+}
+
+fn knows_the_living(fleet: &Fleet) -> bool {
+    let live = fleet.live().count();
+    fleet.live().all(|node| node.members() == live - 1)
+}
+
+fn lost_members(fleet: &Fleet) -> u64 {
+    sum(fleet, |metrics| metrics.members_lost.get())
+}
+
+fn bytes_sent(fleet: &Fleet) -> Vec<u64> {
+    let nodes = fleet.nodes.iter();
+    nodes
+        .map(|node| node.shared.metrics.peer_bytes_sent.get())
+        .collect()
+}
+
+fn sum(fleet: &Fleet, count: impl Fn(&dalestand_telemetry::Metrics) -> u64) -> u64 {
+    fleet
+        .nodes
+        .iter()
+        .map(|node| count(&node.shared.metrics))
+        .sum()
+}
+
+async fn wait_until(what: &str, condition: impl Fn() -> bool) -> Result<(), Report<LabError>> {
+    let start = Instant::now();
+    while !condition() {
+        if start.elapsed() > WAIT_LIMIT {
+            return Err(failed(&format!("never came true: {what}")));
+        }
+        sleep(POLL).await;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/lab/src/hollow/platform.rs
@@ -0,0 +1,113 @@
+//! The stand-ins of a hollow fleet, on one thread.
+
+use std::net::SocketAddr;
+
+use actix_rt::Arbiter;
+use dalestand_standin::engine::{BatchSettings, EngineSettings, serve_engine};
+use dalestand_standin::key_value::serve_key_value;
+use dalestand_standin::machine_list::serve_machine_list;
+use dalestand_types::{EngineId, Incarnation, Machine, MachineKind, MachineState, Role, ZoneName};
+use error_stack::Report;
+use tokio::net::TcpListener;
+
+use super::deployment::{engine_name, zone};
+use super::failed;
+use super::options::Options;
+use crate::LabError;
+
+/// Where the stand-ins listen.
+pub(super) struct Platform {
+    /// The key-value service.
+    pub(super) key_value: SocketAddr,
+    /// The machine list.
+    pub(super) machine_list: SocketAddr,
+    client: awc::Client,
+}
+
+impl Platform {
+    /// Starts the stand-ins and lists the engines.
+    pub(super) async fn start(options: &Options) -> Result<Self, Report<LabError>> {
+        let arbiter = Arbiter::new();
+        let key_value = serve_on(&arbiter, |listener| {
+            drop(actix_rt::spawn(serve_key_value(listener)));
+        })?;
+        let machine_list = serve_on(&arbiter, |listener| {
+            drop(actix_rt::spawn(serve_machine_list(listener)));
+        })?;
+        let platform = Self {
+            key_value,
+            machine_list,
+            client: awc::Client::default(),
+        };
+        for number in 0..options.engines {
+            let name = engine_name(number);
+            let settings = engine_settings(&name);
+            let address = serve_on(&arbiter, move |listener| {
+                drop(actix_rt::spawn(serve_engine(listener, settings)));
+            })?;
+            let zone = zone(options, number);
+            platform
+                .list(name, MachineKind::Engine, zone, address)
+                .await?;
+        }
+        Ok(platform)
+    }
+
+    /// Puts a machine on the list.
+    pub(super) async fn list(
+        &self,
+        name: String,
+        kind: MachineKind,
+        zone: ZoneName,
+        address: SocketAddr,
+    ) -> Result<(), Report<LabError>> {
+        let machine = Machine {
+            name,
+            kind,
+            zone,
+            address,
+            incarnation: Incarnation(1),
+            state: MachineState::Live,
+        };
+        let url = format!("http://{}/v1/machines", self.machine_list);
+        let sent = self.client.post(url).send_json(&machine).await;
+        sent.map(drop).map_err(|error| failed(&error))
+    }
+
+    /// Calls of the key-value service since its start.
+    pub(super) async fn key_value_calls(&self) -> Result<u64, Report<LabError>> {
+        let url = format!("http://{}/calls", self.key_value);
+        let sent = self.client.get(url).send().await;
+        let mut answer = sent.map_err(|error| failed(&error))?;
+        answer.json().await.map_err(|error| failed(&error))
+    }
+}
+
+fn engine_settings(name: &str) -> EngineSettings {
+    EngineSettings {
+        engine: EngineId::from(name),
+        incarnation: Incarnation(1),
+        role: Role::Mixed,
+        batch: BatchSettings::default(),
+        role_change: std::time::Duration::from_secs(2),
+        weight_store: None,
+        log_to_stdout: false,
+    }
+}
+
+fn serve_on<S>(arbiter: &Arbiter, serve: S) -> Result<SocketAddr, Report<LabError>>
+where
+    S: FnOnce(TcpListener) + Send + 'static,
+{
+    let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).map_err(|error| failed(&error))?;
+    listener
+        .set_nonblocking(true)
+        .map_err(|error| failed(&error))?;
+    let address = listener.local_addr().map_err(|error| failed(&error))?;
+    arbiter.spawn_fn(move || {
+        if let Ok(listener) = TcpListener::from_std(listener) {
+            serve(listener);
+        }
+    });
+    Ok(address)
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each command is one module with a `run` function, listed in [`COMMANDS`].
 
 mod error;
+mod hollow;
 
 use error_stack::Report;
 
@@ -19,4 +20,8 @@
 }
 
 /// Every command.
-pub const COMMANDS: &[Command] = &[];
+pub const COMMANDS: &[Command] = &[Command {
+    name: "hollow",
+    summary: "measures what control costs, with many nodes in one process",
+    run: hollow::run,
+}];
