--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each command is one module with a `run` function, listed in [`COMMANDS`].
 
 mod error;
+mod hollow;
 mod load;
 pub mod simulate;
 
@@ -22,6 +23,11 @@
 
 /// Every command.
 pub const COMMANDS: &[Command] = &[
+    Command {
+        name: "hollow",
+        summary: "measure what control costs, with many nodes in one process",
+        run: hollow::run,
+    },
     Command {
         name: "load",
         summary: "streams against a node, an engine, or both",
