Control: calls told apart, orders in doubt settled, few nodes ask for a silent group

Cause, found by reading and then by the new interleaving test: - an order that was sent and not yet answered did not count as a role change under way, and an engine not yet read under a new epoch did not either, so more engines than allowed could leave service at once; - a late answer to an earlier call replaced a newer state; - an order given up for lost could land later, after the plan had changed; - a failed renewal was repeated on every tick (20 a second) through an outage; - every node of a zone asked for every group it had not heard of, at three calls an attempt, so that key-value traffic grew with nodes; - a restarted engine was noticed only when something was wanted of it; - a stopping node kept its leases until its last request ended, without renewing them.

Ruled out: waiting out a time limit for an order in doubt (no limit on how late it may land), and a command without effect to take its place (not in the engines' vocabulary). A higher epoch is the only fence: the holder gives its lease up and takes it again.

Change: the lease, one engine's state, candidacy and the desired state are modules of their own. Each call carries an id that its answer must match. An order in doubt is given again under the same id while it is still wanted, counts as a role change, and is fenced off when it is not wanted. Three nodes of a group's zone and three of the others, by rendezvous hash, ask for a group whose digests stopped, one after the other, with one read first. Leases are given up when a planned stop begins.

--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -1,68 +1,15 @@
 //! The controller of one group.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use dalestand_types::{
-    AdapterName, EngineId, EngineOrders, Epoch, GroupId, LoadedModel, ModelName, MonotonicTime,
-    Order, OrderCommand, OrderId, OrderOutcome, OrderPhase, Revision, Role, Version,
+    EngineId, EngineOrders, Epoch, GroupId, Incarnation, MonotonicTime, OrderOutcome, Revision,
 };
 
-use crate::authority::{Authority, LeaseGrant};
-
-/// Pause before an engine that did not answer is called again.
-const ENGINE_RETRY_PAUSE: Duration = Duration::from_millis(500);
-
-/// Renewals within one time to live.
-const RENEWALS_PER_LEASE: u32 = 3;
-
-/// A model an engine is to serve.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct DesiredModel {
-    /// The model.
-    pub model: ModelName,
-    /// Version of its weights.
-    pub version: Version,
-    /// Its adapters with their versions.
-    pub adapters: Vec<(AdapterName, Version)>,
-}
-
-/// What an engine is to be.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct DesiredEngine {
-    /// Role to serve in.
-    pub role: Role,
-    /// Models to serve.
-    pub models: Vec<DesiredModel>,
-}
-
-/// What the driver is to do. Each action's result is reported back.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Ask the key-value service for the group's lease.
-    AcquireLease,
-    /// Renew the lease.
-    RenewLease { lease: u64 },
-    /// Raise the epoch on an engine and read its order state back.
-    RaiseEpoch { engine: EngineId, epoch: Epoch },
-    /// Read an engine's order state.
-    ReadOrders { engine: EngineId, epoch: Epoch },
-    /// Give an engine an order.
-    SendOrder { engine: EngineId, order: Order },
-}
-
-/// What the controller knows of one engine.
-#[derive(Clone, Debug, Default)]
-struct EngineControl {
-    /// Order state read under the current epoch; `None` until the engine is fenced.
-    state: Option<EngineOrders>,
-    /// Whether an action's result is awaited.
-    awaiting: bool,
-    /// Not to be called before this time.
-    not_before: MonotonicTime,
-    /// Number of the next order under the current epoch.
-    next_number: u64,
-}
+use crate::action::{Action, CallId, EngineCall};
+use crate::desired::{DesiredEngine, next_command};
+use crate::engine::{EngineControl, changes_role};
+use crate::lease::{Lease, LeaseGrant};
 
 /// An engine's state as operators see it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -77,12 +24,11 @@
 pub struct GroupController {
     group: GroupId,
     revision: Revision,
-    authority: Authority,
-    renewing: bool,
-    acquire_not_before: MonotonicTime,
+    lease: Lease,
     desired: BTreeMap<EngineId, DesiredEngine>,
     engines: BTreeMap<EngineId, EngineControl>,
     max_changes_at_once: usize,
+    last_call: CallId,
 }
 
 impl GroupController {
@@ -91,12 +37,11 @@
         Self {
             group,
             revision: Revision(0),
-            authority: Authority::None,
-            renewing: false,
-            acquire_not_before,
+            lease: Lease::new(acquire_not_before),
             desired: BTreeMap::new(),
             engines: BTreeMap::new(),
             max_changes_at_once: 1,
+            last_call: CallId::default(),
         }
     }
 
@@ -108,6 +53,7 @@
     /// Sets what the engines are to be.
     pub fn set_desired(
         &mut self,
+        now: MonotonicTime,
         revision: Revision,
         desired: BTreeMap<EngineId, DesiredEngine>,
         max_changes_at_once: usize,
@@ -117,19 +63,36 @@
         self.engines
             .retain(|engine, _| desired.contains_key(engine));
         for engine in desired.keys() {
-            self.engines.entry(engine.clone()).or_default();
+            let control = self.engines.entry(engine.clone());
+            control.or_insert_with(|| EngineControl::new(now));
         }
         self.desired = desired;
     }
 
     /// The grant, if it is valid at `now`.
     pub fn grant(&self, now: MonotonicTime) -> Option<&LeaseGrant> {
-        self.authority.valid(now)
+        self.lease.grant(now)
+    }
+
+    /// Whether an attempt to acquire the lease would be made at `now`.
+    pub fn acquire_due(&self, now: MonotonicTime) -> bool {
+        self.lease.acquire_due(now)
     }
 
-    /// Notes that another holder was heard of: no attempt before `until`.
-    pub fn holder_heard(&mut self, until: MonotonicTime) {
-        self.acquire_not_before = self.acquire_not_before.max(until);
+    /// No attempt to acquire the lease before `until`: another holder was heard of, or other
+    /// nodes come first.
+    pub fn hold_off(&mut self, until: MonotonicTime) {
+        self.lease.hold_off(until);
+    }
+
+    /// A holder that gives the lease up asks this node to take it at once.
+    pub fn invite(&mut self) {
+        self.lease.invite();
+    }
+
+    /// Gives authority up in a planned hand-over; not asked for again before `retry_at`.
+    pub fn hand_over(&mut self, retry_at: MonotonicTime) -> Option<LeaseGrant> {
+        self.lease.take(retry_at)
     }
 
     /// What is known of each engine.
@@ -138,256 +101,161 @@
             .iter()
             .map(|(engine, control)| EngineStatus {
                 engine: engine.clone(),
-                orders: control.state.clone(),
+                orders: control.state().cloned(),
             })
             .collect()
     }
 
     /// Yields what is to be done at `now`.
     pub fn tick(&mut self, now: MonotonicTime) -> Vec<Action> {
-        match self.authority {
-            Authority::Acquiring => Vec::new(),
-            Authority::None if now >= self.acquire_not_before => {
-                self.authority = Authority::Acquiring;
-                vec![Action::AcquireLease]
-            }
-            Authority::None => Vec::new(),
-            Authority::Held(grant) if now >= grant.valid_until() => {
-                self.lease_lost(now);
-                Vec::new()
-            }
-            Authority::Held(grant) => {
-                let mut actions = Vec::new();
-                if !self.renewing && now >= grant.sent_at + grant.time_to_live / RENEWALS_PER_LEASE
-                {
-                    self.renewing = true;
-                    actions.push(Action::RenewLease { lease: grant.lease });
-                }
-                actions.extend(self.engine_actions(now, grant.epoch));
-                actions
-            }
+        if self.unwanted_order_in_doubt() {
+            // Only a higher epoch keeps the engine from taking it later.
+            self.lease.lose(now);
+        }
+        let mut actions = self.lease.tick(now);
+        if let Some(grant) = self.lease.grant(now) {
+            let epoch = grant.epoch;
+            actions.extend(self.engine_actions(now, epoch));
         }
+        actions
     }
 
-    /// The lease was granted. The epoch must be higher than any before.
-    pub fn lease_acquired(&mut self, grant: LeaseGrant) {
-        self.authority = Authority::Held(grant);
-        self.renewing = false;
+    /// The lease was granted. Nothing read under an earlier epoch counts any more.
+    pub fn lease_acquired(&mut self, now: MonotonicTime, grant: LeaseGrant) {
+        self.lease.acquired(grant);
         for control in self.engines.values_mut() {
-            *control = EngineControl::default();
+            *control = EngineControl::new(now);
         }
     }
 
     /// The lease was not granted, or it is unknown whether it was.
     pub fn lease_not_acquired(&mut self, retry_at: MonotonicTime) {
-        self.authority = Authority::None;
-        self.acquire_not_before = self.acquire_not_before.max(retry_at);
+        self.lease.not_acquired(retry_at);
     }
 
     /// The lease was renewed by a request sent at `sent_at`.
     pub fn lease_renewed(&mut self, lease: u64, sent_at: MonotonicTime) {
-        self.renewing = false;
-        if let Authority::Held(grant) = &mut self.authority
-            && grant.lease == lease
-        {
-            grant.sent_at = grant.sent_at.max(sent_at);
-        }
+        self.lease.renewed(lease, sent_at);
     }
 
     /// A renewal failed without proof that the lease is gone.
-    pub fn lease_renewal_failed(&mut self) {
-        self.renewing = false;
+    pub fn lease_renewal_failed(&mut self, now: MonotonicTime, lease: u64) {
+        self.lease.renewal_failed(now, lease);
     }
 
-    /// The lease is gone.
-    pub fn lease_lost(&mut self, now: MonotonicTime) {
-        self.authority = Authority::None;
-        self.renewing = false;
-        self.acquire_not_before = self.acquire_not_before.max(now);
+    /// The service says that a lease is gone.
+    pub fn lease_gone(&mut self, now: MonotonicTime, lease: u64) {
+        self.lease.gone(now, lease);
     }
 
-    /// An engine answered an order or a raised epoch given under `epoch`.
+    /// An engine answered an order or a raised epoch.
     pub fn engine_answered(
         &mut self,
         now: MonotonicTime,
-        engine: &EngineId,
-        epoch: Epoch,
+        call: &EngineCall,
         outcome: &OrderOutcome,
     ) {
-        if !self.holds_epoch(epoch) {
+        if !self.lease.holds_epoch(call.epoch) {
             return;
         }
-        if matches!(outcome, OrderOutcome::Fenced { .. }) {
-            self.lease_lost(now);
+        if outcome.state().highest_epoch > call.epoch {
+            // Another holder has taken over; only a new, higher epoch can be of use here.
+            self.lease.lose(now);
             return;
         }
-        self.engine_read(now, engine, epoch, outcome.state());
+        if let Some(control) = self.engines.get_mut(&call.engine) {
+            control.answered(now, call.id, call.epoch, outcome);
+        }
     }
 
-    /// An engine's order state was read under `epoch`.
-    pub fn engine_read(
-        &mut self,
-        now: MonotonicTime,
-        engine: &EngineId,
-        epoch: Epoch,
-        state: &EngineOrders,
-    ) {
-        if !self.holds_epoch(epoch) {
+    /// An engine's order state was read.
+    pub fn engine_read(&mut self, now: MonotonicTime, call: &EngineCall, state: &EngineOrders) {
+        if !self.lease.holds_epoch(call.epoch) {
             return;
         }
-        let Some(control) = self.engines.get_mut(engine) else {
+        if state.highest_epoch > call.epoch {
+            self.lease.lose(now);
             return;
-        };
-        control.awaiting = false;
-        // A restarted engine has forgotten the epoch: it must be fenced again.
-        control.state = (state.highest_epoch >= epoch).then(|| state.clone());
-        if let Some(last) = &state.last
-            && last.phase == OrderPhase::Running
-        {
-            control.not_before = now + ENGINE_RETRY_PAUSE;
         }
-        if let Some(last) = &state.last
-            && last.order.id.epoch == epoch
-        {
-            control.next_number = control.next_number.max(last.order.id.number + 1);
+        if let Some(control) = self.engines.get_mut(&call.engine) {
+            control.read(now, call.id, call.epoch, state);
         }
     }
 
     /// An engine gave no answer: whether it took the order is unknown until it is read again.
-    pub fn engine_failed(&mut self, now: MonotonicTime, engine: &EngineId, epoch: Epoch) {
-        if !self.holds_epoch(epoch) {
+    pub fn engine_failed(&mut self, now: MonotonicTime, call: &EngineCall) {
+        if !self.lease.holds_epoch(call.epoch) {
             return;
         }
-        if let Some(control) = self.engines.get_mut(engine) {
-            control.awaiting = false;
-            control.state = None;
-            control.not_before = now + ENGINE_RETRY_PAUSE;
+        if let Some(control) = self.engines.get_mut(&call.engine) {
+            control.failed(now, call.id);
         }
     }
 
-    fn holds_epoch(&self, epoch: Epoch) -> bool {
-        matches!(self.authority, Authority::Held(grant) if grant.epoch == epoch)
+    /// An engine was seen in a run, such as in a load report. A restarted engine is fenced and
+    /// read again.
+    pub fn engine_seen(&mut self, engine: &EngineId, incarnation: Incarnation) {
+        if let Some(control) = self.engines.get_mut(engine) {
+            control.seen_in_run(incarnation);
+        }
     }
 
     fn engine_actions(&mut self, now: MonotonicTime, epoch: Epoch) -> Vec<Action> {
-        let mut changes = self.changes_under_way();
         let mut actions = Vec::new();
-        for (engine, control) in &mut self.engines {
-            if control.awaiting || now < control.not_before {
-                continue;
-            }
-            let Some(state) = &control.state else {
-                control.awaiting = true;
-                actions.push(Action::RaiseEpoch {
-                    engine: engine.clone(),
-                    epoch,
-                });
-                continue;
-            };
-            let unfinished = state
-                .last
-                .as_ref()
-                .is_some_and(|last| last.phase == OrderPhase::Running);
-            if unfinished {
-                control.awaiting = true;
-                actions.push(Action::ReadOrders {
-                    engine: engine.clone(),
-                    epoch,
-                });
-                continue;
-            }
-            let Some(command) = self
-                .desired
-                .get(engine)
-                .and_then(|desired| next_command(state, desired))
-            else {
-                continue;
-            };
-            if matches!(command, OrderCommand::AssumeRole { .. }) {
-                if changes >= self.max_changes_at_once {
-                    continue;
-                }
-                changes += 1;
-            }
-            let order = Order {
-                id: OrderId {
-                    epoch,
-                    number: control.next_number,
-                },
-                follows: state.last.as_ref().map(|last| last.order.id),
-                incarnation: state.incarnation,
-                revision: self.revision,
-                command,
-            };
-            control.next_number += 1;
-            control.awaiting = true;
-            actions.push(Action::SendOrder {
-                engine: engine.clone(),
-                order,
-            });
+        let engines: Vec<EngineId> = self.engines.keys().cloned().collect();
+        for engine in engines {
+            let may_change = self.may_change(now, &engine);
+            actions.extend(self.engine_action(now, &engine, epoch, may_change));
         }
         actions
     }
 
-    /// Engines that are out of service for a role change, or may be: those not yet read count.
-    fn changes_under_way(&self) -> usize {
-        self.engines
-            .values()
-            .filter(|control| may_be_changing(control))
-            .count()
+    /// Whether `engine` may change its role: few enough others do, or may do so.
+    fn may_change(&self, now: MonotonicTime, engine: &EngineId) -> bool {
+        let others = self.engines.iter().filter(|(other, _)| *other != engine);
+        let changing = others.filter(|(_, control)| control.may_be_changing(now));
+        changing.count() < self.max_changes_at_once
     }
-}
 
-fn may_be_changing(control: &EngineControl) -> bool {
-    let Some(last) = control.state.as_ref().and_then(|state| state.last.as_ref()) else {
-        return false;
-    };
-    last.phase == OrderPhase::Running
-        && matches!(last.order.command, OrderCommand::AssumeRole { .. })
-}
+    /// Whether an engine may still take an order that is not wanted any more.
+    fn unwanted_order_in_doubt(&self) -> bool {
+        self.engines.iter().any(|(engine, control)| {
+            let (Some(state), Some(desired)) = (control.state(), self.desired.get(engine)) else {
+                return false;
+            };
+            control.is_in_doubt() && next_command(state, desired).is_none()
+        })
+    }
 
-/// The next order that brings an engine closer to what is desired.
-fn next_command(state: &EngineOrders, desired: &DesiredEngine) -> Option<OrderCommand> {
-    for wanted in &desired.models {
-        let loaded = state
-            .models
-            .iter()
-            .find(|loaded| loaded.model == wanted.model);
-        match loaded {
-            Some(loaded) if loaded.version == wanted.version => {
-                if let Some(command) = missing_adapter(loaded, wanted) {
-                    return Some(command);
+    fn engine_action(
+        &mut self,
+        now: MonotonicTime,
+        engine: &EngineId,
+        epoch: Epoch,
+        may_change: bool,
+    ) -> Option<Action> {
+        let control = self.engines.get_mut(engine)?;
+        if !control.may_call(now) {
+            return None;
+        }
+        let id = CallId(self.last_call.0 + 1);
+        let engine = engine.clone();
+        let call = EngineCall { engine, epoch, id };
+        let action = match control.state() {
+            None => Action::RaiseEpoch { call },
+            Some(_) if control.is_busy() => Action::ReadOrders { call },
+            Some(state) => {
+                let desired = self.desired.get(&call.engine)?;
+                let command = next_command(state, desired)?;
+                if changes_role(&command) && !may_change {
+                    return None;
                 }
+                let order = control.order(epoch, self.revision, command)?;
+                Action::SendOrder { call, order }
             }
-            _ => {
-                let model = wanted.model.clone();
-                let version = wanted.version.clone();
-                return Some(OrderCommand::LoadModel { model, version });
-            }
-        }
-    }
-    let unwanted = state.models.iter().find(|loaded| {
-        desired
-            .models
-            .iter()
-            .all(|wanted| wanted.model != loaded.model)
-    });
-    if let Some(loaded) = unwanted {
-        return Some(OrderCommand::UnloadModel {
-            model: loaded.model.clone(),
-        });
+        };
+        self.last_call = id;
+        control.called(id);
+        Some(action)
     }
-    (state.role != Some(desired.role)).then_some(OrderCommand::AssumeRole { role: desired.role })
-}
-
-fn missing_adapter(loaded: &LoadedModel, wanted: &DesiredModel) -> Option<OrderCommand> {
-    let (adapter, version) = wanted
-        .adapters
-        .iter()
-        .find(|(name, _)| !loaded.adapters.contains(name))?;
-    Some(OrderCommand::LoadAdapter {
-        model: wanted.model.clone(),
-        adapter: adapter.clone(),
-        version: version.clone(),
-    })
 }
--- /dev/null
+++ b/crates/control/tests/interleavings.rs
@@ -0,0 +1,61 @@
+//! Random interleavings of holders, engines and the key-value service under faults.
+
+mod model;
+
+use model::{ENGINES, HOLDERS, Step, World};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// Steps of one run.
+const STEPS: usize = 300;
+
+/// Longest pause of the clock in one step, in milliseconds; longer than a lease.
+const MAX_PASS_MS: u16 = 8_000;
+
+fn step() -> impl Strategy<Value = Step> {
+    let place = any::<usize>;
+    prop_oneof![
+        3 => (1..300_u16).prop_map(Step::Pass),
+        2 => (300..MAX_PASS_MS).prop_map(Step::Pass),
+        8 => Just(Step::Round),
+        6 => (0..HOLDERS).prop_map(Step::Tick),
+        16 => place().prop_map(Step::Deliver),
+        1 => place().prop_map(Step::Lose),
+        4 => place().prop_map(Step::Delay),
+        1 => place().prop_map(Step::Repeat),
+        4 => place().prop_map(Step::Arrive),
+        1 => (0..HOLDERS).prop_map(Step::Pause),
+        2 => (0..HOLDERS).prop_map(Step::Resume),
+        5 => (0..ENGINES).prop_map(Step::Finish),
+        1 => (0..ENGINES).prop_map(Step::Restart),
+        2 => (0..3_usize).prop_map(Step::Desire),
+        2 => (0..HOLDERS).prop_map(Step::HandOver),
+    ]
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 1_000,
+        rng_seed: RngSeed::Fixed(0x0da1_e57a),
+        failure_persistence: None,
+        max_shrink_iters: 4_000,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn orders_never_conflict_and_everything_recovers(
+        steps in prop::collection::vec(step(), 0..STEPS)
+    ) {
+        let mut world = World::new();
+        for step in &steps {
+            world.apply(step);
+        }
+        world.check_history();
+        world.check_recovery();
+        world.check_history();
+    }
+}
--- /dev/null
+++ b/crates/node/src/control_driver/leases.rs
@@ -0,0 +1,162 @@
+//! Acquiring, renewing and giving up the groups' leases.
+
+use std::time::Duration;
+
+use dalestand_config::Group;
+use dalestand_control::{Candidate, GroupController, LeaseGrant, acquire_delay};
+use dalestand_telemetry::{Event, log_event};
+use dalestand_types::{EngineId, GroupId, MonotonicTime};
+use rand::RngExt as _;
+
+use super::ControlDriver;
+
+/// Parts of a lease after which one that was not granted may be asked for again.
+const ACQUIRE_RETRIES_PER_LEASE: u32 = 2;
+
+impl ControlDriver {
+    /// Gives every lease up, so that another node can take over at once.
+    pub(crate) async fn release_leases(&self) {
+        let retry_at = self.shared.clock.now() + self.leases.time_to_live();
+        let grants: Vec<(GroupId, LeaseGrant)> = {
+            let mut state = self.state.borrow_mut();
+            let controllers = state.controllers.iter_mut();
+            controllers
+                .filter_map(|(group, one)| Some((group.clone(), one.hand_over(retry_at)?)))
+                .collect()
+        };
+        let releases = grants.into_iter().map(|(group, grant)| async move {
+            if self.release(grant.lease).await {
+                log_event!(self.shared.logger, Event::LeaseReleased, "group" => %group);
+            }
+        });
+        futures_util::future::join_all(releases).await;
+    }
+
+    pub(super) async fn release(&self, lease: u64) -> bool {
+        self.shared.metrics.key_value_calls.inc();
+        let released = self.leases.release(lease).await;
+        if let Err(error) = &released {
+            // It runs out by itself.
+            log_event!(self.shared.logger, Event::KeyValueFailed, "error" => %error);
+        }
+        released.is_ok()
+    }
+
+    /// Keeps this node from asking for leases that are held, and for those that other nodes ask
+    /// for first.
+    pub(super) fn hold_off_candidates(&self, now: MonotonicTime) {
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        let Some(active) = &state.configured else {
+            return;
+        };
+        let lease = self.leases.time_to_live();
+        for group in &active.deployment.groups {
+            let id = group.id();
+            let (Some(controller), Some(silent_since)) = (
+                state.controllers.get_mut(&id),
+                state.silent_since.get_mut(&id),
+            ) else {
+                continue;
+            };
+            if let Some(heard_at) = state.digests.heard_at(&id) {
+                *silent_since = (*silent_since).max(heard_at + lease);
+            }
+            controller.hold_off(*silent_since);
+            if controller.acquire_due(now) {
+                match self.acquire_delay(group) {
+                    Some(delay) => controller.hold_off(*silent_since + delay),
+                    None => controller.hold_off(now + lease),
+                }
+            }
+        }
+    }
+
+    pub(super) fn acquire_delay(&self, group: &Group) -> Option<Duration> {
+        let me = Candidate {
+            node: self.shared.node.clone(),
+            zone: self.shared.zone.clone(),
+        };
+        let others = self.candidates();
+        let lease = self.leases.time_to_live();
+        acquire_delay(&group.id(), &group.zone, &me, &others, lease)
+    }
+
+    /// The live nodes besides this one.
+    pub(super) fn candidates(&self) -> Vec<Candidate> {
+        let cluster = self.cluster.borrow();
+        let members = cluster.members();
+        members
+            .map(|member| Candidate {
+                node: member.node.clone(),
+                zone: member.zone.clone(),
+            })
+            .collect()
+    }
+
+    pub(super) async fn acquire(&self, group: &GroupId) {
+        let sent_at = self.shared.clock.now();
+        self.shared.metrics.key_value_calls.inc();
+        let granted = self.leases.acquire(group, sent_at).await;
+        let now = self.shared.clock.now();
+        match granted {
+            Ok(Some(grant)) => {
+                self.shared.metrics.key_value_calls.inc_by(2);
+                log_event!(self.shared.logger, Event::LeaseAcquired,
+                    "group" => %group, "epoch" => grant.epoch.0);
+                self.with_controller(group, |one| one.lease_acquired(now, grant));
+                self.restore_drains(group).await;
+            }
+            Ok(None) => self.retry_acquire(group, now),
+            Err(error) => {
+                log_event!(self.shared.logger, Event::KeyValueFailed, "error" => %error);
+                self.retry_acquire(group, now);
+            }
+        }
+    }
+
+    pub(super) fn retry_acquire(&self, group: &GroupId, now: MonotonicTime) {
+        let pause = self.leases.time_to_live() / ACQUIRE_RETRIES_PER_LEASE;
+        let jitter = rand::rng().random_range(0..=pause.as_millis() as u64);
+        let retry_at = now + pause + Duration::from_millis(jitter);
+        self.with_controller(group, |one| one.lease_not_acquired(retry_at));
+    }
+
+    /// Spreads the drain marks of a group that was just taken over.
+    pub(super) async fn restore_drains(&self, group: &GroupId) {
+        let engines: Vec<EngineId> = {
+            let state = self.state.borrow();
+            let controller = state.controllers.get(group);
+            let statuses = controller
+                .map(GroupController::statuses)
+                .unwrap_or_default();
+            statuses.into_iter().map(|status| status.engine).collect()
+        };
+        self.shared.metrics.key_value_calls.inc();
+        if let Err(error) = self.drains.restore(&engines).await {
+            log_event!(self.shared.logger, Event::DrainsUnread, "group" => %group,
+                "error" => %error);
+        }
+    }
+
+    pub(super) async fn renew(&self, group: &GroupId, lease: u64) {
+        let sent_at = self.shared.clock.now();
+        self.shared.metrics.key_value_calls.inc();
+        let renewed = self.leases.renew(lease).await;
+        let now = self.shared.clock.now();
+        self.with_controller(group, |controller| match &renewed {
+            Ok(true) => controller.lease_renewed(lease, sent_at),
+            Ok(false) => controller.lease_gone(now, lease),
+            Err(_) => controller.lease_renewal_failed(now, lease),
+        });
+        match renewed {
+            Ok(true) => {}
+            Ok(false) => {
+                log_event!(self.shared.logger, Event::LeaseLost, "group" => %group);
+            }
+            Err(error) => {
+                log_event!(self.shared.logger, Event::KeyValueFailed, "error" => %error);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/control_driver/mod.rs
@@ -0,0 +1,210 @@
+//! Drives the group controllers: leases, orders, load reports and digests.
+
+mod leases;
+mod loads;
+mod orders;
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dalestand_cluster::Cluster;
+use dalestand_config::Group;
+use dalestand_control::{Action, EngineStatus, GroupController};
+use dalestand_gateway::{ActiveConfiguration, Shared};
+use dalestand_platform::Engine;
+use dalestand_types::{EngineId, EngineLoad, Epoch, GroupId, MonotonicTime, NodeId, Sequence};
+
+use crate::desired::desired_engines;
+use crate::drains::Drains;
+use crate::engines::EngineClients;
+use crate::fleet::Digests;
+use crate::lease_service::LeaseService;
+use crate::machines::Machines;
+
+/// Time between two looks at the controllers.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Wait after the first configuration before a lease is asked for, in which a starting node hears
+/// of the others and of the holders.
+const START_GRACE: Duration = Duration::from_millis(1_000);
+
+struct LoadSample {
+    load: EngineLoad,
+    at: MonotonicTime,
+}
+
+#[derive(Default)]
+struct State {
+    controllers: BTreeMap<GroupId, GroupController>,
+    configured: Option<Arc<ActiveConfiguration>>,
+    silent_since: BTreeMap<GroupId, MonotonicTime>,
+    loads: HashMap<EngineId, LoadSample>,
+    sequences: HashMap<GroupId, Sequence>,
+    polled_at: HashMap<GroupId, MonotonicTime>,
+    clients: EngineClients,
+    digests: Digests,
+}
+
+/// The control half of a node.
+pub(crate) struct ControlDriver {
+    shared: Arc<Shared>,
+    leases: LeaseService,
+    cluster: Rc<RefCell<Cluster>>,
+    machines: Rc<RefCell<Machines>>,
+    drains: Rc<Drains>,
+    load_poll: Duration,
+    state: RefCell<State>,
+}
+
+impl ControlDriver {
+    /// A driver that controls nothing yet.
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        leases: LeaseService,
+        cluster: Rc<RefCell<Cluster>>,
+        machines: Rc<RefCell<Machines>>,
+        drains: Rc<Drains>,
+        load_poll: Duration,
+    ) -> Rc<Self> {
+        let state = RefCell::new(State::default());
+        Rc::new(Self {
+            shared,
+            leases,
+            cluster,
+            machines,
+            drains,
+            load_poll,
+            state,
+        })
+    }
+
+    /// Runs until dropped.
+    pub(crate) async fn run(self: Rc<Self>) {
+        loop {
+            actix_rt::time::sleep(TICK).await;
+            self.tick();
+        }
+    }
+
+    /// State of every engine whose group this node controls.
+    pub(crate) fn statuses(&self) -> Vec<(GroupId, Epoch, EngineStatus)> {
+        let now = self.shared.clock.now();
+        let state = self.state.borrow();
+        let held = state
+            .controllers
+            .values()
+            .filter_map(|controller| controller.grant(now).map(|grant| (controller, grant.epoch)));
+        held.flat_map(|(controller, epoch)| {
+            let group = controller.group().clone();
+            controller
+                .statuses()
+                .into_iter()
+                .map(move |status| (group.clone(), epoch, status))
+        })
+        .collect()
+    }
+
+    /// Who holds each group's lease, as far as its last digest says.
+    pub(crate) fn holders(&self) -> BTreeMap<GroupId, NodeId> {
+        let state = self.state.borrow();
+        let groups = state.controllers.keys();
+        groups
+            .filter_map(|group| {
+                let holder = state.digests.digest(group)?.holder.clone();
+                Some((group.clone(), holder))
+            })
+            .collect()
+    }
+
+    fn tick(self: &Rc<Self>) {
+        let now = self.shared.clock.now();
+        self.configure(now);
+        self.refresh_view(now);
+        self.hold_off_candidates(now);
+        if self.shared.stopping() {
+            return;
+        }
+        let actions: Vec<(GroupId, Action)> = {
+            let mut state = self.state.borrow_mut();
+            let controllers = state.controllers.iter_mut();
+            controllers
+                .flat_map(|(group, controller)| {
+                    let actions = controller.tick(now).into_iter();
+                    actions
+                        .map(|action| (group.clone(), action))
+                        .collect::<Vec<_>>()
+                })
+                .collect()
+        };
+        for (group, action) in actions {
+            let driver = Rc::clone(self);
+            actix_rt::spawn(async move { driver.carry_out(group, action).await });
+        }
+        self.poll_due_loads(now);
+    }
+
+    /// Brings the controllers in line with the configuration in force.
+    fn configure(&self, now: MonotonicTime) {
+        let Some(active) = self.shared.configuration.load_full() else {
+            return;
+        };
+        let mut state = self.state.borrow_mut();
+        let same = state
+            .configured
+            .as_ref()
+            .is_some_and(|known| known.revision == active.revision);
+        if same {
+            return;
+        }
+        let deployment = &active.deployment;
+        let first_at = now + START_GRACE;
+        for group in &deployment.groups {
+            state.silent_since.entry(group.id()).or_insert(first_at);
+            let controller = state
+                .controllers
+                .entry(group.id())
+                .or_insert_with(|| GroupController::new(group.id(), first_at));
+            let desired = desired_engines(deployment, group);
+            let bound = deployment.roles.max_changes_at_once as usize;
+            controller.set_desired(now, active.revision, desired, bound);
+        }
+        let groups: Vec<GroupId> = deployment.groups.iter().map(Group::id).collect();
+        state.controllers.retain(|group, _| groups.contains(group));
+        state.configured = Some(active);
+    }
+
+    fn refresh_view(&self, now: MonotonicTime) {
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        state.digests.refresh(now, &self.cluster.borrow());
+        let leases_held = state
+            .controllers
+            .values()
+            .filter(|one| one.grant(now).is_some())
+            .count();
+        self.shared.metrics.leases.set(leases_held as i64);
+        let machines = self.machines.borrow();
+        state.clients.retain(|address| machines.uses(address));
+        if let Some(active) = &state.configured {
+            let cluster = self.cluster.borrow();
+            let view = state
+                .digests
+                .view(active.revision, &active.deployment, &machines, &cluster);
+            self.shared.fleet.store(Arc::new(view));
+        }
+    }
+
+    fn client(&self, engine: &EngineId) -> Option<Rc<dyn Engine>> {
+        let address = self.machines.borrow().engine(engine)?.address;
+        Some(self.state.borrow_mut().clients.get(address))
+    }
+
+    fn with_controller(&self, group: &GroupId, change: impl FnOnce(&mut GroupController)) {
+        if let Some(controller) = self.state.borrow_mut().controllers.get_mut(group) {
+            change(controller);
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,10 +8,12 @@
 mod cluster_driver;
 mod configuration;
 mod control_driver;
+mod desired;
 mod drains;
 mod engines;
 mod error;
 mod fleet;
+mod lease_service;
 mod machines;
 mod node;
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -26,6 +26,7 @@
 use crate::control_driver::ControlDriver;
 use crate::drains::Drains;
 use crate::error::NodeError;
+use crate::lease_service::LeaseService;
 use crate::machines::{Machines, poll_machines};
 
 /// How often a stopping node looks whether its requests are over.
@@ -124,10 +125,12 @@
     log_event!(shared.logger, Event::StopBegun, "in_flight" => shared.in_flight());
     // Further signals change nothing.
     actix_rt::spawn(async move { while terminate.recv().await.is_some() {} });
+    // Given up before the requests in flight end, so that a long answer here leaves no group
+    // without a holder.
+    control.release_leases().await;
     while shared.in_flight() > 0 {
         actix_rt::time::sleep(STOP_POLL).await;
     }
-    control.release_leases().await;
     callers.stop();
     log_event!(shared.logger, Event::StopDone, "node" => %settings.node);
     Ok(())
@@ -173,13 +176,17 @@
     let cluster = Rc::new(RefCell::new(cluster));
     let key_value: Rc<dyn KeyValue> = Rc::new(HttpKeyValue::new(settings.key_value));
     let drains = Rc::new(Drains::new(Rc::clone(&key_value), Rc::clone(&cluster)));
+    let leases = LeaseService::new(
+        Rc::clone(&key_value),
+        settings.node.clone(),
+        Duration::from_millis(settings.lease_ms),
+    );
     let control = ControlDriver::new(
         Arc::clone(shared),
-        Rc::clone(&key_value),
+        leases,
         Rc::clone(&cluster),
         Rc::clone(&machines),
         Rc::clone(&drains),
-        Duration::from_millis(settings.lease_ms),
         Duration::from_millis(settings.load_poll_ms),
     );
     actix_rt::spawn(poll_machines(
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -11,4 +11,5 @@
 
 pub use batch::{Batch, BatchSettings};
 pub use log::{OrderLogEntry, RunLogEntry, RunLogEvent};
+pub use orders::OrderBook;
 pub use server::{EngineFaults, EngineSettings, serve_engine};
