--- a/crates/node/src/control_half.rs
+++ b/crates/node/src/control_half.rs
@@ -21,6 +21,7 @@
 use crate::configuration;
 use crate::control_driver::ControlDriver;
 use crate::drains::Drains;
+use crate::lease_service::LeaseService;
 use crate::machines::{Machines, poll_machines};
 use crate::node::NodeAddresses;
 
@@ -54,9 +55,13 @@
 }
 
 impl ControlHalf {
-    /// Gives up all leases and tells the other nodes that this one leaves.
-    pub async fn leave(&self) {
+    /// Gives up all leases, so that other nodes can take over at once.
+    pub async fn release_leases(&self) {
         self.control.release_leases().await;
+    }
+
+    /// Tells the other nodes that this one leaves.
+    pub async fn leave(&self) {
         cluster_driver::leave(&self.shared, &self.link, &self.cluster).await;
     }
 
@@ -101,13 +106,17 @@
         Rc::clone(&cluster),
         Rc::clone(&machines),
     ));
+    let leases = LeaseService::new(
+        Rc::clone(&key_value),
+        settings.node.clone(),
+        Duration::from_millis(settings.lease_ms),
+    );
     let control = ControlDriver::new(
         Arc::clone(&shared),
-        Rc::clone(&key_value),
+        leases,
         Rc::clone(&cluster),
         Rc::clone(&machines),
         Rc::clone(&drains),
-        Duration::from_millis(settings.lease_ms),
         Duration::from_millis(settings.load_poll_ms),
     );
     let poll = poll_machines(
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,11 +9,13 @@
 mod configuration;
 mod control_driver;
 mod control_half;
+mod desired;
 mod digest_codec;
 mod drains;
 mod engines;
 mod error;
 mod fleet;
+mod lease_service;
 mod machines;
 mod node;
 
