Role plans put in force by the holders of the groups' leases

Cause: the planner ran in the emulator only; a node kept every engine in the pool's initial role. Ruled out: planning each group for itself (a zone of one or two engines can never split, and the emulator plans a pool as one); a planner of its own that orders others' engines (two authorities over one engine). Change: each holder feeds its planner its own reports and the other groups' digests, which now carry token totals; a plan that changes roles goes to the controller, which gives the orders; each role order that is taken leaves a record with its reason. Conclusion: roles follow the measured demand in a running node.

--- a/crates/node/src/control_driver/loads.rs
+++ b/crates/node/src/control_driver/loads.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use dalestand_cluster::{Record, RecordKey, RecordVersion};
 use dalestand_telemetry::{Event, log_event};
-use dalestand_types::{EngineDigest, EngineId, EngineLoad, GroupId, MonotonicTime};
+use dalestand_types::{EngineDigest, EngineId, EngineLoad, GroupDigest, GroupId, MonotonicTime};
 
 use super::{ControlDriver, LoadSample};
 use crate::digest_codec::CompactDigest;
@@ -89,6 +89,15 @@
         };
         let reports = engines.iter().filter_map(|engine| state.loads.get(engine));
         let reports: Vec<EngineDigest> = reports.map(|sample| engine_digest(sample, now)).collect();
+        let whole = GroupDigest {
+            group: group.clone(),
+            epoch: grant.epoch,
+            sequence: *sequence,
+            holder: self.shared.node.clone(),
+            engines: reports,
+        };
+        state.planning.observe(now, &configured.pool, &whole);
+        let reports = whole.engines;
         let digest = CompactDigest::pack(self.shared.node.clone(), configured, &reports);
         let Ok(payload) = rmp_serde::to_vec(&digest) else {
             return;
--- a/crates/node/src/control_driver/mod.rs
+++ b/crates/node/src/control_driver/mod.rs
@@ -3,6 +3,7 @@
 mod leases;
 mod loads;
 mod orders;
+mod roles;
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
@@ -23,6 +24,7 @@
 use crate::fleet::Digests;
 use crate::lease_service::LeaseService;
 use crate::machines::Machines;
+use crate::role_planning::RolePlanning;
 
 /// Time between two looks at the controllers.
 const TICK: Duration = Duration::from_millis(50);
@@ -45,6 +47,7 @@
     sequences: HashMap<GroupId, Sequence>,
     polled_at: HashMap<GroupId, MonotonicTime>,
     clients: EngineClients,
+    planning: RolePlanning,
     machine_changes: u64,
     digests: Digests,
 }
@@ -128,6 +131,7 @@
         if self.shared.stopping() {
             return;
         }
+        self.plan_roles(now);
         let actions: Vec<(GroupId, Action)> = {
             let mut state = self.state.borrow_mut();
             let controllers = state.controllers.iter_mut();
@@ -162,13 +166,16 @@
         }
         let deployment = &active.deployment;
         let first_at = now + START_GRACE;
+        let state = &mut *state;
+        state.planning.configure(deployment);
         for group in &deployment.groups {
             state.silent_since.entry(group.id()).or_insert(first_at);
             let controller = state
                 .controllers
                 .entry(group.id())
                 .or_insert_with(|| GroupController::new(group.id(), first_at));
-            let desired = desired_engines(deployment, group);
+            let planned = state.planning.roles(&group.id());
+            let desired = desired_engines(deployment, group, &planned);
             let bound = deployment.roles.max_changes_at_once as usize;
             controller.set_desired(now, active.revision, desired, bound);
         }
--- a/crates/node/src/control_driver/orders.rs
+++ b/crates/node/src/control_driver/orders.rs
@@ -57,6 +57,7 @@
             Some(OrderOutcome::Accepted { .. }) => {
                 log_event!(self.shared.logger, Event::OrderGiven, "engine" => %engine,
                     "order" => %order.id, "command" => format!("{:?}", order.command));
+                self.record_role(group, engine, order);
             }
             Some(outcome) => {
                 log_event!(self.shared.logger, Event::OrderRefused, "engine" => %engine,
--- a/crates/node/src/desired.rs
+++ b/crates/node/src/desired.rs
@@ -4,20 +4,26 @@
 
 use dalestand_config::{Deployment, Group, Model};
 use dalestand_control::{DesiredEngine, DesiredModel};
-use dalestand_types::EngineId;
+use dalestand_types::{EngineId, Role};
 
-/// What each engine of a group is to be.
+/// What each engine of a group is to be: in its fixed role, else the planned one, else the pool's
+/// initial one.
 pub(crate) fn desired_engines(
     deployment: &Deployment,
     group: &Group,
+    planned: &BTreeMap<EngineId, Role>,
 ) -> BTreeMap<EngineId, DesiredEngine> {
     let Some(pool) = deployment.pool(&group.pool) else {
         return BTreeMap::new();
     };
     let models = pool.models.iter().filter_map(|name| deployment.model(name));
     let models: Vec<DesiredModel> = models.map(desired_model).collect();
+    let role = |engine: &EngineId| {
+        let given = group.fixed_roles.get(engine).or(planned.get(engine));
+        *given.unwrap_or(&pool.initial_role)
+    };
     let desired = |engine: &EngineId| DesiredEngine {
-        role: *group.fixed_roles.get(engine).unwrap_or(&pool.initial_role),
+        role: role(engine),
         models: models.clone(),
     };
     let engines = group.engines.iter();
--- a/crates/node/src/digest_codec.rs
+++ b/crates/node/src/digest_codec.rs
@@ -7,12 +7,18 @@
 use std::time::Duration;
 
 use dalestand_config::{Deployment, Group};
-use dalestand_types::{EngineDigest, EngineLoad, Incarnation, LoadedModel, NodeId, Role, Version};
+use dalestand_types::{
+    EngineDigest, EngineId, EngineLoad, Incarnation, LoadedModel, MonotonicTime, NodeId, Role,
+    Sequence, Version,
+};
 use serde::{Deserialize, Serialize};
 
 /// Tokens counted as one in `queued_prefill`.
 const QUEUED_TOKENS_UNIT: u64 = 64;
 
+/// Tokens counted as one in the totals.
+const TOTAL_TOKENS_UNIT: u64 = 16;
+
 /// Milliseconds counted as one in `age`.
 const AGE_UNIT_MS: u64 = 10;
 
@@ -52,6 +58,8 @@
     queued_prefill: u16,
     capacity: u16,
     age: u16,
+    prefill_total: u32,
+    decode_total: u32,
 }
 
 /// One engine as a reader of a digest knows it.
@@ -77,6 +85,10 @@
     pub(crate) capacity: u32,
     /// How old the report was when the digest was made.
     pub(crate) age: Duration,
+    /// Prompt tokens run since the engine's start, rounded down.
+    prefill_tokens_total: u64,
+    /// Output tokens generated since the engine's start, rounded down.
+    decode_tokens_total: u64,
 }
 
 impl EngineReport {
@@ -84,6 +96,36 @@
     pub(crate) fn is_of(&self, incarnation: Incarnation) -> bool {
         self.incarnation == incarnation_tag(incarnation)
     }
+
+    /// The report as the planner takes it; `received_at` tells one digest from the next.
+    pub(crate) fn into_digest(
+        self,
+        engine: EngineId,
+        incarnation: Incarnation,
+        now: MonotonicTime,
+        received_at: MonotonicTime,
+    ) -> EngineDigest {
+        let age = self.age + now.since(received_at);
+        EngineDigest {
+            age_ms: age.as_millis() as u64,
+            accepting: self.accepting,
+            load: EngineLoad {
+                engine,
+                incarnation,
+                sequence: Sequence(received_at.0),
+                role: self.role,
+                running: self.running,
+                waiting: self.waiting,
+                queued_prefill_tokens: self.queued_prefill_tokens,
+                capacity: self.capacity,
+                cache_tokens_used: 0,
+                cache_tokens_total: 0,
+                prefill_tokens_total: self.prefill_tokens_total,
+                decode_tokens_total: self.decode_tokens_total,
+                models: self.models,
+            },
+        }
+    }
 }
 
 impl CompactDigest {
@@ -155,6 +197,8 @@
         queued_prefill: narrow(load.queued_prefill_tokens.div_ceil(QUEUED_TOKENS_UNIT)),
         capacity: narrow(u64::from(load.capacity)),
         age: narrow(report.age_ms / AGE_UNIT_MS),
+        prefill_total: wrapped(load.prefill_tokens_total / TOTAL_TOKENS_UNIT),
+        decode_total: wrapped(load.decode_tokens_total / TOTAL_TOKENS_UNIT),
     }
 }
 
@@ -179,6 +223,8 @@
         queued_prefill_tokens: u64::from(engine.queued_prefill) * QUEUED_TOKENS_UNIT,
         capacity: u32::from(engine.capacity),
         age: Duration::from_millis(u64::from(engine.age) * AGE_UNIT_MS),
+        prefill_tokens_total: u64::from(engine.prefill_total) * TOTAL_TOKENS_UNIT,
+        decode_tokens_total: u64::from(engine.decode_total) * TOTAL_TOKENS_UNIT,
     }
 }
 
@@ -217,6 +263,12 @@
     T::try_from(value).unwrap_or(T::MAX)
 }
 
+/// A total as it travels. It starts again at zero after 68 thousand million tokens, which one
+/// reader takes for a restarted engine.
+fn wrapped(total: u64) -> u32 {
+    (total & u64::from(u32::MAX)) as u32
+}
+
 /// Types with a greatest value.
 trait Bounded {
     /// The greatest value.
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -3,13 +3,15 @@
 //! The engines of a group are rebuilt only when its digest, the configuration or the machines
 //! changed; the rest of the picture is copied.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
-use dalestand_cluster::{Cluster, RecordKey};
+use dalestand_cluster::{Cluster, RecordKey, RecordVersion};
 use dalestand_config::{Deployment, Group};
 use dalestand_routing::{EngineView, FleetView};
-use dalestand_types::{GroupId, MachineState, MonotonicTime, NodeId, Revision};
+use dalestand_types::{
+    Epoch, GroupDigest, GroupId, MachineState, MonotonicTime, NodeId, Revision, Sequence,
+};
 
 use crate::digest_codec::{CompactDigest, EngineReport};
 use crate::machines::Machines;
@@ -18,6 +20,7 @@
 const MIN_REBUILD_INTERVAL: Duration = Duration::from_millis(100);
 
 struct ReceivedDigest {
+    version: RecordVersion,
     received_at: MonotonicTime,
     digest: CompactDigest,
 }
@@ -34,6 +37,7 @@
 pub(crate) struct Digests {
     by_group: HashMap<GroupId, ReceivedDigest>,
     built: HashMap<GroupId, Vec<EngineView>>,
+    unplanned: BTreeSet<GroupId>,
     basis: Option<Basis>,
     changed: bool,
     built_at: MonotonicTime,
@@ -45,15 +49,20 @@
         for group in cluster.take_changed_digests() {
             let record = cluster.record(&RecordKey::GroupDigest(group.clone()));
             // A payload that cannot be read is skipped; the next digest replaces it.
-            let digest = record.and_then(|record| rmp_serde::from_slice(&record.payload).ok());
-            let Some(digest) = digest else {
+            let digest = record.and_then(|record| {
+                let digest = rmp_serde::from_slice(&record.payload).ok()?;
+                Some((record.version, digest))
+            });
+            let Some((version, digest)) = digest else {
                 continue;
             };
             let received = ReceivedDigest {
+                version,
                 received_at: now,
                 digest,
             };
             self.built.remove(&group);
+            self.unplanned.insert(group.clone());
             self.by_group.insert(group, received);
             self.changed = true;
         }
@@ -73,6 +82,38 @@
             .map(|received| &received.digest.holder)
     }
 
+    /// Whether a group's digest came in since the last call.
+    pub(crate) fn take_unplanned(&mut self, group: &GroupId) -> bool {
+        self.unplanned.remove(group)
+    }
+
+    /// A group's last digest, with its packed numbers rounded.
+    pub(crate) fn group_digest(
+        &self,
+        now: MonotonicTime,
+        deployment: &Deployment,
+        group: &Group,
+        machines: &Machines,
+    ) -> Option<GroupDigest> {
+        let received = self.by_group.get(&group.id())?;
+        let received_at = received.received_at;
+        let reports = received.digest.unpack(deployment, group)?.into_iter();
+        let engines = reports.filter_map(|report| {
+            let engine = group.engines.get(report.place)?.clone();
+            let machine = machines.engine(&engine)?;
+            report
+                .is_of(machine.incarnation)
+                .then(|| report.into_digest(engine, machine.incarnation, now, received_at))
+        });
+        Some(GroupDigest {
+            group: group.id(),
+            epoch: Epoch(received.version.major),
+            sequence: Sequence(received.version.minor),
+            holder: received.digest.holder.clone(),
+            engines: engines.collect(),
+        })
+    }
+
     /// The picture of the fleet, if it changed since the last call.
     pub(crate) fn view(
         &mut self,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 mod lease_service;
 mod machines;
 mod node;
+mod role_planning;
 
 pub use admin::{
     ApplyRequest, ApplyResponse, ConfigurationResponse, DrainRequest, EngineControlRow,
