Digests: counts in one byte, capacity and models once a group; fewer copies from a holder

Change: counts in one byte (exact below 64, within 1/32 above), what engines have in common once, a holder hands a digest to two members; only engines are machine records; live members are kept by zone.

--- a/crates/cluster/src/config.rs
+++ b/crates/cluster/src/config.rs
@@ -25,6 +25,8 @@
     pub indirect_probes: usize,
     /// Peers told in one round of gossip.
     pub fan_out: usize,
+    /// Members a holder hands its load digest to; few, since it may hold many groups.
+    pub digest_fan_out: usize,
     /// Members a relay passes a load digest on to.
     pub relay_fan_out: usize,
     /// Most bytes a second of gossip rounds.
@@ -49,7 +51,8 @@
             suspicion: Duration::from_millis(2_000),
             indirect_probes: 2,
             fan_out: 2,
-            relay_fan_out: 4,
+            digest_fan_out: 2,
+            relay_fan_out: 3,
             gossip_bytes_per_second: 8_000,
             sync_period: Duration::from_secs(5),
             first_sync_period: Duration::from_millis(500),
--- a/crates/cluster/src/core.rs
+++ b/crates/cluster/src/core.rs
@@ -75,7 +75,7 @@
 
     /// Live members, this one left out.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
-        self.membership.live_members()
+        self.membership.live().iter()
     }
 
     /// A live member, this one left out.
@@ -141,8 +141,6 @@
         self.send_digests(now, random, &mut outputs);
         self.sync_when_due(now, random, &mut outputs);
         self.gossip(now, random, &mut outputs);
-        self.membership
-            .forget_down(now, self.config.forget_down_after);
         outputs
     }
 
@@ -277,8 +275,9 @@
     }
 
     pub(crate) fn draw_live<R: Rng>(&self, count: usize, random: &mut R) -> Vec<SocketAddr> {
-        let addresses = self.members().map(|member| member.address).collect();
-        draw(addresses, count, random)
+        let live = self.membership.live();
+        let places = rand::seq::index::sample(random, live.len(), count.min(live.len()));
+        places.iter().map(|place| live[place].address).collect()
     }
 }
 
--- a/crates/cluster/src/digest_spread.rs
+++ b/crates/cluster/src/digest_spread.rs
@@ -1,10 +1,9 @@
 //! Sends load digests: down a tree over the zone they concern, seldom to the other zones.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use dalestand_types::{MonotonicTime, ZoneName};
+use dalestand_types::MonotonicTime;
 use rand::{Rng, RngExt as _};
 
 use crate::config::Output;
@@ -33,19 +32,15 @@
             if far_due {
                 self.far_sent_at.insert(digest.group.clone(), now);
             }
-            let own = self.me().zone.clone();
-            if own == digest.home || far_due {
-                outputs.extend(self.relay(seed, whole, &digest.encoded));
+            let own = &self.me().zone;
+            if *own == digest.home || far_due {
+                let fan_out = self.config.digest_fan_out;
+                outputs.extend(self.split_zone(seed, whole, &digest.encoded, fan_out));
             }
-            for (zone, to) in self.draw_one_of_each_other_zone(random) {
-                if far_due || zone == digest.home {
-                    let body = Body::Relay {
-                        seed,
-                        low: 0,
-                        high: u64::MAX,
-                        record: digest.encoded.clone(),
-                    };
-                    outputs.extend(send_body(to, body));
+            for (zone, members) in self.membership.zones() {
+                if zone != own && (far_due || *zone == digest.home) {
+                    let to = members[random.random_range(0..members.len())].address;
+                    outputs.extend(send_relay(to, seed, whole, &digest.encoded));
                 }
             }
         }
@@ -53,31 +48,38 @@
 
     /// Passes a load digest on to this node's zone, as far as the range goes.
     pub(crate) fn relay(&self, seed: u64, range: (u64, u64), record: &Bytes) -> Vec<Output> {
-        let zone = self.me().zone.clone();
-        let members = self.membership.live_in(&zone);
-        let parts = relay::split(members, seed, range, self.config.relay_fan_out);
-        let sends = parts.into_iter().filter_map(|part| {
-            let body = Body::Relay {
-                seed,
-                low: part.low,
-                high: part.high,
-                record: record.clone(),
-            };
-            send_body(part.to, body)
-        });
-        sends.collect()
+        self.split_zone(seed, range, record, self.config.relay_fan_out)
     }
 
-    fn draw_one_of_each_other_zone<R: Rng>(&self, random: &mut R) -> Vec<(ZoneName, SocketAddr)> {
-        let mut zones: BTreeMap<&ZoneName, Vec<SocketAddr>> = BTreeMap::new();
-        let own = &self.me().zone;
-        for member in self.members().filter(|member| member.zone != *own) {
-            zones.entry(&member.zone).or_default().push(member.address);
-        }
-        let drawn = zones.into_iter().map(|(zone, addresses)| {
-            let place = random.random_range(0..addresses.len());
-            (zone.clone(), addresses[place])
-        });
-        drawn.collect()
+    fn split_zone(
+        &self,
+        seed: u64,
+        range: (u64, u64),
+        record: &Bytes,
+        fan_out: usize,
+    ) -> Vec<Output> {
+        let Some(members) = self.membership.zones().get(&self.me().zone) else {
+            return Vec::new();
+        };
+        let parts = relay::split(members.iter(), seed, range, fan_out);
+        let sends = parts
+            .into_iter()
+            .filter_map(|part| send_relay(part.to, seed, (part.low, part.high), record));
+        sends.collect()
     }
 }
+
+fn send_relay(
+    to: SocketAddr,
+    seed: u64,
+    (low, high): (u64, u64),
+    record: &Bytes,
+) -> Option<Output> {
+    let body = Body::Relay {
+        seed,
+        low,
+        high,
+        record: record.clone(),
+    };
+    send_body(to, body)
+}
--- a/crates/cluster/src/membership.rs
+++ b/crates/cluster/src/membership.rs
@@ -32,7 +32,8 @@
 pub(crate) struct Membership {
     me: MemberUpdate,
     peers: BTreeMap<NodeId, Peer>,
-    live: Vec<NodeId>,
+    live: Vec<Member>,
+    zones: BTreeMap<ZoneName, Vec<Member>>,
 }
 
 impl Membership {
@@ -47,6 +48,7 @@
             me,
             peers: BTreeMap::new(),
             live: Vec::new(),
+            zones: BTreeMap::new(),
         }
     }
 
@@ -55,21 +57,14 @@
         &self.me
     }
 
-    /// Names of the live peers, in a fixed order.
-    pub(crate) fn live(&self) -> &[NodeId] {
+    /// The live peers, by name.
+    pub(crate) fn live(&self) -> &[Member] {
         &self.live
     }
 
-    /// The live peers.
-    pub(crate) fn live_members(&self) -> impl Iterator<Item = &Member> {
-        self.live
-            .iter()
-            .filter_map(|node| self.peers.get(node).map(|peer| &peer.update.member))
-    }
-
-    /// The live peers of a zone.
-    pub(crate) fn live_in<'a>(&'a self, zone: &'a ZoneName) -> impl Iterator<Item = &'a Member> {
-        self.live_members().filter(move |one| one.zone == *zone)
+    /// The live peers of each zone, by name.
+    pub(crate) fn zones(&self) -> &BTreeMap<ZoneName, Vec<Member>> {
+        &self.zones
     }
 
     /// What is claimed of a peer.
@@ -117,7 +112,7 @@
             changed_at: now,
         };
         self.peers.insert(update.member.node.clone(), peer);
-        if was_alive != is_alive {
+        if was_alive || is_alive {
             self.list_live();
         }
         Taken {
@@ -168,11 +163,13 @@
     }
 
     fn list_live(&mut self) {
-        self.live = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.update.state == MemberState::Alive)
-            .map(|(node, _)| node.clone())
-            .collect();
+        let alive = self.peers.values().map(|peer| &peer.update);
+        let alive = alive.filter(|update| update.state == MemberState::Alive);
+        self.live = alive.map(|update| update.member.clone()).collect();
+        self.zones.clear();
+        for member in &self.live {
+            let zone = self.zones.entry(member.zone.clone()).or_default();
+            zone.push(member.clone());
+        }
     }
 }
--- a/crates/cluster/src/probe.rs
+++ b/crates/cluster/src/probe.rs
@@ -11,6 +11,7 @@
 use rand::seq::SliceRandom as _;
 
 use crate::config::ClusterConfig;
+use crate::record::Member;
 
 struct Probe {
     number: u32,
@@ -49,12 +50,11 @@
     pub(crate) fn tick<R: Rng>(
         &mut self,
         now: MonotonicTime,
-        live: &[NodeId],
+        live: &[Member],
         config: &ClusterConfig,
         random: &mut R,
     ) -> Vec<ProbeAction> {
-        self.probes
-            .retain(|target, _| live.binary_search(target).is_ok());
+        self.probes.retain(|target, _| is_live(live, target));
         if now >= self.next_period {
             self.next_period = now + config.probe_period;
             self.start_probe(now, live, random);
@@ -88,15 +88,15 @@
     }
 
     /// Draws members without repetition until all had their turn.
-    fn start_probe<R: Rng>(&mut self, now: MonotonicTime, live: &[NodeId], random: &mut R) {
+    fn start_probe<R: Rng>(&mut self, now: MonotonicTime, live: &[Member], random: &mut R) {
         if self.order.is_empty() {
-            self.order = live.to_vec();
+            self.order = live.iter().map(|member| member.node.clone()).collect();
             self.order.shuffle(random);
         }
         let Some(target) = self.order.pop() else {
             return;
         };
-        if live.binary_search(&target).is_err() || self.probes.contains_key(&target) {
+        if !is_live(live, &target) || self.probes.contains_key(&target) {
             return;
         }
         self.number = self.number.wrapping_add(1);
@@ -109,3 +109,9 @@
         self.probes.insert(target, probe);
     }
 }
+
+/// Whether the members, which are in the order of their names, have one of that name.
+fn is_live(live: &[Member], node: &NodeId) -> bool {
+    live.binary_search_by(|member| member.node.cmp(node))
+        .is_ok()
+}
--- a/crates/cluster/src/synchronize.rs
+++ b/crates/cluster/src/synchronize.rs
@@ -44,6 +44,8 @@
         }
         if now >= self.next_contact {
             self.next_contact = now + self.config.sync_period;
+            let forget_after = self.config.forget_down_after;
+            self.membership.forget_down(now, forget_after);
             let absent = self.absent_addresses();
             self.sync_with(draw(absent, 1, random), outputs);
         }
--- a/crates/node/src/digest_codec.rs
+++ b/crates/node/src/digest_codec.rs
@@ -10,17 +10,25 @@
 use dalestand_types::{EngineDigest, EngineLoad, Incarnation, LoadedModel, NodeId, Role, Version};
 use serde::{Deserialize, Serialize};
 
+use crate::compact_number;
+
+#[cfg(test)]
+mod tests;
+
 /// Tokens counted as one in `queued_prefill`.
 const QUEUED_TOKENS_UNIT: u64 = 64;
 
 /// Milliseconds counted as one in `age`.
 const AGE_UNIT_MS: u64 = 10;
 
+/// Bits of `flags` that hold the role.
+const ROLE_BITS: u16 = 0b011;
+
 /// Set in `flags` if the holder lets the engine take new work.
-const ACCEPTING: u8 = 0b100;
+const ACCEPTING: u16 = 0b100;
 
-/// Bits of `flags` that hold the role.
-const ROLE_BITS: u8 = 0b011;
+/// Place in `flags` of the number of the engine's profile.
+const PROFILE_SHIFT: u32 = 3;
 
 /// Load of a group's engines on the wire.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -28,8 +36,16 @@
     /// Who holds the group's lease.
     pub(crate) holder: NodeId,
     roster: u32,
-    model_sets: Vec<Vec<CompactModel>>,
-    engines: Vec<CompactEngine>,
+    profiles: Vec<Profile>,
+    /// One entry for each engine of the group, in its order; none without a report.
+    engines: Vec<Option<CompactEngine>>,
+}
+
+/// What most engines of a group have in common.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Profile {
+    capacity: u32,
+    models: Vec<CompactModel>,
 }
 
 /// A loaded model, by hashes.
@@ -40,18 +56,15 @@
     adapters: Vec<u32>,
 }
 
-/// One engine, in units that keep its numbers small.
+/// One engine; the counts are packed by [`compact_number`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct CompactEngine {
-    place: u8,
     incarnation: u16,
-    flags: u8,
-    model_set: u8,
-    running: u16,
-    waiting: u16,
-    queued_prefill: u16,
-    capacity: u16,
-    age: u16,
+    flags: u16,
+    running: u8,
+    waiting: u8,
+    queued_prefill: u8,
+    age: u8,
 }
 
 /// One engine as a reader of a digest knows it.
@@ -89,25 +102,17 @@
 impl CompactDigest {
     /// Packs the reports of a group's engines; engines that are not of the group are left out.
     pub(crate) fn pack(holder: NodeId, group: &Group, reports: &[EngineDigest]) -> Self {
-        let mut model_sets: Vec<Vec<CompactModel>> = Vec::new();
-        let mut engines = Vec::new();
-        for report in reports {
-            let names = &mut group.engines.iter();
-            let Some(place) = names.position(|engine| *engine == report.load.engine) else {
-                continue;
-            };
-            let models: Vec<CompactModel> = report.load.models.iter().map(pack_model).collect();
-            let known = model_sets.iter().position(|set| *set == models);
-            let model_set = known.unwrap_or_else(|| {
-                model_sets.push(models);
-                model_sets.len() - 1
-            });
-            engines.push(pack_engine(place, model_set, report));
-        }
+        let mut profiles: Vec<Profile> = Vec::new();
+        let engines = group.engines.iter().map(|engine| {
+            let report = reports.iter().find(|one| one.load.engine == *engine)?;
+            let profile = place_of_profile(&mut profiles, &report.load);
+            Some(pack_engine(profile, report))
+        });
+        let engines = engines.collect();
         Self {
             holder,
             roster: roster_hash(group),
-            model_sets,
+            profiles,
             engines,
         }
     }
@@ -121,23 +126,37 @@
         if self.roster != roster_hash(group) {
             return None;
         }
-        let sets: Vec<Vec<LoadedModel>> = self
-            .model_sets
+        let model_sets: Vec<Vec<LoadedModel>> = self
+            .profiles
             .iter()
-            .map(|set| {
-                set.iter()
-                    .filter_map(|one| find_model(deployment, one))
-                    .collect()
-            })
+            .map(|profile| find_models(deployment, profile))
             .collect();
-        let engines = self.engines.iter();
-        let reports = engines.map(|engine| unpack_engine(engine, &sets));
+        let engines = self.engines.iter().enumerate();
+        let reports = engines.filter_map(|(place, engine)| {
+            let engine = engine.as_ref()?;
+            let profile = usize::from(engine.flags >> PROFILE_SHIFT);
+            let capacity = self.profiles.get(profile)?.capacity;
+            let models = model_sets.get(profile)?.clone();
+            Some(unpack_engine(place, engine, capacity, models))
+        });
         Some(reports.collect())
     }
 }
 
-fn pack_engine(place: usize, model_set: usize, report: &EngineDigest) -> CompactEngine {
-    let load: &EngineLoad = &report.load;
+fn place_of_profile(profiles: &mut Vec<Profile>, load: &EngineLoad) -> usize {
+    let profile = Profile {
+        capacity: load.capacity,
+        models: load.models.iter().map(pack_model).collect(),
+    };
+    let known = profiles.iter().position(|one| *one == profile);
+    known.unwrap_or_else(|| {
+        profiles.push(profile);
+        profiles.len() - 1
+    })
+}
+
+fn pack_engine(profile: usize, report: &EngineDigest) -> CompactEngine {
+    let load = &report.load;
     let role = match load.role {
         None => 0,
         Some(Role::Prefill) => 1,
@@ -145,20 +164,25 @@
         Some(Role::Mixed) => 3,
     };
     let accepting = if report.accepting { ACCEPTING } else { 0 };
+    // A group has at most 64 engines, so the number of a profile always fits.
+    let profile = (profile as u16) << PROFILE_SHIFT;
+    let queued = load.queued_prefill_tokens.div_ceil(QUEUED_TOKENS_UNIT);
     CompactEngine {
-        place: narrow(place as u64),
         incarnation: incarnation_tag(load.incarnation),
-        flags: role | accepting,
-        model_set: narrow(model_set as u64),
-        running: narrow(u64::from(load.running)),
-        waiting: narrow(u64::from(load.waiting)),
-        queued_prefill: narrow(load.queued_prefill_tokens.div_ceil(QUEUED_TOKENS_UNIT)),
-        capacity: narrow(u64::from(load.capacity)),
-        age: narrow(report.age_ms / AGE_UNIT_MS),
+        flags: role | accepting | profile,
+        running: compact_number::pack(u64::from(load.running)),
+        waiting: compact_number::pack(u64::from(load.waiting)),
+        queued_prefill: compact_number::pack(queued),
+        age: compact_number::pack(report.age_ms / AGE_UNIT_MS),
     }
 }
 
-fn unpack_engine(engine: &CompactEngine, sets: &[Vec<LoadedModel>]) -> EngineReport {
+fn unpack_engine(
+    place: usize,
+    engine: &CompactEngine,
+    capacity: u32,
+    models: Vec<LoadedModel>,
+) -> EngineReport {
     let role = match engine.flags & ROLE_BITS {
         1 => Some(Role::Prefill),
         2 => Some(Role::Decode),
@@ -166,22 +190,26 @@
         _ => None,
     };
     EngineReport {
-        place: usize::from(engine.place),
+        place,
         incarnation: engine.incarnation,
         role,
         accepting: engine.flags & ACCEPTING != 0,
-        models: sets
-            .get(usize::from(engine.model_set))
-            .cloned()
-            .unwrap_or_default(),
-        running: u32::from(engine.running),
-        waiting: u32::from(engine.waiting),
-        queued_prefill_tokens: u64::from(engine.queued_prefill) * QUEUED_TOKENS_UNIT,
-        capacity: u32::from(engine.capacity),
-        age: Duration::from_millis(u64::from(engine.age) * AGE_UNIT_MS),
+        models,
+        running: compact_number::unpack(engine.running) as u32,
+        waiting: compact_number::unpack(engine.waiting) as u32,
+        queued_prefill_tokens: compact_number::unpack(engine.queued_prefill) * QUEUED_TOKENS_UNIT,
+        capacity,
+        age: Duration::from_millis(compact_number::unpack(engine.age) * AGE_UNIT_MS),
     }
 }
 
+fn find_models(deployment: &Deployment, profile: &Profile) -> Vec<LoadedModel> {
+    let models = profile.models.iter();
+    models
+        .filter_map(|model| find_model(deployment, model))
+        .collect()
+}
+
 fn pack_model(loaded: &LoadedModel) -> CompactModel {
     let adapters = loaded.adapters.iter();
     CompactModel {
@@ -212,25 +240,6 @@
     })
 }
 
-/// The number as a smaller type; the type's greatest value if it does not fit.
-fn narrow<T: TryFrom<u64> + Bounded>(value: u64) -> T {
-    T::try_from(value).unwrap_or(T::MAX)
-}
-
-/// Types with a greatest value.
-trait Bounded {
-    /// The greatest value.
-    const MAX: Self;
-}
-
-impl Bounded for u8 {
-    const MAX: Self = Self::MAX;
-}
-
-impl Bounded for u16 {
-    const MAX: Self = Self::MAX;
-}
-
 fn incarnation_tag(incarnation: Incarnation) -> u16 {
     (incarnation.0 & u64::from(u16::MAX)) as u16
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 mod admin;
 mod apply;
 mod cluster_driver;
+mod compact_number;
 mod configuration;
 mod control_driver;
 mod control_half;
--- a/crates/node/src/machines.rs
+++ b/crates/node/src/machines.rs
@@ -81,12 +81,13 @@
         self.changes
     }
 
-    /// Takes a list in and yields what the other nodes may not know. Nothing of the first list is
-    /// news, since every node reads it when it starts.
+    /// Takes a list in and yields the engines that the other nodes may not know. Nothing of the
+    /// first list is news, since every node reads it when it starts; nodes are known by the cluster.
     pub(crate) fn take_list(&mut self, now: MonotonicTime, list: Vec<Machine>) -> Vec<Machine> {
         let mut news = Vec::new();
         for machine in list {
-            if self.take(now, machine.clone()) {
+            let is_engine = machine.kind == MachineKind::Engine;
+            if self.take(now, machine.clone()) && is_engine {
                 news.push(machine);
             }
         }
