--- a/crates/node/src/control_driver/loads.rs
+++ b/crates/node/src/control_driver/loads.rs
@@ -8,7 +8,8 @@
 use dalestand_types::{EngineDigest, EngineId, EngineLoad, GroupDigest, GroupId, MonotonicTime};
 
 use super::{ControlDriver, LoadSample};
-use crate::digest_codec::CompactDigest;
+use crate::digest_codec::{CompactDigest, RatedReport};
+use crate::token_rates::TokenRates;
 
 impl ControlDriver {
     pub(super) fn poll_due_loads(self: &Rc<Self>, now: MonotonicTime) {
@@ -59,9 +60,17 @@
             if let Some(controller) = state.controllers.get_mut(group) {
                 controller.engine_seen(&load.engine, load.incarnation);
             }
-            state
-                .loads
-                .insert(load.engine.clone(), LoadSample { load, at: now });
+            let before = state.loads.get(&load.engine);
+            let rates = before.map_or_else(TokenRates::default, |before| {
+                TokenRates::between(before.rates, (&before.load, before.at), (&load, now))
+            });
+            let engine = load.engine.clone();
+            let sample = LoadSample {
+                load,
+                at: now,
+                rates,
+            };
+            state.loads.insert(engine, sample);
         }
         drop(state);
         self.publish_digest(group, &engines, now);
@@ -69,7 +78,9 @@
 
     pub(super) async fn read_load(&self, engine: &EngineId) -> Option<EngineLoad> {
         let client = self.client(engine)?;
-        client.load().await.ok()
+        // One engine that hangs must not hold up the digest of its group.
+        let answer = actix_rt::time::timeout(self.load_poll, client.load()).await;
+        answer.ok()?.ok()
     }
 
     pub(super) fn publish_digest(&self, group: &GroupId, engines: &[EngineId], now: MonotonicTime) {
@@ -87,17 +98,16 @@
         let Some(configured) = groups.find(|one| one.id() == *group) else {
             return;
         };
-        let reports = engines.iter().filter_map(|engine| state.loads.get(engine));
-        let reports: Vec<EngineDigest> = reports.map(|sample| engine_digest(sample, now)).collect();
+        let samples = engines.iter().filter_map(|engine| state.loads.get(engine));
+        let reports: Vec<RatedReport> = samples.map(|sample| rated_report(sample, now)).collect();
         let whole = GroupDigest {
             group: group.clone(),
             epoch: grant.epoch,
             sequence: *sequence,
             holder: self.shared.node.clone(),
-            engines: reports,
+            engines: reports.iter().map(|rated| rated.digest.clone()).collect(),
         };
         state.planning.observe(now, &configured.pool, &whole);
-        let reports = whole.engines;
         let digest = CompactDigest::pack(self.shared.node.clone(), configured, &reports);
         let Ok(payload) = rmp_serde::to_vec(&digest) else {
             return;
@@ -118,10 +128,13 @@
     }
 }
 
-fn engine_digest(sample: &LoadSample, now: MonotonicTime) -> EngineDigest {
-    EngineDigest {
-        load: sample.load.clone(),
-        age_ms: now.since(sample.at).as_millis() as u64,
-        accepting: true,
+fn rated_report(sample: &LoadSample, now: MonotonicTime) -> RatedReport {
+    RatedReport {
+        digest: EngineDigest {
+            load: sample.load.clone(),
+            age_ms: now.since(sample.at).as_millis() as u64,
+            accepting: true,
+        },
+        rates: sample.rates,
     }
 }
--- a/crates/node/src/control_driver/mod.rs
+++ b/crates/node/src/control_driver/mod.rs
@@ -25,6 +25,7 @@
 use crate::lease_service::LeaseService;
 use crate::machines::Machines;
 use crate::role_planning::RolePlanning;
+use crate::token_rates::TokenRates;
 
 /// Time between two looks at the controllers.
 const TICK: Duration = Duration::from_millis(50);
@@ -36,6 +37,7 @@
 struct LoadSample {
     load: EngineLoad,
     at: MonotonicTime,
+    rates: TokenRates,
 }
 
 #[derive(Default)]
--- a/crates/node/src/digest_codec.rs
+++ b/crates/node/src/digest_codec.rs
@@ -13,20 +13,32 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::compact_number;
+use crate::token_rates::{TokenRates, TokenTotals};
+
+#[cfg(test)]
+mod tests;
+
 /// Tokens counted as one in `queued_prefill`.
 const QUEUED_TOKENS_UNIT: u64 = 64;
 
-/// Tokens counted as one in the totals.
-const TOTAL_TOKENS_UNIT: u64 = 16;
+/// Prompt tokens a second counted as one in `prefill_rate`.
+const PREFILL_RATE_UNIT: f64 = 64.0;
+
+/// Output tokens a second counted as one in `decode_rate`.
+const DECODE_RATE_UNIT: f64 = 16.0;
 
 /// Milliseconds counted as one in `age`.
 const AGE_UNIT_MS: u64 = 10;
 
+/// Bits of `flags` that hold the role.
+const ROLE_BITS: u16 = 0b011;
+
 /// Set in `flags` if the holder lets the engine take new work.
-const ACCEPTING: u8 = 0b100;
+const ACCEPTING: u16 = 0b100;
 
-/// Bits of `flags` that hold the role.
-const ROLE_BITS: u8 = 0b011;
+/// Place in `flags` of the number of the engine's profile.
+const PROFILE_SHIFT: u32 = 3;
 
 /// Load of a group's engines on the wire.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -34,8 +46,16 @@
     /// Who holds the group's lease.
     pub(crate) holder: NodeId,
     roster: u32,
-    model_sets: Vec<Vec<CompactModel>>,
-    engines: Vec<CompactEngine>,
+    profiles: Vec<Profile>,
+    /// One entry for each engine of the group, in its order; none without a report.
+    engines: Vec<Option<CompactEngine>>,
+}
+
+/// What most engines of a group have in common.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Profile {
+    capacity: u32,
+    models: Vec<CompactModel>,
 }
 
 /// A loaded model, by hashes.
@@ -46,20 +66,17 @@
     adapters: Vec<u32>,
 }
 
-/// One engine, in units that keep its numbers small.
+/// One engine; the counts are packed by [`compact_number`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct CompactEngine {
-    place: u8,
     incarnation: u16,
-    flags: u8,
-    model_set: u8,
-    running: u16,
-    waiting: u16,
-    queued_prefill: u16,
-    capacity: u16,
-    age: u16,
-    prefill_total: u32,
-    decode_total: u32,
+    flags: u16,
+    running: u8,
+    waiting: u8,
+    queued_prefill: u8,
+    age: u8,
+    prefill_rate: u8,
+    decode_rate: u8,
 }
 
 /// One engine as a reader of a digest knows it.
@@ -85,10 +102,15 @@
     pub(crate) capacity: u32,
     /// How old the report was when the digest was made.
     pub(crate) age: Duration,
-    /// Prompt tokens run since the engine's start, rounded down.
-    prefill_tokens_total: u64,
-    /// Output tokens generated since the engine's start, rounded down.
-    decode_tokens_total: u64,
+}
+
+/// One engine's report with its rates, as a holder packs it.
+#[derive(Clone, Debug)]
+pub(crate) struct RatedReport {
+    /// The report.
+    pub(crate) digest: EngineDigest,
+    /// What the engine ran in a second.
+    pub(crate) rates: TokenRates,
 }
 
 impl EngineReport {
@@ -102,6 +124,7 @@
         self,
         engine: EngineId,
         incarnation: Incarnation,
+        totals: TokenTotals,
         now: MonotonicTime,
         received_at: MonotonicTime,
     ) -> EngineDigest {
@@ -120,8 +143,8 @@
                 capacity: self.capacity,
                 cache_tokens_used: 0,
                 cache_tokens_total: 0,
-                prefill_tokens_total: self.prefill_tokens_total,
-                decode_tokens_total: self.decode_tokens_total,
+                prefill_tokens_total: totals.prefill as u64,
+                decode_tokens_total: totals.decode as u64,
                 models: self.models,
             },
         }
@@ -130,30 +153,31 @@
 
 impl CompactDigest {
     /// Packs the reports of a group's engines; engines that are not of the group are left out.
-    pub(crate) fn pack(holder: NodeId, group: &Group, reports: &[EngineDigest]) -> Self {
-        let mut model_sets: Vec<Vec<CompactModel>> = Vec::new();
-        let mut engines = Vec::new();
-        for report in reports {
-            let names = &mut group.engines.iter();
-            let Some(place) = names.position(|engine| *engine == report.load.engine) else {
-                continue;
-            };
-            let models: Vec<CompactModel> = report.load.models.iter().map(pack_model).collect();
-            let known = model_sets.iter().position(|set| *set == models);
-            let model_set = known.unwrap_or_else(|| {
-                model_sets.push(models);
-                model_sets.len() - 1
-            });
-            engines.push(pack_engine(place, model_set, report));
-        }
+    pub(crate) fn pack(holder: NodeId, group: &Group, reports: &[RatedReport]) -> Self {
+        let mut profiles: Vec<Profile> = Vec::new();
+        let engines = group.engines.iter().map(|engine| {
+            let mut reports = reports.iter();
+            let report = reports.find(|one| one.digest.load.engine == *engine)?;
+            let profile = place_of_profile(&mut profiles, &report.digest.load);
+            Some(pack_engine(profile, report))
+        });
+        let engines = engines.collect();
         Self {
             holder,
             roster: roster_hash(group),
-            model_sets,
+            profiles,
             engines,
         }
     }
 
+    /// Token rates of the group's engines, by place; an engine without a report has none.
+    pub(crate) fn rates(&self) -> impl Iterator<Item = TokenRates> {
+        self.engines.iter().map(|engine| {
+            let engine = engine.as_ref();
+            engine.map(token_rates).unwrap_or_default()
+        })
+    }
+
     /// Unpacks the reports; `None` if the reader's group lists other engines.
     pub(crate) fn unpack(
         &self,
@@ -163,23 +187,38 @@
         if self.roster != roster_hash(group) {
             return None;
         }
-        let sets: Vec<Vec<LoadedModel>> = self
-            .model_sets
+        let model_sets: Vec<Vec<LoadedModel>> = self
+            .profiles
             .iter()
-            .map(|set| {
-                set.iter()
-                    .filter_map(|one| find_model(deployment, one))
-                    .collect()
-            })
+            .map(|profile| find_models(deployment, profile))
             .collect();
-        let engines = self.engines.iter();
-        let reports = engines.map(|engine| unpack_engine(engine, &sets));
+        let engines = self.engines.iter().enumerate();
+        let reports = engines.filter_map(|(place, engine)| {
+            let engine = engine.as_ref()?;
+            let profile = usize::from(engine.flags >> PROFILE_SHIFT);
+            let capacity = self.profiles.get(profile)?.capacity;
+            let models = model_sets.get(profile)?.clone();
+            Some(unpack_engine(place, engine, capacity, models))
+        });
         Some(reports.collect())
     }
 }
 
-fn pack_engine(place: usize, model_set: usize, report: &EngineDigest) -> CompactEngine {
-    let load: &EngineLoad = &report.load;
+fn place_of_profile(profiles: &mut Vec<Profile>, load: &EngineLoad) -> usize {
+    let profile = Profile {
+        capacity: load.capacity,
+        models: load.models.iter().map(pack_model).collect(),
+    };
+    let known = profiles.iter().position(|one| *one == profile);
+    known.unwrap_or_else(|| {
+        profiles.push(profile);
+        profiles.len() - 1
+    })
+}
+
+fn pack_engine(profile: usize, rated: &RatedReport) -> CompactEngine {
+    let report = &rated.digest;
+    let load = &report.load;
     let role = match load.role {
         None => 0,
         Some(Role::Prefill) => 1,
@@ -187,22 +226,27 @@
         Some(Role::Mixed) => 3,
     };
     let accepting = if report.accepting { ACCEPTING } else { 0 };
+    // A group has at most 64 engines, so the number of a profile always fits.
+    let profile = (profile as u16) << PROFILE_SHIFT;
+    let queued = load.queued_prefill_tokens.div_ceil(QUEUED_TOKENS_UNIT);
     CompactEngine {
-        place: narrow(place as u64),
         incarnation: incarnation_tag(load.incarnation),
-        flags: role | accepting,
-        model_set: narrow(model_set as u64),
-        running: narrow(u64::from(load.running)),
-        waiting: narrow(u64::from(load.waiting)),
-        queued_prefill: narrow(load.queued_prefill_tokens.div_ceil(QUEUED_TOKENS_UNIT)),
-        capacity: narrow(u64::from(load.capacity)),
-        age: narrow(report.age_ms / AGE_UNIT_MS),
-        prefill_total: wrapped(load.prefill_tokens_total / TOTAL_TOKENS_UNIT),
-        decode_total: wrapped(load.decode_tokens_total / TOTAL_TOKENS_UNIT),
+        flags: role | accepting | profile,
+        running: compact_number::pack(u64::from(load.running)),
+        waiting: compact_number::pack(u64::from(load.waiting)),
+        queued_prefill: compact_number::pack(queued),
+        age: compact_number::pack(report.age_ms / AGE_UNIT_MS),
+        prefill_rate: pack_rate(rated.rates.prefill_per_s, PREFILL_RATE_UNIT),
+        decode_rate: pack_rate(rated.rates.decode_per_s, DECODE_RATE_UNIT),
     }
 }
 
-fn unpack_engine(engine: &CompactEngine, sets: &[Vec<LoadedModel>]) -> EngineReport {
+fn unpack_engine(
+    place: usize,
+    engine: &CompactEngine,
+    capacity: u32,
+    models: Vec<LoadedModel>,
+) -> EngineReport {
     let role = match engine.flags & ROLE_BITS {
         1 => Some(Role::Prefill),
         2 => Some(Role::Decode),
@@ -210,24 +254,41 @@
         _ => None,
     };
     EngineReport {
-        place: usize::from(engine.place),
+        place,
         incarnation: engine.incarnation,
         role,
         accepting: engine.flags & ACCEPTING != 0,
-        models: sets
-            .get(usize::from(engine.model_set))
-            .cloned()
-            .unwrap_or_default(),
-        running: u32::from(engine.running),
-        waiting: u32::from(engine.waiting),
-        queued_prefill_tokens: u64::from(engine.queued_prefill) * QUEUED_TOKENS_UNIT,
-        capacity: u32::from(engine.capacity),
-        age: Duration::from_millis(u64::from(engine.age) * AGE_UNIT_MS),
-        prefill_tokens_total: u64::from(engine.prefill_total) * TOTAL_TOKENS_UNIT,
-        decode_tokens_total: u64::from(engine.decode_total) * TOTAL_TOKENS_UNIT,
+        models,
+        running: compact_number::unpack(engine.running) as u32,
+        waiting: compact_number::unpack(engine.waiting) as u32,
+        queued_prefill_tokens: compact_number::unpack(engine.queued_prefill) * QUEUED_TOKENS_UNIT,
+        capacity,
+        age: Duration::from_millis(compact_number::unpack(engine.age) * AGE_UNIT_MS),
     }
 }
 
+fn token_rates(engine: &CompactEngine) -> TokenRates {
+    TokenRates {
+        prefill_per_s: unpack_rate(engine.prefill_rate, PREFILL_RATE_UNIT),
+        decode_per_s: unpack_rate(engine.decode_rate, DECODE_RATE_UNIT),
+    }
+}
+
+fn pack_rate(per_s: f64, unit: f64) -> u8 {
+    compact_number::pack((per_s / unit) as u64)
+}
+
+fn unpack_rate(packed: u8, unit: f64) -> f64 {
+    compact_number::unpack(packed) as f64 * unit
+}
+
+fn find_models(deployment: &Deployment, profile: &Profile) -> Vec<LoadedModel> {
+    let models = profile.models.iter();
+    models
+        .filter_map(|model| find_model(deployment, model))
+        .collect()
+}
+
 fn pack_model(loaded: &LoadedModel) -> CompactModel {
     let adapters = loaded.adapters.iter();
     CompactModel {
@@ -258,31 +319,6 @@
     })
 }
 
-/// The number as a smaller type; the type's greatest value if it does not fit.
-fn narrow<T: TryFrom<u64> + Bounded>(value: u64) -> T {
-    T::try_from(value).unwrap_or(T::MAX)
-}
-
-/// A total as it travels. It starts again at zero after 68 thousand million tokens, which one
-/// reader takes for a restarted engine.
-fn wrapped(total: u64) -> u32 {
-    (total & u64::from(u32::MAX)) as u32
-}
-
-/// Types with a greatest value.
-trait Bounded {
-    /// The greatest value.
-    const MAX: Self;
-}
-
-impl Bounded for u8 {
-    const MAX: Self = Self::MAX;
-}
-
-impl Bounded for u16 {
-    const MAX: Self = Self::MAX;
-}
-
 fn incarnation_tag(incarnation: Incarnation) -> u16 {
     (incarnation.0 & u64::from(u16::MAX)) as u16
 }
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -15,12 +15,14 @@
 
 use crate::digest_codec::{CompactDigest, EngineReport};
 use crate::machines::Machines;
+use crate::token_rates::TokenTotals;
 
 /// Least time between two pictures; digests are several times as old when they come in.
 const MIN_REBUILD_INTERVAL: Duration = Duration::from_millis(100);
 
 struct ReceivedDigest {
     version: RecordVersion,
+    totals: Vec<TokenTotals>,
     received_at: MonotonicTime,
     digest: CompactDigest,
 }
@@ -59,6 +61,7 @@
             let received = ReceivedDigest {
                 version,
                 received_at: now,
+                totals: self.totals(now, &group, &digest),
                 digest,
             };
             self.built.remove(&group);
@@ -68,6 +71,24 @@
         }
     }
 
+    /// Totals of a group's engines, by place, after the time since the digest before.
+    fn totals(
+        &self,
+        now: MonotonicTime,
+        group: &GroupId,
+        digest: &CompactDigest,
+    ) -> Vec<TokenTotals> {
+        let before = self.by_group.get(group);
+        let elapsed = before.map_or(Duration::ZERO, |before| now.since(before.received_at));
+        let rates = digest.rates().enumerate();
+        rates
+            .map(|(place, rates)| {
+                let known = before.and_then(|before| before.totals.get(place));
+                known.copied().unwrap_or_default().advanced(rates, elapsed)
+            })
+            .collect()
+    }
+
     /// When a group's last digest came in.
     pub(crate) fn heard_at(&self, group: &GroupId) -> Option<MonotonicTime> {
         self.by_group
@@ -101,9 +122,12 @@
         let engines = reports.filter_map(|report| {
             let engine = group.engines.get(report.place)?.clone();
             let machine = machines.engine(&engine)?;
-            report
-                .is_of(machine.incarnation)
-                .then(|| report.into_digest(engine, machine.incarnation, now, received_at))
+            if !report.is_of(machine.incarnation) {
+                return None;
+            }
+            let totals = received.totals.get(report.place).copied();
+            let totals = totals.unwrap_or_default();
+            Some(report.into_digest(engine, machine.incarnation, totals, now, received_at))
         });
         Some(GroupDigest {
             group: group.id(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 mod admin;
 mod apply;
 mod cluster_driver;
+mod compact_number;
 mod configuration;
 mod control_driver;
 mod control_half;
@@ -19,6 +20,7 @@
 mod machines;
 mod node;
 mod role_planning;
+mod token_rates;
 
 pub use admin::{
     ApplyRequest, ApplyResponse, ConfigurationResponse, DrainRequest, EngineControlRow,
