--- a/crates/lab/src/simulate/compare.rs
+++ b/crates/lab/src/simulate/compare.rs
@@ -124,7 +124,10 @@
             .collect();
         workers
             .into_iter()
-            .flat_map(|worker| worker.join().unwrap_or_default())
+            .flat_map(|worker| match worker.join() {
+                Ok(results) => results,
+                Err(panic) => std::panic::resume_unwind(panic),
+            })
             .collect()
     });
     results.sort_by_key(|(place, _)| *place);
--- a/crates/lab/src/simulate/mod.rs
+++ b/crates/lab/src/simulate/mod.rs
@@ -32,12 +32,20 @@
 
 use crate::LabError;
 
-/// Runs `simulate SCENARIO.toml [--json] [--seed N]`.
+/// Runs `simulate SCENARIO.toml [--json] [--timeline] [--seed N]`.
 pub fn run(arguments: &[String]) -> Result<(), Report<LabError>> {
     let mut options = Options::new();
     options.optflag("", "json", "print one JSON object");
+    options.optflag(
+        "",
+        "timeline",
+        "add goodput and roles over time to the text",
+    );
     options.optopt("", "seed", "seed instead of the scenario's", "N");
-    let usage = || options.usage("usage: dalestand-lab simulate SCENARIO.toml [--json] [--seed N]");
+    let usage = || {
+        options
+            .usage("usage: dalestand-lab simulate SCENARIO.toml [--json] [--timeline] [--seed N]")
+    };
     let matches = options
         .parse(arguments)
         .map_err(|error| LabError::Usage(format!("{error}\n{}", usage())))?;
@@ -56,6 +64,9 @@
         println!("{text}");
     } else {
         print!("{}", table(&comparison));
+        if matches.opt_present("timeline") {
+            print!("{}", timelines(&comparison));
+        }
     }
     Ok(())
 }
@@ -107,3 +118,21 @@
     }
     text
 }
+
+/// Goodput and roles over time as text.
+fn timelines(comparison: &Comparison) -> String {
+    let mut text = String::new();
+    for policy in &comparison.policies {
+        let timeline = &policy.timeline;
+        for (place, roles) in timeline.roles.iter().enumerate() {
+            let [prefill, decode, mixed] = roles;
+            text.push_str(&format!(
+                "{:<13}{:>8.0} s {:>10.2}/s  {prefill} prefill, {decode} decode, {mixed} mixed\n",
+                policy.name,
+                (place + 1) as f64 * timeline.interval_s,
+                timeline.goodput_per_s.get(place).copied().unwrap_or(0.0),
+            ));
+        }
+    }
+    text
+}
--- a/crates/planner/src/composition.rs
+++ b/crates/planner/src/composition.rs
@@ -27,8 +27,8 @@
     pub prefill: f64,
     /// Engines kept busy by output.
     pub decode: f64,
-    /// Share by which a step that runs both is slower.
-    pub mixed_overhead: f64,
+    /// Time lost by an engine that does both, as a share of the time of its prompts.
+    pub mixed_loss: f64,
 }
 
 impl Workload {
@@ -37,7 +37,7 @@
         Self {
             prefill: demand.prefill_tokens_per_s * speeds.prefill_token_s,
             decode: demand.decode_tokens_per_s * speeds.decode_work_s(),
-            mixed_overhead: speeds.mixed_overhead,
+            mixed_loss: speeds.mixed_loss,
         }
     }
 }
@@ -158,13 +158,12 @@
     fn can_serve(&self, workload: &Workload, multiple: f64) -> bool {
         let prefill = (multiple * workload.prefill - self.prefill as f64).max(0.0);
         let decode = (multiple * workload.decode - self.decode as f64).max(0.0);
-        // A step that runs a prompt carries the decode of the same batch along.
-        let slowed = prefill + decode.min(prefill / 2.0);
-        let overhead = if decode > 0.0 {
-            workload.mixed_overhead * slowed
+        // An engine that does both has output to run beside its prompts, whatever others do.
+        let lost = if workload.decode > 0.0 {
+            workload.mixed_loss * prefill
         } else {
             0.0
         };
-        prefill + decode + overhead <= self.mixed as f64
+        prefill + decode + lost <= self.mixed as f64
     }
 }
--- a/crates/planner/src/demand.rs
+++ b/crates/planner/src/demand.rs
@@ -14,6 +14,9 @@
 /// Share of the trend that is believed in a forecast.
 const TREND_TRUST: f64 = 0.5;
 
+/// Largest change that is forecast, as a share of the level.
+const LARGEST_FORECAST_CHANGE: f64 = 0.5;
+
 /// Shortest time between two samples.
 const SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -41,14 +44,16 @@
         let level_gain = 1.0 - (-elapsed_s / LEVEL_TIME_S).exp();
         let trend_gain = 1.0 - (-elapsed_s / TREND_TIME_S).exp();
         let expected = self.level + self.trend * elapsed_s;
-        let level = expected + level_gain * (value - expected);
+        let level = (expected + level_gain * (value - expected)).max(0.0);
         let slope = (level - self.level) / elapsed_s;
         self.trend += trend_gain * (slope - self.trend);
         self.level = level;
     }
 
     fn after(&self, seconds: f64) -> f64 {
-        (self.level + TREND_TRUST * self.trend * seconds).max(0.0)
+        let change = TREND_TRUST * self.trend * seconds;
+        let bound = LARGEST_FORECAST_CHANGE * self.level;
+        (self.level + change.clamp(-bound, bound)).max(0.0)
     }
 }
 
--- a/crates/planner/src/engine_state.rs
+++ b/crates/planner/src/engine_state.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dalestand_types::{EngineDigest, EngineLoad, Incarnation, MonotonicTime, Role};
+use dalestand_types::{EngineDigest, EngineLoad, GroupId, Incarnation, MonotonicTime, Role};
 
 use crate::demand::Demand;
 use crate::speeds::SpeedSample;
@@ -13,12 +13,16 @@
 /// Time within which a backlog of prompts is meant to be worked off, in seconds.
 const BACKLOG_TIME_S: f64 = 5.0;
 
+/// Queued prompt tokens from which an engine is taken never to run short of prompts.
+const SATURATING_QUEUE_TOKENS: u64 = 2_000;
+
 /// Weight of a new measurement in an engine's rates.
 const NEW_RATE_WEIGHT: f64 = 0.5;
 
 /// An engine with its last report and what it was seen to do.
 #[derive(Clone, Debug)]
 pub(crate) struct EngineState {
+    group: GroupId,
     load: EngineLoad,
     reported_at: MonotonicTime,
     accepting: bool,
@@ -27,8 +31,9 @@
 
 impl EngineState {
     /// An engine that has reported once.
-    pub(crate) fn new(now: MonotonicTime, digest: &EngineDigest) -> Self {
+    pub(crate) fn new(now: MonotonicTime, group: &GroupId, digest: &EngineDigest) -> Self {
         Self {
+            group: group.clone(),
             load: digest.load.clone(),
             reported_at: reported_at(now, digest),
             accepting: digest.accepting,
@@ -45,7 +50,7 @@
         self.accepting = digest.accepting;
         let load = &digest.load;
         if load.incarnation != self.load.incarnation {
-            *self = Self::new(now, digest);
+            *self = Self::new(now, &self.group.clone(), digest);
             return None;
         }
         let reported_at = reported_at(now, digest);
@@ -53,21 +58,29 @@
         if load.sequence <= self.load.sequence || elapsed < SHORTEST_INTERVAL {
             return None;
         }
-        let sample = self.sample(load, elapsed.as_secs_f64());
+        let role = self.load.role.unwrap_or(Role::Mixed);
+        let sample = self.sample(load, role, elapsed.as_secs_f64());
         self.measure_demand(load, &sample);
-        let busy = self.load.running.min(load.running) > 0 && self.load.role == load.role;
+        let in_role = load.role.is_some() && self.load.role == load.role;
+        let busy = self.load.running.min(load.running) > 0 && in_role;
         self.load = load.clone();
         self.reported_at = reported_at;
         busy.then_some(sample)
     }
 
-    fn sample(&self, load: &EngineLoad, elapsed_s: f64) -> SpeedSample {
+    fn sample(&self, load: &EngineLoad, role: Role, elapsed_s: f64) -> SpeedSample {
         let run = |now: u64, before: u64| now.saturating_sub(before) as f64;
+        let least_queued = self
+            .load
+            .queued_prefill_tokens
+            .min(load.queued_prefill_tokens);
         SpeedSample {
+            role,
             elapsed_s,
             prefill_tokens: run(load.prefill_tokens_total, self.load.prefill_tokens_total),
             decode_tokens: run(load.decode_tokens_total, self.load.decode_tokens_total),
             running: f64::from(self.load.running + load.running) / 2.0,
+            queued: least_queued >= SATURATING_QUEUE_TOKENS,
         }
     }
 
@@ -90,6 +103,11 @@
         }
     }
 
+    /// Its group.
+    pub(crate) fn group(&self) -> &GroupId {
+        &self.group
+    }
+
     /// Its run.
     pub(crate) fn incarnation(&self) -> Incarnation {
         self.load.incarnation
--- a/crates/planner/src/plan.rs
+++ b/crates/planner/src/plan.rs
@@ -21,6 +21,8 @@
     ChangesUnderWay { engines: usize },
     /// Changing an engine would leave a phase without any engine.
     WouldLeavePhaseEmpty,
+    /// A group with an engine that has less to drain goes first.
+    OtherGroupFirst,
     /// Another composition serves more than the change costs; both in shares of the demand times
     /// seconds.
     Gain { gain: f64, cost: f64 },
@@ -40,6 +42,9 @@
             Self::WouldLeavePhaseEmpty => {
                 formatter.write_str("a change now would leave a phase without any engine")
             }
+            Self::OtherGroupFirst => {
+                formatter.write_str("a group whose engine has less to drain goes first")
+            }
             Self::Gain { gain, cost } => write!(
                 formatter,
                 "expected gain {gain:.2} s of the demand against a cost of {cost:.2} s"
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -19,26 +19,29 @@
 /// Ratio between the present and the usual mix from which the mix counts as leaning.
 const LEAN_RATIO: f64 = 1.15;
 
-/// Expected stay at which the present demand counts as much as that of the last minutes.
-const HALF_TRUST_STAY_S: f64 = 15.0;
+/// How far ahead a change is judged, in seconds.
+const HORIZON_S: f64 = 300.0;
 
 /// Largest weight of role changes that is told apart from one.
 const LARGEST_WEIGHT: f64 = 0.98;
 
-/// Expected share of requests gained that no change is made below.
-const SMALLEST_GAIN_SHARE: f64 = 0.004;
+/// Gain beyond its cost that a change must bring, in shares of the demand times seconds.
+const SMALLEST_GAIN_S: f64 = 0.3;
 
 /// Engines held by one step of the preference for engines with little to drain.
 const DRAIN_STEP: u32 = 16;
 
+/// Time given to each group that has a better engine to change, to change it.
+const TURN: Duration = Duration::from_secs(3);
+
 /// One in so many samples of the last minutes is looked at.
 const HISTORY_STEP: usize = 6;
 
 /// Plans the roles of one group.
 ///
 /// It may be given the digests of other groups of the same pool whose engines can share requests
-/// with this one. All are then planned as one, by a rule that leads each group's planner to the
-/// same choice, and each plan names this group's engines only.
+/// with this one. All are then planned as one, and each plan names this group's engines only: the
+/// group that has the engine with the least to drain goes first, the others wait their turn.
 #[derive(Clone, Debug)]
 pub struct RolePlanner {
     group: GroupId,
@@ -49,6 +52,8 @@
     speeds: SpeedEstimate,
     demand: DemandEstimate,
     stay: StayEstimate,
+    /// Since when a change has been worth its cost.
+    worth_since: Option<MonotonicTime>,
 }
 
 /// A change of composition with its worth, in shares of the demand times seconds.
@@ -58,6 +63,31 @@
     cost: f64,
 }
 
+/// An engine of this group that could change.
+struct Step {
+    engine: EngineId,
+    role: Role,
+    /// Groups that have an engine with less to drain.
+    groups_before: u32,
+}
+
+/// Expected shares of requests served in time.
+struct Outlook {
+    /// By the demand that is coming.
+    coming: f64,
+    /// By the demand of the last minutes.
+    usual: f64,
+}
+
+/// What a change brings, in shares of the demand times seconds: its gain while the present mix is
+/// expected to last, and after that its gain or loss by the usual mix, which is no larger than what
+/// it would cost to make or to undo the change then.
+fn worth(before: &Outlook, after: &Outlook, stay_s: f64, cost: f64) -> f64 {
+    let present = (after.coming - before.coming) * stay_s;
+    let later = (after.usual - before.usual) * (HORIZON_S - stay_s);
+    present + later.clamp(-cost, cost)
+}
+
 impl RolePlanner {
     /// A planner that has seen no report.
     pub fn new(group: GroupId, config: PlannerConfig) -> Self {
@@ -70,6 +100,7 @@
             assigned: BTreeMap::new(),
             demand: DemandEstimate::default(),
             stay: StayEstimate::new(),
+            worth_since: None,
         }
     }
 
@@ -94,7 +125,7 @@
                     before != report.load.incarnation
                 }
                 None => {
-                    let state = EngineState::new(now, report);
+                    let state = EngineState::new(now, &digest.group, report);
                     self.engines.insert(engine.clone(), state);
                     true
                 }
@@ -146,41 +177,43 @@
             return PlanReason::ChangesUnderWay { engines: changing };
         }
         let Some(proposal) = self.best_proposal(now, current) else {
+            self.worth_since = None;
             return PlanReason::Keep;
         };
         inputs.target = proposal.target;
-        let Some((engine, role)) = self.first_step(&current, &proposal.target) else {
+        let Some(step) = self.first_step(&current, &proposal.target) else {
             return PlanReason::WouldLeavePhaseEmpty;
         };
-        // Another group's planner comes to the same step and takes it.
-        if self.own.contains(&engine) {
-            self.assigned.insert(engine, role);
+        let worth_since = *self.worth_since.get_or_insert(now);
+        if now.since(worth_since) < TURN * step.groups_before {
+            return PlanReason::OtherGroupFirst;
         }
+        self.worth_since = None;
+        self.assigned.insert(step.engine, step.role);
         PlanReason::Gain {
             gain: proposal.gain,
             cost: proposal.cost,
         }
     }
 
-    /// The composition whose gain over the expected stay exceeds its cost by most.
+    /// The composition whose gain exceeds its cost by most.
     fn best_proposal(&self, now: MonotonicTime, current: Composition) -> Option<Proposal> {
         let total = self.assigned.len();
-        let stay_s = self.stay.expected(now).as_secs_f64();
-        let served = |composition: &Composition| self.expected_share(composition, stay_s);
-        let before = served(&current);
+        let stay_s = self.stay.expected(now).as_secs_f64().min(HORIZON_S);
+        let before = self.outlook(&current);
         let mut best: Option<Proposal> = None;
         for target in self.compositions(total) {
             let changes = current.changes_to(&target);
-            let share = served(&target) - before;
-            if changes == 0 || share < SMALLEST_GAIN_SHARE && current.covers() {
+            if changes == 0 {
                 continue;
             }
-            let gain = share * stay_s;
-            let cost = self.cost(&current, changes, before);
+            let after = self.outlook(&target);
+            let cost = self.cost(&current, changes, before.coming);
+            let gain = worth(&before, &after, stay_s, cost);
             let better = best
                 .as_ref()
                 .is_none_or(|known| gain - cost > known.gain - known.cost);
-            if gain > cost && better {
+            if gain > cost + SMALLEST_GAIN_S && better {
                 best = Some(Proposal { target, gain, cost });
             }
         }
@@ -195,26 +228,21 @@
         Composition::all(total, &self.config.allowed_roles)
     }
 
-    /// Share of requests in time, by the demand that is coming and, as far as the mix is not
-    /// expected to last, by that of the last minutes.
-    fn expected_share(&self, composition: &Composition, stay_s: f64) -> f64 {
+    /// Shares of requests in time, by the demand that is coming and by that of the last minutes.
+    fn outlook(&self, composition: &Composition) -> Outlook {
         let speeds = self.speeds.speeds();
         let share = |demand: &Demand| composition.served_share(&Workload::of(demand, &speeds));
         let coming = share(&self.demand.forecast(self.config.change_duration));
-        let trust = stay_s / (stay_s + HALF_TRUST_STAY_S);
-        let (sum, count) = self
-            .demand
-            .history()
-            .step_by(HISTORY_STEP)
-            .fold((0.0, 0), |(sum, count), demand| {
-                (sum + share(demand), count + 1)
-            });
+        let samples = self.demand.history().step_by(HISTORY_STEP);
+        let (sum, count) = samples.fold((0.0, 0), |(sum, count), demand| {
+            (sum + share(demand), count + 1)
+        });
         let usual = if count == 0 {
             coming
         } else {
             sum / f64::from(count)
         };
-        trust * coming + (1.0 - trust) * usual
+        Outlook { coming, usual }
     }
 
     /// What the changes cost: requests that the engines miss while out of service, and the price
@@ -235,19 +263,31 @@
         changes as f64 * (missed + price)
     }
 
-    /// The engine to change first, and its new role.
-    fn first_step(&self, current: &Composition, target: &Composition) -> Option<(EngineId, Role)> {
+    /// The engine of this group to change first.
+    fn first_step(&self, current: &Composition, target: &Composition) -> Option<Step> {
         let surplus = |role: Role| current.count(role) > target.count(role);
         let role = Role::ALL
             .into_iter()
             .filter(|role| current.count(*role) < target.count(*role))
             .max_by_key(|role| target.count(*role) - current.count(*role))?;
         let candidates = self.assigned.iter().filter(|(_, held)| surplus(**held));
-        let engine = candidates
-            .filter(|(engine, _)| self.covered_without(engine))
-            .min_by_key(|(engine, _)| (self.held(engine) / DRAIN_STEP, (*engine).clone()))
-            .map(|(engine, _)| engine.clone())?;
-        Some((engine, role))
+        let mut candidates: Vec<&EngineId> = candidates
+            .map(|(engine, _)| engine)
+            .filter(|engine| self.covered_without(engine))
+            .collect();
+        candidates.sort_by_key(|engine| (self.held(engine) / DRAIN_STEP, *engine));
+        let place = candidates
+            .iter()
+            .position(|engine| self.own.contains(*engine))?;
+        let before: BTreeSet<&GroupId> = candidates[..place]
+            .iter()
+            .filter_map(|engine| Some(self.engines.get(*engine)?.group()))
+            .collect();
+        Some(Step {
+            engine: candidates[place].clone(),
+            role,
+            groups_before: before.len() as u32,
+        })
     }
 
     /// Whether the engines in service cover both phases without this one.
--- a/crates/planner/src/speeds.rs
+++ b/crates/planner/src/speeds.rs
@@ -1,5 +1,7 @@
 //! What an engine needs for a token, learnt from its own counters.
 
+use dalestand_types::Role;
+
 /// Decoding sequences an engine is expected to carry when it is well used.
 const DECODE_BATCH: f64 = 48.0;
 
@@ -12,6 +14,15 @@
 /// Parameters never fall below this share of the prior, nor rise above its inverse.
 const LEARNING_RANGE: f64 = 0.1;
 
+/// Share of its time that an engine must spend on prompts to teach the loss of doing both.
+const SMALLEST_PROMPT_SHARE: f64 = 0.1;
+
+/// Largest loss that is believed.
+const LARGEST_MIXED_LOSS: f64 = 3.0;
+
+/// Weight of a new sample in the loss.
+const MIXED_LOSS_WEIGHT: f64 = 0.03;
+
 /// Costs of an engine's steps, in seconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EngineSpeeds {
@@ -21,8 +32,9 @@
     pub decode_step_s: f64,
     /// Added time of each sequence in a decode step.
     pub decode_token_s: f64,
-    /// Share by which a step is slower when it runs prompts and output together.
-    pub mixed_overhead: f64,
+    /// Time that an engine loses when it runs prompts beside output, as a share of the time of
+    /// those prompts.
+    pub mixed_loss: f64,
 }
 
 impl Default for EngineSpeeds {
@@ -31,7 +43,7 @@
             prefill_token_s: 40e-6,
             decode_step_s: 8e-3,
             decode_token_s: 50e-6,
-            mixed_overhead: 0.25,
+            mixed_loss: 0.5,
         }
     }
 }
@@ -46,6 +58,8 @@
 /// What one busy engine did between two of its reports.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SpeedSample {
+    /// Its role.
+    pub role: Role,
     /// Time between the reports, in seconds.
     pub elapsed_s: f64,
     /// Prompt tokens run.
@@ -54,15 +68,20 @@
     pub decode_tokens: f64,
     /// Sequences in the batch, on average.
     pub running: f64,
+    /// Whether prompts were queued all the time.
+    pub queued: bool,
 }
 
-/// Learns [`EngineSpeeds`] by recursive least squares on the time that busy engines spent.
+/// Learns [`EngineSpeeds`] from the time that busy engines spent: the cost of prompts and output
+/// by recursive least squares on the engines that do one of them, the loss of doing both from the
+/// engines that do both and are never short of prompts.
 #[derive(Clone, Debug)]
 pub struct SpeedEstimate {
     prior: EngineSpeeds,
     /// Parameters relative to the prior: prompt token, step, output token.
     scale: [f64; 3],
     covariance: [[f64; 3]; 3],
+    mixed_loss: f64,
 }
 
 impl SpeedEstimate {
@@ -76,6 +95,7 @@
             prior,
             scale: [1.0; 3],
             covariance,
+            mixed_loss: prior.mixed_loss,
         }
     }
 
@@ -85,7 +105,7 @@
             prefill_token_s: self.prior.prefill_token_s * self.scale[0],
             decode_step_s: self.prior.decode_step_s * self.scale[1],
             decode_token_s: self.prior.decode_token_s * self.scale[2],
-            mixed_overhead: self.prior.mixed_overhead,
+            mixed_loss: self.mixed_loss,
         }
     }
 
@@ -94,17 +114,33 @@
         if sample.elapsed_s <= 0.0 || sample.prefill_tokens + sample.decode_tokens <= 0.0 {
             return;
         }
+        match sample.role {
+            Role::Mixed => self.observe_mixed(sample),
+            Role::Prefill if !sample.queued => {}
+            Role::Prefill | Role::Decode => self.observe_pure(sample),
+        }
+    }
+
+    fn observe_pure(&mut self, sample: &SpeedSample) {
         let steps = sample.decode_tokens / sample.running.max(1.0);
         let inputs = [
             sample.prefill_tokens * self.prior.prefill_token_s / sample.elapsed_s,
             steps * self.prior.decode_step_s / sample.elapsed_s,
             sample.decode_tokens * self.prior.decode_token_s / sample.elapsed_s,
         ];
-        let both = sample.prefill_tokens > 0.0 && sample.decode_tokens > 0.0;
-        let overhead = if both { self.prior.mixed_overhead } else { 0.0 };
-        // Only the steps that run a prompt are slower; they take about the prompt's share.
-        let target = 1.0 / (1.0 + overhead * inputs[0].min(1.0));
-        self.update(&inputs, target);
+        self.update(&inputs, 1.0);
+    }
+
+    fn observe_mixed(&mut self, sample: &SpeedSample) {
+        let speeds = self.speeds();
+        let prompts_s = sample.prefill_tokens * speeds.prefill_token_s;
+        if !sample.queued || prompts_s < SMALLEST_PROMPT_SHARE * sample.elapsed_s {
+            return;
+        }
+        let output_s = sample.decode_tokens * speeds.decode_work_s();
+        let lost = (sample.elapsed_s - prompts_s - output_s) / prompts_s;
+        let lost = lost.clamp(0.0, LARGEST_MIXED_LOSS);
+        self.mixed_loss += MIXED_LOSS_WEIGHT * (lost - self.mixed_loss);
     }
 
     fn update(&mut self, inputs: &[f64; 3], target: f64) {
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -307,6 +307,8 @@
         }
     }
 
+    /// A prompt engine (one that does both counts, if the output goes to an output engine) and
+    /// the output elsewhere.
     fn choose_split<'a, R: Rng>(
         &self,
         estimator: &Estimator<'_>,
@@ -317,24 +319,35 @@
         if usables.prefill.is_empty() {
             return None;
         }
-        let output = self.choose_decode(estimator, &mut usables.decode, random, &mut |_, _| ())?;
-        let (engine, mut estimate, _) = self.choose(
+        let mut silent = |_: &EngineView, _: f64| ();
+        let any = self.choose_decode(estimator, &mut usables.decode, random, &mut silent)?;
+        let mut pure: Vec<Usable<'_>> = usables.decode.clone();
+        pure.retain(|(_, role)| *role == Role::Decode);
+        let pure = self.choose_decode(estimator, &mut pure, random, &mut silent);
+        let output_for = |role: Role| match role {
+            Role::Prefill => Some(any.estimate),
+            _ => pure.as_ref().map(|choice| choice.estimate),
+        };
+        let (engine, estimate, score_s) = self.choose(
             estimator.prefix,
             &mut usables.prefill,
             random,
             |engine, role| {
-                let estimate = estimator.prompt(engine, role);
-                note(engine, estimate.first_token_s + output.estimate.whole_s());
-                (estimate, estimate.first_token_s)
+                let mut estimate = estimator.prompt(engine, role);
+                let Some(output) = output_for(role) else {
+                    return (estimate, f64::INFINITY);
+                };
+                estimate.first_token_s += output.first_token_s;
+                estimate.output_s = output.output_s;
+                note(engine, estimate.whole_s());
+                (estimate, estimate.whole_s())
             },
         )?;
-        estimate.first_token_s += output.estimate.first_token_s;
-        estimate.output_s = output.estimate.output_s;
-        Some(Choice {
+        score_s.is_finite().then_some(Choice {
             engine,
             placement: Placement::PrefillOnly,
             estimate,
-            score_s: estimate.whole_s(),
+            score_s,
         })
     }
 
@@ -416,7 +429,7 @@
             self.whole.push((engine, role));
         }
         if request.may_split {
-            if role == Role::Prefill {
+            if role.runs_prefill() {
                 self.prefill.push((engine, role));
             }
             if role.runs_decode() {
