A test that roles follow the demand in running processes

Cause: role plans were seen at work by hand only. Change: four engine processes, a node and 24 callers with long prompts; the test waits for an order that a plan led to and checks each answer whole. Conclusion: the order comes, its account says why, no answer is wrong or cut.

--- /dev/null
+++ b/cmd/tests/role_planning.rs
@@ -0,0 +1,96 @@
+//! A group's roles follow the measured demand, the engines take the orders, no answer is cut by
+//! them, and the account says why.
+
+mod support;
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use dalestand_node::EngineExplanation;
+use dalestand_standin::engine::text;
+use support::{Node, ctl, eventually, post, standin};
+
+const ENGINES: [&str; 4] = ["e1", "e2", "e3", "e4"];
+const CALLERS: usize = 24;
+const TOKENS: u32 = 12;
+
+fn deployment() -> String {
+    let names: Vec<String> = ENGINES.iter().map(|name| format!("\"{name}\"")).collect();
+    format!(
+        "format = 1\nname = \"planned\"\ncallers.require_key = false\nroles.change_weight = 0.0\n\
+         [[model]]\nname = \"m\"\nversion = \"1\"\nweights_gib = 1.0\n\
+         [[pool]]\nname = \"p\"\nmodels = [\"m\"]\n\
+         [[group]]\npool = \"p\"\nzone = \"z\"\nengines = [{}]\n",
+        names.join(", ")
+    )
+}
+
+/// Sends one request after the other until told to stop; yields how many were answered. Answers
+/// must be whole; refusals are told as not run.
+async fn keep_calling(callers: SocketAddr, caller: usize, stop: Rc<Cell<bool>>) -> usize {
+    let prompt = format!("caller {caller} {}", "a long provenance ".repeat(1_300));
+    let body = serde_json::json!({"model": "m", "prompt": prompt, "max_tokens": TOKENS});
+    let expected = text::expected_text("m", &prompt, TOKENS);
+    let mut answered = 0;
+    while !stop.get() {
+        let (status, answer) = post(callers, "/v1/completions", &body).await;
+        if status == 200 {
+            let answer: serde_json::Value = serde_json::from_str(&answer).expect("JSON");
+            assert_eq!(answer["choices"][0]["text"], expected.as_str());
+            answered += 1;
+        } else {
+            assert!(matches!(status, 429 | 503), "{status}: {answer}");
+            actix_rt::time::sleep(std::time::Duration::from_millis(50)).await;
+        }
+    }
+    answered
+}
+
+#[actix_rt::test]
+async fn roles_follow_the_demand_and_cut_no_answer() {
+    let (_kv, kv) = standin(&["kv"]);
+    let (_machines, machines) = standin(&["machines"]);
+    let mut engines = Vec::new();
+    for name in ENGINES {
+        let (process, address) = standin(&["engine", "--name", name, "--role-change-ms", "200"]);
+        let machine = serde_json::json!({
+            "name": name, "kind": "engine", "zone": "z", "address": address.to_string(),
+            "incarnation": 1, "state": "live"
+        });
+        post(machines, "/v1/machines", &machine).await;
+        engines.push(process);
+    }
+    let node = Node::start(&format!(
+        "node = \"n\"\nzone = \"z\"\ncaller_listen = \"127.0.0.1:0\"\n\
+         operator_listen = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\n\
+         key_value = \"{kv}\"\nmachine_list = \"{machines}\"\nload_poll_ms = 200\n"
+    ));
+    let apply = serde_json::json!({"text": deployment(), "author": "test", "expected": null});
+    assert_eq!(post(node.operators, "/apply", &apply).await.0, 200);
+
+    let stop = Rc::new(Cell::new(false));
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|caller| actix_rt::spawn(keep_calling(node.callers, caller, Rc::clone(&stop))))
+        .collect();
+    let explanation = eventually("an engine's role is changed by a plan", || async {
+        ENGINES.iter().find_map(|name| {
+            let output = ctl(node.operators, &["--json", "explain", "engine", name]);
+            let explanation: EngineExplanation = serde_json::from_slice(&output.stdout).ok()?;
+            (!explanation.roles.is_empty()).then_some(explanation)
+        })
+    })
+    .await;
+    stop.set(true);
+    let mut answered = 0;
+    for caller in callers {
+        answered += caller.await.expect("no answer was wrong or cut");
+    }
+    assert!(answered > 0);
+    assert!(
+        explanation.account.contains("expected gain"),
+        "{}",
+        explanation.account
+    );
+    assert!(explanation.roles[0].information_age_ms < 10_000);
+}
