--- a/crates/node/src/control_driver/loads.rs
+++ b/crates/node/src/control_driver/loads.rs
@@ -4,9 +4,12 @@
 
 use bytes::Bytes;
 use dalestand_cluster::{Record, RecordKey, RecordVersion};
+use dalestand_telemetry::{Event, log_event};
 use dalestand_types::{EngineDigest, EngineId, EngineLoad, GroupDigest, GroupId, MonotonicTime};
 
 use super::{ControlDriver, LoadSample};
+use crate::digest_codec::{CompactDigest, RatedReport};
+use crate::token_rates::TokenRates;
 
 impl ControlDriver {
     pub(super) fn poll_due_loads(self: &Rc<Self>, now: MonotonicTime) {
@@ -57,9 +60,17 @@
             if let Some(controller) = state.controllers.get_mut(group) {
                 controller.engine_seen(&load.engine, load.incarnation);
             }
-            state
-                .loads
-                .insert(load.engine.clone(), LoadSample { load, at: now });
+            let before = state.loads.get(&load.engine);
+            let rates = before.map_or_else(TokenRates::default, |before| {
+                TokenRates::between(before.rates, (&before.load, before.at), (&load, now))
+            });
+            let engine = load.engine.clone();
+            let sample = LoadSample {
+                load,
+                at: now,
+                rates,
+            };
+            state.loads.insert(engine, sample);
         }
         drop(state);
         self.publish_digest(group, &engines, now);
@@ -67,7 +78,9 @@
 
     pub(super) async fn read_load(&self, engine: &EngineId) -> Option<EngineLoad> {
         let client = self.client(engine)?;
-        client.load().await.ok()
+        // One engine that hangs must not hold up the digest of its group.
+        let answer = actix_rt::time::timeout(self.load_poll, client.load()).await;
+        answer.ok()?.ok()
     }
 
     pub(super) fn publish_digest(&self, group: &GroupId, engines: &[EngineId], now: MonotonicTime) {
@@ -78,14 +91,24 @@
         };
         let sequence = state.sequences.entry(group.clone()).or_default();
         *sequence = sequence.next();
-        let reports = engines.iter().filter_map(|engine| state.loads.get(engine));
-        let digest = GroupDigest {
+        let Some(active) = &state.configured else {
+            return;
+        };
+        let groups = &mut active.deployment.groups.iter();
+        let Some(configured) = groups.find(|one| one.id() == *group) else {
+            return;
+        };
+        let samples = engines.iter().filter_map(|engine| state.loads.get(engine));
+        let reports: Vec<RatedReport> = samples.map(|sample| rated_report(sample, now)).collect();
+        let whole = GroupDigest {
             group: group.clone(),
             epoch: grant.epoch,
             sequence: *sequence,
             holder: self.shared.node.clone(),
-            engines: reports.map(|sample| engine_digest(sample, now)).collect(),
+            engines: reports.iter().map(|rated| rated.digest.clone()).collect(),
         };
+        state.planning.observe(now, &configured.pool, &whole);
+        let digest = CompactDigest::pack(self.shared.node.clone(), configured, &reports);
         let Ok(payload) = rmp_serde::to_vec(&digest) else {
             return;
         };
@@ -93,20 +116,25 @@
             major: grant.epoch.0,
             minor: sequence.0,
         };
-        let key = RecordKey::GroupDigest(group.clone());
         let record = Record {
-            key,
+            key: RecordKey::GroupDigest(group.clone()),
             version,
             payload: Bytes::from(payload),
         };
-        self.cluster.borrow_mut().publish(record);
+        let mut cluster = self.cluster.borrow_mut();
+        if let Err(error) = cluster.publish_digest(record, &configured.zone) {
+            log_event!(self.shared.logger, Event::DatagramUnreadable, "error" => %error);
+        }
     }
 }
 
-fn engine_digest(sample: &LoadSample, now: MonotonicTime) -> EngineDigest {
-    EngineDigest {
-        load: sample.load.clone(),
-        age_ms: now.since(sample.at).as_millis() as u64,
-        accepting: true,
+fn rated_report(sample: &LoadSample, now: MonotonicTime) -> RatedReport {
+    RatedReport {
+        digest: EngineDigest {
+            load: sample.load.clone(),
+            age_ms: now.since(sample.at).as_millis() as u64,
+            accepting: true,
+        },
+        rates: sample.rates,
     }
 }
--- a/crates/node/src/control_driver/mod.rs
+++ b/crates/node/src/control_driver/mod.rs
@@ -3,6 +3,7 @@
 mod leases;
 mod loads;
 mod orders;
+mod roles;
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
@@ -23,6 +24,8 @@
 use crate::fleet::Digests;
 use crate::lease_service::LeaseService;
 use crate::machines::Machines;
+use crate::role_planning::RolePlanning;
+use crate::token_rates::TokenRates;
 
 /// Time between two looks at the controllers.
 const TICK: Duration = Duration::from_millis(50);
@@ -34,6 +37,7 @@
 struct LoadSample {
     load: EngineLoad,
     at: MonotonicTime,
+    rates: TokenRates,
 }
 
 #[derive(Default)]
@@ -45,6 +49,8 @@
     sequences: HashMap<GroupId, Sequence>,
     polled_at: HashMap<GroupId, MonotonicTime>,
     clients: EngineClients,
+    planning: RolePlanning,
+    machine_changes: u64,
     digests: Digests,
 }
 
@@ -113,7 +119,7 @@
         let groups = state.controllers.keys();
         groups
             .filter_map(|group| {
-                let holder = state.digests.digest(group)?.holder.clone();
+                let holder = state.digests.holder(group)?.clone();
                 Some((group.clone(), holder))
             })
             .collect()
@@ -127,6 +133,7 @@
         if self.shared.stopping() {
             return;
         }
+        self.plan_roles(now);
         let actions: Vec<(GroupId, Action)> = {
             let mut state = self.state.borrow_mut();
             let controllers = state.controllers.iter_mut();
@@ -161,13 +168,16 @@
         }
         let deployment = &active.deployment;
         let first_at = now + START_GRACE;
+        let state = &mut *state;
+        state.planning.configure(deployment);
         for group in &deployment.groups {
             state.silent_since.entry(group.id()).or_insert(first_at);
             let controller = state
                 .controllers
                 .entry(group.id())
                 .or_insert_with(|| GroupController::new(group.id(), first_at));
-            let desired = desired_engines(deployment, group);
+            let planned = state.planning.roles(&group.id());
+            let desired = desired_engines(deployment, group, &planned);
             let bound = deployment.roles.max_changes_at_once as usize;
             controller.set_desired(now, active.revision, desired, bound);
         }
@@ -179,7 +189,7 @@
     fn refresh_view(&self, now: MonotonicTime) {
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
-        state.digests.refresh(now, &self.cluster.borrow());
+        state.digests.refresh(now, &mut self.cluster.borrow_mut());
         let leases_held = state
             .controllers
             .values()
@@ -187,13 +197,18 @@
             .count();
         self.shared.metrics.leases.set(leases_held as i64);
         let machines = self.machines.borrow();
-        state.clients.retain(|address| machines.uses(address));
+        if state.machine_changes != machines.changes() {
+            state.machine_changes = machines.changes();
+            state.clients.retain(|address| machines.uses(address));
+        }
         if let Some(active) = &state.configured {
-            let cluster = self.cluster.borrow();
+            let deployment = &active.deployment;
             let view = state
                 .digests
-                .view(active.revision, &active.deployment, &machines, &cluster);
-            self.shared.fleet.store(Arc::new(view));
+                .view(now, active.revision, deployment, &machines);
+            if let Some(view) = view {
+                self.shared.fleet.store(Arc::new(view));
+            }
         }
     }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,33 +1,24 @@
 //! Starts the halves of a node and stops them as planned.
 
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use actix_rt::Arbiter;
-use dalestand_cluster::{Cluster, ClusterConfig, Member};
 use dalestand_config::NodeSettings;
 use dalestand_gateway::{Shared, serve_callers};
 use dalestand_http_server::Connections;
 use dalestand_platform::{HttpKeyValue, KeyValue};
 use dalestand_telemetry::{Event, Metrics, log_event};
-use dalestand_types::Incarnation;
 use error_stack::{Report, ResultExt as _};
 use slog::Logger;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
 
-use crate::admin::{Admin, serve_operators};
-use crate::cluster_driver;
-use crate::configuration;
-use crate::control_driver::ControlDriver;
-use crate::drains::Drains;
+use crate::control_half::{ControlParts, start_control};
 use crate::error::NodeError;
-use crate::lease_service::LeaseService;
-use crate::machines::{Machines, poll_machines};
 
 /// How often a stopping node looks whether its requests are over.
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -108,12 +99,18 @@
 
     let callers = start_callers(Arc::clone(&shared), listeners.callers);
     let stop_asked = Rc::new(Notify::new());
-    let sockets = ControlSockets {
+    let node = settings.node.clone();
+    let key_value: Rc<dyn KeyValue> = Rc::new(HttpKeyValue::new(settings.key_value));
+    let control = start_control(ControlParts {
+        settings,
+        shared: Arc::clone(&shared),
+        addresses,
         operators: listeners.operators,
         peers: listeners.peers,
-        addresses,
-    };
-    let control = start_control(&settings, &shared, sockets, Rc::clone(&stop_asked));
+        key_value,
+        filter: None,
+        stop_asked: Rc::clone(&stop_asked),
+    });
     log_readiness(Arc::clone(&shared));
 
     tokio::select! {
@@ -131,8 +128,9 @@
     while shared.in_flight() > 0 {
         actix_rt::time::sleep(STOP_POLL).await;
     }
+    control.leave().await;
     callers.stop();
-    log_event!(shared.logger, Event::StopDone, "node" => %settings.node);
+    log_event!(shared.logger, Event::StopDone, "node" => %node);
     Ok(())
 }
 
@@ -151,74 +149,6 @@
     arbiter
 }
 
-/// Sockets of the control half.
-struct ControlSockets {
-    operators: TcpListener,
-    peers: UdpSocket,
-    addresses: NodeAddresses,
-}
-
-fn start_control(
-    settings: &NodeSettings,
-    shared: &Arc<Shared>,
-    sockets: ControlSockets,
-    stop_asked: Rc<Notify>,
-) -> Rc<ControlDriver> {
-    let machines = Rc::new(RefCell::new(Machines::default()));
-    let me = Member {
-        node: settings.node.clone(),
-        incarnation: Incarnation(shared.clock.unix_ms()),
-        zone: settings.zone.clone(),
-        address: sockets.addresses.peers,
-        operator_address: sockets.addresses.operators,
-    };
-    let cluster = Cluster::new(me, settings.seeds.clone(), ClusterConfig::default());
-    let cluster = Rc::new(RefCell::new(cluster));
-    let key_value: Rc<dyn KeyValue> = Rc::new(HttpKeyValue::new(settings.key_value));
-    let drains = Rc::new(Drains::new(Rc::clone(&key_value), Rc::clone(&cluster)));
-    let leases = LeaseService::new(
-        Rc::clone(&key_value),
-        settings.node.clone(),
-        Duration::from_millis(settings.lease_ms),
-    );
-    let control = ControlDriver::new(
-        Arc::clone(shared),
-        leases,
-        Rc::clone(&cluster),
-        Rc::clone(&machines),
-        Rc::clone(&drains),
-        Duration::from_millis(settings.load_poll_ms),
-    );
-    actix_rt::spawn(poll_machines(
-        Arc::clone(shared),
-        settings.machine_list,
-        Duration::from_millis(settings.machine_poll_ms),
-        Rc::clone(&machines),
-    ));
-    let driver = cluster_driver::drive(
-        Arc::clone(shared),
-        sockets.peers,
-        Rc::clone(&cluster),
-        machines,
-    );
-    actix_rt::spawn(driver);
-    let follower = Arc::clone(shared);
-    let followed = Rc::clone(&key_value);
-    actix_rt::spawn(async move { configuration::follow(follower, &*followed).await });
-    actix_rt::spawn(Rc::clone(&control).run());
-    let admin = Admin {
-        shared: Arc::clone(shared),
-        control: Rc::clone(&control),
-        drains,
-        cluster,
-        key_value,
-        stop_asked,
-    };
-    let key_blake3 = settings.operator_key_blake3.clone();
-    actix_rt::spawn(serve_operators(sockets.operators, admin, key_blake3));
-    control
-}
-
 /// Logs readiness once a configuration is in force.
 fn log_readiness(shared: Arc<Shared>) {
     actix_rt::spawn(async move {
