--- a/cmd/tests/support/fleet.rs
+++ b/cmd/tests/support/fleet.rs
@@ -108,18 +108,17 @@
 
     /// The deployment file that wants every engine in one role.
     pub fn deployment(&self, role: Role, repeatable: bool) -> String {
-        let engines: Vec<String> = self
-            .engines
-            .keys()
-            .map(|name| format!("{name:?}"))
-            .collect();
+        let names = self.engines.keys();
+        let engines: Vec<String> = names.clone().map(|name| format!("{name:?}")).collect();
+        let roles: Vec<String> = names.map(|name| format!("{name} = \"{role}\"")).collect();
         format!(
             "format = 1\nname = \"test\"\ncallers.require_key = false\n\
              [[model]]\nname = \"m\"\nversion = \"1\"\nweights_gib = 1.0\n\
              [[pool]]\nname = \"p\"\nmodels = [\"m\"]\nrepeatable = {repeatable}\n\
-             initial_role = \"{role}\"\n\
-             [[group]]\npool = \"p\"\nzone = \"z\"\nengines = [{}]\n",
-            engines.join(", ")
+             [[group]]\npool = \"p\"\nzone = \"z\"\nengines = [{}]\n\
+             fixed_roles = {{ {} }}\n",
+            engines.join(", "),
+            roles.join(", ")
         )
     }
 
