--- a/cmd/src/bin/dalestand-standin.rs
+++ b/cmd/src/bin/dalestand-standin.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use dalestand_cmd::exit::Exit;
+use dalestand_cmd::exit::{Exit, usage_error};
 use dalestand_cmd::flags::{FlagError, optional, required};
 use dalestand_standin::engine::{BatchSettings, EngineSettings, serve_engine};
 use dalestand_standin::key_value::serve_key_value;
@@ -55,6 +55,11 @@
         "engine: length of a role change",
         "MS",
     );
+    options.optflag(
+        "",
+        "log-stdout",
+        "engine: print its order and run logs, a JSON object a line",
+    );
     options.optopt("", "capacity", "engine: most requests held", "NUMBER");
     options.optopt(
         "",
@@ -83,7 +88,7 @@
     let options = options();
     let matches = match options.parse(arguments) {
         Ok(matches) => matches,
-        Err(error) => return usage_error(&error.to_string()),
+        Err(error) => return usage_error(error),
     };
     if matches.opt_present("help") {
         println!("{}", options.usage(USAGE));
@@ -93,7 +98,7 @@
     actix_rt::System::new().block_on(async move {
         match serve(&kind, &matches).await {
             Ok(()) => Exit::Success,
-            Err(error) => usage_error(&error),
+            Err(error) => usage_error(error),
         }
     })
 }
@@ -131,6 +136,7 @@
         batch: batch_settings(matches)?,
         role_change: Duration::from_millis(role_change_ms),
         weight_store: optional(matches, "weights")?,
+        log_to_stdout: matches.opt_present("log-stdout"),
     })
 }
 
@@ -153,8 +159,3 @@
     }
     Ok(batch)
 }
-
-fn usage_error(message: &str) -> Exit {
-    eprintln!("{message}");
-    Exit::Usage
-}
--- a/cmd/src/dev.rs
+++ b/cmd/src/dev.rs
@@ -5,7 +5,9 @@
 
 use actix_rt::Arbiter;
 use dalestand_config::{Deployment, NodeSettings};
-use dalestand_node::{ApplyRequest, ApplyResponse, Listeners, NodeAddresses, StatusResponse};
+use dalestand_node::{
+    ApplyRequest, ApplyResponse, EngineRow, Listeners, NodeAddresses, StatusResponse,
+};
 use dalestand_standin::engine::{BatchSettings, EngineSettings, serve_engine};
 use dalestand_standin::key_value::serve_key_value;
 use dalestand_standin::machine_list::serve_machine_list;
@@ -17,7 +19,8 @@
 use getopts::Options;
 use tokio::net::TcpListener;
 
-use crate::exit::Exit;
+use crate::exit::{Exit, failure, usage_error};
+use crate::files;
 use crate::flags::optional;
 
 /// The deployment that is applied at the start.
@@ -26,6 +29,10 @@
 const DEFAULT_LISTEN: ([u8; 4], u16) = ([127, 0, 0, 1], 8080);
 const DEFAULT_OPERATORS: ([u8; 4], u16) = ([127, 0, 0, 1], 8081);
 const ROLE_CHANGE: Duration = Duration::from_secs(2);
+/// Short, since two nodes step in for four zones: another zone's lease is taken after a wait.
+const LEASE_MS: u64 = 1_000;
+const MACHINE_POLL_MS: u64 = 500;
+const LOAD_POLL_MS: u64 = 300;
 const READY_POLL: Duration = Duration::from_millis(100);
 
 /// Runs the stand-ins and two nodes until interrupted.
@@ -43,10 +50,16 @@
         "address for operators (default 127.0.0.1:8081)",
         "ADDRESS",
     );
+    options.optopt(
+        "",
+        "deployment",
+        "deployment file (default: the Lakeshore example)",
+        "FILE",
+    );
     options.optflag("h", "help", "show this help");
     let matches = match options.parse(arguments) {
         Ok(matches) => matches,
-        Err(error) => return usage_error(&error.to_string()),
+        Err(error) => return usage_error(error),
     };
     if matches.opt_present("help") {
         println!("{}", options.usage("usage: dalestand dev [flags]"));
@@ -61,24 +74,25 @@
     });
     let (callers, operators) = match addresses {
         Ok(addresses) => addresses,
-        Err(error) => return usage_error(&error.to_string()),
+        Err(error) => return usage_error(error),
+    };
+    let text = match matches.opt_str("deployment").map(|path| files::read(&path)) {
+        Some(Ok(text)) => text,
+        Some(Err(error)) => return usage_error(error),
+        None => EXAMPLE.to_owned(),
+    };
+    let deployment = match Deployment::parse(&text) {
+        Ok(deployment) => deployment,
+        Err(faults) => return usage_error(faults),
     };
     actix_rt::System::new().block_on(async move {
-        match start(callers, operators).await {
+        match start(callers, operators, text, deployment).await {
             Ok(()) => Exit::Success,
-            Err(message) => {
-                eprintln!("{message}");
-                Exit::Failure
-            }
+            Err(message) => failure(message),
         }
     })
 }
 
-fn usage_error(message: &str) -> Exit {
-    eprintln!("{message}");
-    Exit::Usage
-}
-
 /// Starts a stand-in on an arbiter of its own and yields where it listens.
 fn start_standin<S>(serve: S) -> Result<SocketAddr, String>
 where
@@ -97,12 +111,16 @@
     Ok(address)
 }
 
-async fn start(callers: SocketAddr, operators: SocketAddr) -> Result<(), String> {
+async fn start(
+    callers: SocketAddr,
+    operators: SocketAddr,
+    text: String,
+    deployment: Deployment,
+) -> Result<(), String> {
     let key_value = start_standin(|listener| drop(actix_rt::spawn(serve_key_value(listener))))?;
     let machine_list =
         start_standin(|listener| drop(actix_rt::spawn(serve_machine_list(listener))))?;
     let weights = start_standin(|listener| drop(actix_rt::spawn(serve_weight_store(listener))))?;
-    let deployment = Deployment::parse(EXAMPLE).map_err(|faults| faults.to_string())?;
     for group in &deployment.groups {
         for engine in &group.engines {
             let address = start_engine(engine.clone(), weights)?;
@@ -117,21 +135,17 @@
             .await?;
         }
     }
-    let zones: Vec<ZoneName> = deployment
-        .groups
-        .iter()
-        .map(|group| group.zone.clone())
-        .collect();
+    let (first_zone, second_zone) = two_zones(&deployment)?;
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let first = node_settings(
         "node-1",
-        &zones[0],
+        &first_zone,
         callers,
         operators,
         key_value,
         machine_list,
     );
-    let second = node_settings("node-2", &zones[1], any, any, key_value, machine_list);
+    let second = node_settings("node-2", &second_zone, any, any, key_value, machine_list);
     let log = logger(LogOutput::Terminal);
     let mut runs = Vec::new();
     let mut nodes: Vec<NodeAddresses> = Vec::new();
@@ -156,9 +170,16 @@
             log.clone(),
         )));
     }
-    apply_example(nodes[0].operators).await?;
-    wait_until_served(nodes[0].operators, &deployment).await?;
-    print_ready(&nodes);
+    apply(nodes[0].operators, text).await?;
+    // A stop that is asked for before the fleet is ready ends the wait too.
+    actix_rt::spawn(async move {
+        if wait_until_served(nodes[0].operators, &deployment)
+            .await
+            .is_ok()
+        {
+            print_ready(&nodes, &deployment);
+        }
+    });
     for run in runs {
         let ended = run.await.map_err(|error| error.to_string())?;
         ended.map_err(|report| format!("{report:?}"))?;
@@ -166,6 +187,14 @@
     Ok(())
 }
 
+/// Zones of the two nodes: the first two of the deployment, or its only one twice.
+fn two_zones(deployment: &Deployment) -> Result<(ZoneName, ZoneName), String> {
+    let mut zones = deployment.groups.iter().map(|group| &group.zone);
+    let first = zones.next().ok_or("the deployment has no [[group]]")?;
+    let second = zones.find(|zone| *zone != first).unwrap_or(first);
+    Ok((first.clone(), second.clone()))
+}
+
 fn start_engine(engine: EngineId, weights: SocketAddr) -> Result<SocketAddr, String> {
     let settings = EngineSettings {
         engine,
@@ -174,6 +203,7 @@
         batch: BatchSettings::default(),
         role_change: ROLE_CHANGE,
         weight_store: Some(weights),
+        log_to_stdout: false,
     };
     start_standin(move |listener| drop(actix_rt::spawn(serve_engine(listener, settings))))
 }
@@ -215,18 +245,19 @@
         peer_listen: SocketAddr::from(([127, 0, 0, 1], 0)),
         key_value,
         machine_list,
-        weight_store: None,
         seeds: Vec::new(),
         log_format: dalestand_config::LogFormat::Terminal,
-        lease_ms: 3_000,
-        machine_poll_ms: 500,
-        load_poll_ms: 300,
+        lease_ms: LEASE_MS,
+        machine_poll_ms: MACHINE_POLL_MS,
+        load_poll_ms: LOAD_POLL_MS,
+        operator_key_blake3: None,
+        peer_key: None,
     }
 }
 
-async fn apply_example(operators: SocketAddr) -> Result<(), String> {
+async fn apply(operators: SocketAddr, text: String) -> Result<(), String> {
     let request = ApplyRequest {
-        text: EXAMPLE.to_owned(),
+        text,
         author: "dalestand dev".to_owned(),
         expected: None,
     };
@@ -248,10 +279,7 @@
         let sent = awc::Client::default().get(url).send();
         let mut response = sent.await.map_err(|error| error.to_string())?;
         let status: StatusResponse = response.json().await.map_err(|error| error.to_string())?;
-        let serving = status
-            .engines
-            .iter()
-            .filter(|row| row.accepting && row.role.is_some());
+        let serving = status.engines.iter().filter(|row| is_serving(row));
         if status.ready && serving.count() == wanted {
             return Ok(());
         }
@@ -259,7 +287,11 @@
     }
 }
 
-fn print_ready(nodes: &[NodeAddresses]) {
+fn is_serving(row: &EngineRow) -> bool {
+    row.accepting && row.role.is_some() && !row.models.is_empty()
+}
+
+fn print_ready(nodes: &[NodeAddresses], deployment: &Deployment) {
     for node in nodes {
         println!(
             "node: callers http://{}, operators http://{}",
@@ -267,10 +299,13 @@
         );
     }
     println!("ready http://{}", nodes[0].callers);
+    let Some(model) = deployment.models.first().map(|model| &model.name) else {
+        return;
+    };
     println!("try:");
     println!(
         "  curl -N http://{}/v1/completions -H 'content-type: application/json' \\\n    \
-         -d '{{\"model\":\"caption-llm\",\"prompt\":\"a glass plate of a harbour\",\
+         -d '{{\"model\":\"{model}\",\"prompt\":\"a glass plate of a harbour\",\
          \"max_tokens\":20,\"stream\":true}}'",
         nodes[0].callers
     );
--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -11,7 +11,7 @@
 use dalestand_config::{Deployment, Pool};
 use dalestand_decision::{AttemptOutcome, RequestRecord};
 use dalestand_http_server::{Answer, Request, json_answer, read_json, stream_answer};
-use dalestand_routing::RouteRequest;
+use dalestand_routing::{RouteRequest, prompt_blocks};
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::{
     AdapterName, AttemptId, FinishReason, GenerationFrame, GenerationRequest, ModelName, Priority,
@@ -51,7 +51,8 @@
     let active = usable_configuration(&shared)?;
     let limit = active.deployment.limits.max_body_bytes;
     let body: CompletionRequest = read_json(http_request, limit).await?;
-    let request = generation_request(&active, &body, &random)?;
+    let request_id = RequestId::new(shared.node.tag(), random.borrow_mut().random());
+    let request = generation_request(&active, &body, request_id)?;
     let record = RequestRecord {
         request: request.request,
         unix_ms: shared.clock.unix_ms(),
@@ -63,15 +64,16 @@
         run_state: None,
     };
     shared.decisions().put_request(record);
-    let route = RouteRequest {
-        model: request.model.clone(),
-        adapter: request.adapter.clone(),
-        zone: shared.zone.clone(),
-        prompt_tokens: body.prompt.split_whitespace().count() as u32,
-        max_tokens: request.max_tokens,
-        tried: Vec::new(),
-    };
-    let request_id = request.request;
+    let prompt_tokens = body.prompt.split_whitespace().count() as u32;
+    let mut route = RouteRequest::new(
+        request.model.clone(),
+        shared.zone.clone(),
+        prompt_tokens,
+        request.max_tokens,
+    );
+    route.adapter = request.adapter.clone();
+    route.blocks = prompt_blocks(&body.prompt);
+    route.may_split = may_split(&active.deployment, &request.model);
     let started = attempt::start(&shared, &random, received_at, route, request).await;
     let accepted = started.inspect_err(|error| {
         finish_record(
@@ -97,6 +99,14 @@
     Ok(answer)
 }
 
+/// Whether the prompt and the output may run on two engines. A request that may run once stays on
+/// one, so that one engine's record of it is enough.
+fn may_split(deployment: &Deployment, model: &ModelName) -> bool {
+    deployment
+        .pool_of_model(model)
+        .is_some_and(|pool| pool.repeatable)
+}
+
 fn usable_configuration(shared: &Shared) -> Result<Arc<ActiveConfiguration>, CallerError> {
     shared
         .configuration
@@ -110,7 +120,7 @@
 fn generation_request(
     active: &ActiveConfiguration,
     body: &CompletionRequest,
-    random: &RefCell<StdRng>,
+    request: RequestId,
 ) -> Result<GenerationRequest, CallerError> {
     let deployment = &active.deployment;
     let (model, adapter) = find_model(deployment, &body.model)?;
@@ -126,7 +136,7 @@
         });
     }
     Ok(GenerationRequest {
-        request: RequestId(random.borrow_mut().random()),
+        request,
         attempt: AttemptId(0),
         model,
         adapter,
@@ -235,7 +245,7 @@
         }
         loop {
             match self.accepted.frames.next().await {
-                Some(Ok(frame)) if frame_attempt(&frame) != self.accepted.attempt => {
+                Some(Ok(frame)) if frame.attempt() != self.accepted.attempt => {
                     self.shared.metrics.foreign_frames.inc();
                     log_event!(self.shared.logger, Event::ForeignFrame, "request" => %self.request);
                 }
@@ -246,6 +256,9 @@
                     if position > self.next_position {
                         return Some(self.broken("a token is missing".to_owned()));
                     }
+                    if self.next_position == 0 {
+                        self.accepted.guard.first_token();
+                    }
                     self.next_position += 1;
                     self.shared.metrics.tokens.inc();
                     return Some(Piece::Token(text));
@@ -259,6 +272,7 @@
                     if tokens != self.next_position {
                         return Some(self.broken("tokens are missing at the end".to_owned()));
                     }
+                    self.accepted.guard.complete(tokens, usage);
                     self.finish(
                         AttemptOutcome::Complete { tokens },
                         RunState::Complete,
@@ -266,6 +280,9 @@
                     );
                     return Some(Piece::End(reason, usage));
                 }
+                Some(Ok(GenerationFrame::Prefilled { .. })) => {
+                    return Some(self.broken("the engine ran the prompt only".to_owned()));
+                }
                 Some(Ok(GenerationFrame::Failed { message, .. })) => {
                     return Some(self.broken(message));
                 }
@@ -377,14 +394,6 @@
     }
 }
 
-fn frame_attempt(frame: &GenerationFrame) -> AttemptId {
-    match frame {
-        GenerationFrame::Token { attempt, .. }
-        | GenerationFrame::Finished { attempt, .. }
-        | GenerationFrame::Failed { attempt, .. } => *attempt,
-    }
-}
-
 fn finish_word(reason: FinishReason) -> &'static str {
     match reason {
         FinishReason::Stop => "stop",
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,7 +3,9 @@
 //! Each command is one module with a `run` function, listed in [`COMMANDS`].
 
 mod error;
+mod hollow;
 mod load;
+pub mod simulate;
 
 use error_stack::Report;
 
@@ -20,8 +22,20 @@
 }
 
 /// Every command.
-pub const COMMANDS: &[Command] = &[Command {
-    name: "load",
-    summary: "streams against a node, an engine, or both",
-    run: load::run,
-}];
+pub const COMMANDS: &[Command] = &[
+    Command {
+        name: "hollow",
+        summary: "measure what control costs, with many nodes in one process",
+        run: hollow::run,
+    },
+    Command {
+        name: "load",
+        summary: "streams against a node, an engine, or both",
+        run: load::run,
+    },
+    Command {
+        name: "simulate",
+        summary: "run a scenario in virtual time under every policy",
+        run: simulate::run,
+    },
+];
--- /dev/null
+++ b/crates/node/src/control_driver/loads.rs
@@ -0,0 +1,140 @@
+//! Load reports of the engines this node controls, and the digests made of them.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use dalestand_cluster::{Record, RecordKey, RecordVersion};
+use dalestand_telemetry::{Event, log_event};
+use dalestand_types::{EngineDigest, EngineId, EngineLoad, GroupDigest, GroupId, MonotonicTime};
+
+use super::{ControlDriver, LoadSample};
+use crate::digest_codec::{CompactDigest, RatedReport};
+use crate::token_rates::TokenRates;
+
+impl ControlDriver {
+    pub(super) fn poll_due_loads(self: &Rc<Self>, now: MonotonicTime) {
+        let due: Vec<GroupId> = {
+            let mut state = self.state.borrow_mut();
+            let state = &mut *state;
+            let held = state
+                .controllers
+                .values()
+                .filter(|one| one.grant(now).is_some());
+            let due: Vec<GroupId> = held
+                .map(|controller| controller.group().clone())
+                .filter(|group| {
+                    let polled_at = state.polled_at.get(group);
+                    polled_at.is_none_or(|at| now.since(*at) >= self.load_poll)
+                })
+                .collect();
+            for group in &due {
+                state.polled_at.insert(group.clone(), now);
+            }
+            due
+        };
+        for group in due {
+            let driver = Rc::clone(self);
+            actix_rt::spawn(async move { driver.poll_loads(&group).await });
+        }
+    }
+
+    /// Asks the group's engines for load and publishes the digest.
+    async fn poll_loads(&self, group: &GroupId) {
+        let engines: Vec<EngineId> = {
+            let state = self.state.borrow();
+            let controller = state.controllers.get(group);
+            controller
+                .map(|one| {
+                    one.statuses()
+                        .into_iter()
+                        .map(|status| status.engine)
+                        .collect()
+                })
+                .unwrap_or_default()
+        };
+        let calls = engines.iter().map(|engine| self.read_load(engine));
+        let reports = futures_util::future::join_all(calls).await;
+        let now = self.shared.clock.now();
+        let mut state = self.state.borrow_mut();
+        for load in reports.into_iter().flatten() {
+            if let Some(controller) = state.controllers.get_mut(group) {
+                controller.engine_seen(&load.engine, load.incarnation);
+            }
+            let before = state.loads.get(&load.engine);
+            let rates = before.map_or_else(TokenRates::default, |before| {
+                TokenRates::between(before.rates, (&before.load, before.at), (&load, now))
+            });
+            let engine = load.engine.clone();
+            let sample = LoadSample {
+                load,
+                at: now,
+                rates,
+            };
+            state.loads.insert(engine, sample);
+        }
+        drop(state);
+        self.publish_digest(group, &engines, now);
+    }
+
+    pub(super) async fn read_load(&self, engine: &EngineId) -> Option<EngineLoad> {
+        let client = self.client(engine)?;
+        // One engine that hangs must not hold up the digest of its group.
+        let answer = actix_rt::time::timeout(self.load_poll, client.load()).await;
+        answer.ok()?.ok()
+    }
+
+    pub(super) fn publish_digest(&self, group: &GroupId, engines: &[EngineId], now: MonotonicTime) {
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        let Some(grant) = state.controllers.get(group).and_then(|one| one.grant(now)) else {
+            return;
+        };
+        let sequence = state.sequences.entry(group.clone()).or_default();
+        *sequence = sequence.next();
+        let Some(active) = &state.configured else {
+            return;
+        };
+        let groups = &mut active.deployment.groups.iter();
+        let Some(configured) = groups.find(|one| one.id() == *group) else {
+            return;
+        };
+        let samples = engines.iter().filter_map(|engine| state.loads.get(engine));
+        let reports: Vec<RatedReport> = samples.map(|sample| rated_report(sample, now)).collect();
+        let whole = GroupDigest {
+            group: group.clone(),
+            epoch: grant.epoch,
+            sequence: *sequence,
+            holder: self.shared.node.clone(),
+            engines: reports.iter().map(|rated| rated.digest.clone()).collect(),
+        };
+        state.planning.observe(now, &configured.pool, &whole);
+        let digest = CompactDigest::pack(self.shared.node.clone(), configured, &reports);
+        let Ok(payload) = rmp_serde::to_vec(&digest) else {
+            return;
+        };
+        let version = RecordVersion {
+            major: grant.epoch.0,
+            minor: sequence.0,
+        };
+        let record = Record {
+            key: RecordKey::GroupDigest(group.clone()),
+            version,
+            payload: Bytes::from(payload),
+        };
+        let mut cluster = self.cluster.borrow_mut();
+        if let Err(error) = cluster.publish_digest(record, &configured.zone) {
+            log_event!(self.shared.logger, Event::DatagramUnreadable, "error" => %error);
+        }
+    }
+}
+
+fn rated_report(sample: &LoadSample, now: MonotonicTime) -> RatedReport {
+    RatedReport {
+        digest: EngineDigest {
+            load: sample.load.clone(),
+            age_ms: now.since(sample.at).as_millis() as u64,
+            accepting: true,
+        },
+        rates: sample.rates,
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,14 +6,27 @@
 mod admin;
 mod apply;
 mod cluster_driver;
+mod compact_number;
 mod configuration;
 mod control_driver;
+mod control_half;
+mod desired;
+mod digest_codec;
+mod drains;
 mod engines;
 mod error;
 mod fleet;
+mod lease_service;
 mod machines;
 mod node;
+mod role_planning;
+mod token_rates;
 
-pub use admin::{ApplyRequest, ApplyResponse, EngineRow, StatusResponse};
+pub use admin::{
+    ApplyRequest, ApplyResponse, ConfigurationResponse, DrainRequest, EngineControlRow,
+    EngineExplanation, EngineRow, MemberRow, RequestExplanation, StatusResponse,
+};
+pub use cluster_driver::LinkFilter;
+pub use control_half::{ControlHalf, ControlParts, start_control};
 pub use error::NodeError;
 pub use node::{Listeners, NodeAddresses, run};
--- a/crates/types/src/generation.rs
+++ b/crates/types/src/generation.rs
@@ -1,6 +1,7 @@
 //! Requests for generation and what comes back.
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -53,6 +54,23 @@
     AttemptId
 );
 
+/// Bits of a request's identifier below the tag of the node that took it in.
+const REQUEST_RANDOM_BITS: u32 = 96;
+
+impl RequestId {
+    /// An identifier that names the node which took the request in, so that any node can find the
+    /// one that keeps its record.
+    pub fn new(node_tag: u32, random: u128) -> Self {
+        let random = random & ((1 << REQUEST_RANDOM_BITS) - 1);
+        Self(u128::from(node_tag) << REQUEST_RANDOM_BITS | random)
+    }
+
+    /// Tag of the node that took the request in; see [`crate::NodeId::tag`].
+    pub fn node_tag(self) -> u32 {
+        (self.0 >> REQUEST_RANDOM_BITS) as u32
+    }
+}
+
 /// Importance of a request; a higher number goes first.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -90,11 +108,33 @@
     /// The key under which the request may run at most once, where it may not be repeated.
     pub once_key: Option<String>,
     /// Where to import the KV cache of the prompt from; the prompt is run here if absent.
-    pub import_from: Option<String>,
+    pub import_from: Option<CacheHandle>,
     /// Run only the prompt and keep its KV cache for export.
     pub prefill_only: bool,
 }
 
+/// Names the KV cache of a prompt that an engine ran and holds for export.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct CacheHandle {
+    /// The engine that holds it.
+    pub address: SocketAddr,
+    /// The attempt that ran the prompt there.
+    pub attempt: AttemptId,
+}
+
+/// What an engine is to do with a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Placement {
+    /// Run all of it.
+    #[default]
+    Whole,
+    /// Run the prompt only; another decision names the engine for the output.
+    PrefillOnly,
+    /// Import the prompt's KV cache and generate the output.
+    DecodeOnly,
+}
+
 /// Token counts of a finished request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Usage {
@@ -126,6 +166,8 @@
         position: u32,
         text: String,
     },
+    /// The prompt has run and its KV cache is held for export: the end of a prefill-only attempt.
+    Prefilled { attempt: AttemptId, usage: Usage },
     /// The whole answer has been sent; `tokens` is the count of its tokens.
     Finished {
         attempt: AttemptId,
@@ -137,6 +179,23 @@
     Failed { attempt: AttemptId, message: String },
 }
 
+impl GenerationFrame {
+    /// The attempt that the frame belongs to.
+    pub fn attempt(&self) -> AttemptId {
+        match self {
+            Self::Token { attempt, .. }
+            | Self::Prefilled { attempt, .. }
+            | Self::Finished { attempt, .. }
+            | Self::Failed { attempt, .. } => *attempt,
+        }
+    }
+
+    /// Whether no frame of the attempt follows this one.
+    pub fn is_last(&self) -> bool {
+        !matches!(self, Self::Token { .. })
+    }
+}
+
 /// Why an engine took no request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -151,6 +210,8 @@
     NotLoaded,
     /// The engine's run is not the one the request names.
     OtherIncarnation,
+    /// The KV cache to import is not held any more.
+    CacheNotFound,
     /// This attempt, or this key that may run once, was run before.
     AlreadyRun,
 }
