Engines are drained before an order that interrupts their service

Cause: a role order went out at once; that no answer was cut rested on the engine alone, and an engine that cuts what runs would have cut it. A new version of a served model was ordered of all engines at once. After a role change an engine stayed marked as taking no work until the next read, up to half a second later. Ruled out: a time limit after which the order goes out anyway (it would cut); asking the engines to drain (not among the orders they take). Change: the holder marks the engine as taking no new work in its digests, waits until it has reported for a second that it holds nothing, then gives the order; drains count as changes at once; unloading and another version of a served model are drained for too. A report that shows the engine in service again has it read at once. Stand-in fault: a role change that cuts what runs. Conclusion: no planned change cuts an answer, whatever the engine does on the order.

--- /dev/null
+++ b/cmd/tests/planned_changes.rs
@@ -0,0 +1,158 @@
+//! Role changes, a drain and a planned stop at the same time cut no answer, though the engines of
+//! this fleet cut whatever runs when they change their role.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use dalestand_node::StatusResponse;
+use dalestand_standin::engine::{OrderLogEntry, text};
+use dalestand_types::OrderCommand;
+use futures_util::StreamExt as _;
+use support::{Node, Process, ctl, eventually, get, post, standin};
+
+const ENGINES: [&str; 3] = ["e1", "e2", "e3"];
+const CALLERS_A_NODE: usize = 6;
+
+/// Tokens of an answer: some two seconds at the stand-in's speed.
+const TOKENS: u32 = 200;
+
+fn deployment(first_role: &str) -> String {
+    format!(
+        "format = 1\nname = \"planned\"\ncallers.require_key = false\n\
+         [[model]]\nname = \"m\"\nversion = \"1\"\nweights_gib = 1.0\n\
+         [[pool]]\nname = \"p\"\nmodels = [\"m\"]\n\
+         [[group]]\npool = \"p\"\nzone = \"z\"\nengines = [\"e1\", \"e2\", \"e3\"]\n\
+         fixed_roles = {{ e1 = \"{first_role}\", e2 = \"mixed\", e3 = \"mixed\" }}\n"
+    )
+}
+
+async fn start_engine(name: &str, machines: SocketAddr) -> (Process, SocketAddr) {
+    let (process, address) = standin(&["engine", "--name", name, "--role-change-ms", "100"]);
+    let machine = serde_json::json!({
+        "name": name, "kind": "engine", "zone": "z", "address": address.to_string(),
+        "incarnation": 1, "state": "live"
+    });
+    post(machines, "/v1/machines", &machine).await;
+    post(
+        address,
+        "/faults",
+        &serde_json::json!({"abrupt_role_change": true}),
+    )
+    .await;
+    (process, address)
+}
+
+fn start_node(name: &str, kv: SocketAddr, machines: SocketAddr, seeds: &str) -> Node {
+    Node::start(&format!(
+        "node = \"{name}\"\nzone = \"z\"\ncaller_listen = \"127.0.0.1:0\"\n\
+         operator_listen = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\n\
+         key_value = \"{kv}\"\nmachine_list = \"{machines}\"\nload_poll_ms = 100\n\
+         lease_ms = 1500\nseeds = [{seeds}]\n"
+    ))
+}
+
+async fn apply(node: &Node, first_role: &str) {
+    let text = deployment(first_role);
+    let body = serde_json::json!({"text": text, "author": "test", "expected": null});
+    assert_eq!(post(node.operators, "/apply", &body).await.0, 200);
+}
+
+async fn wait_until_served(node: &Node) {
+    eventually("three engines serve", || async {
+        let status: StatusResponse = get(node.operators, "/status").await;
+        let rows = status.engines.iter();
+        let serving = rows.filter(|row| row.accepting && row.role.is_some());
+        let serving = serving.filter(|row| !row.models.is_empty()).count();
+        (serving == ENGINES.len()).then_some(())
+    })
+    .await;
+}
+
+/// One streamed answer, read frame by frame as it comes.
+async fn read_answer(callers: SocketAddr, prompt: String) -> String {
+    let client = awc::Client::builder().disable_timeout().finish();
+    let body = serde_json::json!({
+        "model": "m", "prompt": prompt, "max_tokens": TOKENS, "stream": true
+    });
+    let url = format!("http://{callers}/v1/completions");
+    let mut response = client.post(url).send_json(&body).await.expect("an answer");
+    assert_eq!(response.status().as_u16(), 200);
+    let mut stream = String::new();
+    while let Some(chunk) = response.next().await {
+        stream.push_str(&String::from_utf8_lossy(&chunk.expect("no cut")));
+    }
+    assert!(
+        stream.ends_with("data: [DONE]\n\n"),
+        "cut after {} bytes",
+        stream.len()
+    );
+    let chunks = stream
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: {"));
+    let texts = chunks.map(|rest| {
+        let chunk: serde_json::Value =
+            serde_json::from_str(&format!("{{{rest}")).expect("a chunk in JSON");
+        chunk["choices"][0]["text"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned()
+    });
+    texts.collect()
+}
+
+#[actix_rt::test]
+async fn role_changes_a_drain_and_a_stop_at_once_cut_no_answer() {
+    let (_kv, kv) = standin(&["kv"]);
+    let (_machines, machines) = standin(&["machines"]);
+    let mut processes = Vec::new();
+    let mut addresses = Vec::new();
+    for name in ENGINES {
+        let (process, address) = start_engine(name, machines).await;
+        processes.push(process);
+        addresses.push(address);
+    }
+    let staying = start_node("staying", kv, machines, "");
+    let seed = format!("\"{}\"", staying.peers);
+    let mut leaving = start_node("leaving", kv, machines, &seed);
+    apply(&staying, "mixed").await;
+    wait_until_served(&staying).await;
+    wait_until_served(&leaving).await;
+
+    let mut answers = Vec::new();
+    for caller in 0..2 * CALLERS_A_NODE {
+        let node = if caller % 2 == 0 { &staying } else { &leaving };
+        let prompt = format!("caller {caller} wants a provenance caption");
+        let expected = text::expected_text("m", &prompt, TOKENS);
+        let answer = actix_rt::spawn(read_answer(node.callers, prompt));
+        answers.push((expected, answer));
+    }
+    eventually("every request runs", || async {
+        let mut running = 0;
+        for address in &addresses {
+            let runs: Vec<serde_json::Value> = get(*address, "/log/runs").await;
+            running += runs.iter().filter(|run| run["event"] == "started").count();
+        }
+        (running == 2 * CALLERS_A_NODE).then_some(())
+    })
+    .await;
+
+    apply(&staying, "decode").await;
+    leaving.process.signal("TERM");
+    let drained = ctl(staying.operators, &["drain", "engine", "e2"]);
+    assert_eq!(drained.status.code(), Some(0), "{drained:?}");
+    leaving.process.signal("TERM");
+    for (expected, answer) in answers {
+        assert_eq!(answer.await.expect("the caller's task ends"), expected);
+    }
+    assert_eq!(leaving.process.wait(), Some(0));
+    eventually("the role order was taken", || async {
+        let log: Vec<OrderLogEntry> = get(addresses[0], "/log/orders").await;
+        let taken = log.iter().any(|entry| {
+            matches!(entry, OrderLogEntry::Taken { order, .. }
+                if matches!(order.command, OrderCommand::AssumeRole { .. }))
+        });
+        taken.then_some(())
+    })
+    .await;
+}
--- a/cmd/tests/two_stages.rs
+++ b/cmd/tests/two_stages.rs
@@ -51,12 +51,12 @@
         ));
         let apply = serde_json::json!({"text": DEPLOYMENT, "author": "test", "expected": null});
         assert_eq!(post(node.operators, "/apply", &apply).await.0, 200);
-        eventually("both engines have their roles", || async {
+        eventually("both engines take work in their roles", || async {
             let status: StatusResponse = get(node.operators, "/status").await;
             let roles: Vec<String> = status
                 .engines
                 .iter()
-                .filter(|row| !row.models.is_empty())
+                .filter(|row| row.accepting && !row.models.is_empty())
                 .filter_map(|row| Some(format!("{}={}", row.engine, row.role?)))
                 .collect();
             let wanted = ["outputs=decode", "prompts=prefill"];
--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -4,11 +4,13 @@
 
 use dalestand_types::{
     EngineId, EngineOrders, Epoch, GroupId, Incarnation, MonotonicTime, OrderOutcome, Revision,
+    Role,
 };
 
 use crate::action::{Action, CallId, EngineCall};
 use crate::desired::{DesiredEngine, next_command};
-use crate::engine::{EngineControl, changes_role};
+use crate::drain::interrupts_service;
+use crate::engine::EngineControl;
 use crate::lease::{Lease, LeaseGrant};
 
 /// An engine's state as operators see it.
@@ -20,6 +22,17 @@
     pub orders: Option<EngineOrders>,
 }
 
+/// What a load report says that matters to a controller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EngineSeen {
+    /// The engine's run.
+    pub incarnation: Incarnation,
+    /// The role it serves in; `None` while it is out of service.
+    pub role: Option<Role>,
+    /// Requests it holds, running and waiting.
+    pub held: u32,
+}
+
 /// Holds a group's lease and brings its engines to what is desired, one order an engine at a time.
 pub struct GroupController {
     group: GroupId,
@@ -192,26 +205,35 @@
         }
     }
 
-    /// An engine was seen in a run, such as in a load report. A restarted engine is fenced and
-    /// read again.
-    pub fn engine_seen(&mut self, engine: &EngineId, incarnation: Incarnation) {
+    /// An engine reported its run and how many requests it holds. A restarted engine is fenced
+    /// and read again; one that drains is watched until it is empty.
+    pub fn engine_reported(&mut self, now: MonotonicTime, engine: &EngineId, seen: &EngineSeen) {
         if let Some(control) = self.engines.get_mut(engine) {
-            control.seen_in_run(incarnation);
+            control.seen_in_run(seen.incarnation);
+            control.reported(now, seen);
         }
     }
 
+    /// Whether an engine is to take no new work, since an order that interrupts its service is to
+    /// follow or is under way.
+    pub fn is_draining(&self, engine: &EngineId) -> bool {
+        self.engines
+            .get(engine)
+            .is_some_and(EngineControl::is_draining)
+    }
+
     fn engine_actions(&mut self, now: MonotonicTime, epoch: Epoch) -> Vec<Action> {
         let mut actions = Vec::new();
         let engines: Vec<EngineId> = self.engines.keys().cloned().collect();
         for engine in engines {
-            let may_change = self.may_change(now, &engine);
-            actions.extend(self.engine_action(now, &engine, epoch, may_change));
+            let may_interrupt = self.may_interrupt(now, &engine);
+            actions.extend(self.engine_action(now, &engine, epoch, may_interrupt));
         }
         actions
     }
 
-    /// Whether `engine` may change its role: few enough others do, or may do so.
-    fn may_change(&self, now: MonotonicTime, engine: &EngineId) -> bool {
+    /// Whether `engine` may go out of service: few enough others are, or may be.
+    fn may_interrupt(&self, now: MonotonicTime, engine: &EngineId) -> bool {
         let others = self.engines.iter().filter(|(other, _)| *other != engine);
         let changing = others.filter(|(_, control)| control.may_be_changing(now));
         changing.count() < self.max_changes_at_once
@@ -232,7 +254,7 @@
         now: MonotonicTime,
         engine: &EngineId,
         epoch: Epoch,
-        may_change: bool,
+        may_interrupt: bool,
     ) -> Option<Action> {
         let control = self.engines.get_mut(engine)?;
         if !control.may_call(now) {
@@ -246,8 +268,16 @@
             Some(_) if control.is_busy() => Action::ReadOrders { call },
             Some(state) => {
                 let desired = self.desired.get(&call.engine)?;
-                let command = next_command(state, desired)?;
-                if changes_role(&command) && !may_change {
+                let Some(command) = next_command(state, desired) else {
+                    control.stop_drain();
+                    return None;
+                };
+                if !interrupts_service(state, &command) {
+                    control.stop_drain();
+                } else if !may_interrupt {
+                    control.stop_drain();
+                    return None;
+                } else if !control.drained_for(&command) {
                     return None;
                 }
                 let order = control.order(epoch, self.revision, command)?;
--- a/crates/control/src/engine.rs
+++ b/crates/control/src/engine.rs
@@ -8,6 +8,8 @@
 };
 
 use crate::action::CallId;
+use crate::controller::EngineSeen;
+use crate::drain::{Drain, interrupts_service};
 
 /// Pause before an engine is called again that did not answer, refused or is busy.
 const CALL_PAUSE: Duration = Duration::from_millis(500);
@@ -20,8 +22,8 @@
 #[derive(Clone, Debug)]
 struct DoubtfulOrder {
     order: Order,
-    /// Whether it, or one in doubt before it that follows the same order, changes the role.
-    changes_role: bool,
+    /// Whether it, or one in doubt before it that follows the same order, interrupts service.
+    interrupts: bool,
 }
 
 impl DoubtfulOrder {
@@ -46,6 +48,8 @@
     next_number: u64,
     /// When it last answered, or the epoch was granted.
     heard_at: MonotonicTime,
+    /// The drain before an order that interrupts service.
+    drain: Option<Drain>,
 }
 
 impl EngineControl {
@@ -58,9 +62,30 @@
             not_before: now,
             next_number: 0,
             heard_at: now,
+            drain: None,
         }
     }
 
+    /// Whether the engine is to take no new work.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.drain.is_some()
+    }
+
+    /// Goes on with the drain before `command`; yields whether it may be given now. One that is in
+    /// doubt was given before and may be given again.
+    pub(crate) fn drained_for(&mut self, command: &OrderCommand) -> bool {
+        let doubtful = self.doubtful.as_ref();
+        if doubtful.is_some_and(|one| one.order.command == *command) {
+            return true;
+        }
+        self.drain.get_or_insert_default().is_done()
+    }
+
+    /// Ends the drain: no order that interrupts service is to be given.
+    pub(crate) fn stop_drain(&mut self) {
+        self.drain = None;
+    }
+
     /// Order state, where it was read under the epoch.
     pub(crate) fn state(&self) -> Option<&EngineOrders> {
         self.state.as_ref()
@@ -99,11 +124,11 @@
             revision,
             command,
         };
-        let was_change = self.doubtful.as_ref().is_some_and(|one| one.changes_role);
-        let changes_role = was_change || changes_role(&order.command);
+        let interrupted = self.doubtful.as_ref().is_some_and(|one| one.interrupts);
+        let interrupts = interrupted || interrupts_service(state, &order.command);
         self.doubtful = Some(DoubtfulOrder {
             order: order.clone(),
-            changes_role,
+            interrupts,
         });
         Some(order)
     }
@@ -119,16 +144,17 @@
         last.is_some_and(|last| last.phase == OrderPhase::Running)
     }
 
-    /// Whether the engine is out of service for a role change, or may be: one that was not read
-    /// under the epoch may hold any order of an earlier holder.
+    /// Whether the engine is out of service for an order, may be, or drains for one: an engine that
+    /// was not read under the epoch may hold any order of an earlier holder.
     pub(crate) fn may_be_changing(&self, now: MonotonicTime) -> bool {
         let Some(state) = &self.state else {
             return now.since(self.heard_at) < SILENT_ENGINE_LIMIT;
         };
         let last = state.last.as_ref();
         let running = last.filter(|last| last.phase == OrderPhase::Running);
-        running.is_some_and(|last| changes_role(&last.order.command))
-            || self.doubtful.as_ref().is_some_and(|one| one.changes_role)
+        self.drain.is_some()
+            || running.is_some_and(|last| interrupts_service(state, &last.order.command))
+            || self.doubtful.as_ref().is_some_and(|one| one.interrupts)
     }
 
     /// Takes an answer to an order or to a raised epoch. One to another call than the awaited is
@@ -195,6 +221,17 @@
         self.not_before = now + CALL_PAUSE;
     }
 
+    /// Takes a load report in.
+    pub(crate) fn reported(&mut self, now: MonotonicTime, seen: &EngineSeen) {
+        if let Some(drain) = &mut self.drain {
+            drain.reported(now, seen.held);
+        }
+        if self.is_busy() && seen.role.is_some() {
+            // It serves again: its order is done, or is one that leaves it in service.
+            self.not_before = self.not_before.min(now);
+        }
+    }
+
     /// The engine was seen in a run. If that is not the run whose state is known, it is to be
     /// fenced and read again.
     pub(crate) fn seen_in_run(&mut self, incarnation: Incarnation) {
@@ -208,8 +245,3 @@
 fn last_id(state: &EngineOrders) -> Option<OrderId> {
     state.last.as_ref().map(|last| last.order.id)
 }
-
-/// Whether a command takes the engine out of service for a role change.
-pub(crate) fn changes_role(command: &OrderCommand) -> bool {
-    matches!(command, OrderCommand::AssumeRole { .. })
-}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,11 +8,12 @@
 mod candidate;
 mod controller;
 mod desired;
+mod drain;
 mod engine;
 mod lease;
 
 pub use action::{Action, CallId, EngineCall};
 pub use candidate::{Candidate, acquire_delay, successor};
-pub use controller::{EngineStatus, GroupController};
+pub use controller::{EngineSeen, EngineStatus, GroupController};
 pub use desired::{DesiredEngine, DesiredModel};
 pub use lease::LeaseGrant;
--- a/crates/control/tests/model/world.rs
+++ b/crates/control/tests/model/world.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use dalestand_control::{Action, DesiredEngine, EngineCall, GroupController, LeaseGrant};
+use dalestand_control::{
+    Action, DesiredEngine, EngineCall, EngineSeen, GroupController, LeaseGrant,
+};
 use dalestand_history::checks::{fenced, no_conflicting_orders};
 use dalestand_history::{
     EngineLogEntry, EngineLogLine, Event, History, OrderLogEntry, RecordedEvent,
@@ -31,6 +33,9 @@
 /// Time that passes in such a round.
 const FAIR_ROUND: Duration = Duration::from_millis(250);
 
+/// An engine that reports for this long that it holds nothing is drained.
+const DRAIN_TIME: Duration = Duration::from_secs(1);
+
 /// One step; numbers are taken modulo what there is.
 #[derive(Clone, Debug)]
 pub enum Step {
@@ -201,15 +206,30 @@
         }
     }
 
+    fn report(&mut self, holder: usize, at: MonotonicTime) {
+        for (index, book) in self.engines.iter().enumerate() {
+            let state = book.state();
+            let seen = EngineSeen {
+                incarnation: state.incarnation,
+                role: state.role.filter(|_| !book.changes_role()),
+                held: 0,
+            };
+            let controller = &mut self.holders[holder].controller;
+            controller.engine_reported(at, &engine_id(index), &seen);
+        }
+    }
+
     fn tick(&mut self, holder: usize) {
         if self.holders[holder].paused {
             return;
         }
-        for (index, book) in self.engines.iter().enumerate() {
-            let controller = &mut self.holders[holder].controller;
-            controller.engine_seen(&engine_id(index), book.state().incarnation);
-        }
-        let actions = self.holders[holder].controller.tick(self.now);
+        self.report(holder, self.now);
+        let mut actions = self.holders[holder].controller.tick(self.now);
+        // The engines of this model hold no requests: a drain that has begun is over at once, so
+        // that orders are as frequent as without it.
+        self.report(holder, self.now);
+        self.report(holder, self.now + DRAIN_TIME);
+        actions.extend(self.holders[holder].controller.tick(self.now));
         for action in actions {
             let packet = self.packet(action);
             self.network.push(Sent { holder, packet });
--- a/crates/node/src/control_driver/loads.rs
+++ b/crates/node/src/control_driver/loads.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use dalestand_cluster::{Record, RecordKey, RecordVersion};
+use dalestand_control::EngineSeen;
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::{EngineDigest, EngineId, EngineLoad, GroupDigest, GroupId, MonotonicTime};
 
@@ -58,7 +59,12 @@
         let mut state = self.state.borrow_mut();
         for load in reports.into_iter().flatten() {
             if let Some(controller) = state.controllers.get_mut(group) {
-                controller.engine_seen(&load.engine, load.incarnation);
+                let seen = EngineSeen {
+                    incarnation: load.incarnation,
+                    role: load.role,
+                    held: load.running + load.waiting,
+                };
+                controller.engine_reported(now, &load.engine, &seen);
             }
             let before = state.loads.get(&load.engine);
             let rates = before.map_or_else(TokenRates::default, |before| {
@@ -86,7 +92,10 @@
     pub(super) fn publish_digest(&self, group: &GroupId, engines: &[EngineId], now: MonotonicTime) {
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
-        let Some(grant) = state.controllers.get(group).and_then(|one| one.grant(now)) else {
+        let Some(controller) = state.controllers.get(group) else {
+            return;
+        };
+        let Some(grant) = controller.grant(now) else {
             return;
         };
         let sequence = state.sequences.entry(group.clone()).or_default();
@@ -99,7 +108,9 @@
             return;
         };
         let samples = engines.iter().filter_map(|engine| state.loads.get(engine));
-        let reports: Vec<RatedReport> = samples.map(|sample| rated_report(sample, now)).collect();
+        let reports: Vec<RatedReport> = samples
+            .map(|sample| rated_report(sample, now, !controller.is_draining(&sample.load.engine)))
+            .collect();
         let whole = GroupDigest {
             group: group.clone(),
             epoch: grant.epoch,
@@ -128,12 +139,12 @@
     }
 }
 
-fn rated_report(sample: &LoadSample, now: MonotonicTime) -> RatedReport {
+fn rated_report(sample: &LoadSample, now: MonotonicTime, accepting: bool) -> RatedReport {
     RatedReport {
         digest: EngineDigest {
             load: sample.load.clone(),
             age_ms: now.since(sample.at).as_millis() as u64,
-            accepting: true,
+            accepting,
         },
         rates: sample.rates,
     }
--- a/crates/standin/src/engine/server.rs
+++ b/crates/standin/src/engine/server.rs
@@ -75,6 +75,8 @@
     pub lose_order_answers: u32,
     /// This many coming requests are accepted and their connections then break.
     pub break_after_accept: u32,
+    /// A role change does not wait for the requests that run: it cuts them.
+    pub abrupt_role_change: bool,
     /// This many coming prompts are run and their KV caches are not held.
     pub forget_exports: u32,
 }
@@ -321,6 +323,9 @@
 }
 
 async fn change_role(engine: &Engine) {
+    if engine.faults.borrow().abrupt_role_change {
+        engine.streams.borrow_mut().clear();
+    }
     while !engine.batch.borrow().is_empty() {
         actix_rt::time::sleep(DRAIN_POLL).await;
     }
