--- a/crates/lab/src/simulate/event.rs
+++ b/crates/lab/src/simulate/event.rs
@@ -6,6 +6,8 @@
 
 use dalestand_types::{GroupDigest, Role};
 
+use super::node::TokenRates;
+
 /// What a node hears of an attempt.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Signal {
@@ -52,6 +54,7 @@
         node: usize,
         group: usize,
         digest: Rc<GroupDigest>,
+        rates: Rc<[TokenRates]>,
     },
     /// A digest comes to the holder of a group's lease.
     HolderDigest {
--- a/crates/lab/src/simulate/node.rs
+++ b/crates/lab/src/simulate/node.rs
@@ -15,6 +15,13 @@
 /// Wait told to callers by the policies that know none better.
 const USUAL_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Tokens an engine runs in a second, as a group's holder measures them.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct TokenRates {
+    pub(crate) prefill_per_s: f64,
+    pub(crate) decode_per_s: f64,
+}
+
 /// What a node does with a request.
 pub(crate) enum Choice {
     /// Send it to this engine.
@@ -54,6 +61,8 @@
             running: 0,
             waiting: 0,
             queued_prefill_tokens: 0,
+            prefill_tokens_per_s: 0.0,
+            decode_tokens_per_s: 0.0,
             capacity: *capacity,
             reported_at: MonotonicTime::ZERO,
             accepting: true,
@@ -71,8 +80,14 @@
     }
 
     /// Takes a digest in.
-    pub(crate) fn receive(&mut self, now: MonotonicTime, digest: &GroupDigest, engines: &[usize]) {
-        for (place, report) in engines.iter().zip(&digest.engines) {
+    pub(crate) fn receive(
+        &mut self,
+        now: MonotonicTime,
+        digest: &GroupDigest,
+        rates: &[TokenRates],
+        engines: &[usize],
+    ) {
+        for ((place, report), rates) in engines.iter().zip(&digest.engines).zip(rates) {
             let view = &mut self.view.engines[*place];
             let load = &report.load;
             view.incarnation = load.incarnation;
@@ -81,6 +96,8 @@
             view.waiting = load.waiting;
             view.queued_prefill_tokens = load.queued_prefill_tokens;
             view.capacity = load.capacity;
+            view.prefill_tokens_per_s = rates.prefill_per_s;
+            view.decode_tokens_per_s = rates.decode_per_s;
             view.accepting = report.accepting;
             view.reported_at = now.saturating_sub(Duration::from_millis(report.age_ms));
         }
--- a/crates/lab/src/simulate/world.rs
+++ b/crates/lab/src/simulate/world.rs
@@ -13,7 +13,7 @@
 use super::engine::{Engine, Service};
 use super::event::{Event, EventQueue};
 use super::fleet::Fleet;
-use super::node::Node;
+use super::node::{Node, TokenRates};
 use super::outcome::{Measures, PolicyResult};
 use super::policy::Policy;
 use super::request::{Attempt, Request};
@@ -49,6 +49,8 @@
     roles: RoleControl,
     listeners: Vec<Vec<usize>>,
     report_sequence: u64,
+    /// Prompt and output tokens of each engine at its last digest.
+    reported_tokens: Vec<(u64, u64)>,
     next_offered: usize,
     digest_random: ChaCha8Rng,
 }
@@ -106,6 +108,7 @@
             roles,
             listeners,
             report_sequence: 0,
+            reported_tokens: vec![(0, 0); fleet.engines.len()],
             next_offered: 0,
             digest_random: generator(seed, DIGEST_STREAM),
         }
@@ -192,9 +195,11 @@
                 node,
                 group,
                 digest,
+                rates,
             } => {
                 let engines = &self.fleet.groups[group].engines;
-                self.nodes[node].receive(MonotonicTime(self.now_us), &digest, engines);
+                let now = MonotonicTime(self.now_us);
+                self.nodes[node].receive(now, &digest, &rates, engines);
             }
             Event::HolderDigest { holder, digest } => {
                 self.roles.observe(self.now(), holder, &digest);
@@ -229,20 +234,19 @@
             self.measures.roles.push(counts);
         }
         let digest = Rc::new(self.digest(group));
+        let rates = self.rates(group, &digest);
         self.roles.observe_for_threshold(self.fleet, group, &digest);
         let from = self.fleet.groups[group].zone;
         for node in 0..self.nodes.len() {
             let to = self.fleet.nodes[node];
             if let Some(delay_us) = self.digest_delay_us(from, to) {
-                let digest = Rc::clone(&digest);
-                self.after(
-                    delay_us,
-                    Event::Digest {
-                        node,
-                        group,
-                        digest,
-                    },
-                );
+                let event = Event::Digest {
+                    node,
+                    group,
+                    digest: Rc::clone(&digest),
+                    rates: Rc::clone(&rates),
+                };
+                self.after(delay_us, event);
             }
         }
         for holder in self.listeners[group].clone() {
@@ -270,6 +274,26 @@
         (!lost && !cut).then(|| self.fleet.delay_us(from, to) + jitter_us)
     }
 
+    /// What the group's engines ran in a second since the digest before.
+    fn rates(&mut self, group: usize, digest: &GroupDigest) -> Rc<[TokenRates]> {
+        let interval_s = self.scenario.digests.interval_ms as f64 / 1_000.0;
+        let engines = self.fleet.groups[group].engines.iter();
+        engines
+            .zip(&digest.engines)
+            .map(|(place, report)| {
+                let load = &report.load;
+                let (prefill, decode) = self.reported_tokens[*place];
+                self.reported_tokens[*place] =
+                    (load.prefill_tokens_total, load.decode_tokens_total);
+                let rate = |now: u64, before: u64| now.saturating_sub(before) as f64 / interval_s;
+                TokenRates {
+                    prefill_per_s: rate(load.prefill_tokens_total, prefill),
+                    decode_per_s: rate(load.decode_tokens_total, decode),
+                }
+            })
+            .collect()
+    }
+
     fn digest(&mut self, group: usize) -> GroupDigest {
         self.report_sequence += 1;
         let sequence = ReportSequence(self.report_sequence);
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -15,7 +15,7 @@
 
 use crate::digest_codec::{CompactDigest, EngineReport};
 use crate::machines::Machines;
-use crate::token_rates::TokenTotals;
+use crate::token_rates::{TokenRates, TokenTotals};
 
 /// Least time between two pictures; digests are several times as old when they come in.
 const MIN_REBUILD_INTERVAL: Duration = Duration::from_millis(100);
@@ -182,10 +182,14 @@
         let Some(received) = self.by_group.get(id) else {
             return Vec::new();
         };
+        let rates: Vec<TokenRates> = received.digest.rates().collect();
         let reports = received.digest.unpack(deployment, group);
         let reports = reports.unwrap_or_default().into_iter();
         reports
-            .filter_map(|report| engine_view(id, group, received.received_at, report, machines))
+            .filter_map(|report| {
+                let rates = rates.get(report.place).copied().unwrap_or_default();
+                engine_view(id, group, received.received_at, report, rates, machines)
+            })
             .collect()
     }
 }
@@ -195,6 +199,7 @@
     group: &Group,
     received_at: MonotonicTime,
     report: EngineReport,
+    rates: TokenRates,
     machines: &Machines,
 ) -> Option<EngineView> {
     let engine = group.engines.get(report.place)?.clone();
@@ -213,6 +218,8 @@
         running: report.running,
         waiting: report.waiting,
         queued_prefill_tokens: report.queued_prefill_tokens,
+        prefill_tokens_per_s: rates.prefill_per_s,
+        decode_tokens_per_s: rates.decode_per_s,
         capacity: report.capacity,
         reported_at: received_at.saturating_sub(report.age),
         accepting: live && !draining && report.accepting,
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -8,6 +8,7 @@
 mod config;
 mod demand;
 mod engine_state;
+mod outage;
 mod plan;
 mod planner;
 mod speeds;
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -9,6 +9,7 @@
 use crate::config::PlannerConfig;
 use crate::demand::{Demand, DemandEstimate};
 use crate::engine_state::EngineState;
+use crate::outage::OutageEstimate;
 use crate::plan::{PlanInputs, PlanReason, RolePlan};
 use crate::speeds::SpeedEstimate;
 use crate::stay::{Lean, StayEstimate};
@@ -25,6 +26,9 @@
 /// Largest weight of role changes that is told apart from one.
 const LARGEST_WEIGHT: f64 = 0.98;
 
+/// Price of a change at equal weights, as a multiple of the engine's time out of service.
+const CHANGE_PRICE: f64 = 1.0;
+
 /// Gain beyond its cost that a change must bring, in shares of the demand times seconds.
 const SMALLEST_GAIN_S: f64 = 0.3;
 
@@ -52,6 +56,7 @@
     speeds: SpeedEstimate,
     demand: DemandEstimate,
     stay: StayEstimate,
+    outage: OutageEstimate,
     /// Since when a change has been worth its cost.
     worth_since: Option<MonotonicTime>,
 }
@@ -79,13 +84,12 @@
     usual: f64,
 }
 
-/// What a change brings, in shares of the demand times seconds: its gain while the present mix is
-/// expected to last, and after that its gain or loss by the usual mix, which is no larger than what
-/// it would cost to make or to undo the change then.
-fn worth(before: &Outlook, after: &Outlook, stay_s: f64, cost: f64) -> f64 {
-    let present = (after.coming - before.coming) * stay_s;
-    let later = (after.usual - before.usual) * (HORIZON_S - stay_s);
-    present + later.clamp(-cost, cost)
+/// What changes cost.
+struct Cost {
+    /// In shares of the demand times seconds.
+    total_s: f64,
+    /// Until the first of them is done, in seconds.
+    out_s: f64,
 }
 
 impl RolePlanner {
@@ -94,13 +98,14 @@
         Self {
             group,
             speeds: SpeedEstimate::new(config.prior_speeds),
-            config,
             engines: BTreeMap::new(),
             own: BTreeSet::new(),
             assigned: BTreeMap::new(),
             demand: DemandEstimate::default(),
             stay: StayEstimate::new(),
+            outage: OutageEstimate::new(config.change_duration),
             worth_since: None,
+            config,
         }
     }
 
@@ -133,9 +138,19 @@
             // A restarted engine is planned from the role it came back in.
             if restarted {
                 self.assigned.remove(engine);
+                self.outage.forget(engine);
             }
-            if let Some(role) = report.load.role {
+            let Some(role) = report.load.role else {
+                continue;
+            };
+            if self.own.contains(engine) {
+                if report.accepting {
+                    self.outage.observe(now, engine, role);
+                }
                 self.assigned.entry(engine.clone()).or_insert(role);
+            } else {
+                // Another group's planner gives that engine its roles.
+                self.assigned.insert(engine.clone(), role);
             }
         }
     }
@@ -181,15 +196,18 @@
             return PlanReason::Keep;
         };
         inputs.target = proposal.target;
-        let Some(step) = self.first_step(&current, &proposal.target) else {
-            return PlanReason::WouldLeavePhaseEmpty;
+        let step = match self.first_step(&current, &proposal.target) {
+            Ok(step) => step,
+            Err(reason) => return reason,
         };
         let worth_since = *self.worth_since.get_or_insert(now);
         if now.since(worth_since) < TURN * step.groups_before {
             return PlanReason::OtherGroupFirst;
         }
         self.worth_since = None;
-        self.assigned.insert(step.engine, step.role);
+        if let Some(from) = self.assigned.insert(step.engine.clone(), step.role) {
+            self.outage.begin(now, &step.engine, from, step.role);
+        }
         PlanReason::Gain {
             gain: proposal.gain,
             cost: proposal.cost,
@@ -203,23 +221,35 @@
         let before = self.outlook(&current);
         let mut best: Option<Proposal> = None;
         for target in self.compositions(total) {
-            let changes = current.changes_to(&target);
-            if changes == 0 {
+            if current.changes_to(&target) == 0 {
                 continue;
             }
             let after = self.outlook(&target);
-            let cost = self.cost(&current, changes, before.coming);
-            let gain = worth(&before, &after, stay_s, cost);
+            let cost = self.cost(&current, &target, before.coming);
+            let gain = self.worth(&before, &after, stay_s, &cost);
             let better = best
                 .as_ref()
-                .is_none_or(|known| gain - cost > known.gain - known.cost);
-            if gain > cost + SMALLEST_GAIN_S && better {
+                .is_none_or(|known| gain - cost.total_s > known.gain - known.cost);
+            if gain > cost.total_s + SMALLEST_GAIN_S && better {
+                let cost = cost.total_s;
                 best = Some(Proposal { target, gain, cost });
             }
         }
         best
     }
 
+    /// What a change brings, in shares of the demand times seconds: its gain from when it is done
+    /// for as long as the present mix is expected to last, and after that its gain or loss by the
+    /// usual mix. A later loss is no larger than the cost of undoing the change, and a later gain
+    /// counts for less the more the deployment weighs changes.
+    fn worth(&self, before: &Outlook, after: &Outlook, stay_s: f64, cost: &Cost) -> f64 {
+        let present_s = (stay_s - cost.out_s).max(0.0);
+        let present = (after.coming - before.coming) * present_s;
+        let later = (after.usual - before.usual) * (HORIZON_S - stay_s);
+        let credit = (1.0 - self.config.change_weight).max(0.0) * cost.total_s;
+        present + later.clamp(-cost.total_s, credit)
+    }
+
     fn compositions(&self, total: usize) -> Vec<Composition> {
         let mixed_allowed = self.config.allowed_roles.contains(&Role::Mixed);
         if total < SMALLEST_SPLIT && mixed_allowed {
@@ -247,57 +277,97 @@
 
     /// What the changes cost: requests that the engines miss while out of service, and the price
     /// that the deployment's weight puts on each change.
-    fn cost(&self, current: &Composition, changes: usize, before: f64) -> f64 {
+    fn cost(&self, current: &Composition, target: &Composition, before: f64) -> Cost {
         let speeds = self.speeds.speeds();
         let workload = Workload::of(&self.demand.forecast(Duration::ZERO), &speeds);
-        let while_out = Role::ALL
-            .iter()
-            .filter(|role| current.count(**role) > 0)
-            .map(|role| current.without(*role).served_share(&workload))
-            .fold(0.0, f64::max);
-        let out_s = self.config.change_duration.as_secs_f64();
-        let missed = (before - while_out).max(0.0) * out_s;
         let weight = self.config.change_weight.clamp(0.0, LARGEST_WEIGHT);
         let engines = self.assigned.len().max(1) as f64;
-        let price = out_s / engines * weight / (1.0 - weight);
-        changes as f64 * (missed + price)
+        let mut cost = Cost {
+            total_s: 0.0,
+            out_s: 0.0,
+        };
+        for role in Role::ALL {
+            let leaving = current.count(role).saturating_sub(target.count(role));
+            if leaving == 0 {
+                continue;
+            }
+            let out_s = self.outage.expected(role).as_secs_f64();
+            let while_out = current.without(role).served_share(&workload);
+            let missed = (before - while_out).max(0.0) * out_s;
+            let price = CHANGE_PRICE * out_s / engines * weight / (1.0 - weight);
+            cost.total_s += leaving as f64 * (missed + price);
+            cost.out_s = cost.out_s.max(out_s);
+        }
+        cost
     }
 
     /// The engine of this group to change first.
-    fn first_step(&self, current: &Composition, target: &Composition) -> Option<Step> {
+    fn first_step(&self, current: &Composition, target: &Composition) -> Result<Step, PlanReason> {
         let surplus = |role: Role| current.count(role) > target.count(role);
         let role = Role::ALL
             .into_iter()
             .filter(|role| current.count(*role) < target.count(*role))
-            .max_by_key(|role| target.count(*role) - current.count(*role))?;
+            .max_by_key(|role| target.count(*role) - current.count(*role))
+            .ok_or(PlanReason::Keep)?;
         let candidates = self.assigned.iter().filter(|(_, held)| surplus(**held));
         let mut candidates: Vec<&EngineId> = candidates
             .map(|(engine, _)| engine)
-            .filter(|engine| self.covered_without(engine))
+            .filter(|engine| self.may_leave(engine, role))
             .collect();
         candidates.sort_by_key(|engine| (self.held(engine) / DRAIN_STEP, *engine));
+        if candidates.is_empty() {
+            return Err(PlanReason::WouldLeavePhaseEmpty);
+        }
         let place = candidates
             .iter()
-            .position(|engine| self.own.contains(*engine))?;
+            .position(|engine| self.own.contains(*engine))
+            .ok_or(PlanReason::OtherGroupFirst)?;
         let before: BTreeSet<&GroupId> = candidates[..place]
             .iter()
             .filter_map(|engine| Some(self.engines.get(*engine)?.group()))
             .collect();
-        Some(Step {
+        Ok(Step {
             engine: candidates[place].clone(),
             role,
             groups_before: before.len() as u32,
         })
     }
 
-    /// Whether the engines in service cover both phases without this one.
-    fn covered_without(&self, engine: &EngineId) -> bool {
-        let serving = self
-            .engines
+    /// Whether an engine may leave its role for another.
+    ///
+    /// Of each phase that it would leave, an engine of a lower name must be in service. So the
+    /// lowest engine of a phase never leaves it, and no two groups that decide at the same time,
+    /// each on an old picture of the other, can leave a phase without any engine. A phase that
+    /// nobody runs may be filled by anyone.
+    fn may_leave(&self, engine: &EngineId, to: Role) -> bool {
+        let Some(from) = self.assigned.get(engine).copied() else {
+            return false;
+        };
+        let kept_by_lower = |phase: fn(Role) -> bool| {
+            let lower = self.engines.range(..engine.clone());
+            lower
+                .filter(|(_, state)| state.accepting())
+                .any(|(other, state)| {
+                    let stays = self.assigned.get(other).copied() == state.role();
+                    stays && state.role().is_some_and(phase)
+                })
+        };
+        let phases: [fn(Role) -> bool; 2] = [Role::runs_prefill, Role::runs_decode];
+        let fills = phases
+            .iter()
+            .any(|phase| phase(to) && !self.is_served(*phase));
+        let leaves_none = phases
             .iter()
-            .filter(|(other, state)| *other != engine && state.accepting())
-            .filter_map(|(_, state)| state.role());
-        Composition::of(serving).covers()
+            .all(|phase| !phase(from) || phase(to) || kept_by_lower(*phase));
+        fills || leaves_none
+    }
+
+    /// Whether an engine in service runs the phase.
+    fn is_served(&self, phase: fn(Role) -> bool) -> bool {
+        self.engines
+            .values()
+            .filter(|state| state.accepting())
+            .any(|state| state.role().is_some_and(phase))
     }
 
     fn held(&self, engine: &EngineId) -> u32 {
--- a/crates/routing/benches/decide.rs
+++ b/crates/routing/benches/decide.rs
@@ -35,6 +35,8 @@
         running: (number % 40) as u32,
         waiting: 0,
         queued_prefill_tokens: (number % 13) as u64 * 500,
+        prefill_tokens_per_s: 0.0,
+        decode_tokens_per_s: 0.0,
         capacity: 128,
         reported_at: MonotonicTime::from_millis(59_500),
         accepting: !number.is_multiple_of(50),
--- a/crates/routing/src/config.rs
+++ b/crates/routing/src/config.rs
@@ -15,6 +15,8 @@
     pub other_zone_penalty_ms: f64,
     /// Speeds assumed until they are learnt.
     pub prior_speeds: PriorSpeeds,
+    /// Weight of the delay that a prompt brings to the output of the engine's other requests.
+    pub others_delay_weight: f64,
     /// Share of a deadline that the expected time may take for a request to be admitted.
     pub admission_share: f64,
     /// Shortest wait told to a refused caller.
@@ -32,6 +34,7 @@
             silence_limit: Duration::from_secs(10),
             other_zone_penalty_ms: 4.0,
             prior_speeds: PriorSpeeds::default(),
+            others_delay_weight: 0.2,
             admission_share: 0.9,
             shortest_retry_after: Duration::from_secs(1),
             longest_retry_after: Duration::from_secs(30),
--- a/crates/routing/src/estimate.rs
+++ b/crates/routing/src/estimate.rs
@@ -10,6 +10,15 @@
 use crate::track::Tracks;
 use crate::view::EngineView;
 
+/// Prompt tokens over which the time of one is taken.
+const SLOPE_SPAN_TOKENS: f64 = 4_000.0;
+
+/// Time over which prompts sent since a report are taken to be run, in seconds.
+const OWN_WORK_TIME_S: f64 = 1.0;
+
+/// Largest share of an engine's time that prompts are taken to have.
+const LARGEST_PROMPT_SHARE: f64 = 0.8;
+
 /// What is expected of one engine, with what the ticket must remember of it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Estimate {
@@ -23,6 +32,10 @@
     pub(crate) tokens_ahead: f64,
     /// Requests held, with this one.
     pub(crate) held: f64,
+    /// Share of the engine's time that prompts take.
+    pub(crate) prompt_share: f64,
+    /// Delay that it brings to others, weighted, in seconds.
+    pub(crate) others_s: f64,
     /// Whether requests wait for a place in the batch.
     pub(crate) queued: bool,
 }
@@ -33,6 +46,11 @@
         self.first_token_s + self.output_s
     }
 
+    /// What the choice goes by, in seconds.
+    pub(crate) fn score_s(&self) -> f64 {
+        self.whole_s() + self.others_s
+    }
+
     /// As durations.
     pub(crate) fn expected(&self) -> Expected {
         Expected {
@@ -51,13 +69,14 @@
     /// Weight of the prefix's home among the usable engines.
     pub(crate) home_weight: u64,
     pub(crate) other_zone_s: f64,
+    pub(crate) others_delay_weight: f64,
 }
 
 impl Estimator<'_> {
     /// Prompt and output on this engine.
     pub(crate) fn whole(&self, engine: &EngineView, role: Role) -> Estimate {
         let mut estimate = self.prompt(engine, role);
-        estimate.output_s = self.output_s(engine, role, estimate.held);
+        estimate.output_s = self.output_s(engine, role, estimate.held, estimate.prompt_share);
         estimate
     }
 
@@ -72,6 +91,11 @@
         estimate.tokens_ahead += own;
         let slowness = self.learned.slowness(&engine.engine);
         estimate.first_token_s += speeds.first_token.at(estimate.tokens_ahead) * slowness;
+        if role.runs_decode() {
+            let own_s = own * speeds.first_token.slope(SLOPE_SPAN_TOKENS);
+            let delayed = self.decoding(engine, role, estimate.held);
+            estimate.others_s = self.others_delay_weight * delayed * own_s;
+        }
         estimate
     }
 
@@ -81,7 +105,7 @@
         let speeds = self.learned.role(&engine.pool, role);
         let import = speeds.import.at(f64::from(self.request.prompt_tokens));
         estimate.first_token_s += import * self.learned.slowness(&engine.engine);
-        estimate.output_s = self.output_s(engine, role, estimate.held);
+        estimate.output_s = self.output_s(engine, role, estimate.held, estimate.prompt_share);
         estimate
     }
 
@@ -101,10 +125,26 @@
             prefix_tokens: 0,
             tokens_ahead: engine.queued_prefill_tokens as f64 + own.prompt_tokens as f64,
             held,
+            prompt_share: self.prompt_share(engine, role, own.prompt_tokens),
+            others_s: 0.0,
             queued: engine.waiting > 0,
         }
     }
 
+    /// Share of the engine's time that prompts take, by its reports and by what was sent since.
+    fn prompt_share(&self, engine: &EngineView, role: Role, own_tokens: u64) -> f64 {
+        let speeds = self.learned.role(&engine.pool, role);
+        let tokens_per_s = engine.prefill_tokens_per_s + own_tokens as f64 / OWN_WORK_TIME_S;
+        let share = tokens_per_s * speeds.first_token.slope(SLOPE_SPAN_TOKENS);
+        share.min(LARGEST_PROMPT_SHARE)
+    }
+
+    /// Requests whose output the engine generates.
+    fn decoding(&self, engine: &EngineView, role: Role, held: f64) -> f64 {
+        let gap_s = self.learned.role(&engine.pool, role).token_gap.at(held);
+        (engine.decode_tokens_per_s * gap_s).min(f64::from(engine.running))
+    }
+
     /// Wait for a place in a full batch: the requests ahead, at the rate at which places fall free.
     fn batch_wait_s(&self, engine: &EngineView, role: Role, own_requests: u32) -> f64 {
         if engine.waiting == 0 || engine.running == 0 {
@@ -112,16 +152,17 @@
         }
         let ahead = f64::from(engine.waiting + own_requests);
         let running = f64::from(engine.running);
-        let stay_s = self.output_s(engine, role, running);
+        let stay_s = self.output_s(engine, role, running, 0.0);
         ahead / running * stay_s
     }
 
-    fn output_s(&self, engine: &EngineView, role: Role, held: f64) -> f64 {
+    /// Time of the output: the gap between tokens grows as prompts take the engine's time.
+    fn output_s(&self, engine: &EngineView, role: Role, held: f64, prompt_share: f64) -> f64 {
         let tokens = self
             .learned
             .output_tokens(&self.request.model, self.request.max_tokens);
         let gap = self.learned.role(&engine.pool, role).token_gap.at(held);
-        tokens * gap * self.learned.slowness(&engine.engine)
+        tokens * gap / (1.0 - prompt_share) * self.learned.slowness(&engine.engine)
     }
 
     fn prefix_tokens(&self, engine: &EngineView) -> u32 {
--- a/crates/routing/src/learning.rs
+++ b/crates/routing/src/learning.rs
@@ -96,6 +96,11 @@
         (mean_y + slope * (x - mean_x)).max(0.0)
     }
 
+    /// How much the value rises for each unit of `x`, as seen over `span` from zero.
+    pub(crate) fn slope(&self, span: f64) -> f64 {
+        (self.at(span) - self.at(0.0)) / span
+    }
+
     fn add(&mut self, x: f64, y: f64, weight: f64) {
         self.weight += weight;
         self.x += weight * x;
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -78,6 +78,7 @@
             prefix: prefix.as_ref(),
             home_weight: home_weight(prefix.as_ref(), &usables),
             other_zone_s: self.config.other_zone_penalty_ms / 1_000.0,
+            others_delay_weight: self.config.others_delay_weight,
         };
         let mut note = |engine: &EngineView, score_s: f64| {
             candidates.push(Candidate {
@@ -140,6 +141,7 @@
             prefix: prefix.as_ref(),
             home_weight: 0,
             other_zone_s: 0.0,
+            others_delay_weight: 0.0,
         };
         let estimate = match placement {
             Placement::DecodeOnly => estimator.output(engine, role),
@@ -159,6 +161,7 @@
             max_tokens: request.max_tokens,
             tokens_ahead: estimate.tokens_ahead,
             held: estimate.held,
+            prompt_share: estimate.prompt_share,
             queued: estimate.queued,
         };
         self.tracks.sent(&ticket, engine);
@@ -211,10 +214,11 @@
         if tokens > 1 {
             let gap_s = now.since(first_at).as_secs_f64() / f64::from(tokens - 1);
             let speeds = self.learned.role_mut(&ticket.pool, ticket.role);
+            let quiet_s = gap_s * (1.0 - ticket.prompt_share);
             let expected_s = speeds.token_gap.at(ticket.held);
-            speeds.token_gap.observe(ticket.held, gap_s);
+            speeds.token_gap.observe(ticket.held, quiet_s);
             self.learned
-                .observe_slowness(&ticket.engine, gap_s, expected_s);
+                .observe_slowness(&ticket.engine, quiet_s, expected_s);
         }
     }
 
@@ -289,8 +293,8 @@
             random,
             |engine, role| {
                 let estimate = estimator.whole(engine, role);
-                note(engine, estimate.whole_s());
-                (estimate, estimate.whole_s())
+                note(engine, estimate.score_s());
+                (estimate, estimate.score_s())
             },
         );
         let whole = whole.map(|(engine, estimate, score_s)| Choice {
@@ -307,8 +311,7 @@
         }
     }
 
-    /// A prompt engine (one that does both counts, if the output goes to an output engine) and
-    /// the output elsewhere.
+    /// The prompt on one engine and the output on another.
     fn choose_split<'a, R: Rng>(
         &self,
         estimator: &Estimator<'_>,
@@ -320,27 +323,21 @@
             return None;
         }
         let mut silent = |_: &EngineView, _: f64| ();
-        let any = self.choose_decode(estimator, &mut usables.decode, random, &mut silent)?;
-        let mut pure: Vec<Usable<'_>> = usables.decode.clone();
-        pure.retain(|(_, role)| *role == Role::Decode);
-        let pure = self.choose_decode(estimator, &mut pure, random, &mut silent);
-        let output_for = |role: Role| match role {
-            Role::Prefill => Some(any.estimate),
-            _ => pure.as_ref().map(|choice| choice.estimate),
-        };
+        let output = self.choose_decode(estimator, &mut usables.decode, random, &mut silent)?;
         let (engine, estimate, score_s) = self.choose(
             estimator.prefix,
             &mut usables.prefill,
             random,
             |engine, role| {
                 let mut estimate = estimator.prompt(engine, role);
-                let Some(output) = output_for(role) else {
+                if engine.engine == output.engine.engine {
+                    // That would be the whole request on one engine.
                     return (estimate, f64::INFINITY);
-                };
-                estimate.first_token_s += output.first_token_s;
-                estimate.output_s = output.output_s;
-                note(engine, estimate.whole_s());
-                (estimate, estimate.whole_s())
+                }
+                estimate.first_token_s += output.estimate.first_token_s;
+                estimate.output_s = output.estimate.output_s;
+                note(engine, estimate.score_s());
+                (estimate, estimate.score_s())
             },
         )?;
         score_s.is_finite().then_some(Choice {
--- a/crates/routing/src/track.rs
+++ b/crates/routing/src/track.rs
@@ -25,6 +25,8 @@
     pub(crate) tokens_ahead: f64,
     /// Requests the engine held, with itself.
     pub(crate) held: f64,
+    /// Share of the engine's time that prompts took.
+    pub(crate) prompt_share: f64,
     /// Whether requests were waiting for a place in the batch.
     pub(crate) queued: bool,
 }
--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -32,6 +32,10 @@
     pub waiting: u32,
     /// Prompt tokens accepted and not yet run.
     pub queued_prefill_tokens: u64,
+    /// Prompt tokens it runs in a second.
+    pub prefill_tokens_per_s: f64,
+    /// Output tokens it generates in a second.
+    pub decode_tokens_per_s: f64,
     /// Most requests it holds at once.
     pub capacity: u32,
     /// When the report behind this was made, on the reader's clock.
--- a/crates/routing/tests/router_properties.rs
+++ b/crates/routing/tests/router_properties.rs
@@ -37,6 +37,8 @@
         running: 4,
         waiting: 0,
         queued_prefill_tokens: 0,
+        prefill_tokens_per_s: 0.0,
+        decode_tokens_per_s: 0.0,
         capacity: CAPACITY,
         reported_at: MonotonicTime::from_millis(59_500),
         accepting: true,
