--- a/crates/lab/src/simulate/mod.rs
+++ b/crates/lab/src/simulate/mod.rs
@@ -32,7 +32,7 @@
 
 use crate::LabError;
 
-/// Runs `simulate SCENARIO.toml [--json] [--timeline] [--seed N]`.
+/// Runs `simulate SCENARIO.toml [--json] [--timeline] [--load FACTOR] [--seed N]`.
 pub fn run(arguments: &[String]) -> Result<(), Report<LabError>> {
     let mut options = Options::new();
     options.optflag("", "json", "print one JSON object");
@@ -41,10 +41,11 @@
         "timeline",
         "add goodput and roles over time to the text",
     );
+    options.optopt("", "load", "multiply every rate by this", "FACTOR");
     options.optopt("", "seed", "seed instead of the scenario's", "N");
     let usage = || {
         options
-            .usage("usage: dalestand-lab simulate SCENARIO.toml [--json] [--timeline] [--seed N]")
+            .usage("usage: dalestand-lab simulate SCENARIO.toml [--json] [--timeline] [--load FACTOR] [--seed N]")
     };
     let matches = options
         .parse(arguments)
@@ -52,7 +53,11 @@
     let [path] = &matches.free[..] else {
         return Err(Report::new(LabError::Usage(usage())));
     };
-    let scenario = read(Path::new(path))?;
+    let mut scenario = read(Path::new(path))?;
+    let load = matches
+        .opt_get("load")
+        .map_err(|error| LabError::Usage(format!("--load: {error}")))?;
+    scenario.scale_load(load.unwrap_or(1.0));
     let seed = matches
         .opt_get("seed")
         .map_err(|error| LabError::Usage(format!("--seed: {error}")))?
--- a/crates/lab/src/simulate/scenario.rs
+++ b/crates/lab/src/simulate/scenario.rs
@@ -307,6 +307,16 @@
 }
 
 impl Scenario {
+    /// Multiplies every rate by `factor`.
+    pub fn scale_load(&mut self, factor: f64) {
+        for phase in &mut self.phases {
+            let rates = phase.rates.values_mut().chain(phase.to.values_mut());
+            for rate in rates {
+                *rate *= factor;
+            }
+        }
+    }
+
     /// Length of all phases, in seconds.
     pub fn duration_s(&self) -> f64 {
         self.phases.iter().map(|phase| phase.duration_s).sum()
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -377,7 +377,8 @@
         mut estimate: impl FnMut(&'a EngineView, Role) -> (Estimate, f64),
     ) -> Option<(&'a EngineView, Estimate, f64)> {
         let mut front = prefix.map_or(0, |prefix| holders_to_front(prefix, usable));
-        front += draw_front(&mut usable[front..], self.config.sample_size, random);
+        let sample_size = self.sample_size(usable);
+        front += draw_front(&mut usable[front..], sample_size, random);
         let mut best: Option<(&EngineView, Estimate, f64)> = None;
         for (engine, role) in &usable[..front] {
             let (estimate, score_s) = estimate(engine, *role);
@@ -388,6 +389,25 @@
         best
     }
 
+    /// Candidates to draw: all of a few where this node sends much of their load, else a sample.
+    fn sample_size(&self, usable: &[Usable<'_>]) -> usize {
+        if usable.len() > self.config.look_at_all {
+            return self.config.sample_size;
+        }
+        let held = usable
+            .iter()
+            .map(|(engine, _)| engine.running + engine.waiting);
+        let own = usable
+            .iter()
+            .map(|(engine, _)| self.tracks.own_work(engine).in_flight);
+        let (held, own) = (f64::from(held.sum::<u32>()), f64::from(own.sum::<u32>()));
+        if own >= self.config.own_share_to_look_at_all * held {
+            usable.len()
+        } else {
+            self.config.sample_size
+        }
+    }
+
     /// Whether the deadline is out of reach; yields when to come back.
     fn unreachable(&self, request: &RouteRequest, choice: &Choice<'_>) -> Option<Duration> {
         // What has run its prompt was admitted and is never given up.
