The callers' surface made whole: chat, keys, terms, resume, claims, faults

Causes found on the way: - "not run" was said of a request that may have run: awc gives Connect(Disconnected) when a connection ends after the request was written, and that counted as nothing sent. - An answer that broke off was given up even where the request may be repeated. - Reordered frames broke an answer off, though all of them were there. Ruled out: taking the error for a failed connect (awc's h1 sender returns it after the write); keeping broken streams on the node for a resume (it dies with the node).

Change: OpenAI paths for completions and chat, streamed and whole, stop sequences, usage, error objects that name the field; tenants by key hash, class, priority and deadline by header; depth, size and time limits of bodies; a limit of requests in flight; FrameAssembler (pure) puts an attempt's frames in order; an answer that broke off goes on at another engine, only for pools that may repeat; signed event ids let a stream go on at another node; the claim gate is asked before the first dispatch; engine clients are kept for each arbiter, and requests that may run once get a connection of their own. Frame faults in the stand-in engine.

--- a/crates/gateway/src/attempt/mod.rs
+++ b/crates/gateway/src/attempt/mod.rs
@@ -1,5 +1,5 @@
 //! Attempts of one request: choose an engine, send, and go on to another engine only when the
-//! first is proved not to have run it.
+//! first is proved not to have run it, or the request may be repeated.
 //!
 //! Where routing says so, the prompt runs on one engine and the output on another. Once a prompt
 //! has run, the request is never called "not run".
@@ -7,25 +7,34 @@
 mod guard;
 mod prefill;
 
-use std::cell::RefCell;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use dalestand_decision::{AttemptOutcome, AttemptRecord, Candidate};
-use dalestand_platform::{AttemptError, Engine as _, FrameStream, HttpEngine};
-use dalestand_routing::{EngineView, RouteDecision, RoutePhase, RouteRequest};
-use dalestand_types::{AttemptId, GenerationRequest, MonotonicTime, Placement, RefusalReason};
+use dalestand_platform::{AttemptError, Engine as _, FrameStream};
+use dalestand_routing::{Deadlines, EngineView, RouteDecision, RoutePhase, RouteRequest};
+use dalestand_types::{
+    AttemptId, EngineId, GenerationRequest, MonotonicTime, Placement, RefusalReason, RequestId,
+};
 use rand::RngExt as _;
-use rand::rngs::StdRng;
 
 use self::guard::InFlightGuard;
+use crate::context::Context;
 use crate::error::CallerError;
-use crate::shared::Shared;
+use crate::record;
 
 /// Most engines asked for one request.
 const MAX_ATTEMPTS: usize = 4;
 
+/// Most times an answer that broke off is resumed.
+const MAX_RESUMES: u32 = 4;
+
+/// Most rounds in which an engine is looked for that can resume an answer.
+const MAX_RESUME_ROUNDS: u32 = 20;
+
+/// Pause between two such rounds.
+const RESUME_PAUSE: Duration = Duration::from_millis(250);
+
 /// Wait told to a caller whose request several engines refused.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -33,30 +42,23 @@
 pub(crate) struct AcceptedAttempt {
     /// The attempt.
     pub(crate) attempt: AttemptId,
+    /// The engine that runs it.
+    pub(crate) engine: EngineId,
     /// Its frames.
     pub(crate) frames: FrameStream,
     /// Tells the router how the attempt goes.
     pub(crate) guard: InFlightGuard,
+    token_seen: bool,
 }
 
-/// Sends the request to engines until one accepts it.
-pub(crate) async fn start(
-    shared: &Arc<Shared>,
-    random: &Rc<RefCell<StdRng>>,
-    received_at: MonotonicTime,
-    route: RouteRequest,
-    request: GenerationRequest,
-) -> Result<AcceptedAttempt, CallerError> {
-    let mut attempts = Attempts {
-        shared,
-        random,
-        received_at,
-        route,
-        request,
-        sent: 0,
-        prompt_ran: false,
-    };
-    attempts.run().await
+impl AcceptedAttempt {
+    /// Notes that a frame with a token came in.
+    pub(crate) fn note_token(&mut self) {
+        if !self.token_seen {
+            self.token_seen = true;
+            self.guard.first_token();
+        }
+    }
 }
 
 /// The engine chosen for one attempt.
@@ -66,18 +68,88 @@
 }
 
 /// The attempts of one request so far.
-struct Attempts<'a> {
-    shared: &'a Arc<Shared>,
-    random: &'a RefCell<StdRng>,
+pub(crate) struct Attempts {
+    context: Rc<Context>,
     received_at: MonotonicTime,
     route: RouteRequest,
     request: GenerationRequest,
+    repeatable: bool,
     sent: usize,
-    prompt_ran: bool,
+    resumes: u32,
+    may_have_run: bool,
 }
 
-impl Attempts<'_> {
-    async fn run(&mut self) -> Result<AcceptedAttempt, CallerError> {
+impl Attempts {
+    /// No attempt yet. `repeatable` says whether the request may run again after an attempt whose
+    /// result is not known.
+    pub(crate) fn new(
+        context: Rc<Context>,
+        received_at: MonotonicTime,
+        route: RouteRequest,
+        request: GenerationRequest,
+        repeatable: bool,
+    ) -> Self {
+        // A request that is resumed has run before.
+        let may_have_run = request.resume_from > 0;
+        Self {
+            context,
+            received_at,
+            route,
+            request,
+            repeatable,
+            sent: 0,
+            resumes: 0,
+            may_have_run,
+        }
+    }
+
+    /// The request.
+    pub(crate) fn request_id(&self) -> RequestId {
+        self.request.request
+    }
+
+    /// Position of the first token asked for.
+    pub(crate) fn resume_from(&self) -> u32 {
+        self.request.resume_from
+    }
+
+    /// Estimated tokens of the prompt.
+    pub(crate) fn prompt_tokens(&self) -> u32 {
+        self.route.prompt_tokens
+    }
+
+    /// Goes on after an attempt that broke off when `delivered` tokens had been delivered.
+    pub(crate) async fn resume(
+        &mut self,
+        delivered: u32,
+        reason: String,
+    ) -> Result<AcceptedAttempt, CallerError> {
+        self.may_have_run = true;
+        self.resumes += 1;
+        self.set_outcome(AttemptOutcome::Unknown {
+            reason: reason.clone(),
+        });
+        if !self.repeatable || self.resumes > MAX_RESUMES {
+            return Err(CallerError::Unknown(reason));
+        }
+        self.request.resume_from = delivered;
+        // An answer that has begun is not refused for being late.
+        self.route.deadlines = Deadlines::default();
+        for _ in 0..MAX_RESUME_ROUNDS {
+            self.request.import_from = None;
+            self.route.phase = RoutePhase::Start;
+            self.sent = 0;
+            if let Ok(accepted) = self.start().await {
+                return Ok(accepted);
+            }
+            actix_rt::time::sleep(RESUME_PAUSE).await;
+            self.route.tried.clear();
+        }
+        Err(CallerError::Unknown(reason))
+    }
+
+    /// Sends the request to engines until one accepts it.
+    pub(crate) async fn start(&mut self) -> Result<AcceptedAttempt, CallerError> {
         loop {
             let choice = self.choose()?;
             let failed = match choice.placement {
@@ -96,11 +168,11 @@
 
     /// Chooses an engine and records the decision.
     fn choose(&mut self) -> Result<Choice, CallerError> {
-        let view = self.shared.fleet.load();
-        let now = self.shared.clock.now();
-        let mut random = self.random.borrow_mut();
-        let decision = self
-            .shared
+        let shared = &self.context.shared;
+        let view = shared.fleet.load();
+        let now = shared.clock.now();
+        let mut random = self.context.random.borrow_mut();
+        let decision = shared
             .router()
             .decide(now, &view, &self.route, &mut *random);
         match decision {
@@ -142,21 +214,22 @@
             candidates,
             outcome: AttemptOutcome::Running,
         };
-        self.shared
+        self.context
+            .shared
             .decisions()
             .update_request(self.request.request, |kept| kept.attempts.push(record));
-        self.shared.metrics.attempts.inc();
+        self.context.shared.metrics.attempts.inc();
     }
 
     /// Runs the prompt on one engine; the next attempt imports its KV cache.
     async fn run_prompt(&mut self, choice: &Choice) -> Result<(), AttemptError> {
         self.sent += 1;
-        let mut guard =
-            InFlightGuard::new(self.shared, &choice.engine, &self.route, choice.placement);
-        let prefilled = prefill::run(&choice.engine, &self.request).await?;
+        let mut guard = self.guard(choice);
+        let client = self.context.engines.get(choice.engine.address);
+        let prefilled = prefill::run(&client, &choice.engine, &self.request).await?;
         guard.first_token();
         guard.complete(0, prefilled.usage);
-        self.prompt_ran = true;
+        self.may_have_run = true;
         self.request.import_from = Some(prefilled.handle);
         self.route.phase = RoutePhase::Prefilled {
             engine: choice.engine.engine.clone(),
@@ -167,24 +240,35 @@
 
     async fn send(&mut self, choice: &Choice) -> Result<AcceptedAttempt, AttemptError> {
         self.sent += 1;
-        let guard = InFlightGuard::new(self.shared, &choice.engine, &self.route, choice.placement);
-        let engine = HttpEngine::new(choice.engine.address);
-        let frames = engine.generate(&self.request).await?;
+        let guard = self.guard(choice);
+        let client = self.context.engines.get(choice.engine.address);
+        let frames = client.generate(&self.request).await?;
         Ok(AcceptedAttempt {
             attempt: self.request.attempt,
+            engine: choice.engine.engine.clone(),
             frames,
             guard,
+            token_seen: false,
         })
     }
 
+    fn guard(&self, choice: &Choice) -> InFlightGuard {
+        let shared = &self.context.shared;
+        InFlightGuard::new(shared, &choice.engine, &self.route, choice.placement)
+    }
+
     /// Decides whether another engine may be asked.
     fn after_failure(&mut self, choice: &Choice, error: &AttemptError) -> Result<(), CallerError> {
         let reason = error.to_string();
-        if !error.proves_not_run() {
+        if error.proves_not_run() {
+            self.set_outcome(AttemptOutcome::NotRun { reason });
+        } else {
+            self.may_have_run = true;
             self.set_outcome(AttemptOutcome::Unknown { reason });
-            return Err(CallerError::Unknown(error.to_string()));
+            if !self.repeatable {
+                return Err(CallerError::Unknown(error.to_string()));
+            }
         }
-        self.set_outcome(AttemptOutcome::NotRun { reason });
         if is_cache_lost(error) {
             // The prompt has to run again.
             self.request.import_from = None;
@@ -199,7 +283,7 @@
     }
 
     fn give_up(&self, message: String, retry_after: Duration) -> CallerError {
-        if self.prompt_ran {
+        if self.may_have_run {
             return CallerError::Unknown(message);
         }
         CallerError::Overloaded {
@@ -209,13 +293,7 @@
     }
 
     fn set_outcome(&self, outcome: AttemptOutcome) {
-        self.shared
-            .decisions()
-            .update_request(self.request.request, |kept| {
-                if let Some(last) = kept.attempts.last_mut() {
-                    last.outcome = outcome;
-                }
-            });
+        record::set_outcome(&self.context.shared, self.request.request, outcome);
     }
 }
 
--- a/crates/gateway/src/attempt/prefill.rs
+++ b/crates/gateway/src/attempt/prefill.rs
@@ -15,10 +15,11 @@
 
 /// Runs the prompt of `request` on `engine`.
 pub(super) async fn run(
+    client: &HttpEngine,
     engine: &EngineView,
     request: &GenerationRequest,
 ) -> Result<Prefilled, AttemptError> {
-    let mut frames = HttpEngine::new(engine.address).generate(request).await?;
+    let mut frames = client.generate(request).await?;
     while let Some(frame) = frames.next().await {
         match frame? {
             GenerationFrame::Prefilled { attempt, usage } if attempt == request.attempt => {
--- /dev/null
+++ b/crates/gateway/src/claim_hold.rs
@@ -0,0 +1,82 @@
+//! A granted claim, whose end is reported even if the caller goes away.
+
+use std::sync::Arc;
+
+use dalestand_types::RunState;
+
+use crate::claim::{ClaimEnd, ClaimOutcome, ClaimRequest, KeptAnswer};
+use crate::error::CallerError;
+use crate::shared::Shared;
+
+/// A claim that was granted. Dropped without an end, it is reported as unknown.
+pub(crate) struct ClaimHold {
+    shared: Arc<Shared>,
+    claim: ClaimRequest,
+    reported: bool,
+}
+
+/// What a caller's claim came to.
+pub(crate) enum Claimed {
+    /// The request may run.
+    Granted(ClaimHold),
+    /// Its answer is known already.
+    Answered(KeptAnswer),
+}
+
+impl ClaimHold {
+    /// Reports how the request ended.
+    pub(crate) fn finish(mut self, run_state: RunState, answer: Option<KeptAnswer>) {
+        self.report(ClaimEnd { run_state, answer });
+    }
+
+    fn report(&mut self, end: ClaimEnd) {
+        self.reported = true;
+        if let Some(gate) = self.shared.claims() {
+            gate.finish(&self.claim, end);
+        }
+    }
+}
+
+impl Drop for ClaimHold {
+    fn drop(&mut self) {
+        if !self.reported {
+            self.report(ClaimEnd {
+                run_state: RunState::Unknown,
+                answer: None,
+            });
+        }
+    }
+}
+
+/// Claims a key; `None` if nothing grants claims on this node.
+pub(crate) async fn claim(
+    shared: &Arc<Shared>,
+    claim: ClaimRequest,
+) -> Result<Option<Claimed>, CallerError> {
+    let Some(gate) = shared.claims() else {
+        return Ok(None);
+    };
+    match gate.claim(&claim).await {
+        ClaimOutcome::Granted => Ok(Some(Claimed::Granted(ClaimHold {
+            shared: Arc::clone(shared),
+            claim,
+            reported: false,
+        }))),
+        ClaimOutcome::Duplicate {
+            answer: Some(answer),
+            ..
+        } => Ok(Some(Claimed::Answered(answer))),
+        ClaimOutcome::Duplicate {
+            first, run_state, ..
+        } => Err(CallerError::AlreadyRun { first, run_state }),
+        ClaimOutcome::InProgress { retry_after } => Err(CallerError::InProgress { retry_after }),
+        ClaimOutcome::KeyReused => Err(CallerError::KeyReused),
+        ClaimOutcome::Refused {
+            reason,
+            retry_after,
+        } => Err(CallerError::Unavailable {
+            message: reason,
+            retry_after,
+        }),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/engines.rs
@@ -0,0 +1,31 @@
+//! Clients of engines, one an address, kept so that their connections are used again.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use dalestand_platform::HttpEngine;
+
+/// Most clients kept; beyond it those in no use go.
+const MAX_KEPT: usize = 1_024;
+
+/// The clients of one arbiter.
+#[derive(Default)]
+pub(crate) struct EngineClients {
+    by_address: RefCell<HashMap<SocketAddr, Rc<HttpEngine>>>,
+}
+
+impl EngineClients {
+    /// The client for `address`.
+    pub(crate) fn get(&self, address: SocketAddr) -> Rc<HttpEngine> {
+        let mut by_address = self.by_address.borrow_mut();
+        if by_address.len() >= MAX_KEPT && !by_address.contains_key(&address) {
+            by_address.retain(|_, client| Rc::strong_count(client) > 1);
+        }
+        let client = by_address
+            .entry(address)
+            .or_insert_with(|| Rc::new(HttpEngine::new(address)));
+        Rc::clone(client)
+    }
+}
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -5,7 +5,7 @@
 use actix_http::StatusCode;
 use actix_http::header::{HeaderName, HeaderValue, RETRY_AFTER};
 use dalestand_http_server::{Answer, HttpServerError, json_answer};
-use dalestand_types::RunState;
+use dalestand_types::{RequestId, RunState};
 
 use crate::openai::{ErrorBody, ErrorDetail};
 
@@ -24,12 +24,18 @@
     /// The body is too large.
     #[error("{0}")]
     TooLarge(String),
+    /// The body came too slowly.
+    #[error("{0}")]
+    TooSlow(String),
     /// No tenant has this key.
     #[error("the key is missing or not known")]
     Unauthorized,
     /// No such path.
     #[error("no such path")]
     NotFound,
+    /// The path exists and takes another method.
+    #[error("the path takes another method")]
+    WrongMethod,
     /// No such model.
     #[error("model {0} is not served here")]
     UnknownModel(String),
@@ -45,6 +51,21 @@
         message: String,
         retry_after: Duration,
     },
+    /// A request that may run once was run under this key, and its answer is not kept.
+    #[error("request {first} ran under this Idempotency-Key and its answer is not kept")]
+    AlreadyRun {
+        first: RequestId,
+        run_state: RunState,
+    },
+    /// A request that may run once runs under this key.
+    #[error("a request runs under this Idempotency-Key")]
+    InProgress { retry_after: Duration },
+    /// The key was used for a request that asked for something else.
+    #[error("this Idempotency-Key was used for another request")]
+    KeyReused,
+    /// The stream cannot be resumed.
+    #[error("{0}")]
+    NotResumable(String),
     /// The request was sent and its result is not known.
     #[error("the result is not known: {0}")]
     Unknown(String),
@@ -54,17 +75,22 @@
     /// What is known of whether the request ran.
     pub fn run_state(&self) -> RunState {
         match self {
-            Self::Unknown(_) => RunState::Unknown,
+            Self::Unknown(_) | Self::InProgress { .. } | Self::NotResumable(_) => RunState::Unknown,
+            Self::AlreadyRun { run_state, .. } => *run_state,
             _ => RunState::NotRun,
         }
     }
 
-    /// The answer to the caller.
-    pub fn answer(&self) -> Answer {
-        let (status, kind, code) = self.classes();
+    /// The error object.
+    pub(crate) fn body(&self) -> ErrorBody {
+        let (_, kind, code) = self.classes();
         let param = match self {
             Self::Invalid { param, .. } => param.clone(),
             Self::UnknownModel(_) => Some("model".to_owned()),
+            Self::KeyReused | Self::AlreadyRun { .. } | Self::InProgress { .. } => {
+                Some("idempotency-key".to_owned())
+            }
+            Self::NotResumable(_) => Some("last-event-id".to_owned()),
             _ => None,
         };
         let error = ErrorDetail {
@@ -73,7 +99,13 @@
             param,
             code,
         };
-        let mut answer = json_answer(status, &ErrorBody { error });
+        ErrorBody { error }
+    }
+
+    /// The answer to the caller.
+    pub fn answer(&self) -> Answer {
+        let (status, _, _) = self.classes();
+        let mut answer = json_answer(status, &self.body());
         let run_state = HeaderValue::from_static(self.run_state().as_str());
         answer.headers_mut().insert(RUN_STATE_HEADER, run_state);
         if let Some(wait) = self.retry_after() {
@@ -87,9 +119,9 @@
 
     fn retry_after(&self) -> Option<Duration> {
         match self {
-            Self::Unavailable { retry_after, .. } | Self::Overloaded { retry_after, .. } => {
-                Some(*retry_after)
-            }
+            Self::Unavailable { retry_after, .. }
+            | Self::Overloaded { retry_after, .. }
+            | Self::InProgress { retry_after } => Some(*retry_after),
             _ => None,
         }
     }
@@ -106,12 +138,22 @@
                 "invalid_request_error",
                 "body_too_large",
             ),
+            Self::TooSlow(_) => (
+                StatusCode::REQUEST_TIMEOUT,
+                "invalid_request_error",
+                "body_too_slow",
+            ),
             Self::Unauthorized => (
                 StatusCode::UNAUTHORIZED,
                 "authentication_error",
                 "invalid_api_key",
             ),
             Self::NotFound => (StatusCode::NOT_FOUND, "invalid_request_error", "not_found"),
+            Self::WrongMethod => (
+                StatusCode::METHOD_NOT_ALLOWED,
+                "invalid_request_error",
+                "method_not_allowed",
+            ),
             Self::UnknownModel(_) => (
                 StatusCode::NOT_FOUND,
                 "invalid_request_error",
@@ -127,6 +169,22 @@
                 "rate_limit_error",
                 "overloaded",
             ),
+            Self::AlreadyRun { .. } => {
+                (StatusCode::CONFLICT, "invalid_request_error", "already_run")
+            }
+            Self::InProgress { .. } => {
+                (StatusCode::CONFLICT, "invalid_request_error", "in_progress")
+            }
+            Self::KeyReused => (
+                StatusCode::UNPROCESSABLE_ENTITY,
+                "invalid_request_error",
+                "idempotency_key_reused",
+            ),
+            Self::NotResumable(_) => (
+                StatusCode::CONFLICT,
+                "invalid_request_error",
+                "not_resumable",
+            ),
             Self::Unknown(_) => (StatusCode::BAD_GATEWAY, "server_error", "result_unknown"),
         }
     }
@@ -136,14 +194,28 @@
     fn from(error: HttpServerError) -> Self {
         match error {
             HttpServerError::BodyTooLarge { .. } => Self::TooLarge(error.to_string()),
+            HttpServerError::BodyTooDeep { .. } => Self::Invalid {
+                param: None,
+                message: error.to_string(),
+            },
             HttpServerError::BodyUnreadable(message) => Self::Invalid {
                 param: None,
                 message,
             },
+            // The whole body, not one of its fields, is wrong.
+            HttpServerError::InvalidJson { field, message }
+                if matches!(field.as_str(), "." | "?") =>
+            {
+                Self::Invalid {
+                    param: None,
+                    message: format!("the body is not a JSON object as expected: {message}"),
+                }
+            }
             HttpServerError::InvalidJson { field, message } => Self::Invalid {
+                message: format!("{field}: {message}"),
                 param: Some(field),
-                message,
             },
+            HttpServerError::BodyTooSlow => Self::TooSlow(error.to_string()),
         }
     }
 }
--- /dev/null
+++ b/crates/gateway/src/record.rs
@@ -0,0 +1,43 @@
+//! Keeps the decision record, the log and the metrics of a request up to date.
+
+use dalestand_decision::AttemptOutcome;
+use dalestand_telemetry::{Event, log_event};
+use dalestand_types::{RequestId, RunState};
+
+use crate::shared::Shared;
+
+/// Notes what came of the request's last attempt.
+pub(crate) fn set_outcome(shared: &Shared, request: RequestId, outcome: AttemptOutcome) {
+    shared.decisions().update_request(request, |kept| {
+        if let Some(last) = kept.attempts.last_mut() {
+            last.outcome = outcome;
+        }
+    });
+}
+
+/// Notes the end of a request.
+pub(crate) fn finish(
+    shared: &Shared,
+    request: RequestId,
+    state: RunState,
+    refusal: Option<String>,
+) {
+    shared
+        .metrics
+        .requests
+        .with_label_values(&[state.as_str()])
+        .inc();
+    match &refusal {
+        Some(reason) => {
+            log_event!(shared.logger, Event::RequestFailed,
+                "request" => %request, "run_state" => state.as_str(), "reason" => reason);
+        }
+        None => {
+            log_event!(shared.logger, Event::RequestComplete, "request" => %request);
+        }
+    }
+    shared.decisions().update_request(request, |record| {
+        record.run_state = Some(state);
+        record.refusal = refusal;
+    });
+}
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -5,61 +5,108 @@
 use std::sync::Arc;
 
 use dalestand_http_server::{
-    Answer, Connections, Method, Request, ServerLimits, StatusCode, json_answer, serve,
+    Answer, ConnectionType, Connections, HttpMessage as _, Method, Request, ServerLimits,
+    StatusCode, json_answer, serve,
 };
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
 use tokio::net::TcpListener;
 
 use crate::completion;
+use crate::context::Context;
+use crate::engines::EngineClients;
 use crate::error::CallerError;
-use crate::openai::{ModelBody, ModelsBody};
+use crate::identity::TenantIndex;
+use crate::openai::{ModelBody, ModelsBody, Surface};
+use crate::order::ADAPTER_SEPARATOR;
 use crate::shared::Shared;
 
+/// Most requests a node has in flight where nothing else is said.
+const DEFAULT_MAX_REQUESTS: usize = 8_192;
+
+/// Limits on the callers of one node.
+#[derive(Clone, Debug)]
+pub struct CallerLimits {
+    /// Limits on connections.
+    pub server: ServerLimits,
+    /// Most requests in flight; more are refused as not run.
+    pub max_requests: usize,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            server: ServerLimits::default(),
+            max_requests: DEFAULT_MAX_REQUESTS,
+        }
+    }
+}
+
 /// Serves callers on `listener` until dropped.
-pub async fn serve_callers(listener: TcpListener, shared: Arc<Shared>, connections: Connections) {
-    let random = Rc::new(RefCell::new(StdRng::from_rng(&mut rand::rng())));
-    serve(
-        listener,
-        ServerLimits::default(),
-        connections,
-        move |request| answer(Arc::clone(&shared), Rc::clone(&random), request),
-    )
+pub async fn serve_callers(
+    listener: TcpListener,
+    shared: Arc<Shared>,
+    limits: CallerLimits,
+    connections: Connections,
+) {
+    let context = Rc::new(Context {
+        shared,
+        random: RefCell::new(StdRng::from_rng(&mut rand::rng())),
+        engines: EngineClients::default(),
+        tenants: TenantIndex::default(),
+        max_requests: limits.max_requests,
+    });
+    serve(listener, limits.server, connections, move |request| {
+        answer(Rc::clone(&context), request)
+    })
     .await;
 }
 
-async fn answer(shared: Arc<Shared>, random: Rc<RefCell<StdRng>>, mut request: Request) -> Answer {
+async fn answer(context: Rc<Context>, mut request: Request) -> Answer {
+    let stopping = context.shared.stopping();
     let method = request.method().clone();
     let path = request.path().to_owned();
     let result = match (method, path.as_str()) {
-        (Method::GET, "/v1/models") => list_models(&shared),
+        (Method::GET, "/v1/models") => list_models(&context, &request),
         (Method::POST, "/v1/completions") => {
-            completion::complete(shared, random, &mut request).await
+            completion::complete(context, Surface::Completion, &mut request).await
+        }
+        (Method::POST, "/v1/chat/completions") => {
+            completion::complete(context, Surface::Chat, &mut request).await
+        }
+        (_, "/v1/models" | "/v1/completions" | "/v1/chat/completions") => {
+            Err(CallerError::WrongMethod)
         }
         _ => Err(CallerError::NotFound),
     };
-    result.unwrap_or_else(|error| error.answer())
+    let mut answer = result.unwrap_or_else(|error| error.answer());
+    if stopping {
+        answer.head_mut().set_connection_type(ConnectionType::Close);
+    }
+    answer
+}
+
+fn list_models(context: &Context, request: &Request) -> Result<Answer, CallerError> {
+    let mut data = Vec::new();
+    if let Some(active) = context.shared.configuration.load_full() {
+        context.tenants.terms(&active, request.headers())?;
+        for model in &active.deployment.models {
+            data.push(model_body(model.name.to_string()));
+            let adapters = model.adapters.iter();
+            data.extend(adapters.map(|adapter| {
+                model_body(format!("{}{ADAPTER_SEPARATOR}{}", model.name, adapter.name))
+            }));
+        }
+    }
+    let object = "list";
+    Ok(json_answer(StatusCode::OK, &ModelsBody { object, data }))
 }
 
-fn list_models(shared: &Shared) -> Result<Answer, CallerError> {
-    let active = shared.configuration.load_full();
-    let models = active
-        .map(|active| active.deployment.models.clone())
-        .unwrap_or_default();
-    let data = models
-        .iter()
-        .map(|model| ModelBody {
-            id: model.name.to_string(),
-            object: "model",
-            created: 0,
-            owned_by: "dalestand",
-        })
-        .collect();
-    Ok(json_answer(
-        StatusCode::OK,
-        &ModelsBody {
-            object: "list",
-            data,
-        },
-    ))
+fn model_body(id: String) -> ModelBody {
+    ModelBody {
+        id,
+        object: "model",
+        created: 0,
+        owned_by: "dalestand",
+    }
 }
--- /dev/null
+++ b/crates/gateway/tests/faults.rs
@@ -0,0 +1,259 @@
+//! What callers see when engines misbehave, held against the engines' run logs.
+
+mod support;
+
+use std::time::Duration;
+
+use dalestand_gateway::CallerLimits;
+use dalestand_standin::engine::text::expected_text;
+use dalestand_standin::engine::{EngineFaults, RunLogEvent};
+use futures_util::StreamExt as _;
+use rstest::rstest;
+use serde_json::{Value, json};
+use support::{Stage, StageOptions, eventually, start_node};
+
+const PATH: &str = "/v1/completions";
+const TOKENS: u32 = 30;
+
+fn body(model: &str, stream: bool) -> Value {
+    json!({"model": model, "prompt": "a plate", "max_tokens": TOKENS, "stream": stream})
+}
+
+fn two_engines() -> StageOptions {
+    StageOptions {
+        engines: 2,
+        ..StageOptions::default()
+    }
+}
+
+#[rstest]
+#[case::repeated(EngineFaults { duplicate_frames: true, ..EngineFaults::default() })]
+#[case::reordered(EngineFaults { reorder_frames: true, ..EngineFaults::default() })]
+#[case::of_another_attempt(EngineFaults { foreign_frames: true, ..EngineFaults::default() })]
+#[case::all_together(EngineFaults {
+    duplicate_frames: true, reorder_frames: true, foreign_frames: true, ..EngineFaults::default()
+})]
+#[actix_rt::test]
+async fn faulty_frames_reach_no_caller(#[case] faults: EngineFaults) {
+    let stage = Stage::start(StageOptions::default()).await;
+    stage.faults(0, &faults).await;
+    for model in ["m", "once"] {
+        let expected = expected_text(model, "a plate", TOKENS);
+        let streamed = stage.post(PATH, &body(model, true), &[]).await;
+        assert_eq!(streamed.streamed_text(), expected);
+        assert!(streamed.text().ends_with("data: [DONE]\n\n"));
+        let whole = stage.post(PATH, &body(model, false), &[]).await;
+        assert_eq!(whole.json()["choices"][0]["text"], expected);
+    }
+}
+
+#[rstest]
+#[case::before_its_first_token(EngineFaults { break_after_accept: 1, ..EngineFaults::default() })]
+#[case::within_its_answer(EngineFaults {
+    break_in_answer: 1, break_at_token: 11, ..EngineFaults::default()
+})]
+#[case::with_a_malformed_frame(EngineFaults { malformed_frames: 1, ..EngineFaults::default() })]
+#[actix_rt::test]
+async fn a_request_that_may_be_repeated_goes_on_elsewhere(
+    #[case] faults: EngineFaults,
+    #[values(false, true)] stream: bool,
+) {
+    let stage = Stage::start(two_engines()).await;
+    stage.faults(0, &faults).await;
+    stage.faults(1, &faults).await;
+    let expected = expected_text("m", "a plate", TOKENS);
+    let reply = stage.post(PATH, &body("m", stream), &[]).await;
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    if stream {
+        assert_eq!(reply.streamed_text(), expected);
+    } else {
+        assert_eq!(reply.json()["choices"][0]["text"], expected);
+        assert_eq!(reply.json()["usage"]["completion_tokens"], TOKENS);
+    }
+    assert!(stage.accepted().await >= 2);
+}
+
+#[rstest]
+#[case::before_its_first_token(EngineFaults { break_after_accept: 1, ..EngineFaults::default() })]
+#[case::within_its_answer(EngineFaults {
+    break_in_answer: 1, break_at_token: 11, ..EngineFaults::default()
+})]
+#[case::with_a_malformed_frame(EngineFaults { malformed_frames: 1, ..EngineFaults::default() })]
+#[actix_rt::test]
+async fn a_request_that_may_run_once_is_never_sent_again(
+    #[case] faults: EngineFaults,
+    #[values(false, true)] stream: bool,
+) {
+    let stage = Stage::start(two_engines()).await;
+    stage.faults(0, &faults).await;
+    stage.faults(1, &faults).await;
+    let reply = stage.post(PATH, &body("once", stream), &[]).await;
+    if stream {
+        assert!(
+            reply.text().contains("data: {\"error\":"),
+            "{}",
+            reply.text()
+        );
+        assert!(!reply.text().contains("[DONE]"));
+    } else {
+        assert_eq!(reply.status, 502);
+        assert_eq!(reply.header("x-dalestand-run-state"), Some("unknown"));
+    }
+    assert_eq!(stage.accepted().await, 1);
+}
+
+#[rstest]
+#[case("m")]
+#[case("once")]
+#[actix_rt::test]
+async fn a_caller_that_goes_away_cancels_its_attempt(#[case] model: &str) {
+    let stage = Stage::start(StageOptions {
+        step: Duration::from_millis(5),
+        ..StageOptions::default()
+    })
+    .await;
+    let long = json!({"model": model, "prompt": "p", "max_tokens": 20_000, "stream": true});
+    let url = format!("http://{}{PATH}", stage.callers);
+    let sent = awc::Client::default().post(url).send_json(&long).await;
+    let mut response = sent.expect("an answer");
+    assert!(response.next().await.expect("a chunk").is_ok());
+    drop(response);
+    let tokens = eventually("the engine notes the cancel", || async {
+        let runs = stage.runs(0).await;
+        runs.iter().find_map(|run| match run.event {
+            RunLogEvent::Cancelled { tokens } => Some(tokens),
+            _ => None,
+        })
+    })
+    .await;
+    assert!(tokens < 20_000);
+    eventually("nothing is in flight", || async {
+        (stage.shared.in_flight() == 0).then_some(())
+    })
+    .await;
+    // The next request on the same node gets its own answer whole.
+    let reply = stage.post(PATH, &body(model, false), &[]).await;
+    let expected = expected_text(model, "a plate", TOKENS);
+    assert_eq!(reply.json()["choices"][0]["text"], expected);
+}
+
+/// The ids and data of the events of a stream, up to `count` of them with an id.
+async fn read_events(stage: &Stage, key: &str, count: usize) -> (String, String) {
+    let url = format!("http://{}{PATH}", stage.callers);
+    let request = awc::Client::default()
+        .post(url)
+        .insert_header(("idempotency-key", key));
+    let mut response = request
+        .send_json(&body("m", true))
+        .await
+        .expect("an answer");
+    let mut text = String::new();
+    while text.matches("\nid: ").count() <= count {
+        let chunk = response.next().await.expect("a chunk").expect("no error");
+        text.push_str(std::str::from_utf8(&chunk).expect("UTF-8"));
+    }
+    let mut read = String::new();
+    let mut last = String::new();
+    for event in text.split_inclusive("\n\n").take(count) {
+        let (id, data) = event.split_once("\ndata: ").expect("an id and data");
+        last = id.strip_prefix("id: ").expect("an id").to_owned();
+        let chunk: Value = serde_json::from_str(data.trim()).expect("JSON");
+        read.push_str(chunk["choices"][0]["text"].as_str().expect("text"));
+    }
+    (last, read)
+}
+
+#[rstest]
+#[case(1)]
+#[case(7)]
+#[case(20)]
+#[actix_rt::test]
+async fn a_broken_stream_is_resumed_at_another_node(#[case] read: usize) {
+    let mut stage = Stage::start(two_engines()).await;
+    let (id, begin) = read_events(&stage, "k", read).await;
+    let (other, _) = start_node(&stage.shared, CallerLimits::default()).await;
+    stage.callers = other;
+    let headers = [("idempotency-key", "k"), ("last-event-id", id.as_str())];
+    let reply = stage.post(PATH, &body("m", true), &headers).await;
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    let whole = format!("{begin}{}", reply.streamed_text());
+    assert_eq!(whole, expected_text("m", "a plate", TOKENS));
+    let request = id.split(':').next().expect("the request");
+    assert_eq!(reply.header("x-request-id"), Some(request));
+}
+
+#[rstest]
+#[case::another_position("k", "desk-key", "a plate", 9)]
+#[case::another_key("other", "desk-key", "a plate", 0)]
+#[case::another_tenant("k", "other-key", "a plate", 0)]
+#[case::another_prompt("k", "desk-key", "a vase", 0)]
+#[actix_rt::test]
+async fn a_forged_or_foreign_event_id_is_refused(
+    #[case] key: &str,
+    #[case] tenant: &str,
+    #[case] prompt: &str,
+    #[case] position: u32,
+) {
+    use dalestand_gateway::RequestFingerprint;
+    use dalestand_gateway::resume::EventIds;
+    let stage = Stage::start(StageOptions {
+        require_key: true,
+        ..StageOptions::default()
+    })
+    .await;
+    let authorization = |key: &str| format!("Bearer {key}");
+    let owner = authorization("desk-key");
+    let headers = [("idempotency-key", "k"), ("authorization", owner.as_str())];
+    let first = stage.post(PATH, &body("m", true), &headers).await.text();
+    let line = first.lines().next().expect("an id");
+    let mut id = line.strip_prefix("id: ").expect("an id").to_owned();
+    if position > 0 {
+        let fields: Vec<&str> = id.split(':').collect();
+        let [request, attempt, engine, _, signature] = fields[..] else {
+            panic!("{id}");
+        };
+        id = format!("{request}:{attempt}:{engine}:{position}:{signature}");
+    }
+    let authorization = authorization(tenant);
+    let headers = [
+        ("idempotency-key", key),
+        ("authorization", authorization.as_str()),
+        ("last-event-id", id.as_str()),
+    ];
+    let mut repeated = body("m", true);
+    repeated["prompt"] = json!(prompt);
+    let reply = stage.post(PATH, &repeated, &headers).await;
+    assert_eq!(reply.status, 400, "{}", reply.text());
+    assert_eq!(reply.json()["error"]["param"], "last-event-id");
+    assert_eq!(stage.accepted().await, 1);
+    // A stranger cannot make one either.
+    let forged = EventIds::new(None, &RequestFingerprint([0; 32]));
+    assert!(forged.read(&id).is_err());
+}
+
+#[actix_rt::test]
+async fn a_stream_that_may_run_once_is_not_resumed() {
+    let stage = Stage::start(StageOptions::default()).await;
+    let headers = [("idempotency-key", "k"), ("last-event-id", "1:2:e:3:4")];
+    let reply = stage.post(PATH, &body("once", true), &headers).await;
+    assert_eq!(reply.status, 409);
+    assert_eq!(reply.header("x-dalestand-run-state"), Some("unknown"));
+    assert_eq!(stage.accepted().await, 0);
+}
+
+#[actix_rt::test]
+async fn a_slow_caller_slows_only_itself() {
+    let stage = Stage::start(StageOptions::default()).await;
+    let long = json!({"model": "m", "prompt": "p", "max_tokens": 20_000, "stream": true});
+    let url = format!("http://{}{PATH}", stage.callers);
+    let slow = awc::Client::default().post(&url).send_json(&long).await;
+    let slow = slow.expect("an answer");
+    // The slow caller reads nothing while another is served.
+    let expected = expected_text("m", "a plate", TOKENS);
+    for _ in 0..3 {
+        let reply = stage.post(PATH, &body("m", true), &[]).await;
+        assert_eq!(reply.streamed_text(), expected);
+    }
+    assert_eq!(stage.shared.in_flight(), 1);
+    drop(slow);
+}
--- a/crates/http-server/src/lib.rs
+++ b/crates/http-server/src/lib.rs
@@ -13,4 +13,4 @@
 pub use error::HttpServerError;
 pub use server::{Connections, ServerLimits, serve};
 
-pub use actix_http::{Method, Request, StatusCode};
+pub use actix_http::{ConnectionType, HttpMessage, Method, Request, StatusCode};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,7 +7,7 @@
 
 use actix_rt::Arbiter;
 use dalestand_config::NodeSettings;
-use dalestand_gateway::{Shared, serve_callers};
+use dalestand_gateway::{CallerLimits, Shared, serve_callers};
 use dalestand_http_server::Connections;
 use dalestand_platform::{HttpKeyValue, KeyValue};
 use dalestand_telemetry::{Event, Metrics, log_event};
@@ -139,7 +139,10 @@
     arbiter.spawn_fn(move || {
         actix_rt::spawn(async move {
             match TcpListener::from_std(listener) {
-                Ok(listener) => serve_callers(listener, shared, Connections::default()).await,
+                Ok(listener) => {
+                    let limits = CallerLimits::default();
+                    serve_callers(listener, shared, limits, Connections::default()).await;
+                }
                 Err(error) => {
                     log_event!(shared.logger, Event::ListenFailed, "error" => %error);
                 }
--- a/crates/platform/src/engine_client.rs
+++ b/crates/platform/src/engine_client.rs
@@ -5,7 +5,7 @@
 
 use actix_http::StatusCode;
 use async_trait::async_trait;
-use awc::Client;
+use awc::{Client, Connector};
 use bytes::{Bytes, BytesMut};
 use dalestand_types::{
     AttemptId, EngineLoad, EngineOrders, Epoch, GenerationFrame, GenerationRequest, Order,
@@ -30,44 +30,69 @@
 /// Largest refusal taken from an engine, in bytes.
 const MAX_REFUSAL_BYTES: usize = 16 << 10;
 
+/// Longest time an unused connection is kept, well below what engines allow, so that a request
+/// seldom meets a connection that the engine is closing.
+const IDLE_LIMIT: Duration = Duration::from_secs(5);
+
+/// Longest time a connection is used.
+const CONNECTION_LIFETIME: Duration = Duration::from_secs(600);
+
+/// Time limit of opening a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Client of one engine over HTTP.
+///
+/// Connections are used again, except for requests that may run once: a connection that the
+/// engine closes just as the request is written leaves it in doubt, which a connection of its own
+/// rules out.
 pub struct HttpEngine {
     caller: JsonCaller,
-    client: Client,
+    pooled: Client,
+    fresh: Client,
     address: SocketAddr,
 }
 
 impl HttpEngine {
     /// A client of the engine at `address`.
     pub fn new(address: SocketAddr) -> Self {
-        let client = Client::builder()
-            .disable_timeout()
-            .disable_redirects()
-            .finish();
         Self {
             caller: JsonCaller::new("engine", address, CALL_TIMEOUT),
-            client,
+            pooled: client(IDLE_LIMIT),
+            fresh: client(Duration::ZERO),
             address,
         }
     }
 }
 
+fn client(idle_limit: Duration) -> Client {
+    let connector = Connector::new()
+        .timeout(CONNECT_TIMEOUT)
+        .conn_keep_alive(idle_limit)
+        .conn_lifetime(CONNECTION_LIFETIME)
+        // Streams are bounded by the node's own limits.
+        .limit(0);
+    Client::builder()
+        .connector(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .finish()
+}
+
 #[async_trait(?Send)]
 impl Engine for HttpEngine {
     async fn generate(&self, request: &GenerationRequest) -> Result<FrameStream, AttemptError> {
         let url = format!("http://{}{GENERATE}", self.address);
-        let mut response = self
-            .client
-            .post(url)
-            .send_json(request)
-            .await
-            .map_err(|error| {
-                if proves_nothing_sent(&error) {
-                    AttemptError::NotSent(error.to_string())
-                } else {
-                    AttemptError::BrokenOff(error.to_string())
-                }
-            })?;
+        let client = match request.once_key {
+            Some(_) => &self.fresh,
+            None => &self.pooled,
+        };
+        let mut response = client.post(url).send_json(request).await.map_err(|error| {
+            if proves_nothing_sent(&error) {
+                AttemptError::NotSent(error.to_string())
+            } else {
+                AttemptError::BrokenOff(error.to_string())
+            }
+        })?;
         if response.status() == StatusCode::OK {
             return Ok(frames(response));
         }
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -5,7 +5,7 @@
 
 use actix_http::StatusCode;
 use awc::Client;
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use error_stack::Report;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -151,9 +151,13 @@
 }
 
 /// Whether a failed send proves that no byte of the request left this process.
+///
+/// `Disconnected` proves nothing: the library gives it when a connection ends after the request
+/// was written and before the answer's head.
 pub(crate) fn proves_nothing_sent(error: &SendRequestError) -> bool {
-    matches!(
-        error,
-        SendRequestError::Connect(_) | SendRequestError::Url(_)
-    )
+    match error {
+        SendRequestError::Url(_) => true,
+        SendRequestError::Connect(error) => !matches!(error, ConnectError::Disconnected),
+        _ => false,
+    }
 }
--- /dev/null
+++ b/crates/platform/tests/proof_of_not_run.rs
@@ -0,0 +1,71 @@
+//! "Not run" is proved only if no byte of a request was sent, or the engine said so.
+
+use dalestand_platform::{AttemptError, Engine as _, HttpEngine};
+use dalestand_types::{AttemptId, GenerationRequest, ModelName, Priority, RequestId, Revision};
+use rstest::rstest;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpListener;
+
+fn request(once: bool) -> GenerationRequest {
+    GenerationRequest {
+        request: RequestId(1),
+        attempt: AttemptId(2),
+        model: ModelName::from("m"),
+        adapter: None,
+        tenant: None,
+        prompt: "p".to_owned(),
+        max_tokens: 1,
+        resume_from: 0,
+        priority: Priority(0),
+        deadline_ms: None,
+        revision: Revision(1),
+        incarnation: None,
+        once_key: once.then(|| "k".to_owned()),
+        import_from: None,
+        prefill_only: false,
+    }
+}
+
+/// Generates at an engine that reads the request, answers with these bytes and closes.
+async fn error_after(answer: &'static [u8], once: bool) -> Option<AttemptError> {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut request = [0; 4_096];
+        let read = stream.read(&mut request).await.expect("a request");
+        assert!(read > 0);
+        stream.write_all(answer).await.expect("the answer is sent");
+    });
+    HttpEngine::new(address)
+        .generate(&request(once))
+        .await
+        .err()
+}
+
+#[rstest]
+#[case::closed_before_the_answer(b"")]
+#[case::closed_within_the_head(b"HTTP/1.1 200 OK\r\ncontent-")]
+#[case::no_http(b"hello\r\n\r\n")]
+#[case::server_error(b"HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n")]
+#[case::refusal_cut(b"HTTP/1.1 429 Full\r\ncontent-length: 90\r\n\r\n{\"reason\":\"full\"")]
+#[actix_rt::test]
+async fn a_connection_cut_after_the_request_proves_nothing(
+    #[case] answer: &'static [u8],
+    #[values(false, true)] once: bool,
+) {
+    let error = error_after(answer, once).await.expect("an error");
+    assert!(!error.proves_not_run(), "{error:?}");
+}
+
+#[actix_rt::test]
+async fn a_refused_connection_proves_that_nothing_ran() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    drop(listener);
+    let error = HttpEngine::new(address)
+        .generate(&request(true))
+        .await
+        .err();
+    assert!(error.expect("an error").proves_not_run());
+}
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -5,14 +5,17 @@
 
 mod batch;
 mod exports;
+mod faults;
 mod log;
 mod orders;
+mod outgoing;
 mod server;
 pub mod text;
 mod transfer;
 
 pub use batch::{Batch, BatchSettings};
 pub use exports::Exports;
+pub use faults::EngineFaults;
 pub use log::{OrderLogEntry, RunLogEntry, RunLogEvent};
 pub use orders::OrderBook;
-pub use server::{EngineFaults, EngineSettings, serve_engine};
+pub use server::{EngineSettings, serve_engine};
--- a/crates/standin/src/engine/server.rs
+++ b/crates/standin/src/engine/server.rs
@@ -22,14 +22,15 @@
     MonotonicTime, Order, OrderCommand, OrderOutcome, Refusal, RefusalReason, Role, Sequence,
 };
 use futures_util::stream;
-use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc};
 
 use super::batch::{Batch, BatchSettings, StepOutput};
 use super::exports::Exports;
+use super::faults::{EngineFaults, take_count};
 use super::log::{EngineLogs, OrderLogEntry, RunLogEntry, RunLogEvent};
 use super::orders::OrderBook;
+use super::outgoing::Outgoing;
 use super::transfer::{import, transfer_time};
 
 const MAX_BODY_BYTES: usize = 64 << 20;
@@ -65,26 +66,12 @@
     pub log_to_stdout: bool,
 }
 
-/// Faults of the stand-in; `POST /faults` replaces them all.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct EngineFaults {
-    /// The process ends as soon as the next role change has begun.
-    pub crash_in_role_change: bool,
-    /// This many coming orders take effect and their answers are lost.
-    pub lose_order_answers: u32,
-    /// This many coming requests are accepted and their connections then break.
-    pub break_after_accept: u32,
-    /// This many coming prompts are run and their KV caches are not held.
-    pub forget_exports: u32,
-}
-
 struct Engine {
     settings: EngineSettings,
     started: Instant,
     batch: RefCell<Batch>,
     orders: RefCell<OrderBook>,
-    streams: RefCell<HashMap<AttemptId, mpsc::UnboundedSender<Bytes>>>,
+    streams: RefCell<HashMap<AttemptId, Outgoing>>,
     attempts: RefCell<HashSet<AttemptId>>,
     once_keys: RefCell<HashSet<String>>,
     exports: RefCell<Exports>,
@@ -269,16 +256,11 @@
 }
 
 fn send_frame(engine: &Engine, frame: &GenerationFrame) {
-    let Ok(mut line) = serde_json::to_vec(frame) else {
+    let mut streams = engine.streams.borrow_mut();
+    let Some(stream) = streams.get_mut(&frame.attempt()) else {
         return;
     };
-    line.push(b'\n');
-    let mut streams = engine.streams.borrow_mut();
-    if let Some(sender) = streams.get(&frame.attempt()) {
-        // A receiver that is gone is noticed by its guard, which removes the attempt.
-        let _ = sender.send(Bytes::from(line));
-    }
-    if frame.is_last() {
+    if !stream.send(frame, &mut engine.faults.borrow_mut()) {
         streams.remove(&frame.attempt());
     }
 }
@@ -439,14 +421,6 @@
     json_answer(status, outcome)
 }
 
-fn take_count(count: &mut u32) -> bool {
-    if *count == 0 {
-        return false;
-    }
-    *count -= 1;
-    true
-}
-
 /// Sends a cache on its way; answered once it has arrived.
 async fn export(engine: &Engine, body: &CacheExportRequest) -> Answer {
     let found = engine.exports.borrow().find(engine.now(), body.attempt);
@@ -492,8 +466,8 @@
     }
     engine.log_run(&request, RunLogEvent::Accepted);
     let (sender, receiver) = mpsc::unbounded_channel();
-    if !take_count(&mut engine.faults.borrow_mut().break_after_accept) {
-        engine.streams.borrow_mut().insert(request.attempt, sender);
+    if let Some(stream) = open_stream(engine, sender) {
+        engine.streams.borrow_mut().insert(request.attempt, stream);
     }
     let guard = AttemptGuard {
         engine: Rc::clone(engine),
@@ -507,6 +481,17 @@
     stream_answer(StatusCode::OK, "application/x-ndjson", frames)
 }
 
+/// Where the frames of a request go; nowhere if it is to break.
+fn open_stream(engine: &Engine, sender: mpsc::UnboundedSender<Bytes>) -> Option<Outgoing> {
+    let mut faults = engine.faults.borrow_mut();
+    if take_count(&mut faults.break_after_accept) {
+        return None;
+    }
+    let breaks = take_count(&mut faults.break_in_answer);
+    let break_at = breaks.then_some(faults.break_at_token);
+    Some(Outgoing::new(sender, break_at))
+}
+
 /// Takes an attempt out of the batch when its connection goes.
 struct AttemptGuard {
     engine: Rc<Engine>,
