At most once: claims in batches, made unique by compare-and-swap

Cause: nothing stood behind the gate for requests that may not be repeated.

Change: crate claims (shards, entries, table, one shard's state machine; pure) and in the node its driver, its record in the key-value service, the gate on the callers' arbiter, and calls from node to node over TCP at the peer port (sealed). The same calls let a stopping holder ask its successor to take a group over at once.

Proof: crates/claims/tests/interleavings.rs, 600 seeded interleavings of three leaders of one shard with lost calls, lost answers, late writes, outages, restarts and sealed segments; and crates/node/tests/claims.rs over real sockets: claims at three nodes at once, every node replaced, an outage, a write whose answer was lost, a repeated key at another node.

No HTTP request passes it yet.

--- a/crates/lab/src/hollow/worker.rs
+++ b/crates/lab/src/hollow/worker.rs
@@ -83,6 +83,7 @@
         addresses: node.addresses,
         operators: tokio::net::TcpListener::from_std(node.operators)?,
         peers: tokio::net::UdpSocket::from_std(node.peers)?,
+        peer_calls: None,
         key_value: Rc::new(HttpKeyValue::new(key_value)),
         filter: Some(node.filter),
         stop_asked: Rc::new(Notify::new()),
--- a/crates/node/src/control_driver/leases.rs
+++ b/crates/node/src/control_driver/leases.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use dalestand_config::Group;
-use dalestand_control::{Candidate, GroupController, LeaseGrant, acquire_delay};
+use dalestand_control::{Candidate, GroupController, LeaseGrant, acquire_delay, successor};
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::{EngineId, GroupId, MonotonicTime};
 use rand::RngExt as _;
 
 use super::ControlDriver;
+use crate::peer_calls::PeerRequest;
 
 /// Parts of a lease after which one that was not granted may be asked for again.
 const ACQUIRE_RETRIES_PER_LEASE: u32 = 2;
@@ -27,11 +28,44 @@
         let releases = grants.into_iter().map(|(group, grant)| async move {
             if self.release(grant.lease).await {
                 log_event!(self.shared.logger, Event::LeaseReleased, "group" => %group);
+                self.hand_over(&group).await;
             }
         });
         futures_util::future::join_all(releases).await;
     }
 
+    /// Asks the first candidate to take a group over. If it does not hear, a node takes the group
+    /// over once its digests have stopped for a lease.
+    async fn hand_over(&self, group: &GroupId) {
+        let Some(active) = self.shared.configuration.load_full() else {
+            return;
+        };
+        let groups = &active.deployment.groups;
+        let zone = groups
+            .iter()
+            .find(|one| one.id() == *group)
+            .map(|one| &one.zone);
+        let candidates = self.candidates();
+        let chosen = zone.and_then(|zone| successor(group, zone, &candidates));
+        let address = {
+            let cluster = self.cluster.borrow();
+            chosen.and_then(|one| Some(cluster.member(&one.node)?.address))
+        };
+        if let Some(address) = address {
+            let group = group.clone();
+            drop(
+                self.peers
+                    .call(address, &PeerRequest::TakeOver { group })
+                    .await,
+            );
+        }
+    }
+
+    /// Takes a group over that its holder has just given up.
+    pub(crate) fn invite(&self, group: &GroupId) {
+        self.with_controller(group, GroupController::invite);
+    }
+
     pub(super) async fn release(&self, lease: u64) -> bool {
         self.shared.metrics.key_value_calls.inc();
         let released = self.leases.release(lease).await;
--- a/crates/node/src/control_driver/mod.rs
+++ b/crates/node/src/control_driver/mod.rs
@@ -24,6 +24,7 @@
 use crate::fleet::Digests;
 use crate::lease_service::LeaseService;
 use crate::machines::Machines;
+use crate::peer_calls::PeerClient;
 use crate::role_planning::RolePlanning;
 use crate::token_rates::TokenRates;
 
@@ -58,6 +59,7 @@
 pub(crate) struct ControlDriver {
     shared: Arc<Shared>,
     leases: LeaseService,
+    peers: PeerClient,
     cluster: Rc<RefCell<Cluster>>,
     machines: Rc<RefCell<Machines>>,
     drains: Rc<Drains>,
@@ -70,6 +72,7 @@
     pub(crate) fn new(
         shared: Arc<Shared>,
         leases: LeaseService,
+        peers: PeerClient,
         cluster: Rc<RefCell<Cluster>>,
         machines: Rc<RefCell<Machines>>,
         drains: Rc<Drains>,
@@ -79,6 +82,7 @@
         Rc::new(Self {
             shared,
             leases,
+            peers,
             cluster,
             machines,
             drains,
--- a/crates/node/src/control_half.rs
+++ b/crates/node/src/control_half.rs
@@ -17,6 +17,7 @@
 use tokio::task::JoinHandle;
 
 use crate::admin::{Admin, serve_operators};
+use crate::claims::{ChannelGate, ClaimStore, ClaimsDriver, serve_gate};
 use crate::cluster_driver::{self, LinkFilter, PeerLink};
 use crate::configuration;
 use crate::control_driver::ControlDriver;
@@ -24,6 +25,7 @@
 use crate::lease_service::LeaseService;
 use crate::machines::{Machines, poll_machines};
 use crate::node::NodeAddresses;
+use crate::peer_calls::{PeerClient, serve_peers};
 
 /// What a control half is made of.
 pub struct ControlParts {
@@ -37,6 +39,8 @@
     pub operators: TcpListener,
     /// Socket for other nodes.
     pub peers: UdpSocket,
+    /// Socket for calls of other nodes; without it the node makes no claims and takes no calls.
+    pub peer_calls: Option<TcpListener>,
     /// The key-value service.
     pub key_value: Rc<dyn KeyValue>,
     /// Losses and cuts put in by an experiment.
@@ -81,6 +85,7 @@
         addresses,
         operators,
         peers,
+        peer_calls,
         key_value,
         filter,
         stop_asked,
@@ -95,10 +100,11 @@
     };
     let cluster = Cluster::new(me, settings.seeds.clone(), ClusterConfig::default());
     let cluster = Rc::new(RefCell::new(cluster));
+    let seal = PeerSeal::new(settings.peer_key.as_deref());
     let link = Rc::new(PeerLink {
         socket: peers,
         address: addresses.peers,
-        seal: PeerSeal::new(settings.peer_key.as_deref()),
+        seal: seal.clone(),
         filter,
     });
     let drains = Rc::new(Drains::new(
@@ -114,6 +120,7 @@
     let control = ControlDriver::new(
         Arc::clone(&shared),
         leases,
+        PeerClient::new(seal.clone()),
         Rc::clone(&cluster),
         Rc::clone(&machines),
         Rc::clone(&drains),
@@ -132,6 +139,7 @@
         Rc::clone(&cluster),
         machines,
     );
+    let claims_key_value = Rc::clone(&key_value);
     let follower = Arc::clone(&shared);
     let followed = Rc::clone(&key_value);
     let follow = async move { configuration::follow(follower, &*followed).await };
@@ -144,13 +152,26 @@
         stop_asked,
     };
     let admin = serve_operators(operators, admin, settings.operator_key_blake3.clone());
-    let tasks = vec![
+    let mut tasks = vec![
         actix_rt::spawn(poll),
         actix_rt::spawn(drive),
         actix_rt::spawn(follow),
         actix_rt::spawn(Rc::clone(&control).run()),
         actix_rt::spawn(admin),
     ];
+    if let Some(listener) = peer_calls {
+        let (gate, calls) = ChannelGate::new();
+        shared.set_claims(Box::new(gate));
+        let claims = ClaimsDriver::new(
+            Arc::clone(&shared),
+            Rc::clone(&cluster),
+            ClaimStore::new(claims_key_value),
+            PeerClient::new(seal.clone()),
+        );
+        tasks.push(actix_rt::spawn(serve_gate(calls, Rc::clone(&claims))));
+        let serve = serve_peers(listener, seal, claims, Rc::clone(&control));
+        tasks.push(actix_rt::spawn(serve));
+    }
     ControlHalf {
         shared,
         link,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admin;
 mod apply;
+mod claims;
 mod cluster_driver;
 mod compact_number;
 mod configuration;
@@ -19,6 +20,7 @@
 mod lease_service;
 mod machines;
 mod node;
+mod peer_calls;
 mod role_planning;
 mod token_rates;
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -23,6 +23,9 @@
 /// How often a stopping node looks whether its requests are over.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
+/// How often another free port is tried where the datagrams' side of one is taken.
+const FREE_PORT_ATTEMPTS: usize = 16;
+
 /// Addresses a node listens on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NodeAddresses {
@@ -39,6 +42,7 @@
     callers: std::net::TcpListener,
     operators: TcpListener,
     peers: UdpSocket,
+    peer_calls: TcpListener,
     addresses: NodeAddresses,
 }
 
@@ -48,9 +52,7 @@
         let callers = listen(settings.caller_listen).await?;
         let operators = listen(settings.operator_listen).await?;
         let context = || NodeError::Listen(settings.peer_listen.to_string());
-        let peers = UdpSocket::bind(settings.peer_listen)
-            .await
-            .change_context_lazy(context)?;
+        let (peers, peer_calls) = open_peer_sockets(settings.peer_listen).await?;
         let addresses = NodeAddresses {
             callers: callers.local_addr().change_context_lazy(context)?,
             operators: operators.local_addr().change_context_lazy(context)?,
@@ -61,6 +63,7 @@
             callers,
             operators,
             peers,
+            peer_calls,
             addresses,
         })
     }
@@ -71,6 +74,29 @@
     }
 }
 
+/// Opens a socket for datagrams and one for calls, with the same port number.
+async fn open_peer_sockets(
+    address: SocketAddr,
+) -> Result<(UdpSocket, TcpListener), Report<NodeError>> {
+    let context = || NodeError::Listen(address.to_string());
+    let attempts = if address.port() == 0 {
+        FREE_PORT_ATTEMPTS
+    } else {
+        1
+    };
+    let mut last_error = None;
+    for _ in 0..attempts {
+        let calls = listen(address).await?;
+        let opened = calls.local_addr().change_context_lazy(context)?;
+        match UdpSocket::bind(opened).await {
+            Ok(socket) => return Ok((socket, calls)),
+            Err(error) => last_error = Some(error),
+        }
+    }
+    let reason = last_error.map_or_else(String::new, |error| error.to_string());
+    Err(Report::new(context()).attach(reason))
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, Report<NodeError>> {
     TcpListener::bind(address)
         .await
@@ -107,6 +133,7 @@
         addresses,
         operators: listeners.operators,
         peers: listeners.peers,
+        peer_calls: Some(listeners.peer_calls),
         key_value,
         filter: None,
         stop_asked: Rc::clone(&stop_asked),
--- /dev/null
+++ b/crates/node/src/peer_calls/server.rs
@@ -0,0 +1,89 @@
+//! Serves the calls of other nodes.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dalestand_peer_seal::PeerSeal;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+
+use super::message::{PeerRequest, PeerResponse, read_message, write_message};
+use crate::claims::ClaimsDriver;
+use crate::control_driver::ControlDriver;
+
+/// Most calls served at once; more wait to be accepted.
+const MAX_CALLS: usize = 1_024;
+
+/// Longest wait for a whole request, and for the caller to take the reply.
+const MESSAGE_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// Pause after a connection could not be accepted, such as for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What answers the calls.
+struct PeerServer {
+    seal: PeerSeal,
+    claims: Rc<ClaimsDriver>,
+    control: Rc<ControlDriver>,
+}
+
+/// Serves calls until dropped.
+pub(crate) async fn serve_peers(
+    listener: TcpListener,
+    seal: PeerSeal,
+    claims: Rc<ClaimsDriver>,
+    control: Rc<ControlDriver>,
+) {
+    let server = Rc::new(PeerServer {
+        seal,
+        claims,
+        control,
+    });
+    let calls = Arc::new(Semaphore::new(MAX_CALLS));
+    loop {
+        let Ok(permit) = Arc::clone(&calls).acquire_owned().await else {
+            return;
+        };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let server = Rc::clone(&server);
+                actix_rt::spawn(async move {
+                    // A call that fails shows at its caller.
+                    drop(server.serve(stream).await);
+                    drop(permit);
+                });
+            }
+            Err(_) => actix_rt::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+impl PeerServer {
+    async fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
+        let read = read_message(&mut stream, &self.seal);
+        let request = actix_rt::time::timeout(MESSAGE_TIMEOUT, read).await??;
+        let response = self.answer(request).await;
+        let write = write_message(&mut stream, &self.seal, &response);
+        actix_rt::time::timeout(MESSAGE_TIMEOUT, write).await?
+    }
+
+    async fn answer(&self, request: PeerRequest) -> PeerResponse {
+        match request {
+            PeerRequest::Claim { claim, node } => {
+                PeerResponse::Claim(self.claims.lead(claim, node).await)
+            }
+            PeerRequest::EndClaim { claim, state } => {
+                self.claims.lead_end(claim, state);
+                PeerResponse::Done
+            }
+            PeerRequest::KeptAnswer { request } => {
+                PeerResponse::KeptAnswer(self.claims.kept_answer(request))
+            }
+            PeerRequest::TakeOver { group } => {
+                self.control.invite(&group);
+                PeerResponse::Done
+            }
+        }
+    }
+}
