An apply is accepted, refused or in doubt, each only when that is certain

Cause: a write whose answer was lost was called in doubt as soon as the record showed something else, also when the write stood there a moment before and another apply had replaced it, and when it had not landed yet. A conflict named the author and not the time.

Ruled out: reading the record until the write shows (a late write may never show).

Change: the record names the last 16 configurations before it (writer, author, time, revision). A write in doubt is written again after the same revision, since of the two one at most can take effect; a conflict then shows what became of it. With `--after` the revision is looked at first, so that the loser is told at once: whose, which and when.

Guards taken out one at a time, same command, each makes the test of its name fail: replaced writes are found FAILED a_write_that_was_replaced_meanwhile_is_still_known own write is found FAILED a_write_that_was_not_answered_is_accepted_... a doubt outlasts an outage FAILED an_outage_after_a_doubt_is_no_proof_... a short chain proves nothing FAILED a_write_that_too_many_others_overtook_...

Conclusion: in doubt is said only in an outage, or when 16 others applied within one write.

--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -26,7 +26,7 @@
     ApplyRequest, ApplyResponse, ConfigurationResponse, DrainRequest, EngineControlRow,
     EngineExplanation, EngineRow, MemberRow, RequestExplanation, StatusResponse,
 };
-use crate::apply;
+use crate::apply::{self, Draft};
 use crate::configuration::{CONFIGURATION_KEY, ConfigurationRecord};
 use crate::control_driver::ControlDriver;
 use crate::drains::{DrainMark, Drains};
@@ -277,16 +277,16 @@
 
     async fn apply(&self, body: ApplyRequest) -> Answer {
         let writer = format!("{:032x}", rand::rng().random::<u128>());
-        let record = ConfigurationRecord {
+        let draft = Draft {
             writer,
             author: body.author,
+            unix_ms: self.shared.clock.unix_ms(),
             text: body.text,
         };
-        match apply::apply(&*self.key_value, body.expected, &record).await {
-            Ok(applied) => {
-                let revision = Some(applied.revision);
+        match apply::apply(&*self.key_value, body.expected, draft).await {
+            Ok(revision) => {
                 let body = ApplyResponse {
-                    revision,
+                    revision: Some(revision),
                     error: None,
                     in_doubt: false,
                 };
--- a/crates/node/src/apply.rs
+++ b/crates/node/src/apply.rs
@@ -1,107 +1,185 @@
 //! Applying a deployment file: one compare-and-swap on one record.
+//!
+//! A write whose answer was lost is settled by its writer's id, which the record that replaced it
+//! still names, or by writing again after the same revision: of the two writes one at most can
+//! take effect.
+
+use std::time::Duration;
 
 use dalestand_config::Deployment;
-use dalestand_platform::{CasOutcome, Entry, KeyValue, PlatformError, WriteExpectation};
+use dalestand_platform::{CasOutcome, Entry, KeyValue, WriteExpectation};
 use dalestand_types::Revision;
 use error_stack::{Report, ResultExt as _};
+use jiff::Timestamp;
 
-use crate::configuration::{CONFIGURATION_KEY, ConfigurationRecord};
+use crate::configuration::{CONFIGURATION_KEY, ConfigurationRecord, FormerConfiguration};
 use crate::error::ApplyError;
 
-/// How often a write in doubt is looked for.
-const READ_BACK_ATTEMPTS: usize = 5;
+#[cfg(test)]
+mod tests;
+
+/// How often a write is tried while an earlier try of it is in doubt.
+const WRITE_ATTEMPTS: usize = 4;
+
+/// Pause before a write in doubt is looked for again.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Earlier configurations that a record names.
+const MAX_FORMER: usize = 16;
 
-/// What stands in the key-value service.
-pub(crate) struct Applied {
-    /// Revision of the record.
-    pub(crate) revision: Revision,
+/// What an operator applies.
+#[derive(Clone, Debug)]
+pub(crate) struct Draft {
+    /// Unique to this apply.
+    pub(crate) writer: String,
+    /// Who applies it, for people.
+    pub(crate) author: String,
+    /// When, in milliseconds since 1970, for people.
+    pub(crate) unix_ms: u64,
+    /// The deployment file.
+    pub(crate) text: String,
 }
 
-/// Applies `record`. With `expected` the file must follow that revision; without it, it follows
-/// whatever stands there now.
+/// Applies `draft` and yields its revision. With `expected` the file must follow that revision;
+/// without it, it follows whatever stands there now.
 pub(crate) async fn apply(
     key_value: &dyn KeyValue,
     expected: Option<Revision>,
-    record: &ConfigurationRecord,
-) -> Result<Applied, Report<ApplyError>> {
-    Deployment::parse(&record.text)
+    draft: Draft,
+) -> Result<Revision, Report<ApplyError>> {
+    Deployment::parse(&draft.text)
         .map_err(|faults| Report::new(ApplyError::Faulty(faults.to_string())))?;
-    let expectation = match expected {
-        Some(Revision(0)) => WriteExpectation::Absent,
-        Some(revision) => WriteExpectation::At(revision),
-        None => current_expectation(key_value).await?,
-    };
-    let value = serde_json::to_string(record).change_context(ApplyError::Unavailable)?;
-    let written = key_value
-        .compare_and_swap(CONFIGURATION_KEY, expectation, Some(&value), None)
-        .await;
-    match written {
-        Ok(CasOutcome::Written { revision }) => Ok(Applied { revision }),
-        Ok(CasOutcome::Conflict { current }) => conflict(current, record),
-        Err(error) if error.current_context().is_in_doubt() => read_back(key_value, record).await,
-        Err(error) => Err(error.change_context(ApplyError::Unavailable)),
-    }
-}
-
-async fn current_expectation(
-    key_value: &dyn KeyValue,
-) -> Result<WriteExpectation, Report<ApplyError>> {
-    let entry = key_value
+    let current = key_value
         .get(CONFIGURATION_KEY)
         .await
         .change_context(ApplyError::Unavailable)?;
-    Ok(entry.map_or(WriteExpectation::Absent, |entry| {
-        WriteExpectation::At(entry.revision)
-    }))
+    let stands = current.as_ref().map(|entry| entry.revision);
+    let wanted = expected.filter(|revision| *revision != Revision(0));
+    if expected.is_some() && wanted != stands {
+        return Err(conflict(current.as_ref()));
+    }
+    let record = ConfigurationRecord {
+        former: former_of(current.as_ref()),
+        writer: draft.writer,
+        author: draft.author,
+        unix_ms: draft.unix_ms,
+        text: draft.text,
+    };
+    let write = Write {
+        value: serde_json::to_string(&record).change_context(ApplyError::Unavailable)?,
+        writer: record.writer,
+        follows: stands,
+    };
+    write.carry_out(key_value).await
 }
 
-/// A conflict may show this very write, if its answer was lost on the way and the call repeated.
-fn conflict(
-    current: Option<Entry>,
-    record: &ConfigurationRecord,
-) -> Result<Applied, Report<ApplyError>> {
-    match current {
-        Some(entry) if is_written_by(&entry, record) => Ok(Applied {
-            revision: entry.revision,
-        }),
-        Some(entry) => {
-            let author = author_of(&entry);
-            let message = format!("revision {} by {author} stands there", entry.revision);
-            Err(Report::new(ApplyError::Conflict).attach(message))
-        }
-        None => Err(Report::new(ApplyError::Conflict).attach("no configuration stands there")),
-    }
+/// The configurations before the one that is to replace `current`, newest first.
+fn former_of(current: Option<&Entry>) -> Vec<FormerConfiguration> {
+    let Some((revision, record)) = current.and_then(parsed) else {
+        return Vec::new();
+    };
+    let last = FormerConfiguration {
+        writer: record.writer,
+        author: record.author,
+        unix_ms: record.unix_ms,
+        revision,
+    };
+    let earlier = record.former.into_iter();
+    std::iter::once(last)
+        .chain(earlier)
+        .take(MAX_FORMER)
+        .collect()
 }
 
-async fn read_back(
-    key_value: &dyn KeyValue,
-    record: &ConfigurationRecord,
-) -> Result<Applied, Report<ApplyError>> {
-    let mut last_error: Option<Report<PlatformError>> = None;
-    for _ in 0..READ_BACK_ATTEMPTS {
-        match key_value.get(CONFIGURATION_KEY).await {
-            Ok(Some(entry)) if is_written_by(&entry, record) => {
-                return Ok(Applied {
-                    revision: entry.revision,
-                });
+fn parsed(entry: &Entry) -> Option<(Revision, ConfigurationRecord)> {
+    let record = serde_json::from_str(&entry.value).ok()?;
+    Some((entry.revision, record))
+}
+
+/// One write of the record.
+struct Write {
+    value: String,
+    writer: String,
+    follows: Option<Revision>,
+}
+
+impl Write {
+    async fn carry_out(&self, key_value: &dyn KeyValue) -> Result<Revision, Report<ApplyError>> {
+        let expectation = self
+            .follows
+            .map_or(WriteExpectation::Absent, WriteExpectation::At);
+        let mut in_doubt = None;
+        for _ in 0..WRITE_ATTEMPTS {
+            let written = key_value
+                .compare_and_swap(CONFIGURATION_KEY, expectation, Some(&self.value), None)
+                .await;
+            match written {
+                Ok(CasOutcome::Written { revision }) => return Ok(revision),
+                Ok(CasOutcome::Conflict { current }) => {
+                    return self.settle(current.as_ref(), in_doubt.is_some());
+                }
+                Err(error) if error.current_context().is_in_doubt() => in_doubt = Some(error),
+                Err(error) if in_doubt.is_none() => {
+                    return Err(error.change_context(ApplyError::Unavailable));
+                }
+                Err(error) => in_doubt = Some(error),
             }
-            // Another record may have replaced this one, or this write may still be under way.
-            Ok(_) => return Err(Report::new(ApplyError::InDoubt)),
-            Err(error) => last_error = Some(error),
+            actix_rt::time::sleep(RETRY_PAUSE).await;
+        }
+        match in_doubt {
+            Some(error) => Err(error.change_context(ApplyError::InDoubt)),
+            None => Err(Report::new(ApplyError::InDoubt)),
         }
     }
-    match last_error {
-        Some(error) => Err(error.change_context(ApplyError::InDoubt)),
-        None => Err(Report::new(ApplyError::InDoubt)),
+
+    /// Says what became of this write, now that something else than what it follows stands there:
+    /// it can take effect no more, if it has not.
+    fn settle(
+        &self,
+        current: Option<&Entry>,
+        was_in_doubt: bool,
+    ) -> Result<Revision, Report<ApplyError>> {
+        let Some((revision, record)) = current.and_then(parsed) else {
+            return Err(conflict(current));
+        };
+        if record.writer == self.writer {
+            return Ok(revision);
+        }
+        let own = record.former.iter().find(|one| one.writer == self.writer);
+        if let Some(own) = own {
+            return Ok(own.revision);
+        }
+        if was_in_doubt && !self.reaches_back(&record) {
+            return Err(Report::new(ApplyError::InDoubt));
+        }
+        Err(conflict(current))
     }
-}
 
-fn is_written_by(entry: &Entry, record: &ConfigurationRecord) -> bool {
-    serde_json::from_str::<ConfigurationRecord>(&entry.value)
-        .is_ok_and(|written| written.writer == record.writer)
+    /// Whether a record names every configuration since the one this write follows.
+    fn reaches_back(&self, record: &ConfigurationRecord) -> bool {
+        match self.follows {
+            Some(follows) => record.former.iter().any(|one| one.revision == follows),
+            None => record.former.len() < MAX_FORMER,
+        }
+    }
 }
 
-fn author_of(entry: &Entry) -> String {
-    serde_json::from_str::<ConfigurationRecord>(&entry.value)
-        .map_or_else(|_| "an unknown author".to_owned(), |record| record.author)
+/// Another configuration came first: whose, which and when.
+fn conflict(current: Option<&Entry>) -> Report<ApplyError> {
+    let report = Report::new(ApplyError::Conflict);
+    let Some(entry) = current else {
+        return report.attach("no configuration stands there");
+    };
+    let revision = entry.revision;
+    match parsed(entry) {
+        Some((_, record)) => {
+            let author = record.author;
+            let when = Timestamp::from_millisecond(record.unix_ms as i64)
+                .map_or_else(|_| "an unknown time".to_owned(), |when| when.to_string());
+            report.attach(format!(
+                "revision {revision} stands there, applied by {author} at {when}"
+            ))
+        }
+        None => report.attach(format!("revision {revision} stands there, unreadable")),
+    }
 }
--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -26,10 +26,30 @@
     pub(crate) writer: String,
     /// Who applied it, for people.
     pub(crate) author: String,
+    /// When it was applied, in milliseconds since 1970, for people.
+    #[serde(default)]
+    pub(crate) unix_ms: u64,
+    /// The configurations before this one, newest first.
+    #[serde(default)]
+    pub(crate) former: Vec<FormerConfiguration>,
     /// The deployment file.
     pub(crate) text: String,
 }
 
+/// A configuration that a later one replaced; by it a writer whose answer was lost finds out that
+/// its write took effect.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct FormerConfiguration {
+    /// The write.
+    pub(crate) writer: String,
+    /// Who applied it, for people.
+    pub(crate) author: String,
+    /// When, in milliseconds since 1970, for people.
+    pub(crate) unix_ms: u64,
+    /// Its revision.
+    pub(crate) revision: Revision,
+}
+
 /// Follows the configuration record.
 pub(crate) async fn follow(shared: Arc<Shared>, key_value: &dyn KeyValue) {
     let mut watched = Revision(0);
