--- a/crates/node/src/digest_codec.rs
+++ b/crates/node/src/digest_codec.rs
@@ -7,10 +7,14 @@
 use std::time::Duration;
 
 use dalestand_config::{Deployment, Group};
-use dalestand_types::{EngineDigest, EngineLoad, Incarnation, LoadedModel, NodeId, Role, Version};
+use dalestand_types::{
+    EngineDigest, EngineId, EngineLoad, Incarnation, LoadedModel, MonotonicTime, NodeId, Role,
+    Sequence, Version,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::compact_number;
+use crate::token_rates::{TokenRates, TokenTotals};
 
 #[cfg(test)]
 mod tests;
@@ -18,6 +22,12 @@
 /// Tokens counted as one in `queued_prefill`.
 const QUEUED_TOKENS_UNIT: u64 = 64;
 
+/// Prompt tokens a second counted as one in `prefill_rate`.
+const PREFILL_RATE_UNIT: f64 = 64.0;
+
+/// Output tokens a second counted as one in `decode_rate`.
+const DECODE_RATE_UNIT: f64 = 16.0;
+
 /// Milliseconds counted as one in `age`.
 const AGE_UNIT_MS: u64 = 10;
 
@@ -65,6 +75,8 @@
     waiting: u8,
     queued_prefill: u8,
     age: u8,
+    prefill_rate: u8,
+    decode_rate: u8,
 }
 
 /// One engine as a reader of a digest knows it.
@@ -92,20 +104,61 @@
     pub(crate) age: Duration,
 }
 
+/// One engine's report with its rates, as a holder packs it.
+#[derive(Clone, Debug)]
+pub(crate) struct RatedReport {
+    /// The report.
+    pub(crate) digest: EngineDigest,
+    /// What the engine ran in a second.
+    pub(crate) rates: TokenRates,
+}
+
 impl EngineReport {
     /// Whether the report is of this run of the engine.
     pub(crate) fn is_of(&self, incarnation: Incarnation) -> bool {
         self.incarnation == incarnation_tag(incarnation)
     }
+
+    /// The report as the planner takes it; `received_at` tells one digest from the next.
+    pub(crate) fn into_digest(
+        self,
+        engine: EngineId,
+        incarnation: Incarnation,
+        totals: TokenTotals,
+        now: MonotonicTime,
+        received_at: MonotonicTime,
+    ) -> EngineDigest {
+        let age = self.age + now.since(received_at);
+        EngineDigest {
+            age_ms: age.as_millis() as u64,
+            accepting: self.accepting,
+            load: EngineLoad {
+                engine,
+                incarnation,
+                sequence: Sequence(received_at.0),
+                role: self.role,
+                running: self.running,
+                waiting: self.waiting,
+                queued_prefill_tokens: self.queued_prefill_tokens,
+                capacity: self.capacity,
+                cache_tokens_used: 0,
+                cache_tokens_total: 0,
+                prefill_tokens_total: totals.prefill as u64,
+                decode_tokens_total: totals.decode as u64,
+                models: self.models,
+            },
+        }
+    }
 }
 
 impl CompactDigest {
     /// Packs the reports of a group's engines; engines that are not of the group are left out.
-    pub(crate) fn pack(holder: NodeId, group: &Group, reports: &[EngineDigest]) -> Self {
+    pub(crate) fn pack(holder: NodeId, group: &Group, reports: &[RatedReport]) -> Self {
         let mut profiles: Vec<Profile> = Vec::new();
         let engines = group.engines.iter().map(|engine| {
-            let report = reports.iter().find(|one| one.load.engine == *engine)?;
-            let profile = place_of_profile(&mut profiles, &report.load);
+            let mut reports = reports.iter();
+            let report = reports.find(|one| one.digest.load.engine == *engine)?;
+            let profile = place_of_profile(&mut profiles, &report.digest.load);
             Some(pack_engine(profile, report))
         });
         let engines = engines.collect();
@@ -117,6 +170,14 @@
         }
     }
 
+    /// Token rates of the group's engines, by place; an engine without a report has none.
+    pub(crate) fn rates(&self) -> impl Iterator<Item = TokenRates> {
+        self.engines.iter().map(|engine| {
+            let engine = engine.as_ref();
+            engine.map(token_rates).unwrap_or_default()
+        })
+    }
+
     /// Unpacks the reports; `None` if the reader's group lists other engines.
     pub(crate) fn unpack(
         &self,
@@ -155,7 +216,8 @@
     })
 }
 
-fn pack_engine(profile: usize, report: &EngineDigest) -> CompactEngine {
+fn pack_engine(profile: usize, rated: &RatedReport) -> CompactEngine {
+    let report = &rated.digest;
     let load = &report.load;
     let role = match load.role {
         None => 0,
@@ -174,6 +236,8 @@
         waiting: compact_number::pack(u64::from(load.waiting)),
         queued_prefill: compact_number::pack(queued),
         age: compact_number::pack(report.age_ms / AGE_UNIT_MS),
+        prefill_rate: pack_rate(rated.rates.prefill_per_s, PREFILL_RATE_UNIT),
+        decode_rate: pack_rate(rated.rates.decode_per_s, DECODE_RATE_UNIT),
     }
 }
 
@@ -203,6 +267,21 @@
     }
 }
 
+fn token_rates(engine: &CompactEngine) -> TokenRates {
+    TokenRates {
+        prefill_per_s: unpack_rate(engine.prefill_rate, PREFILL_RATE_UNIT),
+        decode_per_s: unpack_rate(engine.decode_rate, DECODE_RATE_UNIT),
+    }
+}
+
+fn pack_rate(per_s: f64, unit: f64) -> u8 {
+    compact_number::pack((per_s / unit) as u64)
+}
+
+fn unpack_rate(packed: u8, unit: f64) -> f64 {
+    compact_number::unpack(packed) as f64 * unit
+}
+
 fn find_models(deployment: &Deployment, profile: &Profile) -> Vec<LoadedModel> {
     let models = profile.models.iter();
     models
--- a/crates/node/src/digest_codec/tests.rs
+++ b/crates/node/src/digest_codec/tests.rs
@@ -7,8 +7,9 @@
     Role, Sequence, Version, ZoneName,
 };
 
-use super::CompactDigest;
+use super::{CompactDigest, RatedReport};
 use crate::compact_number::{MAX_COUNT, pack, unpack};
+use crate::token_rates::TokenRates;
 
 const ENGINES: usize = 64;
 
@@ -55,7 +56,16 @@
 }
 
 fn packed(deployment: &Deployment) -> CompactDigest {
-    let reports: Vec<EngineDigest> = (0..ENGINES).map(report).collect();
+    let rates = TokenRates {
+        prefill_per_s: 100_000.0,
+        decode_per_s: 4_800.0,
+    };
+    let reports: Vec<RatedReport> = (0..ENGINES)
+        .map(|number| RatedReport {
+            digest: report(number),
+            rates,
+        })
+        .collect();
     CompactDigest::pack(NodeId::from("n"), &deployment.groups[0], &reports)
 }
 
@@ -85,6 +95,14 @@
         assert!(unpacked.is_of(sent.load.incarnation));
         assert!(!unpacked.is_of(sent.load.incarnation.next()));
     }
+    for rates in read.rates() {
+        let lost = 100_000.0 - rates.prefill_per_s;
+        assert!((0.0..=100_000.0 / 32.0).contains(&lost), "{rates:?}");
+        assert!(
+            (0.0..=4_800.0 / 32.0).contains(&(4_800.0 - rates.decode_per_s)),
+            "{rates:?}"
+        );
+    }
 }
 
 #[test]
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -3,21 +3,26 @@
 //! The engines of a group are rebuilt only when its digest, the configuration or the machines
 //! changed; the rest of the picture is copied.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
-use dalestand_cluster::{Cluster, RecordKey};
+use dalestand_cluster::{Cluster, RecordKey, RecordVersion};
 use dalestand_config::{Deployment, Group};
 use dalestand_routing::{EngineView, FleetView};
-use dalestand_types::{GroupId, MachineState, MonotonicTime, NodeId, Revision};
+use dalestand_types::{
+    Epoch, GroupDigest, GroupId, MachineState, MonotonicTime, NodeId, Revision, Sequence,
+};
 
 use crate::digest_codec::{CompactDigest, EngineReport};
 use crate::machines::Machines;
+use crate::token_rates::{TokenRates, TokenTotals};
 
 /// Least time between two pictures; digests are several times as old when they come in.
 const MIN_REBUILD_INTERVAL: Duration = Duration::from_millis(100);
 
 struct ReceivedDigest {
+    version: RecordVersion,
+    totals: Vec<TokenTotals>,
     received_at: MonotonicTime,
     digest: CompactDigest,
 }
@@ -34,6 +39,7 @@
 pub(crate) struct Digests {
     by_group: HashMap<GroupId, ReceivedDigest>,
     built: HashMap<GroupId, Vec<EngineView>>,
+    unplanned: BTreeSet<GroupId>,
     basis: Option<Basis>,
     changed: bool,
     built_at: MonotonicTime,
@@ -45,20 +51,44 @@
         for group in cluster.take_changed_digests() {
             let record = cluster.record(&RecordKey::GroupDigest(group.clone()));
             // A payload that cannot be read is skipped; the next digest replaces it.
-            let digest = record.and_then(|record| rmp_serde::from_slice(&record.payload).ok());
-            let Some(digest) = digest else {
+            let digest = record.and_then(|record| {
+                let digest = rmp_serde::from_slice(&record.payload).ok()?;
+                Some((record.version, digest))
+            });
+            let Some((version, digest)) = digest else {
                 continue;
             };
             let received = ReceivedDigest {
+                version,
                 received_at: now,
+                totals: self.totals(now, &group, &digest),
                 digest,
             };
             self.built.remove(&group);
+            self.unplanned.insert(group.clone());
             self.by_group.insert(group, received);
             self.changed = true;
         }
     }
 
+    /// Totals of a group's engines, by place, after the time since the digest before.
+    fn totals(
+        &self,
+        now: MonotonicTime,
+        group: &GroupId,
+        digest: &CompactDigest,
+    ) -> Vec<TokenTotals> {
+        let before = self.by_group.get(group);
+        let elapsed = before.map_or(Duration::ZERO, |before| now.since(before.received_at));
+        let rates = digest.rates().enumerate();
+        rates
+            .map(|(place, rates)| {
+                let known = before.and_then(|before| before.totals.get(place));
+                known.copied().unwrap_or_default().advanced(rates, elapsed)
+            })
+            .collect()
+    }
+
     /// When a group's last digest came in.
     pub(crate) fn heard_at(&self, group: &GroupId) -> Option<MonotonicTime> {
         self.by_group
@@ -73,6 +103,41 @@
             .map(|received| &received.digest.holder)
     }
 
+    /// Whether a group's digest came in since the last call.
+    pub(crate) fn take_unplanned(&mut self, group: &GroupId) -> bool {
+        self.unplanned.remove(group)
+    }
+
+    /// A group's last digest, with its packed numbers rounded.
+    pub(crate) fn group_digest(
+        &self,
+        now: MonotonicTime,
+        deployment: &Deployment,
+        group: &Group,
+        machines: &Machines,
+    ) -> Option<GroupDigest> {
+        let received = self.by_group.get(&group.id())?;
+        let received_at = received.received_at;
+        let reports = received.digest.unpack(deployment, group)?.into_iter();
+        let engines = reports.filter_map(|report| {
+            let engine = group.engines.get(report.place)?.clone();
+            let machine = machines.engine(&engine)?;
+            if !report.is_of(machine.incarnation) {
+                return None;
+            }
+            let totals = received.totals.get(report.place).copied();
+            let totals = totals.unwrap_or_default();
+            Some(report.into_digest(engine, machine.incarnation, totals, now, received_at))
+        });
+        Some(GroupDigest {
+            group: group.id(),
+            epoch: Epoch(received.version.major),
+            sequence: Sequence(received.version.minor),
+            holder: received.digest.holder.clone(),
+            engines: engines.collect(),
+        })
+    }
+
     /// The picture of the fleet, if it changed since the last call.
     pub(crate) fn view(
         &mut self,
@@ -117,10 +182,14 @@
         let Some(received) = self.by_group.get(id) else {
             return Vec::new();
         };
+        let rates: Vec<TokenRates> = received.digest.rates().collect();
         let reports = received.digest.unpack(deployment, group);
         let reports = reports.unwrap_or_default().into_iter();
         reports
-            .filter_map(|report| engine_view(id, group, received.received_at, report, machines))
+            .filter_map(|report| {
+                let rates = rates.get(report.place).copied().unwrap_or_default();
+                engine_view(id, group, received.received_at, report, rates, machines)
+            })
             .collect()
     }
 }
@@ -130,6 +199,7 @@
     group: &Group,
     received_at: MonotonicTime,
     report: EngineReport,
+    rates: TokenRates,
     machines: &Machines,
 ) -> Option<EngineView> {
     let engine = group.engines.get(report.place)?.clone();
@@ -148,6 +218,8 @@
         running: report.running,
         waiting: report.waiting,
         queued_prefill_tokens: report.queued_prefill_tokens,
+        prefill_tokens_per_s: rates.prefill_per_s,
+        decode_tokens_per_s: rates.decode_per_s,
         capacity: report.capacity,
         reported_at: received_at.saturating_sub(report.age),
         accepting: live && !draining && report.accepting,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,13 +10,17 @@
 mod configuration;
 mod control_driver;
 mod control_half;
+mod desired;
 mod digest_codec;
 mod drains;
 mod engines;
 mod error;
 mod fleet;
+mod lease_service;
 mod machines;
 mod node;
+mod role_planning;
+mod token_rates;
 
 pub use admin::{
     ApplyRequest, ApplyResponse, ConfigurationResponse, DrainRequest, EngineControlRow,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -122,6 +122,9 @@
     log_event!(shared.logger, Event::StopBegun, "in_flight" => shared.in_flight());
     // Further signals change nothing.
     actix_rt::spawn(async move { while terminate.recv().await.is_some() {} });
+    // Given up before the requests in flight end, so that a long answer here leaves no group
+    // without a holder.
+    control.release_leases().await;
     while shared.in_flight() > 0 {
         actix_rt::time::sleep(STOP_POLL).await;
     }
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -14,4 +14,5 @@
 pub use batch::{Batch, BatchSettings};
 pub use exports::Exports;
 pub use log::{OrderLogEntry, RunLogEntry, RunLogEvent};
+pub use orders::OrderBook;
 pub use server::{EngineFaults, EngineSettings, serve_engine};
