--- a/crates/cluster/src/config.rs
+++ b/crates/cluster/src/config.rs
@@ -75,6 +75,14 @@
     },
     /// A record changed.
     RecordChanged(Record),
+    /// A peer has the content that a newer record stands for. The record is kept, and passed on,
+    /// once the driver has fetched the content and published the record itself.
+    RecordOffered {
+        /// The record.
+        record: Record,
+        /// The peer.
+        from: SocketAddr,
+    },
     /// A member came up.
     MemberUp(Member),
     /// A member went down or left.
--- a/crates/cluster/src/receive.rs
+++ b/crates/cluster/src/receive.rs
@@ -23,7 +23,7 @@
         let message: Message = decode(datagram)?;
         let mut outputs = Vec::new();
         for item in &message.items {
-            outputs.extend(self.take_item(now, item)?);
+            outputs.extend(self.take_item(now, from, item)?);
         }
         self.take_body(from, message.body, random, &mut outputs)?;
         Ok(outputs)
@@ -32,6 +32,7 @@
     fn take_item(
         &mut self,
         now: MonotonicTime,
+        from: SocketAddr,
         encoded: &Bytes,
     ) -> Result<Option<Output>, CodecError> {
         match decode(encoded)? {
@@ -39,6 +40,11 @@
                 let taken = self.membership.take(now, update);
                 Ok(self.absorb(now, taken))
             }
+            Item::Record(record) if record.key.stands_for_content() => {
+                let known = self.records.get(&record.key).map(|one| one.version);
+                let newer = known.is_none_or(|known| record.version > known);
+                Ok(newer.then_some(Output::RecordOffered { record, from }))
+            }
             Item::Record(record) => Ok(self
                 .store(record, encoded.clone())
                 .map(Output::RecordChanged)),
--- a/crates/cluster/src/record.rs
+++ b/crates/cluster/src/record.rs
@@ -71,6 +71,11 @@
     pub fn is_durable(&self) -> bool {
         !matches!(self, Self::GroupDigest(_))
     }
+
+    /// Whether the record only stands for content that is fetched from whoever sent it.
+    pub fn stands_for_content(&self) -> bool {
+        matches!(self, Self::Configuration)
+    }
 }
 
 /// Orders the versions of a record; a record never goes back.
--- a/crates/cluster/tests/network/mod.rs
+++ b/crates/cluster/tests/network/mod.rs
@@ -196,6 +196,13 @@
                     let versions = node.versions.entry(record.key).or_default();
                     versions.push(record.version);
                 }
+                Output::RecordOffered { record, .. } => {
+                    // The content is there at once.
+                    if node.cluster.publish(record.clone()) == Ok(true) {
+                        let versions = node.versions.entry(record.key).or_default();
+                        versions.push(record.version);
+                    }
+                }
                 Output::MemberUp(member) => node.ups.push(member.node),
                 Output::MemberDown(member) => node.downs.push(member),
             }
--- a/crates/lab/src/hollow/fleet.rs
+++ b/crates/lab/src/hollow/fleet.rs
@@ -6,7 +6,7 @@
 
 use dalestand_config::{LogFormat, NodeSettings};
 use dalestand_gateway::Shared;
-use dalestand_node::{ApplyRequest, ApplyResponse, NodeAddresses};
+use dalestand_node::{ApplyRequest, ApplyResponse, NodeAddresses, open_peer_sockets};
 use dalestand_telemetry::{Metrics, discard_logger};
 use dalestand_types::{MachineKind, NodeId, Revision, ZoneName};
 use error_stack::Report;
@@ -48,6 +48,7 @@
 struct Sockets {
     operators: std::net::TcpListener,
     peers: std::net::UdpSocket,
+    peer_listener: std::net::TcpListener,
     addresses: NodeAddresses,
 }
 
@@ -127,6 +128,7 @@
             shared,
             operators: sockets.operators,
             peers: sockets.peers,
+            peer_listener: sockets.peer_listener,
             addresses,
             filter: Arc::clone(&self.links) as Arc<_>,
         };
@@ -202,9 +204,8 @@
 fn open_sockets() -> std::io::Result<Sockets> {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let operators = std::net::TcpListener::bind(any)?;
-    let peers = std::net::UdpSocket::bind(any)?;
     operators.set_nonblocking(true)?;
-    peers.set_nonblocking(true)?;
+    let (peers, peer_listener) = open_peer_sockets(any)?;
     let addresses = NodeAddresses {
         callers: any,
         operators: operators.local_addr()?,
@@ -213,6 +214,7 @@
     Ok(Sockets {
         operators,
         peers,
+        peer_listener,
         addresses,
     })
 }
--- a/crates/lab/src/hollow/worker.rs
+++ b/crates/lab/src/hollow/worker.rs
@@ -26,6 +26,8 @@
     pub(super) operators: TcpListener,
     /// Socket for peers.
     pub(super) peers: UdpSocket,
+    /// Listener for peers.
+    pub(super) peer_listener: TcpListener,
     /// Where it listens.
     pub(super) addresses: NodeAddresses,
     /// Faults of its links.
@@ -83,6 +85,7 @@
         addresses: node.addresses,
         operators: tokio::net::TcpListener::from_std(node.operators)?,
         peers: tokio::net::UdpSocket::from_std(node.peers)?,
+        peer_listener: tokio::net::TcpListener::from_std(node.peer_listener)?,
         key_value: Rc::new(HttpKeyValue::new(key_value)),
         filter: Some(node.filter),
         stop_asked: Rc::new(Notify::new()),
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -27,7 +27,7 @@
     EngineExplanation, EngineRow, MemberRow, RequestExplanation, StatusResponse,
 };
 use crate::apply;
-use crate::configuration::{CONFIGURATION_KEY, ConfigurationRecord};
+use crate::configuration::{CONFIGURATION_KEY, ConfigurationRecord, ConfigurationStore};
 use crate::control_driver::ControlDriver;
 use crate::drains::{DrainMark, Drains};
 use crate::error::{ApplyError, DrainError};
@@ -42,6 +42,8 @@
     pub(crate) control: Rc<ControlDriver>,
     /// Drain marks.
     pub(crate) drains: Rc<Drains>,
+    /// The configuration this node holds.
+    pub(crate) configuration: Rc<ConfigurationStore>,
     /// The cluster.
     pub(crate) cluster: Rc<RefCell<Cluster>>,
     /// The key-value service.
@@ -284,6 +286,9 @@
         };
         match apply::apply(&*self.key_value, body.expected, &record).await {
             Ok(applied) => {
+                // This node has the content: it is in force here at once, and spreads even if the
+                // key-value service goes down now.
+                self.configuration.take(applied.revision, record);
                 let revision = Some(applied.revision);
                 let body = ApplyResponse {
                     revision,
--- a/crates/node/src/cluster_driver.rs
+++ b/crates/node/src/cluster_driver.rs
@@ -11,10 +11,13 @@
 use dalestand_gateway::Shared;
 use dalestand_peer_seal::PeerSeal;
 use dalestand_telemetry::{Event, log_event};
+use dalestand_types::Revision;
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc::UnboundedSender;
 
+use crate::configuration::Offer;
 use crate::drains;
 use crate::machines::{self, Machines};
 
@@ -43,14 +46,19 @@
 }
 
 impl PeerLink {
+    /// Whether the faults put in let anything through to a peer.
+    pub(crate) fn passes(&self, to: SocketAddr) -> bool {
+        let filter = self.filter.as_ref();
+        filter.is_none_or(|filter| filter.passes(self.address, to))
+    }
+
     async fn send(&self, shared: &Shared, to: SocketAddr, datagram: Bytes) {
         let mut sealed = Vec::from(datagram);
         self.seal.seal(&mut sealed);
         let bytes = sealed.len() as u64;
         shared.metrics.peer_bytes_sent.inc_by(bytes);
         shared.metrics.peer_datagrams_sent.inc();
-        let filter = self.filter.as_ref();
-        if filter.is_none_or(|filter| filter.passes(self.address, to)) {
+        if self.passes(to) {
             // A lost datagram is made good by later ones.
             drop(self.socket.send_to(&sealed, to).await);
         }
@@ -63,6 +71,7 @@
     link: Rc<PeerLink>,
     cluster: Rc<RefCell<Cluster>>,
     machines: Rc<RefCell<Machines>>,
+    offers: UnboundedSender<Offer>,
 ) {
     let mut random = StdRng::from_rng(&mut rand::rng());
     let mut interval = actix_rt::time::interval(TICK);
@@ -88,7 +97,7 @@
             },
         };
         for output in outputs {
-            carry_out(&shared, &link, &cluster, &machines, output).await;
+            carry_out(&shared, &link, &cluster, &machines, &offers, output).await;
         }
     }
 }
@@ -136,6 +145,7 @@
     link: &PeerLink,
     cluster: &RefCell<Cluster>,
     machines: &RefCell<Machines>,
+    offers: &UnboundedSender<Offer>,
     output: Output,
 ) {
     match output {
@@ -147,6 +157,11 @@
             RecordKey::Drain(_) => drains::take_record(machines, &record),
             RecordKey::Configuration | RecordKey::GroupDigest(_) => {}
         },
+        Output::RecordOffered { record, from } => {
+            let revision = Revision(record.version.major);
+            // Nobody reads offers any more once the node ends.
+            let _ = offers.send(Offer { revision, from });
+        }
         Output::MemberUp(member) => {
             count_members(shared, cluster);
             log_event!(shared.logger, Event::MemberUp, "node" => %member.node);
--- a/crates/node/src/control_half.rs
+++ b/crates/node/src/control_half.rs
@@ -13,12 +13,12 @@
 use dalestand_platform::KeyValue;
 use dalestand_types::Incarnation;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinHandle;
 
 use crate::admin::{Admin, serve_operators};
 use crate::cluster_driver::{self, LinkFilter, PeerLink};
-use crate::configuration;
+use crate::configuration::{self, ConfigurationStore};
 use crate::control_driver::ControlDriver;
 use crate::drains::Drains;
 use crate::lease_service::LeaseService;
@@ -37,6 +37,8 @@
     pub operators: TcpListener,
     /// Socket for other nodes.
     pub peers: UdpSocket,
+    /// Listener for other nodes, on the same port number.
+    pub peer_listener: TcpListener,
     /// The key-value service.
     pub key_value: Rc<dyn KeyValue>,
     /// Losses and cuts put in by an experiment.
@@ -81,6 +83,7 @@
         addresses,
         operators,
         peers,
+        peer_listener,
         key_value,
         filter,
         stop_asked,
@@ -126,19 +129,34 @@
         Rc::clone(&machines),
         Rc::clone(&cluster),
     );
+    let (offers, received_offers) = mpsc::unbounded_channel();
     let drive = cluster_driver::drive(
         Arc::clone(&shared),
         Rc::clone(&link),
         Rc::clone(&cluster),
         machines,
+        offers,
+    );
+    let store = ConfigurationStore::new(Arc::clone(&shared), Rc::clone(&cluster));
+    let store = Rc::new(store);
+    let serve = configuration::serve(peer_listener, Rc::clone(&link), Rc::clone(&store));
+    let follow = configuration::follow(
+        Arc::clone(&shared),
+        Rc::clone(&link),
+        Rc::clone(&store),
+        received_offers,
+    );
+    let watch = configuration::watch(
+        Arc::clone(&shared),
+        Rc::clone(&key_value),
+        Rc::clone(&cluster),
+        Rc::clone(&store),
     );
-    let follower = Arc::clone(&shared);
-    let followed = Rc::clone(&key_value);
-    let follow = async move { configuration::follow(follower, &*followed).await };
     let admin = Admin {
         shared: Arc::clone(&shared),
         control: Rc::clone(&control),
         drains,
+        configuration: store,
         cluster: Rc::clone(&cluster),
         key_value,
         stop_asked,
@@ -147,7 +165,9 @@
     let tasks = vec![
         actix_rt::spawn(poll),
         actix_rt::spawn(drive),
+        actix_rt::spawn(serve),
         actix_rt::spawn(follow),
+        actix_rt::spawn(watch),
         actix_rt::spawn(Rc::clone(&control).run()),
         actix_rt::spawn(admin),
     ];
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,6 +19,7 @@
 mod lease_service;
 mod machines;
 mod node;
+mod peer_sockets;
 mod role_planning;
 mod token_rates;
 
@@ -30,3 +31,4 @@
 pub use control_half::{ControlHalf, ControlParts, start_control};
 pub use error::NodeError;
 pub use node::{Listeners, NodeAddresses, run};
+pub use peer_sockets::open_peer_sockets;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -19,6 +19,7 @@
 
 use crate::control_half::{ControlParts, start_control};
 use crate::error::NodeError;
+use crate::peer_sockets::open_peer_sockets;
 
 /// How often a stopping node looks whether its requests are over.
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -39,6 +40,7 @@
     callers: std::net::TcpListener,
     operators: TcpListener,
     peers: UdpSocket,
+    peer_listener: TcpListener,
     addresses: NodeAddresses,
 }
 
@@ -48,9 +50,10 @@
         let callers = listen(settings.caller_listen).await?;
         let operators = listen(settings.operator_listen).await?;
         let context = || NodeError::Listen(settings.peer_listen.to_string());
-        let peers = UdpSocket::bind(settings.peer_listen)
-            .await
-            .change_context_lazy(context)?;
+        let (peers, peer_listener) =
+            open_peer_sockets(settings.peer_listen).change_context_lazy(context)?;
+        let peers = UdpSocket::from_std(peers).change_context_lazy(context)?;
+        let peer_listener = TcpListener::from_std(peer_listener).change_context_lazy(context)?;
         let addresses = NodeAddresses {
             callers: callers.local_addr().change_context_lazy(context)?,
             operators: operators.local_addr().change_context_lazy(context)?,
@@ -61,6 +64,7 @@
             callers,
             operators,
             peers,
+            peer_listener,
             addresses,
         })
     }
@@ -107,6 +111,7 @@
         addresses,
         operators: listeners.operators,
         peers: listeners.peers,
+        peer_listener: listeners.peer_listener,
         key_value,
         filter: None,
         stop_asked: Rc::clone(&stop_asked),
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -48,6 +48,8 @@
     ConfigurationInForce = (1101, Info, "configuration in force");
     /// A configuration in the key-value service could not be used.
     ConfigurationUnusable = (1102, Error, "configuration unusable");
+    /// A configuration could not be fetched from a peer that offered it.
+    ConfigurationNotFetched = (1103, Warning, "configuration not fetched");
     /// The key-value service failed.
     KeyValueFailed = (1201, Warning, "key-value service failed");
     /// The machine list failed.
