--- a/crates/node/src/peer_calls/message.rs
+++ b/crates/node/src/peer_calls/message.rs
@@ -9,8 +9,10 @@
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
-/// Largest message, in bytes.
-const MAX_MESSAGE_BYTES: u32 = 256 << 10;
+use crate::configuration::{Answer, Question};
+
+/// Largest message, in bytes: the parts of a configuration that are asked for at once.
+const MAX_MESSAGE_BYTES: u32 = 4 << 20;
 
 /// What one node asks of another.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -23,6 +25,8 @@
     KeptAnswer { request: RequestId },
     /// Take over a group whose lease was just given up.
     TakeOver { group: GroupId },
+    /// A question about the configuration.
+    Configuration(Question),
 }
 
 /// The reply.
@@ -32,6 +36,8 @@
     Claim(ClaimAnswer),
     /// To a wish for an answer.
     KeptAnswer(Option<KeptAnswer>),
+    /// To a question about the configuration.
+    Configuration(Answer),
     /// Done.
     Done,
 }
