--- a/crates/lab/src/simulate/node.rs
+++ b/crates/lab/src/simulate/node.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use dalestand_routing::{
-    Completion, EngineView, FleetView, Placement, RouteDecision, RouteRequest, Router,
-    RouterConfig, Ticket,
+    AttemptFate, Completion, EngineView, FailedAttempt, FleetView, Placement, RetryBudget,
+    RetryBudgetConfig, RetryVerdict, RouteDecision, RouteRequest, Router, RouterConfig, Ticket,
 };
 use dalestand_types::{GroupDigest, Incarnation, MonotonicTime, Revision, Role};
 use rand_chacha::ChaCha8Rng;
@@ -15,6 +15,9 @@
 /// Wait told to callers by the policies that know none better.
 const USUAL_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Retries of a request by the policies that have no budget.
+const USUAL_RETRIES: u32 = 2;
+
 /// Tokens an engine runs in a second, as a group's holder measures them.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct TokenRates {
@@ -35,6 +38,7 @@
     routing: Routing,
     view: FleetView,
     router: Router,
+    retries: RetryBudget,
     random: ChaCha8Rng,
     turn: usize,
 }
@@ -74,6 +78,7 @@
                 engines: views.collect(),
             },
             router: Router::new(RouterConfig::default()),
+            retries: RetryBudget::new(RetryBudgetConfig::default()),
             random,
             turn: 0,
         }
@@ -177,6 +182,24 @@
         self.router.sent(now, view, request, placement)
     }
 
+    /// Notes a request's first attempt.
+    pub(crate) fn first_attempt(&mut self) {
+        self.retries.first_attempt();
+    }
+
+    /// Whether a request that an engine refused is sent to another one.
+    pub(crate) fn may_retry(&mut self, retries: u32, repeatable: bool) -> bool {
+        if self.routing != Routing::Dalestand {
+            return retries < USUAL_RETRIES;
+        }
+        let attempt = FailedAttempt {
+            fate: AttemptFate::Refused,
+            repeatable,
+            retries,
+        };
+        self.retries.decide(&attempt) == RetryVerdict::Retry
+    }
+
     /// Notes a first token.
     pub(crate) fn first_token(&mut self, now: MonotonicTime, ticket: &mut Ticket) {
         self.router.first_token(now, ticket);
--- a/crates/lab/src/simulate/world_engines.rs
+++ b/crates/lab/src/simulate/world_engines.rs
@@ -62,14 +62,8 @@
         if placement == Placement::PrefillOnly {
             return;
         }
-        let known = &mut self.requests[request];
-        known.starts += 1;
-        let class = &self.scenario.classes[self.offered[known.offered].class];
-        let pools = &self.scenario.pools;
-        let repeatable = pools
-            .iter()
-            .any(|pool| pool.name == class.pool && pool.repeatable);
-        if !repeatable && known.starts > 1 {
+        self.requests[request].starts += 1;
+        if self.requests[request].starts > 1 && !self.is_repeatable(request) {
             self.measures.ran_twice += 1;
         }
     }
--- a/crates/lab/src/simulate/world_requests.rs
+++ b/crates/lab/src/simulate/world_requests.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use dalestand_routing::{Completion, Deadlines, Placement, RoutePhase, RouteRequest};
-use dalestand_types::ModelName;
+use dalestand_types::{ModelName, Priority};
 
 use super::event::{Event, Signal};
 use super::node::Choice;
@@ -11,8 +11,8 @@
 use super::request::Attempt;
 use super::world::World;
 
-/// Refusals by engines after which a request is refused to its caller.
-const MAX_REFUSALS: u32 = 3;
+/// Refusals by engines after which a request whose prompt has run pauses.
+const MAX_REFUSALS: usize = 3;
 
 /// Times a request is started again after engines broke.
 const MAX_RESTARTS: u32 = 3;
@@ -27,6 +27,9 @@
         let known = &self.requests[request];
         let node = self.offered[known.offered].node;
         let now = self.now();
+        if known.refusals + known.restarts == 0 && known.prefilled.is_none() {
+            self.nodes[node].first_attempt();
+        }
         let choice = self.nodes[node].choose(now, self.fleet, &route);
         match choice {
             Choice::Send { engine, placement } => {
@@ -68,6 +71,7 @@
             first_token: class.first_token_ms.map(left),
             whole: Some(left(class.deadline_ms)),
         };
+        route.priority = Priority(class.priority);
         route.may_split = self.may_split(&class.pool);
         route.tried = known.tried.clone();
         match known.prefilled {
@@ -207,35 +211,43 @@
         known.tried.push(id);
         known.refusals += 1;
         if known.prefilled.is_some() {
-            if known.tried.len() >= MAX_REFUSALS as usize {
+            if known.tried.len() >= MAX_REFUSALS {
                 self.try_again_later(request);
             } else {
                 self.dispatch(request);
             }
-        } else if known.refusals >= MAX_REFUSALS {
-            self.refuse(request, Duration::from_secs(1));
-        } else {
+            return;
+        }
+        let retries = known.refusals - 1;
+        let node = self.offered[known.offered].node;
+        let repeatable = self.is_repeatable(request);
+        if self.nodes[node].may_retry(retries, repeatable) {
             self.dispatch(request);
+        } else {
+            self.refuse(request, Duration::from_secs(1));
         }
     }
 
     /// An engine broke: what may be repeated starts over, of the rest it is unknown whether it ran.
     fn engine_broke(&mut self, number: usize) {
         let request = self.attempts[number].request;
-        let offered = &self.offered[self.requests[request].offered];
-        let class = &self.scenario.classes[offered.class];
-        let repeatable = self
-            .scenario
-            .pools
-            .iter()
-            .any(|pool| pool.name == class.pool && pool.repeatable);
-        if repeatable {
+        if self.is_repeatable(request) {
             self.start_over(request);
         } else {
             self.answer(request, Outcome::Unknown);
         }
     }
 
+    /// Whether a request may run again.
+    pub(crate) fn is_repeatable(&self, request: usize) -> bool {
+        let offered = &self.offered[self.requests[request].offered];
+        let class = &self.scenario.classes[offered.class];
+        let pools = &self.scenario.pools;
+        pools
+            .iter()
+            .any(|pool| pool.name == class.pool && pool.repeatable)
+    }
+
     fn start_over(&mut self, request: usize) {
         if let Some(exporter) = self.requests[request].prefilled.take() {
             self.release_export(exporter);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -3,22 +3,28 @@
 //! Pure: time and random numbers come in as arguments, so the node and the simulator run the very
 //! same code.
 
+mod admission;
 mod config;
 mod estimate;
 mod learning;
 mod prefix;
 mod request;
+mod retry_budget;
 mod router;
 mod sample;
+mod tenant_limits;
 mod track;
 mod view;
 
+pub use admission::aged_priority;
 pub use config::RouterConfig;
 pub use learning::PriorSpeeds;
 pub use prefix::{PromptBlock, prompt_blocks};
 pub use request::{
     Deadlines, Expected, Placement, RouteDecision, RoutePhase, RouteRefusal, RouteRequest,
 };
+pub use retry_budget::{AttemptFate, FailedAttempt, RetryBudget, RetryBudgetConfig, RetryVerdict};
 pub use router::Router;
+pub use tenant_limits::{TenantDemand, TenantLimits, TenantRule, TenantTotals, summing_node};
 pub use track::{Completion, Ticket};
 pub use view::{EngineView, FleetView};
--- a/crates/routing/src/prefix.rs
+++ b/crates/routing/src/prefix.rs
@@ -52,9 +52,14 @@
     })
 }
 
+/// A number for a text that all nodes agree on.
+pub(crate) fn text_hash(text: &str) -> u64 {
+    fnv(FNV_OFFSET, text.as_bytes())
+}
+
 /// A number for an engine that all nodes agree on.
 pub(crate) fn engine_hash(engine: &EngineId) -> u64 {
-    fnv(FNV_OFFSET, engine.as_str().as_bytes())
+    text_hash(engine.as_str())
 }
 
 /// Weight of an engine for a prefix; the engine of the highest weight is the prefix's home.
--- a/crates/routing/src/request.rs
+++ b/crates/routing/src/request.rs
@@ -4,7 +4,7 @@
 
 use dalestand_decision::Candidate;
 pub use dalestand_types::Placement;
-use dalestand_types::{AdapterName, EngineId, ModelName, ZoneName};
+use dalestand_types::{AdapterName, EngineId, ModelName, Priority, ZoneName};
 
 use crate::prefix::PromptBlock;
 use crate::view::EngineView;
@@ -45,6 +45,8 @@
     pub blocks: Vec<PromptBlock>,
     /// Time left.
     pub deadlines: Deadlines,
+    /// Importance.
+    pub priority: Priority,
     /// Whether the prompt may run on one engine and the output on another.
     pub may_split: bool,
     /// How far it has come.
@@ -64,6 +66,7 @@
             max_tokens,
             blocks: Vec::new(),
             deadlines: Deadlines::default(),
+            priority: Priority::default(),
             may_split: false,
             phase: RoutePhase::Start,
             tried: Vec::new(),
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -6,6 +6,7 @@
 use dalestand_types::{EngineId, MonotonicTime, Role};
 use rand::Rng;
 
+use crate::admission::wait_if_unreachable;
 use crate::config::RouterConfig;
 use crate::estimate::{Estimate, Estimator};
 use crate::learning::Learned;
@@ -414,22 +415,12 @@
         if choice.placement == Placement::DecodeOnly {
             return None;
         }
-        let late = |expected_s: f64, left: Option<Duration>| {
-            let left_s = left?.as_secs_f64() * self.config.admission_share;
-            (expected_s > left_s).then_some(expected_s - left_s)
-        };
-        let deadlines = &request.deadlines;
-        let first = late(choice.estimate.first_token_s, deadlines.first_token);
-        let whole = late(choice.estimate.whole_s(), deadlines.whole);
-        let over_s = match (first, whole) {
-            (None, None) => return None,
-            (first, whole) => first.unwrap_or(0.0).max(whole.unwrap_or(0.0)),
-        };
-        let wait = Duration::from_secs_f64(over_s);
-        Some(wait.clamp(
-            self.config.shortest_retry_after,
-            self.config.longest_retry_after,
-        ))
+        wait_if_unreachable(
+            &self.config,
+            &request.deadlines,
+            request.priority,
+            &choice.estimate.expected(),
+        )
     }
 }
 
