routing: refused callers get slots of their own to come back in

Ruled out: holding them back (never done), and a longer wait alone, which moves the crowd. Change: slots follow each other at a quarter of the admission rate, at most 120 s out. The router is cut into choice, usables and router. Still: a slot may fall into the next overload; the router cannot tell who comes back from who is new.

--- a/crates/routing/src/config.rs
+++ b/crates/routing/src/config.rs
@@ -44,7 +44,7 @@
             others_delay_weight: 1.0,
             admission_share: 0.9,
             shortest_retry_after: Duration::from_secs(1),
-            longest_retry_after: Duration::from_secs(30),
+            longest_retry_after: Duration::from_secs(120),
             prefixes_remembered: 8_192,
         }
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,16 +4,19 @@
 //! same code.
 
 mod admission;
+mod choice;
 mod config;
 mod estimate;
 mod learning;
 mod prefix;
 mod request;
 mod retry_budget;
+mod return_schedule;
 mod router;
 mod sample;
 mod tenant_limits;
 mod track;
+mod usables;
 mod view;
 
 pub use admission::aged_priority;
--- a/crates/routing/tests/router_properties.rs
+++ b/crates/routing/tests/router_properties.rs
@@ -126,7 +126,7 @@
         tried in prop::collection::vec(0_usize..24, 0..4),
         seed in any::<u64>(),
     ) {
-        let router = Router::new(RouterConfig::default());
+        let mut router = Router::new(RouterConfig::default());
         let mut request = request();
         request.may_split = may_split;
         request.tried = tried.iter().map(|number| engine(*number).engine).collect();
@@ -147,7 +147,7 @@
         view in any_fleet(),
         seed in any::<u64>(),
     ) {
-        let router = Router::new(RouterConfig::default());
+        let mut router = Router::new(RouterConfig::default());
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let decision = router.decide(NOW, &view, &request(), &mut random);
         let possible = view.engines.iter().any(|one| may_take(one, Placement::Whole, false));
@@ -186,7 +186,7 @@
         let mut request = request();
         request.phase = RoutePhase::Prefilled { engine: EngineId::from("elsewhere") };
         request.deadlines.whole = Some(Duration::from_millis(left_ms));
-        let router = Router::new(RouterConfig::default());
+        let mut router = Router::new(RouterConfig::default());
         let mut random = ChaCha8Rng::seed_from_u64(1);
         let decision = router.decide(NOW, &fleet(vec![view]), &request, &mut random);
         prop_assert!(decision.engine().is_some());
@@ -225,7 +225,7 @@
     for _ in 0..8 {
         router.sent(NOW, &view.engines[0], &request(), Placement::Whole);
     }
-    let choose = |router: &Router, view: &FleetView, now| {
+    let choose = |router: &mut Router, view: &FleetView, now| {
         let mut random = ChaCha8Rng::seed_from_u64(5);
         router
             .decide(now, view, &request(), &mut random)
@@ -233,7 +233,7 @@
             .cloned()
     };
     assert_eq!(
-        choose(&router, &view, NOW),
+        choose(&mut router, &view, NOW),
         Some(view.engines[1].engine.clone())
     );
     // The next reports say that the first engine is done with its queue and the second is not.
@@ -243,7 +243,7 @@
     }
     view.engines[1].queued_prefill_tokens = 40_000;
     assert_eq!(
-        choose(&router, &view, later),
+        choose(&mut router, &view, later),
         Some(view.engines[0].engine.clone())
     );
 }
@@ -285,7 +285,7 @@
         first_token: Some(Duration::from_secs(2)),
         whole: None,
     };
-    let router = Router::new(RouterConfig::default());
+    let mut router = Router::new(RouterConfig::default());
     let mut random = ChaCha8Rng::seed_from_u64(1);
     let decision = router.decide(NOW, &fleet(vec![slow]), &request, &mut random);
     let RouteDecision::Refuse {
