Tenants' tokens and the retry budget in force at the node

Cause: both were pure code that nothing in a node called; a tenant had no limit and a lost engine group cost each request up to four attempts. Ruled out: a call for each request to a node that counts (a round trip on the path of every request); demand reports from every node to every node that sums a tenant (some sixty connections a second a node at the size to come, by count): sixteen nodes sum, chosen by hash, and a node reports every three seconds. Change: a request takes the tokens it may need from its tenant's share at this node and gives back what it did not use; 429 at once with Retry-After and "not-run" over the limit. Nodes exchange demand by peer calls. Retries are paid from a budget of the request and of the node. Not shown: shares over several nodes in running processes (routing's property tests show them in virtual time). Conclusion: limits hold at one node; over nodes they are exchanged and not yet measured.

--- a/crates/gateway/src/attempt/mod.rs
+++ b/crates/gateway/src/attempt/mod.rs
@@ -12,7 +12,10 @@
 
 use dalestand_decision::{AttemptOutcome, AttemptRecord, Candidate};
 use dalestand_platform::{AttemptError, Engine as _, FrameStream};
-use dalestand_routing::{Deadlines, EngineView, RouteDecision, RoutePhase, RouteRequest};
+use dalestand_routing::{
+    AttemptFate, Deadlines, EngineView, FailedAttempt, RetryVerdict, RouteDecision, RoutePhase,
+    RouteRequest,
+};
 use dalestand_types::{
     AttemptId, EngineId, GenerationRequest, MonotonicTime, Placement, RefusalReason, RequestId,
 };
@@ -23,9 +26,6 @@
 use crate::error::CallerError;
 use crate::record;
 
-/// Most engines asked for one request.
-const MAX_ATTEMPTS: usize = 4;
-
 /// Most times an answer that broke off is resumed.
 const MAX_RESUMES: u32 = 4;
 
@@ -74,7 +74,8 @@
     route: RouteRequest,
     request: GenerationRequest,
     repeatable: bool,
-    sent: usize,
+    first_position: u32,
+    retries: u32,
     resumes: u32,
     may_have_run: bool,
 }
@@ -89,15 +90,18 @@
         request: GenerationRequest,
         repeatable: bool,
     ) -> Self {
+        context.shared.retry_budget().first_attempt();
         // A request that is resumed has run before.
-        let may_have_run = request.resume_from > 0;
+        let first_position = request.resume_from;
+        let may_have_run = first_position > 0;
         Self {
             context,
             received_at,
             route,
             request,
             repeatable,
-            sent: 0,
+            first_position,
+            retries: 0,
             resumes: 0,
             may_have_run,
         }
@@ -113,6 +117,11 @@
         self.request.resume_from
     }
 
+    /// Position of the first token of this call, whatever has been resumed since.
+    pub(crate) fn first_position(&self) -> u32 {
+        self.first_position
+    }
+
     /// Estimated tokens of the prompt.
     pub(crate) fn prompt_tokens(&self) -> u32 {
         self.route.prompt_tokens
@@ -138,7 +147,7 @@
         for _ in 0..MAX_RESUME_ROUNDS {
             self.request.import_from = None;
             self.route.phase = RoutePhase::Start;
-            self.sent = 0;
+            self.retries = 0;
             if let Ok(accepted) = self.start().await {
                 return Ok(accepted);
             }
@@ -223,7 +232,6 @@
 
     /// Runs the prompt on one engine; the next attempt imports its KV cache.
     async fn run_prompt(&mut self, choice: &Choice) -> Result<(), AttemptError> {
-        self.sent += 1;
         let mut guard = self.guard(choice);
         let client = self.context.engines.get(choice.engine.address);
         let prefilled = prefill::run(&client, &choice.engine, &self.request).await?;
@@ -239,7 +247,6 @@
     }
 
     async fn send(&mut self, choice: &Choice) -> Result<AcceptedAttempt, AttemptError> {
-        self.sent += 1;
         let guard = self.guard(choice);
         let client = self.context.engines.get(choice.engine.address);
         let frames = client.generate(&self.request).await?;
@@ -276,9 +283,21 @@
         } else {
             self.route.tried.push(choice.engine.engine.clone());
         }
-        if self.sent >= MAX_ATTEMPTS {
-            return Err(self.give_up(error.to_string(), REFUSED_RETRY_AFTER));
+        self.spend_retry(fate_of(error), error.to_string())
+    }
+
+    /// Pays for one more attempt out of the request's and the node's budget.
+    fn spend_retry(&mut self, fate: AttemptFate, reason: String) -> Result<(), CallerError> {
+        let failed = FailedAttempt {
+            fate,
+            repeatable: self.repeatable,
+            retries: self.retries,
+        };
+        let verdict = self.context.shared.retry_budget().decide(&failed);
+        if verdict != RetryVerdict::Retry {
+            return Err(self.give_up(reason, REFUSED_RETRY_AFTER));
         }
+        self.retries += 1;
         Ok(())
     }
 
@@ -297,6 +316,14 @@
     }
 }
 
+fn fate_of(error: &AttemptError) -> AttemptFate {
+    match error {
+        AttemptError::NotSent(_) => AttemptFate::NotSent,
+        _ if error.proves_not_run() => AttemptFate::Refused,
+        _ => AttemptFate::MayHaveRun,
+    }
+}
+
 fn is_cache_lost(error: &AttemptError) -> bool {
     matches!(error, AttemptError::Refused(refusal) if refusal.reason == RefusalReason::CacheNotFound)
 }
--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -25,6 +25,7 @@
 use crate::relay::{Piece, Relay};
 use crate::resume::EventIds;
 use crate::shared::{ActiveConfiguration, RequestGuard};
+use crate::tenant_share::TenantGrant;
 
 /// Wait told to callers of a node that has no configuration yet, is full or stops.
 const UNAVAILABLE_RETRY: Duration = Duration::from_secs(1);
@@ -111,6 +112,8 @@
         created: context.shared.clock.unix_ms() / 1_000,
         model: order.wish.model.clone(),
     };
+    let shared = &context.shared;
+    let grant = TenantGrant::take(shared, order.tenant.as_ref(), order.tokens_needed())?;
     let claimed = match order.claim.clone() {
         Some(request) => claim(&context.shared, request).await?,
         None => None,
@@ -121,7 +124,7 @@
         None => None,
     };
     put_record(context, active, &order);
-    let relay = start(context, &order, in_flight, received_at, hold).await?;
+    let relay = start(context, &order, in_flight, received_at, hold, grant).await?;
     let mut answer = if order.wish.stream {
         let writer = EventWriter::new(&head, order.wish.include_usage);
         let resumed = order.request.resume_from > 0;
@@ -177,6 +180,7 @@
     in_flight: RequestGuard,
     received_at: dalestand_types::MonotonicTime,
     hold: Option<ClaimHold>,
+    grant: Option<TenantGrant>,
 ) -> Result<Relay, CallerError> {
     let mut attempts = Attempts::new(
         Rc::clone(context),
@@ -193,6 +197,7 @@
             accepted,
             order.wish.stop.clone(),
             hold,
+            grant,
         )),
         Err(error) => {
             let (request, state) = (order.request.request, error.run_state());
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -51,6 +51,9 @@
         message: String,
         retry_after: Duration,
     },
+    /// The tenant's share of tokens at this node is used up.
+    #[error("the tenant's tokens are used up for now")]
+    OverLimit { retry_after: Duration },
     /// A request that may run once was run under this key, and its answer is not kept.
     #[error("request {first} ran under this Idempotency-Key and its answer is not kept")]
     AlreadyRun {
@@ -121,6 +124,7 @@
         match self {
             Self::Unavailable { retry_after, .. }
             | Self::Overloaded { retry_after, .. }
+            | Self::OverLimit { retry_after }
             | Self::InProgress { retry_after } => Some(*retry_after),
             _ => None,
         }
@@ -159,6 +163,11 @@
                 "invalid_request_error",
                 "model_not_found",
             ),
+            Self::OverLimit { .. } => (
+                StatusCode::TOO_MANY_REQUESTS,
+                "rate_limit_error",
+                "rate_limit_exceeded",
+            ),
             Self::Unavailable { .. } => (
                 StatusCode::SERVICE_UNAVAILABLE,
                 "service_unavailable",
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod server;
 mod shared;
 pub mod stop_sequence;
+mod tenant_share;
 
 pub use claim::{
     ClaimEnd, ClaimGate, ClaimKey, ClaimOutcome, ClaimRequest, KeptAnswer, RequestFingerprint,
--- a/crates/gateway/src/order.rs
+++ b/crates/gateway/src/order.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use actix_http::header::{HeaderMap, HeaderName};
-use dalestand_config::{Deployment, Pool};
+use dalestand_config::{Deployment, Pool, Tenant};
 use dalestand_platform::Engine as _;
 use dalestand_routing::{RouteRequest, prompt_blocks};
 use dalestand_types::{AdapterName, AttemptId, GenerationRequest, ModelName, RequestId};
@@ -59,6 +59,8 @@
     pub(crate) wish: Wish,
     /// The engine's request; its attempt is set when it is sent.
     pub(crate) request: GenerationRequest,
+    /// The tenant on whose behalf it runs.
+    pub(crate) tenant: Option<Tenant>,
     /// What the router must know.
     pub(crate) route: RouteRequest,
     /// Whether it may run again after an attempt whose result is not known.
@@ -128,9 +130,11 @@
         // enough.
         route.may_split = repeatable;
         route.deadlines = terms.deadlines;
+        route.priority = terms.priority;
         Ok(Self {
             wish,
             request,
+            tenant: terms.tenant,
             route,
             repeatable,
             claim,
@@ -139,6 +143,14 @@
     }
 }
 
+impl CallerOrder {
+    /// Tokens that the request may still need: those of its prompt and of its output.
+    pub(crate) fn tokens_needed(&self) -> u64 {
+        let output = self.request.max_tokens - self.request.resume_from;
+        u64::from(self.route.prompt_tokens) + u64::from(output)
+    }
+}
+
 /// What a model's name stands for.
 struct Target<'d> {
     model: ModelName,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -18,6 +18,7 @@
 use crate::resume::ResumePoint;
 use crate::shared::RequestGuard;
 use crate::stop_sequence::{Released, StopSequences};
+use crate::tenant_share::TenantGrant;
 
 /// What the caller is to see next.
 pub(crate) enum Piece {
@@ -41,6 +42,7 @@
     assembler: FrameAssembler,
     stops: StopSequences,
     claim: Option<ClaimHold>,
+    grant: Option<TenantGrant>,
     kept: String,
     ended: bool,
 }
@@ -54,6 +56,7 @@
         accepted: AcceptedAttempt,
         stop: Vec<String>,
         claim: Option<ClaimHold>,
+        grant: Option<TenantGrant>,
     ) -> Self {
         let assembler = FrameAssembler::new(accepted.attempt, attempts.resume_from());
         Self {
@@ -65,6 +68,7 @@
             assembler,
             stops: StopSequences::new(stop),
             claim,
+            grant,
             kept: String::new(),
             ended: false,
         }
@@ -118,6 +122,11 @@
         }
     }
 
+    /// Tokens of the answer that were generated for this call.
+    fn generated(&self) -> u32 {
+        self.assembler.position() - self.attempts.first_position()
+    }
+
     /// Tokens whose text the caller has.
     fn delivered(&self) -> u32 {
         self.assembler.position() - self.stops.held_tokens()
@@ -215,6 +224,10 @@
 
     fn finish(&mut self, outcome: AttemptOutcome, state: RunState, reason: Option<String>) {
         self.ended = true;
+        let used = u64::from(self.attempts.prompt_tokens()) + u64::from(self.generated());
+        if let Some(grant) = &mut self.grant {
+            grant.used(used);
+        }
         record::set_outcome(&self.context.shared, self.request, outcome);
         record::finish(&self.context.shared, self.request, state, reason);
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -7,7 +7,9 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use dalestand_config::Deployment;
 use dalestand_decision::DecisionRing;
-use dalestand_routing::{FleetView, Router, RouterConfig};
+use dalestand_routing::{
+    FleetView, RetryBudget, RetryBudgetConfig, Router, RouterConfig, TenantLimits,
+};
 use dalestand_telemetry::Metrics;
 use dalestand_types::{MonotonicTime, NodeId, Revision, ZoneName};
 use slog::Logger;
@@ -17,6 +19,9 @@
 /// Decisions kept for operators' questions.
 const DECISIONS_KEPT: usize = 4_096;
 
+/// Tenants whose shares are remembered; a node sees few of all tenants within seconds.
+const TENANTS_REMEMBERED: usize = 4_096;
+
 /// Reads the monotonic clock; the wall clock only for people to read.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock(Instant);
@@ -68,6 +73,8 @@
     pub logger: Logger,
     claims: OnceLock<Box<dyn ClaimGate>>,
     router: Mutex<Router>,
+    tenant_limits: Mutex<TenantLimits>,
+    retry_budget: Mutex<RetryBudget>,
     decisions: Mutex<DecisionRing>,
     stopping: AtomicBool,
     in_flight: AtomicUsize,
@@ -96,6 +103,8 @@
             logger,
             claims: OnceLock::new(),
             router: Mutex::new(Router::new(RouterConfig::default())),
+            tenant_limits: Mutex::new(TenantLimits::new(TENANTS_REMEMBERED, 1)),
+            retry_budget: Mutex::new(RetryBudget::new(RetryBudgetConfig::default())),
             decisions: Mutex::new(DecisionRing::new(DECISIONS_KEPT)),
             stopping: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
@@ -117,6 +126,20 @@
         self.router.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The tenants' shares at this node.
+    pub fn tenant_limits(&self) -> MutexGuard<'_, TenantLimits> {
+        self.tenant_limits
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The retries this node may make.
+    pub fn retry_budget(&self) -> MutexGuard<'_, RetryBudget> {
+        self.retry_budget
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The decision records.
     pub fn decisions(&self) -> MutexGuard<'_, DecisionRing> {
         self.decisions
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -24,6 +24,8 @@
 
 /// Key of tenant `desk`, whose hash stands in [`DEPLOYMENT`] as `KEY_HASH`.
 pub const DESK_KEY: &str = "desk-key";
+/// Key of tenant `small`, which may use 20 tokens at once and one a second.
+pub const SMALL_KEY: &str = "small-key";
 /// Key of tenant `other`.
 pub const OTHER_KEY: &str = "other-key";
 
@@ -85,6 +87,12 @@
 class = "plain"
 tokens_per_second = 1000000
 burst_tokens = 1000000
+[[tenant]]
+name = "small"
+key_blake3 = "SMALL_HASH"
+class = "plain"
+tokens_per_second = 1
+burst_tokens = 20
 "#;
 
 /// Far ahead of any test, so that what is known of engines never counts as old.
@@ -141,6 +149,10 @@
             .replace(
                 "OTHER_HASH",
                 blake3::hash(OTHER_KEY.as_bytes()).to_hex().as_str(),
+            )
+            .replace(
+                "SMALL_HASH",
+                blake3::hash(SMALL_KEY.as_bytes()).to_hex().as_str(),
             );
         let deployment = Deployment::parse(&text).expect("the deployment is sound");
         shared
--- a/crates/node/src/control_half.rs
+++ b/crates/node/src/control_half.rs
@@ -26,6 +26,7 @@
 use crate::machines::{Machines, poll_machines};
 use crate::node::NodeAddresses;
 use crate::peer_calls::{PeerClient, serve_peers};
+use crate::tenant_shares::TenantShares;
 
 /// What a control half is made of.
 pub struct ControlParts {
@@ -164,12 +165,18 @@
         ClaimStore::new(Rc::clone(&key_value)),
         PeerClient::new(seal.clone()),
     );
+    let tenants = TenantShares::new(
+        Arc::clone(&shared),
+        Rc::clone(&cluster),
+        PeerClient::new(seal.clone()),
+    );
     let serve = serve_peers(
         peer_calls,
         seal,
         Rc::clone(&claims),
         Rc::clone(&control),
         Rc::clone(&store),
+        Rc::clone(&tenants),
     );
     let admin = Admin {
         shared: Arc::clone(&shared),
@@ -188,6 +195,7 @@
         actix_rt::spawn(watch),
         actix_rt::spawn(serve_gate(calls, claims)),
         actix_rt::spawn(serve),
+        actix_rt::spawn(tenants.run()),
         actix_rt::spawn(Rc::clone(&control).run()),
         actix_rt::spawn(admin),
     ];
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,6 +23,7 @@
 mod peer_calls;
 mod peer_sockets;
 mod role_planning;
+mod tenant_shares;
 mod token_rates;
 
 pub use admin::{
--- a/crates/node/src/peer_calls/message.rs
+++ b/crates/node/src/peer_calls/message.rs
@@ -3,6 +3,7 @@
 use dalestand_claims::{Claim, ClaimState, Reply};
 use dalestand_gateway::KeptAnswer;
 use dalestand_peer_seal::PeerSeal;
+use dalestand_routing::TenantDemand;
 use dalestand_types::{GroupId, NodeId, RequestId};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -27,6 +28,11 @@
     TakeOver { group: GroupId },
     /// A question about the configuration.
     Configuration(Question),
+    /// The demand of tenants at the reporting node; answered by their sums.
+    TenantDemands {
+        reporter: NodeId,
+        demands: Vec<TenantDemand>,
+    },
 }
 
 /// The reply.
@@ -38,6 +44,8 @@
     KeptAnswer(Option<KeptAnswer>),
     /// To a question about the configuration.
     Configuration(Answer),
+    /// To the demand of tenants.
+    TenantDemands(Vec<TenantDemand>),
     /// Done.
     Done,
 }
--- a/crates/node/src/peer_calls/server.rs
+++ b/crates/node/src/peer_calls/server.rs
@@ -12,6 +12,7 @@
 use crate::claims::ClaimsDriver;
 use crate::configuration::ConfigurationStore;
 use crate::control_driver::ControlDriver;
+use crate::tenant_shares::TenantShares;
 
 /// Most calls served at once; more wait to be accepted.
 const MAX_CALLS: usize = 1_024;
@@ -28,6 +29,7 @@
     claims: Rc<ClaimsDriver>,
     control: Rc<ControlDriver>,
     configuration: Rc<ConfigurationStore>,
+    tenants: Rc<TenantShares>,
 }
 
 /// Serves calls until dropped.
@@ -37,12 +39,14 @@
     claims: Rc<ClaimsDriver>,
     control: Rc<ControlDriver>,
     configuration: Rc<ConfigurationStore>,
+    tenants: Rc<TenantShares>,
 ) {
     let server = Rc::new(PeerServer {
         seal,
         claims,
         control,
         configuration,
+        tenants,
     });
     let calls = Arc::new(Semaphore::new(MAX_CALLS));
     loop {
@@ -88,6 +92,9 @@
                 self.control.invite(&group);
                 PeerResponse::Done
             }
+            PeerRequest::TenantDemands { reporter, demands } => {
+                PeerResponse::TenantDemands(self.tenants.sum(&reporter, &demands))
+            }
             PeerRequest::Configuration(question) => {
                 PeerResponse::Configuration(self.configuration.answer(&question))
             }
--- a/crates/routing/src/tenant_limits.rs
+++ b/crates/routing/src/tenant_limits.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use dalestand_types::{MonotonicTime, NodeId, TenantName};
+use serde::{Deserialize, Serialize};
 
 use crate::prefix::{rendezvous_weight, text_hash};
 
@@ -35,7 +36,7 @@
 }
 
 /// A tenant's demand at one node, or over all nodes.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TenantDemand {
     /// The tenant.
     pub tenant: TenantName,
