--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -289,6 +289,8 @@
         waiting: 0,
         queued_prefill_tokens: 0,
         capacity: 256,
+        decode_tokens_per_s: 1_000.0,
+        prefill_tokens_per_s: 10_000.0,
         reported_at: REPORTED_AT,
         accepting: true,
     }
--- a/crates/http-server/src/server.rs
+++ b/crates/http-server/src/server.rs
@@ -3,8 +3,6 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use actix_http::{HttpService, Request};
@@ -12,7 +10,7 @@
 use actix_service::{IntoServiceFactory as _, ServiceFactory as _, fn_service};
 use tokio::net::TcpListener;
 
-use crate::Answer;
+use crate::{Answer, Connections};
 
 /// Pause after a failed accept (such as too many open files), so that it is not retried at once.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
@@ -38,30 +36,6 @@
     }
 }
 
-/// Count of open connections of one server.
-#[derive(Clone, Debug, Default)]
-pub struct Connections(Arc<AtomicUsize>);
-
-impl Connections {
-    /// Connections open now.
-    pub fn open(&self) -> usize {
-        self.0.load(Ordering::Relaxed)
-    }
-
-    fn enter(&self) -> ConnectionGuard {
-        self.0.fetch_add(1, Ordering::Relaxed);
-        ConnectionGuard(self.clone())
-    }
-}
-
-struct ConnectionGuard(Connections);
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Serves `handler` on `listener` until the returned future is dropped.
 ///
 /// Connections run as local tasks of the current arbiter and outlive the accept loop, so that
@@ -83,6 +57,7 @@
     let factory = HttpService::build()
         .client_request_timeout(limits.head_timeout)
         .keep_alive(limits.keep_alive)
+        .graceful_shutdown_signal(connections.drain_signal())
         .h1(service.into_factory())
         .tcp();
     let Ok(connection_service) = factory.new_service(()).await else {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,10 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_rt::Arbiter;
 use dalestand_config::NodeSettings;
-use dalestand_gateway::{CallerLimits, Shared, serve_callers};
-use dalestand_http_server::Connections;
+use dalestand_gateway::Shared;
 use dalestand_platform::{HttpKeyValue, KeyValue};
 use dalestand_telemetry::{Event, Metrics, log_event};
 use error_stack::{Report, ResultExt as _};
@@ -17,17 +15,15 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
 
+use crate::callers::CallerHalf;
 use crate::control_half::{ControlParts, start_control};
 use crate::error::NodeError;
 
 /// How often a stopping node looks whether its requests are over.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
-/// Processors of the machine for each arbiter that serves callers.
-const PROCESSORS_PER_CALLER_ARBITER: usize = 3;
-
-/// Most arbiters that serve callers.
-const MAX_CALLER_ARBITERS: usize = 8;
+/// How often another free port is tried where the datagrams' side of one is taken.
+const FREE_PORT_ATTEMPTS: usize = 16;
 
 /// Addresses a node listens on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,6 +41,7 @@
     callers: std::net::TcpListener,
     operators: TcpListener,
     peers: UdpSocket,
+    peer_calls: TcpListener,
     addresses: NodeAddresses,
 }
 
@@ -54,9 +51,7 @@
         let callers = listen(settings.caller_listen).await?;
         let operators = listen(settings.operator_listen).await?;
         let context = || NodeError::Listen(settings.peer_listen.to_string());
-        let peers = UdpSocket::bind(settings.peer_listen)
-            .await
-            .change_context_lazy(context)?;
+        let (peers, peer_calls) = open_peer_sockets(settings.peer_listen).await?;
         let addresses = NodeAddresses {
             callers: callers.local_addr().change_context_lazy(context)?,
             operators: operators.local_addr().change_context_lazy(context)?,
@@ -67,6 +62,7 @@
             callers,
             operators,
             peers,
+            peer_calls,
             addresses,
         })
     }
@@ -77,6 +73,29 @@
     }
 }
 
+/// Opens a socket for datagrams and one for calls, with the same port number.
+async fn open_peer_sockets(
+    address: SocketAddr,
+) -> Result<(UdpSocket, TcpListener), Report<NodeError>> {
+    let context = || NodeError::Listen(address.to_string());
+    let attempts = if address.port() == 0 {
+        FREE_PORT_ATTEMPTS
+    } else {
+        1
+    };
+    let mut last_error = None;
+    for _ in 0..attempts {
+        let calls = listen(address).await?;
+        let opened = calls.local_addr().change_context_lazy(context)?;
+        match UdpSocket::bind(opened).await {
+            Ok(socket) => return Ok((socket, calls)),
+            Err(error) => last_error = Some(error),
+        }
+    }
+    let reason = last_error.map_or_else(String::new, |error| error.to_string());
+    Err(Report::new(context()).attach(reason))
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, Report<NodeError>> {
     TcpListener::bind(address)
         .await
@@ -103,8 +122,7 @@
     let mut terminate = signal(SignalKind::terminate()).change_context(NodeError::Signals)?;
     let mut interrupt = signal(SignalKind::interrupt()).change_context(NodeError::Signals)?;
 
-    let connections = Connections::default();
-    let callers = start_callers(&shared, &listeners.callers, &connections)?;
+    let callers = CallerHalf::start(&shared, &listeners.callers)?;
     let stop_asked = Rc::new(Notify::new());
     let node = settings.node.clone();
     let key_value: Rc<dyn KeyValue> = Rc::new(HttpKeyValue::new(settings.key_value));
@@ -114,6 +132,7 @@
         addresses,
         operators: listeners.operators,
         peers: listeners.peers,
+        peer_calls: Some(listeners.peer_calls),
         key_value,
         filter: None,
         stop_asked: Rc::clone(&stop_asked),
@@ -135,59 +154,13 @@
     while shared.in_flight() > 0 {
         actix_rt::time::sleep(STOP_POLL).await;
     }
+    callers.drain(&shared).await;
     control.leave().await;
-    for arbiter in callers {
-        arbiter.stop();
-    }
+    callers.stop();
     log_event!(shared.logger, Event::StopDone, "node" => %node);
     Ok(())
 }
 
-/// Serves callers on several arbiters, which accept from one socket: the tokens of one step of an
-/// engine come in together, and one arbiter alone would delay those it relays last.
-fn start_callers(
-    shared: &Arc<Shared>,
-    listener: &std::net::TcpListener,
-    connections: &Connections,
-) -> Result<Vec<Arbiter>, Report<NodeError>> {
-    let processors = std::thread::available_parallelism().map_or(1, usize::from);
-    let count = (processors / PROCESSORS_PER_CALLER_ARBITER).clamp(1, MAX_CALLER_ARBITERS);
-    (0..count)
-        .map(|_| {
-            let listener = listener
-                .try_clone()
-                .change_context_lazy(|| NodeError::Listen("callers".to_owned()))?;
-            Ok(start_caller_arbiter(
-                Arc::clone(shared),
-                listener,
-                connections.clone(),
-            ))
-        })
-        .collect()
-}
-
-fn start_caller_arbiter(
-    shared: Arc<Shared>,
-    listener: std::net::TcpListener,
-    connections: Connections,
-) -> Arbiter {
-    let arbiter = Arbiter::new();
-    arbiter.spawn_fn(move || {
-        actix_rt::spawn(async move {
-            match TcpListener::from_std(listener) {
-                Ok(listener) => {
-                    let limits = CallerLimits::default();
-                    serve_callers(listener, shared, limits, connections).await;
-                }
-                Err(error) => {
-                    log_event!(shared.logger, Event::ListenFailed, "error" => %error);
-                }
-            }
-        });
-    });
-    arbiter
-}
-
 /// Logs readiness once a configuration is in force.
 fn log_readiness(shared: Arc<Shared>) {
     actix_rt::spawn(async move {
--- a/crates/standin/src/engine/faults.rs
+++ b/crates/standin/src/engine/faults.rs
@@ -12,6 +12,8 @@
     pub lose_order_answers: u32,
     /// This many coming requests are accepted and their connections then break.
     pub break_after_accept: u32,
+    /// A role change does not wait for the requests that run: it cuts them.
+    pub abrupt_role_change: bool,
     /// This many coming requests break off within their answer.
     pub break_in_answer: u32,
     /// Tokens that a request sends before it breaks off within its answer.
--- a/crates/standin/src/engine/server.rs
+++ b/crates/standin/src/engine/server.rs
@@ -303,6 +303,9 @@
 }
 
 async fn change_role(engine: &Engine) {
+    if engine.faults.borrow().abrupt_role_change {
+        engine.streams.borrow_mut().clear();
+    }
     while !engine.batch.borrow().is_empty() {
         actix_rt::time::sleep(DRAIN_POLL).await;
     }
