--- a/crates/gateway/src/identity.rs
+++ b/crates/gateway/src/identity.rs
@@ -51,11 +51,13 @@
         headers: &HeaderMap,
     ) -> Result<Terms, CallerError> {
         let deployment = &*active.deployment;
-        let tenant = match text(headers, &AUTHORIZATION)? {
-            Some(value) => Some(self.tenant(active, value)?),
-            None if deployment.callers.require_key => return Err(CallerError::Unauthorized),
-            None => None,
-        };
+        let authorization = text(headers, &AUTHORIZATION)?;
+        let tenant = authorization.and_then(|value| self.tenant(active, value));
+        // Client libraries always send a key, so where none is required an unknown one counts as
+        // none.
+        if tenant.is_none() && deployment.callers.require_key {
+            return Err(CallerError::Unauthorized);
+        }
         let mut terms = class_terms(deployment, headers, tenant)?;
         terms.tenant = tenant.cloned();
         if let Some(lower) = number::<u8>(headers, &PRIORITY_HEADER)? {
@@ -73,13 +75,12 @@
         &self,
         active: &'a ActiveConfiguration,
         authorization: &str,
-    ) -> Result<&'a Tenant, CallerError> {
-        let key = authorization.strip_prefix(BEARER);
-        let hash = key.map(|key| blake3::hash(key.trim().as_bytes()));
+    ) -> Option<&'a Tenant> {
+        let key = authorization.strip_prefix(BEARER)?;
+        let hash = blake3::hash(key.trim().as_bytes());
         let by_hash = self.by_hash(active);
-        hash.and_then(|hash| by_hash.get(&hash))
-            .and_then(|place| active.deployment.tenants.get(*place))
-            .ok_or(CallerError::Unauthorized)
+        let place = by_hash.get(&hash)?;
+        active.deployment.tenants.get(*place)
     }
 
     /// The index of the configuration in force; built once a revision.
--- a/crates/gateway/tests/surface.rs
+++ b/crates/gateway/tests/surface.rs
@@ -172,6 +172,15 @@
     assert_eq!(stage.accepted().await, usize::from(status == 200));
 }
 
+#[actix_rt::test]
+async fn an_unknown_key_counts_as_none_where_none_is_required() {
+    let stage = Stage::start(StageOptions::default()).await;
+    let body = json!({"model": "m", "prompt": "p"});
+    let headers = [("authorization", "Bearer nobody")];
+    let reply = stage.post(COMPLETIONS, &body, &headers).await;
+    assert_eq!(reply.status, 200, "{}", reply.text());
+}
+
 #[actix_rt::test]
 async fn requests_beyond_the_limit_are_refused_as_not_run_with_a_time() {
     let limits = CallerLimits {
