--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -63,7 +63,7 @@
 }
 
 async fn answer(context: Rc<Context>, mut request: Request) -> Answer {
-    let stopping = context.shared.stopping();
+    let shared = Arc::clone(&context.shared);
     let method = request.method().clone();
     let path = request.path().to_owned();
     let result = match (method, path.as_str()) {
@@ -80,7 +80,7 @@
         _ => Err(CallerError::NotFound),
     };
     let mut answer = result.unwrap_or_else(|error| error.answer());
-    if stopping {
+    if shared.stopping() {
         answer.head_mut().set_connection_type(ConnectionType::Close);
     }
     answer
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -300,9 +300,9 @@
         running: 0,
         waiting: 0,
         queued_prefill_tokens: 0,
-        prefill_tokens_per_s: 0.0,
-        decode_tokens_per_s: 0.0,
         capacity: 256,
+        decode_tokens_per_s: 1_000.0,
+        prefill_tokens_per_s: 10_000.0,
         reported_at: REPORTED_AT,
         accepting: true,
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admin;
 mod apply;
+mod callers;
 mod claims;
 mod cluster_driver;
 mod compact_number;
