--- a/crates/node/src/configuration/tests.rs
+++ b/crates/node/src/configuration/tests.rs
@@ -1,11 +1,20 @@
-//! Parts of a deployment file.
+//! Parts of a deployment file, and the store that never goes back.
 
+use std::cell::RefCell;
 use std::fmt::Write as _;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use dalestand_cluster::{Cluster, ClusterConfig, Member, RecordKey};
+use dalestand_gateway::Shared;
+use dalestand_telemetry::{Metrics, discard_logger};
+use dalestand_types::{Incarnation, NodeId, Revision, ZoneName};
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 
 use super::parts::PartedText;
+use super::{ConfigurationRecord, ConfigurationStore};
 
 fn config() -> Config {
     Config {
@@ -56,3 +65,55 @@
     assert!(parted.parts.values().all(|part| part.len() <= 17 << 10));
     assert_eq!(parted.text(), Some(long_line_free));
 }
+
+fn record(name: &str) -> ConfigurationRecord {
+    ConfigurationRecord {
+        writer: "w".to_owned(),
+        author: "a".to_owned(),
+        text: format!("format = 1\nname = \"{name}\"\n"),
+    }
+}
+
+#[test]
+fn the_store_never_goes_back_and_keeps_the_last_usable_configuration() {
+    let (node, zone) = (NodeId::from("n"), ZoneName::from("z"));
+    let address = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
+    let me = Member {
+        node: node.clone(),
+        incarnation: Incarnation(1),
+        zone: zone.clone(),
+        address,
+        operator_address: address,
+    };
+    let cluster = Cluster::new(me, Vec::new(), ClusterConfig::default());
+    let cluster = Rc::new(RefCell::new(cluster));
+    let metrics = Metrics::new().expect("metrics");
+    let shared = Arc::new(Shared::new(node, zone, discard_logger(), metrics));
+    let store = ConfigurationStore::new(Arc::clone(&shared), Rc::clone(&cluster));
+    let in_force = || {
+        let active = shared.configuration.load_full().expect("a configuration");
+        (active.revision, active.deployment.name.clone())
+    };
+
+    store.take(Revision(5), record("five"));
+    store.take(Revision(3), record("three"));
+    store.take(Revision(5), record("five again"));
+    assert_eq!(in_force(), (Revision(5), "five".to_owned()));
+
+    let unusable = ConfigurationRecord {
+        text: "format = 99\n".to_owned(),
+        ..record("unusable")
+    };
+    store.take(Revision(7), unusable);
+    store.take(Revision(6), record("six"));
+    assert_eq!(in_force(), (Revision(5), "five".to_owned()));
+    assert_eq!(
+        store.manifest(Revision(6)).map(|one| one.revision),
+        Some(Revision(7))
+    );
+    let announced = cluster
+        .borrow()
+        .record(&RecordKey::Configuration)
+        .map(|one| one.version.major);
+    assert_eq!(announced, Some(7));
+}
