Recovery under failures of whole processes, two at a time and under load

Cause: nothing showed that all nodes can be replaced under load, that two failures at once are recovered from, that of two operators one wins whole, or what an idle group costs.

Ruled out, each as a trial: asking for progress before the stop (callers run in step, and the stop hit the gap between their requests, so that the test passed with the guard taken out), and taking every connection error as "nothing was sent" (the library says `Disconnected` also when the connection ends after the request was sent). The stop now comes with a request in flight, and such an end counts as unknown.

Change: cmd/tests/recovery.rs and one more test of a planned hand-over, with callers whose requests and answers go into the history.

The group's own share is two renewals a second at that lease and does not grow; what grows is the watch of the configuration by each node.

--- a/cmd/tests/authority.rs
+++ b/cmd/tests/authority.rs
@@ -167,3 +167,23 @@
         "both nodes gave orders"
     );
 }
+
+#[actix_rt::test]
+async fn a_stopping_holder_hands_over_at_once() {
+    // So long that nobody takes over because the lease ran out.
+    let mut fleet = Fleet::start(&["e1"], 600_000).await;
+    fleet.start_node("n1").await;
+    fleet.start_node("n2").await;
+    fleet.apply("n1", &fleet.deployment(Role::Mixed, true));
+    fleet.wait_for_role(Role::Mixed).await;
+    let first = fleet.wait_for_holder(None).await;
+    let other = if first == "n1" { "n2" } else { "n1" };
+    fleet.wait_for_routes(other).await;
+    let leaving = fleet.nodes.get_mut(&first).expect("the node");
+    leaving.process.signal("TERM");
+    assert_eq!(leaving.process.wait_while_serving().await, Some(0));
+    assert_eq!(fleet.wait_for_holder(Some(&first)).await, other);
+    fleet.apply(other, &fleet.deployment(Role::Decode, true));
+    fleet.wait_for_role(Role::Decode).await;
+    check(&fleet.history().await);
+}
--- /dev/null
+++ b/cmd/tests/recovery.rs
@@ -0,0 +1,162 @@
+//! Recovery: all nodes replaced under load, failures two at a time, two operators at once, and what
+//! all that costs the key-value service.
+
+mod support;
+
+use std::time::Instant;
+
+use dalestand_history::History;
+use dalestand_history::checks::{
+    fenced, no_conflicting_orders, not_run_did_not_run, nothing_cut, whole_answers,
+};
+use dalestand_standin::key_value::KeyValueFaults;
+use dalestand_types::Role;
+use support::callers::Callers;
+use support::fleet::Fleet;
+use support::{ctl, eventually, get};
+
+/// Short enough that a takeover takes no long time.
+const LEASE_MS: u64 = 1_500;
+
+/// Callers under load.
+const CALLERS: usize = 4;
+
+/// Calls a second that a group and two nodes may cause while nothing happens: three renewals a
+/// lease, and the watches of the configuration.
+const MAX_IDLE_CALLS_PER_SECOND: f64 = 5.0;
+
+fn check_orders(history: &History) {
+    assert_eq!(no_conflicting_orders(history), Ok(()));
+    assert_eq!(fenced(history), Ok(()));
+}
+
+#[actix_rt::test]
+async fn all_nodes_are_replaced_under_load_and_no_request_is_lost() {
+    let mut fleet = Fleet::start(&["e1", "e2"], LEASE_MS).await;
+    for node in ["n1", "n2"] {
+        fleet.start_node(node).await;
+    }
+    fleet.apply("n1", &fleet.deployment(Role::Mixed, true));
+    fleet.wait_for_role(Role::Mixed).await;
+    let callers = Callers::start(CALLERS, fleet.caller_addresses(), &fleet.recorder);
+    for (former, fresh) in [("n1", "n3"), ("n2", "n4")] {
+        fleet.start_node(fresh).await;
+        fleet.wait_for_routes(fresh).await;
+        fleet.wait_for_request_in_flight(former).await;
+        let leaving = fleet.nodes.get_mut(former).expect("the node");
+        leaving.process.signal("TERM");
+        callers.set_nodes(fleet.caller_addresses());
+        let leaving = fleet.nodes.get_mut(former).expect("the node");
+        let exit = leaving.process.wait_while_serving().await;
+        assert_eq!(exit, Some(0), "a planned stop");
+        fleet.nodes.remove(former);
+        callers.set_nodes(fleet.caller_addresses());
+        let holder = fleet.wait_for_holder(Some(former)).await;
+        assert_ne!(holder, former);
+        callers.wait_for_progress().await;
+    }
+    callers.stop().await;
+    let history = fleet.history().await;
+    check_orders(&history);
+    assert_eq!(whole_answers(&history), Ok(()));
+    assert_eq!(nothing_cut(&history), Ok(()));
+    assert_eq!(not_run_did_not_run(&history), Ok(()));
+}
+
+#[actix_rt::test]
+async fn two_failures_at_once_are_recovered_from() {
+    let mut fleet = Fleet::start(&["e1", "e2"], LEASE_MS).await;
+    for node in ["n1", "n2", "n3"] {
+        fleet.start_node(node).await;
+    }
+    fleet.apply("n1", &fleet.deployment(Role::Mixed, true));
+    fleet.wait_for_role(Role::Mixed).await;
+
+    // The holder is killed in an outage of the key-value service, and an engine with it.
+    let first = fleet.wait_for_holder(None).await;
+    let outage = KeyValueFaults {
+        outage: true,
+        ..KeyValueFaults::default()
+    };
+    fleet.set_key_value_faults(&outage).await;
+    fleet.nodes.remove(&first);
+    fleet.start_engine("e1", 2).await;
+    fleet.set_key_value_faults(&KeyValueFaults::default()).await;
+    let second = fleet.wait_for_holder(Some(&first)).await;
+    fleet.wait_for_role(Role::Mixed).await;
+
+    // The next holder is frozen while it changes roles, and an engine crashes at the same time.
+    let last = fleet.nodes.keys().find(|name| **name != second);
+    let last = last.expect("a third node").clone();
+    fleet.apply(&last, &fleet.deployment(Role::Decode, true));
+    fleet.nodes[&second].process.signal("STOP");
+    fleet.start_engine("e2", 2).await;
+    assert_eq!(fleet.wait_for_holder(Some(&second)).await, last);
+    fleet.wait_for_role(Role::Decode).await;
+    fleet.nodes[&second].process.signal("CONT");
+    fleet.apply(&last, &fleet.deployment(Role::Prefill, true));
+    fleet.wait_for_role(Role::Prefill).await;
+    check_orders(&fleet.history().await);
+}
+
+#[actix_rt::test]
+async fn of_two_operators_at_once_one_wins_whole_and_the_other_is_told() {
+    let mut fleet = Fleet::start(&["e1"], LEASE_MS).await;
+    fleet.start_node("n1").await;
+    fleet.start_node("n2").await;
+    let directory = std::env::temp_dir();
+    let file = directory.join(format!("dalestand-race-{}.toml", std::process::id()));
+    std::fs::write(&file, fleet.deployment(Role::Mixed, true)).expect("the file is written");
+    let path = file.to_str().expect("a path in UTF-8").to_owned();
+    let operators = [("n1", "ana"), ("n2", "ben")].map(|(node, author)| {
+        let (address, path) = (fleet.nodes[node].operators, path.clone());
+        std::thread::spawn(move || {
+            let arguments = ["--author", author, "--after", "0", "apply", &path];
+            (author, ctl(address, &arguments))
+        })
+    });
+    let outcomes = operators.map(|operator| operator.join().expect("the operator's program ran"));
+    std::fs::remove_file(&file).expect("the file is removed");
+    let (winners, losers): (Vec<_>, Vec<_>) = outcomes
+        .into_iter()
+        .partition(|(_, output)| output.status.success());
+    assert_eq!((winners.len(), losers.len()), (1, 1));
+    let told = String::from_utf8_lossy(&losers[0].1.stderr).into_owned();
+    let by_whom = format!("stands there, applied by {} at", winners[0].0);
+    assert!(told.contains(&by_whom), "{told}");
+    assert_eq!(losers[0].1.status.code(), Some(3), "{told}");
+}
+
+#[actix_rt::test]
+async fn an_idle_group_costs_the_key_value_service_few_calls() {
+    let mut fleet = Fleet::start(&["e1"], LEASE_MS).await;
+    let mut costs = Vec::new();
+    for nodes in [&["n1", "n2"][..], &["n3", "n4", "n5", "n6"][..]] {
+        for node in nodes {
+            fleet.start_node(node).await;
+        }
+        if costs.is_empty() {
+            fleet.apply("n1", &fleet.deployment(Role::Mixed, true));
+        }
+        for node in nodes {
+            fleet.wait_for_routes(node).await;
+        }
+        costs.push(idle_calls_per_second(&fleet).await);
+    }
+    println!("calls a second in all with 2 and 6 nodes: {costs:.2?}");
+    let idle = costs.iter().all(|cost| *cost <= MAX_IDLE_CALLS_PER_SECOND);
+    assert!(idle, "{costs:?}");
+}
+
+/// Calls to the key-value service over two leases in which nothing happens.
+async fn idle_calls_per_second(fleet: &Fleet) -> f64 {
+    let before: u64 = get(fleet.kv, "/calls").await;
+    let started = Instant::now();
+    let window = std::time::Duration::from_millis(4 * LEASE_MS);
+    eventually("two leases pass", || async {
+        (started.elapsed() >= window).then_some(())
+    })
+    .await;
+    let calls: u64 = get(fleet.kv, "/calls").await;
+    (calls - before) as f64 / started.elapsed().as_secs_f64()
+}
--- a/cmd/tests/support/fleet.rs
+++ b/cmd/tests/support/fleet.rs
@@ -106,6 +106,11 @@
         assert_eq!(status, 200);
     }
 
+    /// Where callers connect, at every node.
+    pub fn caller_addresses(&self) -> Vec<SocketAddr> {
+        self.nodes.values().map(|node| node.callers).collect()
+    }
+
     /// The deployment file that wants every engine in one role.
     pub fn deployment(&self, role: Role, repeatable: bool) -> String {
         let names = self.engines.keys();
@@ -179,6 +184,15 @@
         .await;
     }
 
+    /// Waits until a node has a request in flight.
+    pub async fn wait_for_request_in_flight(&self, node: &str) {
+        eventually("a request is in flight", || async {
+            let status: StatusResponse = get(self.nodes[node].operators, "/status").await;
+            (status.in_flight > 0).then_some(())
+        })
+        .await;
+    }
+
     /// Sets the faults of the key-value service.
     pub async fn set_key_value_faults(&self, faults: &KeyValueFaults) {
         assert_eq!(post(self.kv, "/faults", faults).await.0, 200);
--- a/cmd/tests/support/mod.rs
+++ b/cmd/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod callers;
 pub mod fleet;
 
 use std::io::{BufRead as _, BufReader};
@@ -9,6 +10,7 @@
 use std::process::{Child, ChildStdout, Command, Output, Stdio};
 use std::time::{Duration, Instant};
 
+use awc::error::{ConnectError, SendRequestError};
 use dalestand_history::Recorder;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -71,6 +73,22 @@
         assert!(status.success());
     }
 
+    /// Waits for its end, while other tasks go on, and yields its exit code.
+    pub async fn wait_while_serving(&mut self) -> Option<i32> {
+        let deadline = Instant::now() + CONDITION_LIMIT;
+        loop {
+            let ended = self
+                .child
+                .try_wait()
+                .expect("the process can be waited for");
+            if let Some(status) = ended {
+                return status.code();
+            }
+            assert!(Instant::now() < deadline, "the process never ended");
+            actix_rt::time::sleep(CONDITION_POLL).await;
+        }
+    }
+
     /// Waits for its end and yields its exit code.
     pub fn wait(&mut self) -> Option<i32> {
         self.child
@@ -189,3 +207,49 @@
     let body = response.body().limit(64 << 20).await.expect("a body");
     (status, String::from_utf8_lossy(&body).into_owned())
 }
+
+/// A caller's view of an answer.
+pub struct Answer {
+    /// HTTP status; `None` if the connection broke after the request was sent.
+    pub status: Option<u16>,
+    /// What the node says of whether the request ran.
+    pub run_state: Option<String>,
+    /// The node's id of the request.
+    pub request: Option<String>,
+    pub body: String,
+}
+
+/// Posts JSON as a caller; `None` if no connection could be made, so that nothing was sent.
+pub async fn call<B: Serialize>(address: SocketAddr, path: &str, body: &B) -> Option<Answer> {
+    let client = awc::Client::builder().timeout(CONDITION_LIMIT).finish();
+    let url = format!("http://{address}{path}");
+    let broken = Answer {
+        status: None,
+        run_state: None,
+        request: None,
+        body: String::new(),
+    };
+    let mut response = match client.post(url).send_json(body).await {
+        Ok(response) => response,
+        // The library also says `Disconnected` when a connection ends after the request was sent.
+        Err(SendRequestError::Connect(error)) if !matches!(error, ConnectError::Disconnected) => {
+            return None;
+        }
+        Err(_) => return Some(broken),
+    };
+    let header = |name: &str| {
+        let value = response.headers().get(name)?;
+        Some(value.to_str().ok()?.to_owned())
+    };
+    let (run_state, request) = (header("x-dalestand-run-state"), header("x-request-id"));
+    let status = Some(response.status().as_u16());
+    match response.body().limit(64 << 20).await {
+        Ok(body) => Some(Answer {
+            status,
+            run_state,
+            request,
+            body: String::from_utf8_lossy(&body).into_owned(),
+        }),
+        Err(_) => Some(broken),
+    }
+}
