--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -27,7 +27,7 @@
     EngineExplanation, EngineRow, MemberRow, RequestExplanation, StatusResponse,
 };
 use crate::apply::{self, Draft};
-use crate::configuration::{CONFIGURATION_KEY, ConfigurationRecord};
+use crate::configuration::{CONFIGURATION_KEY, ConfigurationRecord, ConfigurationStore};
 use crate::control_driver::ControlDriver;
 use crate::drains::{DrainMark, Drains};
 use crate::error::{ApplyError, DrainError};
@@ -42,6 +42,8 @@
     pub(crate) control: Rc<ControlDriver>,
     /// Drain marks.
     pub(crate) drains: Rc<Drains>,
+    /// The configuration this node holds.
+    pub(crate) configuration: Rc<ConfigurationStore>,
     /// The cluster.
     pub(crate) cluster: Rc<RefCell<Cluster>>,
     /// The key-value service.
@@ -284,7 +286,11 @@
             text: body.text,
         };
         match apply::apply(&*self.key_value, body.expected, draft).await {
-            Ok(revision) => {
+            Ok(applied) => {
+                let revision = applied.revision;
+                // This node has the content: it is in force here at once, and spreads even if the
+                // key-value service goes down now.
+                self.configuration.take(revision, applied.record);
                 let body = ApplyResponse {
                     revision: Some(revision),
                     error: None,
--- a/crates/node/src/apply/tests.rs
+++ b/crates/node/src/apply/tests.rs
@@ -152,7 +152,9 @@
 }
 
 async fn outcome(script: &Script) -> Result<Revision, ApplyError> {
-    let applied = apply(script, None, draft("me")).await;
+    let applied = apply(script, None, draft("me"))
+        .await
+        .map(|one| one.revision);
     applied.map_err(|report| report.current_context().clone())
 }
 
--- a/crates/node/src/control_half.rs
+++ b/crates/node/src/control_half.rs
@@ -13,13 +13,13 @@
 use dalestand_platform::KeyValue;
 use dalestand_types::Incarnation;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinHandle;
 
 use crate::admin::{Admin, serve_operators};
 use crate::claims::{ChannelGate, ClaimStore, ClaimsDriver, serve_gate};
 use crate::cluster_driver::{self, LinkFilter, PeerLink};
-use crate::configuration;
+use crate::configuration::{self, ConfigurationStore};
 use crate::control_driver::ControlDriver;
 use crate::drains::Drains;
 use crate::lease_service::LeaseService;
@@ -39,8 +39,8 @@
     pub operators: TcpListener,
     /// Socket for other nodes.
     pub peers: UdpSocket,
-    /// Socket for calls of other nodes; without it the node makes no claims and takes no calls.
-    pub peer_calls: Option<TcpListener>,
+    /// Socket for calls of other nodes, on the same port number.
+    pub peer_calls: TcpListener,
     /// The key-value service.
     pub key_value: Rc<dyn KeyValue>,
     /// Losses and cuts put in by an experiment.
@@ -133,45 +133,64 @@
         Rc::clone(&machines),
         Rc::clone(&cluster),
     );
+    let (offers, received_offers) = mpsc::unbounded_channel();
     let drive = cluster_driver::drive(
         Arc::clone(&shared),
         Rc::clone(&link),
         Rc::clone(&cluster),
         machines,
+        offers,
+    );
+    let store = ConfigurationStore::new(Arc::clone(&shared), Rc::clone(&cluster));
+    let store = Rc::new(store);
+    let follow = configuration::follow(
+        Arc::clone(&shared),
+        Rc::clone(&link),
+        PeerClient::new(seal.clone()),
+        Rc::clone(&store),
+        received_offers,
+    );
+    let watch = configuration::watch(
+        Arc::clone(&shared),
+        Rc::clone(&key_value),
+        Rc::clone(&cluster),
+        Rc::clone(&store),
+    );
+    let (gate, calls) = ChannelGate::new();
+    shared.set_claims(Box::new(gate));
+    let claims = ClaimsDriver::new(
+        Arc::clone(&shared),
+        Rc::clone(&cluster),
+        ClaimStore::new(Rc::clone(&key_value)),
+        PeerClient::new(seal.clone()),
+    );
+    let serve = serve_peers(
+        peer_calls,
+        seal,
+        Rc::clone(&claims),
+        Rc::clone(&control),
+        Rc::clone(&store),
     );
-    let claims_key_value = Rc::clone(&key_value);
-    let follower = Arc::clone(&shared);
-    let followed = Rc::clone(&key_value);
-    let follow = async move { configuration::follow(follower, &*followed).await };
     let admin = Admin {
         shared: Arc::clone(&shared),
         control: Rc::clone(&control),
         drains,
+        configuration: store,
         cluster: Rc::clone(&cluster),
         key_value,
         stop_asked,
     };
     let admin = serve_operators(operators, admin, settings.operator_key_blake3.clone());
-    let mut tasks = vec![
+    let tasks = vec![
         actix_rt::spawn(poll),
         actix_rt::spawn(drive),
         actix_rt::spawn(follow),
+        actix_rt::spawn(watch),
+        actix_rt::spawn(serve_gate(calls, claims)),
+        actix_rt::spawn(serve),
         actix_rt::spawn(Rc::clone(&control).run()),
         actix_rt::spawn(admin),
     ];
-    if let Some(listener) = peer_calls {
-        let (gate, calls) = ChannelGate::new();
-        shared.set_claims(Box::new(gate));
-        let claims = ClaimsDriver::new(
-            Arc::clone(&shared),
-            Rc::clone(&cluster),
-            ClaimStore::new(claims_key_value),
-            PeerClient::new(seal.clone()),
-        );
-        tasks.push(actix_rt::spawn(serve_gate(calls, Rc::clone(&claims))));
-        let serve = serve_peers(listener, seal, claims, Rc::clone(&control));
-        tasks.push(actix_rt::spawn(serve));
-    }
     ControlHalf {
         shared,
         link,
--- a/crates/node/src/peer_calls/server.rs
+++ b/crates/node/src/peer_calls/server.rs
@@ -10,6 +10,7 @@
 
 use super::message::{PeerRequest, PeerResponse, read_message, write_message};
 use crate::claims::ClaimsDriver;
+use crate::configuration::ConfigurationStore;
 use crate::control_driver::ControlDriver;
 
 /// Most calls served at once; more wait to be accepted.
@@ -26,6 +27,7 @@
     seal: PeerSeal,
     claims: Rc<ClaimsDriver>,
     control: Rc<ControlDriver>,
+    configuration: Rc<ConfigurationStore>,
 }
 
 /// Serves calls until dropped.
@@ -34,11 +36,13 @@
     seal: PeerSeal,
     claims: Rc<ClaimsDriver>,
     control: Rc<ControlDriver>,
+    configuration: Rc<ConfigurationStore>,
 ) {
     let server = Rc::new(PeerServer {
         seal,
         claims,
         control,
+        configuration,
     });
     let calls = Arc::new(Semaphore::new(MAX_CALLS));
     loop {
@@ -84,6 +88,9 @@
                 self.control.invite(&group);
                 PeerResponse::Done
             }
+            PeerRequest::Configuration(question) => {
+                PeerResponse::Configuration(self.configuration.answer(&question))
+            }
         }
     }
 }
