--- a/crates/node/src/configuration/tests.rs
+++ b/crates/node/src/configuration/tests.rs
@@ -68,6 +68,8 @@
 
 fn record(name: &str) -> ConfigurationRecord {
     ConfigurationRecord {
+        unix_ms: 0,
+        former: Vec::new(),
         writer: "w".to_owned(),
         author: "a".to_owned(),
         text: format!("format = 1\nname = \"{name}\"\n"),
