--- a/cmd/src/bin/dalestand-lab.rs
+++ b/cmd/src/bin/dalestand-lab.rs
@@ -6,6 +6,7 @@
 use dalestand_lab::{COMMANDS, LabError};
 
 fn main() -> ExitCode {
+    dalestand_cmd::report::show_messages_only();
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     run(&arguments).into()
 }
--- a/cmd/src/bin/dalestand-standin.rs
+++ b/cmd/src/bin/dalestand-standin.rs
@@ -20,6 +20,7 @@
 const DEFAULT_ROLE_CHANGE_MS: u64 = 2_000;
 
 fn main() -> ExitCode {
+    dalestand_cmd::report::show_messages_only();
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let exit = match arguments.split_first() {
         Some((kind, rest)) => run(kind, rest),
--- a/cmd/src/bin/dalestand.rs
+++ b/cmd/src/bin/dalestand.rs
@@ -15,6 +15,7 @@
 Each command has --help.";
 
 fn main() -> ExitCode {
+    dalestand_cmd::report::show_messages_only();
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let exit = match arguments.split_first() {
         Some((command, rest)) => run(command, rest),
--- a/cmd/src/lib.rs
+++ b/cmd/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod flags;
 pub mod node;
 pub mod operator;
+pub mod report;
