--- a/crates/node/src/apply.rs
+++ b/crates/node/src/apply.rs
@@ -40,13 +40,22 @@
     pub(crate) text: String,
 }
 
-/// Applies `draft` and yields its revision. With `expected` the file must follow that revision;
+/// A configuration that was accepted.
+#[derive(Clone, Debug)]
+pub(crate) struct Applied {
+    /// Its revision.
+    pub(crate) revision: Revision,
+    /// The record as it was written.
+    pub(crate) record: ConfigurationRecord,
+}
+
+/// Applies `draft` and yields it with its revision. With `expected` the file must follow that revision;
 /// without it, it follows whatever stands there now.
 pub(crate) async fn apply(
     key_value: &dyn KeyValue,
     expected: Option<Revision>,
     draft: Draft,
-) -> Result<Revision, Report<ApplyError>> {
+) -> Result<Applied, Report<ApplyError>> {
     Deployment::parse(&draft.text)
         .map_err(|faults| Report::new(ApplyError::Faulty(faults.to_string())))?;
     let current = key_value
@@ -67,10 +76,11 @@
     };
     let write = Write {
         value: serde_json::to_string(&record).change_context(ApplyError::Unavailable)?,
-        writer: record.writer,
+        writer: record.writer.clone(),
         follows: stands,
     };
-    write.carry_out(key_value).await
+    let revision = write.carry_out(key_value).await?;
+    Ok(Applied { revision, record })
 }
 
 /// The configurations before the one that is to replace `current`, newest first.
--- a/crates/node/src/peer_calls/message.rs
+++ b/crates/node/src/peer_calls/message.rs
@@ -3,14 +3,17 @@
 use dalestand_claims::{Claim, ClaimState, Reply};
 use dalestand_gateway::KeptAnswer;
 use dalestand_peer_seal::PeerSeal;
+use dalestand_routing::TenantDemand;
 use dalestand_types::{GroupId, NodeId, RequestId};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
-/// Largest message, in bytes.
-const MAX_MESSAGE_BYTES: u32 = 256 << 10;
+use crate::configuration::{Answer, Question};
+
+/// Largest message, in bytes: the parts of a configuration that are asked for at once.
+const MAX_MESSAGE_BYTES: u32 = 4 << 20;
 
 /// What one node asks of another.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -23,6 +26,13 @@
     KeptAnswer { request: RequestId },
     /// Take over a group whose lease was just given up.
     TakeOver { group: GroupId },
+    /// A question about the configuration.
+    Configuration(Question),
+    /// The demand of tenants at the reporting node; answered by their sums.
+    TenantDemands {
+        reporter: NodeId,
+        demands: Vec<TenantDemand>,
+    },
 }
 
 /// The reply.
@@ -32,6 +42,10 @@
     Claim(ClaimAnswer),
     /// To a wish for an answer.
     KeptAnswer(Option<KeptAnswer>),
+    /// To a question about the configuration.
+    Configuration(Answer),
+    /// To the demand of tenants.
+    TenantDemands(Vec<TenantDemand>),
     /// Done.
     Done,
 }
--- a/crates/node/src/peer_calls/server.rs
+++ b/crates/node/src/peer_calls/server.rs
@@ -10,7 +10,9 @@
 
 use super::message::{PeerRequest, PeerResponse, read_message, write_message};
 use crate::claims::ClaimsDriver;
+use crate::configuration::ConfigurationStore;
 use crate::control_driver::ControlDriver;
+use crate::tenant_shares::TenantShares;
 
 /// Most calls served at once; more wait to be accepted.
 const MAX_CALLS: usize = 1_024;
@@ -26,6 +28,8 @@
     seal: PeerSeal,
     claims: Rc<ClaimsDriver>,
     control: Rc<ControlDriver>,
+    configuration: Rc<ConfigurationStore>,
+    tenants: Rc<TenantShares>,
 }
 
 /// Serves calls until dropped.
@@ -34,11 +38,15 @@
     seal: PeerSeal,
     claims: Rc<ClaimsDriver>,
     control: Rc<ControlDriver>,
+    configuration: Rc<ConfigurationStore>,
+    tenants: Rc<TenantShares>,
 ) {
     let server = Rc::new(PeerServer {
         seal,
         claims,
         control,
+        configuration,
+        tenants,
     });
     let calls = Arc::new(Semaphore::new(MAX_CALLS));
     loop {
@@ -84,6 +92,12 @@
                 self.control.invite(&group);
                 PeerResponse::Done
             }
+            PeerRequest::TenantDemands { reporter, demands } => {
+                PeerResponse::TenantDemands(self.tenants.sum(&reporter, &demands))
+            }
+            PeerRequest::Configuration(question) => {
+                PeerResponse::Configuration(self.configuration.answer(&question))
+            }
         }
     }
 }
--- a/crates/node/tests/claims.rs
+++ b/crates/node/tests/claims.rs
@@ -81,7 +81,7 @@
             addresses,
             operators,
             peers,
-            peer_calls: Some(peer_calls),
+            peer_calls,
             key_value: Rc::new(HttpKeyValue::new(self.key_value)),
             filter: None,
             stop_asked: Rc::new(Notify::new()),
