--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 mod error;
 mod hollow;
 mod load;
+pub mod report;
 pub mod simulate;
 
 use error_stack::Report;
@@ -38,4 +39,9 @@
         summary: "run a scenario in virtual time under every policy",
         run: simulate::run,
     },
+    Command {
+        name: "report",
+        summary: "write a page with tables and plots of scenarios",
+        run: report::run,
+    },
 ];
--- a/crates/lab/tests/simulate.rs
+++ b/crates/lab/tests/simulate.rs
@@ -1,5 +1,6 @@
 //! The emulator: repeatable, nothing lost under faults, scenario files checked.
 
+use dalestand_lab::report;
 use dalestand_lab::simulate::{Comparison, PolicyResult, compare, parse};
 use rstest::rstest;
 
@@ -117,3 +118,20 @@
         }
     }
 }
+
+#[test]
+fn the_page_has_a_plot_with_a_line_for_each_policy() {
+    let page = report::page(&[run(SMALL, 5)]).expect("it can be drawn");
+    assert_eq!(page.matches("<svg").count(), 4);
+    assert_eq!(page.matches("goodput per second").count(), 1);
+    for name in [
+        "round-robin",
+        "least-loaded",
+        "static",
+        "threshold",
+        "dalestand",
+    ] {
+        // Once in the table and once in each plot's legend.
+        assert_eq!(page.matches(name).count(), 5, "{name}");
+    }
+}
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -8,6 +8,7 @@
 mod config;
 mod demand;
 mod engine_state;
+mod evaluation;
 mod outage;
 mod plan;
 mod planner;
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -9,38 +9,21 @@
 use crate::config::PlannerConfig;
 use crate::demand::{Demand, DemandEstimate};
 use crate::engine_state::EngineState;
+use crate::evaluation::Evaluation;
 use crate::outage::OutageEstimate;
 use crate::plan::{PlanInputs, PlanReason, RolePlan};
 use crate::speeds::SpeedEstimate;
 use crate::stay::{Lean, StayEstimate};
 
-/// Fewest engines that are split into prefill and decode: fewer could not change without a gap.
-const SMALLEST_SPLIT: usize = 3;
-
 /// Ratio between the present and the usual mix from which the mix counts as leaning.
 const LEAN_RATIO: f64 = 1.15;
 
-/// How far ahead a change is judged, in seconds.
-const HORIZON_S: f64 = 300.0;
-
-/// Largest weight of role changes that is told apart from one.
-const LARGEST_WEIGHT: f64 = 0.98;
-
-/// Price of a change at equal weights, as a multiple of the engine's time out of service.
-const CHANGE_PRICE: f64 = 1.0;
-
-/// Gain beyond its cost that a change must bring, in shares of the demand times seconds.
-const SMALLEST_GAIN_S: f64 = 0.3;
-
 /// Engines held by one step of the preference for engines with little to drain.
 const DRAIN_STEP: u32 = 16;
 
 /// Time given to each group that has a better engine to change, to change it.
 const TURN: Duration = Duration::from_secs(3);
 
-/// One in so many samples of the last minutes is looked at.
-const HISTORY_STEP: usize = 6;
-
 /// Plans the roles of one group.
 ///
 /// It may be given the digests of other groups of the same pool whose engines can share requests
@@ -61,13 +44,6 @@
     worth_since: Option<MonotonicTime>,
 }
 
-/// A change of composition with its worth, in shares of the demand times seconds.
-struct Proposal {
-    target: Composition,
-    gain: f64,
-    cost: f64,
-}
-
 /// An engine of this group that could change.
 struct Step {
     engine: EngineId,
@@ -76,22 +52,6 @@
     groups_before: u32,
 }
 
-/// Expected shares of requests served in time.
-struct Outlook {
-    /// By the demand that is coming.
-    coming: f64,
-    /// By the demand of the last minutes.
-    usual: f64,
-}
-
-/// What changes cost.
-struct Cost {
-    /// In shares of the demand times seconds.
-    total_s: f64,
-    /// Until the first of them is done, in seconds.
-    out_s: f64,
-}
-
 impl RolePlanner {
     /// A planner that has seen no report.
     pub fn new(group: GroupId, config: PlannerConfig) -> Self {
@@ -191,7 +151,14 @@
         if changing >= self.config.max_changes_at_once.max(1) {
             return PlanReason::ChangesUnderWay { engines: changing };
         }
-        let Some(proposal) = self.best_proposal(now, current) else {
+        let evaluation = Evaluation {
+            config: &self.config,
+            speeds: self.speeds.speeds(),
+            demand: &self.demand,
+            outage: &self.outage,
+        };
+        let stay = self.stay.expected(now);
+        let Some(proposal) = evaluation.best_proposal(current, stay) else {
             self.worth_since = None;
             return PlanReason::Keep;
         };
@@ -214,93 +181,6 @@
         }
     }
 
-    /// The composition whose gain exceeds its cost by most.
-    fn best_proposal(&self, now: MonotonicTime, current: Composition) -> Option<Proposal> {
-        let total = self.assigned.len();
-        let stay_s = self.stay.expected(now).as_secs_f64().min(HORIZON_S);
-        let before = self.outlook(&current);
-        let mut best: Option<Proposal> = None;
-        for target in self.compositions(total) {
-            if current.changes_to(&target) == 0 {
-                continue;
-            }
-            let after = self.outlook(&target);
-            let cost = self.cost(&current, &target, before.coming);
-            let gain = self.worth(&before, &after, stay_s, &cost);
-            let better = best
-                .as_ref()
-                .is_none_or(|known| gain - cost.total_s > known.gain - known.cost);
-            if gain > cost.total_s + SMALLEST_GAIN_S && better {
-                let cost = cost.total_s;
-                best = Some(Proposal { target, gain, cost });
-            }
-        }
-        best
-    }
-
-    /// What a change brings, in shares of the demand times seconds: its gain from when it is done
-    /// for as long as the present mix is expected to last, and after that its gain or loss by the
-    /// usual mix. A later loss is no larger than the cost of undoing the change, and a later gain
-    /// counts for less the more the deployment weighs changes.
-    fn worth(&self, before: &Outlook, after: &Outlook, stay_s: f64, cost: &Cost) -> f64 {
-        let present_s = (stay_s - cost.out_s).max(0.0);
-        let present = (after.coming - before.coming) * present_s;
-        let later = (after.usual - before.usual) * (HORIZON_S - stay_s);
-        let credit = (1.0 - self.config.change_weight).max(0.0) * cost.total_s;
-        present + later.clamp(-cost.total_s, credit)
-    }
-
-    fn compositions(&self, total: usize) -> Vec<Composition> {
-        let mixed_allowed = self.config.allowed_roles.contains(&Role::Mixed);
-        if total < SMALLEST_SPLIT && mixed_allowed {
-            return Composition::all(total, &[Role::Mixed]);
-        }
-        Composition::all(total, &self.config.allowed_roles)
-    }
-
-    /// Shares of requests in time, by the demand that is coming and by that of the last minutes.
-    fn outlook(&self, composition: &Composition) -> Outlook {
-        let speeds = self.speeds.speeds();
-        let share = |demand: &Demand| composition.served_share(&Workload::of(demand, &speeds));
-        let coming = share(&self.demand.forecast(self.config.change_duration));
-        let samples = self.demand.history().step_by(HISTORY_STEP);
-        let (sum, count) = samples.fold((0.0, 0), |(sum, count), demand| {
-            (sum + share(demand), count + 1)
-        });
-        let usual = if count == 0 {
-            coming
-        } else {
-            sum / f64::from(count)
-        };
-        Outlook { coming, usual }
-    }
-
-    /// What the changes cost: requests that the engines miss while out of service, and the price
-    /// that the deployment's weight puts on each change.
-    fn cost(&self, current: &Composition, target: &Composition, before: f64) -> Cost {
-        let speeds = self.speeds.speeds();
-        let workload = Workload::of(&self.demand.forecast(Duration::ZERO), &speeds);
-        let weight = self.config.change_weight.clamp(0.0, LARGEST_WEIGHT);
-        let engines = self.assigned.len().max(1) as f64;
-        let mut cost = Cost {
-            total_s: 0.0,
-            out_s: 0.0,
-        };
-        for role in Role::ALL {
-            let leaving = current.count(role).saturating_sub(target.count(role));
-            if leaving == 0 {
-                continue;
-            }
-            let out_s = self.outage.expected(role).as_secs_f64();
-            let while_out = current.without(role).served_share(&workload);
-            let missed = (before - while_out).max(0.0) * out_s;
-            let price = CHANGE_PRICE * out_s / engines * weight / (1.0 - weight);
-            cost.total_s += leaving as f64 * (missed + price);
-            cost.out_s = cost.out_s.max(out_s);
-        }
-        cost
-    }
-
     /// The engine of this group to change first.
     fn first_step(&self, current: &Composition, target: &Composition) -> Result<Step, PlanReason> {
         let surplus = |role: Role| current.count(role) > target.count(role);
--- a/crates/planner/src/speeds.rs
+++ b/crates/planner/src/speeds.rs
@@ -12,7 +12,10 @@
 const PRIOR_VARIANCE: f64 = 0.25;
 
 /// Parameters never fall below this share of the prior, nor rise above its inverse.
-const LEARNING_RANGE: f64 = 0.1;
+const LEARNING_RANGE: f64 = 0.02;
+
+/// Work beyond the time there was, from which speeds are corrected.
+const TIME_TOLERANCE: f64 = 1.1;
 
 /// Share of its time that an engine must spend on prompts to teach the loss of doing both.
 const SMALLEST_PROMPT_SHARE: f64 = 0.1;
@@ -114,6 +117,7 @@
         if sample.elapsed_s <= 0.0 || sample.prefill_tokens + sample.decode_tokens <= 0.0 {
             return;
         }
+        self.bound_by_time(sample);
         match sample.role {
             Role::Mixed => self.observe_mixed(sample),
             Role::Prefill if !sample.queued => {}
@@ -121,6 +125,22 @@
         }
     }
 
+    /// No engine does more work than it had time for: speeds that say so are too slow.
+    fn bound_by_time(&mut self, sample: &SpeedSample) {
+        let speeds = self.speeds();
+        let steps = sample.decode_tokens / sample.running.max(1.0);
+        let work_s = sample.prefill_tokens * speeds.prefill_token_s
+            + steps * speeds.decode_step_s
+            + sample.decode_tokens * speeds.decode_token_s;
+        if work_s <= sample.elapsed_s * TIME_TOLERANCE {
+            return;
+        }
+        let factor = (sample.elapsed_s / work_s).sqrt();
+        for scale in &mut self.scale {
+            *scale = (*scale * factor).max(LEARNING_RANGE);
+        }
+    }
+
     fn observe_pure(&mut self, sample: &SpeedSample) {
         let steps = sample.decode_tokens / sample.running.max(1.0);
         let inputs = [
--- a/crates/routing/src/estimate.rs
+++ b/crates/routing/src/estimate.rs
@@ -136,7 +136,9 @@
         let speeds = self.learned.role(&engine.pool, role);
         let tokens_per_s = engine.prefill_tokens_per_s + own_tokens as f64 / OWN_WORK_TIME_S;
         let share = tokens_per_s * speeds.first_token.slope(SLOPE_SPAN_TOKENS);
-        share.min(LARGEST_PROMPT_SHARE)
+        // A prior that is too slow would make every busy engine look overloaded.
+        let confidence = speeds.first_token.confidence();
+        share.min(LARGEST_PROMPT_SHARE) * confidence
     }
 
     /// Requests whose output the engine generates.
--- a/crates/routing/src/learning.rs
+++ b/crates/routing/src/learning.rs
@@ -96,6 +96,11 @@
         (mean_y + slope * (x - mean_x)).max(0.0)
     }
 
+    /// How far it has left its prior behind, from 0 to 1.
+    pub(crate) fn confidence(&self) -> f64 {
+        (1.0 - PRIOR_WEIGHT / self.weight).max(0.0)
+    }
+
     /// How much the value rises for each unit of `x`, as seen over `span` from zero.
     pub(crate) fn slope(&self, span: f64) -> f64 {
         (self.at(span) - self.at(0.0)) / span
