--- a/crates/http-server/src/lib.rs
+++ b/crates/http-server/src/lib.rs
@@ -5,12 +5,14 @@
 
 mod answer;
 mod body;
+mod connections;
 mod error;
 mod server;
 
 pub use answer::{Answer, json_answer, status_answer, stream_answer, text_answer};
 pub use body::{read_body, read_json};
+pub use connections::Connections;
 pub use error::HttpServerError;
-pub use server::{Connections, ServerLimits, serve};
+pub use server::{ServerLimits, serve};
 
-pub use actix_http::{Method, Request, StatusCode};
+pub use actix_http::{ConnectionType, HttpMessage, Method, Request, StatusCode};
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -26,8 +26,8 @@
     ApplyRequest, ApplyResponse, ConfigurationResponse, DrainRequest, EngineControlRow,
     EngineExplanation, EngineRow, MemberRow, RequestExplanation, StatusResponse,
 };
-use crate::apply;
-use crate::configuration::{CONFIGURATION_KEY, ConfigurationRecord};
+use crate::apply::{self, Draft};
+use crate::configuration::{CONFIGURATION_KEY, ConfigurationRecord, ConfigurationStore};
 use crate::control_driver::ControlDriver;
 use crate::drains::{DrainMark, Drains};
 use crate::error::{ApplyError, DrainError};
@@ -42,6 +42,8 @@
     pub(crate) control: Rc<ControlDriver>,
     /// Drain marks.
     pub(crate) drains: Rc<Drains>,
+    /// The configuration this node holds.
+    pub(crate) configuration: Rc<ConfigurationStore>,
     /// The cluster.
     pub(crate) cluster: Rc<RefCell<Cluster>>,
     /// The key-value service.
@@ -277,16 +279,20 @@
 
     async fn apply(&self, body: ApplyRequest) -> Answer {
         let writer = format!("{:032x}", rand::rng().random::<u128>());
-        let record = ConfigurationRecord {
+        let draft = Draft {
             writer,
             author: body.author,
+            unix_ms: self.shared.clock.unix_ms(),
             text: body.text,
         };
-        match apply::apply(&*self.key_value, body.expected, &record).await {
+        match apply::apply(&*self.key_value, body.expected, draft).await {
             Ok(applied) => {
-                let revision = Some(applied.revision);
+                let revision = applied.revision;
+                // This node has the content: it is in force here at once, and spreads even if the
+                // key-value service goes down now.
+                self.configuration.take(revision, applied.record);
                 let body = ApplyResponse {
-                    revision,
+                    revision: Some(revision),
                     error: None,
                     in_doubt: false,
                 };
--- a/crates/node/src/control_half.rs
+++ b/crates/node/src/control_half.rs
@@ -13,17 +13,20 @@
 use dalestand_platform::KeyValue;
 use dalestand_types::Incarnation;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinHandle;
 
 use crate::admin::{Admin, serve_operators};
+use crate::claims::{ChannelGate, ClaimStore, ClaimsDriver, serve_gate};
 use crate::cluster_driver::{self, LinkFilter, PeerLink};
-use crate::configuration;
+use crate::configuration::{self, ConfigurationStore};
 use crate::control_driver::ControlDriver;
 use crate::drains::Drains;
 use crate::lease_service::LeaseService;
 use crate::machines::{Machines, poll_machines};
 use crate::node::NodeAddresses;
+use crate::peer_calls::{PeerClient, serve_peers};
+use crate::tenant_shares::TenantShares;
 
 /// What a control half is made of.
 pub struct ControlParts {
@@ -37,6 +40,8 @@
     pub operators: TcpListener,
     /// Socket for other nodes.
     pub peers: UdpSocket,
+    /// Socket for calls of other nodes, on the same port number.
+    pub peer_calls: TcpListener,
     /// The key-value service.
     pub key_value: Rc<dyn KeyValue>,
     /// Losses and cuts put in by an experiment.
@@ -81,6 +86,7 @@
         addresses,
         operators,
         peers,
+        peer_calls,
         key_value,
         filter,
         stop_asked,
@@ -95,10 +101,11 @@
     };
     let cluster = Cluster::new(me, settings.seeds.clone(), ClusterConfig::default());
     let cluster = Rc::new(RefCell::new(cluster));
+    let seal = PeerSeal::new(settings.peer_key.as_deref());
     let link = Rc::new(PeerLink {
         socket: peers,
         address: addresses.peers,
-        seal: PeerSeal::new(settings.peer_key.as_deref()),
+        seal: seal.clone(),
         filter,
     });
     let drains = Rc::new(Drains::new(
@@ -114,6 +121,7 @@
     let control = ControlDriver::new(
         Arc::clone(&shared),
         leases,
+        PeerClient::new(seal.clone()),
         Rc::clone(&cluster),
         Rc::clone(&machines),
         Rc::clone(&drains),
@@ -126,19 +134,55 @@
         Rc::clone(&machines),
         Rc::clone(&cluster),
     );
+    let (offers, received_offers) = mpsc::unbounded_channel();
     let drive = cluster_driver::drive(
         Arc::clone(&shared),
         Rc::clone(&link),
         Rc::clone(&cluster),
         machines,
+        offers,
+    );
+    let store = ConfigurationStore::new(Arc::clone(&shared), Rc::clone(&cluster));
+    let store = Rc::new(store);
+    let follow = configuration::follow(
+        Arc::clone(&shared),
+        Rc::clone(&link),
+        PeerClient::new(seal.clone()),
+        Rc::clone(&store),
+        received_offers,
+    );
+    let watch = configuration::watch(
+        Arc::clone(&shared),
+        Rc::clone(&key_value),
+        Rc::clone(&cluster),
+        Rc::clone(&store),
+    );
+    let (gate, calls) = ChannelGate::new();
+    shared.set_claims(Box::new(gate));
+    let claims = ClaimsDriver::new(
+        Arc::clone(&shared),
+        Rc::clone(&cluster),
+        ClaimStore::new(Rc::clone(&key_value)),
+        PeerClient::new(seal.clone()),
+    );
+    let tenants = TenantShares::new(
+        Arc::clone(&shared),
+        Rc::clone(&cluster),
+        PeerClient::new(seal.clone()),
+    );
+    let serve = serve_peers(
+        peer_calls,
+        seal,
+        Rc::clone(&claims),
+        Rc::clone(&control),
+        Rc::clone(&store),
+        Rc::clone(&tenants),
     );
-    let follower = Arc::clone(&shared);
-    let followed = Rc::clone(&key_value);
-    let follow = async move { configuration::follow(follower, &*followed).await };
     let admin = Admin {
         shared: Arc::clone(&shared),
         control: Rc::clone(&control),
         drains,
+        configuration: store,
         cluster: Rc::clone(&cluster),
         key_value,
         stop_asked,
@@ -148,6 +192,10 @@
         actix_rt::spawn(poll),
         actix_rt::spawn(drive),
         actix_rt::spawn(follow),
+        actix_rt::spawn(watch),
+        actix_rt::spawn(serve_gate(calls, claims)),
+        actix_rt::spawn(serve),
+        actix_rt::spawn(tenants.run()),
         actix_rt::spawn(Rc::clone(&control).run()),
         actix_rt::spawn(admin),
     ];
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,8 @@
 
 mod admin;
 mod apply;
+mod callers;
+mod claims;
 mod cluster_driver;
 mod compact_number;
 mod configuration;
@@ -19,7 +21,10 @@
 mod lease_service;
 mod machines;
 mod node;
+mod peer_calls;
+mod peer_sockets;
 mod role_planning;
+mod tenant_shares;
 mod token_rates;
 
 pub use admin::{
@@ -30,3 +35,4 @@
 pub use control_half::{ControlHalf, ControlParts, start_control};
 pub use error::NodeError;
 pub use node::{Listeners, NodeAddresses, run};
+pub use peer_sockets::open_peer_sockets;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,10 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_rt::Arbiter;
 use dalestand_config::NodeSettings;
-use dalestand_gateway::{Shared, serve_callers};
-use dalestand_http_server::Connections;
+use dalestand_gateway::Shared;
 use dalestand_platform::{HttpKeyValue, KeyValue};
 use dalestand_telemetry::{Event, Metrics, log_event};
 use error_stack::{Report, ResultExt as _};
@@ -17,8 +15,10 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
 
+use crate::callers::CallerHalf;
 use crate::control_half::{ControlParts, start_control};
 use crate::error::NodeError;
+use crate::peer_sockets::open_peer_sockets;
 
 /// How often a stopping node looks whether its requests are over.
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -39,6 +39,7 @@
     callers: std::net::TcpListener,
     operators: TcpListener,
     peers: UdpSocket,
+    peer_calls: TcpListener,
     addresses: NodeAddresses,
 }
 
@@ -48,9 +49,10 @@
         let callers = listen(settings.caller_listen).await?;
         let operators = listen(settings.operator_listen).await?;
         let context = || NodeError::Listen(settings.peer_listen.to_string());
-        let peers = UdpSocket::bind(settings.peer_listen)
-            .await
-            .change_context_lazy(context)?;
+        let (peers, peer_calls) =
+            open_peer_sockets(settings.peer_listen).change_context_lazy(context)?;
+        let peers = UdpSocket::from_std(peers).change_context_lazy(context)?;
+        let peer_calls = TcpListener::from_std(peer_calls).change_context_lazy(context)?;
         let addresses = NodeAddresses {
             callers: callers.local_addr().change_context_lazy(context)?,
             operators: operators.local_addr().change_context_lazy(context)?,
@@ -61,6 +63,7 @@
             callers,
             operators,
             peers,
+            peer_calls,
             addresses,
         })
     }
@@ -97,7 +100,7 @@
     let mut terminate = signal(SignalKind::terminate()).change_context(NodeError::Signals)?;
     let mut interrupt = signal(SignalKind::interrupt()).change_context(NodeError::Signals)?;
 
-    let callers = start_callers(Arc::clone(&shared), listeners.callers);
+    let callers = CallerHalf::start(&shared, &listeners.callers)?;
     let stop_asked = Rc::new(Notify::new());
     let node = settings.node.clone();
     let key_value: Rc<dyn KeyValue> = Rc::new(HttpKeyValue::new(settings.key_value));
@@ -107,6 +110,7 @@
         addresses,
         operators: listeners.operators,
         peers: listeners.peers,
+        peer_calls: listeners.peer_calls,
         key_value,
         filter: None,
         stop_asked: Rc::clone(&stop_asked),
@@ -128,27 +132,13 @@
     while shared.in_flight() > 0 {
         actix_rt::time::sleep(STOP_POLL).await;
     }
+    callers.drain(&shared).await;
     control.leave().await;
     callers.stop();
     log_event!(shared.logger, Event::StopDone, "node" => %node);
     Ok(())
 }
 
-fn start_callers(shared: Arc<Shared>, listener: std::net::TcpListener) -> Arbiter {
-    let arbiter = Arbiter::new();
-    arbiter.spawn_fn(move || {
-        actix_rt::spawn(async move {
-            match TcpListener::from_std(listener) {
-                Ok(listener) => serve_callers(listener, shared, Connections::default()).await,
-                Err(error) => {
-                    log_event!(shared.logger, Event::ListenFailed, "error" => %error);
-                }
-            }
-        });
-    });
-    arbiter
-}
-
 /// Logs readiness once a configuration is in force.
 fn log_readiness(shared: Arc<Shared>) {
     actix_rt::spawn(async move {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -42,12 +42,16 @@
     StopBegun = (1003, Info, "planned stop begun");
     /// The planned stop is over.
     StopDone = (1004, Info, "planned stop done");
+    /// Callers did not take the last bytes of their answers in time.
+    StopCutConnections = (1006, Warning, "planned stop left connections behind");
     /// A listener failed.
     ListenFailed = (1005, Error, "listener failed");
     /// A configuration came into force.
     ConfigurationInForce = (1101, Info, "configuration in force");
     /// A configuration in the key-value service could not be used.
     ConfigurationUnusable = (1102, Error, "configuration unusable");
+    /// A configuration could not be fetched from a peer that offered it.
+    ConfigurationNotFetched = (1103, Warning, "configuration not fetched");
     /// The key-value service failed.
     KeyValueFailed = (1201, Warning, "key-value service failed");
     /// The machine list failed.
