planner: an engine that refuses work for long is not taken to be changing

Cause: every engine that took no new work counted as changing its role, so one drained by an operator, or leaving, held back all changes of its group for as long as it was there. Change: it counts for three minutes, longer than any change.

--- a/crates/planner/src/engine_state.rs
+++ b/crates/planner/src/engine_state.rs
@@ -16,6 +16,9 @@
 /// Queued prompt tokens from which an engine is taken never to run short of prompts.
 const SATURATING_QUEUE_TOKENS: u64 = 2_000;
 
+/// Longest time that an engine is taken to drain for a change.
+const LONGEST_CHANGE: Duration = Duration::from_secs(180);
+
 /// Weight of a new measurement in an engine's rates.
 const NEW_RATE_WEIGHT: f64 = 0.5;
 
@@ -26,6 +29,8 @@
     load: EngineLoad,
     reported_at: MonotonicTime,
     accepting: bool,
+    /// Since when it has taken no new work.
+    refusing_since: Option<MonotonicTime>,
     demand: Demand,
 }
 
@@ -37,6 +42,7 @@
             load: digest.load.clone(),
             reported_at: reported_at(now, digest),
             accepting: digest.accepting,
+            refusing_since: (!digest.accepting).then_some(now),
             demand: Demand::default(),
         }
     }
@@ -48,6 +54,11 @@
         digest: &EngineDigest,
     ) -> Option<SpeedSample> {
         self.accepting = digest.accepting;
+        self.refusing_since = match self.refusing_since {
+            _ if digest.accepting => None,
+            None => Some(now),
+            since => since,
+        };
         let load = &digest.load;
         if load.incarnation != self.load.incarnation {
             *self = Self::new(now, &self.group.clone(), digest);
@@ -123,6 +134,13 @@
         self.accepting
     }
 
+    /// Whether it takes no new work and may be about to change its role: a change ends within
+    /// minutes, and an engine that refuses for longer is leaving or was drained by an operator.
+    pub(crate) fn may_be_draining(&self, now: MonotonicTime) -> bool {
+        self.refusing_since
+            .is_some_and(|since| now.since(since) < LONGEST_CHANGE)
+    }
+
     /// Requests it holds.
     pub(crate) fn held(&self) -> u32 {
         self.load.running + self.load.waiting
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -147,7 +147,7 @@
         if self.assigned.is_empty() {
             return PlanReason::NoReports;
         }
-        let changing = self.changing();
+        let changing = self.changing(now);
         if changing >= self.config.max_changes_at_once.max(1) {
             return PlanReason::ChangesUnderWay { engines: changing };
         }
@@ -255,12 +255,13 @@
     }
 
     /// Engines that do not serve in the role they were given.
-    fn changing(&self) -> usize {
+    fn changing(&self, now: MonotonicTime) -> usize {
         self.assigned
             .iter()
             .filter(|(engine, role)| {
-                let known = self.engines.get(*engine);
-                known.is_none_or(|state| state.role() != Some(**role) || !state.accepting())
+                self.engines
+                    .get(*engine)
+                    .is_none_or(|state| state.role() != Some(**role) || state.may_be_draining(now))
             })
             .count()
     }
--- a/crates/planner/tests/properties.rs
+++ b/crates/planner/tests/properties.rs
@@ -16,6 +16,8 @@
     engines: Vec<EngineLoad>,
     out_seconds: Vec<u32>,
     change_seconds: u32,
+    /// Place of an engine that takes no new work.
+    drained: Option<usize>,
     planner: RolePlanner,
     now_ms: u64,
 }
@@ -29,6 +31,7 @@
             engines,
             out_seconds: vec![0; size],
             change_seconds: 0,
+            drained: None,
             planner,
             now_ms: 0,
         }
@@ -68,10 +71,11 @@
     }
 
     fn digest(&self) -> GroupDigest {
-        let engines = self.engines.iter().map(|load| EngineDigest {
+        let engines = self.engines.iter().enumerate();
+        let engines = engines.map(|(place, load)| EngineDigest {
             load: load.clone(),
             age_ms: 0,
-            accepting: true,
+            accepting: self.drained != Some(place),
         });
         GroupDigest {
             group: GroupId::from(GROUP),
@@ -248,6 +252,13 @@
     }
 }
 
+#[test]
+fn an_engine_drained_by_an_operator_does_not_hold_back_changes_for_ever() {
+    let mut group = Group::new(9, config(0.0));
+    group.drained = Some(8);
+    assert!(changes_over(&mut group, 600, 190_000, 2_000) > 0);
+}
+
 #[test]
 fn an_engine_that_crashed_in_mid_change_is_planned_from_the_role_it_came_back_in() {
     let mut group = Group::new(9, config(0.0));
