--- a/crates/lab/src/hollow/phases.rs
+++ b/crates/lab/src/hollow/phases.rs
@@ -51,7 +51,7 @@
     measure_window(&options, &platform, &fleet, &mut report).await?;
     let memory = resident_bytes().map_err(|error| failed(&error))?;
     report.memory_bytes = memory.saturating_sub(memory_before) as f64 / options.nodes as f64;
-    report.apply_in_force = measure_applies(&options, &fleet).await?;
+    measure_applies(&options, &fleet, &mut report).await?;
     report.false_alarms = lost_members(&fleet);
     report.death_noticed = measure_deaths(&options, &mut fleet).await?;
     if options.cut_zone {
@@ -102,19 +102,29 @@
     Ok(())
 }
 
-/// Applies configurations one after the other, each through another node.
+/// Applies configurations one after the other, each through another node. What a node spends
+/// beyond its share in the window is the cost of the applies.
 async fn measure_applies(
     options: &Options,
     fleet: &Fleet,
-) -> Result<Option<Times>, Report<LabError>> {
+    report: &mut HollowReport,
+) -> Result<(), Report<LabError>> {
     let mut samples = Vec::new();
+    let cpu = fleet.cpu_time().await?;
+    let start = Instant::now();
     for edition in 1..=options.applies {
         let number = edition * 31 % options.nodes;
         let text = deployment::text(options, edition);
         let revision = fleet.apply(number, text).await?;
         samples.extend(times_in_force(fleet, revision).await?);
     }
-    Ok(Times::of(samples))
+    let cpu = (fleet.cpu_time().await? - cpu) as f64 / 1e9 / options.nodes as f64;
+    let usual = report.cpu_share_of_core * start.elapsed().as_secs_f64();
+    if options.applies > 0 {
+        report.cpu_seconds_per_apply = Some((cpu - usual) / options.applies as f64);
+    }
+    report.apply_in_force = Times::of(samples);
+    Ok(())
 }
 
 async fn times_in_force(
--- a/crates/lab/src/hollow/report.rs
+++ b/crates/lab/src/hollow/report.rs
@@ -42,6 +42,8 @@
     pub(super) false_alarms: u64,
     /// From the accepted apply to the configuration in force, over all nodes.
     pub(super) apply_in_force: Option<Times>,
+    /// Processor time a node spent on one apply, beyond its share in the window.
+    pub(super) cpu_seconds_per_apply: Option<f64>,
     /// From a node's death until it was known, over all live nodes.
     pub(super) death_noticed: Option<Times>,
     /// After a zone's cut healed, until all nodes knew each other and the configuration that was
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -39,6 +39,7 @@
 pub(crate) struct Digests {
     by_group: HashMap<GroupId, ReceivedDigest>,
     built: HashMap<GroupId, Vec<EngineView>>,
+    groups: Vec<GroupId>,
     unplanned: BTreeSet<GroupId>,
     basis: Option<Basis>,
     changed: bool,
@@ -153,6 +154,7 @@
         if self.basis != Some(basis) {
             self.basis = Some(basis);
             self.built.clear();
+            self.groups = deployment.groups.iter().map(Group::id).collect();
             self.changed = true;
         }
         if !self.changed || now.since(self.built_at) < MIN_REBUILD_INTERVAL {
@@ -161,13 +163,12 @@
         self.changed = false;
         self.built_at = now;
         let mut engines = Vec::new();
-        for group in &deployment.groups {
-            let id = group.id();
-            if !self.built.contains_key(&id) {
-                let built = self.group_view(&id, deployment, group, machines);
+        for (id, group) in self.groups.iter().zip(&deployment.groups) {
+            if !self.built.contains_key(id) {
+                let built = self.group_view(id, deployment, group, machines);
                 self.built.insert(id.clone(), built);
             }
-            engines.extend_from_slice(&self.built[&id]);
+            engines.extend_from_slice(&self.built[id]);
         }
         Some(FleetView { revision, engines })
     }
