--- a/cmd/tests/support/callers.rs
+++ b/cmd/tests/support/callers.rs
@@ -106,7 +106,7 @@
         self.recorder
             .record(Event::RequestSent { request, expected });
         let body = serde_json::json!({"model": "m", "prompt": prompt, "max_tokens": TOKENS});
-        let end = match call(node, "/v1/completions", &body).await {
+        let end = match call(node, "/v1/completions", None, &body).await {
             None => RequestEnd::NotRun,
             Some(answer) => self.end(request, &answer),
         };
--- a/cmd/tests/support/fleet.rs
+++ b/cmd/tests/support/fleet.rs
@@ -5,8 +5,10 @@
 
 use dalestand_history::{Event, History, Recorder};
 use dalestand_node::StatusResponse;
-use dalestand_platform::wire::key_value::{GET, GetRequest, GetResponse, WATCH, WatchRequest};
-use dalestand_platform::{Entry, WatchBatch};
+use dalestand_platform::wire::key_value::{
+    GET, GetRequest, GetResponse, RANGE, RangeRequest, WATCH, WatchRequest,
+};
+use dalestand_platform::{Entry, Listing, WatchBatch};
 use dalestand_standin::engine::EngineFaults;
 use dalestand_standin::key_value::KeyValueFaults;
 use dalestand_types::{
@@ -184,6 +186,25 @@
         .await;
     }
 
+    /// Waits until a node routes to every engine with a model on it.
+    pub async fn wait_for_models(&self, node: &str) {
+        eventually("the node knows every engine's model", || async {
+            let status: StatusResponse = get(self.nodes[node].operators, "/status").await;
+            let rows = status.engines.iter();
+            let serving = rows.filter(|row| row.accepting && !row.models.is_empty());
+            (status.ready && serving.count() == self.engines.len()).then_some(())
+        })
+        .await;
+    }
+
+    /// How many claim records stand in the key-value service.
+    pub async fn claim_records(&self) -> usize {
+        let prefix = "claims/".to_owned();
+        let (_, body) = post(self.kv, RANGE, &RangeRequest { prefix }).await;
+        let listing: Listing = serde_json::from_str(&body).expect("a listing");
+        listing.entries.len()
+    }
+
     /// Waits until a node has a request in flight.
     pub async fn wait_for_request_in_flight(&self, node: &str) {
         eventually("a request is in flight", || async {
--- a/cmd/tests/support/mod.rs
+++ b/cmd/tests/support/mod.rs
@@ -216,20 +216,31 @@
     pub run_state: Option<String>,
     /// The node's id of the request.
     pub request: Option<String>,
+    /// When to come back, in seconds.
+    pub retry_after: Option<String>,
     pub body: String,
 }
 
 /// Posts JSON as a caller; `None` if no connection could be made, so that nothing was sent.
-pub async fn call<B: Serialize>(address: SocketAddr, path: &str, body: &B) -> Option<Answer> {
+pub async fn call<B: Serialize>(
+    address: SocketAddr,
+    path: &str,
+    key: Option<&str>,
+    body: &B,
+) -> Option<Answer> {
     let client = awc::Client::builder().timeout(CONDITION_LIMIT).finish();
-    let url = format!("http://{address}{path}");
+    let mut request = client.post(format!("http://{address}{path}"));
+    if let Some(key) = key {
+        request = request.insert_header(("idempotency-key", key));
+    }
     let broken = Answer {
         status: None,
         run_state: None,
         request: None,
+        retry_after: None,
         body: String::new(),
     };
-    let mut response = match client.post(url).send_json(body).await {
+    let mut response = match request.send_json(body).await {
         Ok(response) => response,
         // The library also says `Disconnected` when a connection ends after the request was sent.
         Err(SendRequestError::Connect(error)) if !matches!(error, ConnectError::Disconnected) => {
@@ -242,12 +253,14 @@
         Some(value.to_str().ok()?.to_owned())
     };
     let (run_state, request) = (header("x-dalestand-run-state"), header("x-request-id"));
+    let retry_after = header("retry-after");
     let status = Some(response.status().as_u16());
     match response.body().limit(64 << 20).await {
         Ok(body) => Some(Answer {
             status,
             run_state,
             request,
+            retry_after,
             body: String::from_utf8_lossy(&body).into_owned(),
         }),
         Err(_) => Some(broken),
