--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admin;
 mod apply;
+mod callers;
 mod claims;
 mod cluster_driver;
 mod compact_number;
@@ -23,6 +24,7 @@
 mod peer_calls;
 mod peer_sockets;
 mod role_planning;
+mod tenant_shares;
 mod token_rates;
 
 pub use admin::{
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,10 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_rt::Arbiter;
 use dalestand_config::NodeSettings;
-use dalestand_gateway::{CallerLimits, Shared, serve_callers};
-use dalestand_http_server::Connections;
+use dalestand_gateway::Shared;
 use dalestand_platform::{HttpKeyValue, KeyValue};
 use dalestand_telemetry::{Event, Metrics, log_event};
 use error_stack::{Report, ResultExt as _};
@@ -17,6 +15,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
 
+use crate::callers::CallerHalf;
 use crate::control_half::{ControlParts, start_control};
 use crate::error::NodeError;
 use crate::peer_sockets::open_peer_sockets;
@@ -24,12 +23,6 @@
 /// How often a stopping node looks whether its requests are over.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
-/// Processors of the machine for each arbiter that serves callers.
-const PROCESSORS_PER_CALLER_ARBITER: usize = 3;
-
-/// Most arbiters that serve callers.
-const MAX_CALLER_ARBITERS: usize = 8;
-
 /// Addresses a node listens on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NodeAddresses {
@@ -107,8 +100,7 @@
     let mut terminate = signal(SignalKind::terminate()).change_context(NodeError::Signals)?;
     let mut interrupt = signal(SignalKind::interrupt()).change_context(NodeError::Signals)?;
 
-    let connections = Connections::default();
-    let callers = start_callers(&shared, &listeners.callers, &connections)?;
+    let callers = CallerHalf::start(&shared, &listeners.callers)?;
     let stop_asked = Rc::new(Notify::new());
     let node = settings.node.clone();
     let key_value: Rc<dyn KeyValue> = Rc::new(HttpKeyValue::new(settings.key_value));
@@ -140,59 +132,13 @@
     while shared.in_flight() > 0 {
         actix_rt::time::sleep(STOP_POLL).await;
     }
+    callers.drain(&shared).await;
     control.leave().await;
-    for arbiter in callers {
-        arbiter.stop();
-    }
+    callers.stop();
     log_event!(shared.logger, Event::StopDone, "node" => %node);
     Ok(())
 }
 
-/// Serves callers on several arbiters, which accept from one socket: the tokens of one step of an
-/// engine come in together, and one arbiter alone would delay those it relays last.
-fn start_callers(
-    shared: &Arc<Shared>,
-    listener: &std::net::TcpListener,
-    connections: &Connections,
-) -> Result<Vec<Arbiter>, Report<NodeError>> {
-    let processors = std::thread::available_parallelism().map_or(1, usize::from);
-    let count = (processors / PROCESSORS_PER_CALLER_ARBITER).clamp(1, MAX_CALLER_ARBITERS);
-    (0..count)
-        .map(|_| {
-            let listener = listener
-                .try_clone()
-                .change_context_lazy(|| NodeError::Listen("callers".to_owned()))?;
-            Ok(start_caller_arbiter(
-                Arc::clone(shared),
-                listener,
-                connections.clone(),
-            ))
-        })
-        .collect()
-}
-
-fn start_caller_arbiter(
-    shared: Arc<Shared>,
-    listener: std::net::TcpListener,
-    connections: Connections,
-) -> Arbiter {
-    let arbiter = Arbiter::new();
-    arbiter.spawn_fn(move || {
-        actix_rt::spawn(async move {
-            match TcpListener::from_std(listener) {
-                Ok(listener) => {
-                    let limits = CallerLimits::default();
-                    serve_callers(listener, shared, limits, connections).await;
-                }
-                Err(error) => {
-                    log_event!(shared.logger, Event::ListenFailed, "error" => %error);
-                }
-            }
-        });
-    });
-    arbiter
-}
-
 /// Logs readiness once a configuration is in force.
 fn log_readiness(shared: Arc<Shared>) {
     actix_rt::spawn(async move {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -42,6 +42,8 @@
     StopBegun = (1003, Info, "planned stop begun");
     /// The planned stop is over.
     StopDone = (1004, Info, "planned stop done");
+    /// Callers did not take the last bytes of their answers in time.
+    StopCutConnections = (1006, Warning, "planned stop left connections behind");
     /// A listener failed.
     ListenFailed = (1005, Error, "listener failed");
     /// A configuration came into force.
