The stand-in engine: prefix cache, its events, lagging reports; smaller modules

Ruled out: caching by whole prompt (a shared prefix would not count). Change: a bounded prefix cache by blocks of 16 tokens, least recently used first out; the cached part of a prompt is not run again and counts in usage.cached_tokens; GET /v1/cache-events?after=N with Engine::cache_events; faults load_lag_ms, cache_event_lag_ms, lose_cache_events. Server split into server, state, generation and cache_routes. Test changed: role_planning. Its callers sent one prompt again and again and wanted prefill demand from it; with the cache those prompts cost nothing, the plan rightly saw no demand, and it failed ("an engine's role is changed by a plan" never came true in 60 s). Each prompt now is its own from the first words on; every assertion stands. Conclusion: done for the stand-in; the node does not read cache events yet.

--- a/cmd/tests/role_planning.rs
+++ b/cmd/tests/role_planning.rs
@@ -29,11 +29,16 @@
 /// Sends one request after the other until told to stop; yields how many were answered. Answers
 /// must be whole; refusals are told as not run.
 async fn keep_calling(callers: SocketAddr, caller: usize, stop: Rc<Cell<bool>>) -> usize {
-    let prompt = format!("caller {caller} {}", "a long provenance ".repeat(1_300));
-    let body = serde_json::json!({"model": "m", "prompt": prompt, "max_tokens": TOKENS});
-    let expected = text::expected_text("m", &prompt, TOKENS);
     let mut answered = 0;
-    while !stop.get() {
+    for request in 0.. {
+        if stop.get() {
+            break;
+        }
+        // Each prompt is its own from the first words on, so that no prefix cache makes it cheap.
+        let long = "a long provenance ".repeat(1_300);
+        let prompt = format!("caller {caller} request {request} {long}");
+        let body = serde_json::json!({"model": "m", "prompt": prompt, "max_tokens": TOKENS});
+        let expected = text::expected_text("m", &prompt, TOKENS);
         let (status, answer) = post(callers, "/v1/completions", &body).await;
         if status == 200 {
             let answer: serde_json::Value = serde_json::from_str(&answer).expect("JSON");
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -5,12 +5,12 @@
 use async_trait::async_trait;
 use dalestand_types::{
     AttemptId, EngineLoad, EngineOrders, Epoch, GenerationFrame, GenerationRequest, Order,
-    OrderOutcome, Refusal,
+    OrderOutcome, Refusal, Sequence,
 };
 use error_stack::Report;
 use futures_util::Stream;
 
-use crate::PlatformError;
+use crate::{CacheEvents, PlatformError};
 
 /// Why an attempt ended early, by what is known of whether it ran.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -67,4 +67,7 @@
 
     /// Reads the last load report.
     async fn load(&self) -> Result<EngineLoad, Report<PlatformError>>;
+
+    /// Reads the events of the prefix cache after the one numbered `after`.
+    async fn cache_events(&self, after: Sequence) -> Result<CacheEvents, Report<PlatformError>>;
 }
--- a/crates/platform/src/engine_client.rs
+++ b/crates/platform/src/engine_client.rs
@@ -9,7 +9,7 @@
 use bytes::{Bytes, BytesMut};
 use dalestand_types::{
     AttemptId, EngineLoad, EngineOrders, Epoch, GenerationFrame, GenerationRequest, Order,
-    OrderOutcome, Refusal,
+    OrderOutcome, Refusal, Sequence,
 };
 use error_stack::Report;
 use futures_util::{Stream, StreamExt as _, stream};
@@ -18,9 +18,10 @@
 use crate::http::{JsonCaller, proves_nothing_sent};
 use crate::wire::Empty;
 use crate::wire::engine::{
-    CANCEL, CancelRequest, EPOCH, GENERATE, LOAD, ORDERS, RaiseEpochRequest,
+    CACHE_EVENTS, CACHE_EVENTS_AFTER, CANCEL, CancelRequest, EPOCH, GENERATE, LOAD, ORDERS,
+    RaiseEpochRequest,
 };
-use crate::{AttemptError, Engine, FrameStream, PlatformError};
+use crate::{AttemptError, CacheEvents, Engine, FrameStream, PlatformError};
 
 /// Time limit of an order, a load report or a cancel.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -126,6 +127,11 @@
     async fn load(&self) -> Result<EngineLoad, Report<PlatformError>> {
         self.caller.get(LOAD).await
     }
+
+    async fn cache_events(&self, after: Sequence) -> Result<CacheEvents, Report<PlatformError>> {
+        let path = format!("{CACHE_EVENTS}?{CACHE_EVENTS_AFTER}={after}");
+        self.caller.get(&path).await
+    }
 }
 
 fn refusal(status: StatusCode, body: &[u8]) -> AttemptError {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,6 +3,7 @@
 //! The wire format of each system lives in one module under [`wire`]; another format is a change
 //! to that module and the client beside it.
 
+mod cache_event;
 pub mod engine;
 pub mod engine_client;
 pub mod error;
@@ -14,6 +15,7 @@
 pub mod weight_store;
 pub mod wire;
 
+pub use cache_event::{CacheChange, CacheEvent, CacheEvents, PrefixHash};
 pub use engine::{AttemptError, Engine, FrameStream};
 pub use engine_client::HttpEngine;
 pub use error::PlatformError;
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -114,6 +114,11 @@
     /// Reads the last load report.
     pub const LOAD: &str = "/v1/load";
 
+    /// Reads events of the prefix cache; `?after=N` leaves out those up to the one numbered N.
+    pub const CACHE_EVENTS: &str = "/v1/cache-events";
+    /// Name of the number in a query of [`CACHE_EVENTS`].
+    pub const CACHE_EVENTS_AFTER: &str = "after";
+
     /// Body of [`CANCEL`].
     #[derive(Clone, Debug, Serialize, Deserialize)]
     pub struct CancelRequest {
--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -3,10 +3,12 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use dalestand_platform::PrefixHash;
 use dalestand_types::{
     AttemptId, FinishReason, GenerationFrame, GenerationRequest, RequestId, Usage,
 };
 
+use super::prefix_cache::{PrefixCache, prefixes};
 use super::text;
 
 /// Costs and bounds of the batch.
@@ -24,6 +26,8 @@
     pub prefill_per_token: Duration,
     /// Most prompt tokens run in one step.
     pub prefill_chunk: u32,
+    /// Prefix cache, in tokens.
+    pub cache_tokens: u64,
 }
 
 impl Default for BatchSettings {
@@ -35,6 +39,7 @@
             step_per_request: Duration::from_micros(50),
             prefill_per_token: Duration::from_micros(40),
             prefill_chunk: 512,
+            cache_tokens: 1_000_000,
         }
     }
 }
@@ -44,6 +49,8 @@
     request: GenerationRequest,
     seed: [u8; 32],
     prompt_tokens: u32,
+    cached_tokens: u32,
+    prefixes: Vec<PrefixHash>,
     prefill_left: u32,
     position: u32,
 }
@@ -74,14 +81,17 @@
     running: Vec<Sequence>,
     waiting: VecDeque<Sequence>,
     counters: BatchCounters,
+    cache: PrefixCache,
 }
 
 impl Batch {
     /// An empty batch.
     pub fn new(settings: BatchSettings) -> Self {
         let counters = BatchCounters::default();
+        let cache = PrefixCache::new(settings.cache_tokens);
         Self {
             settings,
+            cache,
             running: Vec::new(),
             waiting: VecDeque::new(),
             counters,
@@ -126,18 +136,32 @@
         self.counters
     }
 
+    /// The prefix cache.
+    pub fn cache(&self) -> &PrefixCache {
+        &self.cache
+    }
+
+    /// The prefix cache, for faults.
+    pub fn cache_mut(&mut self) -> &mut PrefixCache {
+        &mut self.cache
+    }
+
     /// Adds a request; higher priorities stand before lower ones. The prompt of one whose KV cache
-    /// was imported is not run again.
+    /// was imported is not run again, nor is the part that the prefix cache holds.
     pub fn add(&mut self, request: GenerationRequest) {
         let prompt_tokens = text::count_tokens(&request.prompt);
+        let prefixes = prefixes(request.model.as_str(), &request.prompt);
+        let cached_tokens = self.cache.find(&prefixes);
         let sequence = Sequence {
             seed: text::seed(request.model.as_str(), &request.prompt),
             prompt_tokens,
             prefill_left: if request.import_from.is_some() {
                 0
             } else {
-                prompt_tokens
+                prompt_tokens - cached_tokens
             },
+            cached_tokens,
+            prefixes,
             position: request.resume_from,
             request,
         };
@@ -204,6 +228,8 @@
                     return true;
                 }
             }
+            // Held once; a later call finds nothing to hold.
+            self.cache.store(&std::mem::take(&mut sequence.prefixes));
             let frame = sequence.next_frame();
             let finished = frame.is_last();
             if !finished {
@@ -246,7 +272,7 @@
     fn usage(&self) -> Usage {
         Usage {
             prompt_tokens: self.prompt_tokens,
-            cached_tokens: 0,
+            cached_tokens: self.cached_tokens,
             completion_tokens: self.position,
         }
     }
--- a/crates/standin/src/engine/faults.rs
+++ b/crates/standin/src/engine/faults.rs
@@ -26,6 +26,12 @@
     pub reorder_frames: bool,
     /// Each frame is followed by one of another attempt.
     pub foreign_frames: bool,
+    /// Load reports are answered this long after they were made, in milliseconds.
+    pub load_lag_ms: u64,
+    /// Cache events are answered this long after they happened, in milliseconds.
+    pub cache_event_lag_ms: u64,
+    /// This many coming requests for cache events lose the newest event.
+    pub lose_cache_events: u32,
     /// This many coming prompts are run and their KV caches are not held.
     pub forget_exports: u32,
 }
--- /dev/null
+++ b/crates/standin/src/engine/state.rs
@@ -0,0 +1,198 @@
+//! State of one run of the engine stand-in.
+
+use std::cell::RefCell;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use dalestand_types::{
+    AttemptId, EngineId, EngineLoad, GenerationFrame, GenerationRequest, Incarnation,
+    MonotonicTime, RefusalReason, Role, Sequence,
+};
+use tokio::sync::Notify;
+
+use super::batch::{Batch, BatchSettings, StepOutput};
+use super::exports::Exports;
+use super::faults::EngineFaults;
+use super::lagged::Lagged;
+use super::log::{EngineLogs, RunLogEntry, RunLogEvent};
+use super::orders::OrderBook;
+use super::outgoing::Outgoing;
+
+/// Settings of one engine.
+#[derive(Clone, Debug)]
+pub struct EngineSettings {
+    /// Its name.
+    pub engine: EngineId,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Role at the start.
+    pub role: Role,
+    /// Costs and bounds of the batch.
+    pub batch: BatchSettings,
+    /// How long a role change takes once the engine is empty.
+    pub role_change: Duration,
+    /// Where weights come from; loads are at once if absent.
+    pub weight_store: Option<SocketAddr>,
+    /// Whether log entries are also printed, a JSON object a line.
+    pub log_to_stdout: bool,
+}
+
+/// State of one run of an engine.
+pub(super) struct Engine {
+    pub(super) settings: EngineSettings,
+    pub(super) started: Instant,
+    pub(super) batch: RefCell<Batch>,
+    pub(super) orders: RefCell<OrderBook>,
+    pub(super) streams: RefCell<HashMap<AttemptId, Outgoing>>,
+    pub(super) attempts: RefCell<HashSet<AttemptId>>,
+    pub(super) once_keys: RefCell<HashSet<String>>,
+    pub(super) exports: RefCell<Exports>,
+    pub(super) lagged_loads: RefCell<Lagged<EngineLoad>>,
+    pub(super) lagged_events: RefCell<Lagged<Sequence>>,
+    pub(super) logs: EngineLogs,
+    pub(super) faults: RefCell<EngineFaults>,
+    pub(super) reports: RefCell<u64>,
+    pub(super) work: Notify,
+    pub(super) order_taken: Notify,
+}
+
+impl Engine {
+    pub(super) fn new(settings: EngineSettings) -> Self {
+        Self {
+            started: Instant::now(),
+            batch: RefCell::new(Batch::new(settings.batch.clone())),
+            orders: RefCell::new(OrderBook::new(settings.incarnation, settings.role)),
+            streams: RefCell::default(),
+            attempts: RefCell::default(),
+            once_keys: RefCell::default(),
+            exports: RefCell::default(),
+            lagged_loads: RefCell::default(),
+            lagged_events: RefCell::default(),
+            logs: EngineLogs::new(
+                settings.engine.clone(),
+                settings.incarnation,
+                settings.log_to_stdout,
+            ),
+            faults: RefCell::default(),
+            reports: RefCell::default(),
+            work: Notify::new(),
+            order_taken: Notify::new(),
+            settings,
+        }
+    }
+
+    pub(super) fn at_micros(&self) -> u64 {
+        self.started.elapsed().as_micros() as u64
+    }
+
+    pub(super) fn now(&self) -> MonotonicTime {
+        MonotonicTime(self.at_micros())
+    }
+
+    pub(super) fn log_run(&self, request: &GenerationRequest, event: RunLogEvent) {
+        self.logs.push_run(RunLogEntry {
+            at_micros: self.at_micros(),
+            request: request.request,
+            attempt: request.attempt,
+            once_key: request.once_key.clone(),
+            event,
+        });
+    }
+
+    pub(super) fn log_output(&self, output: &StepOutput) {
+        let (attempt, event) = match &output.frame {
+            GenerationFrame::Token {
+                attempt,
+                position: 0,
+                ..
+            } => (*attempt, RunLogEvent::Started),
+            GenerationFrame::Finished {
+                attempt, tokens, ..
+            } => (*attempt, RunLogEvent::Finished { tokens: *tokens }),
+            GenerationFrame::Prefilled { attempt, .. } => {
+                (*attempt, RunLogEvent::Finished { tokens: 0 })
+            }
+            _ => return,
+        };
+        self.logs.push_run(RunLogEntry {
+            at_micros: self.at_micros(),
+            request: output.request,
+            attempt,
+            once_key: output.once_key.clone(),
+            event,
+        });
+    }
+
+    /// Why a request cannot be taken now.
+    pub(super) fn refusal(&self, request: &GenerationRequest) -> Option<RefusalReason> {
+        let orders = self.orders.borrow();
+        let other_run = request
+            .incarnation
+            .is_some_and(|run| run != self.settings.incarnation);
+        if other_run {
+            return Some(RefusalReason::OtherIncarnation);
+        }
+        let repeated_key = request
+            .once_key
+            .as_ref()
+            .is_some_and(|key| self.once_keys.borrow().contains(key));
+        if repeated_key || self.attempts.borrow().contains(&request.attempt) {
+            return Some(RefusalReason::AlreadyRun);
+        }
+        let Some(role) = orders.state().role else {
+            return Some(RefusalReason::OutOfService);
+        };
+        if orders.changes_role() {
+            return Some(RefusalReason::OutOfService);
+        }
+        let needs_prefill = request.import_from.is_none();
+        let needs_decode = !request.prefill_only;
+        if (needs_prefill && !role.runs_prefill()) || (needs_decode && !role.runs_decode()) {
+            return Some(RefusalReason::WrongRole);
+        }
+        if !orders.serves(&request.model, request.adapter.as_ref()) {
+            return Some(RefusalReason::NotLoaded);
+        }
+        if !self.batch.borrow().has_room() {
+            return Some(RefusalReason::Full);
+        }
+        None
+    }
+
+    /// The load report as it is seen from outside.
+    pub(super) fn lagged_load_report(&self) -> EngineLoad {
+        let lag = Duration::from_millis(self.faults.borrow().load_lag_ms);
+        let report = self.load_report();
+        self.lagged_loads
+            .borrow_mut()
+            .report(self.now(), lag, report)
+    }
+
+    pub(super) fn load_report(&self) -> EngineLoad {
+        let mut reports = self.reports.borrow_mut();
+        *reports += 1;
+        let orders = self.orders.borrow();
+        let batch = self.batch.borrow();
+        let counters = batch.counters();
+        EngineLoad {
+            engine: self.settings.engine.clone(),
+            incarnation: self.settings.incarnation,
+            sequence: Sequence(*reports),
+            role: if orders.changes_role() {
+                None
+            } else {
+                orders.state().role
+            },
+            running: batch.running(),
+            waiting: batch.waiting(),
+            queued_prefill_tokens: batch.queued_prefill_tokens(),
+            capacity: self.settings.batch.capacity,
+            cache_tokens_used: batch.cache().tokens() + self.exports.borrow().tokens(self.now()),
+            cache_tokens_total: self.settings.batch.cache_tokens,
+            prefill_tokens_total: counters.prefill_tokens,
+            decode_tokens_total: counters.decode_tokens,
+            models: orders.state().models.clone(),
+        }
+    }
+}
