--- a/crates/node/src/configuration/tests.rs
+++ b/crates/node/src/configuration/tests.rs
@@ -68,8 +68,6 @@
 
 fn record(name: &str) -> ConfigurationRecord {
     ConfigurationRecord {
-        unix_ms: 0,
-        former: Vec::new(),
         writer: "w".to_owned(),
         author: "a".to_owned(),
         unix_ms: 0,
