--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -64,11 +64,19 @@
     Ok(answer)
 }
 
-fn enter(context: &Context) -> Result<RequestGuard, CallerError> {
-    let refuse = |message: &str| CallerError::Unavailable {
+/// The answer to a request that the node cannot take now.
+pub(crate) fn unavailable(message: &str) -> Answer {
+    refuse(message).answer()
+}
+
+fn refuse(message: &str) -> CallerError {
+    CallerError::Unavailable {
         message: message.to_owned(),
         retry_after: UNAVAILABLE_RETRY,
-    };
+    }
+}
+
+fn enter(context: &Context) -> Result<RequestGuard, CallerError> {
     let guard = context.shared.enter_request();
     let guard = guard.ok_or_else(|| refuse("this node is stopping"))?;
     if context.shared.in_flight() > context.max_requests {
@@ -81,10 +89,7 @@
     context: &Context,
 ) -> Result<std::sync::Arc<ActiveConfiguration>, CallerError> {
     let active = context.shared.configuration.load_full();
-    active.ok_or_else(|| CallerError::Unavailable {
-        message: "this node has no configuration yet".to_owned(),
-        retry_after: UNAVAILABLE_RETRY,
-    })
+    active.ok_or_else(|| refuse("this node has no configuration yet"))
 }
 
 fn new_request_id(context: &Context) -> RequestId {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -6,7 +6,7 @@
 
 use dalestand_http_server::{
     Answer, ConnectionType, Connections, HttpMessage as _, Method, Request, ServerLimits,
-    StatusCode, json_answer, serve,
+    StatusCode, is_over_limit, json_answer, serve,
 };
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
@@ -64,6 +64,11 @@
 
 async fn answer(context: Rc<Context>, mut request: Request) -> Answer {
     let shared = Arc::clone(&context.shared);
+    if is_over_limit(&request) {
+        let mut answer = completion::unavailable("this node has as many connections as it takes");
+        answer.head_mut().set_connection_type(ConnectionType::Close);
+        return answer;
+    }
     let method = request.method().clone();
     let path = request.path().to_owned();
     let result = match (method, path.as_str()) {
--- a/crates/gateway/tests/surface.rs
+++ b/crates/gateway/tests/surface.rs
@@ -6,7 +6,7 @@
 use dalestand_standin::engine::text::expected_text;
 use rstest::rstest;
 use serde_json::{Value, json};
-use support::{DESK_KEY, Stage, StageOptions, post};
+use support::{DESK_KEY, Stage, StageOptions, eventually, post};
 
 const COMPLETIONS: &str = "/v1/completions";
 const CHAT: &str = "/v1/chat/completions";
@@ -181,6 +181,31 @@
     assert_eq!(reply.status, 200, "{}", reply.text());
 }
 
+#[actix_rt::test]
+async fn connections_beyond_the_limit_are_refused_as_not_run_with_a_time() {
+    let mut options = StageOptions::default();
+    options.limits.server.max_connections = 1;
+    let stage = Stage::start(options).await;
+    let held = tokio::net::TcpStream::connect(stage.callers).await;
+    let held = held.expect("connected");
+    eventually("the connection is counted", || async {
+        (stage.connections.open() == 1).then_some(())
+    })
+    .await;
+    let body = json!({"model": "m", "prompt": "p"});
+    let reply = stage.post(COMPLETIONS, &body, &[]).await;
+    assert_eq!(reply.status, 503);
+    assert_eq!(reply.header("x-dalestand-run-state"), Some("not-run"));
+    assert_eq!(reply.header("retry-after"), Some("1"));
+    assert_eq!(stage.accepted().await, 0);
+    drop(held);
+    eventually("there is room again", || async {
+        (stage.connections.open() == 0).then_some(())
+    })
+    .await;
+    assert_eq!(stage.post(COMPLETIONS, &body, &[]).await.status, 200);
+}
+
 #[actix_rt::test]
 async fn requests_beyond_the_limit_are_refused_as_not_run_with_a_time() {
     let limits = CallerLimits {
--- a/crates/http-server/src/lib.rs
+++ b/crates/http-server/src/lib.rs
@@ -13,6 +13,6 @@
 pub use body::{read_body, read_json};
 pub use connections::Connections;
 pub use error::HttpServerError;
-pub use server::{ServerLimits, serve};
+pub use server::{ServerLimits, is_over_limit, serve};
 
 pub use actix_http::{ConnectionType, HttpMessage, Method, Request, StatusCode};
--- a/crates/http-server/src/server.rs
+++ b/crates/http-server/src/server.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::{HttpService, Request};
+use actix_http::{Extensions, HttpService, Request};
 use actix_rt::net::TcpStream;
 use actix_service::{IntoServiceFactory as _, ServiceFactory as _, fn_service};
 use tokio::net::TcpListener;
@@ -15,10 +15,26 @@
 /// Pause after a failed accept (such as too many open files), so that it is not retried at once.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
+/// Connections above the limit that are still served, so that their requests can be refused with
+/// an answer.
+const REFUSED_CONNECTIONS: usize = 256;
+
+/// What is known of a connection when it is opened.
+struct ConnectionPlace {
+    over_limit: bool,
+}
+
+/// Whether the request came on a connection above the server's limit and is to be refused.
+pub fn is_over_limit(request: &Request) -> bool {
+    let place = request.conn_data::<ConnectionPlace>();
+    place.is_some_and(|place| place.over_limit)
+}
+
 /// Limits of one server.
 #[derive(Clone, Debug)]
 pub struct ServerLimits {
-    /// Most connections at once; more are closed at once.
+    /// Most connections at once. Requests on some more are marked, see [`is_over_limit`]; beyond
+    /// those, connections are closed at once.
     pub max_connections: usize,
     /// Time a caller has to send a request's head.
     pub head_timeout: Duration,
@@ -54,9 +70,15 @@
         let handler = Rc::clone(&handler);
         async move { Ok::<Answer, Infallible>(handler(request).await) }
     });
+    let counted = connections.clone();
     let factory = HttpService::build()
         .client_request_timeout(limits.head_timeout)
         .keep_alive(limits.keep_alive)
+        .on_connect_ext(move |_: &TcpStream, data: &mut Extensions| {
+            data.insert(ConnectionPlace {
+                over_limit: counted.open() > limits.max_connections,
+            });
+        })
         .graceful_shutdown_signal(connections.drain_signal())
         .h1(service.into_factory())
         .tcp();
@@ -69,7 +91,7 @@
             actix_rt::time::sleep(ACCEPT_RETRY_PAUSE).await;
             continue;
         };
-        if connections.open() >= limits.max_connections {
+        if connections.open() >= limits.max_connections + REFUSED_CONNECTIONS {
             continue;
         }
         let guard = connections.enter();
