--- a/cmd/tests/support/fleet.rs
+++ b/cmd/tests/support/fleet.rs
@@ -6,12 +6,14 @@
 use dalestand_history::{Event, History, Recorder};
 use dalestand_node::StatusResponse;
 use dalestand_platform::wire::key_value::{GET, GetRequest, GetResponse, WATCH, WatchRequest};
+use dalestand_platform::wire::machine_list::{MACHINES, MachinesResponse};
 use dalestand_platform::{Entry, WatchBatch};
 use dalestand_standin::engine::EngineFaults;
 use dalestand_standin::key_value::KeyValueFaults;
+use dalestand_standin::machine_list::MachineListFaults;
 use dalestand_types::{
-    EngineOrders, Epoch, GroupId, Incarnation, Machine, MachineKind, MachineState, NodeId,
-    Revision, Role, ZoneName,
+    EngineId, EngineOrders, Epoch, GroupId, Incarnation, Machine, MachineKind, MachineState,
+    NodeId, Revision, Role, ZoneName,
 };
 
 use super::{Node, Process, ctl, eventually, get, post, standin, unique};
@@ -22,6 +24,9 @@
 /// Length of a role change of its engines, in milliseconds.
 const ROLE_CHANGE_MS: &str = "400";
 
+/// Time between two reads of the machine list, for nodes that are quick to notice.
+const FAST_MACHINE_POLL_MS: u64 = 100;
+
 /// An engine process.
 pub struct EngineProcess {
     pub process: Process,
@@ -82,26 +87,44 @@
 
     /// Starts a node.
     pub async fn start_node(&mut self, name: &str) {
+        self.start_node_reading(name, FAST_MACHINE_POLL_MS).await;
+    }
+
+    /// Starts a node that reads the machine list when it starts and then every `machine_poll_ms`.
+    pub async fn start_node_reading(&mut self, name: &str, machine_poll_ms: u64) {
         let (kv, machines, lease_ms) = (self.kv, self.machines, self.lease_ms);
         let node = Node::start(&format!(
             "node = \"{name}\"\nzone = \"z\"\ncaller_listen = \"127.0.0.1:0\"\n\
              operator_listen = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\n\
              key_value = \"{kv}\"\nmachine_list = \"{machines}\"\nload_poll_ms = 100\n\
-             machine_poll_ms = 100\nlease_ms = {lease_ms}\n"
+             machine_poll_ms = {machine_poll_ms}\nlease_ms = {lease_ms}\n"
         ));
         self.register(name, MachineKind::Node, node.peers, 1).await;
         self.nodes.insert(name.to_owned(), node);
     }
 
-    async fn register(&self, name: &str, kind: MachineKind, address: SocketAddr, run: u64) {
-        let machine = Machine {
-            name: name.to_owned(),
-            kind,
-            zone: ZoneName::from("z"),
-            address,
-            incarnation: Incarnation(run),
-            state: MachineState::Live,
+    /// Lists an engine as leaving, and records when the lagging list shows it.
+    pub async fn mark_leaving(&self, engine: &str, lag_ms: u64) {
+        let faults = MachineListFaults {
+            lag_ms,
+            ..MachineListFaults::default()
         };
+        assert_eq!(post(self.machines, "/faults", &faults).await.0, 200);
+        let address = self.engines[engine].address;
+        let mut machine = machine(engine, MachineKind::Engine, address, 1);
+        machine.state = MachineState::Leaving;
+        assert_eq!(post(self.machines, MACHINES, &machine).await.0, 200);
+        eventually("the list shows the engine as leaving", || async {
+            let list: MachinesResponse = get(self.machines, MACHINES).await;
+            list.machines.contains(&machine).then_some(())
+        })
+        .await;
+        let engine = EngineId::from(engine);
+        self.recorder.record(Event::EngineLeaving { engine });
+    }
+
+    async fn register(&self, name: &str, kind: MachineKind, address: SocketAddr, run: u64) {
+        let machine = machine(name, kind, address, run);
         let (status, _) = post(self.machines, "/v1/machines", &machine).await;
         assert_eq!(status, 200);
     }
@@ -238,6 +261,17 @@
     }
 }
 
+fn machine(name: &str, kind: MachineKind, address: SocketAddr, run: u64) -> Machine {
+    Machine {
+        name: name.to_owned(),
+        kind,
+        zone: ZoneName::from("z"),
+        address,
+        incarnation: Incarnation(run),
+        state: MachineState::Live,
+    }
+}
+
 fn holder_of(value: &str) -> Option<NodeId> {
     let record: serde_json::Value = serde_json::from_str(value).ok()?;
     record["node"].as_str().map(NodeId::from)
