--- a/crates/node/src/configuration/tests.rs
+++ b/crates/node/src/configuration/tests.rs
@@ -68,10 +68,10 @@
 
 fn record(name: &str) -> ConfigurationRecord {
     ConfigurationRecord {
-        writer: "w".to_owned(),
-        author: "a".to_owned(),
         unix_ms: 0,
         former: Vec::new(),
+        writer: "w".to_owned(),
+        author: "a".to_owned(),
         text: format!("format = 1\nname = \"{name}\"\n"),
     }
 }
@@ -91,7 +91,7 @@
     let cluster = Rc::new(RefCell::new(cluster));
     let metrics = Metrics::new().expect("metrics");
     let shared = Arc::new(Shared::new(node, zone, discard_logger(), metrics));
-    let store = ConfigurationStore::new(Arc::clone(&shared), Rc::clone(&cluster));
+    let store = ConfigurationStore::new(Arc::clone(&shared), Rc::clone(&cluster), Rc::default());
     let in_force = || {
         let active = shared.configuration.load_full().expect("a configuration");
         (active.revision, active.deployment.name.clone())
