hollow: nodes replaced one after the other; a starting node waits for word of peers

A fleet of 380 that started at once asked the key-value service 959 times before it had joined (hollow run without loss): a node that knows nobody takes itself for a watcher. It now waits longer if it has addresses of peers.

--- a/crates/cluster/src/config.rs
+++ b/crates/cluster/src/config.rs
@@ -55,7 +55,7 @@
             relay_fan_out: 3,
             gossip_bytes_per_second: 12_000,
             sync_period: Duration::from_secs(5),
-            unsettled_sync_period: Duration::from_millis(1_000),
+            unsettled_sync_period: Duration::from_millis(500),
             unsettled_for: Duration::from_secs(5),
             far_digest_period: Duration::from_secs(4),
             forget_down_after: Duration::from_secs(3_600),
--- a/crates/cluster/src/core.rs
+++ b/crates/cluster/src/core.rs
@@ -115,6 +115,11 @@
         }
     }
 
+    /// Whether this node knows of addresses to find others by.
+    pub fn has_seeds(&self) -> bool {
+        !self.seeds.is_empty()
+    }
+
     /// Publishes a record that every node is to get. Yields whether it is newer than what is known.
     pub fn publish(&mut self, record: Record) -> Result<bool, CodecError> {
         let encoded = encode_item(&Item::Record(record.clone()))?;
--- a/crates/cluster/src/synchronize.rs
+++ b/crates/cluster/src/synchronize.rs
@@ -17,7 +17,7 @@
 const SEEDS_ASKED: usize = 2;
 
 /// Most datagrams that answer one comparison; the next comparison brings the rest.
-const MAX_SYNC_DATAGRAMS: usize = 8;
+const MAX_SYNC_DATAGRAMS: usize = 16;
 
 impl Cluster {
     /// Compares with a random peer, and with an address that no live member has, when due.
--- a/crates/lab/src/hollow/fleet.rs
+++ b/crates/lab/src/hollow/fleet.rs
@@ -1,6 +1,5 @@
 //! The hollow nodes, as the experiment sees them.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -41,6 +40,7 @@
     pub(super) nodes: Vec<Watched>,
     /// Faults of the links.
     pub(super) links: Arc<FaultyLinks>,
+    seeds: Vec<SocketAddr>,
     workers: Vec<mpsc::UnboundedSender<Command>>,
     client: awc::Client,
 }
@@ -62,14 +62,10 @@
             (0..options.nodes).map(|_| open_sockets()).collect();
         let sockets = sockets.map_err(|error| failed(&error))?;
         let peers: Vec<SocketAddr> = sockets.iter().map(|one| one.addresses.peers).collect();
-        let zones: HashMap<SocketAddr, ZoneName> = peers
-            .iter()
-            .enumerate()
-            .map(|(number, address)| (*address, zone(options, number)))
-            .collect();
         let mut fleet = Self {
             nodes: Vec::new(),
-            links: Arc::new(FaultyLinks::new(options.loss, zones)),
+            links: Arc::new(FaultyLinks::new(options.loss)),
+            seeds: peers.iter().copied().take(SEEDS).collect(),
             workers: (0..options.threads).map(|_| worker::start()).collect(),
             client: awc::Client::builder()
                 .timeout(std::time::Duration::from_secs(30))
@@ -77,35 +73,53 @@
         };
         for (number, sockets) in sockets.into_iter().enumerate() {
             let zone = zone(options, number);
-            let address = sockets.addresses.peers;
-            platform
-                .list(node_name(number), MachineKind::Node, zone.clone(), address)
-                .await?;
-            let seeds = &peers[..SEEDS.min(peers.len())];
-            fleet.start_node(number, zone, sockets, seeds, platform)?;
+            fleet.start_node(number, zone, sockets, platform).await?;
         }
         Ok(fleet)
     }
 
-    fn start_node(
+    /// Replaces a node: it stops as planned, and a new one starts in its zone elsewhere.
+    pub(super) async fn replace(
+        &mut self,
+        number: usize,
+        platform: &Platform,
+    ) -> Result<(), Report<LabError>> {
+        let zone = self.nodes[number].zone.clone();
+        self.nodes[number].alive = false;
+        self.tell(number, Command::Leave(number))?;
+        let sockets = open_sockets().map_err(|error| failed(&error))?;
+        self.start_node(self.nodes.len(), zone, sockets, platform)
+            .await
+    }
+
+    async fn start_node(
         &mut self,
         number: usize,
         zone: ZoneName,
         sockets: Sockets,
-        seeds: &[SocketAddr],
         platform: &Platform,
     ) -> Result<(), Report<LabError>> {
-        let node = NodeId::from(node_name(number));
+        let addresses = sockets.addresses;
+        self.links.add(addresses.peers, zone.clone());
+        let name = node_name(number);
+        platform
+            .list(
+                name.clone(),
+                MachineKind::Node,
+                zone.clone(),
+                addresses.peers,
+            )
+            .await?;
+        let node = NodeId::from(name);
         let metrics = Metrics::new().map_err(|error| failed(&error))?;
         let shared = Shared::new(node.clone(), zone.clone(), discard_logger(), metrics);
         let shared = Arc::new(shared);
         self.nodes.push(Watched {
             zone: zone.clone(),
             shared: Arc::clone(&shared),
-            operators: sockets.addresses.operators,
+            operators: addresses.operators,
             alive: true,
         });
-        let addresses = sockets.addresses;
         let settings = NodeSettings {
             node,
             zone,
@@ -114,7 +128,7 @@
             peer_listen: addresses.peers,
             key_value: platform.key_value,
             machine_list: platform.machine_list,
-            seeds: seeds.to_vec(),
+            seeds: self.seeds.clone(),
             log_format: LogFormat::Json,
             lease_ms: 6_000,
             machine_poll_ms: 1_000,
--- a/crates/lab/src/hollow/link.rs
+++ b/crates/lab/src/hollow/link.rs
@@ -11,20 +11,26 @@
 /// Losses and cuts of all links.
 pub(super) struct FaultyLinks {
     loss: f64,
-    zones: HashMap<SocketAddr, ZoneName>,
+    zones: RwLock<HashMap<SocketAddr, ZoneName>>,
     cut: RwLock<Option<ZoneName>>,
 }
 
 impl FaultyLinks {
     /// Links that lose a share of their datagrams.
-    pub(super) fn new(loss: f64, zones: HashMap<SocketAddr, ZoneName>) -> Self {
+    pub(super) fn new(loss: f64) -> Self {
         Self {
             loss,
-            zones,
+            zones: RwLock::default(),
             cut: RwLock::new(None),
         }
     }
 
+    /// Says which zone a node stands in.
+    pub(super) fn add(&self, address: SocketAddr, zone: ZoneName) {
+        let mut zones = self.zones.write().unwrap_or_else(PoisonError::into_inner);
+        zones.insert(address, zone);
+    }
+
     /// Cuts a zone off from the others, or heals the cut.
     pub(super) fn cut(&self, zone: Option<ZoneName>) {
         *self.cut.write().unwrap_or_else(PoisonError::into_inner) = zone;
@@ -35,7 +41,8 @@
         let Some(cut) = &*cut else {
             return false;
         };
-        let inside = |address| self.zones.get(&address) == Some(cut);
+        let zones = self.zones.read().unwrap_or_else(PoisonError::into_inner);
+        let inside = |address| zones.get(&address) == Some(cut);
         inside(from) != inside(to)
     }
 }
--- a/crates/lab/src/hollow/options.rs
+++ b/crates/lab/src/hollow/options.rs
@@ -31,6 +31,8 @@
     pub(super) applies: usize,
     /// Nodes killed, one after the other.
     pub(super) kills: usize,
+    /// Nodes replaced, one after the other.
+    pub(super) replaced: usize,
     /// Whether one zone is cut off and healed at the end.
     pub(super) cut_zone: bool,
     /// Threads of the nodes.
@@ -59,6 +61,7 @@
             loss: value(&matches, "loss", 0.0)?,
             applies: value(&matches, "applies", 5)?,
             kills: value(&matches, "kill", 0)?,
+            replaced: value(&matches, "replace", 0)?,
             cut_zone: matches.opt_present("cut-zone"),
             threads: value(&matches, "threads", 2)?,
             json: matches.opt_present("json"),
@@ -81,8 +84,8 @@
                 "--threads must lie between 1 and {MAX_THREADS}"
             )));
         }
-        if self.kills >= self.nodes {
-            return Err(usage("--kill must leave a node"));
+        if self.kills + self.replaced >= self.nodes {
+            return Err(usage("--kill and --replace must leave a node"));
         }
         Ok(())
     }
@@ -98,6 +101,7 @@
     flags.optopt("", "loss", "share of datagrams lost (default 0)", "P");
     flags.optopt("", "applies", "configurations applied (default 5)", "K");
     flags.optopt("", "kill", "nodes killed, one by one (default 0)", "K");
+    flags.optopt("", "replace", "nodes replaced, one by one (default 0)", "K");
     flags.optflag("", "cut-zone", "cut one zone off and heal it");
     flags.optopt("", "threads", "threads of the nodes (default 2)", "T");
     flags.optflag("", "json", "print one JSON object");
--- a/crates/lab/src/hollow/phases.rs
+++ b/crates/lab/src/hollow/phases.rs
@@ -54,6 +54,7 @@
     measure_applies(&options, &fleet, &mut report).await?;
     report.false_alarms = lost_members(&fleet);
     report.death_noticed = measure_deaths(&options, &mut fleet).await?;
+    measure_replacements(&options, &platform, &mut fleet, &mut report).await?;
     if options.cut_zone {
         measure_cut(&options, &fleet, &mut report).await?;
     }
@@ -176,6 +177,40 @@
     Ok(Times::of(samples))
 }
 
+/// Replaces nodes one after the other, each once the one before has joined.
+async fn measure_replacements(
+    options: &Options,
+    platform: &Platform,
+    fleet: &mut Fleet,
+    report: &mut HollowReport,
+) -> Result<(), Report<LabError>> {
+    if options.replaced == 0 {
+        return Ok(());
+    }
+    let revision = fleet
+        .live()
+        .map(Watched::revision)
+        .max()
+        .unwrap_or_default();
+    let calls = platform.key_value_calls().await?;
+    let start = Instant::now();
+    let mut samples = Vec::new();
+    for number in 0..options.replaced {
+        fleet.replace(number, platform).await?;
+        let replaced = Instant::now();
+        wait_until("the new node serves and all know it", || {
+            knows_the_living(fleet) && fleet.live().all(|node| node.revision() >= revision)
+        })
+        .await?;
+        samples.push(replaced.elapsed());
+    }
+    let calls = platform.key_value_calls().await? - calls;
+    let rate = calls as f64 / start.elapsed().as_secs_f64();
+    report.replacement_key_value_calls_per_second = Some(rate);
+    report.replaced = Times::of(samples);
+    Ok(())
+}
+
 /// Cuts a zone off, applies a configuration outside it, and heals the cut.
 async fn measure_cut(
     options: &Options,
@@ -193,6 +228,11 @@
     fleet.links.cut(None);
     let healed = Instant::now();
     let sent: u64 = bytes_sent(fleet).iter().sum();
+    wait_until("the configuration is in force again", || {
+        fleet.live().all(|node| node.revision() >= revision)
+    })
+    .await?;
+    report.cut_in_force_seconds = Some(healed.elapsed().as_secs_f64());
     wait_until("the fleet is whole again", || {
         knows_the_living(fleet) && fleet.live().all(|node| node.revision() >= revision)
     })
--- a/crates/lab/src/hollow/report.rs
+++ b/crates/lab/src/hollow/report.rs
@@ -46,6 +46,12 @@
     pub(super) cpu_seconds_per_apply: Option<f64>,
     /// From a node's death until it was known, over all live nodes.
     pub(super) death_noticed: Option<Times>,
+    /// From a node's planned stop until all knew its successor, which had the configuration.
+    pub(super) replaced: Option<Times>,
+    /// Calls of the key-value service a second, in all, while nodes were replaced.
+    pub(super) replacement_key_value_calls_per_second: Option<f64>,
+    /// After a zone's cut healed, until every node had the configuration that was applied in it.
+    pub(super) cut_in_force_seconds: Option<f64>,
     /// After a zone's cut healed, until all nodes knew each other and the configuration that was
     /// applied during the cut.
     pub(super) cut_healed_seconds: Option<f64>,
@@ -110,6 +116,9 @@
         if let Some(times) = &self.death_noticed {
             writeln!(formatter, "death noticed: {times}")?;
         }
+        if let Some(times) = &self.replaced {
+            writeln!(formatter, "a node replaced: {times}")?;
+        }
         if let Some(seconds) = self.cut_healed_seconds {
             writeln!(formatter, "whole again {seconds:.1} s after the cut healed")?;
         }
--- a/crates/lab/src/hollow/worker.rs
+++ b/crates/lab/src/hollow/worker.rs
@@ -38,6 +38,8 @@
 pub(super) enum Command {
     /// Start a node.
     Start(Box<HollowNode>),
+    /// Stop a node as planned.
+    Leave(usize),
     /// End a node at once.
     Kill(usize),
     /// Tell the thread's processor time, in nanoseconds.
@@ -67,6 +69,15 @@
                 nodes.insert(number, started);
             }
         }
+        Command::Leave(number) => {
+            if let Some(node) = nodes.remove(&number) {
+                actix_rt::spawn(async move {
+                    node.release_leases().await;
+                    node.leave().await;
+                    node.kill();
+                });
+            }
+        }
         Command::Kill(number) => {
             if let Some(node) = nodes.remove(&number) {
                 node.kill();
--- a/crates/node/src/configuration/watch.rs
+++ b/crates/node/src/configuration/watch.rs
@@ -29,9 +29,13 @@
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
-/// How long a node that just started waits for its peers before it looks at the service.
+/// How long a node that just started waits for word of peers before it looks at the service.
 const FIRST_LOOK: Duration = Duration::from_millis(300);
 
+/// How long it waits if there may be peers: until it knows them it would take itself for a
+/// watcher, and a fleet that starts at once would ask the service once a node.
+const FIRST_LOOK_WITH_PEERS: Duration = Duration::from_millis(1_500);
+
 /// Time between two looks of all nodes that do not watch, together.
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -49,6 +53,10 @@
     store: Rc<ConfigurationStore>,
 ) {
     actix_rt::time::sleep(FIRST_LOOK.mul_f64(random_factor())).await;
+    if cluster.borrow().has_seeds() {
+        let longer = FIRST_LOOK_WITH_PEERS - FIRST_LOOK;
+        actix_rt::time::sleep(longer.mul_f64(random_factor())).await;
+    }
     let mut next_look = shared.clock.now();
     loop {
         let watches = is_watcher(&cluster.borrow());
