--- /dev/null
+++ b/cmd/tests/leaving.rs
@@ -0,0 +1,62 @@
+//! An engine that the machine list shows as leaving gets no new work after a few seconds, though
+//! the list lags and the node that knew first is killed.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use dalestand_history::checks::{no_work_for_leaving_engines, whole_answers};
+use dalestand_history::{EngineLogEntry, RunLogEvent};
+use dalestand_standin::machine_list::MachineListFaults;
+use dalestand_types::Role;
+use support::callers::Callers;
+use support::fleet::Fleet;
+
+const LEASE_MS: u64 = 1_500;
+
+/// Lag of the machine list.
+const LAG_MS: u64 = 1_000;
+
+/// How long a leaving engine may still get work: the list's lag and three seconds.
+const GRACE: Duration = Duration::from_millis(LAG_MS + 3_000);
+
+/// Callers under load.
+const CALLERS: usize = 4;
+
+#[actix_rt::test]
+async fn a_leaving_engine_gets_no_new_work_after_a_few_seconds() {
+    let mut fleet = Fleet::start(&["e1", "e2"], LEASE_MS).await;
+    for node in ["n1", "n2"] {
+        fleet.start_node(node).await;
+    }
+    fleet.apply("n1", &fleet.deployment(Role::Mixed, true));
+    fleet.wait_for_role(Role::Mixed).await;
+    for node in ["n1", "n2"] {
+        fleet.wait_for_models(node).await;
+    }
+    let callers = Callers::start(CALLERS, fleet.caller_addresses(), &fleet.recorder);
+    callers.wait_for_progress().await;
+    let lag = MachineListFaults {
+        lag_ms: LAG_MS,
+        ..MachineListFaults::default()
+    };
+    fleet.set_machine_list_faults(&lag).await;
+    fleet.mark_leaving("e1").await;
+    let marked = Instant::now();
+    let holder = fleet.wait_for_holder(None).await;
+    fleet.nodes.remove(&holder);
+    fleet.start_node("n3").await;
+    callers.set_nodes(fleet.caller_addresses());
+    while marked.elapsed() < GRACE * 2 {
+        callers.wait_for_progress().await;
+    }
+    callers.stop().await;
+    let history = fleet.history().await;
+    let worked = history.engine_lines().any(|(_, line)| {
+        line.engine.as_str() == "e1"
+            && matches!(&line.entry, EngineLogEntry::Run(run) if run.event == RunLogEvent::Accepted)
+    });
+    assert!(worked, "the engine had work before");
+    assert_eq!(whole_answers(&history), Ok(()));
+    assert_eq!(no_work_for_leaving_engines(&history, GRACE), Ok(()));
+}
--- a/cmd/tests/support/fleet.rs
+++ b/cmd/tests/support/fleet.rs
@@ -11,9 +11,10 @@
 use dalestand_platform::{Entry, Listing, WatchBatch};
 use dalestand_standin::engine::EngineFaults;
 use dalestand_standin::key_value::KeyValueFaults;
+use dalestand_standin::machine_list::MachineListFaults;
 use dalestand_types::{
-    EngineOrders, Epoch, GroupId, Incarnation, Machine, MachineKind, MachineState, NodeId,
-    Revision, Role, ZoneName,
+    EngineId, EngineOrders, Epoch, GroupId, Incarnation, Machine, MachineKind, MachineState,
+    NodeId, Revision, Role, ZoneName,
 };
 
 use super::{Node, Process, ctl, eventually, get, post, standin, unique};
@@ -96,18 +97,42 @@
     }
 
     async fn register(&self, name: &str, kind: MachineKind, address: SocketAddr, run: u64) {
-        let machine = Machine {
+        self.list(Machine {
             name: name.to_owned(),
             kind,
             zone: ZoneName::from("z"),
             address,
             incarnation: Incarnation(run),
             state: MachineState::Live,
-        };
+        })
+        .await;
+    }
+
+    /// Marks an engine's first run as leaving in the machine list, and records that.
+    pub async fn mark_leaving(&self, name: &str) {
+        self.list(Machine {
+            name: name.to_owned(),
+            kind: MachineKind::Engine,
+            zone: ZoneName::from("z"),
+            address: self.engines[name].address,
+            incarnation: Incarnation(1),
+            state: MachineState::Leaving,
+        })
+        .await;
+        let engine = EngineId::from(name);
+        self.recorder.record(Event::EngineLeaving { engine });
+    }
+
+    async fn list(&self, machine: Machine) {
         let (status, _) = post(self.machines, "/v1/machines", &machine).await;
         assert_eq!(status, 200);
     }
 
+    /// Sets the faults of the machine list.
+    pub async fn set_machine_list_faults(&self, faults: &MachineListFaults) {
+        assert_eq!(post(self.machines, "/faults", faults).await.0, 200);
+    }
+
     /// Where callers connect, at every node.
     pub fn caller_addresses(&self) -> Vec<SocketAddr> {
         self.nodes.values().map(|node| node.callers).collect()
