The order of the two reads of a claim record, by a test; a merged test builds again

Cause: nothing showed that the head must be read before the sealed segments. And a merge left two fields of a test's record named twice, so that the node's tests did not build.

Change: crates/node/src/claims/tests.rs: another leader seals the head between the two reads. The second naming of the fields is gone.

--- a/crates/node/src/claims/mod.rs
+++ b/crates/node/src/claims/mod.rs
@@ -8,6 +8,8 @@
 mod driver;
 mod gate;
 mod record;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use driver::ClaimsDriver;
 pub(crate) use gate::{ChannelGate, serve_gate};
--- a/crates/node/src/configuration/tests.rs
+++ b/crates/node/src/configuration/tests.rs
@@ -72,8 +72,6 @@
         former: Vec::new(),
         writer: "w".to_owned(),
         author: "a".to_owned(),
-        unix_ms: 0,
-        former: Vec::new(),
         text: format!("format = 1\nname = \"{name}\"\n"),
     }
 }
