Run states held against the engines' run logs

Cause: "not run" was tested a case at a time, without overload and faults together. Ruled out: a log kept by the node (it would agree with itself).

--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -20,7 +20,8 @@
     NodeId, Order, OrderCommand, OrderId, PoolName, Revision, Role, Version, ZoneName,
 };
 use serde_json::Value;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
 
 /// Key of tenant `desk`, whose hash stands in [`DEPLOYMENT`] as `KEY_HASH`.
 pub const DESK_KEY: &str = "desk-key";
@@ -116,6 +117,10 @@
     pub engines: usize,
     pub limits: CallerLimits,
     pub step: Duration,
+    /// Most requests an engine holds.
+    pub capacity: u32,
+    /// Whether the first engine stands behind a connection that is cut once it has answered.
+    pub cut_first: bool,
 }
 
 impl Default for StageOptions {
@@ -125,6 +130,8 @@
             engines: 1,
             limits: CallerLimits::default(),
             step: Duration::from_millis(1),
+            capacity: 256,
+            cut_first: false,
         }
     }
 }
@@ -134,7 +141,7 @@
     pub async fn start(options: StageOptions) -> Self {
         let mut engines = Vec::new();
         for number in 0..options.engines {
-            engines.push(start_engine(number, options.step).await);
+            engines.push(start_engine(number, &options).await);
         }
         let metrics = Metrics::new().expect("metrics");
         let node = NodeId::from("n");
@@ -161,7 +168,11 @@
                 revision: Revision(7),
                 deployment: Arc::new(deployment),
             })));
-        let views = engines.iter().enumerate();
+        let mut reached = engines.clone();
+        if options.cut_first {
+            reached[0] = start_cutting_proxy(engines[0]).await;
+        }
+        let views = reached.iter().enumerate();
         let views = views.flat_map(|(number, address)| {
             [
                 view("e", number, *address, "m"),
@@ -223,7 +234,7 @@
     (address, connections)
 }
 
-async fn start_engine(number: usize, step: Duration) -> SocketAddr {
+async fn start_engine(number: usize, options: &StageOptions) -> SocketAddr {
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
     let address = listener.local_addr().expect("an address");
     let settings = EngineSettings {
@@ -231,7 +242,8 @@
         incarnation: Incarnation(1),
         role: Role::Mixed,
         batch: BatchSettings {
-            step,
+            step: options.step,
+            capacity: options.capacity,
             ..BatchSettings::default()
         },
         role_change: Duration::from_millis(1),
@@ -243,6 +255,25 @@
     address
 }
 
+/// Passes requests on to an engine and closes the connection once the engine has answered, before
+/// a byte of the answer is passed back.
+async fn start_cutting_proxy(engine: SocketAddr) -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    actix_rt::spawn(async move {
+        while let Ok((mut caller, _)) = listener.accept().await {
+            actix_rt::spawn(async move {
+                let mut behind = TcpStream::connect(engine).await.expect("connected");
+                let mut request = vec![0; 64 << 10];
+                let read = caller.read(&mut request).await.unwrap_or(0);
+                behind.write_all(&request[..read]).await.expect("passed on");
+                let _ = behind.read(&mut request).await;
+            });
+        }
+    });
+    address
+}
+
 async fn load_models(address: SocketAddr) {
     let engine = HttpEngine::new(address);
     let version = Version::from("1");
