--- a/crates/node/src/cluster_driver.rs
+++ b/crates/node/src/cluster_driver.rs
@@ -15,6 +15,7 @@
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
 
 use crate::configuration::Offer;
@@ -41,6 +42,8 @@
     pub(crate) address: SocketAddr,
     /// Authenticates datagrams.
     pub(crate) seal: PeerSeal,
+    /// Notified when there is news that should not wait for the next tick.
+    pub(crate) news: Rc<Notify>,
     /// Faults put in.
     pub(crate) filter: Option<Arc<dyn LinkFilter>>,
 }
@@ -88,6 +91,9 @@
                 }
                 cluster.tick(shared.clock.now(), &mut random)
             }
+            () = link.news.notified() => {
+                cluster.borrow_mut().tick(shared.clock.now(), &mut random)
+            }
             received = link.socket.recv_from(&mut buffer) => match received {
                 Ok((length, from)) => {
                     receive(&shared, &link, &cluster, from, &buffer[..length], &mut random)
