A request's terms in its decision record

Cause: class, priority and deadline decided the route and were in no record, so `explain request` could not say on what terms a request was served. Ruled out: reading them from the configuration later (headers lower them). Change: RequestTerms in RequestRecord, printed by the account. Conclusion: done.

--- a/crates/decision/src/account.rs
+++ b/crates/decision/src/account.rs
@@ -4,7 +4,7 @@
 
 use dalestand_types::Placement;
 
-use crate::{AttemptOutcome, AttemptRecord, RequestRecord, RoleRecord};
+use crate::{AttemptOutcome, AttemptRecord, RequestRecord, RequestTerms, RoleRecord};
 
 /// A plain account of what was decided about a request.
 pub fn account_of_request(record: &RequestRecord) -> String {
@@ -15,6 +15,7 @@
     if let Some(tenant) = &record.tenant {
         let _ = write!(text, ", tenant {tenant}");
     }
+    text.push_str(&account_of_terms(&record.terms));
     text.push('\n');
     for (number, attempt) in record.attempts.iter().enumerate() {
         text.push_str(&account_of_attempt(number + 1, attempt));
@@ -31,6 +32,18 @@
     text
 }
 
+fn account_of_terms(terms: &RequestTerms) -> String {
+    let mut text = String::new();
+    if let Some(class) = &terms.class {
+        let _ = write!(text, ", class {class}");
+    }
+    let _ = write!(text, ", priority {}", terms.priority.0);
+    if let Some(deadline) = terms.deadline_ms {
+        let _ = write!(text, ", deadline {deadline} ms");
+    }
+    text
+}
+
 fn account_of_attempt(number: usize, attempt: &AttemptRecord) -> String {
     let mut text = format!(
         "  attempt {number} after {} ms: {}engine {} ({})\n",
--- a/crates/decision/src/record.rs
+++ b/crates/decision/src/record.rs
@@ -1,8 +1,8 @@
 //! Typed records of decisions.
 
 use dalestand_types::{
-    AttemptId, EngineId, Epoch, GroupId, ModelName, OrderId, Placement, RequestId, Revision, Role,
-    RunState, TenantName,
+    AttemptId, EngineId, Epoch, GroupId, ModelName, OrderId, Placement, Priority, RequestId,
+    Revision, Role, RunState, TenantName,
 };
 use serde::{Deserialize, Serialize};
 
@@ -74,6 +74,19 @@
     pub outcome: AttemptOutcome,
 }
 
+/// Terms under which a request is served.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestTerms {
+    /// Its class, where it has one.
+    pub class: Option<String>,
+    /// Its importance.
+    pub priority: Priority,
+    /// Time it had to the first token when it came in, in milliseconds.
+    pub first_token_ms: Option<u64>,
+    /// Time it had to the end of the answer when it came in, in milliseconds.
+    pub deadline_ms: Option<u64>,
+}
+
 /// The decisions about one request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RequestRecord {
@@ -87,6 +100,8 @@
     pub model: ModelName,
     /// On whose behalf.
     pub tenant: Option<TenantName>,
+    /// On what terms.
+    pub terms: RequestTerms,
     /// The attempts, oldest first.
     pub attempts: Vec<AttemptRecord>,
     /// Why it was refused, if it was.
--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -171,6 +171,7 @@
         revision: active.revision,
         model: order.request.model.clone(),
         tenant: order.request.tenant.clone(),
+        terms: order.terms.clone(),
         attempts: Vec::new(),
         refusal: None,
         run_state: None,
--- a/crates/gateway/src/identity.rs
+++ b/crates/gateway/src/identity.rs
@@ -25,6 +25,8 @@
 pub(crate) struct Terms {
     /// The tenant, if the caller sent a key.
     pub(crate) tenant: Option<Tenant>,
+    /// Class of the request, if it has one.
+    pub(crate) class: Option<String>,
     /// Importance.
     pub(crate) priority: Priority,
     /// Time left.
@@ -121,6 +123,7 @@
     })?;
     Ok(Terms {
         tenant: None,
+        class: Some(name.to_owned()),
         priority: class.priority,
         deadlines: Deadlines {
             first_token: Some(Duration::from_millis(class.first_token_ms)),
--- a/crates/gateway/src/order.rs
+++ b/crates/gateway/src/order.rs
@@ -2,9 +2,11 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use actix_http::header::{HeaderMap, HeaderName};
 use dalestand_config::{Deployment, Pool, Tenant};
+use dalestand_decision::RequestTerms;
 use dalestand_platform::Engine as _;
 use dalestand_routing::{RouteRequest, prompt_blocks};
 use dalestand_types::{AdapterName, AttemptId, GenerationRequest, ModelName, RequestId};
@@ -63,6 +65,8 @@
     pub(crate) tenant: Option<Tenant>,
     /// What the router must know.
     pub(crate) route: RouteRequest,
+    /// On what terms, for the decision record.
+    pub(crate) terms: RequestTerms,
     /// Whether it may run again after an attempt whose result is not known.
     pub(crate) repeatable: bool,
     /// The claim to make before the first dispatch.
@@ -134,6 +138,7 @@
         Ok(Self {
             wish,
             request,
+            terms: record_terms(&terms),
             tenant: terms.tenant,
             route,
             repeatable,
@@ -151,6 +156,16 @@
     }
 }
 
+fn record_terms(terms: &Terms) -> RequestTerms {
+    let milliseconds = |time: Duration| time.as_millis() as u64;
+    RequestTerms {
+        class: terms.class.clone(),
+        priority: terms.priority,
+        first_token_ms: terms.deadlines.first_token.map(milliseconds),
+        deadline_ms: terms.deadlines.whole.map(milliseconds),
+    }
+}
+
 /// What a model's name stands for.
 struct Target<'d> {
     model: ModelName,
--- a/crates/gateway/tests/surface.rs
+++ b/crates/gateway/tests/surface.rs
@@ -172,6 +172,40 @@
     assert_eq!(stage.accepted().await, usize::from(status == 200));
 }
 
+#[rstest]
+#[case::of_the_tenants_class(&[], "plain", 3, 600_000)]
+#[case::of_the_class_asked_for(&[("x-dalestand-class", "urgent")], "urgent", 9, 600_000)]
+#[case::lowered(
+    &[("x-dalestand-priority", "1"), ("x-dalestand-deadline-ms", "9000")], "plain", 1, 9_000
+)]
+#[case::never_raised(
+    &[("x-dalestand-priority", "200"), ("x-dalestand-deadline-ms", "900000")], "plain", 3, 600_000
+)]
+#[actix_rt::test]
+async fn terms_are_recorded(
+    #[case] headers: &[(&str, &str)],
+    #[case] class: &str,
+    #[case] priority: u8,
+    #[case] deadline_ms: u64,
+) {
+    let stage = Stage::start(StageOptions::default()).await;
+    let mut headers = headers.to_vec();
+    headers.push(("authorization", "Bearer desk-key"));
+    let body = json!({"model": "m", "prompt": "p"});
+    let reply = stage.post(COMPLETIONS, &body, &headers).await;
+    let id = reply.header("x-request-id").expect("a request id");
+    let id = id.parse().expect("a request id");
+    let record = stage.shared.decisions().request(id).cloned();
+    let record = record.expect("a record");
+    assert_eq!(
+        record.tenant.as_ref().map(|name| name.as_str()),
+        Some("desk")
+    );
+    assert_eq!(record.terms.class.as_deref(), Some(class));
+    assert_eq!(record.terms.priority.0, priority);
+    assert_eq!(record.terms.deadline_ms, Some(deadline_ms));
+}
+
 #[actix_rt::test]
 async fn an_unknown_key_counts_as_none_where_none_is_required() {
     let stage = Stage::start(StageOptions::default()).await;
