--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -20,4 +20,4 @@
 pub use demand::Demand;
 pub use plan::{PlanInputs, PlanReason, RolePlan};
 pub use planner::RolePlanner;
-pub use speeds::{EngineSpeeds, SpeedEstimate};
+pub use speeds::{EngineSpeeds, SpeedEstimate, SpeedSample};
--- a/crates/planner/src/speeds.rs
+++ b/crates/planner/src/speeds.rs
@@ -5,8 +5,11 @@
 /// Decoding sequences an engine is expected to carry when it is well used.
 const DECODE_BATCH: f64 = 48.0;
 
-/// Weight kept by what was learnt before when a new sample comes in.
-const FORGETTING: f64 = 0.995;
+/// Variance of one sample, relative to its square.
+const SAMPLE_VARIANCE: f64 = 0.02;
+
+/// Variance by which a parameter may drift between two samples, relative to its square.
+const DRIFT_VARIANCE: f64 = 2e-5;
 
 /// Confidence in the prior: variance of each parameter relative to its square.
 const PRIOR_VARIANCE: f64 = 0.25;
@@ -14,6 +17,9 @@
 /// Parameters never fall below this share of the prior, nor rise above its inverse.
 const LEARNING_RANGE: f64 = 0.02;
 
+/// Time of engines over which speeds are held against it, in seconds.
+const TIME_JUDGED_S: f64 = 20.0;
+
 /// Work beyond the time there was, from which speeds are corrected.
 const TIME_TOLERANCE: f64 = 1.1;
 
@@ -76,7 +82,7 @@
 }
 
 /// Learns [`EngineSpeeds`] from the time that busy engines spent: the cost of prompts and output
-/// by recursive least squares on the engines that do one of them, the loss of doing both from the
+/// by a Kalman filter on the engines that do one of them, the loss of doing both from the
 /// engines that do both and are never short of prompts.
 #[derive(Clone, Debug)]
 pub struct SpeedEstimate {
@@ -85,6 +91,9 @@
     scale: [f64; 3],
     covariance: [[f64; 3]; 3],
     mixed_loss: f64,
+    /// Work done and time passed since speeds were last held against time, in engine seconds.
+    worked_s: f64,
+    passed_s: f64,
 }
 
 impl SpeedEstimate {
@@ -99,6 +108,8 @@
             scale: [1.0; 3],
             covariance,
             mixed_loss: prior.mixed_loss,
+            worked_s: 0.0,
+            passed_s: 0.0,
         }
     }
 
@@ -125,20 +136,26 @@
         }
     }
 
-    /// No engine does more work than it had time for: speeds that say so are too slow.
+    /// No engine does more work than it had time for: speeds that say so are too slow. Judged
+    /// over many samples, as the times of single reports are uncertain.
     fn bound_by_time(&mut self, sample: &SpeedSample) {
         let speeds = self.speeds();
         let steps = sample.decode_tokens / sample.running.max(1.0);
-        let work_s = sample.prefill_tokens * speeds.prefill_token_s
+        self.worked_s += sample.prefill_tokens * speeds.prefill_token_s
             + steps * speeds.decode_step_s
             + sample.decode_tokens * speeds.decode_token_s;
-        if work_s <= sample.elapsed_s * TIME_TOLERANCE {
+        self.passed_s += sample.elapsed_s;
+        if self.passed_s < TIME_JUDGED_S {
             return;
         }
-        let factor = (sample.elapsed_s / work_s).sqrt();
-        for scale in &mut self.scale {
-            *scale = (*scale * factor).max(LEARNING_RANGE);
+        if self.worked_s > self.passed_s * TIME_TOLERANCE {
+            let factor = (self.passed_s / self.worked_s).sqrt();
+            for scale in &mut self.scale {
+                *scale = (*scale * factor).max(LEARNING_RANGE);
+            }
         }
+        self.worked_s = 0.0;
+        self.passed_s = 0.0;
     }
 
     fn observe_pure(&mut self, sample: &SpeedSample) {
@@ -165,7 +182,7 @@
 
     fn update(&mut self, inputs: &[f64; 3], target: f64) {
         let spread = multiply(&self.covariance, inputs);
-        let denominator = FORGETTING + dot(inputs, &spread);
+        let denominator = SAMPLE_VARIANCE + dot(inputs, &spread);
         let error = target - dot(inputs, &self.scale);
         for (scale, spread) in self.scale.iter_mut().zip(spread) {
             let learnt = *scale + spread / denominator * error;
@@ -173,23 +190,15 @@
         }
         for (row, row_spread) in self.covariance.iter_mut().zip(spread) {
             for (value, column_spread) in row.iter_mut().zip(spread) {
-                *value = (*value - row_spread * column_spread / denominator) / FORGETTING;
+                *value -= row_spread * column_spread / denominator;
             }
         }
-        self.bound_covariance();
-    }
-
-    /// Forgetting must not let the variance of a parameter that is never excited grow on.
-    fn bound_covariance(&mut self) {
-        let largest = (0..3)
-            .map(|place| self.covariance[place][place])
-            .fold(0.0, f64::max);
-        if largest <= PRIOR_VARIANCE {
-            return;
-        }
-        let factor = PRIOR_VARIANCE / largest;
-        for value in self.covariance.iter_mut().flatten() {
-            *value *= factor;
+        // Speeds may drift; a parameter that no sample shows stays as uncertain as the prior.
+        for place in 0..self.covariance.len() {
+            let variance = &mut self.covariance[place][place];
+            if *variance < PRIOR_VARIANCE {
+                *variance += DRIFT_VARIANCE;
+            }
         }
     }
 }
