decision: the account of a refusal names the engines looked at

Cause: a refused request's record kept neither the candidates nor their ages, so an operator could not ask why no engine was chosen. Change: NoEngineRecord (when, why, when to come back, candidates) in the request's record, put in by the gateway; exclusions in words.

--- a/crates/decision/src/account.rs
+++ b/crates/decision/src/account.rs
@@ -4,7 +4,7 @@
 
 use dalestand_types::Placement;
 
-use crate::{AttemptOutcome, AttemptRecord, RequestRecord, RoleRecord};
+use crate::{AttemptOutcome, AttemptRecord, Candidate, Exclusion, RequestRecord, RoleRecord};
 
 /// A plain account of what was decided about a request.
 pub fn account_of_request(record: &RequestRecord) -> String {
@@ -19,6 +19,14 @@
     for (number, attempt) in record.attempts.iter().enumerate() {
         text.push_str(&account_of_attempt(number + 1, attempt));
     }
+    if let Some(decision) = &record.no_engine {
+        let _ = writeln!(
+            text,
+            "  no engine after {} ms: {}; to come back in {} ms",
+            decision.after_ms, decision.reason, decision.retry_after_ms
+        );
+        text.push_str(&account_of_candidates(&decision.candidates));
+    }
     if let Some(refusal) = &record.refusal {
         let _ = writeln!(text, "  refused: {refusal}");
     }
@@ -39,10 +47,16 @@
         attempt.engine,
         outcome_words(&attempt.outcome)
     );
-    for candidate in &attempt.candidates {
+    text.push_str(&account_of_candidates(&attempt.candidates));
+    text
+}
+
+fn account_of_candidates(candidates: &[Candidate]) -> String {
+    let mut text = String::new();
+    for candidate in candidates {
         let verdict = match (candidate.score, candidate.exclusion) {
-            (_, Some(exclusion)) => format!("left out: {exclusion:?}"),
-            (Some(score), None) => format!("score {score:.1}"),
+            (_, Some(exclusion)) => format!("left out: {}", exclusion_words(exclusion)),
+            (Some(score), None) => format!("score {score:.1} ms"),
             (None, None) => "not scored".to_owned(),
         };
         let _ = writeln!(
@@ -54,6 +68,18 @@
     text
 }
 
+fn exclusion_words(exclusion: Exclusion) -> &'static str {
+    match exclusion {
+        Exclusion::Leaving => "leaving or drained",
+        Exclusion::OutOfService => "out of service for a role change",
+        Exclusion::WrongRole => "its role does not run this phase",
+        Exclusion::NotLoaded => "the model or adapter is not loaded",
+        Exclusion::Full => "full",
+        Exclusion::AlreadyTried => "tried before",
+        Exclusion::Silent => "nothing heard of it for too long",
+    }
+}
+
 fn placement_words(placement: Placement) -> &'static str {
     match placement {
         Placement::Whole => "",
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -8,5 +8,7 @@
 mod ring;
 
 pub use account::{account_of_request, account_of_role_change};
-pub use record::{AttemptOutcome, AttemptRecord, Candidate, Exclusion, RequestRecord, RoleRecord};
+pub use record::{
+    AttemptOutcome, AttemptRecord, Candidate, Exclusion, NoEngineRecord, RequestRecord, RoleRecord,
+};
 pub use ring::DecisionRing;
--- a/crates/decision/src/record.rs
+++ b/crates/decision/src/record.rs
@@ -74,6 +74,19 @@
     pub outcome: AttemptOutcome,
 }
 
+/// A decision that no engine takes a request.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NoEngineRecord {
+    /// When it was decided, in milliseconds after the request came in.
+    pub after_ms: u64,
+    /// Why.
+    pub reason: String,
+    /// When the caller was told to come back, in milliseconds.
+    pub retry_after_ms: u64,
+    /// The engines looked at.
+    pub candidates: Vec<Candidate>,
+}
+
 /// The decisions about one request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RequestRecord {
@@ -89,6 +102,8 @@
     pub tenant: Option<TenantName>,
     /// The attempts, oldest first.
     pub attempts: Vec<AttemptRecord>,
+    /// The decision that no engine takes it, if that was its end.
+    pub no_engine: Option<NoEngineRecord>,
     /// Why it was refused, if it was.
     pub refusal: Option<String>,
     /// What is known of whether it ran; `None` while it runs.
--- a/crates/gateway/src/attempt/mod.rs
+++ b/crates/gateway/src/attempt/mod.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dalestand_decision::{AttemptOutcome, AttemptRecord, Candidate};
+use dalestand_decision::{AttemptOutcome, AttemptRecord, Candidate, NoEngineRecord};
 use dalestand_platform::{AttemptError, Engine as _, FrameStream};
 use dalestand_routing::{
     AttemptFate, Deadlines, EngineView, FailedAttempt, RetryVerdict, RouteDecision, RoutePhase,
@@ -200,8 +200,17 @@
             RouteDecision::Refuse {
                 reason,
                 retry_after,
-                ..
+                candidates,
             } => {
+                let decided = NoEngineRecord {
+                    after_ms: now.since(self.received_at).as_millis() as u64,
+                    reason: format!("{reason:?}"),
+                    retry_after_ms: retry_after.as_millis() as u64,
+                    candidates,
+                };
+                shared
+                    .decisions()
+                    .update_request(self.request.request, |kept| kept.no_engine = Some(decided));
                 let message = format!("no engine can take the request now: {reason:?}");
                 Err(self.give_up(message, retry_after))
             }
--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -172,6 +172,7 @@
         model: order.request.model.clone(),
         tenant: order.request.tenant.clone(),
         attempts: Vec::new(),
+        no_engine: None,
         refusal: None,
         run_state: None,
     };
