--- a/crates/planner/tests/properties.rs
+++ b/crates/planner/tests/properties.rs
@@ -1,5 +1,7 @@
 //! Properties of the role planner under arbitrary demand.
 
+use std::collections::BTreeMap;
+
 use dalestand_planner::{Composition, PlannerConfig, RolePlan, RolePlanner};
 use dalestand_types::{
     EngineDigest, EngineId, EngineLoad, Epoch, GroupDigest, GroupId, Incarnation, MonotonicTime,
@@ -18,6 +20,7 @@
     change_seconds: u32,
     /// Place of an engine that takes no new work.
     drained: Option<usize>,
+    last_plan: BTreeMap<EngineId, Role>,
     planner: RolePlanner,
     now_ms: u64,
 }
@@ -32,6 +35,7 @@
             out_seconds: vec![0; size],
             change_seconds: 0,
             drained: None,
+            last_plan: BTreeMap::new(),
             planner,
             now_ms: 0,
         }
@@ -439,3 +443,36 @@
         }
     }
 }
+
+/// Changes in ten minutes of a mix that swings with this period, after five minutes to learn it.
+fn changes_in_a_swing(period_seconds: u32) -> usize {
+    let mut group = Group::new(9, config(0.2));
+    group.change_seconds = 9;
+    let mut changes = 0;
+    for second in 0..900 {
+        let prompts = second % period_seconds < period_seconds / 2;
+        let (prefill, decode) = if prompts {
+            (150_000, 3_000)
+        } else {
+            (20_000, 22_000)
+        };
+        let before = group.last_plan.clone();
+        let plan = group.second(prefill, decode);
+        if second >= 300 {
+            changes += plan
+                .roles
+                .iter()
+                .filter(|(engine, role)| before.get(*engine) != Some(*role))
+                .count();
+        }
+        group.follow(&plan);
+        group.last_plan = plan.roles;
+    }
+    changes
+}
+
+#[test]
+fn a_mix_that_swings_as_fast_as_a_change_lasts_is_not_followed() {
+    let changes = changes_in_a_swing(20);
+    assert!(changes <= 4, "{changes} changes in 30 swings");
+}
