--- a/crates/planner/tests/properties.rs
+++ b/crates/planner/tests/properties.rs
@@ -1,17 +1,18 @@
 //! Properties of the role planner under arbitrary demand.
 
+mod support;
+
 use std::collections::BTreeMap;
 
 use dalestand_planner::{Composition, PlannerConfig, RolePlan, RolePlanner};
 use dalestand_types::{
-    EngineDigest, EngineId, EngineLoad, Epoch, GroupDigest, GroupId, Incarnation, MonotonicTime,
-    NodeId, Role, Sequence,
+    EngineId, EngineLoad, GroupDigest, GroupId, Incarnation, MonotonicTime, Role, Sequence,
 };
 use proptest::prelude::*;
-use proptest::test_runner::{RngAlgorithm, RngSeed};
+
+use support::{REPORT_MS, cases, config, digest, idle_engine};
 
 const GROUP: &str = "pool@zone";
-const REPORT_MS: u64 = 1_000;
 
 /// A group of engines that obey a plan, each out of service for some seconds.
 struct Group {
@@ -75,19 +76,8 @@
     }
 
     fn digest(&self) -> GroupDigest {
-        let engines = self.engines.iter().enumerate();
-        let engines = engines.map(|(place, load)| EngineDigest {
-            load: load.clone(),
-            age_ms: 0,
-            accepting: self.drained != Some(place),
-        });
-        GroupDigest {
-            group: GroupId::from(GROUP),
-            epoch: Epoch(1),
-            sequence: Sequence(self.now_ms),
-            holder: NodeId::from("node"),
-            engines: engines.collect(),
-        }
+        let group = GroupId::from(GROUP);
+        digest(&group, self.now_ms, &self.engines, self.drained)
     }
 
     fn changing(&self, plan: &RolePlan) -> usize {
@@ -96,47 +86,6 @@
     }
 }
 
-fn idle_engine(number: usize, mixed: bool) -> EngineLoad {
-    let role = match (mixed, number % 2) {
-        (true, _) => Role::Mixed,
-        (false, 0) => Role::Prefill,
-        (false, _) => Role::Decode,
-    };
-    EngineLoad {
-        engine: EngineId::from(format!("engine-{number}")),
-        incarnation: Incarnation(1),
-        sequence: Sequence(0),
-        role: Some(role),
-        running: 0,
-        waiting: 0,
-        queued_prefill_tokens: 0,
-        capacity: 128,
-        cache_tokens_used: 0,
-        cache_tokens_total: 100_000,
-        prefill_tokens_total: 0,
-        decode_tokens_total: 0,
-        models: Vec::new(),
-    }
-}
-
-fn config(weight: f64) -> PlannerConfig {
-    PlannerConfig {
-        change_weight: weight,
-        ..PlannerConfig::default()
-    }
-}
-
-/// Fixed seed, no files: the same cases each time.
-fn cases(count: u32) -> ProptestConfig {
-    ProptestConfig {
-        cases: count,
-        rng_algorithm: RngAlgorithm::ChaCha,
-        rng_seed: RngSeed::Fixed(11),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
     #![proptest_config(cases(64))]
 
@@ -328,122 +277,6 @@
     assert_eq!(all.len(), 4);
 }
 
-/// Three groups of two engines under planners that hear of each other late.
-struct LatePool {
-    groups: Vec<GroupId>,
-    planners: Vec<RolePlanner>,
-    engines: Vec<EngineLoad>,
-    digests: Vec<Vec<GroupDigest>>,
-    delay_seconds: usize,
-    changes: Vec<usize>,
-}
-
-const GROUP_SIZE: usize = 2;
-
-impl LatePool {
-    fn new(delay_seconds: usize, weight: f64) -> Self {
-        let groups: Vec<GroupId> = ["one", "two", "three"]
-            .iter()
-            .map(|zone| GroupId::from(format!("pool@{zone}")))
-            .collect();
-        let planners = groups
-            .iter()
-            .map(|group| RolePlanner::new(group.clone(), config(weight)));
-        Self {
-            planners: planners.collect(),
-            engines: (0..groups.len() * GROUP_SIZE)
-                .map(|number| idle_engine(number, true))
-                .collect(),
-            digests: Vec::new(),
-            delay_seconds,
-            changes: vec![0; groups.len()],
-            groups,
-        }
-    }
-
-    fn second(&mut self, prefill: u64, decode: u64) {
-        let second = self.digests.len() as u64 + 1;
-        let now = MonotonicTime::from_millis(second * REPORT_MS);
-        let size = self.engines.len() as u64;
-        for load in &mut self.engines {
-            load.sequence = load.sequence.next();
-            load.running = 64;
-            load.prefill_tokens_total += prefill / size;
-            load.decode_tokens_total += decode / size;
-        }
-        let digests = self.groups.iter().zip(self.engines.chunks(GROUP_SIZE));
-        let digests = digests.map(|(group, engines)| digest(group, second, engines));
-        self.digests.push(digests.collect());
-        let newest = self.digests.len() - 1;
-        for (own, planner) in self.planners.iter_mut().enumerate() {
-            for group in 0..self.groups.len() {
-                let delay = if group == own { 0 } else { self.delay_seconds };
-                if let Some(heard) = newest.checked_sub(delay) {
-                    planner.observe(now, &self.digests[heard][group]);
-                }
-            }
-        }
-        for (own, planner) in self.planners.iter_mut().enumerate() {
-            let plan = planner.plan(now);
-            for load in &mut self.engines[own * GROUP_SIZE..(own + 1) * GROUP_SIZE] {
-                let planned = plan.roles.get(&load.engine).copied();
-                if planned.is_some() && planned != load.role {
-                    load.role = planned;
-                    self.changes[own] += 1;
-                }
-            }
-        }
-    }
-
-    fn covers(&self) -> bool {
-        Composition::of(self.engines.iter().filter_map(|load| load.role)).covers()
-    }
-}
-
-fn digest(group: &GroupId, second: u64, engines: &[EngineLoad]) -> GroupDigest {
-    let engines = engines.iter().map(|load| EngineDigest {
-        load: load.clone(),
-        age_ms: 0,
-        accepting: true,
-    });
-    GroupDigest {
-        group: group.clone(),
-        epoch: Epoch(1),
-        sequence: Sequence(second),
-        holder: NodeId::from("node"),
-        engines: engines.collect(),
-    }
-}
-
-#[test]
-fn groups_of_a_pool_are_planned_together_and_each_changes_its_own_engines() {
-    let mut pool = LatePool::new(1, 0.0);
-    for _ in 0..400 {
-        pool.second(96_000, 1_800);
-    }
-    let changed = pool.changes.iter().filter(|changes| **changes > 0).count();
-    assert!(changed > 1, "changes by group: {:?}", pool.changes);
-}
-
-proptest! {
-    #![proptest_config(cases(16))]
-
-    #[test]
-    fn groups_that_hear_of_each_other_late_never_leave_a_phase_empty(
-        delay_seconds in 0_usize..9,
-        weight in 0.0_f64..0.5,
-        phases in prop::collection::vec((0_u64..150_000, 0_u64..20_000, 10_u32..90), 1..6),
-    ) {
-        let mut pool = LatePool::new(delay_seconds, weight);
-        for (prefill, decode, seconds) in phases {
-            for _ in 0..seconds {
-                pool.second(prefill, decode);
-                prop_assert!(pool.covers());
-            }
-        }
-    }
-}
-
 /// Changes in ten minutes of a mix that swings with this period, after five minutes to learn it.
 fn changes_in_a_swing(period_seconds: u32) -> usize {
     let mut group = Group::new(9, config(0.2));
