planner: speeds that need more time than there was are corrected at once

Cause: the large fleet's engines run a prompt token in a thirteenth of the assumed time, and each correction took only the root of the factor. Change: the whole factor, as it is judged over 20 engine seconds.

--- a/crates/planner/src/speeds.rs
+++ b/crates/planner/src/speeds.rs
@@ -149,7 +149,7 @@
             return;
         }
         if self.worked_s > self.passed_s * TIME_TOLERANCE {
-            let factor = (self.passed_s / self.worked_s).sqrt();
+            let factor = self.passed_s / self.worked_s;
             for scale in &mut self.scale {
                 *scale = (*scale * factor).max(LEARNING_RANGE);
             }
