--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -173,6 +173,7 @@
         tenant: order.request.tenant.clone(),
         terms: order.terms.clone(),
         attempts: Vec::new(),
+        no_engine: None,
         refusal: None,
         run_state: None,
     };
