--- a/crates/node/src/configuration/tests.rs
+++ b/crates/node/src/configuration/tests.rs
@@ -70,6 +70,8 @@
     ConfigurationRecord {
         writer: "w".to_owned(),
         author: "a".to_owned(),
+        unix_ms: 0,
+        former: Vec::new(),
         text: format!("format = 1\nname = \"{name}\"\n"),
     }
 }
