--- a/crates/lab/src/hollow/phases.rs
+++ b/crates/lab/src/hollow/phases.rs
@@ -43,6 +43,8 @@
         engines: options.engines,
         tenants: options.tenants,
         deployment_bytes,
+        machine_list_bytes: platform.machine_list_bytes().await?,
+        load_report_bytes: platform.load_report_bytes().await?,
         loss: options.loss,
         join_seconds: started.elapsed().as_secs_f64(),
         join_key_value_calls: platform.key_value_calls().await?,
--- a/crates/lab/src/hollow/platform.rs
+++ b/crates/lab/src/hollow/platform.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 
 use actix_rt::Arbiter;
+use dalestand_platform::wire::engine::LOAD;
+use dalestand_platform::wire::machine_list::MACHINES;
 use dalestand_standin::engine::{BatchSettings, EngineSettings, serve_engine};
 use dalestand_standin::key_value::serve_key_value;
 use dalestand_standin::machine_list::serve_machine_list;
@@ -15,12 +17,17 @@
 use super::options::Options;
 use crate::LabError;
 
+/// Largest answer whose size is asked for.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
 /// Where the stand-ins listen.
 pub(super) struct Platform {
     /// The key-value service.
     pub(super) key_value: SocketAddr,
     /// The machine list.
     pub(super) machine_list: SocketAddr,
+    /// The first engine.
+    engine: Option<SocketAddr>,
     client: awc::Client,
 }
 
@@ -34,9 +41,10 @@
         let machine_list = serve_on(&arbiter, |listener| {
             drop(actix_rt::spawn(serve_machine_list(listener)));
         })?;
-        let platform = Self {
+        let mut platform = Self {
             key_value,
             machine_list,
+            engine: None,
             client: awc::Client::default(),
         };
         for number in 0..options.engines {
@@ -45,6 +53,7 @@
             let address = serve_on(&arbiter, move |listener| {
                 drop(actix_rt::spawn(serve_engine(listener, settings)));
             })?;
+            platform.engine.get_or_insert(address);
             let zone = zone(options, number);
             platform
                 .list(name, MachineKind::Engine, zone, address)
@@ -83,6 +92,26 @@
     }
 }
 
+impl Platform {
+    /// Bytes of the whole machine list, without the answer's head.
+    pub(super) async fn machine_list_bytes(&self) -> Result<usize, Report<LabError>> {
+        self.body_bytes(self.machine_list, MACHINES).await
+    }
+
+    /// Bytes of one engine's load report, without the answer's head.
+    pub(super) async fn load_report_bytes(&self) -> Result<usize, Report<LabError>> {
+        let engine = self.engine.ok_or_else(|| failed(&"there is no engine"))?;
+        self.body_bytes(engine, LOAD).await
+    }
+
+    async fn body_bytes(&self, address: SocketAddr, path: &str) -> Result<usize, Report<LabError>> {
+        let sent = self.client.get(format!("http://{address}{path}")).send();
+        let mut answer = sent.await.map_err(|error| failed(&error))?;
+        let body = answer.body().limit(MAX_BODY_BYTES).await;
+        body.map(|body| body.len()).map_err(|error| failed(&error))
+    }
+}
+
 fn engine_settings(name: &str) -> EngineSettings {
     EngineSettings {
         engine: EngineId::from(name),
--- a/crates/lab/src/hollow/report.rs
+++ b/crates/lab/src/hollow/report.rs
@@ -16,6 +16,10 @@
     pub(super) tenants: usize,
     /// Bytes of the deployment file.
     pub(super) deployment_bytes: usize,
+    /// Bytes of the whole machine list.
+    pub(super) machine_list_bytes: usize,
+    /// Bytes of one engine's load report.
+    pub(super) load_report_bytes: usize,
     /// Share of datagrams lost.
     pub(super) loss: f64,
     /// Until every node knew all others, the configuration and every engine's load.
