--- a/crates/cluster/src/core.rs
+++ b/crates/cluster/src/core.rs
@@ -113,7 +113,7 @@
     }
 
     /// Whether this node knows of addresses to find others by.
-    pub fn has_seeds(&self) -> bool {
+    pub fn has_contacts(&self) -> bool {
         self.contacts().next().is_some()
     }
 
--- a/crates/node/src/configuration/watch.rs
+++ b/crates/node/src/configuration/watch.rs
@@ -53,7 +53,7 @@
     store: Rc<ConfigurationStore>,
 ) {
     actix_rt::time::sleep(FIRST_LOOK.mul_f64(random_factor())).await;
-    if cluster.borrow().has_seeds() {
+    if cluster.borrow().has_contacts() {
         let longer = FIRST_LOOK_WITH_PEERS - FIRST_LOOK;
         actix_rt::time::sleep(longer.mul_f64(random_factor())).await;
     }
