A planned stop in an outage of the key-value service

Change: cmd/tests/recovery.rs: the holder is stopped twice over in an outage, with requests in flight; the callers' history is judged, and another node holds the group once the service is back.

--- a/cmd/tests/recovery.rs
+++ b/cmd/tests/recovery.rs
@@ -63,6 +63,42 @@
     assert_eq!(not_run_did_not_run(&history), Ok(()));
 }
 
+#[actix_rt::test]
+async fn a_planned_stop_in_an_outage_cuts_nothing() {
+    let mut fleet = Fleet::start(&["e1", "e2"], LEASE_MS).await;
+    for node in ["n1", "n2"] {
+        fleet.start_node(node).await;
+    }
+    fleet.apply("n1", &fleet.deployment(Role::Mixed, true));
+    fleet.wait_for_role(Role::Mixed).await;
+    for node in ["n1", "n2"] {
+        fleet.wait_for_models(node).await;
+    }
+    let callers = Callers::start(CALLERS, fleet.caller_addresses(), &fleet.recorder);
+    callers.wait_for_progress().await;
+    let outage = KeyValueFaults {
+        outage: true,
+        ..KeyValueFaults::default()
+    };
+    fleet.set_key_value_faults(&outage).await;
+    let holder = fleet.holder_by_status().await;
+    fleet.wait_for_request_in_flight(&holder).await;
+    let mut leaving = fleet.nodes.remove(&holder).expect("the holder");
+    leaving.process.signal("TERM");
+    leaving.process.signal("TERM");
+    callers.set_nodes(fleet.caller_addresses());
+    assert_eq!(leaving.process.wait_while_serving().await, Some(0));
+    fleet.set_key_value_faults(&KeyValueFaults::default()).await;
+    fleet.wait_for_holder(Some(&holder)).await;
+    callers.wait_for_progress().await;
+    callers.stop().await;
+    let history = fleet.history().await;
+    check_orders(&history);
+    assert_eq!(whole_answers(&history), Ok(()));
+    assert_eq!(nothing_cut(&history), Ok(()));
+    assert_eq!(not_run_did_not_run(&history), Ok(()));
+}
+
 #[actix_rt::test]
 async fn two_failures_at_once_are_recovered_from() {
     let mut fleet = Fleet::start(&["e1", "e2"], LEASE_MS).await;
--- a/cmd/tests/support/fleet.rs
+++ b/cmd/tests/support/fleet.rs
@@ -181,6 +181,16 @@
         holder_of(&entry?.value)
     }
 
+    /// Who holds the group, by what nodes tell each other.
+    pub async fn holder_by_status(&self) -> String {
+        let node = self.nodes.values().next().expect("a node");
+        let holder = eventually("a node knows the holder", || async {
+            let status: StatusResponse = get(node.operators, "/status").await;
+            status.holders.get(&GroupId::from(GROUP)).cloned()
+        });
+        holder.await.to_string()
+    }
+
     /// Waits until a node other than `former` holds the group and yields its name.
     pub async fn wait_for_holder(&self, former: Option<&str>) -> String {
         let holder = eventually("a node holds the group", || async {
