The model of the interleavings in modules of one job each

Change: faults and services are modules of their own; no step and no check is changed. `cargo test -p dalestand-control`: all pass, as before.

--- a/crates/control/tests/model/world.rs
+++ b/crates/control/tests/model/world.rs
@@ -3,19 +3,17 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use dalestand_control::{
-    Action, DesiredEngine, EngineCall, EngineSeen, GroupController, LeaseGrant,
-};
+use dalestand_control::{Action, DesiredEngine, EngineSeen, GroupController};
 use dalestand_history::checks::{fenced, no_conflicting_orders};
 use dalestand_history::{
     EngineLogEntry, EngineLogLine, Event, History, OrderLogEntry, RecordedEvent,
 };
 use dalestand_standin::engine::OrderBook;
 use dalestand_types::{
-    EngineId, GroupId, Incarnation, MonotonicTime, NodeId, Order, OrderPhase, Revision, Role,
+    EngineId, GroupId, Incarnation, MonotonicTime, Order, OrderPhase, Revision, Role,
 };
 
-use super::key_value::{HolderRecord, KeyValueModel, LEASE};
+use super::key_value::KeyValueModel;
 use super::network::{Answer, EngineRequest, KeyValueRequest, Packet, Sent};
 
 /// Nodes that try to hold the group.
@@ -60,30 +58,30 @@
     Round,
 }
 
-struct Holder {
-    controller: GroupController,
-    paused: bool,
+pub(super) struct Holder {
+    pub(super) controller: GroupController,
+    pub(super) paused: bool,
 }
 
 /// Everything there is.
 pub struct World {
-    now: MonotonicTime,
-    key_value: KeyValueModel,
-    holders: Vec<Holder>,
-    engines: Vec<OrderBook>,
-    network: Vec<Sent>,
-    late: Vec<Sent>,
-    history: History,
-    next_writer: u64,
-    revision: u64,
-    role: Role,
+    pub(super) now: MonotonicTime,
+    pub(super) key_value: KeyValueModel,
+    pub(super) holders: Vec<Holder>,
+    pub(super) engines: Vec<OrderBook>,
+    pub(super) network: Vec<Sent>,
+    pub(super) late: Vec<Sent>,
+    pub(super) history: History,
+    pub(super) next_writer: u64,
+    pub(super) revision: u64,
+    pub(super) role: Role,
 }
 
-fn engine_id(index: usize) -> EngineId {
+pub(super) fn engine_id(index: usize) -> EngineId {
     EngineId::from(format!("e{index}"))
 }
 
-fn index_of(engine: &EngineId) -> usize {
+pub(super) fn index_of(engine: &EngineId) -> usize {
     let digits = engine.as_str().trim_start_matches('e');
     digits.parse().expect("a model engine's name")
 }
@@ -162,7 +160,7 @@
         assert_eq!(held.flatten().count(), 1, "one node holds the group");
     }
 
-    fn converge(&mut self) {
+    pub(super) fn converge(&mut self) {
         for _ in 0..FAIR_ROUNDS {
             self.round();
             for engine in 0..ENGINES {
@@ -178,7 +176,7 @@
         );
     }
 
-    fn round(&mut self) {
+    pub(super) fn round(&mut self) {
         self.now = self.now + FAIR_ROUND;
         for holder in 0..HOLDERS {
             self.tick(holder);
@@ -188,7 +186,7 @@
         }
     }
 
-    fn desire(&mut self, role: Role) {
+    pub(super) fn desire(&mut self, role: Role) {
         self.role = role;
         self.revision += 1;
         let models = Vec::new();
@@ -206,7 +204,7 @@
         }
     }
 
-    fn report(&mut self, holder: usize, at: MonotonicTime) {
+    pub(super) fn report(&mut self, holder: usize, at: MonotonicTime) {
         for (index, book) in self.engines.iter().enumerate() {
             let state = book.state();
             let seen = EngineSeen {
@@ -219,7 +217,7 @@
         }
     }
 
-    fn tick(&mut self, holder: usize) {
+    pub(super) fn tick(&mut self, holder: usize) {
         if self.holders[holder].paused {
             return;
         }
@@ -236,7 +234,7 @@
         }
     }
 
-    fn packet(&mut self, action: Action) -> Packet {
+    pub(super) fn packet(&mut self, action: Action) -> Packet {
         let sent_at = self.now;
         let to_key_value = |request| Packet::KeyValue {
             request,
@@ -260,13 +258,13 @@
     }
 
     /// An order is given only while the service, too, counts the lease as alive.
-    fn check_lease_lives(&self, order: &Order) {
+    pub(super) fn check_lease_lives(&self, order: &Order) {
         let record = self.key_value.record(self.now);
         let epoch = record.map(|record| record.epoch);
         assert_eq!(epoch, Some(order.id.epoch), "an order without a lease");
     }
 
-    fn deliver(&mut self, place: usize) {
+    pub(super) fn deliver(&mut self, place: usize) {
         if self.network.is_empty() {
             return;
         }
@@ -291,173 +289,12 @@
         }
     }
 
-    fn answer(&mut self, holder: usize, answer: Answer) {
+    pub(super) fn answer(&mut self, holder: usize, answer: Answer) {
         let packet = Packet::Holder(answer);
         self.network.push(Sent { holder, packet });
     }
 
-    fn at_engine(&mut self, call: EngineCall, request: &EngineRequest) -> Answer {
-        let index = index_of(&call.engine);
-        let before = self.engines[index].state().clone();
-        let outcome = match request {
-            EngineRequest::ReadOrders => return Answer::Read(call, before),
-            EngineRequest::RaiseEpoch => self.engines[index].raise_epoch(call.epoch),
-            EngineRequest::SendOrder(order) => self.engines[index].take(order),
-        };
-        let after = outcome.state();
-        if let EngineRequest::SendOrder(order) = request
-            && before.last != after.last
-        {
-            assert_eq!(
-                before.highest_epoch, order.id.epoch,
-                "an order to an engine that was not read under its epoch"
-            );
-            let order = order.clone();
-            self.log(
-                index,
-                OrderLogEntry::Taken {
-                    at_micros: 0,
-                    order,
-                },
-            );
-        } else if before.highest_epoch < after.highest_epoch {
-            let entry = OrderLogEntry::EpochRaised {
-                at_micros: 0,
-                incarnation: after.incarnation,
-                epoch: after.highest_epoch,
-            };
-            self.log(index, entry);
-        }
-        Answer::Engine(call, outcome)
-    }
-
-    fn at_key_value(&mut self, holder: usize, request: KeyValueRequest) -> Option<Answer> {
-        let now = self.now;
-        Some(match request {
-            KeyValueRequest::Acquire { writer, sent_at } => {
-                let record = self.key_value.acquire(now, writer);
-                if let Some(record) = record {
-                    self.record(Event::LeaseGranted {
-                        group: GroupId::from("g"),
-                        node: NodeId::from(format!("n{holder}")),
-                        epoch: record.epoch,
-                    });
-                }
-                Answer::Acquired(record.map(|record| grant(record, sent_at)))
-            }
-            KeyValueRequest::ReadBack { writer, sent_at } => {
-                let record = self.key_value.record(now);
-                let own = record.filter(|record| record.writer == writer);
-                Answer::Acquired(own.map(|record| grant(record, sent_at)))
-            }
-            KeyValueRequest::Renew { lease, sent_at } if self.key_value.renew(now, lease) => {
-                Answer::Renewed { lease, sent_at }
-            }
-            KeyValueRequest::Renew { lease, .. } => Answer::Gone { lease },
-            KeyValueRequest::Release { lease } => {
-                self.key_value.revoke(lease);
-                return None;
-            }
-        })
-    }
-
-    fn at_holder(&mut self, holder: usize, answer: Answer) {
-        let now = self.now;
-        let controller = &mut self.holders[holder].controller;
-        match answer {
-            Answer::Engine(call, outcome) => controller.engine_answered(now, &call, &outcome),
-            Answer::Read(call, state) => controller.engine_read(now, &call, &state),
-            Answer::EngineFailed(call) => controller.engine_failed(now, &call),
-            Answer::Acquired(Some(grant)) => controller.lease_acquired(now, grant),
-            Answer::Acquired(None) => controller.lease_not_acquired(now + LEASE / 2),
-            Answer::Renewed { lease, sent_at } => controller.lease_renewed(lease, sent_at),
-            Answer::Gone { lease } => controller.lease_gone(now, lease),
-            Answer::RenewalFailed { lease } => controller.lease_renewal_failed(now, lease),
-        }
-    }
-
-    /// What the waiting holder makes of a call that it gives up.
-    fn given_up(packet: &Packet) -> Option<Packet> {
-        let answer = match packet {
-            Packet::Engine(call, _)
-            | Packet::Holder(Answer::Engine(call, _) | Answer::Read(call, _)) => {
-                Answer::EngineFailed(call.clone())
-            }
-            Packet::KeyValue { request, abandoned } if !abandoned => match *request {
-                KeyValueRequest::Acquire { writer, sent_at } => {
-                    let request = KeyValueRequest::ReadBack { writer, sent_at };
-                    let abandoned = false;
-                    return Some(Packet::KeyValue { request, abandoned });
-                }
-                KeyValueRequest::ReadBack { .. } => Answer::Acquired(None),
-                KeyValueRequest::Renew { lease, .. } => Answer::RenewalFailed { lease },
-                KeyValueRequest::Release { .. } => return None,
-            },
-            Packet::Holder(Answer::Renewed { lease, .. } | Answer::Gone { lease }) => {
-                Answer::RenewalFailed { lease: *lease }
-            }
-            Packet::Holder(Answer::Acquired(_)) => Answer::Acquired(None),
-            Packet::KeyValue { .. } | Packet::Holder(_) => return None,
-        };
-        Some(Packet::Holder(answer))
-    }
-
-    fn lose(&mut self, place: usize) {
-        if self.network.is_empty() {
-            return;
-        }
-        let place = place % self.network.len();
-        let holder = self.network[place].holder;
-        match Self::given_up(&self.network[place].packet) {
-            Some(packet) => self.network[place] = Sent { holder, packet },
-            // A failure that a holder noticed by itself cannot be lost.
-            None if matches!(self.network[place].packet, Packet::Holder(_)) => {}
-            None => drop(self.network.remove(place)),
-        }
-    }
-
-    fn delay(&mut self, place: usize) {
-        if self.network.is_empty() {
-            return;
-        }
-        let place = place % self.network.len();
-        let holder = self.network[place].holder;
-        if matches!(self.network[place].packet, Packet::Holder(_)) {
-            return;
-        }
-        if let Some(packet) = Self::given_up(&self.network[place].packet) {
-            let mut late = self.network.remove(place);
-            if let Packet::KeyValue { abandoned, .. } = &mut late.packet {
-                *abandoned = true;
-            }
-            self.late.push(late);
-            self.network.push(Sent { holder, packet });
-        }
-    }
-
-    fn arrive(&mut self, place: usize) {
-        if self.late.is_empty() {
-            return;
-        }
-        let sent = self.late.remove(place % self.late.len());
-        self.network.push(sent);
-        self.deliver(self.network.len() - 1);
-    }
-
-    fn repeat(&mut self, place: usize) {
-        if self.network.is_empty() {
-            return;
-        }
-        let sent = self.network[place % self.network.len()].clone();
-        if matches!(
-            sent.packet,
-            Packet::Engine(..) | Packet::Holder(Answer::Engine(..) | Answer::Read(..))
-        ) {
-            self.late.push(sent);
-        }
-    }
-
-    fn finish(&mut self, engine: usize) {
+    pub(super) fn finish(&mut self, engine: usize) {
         let Some(last) = self.engines[engine].state().last.clone() else {
             return;
         };
@@ -477,30 +314,7 @@
         );
     }
 
-    fn restart(&mut self, engine: usize) {
-        let incarnation = self.engines[engine].state().incarnation.next();
-        self.engines[engine] = OrderBook::new(incarnation, Role::Mixed);
-    }
-
-    fn hand_over(&mut self, holder: usize) {
-        if self.holders[holder].paused {
-            return;
-        }
-        let retry_at = self.now + LEASE;
-        let grant = self.holders[holder].controller.hand_over(retry_at);
-        if let Some(grant) = grant {
-            let lease = grant.lease;
-            let request = KeyValueRequest::Release { lease };
-            let packet = Packet::KeyValue {
-                request,
-                abandoned: false,
-            };
-            self.network.push(Sent { holder, packet });
-            self.holders[(holder + 1) % HOLDERS].controller.invite();
-        }
-    }
-
-    fn log(&mut self, engine: usize, entry: OrderLogEntry) {
+    pub(super) fn log(&mut self, engine: usize, entry: OrderLogEntry) {
         self.record(Event::Engine(EngineLogLine {
             engine: engine_id(engine),
             incarnation: self.engines[engine].state().incarnation,
@@ -508,22 +322,13 @@
         }));
     }
 
-    fn record(&mut self, event: Event) {
+    pub(super) fn record(&mut self, event: Event) {
         let at = self.now;
         self.history.events.push(RecordedEvent { at, event });
     }
 
-    fn check_changes_at_once(&self) {
+    pub(super) fn check_changes_at_once(&self) {
         let changing = self.engines.iter().filter(|book| book.changes_role());
         assert!(changing.count() <= MAX_CHANGES, "too many role changes");
     }
 }
-
-fn grant(record: HolderRecord, sent_at: MonotonicTime) -> LeaseGrant {
-    LeaseGrant {
-        lease: record.lease,
-        epoch: record.epoch,
-        sent_at,
-        time_to_live: LEASE,
-    }
-}
