--- a/cmd/tests/support/fleet.rs
+++ b/cmd/tests/support/fleet.rs
@@ -8,6 +8,7 @@
 use dalestand_platform::wire::key_value::{
     GET, GetRequest, GetResponse, RANGE, RangeRequest, WATCH, WatchRequest,
 };
+use dalestand_platform::wire::machine_list::{MACHINES, MachinesResponse};
 use dalestand_platform::{Entry, Listing, WatchBatch};
 use dalestand_standin::engine::EngineFaults;
 use dalestand_standin::key_value::KeyValueFaults;
@@ -25,6 +26,9 @@
 /// Length of a role change of its engines, in milliseconds.
 const ROLE_CHANGE_MS: &str = "400";
 
+/// Time between two reads of the machine list, for nodes that are quick to notice.
+const FAST_MACHINE_POLL_MS: u64 = 100;
+
 /// An engine process.
 pub struct EngineProcess {
     pub process: Process,
@@ -85,54 +89,48 @@
 
     /// Starts a node.
     pub async fn start_node(&mut self, name: &str) {
+        self.start_node_reading(name, FAST_MACHINE_POLL_MS).await;
+    }
+
+    /// Starts a node that reads the machine list when it starts and then every `machine_poll_ms`.
+    pub async fn start_node_reading(&mut self, name: &str, machine_poll_ms: u64) {
         let (kv, machines, lease_ms) = (self.kv, self.machines, self.lease_ms);
         let node = Node::start(&format!(
             "node = \"{name}\"\nzone = \"z\"\ncaller_listen = \"127.0.0.1:0\"\n\
              operator_listen = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\n\
              key_value = \"{kv}\"\nmachine_list = \"{machines}\"\nload_poll_ms = 100\n\
-             machine_poll_ms = 100\nlease_ms = {lease_ms}\n"
+             machine_poll_ms = {machine_poll_ms}\nlease_ms = {lease_ms}\n"
         ));
         self.register(name, MachineKind::Node, node.peers, 1).await;
         self.nodes.insert(name.to_owned(), node);
     }
 
-    async fn register(&self, name: &str, kind: MachineKind, address: SocketAddr, run: u64) {
-        self.list(Machine {
-            name: name.to_owned(),
-            kind,
-            zone: ZoneName::from("z"),
-            address,
-            incarnation: Incarnation(run),
-            state: MachineState::Live,
-        })
-        .await;
-    }
-
-    /// Marks an engine's first run as leaving in the machine list, and records that.
-    pub async fn mark_leaving(&self, name: &str) {
-        self.list(Machine {
-            name: name.to_owned(),
-            kind: MachineKind::Engine,
-            zone: ZoneName::from("z"),
-            address: self.engines[name].address,
-            incarnation: Incarnation(1),
-            state: MachineState::Leaving,
+    /// Lists an engine as leaving, and records when the lagging list shows it.
+    pub async fn mark_leaving(&self, engine: &str, lag_ms: u64) {
+        let faults = MachineListFaults {
+            lag_ms,
+            ..MachineListFaults::default()
+        };
+        assert_eq!(post(self.machines, "/faults", &faults).await.0, 200);
+        let address = self.engines[engine].address;
+        let mut machine = machine(engine, MachineKind::Engine, address, 1);
+        machine.state = MachineState::Leaving;
+        assert_eq!(post(self.machines, MACHINES, &machine).await.0, 200);
+        eventually("the list shows the engine as leaving", || async {
+            let list: MachinesResponse = get(self.machines, MACHINES).await;
+            list.machines.contains(&machine).then_some(())
         })
         .await;
-        let engine = EngineId::from(name);
+        let engine = EngineId::from(engine);
         self.recorder.record(Event::EngineLeaving { engine });
     }
 
-    async fn list(&self, machine: Machine) {
+    async fn register(&self, name: &str, kind: MachineKind, address: SocketAddr, run: u64) {
+        let machine = machine(name, kind, address, run);
         let (status, _) = post(self.machines, "/v1/machines", &machine).await;
         assert_eq!(status, 200);
     }
 
-    /// Sets the faults of the machine list.
-    pub async fn set_machine_list_faults(&self, faults: &MachineListFaults) {
-        assert_eq!(post(self.machines, "/faults", faults).await.0, 200);
-    }
-
     /// Where callers connect, at every node.
     pub fn caller_addresses(&self) -> Vec<SocketAddr> {
         self.nodes.values().map(|node| node.callers).collect()
@@ -294,6 +292,17 @@
     }
 }
 
+fn machine(name: &str, kind: MachineKind, address: SocketAddr, run: u64) -> Machine {
+    Machine {
+        name: name.to_owned(),
+        kind,
+        zone: ZoneName::from("z"),
+        address,
+        incarnation: Incarnation(run),
+        state: MachineState::Live,
+    }
+}
+
 fn holder_of(value: &str) -> Option<NodeId> {
     let record: serde_json::Value = serde_json::from_str(value).ok()?;
     record["node"].as_str().map(NodeId::from)
--- a/crates/node/src/configuration/store.rs
+++ b/crates/node/src/configuration/store.rs
@@ -10,6 +10,7 @@
 use dalestand_gateway::{ActiveConfiguration, Shared};
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::Revision;
+use tokio::sync::Notify;
 
 use super::ConfigurationRecord;
 use super::exchange::{Answer, MAX_PARTS_ASKED, Manifest, Question};
@@ -24,15 +25,22 @@
 pub(crate) struct ConfigurationStore {
     shared: Arc<Shared>,
     cluster: Rc<RefCell<Cluster>>,
+    /// Notified when there is news that should not wait for the cluster's next tick.
+    news: Rc<Notify>,
     held: RefCell<Option<Held>>,
 }
 
 impl ConfigurationStore {
     /// A store without a configuration.
-    pub(crate) fn new(shared: Arc<Shared>, cluster: Rc<RefCell<Cluster>>) -> Self {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        cluster: Rc<RefCell<Cluster>>,
+        news: Rc<Notify>,
+    ) -> Self {
         Self {
             shared,
             cluster,
+            news,
             held: RefCell::new(None),
         }
     }
@@ -121,8 +129,12 @@
             },
             payload: Bytes::new(),
         };
-        if let Err(error) = self.cluster.borrow_mut().publish(record) {
-            log_event!(self.shared.logger, Event::DatagramUnreadable, "error" => %error);
+        let published = self.cluster.borrow_mut().publish(record);
+        match published {
+            Ok(_) => self.news.notify_one(),
+            Err(error) => {
+                log_event!(self.shared.logger, Event::DatagramUnreadable, "error" => %error);
+            }
         }
     }
 
--- a/crates/node/src/control_half.rs
+++ b/crates/node/src/control_half.rs
@@ -106,6 +106,7 @@
         socket: peers,
         address: addresses.peers,
         seal: seal.clone(),
+        news: Rc::new(Notify::new()),
         filter,
     });
     let drains = Rc::new(Drains::new(
@@ -142,7 +143,11 @@
         machines,
         offers,
     );
-    let store = ConfigurationStore::new(Arc::clone(&shared), Rc::clone(&cluster));
+    let store = ConfigurationStore::new(
+        Arc::clone(&shared),
+        Rc::clone(&cluster),
+        Rc::clone(&link.news),
+    );
     let store = Rc::new(store);
     let follow = configuration::follow(
         Arc::clone(&shared),
