--- a/cmd/tests/command_line.rs
+++ b/cmd/tests/command_line.rs
@@ -7,7 +7,8 @@
 
 use dalestand_node::{ApplyResponse, RequestExplanation, StatusResponse};
 use rstest::rstest;
-use support::{Node, ctl, eventually, get, post, standin};
+use support::site::{Platform, start_engine};
+use support::{ctl, eventually, get, post};
 
 const DEPLOYMENT: &str = r#"format = 1
 name = "command-line"
@@ -102,21 +103,11 @@
 
 #[actix_rt::test]
 async fn operators_apply_ask_and_stop() {
-    let (_kv, kv) = standin(&["kv"]);
-    let (_machines, machines) = standin(&["machines"]);
-    let (_engine, engine) = standin(&["engine", "--name", "e"]);
-    let machine = serde_json::json!({
-        "name": "e", "kind": "engine", "zone": "z", "address": engine.to_string(),
-        "incarnation": 1, "state": "live"
-    });
-    post(machines, "/v1/machines", &machine).await;
+    let platform = Platform::start();
+    let (_engine, engine) = start_engine("e", platform.machines, &[]).await;
     let hash = blake3::hash(KEY.as_bytes()).to_hex();
-    let mut node = Node::start(&format!(
-        "node = \"n\"\nzone = \"z\"\ncaller_listen = \"127.0.0.1:0\"\n\
-         operator_listen = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\n\
-         key_value = \"{kv}\"\nmachine_list = \"{machines}\"\nload_poll_ms = 100\n\
-         operator_key_blake3 = \"{hash}\"\n"
-    ));
+    let settings = format!("operator_key_blake3 = \"{hash}\"\n");
+    let mut node = platform.start_node("n", "z", &settings);
     let key = TemporaryFile::new("key", KEY);
     let ask = |words: &[&str]| {
         let mut arguments = vec!["--key-file", key.path()];
--- a/cmd/tests/drain.rs
+++ b/cmd/tests/drain.rs
@@ -7,26 +7,10 @@
 
 use dalestand_node::StatusResponse;
 use dalestand_standin::engine::{RunLogEntry, RunLogEvent, text};
-use support::{Node, Process, ctl, eventually, get, post, standin};
+use support::site::{Platform, apply, deployment, start_engine};
+use support::{Node, ctl, eventually, get, post};
 
-const DEPLOYMENT: &str = r#"format = 1
-name = "drain"
-callers.require_key = false
-
-[[model]]
-name = "m"
-version = "1"
-weights_gib = 1.0
-
-[[pool]]
-name = "p"
-models = ["m"]
-
-[[group]]
-pool = "p"
-zone = "z"
-engines = ["e1", "e2"]
-"#;
+const ENGINES: [&str; 2] = ["e1", "e2"];
 
 /// Long enough for the mark to be set while the answer is under way.
 const LONG_ANSWER_TOKENS: u32 = 200;
@@ -34,24 +18,6 @@
 /// Requests sent after the mark is in force; each would reach the engine with a chance of a half.
 const LATER_REQUESTS: usize = 20;
 
-async fn start_engine(name: &str, machines: SocketAddr) -> (Process, SocketAddr) {
-    let (process, address) = standin(&["engine", "--name", name]);
-    let machine = serde_json::json!({
-        "name": name, "kind": "engine", "zone": "z", "address": address.to_string(),
-        "incarnation": 1, "state": "live"
-    });
-    post(machines, "/v1/machines", &machine).await;
-    (process, address)
-}
-
-fn start_node(name: &str, kv: SocketAddr, machines: SocketAddr) -> Node {
-    Node::start(&format!(
-        "node = \"{name}\"\nzone = \"z\"\ncaller_listen = \"127.0.0.1:0\"\n\
-         operator_listen = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\n\
-         key_value = \"{kv}\"\nmachine_list = \"{machines}\"\nload_poll_ms = 100\nlease_ms = 1000\n"
-    ))
-}
-
 /// Waits until a node serves with `accepting` engines that take new work.
 async fn wait_for_accepting(node: &Node, accepting: usize) {
     eventually("the engines take work as marked", || async {
@@ -72,13 +38,11 @@
 
 #[actix_rt::test]
 async fn a_drained_engine_takes_no_new_work_and_cuts_none() {
-    let (_kv, kv) = standin(&["kv"]);
-    let (_machines, machines) = standin(&["machines"]);
-    let (_first, first) = start_engine("e1", machines).await;
-    let (_second, second) = start_engine("e2", machines).await;
-    let mut node = start_node("n1", kv, machines);
-    let apply = serde_json::json!({"text": DEPLOYMENT, "author": "test", "expected": null});
-    assert_eq!(post(node.operators, "/apply", &apply).await.0, 200);
+    let platform = Platform::start();
+    let (_first, first) = start_engine(ENGINES[0], platform.machines, &[]).await;
+    let (_second, second) = start_engine(ENGINES[1], platform.machines, &[]).await;
+    let mut node = platform.start_node("n1", "z", "lease_ms = 1000\n");
+    apply(&node, &deployment(&ENGINES, "")).await;
     wait_for_accepting(&node, 2).await;
 
     let long = serde_json::json!({
@@ -119,7 +83,7 @@
 
     assert_eq!(ctl(node.operators, &["drain"]).status.code(), Some(0));
     assert_eq!(node.process.wait(), Some(0));
-    let replacement = start_node("n2", kv, machines);
+    let replacement = platform.start_node("n2", "z", "lease_ms = 1000\n");
     wait_for_accepting(&replacement, 1).await;
     let undrained = ctl(replacement.operators, &["undrain", "engine", busy.0]);
     assert_eq!(undrained.status.code(), Some(0), "{undrained:?}");
--- a/cmd/tests/planned_changes.rs
+++ b/cmd/tests/planned_changes.rs
@@ -9,7 +9,8 @@
 use dalestand_standin::engine::{OrderLogEntry, text};
 use dalestand_types::OrderCommand;
 use futures_util::StreamExt as _;
-use support::{Node, Process, ctl, eventually, get, post, standin};
+use support::site::{Platform, apply, deployment, start_engine};
+use support::{Node, ctl, eventually, get, post};
 
 const ENGINES: [&str; 3] = ["e1", "e2", "e3"];
 const CALLERS_A_NODE: usize = 6;
@@ -17,45 +18,8 @@
 /// Tokens of an answer: some two seconds at the stand-in's speed.
 const TOKENS: u32 = 200;
 
-fn deployment(first_role: &str) -> String {
-    format!(
-        "format = 1\nname = \"planned\"\ncallers.require_key = false\n\
-         [[model]]\nname = \"m\"\nversion = \"1\"\nweights_gib = 1.0\n\
-         [[pool]]\nname = \"p\"\nmodels = [\"m\"]\n\
-         [[group]]\npool = \"p\"\nzone = \"z\"\nengines = [\"e1\", \"e2\", \"e3\"]\n\
-         fixed_roles = {{ e1 = \"{first_role}\", e2 = \"mixed\", e3 = \"mixed\" }}\n"
-    )
-}
-
-async fn start_engine(name: &str, machines: SocketAddr) -> (Process, SocketAddr) {
-    let (process, address) = standin(&["engine", "--name", name, "--role-change-ms", "100"]);
-    let machine = serde_json::json!({
-        "name": name, "kind": "engine", "zone": "z", "address": address.to_string(),
-        "incarnation": 1, "state": "live"
-    });
-    post(machines, "/v1/machines", &machine).await;
-    post(
-        address,
-        "/faults",
-        &serde_json::json!({"abrupt_role_change": true}),
-    )
-    .await;
-    (process, address)
-}
-
-fn start_node(name: &str, kv: SocketAddr, machines: SocketAddr, seeds: &str) -> Node {
-    Node::start(&format!(
-        "node = \"{name}\"\nzone = \"z\"\ncaller_listen = \"127.0.0.1:0\"\n\
-         operator_listen = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\n\
-         key_value = \"{kv}\"\nmachine_list = \"{machines}\"\nload_poll_ms = 100\n\
-         lease_ms = 1500\nseeds = [{seeds}]\n"
-    ))
-}
-
-async fn apply(node: &Node, first_role: &str) {
-    let text = deployment(first_role);
-    let body = serde_json::json!({"text": text, "author": "test", "expected": null});
-    assert_eq!(post(node.operators, "/apply", &body).await.0, 200);
+fn roles(first: &str) -> String {
+    format!("fixed_roles = {{ e1 = \"{first}\", e2 = \"mixed\", e3 = \"mixed\" }}\n")
 }
 
 async fn wait_until_served(node: &Node) {
@@ -103,19 +67,21 @@
 
 #[actix_rt::test]
 async fn role_changes_a_drain_and_a_stop_at_once_cut_no_answer() {
-    let (_kv, kv) = standin(&["kv"]);
-    let (_machines, machines) = standin(&["machines"]);
+    let platform = Platform::start();
     let mut processes = Vec::new();
     let mut addresses = Vec::new();
     for name in ENGINES {
-        let (process, address) = start_engine(name, machines).await;
+        let flags = ["--role-change-ms", "100"];
+        let (process, address) = start_engine(name, platform.machines, &flags).await;
+        let faults = serde_json::json!({"abrupt_role_change": true});
+        post(address, "/faults", &faults).await;
         processes.push(process);
         addresses.push(address);
     }
-    let staying = start_node("staying", kv, machines, "");
-    let seed = format!("\"{}\"", staying.peers);
-    let mut leaving = start_node("leaving", kv, machines, &seed);
-    apply(&staying, "mixed").await;
+    let staying = platform.start_node("staying", "z", "lease_ms = 1500\n");
+    let settings = format!("lease_ms = 1500\nseeds = [\"{}\"]\n", staying.peers);
+    let mut leaving = platform.start_node("leaving", "z", &settings);
+    apply(&staying, &deployment(&ENGINES, &roles("mixed"))).await;
     wait_until_served(&staying).await;
     wait_until_served(&leaving).await;
 
@@ -137,7 +103,7 @@
     })
     .await;
 
-    apply(&staying, "decode").await;
+    apply(&staying, &deployment(&ENGINES, &roles("decode"))).await;
     leaving.process.signal("TERM");
     let drained = ctl(staying.operators, &["drain", "engine", "e2"]);
     assert_eq!(drained.status.code(), Some(0), "{drained:?}");
--- a/cmd/tests/role_planning.rs
+++ b/cmd/tests/role_planning.rs
@@ -9,23 +9,13 @@
 
 use dalestand_node::EngineExplanation;
 use dalestand_standin::engine::text;
-use support::{Node, ctl, eventually, post, standin};
+use support::site::{Platform, apply, deployment, start_engine};
+use support::{ctl, eventually, post};
 
 const ENGINES: [&str; 4] = ["e1", "e2", "e3", "e4"];
 const CALLERS: usize = 24;
 const TOKENS: u32 = 12;
 
-fn deployment() -> String {
-    let names: Vec<String> = ENGINES.iter().map(|name| format!("\"{name}\"")).collect();
-    format!(
-        "format = 1\nname = \"planned\"\ncallers.require_key = false\nroles.change_weight = 0.0\n\
-         [[model]]\nname = \"m\"\nversion = \"1\"\nweights_gib = 1.0\n\
-         [[pool]]\nname = \"p\"\nmodels = [\"m\"]\n\
-         [[group]]\npool = \"p\"\nzone = \"z\"\nengines = [{}]\n",
-        names.join(", ")
-    )
-}
-
 /// Sends one request after the other until told to stop; yields how many were answered. Answers
 /// must be whole; refusals are told as not run.
 async fn keep_calling(callers: SocketAddr, caller: usize, stop: Rc<Cell<bool>>) -> usize {
@@ -54,25 +44,15 @@
 
 #[actix_rt::test]
 async fn roles_follow_the_demand_and_cut_no_answer() {
-    let (_kv, kv) = standin(&["kv"]);
-    let (_machines, machines) = standin(&["machines"]);
+    let platform = Platform::start();
     let mut engines = Vec::new();
     for name in ENGINES {
-        let (process, address) = standin(&["engine", "--name", name, "--role-change-ms", "200"]);
-        let machine = serde_json::json!({
-            "name": name, "kind": "engine", "zone": "z", "address": address.to_string(),
-            "incarnation": 1, "state": "live"
-        });
-        post(machines, "/v1/machines", &machine).await;
-        engines.push(process);
+        let flags = ["--role-change-ms", "200"];
+        engines.push(start_engine(name, platform.machines, &flags).await);
     }
-    let node = Node::start(&format!(
-        "node = \"n\"\nzone = \"z\"\ncaller_listen = \"127.0.0.1:0\"\n\
-         operator_listen = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\n\
-         key_value = \"{kv}\"\nmachine_list = \"{machines}\"\nload_poll_ms = 200\n"
-    ));
-    let apply = serde_json::json!({"text": deployment(), "author": "test", "expected": null});
-    assert_eq!(post(node.operators, "/apply", &apply).await.0, 200);
+    let node = platform.start_node("n", "z", "");
+    let goodput_only = "[roles]\nchange_weight = 0.0\n";
+    apply(&node, &deployment(&ENGINES, goodput_only)).await;
 
     let stop = Rc::new(Cell::new(false));
     let callers: Vec<_> = (0..CALLERS)
--- a/cmd/tests/support/mod.rs
+++ b/cmd/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod callers;
 pub mod fleet;
+pub mod site;
 
 use std::io::{BufRead as _, BufReader};
 use std::net::SocketAddr;
--- a/cmd/tests/two_stages.rs
+++ b/cmd/tests/two_stages.rs
@@ -7,27 +7,14 @@
 
 use dalestand_node::StatusResponse;
 use dalestand_standin::engine::{RunLogEntry, RunLogEvent, text};
-use support::{Node, Process, ctl, eventually, get, post, standin};
+use support::site::{Platform, apply, deployment, start_engine};
+use support::{Node, Process, ctl, eventually, get, post};
 
-const DEPLOYMENT: &str = r#"format = 1
-name = "two-stages"
-callers.require_key = false
+const ENGINES: [&str; 2] = ["prompts", "outputs"];
 
-[[model]]
-name = "m"
-version = "1"
-weights_gib = 1.0
+const ROLES: &str = "fixed_roles = { prompts = \"prefill\", outputs = \"decode\" }\n";
 
-[[pool]]
-name = "p"
-models = ["m"]
-
-[[group]]
-pool = "p"
-zone = "z"
-engines = ["prompts", "outputs"]
-fixed_roles = { prompts = "prefill", outputs = "decode" }
-"#;
+const QUICK_CHANGE: [&str; 2] = ["--role-change-ms", "10"];
 
 const TOKENS: u32 = 8;
 
@@ -35,22 +22,18 @@
     node: Node,
     prompts: SocketAddr,
     outputs: SocketAddr,
-    _processes: Vec<Process>,
+    _platform: Platform,
+    _engines: [Process; 2],
 }
 
 impl Fleet {
     async fn start() -> Self {
-        let (kv_process, kv) = standin(&["kv"]);
-        let (machines_process, machines) = standin(&["machines"]);
-        let (prompts_process, prompts) = start_engine("prompts", machines).await;
-        let (outputs_process, outputs) = start_engine("outputs", machines).await;
-        let node = Node::start(&format!(
-            "node = \"n\"\nzone = \"z\"\ncaller_listen = \"127.0.0.1:0\"\n\
-             operator_listen = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\n\
-             key_value = \"{kv}\"\nmachine_list = \"{machines}\"\nload_poll_ms = 100\n"
-        ));
-        let apply = serde_json::json!({"text": DEPLOYMENT, "author": "test", "expected": null});
-        assert_eq!(post(node.operators, "/apply", &apply).await.0, 200);
+        let platform = Platform::start();
+        let machines = platform.machines;
+        let (first, prompts) = start_engine(ENGINES[0], machines, &QUICK_CHANGE).await;
+        let (second, outputs) = start_engine(ENGINES[1], machines, &QUICK_CHANGE).await;
+        let node = platform.start_node("n", "z", "");
+        apply(&node, &deployment(&ENGINES, ROLES)).await;
         eventually("both engines take work in their roles", || async {
             let status: StatusResponse = get(node.operators, "/status").await;
             let roles: Vec<String> = status
@@ -68,12 +51,8 @@
             node,
             prompts,
             outputs,
-            _processes: vec![
-                kv_process,
-                machines_process,
-                prompts_process,
-                outputs_process,
-            ],
+            _platform: platform,
+            _engines: [first, second],
         }
     }
 
@@ -83,16 +62,6 @@
     }
 }
 
-async fn start_engine(name: &str, machines: SocketAddr) -> (Process, SocketAddr) {
-    let (process, address) = standin(&["engine", "--name", name, "--role-change-ms", "10"]);
-    let machine = serde_json::json!({
-        "name": name, "kind": "engine", "zone": "z", "address": address.to_string(),
-        "incarnation": 1, "state": "live"
-    });
-    post(machines, "/v1/machines", &machine).await;
-    (process, address)
-}
-
 async fn finished(engine: SocketAddr) -> Vec<u32> {
     let runs: Vec<RunLogEntry> = get(engine, "/log/runs").await;
     let tokens = runs.iter().filter_map(|run| match run.event {
--- a/cmd/tests/whole_path.rs
+++ b/cmd/tests/whole_path.rs
@@ -3,46 +3,22 @@
 
 mod support;
 
-use std::net::SocketAddr;
-
 use dalestand_node::StatusResponse;
 use dalestand_standin::engine::{OrderLogEntry, RunLogEntry, RunLogEvent, text};
-use dalestand_types::{Epoch, Incarnation, Machine, MachineKind, MachineState, ZoneName};
-use support::{Node, ctl, eventually, get, post, standin};
-
-const DEPLOYMENT: &str = r#"
-format = 1
-name = "whole-path"
-
-[callers]
-require_key = false
-
-[[model]]
-name = "m"
-version = "1"
-weights_gib = 1.0
-
-[[pool]]
-name = "p"
-models = ["m"]
-
-[[group]]
-pool = "p"
-zone = "z"
-engines = ["e"]
-"#;
+use dalestand_types::Epoch;
+use support::site::{Platform, deployment, start_engine};
+use support::{ctl, eventually, get, post, standin};
 
 #[actix_rt::test]
 async fn a_streamed_completion_goes_from_caller_to_engine_and_back() {
-    let (_kv, kv) = standin(&["kv"]);
-    let (_machines, machines) = standin(&["machines"]);
+    let platform = Platform::start();
     let (_weights, weights) = standin(&["weights"]);
-    let (_engine, engine) = standin(&["engine", "--name", "e", "--weights", &weights.to_string()]);
-    register(machines, engine).await;
-    let node = Node::start(&settings(kv, machines));
+    let flags = ["--weights", &weights.to_string()];
+    let (_engine, engine) = start_engine("e", platform.machines, &flags).await;
+    let node = platform.start_node("n", "z", "");
 
     let file = std::env::temp_dir().join(format!("dalestand-whole-{}.toml", std::process::id()));
-    std::fs::write(&file, DEPLOYMENT).expect("the deployment is written");
+    std::fs::write(&file, deployment(&["e"], "")).expect("the deployment is written");
     let applied = ctl(node.operators, &["apply", file.to_str().expect("UTF-8")]);
     std::fs::remove_file(&file).expect("the deployment is removed");
     assert!(applied.status.success(), "{applied:?}");
@@ -84,27 +60,6 @@
     );
 }
 
-async fn register(machines: SocketAddr, engine: SocketAddr) {
-    let machine = Machine {
-        name: "e".to_owned(),
-        kind: MachineKind::Engine,
-        zone: ZoneName::from("z"),
-        address: engine,
-        incarnation: Incarnation(1),
-        state: MachineState::Live,
-    };
-    let (status, _) = post(machines, "/v1/machines", &machine).await;
-    assert_eq!(status, 200);
-}
-
-fn settings(kv: SocketAddr, machines: SocketAddr) -> String {
-    format!(
-        "node = \"n\"\nzone = \"z\"\ncaller_listen = \"127.0.0.1:0\"\n\
-         operator_listen = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\n\
-         key_value = \"{kv}\"\nmachine_list = \"{machines}\"\nload_poll_ms = 100\n"
-    )
-}
-
 fn streamed_text(stream: &str) -> String {
     stream
         .lines()
