A caller that goes away before a byte was written cancels its request

Cause: the server allowed half-closed connections, so the end of a caller's side was noticed only at the next write. A request for a whole answer of a caller that had gone ran to its end. Ruled out: watching the socket beside the server (the library has the switch). Change: half-closed connections are not allowed; the request is dropped at once, which closes the engine's connection and cancels the attempt.

--- a/crates/gateway/tests/faults.rs
+++ b/crates/gateway/tests/faults.rs
@@ -11,6 +11,7 @@
 use rstest::rstest;
 use serde_json::{Value, json};
 use support::{Stage, StageOptions, eventually, start_node};
+use tokio::io::AsyncWriteExt as _;
 
 const PATH: &str = "/v1/completions";
 const TOKENS: u32 = 30;
@@ -137,6 +138,43 @@
     assert_eq!(reply.json()["choices"][0]["text"], expected);
 }
 
+#[actix_rt::test]
+async fn a_caller_that_goes_away_before_a_whole_answer_cancels_its_attempt() {
+    let stage = Stage::start(StageOptions {
+        step: Duration::from_millis(5),
+        ..StageOptions::default()
+    })
+    .await;
+    let long = json!({"model": "m", "prompt": "p", "max_tokens": 20_000});
+    let body = long.to_string();
+    let mut caller = tokio::net::TcpStream::connect(stage.callers)
+        .await
+        .expect("connected");
+    let head = format!(
+        "POST {PATH} HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    caller
+        .write_all(format!("{head}{body}").as_bytes())
+        .await
+        .expect("sent");
+    eventually("the engine runs it", || async {
+        let runs = stage.runs(0).await;
+        runs.iter()
+            .any(|run| run.event == RunLogEvent::Started)
+            .then_some(())
+    })
+    .await;
+    drop(caller);
+    eventually("the engine notes the cancel", || async {
+        let runs = stage.runs(0).await;
+        let mut runs = runs.iter();
+        runs.any(|run| matches!(run.event, RunLogEvent::Cancelled { .. }))
+            .then_some(())
+    })
+    .await;
+}
+
 /// The ids and data of the events of a stream, up to `count` of them with an id.
 async fn read_events(stage: &Stage, key: &str, count: usize) -> (String, String) {
     let url = format!("http://{}{PATH}", stage.callers);
--- a/crates/http-server/src/server.rs
+++ b/crates/http-server/src/server.rs
@@ -74,6 +74,9 @@
     let factory = HttpService::build()
         .client_request_timeout(limits.head_timeout)
         .keep_alive(limits.keep_alive)
+        // A peer that closes its side has gone away: its request is dropped at once, which cancels
+        // the work behind it.
+        .h1_allow_half_closed(false)
         .on_connect_ext(move |_: &TcpStream, data: &mut Extensions| {
             data.insert(ConnectionPlace {
                 over_limit: counted.open() > limits.max_connections,
