--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub use account::{account_of_request, account_of_role_change};
 pub use record::{
-    AttemptOutcome, AttemptRecord, Candidate, Exclusion, RequestRecord, RequestTerms, RoleRecord,
+    AttemptOutcome, AttemptRecord, Candidate, Exclusion, NoEngineRecord, RequestRecord,
+    RequestTerms, RoleRecord,
 };
 pub use ring::DecisionRing;
--- a/crates/http-server/src/server.rs
+++ b/crates/http-server/src/server.rs
@@ -2,12 +2,15 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::{Extensions, HttpService, Request};
 use actix_rt::net::TcpStream;
+use actix_rt::time::timeout;
 use actix_service::{IntoServiceFactory as _, ServiceFactory as _, fn_service};
+use futures_util::future::poll_immediate;
 use tokio::net::TcpListener;
 
 use crate::{Answer, Connections};
@@ -15,6 +18,12 @@
 /// Pause after a failed accept (such as too many open files), so that it is not retried at once.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
+/// An accept loop that is to end closes its socket after no connection came for this long.
+const TAKE_WAITING_QUIET: Duration = Duration::from_millis(20);
+
+/// Longest time in which such a loop takes connections in.
+const TAKE_WAITING_LIMIT: Duration = Duration::from_millis(200);
+
 /// Connections above the limit that are still served, so that their requests can be refused with
 /// an answer.
 const REFUSED_CONNECTIONS: usize = 256;
@@ -52,7 +61,8 @@
     }
 }
 
-/// Serves `handler` on `listener` until the returned future is dropped.
+/// Serves `handler` on `listener` until the returned future is dropped or accepting is stopped; see
+/// [`Connections::stop_accepting`].
 ///
 /// Connections run as local tasks of the current arbiter and outlive the accept loop, so that
 /// dropping it takes no request in flight with it.
@@ -89,21 +99,45 @@
         return;
     };
     let connection_service = Rc::new(connection_service);
-    loop {
-        let Ok((stream, peer)) = listener.accept().await else {
-            actix_rt::time::sleep(ACCEPT_RETRY_PAUSE).await;
-            continue;
-        };
+    let accept = |stream: TcpStream| {
         if connections.open() >= limits.max_connections + REFUSED_CONNECTIONS {
-            continue;
+            return;
         }
         let guard = connections.enter();
         let connection_service = Rc::clone(&connection_service);
         actix_rt::spawn(async move {
             let _guard = guard;
-            let _peer = peer;
             serve_connection(&*connection_service, stream).await;
         });
+    };
+    let _listening = connections.listen();
+    let mut closing = pin!(connections.closing());
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = &mut closing => break,
+        };
+        match accepted {
+            Ok((stream, _peer)) => accept(stream),
+            Err(_) => actix_rt::time::sleep(ACCEPT_RETRY_PAUSE).await,
+        }
+    }
+    take_waiting(&listener, accept).await;
+    drop(listener);
+}
+
+/// Takes in the connections that wait at a socket which is about to be closed.
+async fn take_waiting(listener: &TcpListener, accept: impl Fn(TcpStream)) {
+    let started = Instant::now();
+    while started.elapsed() < TAKE_WAITING_LIMIT {
+        match timeout(TAKE_WAITING_QUIET, listener.accept()).await {
+            Ok(Ok((stream, _peer))) => accept(stream),
+            Ok(Err(_)) | Err(_) => return,
+        }
+    }
+    // Callers keep coming: take in what waits at this moment.
+    while let Some(Ok((stream, _peer))) = poll_immediate(listener.accept()).await {
+        accept(stream);
     }
 }
 
