A caller that goes away while engines are asked leaves a closed record

Cause: the request is dropped before there is a relay, and only the relay closed the decision record and counted the result: `explain request` said "still running" for ever. Ruled out: calling it not run (a byte may have been sent). Change: OpenRecord closes the record as unknown unless the end or the relay takes over.

--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -21,7 +21,7 @@
 use crate::error::CallerError;
 use crate::openai::{AnswerHead, ChatBody, CompletionBody, EventWriter, Surface, Wish, whole_body};
 use crate::order::{CallerOrder, KeyedRequest};
-use crate::record;
+use crate::record::{self, OpenRecord};
 use crate::relay::{Piece, Relay};
 use crate::resume::EventIds;
 use crate::shared::{ActiveConfiguration, RequestGuard};
@@ -196,7 +196,10 @@
         order.request.clone(),
         order.repeatable,
     );
-    match attempts.start().await {
+    let open = OpenRecord::new(&context.shared, order.request.request);
+    let started = attempts.start().await;
+    open.hand_over();
+    match started {
         Ok(accepted) => Ok(Relay::new(
             Rc::clone(context),
             in_flight,
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -1,5 +1,7 @@
 //! Keeps the decision record, the log and the metrics of a request up to date.
 
+use std::sync::Arc;
+
 use dalestand_decision::AttemptOutcome;
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::{RequestId, RunState};
@@ -15,6 +17,39 @@
     });
 }
 
+/// A request's record until its end, or its relay, is there. Dropped before, the caller has gone
+/// while engines were asked, and whether one ran it is not known.
+pub(crate) struct OpenRecord {
+    shared: Arc<Shared>,
+    request: RequestId,
+    open: bool,
+}
+
+impl OpenRecord {
+    /// The record of `request`.
+    pub(crate) fn new(shared: &Arc<Shared>, request: RequestId) -> Self {
+        Self {
+            shared: Arc::clone(shared),
+            request,
+            open: true,
+        }
+    }
+
+    /// Leaves the end to another.
+    pub(crate) fn hand_over(mut self) {
+        self.open = false;
+    }
+}
+
+impl Drop for OpenRecord {
+    fn drop(&mut self) {
+        if self.open {
+            let reason = "the caller went away".to_owned();
+            finish(&self.shared, self.request, RunState::Unknown, Some(reason));
+        }
+    }
+}
+
 /// Notes the end of a request.
 pub(crate) fn finish(
     shared: &Shared,
--- a/crates/gateway/tests/faults.rs
+++ b/crates/gateway/tests/faults.rs
@@ -175,6 +175,39 @@
     .await;
 }
 
+#[actix_rt::test]
+async fn a_caller_that_goes_away_before_an_engine_answers_leaves_a_closed_record() {
+    let stage = Stage::start(StageOptions::default()).await;
+    // An engine that takes connections and never answers.
+    let silent = tokio::net::TcpListener::bind(("127.0.0.1", 0))
+        .await
+        .expect("a port");
+    let mut view = (**stage.shared.fleet.load()).clone();
+    for engine in &mut view.engines {
+        engine.address = silent.local_addr().expect("an address");
+    }
+    stage.shared.fleet.store(view.into());
+    let mut caller = tokio::net::TcpStream::connect(stage.callers)
+        .await
+        .expect("connected");
+    let body = body("once", false).to_string();
+    let length = body.len();
+    let request =
+        format!("POST {PATH} HTTP/1.1\r\nhost: x\r\ncontent-length: {length}\r\n\r\n{body}");
+    caller.write_all(request.as_bytes()).await.expect("sent");
+    let metrics = &stage.shared.metrics;
+    eventually("it is sent to an engine", || async {
+        (metrics.attempts.get() == 1).then_some(())
+    })
+    .await;
+    drop(caller);
+    eventually("its record is closed as unknown", || async {
+        let unknown = metrics.requests.with_label_values(&["unknown"]);
+        (unknown.get() == 1).then_some(())
+    })
+    .await;
+}
+
 /// The ids and data of the events of a stream, up to `count` of them with an id.
 async fn read_events(stage: &Stage, key: &str, count: usize) -> (String, String) {
     let url = format!("http://{}{PATH}", stage.callers);
