--- a/crates/decision/tests/account.rs
+++ b/crates/decision/tests/account.rs
@@ -1,8 +1,8 @@
 //! What the accounts tell.
 
 use dalestand_decision::{
-    AttemptOutcome, AttemptRecord, Candidate, Exclusion, NoEngineRecord, RequestRecord, RoleRecord,
-    account_of_request, account_of_role_change,
+    AttemptOutcome, AttemptRecord, Candidate, Exclusion, NoEngineRecord, RequestRecord,
+    RequestTerms, RoleRecord, account_of_request, account_of_role_change,
 };
 use dalestand_types::{
     AttemptId, EngineId, Epoch, GroupId, ModelName, OrderId, Placement, RequestId, Revision, Role,
@@ -34,6 +34,7 @@
         revision: Revision(42),
         model: ModelName::from("caption-llm"),
         tenant: None,
+        terms: RequestTerms::default(),
         attempts: Vec::new(),
         no_engine: None,
         refusal: None,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -100,7 +100,7 @@
     let mut terminate = signal(SignalKind::terminate()).change_context(NodeError::Signals)?;
     let mut interrupt = signal(SignalKind::interrupt()).change_context(NodeError::Signals)?;
 
-    let callers = CallerHalf::start(&shared, &listeners.callers)?;
+    let callers = CallerHalf::start(&shared, listeners.callers)?;
     let stop_asked = Rc::new(Notify::new());
     let node = settings.node.clone();
     let key_value: Rc<dyn KeyValue> = Rc::new(HttpKeyValue::new(settings.key_value));
@@ -132,8 +132,8 @@
     while shared.in_flight() > 0 {
         actix_rt::time::sleep(STOP_POLL).await;
     }
-    callers.drain(&shared).await;
     control.leave().await;
+    callers.drain(&shared).await;
     callers.stop();
     log_event!(shared.logger, Event::StopDone, "node" => %node);
     Ok(())
