--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -171,7 +171,9 @@
         revision: active.revision,
         model: order.request.model.clone(),
         tenant: order.request.tenant.clone(),
+        terms: order.terms.clone(),
         attempts: Vec::new(),
+        no_engine: None,
         refusal: None,
         run_state: None,
     };
--- a/crates/http-server/src/connections.rs
+++ b/crates/http-server/src/connections.rs
@@ -14,6 +14,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Connections {
     open: Arc<AtomicUsize>,
+    listening: Arc<AtomicUsize>,
+    closing: Arc<watch::Sender<bool>>,
     draining: Arc<watch::Sender<bool>>,
 }
 
@@ -23,6 +25,28 @@
         self.open.load(Ordering::SeqCst)
     }
 
+    /// Ends every accept loop. Each takes in what waits at its socket before it closes it, since
+    /// closing a socket drops the connections that wait there. Yields when all have closed.
+    pub async fn stop_accepting(&self) {
+        self.closing.send_replace(true);
+        while self.listening.load(Ordering::SeqCst) > 0 {
+            actix_rt::time::sleep(DRAIN_POLL).await;
+        }
+    }
+
+    /// Waits until accepting is to end.
+    pub(crate) async fn closing(&self) {
+        let mut receiver = self.closing.subscribe();
+        // The sender lives as long as the server, so waiting cannot fail before the end.
+        let _ = receiver.wait_for(|closing| *closing).await;
+    }
+
+    /// Counts an accept loop until the guard is dropped.
+    pub(crate) fn listen(&self) -> ListeningGuard {
+        self.listening.fetch_add(1, Ordering::SeqCst);
+        ListeningGuard(self.clone())
+    }
+
     /// Ends every connection once the answer on it, if there is one, has been written to its last
     /// byte. Yields when all have ended.
     pub async fn drain(&self) {
@@ -54,6 +78,15 @@
 /// Ready once connections are to end.
 type DrainSignal = std::pin::Pin<Box<dyn Future<Output = ()>>>;
 
+/// Counts an accept loop until dropped.
+pub(crate) struct ListeningGuard(Connections);
+
+impl Drop for ListeningGuard {
+    fn drop(&mut self) {
+        self.0.listening.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 /// Counts a connection until dropped.
 pub(crate) struct ConnectionGuard(Connections);
 
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -25,6 +25,10 @@
 /// Longest time a stopping node waits for callers to take the last bytes of their answers.
 const FLUSH_LIMIT: Duration = Duration::from_secs(60);
 
+/// Time in which requests on connections that were just taken in are still refused with an answer
+/// before idle connections are ended.
+const LAST_REQUESTS: Duration = Duration::from_millis(200);
+
 /// Arbiters that serve callers.
 pub(crate) struct CallerHalf {
     arbiters: Vec<Arbiter>,
@@ -35,7 +39,7 @@
     /// Starts to serve callers on `listener`.
     pub(crate) fn start(
         shared: &Arc<Shared>,
-        listener: &std::net::TcpListener,
+        listener: std::net::TcpListener,
     ) -> Result<Self, Report<NodeError>> {
         let connections = Connections::default();
         let processors = std::thread::available_parallelism().map_or(1, usize::from);
@@ -56,9 +60,12 @@
         })
     }
 
-    /// Waits until the last byte of every answer has been written. An answer whose last part was
-    /// taken from its request may still lie in its connection's buffer.
+    /// Stops to accept, answers what was taken in, and waits until the last byte of every answer
+    /// has been written: an answer whose last part was taken from its request may still lie in its
+    /// connection's buffer.
     pub(crate) async fn drain(&self, shared: &Shared) {
+        self.connections.stop_accepting().await;
+        actix_rt::time::sleep(LAST_REQUESTS).await;
         if timeout(FLUSH_LIMIT, self.connections.drain())
             .await
             .is_err()
