--- a/crates/lab/src/simulate/role_control.rs
+++ b/crates/lab/src/simulate/role_control.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use dalestand_planner::{PlannerConfig, RolePlanner};
-use dalestand_types::{GroupDigest, MonotonicTime, Role};
+use dalestand_planner::{Composition, PlannerConfig, RolePlanner};
+use dalestand_types::{EngineDigest, GroupDigest, MonotonicTime, Role};
 
 use super::fleet::Fleet;
 use super::policy::{Policy, Roles};
@@ -43,7 +43,7 @@
 #[derive(Clone, Debug)]
 struct Threshold {
     changed_at: MonotonicTime,
-    loads: Vec<(usize, dalestand_types::EngineDigest)>,
+    loads: Vec<(usize, EngineDigest)>,
     prefill_token_s: f64,
     batch: f64,
 }
@@ -88,7 +88,7 @@
                 continue;
             }
             let engines = pool.engines.values().sum::<usize>();
-            let half = dalestand_planner::Composition {
+            let half = Composition {
                 prefill: engines / 2,
                 decode: engines - engines / 2,
                 mixed: 0,
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -226,7 +226,6 @@
     }
 }
 
-/// Engines named by a decision, for tests and accounts.
 impl RouteDecision {
     /// The engine chosen, if one was.
     pub fn engine(&self) -> Option<&EngineId> {
