--- a/crates/gateway/tests/faults.rs
+++ b/crates/gateway/tests/faults.rs
@@ -11,6 +11,7 @@
 use rstest::rstest;
 use serde_json::{Value, json};
 use support::{Stage, StageOptions, eventually, start_node};
+use tokio::io::AsyncWriteExt as _;
 
 const PATH: &str = "/v1/completions";
 const TOKENS: u32 = 30;
@@ -137,6 +138,76 @@
     assert_eq!(reply.json()["choices"][0]["text"], expected);
 }
 
+#[actix_rt::test]
+async fn a_caller_that_goes_away_before_a_whole_answer_cancels_its_attempt() {
+    let stage = Stage::start(StageOptions {
+        step: Duration::from_millis(5),
+        ..StageOptions::default()
+    })
+    .await;
+    let long = json!({"model": "m", "prompt": "p", "max_tokens": 20_000});
+    let body = long.to_string();
+    let mut caller = tokio::net::TcpStream::connect(stage.callers)
+        .await
+        .expect("connected");
+    let head = format!(
+        "POST {PATH} HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    caller
+        .write_all(format!("{head}{body}").as_bytes())
+        .await
+        .expect("sent");
+    eventually("the engine runs it", || async {
+        let runs = stage.runs(0).await;
+        runs.iter()
+            .any(|run| run.event == RunLogEvent::Started)
+            .then_some(())
+    })
+    .await;
+    drop(caller);
+    eventually("the engine notes the cancel", || async {
+        let runs = stage.runs(0).await;
+        let mut runs = runs.iter();
+        runs.any(|run| matches!(run.event, RunLogEvent::Cancelled { .. }))
+            .then_some(())
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn a_caller_that_goes_away_before_an_engine_answers_leaves_a_closed_record() {
+    let stage = Stage::start(StageOptions::default()).await;
+    // An engine that takes connections and never answers.
+    let silent = tokio::net::TcpListener::bind(("127.0.0.1", 0))
+        .await
+        .expect("a port");
+    let mut view = (**stage.shared.fleet.load()).clone();
+    for engine in &mut view.engines {
+        engine.address = silent.local_addr().expect("an address");
+    }
+    stage.shared.fleet.store(view.into());
+    let mut caller = tokio::net::TcpStream::connect(stage.callers)
+        .await
+        .expect("connected");
+    let body = body("once", false).to_string();
+    let length = body.len();
+    let request =
+        format!("POST {PATH} HTTP/1.1\r\nhost: x\r\ncontent-length: {length}\r\n\r\n{body}");
+    caller.write_all(request.as_bytes()).await.expect("sent");
+    let metrics = &stage.shared.metrics;
+    eventually("it is sent to an engine", || async {
+        (metrics.attempts.get() == 1).then_some(())
+    })
+    .await;
+    drop(caller);
+    eventually("its record is closed as unknown", || async {
+        let unknown = metrics.requests.with_label_values(&["unknown"]);
+        (unknown.get() == 1).then_some(())
+    })
+    .await;
+}
+
 /// The ids and data of the events of a stream, up to `count` of them with an id.
 async fn read_events(stage: &Stage, key: &str, count: usize) -> (String, String) {
     let url = format!("http://{}{PATH}", stage.callers);
