--- a/crates/http-server/src/answer.rs
+++ b/crates/http-server/src/answer.rs
@@ -10,6 +10,8 @@
 use futures_util::StreamExt as _;
 use serde::Serialize;
 
+use crate::HttpServerError;
+
 /// What a handler gives back.
 pub type Answer = Response<BoxBody>;
 
@@ -33,6 +35,13 @@
     )
 }
 
+impl From<HttpServerError> for Answer {
+    /// The error's status and what it says, as plain text.
+    fn from(error: HttpServerError) -> Self {
+        text_answer(error.status(), error.to_string())
+    }
+}
+
 /// An answer without a body.
 pub fn status_answer(status: StatusCode) -> Answer {
     Response::with_body(status, BoxBody::new(()))
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -76,10 +76,9 @@
             "the operators' key is missing or wrong",
         );
     }
-    match handle(&admin, &mut request).await {
-        Ok(answer) => answer,
-        Err(error) => text_answer(error.status(), error.to_string()),
-    }
+    handle(&admin, &mut request)
+        .await
+        .unwrap_or_else(Answer::from)
 }
 
 async fn handle(admin: &Admin, request: &mut Request) -> Result<Answer, HttpServerError> {
--- a/crates/standin/src/engine/server.rs
+++ b/crates/standin/src/engine/server.rs
@@ -5,7 +5,7 @@
 
 use dalestand_http_server::{
     Answer, Connections, HttpServerError, Method, Request, ServerLimits, StatusCode, json_answer,
-    read_json, serve, status_answer, text_answer,
+    read_json, serve, status_answer,
 };
 use dalestand_platform::wire::Empty;
 use dalestand_platform::wire::engine::{
@@ -143,10 +143,9 @@
 }
 
 async fn answer(engine: Rc<Engine>, mut request: Request) -> Answer {
-    match handle(&engine, &mut request).await {
-        Ok(answer) => answer,
-        Err(error) => text_answer(error.status(), error.to_string()),
-    }
+    handle(&engine, &mut request)
+        .await
+        .unwrap_or_else(Answer::from)
 }
 
 async fn handle(engine: &Rc<Engine>, request: &mut Request) -> Result<Answer, HttpServerError> {
--- a/crates/standin/src/key_value/server.rs
+++ b/crates/standin/src/key_value/server.rs
@@ -93,10 +93,9 @@
 }
 
 async fn answer(state: Rc<State>, mut request: Request) -> Answer {
-    match handle(&state, &mut request).await {
-        Ok(answer) => answer,
-        Err(error) => text_answer(error.status(), error.to_string()),
-    }
+    handle(&state, &mut request)
+        .await
+        .unwrap_or_else(Answer::from)
 }
 
 async fn handle(state: &State, request: &mut Request) -> Result<Answer, HttpServerError> {
--- a/crates/standin/src/machine_list.rs
+++ b/crates/standin/src/machine_list.rs
@@ -7,7 +7,7 @@
 
 use dalestand_http_server::{
     Answer, Connections, HttpServerError, Method, Request, ServerLimits, StatusCode, json_answer,
-    read_json, serve, status_answer, text_answer,
+    read_json, serve, status_answer,
 };
 use dalestand_platform::wire::Empty;
 use dalestand_platform::wire::machine_list::{MACHINES, MachinesResponse};
@@ -75,10 +75,9 @@
 }
 
 async fn answer(state: Rc<RefCell<State>>, mut request: Request) -> Answer {
-    match handle(&state, &mut request).await {
-        Ok(answer) => answer,
-        Err(error) => text_answer(error.status(), error.to_string()),
-    }
+    handle(&state, &mut request)
+        .await
+        .unwrap_or_else(Answer::from)
 }
 
 async fn handle(state: &RefCell<State>, request: &mut Request) -> Result<Answer, HttpServerError> {
--- a/crates/standin/src/weight_store.rs
+++ b/crates/standin/src/weight_store.rs
@@ -6,7 +6,7 @@
 
 use dalestand_http_server::{
     Answer, Connections, HttpServerError, Request, ServerLimits, StatusCode, json_answer,
-    read_json, serve, status_answer, text_answer,
+    read_json, serve, status_answer,
 };
 use dalestand_platform::wire::weight_store::{FETCH, FetchRequest, FetchResponse};
 use dalestand_platform::wire::{Empty, RetryAfter};
@@ -59,10 +59,9 @@
 }
 
 async fn answer(state: Rc<RefCell<State>>, mut request: Request) -> Answer {
-    match handle(&state, &mut request).await {
-        Ok(answer) => answer,
-        Err(error) => text_answer(error.status(), error.to_string()),
-    }
+    handle(&state, &mut request)
+        .await
+        .unwrap_or_else(Answer::from)
 }
 
 async fn handle(state: &RefCell<State>, request: &mut Request) -> Result<Answer, HttpServerError> {
