--- a/crates/telemetry/tests/events.rs
+++ b/crates/telemetry/tests/events.rs
@@ -13,7 +13,7 @@
     let coded: BTreeSet<(u32, String, String)> = EVENTS
         .iter()
         .map(|event| {
-            let level = event.level().as_short_str().to_lowercase();
+            let level = event.level().as_str().to_lowercase();
             (event.number(), level, event.message().to_owned())
         })
         .collect();
