--- a/cmd/tests/leaving_under_load.rs
+++ b/cmd/tests/leaving_under_load.rs
@@ -7,7 +7,6 @@
 
 use dalestand_history::checks::{no_work_for_leaving_engines, whole_answers};
 use dalestand_history::{EngineLogEntry, RunLogEvent};
-use dalestand_types::Role;
 use support::callers::Callers;
 use support::fleet::Fleet;
 
@@ -24,15 +23,7 @@
 
 #[actix_rt::test]
 async fn a_leaving_engine_gets_no_new_work_after_a_few_seconds() {
-    let mut fleet = Fleet::start(&["e1", "e2"], LEASE_MS).await;
-    for node in ["n1", "n2"] {
-        fleet.start_node(node).await;
-    }
-    fleet.apply("n1", &fleet.deployment(Role::Mixed, true));
-    fleet.wait_for_role(Role::Mixed).await;
-    for node in ["n1", "n2"] {
-        fleet.wait_for_models(node).await;
-    }
+    let mut fleet = Fleet::start_serving(&["e1", "e2"], &["n1", "n2"], LEASE_MS).await;
     let callers = Callers::start(CALLERS, fleet.caller_addresses(), &fleet.recorder);
     callers.wait_for_progress().await;
     fleet.mark_leaving("e1", LAG_MS).await;
--- a/cmd/tests/recovery.rs
+++ b/cmd/tests/recovery.rs
@@ -30,6 +30,14 @@
     assert_eq!(fenced(history), Ok(()));
 }
 
+/// What a planned change under load must leave behind: whole answers, and true words of the rest.
+fn check_planned(history: &History) {
+    check_orders(history);
+    assert_eq!(whole_answers(history), Ok(()));
+    assert_eq!(nothing_cut(history), Ok(()));
+    assert_eq!(not_run_did_not_run(history), Ok(()));
+}
+
 #[actix_rt::test]
 async fn all_nodes_are_replaced_under_load_and_no_request_is_lost() {
     let mut fleet = Fleet::start(&["e1", "e2"], LEASE_MS).await;
@@ -56,24 +64,12 @@
         callers.wait_for_progress().await;
     }
     callers.stop().await;
-    let history = fleet.history().await;
-    check_orders(&history);
-    assert_eq!(whole_answers(&history), Ok(()));
-    assert_eq!(nothing_cut(&history), Ok(()));
-    assert_eq!(not_run_did_not_run(&history), Ok(()));
+    check_planned(&fleet.history().await);
 }
 
 #[actix_rt::test]
 async fn a_planned_stop_in_an_outage_cuts_nothing() {
-    let mut fleet = Fleet::start(&["e1", "e2"], LEASE_MS).await;
-    for node in ["n1", "n2"] {
-        fleet.start_node(node).await;
-    }
-    fleet.apply("n1", &fleet.deployment(Role::Mixed, true));
-    fleet.wait_for_role(Role::Mixed).await;
-    for node in ["n1", "n2"] {
-        fleet.wait_for_models(node).await;
-    }
+    let mut fleet = Fleet::start_serving(&["e1", "e2"], &["n1", "n2"], LEASE_MS).await;
     let callers = Callers::start(CALLERS, fleet.caller_addresses(), &fleet.recorder);
     callers.wait_for_progress().await;
     let outage = KeyValueFaults {
@@ -92,11 +88,7 @@
     fleet.wait_for_holder(Some(&holder)).await;
     callers.wait_for_progress().await;
     callers.stop().await;
-    let history = fleet.history().await;
-    check_orders(&history);
-    assert_eq!(whole_answers(&history), Ok(()));
-    assert_eq!(nothing_cut(&history), Ok(()));
-    assert_eq!(not_run_did_not_run(&history), Ok(()));
+    check_planned(&fleet.history().await);
 }
 
 #[actix_rt::test]
--- a/cmd/tests/support/fleet.rs
+++ b/cmd/tests/support/fleet.rs
@@ -92,6 +92,21 @@
         self.start_node_reading(name, FAST_MACHINE_POLL_MS).await;
     }
 
+    /// Starts a fleet with these engines and nodes that serves: every engine is mixed, and every node
+    /// knows the engines' models.
+    pub async fn start_serving(engines: &[&str], nodes: &[&str], lease_ms: u64) -> Self {
+        let mut fleet = Self::start(engines, lease_ms).await;
+        for node in nodes {
+            fleet.start_node(node).await;
+        }
+        fleet.apply(nodes[0], &fleet.deployment(Role::Mixed, true));
+        fleet.wait_for_role(Role::Mixed).await;
+        for node in nodes {
+            fleet.wait_for_models(node).await;
+        }
+        fleet
+    }
+
     /// Starts a node that reads the machine list when it starts and then every `machine_poll_ms`.
     pub async fn start_node_reading(&mut self, name: &str, machine_poll_ms: u64) {
         let (kv, machines, lease_ms) = (self.kv, self.machines, self.lease_ms);
