--- a/cmd/src/bin/dalestand.rs
+++ b/cmd/src/bin/dalestand.rs
@@ -3,14 +3,15 @@
 use std::process::ExitCode;
 
 use dalestand_cmd::exit::{Exit, usage_error};
-use dalestand_cmd::{dev, node};
+use dalestand_cmd::{dev, forward, node};
 
 const USAGE: &str = "usage: dalestand COMMAND [flags]
 
 commands:
-  node    run a node
-  dev     run stand-ins and two nodes on loopback
-  check   list every fault of a file
+  node      run a node for OpenAI callers
+  forward   run a node that serves opaque requests by routes
+  dev       run stand-ins and two nodes on loopback
+  check     list every fault of a file
 
 Each command has --help.";
 
@@ -27,6 +28,7 @@
 fn run(command: &str, arguments: &[String]) -> Exit {
     match command {
         "node" => node::run(arguments),
+        "forward" => forward::run(arguments),
         "dev" => dev::run(arguments),
         "check" => node::check(arguments),
         "--help" | "-h" | "help" => {
--- /dev/null
+++ b/cmd/src/forward.rs
@@ -0,0 +1,71 @@
+//! `dalestand forward`: a node that serves opaque requests by routes on the users' platform.
+
+use std::rc::Rc;
+
+use dalestand_forwarding::{ForwardingNode, ForwardingSettings};
+use dalestand_telemetry::{LogOutput, logger};
+use dalestand_users_platform::{PlatformDialect, PlatformForm, PlatformStore};
+use getopts::Options;
+
+use crate::exit::{Exit, failure, usage_error};
+use crate::files;
+
+/// Names the settings file where no flag does.
+const SETTINGS_VARIABLE: &str = "DALESTAND_SETTINGS";
+
+/// Runs a node until a planned stop is over.
+pub fn run(arguments: &[String]) -> Exit {
+    let mut options = Options::new();
+    options.optopt(
+        "s",
+        "settings",
+        "settings file; DALESTAND_SETTINGS names it otherwise",
+        "FILE",
+    );
+    options.optflag("h", "help", "show this help");
+    let matches = match options.parse(arguments) {
+        Ok(matches) => matches,
+        Err(error) => return usage_error(error),
+    };
+    if matches.opt_present("help") {
+        println!(
+            "{}",
+            options.usage("usage: dalestand forward [--settings FILE]")
+        );
+        return Exit::Success;
+    }
+    let path = matches
+        .opt_str("settings")
+        .or_else(|| std::env::var(SETTINGS_VARIABLE).ok());
+    let Some(path) = path else {
+        return usage_error("no settings file is named");
+    };
+    match read_settings(&path) {
+        Ok(settings) => actix_rt::System::new().block_on(run_node(settings)),
+        Err(message) => usage_error(message),
+    }
+}
+
+/// Reads a settings file; the error lists every fault.
+pub fn read_settings(path: &str) -> Result<ForwardingSettings, String> {
+    let text = files::read(path).map_err(|error| error.to_string())?;
+    ForwardingSettings::parse(&text).map_err(|faults| {
+        let faults = faults.iter().map(|fault| format!("{path}: {fault}"));
+        faults.collect::<Vec<_>>().join("\n")
+    })
+}
+
+async fn run_node(settings: ForwardingSettings) -> Exit {
+    let store = PlatformStore::new(settings.key_value);
+    let node = ForwardingNode {
+        settings,
+        dialect: Rc::new(PlatformDialect),
+        form: Rc::new(PlatformForm),
+        store: Rc::new(store),
+        logger: logger(LogOutput::JsonOutput),
+    };
+    match dalestand_forwarding::run(node).await {
+        Ok(()) => Exit::Success,
+        Err(report) => failure(format!("{report:?}")),
+    }
+}
--- a/cmd/src/lib.rs
+++ b/cmd/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod exit;
 pub mod files;
 pub mod flags;
+pub mod forward;
 pub mod node;
 pub mod operator;
 pub mod report;
--- a/cmd/tests/support/fleet.rs
+++ b/cmd/tests/support/fleet.rs
@@ -3,13 +3,13 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use dalestand_history::{Event, History, Recorder};
-use dalestand_node::StatusResponse;
-use dalestand_platform::wire::key_value::{
+use dalestand_edge::wire::key_value::{
     GET, GetRequest, GetResponse, RANGE, RangeRequest, WATCH, WatchRequest,
 };
-use dalestand_platform::wire::machine_list::{MACHINES, MachinesResponse};
-use dalestand_platform::{Entry, Listing, WatchBatch};
+use dalestand_edge::wire::machine_list::{MACHINES, MachinesResponse};
+use dalestand_edge::{Entry, Listing, WatchBatch};
+use dalestand_history::{Event, History, Recorder};
+use dalestand_node::StatusResponse;
 use dalestand_standin::engine::EngineFaults;
 use dalestand_standin::key_value::KeyValueFaults;
 use dalestand_standin::machine_list::MachineListFaults;
--- a/crates/platform/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod key_value;
 pub mod key_value_client;
 pub mod machine_list;
+pub mod routed;
 pub mod weight_store;
 pub mod wire;
 
--- /dev/null
+++ b/crates/edge/src/routed.rs
@@ -0,0 +1,119 @@
+//! What the serving of opaque requests needs of a platform: the words of callers and engines, and
+//! the form of what stands in the key-value service.
+//!
+//! An implementation only translates. It decides nothing and keeps nothing between calls.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::header::HeaderMap;
+use actix_http::{Method, StatusCode};
+use dalestand_types::{PoolName, Role, ZoneName};
+
+/// What a caller's request says of itself.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RequestFacts {
+    /// Its id, exactly as sent.
+    pub id: Option<Arc<str>>,
+    /// For how long the caller will wait.
+    pub deadline: Option<Duration>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Most tokens to be generated.
+    pub output_tokens: u32,
+    /// Parts of the prompt, in order, with their tokens.
+    pub parts: Vec<(u64, u32)>,
+    /// The last event of a stream that the caller has.
+    pub last_event: Option<u64>,
+}
+
+/// What an engine is told beside the caller's request.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct EngineTerms<'a> {
+    /// Time left.
+    pub deadline: Option<Duration>,
+    /// The run that is meant; every other refuses.
+    pub run: &'a str,
+    /// Only read the prompt and keep the memory of it.
+    pub prefill_only: bool,
+    /// Go on from the memory that another engine holds under this name.
+    pub memory: Option<(SocketAddr, &'a str)>,
+    /// Go on after this event.
+    pub last_event: Option<u64>,
+    /// Importance; 0 is the highest.
+    pub priority: Option<u8>,
+}
+
+/// What the head of an engine's answer says.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct AnswerFacts {
+    /// The request it answers.
+    pub id: Option<Arc<str>>,
+    /// The engine promises that the request did not run there.
+    pub refused: bool,
+    /// The answer carries the engine's mark of a run.
+    pub marked: bool,
+}
+
+/// Memory of a prompt that an engine holds for another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeldMemory {
+    /// Its name at that engine.
+    pub name: Arc<str>,
+}
+
+/// The words of callers and engines.
+pub trait Dialect {
+    /// Reads a caller's request.
+    fn read_request(&self, headers: &HeaderMap) -> RequestFacts;
+
+    /// Takes off what only the system may say, and sets what the engine is told.
+    fn write_request(&self, headers: &mut HeaderMap, terms: &EngineTerms<'_>);
+
+    /// Reads the head of an engine's answer.
+    fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerFacts;
+
+    /// Reads the answer to a request that only read the prompt.
+    fn read_held_memory(&self, body: &[u8]) -> Option<HeldMemory>;
+
+    /// The call that frees held memory: method and path.
+    fn free_memory(&self, memory: &HeldMemory) -> (Method, String);
+
+    /// The path at which the platform asks whether a node is ready.
+    fn ready_path(&self) -> &'static str;
+}
+
+/// What an engine's own entry says.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineEntry {
+    /// Names the run.
+    pub run: Arc<str>,
+    /// The pool it belongs to.
+    pub pool: PoolName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Requests it works on at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub accepting: bool,
+    /// Its role, if it runs a language model.
+    pub role: Option<Role>,
+}
+
+/// The form of what stands in the key-value service.
+pub trait FleetForm {
+    /// Key of the declaration in force.
+    fn configuration_key(&self) -> &'static str;
+
+    /// Leading part of the keys of engines' own entries.
+    fn engine_prefix(&self) -> &'static str;
+
+    /// Reads a declaration; the text of an error is for people.
+    fn read_configuration(&self, value: &str) -> Result<dalestand_routes::RouteFile, String>;
+
+    /// Reads an engine's entry, written under `key`.
+    fn read_engine(&self, key: &str, value: &str) -> Result<EngineEntry, String>;
+}
--- a/crates/platform/tests/proof_of_not_run.rs
+++ b/crates/edge/tests/proof_of_not_run.rs
@@ -1,6 +1,6 @@
 //! "Not run" is proved only if no byte of a request was sent, or the engine said so.
 
-use dalestand_platform::{AttemptError, Engine as _, HttpEngine};
+use dalestand_edge::{AttemptError, Engine as _, HttpEngine};
 use dalestand_types::{AttemptId, GenerationRequest, ModelName, Priority, RequestId, Revision};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
--- /dev/null
+++ b/crates/engine-link/src/error.rs
@@ -0,0 +1,33 @@
+//! Why an exchange failed.
+
+/// Why no answer's head came.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SendError {
+    /// No byte of the request went out: the engine did not run it.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// As many connections to the engine are open as this node may have: nothing went out.
+    #[error("not sent: all {0} connections are in use")]
+    NoConnection(usize),
+    /// Bytes went out and no answer came: the engine may have run it.
+    #[error("no answer: {0}")]
+    MayHaveRun(String),
+}
+
+impl SendError {
+    /// Whether it is certain that the engine did not run the request.
+    pub fn is_not_sent(&self) -> bool {
+        matches!(self, Self::NotSent(_) | Self::NoConnection(_))
+    }
+}
+
+/// Why an answer's body is not whole.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum BodyError {
+    /// The connection ended before the body did.
+    #[error("the answer broke off: {0}")]
+    BrokenOff(String),
+    /// The bytes are no body.
+    #[error("the answer cannot be read: {0}")]
+    Malformed(String),
+}
--- /dev/null
+++ b/crates/engine-link/src/link.rs
@@ -0,0 +1,98 @@
+//! Sends requests to engines.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::{RequestHead, ServiceConfig};
+use bytes::Bytes;
+
+use crate::answer::Exchange;
+use crate::connect::connect;
+use crate::connection::Connection;
+use crate::error::SendError;
+use crate::pool::{ConnectionPool, PooledConnection};
+
+/// One run of an engine at an address. Another run at the same address is another target, so that
+/// no connection to the former one is used for it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct LinkTarget {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Names the run.
+    pub run: Arc<str>,
+}
+
+/// Bounds on the connections of a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LinkLimits {
+    /// Longest time to open a connection.
+    pub connect_timeout: Duration,
+    /// Longest time for which a peer may leave sent bytes unacknowledged.
+    pub silence_limit: Duration,
+}
+
+impl Default for LinkLimits {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_millis(400),
+            silence_limit: Duration::from_secs(2),
+        }
+    }
+}
+
+/// Connections to engines, of one thread.
+#[derive(Clone)]
+pub struct EngineLink {
+    pool: Rc<ConnectionPool>,
+    limits: LinkLimits,
+    config: ServiceConfig,
+}
+
+impl EngineLink {
+    /// A link without connections; needs a running arbiter.
+    pub fn new(limits: LinkLimits) -> Self {
+        Self {
+            pool: Rc::default(),
+            limits,
+            config: ServiceConfig::default(),
+        }
+    }
+
+    /// Sends a request and waits for the head of its answer. At most `max_connections` are open to
+    /// the target at once. Dropped, it ends the exchange.
+    pub async fn send(
+        &self,
+        target: &LinkTarget,
+        max_connections: usize,
+        head: RequestHead,
+        body: &Bytes,
+    ) -> Result<Exchange, SendError> {
+        let mut connection = self.connection(target, max_connections).await?;
+        let answer = connection.exchange(self.config.clone(), head, body).await?;
+        Ok(Exchange::new(connection, answer))
+    }
+
+    async fn connection(
+        &self,
+        target: &LinkTarget,
+        max_connections: usize,
+    ) -> Result<PooledConnection, SendError> {
+        if let Some(idle) = self.pool.take_idle(target) {
+            return Ok(idle);
+        }
+        let place = self
+            .pool
+            .take_place(target, max_connections)
+            .map_err(SendError::NoConnection)?;
+        let limits = &self.limits;
+        let stream = connect(target.address, limits.connect_timeout, limits.silence_limit).await?;
+        Ok(PooledConnection::new(Connection::new(stream), place))
+    }
+
+    /// Closes what was idle for too long, and all that is idle to targets that `keep` leaves out.
+    pub fn sweep(&self, keep: impl Fn(&LinkTarget) -> bool) {
+        self.pool.sweep(keep);
+    }
+}
--- /dev/null
+++ b/crates/forwarding/src/attempt.rs
@@ -0,0 +1,159 @@
+//! One call to one engine, and what it proves.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_http::StatusCode;
+use actix_http::header::CONTENT_ENCODING;
+use dalestand_edge::routed::EngineTerms;
+use dalestand_engine_link::{AnswerBody, Exchange, ResponseHead, SendError};
+use dalestand_routing::staged::{AttemptResult, EngineChoice};
+use dalestand_types::PoolName;
+
+use crate::context::Context;
+use crate::progress::{CallPurpose, Progress};
+use crate::work_guard::WorkGuard;
+
+/// An answer's head that was found to be that of this request.
+pub(crate) struct EngineAnswer {
+    pub(crate) head: ResponseHead,
+    pub(crate) body: AnswerBody,
+    pub(crate) choice: EngineChoice,
+    pub(crate) work: WorkGuard,
+    pub(crate) sent_at: Instant,
+}
+
+/// How a call came out.
+pub(crate) enum AttemptEnd {
+    /// The engine answers this request; it may have run.
+    Answered(Box<EngineAnswer>),
+    /// The engine did not run it, and says so.
+    Refused,
+    /// Nothing went out.
+    NotSent,
+    /// The request may have run and no sound answer came.
+    Unknown,
+}
+
+/// What a call is for.
+pub(crate) struct Call<'a> {
+    pub(crate) purpose: CallPurpose,
+    pub(crate) pool: &'a PoolName,
+    pub(crate) choice: EngineChoice,
+    pub(crate) terms: EngineTerms<'a>,
+    /// Time in which a head must come.
+    pub(crate) patience: Duration,
+}
+
+/// Makes one call. What it proves is noted in `progress` and in the engine's health.
+pub(crate) async fn attempt(
+    context: &Rc<Context>,
+    progress: &mut Progress,
+    call: Call<'_>,
+) -> AttemptEnd {
+    let engine = call.choice.engine.clone();
+    let Some(known) = context.fleet().engine(engine.key).cloned() else {
+        return AttemptEnd::NotSent;
+    };
+    let parts = progress.parts();
+    let work = WorkGuard::new(context, &engine, call.choice.unread_tokens, &parts);
+    let mut head = progress.head();
+    let terms = EngineTerms {
+        deadline: progress.deadline_left(),
+        run: &engine.run,
+        priority: (!parts.is_empty()).then_some(progress.route.priority),
+        ..call.terms
+    };
+    context.dialect.write_request(&mut head.headers, &terms);
+    progress.tried.push(engine.key);
+    // Whoever drops this future before the answer's head has come leaves the request in doubt.
+    if call.purpose == CallPurpose::Run {
+        progress.runs += 1;
+    }
+    let sent_at = Instant::now();
+    let max_connections = context.max_connections(call.pool);
+    let target = known.target();
+    let sent = context
+        .link
+        .send(&target, max_connections, head, &progress.passed.body);
+    let answered = tokio::time::timeout(call.patience, sent).await;
+    let took = sent_at.elapsed();
+    let judged = judge(context, progress, answered.ok());
+    let (end, outcome, result) = match judged {
+        Judged::Sound(exchange) => {
+            let result = if exchange.head.status.is_server_error() {
+                AttemptResult::Failed
+            } else {
+                AttemptResult::Sound(took)
+            };
+            let answer = EngineAnswer {
+                head: exchange.head,
+                body: exchange.body,
+                choice: call.choice,
+                work,
+                sent_at,
+            };
+            (
+                AttemptEnd::Answered(Box::new(answer)),
+                "answered",
+                Some(result),
+            )
+        }
+        Judged::Refused => (AttemptEnd::Refused, "refused", Some(AttemptResult::Refused)),
+        Judged::NotSent => (AttemptEnd::NotSent, "not sent", Some(AttemptResult::Silent)),
+        Judged::NoConnection => (AttemptEnd::NotSent, "no connection", None),
+        Judged::Broken => (AttemptEnd::Unknown, "broken", Some(AttemptResult::Failed)),
+        Judged::Silent => (AttemptEnd::Unknown, "silent", Some(AttemptResult::Silent)),
+    };
+    if let Some(result) = result {
+        let now = context.now();
+        let mut router = context.router.borrow_mut();
+        router.health.note(now, engine.key, result);
+    }
+    if call.purpose == CallPurpose::Run && matches!(end, AttemptEnd::Refused | AttemptEnd::NotSent)
+    {
+        progress.runs -= 1;
+    }
+    if !matches!(end, AttemptEnd::NotSent) {
+        progress.arrived(call.purpose);
+    }
+    progress.record(call.purpose, &engine.run, outcome, took);
+    end
+}
+
+/// What came, judged by whether it is an answer to this request.
+enum Judged {
+    Sound(Box<Exchange>),
+    Refused,
+    NotSent,
+    NoConnection,
+    Broken,
+    Silent,
+}
+
+fn judge(
+    context: &Context,
+    progress: &Progress,
+    answered: Option<Result<Exchange, SendError>>,
+) -> Judged {
+    let exchange = match answered {
+        None => return Judged::Silent,
+        Some(Err(SendError::NoConnection(_))) => return Judged::NoConnection,
+        Some(Err(SendError::NotSent(_))) => return Judged::NotSent,
+        Some(Err(SendError::MayHaveRun(_))) => return Judged::Broken,
+        Some(Ok(exchange)) => exchange,
+    };
+    let head = &exchange.head;
+    let facts = context.dialect.read_answer(head.status, &head.headers);
+    if facts.id != progress.facts.id {
+        // A surplus answer to another request: it proves nothing, and the connection goes.
+        return Judged::Broken;
+    }
+    if facts.refused {
+        return Judged::Refused;
+    }
+    if head.status == StatusCode::OK && head.headers.contains_key(CONTENT_ENCODING) {
+        return Judged::Broken;
+    }
+    Judged::Sound(Box::new(exchange))
+}
--- /dev/null
+++ b/crates/forwarding/src/fleet.rs
@@ -0,0 +1,108 @@
+//! The engines, as their own entries tell.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use dalestand_edge::routed::EngineEntry;
+use dalestand_engine_link::LinkTarget;
+use dalestand_routes::{PoolTerms, RouteTable};
+use dalestand_routing::staged::{EngineKey, Stage, StagedEngine};
+use dalestand_types::{PoolName, Role};
+
+/// One engine's run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetEngine {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Names the run.
+    pub run: Arc<str>,
+}
+
+impl FleetEngine {
+    /// For connections.
+    pub fn target(&self) -> LinkTarget {
+        LinkTarget {
+            address: self.address,
+            run: Arc::clone(&self.run),
+        }
+    }
+}
+
+/// Engines that take new work, by pool.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    pools: HashMap<PoolName, Vec<StagedEngine>>,
+    engines: HashMap<EngineKey, FleetEngine>,
+}
+
+impl Fleet {
+    /// The engines of `entries` that take new work, under the terms of `table`.
+    pub fn new<'e>(
+        entries: impl Iterator<Item = &'e EngineEntry>,
+        table: Option<&RouteTable>,
+    ) -> Self {
+        let mut fleet = Self::default();
+        for entry in entries.filter(|entry| entry.accepting) {
+            let key = EngineKey::of(&entry.run);
+            let terms = table.and_then(|table| table.pool(&entry.pool));
+            let engines = fleet.pools.entry(entry.pool.clone()).or_default();
+            engines.push(staged(key, entry, terms.map(|terms| &**terms)));
+            let engine = FleetEngine {
+                address: entry.address,
+                run: Arc::clone(&entry.run),
+            };
+            fleet.engines.insert(key, engine);
+        }
+        for engines in fleet.pools.values_mut() {
+            engines.sort_by_key(|engine| engine.key);
+        }
+        fleet
+    }
+
+    /// Engines of a pool.
+    pub fn pool(&self, pool: &PoolName) -> &[StagedEngine] {
+        self.pools.get(pool).map_or(&[], Vec::as_slice)
+    }
+
+    /// Where an engine is; `None` once it takes no new work.
+    pub fn engine(&self, key: EngineKey) -> Option<&FleetEngine> {
+        self.engines.get(&key)
+    }
+
+    /// Whether a run takes new work at that address.
+    pub fn has_target(&self, target: &LinkTarget) -> bool {
+        let engine = self.engines.get(&EngineKey::of(&target.run));
+        engine.is_some_and(|engine| engine.address == target.address)
+    }
+
+    /// Number of engines.
+    pub fn len(&self) -> usize {
+        self.engines.len()
+    }
+
+    /// Whether there is no engine.
+    pub fn is_empty(&self) -> bool {
+        self.engines.is_empty()
+    }
+}
+
+fn staged(key: EngineKey, entry: &EngineEntry, terms: Option<&PoolTerms>) -> StagedEngine {
+    let prompt = terms.and_then(|terms| terms.prompt_engine);
+    StagedEngine {
+        key,
+        run: Arc::clone(&entry.run),
+        zone: entry.zone.clone(),
+        stage: match entry.role {
+            Some(Role::Prefill) => Stage::Prefill,
+            Some(Role::Decode | Role::Mixed) => Stage::Decode,
+            None => Stage::Opaque,
+        },
+        slots: if entry.slots > 0 {
+            entry.slots
+        } else {
+            prompt.map_or(1, |prompt| prompt.slots)
+        },
+        memory_tokens: prompt.map_or(0, |prompt| prompt.memory_tokens),
+    }
+}
--- /dev/null
+++ b/crates/forwarding/src/follow.rs
@@ -0,0 +1,95 @@
+//! Follows keys of the key-value service: reads them once, then watches.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use dalestand_edge::{KeyValue, Listing, PlatformError, WatchEvent};
+use dalestand_telemetry::{Event, log_event};
+use dalestand_types::Revision;
+use error_stack::Report;
+use rand::RngExt as _;
+use slog::Logger;
+
+/// Longest wait of one watch.
+const WATCH_WAIT: Duration = Duration::from_secs(25);
+
+/// Pause after a first failure.
+const FIRST_PAUSE: Duration = Duration::from_millis(60);
+
+/// Longest pause after failures.
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+
+/// What is done with keys as they change.
+pub(crate) trait Follower {
+    /// All keys, as they stand.
+    fn listed(&self, listing: Listing);
+
+    /// One key has changed.
+    fn changed(&self, event: WatchEvent);
+}
+
+/// Follows the keys under `prefix` for as long as it is polled.
+pub(crate) async fn follow(
+    store: Rc<dyn KeyValue>,
+    prefix: String,
+    follower: impl Follower,
+    logger: Logger,
+) {
+    let mut position: Option<Revision> = None;
+    let mut failures = 0;
+    loop {
+        match step(&*store, &prefix, position, &follower).await {
+            Ok(next) => {
+                if failures > 0 {
+                    log_event!(logger, Event::KeyValueRegained, "prefix" => &prefix,
+                        "failures" => failures, "revision" => next.map(|revision| revision.0));
+                }
+                failures = 0;
+                position = next;
+            }
+            Err(error) => {
+                if failures == 0 {
+                    log_event!(logger, Event::KeyValueFailed, "prefix" => &prefix,
+                        "error" => %error.current_context(),
+                        "revision" => position.map(|revision| revision.0));
+                }
+                failures += 1;
+                actix_rt::time::sleep(pause(failures, error.current_context())).await;
+            }
+        }
+    }
+}
+
+/// One call; yields where to go on, or `None` if all is to be read again.
+async fn step(
+    store: &dyn KeyValue,
+    prefix: &str,
+    position: Option<Revision>,
+    follower: &impl Follower,
+) -> Result<Option<Revision>, Report<PlatformError>> {
+    let Some(position) = position else {
+        let listing = store.range(prefix).await?;
+        let revision = listing.revision;
+        follower.listed(listing);
+        return Ok(Some(revision));
+    };
+    let batch = store.watch(prefix, position, WATCH_WAIT).await?;
+    if batch.compacted {
+        return Ok(None);
+    }
+    for event in batch.events {
+        follower.changed(event);
+    }
+    Ok(Some(batch.revision.max(position)))
+}
+
+/// A pause that grows with the failures, spread so that nodes do not call in step.
+fn pause(failures: u32, error: &PlatformError) -> Duration {
+    let grown = FIRST_PAUSE * 2_u32.pow(failures.min(5) - 1);
+    let told = match error {
+        PlatformError::RateLimited { retry_after, .. } => *retry_after,
+        _ => Duration::ZERO,
+    };
+    let longest = grown.min(LONGEST_PAUSE).max(told.min(LONGEST_PAUSE));
+    longest.mul_f64(rand::rng().random_range(0.6..1.0))
+}
--- /dev/null
+++ b/crates/forwarding/src/forward.rs
@@ -0,0 +1,334 @@
+//! Serves one request: finds its route, reads its body, and makes calls until one answers or no
+//! further one may be made.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use actix_http::header::HOST;
+use bytes::Bytes;
+use dalestand_edge::routed::EngineTerms;
+use dalestand_engine_link::ResponseHead;
+use dalestand_http_server::{
+    Answer, ConnectionType, HttpMessage as _, HttpServerError, Request, read_body,
+};
+use dalestand_routing::staged::{AttemptResult, EngineChoice};
+use dalestand_telemetry::{Event, log_event};
+use dalestand_types::PoolName;
+
+use crate::answer::{Failure, streamed, whole};
+use crate::attempt::{AttemptEnd, Call, EngineAnswer, attempt};
+use crate::context::Context;
+use crate::headers::passed_on;
+use crate::plan::{Plan, choose};
+use crate::prefill::{HeldPrompt, PrefillEnd, prefill};
+use crate::progress::{CallPurpose, PassedRequest, Progress};
+use crate::relay::Relay;
+
+/// Longest body that is gathered before it is passed on, so that a broken one can be replaced.
+const GATHERED_BYTES: usize = 1 << 20;
+
+/// One in so many requests that were answered is logged; the same ones at every node.
+const LOGGED_ONE_IN: u64 = 32;
+
+/// An answer found for a request.
+enum Served {
+    /// A whole answer.
+    Whole(ResponseHead, Bytes),
+    /// An answer that goes on.
+    Stream(PoolName, Box<EngineAnswer>),
+}
+
+/// Serves a request.
+pub(crate) async fn forward(context: Rc<Context>, mut request: Request) -> Answer {
+    let in_flight = context.in_flight.enter();
+    let mut progress = match admit(&context, &mut request).await {
+        Ok(progress) => progress,
+        Err(failure) => {
+            log_unadmitted(&context, &request, failure);
+            return closing(&context, failure.answer());
+        }
+    };
+    let due = tokio::time::Instant::from_std(progress.due);
+    let served = tokio::time::timeout_at(due, serve(&context, &mut progress)).await;
+    let served = served.unwrap_or_else(|_| {
+        Err(if progress.runs == 0 {
+            Failure::TimeOverNotRun
+        } else {
+            Failure::TimeOver
+        })
+    });
+    let answer = match served {
+        Ok(Served::Whole(head, body)) => {
+            log_served(&context, &progress, head.status.as_u16());
+            whole(&head, body)
+        }
+        Ok(Served::Stream(pool, engine_answer)) => {
+            log_served(&context, &progress, engine_answer.head.status.as_u16());
+            let head = &engine_answer.head;
+            let resumable = progress.route.kind.is_stream() && progress.route.kind.is_repeatable();
+            let length = engine_answer.body.length().filter(|_| !resumable);
+            let mut passed_head = ResponseHead::new(head.status);
+            passed_head.headers = head.headers.clone();
+            let relay = Relay::new(
+                Rc::clone(&context),
+                progress,
+                pool,
+                *engine_answer,
+                in_flight,
+            );
+            streamed(&passed_head, length, relay.into_stream())
+        }
+        Err(failure) => {
+            log_failed(&context, &progress, failure);
+            failure.answer()
+        }
+    };
+    closing(&context, answer)
+}
+
+/// During a planned stop each answer tells the caller to connect anew.
+fn closing(context: &Context, mut answer: Answer) -> Answer {
+    if context.is_stopping() {
+        answer.head_mut().set_connection_type(ConnectionType::Close);
+    }
+    answer
+}
+
+async fn admit(context: &Context, request: &mut Request) -> Result<Progress, Failure> {
+    let started = Instant::now();
+    let facts = context.dialect.read_request(request.headers());
+    let table = context.table().ok_or(Failure::NoConfiguration)?;
+    let host = request.headers().get(HOST);
+    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let route = table.find(host, request.path()).ok_or(Failure::NoRoute)?;
+    let route = Arc::clone(route);
+    let body = read_body(request, table.callers().max_body_bytes).await;
+    let body = body.map_err(|error| match error {
+        HttpServerError::BodyTooLarge { .. } => Failure::BodyTooLong,
+        _ => Failure::BodyUnreadable,
+    })?;
+    let passed = PassedRequest {
+        method: request.method().clone(),
+        uri: request.uri().clone(),
+        headers: passed_on(request.headers()),
+        body,
+    };
+    let pools = context.splits.borrow_mut().pick(&route);
+    if let Some(pool) = pools.first() {
+        let now = context.now();
+        context.budget.borrow_mut().request(now, pool);
+    }
+    Ok(Progress::new(facts, passed, table, route, pools, started))
+}
+
+async fn serve(context: &Rc<Context>, progress: &mut Progress) -> Result<Served, Failure> {
+    let mut fallback = None;
+    loop {
+        match serve_once(context, progress).await {
+            Ok(Some(Served::Whole(head, body)))
+                if head.status.is_server_error() && may_call_again(context, progress) =>
+            {
+                fallback = Some(Served::Whole(head, body));
+            }
+            Ok(Some(served)) => return Ok(served),
+            Ok(None) if may_call_again(context, progress) => {}
+            Ok(None) => return fallback.ok_or(final_failure(progress)),
+            Err(failure) => return fallback.ok_or(failure),
+        }
+    }
+}
+
+/// What the caller is told where no further call may be made.
+fn final_failure(progress: &Progress) -> Failure {
+    if progress.runs == 0 {
+        Failure::NoEngine
+    } else {
+        Failure::Unknown
+    }
+}
+
+/// Whether another engine may be asked, as far as the request and the budget allow. Takes the send
+/// from the budget, if it would be a repeated one.
+fn may_call_again(context: &Context, progress: &Progress) -> bool {
+    if !progress.may_run_again() || progress.time_left().is_zero() {
+        return false;
+    }
+    let repeats = progress.is_repeat(CallPurpose::Run) || progress.is_repeat(CallPurpose::Prefill);
+    let Some(pool) = progress.pools.first().filter(|_| repeats) else {
+        return true;
+    };
+    let now = context.now();
+    context.budget.borrow_mut().take(now, pool)
+}
+
+/// One plan and its calls; `None` if it gave no answer.
+async fn serve_once(
+    context: &Rc<Context>,
+    progress: &mut Progress,
+) -> Result<Option<Served>, Failure> {
+    let plan = choose(context, progress).ok_or_else(|| final_failure(progress))?;
+    match plan {
+        Plan::Whole(pool, choice) => {
+            let ended = run(context, progress, &pool, choice, None).await;
+            deliver(context, progress, pool, ended).await
+        }
+        Plan::Prefill(pool, choice) => match prefill(context, progress, &pool, choice).await {
+            PrefillEnd::Held(held) => decode(context, progress, pool, *held).await,
+            PrefillEnd::Failed => Ok(None),
+        },
+    }
+}
+
+/// Goes on from held memory.
+async fn decode(
+    context: &Rc<Context>,
+    progress: &mut Progress,
+    pool: PoolName,
+    held: HeldPrompt,
+) -> Result<Option<Served>, Failure> {
+    let choice = {
+        let fleet = context.fleet();
+        let router = context.router.borrow();
+        let request = progress.staged(&pool);
+        router.choose_decode(context.now(), fleet.pool(&pool), &request, &held.engine)
+    };
+    let choice = choice.ok_or_else(|| final_failure(progress))?;
+    let ended = run(context, progress, &pool, choice, Some(&held)).await;
+    match &ended {
+        AttemptEnd::Refused => {
+            // Either engine may be the cause; memory that is gone at once is the more likely.
+            let now = context.now();
+            let mut router = context.router.borrow_mut();
+            router
+                .health
+                .note(now, held.engine.key, AttemptResult::Refused);
+        }
+        AttemptEnd::NotSent => {}
+        AttemptEnd::Answered(_) | AttemptEnd::Unknown => held.taken(),
+    }
+    deliver(context, progress, pool, ended).await
+}
+
+/// Has an engine run the request.
+async fn run(
+    context: &Rc<Context>,
+    progress: &mut Progress,
+    pool: &PoolName,
+    choice: EngineChoice,
+    held: Option<&HeldPrompt>,
+) -> AttemptEnd {
+    let last_event = progress.facts.last_event;
+    let call = Call {
+        purpose: CallPurpose::Run,
+        pool,
+        choice,
+        terms: EngineTerms {
+            memory: held.map(|held| (held.address(), &*held.memory.name)),
+            last_event,
+            ..EngineTerms::default()
+        },
+        patience: run_patience(progress),
+    };
+    attempt(context, progress, call).await
+}
+
+/// How long an engine may leave a request without an answer before another is asked. A request
+/// that may not be repeated waits until its time is over.
+fn run_patience(progress: &Progress) -> Duration {
+    let left = progress.time_left();
+    if !progress.route.kind.is_repeatable() || progress.runs + 1 >= progress.route.max_attempts {
+        return left;
+    }
+    let objective = Duration::from_millis(progress.route.objective_ms);
+    left.min(objective.max(Duration::from_millis(100)))
+}
+
+/// Turns what came into an answer for the caller.
+async fn deliver(
+    context: &Context,
+    progress: &mut Progress,
+    pool: PoolName,
+    ended: AttemptEnd,
+) -> Result<Option<Served>, Failure> {
+    let mut answer = match ended {
+        AttemptEnd::Answered(answer) => answer,
+        AttemptEnd::Refused | AttemptEnd::NotSent | AttemptEnd::Unknown => return Ok(None),
+    };
+    let is_long = answer
+        .body
+        .length()
+        .is_some_and(|length| length > GATHERED_BYTES as u64);
+    let streams = progress.route.kind.is_stream() && answer.head.status.is_success();
+    if streams || is_long {
+        return Ok(Some(Served::Stream(pool, answer)));
+    }
+    match answer.body.collect(GATHERED_BYTES).await {
+        Ok(body) => Ok(Some(Served::Whole(answer.head, body))),
+        Err(_) => {
+            let now = context.now();
+            let mut router = context.router.borrow_mut();
+            let engine = answer.choice.engine.key;
+            router.health.note(now, engine, AttemptResult::Failed);
+            Ok(None)
+        }
+    }
+}
+
+/// Takes a stream up at another engine; `None` if that may not be or no engine answers.
+pub(crate) async fn resume(
+    context: &Rc<Context>,
+    progress: &mut Progress,
+    pool: &PoolName,
+) -> Option<EngineAnswer> {
+    while may_call_again(context, progress) {
+        let choice = {
+            let fleet = context.fleet();
+            let router = context.router.borrow();
+            let request = progress.staged(pool);
+            let (now, zone) = (context.now(), &context.settings.zone);
+            router.choose_whole(now, zone, fleet.pool(pool), &request)?
+        };
+        if let AttemptEnd::Answered(answer) = run(context, progress, pool, choice, None).await
+            && answer.head.status.is_success()
+        {
+            return Some(*answer);
+        }
+    }
+    None
+}
+
+fn log_unadmitted(context: &Context, request: &Request, failure: Failure) {
+    let facts = context.dialect.read_request(request.headers());
+    log_event!(context.logger, Event::RequestFailed,
+        "request" => facts.id.as_deref().unwrap_or_default(),
+        "path" => request.path(), "reason" => ?failure,
+        "status" => failure.status().as_u16(),
+        "configuration" => context.table().map(|table| table.revision().0));
+}
+
+fn log_failed(context: &Context, progress: &Progress, failure: Failure) {
+    log_event!(context.logger, Event::RequestFailed,
+        "request" => progress.facts.id.as_deref().unwrap_or_default(),
+        "route" => &progress.route.name, "reason" => ?failure,
+        "status" => failure.status().as_u16(),
+        "configuration" => progress.table.revision().0,
+        "took_ms" => progress.started.elapsed().as_millis() as u64,
+        "engines" => context.fleet().len(),
+        "calls" => progress.account());
+}
+
+fn log_served(context: &Context, progress: &Progress, status: u16) {
+    let id = progress.facts.id.as_deref().unwrap_or_default();
+    let sampled = dalestand_routing::staged::EngineKey::of(id)
+        .0
+        .is_multiple_of(LOGGED_ONE_IN);
+    if !sampled && progress.calls.len() < 3 && status < 500 {
+        return;
+    }
+    log_event!(context.logger, Event::RequestComplete, "request" => id,
+        "route" => &progress.route.name, "status" => status,
+        "configuration" => progress.table.revision().0,
+        "took_ms" => progress.started.elapsed().as_millis() as u64,
+        "calls" => progress.account());
+}
--- /dev/null
+++ b/crates/forwarding/src/lib.rs
@@ -0,0 +1,33 @@
+//! Serves opaque requests by routes: choice of engines, attempts, retries, streams.
+//!
+//! The platform's words come in through the traits of `dalestand_edge::routed`. A request goes
+//! through [`forward`](mod@forward): its route is found, its body read, and attempts are made until
+//! one answers or no further one may be made. Decisions are those of `dalestand_routing::staged`.
+
+mod answer;
+mod attempt;
+mod context;
+mod counts;
+mod error;
+mod event_stream;
+mod fleet;
+mod follow;
+mod forward;
+mod headers;
+mod node;
+mod peers;
+mod plan;
+mod prefill;
+mod progress;
+mod ready;
+mod registration;
+mod relay;
+mod settings;
+mod stop;
+mod work_guard;
+
+pub use error::ForwardingError;
+pub use event_stream::{EventSplitter, StreamEvent};
+pub use fleet::{Fleet, FleetEngine};
+pub use node::{ForwardingNode, run};
+pub use settings::{ForwardingSettings, SettingsFault};
--- /dev/null
+++ b/crates/forwarding/src/node.rs
@@ -0,0 +1,257 @@
+//! Starts a forwarding node and stops it as planned.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use dalestand_edge::routed::{Dialect, EngineEntry, FleetForm};
+use dalestand_edge::{KeyValue, Listing, WatchEvent};
+use dalestand_http_server::{Connections, ServerLimits, serve};
+use dalestand_routes::RouteTable;
+use dalestand_telemetry::{Event, log_event};
+use error_stack::{Report, ResultExt as _};
+use slog::Logger;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::context::Context;
+use crate::error::ForwardingError;
+use crate::follow::{Follower, follow};
+use crate::forward::forward;
+use crate::peers;
+use crate::ready::ready;
+use crate::registration::{NODE_PREFIX, PeerFollower, Peers, keep_registered};
+use crate::settings::ForwardingSettings;
+use crate::stop::stop;
+
+/// Time a caller has to send a head. Longer than any configuration asks for: a connection that a
+/// caller opened ahead must not be closed under it.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Time an idle connection is kept, for the same reason.
+const KEEP_ALIVE: Duration = Duration::from_secs(75);
+
+/// How often what is old is thrown away.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
+
+/// A sweep that comes this late means that the process stood still.
+const PAUSE_NOTICED: Duration = Duration::from_millis(1_000);
+
+/// What a forwarding node is made of.
+pub struct ForwardingNode {
+    /// Its settings.
+    pub settings: ForwardingSettings,
+    /// The words of callers and engines.
+    pub dialect: Rc<dyn Dialect>,
+    /// The form of what stands in the key-value service.
+    pub form: Rc<dyn FleetForm>,
+    /// The key-value service.
+    pub store: Rc<dyn KeyValue>,
+    /// The log.
+    pub logger: Logger,
+}
+
+/// Runs a node until a planned stop (SIGTERM or SIGINT) is over.
+pub async fn run(node: ForwardingNode) -> Result<(), Report<ForwardingError>> {
+    let settings = node.settings;
+    let logger = node.logger;
+    let callers = listen(settings.caller_listen).await?;
+    let ready_listener = listen(settings.ready_listen).await?;
+    let peer_address = settings.peer_listen;
+    let peer_socket = UdpSocket::bind(peer_address)
+        .await
+        .change_context_lazy(|| ForwardingError::Listen(peer_address.to_string()))?;
+    let mut terminate = signal(SignalKind::terminate()).change_context(ForwardingError::Signals)?;
+    let mut interrupt = signal(SignalKind::interrupt()).change_context(ForwardingError::Signals)?;
+    log_event!(logger, Event::NodeStarted, "node" => %settings.node, "zone" => %settings.zone,
+        "callers" => %settings.caller_listen);
+    let context = Rc::new(Context::new(settings, node.dialect, node.form, logger));
+    start_followers(&context, &node.store);
+    let peers = Peers::default();
+    start_peers(&context, &node.store, peer_socket, peers);
+    let sweeping = Rc::clone(&context);
+    actix_rt::spawn(sweep(sweeping));
+    start_ready(&context, ready_listener);
+    let connections = start_callers(&context, callers);
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    // Further signals change nothing.
+    actix_rt::spawn(async move { while terminate.recv().await.is_some() {} });
+    stop(context, connections).await;
+    Ok(())
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, Report<ForwardingError>> {
+    TcpListener::bind(address)
+        .await
+        .change_context_lazy(|| ForwardingError::Listen(address.to_string()))
+}
+
+fn limits() -> ServerLimits {
+    ServerLimits {
+        head_timeout: HEAD_TIMEOUT,
+        keep_alive: KEEP_ALIVE,
+        ..ServerLimits::default()
+    }
+}
+
+fn start_ready(context: &Rc<Context>, listener: TcpListener) {
+    let context = Rc::clone(context);
+    actix_rt::spawn(async move {
+        let handler = move |request| ready(Rc::clone(&context), request);
+        serve(listener, limits(), Connections::default(), handler).await;
+    });
+}
+
+fn start_callers(context: &Rc<Context>, listener: TcpListener) -> Connections {
+    let connections = Connections::default();
+    let counted = connections.clone();
+    let context = Rc::clone(context);
+    actix_rt::spawn(async move {
+        let handler = move |request| forward(Rc::clone(&context), request);
+        serve(listener, limits(), counted, handler).await;
+    });
+    connections
+}
+
+fn start_followers(context: &Rc<Context>, store: &Rc<dyn KeyValue>) {
+    let configuration = ConfigurationFollower(Rc::clone(context));
+    let key = context.form.configuration_key().to_owned();
+    let logger = context.logger.clone();
+    actix_rt::spawn(follow(Rc::clone(store), key, configuration, logger));
+    let engines = EngineFollower(Rc::clone(context));
+    let prefix = context.form.engine_prefix().to_owned();
+    let logger = context.logger.clone();
+    actix_rt::spawn(follow(Rc::clone(store), prefix, engines, logger));
+}
+
+fn start_peers(context: &Rc<Context>, store: &Rc<dyn KeyValue>, socket: UdpSocket, peers: Peers) {
+    let socket = Rc::new(socket);
+    actix_rt::spawn(peers::listen(Rc::clone(context), Rc::clone(&socket)));
+    let follower = PeerFollower {
+        context: Rc::clone(context),
+        peers: peers.clone(),
+    };
+    actix_rt::spawn(peers::tell(Rc::clone(context), socket, peers));
+    let logger = context.logger.clone();
+    let prefix = NODE_PREFIX.to_owned();
+    actix_rt::spawn(follow(Rc::clone(store), prefix, follower, logger));
+    actix_rt::spawn(keep_registered(Rc::clone(context), Rc::clone(store)));
+}
+
+/// Throws away what is old, and notices when the process stood still.
+async fn sweep(context: Rc<Context>) {
+    let mut last = Instant::now();
+    loop {
+        actix_rt::time::sleep(SWEEP_INTERVAL).await;
+        let passed = last.elapsed();
+        last = Instant::now();
+        if passed > SWEEP_INTERVAL + PAUSE_NOTICED {
+            log_event!(context.logger, Event::PauseNoticed,
+                "for_ms" => passed.as_millis() as u64);
+        }
+        let fleet = context.fleet();
+        context.link.sweep(|target| fleet.has_target(target));
+        let now = context.now();
+        context.router.borrow_mut().work.sweep(now);
+    }
+}
+
+/// Brings declarations into force.
+struct ConfigurationFollower(Rc<Context>);
+
+impl ConfigurationFollower {
+    fn take(&self, value: &str) {
+        let context = &self.0;
+        let read = context.form.read_configuration(value);
+        let table = read.and_then(|file| {
+            RouteTable::new(file).map_err(|faults| {
+                let faults = faults.iter().map(ToString::to_string);
+                faults.collect::<Vec<_>>().join("; ")
+            })
+        });
+        match table {
+            Ok(table) => {
+                let (revision, routes) = (table.revision(), table.route_count());
+                if context.set_table(table) {
+                    log_event!(context.logger, Event::ConfigurationInForce,
+                        "revision" => revision.0, "routes" => routes);
+                }
+            }
+            Err(error) => {
+                log_event!(context.logger, Event::ConfigurationUnusable, "error" => error);
+            }
+        }
+    }
+}
+
+impl Follower for ConfigurationFollower {
+    fn listed(&self, listing: Listing) {
+        let key = self.0.form.configuration_key();
+        for entry in &listing.entries {
+            if entry.key == key {
+                self.take(&entry.value);
+            }
+        }
+    }
+
+    fn changed(&self, event: WatchEvent) {
+        if event.key == self.0.form.configuration_key()
+            && let Some(value) = &event.value
+        {
+            self.take(value);
+        }
+    }
+}
+
+/// Takes engines' own entries into account.
+struct EngineFollower(Rc<Context>);
+
+impl EngineFollower {
+    fn read(&self, key: &str, value: &str) -> Option<EngineEntry> {
+        let context = &self.0;
+        match context.form.read_engine(key, value) {
+            Ok(entry) => Some(entry),
+            Err(error) => {
+                log_event!(context.logger, Event::EngineUnreadable, "key" => key,
+                    "error" => error);
+                None
+            }
+        }
+    }
+
+    fn log_listed(&self, entry: &EngineEntry) {
+        log_event!(self.0.logger, Event::EngineListed, "engine" => &*entry.run,
+            "pool" => %entry.pool, "address" => %entry.address, "zone" => %entry.zone,
+            "accepting" => entry.accepting, "role" => ?entry.role);
+    }
+}
+
+impl Follower for EngineFollower {
+    fn listed(&self, listing: Listing) {
+        let mut entries = HashMap::new();
+        for listed in listing.entries {
+            if let Some(entry) = self.read(&listed.key, &listed.value) {
+                self.log_listed(&entry);
+                entries.insert(listed.key, entry);
+            }
+        }
+        self.0.set_entries(entries);
+    }
+
+    fn changed(&self, event: WatchEvent) {
+        let Some(value) = &event.value else {
+            log_event!(self.0.logger, Event::EngineGone, "key" => &event.key,
+                "revision" => event.revision.0);
+            self.0.set_entry(event.key, None);
+            return;
+        };
+        if let Some(entry) = self.read(&event.key, value) {
+            self.log_listed(&entry);
+            self.0.set_entry(event.key, Some(entry));
+        }
+    }
+}
--- /dev/null
+++ b/crates/forwarding/src/progress.rs
@@ -0,0 +1,179 @@
+//! How far one request has come.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use actix_http::header::HeaderMap;
+use actix_http::{Method, RequestHead, Uri};
+use bytes::Bytes;
+use dalestand_edge::routed::RequestFacts;
+use dalestand_routes::{RouteTable, RouteTerms};
+use dalestand_routing::staged::{EngineKey, PromptPart, StagedRequest};
+use dalestand_types::PoolName;
+
+/// Most calls made for one request, whatever came of them.
+const MAX_CALLS: u32 = 6;
+
+/// A caller's request as it is passed on.
+pub(crate) struct PassedRequest {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    /// Headers that are passed on.
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// What a call to an engine was for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CallPurpose {
+    /// To read the prompt.
+    Prefill,
+    /// To run the request.
+    Run,
+}
+
+/// How a call came out, for the account of a request.
+pub(crate) struct CallRecord {
+    pub(crate) purpose: CallPurpose,
+    pub(crate) engine: Arc<str>,
+    pub(crate) outcome: &'static str,
+    pub(crate) took: Duration,
+}
+
+/// One request under way.
+pub(crate) struct Progress {
+    pub(crate) facts: RequestFacts,
+    pub(crate) passed: PassedRequest,
+    pub(crate) table: Rc<RouteTable>,
+    pub(crate) route: Arc<RouteTerms>,
+    /// The pools that may serve it, in the order in which they are to be asked.
+    pub(crate) pools: Vec<PoolName>,
+    pub(crate) started: Instant,
+    /// When its final answer is due.
+    pub(crate) due: Instant,
+    /// Engines called, so that another is taken.
+    pub(crate) tried: Vec<EngineKey>,
+    /// Engines at which it may have run.
+    pub(crate) runs: u32,
+    /// Calls that an engine took up, by purpose: prefill and run.
+    arrived: [u32; 2],
+    pub(crate) calls: Vec<CallRecord>,
+}
+
+impl Progress {
+    pub(crate) fn new(
+        facts: RequestFacts,
+        passed: PassedRequest,
+        table: Rc<RouteTable>,
+        route: Arc<RouteTerms>,
+        pools: Vec<PoolName>,
+        started: Instant,
+    ) -> Self {
+        let limit = Duration::from_millis(route.time_limit_ms);
+        let held = facts.deadline.map_or(limit, |deadline| deadline.min(limit));
+        Self {
+            facts,
+            passed,
+            table,
+            route,
+            pools,
+            started,
+            due: started + held,
+            tried: Vec::new(),
+            runs: 0,
+            arrived: [0; 2],
+            calls: Vec::new(),
+        }
+    }
+
+    /// Time for which the caller still waits.
+    pub(crate) fn deadline_left(&self) -> Option<Duration> {
+        let deadline = self.facts.deadline?;
+        Some(deadline.saturating_sub(self.started.elapsed()))
+    }
+
+    /// Time until the final answer is due.
+    pub(crate) fn time_left(&self) -> Duration {
+        self.due.saturating_duration_since(Instant::now())
+    }
+
+    /// Whether it may be sent to another engine.
+    pub(crate) fn may_run_again(&self) -> bool {
+        let unproved = self.runs > 0;
+        (!unproved || self.route.kind.is_repeatable())
+            && self.runs < self.route.max_attempts
+            && (self.calls.len() as u32) < MAX_CALLS
+    }
+
+    /// Whether a call for this purpose would be a repeated one.
+    pub(crate) fn is_repeat(&self, purpose: CallPurpose) -> bool {
+        self.arrived[purpose as usize] > 0
+    }
+
+    /// Notes a call that an engine took up or refused.
+    pub(crate) fn arrived(&mut self, purpose: CallPurpose) {
+        self.arrived[purpose as usize] += 1;
+    }
+
+    /// Notes how a call came out.
+    pub(crate) fn record(
+        &mut self,
+        purpose: CallPurpose,
+        engine: &Arc<str>,
+        outcome: &'static str,
+        took: Duration,
+    ) {
+        self.calls.push(CallRecord {
+            purpose,
+            engine: Arc::clone(engine),
+            outcome,
+            took,
+        });
+    }
+
+    /// A head for an engine, without what it is told beside.
+    pub(crate) fn head(&self) -> RequestHead {
+        let mut head = RequestHead::default();
+        head.method = self.passed.method.clone();
+        head.uri = self.passed.uri.clone();
+        head.headers = self.passed.headers.clone();
+        head
+    }
+
+    /// Parts of the prompt.
+    pub(crate) fn parts(&self) -> Vec<PromptPart> {
+        let parts = self.facts.parts.iter();
+        parts
+            .map(|(id, tokens)| PromptPart {
+                id: *id,
+                tokens: *tokens,
+            })
+            .collect()
+    }
+
+    /// What the choice among the engines of `pool` must know.
+    pub(crate) fn staged(&self, pool: &PoolName) -> StagedRequest {
+        let terms = self.table.pool(pool);
+        let prompt = terms.and_then(|terms| terms.prompt_engine);
+        StagedRequest {
+            parts: self.parts(),
+            prompt_tokens: self.facts.prompt_tokens,
+            token_bytes: prompt.map_or(0, |prompt| prompt.token_bytes),
+            link_mbps: prompt.map_or(0.0, |prompt| prompt.link_mbps),
+            tried: self.tried.clone(),
+        }
+    }
+
+    /// The calls made, for the log.
+    pub(crate) fn account(&self) -> String {
+        let calls = self.calls.iter().map(|call| {
+            let took = call.took.as_millis();
+            format!(
+                "{:?} {} {} {took}ms",
+                call.purpose, call.engine, call.outcome
+            )
+        });
+        calls.collect::<Vec<_>>().join("; ")
+    }
+}
--- /dev/null
+++ b/crates/forwarding/src/registration.rs
@@ -0,0 +1,126 @@
+//! Nodes of the fleet: each keeps an entry under a lease, and follows the entries of the others.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dalestand_edge::{
+    CasOutcome, KeyValue, LeaseId, Listing, PlatformError, WatchEvent, WriteExpectation,
+};
+use dalestand_telemetry::{Event, log_event};
+use error_stack::Report;
+
+use crate::context::Context;
+use crate::follow::Follower;
+
+/// Leading part of the keys of nodes' entries.
+pub(crate) const NODE_PREFIX: &str = "dalestand/nodes/";
+
+/// An entry outlives its node by this time at most.
+const TIME_TO_LIVE: Duration = Duration::from_secs(15);
+
+/// How often the lease is renewed.
+const RENEWAL: Duration = Duration::from_secs(5);
+
+/// Pause after a failed call.
+const FAILURE_PAUSE: Duration = Duration::from_millis(700);
+
+/// Addresses of the nodes, this one left out.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Peers(Rc<RefCell<HashMap<String, SocketAddr>>>);
+
+impl Peers {
+    /// The addresses.
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
+        self.0.borrow().values().copied().collect()
+    }
+}
+
+/// Takes the entries of nodes into account.
+pub(crate) struct PeerFollower {
+    pub(crate) context: Rc<Context>,
+    pub(crate) peers: Peers,
+}
+
+impl PeerFollower {
+    fn set(&self, key: &str, value: Option<&str>) {
+        let node = key.strip_prefix(NODE_PREFIX).unwrap_or(key);
+        if node == self.context.settings.node.as_str() {
+            return;
+        }
+        let mut peers = self.peers.0.borrow_mut();
+        match value.and_then(|value| value.parse().ok()) {
+            Some(address) => peers.insert(node.to_owned(), address),
+            None => peers.remove(node),
+        };
+    }
+
+    fn count(&self) {
+        let peers = self.peers.0.borrow().len();
+        self.context.set_nodes(peers + 1);
+    }
+}
+
+impl Follower for PeerFollower {
+    fn listed(&self, listing: Listing) {
+        self.peers.0.borrow_mut().clear();
+        for entry in &listing.entries {
+            self.set(&entry.key, Some(&entry.value));
+        }
+        self.count();
+    }
+
+    fn changed(&self, event: WatchEvent) {
+        self.set(&event.key, event.value.as_deref());
+        self.count();
+    }
+}
+
+/// Keeps this node's entry for as long as it is polled.
+pub(crate) async fn keep_registered(context: Rc<Context>, store: Rc<dyn KeyValue>) {
+    loop {
+        match register(&context, &*store).await {
+            Ok(lease) => keep_lease(&*store, lease).await,
+            Err(error) => {
+                log_event!(context.logger, Event::RegistrationFailed,
+                    "error" => %error.current_context());
+                actix_rt::time::sleep(FAILURE_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn register(
+    context: &Context,
+    store: &dyn KeyValue,
+) -> Result<LeaseId, Report<PlatformError>> {
+    let key = format!("{NODE_PREFIX}{}", context.settings.node);
+    let address = context.settings.peer_listen.to_string();
+    let lease = store.grant_lease(TIME_TO_LIVE).await?;
+    let mut expectation = WriteExpectation::Absent;
+    // The entry of this node's former life is replaced.
+    loop {
+        let written = store
+            .compare_and_swap(&key, expectation, Some(&address), Some(lease))
+            .await?;
+        expectation = match written {
+            CasOutcome::Written { .. } => return Ok(lease),
+            CasOutcome::Conflict {
+                current: Some(current),
+            } => WriteExpectation::At(current.revision),
+            CasOutcome::Conflict { current: None } => WriteExpectation::Absent,
+        };
+    }
+}
+
+/// Renews the lease until it is gone.
+async fn keep_lease(store: &dyn KeyValue, lease: LeaseId) {
+    loop {
+        actix_rt::time::sleep(RENEWAL).await;
+        if matches!(store.renew_lease(lease).await, Ok(false)) {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/forwarding/src/settings.rs
@@ -0,0 +1,126 @@
+//! Settings of a forwarding node.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dalestand_routing::SharedRetryTerms;
+use dalestand_types::{NodeId, ZoneName};
+use serde::Deserialize;
+
+/// Settings of a forwarding node, from a TOML file.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ForwardingSettings {
+    /// Name of the node; unique in the fleet.
+    pub node: NodeId,
+    /// Zone of the node.
+    pub zone: ZoneName,
+    /// Where callers connect.
+    pub caller_listen: SocketAddr,
+    /// Where the node tells whether it is ready.
+    pub ready_listen: SocketAddr,
+    /// Where other nodes send their load (UDP).
+    pub peer_listen: SocketAddr,
+    /// The key-value service.
+    pub key_value: SocketAddr,
+    /// Repeated sends that all nodes may make together.
+    pub retries: RetrySettings,
+    /// Planned stops.
+    pub stop: StopSettings,
+}
+
+/// Repeated sends that all nodes may make together.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RetrySettings {
+    /// Repeated sends for each request.
+    pub ratio: f64,
+    /// Repeated sends allowed besides.
+    pub slack: f64,
+    /// Length of the window, in seconds.
+    pub window_s: f64,
+}
+
+/// Planned stops.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StopSettings {
+    /// Time after which the process is killed, in seconds.
+    pub grace_s: f64,
+}
+
+/// Why settings cannot be used.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum SettingsFault {
+    /// The text is no settings file.
+    #[error("{0}")]
+    Unreadable(String),
+    /// A figure lies outside its bounds.
+    #[error("{field}: {value} must {bound}")]
+    OutOfBounds {
+        field: &'static str,
+        value: f64,
+        bound: &'static str,
+    },
+}
+
+impl ForwardingSettings {
+    /// Parses and checks settings; every fault is listed.
+    pub fn parse(text: &str) -> Result<Self, Vec<SettingsFault>> {
+        let settings: Self = toml::from_str(text)
+            .map_err(|error| vec![SettingsFault::Unreadable(error.to_string())])?;
+        let faults = settings.faults();
+        if faults.is_empty() {
+            Ok(settings)
+        } else {
+            Err(faults)
+        }
+    }
+
+    fn faults(&self) -> Vec<SettingsFault> {
+        let at_least_0 = [
+            ("retries.ratio", self.retries.ratio),
+            ("retries.slack", self.retries.slack),
+        ];
+        let above_0 = [
+            ("retries.window_s", self.retries.window_s),
+            ("stop.grace_s", self.stop.grace_s),
+        ];
+        let mut faults = Vec::new();
+        for (field, value) in at_least_0 {
+            if !value.is_finite() || value < 0.0 {
+                let bound = "be 0 or more";
+                faults.push(SettingsFault::OutOfBounds {
+                    field,
+                    value,
+                    bound,
+                });
+            }
+        }
+        for (field, value) in above_0 {
+            if !value.is_finite() || value <= 0.0 {
+                let bound = "be above 0";
+                faults.push(SettingsFault::OutOfBounds {
+                    field,
+                    value,
+                    bound,
+                });
+            }
+        }
+        faults
+    }
+
+    /// Bounds of the budget of repeated sends.
+    pub fn retry_terms(&self) -> SharedRetryTerms {
+        SharedRetryTerms {
+            ratio: self.retries.ratio,
+            slack: self.retries.slack,
+            window: Duration::from_secs_f64(self.retries.window_s),
+        }
+    }
+
+    /// Time after which the process is killed.
+    pub fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.stop.grace_s)
+    }
+}
--- a/crates/gateway/src/attempt/mod.rs
+++ b/crates/gateway/src/attempt/mod.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use dalestand_decision::{AttemptOutcome, AttemptRecord, Candidate, NoEngineRecord};
-use dalestand_platform::{AttemptError, Engine as _, FrameStream};
+use dalestand_edge::{AttemptError, Engine as _, FrameStream};
 use dalestand_routing::{
     AttemptFate, Deadlines, EngineView, FailedAttempt, RetryVerdict, RouteDecision, RoutePhase,
     RouteRequest,
--- a/crates/gateway/src/attempt/prefill.rs
+++ b/crates/gateway/src/attempt/prefill.rs
@@ -1,6 +1,6 @@
 //! The first of two stages: one engine runs the prompt and holds its KV cache for another.
 
-use dalestand_platform::{AttemptError, Engine as _, HttpEngine};
+use dalestand_edge::{AttemptError, Engine as _, HttpEngine};
 use dalestand_routing::EngineView;
 use dalestand_types::{CacheHandle, GenerationFrame, GenerationRequest, Usage};
 use futures_util::StreamExt as _;
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use dalestand_platform::HttpEngine;
+use dalestand_edge::HttpEngine;
 
 /// Most clients kept; beyond it those in no use go.
 const MAX_KEPT: usize = 1_024;
--- a/crates/gateway/src/order.rs
+++ b/crates/gateway/src/order.rs
@@ -7,7 +7,7 @@
 use actix_http::header::{HeaderMap, HeaderName};
 use dalestand_config::{Deployment, Pool, Tenant};
 use dalestand_decision::RequestTerms;
-use dalestand_platform::Engine as _;
+use dalestand_edge::Engine as _;
 use dalestand_routing::{RouteRequest, prompt_blocks};
 use dalestand_types::{AdapterName, AttemptId, GenerationRequest, ModelName, RequestId};
 
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -9,9 +9,9 @@
 use std::time::{Duration, Instant};
 
 use dalestand_config::Deployment;
+use dalestand_edge::{Engine as _, HttpEngine};
 use dalestand_gateway::{ActiveConfiguration, CallerLimits, Shared, serve_callers};
 use dalestand_http_server::Connections;
-use dalestand_platform::{Engine as _, HttpEngine};
 use dalestand_routing::{EngineView, FleetView};
 use dalestand_standin::engine::{
     BatchSettings, EngineFaults, EngineSettings, RunLogEntry, RunLogEvent, serve_engine,
--- a/crates/lab/src/hollow/platform.rs
+++ b/crates/lab/src/hollow/platform.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use actix_rt::Arbiter;
-use dalestand_platform::wire::engine::LOAD;
-use dalestand_platform::wire::machine_list::MACHINES;
+use dalestand_edge::wire::engine::LOAD;
+use dalestand_edge::wire::machine_list::MACHINES;
 use dalestand_standin::engine::{BatchSettings, EngineSettings, serve_engine};
 use dalestand_standin::key_value::serve_key_value;
 use dalestand_standin::machine_list::serve_machine_list;
--- a/crates/lab/src/hollow/worker.rs
+++ b/crates/lab/src/hollow/worker.rs
@@ -7,9 +7,9 @@
 
 use actix_rt::Arbiter;
 use dalestand_config::NodeSettings;
+use dalestand_edge::HttpKeyValue;
 use dalestand_gateway::Shared;
 use dalestand_node::{ControlHalf, ControlParts, LinkFilter, NodeAddresses, start_control};
-use dalestand_platform::HttpKeyValue;
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use super::measure::thread_cpu_time;
--- a/crates/lab/src/load/stream.rs
+++ b/crates/lab/src/load/stream.rs
@@ -4,7 +4,7 @@
 
 use awc::Client;
 use bytes::BytesMut;
-use dalestand_platform::wire::engine::GENERATE;
+use dalestand_edge::wire::engine::GENERATE;
 use dalestand_types::{AttemptId, GenerationRequest, ModelName, Priority, RequestId, Revision};
 use futures_util::StreamExt as _;
 use serde_json::json;
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -10,12 +10,12 @@
 
 use dalestand_cluster::Cluster;
 use dalestand_decision::{account_of_request, account_of_role_change};
+use dalestand_edge::KeyValue;
 use dalestand_gateway::Shared;
 use dalestand_http_server::{
     Answer, Connections, HttpServerError, Method, Request, ServerLimits, StatusCode, json_answer,
     read_json, serve, text_answer,
 };
-use dalestand_platform::KeyValue;
 use dalestand_types::{EngineId, RequestId};
 use rand::RngExt as _;
 use tokio::net::TcpListener;
--- a/crates/node/src/apply.rs
+++ b/crates/node/src/apply.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use dalestand_config::Deployment;
-use dalestand_platform::{CasOutcome, Entry, KeyValue, WriteExpectation};
+use dalestand_edge::{CasOutcome, Entry, KeyValue, WriteExpectation};
 use dalestand_types::Revision;
 use error_stack::{Report, ResultExt as _};
 use jiff::Timestamp;
--- a/crates/node/src/apply/tests.rs
+++ b/crates/node/src/apply/tests.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
-use dalestand_platform::{
+use dalestand_edge::{
     CasOutcome, Entry, KeyValue, LeaseId, Listing, PlatformError, WatchBatch, WriteExpectation,
 };
 use dalestand_standin::key_value::Store;
--- a/crates/node/src/claims/record.rs
+++ b/crates/node/src/claims/record.rs
@@ -7,7 +7,7 @@
 use dalestand_claims::{
     CLAIM_LIFETIME, Entry, Loaded, ShardId, WriteFailure, entries_from_text, entries_to_text,
 };
-use dalestand_platform::{CasOutcome, KeyValue, LeaseId, PlatformError, WriteExpectation};
+use dalestand_edge::{CasOutcome, KeyValue, LeaseId, PlatformError, WriteExpectation};
 use dalestand_types::Revision;
 use error_stack::Report;
 
--- a/crates/node/src/claims/tests.rs
+++ b/crates/node/src/claims/tests.rs
@@ -6,7 +6,7 @@
 
 use async_trait::async_trait;
 use dalestand_claims::{ClaimHash, ClaimState, Entry, ShardId};
-use dalestand_platform::{
+use dalestand_edge::{
     CasOutcome, KeyValue, LeaseId, Listing, PlatformError, WatchBatch, WriteExpectation,
 };
 use dalestand_standin::key_value::Store;
@@ -49,7 +49,7 @@
 
 #[async_trait(?Send)]
 impl KeyValue for Handle {
-    async fn get(&self, key: &str) -> Answer<Option<dalestand_platform::Entry>> {
+    async fn get(&self, key: &str) -> Answer<Option<dalestand_edge::Entry>> {
         self.0.count_read().await;
         Ok(self.0.store.borrow().get(key))
     }
--- a/crates/node/src/configuration/watch.rs
+++ b/crates/node/src/configuration/watch.rs
@@ -10,8 +10,8 @@
 use std::time::Duration;
 
 use dalestand_cluster::{Cluster, Member};
+use dalestand_edge::{KeyValue, PlatformError, WatchBatch};
 use dalestand_gateway::Shared;
-use dalestand_platform::{KeyValue, PlatformError, WatchBatch};
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::{NodeId, Revision};
 use error_stack::Report;
--- a/crates/node/src/control_driver/mod.rs
+++ b/crates/node/src/control_driver/mod.rs
@@ -14,8 +14,8 @@
 use dalestand_cluster::Cluster;
 use dalestand_config::Group;
 use dalestand_control::{Action, EngineStatus, GroupController};
+use dalestand_edge::Engine;
 use dalestand_gateway::{ActiveConfiguration, Shared};
-use dalestand_platform::Engine;
 use dalestand_types::{EngineId, EngineLoad, Epoch, GroupId, MonotonicTime, NodeId, Sequence};
 
 use crate::desired::desired_engines;
--- a/crates/node/src/control_half.rs
+++ b/crates/node/src/control_half.rs
@@ -8,9 +8,9 @@
 
 use dalestand_cluster::{Cluster, ClusterConfig, Member};
 use dalestand_config::NodeSettings;
+use dalestand_edge::KeyValue;
 use dalestand_gateway::Shared;
 use dalestand_peer_seal::PeerSeal;
-use dalestand_platform::KeyValue;
 use dalestand_types::Incarnation;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Notify, mpsc};
--- a/crates/node/src/drains.rs
+++ b/crates/node/src/drains.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use dalestand_cluster::{Cluster, Record, RecordKey, RecordVersion};
-use dalestand_platform::{CasOutcome, KeyValue, PlatformError, WriteExpectation};
+use dalestand_edge::{CasOutcome, KeyValue, PlatformError, WriteExpectation};
 use dalestand_types::{EngineId, Revision};
 use error_stack::{Report, ResultExt as _};
 use serde::{Deserialize, Serialize};
--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use dalestand_platform::{Engine, HttpEngine};
+use dalestand_edge::{Engine, HttpEngine};
 
 /// Keeps a client for each engine address, so that connections are used again.
 #[derive(Default)]
--- a/crates/node/src/lease_service.rs
+++ b/crates/node/src/lease_service.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use dalestand_control::LeaseGrant;
-use dalestand_platform::{CasOutcome, KeyValue, LeaseId, PlatformError, WriteExpectation};
+use dalestand_edge::{CasOutcome, KeyValue, LeaseId, PlatformError, WriteExpectation};
 use dalestand_types::{Epoch, GroupId, MonotonicTime, NodeId};
 use error_stack::Report;
 use rand::RngExt as _;
--- a/crates/node/src/machines.rs
+++ b/crates/node/src/machines.rs
@@ -13,8 +13,8 @@
 
 use bytes::Bytes;
 use dalestand_cluster::{Cluster, Record, RecordKey, RecordVersion};
+use dalestand_edge::{HttpMachineList, MachineList as _};
 use dalestand_gateway::Shared;
-use dalestand_platform::{HttpMachineList, MachineList as _};
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::{EngineId, Machine, MachineKind, MachineState, MonotonicTime};
 use rand::RngExt as _;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use dalestand_config::NodeSettings;
+use dalestand_edge::{HttpKeyValue, KeyValue};
 use dalestand_gateway::Shared;
-use dalestand_platform::{HttpKeyValue, KeyValue};
 use dalestand_telemetry::{Event, Metrics, log_event};
 use error_stack::{Report, ResultExt as _};
 use slog::Logger;
--- a/crates/node/tests/claims.rs
+++ b/crates/node/tests/claims.rs
@@ -6,11 +6,11 @@
 use std::time::{Duration, Instant};
 
 use dalestand_config::NodeSettings;
+use dalestand_edge::HttpKeyValue;
 use dalestand_gateway::{
     ClaimEnd, ClaimKey, ClaimOutcome, ClaimRequest, KeptAnswer, RequestFingerprint, Shared,
 };
 use dalestand_node::{ControlHalf, ControlParts, NodeAddresses, start_control};
-use dalestand_platform::HttpKeyValue;
 use dalestand_standin::key_value::{KeyValueFaults, serve_key_value};
 use dalestand_standin::machine_list::serve_machine_list;
 use dalestand_telemetry::Metrics;
--- /dev/null
+++ b/crates/routes/src/table.rs
@@ -0,0 +1,160 @@
+//! The checked form of a declaration, in which requests are looked up.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use dalestand_types::{PoolName, Revision};
+
+use crate::file::{CallerBounds, PoolTerms, RouteFile, RouteTerms};
+
+/// Why a declaration cannot come into force.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RouteFault {
+    /// The text is not a declaration.
+    #[error("not a route file: {0}")]
+    Unreadable(String),
+    /// A path prefix does not begin and end with a slash.
+    #[error("route {route}: path_prefix {prefix} must begin and end with a slash")]
+    Prefix { route: String, prefix: String },
+    /// Two routes have the same host and prefix.
+    #[error("routes {first} and {second} have the same host and path_prefix")]
+    Twice { first: String, second: String },
+    /// A route has no pool of a weight above 0.
+    #[error("route {route}: no pool has a weight")]
+    NoPool { route: String },
+    /// A route names a pool that is not declared.
+    #[error("route {route}: pool {pool} is not declared")]
+    UnknownPool { route: String, pool: PoolName },
+    /// A figure that must be above 0 is not.
+    #[error("route {route}: {field} must be above 0")]
+    Zero { route: String, field: &'static str },
+}
+
+/// Routes by host and path.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTable {
+    revision: Revision,
+    /// Routes of a host, longest prefix first.
+    hosts: HashMap<String, Vec<Arc<RouteTerms>>>,
+    pools: HashMap<PoolName, Arc<PoolTerms>>,
+    callers: CallerBounds,
+}
+
+impl RouteTable {
+    /// Parses and checks a declaration in TOML.
+    pub fn parse(text: &str) -> Result<Self, Vec<RouteFault>> {
+        let file = toml::from_str(text);
+        let file = file.map_err(|error| vec![RouteFault::Unreadable(error.to_string())])?;
+        Self::new(file)
+    }
+
+    /// Checks a declaration; every fault is listed.
+    pub fn new(file: RouteFile) -> Result<Self, Vec<RouteFault>> {
+        let mut table = Self {
+            revision: file.revision,
+            callers: file.callers,
+            ..Self::default()
+        };
+        for pool in file.pools {
+            table.pools.insert(pool.name.clone(), Arc::new(pool));
+        }
+        let mut faults = Vec::new();
+        for route in file.routes {
+            table.check(&route, &mut faults);
+            let routes = table.hosts.entry(host_of(&route.host)).or_default();
+            routes.push(Arc::new(route));
+        }
+        for routes in table.hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        if faults.is_empty() {
+            Ok(table)
+        } else {
+            Err(faults)
+        }
+    }
+
+    fn check(&self, route: &RouteTerms, faults: &mut Vec<RouteFault>) {
+        let prefix = &route.path_prefix;
+        if !prefix.starts_with('/') || !prefix.ends_with('/') {
+            faults.push(RouteFault::Prefix {
+                route: route.name.clone(),
+                prefix: prefix.clone(),
+            });
+        }
+        let known = self.hosts.get(&host_of(&route.host));
+        let same = known.and_then(|routes| routes.iter().find(|one| one.path_prefix == *prefix));
+        if let Some(first) = same {
+            faults.push(RouteFault::Twice {
+                first: first.name.clone(),
+                second: route.name.clone(),
+            });
+        }
+        if route.pools.iter().all(|part| part.weight == 0) {
+            faults.push(RouteFault::NoPool {
+                route: route.name.clone(),
+            });
+        }
+        for part in &route.pools {
+            if !self.pools.contains_key(&part.pool) {
+                faults.push(RouteFault::UnknownPool {
+                    route: route.name.clone(),
+                    pool: part.pool.clone(),
+                });
+            }
+        }
+        let figures = [
+            ("time_limit_ms", route.time_limit_ms),
+            ("max_attempts", u64::from(route.max_attempts)),
+        ];
+        for (field, value) in figures {
+            if value == 0 {
+                faults.push(RouteFault::Zero {
+                    route: route.name.clone(),
+                    field,
+                });
+            }
+        }
+    }
+
+    /// Revision of the declaration.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Bounds on callers.
+    pub fn callers(&self) -> &CallerBounds {
+        &self.callers
+    }
+
+    /// The route of the longest prefix that begins `path`, among those of `host`.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<RouteTerms>> {
+        let routes = self.hosts.get(&host_of(host))?;
+        let mut routes = routes.iter();
+        routes.find(|route| path.starts_with(&route.path_prefix))
+    }
+
+    /// A pool by its name.
+    pub fn pool(&self, name: &PoolName) -> Option<&Arc<PoolTerms>> {
+        self.pools.get(name)
+    }
+
+    /// All pools.
+    pub fn pools(&self) -> impl Iterator<Item = &Arc<PoolTerms>> {
+        self.pools.values()
+    }
+
+    /// Number of routes.
+    pub fn route_count(&self) -> usize {
+        self.hosts.values().map(Vec::len).sum()
+    }
+}
+
+/// Host names are compared without case, port and trailing dot.
+fn host_of(text: &str) -> String {
+    let name = match text.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => text,
+    };
+    name.trim_end_matches('.').to_ascii_lowercase()
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,6 +14,8 @@
 mod return_schedule;
 mod router;
 mod sample;
+mod shared_retry_budget;
+pub mod staged;
 mod tenant_limits;
 mod track;
 mod usables;
@@ -28,6 +30,7 @@
 };
 pub use retry_budget::{AttemptFate, FailedAttempt, RetryBudget, RetryBudgetConfig, RetryVerdict};
 pub use router::Router;
+pub use shared_retry_budget::{SharedRetryBudget, SharedRetryTerms};
 pub use tenant_limits::{TenantDemand, TenantLimits, TenantRule, TenantTotals, summing_node};
 pub use track::{Completion, Ticket};
 pub use view::{EngineView, FleetView};
--- /dev/null
+++ b/crates/routing/src/shared_retry_budget.rs
@@ -0,0 +1,95 @@
+//! A budget of repeated sends that all nodes share without a word for each request.
+//!
+//! In any window, the sends to a pool beyond the first of each request may be a ratio of the
+//! requests for it, and a slack besides. Each node counts its own requests and takes its part of
+//! the slack, so that what all spend together stays within the whole.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use dalestand_types::{MonotonicTime, PoolName};
+
+/// Share of what is allowed that is spent, since sends that are under way when a window begins
+/// count in it.
+const SPENT_SHARE: f64 = 0.85;
+
+/// Bounds that all nodes keep together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SharedRetryTerms {
+    /// Repeated sends for each request.
+    pub ratio: f64,
+    /// Repeated sends allowed besides.
+    pub slack: f64,
+    /// Length of the window.
+    pub window: Duration,
+}
+
+#[derive(Clone, Debug, Default)]
+struct PoolCounts {
+    requests: VecDeque<MonotonicTime>,
+    repeats: VecDeque<MonotonicTime>,
+}
+
+/// This node's part of the budget.
+#[derive(Clone, Debug)]
+pub struct SharedRetryBudget {
+    terms: SharedRetryTerms,
+    nodes: usize,
+    pools: HashMap<PoolName, PoolCounts>,
+}
+
+impl SharedRetryBudget {
+    /// A budget that nothing was spent of.
+    pub fn new(terms: SharedRetryTerms) -> Self {
+        Self {
+            terms,
+            nodes: 1,
+            pools: HashMap::new(),
+        }
+    }
+
+    /// Sets the number of nodes among which the slack is divided.
+    pub fn set_nodes(&mut self, nodes: usize) {
+        self.nodes = nodes.max(1);
+    }
+
+    /// Notes a request for a pool.
+    pub fn request(&mut self, now: MonotonicTime, pool: &PoolName) {
+        let window = self.terms.window;
+        let counts = self.pools.entry(pool.clone()).or_default();
+        counts.expire(now, window);
+        counts.requests.push_back(now);
+    }
+
+    /// Takes one repeated send; `false` if none is left.
+    pub fn take(&mut self, now: MonotonicTime, pool: &PoolName) -> bool {
+        let allowed = self.left(now, pool) >= 1.0;
+        if allowed && let Some(counts) = self.pools.get_mut(pool) {
+            counts.repeats.push_back(now);
+        }
+        allowed
+    }
+
+    /// Repeated sends left now.
+    pub fn left(&mut self, now: MonotonicTime, pool: &PoolName) -> f64 {
+        let SharedRetryTerms {
+            ratio,
+            slack,
+            window,
+        } = self.terms;
+        let counts = self.pools.entry(pool.clone()).or_default();
+        counts.expire(now, window);
+        let earned = ratio * counts.requests.len() as f64 + slack / self.nodes as f64;
+        earned * SPENT_SHARE - counts.repeats.len() as f64
+    }
+}
+
+impl PoolCounts {
+    fn expire(&mut self, now: MonotonicTime, window: Duration) {
+        for times in [&mut self.requests, &mut self.repeats] {
+            while times.front().is_some_and(|at| now.since(*at) > window) {
+                times.pop_front();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/staged/chooser.rs
@@ -0,0 +1,297 @@
+//! The choice itself: the engine, or the two engines, by which a request is expected to be answered
+//! first.
+
+use dalestand_types::{MonotonicTime, ZoneName};
+
+use super::health::EngineHealth;
+use super::parts::PartDirectory;
+use super::reading::ReadingSpeeds;
+use super::work::WorkTable;
+use super::{EngineKey, Stage, StagedEngine, StagedRequest};
+use crate::prefix::rendezvous_weight;
+
+/// Added time of an engine in another zone than the node's, in seconds.
+const OTHER_ZONE_S: f64 = 3e-3;
+
+/// Time that a failed attempt is taken to cost, in seconds.
+const FAILURE_S: f64 = 0.4;
+
+/// Added time of an engine that is avoided, in seconds: it is taken only where there is no other.
+const AVOIDED_S: f64 = 1_000.0;
+
+/// Added time of an engine that is not the home of the prompt's first part, in seconds. Without
+/// it nodes that have not heard of each other's choices would read a new part at several engines.
+const NOT_HOME_S: f64 = 15e-3;
+
+/// Time of one further call between the two engines of a split prompt, in seconds.
+const SECOND_CALL_S: f64 = 10e-3;
+
+/// Moving memory between zones takes this multiple of the time within one.
+const OTHER_ZONE_MOVE_FACTOR: f64 = 2.0;
+
+/// Added time for each request of a batch, as a share of a slot, in seconds.
+const BATCH_S: f64 = 0.25;
+
+/// Time of an opaque request until it is learnt, in seconds.
+const PRIOR_OPAQUE_S: f64 = 30e-3;
+
+/// An engine with what is expected of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineChoice {
+    /// The engine.
+    pub engine: StagedEngine,
+    /// Expected time to the answer's begin, in seconds, with what risks and queues add.
+    pub expected_s: f64,
+    /// Prompt tokens that it still has to read.
+    pub unread_tokens: u32,
+}
+
+/// Where a prompt is to run.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PromptPlan {
+    /// Read and answered on one engine.
+    Whole(EngineChoice),
+    /// Read on the first, answered on the second.
+    Split {
+        prefill: EngineChoice,
+        decode: EngineChoice,
+    },
+}
+
+/// Memory and decisions of one node about the engines of all pools.
+#[derive(Clone, Debug, Default)]
+pub struct StagedRouter {
+    /// Parts kept by engines.
+    pub parts: PartDirectory,
+    /// Work at engines.
+    pub work: WorkTable,
+    /// How engines fail.
+    pub health: EngineHealth,
+    /// How fast they read.
+    pub speeds: ReadingSpeeds,
+}
+
+impl StagedRouter {
+    /// The best engine for an opaque request.
+    pub fn choose_opaque(
+        &self,
+        now: MonotonicTime,
+        zone: &ZoneName,
+        engines: &[StagedEngine],
+        request: &StagedRequest,
+    ) -> Option<EngineChoice> {
+        let usable = usable(engines, request, |_| true);
+        let least_failing = usable
+            .iter()
+            .map(|engine| self.health.failed_share(now, engine.key))
+            .fold(f64::INFINITY, f64::min);
+        let choices = usable.into_iter().map(|engine| {
+            let known_s = self.health.latency_ms(engine.key) / 1_000.0;
+            let service_s = if known_s > 0.0 {
+                known_s
+            } else {
+                PRIOR_OPAQUE_S
+            };
+            let requests = f64::from(self.work.total(now, engine.key).requests);
+            let load = requests / f64::from(engine.slots.max(1));
+            let failing = self.health.failed_share(now, engine.key) - least_failing;
+            let expected_s =
+                service_s * (0.5 + load) + failing * FAILURE_S + self.common_s(now, zone, engine);
+            choice(engine, expected_s, 0)
+        });
+        best(choices)
+    }
+
+    /// The best plan for a prompt.
+    pub fn plan_prompt(
+        &self,
+        now: MonotonicTime,
+        zone: &ZoneName,
+        engines: &[StagedEngine],
+        request: &StagedRequest,
+    ) -> Option<PromptPlan> {
+        let whole = self.choose_whole(now, zone, engines, request);
+        let split = self.choose_split(now, zone, engines, request);
+        match (whole, split) {
+            (Some(whole), Some((prefill, decode))) => {
+                let split_s = prefill.expected_s + decode.expected_s;
+                Some(if split_s < whole.expected_s {
+                    PromptPlan::Split { prefill, decode }
+                } else {
+                    PromptPlan::Whole(whole)
+                })
+            }
+            (Some(whole), None) => Some(PromptPlan::Whole(whole)),
+            (None, Some((prefill, decode))) => Some(PromptPlan::Split { prefill, decode }),
+            (None, None) => None,
+        }
+    }
+
+    /// The best engine that reads and answers by itself.
+    pub fn choose_whole(
+        &self,
+        now: MonotonicTime,
+        zone: &ZoneName,
+        engines: &[StagedEngine],
+        request: &StagedRequest,
+    ) -> Option<EngineChoice> {
+        let usable = usable(engines, request, |engine| engine.stage == Stage::Decode);
+        let home = home(&usable, request);
+        let choices = usable.into_iter().map(|engine| {
+            let kept = self.parts.kept_tokens(engine.key, &request.parts);
+            let unread = request.prompt_tokens.saturating_sub(kept);
+            let work = self.work.total(now, engine.key);
+            let ahead = work.unread_tokens as f64 + f64::from(unread);
+            let expected_s = self.speeds.expected_s(engine.key, engine.stage, ahead)
+                + batch_s(engine, work.requests)
+                + not_home_s(engine, home, kept, request)
+                + self.common_s(now, zone, engine)
+                + self.failing_s(now, engine);
+            choice(engine, expected_s, unread)
+        });
+        best(choices)
+    }
+
+    fn choose_split(
+        &self,
+        now: MonotonicTime,
+        zone: &ZoneName,
+        engines: &[StagedEngine],
+        request: &StagedRequest,
+    ) -> Option<(EngineChoice, EngineChoice)> {
+        let usable = usable(engines, request, |engine| engine.stage == Stage::Prefill);
+        let home = home(&usable, request);
+        let choices = usable.into_iter().map(|engine| {
+            let kept = self.parts.kept_tokens(engine.key, &request.parts);
+            let unread = request.prompt_tokens.saturating_sub(kept);
+            let work = self.work.total(now, engine.key);
+            let ahead = work.unread_tokens as f64 + f64::from(unread);
+            let expected_s = self.speeds.expected_s(engine.key, engine.stage, ahead)
+                + not_home_s(engine, home, kept, request)
+                + self.common_s(now, zone, engine)
+                + self.failing_s(now, engine);
+            choice(engine, expected_s, unread)
+        });
+        let prefill = best(choices)?;
+        let decode = self.choose_decode(now, engines, request, &prefill.engine)?;
+        Some((prefill, decode))
+    }
+
+    /// The best engine to go on from the memory that `prefill` holds.
+    pub fn choose_decode(
+        &self,
+        now: MonotonicTime,
+        engines: &[StagedEngine],
+        request: &StagedRequest,
+        prefill: &StagedEngine,
+    ) -> Option<EngineChoice> {
+        let usable = usable(engines, request, |engine| engine.stage == Stage::Decode);
+        let choices = usable.into_iter().map(|engine| {
+            let kept = self.parts.kept_tokens(engine.key, &request.parts);
+            let moved = request.prompt_tokens.saturating_sub(kept);
+            let work = self.work.total(now, engine.key);
+            let waiting = work.unread_tokens as f64;
+            let expected_s = SECOND_CALL_S
+                + move_s(request, moved, engine.zone == prefill.zone)
+                + batch_s(engine, work.requests)
+                + self.speeds.expected_s(engine.key, engine.stage, waiting)
+                + self.avoided_s(now, engine)
+                + self.failing_s(now, engine);
+            choice(engine, expected_s, 0)
+        });
+        best(choices)
+    }
+
+    /// Time added by the zone and by silence.
+    fn common_s(&self, now: MonotonicTime, zone: &ZoneName, engine: &StagedEngine) -> f64 {
+        let zone_s = if engine.zone == *zone {
+            0.0
+        } else {
+            OTHER_ZONE_S
+        };
+        zone_s + self.avoided_s(now, engine)
+    }
+
+    fn avoided_s(&self, now: MonotonicTime, engine: &StagedEngine) -> f64 {
+        if self.health.is_avoided(now, engine.key) {
+            AVOIDED_S
+        } else {
+            0.0
+        }
+    }
+
+    fn failing_s(&self, now: MonotonicTime, engine: &StagedEngine) -> f64 {
+        self.health.failed_share(now, engine.key) * FAILURE_S
+    }
+
+    /// Forgets engines that `keep` does not name.
+    pub fn retain(&mut self, keep: impl Fn(EngineKey) -> bool) {
+        self.parts.retain(&keep);
+        self.health.retain(&keep);
+        self.speeds.retain(&keep);
+    }
+}
+
+/// Engines that the request has not been at; all that fit where it has been at each.
+fn usable<'a>(
+    engines: &'a [StagedEngine],
+    request: &StagedRequest,
+    fits: impl Fn(&StagedEngine) -> bool,
+) -> Vec<&'a StagedEngine> {
+    let fitting = engines.iter().filter(|engine| fits(engine));
+    fitting
+        .filter(|engine| !request.tried.contains(&engine.key))
+        .collect()
+}
+
+/// The engine that all nodes agree on for the prompt's first part.
+fn home(engines: &[&StagedEngine], request: &StagedRequest) -> Option<EngineKey> {
+    let first = request.parts.first()?.id;
+    let weight = |engine: &&&StagedEngine| rendezvous_weight(first, engine.key.0);
+    engines.iter().max_by_key(weight).map(|engine| engine.key)
+}
+
+fn not_home_s(
+    engine: &StagedEngine,
+    home: Option<EngineKey>,
+    kept: u32,
+    request: &StagedRequest,
+) -> f64 {
+    let first_tokens = request.parts.first().map_or(0, |part| part.tokens);
+    if home == Some(engine.key) || kept >= first_tokens {
+        0.0
+    } else {
+        NOT_HOME_S
+    }
+}
+
+fn move_s(request: &StagedRequest, tokens: u32, same_zone: bool) -> f64 {
+    if request.link_mbps <= 0.0 {
+        return 0.0;
+    }
+    let bits = f64::from(tokens) * request.token_bytes as f64 * 8.0;
+    let factor = if same_zone {
+        1.0
+    } else {
+        OTHER_ZONE_MOVE_FACTOR
+    };
+    bits / (request.link_mbps * 1e6) * factor
+}
+
+/// Each request of a batch slows all others a little; a full batch makes them wait.
+fn batch_s(engine: &StagedEngine, requests: u32) -> f64 {
+    let share = f64::from(requests) / f64::from(engine.slots.max(1));
+    share * share * BATCH_S
+}
+
+fn choice(engine: &StagedEngine, expected_s: f64, unread_tokens: u32) -> EngineChoice {
+    EngineChoice {
+        engine: engine.clone(),
+        expected_s,
+        unread_tokens,
+    }
+}
+
+fn best(choices: impl Iterator<Item = EngineChoice>) -> Option<EngineChoice> {
+    choices.min_by(|first, second| first.expected_s.total_cmp(&second.expected_s))
+}
--- /dev/null
+++ b/crates/routing/src/staged/health.rs
@@ -0,0 +1,108 @@
+//! How engines fail, from this node's own attempts: faster than any list of machines.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use dalestand_types::MonotonicTime;
+
+use super::EngineKey;
+
+/// First time for which an engine that gave no answer is avoided; doubles with each further one.
+const FIRST_AVOIDANCE: Duration = Duration::from_millis(1_000);
+
+/// Longest such time.
+const LONGEST_AVOIDANCE: Duration = Duration::from_secs(8);
+
+/// Weight of the newest attempt in the share of failures.
+const NEWEST_WEIGHT: f64 = 0.12;
+
+/// An engine not used for this long is taken to fail half as often as it did.
+const FORGETTING_HALF_LIFE: Duration = Duration::from_secs(3);
+
+/// What an attempt tells of its engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptResult {
+    /// A sound answer after this time.
+    Sound(Duration),
+    /// An answer that says the engine failed, or one that broke off.
+    Failed,
+    /// A refusal: the engine is full.
+    Refused,
+    /// No connection, or no answer in time.
+    Silent,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Record {
+    failed_share: f64,
+    latency_ms: f64,
+    updated_at: MonotonicTime,
+    silences: u32,
+    avoided_until: MonotonicTime,
+}
+
+/// Records of engines.
+#[derive(Clone, Debug, Default)]
+pub struct EngineHealth {
+    engines: HashMap<EngineKey, Record>,
+}
+
+impl EngineHealth {
+    /// Notes how an attempt came out.
+    pub fn note(&mut self, now: MonotonicTime, engine: EngineKey, result: AttemptResult) {
+        let record = self.engines.entry(engine).or_default();
+        let failed = match result {
+            AttemptResult::Sound(latency) => {
+                record.silences = 0;
+                record.avoided_until = now;
+                let latency_ms = latency.as_secs_f64() * 1_000.0;
+                if record.latency_ms == 0.0 {
+                    record.latency_ms = latency_ms;
+                }
+                record.latency_ms += NEWEST_WEIGHT * (latency_ms - record.latency_ms);
+                0.0
+            }
+            AttemptResult::Failed | AttemptResult::Refused => 1.0,
+            AttemptResult::Silent => {
+                let doublings = record.silences.min(8);
+                let avoidance = FIRST_AVOIDANCE * 2_u32.pow(doublings);
+                record.silences += 1;
+                record.avoided_until = now + avoidance.min(LONGEST_AVOIDANCE);
+                1.0
+            }
+        };
+        let share = record.share_at(now);
+        record.failed_share = share + NEWEST_WEIGHT * (failed - share);
+        record.updated_at = now;
+    }
+
+    /// Whether the engine is avoided while there is another.
+    pub fn is_avoided(&self, now: MonotonicTime, engine: EngineKey) -> bool {
+        let record = self.engines.get(&engine);
+        record.is_some_and(|record| now < record.avoided_until)
+    }
+
+    /// Share of its attempts that failed lately, 0 to 1.
+    pub fn failed_share(&self, now: MonotonicTime, engine: EngineKey) -> f64 {
+        let record = self.engines.get(&engine);
+        record.map_or(0.0, |record| record.share_at(now))
+    }
+
+    /// Usual time of a sound answer in milliseconds; 0 where none is known.
+    pub fn latency_ms(&self, engine: EngineKey) -> f64 {
+        let record = self.engines.get(&engine);
+        record.map_or(0.0, |record| record.latency_ms)
+    }
+
+    /// Forgets engines that `keep` does not name.
+    pub fn retain(&mut self, keep: impl Fn(EngineKey) -> bool) {
+        self.engines.retain(|engine, _| keep(*engine));
+    }
+}
+
+impl Record {
+    fn share_at(&self, now: MonotonicTime) -> f64 {
+        let idle = now.since(self.updated_at).as_secs_f64();
+        self.failed_share * 0.5_f64.powf(idle / FORGETTING_HALF_LIFE.as_secs_f64())
+    }
+}
--- /dev/null
+++ b/crates/routing/src/staged/parts.rs
@@ -0,0 +1,87 @@
+//! Which engine was sent which parts of prompts.
+//!
+//! An engine keeps parts until its memory is needed and then gives up those unused for the longest.
+//! The directory counts along: it is a guess that costs no message, and a wrong guess costs one
+//! reading.
+
+use std::collections::{HashMap, VecDeque};
+
+use super::{EngineKey, PromptPart};
+
+/// Share of an engine's memory that kept parts are taken to have; requests that run hold the rest.
+const KEPT_SHARE: f64 = 0.8;
+
+#[derive(Clone, Copy, Debug)]
+struct Kept {
+    tokens: u32,
+    used: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct EngineParts {
+    kept: HashMap<u64, Kept>,
+    /// Parts by use, oldest first; an entry counts only if its use is the part's last.
+    order: VecDeque<(u64, u64)>,
+    tokens: u64,
+}
+
+/// Parts by engine.
+#[derive(Clone, Debug, Default)]
+pub struct PartDirectory {
+    engines: HashMap<EngineKey, EngineParts>,
+    uses: u64,
+}
+
+impl PartDirectory {
+    /// Notes that an engine of `memory_tokens` was sent a prompt.
+    pub fn note(&mut self, engine: EngineKey, memory_tokens: u64, parts: &[PromptPart]) {
+        let limit = (memory_tokens as f64 * KEPT_SHARE) as u64;
+        let known = self.engines.entry(engine).or_default();
+        for part in parts {
+            self.uses += 1;
+            known.note(*part, self.uses);
+        }
+        while known.tokens > limit {
+            let Some((id, used)) = known.order.pop_front() else {
+                break;
+            };
+            known.forget_if_unused_since(id, used);
+        }
+    }
+
+    /// Leading tokens of the prompt that the engine is taken to keep. A part counts only if every
+    /// part before it is kept.
+    pub fn kept_tokens(&self, engine: EngineKey, parts: &[PromptPart]) -> u32 {
+        let Some(known) = self.engines.get(&engine) else {
+            return 0;
+        };
+        let kept = parts.iter().map(|part| known.kept.get(&part.id));
+        let kept = kept.map_while(|kept| kept.map(|kept| kept.tokens));
+        kept.sum()
+    }
+
+    /// Forgets engines that `keep` does not name.
+    pub fn retain(&mut self, keep: impl Fn(EngineKey) -> bool) {
+        self.engines.retain(|engine, _| keep(*engine));
+    }
+}
+
+impl EngineParts {
+    fn note(&mut self, part: PromptPart, used: u64) {
+        let tokens = part.tokens;
+        let former = self.kept.insert(part.id, Kept { tokens, used });
+        let former_tokens = former.map_or(0, |kept| u64::from(kept.tokens));
+        self.tokens = self.tokens + u64::from(tokens) - former_tokens;
+        self.order.push_back((part.id, used));
+    }
+
+    fn forget_if_unused_since(&mut self, id: u64, used: u64) {
+        let unused = self.kept.get(&id).is_some_and(|kept| kept.used == used);
+        if !unused {
+            return;
+        }
+        if let Some(kept) = self.kept.remove(&id) {
+            self.tokens -= u64::from(kept.tokens);
+        }
+    }
+}
--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use dalestand_platform::PrefixHash;
+use dalestand_edge::PrefixHash;
 use dalestand_types::{
     AttemptId, FinishReason, GenerationFrame, GenerationRequest, RequestId, Usage,
 };
--- a/crates/standin/src/engine/cache_routes.rs
+++ b/crates/standin/src/engine/cache_routes.rs
@@ -2,10 +2,8 @@
 
 use std::time::Duration;
 
+use dalestand_edge::wire::engine::{CACHE_EVENTS_AFTER, CacheExportRequest, CacheExportResponse};
 use dalestand_http_server::{Answer, StatusCode, json_answer, status_answer};
-use dalestand_platform::wire::engine::{
-    CACHE_EVENTS_AFTER, CacheExportRequest, CacheExportResponse,
-};
 use dalestand_types::{AttemptId, Sequence};
 
 use super::faults::take_count;
--- a/crates/standin/src/engine/prefix_cache.rs
+++ b/crates/standin/src/engine/prefix_cache.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
-use dalestand_platform::{CacheChange, CacheEvent, CacheEvents, PrefixHash};
+use dalestand_edge::{CacheChange, CacheEvent, CacheEvents, PrefixHash};
 use dalestand_types::Sequence;
 
 /// Tokens of one block; only whole blocks are cached.
--- a/crates/standin/src/engine/server.rs
+++ b/crates/standin/src/engine/server.rs
@@ -3,16 +3,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dalestand_edge::wire::Empty;
+use dalestand_edge::wire::engine::{
+    CACHE_EVENTS, CACHE_EXPORT, CANCEL, CacheExportRequest, CancelRequest, EPOCH, GENERATE, LOAD,
+    ORDERS, RaiseEpochRequest,
+};
+use dalestand_edge::{HttpWeightStore, WeightStore as _};
 use dalestand_http_server::{
     Answer, Connections, HttpServerError, Method, Request, ServerLimits, StatusCode, json_answer,
     read_json, serve, status_answer,
 };
-use dalestand_platform::wire::Empty;
-use dalestand_platform::wire::engine::{
-    CACHE_EVENTS, CACHE_EXPORT, CANCEL, CacheExportRequest, CancelRequest, EPOCH, GENERATE, LOAD,
-    ORDERS, RaiseEpochRequest,
-};
-use dalestand_platform::{HttpWeightStore, WeightStore as _};
 use dalestand_types::{GenerationFrame, Order, OrderCommand, OrderOutcome};
 use tokio::net::TcpListener;
 
--- a/crates/standin/src/engine/transfer.rs
+++ b/crates/standin/src/engine/transfer.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use dalestand_edge::wire::engine::{CACHE_EXPORT, CacheExportRequest, CacheExportResponse};
 use dalestand_http_server::StatusCode;
-use dalestand_platform::wire::engine::{CACHE_EXPORT, CacheExportRequest, CacheExportResponse};
 use dalestand_types::CacheHandle;
 
 /// Time that the KV cache of one prompt token takes on the way.
--- a/crates/standin/src/key_value/server.rs
+++ b/crates/standin/src/key_value/server.rs
@@ -4,17 +4,17 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use dalestand_http_server::{
-    Answer, Connections, HttpServerError, Method, Request, ServerLimits, StatusCode, json_answer,
-    read_json, serve, status_answer, text_answer,
-};
-use dalestand_platform::CasOutcome;
-use dalestand_platform::wire::key_value::{
+use dalestand_edge::CasOutcome;
+use dalestand_edge::wire::key_value::{
     GET, GetRequest, GetResponse, LEASE_GRANT, LEASE_RENEW, LEASE_REVOKE, LeaseGrantRequest,
     LeaseGrantResponse, LeaseRenewResponse, LeaseRequest, PUT, PutRequest, RANGE, RangeRequest,
     WATCH, WatchRequest,
 };
-use dalestand_platform::wire::{Empty, RetryAfter};
+use dalestand_edge::wire::{Empty, RetryAfter};
+use dalestand_http_server::{
+    Answer, Connections, HttpServerError, Method, Request, ServerLimits, StatusCode, json_answer,
+    read_json, serve, status_answer, text_answer,
+};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
--- a/crates/standin/src/key_value/store.rs
+++ b/crates/standin/src/key_value/store.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
-use dalestand_platform::{
+use dalestand_edge::{
     CasOutcome, Entry, LeaseId, Listing, WatchBatch, WatchEvent, WriteExpectation,
 };
 use dalestand_types::Revision;
--- a/crates/standin/src/machine_list.rs
+++ b/crates/standin/src/machine_list.rs
@@ -5,12 +5,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use dalestand_edge::wire::Empty;
+use dalestand_edge::wire::machine_list::{MACHINES, MachinesResponse};
 use dalestand_http_server::{
     Answer, Connections, HttpServerError, Method, Request, ServerLimits, StatusCode, json_answer,
     read_json, serve, status_answer,
 };
-use dalestand_platform::wire::Empty;
-use dalestand_platform::wire::machine_list::{MACHINES, MachinesResponse};
 use dalestand_types::Machine;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
--- a/crates/standin/src/weight_store.rs
+++ b/crates/standin/src/weight_store.rs
@@ -4,12 +4,12 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+use dalestand_edge::wire::weight_store::{FETCH, FetchRequest, FetchResponse};
+use dalestand_edge::wire::{Empty, RetryAfter};
 use dalestand_http_server::{
     Answer, Connections, HttpServerError, Request, ServerLimits, StatusCode, json_answer,
     read_json, serve, status_answer,
 };
-use dalestand_platform::wire::weight_store::{FETCH, FetchRequest, FetchResponse};
-use dalestand_platform::wire::{Empty, RetryAfter};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dalestand_platform::CacheChange;
+use dalestand_edge::CacheChange;
 use dalestand_standin::engine::{
     BLOCK_TOKENS, Batch, BatchSettings, Lagged, PrefixCache, prefixes,
 };
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -54,6 +54,10 @@
     ConfigurationNotFetched = (1103, Warning, "configuration not fetched");
     /// The key-value service failed.
     KeyValueFailed = (1201, Warning, "key-value service failed");
+    /// Keys of the key-value service are followed again.
+    KeyValueRegained = (1203, Info, "key-value service regained");
+    /// The node's own entry could not be written.
+    RegistrationFailed = (1204, Warning, "registration failed");
     /// The machine list failed.
     MachineListFailed = (1202, Warning, "machine list failed");
     /// A group's lease was acquired.
@@ -82,4 +86,16 @@
     RequestFailed = (1502, Info, "request failed");
     /// A frame of another attempt was discarded.
     ForeignFrame = (1503, Warning, "frame of another attempt discarded");
+    /// An engine's own entry appeared or changed.
+    EngineListed = (1601, Info, "engine listed");
+    /// An engine's own entry went.
+    EngineGone = (1602, Info, "engine gone");
+    /// An engine's entry could not be read.
+    EngineUnreadable = (1603, Warning, "engine entry unreadable");
+    /// The process stood still.
+    PauseNoticed = (1604, Warning, "process stood still");
+    /// The settings file was read again.
+    SettingsRead = (1605, Info, "settings read again");
+    /// The settings file changed and cannot be used.
+    SettingsUnusable = (1606, Error, "settings unusable");
 }
--- a/crates/telemetry/src/logger.rs
+++ b/crates/telemetry/src/logger.rs
@@ -11,17 +11,23 @@
 pub enum LogOutput {
     /// One JSON object a line, on standard error.
     Json,
+    /// One JSON object a line, on standard output.
+    JsonOutput,
     /// Text for a terminal, on standard error.
     Terminal,
 }
 
-/// A logger that writes to standard error from a thread of its own.
+/// A logger that writes from a thread of its own.
 pub fn logger(output: LogOutput) -> Logger {
     match output {
         LogOutput::Json => {
             let drain = slog_json::Json::default(std::io::stderr()).fuse();
             asynchronous(std::sync::Mutex::new(drain).fuse())
         }
+        LogOutput::JsonOutput => {
+            let drain = slog_json::Json::default(std::io::stdout()).fuse();
+            asynchronous(std::sync::Mutex::new(drain).fuse())
+        }
         LogOutput::Terminal => {
             let decorator = slog_term::TermDecorator::new().stderr().build();
             let drain = slog_term::FullFormat::new(decorator).build().fuse();
