Answers without a length end with their connection

Change: engine-link reads such an answer until the connection ends, and takes a reset for a broken one.

--- a/crates/engine-link/src/answer.rs
+++ b/crates/engine-link/src/answer.rs
@@ -3,9 +3,9 @@
 use std::time::{Duration, Instant};
 
 use actix_codec::Decoder as _;
-use actix_http::ResponseHead;
 use actix_http::h1::{ClientPayloadCodec, MessageType};
-use actix_http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName};
+use actix_http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
+use actix_http::{ResponseHead, StatusCode};
 use bytes::Bytes;
 use tokio::io::AsyncReadExt as _;
 
@@ -36,8 +36,9 @@
             codec,
             request_written,
         } = answer;
-        let until_close = codec.message_type() == MessageType::Stream;
-        let has_body = codec.message_type() != MessageType::None;
+        // The codec takes an answer without a length for one without a body.
+        let until_close = lacks_length(&head);
+        let has_body = until_close || codec.message_type() != MessageType::None;
         let says_close = says_close(&head.headers);
         let reusable = request_written && !until_close && !says_close && codec.keep_alive();
         let mut body = AnswerBody {
@@ -133,8 +134,9 @@
         let Some(connection) = self.connection.as_mut() else {
             return Ok(None);
         };
-        if connection.received.is_empty() && self.until_close {
-            return Ok(None);
+        if self.until_close {
+            let received = connection.received.split().freeze();
+            return Ok((!received.is_empty()).then_some(Some(received)));
         }
         let decoded = self.codec.decode(&mut connection.received);
         decoded.map_err(|error| BodyError::Malformed(error.to_string()))
@@ -164,6 +166,16 @@
     }
 }
 
+/// Whether a body ends where its connection does, as it does where nothing tells its length.
+fn lacks_length(head: &ResponseHead) -> bool {
+    let bodiless = matches!(
+        head.status,
+        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+    );
+    let headers = &head.headers;
+    !bodiless && !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+}
+
 fn says_close(headers: &HeaderMap) -> bool {
     let mut values = headers.get_all(CONNECTION);
     values.any(|value| {
--- /dev/null
+++ b/crates/engine-link/tests/exchanges.rs
@@ -0,0 +1,231 @@
+//! Exchanges with engines that behave and that do not.
+
+use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use actix_http::Method;
+use bytes::Bytes;
+use dalestand_engine_link::{
+    BodyError, EngineLink, Exchange, LinkLimits, LinkTarget, RequestHead, SendError,
+};
+use rstest::rstest;
+
+const BODY_LIMIT: usize = 1 << 20;
+
+/// An engine that does what it is told on each connection, one after the other.
+fn engine(scripts: Vec<fn(&mut TcpStream)>) -> (LinkTarget, JoinHandle<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let thread = thread::spawn(move || {
+        for script in scripts {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            script(&mut stream);
+        }
+    });
+    (target(address), thread)
+}
+
+fn target(address: SocketAddr) -> LinkTarget {
+    LinkTarget {
+        address,
+        run: Arc::from("run-1"),
+    }
+}
+
+/// Reads a request that has no body.
+fn read_head(stream: &mut TcpStream) -> String {
+    let mut read = Vec::new();
+    let mut byte = [0_u8; 1];
+    while !read.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte).expect("a byte of the head");
+        read.push(byte[0]);
+    }
+    String::from_utf8(read).expect("a head of text")
+}
+
+fn write(stream: &mut TcpStream, text: &str) {
+    stream.write_all(text.as_bytes()).expect("written");
+}
+
+/// Closes with a reset instead of an end.
+fn reset(stream: &TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    socket.set_linger(Some(Duration::ZERO)).expect("linger");
+}
+
+fn link() -> EngineLink {
+    EngineLink::new(LinkLimits::default())
+}
+
+async fn get(link: &EngineLink, target: &LinkTarget) -> Result<Exchange, SendError> {
+    let mut head = RequestHead::default();
+    head.method = Method::GET;
+    head.uri = "/a/b".parse().expect("a path");
+    link.send(target, 4, head, &Bytes::new()).await
+}
+
+async fn body(link: &EngineLink, target: &LinkTarget) -> Result<Bytes, BodyError> {
+    let mut exchange = get(link, target).await.expect("an answer");
+    exchange.body.collect(BODY_LIMIT).await
+}
+
+#[actix_rt::test]
+async fn an_answer_without_a_length_ends_with_its_connection() {
+    let (target, thread) = engine(vec![|stream: &mut TcpStream| {
+        read_head(stream);
+        write(stream, "HTTP/1.1 200 OK\r\nrequest-id: 1\r\n\r\nhello ");
+        write(stream, "world");
+    }]);
+    assert_eq!(body(&link(), &target).await, Ok(Bytes::from("hello world")));
+    thread.join().expect("the engine");
+}
+
+#[actix_rt::test]
+async fn an_answer_without_a_length_that_is_reset_is_not_whole() {
+    let (target, thread) = engine(vec![|stream: &mut TcpStream| {
+        read_head(stream);
+        write(stream, "HTTP/1.1 200 OK\r\n\r\nhello");
+        thread::sleep(Duration::from_millis(50));
+        reset(stream);
+    }]);
+    assert!(matches!(
+        body(&link(), &target).await,
+        Err(BodyError::BrokenOff(_))
+    ));
+    thread.join().expect("the engine");
+}
+
+#[rstest]
+#[case::of_a_length("content-length: 9\r\n\r\nhell")]
+#[case::of_chunks("transfer-encoding: chunked\r\n\r\n4\r\nhell\r\n")]
+#[actix_rt::test]
+async fn an_answer_that_ends_before_its_length_is_not_whole(#[case] rest: &'static str) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let target = target(listener.local_addr().expect("an address"));
+    let thread = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        read_head(&mut stream);
+        write(&mut stream, &format!("HTTP/1.1 200 OK\r\n{rest}"));
+    });
+    assert!(matches!(
+        body(&link(), &target).await,
+        Err(BodyError::BrokenOff(_))
+    ));
+    thread.join().expect("the engine");
+}
+
+#[actix_rt::test]
+async fn a_connection_that_left_nothing_open_is_used_again() {
+    let (target, thread) = engine(vec![|stream: &mut TcpStream| {
+        for _ in 0..2 {
+            read_head(stream);
+            write(stream, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+        }
+    }]);
+    let link = link();
+    assert_eq!(body(&link, &target).await, Ok(Bytes::from("ok")));
+    assert_eq!(body(&link, &target).await, Ok(Bytes::from("ok")));
+    thread.join().expect("the engine");
+}
+
+#[rstest]
+#[case::surplus_at_once(
+    "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n",
+    ""
+)]
+#[case::surplus_later(
+    "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\n\r\n"
+)]
+#[case::says_close(
+    "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 2\r\n\r\nok",
+    ""
+)]
+#[actix_rt::test]
+async fn a_connection_with_something_left_is_not_used_again(
+    #[case] answer: &'static str,
+    #[case] later: &'static str,
+) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let target = target(listener.local_addr().expect("an address"));
+    let thread = thread::spawn(move || {
+        let (mut first, _) = listener.accept().expect("a connection");
+        read_head(&mut first);
+        write(&mut first, answer);
+        thread::sleep(Duration::from_millis(30));
+        write(&mut first, later);
+        let (mut second, _) = listener.accept().expect("another connection");
+        read_head(&mut second);
+        write(
+            &mut second,
+            "HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nsecond",
+        );
+    });
+    let link = link();
+    assert_eq!(body(&link, &target).await, Ok(Bytes::from("ok")));
+    actix_rt::time::sleep(Duration::from_millis(80)).await;
+    assert_eq!(body(&link, &target).await, Ok(Bytes::from("second")));
+    thread.join().expect("the engine");
+}
+
+#[actix_rt::test]
+async fn a_dead_port_proves_that_nothing_was_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let target = target(listener.local_addr().expect("an address"));
+    drop(listener);
+    let error = get(&link(), &target).await.err().expect("no answer");
+    assert!(error.is_not_sent(), "{error}");
+}
+
+#[actix_rt::test]
+async fn a_connection_that_ends_after_the_request_proves_nothing() {
+    let (target, thread) = engine(vec![|stream: &mut TcpStream| {
+        read_head(stream);
+    }]);
+    let error = get(&link(), &target).await.err().expect("no answer");
+    assert!(matches!(error, SendError::MayHaveRun(_)), "{error}");
+    thread.join().expect("the engine");
+}
+
+#[actix_rt::test]
+async fn no_more_connections_are_open_than_allowed() {
+    let (target, thread) = engine(vec![|stream: &mut TcpStream| {
+        read_head(stream);
+        write(stream, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\no");
+        thread::sleep(Duration::from_millis(100));
+        write(stream, "k");
+    }]);
+    let link = link();
+    let mut first = link
+        .send(&target, 1, RequestHead::default(), &Bytes::new())
+        .await
+        .expect("an answer");
+    let second = link
+        .send(&target, 1, RequestHead::default(), &Bytes::new())
+        .await;
+    assert!(matches!(second, Err(SendError::NoConnection(1))));
+    assert_eq!(first.body.collect(BODY_LIMIT).await, Ok(Bytes::from("ok")));
+    thread.join().expect("the engine");
+}
+
+#[actix_rt::test]
+async fn an_engine_may_answer_before_it_has_read_the_body() {
+    let (target, thread) = engine(vec![|stream: &mut TcpStream| {
+        read_head(stream);
+        write(
+            stream,
+            "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n",
+        );
+        thread::sleep(Duration::from_millis(50));
+    }]);
+    let mut head = RequestHead::default();
+    head.method = Method::POST;
+    let long = Bytes::from(vec![b'x'; 32 << 20]);
+    let exchange = link().send(&target, 1, head, &long).await;
+    let exchange = exchange.expect("an answer");
+    assert_eq!(exchange.head.status.as_u16(), 503);
+    thread.join().expect("the engine");
+}
