--- a/crates/edge/src/routed.rs
+++ b/crates/edge/src/routed.rs
@@ -39,6 +39,8 @@
     pub prefill_only: bool,
     /// Go on from the memory that another engine holds under this name.
     pub memory: Option<(SocketAddr, &'a str)>,
+    /// Take what is kept of the prompt from the engine at this address first.
+    pub fetch_from: Option<SocketAddr>,
     /// Go on after this event.
     pub last_event: Option<u64>,
     /// Importance; 0 is the highest.
--- a/crates/forwarding/src/attempt.rs
+++ b/crates/forwarding/src/attempt.rs
@@ -58,7 +58,10 @@
     let parts = progress.parts();
     let work = WorkGuard::new(context, &engine, call.choice.unread_tokens, &parts);
     let mut head = progress.head();
+    let fleet = context.fleet();
+    let holder = call.choice.fetch_from.and_then(|key| fleet.engine(key));
     let terms = EngineTerms {
+        fetch_from: holder.map(|holder| holder.address),
         deadline: progress.deadline_left(),
         run: &engine.run,
         priority: (!parts.is_empty()).then_some(progress.route.priority),
--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -16,6 +16,7 @@
 
 use crate::counts::InFlight;
 use crate::fleet::Fleet;
+use crate::placements::Placements;
 use crate::settings::ForwardingSettings;
 
 /// A node has at least this many connections to each engine, however many nodes there are.
@@ -34,6 +35,8 @@
     pub(crate) splits: RefCell<SplitPicker>,
     /// Rung when this node's work at an engine has changed.
     pub(crate) work_changed: Notify,
+    /// Parts sent to engines that peers have not been told of.
+    pub(crate) placements: RefCell<Placements>,
     started: Instant,
     table: RefCell<Option<Rc<RouteTable>>>,
     entries: RefCell<HashMap<String, EngineEntry>>,
@@ -59,6 +62,7 @@
             budget: RefCell::new(SharedRetryBudget::new(settings.retry_terms())),
             splits: RefCell::default(),
             work_changed: Notify::new(),
+            placements: RefCell::default(),
             started: Instant::now(),
             table: RefCell::default(),
             entries: RefCell::default(),
@@ -90,6 +94,12 @@
         true
     }
 
+    /// Tokens that an engine's memory holds; 0 if the engine is not known.
+    pub(crate) fn memory_tokens(&self, engine: EngineKey) -> u64 {
+        let fleet = self.fleet.borrow();
+        fleet.memory_tokens(engine)
+    }
+
     /// The engines that take new work.
     pub(crate) fn fleet(&self) -> Rc<Fleet> {
         Rc::clone(&self.fleet.borrow())
--- a/crates/forwarding/src/fleet.rs
+++ b/crates/forwarding/src/fleet.rs
@@ -76,6 +76,13 @@
         engine.is_some_and(|engine| engine.address == target.address)
     }
 
+    /// Tokens that an engine's memory holds; 0 if the engine is not known.
+    pub fn memory_tokens(&self, key: EngineKey) -> u64 {
+        let mut engines = self.pools.values().flatten();
+        let engine = engines.find(|engine| engine.key == key);
+        engine.map_or(0, |engine| engine.memory_tokens)
+    }
+
     /// Number of engines.
     pub fn len(&self) -> usize {
         self.engines.len()
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -16,6 +16,7 @@
 mod headers;
 mod node;
 mod peers;
+mod placements;
 mod plan;
 mod prefill;
 mod progress;
--- a/crates/forwarding/src/peers.rs
+++ b/crates/forwarding/src/peers.rs
@@ -6,11 +6,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dalestand_routing::staged::{EngineKey, EngineWork, PeerWork};
+use dalestand_routing::staged::{EngineKey, EngineWork, PeerWork, PromptPart};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
 use crate::context::Context;
+use crate::placements::Placement;
 use crate::registration::Peers;
 
 /// How often work is told while there is some.
@@ -32,6 +33,8 @@
     node: u64,
     /// Engine, requests there, prompt tokens not read.
     work: Vec<(u64, u32, u64)>,
+    /// Prompts sent to engines, by their parts.
+    placed: Vec<Placement>,
 }
 
 /// Tells peers of this node's work for as long as it is polled.
@@ -44,10 +47,11 @@
             actix_rt::time::sleep(GATHER).await;
         }
         let work = prompt_work(&context, &mut told);
-        if work.is_empty() {
+        let placed = context.placements.borrow_mut().take();
+        if work.is_empty() && placed.is_empty() {
             continue;
         }
-        let Ok(datagram) = rmp_serde::to_vec(&WorkNotice { node, work }) else {
+        let Ok(datagram) = rmp_serde::to_vec(&WorkNotice { node, work, placed }) else {
             continue;
         };
         for address in peers.addresses() {
@@ -86,6 +90,7 @@
             continue;
         };
         let now = context.now();
+        take_placed(&context, &notice.placed);
         let mut router = context.router.borrow_mut();
         for (engine, requests, unread_tokens) in notice.work {
             let told = PeerWork {
@@ -99,3 +104,18 @@
         }
     }
 }
+
+/// Notes prompts that peers sent to engines.
+fn take_placed(context: &Context, placed: &[Placement]) {
+    for (engine, parts) in placed {
+        let engine = EngineKey(*engine);
+        let memory_tokens = context.memory_tokens(engine);
+        let parts = parts.iter().map(|(id, tokens)| PromptPart {
+            id: *id,
+            tokens: *tokens,
+        });
+        let parts: Vec<PromptPart> = parts.collect();
+        let mut router = context.router.borrow_mut();
+        router.parts.note(engine, memory_tokens, &parts);
+    }
+}
--- a/crates/forwarding/src/work_guard.rs
+++ b/crates/forwarding/src/work_guard.rs
@@ -29,6 +29,7 @@
             router.work.sent(engine.key, unread_tokens);
             if !parts.is_empty() {
                 router.parts.note(engine.key, engine.memory_tokens, parts);
+                context.placements.borrow_mut().push(engine.key, parts);
             }
         }
         let guard = Self {
--- a/crates/routing/src/staged/chooser.rs
+++ b/crates/routing/src/staged/chooser.rs
@@ -26,6 +26,12 @@
 /// Time of one further call between the two engines of a split prompt, in seconds.
 const SECOND_CALL_S: f64 = 10e-3;
 
+/// Tokens from which it pays to take them from another engine.
+const FETCHED_FROM_TOKENS: u32 = u32::MAX;
+
+/// Time that taking memory from another engine costs beside the move, in seconds.
+const FETCH_CALL_S: f64 = 5e-3;
+
 /// Moving memory between zones takes this multiple of the time within one.
 const OTHER_ZONE_MOVE_FACTOR: f64 = 2.0;
 
@@ -44,6 +50,8 @@
     pub expected_s: f64,
     /// Prompt tokens that it still has to read.
     pub unread_tokens: u32,
+    /// The engine from which it is to take what it does not keep of the prompt.
+    pub fetch_from: Option<EngineKey>,
 }
 
 /// Where a prompt is to run.
@@ -136,20 +144,7 @@
         request: &StagedRequest,
     ) -> Option<EngineChoice> {
         let usable = usable(engines, request, |engine| engine.stage == Stage::Decode);
-        let home = home(&usable, request);
-        let choices = usable.into_iter().map(|engine| {
-            let kept = self.parts.kept_tokens(engine.key, &request.parts);
-            let unread = request.prompt_tokens.saturating_sub(kept);
-            let work = self.work.total(now, engine.key);
-            let ahead = work.unread_tokens as f64 + f64::from(unread);
-            let expected_s = self.speeds.expected_s(engine.key, engine.stage, ahead)
-                + batch_s(engine, work.requests)
-                + not_home_s(engine, home, kept, request)
-                + self.common_s(now, zone, engine)
-                + self.failing_s(now, engine);
-            choice(engine, expected_s, unread)
-        });
-        best(choices)
+        best(self.reading_choices(now, zone, engines, &usable, request))
     }
 
     fn choose_split(
@@ -160,21 +155,49 @@
         request: &StagedRequest,
     ) -> Option<(EngineChoice, EngineChoice)> {
         let usable = usable(engines, request, |engine| engine.stage == Stage::Prefill);
-        let home = home(&usable, request);
-        let choices = usable.into_iter().map(|engine| {
-            let kept = self.parts.kept_tokens(engine.key, &request.parts);
+        let prefill = best(self.reading_choices(now, zone, engines, &usable, request))?;
+        let decode = self.choose_decode(now, engines, request, &prefill.engine)?;
+        Some((prefill, decode))
+    }
+
+    /// What is expected of each engine that is to read the prompt.
+    fn reading_choices<'a>(
+        &'a self,
+        now: MonotonicTime,
+        zone: &'a ZoneName,
+        engines: &'a [StagedEngine],
+        usable: &'a [&'a StagedEngine],
+        request: &'a StagedRequest,
+    ) -> impl Iterator<Item = EngineChoice> + 'a {
+        let home = home(usable, request);
+        let may_give = |key: EngineKey| {
+            let known = engines.iter().any(|engine| engine.key == key);
+            known && !self.health.is_avoided(now, key)
+        };
+        let holder = self.parts.best_holder(&request.parts, may_give);
+        let holder = holder.filter(|_| request.link_mbps > 0.0);
+        usable.iter().map(move |engine| {
+            let mut kept = self.parts.kept_tokens(engine.key, &request.parts);
+            let fetched = holder.map_or(0, |(_, tokens)| tokens.saturating_sub(kept));
+            let fetches = fetched >= FETCHED_FROM_TOKENS;
+            let mut fetch_s = 0.0;
+            if fetches {
+                kept += fetched;
+                fetch_s = FETCH_CALL_S + move_s(request, fetched, false);
+            }
             let unread = request.prompt_tokens.saturating_sub(kept);
             let work = self.work.total(now, engine.key);
             let ahead = work.unread_tokens as f64 + f64::from(unread);
             let expected_s = self.speeds.expected_s(engine.key, engine.stage, ahead)
+                + batch_s(engine, work.requests)
+                + fetch_s
                 + not_home_s(engine, home, kept, request)
                 + self.common_s(now, zone, engine)
                 + self.failing_s(now, engine);
-            choice(engine, expected_s, unread)
-        });
-        let prefill = best(choices)?;
-        let decode = self.choose_decode(now, engines, request, &prefill.engine)?;
-        Some((prefill, decode))
+            let mut choice = choice(engine, expected_s, unread);
+            choice.fetch_from = holder.map(|(holder, _)| holder).filter(|_| fetches);
+            choice
+        })
     }
 
     /// The best engine to go on from the memory that `prefill` holds.
@@ -289,6 +312,7 @@
         engine: engine.clone(),
         expected_s,
         unread_tokens,
+        fetch_from: None,
     }
 }
 
--- a/crates/routing/src/staged/parts.rs
+++ b/crates/routing/src/staged/parts.rs
@@ -60,6 +60,19 @@
         kept.sum()
     }
 
+    /// The engine that keeps most of the prompt's leading tokens, among those that `may_give`
+    /// names, with the tokens.
+    pub fn best_holder(
+        &self,
+        parts: &[PromptPart],
+        may_give: impl Fn(EngineKey) -> bool,
+    ) -> Option<(EngineKey, u32)> {
+        let engines = self.engines.keys().filter(|engine| may_give(**engine));
+        let held = engines.map(|engine| (*engine, self.kept_tokens(*engine, parts)));
+        held.filter(|(_, tokens)| *tokens > 0)
+            .max_by_key(|(engine, tokens)| (*tokens, *engine))
+    }
+
     /// Forgets engines that `keep` does not name.
     pub fn retain(&mut self, keep: impl Fn(EngineKey) -> bool) {
         self.engines.retain(|engine, _| keep(*engine));
