--- a/crates/forwarding/src/forward.rs
+++ b/crates/forwarding/src/forward.rs
@@ -28,6 +28,16 @@
 /// Longest body that is gathered before it is passed on, so that a broken one can be replaced.
 const GATHERED_BYTES: usize = 1 << 20;
 
+/// A silent engine is left after this multiple of a stream's objective; under load a first event
+/// is late at every engine.
+const STREAM_PATIENCE_FACTOR: u32 = 3;
+
+/// Shortest time after which a silent engine is left.
+const MIN_PATIENCE: Duration = Duration::from_millis(100);
+
+/// Repeated sends that are kept for requests that failed, when silent engines are left.
+const BUDGET_KEPT: f64 = 3.0;
+
 /// One in so many requests that were answered is logged; the same ones at every node.
 const LOGGED_ONE_IN: u64 = 32;
 
@@ -228,20 +238,31 @@
             last_event,
             ..EngineTerms::default()
         },
-        patience: run_patience(progress),
+        patience: run_patience(context, progress, pool),
     };
     attempt(context, progress, call).await
 }
 
 /// How long an engine may leave a request without an answer before another is asked. A request
-/// that may not be repeated waits until its time is over.
-fn run_patience(progress: &Progress) -> Duration {
+/// that no other engine may be asked for waits until its time is over: a late answer is worth more
+/// than none.
+fn run_patience(context: &Context, progress: &Progress, pool: &PoolName) -> Duration {
     let left = progress.time_left();
-    if !progress.route.kind.is_repeatable() || progress.runs + 1 >= progress.route.max_attempts {
+    let is_last = progress.runs + 1 >= progress.route.max_attempts;
+    if !progress.route.kind.is_repeatable() || is_last {
+        return left;
+    }
+    let now = context.now();
+    if context.budget.borrow_mut().left(now, pool) < BUDGET_KEPT {
         return left;
     }
     let objective = Duration::from_millis(progress.route.objective_ms);
-    left.min(objective.max(Duration::from_millis(100)))
+    let patience = if progress.route.kind.is_stream() {
+        objective * STREAM_PATIENCE_FACTOR
+    } else {
+        objective
+    };
+    left.min(patience.max(MIN_PATIENCE))
 }
 
 /// Turns what came into an answer for the caller.
--- a/crates/forwarding/src/relay.rs
+++ b/crates/forwarding/src/relay.rs
@@ -31,6 +31,9 @@
 /// A pause of this multiple of the longest one in time takes a stream to another engine.
 const PAUSE_FACTOR: u32 = 3;
 
+/// A first event that takes this multiple of the objective takes a stream to another engine.
+const FIRST_EVENT_FACTOR: u32 = 3;
+
 /// Longest pause where the route states none.
 const DEFAULT_PAUSE: Duration = Duration::from_secs(2);
 
@@ -177,7 +180,7 @@
             let pause = route.pause_objective_ms.map(Duration::from_millis);
             return (pause.unwrap_or(DEFAULT_PAUSE) * PAUSE_FACTOR).max(MIN_PAUSE);
         }
-        let objective = Duration::from_millis(route.objective_ms);
+        let objective = Duration::from_millis(route.objective_ms) * FIRST_EVENT_FACTOR;
         let since_sent = Instant::now() - self.answer.sent_at;
         objective.max(MIN_PAUSE).saturating_sub(since_sent)
     }
