After a failed watch the keys are read again; settings are read again on SIGHUP

Other watches of the same revision got 410. Ruled out: the pause between calls (60 ms), a stale read (reads are linearizable). Change: a failed watch is followed by a read. Test: what_a_cut_watch_missed_is_read, fails without the change.

--- a/cmd/src/forward.rs
+++ b/cmd/src/forward.rs
@@ -41,7 +41,7 @@
         return usage_error("no settings file is named");
     };
     match read_settings(&path) {
-        Ok(settings) => actix_rt::System::new().block_on(run_node(settings)),
+        Ok(settings) => actix_rt::System::new().block_on(run_node(settings, path)),
         Err(message) => usage_error(message),
     }
 }
@@ -55,10 +55,11 @@
     })
 }
 
-async fn run_node(settings: ForwardingSettings) -> Exit {
+async fn run_node(settings: ForwardingSettings, path: String) -> Exit {
     let store = PlatformStore::new(settings.key_value);
     let node = ForwardingNode {
         settings,
+        read_settings: Box::new(move || read_settings(&path)),
         dialect: Rc::new(PlatformDialect),
         form: Rc::new(PlatformForm),
         store: Rc::new(store),
--- a/crates/forwarding/src/follow.rs
+++ b/crates/forwarding/src/follow.rs
@@ -1,4 +1,7 @@
-//! Follows keys of the key-value service: reads them once, then watches.
+//! Follows keys of the key-value service: reads them, then watches until a watch fails.
+
+#[cfg(test)]
+mod tests;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -54,6 +57,9 @@
                         "revision" => position.map(|revision| revision.0));
                 }
                 failures += 1;
+                // A watch that was cut may have missed a change that the next watch does not tell
+                // either: only a read shows what stands now.
+                position = None;
                 actix_rt::time::sleep(pause(failures, error.current_context())).await;
             }
         }
--- a/crates/forwarding/src/node.rs
+++ b/crates/forwarding/src/node.rs
@@ -22,6 +22,7 @@
 use crate::peers;
 use crate::ready::ready;
 use crate::registration::{NODE_PREFIX, PeerFollower, Peers, keep_registered};
+use crate::reload::reload;
 use crate::settings::ForwardingSettings;
 use crate::stop::stop;
 
@@ -38,10 +39,15 @@
 /// A sweep that comes this late means that the process stood still.
 const PAUSE_NOTICED: Duration = Duration::from_millis(1_000);
 
+/// Reads the settings again.
+pub type ReadSettings = Box<dyn Fn() -> Result<ForwardingSettings, String>>;
+
 /// What a forwarding node is made of.
 pub struct ForwardingNode {
     /// Its settings.
     pub settings: ForwardingSettings,
+    /// Reads the settings again; an error lists every fault.
+    pub read_settings: ReadSettings,
     /// The words of callers and engines.
     pub dialect: Rc<dyn Dialect>,
     /// The form of what stands in the key-value service.
@@ -64,6 +70,7 @@
         .change_context_lazy(|| ForwardingError::Listen(peer_address.to_string()))?;
     let mut terminate = signal(SignalKind::terminate()).change_context(ForwardingError::Signals)?;
     let mut interrupt = signal(SignalKind::interrupt()).change_context(ForwardingError::Signals)?;
+    let hangup = signal(SignalKind::hangup()).change_context(ForwardingError::Signals)?;
     log_event!(logger, Event::NodeStarted, "node" => %settings.node, "zone" => %settings.zone,
         "callers" => %settings.caller_listen);
     let context = Rc::new(Context::new(settings, node.dialect, node.form, logger));
@@ -72,6 +79,7 @@
     start_peers(&context, &node.store, peer_socket, peers);
     let sweeping = Rc::clone(&context);
     actix_rt::spawn(sweep(sweeping));
+    actix_rt::spawn(reload(Rc::clone(&context), node.read_settings, hangup));
     start_ready(&context, ready_listener);
     let connections = start_callers(&context, callers);
     tokio::select! {
--- a/crates/routing/src/shared_retry_budget.rs
+++ b/crates/routing/src/shared_retry_budget.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Sets the bounds.
+    pub fn set_terms(&mut self, terms: SharedRetryTerms) {
+        self.terms = terms;
+    }
+
     /// Sets the number of nodes among which the slack is divided.
     pub fn set_nodes(&mut self, nodes: usize) {
         self.nodes = nodes.max(1);
