Engines are told no priority; peers are told of all requests at language-model engines

Cause 2: peers saw prompts that are not read, and not the requests that fill a batch. Change: no priority is sent; the notices name every engine with requests. settings: [log] complete_one_in.

--- a/crates/forwarding/src/attempt.rs
+++ b/crates/forwarding/src/attempt.rs
@@ -64,7 +64,6 @@
         fetch_from: holder.map(|holder| holder.address),
         deadline: progress.deadline_left(),
         run: &engine.run,
-        priority: (!parts.is_empty()).then_some(progress.route.priority),
         ..call.terms
     };
     context.dialect.write_request(&mut head.headers, &terms);
--- a/crates/forwarding/src/forward.rs
+++ b/crates/forwarding/src/forward.rs
@@ -38,9 +38,6 @@
 /// Repeated sends that are kept for requests that failed, when silent engines are left.
 const BUDGET_KEPT: f64 = 3.0;
 
-/// One in so many requests that were answered is logged; the same ones at every node.
-const LOGGED_ONE_IN: u64 = 32;
-
 /// An answer found for a request.
 enum Served {
     /// A whole answer.
@@ -343,7 +340,7 @@
     let id = progress.facts.id.as_deref().unwrap_or_default();
     let sampled = dalestand_routing::staged::EngineKey::of(id)
         .0
-        .is_multiple_of(LOGGED_ONE_IN);
+        .is_multiple_of(context.settings.log.complete_one_in);
     if !sampled && progress.calls.len() < 3 && status < 500 {
         return;
     }
--- a/crates/forwarding/src/peers.rs
+++ b/crates/forwarding/src/peers.rs
@@ -63,11 +63,12 @@
 
 /// Work at language-model engines; an engine without work is told of once more.
 fn prompt_work(context: &Context, told: &mut HashSet<u64>) -> Vec<(u64, u32, u64)> {
+    let fleet = context.fleet();
     let router = context.router.borrow();
     let mut work: Vec<(u64, u32, u64)> = router
         .work
         .own_work()
-        .filter(|(_, work)| work.unread_tokens > 0)
+        .filter(|(engine, _)| fleet.memory_tokens(*engine) > 0)
         .map(|(engine, work)| (engine.0, work.requests, work.unread_tokens))
         .take(MAX_ENGINES)
         .collect();
--- a/crates/forwarding/src/settings.rs
+++ b/crates/forwarding/src/settings.rs
@@ -27,6 +27,26 @@
     pub retries: RetrySettings,
     /// Planned stops.
     pub stop: StopSettings,
+    /// The log.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+/// The log.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogSettings {
+    /// One in so many requests that went well is logged, the same ones at every node; 1 logs all.
+    /// Every failed request is logged.
+    pub complete_one_in: u64,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            complete_one_in: 32,
+        }
+    }
 }
 
 /// Repeated sends that all nodes may make together.
@@ -107,6 +127,13 @@
                 });
             }
         }
+        if self.log.complete_one_in == 0 {
+            faults.push(SettingsFault::OutOfBounds {
+                field: "log.complete_one_in",
+                value: 0.0,
+                bound: "be 1 or more",
+            });
+        }
         faults
     }
 
