Only what an engine has read is fetched from it

Change: the directory tells sent from read; a prompt that was not read is forgotten; peers are told of all three. Test: nothing_is_fetched_that_was_not_read.

--- a/crates/forwarding/src/peers.rs
+++ b/crates/forwarding/src/peers.rs
@@ -11,7 +11,7 @@
 use tokio::net::UdpSocket;
 
 use crate::context::Context;
-use crate::placements::Placement;
+use crate::placements::{Placement, PlacementState};
 use crate::registration::Peers;
 
 /// How often work is told while there is some.
@@ -108,15 +108,22 @@
 
 /// Notes prompts that peers sent to engines.
 fn take_placed(context: &Context, placed: &[Placement]) {
-    for (engine, parts) in placed {
-        let engine = EngineKey(*engine);
+    for placement in placed {
+        let engine = EngineKey(placement.engine);
         let memory_tokens = context.memory_tokens(engine);
-        let parts = parts.iter().map(|(id, tokens)| PromptPart {
+        let parts = placement.parts.iter().map(|(id, tokens)| PromptPart {
             id: *id,
             tokens: *tokens,
         });
         let parts: Vec<PromptPart> = parts.collect();
         let mut router = context.router.borrow_mut();
-        router.parts.note(engine, memory_tokens, &parts);
+        match placement.state {
+            PlacementState::Sent => router.parts.sent(engine, memory_tokens, &parts),
+            PlacementState::Read => {
+                router.parts.sent(engine, memory_tokens, &parts);
+                router.parts.read(engine, &parts);
+            }
+            PlacementState::NotRead => router.parts.not_read(engine, &parts),
+        }
     }
 }
--- a/crates/forwarding/src/work_guard.rs
+++ b/crates/forwarding/src/work_guard.rs
@@ -5,6 +5,7 @@
 use dalestand_routing::staged::{EngineKey, PromptPart, StagedEngine};
 
 use crate::context::Context;
+use crate::placements::PlacementState;
 
 /// Prompt tokens from which a change of an engine's work is told to peers at once.
 const TOLD_AT_ONCE_TOKENS: u32 = 500;
@@ -14,6 +15,8 @@
     context: Rc<Context>,
     engine: EngineKey,
     unread_tokens: u32,
+    parts: Vec<PromptPart>,
+    is_read: bool,
 }
 
 impl WorkGuard {
@@ -28,14 +31,17 @@
             let mut router = context.router.borrow_mut();
             router.work.sent(engine.key, unread_tokens);
             if !parts.is_empty() {
-                router.parts.note(engine.key, engine.memory_tokens, parts);
-                context.placements.borrow_mut().push(engine.key, parts);
+                router.parts.sent(engine.key, engine.memory_tokens, parts);
+                let mut placements = context.placements.borrow_mut();
+                placements.push(engine.key, PlacementState::Sent, parts);
             }
         }
         let guard = Self {
             context: Rc::clone(context),
             engine: engine.key,
             unread_tokens,
+            parts: parts.to_vec(),
+            is_read: false,
         };
         guard.tell();
         guard
@@ -43,6 +49,20 @@
 
     /// Notes that the prompt was read.
     pub(crate) fn prompt_read(&mut self) {
+        if !std::mem::replace(&mut self.is_read, true) && !self.parts.is_empty() {
+            self.context
+                .router
+                .borrow_mut()
+                .parts
+                .read(self.engine, &self.parts);
+            let mut placements = self.context.placements.borrow_mut();
+            placements.push(self.engine, PlacementState::Read, &self.parts);
+        }
+        self.settle();
+    }
+
+    /// Takes the prompt off what is to be read.
+    fn settle(&mut self) {
         let tokens = std::mem::take(&mut self.unread_tokens);
         if tokens == 0 {
             return;
@@ -64,7 +84,14 @@
 
 impl Drop for WorkGuard {
     fn drop(&mut self) {
-        self.prompt_read();
+        if !self.is_read && !self.parts.is_empty() {
+            let mut router = self.context.router.borrow_mut();
+            router.parts.not_read(self.engine, &self.parts);
+            drop(router);
+            let mut placements = self.context.placements.borrow_mut();
+            placements.push(self.engine, PlacementState::NotRead, &self.parts);
+        }
+        self.settle();
         self.context.router.borrow_mut().work.ended(self.engine);
     }
 }
--- a/crates/routing/src/staged/parts.rs
+++ b/crates/routing/src/staged/parts.rs
@@ -15,6 +15,9 @@
 struct Kept {
     tokens: u32,
     used: u64,
+    /// Whether the engine has read it; until then only a prompt that follows at the same engine
+    /// finds it.
+    read: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -34,12 +37,12 @@
 
 impl PartDirectory {
     /// Notes that an engine of `memory_tokens` was sent a prompt.
-    pub fn note(&mut self, engine: EngineKey, memory_tokens: u64, parts: &[PromptPart]) {
+    pub fn sent(&mut self, engine: EngineKey, memory_tokens: u64, parts: &[PromptPart]) {
         let limit = (memory_tokens as f64 * KEPT_SHARE) as u64;
         let known = self.engines.entry(engine).or_default();
         for part in parts {
             self.uses += 1;
-            known.note(*part, self.uses);
+            known.sent(*part, self.uses);
         }
         while known.tokens > limit {
             let Some((id, used)) = known.order.pop_front() else {
@@ -60,15 +63,49 @@
         kept.sum()
     }
 
-    /// The engine that keeps most of the prompt's leading tokens, among those that `may_give`
-    /// names, with the tokens.
+    /// Notes that the engine has read a prompt that it was sent.
+    pub fn read(&mut self, engine: EngineKey, parts: &[PromptPart]) {
+        let Some(known) = self.engines.get_mut(&engine) else {
+            return;
+        };
+        for part in parts {
+            if let Some(kept) = known.kept.get_mut(&part.id) {
+                kept.read = true;
+            }
+        }
+    }
+
+    /// Notes that a prompt which the engine was sent was not read there.
+    pub fn not_read(&mut self, engine: EngineKey, parts: &[PromptPart]) {
+        let Some(known) = self.engines.get_mut(&engine) else {
+            return;
+        };
+        for part in parts {
+            if known.kept.get(&part.id).is_some_and(|kept| !kept.read) {
+                known.forget(part.id);
+            }
+        }
+    }
+
+    /// Leading tokens of the prompt that the engine has read and is taken to keep.
+    fn read_tokens(&self, engine: EngineKey, parts: &[PromptPart]) -> u32 {
+        let Some(known) = self.engines.get(&engine) else {
+            return 0;
+        };
+        let kept = parts.iter().map(|part| known.kept.get(&part.id));
+        let read = kept.map_while(|kept| kept.filter(|kept| kept.read));
+        read.map(|kept| kept.tokens).sum()
+    }
+
+    /// The engine that has read and keeps most of the prompt's leading tokens, among those that
+    /// `may_give` names, with the tokens.
     pub fn best_holder(
         &self,
         parts: &[PromptPart],
         may_give: impl Fn(EngineKey) -> bool,
     ) -> Option<(EngineKey, u32)> {
         let engines = self.engines.keys().filter(|engine| may_give(**engine));
-        let held = engines.map(|engine| (*engine, self.kept_tokens(*engine, parts)));
+        let held = engines.map(|engine| (*engine, self.read_tokens(*engine, parts)));
         held.filter(|(_, tokens)| *tokens > 0)
             .max_by_key(|(engine, tokens)| (*tokens, *engine))
     }
@@ -80,9 +117,11 @@
 }
 
 impl EngineParts {
-    fn note(&mut self, part: PromptPart, used: u64) {
+    fn sent(&mut self, part: PromptPart, used: u64) {
         let tokens = part.tokens;
-        let former = self.kept.insert(part.id, Kept { tokens, used });
+        let read = self.kept.get(&part.id).is_some_and(|kept| kept.read);
+        let kept = Kept { tokens, used, read };
+        let former = self.kept.insert(part.id, kept);
         let former_tokens = former.map_or(0, |kept| u64::from(kept.tokens));
         self.tokens = self.tokens + u64::from(tokens) - former_tokens;
         self.order.push_back((part.id, used));
@@ -90,9 +129,12 @@
 
     fn forget_if_unused_since(&mut self, id: u64, used: u64) {
         let unused = self.kept.get(&id).is_some_and(|kept| kept.used == used);
-        if !unused {
-            return;
+        if unused {
+            self.forget(id);
         }
+    }
+
+    fn forget(&mut self, id: u64) {
         if let Some(kept) = self.kept.remove(&id) {
             self.tokens -= u64::from(kept.tokens);
         }
--- a/crates/routing/tests/staged.rs
+++ b/crates/routing/tests/staged.rs
@@ -94,7 +94,7 @@
     for holder in &fleet[..2] {
         router = StagedRouter::default();
         let shared = &request.parts[..1];
-        router.parts.note(holder.key, MEMORY_TOKENS, shared);
+        router.parts.sent(holder.key, MEMORY_TOKENS, shared);
         let PromptPlan::Split { prefill, .. } = plan(&router, &fleet, &request) else {
             panic!("a long prompt is read apart");
         };
@@ -110,7 +110,8 @@
     let fleet = fleet();
     let request = prompt(&[(1, 13_000), (2, 4_000)]);
     let shared = &request.parts[..1];
-    router.parts.note(fleet[0].key, MEMORY_TOKENS, shared);
+    router.parts.sent(fleet[0].key, MEMORY_TOKENS, shared);
+    router.parts.read(fleet[0].key, shared);
     router.work.sent(fleet[0].key, 60_000);
     let PromptPlan::Split { prefill, .. } = plan(&router, &fleet, &request) else {
         panic!("a long prompt is read apart");
@@ -120,6 +121,22 @@
     assert_eq!(prefill.unread_tokens, 4_000);
 }
 
+#[rstest]
+fn nothing_is_fetched_that_was_not_read() {
+    let mut router = StagedRouter::default();
+    let fleet = fleet();
+    let request = prompt(&[(1, 13_000), (2, 4_000)]);
+    let shared = &request.parts[..1];
+    router.parts.sent(fleet[0].key, MEMORY_TOKENS, shared);
+    router.work.sent(fleet[0].key, 60_000);
+    let PromptPlan::Split { prefill, .. } = plan(&router, &fleet, &request) else {
+        panic!("a long prompt is read apart");
+    };
+    assert_eq!(prefill.fetch_from, None);
+    router.parts.not_read(fleet[0].key, shared);
+    assert_eq!(router.parts.kept_tokens(fleet[0].key, shared), 0);
+}
+
 #[rstest]
 fn work_that_peers_told_of_counts_until_it_is_old() {
     let mut work = WorkTable::default();
@@ -178,7 +195,7 @@
         let mut directory = PartDirectory::default();
         for (id, tokens) in &prompts {
             let part = PromptPart { id: *id, tokens: *tokens };
-            directory.note(key, memory_tokens, &[part]);
+            directory.sent(key, memory_tokens, &[part]);
             prop_assert_eq!(directory.kept_tokens(key, &[part]), *tokens);
         }
         let kept: u64 = (0..40)
