Roles follow the demand under one lease, with fenced orders

Change: planner::stage_balance (square root of the demands' ratio, a lean that lasts, spaced changes), demand told between nodes, one holder under a lease whose write gives the fencing token, quiet for a whole lease after it took it, orders with the expected sequence and run, the engine avoided by all nodes while it changes. Tests: planner/tests/stage_balance.rs.

--- a/crates/edge/src/routed.rs
+++ b/crates/edge/src/routed.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use actix_http::header::HeaderMap;
-use actix_http::{Method, StatusCode};
+use actix_http::{Method, RequestHead, StatusCode};
+use bytes::Bytes;
 use dalestand_types::{PoolName, Role, ZoneName};
 
 /// What a caller's request says of itself.
@@ -65,6 +66,30 @@
     pub name: Arc<str>,
 }
 
+/// An order that changes an engine's role.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StageOrder<'a> {
+    /// The node that orders.
+    pub holder: &'a str,
+    /// Its fencing token.
+    pub token: u64,
+    /// Orders that the engine must have taken before, no more and no fewer.
+    pub sequence: u64,
+    /// The run that is meant.
+    pub run: &'a str,
+    /// The role it is to have.
+    pub role: Role,
+}
+
+/// What an engine made of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StageOrderOutcome {
+    /// It is being carried out, or held already.
+    Taken,
+    /// It was refused, with this status.
+    Refused(u16),
+}
+
 /// The words of callers and engines.
 pub trait Dialect {
     /// Reads a caller's request.
@@ -82,6 +107,18 @@
     /// The call that frees held memory: method and path.
     fn free_memory(&self, memory: &HeldMemory) -> (Method, String);
 
+    /// An order to an engine.
+    fn stage_order(&self, order: &StageOrder<'_>) -> (RequestHead, Bytes);
+
+    /// Reads the answer to an order.
+    fn read_stage_order(&self, status: StatusCode) -> StageOrderOutcome;
+
+    /// Asks an engine about itself.
+    fn report_request(&self) -> RequestHead;
+
+    /// Number of orders an engine has taken, from what it says about itself.
+    fn read_report_sequence(&self, body: &[u8]) -> Option<u64>;
+
     /// The path at which the platform asks whether a node is ready.
     fn ready_path(&self) -> &'static str;
 }
--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use dalestand_edge::routed::{Dialect, EngineEntry, FleetForm};
 use dalestand_engine_link::{EngineLink, LinkLimits};
@@ -15,6 +15,7 @@
 use tokio::sync::Notify;
 
 use crate::counts::InFlight;
+use crate::demand::DemandMeter;
 use crate::fleet::Fleet;
 use crate::placements::Placements;
 use crate::settings::ForwardingSettings;
@@ -37,6 +38,10 @@
     pub(crate) work_changed: Notify,
     /// Parts sent to engines that peers have not been told of.
     pub(crate) placements: RefCell<Placements>,
+    /// Prompt tokens asked for.
+    pub(crate) demand: RefCell<DemandMeter>,
+    /// Engines to be avoided that peers have not been told of.
+    pub(crate) avoided: RefCell<Vec<(EngineKey, Duration)>>,
     started: Instant,
     table: RefCell<Option<Rc<RouteTable>>>,
     entries: RefCell<HashMap<String, EngineEntry>>,
@@ -63,6 +68,8 @@
             splits: RefCell::default(),
             work_changed: Notify::new(),
             placements: RefCell::default(),
+            demand: RefCell::default(),
+            avoided: RefCell::default(),
             started: Instant::now(),
             table: RefCell::default(),
             entries: RefCell::default(),
@@ -137,6 +144,14 @@
         self.fleet.replace(Rc::new(fleet));
     }
 
+    /// Avoids an engine for some time, here and at the peers.
+    pub(crate) fn avoid(&self, engine: EngineKey, time: Duration) {
+        let until = self.now() + time;
+        self.router.borrow_mut().health.avoid_until(engine, until);
+        self.avoided.borrow_mut().push((engine, time));
+        self.work_changed.notify_one();
+    }
+
     /// Whether a planned stop has begun.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.get()
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -6,8 +6,10 @@
 
 mod answer;
 mod attempt;
+mod authority;
 mod context;
 mod counts;
+mod demand;
 mod error;
 mod event_stream;
 mod fleet;
@@ -24,6 +26,7 @@
 mod registration;
 mod relay;
 mod reload;
+mod role_control;
 mod settings;
 mod stop;
 mod work_guard;
--- a/crates/forwarding/src/node.rs
+++ b/crates/forwarding/src/node.rs
@@ -15,14 +15,16 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 
+use crate::authority::{Authority, hold};
 use crate::context::Context;
 use crate::error::ForwardingError;
 use crate::follow::{Follower, follow};
 use crate::forward::forward;
 use crate::peers;
 use crate::ready::ready;
-use crate::registration::{NODE_PREFIX, PeerFollower, Peers, keep_registered};
+use crate::registration::{OWN_PREFIX, PeerFollower, Peers, keep_registered};
 use crate::reload::reload;
+use crate::role_control::control_roles;
 use crate::settings::ForwardingSettings;
 use crate::stop::stop;
 
@@ -138,14 +140,21 @@
 
 fn start_peers(context: &Rc<Context>, store: &Rc<dyn KeyValue>, socket: UdpSocket, peers: Peers) {
     let socket = Rc::new(socket);
+    let authority = Authority::default();
     actix_rt::spawn(peers::listen(Rc::clone(context), Rc::clone(&socket)));
     let follower = PeerFollower {
         context: Rc::clone(context),
         peers: peers.clone(),
+        authority: authority.clone(),
     };
-    actix_rt::spawn(peers::tell(Rc::clone(context), socket, peers));
+    actix_rt::spawn(peers::tell(Rc::clone(context), socket, peers.clone()));
+    let holding = Rc::clone(context);
+    let node = context.settings.node.clone();
+    let turn = move || peers.before(node.as_str());
+    actix_rt::spawn(hold(holding, Rc::clone(store), authority.clone(), turn));
+    actix_rt::spawn(control_roles(Rc::clone(context), authority));
     let logger = context.logger.clone();
-    let prefix = NODE_PREFIX.to_owned();
+    let prefix = OWN_PREFIX.to_owned();
     actix_rt::spawn(follow(Rc::clone(store), prefix, follower, logger));
     actix_rt::spawn(keep_registered(Rc::clone(context), Rc::clone(store)));
 }
--- a/crates/forwarding/src/peers.rs
+++ b/crates/forwarding/src/peers.rs
@@ -4,9 +4,11 @@
 
 use std::collections::HashSet;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use dalestand_planner::StageDemand;
 use dalestand_routing::staged::{EngineKey, EngineWork, PeerWork, PromptPart};
+use dalestand_types::PoolName;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
@@ -17,6 +19,9 @@
 /// How often work is told while there is some.
 const TELL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How often demand is told.
+const DEMAND_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Changes within this time are told together.
 const GATHER: Duration = Duration::from_millis(4);
 
@@ -35,12 +40,17 @@
     work: Vec<(u64, u32, u64)>,
     /// Prompts sent to engines, by their parts.
     placed: Vec<Placement>,
+    /// Demand by pool: prompt tokens a second worth reading apart, and read where answered.
+    demand: Vec<(PoolName, f64, f64)>,
+    /// Engines to be avoided, for so many milliseconds.
+    avoided: Vec<(u64, u64)>,
 }
 
 /// Tells peers of this node's work for as long as it is polled.
 pub(crate) async fn tell(context: Rc<Context>, socket: Rc<UdpSocket>, peers: Peers) {
     let node = EngineKey::of(context.settings.node.as_str()).0;
     let mut told: HashSet<u64> = HashSet::new();
+    let mut demand_told = Instant::now();
     loop {
         let changed = context.work_changed.notified();
         if tokio::time::timeout(TELL_INTERVAL, changed).await.is_ok() {
@@ -48,10 +58,24 @@
         }
         let work = prompt_work(&context, &mut told);
         let placed = context.placements.borrow_mut().take();
-        if work.is_empty() && placed.is_empty() {
+        let avoided = take_avoided(&context);
+        let demand = if demand_told.elapsed() >= DEMAND_INTERVAL {
+            demand_told = Instant::now();
+            own_demand(&context)
+        } else {
+            Vec::new()
+        };
+        if work.is_empty() && placed.is_empty() && demand.is_empty() && avoided.is_empty() {
             continue;
         }
-        let Ok(datagram) = rmp_serde::to_vec(&WorkNotice { node, work, placed }) else {
+        let notice = WorkNotice {
+            node,
+            work,
+            placed,
+            demand,
+            avoided,
+        };
+        let Ok(datagram) = rmp_serde::to_vec(&notice) else {
             continue;
         };
         for address in peers.addresses() {
@@ -79,6 +103,34 @@
     work
 }
 
+fn take_avoided(context: &Context) -> Vec<(u64, u64)> {
+    let avoided = std::mem::take(&mut *context.avoided.borrow_mut());
+    let avoided = avoided.into_iter();
+    avoided
+        .map(|(engine, time)| (engine.0, time.as_millis() as u64))
+        .collect()
+}
+
+fn own_demand(context: &Context) -> Vec<(PoolName, f64, f64)> {
+    let demand = context.demand.borrow_mut().own(context.now());
+    let pools = demand.into_iter();
+    pools
+        .map(|(pool, demand)| (pool, demand.apart_tokens_per_s, demand.beside_tokens_per_s))
+        .collect()
+}
+
+fn take_demand(context: &Context, node: u64, told: Vec<(PoolName, f64, f64)>) {
+    let now = context.now();
+    let mut meter = context.demand.borrow_mut();
+    for (pool, apart_tokens_per_s, beside_tokens_per_s) in told {
+        let demand = StageDemand {
+            apart_tokens_per_s,
+            beside_tokens_per_s,
+        };
+        meter.peer_told(now, node, pool, demand);
+    }
+}
+
 /// Takes in what peers tell for as long as it is polled.
 pub(crate) async fn listen(context: Rc<Context>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
@@ -92,7 +144,12 @@
         };
         let now = context.now();
         take_placed(&context, &notice.placed);
+        take_demand(&context, notice.node, notice.demand);
         let mut router = context.router.borrow_mut();
+        for (engine, for_ms) in notice.avoided {
+            let until = now + Duration::from_millis(for_ms);
+            router.health.avoid_until(EngineKey(engine), until);
+        }
         for (engine, requests, unread_tokens) in notice.work {
             let told = PeerWork {
                 engine: EngineKey(engine),
--- a/crates/forwarding/src/plan.rs
+++ b/crates/forwarding/src/plan.rs
@@ -1,11 +1,15 @@
 //! Which engine a request goes to next.
 
-use dalestand_routing::staged::{EngineChoice, PromptPlan, Stage, StagedEngine};
+use dalestand_routing::staged::{EngineChoice, PromptPlan, Stage, StagedEngine, StagedRouter};
 use dalestand_types::PoolName;
 
 use crate::context::Context;
+use crate::demand::ReadingPlace;
 use crate::progress::Progress;
 
+/// A prompt that takes longer than this where it is answered is worth reading apart, in seconds.
+const WORTH_READING_APART_S: f64 = 50e-3;
+
 /// The next call or calls.
 pub(crate) enum Plan {
     /// One engine does all.
@@ -41,8 +45,28 @@
         let choice = router.choose_whole(now, zone, engines, &request)?;
         return Some(Plan::Whole(pool.clone(), choice));
     }
-    Some(match router.plan_prompt(now, zone, engines, &request)? {
+    let plan = match router.plan_prompt(now, zone, engines, &request)? {
         PromptPlan::Whole(choice) => Plan::Whole(pool.clone(), choice),
         PromptPlan::Split { prefill, .. } => Plan::Prefill(pool.clone(), prefill),
-    })
+    };
+    if progress.calls.is_empty() {
+        note_demand(context, &router, &plan);
+    }
+    Some(plan)
+}
+
+/// Notes where the prompt is best read, whatever queues there are now.
+fn note_demand(context: &Context, router: &StagedRouter, plan: &Plan) {
+    let (Plan::Whole(pool, choice) | Plan::Prefill(pool, choice)) = plan;
+    let tokens = choice.unread_tokens;
+    let key = choice.engine.key;
+    let reading_s = |tokens| router.speeds.expected_s(key, Stage::Decode, tokens);
+    let beside_s = reading_s(f64::from(tokens)) - reading_s(0.0);
+    let place = if beside_s > WORTH_READING_APART_S {
+        ReadingPlace::Apart
+    } else {
+        ReadingPlace::Beside
+    };
+    let now = context.now();
+    context.demand.borrow_mut().note(now, pool, place, tokens);
 }
--- a/crates/forwarding/src/registration.rs
+++ b/crates/forwarding/src/registration.rs
@@ -12,11 +12,15 @@
 use dalestand_telemetry::{Event, log_event};
 use error_stack::Report;
 
+use crate::authority::{Authority, HOLDER_KEY};
 use crate::context::Context;
 use crate::follow::Follower;
 
 /// Leading part of the keys of nodes' entries.
-pub(crate) const NODE_PREFIX: &str = "dalestand/nodes/";
+const NODE_PREFIX: &str = "dalestand/nodes/";
+
+/// Leading part of all keys that nodes write.
+pub(crate) const OWN_PREFIX: &str = "dalestand/";
 
 /// An entry outlives its node by this time at most.
 const TIME_TO_LIVE: Duration = Duration::from_secs(15);
@@ -32,6 +36,13 @@
 pub(crate) struct Peers(Rc<RefCell<HashMap<String, SocketAddr>>>);
 
 impl Peers {
+    /// How many nodes come before `node` by name.
+    pub(crate) fn before(&self, node: &str) -> u32 {
+        let peers = self.0.borrow();
+        let before = peers.keys().filter(|peer| peer.as_str() < node);
+        before.count() as u32
+    }
+
     /// The addresses.
     pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
         self.0.borrow().values().copied().collect()
@@ -42,11 +53,18 @@
 pub(crate) struct PeerFollower {
     pub(crate) context: Rc<Context>,
     pub(crate) peers: Peers,
+    pub(crate) authority: Authority,
 }
 
 impl PeerFollower {
     fn set(&self, key: &str, value: Option<&str>) {
-        let node = key.strip_prefix(NODE_PREFIX).unwrap_or(key);
+        if key == HOLDER_KEY {
+            self.authority.set_taken(value.is_some());
+            return;
+        }
+        let Some(node) = key.strip_prefix(NODE_PREFIX) else {
+            return;
+        };
         if node == self.context.settings.node.as_str() {
             return;
         }
@@ -66,6 +84,7 @@
 impl Follower for PeerFollower {
     fn listed(&self, listing: Listing) {
         self.peers.0.borrow_mut().clear();
+        self.authority.set_taken(false);
         for entry in &listing.entries {
             self.set(&entry.key, Some(&entry.value));
         }
--- /dev/null
+++ b/crates/forwarding/src/role_control.rs
@@ -0,0 +1,180 @@
+//! The holder of the authority changes the stages of engines as the demand shifts.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::RequestHead;
+use bytes::Bytes;
+use dalestand_edge::routed::{StageOrder, StageOrderOutcome};
+use dalestand_planner::{StageBalance, StageBalanceConfig, StageChange, StageCounts};
+use dalestand_routing::staged::{EngineKey, Stage, StagedEngine};
+use dalestand_telemetry::{Event, log_event};
+use dalestand_types::{MonotonicTime, PoolName, Role};
+
+use crate::authority::Authority;
+use crate::context::Context;
+
+/// How often the demand is looked at.
+const LOOK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time limit of a call to an engine.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// An engine whose order got no answer may still carry it out; it is left alone for this long.
+const IN_DOUBT: Duration = Duration::from_secs(14);
+
+/// An engine that changes takes no requests for about this long.
+const CHANGE_TIME: Duration = Duration::from_millis(1_000);
+
+/// Longest answer read from an engine.
+const MAX_ANSWER_BYTES: usize = 256 << 10;
+
+/// Changes stages for as long as it is polled.
+pub(crate) async fn control_roles(context: Rc<Context>, authority: Authority) {
+    let mut pools: HashMap<PoolName, StageBalance> = HashMap::new();
+    let mut left_alone: HashMap<EngineKey, MonotonicTime> = HashMap::new();
+    loop {
+        actix_rt::time::sleep(LOOK_INTERVAL).await;
+        let now = context.now();
+        left_alone.retain(|_, until| now < *until);
+        if authority.mandate(now).is_none() {
+            pools.clear();
+            continue;
+        }
+        for pool in prompt_pools(&context) {
+            let balance = pools
+                .entry(pool.clone())
+                .or_insert_with(|| StageBalance::new(StageBalanceConfig::default()));
+            let Some((change, engine)) = due(&context, balance, &pool, &left_alone) else {
+                continue;
+            };
+            balance.ordered(now, change);
+            left_alone.insert(engine.key, now + IN_DOUBT);
+            order(&context, &authority, &pool, &engine, change).await;
+        }
+    }
+}
+
+fn prompt_pools(context: &Context) -> Vec<PoolName> {
+    let table = context.table();
+    let pools = table.iter().flat_map(|table| table.pools());
+    let prompt_pools = pools.filter(|pool| pool.prompt_engine.is_some());
+    prompt_pools.map(|pool| pool.name.clone()).collect()
+}
+
+/// The change that is due in a pool, with the engine that has the least to end first.
+fn due(
+    context: &Context,
+    balance: &mut StageBalance,
+    pool: &PoolName,
+    left_alone: &HashMap<EngineKey, MonotonicTime>,
+) -> Option<(StageChange, StagedEngine)> {
+    let now = context.now();
+    let fleet = context.fleet();
+    let engines = fleet.pool(pool);
+    let count = |stage| {
+        engines
+            .iter()
+            .filter(|engine| engine.stage == stage)
+            .count()
+    };
+    let counts = StageCounts {
+        reading: count(Stage::Prefill),
+        generating: count(Stage::Decode),
+    };
+    let demand = context.demand.borrow_mut().total(now, pool);
+    let change = balance.decide(now, &demand, counts)?;
+    let from = match change {
+        StageChange::ToReading => Stage::Decode,
+        StageChange::ToGenerating => Stage::Prefill,
+    };
+    let router = context.router.borrow();
+    let may_change = engines
+        .iter()
+        .filter(|engine| engine.stage == from && !left_alone.contains_key(&engine.key));
+    let engine = may_change.min_by_key(|engine| {
+        let work = router.work.total(now, engine.key);
+        (work.unread_tokens, work.requests)
+    })?;
+    log_event!(context.logger, Event::RoleDecided, "pool" => %pool, "engine" => &*engine.run,
+        "change" => ?change, "reading" => counts.reading, "generating" => counts.generating,
+        "apart_tokens_per_s" => demand.apart_tokens_per_s as u64,
+        "beside_tokens_per_s" => demand.beside_tokens_per_s as u64);
+    Some((change, engine.clone()))
+}
+
+async fn order(
+    context: &Rc<Context>,
+    authority: &Authority,
+    pool: &PoolName,
+    engine: &StagedEngine,
+    change: StageChange,
+) {
+    let Some(sequence) = read_sequence(context, pool, engine).await else {
+        log_event!(context.logger, Event::EngineSilent, "engine" => &*engine.run);
+        return;
+    };
+    // Looked at again right before the order goes out.
+    let Some(mandate) = authority.mandate(context.now()) else {
+        return;
+    };
+    let order = StageOrder {
+        holder: context.settings.node.as_str(),
+        token: mandate.token,
+        sequence,
+        run: &engine.run,
+        role: match change {
+            StageChange::ToReading => Role::Prefill,
+            StageChange::ToGenerating => Role::Decode,
+        },
+    };
+    let (head, body) = context.dialect.stage_order(&order);
+    let answered = call(context, pool, engine, head, body).await;
+    let outcome = answered.map(|(status, _)| context.dialect.read_stage_order(status));
+    match outcome {
+        Some(StageOrderOutcome::Refused(status)) => {
+            log_event!(context.logger, Event::OrderRefused, "engine" => &*engine.run,
+                "token" => mandate.token, "sequence" => sequence, "status" => status);
+            return;
+        }
+        Some(StageOrderOutcome::Taken) => {
+            log_event!(context.logger, Event::OrderGiven, "engine" => &*engine.run,
+                "token" => mandate.token, "sequence" => sequence, "role" => %order.role);
+        }
+        None => {
+            log_event!(context.logger, Event::EngineSilent, "engine" => &*engine.run,
+                "token" => mandate.token, "sequence" => sequence);
+        }
+    }
+    context.avoid(engine.key, CHANGE_TIME);
+}
+
+async fn read_sequence(
+    context: &Rc<Context>,
+    pool: &PoolName,
+    engine: &StagedEngine,
+) -> Option<u64> {
+    let head = context.dialect.report_request();
+    let (_, body) = call(context, pool, engine, head, Bytes::new()).await?;
+    context.dialect.read_report_sequence(&body)
+}
+
+async fn call(
+    context: &Rc<Context>,
+    pool: &PoolName,
+    engine: &StagedEngine,
+    head: RequestHead,
+    body: Bytes,
+) -> Option<(actix_http::StatusCode, Bytes)> {
+    let target = context.fleet().engine(engine.key)?.target();
+    let max_connections = context.max_connections(pool);
+    let exchange = async {
+        let sent = context.link.send(&target, max_connections, head, &body);
+        let mut exchange = sent.await.ok()?;
+        let body = exchange.body.collect(MAX_ANSWER_BYTES).await.ok()?;
+        Some((exchange.head.status, body))
+    };
+    let answered = tokio::time::timeout(CALL_TIMEOUT, exchange).await;
+    answered.ok().flatten()
+}
--- a/crates/forwarding/src/settings.rs
+++ b/crates/forwarding/src/settings.rs
@@ -27,11 +27,22 @@
     pub retries: RetrySettings,
     /// Planned stops.
     pub stop: StopSettings,
+    /// Role changes.
+    pub roles: RoleSettings,
     /// The log.
     #[serde(default)]
     pub log: LogSettings,
 }
 
+/// Role changes.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RoleSettings {
+    /// Time to live of the lease under which roles are changed, in milliseconds. A new holder gives
+    /// no order within this time.
+    pub lease_ms: u64,
+}
+
 /// The log.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -105,6 +116,7 @@
         let above_0 = [
             ("retries.window_s", self.retries.window_s),
             ("stop.grace_s", self.stop.grace_s),
+            ("roles.lease_ms", self.roles.lease_ms as f64),
         ];
         let mut faults = Vec::new();
         for (field, value) in at_least_0 {
@@ -146,6 +158,11 @@
         }
     }
 
+    /// Time to live of the lease under which roles are changed.
+    pub fn lease(&self) -> Duration {
+        Duration::from_millis(self.roles.lease_ms)
+    }
+
     /// Time after which the process is killed.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.stop.grace_s)
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -13,6 +13,7 @@
 mod plan;
 mod planner;
 mod speeds;
+mod stage_balance;
 mod stay;
 
 pub use composition::{Composition, Workload};
@@ -21,3 +22,4 @@
 pub use plan::{PlanInputs, PlanReason, RolePlan};
 pub use planner::RolePlanner;
 pub use speeds::{EngineSpeeds, SpeedEstimate, SpeedSample};
+pub use stage_balance::{StageBalance, StageBalanceConfig, StageChange, StageCounts, StageDemand};
--- /dev/null
+++ b/crates/planner/src/stage_balance.rs
@@ -0,0 +1,141 @@
+//! How many engines of a pool read prompts apart, and which one changes next.
+//!
+//! Where the outside system gives every engine one of two stages, an engine that reads and an engine
+//! that generates each have a load of their own. The best share of reading engines grows with the
+//! square root of the ratio of the two demands: queues grow with load, and the square root evens
+//! out what one more engine saves on either side. A change costs the engine for some time, so the
+//! lean must last and changes are spaced.
+
+use std::time::Duration;
+
+use dalestand_types::MonotonicTime;
+
+/// Reading at a generating engine takes this multiple of the work.
+const READING_BESIDE_FACTOR: f64 = 2.0;
+
+/// Largest share of engines that read: generating takes time that is not counted in prompt tokens.
+const LARGEST_READING_SHARE: f64 = 0.65;
+
+/// What a pool is asked for, over all nodes.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct StageDemand {
+    /// Prompt tokens a second that are worth reading apart.
+    pub apart_tokens_per_s: f64,
+    /// Prompt tokens a second that are read where they are answered.
+    pub beside_tokens_per_s: f64,
+}
+
+/// Engines by what they do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StageCounts {
+    /// Engines that read prompts apart.
+    pub reading: usize,
+    /// Engines that generate.
+    pub generating: usize,
+}
+
+/// What is to change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StageChange {
+    /// A generating engine is to read.
+    ToReading,
+    /// A reading engine is to generate.
+    ToGenerating,
+}
+
+/// When changes are made.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StageBalanceConfig {
+    /// The lean must be this many engines.
+    pub lean_engines: f64,
+    /// The lean must last this long.
+    pub lean_lasts: Duration,
+    /// Pause between two changes in one direction.
+    pub pause: Duration,
+    /// Pause between two changes in opposite directions.
+    pub pause_to_reverse: Duration,
+}
+
+impl Default for StageBalanceConfig {
+    fn default() -> Self {
+        Self {
+            lean_engines: 1.0,
+            lean_lasts: Duration::from_millis(1_500),
+            pause: Duration::from_millis(1_500),
+            pause_to_reverse: Duration::from_secs(20),
+        }
+    }
+}
+
+/// Decides for one pool.
+#[derive(Clone, Debug)]
+pub struct StageBalance {
+    config: StageBalanceConfig,
+    leaning: Option<(StageChange, MonotonicTime)>,
+    changed: Option<(StageChange, MonotonicTime)>,
+}
+
+impl StageBalance {
+    /// A balance that has changed nothing.
+    pub fn new(config: StageBalanceConfig) -> Self {
+        Self {
+            config,
+            leaning: None,
+            changed: None,
+        }
+    }
+
+    /// The change that is due now. At least one engine of each stage stays.
+    pub fn decide(
+        &mut self,
+        now: MonotonicTime,
+        demand: &StageDemand,
+        counts: StageCounts,
+    ) -> Option<StageChange> {
+        let lean = wanted_reading(demand, counts)? - counts.reading as f64;
+        let change = if lean >= self.config.lean_engines && counts.generating > 1 {
+            StageChange::ToReading
+        } else if lean <= -self.config.lean_engines && counts.reading > 1 {
+            StageChange::ToGenerating
+        } else {
+            self.leaning = None;
+            return None;
+        };
+        let since = match self.leaning {
+            Some((leaning, since)) if leaning == change => since,
+            _ => {
+                self.leaning = Some((change, now));
+                now
+            }
+        };
+        let lasted = now.since(since) >= self.config.lean_lasts;
+        (lasted && self.pause_is_over(now, change)).then_some(change)
+    }
+
+    /// Notes that a change was ordered.
+    pub fn ordered(&mut self, now: MonotonicTime, change: StageChange) {
+        self.changed = Some((change, now));
+    }
+
+    fn pause_is_over(&self, now: MonotonicTime, change: StageChange) -> bool {
+        let Some((last, at)) = self.changed else {
+            return true;
+        };
+        let pause = if last == change {
+            self.config.pause
+        } else {
+            self.config.pause_to_reverse
+        };
+        now.since(at) >= pause
+    }
+}
+
+/// The number of reading engines that suits the demand; `None` without demand.
+fn wanted_reading(demand: &StageDemand, counts: StageCounts) -> Option<f64> {
+    let reading = demand.apart_tokens_per_s.sqrt();
+    let generating = (demand.beside_tokens_per_s * READING_BESIDE_FACTOR).sqrt();
+    let all = (counts.reading + counts.generating) as f64;
+    let weight = reading + generating;
+    let share = (reading / weight).min(LARGEST_READING_SHARE);
+    (weight > 0.0).then_some(all * share)
+}
--- /dev/null
+++ b/crates/planner/tests/stage_balance.rs
@@ -0,0 +1,112 @@
+//! Balance of the stages of a pool's engines.
+
+use std::time::Duration;
+
+use dalestand_planner::{StageBalance, StageBalanceConfig, StageChange, StageCounts, StageDemand};
+use dalestand_types::MonotonicTime;
+use proptest::prelude::*;
+use rstest::rstest;
+
+const STEP: Duration = Duration::from_millis(500);
+
+const PROMPTS: StageDemand = StageDemand {
+    apart_tokens_per_s: 200_000.0,
+    beside_tokens_per_s: 10_000.0,
+};
+const TAGS: StageDemand = StageDemand {
+    apart_tokens_per_s: 1_000.0,
+    beside_tokens_per_s: 90_000.0,
+};
+
+/// Lets the balance decide every half second; yields the changes with their times.
+fn play(
+    demand: impl Fn(MonotonicTime) -> StageDemand,
+    mut counts: StageCounts,
+    steps: usize,
+) -> Vec<(MonotonicTime, StageChange)> {
+    let mut balance = StageBalance::new(StageBalanceConfig::default());
+    let mut now = MonotonicTime::ZERO;
+    let mut changes = Vec::new();
+    for _ in 0..steps {
+        now = now + STEP;
+        let Some(change) = balance.decide(now, &demand(now), counts) else {
+            continue;
+        };
+        balance.ordered(now, change);
+        changes.push((now, change));
+        match change {
+            StageChange::ToReading => {
+                counts.reading += 1;
+                counts.generating -= 1;
+            }
+            StageChange::ToGenerating => {
+                counts.reading -= 1;
+                counts.generating += 1;
+            }
+        }
+    }
+    changes
+}
+
+const EVEN: StageCounts = StageCounts {
+    reading: 5,
+    generating: 7,
+};
+
+#[rstest]
+#[case::more_prompts(PROMPTS, StageChange::ToReading)]
+#[case::more_tags(TAGS, StageChange::ToGenerating)]
+fn engines_follow_a_shift_that_lasts(#[case] demand: StageDemand, #[case] expected: StageChange) {
+    let changes = play(|_| demand, EVEN, 40);
+    assert!(!changes.is_empty());
+    assert!(changes.iter().all(|(_, change)| *change == expected));
+}
+
+#[rstest]
+fn a_short_wave_changes_nothing() {
+    let wave = |now: MonotonicTime| {
+        let second = now.since(MonotonicTime::ZERO).as_secs();
+        if second.is_multiple_of(2) {
+            PROMPTS
+        } else {
+            TAGS
+        }
+    };
+    assert_eq!(play(wave, EVEN, 60), []);
+}
+
+#[rstest]
+fn nothing_is_decided_without_demand() {
+    assert_eq!(play(|_| StageDemand::default(), EVEN, 40), []);
+}
+
+proptest! {
+    /// One engine of each stage stays, and changes are spaced, whatever the demand does.
+    #[test]
+    fn changes_are_spaced_and_leave_one_of_each(
+        demands in proptest::collection::vec((0.0..300_000.0_f64, 0.0..300_000.0_f64), 1..30),
+        reading in 1_usize..12,
+        generating in 1_usize..12,
+    ) {
+        let counts = StageCounts { reading, generating };
+        let demand = |now: MonotonicTime| {
+            let place = now.since(MonotonicTime::ZERO).as_secs() as usize / 3;
+            let (apart, beside) = demands[place % demands.len()];
+            StageDemand { apart_tokens_per_s: apart, beside_tokens_per_s: beside }
+        };
+        let changes = play(demand, counts, 300);
+        let config = StageBalanceConfig::default();
+        let mut left = counts;
+        for (place, (at, change)) in changes.iter().enumerate() {
+            match change {
+                StageChange::ToReading => { left.reading += 1; left.generating -= 1; }
+                StageChange::ToGenerating => { left.reading -= 1; left.generating += 1; }
+            }
+            prop_assert!(left.reading >= 1 && left.generating >= 1);
+            if let Some((before, last)) = place.checked_sub(1).map(|place| changes[place]) {
+                let pause = if last == *change { config.pause } else { config.pause_to_reverse };
+                prop_assert!(at.since(before) >= pause);
+            }
+        }
+    }
+}
--- a/crates/routing/src/staged/health.rs
+++ b/crates/routing/src/staged/health.rs
@@ -76,6 +76,12 @@
         record.updated_at = now;
     }
 
+    /// Avoids an engine until a time, whatever is known of it.
+    pub fn avoid_until(&mut self, engine: EngineKey, until: MonotonicTime) {
+        let record = self.engines.entry(engine).or_default();
+        record.avoided_until = record.avoided_until.max(until);
+    }
+
     /// Whether the engine is avoided while there is another.
     pub fn is_avoided(&self, now: MonotonicTime, engine: EngineKey) -> bool {
         let record = self.engines.get(&engine);
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -66,6 +66,8 @@
     LeaseLost = (1302, Warning, "lease lost");
     /// A group's lease was given up.
     LeaseReleased = (1303, Info, "lease released");
+    /// A change of an engine's role is due.
+    RoleDecided = (1315, Info, "role decided");
     /// An order was given to an engine.
     OrderGiven = (1311, Info, "order given");
     /// An engine refused an order.
