An engine that refuses is avoided for a short and growing time

Change: a refusal avoids the engine for 100 ms, doubling to 1.6 s, until it answers. Test: an_engine_that_refuses_is_avoided_although_it_is_idle, fails without it.

--- a/crates/routing/src/staged/health.rs
+++ b/crates/routing/src/staged/health.rs
@@ -10,7 +10,14 @@
 /// First time for which an engine that gave no answer is avoided; doubles with each further one.
 const FIRST_AVOIDANCE: Duration = Duration::from_millis(1_000);
 
-/// Longest such time.
+/// The same for an engine that refused: it is full or changes its role, and refuses at once, so
+/// that it looks idle.
+const FIRST_AVOIDANCE_REFUSED: Duration = Duration::from_millis(100);
+
+/// Longest time for which an engine is avoided that refused.
+const LONGEST_AVOIDANCE_REFUSED: Duration = Duration::from_millis(1_600);
+
+/// Longest time for which an engine is avoided that gave no answer.
 const LONGEST_AVOIDANCE: Duration = Duration::from_secs(8);
 
 /// Weight of the newest attempt in the share of failures.
@@ -38,6 +45,7 @@
     latency_ms: f64,
     updated_at: MonotonicTime,
     silences: u32,
+    refusals: u32,
     avoided_until: MonotonicTime,
 }
 
@@ -54,6 +62,7 @@
         let failed = match result {
             AttemptResult::Sound(latency) => {
                 record.silences = 0;
+                record.refusals = 0;
                 record.avoided_until = now;
                 let latency_ms = latency.as_secs_f64() * 1_000.0;
                 if record.latency_ms == 0.0 {
@@ -62,7 +71,16 @@
                 record.latency_ms += NEWEST_WEIGHT * (latency_ms - record.latency_ms);
                 0.0
             }
-            AttemptResult::Failed | AttemptResult::Refused => 1.0,
+            AttemptResult::Failed => 1.0,
+            AttemptResult::Refused => {
+                // Requests sent before the first refusal came are refused too, and say no more.
+                if now >= record.avoided_until {
+                    let avoidance = FIRST_AVOIDANCE_REFUSED * 2_u32.pow(record.refusals.min(8));
+                    record.refusals += 1;
+                    record.avoided_until = now + avoidance.min(LONGEST_AVOIDANCE_REFUSED);
+                }
+                1.0
+            }
             AttemptResult::Silent => {
                 let doublings = record.silences.min(8);
                 let avoidance = FIRST_AVOIDANCE * 2_u32.pow(doublings);
--- a/crates/routing/tests/staged.rs
+++ b/crates/routing/tests/staged.rs
@@ -168,6 +168,29 @@
     assert!(!health.is_avoided(again, key));
 }
 
+/// Seen on a day of overload: an engine that was changing its role refused 508 runs within 3 s, each
+/// after 1 ms, and they spent the budget of repeated sends.
+#[rstest]
+fn an_engine_that_refuses_is_avoided_although_it_is_idle() {
+    let mut router = StagedRouter::default();
+    let fleet = fleet();
+    router.work.sent(fleet[3].key, 2_000);
+    let request = prompt(&[(3, 300)]);
+    let chosen = |router: &StagedRouter, at| {
+        let choice = router.choose_whole(at, &zone(), &fleet, &request);
+        choice.expect("a choice").engine.key
+    };
+    assert_eq!(chosen(&router, NOW), fleet[2].key);
+    let refused = AttemptResult::Refused;
+    router.health.note(NOW, fleet[2].key, refused);
+    assert_eq!(chosen(&router, NOW), fleet[3].key);
+    let again = NOW + Duration::from_millis(150);
+    assert_eq!(chosen(&router, again), fleet[2].key);
+    router.health.note(again, fleet[2].key, refused);
+    let later = again + Duration::from_millis(150);
+    assert_eq!(chosen(&router, later), fleet[3].key);
+}
+
 #[rstest]
 fn an_engine_that_was_tried_is_not_chosen_again() {
     let router = StagedRouter::default();
