A node that starts learns which parts engines keep

Change: a node that starts asks its peers, each of which answers for the engines that fall to it by rendezvous hash; and it reads the list of kept parts from the engines that fall to itself and tells the others, so that after a loss of all nodes each engine is asked once. Notices are split to fit packets.

--- a/crates/edge/src/routed.rs
+++ b/crates/edge/src/routed.rs
@@ -119,6 +119,12 @@
     /// Number of orders an engine has taken, from what it says about itself.
     fn read_report_sequence(&self, body: &[u8]) -> Option<u64>;
 
+    /// Asks an engine which parts of prompts it keeps.
+    fn kept_parts_request(&self) -> RequestHead;
+
+    /// The parts that an engine keeps, with their tokens.
+    fn read_kept_parts(&self, body: &[u8]) -> Vec<(u64, u32)>;
+
     /// The path at which the platform asks whether a node is ready.
     fn ready_path(&self) -> &'static str;
 }
--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -47,6 +47,7 @@
     entries: RefCell<HashMap<String, EngineEntry>>,
     fleet: RefCell<Rc<Fleet>>,
     stopping: Cell<bool>,
+    asks_peers: Cell<bool>,
     nodes: Cell<usize>,
 }
 
@@ -75,6 +76,7 @@
             entries: RefCell::default(),
             fleet: RefCell::default(),
             stopping: Cell::new(false),
+            asks_peers: Cell::new(false),
             nodes: Cell::new(1),
             settings,
         }
@@ -152,6 +154,17 @@
         self.work_changed.notify_one();
     }
 
+    /// Has peers tell what they know of kept parts.
+    pub(crate) fn ask_peers(&self) {
+        self.asks_peers.set(true);
+        self.work_changed.notify_one();
+    }
+
+    /// Whether peers are to be asked; the question is put once.
+    pub(crate) fn take_question(&self) -> bool {
+        self.asks_peers.replace(false)
+    }
+
     /// Whether a planned stop has begun.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.get()
--- /dev/null
+++ b/crates/forwarding/src/engine_call.rs
@@ -0,0 +1,37 @@
+//! Calls to engines that are no caller's requests.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::{RequestHead, StatusCode};
+use bytes::Bytes;
+use dalestand_routing::staged::StagedEngine;
+use dalestand_types::PoolName;
+
+use crate::context::Context;
+
+/// Time limit of a call.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Longest answer that is read.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
+
+/// Makes a call; `None` if no whole answer came in time.
+pub(crate) async fn call(
+    context: &Rc<Context>,
+    pool: &PoolName,
+    engine: &StagedEngine,
+    head: RequestHead,
+    body: Bytes,
+) -> Option<(StatusCode, Bytes)> {
+    let target = context.fleet().engine(engine.key)?.target();
+    let max_connections = context.max_connections(pool);
+    let exchange = async {
+        let sent = context.link.send(&target, max_connections, head, &body);
+        let mut exchange = sent.await.ok()?;
+        let body = exchange.body.collect(MAX_ANSWER_BYTES).await.ok()?;
+        Some((exchange.head.status, body))
+    };
+    let answered = tokio::time::timeout(CALL_TIMEOUT, exchange).await;
+    answered.ok().flatten()
+}
--- a/crates/forwarding/src/fleet.rs
+++ b/crates/forwarding/src/fleet.rs
@@ -83,6 +83,12 @@
         engine.map_or(0, |engine| engine.memory_tokens)
     }
 
+    /// All engines, with their pools.
+    pub fn engines(&self) -> impl Iterator<Item = (&PoolName, &StagedEngine)> {
+        let pools = self.pools.iter();
+        pools.flat_map(|(pool, engines)| engines.iter().map(move |engine| (pool, engine)))
+    }
+
     /// Number of engines.
     pub fn len(&self) -> usize {
         self.engines.len()
--- a/crates/forwarding/src/node.rs
+++ b/crates/forwarding/src/node.rs
@@ -20,6 +20,7 @@
 use crate::error::ForwardingError;
 use crate::follow::{Follower, follow};
 use crate::forward::forward;
+use crate::part_recovery::recover_parts;
 use crate::peers;
 use crate::ready::ready;
 use crate::registration::{OWN_PREFIX, PeerFollower, Peers, keep_registered};
@@ -141,13 +142,18 @@
 fn start_peers(context: &Rc<Context>, store: &Rc<dyn KeyValue>, socket: UdpSocket, peers: Peers) {
     let socket = Rc::new(socket);
     let authority = Authority::default();
-    actix_rt::spawn(peers::listen(Rc::clone(context), Rc::clone(&socket)));
+    actix_rt::spawn(peers::listen(
+        Rc::clone(context),
+        Rc::clone(&socket),
+        peers.clone(),
+    ));
     let follower = PeerFollower {
         context: Rc::clone(context),
         peers: peers.clone(),
         authority: authority.clone(),
     };
     actix_rt::spawn(peers::tell(Rc::clone(context), socket, peers.clone()));
+    actix_rt::spawn(recover_parts(Rc::clone(context), peers.clone()));
     let holding = Rc::clone(context);
     let node = context.settings.node.clone();
     let turn = move || peers.before(node.as_str());
--- a/crates/forwarding/src/peers.rs
+++ b/crates/forwarding/src/peers.rs
@@ -3,6 +3,7 @@
 //! Datagrams, since what is lost is soon replaced: a node tells again while it has work.
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -13,6 +14,7 @@
 use tokio::net::UdpSocket;
 
 use crate::context::Context;
+use crate::part_recovery::known_parts;
 use crate::placements::{Placement, PlacementState};
 use crate::registration::Peers;
 
@@ -28,6 +30,9 @@
 /// Longest datagram.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
+/// Parts told in one datagram, so that it fits a packet.
+const MAX_PARTS: usize = 60;
+
 /// Engines told of in one datagram.
 const MAX_ENGINES: usize = 128;
 
@@ -44,6 +49,41 @@
     demand: Vec<(PoolName, f64, f64)>,
     /// Engines to be avoided, for so many milliseconds.
     avoided: Vec<(u64, u64)>,
+    /// Whether the node has just started and asks what its peers know of kept parts.
+    asks: bool,
+}
+
+impl WorkNotice {
+    /// Notices that carry `placed` in datagrams of a bounded size; the first carries the rest too.
+    fn split(mut self) -> Vec<Self> {
+        let mut placed = std::mem::take(&mut self.placed).into_iter().peekable();
+        let node = self.node;
+        let mut notices = vec![self];
+        let mut parts = 0;
+        while let Some(placement) = placed.next() {
+            parts += placement.parts.len();
+            if let Some(notice) = notices.last_mut() {
+                notice.placed.push(placement);
+            }
+            let next = placed.peek().map_or(0, |next| next.parts.len());
+            if next > 0 && parts + next > MAX_PARTS {
+                notices.push(Self::empty(node));
+                parts = 0;
+            }
+        }
+        notices
+    }
+
+    fn empty(node: u64) -> Self {
+        Self {
+            node,
+            work: Vec::new(),
+            placed: Vec::new(),
+            demand: Vec::new(),
+            avoided: Vec::new(),
+            asks: false,
+        }
+    }
 }
 
 /// Tells peers of this node's work for as long as it is polled.
@@ -65,7 +105,9 @@
         } else {
             Vec::new()
         };
-        if work.is_empty() && placed.is_empty() && demand.is_empty() && avoided.is_empty() {
+        let asks = context.take_question();
+        let nothing = work.is_empty() && placed.is_empty() && demand.is_empty();
+        if nothing && avoided.is_empty() && !asks {
             continue;
         }
         let notice = WorkNotice {
@@ -74,13 +116,20 @@
             placed,
             demand,
             avoided,
+            asks,
         };
+        send(&socket, &peers.addresses(), notice);
+    }
+}
+
+fn send(socket: &UdpSocket, addresses: &[SocketAddr], notice: WorkNotice) {
+    for notice in notice.split() {
         let Ok(datagram) = rmp_serde::to_vec(&notice) else {
-            continue;
+            return;
         };
-        for address in peers.addresses() {
+        for address in addresses {
             // A datagram that cannot be sent counts as lost.
-            let _ = socket.try_send_to(&datagram, address);
+            let _ = socket.try_send_to(&datagram, *address);
         }
     }
 }
@@ -132,10 +181,11 @@
 }
 
 /// Takes in what peers tell for as long as it is polled.
-pub(crate) async fn listen(context: Rc<Context>, socket: Rc<UdpSocket>) {
+pub(crate) async fn listen(context: Rc<Context>, socket: Rc<UdpSocket>, peers: Peers) {
+    let me = EngineKey::of(context.settings.node.as_str()).0;
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+        let Ok((length, sender)) = socket.recv_from(&mut buffer).await else {
             actix_rt::time::sleep(TELL_INTERVAL).await;
             continue;
         };
@@ -143,6 +193,11 @@
             continue;
         };
         let now = context.now();
+        if notice.asks {
+            let mut answer = WorkNotice::empty(me);
+            answer.placed = known_parts(&context, &peers, notice.node);
+            send(&socket, &[sender], answer);
+        }
         take_placed(&context, &notice.placed);
         take_demand(&context, notice.node, notice.demand);
         let mut router = context.router.borrow_mut();
--- a/crates/forwarding/src/placements.rs
+++ b/crates/forwarding/src/placements.rs
@@ -31,6 +31,18 @@
     pub(crate) parts: Vec<(u64, u32)>,
 }
 
+impl Placement {
+    /// Parts at an engine.
+    pub(crate) fn new(engine: EngineKey, state: PlacementState, parts: &[PromptPart]) -> Self {
+        let parts = parts.iter().map(|part| (part.id, part.tokens));
+        Self {
+            engine: engine.0,
+            state,
+            parts: parts.collect(),
+        }
+    }
+}
+
 /// Prompts that peers have not been told of.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Placements(Vec<Placement>);
@@ -40,12 +52,7 @@
     pub(crate) fn push(&mut self, engine: EngineKey, state: PlacementState, parts: &[PromptPart]) {
         let is_long = parts.iter().any(|part| part.tokens >= TOLD_TOKENS);
         if is_long && self.0.len() < MAX_PROMPTS {
-            let parts = parts.iter().map(|part| (part.id, part.tokens));
-            self.0.push(Placement {
-                engine: engine.0,
-                state,
-                parts: parts.collect(),
-            });
+            self.0.push(Placement::new(engine, state, parts));
         }
     }
 
--- a/crates/forwarding/src/registration.rs
+++ b/crates/forwarding/src/registration.rs
@@ -9,6 +9,7 @@
 use dalestand_edge::{
     CasOutcome, KeyValue, LeaseId, Listing, PlatformError, WatchEvent, WriteExpectation,
 };
+use dalestand_routing::staged::EngineKey;
 use dalestand_telemetry::{Event, log_event};
 use error_stack::Report;
 
@@ -36,6 +37,12 @@
 pub(crate) struct Peers(Rc<RefCell<HashMap<String, SocketAddr>>>);
 
 impl Peers {
+    /// Numbers of the nodes, the same at every node.
+    pub(crate) fn numbers(&self) -> Vec<u64> {
+        let peers = self.0.borrow();
+        peers.keys().map(|node| EngineKey::of(node).0).collect()
+    }
+
     /// How many nodes come before `node` by name.
     pub(crate) fn before(&self, node: &str) -> u32 {
         let peers = self.0.borrow();
--- a/crates/forwarding/src/role_control.rs
+++ b/crates/forwarding/src/role_control.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::RequestHead;
 use bytes::Bytes;
 use dalestand_edge::routed::{StageOrder, StageOrderOutcome};
 use dalestand_planner::{StageBalance, StageBalanceConfig, StageChange, StageCounts};
@@ -14,22 +13,17 @@
 
 use crate::authority::Authority;
 use crate::context::Context;
+use crate::engine_call::call;
 
 /// How often the demand is looked at.
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time limit of a call to an engine.
-const CALL_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// An engine whose order got no answer may still carry it out; it is left alone for this long.
 const IN_DOUBT: Duration = Duration::from_secs(14);
 
 /// An engine that changes takes no requests for about this long.
 const CHANGE_TIME: Duration = Duration::from_millis(1_000);
 
-/// Longest answer read from an engine.
-const MAX_ANSWER_BYTES: usize = 256 << 10;
-
 /// Changes stages for as long as it is polled.
 pub(crate) async fn control_roles(context: Rc<Context>, authority: Authority) {
     let mut pools: HashMap<PoolName, StageBalance> = HashMap::new();
@@ -159,22 +153,3 @@
     let (_, body) = call(context, pool, engine, head, Bytes::new()).await?;
     context.dialect.read_report_sequence(&body)
 }
-
-async fn call(
-    context: &Rc<Context>,
-    pool: &PoolName,
-    engine: &StagedEngine,
-    head: RequestHead,
-    body: Bytes,
-) -> Option<(actix_http::StatusCode, Bytes)> {
-    let target = context.fleet().engine(engine.key)?.target();
-    let max_connections = context.max_connections(pool);
-    let exchange = async {
-        let sent = context.link.send(&target, max_connections, head, &body);
-        let mut exchange = sent.await.ok()?;
-        let body = exchange.body.collect(MAX_ANSWER_BYTES).await.ok()?;
-        Some((exchange.head.status, body))
-    };
-    let answered = tokio::time::timeout(CALL_TIMEOUT, exchange).await;
-    answered.ok().flatten()
-}
--- a/crates/routing/src/prefix.rs
+++ b/crates/routing/src/prefix.rs
@@ -63,7 +63,7 @@
 }
 
 /// Weight of an engine for a prefix; the engine of the highest weight is the prefix's home.
-pub(crate) fn rendezvous_weight(prefix: u64, engine: u64) -> u64 {
+pub fn rendezvous_weight(prefix: u64, engine: u64) -> u64 {
     let mut mixed = prefix ^ engine.rotate_left(32);
     mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/crates/routing/src/staged/mod.rs
+++ b/crates/routing/src/staged/mod.rs
@@ -13,6 +13,7 @@
 mod reading;
 mod work;
 
+pub use crate::prefix::rendezvous_weight;
 pub use chooser::{EngineChoice, PromptPlan, StagedRouter};
 pub use health::{AttemptResult, EngineHealth};
 pub use parts::PartDirectory;
--- a/crates/routing/src/staged/parts.rs
+++ b/crates/routing/src/staged/parts.rs
@@ -110,6 +110,18 @@
             .max_by_key(|(engine, tokens)| (*tokens, *engine))
     }
 
+    /// Parts that an engine has read and is taken to keep.
+    pub fn read_parts(&self, engine: EngineKey) -> Vec<PromptPart> {
+        let known = self.engines.get(&engine);
+        let kept = known.into_iter().flat_map(|known| known.kept.iter());
+        kept.filter(|(_, kept)| kept.read)
+            .map(|(id, kept)| PromptPart {
+                id: *id,
+                tokens: kept.tokens,
+            })
+            .collect()
+    }
+
     /// Forgets engines that `keep` does not name.
     pub fn retain(&mut self, keep: impl Fn(EngineKey) -> bool) {
         self.engines.retain(|engine, _| keep(*engine));
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -96,6 +96,8 @@
     EngineUnreadable = (1603, Warning, "engine entry unreadable");
     /// The process stood still.
     PauseNoticed = (1604, Warning, "process stood still");
+    /// An engine told which parts of prompts it keeps.
+    PartsRecovered = (1607, Info, "kept parts recovered");
     /// The settings file was read again.
     SettingsRead = (1605, Info, "settings read again");
     /// The settings file changed and cannot be used.
