A long prompt keeps away from engines that generate for many

Change: reading at a decode engine costs a fifth of its time for each other request there, up to 12. Test: a_long_prompt_keeps_away_from_engines_that_generate_for_many, fails without it.

--- a/crates/routing/src/staged/chooser.rs
+++ b/crates/routing/src/staged/chooser.rs
@@ -23,6 +23,12 @@
 /// it nodes that have not heard of each other's choices would read a new part at several engines.
 const NOT_HOME_S: f64 = 15e-3;
 
+/// Weight of the delay that a prompt brings to each other request of its engine.
+const OTHERS_WEIGHT: f64 = 0.2;
+
+/// Most others that count.
+const OTHERS_COUNTED: u32 = 12;
+
 /// Time of one further call between the two engines of a split prompt, in seconds.
 const SECOND_CALL_S: f64 = 10e-3;
 
@@ -194,6 +200,7 @@
             let ahead = work.unread_tokens as f64 + f64::from(unread);
             let expected_s = self.speeds.expected_s(engine.key, engine.stage, ahead)
                 + batch_s(engine, work.requests)
+                + self.others_s(engine, unread, work.requests)
                 + fetch_s
                 + not_home_s(engine, home, kept, request)
                 + self.common_s(now, zone, engine)
@@ -230,6 +237,18 @@
         best(choices)
     }
 
+    /// Delay that reading a prompt brings to the requests that the engine generates for.
+    fn others_s(&self, engine: &StagedEngine, unread: u32, requests: u32) -> f64 {
+        if engine.stage != Stage::Decode {
+            return 0.0;
+        }
+        let own_s = self
+            .speeds
+            .expected_s(engine.key, engine.stage, f64::from(unread))
+            - self.speeds.expected_s(engine.key, engine.stage, 0.0);
+        own_s * f64::from(requests.min(OTHERS_COUNTED)) * OTHERS_WEIGHT
+    }
+
     /// Time added by the zone and by silence.
     fn common_s(&self, now: MonotonicTime, zone: &ZoneName, engine: &StagedEngine) -> f64 {
         let zone_s = if engine.zone == *zone {
--- a/crates/routing/tests/staged.rs
+++ b/crates/routing/tests/staged.rs
@@ -86,6 +86,26 @@
     assert!(matches!(plan, PromptPlan::Split { .. }), "{plan:?}");
 }
 
+/// A prompt that is read beside others' tokens delays each of them.
+#[rstest]
+fn a_long_prompt_keeps_away_from_engines_that_generate_for_many() {
+    let mut router = StagedRouter::default();
+    let fleet = fleet();
+    for prefill in &fleet[..2] {
+        router.work.sent(prefill.key, 25_000);
+    }
+    let request = prompt(&[(1, 8_000)]);
+    let idle = plan(&router, &fleet, &request);
+    assert!(matches!(idle, PromptPlan::Whole(_)), "{idle:?}");
+    for decode in &fleet[2..] {
+        for _ in 0..12 {
+            router.work.sent(decode.key, 0);
+        }
+    }
+    let busy = plan(&router, &fleet, &request);
+    assert!(matches!(busy, PromptPlan::Split { .. }), "{busy:?}");
+}
+
 #[rstest]
 fn a_prompt_goes_where_its_parts_are_kept() {
     let mut router = StagedRouter::default();
