--- a/crates/forwarding/src/authority.rs
+++ b/crates/forwarding/src/authority.rs
@@ -5,6 +5,9 @@
 //! again right before each order, so that a process that stood still gives none. A new holder is
 //! quiet for the time of a whole lease first: orders of two holders never lie closer.
 
+#[cfg(test)]
+mod tests;
+
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/forwarding/src/forward.rs
+++ b/crates/forwarding/src/forward.rs
@@ -20,7 +20,7 @@
 use crate::attempt::{AttemptEnd, Call, EngineAnswer, attempt};
 use crate::context::Context;
 use crate::headers::passed_on;
-use crate::plan::{Plan, choose};
+use crate::plan::{Plan, choose, choose_again};
 use crate::prefill::{HeldPrompt, PrefillEnd, prefill};
 use crate::progress::{CallPurpose, PassedRequest, Progress};
 use crate::relay::Relay;
@@ -148,10 +148,11 @@
 
 /// What the caller is told where no further call may be made.
 fn final_failure(progress: &Progress) -> Failure {
-    if progress.runs == 0 {
-        Failure::NoEngine
-    } else {
-        Failure::Unknown
+    match (progress.runs, progress.time_left().is_zero()) {
+        (0, true) => Failure::TimeOverNotRun,
+        (0, false) => Failure::NoEngine,
+        (_, true) => Failure::TimeOver,
+        (_, false) => Failure::Unknown,
     }
 }
 
@@ -300,13 +301,7 @@
     pool: &PoolName,
 ) -> Option<EngineAnswer> {
     while may_call_again(context, progress) {
-        let choice = {
-            let fleet = context.fleet();
-            let router = context.router.borrow();
-            let request = progress.staged(pool);
-            let (now, zone) = (context.now(), &context.settings.zone);
-            router.choose_whole(now, zone, fleet.pool(pool), &request)?
-        };
+        let choice = choose_again(context, progress, pool)?;
         if let AttemptEnd::Answered(answer) = run(context, progress, pool, choice, None).await
             && answer.head.status.is_success()
         {
--- a/crates/forwarding/src/plan.rs
+++ b/crates/forwarding/src/plan.rs
@@ -25,6 +25,20 @@
     pools.find_map(|pool| choose_in(context, progress, pool, fleet.pool(pool)))
 }
 
+/// The engine of `pool` that goes on with a request which has run.
+pub(crate) fn choose_again(
+    context: &Context,
+    progress: &Progress,
+    pool: &PoolName,
+) -> Option<EngineChoice> {
+    let fleet = context.fleet();
+    match choose_in(context, progress, pool, fleet.pool(pool))? {
+        Plan::Whole(_, choice) => Some(choice),
+        // A request that has run is not split any more.
+        Plan::Prefill(..) => None,
+    }
+}
+
 fn choose_in(
     context: &Context,
     progress: &Progress,
--- /dev/null
+++ b/crates/forwarding/tests/serving.rs
@@ -0,0 +1,239 @@
+//! A node before engines that fail: what callers and engines see.
+
+mod support;
+
+use std::io::Write as _;
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use support::{Script, TestEngine, TestNode, answer, get, id_of};
+
+fn sound(head: &str, stream: &mut TcpStream) {
+    answer(
+        stream,
+        "200 OK",
+        &format!("x-id: {}\r\n", id_of(head)),
+        "whole",
+    );
+}
+
+fn refusing(head: &str, stream: &mut TcpStream) {
+    let headers = format!("x-id: {}\r\nx-refused: 1\r\n", id_of(head));
+    answer(stream, "503 Service Unavailable", &headers, "");
+}
+
+fn failing(head: &str, stream: &mut TcpStream) {
+    let headers = format!("x-id: {}\r\n", id_of(head));
+    answer(stream, "500 Internal Server Error", &headers, "broken");
+}
+
+fn closing(_head: &str, stream: &mut TcpStream) {
+    let _ = stream.shutdown(std::net::Shutdown::Both);
+}
+
+fn silent(_head: &str, _stream: &mut TcpStream) {
+    thread::sleep(Duration::from_secs(3));
+}
+
+fn cut(head: &str, stream: &mut TcpStream) {
+    let text = format!(
+        "HTTP/1.1 200 OK\r\nx-id: {}\r\ncontent-length: 9\r\n\r\nwh",
+        id_of(head)
+    );
+    let _ = stream.write_all(text.as_bytes());
+    let _ = stream.shutdown(std::net::Shutdown::Both);
+}
+
+fn foreign(_head: &str, stream: &mut TcpStream) {
+    answer(stream, "200 OK", "x-id: another\r\n", "another's answer");
+}
+
+/// A stream of five events; the engine resumes after the event it is told of, and breaks off
+/// within its third.
+fn breaking_stream(head: &str, stream: &mut TcpStream) {
+    let last = head
+        .lines()
+        .find_map(|line| line.strip_prefix("last-event-id: "));
+    let first: u64 = last
+        .and_then(|last| last.parse().ok())
+        .map_or(1, |last: u64| last + 1);
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nx-id: {}\r\ntransfer-encoding: chunked\r\n\r\n",
+        id_of(head)
+    );
+    let _ = stream.write_all(head.as_bytes());
+    let chunk = |stream: &mut TcpStream, text: &str| {
+        let framed = format!("{:x}\r\n{text}\r\n", text.len());
+        let _ = stream.write_all(framed.as_bytes());
+    };
+    for event in first..=5 {
+        if event == first + 2 && event < 5 {
+            chunk(stream, &format!("id: {event}\ndata: hal"));
+            thread::sleep(Duration::from_millis(20));
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+            return;
+        }
+        chunk(stream, &format!("id: {event}\ndata: piece {event}\n\n"));
+    }
+    let _ = stream.write_all(b"0\r\n\r\n");
+}
+
+async fn node(kind: &str, attempts: u32, scripts: &[Script]) -> (TestNode, Vec<TestEngine>) {
+    let node = TestNode::start().await;
+    node.declare(1, kind, attempts, 1_000);
+    let engines: Vec<TestEngine> = scripts
+        .iter()
+        .map(|script| TestEngine::start(*script))
+        .collect();
+    for (place, engine) in engines.iter().enumerate() {
+        node.list(&format!("e{place}"), engine, "ready");
+    }
+    node.settle().await;
+    (node, engines)
+}
+
+fn status(answer: &str) -> &str {
+    answer.split(' ').nth(1).unwrap_or_default()
+}
+
+#[actix_rt::test]
+async fn a_node_without_a_configuration_promises_that_nothing_ran() {
+    let node = TestNode::start().await;
+    let answer = node.request("1", "/r/x").await;
+    assert_eq!(status(&answer), "503");
+    assert!(answer.contains("retry-after"), "{answer}");
+    assert_eq!(
+        status(&get(node.ready, "host: a\r\n", "/ready").await),
+        "503"
+    );
+}
+
+#[actix_rt::test]
+async fn a_route_leads_to_an_engine_and_no_route_leads_nowhere() {
+    let (node, engines) = node("once", 1, &[sound]).await;
+    assert_eq!(
+        status(&get(node.ready, "host: a\r\n", "/ready").await),
+        "200"
+    );
+    let answer = node.request("1", "/r/x?y=1").await;
+    assert_eq!(status(&answer), "200");
+    assert!(answer.ends_with("whole"), "{answer}");
+    assert!(engines[0].heads()[0].starts_with("GET /r/x?y=1 HTTP/1.1"));
+    assert_eq!(status(&node.request("2", "/other/x").await), "404");
+    assert_eq!(engines[0].heads().len(), 1);
+}
+
+#[rstest]
+#[case::once_after_a_refusal("once", 1, refusing, "200")]
+#[case::once_after_a_close("once", 2, closing, "502")]
+#[case::once_after_a_cut("once", 2, cut, "502")]
+#[case::once_after_a_failure("once", 2, failing, "500")]
+#[case::once_after_another_answer("once", 2, foreign, "502")]
+#[case::repeatable_after_a_close("repeatable", 2, closing, "200")]
+#[case::repeatable_after_a_cut("repeatable", 2, cut, "200")]
+#[case::repeatable_after_a_failure("repeatable", 2, failing, "200")]
+#[case::repeatable_after_another_answer("repeatable", 2, foreign, "200")]
+#[case::repeatable_without_an_attempt_left("repeatable", 1, closing, "502")]
+#[actix_rt::test]
+async fn another_engine_is_asked_only_where_that_is_allowed(
+    #[case] kind: &str,
+    #[case] attempts: u32,
+    #[case] first: Script,
+    #[case] expected: &str,
+) {
+    // The engine that fails is found first or not at all: its own requests are counted.
+    let (node, engines) = node(kind, attempts, &[first, sound]).await;
+    for request in 0..20 {
+        let answer = node.request(&format!("{request}"), "/r/x").await;
+        if engines[0].heads().is_empty() {
+            assert_eq!(status(&answer), "200");
+            continue;
+        }
+        assert_eq!(status(&answer), expected, "{answer}");
+        let sent = engines[1]
+            .heads()
+            .iter()
+            .filter(|head| id_of(head) == request.to_string())
+            .count();
+        assert_eq!(sent, usize::from(expected == "200"));
+        return;
+    }
+    panic!("the first engine was never asked");
+}
+
+#[actix_rt::test]
+async fn a_request_is_answered_at_its_limit_with_what_is_known() {
+    let (node, _engines) = node("once", 1, &[silent]).await;
+    let started = Instant::now();
+    let answer = node.request("1", "/r/x").await;
+    assert_eq!(status(&answer), "504");
+    assert!(!answer.contains("retry-after"), "it may have run: {answer}");
+    let took = started.elapsed();
+    assert!(took >= Duration::from_millis(950) && took < Duration::from_millis(1_500));
+}
+
+#[actix_rt::test]
+async fn an_engine_that_leaves_gets_nothing_more() {
+    let (node, engines) = node("repeatable", 2, &[sound, sound]).await;
+    node.list("e0", &engines[0], "draining");
+    node.settle().await;
+    let before = engines[0].heads().len();
+    for request in 0..10 {
+        assert_eq!(
+            status(&node.request(&format!("{request}"), "/r/x").await),
+            "200"
+        );
+    }
+    assert_eq!(engines[0].heads().len(), before);
+    node.store.write("engines/e1", None);
+    node.settle().await;
+    assert_eq!(status(&node.request("11", "/r/x").await), "503");
+}
+
+#[actix_rt::test]
+async fn an_older_configuration_never_comes_back() {
+    let (node, _engines) = node("once", 1, &[sound]).await;
+    node.store.write("declaration", Some("revision = 3"));
+    node.settle().await;
+    assert_eq!(status(&node.request("1", "/r/x").await), "404");
+    node.declare(2, "once", 1, 1_000);
+    node.settle().await;
+    assert_eq!(status(&node.request("2", "/r/x").await), "404");
+    node.store.write("declaration", Some("revision = nonsense"));
+    node.declare(4, "once", 1, 1_000);
+    node.settle().await;
+    assert_eq!(status(&node.request("3", "/r/x").await), "200");
+}
+
+#[actix_rt::test]
+async fn a_stream_is_taken_up_without_a_gap_or_a_piece_twice() {
+    let (node, engines) = node("resumable-stream", 3, &[breaking_stream, breaking_stream]).await;
+    let answer = node.request("1", "/r/x").await;
+    assert_eq!(status(&answer), "200");
+    let pieces: Vec<&str> = answer
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "))
+        .collect();
+    assert_eq!(
+        pieces,
+        ["piece 1", "piece 2", "piece 3", "piece 4", "piece 5"]
+    );
+    assert!(answer.ends_with("0\r\n\r\n"), "the answer is complete");
+    let runs: usize = engines.iter().map(|engine| engine.heads().len()).sum();
+    assert_eq!(runs, 2);
+}
+
+#[actix_rt::test]
+async fn a_stream_that_may_run_once_breaks_off_where_its_engine_does() {
+    let (node, engines) = node("stream", 2, &[breaking_stream, breaking_stream]).await;
+    let answer = node.request("1", "/r/x").await;
+    assert!(answer.contains("piece 2") && !answer.contains("piece 3"));
+    assert!(
+        !answer.ends_with("0\r\n\r\n"),
+        "the answer must not look complete"
+    );
+    let runs: usize = engines.iter().map(|engine| engine.heads().len()).sum();
+    assert_eq!(runs, 1);
+}
--- /dev/null
+++ b/crates/forwarding/tests/support/mod.rs
@@ -0,0 +1,404 @@
+//! A node in this process, before a store in memory and engines that do as they are told.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+use actix_http::{Method, RequestHead, StatusCode};
+use async_trait::async_trait;
+use bytes::Bytes;
+use dalestand_edge::routed::{
+    AnswerFacts, Dialect, EngineEntry, EngineTerms, FleetForm, HeldMemory, RequestFacts,
+    StageOrder, StageOrderOutcome,
+};
+use dalestand_edge::{
+    CasOutcome, Entry, KeyValue, LeaseId, Listing, PlatformError, WatchBatch, WatchEvent,
+    WriteExpectation,
+};
+use dalestand_forwarding::{ForwardingNode, ForwardingSettings};
+use dalestand_routes::RouteFile;
+use dalestand_telemetry::discard_logger;
+use dalestand_types::{PoolName, Revision, ZoneName};
+use error_stack::Report;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+
+const ID: HeaderName = HeaderName::from_static("x-id");
+const REFUSED: HeaderName = HeaderName::from_static("x-refused");
+const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
+const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+
+/// Words of a platform that exists only here.
+struct PlainDialect;
+
+impl Dialect for PlainDialect {
+    fn read_request(&self, headers: &HeaderMap) -> RequestFacts {
+        let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
+        let deadline: Option<u64> = text(&DEADLINE).and_then(|text| text.parse().ok());
+        RequestFacts {
+            id: text(&ID).map(Arc::from),
+            deadline: deadline.map(Duration::from_millis),
+            ..RequestFacts::default()
+        }
+    }
+
+    fn write_request(&self, headers: &mut HeaderMap, terms: &EngineTerms<'_>) {
+        if let Some(event) = terms.last_event {
+            headers.insert(LAST_EVENT, HeaderValue::from(event));
+        }
+    }
+
+    fn read_answer(&self, _status: StatusCode, headers: &HeaderMap) -> AnswerFacts {
+        let id = headers.get(ID).and_then(|value| value.to_str().ok());
+        AnswerFacts {
+            id: id.map(Arc::from),
+            refused: headers.contains_key(REFUSED),
+            marked: true,
+        }
+    }
+
+    fn read_held_memory(&self, _body: &[u8]) -> Option<HeldMemory> {
+        None
+    }
+
+    fn free_memory(&self, _memory: &HeldMemory) -> (Method, String) {
+        (Method::DELETE, "/memory".to_owned())
+    }
+
+    fn stage_order(&self, _order: &StageOrder<'_>) -> (RequestHead, Bytes) {
+        (RequestHead::default(), Bytes::new())
+    }
+
+    fn read_stage_order(&self, status: StatusCode) -> StageOrderOutcome {
+        StageOrderOutcome::Refused(status.as_u16())
+    }
+
+    fn report_request(&self) -> RequestHead {
+        RequestHead::default()
+    }
+
+    fn read_report_sequence(&self, _body: &[u8]) -> Option<u64> {
+        None
+    }
+
+    fn kept_parts_request(&self) -> RequestHead {
+        RequestHead::default()
+    }
+
+    fn read_kept_parts(&self, _body: &[u8]) -> Vec<(u64, u32)> {
+        Vec::new()
+    }
+
+    fn ready_path(&self) -> &'static str {
+        "/ready"
+    }
+}
+
+/// Entries of engines are `ADDRESS STATE`, declarations are TOML.
+struct PlainForm;
+
+impl FleetForm for PlainForm {
+    fn configuration_key(&self) -> &'static str {
+        "declaration"
+    }
+
+    fn engine_prefix(&self) -> &'static str {
+        "engines/"
+    }
+
+    fn read_configuration(&self, value: &str) -> Result<RouteFile, String> {
+        toml::from_str(value).map_err(|error| error.to_string())
+    }
+
+    fn read_engine(&self, key: &str, value: &str) -> Result<EngineEntry, String> {
+        let (address, state) = value.split_once(' ').ok_or("no state")?;
+        Ok(EngineEntry {
+            run: Arc::from(key),
+            pool: PoolName::from("pool"),
+            address: address.parse().map_err(|_| "no address")?,
+            zone: ZoneName::from("here"),
+            slots: 4,
+            accepting: state == "ready",
+            role: None,
+        })
+    }
+}
+
+/// A store in memory.
+#[derive(Default)]
+pub struct MemoryStore {
+    revision: Cell<u64>,
+    entries: RefCell<BTreeMap<String, Entry>>,
+    events: RefCell<Vec<WatchEvent>>,
+}
+
+impl MemoryStore {
+    /// Writes a key, or removes it.
+    pub fn write(&self, key: &str, value: Option<&str>) {
+        self.revision.set(self.revision.get() + 1);
+        let revision = Revision(self.revision.get());
+        let value = value.map(str::to_owned);
+        let mut entries = self.entries.borrow_mut();
+        match &value {
+            Some(value) => {
+                let entry = Entry {
+                    key: key.to_owned(),
+                    value: value.clone(),
+                    revision,
+                };
+                entries.insert(key.to_owned(), entry);
+            }
+            None => {
+                entries.remove(key);
+            }
+        }
+        self.events.borrow_mut().push(WatchEvent {
+            key: key.to_owned(),
+            value,
+            revision,
+        });
+    }
+}
+
+#[async_trait(?Send)]
+impl KeyValue for MemoryStore {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, Report<PlatformError>> {
+        Ok(self.entries.borrow().get(key).cloned())
+    }
+
+    async fn range(&self, prefix: &str) -> Result<Listing, Report<PlatformError>> {
+        let entries = self.entries.borrow();
+        let under = entries
+            .values()
+            .filter(|entry| entry.key.starts_with(prefix));
+        Ok(Listing {
+            revision: Revision(self.revision.get()),
+            entries: under.cloned().collect(),
+        })
+    }
+
+    async fn compare_and_swap(
+        &self,
+        key: &str,
+        expectation: WriteExpectation,
+        value: Option<&str>,
+        _lease: Option<LeaseId>,
+    ) -> Result<CasOutcome, Report<PlatformError>> {
+        let current = self.entries.borrow().get(key).cloned();
+        let holds = match (expectation, &current) {
+            (WriteExpectation::Absent, None) => true,
+            (WriteExpectation::At(revision), Some(entry)) => entry.revision == revision,
+            _ => false,
+        };
+        if !holds {
+            return Ok(CasOutcome::Conflict { current });
+        }
+        self.write(key, value);
+        let revision = Revision(self.revision.get());
+        Ok(CasOutcome::Written { revision })
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<WatchBatch, Report<PlatformError>> {
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            let events: Vec<WatchEvent> = self
+                .events
+                .borrow()
+                .iter()
+                .filter(|event| event.revision > after && event.key.starts_with(prefix))
+                .cloned()
+                .collect();
+            if !events.is_empty() || tokio::time::Instant::now() >= until {
+                return Ok(WatchBatch {
+                    revision: Revision(self.revision.get()),
+                    events,
+                    compacted: false,
+                });
+            }
+            actix_rt::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    async fn grant_lease(&self, _: Duration) -> Result<LeaseId, Report<PlatformError>> {
+        Ok(LeaseId(1))
+    }
+
+    async fn renew_lease(&self, _lease: LeaseId) -> Result<bool, Report<PlatformError>> {
+        Ok(true)
+    }
+
+    async fn revoke_lease(&self, _lease: LeaseId) -> Result<(), Report<PlatformError>> {
+        Ok(())
+    }
+}
+
+/// What an engine does with one request: the head it read and the connection.
+pub type Script = fn(&str, &mut TcpStream);
+
+/// An engine that answers each request by `script`, on a thread of its own.
+pub struct TestEngine {
+    /// Where it listens.
+    pub address: SocketAddr,
+    heads: Arc<Mutex<Vec<String>>>,
+}
+
+impl TestEngine {
+    /// Starts an engine.
+    pub fn start(script: Script) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let heads = Arc::new(Mutex::new(Vec::new()));
+        let seen = Arc::clone(&heads);
+        thread::spawn(move || {
+            while let Ok((stream, _)) = listener.accept() {
+                let seen = Arc::clone(&seen);
+                thread::spawn(move || serve(stream, script, &seen));
+            }
+        });
+        Self { address, heads }
+    }
+
+    /// Heads of the requests it was sent.
+    pub fn heads(&self) -> Vec<String> {
+        self.heads.lock().expect("no panic").clone()
+    }
+}
+
+fn serve(mut stream: TcpStream, script: Script, seen: &Mutex<Vec<String>>) {
+    while let Some(head) = read_head(&mut stream) {
+        seen.lock().expect("no panic").push(head.clone());
+        script(&head, &mut stream);
+    }
+}
+
+fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut read = Vec::new();
+    let mut byte = [0_u8; 1];
+    while !read.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).ok()? == 0 {
+            return None;
+        }
+        read.push(byte[0]);
+    }
+    String::from_utf8(read).ok()
+}
+
+/// The id a request's head names.
+pub fn id_of(head: &str) -> String {
+    let line = head.lines().find_map(|line| line.strip_prefix("x-id: "));
+    line.unwrap_or_default().to_owned()
+}
+
+/// Writes an answer with a length.
+pub fn answer(stream: &mut TcpStream, status: &str, headers: &str, body: &str) {
+    let length = body.len();
+    let text = format!("HTTP/1.1 {status}\r\n{headers}content-length: {length}\r\n\r\n{body}");
+    // The node may have gone away.
+    let _ = stream.write_all(text.as_bytes());
+}
+
+/// A node with its store.
+pub struct TestNode {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the node tells whether it is ready.
+    pub ready: SocketAddr,
+    /// Its store.
+    pub store: Rc<MemoryStore>,
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+impl TestNode {
+    /// Starts a node on an empty store.
+    pub async fn start() -> Self {
+        let (callers, ready, peers) = (free_address(), free_address(), free_address());
+        let settings = format!(
+            "node = \"node-1\"\nzone = \"here\"\ncaller_listen = \"{callers}\"\n\
+             ready_listen = \"{ready}\"\npeer_listen = \"{peers}\"\nkey_value = \"{peers}\"\n\
+             [retries]\nratio = 0.2\nslack = 50\nwindow_s = 10\n[stop]\ngrace_s = 8\n\
+             [roles]\nlease_ms = 3000\n"
+        );
+        let settings = ForwardingSettings::parse(&settings).expect("sound settings");
+        let store = Rc::new(MemoryStore::default());
+        let known = settings.clone();
+        let node = ForwardingNode {
+            settings,
+            read_settings: Box::new(move || Ok(known.clone())),
+            dialect: Rc::new(PlainDialect),
+            form: Rc::new(PlainForm),
+            store: Rc::clone(&store) as Rc<dyn KeyValue>,
+            logger: discard_logger(),
+        };
+        actix_rt::spawn(async move {
+            dalestand_forwarding::run(node).await.expect("a node");
+        });
+        let node = Self {
+            callers,
+            ready,
+            store,
+        };
+        while tokio::net::TcpStream::connect(callers).await.is_err() {
+            actix_rt::time::sleep(Duration::from_millis(5)).await;
+        }
+        node
+    }
+
+    /// Declares one route of `kind` to one pool, for `attempts` engines and `limit_ms`.
+    pub fn declare(&self, revision: u64, kind: &str, attempts: u32, limit_ms: u64) {
+        let text = format!(
+            "revision = {revision}\n[[pool]]\nname = \"pool\"\nmax_connections = 100\n[[route]]\n\
+             name = \"route\"\nhost = \"a.example\"\npath_prefix = \"/r/\"\nkind = \"{kind}\"\n\
+             pools = [{{ pool = \"pool\", weight = 1 }}]\ntime_limit_ms = {limit_ms}\n\
+             objective_ms = 100\npause_objective_ms = 100\nmax_attempts = {attempts}\n"
+        );
+        self.store.write("declaration", Some(&text));
+    }
+
+    /// Lists an engine in a state.
+    pub fn list(&self, name: &str, engine: &TestEngine, state: &str) {
+        let value = format!("{} {state}", engine.address);
+        self.store.write(&format!("engines/{name}"), Some(&value));
+    }
+
+    /// Waits until the node has heard what was written.
+    pub async fn settle(&self) {
+        actix_rt::time::sleep(Duration::from_millis(80)).await;
+    }
+
+    /// Sends a request; yields all bytes of the answer and whether the connection ended as it
+    /// should after them.
+    pub async fn request(&self, id: &str, path: &str) -> String {
+        get(
+            self.callers,
+            &format!("x-id: {id}\r\nhost: a.example\r\n"),
+            path,
+        )
+        .await
+    }
+}
+
+/// Sends a request; yields all bytes until the connection ends.
+pub async fn get(address: SocketAddr, headers: &str, path: &str) -> String {
+    let stream = tokio::net::TcpStream::connect(address).await;
+    let mut stream = stream.expect("a connection");
+    let text = format!("GET {path} HTTP/1.1\r\n{headers}connection: close\r\n\r\n");
+    stream.write_all(text.as_bytes()).await.expect("written");
+    let mut answer = Vec::new();
+    // An answer that breaks off ends with an error or an early end; the bytes tell.
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
