--- a/crates/forwarding/src/attempt.rs
+++ b/crates/forwarding/src/attempt.rs
@@ -119,7 +119,8 @@
     if !matches!(end, AttemptEnd::NotSent) {
         progress.arrived(call.purpose);
     }
-    progress.record(call.purpose, &engine.run, outcome, took);
+    let record = progress.record(call.purpose, &engine.run, outcome, took);
+    context.metrics.call(record);
     end
 }
 
--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -17,6 +17,7 @@
 use crate::counts::InFlight;
 use crate::demand::DemandMeter;
 use crate::fleet::Fleet;
+use crate::metrics::ForwardingMetrics;
 use crate::placements::Placements;
 use crate::settings::ForwardingSettings;
 
@@ -42,6 +43,7 @@
     pub(crate) demand: RefCell<DemandMeter>,
     /// Engines to be avoided that peers have not been told of.
     pub(crate) avoided: RefCell<Vec<(EngineKey, Duration)>>,
+    pub(crate) metrics: ForwardingMetrics,
     started: Instant,
     table: RefCell<Option<Rc<RouteTable>>>,
     entries: RefCell<HashMap<String, EngineEntry>>,
@@ -57,8 +59,10 @@
         dialect: Rc<dyn Dialect>,
         form: Rc<dyn FleetForm>,
         logger: Logger,
+        metrics: ForwardingMetrics,
     ) -> Self {
         Self {
+            metrics,
             dialect,
             form,
             link: EngineLink::new(LinkLimits::default()),
@@ -186,6 +190,11 @@
         self.budget.borrow_mut().set_nodes(nodes);
     }
 
+    /// Nodes known, this one among them.
+    pub(crate) fn node_count(&self) -> usize {
+        self.nodes.get()
+    }
+
     /// Connections that this node may have to one engine of the pool.
     pub(crate) fn max_connections(&self, pool: &PoolName) -> usize {
         let table = self.table.borrow();
--- a/crates/forwarding/src/forward.rs
+++ b/crates/forwarding/src/forward.rs
@@ -53,6 +53,9 @@
         Ok(progress) => progress,
         Err(failure) => {
             log_unadmitted(&context, &request, failure);
+            context
+                .metrics
+                .request(None, failure.status(), Duration::ZERO);
             return closing(&context, failure.answer());
         }
     };
@@ -65,6 +68,14 @@
             Failure::TimeOver
         })
     });
+    let status = match &served {
+        Ok(Served::Whole(head, _)) => head.status,
+        Ok(Served::Stream(_, answer)) => answer.head.status,
+        Err(failure) => failure.status(),
+    };
+    let took = progress.started.elapsed();
+    let kind = Some(progress.route.kind);
+    context.metrics.request(kind, status, took);
     let answer = match served {
         Ok(Served::Whole(head, body)) => {
             log_served(&context, &progress, head.status.as_u16());
--- /dev/null
+++ b/crates/forwarding/src/metrics.rs
@@ -0,0 +1,143 @@
+//! Counters, histograms and gauges of a forwarding node, in the Prometheus text format.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use dalestand_http_server::{
+    Answer, Connections, Request, ServerLimits, StatusCode, serve, status_answer, text_answer,
+};
+use dalestand_routes::RouteKind;
+use prometheus::{
+    Encoder as _, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+use tokio::net::TcpListener;
+
+use crate::context::Context;
+use crate::progress::{CallPurpose, CallRecord};
+
+/// Where the figures are told.
+const PATH: &str = "/metrics";
+
+/// Upper bounds of the latency histograms, in seconds.
+const LATENCY_BOUNDS: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0, 2.5, 5.0];
+
+/// The figures.
+pub(crate) struct ForwardingMetrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    head_seconds: HistogramVec,
+    calls: IntCounterVec,
+    call_seconds: HistogramVec,
+    in_flight: IntGauge,
+    engines: IntGauge,
+    nodes: IntGauge,
+    configuration: IntGauge,
+}
+
+impl ForwardingMetrics {
+    /// Figures that stand at zero.
+    pub(crate) fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new_custom(Some("dalestand".to_owned()), None)?;
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok::<_, prometheus::Error>(counters)
+        };
+        let latencies = |name: &str, help: &str, labels: &[&str]| {
+            let options = HistogramOpts::new(name, help).buckets(LATENCY_BOUNDS.to_vec());
+            let latencies = HistogramVec::new(options, labels)?;
+            registry.register(Box::new(latencies.clone()))?;
+            Ok::<_, prometheus::Error>(latencies)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        Ok(Self {
+            requests: counters(
+                "forwarded_requests_total",
+                "Requests by kind of route and status.",
+                &["kind", "status"],
+            )?,
+            head_seconds: latencies(
+                "forwarded_head_seconds",
+                "Time to the answer's head, by kind of route.",
+                &["kind"],
+            )?,
+            calls: counters(
+                "engine_calls_total",
+                "Calls to engines by purpose and outcome.",
+                &["purpose", "outcome"],
+            )?,
+            call_seconds: latencies(
+                "engine_call_seconds",
+                "Time of calls to engines, by purpose.",
+                &["purpose"],
+            )?,
+            in_flight: gauge("forwarded_in_flight", "Requests under way.")?,
+            engines: gauge("engines_accepting", "Engines that take new work.")?,
+            nodes: gauge("nodes_known", "Nodes, this one among them.")?,
+            configuration: gauge("declaration_revision", "Revision in force; 0 for none.")?,
+            registry,
+        })
+    }
+
+    /// Notes a request whose answer's head is decided.
+    pub(crate) fn request(&self, kind: Option<RouteKind>, status: StatusCode, took: Duration) {
+        let kind = kind.map_or("none", kind_label);
+        let requests = self.requests.with_label_values(&[kind, status.as_str()]);
+        requests.inc();
+        let latency = self.head_seconds.with_label_values(&[kind]);
+        latency.observe(took.as_secs_f64());
+    }
+
+    /// Notes a call to an engine.
+    pub(crate) fn call(&self, call: &CallRecord) {
+        let purpose = match call.purpose {
+            CallPurpose::Prefill => "prefill",
+            CallPurpose::Run => "run",
+        };
+        let calls = self.calls.with_label_values(&[purpose, call.outcome]);
+        calls.inc();
+        let latency = self.call_seconds.with_label_values(&[purpose]);
+        latency.observe(call.took.as_secs_f64());
+    }
+
+    fn text(&self, context: &Context) -> Result<String, prometheus::Error> {
+        self.in_flight.set(context.in_flight.count() as i64);
+        self.engines.set(context.fleet().len() as i64);
+        self.nodes.set(context.node_count() as i64);
+        let revision = context.table().map_or(0, |table| table.revision().0);
+        self.configuration.set(revision as i64);
+        let mut buffer = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut buffer)?;
+        Ok(String::from_utf8_lossy(&buffer).into_owned())
+    }
+}
+
+fn kind_label(kind: RouteKind) -> &'static str {
+    match kind {
+        RouteKind::Repeatable => "repeatable",
+        RouteKind::Once => "once",
+        RouteKind::Stream => "stream",
+        RouteKind::ResumableStream => "resumable-stream",
+    }
+}
+
+/// Tells the figures on `listener` for as long as it is polled.
+pub(crate) async fn serve_metrics(context: Rc<Context>, listener: TcpListener) {
+    let handler = move |request| answer(Rc::clone(&context), request);
+    let limits = ServerLimits::default();
+    serve(listener, limits, Connections::default(), handler).await;
+}
+
+async fn answer(context: Rc<Context>, request: Request) -> Answer {
+    if request.path() != PATH {
+        return status_answer(StatusCode::NOT_FOUND);
+    }
+    match context.metrics.text(&context) {
+        Ok(text) => text_answer(StatusCode::OK, text),
+        Err(error) => text_answer(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    }
+}
--- a/crates/forwarding/src/node.rs
+++ b/crates/forwarding/src/node.rs
@@ -20,6 +20,7 @@
 use crate::error::ForwardingError;
 use crate::follow::{Follower, follow};
 use crate::forward::forward;
+use crate::metrics::{ForwardingMetrics, serve_metrics};
 use crate::part_recovery::recover_parts;
 use crate::peers;
 use crate::ready::ready;
@@ -76,7 +77,10 @@
     let hangup = signal(SignalKind::hangup()).change_context(ForwardingError::Signals)?;
     log_event!(logger, Event::NodeStarted, "node" => %settings.node, "zone" => %settings.zone,
         "callers" => %settings.caller_listen);
-    let context = Rc::new(Context::new(settings, node.dialect, node.form, logger));
+    let metrics = ForwardingMetrics::new().change_context(ForwardingError::Metrics)?;
+    let context = Context::new(settings, node.dialect, node.form, logger, metrics);
+    let context = Rc::new(context);
+    start_metrics(&context).await;
     start_followers(&context, &node.store);
     let peers = Peers::default();
     start_peers(&context, &node.store, peer_socket, peers);
@@ -117,6 +121,22 @@
     });
 }
 
+/// A node whose metrics cannot be told serves all the same.
+async fn start_metrics(context: &Rc<Context>) {
+    let Some(address) = context.settings.metrics_listen else {
+        return;
+    };
+    match TcpListener::bind(address).await {
+        Ok(listener) => {
+            actix_rt::spawn(serve_metrics(Rc::clone(context), listener));
+        }
+        Err(error) => {
+            log_event!(context.logger, Event::ListenFailed, "address" => %address,
+                "error" => %error);
+        }
+    }
+}
+
 fn start_callers(context: &Rc<Context>, listener: TcpListener) -> Connections {
     let connections = Connections::default();
     let counted = connections.clone();
--- a/crates/forwarding/src/progress.rs
+++ b/crates/forwarding/src/progress.rs
@@ -123,13 +123,13 @@
         engine: &Arc<str>,
         outcome: &'static str,
         took: Duration,
-    ) {
-        self.calls.push(CallRecord {
+    ) -> &CallRecord {
+        self.calls.push_mut(CallRecord {
             purpose,
             engine: Arc::clone(engine),
             outcome,
             took,
-        });
+        })
     }
 
     /// A head for an engine, without what it is told beside.
--- a/crates/forwarding/src/settings.rs
+++ b/crates/forwarding/src/settings.rs
@@ -21,6 +21,9 @@
     pub ready_listen: SocketAddr,
     /// Where other nodes send their load (UDP).
     pub peer_listen: SocketAddr,
+    /// Where metrics are told, under `/metrics`; nowhere if absent.
+    #[serde(default)]
+    pub metrics_listen: Option<SocketAddr>,
     /// The key-value service.
     pub key_value: SocketAddr,
     /// Repeated sends that all nodes may make together.
