--- a/cmd/src/forward.rs
+++ b/cmd/src/forward.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use dalestand_forwarding::{ForwardingNode, ForwardingSettings};
+use dalestand_routes::RouteTable;
 use dalestand_telemetry::{LogOutput, logger};
 use dalestand_users_platform::{PlatformDialect, PlatformForm, PlatformStore};
 use getopts::Options;
@@ -55,6 +56,30 @@
     })
 }
 
+/// Lists every fault of a forwarding node's settings, or of a declaration of routes.
+pub fn check(path: &str, routes: bool) -> Exit {
+    let checked = if routes {
+        check_routes(path)
+    } else {
+        read_settings(path).map(drop)
+    };
+    match checked {
+        Ok(()) => {
+            println!("{path}: no fault found");
+            Exit::Success
+        }
+        Err(message) => usage_error(message),
+    }
+}
+
+fn check_routes(path: &str) -> Result<(), String> {
+    let text = files::read(path).map_err(|error| error.to_string())?;
+    RouteTable::parse(&text).map(drop).map_err(|faults| {
+        let faults = faults.iter().map(|fault| format!("{path}: {fault}"));
+        faults.collect::<Vec<_>>().join("\n")
+    })
+}
+
 async fn run_node(settings: ForwardingSettings, path: String) -> Exit {
     let store = PlatformStore::new(settings.key_value);
     let node = ForwardingNode {
--- a/cmd/src/node.rs
+++ b/cmd/src/node.rs
@@ -8,6 +8,7 @@
 use crate::exit::{Exit, failure, usage_error};
 use crate::files::{self, FileError};
 use crate::flags::{FlagError, optional, several};
+use crate::forward;
 
 fn node_options() -> Options {
     let mut options = Options::new();
@@ -113,12 +114,18 @@
 pub fn check(arguments: &[String]) -> Exit {
     let mut options = Options::new();
     options.optflag("s", "settings", "the file holds settings of a node");
+    options.optflag(
+        "",
+        "forwarding",
+        "the file holds settings of a forwarding node",
+    );
+    options.optflag("", "routes", "the file declares routes");
     options.optflag("h", "help", "show this help");
     let matches = match options.parse(arguments) {
         Ok(matches) => matches,
         Err(error) => return usage_error(error),
     };
-    let usage = options.usage("usage: dalestand check [--settings] FILE");
+    let usage = options.usage("usage: dalestand check [--settings|--forwarding|--routes] FILE");
     if matches.opt_present("help") {
         println!("{usage}");
         return Exit::Success;
@@ -126,6 +133,9 @@
     let [path] = matches.free.as_slice() else {
         return usage_error(usage);
     };
+    if matches.opt_present("forwarding") || matches.opt_present("routes") {
+        return forward::check(path, matches.opt_present("routes"));
+    }
     match check_file(path, matches.opt_present("settings")) {
         Ok(()) => {
             println!("{path}: no fault found");
--- a/cmd/src/operator/mod.rs
+++ b/cmd/src/operator/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod completion;
 mod explain;
+mod log_account;
 mod roles;
 mod status;
 
@@ -20,6 +21,8 @@
   status                what a node knows of the fleet
   roles                 engines and their roles, by group
   explain request ID    how a request was decided
+  explain request ID --logs FILE [--logs FILE ...]
+                        what logs of nodes tell of a request; asks no node
   explain engine ID     how an engine's role was decided
   drain                 begin a planned stop of the node asked
   drain engine ID       let an engine finish its work and take no new
@@ -58,6 +61,12 @@
         "apply: only if this revision stands there",
         "REVISION",
     );
+    options.optmulti(
+        "",
+        "logs",
+        "explain request: read this log; may be given again",
+        "FILE",
+    );
     options.optflag("h", "help", "show this help");
     options
 }
@@ -73,6 +82,12 @@
         println!("{}", options.usage(USAGE));
         return Exit::Success;
     }
+    let logs = matches.opt_strs("logs");
+    if let ["explain", "request", id] = matches.free_words().as_slice()
+        && !logs.is_empty()
+    {
+        return log_account::request(id, &logs);
+    }
     match Client::from_flags(&matches) {
         Ok(client) => actix_rt::System::new().block_on(dispatch(&matches, &client)),
         Err(message) => usage_error(message),
@@ -81,7 +96,7 @@
 
 async fn dispatch(matches: &Matches, client: &Client) -> Exit {
     let json = matches.opt_present("json");
-    let words: Vec<&str> = matches.free.iter().map(String::as_str).collect();
+    let words = matches.free_words();
     match words.as_slice() {
         ["apply", path] => apply::apply(client, matches, path).await,
         ["diff", path] => apply::diff(client, path, json).await,
@@ -100,6 +115,18 @@
     }
 }
 
+/// The words that are no flags.
+trait FreeWords {
+    /// The words, in order.
+    fn free_words(&self) -> Vec<&str>;
+}
+
+impl FreeWords for Matches {
+    fn free_words(&self) -> Vec<&str> {
+        self.free.iter().map(String::as_str).collect()
+    }
+}
+
 /// Who orders a change, for people.
 fn author(matches: &Matches) -> String {
     matches
--- /dev/null
+++ b/cmd/tests/forwarding_files.rs
@@ -0,0 +1,121 @@
+//! Files of forwarding nodes on the command line: settings, routes, logs.
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+use rstest::rstest;
+
+const SETTINGS: &str = r#"
+node = "node-1"
+zone = "here"
+caller_listen = "127.0.0.1:8080"
+ready_listen = "127.0.0.1:8081"
+peer_listen = "127.0.0.1:8082"
+key_value = "127.0.0.1:8083"
+[retries]
+ratio = 0.2
+slack = 54
+window_s = 10
+[stop]
+grace_s = 8
+[roles]
+lease_ms = 3000
+"#;
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::write(&path, text).expect("a file");
+    path
+}
+
+fn run(program: &str, arguments: &[&str]) -> Output {
+    let output = Command::new(program).args(arguments).output();
+    output.expect("the program runs")
+}
+
+#[rstest]
+fn sound_settings_have_no_fault() {
+    let path = file("sound.toml", SETTINGS);
+    let path = path.to_str().expect("a path");
+    let output = run(
+        env!("CARGO_BIN_EXE_dalestand"),
+        &["check", "--forwarding", path],
+    );
+    assert!(output.status.success(), "{output:?}");
+}
+
+#[rstest]
+#[case::check(&["check", "--forwarding"])]
+#[case::start(&["forward", "--settings"])]
+fn every_fault_is_told_and_the_exit_code_is_2(#[case] command: &[&str]) {
+    let text = SETTINGS
+        .replace("ratio = 0.2", "ratio = -1")
+        .replace("grace_s = 8", "grace_s = 0");
+    let path = file(&format!("faulty-{}.toml", command[0]), &text);
+    let mut arguments = command.to_vec();
+    arguments.push(path.to_str().expect("a path"));
+    let output = run(env!("CARGO_BIN_EXE_dalestand"), &arguments);
+    assert_eq!(output.status.code(), Some(2));
+    let told = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(
+        told.contains("retries.ratio") && told.contains("stop.grace_s"),
+        "{told}"
+    );
+}
+
+#[rstest]
+fn faulty_routes_are_told() {
+    let text = "revision = 1\n[[route]]\nname = \"r\"\nhost = \"h\"\npath_prefix = \"/x\"\n\
+                kind = \"once\"\npools = []\ntime_limit_ms = 0\nobjective_ms = 1\nmax_attempts = 1\n";
+    let path = file("routes.toml", text);
+    let path = path.to_str().expect("a path");
+    let output = run(
+        env!("CARGO_BIN_EXE_dalestand"),
+        &["check", "--routes", path],
+    );
+    assert_eq!(output.status.code(), Some(2));
+    let told = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(
+        told.contains("path_prefix") && told.contains("time_limit_ms"),
+        "{told}"
+    );
+}
+
+/// Two nodes' logs, one with a collector's time before each line, one cut in the middle.
+#[rstest]
+fn logs_of_several_nodes_make_one_account() {
+    let first = concat!(
+        "  12.1 node-1 {\"msg\":\"engine gone\",\"ts\":\"2026-05-27T01:13:29.1Z\",\"event\":1602,",
+        "\"key\":\"engines/e-1\"}\n",
+        "  12.5 node-1 {\"msg\":\"request failed\",\"ts\":\"2026-05-27T01:13:29.5Z\",\"event\":1502,",
+        "\"request\":\"ab\",\"calls\":\"Run e-1 broken 12ms\"}\n",
+    );
+    let second = concat!(
+        "{\"msg\":\"engine listed\",\"ts\":\"2026-05-27T01:13:28Z\",\"event\":1601,\"engine\":\"e-1\"}\n",
+        "{\"msg\":\"engine listed\",\"ts\":\"2026-05-27T01:13:28Z\",\"event\":1601,\"engine\":\"e-2\"}\n",
+        "{\"msg\":\"request complete\",\"ts\":\"2026-05-27T01:1",
+    );
+    let (first, second) = (file("first.log", first), file("second.log", second));
+    let (first, second) = (
+        first.to_str().expect("a path"),
+        second.to_str().expect("a path"),
+    );
+    let program = env!("CARGO_BIN_EXE_dalestandctl");
+    let arguments = [
+        "--logs", first, "--logs", second, "explain", "request", "ab",
+    ];
+    let output = run(program, &arguments);
+    assert!(output.status.success(), "{output:?}");
+    let told = String::from_utf8_lossy(&output.stdout).into_owned();
+    let place = |text: &str| {
+        told.find(text)
+            .unwrap_or_else(|| panic!("{text} in {told}"))
+    };
+    assert!(place("1601 engine listed") < place("1602 engine gone"));
+    assert!(place("1602 engine gone") < place("1502 request failed"));
+    assert!(told.contains("1 lines could not be read"));
+    assert!(!told.contains("e-2"));
+    let unknown = run(program, &["--logs", first, "explain", "request", "cd"]);
+    assert_eq!(unknown.status.code(), Some(1));
+}
