--- a/cmd/src/operator/log_account.rs
+++ b/cmd/src/operator/log_account.rs
@@ -69,9 +69,12 @@
         let last = own.iter().map(|line| line.time).max()?;
         let engines: BTreeSet<&str> = own.iter().flat_map(|line| line.engines()).collect();
         let mut told = own.clone();
+        let nodes: BTreeSet<&str> = own.iter().filter_map(|line| line.text("node")).collect();
         told.extend(self.lines.iter().filter(|line| {
             let seconds = last.as_second() - line.time.as_second();
-            line.is_belief_about(&engines) && (0..=BELIEFS_BEFORE_S).contains(&seconds)
+            let is_of_node = line.text("node").is_none_or(|node| nodes.contains(node));
+            let is_recent = (0..=BELIEFS_BEFORE_S).contains(&seconds);
+            is_of_node && is_recent && line.is_belief_about(&engines)
         }));
         told.sort_by_key(|line| line.time);
         let mut text = format!("request {id}: {} lines\n", told.len());
--- a/cmd/tests/forwarding_files.rs
+++ b/cmd/tests/forwarding_files.rs
@@ -94,6 +94,8 @@
     let second = concat!(
         "{\"msg\":\"engine listed\",\"ts\":\"2026-05-27T01:13:28Z\",\"event\":1601,\"engine\":\"e-1\"}\n",
         "{\"msg\":\"engine listed\",\"ts\":\"2026-05-27T01:13:28Z\",\"event\":1601,\"engine\":\"e-2\"}\n",
+        "{\"msg\":\"engine gone\",\"node\":\"node-3\",\"ts\":\"2026-05-27T01:13:28Z\",\"event\":1602,",
+        "\"key\":\"engines/e-1\"}\n",
         "{\"msg\":\"request complete\",\"ts\":\"2026-05-27T01:1",
     );
     let (first, second) = (file("first.log", first), file("second.log", second));
@@ -116,6 +118,10 @@
     assert!(place("1602 engine gone") < place("1502 request failed"));
     assert!(told.contains("1 lines could not be read"));
     assert!(!told.contains("e-2"));
+    assert!(
+        !told.contains("node-3"),
+        "the beliefs of nodes that did not serve it are left out"
+    );
     let unknown = run(program, &["--logs", first, "explain", "request", "cd"]);
     assert_eq!(unknown.status.code(), Some(1));
 }
--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -118,6 +118,11 @@
         Rc::clone(&self.fleet.borrow())
     }
 
+    /// The entry of an engine that is known under `key`.
+    pub(crate) fn entry(&self, key: &str) -> Option<EngineEntry> {
+        self.entries.borrow().get(key).cloned()
+    }
+
     /// Replaces all entries of engines.
     pub(crate) fn set_entries(&self, entries: HashMap<String, EngineEntry>) {
         self.entries.replace(entries);
--- a/crates/forwarding/src/node.rs
+++ b/crates/forwarding/src/node.rs
@@ -65,7 +65,9 @@
 /// Runs a node until a planned stop (SIGTERM or SIGINT) is over.
 pub async fn run(node: ForwardingNode) -> Result<(), Report<ForwardingError>> {
     let settings = node.settings;
-    let logger = node.logger;
+    let logger = node
+        .logger
+        .new(slog::o!("node" => settings.node.to_string()));
     let callers = listen(settings.caller_listen).await?;
     let ready_listener = listen(settings.ready_listen).await?;
     let peer_address = settings.peer_listen;
@@ -75,7 +77,7 @@
     let mut terminate = signal(SignalKind::terminate()).change_context(ForwardingError::Signals)?;
     let mut interrupt = signal(SignalKind::interrupt()).change_context(ForwardingError::Signals)?;
     let hangup = signal(SignalKind::hangup()).change_context(ForwardingError::Signals)?;
-    log_event!(logger, Event::NodeStarted, "node" => %settings.node, "zone" => %settings.zone,
+    log_event!(logger, Event::NodeStarted, "zone" => %settings.zone,
         "callers" => %settings.caller_listen);
     let metrics = ForwardingMetrics::new().change_context(ForwardingError::Metrics)?;
     let context = Context::new(settings, node.dialect, node.form, logger, metrics);
@@ -278,7 +280,9 @@
         let mut entries = HashMap::new();
         for listed in listing.entries {
             if let Some(entry) = self.read(&listed.key, &listed.value) {
-                self.log_listed(&entry);
+                if self.0.entry(&listed.key).as_ref() != Some(&entry) {
+                    self.log_listed(&entry);
+                }
                 entries.insert(listed.key, entry);
             }
         }
