Kept parts are counted up to 0.95 of an engine's memory

Cause: engines keep parts until a run needs the memory; the directory forgot them earlier and had them read again.

--- a/crates/routing/src/staged/parts.rs
+++ b/crates/routing/src/staged/parts.rs
@@ -9,7 +9,7 @@
 use super::{EngineKey, PromptPart};
 
 /// Share of an engine's memory that kept parts are taken to have; requests that run hold the rest.
-const KEPT_SHARE: f64 = 0.8;
+const KEPT_SHARE: f64 = 0.95;
 
 #[derive(Clone, Copy, Debug)]
 struct Kept {
