Each call in a request's account says what was expected of it

Change: a call's record holds when it was chosen, the expected time, the tokens to be read and whether it fetches; 'calls' shows them. 'explain request' reads the purpose, engine and outcome as before (its test now has a line of the new form).

--- a/cmd/tests/forwarding_files.rs
+++ b/cmd/tests/forwarding_files.rs
@@ -89,7 +89,7 @@
         "  12.1 node-1 {\"msg\":\"engine gone\",\"ts\":\"2026-05-27T01:13:29.1Z\",\"event\":1602,",
         "\"key\":\"engines/e-1\"}\n",
         "  12.5 node-1 {\"msg\":\"request failed\",\"ts\":\"2026-05-27T01:13:29.5Z\",\"event\":1502,",
-        "\"request\":\"ab\",\"calls\":\"Run e-1 broken 12ms\"}\n",
+        "\"request\":\"ab\",\"calls\":\"Run e-1 broken 12ms (at 0ms, expected 9ms)\"}\n",
     );
     let second = concat!(
         "{\"msg\":\"engine listed\",\"ts\":\"2026-05-27T01:13:28Z\",\"event\":1601,\"engine\":\"e-1\"}\n",
--- a/crates/forwarding/src/attempt.rs
+++ b/crates/forwarding/src/attempt.rs
@@ -51,12 +51,13 @@
     progress: &mut Progress,
     call: Call<'_>,
 ) -> AttemptEnd {
-    let engine = call.choice.engine.clone();
+    let choice = call.choice.clone();
+    let engine = choice.engine.clone();
     let Some(known) = context.fleet().engine(engine.key).cloned() else {
         return AttemptEnd::NotSent;
     };
     if progress.is_repeat(call.purpose) && !take_repeat(context, call.pool) {
-        progress.record(call.purpose, &engine.run, "no budget", Duration::ZERO);
+        progress.record(call.purpose, &call.choice, "no budget", Duration::ZERO);
         return AttemptEnd::NotSent;
     }
     let parts = progress.parts();
@@ -123,7 +124,7 @@
     if !matches!(end, AttemptEnd::NotSent) {
         progress.arrived(call.purpose);
     }
-    let record = progress.record(call.purpose, &engine.run, outcome, took);
+    let record = progress.record(call.purpose, &choice, outcome, took);
     context.metrics.call(record);
     end
 }
--- a/crates/forwarding/src/progress.rs
+++ b/crates/forwarding/src/progress.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use dalestand_edge::routed::RequestFacts;
 use dalestand_routes::{RouteTable, RouteTerms};
-use dalestand_routing::staged::{EngineKey, PromptPart, StagedRequest};
+use dalestand_routing::staged::{EngineChoice, EngineKey, PromptPart, StagedRequest};
 use dalestand_types::PoolName;
 
 /// Most calls made for one request, whatever came of them.
@@ -33,12 +33,43 @@
     Run,
 }
 
-/// How a call came out, for the account of a request.
+/// How a call came out, with what was expected of it, for the account of a request.
 pub(crate) struct CallRecord {
     pub(crate) purpose: CallPurpose,
     pub(crate) engine: Arc<str>,
     pub(crate) outcome: &'static str,
     pub(crate) took: Duration,
+    /// When it was chosen, counted from the request's begin.
+    chosen_after: Duration,
+    /// Expected seconds until the answer begins, with what risks and queues add.
+    expected_s: f64,
+    /// Prompt tokens that the engine was taken to read.
+    unread_tokens: u32,
+    /// Whether it was to take the rest from another engine.
+    fetches: bool,
+}
+
+impl CallRecord {
+    /// The call as a line of the log tells it: `PURPOSE ENGINE OUTCOME TOOK (what was expected)`.
+    fn account(&self) -> String {
+        let mut text = format!(
+            "{:?} {} {} {}ms (at {}ms, expected {}ms",
+            self.purpose,
+            self.engine,
+            self.outcome,
+            self.took.as_millis(),
+            self.chosen_after.as_millis(),
+            (self.expected_s * 1_000.0) as u64,
+        );
+        if self.unread_tokens > 0 {
+            text.push_str(&format!(", reads {}", self.unread_tokens));
+        }
+        if self.fetches {
+            text.push_str(", fetches");
+        }
+        text.push(')');
+        text
+    }
 }
 
 /// One request under way.
@@ -120,15 +151,19 @@
     pub(crate) fn record(
         &mut self,
         purpose: CallPurpose,
-        engine: &Arc<str>,
+        choice: &EngineChoice,
         outcome: &'static str,
         took: Duration,
     ) -> &CallRecord {
         self.calls.push_mut(CallRecord {
             purpose,
-            engine: Arc::clone(engine),
+            engine: Arc::clone(&choice.engine.run),
             outcome,
             took,
+            chosen_after: self.started.elapsed().saturating_sub(took),
+            expected_s: choice.expected_s,
+            unread_tokens: choice.unread_tokens,
+            fetches: choice.fetch_from.is_some(),
         })
     }
 
@@ -167,13 +202,7 @@
 
     /// The calls made, for the log.
     pub(crate) fn account(&self) -> String {
-        let calls = self.calls.iter().map(|call| {
-            let took = call.took.as_millis();
-            format!(
-                "{:?} {} {} {took}ms",
-                call.purpose, call.engine, call.outcome
-            )
-        });
+        let calls = self.calls.iter().map(CallRecord::account);
         calls.collect::<Vec<_>>().join("; ")
     }
 }
