Role balance counts changes under way, and a stage with a queue gives no engine away

Tests: planner/tests/stage_balance.rs; with the rule on queues taken out a_stage_with_a_queue_gives_no_engine_away fails.

--- a/crates/forwarding/src/role_control.rs
+++ b/crates/forwarding/src/role_control.rs
@@ -6,7 +6,9 @@
 
 use bytes::Bytes;
 use dalestand_edge::routed::{StageOrder, StageOrderOutcome};
-use dalestand_planner::{StageBalance, StageBalanceConfig, StageChange, StageCounts};
+use dalestand_planner::{
+    ChangesUnderWay, StageBalance, StageBalanceConfig, StageChange, StageCounts, StageQueues,
+};
 use dalestand_routing::staged::{EngineKey, Stage, StagedEngine};
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::{MonotonicTime, PoolName, Role};
@@ -28,24 +30,31 @@
 pub(crate) async fn control_roles(context: Rc<Context>, authority: Authority) {
     let mut pools: HashMap<PoolName, StageBalance> = HashMap::new();
     let mut left_alone: HashMap<EngineKey, MonotonicTime> = HashMap::new();
+    let mut under_way = ChangesUnderWay::default();
     loop {
         actix_rt::time::sleep(LOOK_INTERVAL).await;
         let now = context.now();
+        under_way.sweep(now);
         left_alone.retain(|_, until| now < *until);
         if authority.mandate(now).is_none() {
             pools.clear();
+            under_way.clear();
             continue;
         }
         for pool in prompt_pools(&context) {
             let balance = pools
                 .entry(pool.clone())
                 .or_insert_with(|| StageBalance::new(StageBalanceConfig::default()));
-            let Some((change, engine)) = due(&context, balance, &pool, &left_alone) else {
+            let Some((change, engine)) = due(&context, balance, &pool, &left_alone, &under_way)
+            else {
                 continue;
             };
             balance.ordered(now, change);
             left_alone.insert(engine.key, now + IN_DOUBT);
-            order(&context, &authority, &pool, &engine, change).await;
+            under_way.ordered(now, engine.key, change);
+            if !order(&context, &authority, &pool, &engine, change).await {
+                under_way.refused(engine.key);
+            }
         }
     }
 }
@@ -63,14 +72,20 @@
     balance: &mut StageBalance,
     pool: &PoolName,
     left_alone: &HashMap<EngineKey, MonotonicTime>,
+    under_way: &ChangesUnderWay<EngineKey>,
 ) -> Option<(StageChange, StagedEngine)> {
     let now = context.now();
     let fleet = context.fleet();
     let engines = fleet.pool(pool);
-    let count = |stage| {
+    let stage = |engine: &StagedEngine| match under_way.of(now, engine.key) {
+        Some(StageChange::ToReading) => Stage::Prefill,
+        Some(StageChange::ToGenerating) => Stage::Decode,
+        None => engine.stage,
+    };
+    let count = |wanted| {
         engines
             .iter()
-            .filter(|engine| engine.stage == stage)
+            .filter(|engine| stage(engine) == wanted)
             .count()
     };
     let counts = StageCounts {
@@ -78,7 +93,8 @@
         generating: count(Stage::Decode),
     };
     let demand = context.demand.borrow_mut().total(now, pool);
-    let change = balance.decide(now, &demand, counts)?;
+    let queues = queues(context, engines, stage);
+    let change = balance.decide(now, &demand, counts, queues)?;
     let from = match change {
         StageChange::ToReading => Stage::Decode,
         StageChange::ToGenerating => Stage::Prefill,
@@ -93,25 +109,53 @@
     })?;
     log_event!(context.logger, Event::RoleDecided, "pool" => %pool, "engine" => &*engine.run,
         "change" => ?change, "reading" => counts.reading, "generating" => counts.generating,
+        "reading_queue_ms" => (queues.reading_s * 1_000.0) as u64,
+        "generating_queue_ms" => (queues.generating_s * 1_000.0) as u64,
         "apart_tokens_per_s" => demand.apart_tokens_per_s as u64,
         "beside_tokens_per_s" => demand.beside_tokens_per_s as u64);
     Some((change, engine.clone()))
 }
 
+/// Mean time of the queues at the engines of each stage.
+fn queues(
+    context: &Context,
+    engines: &[StagedEngine],
+    stage: impl Fn(&StagedEngine) -> Stage,
+) -> StageQueues {
+    let now = context.now();
+    let router = context.router.borrow();
+    let mean_s = |wanted| {
+        let of_stage = engines.iter().filter(|engine| stage(engine) == wanted);
+        let queued: Vec<f64> = of_stage
+            .map(|engine| {
+                let unread = router.work.total(now, engine.key).unread_tokens as f64;
+                let reading_s = |tokens| router.speeds.expected_s(engine.key, wanted, tokens);
+                reading_s(unread) - reading_s(0.0)
+            })
+            .collect();
+        queued.iter().sum::<f64>() / queued.len().max(1) as f64
+    };
+    StageQueues {
+        reading_s: mean_s(Stage::Prefill),
+        generating_s: mean_s(Stage::Decode),
+    }
+}
+
+/// Gives the order; whether the engine has taken it or may have.
 async fn order(
     context: &Rc<Context>,
     authority: &Authority,
     pool: &PoolName,
     engine: &StagedEngine,
     change: StageChange,
-) {
+) -> bool {
     let Some(sequence) = read_sequence(context, pool, engine).await else {
         log_event!(context.logger, Event::EngineSilent, "engine" => &*engine.run);
-        return;
+        return false;
     };
     // Looked at again right before the order goes out.
     let Some(mandate) = authority.mandate(context.now()) else {
-        return;
+        return false;
     };
     let order = StageOrder {
         holder: context.settings.node.as_str(),
@@ -130,7 +174,7 @@
         Some(StageOrderOutcome::Refused(status)) => {
             log_event!(context.logger, Event::OrderRefused, "engine" => &*engine.run,
                 "token" => mandate.token, "sequence" => sequence, "status" => status);
-            return;
+            return false;
         }
         Some(StageOrderOutcome::Taken) => {
             log_event!(context.logger, Event::OrderGiven, "engine" => &*engine.run,
@@ -142,6 +186,7 @@
         }
     }
     context.avoid(engine.key, CHANGE_TIME);
+    true
 }
 
 async fn read_sequence(
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -4,6 +4,7 @@
 //! Pure: the holder of the group's lease and the simulator call the same code. Time comes in as an
 //! argument and there is no randomness, so equal inputs give equal plans.
 
+mod changes_under_way;
 mod composition;
 mod config;
 mod demand;
@@ -16,10 +17,13 @@
 mod stage_balance;
 mod stay;
 
+pub use changes_under_way::ChangesUnderWay;
 pub use composition::{Composition, Workload};
 pub use config::PlannerConfig;
 pub use demand::Demand;
 pub use plan::{PlanInputs, PlanReason, RolePlan};
 pub use planner::RolePlanner;
 pub use speeds::{EngineSpeeds, SpeedEstimate, SpeedSample};
-pub use stage_balance::{StageBalance, StageBalanceConfig, StageChange, StageCounts, StageDemand};
+pub use stage_balance::{
+    StageBalance, StageBalanceConfig, StageChange, StageCounts, StageDemand, StageQueues,
+};
--- a/crates/planner/src/stage_balance.rs
+++ b/crates/planner/src/stage_balance.rs
@@ -14,7 +14,7 @@
 const READING_BESIDE_FACTOR: f64 = 2.0;
 
 /// Largest share of engines that read: generating takes time that is not counted in prompt tokens.
-const LARGEST_READING_SHARE: f64 = 0.65;
+const LARGEST_READING_SHARE: f64 = 0.8;
 
 /// What a pool is asked for, over all nodes.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -25,6 +25,15 @@
     pub beside_tokens_per_s: f64,
 }
 
+/// Mean time until what is queued at the engines of a stage is read, in seconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct StageQueues {
+    /// At engines that read prompts apart.
+    pub reading_s: f64,
+    /// At engines that generate.
+    pub generating_s: f64,
+}
+
 /// Engines by what they do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StageCounts {
@@ -46,6 +55,8 @@
 /// When changes are made.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct StageBalanceConfig {
+    /// A stage whose queue takes longer gives no engine away, in seconds.
+    pub short_queue_s: f64,
     /// The lean must be this many engines.
     pub lean_engines: f64,
     /// The lean must last this long.
@@ -59,6 +70,7 @@
 impl Default for StageBalanceConfig {
     fn default() -> Self {
         Self {
+            short_queue_s: 0.1,
             lean_engines: 1.0,
             lean_lasts: Duration::from_millis(1_500),
             pause: Duration::from_millis(1_500),
@@ -91,13 +103,9 @@
         now: MonotonicTime,
         demand: &StageDemand,
         counts: StageCounts,
+        queues: StageQueues,
     ) -> Option<StageChange> {
-        let lean = wanted_reading(demand, counts)? - counts.reading as f64;
-        let change = if lean >= self.config.lean_engines && counts.generating > 1 {
-            StageChange::ToReading
-        } else if lean <= -self.config.lean_engines && counts.reading > 1 {
-            StageChange::ToGenerating
-        } else {
+        let Some(change) = self.wanted(demand, counts, queues) else {
             self.leaning = None;
             return None;
         };
@@ -112,6 +120,26 @@
         (lasted && self.pause_is_over(now, change)).then_some(change)
     }
 
+    /// The change that the demand speaks for and no queue speaks against. Demand is a mean over
+    /// seconds and lags a shift, which queues show at once: a stage with a queue gives no engine away.
+    fn wanted(
+        &self,
+        demand: &StageDemand,
+        counts: StageCounts,
+        queues: StageQueues,
+    ) -> Option<StageChange> {
+        let lean = wanted_reading(demand, counts)? - counts.reading as f64;
+        let may_give =
+            |engines: usize, queue_s: f64| engines > 1 && queue_s <= self.config.short_queue_s;
+        if lean >= self.config.lean_engines {
+            may_give(counts.generating, queues.generating_s).then_some(StageChange::ToReading)
+        } else if lean <= -self.config.lean_engines {
+            may_give(counts.reading, queues.reading_s).then_some(StageChange::ToGenerating)
+        } else {
+            None
+        }
+    }
+
     /// Notes that a change was ordered.
     pub fn ordered(&mut self, now: MonotonicTime, change: StageChange) {
         self.changed = Some((change, now));
--- a/crates/planner/tests/stage_balance.rs
+++ b/crates/planner/tests/stage_balance.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use dalestand_planner::{StageBalance, StageBalanceConfig, StageChange, StageCounts, StageDemand};
+use dalestand_planner::{
+    ChangesUnderWay, StageBalance, StageBalanceConfig, StageChange, StageCounts, StageDemand,
+    StageQueues,
+};
 use dalestand_types::MonotonicTime;
 use proptest::prelude::*;
 use rstest::rstest;
@@ -21,6 +24,16 @@
 /// Lets the balance decide every half second; yields the changes with their times.
 fn play(
     demand: impl Fn(MonotonicTime) -> StageDemand,
+    counts: StageCounts,
+    steps: usize,
+) -> Vec<(MonotonicTime, StageChange)> {
+    play_queued(demand, |_| StageQueues::default(), counts, steps)
+}
+
+/// The same with queues.
+fn play_queued(
+    demand: impl Fn(MonotonicTime) -> StageDemand,
+    queues: impl Fn(MonotonicTime) -> StageQueues,
     mut counts: StageCounts,
     steps: usize,
 ) -> Vec<(MonotonicTime, StageChange)> {
@@ -29,7 +42,7 @@
     let mut changes = Vec::new();
     for _ in 0..steps {
         now = now + STEP;
-        let Some(change) = balance.decide(now, &demand(now), counts) else {
+        let Some(change) = balance.decide(now, &demand(now), counts, queues(now)) else {
             continue;
         };
         balance.ordered(now, change);
@@ -75,6 +88,32 @@
     assert_eq!(play(wave, EVEN, 60), []);
 }
 
+/// Seen on a day of Seberang: a burst of short prompts had just ended, their mean still stood, and an
+/// engine that read was taken away as a burst of long prompts began.
+#[rstest]
+fn a_stage_with_a_queue_gives_no_engine_away() {
+    let queues = |_| StageQueues {
+        reading_s: 0.2,
+        generating_s: 0.02,
+    };
+    assert_eq!(play_queued(|_| TAGS, queues, EVEN, 40), []);
+}
+
+#[rstest]
+fn an_ordered_change_counts_until_the_list_shows_it_or_it_is_lost() {
+    let now = MonotonicTime::from_millis(1_000);
+    let mut changes = ChangesUnderWay::default();
+    changes.ordered(now, 1, StageChange::ToReading);
+    changes.ordered(now, 2, StageChange::ToGenerating);
+    changes.refused(2);
+    assert_eq!(changes.of(now, 1), Some(StageChange::ToReading));
+    assert_eq!(changes.of(now, 2), None);
+    let later = now + Duration::from_secs(5);
+    assert_eq!(changes.of(later, 1), None);
+    changes.sweep(later);
+    assert_eq!(changes.of(now, 1), None);
+}
+
 #[rstest]
 fn nothing_is_decided_without_demand() {
     assert_eq!(play(|_| StageDemand::default(), EVEN, 40), []);
