Taking a part from another engine is counted at 80 ms

Change: FETCH_CALL_S from 5 to 80 ms: what the call takes, and what the copy costs others. Test: a_part_is_not_copied_to_save_a_short_queue fails at 5 ms.

--- a/crates/routing/src/staged/chooser.rs
+++ b/crates/routing/src/staged/chooser.rs
@@ -35,8 +35,9 @@
 /// Tokens from which it pays to take them from another engine.
 const FETCHED_FROM_TOKENS: u32 = 1_000;
 
-/// Time that taking memory from another engine costs beside the move, in seconds.
-const FETCH_CALL_S: f64 = 5e-3;
+/// What taking memory from another engine costs beside the move, in seconds: the call, and that a
+/// part kept twice drives other parts out of memory, which are then read again.
+const FETCH_CALL_S: f64 = 80e-3;
 
 /// What goes on from moved memory waits for one step of the batch, which takes up to this time in
 /// seconds where prompts are read between the tokens; it does not wait for those prompts.
--- a/crates/routing/tests/staged.rs
+++ b/crates/routing/tests/staged.rs
@@ -141,6 +141,24 @@
     assert_eq!(prefill.unread_tokens, 4_000);
 }
 
+/// Seen on all days: a part was copied from engine to engine to save queues of some 20 ms, and the
+/// copies drove others out of memory, which were read again.
+#[rstest]
+fn a_part_is_not_copied_to_save_a_short_queue() {
+    let mut router = StagedRouter::default();
+    let fleet = fleet();
+    let request = prompt(&[(1, 13_000), (2, 4_000)]);
+    let shared = &request.parts[..1];
+    router.parts.sent(fleet[0].key, MEMORY_TOKENS, shared);
+    router.parts.read(fleet[0].key, shared);
+    router.work.sent(fleet[0].key, 2_500);
+    let PromptPlan::Split { prefill, .. } = plan(&router, &fleet, &request) else {
+        panic!("a long prompt is read apart");
+    };
+    assert_eq!(prefill.engine.key, fleet[0].key);
+    assert_eq!(prefill.fetch_from, None);
+}
+
 #[rstest]
 fn nothing_is_fetched_that_was_not_read() {
     let mut router = StagedRouter::default();
