Log lines wait in a queue that keeps failures before samples

Cause: the logging library's queue drops whatever comes when it is full, lines of failed requests like samples of good ones, and says so in a line without numbers of its own. Weighed: two queues of the library (a flood of failures would still lose to samples written beside it); a longer queue (the same, later). slog-async has no order by importance, so the queue is our own. Lines have since_start_ms, on the monotonic clock. Tests: telemetry/tests/log_lines.rs: a property over pushes and pops, and an output that stands still under 20,000 samples and 100 failures, of which none is lost.

--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -44,6 +44,8 @@
     StopDone = (1004, Info, "planned stop done");
     /// Callers did not take the last bytes of their answers in time.
     StopCutConnections = (1006, Warning, "planned stop left connections behind");
+    /// Lines of the log were dropped because the output was slow.
+    LogLinesDropped = (1007, Warning, "log lines dropped");
     /// A listener failed.
     ListenFailed = (1005, Error, "listener failed");
     /// A configuration came into force.
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,11 +1,14 @@
 //! Numbered log events, loggers and metrics.
 
 mod event;
+mod line_queue;
 mod logger;
 mod metrics;
+mod queued_writer;
 
 pub use event::{EVENTS, Event};
-pub use logger::{LogOutput, discard_logger, logger};
+pub use line_queue::{LinePriority, LineQueue, LineQueueLimits, LogLine};
+pub use logger::{LogOutput, discard_logger, lines, logger};
 pub use metrics::{Metrics, MetricsError};
 
 /// Logs a numbered event: `log_event!(logger, Event::NodeReady, "node" => %node)`.
--- a/crates/telemetry/src/logger.rs
+++ b/crates/telemetry/src/logger.rs
@@ -2,6 +2,8 @@
 
 use slog::{Drain as _, Logger, o};
 
+use crate::queued_writer::QueuedWriter;
+
 /// Records that may wait for the writer; more are dropped and counted, so that a slow writer never
 /// holds a request.
 const CHANNEL_RECORDS: usize = 4_096;
@@ -20,14 +22,8 @@
 /// A logger that writes from a thread of its own.
 pub fn logger(output: LogOutput) -> Logger {
     match output {
-        LogOutput::Json => {
-            let drain = slog_json::Json::default(std::io::stderr()).fuse();
-            asynchronous(std::sync::Mutex::new(drain).fuse())
-        }
-        LogOutput::JsonOutput => {
-            let drain = slog_json::Json::default(std::io::stdout()).fuse();
-            asynchronous(std::sync::Mutex::new(drain).fuse())
-        }
+        LogOutput::Json => lines(std::io::stderr()),
+        LogOutput::JsonOutput => lines(std::io::stdout()),
         LogOutput::Terminal => {
             let decorator = slog_term::TermDecorator::new().stderr().build();
             let drain = slog_term::FullFormat::new(decorator).build().fuse();
@@ -36,6 +32,11 @@
     }
 }
 
+/// A logger that writes one JSON object a line to `output`, findings before samples.
+pub fn lines(output: impl std::io::Write + Send + 'static) -> Logger {
+    Logger::root(QueuedWriter::start(output), o!())
+}
+
 /// A logger that writes nothing.
 pub fn discard_logger() -> Logger {
     Logger::root(slog::Discard, o!())
--- /dev/null
+++ b/crates/telemetry/tests/log_lines.rs
@@ -0,0 +1,130 @@
+//! The queue of log lines, and that logging never waits for its output.
+
+use std::io::Write;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use dalestand_telemetry::{
+    Event, LinePriority, LineQueue, LineQueueLimits, LogLine, lines, log_event,
+};
+use proptest::prelude::*;
+
+const LIMITS: LineQueueLimits = LineQueueLimits {
+    lines: 8,
+    bytes: 200,
+};
+
+fn line(priority: LinePriority, length: usize) -> LogLine {
+    let message = match priority {
+        LinePriority::Sample => "sample",
+        LinePriority::Finding => "finding",
+    };
+    LogLine {
+        priority,
+        message: message.to_owned(),
+        bytes: vec![b'x'; length],
+    }
+}
+
+#[test]
+fn findings_take_the_place_of_samples_and_are_written_first() {
+    let mut queue = LineQueue::new(LIMITS);
+    for _ in 0..10 {
+        queue.push(line(LinePriority::Sample, 10));
+    }
+    for _ in 0..3 {
+        queue.push(line(LinePriority::Finding, 10));
+    }
+    assert_eq!(queue.len(), 8);
+    assert_eq!(queue.take_dropped().get("sample"), Some(&5));
+    let order: Vec<LinePriority> = std::iter::from_fn(|| queue.pop())
+        .map(|line| line.priority)
+        .collect();
+    assert_eq!(order[..3], [LinePriority::Finding; 3]);
+    assert_eq!(order[3..], [LinePriority::Sample; 5]);
+}
+
+proptest! {
+    /// A finding is dropped only while no sample waits, the bounds hold, and every line is either
+    /// written or counted.
+    #[test]
+    fn no_finding_is_lost_for_a_sample(
+        steps in proptest::collection::vec((0_u8..3, 1_usize..80), 1..300),
+    ) {
+        let mut queue = LineQueue::new(LIMITS);
+        let (mut pushed, mut written, mut dropped) = (0_u64, 0_u64, 0_u64);
+        let mut samples_waiting = 0_i64;
+        for (what, length) in steps {
+            if what == 0 {
+                if let Some(line) = queue.pop() {
+                    written += 1;
+                    samples_waiting -= i64::from(line.priority == LinePriority::Sample);
+                }
+                continue;
+            }
+            let priority = if what == 1 { LinePriority::Sample } else { LinePriority::Finding };
+            pushed += 1;
+            queue.push(line(priority, length));
+            let lost = queue.take_dropped();
+            let samples_lost = lost.get("sample").copied().unwrap_or_default();
+            samples_waiting += i64::from(priority == LinePriority::Sample) - samples_lost as i64;
+            dropped += lost.values().sum::<u64>();
+            if lost.contains_key("finding") {
+                prop_assert_eq!(samples_waiting, 0);
+            }
+            prop_assert!(queue.len() <= LIMITS.lines);
+        }
+        prop_assert_eq!(pushed, written + dropped + queue.len() as u64);
+    }
+}
+
+/// An output that stands still until it is let go.
+#[derive(Clone, Default)]
+struct SlowOutput {
+    held: Arc<Mutex<()>>,
+    written: Arc<Mutex<Vec<u8>>>,
+}
+
+impl Write for SlowOutput {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let _held = self.held.lock().expect("no panic");
+        self.written.lock().expect("no panic").extend(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn logging_does_not_wait_for_the_output_and_tells_what_was_dropped() {
+    let output = SlowOutput::default();
+    let logger = lines(output.clone());
+    let held = output.held.lock().expect("no panic");
+    let begun = Instant::now();
+    for request in 0..20_000 {
+        log_event!(logger, Event::RequestComplete, "request" => request);
+    }
+    for request in 0..100 {
+        log_event!(logger, Event::RequestFailed, "request" => request);
+    }
+    assert!(
+        begun.elapsed() < Duration::from_secs(20),
+        "the output stands still for ever"
+    );
+    std::thread::sleep(Duration::from_millis(1_100));
+    drop(held);
+    drop(logger);
+    let written = output.written.lock().expect("no panic").clone();
+    let written = String::from_utf8(written).expect("text");
+    let failed = written.matches("\"event\":1502").count();
+    assert_eq!(failed, 100, "no line of a failure is dropped for a success");
+    let dropped = written
+        .lines()
+        .filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok())
+        .find(|line| line["event"] == 1007)
+        .expect("a line on what was dropped");
+    assert!(dropped["dropped"]["request complete"].as_u64() > Some(10_000));
+    assert!(written.contains("since_start_ms"));
+}
