Followers of the store wake each other, and ask often until they have read

Change: Regained wakes the followers of a node that sit out a pause as one reaches the service; until its first read a follower pauses for at most 0.2 s. Tests: with the waking taken out one_follower_that_reaches_the_service_wakes_the_others fails (three of three runs); with the former pause a_follower_that_has_read_nothing_asks_often fails.

--- a/crates/forwarding/src/follow.rs
+++ b/crates/forwarding/src/follow.rs
@@ -12,6 +12,7 @@
 use error_stack::Report;
 use rand::RngExt as _;
 use slog::Logger;
+use tokio::sync::Notify;
 
 /// Longest wait of one watch.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
@@ -22,6 +23,26 @@
 /// Longest pause after failures.
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 
+/// The same for a follower that has never read its keys: a node that knows no configuration or no
+/// engine refuses every request.
+const LONGEST_PAUSE_UNREAD: Duration = Duration::from_millis(200);
+
+/// Tells the followers of a node that one of them reached the service again, so that the others do
+/// not sit out their pauses.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Regained(Rc<Notify>);
+
+impl Regained {
+    fn tell(&self) {
+        self.0.notify_waiters();
+    }
+
+    /// Waits for `pause`, or until another follower reached the service.
+    async fn wait(&self, pause: Duration) {
+        let _ = tokio::time::timeout(pause, self.0.notified()).await;
+    }
+}
+
 /// What is done with keys as they change.
 pub(crate) trait Follower {
     /// All keys, as they stand.
@@ -36,9 +57,11 @@
     store: Rc<dyn KeyValue>,
     prefix: String,
     follower: impl Follower,
+    regained: Regained,
     logger: Logger,
 ) {
     let mut position: Option<Revision> = None;
+    let mut was_read = false;
     let mut failures = 0;
     loop {
         match step(&*store, &prefix, position, &follower).await {
@@ -46,8 +69,10 @@
                 if failures > 0 {
                     log_event!(logger, Event::KeyValueRegained, "prefix" => &prefix,
                         "failures" => failures, "revision" => next.map(|revision| revision.0));
+                    regained.tell();
                 }
                 failures = 0;
+                was_read = true;
                 position = next;
             }
             Err(error) => {
@@ -60,7 +85,13 @@
                 // A watch that was cut may have missed a change that the next watch does not tell
                 // either: only a read shows what stands now.
                 position = None;
-                actix_rt::time::sleep(pause(failures, error.current_context())).await;
+                let longest = if was_read {
+                    LONGEST_PAUSE
+                } else {
+                    LONGEST_PAUSE_UNREAD
+                };
+                let pause = pause(failures, longest, error.current_context());
+                regained.wait(pause).await;
             }
         }
     }
@@ -90,12 +121,12 @@
 }
 
 /// A pause that grows with the failures, spread so that nodes do not call in step.
-fn pause(failures: u32, error: &PlatformError) -> Duration {
+fn pause(failures: u32, longest: Duration, error: &PlatformError) -> Duration {
     let grown = FIRST_PAUSE * 2_u32.pow(failures.min(5) - 1);
     let told = match error {
         PlatformError::RateLimited { retry_after, .. } => *retry_after,
         _ => Duration::ZERO,
     };
-    let longest = grown.min(LONGEST_PAUSE).max(told.min(LONGEST_PAUSE));
-    longest.mul_f64(rand::rng().random_range(0.6..1.0))
+    let pause = grown.max(told).min(longest);
+    pause.mul_f64(rand::rng().random_range(0.6..1.0))
 }
--- a/crates/forwarding/src/follow/tests.rs
+++ b/crates/forwarding/src/follow/tests.rs
@@ -13,7 +13,7 @@
 use dalestand_types::Revision;
 use error_stack::Report;
 
-use super::{Follower, follow};
+use super::{Follower, Regained, follow};
 
 const KEY: &str = "declaration";
 
@@ -107,7 +107,123 @@
     let store = Rc::new(DeafWatches::default());
     store.written.set(1);
     let seen = Seen::default();
-    let following = follow(store, KEY.to_owned(), seen.clone(), discard_logger());
+    let following = follow(
+        store,
+        KEY.to_owned(),
+        seen.clone(),
+        Regained::default(),
+        discard_logger(),
+    );
     let _ = tokio::time::timeout(Duration::from_secs(1), following).await;
     assert_eq!(*seen.0.borrow(), ["1", "2"]);
 }
+
+/// A service that answers nobody until it is let, and then the first reader only.
+#[derive(Default)]
+struct DownThenUp {
+    is_up: Cell<bool>,
+    answered: Cell<u32>,
+    asked: Cell<u32>,
+}
+
+#[async_trait(?Send)]
+impl KeyValue for DownThenUp {
+    async fn get(&self, _key: &str) -> Result<Option<Entry>, Report<PlatformError>> {
+        Ok(None)
+    }
+
+    async fn range(&self, prefix: &str) -> Result<Listing, Report<PlatformError>> {
+        self.asked.set(self.asked.get() + 1);
+        if !self.is_up.get() {
+            let message = "down".to_owned();
+            let system = "store";
+            return Err(Report::new(PlatformError::InDoubt { system, message }));
+        }
+        self.answered.set(self.answered.get() + 1);
+        let revision = Revision(1);
+        let entry = Entry {
+            key: prefix.to_owned(),
+            value: prefix.to_owned(),
+            revision,
+        };
+        let entries = vec![entry];
+        Ok(Listing { revision, entries })
+    }
+
+    async fn watch(
+        &self,
+        _prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<WatchBatch, Report<PlatformError>> {
+        actix_rt::time::sleep(wait).await;
+        Ok(WatchBatch {
+            revision: after,
+            events: Vec::new(),
+            compacted: false,
+        })
+    }
+
+    async fn compare_and_swap(
+        &self,
+        _key: &str,
+        _expectation: WriteExpectation,
+        _value: Option<&str>,
+        _lease: Option<LeaseId>,
+    ) -> Result<CasOutcome, Report<PlatformError>> {
+        Ok(CasOutcome::Conflict { current: None })
+    }
+
+    async fn grant_lease(&self, _: Duration) -> Result<LeaseId, Report<PlatformError>> {
+        Ok(LeaseId(1))
+    }
+
+    async fn renew_lease(&self, _lease: LeaseId) -> Result<bool, Report<PlatformError>> {
+        Ok(true)
+    }
+
+    async fn revoke_lease(&self, _lease: LeaseId) -> Result<(), Report<PlatformError>> {
+        Ok(())
+    }
+}
+
+/// Seen in an incident: after an outage a node read the declaration 0.4 s before its engines, and
+/// refused what came between.
+#[actix_rt::test]
+async fn one_follower_that_reaches_the_service_wakes_the_others() {
+    let store = Rc::new(DownThenUp::default());
+    let (first, second) = (Seen::default(), Seen::default());
+    let regained = Regained::default();
+    for (key, seen) in [("first", &first), ("second", &second)] {
+        let store: Rc<dyn KeyValue> = store.clone();
+        let (seen, told) = (seen.clone(), regained.clone());
+        let logger = discard_logger();
+        actix_rt::spawn(follow(store, key.to_owned(), seen, told, logger));
+    }
+    // Both sit out long pauses.
+    actix_rt::time::sleep(Duration::from_millis(900)).await;
+    let asked = store.asked.get();
+    while store.asked.get() == asked {
+        actix_rt::time::sleep(Duration::from_millis(1)).await;
+    }
+    store.is_up.set(true);
+    while store.answered.get() == 0 {
+        actix_rt::time::sleep(Duration::from_millis(1)).await;
+    }
+    actix_rt::time::sleep(Duration::from_millis(80)).await;
+    assert_eq!(*first.0.borrow(), ["first"]);
+    assert_eq!(*second.0.borrow(), ["second"]);
+}
+
+/// A node that knows nothing refuses everything, so it asks more often than one that does.
+#[actix_rt::test]
+async fn a_follower_that_has_read_nothing_asks_often() {
+    let store = Rc::new(DownThenUp::default());
+    let following: Rc<dyn KeyValue> = store.clone();
+    let seen = Seen::default();
+    let regained = Regained::default();
+    let logger = discard_logger();
+    actix_rt::spawn(follow(following, KEY.to_owned(), seen, regained, logger));
+    actix_rt::time::sleep(Duration::from_secs(5)).await;
+    assert!(store.asked.get() >= 22, "asked {} times", store.asked.get());
+}
--- a/crates/forwarding/src/node.rs
+++ b/crates/forwarding/src/node.rs
@@ -18,7 +18,7 @@
 use crate::authority::{Authority, hold};
 use crate::context::Context;
 use crate::error::ForwardingError;
-use crate::follow::{Follower, follow};
+use crate::follow::{Follower, Regained, follow};
 use crate::forward::forward;
 use crate::metrics::{ForwardingMetrics, serve_metrics};
 use crate::part_recovery::recover_parts;
@@ -83,9 +83,10 @@
     let context = Context::new(settings, node.dialect, node.form, logger, metrics);
     let context = Rc::new(context);
     start_metrics(&context).await;
-    start_followers(&context, &node.store);
+    let regained = Regained::default();
+    start_followers(&context, &node.store, &regained);
     let peers = Peers::default();
-    start_peers(&context, &node.store, peer_socket, peers);
+    start_peers(&context, &node.store, peer_socket, peers, regained);
     let sweeping = Rc::clone(&context);
     actix_rt::spawn(sweep(sweeping));
     actix_rt::spawn(reload(Rc::clone(&context), node.read_settings, hangup));
@@ -150,18 +151,26 @@
     connections
 }
 
-fn start_followers(context: &Rc<Context>, store: &Rc<dyn KeyValue>) {
+fn start_followers(context: &Rc<Context>, store: &Rc<dyn KeyValue>, regained: &Regained) {
     let configuration = ConfigurationFollower(Rc::clone(context));
     let key = context.form.configuration_key().to_owned();
     let logger = context.logger.clone();
-    actix_rt::spawn(follow(Rc::clone(store), key, configuration, logger));
+    let told = regained.clone();
+    actix_rt::spawn(follow(Rc::clone(store), key, configuration, told, logger));
     let engines = EngineFollower(Rc::clone(context));
     let prefix = context.form.engine_prefix().to_owned();
     let logger = context.logger.clone();
-    actix_rt::spawn(follow(Rc::clone(store), prefix, engines, logger));
+    let told = regained.clone();
+    actix_rt::spawn(follow(Rc::clone(store), prefix, engines, told, logger));
 }
 
-fn start_peers(context: &Rc<Context>, store: &Rc<dyn KeyValue>, socket: UdpSocket, peers: Peers) {
+fn start_peers(
+    context: &Rc<Context>,
+    store: &Rc<dyn KeyValue>,
+    socket: UdpSocket,
+    peers: Peers,
+    regained: Regained,
+) {
     let socket = Rc::new(socket);
     let authority = Authority::default();
     actix_rt::spawn(peers::listen(
@@ -183,7 +192,7 @@
     actix_rt::spawn(control_roles(Rc::clone(context), authority));
     let logger = context.logger.clone();
     let prefix = OWN_PREFIX.to_owned();
-    actix_rt::spawn(follow(Rc::clone(store), prefix, follower, logger));
+    actix_rt::spawn(follow(Rc::clone(store), prefix, follower, regained, logger));
     actix_rt::spawn(keep_registered(Rc::clone(context), Rc::clone(store)));
 }
 
