The weight store and its stand-in go

No process of the product ever called the weight store; only the stand-in engine did, to learn how long a load takes. Ruled out: removing the machine list with it (the OpenAI surface's nodes find engines by it). The follower's tests share one read-only service in place of two copies. Claims, configuration spread and the machine list stay until the OpenAI surface goes over the forwarding node.

--- a/cmd/src/dev.rs
+++ b/cmd/src/dev.rs
@@ -11,7 +11,6 @@
 use dalestand_standin::engine::{BatchSettings, EngineSettings, serve_engine};
 use dalestand_standin::key_value::serve_key_value;
 use dalestand_standin::machine_list::serve_machine_list;
-use dalestand_standin::weight_store::serve_weight_store;
 use dalestand_telemetry::{LogOutput, logger};
 use dalestand_types::{
     EngineId, Incarnation, Machine, MachineKind, MachineState, NodeId, Role, ZoneName,
@@ -29,6 +28,9 @@
 const DEFAULT_LISTEN: ([u8; 4], u16) = ([127, 0, 0, 1], 8080);
 const DEFAULT_OPERATORS: ([u8; 4], u16) = ([127, 0, 0, 1], 8081);
 const ROLE_CHANGE: Duration = Duration::from_secs(2);
+
+/// How long the engines take to load a model or an adapter.
+const LOAD: Duration = Duration::from_millis(50);
 /// Short, since two nodes step in for four zones: another zone's lease is taken after a wait.
 const LEASE_MS: u64 = 1_000;
 const MACHINE_POLL_MS: u64 = 500;
@@ -120,10 +122,9 @@
     let key_value = start_standin(|listener| drop(actix_rt::spawn(serve_key_value(listener))))?;
     let machine_list =
         start_standin(|listener| drop(actix_rt::spawn(serve_machine_list(listener))))?;
-    let weights = start_standin(|listener| drop(actix_rt::spawn(serve_weight_store(listener))))?;
     for group in &deployment.groups {
         for engine in &group.engines {
-            let address = start_engine(engine.clone(), weights)?;
+            let address = start_engine(engine.clone())?;
             let name = engine.as_str();
             register(
                 machine_list,
@@ -195,14 +196,14 @@
     Ok((first.clone(), second.clone()))
 }
 
-fn start_engine(engine: EngineId, weights: SocketAddr) -> Result<SocketAddr, String> {
+fn start_engine(engine: EngineId) -> Result<SocketAddr, String> {
     let settings = EngineSettings {
         engine,
         incarnation: Incarnation(1),
         role: Role::Mixed,
         batch: BatchSettings::default(),
         role_change: ROLE_CHANGE,
-        weight_store: Some(weights),
+        load: LOAD,
         log_to_stdout: false,
     };
     start_standin(move |listener| drop(actix_rt::spawn(serve_engine(listener, settings))))
--- a/cmd/tests/command_line.rs
+++ b/cmd/tests/command_line.rs
@@ -156,3 +156,20 @@
     assert_eq!(ask(&["drain"]).status.code(), Some(0));
     assert_eq!(node.process.wait(), Some(0));
 }
+
+/// It once opened a socket, printed `ready` and ended with 2.
+#[rstest]
+#[case::help("--help", 0)]
+#[case::short_help("-h", 0)]
+#[case::unknown_kind("weights", 2)]
+fn the_standin_tells_its_usage_without_a_socket(#[case] argument: &str, #[case] code: i32) {
+    let output = Command::new(env!("CARGO_BIN_EXE_dalestand-standin"))
+        .arg(argument)
+        .output()
+        .expect("the program runs");
+    assert_eq!(output.status.code(), Some(code), "{output:?}");
+    let told = [output.stdout.as_slice(), output.stderr.as_slice()].concat();
+    let told = String::from_utf8_lossy(&told).into_owned();
+    assert!(told.contains("usage: dalestand-standin"), "{told}");
+    assert!(!told.contains("ready"), "{told}");
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,7 +13,6 @@
 pub mod key_value_client;
 pub mod machine_list;
 pub mod routed;
-pub mod weight_store;
 pub mod wire;
 
 pub use cache_event::{CacheChange, CacheEvent, CacheEvents, PrefixHash};
@@ -25,4 +24,3 @@
 };
 pub use key_value_client::HttpKeyValue;
 pub use machine_list::{HttpMachineList, MachineList};
-pub use weight_store::{HttpWeightStore, WeightStore};
--- a/crates/edge/src/wire.rs
+++ b/crates/edge/src/wire.rs
@@ -159,25 +159,3 @@
         pub machines: Vec<Machine>,
     }
 }
-
-/// Paths and bodies of the weight store.
-pub mod weight_store {
-    use serde::{Deserialize, Serialize};
-
-    /// Asks for one transfer of weights; answered when the transfer may start.
-    pub const FETCH: &str = "/v1/fetch";
-
-    /// Body of [`FETCH`].
-    #[derive(Clone, Debug, Serialize, Deserialize)]
-    pub struct FetchRequest {
-        pub name: String,
-        pub version: String,
-    }
-
-    /// Answer to [`FETCH`].
-    #[derive(Clone, Debug, Serialize, Deserialize)]
-    pub struct FetchResponse {
-        /// How long the transfer takes, in milliseconds.
-        pub transfer_ms: u64,
-    }
-}
--- a/crates/forwarding/src/follow/tests.rs
+++ b/crates/forwarding/src/follow/tests.rs
@@ -17,29 +17,29 @@
 
 const KEY: &str = "declaration";
 
-/// A service whose watches hear nothing of the second write: the first is cut after it, and the
-/// later ones wait for a third.
-#[derive(Default)]
-struct DeafWatches {
-    written: Cell<u64>,
-    watches: Cell<u32>,
+/// What followers use of a service.
+#[async_trait(?Send)]
+trait Reading {
+    async fn range(&self, prefix: &str) -> Result<Listing, Report<PlatformError>>;
+
+    async fn watch(
+        &self,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<WatchBatch, Report<PlatformError>>;
 }
 
+/// A service that is only read.
+struct ReadOnly<R>(Rc<R>);
+
 #[async_trait(?Send)]
-impl KeyValue for DeafWatches {
+impl<R: Reading> KeyValue for ReadOnly<R> {
     async fn get(&self, _key: &str) -> Result<Option<Entry>, Report<PlatformError>> {
         Ok(None)
     }
 
-    async fn range(&self, _prefix: &str) -> Result<Listing, Report<PlatformError>> {
-        let revision = Revision(self.written.get());
-        let entry = Entry {
-            key: KEY.to_owned(),
-            value: revision.to_string(),
-            revision,
-        };
-        let entries = vec![entry];
-        Ok(Listing { revision, entries })
+    async fn range(&self, prefix: &str) -> Result<Listing, Report<PlatformError>> {
+        self.0.range(prefix).await
     }
 
     async fn watch(
@@ -48,19 +48,7 @@
         after: Revision,
         wait: Duration,
     ) -> Result<WatchBatch, Report<PlatformError>> {
-        self.watches.set(self.watches.get() + 1);
-        if self.watches.get() == 1 {
-            self.written.set(2);
-            let message = "reset".to_owned();
-            let system = "store";
-            return Err(Report::new(PlatformError::InDoubt { system, message }));
-        }
-        actix_rt::time::sleep(wait).await;
-        Ok(WatchBatch {
-            revision: after,
-            events: Vec::new(),
-            compacted: false,
-        })
+        self.0.watch(after, wait).await
     }
 
     async fn compare_and_swap(
@@ -86,6 +74,66 @@
     }
 }
 
+/// A watch that hears nothing.
+async fn hear_nothing(
+    after: Revision,
+    wait: Duration,
+) -> Result<WatchBatch, Report<PlatformError>> {
+    actix_rt::time::sleep(wait).await;
+    Ok(WatchBatch {
+        revision: after,
+        events: Vec::new(),
+        compacted: false,
+    })
+}
+
+fn no_answer(message: &str) -> Report<PlatformError> {
+    Report::new(PlatformError::InDoubt {
+        system: "store",
+        message: message.to_owned(),
+    })
+}
+
+/// One entry of the key, whose value is `value`.
+fn one(key: &str, value: String, revision: Revision) -> Listing {
+    let entry = Entry {
+        key: key.to_owned(),
+        value,
+        revision,
+    };
+    let entries = vec![entry];
+    Listing { revision, entries }
+}
+
+/// A service whose watches hear nothing of the second write: the first is cut after it, and the
+/// later ones wait for a third.
+#[derive(Default)]
+struct DeafWatches {
+    written: Cell<u64>,
+    watches: Cell<u32>,
+}
+
+#[async_trait(?Send)]
+impl Reading for DeafWatches {
+    async fn range(&self, _prefix: &str) -> Result<Listing, Report<PlatformError>> {
+        let revision = Revision(self.written.get());
+        Ok(one(KEY, revision.to_string(), revision))
+    }
+
+    async fn watch(
+        &self,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<WatchBatch, Report<PlatformError>> {
+        self.watches.set(self.watches.get() + 1);
+        if self.watches.get() == 1 {
+            self.written.set(2);
+            return Err(no_answer("reset"));
+        }
+        hear_nothing(after, wait).await
+    }
+}
+
 #[derive(Clone, Default)]
 struct Seen(Rc<RefCell<Vec<String>>>);
 
@@ -108,7 +156,7 @@
     store.written.set(1);
     let seen = Seen::default();
     let following = follow(
-        store,
+        Rc::new(ReadOnly(store)),
         KEY.to_owned(),
         seen.clone(),
         Regained::default(),
@@ -127,63 +175,22 @@
 }
 
 #[async_trait(?Send)]
-impl KeyValue for DownThenUp {
-    async fn get(&self, _key: &str) -> Result<Option<Entry>, Report<PlatformError>> {
-        Ok(None)
-    }
-
+impl Reading for DownThenUp {
     async fn range(&self, prefix: &str) -> Result<Listing, Report<PlatformError>> {
         self.asked.set(self.asked.get() + 1);
         if !self.is_up.get() {
-            let message = "down".to_owned();
-            let system = "store";
-            return Err(Report::new(PlatformError::InDoubt { system, message }));
+            return Err(no_answer("down"));
         }
         self.answered.set(self.answered.get() + 1);
-        let revision = Revision(1);
-        let entry = Entry {
-            key: prefix.to_owned(),
-            value: prefix.to_owned(),
-            revision,
-        };
-        let entries = vec![entry];
-        Ok(Listing { revision, entries })
+        Ok(one(prefix, prefix.to_owned(), Revision(1)))
     }
 
     async fn watch(
         &self,
-        _prefix: &str,
         after: Revision,
         wait: Duration,
     ) -> Result<WatchBatch, Report<PlatformError>> {
-        actix_rt::time::sleep(wait).await;
-        Ok(WatchBatch {
-            revision: after,
-            events: Vec::new(),
-            compacted: false,
-        })
-    }
-
-    async fn compare_and_swap(
-        &self,
-        _key: &str,
-        _expectation: WriteExpectation,
-        _value: Option<&str>,
-        _lease: Option<LeaseId>,
-    ) -> Result<CasOutcome, Report<PlatformError>> {
-        Ok(CasOutcome::Conflict { current: None })
-    }
-
-    async fn grant_lease(&self, _: Duration) -> Result<LeaseId, Report<PlatformError>> {
-        Ok(LeaseId(1))
-    }
-
-    async fn renew_lease(&self, _lease: LeaseId) -> Result<bool, Report<PlatformError>> {
-        Ok(true)
-    }
-
-    async fn revoke_lease(&self, _lease: LeaseId) -> Result<(), Report<PlatformError>> {
-        Ok(())
+        hear_nothing(after, wait).await
     }
 }
 
@@ -195,7 +202,7 @@
     let (first, second) = (Seen::default(), Seen::default());
     let regained = Regained::default();
     for (key, seen) in [("first", &first), ("second", &second)] {
-        let store: Rc<dyn KeyValue> = store.clone();
+        let store = Rc::new(ReadOnly(store.clone()));
         let (seen, told) = (seen.clone(), regained.clone());
         let logger = discard_logger();
         actix_rt::spawn(follow(store, key.to_owned(), seen, told, logger));
@@ -219,7 +226,7 @@
 #[actix_rt::test]
 async fn a_follower_that_has_read_nothing_asks_often() {
     let store = Rc::new(DownThenUp::default());
-    let following: Rc<dyn KeyValue> = store.clone();
+    let following = Rc::new(ReadOnly(store.clone()));
     let seen = Seen::default();
     let regained = Regained::default();
     let logger = discard_logger();
--- a/crates/lab/src/hollow/platform.rs
+++ b/crates/lab/src/hollow/platform.rs
@@ -119,7 +119,7 @@
         role: Role::Mixed,
         batch: BatchSettings::default(),
         role_change: std::time::Duration::from_secs(2),
-        weight_store: None,
+        load: std::time::Duration::ZERO,
         log_to_stdout: false,
     }
 }
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -2,7 +2,6 @@
 
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use dalestand_types::{
@@ -32,8 +31,8 @@
     pub batch: BatchSettings,
     /// How long a role change takes once the engine is empty.
     pub role_change: Duration,
-    /// Where weights come from; loads are at once if absent.
-    pub weight_store: Option<SocketAddr>,
+    /// How long a load of a model or an adapter takes.
+    pub load: Duration,
     /// Whether log entries are also printed, a JSON object a line.
     pub log_to_stdout: bool,
 }
