Calls to the key-value service and the budget of repeated sends are told as figures

Change: MeteredStore counts and times each call by outcome; repeated_sends_left is a gauge by pool of the declaration in force. The catalogue in OPERATIONS is held by a test: with one name taken out the_catalogue_lists_every_figure fails.

--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -17,6 +17,7 @@
 mod follow;
 mod forward;
 mod headers;
+mod metered_store;
 mod metrics;
 mod node;
 mod part_recovery;
--- a/crates/forwarding/src/metrics.rs
+++ b/crates/forwarding/src/metrics.rs
@@ -8,7 +8,8 @@
 };
 use dalestand_routes::RouteKind;
 use prometheus::{
-    Encoder as _, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder as _, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 use tokio::net::TcpListener;
 
@@ -28,6 +29,9 @@
     head_seconds: HistogramVec,
     calls: IntCounterVec,
     call_seconds: HistogramVec,
+    store_calls: IntCounterVec,
+    store_seconds: HistogramVec,
+    repeats_left: IntGaugeVec,
     in_flight: IntGauge,
     engines: IntGauge,
     nodes: IntGauge,
@@ -75,6 +79,25 @@
                 "Time of calls to engines, by purpose.",
                 &["purpose"],
             )?,
+            store_calls: counters(
+                "store_calls_total",
+                "Calls to the key-value service by call and outcome.",
+                &["call", "outcome"],
+            )?,
+            store_seconds: latencies(
+                "store_call_seconds",
+                "Time of calls to the key-value service, by call; a watch waits for changes.",
+                &["call"],
+            )?,
+            repeats_left: {
+                let options = Opts::new(
+                    "repeated_sends_left",
+                    "Repeated sends that this node may make now, by pool.",
+                );
+                let gauges = IntGaugeVec::new(options, &["pool"])?;
+                registry.register(Box::new(gauges.clone()))?;
+                gauges
+            },
             in_flight: gauge("forwarded_in_flight", "Requests under way.")?,
             engines: gauge("engines_accepting", "Engines that take new work.")?,
             nodes: gauge("nodes_known", "Nodes, this one among them.")?,
@@ -104,16 +127,36 @@
         latency.observe(call.took.as_secs_f64());
     }
 
+    /// Notes a call to the key-value service.
+    pub(crate) fn store_call(&self, call: &str, outcome: &str, took: Duration) {
+        self.store_calls.with_label_values(&[call, outcome]).inc();
+        let latency = self.store_seconds.with_label_values(&[call]);
+        latency.observe(took.as_secs_f64());
+    }
+
     fn text(&self, context: &Context) -> Result<String, prometheus::Error> {
         self.in_flight.set(context.in_flight.count() as i64);
         self.engines.set(context.fleet().len() as i64);
         self.nodes.set(context.node_count() as i64);
         let revision = context.table().map_or(0, |table| table.revision().0);
         self.configuration.set(revision as i64);
+        self.set_repeats_left(context);
         let mut buffer = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut buffer)?;
         Ok(String::from_utf8_lossy(&buffer).into_owned())
     }
+
+    /// Only pools of the declaration in force are told, so that labels stay bounded.
+    fn set_repeats_left(&self, context: &Context) {
+        self.repeats_left.reset();
+        let now = context.now();
+        let table = context.table();
+        for pool in table.iter().flat_map(|table| table.pools()) {
+            let left = context.budget.borrow_mut().left(now, &pool.name);
+            let gauge = self.repeats_left.with_label_values(&[pool.name.as_str()]);
+            gauge.set(left.floor() as i64);
+        }
+    }
 }
 
 fn kind_label(kind: RouteKind) -> &'static str {
--- /dev/null
+++ b/crates/forwarding/tests/figures/mod.rs
@@ -0,0 +1,50 @@
+//! The figures of a node: what they are called, and that they move. `docs/OPERATIONS.md` lists them.
+
+use std::collections::BTreeSet;
+
+use crate::support::{TestEngine, TestNode, get};
+
+const CATALOGUE: &str = include_str!("../../../../docs/OPERATIONS.md");
+
+async fn figures_after_one_request() -> String {
+    let node = TestNode::start().await;
+    let engine = TestEngine::start(crate::sound);
+    node.declare(1, "repeatable", 2, 1_000);
+    node.list("e", &engine, "ready");
+    node.settle().await;
+    let served = node.request("1", "/r/x").await;
+    assert!(served.starts_with("HTTP/1.1 200"), "{served}");
+    get(node.metrics, "host: a.example\r\n", "/metrics").await
+}
+
+#[actix_rt::test]
+async fn calls_to_the_store_and_the_budget_of_repeated_sends_are_told() {
+    let figures = figures_after_one_request().await;
+    let value = |name: &str| {
+        let line = figures.lines().find(|line| line.starts_with(name));
+        let line = line.unwrap_or_else(|| panic!("{name} in {figures}"));
+        let value = line.rsplit(' ').next().and_then(|value| value.parse().ok());
+        value.unwrap_or(0.0_f64)
+    };
+    let ranges = "dalestand_store_calls_total{call=\"range\",outcome=\"done\"}";
+    assert!(value(ranges) >= 3.0, "three prefixes are read");
+    assert!(value("dalestand_store_call_seconds_count{call=\"range\"}") >= 3.0);
+    let left = value("dalestand_repeated_sends_left{pool=\"pool\"}");
+    assert!((1.0..=51.0).contains(&left), "{left}");
+}
+
+#[actix_rt::test]
+async fn the_catalogue_lists_every_figure() {
+    let figures = figures_after_one_request().await;
+    let told: BTreeSet<&str> = figures
+        .lines()
+        .filter_map(|line| line.strip_prefix("# TYPE "))
+        .filter_map(|line| line.split(' ').next())
+        .collect();
+    assert!(told.len() >= 10, "{told:?}");
+    let unlisted: Vec<&&str> = told
+        .iter()
+        .filter(|name| !CATALOGUE.contains(&format!("`{name}`")))
+        .collect();
+    assert!(unlisted.is_empty(), "{unlisted:?}");
+}
--- a/crates/forwarding/tests/serving.rs
+++ b/crates/forwarding/tests/serving.rs
@@ -1,5 +1,6 @@
 //! A node before engines that fail: what callers and engines see.
 
+mod figures;
 mod support;
 
 use std::collections::HashMap;
--- a/crates/forwarding/tests/support/mod.rs
+++ b/crates/forwarding/tests/support/mod.rs
@@ -327,6 +327,8 @@
     pub callers: SocketAddr,
     /// Where the node tells whether it is ready.
     pub ready: SocketAddr,
+    /// Where it tells its figures.
+    pub metrics: SocketAddr,
     /// Its store.
     pub store: Rc<MemoryStore>,
 }
@@ -346,9 +348,11 @@
     pub async fn start_with_slack(slack: u32) -> Self {
         let ratio = if slack < 50 { 0.0 } else { 0.2 };
         let (callers, ready, peers) = (free_address(), free_address(), free_address());
+        let metrics = free_address();
         let settings = format!(
             "node = \"node-1\"\nzone = \"here\"\ncaller_listen = \"{callers}\"\n\
              ready_listen = \"{ready}\"\npeer_listen = \"{peers}\"\nkey_value = \"{peers}\"\n\
+             metrics_listen = \"{metrics}\"\n\
              [retries]\nratio = {ratio}\nslack = {slack}\nwindow_s = 10\n[stop]\ngrace_s = 8\n\
              [roles]\nlease_ms = 3000\n"
         );
@@ -369,6 +373,7 @@
         let node = Self {
             callers,
             ready,
+            metrics,
             store,
         };
         while tokio::net::TcpStream::connect(callers).await.is_err() {
