A node that was restarted has no part of the slack for a window

Ruled out: sends that the account misses (the arrivals of the quoted requests are those it counted). Test: two_lives_of_a_node_spend_one_part_of_the_slack; it cannot be built without the change, and with restarted() doing nothing the second life spends the slack again. Open, not mended: a node that has lost the list of its peers (leases that lapse while the store is down, a start before the list is read) takes itself for the only one and counts the whole slack as its own.

--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -69,7 +69,7 @@
             logger,
             in_flight: InFlight::default(),
             router: RefCell::default(),
-            budget: RefCell::new(SharedRetryBudget::new(settings.retry_terms())),
+            budget: RefCell::new(retry_budget(&settings)),
             splits: RefCell::default(),
             work_changed: Notify::new(),
             placements: RefCell::default(),
@@ -208,3 +208,12 @@
         (all / self.nodes.get()).max(MIN_CONNECTIONS)
     }
 }
+
+/// The budget of a node that starts now.
+fn retry_budget(settings: &ForwardingSettings) -> SharedRetryBudget {
+    let mut budget = SharedRetryBudget::new(settings.retry_terms());
+    if settings.retries.former_life {
+        budget.restarted(MonotonicTime::ZERO);
+    }
+    budget
+}
--- a/crates/forwarding/src/settings.rs
+++ b/crates/forwarding/src/settings.rs
@@ -73,6 +73,9 @@
     pub slack: f64,
     /// Length of the window, in seconds.
     pub window_s: f64,
+    /// Whether a former life of the node may have made repeated sends.
+    #[serde(default)]
+    pub former_life: bool,
 }
 
 /// Planned stops.
--- a/crates/routing/src/shared_retry_budget.rs
+++ b/crates/routing/src/shared_retry_budget.rs
@@ -35,6 +35,8 @@
 pub struct SharedRetryBudget {
     terms: SharedRetryTerms,
     nodes: usize,
+    /// When this node started, where a former life of it may have spent from the same window.
+    restarted_at: Option<MonotonicTime>,
     pools: HashMap<PoolName, PoolCounts>,
 }
 
@@ -44,10 +46,17 @@
         Self {
             terms,
             nodes: 1,
+            restarted_at: None,
             pools: HashMap::new(),
         }
     }
 
+    /// Notes that the node started at `now` and lived before: what its former life spent is not
+    /// known, so for a window it has no part of the slack.
+    pub fn restarted(&mut self, now: MonotonicTime) {
+        self.restarted_at = Some(now);
+    }
+
     /// Sets the bounds.
     pub fn set_terms(&mut self, terms: SharedRetryTerms) {
         self.terms = terms;
@@ -84,6 +93,9 @@
         } = self.terms;
         let counts = self.pools.entry(pool.clone()).or_default();
         counts.expire(now, window);
+        let restarted = self.restarted_at;
+        let may_have_spent = restarted.is_some_and(|at| now.since(at) < window);
+        let slack = if may_have_spent { 0.0 } else { slack };
         let earned = ratio * counts.requests.len() as f64 + slack / self.nodes as f64;
         earned * SPENT_SHARE - counts.repeats.len() as f64
     }
--- a/crates/routing/tests/shared_retry_budget.rs
+++ b/crates/routing/tests/shared_retry_budget.rs
@@ -5,6 +5,7 @@
 use dalestand_routing::{SharedRetryBudget, SharedRetryTerms};
 use dalestand_types::{MonotonicTime, PoolName};
 use proptest::prelude::*;
+use rstest::rstest;
 
 const TERMS: SharedRetryTerms = SharedRetryTerms {
     ratio: 0.2,
@@ -44,3 +45,26 @@
         }
     }
 }
+
+/// Seen in a hunt: five nodes were stopped and started within ten seconds while engines failed, and
+/// each life of a node spent the node's whole part of the slack.
+#[rstest]
+fn two_lives_of_a_node_spend_one_part_of_the_slack() {
+    let pool = PoolName::from("pool");
+    let spend = |budget: &mut SharedRetryBudget, now| {
+        let mut spent = 0;
+        while budget.take(now, &pool) {
+            spent += 1;
+        }
+        spent
+    };
+    let start = MonotonicTime::from_millis(5_000);
+    let mut former = SharedRetryBudget::new(TERMS);
+    let spent_before = spend(&mut former, start);
+    assert!(spent_before > 0);
+    let mut budget = SharedRetryBudget::new(TERMS);
+    budget.restarted(start);
+    assert_eq!(spend(&mut budget, start + Duration::from_secs(9)), 0);
+    let later = start + Duration::from_secs(10);
+    assert_eq!(spend(&mut budget, later), spent_before);
+}
