A fetch costs its move, and answers begin later behind others that have not begun

Cause: a fixed 80 ms forbade fetches over fast links; the choice of a decode engine counted no time for the requests that begin before it, so two engines were given what five can begin. Change: the cost of a fetch is the move and 0.3 of reading the tokens that it displaces; the time to begin an answer is a line learnt over the number of requests, of all nodes, that have not begun.

--- a/crates/forwarding/src/attempt.rs
+++ b/crates/forwarding/src/attempt.rs
@@ -21,6 +21,8 @@
     pub(crate) choice: EngineChoice,
     pub(crate) work: WorkGuard,
     pub(crate) sent_at: Instant,
+    /// Requests at the engine, of all nodes, that had not begun when it was sent.
+    pub(crate) before: u32,
 }
 
 /// How a call came out.
@@ -61,7 +63,12 @@
         return AttemptEnd::NotSent;
     }
     let parts = progress.parts();
-    let work = WorkGuard::new(context, &engine, call.choice.unread_tokens, &parts);
+    let before = context
+        .router
+        .borrow()
+        .work
+        .total(context.now(), engine.key);
+    let mut work = WorkGuard::new(context, &engine, call.choice.unread_tokens, &parts);
     let mut head = progress.head();
     let fleet = context.fleet();
     let holder = call.choice.fetch_from.and_then(|key| fleet.engine(key));
@@ -93,7 +100,9 @@
             } else {
                 AttemptResult::Sound(took)
             };
+            work.begun();
             let answer = EngineAnswer {
+                before: before.starting,
                 head: exchange.head,
                 body: exchange.body,
                 choice: call.choice,
--- a/crates/forwarding/src/forward.rs
+++ b/crates/forwarding/src/forward.rs
@@ -241,11 +241,24 @@
                 .note(now, held.engine.key, AttemptResult::Refused);
         }
         AttemptEnd::NotSent => {}
-        AttemptEnd::Answered(_) | AttemptEnd::Unknown => held.taken(),
+        AttemptEnd::Answered(answer) => {
+            note_start(context, answer);
+            held.taken();
+        }
+        AttemptEnd::Unknown => held.taken(),
     }
     deliver(context, progress, pool, ended).await
 }
 
+/// Learns from an answer how long engines take to begin one.
+fn note_start(context: &Context, answer: &EngineAnswer) {
+    let mut router = context.router.borrow_mut();
+    let starts = &mut router.starts;
+    let moving_s = answer.choice.expected_s - starts.expected_s(answer.before);
+    let took_s = answer.sent_at.elapsed().as_secs_f64();
+    starts.observe(answer.before, took_s - moving_s);
+}
+
 /// Has an engine run the request.
 async fn run(
     context: &Rc<Context>,
--- a/crates/forwarding/src/peers.rs
+++ b/crates/forwarding/src/peers.rs
@@ -41,8 +41,8 @@
 struct WorkNotice {
     /// The node that tells.
     node: u64,
-    /// Engine, requests there, prompt tokens not read.
-    work: Vec<(u64, u32, u64)>,
+    /// Engine, requests there, those of them that have not begun, prompt tokens not read.
+    work: Vec<(u64, u32, u32, u64)>,
     /// Prompts sent to engines, by their parts.
     placed: Vec<Placement>,
     /// Demand by pool: prompt tokens a second worth reading apart, and read where answered.
@@ -135,19 +135,19 @@
 }
 
 /// Work at language-model engines; an engine without work is told of once more.
-fn prompt_work(context: &Context, told: &mut HashSet<u64>) -> Vec<(u64, u32, u64)> {
+fn prompt_work(context: &Context, told: &mut HashSet<u64>) -> Vec<(u64, u32, u32, u64)> {
     let fleet = context.fleet();
     let router = context.router.borrow();
-    let mut work: Vec<(u64, u32, u64)> = router
+    let mut work: Vec<(u64, u32, u32, u64)> = router
         .work
         .own_work()
         .filter(|(engine, _)| fleet.memory_tokens(*engine) > 0)
-        .map(|(engine, work)| (engine.0, work.requests, work.unread_tokens))
+        .map(|(engine, work)| (engine.0, work.requests, work.starting, work.unread_tokens))
         .take(MAX_ENGINES)
         .collect();
     let busy: HashSet<u64> = work.iter().map(|(engine, ..)| *engine).collect();
     let over = told.difference(&busy).take(MAX_ENGINES);
-    work.extend(over.map(|engine| (*engine, 0, 0)));
+    work.extend(over.map(|engine| (*engine, 0, 0, 0)));
     *told = busy;
     work
 }
@@ -205,11 +205,12 @@
             let until = now + Duration::from_millis(for_ms);
             router.health.avoid_until(EngineKey(engine), until);
         }
-        for (engine, requests, unread_tokens) in notice.work {
+        for (engine, requests, starting, unread_tokens) in notice.work {
             let told = PeerWork {
                 engine: EngineKey(engine),
                 work: EngineWork {
                     requests,
+                    starting,
                     unread_tokens,
                 },
             };
--- a/crates/forwarding/src/work_guard.rs
+++ b/crates/forwarding/src/work_guard.rs
@@ -17,6 +17,7 @@
     unread_tokens: u32,
     parts: Vec<PromptPart>,
     is_read: bool,
+    has_begun: bool,
 }
 
 impl WorkGuard {
@@ -42,11 +43,19 @@
             unread_tokens,
             parts: parts.to_vec(),
             is_read: false,
+            has_begun: false,
         };
         guard.tell();
         guard
     }
 
+    /// Notes that the answer has begun, or never will.
+    pub(crate) fn begun(&mut self) {
+        if !std::mem::replace(&mut self.has_begun, true) {
+            self.context.router.borrow_mut().work.begun(self.engine);
+        }
+    }
+
     /// Notes that the prompt was read.
     pub(crate) fn prompt_read(&mut self) {
         if !std::mem::replace(&mut self.is_read, true) && !self.parts.is_empty() {
@@ -92,6 +101,7 @@
             placements.push(self.engine, PlacementState::NotRead, &self.parts);
         }
         self.settle();
+        self.begun();
         self.context.router.borrow_mut().work.ended(self.engine);
     }
 }
--- a/crates/routing/src/staged/chooser.rs
+++ b/crates/routing/src/staged/chooser.rs
@@ -6,6 +6,7 @@
 use super::health::EngineHealth;
 use super::parts::PartDirectory;
 use super::reading::ReadingSpeeds;
+use super::starts::StartSpeeds;
 use super::work::WorkTable;
 use super::{EngineKey, Expectation, Stage, StagedEngine, StagedRequest};
 use crate::prefix::rendezvous_weight;
@@ -29,15 +30,12 @@
 /// Most others that count.
 const OTHERS_COUNTED: u32 = 12;
 
-/// Time of one further call between the two engines of a split prompt, in seconds.
-const SECOND_CALL_S: f64 = 10e-3;
-
 /// Tokens from which it pays to take them from another engine.
 const FETCHED_FROM_TOKENS: u32 = 1_000;
 
-/// What taking memory from another engine costs beside the move, in seconds: the call, and that a
-/// part kept twice drives other parts out of memory, which are then read again.
-const FETCH_CALL_S: f64 = 80e-3;
+/// A part that is kept twice drives other parts out of memory, and so many of their tokens are read
+/// again for each token taken.
+const READ_AGAIN_FOR_FETCHED: f64 = 0.3;
 
 /// What goes on from moved memory waits for one step of the batch, which takes up to this time in
 /// seconds where prompts are read between the tokens; it does not wait for those prompts.
@@ -102,6 +100,8 @@
     pub health: EngineHealth,
     /// How fast they read.
     pub speeds: ReadingSpeeds,
+    /// How fast they begin answers.
+    pub starts: StartSpeeds,
 }
 
 impl PromptPlan {
@@ -221,15 +221,22 @@
             let mut fetch_s = 0.0;
             if fetches {
                 kept += fetched;
-                fetch_s = FETCH_CALL_S + move_s(request, fetched, false);
+                fetch_s = move_s(request, fetched, false);
             }
             let unread = request.prompt_tokens.saturating_sub(kept);
             let work = self.work.total(now, engine.key);
             let ahead = work.unread_tokens as f64 + f64::from(unread);
             let reading_s = |tokens| self.speeds.expected_s(engine.key, engine.stage, tokens);
-            let expected_s = reading_s(ahead) + fetch_s;
-            let queue_s = reading_s(ahead) - reading_s(f64::from(unread));
+            let starts_s = match engine.stage {
+                Stage::Decode => self.starts.queue_s(work.starting),
+                Stage::Prefill | Stage::Opaque => 0.0,
+            };
+            let expected_s = reading_s(ahead) + starts_s + fetch_s;
+            let queue_s = reading_s(ahead) - reading_s(f64::from(unread)) + starts_s;
+            let displaced = if fetches { f64::from(fetched) } else { 0.0 };
+            let displaced_s = (reading_s(displaced) - reading_s(0.0)) * READ_AGAIN_FOR_FETCHED;
             let cost_s = expected_s
+                + displaced_s
                 + batch_s(engine, work.requests)
                 + self.others_s(engine, unread, work.requests)
                 + not_home_s(engine, home, kept, request)
@@ -257,14 +264,16 @@
             let work = self.work.total(now, engine.key);
             let waiting = work.unread_tokens as f64;
             let reading_s = self.speeds.expected_s(engine.key, engine.stage, waiting);
-            let expected_s = SECOND_CALL_S
+            let expected_s = self.starts.expected_s(work.starting)
                 + move_s(request, moved, engine.zone == prefill.zone)
                 + reading_s.min(STEP_WITH_READING_S);
             let cost_s = expected_s
                 + batch_s(engine, work.requests)
                 + self.avoided_s(now, engine)
                 + self.failing_s(now, engine);
-            choice(engine, expected_s, cost_s, 0)
+            let mut choice = choice(engine, expected_s, cost_s, 0);
+            choice.queue_s = self.starts.queue_s(work.starting);
+            choice
         });
         best(choices)
     }
--- a/crates/routing/src/staged/mod.rs
+++ b/crates/routing/src/staged/mod.rs
@@ -12,6 +12,7 @@
 mod health;
 mod parts;
 mod reading;
+mod starts;
 mod work;
 
 pub use crate::prefix::rendezvous_weight;
@@ -20,6 +21,7 @@
 pub use health::{AttemptResult, EngineHealth};
 pub use parts::PartDirectory;
 pub use reading::ReadingSpeeds;
+pub use starts::StartSpeeds;
 pub use work::{EngineWork, PeerWork, WorkTable};
 
 use std::sync::Arc;
--- a/crates/routing/src/staged/work.rs
+++ b/crates/routing/src/staged/work.rs
@@ -15,6 +15,8 @@
 pub struct EngineWork {
     /// Requests sent and not over.
     pub requests: u32,
+    /// Those of them whose answer has not begun.
+    pub starting: u32,
     /// Prompt tokens sent and not yet read.
     pub unread_tokens: u64,
 }
@@ -40,6 +42,7 @@
     pub fn sent(&mut self, engine: EngineKey, unread_tokens: u32) {
         let work = self.own.entry(engine).or_default();
         work.requests += 1;
+        work.starting += 1;
         work.unread_tokens += u64::from(unread_tokens);
     }
 
@@ -50,6 +53,13 @@
         }
     }
 
+    /// Notes that the answer to a request has begun, or never will.
+    pub fn begun(&mut self, engine: EngineKey) {
+        if let Some(work) = self.own.get_mut(&engine) {
+            work.starting = work.starting.saturating_sub(1);
+        }
+    }
+
     /// Notes that a request is over.
     pub fn ended(&mut self, engine: EngineKey) {
         let Some(work) = self.own.get_mut(&engine) else {
@@ -86,6 +96,7 @@
             };
             if now.since(*told_at) < PEER_WORK_COUNTS {
                 total.requests += work.requests;
+                total.starting += work.starting;
                 total.unread_tokens += work.unread_tokens;
             }
         }
--- a/crates/routing/tests/staged.rs
+++ b/crates/routing/tests/staged.rs
@@ -182,6 +182,7 @@
     let told = PeerWork {
         engine: key,
         work: EngineWork {
+            starting: 0,
             requests: 2,
             unread_tokens: 9_000,
         },
@@ -281,3 +282,55 @@
         prop_assert_eq!(work.total(NOW, key), EngineWork::default());
     }
 }
+
+/// Found on the third site: a fixed cost of 80 ms forbade to take over a fast link what takes a
+/// twentieth of the time to read again.
+#[rstest]
+#[case::fast_link(8_800_000.0, true)]
+#[case::slow_link(20_000.0, false)]
+fn what_a_fetch_costs_follows_the_link(#[case] link_mbps: f64, #[case] fetches: bool) {
+    let mut router = StagedRouter::default();
+    let fleet = fleet();
+    let mut request = prompt(&[(1, 4_000), (2, 3_000)]);
+    request.link_mbps = link_mbps;
+    let shared = &request.parts[..1];
+    router.parts.sent(fleet[0].key, MEMORY_TOKENS, shared);
+    router.parts.read(fleet[0].key, shared);
+    router.work.sent(fleet[0].key, 4_000);
+    let PromptPlan::Split { prefill, .. } = plan(&router, &fleet, &request) else {
+        panic!("a long prompt is read apart");
+    };
+    assert_eq!(prefill.fetch_from.is_some(), fetches, "{prefill:?}");
+}
+
+/// Found on the third site: two decode engines had to begin hundreds of answers a second, and each
+/// was expected at once.
+#[rstest]
+fn an_engine_that_begins_many_answers_is_expected_later() {
+    let mut router = StagedRouter::default();
+    let fleet = fleet();
+    for before in 0..40 {
+        router
+            .starts
+            .observe(before % 8, 5e-3 + f64::from(before % 8) * 10e-3);
+    }
+    for _ in 0..6 {
+        router.work.sent(fleet[2].key, 0);
+    }
+    let request = prompt(&[(1, 9_000)]);
+    let choice = router.choose_decode(NOW, &fleet, &request, &fleet[0]);
+    let choice = choice.expect("an engine");
+    assert_eq!(choice.engine.key, fleet[3].key);
+    for _ in 0..20 {
+        router.work.sent(fleet[3].key, 0);
+    }
+    let choice = router.choose_decode(NOW, &fleet, &request, &fleet[0]);
+    let choice = choice.expect("an engine");
+    assert_eq!(choice.engine.key, fleet[2].key);
+    assert!(choice.queue_s > 40e-3, "{choice:?}");
+    for _ in 0..6 {
+        router.work.begun(fleet[2].key);
+    }
+    let choice = router.choose_decode(NOW, &fleet, &request, &fleet[0]);
+    assert!(choice.expect("an engine").queue_s < 1e-3);
+}
