Changes in the store are gathered, notices keep to a share of the link, and the link is a queue

Change: followers wait between answers that tell changes, by the number of nodes; notices keep to half of the link, which the settings now tell; what is written and not carried counts as a queue before a request is begun, and each send of a plan costs its time.

--- a/crates/forwarding/src/attempt.rs
+++ b/crates/forwarding/src/attempt.rs
@@ -85,6 +85,7 @@
         progress.runs += 1;
     }
     let sent_at = Instant::now();
+    context.sent(progress.sent_bytes());
     let max_connections = context.max_connections(call.pool);
     let target = known.target();
     let sent = context
--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -9,7 +9,7 @@
 use dalestand_engine_link::{EngineLink, LinkLimits};
 use dalestand_routes::{RouteTable, SplitPicker};
 use dalestand_routing::SharedRetryBudget;
-use dalestand_routing::staged::{EngineKey, StagedRouter};
+use dalestand_routing::staged::{EngineKey, LinkQueue, StagedRouter};
 use dalestand_types::{MonotonicTime, PoolName};
 use slog::Logger;
 use tokio::sync::Notify;
@@ -33,6 +33,8 @@
     pub(crate) logger: Logger,
     pub(crate) in_flight: InFlight,
     pub(crate) router: RefCell<StagedRouter>,
+    /// What this node's link has not yet carried.
+    pub(crate) uplink: RefCell<LinkQueue>,
     pub(crate) budget: RefCell<SharedRetryBudget>,
     pub(crate) splits: RefCell<SplitPicker>,
     /// Rung when this node's work at an engine has changed.
@@ -69,6 +71,7 @@
             logger,
             in_flight: InFlight::default(),
             router: RefCell::default(),
+            uplink: RefCell::default(),
             budget: RefCell::new(retry_budget(&settings)),
             splits: RefCell::default(),
             work_changed: Notify::new(),
@@ -155,6 +158,12 @@
         self.fleet.replace(Rc::new(fleet));
     }
 
+    /// Notes bytes that are written to this node's link.
+    pub(crate) fn sent(&self, bytes: usize) {
+        let time = self.settings.link_time(bytes);
+        self.uplink.borrow_mut().sent(self.now(), time);
+    }
+
     /// Avoids an engine for some time, here and at the peers.
     pub(crate) fn avoid(&self, engine: EngineKey, time: Duration) {
         let until = self.now() + time;
--- a/crates/forwarding/src/follow.rs
+++ b/crates/forwarding/src/follow.rs
@@ -50,6 +50,12 @@
 
     /// One key has changed.
     fn changed(&self, event: WatchEvent);
+
+    /// Changes that come within this time of each other are asked for together: where many nodes
+    /// follow what many write, each change by itself would be a call of every node.
+    fn gather(&self) -> Duration {
+        Duration::ZERO
+    }
 }
 
 /// Follows the keys under `prefix` for as long as it is polled.
@@ -114,9 +120,13 @@
     if batch.compacted {
         return Ok(None);
     }
+    let any_changed = !batch.events.is_empty();
     for event in batch.events {
         follower.changed(event);
     }
+    if any_changed {
+        actix_rt::time::sleep(follower.gather()).await;
+    }
     Ok(Some(batch.revision.max(position)))
 }
 
--- a/crates/forwarding/src/follow/tests.rs
+++ b/crates/forwarding/src/follow/tests.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
 use dalestand_edge::{
@@ -234,3 +234,98 @@
     actix_rt::time::sleep(Duration::from_secs(5)).await;
     assert!(store.asked.get() >= 22, "asked {} times", store.asked.get());
 }
+
+/// A service at which a key changes every few milliseconds.
+struct Restless {
+    revision: Cell<u64>,
+    /// Watches that told a change.
+    answered: Cell<u32>,
+}
+
+#[async_trait(?Send)]
+impl Reading for Restless {
+    async fn range(&self, _prefix: &str) -> Result<Listing, Report<PlatformError>> {
+        Ok(Listing {
+            revision: Revision(0),
+            entries: Vec::new(),
+        })
+    }
+
+    async fn watch(
+        &self,
+        after: Revision,
+        _wait: Duration,
+    ) -> Result<WatchBatch, Report<PlatformError>> {
+        actix_rt::time::sleep(Duration::from_millis(2)).await;
+        let newest = self.revision.get();
+        if newest > after.0 {
+            self.answered.set(self.answered.get() + 1);
+        }
+        let events = (after.0 + 1..=newest).map(|revision| WatchEvent {
+            key: KEY.to_owned(),
+            value: Some(revision.to_string()),
+            revision: Revision(revision),
+        });
+        Ok(WatchBatch {
+            events: events.collect(),
+            revision: Revision(newest),
+            compacted: false,
+        })
+    }
+}
+
+const GATHERED: Duration = Duration::from_millis(100);
+
+/// Notes every change, and gathers.
+struct Gathering(Rc<RefCell<Vec<u64>>>);
+
+impl Follower for Gathering {
+    fn listed(&self, _listing: Listing) {}
+
+    fn changed(&self, event: WatchEvent) {
+        self.0.borrow_mut().push(event.revision.0);
+    }
+
+    fn gather(&self) -> Duration {
+        GATHERED
+    }
+}
+
+/// Found on the grown sites: each of 66 nodes called once for each change of any of them, 6,732
+/// calls in a quiet minute.
+#[actix_rt::test]
+async fn changes_that_come_together_are_asked_for_together() {
+    const CHANGES: u64 = 60;
+    let service = Rc::new(Restless {
+        revision: Cell::new(0),
+        answered: Cell::new(0),
+    });
+    let seen = Rc::new(RefCell::new(Vec::new()));
+    let following = follow(
+        Rc::new(ReadOnly(Rc::clone(&service))),
+        KEY.to_owned(),
+        Gathering(Rc::clone(&seen)),
+        Regained::default(),
+        discard_logger(),
+    );
+    let begun = Instant::now();
+    let changing = async {
+        for _ in 0..CHANGES {
+            service.revision.set(service.revision.get() + 1);
+            actix_rt::time::sleep(Duration::from_millis(5)).await;
+        }
+        actix_rt::time::sleep(Duration::from_millis(250)).await;
+    };
+    tokio::select! {
+        () = following => unreachable!("it follows for ever"),
+        () = changing => {}
+    }
+    let all: Vec<u64> = (1..=CHANGES).collect();
+    assert_eq!(*seen.borrow(), all, "no change is missed");
+    let gathered = begun.elapsed().as_millis() / GATHERED.as_millis();
+    let answered = service.answered.get();
+    assert!(
+        u128::from(answered) <= gathered + 1,
+        "{answered} answers in {gathered}"
+    );
+}
--- a/crates/forwarding/src/forward.rs
+++ b/crates/forwarding/src/forward.rs
@@ -187,7 +187,8 @@
     progress: &mut Progress,
 ) -> Result<Option<Served>, Failure> {
     let plan = choose(context, progress).ok_or_else(|| final_failure(progress))?;
-    progress.expected = plan.expected;
+    let link_s = context.uplink.borrow().wait(context.now()).as_secs_f64();
+    progress.expected = plan.expected.map(|expected| expected.behind(link_s));
     if let Some(failure) = refused(progress) {
         return Err(failure);
     }
@@ -226,7 +227,7 @@
     let choice = {
         let fleet = context.fleet();
         let router = context.router.borrow();
-        let request = progress.staged(&pool);
+        let request = progress.staged(&context.settings, &pool);
         router.choose_decode(context.now(), fleet.pool(&pool), &request, &held.engine)
     };
     let choice = choice.ok_or_else(|| final_failure(progress))?;
--- a/crates/forwarding/src/node.rs
+++ b/crates/forwarding/src/node.rs
@@ -44,6 +44,13 @@
 /// A sweep that comes this late means that the process stood still.
 const PAUSE_NOTICED: Duration = Duration::from_millis(1_000);
 
+/// Changes of engines' entries are gathered for this time for each node that follows them.
+const ENGINES_GATHERED_PER_NODE: Duration = Duration::from_millis(4);
+
+/// Longest time for which they are gathered. It is part of the time in which an engine that leaves
+/// still gets requests, so it is a small part of any drain bound.
+const ENGINES_GATHERED: Duration = Duration::from_millis(250);
+
 /// Reads the settings again.
 pub type ReadSettings = Box<dyn Fn() -> Result<ForwardingSettings, String>>;
 
@@ -313,4 +320,9 @@
             self.0.set_entry(event.key, Some(entry));
         }
     }
+
+    fn gather(&self) -> Duration {
+        let nodes = self.0.node_count() as u32;
+        (ENGINES_GATHERED_PER_NODE * nodes).min(ENGINES_GATHERED)
+    }
 }
--- a/crates/forwarding/src/peers.rs
+++ b/crates/forwarding/src/peers.rs
@@ -17,6 +17,7 @@
 use crate::part_recovery::known_parts;
 use crate::placements::{Placement, PlacementState};
 use crate::registration::Peers;
+use crate::settings::ForwardingSettings;
 
 /// How often work is told while there is some.
 const TELL_INTERVAL: Duration = Duration::from_millis(100);
@@ -27,6 +28,15 @@
 /// Changes within this time are told together.
 const GATHER: Duration = Duration::from_millis(4);
 
+/// Share of the node's link that notices may take.
+const NOTICES_LINK_SHARE: f64 = 0.5;
+
+/// Longest time between two notices: what peers were told counts for little longer.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+
+/// Bytes of a datagram beside what it carries.
+const DATAGRAM_HEADER_BYTES: usize = 28;
+
 /// Longest datagram.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
@@ -118,20 +128,33 @@
             avoided,
             asks,
         };
-        send(&socket, &peers.addresses(), notice);
+        let sent_bytes = send(&socket, &peers.addresses(), notice);
+        context.sent(sent_bytes);
+        actix_rt::time::sleep(pause(&context.settings, sent_bytes)).await;
     }
 }
 
-fn send(socket: &UdpSocket, addresses: &[SocketAddr], notice: WorkNotice) {
+/// Time until the next notices may go out after so many bytes, so that they take a bounded share of
+/// the node's link: callers' requests go over the same link.
+fn pause(settings: &ForwardingSettings, sent_bytes: usize) -> Duration {
+    let carried = settings.link_time(sent_bytes);
+    carried.mul_f64(1.0 / NOTICES_LINK_SHARE).min(LONGEST_PAUSE)
+}
+
+/// Sends a notice to each address; yields the bytes sent.
+fn send(socket: &UdpSocket, addresses: &[SocketAddr], notice: WorkNotice) -> usize {
+    let mut sent_bytes = 0;
     for notice in notice.split() {
         let Ok(datagram) = rmp_serde::to_vec(&notice) else {
-            return;
+            break;
         };
         for address in addresses {
             // A datagram that cannot be sent counts as lost.
             let _ = socket.try_send_to(&datagram, *address);
+            sent_bytes += datagram.len() + DATAGRAM_HEADER_BYTES;
         }
     }
+    sent_bytes
 }
 
 /// Work at language-model engines; an engine without work is told of once more.
--- a/crates/forwarding/src/plan.rs
+++ b/crates/forwarding/src/plan.rs
@@ -59,7 +59,7 @@
 ) -> Option<Plan> {
     let now = context.now();
     let zone = &context.settings.zone;
-    let request = progress.staged(pool);
+    let request = progress.staged(&context.settings, pool);
     let router = context.router.borrow();
     let is_prompt_pool = engines.iter().any(|engine| engine.stage != Stage::Opaque);
     if !is_prompt_pool {
--- a/crates/forwarding/src/progress.rs
+++ b/crates/forwarding/src/progress.rs
@@ -12,9 +12,14 @@
 use dalestand_routing::staged::{EngineChoice, EngineKey, Expectation, PromptPart, StagedRequest};
 use dalestand_types::PoolName;
 
+use crate::settings::ForwardingSettings;
+
 /// Most calls made for one request, whatever came of them.
 const MAX_CALLS: u32 = 6;
 
+/// Bytes that a request's head and the packets around it take, about.
+const HEAD_BYTES: usize = 600;
+
 /// A caller's request as it is passed on.
 pub(crate) struct PassedRequest {
     pub(crate) method: Method,
@@ -179,6 +184,11 @@
         head
     }
 
+    /// Bytes of one send, about.
+    pub(crate) fn sent_bytes(&self) -> usize {
+        self.passed.body.len() + HEAD_BYTES
+    }
+
     /// Parts of the prompt.
     pub(crate) fn parts(&self) -> Vec<PromptPart> {
         let parts = self.facts.parts.iter();
@@ -191,7 +201,7 @@
     }
 
     /// What the choice among the engines of `pool` must know.
-    pub(crate) fn staged(&self, pool: &PoolName) -> StagedRequest {
+    pub(crate) fn staged(&self, settings: &ForwardingSettings, pool: &PoolName) -> StagedRequest {
         let terms = self.table.pool(pool);
         let prompt = terms.and_then(|terms| terms.prompt_engine);
         StagedRequest {
@@ -199,6 +209,7 @@
             prompt_tokens: self.facts.prompt_tokens,
             token_bytes: prompt.map_or(0, |prompt| prompt.token_bytes),
             link_mbps: prompt.map_or(0.0, |prompt| prompt.link_mbps),
+            send_s: settings.link_time(self.sent_bytes()).as_secs_f64(),
             tried: self.tried.clone(),
         }
     }
--- a/crates/forwarding/src/registration.rs
+++ b/crates/forwarding/src/registration.rs
@@ -29,6 +29,13 @@
 /// How often the lease is renewed.
 const RENEWAL: Duration = Duration::from_secs(5);
 
+/// Changes of nodes' entries are gathered for this time for each node that follows them.
+const PEERS_GATHERED_PER_NODE: Duration = Duration::from_millis(16);
+
+/// Longest time for which they are gathered. A node that is missed for so long gets no notices, and
+/// the shares of what nodes divide among them are as old.
+const PEERS_GATHERED: Duration = Duration::from_secs(1);
+
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(700);
 
@@ -102,6 +109,11 @@
         self.set(&event.key, event.value.as_deref());
         self.count();
     }
+
+    fn gather(&self) -> Duration {
+        let nodes = self.context.node_count() as u32;
+        (PEERS_GATHERED_PER_NODE * nodes).min(PEERS_GATHERED)
+    }
 }
 
 /// Keeps this node's entry for as long as it is polled.
--- a/crates/forwarding/src/settings.rs
+++ b/crates/forwarding/src/settings.rs
@@ -24,6 +24,9 @@
     /// Where metrics are told, under `/metrics`; nowhere if absent.
     #[serde(default)]
     pub metrics_listen: Option<SocketAddr>,
+    /// Speed of the node's own link, in megabits a second; unbounded if absent.
+    #[serde(default)]
+    pub link_mbps: Option<f64>,
     /// The key-value service.
     pub key_value: SocketAddr,
     /// Repeated sends that all nodes may make together.
@@ -123,6 +126,7 @@
             ("retries.window_s", self.retries.window_s),
             ("stop.grace_s", self.stop.grace_s),
             ("roles.lease_ms", self.roles.lease_ms as f64),
+            ("link_mbps", self.link_mbps.unwrap_or(f64::MAX)),
         ];
         let mut faults = Vec::new();
         for (field, value) in at_least_0 {
@@ -169,6 +173,13 @@
         Duration::from_millis(self.roles.lease_ms)
     }
 
+    /// Time for which the node's own link carries so many bytes.
+    pub fn link_time(&self, bytes: usize) -> Duration {
+        let bits = bytes as f64 * 8.0;
+        let seconds = self.link_mbps.map_or(0.0, |mbps| bits / (mbps * 1e6));
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
+
     /// Time after which the process is killed.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.stop.grace_s)
--- a/crates/forwarding/tests/serving.rs
+++ b/crates/forwarding/tests/serving.rs
@@ -209,6 +209,28 @@
     assert_eq!(status(&node.request("3", "/r/x").await), "200");
 }
 
+/// Found on a grown site: what tiny nodes had written waited for seconds before their links, and
+/// reached engines that had left meanwhile.
+#[actix_rt::test]
+async fn what_the_link_has_not_carried_counts_as_a_queue() {
+    const LINK_MBPS: f64 = 0.01;
+    let node = TestNode::start_with_link(LINK_MBPS).await;
+    node.declare_prompts(1, "stream", 1, 3_000);
+    let engine = TestEngine::start(sound);
+    node.list("e0", &engine, "ready decode");
+    node.settle().await;
+    let head = |id: u32| format!("x-id: {id}\r\nhost: a.example\r\nx-prompt: 100\r\n");
+    let first = get(node.callers, &head(1), "/r/x").await;
+    assert_eq!(status(&first), "200", "{first}");
+    let second = get(node.callers, &head(2), "/r/x").await;
+    assert_eq!(status(&second), "503", "the link is busy: {second}");
+    assert!(second.contains("retry-after"), "{second}");
+    // The link takes half a second for a head.
+    actix_rt::time::sleep(Duration::from_millis(600)).await;
+    let third = get(node.callers, &head(3), "/r/x").await;
+    assert_eq!(status(&third), "200", "{third}");
+}
+
 fn reading_but_not_running(head: &str, stream: &mut TcpStream) {
     if head.contains("x-prefill: 1") {
         sound(head, stream);
--- a/crates/forwarding/tests/support/mod.rs
+++ b/crates/forwarding/tests/support/mod.rs
@@ -346,13 +346,22 @@
 
     /// Starts a node on an empty store that may repeat `slack` sends, whatever it is asked.
     pub async fn start_with_slack(slack: u32) -> Self {
+        Self::start_with(slack, "").await
+    }
+
+    /// Starts a node on an empty store behind a link of `link_mbps`.
+    pub async fn start_with_link(link_mbps: f64) -> Self {
+        Self::start_with(50, &format!("link_mbps = {link_mbps}\n")).await
+    }
+
+    async fn start_with(slack: u32, further: &str) -> Self {
         let ratio = if slack < 50 { 0.0 } else { 0.2 };
         let (callers, ready, peers) = (free_address(), free_address(), free_address());
         let metrics = free_address();
         let settings = format!(
             "node = \"node-1\"\nzone = \"here\"\ncaller_listen = \"{callers}\"\n\
              ready_listen = \"{ready}\"\npeer_listen = \"{peers}\"\nkey_value = \"{peers}\"\n\
-             metrics_listen = \"{metrics}\"\n\
+             metrics_listen = \"{metrics}\"\n{further}\
              [retries]\nratio = {ratio}\nslack = {slack}\nwindow_s = 10\n[stop]\ngrace_s = 8\n\
              [roles]\nlease_ms = 3000\n"
         );
--- a/crates/routing/src/staged/admission.rs
+++ b/crates/routing/src/staged/admission.rs
@@ -39,6 +39,17 @@
     pub queue_s: f64,
 }
 
+impl Expectation {
+    /// The same behind a further queue of `queue_s` seconds.
+    #[must_use]
+    pub fn behind(self, queue_s: f64) -> Self {
+        Self {
+            whole_s: self.whole_s + queue_s,
+            queue_s: self.queue_s + queue_s,
+        }
+    }
+}
+
 /// For how long a request's caller should stay away, if it cannot be answered in time; `None` if it
 /// is to be begun.
 ///
--- a/crates/routing/src/staged/chooser.rs
+++ b/crates/routing/src/staged/chooser.rs
@@ -231,7 +231,7 @@
                 Stage::Decode => self.starts.queue_s(work.starting),
                 Stage::Prefill | Stage::Opaque => 0.0,
             };
-            let expected_s = reading_s(ahead) + starts_s + fetch_s;
+            let expected_s = request.send_s + reading_s(ahead) + starts_s + fetch_s;
             let queue_s = reading_s(ahead) - reading_s(f64::from(unread)) + starts_s;
             let displaced = if fetches { f64::from(fetched) } else { 0.0 };
             let displaced_s = (reading_s(displaced) - reading_s(0.0)) * READ_AGAIN_FOR_FETCHED;
@@ -264,7 +264,8 @@
             let work = self.work.total(now, engine.key);
             let waiting = work.unread_tokens as f64;
             let reading_s = self.speeds.expected_s(engine.key, engine.stage, waiting);
-            let expected_s = self.starts.expected_s(work.starting)
+            let expected_s = request.send_s
+                + self.starts.expected_s(work.starting)
                 + move_s(request, moved, engine.zone == prefill.zone)
                 + reading_s.min(STEP_WITH_READING_S);
             let cost_s = expected_s
--- a/crates/routing/src/staged/mod.rs
+++ b/crates/routing/src/staged/mod.rs
@@ -10,6 +10,7 @@
 mod admission;
 mod chooser;
 mod health;
+mod link_queue;
 mod parts;
 mod reading;
 mod starts;
@@ -19,6 +20,7 @@
 pub use admission::{Expectation, TimeBounds, patience, refused_for};
 pub use chooser::{EngineChoice, PromptPlan, StagedRouter};
 pub use health::{AttemptResult, EngineHealth};
+pub use link_queue::LinkQueue;
 pub use parts::PartDirectory;
 pub use reading::ReadingSpeeds;
 pub use starts::StartSpeeds;
@@ -87,6 +89,8 @@
     pub token_bytes: u64,
     /// Speed of the link over which memory moves, in megabits a second.
     pub link_mbps: f64,
+    /// Time that the node's own link takes to carry the request once, in seconds.
+    pub send_s: f64,
     /// Runs tried before.
     pub tried: Vec<EngineKey>,
 }
--- a/crates/routing/tests/overload.rs
+++ b/crates/routing/tests/overload.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use dalestand_routing::staged::{
-    EngineKey, Expectation, PromptPart, PromptPlan, Stage, StagedEngine, StagedRequest,
+    EngineKey, Expectation, LinkQueue, PromptPart, PromptPlan, Stage, StagedEngine, StagedRequest,
     StagedRouter, TimeBounds, patience, refused_for,
 };
 use dalestand_types::{MonotonicTime, ZoneName};
@@ -50,6 +50,21 @@
     assert_eq!(refused_for(expected, bounds).is_some(), refused);
 }
 
+#[rstest]
+fn a_link_is_a_queue_that_empties_with_time() {
+    let mut link = LinkQueue::default();
+    let at = MonotonicTime::from_millis;
+    link.sent(at(100), Duration::from_millis(30));
+    link.sent(at(110), Duration::from_millis(30));
+    assert_eq!(link.wait(at(110)), Duration::from_millis(50));
+    assert_eq!(link.wait(at(200)), Duration::ZERO);
+    link.sent(at(200), Duration::from_millis(5));
+    assert_eq!(link.wait(at(200)), Duration::from_millis(5));
+    let link_s = Duration::from_millis(500).as_secs_f64();
+    let behind = expected(40, 0).behind(link_s);
+    assert!(refused_for(behind, bounds(2_000, 400)).is_some());
+}
+
 proptest! {
     /// An engine without a queue takes all: what is expected may be wrong, and only answers show it.
     #[test]
@@ -109,6 +124,7 @@
         prompt_tokens: PROMPT_TOKENS,
         token_bytes: 100_000,
         link_mbps: 1_000_000.0,
+        send_s: 0.0,
         tried: Vec::new(),
     }
 }
--- a/crates/routing/tests/staged.rs
+++ b/crates/routing/tests/staged.rs
@@ -42,6 +42,7 @@
         parts,
         token_bytes: 163_840,
         link_mbps: 1_400_000.0,
+        send_s: 0.0,
         tried: Vec::new(),
     }
 }
