--- a/crates/forwarding/src/peers.rs
+++ b/crates/forwarding/src/peers.rs
@@ -2,6 +2,9 @@
 //!
 //! Datagrams, since what is lost is soon replaced: a node tells again while it has work.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
