--- /dev/null
+++ b/crates/dissemination/src/message.rs
@@ -0,0 +1,254 @@
+//! What nodes send each other, one message a datagram.
+
+use dalestand_routing::staged::EngineKey;
+use dalestand_types::PoolName;
+use serde::{Deserialize, Serialize};
+
+use crate::entry_table::EntryRecord;
+use crate::membership::{NodeNumber, Relay};
+
+/// Version of the messages. A node ignores messages of another version.
+pub const MESSAGE_VERSION: u8 = 1;
+
+/// A message between nodes.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub enum Message {
+    /// A member to its relay.
+    Report(Report),
+    /// A relay to another relay.
+    Exchange(Exchange),
+    /// A relay to its members.
+    Table(Table),
+    /// News that did not fit into a table or an exchange.
+    News(NewsBatch),
+    /// A node asks a relay which parts of prompts are kept where.
+    PartsRequest(PartsRequest),
+    /// A relay sends all engines' entries to a member whose entries differ.
+    Entries(EntriesPage),
+}
+
+/// A short number for an engine: loads are most of what members receive. Among 700 engines two have
+/// the same with a chance of 1 in 17,000, and then count as one load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Deserialize, Serialize)]
+#[serde(transparent)]
+pub struct EngineCode(pub u32);
+
+impl EngineCode {
+    /// The short number of an engine.
+    pub fn of(engine: EngineKey) -> Self {
+        Self(engine.0 as u32)
+    }
+}
+
+/// Work at one engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub struct EngineLoad {
+    /// The engine.
+    pub engine: EngineCode,
+    /// Requests sent there and not over.
+    pub requests: u32,
+    /// Those of them whose first token has not come.
+    pub starting: u32,
+    /// Prompt tokens sent there and not yet prefilled.
+    pub unread_tokens: u64,
+}
+
+/// Demand for one pool, in prompt tokens a second.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct PoolDemand {
+    /// The pool.
+    pub pool: PoolName,
+    /// Tokens worth prefilling at an engine of their own.
+    pub disaggregated_tokens_per_s: f64,
+    /// Tokens best prefilled at the engine that decodes.
+    pub colocated_tokens_per_s: f64,
+}
+
+/// How far an engine is with a prompt. One byte in a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(into = "u8", try_from = "u8")]
+pub enum PlacementState {
+    /// The prompt was sent.
+    Sent,
+    /// The engine has prefilled it.
+    Read,
+    /// The engine will not prefill it.
+    NotRead,
+}
+
+impl From<PlacementState> for u8 {
+    fn from(state: PlacementState) -> Self {
+        match state {
+            PlacementState::Sent => 0,
+            PlacementState::Read => 1,
+            PlacementState::NotRead => 2,
+        }
+    }
+}
+
+impl TryFrom<u8> for PlacementState {
+    type Error = UnknownPlacementState;
+
+    fn try_from(number: u8) -> Result<Self, Self::Error> {
+        match number {
+            0 => Ok(Self::Sent),
+            1 => Ok(Self::Read),
+            2 => Ok(Self::NotRead),
+            _ => Err(UnknownPlacementState(number)),
+        }
+    }
+}
+
+/// A number that stands for no state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("no placement state has the number {0}")]
+pub struct UnknownPlacementState(u8);
+
+/// A part of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub struct PlacedPart {
+    /// Number of the part.
+    pub id: u64,
+    /// Its tokens.
+    pub tokens: u32,
+}
+
+/// One prompt at one engine.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub struct Placement {
+    /// The engine.
+    pub engine: EngineCode,
+    /// How far the engine is with it.
+    pub state: PlacementState,
+    /// The parts that other prompts may share, in order.
+    pub parts: Vec<PlacedPart>,
+    /// Tokens of the part that belongs to this request or its session: they take the engine's memory,
+    /// and nobody but the session's own node asks for them again.
+    pub own_tokens: u32,
+}
+
+/// An engine that was ordered to change its role, and refuses requests until it has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub struct RoleChange {
+    /// Number of the engine.
+    pub engine: u64,
+    /// For how long to avoid it if its entry does not show the change, in milliseconds.
+    pub at_most_ms: u64,
+}
+
+/// Events at one node, each sent once.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub struct News {
+    /// The node at which they occurred; it ignores them when they come back.
+    pub origin: NodeNumber,
+    /// Prompts sent to engines.
+    pub placed: Vec<Placement>,
+    /// Engines that change their roles.
+    pub role_changes: Vec<RoleChange>,
+}
+
+impl News {
+    /// Whether there is nothing in it.
+    pub fn is_empty(&self) -> bool {
+        self.placed.is_empty() && self.role_changes.is_empty()
+    }
+}
+
+/// A member's state.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Report {
+    /// The member.
+    pub node: NodeNumber,
+    /// Rises with each report.
+    pub sequence: u32,
+    /// Whether the member only looks for a relay: its work and news go to another one.
+    pub is_probe: bool,
+    /// Whether the member's entries differ from the relay's.
+    pub wants_entries: bool,
+    /// All its work.
+    pub work: Vec<EngineLoad>,
+    /// Its demand.
+    pub demand: Vec<PoolDemand>,
+    /// What happened since the last report.
+    pub news: News,
+}
+
+/// The sums of a relay and its members.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Exchange {
+    /// The relay.
+    pub node: NodeNumber,
+    /// Mean age of the work of its members, in milliseconds.
+    pub age_ms: u32,
+    /// Work of the relay and its members.
+    pub work: Vec<EngineLoad>,
+    /// Their demand.
+    pub demand: Vec<PoolDemand>,
+    /// What happened there since the last exchange.
+    pub news: Vec<News>,
+    /// Entries whose change the relay was the first to read.
+    pub changes: Vec<EntryRecord>,
+}
+
+/// A member's report that a table includes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub struct IncludedReport {
+    /// The member.
+    pub node: NodeNumber,
+    /// Sequence of its last report.
+    pub sequence: u32,
+}
+
+/// What a relay knows of the fleet.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Table {
+    /// The relay.
+    pub node: NodeNumber,
+    /// Nodes of the fleet.
+    pub node_count: u32,
+    /// Mean age of the work, in milliseconds.
+    pub age_ms: u32,
+    /// Work of all nodes.
+    pub work: Vec<EngineLoad>,
+    /// Reports whose work is part of it: a member takes its own off.
+    pub included: Vec<IncludedReport>,
+    /// What happened in the fleet since the last table.
+    pub news: Vec<News>,
+    /// Entries that changed a short time ago.
+    pub changes: Vec<EntryRecord>,
+    /// Digest of all entries.
+    pub entries_digest: u64,
+    /// The relays of the fleet; empty in most tables.
+    pub relays: Vec<Relay>,
+}
+
+/// News by itself.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct NewsBatch {
+    /// The node that sends it.
+    pub node: NodeNumber,
+    /// The news.
+    pub news: Vec<News>,
+}
+
+/// Asks which parts are kept where.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub struct PartsRequest {
+    /// The node that asks.
+    pub node: NodeNumber,
+}
+
+/// A part of all entries.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub struct EntriesPage {
+    /// The relay.
+    pub node: NodeNumber,
+    /// Newest revision among all entries; no page of another revision belongs to them.
+    pub revision: u64,
+    /// Place of this page, from 0.
+    pub page: u32,
+    /// Number of pages.
+    pub pages: u32,
+    /// The entries of this page.
+    pub records: Vec<EntryRecord>,
+}
--- /dev/null
+++ b/crates/dissemination/tests/relays.rs
@@ -0,0 +1,119 @@
+//! Which nodes are relays, and how members find one.
+
+use std::time::Duration;
+
+use dalestand_dissemination::{
+    NodeDirectory, NodeEntry, NodeNumber, RELAYS_PER_ZONE, Relay, ReportTarget, Subscribers,
+    Subscription,
+};
+use dalestand_types::MonotonicTime;
+use proptest::prelude::*;
+use rstest::rstest;
+
+const SILENCE: Duration = Duration::from_millis(600);
+
+fn at(milliseconds: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(milliseconds)
+}
+
+fn entry(zone: &str, port: u16, link_mbps: u32) -> NodeEntry {
+    NodeEntry {
+        address: ([127, 0, 0, 1], port).into(),
+        zone: zone.into(),
+        link_mbps,
+    }
+}
+
+fn relay(number: u64, zone: &str) -> Relay {
+    Relay {
+        number: NodeNumber(number),
+        address: ([127, 0, 0, 1], number as u16).into(),
+        zone: zone.into(),
+    }
+}
+
+proptest! {
+    /// Nodes elect the same relays in whatever order they hear of each other, no more than there may
+    /// be in a zone, all of them where a zone has no more nodes, and none with a slower link than a
+    /// node that is none.
+    #[test]
+    fn all_nodes_elect_the_same_relays_with_the_fastest_links(
+        nodes in proptest::collection::btree_map("[a-z]{1,6}", (0_usize..3, 0_u32..4), 1..60),
+    ) {
+        let zones = ["east", "north", "west"];
+        let mut forward = NodeDirectory::default();
+        let mut backward = NodeDirectory::default();
+        for (name, (zone, link)) in &nodes {
+            forward.set(name, Some(entry(zones[*zone], 1, link * 10)));
+        }
+        for (name, (zone, link)) in nodes.iter().rev() {
+            backward.set(name, Some(entry(zones[*zone], 1, link * 10)));
+        }
+        let relays = forward.relays();
+        prop_assert_eq!(&relays, &backward.relays());
+        for zone in 0..zones.len() {
+            let links = |is_relay: bool| {
+                let of_zone = nodes.iter().filter(|(_, (of, _))| *of == zone);
+                let of_kind = of_zone.filter(|(name, _)| {
+                    let number = NodeNumber::of(name);
+                    relays.iter().any(|relay| relay.number == number) == is_relay
+                });
+                of_kind.map(|(_, (_, link))| *link).collect::<Vec<_>>()
+            };
+            let (elected, others) = (links(true), links(false));
+            prop_assert!(elected.len() <= RELAYS_PER_ZONE);
+            prop_assert!(others.is_empty() || elected.len() == RELAYS_PER_ZONE);
+            prop_assert!(others.iter().max() <= elected.iter().min());
+        }
+    }
+}
+
+#[rstest]
+fn an_entry_reads_back_as_it_was_written() {
+    let entry = entry("east", 77, 200);
+    let text = entry.to_text().expect("text");
+    assert_eq!(NodeEntry::parse(&text).expect("an entry"), entry);
+    assert!(NodeEntry::parse("10.0.0.1:7").is_err());
+}
+
+#[rstest]
+fn a_member_stays_with_its_relay_until_it_is_silent_and_then_takes_the_first_that_answers() {
+    let mut member = Subscription::new(NodeNumber(100), "east".into(), SILENCE);
+    member.set_relays(vec![relay(1, "east"), relay(2, "east"), relay(3, "west")]);
+    let ReportTarget::Probe(probed) = member.target(at(0)) else {
+        panic!("no relay is known to live");
+    };
+    assert_eq!(probed.len(), 3);
+    assert!(member.heard(at(10), NodeNumber(2)));
+    assert!(
+        !member.heard(at(20), NodeNumber(1)),
+        "an answer that came late"
+    );
+    assert_eq!(
+        member.target(at(500)),
+        ReportTarget::Subscribed(relay(2, "east"))
+    );
+    assert!(matches!(member.target(at(700)), ReportTarget::Probe(_)));
+    assert!(member.heard(at(710), NodeNumber(3)));
+    assert_eq!(member.current(), Some(&relay(3, "west")));
+}
+
+#[rstest]
+fn a_table_of_a_stranger_is_not_listened_to() {
+    let mut member = Subscription::new(NodeNumber(100), "east".into(), SILENCE);
+    member.set_relays(vec![relay(1, "east")]);
+    assert!(!member.heard(at(10), NodeNumber(66)));
+}
+
+#[rstest]
+fn late_reports_are_dropped_and_a_member_that_restarted_is_heard() {
+    let mut subscribers = Subscribers::new(Duration::from_secs(2));
+    let address = ([127, 0, 0, 1], 5).into();
+    let mut heard = |ms, sequence| subscribers.heard(at(ms), NodeNumber(5), address, sequence);
+    assert!(heard(0, 900));
+    assert!(heard(10, 902));
+    assert!(!heard(11, 901), "overtaken on its way");
+    assert!(heard(500, 1), "restarted");
+    subscribers.sweep(at(2_600));
+    assert!(subscribers.addresses().is_empty());
+}
--- a/crates/forwarding/src/attempt.rs
+++ b/crates/forwarding/src/attempt.rs
@@ -63,11 +63,7 @@
         return AttemptEnd::NotSent;
     }
     let parts = progress.parts();
-    let before = context
-        .router
-        .borrow()
-        .work
-        .total(context.now(), engine.key);
+    let before = context.router.borrow().work.total(engine.key);
     let mut work = WorkGuard::new(context, &engine, call.choice.unread_tokens, &parts);
     let mut head = progress.head();
     let fleet = context.fleet();
--- a/crates/forwarding/src/authority.rs
+++ b/crates/forwarding/src/authority.rs
@@ -29,7 +29,7 @@
 /// How often a node that does not hold the authority looks whether it is free.
 const LOOK_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Nodes ask for a free authority one after the other, by name, this far apart.
+/// Relays ask for a free authority one after the other, this far apart.
 const TURN: Duration = Duration::from_millis(300);
 
 /// What a holder may order under.
@@ -64,17 +64,14 @@
     }
 }
 
-/// Takes and keeps the authority for as long as it is polled. `turn` is this node's place among
-/// the live ones.
-pub(crate) async fn hold(
-    context: Rc<Context>,
-    store: Rc<dyn KeyValue>,
-    authority: Authority,
-    turn: impl Fn() -> u32,
-) {
+/// Takes and keeps the authority for as long as it is polled, while this node is a relay: relays
+/// know the demand of the whole fleet, and few of them ask for the authority when it is free.
+pub(crate) async fn hold(context: Rc<Context>, store: Rc<dyn KeyValue>, authority: Authority) {
     loop {
-        actix_rt::time::sleep(LOOK_INTERVAL + TURN * turn()).await;
-        if authority.is_taken.get() || context.is_stopping() || !context.is_ready() {
+        let turn = context.spread.place_among_relays();
+        actix_rt::time::sleep(LOOK_INTERVAL + TURN * turn).await;
+        let is_relay = context.spread.role(context.now()).is_relay;
+        if !is_relay || authority.is_taken.get() || context.is_stopping() || !context.is_ready() {
             continue;
         }
         match acquire(&context, &*store).await {
--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -1,7 +1,7 @@
 //! What all requests of a node share. One thread serves a node, so plain cells do.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -9,8 +9,9 @@
 use dalestand_engine_link::{EngineLink, LinkLimits};
 use dalestand_routes::{RouteTable, SplitPicker};
 use dalestand_routing::SharedRetryBudget;
-use dalestand_routing::staged::{EngineKey, LinkQueue, StagedRouter};
+use dalestand_routing::staged::{EngineKey, LinkQueue, StagedRouter, UnreportedSends};
 use dalestand_types::{MonotonicTime, PoolName};
+use rand::RngExt as _;
 use slog::Logger;
 use tokio::sync::Notify;
 
@@ -20,6 +21,7 @@
 use crate::metrics::ForwardingMetrics;
 use crate::placements::Placements;
 use crate::settings::ForwardingSettings;
+use crate::spread::Spread;
 
 /// A node has at least this many connections to each engine, however many nodes there are.
 const MIN_CONNECTIONS: usize = 8;
@@ -39,19 +41,21 @@
     pub(crate) splits: RefCell<SplitPicker>,
     /// Rung when this node's work at an engine has changed.
     pub(crate) work_changed: Notify,
-    /// Parts sent to engines that peers have not been told of.
+    /// Fleet-wide state that nodes pass on to each other.
+    pub(crate) spread: Spread,
+    /// Parts sent to engines that other nodes have not heard of.
     pub(crate) placements: RefCell<Placements>,
     /// Prompt tokens asked for.
     pub(crate) demand: RefCell<DemandMeter>,
-    /// Engines to be avoided that peers have not been told of.
-    pub(crate) avoided: RefCell<Vec<(EngineKey, Duration)>>,
+    /// Engines that change their roles of which other nodes have not heard.
+    pub(crate) role_changes: RefCell<Vec<(EngineKey, Duration)>>,
     pub(crate) metrics: ForwardingMetrics,
     started: Instant,
     table: RefCell<Option<Rc<RouteTable>>>,
     entries: RefCell<HashMap<String, EngineEntry>>,
     fleet: RefCell<Rc<Fleet>>,
     stopping: Cell<bool>,
-    asks_peers: Cell<bool>,
+    asks_for_parts: Cell<bool>,
     nodes: Cell<usize>,
 }
 
@@ -70,20 +74,24 @@
             link: EngineLink::new(LinkLimits::default()),
             logger,
             in_flight: InFlight::default(),
-            router: RefCell::default(),
+            router: RefCell::new(StagedRouter {
+                unreported: UnreportedSends::seeded(rand::rng().random()),
+                ..StagedRouter::default()
+            }),
             uplink: RefCell::default(),
             budget: RefCell::new(retry_budget(&settings)),
             splits: RefCell::default(),
             work_changed: Notify::new(),
+            spread: Spread::new(&settings),
             placements: RefCell::default(),
             demand: RefCell::default(),
-            avoided: RefCell::default(),
+            role_changes: RefCell::default(),
             started: Instant::now(),
             table: RefCell::default(),
             entries: RefCell::default(),
             fleet: RefCell::default(),
             stopping: Cell::new(false),
-            asks_peers: Cell::new(false),
+            asks_for_parts: Cell::new(false),
             nodes: Cell::new(1),
             settings,
         }
@@ -121,21 +129,16 @@
         Rc::clone(&self.fleet.borrow())
     }
 
-    /// The entry of an engine that is known under `key`.
-    pub(crate) fn entry(&self, key: &str) -> Option<EngineEntry> {
-        self.entries.borrow().get(key).cloned()
-    }
-
-    /// Replaces all entries of engines.
-    pub(crate) fn set_entries(&self, entries: HashMap<String, EngineEntry>) {
-        self.entries.replace(entries);
-        self.rebuild_fleet();
-    }
-
-    /// Notes one entry, or its end.
-    pub(crate) fn set_entry(&self, key: String, entry: Option<EngineEntry>) {
-        {
+    /// Notes entries of engines by their keys, or that they are gone.
+    pub(crate) fn change_entries(&self, changes: Vec<(String, Option<EngineEntry>)>) {
+        for (key, entry) in changes {
             let mut entries = self.entries.borrow_mut();
+            if let (Some(former), Some(entry)) = (entries.get(&key), &entry)
+                && former.role != entry.role
+            {
+                let engine = EngineKey::of(&entry.run);
+                self.router.borrow_mut().health.has_changed_role(engine);
+            }
             match entry {
                 Some(entry) => entries.insert(key, entry),
                 None => entries.remove(&key),
@@ -149,12 +152,9 @@
         let entries = self.entries.borrow();
         let fleet = Fleet::new(entries.values(), table.as_deref());
         // What is known of an engine that drains may still be asked for.
-        let listed = |key: EngineKey| {
-            entries
-                .values()
-                .any(|entry| EngineKey::of(&entry.run) == key)
-        };
-        self.router.borrow_mut().retain(listed);
+        let listed = entries.values().map(|entry| EngineKey::of(&entry.run));
+        let listed: HashSet<EngineKey> = listed.collect();
+        self.router.borrow_mut().retain(|key| listed.contains(&key));
         self.fleet.replace(Rc::new(fleet));
     }
 
@@ -164,23 +164,24 @@
         self.uplink.borrow_mut().sent(self.now(), time);
     }
 
-    /// Avoids an engine for some time, here and at the peers.
-    pub(crate) fn avoid(&self, engine: EngineKey, time: Duration) {
-        let until = self.now() + time;
-        self.router.borrow_mut().health.avoid_until(engine, until);
-        self.avoided.borrow_mut().push((engine, time));
+    /// Notes that an engine was ordered to change its role: it is avoided, here and at the other
+    /// nodes, until its entry shows the change, for `at_most` this time.
+    pub(crate) fn changes_role(&self, engine: EngineKey, at_most: Duration) {
+        let until = self.now() + at_most;
+        self.router.borrow_mut().health.changes_role(engine, until);
+        self.role_changes.borrow_mut().push((engine, at_most));
         self.work_changed.notify_one();
     }
 
-    /// Has peers tell what they know of kept parts.
-    pub(crate) fn ask_peers(&self) {
-        self.asks_peers.set(true);
+    /// Has relays say what they know of kept parts.
+    pub(crate) fn ask_for_parts(&self) {
+        self.asks_for_parts.set(true);
         self.work_changed.notify_one();
     }
 
-    /// Whether peers are to be asked; the question is put once.
-    pub(crate) fn take_question(&self) -> bool {
-        self.asks_peers.replace(false)
+    /// Whether relays are to be asked for kept parts; they are asked once.
+    pub(crate) fn asks_for_parts(&self) -> bool {
+        self.asks_for_parts.replace(false)
     }
 
     /// Whether a planned stop has begun.
@@ -202,6 +203,7 @@
     pub(crate) fn set_nodes(&self, nodes: usize) {
         self.nodes.set(nodes.max(1));
         self.budget.borrow_mut().set_nodes(nodes);
+        self.router.borrow_mut().unreported.set_nodes(nodes);
     }
 
     /// Nodes known, this one among them.
--- a/crates/forwarding/src/demand.rs
+++ b/crates/forwarding/src/demand.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use dalestand_planner::StageDemand;
+use dalestand_routing::staged::LoadSource;
 use dalestand_types::{MonotonicTime, PoolName};
 
 /// Time over which demand is taken.
 const WINDOW: Duration = Duration::from_secs(6);
 
-/// What a peer told counts for this long.
-const PEER_DEMAND_COUNTS: Duration = Duration::from_secs(3);
+/// A report counts for this long; it comes once a second.
+const REPORT_COUNTS: Duration = Duration::from_secs(3);
 
 /// Where the tokens of a prompt are best read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,11 +29,11 @@
     tokens: u32,
 }
 
-/// Demand at this node and, as they told, at its peers.
+/// Demand at this node and, as they reported, at others.
 #[derive(Debug, Default)]
 pub(crate) struct DemandMeter {
     own: HashMap<PoolName, VecDeque<Asked>>,
-    peers: HashMap<(u64, PoolName), (StageDemand, MonotonicTime)>,
+    reported: HashMap<(LoadSource, PoolName), (StageDemand, MonotonicTime)>,
 }
 
 impl DemandMeter {
@@ -62,31 +63,39 @@
             .collect()
     }
 
-    /// Notes what a peer told.
-    pub(crate) fn peer_told(
+    /// Notes what a source reported.
+    pub(crate) fn reported(
         &mut self,
         now: MonotonicTime,
-        peer: u64,
+        source: LoadSource,
         pool: PoolName,
         demand: StageDemand,
     ) {
-        self.peers.insert((peer, pool), (demand, now));
+        self.reported.insert((source, pool), (demand, now));
+    }
+
+    /// Demand at this node and at the sources that `counts` names, by pool.
+    pub(crate) fn sum_of(
+        &mut self,
+        now: MonotonicTime,
+        counts: impl Fn(LoadSource) -> bool,
+    ) -> HashMap<PoolName, StageDemand> {
+        self.reported
+            .retain(|_, (_, reported_at)| now.since(*reported_at) < REPORT_COUNTS);
+        let mut sums: HashMap<PoolName, StageDemand> = self.own(now).into_iter().collect();
+        let counted = self.reported.iter();
+        for ((_, pool), (demand, _)) in counted.filter(|((source, _), _)| counts(*source)) {
+            let sum = sums.entry(pool.clone()).or_default();
+            sum.apart_tokens_per_s += demand.apart_tokens_per_s;
+            sum.beside_tokens_per_s += demand.beside_tokens_per_s;
+        }
+        sums
     }
 
     /// Demand for a pool at all nodes.
     pub(crate) fn total(&mut self, now: MonotonicTime, pool: &PoolName) -> StageDemand {
-        self.peers
-            .retain(|_, (_, told_at)| now.since(*told_at) < PEER_DEMAND_COUNTS);
-        let own = self.own(now);
-        let own = own.iter().filter(|(name, _)| name == pool);
-        let peers = self.peers.iter().filter(|((_, name), _)| name == pool);
-        let told = peers.map(|(_, (demand, _))| demand);
-        let mut total = StageDemand::default();
-        for demand in own.map(|(_, demand)| demand).chain(told) {
-            total.apart_tokens_per_s += demand.apart_tokens_per_s;
-            total.beside_tokens_per_s += demand.beside_tokens_per_s;
-        }
-        total
+        let sums = self.sum_of(now, |_| true);
+        sums.get(pool).copied().unwrap_or_default()
     }
 }
 
--- a/crates/forwarding/src/fleet.rs
+++ b/crates/forwarding/src/fleet.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use dalestand_dissemination::EngineCode;
 use dalestand_edge::routed::EngineEntry;
 use dalestand_engine_link::LinkTarget;
 use dalestand_routes::{PoolTerms, RouteTable};
@@ -17,6 +18,8 @@
     pub address: SocketAddr,
     /// Names the run.
     pub run: Arc<str>,
+    /// Tokens its memory holds; 0 where it keeps none.
+    pub memory_tokens: u64,
 }
 
 impl FleetEngine {
@@ -34,6 +37,7 @@
 pub struct Fleet {
     pools: HashMap<PoolName, Vec<StagedEngine>>,
     engines: HashMap<EngineKey, FleetEngine>,
+    codes: HashMap<EngineCode, EngineKey>,
 }
 
 impl Fleet {
@@ -47,12 +51,15 @@
             let key = EngineKey::of(&entry.run);
             let terms = table.and_then(|table| table.pool(&entry.pool));
             let engines = fleet.pools.entry(entry.pool.clone()).or_default();
-            engines.push(staged(key, entry, terms.map(|terms| &**terms)));
+            let staged = staged(key, entry, terms.map(|terms| &**terms));
             let engine = FleetEngine {
+                memory_tokens: staged.memory_tokens,
                 address: entry.address,
                 run: Arc::clone(&entry.run),
             };
+            engines.push(staged);
             fleet.engines.insert(key, engine);
+            fleet.codes.insert(EngineCode::of(key), key);
         }
         for engines in fleet.pools.values_mut() {
             engines.sort_by_key(|engine| engine.key);
@@ -70,6 +77,11 @@
         self.engines.get(&key)
     }
 
+    /// The engine that other nodes mean by `code`.
+    pub fn engine_of(&self, code: EngineCode) -> Option<EngineKey> {
+        self.codes.get(&code).copied()
+    }
+
     /// Whether a run takes new work at that address.
     pub fn has_target(&self, target: &LinkTarget) -> bool {
         let engine = self.engines.get(&EngineKey::of(&target.run));
@@ -78,8 +90,7 @@
 
     /// Tokens that an engine's memory holds; 0 if the engine is not known.
     pub fn memory_tokens(&self, key: EngineKey) -> u64 {
-        let mut engines = self.pools.values().flatten();
-        let engine = engines.find(|engine| engine.key == key);
+        let engine = self.engines.get(&key);
         engine.map_or(0, |engine| engine.memory_tokens)
     }
 
--- a/crates/forwarding/src/follow.rs
+++ b/crates/forwarding/src/follow.rs
@@ -12,7 +12,7 @@
 use error_stack::Report;
 use rand::RngExt as _;
 use slog::Logger;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 /// Longest wait of one watch.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
@@ -58,47 +58,79 @@
     }
 }
 
-/// Follows the keys under `prefix` for as long as it is polled.
+/// What is followed, and where.
+pub(crate) struct FollowTask {
+    pub(crate) store: Rc<dyn KeyValue>,
+    /// Leading part of the keys.
+    pub(crate) prefix: String,
+    pub(crate) regained: Regained,
+    pub(crate) logger: Logger,
+}
+
+/// Where a follower stands.
+#[derive(Default)]
+struct Progress {
+    /// The revision from which to watch; `None` if all is to be read.
+    position: Option<Revision>,
+    was_read: bool,
+    failures: u32,
+}
+
+/// Follows the keys of `task` while `reading` holds, for as long as it is polled. Each time that
+/// `reading` begins to hold, all keys are read.
 pub(crate) async fn follow(
-    store: Rc<dyn KeyValue>,
-    prefix: String,
+    task: FollowTask,
     follower: impl Follower,
-    regained: Regained,
-    logger: Logger,
+    mut reading: watch::Receiver<bool>,
 ) {
-    let mut position: Option<Revision> = None;
-    let mut was_read = false;
-    let mut failures = 0;
-    loop {
-        match step(&*store, &prefix, position, &follower).await {
-            Ok(next) => {
-                if failures > 0 {
-                    log_event!(logger, Event::KeyValueRegained, "prefix" => &prefix,
-                        "failures" => failures, "revision" => next.map(|revision| revision.0));
-                    regained.tell();
-                }
-                failures = 0;
-                was_read = true;
-                position = next;
+    let mut progress = Progress::default();
+    while reading.wait_for(|reads| *reads).await.is_ok() {
+        tokio::select! {
+            () = follow_on(&task, &follower, &mut progress) => {}
+            () = stopped(&mut reading) => progress.position = None,
+        }
+    }
+}
+
+/// Waits until `reading` no longer holds; for ever if nobody can change it.
+async fn stopped(reading: &mut watch::Receiver<bool>) {
+    if reading.wait_for(|reads| !*reads).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// One call, and the pause after a failure.
+async fn follow_on(task: &FollowTask, follower: &impl Follower, progress: &mut Progress) {
+    let prefix = &task.prefix;
+    match step(&*task.store, prefix, progress.position, follower).await {
+        Ok(next) => {
+            if progress.failures > 0 {
+                log_event!(task.logger, Event::KeyValueRegained, "prefix" => prefix,
+                    "failures" => progress.failures,
+                    "revision" => next.map(|revision| revision.0));
+                task.regained.tell();
             }
-            Err(error) => {
-                if failures == 0 {
-                    log_event!(logger, Event::KeyValueFailed, "prefix" => &prefix,
-                        "error" => %error.current_context(),
-                        "revision" => position.map(|revision| revision.0));
-                }
-                failures += 1;
-                // A watch that was cut may have missed a change that the next watch does not tell
-                // either: only a read shows what stands now.
-                position = None;
-                let longest = if was_read {
-                    LONGEST_PAUSE
-                } else {
-                    LONGEST_PAUSE_UNREAD
-                };
-                let pause = pause(failures, longest, error.current_context());
-                regained.wait(pause).await;
+            progress.failures = 0;
+            progress.was_read = true;
+            progress.position = next;
+        }
+        Err(error) => {
+            if progress.failures == 0 {
+                log_event!(task.logger, Event::KeyValueFailed, "prefix" => prefix,
+                    "error" => %error.current_context(),
+                    "revision" => progress.position.map(|revision| revision.0));
             }
+            progress.failures += 1;
+            // A watch that was cut may have missed a change that the next watch does not tell
+            // either: only a read shows what stands now.
+            progress.position = None;
+            let longest = if progress.was_read {
+                LONGEST_PAUSE
+            } else {
+                LONGEST_PAUSE_UNREAD
+            };
+            let pause = pause(progress.failures, longest, error.current_context());
+            task.regained.wait(pause).await;
         }
     }
 }
--- a/crates/forwarding/src/follow/tests.rs
+++ b/crates/forwarding/src/follow/tests.rs
@@ -12,8 +12,9 @@
 use dalestand_telemetry::discard_logger;
 use dalestand_types::Revision;
 use error_stack::Report;
+use tokio::sync::watch;
 
-use super::{Follower, Regained, follow};
+use super::{FollowTask, Follower, Regained, follow};
 
 const KEY: &str = "declaration";
 
@@ -87,6 +88,21 @@
     })
 }
 
+/// Follows [`KEY`] in `store`.
+fn task(store: Rc<dyn KeyValue>, regained: Regained) -> FollowTask {
+    FollowTask {
+        store,
+        prefix: KEY.to_owned(),
+        regained,
+        logger: discard_logger(),
+    }
+}
+
+/// A follower that is never stopped.
+fn always() -> watch::Receiver<bool> {
+    watch::channel(true).1
+}
+
 fn no_answer(message: &str) -> Report<PlatformError> {
     Report::new(PlatformError::InDoubt {
         system: "store",
@@ -155,13 +171,8 @@
     let store = Rc::new(DeafWatches::default());
     store.written.set(1);
     let seen = Seen::default();
-    let following = follow(
-        Rc::new(ReadOnly(store)),
-        KEY.to_owned(),
-        seen.clone(),
-        Regained::default(),
-        discard_logger(),
-    );
+    let task = task(Rc::new(ReadOnly(store)), Regained::default());
+    let following = follow(task, seen.clone(), always());
     let _ = tokio::time::timeout(Duration::from_secs(1), following).await;
     assert_eq!(*seen.0.borrow(), ["1", "2"]);
 }
@@ -203,9 +214,9 @@
     let regained = Regained::default();
     for (key, seen) in [("first", &first), ("second", &second)] {
         let store = Rc::new(ReadOnly(store.clone()));
-        let (seen, told) = (seen.clone(), regained.clone());
-        let logger = discard_logger();
-        actix_rt::spawn(follow(store, key.to_owned(), seen, told, logger));
+        let mut task = task(store, regained.clone());
+        task.prefix = key.to_owned();
+        actix_rt::spawn(follow(task, seen.clone(), always()));
     }
     // Both sit out long pauses.
     actix_rt::time::sleep(Duration::from_millis(900)).await;
@@ -228,9 +239,8 @@
     let store = Rc::new(DownThenUp::default());
     let following = Rc::new(ReadOnly(store.clone()));
     let seen = Seen::default();
-    let regained = Regained::default();
-    let logger = discard_logger();
-    actix_rt::spawn(follow(following, KEY.to_owned(), seen, regained, logger));
+    let task = task(following, Regained::default());
+    actix_rt::spawn(follow(task, seen, always()));
     actix_rt::time::sleep(Duration::from_secs(5)).await;
     assert!(store.asked.get() >= 22, "asked {} times", store.asked.get());
 }
@@ -301,13 +311,8 @@
         answered: Cell::new(0),
     });
     let seen = Rc::new(RefCell::new(Vec::new()));
-    let following = follow(
-        Rc::new(ReadOnly(Rc::clone(&service))),
-        KEY.to_owned(),
-        Gathering(Rc::clone(&seen)),
-        Regained::default(),
-        discard_logger(),
-    );
+    let task = task(Rc::new(ReadOnly(Rc::clone(&service))), Regained::default());
+    let following = follow(task, Gathering(Rc::clone(&seen)), always());
     let begun = Instant::now();
     let changing = async {
         for _ in 0..CHANGES {
@@ -329,3 +334,25 @@
         "{answered} answers in {gathered}"
     );
 }
+
+/// A node that listens to a relay makes no calls; when it reads again it reads all, since a watch from
+/// the former position may have missed changes.
+#[actix_rt::test]
+async fn a_follower_that_is_stopped_makes_no_calls_and_then_reads_all() {
+    let store = Rc::new(DeafWatches::default());
+    store.written.set(1);
+    let (sender, reading) = watch::channel(true);
+    let seen = Seen::default();
+    let task = task(Rc::new(ReadOnly(Rc::clone(&store))), Regained::default());
+    actix_rt::spawn(follow(task, seen.clone(), reading));
+    actix_rt::time::sleep(Duration::from_millis(200)).await;
+    sender.send_replace(false);
+    actix_rt::time::sleep(Duration::from_millis(50)).await;
+    let watches = store.watches.get();
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(store.watches.get(), watches);
+    store.written.set(7);
+    sender.send_replace(true);
+    actix_rt::time::sleep(Duration::from_millis(50)).await;
+    assert_eq!(seen.0.borrow().last().map(String::as_str), Some("7"));
+}
--- a/crates/forwarding/src/metrics.rs
+++ b/crates/forwarding/src/metrics.rs
@@ -31,6 +31,11 @@
     call_seconds: HistogramVec,
     store_calls: IntCounterVec,
     store_seconds: HistogramVec,
+    datagrams: IntCounterVec,
+    datagram_bytes: IntCounterVec,
+    is_relay: IntGauge,
+    reads_store: IntGauge,
+    report_age_ms: IntGauge,
     repeats_left: IntGaugeVec,
     in_flight: IntGauge,
     engines: IntGauge,
@@ -89,6 +94,25 @@
                 "Time of calls to the key-value service, by call; a watch waits for changes.",
                 &["call"],
             )?,
+            datagrams: counters(
+                "peer_datagrams_total",
+                "Datagrams between nodes by message and outcome.",
+                &["message", "outcome"],
+            )?,
+            datagram_bytes: counters(
+                "peer_datagram_bytes_total",
+                "Bytes of datagrams between nodes by message and outcome.",
+                &["message", "outcome"],
+            )?,
+            is_relay: gauge("is_relay", "1 if this node passes fleet-wide state on.")?,
+            reads_store: gauge(
+                "reads_store",
+                "1 if this node reads fleet-wide state from the key-value service.",
+            )?,
+            report_age_ms: gauge(
+                "load_age_ms",
+                "Mean age of the work that other nodes reported, in milliseconds.",
+            )?,
             repeats_left: {
                 let options = Opts::new(
                     "repeated_sends_left",
@@ -134,12 +158,26 @@
         latency.observe(took.as_secs_f64());
     }
 
+    /// Notes a datagram between nodes.
+    pub(crate) fn datagram(&self, message: &str, outcome: &str, bytes: usize) {
+        let labels = [message, outcome];
+        self.datagrams.with_label_values(&labels).inc();
+        let counted = self.datagram_bytes.with_label_values(&labels);
+        counted.inc_by(bytes as u64);
+    }
+
     fn text(&self, context: &Context) -> Result<String, prometheus::Error> {
         self.in_flight.set(context.in_flight.count() as i64);
         self.engines.set(context.fleet().len() as i64);
         self.nodes.set(context.node_count() as i64);
         let revision = context.table().map_or(0, |table| table.revision().0);
         self.configuration.set(revision as i64);
+        let now = context.now();
+        let role = context.spread.role(now);
+        self.is_relay.set(i64::from(role.is_relay));
+        self.reads_store.set(i64::from(role.reads_store));
+        let report_age = context.router.borrow().work.mean_age(now);
+        self.report_age_ms.set(report_age.as_millis() as i64);
         self.set_repeats_left(context);
         let mut buffer = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut buffer)?;
--- a/crates/forwarding/src/node.rs
+++ b/crates/forwarding/src/node.rs
@@ -1,11 +1,10 @@
 //! Starts a forwarding node and stops it as planned.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use dalestand_edge::routed::{Dialect, EngineEntry, FleetForm};
+use dalestand_edge::routed::{Dialect, FleetForm};
 use dalestand_edge::{KeyValue, Listing, WatchEvent};
 use dalestand_http_server::{Connections, ServerLimits, serve};
 use dalestand_routes::RouteTable;
@@ -14,21 +13,24 @@
 use slog::Logger;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
 
 use crate::authority::{Authority, hold};
 use crate::context::Context;
+use crate::engine_entries::EngineFollower;
 use crate::error::ForwardingError;
-use crate::follow::{Follower, Regained, follow};
+use crate::follow::{FollowTask, Follower, Regained, follow};
 use crate::forward::forward;
 use crate::metered_store::MeteredStore;
 use crate::metrics::{ForwardingMetrics, serve_metrics};
 use crate::part_recovery::recover_parts;
-use crate::peers;
 use crate::ready::ready;
-use crate::registration::{OWN_PREFIX, PeerFollower, Peers, keep_registered};
+use crate::registration::{NodeFollower, OWN_PREFIX, find_relays, keep_registered};
 use crate::reload::reload;
 use crate::role_control::control_roles;
 use crate::settings::ForwardingSettings;
+use crate::spread::receive::receive_state;
+use crate::spread::send::{send_state, send_tables};
 use crate::stop::stop;
 
 /// Time a caller has to send a head. Longer than any configuration asks for: a connection that a
@@ -44,13 +46,6 @@
 /// A sweep that comes this late means that the process stood still.
 const PAUSE_NOTICED: Duration = Duration::from_millis(1_000);
 
-/// Changes of engines' entries are gathered for this time for each node that follows them.
-const ENGINES_GATHERED_PER_NODE: Duration = Duration::from_millis(4);
-
-/// Longest time for which they are gathered. It is part of the time in which an engine that leaves
-/// still gets requests, so it is a small part of any drain bound.
-const ENGINES_GATHERED: Duration = Duration::from_millis(250);
-
 /// Reads the settings again.
 pub type ReadSettings = Box<dyn Fn() -> Result<ForwardingSettings, String>>;
 
@@ -93,10 +88,8 @@
     start_metrics(&context).await;
     let metered = MeteredStore::new(node.store, Rc::clone(&context));
     let store: Rc<dyn KeyValue> = Rc::new(metered);
-    let regained = Regained::default();
-    start_followers(&context, &store, &regained);
-    let peers = Peers::default();
-    start_peers(&context, &store, peer_socket, peers, regained);
+    start_followers(&context, &store);
+    start_spread(&context, &store, peer_socket);
     let sweeping = Rc::clone(&context);
     actix_rt::spawn(sweep(sweeping));
     actix_rt::spawn(reload(Rc::clone(&context), node.read_settings, hangup));
@@ -161,48 +154,41 @@
     connections
 }
 
-fn start_followers(context: &Rc<Context>, store: &Rc<dyn KeyValue>, regained: &Regained) {
+fn start_followers(context: &Rc<Context>, store: &Rc<dyn KeyValue>) {
+    let regained = Regained::default();
+    let start = |prefix: &str| FollowTask {
+        store: Rc::clone(store),
+        prefix: prefix.to_owned(),
+        regained: regained.clone(),
+        logger: context.logger.clone(),
+    };
+    // The declaration is read by each node: it must be in force everywhere soon, and it changes
+    // rarely.
+    let always = watch::channel(true).1;
     let configuration = ConfigurationFollower(Rc::clone(context));
-    let key = context.form.configuration_key().to_owned();
-    let logger = context.logger.clone();
-    let told = regained.clone();
-    actix_rt::spawn(follow(Rc::clone(store), key, configuration, told, logger));
+    let task = start(context.form.configuration_key());
+    actix_rt::spawn(follow(task, configuration, always));
     let engines = EngineFollower(Rc::clone(context));
-    let prefix = context.form.engine_prefix().to_owned();
-    let logger = context.logger.clone();
-    let told = regained.clone();
-    actix_rt::spawn(follow(Rc::clone(store), prefix, engines, told, logger));
-}
-
-fn start_peers(
-    context: &Rc<Context>,
-    store: &Rc<dyn KeyValue>,
-    socket: UdpSocket,
-    peers: Peers,
-    regained: Regained,
-) {
-    let socket = Rc::new(socket);
+    let task = start(context.form.engine_prefix());
+    actix_rt::spawn(follow(task, engines, context.spread.reading()));
     let authority = Authority::default();
-    actix_rt::spawn(peers::listen(
-        Rc::clone(context),
-        Rc::clone(&socket),
-        peers.clone(),
-    ));
-    let follower = PeerFollower {
+    let nodes = NodeFollower {
         context: Rc::clone(context),
-        peers: peers.clone(),
         authority: authority.clone(),
     };
-    actix_rt::spawn(peers::tell(Rc::clone(context), socket, peers.clone()));
-    actix_rt::spawn(recover_parts(Rc::clone(context), peers.clone()));
+    actix_rt::spawn(follow(start(OWN_PREFIX), nodes, context.spread.reading()));
     let holding = Rc::clone(context);
-    let node = context.settings.node.clone();
-    let turn = move || peers.before(node.as_str());
-    actix_rt::spawn(hold(holding, Rc::clone(store), authority.clone(), turn));
+    actix_rt::spawn(hold(holding, Rc::clone(store), authority.clone()));
     actix_rt::spawn(control_roles(Rc::clone(context), authority));
-    let logger = context.logger.clone();
-    let prefix = OWN_PREFIX.to_owned();
-    actix_rt::spawn(follow(Rc::clone(store), prefix, follower, regained, logger));
+}
+
+fn start_spread(context: &Rc<Context>, store: &Rc<dyn KeyValue>, socket: UdpSocket) {
+    let socket = Rc::new(socket);
+    actix_rt::spawn(receive_state(Rc::clone(context), Rc::clone(&socket)));
+    actix_rt::spawn(send_tables(Rc::clone(context), Rc::clone(&socket)));
+    actix_rt::spawn(send_state(Rc::clone(context), socket));
+    actix_rt::spawn(recover_parts(Rc::clone(context)));
+    actix_rt::spawn(find_relays(Rc::clone(context), Rc::clone(store)));
     actix_rt::spawn(keep_registered(Rc::clone(context), Rc::clone(store)));
 }
 
@@ -270,59 +256,3 @@
         }
     }
 }
-
-/// Takes engines' own entries into account.
-struct EngineFollower(Rc<Context>);
-
-impl EngineFollower {
-    fn read(&self, key: &str, value: &str) -> Option<EngineEntry> {
-        let context = &self.0;
-        match context.form.read_engine(key, value) {
-            Ok(entry) => Some(entry),
-            Err(error) => {
-                log_event!(context.logger, Event::EngineUnreadable, "key" => key,
-                    "error" => error);
-                None
-            }
-        }
-    }
-
-    fn log_listed(&self, entry: &EngineEntry) {
-        log_event!(self.0.logger, Event::EngineListed, "engine" => &*entry.run,
-            "pool" => %entry.pool, "address" => %entry.address, "zone" => %entry.zone,
-            "accepting" => entry.accepting, "role" => ?entry.role);
-    }
-}
-
-impl Follower for EngineFollower {
-    fn listed(&self, listing: Listing) {
-        let mut entries = HashMap::new();
-        for listed in listing.entries {
-            if let Some(entry) = self.read(&listed.key, &listed.value) {
-                if self.0.entry(&listed.key).as_ref() != Some(&entry) {
-                    self.log_listed(&entry);
-                }
-                entries.insert(listed.key, entry);
-            }
-        }
-        self.0.set_entries(entries);
-    }
-
-    fn changed(&self, event: WatchEvent) {
-        let Some(value) = &event.value else {
-            log_event!(self.0.logger, Event::EngineGone, "key" => &event.key,
-                "revision" => event.revision.0);
-            self.0.set_entry(event.key, None);
-            return;
-        };
-        if let Some(entry) = self.read(&event.key, value) {
-            self.log_listed(&entry);
-            self.0.set_entry(event.key, Some(entry));
-        }
-    }
-
-    fn gather(&self) -> Duration {
-        let nodes = self.0.node_count() as u32;
-        (ENGINES_GATHERED_PER_NODE * nodes).min(ENGINES_GATHERED)
-    }
-}
--- a/crates/forwarding/src/prefill.rs
+++ b/crates/forwarding/src/prefill.rs
@@ -90,7 +90,7 @@
 ) -> PrefillEnd {
     let tokens_ahead = {
         let router = context.router.borrow();
-        let work = router.work.total(context.now(), choice.engine.key);
+        let work = router.work.total(choice.engine.key);
         work.unread_tokens as f64 + f64::from(choice.unread_tokens)
     };
     let call = Call {
--- a/crates/forwarding/src/role_control.rs
+++ b/crates/forwarding/src/role_control.rs
@@ -20,11 +20,13 @@
 /// How often the demand is looked at.
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// An engine whose order got no answer may still carry it out; it is left alone for this long.
+/// An engine whose order got no answer may still carry it out; it is given no other order for this
+/// long. One that took its order is avoided for as long, unless its entry shows the change before.
 const IN_DOUBT: Duration = Duration::from_secs(14);
 
-/// An engine that changes takes no requests for about this long.
-const CHANGE_TIME: Duration = Duration::from_millis(1_000);
+/// An engine whose order got no answer is avoided for this long; if it still changes later, its
+/// refusals say so.
+const UNANSWERED: Duration = Duration::from_millis(1_000);
 
 /// Changes stages for as long as it is polled.
 pub(crate) async fn control_roles(context: Rc<Context>, authority: Authority) {
@@ -104,7 +106,7 @@
         .iter()
         .filter(|engine| engine.stage == from && !left_alone.contains_key(&engine.key));
     let engine = may_change.min_by_key(|engine| {
-        let work = router.work.total(now, engine.key);
+        let work = router.work.total(engine.key);
         (work.unread_tokens, work.requests)
     })?;
     log_event!(context.logger, Event::RoleDecided, "pool" => %pool, "engine" => &*engine.run,
@@ -122,13 +124,12 @@
     engines: &[StagedEngine],
     stage: impl Fn(&StagedEngine) -> Stage,
 ) -> StageQueues {
-    let now = context.now();
     let router = context.router.borrow();
     let mean_s = |wanted| {
         let of_stage = engines.iter().filter(|engine| stage(engine) == wanted);
         let queued: Vec<f64> = of_stage
             .map(|engine| {
-                let unread = router.work.total(now, engine.key).unread_tokens as f64;
+                let unread = router.work.total(engine.key).unread_tokens as f64;
                 let reading_s = |tokens| router.speeds.expected_s(engine.key, wanted, tokens);
                 reading_s(unread) - reading_s(0.0)
             })
@@ -169,6 +170,8 @@
     };
     let (head, body) = context.dialect.stage_order(&order);
     let answered = call(context, pool, engine, head, body).await;
+    // An order without an answer may come true at any later time, or never.
+    let mut avoided = UNANSWERED;
     let outcome = answered.map(|(status, _)| context.dialect.read_stage_order(status));
     match outcome {
         Some(StageOrderOutcome::Refused(status)) => {
@@ -177,6 +180,7 @@
             return false;
         }
         Some(StageOrderOutcome::Taken) => {
+            avoided = IN_DOUBT;
             log_event!(context.logger, Event::OrderGiven, "engine" => &*engine.run,
                 "token" => mandate.token, "sequence" => sequence, "role" => %order.role);
         }
@@ -185,7 +189,7 @@
                 "token" => mandate.token, "sequence" => sequence);
         }
     }
-    context.avoid(engine.key, CHANGE_TIME);
+    context.changes_role(engine.key, avoided);
     true
 }
 
--- a/crates/forwarding/src/settings.rs
+++ b/crates/forwarding/src/settings.rs
@@ -29,6 +29,9 @@
     pub link_mbps: Option<f64>,
     /// The key-value service.
     pub key_value: SocketAddr,
+    /// Whether the whole fleet starts for the first time, so that no node is registered yet.
+    #[serde(default)]
+    pub first_start: bool,
     /// Repeated sends that all nodes may make together.
     pub retries: RetrySettings,
     /// Planned stops.
--- /dev/null
+++ b/crates/forwarding/src/spread/mod.rs
@@ -0,0 +1,195 @@
+//! Fleet-wide state at this node: which nodes are relays, whether this is one, which entries are
+//! known, and what is still to be passed on.
+//!
+//! Rules and messages are those of `dalestand_dissemination`; [`send`] and [`receive`] move the
+//! datagrams.
+
+mod news_queue;
+mod own_reports;
+pub(crate) mod receive;
+pub(crate) mod recent_changes;
+pub(crate) mod send;
+#[cfg(test)]
+mod tests;
+
+use std::cell::{Cell, RefCell};
+use std::time::Duration;
+
+use dalestand_dissemination::{
+    EntriesPage, EntryRecord, EntryTable, NodeDirectory, NodeNumber, Relay, Subscribers,
+    Subscription,
+};
+use dalestand_types::MonotonicTime;
+use rand::RngExt as _;
+use tokio::sync::watch;
+
+use crate::settings::ForwardingSettings;
+use crate::spread::news_queue::NewsQueue;
+use crate::spread::own_reports::OwnReports;
+use crate::spread::recent_changes::RecentChanges;
+
+/// Longest time between two tables of a relay.
+pub(crate) const TABLE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// A relay that was not heard for this long is taken for lost: six tables. Engines' entries must
+/// reach a member within the shortest drain bound (2 s), another relay included.
+const RELAY_SILENCE: Duration = Duration::from_millis(600);
+
+/// A member that was not heard of for this long gets no more tables. It reports several times in
+/// that time even when it has no work.
+const MEMBER_SILENCE: Duration = Duration::from_secs(2);
+
+/// A node that heard no relay for this long reads the key-value service itself. Probing other relays
+/// takes a round trip, so this is reached only where no relay can be.
+const READ_AFTER: Duration = Duration::from_millis(1_200);
+
+/// Added to [`READ_AFTER`], at random for each node, so that nodes which lost their relays together
+/// do not all read at the same moment.
+const READ_SPREAD: Duration = Duration::from_millis(800);
+
+/// A node that relays send their sums to is a relay for this long, whatever it knows itself.
+const ADDRESSED: Duration = Duration::from_secs(3);
+
+/// What this node does with fleet-wide state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct SpreadRole {
+    /// It passes state on to members and exchanges sums with relays.
+    pub(crate) is_relay: bool,
+    /// It reads engines' and nodes' entries from the key-value service.
+    pub(crate) reads_store: bool,
+}
+
+/// Fleet-wide state at this node.
+pub(crate) struct Spread {
+    /// This node's number.
+    pub(crate) node: NodeNumber,
+    /// Nodes as their entries tell, this one among them. Kept up only while this node reads.
+    directory: RefCell<NodeDirectory>,
+    /// The relays that follow from `directory`.
+    relays: RefCell<Vec<Relay>>,
+    /// Until when relays count this node among them.
+    addressed_until: Cell<MonotonicTime>,
+    /// How long this node goes without a relay before it reads.
+    read_after: Duration,
+    reads_store: watch::Sender<bool>,
+    pub(crate) subscription: RefCell<Subscription>,
+    pub(crate) subscribers: RefCell<Subscribers>,
+    pub(crate) entries: RefCell<EntryTable>,
+    pub(crate) changes: RefCell<RecentChanges>,
+    /// Pages of entries that came, until all have.
+    pages: RefCell<Vec<EntriesPage>>,
+    /// Whether this node's entries differ from its relay's.
+    pub(crate) wants_entries: Cell<bool>,
+    /// News for members.
+    pub(crate) table_news: RefCell<NewsQueue>,
+    /// News for relays.
+    pub(crate) exchange_news: RefCell<NewsQueue>,
+    pub(crate) own_reports: RefCell<OwnReports>,
+}
+
+impl Spread {
+    pub(crate) fn new(settings: &ForwardingSettings) -> Self {
+        let node = NodeNumber::of(settings.node.as_str());
+        let spread = READ_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
+        let subscription = Subscription::new(node, settings.zone.clone(), RELAY_SILENCE);
+        Self {
+            node,
+            directory: RefCell::default(),
+            relays: RefCell::default(),
+            addressed_until: Cell::new(MonotonicTime::ZERO),
+            read_after: READ_AFTER + spread,
+            reads_store: watch::Sender::new(false),
+            subscription: RefCell::new(subscription),
+            subscribers: RefCell::new(Subscribers::new(MEMBER_SILENCE)),
+            entries: RefCell::default(),
+            changes: RefCell::default(),
+            pages: RefCell::default(),
+            wants_entries: Cell::new(false),
+            table_news: RefCell::default(),
+            exchange_news: RefCell::default(),
+            own_reports: RefCell::default(),
+        }
+    }
+
+    /// Changes what is known of the nodes, and elects the relays anew.
+    pub(crate) fn change_directory(&self, change: impl FnOnce(&mut NodeDirectory)) {
+        let mut directory = self.directory.borrow_mut();
+        change(&mut directory);
+        let relays = directory.relays();
+        self.subscription.borrow_mut().set_relays(relays.clone());
+        self.relays.replace(relays);
+    }
+
+    /// Nodes known, this one among them.
+    pub(crate) fn node_count(&self) -> usize {
+        self.directory.borrow().len().max(1)
+    }
+
+    /// The relays that this node would send its sums to, itself left out.
+    pub(crate) fn other_relays(&self) -> Vec<Relay> {
+        let relays = self.relays.borrow();
+        let others = relays.iter().filter(|relay| relay.number != self.node);
+        others.cloned().collect()
+    }
+
+    /// This node's place among the relays.
+    pub(crate) fn place_among_relays(&self) -> u32 {
+        let relays = self.relays.borrow();
+        let before = relays.iter().filter(|relay| relay.number < self.node);
+        before.count() as u32
+    }
+
+    fn is_elected(&self) -> bool {
+        let relays = self.relays.borrow();
+        relays.iter().any(|relay| relay.number == self.node)
+    }
+
+    /// Notes that a relay counts this node among the relays.
+    pub(crate) fn addressed(&self, now: MonotonicTime) {
+        self.addressed_until.set(now + ADDRESSED);
+    }
+
+    /// What this node does at `now`.
+    pub(crate) fn role(&self, now: MonotonicTime) -> SpreadRole {
+        let is_relay = self.is_elected() || now < self.addressed_until.get();
+        let subscription = self.subscription.borrow();
+        let unheard = now.since(subscription.heard_at()) > self.read_after;
+        SpreadRole {
+            is_relay,
+            reads_store: is_relay || unheard,
+        }
+    }
+
+    /// Lets the followers of the key-value service run, or stops them; whether that changed.
+    pub(crate) fn set_reads_store(&self, reads: bool) -> bool {
+        self.reads_store.send_if_modified(|current| {
+            let changed = *current != reads;
+            *current = reads;
+            changed
+        })
+    }
+
+    /// Tells followers of the key-value service whether they are to run.
+    pub(crate) fn reading(&self) -> watch::Receiver<bool> {
+        self.reads_store.subscribe()
+    }
+
+    /// Takes a page of a relay's entries; yields what has changed once all pages are there.
+    pub(crate) fn take_page(&self, page: EntriesPage) -> Vec<EntryRecord> {
+        let mut pages = self.pages.borrow_mut();
+        let belongs = |other: &EntriesPage| {
+            other.node == page.node
+                && other.revision == page.revision
+                && other.pages == page.pages
+                && other.page != page.page
+        };
+        pages.retain(belongs);
+        let (revision, count) = (page.revision, page.pages as usize);
+        pages.push(page);
+        if pages.len() < count {
+            return Vec::new();
+        }
+        let records = pages.drain(..).flat_map(|page| page.records).collect();
+        self.entries.borrow_mut().take_listing(revision, records)
+    }
+}
--- /dev/null
+++ b/crates/forwarding/src/spread/receive.rs
@@ -0,0 +1,325 @@
+//! Takes in what other nodes send.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dalestand_dissemination::{
+    EngineLoad, EntriesPage, EntryRecord, Exchange, MESSAGE_VERSION, Message, News, NewsBatch,
+    Placement, PlacementState, PoolDemand, Report, Table,
+};
+use dalestand_planner::StageDemand;
+use dalestand_routing::staged::{EngineKey, EngineWork, LoadSource, PromptPart};
+use dalestand_telemetry::{Event, log_event};
+use dalestand_types::MonotonicTime;
+use tokio::net::UdpSocket;
+
+use crate::context::Context;
+use crate::engine_entries::apply;
+use crate::fleet::Fleet;
+use crate::part_recovery::known_parts;
+use crate::spread::news_queue::NewsQueue;
+use crate::spread::recent_changes::ChangeSource;
+use crate::spread::send::{kind_label, send, send_news};
+
+/// Longest datagram.
+const MAX_DATAGRAM_BYTES: usize = 16 << 10;
+
+/// Entries in one page: some 4 KB.
+const PAGE_ENTRIES: usize = 16;
+
+/// Pause after the socket failed.
+const FAILURE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Takes in messages for as long as it is polled.
+pub(crate) async fn receive_state(context: Rc<Context>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let (length, sender) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                log_event!(context.logger, Event::ListenFailed, "address" => "peers",
+                    "error" => %error);
+                actix_rt::time::sleep(FAILURE_PAUSE).await;
+                continue;
+            }
+        };
+        match rmp_serde::from_slice::<(u8, Message)>(&buffer[..length]) {
+            Ok((MESSAGE_VERSION, message)) => {
+                let kind = kind_label(&message);
+                context.metrics.datagram(kind, "received", length);
+                take(&context, &socket, sender, message);
+            }
+            // Of another version, damaged, or from a stranger.
+            Ok(_) | Err(_) => context.metrics.datagram("unknown", "unreadable", length),
+        }
+    }
+}
+
+fn take(context: &Context, socket: &UdpSocket, sender: SocketAddr, message: Message) {
+    match message {
+        Message::Report(report) => take_report(context, socket, sender, report),
+        Message::Exchange(exchange) => take_exchange(context, exchange),
+        Message::Table(table) => take_table(context, table),
+        Message::News(batch) => take_news_batch(context, batch),
+        Message::PartsRequest(_) => send_known_parts(context, socket, sender),
+        Message::Entries(page) => take_entries_page(context, page),
+    }
+}
+
+/// A member's report. A node that is no relay stays silent, so that the member looks for another.
+fn take_report(context: &Context, socket: &UdpSocket, sender: SocketAddr, report: Report) {
+    let now = context.now();
+    let spread = &context.spread;
+    if !spread.role(now).is_relay {
+        return;
+    }
+    let is_new = spread
+        .subscribers
+        .borrow_mut()
+        .heard(now, report.node, sender, report.sequence);
+    if !is_new {
+        return;
+    }
+    if report.wants_entries {
+        send_entries(context, socket, sender);
+    }
+    if report.is_probe {
+        // The member waits for a table.
+        context.work_changed.notify_one();
+        return;
+    }
+    let source = LoadSource::Member(report.node.0);
+    take_work(context, source, 0, report.work);
+    take_demand(context, source, report.demand);
+    context.work_changed.notify_one();
+    take_news(context, &report.news);
+    spread.exchange_news.borrow_mut().push(report.news.clone());
+    spread.table_news.borrow_mut().push(report.news);
+}
+
+/// The sums of another relay.
+fn take_exchange(context: &Context, exchange: Exchange) {
+    let spread = &context.spread;
+    spread.addressed(context.now());
+    let source = LoadSource::Relay(exchange.node.0);
+    take_work(context, source, exchange.age_ms, exchange.work);
+    take_demand(context, source, exchange.demand);
+    pass_to_members(context, exchange.news);
+    take_changes(context, exchange.changes);
+}
+
+/// What the member's relay knows of the fleet.
+fn take_table(context: &Context, table: Table) {
+    let now = context.now();
+    let spread = &context.spread;
+    if spread.role(now).is_relay {
+        return;
+    }
+    let was_silent = spread.subscription.borrow().is_silent(now);
+    if !spread.subscription.borrow_mut().heard(now, table.node) {
+        return;
+    }
+    if was_silent {
+        log_event!(context.logger, Event::RelayFollowed, "relay" => table.node.0,
+            "nodes" => table.node_count);
+    }
+    context.set_nodes(table.node_count as usize);
+    if !table.relays.is_empty() {
+        spread.subscription.borrow_mut().set_relays(table.relays);
+    }
+    let included = table
+        .included
+        .iter()
+        .find(|report| report.node == spread.node);
+    let others = {
+        let own_reports = spread.own_reports.borrow();
+        let own = included.map_or(&[][..], |report| own_reports.work_of(report.sequence));
+        work_of_others(&context.fleet(), &table.work, own)
+    };
+    let mut router = context.router.borrow_mut();
+    let reported_at = reported_at(context, table.age_ms);
+    router.work.reported(reported_at, LoadSource::Fleet, others);
+    drop(router);
+    for news in &table.news {
+        take_news(context, news);
+    }
+    take_changes(context, table.changes);
+    let differs = spread.entries.borrow().digest() != table.entries_digest;
+    spread.wants_entries.set(differs);
+    if differs {
+        context.work_changed.notify_one();
+    }
+}
+
+/// The sums without what this node itself reported.
+fn work_of_others(
+    fleet: &Fleet,
+    sums: &[EngineLoad],
+    own: &[EngineLoad],
+) -> Vec<(EngineKey, EngineWork)> {
+    let others = sums.iter().filter_map(|load| {
+        let mut work = work(load);
+        if let Some(own) = own.iter().find(|own| own.engine == load.engine) {
+            work.take_off(&self::work(own));
+        }
+        // An engine that this node does not know gets no requests from it either.
+        Some((fleet.engine_of(load.engine)?, work))
+    });
+    others.collect()
+}
+
+fn work(load: &EngineLoad) -> EngineWork {
+    EngineWork {
+        requests: load.requests,
+        starting: load.starting,
+        unread_tokens: load.unread_tokens,
+    }
+}
+
+/// When work of this age was as it was reported.
+fn reported_at(context: &Context, age_ms: u32) -> MonotonicTime {
+    let age = Duration::from_millis(u64::from(age_ms));
+    context.now().saturating_sub(age)
+}
+
+fn take_work(context: &Context, source: LoadSource, age_ms: u32, loads: Vec<EngineLoad>) {
+    let fleet = context.fleet();
+    let engines = loads
+        .iter()
+        .filter_map(|load| Some((fleet.engine_of(load.engine)?, work(load))));
+    let mut router = context.router.borrow_mut();
+    let reported_at = reported_at(context, age_ms);
+    router.work.reported(reported_at, source, engines);
+}
+
+fn take_demand(context: &Context, source: LoadSource, demand: Vec<PoolDemand>) {
+    let now = context.now();
+    let mut meter = context.demand.borrow_mut();
+    for pool in demand {
+        let demand = StageDemand {
+            apart_tokens_per_s: pool.disaggregated_tokens_per_s,
+            beside_tokens_per_s: pool.colocated_tokens_per_s,
+        };
+        meter.reported(now, source, pool.pool, demand);
+    }
+}
+
+fn take_news_batch(context: &Context, batch: NewsBatch) {
+    pass_to_members(context, batch.news);
+}
+
+/// News from a relay: taken in, and passed to members if this node is a relay.
+fn pass_to_members(context: &Context, all: Vec<News>) {
+    for news in all {
+        take_news(context, &news);
+        context.spread.table_news.borrow_mut().push(news);
+    }
+}
+
+/// Notes what happened at other nodes.
+fn take_news(context: &Context, news: &News) {
+    if news.origin == context.spread.node {
+        return;
+    }
+    for placement in &news.placed {
+        take_placement(context, placement);
+    }
+    let now = context.now();
+    let mut router = context.router.borrow_mut();
+    for change in &news.role_changes {
+        let until = now + Duration::from_millis(change.at_most_ms);
+        router.health.changes_role(EngineKey(change.engine), until);
+    }
+}
+
+fn take_placement(context: &Context, placement: &Placement) {
+    let Some(engine) = context.fleet().engine_of(placement.engine) else {
+        // An engine that this node does not know gets no requests from it either.
+        return;
+    };
+    let memory_tokens = context.memory_tokens(engine);
+    let parts = placement.parts.iter().map(|part| PromptPart {
+        id: part.id,
+        tokens: part.tokens,
+    });
+    let parts: Vec<PromptPart> = parts.collect();
+    let mut router = context.router.borrow_mut();
+    match placement.state {
+        PlacementState::Sent => {
+            router.parts.sent(engine, memory_tokens, &parts);
+            let own = PromptPart {
+                id: rand::random(),
+                tokens: placement.own_tokens,
+            };
+            router.parts.sent(engine, memory_tokens, &[own]);
+        }
+        PlacementState::Read => {
+            router.parts.sent(engine, memory_tokens, &parts);
+            router.parts.read(engine, &parts);
+        }
+        PlacementState::NotRead => {
+            router.parts.not_read(engine, &parts);
+        }
+    }
+}
+
+/// Takes changed entries in; what is new goes to this node's members too.
+fn take_changes(context: &Context, records: Vec<EntryRecord>) {
+    let mut entries = context.spread.entries.borrow_mut();
+    let taken = records
+        .into_iter()
+        .filter(|record| entries.take(record.clone()));
+    let taken: Vec<EntryRecord> = taken.collect();
+    drop(entries);
+    apply(context, taken, ChangeSource::Relay);
+}
+
+fn take_entries_page(context: &Context, page: EntriesPage) {
+    let is_followed = {
+        let subscription = context.spread.subscription.borrow();
+        let current = subscription.current();
+        current.is_some_and(|relay| relay.number == page.node)
+    };
+    if is_followed {
+        let changes = context.spread.take_page(page);
+        apply(context, changes, ChangeSource::Relay);
+    }
+}
+
+/// Sends all entries to a member whose own differ.
+fn send_entries(context: &Context, socket: &UdpSocket, member: SocketAddr) {
+    let entries = context.spread.entries.borrow();
+    let records: Vec<EntryRecord> = entries.live().cloned().collect();
+    let pages = records.chunks(PAGE_ENTRIES);
+    let count = pages.len() as u32;
+    for (page, records) in pages.enumerate() {
+        let page = Message::Entries(EntriesPage {
+            node: context.spread.node,
+            revision: entries.newest_revision(),
+            page: page as u32,
+            pages: count,
+            records: records.to_vec(),
+        });
+        let sent_bytes = send(context, socket, &[member], &page);
+        context.sent(sent_bytes);
+    }
+}
+
+/// Answers a node that has just started.
+fn send_known_parts(context: &Context, socket: &UdpSocket, asker: SocketAddr) {
+    if !context.spread.role(context.now()).is_relay {
+        return;
+    }
+    let mut queue = NewsQueue::default();
+    for placement in known_parts(context) {
+        queue.push(News {
+            origin: context.spread.node,
+            placed: vec![placement],
+            role_changes: Vec::new(),
+        });
+    }
+    let batches = queue.take_batches().into_iter();
+    let sent_bytes = send_news(context, socket, &[asker], batches);
+    context.sent(sent_bytes);
+}
--- a/crates/forwarding/src/spread/tests.rs
+++ b/crates/forwarding/src/spread/tests.rs
@@ -1,10 +1,20 @@
-//! The share of a node's link that notices take.
+//! The share of a node's link that messages take, and what is kept to be sent on.
 
 use std::time::Duration;
 
+use dalestand_dissemination::{
+    EngineCode, EngineLoad, EntriesPage, EntryRecord, News, NodeEntry, NodeNumber, PlacedPart,
+    Placement, PlacementState, RoleChange,
+};
+use dalestand_types::MonotonicTime;
 use rstest::rstest;
 
-use super::{LONGEST_PAUSE, NOTICES_LINK_SHARE, pause};
+use super::Spread;
+use super::news_queue::NewsQueue;
+use super::own_reports::OwnReports;
+use super::recent_changes::{ChangeSource, RecentChanges};
+
+use super::send::{LONGEST_PAUSE, MESSAGES_LINK_SHARE, pause};
 use crate::settings::{ForwardingSettings, SettingsFault};
 
 fn settings(link: &str) -> ForwardingSettings {
@@ -24,13 +34,13 @@
 /// Found on a grown site: a notice to 65 peers was some 40 KB, one went out for each change of work,
 /// and links of 10 Mbit/s carried nothing else.
 #[rstest]
-fn notices_leave_callers_their_share_of_the_link() {
+fn messages_leave_callers_their_share_of_the_link() {
     const NOTICES_BYTES: usize = 40_000;
     let settings = settings("link_mbps = 10.0\n");
     let carried = settings.link_time(NOTICES_BYTES);
     assert_eq!(carried, Duration::from_millis(32));
     let pause = pause(&settings, NOTICES_BYTES);
-    assert!(carried.as_secs_f64() / pause.as_secs_f64() <= NOTICES_LINK_SHARE + 1e-9);
+    assert!(carried.as_secs_f64() / pause.as_secs_f64() <= MESSAGES_LINK_SHARE + 1e-9);
 }
 
 #[rstest]
@@ -55,3 +65,128 @@
         "{faults:?}"
     );
 }
+
+fn record(key: &str, revision: u64) -> EntryRecord {
+    EntryRecord {
+        key: key.to_owned(),
+        value: Some("value".to_owned()),
+        revision,
+    }
+}
+
+#[rstest]
+fn a_change_goes_out_several_times_and_only_readers_tell_relays() {
+    let mut changes = RecentChanges::default();
+    changes.push(&[record("read", 5)], ChangeSource::Store);
+    changes.push(&[record("heard", 6)], ChangeSource::Relay);
+    for _ in 0..3 {
+        let keys: Vec<String> = changes
+            .for_exchange()
+            .into_iter()
+            .map(|one| one.key)
+            .collect();
+        assert_eq!(keys, ["read"]);
+        assert_eq!(changes.for_table().len(), 2);
+    }
+    assert!(changes.for_exchange().is_empty());
+    assert!(changes.for_table().is_empty());
+}
+
+fn placed(parts: usize) -> News {
+    let parts = (0..parts as u64).map(|id| PlacedPart { id, tokens: 500 });
+    News {
+        origin: NodeNumber(1),
+        placed: vec![Placement {
+            engine: EngineCode(1),
+            state: PlacementState::Read,
+            parts: parts.collect(),
+            own_tokens: 0,
+        }],
+        role_changes: Vec::new(),
+    }
+}
+
+#[rstest]
+fn news_go_out_in_batches_that_fit_a_datagram() {
+    let mut queue = NewsQueue::default();
+    for _ in 0..10 {
+        queue.push(placed(50));
+    }
+    let batches = queue.take_batches();
+    let sizes: Vec<usize> = batches.iter().map(Vec::len).collect();
+    assert_eq!(sizes, [6, 4]);
+    assert!(queue.take_batches().is_empty());
+}
+
+/// Found on a grown site: news of role changes alone were dropped, and each engine that changed its role
+/// refused 700 requests.
+#[rstest]
+fn news_without_placements_go_out() {
+    let mut queue = NewsQueue::default();
+    queue.push(News {
+        origin: NodeNumber(1),
+        placed: Vec::new(),
+        role_changes: vec![RoleChange {
+            engine: 1,
+            at_most_ms: 14_000,
+        }],
+    });
+    assert_eq!(queue.take_batches().concat().len(), 1);
+}
+
+#[rstest]
+fn a_node_knows_the_work_of_the_report_that_a_table_includes() {
+    let load = |requests| EngineLoad {
+        engine: EngineCode(1),
+        requests,
+        starting: 0,
+        unread_tokens: 0,
+    };
+    let mut reports = OwnReports::default();
+    let first = reports.next(vec![load(3)]);
+    reports.next(vec![load(4)]);
+    assert_eq!(reports.work_of(first), [load(3)]);
+    assert_eq!(reports.work_of(77), []);
+}
+
+#[rstest]
+fn pages_count_once_all_of_one_reading_are_there() {
+    let spread = Spread::new(&settings(""));
+    let page = |revision, page, key: &str| EntriesPage {
+        node: NodeNumber(9),
+        revision,
+        page,
+        pages: 2,
+        records: vec![record(key, revision)],
+    };
+    assert!(spread.take_page(page(3, 0, "a")).is_empty());
+    // The relay's entries changed in between: the first page does not belong to the second.
+    assert!(spread.take_page(page(4, 1, "b")).is_empty());
+    let changes = spread.take_page(page(4, 0, "a"));
+    assert_eq!(changes.len(), 2);
+}
+
+/// While no relay is heard and none is known a node reads for itself, after a time; relays that send
+/// their sums to a node make it one of them, for a time.
+#[rstest]
+fn a_node_reads_while_it_is_a_relay_or_hears_none() {
+    let spread = Spread::new(&settings("link_mbps = 10.0\n"));
+    let at = MonotonicTime::from_millis;
+    assert!(!spread.role(at(1_000)).reads_store);
+    assert!(spread.role(at(2_100)).reads_store);
+    spread.addressed(at(5_000));
+    assert!(spread.role(at(7_900)).is_relay);
+    assert!(!spread.role(at(8_100)).is_relay);
+    let entry = |link_mbps| NodeEntry {
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: "z".into(),
+        link_mbps,
+    };
+    spread.change_directory(|nodes| nodes.set("n", Some(entry(10))));
+    assert!(spread.role(at(9_000)).is_relay);
+    for faster in ["a", "b", "c"] {
+        spread.change_directory(|nodes| nodes.set(faster, Some(entry(200))));
+    }
+    assert!(!spread.role(at(9_000)).is_relay);
+    assert_eq!(spread.node_count(), 4);
+}
--- a/crates/forwarding/src/work_guard.rs
+++ b/crates/forwarding/src/work_guard.rs
@@ -2,10 +2,10 @@
 
 use std::rc::Rc;
 
+use dalestand_dissemination::PlacementState;
 use dalestand_routing::staged::{EngineKey, PromptPart, StagedEngine};
 
 use crate::context::Context;
-use crate::placements::PlacementState;
 
 /// Prompt tokens from which a change of an engine's work is told to peers at once.
 const TOLD_AT_ONCE_TOKENS: u32 = 500;
@@ -31,6 +31,8 @@
         {
             let mut router = context.router.borrow_mut();
             router.work.sent(engine.key, unread_tokens);
+            let now = context.now();
+            router.unreported.sent(now, engine.stage, unread_tokens);
             if !parts.is_empty() {
                 router.parts.sent(engine.key, engine.memory_tokens, parts);
                 let mut placements = context.placements.borrow_mut();
@@ -59,13 +61,14 @@
     /// Notes that the prompt was read.
     pub(crate) fn prompt_read(&mut self) {
         if !std::mem::replace(&mut self.is_read, true) && !self.parts.is_empty() {
-            self.context
-                .router
-                .borrow_mut()
-                .parts
-                .read(self.engine, &self.parts);
-            let mut placements = self.context.placements.borrow_mut();
-            placements.push(self.engine, PlacementState::Read, &self.parts);
+            let mut router = self.context.router.borrow_mut();
+            let is_news = router.parts.read(self.engine, &self.parts);
+            drop(router);
+            // Others know already what was read before. The last part belongs to this request.
+            if is_news {
+                let mut placements = self.context.placements.borrow_mut();
+                placements.push(self.engine, PlacementState::Read, &self.parts);
+            }
         }
         self.settle();
     }
@@ -95,10 +98,12 @@
     fn drop(&mut self) {
         if !self.is_read && !self.parts.is_empty() {
             let mut router = self.context.router.borrow_mut();
-            router.parts.not_read(self.engine, &self.parts);
+            let is_news = router.parts.not_read(self.engine, &self.parts);
             drop(router);
-            let mut placements = self.context.placements.borrow_mut();
-            placements.push(self.engine, PlacementState::NotRead, &self.parts);
+            if is_news {
+                let mut placements = self.context.placements.borrow_mut();
+                placements.push(self.engine, PlacementState::NotRead, &self.parts);
+            }
         }
         self.settle();
         self.begun();
--- a/crates/routing/src/staged/chooser.rs
+++ b/crates/routing/src/staged/chooser.rs
@@ -7,6 +7,7 @@
 use super::parts::PartDirectory;
 use super::reading::ReadingSpeeds;
 use super::starts::StartSpeeds;
+use super::unreported::{ExpectedSends, UnreportedSends};
 use super::work::WorkTable;
 use super::{EngineKey, Expectation, Stage, StagedEngine, StagedRequest};
 use crate::prefix::rendezvous_weight;
@@ -102,6 +103,8 @@
     pub speeds: ReadingSpeeds,
     /// How fast they begin answers.
     pub starts: StartSpeeds,
+    /// What others may have sent since they reported.
+    pub unreported: UnreportedSends,
 }
 
 impl PromptPlan {
@@ -138,7 +141,7 @@
             } else {
                 PRIOR_OPAQUE_S
             };
-            let requests = f64::from(self.work.total(now, engine.key).requests);
+            let requests = f64::from(self.work.total(engine.key).requests);
             let load = requests / f64::from(engine.slots.max(1));
             let failing = self.health.failed_share(now, engine.key) - least_failing;
             let expected_s = service_s * (0.5 + load);
@@ -214,6 +217,7 @@
         };
         let holder = self.parts.best_holder(&request.parts, may_give);
         let holder = holder.filter(|_| request.link_mbps > 0.0);
+        let unreported = self.expected_sends(now, usable);
         usable.iter().map(move |engine| {
             let mut kept = self.parts.kept_tokens(engine.key, &request.parts);
             let fetched = holder.map_or(0, |(_, tokens)| tokens.saturating_sub(kept));
@@ -224,7 +228,7 @@
                 fetch_s = move_s(request, fetched, false);
             }
             let unread = request.prompt_tokens.saturating_sub(kept);
-            let work = self.work.total(now, engine.key);
+            let work = self.work.total(engine.key);
             let ahead = work.unread_tokens as f64 + f64::from(unread);
             let reading_s = |tokens| self.speeds.expected_s(engine.key, engine.stage, tokens);
             let starts_s = match engine.stage {
@@ -235,10 +239,18 @@
             let queue_s = reading_s(ahead) - reading_s(f64::from(unread)) + starts_s;
             let displaced = if fetches { f64::from(fetched) } else { 0.0 };
             let displaced_s = (reading_s(displaced) - reading_s(0.0)) * READ_AGAIN_FOR_FETCHED;
+            let drawn = self.unreported.draw(work, unreported);
+            let drawn_starts_s = match engine.stage {
+                Stage::Decode => self.starts.queue_s(drawn.starting) - starts_s,
+                Stage::Prefill | Stage::Opaque => 0.0,
+            };
+            let drawn_ahead = drawn.unread_tokens as f64 + f64::from(unread);
             let cost_s = expected_s
+                + drawn_starts_s
+                + (reading_s(drawn_ahead) - reading_s(ahead))
                 + displaced_s
-                + batch_s(engine, work.requests)
-                + self.others_s(engine, unread, work.requests)
+                + batch_s(engine, drawn.requests)
+                + self.others_s(engine, unread, drawn.requests)
                 + not_home_s(engine, home, kept, request)
                 + self.common_s(now, zone, engine)
                 + self.failing_s(now, engine);
@@ -258,18 +270,23 @@
         prefill: &StagedEngine,
     ) -> Option<EngineChoice> {
         let usable = usable(engines, request, |engine| engine.stage == Stage::Decode);
+        let unreported = self.expected_sends(now, &usable);
         let choices = usable.into_iter().map(|engine| {
             let kept = self.parts.kept_tokens(engine.key, &request.parts);
             let moved = request.prompt_tokens.saturating_sub(kept);
-            let work = self.work.total(now, engine.key);
+            let work = self.work.total(engine.key);
             let waiting = work.unread_tokens as f64;
             let reading_s = self.speeds.expected_s(engine.key, engine.stage, waiting);
             let expected_s = request.send_s
                 + self.starts.expected_s(work.starting)
                 + move_s(request, moved, engine.zone == prefill.zone)
                 + reading_s.min(STEP_WITH_READING_S);
+            let drawn = self.unreported.draw(work, unreported);
+            let drawn_starts_s =
+                self.starts.queue_s(drawn.starting) - self.starts.queue_s(work.starting);
             let cost_s = expected_s
-                + batch_s(engine, work.requests)
+                + drawn_starts_s
+                + batch_s(engine, drawn.requests)
                 + self.avoided_s(now, engine)
                 + self.failing_s(now, engine);
             let mut choice = choice(engine, expected_s, cost_s, 0);
@@ -279,6 +296,16 @@
         best(choices)
     }
 
+    /// What others may have sent to each of `usable`, engines of one stage, since they reported.
+    fn expected_sends(&self, now: MonotonicTime, usable: &[&StagedEngine]) -> ExpectedSends {
+        let Some(first) = usable.first() else {
+            return ExpectedSends::default();
+        };
+        let age = self.work.mean_age(now);
+        self.unreported
+            .expected(now, first.stage, usable.len(), age)
+    }
+
     /// Delay that reading a prompt brings to the requests that the engine generates for.
     fn others_s(&self, engine: &StagedEngine, unread: u32, requests: u32) -> f64 {
         if engine.stage != Stage::Decode {
--- a/crates/routing/src/staged/health.rs
+++ b/crates/routing/src/staged/health.rs
@@ -47,6 +47,9 @@
     silences: u32,
     refusals: u32,
     avoided_until: MonotonicTime,
+    /// Until when the engine is taken to change its role. An answer to a request that it took
+    /// before does not end this.
+    changes_until: MonotonicTime,
 }
 
 /// Records of engines.
@@ -94,16 +97,26 @@
         record.updated_at = now;
     }
 
-    /// Avoids an engine until a time, whatever is known of it.
-    pub fn avoid_until(&mut self, engine: EngineKey, until: MonotonicTime) {
+    /// Notes that an engine changes its role and refuses requests meanwhile: it is avoided until it
+    /// has changed, or until a time, in case the change never shows.
+    pub fn changes_role(&mut self, engine: EngineKey, until: MonotonicTime) {
         let record = self.engines.entry(engine).or_default();
-        record.avoided_until = record.avoided_until.max(until);
+        record.changes_until = until;
+    }
+
+    /// Notes that an engine has changed its role: what is known of its refusals is over.
+    pub fn has_changed_role(&mut self, engine: EngineKey) {
+        if let Some(record) = self.engines.get_mut(&engine) {
+            record.changes_until = MonotonicTime::ZERO;
+            record.avoided_until = MonotonicTime::ZERO;
+            record.refusals = 0;
+        }
     }
 
     /// Whether the engine is avoided while there is another.
     pub fn is_avoided(&self, now: MonotonicTime, engine: EngineKey) -> bool {
         let record = self.engines.get(&engine);
-        record.is_some_and(|record| now < record.avoided_until)
+        record.is_some_and(|record| now < record.avoided_until.max(record.changes_until))
     }
 
     /// Share of its attempts that failed lately, 0 to 1.
--- a/crates/routing/src/staged/mod.rs
+++ b/crates/routing/src/staged/mod.rs
@@ -14,6 +14,7 @@
 mod parts;
 mod reading;
 mod starts;
+mod unreported;
 mod work;
 
 pub use crate::prefix::rendezvous_weight;
@@ -24,7 +25,8 @@
 pub use parts::PartDirectory;
 pub use reading::ReadingSpeeds;
 pub use starts::StartSpeeds;
-pub use work::{EngineWork, PeerWork, WorkTable};
+pub use unreported::{ExpectedSends, UnreportedSends};
+pub use work::{EngineWork, LoadSource, WorkTable};
 
 use std::sync::Arc;
 
@@ -51,7 +53,7 @@
 }
 
 /// What an engine does with prompts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Stage {
     /// Reads prompts and hands its memory of them on.
     Prefill,
--- a/crates/routing/src/staged/parts.rs
+++ b/crates/routing/src/staged/parts.rs
@@ -63,28 +63,36 @@
         kept.sum()
     }
 
-    /// Notes that the engine has read a prompt that it was sent.
-    pub fn read(&mut self, engine: EngineKey, parts: &[PromptPart]) {
+    /// Notes that the engine has read a prompt that it was sent; whether that was not known of a
+    /// part which other prompts may share: any but the last.
+    pub fn read(&mut self, engine: EngineKey, parts: &[PromptPart]) -> bool {
         let Some(known) = self.engines.get_mut(&engine) else {
-            return;
+            return false;
         };
-        for part in parts {
+        let mut is_news = false;
+        for (place, part) in parts.iter().enumerate() {
             if let Some(kept) = known.kept.get_mut(&part.id) {
-                kept.read = true;
+                let was_read = std::mem::replace(&mut kept.read, true);
+                is_news |= !was_read && place + 1 < parts.len();
             }
         }
+        is_news
     }
 
-    /// Notes that a prompt which the engine was sent was not read there.
-    pub fn not_read(&mut self, engine: EngineKey, parts: &[PromptPart]) {
+    /// Notes that a prompt which the engine was sent was not read there; whether that takes back a
+    /// part which other prompts may share: any but the last.
+    pub fn not_read(&mut self, engine: EngineKey, parts: &[PromptPart]) -> bool {
         let Some(known) = self.engines.get_mut(&engine) else {
-            return;
+            return false;
         };
-        for part in parts {
+        let mut is_news = false;
+        for (place, part) in parts.iter().enumerate() {
             if known.kept.get(&part.id).is_some_and(|kept| !kept.read) {
                 known.forget(part.id);
+                is_news |= place + 1 < parts.len();
             }
         }
+        is_news
     }
 
     /// Leading tokens of the prompt that the engine has read and is taken to keep.
--- a/crates/routing/src/staged/work.rs
+++ b/crates/routing/src/staged/work.rs
@@ -1,4 +1,4 @@
-//! Work at each engine: this node's own, and its peers' as they last told.
+//! Work at each engine: this node's own, and that of others as last reported.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -7,8 +7,8 @@
 
 use super::EngineKey;
 
-/// What a peer told counts for this long; a peer that lives tells again before.
-const PEER_WORK_COUNTS: Duration = Duration::from_millis(1_500);
+/// A report counts for this long; a source that lives reports again before.
+const REPORT_COUNTS: Duration = Duration::from_millis(1_500);
 
 /// Work at one engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -21,20 +21,47 @@
     pub unread_tokens: u64,
 }
 
-/// What a peer told of its work at one engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PeerWork {
-    /// The engine.
-    pub engine: EngineKey,
-    /// The peer's own work there.
-    pub work: EngineWork,
+impl EngineWork {
+    fn add(&mut self, other: &Self) {
+        self.requests += other.requests;
+        self.starting += other.starting;
+        self.unread_tokens += other.unread_tokens;
+    }
+
+    /// Takes `other` off. Reports of different ages need not fit each other: none falls below 0.
+    pub fn take_off(&mut self, other: &Self) {
+        self.requests = self.requests.saturating_sub(other.requests);
+        self.starting = self.starting.saturating_sub(other.starting);
+        self.unread_tokens = self.unread_tokens.saturating_sub(other.unread_tokens);
+    }
 }
 
-/// Work of this node and its peers.
+/// Where a report of others' work came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum LoadSource {
+    /// A member that reports to this node; it has this number.
+    Member(u64),
+    /// A relay, with the sums of its members; it has this number.
+    Relay(u64),
+    /// This node's own relay, with the sums of the whole fleet.
+    Fleet,
+}
+
+#[derive(Clone, Debug)]
+struct ReportedWork {
+    reported_at: MonotonicTime,
+    engines: HashMap<EngineKey, EngineWork>,
+}
+
+/// Work of this node and of the others.
+///
+/// Invariant: `sums` is the sum over `reported`, so that a choice looks each engine up once, however
+/// many nodes there are.
 #[derive(Clone, Debug, Default)]
 pub struct WorkTable {
     own: HashMap<EngineKey, EngineWork>,
-    peers: HashMap<u64, HashMap<EngineKey, (EngineWork, MonotonicTime)>>,
+    reported: HashMap<LoadSource, ReportedWork>,
+    sums: HashMap<EngineKey, EngineWork>,
 }
 
 impl WorkTable {
@@ -81,33 +108,77 @@
         self.own.iter().map(|(engine, work)| (*engine, *work))
     }
 
-    /// Notes what a peer told.
-    pub fn peer_told(&mut self, now: MonotonicTime, peer: u64, told: PeerWork) {
-        let engines = self.peers.entry(peer).or_default();
-        engines.insert(told.engine, (told.work, now));
+    /// Replaces what `source` reported: all its work, as it was at `reported_at`.
+    pub fn reported(
+        &mut self,
+        reported_at: MonotonicTime,
+        source: LoadSource,
+        work: impl IntoIterator<Item = (EngineKey, EngineWork)>,
+    ) {
+        self.forget(source);
+        let engines: HashMap<EngineKey, EngineWork> = work.into_iter().collect();
+        for (engine, work) in &engines {
+            self.sums.entry(*engine).or_default().add(work);
+        }
+        let reported = ReportedWork {
+            reported_at,
+            engines,
+        };
+        self.reported.insert(source, reported);
+    }
+
+    /// Forgets what `source` reported.
+    pub fn forget(&mut self, source: LoadSource) {
+        let Some(reported) = self.reported.remove(&source) else {
+            return;
+        };
+        for (engine, work) in &reported.engines {
+            if let Some(sum) = self.sums.get_mut(engine) {
+                sum.take_off(work);
+                if *sum == EngineWork::default() {
+                    self.sums.remove(engine);
+                }
+            }
+        }
     }
 
     /// All work known at an engine.
-    pub fn total(&self, now: MonotonicTime, engine: EngineKey) -> EngineWork {
+    pub fn total(&self, engine: EngineKey) -> EngineWork {
         let mut total = self.own(engine);
-        for engines in self.peers.values() {
-            let Some((work, told_at)) = engines.get(&engine) else {
-                continue;
-            };
-            if now.since(*told_at) < PEER_WORK_COUNTS {
-                total.requests += work.requests;
-                total.starting += work.starting;
-                total.unread_tokens += work.unread_tokens;
-            }
+        if let Some(sum) = self.sums.get(&engine) {
+            total.add(sum);
         }
         total
     }
 
-    /// Forgets what peers told too long ago.
+    /// Work of this node and of the sources that `counts` names, by engine.
+    pub fn sum_of(&self, counts: impl Fn(LoadSource) -> bool) -> HashMap<EngineKey, EngineWork> {
+        let mut sum = self.own.clone();
+        let counted = self.reported.iter().filter(|(source, _)| counts(**source));
+        for (engine, work) in counted.flat_map(|(_, reported)| &reported.engines) {
+            sum.entry(*engine).or_default().add(work);
+        }
+        sum
+    }
+
+    /// Mean age of the work that others reported; zero where there is none.
+    pub fn mean_age(&self, now: MonotonicTime) -> Duration {
+        let ages = self
+            .reported
+            .values()
+            .map(|reported| now.since(reported.reported_at));
+        ages.sum::<Duration>() / self.reported.len().max(1) as u32
+    }
+
+    /// Forgets reports that are too old to count.
     pub fn sweep(&mut self, now: MonotonicTime) {
-        for engines in self.peers.values_mut() {
-            engines.retain(|_, (_, told_at)| now.since(*told_at) < PEER_WORK_COUNTS);
+        let old = self
+            .reported
+            .iter()
+            .filter(|(_, reported)| now.since(reported.reported_at) >= REPORT_COUNTS);
+        let old: Vec<LoadSource> = old.map(|(source, _)| *source).collect();
+        for source in old {
+            self.forget(source);
         }
-        self.peers.retain(|_, engines| !engines.is_empty());
     }
 }
--- a/crates/routing/tests/staged.rs
+++ b/crates/routing/tests/staged.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use dalestand_routing::staged::{
-    AttemptResult, EngineHealth, EngineKey, EngineWork, PartDirectory, PeerWork, PromptPart,
+    AttemptResult, EngineHealth, EngineKey, EngineWork, LoadSource, PartDirectory, PromptPart,
     PromptPlan, Stage, StagedEngine, StagedRequest, StagedRouter, WorkTable,
 };
 use dalestand_types::{MonotonicTime, ZoneName};
@@ -177,21 +177,18 @@
 }
 
 #[rstest]
-fn work_that_peers_told_of_counts_until_it_is_old() {
+fn reported_work_counts_until_it_is_old() {
     let mut work = WorkTable::default();
     let key = EngineKey::of("prefill-1");
-    let told = PeerWork {
-        engine: key,
-        work: EngineWork {
-            starting: 0,
-            requests: 2,
-            unread_tokens: 9_000,
-        },
+    let reported = EngineWork {
+        starting: 0,
+        requests: 2,
+        unread_tokens: 9_000,
     };
-    work.peer_told(NOW, 7, told);
-    assert_eq!(work.total(NOW, key).unread_tokens, 9_000);
-    let later = NOW + Duration::from_secs(5);
-    assert_eq!(work.total(later, key), EngineWork::default());
+    work.reported(NOW, LoadSource::Member(7), [(key, reported)]);
+    assert_eq!(work.total(key), reported);
+    work.sweep(NOW + Duration::from_secs(5));
+    assert_eq!(work.total(key), EngineWork::default());
 }
 
 #[rstest]
@@ -280,7 +277,7 @@
             work.read(key, *tokens);
             work.ended(key);
         }
-        prop_assert_eq!(work.total(NOW, key), EngineWork::default());
+        prop_assert_eq!(work.total(key), EngineWork::default());
     }
 }
 
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -84,6 +84,12 @@
     MemberDown = (1402, Warning, "member down");
     /// A datagram could not be read.
     DatagramUnreadable = (1403, Warning, "datagram unreadable");
+    /// A node took or gave up a part in passing fleet-wide state on.
+    SpreadRoleTaken = (1404, Info, "spread role taken");
+    /// A node listens to a relay that it did not listen to before.
+    RelayFollowed = (1405, Info, "relay followed");
+    /// A node's entry in the key-value service could not be read.
+    NodeUnreadable = (1406, Warning, "node entry unreadable");
     /// A request was answered in whole.
     RequestComplete = (1501, Debug, "request complete");
     /// A request was refused or failed.
