Engines and nodes whose entries lapsed with the store have time to return

Change: after a failure a reading's absences count 2 s later (engines) or once a renewal is over (nodes, 7 s), unless written meanwhile; of a watch that waited through the outage, ends of a tenth of the engines or more at once, none of which had said that they leave, count after half the drain bound, 2 s at most. Ruled out: a listing alone. Tests fail without the guards (503 in both), pass with them.

--- a/crates/dissemination/src/membership.rs
+++ b/crates/dissemination/src/membership.rs
@@ -79,6 +79,11 @@
         self.nodes.clear();
     }
 
+    /// Names of the nodes.
+    pub fn names(&self) -> Vec<String> {
+        self.nodes.keys().cloned().collect()
+    }
+
     /// Number of nodes.
     pub fn len(&self) -> usize {
         self.nodes.len()
--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -129,6 +129,11 @@
         Rc::clone(&self.fleet.borrow())
     }
 
+    /// The entry of an engine that is known under `key`.
+    pub(crate) fn entry(&self, key: &str) -> Option<EngineEntry> {
+        self.entries.borrow().get(key).cloned()
+    }
+
     /// Notes entries of engines by their keys, or that they are gone.
     pub(crate) fn change_entries(&self, changes: Vec<(String, Option<EngineEntry>)>) {
         for (key, entry) in changes {
--- a/crates/forwarding/src/engine_entries.rs
+++ b/crates/forwarding/src/engine_entries.rs
@@ -19,6 +19,15 @@
 /// still gets requests, so it is a small part of any drain bound.
 const ENGINES_GATHERED: Duration = Duration::from_millis(250);
 
+/// Engines whose entries lapsed while the key-value service was away have written them again within
+/// this time of its return, by the platform's word; one that has not is gone.
+const LAPSED_ENTRIES_RETURN: Duration = Duration::from_secs(2);
+
+/// Share of the engines from which a simultaneous end is taken for a lapse. Engines that end without
+/// having said so are few at a time, and serve on for the drain bound: until half of it is over, to
+/// take them for lapsed does no harm.
+const LAPSE_SHARE: f64 = 0.1;
+
 /// Brings changed entries into force at this node, and has them sent on.
 pub(crate) fn apply(context: &Context, records: Vec<EntryRecord>, source: ChangeSource) {
     if records.is_empty() {
@@ -58,32 +67,86 @@
         "source" => ?source);
 }
 
+/// Whether so many engines went at once, none of which had said that it leaves, that their entries
+/// lapsed rather than the engines ended.
+fn is_lapse(context: &Context, records: &[EntryRecord]) -> bool {
+    let gone = records.iter().filter(|record| {
+        record.value.is_none()
+            && context
+                .entry(&record.key)
+                .is_some_and(|entry| entry.accepting)
+    });
+    let share = gone.clone().count() as f64 / context.fleet().len().max(1) as f64;
+    gone.count() > 1 && share >= LAPSE_SHARE
+}
+
+/// Takes changes in that were read from the key-value service.
+fn take(context: &Context, records: Vec<EntryRecord>) {
+    let mut entries = context.spread.entries.borrow_mut();
+    let taken = records
+        .into_iter()
+        .filter(|record| entries.take(record.clone()));
+    let taken: Vec<EntryRecord> = taken.collect();
+    drop(entries);
+    apply(context, taken, ChangeSource::Store);
+}
+
+/// Takes a whole reading of the key-value service in.
+fn take_listing(context: &Context, revision: u64, records: Vec<EntryRecord>) {
+    let mut entries = context.spread.entries.borrow_mut();
+    let changes = entries.take_listing(revision, records);
+    drop(entries);
+    apply(context, changes, ChangeSource::Store);
+}
+
 /// Takes engines' entries from the key-value service.
 pub(crate) struct EngineFollower(pub(crate) Rc<Context>);
 
 impl Follower for EngineFollower {
-    fn listed(&self, listing: Listing) {
+    fn listed(&self, listing: Listing, regained: bool) {
         let records = listing.entries.into_iter().map(|entry| EntryRecord {
             key: entry.key,
             value: Some(entry.value),
             revision: entry.revision.0,
         });
-        let mut entries = self.0.spread.entries.borrow_mut();
-        let changes = entries.take_listing(listing.revision.0, records.collect());
-        drop(entries);
-        apply(&self.0, changes, ChangeSource::Store);
+        let records: Vec<EntryRecord> = records.collect();
+        let context = Rc::clone(&self.0);
+        if !regained {
+            take_listing(&context, listing.revision.0, records);
+            return;
+        }
+        // Entries lapse while the service is away and are written again when it is back: what is
+        // there counts at once, what is missing a little later, unless it was written meanwhile.
+        take(&context, records.clone());
+        actix_rt::spawn(async move {
+            actix_rt::time::sleep(LAPSED_ENTRIES_RETURN).await;
+            take_listing(&context, listing.revision.0, records);
+        });
     }
 
-    fn changed(&self, event: WatchEvent) {
-        let record = EntryRecord {
+    fn changed(&self, events: Vec<WatchEvent>) {
+        let records = events.into_iter().map(|event| EntryRecord {
             key: event.key,
             value: event.value,
             revision: event.revision.0,
-        };
-        let is_new = self.0.spread.entries.borrow_mut().take(record.clone());
-        if is_new {
-            apply(&self.0, vec![record], ChangeSource::Store);
+        });
+        let records: Vec<EntryRecord> = records.collect();
+        let context = Rc::clone(&self.0);
+        if !is_lapse(&context, &records) {
+            take(&context, records);
+            return;
         }
+        // A watch that waited through an outage learns at its end which entries lapsed. By their
+        // revisions, what is written again before the wait is over stands.
+        let (present, gone) = records
+            .into_iter()
+            .partition(|record| record.value.is_some());
+        take(&context, present);
+        let wait = LAPSED_ENTRIES_RETURN.min(context.settings.engine_drain() / 2);
+        actix_rt::spawn(async move {
+            actix_rt::time::sleep(wait).await;
+            take(&context, gone);
+        });
     }
 
     fn gather(&self) -> Duration {
--- a/crates/forwarding/src/follow.rs
+++ b/crates/forwarding/src/follow.rs
@@ -45,11 +45,11 @@
 
 /// What is done with keys as they change.
 pub(crate) trait Follower {
-    /// All keys, as they stand.
-    fn listed(&self, listing: Listing);
+    /// All keys, as they stand. `regained` says that the service had failed before.
+    fn listed(&self, listing: Listing, regained: bool);
 
-    /// One key has changed.
-    fn changed(&self, event: WatchEvent);
+    /// Keys have changed, oldest change first.
+    fn changed(&self, events: Vec<WatchEvent>);
 
     /// Changes that come within this time of each other are asked for together: where many nodes
     /// follow what many write, each change by itself would be a call of every node.
@@ -102,7 +102,7 @@
 /// One call, and the pause after a failure.
 async fn follow_on(task: &FollowTask, follower: &impl Follower, progress: &mut Progress) {
     let prefix = &task.prefix;
-    match step(&*task.store, prefix, progress.position, follower).await {
+    match step(&*task.store, prefix, progress, follower).await {
         Ok(next) => {
             if progress.failures > 0 {
                 log_event!(task.logger, Event::KeyValueRegained, "prefix" => prefix,
@@ -139,24 +139,21 @@
 async fn step(
     store: &dyn KeyValue,
     prefix: &str,
-    position: Option<Revision>,
+    progress: &Progress,
     follower: &impl Follower,
 ) -> Result<Option<Revision>, Report<PlatformError>> {
-    let Some(position) = position else {
+    let Some(position) = progress.position else {
         let listing = store.range(prefix).await?;
         let revision = listing.revision;
-        follower.listed(listing);
+        follower.listed(listing, progress.failures > 0);
         return Ok(Some(revision));
     };
     let batch = store.watch(prefix, position, WATCH_WAIT).await?;
     if batch.compacted {
         return Ok(None);
     }
-    let any_changed = !batch.events.is_empty();
-    for event in batch.events {
-        follower.changed(event);
-    }
-    if any_changed {
+    if !batch.events.is_empty() {
+        follower.changed(batch.events);
         actix_rt::time::sleep(follower.gather()).await;
     }
     Ok(Some(batch.revision.max(position)))
--- a/crates/forwarding/src/follow/tests.rs
+++ b/crates/forwarding/src/follow/tests.rs
@@ -154,13 +154,14 @@
 struct Seen(Rc<RefCell<Vec<String>>>);
 
 impl Follower for Seen {
-    fn listed(&self, listing: Listing) {
+    fn listed(&self, listing: Listing, _regained: bool) {
         let values = listing.entries.into_iter().map(|entry| entry.value);
         self.0.borrow_mut().extend(values);
     }
 
-    fn changed(&self, event: WatchEvent) {
-        self.0.borrow_mut().extend(event.value);
+    fn changed(&self, events: Vec<WatchEvent>) {
+        let values = events.into_iter().filter_map(|event| event.value);
+        self.0.borrow_mut().extend(values);
     }
 }
 
@@ -290,10 +291,11 @@
 struct Gathering(Rc<RefCell<Vec<u64>>>);
 
 impl Follower for Gathering {
-    fn listed(&self, _listing: Listing) {}
+    fn listed(&self, _listing: Listing, _regained: bool) {}
 
-    fn changed(&self, event: WatchEvent) {
-        self.0.borrow_mut().push(event.revision.0);
+    fn changed(&self, events: Vec<WatchEvent>) {
+        let revisions = events.iter().map(|event| event.revision.0);
+        self.0.borrow_mut().extend(revisions);
     }
 
     fn gather(&self) -> Duration {
--- a/crates/forwarding/src/node.rs
+++ b/crates/forwarding/src/node.rs
@@ -172,10 +172,7 @@
     let task = start(context.form.engine_prefix());
     actix_rt::spawn(follow(task, engines, context.spread.reading()));
     let authority = Authority::default();
-    let nodes = NodeFollower {
-        context: Rc::clone(context),
-        authority: authority.clone(),
-    };
+    let nodes = NodeFollower::new(Rc::clone(context), authority.clone());
     actix_rt::spawn(follow(start(OWN_PREFIX), nodes, context.spread.reading()));
     let holding = Rc::clone(context);
     actix_rt::spawn(hold(holding, Rc::clone(store), authority.clone()));
@@ -239,7 +236,7 @@
 }
 
 impl Follower for ConfigurationFollower {
-    fn listed(&self, listing: Listing) {
+    fn listed(&self, listing: Listing, _regained: bool) {
         let key = self.0.form.configuration_key();
         for entry in &listing.entries {
             if entry.key == key {
@@ -248,11 +245,13 @@
         }
     }
 
-    fn changed(&self, event: WatchEvent) {
-        if event.key == self.0.form.configuration_key()
-            && let Some(value) = &event.value
-        {
-            self.take(value);
+    fn changed(&self, events: Vec<WatchEvent>) {
+        for event in events {
+            if event.key == self.0.form.configuration_key()
+                && let Some(value) = &event.value
+            {
+                self.take(value);
+            }
         }
     }
 }
--- a/crates/forwarding/src/registration.rs
+++ b/crates/forwarding/src/registration.rs
@@ -1,5 +1,7 @@
 //! Nodes of the fleet: each keeps an entry under a lease, and follows the entries of the others.
 
+use std::cell::RefCell;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -40,20 +42,51 @@
 /// Pause after the nodes of the zone could not be read.
 const SHORT_PAUSE: Duration = Duration::from_millis(100);
 
+/// Leases may run out while the service is away. A node finds out with its next renewal, and
+/// registers again within some calls.
+const LAPSED_NODES_RETURN: Duration = RENEWAL.saturating_add(Duration::from_secs(2));
+
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(700);
 
 /// Takes the entries of nodes into account.
+#[derive(Clone)]
 pub(crate) struct NodeFollower {
-    pub(crate) context: Rc<Context>,
-    pub(crate) authority: Authority,
+    context: Rc<Context>,
+    authority: Authority,
+    /// Nodes whose entries had lapsed when the service came back, and that have not registered since.
+    lapsed: Rc<RefCell<HashSet<String>>>,
 }
 
 impl NodeFollower {
+    /// A follower that tells `authority` whether some node holds it.
+    pub(crate) fn new(context: Rc<Context>, authority: Authority) -> Self {
+        Self {
+            context,
+            authority,
+            lapsed: Rc::default(),
+        }
+    }
+
+    /// Forgets lapsed nodes that had time to register again.
+    async fn forget_lapsed(self) {
+        actix_rt::time::sleep(LAPSED_NODES_RETURN).await;
+        let lapsed = std::mem::take(&mut *self.lapsed.borrow_mut());
+        self.context.spread.change_directory(|directory| {
+            for name in &lapsed {
+                directory.set(name, None);
+            }
+        });
+        self.count();
+    }
+
     fn set(&self, directory: &mut NodeDirectory, key: &str, value: Option<&str>) {
         if key == HOLDER_KEY {
             self.authority.set_taken(value.is_some());
         } else {
+            if let Some((_, name)) = node_of(key) {
+                self.lapsed.borrow_mut().remove(name);
+            }
             set_node(&self.context, directory, key, value);
         }
     }
@@ -63,12 +96,14 @@
     }
 }
 
+/// The zone and the name of the node whose entry has this key.
+fn node_of(key: &str) -> Option<(&str, &str)> {
+    key.strip_prefix(NODE_PREFIX)?.split_once('/')
+}
+
 /// Notes a node's entry. One that cannot be read is logged and counts as gone.
 fn set_node(context: &Context, directory: &mut NodeDirectory, key: &str, value: Option<&str>) {
-    let Some((_, name)) = key
-        .strip_prefix(NODE_PREFIX)
-        .and_then(|key| key.split_once('/'))
-    else {
+    let Some((_, name)) = node_of(key) else {
         return;
     };
     let entry = value.and_then(|value| match NodeEntry::parse(value) {
@@ -82,20 +117,29 @@
 }
 
 impl Follower for NodeFollower {
-    fn listed(&self, listing: Listing) {
+    fn listed(&self, listing: Listing, regained: bool) {
         self.authority.set_taken(false);
         self.context.spread.change_directory(|directory| {
-            directory.clear();
+            if regained {
+                self.lapsed.borrow_mut().extend(directory.names());
+            } else {
+                directory.clear();
+            }
             for entry in &listing.entries {
                 self.set(directory, &entry.key, Some(&entry.value));
             }
         });
         self.count();
+        if !self.lapsed.borrow().is_empty() {
+            actix_rt::spawn(self.clone().forget_lapsed());
+        }
     }
 
-    fn changed(&self, event: WatchEvent) {
+    fn changed(&self, events: Vec<WatchEvent>) {
         self.context.spread.change_directory(|directory| {
-            self.set(directory, &event.key, event.value.as_deref());
+            for event in &events {
+                self.set(directory, &event.key, event.value.as_deref());
+            }
         });
         self.count();
     }
--- a/crates/forwarding/src/settings.rs
+++ b/crates/forwarding/src/settings.rs
@@ -29,6 +29,10 @@
     pub link_mbps: Option<f64>,
     /// The key-value service.
     pub key_value: SocketAddr,
+    /// Time for which an engine that leaves still serves after its entry says so or is gone, in
+    /// milliseconds.
+    #[serde(default = "default_engine_drain_ms")]
+    pub engine_drain_ms: u64,
     /// Whether the whole fleet starts for the first time, so that no node is registered yet.
     #[serde(default)]
     pub first_start: bool,
@@ -43,6 +47,11 @@
     pub log: LogSettings,
 }
 
+/// The shortest drain bound of a deployment so far.
+fn default_engine_drain_ms() -> u64 {
+    2_000
+}
+
 /// Role changes.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -176,6 +185,11 @@
         Duration::from_millis(self.roles.lease_ms)
     }
 
+    /// Time for which an engine that leaves still serves.
+    pub fn engine_drain(&self) -> Duration {
+        Duration::from_millis(self.engine_drain_ms)
+    }
+
     /// Time for which the node's own link carries so many bytes.
     pub fn link_time(&self, bytes: usize) -> Duration {
         let bits = bytes as f64 * 8.0;
--- a/crates/forwarding/tests/serving.rs
+++ b/crates/forwarding/tests/serving.rs
@@ -194,6 +194,59 @@
     assert_eq!(status(&node.request("11", "/r/x").await), "503");
 }
 
+/// Found on a large site: when the store came back, 120 of 136 engines' entries had lapsed, and the
+/// other 16 got all requests until the 120 had written theirs again.
+#[actix_rt::test]
+async fn engines_whose_entries_lapsed_with_the_store_are_served_until_they_had_time_to_return() {
+    let (node, engines) = node("repeatable", 2, &[sound, sound]).await;
+    node.store.set_away(true);
+    node.settle().await;
+    for engine in ["engines/e0", "engines/e1"] {
+        node.store.write(engine, None);
+    }
+    node.store.set_away(false);
+    actix_rt::time::sleep(Duration::from_millis(700)).await;
+    assert_eq!(status(&node.request("1", "/r/x").await), "200");
+    node.list("e1", &engines[1], "ready");
+    actix_rt::time::sleep(Duration::from_millis(2_000)).await;
+    let before = engines[0].heads().len();
+    for request in 2..8 {
+        let served = node.request(&format!("{request}"), "/r/x").await;
+        assert_eq!(status(&served), "200");
+    }
+    assert_eq!(
+        engines[0].heads().len(),
+        before,
+        "an engine that did not return"
+    );
+}
+
+/// Found on the same day: the store was silent, so that no call failed, and the watch that had waited
+/// through the outage told of 120 ends at once.
+#[actix_rt::test]
+async fn engines_that_go_all_at_once_are_served_until_they_had_time_to_return() {
+    let (node, engines) = node("repeatable", 2, &[sound, sound]).await;
+    node.store.hold_watches(true);
+    for engine in ["engines/e0", "engines/e1"] {
+        node.store.write(engine, None);
+    }
+    node.store.hold_watches(false);
+    node.settle().await;
+    assert_eq!(status(&node.request("1", "/r/x").await), "200");
+    node.list("e1", &engines[1], "ready");
+    actix_rt::time::sleep(Duration::from_millis(1_100)).await;
+    let before = engines[0].heads().len();
+    for request in 2..8 {
+        let served = node.request(&format!("{request}"), "/r/x").await;
+        assert_eq!(status(&served), "200");
+    }
+    assert_eq!(
+        engines[0].heads().len(),
+        before,
+        "an engine that did not return"
+    );
+}
+
 #[actix_rt::test]
 async fn an_older_configuration_never_comes_back() {
     let (node, _engines) = node("once", 1, &[sound]).await;
--- a/crates/forwarding/tests/support/mod.rs
+++ b/crates/forwarding/tests/support/mod.rs
@@ -149,9 +149,31 @@
     revision: Cell<u64>,
     entries: RefCell<BTreeMap<String, Entry>>,
     events: RefCell<Vec<WatchEvent>>,
+    is_away: Cell<bool>,
+    holds_watches: Cell<bool>,
 }
 
 impl MemoryStore {
+    /// Has all reading calls fail, or lets them succeed again.
+    pub fn set_away(&self, is_away: bool) {
+        self.is_away.set(is_away);
+    }
+
+    /// Has watches wait without hearing of changes, or hear of all at once.
+    pub fn hold_watches(&self, hold: bool) {
+        self.holds_watches.set(hold);
+    }
+
+    fn reachable(&self) -> Result<(), Report<PlatformError>> {
+        if self.is_away.get() {
+            return Err(Report::new(PlatformError::InDoubt {
+                system: "store",
+                message: "away".to_owned(),
+            }));
+        }
+        Ok(())
+    }
+
     /// Writes a key, or removes it.
     pub fn write(&self, key: &str, value: Option<&str>) {
         self.revision.set(self.revision.get() + 1);
@@ -186,6 +208,7 @@
     }
 
     async fn range(&self, prefix: &str) -> Result<Listing, Report<PlatformError>> {
+        self.reachable()?;
         let entries = self.entries.borrow();
         let under = entries
             .values()
@@ -225,6 +248,7 @@
     ) -> Result<WatchBatch, Report<PlatformError>> {
         let until = tokio::time::Instant::now() + wait;
         loop {
+            self.reachable()?;
             let events: Vec<WatchEvent> = self
                 .events
                 .borrow()
@@ -232,6 +256,11 @@
                 .filter(|event| event.revision > after && event.key.starts_with(prefix))
                 .cloned()
                 .collect();
+            let events = if self.holds_watches.get() {
+                Vec::new()
+            } else {
+                events
+            };
             if !events.is_empty() || tokio::time::Instant::now() >= until {
                 return Ok(WatchBatch {
                     revision: Revision(self.revision.get()),
