A second engine goes on from the memory that a full one refused

Change: after one refusal another engine goes on from the same memory; only a second one says that the memory is gone and marks its holder. The test fails with one refusal as the limit (2 prefills), passes with two.

--- a/crates/forwarding/src/forward.rs
+++ b/crates/forwarding/src/forward.rs
@@ -38,6 +38,10 @@
 /// Repeated sends that are kept for requests that failed, when silent engines are left.
 const BUDGET_KEPT: f64 = 3.0;
 
+/// Refusals from which memory is taken to be gone rather than the engines to be full: both are told
+/// alike, and two engines that were chosen as the least busy are rarely full at once.
+const REFUSALS_OF_MEMORY: u32 = 2;
+
 /// An answer found for a request.
 enum Served {
     /// A whole answer.
@@ -217,38 +221,63 @@
     refused_for(progress.expected?, bounds).map(Failure::Overloaded)
 }
 
-/// Goes on from held memory.
+/// Goes on from held memory. What was read is the dearest thing in the fleet: an engine that refuses
+/// is most often full, and another one goes on from the same memory.
 async fn decode(
     context: &Rc<Context>,
     progress: &mut Progress,
     pool: PoolName,
     held: HeldPrompt,
 ) -> Result<Option<Served>, Failure> {
-    let choice = {
-        let fleet = context.fleet();
-        let router = context.router.borrow();
-        let request = progress.staged(&context.settings, &pool);
-        router.choose_decode(context.now(), fleet.pool(&pool), &request, &held.engine)
-    };
-    let choice = choice.ok_or_else(|| final_failure(progress))?;
-    let ended = run(context, progress, &pool, choice, Some(&held)).await;
-    match &ended {
-        AttemptEnd::Refused => {
-            // Either engine may be the cause; memory that is gone at once is the more likely.
-            let now = context.now();
-            let mut router = context.router.borrow_mut();
-            router
-                .health
-                .note(now, held.engine.key, AttemptResult::Refused);
+    let mut refusals = 0;
+    let ended = loop {
+        let Some(choice) = choose_decode(context, progress, &pool, &held) else {
+            break None;
+        };
+        let ended = run(context, progress, &pool, choice, Some(&held)).await;
+        if !matches!(ended, AttemptEnd::Refused | AttemptEnd::NotSent) {
+            break Some(ended);
         }
-        AttemptEnd::NotSent => {}
-        AttemptEnd::Answered(answer) => {
-            note_start(context, answer);
+        refusals += u32::from(matches!(ended, AttemptEnd::Refused));
+        if refusals >= REFUSALS_OF_MEMORY || !may_call_again(context, progress) {
+            break Some(ended);
+        }
+    };
+    if refusals >= REFUSALS_OF_MEMORY {
+        let now = context.now();
+        let mut router = context.router.borrow_mut();
+        let holder = held.engine.key;
+        router.health.note(now, holder, AttemptResult::Refused);
+    }
+    match ended {
+        // Nothing is left to go on with the memory.
+        None if refusals == 0 => Err(final_failure(progress)),
+        None => Ok(None),
+        Some(AttemptEnd::Answered(answer)) => {
+            note_start(context, &answer);
             held.taken();
+            deliver(context, progress, pool, AttemptEnd::Answered(answer)).await
+        }
+        Some(ended) => {
+            if matches!(ended, AttemptEnd::Unknown) {
+                held.taken();
+            }
+            deliver(context, progress, pool, ended).await
         }
-        AttemptEnd::Unknown => held.taken(),
     }
-    deliver(context, progress, pool, ended).await
+}
+
+/// The engine that is to go on from held memory.
+fn choose_decode(
+    context: &Context,
+    progress: &Progress,
+    pool: &PoolName,
+    held: &HeldPrompt,
+) -> Option<EngineChoice> {
+    let fleet = context.fleet();
+    let request = progress.staged(&context.settings, pool);
+    let router = context.router.borrow();
+    router.choose_decode(context.now(), fleet.pool(pool), &request, &held.engine)
 }
 
 /// Learns from an answer how long engines take to begin one.
