--- a/crates/forwarding/src/engine_entries.rs
+++ b/crates/forwarding/src/engine_entries.rs
@@ -20,7 +20,7 @@
 const ENGINES_GATHERED: Duration = Duration::from_millis(250);
 
 /// Engines whose entries lapsed while the key-value service was away have written them again within
-/// this time of its return, by the platform's word; one that has not is gone.
+/// this time of its return, as the platform promises; one that has not is gone.
 const LAPSED_ENTRIES_RETURN: Duration = Duration::from_secs(2);
 
 /// Share of the engines from which a simultaneous end is taken for a lapse. Engines that end without
@@ -28,7 +28,18 @@
 /// take them for lapsed does no harm.
 const LAPSE_SHARE: f64 = 0.1;
 
-/// Brings changed entries into force at this node, and has them sent on.
+/// Takes changed entries in; what is newer than what was known is brought into force.
+pub(crate) fn take(context: &Context, records: Vec<EntryRecord>, source: ChangeSource) {
+    let mut entries = context.spread.entries.borrow_mut();
+    let taken = records
+        .into_iter()
+        .filter(|record| entries.take(record.clone()));
+    let taken: Vec<EntryRecord> = taken.collect();
+    drop(entries);
+    apply(context, taken, source);
+}
+
+/// Brings changed entries into force at this node, and has them sent to other nodes.
 pub(crate) fn apply(context: &Context, records: Vec<EntryRecord>, source: ChangeSource) {
     if records.is_empty() {
         return;
@@ -80,17 +91,6 @@
     gone.count() > 1 && share >= LAPSE_SHARE
 }
 
-/// Takes changes in that were read from the key-value service.
-fn take(context: &Context, records: Vec<EntryRecord>) {
-    let mut entries = context.spread.entries.borrow_mut();
-    let taken = records
-        .into_iter()
-        .filter(|record| entries.take(record.clone()));
-    let taken: Vec<EntryRecord> = taken.collect();
-    drop(entries);
-    apply(context, taken, ChangeSource::Store);
-}
-
 /// Takes a whole reading of the key-value service in.
 fn take_listing(context: &Context, revision: u64, records: Vec<EntryRecord>) {
     let mut entries = context.spread.entries.borrow_mut();
@@ -117,7 +117,7 @@
         }
         // Entries lapse while the service is away and are written again when it is back: what is
         // there counts at once, what is missing a little later, unless it was written meanwhile.
-        take(&context, records.clone());
+        take(&context, records.clone(), ChangeSource::Store);
         actix_rt::spawn(async move {
             actix_rt::time::sleep(LAPSED_ENTRIES_RETURN).await;
             take_listing(&context, listing.revision.0, records);
@@ -133,7 +133,7 @@
         let records: Vec<EntryRecord> = records.collect();
         let context = Rc::clone(&self.0);
         if !is_lapse(&context, &records) {
-            take(&context, records);
+            take(&context, records, ChangeSource::Store);
             return;
         }
         // A watch that waited through an outage learns at its end which entries lapsed. By their
@@ -141,11 +141,11 @@
         let (present, gone) = records
             .into_iter()
             .partition(|record| record.value.is_some());
-        take(&context, present);
+        take(&context, present, ChangeSource::Store);
         let wait = LAPSED_ENTRIES_RETURN.min(context.settings.engine_drain() / 2);
         actix_rt::spawn(async move {
             actix_rt::time::sleep(wait).await;
-            take(&context, gone);
+            take(&context, gone, ChangeSource::Store);
         });
     }
 
--- a/crates/forwarding/src/spread/receive.rs
+++ b/crates/forwarding/src/spread/receive.rs
@@ -15,7 +15,7 @@
 use tokio::net::UdpSocket;
 
 use crate::context::Context;
-use crate::engine_entries::apply;
+use crate::engine_entries;
 use crate::fleet::Fleet;
 use crate::part_recovery::known_parts;
 use crate::spread::news_queue::NewsQueue;
@@ -106,7 +106,7 @@
     take_work(context, source, exchange.age_ms, exchange.work);
     take_demand(context, source, exchange.demand);
     pass_to_members(context, exchange.news);
-    take_changes(context, exchange.changes);
+    engine_entries::take(context, exchange.changes, ChangeSource::Relay);
 }
 
 /// What the member's relay knows of the fleet.
@@ -144,7 +144,7 @@
     for news in &table.news {
         take_news(context, news);
     }
-    take_changes(context, table.changes);
+    engine_entries::take(context, table.changes, ChangeSource::Relay);
     let differs = spread.entries.borrow().digest() != table.entries_digest;
     spread.wants_entries.set(differs);
     if differs {
@@ -264,17 +264,6 @@
     }
 }
 
-/// Takes changed entries in; what is new goes to this node's members too.
-fn take_changes(context: &Context, records: Vec<EntryRecord>) {
-    let mut entries = context.spread.entries.borrow_mut();
-    let taken = records
-        .into_iter()
-        .filter(|record| entries.take(record.clone()));
-    let taken: Vec<EntryRecord> = taken.collect();
-    drop(entries);
-    apply(context, taken, ChangeSource::Relay);
-}
-
 fn take_entries_page(context: &Context, page: EntriesPage) {
     let is_followed = {
         let subscription = context.spread.subscription.borrow();
@@ -283,7 +272,7 @@
     };
     if is_followed {
         let changes = context.spread.take_page(page);
-        apply(context, changes, ChangeSource::Relay);
+        engine_entries::apply(context, changes, ChangeSource::Relay);
     }
 }
 
--- a/crates/forwarding/tests/serving.rs
+++ b/crates/forwarding/tests/serving.rs
@@ -195,6 +195,16 @@
     assert_eq!(status(&node.request("11", "/r/x").await), "503");
 }
 
+/// Requests are served, none of them by the first engine.
+async fn serves_without_the_first(node: &TestNode, engines: &[TestEngine]) {
+    let before = engines[0].heads().len();
+    for request in 2..8 {
+        let served = node.request(&format!("{request}"), "/r/x").await;
+        assert_eq!(status(&served), "200");
+    }
+    assert_eq!(engines[0].heads().len(), before);
+}
+
 /// Found on a large site: when the store came back, 120 of 136 engines' entries had lapsed, and the
 /// other 16 got all requests until the 120 had written theirs again.
 #[actix_rt::test]
@@ -210,16 +220,7 @@
     assert_eq!(status(&node.request("1", "/r/x").await), "200");
     node.list("e1", &engines[1], "ready");
     actix_rt::time::sleep(Duration::from_millis(2_000)).await;
-    let before = engines[0].heads().len();
-    for request in 2..8 {
-        let served = node.request(&format!("{request}"), "/r/x").await;
-        assert_eq!(status(&served), "200");
-    }
-    assert_eq!(
-        engines[0].heads().len(),
-        before,
-        "an engine that did not return"
-    );
+    serves_without_the_first(&node, &engines).await;
 }
 
 /// Found on the same day: the store was silent, so that no call failed, and the watch that had waited
@@ -236,16 +237,7 @@
     assert_eq!(status(&node.request("1", "/r/x").await), "200");
     node.list("e1", &engines[1], "ready");
     actix_rt::time::sleep(Duration::from_millis(1_100)).await;
-    let before = engines[0].heads().len();
-    for request in 2..8 {
-        let served = node.request(&format!("{request}"), "/r/x").await;
-        assert_eq!(status(&served), "200");
-    }
-    assert_eq!(
-        engines[0].heads().len(),
-        before,
-        "an engine that did not return"
-    );
+    serves_without_the_first(&node, &engines).await;
 }
 
 #[actix_rt::test]
