Prompts that begin with the same long part have the same chances at all nodes

Cause: each node drew for itself what others may have sent, so prompts with the same 13,300 shared tokens went to several prefill engines. Change: the chance comes from a hash of the first long part and the engine; other requests keep chances of their own.

--- a/crates/routing/src/staged/chooser.rs
+++ b/crates/routing/src/staged/chooser.rs
@@ -218,6 +218,7 @@
         let holder = self.parts.best_holder(&request.parts, may_give);
         let holder = holder.filter(|_| request.link_mbps > 0.0);
         let unreported = self.expected_sends(now, usable);
+        let affinity = affinity(request);
         usable.iter().map(move |engine| {
             let mut kept = self.parts.kept_tokens(engine.key, &request.parts);
             let fetched = holder.map_or(0, |(_, tokens)| tokens.saturating_sub(kept));
@@ -239,14 +240,15 @@
             let queue_s = reading_s(ahead) - reading_s(f64::from(unread)) + starts_s;
             let displaced = if fetches { f64::from(fetched) } else { 0.0 };
             let displaced_s = (reading_s(displaced) - reading_s(0.0)) * READ_AGAIN_FOR_FETCHED;
-            let drawn = self.unreported.draw(work, unreported);
+            let chance = self.unreported.chance(engine.key, affinity);
+            let drawn = unreported.draw(work, chance);
             let drawn_starts_s = match engine.stage {
                 Stage::Decode => self.starts.queue_s(drawn.starting) - starts_s,
                 Stage::Prefill | Stage::Opaque => 0.0,
             };
             let drawn_ahead = drawn.unread_tokens as f64 + f64::from(unread);
             let cost_s = expected_s
-                + self.drawn_part_s(engine, unreported)
+                + self.drawn_part_s(engine, unreported, chance)
                 + drawn_starts_s
                 + (reading_s(drawn_ahead) - reading_s(ahead))
                 + displaced_s
@@ -282,11 +284,12 @@
                 + self.starts.expected_s(work.starting)
                 + move_s(request, moved, engine.zone == prefill.zone)
                 + reading_s.min(STEP_WITH_READING_S);
-            let drawn = self.unreported.draw(work, unreported);
+            let chance = self.unreported.chance(engine.key, None);
+            let drawn = unreported.draw(work, chance);
             let drawn_starts_s =
                 self.starts.queue_s(drawn.starting) - self.starts.queue_s(work.starting);
             let cost_s = expected_s
-                + self.drawn_part_s(engine, unreported)
+                + self.drawn_part_s(engine, unreported, chance)
                 + drawn_starts_s
                 + batch_s(engine, drawn.requests)
                 + self.avoided_s(now, engine)
@@ -309,10 +312,10 @@
     }
 
     /// Time of the part of a request that is drawn for an engine.
-    fn drawn_part_s(&self, engine: &StagedEngine, unreported: ExpectedSends) -> f64 {
+    fn drawn_part_s(&self, engine: &StagedEngine, unreported: ExpectedSends, chance: f64) -> f64 {
         let reading_s = |tokens| self.speeds.expected_s(engine.key, engine.stage, tokens);
         let request_s = reading_s(unreported.tokens_each) - reading_s(0.0) + self.starts.queue_s(1);
-        self.unreported.draw_part(unreported) * request_s
+        unreported.draw_part(chance) * request_s
     }
 
     /// Delay that reading a prompt brings to the requests that the engine generates for.
@@ -376,6 +379,14 @@
     engines.iter().max_by_key(weight).map(|engine| engine.key)
 }
 
+/// The part by which prompts stay together: the first one, if it is long enough to be taken from
+/// another engine.
+fn affinity(request: &StagedRequest) -> Option<u64> {
+    let first = request.parts.first()?;
+    let is_shared = request.parts.len() > 1;
+    (is_shared && first.tokens >= FETCHED_FROM_TOKENS).then_some(first.id)
+}
+
 fn not_home_s(
     engine: &StagedEngine,
     home: Option<EngineKey>,
--- a/crates/routing/src/staged/unreported.rs
+++ b/crates/routing/src/staged/unreported.rs
@@ -13,7 +13,8 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
-use super::{EngineWork, Stage};
+use super::{EngineKey, EngineWork, Stage};
+use crate::prefix::rendezvous_weight;
 
 /// Time over which this node's own rate of sends is taken: some tens of sends at the size the fleet
 /// is built for, and shorter than the waves of demand that were seen (11 s).
@@ -112,41 +113,61 @@
         }
     }
 
+    /// The chance that a draw for `engine` is made with. Requests whose prompts begin with the same
+    /// long part have the same chances at all nodes: they stay together, where one prefill serves all
+    /// of them, and prompts that begin otherwise spread. All other requests have chances of their own.
+    pub fn chance(&self, engine: EngineKey, affinity: Option<u64>) -> f64 {
+        match affinity {
+            Some(part) => {
+                // The upper bits of a hash, as many as a fraction holds.
+                let hash = rendezvous_weight(part, engine.0) >> (u64::BITS - f64::MANTISSA_DIGITS);
+                hash as f64 / 2_f64.powi(f64::MANTISSA_DIGITS as i32)
+            }
+            None => self.draws.borrow_mut().random_range(0.0..1.0),
+        }
+    }
+}
+
+impl ExpectedSends {
     /// The work known at an engine with what others may have sent there besides.
-    pub fn draw(&self, known: EngineWork, expected: ExpectedSends) -> EngineWork {
-        let drawn = self.poisson(expected.mean);
+    pub fn draw(&self, known: EngineWork, chance: f64) -> EngineWork {
+        let drawn = poisson(self.mean, chance).events;
         EngineWork {
             requests: known.requests + drawn,
             starting: known.starting + drawn,
-            unread_tokens: known.unread_tokens + (f64::from(drawn) * expected.tokens_each) as u64,
+            unread_tokens: known.unread_tokens + (f64::from(drawn) * self.tokens_each) as u64,
         }
     }
 
     /// A part of one request, below 1 and below what is expected: engines that are alike but for less
-    /// than a request are chosen at random, not by their order.
-    pub fn draw_part(&self, expected: ExpectedSends) -> f64 {
-        let most = expected.mean.min(1.0);
-        if most <= 0.0 {
-            return 0.0;
-        }
-        self.draws.borrow_mut().random_range(0.0..most)
+    /// than a request are chosen by chance, not by their order.
+    pub fn draw_part(&self, chance: f64) -> f64 {
+        poisson(self.mean, chance).remainder * self.mean.min(1.0)
     }
+}
 
-    /// A number of independent events of which `mean` are expected: those that fit into a unit of
-    /// time, with exponential times between them.
-    fn poisson(&self, mean: f64) -> u32 {
-        if mean <= 0.0 {
-            return 0;
-        }
-        let mut draws = self.draws.borrow_mut();
-        let mut passed = 0.0;
-        for events in 0..MOST_DRAWN {
-            let uniform: f64 = draws.random_range(f64::MIN_POSITIVE..1.0);
-            passed -= uniform.ln() / mean;
-            if passed > 1.0 {
-                return events;
-            }
+/// Where a chance falls among numbers of events.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Drawn {
+    events: u32,
+    /// How far the chance lies within that number's share: again evenly spread from 0 to 1.
+    remainder: f64,
+}
+
+/// The number of independent events that has `chance` of them or fewer, where `mean` are expected.
+fn poisson(mean: f64, chance: f64) -> Drawn {
+    let mut share = (-mean).exp();
+    let mut below = 0.0;
+    for events in 0..MOST_DRAWN {
+        if chance < below + share {
+            let remainder = (chance - below) / share;
+            return Drawn { events, remainder };
         }
-        MOST_DRAWN
+        below += share;
+        share *= mean / f64::from(events + 1);
+    }
+    Drawn {
+        events: MOST_DRAWN,
+        remainder: 0.0,
     }
 }
--- a/crates/routing/tests/unreported.rs
+++ b/crates/routing/tests/unreported.rs
@@ -109,7 +109,7 @@
         starting: 1,
         unread_tokens: 70,
     };
-    assert_eq!(sends.draw(known, fresh), known);
+    assert_eq!(fresh.draw(known, 0.9), known);
 }
 
 /// Draws have the mean that is expected of them.
@@ -124,7 +124,11 @@
         mean,
         tokens_each: 10.0,
     };
-    let drawn = (0..DRAWS).map(|_| sends.draw(EngineWork::default(), expected).requests);
+    let key = EngineKey(1);
+    let drawn = (0..DRAWS).map(|_| {
+        let chance = sends.chance(key, None);
+        expected.draw(EngineWork::default(), chance).requests
+    });
     let seen = f64::from(drawn.sum::<u32>()) / f64::from(DRAWS);
     assert!(
         (seen - mean).abs() < 0.15 * mean.max(1.0),
@@ -132,6 +136,16 @@
     );
 }
 
+/// Prompts with the same long first part have the same chances at all nodes; others do not.
+#[rstest]
+fn prompts_that_share_a_long_part_stay_together() {
+    let (first, second) = (UnreportedSends::seeded(1), UnreportedSends::seeded(2));
+    let key = EngineKey::of("prefill-1");
+    assert_eq!(first.chance(key, Some(7)), second.chance(key, Some(7)));
+    assert_ne!(first.chance(key, Some(7)), first.chance(key, Some(8)));
+    assert_ne!(first.chance(key, None), second.chance(key, None));
+}
+
 fn work(requests: u32) -> EngineWork {
     EngineWork {
         requests,
