Lines tell the same request from another, and an engine that ended from a broken call

Cause: request ids are new with each attempt, and 'broken' read alike for a reset connection and for an engine that is gone, so that the three hypotheses could not be told apart. Change: each request has a fingerprint (keyed BLAKE3 over method, host, path, caller and body; the key is the fleet's, in the key-value service). A call without a whole answer is logged with it (event 1504), the end of an engine's run with its proof (1611: nothing listens there, or its entry is gone), and which requests were unfinished there (1612). An engine that breaks an answer off is asked at once whether it still listens. What comes again is known again, and distinct requests are distinct.

--- a/crates/engine-link/src/connect.rs
+++ b/crates/engine-link/src/connect.rs
@@ -1,5 +1,6 @@
 //! Opens connections.
 
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -20,6 +21,9 @@
     let opened = tokio::time::timeout(connect_timeout, TcpStream::connect(address)).await;
     let stream = match opened {
         Ok(Ok(stream)) => stream,
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            return Err(SendError::NoListener(error.to_string()));
+        }
         Ok(Err(error)) => return Err(SendError::NotSent(error.to_string())),
         Err(_) => return Err(SendError::NotSent("connect timed out".to_owned())),
     };
--- a/crates/engine-link/src/error.rs
+++ b/crates/engine-link/src/error.rs
@@ -6,6 +6,9 @@
     /// No byte of the request went out: the engine did not run it.
     #[error("not sent: {0}")]
     NotSent(String),
+    /// Nothing listens at the engine's address: nothing went out.
+    #[error("not sent: nothing listens: {0}")]
+    NoListener(String),
     /// As many connections to the engine are open as this node may have: nothing went out.
     #[error("not sent: all {0} connections are in use")]
     NoConnection(usize),
@@ -17,7 +20,10 @@
 impl SendError {
     /// Whether it is certain that the engine did not run the request.
     pub fn is_not_sent(&self) -> bool {
-        matches!(self, Self::NotSent(_) | Self::NoConnection(_))
+        matches!(
+            self,
+            Self::NotSent(_) | Self::NoListener(_) | Self::NoConnection(_)
+        )
     }
 }
 
--- a/crates/engine-link/src/link.rs
+++ b/crates/engine-link/src/link.rs
@@ -74,6 +74,12 @@
         Ok(Exchange::new(connection, answer))
     }
 
+    /// Opens a connection and keeps it for the next exchange. Whether something listens there.
+    pub async fn open(&self, target: &LinkTarget, max_connections: usize) -> Result<(), SendError> {
+        self.new_connection(target, max_connections).await?.keep();
+        Ok(())
+    }
+
     async fn connection(
         &self,
         target: &LinkTarget,
@@ -82,6 +88,14 @@
         if let Some(idle) = self.pool.take_idle(target) {
             return Ok(idle);
         }
+        self.new_connection(target, max_connections).await
+    }
+
+    async fn new_connection(
+        &self,
+        target: &LinkTarget,
+        max_connections: usize,
+    ) -> Result<PooledConnection, SendError> {
         let place = self
             .pool
             .take_place(target, max_connections)
--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -24,6 +24,7 @@
 use crate::node::counts::InFlight;
 use crate::node::metrics::ForwardingMetrics;
 use crate::node::settings::ForwardingSettings;
+use crate::quarantine::Quarantine;
 use crate::roles::authority::Authority;
 use crate::roles::demand::DemandMeter;
 use crate::spread::Spread;
@@ -58,6 +59,8 @@
     pub(crate) demand: RefCell<DemandMeter>,
     /// Engines that change their roles of which other nodes have not heard.
     pub(crate) role_changes: RefCell<Vec<(EngineKey, Duration)>>,
+    /// Requests that end engines.
+    pub(crate) quarantine: Quarantine,
     pub(crate) metrics: ForwardingMetrics,
     started: Instant,
     table: RefCell<Option<Rc<RouteTable>>>,
@@ -99,6 +102,7 @@
             placements: RefCell::default(),
             demand: RefCell::default(),
             role_changes: RefCell::default(),
+            quarantine: Quarantine::default(),
             started: Instant::now(),
             table: RefCell::default(),
             declaration_confirmed_at: Cell::new(Instant::now()),
--- a/crates/forwarding/src/fleet/engine_entries.rs
+++ b/crates/forwarding/src/fleet/engine_entries.rs
@@ -6,10 +6,12 @@
 use dalestand_dissemination::EntryRecord;
 use dalestand_edge::routed::EngineEntry;
 use dalestand_edge::{Listing, WatchEvent};
+use dalestand_routing::staged::EngineKey;
 use dalestand_telemetry::{Event, log_event};
 
 use crate::context::Context;
 use crate::fleet::follow::Follower;
+use crate::quarantine::engine_end::{EndProof, engine_ended};
 use crate::spread::recent_changes::ChangeSource;
 
 /// Relays ask for changes of engines' entries again after up to this time for each relay, at random.
@@ -53,6 +55,10 @@
         let Some(value) = &record.value else {
             log_event!(context.logger, Event::EngineGone, "key" => &record.key,
                 "revision" => record.revision, "source" => ?source);
+            if let Some(entry) = context.entry(&record.key).filter(|entry| entry.accepting) {
+                let engine = EngineKey::of(&entry.run);
+                engine_ended(context, engine, &entry.run, EndProof::EntryGone);
+            }
             changes.push((record.key, None));
             continue;
         };
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -15,6 +15,7 @@
 mod error;
 mod fleet;
 mod node;
+mod quarantine;
 mod roles;
 mod serve;
 mod spread;
--- /dev/null
+++ b/crates/forwarding/src/quarantine/engine_end.rs
@@ -0,0 +1,71 @@
+//! How a node learns that an engine's run has ended, and which requests it ended under.
+
+use std::rc::Rc;
+
+use dalestand_engine_link::SendError;
+use dalestand_quarantine::{EngineRun, RequestFingerprint};
+use dalestand_routing::staged::{EngineKey, StagedEngine};
+use dalestand_telemetry::{Event, log_event};
+use dalestand_types::PoolName;
+
+use crate::context::Context;
+use crate::quarantine::engine_run;
+
+/// What proves that an engine's run has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EndProof {
+    /// Nothing listens at its address.
+    NoListener,
+    /// Its entry is gone, and it had not said that it leaves.
+    EntryGone,
+}
+
+/// Asks an engine that broke an answer off whether it still listens. An entry lapses seconds after its
+/// engine ended; this tells within a round trip, and a connection that opens is kept for the next call.
+pub(crate) fn check_listener(context: &Rc<Context>, pool: &PoolName, engine: &StagedEngine) {
+    let Some(known) = context.fleet().engine(engine.key).cloned() else {
+        return;
+    };
+    let is_first = context.quarantine.checked.borrow_mut().insert(engine.key);
+    if !is_first {
+        return;
+    }
+    let context = Rc::clone(context);
+    let max_connections = context.max_connections(pool);
+    let engine = engine.clone();
+    actix_rt::spawn(async move {
+        let opened = context.link.open(&known.target(), max_connections).await;
+        context.quarantine.checked.borrow_mut().remove(&engine.key);
+        if matches!(opened, Err(SendError::NoListener(_))) {
+            engine_ended(&context, engine.key, &engine.run, EndProof::NoListener);
+        }
+    });
+}
+
+/// Notes that an engine's run has ended.
+pub(crate) fn engine_ended(context: &Context, engine: EngineKey, name: &str, proof: EndProof) {
+    let run = engine_run(engine);
+    let requests = {
+        let mut runs = context.quarantine.unfinished.borrow_mut();
+        if runs.has_ended(run) {
+            return;
+        }
+        runs.engine_ended(context.now(), run)
+    };
+    log_event!(context.logger, Event::EngineEnded, "engine" => name, "proof" => ?proof,
+        "requests" => requests.len());
+    for fingerprint in requests {
+        attribute(context, name, run, fingerprint);
+    }
+}
+
+/// Notes that a request was unfinished at an engine when that ended.
+pub(crate) fn attribute(
+    context: &Context,
+    name: &str,
+    _run: EngineRun,
+    fingerprint: RequestFingerprint,
+) {
+    log_event!(context.logger, Event::CrashAttributed, "fingerprint" => %fingerprint,
+        "engine" => name);
+}
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -11,6 +11,8 @@
 use dalestand_types::PoolName;
 
 use crate::context::Context;
+use crate::quarantine::engine_end::{EndProof, engine_ended};
+use crate::quarantine::run_watch::{RunWatch, Unfinished};
 use crate::serve::progress::{CallPurpose, Progress};
 use crate::serve::work_guard::WorkGuard;
 
@@ -20,6 +22,7 @@
     pub(crate) body: AnswerBody,
     pub(crate) choice: EngineChoice,
     pub(crate) work: WorkGuard,
+    pub(crate) watch: RunWatch,
     pub(crate) sent_at: Instant,
     /// Requests at the engine, of all nodes, that had not begun when it was sent.
     pub(crate) before: u32,
@@ -81,6 +84,7 @@
     if call.purpose == CallPurpose::Run {
         progress.runs += 1;
     }
+    let mut watch = RunWatch::new(context, progress, &engine, call.pool);
     let sent_at = Instant::now();
     context.sent(progress.sent_bytes());
     let max_connections = context.max_connections(call.pool);
@@ -105,6 +109,7 @@
                 body: exchange.body,
                 choice: call.choice,
                 work,
+                watch,
                 sent_at,
             };
             (
@@ -113,11 +118,32 @@
                 Some(result),
             )
         }
-        Judged::Refused => (AttemptEnd::Refused, "refused", Some(AttemptResult::Refused)),
-        Judged::NotSent => (AttemptEnd::NotSent, "not sent", Some(AttemptResult::Silent)),
-        Judged::NoConnection => (AttemptEnd::NotSent, "no connection", None),
-        Judged::Broken => (AttemptEnd::Unknown, "broken", Some(AttemptResult::Failed)),
-        Judged::Silent => (AttemptEnd::Unknown, "silent", Some(AttemptResult::Silent)),
+        Judged::Refused => {
+            watch.over();
+            (AttemptEnd::Refused, "refused", Some(AttemptResult::Refused))
+        }
+        Judged::NotSent => {
+            watch.over();
+            (AttemptEnd::NotSent, "not sent", Some(AttemptResult::Silent))
+        }
+        Judged::NoListener => {
+            watch.over();
+            engine_ended(context, engine.key, &engine.run, EndProof::NoListener);
+            let silent = Some(AttemptResult::Silent);
+            (AttemptEnd::NotSent, "no listener", silent)
+        }
+        Judged::NoConnection => {
+            watch.over();
+            (AttemptEnd::NotSent, "no connection", None)
+        }
+        Judged::Broken => {
+            watch.unfinished(Unfinished::NoAnswer);
+            (AttemptEnd::Unknown, "broken", Some(AttemptResult::Failed))
+        }
+        Judged::Silent => {
+            watch.unfinished(Unfinished::Silent);
+            (AttemptEnd::Unknown, "silent", Some(AttemptResult::Silent))
+        }
     };
     if let Some(result) = result {
         let now = context.now();
@@ -156,6 +182,7 @@
     Sound(Box<Exchange>),
     Refused,
     NotSent,
+    NoListener,
     NoConnection,
     Broken,
     Silent,
@@ -169,6 +196,7 @@
     let exchange = match answered {
         None => return Judged::Silent,
         Some(Err(SendError::NoConnection(_))) => return Judged::NoConnection,
+        Some(Err(SendError::NoListener(_))) => return Judged::NoListener,
         Some(Err(SendError::NotSent(_))) => return Judged::NotSent,
         Some(Err(SendError::MayHaveRun(_))) => return Judged::Broken,
         Some(Ok(exchange)) => exchange,
--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -12,11 +12,14 @@
 use dalestand_http_server::{
     Answer, ConnectionType, HttpMessage as _, HttpServerError, Request, read_body,
 };
+use dalestand_quarantine::{RequestFingerprint, RequestIdentity};
+use dalestand_routes::Caller;
 use dalestand_routing::staged::{AttemptResult, EngineChoice, TimeBounds, patience, refused_for};
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::PoolName;
 
 use crate::context::Context;
+use crate::quarantine::run_watch::Unfinished;
 use crate::serve::answer::{Failure, streamed, whole};
 use crate::serve::attempt::{AttemptEnd, Call, EngineAnswer, attempt};
 use crate::serve::headers::passed_on;
@@ -121,9 +124,9 @@
     let started = Instant::now();
     let facts = context.dialect.read_request(request.headers());
     let table = context.table().ok_or(Failure::NoConfiguration)?;
-    let host = request.headers().get(HOST);
-    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
-    let route = table.find(host, request.path()).ok_or(Failure::NoRoute)?;
+    let route = table
+        .find(host(request), request.path())
+        .ok_or(Failure::NoRoute)?;
     let route = Arc::clone(route);
     let caller = table.identify(&route, &facts.key);
     let caller = caller.map_err(|_| Failure::Unauthorized)?;
@@ -135,6 +138,7 @@
         HttpServerError::BodyTooLarge { .. } => Failure::BodyTooLong,
         _ => Failure::BodyUnreadable,
     })?;
+    let fingerprint = fingerprint(context, request, &caller, &body);
     let passed = PassedRequest {
         method: request.method().clone(),
         uri: request.uri().clone(),
@@ -153,10 +157,36 @@
         table,
         route,
         pools,
+        fingerprint,
         started,
     }))
 }
 
+/// What the request is known by when it comes again.
+fn fingerprint(
+    context: &Context,
+    request: &Request,
+    caller: &Caller,
+    body: &Bytes,
+) -> Option<RequestFingerprint> {
+    let key = context.quarantine.key()?;
+    let path = request.uri().path_and_query();
+    let identity = RequestIdentity {
+        method: request.method().as_str(),
+        host: host(request),
+        path: path.map_or("", |path| path.as_str()),
+        caller: caller.tenant().map(|tenant| tenant.name.as_str()),
+        body,
+    };
+    Some(key.fingerprint(&identity))
+}
+
+/// The host that a request names.
+fn host(request: &Request) -> &str {
+    let host = request.headers().get(HOST);
+    host.and_then(|host| host.to_str().ok()).unwrap_or_default()
+}
+
 async fn serve(context: &Rc<Context>, progress: &mut Progress) -> Result<Served, Failure> {
     let mut fallback = None;
     loop {
@@ -373,8 +403,12 @@
         return Ok(Some(Served::Stream(pool, answer)));
     }
     match answer.body.collect(GATHERED_BYTES).await {
-        Ok(body) => Ok(Some(Served::Whole(answer.head, body))),
+        Ok(body) => {
+            answer.watch.over();
+            Ok(Some(Served::Whole(answer.head, body)))
+        }
         Err(_) => {
+            answer.watch.unfinished(Unfinished::BrokenOff);
             let now = context.now();
             let mut router = context.router.borrow_mut();
             let engine = answer.choice.engine.key;
--- a/crates/forwarding/src/serve/prefill.rs
+++ b/crates/forwarding/src/serve/prefill.rs
@@ -12,6 +12,7 @@
 use dalestand_types::PoolName;
 
 use crate::context::Context;
+use crate::quarantine::run_watch::Unfinished;
 use crate::serve::attempt::{AttemptEnd, Call, EngineAnswer, attempt};
 use crate::serve::progress::{CallPurpose, Progress};
 
@@ -122,6 +123,10 @@
 ) -> PrefillEnd {
     let engine = answer.choice.engine.clone();
     let body = answer.body.collect(MAX_ANSWER_BYTES).await;
+    match &body {
+        Ok(_) => answer.watch.over(),
+        Err(_) => answer.watch.unfinished(Unfinished::BrokenOff),
+    }
     let memory = match body {
         Ok(body) if answer.head.status.is_success() => context.dialect.read_held_memory(&body),
         Ok(_) | Err(_) => None,
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -8,6 +8,7 @@
 use actix_http::{Method, RequestHead, Uri};
 use bytes::Bytes;
 use dalestand_edge::routed::RequestFacts;
+use dalestand_quarantine::RequestFingerprint;
 use dalestand_routes::{Caller, RouteTable, RouteTerms};
 use dalestand_routing::staged::{EngineChoice, EngineKey, Expectation, PromptPart, StagedRequest};
 use dalestand_types::PoolName;
@@ -85,6 +86,7 @@
     pub(crate) table: Rc<RouteTable>,
     pub(crate) route: Arc<RouteTerms>,
     pub(crate) pools: Vec<PoolName>,
+    pub(crate) fingerprint: Option<RequestFingerprint>,
     pub(crate) started: Instant,
 }
 
@@ -99,6 +101,8 @@
     /// The pools that may serve it, in the order in which they are to be asked.
     pub(crate) pools: Vec<PoolName>,
     pub(crate) started: Instant,
+    /// What it is known by when it comes again; `None` before the fleet's key is known.
+    pub(crate) fingerprint: Option<RequestFingerprint>,
     /// When its final answer is due.
     pub(crate) due: Instant,
     /// Engines called, so that another is taken.
@@ -123,6 +127,7 @@
             table,
             route,
             pools,
+            fingerprint,
             started,
         } = admitted;
         let limit = Duration::from_millis(route.time_limit_ms);
@@ -134,6 +139,7 @@
             table,
             route,
             pools,
+            fingerprint,
             started,
             due: started + held,
             tried: Vec::new(),
--- a/crates/forwarding/src/serve/relay.rs
+++ b/crates/forwarding/src/serve/relay.rs
@@ -11,6 +11,7 @@
 
 use crate::context::Context;
 use crate::node::counts::InFlightGuard;
+use crate::quarantine::run_watch::Unfinished;
 use crate::serve::attempt::EngineAnswer;
 use crate::serve::event_stream::EventSplitter;
 use crate::serve::forward::resume;
@@ -111,6 +112,11 @@
         if self.splitter.is_none() {
             let next = self.answer.body.next().await;
             self.answer.work.prompt_read();
+            match &next {
+                None => self.answer.watch.over(),
+                Some(Err(_)) => self.answer.watch.unfinished(Unfinished::BrokenOff),
+                Some(Ok(_)) => {}
+            }
             return next.map(|piece| piece.map_err(|_| RelayError::BrokenOff));
         }
         loop {
@@ -164,6 +170,7 @@
 
     /// What is left at the end of a whole body.
     fn rest(&mut self) -> Option<Result<Bytes, RelayError>> {
+        self.answer.watch.over();
         let rest = self.splitter.take()?;
         self.ended = true;
         let rest = rest.pending();
@@ -195,6 +202,10 @@
             .borrow_mut()
             .health
             .note(now, failed, result);
+        self.answer.watch.unfinished(match result {
+            AttemptResult::Silent => Unfinished::Silent,
+            _ => Unfinished::BrokenOff,
+        });
         // The former run ends before another begins.
         self.answer.body.abandon();
         self.progress.facts.last_event = self.last_event;
--- /dev/null
+++ b/crates/quarantine/src/fingerprint.rs
@@ -0,0 +1,109 @@
+//! What makes two requests the same one, though their ids, connections and nodes differ.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Bytes of a fingerprint: two of a million requests have the same with a chance of 1 in 10^26.
+const FINGERPRINT_BYTES: usize = 16;
+
+/// The fleet's key. Under it, a fingerprint tells nothing of a body to whoever reads a log, a
+/// datagram or the key-value service and guesses at bodies.
+#[derive(Clone, PartialEq, Eq)]
+pub struct FingerprintKey([u8; blake3::KEY_LEN]);
+
+impl fmt::Debug for FingerprintKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("FingerprintKey(..)")
+    }
+}
+
+/// The text is no key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("not a key of {} hexadecimal digits", 2 * blake3::KEY_LEN)]
+pub struct NotAKey;
+
+impl FingerprintKey {
+    /// A new key, drawn at random.
+    pub fn generate() -> Self {
+        Self(rand::random())
+    }
+
+    /// The key that [`Self::to_text`] wrote.
+    pub fn parse(text: &str) -> Result<Self, NotAKey> {
+        let mut key = [0; blake3::KEY_LEN];
+        hex::decode_to_slice(text, &mut key).map_err(|_| NotAKey)?;
+        Ok(Self(key))
+    }
+
+    /// The key as hexadecimal digits, for the fleet's other nodes.
+    pub fn to_text(&self) -> String {
+        hex::encode(self.0)
+    }
+
+    /// The fingerprint of a request.
+    pub fn fingerprint(&self, identity: &RequestIdentity<'_>) -> RequestFingerprint {
+        let mut hasher = blake3::Hasher::new_keyed(&self.0);
+        let fields = [
+            identity.method.as_bytes(),
+            identity.host.as_bytes(),
+            identity.path.as_bytes(),
+            identity.caller.unwrap_or_default().as_bytes(),
+        ];
+        for field in fields {
+            // The length keeps a field from running into the next one.
+            hasher.update(&(field.len() as u64).to_le_bytes());
+            hasher.update(field);
+        }
+        hasher.update(identity.body);
+        let mut fingerprint = [0; FINGERPRINT_BYTES];
+        hasher.finalize_xof().fill(&mut fingerprint);
+        RequestFingerprint(fingerprint)
+    }
+}
+
+/// What stays the same when a request comes again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestIdentity<'r> {
+    /// Its method.
+    pub method: &'r str,
+    /// The host it names.
+    pub host: &'r str,
+    /// Its path and query.
+    pub path: &'r str,
+    /// Its tenant, where callers have keys.
+    pub caller: Option<&'r str>,
+    /// Its body.
+    pub body: &'r [u8],
+}
+
+/// The same for each time that one request comes, at whatever node.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RequestFingerprint([u8; FINGERPRINT_BYTES]);
+
+/// The text is no fingerprint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("not a fingerprint of {} hexadecimal digits", 2 * FINGERPRINT_BYTES)]
+pub struct NotAFingerprint;
+
+impl RequestFingerprint {
+    /// The fingerprint that was written as hexadecimal digits.
+    pub fn parse(text: &str) -> Result<Self, NotAFingerprint> {
+        let mut fingerprint = [0; FINGERPRINT_BYTES];
+        hex::decode_to_slice(text, &mut fingerprint).map_err(|_| NotAFingerprint)?;
+        Ok(Self(fingerprint))
+    }
+}
+
+impl fmt::Display for RequestFingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&hex::encode(self.0))
+    }
+}
+
+impl fmt::Debug for RequestFingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "RequestFingerprint({self})")
+    }
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -96,6 +96,8 @@
     RequestFailed = (1502, Info, "request failed");
     /// A frame of another attempt was discarded.
     ForeignFrame = (1503, Warning, "frame of another attempt discarded");
+    /// An engine's call ended without a whole answer.
+    RunUnfinished = (1504, Info, "run unfinished");
     /// An engine's own entry appeared or changed.
     EngineListed = (1601, Info, "engine listed");
     /// An engine's own entry went.
@@ -106,6 +108,10 @@
     PauseNoticed = (1604, Warning, "process stood still");
     /// An engine told which parts of prompts it keeps.
     PartsRecovered = (1607, Info, "kept parts recovered");
+    /// An engine's run has ended without having said that it leaves.
+    EngineEnded = (1611, Info, "engine ended");
+    /// A request was unfinished at an engine when that ended.
+    CrashAttributed = (1612, Info, "crash attributed");
     /// The usage of a window was reported.
     UsageReported = (1701, Info, "usage reported");
     /// The usage of a window could not be reported yet.
