--- a/crates/forwarding/tests/support/mod.rs
+++ b/crates/forwarding/tests/support/mod.rs
@@ -306,8 +306,12 @@
     /// Where it listens.
     pub address: SocketAddr,
     heads: Arc<Mutex<Vec<String>>>,
+    connections: Connections,
 }
 
+/// The open connections of an engine; `None` once its process has ended.
+type Connections = Arc<Mutex<Option<Vec<TcpStream>>>>;
+
 impl TestEngine {
     /// Starts an engine.
     pub fn start(script: Script) -> Self {
@@ -315,13 +319,38 @@
         let address = listener.local_addr().expect("an address");
         let heads = Arc::new(Mutex::new(Vec::new()));
         let seen = Arc::clone(&heads);
+        let connections: Connections = Arc::new(Mutex::new(Some(Vec::new())));
+        let open = Arc::clone(&connections);
         thread::spawn(move || {
             while let Ok((stream, _)) = listener.accept() {
+                let Some(connections) = &mut *open.lock().expect("no panic") else {
+                    return;
+                };
+                connections.push(stream.try_clone().expect("a second handle"));
                 let seen = Arc::clone(&seen);
                 thread::spawn(move || serve(stream, script, &seen));
             }
         });
-        Self { address, heads }
+        Self {
+            address,
+            heads,
+            connections,
+        }
+    }
+
+    /// Ends the engine as a crash does: its connections end and nothing listens any more.
+    pub fn crash(&self) {
+        let connections = self.connections.lock().expect("no panic").take();
+        // The thread that waits for connections finds out with the next one.
+        while TcpStream::connect(self.address).is_ok() {}
+        for connection in connections.into_iter().flatten() {
+            let _ = connection.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
+    /// Whether the engine has crashed.
+    pub fn has_crashed(&self) -> bool {
+        self.connections.lock().expect("no panic").is_none()
     }
 
     /// Heads of the requests it was sent.
@@ -419,19 +448,39 @@
         panic!("no node could be started");
     }
 
+    /// Starts another node on the store of this one.
+    pub async fn start_beside(&self, name: &str) -> Self {
+        for _ in 0..START_ATTEMPTS {
+            let store = Rc::clone(&self.store);
+            if let Some(node) = Self::try_start_on(store, name, 50, "", "").await {
+                return node;
+            }
+        }
+        panic!("no node could be started");
+    }
+
     async fn try_start(slack: u32, further: &str, table: &str) -> Option<Self> {
+        Self::try_start_on(Rc::default(), "node-1", slack, further, table).await
+    }
+
+    async fn try_start_on(
+        store: Rc<MemoryStore>,
+        name: &str,
+        slack: u32,
+        further: &str,
+        table: &str,
+    ) -> Option<Self> {
         let ratio = if slack < 50 { 0.0 } else { 0.2 };
         let (callers, ready, peers) = (free_address(), free_address(), free_address());
         let metrics = free_address();
         let settings = format!(
-            "node = \"node-1\"\nzone = \"here\"\ncaller_listen = \"{callers}\"\n\
+            "node = \"{name}\"\nzone = \"here\"\ncaller_listen = \"{callers}\"\n\
              ready_listen = \"{ready}\"\npeer_listen = \"{peers}\"\nkey_value = \"{peers}\"\n\
              metrics_listen = \"{metrics}\"\n{further}\
              [retries]\nratio = {ratio}\nslack = {slack}\nwindow_s = 10\n[stop]\ngrace_s = 8\n\
              [roles]\nlease_ms = 3000\n{table}"
         );
         let settings = ForwardingSettings::parse(&settings).expect("sound settings");
-        let store = Rc::new(MemoryStore::default());
         let known = settings.clone();
         let node = ForwardingNode {
             settings,
