Forwarding: admission and the lines that account for requests in files of their own

Change: moved as they were. Test programs say that each uses a part of their common support. Measured: nothing that runs changed. Conclusion: the loop of calls is what is left in forward.rs (362 lines).

--- /dev/null
+++ b/crates/forwarding/src/serve/account.rs
@@ -0,0 +1,53 @@
+//! The lines that account for requests.
+
+use dalestand_http_server::{HttpMessage as _, Request};
+use dalestand_routing::staged::EngineKey;
+use dalestand_telemetry::{Event, log_event};
+
+use crate::context::Context;
+use crate::serve::answer::Failure;
+use crate::serve::progress::Progress;
+
+/// Notes a request that was not taken in.
+pub(crate) fn log_unadmitted(context: &Context, request: &Request, failure: Failure) {
+    let facts = context.dialect.read_request(request.headers());
+    log_event!(context.logger, Event::RequestFailed,
+        "request" => facts.id.as_deref().unwrap_or_default(),
+        "path" => request.path(), "reason" => ?failure,
+        "status" => failure.status().as_u16(),
+        "configuration" => context.table().map(|table| table.revision().0));
+}
+
+/// Notes a request without an answer of an engine.
+pub(crate) fn log_failed(context: &Context, progress: &Progress, failure: Failure) {
+    log_event!(context.logger, Event::RequestFailed,
+        "request" => progress.facts.id.as_deref().unwrap_or_default(),
+        "route" => &progress.route.name, "reason" => ?failure,
+        "status" => failure.status().as_u16(),
+        "configuration" => progress.table.revision().0,
+        "took_ms" => progress.started.elapsed().as_millis() as u64,
+        "engines" => context.fleet().len(),
+        "expected_ms" => progress.expected.map(|expected| milliseconds(expected.whole_s)),
+        "queue_ms" => progress.expected.map(|expected| milliseconds(expected.queue_s)),
+        "calls" => progress.account());
+}
+
+fn milliseconds(seconds: f64) -> u64 {
+    (seconds * 1_000.0) as u64
+}
+
+/// Notes a request that has an answer.
+pub(crate) fn log_served(context: &Context, progress: &Progress, status: u16) {
+    let id = progress.facts.id.as_deref().unwrap_or_default();
+    let sampled = EngineKey::of(id)
+        .0
+        .is_multiple_of(context.settings.log.complete_one_in);
+    if !sampled && progress.calls.len() < 3 && status < 500 {
+        return;
+    }
+    log_event!(context.logger, Event::RequestComplete, "request" => id,
+        "route" => &progress.route.name, "status" => status,
+        "configuration" => progress.table.revision().0,
+        "took_ms" => progress.started.elapsed().as_millis() as u64,
+        "calls" => progress.account());
+}
--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -1,31 +1,24 @@
-//! Serves one request: finds its route, reads its body, and makes calls until one answers or no
-//! further one may be made.
+//! Serves one request: makes calls to engines until one answers or no further one may be made.
 
 use std::rc::Rc;
-use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use actix_http::header::HOST;
 use bytes::Bytes;
 use dalestand_edge::routed::EngineTerms;
 use dalestand_engine_link::ResponseHead;
-use dalestand_http_server::{
-    Answer, ConnectionType, HttpMessage as _, HttpServerError, Request, read_body,
-};
-use dalestand_quarantine::{RequestFingerprint, RequestIdentity};
-use dalestand_routes::Caller;
+use dalestand_http_server::{Answer, ConnectionType, Request};
 use dalestand_routing::staged::{AttemptResult, EngineChoice, TimeBounds, patience, refused_for};
-use dalestand_telemetry::{Event, log_event};
 use dalestand_types::PoolName;
 
 use crate::context::Context;
 use crate::quarantine::run_watch::Unfinished;
+use crate::serve::account::{log_failed, log_served, log_unadmitted};
+use crate::serve::admit::admit;
 use crate::serve::answer::{Failure, streamed, whole};
 use crate::serve::attempt::{AttemptEnd, Call, EngineAnswer, attempt};
-use crate::serve::headers::passed_on;
 use crate::serve::plan::{Step, choose, choose_again};
 use crate::serve::prefill::{HeldPrompt, PrefillEnd, prefill};
-use crate::serve::progress::{Admitted, CallPurpose, PassedRequest, Progress};
+use crate::serve::progress::{CallPurpose, Progress};
 use crate::serve::relay::Relay;
 
 /// Longest body that is gathered before it is passed on, so that a broken one can be replaced.
@@ -120,73 +113,6 @@
     answer
 }
 
-async fn admit(context: &Context, request: &mut Request) -> Result<Progress, Failure> {
-    let started = Instant::now();
-    let facts = context.dialect.read_request(request.headers());
-    let table = context.table().ok_or(Failure::NoConfiguration)?;
-    let route = table
-        .find(host(request), request.path())
-        .ok_or(Failure::NoRoute)?;
-    let route = Arc::clone(route);
-    let caller = table.identify(&route, &facts.key);
-    let caller = caller.map_err(|_| Failure::Unauthorized)?;
-    if caller.tenant().is_some() && !context.keys_hold() {
-        return Err(Failure::NoConfiguration);
-    }
-    let body = read_body(request, table.callers().max_body_bytes).await;
-    let body = body.map_err(|error| match error {
-        HttpServerError::BodyTooLarge { .. } => Failure::BodyTooLong,
-        _ => Failure::BodyUnreadable,
-    })?;
-    let fingerprint = fingerprint(context, request, &caller, &body);
-    let passed = PassedRequest {
-        method: request.method().clone(),
-        uri: request.uri().clone(),
-        headers: passed_on(request.headers()),
-        body,
-    };
-    let pools = context.splits.borrow_mut().pick(&route);
-    if let Some(pool) = pools.first() {
-        let now = context.now();
-        context.budget.borrow_mut().request(now, pool);
-    }
-    Ok(Progress::new(Admitted {
-        facts,
-        caller,
-        passed,
-        table,
-        route,
-        pools,
-        fingerprint,
-        started,
-    }))
-}
-
-/// What the request is known by when it comes again.
-fn fingerprint(
-    context: &Context,
-    request: &Request,
-    caller: &Caller,
-    body: &Bytes,
-) -> Option<RequestFingerprint> {
-    let key = context.quarantine.key()?;
-    let path = request.uri().path_and_query();
-    let identity = RequestIdentity {
-        method: request.method().as_str(),
-        host: host(request),
-        path: path.map_or("", |path| path.as_str()),
-        caller: caller.tenant().map(|tenant| tenant.name.as_str()),
-        body,
-    };
-    Some(key.fingerprint(&identity))
-}
-
-/// The host that a request names.
-fn host(request: &Request) -> &str {
-    let host = request.headers().get(HOST);
-    host.and_then(|host| host.to_str().ok()).unwrap_or_default()
-}
-
 async fn serve(context: &Rc<Context>, progress: &mut Progress) -> Result<Served, Failure> {
     let mut fallback = None;
     loop {
@@ -434,44 +360,3 @@
     }
     None
 }
-
-fn log_unadmitted(context: &Context, request: &Request, failure: Failure) {
-    let facts = context.dialect.read_request(request.headers());
-    log_event!(context.logger, Event::RequestFailed,
-        "request" => facts.id.as_deref().unwrap_or_default(),
-        "path" => request.path(), "reason" => ?failure,
-        "status" => failure.status().as_u16(),
-        "configuration" => context.table().map(|table| table.revision().0));
-}
-
-fn log_failed(context: &Context, progress: &Progress, failure: Failure) {
-    log_event!(context.logger, Event::RequestFailed,
-        "request" => progress.facts.id.as_deref().unwrap_or_default(),
-        "route" => &progress.route.name, "reason" => ?failure,
-        "status" => failure.status().as_u16(),
-        "configuration" => progress.table.revision().0,
-        "took_ms" => progress.started.elapsed().as_millis() as u64,
-        "engines" => context.fleet().len(),
-        "expected_ms" => progress.expected.map(|expected| milliseconds(expected.whole_s)),
-        "queue_ms" => progress.expected.map(|expected| milliseconds(expected.queue_s)),
-        "calls" => progress.account());
-}
-
-fn milliseconds(seconds: f64) -> u64 {
-    (seconds * 1_000.0) as u64
-}
-
-fn log_served(context: &Context, progress: &Progress, status: u16) {
-    let id = progress.facts.id.as_deref().unwrap_or_default();
-    let sampled = dalestand_routing::staged::EngineKey::of(id)
-        .0
-        .is_multiple_of(context.settings.log.complete_one_in);
-    if !sampled && progress.calls.len() < 3 && status < 500 {
-        return;
-    }
-    log_event!(context.logger, Event::RequestComplete, "request" => id,
-        "route" => &progress.route.name, "status" => status,
-        "configuration" => progress.table.revision().0,
-        "took_ms" => progress.started.elapsed().as_millis() as u64,
-        "calls" => progress.account());
-}
--- a/crates/forwarding/src/serve/mod.rs
+++ b/crates/forwarding/src/serve/mod.rs
@@ -1,5 +1,7 @@
 //! One request: its route, its calls to engines, its answer.
 
+pub(crate) mod account;
+pub(crate) mod admit;
 pub(crate) mod answer;
 pub(crate) mod attempt;
 pub(crate) mod engine_call;
--- a/crates/forwarding/tests/serving.rs
+++ b/crates/forwarding/tests/serving.rs
@@ -1,6 +1,7 @@
 //! A node before engines that fail: what callers and engines see.
 
 mod figures;
+#[allow(dead_code, reason = "each test program uses a part of it")]
 mod support;
 
 use std::collections::HashMap;
