--- a/crates/dissemination/src/message.rs
+++ b/crates/dissemination/src/message.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use dalestand_duties::{NodeLife, WindowCounts};
+use dalestand_quarantine::CrashRecord;
 use dalestand_routing::staged::EngineKey;
 use dalestand_types::PoolName;
 use serde::{Deserialize, Serialize};
@@ -11,7 +12,7 @@
 use crate::membership::{NodeNumber, Relay};
 
 /// Version of the messages. A node ignores messages of another version.
-pub const MESSAGE_VERSION: u8 = 2;
+pub const MESSAGE_VERSION: u8 = 3;
 
 /// A message between nodes.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
@@ -172,12 +173,24 @@
     pub placed: Vec<Placement>,
     /// Engines that change their roles.
     pub role_changes: Vec<RoleChange>,
+    /// Engines that ended under requests. Each is sent several times: a set takes it in once.
+    pub crashes: Vec<CrashRecord>,
 }
 
 impl News {
+    /// No news of a node.
+    pub fn none(origin: NodeNumber) -> Self {
+        Self {
+            origin,
+            placed: Vec::new(),
+            role_changes: Vec::new(),
+            crashes: Vec::new(),
+        }
+    }
+
     /// Whether there is nothing in it.
     pub fn is_empty(&self) -> bool {
-        self.placed.is_empty() && self.role_changes.is_empty()
+        self.placed.is_empty() && self.role_changes.is_empty() && self.crashes.is_empty()
     }
 }
 
@@ -213,6 +226,9 @@
     pub news: Vec<News>,
     /// Entries whose change the relay was the first to read.
     pub changes: Vec<EntryRecord>,
+    /// Crashes of the requests that are stopped, about once a second: nodes that were cut off when
+    /// these were news hear of them.
+    pub stopped: Vec<CrashRecord>,
     /// The holder of the lease, if it is known: relays that cannot reach the key-value service hear
     /// of it from the others.
     pub holder: Option<HolderAddress>,
@@ -246,6 +262,8 @@
     pub changes: Vec<EntryRecord>,
     /// Digest of all entries.
     pub entries_digest: u64,
+    /// Crashes of the requests that are stopped; empty in most tables.
+    pub stopped: Vec<CrashRecord>,
     /// The relays of the fleet; empty in most tables.
     pub relays: Vec<Relay>,
     /// The holder of the lease, if it is known.
--- a/crates/engine-link/src/answer.rs
+++ b/crates/engine-link/src/answer.rs
@@ -81,6 +81,11 @@
         self.length
     }
 
+    /// Whether it says where it ends, by a length or by chunks; if not, it ends with its connection.
+    pub fn says_its_end(&self) -> bool {
+        !self.until_close
+    }
+
     /// The next bytes; `None` after the end of a whole body.
     pub async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
         if self.ended {
--- a/crates/forwarding/src/duties/mod.rs
+++ b/crates/forwarding/src/duties/mod.rs
@@ -12,7 +12,7 @@
 mod usage_counts;
 pub(crate) mod usage_report;
 
-pub(crate) use usage_counts::{UsageCounts, send_usage};
+pub(crate) use usage_counts::{UsageCounts, send_usage, unix_time};
 
 /// How a call came out, for the metrics.
 fn outcome_label(answered: &Result<DutyOutcome, Report<PlatformError>>) -> &'static str {
--- a/crates/forwarding/src/duties/usage_counts.rs
+++ b/crates/forwarding/src/duties/usage_counts.rs
@@ -56,7 +56,7 @@
                 node: node.0,
                 life: rand::random(),
             },
-            wall_clock: RefCell::new(WallClock::new(MonotonicTime::ZERO, system_time())),
+            wall_clock: RefCell::new(WallClock::new(MonotonicTime::ZERO, unix_time())),
             counters: RefCell::default(),
             ledger: RefCell::default(),
             counted: Cell::new(0),
@@ -75,7 +75,7 @@
 
     /// Notes the system's time of day.
     fn observe_clock(&self, now: MonotonicTime) {
-        self.wall_clock.borrow_mut().observe(now, system_time());
+        self.wall_clock.borrow_mut().observe(now, unix_time());
     }
 
     /// Counts a request that an engine began.
@@ -126,7 +126,8 @@
     }
 }
 
-fn system_time() -> Duration {
+/// Time since the start of 1970, as the system says.
+pub(crate) fn unix_time() -> Duration {
     // A clock before 1970 is as good as one that stands at its beginning: windows are wrong.
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
--- a/crates/forwarding/src/fleet/registration.rs
+++ b/crates/forwarding/src/fleet/registration.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dalestand_dissemination::{NodeDirectory, NodeEntry};
+use dalestand_dissemination::{News, NodeDirectory, NodeEntry};
 use dalestand_edge::{
     CasOutcome, KeyValue, LeaseId, Listing, PlatformError, WatchEvent, WriteExpectation,
 };
@@ -15,6 +15,8 @@
 use crate::context::Context;
 use crate::fleet::follow::Follower;
 use crate::node::settings::ForwardingSettings;
+use crate::quarantine::fleet_key::QUARANTINE_PREFIX;
+use crate::quarantine::stored_stops::take_stored;
 use crate::roles::authority::{Authority, HOLDER_KEY};
 
 /// Leading part of the keys of nodes' entries; the zone and the name follow.
@@ -88,6 +90,15 @@
             self.authority.set_taken(value.is_some());
             let holder = value.map(|name| (name.to_owned(), revision));
             self.holder.replace(holder);
+        } else if key.starts_with(QUARANTINE_PREFIX) {
+            let crashes = take_stored(&self.context, key, value);
+            // Members do not read the key-value service.
+            let origin = self.context.spread.node;
+            let news = News {
+                crashes,
+                ..News::none(origin)
+            };
+            self.context.spread.table_news.borrow_mut().push(news);
         } else {
             if let Some((_, name)) = node_of(key) {
                 self.lapsed.borrow_mut().remove(name);
--- a/crates/forwarding/src/node/metrics.rs
+++ b/crates/forwarding/src/node/metrics.rs
@@ -8,12 +8,13 @@
 };
 use dalestand_routes::RouteKind;
 use prometheus::{
-    Encoder as _, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Encoder as _, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
 use tokio::net::TcpListener;
 
 use crate::context::Context;
+use crate::quarantine::evidence::stopped_count;
 use crate::serve::progress::{CallPurpose, CallRecord};
 
 /// Where the figures are told.
@@ -44,6 +45,8 @@
     engines: IntGauge,
     nodes: IntGauge,
     configuration: IntGauge,
+    crashes: IntCounter,
+    requests_stopped: IntGauge,
 }
 
 impl ForwardingMetrics {
@@ -142,6 +145,18 @@
             engines: gauge("engines_accepting", "Engines that take new work.")?,
             nodes: gauge("nodes_known", "Nodes, this one among them.")?,
             configuration: gauge("declaration_revision", "Revision in force; 0 for none.")?,
+            crashes: {
+                let crashes = IntCounter::new(
+                    "engine_crashes_attributed_total",
+                    "Requests that this node had at an engine when that ended.",
+                )?;
+                registry.register(Box::new(crashes.clone()))?;
+                crashes
+            },
+            requests_stopped: gauge(
+                "requests_stopped",
+                "Requests that are refused because engines ended under them.",
+            )?,
             registry,
         })
     }
@@ -179,6 +194,11 @@
         self.duty_calls.with_label_values(&[duty, outcome]).inc();
     }
 
+    /// Notes a request that was at an engine when that ended.
+    pub(crate) fn crash_attributed(&self) {
+        self.crashes.inc();
+    }
+
     /// Notes a datagram between nodes.
     pub(crate) fn datagram(&self, message: &str, outcome: &str, bytes: usize) {
         let labels = [message, outcome];
@@ -202,6 +222,7 @@
         self.authority_token.set(held.unwrap_or_default() as i64);
         self.usage_counted.set(context.usage.counted() as i64);
         self.report_age_ms.set(report_age.as_millis() as i64);
+        self.requests_stopped.set(stopped_count(context) as i64);
         self.set_repeats_left(context);
         let mut buffer = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut buffer)?;
--- a/crates/forwarding/src/quarantine/engine_end.rs
+++ b/crates/forwarding/src/quarantine/engine_end.rs
@@ -3,13 +3,13 @@
 use std::rc::Rc;
 
 use dalestand_engine_link::SendError;
-use dalestand_quarantine::{EngineRun, RequestFingerprint};
 use dalestand_routing::staged::{EngineKey, StagedEngine};
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::PoolName;
 
 use crate::context::Context;
 use crate::quarantine::engine_run;
+use crate::quarantine::evidence::attribute;
 
 /// What proves that an engine's run has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,25 +23,30 @@
 /// Asks an engine that broke an answer off whether it still listens. An entry lapses seconds after its
 /// engine ended; this tells within a round trip, and a connection that opens is kept for the next call.
 pub(crate) fn check_listener(context: &Rc<Context>, pool: &PoolName, engine: &StagedEngine) {
-    let Some(known) = context.fleet().engine(engine.key).cloned() else {
-        return;
-    };
     let is_first = context.quarantine.checked.borrow_mut().insert(engine.key);
     if !is_first {
         return;
     }
     let context = Rc::clone(context);
-    let max_connections = context.max_connections(pool);
-    let engine = engine.clone();
+    let (pool, engine) = (pool.clone(), engine.key);
     actix_rt::spawn(async move {
-        let opened = context.link.open(&known.target(), max_connections).await;
-        context.quarantine.checked.borrow_mut().remove(&engine.key);
-        if matches!(opened, Err(SendError::NoListener(_))) {
-            engine_ended(&context, engine.key, &engine.run, EndProof::NoListener);
-        }
+        ask_listener(&context, &pool, engine).await;
+        context.quarantine.checked.borrow_mut().remove(&engine);
     });
 }
 
+/// The same, for who must know before it goes on.
+pub(crate) async fn ask_listener(context: &Rc<Context>, pool: &PoolName, engine: EngineKey) {
+    let Some(known) = context.fleet().engine(engine).cloned() else {
+        return;
+    };
+    let max_connections = context.max_connections(pool);
+    let opened = context.link.open(&known.target(), max_connections).await;
+    if matches!(opened, Err(SendError::NoListener(_))) {
+        engine_ended(context, engine, &known.run, EndProof::NoListener);
+    }
+}
+
 /// Notes that an engine's run has ended.
 pub(crate) fn engine_ended(context: &Context, engine: EngineKey, name: &str, proof: EndProof) {
     let run = engine_run(engine);
@@ -58,14 +63,3 @@
         attribute(context, name, run, fingerprint);
     }
 }
-
-/// Notes that a request was unfinished at an engine when that ended.
-pub(crate) fn attribute(
-    context: &Context,
-    name: &str,
-    _run: EngineRun,
-    fingerprint: RequestFingerprint,
-) {
-    log_event!(context.logger, Event::CrashAttributed, "fingerprint" => %fingerprint,
-        "engine" => name);
-}
--- /dev/null
+++ b/crates/forwarding/src/quarantine/evidence.rs
@@ -0,0 +1,146 @@
+//! Takes evidence in, of this node and of others, and tells what is stopped.
+
+use std::time::Duration;
+
+use dalestand_quarantine::{CrashRecord, EngineRun, RequestFingerprint, Taken};
+use dalestand_telemetry::{Event, log_event};
+
+use crate::context::Context;
+
+/// Stopped requests that a relay names in one message: 1 KB.
+const MAX_TOLD: usize = 10;
+
+/// Requests of which this node remembers that it saw a crash, before it looks which still count.
+const MAX_SEEN: usize = 4_096;
+
+/// Notes that a request was unfinished at an engine when that ended.
+pub(crate) fn attribute(
+    context: &Context,
+    engine_name: &str,
+    engine: EngineRun,
+    fingerprint: RequestFingerprint,
+) {
+    let record = CrashRecord {
+        fingerprint,
+        engine,
+        age_ms: 0,
+        is_cleared: false,
+    };
+    let quarantine = &context.quarantine;
+    note_seen(context, fingerprint);
+    let taken = take(context, &record);
+    if taken == Taken::Known {
+        return;
+    }
+    context.metrics.crash_attributed();
+    let crashes = quarantine
+        .ledger
+        .borrow()
+        .crashes(context.now(), fingerprint);
+    log_event!(context.logger, Event::CrashAttributed, "fingerprint" => %fingerprint,
+        "engine" => engine_name, "crashes" => crashes);
+    if taken == Taken::New {
+        quarantine.news.borrow_mut().push(record);
+        context.work_changed.notify_one();
+    }
+}
+
+/// Notes that this node saw a crash of the request. Of requests that nothing counts against any more
+/// nothing is to be stored.
+fn note_seen(context: &Context, fingerprint: RequestFingerprint) {
+    let mut seen = context.quarantine.seen_here.borrow_mut();
+    if seen.len() >= MAX_SEEN {
+        let now = context.now();
+        let ledger = context.quarantine.ledger.borrow();
+        seen.retain(|fingerprint| ledger.crashes(now, *fingerprint) > 0);
+    }
+    seen.insert(fingerprint);
+}
+
+/// Takes the records of other nodes in.
+pub(crate) fn take_all(context: &Context, records: &[CrashRecord]) {
+    for record in records {
+        if take(context, record) == Taken::Cleared {
+            // It has completed here.
+            let mut news = context.quarantine.news.borrow_mut();
+            news.push(CrashRecord {
+                is_cleared: true,
+                ..*record
+            });
+            context.work_changed.notify_one();
+        }
+    }
+}
+
+fn take(context: &Context, record: &CrashRecord) -> Taken {
+    let now = context.now();
+    let quarantine = &context.quarantine;
+    let mut ledger = quarantine.ledger.borrow_mut();
+    let fingerprint = record.fingerprint;
+    let was_stopped = ledger.stopped_for(now, fingerprint).is_some();
+    let taken = ledger.take(now, record);
+    let is_stopped = ledger.stopped_for(now, fingerprint).is_some();
+    let crashes = ledger.crashes(now, fingerprint);
+    drop(ledger);
+    if is_stopped && taken == Taken::New && quarantine.seen_here.borrow().contains(&fingerprint) {
+        quarantine.to_store.borrow_mut().insert(fingerprint);
+        quarantine.store_wanted.notify_one();
+    }
+    if is_stopped && !was_stopped {
+        log_event!(context.logger, Event::RequestStopped, "fingerprint" => %fingerprint,
+            "crashes" => crashes);
+    } else if was_stopped && !is_stopped {
+        log_event!(context.logger, Event::RequestReleased, "fingerprint" => %fingerprint);
+    }
+    taken
+}
+
+/// Notes that a request has completed at an engine: it does not end each that runs it.
+pub(crate) fn completed(context: &Context, fingerprint: RequestFingerprint) {
+    let mut ledger = context.quarantine.ledger.borrow_mut();
+    let cleared = ledger.completed(context.now(), fingerprint);
+    drop(ledger);
+    if cleared.is_empty() {
+        return;
+    }
+    log_event!(context.logger, Event::RequestReleased, "fingerprint" => %fingerprint);
+    let mut news = context.quarantine.news.borrow_mut();
+    for record in cleared {
+        news.push(record);
+    }
+    context.work_changed.notify_one();
+}
+
+/// For how long a request is still stopped; `None` if it may run.
+pub(crate) fn stopped_for(
+    context: &Context,
+    fingerprint: Option<RequestFingerprint>,
+) -> Option<Duration> {
+    let ledger = context.quarantine.ledger.borrow();
+    ledger.stopped_for(context.now(), fingerprint?)
+}
+
+/// Crashes that count against a request.
+pub(crate) fn crashes(context: &Context, fingerprint: Option<RequestFingerprint>) -> usize {
+    let ledger = context.quarantine.ledger.borrow();
+    fingerprint.map_or(0, |fingerprint| ledger.crashes(context.now(), fingerprint))
+}
+
+/// Records of stopped requests for the next message of a relay: all by turns, where there are many.
+pub(crate) fn told(context: &Context) -> Vec<CrashRecord> {
+    let ledger = context.quarantine.ledger.borrow();
+    if ledger.is_empty() {
+        return Vec::new();
+    }
+    let stopped = ledger.stopped(context.now());
+    let turns = stopped.len().div_ceil(MAX_TOLD).max(1);
+    let turn = context.now().0 as usize / 1_000_000 % turns;
+    let told = stopped.into_iter().skip(turn * MAX_TOLD).take(MAX_TOLD);
+    told.flat_map(|(_, records)| records).collect()
+}
+
+/// Number of requests that are stopped.
+pub(crate) fn stopped_count(context: &Context) -> usize {
+    let ledger = context.quarantine.ledger.borrow();
+    ledger.stopped(context.now()).len()
+}
--- a/crates/forwarding/src/quarantine/fleet_key.rs
+++ b/crates/forwarding/src/quarantine/fleet_key.rs
@@ -1,5 +1,5 @@
-//! The key of the fleet's fingerprints: drawn by whichever node asks first, kept in the key-value
-//! service for all.
+//! What a node that starts reads of requests that end engines: those that are stopped, and the key of
+//! the fleet's fingerprints, which whichever node asks first draws for all.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,6 +11,7 @@
 use rand::RngExt as _;
 
 use crate::context::Context;
+use crate::quarantine::stored_stops::take_stored;
 
 /// Leading part of the keys of what nodes keep of requests that end engines.
 pub(crate) const QUARANTINE_PREFIX: &str = "dalestand/quarantine/";
@@ -51,6 +52,9 @@
     })?;
     // It is read once.
     let _ = context.quarantine.key.set(key);
+    for entry in &listing.entries {
+        take_stored(context, &entry.key, Some(&entry.value));
+    }
     Ok(())
 }
 
--- a/crates/forwarding/src/quarantine/mod.rs
+++ b/crates/forwarding/src/quarantine/mod.rs
@@ -1,15 +1,29 @@
-//! Requests that end the engines that run them: what this node saw of them.
+//! Requests that end the engines that run them: what this node saw of them, what others tell, and
+//! which are stopped.
+//!
+//! What a node learns must outlive the caller's attempt and reach all nodes, as the request comes
+//! again anywhere. Evidence goes to all with the news between nodes; what is stopped is repeated by
+//! relays, for nodes that were cut off, and is kept in the key-value service, for fleets that were
+//! lost as a whole.
 
+pub(crate) mod crash_news;
 pub(crate) mod engine_end;
+pub(crate) mod evidence;
 pub(crate) mod fleet_key;
 pub(crate) mod run_watch;
+pub(crate) mod stored_stops;
 
 use std::cell::{OnceCell, RefCell};
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::time::Duration;
 
-use dalestand_quarantine::{EngineRun, FingerprintKey, UnfinishedRuns};
+use dalestand_quarantine::{
+    CrashLedger, EngineRun, FingerprintKey, RequestFingerprint, UnfinishedRuns,
+};
 use dalestand_routing::staged::EngineKey;
+use tokio::sync::Notify;
+
+use crate::quarantine::crash_news::CrashNews;
 
 /// A run that ends without a whole answer and the end of its engine belong together within this time.
 /// An entry lapses after three heartbeats of its engine, about 1.5 s, and is heard of up to 0.5 s
@@ -21,6 +35,16 @@
     /// The fleet's key, once it was read.
     key: OnceCell<FingerprintKey>,
     unfinished: RefCell<UnfinishedRuns>,
+    ledger: RefCell<CrashLedger>,
+    /// Evidence of this node that is still to be sent.
+    pub(crate) news: RefCell<CrashNews>,
+    /// Requests of whose crashes this node saw one: it has the key-value service keep them once they
+    /// are stopped.
+    seen_here: RefCell<HashSet<RequestFingerprint>>,
+    /// Stopped requests that the key-value service is to keep.
+    to_store: RefCell<BTreeSet<RequestFingerprint>>,
+    /// Rung when there are some.
+    store_wanted: Notify,
     /// Engines that are being asked whether they still listen.
     checked: RefCell<HashSet<EngineKey>>,
 }
@@ -30,6 +54,11 @@
         Self {
             key: OnceCell::new(),
             unfinished: RefCell::new(UnfinishedRuns::new(BELONG_TOGETHER)),
+            ledger: RefCell::default(),
+            news: RefCell::default(),
+            seen_here: RefCell::default(),
+            to_store: RefCell::default(),
+            store_wanted: Notify::new(),
             checked: RefCell::default(),
         }
     }
--- a/crates/forwarding/src/quarantine/run_watch.rs
+++ b/crates/forwarding/src/quarantine/run_watch.rs
@@ -4,14 +4,16 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use dalestand_engine_link::AnswerBody;
 use dalestand_quarantine::RequestFingerprint;
 use dalestand_routing::staged::StagedEngine;
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::PoolName;
 
 use crate::context::Context;
-use crate::quarantine::engine_end::{attribute, check_listener};
+use crate::quarantine::engine_end::check_listener;
 use crate::quarantine::engine_run;
+use crate::quarantine::evidence::{attribute, completed};
 use crate::serve::progress::Progress;
 
 /// How a call ended without a whole answer.
@@ -57,11 +59,20 @@
         }
     }
 
-    /// Notes that a whole answer came, or that the engine did not take the request up.
+    /// Notes that the engine did not take the request up, or that its answer is over.
     pub(crate) fn over(&mut self) {
         self.is_over = true;
     }
 
+    /// Notes that the engine answered in whole. Only an answer that says where it ends tells: one
+    /// without a length ends as well where its engine does.
+    pub(crate) fn answered(&mut self, body: &AnswerBody) {
+        self.is_over = true;
+        if let Some(fingerprint) = self.fingerprint.filter(|_| body.says_its_end()) {
+            completed(&self.context, fingerprint);
+        }
+    }
+
     /// Notes that no whole answer comes any more.
     pub(crate) fn unfinished(&mut self, how: Unfinished) {
         if std::mem::replace(&mut self.is_over, true) {
--- /dev/null
+++ b/crates/forwarding/src/quarantine/stored_stops.rs
@@ -0,0 +1,105 @@
+//! Stopped requests in the key-value service: what keeps them stopped when all nodes are lost.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use dalestand_edge::{CasOutcome, KeyValue, PlatformError, WriteExpectation};
+use dalestand_quarantine::{CrashRecord, RequestFingerprint, STOPPED_FOR, StoredStop};
+use dalestand_telemetry::{Event, log_event};
+use error_stack::{Report, ResultExt as _};
+
+use crate::context::Context;
+use crate::duties::unix_time;
+use crate::quarantine::evidence::take_all;
+
+/// Leading part of the keys; the fingerprint follows.
+const STOPPED_PREFIX: &str = "dalestand/quarantine/stopped/";
+
+/// Pause after a failed write.
+const FAILURE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Takes an entry of the key-value service in, if it is one of a stopped request. An entry that goes
+/// says nothing: it was kept for as long as it counts, or lapsed with the service.
+pub(crate) fn take_stored(context: &Context, key: &str, value: Option<&str>) -> Vec<CrashRecord> {
+    let (Some(text), Some(value)) = (key.strip_prefix(STOPPED_PREFIX), value) else {
+        return Vec::new();
+    };
+    let fingerprint = RequestFingerprint::parse(text);
+    let stop = serde_json::from_str::<StoredStop>(value);
+    let (Ok(fingerprint), Ok(stop)) = (fingerprint, stop) else {
+        log_event!(context.logger, Event::StopUnreadable, "key" => key);
+        return Vec::new();
+    };
+    let records: Vec<CrashRecord> = stop.records(fingerprint, unix_time()).collect();
+    take_all(context, &records);
+    records
+}
+
+/// Has the key-value service keep what this node stops, for as long as it is polled.
+pub(crate) async fn keep_stops(context: Rc<Context>, store: Rc<dyn KeyValue>) {
+    let quarantine = &context.quarantine;
+    loop {
+        let next = quarantine.to_store.borrow().first().copied();
+        let Some(fingerprint) = next else {
+            quarantine.store_wanted.notified().await;
+            continue;
+        };
+        match keep(&context, &*store, fingerprint).await {
+            Ok(()) => {
+                quarantine.to_store.borrow_mut().remove(&fingerprint);
+            }
+            Err(error) => {
+                log_event!(context.logger, Event::KeyValueFailed, "prefix" => STOPPED_PREFIX,
+                    "error" => %error.current_context());
+                actix_rt::time::sleep(FAILURE_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Writes one stopped request, unless another node has; it goes once it no longer counts.
+async fn keep(
+    context: &Context,
+    store: &dyn KeyValue,
+    fingerprint: RequestFingerprint,
+) -> Result<(), Report<PlatformError>> {
+    let records = {
+        let ledger = context.quarantine.ledger.borrow();
+        let stopped = ledger.stopped(context.now());
+        let mut own = stopped.into_iter().filter(|(one, _)| *one == fingerprint);
+        own.next().map(|(_, records)| records)
+    };
+    let Some(records) = records else {
+        return Ok(());
+    };
+    let stop = StoredStop::of(&records, unix_time());
+    let key = format!("{STOPPED_PREFIX}{fingerprint}");
+    let standing = store.get(&key).await?;
+    let expectation = match &standing {
+        None => WriteExpectation::Absent,
+        Some(entry) => {
+            let known = serde_json::from_str::<StoredStop>(&entry.value);
+            if known.is_ok_and(|known| known.covers(&stop)) {
+                return Ok(());
+            }
+            WriteExpectation::At(entry.revision)
+        }
+    };
+    let text = serde_json::to_string(&stop);
+    let text = text.change_context_lazy(|| PlatformError::Malformed {
+        system: "stopped request",
+        message: "cannot be written".to_owned(),
+    })?;
+    let lease = store.grant_lease(STOPPED_FOR).await?;
+    let written = store
+        .compare_and_swap(&key, expectation, Some(&text), Some(lease))
+        .await?;
+    match written {
+        CasOutcome::Written { .. } => Ok(()),
+        // Another node was faster: what it wrote is looked at again.
+        CasOutcome::Conflict { .. } => Err(Report::new(PlatformError::InDoubt {
+            system: "stopped request",
+            message: "written by another node".to_owned(),
+        })),
+    }
+}
--- a/crates/forwarding/src/serve/account.rs
+++ b/crates/forwarding/src/serve/account.rs
@@ -24,6 +24,7 @@
         "request" => progress.facts.id.as_deref().unwrap_or_default(),
         "route" => &progress.route.name, "reason" => ?failure,
         "status" => failure.status().as_u16(),
+        "fingerprint" => progress.fingerprint.map(|fingerprint| fingerprint.to_string()),
         "configuration" => progress.table.revision().0,
         "took_ms" => progress.started.elapsed().as_millis() as u64,
         "engines" => context.fleet().len(),
--- a/crates/forwarding/src/serve/answer.rs
+++ b/crates/forwarding/src/serve/answer.rs
@@ -32,6 +32,8 @@
     NoEngine,
     /// It cannot be answered in time, and it did not run; its caller may come back after this time.
     Overloaded(Duration),
+    /// Engines ended under it, and it did not run this time; it is refused for so long.
+    EndsEngines(Duration),
     /// The time is over, and it did not run.
     TimeOverNotRun,
     /// The time is over, and it may have run.
@@ -44,9 +46,11 @@
     /// Its status. A 503 promises that the request did not run and never will.
     pub(crate) fn status(self) -> StatusCode {
         match self {
-            Self::NoConfiguration | Self::NoEngine | Self::Overloaded(_) | Self::TimeOverNotRun => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoConfiguration
+            | Self::NoEngine
+            | Self::Overloaded(_)
+            | Self::EndsEngines(_)
+            | Self::TimeOverNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
@@ -61,7 +65,7 @@
         match self {
             Self::NoConfiguration => Some(Duration::from_millis(500)),
             Self::NoEngine => Some(Duration::from_millis(300)),
-            Self::Overloaded(time) => Some(time),
+            Self::Overloaded(time) | Self::EndsEngines(time) => Some(time),
             Self::TimeOverNotRun => Some(Duration::from_secs(1)),
             _ => None,
         }
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -7,11 +7,13 @@
 use actix_http::header::CONTENT_ENCODING;
 use dalestand_edge::routed::EngineTerms;
 use dalestand_engine_link::{AnswerBody, Exchange, ResponseHead, SendError};
+use dalestand_quarantine::CRASHES_ALLOWED;
 use dalestand_routing::staged::{AttemptResult, EngineChoice};
 use dalestand_types::PoolName;
 
 use crate::context::Context;
-use crate::quarantine::engine_end::{EndProof, engine_ended};
+use crate::quarantine::engine_end::{EndProof, ask_listener, engine_ended};
+use crate::quarantine::evidence::{crashes, stopped_for};
 use crate::quarantine::run_watch::{RunWatch, Unfinished};
 use crate::serve::progress::{CallPurpose, Progress};
 use crate::serve::work_guard::WorkGuard;
@@ -61,6 +63,12 @@
     let Some(known) = context.fleet().engine(engine.key).cloned() else {
         return AttemptEnd::NotSent;
     };
+    learn_former_end(context, progress, call.pool).await;
+    // At each call, not only when it came: others may have stopped it meanwhile.
+    if stopped_for(context, progress.fingerprint).is_some() {
+        progress.record(call.purpose, &call.choice, "stopped", Duration::ZERO);
+        return AttemptEnd::NotSent;
+    }
     if progress.is_repeat(call.purpose) && !take_repeat(context, call.pool) {
         progress.record(call.purpose, &call.choice, "no budget", Duration::ZERO);
         return AttemptEnd::NotSent;
@@ -165,6 +173,17 @@
     end
 }
 
+/// Has the end of the engine that was called before known, where it decides whether the request is
+/// stopped: without it, a request that is sent on at once ends one engine more.
+async fn learn_former_end(context: &Rc<Context>, progress: &Progress, pool: &PoolName) {
+    let Some(former) = progress.tried.last().filter(|_| progress.runs > 0) else {
+        return;
+    };
+    if crashes(context, progress.fingerprint) + 1 >= CRASHES_ALLOWED {
+        ask_listener(context, pool, *former).await;
+    }
+}
+
 /// Counts a request for its tenant, once: an engine has begun it.
 fn count_usage(context: &Context, progress: &mut Progress) {
     if !std::mem::replace(&mut progress.is_counted, true) {
--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -11,6 +11,7 @@
 use dalestand_types::PoolName;
 
 use crate::context::Context;
+use crate::quarantine::evidence::stopped_for;
 use crate::quarantine::run_watch::Unfinished;
 use crate::serve::account::{log_failed, log_served, log_unadmitted};
 use crate::serve::admit::admit;
@@ -143,7 +144,10 @@
 /// Whether another engine may be asked, as far as the request and the budget allow. The call itself
 /// takes its send from the budget.
 fn may_call_again(context: &Context, progress: &Progress) -> bool {
-    if !progress.may_run_again() || progress.time_left().is_zero() {
+    if !progress.may_run_again()
+        || progress.time_left().is_zero()
+        || stopped_for(context, progress.fingerprint).is_some()
+    {
         return false;
     }
     let repeats = progress.is_repeat(CallPurpose::Run) || progress.is_repeat(CallPurpose::Prefill);
@@ -159,6 +163,11 @@
     context: &Rc<Context>,
     progress: &mut Progress,
 ) -> Result<Option<Served>, Failure> {
+    if let Some(left) = stopped_for(context, progress.fingerprint)
+        && progress.runs == 0
+    {
+        return Err(Failure::EndsEngines(left));
+    }
     let plan = choose(context, progress).ok_or_else(|| final_failure(progress))?;
     let link_s = context.uplink.borrow().wait(context.now()).as_secs_f64();
     progress.expected = plan.expected.map(|expected| expected.behind(link_s));
@@ -330,7 +339,7 @@
     }
     match answer.body.collect(GATHERED_BYTES).await {
         Ok(body) => {
-            answer.watch.over();
+            answer.watch.answered(&answer.body);
             Ok(Some(Served::Whole(answer.head, body)))
         }
         Err(_) => {
--- a/crates/forwarding/src/serve/relay.rs
+++ b/crates/forwarding/src/serve/relay.rs
@@ -113,7 +113,7 @@
             let next = self.answer.body.next().await;
             self.answer.work.prompt_read();
             match &next {
-                None => self.answer.watch.over(),
+                None => self.answer.watch.answered(&self.answer.body),
                 Some(Err(_)) => self.answer.watch.unfinished(Unfinished::BrokenOff),
                 Some(Ok(_)) => {}
             }
@@ -170,7 +170,7 @@
 
     /// What is left at the end of a whole body.
     fn rest(&mut self) -> Option<Result<Bytes, RelayError>> {
-        self.answer.watch.over();
+        self.answer.watch.answered(&self.answer.body);
         let rest = self.splitter.take()?;
         self.ended = true;
         let rest = rest.pending();
--- a/crates/forwarding/src/spread/contents.rs
+++ b/crates/forwarding/src/spread/contents.rs
@@ -37,6 +37,7 @@
         origin: context.spread.node,
         placed: context.placements.borrow_mut().take(),
         role_changes: changes.collect(),
+        crashes: context.quarantine.news.borrow_mut().take(),
     }
 }
 
--- a/crates/forwarding/src/spread/news_queue.rs
+++ b/crates/forwarding/src/spread/news_queue.rs
@@ -2,6 +2,9 @@
 
 use dalestand_dissemination::News;
 
+/// A crash takes as many bytes as so many parts of a prompt.
+const CRASH_PARTS: usize = 3;
+
 /// Parts of prompts in one datagram: 4 KB, so that news, loads and changed entries fit into the
 /// longest datagram together.
 const MAX_PARTS: usize = 300;
@@ -26,7 +29,8 @@
         let mut batches: Vec<Vec<News>> = Vec::new();
         let mut parts = 0;
         for news in self.0.drain(..) {
-            let added: usize = news.placed.iter().map(|placed| placed.parts.len()).sum();
+            let placed: usize = news.placed.iter().map(|placed| placed.parts.len()).sum();
+            let added = placed + CRASH_PARTS * news.crashes.len();
             if batches.is_empty() || parts + added > MAX_PARTS {
                 batches.push(Vec::new());
                 parts = 0;
--- a/crates/forwarding/src/spread/receive.rs
+++ b/crates/forwarding/src/spread/receive.rs
@@ -18,6 +18,7 @@
 use crate::fleet::engine_entries;
 use crate::fleet::engines::Fleet;
 use crate::fleet::part_recovery::known_parts;
+use crate::quarantine::evidence::take_all;
 use crate::spread::datagram::{kind_label, send, send_news};
 use crate::spread::news_queue::NewsQueue;
 use crate::spread::recent_changes::ChangeSource;
@@ -110,6 +111,7 @@
     take_demand(context, source, exchange.demand);
     spread.set_holder(exchange.holder);
     pass_to_members(context, exchange.news);
+    take_all(context, &exchange.stopped);
     engine_entries::take(context, exchange.changes, ChangeSource::Relay);
 }
 
@@ -149,6 +151,7 @@
     for news in &table.news {
         take_news(context, news);
     }
+    take_all(context, &table.stopped);
     engine_entries::take(context, table.changes, ChangeSource::Relay);
     let differs = spread.entries.borrow().digest() != table.entries_digest;
     let mut sync = spread.entry_sync.borrow_mut();
@@ -241,6 +244,7 @@
     if news.origin == context.spread.node {
         return;
     }
+    take_all(context, &news.crashes);
     for placement in &news.placed {
         take_placement(context, placement);
     }
@@ -330,9 +334,8 @@
     let mut queue = NewsQueue::default();
     for placement in known_parts(context) {
         queue.push(News {
-            origin: context.spread.node,
             placed: vec![placement],
-            role_changes: Vec::new(),
+            ..News::none(context.spread.node)
         });
     }
     let batches = queue.take_batches().into_iter();
--- a/crates/forwarding/src/spread/send.rs
+++ b/crates/forwarding/src/spread/send.rs
@@ -10,6 +10,7 @@
 use tokio::net::UdpSocket;
 
 use crate::context::Context;
+use crate::quarantine::evidence::told;
 use crate::spread::contents::{demand, prompt_loads, take_news};
 use crate::spread::datagram::{send, send_news};
 use crate::spread::pacing::{REPORT_INTERVAL, pause};
@@ -152,6 +153,11 @@
         },
         news,
         changes,
+        stopped: if demand_is_due {
+            told(context)
+        } else {
+            Vec::new()
+        },
         holder: spread.holder(),
     };
     let sent_bytes = send(context, socket, &others, &Message::Exchange(exchange));
@@ -181,11 +187,7 @@
     let is_new = spread.own_reports.borrow().last_work() != Some(&work);
     // A probe takes no news with it: relays that are not chosen would pass them on a second time.
     let news = if is_probe {
-        News {
-            origin: spread.node,
-            placed: Vec::new(),
-            role_changes: Vec::new(),
-        }
+        News::none(spread.node)
     } else {
         take_news(context)
     };
--- a/crates/forwarding/src/spread/tables.rs
+++ b/crates/forwarding/src/spread/tables.rs
@@ -8,6 +8,7 @@
 use tokio::net::UdpSocket;
 
 use crate::context::Context;
+use crate::quarantine::evidence::told;
 use crate::spread::TABLE_INTERVAL;
 use crate::spread::contents::prompt_loads;
 use crate::spread::datagram::{send, send_news};
@@ -68,6 +69,11 @@
         news: batches.next().unwrap_or_default(),
         changes: spread.changes.borrow_mut().for_table(),
         entries_digest: spread.entries.borrow().digest(),
+        stopped: if names_relays {
+            told(context)
+        } else {
+            Vec::new()
+        },
         relays: if names_relays {
             spread.relays.borrow().clone()
         } else {
--- a/crates/forwarding/src/spread/tests.rs
+++ b/crates/forwarding/src/spread/tests.rs
@@ -95,14 +95,13 @@
 fn placed(parts: usize) -> News {
     let parts = (0..parts as u64).map(|id| PlacedPart { id, tokens: 500 });
     News {
-        origin: NodeNumber(1),
         placed: vec![Placement {
             engine: EngineCode(1),
             state: PlacementState::Read,
             parts: parts.collect(),
             own_tokens: 0,
         }],
-        role_changes: Vec::new(),
+        ..News::none(NodeNumber(1))
     }
 }
 
@@ -124,12 +123,11 @@
 fn news_without_placements_go_out() {
     let mut queue = NewsQueue::default();
     queue.push(News {
-        origin: NodeNumber(1),
-        placed: Vec::new(),
         role_changes: vec![RoleChange {
             engine: 1,
             at_most_ms: 14_000,
         }],
+        ..News::none(NodeNumber(1))
     });
     assert_eq!(queue.take_batches().concat().len(), 1);
 }
--- a/crates/forwarding/tests/crashing_requests.rs
+++ b/crates/forwarding/tests/crashing_requests.rs
@@ -15,6 +15,7 @@
 
 use std::io::Write as _;
 use std::net::TcpStream;
+use std::thread;
 use std::time::Duration;
 
 use rstest::rstest;
@@ -27,12 +28,21 @@
 /// Times that the same request comes.
 const ARRIVALS: usize = 9;
 
+/// Where the key-value service keeps what is stopped.
+const STOPPED_PREFIX: &str = "dalestand/quarantine/stopped/";
+
 /// Path of the request that ends engines.
 const DEADLY: &str = "/r/deadly";
 
+/// Path of a request whose answer takes a while.
+const SLOW: &str = "/r/slow";
+
 /// Begins the answer to the deadly request and never ends it; answers all others.
 fn dying(head: &str, stream: &mut TcpStream) {
     let id = id_of(head);
+    if head.contains(SLOW) {
+        thread::sleep(Duration::from_millis(60));
+    }
     if !head.contains(DEADLY) {
         answer(stream, "200 OK", &format!("x-id: {id}\r\n"), "whole");
         return;
@@ -104,6 +114,7 @@
     assert_eq!(crashed(&engines), CRASHES_ALLOWED);
     let refused = node.request("again", DEADLY).await;
     assert_eq!(status(&refused), "503", "{refused}");
+    assert!(refused.contains("retry-after: "), "{refused}");
     let other = node.request("other", "/r/other").await;
     assert_eq!(status(&other), "200", "{other}");
 }
@@ -133,3 +144,86 @@
     send_deadly(&[&later], &engines).await;
     assert_eq!(crashed(&engines), CRASHES_ALLOWED);
 }
+
+/// What is stopped reaches a node that starts while the key-value service keeps nothing of it.
+#[actix_rt::test]
+async fn nodes_repeat_what_is_stopped_to_those_that_start_later() {
+    let first = TestNode::start().await;
+    first.store.refuse_writes(STOPPED_PREFIX);
+    first.declare(1, "once", 1, 1_000);
+    let engines = engines(&first, ARRIVALS);
+    first.settle().await;
+    send_deadly(&[&first], &engines).await;
+    assert!(first.store.entries(STOPPED_PREFIX).is_empty());
+    let later = first.start_beside("node-2").await;
+    // Nodes find each other by their entries, and repeat what is stopped every second.
+    actix_rt::time::sleep(Duration::from_millis(2_500)).await;
+    send_deadly(&[&later], &engines).await;
+    assert_eq!(crashed(&engines), CRASHES_ALLOWED);
+}
+
+/// Engines end under all requests that they run; only one of these is at each that ends.
+#[actix_rt::test]
+async fn a_request_beside_one_that_ends_engines_is_served() {
+    let node = TestNode::start().await;
+    node.declare(1, "repeatable", 3, 1_000);
+    let engines = engines(&node, ARRIVALS);
+    node.settle().await;
+    for arrival in 0..ARRIVALS {
+        let id = format!("deadly-{arrival}");
+        let deadly = async {
+            tokio::select! {
+                _ = node.request(&id, DEADLY) => {}
+                () = end_engines(&engines) => {}
+            }
+        };
+        let beside = node.request("beside", "/r/beside");
+        let ((), beside) = tokio::join!(deadly, beside);
+        assert_eq!(status(&beside), "200", "{beside}");
+    }
+    assert_eq!(crashed(&engines), CRASHES_ALLOWED);
+}
+
+/// Engines crash for a reason of their own, each under the same request, which comes again and again.
+#[actix_rt::test]
+async fn a_request_that_completes_elsewhere_is_not_stopped() {
+    let node = TestNode::start().await;
+    node.declare(1, "repeatable", 3, 1_000);
+    let engines = engines(&node, ARRIVALS);
+    node.settle().await;
+    for arrival in 0..CRASHES_ALLOWED + 2 {
+        let id = format!("slow-{arrival}");
+        let crash_first = async {
+            let runs_it =
+                |engine: &&TestEngine| engine.heads().iter().any(|head| id_of(head) == id);
+            loop {
+                if let Some(engine) = engines.iter().find(runs_it) {
+                    return engine.crash();
+                }
+                actix_rt::time::sleep(Duration::from_millis(2)).await;
+            }
+        };
+        let ((), answer) = tokio::join!(crash_first, node.request(&id, SLOW));
+        assert_eq!(status(&answer), "200", "{arrival}: {answer}");
+        node.settle().await;
+    }
+}
+
+#[actix_rt::test]
+async fn an_operator_lets_a_stopped_request_run_again() {
+    let node = TestNode::start().await;
+    node.declare(1, "once", 1, 1_000);
+    let engines = engines(&node, ARRIVALS);
+    node.settle().await;
+    send_deadly(&[&node], &engines).await;
+    let stopped = node.store.entries(STOPPED_PREFIX);
+    let (key, value) = stopped.first().expect("a stopped request");
+    let released = value.replace("\"is_released\":false", "\"is_released\":true");
+    node.store.write(key, Some(&released));
+    node.settle().await;
+    tokio::select! {
+        _ = node.request("released", DEADLY) => {}
+        () = end_engines(&engines) => {}
+    }
+    assert_eq!(crashed(&engines), CRASHES_ALLOWED + 1);
+}
--- a/crates/forwarding/tests/support/mod.rs
+++ b/crates/forwarding/tests/support/mod.rs
@@ -164,6 +164,7 @@
     events: RefCell<Vec<WatchEvent>>,
     is_away: Cell<bool>,
     holds_watches: Cell<bool>,
+    refused_prefix: RefCell<Option<&'static str>>,
 }
 
 impl MemoryStore {
@@ -172,11 +173,25 @@
         self.is_away.set(is_away);
     }
 
+    /// Has all writes under a prefix fail.
+    pub fn refuse_writes(&self, prefix: &'static str) {
+        self.refused_prefix.replace(Some(prefix));
+    }
+
     /// Has watches wait without hearing of changes, or hear of all at once.
     pub fn hold_watches(&self, hold: bool) {
         self.holds_watches.set(hold);
     }
 
+    /// The keys under a prefix, with their values.
+    pub fn entries(&self, prefix: &str) -> Vec<(String, String)> {
+        let entries = self.entries.borrow();
+        let under = entries.values().filter(|one| one.key.starts_with(prefix));
+        under
+            .map(|one| (one.key.clone(), one.value.clone()))
+            .collect()
+    }
+
     fn reachable(&self) -> Result<(), Report<PlatformError>> {
         if self.is_away.get() {
             return Err(Report::new(PlatformError::InDoubt {
@@ -239,6 +254,10 @@
         value: Option<&str>,
         _lease: Option<LeaseId>,
     ) -> Result<CasOutcome, Report<PlatformError>> {
+        let refused = *self.refused_prefix.borrow();
+        if refused.is_some_and(|prefix| key.starts_with(prefix)) {
+            return Err(Report::new(PlatformError::OutOfService { system: "store" }));
+        }
         let current = self.entries.borrow().get(key).cloned();
         let holds = match (expectation, &current) {
             (WriteExpectation::Absent, None) => true,
--- a/crates/quarantine/src/fingerprint.rs
+++ b/crates/quarantine/src/fingerprint.rs
@@ -79,9 +79,25 @@
 
 /// The same for each time that one request comes, at whatever node.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
+#[serde(into = "FingerprintHalves", from = "FingerprintHalves")]
 pub struct RequestFingerprint([u8; FINGERPRINT_BYTES]);
 
+/// Two numbers take 18 bytes in a message, an array of bytes up to 35.
+type FingerprintHalves = (u64, u64);
+
+impl From<RequestFingerprint> for FingerprintHalves {
+    fn from(fingerprint: RequestFingerprint) -> Self {
+        let number = u128::from_be_bytes(fingerprint.0);
+        ((number >> 64) as u64, number as u64)
+    }
+}
+
+impl From<FingerprintHalves> for RequestFingerprint {
+    fn from((high, low): FingerprintHalves) -> Self {
+        Self((u128::from(high) << 64 | u128::from(low)).to_be_bytes())
+    }
+}
+
 /// The text is no fingerprint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("not a fingerprint of {} hexadecimal digits", 2 * FINGERPRINT_BYTES)]
--- /dev/null
+++ b/crates/quarantine/src/ledger.rs
@@ -0,0 +1,263 @@
+//! Which requests ended which engines, and which of them are stopped.
+//!
+//! The evidence is a set of pairs of a request and an engine's run. A pair counts once, however many
+//! nodes saw the crash and however often a message brings it, and sets merge in any order. A pair may
+//! be *cleared*, for good, once the request has completed: what is whole somewhere does not end each
+//! engine that runs it. What is stopped follows from the set alone, so nodes that know the same agree.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use dalestand_types::MonotonicTime;
+use serde::{Deserialize, Serialize};
+
+use crate::completions::Completions;
+use crate::fingerprint::RequestFingerprint;
+use crate::unfinished::EngineRun;
+
+/// Engines that a request may end before it is stopped. One crash says nothing of the requests that
+/// were at the engine, and two are met by chance where engines crash in series.
+pub const CRASHES_ALLOWED: usize = 3;
+
+/// For how long a request is stopped after its last crash: the longest time for which the key-value
+/// service keeps what a node wrote. After it the request runs again; one more crash stops it again.
+pub const STOPPED_FOR: Duration = Duration::from_secs(600);
+
+/// For how long a crash is remembered: six times as long as a request is stopped.
+const REMEMBERED_FOR: Duration = Duration::from_secs(3_600);
+
+/// Requests that are remembered: with 250 bytes each, half a megabyte.
+const MAX_REQUESTS: usize = 2_048;
+
+/// Crashes that are remembered of one request.
+const MAX_CRASHES: usize = 16;
+
+/// That an engine's run ended while a request was unfinished there, as nodes tell each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashRecord {
+    /// The request.
+    pub fingerprint: RequestFingerprint,
+    /// The engine's run.
+    pub engine: EngineRun,
+    /// How long ago the run ended, in milliseconds.
+    pub age_ms: u32,
+    /// Whether the request has completed elsewhere, so that this crash does not count.
+    pub is_cleared: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Crash {
+    engine: EngineRun,
+    at: MonotonicTime,
+    is_cleared: bool,
+}
+
+/// What is remembered of one request.
+#[derive(Clone, Debug, Default)]
+struct Suspect {
+    /// By engine.
+    crashes: Vec<Crash>,
+}
+
+impl Suspect {
+    fn counted(&self, now: MonotonicTime) -> impl Iterator<Item = &Crash> {
+        let crashes = self.crashes.iter();
+        crashes.filter(move |crash| !crash.is_cleared && now.since(crash.at) < REMEMBERED_FOR)
+    }
+
+    fn expire(&mut self, now: MonotonicTime) {
+        self.crashes
+            .retain(|crash| now.since(crash.at) < REMEMBERED_FOR);
+    }
+
+    fn has(&self, engine: EngineRun) -> bool {
+        self.crashes.iter().any(|crash| crash.engine == engine)
+    }
+
+    /// Time for which its crashes stop it; `None` if they don't.
+    fn stopped_for(&self, now: MonotonicTime) -> Option<Duration> {
+        if self.counted(now).count() < CRASHES_ALLOWED {
+            return None;
+        }
+        let newest = self.counted(now).map(|crash| crash.at).max()?;
+        let left = STOPPED_FOR.saturating_sub(now.since(newest));
+        (!left.is_zero()).then_some(left)
+    }
+}
+
+/// What came of a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// It was known, or is too old to matter.
+    Known,
+    /// It is news.
+    New,
+    /// It is news, and does not count: the request has completed at this node lately. Other nodes are
+    /// to hear of that.
+    Cleared,
+}
+
+/// The evidence.
+#[derive(Clone, Debug, Default)]
+pub struct CrashLedger {
+    requests: HashMap<RequestFingerprint, Suspect>,
+    completions: Completions,
+}
+
+impl CrashLedger {
+    /// Takes a record in, of this node or of another one.
+    pub fn take(&mut self, now: MonotonicTime, record: &CrashRecord) -> Taken {
+        let age = Duration::from_millis(u64::from(record.age_ms));
+        if age >= REMEMBERED_FOR {
+            return Taken::Known;
+        }
+        let has_completed = self.completions.has(now, record.fingerprint);
+        self.make_room(now, record.fingerprint);
+        let suspect = self.requests.entry(record.fingerprint).or_default();
+        suspect.expire(now);
+        let known = suspect
+            .crashes
+            .iter_mut()
+            .find(|crash| crash.engine == record.engine);
+        if let Some(crash) = known {
+            let is_news = record.is_cleared && !crash.is_cleared;
+            crash.is_cleared |= record.is_cleared;
+            return if is_news { Taken::New } else { Taken::Known };
+        }
+        if suspect.crashes.len() >= MAX_CRASHES {
+            return Taken::Known;
+        }
+        suspect.crashes.push(Crash {
+            engine: record.engine,
+            at: now.saturating_sub(age),
+            is_cleared: record.is_cleared || has_completed,
+        });
+        if has_completed && !record.is_cleared {
+            Taken::Cleared
+        } else {
+            Taken::New
+        }
+    }
+
+    /// Notes that a request has completed; yields the records that this clears.
+    pub fn completed(
+        &mut self,
+        now: MonotonicTime,
+        fingerprint: RequestFingerprint,
+    ) -> Vec<CrashRecord> {
+        self.completions.note(now, fingerprint);
+        self.release(now, fingerprint)
+    }
+
+    /// Clears what counts against a request; yields the records that this clears.
+    pub fn release(
+        &mut self,
+        now: MonotonicTime,
+        fingerprint: RequestFingerprint,
+    ) -> Vec<CrashRecord> {
+        let Some(suspect) = self.requests.get_mut(&fingerprint) else {
+            return Vec::new();
+        };
+        let counting = suspect.crashes.iter_mut().filter(|one| !one.is_cleared);
+        counting
+            .map(|crash| {
+                crash.is_cleared = true;
+                record(now, fingerprint, crash)
+            })
+            .collect()
+    }
+
+    /// For how long a request is still stopped; `None` if it may run.
+    pub fn stopped_for(
+        &self,
+        now: MonotonicTime,
+        fingerprint: RequestFingerprint,
+    ) -> Option<Duration> {
+        let suspect = self.requests.get(&fingerprint)?;
+        let left = suspect.stopped_for(now)?;
+        (!self.is_explained(now, fingerprint, suspect)).then_some(left)
+    }
+
+    /// The requests that are stopped, with the engines that they ended, oldest first.
+    pub fn stopped(&self, now: MonotonicTime) -> Vec<(RequestFingerprint, Vec<CrashRecord>)> {
+        let requests = self.requests.iter();
+        let stopped = requests.filter(|(fingerprint, suspect)| {
+            let has_crashes = suspect.stopped_for(now).is_some();
+            has_crashes && !self.is_explained(now, **fingerprint, suspect)
+        });
+        let mut stopped: Vec<_> = stopped
+            .map(|(fingerprint, suspect)| {
+                let crashes = suspect.counted(now);
+                let records = crashes.map(|crash| record(now, *fingerprint, crash));
+                (*fingerprint, records.collect::<Vec<_>>())
+            })
+            .collect();
+        stopped.sort_by_key(|(fingerprint, records)| {
+            let newest = records.iter().map(|record| record.age_ms).min();
+            (std::cmp::Reverse(newest), *fingerprint)
+        });
+        stopped
+    }
+
+    /// Crashes that count against a request.
+    pub fn crashes(&self, now: MonotonicTime, fingerprint: RequestFingerprint) -> usize {
+        let suspect = self.requests.get(&fingerprint);
+        suspect.map_or(0, |suspect| suspect.counted(now).count())
+    }
+
+    /// Requests that are remembered.
+    pub fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Whether nothing is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    /// Whether another stopped request was at all the engines that this one was at when they ended.
+    /// A bystander that was resumed where the guilty one was is let run again; if it is the guilty one
+    /// after all, its next crash tells, and takes the other one's place.
+    fn is_explained(
+        &self,
+        now: MonotonicTime,
+        fingerprint: RequestFingerprint,
+        suspect: &Suspect,
+    ) -> bool {
+        let crashes = suspect.counted(now).count();
+        let mut others = self.requests.iter();
+        others.any(|(other, by)| {
+            let others_crashes = by.counted(now).count();
+            let is_first =
+                others_crashes > crashes || (others_crashes == crashes && *other < fingerprint);
+            *other != fingerprint
+                && is_first
+                && by.stopped_for(now).is_some()
+                && suspect.counted(now).all(|crash| by.has(crash.engine))
+        })
+    }
+
+    /// Makes room for one more request: the one with the fewest crashes goes, the oldest of these, so
+    /// that many requests which were near one crash don't push out one that is stopped.
+    fn make_room(&mut self, now: MonotonicTime, for_request: RequestFingerprint) {
+        if self.requests.len() < MAX_REQUESTS || self.requests.contains_key(&for_request) {
+            return;
+        }
+        let least = self.requests.iter().min_by_key(|(fingerprint, suspect)| {
+            let newest = suspect.counted(now).map(|crash| crash.at).max();
+            (suspect.counted(now).count(), newest, **fingerprint)
+        });
+        if let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) {
+            self.requests.remove(&fingerprint);
+        }
+    }
+}
+
+fn record(now: MonotonicTime, fingerprint: RequestFingerprint, crash: &Crash) -> CrashRecord {
+    CrashRecord {
+        fingerprint,
+        engine: crash.engine,
+        age_ms: u32::try_from(now.since(crash.at).as_millis()).unwrap_or(u32::MAX),
+        is_cleared: crash.is_cleared,
+    }
+}
--- /dev/null
+++ b/crates/quarantine/tests/ledger.rs
@@ -0,0 +1,327 @@
+//! What is stopped, from the evidence of crashes.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use dalestand_quarantine::{
+    CRASHES_ALLOWED, CrashLedger, CrashRecord, EngineRun, FingerprintKey, RequestFingerprint,
+    RequestIdentity, STOPPED_FOR, StoredStop, Taken, UnfinishedRuns,
+};
+use dalestand_types::MonotonicTime;
+use proptest::prelude::*;
+use rand::SeedableRng as _;
+use rand::rngs::StdRng;
+use rstest::rstest;
+
+const START: MonotonicTime = MonotonicTime::from_millis(10_000_000);
+
+fn key() -> FingerprintKey {
+    FingerprintKey::parse(&"5a".repeat(32)).expect("a key")
+}
+
+fn request(number: u64) -> RequestFingerprint {
+    key().fingerprint(&RequestIdentity {
+        method: "POST",
+        host: "a.example",
+        path: &format!("/r/{number}"),
+        caller: None,
+        body: b"",
+    })
+}
+
+fn crash(fingerprint: RequestFingerprint, engine: u64) -> CrashRecord {
+    CrashRecord {
+        fingerprint,
+        engine: EngineRun(engine),
+        age_ms: 0,
+        is_cleared: false,
+    }
+}
+
+fn stopped(ledger: &CrashLedger) -> HashSet<RequestFingerprint> {
+    let stopped = ledger.stopped(START).into_iter();
+    stopped.map(|(fingerprint, _)| fingerprint).collect()
+}
+
+#[rstest]
+fn a_request_is_stopped_by_its_third_crash_and_a_crash_counts_once() {
+    let mut ledger = CrashLedger::default();
+    for engine in [1, 2, 2, 1] {
+        ledger.take(START, &crash(request(1), engine));
+    }
+    assert_eq!(ledger.stopped_for(START, request(1)), None);
+    assert_eq!(ledger.take(START, &crash(request(1), 3)), Taken::New);
+    assert_eq!(ledger.stopped_for(START, request(1)), Some(STOPPED_FOR));
+    assert_eq!(ledger.stopped_for(START, request(2)), None);
+}
+
+#[rstest]
+fn a_stop_ends_by_itself_and_one_more_crash_renews_it() {
+    let mut ledger = CrashLedger::default();
+    for engine in 1..=3 {
+        ledger.take(START, &crash(request(1), engine));
+    }
+    let later = START + STOPPED_FOR;
+    assert_eq!(ledger.stopped_for(later, request(1)), None);
+    ledger.take(later, &crash(request(1), 4));
+    assert_eq!(ledger.stopped_for(later, request(1)), Some(STOPPED_FOR));
+    let much_later = later + STOPPED_FOR * 6;
+    ledger.take(much_later, &crash(request(1), 5));
+    assert_eq!(ledger.stopped_for(much_later, request(1)), None);
+}
+
+#[rstest]
+fn a_request_that_completes_is_cleared_for_good() {
+    let (mut here, mut there) = (CrashLedger::default(), CrashLedger::default());
+    for engine in 1..=3 {
+        here.take(START, &crash(request(1), engine));
+        there.take(START, &crash(request(1), engine));
+    }
+    for record in here.completed(START, request(1)) {
+        there.take(START, &record);
+    }
+    // A datagram that was overtaken brings the crashes again.
+    for engine in 1..=3 {
+        there.take(START, &crash(request(1), engine));
+    }
+    assert_eq!(stopped(&here).len() + stopped(&there).len(), 0);
+}
+
+/// Requests that come often are at many engines when a fleet crashes as a whole.
+#[rstest]
+fn a_request_that_completed_lately_is_not_suspected() {
+    let mut ledger = CrashLedger::default();
+    ledger.completed(START, request(1));
+    let after = START + Duration::from_secs(59);
+    for engine in 1..=9 {
+        assert_eq!(
+            ledger.take(after, &crash(request(1), engine)),
+            Taken::Cleared
+        );
+    }
+    assert_eq!(ledger.stopped_for(after, request(1)), None);
+    let longer_after = START + Duration::from_secs(61);
+    for engine in 11..=13 {
+        ledger.take(longer_after, &crash(request(1), engine));
+    }
+    assert!(ledger.stopped_for(longer_after, request(1)).is_some());
+}
+
+/// The bystander was resumed where the guilty request was, twice.
+#[rstest]
+fn a_bystander_at_the_same_engines_runs_again_and_the_guilty_one_tells_itself() {
+    let mut ledger = CrashLedger::default();
+    for engine in 1..=3 {
+        ledger.take(START, &crash(request(1), engine));
+        ledger.take(START, &crash(request(2), engine));
+    }
+    assert_eq!(stopped(&ledger).len(), 1, "one of them runs again");
+    let let_run = if ledger.stopped_for(START, request(1)).is_none() {
+        request(1)
+    } else {
+        request(2)
+    };
+    ledger.take(START, &crash(let_run, 4));
+    assert_eq!(stopped(&ledger), HashSet::from([let_run]));
+}
+
+#[rstest]
+fn many_requests_near_one_crash_do_not_push_out_one_that_is_stopped() {
+    let mut ledger = CrashLedger::default();
+    for engine in 1..=3 {
+        ledger.take(START, &crash(request(0), engine));
+    }
+    for number in 1..10_000 {
+        ledger.take(START, &crash(request(number), number + 10));
+    }
+    assert!(ledger.stopped_for(START, request(0)).is_some());
+    assert!(ledger.len() <= 2_048, "{}", ledger.len());
+}
+
+#[rstest]
+#[case::method("GET", "a.example", "/r/1", None, b"body")]
+#[case::host("POST", "b.example", "/r/1", None, b"body")]
+#[case::path("POST", "a.example", "/r/2", None, b"body")]
+#[case::caller("POST", "a.example", "/r/1", Some("curators"), b"body")]
+#[case::body("POST", "a.example", "/r/1", None, b"bodY")]
+#[case::field_run_into_the_next("POST", "a.example/", "r/1", None, b"body")]
+fn what_differs_has_another_fingerprint(
+    #[case] method: &str,
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] caller: Option<&str>,
+    #[case] body: &[u8],
+) {
+    let of = |method, host, path, caller, body| {
+        key().fingerprint(&RequestIdentity {
+            method,
+            host,
+            path,
+            caller,
+            body,
+        })
+    };
+    let known = of("POST", "a.example", "/r/1", None, b"body");
+    assert_eq!(known, of("POST", "a.example", "/r/1", None, b"body"));
+    assert_ne!(known, of(method, host, path, caller, body));
+    assert_eq!(RequestFingerprint::parse(&known.to_string()), Ok(known));
+}
+
+#[rstest]
+fn another_key_gives_other_fingerprints() {
+    let identity = RequestIdentity {
+        method: "POST",
+        host: "a.example",
+        path: "/r/1",
+        caller: None,
+        body: b"guessed",
+    };
+    let other = FingerprintKey::generate();
+    assert_ne!(key().fingerprint(&identity), other.fingerprint(&identity));
+    assert_eq!(FingerprintKey::parse(&other.to_text()), Ok(other));
+    assert!(FingerprintKey::parse("5a").is_err());
+}
+
+#[rstest]
+fn what_is_stored_stops_the_request_at_a_node_that_starts() {
+    let now = Duration::from_secs(1_000_000);
+    let mut ledger = CrashLedger::default();
+    for engine in 1..=3 {
+        ledger.take(START, &crash(request(1), engine));
+    }
+    let stopped = ledger.stopped(START);
+    let mut stored = StoredStop::of(&stopped[0].1, now);
+    let mut restarted = CrashLedger::default();
+    let later = now + Duration::from_secs(10);
+    for record in stored.records(request(1), later) {
+        restarted.take(START, &record);
+    }
+    let left = restarted.stopped_for(START, request(1));
+    assert_eq!(left, Some(STOPPED_FOR - Duration::from_secs(10)));
+    stored.is_released = true;
+    for record in stored.records(request(1), later) {
+        restarted.take(START, &record);
+    }
+    assert_eq!(restarted.stopped_for(START, request(1)), None);
+}
+
+const KEPT: Duration = Duration::from_secs(5);
+
+#[rstest]
+fn a_run_counts_whichever_is_learnt_first() {
+    let mut runs = UnfinishedRuns::new(KEPT);
+    assert!(!runs.unfinished(START, EngineRun(1), request(1)));
+    assert!(!runs.unfinished(START, EngineRun(1), request(1)));
+    assert!(!runs.unfinished(START, EngineRun(2), request(2)));
+    assert_eq!(runs.engine_ended(START, EngineRun(1)), [request(1)]);
+    assert!(runs.unfinished(START, EngineRun(1), request(3)));
+    // It has ended once.
+    assert!(runs.engine_ended(START, EngineRun(1)).is_empty());
+}
+
+#[rstest]
+fn a_run_that_ended_long_before_its_engine_does_not_count() {
+    let mut runs = UnfinishedRuns::new(KEPT);
+    runs.unfinished(START, EngineRun(1), request(1));
+    let later = START + KEPT + Duration::from_millis(1);
+    assert!(runs.engine_ended(later, EngineRun(1)).is_empty());
+}
+
+fn records() -> impl Strategy<Value = Vec<CrashRecord>> {
+    let record = (0_u64..4, 0_u64..6, any::<bool>(), 0_u32..20);
+    let record = record.prop_map(|(number, engine, is_cleared, seldom)| CrashRecord {
+        is_cleared: is_cleared && seldom == 0,
+        ..crash(request(number), engine)
+    });
+    proptest::collection::vec(record, 0..60)
+}
+
+proptest! {
+    /// Datagrams are lost, doubled and overtaken; what two nodes both know decides the same.
+    #[test]
+    fn nodes_that_know_the_same_stop_the_same(
+        (first, second) in records().prop_flat_map(|records| {
+            let doubled = records.iter().chain(&records).copied().collect::<Vec<_>>();
+            (Just(records), Just(doubled).prop_shuffle())
+        }),
+    ) {
+        let (mut here, mut there) = (CrashLedger::default(), CrashLedger::default());
+        for record in &first {
+            here.take(START, record);
+        }
+        for record in &second {
+            there.take(START, record);
+        }
+        prop_assert_eq!(stopped(&here), stopped(&there));
+    }
+
+    /// A request that ends each engine that runs it is stopped after a few runs, whoever is beside it.
+    #[test]
+    fn a_request_that_ends_engines_is_stopped_after_a_few_runs(
+        beside in proptest::collection::vec(proptest::collection::vec(1_u64..30, 0..6), 12),
+    ) {
+        let mut ledger = CrashLedger::default();
+        let mut runs = 0;
+        for (engine, bystanders) in (0_u64..).zip(beside) {
+            if ledger.stopped_for(START, request(0)).is_some() {
+                continue;
+            }
+            runs += 1;
+            for number in bystanders.into_iter().chain([0]) {
+                ledger.take(START, &crash(request(number), engine));
+            }
+        }
+        // Those that are let run once more because another was at the same engines.
+        prop_assert!(runs <= CRASHES_ALLOWED + 2, "{} runs", runs);
+    }
+}
+
+/// How often an innocent request is stopped: nine engines crash in turn, eight in each of three waves,
+/// each under 12 requests that come once, and under four that come again and again. A broken request
+/// is tried up to three times more (resumed, and returned by its caller), and each of its runs meets
+/// another crash with a chance of one in five. None of those that come often is stopped; of those that
+/// come once seven in a thousand are, after four runs that all met a crash.
+#[rstest]
+fn innocent_requests_are_hardly_ever_stopped_by_mass_crashes() {
+    let mut random = StdRng::seed_from_u64(7);
+    let (mut seen, mut stopped_once, mut stopped_often) = (0_u64, 0_u64, 0_u64);
+    for _ in 0..100 {
+        let mut ledger = CrashLedger::default();
+        let often = (0..4).map(request);
+        let often: Vec<RequestFingerprint> = often.collect();
+        for wave in 0..3_u64 {
+            let at = START + Duration::from_secs(20 * wave);
+            for fingerprint in &often {
+                ledger.completed(at, *fingerprint);
+            }
+            for crashed in 0..8_u64 {
+                let engine = wave * 100 + crashed;
+                for _ in 0..12 {
+                    seen += 1;
+                    let once = request(1_000 + seen);
+                    ledger.take(at, &crash(once, engine));
+                    let mut others = engine + 1..engine + 4;
+                    let completes = others.find(|other| {
+                        let meets_a_crash = random.random_range(0..5) == 0;
+                        if meets_a_crash {
+                            ledger.take(at, &crash(once, *other));
+                        }
+                        !meets_a_crash
+                    });
+                    if completes.is_some() {
+                        ledger.completed(at, once);
+                    } else {
+                        stopped_once += u64::from(ledger.stopped_for(at, once).is_some());
+                    }
+                }
+                for fingerprint in &often {
+                    ledger.take(at, &crash(*fingerprint, engine));
+                }
+            }
+            let is_stopped = |one: &&RequestFingerprint| ledger.stopped_for(at, **one).is_some();
+            stopped_often += often.iter().filter(is_stopped).count() as u64;
+        }
+    }
+    assert_eq!(stopped_often, 0);
+    assert!(stopped_once * 100 < seen, "{stopped_once} of {seen}");
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -112,6 +112,12 @@
     EngineEnded = (1611, Info, "engine ended");
     /// A request was unfinished at an engine when that ended.
     CrashAttributed = (1612, Info, "crash attributed");
+    /// A request is stopped: engines ended under it.
+    RequestStopped = (1613, Warning, "request stopped");
+    /// A request may run again.
+    RequestReleased = (1614, Info, "request released");
+    /// What the key-value service keeps of a stopped request could not be read.
+    StopUnreadable = (1615, Warning, "stopped request unreadable");
     /// The usage of a window was reported.
     UsageReported = (1701, Info, "usage reported");
     /// The usage of a window could not be reported yet.
