The test that hung beside load: nodes of tests are given ports that the kernel gives to nobody else

Cause: a test asked the kernel for a free port, gave it back and had the node listen there; meanwhile the kernel gave the port to a connection or a listener of another test. The node ended ('cannot listen'), or the test spoke to another's listener and waited. Change: ports below the kernel's own range (32768 and up here), each program with its own first one.

--- a/crates/forwarding/tests/support/mod.rs
+++ b/crates/forwarding/tests/support/mod.rs
@@ -3,8 +3,9 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io::{Read as _, Write as _};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -426,9 +427,29 @@
     pub store: Rc<MemoryStore>,
 }
 
+/// Ports that nodes are given: below those that the kernel gives to connections and to listeners that
+/// ask for any, which would take a port between its choice and the node's start.
+const NODE_PORTS: std::ops::Range<u16> = 10_000..30_000;
+
+/// Ports between those that two test programs begin with, should they run at once.
+const PORTS_PER_PROGRAM: u32 = 500;
+
+/// Ports taken by this program.
+static PORTS_TAKEN: AtomicU32 = AtomicU32::new(0);
+
+/// An address of this program that nothing listens at.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    let ports = u32::from(NODE_PORTS.end - NODE_PORTS.start);
+    let first = std::process::id().wrapping_mul(PORTS_PER_PROGRAM);
+    loop {
+        let taken = PORTS_TAKEN.fetch_add(1, Ordering::Relaxed);
+        let offset = first.wrapping_add(taken) % ports;
+        let port = NODE_PORTS.start + u16::try_from(offset).expect("within the range");
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 impl TestNode {
