Promises are kept by the clock that goes on while the machine is suspended

Cause: Instant and tokio's timers are CLOCK_MONOTONIC, which stands still while a machine sleeps. A node that slept took its lease, its configuration's confirmation, callers' deadlines, ages of load and idle connections to be younger than they were by as long. Taken over: Context::now (router, budgets of repeated sends, authority and its renewals, spread, usage windows and their wall clock, demand, work tables), confirmation of the declaration, callers' deadlines and silence of engines (forward, relay, attempt), planned stop, renewals and returns of entries, relays' intervals, store calls' times, idle connections to engines; gateway's clock (leases and claims of the product's own path) and the lease of claim segments. An order, a usage report and an order of engines' number that are under way look at the mandate each time they go on. Left on the monotonic clock: pauses and time limits of single calls under a second, taking in the last connections of a closed socket, the telemetry's queue, tools.

--- a/crates/engine-link/src/answer.rs
+++ b/crates/engine-link/src/answer.rs
@@ -1,12 +1,13 @@
 //! An engine's answer, read piece by piece.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix_codec::Decoder as _;
 use actix_http::h1::{ClientPayloadCodec, MessageType};
 use actix_http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
 use actix_http::{ResponseHead, StatusCode};
 use bytes::Bytes;
+use dalestand_clock::BootInstant;
 use tokio::io::AsyncReadExt as _;
 
 use crate::connection::{AnswerHead, Connection};
@@ -162,7 +163,7 @@
         if !self.reusable || !connection.received.is_empty() {
             return;
         }
-        let now = Instant::now();
+        let now = BootInstant::now();
         connection.idle_since = now;
         connection.kept_until = self
             .kept_for
--- a/crates/engine-link/src/connection.rs
+++ b/crates/engine-link/src/connection.rs
@@ -1,13 +1,13 @@
 //! One connection to an engine.
 
 use std::io;
-use std::time::Instant;
 
 use actix_codec::{Decoder as _, Encoder as _};
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, Message};
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig};
 use bytes::{Bytes, BytesMut};
+use dalestand_clock::BootInstant;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
@@ -25,9 +25,9 @@
     /// Bytes read and not yet taken.
     pub(crate) received: BytesMut,
     /// When its last exchange ended.
-    pub(crate) idle_since: Instant,
+    pub(crate) idle_since: BootInstant,
     /// Until when the engine keeps it open without an exchange, as far as it said.
-    pub(crate) kept_until: Option<Instant>,
+    pub(crate) kept_until: Option<BootInstant>,
 }
 
 /// An answer's head, with the codec that reads its body.
@@ -43,7 +43,7 @@
         Self {
             stream,
             received: BytesMut::new(),
-            idle_since: Instant::now(),
+            idle_since: BootInstant::now(),
             kept_until: None,
         }
     }
--- a/crates/engine-link/src/pool.rs
+++ b/crates/engine-link/src/pool.rs
@@ -4,7 +4,9 @@
 use std::collections::HashMap;
 use std::ops::{Deref, DerefMut};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use dalestand_clock::BootInstant;
 
 use crate::connection::Connection;
 use crate::link::LinkTarget;
@@ -77,7 +79,7 @@
 impl ConnectionPool {
     /// The idle connection used last, if the engine is still there on it.
     pub(crate) fn take_idle(self: &Rc<Self>, target: &LinkTarget) -> Option<PooledConnection> {
-        let now = Instant::now();
+        let now = BootInstant::now();
         let mut engines = self.engines.borrow_mut();
         let engine = engines.get_mut(target)?;
         while let Some(connection) = engine.idle.pop() {
@@ -114,7 +116,7 @@
 
     /// Closes what was idle for too long, and forgets engines that `keep` does not name.
     pub(crate) fn sweep(&self, keep: impl Fn(&LinkTarget) -> bool) {
-        let now = Instant::now();
+        let now = BootInstant::now();
         let mut engines = self.engines.borrow_mut();
         for (target, engine) in engines.iter_mut() {
             let known = keep(target);
@@ -126,7 +128,7 @@
     }
 }
 
-fn is_kept(connection: &Connection, now: Instant) -> bool {
+fn is_kept(connection: &Connection, now: BootInstant) -> bool {
     let limit = connection
         .kept_until
         .unwrap_or(connection.idle_since + IDLE_LIMIT);
--- a/crates/engine-link/tests/exchanges.rs
+++ b/crates/engine-link/tests/exchanges.rs
@@ -8,6 +8,7 @@
 
 use actix_http::Method;
 use bytes::Bytes;
+use dalestand_clock::test_util::suspend;
 use dalestand_engine_link::{
     BodyError, EngineLink, Exchange, LinkLimits, LinkTarget, RequestHead, SendError,
 };
@@ -229,3 +230,24 @@
     assert_eq!(exchange.head.status.as_u16(), 503);
     thread.join().expect("the engine");
 }
+
+/// The engine closed the connection long ago; what is sent on it is lost, and may have run.
+#[actix_rt::test]
+async fn a_connection_that_was_idle_through_a_suspension_is_not_used_again() {
+    let serve: fn(&mut TcpStream) = |stream| {
+        read_head(stream);
+        write(stream, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nab");
+    };
+    // The first connection looks open, and whatever comes on it is not answered.
+    let serve_once: fn(&mut TcpStream) = |stream| {
+        read_head(stream);
+        write(stream, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nab");
+        thread::sleep(Duration::from_millis(200));
+    };
+    let (target, thread) = engine(vec![serve_once, serve]);
+    let link = link();
+    assert_eq!(body(&link, &target).await, Ok(Bytes::from("ab")));
+    suspend(Duration::from_secs(10));
+    assert_eq!(body(&link, &target).await, Ok(Bytes::from("ab")));
+    thread.join().expect("two connections");
+}
--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -3,8 +3,9 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use dalestand_clock::BootInstant;
 use dalestand_dissemination::NodeNumber;
 use dalestand_edge::duty_calls::EngineTenure;
 use dalestand_edge::routed::{Dialect, EngineEntry, FleetForm};
@@ -62,10 +63,10 @@
     /// Requests that end engines.
     pub(crate) quarantine: Quarantine,
     pub(crate) metrics: ForwardingMetrics,
-    started: Instant,
+    started: BootInstant,
     table: RefCell<Option<Rc<RouteTable>>>,
     /// When the declaration was last known to stand.
-    declaration_confirmed_at: Cell<Instant>,
+    declaration_confirmed_at: Cell<BootInstant>,
     entries: RefCell<HashMap<String, EngineEntry>>,
     fleet: RefCell<Rc<Fleet>>,
     stopping: Cell<bool>,
@@ -103,9 +104,9 @@
             demand: RefCell::default(),
             role_changes: RefCell::default(),
             quarantine: Quarantine::default(),
-            started: Instant::now(),
+            started: BootInstant::now(),
             table: RefCell::default(),
-            declaration_confirmed_at: Cell::new(Instant::now()),
+            declaration_confirmed_at: Cell::new(BootInstant::now()),
             entries: RefCell::default(),
             fleet: RefCell::default(),
             stopping: Cell::new(false),
@@ -126,7 +127,7 @@
     }
 
     /// Notes that the declaration in force stood at a time.
-    pub(crate) fn declaration_confirmed(&self, at: Instant) {
+    pub(crate) fn declaration_confirmed(&self, at: BootInstant) {
         self.declaration_confirmed_at.set(at);
     }
 
--- a/crates/forwarding/src/duties/scaling.rs
+++ b/crates/forwarding/src/duties/scaling.rs
@@ -16,6 +16,7 @@
 use crate::context::Context;
 use crate::duties::outcome_label;
 use crate::roles::authority::Authority;
+use crate::roles::authority::while_held;
 
 /// How often the engines are looked at.
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
@@ -253,7 +254,12 @@
             holder: self.context.settings.node.as_str(),
             token: mandate.token,
         };
-        let answered = self.calls.set_engine_count(authority, &order).await;
+        let sent = self.calls.set_engine_count(authority, &order);
+        let now = || self.context.now();
+        let answered = while_held(&self.authority, mandate.token, now, sent).await;
+        let Some(answered) = answered else {
+            return false;
+        };
         let metrics = &self.context.metrics;
         metrics.duty_call("scaling", outcome_label(&answered));
         let taken = matches!(answered, Ok(DutyOutcome::Taken));
--- a/crates/forwarding/src/duties/usage_report.rs
+++ b/crates/forwarding/src/duties/usage_report.rs
@@ -11,6 +11,7 @@
 use crate::context::Context;
 use crate::duties::outcome_label;
 use crate::duties::report_slots::ReportSlots;
+use crate::roles::authority::while_held;
 use crate::roles::authority::{Authority, Mandate};
 
 /// How often the holder looks for windows that are due. It is also the pause after a failed call:
@@ -123,7 +124,12 @@
             token: mandate.token,
         };
         let window = report.window;
-        let answered = self.calls.report_usage(authority, report).await;
+        let sent = self.calls.report_usage(authority, report);
+        let now = || self.context.now();
+        let answered = while_held(&self.authority, mandate.token, now, sent).await;
+        let Some(answered) = answered else {
+            return false;
+        };
         let metrics = &self.context.metrics;
         metrics.duty_call("usage", outcome_label(&answered));
         match answered {
--- a/crates/forwarding/src/fleet/engine_entries.rs
+++ b/crates/forwarding/src/fleet/engine_entries.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dalestand_clock::sleep;
 use dalestand_dissemination::EntryRecord;
 use dalestand_edge::routed::EngineEntry;
 use dalestand_edge::{Listing, WatchEvent};
@@ -128,7 +129,7 @@
         // there counts at once, what is missing a little later, unless it was written meanwhile.
         take(&context, records.clone(), ChangeSource::Store);
         actix_rt::spawn(async move {
-            actix_rt::time::sleep(LAPSED_ENTRIES_RETURN).await;
+            sleep(LAPSED_ENTRIES_RETURN).await;
             take_listing(&context, listing.revision.0, records);
         });
     }
@@ -156,7 +157,7 @@
         take(&context, present, ChangeSource::Store);
         let wait = LAPSED_ENTRIES_RETURN.min(context.settings.engine_drain() / 2);
         actix_rt::spawn(async move {
-            actix_rt::time::sleep(wait).await;
+            sleep(wait).await;
             take(&context, gone, ChangeSource::Store);
             let mut entries = context.spread.entries.borrow_mut();
             entries.followed_to(newest.unwrap_or_default());
--- a/crates/forwarding/src/fleet/follow.rs
+++ b/crates/forwarding/src/fleet/follow.rs
@@ -4,8 +4,9 @@
 mod tests;
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use dalestand_clock::BootInstant;
 use dalestand_edge::{KeyValue, Listing, PlatformError, WatchEvent};
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::Revision;
@@ -52,7 +53,7 @@
     fn changed(&self, events: Vec<WatchEvent>);
 
     /// The service has answered: what is known of the keys stands, as of the call's begin.
-    fn confirmed(&self, _called_at: Instant) {}
+    fn confirmed(&self, _called_at: BootInstant) {}
 
     /// Changes that come within this time of each other are asked for together: where many nodes
     /// follow what many write, each change by itself would be a call of every node.
@@ -107,7 +108,7 @@
 /// One call, and the pause after a failure.
 async fn follow_on(task: &FollowTask, follower: &impl Follower, progress: &mut Progress) {
     let prefix = &task.prefix;
-    let called_at = Instant::now();
+    let called_at = BootInstant::now();
     match step(task, progress, follower).await {
         Ok(next) => {
             follower.confirmed(called_at);
--- a/crates/forwarding/src/fleet/registration.rs
+++ b/crates/forwarding/src/fleet/registration.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dalestand_clock::sleep;
 use dalestand_dissemination::{News, NodeDirectory, NodeEntry};
 use dalestand_edge::{
     CasOutcome, KeyValue, LeaseId, Listing, PlatformError, WatchEvent, WriteExpectation,
@@ -75,7 +76,7 @@
 
     /// Forgets lapsed nodes that had time to register again.
     async fn forget_lapsed(self) {
-        actix_rt::time::sleep(LAPSED_NODES_RETURN).await;
+        sleep(LAPSED_NODES_RETURN).await;
         let lapsed = std::mem::take(&mut *self.lapsed.borrow_mut());
         self.context.spread.change_directory(|directory| {
             for name in &lapsed {
@@ -178,7 +179,7 @@
 pub(crate) async fn find_relays(context: Rc<Context>, store: Rc<dyn KeyValue>) {
     if context.settings.first_start {
         // At the first start of the fleet nobody has registered yet.
-        actix_rt::time::sleep(FIRST_START).await;
+        sleep(FIRST_START).await;
     }
     let prefix = format!("{NODE_PREFIX}{}/", context.settings.zone);
     while !context.spread.role(context.now()).reads_store {
@@ -197,7 +198,7 @@
             Err(error) => {
                 log_event!(context.logger, Event::KeyValueFailed, "prefix" => &prefix,
                     "error" => %error.current_context());
-                actix_rt::time::sleep(SHORT_PAUSE).await;
+                sleep(SHORT_PAUSE).await;
             }
         }
     }
@@ -220,7 +221,7 @@
             Err(error) => {
                 log_event!(context.logger, Event::RegistrationFailed,
                     "error" => %error.current_context());
-                actix_rt::time::sleep(FAILURE_PAUSE).await;
+                sleep(FAILURE_PAUSE).await;
             }
         }
     }
@@ -257,7 +258,7 @@
 /// Renews the lease until it is gone.
 async fn keep_lease(store: &dyn KeyValue, lease: LeaseId) {
     loop {
-        actix_rt::time::sleep(RENEWAL).await;
+        sleep(RENEWAL).await;
         if matches!(store.renew_lease(lease).await, Ok(false)) {
             return;
         }
--- a/crates/forwarding/src/node/metered_store.rs
+++ b/crates/forwarding/src/node/metered_store.rs
@@ -1,9 +1,10 @@
 //! A key-value service whose calls are counted and timed.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_trait::async_trait;
+use dalestand_clock::BootInstant;
 use dalestand_edge::{
     CasOutcome, Entry, KeyValue, LeaseId, Listing, PlatformError, WatchBatch, WriteExpectation,
 };
@@ -29,7 +30,7 @@
         call: &'static str,
         answered: impl Future<Output = Result<T, Report<PlatformError>>>,
     ) -> Result<T, Report<PlatformError>> {
-        let begun = Instant::now();
+        let begun = BootInstant::now();
         let answer = answered.await;
         let outcome = match &answer {
             Ok(_) => "done",
--- a/crates/forwarding/src/node/start.rs
+++ b/crates/forwarding/src/node/start.rs
@@ -2,8 +2,9 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use dalestand_clock::BootInstant;
 use dalestand_edge::duty_calls::DutyCalls;
 use dalestand_edge::routed::{Dialect, FleetForm};
 use dalestand_edge::{KeyValue, Listing, WatchEvent};
@@ -229,11 +230,11 @@
 
 /// Throws away what is old, and notices when the process stood still.
 async fn sweep(context: Rc<Context>) {
-    let mut last = Instant::now();
+    let mut last = BootInstant::now();
     loop {
         actix_rt::time::sleep(SWEEP_INTERVAL).await;
         let passed = last.elapsed();
-        last = Instant::now();
+        last = BootInstant::now();
         if passed > SWEEP_INTERVAL + PAUSE_NOTICED {
             log_event!(context.logger, Event::PauseNoticed,
                 "for_ms" => passed.as_millis() as u64);
@@ -274,7 +275,7 @@
 }
 
 impl Follower for ConfigurationFollower {
-    fn confirmed(&self, called_at: Instant) {
+    fn confirmed(&self, called_at: BootInstant) {
         self.0.declaration_confirmed(called_at);
     }
 
--- a/crates/forwarding/src/node/stop.rs
+++ b/crates/forwarding/src/node/stop.rs
@@ -1,8 +1,9 @@
 //! A planned stop: callers are sent elsewhere first, then what is under way ends.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use dalestand_clock::{BootInstant, sleep, timeout};
 use dalestand_http_server::Connections;
 use dalestand_telemetry::{Event, log_event};
 
@@ -17,18 +18,18 @@
 
 /// Stops as planned; yields when the process may end.
 pub(crate) async fn stop(context: Rc<Context>, connections: Connections) {
-    let begun = Instant::now();
+    let begun = BootInstant::now();
     let grace = context.settings.grace().saturating_sub(GRACE_MARGIN);
     context.begin_stop();
     log_event!(context.logger, Event::StopBegun, "in_flight" => context.in_flight.count(),
         "connections" => connections.open());
-    actix_rt::time::sleep(NOTICE_TIME.min(grace / 3)).await;
+    sleep(NOTICE_TIME.min(grace / 3)).await;
     let ended = async {
         connections.stop_accepting().await;
         connections.drain().await;
     };
     let left = grace.saturating_sub(begun.elapsed());
-    let in_time = tokio::time::timeout(left, ended).await.is_ok();
+    let in_time = timeout(left, ended).await.is_ok();
     if !in_time {
         log_event!(context.logger, Event::StopCutConnections,
             "in_flight" => context.in_flight.count(), "connections" => connections.open());
--- a/crates/forwarding/src/roles/authority.rs
+++ b/crates/forwarding/src/roles/authority.rs
@@ -1,17 +1,21 @@
 //! Authority over the engines' stages: one node holds it, under a lease of the key-value service.
 //!
 //! The revision of the write that took the key is the fencing token: it rises with every holder. A
-//! holder counts its lease on the monotonic clock from before the last renewal was sent, and looks
-//! again right before each order, so that a process that stood still gives none. A new holder is
+//! holder counts its lease on the boot clock from before the last renewal was sent, and looks again
+//! right before each order, so that a process that stood still or was suspended gives none. A new holder is
 //! quiet for the time of a whole lease first: orders of two holders never lie closer.
 
 #[cfg(test)]
 mod tests;
 
 use std::cell::Cell;
+use std::future::poll_fn;
+use std::pin::pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
+use dalestand_clock::sleep;
 use dalestand_control::LeaseGrant;
 use dalestand_edge::{CasOutcome, KeyValue, LeaseId, PlatformError, WriteExpectation};
 use dalestand_telemetry::{Event, log_event};
@@ -76,12 +80,32 @@
     }
 }
 
+/// What `call` yields, as long as the authority under `token` allows it. That is looked at each time the
+/// call goes on: a machine that is suspended while it connects to an engine must not send the order
+/// when it wakes.
+pub(crate) async fn while_held<C: Future>(
+    authority: &Authority,
+    token: u64,
+    now: impl Fn() -> MonotonicTime,
+    call: C,
+) -> Option<C::Output> {
+    let mut call = pin!(call);
+    poll_fn(|task| {
+        let mandate = authority.mandate(now());
+        if mandate.is_none_or(|mandate| mandate.token != token) {
+            return Poll::Ready(None);
+        }
+        call.as_mut().poll(task).map(Some)
+    })
+    .await
+}
+
 /// Takes and keeps the authority for as long as it is polled, while this node is a relay: relays
 /// know the demand of the whole fleet, and few of them ask for the authority when it is free.
 pub(crate) async fn hold(context: Rc<Context>, store: Rc<dyn KeyValue>, authority: Authority) {
     loop {
         let turn = context.spread.place_among_relays();
-        actix_rt::time::sleep(LOOK_INTERVAL + TURN * turn).await;
+        sleep(LOOK_INTERVAL + TURN * turn).await;
         let is_relay = context.spread.role(context.now()).is_relay;
         if !is_relay || authority.is_taken.get() || context.is_stopping() || !context.is_ready() {
             continue;
@@ -96,7 +120,7 @@
                 log_event!(context.logger, Event::LeaseLost, "token" => mandate.token);
             }
             Ok(None) => authority.set_taken(true),
-            Err(_) => actix_rt::time::sleep(context.settings.lease()).await,
+            Err(_) => sleep(context.settings.lease()).await,
         }
     }
 }
@@ -151,7 +175,7 @@
     let time_to_live = context.settings.lease();
     let mut renewed_at = acquired_at;
     while let Some(mandate) = authority.mandate.get() {
-        actix_rt::time::sleep(time_to_live / RENEWALS_PER_LEASE).await;
+        sleep(time_to_live / RENEWALS_PER_LEASE).await;
         if context.is_stopping() {
             authority.mandate.set(None);
             let _ = store.revoke_lease(lease).await;
--- a/crates/forwarding/src/roles/authority/tests.rs
+++ b/crates/forwarding/src/roles/authority/tests.rs
@@ -1,12 +1,14 @@
 //! When a mandate allows an order.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use dalestand_edge::LeaseId;
 use dalestand_types::MonotonicTime;
 use proptest::prelude::*;
+use rstest::rstest;
 
-use super::{Authority, Mandate, grant};
+use super::{Authority, Mandate, grant, while_held};
 
 const TIME_TO_LIVE: Duration = Duration::from_secs(3);
 
@@ -19,6 +21,29 @@
     }
 }
 
+/// A call that is under way while the machine is suspended is not gone on with, if the lease ended.
+#[rstest]
+#[case::within_the_lease(Duration::from_secs(1), true)]
+#[case::longer_than_the_lease(TIME_TO_LIVE, false)]
+#[actix_rt::test]
+async fn a_call_ends_with_the_lease(#[case] suspended: Duration, #[case] goes_on: bool) {
+    let acquired_at = MonotonicTime::from_millis(10_000);
+    let authority = Authority::default();
+    let renewed_at = acquired_at + TIME_TO_LIVE;
+    authority
+        .mandate
+        .set(Some(mandate(1, renewed_at, acquired_at)));
+    let now = Cell::new(renewed_at);
+    let sent = Cell::new(false);
+    let call = async {
+        now.set(now.get() + suspended);
+        tokio::task::yield_now().await;
+        sent.set(true);
+    };
+    let ended = while_held(&authority, 1, || now.get(), call).await;
+    assert_eq!((ended.is_some(), sent.get()), (goes_on, goes_on));
+}
+
 proptest! {
     /// A holder that was lost, or stood still, gave its last order before the service's lease ended;
     /// the next one, which cannot have taken the key before that, is quiet for a whole lease. So two
--- a/crates/forwarding/src/roles/role_control.rs
+++ b/crates/forwarding/src/roles/role_control.rs
@@ -14,7 +14,7 @@
 use dalestand_types::{MonotonicTime, PoolName, Role};
 
 use crate::context::Context;
-use crate::roles::authority::Authority;
+use crate::roles::authority::{Authority, while_held};
 use crate::serve::engine_call::call;
 
 /// How often the demand is looked at.
@@ -169,7 +169,9 @@
         },
     };
     let (head, body) = context.dialect.stage_order(&order);
-    let answered = call(context, pool, engine, head, body).await;
+    let sent = call(context, pool, engine, head, body);
+    let answered = while_held(authority, mandate.token, || context.now(), sent).await;
+    let answered = answered.flatten();
     // An order without an answer may come true at any later time, or never.
     let mut avoided = UNANSWERED;
     let outcome = answered.map(|(status, _)| context.dialect.read_stage_order(status));
--- a/crates/forwarding/src/serve/admit.rs
+++ b/crates/forwarding/src/serve/admit.rs
@@ -2,10 +2,10 @@
 //! and whole.
 
 use std::sync::Arc;
-use std::time::Instant;
 
 use actix_http::header::HOST;
 use bytes::Bytes;
+use dalestand_clock::BootInstant;
 use dalestand_http_server::{HttpMessage as _, HttpServerError, Request, read_body};
 use dalestand_quarantine::{RequestFingerprint, RequestIdentity};
 use dalestand_routes::Caller;
@@ -17,7 +17,7 @@
 
 /// Takes a request in: finds its route and its caller, and reads its body.
 pub(crate) async fn admit(context: &Context, request: &mut Request) -> Result<Progress, Failure> {
-    let started = Instant::now();
+    let started = BootInstant::now();
     let facts = context.dialect.read_request(request.headers());
     let table = context.table().ok_or(Failure::NoConfiguration)?;
     let route = table
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -1,10 +1,11 @@
 //! One call to one engine, and what it proves.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix_http::StatusCode;
 use actix_http::header::CONTENT_ENCODING;
+use dalestand_clock::{BootInstant, timeout};
 use dalestand_edge::routed::EngineTerms;
 use dalestand_engine_link::{AnswerBody, Exchange, ResponseHead, SendError};
 use dalestand_quarantine::CRASHES_ALLOWED;
@@ -25,7 +26,7 @@
     pub(crate) choice: EngineChoice,
     pub(crate) work: WorkGuard,
     pub(crate) watch: RunWatch,
-    pub(crate) sent_at: Instant,
+    pub(crate) sent_at: BootInstant,
     /// Requests at the engine, of all nodes, that had not begun when it was sent.
     pub(crate) before: u32,
 }
@@ -93,14 +94,14 @@
         progress.runs += 1;
     }
     let mut watch = RunWatch::new(context, progress, &engine, call.pool);
-    let sent_at = Instant::now();
+    let sent_at = BootInstant::now();
     context.sent(progress.sent_bytes());
     let max_connections = context.max_connections(call.pool);
     let target = known.target();
     let sent = context
         .link
         .send(&target, max_connections, head, &progress.passed.body);
-    let answered = tokio::time::timeout(call.patience, sent).await;
+    let answered = timeout(call.patience, sent).await;
     let took = sent_at.elapsed();
     let judged = judge(context, progress, answered.ok());
     let (end, outcome, result) = match judged {
--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dalestand_clock::timeout_at;
 use dalestand_edge::routed::EngineTerms;
 use dalestand_engine_link::ResponseHead;
 use dalestand_http_server::{Answer, ConnectionType, Request};
@@ -60,8 +61,8 @@
             return closing(&context, failure.answer());
         }
     };
-    let due = tokio::time::Instant::from_std(progress.due);
-    let served = tokio::time::timeout_at(due, serve(&context, &mut progress)).await;
+    let due = progress.due;
+    let served = timeout_at(due, serve(&context, &mut progress)).await;
     let served = served.unwrap_or_else(|_| {
         Err(if progress.runs == 0 {
             Failure::TimeOverNotRun
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -2,11 +2,12 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix_http::header::HeaderMap;
 use actix_http::{Method, RequestHead, Uri};
 use bytes::Bytes;
+use dalestand_clock::BootInstant;
 use dalestand_edge::routed::RequestFacts;
 use dalestand_quarantine::RequestFingerprint;
 use dalestand_routes::{Caller, RouteTable, RouteTerms};
@@ -87,7 +88,7 @@
     pub(crate) route: Arc<RouteTerms>,
     pub(crate) pools: Vec<PoolName>,
     pub(crate) fingerprint: Option<RequestFingerprint>,
-    pub(crate) started: Instant,
+    pub(crate) started: BootInstant,
 }
 
 /// One request under way.
@@ -100,11 +101,11 @@
     pub(crate) route: Arc<RouteTerms>,
     /// The pools that may serve it, in the order in which they are to be asked.
     pub(crate) pools: Vec<PoolName>,
-    pub(crate) started: Instant,
+    pub(crate) started: BootInstant,
     /// What it is known by when it comes again; `None` before the fleet's key is known.
     pub(crate) fingerprint: Option<RequestFingerprint>,
     /// When its final answer is due.
-    pub(crate) due: Instant,
+    pub(crate) due: BootInstant,
     /// Engines called, so that another is taken.
     pub(crate) tried: Vec<EngineKey>,
     /// Whether it is counted as usage of its tenant.
@@ -159,7 +160,7 @@
 
     /// Time until the final answer is due.
     pub(crate) fn time_left(&self) -> Duration {
-        self.due.saturating_duration_since(Instant::now())
+        self.due - BootInstant::now()
     }
 
     /// Whether it may be sent to another engine.
--- a/crates/forwarding/src/serve/relay.rs
+++ b/crates/forwarding/src/serve/relay.rs
@@ -1,9 +1,10 @@
 //! Sends the body of an engine's answer on as it comes.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
+use dalestand_clock::{timeout, timeout_at};
 use dalestand_routing::staged::{AttemptResult, patience};
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::PoolName;
@@ -89,8 +90,8 @@
         if self.ended {
             return None;
         }
-        let due = tokio::time::Instant::from_std(self.progress.due);
-        let next = tokio::time::timeout_at(due, self.next_piece()).await;
+        let due = self.progress.due;
+        let next = timeout_at(due, self.next_piece()).await;
         let next = next.unwrap_or(Some(Err(RelayError::TimeOver)));
         match &next {
             Some(Ok(_)) => {}
@@ -125,7 +126,7 @@
                 return Some(Ok(events));
             }
             let patience = self.patience();
-            let next = tokio::time::timeout(patience, self.answer.body.next()).await;
+            let next = timeout(patience, self.answer.body.next()).await;
             self.answer.work.prompt_read();
             match next {
                 Ok(Some(Ok(bytes))) => {
@@ -188,7 +189,7 @@
             return (pause.unwrap_or(DEFAULT_PAUSE) * PAUSE_FACTOR).max(MIN_PAUSE);
         }
         let objective = Duration::from_millis(route.objective_ms) * FIRST_EVENT_FACTOR;
-        let since_sent = Instant::now() - self.answer.sent_at;
+        let since_sent = self.answer.sent_at.elapsed();
         let expected_s = self.answer.choice.expected_s;
         patience(expected_s, objective.max(MIN_PAUSE)).saturating_sub(since_sent)
     }
--- a/crates/forwarding/src/spread/send.rs
+++ b/crates/forwarding/src/spread/send.rs
@@ -2,8 +2,9 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use dalestand_clock::BootInstant;
 use dalestand_dissemination::{Exchange, Message, News, PartsRequest, Relay, Report, ReportTarget};
 use dalestand_routing::staged::LoadSource;
 use dalestand_telemetry::{Event, log_event};
@@ -30,13 +31,13 @@
 
 /// When the things that are sent now and then were last sent.
 struct LastSent {
-    demand: Instant,
-    message: Instant,
+    demand: BootInstant,
+    message: BootInstant,
 }
 
 /// Sends this node's own state, and as a relay its members' too, for as long as it is polled.
 pub(crate) async fn send_state(context: Rc<Context>, socket: Rc<UdpSocket>) {
-    let started = Instant::now();
+    let started = BootInstant::now();
     let mut last = LastSent {
         demand: started,
         message: started,
@@ -102,7 +103,7 @@
     if sent_bytes == 0 {
         return Duration::ZERO;
     }
-    last.message = Instant::now();
+    last.message = BootInstant::now();
     if demand_is_due {
         last.demand = last.message;
     }
@@ -197,7 +198,7 @@
     if !(is_new || !news.is_empty() || is_due) {
         return Duration::ZERO;
     }
-    last.message = Instant::now();
+    last.message = BootInstant::now();
     if demand_is_due {
         last.demand = last.message;
     }
--- a/crates/forwarding/src/spread/tables.rs
+++ b/crates/forwarding/src/spread/tables.rs
@@ -2,8 +2,9 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use dalestand_clock::BootInstant;
 use dalestand_dissemination::{Message, Table};
 use tokio::net::UdpSocket;
 
@@ -22,7 +23,7 @@
 
 /// Sends what a relay knows to its members, for as long as it is polled.
 pub(crate) async fn send_tables(context: Rc<Context>, socket: Rc<UdpSocket>) {
-    let mut relays_named = Instant::now();
+    let mut relays_named = BootInstant::now();
     loop {
         let now = context.now();
         let spread = &context.spread;
@@ -37,7 +38,7 @@
         }
         let names_relays = relays_named.elapsed() >= RELAYS_INTERVAL;
         if names_relays {
-            relays_named = Instant::now();
+            relays_named = BootInstant::now();
         }
         let sent_bytes = send_table(&context, &socket, &members, names_relays);
         context.sent(sent_bytes);
--- /dev/null
+++ b/crates/forwarding/tests/suspension.rs
@@ -0,0 +1,80 @@
+//! A node whose machine was suspended: timers and `Instant` stood still, the world went on.
+
+#[allow(dead_code, reason = "each test program uses a part of it")]
+mod support;
+
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use dalestand_clock::test_util::suspend;
+use support::{TestEngine, TestNode, answer, id_of};
+
+/// Longer than any bound of these tests.
+const SUSPENDED: Duration = Duration::from_secs(12);
+
+/// Time after its due within which an answer must come.
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
+
+fn sound(head: &str, stream: &mut TcpStream) {
+    let id = id_of(head);
+    answer(stream, "200 OK", &format!("x-id: {id}\r\n"), "whole");
+}
+
+fn silent(_head: &str, _stream: &mut TcpStream) {
+    thread::sleep(Duration::from_secs(3));
+}
+
+fn status(answer: &str) -> &str {
+    answer.split(' ').nth(1).unwrap_or_default()
+}
+
+/// The declaration was not confirmed for longer than its keys hold, though the monotonic clock says
+/// otherwise: one of them may have been taken away meanwhile.
+#[actix_rt::test]
+async fn keys_do_not_hold_through_a_suspension() {
+    let revocation = "[revocation]\nbound_ms = 10000\nfail_closed = true\n";
+    let node = TestNode::start_with_table(revocation).await;
+    let engine = TestEngine::start(sound);
+    node.declare_tenant(1, &["key-1"]);
+    node.list("e", &engine, "ready");
+    node.settle().await;
+    let before = node.request_with_key("1", "key-1").await;
+    assert_eq!(status(&before), "200", "{before}");
+    node.store.set_away(true);
+    suspend(SUSPENDED);
+    let after = node.request_with_key("2", "key-1").await;
+    assert_eq!(status(&after), "503", "{after}");
+}
+
+#[actix_rt::test]
+async fn an_answer_that_fell_due_during_a_suspension_comes_soon_after() {
+    let node = TestNode::start().await;
+    let engine = TestEngine::start(silent);
+    node.declare(1, "once", 1, 10_000);
+    node.list("e", &engine, "ready");
+    node.settle().await;
+    let wakes = async {
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+        suspend(SUSPENDED);
+        Instant::now()
+    };
+    let (late, woke) = tokio::join!(node.request("1", "/r/x"), wakes);
+    assert_eq!(status(&late), "504", "{late}");
+    assert!(woke.elapsed() < ANSWER_SLACK, "{:?}", woke.elapsed());
+}
+
+/// Engines, entries and connections that a node knew before are older after it, and still of use.
+#[actix_rt::test]
+async fn a_node_serves_after_a_suspension() {
+    let node = TestNode::start().await;
+    let engine = TestEngine::start(sound);
+    node.declare(1, "repeatable", 2, 1_000);
+    node.list("e", &engine, "ready");
+    node.settle().await;
+    for request in 0..3 {
+        suspend(SUSPENDED);
+        let served = node.request(&request.to_string(), "/r/x").await;
+        assert_eq!(status(&served), "200", "{served}");
+    }
+}
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -2,9 +2,10 @@
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use dalestand_clock::BootInstant;
 use dalestand_config::Deployment;
 use dalestand_decision::DecisionRing;
 use dalestand_routing::{
@@ -22,14 +23,14 @@
 /// Tenants whose shares are remembered; a node sees few of all tenants within seconds.
 const TENANTS_REMEMBERED: usize = 4_096;
 
-/// Reads the monotonic clock; the wall clock only for people to read.
+/// Reads the clock that goes on while the machine is suspended; the wall clock only for people to read.
 #[derive(Clone, Copy, Debug)]
-pub struct Clock(Instant);
+pub struct Clock(BootInstant);
 
 impl Clock {
     /// A clock that starts now.
     pub fn start() -> Self {
-        Self(Instant::now())
+        Self(BootInstant::now())
     }
 
     /// Time since the start.
--- a/crates/node/src/claims/record.rs
+++ b/crates/node/src/claims/record.rs
@@ -2,11 +2,12 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use dalestand_claims::{
     CLAIM_LIFETIME, Entry, Loaded, ShardId, WriteFailure, entries_from_text, entries_to_text,
 };
+use dalestand_clock::BootInstant;
 use dalestand_edge::{CasOutcome, KeyValue, LeaseId, PlatformError, WriteExpectation};
 use dalestand_types::Revision;
 use error_stack::Report;
@@ -23,7 +24,7 @@
 pub(crate) struct ClaimStore {
     key_value: Rc<dyn KeyValue>,
     /// The lease that new segments hang on, and when it was asked for.
-    segment_lease: Cell<Option<(LeaseId, Instant)>>,
+    segment_lease: Cell<Option<(LeaseId, BootInstant)>>,
 }
 
 impl ClaimStore {
@@ -110,7 +111,7 @@
         {
             return Ok(lease);
         }
-        let asked_at = Instant::now();
+        let asked_at = BootInstant::now();
         let time_to_live = CLAIM_LIFETIME + SEGMENT_LEASE_USE * 2;
         let lease = self.key_value.grant_lease(time_to_live).await?;
         self.segment_lease.set(Some((lease, asked_at)));
