A soak: real nodes as processes under faults from a seed, promises checked on what callers and engines saw

Change: platform/soak, program dalestand-soak: stand-ins of the store and of engines, callers of all kinds that keep their connections, thirteen kinds of faults drawn from a seed, nine checks as pure functions, each shown to fail on a history that breaks it.

--- /dev/null
+++ b/cmd/tests/soak.rs
@@ -0,0 +1,44 @@
+//! Seeded runs of real nodes under faults, short enough for each build; longer ones by hand, as
+//! docs/SOAK.md tells.
+
+use std::time::Duration;
+
+use dalestand_soak::run::{RunTerms, play};
+use dalestand_soak::schedule::{FAULT_KINDS, FaultKind};
+use rstest::rstest;
+
+/// Planned work, and requests that end engines: every promise is judged.
+const CALM_KINDS: [FaultKind; 4] = [
+    FaultKind::NodeStopped,
+    FaultKind::EngineDrained,
+    FaultKind::RouteAdded,
+    FaultKind::DeadlyRequest,
+];
+
+/// Seeds that once broke something stand here for good, with what it was.
+#[rstest]
+#[case::faults_of_all_kinds(1, &FAULT_KINDS)]
+#[case::requests_that_come_often_refused_after_all_nodes_were_killed(119, &FAULT_KINDS)]
+#[case::planned_work_and_deadly_requests(3, &CALM_KINDS)]
+fn a_seeded_run_breaks_nothing(#[case] seed: u64, #[case] kinds: &[FaultKind]) {
+    let folder = std::env::temp_dir().join(format!("dalestand-soak-{}", std::process::id()));
+    let terms = RunTerms {
+        seed,
+        kinds: kinds.to_vec(),
+        length: Duration::from_secs(30),
+        nodes: 3,
+        engines: 6,
+        program: env!("CARGO_BIN_EXE_dalestand").into(),
+        folder: folder.join(format!("seed-{seed}")),
+    };
+    let report = play(&terms).expect("a run");
+    assert!(!report.history.tries.is_empty());
+    assert!(
+        report.violations.is_empty(),
+        "logs in {}: {:#?}",
+        terms.folder.display(),
+        report.violations
+    );
+    // What ran without a violation needs no logs; what cannot be removed stays in the system's folder.
+    let _ = std::fs::remove_dir_all(&terms.folder);
+}
