--- a/cmd/src/bin/dalestand.rs
+++ b/cmd/src/bin/dalestand.rs
@@ -3,13 +3,14 @@
 use std::process::ExitCode;
 
 use dalestand_cmd::exit::{Exit, usage_error};
-use dalestand_cmd::{dev, forward, node};
+use dalestand_cmd::{dev, forward, node, stopped};
 
 const USAGE: &str = "usage: dalestand COMMAND [flags]
 
 commands:
   node      run a node for OpenAI callers
   forward   run a node that serves opaque requests by routes
+  stopped   list requests that are refused because engines ended under them, release one
   dev       run stand-ins and two nodes on loopback
   check     list every fault of a file
 
@@ -29,6 +30,7 @@
     match command {
         "node" => node::run(arguments),
         "forward" => forward::run(arguments),
+        "stopped" => stopped::run(arguments),
         "dev" => dev::run(arguments),
         "check" => node::check(arguments),
         "--help" | "-h" | "help" => {
--- a/cmd/src/lib.rs
+++ b/cmd/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod node;
 pub mod operator;
 pub mod report;
+pub mod stopped;
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`spread`]: fleet-wide state on its way between nodes.
 //! * [`roles`]: the lease under which one node acts for all, and the engines' roles.
 //! * [`duties`]: what else that node does for all.
+//! * [`quarantine`]: requests that end the engines that run them.
 //! * [`node`]: settings, start, reload, stop, figures.
 //!
 //! The platform's words come in through the traits of `dalestand_edge::routed`.
@@ -24,4 +25,5 @@
 pub use fleet::engines::{Fleet, FleetEngine};
 pub use node::settings::{DutySettings, ForwardingSettings, SettingsFault, UsageSettings};
 pub use node::start::{ForwardingNode, ReadSettings, run};
+pub use quarantine::operator::{release_request, stopped_requests};
 pub use serve::event_stream::{EventSplitter, StreamEvent};
--- a/crates/forwarding/src/quarantine/mod.rs
+++ b/crates/forwarding/src/quarantine/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod engine_end;
 pub(crate) mod evidence;
 pub(crate) mod fleet_key;
+pub(crate) mod operator;
 pub(crate) mod run_watch;
 pub(crate) mod stored_stops;
 pub(crate) mod trial;
--- a/crates/forwarding/src/quarantine/stored_stops.rs
+++ b/crates/forwarding/src/quarantine/stored_stops.rs
@@ -13,7 +13,7 @@
 use crate::quarantine::evidence::take_all;
 
 /// Leading part of the keys; the fingerprint follows.
-const STOPPED_PREFIX: &str = "dalestand/quarantine/stopped/";
+pub(crate) const STOPPED_PREFIX: &str = "dalestand/quarantine/stopped/";
 
 /// Pause after a failed write.
 const FAILURE_PAUSE: Duration = Duration::from_millis(500);
