--- /dev/null
+++ b/crates/quarantine/benches/fingerprint.rs
@@ -0,0 +1,52 @@
+//! What a request's fingerprint costs, by the length of its body; what noting a completion does.
+
+use std::hint::black_box;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use dalestand_quarantine::{CrashLedger, FingerprintKey, RequestIdentity};
+use dalestand_types::MonotonicTime;
+
+fn fingerprints(criterion: &mut Criterion) {
+    let key = FingerprintKey::generate();
+    let mut group = criterion.benchmark_group("fingerprint");
+    for length in [0_usize, 400, 17_000, 100_000, 1 << 20] {
+        let body = vec![7; length];
+        let identity = RequestIdentity {
+            method: "POST",
+            host: "a.example",
+            path: "/route/part/of/a/path?page=11",
+            caller: Some("curators"),
+            body: &body,
+        };
+        group.bench_with_input(
+            BenchmarkId::from_parameter(length),
+            &identity,
+            |bench, one| {
+                bench.iter(|| key.fingerprint(black_box(one)));
+            },
+        );
+    }
+    group.finish();
+}
+
+fn completions(criterion: &mut Criterion) {
+    let key = FingerprintKey::generate();
+    let mut ledger = CrashLedger::default();
+    let mut number = 0_u64;
+    criterion.bench_function("completed", |bench| {
+        bench.iter(|| {
+            number += 1;
+            let fingerprint = key.fingerprint(&RequestIdentity {
+                method: "GET",
+                host: "a",
+                path: "/",
+                caller: None,
+                body: &number.to_le_bytes(),
+            });
+            ledger.completed(MonotonicTime(number * 1_000), fingerprint)
+        });
+    });
+}
+
+criterion_group!(benches, fingerprints, completions);
+criterion_main!(benches);
