Stopped requests are told by turns of whole seconds; a follower's test reads the boot clock

Cause: read as a newcomer: a bare figure in the turn of what relays tell, and the last Instant of the fleet's folder. Change: as the title says.

--- a/crates/forwarding/src/fleet/follow/tests.rs
+++ b/crates/forwarding/src/fleet/follow/tests.rs
@@ -2,9 +2,10 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_trait::async_trait;
+use dalestand_clock::BootInstant;
 use dalestand_edge::{
     CasOutcome, Entry, KeyValue, LeaseId, Listing, PlatformError, WatchBatch, WatchEvent,
     WriteExpectation,
@@ -316,7 +317,7 @@
     let seen = Rc::new(RefCell::new(Vec::new()));
     let task = task(Rc::new(ReadOnly(Rc::clone(&service))), Regained::default());
     let following = follow(task, Gathering(Rc::clone(&seen)), always());
-    let begun = Instant::now();
+    let begun = BootInstant::now();
     let changing = async {
         for _ in 0..CHANGES {
             service.revision.set(service.revision.get() + 1);
--- a/crates/forwarding/src/quarantine/evidence.rs
+++ b/crates/forwarding/src/quarantine/evidence.rs
@@ -2,6 +2,7 @@
 
 use dalestand_quarantine::{CrashRecord, EngineRun, RequestFingerprint, Taken};
 use dalestand_telemetry::{Event, log_event};
+use dalestand_types::MonotonicTime;
 
 use crate::context::Context;
 
@@ -129,7 +130,9 @@
     }
     let stopped = ledger.stopped(context.now());
     let turns = stopped.len().div_ceil(MAX_TOLD).max(1);
-    let turn = context.now().0 as usize / 1_000_000 % turns;
+    // Messages with records go out about once a second.
+    let seconds = context.now().since(MonotonicTime::ZERO).as_secs();
+    let turn = (seconds % turns as u64) as usize;
     let told = stopped.into_iter().skip(turn * MAX_TOLD).take(MAX_TOLD);
     told.flat_map(|(_, records)| records).collect()
 }
