--- a/crates/forwarding/tests/crashing_requests.rs
+++ b/crates/forwarding/tests/crashing_requests.rs
@@ -252,7 +252,8 @@
         let (slow_id, deadly_id) = (format!("slow-{round}"), format!("deadly-{round}"));
         let deadly = node.request(&deadly_id, DEADLY);
         let slow = node.request(&slow_id, SLOW);
-        tokio::join!(crash, deadly, slow);
+        let ((), _, slow) = tokio::join!(crash, deadly, slow);
+        assert_eq!(status(&slow), "502", "it ended with its engine: {slow}");
         node.store.write(&format!("engines/{name}"), None);
         node.settle().await;
     }
