Starts: entries page by page and in a third of the bytes; parts asked for some at a time

Members were told all parts known, without bound.

Change: relays take each page in as it comes; entries travel as a list without names (102 bytes with the key); a first reading is not told as changes; one line for many; 8 engines asked at a time; 4,096 parts told. Relays ask for changes after up to 64 ms for each relay, a quarter of the drain bound at most. Figures: time and age of a choice, news dropped, entries, parts, collisions.

--- a/crates/edge/src/key_value.rs
+++ b/crates/edge/src/key_value.rs
@@ -34,6 +34,15 @@
     pub entries: Vec<Entry>,
 }
 
+/// Some keys under a prefix, in order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListingPage {
+    /// The keys.
+    pub listing: Listing,
+    /// Whether there are more after the last of them.
+    pub has_more: bool,
+}
+
 /// What a compare-and-swap demands of the key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -85,6 +94,23 @@
     /// Reads all keys that start with `prefix`.
     async fn range(&self, prefix: &str) -> Result<Listing, Report<PlatformError>>;
 
+    /// Reads keys that start with `prefix`, those after the key `after`: as many as the service gives at
+    /// a time. Pages are no snapshot.
+    async fn page(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+    ) -> Result<ListingPage, Report<PlatformError>> {
+        let mut listing = self.range(prefix).await?;
+        listing
+            .entries
+            .retain(|entry| after.is_none_or(|after| entry.key.as_str() > after));
+        Ok(ListingPage {
+            listing,
+            has_more: false,
+        })
+    }
+
     /// Writes `key` if the expectation holds; `None` as value deletes it. With a lease, the key
     /// goes when the lease does.
     async fn compare_and_swap(
--- /dev/null
+++ b/crates/forwarding/src/fleet/declaration.rs
@@ -0,0 +1,75 @@
+//! The declaration in force, from the key-value service or from a relay.
+
+use std::rc::Rc;
+
+use dalestand_clock::BootInstant;
+use dalestand_dissemination::LONGEST_CARRIED;
+use dalestand_edge::{Listing, WatchEvent};
+use dalestand_routes::RouteTable;
+use dalestand_telemetry::{Event, log_event};
+
+use crate::context::Context;
+use crate::fleet::follow::Follower;
+
+/// The text of the declaration in force, for other nodes.
+#[derive(Clone, Debug)]
+pub(crate) struct DeclarationText {
+    /// Its revision.
+    pub(crate) revision: u64,
+    /// The text, as it stands in the key-value service.
+    pub(crate) text: Rc<str>,
+}
+
+/// Brings a declaration into force, unless a newer one is.
+pub(crate) fn take(context: &Context, text: &str) {
+    let read = context.form.read_configuration(text);
+    let table = read.and_then(|file| {
+        RouteTable::new(file).map_err(|faults| {
+            let faults = faults.iter().map(ToString::to_string);
+            faults.collect::<Vec<_>>().join("; ")
+        })
+    });
+    let table = match table {
+        Ok(table) => table,
+        Err(error) => {
+            log_event!(context.logger, Event::ConfigurationUnusable, "error" => error);
+            return;
+        }
+    };
+    let (revision, routes) = (table.revision().0, table.route_count());
+    if context.set_table(table) {
+        let text = (text.len() <= LONGEST_CARRIED).then(|| DeclarationText {
+            revision,
+            text: Rc::from(text),
+        });
+        context.spread.declaration.replace(text);
+        log_event!(context.logger, Event::ConfigurationInForce,
+            "revision" => revision, "routes" => routes);
+    }
+}
+
+/// Brings declarations into force as the key-value service tells of them.
+pub(crate) struct DeclarationFollower(pub(crate) Rc<Context>);
+
+impl Follower for DeclarationFollower {
+    fn confirmed(&self, called_at: BootInstant) {
+        self.0.declaration_confirmed(called_at);
+    }
+
+    fn listed(&self, listing: Listing, _regained: bool) {
+        let key = self.0.form.configuration_key();
+        let entries = listing.entries.iter();
+        for entry in entries.filter(|entry| entry.key == key) {
+            take(&self.0, &entry.value);
+        }
+    }
+
+    fn changed(&self, events: Vec<WatchEvent>) {
+        let key = self.0.form.configuration_key();
+        for event in events.iter().filter(|event| event.key == key) {
+            if let Some(value) = &event.value {
+                take(&self.0, value);
+            }
+        }
+    }
+}
--- a/crates/forwarding/src/fleet/engine_entries.rs
+++ b/crates/forwarding/src/fleet/engine_entries.rs
@@ -1,29 +1,30 @@
 //! Engines' own entries, from the key-value service or from a relay.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use dalestand_clock::sleep;
 use dalestand_dissemination::EntryRecord;
 use dalestand_edge::routed::EngineEntry;
-use dalestand_edge::{Listing, WatchEvent};
+use dalestand_edge::{Entry, Listing, WatchEvent};
 use dalestand_routing::staged::EngineKey;
 use dalestand_telemetry::{Event, log_event};
 
 use crate::context::Context;
+use crate::fleet::entry_text;
 use crate::fleet::follow::Follower;
 use crate::quarantine::engine_end::{EndProof, engine_ended};
 use crate::spread::recent_changes::ChangeSource;
 
 /// Relays ask for changes of engines' entries again after up to this time for each relay, at random.
-/// Whichever asks first tells the others within 25 ms, so that the fleet hears of a change after a few
-/// tens of milliseconds, however many relays there are, and a change costs few calls: a quarter fewer
-/// in a fleet of 63 nodes with 12 relays than when all asked again after 48 ms.
-const ENGINES_GATHERED_PER_RELAY: Duration = Duration::from_millis(32);
+/// Whichever asks first tells the others within an exchange: of 18 relays one asks after 61 ms on
+/// average, whatever their number. Half of the time costs twice the calls.
+const ENGINES_GATHERED_PER_RELAY: Duration = Duration::from_millis(64);
 
-/// Longest time after which a relay asks again. It is part of the time in which an engine that leaves
-/// still gets requests where a relay hears of no other, so it is a quarter of the shortest drain bound.
-const ENGINES_GATHERED: Duration = Duration::from_millis(500);
+/// Share of the time for which an engine that leaves still serves, after which a relay asks again at the
+/// latest: a relay that hears of no other still knows in time.
+const GATHERED_DRAIN_SHARE: f64 = 0.25;
 
 /// Engines whose entries lapsed while the key-value service was away have written them again within
 /// this time of its return, as the platform promises; one that has not is gone.
@@ -34,6 +35,13 @@
 /// take them for lapsed does no harm.
 const LAPSE_SHARE: f64 = 0.1;
 
+/// Most changes at a time that are logged one by one. A start tells of all engines at once, and a line for
+/// each of 10,000 takes longer than to take them in.
+const LOGGED_EACH: usize = 16;
+
+/// Most changes found by one reading of the key-value service that are sent to other nodes by themselves.
+const READ_CHANGES_SENT: usize = 256;
+
 /// Takes changed entries in; what is newer than what was known is brought into force.
 pub(crate) fn take(context: &Context, records: Vec<EntryRecord>, source: ChangeSource) {
     let mut entries = context.spread.entries.borrow_mut();
@@ -50,12 +58,19 @@
     if records.is_empty() {
         return;
     }
-    context.spread.changes.borrow_mut().push(&records, source);
+    pass_on(context, &records, source);
+    let is_logged_each = records.len() <= LOGGED_EACH;
+    if !is_logged_each {
+        log_event!(context.logger, Event::EnginesListed, "changes" => records.len(),
+            "source" => ?source);
+    }
     let mut changes = Vec::new();
     for record in records {
         let Some(value) = &record.value else {
-            log_event!(context.logger, Event::EngineGone, "key" => &record.key,
-                "revision" => record.revision, "source" => ?source);
+            if is_logged_each {
+                log_event!(context.logger, Event::EngineGone, "key" => &record.key,
+                    "revision" => record.revision, "source" => ?source);
+            }
             if let Some(entry) = context.entry(&record.key).filter(|entry| entry.accepting) {
                 let engine = EngineKey::of(&entry.run);
                 engine_ended(context, engine, &entry.run, EndProof::EntryGone);
@@ -63,21 +78,44 @@
             changes.push((record.key, None));
             continue;
         };
-        if let Some(entry) = read(context, &record.key, value) {
+        let entry = match entry_text::read(value) {
+            Ok(entry) => entry,
+            Err(error) => {
+                log_event!(context.logger, Event::EngineUnreadable, "key" => &record.key,
+                    "error" => %error);
+                continue;
+            }
+        };
+        if is_logged_each {
             log_listed(context, &entry, record.revision, source);
-            changes.push((record.key, Some(entry)));
         }
+        changes.push((record.key, Some(entry)));
     }
     context.change_entries(changes);
 }
 
-fn read(context: &Context, key: &str, value: &str) -> Option<EngineEntry> {
-    match context.form.read_engine(key, value) {
+/// Has changed entries sent to other nodes, if this one passes state on. Those of a first reading are
+/// not: relays read for themselves, and members are sent what differs, at the pace that their links bear.
+fn pass_on(context: &Context, records: &[EntryRecord], source: ChangeSource) {
+    let is_first = source == ChangeSource::Reading && records.len() > READ_CHANGES_SENT;
+    if !is_first && context.spread.role(context.now()).is_relay {
+        context.spread.changes.borrow_mut().push(records, source);
+    }
+}
+
+/// An entry of the key-value service as nodes pass it on; as one that is gone if it cannot be read.
+fn record(context: &Context, key: String, value: Option<&str>, revision: u64) -> EntryRecord {
+    let read = value.and_then(|value| match context.form.read_engine(&key, value) {
         Ok(entry) => Some(entry),
         Err(error) => {
-            log_event!(context.logger, Event::EngineUnreadable, "key" => key, "error" => error);
+            log_event!(context.logger, Event::EngineUnreadable, "key" => &key, "error" => error);
             None
         }
+    });
+    EntryRecord {
+        value: read.as_ref().map(entry_text::write),
+        key,
+        revision,
     }
 }
 
@@ -106,28 +144,51 @@
     let mut entries = context.spread.entries.borrow_mut();
     let changes = entries.take_listing(revision, records);
     drop(entries);
-    apply(context, changes, ChangeSource::Store);
+    apply(context, changes, ChangeSource::Reading);
 }
 
 /// Takes engines' entries from the key-value service.
-pub(crate) struct EngineFollower(pub(crate) Rc<Context>);
+pub(crate) struct EngineFollower {
+    context: Rc<Context>,
+    /// What the pages of the reading under way told.
+    listed: RefCell<Vec<EntryRecord>>,
+}
+
+impl EngineFollower {
+    /// A follower that has read nothing.
+    pub(crate) fn new(context: Rc<Context>) -> Self {
+        Self {
+            context,
+            listed: RefCell::default(),
+        }
+    }
+}
 
 impl Follower for EngineFollower {
-    fn listed(&self, listing: Listing, regained: bool) {
-        let records = listing.entries.into_iter().map(|entry| EntryRecord {
-            key: entry.key,
-            value: Some(entry.value),
-            revision: entry.revision.0,
+    fn listing_begins(&self) {
+        self.listed.borrow_mut().clear();
+    }
+
+    fn page(&self, entries: &[Entry]) {
+        let records = entries.iter().map(|entry| {
+            let value = Some(entry.value.as_str());
+            record(&self.context, entry.key.clone(), value, entry.revision.0)
         });
+        let records = records.filter(|record| record.value.is_some());
         let records: Vec<EntryRecord> = records.collect();
-        let context = Rc::clone(&self.0);
+        self.listed.borrow_mut().extend_from_slice(&records);
+        take(&self.context, records, ChangeSource::Reading);
+    }
+
+    fn listed(&self, listing: Listing, regained: bool) {
+        let records = std::mem::take(&mut *self.listed.borrow_mut());
+        let context = Rc::clone(&self.context);
         if !regained {
             take_listing(&context, listing.revision.0, records);
             return;
         }
         // Entries lapse while the service is away and are written again when it is back: what is
         // there counts at once, what is missing a little later, unless it was written meanwhile.
-        take(&context, records.clone(), ChangeSource::Store);
         actix_rt::spawn(async move {
             sleep(LAPSED_ENTRIES_RETURN).await;
             take_listing(&context, listing.revision.0, records);
@@ -136,13 +197,13 @@
 
     fn changed(&self, events: Vec<WatchEvent>) {
         let newest = events.iter().map(|event| event.revision.0).max();
-        let records = events.into_iter().map(|event| EntryRecord {
-            key: event.key,
-            value: event.value,
-            revision: event.revision.0,
+        let context = Rc::clone(&self.context);
+        let events = events.into_iter();
+        let records = events.map(|event| {
+            let revision = event.revision.0;
+            record(&context, event.key, event.value.as_deref(), revision)
         });
         let records: Vec<EntryRecord> = records.collect();
-        let context = Rc::clone(&self.0);
         if !is_lapse(&context, &records) {
             take(&context, records, ChangeSource::Store);
             let mut entries = context.spread.entries.borrow_mut();
@@ -165,8 +226,10 @@
     }
 
     fn gather(&self) -> Duration {
-        let relays = self.0.spread.other_relays().len() as u32 + 1;
-        let longest = (ENGINES_GATHERED_PER_RELAY * relays).min(ENGINES_GATHERED);
+        let relays = self.context.spread.other_relays().len() as u32 + 1;
+        let latest = self.context.settings.engine_drain();
+        let latest = latest.mul_f64(GATHERED_DRAIN_SHARE);
+        let longest = (ENGINES_GATHERED_PER_RELAY * relays).min(latest);
         longest.mul_f64(rand::random_range(0.0..1.0))
     }
 }
--- /dev/null
+++ b/crates/forwarding/src/fleet/entry_text.rs
@@ -0,0 +1,92 @@
+//! Engines' entries as nodes pass them on: what the product needs of an entry, in a third of the bytes of
+//! the entry itself. After a start each node is sent all of them.
+
+#[cfg(test)]
+mod tests;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use dalestand_edge::duty_calls::EngineTenure;
+use dalestand_edge::routed::EngineEntry;
+use dalestand_types::{PoolName, Role, ZoneName};
+use serde::{Deserialize, Serialize};
+
+/// A JSON list without names, in the order of the fields.
+#[derive(Deserialize, Serialize)]
+struct EntryText(
+    Arc<str>,
+    PoolName,
+    SocketAddr,
+    ZoneName,
+    u32,
+    bool,
+    Option<RoleCode>,
+    TenureCode,
+);
+
+#[derive(Clone, Copy, Deserialize, Serialize)]
+enum RoleCode {
+    #[serde(rename = "p")]
+    Prefill,
+    #[serde(rename = "d")]
+    Decode,
+    #[serde(rename = "m")]
+    Mixed,
+}
+
+#[derive(Clone, Copy, Deserialize, Serialize)]
+enum TenureCode {
+    #[serde(rename = "o")]
+    OnDemand,
+    #[serde(rename = "s")]
+    Spot,
+}
+
+/// The text of an entry.
+pub(crate) fn write(entry: &EngineEntry) -> String {
+    let role = entry.role.map(|role| match role {
+        Role::Prefill => RoleCode::Prefill,
+        Role::Decode => RoleCode::Decode,
+        Role::Mixed => RoleCode::Mixed,
+    });
+    let tenure = match entry.tenure {
+        EngineTenure::OnDemand => TenureCode::OnDemand,
+        EngineTenure::Spot => TenureCode::Spot,
+    };
+    let text = EntryText(
+        Arc::clone(&entry.run),
+        entry.pool.clone(),
+        entry.address,
+        entry.zone.clone(),
+        entry.slots,
+        entry.accepting,
+        role,
+        tenure,
+    );
+    // Names, numbers and an address: there is nothing in it that JSON has no form for.
+    serde_json::to_string(&text).unwrap_or_default()
+}
+
+/// Reads a text that [`write`] wrote.
+pub(crate) fn read(text: &str) -> Result<EngineEntry, serde_json::Error> {
+    let EntryText(run, pool, address, zone, slots, accepting, role, tenure) =
+        serde_json::from_str(text)?;
+    Ok(EngineEntry {
+        run,
+        pool,
+        address,
+        zone,
+        slots,
+        accepting,
+        role: role.map(|role| match role {
+            RoleCode::Prefill => Role::Prefill,
+            RoleCode::Decode => Role::Decode,
+            RoleCode::Mixed => Role::Mixed,
+        }),
+        tenure: match tenure {
+            TenureCode::OnDemand => EngineTenure::OnDemand,
+            TenureCode::Spot => EngineTenure::Spot,
+        },
+    })
+}
--- /dev/null
+++ b/crates/forwarding/src/fleet/entry_text/tests.rs
@@ -0,0 +1,66 @@
+//! What nodes pass on of an entry is all that the product needs of it, and short.
+
+use std::sync::Arc;
+
+use dalestand_edge::duty_calls::EngineTenure;
+use dalestand_edge::routed::EngineEntry;
+use dalestand_types::{PoolName, Role, ZoneName};
+use proptest::prelude::*;
+use rstest::rstest;
+
+use super::{read, write};
+
+fn entry(role: Option<Role>) -> EngineEntry {
+    EngineEntry {
+        run: Arc::from("i-7f3a91c2"),
+        pool: PoolName::from("caption-llm"),
+        address: ([10, 1, 64, 9], 8080).into(),
+        zone: ZoneName::from("duluth-vault"),
+        slots: 12,
+        accepting: true,
+        role,
+        tenure: EngineTenure::OnDemand,
+    }
+}
+
+proptest! {
+    #[test]
+    fn an_entry_reads_back_as_it_was_written(
+        run in "[ -~]{1,20}",
+        pool in "[ -~]{1,20}",
+        slots in any::<u32>(),
+        accepting in any::<bool>(),
+        role in proptest::option::of(prop_oneof![
+            Just(Role::Prefill),
+            Just(Role::Decode),
+            Just(Role::Mixed),
+        ]),
+        is_spot in any::<bool>(),
+    ) {
+        let entry = EngineEntry {
+            run: Arc::from(run),
+            pool: PoolName::from(pool),
+            slots,
+            accepting,
+            tenure: if is_spot { EngineTenure::Spot } else { EngineTenure::OnDemand },
+            ..entry(role)
+        };
+        prop_assert_eq!(read(&write(&entry)).expect("an entry"), entry);
+    }
+}
+
+/// 10,004 of them reach each node after a start: with their keys a megabyte.
+#[rstest]
+fn an_entry_is_short() {
+    let text = write(&entry(Some(Role::Prefill)));
+    assert!(text.len() <= 80, "{} bytes: {text}", text.len());
+}
+
+#[rstest]
+#[case::nothing("")]
+#[case::cut("[\"i-7f3a91c2\",\"caption-llm\",\"10.1.64.9:80")]
+#[case::of_another_form("{\"run\":\"i-7f3a91c2\"}")]
+#[case::an_address_that_is_none("[\"i-1\",\"p\",\"here\",\"z\",1,true,\"p\",\"o\"]")]
+fn what_is_no_entry_is_not_read(#[case] text: &str) {
+    assert!(read(text).is_err());
+}
--- a/crates/forwarding/src/fleet/follow.rs
+++ b/crates/forwarding/src/fleet/follow.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use dalestand_clock::BootInstant;
-use dalestand_edge::{KeyValue, Listing, PlatformError, WatchEvent};
+use dalestand_edge::{Entry, KeyValue, Listing, PlatformError, WatchEvent};
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::Revision;
 use error_stack::Report;
@@ -46,6 +46,13 @@
 
 /// What is done with keys as they change.
 pub(crate) trait Follower {
+    /// A reading of all keys begins. [`Self::listed`] ends it, unless it fails.
+    fn listing_begins(&self) {}
+
+    /// Some of the keys, as they are read. A reading of many keys takes several calls, and what the
+    /// first of them tells is of use at once.
+    fn page(&self, _entries: &[Entry]) {}
+
     /// All keys, as they stand. `regained` says that the service had failed before.
     fn listed(&self, listing: Listing, regained: bool);
 
@@ -110,7 +117,8 @@
     let prefix = &task.prefix;
     let called_at = BootInstant::now();
     match step(task, progress, follower).await {
-        Ok(next) => {
+        Ok(followed) => {
+            let next = followed.position;
             follower.confirmed(called_at);
             if progress.failures > 0 {
                 log_event!(task.logger, Event::KeyValueRegained, "prefix" => prefix,
@@ -121,6 +129,9 @@
             progress.failures = 0;
             progress.was_read = true;
             progress.position = next;
+            if followed.has_changed {
+                actix_rt::time::sleep(follower.gather()).await;
+            }
         }
         Err(error) => {
             if progress.failures == 0 {
@@ -143,28 +154,67 @@
     }
 }
 
-/// One call; yields where to go on, or `None` if all is to be read again.
+/// What a call has shown.
+struct Followed {
+    /// Where to go on; `None` if all is to be read again.
+    position: Option<Revision>,
+    /// Whether keys have changed.
+    has_changed: bool,
+}
+
+/// One call, or a reading of all.
 async fn step(
     task: &FollowTask,
     progress: &Progress,
     follower: &impl Follower,
-) -> Result<Option<Revision>, Report<PlatformError>> {
+) -> Result<Followed, Report<PlatformError>> {
     let FollowTask { store, prefix, .. } = task;
     let Some(position) = progress.position else {
-        let listing = store.range(prefix).await?;
+        let listing = read_all(task, follower).await?;
         let revision = listing.revision;
         follower.listed(listing, progress.failures > 0);
-        return Ok(Some(revision));
+        return Ok(Followed {
+            position: Some(revision),
+            has_changed: false,
+        });
     };
     let batch = store.watch(prefix, position, task.watch_wait).await?;
     if batch.compacted {
-        return Ok(None);
+        return Ok(Followed {
+            position: None,
+            has_changed: false,
+        });
     }
-    if !batch.events.is_empty() {
+    let has_changed = !batch.events.is_empty();
+    if has_changed {
         follower.changed(batch.events);
-        actix_rt::time::sleep(follower.gather()).await;
     }
-    Ok(Some(batch.revision.max(position)))
+    Ok(Followed {
+        position: Some(batch.revision.max(position)),
+        has_changed,
+    })
+}
+
+/// Reads all keys, page by page. Pages are no snapshot: a watch from the first page's revision tells
+/// what came between.
+async fn read_all(
+    task: &FollowTask,
+    follower: &impl Follower,
+) -> Result<Listing, Report<PlatformError>> {
+    let FollowTask { store, prefix, .. } = task;
+    follower.listing_begins();
+    let mut page = store.page(prefix, None).await?;
+    let revision = page.listing.revision;
+    let mut entries = Vec::new();
+    loop {
+        follower.page(&page.listing.entries);
+        let last = page.listing.entries.last().map(|entry| entry.key.clone());
+        entries.append(&mut page.listing.entries);
+        match last.filter(|_| page.has_more) {
+            Some(last) => page = store.page(prefix, Some(&last)).await?,
+            None => return Ok(Listing { revision, entries }),
+        }
+    }
 }
 
 /// A pause that grows with the failures, spread so that nodes do not call in step.
--- a/crates/forwarding/src/fleet/mod.rs
+++ b/crates/forwarding/src/fleet/mod.rs
@@ -1,7 +1,9 @@
 //! Engines and nodes, as the key-value service and relays tell.
 
+pub(crate) mod declaration;
 pub(crate) mod engine_entries;
 pub(crate) mod engines;
+pub(crate) mod entry_text;
 pub(crate) mod follow;
 pub(crate) mod part_recovery;
 pub(crate) mod placements;
--- a/crates/forwarding/src/fleet/part_recovery.rs
+++ b/crates/forwarding/src/fleet/part_recovery.rs
@@ -2,14 +2,16 @@
 //! knows any: relays read them from the engines themselves, each engine at one relay, which tells
 //! the others.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use dalestand_dissemination::{Placement, PlacementState};
-use dalestand_routing::staged::{PromptPart, StagedEngine, rendezvous_weight};
+use dalestand_routing::staged::{EngineKey, PromptPart, StagedEngine, rendezvous_weight};
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::PoolName;
+use futures_util::stream::{self, StreamExt as _};
 
 use crate::context::Context;
 use crate::fleet::placements::placement;
@@ -27,6 +29,14 @@
 /// Parts told in one placement.
 const PARTS_TOLD_AT_ONCE: usize = 50;
 
+/// Parts that a node which has started is told: 55 KB, which the slowest link of today (20 Mbit/s) carries
+/// in 22 ms. Parts that were used longer ago are read again when they are asked for.
+const PARTS_TOLD: usize = 4_096;
+
+/// Engines that a relay asks at a time. All that fall to it at once, hundreds of a large fleet, would hold
+/// up what the relay is wanted for in that moment: telling its members of the engines.
+const ASKED_AT_ONCE: usize = 8;
+
 /// Recovers the kept parts; ends when all have been asked.
 pub(crate) async fn recover_parts(context: Rc<Context>) {
     while !context.is_ready() {
@@ -37,20 +47,26 @@
     if !context.spread.role(context.now()).is_relay {
         return;
     }
-    for (pool, engine) in own_engines(&context) {
-        actix_rt::spawn(recover(Rc::clone(&context), pool, engine));
-    }
+    let asked = own_engines(&context)
+        .into_iter()
+        .map(|(pool, engine)| recover(Rc::clone(&context), pool, engine));
+    stream::iter(asked)
+        .buffer_unordered(ASKED_AT_ONCE)
+        .for_each(|()| std::future::ready(()))
+        .await;
 }
 
 /// What this node is to tell a node that has just started.
 pub(crate) fn known_parts(context: &Context) -> Vec<Placement> {
+    let mut by_engine: HashMap<EngineKey, Vec<PromptPart>> = HashMap::new();
     let router = context.router.borrow();
-    let fleet = context.fleet();
-    let placements = fleet.engines().flat_map(|(_, engine)| {
-        let mut parts = router.parts.read_parts(engine.key);
-        parts.retain(|part| part.tokens >= SMALLEST_PART_TOKENS);
+    let last = router.parts.last_read(SMALLEST_PART_TOKENS);
+    for (engine, part) in last.take(PARTS_TOLD) {
+        by_engine.entry(engine).or_default().push(part);
+    }
+    let placements = by_engine.into_iter().flat_map(|(engine, parts)| {
         let chunks = parts.chunks(PARTS_TOLD_AT_ONCE);
-        let read = |parts| placement(engine.key, PlacementState::Read, parts, 0);
+        let read = |parts| placement(engine, PlacementState::Read, parts, 0);
         chunks.map(read).collect::<Vec<_>>()
     });
     placements.collect()
--- a/crates/forwarding/src/node/metered_store.rs
+++ b/crates/forwarding/src/node/metered_store.rs
@@ -6,7 +6,8 @@
 use async_trait::async_trait;
 use dalestand_clock::BootInstant;
 use dalestand_edge::{
-    CasOutcome, Entry, KeyValue, LeaseId, Listing, PlatformError, WatchBatch, WriteExpectation,
+    CasOutcome, Entry, KeyValue, LeaseId, Listing, ListingPage, PlatformError, WatchBatch,
+    WriteExpectation,
 };
 use dalestand_types::Revision;
 use error_stack::Report;
@@ -63,6 +64,14 @@
         self.meter("range", self.store.range(prefix)).await
     }
 
+    async fn page(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+    ) -> Result<ListingPage, Report<PlatformError>> {
+        self.meter("page", self.store.page(prefix, after)).await
+    }
+
     async fn compare_and_swap(
         &self,
         key: &str,
--- a/crates/forwarding/src/node/metrics.rs
+++ b/crates/forwarding/src/node/metrics.rs
@@ -8,8 +8,8 @@
 };
 use dalestand_routes::RouteKind;
 use prometheus::{
-    Encoder as _, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
-    Opts, Registry, TextEncoder,
+    Encoder as _, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 use tokio::net::TcpListener;
 
@@ -23,6 +23,9 @@
 /// Upper bounds of the latency histograms, in seconds.
 const LATENCY_BOUNDS: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0, 2.5, 5.0];
 
+/// Upper bounds of the histogram of the time that a choice takes, in seconds.
+const CHOICE_BOUNDS: [f64; 8] = [25e-6, 50e-6, 100e-6, 250e-6, 500e-6, 1e-3, 5e-3, 25e-3];
+
 /// The figures.
 pub(crate) struct ForwardingMetrics {
     registry: Registry,
@@ -45,6 +48,12 @@
     engines: IntGauge,
     nodes: IntGauge,
     configuration: IntGauge,
+    choice_seconds: Histogram,
+    load_age_seconds: Histogram,
+    news_dropped: IntCounter,
+    entries: IntGauge,
+    parts: IntGauge,
+    code_collisions: IntGauge,
     crashes: IntCounter,
     requests_stopped: IntGauge,
 }
@@ -64,6 +73,17 @@
             registry.register(Box::new(latencies.clone()))?;
             Ok::<_, prometheus::Error>(latencies)
         };
+        let histogram = |name: &str, help: &str, bounds: &[f64]| {
+            let options = HistogramOpts::new(name, help).buckets(bounds.to_vec());
+            let histogram = Histogram::with_opts(options)?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok::<_, prometheus::Error>(histogram)
+        };
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
         let gauge = |name: &str, help: &str| {
             let gauge = IntGauge::new(name, help)?;
             registry.register(Box::new(gauge.clone()))?;
@@ -145,14 +165,33 @@
             engines: gauge("engines_accepting", "Engines that take new work.")?,
             nodes: gauge("nodes_known", "Nodes, this one among them.")?,
             configuration: gauge("declaration_revision", "Revision in force; 0 for none.")?,
-            crashes: {
-                let crashes = IntCounter::new(
-                    "engine_crashes_attributed_total",
-                    "Requests that this node had at an engine when that ended.",
-                )?;
-                registry.register(Box::new(crashes.clone()))?;
-                crashes
-            },
+            choice_seconds: histogram(
+                "choice_seconds",
+                "Time of one choice of engines for a prompt.",
+                &CHOICE_BOUNDS,
+            )?,
+            load_age_seconds: histogram(
+                "choice_load_age_seconds",
+                "Mean age of the work that others reported, at each choice for a prompt.",
+                &LATENCY_BOUNDS,
+            )?,
+            news_dropped: counter(
+                "peer_news_dropped_total",
+                "News that were not passed on because too many waited.",
+            )?,
+            entries: gauge("engine_entries", "Engines' entries known.")?,
+            parts: gauge(
+                "prompt_parts_known",
+                "Parts of prompts known to be kept by engines.",
+            )?,
+            code_collisions: gauge(
+                "engine_code_collisions",
+                "Engines whose short number another engine has too.",
+            )?,
+            crashes: counter(
+                "engine_crashes_attributed_total",
+                "Requests that this node had at an engine when that ended.",
+            )?,
             requests_stopped: gauge(
                 "requests_stopped",
                 "Requests that are refused because engines ended under them.",
@@ -194,6 +233,17 @@
         self.duty_calls.with_label_values(&[duty, outcome]).inc();
     }
 
+    /// Notes a choice of engines for a prompt, with the age of the work that decided it.
+    pub(crate) fn chosen(&self, took: Duration, load_age: Duration) {
+        self.choice_seconds.observe(took.as_secs_f64());
+        self.load_age_seconds.observe(load_age.as_secs_f64());
+    }
+
+    /// Notes news that were not passed on.
+    pub(crate) fn news_dropped(&self, count: u64) {
+        self.news_dropped.inc_by(count);
+    }
+
     /// Notes a request that was at an engine when that ended.
     pub(crate) fn crash_attributed(&self) {
         self.crashes.inc();
@@ -210,6 +260,11 @@
     fn text(&self, context: &Context) -> Result<String, prometheus::Error> {
         self.in_flight.set(context.in_flight.count() as i64);
         self.engines.set(context.fleet().len() as i64);
+        let collisions = context.fleet().code_collisions();
+        self.code_collisions.set(collisions as i64);
+        self.entries
+            .set(context.spread.entries.borrow().len() as i64);
+        self.parts.set(context.router.borrow().parts.len() as i64);
         self.nodes.set(context.node_count() as i64);
         let revision = context.table().map_or(0, |table| table.revision().0);
         self.configuration.set(revision as i64);
--- a/crates/forwarding/src/node/start.rs
+++ b/crates/forwarding/src/node/start.rs
@@ -5,25 +5,24 @@
 use std::time::Duration;
 
 use dalestand_clock::BootInstant;
+use dalestand_edge::KeyValue;
 use dalestand_edge::duty_calls::DutyCalls;
 use dalestand_edge::routed::{Dialect, FleetForm};
-use dalestand_edge::{KeyValue, Listing, WatchEvent};
 use dalestand_http_server::{Connections, ServerLimits, serve};
-use dalestand_routes::RouteTable;
 use dalestand_telemetry::{Event, log_event};
 use error_stack::{Report, ResultExt as _};
 use slog::Logger;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
 
 use crate::context::Context;
 use crate::duties::scaling::scale_engines;
 use crate::duties::send_usage;
 use crate::duties::usage_report::report_usage;
 use crate::error::ForwardingError;
+use crate::fleet::declaration::DeclarationFollower;
 use crate::fleet::engine_entries::EngineFollower;
-use crate::fleet::follow::{FollowTask, Follower, Regained, WATCH_WAIT, follow};
+use crate::fleet::follow::{FollowTask, Regained, WATCH_WAIT, follow};
 use crate::fleet::part_recovery::recover_parts;
 use crate::fleet::registration::{NodeFollower, OWN_PREFIX, find_relays, keep_registered};
 use crate::node::metered_store::MeteredStore;
@@ -178,17 +177,15 @@
         watch_wait: WATCH_WAIT,
         logger: context.logger.clone(),
     };
-    // The declaration is read by each node: it must be in force everywhere soon, and it changes
-    // rarely.
-    let always = watch::channel(true).1;
-    let configuration = ConfigurationFollower(Rc::clone(context));
+    let declaration = DeclarationFollower(Rc::clone(context));
     let mut task = start(context.form.configuration_key());
     if let Some(holds) = context.settings.declaration_holds() {
         // Confirmed three times before it no longer holds: a call may be lost.
         task.watch_wait = holds / 3;
     }
-    actix_rt::spawn(follow(task, configuration, always));
-    let engines = EngineFollower(Rc::clone(context));
+    let reading = context.spread.reading_declaration();
+    actix_rt::spawn(follow(task, declaration, reading));
+    let engines = EngineFollower::new(Rc::clone(context));
     let task = start(context.form.engine_prefix());
     actix_rt::spawn(follow(task, engines, context.spread.reading()));
     let authority = context.authority.clone();
@@ -247,56 +244,3 @@
         context.router.borrow_mut().work.sweep(now);
     }
 }
-
-/// Brings declarations into force.
-struct ConfigurationFollower(Rc<Context>);
-
-impl ConfigurationFollower {
-    fn take(&self, value: &str) {
-        let context = &self.0;
-        let read = context.form.read_configuration(value);
-        let table = read.and_then(|file| {
-            RouteTable::new(file).map_err(|faults| {
-                let faults = faults.iter().map(ToString::to_string);
-                faults.collect::<Vec<_>>().join("; ")
-            })
-        });
-        match table {
-            Ok(table) => {
-                let (revision, routes) = (table.revision(), table.route_count());
-                if context.set_table(table) {
-                    log_event!(context.logger, Event::ConfigurationInForce,
-                        "revision" => revision.0, "routes" => routes);
-                }
-            }
-            Err(error) => {
-                log_event!(context.logger, Event::ConfigurationUnusable, "error" => error);
-            }
-        }
-    }
-}
-
-impl Follower for ConfigurationFollower {
-    fn confirmed(&self, called_at: BootInstant) {
-        self.0.declaration_confirmed(called_at);
-    }
-
-    fn listed(&self, listing: Listing, _regained: bool) {
-        let key = self.0.form.configuration_key();
-        for entry in &listing.entries {
-            if entry.key == key {
-                self.take(&entry.value);
-            }
-        }
-    }
-
-    fn changed(&self, events: Vec<WatchEvent>) {
-        for event in events {
-            if event.key == self.0.form.configuration_key()
-                && let Some(value) = &event.value
-            {
-                self.take(value);
-            }
-        }
-    }
-}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -98,6 +98,8 @@
     ForeignFrame = (1503, Warning, "frame of another attempt discarded");
     /// An engine's call ended without a whole answer.
     RunUnfinished = (1504, Info, "run unfinished");
+    /// Many engines' entries appeared, changed or went at once.
+    EnginesListed = (1608, Info, "engines listed");
     /// An engine's own entry appeared or changed.
     EngineListed = (1601, Info, "engine listed");
     /// An engine's own entry went.
