A relay that lost its entry is still sent what changes

Relays among them could not learn that their entries had gone and went on as relays; the others no longer counted them and sent them nothing, so that their members heard of no engine that leaves. The same state was possible before; the guard is that whoever sends a node its sums is sent sums by it, for three seconds after the last.

Test: a relay that lost its entry is still sent what changes. Not yet measured on the whole fleet.

--- a/crates/forwarding/src/spread/mod.rs
+++ b/crates/forwarding/src/spread/mod.rs
@@ -18,6 +18,7 @@
 mod tests;
 
 use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -81,6 +82,8 @@
     directory: RefCell<NodeDirectory>,
     /// The relays that follow from `directory`.
     relays: RefCell<Vec<Relay>>,
+    /// Nodes that sent this one their sums as relays, with when they last did.
+    exchanging: RefCell<HashMap<SocketAddr, MonotonicTime>>,
     /// Until when relays count this node among them.
     addressed_until: Cell<MonotonicTime>,
     /// This node's place, from 0 to 1, among those that read because they hear no relay.
@@ -121,6 +124,7 @@
             node,
             directory: RefCell::default(),
             relays: RefCell::default(),
+            exchanging: RefCell::default(),
             addressed_until: Cell::new(MonotonicTime::ZERO),
             read_place: rand::rng().random_range(0.0..1.0),
             fleet_nodes: Cell::new(1),
@@ -199,9 +203,20 @@
         relays.iter().any(|relay| relay.number == self.node)
     }
 
-    /// Notes that a relay counts this node among the relays.
-    pub(crate) fn addressed(&self, now: MonotonicTime) {
+    /// Notes that the relay at `address` counts this node among the relays.
+    pub(crate) fn addressed(&self, now: MonotonicTime, address: SocketAddr) {
         self.addressed_until.set(now + ADDRESSED);
+        self.exchanging.borrow_mut().insert(address, now);
+    }
+
+    /// Where this node sends its sums: the relays that it knows, and those that send it theirs. A relay
+    /// whose entry was revoked while the key-value service turns it away does not know that it is none,
+    /// and its members listen to it: left out, it would not tell them of engines that leave.
+    pub(crate) fn exchange_addresses(&self, now: MonotonicTime) -> BTreeSet<SocketAddr> {
+        let mut exchanging = self.exchanging.borrow_mut();
+        exchanging.retain(|_, heard_at| now.since(*heard_at) < ADDRESSED);
+        let known = self.other_relays().into_iter().map(|relay| relay.address);
+        known.chain(exchanging.keys().copied()).collect()
     }
 
     /// Notes how many nodes this node's relay counts.
--- a/crates/forwarding/src/spread/receive/exchange.rs
+++ b/crates/forwarding/src/spread/receive/exchange.rs
@@ -17,7 +17,7 @@
 /// Takes an exchange in.
 pub(super) fn take(context: &Context, socket: &UdpSocket, relay: SocketAddr, exchange: Exchange) {
     let spread = &context.spread;
-    spread.addressed(context.now());
+    spread.addressed(context.now(), relay);
     let source = LoadSource::Relay(exchange.node.0);
     take_slice(context, source, exchange.age_ms, &exchange.work);
     take_demand(context, source, exchange.demand);
--- a/crates/forwarding/src/spread/send.rs
+++ b/crates/forwarding/src/spread/send.rs
@@ -130,11 +130,8 @@
     heartbeat_is_due: bool,
 ) -> usize {
     let spread = &context.spread;
-    let others: Vec<SocketAddr> = spread
-        .other_relays()
-        .iter()
-        .map(|relay| relay.address)
-        .collect();
+    let others = spread.exchange_addresses(context.now());
+    let others: Vec<SocketAddr> = others.into_iter().collect();
     let is_member = |source| matches!(source, LoadSource::Member(_));
     let summed = context
         .router
--- a/crates/forwarding/src/spread/tests.rs
+++ b/crates/forwarding/src/spread/tests.rs
@@ -172,7 +172,7 @@
     let at = MonotonicTime::from_millis;
     assert!(!spread.role(at(1_000)).reads_store);
     assert!(spread.role(at(2_100)).reads_store);
-    spread.addressed(at(5_000));
+    spread.addressed(at(5_000), ([127, 0, 0, 1], 9).into());
     assert!(spread.role(at(7_900)).is_relay);
     assert!(!spread.role(at(8_100)).is_relay);
     let entry = |link_mbps| NodeEntry {
@@ -281,3 +281,33 @@
     let left = std::iter::from_fn(|| queue.pop()).count();
     assert_eq!(left, 8_192);
 }
+
+/// Found at 986 nodes: the key-value service turned a third of the nodes away and revoked their leases. A
+/// relay among them went on as one, while the others no longer sent it their sums: its members sent a
+/// request to an engine 5.5 s after that had said that it leaves.
+#[rstest]
+fn a_relay_that_lost_its_entry_is_still_sent_what_changes() {
+    let spread = Spread::new(&settings("link_mbps = 10.0\n"));
+    let at = MonotonicTime::from_millis;
+    let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    let entry = |port| NodeEntry {
+        address: address(port),
+        zone: "z".into(),
+        link_mbps: 10,
+    };
+    spread.change_directory(|nodes| {
+        nodes.set("a", Some(entry(1)));
+        nodes.set("b", Some(entry(2)));
+    });
+    spread.addressed(at(1_000), address(1));
+    spread.change_directory(|nodes| nodes.set("a", None));
+    let sent_to: Vec<SocketAddr> = spread.exchange_addresses(at(1_100)).into_iter().collect();
+    assert_eq!(sent_to, [address(1), address(2)]);
+    spread.addressed(at(3_000), address(1));
+    assert_eq!(spread.exchange_addresses(at(5_900)).len(), 2);
+    assert_eq!(
+        spread.exchange_addresses(at(6_100)).len(),
+        1,
+        "it fell silent"
+    );
+}
