Sight: what an answer says of its engine stands in the account of a call

Change: the platform's reader takes both from an answer's head; a ledger per engine remembers them (routing::staged::signals); the account of a call says what was known when it was made and what its answer said; events 1621 and 1622, three figures. No decision reads the ledger yet.

Conclusion: a call made despite a signal now has a line and a count.

--- a/crates/edge/src/routed.rs
+++ b/crates/edge/src/routed.rs
@@ -12,7 +12,7 @@
 use actix_http::{Method, RequestHead, StatusCode};
 use bytes::Bytes;
 use dalestand_routes::{Caller, PresentedKey};
-use dalestand_types::{PoolName, Role, ZoneName};
+use dalestand_types::{EngineSignals, PoolName, Role, ZoneName};
 
 /// What a caller's request says of itself.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -63,6 +63,8 @@
     pub refused: bool,
     /// The answer carries the engine's mark of a run.
     pub marked: bool,
+    /// What it says of the engine itself.
+    pub signals: EngineSignals,
 }
 
 /// Memory of a prompt that an engine holds for another.
--- a/crates/forwarding/src/fleet/mod.rs
+++ b/crates/forwarding/src/fleet/mod.rs
@@ -8,3 +8,4 @@
 pub(crate) mod part_recovery;
 pub(crate) mod placements;
 pub(crate) mod registration;
+pub(crate) mod signals;
--- a/crates/forwarding/src/node/metrics.rs
+++ b/crates/forwarding/src/node/metrics.rs
@@ -7,6 +7,7 @@
     Answer, Connections, Request, ServerLimits, StatusCode, serve, status_answer, text_answer,
 };
 use dalestand_routes::RouteKind;
+use dalestand_routing::staged::ClosedFor;
 use prometheus::{
     Encoder as _, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
     IntGaugeVec, Opts, Registry, TextEncoder,
@@ -55,6 +56,9 @@
     entries: IntGauge,
     parts: IntGauge,
     code_collisions: IntGauge,
+    calls_despite: IntCounterVec,
+    engines_draining: IntGauge,
+    engines_backing_off: IntGauge,
     crashes: IntCounter,
     requests_stopped: IntGauge,
 }
@@ -193,6 +197,19 @@
                 "engine_code_collisions",
                 "Engines whose short number another engine has too.",
             )?,
+            calls_despite: counters(
+                "engine_calls_despite_total",
+                "Calls to engines that had said that they drain or had asked for backoff.",
+                &["signal"],
+            )?,
+            engines_draining: gauge(
+                "engines_draining",
+                "Engines that have said in an answer that they drain, and are still listed.",
+            )?,
+            engines_backing_off: gauge(
+                "engines_backing_off",
+                "Engines that want no calls of this node now.",
+            )?,
             crashes: counter(
                 "engine_crashes_attributed_total",
                 "Requests that this node had at an engine when that ended.",
@@ -222,6 +239,13 @@
         };
         let calls = self.calls.with_label_values(&[purpose, call.outcome]);
         calls.inc();
+        if let Some(closed) = call.signals.closed {
+            let signal = match closed {
+                ClosedFor::Draining => "draining",
+                ClosedFor::Backoff(_) => "backoff",
+            };
+            self.calls_despite.with_label_values(&[signal]).inc();
+        }
         let latency = self.call_seconds.with_label_values(&[purpose]);
         latency.observe(call.took.as_secs_f64());
     }
@@ -287,6 +311,11 @@
         self.authority_token.set(held.unwrap_or_default() as i64);
         self.usage_counted.set(context.usage.counted() as i64);
         self.report_age_ms.set(report_age.as_millis() as i64);
+        let router = context.router.borrow();
+        self.engines_draining.set(router.signals.draining() as i64);
+        let backing_off = router.signals.backing_off(now);
+        self.engines_backing_off.set(backing_off as i64);
+        drop(router);
         self.requests_stopped.set(stopped_count(context) as i64);
         self.set_repeats_left(context);
         let mut buffer = Vec::new();
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -11,13 +11,14 @@
 use dalestand_engine_link::{AnswerBody, Exchange, ResponseHead, SendError};
 use dalestand_quarantine::CRASHES_ALLOWED;
 use dalestand_routing::staged::{AttemptResult, EngineChoice, EngineKey};
-use dalestand_types::PoolName;
+use dalestand_types::{EngineSignals, PoolName};
 
 use crate::context::Context;
+use crate::fleet::signals;
 use crate::quarantine::engine_end::{EndProof, ask_listener, engine_ended};
 use crate::quarantine::evidence::{crashes, is_stopped};
 use crate::quarantine::run_watch::{RunWatch, Unfinished};
-use crate::serve::progress::{CallPurpose, Progress};
+use crate::serve::progress::{CallPurpose, CallSignals, Progress};
 use crate::serve::work_guard::WorkGuard;
 
 /// An answer's head that was found to be that of this request.
@@ -68,11 +69,23 @@
     learn_former_end(context, progress, call.pool).await;
     // At each call, not only when it came: others may have stopped it meanwhile.
     if is_refused(context, progress) {
-        progress.record(call.purpose, &call.choice, "stopped", Duration::ZERO);
+        progress.record(
+            call.purpose,
+            &call.choice,
+            "stopped",
+            Duration::ZERO,
+            CallSignals::default(),
+        );
         return AttemptEnd::NotSent;
     }
     if progress.is_repeat(call.purpose) && !take_repeat(context, call.pool) {
-        progress.record(call.purpose, &call.choice, "no budget", Duration::ZERO);
+        progress.record(
+            call.purpose,
+            &call.choice,
+            "no budget",
+            Duration::ZERO,
+            CallSignals::default(),
+        );
         return AttemptEnd::NotSent;
     }
     let parts = progress.parts();
@@ -93,6 +106,11 @@
         progress.runs += 1;
     }
     let mut watch = RunWatch::new(context, progress, &engine, call.pool);
+    let closed = context
+        .router
+        .borrow()
+        .signals
+        .closed(context.now(), engine.key);
     let sent_at = BootInstant::now();
     context.sent(progress.sent_bytes());
     let max_connections = context.max_connections(call.pool);
@@ -102,7 +120,8 @@
         .send(&target, max_connections, head, &progress.passed.body);
     let answered = timeout(call.patience, sent).await;
     let took = sent_at.elapsed();
-    let judged = judge(context, progress, answered.ok());
+    let (judged, said) = judge(context, progress, answered.ok());
+    signals::take(context, &engine, said);
     let (end, outcome, result) = match judged {
         Judged::Sound(exchange) => {
             let result = if exchange.head.status.is_server_error() {
@@ -168,7 +187,13 @@
     if !matches!(end, AttemptEnd::NotSent) {
         progress.arrived(call.purpose);
     }
-    let record = progress.record(call.purpose, &choice, outcome, took);
+    let record = progress.record(
+        call.purpose,
+        &choice,
+        outcome,
+        took,
+        CallSignals { closed, said },
+    );
     context.metrics.call(record);
     end
 }
@@ -222,26 +247,27 @@
     context: &Context,
     progress: &Progress,
     answered: Option<Result<Exchange, SendError>>,
-) -> Judged {
+) -> (Judged, EngineSignals) {
+    let nothing = EngineSignals::default();
     let exchange = match answered {
-        None => return Judged::Silent,
-        Some(Err(SendError::NoConnection(_))) => return Judged::NoConnection,
-        Some(Err(SendError::NoListener(_))) => return Judged::NoListener,
-        Some(Err(SendError::NotSent(_))) => return Judged::NotSent,
-        Some(Err(SendError::MayHaveRun(_))) => return Judged::Broken,
+        None => return (Judged::Silent, nothing),
+        Some(Err(SendError::NoConnection(_))) => return (Judged::NoConnection, nothing),
+        Some(Err(SendError::NoListener(_))) => return (Judged::NoListener, nothing),
+        Some(Err(SendError::NotSent(_))) => return (Judged::NotSent, nothing),
+        Some(Err(SendError::MayHaveRun(_))) => return (Judged::Broken, nothing),
         Some(Ok(exchange)) => exchange,
     };
     let head = &exchange.head;
     let facts = context.dialect.read_answer(head.status, &head.headers);
     if facts.id != progress.facts.id {
         // A surplus answer to another request: it proves nothing, and the connection goes.
-        return Judged::Broken;
+        return (Judged::Broken, nothing);
     }
     if facts.refused {
-        return Judged::Refused;
+        return (Judged::Refused, facts.signals);
     }
     if head.status == StatusCode::OK && head.headers.contains_key(CONTENT_ENCODING) {
-        return Judged::Broken;
+        return (Judged::Broken, facts.signals);
     }
-    Judged::Sound(Box::new(exchange))
+    (Judged::Sound(Box::new(exchange)), facts.signals)
 }
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -11,8 +11,10 @@
 use dalestand_edge::routed::RequestFacts;
 use dalestand_quarantine::RequestFingerprint;
 use dalestand_routes::{Caller, RouteTable, RouteTerms};
-use dalestand_routing::staged::{EngineChoice, EngineKey, Expectation, PromptPart, StagedRequest};
-use dalestand_types::PoolName;
+use dalestand_routing::staged::{
+    ClosedFor, EngineChoice, EngineKey, Expectation, PromptPart, StagedRequest,
+};
+use dalestand_types::{EngineSignals, PoolName};
 
 use crate::node::settings::ForwardingSettings;
 
@@ -54,6 +56,36 @@
     unread_tokens: u32,
     /// Whether it was to take the rest from another engine.
     fetches: bool,
+    /// What was known and learnt of the engine beside.
+    pub(crate) signals: CallSignals,
+}
+
+/// What a call has to do with what its engine says of itself.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct CallSignals {
+    /// Why the engine was to get no request when the call was made.
+    pub(crate) closed: Option<ClosedFor>,
+    /// What the answer said.
+    pub(crate) said: EngineSignals,
+}
+
+impl CallSignals {
+    /// The same as the account of a call tells it.
+    fn account(self) -> String {
+        let mut text = String::new();
+        match self.closed {
+            Some(ClosedFor::Draining) => text.push_str(", while it drains"),
+            Some(ClosedFor::Backoff(_)) => text.push_str(", during its backoff"),
+            None => {}
+        }
+        if self.said.drains {
+            text.push_str(", says it drains");
+        }
+        if let Some(backoff) = self.said.backoff {
+            text.push_str(&format!(", asks for {}ms", backoff.as_millis()));
+        }
+        text
+    }
 }
 
 impl CallRecord {
@@ -74,6 +106,7 @@
         if self.fetches {
             text.push_str(", fetches");
         }
+        text.push_str(&self.signals.account());
         text.push(')');
         text
     }
@@ -191,6 +224,7 @@
         choice: &EngineChoice,
         outcome: &'static str,
         took: Duration,
+        signals: CallSignals,
     ) -> &CallRecord {
         self.calls.push_mut(CallRecord {
             purpose,
@@ -201,6 +235,7 @@
             expected_s: choice.expected_s,
             unread_tokens: choice.unread_tokens,
             fetches: choice.fetch_from.is_some(),
+            signals,
         })
     }
 
--- a/crates/forwarding/tests/support/dialect.rs
+++ b/crates/forwarding/tests/support/dialect.rs
@@ -12,10 +12,12 @@
     StageOrder, StageOrderOutcome,
 };
 use dalestand_routes::{ApiKey, PresentedKey, RouteFile};
-use dalestand_types::{PoolName, Role, ZoneName};
+use dalestand_types::{EngineSignals, PoolName, Role, ZoneName};
 
 const ID: HeaderName = HeaderName::from_static("x-id");
 const REFUSED: HeaderName = HeaderName::from_static("x-refused");
+const DRAINS: HeaderName = HeaderName::from_static("x-drains");
+const BACKOFF_MS: HeaderName = HeaderName::from_static("x-backoff-ms");
 const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
 const PROMPT: HeaderName = HeaderName::from_static("x-prompt");
 const PREFILL: HeaderName = HeaderName::from_static("x-prefill");
@@ -59,11 +61,17 @@
     }
 
     fn read_answer(&self, _status: StatusCode, headers: &HeaderMap) -> AnswerFacts {
-        let id = headers.get(ID).and_then(|value| value.to_str().ok());
+        let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
+        let id = text(&ID);
+        let backoff_ms: Option<u64> = text(&BACKOFF_MS).and_then(|text| text.parse().ok());
         AnswerFacts {
             id: id.map(Arc::from),
             refused: headers.contains_key(REFUSED),
             marked: true,
+            signals: EngineSignals {
+                drains: headers.contains_key(DRAINS),
+                backoff: backoff_ms.map(Duration::from_millis),
+            },
         }
     }
 
--- a/crates/routing/src/staged/chooser.rs
+++ b/crates/routing/src/staged/chooser.rs
@@ -9,6 +9,7 @@
 use super::parts::PartDirectory;
 use super::pool::EnginePool;
 use super::reading::ReadingSpeeds;
+use super::signals::SignalLedger;
 use super::starts::StartSpeeds;
 use super::unreported::UnreportedSends;
 use super::work::WorkTable;
@@ -73,6 +74,8 @@
     pub work: WorkTable,
     /// How engines fail.
     pub health: EngineHealth,
+    /// What they say of themselves.
+    pub signals: SignalLedger,
     /// How fast they read.
     pub speeds: ReadingSpeeds,
     /// How fast they begin answers.
@@ -216,6 +219,7 @@
     pub fn forget(&mut self, engine: EngineKey) {
         self.parts.forget(engine);
         self.health.forget(engine);
+        self.signals.forget(engine);
         self.speeds.forget(engine);
     }
 }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -120,6 +120,10 @@
     RequestReleased = (1614, Info, "request released");
     /// A stopped request runs once.
     RequestTried = (1616, Info, "stopped request tried");
+    /// An engine's answer said that the engine drains.
+    EngineDrains = (1621, Info, "engine drains");
+    /// An engine asked this node for a time without calls.
+    EngineBacksOff = (1622, Info, "engine asks for backoff");
     /// What the key-value service keeps of a stopped request could not be read.
     StopUnreadable = (1615, Warning, "stopped request unreadable");
     /// The usage of a window was reported.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -3,6 +3,7 @@
 //! Everything here is plain data: no I/O, no clock, no randomness. Other crates agree on these
 //! types so that the node, the simulator and the tests speak of the same things.
 
+pub mod engine_signals;
 pub mod generation;
 pub mod identifier;
 pub mod load;
@@ -11,6 +12,7 @@
 pub mod role;
 pub mod time;
 
+pub use engine_signals::EngineSignals;
 pub use generation::{
     AttemptId, CacheHandle, FinishReason, GenerationFrame, GenerationRequest, Placement, Priority,
     Refusal, RefusalReason, RequestId, RunState, Usage,
