--- /dev/null
+++ b/crates/forwarding/tests/engine_signals.rs
@@ -0,0 +1,287 @@
+//! Engines that say in their answers that they drain, or for how long they want no calls.
+//!
+//! Seen: an engine that had said that it drains was sent as many requests as before, for twelve seconds,
+//! until the key-value service was back; five engines that had asked one node for three seconds without
+//! calls got one request after the other from it, four of them asked within 4 ms, all refused.
+//! How it came about: the key-value service was away when the engine began to drain, so that its entry
+//! stood at ready; the refusing engines looked idle, being free of work.
+//! Cause: of an answer's head a node read whether its request had run, and nothing of the engine. What it
+//! knew of engines came from their entries, and from a pause of its own making after a refusal.
+//! Proof: each answer here says it, entries don't change, and the engine gets no further request.
+
+#[allow(
+    dead_code,
+    unused_imports,
+    reason = "each test program uses a part of it"
+)]
+mod support;
+
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use rstest::rstest;
+use support::{TestEngine, TestNode, answer, id_of};
+
+/// Backoff that engines of these tests ask for.
+const BACKOFF: Duration = Duration::from_millis(1_500);
+
+/// Calls that may reach an engine after its word: one may have crossed it.
+const CROSSING: usize = 1;
+
+/// Rounds of a series of requests.
+const SERIES: usize = 12;
+
+/// Requests of one round: enough that the engine which takes them is busy and a free one looks better.
+const AT_ONCE: usize = 4;
+
+fn sound(head: &str, stream: &mut TcpStream) {
+    let id = id_of(head);
+    answer(stream, "200 OK", &format!("x-id: {id}\r\n"), "whole");
+}
+
+/// Answers, and says that it drains.
+fn draining(head: &str, stream: &mut TcpStream) {
+    let id = id_of(head);
+    let headers = format!("x-id: {id}\r\nx-drains: 1\r\n");
+    answer(stream, "200 OK", &headers, "whole");
+}
+
+/// Refuses, and says that it drains.
+fn refusing_and_draining(head: &str, stream: &mut TcpStream) {
+    let id = id_of(head);
+    let headers = format!("x-id: {id}\r\nx-refused: 1\r\nx-drains: 1\r\n");
+    answer(stream, "503 Service Unavailable", &headers, "");
+}
+
+/// Fails, and says that it drains.
+fn failing_and_draining(head: &str, stream: &mut TcpStream) {
+    let id = id_of(head);
+    let headers = format!("x-id: {id}\r\nx-drains: 1\r\n");
+    answer(stream, "500 Internal Server Error", &headers, "");
+}
+
+/// Refuses, and asks for a time without calls.
+fn backing_off(head: &str, stream: &mut TcpStream) {
+    let id = id_of(head);
+    let backoff_ms = BACKOFF.as_millis();
+    let headers = format!("x-id: {id}\r\nx-refused: 1\r\nx-backoff-ms: {backoff_ms}\r\n");
+    answer(stream, "503 Service Unavailable", &headers, "");
+}
+
+/// The same, after a while: other requests cross its answer.
+fn backing_off_late(head: &str, stream: &mut TcpStream) {
+    thread::sleep(Duration::from_millis(150));
+    backing_off(head, stream);
+}
+
+/// Answers after a while, so that an engine that answers at once looks better.
+fn slow(head: &str, stream: &mut TcpStream) {
+    thread::sleep(Duration::from_millis(80));
+    sound(head, stream);
+}
+
+fn status(answer: &str) -> &str {
+    answer.split(' ').nth(1).unwrap_or_default()
+}
+
+/// Seconds after which the caller is to come back.
+fn retry_after_s(answer: &str) -> f64 {
+    let line = answer
+        .lines()
+        .find_map(|line| line.strip_prefix("retry-after: "));
+    line.and_then(|value| value.trim().parse().ok())
+        .unwrap_or(0.0)
+}
+
+/// Sends a series of requests, [`AT_ONCE`] at a time, spread over `time`; the answers.
+async fn send_series(node: &TestNode, name: &str, time: Duration) -> Vec<String> {
+    let mut answers = Vec::new();
+    for round in 0..SERIES {
+        let at_once = (0..AT_ONCE).map(|place| async move {
+            let id = format!("{name}-{round}-{place}");
+            node.request(&id, "/r/x").await
+        });
+        answers.extend(futures_util::future::join_all(at_once).await);
+        actix_rt::time::sleep(time / SERIES as u32).await;
+    }
+    answers
+}
+
+#[rstest]
+#[case::with_a_whole_answer(draining)]
+#[case::with_a_refusal(refusing_and_draining)]
+#[case::with_a_failure(failing_and_draining)]
+#[actix_rt::test]
+async fn an_engine_that_says_it_drains_gets_no_further_request(
+    #[case] script: support::Script,
+    #[values("repeatable", "once", "stream", "resumable-stream")] kind: &str,
+) {
+    let node = TestNode::start().await;
+    node.declare(1, kind, 3, 1_000);
+    let (leaving, staying) = (TestEngine::start(script), TestEngine::start(slow));
+    node.list("leaving", &leaving, "ready");
+    node.settle().await;
+    node.request("first", "/r/x").await;
+    assert_eq!(leaving.heads().len(), 1);
+    node.list("staying", &staying, "ready");
+    node.settle().await;
+    let answers = send_series(&node, "later", Duration::from_millis(300)).await;
+    assert_eq!(leaving.heads().len(), 1, "its entry still says ready");
+    assert!(
+        answers.iter().all(|answer| status(answer) == "200"),
+        "{answers:?}"
+    );
+}
+
+#[actix_rt::test]
+async fn no_entry_of_the_same_run_takes_back_that_it_drains() {
+    let node = TestNode::start().await;
+    node.declare(1, "repeatable", 3, 1_000);
+    let (leaving, staying) = (TestEngine::start(draining), TestEngine::start(sound));
+    node.list("leaving", &leaving, "ready");
+    node.list("staying", &staying, "ready");
+    node.settle().await;
+    while leaving.heads().is_empty() {
+        node.request("first", "/r/x").await;
+    }
+    // Written again, gone and back: by an engine that has not noticed, or from an older copy.
+    node.list("leaving", &leaving, "ready");
+    node.settle().await;
+    node.store.write("engines/leaving", None);
+    node.settle().await;
+    node.list("leaving", &leaving, "ready");
+    node.settle().await;
+    send_series(&node, "later", Duration::from_millis(200)).await;
+    assert_eq!(leaving.heads().len(), 1);
+    // Another run at the same address is another engine.
+    node.list("leaving-again", &leaving, "ready");
+    node.store.write("engines/staying", None);
+    node.settle().await;
+    node.request("last", "/r/x").await;
+    assert_eq!(leaving.heads().len(), 2);
+}
+
+#[actix_rt::test]
+async fn all_nodes_hear_that_an_engine_drains() {
+    let first = TestNode::start().await;
+    first.declare(1, "repeatable", 3, 1_000);
+    let (leaving, staying) = (TestEngine::start(draining), TestEngine::start(sound));
+    first.list("leaving", &leaving, "ready");
+    first.list("staying", &staying, "ready");
+    let second = first.start_beside("node-2").await;
+    // Nodes find each other by their entries.
+    actix_rt::time::sleep(Duration::from_millis(1_500)).await;
+    while leaving.heads().is_empty() {
+        first.request("first", "/r/x").await;
+    }
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    let before = leaving.heads().len();
+    send_series(&second, "later", Duration::from_millis(300)).await;
+    assert_eq!(leaving.heads().len(), before);
+}
+
+#[rstest]
+#[case::one_after_the_other(backing_off)]
+#[case::crossing(backing_off_late)]
+#[actix_rt::test]
+async fn an_engine_that_asks_for_backoff_gets_no_call_until_it_is_over(
+    #[case] script: support::Script,
+    #[values("repeatable", "once", "resumable-stream")] kind: &str,
+) {
+    let node = TestNode::start().await;
+    node.declare(1, kind, 3, 2_000);
+    let (resting, working) = (TestEngine::start(script), TestEngine::start(slow));
+    node.list("resting", &resting, "ready");
+    node.settle().await;
+    node.request("first", "/r/x").await;
+    assert_eq!(resting.heads().len(), 1);
+    node.list("working", &working, "ready");
+    node.settle().await;
+    let answers = send_series(&node, "later", BACKOFF.mul_f64(0.8)).await;
+    assert!(
+        resting.heads().len() <= 1 + CROSSING,
+        "{} calls",
+        resting.heads().len()
+    );
+    assert!(
+        answers.iter().all(|answer| status(answer) == "200"),
+        "{answers:?}"
+    );
+}
+
+#[actix_rt::test]
+async fn where_all_engines_back_off_the_caller_is_told_until_when_and_none_is_asked() {
+    let node = TestNode::start().await;
+    node.declare(1, "repeatable", 3, 1_000);
+    let engines: Vec<TestEngine> = (0..4).map(|_| TestEngine::start(backing_off)).collect();
+    for (place, engine) in engines.iter().enumerate() {
+        node.list(&format!("e{place}"), engine, "ready");
+    }
+    node.settle().await;
+    let calls = || {
+        engines
+            .iter()
+            .map(|engine| engine.heads().len())
+            .sum::<usize>()
+    };
+    for place in 0..engines.len() {
+        node.request(&format!("first-{place}"), "/r/x").await;
+    }
+    assert_eq!(calls(), engines.len(), "each has refused once");
+    let answers = send_series(&node, "later", Duration::from_millis(300)).await;
+    assert_eq!(calls(), engines.len());
+    for answer in &answers {
+        assert_eq!(status(answer), "503", "{answer}");
+        let told = retry_after_s(answer);
+        assert!(
+            (0.5..=BACKOFF.as_secs_f64() + 0.5).contains(&told),
+            "{told}"
+        );
+    }
+}
+
+#[actix_rt::test]
+async fn a_request_that_is_read_elsewhere_does_not_go_on_at_an_engine_that_drains() {
+    let node = TestNode::start().await;
+    node.declare_prompts(1, "resumable-stream", 3, 3_000);
+    let prefill = TestEngine::start(slow);
+    let (leaving, staying) = (TestEngine::start(draining), TestEngine::start(sound));
+    node.list("prefill", &prefill, "ready prefill");
+    node.list("leaving", &leaving, "ready decode");
+    node.settle().await;
+    let long = async {
+        let headers = "x-id: long\r\nhost: a.example\r\nx-prompt: 20000\r\n";
+        support::get(node.callers, headers, "/r/x").await
+    };
+    let short = async {
+        actix_rt::time::sleep(Duration::from_millis(30)).await;
+        node.request("short", "/r/x").await;
+        node.list("staying", &staying, "ready decode");
+    };
+    let (answered, ()) = tokio::join!(long, short);
+    let heads = prefill.heads();
+    let read_apart = heads.iter().any(|head| head.contains("x-prefill"));
+    assert!(read_apart, "{heads:?}");
+    assert_eq!(status(&answered), "200", "{answered}");
+    let at_leaving = leaving.heads();
+    assert_eq!(at_leaving.len(), 1, "{at_leaving:?}");
+}
+
+#[actix_rt::test]
+async fn calls_return_to_an_engine_one_by_one_after_its_backoff() {
+    let node = TestNode::start().await;
+    node.declare(1, "repeatable", 2, 2_000);
+    let resting = TestEngine::start(backing_off_late);
+    node.list("resting", &resting, "ready");
+    node.settle().await;
+    node.request("first", "/r/x").await;
+    actix_rt::time::sleep(BACKOFF.mul_f64(1.4)).await;
+    let crowd = (0..SERIES).map(|place| {
+        let node = &node;
+        async move { node.request(&format!("crowd-{place}"), "/r/x").await }
+    });
+    let answers = futures_util::future::join_all(crowd).await;
+    assert_eq!(resting.heads().len(), 2, "one asks whether it is over");
+    assert!(answers.iter().all(|answer| status(answer) == "503"));
+}
