What an engine says of draining in an answer takes it out, at every node, for good

Cause: a node read of an answer's head whether its request had run, and nothing of the engine; that an engine drains was learnt from its entry alone, which stood at ready while the key-value service was away. Class: a fact that reaches a node by one way is looked for in another only.

Change: one place sends to engines (serve::engine_send): it looks at what the engine has said when the call goes out, once more when a connection was made, and takes in what the answer says; callers' requests, prefills, repeats, resumed streams, second stages, orders, questions and freed memory pass through it. That a run drains is final: an entry of that run, written again or older, does not bring it back. The message is a kind of its own, so that nodes of the landed build read all others as before. What a draining engine has read is still used; its end is no crash; it does not count among the engines that take work.

The test of a prompt read elsewhere counted a question of the node's own (which parts an engine keeps, before the engine had said anything) as a caller's request; it now counts callers' requests, all of them. Two tests are new: what a draining prefill engine has read is used, and its end under a request is no crash.

Weighed: a field in the entries' table (old builds could not read it), news in the table message (the same), an entry written by the nodes (not theirs to write).

--- a/crates/dissemination/src/lib.rs
+++ b/crates/dissemination/src/lib.rs
@@ -35,9 +35,10 @@
 pub use entry_table::{EntryRecord, EntryTable};
 pub use membership::{NodeDirectory, NodeEntry, NodeNumber, RELAYS_PER_ZONE, Relay};
 pub use message::{
-    EngineCode, EngineLoad, EntriesPage, EntriesRequest, Exchange, HolderAddress, IncludedReport,
-    LoadScope, LoadSlice, LoadsMessage, MESSAGE_VERSION, Message, News, NewsBatch, PartsRequest,
-    PlacedPart, Placement, PlacementState, PoolDemand, Report, RoleChange, Table, UsageReport,
+    DrainingEngines, EngineCode, EngineLoad, EntriesPage, EntriesRequest, Exchange, HolderAddress,
+    IncludedReport, LoadScope, LoadSlice, LoadsMessage, MESSAGE_VERSION, Message, News, NewsBatch,
+    PartsRequest, PlacedPart, Placement, PlacementState, PoolDemand, Report, RoleChange, Table,
+    UsageReport,
 };
 pub use subscribers::Subscribers;
 pub use subscription::{ReportTarget, Subscription};
--- a/crates/dissemination/src/message.rs
+++ b/crates/dissemination/src/message.rs
@@ -42,6 +42,18 @@
     DeclarationRequest(DeclarationRequest),
     /// A relay sends a part of a declaration to a node that asked.
     Declaration(DeclarationPart),
+    /// A node tells which engines have said that they drain. Nodes of builds without it take it for
+    /// unreadable.
+    Draining(DrainingEngines),
+}
+
+/// Engines that have said in an answer that they drain.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub struct DrainingEngines {
+    /// The node that tells.
+    pub node: NodeNumber,
+    /// Numbers of the engines.
+    pub engines: Vec<u64>,
 }
 
 /// The node that holds the lease under which one node acts for all.
--- a/crates/engine-link/src/error.rs
+++ b/crates/engine-link/src/error.rs
@@ -12,6 +12,9 @@
     /// As many connections to the engine are open as this node may have: nothing went out.
     #[error("not sent: all {0} connections are in use")]
     NoConnection(usize),
+    /// The engine was closed to the request while a connection to it was being made: nothing went out.
+    #[error("not sent: the engine takes no requests any more")]
+    Withheld,
     /// Bytes went out and no answer came: the engine may have run it.
     #[error("no answer: {0}")]
     MayHaveRun(String),
@@ -22,7 +25,7 @@
     pub fn is_not_sent(&self) -> bool {
         matches!(
             self,
-            Self::NotSent(_) | Self::NoListener(_) | Self::NoConnection(_)
+            Self::NotSent(_) | Self::NoListener(_) | Self::NoConnection(_) | Self::Withheld
         )
     }
 }
--- a/crates/engine-link/src/link.rs
+++ b/crates/engine-link/src/link.rs
@@ -68,8 +68,27 @@
         max_connections: usize,
         head: RequestHead,
         body: &Bytes,
+    ) -> Result<Exchange, SendError> {
+        let is_open = || true;
+        self.send_while(target, max_connections, head, body, is_open)
+            .await
+    }
+
+    /// The same, unless the engine is closed to the request once there is a connection: to make one takes
+    /// up to the limits' `connect_timeout`.
+    pub async fn send_while(
+        &self,
+        target: &LinkTarget,
+        max_connections: usize,
+        head: RequestHead,
+        body: &Bytes,
+        is_open: impl FnOnce() -> bool,
     ) -> Result<Exchange, SendError> {
         let mut connection = self.connection(target, max_connections).await?;
+        if !is_open() {
+            connection.keep();
+            return Err(SendError::Withheld);
+        }
         let answer = connection.exchange(self.config.clone(), head, body).await?;
         Ok(Exchange::new(connection, answer))
     }
--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -161,9 +161,22 @@
         self.fleet.borrow()
     }
 
-    /// The entry of an engine that is known under `key`.
+    /// The entry of an engine that is known under `key`. What the engine said in an answer counts.
     pub(crate) fn entry(&self, key: &str) -> Option<EngineEntry> {
-        self.entries.borrow().get(key).cloned()
+        let mut entry = self.entries.borrow().get(key).cloned()?;
+        entry.accepting &= !self.drains(EngineKey::of(&entry.run));
+        Some(entry)
+    }
+
+    /// Whether the engine's run has said in an answer that it drains.
+    fn drains(&self, engine: EngineKey) -> bool {
+        self.router.borrow().signals.drains(engine)
+    }
+
+    /// Takes an engine out that has said that it drains; whether that is news here.
+    pub(crate) fn engine_drains(&self, engine: EngineKey) -> bool {
+        let is_news = self.router.borrow_mut().signals.note_draining(engine);
+        is_news && self.fleet.borrow_mut().drain(engine)
     }
 
     /// Notes entries of engines by their keys, or that they are gone.
@@ -185,7 +198,7 @@
                 gone.insert(EngineKey::of(&former.run));
             }
             if let Some(entry) = entry {
-                fleet.set(&entry, table.as_deref());
+                fleet.set(&entry, table.as_deref(), |engine| self.drains(engine));
                 gone.remove(&EngineKey::of(&entry.run));
                 entries.insert(key, entry);
             }
@@ -200,9 +213,9 @@
     pub(crate) fn zone_engines(&self, pool: &PoolName) -> BTreeMap<ZoneName, ZoneEngines> {
         let mut zones: BTreeMap<ZoneName, ZoneEngines> = BTreeMap::new();
         let entries = self.entries.borrow();
-        let accepting = entries
-            .values()
-            .filter(|entry| entry.pool == *pool && entry.accepting);
+        let accepting = entries.values().filter(|entry| {
+            entry.pool == *pool && entry.accepting && !self.drains(EngineKey::of(&entry.run))
+        });
         for entry in accepting {
             let engines = zones.entry(entry.zone.clone()).or_default();
             match entry.tenure {
@@ -217,7 +230,8 @@
     fn rebuild_fleet(&self) {
         let table = self.table();
         let entries = self.entries.borrow();
-        let fleet = Fleet::new(entries.values(), table.as_deref());
+        let drains = |engine| self.drains(engine);
+        let fleet = Fleet::new(entries.values(), table.as_deref(), drains);
         self.fleet.replace(fleet);
     }
 
--- a/crates/forwarding/src/fleet/engines.rs
+++ b/crates/forwarding/src/fleet/engines.rs
@@ -14,6 +14,8 @@
 /// One engine's run.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FleetEngine {
+    /// Its pool.
+    pub pool: PoolName,
     /// Where it listens.
     pub address: SocketAddr,
     /// Names the run.
@@ -40,34 +42,48 @@
     pools: HashMap<PoolName, EnginePool>,
     no_engines: EnginePool,
     engines: HashMap<EngineKey, FleetEngine>,
+    /// Engines that take new work by their entries, and have said in an answer that they drain.
+    draining: BTreeSet<EngineKey>,
     /// Several engines may have the same code.
     codes: BTreeSet<(EngineCode, EngineKey)>,
 }
 
 impl Fleet {
-    /// The engines of `entries` that take new work, under the terms of `table`.
+    /// The engines of `entries` that take new work, under the terms of `table`, but for those that
+    /// `drains` names.
     pub fn new<'e>(
         entries: impl Iterator<Item = &'e EngineEntry>,
         table: Option<&RouteTable>,
+        drains: impl Fn(EngineKey) -> bool,
     ) -> Self {
         let mut fleet = Self::default();
         for entry in entries {
-            fleet.set(entry, table);
+            fleet.set(entry, table, &drains);
         }
         fleet
     }
 
     /// Brings one engine's entry into force. Where thousands of engines change all the time, building
     /// the fleet anew for each change took a third of a small node's processor.
-    pub fn set(&mut self, entry: &EngineEntry, table: Option<&RouteTable>) {
+    pub fn set(
+        &mut self,
+        entry: &EngineEntry,
+        table: Option<&RouteTable>,
+        drains: impl Fn(EngineKey) -> bool,
+    ) {
         self.remove(entry);
         if !entry.accepting {
             return;
         }
         let key = EngineKey::of(&entry.run);
+        if drains(key) {
+            self.draining.insert(key);
+            return;
+        }
         let terms = table.and_then(|table| table.pool(&entry.pool));
         let staged = staged(key, entry, terms.map(|terms| &**terms));
         let engine = FleetEngine {
+            pool: entry.pool.clone(),
             memory_tokens: staged.memory_tokens,
             address: entry.address,
             run: Arc::clone(&entry.run),
@@ -81,16 +97,37 @@
     /// Takes an engine out.
     pub fn remove(&mut self, entry: &EngineEntry) {
         let key = EngineKey::of(&entry.run);
-        if self.engines.remove(&key).is_none() {
-            return;
+        self.draining.remove(&key);
+        self.take_out(key);
+    }
+
+    /// Takes an engine out that has said that it drains, until its entry says so too. Whether it took
+    /// new work.
+    pub fn drain(&mut self, key: EngineKey) -> bool {
+        let took_work = self.take_out(key);
+        if took_work {
+            self.draining.insert(key);
         }
+        took_work
+    }
+
+    /// Engines that take new work by their entries, and have said that they drain.
+    pub fn draining(&self) -> impl ExactSizeIterator<Item = EngineKey> {
+        self.draining.iter().copied()
+    }
+
+    fn take_out(&mut self, key: EngineKey) -> bool {
+        let Some(engine) = self.engines.remove(&key) else {
+            return false;
+        };
         self.codes.remove(&(EngineCode::of(key), key));
-        if let Some(pool) = self.pools.get_mut(&entry.pool) {
+        if let Some(pool) = self.pools.get_mut(&engine.pool) {
             pool.remove(key);
             if pool.is_empty() {
-                self.pools.remove(&entry.pool);
+                self.pools.remove(&engine.pool);
             }
         }
+        true
     }
 
     /// Engines of a pool.
--- a/crates/forwarding/src/fleet/signals.rs
+++ b/crates/forwarding/src/fleet/signals.rs
@@ -1,26 +1,39 @@
-//! What engines say of themselves in their answers.
+//! What engines say of themselves in their answers, as this node and others heard it.
 
-use dalestand_routing::staged::StagedEngine;
+use std::sync::Arc;
+
+use dalestand_routing::staged::{EngineKey, StagedEngine};
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::EngineSignals;
 
 use crate::context::Context;
+use crate::spread::draining::DrainSource;
 
 /// Takes in what an answer says of its engine.
 pub(crate) fn take(context: &Context, engine: &StagedEngine, said: EngineSignals) {
-    let now = context.now();
-    let is_news = {
-        let mut router = context.router.borrow_mut();
-        router.signals.note(now, engine.key, said)
-    };
-    if !is_news {
-        return;
-    }
     if said.drains {
-        log_event!(context.logger, Event::EngineDrains, "engine" => &*engine.run);
+        take_drain(context, engine.key, DrainSource::OwnAnswer);
     }
     if let Some(backoff) = said.backoff {
-        log_event!(context.logger, Event::EngineBacksOff, "engine" => &*engine.run,
-            "backoff_ms" => backoff.as_millis() as u64);
+        let now = context.now();
+        let mut router = context.router.borrow_mut();
+        if router.signals.note_backoff(now, engine.key, backoff) {
+            log_event!(context.logger, Event::EngineBacksOff, "engine" => &*engine.run,
+                "backoff_ms" => backoff.as_millis() as u64);
+        }
+    }
+}
+
+/// Takes an engine out that has said to this node or to another that it drains.
+pub(crate) fn take_drain(context: &Context, engine: EngineKey, source: DrainSource) {
+    let run = context
+        .fleet()
+        .engine(engine)
+        .map(|known| Arc::clone(&known.run));
+    if !context.engine_drains(engine) {
+        return;
     }
+    log_event!(context.logger, Event::EngineDrains, "engine" => run.as_deref().unwrap_or_default(),
+        "source" => ?source);
+    context.spread.draining.push(engine, source);
 }
--- a/crates/forwarding/src/node/metrics.rs
+++ b/crates/forwarding/src/node/metrics.rs
@@ -56,7 +56,7 @@
     entries: IntGauge,
     parts: IntGauge,
     code_collisions: IntGauge,
-    calls_despite: IntCounterVec,
+    calls_withheld: IntCounterVec,
     engines_draining: IntGauge,
     engines_backing_off: IntGauge,
     crashes: IntCounter,
@@ -197,9 +197,9 @@
                 "engine_code_collisions",
                 "Engines whose short number another engine has too.",
             )?,
-            calls_despite: counters(
-                "engine_calls_despite_total",
-                "Calls to engines that had said that they drain or had asked for backoff.",
+            calls_withheld: counters(
+                "engine_calls_withheld_total",
+                "Calls that were not made because the engine had said that it drains or had asked for backoff.",
                 &["signal"],
             )?,
             engines_draining: gauge(
@@ -244,7 +244,7 @@
                 ClosedFor::Draining => "draining",
                 ClosedFor::Backoff(_) => "backoff",
             };
-            self.calls_despite.with_label_values(&[signal]).inc();
+            self.calls_withheld.with_label_values(&[signal]).inc();
         }
         let latency = self.call_seconds.with_label_values(&[purpose]);
         latency.observe(call.took.as_secs_f64());
@@ -311,8 +311,9 @@
         self.authority_token.set(held.unwrap_or_default() as i64);
         self.usage_counted.set(context.usage.counted() as i64);
         self.report_age_ms.set(report_age.as_millis() as i64);
+        self.engines_draining
+            .set(context.fleet().draining().len() as i64);
         let router = context.router.borrow();
-        self.engines_draining.set(router.signals.draining() as i64);
         let backing_off = router.signals.backing_off(now);
         self.engines_backing_off.set(backing_off as i64);
         drop(router);
--- a/crates/forwarding/src/quarantine/mod.rs
+++ b/crates/forwarding/src/quarantine/mod.rs
@@ -6,7 +6,6 @@
 //! relays, for nodes that were cut off, and is kept in the key-value service, for fleets that were
 //! lost as a whole.
 
-pub(crate) mod crash_news;
 pub(crate) mod engine_end;
 pub(crate) mod evidence;
 pub(crate) mod fleet_key;
@@ -22,19 +21,27 @@
 
 use dalestand_edge::KeyValue;
 use dalestand_quarantine::{
-    CrashLedger, EngineRun, FingerprintKey, RequestFingerprint, UnfinishedRuns,
+    CrashLedger, CrashRecord, EngineRun, FingerprintKey, RequestFingerprint, UnfinishedRuns,
 };
 use dalestand_routing::staged::EngineKey;
 use tokio::sync::Notify;
 
-use crate::quarantine::crash_news::CrashNews;
 use crate::quarantine::trial::TrialPauses;
+use crate::spread::repeated_news::{RepeatTerms, RepeatedNews};
 
 /// A run that ends without a whole answer and the end of its engine belong together within this time.
 /// An entry lapses after three heartbeats of its engine, about 1.5 s, and is heard of up to 0.5 s
 /// later, or 2 s later after the key-value service was away.
 const BELONG_TOGETHER: Duration = Duration::from_secs(5);
 
+/// How evidence is told: 1 KB in one message; those that wait are the records of 64 engines of 16 slots
+/// that end at once. What is dropped was near one crash of many.
+const NEWS: RepeatTerms = RepeatTerms {
+    repeats: 3,
+    per_message: 32,
+    waiting: 1_024,
+};
+
 /// What this node knows of requests that end engines.
 pub(crate) struct Quarantine {
     /// The fleet's key, once it was read.
@@ -42,7 +49,7 @@
     unfinished: RefCell<UnfinishedRuns>,
     ledger: RefCell<CrashLedger>,
     /// Evidence of this node that is still to be sent.
-    pub(crate) news: RefCell<CrashNews>,
+    pub(crate) news: RefCell<RepeatedNews<CrashRecord>>,
     /// Requests of whose crashes this node saw one: it has the key-value service keep them once they
     /// are stopped.
     seen_here: RefCell<HashSet<RequestFingerprint>>,
@@ -64,7 +71,7 @@
             key: OnceCell::new(),
             unfinished: RefCell::new(UnfinishedRuns::new(BELONG_TOGETHER)),
             ledger: RefCell::default(),
-            news: RefCell::default(),
+            news: RefCell::new(RepeatedNews::new(NEWS)),
             seen_here: RefCell::default(),
             to_store: RefCell::default(),
             store_wanted: Notify::new(),
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -8,16 +8,16 @@
 use actix_http::header::CONTENT_ENCODING;
 use dalestand_clock::{BootInstant, timeout};
 use dalestand_edge::routed::EngineTerms;
-use dalestand_engine_link::{AnswerBody, Exchange, ResponseHead, SendError};
+use dalestand_engine_link::{AnswerBody, Exchange, LinkTarget, ResponseHead, SendError};
 use dalestand_quarantine::CRASHES_ALLOWED;
 use dalestand_routing::staged::{AttemptResult, EngineChoice, EngineKey};
-use dalestand_types::{EngineSignals, PoolName};
+use dalestand_types::PoolName;
 
 use crate::context::Context;
-use crate::fleet::signals;
 use crate::quarantine::engine_end::{EndProof, ask_listener, engine_ended};
 use crate::quarantine::evidence::{crashes, is_stopped};
 use crate::quarantine::run_watch::{RunWatch, Unfinished};
+use crate::serve::engine_send::{CallContent, CallError, EngineCall, EngineReply, closed, send};
 use crate::serve::progress::{CallPurpose, CallSignals, Progress};
 use crate::serve::work_guard::WorkGuard;
 
@@ -29,6 +29,8 @@
     pub(crate) work: WorkGuard,
     pub(crate) watch: RunWatch,
     pub(crate) sent_at: BootInstant,
+    /// Where it was sent.
+    pub(crate) target: LinkTarget,
     /// Requests at the engine, of all nodes, that had not begun when it was sent.
     pub(crate) before: u32,
 }
@@ -78,6 +80,13 @@
         );
         return AttemptEnd::NotSent;
     }
+    let content = CallContent::Request(progress.facts.id.clone());
+    if let Some(closed) = closed(context, &engine, &content) {
+        let signals = closed.into();
+        let record = progress.record(call.purpose, &choice, "withheld", Duration::ZERO, signals);
+        context.metrics.call(record);
+        return AttemptEnd::NotSent;
+    }
     if progress.is_repeat(call.purpose) && !take_repeat(context, call.pool) {
         progress.record(
             call.purpose,
@@ -106,22 +115,23 @@
         progress.runs += 1;
     }
     let mut watch = RunWatch::new(context, progress, &engine, call.pool);
-    let closed = context
-        .router
-        .borrow()
-        .signals
-        .closed(context.now(), engine.key);
     let sent_at = BootInstant::now();
     context.sent(progress.sent_bytes());
-    let max_connections = context.max_connections(call.pool);
     let target = known.target();
-    let sent = context
-        .link
-        .send(&target, max_connections, head, &progress.passed.body);
+    let sent = send(
+        context,
+        EngineCall {
+            pool: call.pool,
+            engine: &engine,
+            target: &target,
+            head,
+            body: &progress.passed.body,
+            content,
+        },
+    );
     let answered = timeout(call.patience, sent).await;
     let took = sent_at.elapsed();
-    let (judged, said) = judge(context, progress, answered.ok());
-    signals::take(context, &engine, said);
+    let (judged, signals) = judge(answered.ok());
     let (end, outcome, result) = match judged {
         Judged::Sound(exchange) => {
             let result = if exchange.head.status.is_server_error() {
@@ -138,6 +148,7 @@
                 work,
                 watch,
                 sent_at,
+                target,
             };
             (
                 AttemptEnd::Answered(Box::new(answer)),
@@ -159,6 +170,10 @@
             let silent = Some(AttemptResult::Silent);
             (AttemptEnd::NotSent, "no listener", silent)
         }
+        Judged::Withheld => {
+            watch.over();
+            (AttemptEnd::NotSent, "withheld", None)
+        }
         Judged::NoConnection => {
             watch.over();
             (AttemptEnd::NotSent, "no connection", None)
@@ -187,13 +202,7 @@
     if !matches!(end, AttemptEnd::NotSent) {
         progress.arrived(call.purpose);
     }
-    let record = progress.record(
-        call.purpose,
-        &choice,
-        outcome,
-        took,
-        CallSignals { closed, said },
-    );
+    let record = progress.record(call.purpose, &choice, outcome, took, signals);
     context.metrics.call(record);
     end
 }
@@ -239,35 +248,43 @@
     NotSent,
     NoListener,
     NoConnection,
+    Withheld,
     Broken,
     Silent,
 }
 
-fn judge(
-    context: &Context,
-    progress: &Progress,
-    answered: Option<Result<Exchange, SendError>>,
-) -> (Judged, EngineSignals) {
-    let nothing = EngineSignals::default();
-    let exchange = match answered {
+fn judge(answered: Option<Result<EngineReply, CallError>>) -> (Judged, CallSignals) {
+    let nothing = CallSignals::default();
+    let reply = match answered {
         None => return (Judged::Silent, nothing),
-        Some(Err(SendError::NoConnection(_))) => return (Judged::NoConnection, nothing),
-        Some(Err(SendError::NoListener(_))) => return (Judged::NoListener, nothing),
-        Some(Err(SendError::NotSent(_))) => return (Judged::NotSent, nothing),
-        Some(Err(SendError::MayHaveRun(_))) => return (Judged::Broken, nothing),
-        Some(Ok(exchange)) => exchange,
+        Some(Err(CallError::Closed(closed))) => return (Judged::Withheld, closed.into()),
+        Some(Err(CallError::Link(error))) => return (judge_error(&error), nothing),
+        Some(Ok(reply)) => reply,
+    };
+    let signals = CallSignals {
+        said: reply.signals(),
+        ..nothing
     };
-    let head = &exchange.head;
-    let facts = context.dialect.read_answer(head.status, &head.headers);
-    if facts.id != progress.facts.id {
+    if !reply.is_own {
         // A surplus answer to another request: it proves nothing, and the connection goes.
-        return (Judged::Broken, nothing);
+        return (Judged::Broken, signals);
     }
-    if facts.refused {
-        return (Judged::Refused, facts.signals);
+    if reply.facts.refused {
+        return (Judged::Refused, signals);
     }
+    let head = &reply.exchange.head;
     if head.status == StatusCode::OK && head.headers.contains_key(CONTENT_ENCODING) {
-        return (Judged::Broken, facts.signals);
+        return (Judged::Broken, signals);
+    }
+    (Judged::Sound(Box::new(reply.exchange)), signals)
+}
+
+fn judge_error(error: &SendError) -> Judged {
+    match error {
+        SendError::NoConnection(_) => Judged::NoConnection,
+        SendError::NoListener(_) => Judged::NoListener,
+        SendError::NotSent(_) => Judged::NotSent,
+        SendError::Withheld => Judged::Withheld,
+        SendError::MayHaveRun(_) => Judged::Broken,
     }
-    (Judged::Sound(Box::new(exchange)), facts.signals)
 }
--- a/crates/forwarding/src/serve/engine_call.rs
+++ b/crates/forwarding/src/serve/engine_call.rs
@@ -9,6 +9,7 @@
 use dalestand_types::PoolName;
 
 use crate::context::Context;
+use crate::serve::engine_send::{CallContent, EngineCall, send};
 
 /// Time limit of a call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
@@ -25,10 +26,17 @@
     body: Bytes,
 ) -> Option<(StatusCode, Bytes)> {
     let target = context.fleet().engine(engine.key)?.target();
-    let max_connections = context.max_connections(pool);
+    let call = EngineCall {
+        pool,
+        engine,
+        target: &target,
+        head,
+        body: &body,
+        content: CallContent::Own,
+    };
     let exchange = async {
-        let sent = context.link.send(&target, max_connections, head, &body);
-        let mut exchange = sent.await.ok()?;
+        // Who calls logs that nothing came, whatever kept it.
+        let mut exchange = send(context, call).await.ok()?.exchange;
         let body = exchange.body.collect(MAX_ANSWER_BYTES).await.ok()?;
         Some((exchange.head.status, body))
     };
--- /dev/null
+++ b/crates/forwarding/src/serve/engine_send.rs
@@ -0,0 +1,127 @@
+//! The one place from which something is sent to an engine: a caller's request, an order, a question.
+//!
+//! A call is planned some time before it goes out: a prompt is read elsewhere first, a connection is made.
+//! What the engine has said of itself counts at the moment at which the call goes out, and what its answer
+//! says is taken in before anything else is done with it.
+
+use std::sync::Arc;
+
+use actix_http::RequestHead;
+use bytes::Bytes;
+use dalestand_edge::routed::AnswerFacts;
+use dalestand_engine_link::{Exchange, LinkTarget, SendError};
+use dalestand_routing::staged::{ClosedFor, StagedEngine};
+use dalestand_types::{EngineSignals, PoolName};
+
+use crate::context::Context;
+use crate::fleet::signals;
+
+/// What is sent, and where.
+pub(crate) struct EngineCall<'a> {
+    pub(crate) pool: &'a PoolName,
+    pub(crate) engine: &'a StagedEngine,
+    pub(crate) target: &'a LinkTarget,
+    pub(crate) head: RequestHead,
+    pub(crate) body: &'a Bytes,
+    pub(crate) content: CallContent,
+}
+
+/// What a call carries.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum CallContent {
+    /// A caller's request, with its id. An engine that drains gets none.
+    Request(Option<Arc<str>>),
+    /// A call of the node's own: an order, a question, memory to be freed.
+    Own,
+}
+
+impl CallContent {
+    /// The id that its answer carries.
+    fn id(&self) -> Option<&Arc<str>> {
+        match self {
+            Self::Request(id) => id.as_ref(),
+            Self::Own => None,
+        }
+    }
+
+    /// Whether a closed engine gets it all the same.
+    fn is_let_through(&self, closed: ClosedFor) -> bool {
+        *self == Self::Own && closed == ClosedFor::Draining
+    }
+}
+
+/// An answer's head that has come.
+pub(crate) struct EngineReply {
+    pub(crate) exchange: Exchange,
+    pub(crate) facts: AnswerFacts,
+    /// Whether it answers this call. A surplus answer to another one says nothing of its engine now.
+    pub(crate) is_own: bool,
+}
+
+impl EngineReply {
+    /// What it says of its engine.
+    pub(crate) fn signals(&self) -> EngineSignals {
+        if self.is_own {
+            self.facts.signals
+        } else {
+            EngineSignals::default()
+        }
+    }
+}
+
+/// Why no answer's head came.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum CallError {
+    /// The engine is closed to the call; nothing went out.
+    Closed(ClosedFor),
+    /// The exchange failed.
+    Link(SendError),
+}
+
+/// Why the engine is not to get the call now.
+pub(crate) fn closed(
+    context: &Context,
+    engine: &StagedEngine,
+    content: &CallContent,
+) -> Option<ClosedFor> {
+    let router = context.router.borrow();
+    let closed = router.signals.closed(engine.key);
+    closed.filter(|closed| !content.is_let_through(*closed))
+}
+
+/// Sends a call, unless its engine is closed to it, and waits for the head of its answer.
+pub(crate) async fn send(
+    context: &Context,
+    call: EngineCall<'_>,
+) -> Result<EngineReply, CallError> {
+    let EngineCall {
+        pool,
+        engine,
+        target,
+        head,
+        body,
+        content,
+    } = call;
+    if let Some(closed) = closed(context, engine, &content) {
+        return Err(CallError::Closed(closed));
+    }
+    let max_connections = context.max_connections(pool);
+    let is_open = || closed(context, engine, &content).is_none();
+    let link = &context.link;
+    let sent = link.send_while(target, max_connections, head, body, is_open);
+    let exchange = sent.await.map_err(|error| match error {
+        SendError::Withheld => {
+            CallError::Closed(closed(context, engine, &content).unwrap_or(ClosedFor::Draining))
+        }
+        error => CallError::Link(error),
+    })?;
+    let answer = &exchange.head;
+    let facts = context.dialect.read_answer(answer.status, &answer.headers);
+    let reply = EngineReply {
+        is_own: facts.id.as_ref() == content.id(),
+        facts,
+        exchange,
+    };
+    signals::take(context, engine, reply.signals());
+    Ok(reply)
+}
--- a/crates/forwarding/src/serve/mod.rs
+++ b/crates/forwarding/src/serve/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod answer;
 pub(crate) mod attempt;
 pub(crate) mod engine_call;
+pub(crate) mod engine_send;
 pub(crate) mod event_stream;
 pub(crate) mod forward;
 pub(crate) mod headers;
--- a/crates/forwarding/src/serve/prefill.rs
+++ b/crates/forwarding/src/serve/prefill.rs
@@ -14,6 +14,7 @@
 use crate::context::Context;
 use crate::quarantine::run_watch::Unfinished;
 use crate::serve::attempt::{AttemptEnd, Call, EngineAnswer, attempt};
+use crate::serve::engine_send::{CallContent, EngineCall, send};
 use crate::serve::progress::{CallPurpose, Progress};
 
 /// Longest answer to a prefill.
@@ -56,19 +57,25 @@
             return;
         }
         let context = Rc::clone(&self.context);
-        let (pool, target) = (self.pool.clone(), self.target.clone());
+        let (pool, engine, target) = (self.pool.clone(), self.engine.clone(), self.target.clone());
         let (method, path) = context.dialect.free_memory(&self.memory);
         actix_rt::spawn(async move {
             let mut head = RequestHead::default();
             head.method = method;
             let Ok(uri) = path.parse() else { return };
             head.uri = uri;
-            let max_connections = context.max_connections(&pool);
-            let nothing = Bytes::new();
-            let sent = context.link.send(&target, max_connections, head, &nothing);
-            // An engine that cannot be reached frees the memory by itself after a time.
-            if let Ok(Ok(mut exchange)) = tokio::time::timeout(FREE_TIMEOUT, sent).await {
-                let _ = exchange.body.collect(MAX_ANSWER_BYTES).await;
+            let call = EngineCall {
+                pool: &pool,
+                engine: &engine,
+                target: &target,
+                head,
+                body: &Bytes::new(),
+                content: CallContent::Own,
+            };
+            let sent = send(&context, call);
+            // An engine that cannot be reached, or wants no calls, frees the memory by itself after a time.
+            if let Ok(Ok(mut reply)) = tokio::time::timeout(FREE_TIMEOUT, sent).await {
+                let _ = reply.exchange.body.collect(MAX_ANSWER_BYTES).await;
             }
         });
     }
@@ -134,8 +141,7 @@
     answer.work.prompt_read();
     let now = context.now();
     let mut router = context.router.borrow_mut();
-    let known = context.fleet().engine(engine.key).cloned();
-    let (Some(memory), Some(known)) = (memory, known) else {
+    let Some(memory) = memory else {
         router.health.note(now, engine.key, AttemptResult::Failed);
         return PrefillEnd::Failed;
     };
@@ -144,7 +150,7 @@
     PrefillEnd::Held(Box::new(HeldPrompt {
         context: Rc::clone(context),
         pool: pool.clone(),
-        target: known.target(),
+        target: answer.target,
         engine,
         memory,
         taken: false,
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -63,19 +63,28 @@
 /// What a call has to do with what its engine says of itself.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct CallSignals {
-    /// Why the engine was to get no request when the call was made.
+    /// Why the call did not go out.
     pub(crate) closed: Option<ClosedFor>,
     /// What the answer said.
     pub(crate) said: EngineSignals,
 }
 
+impl From<ClosedFor> for CallSignals {
+    fn from(closed: ClosedFor) -> Self {
+        Self {
+            closed: Some(closed),
+            ..Self::default()
+        }
+    }
+}
+
 impl CallSignals {
     /// The same as the account of a call tells it.
     fn account(self) -> String {
         let mut text = String::new();
         match self.closed {
-            Some(ClosedFor::Draining) => text.push_str(", while it drains"),
-            Some(ClosedFor::Backoff(_)) => text.push_str(", during its backoff"),
+            Some(ClosedFor::Draining) => text.push_str(", it drains"),
+            Some(ClosedFor::Backoff(_)) => text.push_str(", in its backoff"),
             None => {}
         }
         if self.said.drains {
--- a/crates/forwarding/src/spread/mod.rs
+++ b/crates/forwarding/src/spread/mod.rs
@@ -7,11 +7,13 @@
 pub(crate) mod bulk;
 mod contents;
 pub(crate) mod datagram;
+pub(crate) mod draining;
 mod news_queue;
 mod own_reports;
 mod pacing;
 pub(crate) mod receive;
 pub(crate) mod recent_changes;
+pub(crate) mod repeated_news;
 pub(crate) mod send;
 pub(crate) mod tables;
 #[cfg(test)]
@@ -33,6 +35,7 @@
 use crate::fleet::declaration::DeclarationText;
 use crate::node::settings::ForwardingSettings;
 use crate::spread::bulk::BulkQueue;
+use crate::spread::draining::DrainNews;
 use crate::spread::news_queue::NewsQueue;
 use crate::spread::own_reports::OwnReports;
 use crate::spread::receive::entries::SentPages;
@@ -105,6 +108,8 @@
     pub(crate) sent_pages: RefCell<Option<SentPages>>,
     /// Nodes that wait to be told of known parts.
     pub(crate) parts_askers: RefCell<Vec<SocketAddr>>,
+    /// Engines that drain, on their way to other nodes.
+    pub(crate) draining: DrainNews,
     /// Long answers on their way to nodes that asked.
     pub(crate) bulk: BulkQueue,
     /// News for members.
@@ -138,6 +143,7 @@
             entry_sync: RefCell::default(),
             sent_pages: RefCell::default(),
             parts_askers: RefCell::default(),
+            draining: DrainNews::default(),
             bulk: BulkQueue::default(),
             table_news: RefCell::default(),
             exchange_news: RefCell::default(),
--- a/crates/forwarding/tests/engine_signals.rs
+++ b/crates/forwarding/tests/engine_signals.rs
@@ -81,6 +81,12 @@
     sound(head, stream);
 }
 
+/// Heads of the callers' requests that an engine was sent. The node has questions of its own, too.
+fn requests(engine: &TestEngine) -> Vec<String> {
+    let heads = engine.heads().into_iter();
+    heads.filter(|head| head.contains("x-id: ")).collect()
+}
+
 fn status(answer: &str) -> &str {
     answer.split(' ').nth(1).unwrap_or_default()
 }
@@ -264,10 +270,58 @@
     let read_apart = heads.iter().any(|head| head.contains("x-prefill"));
     assert!(read_apart, "{heads:?}");
     assert_eq!(status(&answered), "200", "{answered}");
-    let at_leaving = leaving.heads();
+    let at_leaving = requests(&leaving);
     assert_eq!(at_leaving.len(), 1, "{at_leaving:?}");
 }
 
+#[actix_rt::test]
+async fn what_a_draining_engine_has_read_is_used() {
+    let node = TestNode::start().await;
+    node.declare_prompts(1, "resumable-stream", 3, 3_000);
+    let (prefill, decode) = (TestEngine::start(draining), TestEngine::start(sound));
+    node.list("prefill", &prefill, "ready prefill");
+    node.list("decode", &decode, "ready decode");
+    node.settle().await;
+    let headers = "x-id: long\r\nhost: a.example\r\nx-prompt: 20000\r\n";
+    let answered = support::get(node.callers, headers, "/r/x").await;
+    assert_eq!(status(&answered), "200", "{answered}");
+    assert_eq!(requests(&prefill).len(), 1);
+    let at_decode = requests(&decode);
+    assert_eq!(at_decode.len(), 1, "{at_decode:?}");
+    assert!(at_decode[0].contains("x-memory"), "{at_decode:?}");
+}
+
+/// Says to quick requests that it drains, and never answers the others.
+fn draining_and_busy(head: &str, stream: &mut TcpStream) {
+    if head.contains("/r/slow") {
+        thread::sleep(Duration::from_secs(5));
+    } else {
+        draining(head, stream);
+    }
+}
+
+#[actix_rt::test]
+async fn the_end_of_a_draining_engine_is_no_crash() {
+    let node = TestNode::start().await;
+    node.declare(1, "once", 1, 3_000);
+    let leaving = TestEngine::start(draining_and_busy);
+    node.list("leaving", &leaving, "ready");
+    node.settle().await;
+    let slow = node.request("slow", "/r/slow");
+    let ends = async {
+        node.settle().await;
+        node.request("quick", "/r/x").await;
+        leaving.crash();
+        node.store.write("engines/leaving", None);
+        node.settle().await;
+    };
+    let (broken, ()) = tokio::join!(slow, ends);
+    assert_eq!(status(&broken), "502", "{broken}");
+    let figures = support::get(node.metrics, "host: a.example\r\n", "/metrics").await;
+    let attributed = "dalestand_engine_crashes_attributed_total 0";
+    assert!(figures.lines().any(|line| line == attributed), "{figures}");
+}
+
 #[actix_rt::test]
 async fn calls_return_to_an_engine_one_by_one_after_its_backoff() {
     let node = TestNode::start().await;
--- a/crates/forwarding/tests/fleet.rs
+++ b/crates/forwarding/tests/fleet.rs
@@ -45,11 +45,11 @@
                 fleet.remove(&entry);
                 standing.remove(&number);
             } else {
-                fleet.set(&entry, None);
+                fleet.set(&entry, None, |_| false);
                 standing.insert(number, entry);
             }
         }
-        let built = Fleet::new(standing.values(), None);
+        let built = Fleet::new(standing.values(), None, |_| false);
         prop_assert_eq!(fleet.len(), built.len());
         prop_assert_eq!(fleet.is_empty(), built.is_empty());
         for pool in ["pool-0", "pool-1"].map(PoolName::from) {
@@ -85,9 +85,9 @@
     });
     let (code, first, second) = pair.expect("two names with one code");
     let mut fleet = Fleet::default();
-    fleet.set(&named(&first), None);
+    fleet.set(&named(&first), None, |_| false);
     assert_eq!(fleet.code_collisions(), 0);
-    fleet.set(&named(&second), None);
+    fleet.set(&named(&second), None, |_| false);
     assert_eq!(fleet.code_collisions(), 1);
     assert_eq!(fleet.engines_of(code).count(), 2);
     fleet.remove(&named(&first));
--- a/crates/forwarding/tests/support/dialect.rs
+++ b/crates/forwarding/tests/support/dialect.rs
@@ -21,6 +21,7 @@
 const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
 const PROMPT: HeaderName = HeaderName::from_static("x-prompt");
 const PREFILL: HeaderName = HeaderName::from_static("x-prefill");
+const MEMORY: HeaderName = HeaderName::from_static("x-memory");
 const KEY: HeaderName = HeaderName::from_static("x-key");
 const TENANT: HeaderName = HeaderName::from_static("x-tenant");
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
@@ -55,6 +56,10 @@
         if terms.prefill_only {
             headers.insert(PREFILL, HeaderValue::from_static("1"));
         }
+        if let Some((address, _)) = terms.memory {
+            let address = HeaderValue::from_str(&address.to_string());
+            headers.insert(MEMORY, address.expect("an address"));
+        }
         if let Some(event) = terms.last_event {
             headers.insert(LAST_EVENT, HeaderValue::from(event));
         }
--- a/crates/routing/src/staged/signals.rs
+++ b/crates/routing/src/staged/signals.rs
@@ -1,12 +1,13 @@
 //! What engines say of themselves in their answers: that they drain, and for how long they want no calls.
 //!
 //! It reaches a node with the answer, whatever the state of the key-value service, and binds this node
-//! from then on.
+//! from then on. That an engine's run drains is final: an entry of the same run that says otherwise is
+//! older, or was written by an engine that does not know better.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
-use dalestand_types::{EngineSignals, MonotonicTime};
+use dalestand_types::MonotonicTime;
 
 use super::EngineKey;
 
@@ -14,6 +15,10 @@
 /// time, by one call, so that one wrong answer does not lose it for as long as it lives.
 const LONGEST_BACKOFF: Duration = Duration::from_secs(600);
 
+/// Runs that are remembered as draining, the newest: more than end while an older entry of one may still
+/// come from a reading, a relay or a restored service. 130 KB.
+const MOST_DRAINING: usize = 8_192;
+
 /// Why an engine is to get no request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ClosedFor {
@@ -23,57 +28,56 @@
     Backoff(MonotonicTime),
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Record {
-    drains: bool,
-    backoff_until: MonotonicTime,
-}
-
 /// What engines said of themselves.
 #[derive(Clone, Debug, Default)]
 pub struct SignalLedger {
-    engines: HashMap<EngineKey, Record>,
+    draining: HashSet<EngineKey>,
+    /// The same in the order in which they were learnt.
+    draining_order: VecDeque<EngineKey>,
+    backoffs: HashMap<EngineKey, MonotonicTime>,
 }
 
 impl SignalLedger {
-    /// Takes in what an answer that came at `now` says of its engine; whether that is news.
-    pub fn note(&mut self, now: MonotonicTime, engine: EngineKey, signals: EngineSignals) -> bool {
-        if signals.is_empty() {
+    /// Notes that an engine drains; whether that is news.
+    pub fn note_draining(&mut self, engine: EngineKey) -> bool {
+        if !self.draining.insert(engine) {
             return false;
         }
-        let record = self.engines.entry(engine).or_default();
-        let is_news = (signals.drains && !record.drains)
-            || signals.backoff.is_some() && record.backoff_until <= now;
-        record.drains |= signals.drains;
-        if let Some(backoff) = signals.backoff {
-            record.backoff_until = record.backoff_until.max(now + backoff.min(LONGEST_BACKOFF));
+        self.draining_order.push_back(engine);
+        if self.draining_order.len() > MOST_DRAINING
+            && let Some(oldest) = self.draining_order.pop_front()
+        {
+            self.draining.remove(&oldest);
         }
+        true
+    }
+
+    /// Notes that an engine asked at `now` for a time without calls; whether it had not done so before.
+    pub fn note_backoff(&mut self, now: MonotonicTime, engine: EngineKey, asked: Duration) -> bool {
+        let until = self.backoffs.entry(engine).or_default();
+        let is_news = *until <= now;
+        *until = (*until).max(now + asked.min(LONGEST_BACKOFF));
         is_news
     }
 
-    /// Why the engine is to get no request at `now`.
-    pub fn closed(&self, now: MonotonicTime, engine: EngineKey) -> Option<ClosedFor> {
-        let record = self.engines.get(&engine)?;
-        if record.drains {
-            return Some(ClosedFor::Draining);
-        }
-        (now < record.backoff_until).then_some(ClosedFor::Backoff(record.backoff_until))
+    /// Whether the engine's run has said that it drains.
+    pub fn drains(&self, engine: EngineKey) -> bool {
+        self.draining.contains(&engine)
     }
 
-    /// Forgets an engine that is gone.
-    pub fn forget(&mut self, engine: EngineKey) {
-        self.engines.remove(&engine);
+    /// Why the engine is to get no request.
+    pub fn closed(&self, engine: EngineKey) -> Option<ClosedFor> {
+        self.drains(engine).then_some(ClosedFor::Draining)
     }
 
-    /// Engines that have said that they drain.
-    pub fn draining(&self) -> usize {
-        let records = self.engines.values();
-        records.filter(|record| record.drains).count()
+    /// Forgets an engine whose entry is gone, but for that it drains: the entry may come back.
+    pub fn forget(&mut self, engine: EngineKey) {
+        self.backoffs.remove(&engine);
     }
 
     /// Engines that want no calls at `now`.
     pub fn backing_off(&self, now: MonotonicTime) -> usize {
-        let records = self.engines.values();
-        records.filter(|record| now < record.backoff_until).count()
+        let ends = self.backoffs.values();
+        ends.filter(|until| now < **until).count()
     }
 }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -120,7 +120,7 @@
     RequestReleased = (1614, Info, "request released");
     /// A stopped request runs once.
     RequestTried = (1616, Info, "stopped request tried");
-    /// An engine's answer said that the engine drains.
+    /// An engine said in an answer, to this node or to another, that it drains.
     EngineDrains = (1621, Info, "engine drains");
     /// An engine asked this node for a time without calls.
     EngineBacksOff = (1622, Info, "engine asks for backoff");
