An engine that asks for backoff gets no call until it is over, and then one

Cause: as of draining: a node read of a refusal that the request had not run, and paused by a rule of its own (0.1 s, doubling to 1.6 s) that bound nothing: a cost, which any engine is chosen despite where all others cost as much. Four engines that each said no were asked within 4 ms, request after request.

Change: the choice leaves engines out that are in their backoff, for prompts, second stages, affinity and memory to be fetched; the one place that sends looks again. Each refusal binds for as long as it asks, nothing but time ends it (ten minutes at most), each node returns at a moment of its own within a quarter of the time after it, with one call; each one taken up doubles what may be without an answer. Where all engines that could take a request back off, it is refused at once with the earliest return as Retry-After and no engine is asked.

--- a/crates/forwarding/src/fleet/signals.rs
+++ b/crates/forwarding/src/fleet/signals.rs
@@ -16,8 +16,9 @@
     }
     if let Some(backoff) = said.backoff {
         let now = context.now();
+        let place = rand::random_range(0.0..1.0);
         let mut router = context.router.borrow_mut();
-        if router.signals.note_backoff(now, engine.key, backoff) {
+        if router.signals.note_backoff(now, engine.key, backoff, place) {
             log_event!(context.logger, Event::EngineBacksOff, "engine" => &*engine.run,
                 "backoff_ms" => backoff.as_millis() as u64);
         }
--- a/crates/forwarding/src/node/metrics.rs
+++ b/crates/forwarding/src/node/metrics.rs
@@ -242,7 +242,7 @@
         if let Some(closed) = call.signals.closed {
             let signal = match closed {
                 ClosedFor::Draining => "draining",
-                ClosedFor::Backoff(_) => "backoff",
+                ClosedFor::Backoff(_) | ClosedFor::Returning => "backoff",
             };
             self.calls_withheld.with_label_values(&[signal]).inc();
         }
--- a/crates/forwarding/src/serve/answer.rs
+++ b/crates/forwarding/src/serve/answer.rs
@@ -30,6 +30,8 @@
     BodyUnreadable,
     /// No engine takes it now, and it did not run.
     NoEngine,
+    /// All engines that could take it want no calls, and it did not run; one may take it after this time.
+    EnginesBackOff(Duration),
     /// It cannot be answered in time, and it did not run; its caller may come back after this time.
     Overloaded(Duration),
     /// Engines ended under it, and it did not run this time; it may be tried again after so long.
@@ -48,6 +50,7 @@
         match self {
             Self::NoConfiguration
             | Self::NoEngine
+            | Self::EnginesBackOff(_)
             | Self::Overloaded(_)
             | Self::EndsEngines(_)
             | Self::TimeOverNotRun => StatusCode::SERVICE_UNAVAILABLE,
@@ -65,7 +68,9 @@
         match self {
             Self::NoConfiguration => Some(Duration::from_millis(500)),
             Self::NoEngine => Some(Duration::from_millis(300)),
-            Self::Overloaded(time) | Self::EndsEngines(time) => Some(time),
+            Self::Overloaded(time) | Self::EndsEngines(time) | Self::EnginesBackOff(time) => {
+                Some(time)
+            }
             Self::TimeOverNotRun => Some(Duration::from_secs(1)),
             _ => None,
         }
--- a/crates/forwarding/src/serve/engine_send.rs
+++ b/crates/forwarding/src/serve/engine_send.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use dalestand_edge::routed::AnswerFacts;
 use dalestand_engine_link::{Exchange, LinkTarget, SendError};
-use dalestand_routing::staged::{ClosedFor, StagedEngine};
+use dalestand_routing::staged::{CallEnd, ClosedFor, EngineKey, ReturningCall, StagedEngine};
 use dalestand_types::{EngineSignals, PoolName};
 
 use crate::context::Context;
@@ -85,7 +85,7 @@
     content: &CallContent,
 ) -> Option<ClosedFor> {
     let router = context.router.borrow();
-    let closed = router.signals.closed(engine.key);
+    let closed = router.signals.closed(context.now(), engine.key);
     closed.filter(|closed| !content.is_let_through(*closed))
 }
 
@@ -105,8 +105,13 @@
     if let Some(closed) = closed(context, engine, &content) {
         return Err(CallError::Closed(closed));
     }
+    let returning = Returning::new(context, engine.key);
     let max_connections = context.max_connections(pool);
-    let is_open = || closed(context, engine, &content).is_none();
+    // Once it is on its way it is one of those that ask whether the engine takes calls again.
+    let is_open = || {
+        let closed = closed(context, engine, &content);
+        closed.is_none_or(|closed| closed == ClosedFor::Returning)
+    };
     let link = &context.link;
     let sent = link.send_while(target, max_connections, head, body, is_open);
     let exchange = sent.await.map_err(|error| match error {
@@ -123,5 +128,40 @@
         exchange,
     };
     signals::take(context, engine, reply.signals());
+    if reply.is_own && !reply.facts.refused {
+        returning.taken_up();
+    }
     Ok(reply)
 }
+
+/// A call that asks whether an engine takes calls again after its backoff, until its answer's head came.
+/// Dropped, it was not taken up.
+struct Returning<'a> {
+    context: &'a Context,
+    call: Option<ReturningCall>,
+}
+
+impl<'a> Returning<'a> {
+    fn new(context: &'a Context, engine: EngineKey) -> Self {
+        let now = context.now();
+        let call = context.router.borrow_mut().signals.called(now, engine);
+        Self { context, call }
+    }
+
+    fn taken_up(mut self) {
+        self.end(CallEnd::TakenUp);
+    }
+
+    fn end(&mut self, end: CallEnd) {
+        if let Some(call) = self.call.take() {
+            let mut router = self.context.router.borrow_mut();
+            router.signals.came_out(call, end);
+        }
+    }
+}
+
+impl Drop for Returning<'_> {
+    fn drop(&mut self) {
+        self.end(CallEnd::NotTakenUp);
+    }
+}
--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -130,7 +130,7 @@
             }
             Ok(Some(served)) => return Ok(served),
             Ok(None) if may_call_again(context, progress) => {}
-            Ok(None) => return fallback.ok_or(final_failure(progress)),
+            Ok(None) => return fallback.ok_or(final_failure(context, progress)),
             Err(failure) => return fallback.ok_or(failure),
         }
     }
@@ -148,15 +148,28 @@
 }
 
 /// What the caller is told where no further call may be made.
-fn final_failure(progress: &Progress) -> Failure {
+fn final_failure(context: &Context, progress: &Progress) -> Failure {
     match (progress.runs, progress.time_left().is_zero()) {
         (0, true) => Failure::TimeOverNotRun,
-        (0, false) => Failure::NoEngine,
+        (0, false) => {
+            engines_open_in(context, progress).map_or(Failure::NoEngine, Failure::EnginesBackOff)
+        }
         (_, true) => Failure::TimeOver,
         (_, false) => Failure::Unknown,
     }
 }
 
+/// After how long an engine may take the request, where none does now because of what they said.
+fn engines_open_in(context: &Context, progress: &Progress) -> Option<Duration> {
+    let fleet = context.fleet();
+    let now = context.now();
+    let is_of = |engine| {
+        let mut pools = progress.pools.iter();
+        pools.any(|pool| fleet.pool(pool).get(engine).is_some())
+    };
+    context.router.borrow().signals.opens_in(now, is_of)
+}
+
 /// Whether another engine may be asked, as far as the request and the budget allow. The call itself
 /// takes its send from the budget.
 fn may_call_again(context: &Context, progress: &Progress) -> bool {
@@ -188,10 +201,10 @@
         return Err(if progress.runs == 0 {
             Failure::EndsEngines(trial_in(context, fingerprint))
         } else {
-            final_failure(progress)
+            final_failure(context, progress)
         });
     }
-    let plan = choose(context, progress).ok_or_else(|| final_failure(progress))?;
+    let plan = choose(context, progress).ok_or_else(|| final_failure(context, progress))?;
     let link_s = context.uplink.borrow().wait(context.now()).as_secs_f64();
     progress.expected = plan.expected.map(|expected| expected.behind(link_s));
     if let Some(failure) = refused(progress) {
@@ -252,7 +265,7 @@
     }
     match ended {
         // Nothing is left to go on with the memory.
-        None if refusals == 0 => Err(final_failure(progress)),
+        None if refusals == 0 => Err(final_failure(context, progress)),
         None => Ok(None),
         Some(AttemptEnd::Answered(answer)) => {
             note_start(context, &answer);
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -85,6 +85,7 @@
         match self.closed {
             Some(ClosedFor::Draining) => text.push_str(", it drains"),
             Some(ClosedFor::Backoff(_)) => text.push_str(", in its backoff"),
+            Some(ClosedFor::Returning) => text.push_str(", just after its backoff"),
             None => {}
         }
         if self.said.drains {
--- a/crates/routing/src/staged/candidates.rs
+++ b/crates/routing/src/staged/candidates.rs
@@ -31,6 +31,13 @@
     preferred_zone: 6,
 };
 
+/// Engines drawn where all of the first sample are closed or were tried. Where one engine in a hundred is
+/// open, 99 choices in 100 find one.
+const SECOND_SAMPLE: SampleSize = SampleSize {
+    engines: 512,
+    preferred_zone: 256,
+};
+
 /// Draws the engines that are compared.
 #[derive(Clone, Debug)]
 pub struct CandidateDraws(RefCell<ChaCha8Rng>);
@@ -55,22 +62,30 @@
         preferred: &ZoneName,
         request: &StagedRequest,
         known: KnownCandidates<'_>,
+        is_open: impl Fn(EngineKey) -> bool,
     ) -> Vec<&'p StagedEngine> {
         let random = &mut *self.0.borrow_mut();
-        let mut candidates = pool.sample(random, stage, preferred, PROMPT_SAMPLE);
+        let sample = pool.sample(random, stage, preferred, PROMPT_SAMPLE);
+        let mut candidates = open(sample, request, &is_open);
+        if candidates.is_empty() {
+            let sample = pool.sample(random, stage, preferred, SECOND_SAMPLE);
+            candidates = open(sample, request, &is_open);
+        }
         // Where all are compared, nothing is missing.
-        if candidates.len() < pool.count(stage) {
+        if PROMPT_SAMPLE.engines < pool.count(stage) {
             let named = known.parts.holders(&request.parts);
             for key in named.into_iter().chain(known.target) {
                 let engine = pool.get(key).filter(|engine| engine.stage == stage);
                 if let Some(engine) = engine
+                    && is_open(key)
+                    && !request.tried.contains(&key)
                     && !candidates.iter().any(|candidate| candidate.key == key)
                 {
                     candidates.push(engine);
                 }
             }
         }
-        without_tried(candidates, request)
+        candidates
     }
 
     /// Engines for an opaque request.
@@ -79,6 +94,7 @@
         pool: &'p EnginePool,
         preferred: &ZoneName,
         request: &StagedRequest,
+        is_open: impl Fn(EngineKey) -> bool,
     ) -> Vec<&'p StagedEngine> {
         let random = &mut *self.0.borrow_mut();
         // Those that were tried must not use the sample up.
@@ -86,8 +102,13 @@
             engines: OPAQUE_SAMPLE.engines + request.tried.len(),
             preferred_zone: OPAQUE_SAMPLE.preferred_zone + request.tried.len(),
         };
-        let candidates = pool.sample(random, Stage::Opaque, preferred, size);
-        without_tried(candidates, request)
+        let sample = pool.sample(random, Stage::Opaque, preferred, size);
+        let candidates = open(sample, request, &is_open);
+        if !candidates.is_empty() {
+            return candidates;
+        }
+        let sample = pool.sample(random, Stage::Opaque, preferred, SECOND_SAMPLE);
+        open(sample, request, &is_open)
     }
 }
 
@@ -100,10 +121,12 @@
     pub(super) target: Option<EngineKey>,
 }
 
-fn without_tried<'p>(
-    mut candidates: Vec<&'p StagedEngine>,
+/// Engines that were not tried and are not closed to calls.
+fn open<'p>(
+    mut sample: Vec<&'p StagedEngine>,
     request: &StagedRequest,
+    is_open: impl Fn(EngineKey) -> bool,
 ) -> Vec<&'p StagedEngine> {
-    candidates.retain(|engine| !request.tried.contains(&engine.key));
-    candidates
+    sample.retain(|engine| !request.tried.contains(&engine.key) && is_open(engine.key));
+    sample
 }
--- a/crates/routing/src/staged/chooser.rs
+++ b/crates/routing/src/staged/chooser.rs
@@ -117,7 +117,9 @@
         pool: &EnginePool,
         request: &StagedRequest,
     ) -> Option<EngineChoice> {
-        let engines = self.draws.for_opaque(pool, zone, request);
+        let engines = self
+            .draws
+            .for_opaque(pool, zone, request, self.is_open(now));
         let costs = self.opaque_costs(now, zone, &engines);
         best(engines.into_iter().zip(costs))
     }
@@ -184,7 +186,9 @@
             parts: &self.parts,
             target: terms.target,
         };
-        let engines = self.draws.for_prompt(pool, stage, zone, request, known);
+        let engines = self
+            .draws
+            .for_prompt(pool, stage, zone, request, known, self.is_open(now));
         let costs = engines
             .into_iter()
             .map(|engine| (engine, self.prefill_cost(&terms, engine)));
@@ -205,9 +209,9 @@
             target: None,
         };
         let zone = &prefill.zone;
-        let engines = self
-            .draws
-            .for_prompt(pool, Stage::Decode, zone, request, known);
+        let engines =
+            self.draws
+                .for_prompt(pool, Stage::Decode, zone, request, known, self.is_open(now));
         let costs = engines.into_iter().map(|engine| {
             let cost = self.decode_cost(now, request, prefill, unreported, engine);
             (engine, cost)
@@ -215,11 +219,15 @@
         best(costs)
     }
 
+    /// Whether an engine may be called at `now`, as far as what it says of itself goes.
+    pub(super) fn is_open(&self, now: MonotonicTime) -> impl Fn(EngineKey) -> bool {
+        move |engine| self.signals.closed(now, engine).is_none()
+    }
+
     /// Forgets an engine that is gone.
     pub fn forget(&mut self, engine: EngineKey) {
         self.parts.forget(engine);
         self.health.forget(engine);
-        self.signals.forget(engine);
         self.speeds.forget(engine);
     }
 }
--- a/crates/routing/src/staged/cost.rs
+++ b/crates/routing/src/staged/cost.rs
@@ -90,9 +90,11 @@
         request: &'a StagedRequest,
     ) -> PrefillTerms<'a> {
         let affinity = self.affinity(stage, request);
-        let is_new = |key| !request.tried.contains(&key);
+        let is_open = self.is_open(now);
+        let is_new = |key| !request.tried.contains(&key) && is_open(key);
         let target = affinity.and_then(|part| pool.affinity_target(stage, part, is_new));
-        let may_give = |key| pool.get(key).is_some() && !self.health.is_avoided(now, key);
+        let may_give =
+            |key| pool.get(key).is_some() && is_open(key) && !self.health.is_avoided(now, key);
         let holder = self.parts.best_holder(&request.parts, may_give);
         PrefillTerms {
             now,
--- a/crates/routing/src/staged/mod.rs
+++ b/crates/routing/src/staged/mod.rs
@@ -30,7 +30,7 @@
 pub use parts::PartDirectory;
 pub use pool::{EnginePool, SampleSize};
 pub use reading::ReadingSpeeds;
-pub use signals::{ClosedFor, SignalLedger};
+pub use signals::{CallEnd, ClosedFor, ReturningCall, SignalLedger};
 pub use starts::StartSpeeds;
 pub use unreported::{ExpectedSends, UnreportedSends};
 pub use work::{EngineWork, LoadSource, ReportSlice, SummedWork, WorkTable};
--- a/crates/routing/src/staged/signals.rs
+++ b/crates/routing/src/staged/signals.rs
@@ -2,7 +2,8 @@
 //!
 //! It reaches a node with the answer, whatever the state of the key-value service, and binds this node
 //! from then on. That an engine's run drains is final: an entry of the same run that says otherwise is
-//! older, or was written by an engine that does not know better.
+//! older, or was written by an engine that does not know better. Nothing but time ends a backoff: an entry
+//! that lapses and is written again is the same run's.
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
@@ -15,6 +16,24 @@
 /// time, by one call, so that one wrong answer does not lose it for as long as it lives.
 const LONGEST_BACKOFF: Duration = Duration::from_secs(600);
 
+/// Calls return to an engine within this share of the backoff after its end, each node at a moment of its
+/// own: nodes that were refused together would come back together, with all that they held back.
+const RETURN_SPREAD: f64 = 0.25;
+
+/// Calls of this node that may be without an answer at an engine just after its backoff. Each time the
+/// engine takes one up, twice as many.
+const FIRST_RETURNING: u32 = 1;
+
+/// From this many calls at once on an engine counts as returned: a node's part of an engine's slots.
+const RETURNED: u32 = 8;
+
+/// Time after which a caller may come back where an engine is just being asked whether it takes calls
+/// again: a usual call takes less.
+const RETURNING_SOON: Duration = Duration::from_millis(200);
+
+/// Backoffs from which on those that are over are thrown away, called or not.
+const MANY_BACKOFFS: usize = 1_024;
+
 /// Runs that are remembered as draining, the newest: more than end while an older entry of one may still
 /// come from a reading, a relay or a restored service. 130 KB.
 const MOST_DRAINING: usize = 8_192;
@@ -26,6 +45,37 @@
     Draining,
     /// It wants no calls until this time.
     Backoff(MonotonicTime),
+    /// Its backoff is over, and as many calls as may be are asking whether it takes any again.
+    Returning,
+}
+
+/// A backoff that an engine asked for, and the return from it.
+#[derive(Clone, Copy, Debug)]
+struct Backoff {
+    until: MonotonicTime,
+    /// Calls that may be without an answer once it is over.
+    allowed: u32,
+    /// Those that are.
+    unanswered: u32,
+    /// Tells calls made after this backoff from those made after an earlier one.
+    number: u64,
+}
+
+/// A call to an engine whose backoff has ended a short time ago.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[must_use]
+pub struct ReturningCall {
+    engine: EngineKey,
+    backoff: u64,
+}
+
+/// How a call to an engine came out, as far as that tells whether it takes calls again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallEnd {
+    /// The engine took it up.
+    TakenUp,
+    /// The engine refused it, or said nothing.
+    NotTakenUp,
 }
 
 /// What engines said of themselves.
@@ -34,7 +84,8 @@
     draining: HashSet<EngineKey>,
     /// The same in the order in which they were learnt.
     draining_order: VecDeque<EngineKey>,
-    backoffs: HashMap<EngineKey, MonotonicTime>,
+    backoffs: HashMap<EngineKey, Backoff>,
+    backoffs_noted: u64,
 }
 
 impl SignalLedger {
@@ -52,11 +103,33 @@
         true
     }
 
-    /// Notes that an engine asked at `now` for a time without calls; whether it had not done so before.
-    pub fn note_backoff(&mut self, now: MonotonicTime, engine: EngineKey, asked: Duration) -> bool {
-        let until = self.backoffs.entry(engine).or_default();
-        let is_news = *until <= now;
-        *until = (*until).max(now + asked.min(LONGEST_BACKOFF));
+    /// Notes that an engine asked at `now` for the time `asked` without calls; whether it had not done so
+    /// before. `place`, from 0 to 1, is this node's place among those that return.
+    ///
+    /// Each refusal binds for as long as it asks: a shorter one that comes later takes nothing back.
+    pub fn note_backoff(
+        &mut self,
+        now: MonotonicTime,
+        engine: EngineKey,
+        asked: Duration,
+        place: f64,
+    ) -> bool {
+        let asked = asked.min(LONGEST_BACKOFF);
+        let until = now + asked + asked.mul_f64(RETURN_SPREAD * place);
+        let known = self.backoffs.get(&engine).copied();
+        let is_news = known.is_none_or(|known| known.until <= now);
+        if self.backoffs.len() >= MANY_BACKOFFS {
+            // Who has not been called since then is taken for any other engine.
+            self.backoffs.retain(|_, backoff| now < backoff.until);
+        }
+        self.backoffs_noted += 1;
+        let backoff = Backoff {
+            until: known.map_or(until, |known| known.until.max(until)),
+            allowed: FIRST_RETURNING,
+            unanswered: 0,
+            number: self.backoffs_noted,
+        };
+        self.backoffs.insert(engine, backoff);
         is_news
     }
 
@@ -65,19 +138,65 @@
         self.draining.contains(&engine)
     }
 
-    /// Why the engine is to get no request.
-    pub fn closed(&self, engine: EngineKey) -> Option<ClosedFor> {
-        self.drains(engine).then_some(ClosedFor::Draining)
+    /// Why the engine is to get no request at `now`.
+    pub fn closed(&self, now: MonotonicTime, engine: EngineKey) -> Option<ClosedFor> {
+        if self.drains(engine) {
+            return Some(ClosedFor::Draining);
+        }
+        let backoff = self.backoffs.get(&engine)?;
+        if now < backoff.until {
+            return Some(ClosedFor::Backoff(backoff.until));
+        }
+        (backoff.unanswered >= backoff.allowed).then_some(ClosedFor::Returning)
+    }
+
+    /// After how long one of `engines` may take calls again; `None` if none is backing off.
+    pub fn opens_in(
+        &self,
+        now: MonotonicTime,
+        engines: impl Fn(EngineKey) -> bool,
+    ) -> Option<Duration> {
+        let backing_off = self.backoffs.keys().filter(|engine| engines(**engine));
+        let waits = backing_off.filter_map(|engine| match self.closed(now, *engine)? {
+            ClosedFor::Draining => None,
+            ClosedFor::Backoff(until) => Some(until.since(now).max(RETURNING_SOON)),
+            ClosedFor::Returning => Some(RETURNING_SOON),
+        });
+        waits.min()
     }
 
-    /// Forgets an engine whose entry is gone, but for that it drains: the entry may come back.
-    pub fn forget(&mut self, engine: EngineKey) {
-        self.backoffs.remove(&engine);
+    /// Notes a call that is about to go out; what it yields tells later how it came out.
+    pub fn called(&mut self, now: MonotonicTime, engine: EngineKey) -> Option<ReturningCall> {
+        let backoff = self.backoffs.get_mut(&engine)?;
+        if now < backoff.until {
+            return None;
+        }
+        backoff.unanswered += 1;
+        Some(ReturningCall {
+            engine,
+            backoff: backoff.number,
+        })
+    }
+
+    /// Notes how a call came out that [`Self::called`] noted.
+    pub fn came_out(&mut self, call: ReturningCall, end: CallEnd) {
+        let backoff = self.backoffs.get_mut(&call.engine);
+        let Some(backoff) = backoff.filter(|backoff| backoff.number == call.backoff) else {
+            return;
+        };
+        backoff.unanswered -= 1;
+        match end {
+            CallEnd::TakenUp => backoff.allowed *= 2,
+            CallEnd::NotTakenUp => backoff.allowed = FIRST_RETURNING,
+        }
+        if backoff.allowed >= RETURNED {
+            self.backoffs.remove(&call.engine);
+        }
     }
 
     /// Engines that want no calls at `now`.
     pub fn backing_off(&self, now: MonotonicTime) -> usize {
-        let ends = self.backoffs.values();
-        ends.filter(|until| now < **until).count()
+        let backoffs = self.backoffs.values();
+        backoffs.filter(|backoff| now < backoff.until).count()
     }
 }
--- /dev/null
+++ b/crates/routing/tests/signals.rs
@@ -0,0 +1,182 @@
+//! What engines say of themselves, in any order and by bad values.
+
+use std::time::Duration;
+
+use dalestand_routing::staged::{CallEnd, ClosedFor, EngineKey, ReturningCall, SignalLedger};
+use dalestand_types::MonotonicTime;
+use proptest::prelude::*;
+use rstest::rstest;
+
+const ENGINE: EngineKey = EngineKey(7);
+const NOW: MonotonicTime = MonotonicTime::from_millis(50_000);
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// What may happen between a node and one engine.
+#[derive(Clone, Debug)]
+enum Step {
+    /// Time passes.
+    Wait(u64),
+    /// A refusal asks for so many milliseconds.
+    AsksFor(u64),
+    /// The node calls, if it may.
+    Calls,
+    /// The oldest call comes out so.
+    ComesOut(bool),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        3 => (1_u64..2_000).prop_map(Step::Wait),
+        1 => (1_u64..5_000).prop_map(Step::AsksFor),
+        4 => Just(Step::Calls),
+        4 => any::<bool>().prop_map(Step::ComesOut),
+    ]
+}
+
+proptest! {
+    /// No call within any backoff, whatever came before, and one at a time just after it.
+    #[test]
+    fn no_call_goes_out_within_a_backoff(
+        steps in proptest::collection::vec(step(), 1..80),
+        place in 0.0..1.0_f64,
+    ) {
+        let mut ledger = SignalLedger::default();
+        let mut now = NOW;
+        let mut bound_until = MonotonicTime::ZERO;
+        let mut calls: Vec<Option<ReturningCall>> = Vec::new();
+        for step in steps {
+            match step {
+                Step::Wait(ms) => now = now + Duration::from_millis(ms),
+                Step::AsksFor(ms) => {
+                    let asked = Duration::from_millis(ms);
+                    ledger.note_backoff(now, ENGINE, asked, place);
+                    bound_until = bound_until.max(now + asked);
+                    calls.clear();
+                }
+                Step::Calls if ledger.closed(now, ENGINE).is_none() => {
+                    prop_assert!(now >= bound_until);
+                    calls.push(ledger.called(now, ENGINE));
+                    let returning = calls.iter().flatten().count();
+                    prop_assert!(returning < 8, "{returning} calls at once");
+                }
+                Step::ComesOut(taken_up) if !calls.is_empty() => {
+                    let end = if taken_up { CallEnd::TakenUp } else { CallEnd::NotTakenUp };
+                    if let Some(call) = calls.remove(0) {
+                        ledger.came_out(call, end);
+                    }
+                }
+                Step::Calls | Step::ComesOut(_) => {}
+            }
+        }
+    }
+
+    /// That a run drains is final, whatever comes after.
+    #[test]
+    fn a_run_that_drains_stays_closed(
+        steps in proptest::collection::vec(step(), 0..40),
+    ) {
+        let mut ledger = SignalLedger::default();
+        prop_assert!(ledger.note_draining(ENGINE));
+        let mut now = NOW;
+        for step in steps {
+            match step {
+                Step::Wait(ms) => now = now + Duration::from_millis(ms),
+                Step::AsksFor(ms) => {
+                    ledger.note_backoff(now, ENGINE, Duration::from_millis(ms), 0.5);
+                }
+                Step::Calls | Step::ComesOut(_) => {}
+            }
+            prop_assert_eq!(ledger.closed(now, ENGINE), Some(ClosedFor::Draining));
+            prop_assert!(!ledger.note_draining(ENGINE), "it is no news");
+        }
+    }
+}
+
+#[rstest]
+#[case::a_longer_one(2, 5, 5)]
+#[case::a_shorter_one(5, 2, 5)]
+fn each_backoff_binds_for_as_long_as_it_asks(
+    #[case] first_s: u64,
+    #[case] second_s: u64,
+    #[case] bound_s: u64,
+) {
+    let mut ledger = SignalLedger::default();
+    assert!(ledger.note_backoff(NOW, ENGINE, seconds(first_s), 0.0));
+    assert!(!ledger.note_backoff(NOW, ENGINE, seconds(second_s), 0.0));
+    let until = NOW + seconds(bound_s);
+    assert_eq!(ledger.closed(NOW, ENGINE), Some(ClosedFor::Backoff(until)));
+    assert_eq!(ledger.closed(until, ENGINE), None);
+}
+
+#[rstest]
+fn nodes_return_at_moments_of_their_own() {
+    let returns = [0.0, 0.5, 1.0].map(|place| {
+        let mut ledger = SignalLedger::default();
+        ledger.note_backoff(NOW, ENGINE, seconds(4), place);
+        let after = (0..).find(|ms| {
+            let now = NOW + Duration::from_millis(*ms);
+            ledger.closed(now, ENGINE).is_none()
+        });
+        after.expect("an end")
+    });
+    assert_eq!(returns, [4_000, 4_500, 5_000]);
+}
+
+#[rstest]
+fn a_backoff_of_days_is_asked_about_again() {
+    let mut ledger = SignalLedger::default();
+    ledger.note_backoff(NOW, ENGINE, Duration::MAX, 0.0);
+    assert!(ledger.closed(NOW + seconds(599), ENGINE).is_some());
+    let after = NOW + seconds(600);
+    assert_eq!(ledger.closed(after, ENGINE), None);
+    let asking = ledger.called(after, ENGINE);
+    assert!(asking.is_some());
+    assert_eq!(ledger.closed(after, ENGINE), Some(ClosedFor::Returning));
+}
+
+#[rstest]
+fn an_engine_that_takes_calls_up_again_gets_more_of_them() {
+    let mut ledger = SignalLedger::default();
+    ledger.note_backoff(NOW, ENGINE, seconds(1), 0.0);
+    let after = NOW + seconds(2);
+    let mut at_once = Vec::new();
+    for _ in 0..4 {
+        let mut calls = Vec::new();
+        while ledger.closed(after, ENGINE).is_none() && calls.len() < 100 {
+            calls.push(ledger.called(after, ENGINE));
+        }
+        at_once.push(calls.len());
+        for call in calls.into_iter().flatten() {
+            ledger.came_out(call, CallEnd::TakenUp);
+        }
+    }
+    assert_eq!(at_once, [1, 2, 100, 100]);
+}
+
+#[rstest]
+fn backoffs_that_are_over_are_not_kept_for_ever() {
+    let mut ledger = SignalLedger::default();
+    for engine in 0..5_000 {
+        ledger.note_backoff(NOW, EngineKey(engine), seconds(1), 0.0);
+    }
+    let later = NOW + seconds(10);
+    assert_eq!(ledger.backing_off(NOW), 5_000);
+    ledger.note_backoff(later, ENGINE, seconds(1), 0.0);
+    assert!(
+        ledger.called(later, EngineKey(9)).is_none(),
+        "any other engine"
+    );
+}
+
+#[rstest]
+fn runs_that_drain_are_remembered_within_a_bound() {
+    let mut ledger = SignalLedger::default();
+    for engine in 0..20_000 {
+        ledger.note_draining(EngineKey(engine));
+    }
+    assert!(ledger.drains(EngineKey(19_999)));
+    assert!(!ledger.drains(EngineKey(0)));
+}
