A request is not taken from an engine where no other could take it

Cause: found in one of three runs of the tests of draining: of two engines one drained, the other was busy for longer than a request's patience (100 ms); the request was taken from it, nobody else could be asked, and its caller got 502. So at every pool of one engine, and wherever all others are closed or were tried. A resumable stream was taken from its engine in the same way.

Change: patience is the whole time left where no other engine of the stage is open and untried (serve::forward::has_other_engine).

Measured: forwarding/tests/serving.rs, three new cases fail before, pass after; forwarding's tests whole, passed.

--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -8,7 +8,9 @@
 use dalestand_edge::routed::EngineTerms;
 use dalestand_engine_link::ResponseHead;
 use dalestand_http_server::{Answer, ConnectionType, Request};
-use dalestand_routing::staged::{AttemptResult, EngineChoice, TimeBounds, patience, refused_for};
+use dalestand_routing::staged::{
+    AttemptResult, EngineChoice, StagedEngine, TimeBounds, patience, refused_for,
+};
 use dalestand_types::PoolName;
 
 use crate::context::Context;
@@ -342,7 +344,9 @@
         return left;
     }
     let now = context.now();
-    if context.budget.borrow_mut().left(now, pool) < BUDGET_KEPT {
+    if context.budget.borrow_mut().left(now, pool) < BUDGET_KEPT
+        || !has_other_engine(context, progress, pool, &choice.engine)
+    {
         return left;
     }
     let objective = Duration::from_millis(progress.route.objective_ms);
@@ -354,6 +358,18 @@
     left.min(patience(choice.expected_s, least.max(MIN_PATIENCE)))
 }
 
+/// Whether another engine could take a request that `current` has: if not, to leave it ends the request.
+pub(crate) fn has_other_engine(
+    context: &Context,
+    progress: &Progress,
+    pool: &PoolName,
+    current: &StagedEngine,
+) -> bool {
+    let fleet = context.fleet();
+    let router = context.router.borrow();
+    router.has_other(context.now(), fleet.pool(pool), current, &progress.tried)
+}
+
 /// Turns what came into an answer for the caller.
 async fn deliver(
     context: &Context,
--- a/crates/forwarding/src/serve/relay.rs
+++ b/crates/forwarding/src/serve/relay.rs
@@ -15,7 +15,7 @@
 use crate::quarantine::run_watch::Unfinished;
 use crate::serve::attempt::EngineAnswer;
 use crate::serve::event_stream::EventSplitter;
-use crate::serve::forward::resume;
+use crate::serve::forward::{has_other_engine, resume};
 use crate::serve::progress::Progress;
 
 /// Why a body ends before it is whole. It ends the caller's connection, so that the answer does not
@@ -181,7 +181,10 @@
     /// How long the engine may be silent before another takes the stream up.
     fn patience(&self) -> Duration {
         let route = &self.progress.route;
-        if !self.progress.may_run_again() {
+        let engine = &self.answer.choice.engine;
+        if !self.progress.may_run_again()
+            || !has_other_engine(&self.context, &self.progress, &self.pool, engine)
+        {
             return self.progress.time_left();
         }
         if self.any_sent {
--- a/crates/forwarding/tests/serving.rs
+++ b/crates/forwarding/tests/serving.rs
@@ -234,6 +234,28 @@
     assert!(took >= Duration::from_millis(950) && took < Duration::from_millis(1_500));
 }
 
+/// Answers after a time that is far beyond the objective and within the limit.
+fn late(head: &str, stream: &mut TcpStream) {
+    thread::sleep(Duration::from_millis(450));
+    sound(head, stream);
+}
+
+/// Found beside engines that drain: of two engines one was left, busy, and a request was taken from it
+/// after 100 ms to go to another, which there was not.
+#[rstest]
+#[case::alone("repeatable", &[late as Script])]
+#[case::stream_alone("resumable-stream", &[late as Script])]
+#[case::all_others_have_failed("repeatable", &[closing as Script, late])]
+#[actix_rt::test]
+async fn a_request_stays_where_no_other_engine_can_take_it(
+    #[case] kind: &str,
+    #[case] scripts: &[Script],
+) {
+    let (node, _engines) = node(kind, 4, scripts).await;
+    let answer = node.request("1", "/r/x").await;
+    assert_eq!(status(&answer), "200", "{answer}");
+}
+
 #[actix_rt::test]
 async fn an_engine_that_leaves_gets_nothing_more() {
     let (node, engines) = node("repeatable", 2, &[sound, sound]).await;
--- a/crates/routing/src/staged/chooser.rs
+++ b/crates/routing/src/staged/chooser.rs
@@ -219,6 +219,19 @@
         best(costs)
     }
 
+    /// Whether another engine of its stage could take a request that `current` has.
+    pub fn has_other(
+        &self,
+        now: MonotonicTime,
+        pool: &EnginePool,
+        current: &StagedEngine,
+        tried: &[EngineKey],
+    ) -> bool {
+        let is_open = self.is_open(now);
+        let mut others = pool.keys(current.stage);
+        others.any(|key| key != current.key && !tried.contains(&key) && is_open(key))
+    }
+
     /// Whether an engine may be called at `now`, as far as what it says of itself goes.
     pub(super) fn is_open(&self, now: MonotonicTime) -> impl Fn(EngineKey) -> bool {
         move |engine| self.signals.closed(now, engine).is_none()
--- a/crates/routing/src/staged/pool.rs
+++ b/crates/routing/src/staged/pool.rs
@@ -116,6 +116,12 @@
         self.engines.is_empty()
     }
 
+    /// Engines of a stage, in an order that says nothing.
+    pub fn keys(&self, stage: Stage) -> impl Iterator<Item = EngineKey> {
+        let stage = self.stages.get(&stage).into_iter();
+        stage.flat_map(|stage| stage.ring.iter().map(|(_, key)| *key))
+    }
+
     /// Number of engines of a stage.
     pub fn count(&self, stage: Stage) -> usize {
         self.stages.get(&stage).map_or(0, |stage| stage.ring.len())
