--- a/crates/edge/src/error.rs
+++ b/crates/edge/src/error.rs
@@ -19,7 +19,11 @@
     },
     /// The system is out of service and said so: the call had no effect.
     #[error("{system} is out of service")]
-    OutOfService { system: &'static str },
+    OutOfService {
+        system: &'static str,
+        /// When it may be called again, where it says so.
+        retry_after: Option<Duration>,
+    },
     /// The system rejected the call as wrong: it had no effect.
     #[error("{system} rejected the call: {message}")]
     Rejected {
--- a/crates/edge/src/http.rs
+++ b/crates/edge/src/http.rs
@@ -122,7 +122,10 @@
             });
         }
         if status == StatusCode::SERVICE_UNAVAILABLE {
-            return Some(PlatformError::OutOfService { system });
+            return Some(PlatformError::OutOfService {
+                system,
+                retry_after: None,
+            });
         }
         let message = format!("{status}: {}", String::from_utf8_lossy(body));
         if status.is_client_error() {
--- a/crates/forwarding/src/fleet/follow.rs
+++ b/crates/forwarding/src/fleet/follow.rs
@@ -217,13 +217,25 @@
     }
 }
 
-/// A pause that grows with the failures, spread so that nodes do not call in step.
+/// A pause that grows with the failures, spread so that nodes do not call in step: behind what the service
+/// asked for, not before it. A node that stays away for longer than `longest` is behind on engines that
+/// leave, whatever the service asked for.
 fn pause(failures: u32, longest: Duration, error: &PlatformError) -> Duration {
     let grown = FIRST_PAUSE * 2_u32.pow(failures.min(5) - 1);
     let told = match error {
         PlatformError::RateLimited { retry_after, .. } => *retry_after,
+        PlatformError::OutOfService { retry_after, .. } => retry_after.unwrap_or_default(),
         _ => Duration::ZERO,
     };
-    let pause = grown.max(told).min(longest);
-    pause.mul_f64(rand::rng().random_range(0.6..1.0))
+    let spread = rand::rng().random_range(0.6..1.0);
+    let pause = if told < grown {
+        grown.mul_f64(spread).max(told)
+    } else {
+        told.saturating_add(FIRST_PAUSE.mul_f64(1.0 - spread))
+    };
+    if pause < longest {
+        pause
+    } else {
+        longest.mul_f64(spread)
+    }
 }
--- a/crates/forwarding/src/fleet/follow/tests.rs
+++ b/crates/forwarding/src/fleet/follow/tests.rs
@@ -13,9 +13,10 @@
 use dalestand_telemetry::discard_logger;
 use dalestand_types::Revision;
 use error_stack::Report;
+use rstest::rstest;
 use tokio::sync::watch;
 
-use super::{FollowTask, Follower, Regained, WATCH_WAIT, follow};
+use super::{FollowTask, Follower, Regained, WATCH_WAIT, follow, pause};
 
 const KEY: &str = "declaration";
 
@@ -360,3 +361,43 @@
     actix_rt::time::sleep(Duration::from_millis(50)).await;
     assert_eq!(seen.0.borrow().last().map(String::as_str), Some("7"));
 }
+
+/// Pauses of many nodes after one failure that asks for `asked_ms`, in milliseconds: shortest and longest.
+fn pauses(asked_ms: Option<u64>, is_throttled: bool) -> (u128, u128) {
+    let asked = asked_ms.map(Duration::from_millis);
+    let error = if is_throttled {
+        PlatformError::RateLimited {
+            system: "store",
+            retry_after: asked.unwrap_or_default(),
+        }
+    } else {
+        PlatformError::OutOfService {
+            system: "store",
+            retry_after: asked,
+        }
+    };
+    let longest = Duration::from_millis(500);
+    let pauses = (0..500).map(|_| pause(1, longest, &error).as_millis());
+    let pauses: Vec<u128> = pauses.collect();
+    let (first, last) = (pauses.iter().min(), pauses.iter().max());
+    (*first.expect("some"), *last.expect("some"))
+}
+
+/// A service that asks for a time without calls was called again after six tenths of it, and one that is
+/// out of service was not asked how long.
+#[rstest]
+#[case::throttled(Some(300), true, 300, 325)]
+#[case::out_of_service(Some(300), false, 300, 325)]
+#[case::nothing_asked(None, false, 36, 60)]
+#[case::less_than_the_own_pause(Some(10), true, 36, 60)]
+#[case::longer_than_a_node_may_be_behind(Some(10_000), false, 300, 500)]
+fn no_call_is_made_before_the_service_wants_one(
+    #[case] asked_ms: Option<u64>,
+    #[case] is_throttled: bool,
+    #[case] from_ms: u128,
+    #[case] to_ms: u128,
+) {
+    let (first, last) = pauses(asked_ms, is_throttled);
+    assert!(first >= from_ms && last <= to_ms, "{first} to {last} ms");
+    assert!(last > first, "nodes do not call in step");
+}
--- a/crates/forwarding/tests/support/store.rs
+++ b/crates/forwarding/tests/support/store.rs
@@ -112,7 +112,10 @@
     ) -> Result<CasOutcome, Report<PlatformError>> {
         let refused = *self.refused_prefix.borrow();
         if refused.is_some_and(|prefix| key.starts_with(prefix)) {
-            return Err(Report::new(PlatformError::OutOfService { system: "store" }));
+            return Err(Report::new(PlatformError::OutOfService {
+                system: "store",
+                retry_after: None,
+            }));
         }
         let current = self.entries.borrow().get(key).cloned();
         let holds = match (expectation, &current) {
--- a/crates/node/src/apply/tests.rs
+++ b/crates/node/src/apply/tests.rs
@@ -113,6 +113,7 @@
                 Err(in_doubt())
             }
             Some(Fate::Refused) => Err(Report::new(PlatformError::OutOfService {
+                retry_after: None,
                 system: "key-value service",
             })),
         }
