Every call that counts is taken from the budget of repeated sends

Cause: repeats were counted by the purpose of a call: a prefill that was refused and the run after it were each the first of their kind. The users count all calls beyond the first, but for the first prefill that an engine takes up.

Change: routing::CallCounts says whether a call is a repeat, whatever it is for; what did not arrive, or turned out to be the free prefill, is given back. SharedRetryBudget says why the sum holds.

--- a/crates/forwarding/src/node/metrics.rs
+++ b/crates/forwarding/src/node/metrics.rs
@@ -7,6 +7,7 @@
     Answer, Connections, Request, ServerLimits, StatusCode, serve, status_answer, text_answer,
 };
 use dalestand_routes::RouteKind;
+use dalestand_routing::CallPurpose;
 use dalestand_routing::staged::ClosedFor;
 use prometheus::{
     Encoder as _, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
@@ -16,7 +17,7 @@
 
 use crate::context::Context;
 use crate::quarantine::evidence::stopped_count;
-use crate::serve::progress::{CallPurpose, CallRecord};
+use crate::serve::progress::CallRecord;
 
 /// Where the figures are told.
 const PATH: &str = "/metrics";
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -11,6 +11,7 @@
 use dalestand_engine_link::{AnswerBody, Exchange, LinkTarget, ResponseHead, SendError};
 use dalestand_quarantine::CRASHES_ALLOWED;
 use dalestand_routing::staged::{AttemptResult, EngineChoice, EngineKey};
+use dalestand_routing::{CallArrival, CallPurpose, RepeatedSend};
 use dalestand_types::PoolName;
 
 use crate::context::Context;
@@ -18,7 +19,7 @@
 use crate::quarantine::evidence::{crashes, is_stopped};
 use crate::quarantine::run_watch::{RunWatch, Unfinished};
 use crate::serve::engine_send::{CallContent, CallError, EngineCall, EngineReply, closed, send};
-use crate::serve::progress::{CallPurpose, CallSignals, Progress};
+use crate::serve::progress::{CallSignals, Progress};
 use crate::serve::work_guard::WorkGuard;
 
 /// An answer's head that was found to be that of this request.
@@ -87,16 +88,16 @@
         context.metrics.call(record);
         return AttemptEnd::NotSent;
     }
-    if progress.is_repeat(call.purpose) && !take_repeat(context, call.pool) {
-        progress.record(
-            call.purpose,
-            &call.choice,
-            "no budget",
-            Duration::ZERO,
-            CallSignals::default(),
-        );
-        return AttemptEnd::NotSent;
-    }
+    let taken = if progress.call_counts.is_repeat() {
+        let Some(send) = take_repeat(context, call.pool) else {
+            let (none, nothing) = (Duration::ZERO, CallSignals::default());
+            progress.record(call.purpose, &call.choice, "no budget", none, nothing);
+            return AttemptEnd::NotSent;
+        };
+        Some(send)
+    } else {
+        None
+    };
     let parts = progress.parts();
     let before = context.router.borrow().work.total(engine.key);
     let mut work = WorkGuard::new(context, &engine, call.choice.unread_tokens, &parts);
@@ -199,8 +200,14 @@
     if call.purpose == CallPurpose::Run && matches!(end, AttemptEnd::Answered(_)) {
         count_usage(context, progress);
     }
-    if !matches!(end, AttemptEnd::NotSent) {
-        progress.arrived(call.purpose);
+    let arrival = match &end {
+        AttemptEnd::Answered(_) => CallArrival::TakenUp,
+        AttemptEnd::Refused | AttemptEnd::Unknown => CallArrival::NotTakenUp,
+        AttemptEnd::NotSent => CallArrival::NotArrived,
+    };
+    let is_free = progress.call_counts.came_out(call.purpose, arrival);
+    if let Some(send) = taken.filter(|_| is_free) {
+        context.budget.borrow_mut().give_back(call.pool, send);
     }
     let record = progress.record(call.purpose, &choice, outcome, took, signals);
     context.metrics.call(record);
@@ -236,7 +243,7 @@
     }
 }
 
-fn take_repeat(context: &Context, pool: &PoolName) -> bool {
+fn take_repeat(context: &Context, pool: &PoolName) -> Option<RepeatedSend> {
     let now = context.now();
     context.budget.borrow_mut().take(now, pool)
 }
--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -8,6 +8,7 @@
 use dalestand_edge::routed::EngineTerms;
 use dalestand_engine_link::ResponseHead;
 use dalestand_http_server::{Answer, ConnectionType, Request};
+use dalestand_routing::CallPurpose;
 use dalestand_routing::staged::{
     AttemptResult, EngineChoice, StagedEngine, TimeBounds, patience, refused_for,
 };
@@ -23,7 +24,7 @@
 use crate::serve::attempt::{AttemptEnd, Call, EngineAnswer, attempt, is_refused};
 use crate::serve::plan::{Step, choose, choose_again};
 use crate::serve::prefill::{HeldPrompt, PrefillEnd, prefill};
-use crate::serve::progress::{CallPurpose, Progress};
+use crate::serve::progress::Progress;
 use crate::serve::relay::Relay;
 
 /// Longest body that is gathered before it is passed on, so that a broken one can be replaced.
@@ -182,8 +183,8 @@
     {
         return false;
     }
-    let repeats = progress.is_repeat(CallPurpose::Run) || progress.is_repeat(CallPurpose::Prefill);
-    let Some(pool) = progress.pools.first().filter(|_| repeats) else {
+    let is_repeat = progress.call_counts.is_repeat();
+    let Some(pool) = progress.pools.first().filter(|_| is_repeat) else {
         return true;
     };
     let now = context.now();
--- a/crates/forwarding/src/serve/prefill.rs
+++ b/crates/forwarding/src/serve/prefill.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use dalestand_edge::routed::{EngineTerms, HeldMemory};
 use dalestand_engine_link::LinkTarget;
+use dalestand_routing::CallPurpose;
 use dalestand_routing::staged::{AttemptResult, EngineChoice, StagedEngine};
 use dalestand_types::PoolName;
 
@@ -15,7 +16,7 @@
 use crate::quarantine::run_watch::Unfinished;
 use crate::serve::attempt::{AttemptEnd, Call, EngineAnswer, attempt};
 use crate::serve::engine_send::{CallContent, EngineCall, send};
-use crate::serve::progress::{CallPurpose, Progress};
+use crate::serve::progress::Progress;
 
 /// Longest answer to a prefill.
 const MAX_ANSWER_BYTES: usize = 64 << 10;
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -14,6 +14,7 @@
 use dalestand_routing::staged::{
     ClosedFor, EngineChoice, EngineKey, Expectation, PromptPart, StagedRequest,
 };
+use dalestand_routing::{CallCounts, CallPurpose};
 use dalestand_types::{EngineSignals, PoolName};
 
 use crate::node::settings::ForwardingSettings;
@@ -33,15 +34,6 @@
     pub(crate) body: Bytes,
 }
 
-/// What a call to an engine was for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum CallPurpose {
-    /// To read the prompt.
-    Prefill,
-    /// To run the request.
-    Run,
-}
-
 /// How a call came out, with what was expected of it, for the account of a request.
 pub(crate) struct CallRecord {
     pub(crate) purpose: CallPurpose,
@@ -157,8 +149,8 @@
     pub(crate) is_counted: bool,
     /// Engines at which it may have run.
     pub(crate) runs: u32,
-    /// Calls that an engine took up, by purpose: prefill and run.
-    arrived: [u32; 2],
+    /// The calls that count, for the budget of repeated sends.
+    pub(crate) call_counts: CallCounts,
     pub(crate) calls: Vec<CallRecord>,
     /// What was last expected of it, where its time is worked out.
     pub(crate) expected: Option<Expectation>,
@@ -192,7 +184,7 @@
             tried: Vec::new(),
             is_counted: false,
             runs: 0,
-            arrived: [0; 2],
+            call_counts: CallCounts::default(),
             calls: Vec::new(),
             expected: None,
         }
@@ -217,16 +209,6 @@
             && (self.calls.len() as u32) < MAX_CALLS
     }
 
-    /// Whether a call for this purpose would be a repeated one.
-    pub(crate) fn is_repeat(&self, purpose: CallPurpose) -> bool {
-        self.arrived[purpose as usize] > 0
-    }
-
-    /// Notes a call that an engine took up or refused.
-    pub(crate) fn arrived(&mut self, purpose: CallPurpose) {
-        self.arrived[purpose as usize] += 1;
-    }
-
     /// Notes how a call came out.
     pub(crate) fn record(
         &mut self,
--- a/crates/forwarding/tests/support/node.rs
+++ b/crates/forwarding/tests/support/node.rs
@@ -92,9 +92,14 @@
 
     /// Starts another node on the store of this one.
     pub async fn start_beside(&self, name: &str) -> Self {
+        self.start_beside_with_slack(name, 50).await
+    }
+
+    /// The same, under settings by which all nodes together may repeat `slack` sends.
+    pub async fn start_beside_with_slack(&self, name: &str, slack: u32) -> Self {
         for _ in 0..START_ATTEMPTS {
             let store = Rc::clone(&self.store);
-            if let Some(node) = Self::try_start_on(store, name, 50, "", "").await {
+            if let Some(node) = Self::try_start_on(store, name, slack, "", "").await {
                 return node;
             }
         }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,6 +4,7 @@
 //! same code.
 
 mod admission;
+mod call_counts;
 mod choice;
 mod config;
 mod estimate;
@@ -22,6 +23,7 @@
 mod view;
 
 pub use admission::aged_priority;
+pub use call_counts::{CallArrival, CallCounts, CallPurpose};
 pub use config::RouterConfig;
 pub use learning::PriorSpeeds;
 pub use prefix::{PromptBlock, prompt_blocks};
@@ -30,7 +32,7 @@
 };
 pub use retry_budget::{AttemptFate, FailedAttempt, RetryBudget, RetryBudgetConfig, RetryVerdict};
 pub use router::Router;
-pub use shared_retry_budget::{SharedRetryBudget, SharedRetryTerms};
+pub use shared_retry_budget::{RepeatedSend, SharedRetryBudget, SharedRetryTerms};
 pub use tenant_limits::{TenantDemand, TenantLimits, TenantRule, TenantTotals, summing_node};
 pub use track::{Completion, Ticket};
 pub use view::{EngineView, FleetView};
--- a/crates/routing/src/shared_retry_budget.rs
+++ b/crates/routing/src/shared_retry_budget.rs
@@ -2,7 +2,8 @@
 //!
 //! In any window, the sends to a pool beyond the first of each request may be a ratio of the
 //! requests for it, and a slack besides. Each node counts its own requests and takes its part of
-//! the slack, so that what all spend together stays within the whole.
+//! the slack. The parts add up to the whole, so that what all spend together stays within it, if each
+//! takes every send that counts ([`crate::CallCounts`]) before it goes out.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
@@ -24,6 +25,11 @@
     pub window: Duration,
 }
 
+/// A repeated send that was taken from a budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[must_use]
+pub struct RepeatedSend(MonotonicTime);
+
 #[derive(Clone, Debug, Default)]
 struct PoolCounts {
     requests: VecDeque<MonotonicTime>,
@@ -75,13 +81,21 @@
         counts.requests.push_back(now);
     }
 
-    /// Takes one repeated send; `false` if none is left.
-    pub fn take(&mut self, now: MonotonicTime, pool: &PoolName) -> bool {
+    /// Takes one repeated send; `None` if none is left.
+    pub fn take(&mut self, now: MonotonicTime, pool: &PoolName) -> Option<RepeatedSend> {
         let allowed = self.left(now, pool) >= 1.0;
-        if allowed && let Some(counts) = self.pools.get_mut(pool) {
-            counts.repeats.push_back(now);
+        let counts = self.pools.get_mut(pool).filter(|_| allowed)?;
+        counts.repeats.push_back(now);
+        Some(RepeatedSend(now))
+    }
+
+    /// Gives a send back that did not count.
+    pub fn give_back(&mut self, pool: &PoolName, send: RepeatedSend) {
+        if let Some(counts) = self.pools.get_mut(pool)
+            && let Some(place) = counts.repeats.iter().rposition(|at| *at == send.0)
+        {
+            counts.repeats.remove(place);
         }
-        allowed
     }
 
     /// Repeated sends left now.
--- a/crates/routing/tests/shared_retry_budget.rs
+++ b/crates/routing/tests/shared_retry_budget.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use dalestand_routing::{SharedRetryBudget, SharedRetryTerms};
+use dalestand_routing::{
+    CallArrival, CallCounts, CallPurpose, SharedRetryBudget, SharedRetryTerms,
+};
 use dalestand_types::{MonotonicTime, PoolName};
 use proptest::prelude::*;
 use rstest::rstest;
@@ -34,7 +36,7 @@
             if is_request {
                 nodes[node].request(now, &pool);
                 requests.push(now);
-            } else if nodes[node].take(now, &pool) {
+            } else if nodes[node].take(now, &pool).is_some() {
                 repeats.push(now);
             }
             let within = |times: &[MonotonicTime]| {
@@ -53,7 +55,7 @@
     let pool = PoolName::from("pool");
     let spend = |budget: &mut SharedRetryBudget, now| {
         let mut spent = 0;
-        while budget.take(now, &pool) {
+        while budget.take(now, &pool).is_some() {
             spent += 1;
         }
         spent
@@ -68,3 +70,92 @@
     let later = start + Duration::from_secs(10);
     assert_eq!(spend(&mut budget, later), spent_before);
 }
+
+fn purpose() -> impl Strategy<Value = CallPurpose> {
+    prop_oneof![Just(CallPurpose::Prefill), Just(CallPurpose::Run)]
+}
+
+fn arrival() -> impl Strategy<Value = CallArrival> {
+    prop_oneof![
+        1 => Just(CallArrival::TakenUp),
+        3 => Just(CallArrival::NotTakenUp),
+        1 => Just(CallArrival::NotArrived),
+    ]
+}
+
+/// Calls of one request beyond the first, counted as the users do from what engines saw: the first prefill
+/// that is taken up is left out.
+fn beyond_the_first(calls: &[(CallPurpose, CallArrival)]) -> usize {
+    let arrived = calls
+        .iter()
+        .filter(|(_, arrival)| *arrival != CallArrival::NotArrived);
+    let is_prefilled = calls.contains(&(CallPurpose::Prefill, CallArrival::TakenUp));
+    arrived
+        .count()
+        .saturating_sub(usize::from(is_prefilled) + 1)
+}
+
+proptest! {
+    /// Whatever calls the requests of all nodes make, in any order and however they come out, those that
+    /// count stay within what is allowed, and a budget that is there is used.
+    #[test]
+    fn every_call_that_counts_is_taken_from_the_budget(
+        requests in proptest::collection::vec(
+            (0_usize..5, proptest::collection::vec((purpose(), arrival()), 1..7)),
+            1..200,
+        ),
+    ) {
+        let pool = PoolName::from("captions");
+        let mut nodes: Vec<SharedRetryBudget> =
+            (0..5).map(|_| SharedRetryBudget::new(TERMS)).collect();
+        for node in &mut nodes {
+            node.set_nodes(5);
+        }
+        let now = MonotonicTime::from_millis(5_000);
+        let mut beyond = 0;
+        let count = requests.len();
+        for (node, calls) in requests {
+            let budget = &mut nodes[node];
+            budget.request(now, &pool);
+            let mut counts = CallCounts::default();
+            let mut made = Vec::new();
+            for (purpose, arrival) in calls {
+                let is_repeat = counts.is_repeat();
+                let taken = if is_repeat {
+                    budget.take(now, &pool)
+                } else {
+                    None
+                };
+                if is_repeat && taken.is_none() {
+                    break;
+                }
+                made.push((purpose, arrival));
+                let is_free = counts.came_out(purpose, arrival);
+                if let Some(send) = taken.filter(|_| is_free) {
+                    budget.give_back(&pool, send);
+                }
+            }
+            beyond += beyond_the_first(&made);
+        }
+        let allowed = TERMS.ratio * count as f64 + TERMS.slack;
+        prop_assert!(beyond as f64 <= allowed, "{beyond} of {allowed}");
+    }
+}
+
+#[rstest]
+#[case::refused_then_run(&[(CallPurpose::Prefill, CallArrival::NotTakenUp), (CallPurpose::Run, CallArrival::TakenUp)], 1)]
+#[case::prefilled_then_run(&[(CallPurpose::Prefill, CallArrival::TakenUp), (CallPurpose::Run, CallArrival::TakenUp)], 0)]
+#[case::run_refused_then_prefill_refused(&[(CallPurpose::Run, CallArrival::NotTakenUp), (CallPurpose::Prefill, CallArrival::NotTakenUp), (CallPurpose::Run, CallArrival::TakenUp)], 2)]
+#[case::prefilled_twice(&[(CallPurpose::Prefill, CallArrival::TakenUp), (CallPurpose::Prefill, CallArrival::TakenUp), (CallPurpose::Run, CallArrival::TakenUp)], 1)]
+#[case::nothing_arrived(&[(CallPurpose::Run, CallArrival::NotArrived), (CallPurpose::Run, CallArrival::TakenUp)], 0)]
+fn calls_that_are_taken(#[case] calls: &[(CallPurpose, CallArrival)], #[case] expected: usize) {
+    let mut counts = CallCounts::default();
+    let mut taken = 0;
+    for (purpose, arrival) in calls {
+        let is_repeat = counts.is_repeat();
+        let is_free = counts.came_out(*purpose, *arrival);
+        taken += usize::from(is_repeat && !is_free);
+    }
+    assert_eq!(taken, expected);
+    assert_eq!(taken, beyond_the_first(calls));
+}
