A key-value service that is restored from an older copy: revisions carry their era

After a restoration revisions go back: entries, positions of watches and fencing tokens of the former era counted as newer until the counter had caught up, leases that were gone were held, what was written was lost.

Change: platform/ folds the era into the revision; node::EraStore counts eras from the one in which the fleet began, notices that one rises, refuses answers of a former era and conditions on its revisions, and writes again what this node wrote; the authority is given up, nodes register again, stops are kept anew.

--- a/crates/dissemination/src/entry_table.rs
+++ b/crates/dissemination/src/entry_table.rs
@@ -4,6 +4,7 @@
 use std::ops::RangeInclusive;
 
 use dalestand_routing::staged::{EngineKey, rendezvous_weight};
+use dalestand_types::Revision;
 use serde::{Deserialize, Serialize};
 
 use crate::hash_ranges::{RANGES, range_of};
@@ -88,6 +89,19 @@
         true
     }
 
+    /// Whether a key that went in an era stands again in a later one, as it was before it went: the service
+    /// was restored from a copy of a moment before, or, which looks alike, it was written anew since.
+    pub fn had_gone(&self, record: &EntryRecord) -> bool {
+        let known = self.records.get(&Place::of(&record.key));
+        known.is_some_and(|known| {
+            let (gone, back) = (Revision(known.revision), Revision(record.revision));
+            known.value.is_none()
+                && record.value.is_some()
+                && gone.era() < back.era()
+                && back.number() <= gone.number()
+        })
+    }
+
     /// Adds a record that was put in to what follows from the records.
     fn account(&mut self, place: &Place) {
         let Some(record) = self.records.get(place) else {
--- a/crates/dissemination/tests/entries.rs
+++ b/crates/dissemination/tests/entries.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use dalestand_dissemination::{EntryRecord, EntryTable};
+use dalestand_types::Revision;
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -122,3 +123,135 @@
         prop_assert_eq!(table.len(), live(&table).len());
     }
 }
+
+/// What may happen to a key-value service, or between it and a node.
+#[derive(Clone, Debug)]
+enum ServiceStep {
+    Write(u8),
+    Remove(u8),
+    /// It is restored from a copy of so many changes ago.
+    Restore(usize),
+    /// The node's watch tells of all changes since it last read or watched, unless they are of another era.
+    Watch,
+    /// The node reads all.
+    Read,
+}
+
+fn service_step() -> impl Strategy<Value = ServiceStep> {
+    prop_oneof![
+        4 => (0_u8..6).prop_map(ServiceStep::Write),
+        2 => (0_u8..6).prop_map(ServiceStep::Remove),
+        1 => (0_usize..12).prop_map(ServiceStep::Restore),
+        3 => Just(ServiceStep::Watch),
+        1 => Just(ServiceStep::Read),
+    ]
+}
+
+/// Values with the numbers of their writes, by key.
+type Items = BTreeMap<String, (String, u64)>;
+
+/// A service of one counter, with copies of all its former states.
+#[derive(Clone, Debug, Default)]
+struct Service {
+    era: u64,
+    number: u64,
+    items: Items,
+    changes: Vec<EntryRecord>,
+    copies: Vec<(u64, Items)>,
+}
+
+impl Service {
+    fn now(&self) -> u64 {
+        Revision::in_era(self.era, self.number).0
+    }
+
+    fn change(&mut self, key: u8, value: Option<String>) {
+        self.copies.push((self.number, self.items.clone()));
+        self.number += 1;
+        let key = format!("engines/{key}");
+        match &value {
+            Some(value) => self.items.insert(key.clone(), (value.clone(), self.number)),
+            None => self.items.remove(&key),
+        };
+        let revision = self.now();
+        self.changes.push(EntryRecord {
+            key,
+            value,
+            revision,
+        });
+    }
+
+    fn restore(&mut self, back: usize) {
+        let place = self.copies.len().saturating_sub(back + 1);
+        let Some((number, items)) = self.copies.get(place).cloned() else {
+            return;
+        };
+        self.copies.truncate(place);
+        self.era += 1;
+        self.number = number;
+        self.items = items;
+        self.changes.clear();
+    }
+
+    fn listing(&self) -> Vec<EntryRecord> {
+        let items = self.items.iter();
+        let record = |(key, (value, number)): (&String, &(String, u64))| EntryRecord {
+            key: key.clone(),
+            value: Some(value.clone()),
+            revision: Revision::in_era(self.era, *number).0,
+        };
+        items.map(record).collect()
+    }
+}
+
+proptest! {
+    /// Whatever is written, removed and lost with a restoration, and whatever of it a node's watches tell:
+    /// once it reads a service it knows what stands there, and its watches keep that so.
+    #[test]
+    fn a_table_follows_a_service_through_restorations(
+        steps in proptest::collection::vec(service_step(), 1..120),
+    ) {
+        let mut service = Service::default();
+        let mut table = EntryTable::default();
+        let mut position: Option<u64> = None;
+        let mut written = 0;
+        for step in steps.into_iter().chain([ServiceStep::Watch, ServiceStep::Read]) {
+            let mut is_read = matches!(step, ServiceStep::Read);
+            match step {
+                ServiceStep::Write(key) => {
+                    written += 1;
+                    service.change(key, Some(format!("value {written}")));
+                }
+                ServiceStep::Remove(key) => service.change(key, None),
+                ServiceStep::Restore(back) => service.restore(back),
+                ServiceStep::Watch => match position {
+                    Some(after) if Revision(after).era() == service.era => {
+                        for change in service.changes.iter().filter(|one| one.revision > after) {
+                            table.take(change.clone());
+                        }
+                        table.followed_to(service.now());
+                        position = Some(service.now());
+                    }
+                    _ => is_read = true,
+                },
+                ServiceStep::Read => {}
+            }
+            if is_read {
+                table.take_listing(service.now(), service.listing());
+                position = Some(service.now());
+            }
+            if position == Some(service.now()) {
+                let known: BTreeMap<&str, &str> = table
+                    .live()
+                    .map(|one| (one.key.as_str(), one.value.as_deref().unwrap_or_default()))
+                    .collect();
+                let standing: BTreeMap<&str, &str> = service
+                    .items
+                    .iter()
+                    .map(|(key, (value, _))| (key.as_str(), value.as_str()))
+                    .collect();
+                prop_assert_eq!(known, standing);
+            }
+        }
+    }
+}
--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -17,7 +17,7 @@
 use dalestand_types::{MonotonicTime, PoolName, ZoneName};
 use rand::RngExt as _;
 use slog::Logger;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::duties::UsageCounts;
 use crate::fleet::engines::Fleet;
@@ -63,6 +63,8 @@
     /// Requests that end engines.
     pub(crate) quarantine: Quarantine,
     pub(crate) metrics: ForwardingMetrics,
+    /// The era of the key-value service; changes when it was restored.
+    pub(crate) store_era: watch::Sender<u64>,
     started: BootInstant,
     table: RefCell<Option<Rc<RouteTable>>>,
     /// When the declaration was last known to stand.
@@ -101,6 +103,7 @@
             demand: RefCell::default(),
             role_changes: RefCell::default(),
             quarantine: Quarantine::default(),
+            store_era: watch::Sender::new(0),
             started: BootInstant::now(),
             table: RefCell::default(),
             declaration_confirmed_at: Cell::new(BootInstant::now()),
@@ -235,6 +238,14 @@
         self.fleet.replace(fleet);
     }
 
+    /// Notes that the key-value service was restored from an older copy: leases are gone with what was written
+    /// since, whatever their time.
+    pub(crate) fn era_has_risen(&self, era: u64) {
+        self.authority.drop_mandate();
+        self.quarantine.keep_again();
+        self.store_era.send_replace(era);
+    }
+
     /// Notes bytes that are written to this node's link.
     pub(crate) fn sent(&self, bytes: usize) {
         let time = self.settings.link_time(bytes);
--- a/crates/forwarding/src/fleet/engine_entries.rs
+++ b/crates/forwarding/src/fleet/engine_entries.rs
@@ -1,6 +1,7 @@
 //! Engines' own entries, from the key-value service or from a relay.
 
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use dalestand_edge::{Entry, Listing, WatchEvent};
 use dalestand_routing::staged::EngineKey;
 use dalestand_telemetry::{Event, log_event};
+use dalestand_types::MonotonicTime;
 
 use crate::context::Context;
 use crate::fleet::entry_text;
@@ -43,8 +45,46 @@
 /// Most changes found by one reading of the key-value service that are sent to other nodes by themselves.
 const READ_CHANGES_SENT: usize = 256;
 
+/// An engine that has gone stands again in a service that was restored from an older copy, until it lapses
+/// there after three heartbeats (3.6 s), unless it lives and writes its entry anew, which a watch tells.
+const RESTORED_ENTRIES_LAPSE: Duration = Duration::from_secs(5);
+
+/// Most entries that are held back; of more none is remembered, and all are taken.
+const MOST_HELD: usize = 4_096;
+
+/// Entries of engines that had gone and stand again since the service was restored, with when each was first
+/// seen: nothing is sent to them while they may have lapsed.
+#[derive(Debug, Default)]
+pub(crate) struct HeldEntries(HashMap<String, MonotonicTime>);
+
+/// What of `records` is to be taken, as they stand in a reading or at another node.
+pub(crate) fn without_held(context: &Context, mut records: Vec<EntryRecord>) -> Vec<EntryRecord> {
+    let entries = context.spread.entries.borrow();
+    let mut held = context.spread.held_entries.borrow_mut();
+    let now = context.now();
+    records.retain(|record| {
+        if !entries.had_gone(record) {
+            return true;
+        }
+        if held.0.len() >= MOST_HELD {
+            held.0
+                .retain(|_, since| now.since(*since) < RESTORED_ENTRIES_LAPSE * 2);
+        }
+        if held.0.len() >= MOST_HELD && !held.0.contains_key(&record.key) {
+            return true;
+        }
+        let since = held.0.entry(record.key.clone()).or_insert(now);
+        now.since(*since) >= RESTORED_ENTRIES_LAPSE
+    });
+    records
+}
+
 /// Takes changed entries in; what is newer than what was known is brought into force.
 pub(crate) fn take(context: &Context, records: Vec<EntryRecord>, source: ChangeSource) {
+    let records = match source {
+        ChangeSource::Store => records,
+        ChangeSource::Listing | ChangeSource::Relay => without_held(context, records),
+    };
     let mut entries = context.spread.entries.borrow_mut();
     let taken = records
         .into_iter()
@@ -90,6 +130,11 @@
         if is_logged_each {
             log_listed(context, &entry, record.revision, source);
         }
+        if !entry.accepting {
+            // Final for this run: a service restored from an older copy says otherwise for a while.
+            let engine = EngineKey::of(&entry.run);
+            context.router.borrow_mut().signals.note_draining(engine);
+        }
         changes.push((record.key, Some(entry)));
     }
     context.change_entries(changes);
@@ -142,6 +187,7 @@
 
 /// Takes a whole reading of the key-value service in.
 fn take_listing(context: &Context, revision: u64, records: Vec<EntryRecord>) {
+    let records = without_held(context, records);
     let mut entries = context.spread.entries.borrow_mut();
     let changes = entries.take_listing(revision, records);
     drop(entries);
@@ -192,7 +238,15 @@
         // there counts at once, what is missing a little later, unless it was written meanwhile.
         actix_rt::spawn(async move {
             sleep(LAPSED_ENTRIES_RETURN).await;
+            let held = {
+                let entries = context.spread.entries.borrow();
+                let held = records.iter().filter(|record| entries.had_gone(record));
+                held.cloned().collect::<Vec<_>>()
+            };
             take_listing(&context, listing.revision.0, records);
+            // Those that do not lapse are engines like any other.
+            sleep(RESTORED_ENTRIES_LAPSE).await;
+            take(&context, held, ChangeSource::Listing);
         });
     }
 
--- a/crates/forwarding/src/fleet/follow.rs
+++ b/crates/forwarding/src/fleet/follow.rs
@@ -86,6 +86,8 @@
     /// The revision from which to watch; `None` if all is to be read.
     position: Option<Revision>,
     was_read: bool,
+    /// The era of what was last read.
+    era: u64,
     failures: u32,
 }
 
@@ -128,6 +130,7 @@
             }
             progress.failures = 0;
             progress.was_read = true;
+            progress.era = next.map_or(progress.era, Revision::era);
             progress.position = next;
             if followed.has_changed {
                 actix_rt::time::sleep(follower.gather()).await;
@@ -172,7 +175,9 @@
     let Some(position) = progress.position else {
         let listing = read_all(task, follower).await?;
         let revision = listing.revision;
-        follower.listed(listing, progress.failures > 0);
+        // A copy lacks what was written last, which is soon written again, as after an outage.
+        let is_restored = progress.was_read && revision.era() != progress.era;
+        follower.listed(listing, progress.failures > 0 || is_restored);
         return Ok(Followed {
             position: Some(revision),
             has_changed: false,
--- a/crates/forwarding/src/fleet/registration.rs
+++ b/crates/forwarding/src/fleet/registration.rs
@@ -217,7 +217,14 @@
 pub(crate) async fn keep_registered(context: Rc<Context>, store: Rc<dyn KeyValue>) {
     loop {
         match register(&context, &*store).await {
-            Ok(lease) => keep_lease(&*store, lease).await,
+            Ok(lease) => {
+                let mut era = context.store_era.subscribe();
+                tokio::select! {
+                    () = keep_lease(&*store, lease) => {}
+                    // Who else is registered is looked at by all: they need this node's entry soon.
+                    _ = era.changed() => {}
+                }
+            }
             Err(error) => {
                 log_event!(context.logger, Event::RegistrationFailed,
                     "error" => %error.current_context());
--- a/crates/forwarding/src/node/mod.rs
+++ b/crates/forwarding/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! A node: settings, start, reload, stop, figures.
 
 pub(crate) mod counts;
+pub(crate) mod era_store;
 pub(crate) mod metered_store;
 pub(crate) mod metrics;
 pub(crate) mod ready;
--- a/crates/forwarding/src/node/start.rs
+++ b/crates/forwarding/src/node/start.rs
@@ -26,6 +26,7 @@
 use crate::fleet::follow::{FollowTask, Regained, WATCH_WAIT, follow};
 use crate::fleet::part_recovery::recover_parts;
 use crate::fleet::registration::{NodeFollower, OWN_PREFIX, find_relays, keep_registered};
+use crate::node::era_store::EraStore;
 use crate::node::metered_store::MeteredStore;
 use crate::node::metrics::{ForwardingMetrics, serve_metrics};
 use crate::node::ready::ready;
@@ -99,7 +100,7 @@
     let context = Rc::new(context);
     start_metrics(&context).await;
     let metered = MeteredStore::new(node.store, Rc::clone(&context));
-    let store: Rc<dyn KeyValue> = Rc::new(metered);
+    let store: Rc<dyn KeyValue> = Rc::new(EraStore::new(Rc::new(metered), Rc::clone(&context)));
     let authority = start_followers(&context, &store);
     // It is set once.
     let _ = context.quarantine.store.set(Rc::clone(&store));
--- a/crates/forwarding/src/quarantine/mod.rs
+++ b/crates/forwarding/src/quarantine/mod.rs
@@ -89,6 +89,15 @@
     }
 }
 
+impl Quarantine {
+    /// Has the key-value service keep anew what this node saw crashes of: what it kept under leases is gone.
+    pub(crate) fn keep_again(&self) {
+        let seen = self.seen_here.borrow();
+        self.to_store.borrow_mut().extend(seen.iter().copied());
+        self.store_wanted.notify_one();
+    }
+}
+
 /// The number under which nodes speak of an engine's run.
 pub(crate) fn engine_run(engine: EngineKey) -> EngineRun {
     EngineRun(engine.0)
--- a/crates/forwarding/src/roles/authority.rs
+++ b/crates/forwarding/src/roles/authority.rs
@@ -74,6 +74,11 @@
         }
     }
 
+    /// Gives the authority up: the lease under which it was held is gone.
+    pub(crate) fn drop_mandate(&self) {
+        self.mandate.set(None);
+    }
+
     /// Notes whether the holder's key stands.
     pub(crate) fn set_taken(&self, is_taken: bool) {
         self.is_taken.set(is_taken);
--- a/crates/forwarding/src/spread/mod.rs
+++ b/crates/forwarding/src/spread/mod.rs
@@ -33,6 +33,7 @@
 use tokio::sync::watch;
 
 use crate::fleet::declaration::DeclarationText;
+use crate::fleet::engine_entries::HeldEntries;
 use crate::node::settings::ForwardingSettings;
 use crate::spread::bulk::BulkQueue;
 use crate::spread::draining::DrainNews;
@@ -101,6 +102,8 @@
     pub(crate) subscription: RefCell<Subscription>,
     pub(crate) subscribers: RefCell<Subscribers>,
     pub(crate) entries: RefCell<EntryTable>,
+    /// Entries that a restored service has again.
+    pub(crate) held_entries: RefCell<HeldEntries>,
     pub(crate) changes: RefCell<RecentChanges>,
     /// When this node asks its relay for entries that differ.
     pub(crate) entry_sync: RefCell<EntrySync>,
@@ -139,6 +142,7 @@
             subscription: RefCell::new(subscription),
             subscribers: RefCell::new(Subscribers::new(MEMBER_SILENCE)),
             entries: RefCell::default(),
+            held_entries: RefCell::default(),
             changes: RefCell::default(),
             entry_sync: RefCell::default(),
             sent_pages: RefCell::default(),
--- a/crates/forwarding/src/spread/receive/entries.rs
+++ b/crates/forwarding/src/spread/receive/entries.rs
@@ -92,9 +92,10 @@
     if !is_followed {
         return;
     }
+    let records = engine_entries::without_held(context, page.records);
     let changes = {
         let mut entries = context.spread.entries.borrow_mut();
-        entries.take_range(page.revision, page.first..=page.last, page.records)
+        entries.take_range(page.revision, page.first..=page.last, records)
     };
     if !changes.is_empty() {
         context.spread.entry_sync.borrow_mut().progressed();
--- a/crates/forwarding/tests/support/node.rs
+++ b/crates/forwarding/tests/support/node.rs
@@ -65,6 +65,18 @@
         Self::start_with(slack, "").await
     }
 
+    /// Starts a node on an empty store that names its era.
+    pub async fn start_in_era(era: u64) -> Self {
+        for _ in 0..START_ATTEMPTS {
+            let store: Rc<MemoryStore> = Rc::default();
+            store.set_era(era);
+            if let Some(node) = Self::try_start_on(store, "node-1", 50, "", "").await {
+                return node;
+            }
+        }
+        panic!("no node could be started");
+    }
+
     /// Starts a node on an empty store behind a link of `link_mbps`.
     pub async fn start_with_link(link_mbps: f64) -> Self {
         Self::start_with(50, &format!("link_mbps = {link_mbps}\n")).await
--- a/crates/routing/tests/staged.rs
+++ b/crates/routing/tests/staged.rs
@@ -336,3 +336,29 @@
     let choice = router.choose_decode(NOW, &pool(&fleet), &request, &fleet[0]);
     assert!(choice.expect("an engine").queue_s < 1e-3);
 }
+
+#[rstest]
+#[case::another(&[], false, true)]
+#[case::the_other_was_tried(&["other"], false, false)]
+#[case::the_other_wants_no_calls(&[], true, false)]
+fn an_engine_is_left_only_for_another(
+    #[case] tried: &[&str],
+    #[case] is_closed: bool,
+    #[case] expected: bool,
+) {
+    let current = engine("current", Stage::Decode);
+    let others = [
+        current.clone(),
+        engine("other", Stage::Decode),
+        engine("of another stage", Stage::Prefill),
+    ];
+    let mut router = StagedRouter::default();
+    if is_closed {
+        let asked = Duration::from_secs(1);
+        let other = EngineKey::of("other");
+        router.signals.note_backoff(NOW, other, asked, 0.0);
+    }
+    let tried: Vec<EngineKey> = tried.iter().map(|name| EngineKey::of(name)).collect();
+    let found = router.has_other(NOW, &pool(&others), &current, &tried);
+    assert_eq!(found, expected);
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -56,6 +56,10 @@
     ConfigurationNotFetched = (1103, Warning, "configuration not fetched");
     /// The key-value service failed.
     KeyValueFailed = (1201, Warning, "key-value service failed");
+    /// The key-value service was restored from an older copy.
+    KeyValueRestored = (1205, Warning, "key-value service restored");
+    /// A key that the older copy lacked was written again.
+    KeyWrittenAgain = (1206, Info, "key written again");
     /// Keys of the key-value service are followed again.
     KeyValueRegained = (1203, Info, "key-value service regained");
     /// The node's own entry could not be written.
--- a/crates/types/src/identifier.rs
+++ b/crates/types/src/identifier.rs
@@ -134,3 +134,28 @@
         u32::from_le_bytes([first, second, third, fourth])
     }
 }
+
+/// Bits of a revision that count changes within an era: at 3,200 changes a second they last eleven years.
+const NUMBER_BITS: u32 = 40;
+
+impl Revision {
+    /// Highest era that a revision can name.
+    pub const MAX_ERA: u64 = u64::MAX >> NUMBER_BITS;
+
+    /// The revision that counts `number` changes of an era. A service that was restored from an older copy
+    /// begins a new era, in which it counts on from the copy's number: revisions of a later era are later.
+    pub fn in_era(era: u64, number: u64) -> Self {
+        let number = number.min((1 << NUMBER_BITS) - 1);
+        Self(era.min(Self::MAX_ERA) << NUMBER_BITS | number)
+    }
+
+    /// The era.
+    pub fn era(self) -> u64 {
+        self.0 >> NUMBER_BITS
+    }
+
+    /// Changes counted within the era.
+    pub fn number(self) -> u64 {
+        self.0 & ((1 << NUMBER_BITS) - 1)
+    }
+}
