An engine that starts again under its name is another engine; odd entries name none

Cause: an engine's name was taken for its run. One that starts again under it (its entry's start differs) was believed to keep what its former start had read, drain as that did, and crash evidence of all its starts counted once. Entries of another writer were half believed: an unknown state drained, an unknown stage was an application, slots could be missing.

Change: entries carry the start; the ledger of signals knows it and forgets what a former start said; kept parts, health, speeds and connections go with it; evidence of crashes names the start. Nodes tell each other starts and drains in one message of its own, so that entries as they are passed on stay readable for the landed build. Of what is told only a later start counts; what a watch tells always does. An entry with a field missing, of another kind, of a state or stage that is not named is none, is counted, and logged once.

--- a/crates/dissemination/src/lib.rs
+++ b/crates/dissemination/src/lib.rs
@@ -35,10 +35,10 @@
 pub use entry_table::{EntryRecord, EntryTable};
 pub use membership::{NodeDirectory, NodeEntry, NodeNumber, RELAYS_PER_ZONE, Relay};
 pub use message::{
-    DrainingEngines, EngineCode, EngineLoad, EntriesPage, EntriesRequest, Exchange, HolderAddress,
-    IncludedReport, LoadScope, LoadSlice, LoadsMessage, MESSAGE_VERSION, Message, News, NewsBatch,
-    PartsRequest, PlacedPart, Placement, PlacementState, PoolDemand, Report, RoleChange, Table,
-    UsageReport,
+    EngineCode, EngineLoad, EngineNotices, EngineStart, EntriesPage, EntriesRequest, Exchange,
+    HolderAddress, IncludedReport, LoadScope, LoadSlice, LoadsMessage, MESSAGE_VERSION, Message,
+    News, NewsBatch, PartsRequest, PlacedPart, Placement, PlacementState, PoolDemand, Report,
+    RoleChange, Table, UsageReport,
 };
 pub use subscribers::Subscribers;
 pub use subscription::{ReportTarget, Subscription};
--- a/crates/dissemination/src/message.rs
+++ b/crates/dissemination/src/message.rs
@@ -42,18 +42,29 @@
     DeclarationRequest(DeclarationRequest),
     /// A relay sends a part of a declaration to a node that asked.
     Declaration(DeclarationPart),
-    /// A node tells which engines have said that they drain. Nodes of builds without it take it for
-    /// unreadable.
-    Draining(DrainingEngines),
+    /// A node tells what engines said of themselves. Nodes of builds without it take it for unreadable.
+    Engines(EngineNotices),
 }
 
-/// Engines that have said in an answer that they drain.
+/// One start of an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Deserialize, Serialize)]
+pub struct EngineStart {
+    /// Number of the engine.
+    pub engine: u64,
+    /// When it started, by its own clock, in milliseconds since 1970; 0 where that is not known.
+    pub born: u64,
+}
+
+/// What engines said of themselves.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
-pub struct DrainingEngines {
+pub struct EngineNotices {
     /// The node that tells.
     pub node: NodeNumber,
-    /// Numbers of the engines.
-    pub engines: Vec<u64>,
+    /// Engines that drain.
+    pub draining: Vec<EngineStart>,
+    /// The starts that stand: entries as nodes pass them on don't name them, so that builds without them
+    /// read the entries of all.
+    pub starts: Vec<EngineStart>,
 }
 
 /// The node that holds the lease under which one node acts for all.
--- a/crates/edge/src/routed.rs
+++ b/crates/edge/src/routed.rs
@@ -140,8 +140,11 @@
 /// What an engine's own entry says.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineEntry {
-    /// Names the run.
+    /// Names the run; an engine may start again under the name that it had.
     pub run: Arc<str>,
+    /// When it started, in milliseconds since 1970 by its own clock, where it says so: another time is another
+    /// start, of which nothing holds that was known of the former one.
+    pub born: Option<u64>,
     /// The pool it belongs to.
     pub pool: PoolName,
     /// Where it listens.
--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -176,12 +176,39 @@
         self.router.borrow().signals.drains(engine)
     }
 
+    /// When the engine started, as its entry or another node told.
+    fn born(&self, engine: EngineKey) -> Option<u64> {
+        let born = self.router.borrow().signals.born(engine);
+        Some(born).filter(|born| *born > 0)
+    }
+
     /// Takes an engine out that has said that it drains; whether that is news here.
     pub(crate) fn engine_drains(&self, engine: EngineKey) -> bool {
         let is_news = self.router.borrow_mut().signals.note_draining(engine);
         is_news && self.fleet.borrow_mut().drain(engine)
     }
 
+    /// Forgets all that was known of an engine but where it is: it has started again.
+    pub(crate) fn engine_restarted(&self, engine: EngineKey) {
+        self.router.borrow_mut().forget(engine);
+        let born = self.born(engine);
+        self.fleet.borrow_mut().set_born(engine, born);
+        if !self.fleet().draining().any(|draining| draining == engine) {
+            return;
+        }
+        let entries = self.entries.borrow();
+        let mut known = entries.values();
+        if let Some(entry) = known.find(|entry| EngineKey::of(&entry.run) == engine) {
+            let table = self.table();
+            let entry = EngineEntry {
+                born,
+                ..entry.clone()
+            };
+            let mut fleet = self.fleet.borrow_mut();
+            fleet.set(&entry, table.as_deref(), |engine| self.drains(engine));
+        }
+    }
+
     /// Notes entries of engines by their keys, or that they are gone.
     pub(crate) fn change_entries(&self, changes: Vec<(String, Option<EngineEntry>)>) {
         let table = self.table();
@@ -200,7 +227,8 @@
                 fleet.remove(former);
                 gone.insert(EngineKey::of(&former.run));
             }
-            if let Some(entry) = entry {
+            if let Some(mut entry) = entry {
+                entry.born = self.born(EngineKey::of(&entry.run));
                 fleet.set(&entry, table.as_deref(), |engine| self.drains(engine));
                 gone.remove(&EngineKey::of(&entry.run));
                 entries.insert(key, entry);
--- a/crates/forwarding/src/fleet/engine_entries.rs
+++ b/crates/forwarding/src/fleet/engine_entries.rs
@@ -16,7 +16,9 @@
 use crate::context::Context;
 use crate::fleet::entry_text;
 use crate::fleet::follow::Follower;
+use crate::fleet::signals::take_start;
 use crate::quarantine::engine_end::{EndProof, engine_ended};
+use crate::spread::engine_notices::NoticeSource;
 use crate::spread::recent_changes::ChangeSource;
 
 /// Relays ask for changes of engines' entries again after up to this time for each relay, at random.
@@ -42,6 +44,9 @@
 /// each of 10,000 takes longer than to take them in.
 const LOGGED_EACH: usize = 16;
 
+/// Entries that cannot be read and are logged: a line each.
+const MOST_UNREADABLE_LOGGED: usize = 256;
+
 /// Most changes found by one reading of the key-value service that are sent to other nodes by themselves.
 const READ_CHANGES_SENT: usize = 256;
 
@@ -149,15 +154,25 @@
     }
 }
 
-/// An entry of the key-value service as nodes pass it on; as one that is gone if it cannot be read.
-fn record(context: &Context, key: String, value: Option<&str>, revision: u64) -> EntryRecord {
+/// An entry of the key-value service as nodes pass it on; as one that is gone if it cannot be read. What it
+/// says of the engine's start is taken in at once.
+fn record(
+    context: &Context,
+    key: String,
+    value: Option<&str>,
+    revision: u64,
+    source: ChangeSource,
+) -> EntryRecord {
     let read = value.and_then(|value| match context.form.read_engine(&key, value) {
         Ok(entry) => Some(entry),
         Err(error) => {
-            log_event!(context.logger, Event::EngineUnreadable, "key" => &key, "error" => error);
+            note_unreadable(context, &key, &error);
             None
         }
     });
+    if let Some(entry) = &read {
+        note_born(context, entry, source);
+    }
     EntryRecord {
         value: read.as_ref().map(entry_text::write),
         key,
@@ -165,6 +180,25 @@
     }
 }
 
+/// Notes when an engine started. What a watch tells was written just now; a reading may be that of a restored
+/// service, which tells of a former start.
+fn note_born(context: &Context, entry: &EngineEntry, source: ChangeSource) {
+    let (engine, born) = (EngineKey::of(&entry.run), entry.born.unwrap_or_default());
+    let known = context.router.borrow().signals.born(engine);
+    if source == ChangeSource::Store || born > known {
+        take_start(context, engine, born, NoticeSource::Entry);
+    }
+}
+
+/// Counts an entry that names no engine, and logs it once: another writer may write it again and again.
+fn note_unreadable(context: &Context, key: &str, error: &str) {
+    context.metrics.entry_unreadable();
+    let mut logged = context.spread.unreadable_entries.borrow_mut();
+    if logged.len() < MOST_UNREADABLE_LOGGED && logged.insert(key.to_owned()) {
+        log_event!(context.logger, Event::EngineUnreadable, "key" => key, "error" => error);
+    }
+}
+
 fn log_listed(context: &Context, entry: &EngineEntry, revision: u64, source: ChangeSource) {
     log_event!(context.logger, Event::EngineListed, "engine" => &*entry.run,
         "pool" => %entry.pool, "address" => %entry.address, "zone" => %entry.zone,
@@ -219,7 +253,14 @@
     fn page(&self, entries: &[Entry]) {
         let records = entries.iter().map(|entry| {
             let value = Some(entry.value.as_str());
-            record(&self.context, entry.key.clone(), value, entry.revision.0)
+            let revision = entry.revision.0;
+            record(
+                &self.context,
+                entry.key.clone(),
+                value,
+                revision,
+                ChangeSource::Listing,
+            )
         });
         let records = records.filter(|record| record.value.is_some());
         let records: Vec<EntryRecord> = records.collect();
@@ -256,7 +297,8 @@
         let events = events.into_iter();
         let records = events.map(|event| {
             let revision = event.revision.0;
-            record(&context, event.key, event.value.as_deref(), revision)
+            let value = event.value.as_deref();
+            record(&context, event.key, value, revision, ChangeSource::Store)
         });
         let records: Vec<EntryRecord> = records.collect();
         if !is_lapse(&context, &records) {
--- a/crates/forwarding/src/fleet/engines.rs
+++ b/crates/forwarding/src/fleet/engines.rs
@@ -11,6 +11,10 @@
 use dalestand_routing::staged::{EngineKey, EnginePool, Stage, StagedEngine};
 use dalestand_types::{PoolName, Role};
 
+/// Stands between the name of a run and its start in the names of connections: those to a former start are
+/// not used for a later one.
+const BORN_MARK: char = '@';
+
 /// One engine's run.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FleetEngine {
@@ -20,6 +24,8 @@
     pub address: SocketAddr,
     /// Names the run.
     pub run: Arc<str>,
+    /// When it started, where its entry says so.
+    pub born: Option<u64>,
     /// Tokens its memory holds; 0 where it keeps none.
     pub memory_tokens: u64,
 }
@@ -29,7 +35,10 @@
     pub fn target(&self) -> LinkTarget {
         LinkTarget {
             address: self.address,
-            run: Arc::clone(&self.run),
+            run: match self.born {
+                Some(born) => format!("{}{BORN_MARK}{born}", self.run).into(),
+                None => Arc::clone(&self.run),
+            },
         }
     }
 }
@@ -87,6 +96,7 @@
             memory_tokens: staged.memory_tokens,
             address: entry.address,
             run: Arc::clone(&entry.run),
+            born: entry.born,
         };
         let pool = self.pools.entry(entry.pool.clone()).or_default();
         pool.set(staged);
@@ -111,6 +121,13 @@
         took_work
     }
 
+    /// Notes when an engine started.
+    pub fn set_born(&mut self, key: EngineKey, born: Option<u64>) {
+        if let Some(engine) = self.engines.get_mut(&key) {
+            engine.born = born;
+        }
+    }
+
     /// Engines that take new work by their entries, and have said that they drain.
     pub fn draining(&self) -> impl ExactSizeIterator<Item = EngineKey> {
         self.draining.iter().copied()
@@ -156,8 +173,9 @@
 
     /// Whether a run takes new work at that address.
     pub fn has_target(&self, target: &LinkTarget) -> bool {
-        let engine = self.engines.get(&EngineKey::of(&target.run));
-        engine.is_some_and(|engine| engine.address == target.address)
+        let name = target.run.split(BORN_MARK).next().unwrap_or_default();
+        let engine = self.engines.get(&EngineKey::of(name));
+        engine.is_some_and(|engine| engine.target() == *target)
     }
 
     /// Tokens that an engine's memory holds; 0 if the engine is not known.
--- a/crates/forwarding/src/fleet/entry_text.rs
+++ b/crates/forwarding/src/fleet/entry_text.rs
@@ -74,6 +74,8 @@
         serde_json::from_str(text)?;
     Ok(EngineEntry {
         run,
+        // Told by itself: builds that know of no starts read this text too.
+        born: None,
         pool,
         address,
         zone,
--- a/crates/forwarding/src/fleet/entry_text/tests.rs
+++ b/crates/forwarding/src/fleet/entry_text/tests.rs
@@ -13,6 +13,7 @@
 fn entry(role: Option<Role>) -> EngineEntry {
     EngineEntry {
         run: Arc::from("i-7f3a91c2"),
+        born: None,
         pool: PoolName::from("caption-llm"),
         address: ([10, 1, 64, 9], 8080).into(),
         zone: ZoneName::from("duluth-vault"),
@@ -39,6 +40,7 @@
     ) {
         let entry = EngineEntry {
             run: Arc::from(run),
+            born: None,
             pool: PoolName::from(pool),
             slots,
             accepting,
--- a/crates/forwarding/src/fleet/signals.rs
+++ b/crates/forwarding/src/fleet/signals.rs
@@ -1,18 +1,21 @@
-//! What engines say of themselves in their answers, as this node and others heard it.
+//! What engines say of themselves in their answers and entries, as this node and others heard it.
 
 use std::sync::Arc;
 
+use dalestand_dissemination::EngineStart;
 use dalestand_routing::staged::{EngineKey, StagedEngine};
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::EngineSignals;
 
 use crate::context::Context;
-use crate::spread::draining::DrainSource;
+use crate::quarantine::engine_end::{EndProof, engine_ended};
+use crate::spread::engine_notices::{EngineNotice, NoticeSource};
 
 /// Takes in what an answer says of its engine.
 pub(crate) fn take(context: &Context, engine: &StagedEngine, said: EngineSignals) {
     if said.drains {
-        take_drain(context, engine.key, DrainSource::OwnAnswer);
+        let born = context.router.borrow().signals.born(engine.key);
+        take_drain(context, engine.key, born, NoticeSource::OwnAnswer);
     }
     if let Some(backoff) = said.backoff {
         let now = context.now();
@@ -25,16 +28,60 @@
     }
 }
 
-/// Takes an engine out that has said to this node or to another that it drains.
-pub(crate) fn take_drain(context: &Context, engine: EngineKey, source: DrainSource) {
-    let run = context
-        .fleet()
-        .engine(engine)
-        .map(|known| Arc::clone(&known.run));
+fn name(context: &Context, engine: EngineKey) -> Option<Arc<str>> {
+    let fleet = context.fleet();
+    fleet.engine(engine).map(|known| Arc::clone(&known.run))
+}
+
+/// Takes an engine out that has said to this node or to another that it drains, unless it was another start
+/// of it that did.
+pub(crate) fn take_drain(context: &Context, engine: EngineKey, born: u64, source: NoticeSource) {
+    let known_born = context.router.borrow().signals.born(engine);
+    if born != known_born && born != 0 && known_born != 0 {
+        return;
+    }
+    let run = name(context, engine);
     if !context.engine_drains(engine) {
         return;
     }
     log_event!(context.logger, Event::EngineDrains, "engine" => run.as_deref().unwrap_or_default(),
         "source" => ?source);
-    context.spread.draining.push(engine, source);
+    let start = EngineStart {
+        engine: engine.0,
+        born,
+    };
+    context
+        .spread
+        .notices
+        .push(EngineNotice::Drains(start), source);
+}
+
+/// Notes when an engine started. Where it had started before, nothing holds that was known of it. Of what
+/// other nodes tell only a later start counts: messages of the former one may be on their way.
+pub(crate) fn take_start(context: &Context, engine: EngineKey, born: u64, source: NoticeSource) {
+    let known = context.router.borrow().signals.born(engine);
+    let is_told = source != NoticeSource::Entry;
+    if born == known || born == 0 || (is_told && born < known) {
+        return;
+    }
+    let run = name(context, engine);
+    if known != 0 {
+        let name = run.as_deref().unwrap_or_default();
+        engine_ended(context, engine, name, EndProof::StartedAgain);
+    }
+    context.router.borrow_mut().signals.note_start(engine, born);
+    if known == 0 {
+        return;
+    }
+    context.engine_restarted(engine);
+    log_event!(context.logger, Event::EngineRestarted, "engine" => run.as_deref().unwrap_or_default(),
+        "born" => born, "former" => known, "source" => ?source);
+    let start = EngineStart {
+        engine: engine.0,
+        born,
+    };
+    context
+        .spread
+        .notices
+        .push(EngineNotice::Started(start), source);
 }
--- a/crates/forwarding/src/node/metrics.rs
+++ b/crates/forwarding/src/node/metrics.rs
@@ -58,6 +58,7 @@
     parts: IntGauge,
     code_collisions: IntGauge,
     calls_withheld: IntCounterVec,
+    entries_unreadable: IntCounter,
     engines_draining: IntGauge,
     engines_backing_off: IntGauge,
     crashes: IntCounter,
@@ -203,6 +204,10 @@
                 "Calls that were not made because the engine had said that it drains or had asked for backoff.",
                 &["signal"],
             )?,
+            entries_unreadable: counter(
+                "engine_entries_unreadable_total",
+                "Readings of engines' entries that name no engine.",
+            )?,
             engines_draining: gauge(
                 "engines_draining",
                 "Engines that have said in an answer that they drain, and are still listed.",
@@ -284,6 +289,11 @@
         self.crashes.inc();
     }
 
+    /// Notes an engine's entry that names no engine.
+    pub(crate) fn entry_unreadable(&self) {
+        self.entries_unreadable.inc();
+    }
+
     /// Notes a datagram between nodes.
     pub(crate) fn datagram(&self, message: &str, outcome: &str, bytes: usize) {
         let labels = [message, outcome];
--- a/crates/forwarding/src/node/start.rs
+++ b/crates/forwarding/src/node/start.rs
@@ -39,7 +39,7 @@
 use crate::roles::role_control::control_roles;
 use crate::serve::forward::forward;
 use crate::spread::bulk::send_bulk;
-use crate::spread::draining::send_draining;
+use crate::spread::engine_notices::send_notices;
 use crate::spread::receive::receive_state;
 use crate::spread::send::send_state;
 use crate::spread::tables::send_tables;
@@ -225,7 +225,7 @@
     actix_rt::spawn(receive_state(Rc::clone(context), Rc::clone(&socket)));
     actix_rt::spawn(send_tables(Rc::clone(context), Rc::clone(&socket)));
     actix_rt::spawn(send_bulk(Rc::clone(context), Rc::clone(&socket)));
-    actix_rt::spawn(send_draining(Rc::clone(context), Rc::clone(&socket)));
+    actix_rt::spawn(send_notices(Rc::clone(context), Rc::clone(&socket)));
     actix_rt::spawn(send_usage(Rc::clone(context), Rc::clone(&socket)));
     actix_rt::spawn(send_state(Rc::clone(context), socket));
     actix_rt::spawn(recover_parts(Rc::clone(context)));
--- a/crates/forwarding/src/quarantine/engine_end.rs
+++ b/crates/forwarding/src/quarantine/engine_end.rs
@@ -18,6 +18,8 @@
     NoListener,
     /// Its entry is gone, and it had not said that it leaves.
     EntryGone,
+    /// It has started again.
+    StartedAgain,
 }
 
 /// Asks an engine that broke an answer off whether it still listens. An entry lapses seconds after its
@@ -49,7 +51,7 @@
 
 /// Notes that an engine's run has ended.
 pub(crate) fn engine_ended(context: &Context, engine: EngineKey, name: &str, proof: EndProof) {
-    let run = engine_run(engine);
+    let run = engine_run(context, engine);
     let requests = {
         let mut runs = context.quarantine.unfinished.borrow_mut();
         if runs.has_ended(run) {
--- a/crates/forwarding/src/quarantine/mod.rs
+++ b/crates/forwarding/src/quarantine/mod.rs
@@ -23,9 +23,10 @@
 use dalestand_quarantine::{
     CrashLedger, CrashRecord, EngineRun, FingerprintKey, RequestFingerprint, UnfinishedRuns,
 };
-use dalestand_routing::staged::EngineKey;
+use dalestand_routing::staged::{EngineKey, rendezvous_weight};
 use tokio::sync::Notify;
 
+use crate::context::Context;
 use crate::quarantine::trial::TrialPauses;
 use crate::spread::repeated_news::{RepeatTerms, RepeatedNews};
 
@@ -98,7 +99,11 @@
     }
 }
 
-/// The number under which nodes speak of an engine's run.
-pub(crate) fn engine_run(engine: EngineKey) -> EngineRun {
-    EngineRun(engine.0)
+/// The number under which nodes speak of an engine's run: an engine that starts again under its name ends
+/// another time.
+pub(crate) fn engine_run(context: &Context, engine: EngineKey) -> EngineRun {
+    match context.router.borrow().signals.born(engine) {
+        0 => EngineRun(engine.0),
+        born => EngineRun(rendezvous_weight(engine.0, born)),
+    }
 }
--- a/crates/forwarding/src/quarantine/run_watch.rs
+++ b/crates/forwarding/src/quarantine/run_watch.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use dalestand_engine_link::AnswerBody;
-use dalestand_quarantine::RequestFingerprint;
+use dalestand_quarantine::{EngineRun, RequestFingerprint};
 use dalestand_routing::staged::StagedEngine;
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::PoolName;
@@ -33,6 +33,8 @@
 pub(crate) struct RunWatch {
     context: Rc<Context>,
     engine: StagedEngine,
+    /// The engine's run when the call was made.
+    run: EngineRun,
     pool: PoolName,
     request: Option<Arc<str>>,
     fingerprint: Option<RequestFingerprint>,
@@ -47,6 +49,7 @@
         engine: &StagedEngine,
         pool: &PoolName,
     ) -> Self {
+        let run = engine_run(context, engine.key);
         let unfinished = context.quarantine.unfinished.borrow();
         Self {
             context: Rc::clone(context),
@@ -55,7 +58,8 @@
             request: progress.facts.id.clone(),
             fingerprint: progress.fingerprint,
             // What is sent to an engine that has ended cannot be what ended it.
-            is_over: unfinished.has_ended(engine_run(engine.key)),
+            is_over: unfinished.has_ended(run),
+            run,
         }
     }
 
@@ -88,7 +92,7 @@
                 "request" => self.request.as_deref().unwrap_or_default(),
                 "fingerprint" => %fingerprint, "engine" => &*self.engine.run, "how" => ?how);
         }
-        let run = engine_run(self.engine.key);
+        let run = self.run;
         let mut runs = context.quarantine.unfinished.borrow_mut();
         let has_ended = runs.unfinished(context.now(), run, fingerprint);
         drop(runs);
--- a/crates/forwarding/src/spread/datagram.rs
+++ b/crates/forwarding/src/spread/datagram.rs
@@ -79,7 +79,7 @@
         Message::Usage(_) => "usage",
         Message::DeclarationRequest(_) => "declaration-request",
         Message::Declaration(_) => "declaration",
-        Message::Draining(_) => "draining",
+        Message::Engines(_) => "engines",
     }
 }
 
--- /dev/null
+++ b/crates/forwarding/src/spread/engine_notices.rs
@@ -0,0 +1,234 @@
+//! Tells other nodes what engines said of themselves: that they drain, and when they started.
+//!
+//! An engine's entry says that it drains, too, but late or never while the key-value service is away: just
+//! then the nodes that the engine answers must tell the others. What is lost is repaired by the relays, which
+//! name by turns, once a second, the engines that drain while their entries say otherwise, and all starts.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dalestand_clock::BootInstant;
+use dalestand_dissemination::{EngineNotices, EngineStart, Message, ReportTarget};
+use dalestand_routing::staged::EngineKey;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+
+use crate::context::Context;
+use crate::fleet::signals::{take_drain, take_start};
+use crate::spread::datagram::send;
+use crate::spread::repeated_news::{RepeatTerms, RepeatedNews};
+
+/// Engines in one message: 0.9 KB, below what a path carries in one packet.
+const PER_MESSAGE: usize = 48;
+
+/// Each notice goes out with three messages. Those that wait are the engines of a release of a whole zone;
+/// what is dropped is named again by the relays.
+const TERMS: RepeatTerms = RepeatTerms {
+    repeats: 3,
+    per_message: PER_MESSAGE,
+    waiting: 4_096,
+};
+
+/// Time between messages that carry the same.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(100);
+
+/// How often a relay names what stands: within the shortest drain bound (2 s) a node that lost the news of
+/// an engine that drains hears twice.
+const NAMED_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How a node learnt what it is to tell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoticeSource {
+    /// From the engine's answer to this node.
+    OwnAnswer,
+    /// From the engine's entry in the key-value service.
+    Entry,
+    /// From a member of this relay.
+    Member,
+    /// From a relay, which tells the other relays itself.
+    Relay,
+}
+
+/// What is told of an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EngineNotice {
+    /// It drains.
+    Drains(EngineStart),
+    /// It started.
+    Started(EngineStart),
+}
+
+/// Notices on their way to other nodes.
+#[derive(Debug)]
+pub(crate) struct NoticeQueue {
+    for_relays: RefCell<RepeatedNews<EngineNotice>>,
+    for_members: RefCell<RepeatedNews<EngineNotice>>,
+    /// Rung when there are some.
+    changed: Notify,
+    /// Messages in which this relay has named what stands, so that all comes by turns.
+    turn: Cell<usize>,
+}
+
+impl Default for NoticeQueue {
+    fn default() -> Self {
+        Self {
+            for_relays: RefCell::new(RepeatedNews::new(TERMS)),
+            for_members: RefCell::new(RepeatedNews::new(TERMS)),
+            changed: Notify::new(),
+            turn: Cell::new(0),
+        }
+    }
+}
+
+impl NoticeQueue {
+    /// Has a notice told.
+    pub(crate) fn push(&self, notice: EngineNotice, source: NoticeSource) {
+        if source != NoticeSource::Relay {
+            self.for_relays.borrow_mut().push(notice);
+        }
+        self.for_members.borrow_mut().push(notice);
+        self.changed.notify_one();
+    }
+
+    fn is_empty(&self) -> bool {
+        self.for_relays.borrow().is_empty() && self.for_members.borrow().is_empty()
+    }
+}
+
+/// Sends what is to be told, for as long as it is polled.
+pub(crate) async fn send_notices(context: Rc<Context>, socket: Rc<UdpSocket>) {
+    let mut named_at = BootInstant::now();
+    loop {
+        let queue = &context.spread.notices;
+        if queue.is_empty() {
+            let changed = tokio::time::timeout(NAMED_INTERVAL, queue.changed.notified());
+            // Whether something changed or the time is over, both are looked at below.
+            let _ = changed.await;
+        } else {
+            actix_rt::time::sleep(REPEAT_INTERVAL).await;
+        }
+        let is_relay = context.spread.role(context.now()).is_relay;
+        let names_all = is_relay && named_at.elapsed() >= NAMED_INTERVAL;
+        if names_all {
+            named_at = BootInstant::now();
+        }
+        let sent_bytes = if is_relay {
+            send_as_relay(&context, &socket, names_all)
+        } else {
+            send_as_member(&context, &socket)
+        };
+        context.sent(sent_bytes);
+    }
+}
+
+fn send_as_relay(context: &Context, socket: &UdpSocket, names_all: bool) -> usize {
+    let queue = &context.spread.notices;
+    let relays = context.spread.exchange_addresses(context.now());
+    let relays: Vec<SocketAddr> = relays.into_iter().collect();
+    let members = context.spread.subscribers.borrow().addresses();
+    let for_relays = queue.for_relays.borrow_mut().take();
+    let for_members = queue.for_members.borrow_mut().take();
+    let news =
+        tell(context, socket, &relays, &for_relays) + tell(context, socket, &members, &for_members);
+    if !names_all {
+        return news;
+    }
+    let (draining, started) = standing(context);
+    // Relays read starts for themselves.
+    news + tell(context, socket, &relays, &draining)
+        + tell(context, socket, &members, &draining)
+        + tell(context, socket, &members, &started)
+}
+
+fn send_as_member(context: &Context, socket: &UdpSocket) -> usize {
+    let queue = &context.spread.notices;
+    queue.for_members.borrow_mut().clear();
+    let target = context.spread.subscription.borrow().target(context.now());
+    let addresses: Vec<SocketAddr> = match target {
+        ReportTarget::Subscribed(relay) => vec![relay.address],
+        ReportTarget::Probe(relays) => relays.iter().map(|relay| relay.address).collect(),
+    };
+    let notices = queue.for_relays.borrow_mut().take();
+    tell(context, socket, &addresses, &notices)
+}
+
+/// What stands, by turns where it is much: engines that drain while their entries say otherwise, and starts.
+fn standing(context: &Context) -> (Vec<EngineNotice>, Vec<EngineNotice>) {
+    let turn = context.spread.notices.turn.get();
+    context.spread.notices.turn.set(turn.wrapping_add(1));
+    let fleet = context.fleet();
+    let router = context.router.borrow();
+    let draining = fleet.draining().map(|engine| EngineStart {
+        engine: engine.0,
+        born: router.signals.born(engine),
+    });
+    let draining = turn_of(draining.collect(), turn);
+    let started = turn_of(router.signals.starts().collect(), turn);
+    let start_of = |(engine, born): (EngineKey, u64)| EngineStart {
+        engine: engine.0,
+        born,
+    };
+    (
+        draining.into_iter().map(EngineNotice::Drains).collect(),
+        started
+            .into_iter()
+            .map(|start| EngineNotice::Started(start_of(start)))
+            .collect(),
+    )
+}
+
+/// The part of `all` whose turn it is.
+fn turn_of<T>(all: Vec<T>, turn: usize) -> Vec<T> {
+    let turns = all.len().div_ceil(PER_MESSAGE).max(1);
+    let first = (turn % turns) * PER_MESSAGE;
+    all.into_iter().skip(first).take(PER_MESSAGE).collect()
+}
+
+fn tell(
+    context: &Context,
+    socket: &UdpSocket,
+    addresses: &[SocketAddr],
+    notices: &[EngineNotice],
+) -> usize {
+    if notices.is_empty() || addresses.is_empty() {
+        return 0;
+    }
+    let draining = notices.iter().filter_map(|notice| match notice {
+        EngineNotice::Drains(start) => Some(*start),
+        EngineNotice::Started(_) => None,
+    });
+    let starts = notices.iter().filter_map(|notice| match notice {
+        EngineNotice::Started(start) => Some(*start),
+        EngineNotice::Drains(_) => None,
+    });
+    let message = EngineNotices {
+        node: context.spread.node,
+        draining: draining.collect(),
+        starts: starts.collect(),
+    };
+    send(context, socket, addresses, &Message::Engines(message))
+}
+
+/// Takes in what another node tells. Engines that this node does not know get nothing from it either;
+/// relays name them again.
+pub(crate) fn take(context: &Context, notices: &EngineNotices) {
+    let mut relays = context.spread.other_relays().into_iter();
+    let source = if relays.any(|relay| relay.number == notices.node) {
+        NoticeSource::Relay
+    } else {
+        NoticeSource::Member
+    };
+    let is_known = |start: &&EngineStart| {
+        let engine = EngineKey(start.engine);
+        context.fleet().engine(engine).is_some()
+    };
+    // A start goes first: what is said of an engine holds for the start that stands.
+    for start in notices.starts.iter().filter(is_known) {
+        take_start(context, EngineKey(start.engine), start.born, source);
+    }
+    for start in notices.draining.iter().filter(is_known) {
+        take_drain(context, EngineKey(start.engine), start.born, source);
+    }
+}
--- a/crates/forwarding/src/spread/mod.rs
+++ b/crates/forwarding/src/spread/mod.rs
@@ -7,7 +7,7 @@
 pub(crate) mod bulk;
 mod contents;
 pub(crate) mod datagram;
-pub(crate) mod draining;
+pub(crate) mod engine_notices;
 mod news_queue;
 mod own_reports;
 mod pacing;
@@ -20,7 +20,7 @@
 mod tests;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -36,7 +36,7 @@
 use crate::fleet::engine_entries::HeldEntries;
 use crate::node::settings::ForwardingSettings;
 use crate::spread::bulk::BulkQueue;
-use crate::spread::draining::DrainNews;
+use crate::spread::engine_notices::NoticeQueue;
 use crate::spread::news_queue::NewsQueue;
 use crate::spread::own_reports::OwnReports;
 use crate::spread::receive::entries::SentPages;
@@ -102,6 +102,8 @@
     pub(crate) subscription: RefCell<Subscription>,
     pub(crate) subscribers: RefCell<Subscribers>,
     pub(crate) entries: RefCell<EntryTable>,
+    /// Keys of engines' entries that could not be read and were logged.
+    pub(crate) unreadable_entries: RefCell<HashSet<String>>,
     /// Entries that a restored service has again.
     pub(crate) held_entries: RefCell<HeldEntries>,
     pub(crate) changes: RefCell<RecentChanges>,
@@ -111,8 +113,8 @@
     pub(crate) sent_pages: RefCell<Option<SentPages>>,
     /// Nodes that wait to be told of known parts.
     pub(crate) parts_askers: RefCell<Vec<SocketAddr>>,
-    /// Engines that drain, on their way to other nodes.
-    pub(crate) draining: DrainNews,
+    /// What engines said of themselves, on its way to other nodes.
+    pub(crate) notices: NoticeQueue,
     /// Long answers on their way to nodes that asked.
     pub(crate) bulk: BulkQueue,
     /// News for members.
@@ -142,12 +144,13 @@
             subscription: RefCell::new(subscription),
             subscribers: RefCell::new(Subscribers::new(MEMBER_SILENCE)),
             entries: RefCell::default(),
+            unreadable_entries: RefCell::default(),
             held_entries: RefCell::default(),
             changes: RefCell::default(),
             entry_sync: RefCell::default(),
             sent_pages: RefCell::default(),
             parts_askers: RefCell::default(),
-            draining: DrainNews::default(),
+            notices: NoticeQueue::default(),
             bulk: BulkQueue::default(),
             table_news: RefCell::default(),
             exchange_news: RefCell::default(),
--- a/crates/forwarding/src/spread/receive/mod.rs
+++ b/crates/forwarding/src/spread/receive/mod.rs
@@ -19,7 +19,7 @@
 use crate::context::Context;
 use crate::fleet::engine_entries;
 use crate::spread::datagram::kind_label;
-use crate::spread::draining;
+use crate::spread::engine_notices;
 use crate::spread::recent_changes::ChangeSource;
 
 /// Longest datagram there is: one that were cut would be unreadable, and a relay whose tables are
@@ -71,7 +71,7 @@
             declaration::send(context, sender, &request);
         }
         Message::Declaration(part) => declaration::take(context, part),
-        Message::Draining(message) => draining::take(context, &message),
+        Message::Engines(notices) => engine_notices::take(context, &notices),
         Message::Usage(report) => context.usage.take_report(report),
     }
 }
--- /dev/null
+++ b/crates/forwarding/tests/engine_restarts.rs
@@ -0,0 +1,141 @@
+//! Engines that start again under the name that they had, and entries that name no engine.
+
+#[allow(
+    dead_code,
+    unused_imports,
+    reason = "each test program uses a part of it"
+)]
+mod support;
+
+use std::io::Write as _;
+use std::net::TcpStream;
+use std::time::Duration;
+
+use rstest::rstest;
+use support::{TestEngine, TestNode, answer, id_of};
+
+/// Path of the request that ends engines.
+const DEADLY: &str = "/r/deadly";
+
+fn sound(head: &str, stream: &mut TcpStream) {
+    let id = id_of(head);
+    answer(stream, "200 OK", &format!("x-id: {id}\r\n"), "whole");
+}
+
+fn draining(head: &str, stream: &mut TcpStream) {
+    let headers = format!("x-id: {}\r\nx-drains: 1\r\n", id_of(head));
+    answer(stream, "200 OK", &headers, "whole");
+}
+
+fn backing_off(head: &str, stream: &mut TcpStream) {
+    let id = id_of(head);
+    let headers = format!("x-id: {id}\r\nx-refused: 1\r\nx-backoff-ms: 60000\r\n");
+    answer(stream, "503 Service Unavailable", &headers, "");
+}
+
+/// Begins the answer to the deadly request and never ends it.
+fn dying(head: &str, stream: &mut TcpStream) {
+    if !head.contains(DEADLY) {
+        return sound(head, stream);
+    }
+    let id = id_of(head);
+    let begun = format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\ntransfer-encoding: chunked\r\n\r\n");
+    let _ = stream.write_all(begun.as_bytes());
+}
+
+fn status(answer: &str) -> &str {
+    answer.split(' ').nth(1).unwrap_or_default()
+}
+
+#[rstest]
+#[case::drains(draining)]
+#[case::wants_no_calls(backing_off)]
+#[actix_rt::test]
+async fn nothing_that_a_former_start_said_holds(#[case] script: support::Script) {
+    let node = TestNode::start().await;
+    node.declare(1, "once", 1, 1_000);
+    let former = TestEngine::start(script);
+    node.list("e", &former, "ready born 1000");
+    node.settle().await;
+    node.request("1", "/r/x").await;
+    node.list("e", &former, "ready born 1000");
+    node.settle().await;
+    assert_eq!(status(&node.request("2", "/r/x").await), "503");
+    assert_eq!(former.heads().len(), 1);
+    let later = TestEngine::start(sound);
+    node.list("e", &later, "ready born 2000");
+    node.settle().await;
+    assert_eq!(status(&node.request("3", "/r/x").await), "200");
+}
+
+#[actix_rt::test]
+async fn connections_to_a_former_start_are_not_used() {
+    let node = TestNode::start().await;
+    node.declare(1, "once", 1, 1_000);
+    let engine = TestEngine::start(sound);
+    node.list("e", &engine, "ready born 1000");
+    node.settle().await;
+    assert_eq!(status(&node.request("1", "/r/x").await), "200");
+    // Another process listens at the same address; the former one's connections hang open.
+    node.list("e", &engine, "ready born 2000");
+    node.settle().await;
+    assert_eq!(status(&node.request("2", "/r/x").await), "200");
+    assert_eq!(engine.accepted(), 2, "a connection for each start");
+}
+
+#[actix_rt::test]
+async fn each_start_that_a_request_ends_counts() {
+    let node = TestNode::start().await;
+    node.declare(1, "once", 1, 1_000);
+    let mut ended = 0;
+    for start in 1..=6 {
+        let engine = TestEngine::start(dying);
+        node.list("e", &engine, &format!("ready born {start}000"));
+        node.settle().await;
+        let id = format!("deadly-{start}");
+        let deadly = node.request(&id, DEADLY);
+        let ends = async {
+            for _ in 0..40 {
+                actix_rt::time::sleep(Duration::from_millis(5)).await;
+                if engine.heads().iter().any(|head| head.contains(DEADLY)) {
+                    engine.crash();
+                    return 1;
+                }
+            }
+            0
+        };
+        let (_, crashed) = tokio::join!(deadly, ends);
+        ended += crashed;
+        node.settle().await;
+    }
+    assert_eq!(ended, 3, "starts under one name are told apart");
+}
+
+#[rstest]
+#[case::no_bytes("")]
+#[case::no_state("127.0.0.1:1")]
+#[case::no_address("somewhere ready")]
+#[case::no_time("127.0.0.1:1 ready born soon")]
+#[actix_rt::test]
+async fn an_entry_that_names_no_engine_changes_nothing_for_the_others(#[case] entry: &str) {
+    let node = TestNode::start().await;
+    node.declare(1, "repeatable", 2, 1_000);
+    let engine = TestEngine::start(sound);
+    node.store.write("engines/odd", Some(entry));
+    node.list("e", &engine, "ready");
+    node.settle().await;
+    for round in 0..3 {
+        node.store.write("engines/odd", Some(entry));
+        node.settle().await;
+        assert_eq!(
+            status(&node.request(&round.to_string(), "/r/x").await),
+            "200"
+        );
+    }
+    let figures = support::get(node.metrics, "host: a.example\r\n", "/metrics").await;
+    let line = figures
+        .lines()
+        .find_map(|line| line.strip_prefix("dalestand_engine_entries_unreadable_total "));
+    let counted: u64 = line.and_then(|value| value.parse().ok()).unwrap_or(0);
+    assert!(counted >= 3, "{counted}");
+}
--- a/crates/forwarding/tests/fleet.rs
+++ b/crates/forwarding/tests/fleet.rs
@@ -14,6 +14,7 @@
 fn entry(number: u16, pool: u8, accepting: bool, prefill: bool) -> EngineEntry {
     EngineEntry {
         run: Arc::from(format!("i-{number}")),
+        born: None,
         pool: PoolName::from(format!("pool-{pool}")),
         address: ([127, 0, 0, 1], 1_000 + number).into(),
         zone: ZoneName::from("here"),
@@ -68,6 +69,7 @@
 fn named(run: &str) -> EngineEntry {
     EngineEntry {
         run: Arc::from(run),
+        born: None,
         ..entry(1, 0, true, false)
     }
 }
--- a/crates/forwarding/tests/support/dialect.rs
+++ b/crates/forwarding/tests/support/dialect.rs
@@ -118,7 +118,8 @@
     }
 }
 
-/// Entries of engines are `ADDRESS STATE` or `ADDRESS STATE ROLE`, declarations are TOML.
+/// Entries of engines are `ADDRESS STATE` or `ADDRESS STATE ROLE`, with ` born TIME` after either;
+/// declarations are TOML.
 pub struct PlainForm;
 
 impl FleetForm for PlainForm {
@@ -136,9 +137,14 @@
 
     fn read_engine(&self, key: &str, value: &str) -> Result<EngineEntry, String> {
         let (address, state) = value.split_once(' ').ok_or("no state")?;
+        let (state, born) = match state.split_once(" born ") {
+            Some((state, born)) => (state, Some(born.parse().map_err(|_| "no time")?)),
+            None => (state, None),
+        };
         let (state, role) = state.split_once(' ').unwrap_or((state, ""));
         Ok(EngineEntry {
             run: Arc::from(key),
+            born,
             pool: PoolName::from("pool"),
             address: address.parse().map_err(|_| "no address")?,
             zone: ZoneName::from("here"),
--- a/crates/forwarding/tests/support/engine.rs
+++ b/crates/forwarding/tests/support/engine.rs
@@ -74,6 +74,12 @@
         self.connections.lock().expect("no panic").is_none()
     }
 
+    /// Connections that it accepted.
+    pub fn accepted(&self) -> usize {
+        let connections = self.connections.lock().expect("no panic");
+        connections.as_ref().map_or(0, Vec::len)
+    }
+
     /// Heads of the requests it was sent.
     pub fn heads(&self) -> Vec<String> {
         self.heads.lock().expect("no panic").clone()
--- a/crates/routing/src/staged/signals.rs
+++ b/crates/routing/src/staged/signals.rs
@@ -5,7 +5,7 @@
 //! older, or was written by an engine that does not know better. Nothing but time ends a backoff: an entry
 //! that lapses and is written again is the same run's.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use dalestand_types::MonotonicTime;
@@ -34,9 +34,9 @@
 /// Backoffs from which on those that are over are thrown away, called or not.
 const MANY_BACKOFFS: usize = 1_024;
 
-/// Runs that are remembered as draining, the newest: more than end while an older entry of one may still
-/// come from a reading, a relay or a restored service. 130 KB.
-const MOST_DRAINING: usize = 8_192;
+/// Engines of which it is remembered that they drain, or when they started, the newest: more than end while
+/// an older entry of one may still come from a reading, a relay or a restored service. 200 KB each.
+const MOST_REMEMBERED: usize = 16_384;
 
 /// Why an engine is to get no request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,12 +78,52 @@
     NotTakenUp,
 }
 
-/// What engines said of themselves.
+/// What is remembered of the engines of which it was learnt last.
+#[derive(Clone, Debug)]
+struct Remembered<V> {
+    values: HashMap<EngineKey, V>,
+    /// In the order in which they were learnt.
+    order: VecDeque<EngineKey>,
+}
+
+impl<V> Default for Remembered<V> {
+    fn default() -> Self {
+        Self {
+            values: HashMap::new(),
+            order: VecDeque::new(),
+        }
+    }
+}
+
+impl<V> Remembered<V> {
+    /// Sets a value; whether there was none.
+    fn set(&mut self, engine: EngineKey, value: V) -> bool {
+        if self.values.insert(engine, value).is_some() {
+            return false;
+        }
+        self.order.push_back(engine);
+        if self.order.len() > MOST_REMEMBERED
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.values.remove(&oldest);
+        }
+        true
+    }
+
+    fn remove(&mut self, engine: EngineKey) {
+        if self.values.remove(&engine).is_some() {
+            self.order.retain(|known| *known != engine);
+        }
+    }
+}
+
+/// What engines said of themselves. All of it is said of one start of an engine: nothing of it holds for
+/// another start under the same name.
 #[derive(Clone, Debug, Default)]
 pub struct SignalLedger {
-    draining: HashSet<EngineKey>,
-    /// The same in the order in which they were learnt.
-    draining_order: VecDeque<EngineKey>,
+    draining: Remembered<()>,
+    /// When engines started, by their own clocks, in milliseconds since 1970.
+    starts: Remembered<u64>,
     backoffs: HashMap<EngineKey, Backoff>,
     backoffs_noted: u64,
 }
@@ -91,16 +131,27 @@
 impl SignalLedger {
     /// Notes that an engine drains; whether that is news.
     pub fn note_draining(&mut self, engine: EngineKey) -> bool {
-        if !self.draining.insert(engine) {
-            return false;
-        }
-        self.draining_order.push_back(engine);
-        if self.draining_order.len() > MOST_DRAINING
-            && let Some(oldest) = self.draining_order.pop_front()
-        {
-            self.draining.remove(&oldest);
+        self.draining.set(engine, ())
+    }
+
+    /// Notes when an engine started. What it said before holds no longer, if it had started before.
+    pub fn note_start(&mut self, engine: EngineKey, born: u64) {
+        if !self.starts.set(engine, born) {
+            self.draining.remove(engine);
+            self.backoffs.remove(&engine);
         }
-        true
+    }
+
+    /// When the engine started, in milliseconds since 1970; 0 where that is not known.
+    pub fn born(&self, engine: EngineKey) -> u64 {
+        let born = self.starts.values.get(&engine);
+        born.copied().unwrap_or_default()
+    }
+
+    /// Engines of which it is known when they started.
+    pub fn starts(&self) -> impl Iterator<Item = (EngineKey, u64)> {
+        let starts = self.starts.values.iter();
+        starts.map(|(engine, born)| (*engine, *born))
     }
 
     /// Notes that an engine asked at `now` for the time `asked` without calls; whether it had not done so
@@ -135,7 +186,7 @@
 
     /// Whether the engine's run has said that it drains.
     pub fn drains(&self, engine: EngineKey) -> bool {
-        self.draining.contains(&engine)
+        self.draining.values.contains_key(&engine)
     }
 
     /// Why the engine is to get no request at `now`.
--- a/crates/routing/tests/signals.rs
+++ b/crates/routing/tests/signals.rs
@@ -174,9 +174,21 @@
 #[rstest]
 fn runs_that_drain_are_remembered_within_a_bound() {
     let mut ledger = SignalLedger::default();
-    for engine in 0..20_000 {
+    for engine in 0..20_000_u64 {
         ledger.note_draining(EngineKey(engine));
     }
     assert!(ledger.drains(EngineKey(19_999)));
     assert!(!ledger.drains(EngineKey(0)));
 }
+
+#[rstest]
+fn nothing_of_a_former_start_holds() {
+    let mut ledger = SignalLedger::default();
+    ledger.note_start(ENGINE, 1_000);
+    ledger.note_backoff(NOW, ENGINE, seconds(5), 0.0);
+    ledger.note_draining(ENGINE);
+    ledger.note_start(ENGINE, 2_000);
+    assert_eq!(ledger.closed(NOW, ENGINE), None);
+    assert_eq!(ledger.born(ENGINE), 2_000);
+    assert!(ledger.note_draining(ENGINE), "it is news of this start");
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -126,6 +126,8 @@
     RequestTried = (1616, Info, "stopped request tried");
     /// An engine said in an answer, to this node or to another, that it drains.
     EngineDrains = (1621, Info, "engine drains");
+    /// An engine has started again under the name that it had.
+    EngineRestarted = (1623, Info, "engine started again");
     /// An engine asked this node for a time without calls.
     EngineBacksOff = (1622, Info, "engine asks for backoff");
     /// What the key-value service keeps of a stopped request could not be read.
