--- a/cmd/tests/soak.rs
+++ b/cmd/tests/soak.rs
@@ -38,6 +38,7 @@
         nodes: 3,
         engines: 6,
         program: env!("CARGO_BIN_EXE_dalestand").into(),
+        beside: None,
         folder: folder.join(format!("seed-{seed}")),
     };
     let report = play(&terms).expect("a run");
--- /dev/null
+++ b/crates/dissemination/tests/golden.rs
@@ -0,0 +1,264 @@
+//! What nodes of landed builds send and store, byte for byte: builds of two versions run side by side.
+//!
+//! `golden/` has a file for each build whose formats still count, written by that build with
+//! `GOLDEN_OUT=FILE cargo test -p dalestand-dissemination --test golden`. Today's code must read each line,
+//! and write the same bytes, so that nodes of that build read it too. A message of a kind that a build does
+//! not know is unreadable there and passed over.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use dalestand_dissemination::{
+    DeclarationPart, DeclarationRequest, EngineCode, EngineLoad, EntriesPage, EntriesRequest,
+    EntryRecord, Exchange, HolderAddress, IncludedReport, LoadScope, LoadSlice, LoadsMessage,
+    MESSAGE_VERSION, Message, News, NewsBatch, NodeEntry, NodeNumber, PartsRequest, PlacedPart,
+    Placement, PlacementState, PoolDemand, Relay, Report, RoleChange, Table, UsageReport,
+};
+use dalestand_duties::NodeLife;
+use dalestand_quarantine::{CrashRecord, EngineRun, RequestFingerprint};
+use dalestand_types::{PoolName, ZoneName};
+
+/// What the landed build wrote.
+const GOLDEN: &str = include_str!("golden/first-of-upgrades.txt");
+
+fn address() -> SocketAddr {
+    SocketAddr::from(([10, 1, 0, 35], 7_660))
+}
+
+fn slice() -> LoadSlice {
+    LoadSlice {
+        slice: 0,
+        slices: 1,
+        loads: vec![EngineLoad {
+            engine: EngineCode(70_000),
+            requests: 3,
+            starting: 1,
+            unread_tokens: 17_000,
+        }],
+    }
+}
+
+fn demand() -> Vec<PoolDemand> {
+    vec![PoolDemand {
+        pool: PoolName::from("captions"),
+        disaggregated_tokens_per_s: 1_234.5,
+        colocated_tokens_per_s: 6.0,
+    }]
+}
+
+fn crash() -> CrashRecord {
+    let text = "7a9b01ef7431becd0ba7cc9e0b36dd51";
+    CrashRecord {
+        fingerprint: RequestFingerprint::parse(text).expect("a fingerprint"),
+        engine: EngineRun(9),
+        age_ms: 1_500,
+        is_cleared: false,
+    }
+}
+
+fn news() -> News {
+    let state = PlacementState::Read;
+    News {
+        origin: NodeNumber(4),
+        placed: vec![Placement {
+            engine: EngineCode(70_000),
+            state,
+            parts: vec![PlacedPart {
+                id: 0x5c1e_07a2,
+                tokens: 800,
+            }],
+            own_tokens: 250,
+        }],
+        role_changes: vec![RoleChange {
+            engine: u64::MAX,
+            at_most_ms: 900,
+        }],
+        crashes: vec![crash()],
+    }
+}
+
+fn records() -> Vec<EntryRecord> {
+    let value = Some("[\"i-7\",\"s\",\"10.1.0.9:80\",\"z\",4,true,\"p\",\"o\"]".to_owned());
+    vec![
+        EntryRecord {
+            key: "servers/i-7".to_owned(),
+            value,
+            revision: 41,
+        },
+        EntryRecord {
+            key: "servers/i-8".to_owned(),
+            value: None,
+            revision: 42,
+        },
+    ]
+}
+
+fn holder() -> Option<HolderAddress> {
+    Some(HolderAddress {
+        node: NodeNumber(2),
+        address: address(),
+        token: 31,
+    })
+}
+
+/// One message of each kind that the build knew.
+fn samples() -> BTreeMap<&'static str, Message> {
+    let node = NodeNumber(1);
+    let report = Report {
+        node,
+        sequence: 7,
+        is_probe: false,
+        work: slice().loads,
+        demand: demand(),
+        news: news(),
+    };
+    let exchange = Exchange {
+        node,
+        age_ms: 40,
+        work: slice(),
+        demand: demand(),
+        news: vec![news()],
+        changes: records(),
+        stopped: vec![crash()],
+        holder: holder(),
+        declaration: 12,
+    };
+    let table = Table {
+        node,
+        node_count: 9,
+        age_ms: 40,
+        work: slice(),
+        included: vec![IncludedReport { node, sequence: 7 }],
+        news: vec![news()],
+        changes: records(),
+        entries_digest: 99,
+        stopped: Vec::new(),
+        relays: vec![Relay {
+            number: node,
+            zone: ZoneName::from("z"),
+            address: address(),
+        }],
+        holder: None,
+        declaration: 12,
+    };
+    let loads = LoadsMessage {
+        node,
+        scope: LoadScope::Fleet,
+        age_ms: 40,
+        work: slice(),
+    };
+    let page = EntriesPage {
+        node,
+        revision: 42,
+        first: 0,
+        last: u64::MAX,
+        records: records(),
+    };
+    let entries_request = EntriesRequest {
+        node,
+        digests: vec![1, 2, 3],
+        max_bytes: 60_000,
+    };
+    let declaration = DeclarationPart {
+        revision: 12,
+        part: 0,
+        parts: 2,
+        text: "revision = 12".to_owned(),
+    };
+    let declaration_request = DeclarationRequest {
+        node,
+        revision: 12,
+        missing: vec![1],
+    };
+    let news_batch = NewsBatch {
+        node,
+        news: vec![news()],
+    };
+    BTreeMap::from([
+        ("report", Message::Report(report)),
+        ("exchange", Message::Exchange(exchange)),
+        ("table", Message::Table(table)),
+        ("news", Message::News(news_batch)),
+        ("loads", Message::Loads(loads)),
+        ("changes", Message::Changes(records())),
+        (
+            "parts-request",
+            Message::PartsRequest(PartsRequest { node }),
+        ),
+        ("entries-request", Message::EntriesRequest(entries_request)),
+        ("entries", Message::Entries(page)),
+        ("usage", Message::Usage(usage())),
+        (
+            "declaration-request",
+            Message::DeclarationRequest(declaration_request),
+        ),
+        ("declaration", Message::Declaration(declaration)),
+    ])
+}
+
+fn usage() -> UsageReport {
+    UsageReport {
+        origin: NodeLife { node: 1, life: 5 },
+        windows: Vec::new(),
+    }
+}
+
+fn encoded(message: &Message) -> Vec<u8> {
+    rmp_serde::to_vec(&(MESSAGE_VERSION, message)).expect("encoded")
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn bytes(hex: &str) -> Vec<u8> {
+    let digits = hex.as_bytes().chunks(2);
+    let byte = |pair: &[u8]| {
+        let text = std::str::from_utf8(pair).expect("digits");
+        u8::from_str_radix(text, 16).expect("a byte")
+    };
+    digits.map(byte).collect()
+}
+
+fn node_entry() -> NodeEntry {
+    NodeEntry {
+        address: address(),
+        zone: ZoneName::from("duluth-vault"),
+        link_mbps: 200,
+    }
+}
+
+#[test]
+fn messages_are_those_of_the_landed_build() {
+    if let Ok(file) = std::env::var("GOLDEN_OUT") {
+        let samples = samples();
+        let lines = samples
+            .iter()
+            .map(|(kind, message)| format!("{kind} {}\n", hex(&encoded(message))));
+        let entry = node_entry().to_text().expect("a text");
+        let text: String = lines.chain([format!("node-entry {entry}\n")]).collect();
+        std::fs::write(file, text).expect("written");
+        return;
+    }
+    let golden: BTreeMap<&str, &str> = GOLDEN
+        .lines()
+        .filter_map(|line| line.split_once(' '))
+        .collect();
+    for (kind, message) in samples() {
+        let written = bytes(golden.get(kind).expect("a line of each kind"));
+        let read: (u8, Message) = rmp_serde::from_slice(&written).expect(kind);
+        assert_eq!(read, (MESSAGE_VERSION, message.clone()), "{kind} is read");
+        assert_eq!(hex(&encoded(&message)), hex(&written), "{kind} is written");
+    }
+    let entry = NodeEntry::parse(golden["node-entry"]).expect("an entry");
+    assert_eq!(entry, node_entry());
+    let text = node_entry().to_text().expect("a text");
+    assert_eq!(text, golden["node-entry"]);
+}
+
+#[test]
+fn a_message_of_an_unknown_kind_is_unreadable_and_harms_no_other() {
+    let unknown = rmp_serde::to_vec(&(MESSAGE_VERSION, BTreeMap::from([("Unheard", 5)])));
+    let read = rmp_serde::from_slice::<(u8, Message)>(&unknown.expect("encoded"));
+    assert!(read.is_err());
+}
