The soak's store is restored from older copies

Cause: a restoration was played in tests of one node only.

Conclusion: kept for what it plays beside: stops, kills and drains at once.

--- a/cmd/tests/soak.rs
+++ b/cmd/tests/soak.rs
@@ -23,12 +23,23 @@
     FaultKind::StoreBusy,
 ];
 
+/// A store that is restored from copies while nodes and engines come and go.
+const RESTORE_KINDS: [FaultKind; 6] = [
+    FaultKind::StoreRestored,
+    FaultKind::NodeStopped,
+    FaultKind::NodeKilled,
+    FaultKind::EngineDrained,
+    FaultKind::EngineDrainedUnlisted,
+    FaultKind::RouteAdded,
+];
+
 /// Seeds that once broke something stand here for good, with what it was.
 #[rstest]
 #[case::faults_of_all_kinds(1, &FAULT_KINDS)]
 #[case::requests_that_come_often_refused_after_all_nodes_were_killed(119, &FAULT_KINDS)]
 #[case::planned_work_and_deadly_requests(3, &CALM_KINDS)]
 #[case::what_engines_say_in_their_answers(5, &SIGNAL_KINDS)]
+#[case::a_store_that_is_restored(7, &RESTORE_KINDS)]
 fn a_seeded_run_breaks_nothing(#[case] seed: u64, #[case] kinds: &[FaultKind]) {
     let folder = std::env::temp_dir().join(format!("dalestand-soak-{}", std::process::id()));
     let terms = RunTerms {
