Sight: the limit that an engine names stands in the account of a call

Change: the platform's reader takes the limit from an answer's head, in types that tell 'nothing', 'a rate' and 'no rate' apart; routing::staged::named_limits remembers what was heard last (an answer without one ends it only if its request went out after the limit was heard); the account of a call tells what was known and what its answer said; event 1624, three figures. No decision reads it yet. What several parts of the ledger remember moved into a file of its own.

Conclusion: a call made although a limit is known now has a line and a count.

--- a/crates/forwarding/src/fleet/signals.rs
+++ b/crates/forwarding/src/fleet/signals.rs
@@ -3,16 +3,23 @@
 use std::sync::Arc;
 
 use dalestand_dissemination::EngineStart;
-use dalestand_routing::staged::{EngineKey, StagedEngine};
+use dalestand_routing::staged::{EngineKey, LimitChange, StagedEngine};
 use dalestand_telemetry::{Event, log_event};
-use dalestand_types::EngineSignals;
+use dalestand_types::{EngineSignals, LimitSignal, MonotonicTime, RequestRate};
 
 use crate::context::Context;
 use crate::quarantine::engine_end::{EndProof, engine_ended};
 use crate::spread::engine_notices::{EngineNotice, NoticeSource};
 
-/// Takes in what an answer says of its engine.
-pub(crate) fn take(context: &Context, engine: &StagedEngine, said: EngineSignals) {
+/// Takes in what an answer says of its engine. `request_sent_at` is when the request went out that it takes up,
+/// if it takes one up.
+pub(crate) fn take(
+    context: &Context,
+    engine: &StagedEngine,
+    said: EngineSignals,
+    request_sent_at: Option<MonotonicTime>,
+) {
+    take_limit(context, engine, said.limit, request_sent_at);
     if said.drains {
         let born = context.router.borrow().signals.born(engine.key);
         take_drain(context, engine.key, born, NoticeSource::OwnAnswer);
@@ -28,6 +35,30 @@
     }
 }
 
+fn take_limit(
+    context: &Context,
+    engine: &StagedEngine,
+    said: LimitSignal,
+    request_sent_at: Option<MonotonicTime>,
+) {
+    if said == LimitSignal::Unreadable {
+        context.metrics.limit_unreadable();
+    }
+    let now = context.now();
+    let mut router = context.router.borrow_mut();
+    let limits = &mut router.signals.limits;
+    if let Some(change) = limits.note_answer(now, engine.key, said, request_sent_at) {
+        log_limit(context, &engine.run, change, NoticeSource::OwnAnswer);
+    }
+}
+
+fn log_limit(context: &Context, engine: &str, change: LimitChange, source: NoticeSource) {
+    let text =
+        |rate: Option<RequestRate>| rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
+    log_event!(context.logger, Event::EngineLimit, "engine" => engine,
+        "limit" => text(change.now), "former" => text(change.former), "source" => ?source);
+}
+
 fn name(context: &Context, engine: EngineKey) -> Option<Arc<str>> {
     let fleet = context.fleet();
     fleet.engine(engine).map(|known| Arc::clone(&known.run))
--- a/crates/forwarding/src/node/metrics.rs
+++ b/crates/forwarding/src/node/metrics.rs
@@ -61,6 +61,9 @@
     entries_unreadable: IntCounter,
     engines_draining: IntGauge,
     engines_backing_off: IntGauge,
+    engines_limited: IntGauge,
+    limits_unreadable: IntCounter,
+    calls_limited: IntCounter,
     crashes: IntCounter,
     requests_stopped: IntGauge,
 }
@@ -216,6 +219,18 @@
                 "engines_backing_off",
                 "Engines that want no calls of this node now.",
             )?,
+            engines_limited: gauge(
+                "engines_limited",
+                "Engines that take only so many requests a second of all nodes together.",
+            )?,
+            limits_unreadable: counter(
+                "engine_limits_unreadable_total",
+                "Answers of engines that named something as their limit that is no rate.",
+            )?,
+            calls_limited: counter(
+                "engine_calls_limited_total",
+                "Requests that this node sent to engines that it knew to have a limit.",
+            )?,
             crashes: counter(
                 "engine_crashes_attributed_total",
                 "Requests that this node had at an engine when that ended.",
@@ -252,6 +267,9 @@
             };
             self.calls_withheld.with_label_values(&[signal]).inc();
         }
+        if call.signals.known_limit.is_some() {
+            self.calls_limited.inc();
+        }
         let latency = self.call_seconds.with_label_values(&[purpose]);
         latency.observe(call.took.as_secs_f64());
     }
@@ -289,6 +307,11 @@
         self.crashes.inc();
     }
 
+    /// Notes an answer whose limit is no rate.
+    pub(crate) fn limit_unreadable(&self) {
+        self.limits_unreadable.inc();
+    }
+
     /// Notes an engine's entry that names no engine.
     pub(crate) fn entry_unreadable(&self) {
         self.entries_unreadable.inc();
@@ -327,6 +350,8 @@
         let router = context.router.borrow();
         let backing_off = router.signals.backing_off(now);
         self.engines_backing_off.set(backing_off as i64);
+        let limited = router.signals.limits.iter().count();
+        self.engines_limited.set(limited as i64);
         drop(router);
         self.requests_stopped.set(stopped_count(context) as i64);
         self.set_repeats_left(context);
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -12,7 +12,7 @@
 use dalestand_quarantine::CRASHES_ALLOWED;
 use dalestand_routing::staged::{AttemptResult, EngineChoice, EngineKey};
 use dalestand_routing::{CallArrival, CallPurpose, RepeatedSend};
-use dalestand_types::PoolName;
+use dalestand_types::{PoolName, RequestRate};
 
 use crate::context::Context;
 use crate::quarantine::engine_end::{EndProof, ask_listener, engine_ended};
@@ -117,6 +117,7 @@
     }
     let mut watch = RunWatch::new(context, progress, &engine, call.pool);
     let sent_at = BootInstant::now();
+    let known_limit = limit(context, engine.key);
     context.sent(progress.sent_bytes());
     let target = known.target();
     let sent = send(
@@ -132,7 +133,8 @@
     );
     let answered = timeout(call.patience, sent).await;
     let took = sent_at.elapsed();
-    let (judged, signals) = judge(answered.ok());
+    let (judged, mut signals) = judge(answered.ok());
+    signals.known_limit = known_limit;
     let (end, outcome, result) = match judged {
         Judged::Sound(exchange) => {
             let result = if exchange.head.status.is_server_error() {
@@ -214,6 +216,13 @@
     end
 }
 
+/// The engine's limit, if it is known to have one.
+fn limit(context: &Context, engine: EngineKey) -> Option<RequestRate> {
+    let router = context.router.borrow();
+    let limit = router.signals.limits.get(engine);
+    limit.map(|(rate, _)| rate)
+}
+
 /// Where an engine listens; `None` once it takes no new work.
 fn address(context: &Context, engine: EngineKey) -> Option<SocketAddr> {
     let fleet = context.fleet();
--- a/crates/forwarding/src/serve/engine_send.rs
+++ b/crates/forwarding/src/serve/engine_send.rs
@@ -106,6 +106,7 @@
         return Err(CallError::Closed(closed));
     }
     let returning = Returning::new(context, engine.key);
+    let sent_at = context.now();
     let max_connections = context.max_connections(pool);
     // Once it is on its way it is one of those that ask whether the engine takes calls again.
     let is_open = || {
@@ -127,7 +128,9 @@
         facts,
         exchange,
     };
-    signals::take(context, engine, reply.signals());
+    let takes_up = content != CallContent::Own && !reply.facts.refused;
+    let request_sent_at = takes_up.then_some(sent_at);
+    signals::take(context, engine, reply.signals(), request_sent_at);
     if reply.is_own && !reply.facts.refused {
         returning.taken_up();
     }
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -15,7 +15,7 @@
     ClosedFor, EngineChoice, EngineKey, Expectation, PromptPart, StagedRequest,
 };
 use dalestand_routing::{CallCounts, CallPurpose};
-use dalestand_types::{EngineSignals, PoolName};
+use dalestand_types::{EngineSignals, LimitSignal, PoolName, RequestRate};
 
 use crate::node::settings::ForwardingSettings;
 
@@ -57,6 +57,8 @@
 pub(crate) struct CallSignals {
     /// Why the call did not go out.
     pub(crate) closed: Option<ClosedFor>,
+    /// The limit that the engine was known to have when it was called.
+    pub(crate) known_limit: Option<RequestRate>,
     /// What the answer said.
     pub(crate) said: EngineSignals,
 }
@@ -86,6 +88,14 @@
         if let Some(backoff) = self.said.backoff {
             text.push_str(&format!(", asks for {}ms", backoff.as_millis()));
         }
+        if let Some(limit) = self.known_limit {
+            text.push_str(&format!(", limited to {limit}"));
+        }
+        match self.said.limit {
+            LimitSignal::Named(limit) => text.push_str(&format!(", names a limit of {limit}")),
+            LimitSignal::Unreadable => text.push_str(", names an unreadable limit"),
+            LimitSignal::Absent => {}
+        }
         text
     }
 }
--- a/crates/forwarding/tests/support/dialect.rs
+++ b/crates/forwarding/tests/support/dialect.rs
@@ -12,12 +12,13 @@
     StageOrder, StageOrderOutcome,
 };
 use dalestand_routes::{ApiKey, PresentedKey, RouteFile};
-use dalestand_types::{EngineSignals, PoolName, Role, ZoneName};
+use dalestand_types::{EngineSignals, LimitSignal, PoolName, RequestRate, Role, ZoneName};
 
 const ID: HeaderName = HeaderName::from_static("x-id");
 const REFUSED: HeaderName = HeaderName::from_static("x-refused");
 const DRAINS: HeaderName = HeaderName::from_static("x-drains");
 const BACKOFF_MS: HeaderName = HeaderName::from_static("x-backoff-ms");
+const LIMIT: HeaderName = HeaderName::from_static("x-limit");
 const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
 const PROMPT: HeaderName = HeaderName::from_static("x-prompt");
 const PREFILL: HeaderName = HeaderName::from_static("x-prefill");
@@ -76,6 +77,13 @@
             signals: EngineSignals {
                 drains: headers.contains_key(DRAINS),
                 backoff: backoff_ms.map(Duration::from_millis),
+                limit: match text(&LIMIT).map(str::parse) {
+                    None => LimitSignal::Absent,
+                    Some(rate) => rate
+                        .ok()
+                        .and_then(RequestRate::per_second)
+                        .map_or(LimitSignal::Unreadable, LimitSignal::Named),
+                },
             },
         }
     }
--- a/crates/routing/src/staged/signals.rs
+++ b/crates/routing/src/staged/signals.rs
@@ -5,12 +5,14 @@
 //! older, or was written by an engine that does not know better. Nothing but time ends a backoff: an entry
 //! that lapses and is written again is the same run's.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::time::Duration;
 
 use dalestand_types::MonotonicTime;
 
 use super::EngineKey;
+use super::named_limits::NamedLimits;
+use super::remembered::Remembered;
 
 /// Longest backoff that one answer brings about. An engine that asks for days is asked again after this
 /// time, by one call, so that one wrong answer does not lose it for as long as it lives.
@@ -34,10 +36,6 @@
 /// Backoffs from which on those that are over are thrown away, called or not.
 const MANY_BACKOFFS: usize = 1_024;
 
-/// Engines of which it is remembered that they drain, or when they started, the newest: more than end while
-/// an older entry of one may still come from a reading, a relay or a restored service. 200 KB each.
-const MOST_REMEMBERED: usize = 16_384;
-
 /// Why an engine is to get no request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ClosedFor {
@@ -78,45 +76,6 @@
     NotTakenUp,
 }
 
-/// What is remembered of the engines of which it was learnt last.
-#[derive(Clone, Debug)]
-struct Remembered<V> {
-    values: HashMap<EngineKey, V>,
-    /// In the order in which they were learnt.
-    order: VecDeque<EngineKey>,
-}
-
-impl<V> Default for Remembered<V> {
-    fn default() -> Self {
-        Self {
-            values: HashMap::new(),
-            order: VecDeque::new(),
-        }
-    }
-}
-
-impl<V> Remembered<V> {
-    /// Sets a value; whether there was none.
-    fn set(&mut self, engine: EngineKey, value: V) -> bool {
-        if self.values.insert(engine, value).is_some() {
-            return false;
-        }
-        self.order.push_back(engine);
-        if self.order.len() > MOST_REMEMBERED
-            && let Some(oldest) = self.order.pop_front()
-        {
-            self.values.remove(&oldest);
-        }
-        true
-    }
-
-    fn remove(&mut self, engine: EngineKey) {
-        if self.values.remove(&engine).is_some() {
-            self.order.retain(|known| *known != engine);
-        }
-    }
-}
-
 /// What engines said of themselves. All of it is said of one start of an engine: nothing of it holds for
 /// another start under the same name.
 #[derive(Clone, Debug, Default)]
@@ -126,6 +85,8 @@
     listed_draining: Remembered<u64>,
     /// When engines started, by their own clocks, in milliseconds since 1970.
     starts: Remembered<u64>,
+    /// How many requests engines take.
+    pub limits: NamedLimits,
     backoffs: HashMap<EngineKey, Backoff>,
     backoffs_noted: u64,
 }
@@ -140,7 +101,7 @@
     /// drained takes work again only if it started anew, or if another writer had said that it drains; the
     /// copy from which a later era began may be older than what it said.
     pub fn note_entry(&mut self, engine: EngineKey, accepting: bool, era: u64) {
-        let known = self.listed_draining.values.get(&engine);
+        let known = self.listed_draining.get(engine);
         if !accepting {
             self.listed_draining.set(engine, era);
         } else if known.is_some_and(|known| *known >= era) {
@@ -153,20 +114,21 @@
         if !self.starts.set(engine, born) {
             self.draining.remove(engine);
             self.listed_draining.remove(engine);
+            self.limits.forget(engine);
             self.backoffs.remove(&engine);
         }
     }
 
     /// When the engine started, in milliseconds since 1970; 0 where that is not known.
     pub fn born(&self, engine: EngineKey) -> u64 {
-        let born = self.starts.values.get(&engine);
+        let born = self.starts.get(engine);
         born.copied().unwrap_or_default()
     }
 
     /// Engines of which it is known when they started.
     pub fn starts(&self) -> impl Iterator<Item = (EngineKey, u64)> {
-        let starts = self.starts.values.iter();
-        starts.map(|(engine, born)| (*engine, *born))
+        let starts = self.starts.iter();
+        starts.map(|(engine, born)| (engine, *born))
     }
 
     /// Notes that an engine asked at `now` for the time `asked` without calls; whether it had not done so
@@ -201,8 +163,7 @@
 
     /// Whether the engine's run has said that it drains, in an answer or in its entry.
     pub fn drains(&self, engine: EngineKey) -> bool {
-        self.draining.values.contains_key(&engine)
-            || self.listed_draining.values.contains_key(&engine)
+        self.draining.get(engine).is_some() || self.listed_draining.get(engine).is_some()
     }
 
     /// Why the engine is to get no request at `now`.
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -130,6 +130,8 @@
     EngineRestarted = (1623, Info, "engine started again");
     /// An engine asked this node for a time without calls.
     EngineBacksOff = (1622, Info, "engine asks for backoff");
+    /// An engine named a limit of its requests, another one, or none any more.
+    EngineLimit = (1624, Info, "engine names a limit");
     /// What the key-value service keeps of a stopped request could not be read.
     StopUnreadable = (1615, Warning, "stopped request unreadable");
     /// The usage of a window was reported.
