--- /dev/null
+++ b/crates/forwarding/tests/engine_limits.rs
@@ -0,0 +1,194 @@
+//! Engines that name how many requests a second they take from all nodes together.
+//!
+//! Seen: engines that had named a limit of 3.7 and 4.2 a second got 11 and 9 a second from nodes that they had
+//! told, as many as before.
+//! How it came about: nothing else had changed. The engines answered each request in time, their entries stood
+//! at ready, and they looked no busier than others.
+//! Cause: not found yet.
+
+#[allow(
+    dead_code,
+    unused_imports,
+    reason = "each test program uses a part of it"
+)]
+mod support;
+
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use rstest::rstest;
+use support::{TestEngine, TestNode, answer, id_of};
+
+/// Requests a second that engines of these tests take.
+const LIMIT: f64 = 2.0;
+
+/// Share of a limit that may come in a window, with [`EXTRA`] besides: the users' bound.
+const FACTOR: f64 = 1.5;
+
+/// See [`FACTOR`].
+const EXTRA: f64 = 5.0;
+
+/// Window of the bound.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// Time in which nodes tell each other of an engine.
+const TOLD: Duration = Duration::from_millis(500);
+
+/// Requests that are sent together.
+const AT_ONCE: usize = 4;
+
+/// Time between them.
+const PAUSE: Duration = Duration::from_millis(100);
+
+fn sound(head: &str, stream: &mut TcpStream) {
+    let headers = format!("x-id: {}\r\n", id_of(head));
+    answer(stream, "200 OK", &headers, "whole");
+}
+
+/// Answers after a while, so that an engine that answers at once looks better.
+fn slow(head: &str, stream: &mut TcpStream) {
+    thread::sleep(Duration::from_millis(80));
+    sound(head, stream);
+}
+
+/// Answers, and names its limit.
+fn limited(head: &str, stream: &mut TcpStream) {
+    let headers = format!("x-id: {}\r\nx-limit: {LIMIT}\r\n", id_of(head));
+    answer(stream, "200 OK", &headers, "whole");
+}
+
+/// Refuses, and names its limit.
+fn refusing_and_limited(head: &str, stream: &mut TcpStream) {
+    let headers = format!(
+        "x-id: {}\r\nx-refused: 1\r\nx-limit: {LIMIT}\r\n",
+        id_of(head)
+    );
+    answer(stream, "503 Service Unavailable", &headers, "");
+}
+
+/// Callers' requests that an engine was sent. A node has questions of its own, too.
+fn requests(engine: &TestEngine) -> usize {
+    let heads = engine.heads().into_iter();
+    heads.filter(|head| head.contains("x-id: ")).count()
+}
+
+fn status(answer: &str) -> &str {
+    answer.split(' ').nth(1).unwrap_or_default()
+}
+
+/// Sends requests to all nodes in turn for a window; the answers.
+async fn send_for_a_window(nodes: &[&TestNode], headers: &str) -> Vec<String> {
+    let mut answers = Vec::new();
+    let begun = tokio::time::Instant::now();
+    let mut round = 0;
+    while begun.elapsed() < WINDOW {
+        round += 1;
+        let at_once = (0..AT_ONCE * nodes.len()).map(|place| {
+            let node = nodes[place % nodes.len()];
+            let headers = format!("x-id: {round}-{place}\r\nhost: a.example\r\n{headers}");
+            async move { support::get(node.callers, &headers, "/r/x").await }
+        });
+        answers.extend(futures_util::future::join_all(at_once).await);
+        actix_rt::time::sleep(PAUSE).await;
+    }
+    answers
+}
+
+fn allowed() -> f64 {
+    FACTOR * LIMIT * WINDOW.as_secs_f64() + EXTRA
+}
+
+/// Three nodes beside each other.
+async fn fleet(kind: &str) -> [TestNode; 3] {
+    let first = TestNode::start().await;
+    first.declare(1, kind, 3, 1_000);
+    let second = first.start_beside("node-2").await;
+    let third = first.start_beside("node-3").await;
+    // Nodes find each other by their entries.
+    actix_rt::time::sleep(Duration::from_millis(2_500)).await;
+    [first, second, third]
+}
+
+#[rstest]
+#[case::with_a_whole_answer(limited)]
+#[case::with_a_refusal(refusing_and_limited)]
+#[actix_rt::test]
+async fn all_nodes_together_keep_the_limit_of_an_engine(
+    #[case] script: support::Script,
+    #[values("repeatable", "once", "resumable-stream")] kind: &str,
+) {
+    let [first, second, third] = fleet(kind).await;
+    let (in_need, other) = (TestEngine::start(script), TestEngine::start(slow));
+    first.list("in-need", &in_need, "ready");
+    first.settle().await;
+    first.request("first", "/r/x").await;
+    first.list("other", &other, "ready");
+    actix_rt::time::sleep(TOLD).await;
+    let before = requests(&in_need);
+    let answers = send_for_a_window(&[&first, &second, &third], "").await;
+    let arrived = requests(&in_need) - before;
+    assert!(arrived as f64 <= allowed(), "{arrived} requests");
+    assert!(
+        answers.iter().all(|answer| status(answer) == "200"),
+        "a request has the other engine"
+    );
+}
+
+#[actix_rt::test]
+async fn a_prompt_that_is_read_elsewhere_goes_on_within_the_limit() {
+    let node = TestNode::start().await;
+    node.declare_prompts(1, "resumable-stream", 3, 3_000);
+    let prefill = TestEngine::start(limited);
+    let (in_need, other) = (TestEngine::start(limited), TestEngine::start(slow));
+    node.list("prefill", &prefill, "ready prefill");
+    node.list("in-need", &in_need, "ready decode");
+    actix_rt::time::sleep(Duration::from_millis(2_500)).await;
+    let long = "x-prompt: 20000\r\n";
+    let headers = format!("x-id: first\r\nhost: a.example\r\n{long}");
+    support::get(node.callers, &headers, "/r/x").await;
+    node.list("other", &other, "ready decode");
+    node.settle().await;
+    let before = [&prefill, &in_need].map(requests);
+    send_for_a_window(&[&node], long).await;
+    for (engine, before) in [&prefill, &in_need].into_iter().zip(before) {
+        let arrived = requests(engine) - before;
+        assert!(arrived as f64 <= allowed(), "{arrived} requests");
+    }
+}
+
+#[actix_rt::test]
+async fn where_all_engines_are_limited_callers_are_told_when_to_come_back() {
+    let node = TestNode::start().await;
+    node.declare(1, "repeatable", 3, 1_000);
+    let engines: Vec<TestEngine> = (0..3).map(|_| TestEngine::start(limited)).collect();
+    actix_rt::time::sleep(Duration::from_millis(2_500)).await;
+    // Each names its limit, and an entry that lapses does not end it.
+    for (place, engine) in engines.iter().enumerate() {
+        let name = format!("e{place}");
+        node.list(&name, engine, "ready");
+        node.settle().await;
+        node.request(&name, "/r/x").await;
+        node.store.write(&format!("engines/{name}"), None);
+        node.settle().await;
+    }
+    for (place, engine) in engines.iter().enumerate() {
+        node.list(&format!("e{place}"), engine, "ready");
+    }
+    node.settle().await;
+    let before: usize = engines.iter().map(requests).sum();
+    let answers = send_for_a_window(&[&node], "").await;
+    let arrived = engines.iter().map(requests).sum::<usize>() - before;
+    let of_all = allowed() * engines.len() as f64;
+    assert!(arrived as f64 <= of_all, "{arrived} requests");
+    let served = answers.iter().filter(|answer| status(answer) == "200");
+    let wanted = LIMIT * WINDOW.as_secs_f64() * engines.len() as f64;
+    assert!(
+        served.count() as f64 >= wanted * 0.75,
+        "the limits are used"
+    );
+    let refused = answers.iter().filter(|answer| status(answer) == "503");
+    assert!(refused.clone().count() > 0);
+    let told = |answer: &&String| answer.contains("retry-after: ");
+    assert!(refused.clone().all(|answer| told(&answer)), "{answers:?}");
+}
