--- a/cmd/src/forward.rs
+++ b/cmd/src/forward.rs
@@ -87,6 +87,7 @@
     let duty_calls =
         duties.map(|duties| -> Rc<dyn DutyCalls> { Rc::new(PlatformDuties::new(duties.address)) });
     let node = ForwardingNode {
+        unknown_headers: store.unknown_headers(),
         settings,
         read_settings: Box::new(move || read_settings(&path)),
         dialect: Rc::new(PlatformDialect),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod key_value_client;
 pub mod machine_list;
 pub mod routed;
+pub mod unknown_headers;
 pub mod wire;
 
 pub use cache_event::{CacheChange, CacheEvent, CacheEvents, PrefixHash};
--- a/crates/edge/src/routed.rs
+++ b/crates/edge/src/routed.rs
@@ -133,6 +133,9 @@
     /// The parts that an engine keeps, with their tokens.
     fn read_kept_parts(&self, body: &[u8]) -> Vec<(u64, u32)>;
 
+    /// Whether a header, its name in lower case, is of the platform's kind and none that is known here.
+    fn is_unknown_header(&self, name: &str) -> bool;
+
     /// The path at which the platform asks whether a node is ready.
     fn ready_path(&self) -> &'static str;
 }
--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -9,6 +9,7 @@
 use dalestand_dissemination::NodeNumber;
 use dalestand_edge::duty_calls::EngineTenure;
 use dalestand_edge::routed::{Dialect, EngineEntry, FleetForm};
+use dalestand_edge::unknown_headers::UnknownHeaders;
 use dalestand_engine_link::{EngineLink, LinkLimits};
 use dalestand_planner::ZoneEngines;
 use dalestand_routes::{RouteTable, SplitPicker};
@@ -34,11 +35,22 @@
 /// A node has at least this many connections to each engine, however many nodes there are.
 const MIN_CONNECTIONS: usize = 8;
 
+/// What a node is made of beside its settings.
+pub(crate) struct ContextParts {
+    pub(crate) dialect: Rc<dyn Dialect>,
+    pub(crate) form: Rc<dyn FleetForm>,
+    pub(crate) unknown_headers: UnknownHeaders,
+    pub(crate) logger: Logger,
+    pub(crate) metrics: ForwardingMetrics,
+}
+
 /// State of one node.
 pub(crate) struct Context {
     pub(crate) settings: ForwardingSettings,
     pub(crate) dialect: Rc<dyn Dialect>,
     pub(crate) form: Rc<dyn FleetForm>,
+    /// Headers that nothing here knows.
+    pub(crate) unknown_headers: UnknownHeaders,
     pub(crate) link: EngineLink,
     pub(crate) logger: Logger,
     pub(crate) in_flight: InFlight,
@@ -80,17 +92,19 @@
 }
 
 impl Context {
-    pub(crate) fn new(
-        settings: ForwardingSettings,
-        dialect: Rc<dyn Dialect>,
-        form: Rc<dyn FleetForm>,
-        logger: Logger,
-        metrics: ForwardingMetrics,
-    ) -> Self {
+    pub(crate) fn new(settings: ForwardingSettings, parts: ContextParts) -> Self {
+        let ContextParts {
+            dialect,
+            form,
+            unknown_headers,
+            logger,
+            metrics,
+        } = parts;
         Self {
             metrics,
             dialect,
             form,
+            unknown_headers,
             link: EngineLink::new(LinkLimits::default()),
             logger,
             in_flight: InFlight::default(),
--- a/crates/forwarding/src/node/metrics.rs
+++ b/crates/forwarding/src/node/metrics.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dalestand_edge::unknown_headers::{UNKNOWN_SENDERS, UnknownSender};
 use dalestand_http_server::{
     Answer, Connections, Request, ServerLimits, StatusCode, serve, status_answer, text_answer,
 };
@@ -65,6 +66,7 @@
     limits_unreadable: IntCounter,
     calls_limited: IntCounter,
     permits: IntCounterVec,
+    unknown_headers: IntCounterVec,
     issued_for: IntGauge,
     crashes: IntCounter,
     requests_stopped: IntGauge,
@@ -242,6 +244,11 @@
                 "engine_permits_issued_for",
                 "Engines for which nodes lately asked this one for leave.",
             )?,
+            unknown_headers: counters(
+                "unknown_headers_total",
+                "Headers of the platform's kind that this build does not know, by who sent them.",
+                &["sender"],
+            )?,
             crashes: counter(
                 "engine_crashes_attributed_total",
                 "Requests that this node had at an engine when that ended.",
@@ -374,11 +381,24 @@
         drop(router);
         self.requests_stopped.set(stopped_count(context) as i64);
         self.set_repeats_left(context);
+        self.count_unknown_headers(context);
         let mut buffer = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut buffer)?;
         Ok(String::from_utf8_lossy(&buffer).into_owned())
     }
 
+    fn count_unknown_headers(&self, context: &Context) {
+        for sender in UNKNOWN_SENDERS {
+            let label = match sender {
+                UnknownSender::Engine => "engine",
+                UnknownSender::KeyValue => "key-value",
+            };
+            let counter = self.unknown_headers.with_label_values(&[label]);
+            let seen = context.unknown_headers.seen(sender);
+            counter.inc_by(seen.saturating_sub(counter.get()));
+        }
+    }
+
     /// Only pools of the declaration in force are told, so that labels stay bounded.
     fn set_repeats_left(&self, context: &Context) {
         self.repeats_left.reset();
--- a/crates/forwarding/src/node/start.rs
+++ b/crates/forwarding/src/node/start.rs
@@ -8,6 +8,7 @@
 use dalestand_edge::KeyValue;
 use dalestand_edge::duty_calls::DutyCalls;
 use dalestand_edge::routed::{Dialect, FleetForm};
+use dalestand_edge::unknown_headers::UnknownHeaders;
 use dalestand_http_server::{Connections, ServerLimits, serve};
 use dalestand_telemetry::{Event, log_event};
 use error_stack::{Report, ResultExt as _};
@@ -16,7 +17,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
-use crate::context::Context;
+use crate::context::{Context, ContextParts};
 use crate::duties::scaling::scale_engines;
 use crate::duties::send_usage;
 use crate::duties::usage_report::report_usage;
@@ -74,6 +75,8 @@
     pub store: Rc<dyn KeyValue>,
     /// Calls that one node makes for all; `None` where the platform asks for none.
     pub duty_calls: Option<Rc<dyn DutyCalls>>,
+    /// Headers that nothing here knows; the key-value service's client notes them too.
+    pub unknown_headers: UnknownHeaders,
     /// The log.
     pub logger: Logger,
 }
@@ -96,8 +99,14 @@
     log_event!(logger, Event::NodeStarted, "zone" => %settings.zone,
         "callers" => %settings.caller_listen);
     let metrics = ForwardingMetrics::new().change_context(ForwardingError::Metrics)?;
-    let context = Context::new(settings, node.dialect, node.form, logger, metrics);
-    let context = Rc::new(context);
+    let parts = ContextParts {
+        dialect: node.dialect,
+        form: node.form,
+        unknown_headers: node.unknown_headers,
+        logger,
+        metrics,
+    };
+    let context = Rc::new(Context::new(settings, parts));
     start_metrics(&context).await;
     let metered = MeteredStore::new(node.store, Rc::clone(&context));
     let store: Rc<dyn KeyValue> = Rc::new(EraStore::new(Rc::new(metered), Rc::clone(&context)));
@@ -248,6 +257,10 @@
             log_event!(context.logger, Event::PauseNoticed,
                 "for_ms" => passed.as_millis() as u64);
         }
+        for header in context.unknown_headers.take_new() {
+            log_event!(context.logger, Event::HeaderUnknown, "sender" => ?header.sender,
+                "header" => &header.name);
+        }
         let fleet = context.fleet();
         context.link.sweep(|target| fleet.has_target(target));
         let now = context.now();
--- a/crates/forwarding/src/serve/engine_send.rs
+++ b/crates/forwarding/src/serve/engine_send.rs
@@ -7,8 +7,10 @@
 use std::sync::Arc;
 
 use actix_http::RequestHead;
+use actix_http::header::HeaderName;
 use bytes::Bytes;
 use dalestand_edge::routed::AnswerFacts;
+use dalestand_edge::unknown_headers::UnknownSender;
 use dalestand_engine_link::{Exchange, LinkTarget, SendError};
 use dalestand_routing::staged::{CallEnd, ClosedFor, EngineKey, ReturningCall, StagedEngine};
 use dalestand_types::{EngineSignals, PoolName};
@@ -135,6 +137,10 @@
         error => CallError::Link(error),
     })?;
     let answer = &exchange.head;
+    let names = answer.headers.keys().map(HeaderName::as_str);
+    for name in names.filter(|name| context.dialect.is_unknown_header(name)) {
+        context.unknown_headers.note(UnknownSender::Engine, name);
+    }
     let facts = context.dialect.read_answer(answer.status, &answer.headers);
     let reply = EngineReply {
         is_own: facts.id.as_ref() == content.id(),
--- a/crates/forwarding/tests/support/dialect.rs
+++ b/crates/forwarding/tests/support/dialect.rs
@@ -121,6 +121,10 @@
         Vec::new()
     }
 
+    fn is_unknown_header(&self, name: &str) -> bool {
+        name.starts_with("x-new-")
+    }
+
     fn ready_path(&self) -> &'static str {
         "/ready"
     }
--- a/crates/forwarding/tests/support/node.rs
+++ b/crates/forwarding/tests/support/node.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use dalestand_edge::KeyValue;
+use dalestand_edge::unknown_headers::UnknownHeaders;
 use dalestand_forwarding::{ForwardingNode, ForwardingSettings};
 use dalestand_telemetry::discard_logger;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -142,6 +143,7 @@
         let settings = ForwardingSettings::parse(&settings).expect("sound settings");
         let known = settings.clone();
         let node = ForwardingNode {
+            unknown_headers: UnknownHeaders::default(),
             settings,
             read_settings: Box::new(move || Ok(known.clone())),
             dialect: Rc::new(PlainDialect),
