--- a/cmd/tests/soak.rs
+++ b/cmd/tests/soak.rs
@@ -33,6 +33,16 @@
     FaultKind::RouteAdded,
 ];
 
+/// Engines that take only so many requests, one or all at once, beside nodes and a store in trouble.
+const LIMIT_KINDS: [FaultKind; 6] = [
+    FaultKind::EngineLimited,
+    FaultKind::AllEnginesLimited,
+    FaultKind::NodeKilled,
+    FaultKind::NodePaused,
+    FaultKind::StoreSilent,
+    FaultKind::EngineCrashed,
+];
+
 /// Seeds that once broke something stand here for good, with what it was.
 #[rstest]
 #[case::faults_of_all_kinds(1, &FAULT_KINDS)]
@@ -40,6 +50,7 @@
 #[case::planned_work_and_deadly_requests(3, &CALM_KINDS)]
 #[case::what_engines_say_in_their_answers(5, &SIGNAL_KINDS)]
 #[case::a_store_that_is_restored(7, &RESTORE_KINDS)]
+#[case::engines_that_take_only_so_many(11, &LIMIT_KINDS)]
 fn a_seeded_run_breaks_nothing(#[case] seed: u64, #[case] kinds: &[FaultKind]) {
     let folder = std::env::temp_dir().join(format!("dalestand-soak-{}", std::process::id()));
     let terms = RunTerms {
