A lower count of nodes holds only after a minute, and nodes that hear no other take no slack

Cause: each node divides the slack by its own newest count of nodes, and that count falls where others cannot renew their entries (the key-value service turns a third of the nodes away for more than 15 s): those that count six take a sixth, the three that are there all the same go on with a ninth each. A node that knew no count at all took the whole.

Two older tests of the budget name the count that they meant.

Conclusion: proved for counts wrong by one, by half, or one, for up to 30 s each. Connections of more nodes than an eighth of an engine's number still add up to more.

--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -13,8 +13,8 @@
 use dalestand_engine_link::{EngineLink, LinkLimits};
 use dalestand_planner::ZoneEngines;
 use dalestand_routes::{RouteTable, SplitPicker};
-use dalestand_routing::SharedRetryBudget;
 use dalestand_routing::staged::{EngineKey, LinkQueue, StagedRouter};
+use dalestand_routing::{NodeCount, SharedRetryBudget};
 use dalestand_types::{MonotonicTime, PoolName, ZoneName};
 use rand::RngExt as _;
 use slog::Logger;
@@ -88,7 +88,7 @@
     fleet: RefCell<Fleet>,
     stopping: Cell<bool>,
     asks_for_parts: Cell<bool>,
-    nodes: Cell<usize>,
+    nodes: RefCell<NodeCount>,
 }
 
 impl Context {
@@ -129,7 +129,7 @@
             fleet: RefCell::default(),
             stopping: Cell::new(false),
             asks_for_parts: Cell::new(false),
-            nodes: Cell::new(1),
+            nodes: RefCell::default(),
             settings,
         }
     }
@@ -335,14 +335,15 @@
 
     /// Notes how many nodes there are, this one among them.
     pub(crate) fn set_nodes(&self, nodes: usize) {
-        self.nodes.set(nodes.max(1));
-        self.budget.borrow_mut().set_nodes(nodes);
+        let now = self.now();
+        self.nodes.borrow_mut().set(now, nodes);
+        self.budget.borrow_mut().set_nodes(now, nodes);
         self.router.borrow_mut().unreported.set_nodes(nodes);
     }
 
     /// Nodes known, this one among them.
     pub(crate) fn node_count(&self) -> usize {
-        self.nodes.get()
+        self.nodes.borrow().newest().unwrap_or(1)
     }
 
     /// Connections that this node may have to one engine of the pool.
@@ -350,7 +351,8 @@
         let table = self.table.borrow();
         let terms = table.as_ref().and_then(|table| table.pool(pool).cloned());
         let all = terms.map_or(MIN_CONNECTIONS, |terms| terms.max_connections as usize);
-        (all / self.nodes.get()).max(MIN_CONNECTIONS)
+        let nodes = self.nodes.borrow_mut().get(self.now()).unwrap_or(1);
+        (all / nodes).max(MIN_CONNECTIONS)
     }
 }
 
--- a/crates/forwarding/src/node/start.rs
+++ b/crates/forwarding/src/node/start.rs
@@ -261,9 +261,11 @@
             log_event!(context.logger, Event::HeaderUnknown, "sender" => ?header.sender,
                 "header" => &header.name);
         }
+        let now = context.now();
+        let is_cut_off = context.spread.is_cut_off(now);
+        context.budget.borrow_mut().set_cut_off(is_cut_off);
         let fleet = context.fleet();
         context.link.sweep(|target| fleet.has_target(target));
-        let now = context.now();
         context.router.borrow_mut().work.sweep(now);
     }
 }
--- a/crates/forwarding/src/spread/mod.rs
+++ b/crates/forwarding/src/spread/mod.rs
@@ -71,6 +71,10 @@
 /// A node that relays send their sums to is a relay for this long, whatever it knows itself.
 const ADDRESSED: Duration = Duration::from_secs(3);
 
+/// A node that has heard no other for this long counts itself as cut off: well before the others take it for gone,
+/// whose entries outlive it by ten seconds or more.
+const CUT_OFF: Duration = Duration::from_secs(4);
+
 /// A relay that was not heard by another for this long issues no permits any more: three of its messages, which
 /// go out each 0.3 s at least.
 const UNHEARD: Duration = Duration::from_secs(1);
@@ -232,6 +236,16 @@
         heard_at.is_some_and(|heard_at| now.since(*heard_at) < UNHEARD)
     }
 
+    /// Whether this node has heard no other for a time, though it knows of some.
+    pub(crate) fn is_cut_off(&self, now: MonotonicTime) -> bool {
+        let exchanging = self.exchanging.borrow();
+        let relays_heard = exchanging.values().copied().max();
+        let heard_at = relays_heard.max(Some(self.subscription.borrow().heard_at()));
+        let unheard = now.since(heard_at.unwrap_or(MonotonicTime::ZERO));
+        let knows_others = self.fleet_nodes.get().max(self.node_count()) > 1;
+        knows_others && unheard > CUT_OFF
+    }
+
     /// Notes that the entries of all nodes were read.
     pub(crate) fn nodes_listed(&self) {
         self.nodes_listed.set(true);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,6 +9,7 @@
 mod config;
 mod estimate;
 mod learning;
+mod node_count;
 mod prefix;
 mod request;
 mod retry_budget;
@@ -27,6 +28,7 @@
 pub use call_counts::{CallArrival, CallCounts, CallPurpose};
 pub use config::RouterConfig;
 pub use learning::PriorSpeeds;
+pub use node_count::NodeCount;
 pub use prefix::{PromptBlock, prompt_blocks};
 pub use request::{
     Deadlines, Expected, Placement, RouteDecision, RoutePhase, RouteRefusal, RouteRequest,
--- a/crates/routing/src/shared_retry_budget.rs
+++ b/crates/routing/src/shared_retry_budget.rs
@@ -2,7 +2,8 @@
 //!
 //! In any window, the sends to a pool beyond the first of each request may be a ratio of the
 //! requests for it, and a slack besides. Each node counts its own requests and takes its part of
-//! the slack. The parts add up to the whole, so that what all spend together stays within it, if each
+//! the slack, by the highest count of nodes that it heard lately ([`NodeCount`]). The parts add up to the whole
+//! at most, so that what all spend together stays within it, if each
 //! takes every send that counts ([`crate::CallCounts`]) before it goes out.
 
 use std::collections::{HashMap, VecDeque};
@@ -10,6 +11,8 @@
 
 use dalestand_types::{MonotonicTime, PoolName};
 
+use crate::node_count::NodeCount;
+
 /// Share of what is allowed that is spent: a send counts when it arrives, which is some milliseconds after
 /// it was taken, in a window of 10 s, and nodes hear of each other's coming and going within a second.
 /// With nine nodes and engines that refuse half of all calls, 27 plays of ten seconds each kept the whole
@@ -42,7 +45,9 @@
 #[derive(Clone, Debug)]
 pub struct SharedRetryBudget {
     terms: SharedRetryTerms,
-    nodes: usize,
+    nodes: NodeCount,
+    /// Whether this node hears no other, though there are others.
+    is_cut_off: bool,
     /// When this node started, where a former life of it may have spent from the same window.
     restarted_at: Option<MonotonicTime>,
     pools: HashMap<PoolName, PoolCounts>,
@@ -53,7 +58,8 @@
     pub fn new(terms: SharedRetryTerms) -> Self {
         Self {
             terms,
-            nodes: 1,
+            nodes: NodeCount::default(),
+            is_cut_off: false,
             restarted_at: None,
             pools: HashMap::new(),
         }
@@ -70,9 +76,16 @@
         self.terms = terms;
     }
 
-    /// Sets the number of nodes among which the slack is divided.
-    pub fn set_nodes(&mut self, nodes: usize) {
-        self.nodes = nodes.max(1);
+    /// Notes the number of nodes among which the slack is divided, as it was heard at `now`. Before the first
+    /// there is no slack.
+    pub fn set_nodes(&mut self, now: MonotonicTime, nodes: usize) {
+        self.nodes.set(now, nodes);
+    }
+
+    /// Notes whether this node hears none of the others: they take it for gone after a time and divide its part
+    /// of the slack among themselves.
+    pub fn set_cut_off(&mut self, is_cut_off: bool) {
+        self.is_cut_off = is_cut_off;
     }
 
     /// Notes a request for a pool.
@@ -111,8 +124,12 @@
         counts.expire(now, window);
         let restarted = self.restarted_at;
         let may_have_spent = restarted.is_some_and(|at| now.since(at) < window);
-        let slack = if may_have_spent { 0.0 } else { slack };
-        let earned = ratio * counts.requests.len() as f64 + slack / self.nodes as f64;
+        let nodes = self.nodes.get(now);
+        let part = match nodes.filter(|_| !may_have_spent && !self.is_cut_off) {
+            Some(nodes) => slack / nodes as f64,
+            None => 0.0,
+        };
+        let earned = ratio * counts.requests.len() as f64 + part;
         earned * SPENT_SHARE - counts.repeats.len() as f64
     }
 }
--- a/crates/routing/tests/shared_retry_budget.rs
+++ b/crates/routing/tests/shared_retry_budget.rs
@@ -26,7 +26,7 @@
         let mut nodes: Vec<SharedRetryBudget> =
             (0..7).map(|_| SharedRetryBudget::new(TERMS)).collect();
         for node in &mut nodes {
-            node.set_nodes(7);
+            node.set_nodes(MonotonicTime::ZERO, 7);
         }
         let mut now = MonotonicTime::ZERO;
         let mut requests = Vec::new();
@@ -48,6 +48,88 @@
     }
 }
 
+/// A count of nodes that some of them hear for a time, instead of the right one.
+#[derive(Clone, Debug)]
+struct WrongCount {
+    hears: usize,
+    counted: usize,
+    from_s: u64,
+    for_s: u64,
+}
+
+fn wrong_count() -> impl Strategy<Value = WrongCount> {
+    let counted = prop_oneof![Just(NODES - 1), Just(NODES / 2), Just(1)];
+    (0..NODES, counted, 0_u64..60, 1_u64..30).prop_map(|(hears, counted, from_s, for_s)| {
+        WrongCount {
+            hears,
+            counted,
+            from_s,
+            for_s,
+        }
+    })
+}
+
+const NODES: usize = 8;
+
+proptest! {
+    /// Nodes that take others for gone, whose entries lapsed while the key-value service was away, stay within the
+    /// budget with those that are there all the same: wrong by one, by half, or alone.
+    #[test]
+    fn a_wrong_count_of_nodes_spends_no_more(
+        wrong in proptest::collection::vec(wrong_count(), 1..10),
+        is_repeat in proptest::collection::vec(proptest::bool::weighted(0.7), 600),
+    ) {
+        let pool = PoolName::from("captions");
+        let mut nodes: Vec<SharedRetryBudget> =
+            (0..NODES).map(|_| SharedRetryBudget::new(TERMS)).collect();
+        let mut requests = Vec::new();
+        let mut repeats = Vec::new();
+        for second in 0..60 {
+            let now = MonotonicTime::from_millis(second * 1_000);
+            for (number, node) in nodes.iter_mut().enumerate() {
+                let counted = wrong.iter().find(|one| {
+                    one.hears == number
+                        && (one.from_s..one.from_s + one.for_s).contains(&second)
+                });
+                // All nodes hear the right count at first.
+                let counted = counted.filter(|_| second > 0);
+                node.set_nodes(now, counted.map_or(NODES, |one| one.counted));
+                for place in 0..10 {
+                    let at = (second as usize * 10 + place * 7 + number) % is_repeat.len();
+                    if !is_repeat[at] {
+                        node.request(now, &pool);
+                        requests.push(now);
+                    } else if node.take(now, &pool).is_some() {
+                        repeats.push(now);
+                    }
+                }
+            }
+            let within = |times: &[MonotonicTime]| {
+                times.iter().filter(|at| now.since(**at) <= TERMS.window).count() as f64
+            };
+            let allowed = TERMS.ratio * within(&requests) + TERMS.slack;
+            prop_assert!(within(&repeats) <= allowed, "{} of {allowed}", within(&repeats));
+        }
+    }
+}
+
+/// A node that does not know how many there are takes no part of what they share.
+#[rstest]
+#[case::never_told(None, false)]
+#[case::alone(Some(1), false)]
+#[case::hears_nobody(Some(8), true)]
+fn a_node_without_a_count_has_no_slack(#[case] nodes: Option<usize>, #[case] cut_off: bool) {
+    let pool = PoolName::from("pool");
+    let now = MonotonicTime::from_millis(5_000);
+    let mut budget = SharedRetryBudget::new(TERMS);
+    if let Some(nodes) = nodes {
+        budget.set_nodes(now, nodes);
+    }
+    budget.set_cut_off(cut_off);
+    let is_counted = nodes.is_some() && !cut_off;
+    assert_eq!(budget.take(now, &pool).is_some(), is_counted);
+}
+
 /// Seen in a hunt: five nodes were stopped and started within ten seconds while engines failed, and
 /// each life of a node spent the node's whole part of the slack.
 #[rstest]
@@ -62,9 +144,11 @@
     };
     let start = MonotonicTime::from_millis(5_000);
     let mut former = SharedRetryBudget::new(TERMS);
+    former.set_nodes(MonotonicTime::ZERO, 1);
     let spent_before = spend(&mut former, start);
     assert!(spent_before > 0);
     let mut budget = SharedRetryBudget::new(TERMS);
+    budget.set_nodes(MonotonicTime::ZERO, 1);
     budget.restarted(start);
     assert_eq!(spend(&mut budget, start + Duration::from_secs(9)), 0);
     let later = start + Duration::from_secs(10);
@@ -109,7 +193,7 @@
         let mut nodes: Vec<SharedRetryBudget> =
             (0..5).map(|_| SharedRetryBudget::new(TERMS)).collect();
         for node in &mut nodes {
-            node.set_nodes(5);
+            node.set_nodes(MonotonicTime::ZERO, 5);
         }
         let now = MonotonicTime::from_millis(5_000);
         let mut beyond = 0;
