An engine's 503, 429, 408 or 421 without a promise is no promise to a caller

What callers saw: an engine's own answer of such a status, which said nothing of whether the request had run, was passed on as it was. For a request that may not be repeated that reads as 'not run', and the caller sends it again.

Cause: what an engine says of not having run a request is read of a header; of any other answer the status went to the caller unseen. Class: one fact (not run), told in two ways, checked in one.

Change: for requests that may not be repeated such an answer ends as 502, which promises nothing, without the engine's signature. Repeatable ones are unchanged.

Conclusion: a promise is given only where the engine gave it.

--- a/crates/forwarding/src/serve/answer.rs
+++ b/crates/forwarding/src/serve/answer.rs
@@ -93,6 +93,17 @@
     }
 }
 
+/// Whether a status promises a caller that its request has not run and never will.
+pub(crate) fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// An engine's answer whose body is whole.
 pub(crate) fn whole(head: &ResponseHead, body: Bytes) -> Answer {
     with_head(head, BoxBody::new(body))
--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -20,7 +20,7 @@
 use crate::quarantine::trial::{may_try, trial_in};
 use crate::serve::account::{log_failed, log_served, log_unadmitted};
 use crate::serve::admit::admit;
-use crate::serve::answer::{Failure, streamed, whole};
+use crate::serve::answer::{Failure, promises_not_run, streamed, whole};
 use crate::serve::attempt::{AttemptEnd, Call, EngineAnswer, attempt, is_refused};
 use crate::serve::patience::run_patience;
 use crate::serve::plan::{Step, choose, choose_again};
@@ -344,13 +344,18 @@
         .length()
         .is_some_and(|length| length > GATHERED_BYTES as u64);
     let streams = progress.route.kind.is_stream() && answer.head.status.is_success();
-    if streams || is_long {
+    // An engine that did not run it says so, and is asked no more. Passed on, any other answer of such a status
+    // would have the caller send again what may have run.
+    let is_false_promise =
+        promises_not_run(answer.head.status) && !progress.route.kind.is_repeatable();
+    if streams || (is_long && !is_false_promise) {
         return Ok(Some(Served::Stream(pool, answer)));
     }
     match answer.body.collect(GATHERED_BYTES).await {
         Ok(body) => {
             answer.watch.answered(&answer.body);
-            Ok(Some(Served::Whole(answer.head, body)))
+            let whole = Served::Whole(answer.head, body);
+            Ok(Some(whole).filter(|_| !is_false_promise))
         }
         Err(_) => {
             answer.watch.unfinished(Unfinished::BrokenOff);
--- /dev/null
+++ b/crates/forwarding/tests/not_run.rs
@@ -0,0 +1,179 @@
+//! What a caller is told of a request that may not be repeated, for every end of a call.
+//!
+//! Some statuses promise that the request has not run and never will. Whatever an engine does with a request that
+//! reached it, no such status goes to the caller unless the engine itself said that it did not run it; and no second
+//! engine gets it.
+//!
+//! Found here: an engine's own 503, 429 or 408 that said nothing of whether the request had run was passed on as it
+//! was, and a caller that took it for a promise would have sent the request again.
+
+#[allow(
+    dead_code,
+    unused_imports,
+    reason = "each test program uses a part of it"
+)]
+mod support;
+
+use std::io::Write as _;
+use std::net::{Shutdown, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+use rstest::rstest;
+use support::{Script, TestEngine, TestNode, answer, id_of};
+
+/// Statuses that promise that a request has not run.
+const PROMISES: [&str; 4] = ["408", "421", "429", "503"];
+
+/// Time limit of the route.
+const LIMIT_MS: u64 = 600;
+
+fn with_status(head: &str, stream: &mut TcpStream, status: &str) {
+    let headers = format!("x-id: {}\r\n", id_of(head));
+    answer(stream, status, &headers, "body");
+}
+
+fn whole(head: &str, stream: &mut TcpStream) {
+    with_status(head, stream, "200 OK");
+}
+
+fn failed(head: &str, stream: &mut TcpStream) {
+    with_status(head, stream, "500 Internal Server Error");
+}
+
+fn out_of_time(head: &str, stream: &mut TcpStream) {
+    with_status(head, stream, "504 Gateway Timeout");
+}
+
+/// Answers of an engine that says nothing about whether it ran the request.
+fn unavailable(head: &str, stream: &mut TcpStream) {
+    with_status(head, stream, "503 Service Unavailable");
+}
+
+/// The same, longer than what is gathered before it is passed on.
+fn unavailable_at_length(head: &str, stream: &mut TcpStream) {
+    let headers = format!("x-id: {}\r\n", id_of(head));
+    let body = "x".repeat(2 << 20);
+    answer(stream, "503 Service Unavailable", &headers, &body);
+}
+
+fn too_many(head: &str, stream: &mut TcpStream) {
+    with_status(head, stream, "429 Too Many Requests");
+}
+
+fn timed_out(head: &str, stream: &mut TcpStream) {
+    with_status(head, stream, "408 Request Timeout");
+}
+
+fn refusing(head: &str, stream: &mut TcpStream) {
+    let headers = format!("x-id: {}\r\nx-refused: 1\r\n", id_of(head));
+    answer(stream, "503 Service Unavailable", &headers, "");
+}
+
+fn closing(_head: &str, stream: &mut TcpStream) {
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+fn silent(_head: &str, _stream: &mut TcpStream) {
+    thread::sleep(Duration::from_millis(3 * LIMIT_MS));
+}
+
+fn half_a_head(_head: &str, stream: &mut TcpStream) {
+    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nx-id");
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+fn no_answer(_head: &str, stream: &mut TcpStream) {
+    let _ = stream.write_all(b"these bytes are no answer\r\n\r\n");
+}
+
+fn foreign(_head: &str, stream: &mut TcpStream) {
+    answer(stream, "200 OK", "x-id: another\r\n", "another's");
+}
+
+fn foreign_refusal(_head: &str, stream: &mut TcpStream) {
+    let headers = "x-id: another\r\nx-refused: 1\r\n";
+    answer(stream, "503 Service Unavailable", headers, "");
+}
+
+fn half_a_body(head: &str, stream: &mut TcpStream) {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nx-id: {}\r\ncontent-length: 90\r\n\r\nwh",
+        id_of(head)
+    );
+    let _ = stream.write_all(head.as_bytes());
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+fn stalled_body(head: &str, stream: &mut TcpStream) {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nx-id: {}\r\ncontent-length: 90\r\n\r\nwh",
+        id_of(head)
+    );
+    let _ = stream.write_all(head.as_bytes());
+    thread::sleep(Duration::from_millis(3 * LIMIT_MS));
+}
+
+fn encoded(head: &str, stream: &mut TcpStream) {
+    let headers = format!("x-id: {}\r\ncontent-encoding: gzip\r\n", id_of(head));
+    answer(stream, "200 OK", &headers, "body");
+}
+
+/// One engine ends the call so, another would take the request.
+#[rstest]
+#[case::whole(whole, false)]
+#[case::failed(failed, false)]
+#[case::out_of_time(out_of_time, false)]
+#[case::unavailable_without_a_promise(unavailable, false)]
+#[case::unavailable_without_a_promise_at_length(unavailable_at_length, false)]
+#[case::too_many_without_a_promise(too_many, false)]
+#[case::timed_out_without_a_promise(timed_out, false)]
+#[case::refused(refusing, true)]
+#[case::closed(closing, false)]
+#[case::silent(silent, false)]
+#[case::half_a_head(half_a_head, false)]
+#[case::no_answer(no_answer, false)]
+#[case::another_requests_answer(foreign, false)]
+#[case::another_requests_refusal(foreign_refusal, false)]
+#[case::half_a_body(half_a_body, false)]
+#[case::stalled_body(stalled_body, false)]
+#[case::encoded(encoded, false)]
+#[actix_rt::test]
+async fn a_promise_is_only_given_where_the_engine_gave_it(
+    #[case] script: Script,
+    #[case] is_promised: bool,
+    #[values("once", "stream")] kind: &str,
+) {
+    let node = TestNode::start().await;
+    node.declare(1, kind, 3, LIMIT_MS);
+    let ending = TestEngine::start(script);
+    node.list("ending", &ending, "ready");
+    node.settle().await;
+    let told = node.request("request", "/r/x").await;
+    let status = told.split(' ').nth(1).unwrap_or("none");
+    assert_eq!(ending.heads().len(), 1, "it reached the engine");
+    assert_eq!(PROMISES.contains(&status), is_promised, "{told}");
+}
+
+/// A request that may have run is not sent to another engine.
+#[rstest]
+#[case::failed(failed)]
+#[case::unavailable_without_a_promise(unavailable)]
+#[case::closed(closing)]
+#[case::silent(silent)]
+#[case::half_a_head(half_a_head)]
+#[case::another_requests_refusal(foreign_refusal)]
+#[case::half_a_body(half_a_body)]
+#[actix_rt::test]
+async fn a_request_that_may_have_run_is_sent_to_no_second_engine(#[case] script: Script) {
+    let node = TestNode::start().await;
+    node.declare(1, "once", 3, LIMIT_MS);
+    let engines = [TestEngine::start(script), TestEngine::start(script)];
+    for (place, engine) in engines.iter().enumerate() {
+        node.list(&format!("e{place}"), engine, "ready");
+    }
+    node.settle().await;
+    node.request("request", "/r/x").await;
+    let calls: usize = engines.iter().map(|engine| engine.heads().len()).sum();
+    assert_eq!(calls, 1);
+}
