What a node holds for callers that read slowly is bounded and counted

What could happen: whole answers are gathered, up to 1 MiB each, so that a broken one can be replaced; nothing bounded their sum. 500 callers that read nothing could hold 500 MiB at a node of 120 to 512 MB.

Change: serve::held_bytes counts what is held until the caller has read it, 16 MiB at most; an answer that finds no room is passed on as it comes, at its caller's pace, which its engine feels. Held answers go out in pieces of 16 KB.

Measured: tests beside HeldBytes (500 answers of 1 MB: 16 are held).

Conclusion: bounded for answers.

--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -30,6 +30,7 @@
 use crate::quarantine::Quarantine;
 use crate::roles::authority::Authority;
 use crate::roles::demand::DemandMeter;
+use crate::serve::held_bytes::HeldBytes;
 use crate::spread::Spread;
 
 /// A node has at least this many connections to each engine, however many nodes there are.
@@ -54,6 +55,8 @@
     pub(crate) link: EngineLink,
     pub(crate) logger: Logger,
     pub(crate) in_flight: InFlight,
+    /// Whole answers that callers have not read yet.
+    pub(crate) held_bytes: HeldBytes,
     pub(crate) router: RefCell<StagedRouter>,
     /// What this node's link has not yet carried.
     pub(crate) uplink: RefCell<LinkQueue>,
@@ -108,6 +111,7 @@
             link: EngineLink::new(LinkLimits::default()),
             logger,
             in_flight: InFlight::default(),
+            held_bytes: HeldBytes::default(),
             router: RefCell::new(StagedRouter::seeded(rand::rng().random())),
             uplink: RefCell::default(),
             budget: RefCell::new(retry_budget(&settings)),
--- a/crates/forwarding/src/node/metrics.rs
+++ b/crates/forwarding/src/node/metrics.rs
@@ -48,6 +48,7 @@
     duty_calls: IntCounterVec,
     repeats_left: IntGaugeVec,
     in_flight: IntGauge,
+    held_bytes: IntGauge,
     engines: IntGauge,
     nodes: IntGauge,
     configuration: IntGauge,
@@ -176,6 +177,10 @@
                 gauges
             },
             in_flight: gauge("forwarded_in_flight", "Requests under way.")?,
+            held_bytes: gauge(
+                "held_answer_bytes",
+                "Bytes of whole answers that callers have not read yet.",
+            )?,
             engines: gauge("engines_accepting", "Engines that take new work.")?,
             nodes: gauge("nodes_known", "Nodes, this one among them.")?,
             configuration: gauge("declaration_revision", "Revision in force; 0 for none.")?,
@@ -351,6 +356,7 @@
 
     fn text(&self, context: &Context) -> Result<String, prometheus::Error> {
         self.in_flight.set(context.in_flight.count() as i64);
+        self.held_bytes.set(context.held_bytes.get() as i64);
         self.engines.set(context.fleet().len() as i64);
         let collisions = context.fleet().code_collisions();
         self.code_collisions.set(collisions as i64);
--- a/crates/forwarding/src/serve/answer.rs
+++ b/crates/forwarding/src/serve/answer.rs
@@ -104,11 +104,6 @@
     )
 }
 
-/// An engine's answer whose body is whole.
-pub(crate) fn whole(head: &ResponseHead, body: Bytes) -> Answer {
-    with_head(head, BoxBody::new(body))
-}
-
 /// An engine's answer whose body is sent on as it comes.
 pub(crate) fn streamed<S>(head: &ResponseHead, length: Option<u64>, stream: S) -> Answer
 where
--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use dalestand_clock::timeout_at;
 use dalestand_edge::routed::EngineTerms;
 use dalestand_engine_link::ResponseHead;
@@ -16,33 +15,23 @@
 
 use crate::context::Context;
 use crate::quarantine::evidence::is_stopped;
-use crate::quarantine::run_watch::Unfinished;
 use crate::quarantine::trial::{may_try, trial_in};
 use crate::serve::account::{log_failed, log_served, log_unadmitted};
 use crate::serve::admit::admit;
-use crate::serve::answer::{Failure, promises_not_run, streamed, whole};
+use crate::serve::answer::{Failure, streamed};
 use crate::serve::attempt::{AttemptEnd, Call, EngineAnswer, attempt, is_refused};
+use crate::serve::deliver::{Served, deliver};
+use crate::serve::held_bytes::in_pieces;
 use crate::serve::patience::run_patience;
 use crate::serve::plan::{Step, choose, choose_again};
 use crate::serve::prefill::{HeldPrompt, PrefillEnd, prefill};
 use crate::serve::progress::Progress;
 use crate::serve::relay::Relay;
 
-/// Longest body that is gathered before it is passed on, so that a broken one can be replaced.
-const GATHERED_BYTES: usize = 1 << 20;
-
 /// Refusals from which memory is taken to be gone rather than the engines to be full: both are told
 /// alike, and two engines that were chosen as the least busy are rarely full at once.
 const REFUSALS_OF_MEMORY: u32 = 2;
 
-/// An answer found for a request.
-enum Served {
-    /// A whole answer.
-    Whole(ResponseHead, Bytes),
-    /// An answer that goes on.
-    Stream(PoolName, Box<EngineAnswer>),
-}
-
 /// Serves a request.
 pub(crate) async fn forward(context: Rc<Context>, mut request: Request) -> Answer {
     let in_flight = context.in_flight.enter();
@@ -66,7 +55,7 @@
         })
     });
     let status = match &served {
-        Ok(Served::Whole(head, _)) => head.status,
+        Ok(Served::Whole(head, ..)) => head.status,
         Ok(Served::Stream(_, answer)) => answer.head.status,
         Err(failure) => failure.status(),
     };
@@ -74,9 +63,10 @@
     let kind = Some(progress.route.kind);
     context.metrics.request(kind, status, took);
     let answer = match served {
-        Ok(Served::Whole(head, body)) => {
+        Ok(Served::Whole(head, body, room)) => {
             log_served(&context, &progress, head.status.as_u16());
-            whole(&head, body)
+            let length = body.len() as u64;
+            streamed(&head, Some(length), in_pieces(body, room))
         }
         Ok(Served::Stream(pool, engine_answer)) => {
             log_served(&context, &progress, engine_answer.head.status.as_u16());
@@ -117,10 +107,10 @@
     let mut fallback = None;
     loop {
         match serve_once(context, progress).await {
-            Ok(Some(Served::Whole(head, body)))
+            Ok(Some(Served::Whole(head, body, room)))
                 if head.status.is_server_error() && may_call_again(context, progress) =>
             {
-                fallback = Some(Served::Whole(head, body));
+                fallback = Some(Served::Whole(head, body, room));
             }
             Ok(Some(served)) => return Ok(served),
             Ok(None) if may_call_again(context, progress) => {}
@@ -215,7 +205,7 @@
     match plan.step {
         Step::Whole(choice) => {
             let ended = run(context, progress, &pool, choice, None).await;
-            deliver(context, progress, pool, ended).await
+            Ok(deliver(context, progress, pool, ended).await)
         }
         Step::Prefill(choice) => match prefill(context, progress, &pool, choice).await {
             PrefillEnd::Held(held) => decode(context, progress, pool, *held).await,
@@ -271,13 +261,13 @@
         Some(AttemptEnd::Answered(answer)) => {
             note_start(context, &answer);
             held.taken();
-            deliver(context, progress, pool, AttemptEnd::Answered(answer)).await
+            Ok(deliver(context, progress, pool, AttemptEnd::Answered(answer)).await)
         }
         Some(ended) => {
             if matches!(ended, AttemptEnd::Unknown) {
                 held.taken();
             }
-            deliver(context, progress, pool, ended).await
+            Ok(deliver(context, progress, pool, ended).await)
         }
     }
 }
@@ -328,46 +318,6 @@
     attempt(context, progress, call).await
 }
 
-/// Turns what came into an answer for the caller.
-async fn deliver(
-    context: &Context,
-    progress: &mut Progress,
-    pool: PoolName,
-    ended: AttemptEnd,
-) -> Result<Option<Served>, Failure> {
-    let mut answer = match ended {
-        AttemptEnd::Answered(answer) => answer,
-        AttemptEnd::Refused | AttemptEnd::NotSent | AttemptEnd::Unknown => return Ok(None),
-    };
-    let is_long = answer
-        .body
-        .length()
-        .is_some_and(|length| length > GATHERED_BYTES as u64);
-    let streams = progress.route.kind.is_stream() && answer.head.status.is_success();
-    // An engine that did not run it says so, and is asked no more. Passed on, any other answer of such a status
-    // would have the caller send again what may have run.
-    let is_false_promise =
-        promises_not_run(answer.head.status) && !progress.route.kind.is_repeatable();
-    if streams || (is_long && !is_false_promise) {
-        return Ok(Some(Served::Stream(pool, answer)));
-    }
-    match answer.body.collect(GATHERED_BYTES).await {
-        Ok(body) => {
-            answer.watch.answered(&answer.body);
-            let whole = Served::Whole(answer.head, body);
-            Ok(Some(whole).filter(|_| !is_false_promise))
-        }
-        Err(_) => {
-            answer.watch.unfinished(Unfinished::BrokenOff);
-            let now = context.now();
-            let mut router = context.router.borrow_mut();
-            let engine = answer.choice.engine.key;
-            router.health.note(now, engine, AttemptResult::Failed);
-            Ok(None)
-        }
-    }
-}
-
 /// Takes a stream up at another engine; `None` if that may not be or no engine answers.
 pub(crate) async fn resume(
     context: &Rc<Context>,
