Engines without a permit don't use up the calls that a request may make

What callers would see: 503 though an engine without a limit was free. Engines with limits look idle, so that a request asks for one after the other; each that had no permit counted as one of the six calls a request may make.

Change: what was withheld is not counted; 24 choices at most. Numbers of questions for permits begin at random, so that answers to a former life of a node answer nothing.

--- a/crates/forwarding/src/permits/mod.rs
+++ b/crates/forwarding/src/permits/mod.rs
@@ -40,7 +40,6 @@
 }
 
 /// What a node asks for and issues.
-#[derive(Default)]
 pub(crate) struct PermitDesk {
     issuer: RefCell<PermitIssuer>,
     asked: RefCell<HashMap<u64, Asked>>,
@@ -50,6 +49,19 @@
     pub(crate) socket: OnceCell<Rc<UdpSocket>>,
 }
 
+impl Default for PermitDesk {
+    fn default() -> Self {
+        Self {
+            issuer: RefCell::default(),
+            asked: RefCell::default(),
+            // Answers to a former life of this node are not taken for answers to this one.
+            last_number: Cell::new(rand::random::<u32>().into()),
+            unanswered: RefCell::default(),
+            socket: OnceCell::new(),
+        }
+    }
+}
+
 impl PermitDesk {
     /// Engines for which permits were asked for here lately.
     pub(crate) fn issued_for(&self) -> usize {
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -20,7 +20,11 @@
 use crate::node::settings::ForwardingSettings;
 
 /// Most calls made for one request, whatever came of them.
-const MAX_CALLS: u32 = 6;
+const MAX_CALLS: usize = 6;
+
+/// Most engines chosen for one request, those among them that had no permit for it: where many engines have limits,
+/// they look idle, and each has to be asked for once.
+const MAX_CHOICES: usize = 4 * MAX_CALLS;
 
 /// Bytes that a request's head and the packets around it take, about.
 const HEAD_BYTES: usize = 600;
@@ -102,6 +106,11 @@
 }
 
 impl CallRecord {
+    /// Whether the engine was closed to the call, so that nothing went out.
+    fn is_withheld(&self) -> bool {
+        self.signals.closed.is_some()
+    }
+
     /// The call as a line of the log tells it: `PURPOSE ENGINE OUTCOME TOOK (what was expected)`.
     fn account(&self) -> String {
         let mut text = format!(
@@ -215,9 +224,12 @@
     /// Whether it may be sent to another engine.
     pub(crate) fn may_run_again(&self) -> bool {
         let unproved = self.runs > 0;
+        let withheld = self.calls.iter().filter(|call| call.is_withheld());
+        let made = self.calls.len() - withheld.count();
         (!unproved || self.route.kind.is_repeatable())
             && self.runs < self.route.max_attempts
-            && (self.calls.len() as u32) < MAX_CALLS
+            && made < MAX_CALLS
+            && self.calls.len() < MAX_CHOICES
     }
 
     /// Notes how a call came out.
--- a/crates/forwarding/tests/engine_limits.rs
+++ b/crates/forwarding/tests/engine_limits.rs
@@ -220,6 +220,32 @@
     }
 }
 
+/// Engines with limits look idle. Those that have no permit left don't use up the calls that a request may make.
+#[actix_rt::test]
+async fn a_request_goes_past_many_limited_engines_to_one_that_takes_all() {
+    let node = TestNode::start().await;
+    node.declare(1, "repeatable", 3, 1_000);
+    let limited: Vec<TestEngine> = (0..12).map(|_| TestEngine::start(limited)).collect();
+    actix_rt::time::sleep(Duration::from_millis(2_500)).await;
+    for (place, engine) in limited.iter().enumerate() {
+        let name = format!("e{place}");
+        node.list(&name, engine, "ready");
+        node.settle().await;
+        node.request(&name, "/r/x").await;
+        node.store.write(&format!("engines/{name}"), None);
+        node.settle().await;
+    }
+    let other = TestEngine::start(slow);
+    node.list("other", &other, "ready");
+    for (place, engine) in limited.iter().enumerate() {
+        node.list(&format!("e{place}"), engine, "ready");
+    }
+    node.settle().await;
+    let answers = send_for_a_window(&[&node], "").await;
+    let unserved = answers.iter().find(|answer| status(answer) != "200");
+    assert_eq!(unserved, None, "each request has the other engine");
+}
+
 #[actix_rt::test]
 async fn where_all_engines_are_limited_callers_are_told_when_to_come_back() {
     let node = TestNode::start().await;
