--- a/crates/dissemination/tests/golden.rs
+++ b/crates/dissemination/tests/golden.rs
@@ -9,18 +9,22 @@
 use std::net::SocketAddr;
 
 use dalestand_dissemination::{
-    DeclarationPart, DeclarationRequest, EngineCode, EngineLoad, EntriesPage, EntriesRequest,
-    EntryRecord, Exchange, HolderAddress, IncludedReport, LoadScope, LoadSlice, LoadsMessage,
-    MESSAGE_VERSION, Message, News, NewsBatch, NodeEntry, NodeNumber, PartsRequest, PlacedPart,
+    DeclarationPart, DeclarationRequest, EngineCode, EngineLimit, EngineLimits, EngineLoad,
+    EngineNotices, EngineStart, EntriesPage, EntriesRequest, EntryRecord, Exchange, HolderAddress,
+    IncludedReport, LoadScope, LoadSlice, LoadsMessage, MESSAGE_VERSION, Message, News, NewsBatch,
+    NodeEntry, NodeNumber, PartsRequest, PermitAnswer, PermitNeed, PermitRequest, PlacedPart,
     Placement, PlacementState, PoolDemand, Relay, Report, RoleChange, Table, UsageReport,
 };
 use dalestand_duties::NodeLife;
 use dalestand_quarantine::{CrashRecord, EngineRun, RequestFingerprint};
-use dalestand_types::{PoolName, ZoneName};
+use dalestand_types::{PoolName, RequestRate, ZoneName};
 
 /// What the landed build wrote.
 const GOLDEN: &str = include_str!("golden/first-of-upgrades.txt");
 
+/// What the build wrote that brought permits: the kinds of messages that came after the first.
+const GOLDEN_OF_PERMITS: &str = include_str!("golden/permits.txt");
+
 fn address() -> SocketAddr {
     SocketAddr::from(([10, 1, 0, 35], 7_660))
 }
@@ -196,6 +200,53 @@
     ])
 }
 
+/// One message of each kind that came after the first build whose formats count.
+fn later_samples() -> BTreeMap<&'static str, Message> {
+    let node = NodeNumber(1);
+    let start = EngineStart {
+        engine: u64::MAX,
+        born: 1_790_000_000_000,
+    };
+    let limit = EngineLimit {
+        start,
+        rate: RequestRate::per_second(4.1),
+        age_ms: 120,
+    };
+    let ended = EngineLimit {
+        rate: None,
+        ..limit
+    };
+    let engines = EngineNotices {
+        node,
+        draining: vec![start],
+        starts: vec![start],
+    };
+    let request = |need| PermitRequest {
+        node,
+        number: 9,
+        need,
+        limit,
+    };
+    let answer = PermitAnswer {
+        number: 9,
+        engine: u64::MAX,
+        permits: 2,
+        retry_in_ms: 0,
+    };
+    let limits = EngineLimits {
+        node,
+        limits: vec![limit, ended],
+    };
+    let (asks, counted) = (request(PermitNeed::Request), request(PermitNeed::Counted));
+    BTreeMap::from([
+        ("engines", Message::Engines(engines)),
+        ("limits", Message::Limits(limits)),
+        ("permit-request", Message::PermitRequest(asks)),
+        ("permit-counted", Message::PermitRequest(counted)),
+        ("permit-answer", Message::PermitAnswer(answer)),
+    ])
+}
+
 fn usage() -> UsageReport {
     UsageReport {
         origin: NodeLife { node: 1, life: 5 },
@@ -228,10 +279,25 @@
     }
 }
 
+fn lines_of(golden: &'static str) -> BTreeMap<&'static str, &'static str> {
+    let lines = golden.lines();
+    lines.filter_map(|line| line.split_once(' ')).collect()
+}
+
+fn hold(golden: &BTreeMap<&str, &str>, samples: BTreeMap<&'static str, Message>) {
+    for (kind, message) in samples {
+        let written = bytes(golden.get(kind).expect("a line of each kind"));
+        let read: (u8, Message) = rmp_serde::from_slice(&written).expect(kind);
+        assert_eq!(read, (MESSAGE_VERSION, message.clone()), "{kind} is read");
+        assert_eq!(hex(&encoded(&message)), hex(&written), "{kind} is written");
+    }
+}
+
 #[test]
 fn messages_are_those_of_the_landed_build() {
     if let Ok(file) = std::env::var("GOLDEN_OUT") {
-        let samples = samples();
+        let samples = samples().into_iter().chain(later_samples());
+        let samples: BTreeMap<&str, Message> = samples.collect();
         let lines = samples
             .iter()
             .map(|(kind, message)| format!("{kind} {}\n", hex(&encoded(message))));
@@ -240,16 +306,9 @@
         std::fs::write(file, text).expect("written");
         return;
     }
-    let golden: BTreeMap<&str, &str> = GOLDEN
-        .lines()
-        .filter_map(|line| line.split_once(' '))
-        .collect();
-    for (kind, message) in samples() {
-        let written = bytes(golden.get(kind).expect("a line of each kind"));
-        let read: (u8, Message) = rmp_serde::from_slice(&written).expect(kind);
-        assert_eq!(read, (MESSAGE_VERSION, message.clone()), "{kind} is read");
-        assert_eq!(hex(&encoded(&message)), hex(&written), "{kind} is written");
-    }
+    let golden = lines_of(GOLDEN);
+    hold(&golden, samples());
+    hold(&lines_of(GOLDEN_OF_PERMITS), later_samples());
     let entry = NodeEntry::parse(golden["node-entry"]).expect("an entry");
     assert_eq!(entry, node_entry());
     let text = node_entry().to_text().expect("a text");
