The test of an engine that takes nothing runs for as long as what it holds

Change: that test has 25 s of virtual time, and also holds that two calls lie nine seconds apart at least. No code changes.

Measured: all test programs of the crate with --no-fail-fast: none fails.

--- a/crates/routing/tests/shared_rate.rs
+++ b/crates/routing/tests/shared_rate.rs
@@ -47,6 +47,7 @@
     /// When an issuer starts anew.
     restarts_at: u64,
     seed: u64,
+    end_ms: u64,
 }
 
 fn run() -> impl Strategy<Value = Run> {
@@ -69,6 +70,7 @@
             disagreement: times.1,
             restarts_at: times.2,
             seed,
+            end_ms: END_MS,
         })
 }
 
@@ -102,7 +104,7 @@
         .collect();
     let mut coming: HashMap<u64, Vec<Happens>> = HashMap::new();
     let mut arrived = Vec::new();
-    for ms in 0..END_MS {
+    for ms in 0..run.end_ms {
         let now = MonotonicTime::from_millis(ms);
         if ms == run.restarts_at {
             issuers[0] = PermitIssuer::default();
@@ -197,6 +199,7 @@
         disagreement: 0,
         restarts_at: END_MS,
         seed,
+        end_ms: END_MS,
     }
 }
 
@@ -223,12 +226,17 @@
     }
 }
 
-/// An engine that takes nothing is called now and then: it may take requests again, and nobody else can tell.
+/// An engine that takes nothing is called now and then, each ten seconds at most: it may take requests again, and
+/// nobody else can tell.
 #[test]
 fn an_engine_that_takes_nothing_is_asked_now_and_then() {
-    let run = calm(9, 0.0, 0.01, 1);
-    let got = arrivals(&run).len();
-    assert!(got == 1, "{got}");
+    let run = Run {
+        end_ms: 25_000,
+        ..calm(9, 0.0, 0.01, 1)
+    };
+    let arrived = arrivals(&run);
+    assert!((1..=2).contains(&arrived.len()), "{arrived:?}");
+    assert!(arrived.windows(2).all(|pair| pair[1] - pair[0] >= 9_000));
 }
 
 /// Those that ask in vain are given different turns.
