Figures of pools, tenants and engines add up over all nodes

Cause: what is asked of a pool, what a tenant asks and how slow an engine is were known to each node for itself only. Order of giving way, shares, numbers of engines and choices need the figures of the fleet.

--- a/crates/dissemination/src/lib.rs
+++ b/crates/dissemination/src/lib.rs
@@ -29,6 +29,7 @@
 mod permits;
 mod subscribers;
 mod subscription;
+mod sums;
 
 pub use declaration::{
     DeclarationPart, DeclarationRequest, DeclarationSync, LONGEST_CARRIED, declaration_parts,
@@ -45,3 +46,6 @@
 pub use permits::{EngineLimit, EngineLimits, PermitAnswer, PermitNeed, PermitRequest};
 pub use subscribers::Subscribers;
 pub use subscription::{ReportTarget, Subscription};
+pub use sums::{
+    ClassRow, SlownessRow, SumScope, SummedRows, SumsMessage, TenantCode, TenantRow, TenantRows,
+};
--- a/crates/dissemination/src/message.rs
+++ b/crates/dissemination/src/message.rs
@@ -13,6 +13,7 @@
 use crate::entry_table::EntryRecord;
 use crate::membership::{NodeNumber, Relay};
 use crate::permits::{EngineLimits, PermitAnswer, PermitRequest};
+use crate::sums::SumsMessage;
 
 /// Version of the messages. A node ignores messages of another version.
 pub const MESSAGE_VERSION: u8 = 4;
@@ -53,6 +54,8 @@
     PermitRequest(PermitRequest),
     /// The node that issues an engine's permits answers.
     PermitAnswer(PermitAnswer),
+    /// Figures that add up over all nodes.
+    Sums(SumsMessage),
 }
 
 /// The node that holds the lease under which one node acts for all.
--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -23,6 +23,7 @@
 use crate::duties::UsageCounts;
 use crate::fleet::engines::Fleet;
 use crate::fleet::placements::Placements;
+use crate::fleet_sums::FleetSums;
 use crate::node::counts::InFlight;
 use crate::node::metrics::ForwardingMetrics;
 use crate::node::settings::ForwardingSettings;
@@ -30,6 +31,7 @@
 use crate::quarantine::Quarantine;
 use crate::roles::authority::Authority;
 use crate::roles::demand::DemandMeter;
+use crate::serve::class_counts::ClassCounts;
 use crate::serve::held_bytes::HeldBytes;
 use crate::spread::Spread;
 
@@ -78,6 +80,10 @@
     pub(crate) demand: RefCell<DemandMeter>,
     /// Engines that change their roles of which other nodes have not heard.
     pub(crate) role_changes: RefCell<Vec<(EngineKey, Duration)>>,
+    /// Requests of this node by pool and priority.
+    pub(crate) classes: Rc<ClassCounts>,
+    /// Figures that add up over all nodes.
+    pub(crate) sums: FleetSums,
     /// Requests that end engines.
     pub(crate) quarantine: Quarantine,
     pub(crate) metrics: ForwardingMetrics,
@@ -124,6 +130,8 @@
             placements: RefCell::default(),
             demand: RefCell::default(),
             role_changes: RefCell::default(),
+            classes: Rc::default(),
+            sums: FleetSums::default(),
             quarantine: Quarantine::default(),
             store_era: watch::Sender::new(0),
             started: BootInstant::now(),
@@ -311,6 +319,12 @@
         self.work_changed.notify_one();
     }
 
+    /// Replaces this node's own rows among the figures of all nodes.
+    pub(crate) fn count_own_figures(&self, now: MonotonicTime) {
+        let classes = self.classes.figures(now);
+        self.sums.classes.borrow_mut().set_own(classes);
+    }
+
     /// Has relays say what they know of kept parts.
     pub(crate) fn ask_for_parts(&self) {
         self.asks_for_parts.set(true);
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -3,6 +3,7 @@
 //! * [`serve`]: one request, from its route to the last byte of its answer. Decisions are those of
 //!   `dalestand_routing::staged`.
 //! * [`fleet`]: engines and nodes, as the key-value service and relays tell.
+//! * [`fleet_sums`]: what all nodes count together of pools, tenants and engines.
 //! * [`spread`]: fleet-wide state on its way between nodes.
 //! * [`roles`]: the lease under which one node acts for all, and the engines' roles.
 //! * [`duties`]: what else that node does for all.
@@ -16,6 +17,7 @@
 mod duties;
 mod error;
 mod fleet;
+mod fleet_sums;
 mod node;
 mod permits;
 mod quarantine;
--- a/crates/forwarding/src/node/metrics/mod.rs
+++ b/crates/forwarding/src/node/metrics/mod.rs
@@ -58,6 +58,7 @@
     choice_seconds: Histogram,
     load_age_seconds: Histogram,
     news_dropped: IntCounter,
+    rows_unsound: IntCounter,
     bulk_dropped: IntCounter,
     entries: IntGauge,
     parts: IntGauge,
@@ -165,6 +166,10 @@
                 "peer_news_dropped_total",
                 "News that were not passed on because too many waited.",
             )?,
+            rows_unsound: figures.counter(
+                "peer_sums_unsound_total",
+                "Rows of figures of other nodes that were passed over because no node can have counted them.",
+            )?,
             bulk_dropped: figures.counter(
                 "peer_answers_dropped_total",
                 "Datagrams of long answers to other nodes that were dropped because too many waited.",
@@ -240,6 +245,11 @@
         self.news_dropped.inc_by(count);
     }
 
+    /// Notes rows of figures that no node can have counted.
+    pub(crate) fn rows_unsound(&self, count: usize) {
+        self.rows_unsound.inc_by(count as u64);
+    }
+
     /// Notes datagrams of long answers that were dropped.
     pub(crate) fn bulk_dropped(&self, count: u64) {
         self.bulk_dropped.inc_by(count);
--- a/crates/forwarding/src/node/start.rs
+++ b/crates/forwarding/src/node/start.rs
@@ -43,6 +43,7 @@
 use crate::spread::engine_notices::send_notices;
 use crate::spread::receive::receive_state;
 use crate::spread::send::send_state;
+use crate::spread::sums::send_sums;
 use crate::spread::tables::send_tables;
 
 /// Time a caller has to send a head. Longer than any configuration asks for: a connection that a
@@ -237,6 +238,7 @@
     actix_rt::spawn(send_tables(Rc::clone(context), Rc::clone(&socket)));
     actix_rt::spawn(send_bulk(Rc::clone(context), Rc::clone(&socket)));
     actix_rt::spawn(send_notices(Rc::clone(context), Rc::clone(&socket)));
+    actix_rt::spawn(send_sums(Rc::clone(context), Rc::clone(&socket)));
     actix_rt::spawn(send_usage(Rc::clone(context), Rc::clone(&socket)));
     actix_rt::spawn(send_state(Rc::clone(context), socket));
     actix_rt::spawn(recover_parts(Rc::clone(context)));
--- a/crates/forwarding/src/serve/admit.rs
+++ b/crates/forwarding/src/serve/admit.rs
@@ -8,9 +8,11 @@
 use dalestand_clock::BootInstant;
 use dalestand_http_server::{HttpMessage as _, HttpServerError, Request, read_body};
 use dalestand_quarantine::{RequestFingerprint, RequestIdentity};
-use dalestand_routes::Caller;
+use dalestand_routes::{Caller, RouteTerms};
+use dalestand_types::PoolName;
 
 use crate::context::Context;
+use crate::fleet_sums::ClassKey;
 use crate::serve::answer::Failure;
 use crate::serve::headers::passed_on;
 use crate::serve::progress::{Admitted, PassedRequest, Progress};
@@ -42,10 +44,14 @@
         body,
     };
     let pools = context.splits.borrow_mut().pick(&route);
+    let class = class(&route, &caller, &pools);
+    let now = context.now();
     if let Some(pool) = pools.first() {
-        let now = context.now();
         context.budget.borrow_mut().request(now, pool);
     }
+    context
+        .classes
+        .note(&class, |meter| meter.asked.count(now, 1.0));
     Ok(Progress::new(Admitted {
         facts,
         caller,
@@ -54,10 +60,19 @@
         route,
         pools,
         fingerprint,
+        class,
         started,
     }))
 }
 
+/// By what a request is counted. A route without a pool is none that a declaration may have.
+fn class(route: &RouteTerms, caller: &Caller, pools: &[PoolName]) -> ClassKey {
+    let of_tenant = caller.tenant().and_then(|tenant| tenant.priority);
+    let pool = pools.first().or(route.pools.first().map(|part| &part.pool));
+    let pool = pool.cloned().unwrap_or_else(|| PoolName::from(""));
+    (pool, of_tenant.unwrap_or(route.priority))
+}
+
 /// What the request is known by when it comes again.
 fn fingerprint(
     context: &Context,
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -19,6 +19,7 @@
 use crate::quarantine::engine_end::{EndProof, ask_listener, engine_ended};
 use crate::quarantine::evidence::{crashes, is_stopped};
 use crate::quarantine::run_watch::{RunWatch, Unfinished};
+use crate::serve::class_counts::BusySlot;
 use crate::serve::engine_send::{CallContent, CallError, EngineCall, EngineReply, closed, send};
 use crate::serve::progress::{CallSignals, Progress};
 use crate::serve::work_guard::WorkGuard;
@@ -104,7 +105,9 @@
     };
     let parts = progress.parts();
     let before = context.router.borrow().work.total(engine.key);
-    let mut work = WorkGuard::new(context, &engine, call.choice.unread_tokens, &parts);
+    let slot = BusySlot::taken(&context.classes, &progress.class);
+    let mut work = WorkGuard::new(context, &engine, call.choice.unread_tokens, &parts, slot);
+    count_prefill(context, progress, call.choice.unread_tokens);
     let mut head = progress.head();
     let terms = EngineTerms {
         fetch_from: call.choice.fetch_from.and_then(|key| address(context, key)),
@@ -166,6 +169,10 @@
         }
         Judged::Refused => {
             watch.over();
+            let now = context.now();
+            context.classes.note(&progress.class, |meter| {
+                meter.engine_refusals.count(now, 1.0)
+            });
             (AttemptEnd::Refused, "refused", Some(AttemptResult::Refused))
         }
         Judged::NotSent => {
@@ -263,6 +270,16 @@
     }
 }
 
+/// Counts the prompt tokens that an engine is sent.
+fn count_prefill(context: &Context, progress: &Progress, unread_tokens: u32) {
+    if unread_tokens > 0 {
+        let now = context.now();
+        context.classes.note(&progress.class, |meter| {
+            meter.prefill_tokens.count(now, f64::from(unread_tokens));
+        });
+    }
+}
+
 /// Counts a request for its tenant, once: an engine has begun it.
 fn count_usage(context: &Context, progress: &mut Progress) {
     if !std::mem::replace(&mut progress.is_counted, true) {
--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -59,6 +59,7 @@
         Ok(Served::Stream(_, answer)) => answer.head.status,
         Err(failure) => failure.status(),
     };
+    count_outcome(&context, &progress, served.as_ref().err().copied());
     let took = progress.started.elapsed();
     let kind = Some(progress.route.kind);
     context.metrics.request(kind, status, took);
@@ -92,6 +93,18 @@
     closing(&context, answer)
 }
 
+/// Counts whether an engine began the request or it was refused.
+fn count_outcome(context: &Context, progress: &Progress, failure: Option<Failure>) {
+    let now = context.now();
+    context
+        .classes
+        .note(&progress.class, |meter| match failure {
+            None => meter.begun.count(now, 1.0),
+            Some(failure) if failure.retry_after().is_some() => meter.refused.count(now, 1.0),
+            Some(_) => {}
+        });
+}
+
 /// During a planned stop each answer tells the caller to connect anew.
 fn closing(context: &Context, mut answer: Answer) -> Answer {
     if context.is_stopping() {
--- a/crates/forwarding/src/serve/mod.rs
+++ b/crates/forwarding/src/serve/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod admit;
 pub(crate) mod answer;
 pub(crate) mod attempt;
+pub(crate) mod class_counts;
 mod deliver;
 pub(crate) mod engine_call;
 pub(crate) mod engine_send;
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -17,6 +17,7 @@
 use dalestand_routing::{CallCounts, CallPurpose};
 use dalestand_types::{EngineSignals, LimitSignal, PoolName, RequestRate};
 
+use crate::fleet_sums::ClassKey;
 use crate::node::settings::ForwardingSettings;
 
 /// Most calls made for one request, whatever came of them.
@@ -143,6 +144,7 @@
     pub(crate) route: Arc<RouteTerms>,
     pub(crate) pools: Vec<PoolName>,
     pub(crate) fingerprint: Option<RequestFingerprint>,
+    pub(crate) class: ClassKey,
     pub(crate) started: BootInstant,
 }
 
@@ -154,6 +156,8 @@
     pub(crate) passed: PassedRequest,
     pub(crate) table: Rc<RouteTable>,
     pub(crate) route: Arc<RouteTerms>,
+    /// The first of its pools and its priority.
+    pub(crate) class: ClassKey,
     /// The pools that may serve it, in the order in which they are to be asked.
     pub(crate) pools: Vec<PoolName>,
     pub(crate) started: BootInstant,
@@ -186,6 +190,7 @@
             route,
             pools,
             fingerprint,
+            class,
             started,
         } = admitted;
         let limit = Duration::from_millis(route.time_limit_ms);
@@ -196,6 +201,7 @@
             passed,
             table,
             route,
+            class,
             pools,
             fingerprint,
             is_trial: false,
--- a/crates/forwarding/src/serve/work_guard.rs
+++ b/crates/forwarding/src/serve/work_guard.rs
@@ -6,6 +6,7 @@
 use dalestand_routing::staged::{EngineKey, PromptPart, StagedEngine};
 
 use crate::context::Context;
+use crate::serve::class_counts::BusySlot;
 
 /// Prompt tokens from which a change of an engine's work is told to peers at once.
 const TOLD_AT_ONCE_TOKENS: u32 = 500;
@@ -18,6 +19,7 @@
     parts: Vec<PromptPart>,
     is_read: bool,
     has_begun: bool,
+    _slot: BusySlot,
 }
 
 impl WorkGuard {
@@ -27,6 +29,7 @@
         engine: &StagedEngine,
         unread_tokens: u32,
         parts: &[PromptPart],
+        slot: BusySlot,
     ) -> Self {
         {
             let mut router = context.router.borrow_mut();
@@ -46,6 +49,7 @@
             parts: parts.to_vec(),
             is_read: false,
             has_begun: false,
+            _slot: slot,
         };
         guard.tell();
         guard
--- a/crates/forwarding/src/spread/datagram.rs
+++ b/crates/forwarding/src/spread/datagram.rs
@@ -83,6 +83,7 @@
         Message::Limits(_) => "limits",
         Message::PermitRequest(_) => "permit-request",
         Message::PermitAnswer(_) => "permit-answer",
+        Message::Sums(_) => "sums",
     }
 }
 
--- a/crates/forwarding/src/spread/mod.rs
+++ b/crates/forwarding/src/spread/mod.rs
@@ -15,6 +15,7 @@
 pub(crate) mod recent_changes;
 pub(crate) mod repeated_news;
 pub(crate) mod send;
+pub(crate) mod sums;
 pub(crate) mod tables;
 #[cfg(test)]
 mod tests;
--- a/crates/forwarding/src/spread/receive/mod.rs
+++ b/crates/forwarding/src/spread/receive/mod.rs
@@ -22,6 +22,7 @@
 use crate::spread::datagram::kind_label;
 use crate::spread::engine_notices;
 use crate::spread::recent_changes::ChangeSource;
+use crate::spread::sums;
 
 /// Longest datagram there is: one that were cut would be unreadable, and a relay whose tables are
 /// unreadable counts as lost.
@@ -76,6 +77,7 @@
         Message::Limits(limits) => engine_notices::take_limits(context, &limits),
         Message::PermitRequest(request) => issuing::answer(context, socket, sender, &request),
         Message::PermitAnswer(answer) => asking::take(context, answer),
+        Message::Sums(sums) => sums::take(context, sums),
         Message::Usage(report) => context.usage.take_report(report),
     }
 }
--- /dev/null
+++ b/crates/routing/src/class_meter.rs
@@ -0,0 +1,70 @@
+//! What this node counts of the requests of one pool and one priority, as means over the last seconds.
+
+use dalestand_types::MonotonicTime;
+
+use crate::figures::ClassFigures;
+
+/// Time constant of the rates, in seconds: shorter than the shifts of demand that room and shares follow, which take
+/// three seconds, and long enough that a node with ten requests a second sees some tens of them.
+const RATE_TIME_S: f64 = 2.0;
+
+/// An event rate that fades.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FadingRate {
+    per_s: f64,
+    counted_at: MonotonicTime,
+}
+
+impl FadingRate {
+    /// Counts `amount` at `now`.
+    pub fn count(&mut self, now: MonotonicTime, amount: f64) {
+        self.per_s = self.at(now) + amount / RATE_TIME_S;
+        self.counted_at = now;
+    }
+
+    /// The rate at `now`, a second.
+    pub fn at(&self, now: MonotonicTime) -> f64 {
+        let passed_s = now.since(self.counted_at).as_secs_f64();
+        self.per_s * (-passed_s / RATE_TIME_S).exp()
+    }
+}
+
+/// Counts of one class of requests at this node.
+#[derive(Clone, Debug, Default)]
+pub struct ClassMeter {
+    /// Requests that came for the first time.
+    pub asked: FadingRate,
+    /// Requests that came back after a refusal.
+    pub returned: FadingRate,
+    /// Requests that an engine began to answer.
+    pub begun: FadingRate,
+    /// Requests that were refused.
+    pub refused: FadingRate,
+    /// Calls that engines refused.
+    pub engine_refusals: FadingRate,
+    /// Prompt tokens that engines had to prefill.
+    pub prefill_tokens: FadingRate,
+    /// Slots of engines that requests of this node take up now.
+    pub busy_slots: u32,
+    /// Requests that wait at this node for a place at an engine.
+    pub waiting: u32,
+    /// Callers that were given a time to come back which is not over.
+    pub returns_due: u32,
+}
+
+impl ClassMeter {
+    /// The figures at `now`.
+    pub fn figures(&self, now: MonotonicTime) -> ClassFigures {
+        ClassFigures {
+            asked_per_s: self.asked.at(now) as f32,
+            returned_per_s: self.returned.at(now) as f32,
+            begun_per_s: self.begun.at(now) as f32,
+            refused_per_s: self.refused.at(now) as f32,
+            engine_refusals_per_s: self.engine_refusals.at(now) as f32,
+            busy_slots: self.busy_slots as f32,
+            prefill_tokens_per_s: self.prefill_tokens.at(now) as f32,
+            waiting: self.waiting as f32,
+            returns_due: self.returns_due as f32,
+        }
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,8 +6,10 @@
 mod admission;
 mod call_counts;
 mod choice;
+mod class_meter;
 mod config;
 mod estimate;
+mod figures;
 mod learning;
 mod node_count;
 mod prefix;
@@ -18,6 +20,7 @@
 mod sample;
 pub mod shared_rate;
 mod shared_retry_budget;
+mod source_sums;
 pub mod staged;
 mod tenant_limits;
 mod track;
@@ -26,7 +29,9 @@
 
 pub use admission::aged_priority;
 pub use call_counts::{CallArrival, CallCounts, CallPurpose};
+pub use class_meter::{ClassMeter, FadingRate};
 pub use config::RouterConfig;
+pub use figures::{ClassFigures, SlownessFigures, TenantFigures, WorkKind};
 pub use learning::PriorSpeeds;
 pub use node_count::NodeCount;
 pub use prefix::{PromptBlock, prompt_blocks};
@@ -36,6 +41,7 @@
 pub use retry_budget::{AttemptFate, FailedAttempt, RetryBudget, RetryBudgetConfig, RetryVerdict};
 pub use router::Router;
 pub use shared_retry_budget::{RepeatedSend, SharedRetryBudget, SharedRetryTerms};
+pub use source_sums::{Figures, SourceSums};
 pub use tenant_limits::{TenantDemand, TenantLimits, TenantRule, TenantTotals, summing_node};
 pub use track::{Completion, Ticket};
 pub use view::{EngineView, FleetView};
--- /dev/null
+++ b/crates/routing/tests/source_sums.rs
@@ -0,0 +1,122 @@
+//! Figures that add up over nodes, whoever sends them, is lost or comes twice.
+
+use std::time::Duration;
+
+use dalestand_routing::staged::LoadSource;
+use dalestand_routing::{ClassFigures, ClassMeter, SlownessFigures, SourceSums, TenantFigures};
+use dalestand_types::MonotonicTime;
+use proptest::prelude::*;
+use rstest::rstest;
+
+const COUNTS_FOR: Duration = Duration::from_secs(3);
+
+fn at(milliseconds: u64) -> MonotonicTime {
+    MonotonicTime(milliseconds * 1_000)
+}
+
+fn asked(per_s: f32) -> TenantFigures {
+    TenantFigures {
+        asked_per_s: per_s,
+        begun_per_s: 0.0,
+    }
+}
+
+fn sums() -> SourceSums<&'static str, TenantFigures> {
+    SourceSums::new(COUNTS_FOR)
+}
+
+#[rstest]
+fn a_relay_adds_up_its_own_its_members_and_the_other_relays() {
+    let mut sums = sums();
+    sums.set_own([("pool", asked(1.0))]);
+    sums.reported(at(0), LoadSource::Member(1), [("pool", asked(2.0))]);
+    sums.reported(at(0), LoadSource::Relay(2), [("pool", asked(4.0))]);
+    sums.refresh(at(10));
+    assert_eq!(sums.total(&"pool"), Some(&asked(7.0)));
+    let is_member = |source| matches!(source, LoadSource::Member(_));
+    assert_eq!(sums.sum_of(at(10), is_member)["pool"], asked(3.0));
+}
+
+#[rstest]
+fn a_member_takes_the_sums_of_the_fleet_for_the_whole() {
+    let mut sums = sums();
+    sums.set_own([("pool", asked(1.0)), ("new", asked(5.0))]);
+    sums.reported(at(0), LoadSource::Fleet, [("pool", asked(9.0))]);
+    sums.refresh(at(10));
+    assert_eq!(sums.total(&"pool"), Some(&asked(9.0)));
+    assert_eq!(sums.total(&"new"), Some(&asked(5.0)));
+}
+
+#[rstest]
+fn a_report_that_comes_twice_counts_once_and_a_lost_one_lapses() {
+    let mut sums = sums();
+    for milliseconds in [0, 5] {
+        let row = ("pool", asked(2.0));
+        sums.reported(at(milliseconds), LoadSource::Member(1), [row]);
+    }
+    sums.refresh(at(10));
+    assert_eq!(sums.total(&"pool"), Some(&asked(2.0)));
+    sums.refresh(at(3_005));
+    assert_eq!(sums.total(&"pool"), None);
+}
+
+#[rstest]
+fn a_node_that_hears_no_other_knows_its_own() {
+    let mut sums = sums();
+    sums.set_own([("pool", asked(3.0))]);
+    sums.reported(at(0), LoadSource::Fleet, [("pool", asked(50.0))]);
+    sums.refresh(at(60_000));
+    assert_eq!(sums.total(&"pool"), Some(&asked(3.0)));
+}
+
+#[rstest]
+#[case::usual(20.0, true)]
+#[case::more_than_any_fleet(1e9, false)]
+#[case::below_zero(-1.0, false)]
+#[case::no_number(f32::NAN, false)]
+#[case::without_end(f32::INFINITY, false)]
+fn a_rate_that_no_node_can_have_counted_is_unsound(#[case] rate: f32, #[case] is_sound: bool) {
+    let figures = ClassFigures {
+        asked_per_s: rate,
+        ..ClassFigures::default()
+    };
+    assert_eq!(figures.is_sound(), is_sound);
+    let weighted = SlownessFigures {
+        weight: rate,
+        log_slowness: 0.0,
+    };
+    assert!(is_sound || !weighted.is_sound() || rate > 0.0);
+}
+
+#[rstest]
+fn a_meter_follows_a_steady_rate_and_forgets_it() {
+    let mut meter = ClassMeter::default();
+    for request in 0..400 {
+        meter.asked.count(at(request * 25), 1.0);
+    }
+    let rate = meter.figures(at(10_000)).asked_per_s;
+    assert!((36.0..44.0).contains(&rate), "{rate}");
+    assert!(meter.figures(at(30_000)).asked_per_s < 0.01);
+}
+
+proptest! {
+    /// Whatever is told in whatever order, the total is the sum of each source's newest row.
+    #[test]
+    fn the_newest_row_of_each_source_counts(
+        reports in prop::collection::vec((0_u64..4, 0_u64..2_000, 0.0_f32..100.0), 1..40),
+    ) {
+        let mut sums = sums();
+        let mut newest = std::collections::BTreeMap::new();
+        let mut now = 0;
+        for (source, later, rate) in reports {
+            now += later / 20;
+            sums.reported(at(now), LoadSource::Member(source), [("pool", asked(rate))]);
+            newest.insert(source, (now, rate));
+        }
+        sums.refresh(at(now));
+        let counted = newest.values().filter(|(told, _)| now - told < 3_000);
+        let expected: f32 = counted.map(|(_, rate)| rate).sum();
+        let total = sums.total(&"pool").map_or(0.0, |figures| figures.asked_per_s);
+        prop_assert!((total - expected).abs() <= expected * 1e-4);
+    }
+}
