The state of a node's parts no longer imports the context that owns it

Cause: the context held each part, and each part's file held its driver too, which takes the context: 34 files in one import circle, to which each new part would have added.

Change: state and driver of permits, quarantine, authority, long answers, notices, sent pages, declaration text, usage counts and metrics stand in files of their own; entries that are held back after a restoration are a method of plain state. One place, the context, owns the parts; only drivers take it. No behaviour changes.

--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -20,15 +20,15 @@
 use slog::Logger;
 use tokio::sync::{Notify, watch};
 
-use crate::duties::UsageCounts;
+use crate::duties::usage_counts::UsageCounts;
 use crate::fleet::engines::Fleet;
 use crate::fleet::placements::Placements;
 use crate::fleet_sums::FleetSums;
 use crate::node::counts::InFlight;
 use crate::node::metrics::ForwardingMetrics;
 use crate::node::settings::ForwardingSettings;
-use crate::permits::PermitDesk;
-use crate::quarantine::Quarantine;
+use crate::permits::desk::PermitDesk;
+use crate::quarantine::state::Quarantine;
 use crate::roles::authority::Authority;
 use crate::roles::demand::DemandMeter;
 use crate::serve::class_counts::ClassCounts;
--- a/crates/forwarding/src/duties/mod.rs
+++ b/crates/forwarding/src/duties/mod.rs
@@ -9,11 +9,10 @@
 pub(crate) mod scaling;
 #[cfg(test)]
 mod tests;
-mod usage_counts;
+pub(crate) mod usage_counts;
+pub(crate) mod usage_messages;
 pub(crate) mod usage_report;
 
-pub(crate) use usage_counts::{UsageCounts, send_usage, unix_time};
-
 /// How a call came out, for the metrics.
 fn outcome_label(answered: &Result<DutyOutcome, Report<PlatformError>>) -> &'static str {
     match answered {
--- a/crates/forwarding/src/duties/usage_counts.rs
+++ b/crates/forwarding/src/duties/usage_counts.rs
@@ -1,22 +1,17 @@
 //! Requests by tenant that engines began: counted at each node, sent to the holder of the lease.
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use dalestand_dissemination::{HolderAddress, Message, NodeNumber, UsageReport};
+use dalestand_dissemination::{NodeNumber, UsageReport};
 use dalestand_duties::{
     NodeLife, ScheduleTerms, TenantCounts, UsageCounters, UsageLedger, UsageWindows, WallClock,
-    WindowCounts, WindowIndex,
+    WindowIndex,
 };
 use dalestand_routes::Caller;
 use dalestand_types::MonotonicTime;
-use tokio::net::UdpSocket;
 
-use crate::context::Context;
 use crate::node::settings::UsageSettings;
-use crate::spread::datagram::send;
 
 /// Longest time between two messages to the holder.
 const SEND_INTERVAL: Duration = Duration::from_secs(1);
@@ -28,16 +23,13 @@
 /// and its repetition, with the time of a datagram.
 const SETTLE: Duration = Duration::from_millis(1_400);
 
-/// Tenants in one datagram: some 1,100 bytes, below what a path carries in one packet.
-const TENANTS_PER_DATAGRAM: usize = 64;
-
 /// What this node counted, and as the holder of the lease what others did.
 pub(crate) struct UsageCounts {
     terms: Option<ScheduleTerms>,
-    origin: NodeLife,
+    pub(super) origin: NodeLife,
     wall_clock: RefCell<WallClock>,
-    counters: RefCell<UsageCounters>,
-    ledger: RefCell<UsageLedger>,
+    pub(super) counters: RefCell<UsageCounters>,
+    pub(super) ledger: RefCell<UsageLedger>,
     /// Requests counted, for the metrics.
     counted: Cell<u64>,
 }
@@ -74,7 +66,7 @@
     }
 
     /// Notes the system's time of day.
-    fn observe_clock(&self, now: MonotonicTime) {
+    pub(super) fn observe_clock(&self, now: MonotonicTime) {
         self.wall_clock.borrow_mut().observe(now, unix_time());
     }
 
@@ -110,7 +102,7 @@
     }
 
     /// Forgets windows that can no longer be reported.
-    fn forget(&self, now: MonotonicTime) {
+    pub(super) fn forget(&self, now: MonotonicTime) {
         let Some(terms) = self.terms else { return };
         let oldest = self.unix_time(now).saturating_sub(terms.late);
         let window = terms.windows.at(oldest);
@@ -119,7 +111,7 @@
     }
 
     /// Time until the next message: the end of the window, if it comes before.
-    fn pause(&self, now: MonotonicTime, terms: ScheduleTerms) -> Duration {
+    pub(super) fn pause(&self, now: MonotonicTime, terms: ScheduleTerms) -> Duration {
         let unix_time = self.unix_time(now);
         let end = terms.windows.end(terms.windows.at(unix_time));
         (end.saturating_sub(unix_time) + AFTER_WINDOW).min(SEND_INTERVAL)
@@ -133,54 +125,3 @@
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default()
 }
-
-/// Sends this node's counts to the holder of the lease for as long as it is polled.
-pub(crate) async fn send_usage(context: Rc<Context>, socket: Rc<UdpSocket>) {
-    let Some(terms) = context.usage.terms() else {
-        return;
-    };
-    let mut sent_to: Option<HolderAddress> = None;
-    loop {
-        let pause = context.usage.pause(context.now(), terms);
-        actix_rt::time::sleep(pause).await;
-        let now = context.now();
-        context.usage.observe_clock(now);
-        context.usage.forget(now);
-        let Some(holder) = context.spread.holder() else {
-            continue;
-        };
-        if sent_to != Some(holder) {
-            // A new holder knows nothing.
-            context.usage.counters.borrow_mut().send_all_again();
-            sent_to = Some(holder);
-        }
-        let changed = context.usage.counters.borrow_mut().take_changed();
-        if holder.node == context.spread.node {
-            let mut ledger = context.usage.ledger.borrow_mut();
-            ledger.merge(context.usage.origin, changed);
-        } else {
-            send_counts(&context, &socket, holder.address, changed);
-        }
-    }
-}
-
-fn send_counts(
-    context: &Context,
-    socket: &UdpSocket,
-    holder: SocketAddr,
-    windows: Vec<WindowCounts>,
-) {
-    for WindowCounts { window, counts } in windows {
-        for counts in counts.chunks(TENANTS_PER_DATAGRAM) {
-            let report = UsageReport {
-                origin: context.usage.origin,
-                windows: vec![WindowCounts {
-                    window,
-                    counts: counts.to_vec(),
-                }],
-            };
-            let sent_bytes = send(context, socket, &[holder], &Message::Usage(report));
-            context.sent(sent_bytes);
-        }
-    }
-}
--- a/crates/forwarding/src/fleet/declaration.rs
+++ b/crates/forwarding/src/fleet/declaration.rs
@@ -9,17 +9,9 @@
 use dalestand_telemetry::{Event, log_event};
 
 use crate::context::Context;
+use crate::fleet::declaration_text::DeclarationText;
 use crate::fleet::follow::Follower;
 
-/// The text of the declaration in force, for other nodes.
-#[derive(Clone, Debug)]
-pub(crate) struct DeclarationText {
-    /// Its revision.
-    pub(crate) revision: u64,
-    /// The text, as it stands in the key-value service.
-    pub(crate) text: Rc<str>,
-}
-
 /// Brings a declaration into force, unless a newer one is.
 pub(crate) fn take(context: &Context, text: &str) {
     let read = context.form.read_configuration(text);
--- a/crates/forwarding/src/fleet/engine_entries.rs
+++ b/crates/forwarding/src/fleet/engine_entries.rs
@@ -15,10 +15,10 @@
 use crate::context::Context;
 use crate::fleet::entry_text;
 use crate::fleet::follow::Follower;
-use crate::fleet::restored_entries::{RESTORED_ENTRIES_LAPSE, without_held};
+use crate::fleet::restored_entries::RESTORED_ENTRIES_LAPSE;
 use crate::fleet::signals::take_start;
 use crate::quarantine::engine_end::{EndProof, engine_ended};
-use crate::spread::engine_notices::NoticeSource;
+use crate::spread::notice_queue::NoticeSource;
 use crate::spread::recent_changes::ChangeSource;
 
 /// Relays ask for changes of engines' entries again after up to this time for each relay, at random.
@@ -54,7 +54,9 @@
 pub(crate) fn take(context: &Context, records: Vec<EntryRecord>, source: ChangeSource) {
     let records = match source {
         ChangeSource::Store => records,
-        ChangeSource::Listing | ChangeSource::Relay => without_held(context, records),
+        ChangeSource::Listing | ChangeSource::Relay => {
+            context.spread.without_held(context.now(), records)
+        }
     };
     let mut entries = context.spread.entries.borrow_mut();
     let taken = records
@@ -186,7 +188,7 @@
 
 /// Takes a whole reading of the key-value service in.
 fn take_listing(context: &Context, revision: u64, records: Vec<EntryRecord>) {
-    let records = without_held(context, records);
+    let records = context.spread.without_held(context.now(), records);
     let mut entries = context.spread.entries.borrow_mut();
     let changes = entries.take_listing(revision, records);
     drop(entries);
--- a/crates/forwarding/src/fleet/mod.rs
+++ b/crates/forwarding/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Engines and nodes, as the key-value service and relays tell.
 
 pub(crate) mod declaration;
+pub(crate) mod declaration_text;
 pub(crate) mod engine_entries;
 pub(crate) mod engines;
 pub(crate) mod entry_text;
--- a/crates/forwarding/src/fleet/registration.rs
+++ b/crates/forwarding/src/fleet/registration.rs
@@ -18,7 +18,8 @@
 use crate::node::settings::ForwardingSettings;
 use crate::quarantine::fleet_key::QUARANTINE_PREFIX;
 use crate::quarantine::stored_stops::take_stored;
-use crate::roles::authority::{Authority, HOLDER_KEY};
+use crate::roles::authority::Authority;
+use crate::roles::hold::HOLDER_KEY;
 
 /// Leading part of the keys of nodes' entries; the zone and the name follow.
 const NODE_PREFIX: &str = "dalestand/nodes/";
--- a/crates/forwarding/src/fleet/restored_entries.rs
+++ b/crates/forwarding/src/fleet/restored_entries.rs
@@ -3,11 +3,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use dalestand_dissemination::EntryRecord;
+use dalestand_dissemination::{EntryRecord, EntryTable};
 use dalestand_types::MonotonicTime;
 
-use crate::context::Context;
-
 /// An engine that has gone stands again in a service that was restored from an older copy, until it lapses
 /// there after three heartbeats (3.6 s), unless it lives and writes its entry anew, which a watch tells.
 pub(crate) const RESTORED_ENTRIES_LAPSE: Duration = Duration::from_secs(5);
@@ -20,24 +18,28 @@
 #[derive(Debug, Default)]
 pub(crate) struct HeldEntries(HashMap<String, MonotonicTime>);
 
-/// What of `records` is to be taken, as they stand in a reading or at another node.
-pub(crate) fn without_held(context: &Context, mut records: Vec<EntryRecord>) -> Vec<EntryRecord> {
-    let entries = context.spread.entries.borrow();
-    let mut held = context.spread.held_entries.borrow_mut();
-    let now = context.now();
-    records.retain(|record| {
-        if !entries.had_gone(record) {
-            return true;
-        }
-        if held.0.len() >= MOST_HELD {
-            held.0
+impl HeldEntries {
+    /// What of `records` is to be taken, as they stand in a reading or at another node, where `entries` are known.
+    pub(crate) fn without_held(
+        &mut self,
+        entries: &EntryTable,
+        now: MonotonicTime,
+        mut records: Vec<EntryRecord>,
+    ) -> Vec<EntryRecord> {
+        records.retain(|record| !entries.had_gone(record) || self.is_over(record, now));
+        records
+    }
+
+    /// Whether an entry of an engine that had gone has stood for so long that the engine lives.
+    fn is_over(&mut self, record: &EntryRecord, now: MonotonicTime) -> bool {
+        if self.0.len() >= MOST_HELD {
+            self.0
                 .retain(|_, since| now.since(*since) < RESTORED_ENTRIES_LAPSE * 2);
         }
-        if held.0.len() >= MOST_HELD && !held.0.contains_key(&record.key) {
+        if self.0.len() >= MOST_HELD && !self.0.contains_key(&record.key) {
             return true;
         }
-        let since = held.0.entry(record.key.clone()).or_insert(now);
+        let since = self.0.entry(record.key.clone()).or_insert(now);
         now.since(*since) >= RESTORED_ENTRIES_LAPSE
-    });
-    records
+    }
 }
--- a/crates/forwarding/src/fleet/signals.rs
+++ b/crates/forwarding/src/fleet/signals.rs
@@ -10,7 +10,7 @@
 
 use crate::context::Context;
 use crate::quarantine::engine_end::{EndProof, engine_ended};
-use crate::spread::engine_notices::{EngineNotice, NoticeSource};
+use crate::spread::notice_queue::{EngineNotice, NoticeSource};
 
 /// Takes in what an answer says of its engine. `request_sent_at` is when the request went out that it takes up,
 /// if it takes one up.
--- a/crates/forwarding/src/node/metrics/engine_signals.rs
+++ b/crates/forwarding/src/node/metrics/engine_signals.rs
@@ -1,13 +1,24 @@
 //! Figures of what engines say of themselves, and of what follows from it.
 
-use dalestand_edge::unknown_headers::{UNKNOWN_SENDERS, UnknownSender};
+use dalestand_edge::unknown_headers::UnknownSender;
 use dalestand_routing::staged::ClosedFor;
 use prometheus::{IntCounter, IntCounterVec, IntGauge};
 
 use super::figures::Figures;
-use crate::context::Context;
 use crate::serve::progress::CallRecord;
 
+/// Numbers of engines, as they stand.
+pub(super) struct StandingSignals {
+    /// Those that have said that they drain.
+    pub(super) draining: usize,
+    /// Those that want no calls now.
+    pub(super) backing_off: usize,
+    /// Those that take only so many requests.
+    pub(super) limited: usize,
+    /// Those for which nodes asked this one for leave.
+    pub(super) issued_for: usize,
+}
+
 /// The figures.
 pub(super) struct SignalFigures {
     calls_withheld: IntCounterVec,
@@ -82,29 +93,20 @@
     }
 
     /// Sets what is told as it stands.
-    pub(super) fn set(&self, context: &Context) {
-        let now = context.now();
-        let draining = context.fleet().draining().len();
-        self.engines_draining.set(draining as i64);
-        let router = context.router.borrow();
-        let backing_off = router.signals.backing_off(now);
-        self.engines_backing_off.set(backing_off as i64);
-        let limited = router.signals.limits().iter().count();
-        self.engines_limited.set(limited as i64);
-        let issued_for = context.permits.issued_for();
-        self.issued_for.set(issued_for as i64);
-        self.count_unknown_headers(context);
+    pub(super) fn set(&self, standing: &StandingSignals) {
+        self.engines_draining.set(standing.draining as i64);
+        self.engines_backing_off.set(standing.backing_off as i64);
+        self.engines_limited.set(standing.limited as i64);
+        self.issued_for.set(standing.issued_for as i64);
     }
 
-    fn count_unknown_headers(&self, context: &Context) {
-        for sender in UNKNOWN_SENDERS {
-            let label = match sender {
-                UnknownSender::Engine => "engine",
-                UnknownSender::KeyValue => "key-value",
-            };
-            let counter = self.unknown_headers.with_label_values(&[label]);
-            let seen = context.unknown_headers.seen(sender);
-            counter.inc_by(seen.saturating_sub(counter.get()));
-        }
+    /// Counts unknown headers of a sender, of which `seen` came since the start.
+    pub(super) fn count_unknown_headers(&self, sender: UnknownSender, seen: u64) {
+        let label = match sender {
+            UnknownSender::Engine => "engine",
+            UnknownSender::KeyValue => "key-value",
+        };
+        let counter = self.unknown_headers.with_label_values(&[label]);
+        counter.inc_by(seen.saturating_sub(counter.get()));
     }
 }
--- a/crates/forwarding/src/node/metrics/mod.rs
+++ b/crates/forwarding/src/node/metrics/mod.rs
@@ -2,30 +2,21 @@
 
 mod engine_signals;
 mod figures;
+pub(crate) mod page;
 
-use std::rc::Rc;
 use std::time::Duration;
 
-use dalestand_http_server::{
-    Answer, Connections, Request, ServerLimits, StatusCode, serve, status_answer, text_answer,
-};
+use dalestand_http_server::StatusCode;
 use dalestand_routes::RouteKind;
 use dalestand_routing::CallPurpose;
 use prometheus::{
-    Encoder as _, Histogram, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
-    Registry, TextEncoder,
+    Histogram, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry,
 };
-use tokio::net::TcpListener;
 
 use self::engine_signals::SignalFigures;
 use self::figures::Figures;
-use crate::context::Context;
-use crate::quarantine::evidence::stopped_count;
 use crate::serve::progress::CallRecord;
 
-/// Where the figures are told.
-const PATH: &str = "/metrics";
-
 /// Upper bounds of the latency histograms, in seconds.
 const LATENCY_BOUNDS: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0, 2.5, 5.0];
 
@@ -282,47 +273,6 @@
         let counted = self.datagram_bytes.with_label_values(&labels);
         counted.inc_by(bytes as u64);
     }
-
-    fn text(&self, context: &Context) -> Result<String, prometheus::Error> {
-        self.in_flight.set(context.in_flight.count() as i64);
-        self.held_bytes.set(context.held_bytes.get() as i64);
-        self.engines.set(context.fleet().len() as i64);
-        let collisions = context.fleet().code_collisions();
-        self.code_collisions.set(collisions as i64);
-        self.entries
-            .set(context.spread.entries.borrow().len() as i64);
-        self.parts.set(context.router.borrow().parts.len() as i64);
-        self.nodes.set(context.node_count() as i64);
-        let revision = context.table().map_or(0, |table| table.revision().0);
-        self.configuration.set(revision as i64);
-        let now = context.now();
-        let role = context.spread.role(now);
-        self.is_relay.set(i64::from(role.is_relay));
-        self.reads_store.set(i64::from(role.reads_store));
-        let report_age = context.router.borrow().work.mean_age(now, |_| true);
-        let held = context.authority.held_token();
-        self.authority_token.set(held.unwrap_or_default() as i64);
-        self.usage_counted.set(context.usage.counted() as i64);
-        self.report_age_ms.set(report_age.as_millis() as i64);
-        self.signals.set(context);
-        self.requests_stopped.set(stopped_count(context) as i64);
-        self.set_repeats_left(context);
-        let mut buffer = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut buffer)?;
-        Ok(String::from_utf8_lossy(&buffer).into_owned())
-    }
-
-    /// Only pools of the declaration in force are told, so that labels stay bounded.
-    fn set_repeats_left(&self, context: &Context) {
-        self.repeats_left.reset();
-        let now = context.now();
-        let table = context.table();
-        for pool in table.iter().flat_map(|table| table.pools()) {
-            let left = context.budget.borrow_mut().left(now, &pool.name);
-            let gauge = self.repeats_left.with_label_values(&[pool.name.as_str()]);
-            gauge.set(left.floor() as i64);
-        }
-    }
 }
 
 fn kind_label(kind: RouteKind) -> &'static str {
@@ -333,20 +283,3 @@
         RouteKind::ResumableStream => "resumable-stream",
     }
 }
-
-/// Tells the figures on `listener` for as long as it is polled.
-pub(crate) async fn serve_metrics(context: Rc<Context>, listener: TcpListener) {
-    let handler = move |request| answer(Rc::clone(&context), request);
-    let limits = ServerLimits::default();
-    serve(listener, limits, Connections::default(), handler).await;
-}
-
-async fn answer(context: Rc<Context>, request: Request) -> Answer {
-    if request.path() != PATH {
-        return status_answer(StatusCode::NOT_FOUND);
-    }
-    match context.metrics.text(&context) {
-        Ok(text) => text_answer(StatusCode::OK, text),
-        Err(error) => text_answer(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
-    }
-}
--- /dev/null
+++ b/crates/forwarding/src/node/metrics/page.rs
@@ -0,0 +1,93 @@
+//! The page on which the figures are told.
+
+use std::rc::Rc;
+
+use dalestand_edge::unknown_headers::UNKNOWN_SENDERS;
+use dalestand_http_server::{
+    Answer, Connections, Request, ServerLimits, StatusCode, serve, status_answer, text_answer,
+};
+use prometheus::{Encoder as _, TextEncoder};
+use tokio::net::TcpListener;
+
+use super::ForwardingMetrics;
+use super::engine_signals::StandingSignals;
+use crate::context::Context;
+use crate::quarantine::evidence::stopped_count;
+
+/// Where the figures are told.
+const PATH: &str = "/metrics";
+
+impl ForwardingMetrics {
+    /// All figures, as they stand now.
+    fn text(&self, context: &Context) -> Result<String, prometheus::Error> {
+        self.in_flight.set(context.in_flight.count() as i64);
+        self.held_bytes.set(context.held_bytes.get() as i64);
+        self.engines.set(context.fleet().len() as i64);
+        let collisions = context.fleet().code_collisions();
+        self.code_collisions.set(collisions as i64);
+        self.entries
+            .set(context.spread.entries.borrow().len() as i64);
+        self.parts.set(context.router.borrow().parts.len() as i64);
+        self.nodes.set(context.node_count() as i64);
+        let revision = context.table().map_or(0, |table| table.revision().0);
+        self.configuration.set(revision as i64);
+        let now = context.now();
+        let role = context.spread.role(now);
+        self.is_relay.set(i64::from(role.is_relay));
+        self.reads_store.set(i64::from(role.reads_store));
+        let report_age = context.router.borrow().work.mean_age(now, |_| true);
+        let held = context.authority.held_token();
+        self.authority_token.set(held.unwrap_or_default() as i64);
+        self.usage_counted.set(context.usage.counted() as i64);
+        self.report_age_ms.set(report_age.as_millis() as i64);
+        self.signals.set(&standing_signals(context));
+        for sender in UNKNOWN_SENDERS {
+            let seen = context.unknown_headers.seen(sender);
+            self.signals.count_unknown_headers(sender, seen);
+        }
+        self.requests_stopped.set(stopped_count(context) as i64);
+        self.set_repeats_left(context);
+        let mut buffer = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut buffer)?;
+        Ok(String::from_utf8_lossy(&buffer).into_owned())
+    }
+
+    /// Only pools of the declaration in force are told, so that labels stay bounded.
+    fn set_repeats_left(&self, context: &Context) {
+        self.repeats_left.reset();
+        let now = context.now();
+        let table = context.table();
+        for pool in table.iter().flat_map(|table| table.pools()) {
+            let left = context.budget.borrow_mut().left(now, &pool.name);
+            let gauge = self.repeats_left.with_label_values(&[pool.name.as_str()]);
+            gauge.set(left.floor() as i64);
+        }
+    }
+}
+
+fn standing_signals(context: &Context) -> StandingSignals {
+    let router = context.router.borrow();
+    StandingSignals {
+        draining: context.fleet().draining().len(),
+        backing_off: router.signals.backing_off(context.now()),
+        limited: router.signals.limits().iter().count(),
+        issued_for: context.permits.issued_for(),
+    }
+}
+
+/// Tells the figures on `listener` for as long as it is polled.
+pub(crate) async fn serve_metrics(context: Rc<Context>, listener: TcpListener) {
+    let handler = move |request| answer(Rc::clone(&context), request);
+    let limits = ServerLimits::default();
+    serve(listener, limits, Connections::default(), handler).await;
+}
+
+async fn answer(context: Rc<Context>, request: Request) -> Answer {
+    if request.path() != PATH {
+        return status_answer(StatusCode::NOT_FOUND);
+    }
+    match context.metrics.text(&context) {
+        Ok(text) => text_answer(StatusCode::OK, text),
+        Err(error) => text_answer(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    }
+}
--- a/crates/forwarding/src/permits/asking.rs
+++ b/crates/forwarding/src/permits/asking.rs
@@ -10,8 +10,10 @@
 
 use crate::context::Context;
 use crate::fleet::signals::known_limit;
-use crate::permits::{IssuerPlace, issuer_of, issuing};
-use crate::spread::datagram::send;
+use crate::permits::desk::Asked;
+use crate::permits::issuer::{IssuerPlace, issuer_of};
+use crate::permits::issuing;
+use crate::spread::transmit::send;
 
 /// For how long a request waits for leave: a node whose share of a core is a quota answers after a tenth of a
 /// second at most, and the way between regions takes a few hundredths.
@@ -24,14 +26,6 @@
 /// From so many questions on, those whose answer would come too late are forgotten.
 const MANY_ASKED: usize = 256;
 
-/// A question that was sent.
-pub(crate) struct Asked {
-    engine: EngineKey,
-    at: MonotonicTime,
-    /// Rung by the answer.
-    answered: Option<oneshot::Sender<()>>,
-}
-
 /// Leave to send one request to an engine with a limit, or why there is none.
 pub(super) async fn permit(context: &Context, engine: EngineKey) -> Result<Permit, ClosedFor> {
     if let Some(permit) = take_held(context, engine) {
--- a/crates/forwarding/src/permits/issuing.rs
+++ b/crates/forwarding/src/permits/issuing.rs
@@ -11,9 +11,9 @@
 
 use crate::context::Context;
 use crate::fleet::signals::take_told_limit;
-use crate::permits::{IssuerPlace, issuer_of};
-use crate::spread::datagram::send;
-use crate::spread::engine_notices::NoticeSource;
+use crate::permits::issuer::{IssuerPlace, issuer_of};
+use crate::spread::notice_queue::NoticeSource;
+use crate::spread::transmit::send;
 
 /// After how long a node asks again that took this one for the issuer: nodes agree on that within a second.
 const NOT_ISSUER_PAUSE: Duration = Duration::from_millis(200);
--- a/crates/forwarding/src/quarantine/engine_end.rs
+++ b/crates/forwarding/src/quarantine/engine_end.rs
@@ -8,7 +8,7 @@
 use dalestand_types::PoolName;
 
 use crate::context::Context;
-use crate::quarantine::engine_run;
+use crate::quarantine::engine_runs::engine_run;
 use crate::quarantine::evidence::attribute;
 
 /// What proves that an engine's run has ended.
--- a/crates/forwarding/src/quarantine/run_watch.rs
+++ b/crates/forwarding/src/quarantine/run_watch.rs
@@ -12,7 +12,7 @@
 
 use crate::context::Context;
 use crate::quarantine::engine_end::check_listener;
-use crate::quarantine::engine_run;
+use crate::quarantine::engine_runs::engine_run;
 use crate::quarantine::evidence::{attribute, completed};
 use crate::serve::progress::Progress;
 
--- a/crates/forwarding/src/quarantine/stored_stops.rs
+++ b/crates/forwarding/src/quarantine/stored_stops.rs
@@ -9,7 +9,7 @@
 use error_stack::{Report, ResultExt as _};
 
 use crate::context::Context;
-use crate::duties::unix_time;
+use crate::duties::usage_counts::unix_time;
 use crate::quarantine::evidence::take_all;
 
 /// Leading part of the keys; the fingerprint follows.
--- a/crates/forwarding/src/quarantine/trial.rs
+++ b/crates/forwarding/src/quarantine/trial.rs
@@ -1,47 +1,25 @@
 //! Trials of stopped requests: one run at one node of the fleet, so that a request which was stopped
 //! wrongly comes back into service by itself, and one that ends engines ends no more than one each time.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use dalestand_edge::{CasOutcome, KeyValue, PlatformError, WriteExpectation};
 use dalestand_quarantine::RequestFingerprint;
 use dalestand_telemetry::{Event, log_event};
-use dalestand_types::MonotonicTime;
 use error_stack::Report;
 
 use crate::context::Context;
+use crate::quarantine::state::TRIAL_HELD;
 
 /// Leading part of the keys that let one node try a request; the fingerprint follows.
 const TRIAL_PREFIX: &str = "dalestand/quarantine/trial/";
 
-/// For how long one node may try a request: longer than callers wait for an answer and other nodes need
-/// to hear of it.
-const TRIAL_HELD: Duration = Duration::from_secs(10);
-
 /// Time in which the key-value service must let a node try: the caller waits for it.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Shortest time after which the caller of a stopped request is to come back.
 const SHORTEST_REFUSAL: Duration = Duration::from_secs(1);
 
-/// When this node may ask again to try a request: asked at each arrival, the key-value service would
-/// get as many calls as the request comes.
-#[derive(Debug, Default)]
-pub(crate) struct TrialPauses(HashMap<RequestFingerprint, MonotonicTime>);
-
-impl TrialPauses {
-    /// Whether to ask now; asked, it is not asked again for [`TRIAL_HELD`].
-    fn may_ask(&mut self, now: MonotonicTime, fingerprint: RequestFingerprint) -> bool {
-        self.0.retain(|_, until| now < *until);
-        if self.0.contains_key(&fingerprint) {
-            return false;
-        }
-        self.0.insert(fingerprint, now + TRIAL_HELD);
-        true
-    }
-}
-
 /// Time until a stopped request may be tried, a second at least: until then it is refused.
 pub(crate) fn trial_in(context: &Context, fingerprint: RequestFingerprint) -> Duration {
     let ledger = context.quarantine.ledger.borrow();
--- a/crates/forwarding/src/roles/authority/tests.rs
+++ b/crates/forwarding/src/roles/authority/tests.rs
@@ -8,7 +8,8 @@
 use proptest::prelude::*;
 use rstest::rstest;
 
-use super::{Authority, Mandate, grant, while_held};
+use super::{Authority, Mandate, while_held};
+use crate::roles::hold::grant;
 
 const TIME_TO_LIVE: Duration = Duration::from_secs(3);
 
--- a/crates/forwarding/src/roles/mod.rs
+++ b/crates/forwarding/src/roles/mod.rs
@@ -2,4 +2,5 @@
 
 pub(crate) mod authority;
 pub(crate) mod demand;
+pub(crate) mod hold;
 pub(crate) mod role_control;
--- a/crates/forwarding/src/serve/answer.rs
+++ b/crates/forwarding/src/serve/answer.rs
@@ -11,7 +11,7 @@
 use futures_core::Stream;
 
 use crate::serve::headers::passed_on;
-use crate::serve::relay::RelayError;
+use crate::serve::relay_error::RelayError;
 
 const RETRY_AFTER: HeaderName = HeaderName::from_static("retry-after");
 
--- a/crates/forwarding/src/serve/held_bytes.rs
+++ b/crates/forwarding/src/serve/held_bytes.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use futures_util::stream::{self, Stream};
 
-use crate::serve::relay::RelayError;
+use crate::serve::relay_error::RelayError;
 
 /// Most bytes that are held for all callers: a quarter of the 64 MB that a node may take for all its work.
 const MOST_HELD: usize = 16 << 20;
--- a/crates/forwarding/src/serve/mod.rs
+++ b/crates/forwarding/src/serve/mod.rs
@@ -17,4 +17,5 @@
 pub(crate) mod prefill;
 pub(crate) mod progress;
 pub(crate) mod relay;
+pub(crate) mod relay_error;
 pub(crate) mod work_guard;
--- a/crates/forwarding/src/serve/relay.rs
+++ b/crates/forwarding/src/serve/relay.rs
@@ -18,18 +18,7 @@
 use crate::serve::forward::resume;
 use crate::serve::patience::has_other_engine;
 use crate::serve::progress::Progress;
-
-/// Why a body ends before it is whole. It ends the caller's connection, so that the answer does not
-/// look complete.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub(crate) enum RelayError {
-    /// The engine's answer broke off.
-    #[error("the engine's answer broke off")]
-    BrokenOff,
-    /// The time of the request is over.
-    #[error("the time of the request is over")]
-    TimeOver,
-}
+use crate::serve::relay_error::RelayError;
 
 /// A pause of this multiple of the longest one in time takes a stream to another engine.
 const PAUSE_FACTOR: u32 = 3;
--- a/crates/forwarding/src/spread/datagram.rs
+++ b/crates/forwarding/src/spread/datagram.rs
@@ -1,30 +1,6 @@
 //! One datagram.
 
-use std::net::SocketAddr;
-
-use dalestand_dissemination::{
-    EntryRecord, LoadScope, LoadSlice, LoadsMessage, MESSAGE_VERSION, Message, News, NewsBatch,
-};
-use dalestand_telemetry::{Event, log_event};
-use tokio::net::UdpSocket;
-
-use crate::context::Context;
-
-/// Bytes of a datagram beside what it carries: the headers of IP and UDP.
-const DATAGRAM_HEADER_BYTES: usize = 28;
-
-/// Sends a message to each address; yields the bytes sent.
-pub(crate) fn send(
-    context: &Context,
-    socket: &UdpSocket,
-    addresses: &[SocketAddr],
-    message: &Message,
-) -> usize {
-    match encode(context, message) {
-        Some(datagram) => send_encoded(context, socket, addresses, &datagram),
-        None => 0,
-    }
-}
+use dalestand_dissemination::Message;
 
 /// A message as it is sent.
 pub(crate) struct Datagram {
@@ -32,38 +8,6 @@
     pub(super) bytes: Vec<u8>,
 }
 
-/// Encodes a message; one that cannot be is logged.
-pub(super) fn encode(context: &Context, message: &Message) -> Option<Datagram> {
-    let kind = kind_label(message);
-    match rmp_serde::to_vec(&(MESSAGE_VERSION, message)) {
-        Ok(bytes) => Some(Datagram { kind, bytes }),
-        Err(error) => {
-            log_event!(context.logger, Event::DatagramUnreadable, "message" => kind,
-                "error" => %error);
-            None
-        }
-    }
-}
-
-/// Sends a datagram to each address; yields the bytes sent.
-pub(super) fn send_encoded(
-    context: &Context,
-    socket: &UdpSocket,
-    addresses: &[SocketAddr],
-    datagram: &Datagram,
-) -> usize {
-    let Datagram { kind, bytes } = datagram;
-    for address in addresses {
-        // A datagram that cannot be sent is counted and lost: the next one says more.
-        let outcome = match socket.try_send_to(bytes, *address) {
-            Ok(_) => "sent",
-            Err(_) => "unsent",
-        };
-        context.metrics.datagram(kind, outcome, bytes.len());
-    }
-    (bytes.len() + DATAGRAM_HEADER_BYTES) * addresses.len()
-}
-
 /// The label of a message in the metrics.
 pub(super) fn kind_label(message: &Message) -> &'static str {
     match message {
@@ -86,62 +30,3 @@
         Message::Sums(_) => "sums",
     }
 }
-
-/// Sends news that did not fit into the first message.
-pub(super) fn send_news(
-    context: &Context,
-    socket: &UdpSocket,
-    addresses: &[SocketAddr],
-    batches: impl Iterator<Item = Vec<News>>,
-) -> usize {
-    let node = context.spread.node;
-    let sent = batches.map(|news| {
-        let batch = Message::News(NewsBatch { node, news });
-        send(context, socket, addresses, &batch)
-    });
-    sent.sum()
-}
-
-/// Sends changed entries that did not fit into the first message.
-pub(super) fn send_changes(
-    context: &Context,
-    socket: &UdpSocket,
-    addresses: &[SocketAddr],
-    messages: impl Iterator<Item = Vec<EntryRecord>>,
-) -> usize {
-    let sent = messages.map(|records| {
-        let message = Message::Changes(records);
-        send(context, socket, addresses, &message)
-    });
-    sent.sum()
-}
-
-/// What the slices of one sum of loads have in common.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct LoadHeader {
-    /// Whose loads they are.
-    pub(super) scope: LoadScope,
-    /// Mean age of the work, in milliseconds.
-    pub(super) age_ms: u32,
-}
-
-/// Sends loads that did not fit into the first message.
-pub(super) fn send_loads(
-    context: &Context,
-    socket: &UdpSocket,
-    addresses: &[SocketAddr],
-    header: LoadHeader,
-    slices: impl Iterator<Item = LoadSlice>,
-) -> usize {
-    let node = context.spread.node;
-    let sent = slices.map(|work| {
-        let loads = LoadsMessage {
-            node,
-            scope: header.scope,
-            age_ms: header.age_ms,
-            work,
-        };
-        send(context, socket, addresses, &Message::Loads(loads))
-    });
-    sent.sum()
-}
--- a/crates/forwarding/src/spread/engine_notices.rs
+++ b/crates/forwarding/src/spread/engine_notices.rs
@@ -5,7 +5,6 @@
 //! then the nodes that the engine answers must tell the others. What is lost is repaired by the relays, which
 //! name by turns, once a second, the engines that drain while their entries say otherwise, all starts and all limits.
 
-use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,23 +15,11 @@
 };
 use dalestand_routing::staged::EngineKey;
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
 
 use crate::context::Context;
 use crate::fleet::signals::{known_limit, take_drain, take_start, take_told_limit};
-use crate::spread::datagram::send;
-use crate::spread::repeated_news::{RepeatTerms, RepeatedNews};
-
-/// Engines in one message: 0.9 KB, below what a path carries in one packet.
-const PER_MESSAGE: usize = 48;
-
-/// Each notice goes out with three messages. Those that wait are the engines of a release of a whole zone;
-/// what is dropped is named again by the relays.
-const TERMS: RepeatTerms = RepeatTerms {
-    repeats: 3,
-    per_message: PER_MESSAGE,
-    waiting: 4_096,
-};
+use crate::spread::notice_queue::{EngineNotice, NoticeSource, PER_MESSAGE};
+use crate::spread::transmit::send;
 
 /// Time between messages that carry the same.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(100);
@@ -41,67 +28,6 @@
 /// an engine that drains hears twice.
 const NAMED_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How a node learnt what it is to tell.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum NoticeSource {
-    /// From the engine's answer to this node.
-    OwnAnswer,
-    /// From the engine's entry in the key-value service.
-    Entry,
-    /// From a member of this relay.
-    Member,
-    /// From a relay, which tells the other relays itself.
-    Relay,
-}
-
-/// What is told of an engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum EngineNotice {
-    /// It drains.
-    Drains(EngineStart),
-    /// It started.
-    Started(EngineStart),
-    /// How many requests it takes has changed; what is known of it goes out.
-    Limit(EngineKey),
-}
-
-/// Notices on their way to other nodes.
-#[derive(Debug)]
-pub(crate) struct NoticeQueue {
-    for_relays: RefCell<RepeatedNews<EngineNotice>>,
-    for_members: RefCell<RepeatedNews<EngineNotice>>,
-    /// Rung when there are some.
-    changed: Notify,
-    /// Messages in which this relay has named what stands, so that all comes by turns.
-    turn: Cell<usize>,
-}
-
-impl Default for NoticeQueue {
-    fn default() -> Self {
-        Self {
-            for_relays: RefCell::new(RepeatedNews::new(TERMS)),
-            for_members: RefCell::new(RepeatedNews::new(TERMS)),
-            changed: Notify::new(),
-            turn: Cell::new(0),
-        }
-    }
-}
-
-impl NoticeQueue {
-    /// Has a notice told.
-    pub(crate) fn push(&self, notice: EngineNotice, source: NoticeSource) {
-        if source != NoticeSource::Relay {
-            self.for_relays.borrow_mut().push(notice);
-        }
-        self.for_members.borrow_mut().push(notice);
-        self.changed.notify_one();
-    }
-
-    fn is_empty(&self) -> bool {
-        self.for_relays.borrow().is_empty() && self.for_members.borrow().is_empty()
-    }
-}
-
 /// Sends what is to be told, for as long as it is polled.
 pub(crate) async fn send_notices(context: Rc<Context>, socket: Rc<UdpSocket>) {
     let mut named_at = BootInstant::now();
--- a/crates/forwarding/src/spread/mod.rs
+++ b/crates/forwarding/src/spread/mod.rs
@@ -5,20 +5,24 @@
 //! datagrams.
 
 pub(crate) mod bulk;
+mod bulk_queue;
 mod contents;
-pub(crate) mod datagram;
+mod datagram;
 pub(crate) mod engine_notices;
 mod news_queue;
+pub(crate) mod notice_queue;
 mod own_reports;
 mod pacing;
 pub(crate) mod receive;
 pub(crate) mod recent_changes;
 pub(crate) mod repeated_news;
 pub(crate) mod send;
+mod sent_pages;
 pub(crate) mod sums;
 pub(crate) mod tables;
 #[cfg(test)]
 mod tests;
+pub(crate) mod transmit;
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
@@ -27,23 +31,23 @@
 use std::time::Duration;
 
 use dalestand_dissemination::{
-    DeclarationSync, EntrySync, EntryTable, HolderAddress, NodeDirectory, NodeNumber, Relay,
-    Subscribers, Subscription,
+    DeclarationSync, EntryRecord, EntrySync, EntryTable, HolderAddress, NodeDirectory, NodeNumber,
+    Relay, Subscribers, Subscription,
 };
 use dalestand_routing::staged::{EngineKey, rendezvous_weight};
 use dalestand_types::MonotonicTime;
 use rand::RngExt as _;
 use tokio::sync::watch;
 
-use crate::fleet::declaration::DeclarationText;
+use crate::fleet::declaration_text::DeclarationText;
 use crate::fleet::restored_entries::HeldEntries;
 use crate::node::settings::ForwardingSettings;
-use crate::spread::bulk::BulkQueue;
-use crate::spread::engine_notices::NoticeQueue;
+use crate::spread::bulk_queue::BulkQueue;
 use crate::spread::news_queue::NewsQueue;
+use crate::spread::notice_queue::NoticeQueue;
 use crate::spread::own_reports::OwnReports;
-use crate::spread::receive::entries::SentPages;
 use crate::spread::recent_changes::RecentChanges;
+use crate::spread::sent_pages::SentPages;
 
 /// Longest time between two tables of a relay.
 pub(crate) const TABLE_INTERVAL: Duration = Duration::from_millis(100);
@@ -118,7 +122,7 @@
     /// Keys of engines' entries that could not be read and were logged.
     pub(crate) unreadable_entries: RefCell<HashSet<String>>,
     /// Entries that a restored service has again.
-    pub(crate) held_entries: RefCell<HeldEntries>,
+    held_entries: RefCell<HeldEntries>,
     pub(crate) changes: RefCell<RecentChanges>,
     /// When this node asks its relay for entries that differ.
     pub(crate) entry_sync: RefCell<EntrySync>,
@@ -201,6 +205,17 @@
         }
     }
 
+    /// What of `records` is to be taken: entries of engines that had gone are held back for a time.
+    pub(crate) fn without_held(
+        &self,
+        now: MonotonicTime,
+        records: Vec<EntryRecord>,
+    ) -> Vec<EntryRecord> {
+        let entries = self.entries.borrow();
+        let mut held = self.held_entries.borrow_mut();
+        held.without_held(&entries, now, records)
+    }
+
     /// The holder of the lease, as far as is known.
     pub(crate) fn holder(&self) -> Option<HolderAddress> {
         self.holder.get()
--- a/crates/forwarding/src/spread/receive/declaration.rs
+++ b/crates/forwarding/src/spread/receive/declaration.rs
@@ -8,7 +8,7 @@
 
 use crate::context::Context;
 use crate::fleet::declaration;
-use crate::spread::datagram::{encode, send as send_message};
+use crate::spread::transmit::{encode, send as send_message};
 
 /// Asks a relay for the declaration that it has in force, if that is newer than this node's.
 pub(super) fn ask_if_newer(
--- a/crates/forwarding/src/spread/receive/entries.rs
+++ b/crates/forwarding/src/spread/receive/entries.rs
@@ -11,9 +11,9 @@
 
 use crate::context::Context;
 use crate::fleet::engine_entries;
-use crate::fleet::restored_entries::without_held;
-use crate::spread::datagram::{Datagram, encode, send as send_message};
 use crate::spread::recent_changes::ChangeSource;
+use crate::spread::sent_pages::SentPages;
+use crate::spread::transmit::{encode, send as send_message};
 
 /// Entries that a member asks for at once take its link this long at most: callers' requests wait
 /// behind them.
@@ -38,22 +38,6 @@
     context.sent(sent_bytes);
 }
 
-/// Pages that were sent to a member, for others that lack the same: after a start all members of a relay
-/// know nothing, and are sent the same pages, built and encoded once instead of fifty times.
-pub(crate) struct SentPages {
-    request: EntriesRequest,
-    table_digest: u64,
-    pages: Vec<Rc<Datagram>>,
-}
-
-impl SentPages {
-    fn answers(&self, table_digest: u64, request: &EntriesRequest) -> bool {
-        self.table_digest == table_digest
-            && self.request.max_bytes == request.max_bytes
-            && self.request.digests == request.digests
-    }
-}
-
 /// Sends a member the entries that differ from its own.
 pub(super) fn send(context: &Context, member: SocketAddr, request: EntriesRequest) {
     let spread = &context.spread;
@@ -93,7 +77,7 @@
     if !is_followed {
         return;
     }
-    let records = without_held(context, page.records);
+    let records = context.spread.without_held(context.now(), page.records);
     let changes = {
         let mut entries = context.spread.entries.borrow_mut();
         entries.take_range(page.revision, page.first..=page.last, records)
--- a/crates/forwarding/src/spread/receive/news.rs
+++ b/crates/forwarding/src/spread/receive/news.rs
@@ -10,8 +10,8 @@
 use crate::context::Context;
 use crate::fleet::part_recovery::known_parts;
 use crate::quarantine::evidence::take_all;
-use crate::spread::datagram::encode;
 use crate::spread::news_queue::NewsQueue;
+use crate::spread::transmit::encode;
 
 /// Most nodes that wait for known parts; one that is left out reads some parts again.
 const MOST_ASKERS: usize = 1_000;
--- a/crates/forwarding/src/spread/send.rs
+++ b/crates/forwarding/src/spread/send.rs
@@ -15,8 +15,8 @@
 use crate::context::Context;
 use crate::quarantine::evidence::told;
 use crate::spread::contents::{demand, prompt_loads, summed_loads, take_news, taken_news};
-use crate::spread::datagram::{LoadHeader, send, send_changes, send_loads, send_news};
 use crate::spread::pacing::{REPORT_INTERVAL, exchange_interval, pause};
+use crate::spread::transmit::{LoadHeader, send, send_changes, send_loads, send_news};
 use crate::spread::{SpreadRole, TABLE_INTERVAL};
 
 /// How often demand is sent.
--- a/crates/forwarding/src/spread/sums.rs
+++ b/crates/forwarding/src/spread/sums.rs
@@ -14,7 +14,7 @@
 
 use crate::context::Context;
 use crate::fleet_sums::FleetSums;
-use crate::spread::datagram::send;
+use crate::spread::transmit::send;
 
 /// Time between two messages. Shares and room follow demand that turns within three seconds.
 const INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/forwarding/src/spread/tables.rs
+++ b/crates/forwarding/src/spread/tables.rs
@@ -12,9 +12,9 @@
 use crate::quarantine::evidence::told;
 use crate::spread::TABLE_INTERVAL;
 use crate::spread::contents::{summed_loads, taken_news};
-use crate::spread::datagram::{LoadHeader, send, send_changes, send_loads, send_news};
 use crate::spread::pacing::pause;
 use crate::spread::receive::news::answer_parts_requests;
+use crate::spread::transmit::{LoadHeader, send, send_changes, send_loads, send_news};
 
 /// How often the relays are named to members.
 const RELAYS_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/forwarding/src/spread/tests.rs
+++ b/crates/forwarding/src/spread/tests.rs
@@ -12,7 +12,7 @@
 use rstest::rstest;
 
 use super::Spread;
-use super::bulk::BulkQueue;
+use super::bulk_queue::BulkQueue;
 use super::datagram::Datagram;
 use super::news_queue::NewsQueue;
 use super::own_reports::OwnReports;
