--- a/crates/forwarding/src/node/start.rs
+++ b/crates/forwarding/src/node/start.rs
@@ -19,7 +19,7 @@
 
 use crate::context::{Context, ContextParts};
 use crate::duties::scaling::scale_engines;
-use crate::duties::send_usage;
+use crate::duties::usage_messages::send_usage;
 use crate::duties::usage_report::report_usage;
 use crate::error::ForwardingError;
 use crate::fleet::declaration::DeclarationFollower;
@@ -29,20 +29,23 @@
 use crate::fleet::registration::{NodeFollower, OWN_PREFIX, find_relays, keep_registered};
 use crate::node::era_store::EraStore;
 use crate::node::metered_store::MeteredStore;
-use crate::node::metrics::{ForwardingMetrics, serve_metrics};
+use crate::node::metrics::ForwardingMetrics;
+use crate::node::metrics::page::serve_metrics;
 use crate::node::ready::ready;
 use crate::node::reload::reload;
 use crate::node::settings::ForwardingSettings;
 use crate::node::stop::stop;
 use crate::quarantine::fleet_key::learn_key;
 use crate::quarantine::stored_stops::keep_stops;
-use crate::roles::authority::{Authority, hold};
+use crate::roles::authority::Authority;
+use crate::roles::hold::hold;
 use crate::roles::role_control::control_roles;
 use crate::serve::forward::forward;
 use crate::spread::bulk::send_bulk;
 use crate::spread::engine_notices::send_notices;
 use crate::spread::receive::receive_state;
 use crate::spread::send::send_state;
+use crate::spread::sums::send_sums;
 use crate::spread::tables::send_tables;
 
 /// Time a caller has to send a head. Longer than any configuration asks for: a connection that a
@@ -237,6 +240,7 @@
     actix_rt::spawn(send_tables(Rc::clone(context), Rc::clone(&socket)));
     actix_rt::spawn(send_bulk(Rc::clone(context), Rc::clone(&socket)));
     actix_rt::spawn(send_notices(Rc::clone(context), Rc::clone(&socket)));
+    actix_rt::spawn(send_sums(Rc::clone(context), Rc::clone(&socket)));
     actix_rt::spawn(send_usage(Rc::clone(context), Rc::clone(&socket)));
     actix_rt::spawn(send_state(Rc::clone(context), socket));
     actix_rt::spawn(recover_parts(Rc::clone(context)));
