Operators: room and demand of all nodes, from any node

Cause: what nodes know together of demand, tenants and engines' speeds was seen by no operator. Change: each node serves a report of it as JSON under /room of its metrics address, bounded in size (16 tenants and 16 engines a pool, names cut at 64 characters); `dalestand room` prints it as a table or as JSON. Gauges of demand and slots by pool and priority of the declaration in force, and ages of what other nodes reported. The report is refreshed before it goes out, so that a node that stood still shows its own figures only. Tests: reports of a node that knows nothing, of an empty pool, of a served request; five nodes in one process know within a second what one of them is asked, and agree 3 s after a relay is gone; the printer; wrong flags. Nodes of the tests can be crashed: their tasks run in a set of their own.

--- a/cmd/src/bin/dalestand.rs
+++ b/cmd/src/bin/dalestand.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use dalestand_cmd::exit::{Exit, usage_error};
-use dalestand_cmd::{dev, forward, node, stopped};
+use dalestand_cmd::{dev, forward, node, room, stopped};
 
 const USAGE: &str = "usage: dalestand COMMAND [flags]
 
@@ -11,6 +11,7 @@
   node      run a node for OpenAI callers
   forward   run a node that serves opaque requests by routes
   stopped   list requests that are refused because engines ended under them, release one
+  room      show room and demand by pool, as a node knows them of all nodes
   dev       run stand-ins and two nodes on loopback
   check     list every fault of a file
 
@@ -31,6 +32,7 @@
         "node" => node::run(arguments),
         "forward" => forward::run(arguments),
         "stopped" => stopped::run(arguments),
+        "room" => room::run(arguments),
         "dev" => dev::run(arguments),
         "check" => node::check(arguments),
         "--help" | "-h" | "help" => {
--- a/cmd/src/lib.rs
+++ b/cmd/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod node;
 pub mod operator;
 pub mod report;
+pub mod room;
 pub mod stopped;
--- a/cmd/src/operator/client.rs
+++ b/cmd/src/operator/client.rs
@@ -1,4 +1,4 @@
-//! Calls to a node's operators' surface.
+//! Calls to what a node serves for operators.
 
 use std::net::SocketAddr;
 
@@ -18,7 +18,7 @@
 
 /// Why a call gave no answer that can be used.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub(super) enum ClientError {
+pub(crate) enum ClientError {
     /// The node could not be reached, or the connection broke.
     #[error("the node at {node} could not be asked: {message}")]
     Unreachable { node: SocketAddr, message: String },
@@ -31,13 +31,13 @@
 }
 
 /// An answer with its status.
-pub(super) struct Answer {
-    pub(super) status: StatusCode,
-    pub(super) body: Bytes,
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) body: Bytes,
 }
 
 /// Asks one node.
-pub(super) struct Client {
+pub(crate) struct Client {
     node: SocketAddr,
     key: Option<String>,
     http: awc::Client,
@@ -45,7 +45,7 @@
 
 impl Client {
     /// The client that the flags describe.
-    pub(super) fn from_flags(matches: &Matches) -> Result<Self, String> {
+    pub(crate) fn from_flags(matches: &Matches) -> Result<Self, String> {
         let node = optional(matches, "node").map_err(|error| error.to_string())?;
         let key = match matches.opt_str("key-file") {
             Some(path) => Some(files::read(&path).map_err(|error| error.to_string())?),
@@ -58,8 +58,17 @@
         })
     }
 
+    /// A client of the node at this address that needs no key.
+    pub(crate) fn new(node: SocketAddr) -> Self {
+        Self {
+            node,
+            key: None,
+            http: awc::Client::default(),
+        }
+    }
+
     /// Gets a path; an answer that is no success is an error.
-    pub(super) async fn get(&self, path: &str) -> Result<Bytes, ClientError> {
+    pub(crate) async fn get(&self, path: &str) -> Result<Bytes, ClientError> {
         let mut request = self.http.get(self.url(path));
         if let Some(key) = &self.key {
             request = request.bearer_auth(key);
@@ -76,7 +85,7 @@
     }
 
     /// Posts a value; the status is the caller's to judge.
-    pub(super) async fn post<B: Serialize>(
+    pub(crate) async fn post<B: Serialize>(
         &self,
         path: &str,
         body: &B,
@@ -112,11 +121,11 @@
 }
 
 /// Reads an answer's JSON.
-pub(super) fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, ClientError> {
+pub(crate) fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, ClientError> {
     serde_json::from_slice(body).map_err(|error| ClientError::Malformed(error.to_string()))
 }
 
 /// The answer's JSON as it came, for `--json`.
-pub(super) fn print_json(body: &[u8]) {
+pub(crate) fn print_json(body: &[u8]) {
     println!("{}", String::from_utf8_lossy(body));
 }
--- a/cmd/src/operator/mod.rs
+++ b/cmd/src/operator/mod.rs
@@ -1,7 +1,7 @@
 //! `dalestandctl`: what operators ask and order, over a node's operators' surface.
 
 mod apply;
-mod client;
+pub(crate) mod client;
 mod completion;
 mod explain;
 mod log_account;
--- /dev/null
+++ b/cmd/src/room/table.rs
@@ -0,0 +1,209 @@
+//! The report of room and demand as a table for a terminal.
+
+use dalestand_forwarding::{
+    ClassDemand, EngineGroup, EngineSpeed, FigureAges, PoolRoom, ReportSources, RoomReport,
+    TenantDemand,
+};
+use dalestand_routing::WorkKind;
+
+/// Stands before each row of a pool.
+const INDENT: &str = "  ";
+
+/// The report as text.
+pub fn room_table(report: &RoomReport) -> String {
+    let declaration = report.declaration;
+    let declaration = declaration.map_or("no declaration".to_owned(), |revision| {
+        format!("declaration {revision}")
+    });
+    let (node, zone) = (
+        printable(report.node.as_str()),
+        printable(report.zone.as_str()),
+    );
+    let nodes = counted(report.nodes_known, "node");
+    let mut text = format!("node {node} in zone {zone}: {declaration}, {nodes} known\n");
+    let sources = sources(report.sources);
+    let ages = ages(report.ages);
+    text.push_str(&format!("figures of {sources}; {ages}\n"));
+    for pool in &report.pools {
+        push_pool(&mut text, pool);
+    }
+    text
+}
+
+fn sources(sources: ReportSources) -> String {
+    if sources.fleet {
+        return "the whole fleet, from this node's relay".to_owned();
+    }
+    let mut parts = vec!["this node".to_owned()];
+    if sources.members > 0 {
+        parts.push(counted(sources.members, "member"));
+    }
+    if sources.relays > 0 {
+        let relays = counted(sources.relays, "relay");
+        parts.push(format!("{relays} with their members"));
+    }
+    parts.join(", ")
+}
+
+fn ages(ages: FigureAges) -> String {
+    let ages = [
+        ("demand", ages.demand_ms),
+        ("tenants", ages.tenants_ms),
+        ("speeds", ages.speeds_ms),
+    ];
+    let ages = ages.map(|(name, age_ms)| match age_ms {
+        Some(age_ms) => format!("{name} {age_ms} ms old"),
+        None => format!("no {name} of others"),
+    });
+    ages.join(", ")
+}
+
+fn push_pool(text: &mut String, pool: &PoolRoom) {
+    let name = printable(pool.pool.as_str());
+    let engines = counted(pool.engine_count(), "engine");
+    let slots = counted(pool.slots() as usize, "slot");
+    let busy = pool.busy_slots;
+    text.push_str(&format!(
+        "\npool {name}: {engines}, {slots}, {busy:.1} busy\n"
+    ));
+    push_rows(
+        text,
+        ["zone", "work", "engines", "slots"],
+        pool.engines.iter().map(group_row),
+    );
+    let classes = [
+        "priority",
+        "first/s",
+        "returned/s",
+        "begun/s",
+        "refused/s",
+        "engine-refused/s",
+        "busy",
+        "waiting",
+        "returns due",
+    ];
+    push_rows(text, classes, pool.classes.iter().map(class_row));
+    push_rows(
+        text,
+        ["tenant", "asked/s", "begun/s"],
+        pool.tenants.iter().map(tenant_row),
+    );
+    push_unlisted(text, pool.tenants_unlisted, "tenant");
+    let speeds = [
+        "engine",
+        "zone",
+        "work",
+        "times the usual time",
+        "observations",
+    ];
+    push_rows(text, speeds, pool.speeds.iter().map(speed_row));
+    push_unlisted(text, pool.speeds_unlisted, "engine");
+}
+
+fn group_row(group: &EngineGroup) -> [String; 4] {
+    [
+        printable(group.zone.as_str()),
+        work(group.work).to_owned(),
+        group.engines.to_string(),
+        group.slots.to_string(),
+    ]
+}
+
+fn class_row(class: &ClassDemand) -> [String; 9] {
+    let figures = &class.figures;
+    [
+        class.priority.to_string(),
+        one_digit(figures.asked_per_s),
+        one_digit(figures.returned_per_s),
+        one_digit(figures.begun_per_s),
+        one_digit(figures.refused_per_s),
+        one_digit(figures.engine_refusals_per_s),
+        one_digit(figures.busy_slots),
+        one_digit(figures.waiting),
+        one_digit(figures.returns_due),
+    ]
+}
+
+fn tenant_row(tenant: &TenantDemand) -> [String; 3] {
+    let name = tenant.name.as_deref().map(printable);
+    [
+        name.unwrap_or_else(|| format!("#{:016x}", tenant.code.0)),
+        one_digit(tenant.figures.asked_per_s),
+        one_digit(tenant.figures.begun_per_s),
+    ]
+}
+
+fn speed_row(speed: &EngineSpeed) -> [String; 5] {
+    [
+        printable(&speed.engine),
+        printable(speed.zone.as_str()),
+        work(speed.work).to_owned(),
+        format!("{:.2}", speed.slowness),
+        one_digit(speed.observations),
+    ]
+}
+
+fn work(kind: WorkKind) -> &'static str {
+    match kind {
+        WorkKind::Prefill => "prefill",
+        WorkKind::Decode => "decode",
+        WorkKind::Opaque => "opaque",
+    }
+}
+
+fn one_digit(value: f32) -> String {
+    format!("{value:.1}")
+}
+
+fn counted(count: usize, what: &str) -> String {
+    let plural = if count == 1 { "" } else { "s" };
+    format!("{count} {what}{plural}")
+}
+
+/// Names come from others; control characters would steer the terminal.
+fn printable(name: &str) -> String {
+    let characters = name.chars();
+    characters
+        .map(|character| {
+            if character.is_control() {
+                '?'
+            } else {
+                character
+            }
+        })
+        .collect()
+}
+
+fn push_unlisted(text: &mut String, count: usize, what: &str) {
+    if count > 0 {
+        let more = counted(count, what);
+        text.push_str(&format!("{INDENT}and {more} more\n"));
+    }
+}
+
+/// Adds rows under their headings, in columns; nothing where there is no row.
+fn push_rows<const COLUMNS: usize>(
+    text: &mut String,
+    headings: [&str; COLUMNS],
+    rows: impl Iterator<Item = [String; COLUMNS]>,
+) {
+    let rows: Vec<[String; COLUMNS]> = rows.collect();
+    if rows.is_empty() {
+        return;
+    }
+    let headings = headings.map(str::to_owned);
+    let width = |column: usize| {
+        let cells = rows
+            .iter()
+            .chain([&headings])
+            .map(|row| row[column].chars().count());
+        cells.max().unwrap_or_default()
+    };
+    let widths: [usize; COLUMNS] = std::array::from_fn(width);
+    for row in [&headings].into_iter().chain(&rows) {
+        let cells = row.iter().zip(widths);
+        let cells = cells.map(|(cell, width)| format!("{cell:<width$}"));
+        let line = cells.collect::<Vec<_>>().join(INDENT);
+        text.push_str(&format!("{INDENT}{}\n", line.trim_end()));
+    }
+}
--- /dev/null
+++ b/cmd/tests/room.rs
@@ -0,0 +1,158 @@
+//! `dalestand room`: its table, and what it says of wrong flags and of a node that does not answer.
+
+use std::process::{Command, Output};
+
+use dalestand_cmd::room::room_table;
+use dalestand_dissemination::TenantCode;
+use dalestand_forwarding::{
+    ClassDemand, EngineGroup, EngineSpeed, FigureAges, PoolRoom, ReportSources, RoomReport,
+    TenantDemand,
+};
+use dalestand_routing::{ClassFigures, TenantFigures, WorkKind};
+use dalestand_types::{NodeId, PoolName, Revision, ZoneName};
+use rstest::rstest;
+
+fn unknowing() -> RoomReport {
+    RoomReport {
+        node: NodeId::from("front-1"),
+        zone: ZoneName::from("a"),
+        declaration: None,
+        nodes_known: 1,
+        sources: ReportSources::default(),
+        ages: FigureAges::default(),
+        pools: Vec::new(),
+    }
+}
+
+fn empty_pool() -> PoolRoom {
+    PoolRoom {
+        pool: PoolName::from("guide"),
+        engines: Vec::new(),
+        busy_slots: 0.0,
+        classes: Vec::new(),
+        tenants: Vec::new(),
+        tenants_unlisted: 0,
+        speeds: Vec::new(),
+        speeds_unlisted: 0,
+    }
+}
+
+fn busy_pool() -> PoolRoom {
+    let tenant = |name: Option<&str>, code, asked_per_s| TenantDemand {
+        name: name.map(str::to_owned),
+        code: TenantCode(code),
+        figures: TenantFigures {
+            asked_per_s,
+            begun_per_s: 20.0,
+        },
+    };
+    PoolRoom {
+        engines: vec![EngineGroup {
+            zone: ZoneName::from("a"),
+            work: WorkKind::Decode,
+            engines: 3,
+            slots: 36,
+        }],
+        busy_slots: 31.5,
+        classes: vec![ClassDemand {
+            priority: 1,
+            figures: ClassFigures {
+                asked_per_s: 120.25,
+                refused_per_s: 40.0,
+                ..ClassFigures::default()
+            },
+        }],
+        tenants: vec![tenant(Some("summit"), 1, 90.0), tenant(None, 255, 30.0)],
+        tenants_unlisted: 1,
+        speeds: vec![EngineSpeed {
+            engine: "i-9\u{1b}[2J".to_owned(),
+            zone: ZoneName::from("a"),
+            work: WorkKind::Prefill,
+            slowness: 1.625,
+            observations: 12.0,
+        }],
+        ..empty_pool()
+    }
+}
+
+#[rstest]
+fn a_node_that_knows_nothing_says_so() {
+    assert_eq!(
+        room_table(&unknowing()),
+        "node front-1 in zone a: no declaration, 1 node known\n\
+         figures of this node; no demand of others, no tenants of others, no speeds of others\n"
+    );
+}
+
+#[rstest]
+fn an_empty_pool_has_one_line() {
+    let report = RoomReport {
+        declaration: Some(Revision(3)),
+        pools: vec![empty_pool()],
+        ..unknowing()
+    };
+    let table = room_table(&report);
+    let lines: Vec<&str> = table.lines().skip(2).collect();
+    assert_eq!(lines, ["", "pool guide: 0 engines, 0 slots, 0.0 busy"]);
+}
+
+#[rstest]
+fn figures_stand_in_columns_under_their_names() {
+    let report = RoomReport {
+        nodes_known: 5,
+        sources: ReportSources {
+            members: 1,
+            relays: 2,
+            fleet: false,
+        },
+        ages: FigureAges {
+            demand_ms: Some(120),
+            ..FigureAges::default()
+        },
+        pools: vec![busy_pool()],
+        ..unknowing()
+    };
+    let table = room_table(&report);
+    let lines: Vec<&str> = table.lines().collect();
+    assert_eq!(
+        lines[1],
+        "figures of this node, 1 member, 2 relays with their members; \
+         demand 120 ms old, no tenants of others, no speeds of others"
+    );
+    assert_eq!(
+        lines[3..],
+        [
+            "pool guide: 3 engines, 36 slots, 31.5 busy",
+            "  zone  work    engines  slots",
+            "  a     decode  3        36",
+            "  priority  first/s  returned/s  begun/s  refused/s  engine-refused/s  busy  waiting  returns due",
+            "  1         120.2    0.0         0.0      40.0       0.0               0.0   0.0      0.0",
+            "  tenant             asked/s  begun/s",
+            "  summit             90.0     20.0",
+            "  #00000000000000ff  30.0     20.0",
+            "  and 1 tenant more",
+            "  engine   zone  work     times the usual time  observations",
+            "  i-9?[2J  a     prefill  1.62                  12.0",
+        ]
+    );
+}
+
+fn room(arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_dalestand"));
+    command.arg("room").args(arguments);
+    command.output().expect("the program runs")
+}
+
+#[rstest]
+#[case::all_at_once(&["pool"], 2, &["pool: not expected", "--node must be given"])]
+#[case::no_address(&["--node", "here"], 2, &["--node here"])]
+#[case::unknown_flag(&["--nodes", "1"], 2, &["nodes"])]
+#[case::nobody_answers(&["--node", "127.0.0.1:1"], 1, &["could not be asked"])]
+fn faults_are_named(#[case] arguments: &[&str], #[case] code: i32, #[case] named: &[&str]) {
+    let output = room(arguments);
+    assert_eq!(output.status.code(), Some(code), "{output:?}");
+    let errors = String::from_utf8_lossy(&output.stderr);
+    for name in named {
+        assert!(errors.contains(name), "{errors}");
+    }
+}
--- a/crates/dissemination/src/sums.rs
+++ b/crates/dissemination/src/sums.rs
@@ -1,7 +1,8 @@
 //! Figures of pools, tenants and engines on their way between nodes.
 
+use dalestand_routing::staged::EngineKey;
 use dalestand_routing::{ClassFigures, SlownessFigures, TenantFigures, WorkKind};
-use dalestand_types::PoolName;
+use dalestand_types::{PoolName, TenantName};
 use serde::{Deserialize, Serialize};
 
 use crate::membership::NodeNumber;
@@ -34,6 +35,13 @@
 #[serde(transparent)]
 pub struct TenantCode(pub u64);
 
+impl TenantCode {
+    /// The short number of a tenant, the same at all nodes.
+    pub fn of(name: &TenantName) -> Self {
+        Self(EngineKey::of(name.as_str()).0)
+    }
+}
+
 /// What one tenant asks of one pool.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
 pub struct TenantRow {
--- a/crates/forwarding/src/node/metrics/figures.rs
+++ b/crates/forwarding/src/node/metrics/figures.rs
@@ -1,8 +1,8 @@
 //! Makes figures and registers them.
 
 use prometheus::{
-    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry,
+    GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry,
 };
 
 /// What all names begin with.
@@ -54,6 +54,18 @@
         Ok(gauges)
     }
 
+    /// Gauges of figures that are no whole numbers.
+    pub(super) fn rates(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+    ) -> Result<GaugeVec, prometheus::Error> {
+        let gauges = GaugeVec::new(Opts::new(name, help), labels)?;
+        self.0.register(Box::new(gauges.clone()))?;
+        Ok(gauges)
+    }
+
     /// `bounds` are the upper bounds of its buckets, in seconds.
     pub(super) fn histogram(
         &self,
--- a/crates/forwarding/src/node/metrics/mod.rs
+++ b/crates/forwarding/src/node/metrics/mod.rs
@@ -3,6 +3,7 @@
 mod engine_signals;
 mod figures;
 pub(crate) mod page;
+mod sums;
 
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 
 use self::engine_signals::SignalFigures;
 use self::figures::Figures;
+use self::sums::SumFigures;
 use crate::serve::progress::CallRecord;
 
 /// Upper bounds of the latency histograms, in seconds.
@@ -56,6 +58,7 @@
     code_collisions: IntGauge,
     entries_unreadable: IntCounter,
     signals: SignalFigures,
+    sums: SumFigures,
     crashes: IntCounter,
     requests_stopped: IntGauge,
 }
@@ -187,6 +190,7 @@
                 "Requests that are refused because engines ended under them.",
             )?,
             signals: SignalFigures::new(&figures)?,
+            sums: SumFigures::new(&figures)?,
             registry: figures.into_registry(),
         })
     }
--- a/crates/forwarding/src/node/metrics/page.rs
+++ b/crates/forwarding/src/node/metrics/page.rs
@@ -1,10 +1,11 @@
-//! The page on which the figures are told.
+//! The pages of the metrics address: the figures, and the report of room and demand.
 
 use std::rc::Rc;
 
 use dalestand_edge::unknown_headers::UNKNOWN_SENDERS;
 use dalestand_http_server::{
-    Answer, Connections, Request, ServerLimits, StatusCode, serve, status_answer, text_answer,
+    Answer, Connections, Request, ServerLimits, StatusCode, json_answer, serve, status_answer,
+    text_answer,
 };
 use prometheus::{Encoder as _, TextEncoder};
 use tokio::net::TcpListener;
@@ -12,10 +13,14 @@
 use super::ForwardingMetrics;
 use super::engine_signals::StandingSignals;
 use crate::context::Context;
+use crate::node::room::room_report;
 use crate::quarantine::evidence::stopped_count;
 
-/// Where the figures are told.
-const PATH: &str = "/metrics";
+/// Where the figures are.
+const METRICS_PATH: &str = "/metrics";
+
+/// Where the report of room and demand is.
+const ROOM_PATH: &str = "/room";
 
 impl ForwardingMetrics {
     /// All figures, as they stand now.
@@ -47,12 +52,13 @@
         }
         self.requests_stopped.set(stopped_count(context) as i64);
         self.set_repeats_left(context);
+        self.sums.set(context, now);
         let mut buffer = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut buffer)?;
         Ok(String::from_utf8_lossy(&buffer).into_owned())
     }
 
-    /// Only pools of the declaration in force are told, so that labels stay bounded.
+    /// Only pools of the declaration in force have labels, so that these stay bounded.
     fn set_repeats_left(&self, context: &Context) {
         self.repeats_left.reset();
         let now = context.now();
@@ -75,7 +81,7 @@
     }
 }
 
-/// Tells the figures on `listener` for as long as it is polled.
+/// Serves both pages on `listener` for as long as it is polled.
 pub(crate) async fn serve_metrics(context: Rc<Context>, listener: TcpListener) {
     let handler = move |request| answer(Rc::clone(&context), request);
     let limits = ServerLimits::default();
@@ -83,10 +89,15 @@
 }
 
 async fn answer(context: Rc<Context>, request: Request) -> Answer {
-    if request.path() != PATH {
-        return status_answer(StatusCode::NOT_FOUND);
+    match request.path() {
+        METRICS_PATH => metrics_answer(&context),
+        ROOM_PATH => json_answer(StatusCode::OK, &room_report(&context, context.now())),
+        _ => status_answer(StatusCode::NOT_FOUND),
     }
-    match context.metrics.text(&context) {
+}
+
+fn metrics_answer(context: &Context) -> Answer {
+    match context.metrics.text(context) {
         Ok(text) => text_answer(StatusCode::OK, text),
         Err(error) => text_answer(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
     }
--- /dev/null
+++ b/crates/forwarding/tests/room.rs
@@ -0,0 +1,186 @@
+//! What a node reports of room and demand, and that nodes agree on it.
+
+#[allow(
+    dead_code,
+    unused_imports,
+    reason = "each test program uses a part of it"
+)]
+mod support;
+
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use dalestand_forwarding::{EngineGroup, FigureAges, ReportSources, RoomReport};
+use dalestand_routing::WorkKind;
+use dalestand_types::ZoneName;
+use support::{TestEngine, TestNode, answer, get, id_of};
+
+fn sound(head: &str, stream: &mut TcpStream) {
+    let id = id_of(head);
+    answer(stream, "200 OK", &format!("x-id: {id}\r\n"), "whole");
+}
+
+/// First tries a second of the pool, as a node knows them.
+fn asked(report: &RoomReport) -> f32 {
+    let classes = report.pools.iter().flat_map(|pool| &pool.classes);
+    classes.map(|class| class.figures.asked_per_s).sum()
+}
+
+#[actix_rt::test]
+async fn a_node_that_knows_nothing_reports_that() {
+    let node = TestNode::start().await;
+    let report = node.room().await;
+    assert_eq!(report.declaration, None);
+    assert_eq!(report.nodes_known, 1);
+    assert_eq!(report.sources, ReportSources::default());
+    assert_eq!(report.ages, FigureAges::default());
+    assert!(report.pools.is_empty());
+}
+
+#[actix_rt::test]
+async fn a_pool_without_engines_is_reported_with_the_requests_it_refused() {
+    let node = TestNode::start().await;
+    node.declare(1, "once", 1, 1_000);
+    node.settle().await;
+    let refused = node.request("1", "/r/x").await;
+    assert!(refused.starts_with("HTTP/1.1 503"), "{refused}");
+    let report = node.room().await;
+    let pool = &report.pools[0];
+    assert_eq!((pool.engine_count(), pool.slots()), (0, 0));
+    let figures = &pool.classes[0].figures;
+    assert!(figures.asked_per_s > 0.0 && figures.refused_per_s > 0.0);
+    assert!(figures.begun_per_s == 0.0, "{figures:?}");
+}
+
+#[actix_rt::test]
+async fn engines_and_requests_are_reported_and_no_key_is() {
+    let node = TestNode::start().await;
+    let engine = TestEngine::start(sound);
+    node.declare_tenant(1, &["key-1"]);
+    node.list("e", &engine, "ready");
+    node.settle().await;
+    let served = node.request_with_key("1", "key-1").await;
+    assert!(served.starts_with("HTTP/1.1 200"), "{served}");
+    let report = node.room().await;
+    let pool = &report.pools[0];
+    let group = EngineGroup {
+        zone: ZoneName::from("here"),
+        work: WorkKind::Opaque,
+        engines: 1,
+        slots: pool.slots(),
+    };
+    assert_eq!(pool.engines, [group]);
+    let figures = &pool.classes[0].figures;
+    assert!(figures.asked_per_s > 0.0 && figures.begun_per_s > 0.0);
+    let text = get(node.metrics, "host: a.example\r\n", "/room").await;
+    assert!(!text.contains("key-1"), "{text}");
+}
+
+/// Asks again until it holds, for `at_most`.
+async fn holds_within(at_most: Duration, holds: impl AsyncFn() -> bool) -> bool {
+    let until = Instant::now() + at_most;
+    loop {
+        if holds().await {
+            return true;
+        }
+        if Instant::now() >= until {
+            return false;
+        }
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Five nodes that hear each other, and an engine.
+async fn five_nodes() -> (Vec<Rc<TestNode>>, TestEngine) {
+    let first = TestNode::start().await;
+    let engine = TestEngine::start(sound);
+    first.declare(1, "repeatable", 2, 1_000);
+    first.list("e", &engine, "ready");
+    let mut nodes = Vec::new();
+    for number in 2..=5 {
+        let node = first.start_beside(&format!("node-{number}")).await;
+        nodes.push(Rc::new(node));
+    }
+    nodes.push(Rc::new(first));
+    let start = Duration::from_secs(10);
+    let all_known = holds_within(start, async || {
+        let mut known = true;
+        for node in &nodes {
+            known &= node.room().await.nodes_known == nodes.len();
+        }
+        known
+    });
+    assert!(all_known.await, "five nodes know each other");
+    (nodes, engine)
+}
+
+/// Requests that came at one node within a second of each other.
+const BURST: u16 = 40;
+
+/// The rate that they make: they are spread over a time constant of 2 s.
+const BURST_PER_S: f32 = BURST as f32 / 2.0;
+
+#[actix_rt::test]
+async fn all_nodes_know_within_a_second_what_one_is_asked() {
+    let (nodes, _engine) = five_nodes().await;
+    let requests = (0..BURST).map(|number| {
+        let node = Rc::clone(&nodes[0]);
+        async move { node.request(&number.to_string(), "/r/x").await }
+    });
+    futures_util::future::join_all(requests).await;
+    for node in &nodes {
+        let knows = holds_within(Duration::from_secs(1), async || {
+            // The rate fades by half in 1.4 s.
+            asked(&node.room().await) > 0.5 * BURST_PER_S
+        });
+        assert!(knows.await, "{:?}", node.room().await);
+        let asked = asked(&node.room().await);
+        assert!(asked <= 1.01 * BURST_PER_S, "counted twice: {asked}");
+    }
+}
+
+/// Time between two requests of a node's callers.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Has callers send requests to a node one after the other, 20 a second, until it ends.
+fn call_steadily(node: &Rc<TestNode>) {
+    let node = Rc::clone(node);
+    actix_rt::spawn(async move {
+        let mut interval = actix_rt::time::interval(REQUEST_INTERVAL);
+        loop {
+            interval.tick().await;
+            node.request("1", "/r/x").await;
+        }
+    });
+}
+
+#[actix_rt::test]
+async fn nodes_agree_again_within_three_seconds_after_a_relay_is_gone() {
+    let (mut nodes, _engine) = five_nodes().await;
+    let mut relay = None;
+    for (place, node) in nodes.iter().enumerate() {
+        let text = get(node.metrics, "host: a.example\r\n", "/metrics").await;
+        let is_relay = text.lines().any(|line| line == "dalestand_is_relay 1");
+        relay = relay.or(is_relay.then_some(place));
+    }
+    let lost = nodes.swap_remove(relay.expect("a relay"));
+    nodes.iter().for_each(call_steadily);
+    let expected = nodes.len() as f32 / REQUEST_INTERVAL.as_secs_f32();
+    let near = |asked: f32| (0.85 * expected..1.15 * expected).contains(&asked);
+    let agree = async || {
+        let mut agree = true;
+        for node in &nodes {
+            agree &= near(asked(&node.room().await));
+        }
+        agree
+    };
+    // Until the rates have settled.
+    assert!(holds_within(Duration::from_secs(10), agree).await);
+    lost.crash();
+    actix_rt::time::sleep(Duration::from_secs(3)).await;
+    for node in &nodes {
+        let report = node.room().await;
+        assert!(near(asked(&report)), "{expected} of {report:?}");
+    }
+}
--- a/crates/forwarding/tests/support/node.rs
+++ b/crates/forwarding/tests/support/node.rs
@@ -7,9 +7,10 @@
 
 use dalestand_edge::KeyValue;
 use dalestand_edge::unknown_headers::UnknownHeaders;
-use dalestand_forwarding::{ForwardingNode, ForwardingSettings};
+use dalestand_forwarding::{ForwardingNode, ForwardingSettings, RoomReport};
 use dalestand_telemetry::discard_logger;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::task::{JoinHandle, LocalSet};
 
 use super::dialect::{PlainDialect, PlainForm};
 use super::engine::TestEngine;
@@ -28,6 +29,7 @@
     pub metrics: SocketAddr,
     /// Its store.
     pub store: Rc<MemoryStore>,
+    running: JoinHandle<()>,
 }
 
 /// Ports that nodes are given: below those that the kernel gives to connections and to listeners that
@@ -152,17 +154,21 @@
             duty_calls: None,
             logger: discard_logger(),
         };
+        // Its tasks are in a set of their own, so that they end with it.
+        let tasks = LocalSet::new();
         let running = actix_rt::spawn(async move {
-            dalestand_forwarding::run(node).await.expect("a node");
+            let run = dalestand_forwarding::run(node);
+            tasks.run_until(run).await.expect("a node");
         });
         let node = Self {
             callers,
             ready,
             metrics,
             store,
+            running,
         };
         while tokio::net::TcpStream::connect(callers).await.is_err() {
-            if running.is_finished() {
+            if node.running.is_finished() {
                 return None;
             }
             actix_rt::time::sleep(Duration::from_millis(5)).await;
@@ -170,6 +176,19 @@
         Some(node)
     }
 
+    /// Ends the node as a crash does.
+    pub fn crash(&self) {
+        self.running.abort();
+    }
+
+    /// What it knows of room and demand.
+    pub async fn room(&self) -> RoomReport {
+        let answer = get(self.metrics, "host: a.example\r\n", "/room").await;
+        let (head, body) = answer.split_once("\r\n\r\n").expect("a head");
+        assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+        serde_json::from_str(body).expect("a report")
+    }
+
     /// Declares one route of `kind` to one pool, for `attempts` engines and `limit_ms`.
     pub fn declare(&self, revision: u64, kind: &str, attempts: u32, limit_ms: u64) {
         self.declare_pool(revision, "", kind, attempts, limit_ms);
--- a/crates/forwarding/tests/suspension.rs
+++ b/crates/forwarding/tests/suspension.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use dalestand_clock::test_util::suspend;
+use dalestand_forwarding::ReportSources;
 use support::{TestEngine, TestNode, answer, id_of};
 
 /// Longer than any bound of these tests.
@@ -82,3 +83,25 @@
         assert_eq!(status(&served), "200", "{served}");
     }
 }
+
+/// Figures of other nodes lapse after three seconds: a node that stood still for longer decides by its own.
+#[actix_rt::test]
+async fn a_node_that_stood_still_knows_only_its_own_demand() {
+    let node = TestNode::start().await;
+    let other = node.start_beside("node-2").await;
+    let engine = TestEngine::start(sound);
+    node.declare(1, "repeatable", 1, 1_000);
+    node.list("e", &engine, "ready");
+    let until = Instant::now() + Duration::from_secs(10);
+    while node.room().await.sources == ReportSources::default() {
+        assert!(Instant::now() < until, "the other node is heard");
+        other.request("1", "/r/x").await;
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+    other.crash();
+    suspend(SUSPENDED);
+    let report = node.room().await;
+    assert_eq!(report.sources, ReportSources::default());
+    assert_eq!(report.ages.demand_ms, None);
+    assert!(report.pools[0].classes.is_empty(), "{report:?}");
+}
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -1,6 +1,6 @@
 //! The checked form of a declaration, in which requests are looked up.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 use dalestand_types::{PoolName, Revision, TenantName};
@@ -48,6 +48,7 @@
     hosts: HashMap<String, Vec<Arc<RouteTerms>>>,
     pools: HashMap<PoolName, Arc<PoolTerms>>,
     callers: CallerBounds,
+    tenants: Vec<Arc<Tenant>>,
     /// `None` where no tenants are declared.
     keys: Option<KeyIndex>,
 }
@@ -77,7 +78,9 @@
             routes.push(Arc::new(route));
         }
         if !file.tenants.is_empty() {
-            table.keys = Some(index_keys(file.tenants, &mut faults));
+            let (keys, tenants) = index_keys(file.tenants, &mut faults);
+            table.keys = Some(keys);
+            table.tenants = tenants;
         }
         for routes in table.hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
@@ -179,15 +182,31 @@
         self.pools.values()
     }
 
+    /// The declared tenants.
+    pub fn tenants(&self) -> impl Iterator<Item = &Arc<Tenant>> {
+        self.tenants.iter()
+    }
+
+    /// The priorities that requests may have.
+    pub fn priorities(&self) -> BTreeSet<u8> {
+        let routes = self.hosts.values().flatten().map(|route| route.priority);
+        let tenants = self.tenants.iter().filter_map(|tenant| tenant.priority);
+        routes.chain(tenants).collect()
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
     }
 }
 
-/// Keeps the keys of all tenants, as hashes.
-fn index_keys(tenants: Vec<TenantTerms>, faults: &mut Vec<RouteFault>) -> KeyIndex {
+/// Keeps the keys of all tenants, as hashes, and the tenants themselves.
+fn index_keys(
+    tenants: Vec<TenantTerms>,
+    faults: &mut Vec<RouteFault>,
+) -> (KeyIndex, Vec<Arc<Tenant>>) {
     let mut keys = KeyIndex::new();
+    let mut known = Vec::new();
     let mut names = HashSet::new();
     for terms in tenants {
         if !names.insert(terms.name.clone()) {
@@ -204,8 +223,9 @@
                 faults.push(RouteFault::KeyTwice(terms.name.clone()));
             }
         }
+        known.push(tenant);
     }
-    keys
+    (keys, known)
 }
 
 /// Host names are compared without case, port and trailing dot.
--- a/crates/routing/src/source_sums.rs
+++ b/crates/routing/src/source_sums.rs
@@ -95,6 +95,15 @@
         };
     }
 
+    /// Sources of which rows count at `now`, with the age of the newest one of each.
+    pub fn heard(&self, now: MonotonicTime) -> impl Iterator<Item = (LoadSource, Duration)> + '_ {
+        self.reported.iter().filter_map(move |(source, rows)| {
+            let newest = rows.values().map(|(_, reported_at)| *reported_at).max()?;
+            let age = now.since(newest);
+            (age < self.counts_for).then_some((*source, age))
+        })
+    }
+
     /// The total of one key, as of the last [`Self::refresh`].
     pub fn total(&self, key: &K) -> Option<&V> {
         self.totals.get(key)
--- a/crates/routing/tests/source_sums.rs
+++ b/crates/routing/tests/source_sums.rs
@@ -120,3 +120,14 @@
         prop_assert!((total - expected).abs() <= expected * 1e-4);
     }
 }
+
+#[rstest]
+fn a_source_is_as_old_as_its_newest_row_and_goes_when_that_lapses() {
+    let mut sums = sums();
+    sums.reported(at(0), LoadSource::Member(1), [("pool", asked(2.0))]);
+    sums.reported(at(400), LoadSource::Member(1), [("other", asked(2.0))]);
+    let heard = |milliseconds| sums.heard(at(milliseconds)).collect::<Vec<_>>();
+    let age = Duration::from_millis(100);
+    assert_eq!(heard(500), [(LoadSource::Member(1), age)]);
+    assert_eq!(heard(3_400), []);
+}
