Soak: tenants that compete for the room of uneven engines

Cause: the soak's callers ask for less than engines have room for, without keys; nothing judged who is served when demand is over the room. Change: `--load tenants`: engines with two slots at different speeds that report their load, three tenants that ask for little all the time, requests of two priorities in one pool, a fourth tenant that storms, an engine that turns slow for half a second at a time. Checks: an answer within the time limit and 0.5 s; a refusal says when to come back; a tenant under its fair share is served half of its requests in another's storm.

--- a/cmd/tests/soak.rs
+++ b/cmd/tests/soak.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use dalestand_soak::run::{RunTerms, play};
+use dalestand_soak::run::{CallerLoad, RunTerms, play};
 use dalestand_soak::schedule::{FAULT_KINDS, FaultKind};
 use rstest::rstest;
 
@@ -52,10 +52,15 @@
 #[case::a_store_that_is_restored(7, &RESTORE_KINDS)]
 #[case::engines_that_take_only_so_many(11, &LIMIT_KINDS)]
 fn a_seeded_run_breaks_nothing(#[case] seed: u64, #[case] kinds: &[FaultKind]) {
+    breaks_nothing(seed, kinds, CallerLoad::Light);
+}
+
+fn breaks_nothing(seed: u64, kinds: &[FaultKind], load: CallerLoad) {
     let folder = std::env::temp_dir().join(format!("dalestand-soak-{}", std::process::id()));
     let terms = RunTerms {
         seed,
         kinds: kinds.to_vec(),
+        load,
         length: Duration::from_secs(30),
         nodes: 3,
         engines: 6,
