Requests that no report shows yet level the engines, in place of even draws

Cause: nodes that choose by the same reports, 50 to 100 ms old, sent 20 to 50 short prompts to one decode engine while 37 others were nearly free. Draws of unreported sends gave each engine the same chance of them, whatever it cost, so that the cheapest stayed the cheapest for all nodes until the next report.

Change: routing::staged::levelled. The sends that are expected of all nodes within the age of the loads fill the engines up to one level; a request goes to one with the chance of what that takes of them. Prompts that stay with an affinity target are chosen as before.

--- a/crates/routing/src/staged/chooser.rs
+++ b/crates/routing/src/staged/chooser.rs
@@ -6,12 +6,13 @@
 use super::candidates::{CandidateDraws, KnownCandidates};
 use super::cost::EngineCost;
 use super::health::EngineHealth;
+use super::levelled::{Costed, draw_levelled};
 use super::parts::PartDirectory;
 use super::pool::EnginePool;
 use super::reading::ReadingSpeeds;
 use super::signals::SignalLedger;
 use super::starts::StartSpeeds;
-use super::unreported::UnreportedSends;
+use super::unreported::{ExpectedSends, UnreportedSends};
 use super::work::WorkTable;
 use super::{EngineKey, Expectation, Stage, StagedEngine, StagedRequest};
 
@@ -192,7 +193,12 @@
         let costs = engines
             .into_iter()
             .map(|engine| (engine, self.prefill_cost(&terms, engine)));
-        best(costs)
+        if terms.affinity.is_some() {
+            // One prefill of the long part serves all of them where they stay together.
+            best(costs)
+        } else {
+            self.levelled(costs.collect(), terms.unreported)
+        }
     }
 
     /// The best engine to go on from the memory that `prefill` holds.
@@ -216,7 +222,14 @@
             let cost = self.decode_cost(now, request, prefill, unreported, engine);
             (engine, cost)
         });
-        best(costs)
+        self.levelled(costs.collect(), unreported)
+    }
+
+    /// One of the engines, which fill up to one level with the requests that others may have sent.
+    fn levelled(&self, costs: Vec<Costed<'_>>, unreported: ExpectedSends) -> Option<EngineChoice> {
+        let sends = unreported.mean * costs.len() as f64;
+        let (engine, cost) = draw_levelled(costs, sends, self.draws.chance())?;
+        Some(EngineChoice::new(engine, &cost))
     }
 
     /// Whether another engine of its stage could take a request that `current` has. One with a limit may have no
--- a/crates/routing/src/staged/cost.rs
+++ b/crates/routing/src/staged/cost.rs
@@ -59,6 +59,8 @@
     pub(super) queue_s: f64,
     /// The expected time with what risks, other requests and other nodes add, in seconds.
     pub(super) cost_s: f64,
+    /// What another request adds to it, in seconds.
+    pub(super) added_s: f64,
     /// Prompt tokens that it still has to read.
     pub(super) unread_tokens: u32,
     /// The engine from which it is to take what it does not keep of the prompt.
@@ -153,10 +155,17 @@
         let expected_s = request.send_s + ahead_s + own_starts_s + fetch_s;
         let displaced_s = (reading_s(f64::from(fetched)) - nothing_s) * READ_AGAIN_FOR_FETCHED;
         let chance = self.unreported.chance(engine.key, terms.affinity);
-        let drawn = terms.unreported.draw(work, chance);
+        let drawn = match terms.affinity {
+            Some(_) => terms.unreported.draw(work, chance),
+            None => work,
+        };
         let drawn_ahead = drawn.unread_tokens as f64 + f64::from(unread);
         let drawn_request_s =
             reading_s(terms.unreported.tokens_each) - nothing_s + self.starts.queue_s(1);
+        let drawn_part = match terms.affinity {
+            Some(_) => terms.unreported.draw_part(chance),
+            None => 0.0,
+        };
         let others_s = match engine.stage {
             Stage::Decode => {
                 let others = f64::from(drawn.requests.min(OTHERS_COUNTED));
@@ -165,7 +174,7 @@
             Stage::Prefill | Stage::Opaque => 0.0,
         };
         let cost_s = expected_s
-            + terms.unreported.draw_part(chance) * drawn_request_s
+            + drawn_part * drawn_request_s
             + (starts_s(drawn.starting) - own_starts_s)
             + (reading_s(drawn_ahead) - ahead_s)
             + displaced_s
@@ -178,6 +187,8 @@
             expected_s,
             queue_s: ahead_s - unread_s + own_starts_s,
             cost_s,
+            added_s: drawn_request_s + batch_s(engine, drawn.requests + 1)
+                - batch_s(engine, drawn.requests),
             unread_tokens: unread,
             fetch_from: terms.holder.filter(|_| fetched > 0).map(|(key, _)| key),
         }
@@ -203,20 +214,19 @@
             + self.starts.expected_s(work.starting)
             + move_s(request, moved, engine.zone == prefill.zone)
             + waiting_s.min(STEP_WITH_READING_S);
-        let chance = self.unreported.chance(engine.key, None);
-        let drawn = unreported.draw(work, chance);
-        let drawn_request_s =
-            reading_s(unreported.tokens_each) - reading_s(0.0) + self.starts.queue_s(1);
+        let added_s = reading_s(unreported.tokens_each) - reading_s(0.0)
+            + self.starts.queue_s(1)
+            + batch_s(engine, work.requests + 1)
+            - batch_s(engine, work.requests);
         let cost_s = expected_s
-            + unreported.draw_part(chance) * drawn_request_s
-            + (self.starts.queue_s(drawn.starting) - queue_s)
-            + batch_s(engine, drawn.requests)
+            + batch_s(engine, work.requests)
             + self.avoided_s(now, engine)
             + self.failing_s(now, engine);
         EngineCost {
             expected_s,
             queue_s,
             cost_s,
+            added_s,
             ..EngineCost::default()
         }
     }
--- a/crates/routing/src/staged/mod.rs
+++ b/crates/routing/src/staged/mod.rs
@@ -12,6 +12,7 @@
 mod chooser;
 mod cost;
 mod health;
+mod levelled;
 mod link_queue;
 mod named_limits;
 mod parts;
