Programs read their flags in one way

Cause: six commands had the same lines for wrong flags and for help. Change: `flags::parse`; nothing else.

--- a/cmd/src/dev.rs
+++ b/cmd/src/dev.rs
@@ -20,7 +20,7 @@
 
 use crate::exit::{Exit, failure, usage_error};
 use crate::files;
-use crate::flags::optional;
+use crate::flags::{self, optional};
 
 /// The deployment that is applied at the start.
 const EXAMPLE: &str = include_str!("../../examples/lakeshore.toml");
@@ -59,14 +59,10 @@
         "FILE",
     );
     options.optflag("h", "help", "show this help");
-    let matches = match options.parse(arguments) {
+    let matches = match flags::parse(&options, "usage: dalestand dev [flags]", arguments) {
         Ok(matches) => matches,
-        Err(error) => return usage_error(error),
+        Err(exit) => return exit,
     };
-    if matches.opt_present("help") {
-        println!("{}", options.usage("usage: dalestand dev [flags]"));
-        return Exit::Success;
-    }
     let addresses = optional(&matches, "listen").and_then(|listen| {
         let operators = optional(&matches, "operators")?;
         Ok((
--- a/cmd/src/flags.rs
+++ b/cmd/src/flags.rs
@@ -3,7 +3,9 @@
 use std::fmt::Display;
 use std::str::FromStr;
 
-use getopts::Matches;
+use getopts::{Matches, Options};
+
+use crate::exit::{Exit, usage_error};
 
 /// A flag is missing or its value is wrong.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -20,6 +22,17 @@
     },
 }
 
+/// What the arguments name. The end of the program where they are wrong, or where help was asked for, which is
+/// shown.
+pub fn parse(options: &Options, usage: &str, arguments: &[String]) -> Result<Matches, Exit> {
+    let matches = options.parse(arguments).map_err(usage_error)?;
+    if matches.opt_present("help") {
+        println!("{}", options.usage(usage));
+        return Err(Exit::Success);
+    }
+    Ok(matches)
+}
+
 /// Reads a flag that may be absent.
 pub fn optional<T>(matches: &Matches, name: &'static str) -> Result<Option<T>, FlagError>
 where
--- a/cmd/src/forward.rs
+++ b/cmd/src/forward.rs
@@ -10,7 +10,7 @@
 use getopts::Options;
 
 use crate::exit::{Exit, failure, usage_error};
-use crate::files;
+use crate::{files, flags};
 
 /// Names the settings file where no flag does.
 const SETTINGS_VARIABLE: &str = "DALESTAND_SETTINGS";
@@ -25,17 +25,14 @@
         "FILE",
     );
     options.optflag("h", "help", "show this help");
-    let matches = match options.parse(arguments) {
+    let matches = match flags::parse(
+        &options,
+        "usage: dalestand forward [--settings FILE]",
+        arguments,
+    ) {
         Ok(matches) => matches,
-        Err(error) => return usage_error(error),
+        Err(exit) => return exit,
     };
-    if matches.opt_present("help") {
-        println!(
-            "{}",
-            options.usage("usage: dalestand forward [--settings FILE]")
-        );
-        return Exit::Success;
-    }
     let path = matches
         .opt_str("settings")
         .or_else(|| std::env::var(SETTINGS_VARIABLE).ok());
--- a/cmd/src/node.rs
+++ b/cmd/src/node.rs
@@ -7,7 +7,7 @@
 
 use crate::exit::{Exit, failure, usage_error};
 use crate::files::{self, FileError};
-use crate::flags::{FlagError, optional, several};
+use crate::flags::{self, FlagError, optional, several};
 use crate::forward;
 
 fn node_options() -> Options {
@@ -34,17 +34,14 @@
 /// Runs a node until a planned stop is over.
 pub fn run(arguments: &[String]) -> Exit {
     let options = node_options();
-    let matches = match options.parse(arguments) {
+    let matches = match flags::parse(
+        &options,
+        "usage: dalestand node [--settings FILE] [flags]",
+        arguments,
+    ) {
         Ok(matches) => matches,
-        Err(error) => return usage_error(error),
+        Err(exit) => return exit,
     };
-    if matches.opt_present("help") {
-        println!(
-            "{}",
-            options.usage("usage: dalestand node [--settings FILE] [flags]")
-        );
-        return Exit::Success;
-    }
     match read_settings(&matches) {
         Ok(settings) => actix_rt::System::new().block_on(run_node(settings)),
         Err(message) => usage_error(message),
--- a/cmd/src/operator/mod.rs
+++ b/cmd/src/operator/mod.rs
@@ -12,6 +12,7 @@
 
 use self::client::Client;
 use crate::exit::{Exit, usage_error};
+use crate::flags;
 
 const USAGE: &str = "usage: dalestandctl [flags] COMMAND
 
@@ -74,14 +75,10 @@
 /// Runs `dalestandctl` with its arguments.
 pub fn run(arguments: &[String]) -> Exit {
     let options = options();
-    let matches = match options.parse(arguments) {
+    let matches = match flags::parse(&options, USAGE, arguments) {
         Ok(matches) => matches,
-        Err(error) => return usage_error(error),
+        Err(exit) => return exit,
     };
-    if matches.opt_present("help") {
-        println!("{}", options.usage(USAGE));
-        return Exit::Success;
-    }
     let logs = matches.opt_strs("logs");
     if let ["explain", "request", id] = matches.free_words().as_slice()
         && !logs.is_empty()
--- a/cmd/src/room/mod.rs
+++ b/cmd/src/room/mod.rs
@@ -9,7 +9,7 @@
 
 pub use self::table::room_table;
 use crate::exit::{Exit, failure, usage_error};
-use crate::flags::required;
+use crate::flags::{self, required};
 use crate::operator::client::{Client, parse, print_json};
 
 const USAGE: &str = "usage: dalestand room --node ADDRESS [--json]";
@@ -28,14 +28,10 @@
 /// Prints what a node knows.
 pub fn run(arguments: &[String]) -> Exit {
     let options = options();
-    let matches = match options.parse(arguments) {
+    let matches = match flags::parse(&options, USAGE, arguments) {
         Ok(matches) => matches,
-        Err(error) => return usage_error(error),
+        Err(exit) => return exit,
     };
-    if matches.opt_present("help") {
-        println!("{}", options.usage(USAGE));
-        return Exit::Success;
-    }
     match node(&matches) {
         Ok(node) => {
             let json = matches.opt_present("json");
--- a/cmd/src/stopped.rs
+++ b/cmd/src/stopped.rs
@@ -7,6 +7,7 @@
 use getopts::Options;
 
 use crate::exit::{Exit, failure, usage_error};
+use crate::flags;
 use crate::forward::read_settings;
 
 const USAGE: &str = "usage: dalestand stopped --settings FILE [--release FINGERPRINT]";
@@ -17,14 +18,10 @@
     options.optopt("s", "settings", "settings of any node of the fleet", "FILE");
     options.optopt("", "release", "let this request run again", "FINGERPRINT");
     options.optflag("h", "help", "show this help");
-    let matches = match options.parse(arguments) {
+    let matches = match flags::parse(&options, USAGE, arguments) {
         Ok(matches) => matches,
-        Err(error) => return usage_error(error),
+        Err(exit) => return exit,
     };
-    if matches.opt_present("help") {
-        println!("{}", options.usage(USAGE));
-        return Exit::Success;
-    }
     let Some(path) = matches.opt_str("settings") else {
         return usage_error("no settings file is named");
     };
