Loads and placements of the messages between nodes have files of their own

Change: pure moves to `loads` and `placement`. Measured: the crate's tests pass, golden bytes among them.

--- a/crates/dissemination/src/lib.rs
+++ b/crates/dissemination/src/lib.rs
@@ -24,9 +24,11 @@
 mod entry_sync;
 mod entry_table;
 mod hash_ranges;
+mod loads;
 mod membership;
 mod message;
 mod permits;
+mod placement;
 mod subscribers;
 mod subscription;
 mod sums;
@@ -37,13 +39,14 @@
 pub use engine_notices::{EngineNotices, EngineStart};
 pub use entry_sync::{EntrySync, entries_pages, entries_request};
 pub use entry_table::{EntryRecord, EntryTable};
+pub use loads::{EngineCode, EngineLoad, LoadScope, LoadSlice, LoadsMessage};
 pub use membership::{NodeDirectory, NodeEntry, NodeNumber, RELAYS_PER_ZONE, Relay};
 pub use message::{
-    EngineCode, EngineLoad, EntriesPage, EntriesRequest, Exchange, HolderAddress, IncludedReport,
-    LoadScope, LoadSlice, LoadsMessage, MESSAGE_VERSION, Message, News, NewsBatch, PartsRequest,
-    PlacedPart, Placement, PlacementState, PoolDemand, Report, RoleChange, Table, UsageReport,
+    EntriesPage, EntriesRequest, Exchange, HolderAddress, IncludedReport, MESSAGE_VERSION, Message,
+    News, NewsBatch, PartsRequest, PoolDemand, Report, RoleChange, Table, UsageReport,
 };
 pub use permits::{EngineLimit, EngineLimits, PermitAnswer, PermitNeed, PermitRequest};
+pub use placement::{PlacedPart, Placement, PlacementState};
 pub use subscribers::Subscribers;
 pub use subscription::{ReportTarget, Subscription};
 pub use sums::{
--- a/crates/dissemination/src/message.rs
+++ b/crates/dissemination/src/message.rs
@@ -4,15 +4,16 @@
 
 use dalestand_duties::{NodeLife, WindowCounts};
 use dalestand_quarantine::CrashRecord;
-use dalestand_routing::staged::EngineKey;
 use dalestand_types::PoolName;
 use serde::{Deserialize, Serialize};
 
 use crate::declaration::{DeclarationPart, DeclarationRequest};
 use crate::engine_notices::EngineNotices;
 use crate::entry_table::EntryRecord;
+use crate::loads::{EngineLoad, LoadSlice, LoadsMessage};
 use crate::membership::{NodeNumber, Relay};
 use crate::permits::{EngineLimits, PermitAnswer, PermitRequest};
+use crate::placement::Placement;
 use crate::sums::SumsMessage;
 
 /// Version of the messages. A node ignores messages of another version.
@@ -78,102 +79,6 @@
     pub windows: Vec<WindowCounts>,
 }
 
-/// A short number for an engine: loads are most of what members receive. Among 10,000 engines two have
-/// the same with a chance of 1 in 86; what is said of the number then counts for both, so that each gets
-/// somewhat less than its part.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Deserialize, Serialize)]
-#[serde(transparent)]
-pub struct EngineCode(pub u32);
-
-impl EngineCode {
-    /// The short number of an engine.
-    pub fn of(engine: EngineKey) -> Self {
-        Self(engine.0 as u32)
-    }
-}
-
-/// Work at one engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
-pub struct EngineLoad {
-    /// The engine.
-    pub engine: EngineCode,
-    /// Requests sent there and not over.
-    pub requests: u32,
-    /// Those of them whose first token has not come.
-    pub starting: u32,
-    /// Prompt tokens sent there and not yet prefilled.
-    pub unread_tokens: u64,
-}
-
-/// Loads of the engines whose codes lie in one of equal slices of all codes. A slice stands by itself:
-/// one that is lost costs the news of its engines and of no other.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
-pub struct LoadSlice {
-    /// Which slice this is.
-    pub slice: u16,
-    /// Number of slices, a power of two.
-    pub slices: u16,
-    /// The loads, by code.
-    pub loads: Vec<EngineLoad>,
-}
-
-/// Loads in one message: 5 KB.
-const SLICE_LOADS: usize = 400;
-
-/// Most slices: 1,600,000 busy engines.
-const MOST_SLICES: u16 = 4_096;
-
-impl LoadSlice {
-    /// All loads, ordered by code, in as many slices as they need: one up to 400.
-    pub fn cut(loads: Vec<EngineLoad>) -> Vec<Self> {
-        let needed = loads.len().div_ceil(SLICE_LOADS).next_power_of_two();
-        let slices = u16::try_from(needed)
-            .unwrap_or(MOST_SLICES)
-            .min(MOST_SLICES);
-        let slice_of = |code: EngineCode| {
-            let place = u64::from(code.0) * u64::from(slices);
-            (place >> u32::BITS) as u16
-        };
-        let empty = |slice| Self {
-            slice,
-            slices,
-            loads: Vec::new(),
-        };
-        let mut cut: Vec<Self> = (0..slices).map(empty).collect();
-        for load in loads {
-            cut[usize::from(slice_of(load.engine))].loads.push(load);
-        }
-        cut
-    }
-
-    /// Whether there is such a slice.
-    pub fn is_sound(&self) -> bool {
-        self.slice < self.slices && self.slices <= MOST_SLICES
-    }
-}
-
-/// Whose loads a message has.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
-pub enum LoadScope {
-    /// Those of the sender and its members.
-    Members,
-    /// Those of the whole fleet.
-    Fleet,
-}
-
-/// Loads by themselves.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
-pub struct LoadsMessage {
-    /// The relay that sends them.
-    pub node: NodeNumber,
-    /// Whose loads they are.
-    pub scope: LoadScope,
-    /// Mean age of the work, in milliseconds.
-    pub age_ms: u32,
-    /// The loads.
-    pub work: LoadSlice,
-}
-
 /// Demand for one pool, in prompt tokens a second.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct PoolDemand {
@@ -185,69 +90,6 @@
     pub colocated_tokens_per_s: f64,
 }
 
-/// How far an engine is with a prompt. One byte in a message.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
-#[serde(into = "u8", try_from = "u8")]
-pub enum PlacementState {
-    /// The prompt was sent.
-    Sent,
-    /// The engine has prefilled it.
-    Read,
-    /// The engine will not prefill it.
-    NotRead,
-}
-
-impl From<PlacementState> for u8 {
-    fn from(state: PlacementState) -> Self {
-        match state {
-            PlacementState::Sent => 0,
-            PlacementState::Read => 1,
-            PlacementState::NotRead => 2,
-        }
-    }
-}
-
-impl TryFrom<u8> for PlacementState {
-    type Error = UnknownPlacementState;
-
-    fn try_from(number: u8) -> Result<Self, Self::Error> {
-        match number {
-            0 => Ok(Self::Sent),
-            1 => Ok(Self::Read),
-            2 => Ok(Self::NotRead),
-            _ => Err(UnknownPlacementState(number)),
-        }
-    }
-}
-
-/// A number that stands for no state.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("no placement state has the number {0}")]
-pub struct UnknownPlacementState(u8);
-
-/// A part of a prompt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
-pub struct PlacedPart {
-    /// Number of the part.
-    pub id: u64,
-    /// Its tokens.
-    pub tokens: u32,
-}
-
-/// One prompt at one engine.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
-pub struct Placement {
-    /// The engine.
-    pub engine: EngineCode,
-    /// How far the engine is with it.
-    pub state: PlacementState,
-    /// The parts that other prompts may share, in order.
-    pub parts: Vec<PlacedPart>,
-    /// Tokens of the part that belongs to this request or its session: they take the engine's memory,
-    /// and nobody but the session's own node asks for them again.
-    pub own_tokens: u32,
-}
-
 /// An engine that was ordered to change its role, and refuses requests until it has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
 pub struct RoleChange {
--- /dev/null
+++ b/crates/dissemination/src/placement.rs
@@ -0,0 +1,68 @@
+//! Which prompts engines read and keep, on its way between nodes.
+
+use serde::{Deserialize, Serialize};
+
+use crate::loads::EngineCode;
+
+/// How far an engine is with a prompt. One byte in a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(into = "u8", try_from = "u8")]
+pub enum PlacementState {
+    /// The prompt was sent.
+    Sent,
+    /// The engine has prefilled it.
+    Read,
+    /// The engine will not prefill it.
+    NotRead,
+}
+
+impl From<PlacementState> for u8 {
+    fn from(state: PlacementState) -> Self {
+        match state {
+            PlacementState::Sent => 0,
+            PlacementState::Read => 1,
+            PlacementState::NotRead => 2,
+        }
+    }
+}
+
+impl TryFrom<u8> for PlacementState {
+    type Error = UnknownPlacementState;
+
+    fn try_from(number: u8) -> Result<Self, Self::Error> {
+        match number {
+            0 => Ok(Self::Sent),
+            1 => Ok(Self::Read),
+            2 => Ok(Self::NotRead),
+            _ => Err(UnknownPlacementState(number)),
+        }
+    }
+}
+
+/// A number that stands for no state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("no placement state has the number {0}")]
+pub struct UnknownPlacementState(u8);
+
+/// A part of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub struct PlacedPart {
+    /// Number of the part.
+    pub id: u64,
+    /// Its tokens.
+    pub tokens: u32,
+}
+
+/// One prompt at one engine.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub struct Placement {
+    /// The engine.
+    pub engine: EngineCode,
+    /// How far the engine is with it.
+    pub state: PlacementState,
+    /// The parts that other prompts may share, in order.
+    pub parts: Vec<PlacedPart>,
+    /// Tokens of the part that belongs to this request or its session: they take the engine's memory,
+    /// and nobody but the session's own node asks for them again.
+    pub own_tokens: u32,
+}
--- a/crates/dissemination/src/sums.rs
+++ b/crates/dissemination/src/sums.rs
@@ -5,8 +5,8 @@
 use dalestand_types::{PoolName, TenantName};
 use serde::{Deserialize, Serialize};
 
+use crate::loads::EngineCode;
 use crate::membership::NodeNumber;
-use crate::message::EngineCode;
 
 /// Whose figures a message has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
