--- a/crates/forwarding/tests/room.rs
+++ b/crates/forwarding/tests/room.rs
@@ -7,19 +7,13 @@
 )]
 mod support;
 
-use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use dalestand_forwarding::{EngineGroup, FigureAges, ReportSources, RoomReport};
 use dalestand_routing::WorkKind;
 use dalestand_types::ZoneName;
-use support::{TestEngine, TestNode, answer, get, id_of};
-
-fn sound(head: &str, stream: &mut TcpStream) {
-    let id = id_of(head);
-    answer(stream, "200 OK", &format!("x-id: {id}\r\n"), "whole");
-}
+use support::{TestEngine, TestNode, get, sound};
 
 /// First tries a second of the pool, as a node knows them.
 fn asked(report: &RoomReport) -> f32 {
@@ -59,7 +53,7 @@
     let engine = TestEngine::start(sound);
     node.declare_tenant(1, &["key-1"]);
     node.list("e", &engine, "ready");
-    node.settle().await;
+    node.has_heard_of(1).await;
     let served = node.request_with_key("1", "key-1").await;
     assert!(served.starts_with("HTTP/1.1 200"), "{served}");
     let report = node.room().await;
--- a/crates/forwarding/tests/support/engine.rs
+++ b/crates/forwarding/tests/support/engine.rs
@@ -118,3 +118,19 @@
     // The node may have gone away.
     let _ = stream.write_all(text.as_bytes());
 }
+
+/// Answers as an engine that has run the request.
+pub fn sound(head: &str, stream: &mut TcpStream) {
+    answer(
+        stream,
+        "200 OK",
+        &format!("x-id: {}\r\n", id_of(head)),
+        "whole",
+    );
+}
+
+/// Refuses, as an engine without room.
+pub fn refusing(head: &str, stream: &mut TcpStream) {
+    let headers = format!("x-id: {}\r\nx-refused: 1\r\n", id_of(head));
+    answer(stream, "503 Service Unavailable", &headers, "");
+}
--- a/crates/forwarding/tests/support/node.rs
+++ b/crates/forwarding/tests/support/node.rs
@@ -312,3 +312,8 @@
     let _ = stream.read_to_end(&mut answer).await;
     String::from_utf8_lossy(&answer).into_owned()
 }
+
+/// The status of an answer.
+pub fn status(answer: &str) -> &str {
+    answer.split(' ').nth(1).unwrap_or_default()
+}
--- a/crates/forwarding/tests/suspension.rs
+++ b/crates/forwarding/tests/suspension.rs
@@ -13,7 +13,7 @@
 
 use dalestand_clock::test_util::suspend;
 use dalestand_forwarding::ReportSources;
-use support::{TestEngine, TestNode, answer, id_of};
+use support::{TestEngine, TestNode, sound, status};
 
 /// Longer than any bound of these tests.
 const SUSPENDED: Duration = Duration::from_secs(12);
@@ -21,19 +21,10 @@
 /// Time after its due within which an answer must come.
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
 
-fn sound(head: &str, stream: &mut TcpStream) {
-    let id = id_of(head);
-    answer(stream, "200 OK", &format!("x-id: {id}\r\n"), "whole");
-}
-
 fn silent(_head: &str, _stream: &mut TcpStream) {
     thread::sleep(Duration::from_secs(3));
 }
 
-fn status(answer: &str) -> &str {
-    answer.split(' ').nth(1).unwrap_or_default()
-}
-
 /// The declaration was not confirmed for longer than its keys hold, though the monotonic clock says
 /// otherwise: one of them may have been taken away meanwhile.
 #[actix_rt::test]
