--- a/crates/forwarding/tests/engine_signals.rs
+++ b/crates/forwarding/tests/engine_signals.rs
@@ -21,12 +21,12 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use support::{TestEngine, TestNode, answer, id_of};
+use support::{TestEngine, TestNode, answer, id_of, refusing, sound, status};
 
 /// Backoff that engines of these tests ask for.
 const BACKOFF: Duration = Duration::from_millis(1_500);
 
-/// Calls that may reach an engine after its word: one may have crossed it.
+/// Calls that may reach an engine after its answer: one may have crossed it.
 const CROSSING: usize = 1;
 
 /// Rounds of a series of requests.
@@ -35,11 +35,6 @@
 /// Requests of one round: enough that the engine which takes them is busy and a free one looks better.
 const AT_ONCE: usize = 4;
 
-fn sound(head: &str, stream: &mut TcpStream) {
-    let id = id_of(head);
-    answer(stream, "200 OK", &format!("x-id: {id}\r\n"), "whole");
-}
-
 /// Answers, and says that it drains.
 fn draining(head: &str, stream: &mut TcpStream) {
     let id = id_of(head);
@@ -87,10 +82,6 @@
     heads.filter(|head| head.contains("x-id: ")).collect()
 }
 
-fn status(answer: &str) -> &str {
-    answer.split(' ').nth(1).unwrap_or_default()
-}
-
 /// Seconds after which the caller is to come back.
 fn retry_after_s(answer: &str) -> f64 {
     let line = answer
@@ -264,12 +255,6 @@
     }
 }
 
-/// Refuses, as one that is full for a moment.
-fn refusing(head: &str, stream: &mut TcpStream) {
-    let headers = format!("x-id: {}\r\nx-refused: 1\r\n", id_of(head));
-    answer(stream, "503 Service Unavailable", &headers, "");
-}
-
 #[actix_rt::test]
 async fn a_caller_does_not_wait_for_a_backoff_where_another_engine_wants_calls() {
     let node = TestNode::start().await;
@@ -379,38 +364,3 @@
     assert_eq!(resting.heads().len(), 2, "one asks whether it is over");
     assert!(answers.iter().all(|answer| status(answer) == "503"));
 }
-
-/// Names that an engine makes up, more than are told.
-const MADE_UP: usize = 100;
-
-/// Answers with headers that nobody knows, one of them long.
-fn saying_new_things(head: &str, stream: &mut TcpStream) {
-    let mut headers = format!(
-        "x-id: {}\r\nx-new-{}: secret\r\n",
-        id_of(head),
-        "y".repeat(8_000)
-    );
-    for place in 0..MADE_UP / 2 {
-        headers.push_str(&format!("x-new-{}-{place}: secret\r\n", id_of(head)));
-    }
-    answer(stream, "200 OK", &headers, "whole");
-}
-
-#[actix_rt::test]
-async fn unknown_headers_are_counted_and_change_nothing() {
-    let node = TestNode::start().await;
-    node.declare(1, "once", 1, 1_000);
-    let engine = TestEngine::start(saying_new_things);
-    node.list("engine", &engine, "ready");
-    node.settle().await;
-    for place in 0..2 {
-        let answered = node.request(&place.to_string(), "/r/x").await;
-        assert_eq!(status(&answered), "200", "{answered}");
-    }
-    let figures = support::get(node.metrics, "host: a.example\r\n", "/metrics").await;
-    let counted = format!(
-        "dalestand_unknown_headers_total{{sender=\"engine\"}} {}",
-        MADE_UP + 2
-    );
-    assert!(figures.lines().any(|line| line == counted), "{figures}");
-}
--- /dev/null
+++ b/crates/forwarding/tests/unknown_headers.rs
@@ -0,0 +1,47 @@
+//! Answers with headers that this build does not know.
+
+#[allow(
+    dead_code,
+    unused_imports,
+    reason = "each test program uses a part of it"
+)]
+mod support;
+
+use std::net::TcpStream;
+
+use support::{TestEngine, TestNode, answer, get, id_of, status};
+
+/// Names that an engine makes up, more than are logged.
+const MADE_UP: usize = 100;
+
+/// Answers with headers that nobody knows, one of them long.
+fn saying_new_things(head: &str, stream: &mut TcpStream) {
+    let mut headers = format!(
+        "x-id: {}\r\nx-new-{}: secret\r\n",
+        id_of(head),
+        "y".repeat(8_000)
+    );
+    for place in 0..MADE_UP / 2 {
+        headers.push_str(&format!("x-new-{}-{place}: secret\r\n", id_of(head)));
+    }
+    answer(stream, "200 OK", &headers, "whole");
+}
+
+#[actix_rt::test]
+async fn unknown_headers_are_counted_and_change_nothing() {
+    let node = TestNode::start().await;
+    node.declare(1, "once", 1, 1_000);
+    let engine = TestEngine::start(saying_new_things);
+    node.list("engine", &engine, "ready");
+    node.has_heard_of(1).await;
+    for place in 0..2 {
+        let answered = node.request(&place.to_string(), "/r/x").await;
+        assert_eq!(status(&answered), "200", "{answered}");
+    }
+    let figures = get(node.metrics, "host: a.example\r\n", "/metrics").await;
+    let counted = format!(
+        "dalestand_unknown_headers_total{{sender=\"engine\"}} {}",
+        MADE_UP + 2
+    );
+    assert!(figures.lines().any(|line| line == counted), "{figures}");
+}
