--- a/crates/dissemination/src/message.rs
+++ b/crates/dissemination/src/message.rs
@@ -34,24 +34,24 @@
     Loads(LoadsMessage),
     /// Changed entries that did not fit into a table or an exchange.
     Changes(Vec<EntryRecord>),
-    /// A node asks a relay which parts of prompts are kept where.
+    /// A node requests from a relay which parts of prompts are kept where.
     PartsRequest(PartsRequest),
-    /// A member whose entries differ from its relay's asks for what differs.
+    /// A member whose entries differ from its relay's requests what differs.
     EntriesRequest(EntriesRequest),
     /// A relay sends engines' entries to a member that asked.
     Entries(EntriesPage),
-    /// A node tells the holder of the lease what it counted.
+    /// A node reports to the holder of the lease what it counted.
     Usage(UsageReport),
-    /// A node asks a relay for a declaration that is newer than its own.
+    /// A node requests from a relay a declaration that is newer than its own.
     DeclarationRequest(DeclarationRequest),
     /// A relay sends a part of a declaration to a node that asked.
     Declaration(DeclarationPart),
-    /// A node tells what engines said of themselves. Nodes of builds without it take it for unreadable.
+    /// A node reports what engines said of themselves. Nodes of builds without it take it for unreadable.
     Engines(EngineNotices),
-    /// A node tells how many requests engines take. Nodes of builds without it, and without the two below, take
+    /// A node reports how many requests engines take. Nodes of builds without it, and without the two below, take
     /// them for unreadable: they keep no limit, and are asked for no permits.
     Limits(EngineLimits),
-    /// A node asks for leave to send requests to an engine with a limit.
+    /// A node requests permits for an engine with a limit.
     PermitRequest(PermitRequest),
     /// The node that issues an engine's permits answers.
     PermitAnswer(PermitAnswer),
@@ -66,7 +66,7 @@
     pub node: NodeNumber,
     /// Where other nodes reach it (UDP).
     pub address: SocketAddr,
-    /// Its fencing token, which rises with every holder: the newest counts, whoever tells it.
+    /// Its fencing token, which rises with every holder: the newest counts, whoever reports it.
     pub token: u64,
 }
 
@@ -221,7 +221,7 @@
 /// Asks which parts are kept where.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
 pub struct PartsRequest {
-    /// The node that asks.
+    /// The node that requests them.
     pub node: NodeNumber,
 }
 
--- a/crates/forwarding/tests/figures/mod.rs
+++ b/crates/forwarding/tests/figures/mod.rs
@@ -1,4 +1,4 @@
-//! The figures of a node: what they are called, and that they move. `docs/OPERATIONS.md` lists them.
+//! The figures of a node: what they are called, and that they change. `docs/OPERATIONS.md` lists them.
 
 use std::collections::BTreeSet;
 
@@ -36,13 +36,13 @@
 #[actix_rt::test]
 async fn the_catalogue_lists_every_figure() {
     let figures = figures_after_one_request().await;
-    let told: BTreeSet<&str> = figures
+    let reported: BTreeSet<&str> = figures
         .lines()
         .filter_map(|line| line.strip_prefix("# TYPE "))
         .filter_map(|line| line.split(' ').next())
         .collect();
-    assert!(told.len() >= 10, "{told:?}");
-    let unlisted: Vec<&&str> = told
+    assert!(reported.len() >= 10, "{reported:?}");
+    let unlisted: Vec<&&str> = reported
         .iter()
         .filter(|name| !CATALOGUE.contains(&format!("`{name}`")))
         .collect();
--- a/crates/forwarding/tests/serving.rs
+++ b/crates/forwarding/tests/serving.rs
@@ -42,7 +42,7 @@
     answer(stream, "200 OK", "x-id: another\r\n", "another's answer");
 }
 
-/// A stream of five events; the engine resumes after the event it is told of, and breaks off
+/// A stream of five events; the engine resumes after the event that the request names, and breaks off
 /// within its third.
 fn breaking_stream(head: &str, stream: &mut TcpStream) {
     let last = head
@@ -293,7 +293,7 @@
 }
 
 /// Found on the same day: the store was silent, so that no call failed, and the watch that had waited
-/// through the outage told of 120 ends at once.
+/// through the outage reported 120 ends at once.
 #[actix_rt::test]
 async fn engines_that_go_all_at_once_are_served_until_they_had_time_to_return() {
     let (node, engines) = node("repeatable", 2, &[sound, sound]).await;
--- a/crates/forwarding/tests/support/engine.rs
+++ b/crates/forwarding/tests/support/engine.rs
@@ -1,4 +1,4 @@
-//! Engines that do as they are told.
+//! Engines that answer by a script.
 
 use std::io::{ErrorKind, Read as _, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- a/crates/forwarding/tests/support/mod.rs
+++ b/crates/forwarding/tests/support/mod.rs
@@ -1,4 +1,4 @@
-//! A node in this process, before a store in memory and engines that do as they are told.
+//! A node in this process, before a store in memory and engines that answer by scripts.
 
 mod dialect;
 mod engine;
--- a/crates/forwarding/tests/support/node.rs
+++ b/crates/forwarding/tests/support/node.rs
@@ -29,9 +29,9 @@
 pub struct TestNode {
     /// Where callers connect.
     pub callers: SocketAddr,
-    /// Where the node tells whether it is ready.
+    /// Where its readiness is.
     pub ready: SocketAddr,
-    /// Where it tells its figures.
+    /// Where its figures are.
     pub metrics: SocketAddr,
     /// Its store.
     pub store: Rc<MemoryStore>,
@@ -308,7 +308,7 @@
     let text = format!("GET {path} HTTP/1.1\r\n{headers}connection: close\r\n\r\n");
     stream.write_all(text.as_bytes()).await.expect("written");
     let mut answer = Vec::new();
-    // An answer that breaks off ends with an error or an early end; the bytes tell.
+    // An answer that breaks off ends with an error or an early end; the bytes show it.
     let _ = stream.read_to_end(&mut answer).await;
     String::from_utf8_lossy(&answer).into_owned()
 }
--- a/crates/routing/tests/source_sums.rs
+++ b/crates/routing/tests/source_sums.rs
@@ -100,7 +100,7 @@
 }
 
 proptest! {
-    /// Whatever is told in whatever order, the total is the sum of each source's newest row.
+    /// Whatever is reported in whatever order, the total is the sum of each source's newest row.
     #[test]
     fn the_newest_row_of_each_source_counts(
         reports in prop::collection::vec((0_u64..4, 0_u64..2_000, 0.0_f32..100.0), 1..40),
@@ -114,7 +114,7 @@
             newest.insert(source, (now, rate));
         }
         sums.refresh(at(now));
-        let counted = newest.values().filter(|(told, _)| now - told < 3_000);
+        let counted = newest.values().filter(|(reported_at, _)| now - reported_at < 3_000);
         let expected: f32 = counted.map(|(_, rate)| rate).sum();
         let total = sums.total(&"pool").map_or(0.0, |figures| figures.asked_per_s);
         prop_assert!((total - expected).abs() <= expected * 1e-4);
