Room: what numbers of engines follow, where a node orders them

Change: a pool of the report has a field for the wanted numbers and what was weighed; absent until a node that orders engines fills it. Measured: the printer's tests pass.

--- a/cmd/src/room/table.rs
+++ b/cmd/src/room/table.rs
@@ -1,8 +1,8 @@
 //! The report of room and demand as a table for a terminal.
 
 use dalestand_forwarding::{
-    ClassDemand, EngineGroup, EngineSpeed, FigureAges, PoolRoom, ReportSources, RoomReport,
-    TenantDemand,
+    ClassDemand, EngineGroup, EngineScaling, EngineSpeed, FigureAges, PoolRoom, ReportSources,
+    RoomReport, TenantDemand,
 };
 use dalestand_routing::WorkKind;
 
@@ -98,6 +98,17 @@
     ];
     push_rows(text, speeds, pool.speeds.iter().map(speed_row));
     push_unlisted(text, pool.speeds_unlisted, "engine");
+    if let Some(scaling) = &pool.scaling {
+        push_scaling(text, scaling);
+    }
+}
+
+fn push_scaling(text: &mut String, scaling: &EngineScaling) {
+    let (on_demand, spot) = (scaling.on_demand, scaling.spot);
+    let weighed = printable(&scaling.weighed);
+    text.push_str(&format!(
+        "{INDENT}wanted: {on_demand} on demand, {spot} spot; {weighed}\n"
+    ));
 }
 
 fn group_row(group: &EngineGroup) -> [String; 4] {
--- a/cmd/tests/room.rs
+++ b/cmd/tests/room.rs
@@ -5,8 +5,8 @@
 use dalestand_cmd::room::room_table;
 use dalestand_dissemination::TenantCode;
 use dalestand_forwarding::{
-    ClassDemand, EngineGroup, EngineSpeed, FigureAges, PoolRoom, ReportSources, RoomReport,
-    TenantDemand,
+    ClassDemand, EngineGroup, EngineScaling, EngineSpeed, FigureAges, PoolRoom, ReportSources,
+    RoomReport, TenantDemand,
 };
 use dalestand_routing::{ClassFigures, TenantFigures, WorkKind};
 use dalestand_types::{NodeId, PoolName, Revision, ZoneName};
@@ -34,6 +34,7 @@
         tenants_unlisted: 0,
         speeds: Vec::new(),
         speeds_unlisted: 0,
+        scaling: None,
     }
 }
 
@@ -71,6 +72,11 @@
             slowness: 1.625,
             observations: 12.0,
         }],
+        scaling: Some(EngineScaling {
+            on_demand: 2,
+            spot: 28,
+            weighed: "Demand: 210/s asked".to_owned(),
+        }),
         ..empty_pool()
     }
 }
@@ -133,6 +139,7 @@
             "  and 1 tenant more",
             "  engine   zone  work     times the usual time  observations",
             "  i-9?[2J  a     prefill  1.62                  12.0",
+            "  wanted: 2 on demand, 28 spot; Demand: 210/s asked",
         ]
     );
 }
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -28,8 +28,8 @@
 pub use error::ForwardingError;
 pub use fleet::engines::{Fleet, FleetEngine};
 pub use node::room_report::{
-    ClassDemand, EngineGroup, EngineSpeed, FigureAges, PoolRoom, ReportSources, RoomReport,
-    TenantDemand,
+    ClassDemand, EngineGroup, EngineScaling, EngineSpeed, FigureAges, PoolRoom, ReportSources,
+    RoomReport, TenantDemand,
 };
 pub use node::settings::{DutySettings, ForwardingSettings, SettingsFault, UsageSettings};
 pub use node::start::{ForwardingNode, ReadSettings, run};
--- a/crates/forwarding/src/node/room.rs
+++ b/crates/forwarding/src/node/room.rs
@@ -93,6 +93,7 @@
         tenants_unlisted,
         speeds,
         speeds_unlisted,
+        scaling: None,
         pool,
     }
 }
--- a/crates/forwarding/src/node/room_report.rs
+++ b/crates/forwarding/src/node/room_report.rs
@@ -66,6 +66,9 @@
     pub speeds: Vec<EngineSpeed>,
     /// Engines whose speed differs from the usual and that are not listed.
     pub speeds_unlisted: usize,
+    /// What the numbers of engines follow, at the node that orders them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub scaling: Option<EngineScaling>,
 }
 
 impl PoolRoom {
@@ -80,6 +83,17 @@
     }
 }
 
+/// Numbers of engines as they were last decided.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EngineScaling {
+    /// On-demand engines wanted in all zones.
+    pub on_demand: u32,
+    /// Spot engines wanted in all zones.
+    pub spot: u32,
+    /// What was weighed, as the log has it with an order.
+    pub weighed: String,
+}
+
 /// Engines of one zone that do the same kind of work.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineGroup {
