The number of engines follows demand, prices and losses

Cause: planner::engine_scaling took the operator's number and prices: no demand, no load, no loss. Change: a pure policy (engine_scaling: work, need, losses, by_demand, spread), followed by relays, ordered by the holder; the rule as it was is what a holder does without figures. Orders that were given are kept by duties::scaling::orders: more engines than were ordered are given back by the same order again, since an order in doubt may be carried out late. Losses are kept in the store, one write a loss.

--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -11,7 +11,7 @@
 use dalestand_edge::routed::{Dialect, EngineEntry, FleetForm};
 use dalestand_edge::unknown_headers::UnknownHeaders;
 use dalestand_engine_link::{EngineLink, LinkLimits};
-use dalestand_planner::ZoneEngines;
+use dalestand_planner::{ScalingAccount, ZoneEngines};
 use dalestand_routes::{RouteTable, SplitPicker};
 use dalestand_routing::staged::{EngineKey, LinkQueue, StagedRouter};
 use dalestand_routing::{NodeCount, SharedRetryBudget};
@@ -84,6 +84,8 @@
     pub(crate) classes: Rc<ClassCounts>,
     /// Figures that add up over all nodes.
     pub(crate) sums: FleetSums,
+    /// What was weighed when engines were last ordered, by pool; empty unless this node orders them.
+    pub(crate) scaling_accounts: RefCell<BTreeMap<PoolName, ScalingAccount>>,
     /// Requests that end engines.
     pub(crate) quarantine: Quarantine,
     pub(crate) metrics: ForwardingMetrics,
@@ -132,6 +134,7 @@
             role_changes: RefCell::default(),
             classes: Rc::default(),
             sums: FleetSums::default(),
+            scaling_accounts: RefCell::default(),
             quarantine: Quarantine::default(),
             store_era: watch::Sender::new(0),
             started: BootInstant::now(),
@@ -287,6 +290,21 @@
         zones
     }
 
+    /// Spot engines of a pool that say that they leave, by zone.
+    pub(crate) fn leaving_spot_engines(&self, pool: &PoolName) -> BTreeMap<ZoneName, u32> {
+        let mut zones: BTreeMap<ZoneName, u32> = BTreeMap::new();
+        let entries = self.entries.borrow();
+        let leaving = entries.values().filter(|entry| {
+            let is_spot = entry.tenure == EngineTenure::Spot;
+            let leaves = !entry.accepting || self.drains(EngineKey::of(&entry.run));
+            entry.pool == *pool && is_spot && leaves
+        });
+        for entry in leaving {
+            *zones.entry(entry.zone.clone()).or_default() += 1;
+        }
+        zones
+    }
+
     /// Builds the fleet anew, under other terms.
     fn rebuild_fleet(&self) {
         let table = self.table();
--- /dev/null
+++ b/crates/forwarding/src/duties/scaling/mod.rs
@@ -0,0 +1,378 @@
+//! The holder of the lease sets the number of engines of each zone.
+
+pub(super) mod kept_losses;
+pub(super) mod orders;
+mod own_numbers;
+
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+use dalestand_edge::duty_calls::{
+    DutyAuthority, DutyCalls, DutyOutcome, EngineCountOrder, EngineTenure,
+};
+use dalestand_edge::{KeyValue, PlatformError};
+use dalestand_planner::{
+    DemandScaling, PoolWork, ScalingAccount, ScalingBounds, ScalingMoment, SpotLosses, ZoneEngines,
+    ZoneSpot,
+};
+use dalestand_routes::ScalingTerms;
+use dalestand_routing::ClassFigures;
+use dalestand_routing::staged::Stage;
+use dalestand_telemetry::{Event, log_event};
+use dalestand_types::{PoolName, ZoneName};
+use error_stack::Report;
+
+use self::kept_losses::KeptLosses;
+use self::orders::{DueOrder, EngineOrders, OrderOutcome};
+use self::own_numbers::{log_unkept, own_numbers};
+use crate::context::Context;
+use crate::duties::outcome_label;
+use crate::node::settings::ScalingMode;
+use crate::roles::authority::Authority;
+use crate::roles::authority::while_held;
+
+/// How often the engines are looked at.
+const LOOK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Engines that may come or go in a second, and at once: what relays' tables carry of changed entries
+/// (16 a table, each three times, ten tables a second), so that nodes hear of engines that leave within
+/// the drain bound. Where 3,000 were replaced at once, members heard of some after 4.7 s.
+const CHANGES_PER_S: f64 = 53.0;
+
+/// What a holder keeps of one pool.
+struct HeldPool {
+    own: BTreeMap<ZoneName, u32>,
+    orders: EngineOrders,
+    kept_losses: Option<KeptLosses>,
+}
+
+/// What a relay knows of one pool.
+#[derive(Default)]
+struct ScaledPool {
+    demand: DemandScaling,
+    /// While this node may order.
+    held: Option<HeldPool>,
+}
+
+/// The number on the way from `from` to `wanted` that changes `most` engines at most.
+pub(super) fn step(from: u32, wanted: u32, most: u32) -> u32 {
+    wanted.clamp(from.saturating_sub(most), from.saturating_add(most))
+}
+
+struct Scaler {
+    context: Rc<Context>,
+    store: Rc<dyn KeyValue>,
+    calls: Rc<dyn DutyCalls>,
+    authority: Authority,
+    pools: HashMap<PoolName, ScaledPool>,
+    /// Engines that may come or go now.
+    allowance: f64,
+}
+
+/// Sets numbers of engines while this node holds the lease, for as long as it is polled. While it is a relay, and so
+/// may take the lease, it follows the demand: a successor knows what its predecessor knew.
+pub(crate) async fn scale_engines(
+    context: Rc<Context>,
+    store: Rc<dyn KeyValue>,
+    calls: Rc<dyn DutyCalls>,
+    authority: Authority,
+) {
+    let mut scaler = Scaler {
+        context,
+        store,
+        calls,
+        authority,
+        pools: HashMap::new(),
+        allowance: CHANGES_PER_S,
+    };
+    loop {
+        actix_rt::time::sleep(LOOK_INTERVAL).await;
+        let refilled = scaler.allowance + CHANGES_PER_S * LOOK_INTERVAL.as_secs_f64();
+        scaler.allowance = refilled.min(CHANGES_PER_S);
+        scaler.look().await;
+    }
+}
+
+fn scaled_pools(context: &Context) -> Vec<(PoolName, ScalingTerms)> {
+    let table = context.table();
+    let pools = table.iter().flat_map(|table| table.pools());
+    let scaled = pools.filter_map(|pool| Some((pool.name.clone(), pool.scaling.clone()?)));
+    scaled.collect()
+}
+
+/// What the engines of a pool do and are asked to do, over all nodes; `None` if no figure is known.
+fn pool_work(context: &Context, pool: &PoolName) -> Option<PoolWork> {
+    let mut sum: Option<ClassFigures> = None;
+    for ((of, _), figures) in context.sums.classes.borrow().totals() {
+        if of == pool {
+            *sum.get_or_insert_default() += figures;
+        }
+    }
+    let sum = sum?;
+    let fleet = context.fleet();
+    let engines = fleet.pool(pool);
+    let speeds = &context.router.borrow().speeds;
+    let token_s = speeds.usual_s(Stage::Prefill, 1.0) - speeds.usual_s(Stage::Prefill, 0.0);
+    Some(PoolWork {
+        asked_per_s: f64::from(sum.asked_per_s),
+        begun_per_s: f64::from(sum.begun_per_s),
+        busy_slots: f64::from(sum.busy_slots),
+        prefill_tokens_per_s: f64::from(sum.prefill_tokens_per_s),
+        prefill_token_s: token_s,
+        slots: engines.iter().map(|engine| f64::from(engine.slots)).sum(),
+        engines: engines.len() as f64,
+    })
+}
+
+fn boot(terms: &ScalingTerms) -> Duration {
+    // A time that is none is taken for no time: orders are looked at again after the margin.
+    Duration::try_from_secs_f64(terms.boot_s).unwrap_or_default()
+}
+
+fn bounds(terms: &ScalingTerms) -> ScalingBounds {
+    ScalingBounds {
+        min: terms.min,
+        max: terms.max,
+        spot_price: terms.spot_price,
+    }
+}
+
+fn order_outcome(answered: &Result<DutyOutcome, Report<PlatformError>>) -> OrderOutcome {
+    match answered {
+        Ok(DutyOutcome::Taken) => OrderOutcome::Taken,
+        Ok(DutyOutcome::Refused) => OrderOutcome::Refused,
+        Err(error) if error.current_context().is_in_doubt() => OrderOutcome::InDoubt,
+        Err(_) => OrderOutcome::NotSent,
+    }
+}
+
+impl Scaler {
+    async fn look(&mut self) {
+        let now = self.context.now();
+        let may_order = self.authority.mandate(now).is_some();
+        if !may_order {
+            self.pools.values_mut().for_each(|pool| pool.held = None);
+            self.context.scaling_accounts.borrow_mut().clear();
+        }
+        if !may_order && !self.context.spread.role(now).is_relay {
+            self.pools.clear();
+            return;
+        }
+        for (pool, terms) in scaled_pools(&self.context) {
+            self.follow_demand(&pool, &terms);
+            if may_order {
+                self.look_at(&pool, &terms).await;
+            }
+        }
+    }
+
+    /// A node that hears no others knows its own figures only: they are not the fleet's.
+    fn follow_demand(&mut self, pool: &PoolName, terms: &ScalingTerms) {
+        let now = self.context.now();
+        let known = self.pools.entry(pool.clone()).or_default();
+        if self.context.spread.is_cut_off(now) {
+            return;
+        }
+        if let Some(work) = pool_work(&self.context, pool) {
+            known.demand.observe(now, work, boot(terms));
+        }
+    }
+
+    async fn look_at(&mut self, pool: &PoolName, terms: &ScalingTerms) {
+        let standing = self.context.zone_engines(pool);
+        if self
+            .pools
+            .get(pool)
+            .is_none_or(|known| known.held.is_none())
+        {
+            let Some(held) = self.take_over(pool, &standing).await else {
+                return;
+            };
+            self.pools.entry(pool.clone()).or_default().held = Some(held);
+        }
+        self.follow_losses(pool, &standing).await;
+        let Some(account) = self.decide(pool, terms, &standing) else {
+            return;
+        };
+        let orders = self.due(pool, &account);
+        let accounts = &self.context.scaling_accounts;
+        accounts.borrow_mut().insert(pool.clone(), account.clone());
+        for order in orders {
+            let count = step(order.from, order.count, self.allowance as u32);
+            if count == order.from && order.count != order.from {
+                // The rest of the allowance of this second is spent.
+                return;
+            }
+            self.allowance -= f64::from(count.abs_diff(order.from));
+            let order = DueOrder { count, ..order };
+            if !self.give(pool, order, terms, &account).await {
+                return;
+            }
+        }
+    }
+
+    /// What a new holder needs: the operator's own numbers, and the losses that former holders saw.
+    async fn take_over(
+        &mut self,
+        pool: &PoolName,
+        standing: &BTreeMap<ZoneName, ZoneEngines>,
+    ) -> Option<HeldPool> {
+        let logger = &self.context.logger;
+        let own = own_numbers(logger, &*self.store, pool, standing).await?;
+        let mut kept_losses = None;
+        if self.context.settings.scaling_mode() == ScalingMode::Demand {
+            match KeptLosses::read(&*self.store, pool).await {
+                Ok((kept, record)) => {
+                    kept_losses = Some(kept);
+                    let known = self.pools.entry(pool.clone()).or_default();
+                    known.demand.losses = SpotLosses::from_record(record);
+                }
+                Err(error) => log_unkept(logger, pool, "read losses", error.current_context()),
+            }
+        }
+        Some(HeldPool {
+            own,
+            orders: EngineOrders::default(),
+            kept_losses,
+        })
+    }
+
+    async fn follow_losses(&mut self, pool: &PoolName, standing: &BTreeMap<ZoneName, ZoneEngines>) {
+        let now = self.context.now();
+        let leaving = self.context.leaving_spot_engines(pool);
+        let Some(known) = self.pools.get_mut(pool) else {
+            return;
+        };
+        let Some(held) = &mut known.held else {
+            return;
+        };
+        let zones = standing.keys().chain(leaving.keys());
+        let zones = zones.map(|zone| {
+            let spot = ZoneSpot {
+                standing: standing.get(zone).map_or(0, |engines| engines.spot),
+                leaving: leaving.get(zone).copied().unwrap_or_default(),
+                ordered: held.orders.ordered(zone, EngineTenure::Spot),
+            };
+            (zone.clone(), spot)
+        });
+        if !known.demand.losses.observe(now, &zones.collect()) {
+            return;
+        }
+        let record = *known.demand.losses.record();
+        let logger = &self.context.logger;
+        log_event!(logger, Event::SpotEnginesLost, "pool" => %pool, "losses" => record.losses,
+            "zones_at_once" => record.zones_at_once, "leaving" => ?leaving);
+        if let Some(kept) = &mut held.kept_losses
+            && let Err(error) = kept.write(&*self.store, &record).await
+        {
+            log_unkept(logger, pool, "write losses", error.current_context());
+        }
+    }
+
+    fn decide(
+        &self,
+        pool: &PoolName,
+        terms: &ScalingTerms,
+        standing: &BTreeMap<ZoneName, ZoneEngines>,
+    ) -> Option<ScalingAccount> {
+        let known = self.pools.get(pool)?;
+        let held = known.held.as_ref()?;
+        let now = self.context.now();
+        let on_demand = standing.iter().map(|(zone, engines)| {
+            let ordered = held.orders.ordered(zone, EngineTenure::OnDemand);
+            engines.on_demand.max(ordered.unwrap_or_default())
+        });
+        let moment = ScalingMoment {
+            now,
+            own: &held.own,
+            standing,
+            without_spot: &held.orders.without_spot(now),
+            on_demand: on_demand.sum(),
+            bounds: bounds(terms),
+            prices: &terms.zone_prices,
+            policy: self.context.settings.scaling_policy(),
+            boot: boot(terms),
+        };
+        Some(match self.context.settings.scaling_mode() {
+            ScalingMode::Demand => known.demand.decide(&moment),
+            ScalingMode::Fixed => DemandScaling::default().decide(&moment),
+        })
+    }
+
+    fn due(&self, pool: &PoolName, account: &ScalingAccount) -> Vec<DueOrder> {
+        let known = self.pools.get(pool).and_then(|known| known.held.as_ref());
+        let (Some(held), Some(targets)) = (known, &account.targets) else {
+            return Vec::new();
+        };
+        let now = self.context.now();
+        held.orders.due(now, &account.standing, targets)
+    }
+
+    /// Gives an order; whether the lease still stands.
+    async fn give(
+        &mut self,
+        pool: &PoolName,
+        order: DueOrder,
+        terms: &ScalingTerms,
+        account: &ScalingAccount,
+    ) -> bool {
+        // Looked at again right before the call.
+        let Some(mandate) = self.authority.mandate(self.context.now()) else {
+            return false;
+        };
+        let authority = DutyAuthority {
+            holder: self.context.settings.node.as_str(),
+            token: mandate.token,
+        };
+        let call = EngineCountOrder {
+            pool: pool.clone(),
+            zone: order.key.zone.clone(),
+            tenure: order.key.tenure,
+            count: order.count,
+        };
+        let sent = self.calls.set_engine_count(authority, &call);
+        let now = || self.context.now();
+        let answered = while_held(&self.authority, mandate.token, now, sent).await;
+        let Some(answered) = answered else {
+            return false;
+        };
+        let metrics = &self.context.metrics;
+        metrics.duty_call("scaling", outcome_label(&answered));
+        self.log_order(&call, mandate.token, &answered, account);
+        let now = self.context.now();
+        let known = self.pools.get_mut(pool);
+        if let Some(held) = known.and_then(|known| known.held.as_mut()) {
+            let outcome = order_outcome(&answered);
+            held.orders
+                .answered(now, order.key, order.count, outcome, boot(terms));
+        }
+        true
+    }
+
+    fn log_order(
+        &self,
+        order: &EngineCountOrder,
+        token: u64,
+        answered: &Result<DutyOutcome, Report<PlatformError>>,
+        account: &ScalingAccount,
+    ) {
+        let logger = &self.context.logger;
+        match answered {
+            Ok(outcome) => {
+                let event = match outcome {
+                    DutyOutcome::Taken => Event::EngineCountOrdered,
+                    DutyOutcome::Refused => Event::DutyRefused,
+                };
+                log_event!(logger, event, "duty" => "scaling", "pool" => %order.pool,
+                    "zone" => %order.zone, "tenure" => ?order.tenure, "count" => order.count,
+                    "token" => token, "weighed" => %account);
+            }
+            Err(error) => {
+                log_event!(logger, Event::EngineCountFailed, "pool" => %order.pool,
+                    "zone" => %order.zone, "tenure" => ?order.tenure, "count" => order.count,
+                    "step" => "send", "error" => %error.current_context(), "weighed" => %account);
+            }
+        }
+    }
+}
--- a/crates/forwarding/src/node/settings.rs
+++ b/crates/forwarding/src/node/settings.rs
@@ -85,6 +85,23 @@
     /// Share of the operator's own number of engines that stays at the full price.
     #[serde(default)]
     pub on_demand_share: f64,
+    /// What the number of engines follows.
+    #[serde(default)]
+    pub scaling: ScalingMode,
+    /// What an engine at work is worth to callers, as a multiple of the full price.
+    #[serde(default = "default_engine_worth")]
+    pub engine_worth: f64,
+}
+
+/// What the number of engines follows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ScalingMode {
+    /// Demand, prices and losses.
+    #[default]
+    Demand,
+    /// The operator's own number and prices.
+    Fixed,
 }
 
 /// Name of the duty to report usage by tenant.
@@ -98,6 +115,11 @@
     2.0
 }
 
+/// Whoever pays the full price holds an engine at work to be worth that.
+fn default_engine_worth() -> f64 {
+    1.0
+}
+
 /// How usage is reported.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UsageSettings {
@@ -209,6 +231,7 @@
                 duties.engine_headroom,
                 "be above 0",
             ),
+            ("duties.engine_worth", duties.engine_worth, "be above 0"),
         ];
         let mut faults = Vec::new();
         for (field, value, bound) in figures {
@@ -311,9 +334,16 @@
         ScalingPolicy {
             headroom: duties.map_or(1.0, |duties| duties.engine_headroom),
             on_demand_share: duties.map_or(1.0, |duties| duties.on_demand_share),
+            engine_worth: duties.map_or_else(default_engine_worth, |duties| duties.engine_worth),
         }
     }
 
+    /// What the number of engines follows.
+    pub fn scaling_mode(&self) -> ScalingMode {
+        let duties = self.duties.as_ref();
+        duties.map_or(ScalingMode::Fixed, |duties| duties.scaling)
+    }
+
     /// Bounds of the budget of repeated sends.
     pub fn retry_terms(&self) -> SharedRetryTerms {
         SharedRetryTerms {
--- a/crates/planner/src/demand.rs
+++ b/crates/planner/src/demand.rs
@@ -5,11 +5,11 @@
 
 use dalestand_types::MonotonicTime;
 
-/// Time constant of the level, in seconds.
-const LEVEL_TIME_S: f64 = 4.0;
-
-/// Time constant of the trend, in seconds.
-const TREND_TIME_S: f64 = 12.0;
+/// Time constants of the demand in tokens, which is sampled once a second.
+const TOKEN_TIMES: SmoothingTimes = SmoothingTimes {
+    level_s: 4.0,
+    trend_s: 12.0,
+};
 
 /// Share of the trend that is believed in a forecast.
 const TREND_TRUST: f64 = 0.5;
@@ -32,17 +32,37 @@
     pub decode_tokens_per_s: f64,
 }
 
-/// One kind of tokens: level and trend by double exponential smoothing.
-#[derive(Clone, Copy, Debug, Default)]
-struct Smoothed {
+/// How quickly a level and its trend follow.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SmoothingTimes {
+    /// Time constant of the level, in seconds.
+    pub(crate) level_s: f64,
+    /// Time constant of the trend, in seconds.
+    pub(crate) trend_s: f64,
+}
+
+/// Level and trend by double exponential smoothing.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Smoothed {
+    times: SmoothingTimes,
     level: f64,
     trend: f64,
 }
 
 impl Smoothed {
-    fn update(&mut self, value: f64, elapsed_s: f64) {
-        let level_gain = 1.0 - (-elapsed_s / LEVEL_TIME_S).exp();
-        let trend_gain = 1.0 - (-elapsed_s / TREND_TIME_S).exp();
+    /// A level that does not move yet.
+    pub(crate) fn at(level: f64, times: SmoothingTimes) -> Self {
+        Self {
+            times,
+            level,
+            trend: 0.0,
+        }
+    }
+
+    /// Takes in a value, `elapsed_s` after the one before.
+    pub(crate) fn update(&mut self, value: f64, elapsed_s: f64) {
+        let level_gain = 1.0 - (-elapsed_s / self.times.level_s).exp();
+        let trend_gain = 1.0 - (-elapsed_s / self.times.trend_s).exp();
         let expected = self.level + self.trend * elapsed_s;
         let level = (expected + level_gain * (value - expected)).max(0.0);
         let slope = (level - self.level) / elapsed_s;
@@ -50,7 +70,8 @@
         self.level = level;
     }
 
-    fn after(&self, seconds: f64) -> f64 {
+    /// The value expected after so many seconds.
+    pub(crate) fn after(&self, seconds: f64) -> f64 {
         let change = TREND_TRUST * self.trend * seconds;
         let bound = LARGEST_FORECAST_CHANGE * self.level;
         (self.level + change.clamp(-bound, bound)).max(0.0)
@@ -58,7 +79,7 @@
 }
 
 /// Follows the demand of the engines under a plan.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct DemandEstimate {
     prefill: Smoothed,
     decode: Smoothed,
@@ -66,6 +87,18 @@
     history: VecDeque<Demand>,
 }
 
+impl Default for DemandEstimate {
+    fn default() -> Self {
+        let none = Smoothed::at(0.0, TOKEN_TIMES);
+        Self {
+            prefill: none,
+            decode: none,
+            sampled_at: None,
+            history: VecDeque::new(),
+        }
+    }
+}
+
 impl DemandEstimate {
     /// Takes in the demand as measured now; yields whether it was due.
     pub(crate) fn sample(&mut self, now: MonotonicTime, measured: Demand) -> bool {
--- a/crates/planner/src/engine_scaling.rs
+++ b/crates/planner/src/engine_scaling/fixed.rs
@@ -1,4 +1,4 @@
-//! How many engines each zone has, and on what terms.
+//! The number of engines without knowledge of demand.
 //!
 //! The operator's own number of engines says what it is ready to pay for. Where the platform offers
 //! engines that it may take away again at a fraction of the price, the same money buys more of them:
@@ -9,37 +9,7 @@
 
 use dalestand_types::ZoneName;
 
-/// What a pool's engines cost and how many there may be.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ScalingBounds {
-    /// Fewest engines of a zone.
-    pub min: u32,
-    /// Most engines of a zone, whatever their terms.
-    pub max: u32,
-    /// Price of a spot engine as a share of an on-demand one; `None` where there are none.
-    pub spot_price: Option<f64>,
-}
-
-/// What the operator allows.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ScalingPolicy {
-    /// Spot engines for each engine of the operator's number.
-    pub headroom: f64,
-    /// Share of the operator's number that stays on demand.
-    pub on_demand_share: f64,
-}
-
-/// Engines of one zone that take new work.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ZoneEngines {
-    /// At the full price.
-    pub on_demand: u32,
-    /// Engines that may be taken away.
-    pub spot: u32,
-}
-
-/// Engines that each zone is to have.
-pub type EngineTargets = BTreeMap<ZoneName, ZoneEngines>;
+use crate::engine_scaling::terms::{EngineTargets, ScalingBounds, ScalingPolicy, ZoneEngines};
 
 /// The engines to order where `present` take new work and the operator's own numbers are `own`;
 /// `None` where no other terms are offered, or where they would cost as much.
--- a/crates/planner/tests/engine_scaling.rs
+++ b/crates/planner/tests/engine_scaling.rs
@@ -15,6 +15,7 @@
 const POLICY: ScalingPolicy = ScalingPolicy {
     headroom: 2.0,
     on_demand_share: 0.0,
+    engine_worth: 1.0,
 };
 
 fn zone(number: usize) -> ZoneName {
@@ -126,7 +127,7 @@
             .collect();
         let standing = present(&standing);
         let bounds = ScalingBounds { min, ..BOUNDS };
-        let policy = ScalingPolicy { headroom, on_demand_share: share };
+        let policy = ScalingPolicy { headroom, on_demand_share: share, ..POLICY };
         let Some(targets) = engine_targets(&own, &standing, bounds, policy) else {
             return Ok(());
         };
--- a/crates/routes/src/file.rs
+++ b/crates/routes/src/file.rs
@@ -1,6 +1,8 @@
 //! What an operator declares: routes, pools of engines and bounds on callers.
 
-use dalestand_types::{PoolName, Revision};
+use std::collections::BTreeMap;
+
+use dalestand_types::{PoolName, Revision, ZoneName};
 use serde::{Deserialize, Serialize};
 
 use crate::tenant::TenantTerms;
@@ -123,6 +125,9 @@
     /// there are none.
     #[serde(default)]
     pub spot_price: Option<f64>,
+    /// Price of an engine by zone, as a multiple of the usual one; the usual one where a zone is not named.
+    #[serde(default)]
+    pub zone_prices: BTreeMap<ZoneName, f64>,
 }
 
 /// Figures of a pool of language-model engines.
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -146,6 +146,8 @@
     EngineCountOrdered = (1711, Info, "engine count ordered");
     /// The number of engines of a zone could not be ordered yet.
     EngineCountFailed = (1712, Warning, "engine count not ordered yet");
+    /// Spot engines of one or more zones were taken away.
+    SpotEnginesLost = (1713, Warning, "spot engines taken away");
     /// The settings file was read again.
     SettingsRead = (1605, Info, "settings read again");
     /// The settings file changed and cannot be used.
