On-demand engines that boot stay ordered; metrics, settings and operator's pages of engines by demand

Change: what boots counts as standing and keeps its room; on-demand engines stay in their zones; all together cost no more than the operator's own number; spot engines go only once those that replace them stand. Gauges, settings and pages.

--- a/cmd/tests/forwarding_files.rs
+++ b/cmd/tests/forwarding_files.rs
@@ -88,6 +88,8 @@
 #[case::late_at_once("usage_late_s = 10", "usage_late_s = 0", "duties.usage_late_s")]
 #[case::no_headroom("usage_late_s = 10", "engine_headroom = 0", "duties.engine_headroom")]
 #[case::share("usage_late_s = 10", "on_demand_share = 1.5", "duties.on_demand_share")]
+#[case::worth("usage_late_s = 10", "engine_worth = -1", "duties.engine_worth")]
+#[case::scaling("usage_late_s = 10", "scaling = \"none\"", "scaling")]
 #[case::unknown_field("usage_late_s = 10", "usage_latte_s = 10", "usage_latte_s")]
 #[case::bad_address("127.0.0.1:8084", "nowhere", "address")]
 fn faults_of_duties_are_told(#[case] from: &str, #[case] to: &str, #[case] told: &str) {
--- a/crates/forwarding/src/duties/scaling/mod.rs
+++ b/crates/forwarding/src/duties/scaling/mod.rs
@@ -281,14 +281,15 @@
         let now = self.context.now();
         let on_demand = standing.iter().map(|(zone, engines)| {
             let ordered = held.orders.ordered(zone, EngineTenure::OnDemand);
-            engines.on_demand.max(ordered.unwrap_or_default())
+            let count = engines.on_demand.max(ordered.unwrap_or_default());
+            (zone.clone(), count)
         });
         let moment = ScalingMoment {
             now,
             own: &held.own,
             standing,
             without_spot: &held.orders.without_spot(now),
-            on_demand: on_demand.sum(),
+            on_demand: &on_demand.collect(),
             bounds: bounds(terms),
             prices: &terms.zone_prices,
             policy: self.context.settings.scaling_policy(),
--- a/crates/forwarding/src/node/metrics/mod.rs
+++ b/crates/forwarding/src/node/metrics/mod.rs
@@ -3,6 +3,7 @@
 mod engine_signals;
 mod figures;
 pub(crate) mod page;
+mod scaling;
 
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 
 use self::engine_signals::SignalFigures;
 use self::figures::Figures;
+use self::scaling::ScalingFigures;
 use crate::serve::progress::CallRecord;
 
 /// Upper bounds of the latency histograms, in seconds.
@@ -58,6 +60,7 @@
     signals: SignalFigures,
     crashes: IntCounter,
     requests_stopped: IntGauge,
+    scaling: ScalingFigures,
 }
 
 impl ForwardingMetrics {
@@ -187,6 +190,7 @@
                 "Requests that are refused because engines ended under them.",
             )?,
             signals: SignalFigures::new(&figures)?,
+            scaling: ScalingFigures::new(&figures)?,
             registry: figures.into_registry(),
         })
     }
--- a/crates/planner/src/engine_scaling/mod.rs
+++ b/crates/planner/src/engine_scaling/mod.rs
@@ -8,6 +8,7 @@
 mod fixed;
 mod losses;
 mod need;
+mod plan;
 mod spread;
 mod terms;
 mod work;
