On-demand engines that boot count in zones where none stand

Change: orders::on_demand counts them in all zones of the operator's; the bound by cost does not move with plans.

--- a/crates/forwarding/src/duties/scaling/mod.rs
+++ b/crates/forwarding/src/duties/scaling/mod.rs
@@ -279,17 +279,12 @@
         let known = self.pools.get(pool)?;
         let held = known.held.as_ref()?;
         let now = self.context.now();
-        let on_demand = standing.iter().map(|(zone, engines)| {
-            let ordered = held.orders.ordered(zone, EngineTenure::OnDemand);
-            let count = engines.on_demand.max(ordered.unwrap_or_default());
-            (zone.clone(), count)
-        });
         let moment = ScalingMoment {
             now,
             own: &held.own,
             standing,
             without_spot: &held.orders.without_spot(now),
-            on_demand: &on_demand.collect(),
+            on_demand: &held.orders.on_demand(&held.own, standing),
             bounds: bounds(terms),
             prices: &terms.zone_prices,
             policy: self.context.settings.scaling_policy(),
--- a/crates/forwarding/src/duties/scaling/orders.rs
+++ b/crates/forwarding/src/duties/scaling/orders.rs
@@ -131,6 +131,21 @@
         refused.map(|(key, _)| key.zone.clone()).collect()
     }
 
+    /// On-demand engines by zone that stand or were ordered and boot. Where they only boot, none stand in the zone.
+    pub(in crate::duties) fn on_demand(
+        &self,
+        own: &BTreeMap<ZoneName, u32>,
+        standing: &BTreeMap<ZoneName, ZoneEngines>,
+    ) -> BTreeMap<ZoneName, u32> {
+        let zones = own.keys().chain(standing.keys());
+        let counts = zones.map(|zone| {
+            let ordered = self.ordered(zone, EngineTenure::OnDemand);
+            let standing = standing.get(zone).map_or(0, |engines| engines.on_demand);
+            (zone.clone(), standing.max(ordered.unwrap_or_default()))
+        });
+        counts.collect()
+    }
+
     /// The number that was last ordered, if that order was taken.
     pub(in crate::duties) fn ordered(&self, zone: &ZoneName, tenure: EngineTenure) -> Option<u32> {
         let zone = zone.clone();
--- a/crates/forwarding/src/duties/tests.rs
+++ b/crates/forwarding/src/duties/tests.rs
@@ -17,7 +17,7 @@
 
 use super::report_slots::ReportSlots;
 use super::scaling::kept_losses::KeptLosses;
-use super::scaling::orders::{DueOrder, EngineOrders, OrderOutcome};
+use super::scaling::orders::{DueOrder, EngineOrders, OrderKey, OrderOutcome};
 use super::scaling::step;
 
 /// What becomes of a write.
@@ -338,6 +338,22 @@
     assert_eq!(asked, 5, "each 2 s of 10 s");
 }
 
+/// All engines of a zone were taken away, and on-demand engines boot there.
+#[test]
+fn on_demand_engines_that_boot_count_where_none_stand() {
+    let zone = ZoneName::from("zone");
+    let mut orders = EngineOrders::default();
+    let tenure = EngineTenure::OnDemand;
+    let key = OrderKey {
+        zone: zone.clone(),
+        tenure,
+    };
+    orders.answered(MonotonicTime::ZERO, key, 9, OrderOutcome::Taken, BOOT);
+    let own = BTreeMap::from([(zone.clone(), 15)]);
+    let on_demand = orders.on_demand(&own, &BTreeMap::new());
+    assert_eq!(on_demand, BTreeMap::from([(zone, 9)]));
+}
+
 /// Losses that one holder kept are known to the next, also where the answer to the write was lost.
 #[test]
 fn losses_outlive_their_holder() {
--- a/crates/planner/src/engine_scaling/plan.rs
+++ b/crates/planner/src/engine_scaling/plan.rs
@@ -127,14 +127,17 @@
         account.losses.insured = short > 0 && self.is_worth_insuring(account);
         let insured = if account.losses.insured { short } else { 0 };
         let wanted = missing.max(still_needed).max(insured);
-        wanted.min(self.affordable(spot)).max(self.kept())
+        wanted.min(self.affordable()).max(self.kept())
     }
 
-    /// On-demand engines with which the fleet is no dearer than the operator's own number.
-    fn affordable(&self, spot: &Counts) -> u32 {
+    /// On-demand engines with which the fleet is no dearer than the operator's own number; those that stand or boot
+    /// do not go for that.
+    fn affordable(&self) -> u32 {
         let own = f64::from(sum(self.moment.own)) * FULL_PRICE;
         let spot_price = spot_price(self.moment).unwrap_or(FULL_PRICE);
-        (own - f64::from(sum(spot)) * spot_price).max(0.0) as u32
+        let spot: u32 = self.moment.standing.values().map(|zone| zone.spot).sum();
+        let affordable = (own - f64::from(spot) * spot_price).max(0.0) as u32;
+        affordable.max(sum(self.moment.on_demand))
     }
 
     /// On-demand engines that stay whatever the demand.
