Idle engines are kept until another would serve as well; one loss says nothing of how often they come

A holder that saw a loss in its first second insured it at once and gave that up again. Change: the time for which an engine is kept counts the time to fill its memory; losses are taken to be looked for over two minutes at least.

--- a/crates/forwarding/src/duties/scaling/mod.rs
+++ b/crates/forwarding/src/duties/scaling/mod.rs
@@ -112,19 +112,33 @@
     let sum = sum?;
     let fleet = context.fleet();
     let engines = fleet.pool(pool);
-    let speeds = &context.router.borrow().speeds;
-    let token_s = speeds.usual_s(Stage::Prefill, 1.0) - speeds.usual_s(Stage::Prefill, 0.0);
     Some(PoolWork {
         asked_per_s: f64::from(sum.asked_per_s),
         begun_per_s: f64::from(sum.begun_per_s),
         busy_slots: f64::from(sum.busy_slots),
         prefill_tokens_per_s: f64::from(sum.prefill_tokens_per_s),
-        prefill_token_s: token_s,
+        prefill_token_s: prefill_token_s(context),
         slots: engines.iter().map(|engine| f64::from(engine.slots)).sum(),
         engines: engines.len() as f64,
     })
 }
 
+/// Time in which an engine of usual speed prefills what fills its memory; none for engines without prompts.
+fn warm_up(context: &Context, pool: &PoolName) -> Duration {
+    let table = context.table();
+    let terms = table.as_ref().and_then(|table| table.pool(pool));
+    let prompts = terms.and_then(|terms| terms.prompt_engine);
+    let tokens = prompts.map_or(0.0, |engine| engine.memory_tokens as f64);
+    // A time that is none is taken for no time.
+    Duration::try_from_secs_f64(tokens * prefill_token_s(context)).unwrap_or_default()
+}
+
+/// Time to prefill one token, as learnt, in seconds.
+fn prefill_token_s(context: &Context) -> f64 {
+    let speeds = &context.router.borrow().speeds;
+    speeds.usual_s(Stage::Prefill, 1.0) - speeds.usual_s(Stage::Prefill, 0.0)
+}
+
 fn boot(terms: &ScalingTerms) -> Duration {
     // A time that is none is taken for no time: orders are looked at again after the margin.
     Duration::try_from_secs_f64(terms.boot_s).unwrap_or_default()
@@ -289,6 +303,7 @@
             prices: &terms.zone_prices,
             policy: self.context.settings.scaling_policy(),
             boot: boot(terms),
+            warm_up: warm_up(&self.context, pool),
         };
         Some(match self.context.settings.scaling_mode() {
             ScalingMode::Demand => known.demand.decide(&moment),
--- a/crates/planner/src/engine_scaling/by_demand.rs
+++ b/crates/planner/src/engine_scaling/by_demand.rs
@@ -52,6 +52,8 @@
     pub policy: ScalingPolicy,
     /// Time from an order until the engine serves.
     pub boot: Duration,
+    /// Time in which an engine prefills what fills its memory.
+    pub warm_up: Duration,
 }
 
 impl DemandScaling {
@@ -101,11 +103,11 @@
     }
 }
 
-/// The time for which an idle engine at `price` is kept: until it has cost what callers lose if it is needed and has
-/// to boot first.
+/// The time for which an idle engine at `price` is kept: until it has cost what callers lose if it is needed, has to
+/// boot first and has nothing of their prompts in its memory.
 fn kept_for(moment: &ScalingMoment<'_>, price: f64) -> Duration {
-    let boot_s = moment.boot.as_secs_f64();
-    let kept_s = boot_s * moment.policy.engine_worth / price;
+    let lost_s = (moment.boot + moment.warm_up).as_secs_f64();
+    let kept_s = lost_s * moment.policy.engine_worth / price;
     let kept = Duration::try_from_secs_f64(kept_s).unwrap_or(MEMORY);
     kept.clamp(moment.boot.min(MEMORY), MEMORY)
 }
--- a/crates/planner/src/engine_scaling/losses.rs
+++ b/crates/planner/src/engine_scaling/losses.rs
@@ -68,9 +68,10 @@
         self.observed_s += other.observed_s;
     }
 
-    /// Mean time between two losses, in seconds; `None` if none was seen.
-    pub fn between_s(&self) -> Option<f64> {
-        (self.losses > 0).then(|| self.observed_s / f64::from(self.losses))
+    /// Mean time between two losses, in seconds; `None` if none was seen. They are taken to be looked for over
+    /// `least_s` at least.
+    pub fn between_s(&self, least_s: f64) -> Option<f64> {
+        (self.losses > 0).then(|| self.observed_s.max(least_s) / f64::from(self.losses))
     }
 
     /// Mean time without the engines that were taken away, in seconds.
--- a/crates/planner/src/engine_scaling/plan.rs
+++ b/crates/planner/src/engine_scaling/plan.rs
@@ -21,6 +21,9 @@
 /// entries at all nodes.
 const LEAST_GIVEN_BACK: f64 = 0.1;
 
+/// Losses say how often they come once they were looked for over this time: as long as waves are remembered.
+const LEAST_OBSERVED_S: f64 = 120.0;
+
 /// Engines by zone.
 type Counts = BTreeMap<ZoneName, u32>;
 
@@ -153,7 +156,7 @@
     /// Whether callers lose more by the losses that were seen than on-demand engines in their place cost.
     fn is_worth_insuring(&self, account: &ScalingAccount) -> bool {
         let record = &account.losses.record;
-        let Some(between_s) = record.between_s() else {
+        let Some(between_s) = record.between_s(LEAST_OBSERVED_S) else {
             return false;
         };
         let outage_s = record.outage_s().max(self.moment.boot.as_secs_f64());
--- a/crates/planner/tests/engines_by_demand.rs
+++ b/crates/planner/tests/engines_by_demand.rs
@@ -67,6 +67,7 @@
             prices: &self.prices,
             policy: POLICY,
             boot: BOOT,
+            warm_up: Duration::ZERO,
         })
     }
 
@@ -158,15 +159,20 @@
 /// Losses of two zones: what is left is short only if limits bind, and then on-demand engines stand for it where
 /// losses are as frequent as they are long.
 #[rstest]
-#[case::frequent(60.0, true)]
-#[case::rare(6_000.0, false)]
-fn losses_are_insured_if_they_cost_more(#[case] observed_s: f64, #[case] insured: bool) {
+#[case::frequent(8, 160.0, true)]
+#[case::rare(8, 6_000.0, false)]
+#[case::at_first(1, 2.0, false)]
+fn losses_are_insured_if_they_cost_more(
+    #[case] losses: u32,
+    #[case] observed_s: f64,
+    #[case] insured: bool,
+) {
     let mut fleet = Fleet::new();
     fleet.bounds.max = 20;
     fleet.scaling.losses = SpotLosses::from_record(LossRecord {
-        losses: 3,
+        losses,
         zones_at_once: 3,
-        missed_s: 75.0,
+        missed_s: 25.0 * f64::from(losses),
         observed_s,
     });
     let account = fleet.run(40.0, |_| 12.0);
