--- a/crates/forwarding/src/node/metrics/mod.rs
+++ b/crates/forwarding/src/node/metrics/mod.rs
@@ -4,6 +4,7 @@
 mod figures;
 pub(crate) mod page;
 mod scaling;
+mod sums;
 
 use std::time::Duration;
 
@@ -17,6 +18,7 @@
 use self::engine_signals::SignalFigures;
 use self::figures::Figures;
 use self::scaling::ScalingFigures;
+use self::sums::SumFigures;
 use crate::serve::progress::CallRecord;
 
 /// Upper bounds of the latency histograms, in seconds.
@@ -58,6 +60,7 @@
     code_collisions: IntGauge,
     entries_unreadable: IntCounter,
     signals: SignalFigures,
+    sums: SumFigures,
     crashes: IntCounter,
     requests_stopped: IntGauge,
     scaling: ScalingFigures,
@@ -191,6 +194,7 @@
             )?,
             signals: SignalFigures::new(&figures)?,
             scaling: ScalingFigures::new(&figures)?,
+            sums: SumFigures::new(&figures)?,
             registry: figures.into_registry(),
         })
     }
