What requests took in calm says how many engines a burst needs

Change: the time of an engine that a request of each class takes is learnt while all are served; under more work it counts times what is asked for. The fewest engines of a zone are not ordered on demand and given up while spot engines are asked for again.

--- a/crates/forwarding/src/duties/scaling/mod.rs
+++ b/crates/forwarding/src/duties/scaling/mod.rs
@@ -13,8 +13,8 @@
 };
 use dalestand_edge::{KeyValue, PlatformError};
 use dalestand_planner::{
-    DemandScaling, PoolWork, ScalingAccount, ScalingBounds, ScalingMoment, SpotLosses, ZoneEngines,
-    ZoneSpot,
+    ClassWork, DemandScaling, PoolWork, ScalingAccount, ScalingBounds, ScalingMoment, SpotLosses,
+    ZoneEngines, ZoneSpot,
 };
 use dalestand_routes::ScalingTerms;
 use dalestand_routing::ClassFigures;
@@ -103,26 +103,34 @@
 
 /// What the engines of a pool do and are asked to do, over all nodes; `None` if no figure is known.
 fn pool_work(context: &Context, pool: &PoolName) -> Option<PoolWork> {
-    let mut sum: Option<ClassFigures> = None;
-    for ((of, _), figures) in context.sums.classes.borrow().totals() {
+    let mut classes = BTreeMap::new();
+    for ((of, priority), figures) in context.sums.classes.borrow().totals() {
         if of == pool {
-            *sum.get_or_insert_default() += figures;
+            classes.insert(*priority, class_work(figures));
         }
     }
-    let sum = sum?;
+    if classes.is_empty() {
+        return None;
+    }
     let fleet = context.fleet();
     let engines = fleet.pool(pool);
     Some(PoolWork {
-        asked_per_s: f64::from(sum.asked_per_s),
-        begun_per_s: f64::from(sum.begun_per_s),
-        busy_slots: f64::from(sum.busy_slots),
-        prefill_tokens_per_s: f64::from(sum.prefill_tokens_per_s),
+        classes,
         prefill_token_s: prefill_token_s(context),
         slots: engines.iter().map(|engine| f64::from(engine.slots)).sum(),
         engines: engines.len() as f64,
     })
 }
 
+fn class_work(figures: &ClassFigures) -> ClassWork {
+    ClassWork {
+        asked_per_s: f64::from(figures.asked_per_s),
+        begun_per_s: f64::from(figures.begun_per_s),
+        busy_slots: f64::from(figures.busy_slots),
+        prefill_tokens_per_s: f64::from(figures.prefill_tokens_per_s),
+    }
+}
+
 /// Time in which an engine of usual speed prefills what fills its memory; none for engines without prompts.
 fn warm_up(context: &Context, pool: &PoolName) -> Duration {
     let table = context.table();
--- a/crates/planner/src/engine_scaling/account.rs
+++ b/crates/planner/src/engine_scaling/account.rs
@@ -94,14 +94,15 @@
         let losses = &self.losses;
         write!(formatter, "{:?}: ", self.rule)?;
         if let Some(work) = &self.work {
+            let total = work.total();
             write!(
                 formatter,
                 "{:.0}/s asked, {:.0}/s begun, {:.0} of {:.0} slots busy, {:.0} prompt tokens/s; ",
-                work.asked_per_s,
-                work.begun_per_s,
-                work.busy_slots,
+                total.asked_per_s,
+                total.begun_per_s,
+                total.busy_slots,
                 work.slots,
-                work.prefill_tokens_per_s
+                total.prefill_tokens_per_s
             )?;
         }
         if let Some(need) = &self.need {
--- a/crates/planner/src/engine_scaling/by_demand.rs
+++ b/crates/planner/src/engine_scaling/by_demand.rs
@@ -16,7 +16,7 @@
 use crate::engine_scaling::terms::{
     EngineTargets, ScalingBounds, ScalingPolicy, ZoneEngines, ZonePrices,
 };
-use crate::engine_scaling::work::PoolWork;
+use crate::engine_scaling::work::{PoolWork, RequestWork};
 
 /// Price of an on-demand engine.
 pub(super) const FULL_PRICE: f64 = 1.0;
@@ -28,6 +28,7 @@
     pub need: EngineNeed,
     /// Losses of spot engines.
     pub losses: SpotLosses,
+    request: RequestWork,
     work: Option<PoolWork>,
 }
 
@@ -59,7 +60,7 @@
 impl DemandScaling {
     /// Takes in what the pool's engines do and are asked to do, where engines take `boot` until they serve.
     pub fn observe(&mut self, now: MonotonicTime, work: PoolWork, boot: Duration) {
-        if let Some(needed) = work.engines_needed() {
+        if let Some(needed) = self.request.engines_needed(now, &work) {
             self.need.observe(now, needed, boot);
             self.work = Some(work);
         }
@@ -70,7 +71,7 @@
         let need = self.need_account(moment);
         let mut account = ScalingAccount {
             rule: ScalingRule::Fixed,
-            work: self.work.filter(|_| need.is_some()),
+            work: self.work.clone().filter(|_| need.is_some()),
             need,
             losses: LossAccount {
                 record: *self.losses.record(),
--- a/crates/planner/src/engine_scaling/mod.rs
+++ b/crates/planner/src/engine_scaling/mod.rs
@@ -19,4 +19,4 @@
 pub use losses::{LossRecord, SpotLosses, ZoneSpot};
 pub use need::EngineNeed;
 pub use terms::{EngineTargets, ScalingBounds, ScalingPolicy, ZoneEngines, ZonePrices};
-pub use work::PoolWork;
+pub use work::{ClassWork, PoolWork, RequestWork};
--- a/crates/planner/src/engine_scaling/plan.rs
+++ b/crates/planner/src/engine_scaling/plan.rs
@@ -195,8 +195,10 @@
             let most = bounds
                 .max
                 .saturating_sub(spot.max(self.standing(zone).spot));
-            let least = bounds.min.saturating_sub(spot);
             let now = self.on_demand(zone);
+            // One that stands for spot engines that are still to come stays.
+            let kept = bounds.min.saturating_sub(self.standing(zone).spot).min(now);
+            let least = bounds.min.saturating_sub(spot).max(kept);
             let (least, most) = if grows {
                 (least.max(now), most)
             } else {
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -23,9 +23,9 @@
 pub use config::PlannerConfig;
 pub use demand::Demand;
 pub use engine_scaling::{
-    DemandScaling, EngineNeed, EngineTargets, LossAccount, LossRecord, NeedAccount, PoolWork,
-    ScalingAccount, ScalingBounds, ScalingMoment, ScalingPolicy, ScalingRule, SpotLosses,
-    ZoneEngines, ZonePrices, ZoneSpot, engine_targets,
+    ClassWork, DemandScaling, EngineNeed, EngineTargets, LossAccount, LossRecord, NeedAccount,
+    PoolWork, RequestWork, ScalingAccount, ScalingBounds, ScalingMoment, ScalingPolicy,
+    ScalingRule, SpotLosses, ZoneEngines, ZonePrices, ZoneSpot, engine_targets,
 };
 pub use plan::{PlanInputs, PlanReason, RolePlan};
 pub use planner::RolePlanner;
--- a/crates/planner/tests/engines_by_demand.rs
+++ b/crates/planner/tests/engines_by_demand.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use dalestand_planner::{
-    DemandScaling, LossRecord, PoolWork, ScalingAccount, ScalingBounds, ScalingMoment,
-    ScalingPolicy, ScalingRule, SpotLosses, ZoneEngines, ZonePrices, ZoneSpot, engine_targets,
+    ClassWork, DemandScaling, LossRecord, PoolWork, RequestWork, ScalingAccount, ScalingBounds,
+    ScalingMoment, ScalingPolicy, ScalingRule, SpotLosses, ZoneEngines, ZonePrices, ZoneSpot,
+    engine_targets,
 };
 use dalestand_types::{MonotonicTime, ZoneName};
 use proptest::prelude::*;
@@ -271,29 +272,52 @@
     );
 }
 
-#[rstest]
-#[case::slots(60.0, 100.0, 100.0, 0.0, Some(5.0))]
-#[case::prompts_too(60.0, 100.0, 100.0, 2e5, Some(7.0))]
-#[case::half_is_refused(120.0, 200.0, 100.0, 0.0, Some(20.0))]
-#[case::nothing(0.0, 0.0, 0.0, 0.0, Some(0.0))]
-#[case::no_number(f64::NAN, 0.0, 0.0, f64::NAN, None)]
-fn work_tells_how_many_engines_it_needs(
-    #[case] busy_slots: f64,
-    #[case] asked_per_s: f64,
-    #[case] begun_per_s: f64,
-    #[case] prefill_tokens_per_s: f64,
-    #[case] needed: Option<f64>,
-) {
-    let work = PoolWork {
+fn work(
+    asked_per_s: f64,
+    begun_per_s: f64,
+    busy_slots: f64,
+    prefill_tokens_per_s: f64,
+) -> PoolWork {
+    let class = ClassWork {
         asked_per_s,
         begun_per_s,
         busy_slots,
         prefill_tokens_per_s,
+    };
+    PoolWork {
+        classes: BTreeMap::from([(2, class)]),
         prefill_token_s: 1e-5,
         slots: 120.0,
         engines: 10.0,
-    };
-    assert_eq!(work.engines_needed(), needed);
+    }
+}
+
+#[rstest]
+#[case::slots(work(100.0, 100.0, 60.0, 0.0), Some(5.0))]
+#[case::prompts_too(work(100.0, 100.0, 60.0, 2e5), Some(7.0))]
+#[case::half_is_refused(work(200.0, 100.0, 120.0, 0.0), Some(20.0))]
+#[case::nothing(work(0.0, 0.0, 0.0, 0.0), Some(0.0))]
+#[case::no_number(work(0.0, 0.0, f64::NAN, 0.0), None)]
+#[case::no_engines(PoolWork::default(), None)]
+fn work_tells_how_many_engines_it_needs(#[case] work: PoolWork, #[case] needed: Option<f64>) {
+    let mut request = RequestWork::default();
+    assert_eq!(request.engines_needed(MonotonicTime::ZERO, &work), needed);
+}
+
+/// In a burst engines' queues are full, and prompts are sent again and again: what is asked for counts by what
+/// requests took before.
+#[rstest]
+fn a_burst_needs_what_its_requests_took_in_calm() {
+    let mut request = RequestWork::default();
+    let now = MonotonicTime::ZERO;
+    let calm = request.engines_needed(now, &work(100.0, 100.0, 24.0, 1e5));
+    assert_eq!(calm, Some(3.0));
+    let burst = request.engines_needed(now, &work(600.0, 200.0, 400.0, 4e6));
+    assert_eq!(
+        burst,
+        Some(20.0),
+        "both kinds of engines are full, 18 of six times as many"
+    );
 }
 
 proptest! {
