--- a/crates/planner/src/engine_scaling/work.rs
+++ b/crates/planner/src/engine_scaling/work.rs
@@ -18,6 +18,10 @@
 /// Requests that are asked for over those begun, up to which all are taken to be served: both are means over seconds.
 const CALM_UNSERVED: f64 = 1.1;
 
+/// Under more work than engines do, so many times those at work are taken to be needed at most. What is beyond it shows
+/// once they serve, and refused callers that come again do not add up.
+const MOST_GROWTH: f64 = 2.0;
+
 /// Time constant of what a request takes, in seconds: longer than a shift of the mix within a class lasts.
 const LEARNT_TIME_S: f64 = 10.0;
 
@@ -135,7 +139,7 @@
                 |request_s| request_s * asked.asked_per_s,
             )
         });
-        Some(asked.sum::<f64>().max(busy))
+        Some(asked.sum::<f64>().max(busy).min(work.engines * MOST_GROWTH))
     }
 
     fn learn(&mut self, now: MonotonicTime, work: &PoolWork) {
