--- a/crates/forwarding/src/node/metrics/mod.rs
+++ b/crates/forwarding/src/node/metrics/mod.rs
@@ -3,6 +3,7 @@
 mod engine_signals;
 mod figures;
 pub(crate) mod page;
+mod scaling;
 mod sums;
 
 use std::time::Duration;
@@ -16,6 +17,7 @@
 
 use self::engine_signals::SignalFigures;
 use self::figures::Figures;
+use self::scaling::ScalingFigures;
 use self::sums::SumFigures;
 use crate::serve::progress::CallRecord;
 
@@ -61,6 +63,7 @@
     sums: SumFigures,
     crashes: IntCounter,
     requests_stopped: IntGauge,
+    scaling: ScalingFigures,
 }
 
 impl ForwardingMetrics {
@@ -190,6 +193,7 @@
                 "Requests that are refused because engines ended under them.",
             )?,
             signals: SignalFigures::new(&figures)?,
+            scaling: ScalingFigures::new(&figures)?,
             sums: SumFigures::new(&figures)?,
             registry: figures.into_registry(),
         })
