--- a/crates/forwarding/tests/support/node.rs
+++ b/crates/forwarding/tests/support/node.rs
@@ -185,6 +185,15 @@
         self.declare_pool(revision, &tenant, "once", 1, 1_000);
     }
 
+    /// The same with several tenants, each with its name as its key; attempts at `attempts` engines.
+    pub fn declare_tenants(&self, revision: u64, tenants: &[&str], attempts: u32) {
+        let tenants = tenants.iter();
+        let tenants: String = tenants
+            .map(|name| format!("[[tenant]]\nname = \"{name}\"\nkeys = [\"{name}\"]\n"))
+            .collect();
+        self.declare_pool(revision, &tenants, "repeatable", attempts, 1_000);
+    }
+
     /// Sends a request with a key; yields all bytes of the answer.
     pub async fn request_with_key(&self, id: &str, key: &str) -> String {
         let headers = format!("x-id: {id}\r\nhost: a.example\r\nx-key: {key}\r\n");
--- /dev/null
+++ b/crates/forwarding/tests/tenant_shares.rs
@@ -0,0 +1,188 @@
+//! Tenants that compete for too little room.
+//!
+//! Seen: five nodes and four engines with room for 200 requests a second; one tenant asks 400, three ask 20 each.
+//! The three were served 0.40, 0.21 and 0.15 of what they asked, far under their fair share of 50, and the big one
+//! 0.46.
+//! Cause: of whose a request is, nothing but the engine was told.
+//! Proof: the same load here.
+
+#[allow(
+    dead_code,
+    unused_imports,
+    reason = "each test program uses a part of it"
+)]
+mod support;
+
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, LazyLock, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use support::{TestEngine, TestNode, answer, id_of};
+
+/// Requests that an engine works on at once. With [`WORK`] four engines have room for 200 a second.
+const SLOTS: u32 = 4;
+
+/// Time that an engine takes for one.
+const WORK: Duration = Duration::from_millis(80);
+
+/// Room of the engines together, in requests a second.
+const ROOM_PER_S: f64 = 200.0;
+
+/// Requests a second of the big tenant, which is far over its fair share of 140.
+const BIG_PER_S: u32 = 400;
+
+/// Requests a second of each small one, far under a quarter of the room.
+const SMALL_PER_S: u32 = 20;
+
+const SMALL: [&str; 3] = ["small-1", "small-2", "small-3"];
+
+/// Share of the requests of a tenant under its fair share that is to be served.
+const SERVED: f64 = 0.95;
+
+/// Time for which the small ones ask alone: nodes know them then.
+const CALM: Duration = Duration::from_secs(1);
+
+/// Time for which all ask.
+const STORM: Duration = Duration::from_secs(5);
+
+/// Requests at work, by the engine's port.
+static AT_WORK: LazyLock<Mutex<HashMap<u16, u32>>> = LazyLock::new(Mutex::default);
+
+fn change_work(port: u16, change: impl FnOnce(&mut u32) -> bool) -> bool {
+    change(AT_WORK.lock().expect("no panic").entry(port).or_default())
+}
+
+/// Works on [`SLOTS`] requests at once and refuses further ones.
+fn bounded(head: &str, stream: &mut TcpStream) {
+    let port = stream.local_addr().expect("an address").port();
+    let id = id_of(head);
+    let takes = |at_work: &mut u32| {
+        let has_room = *at_work < SLOTS;
+        *at_work += u32::from(has_room);
+        has_room
+    };
+    if !change_work(port, takes) {
+        let headers = format!("x-id: {id}\r\nx-refused: 1\r\n");
+        return answer(stream, "503 Service Unavailable", &headers, "");
+    }
+    thread::sleep(WORK);
+    change_work(port, |at_work| {
+        *at_work -= 1;
+        true
+    });
+    answer(stream, "200 OK", &format!("x-id: {id}\r\n"), "whole");
+}
+
+/// Requests of one tenant.
+#[derive(Clone, Copy, Debug, Default)]
+struct Outcome {
+    asked: u32,
+    served: u32,
+}
+
+impl Outcome {
+    fn served_share(self) -> f64 {
+        f64::from(self.served) / f64::from(self.asked)
+    }
+}
+
+type Outcomes = Arc<Mutex<HashMap<&'static str, Outcome>>>;
+
+/// Asks at all nodes in turn, evenly, for `lasts`.
+async fn ask(
+    nodes: Arc<[SocketAddr]>,
+    tenant: &'static str,
+    per_s: u32,
+    lasts: Duration,
+    outcomes: Outcomes,
+) {
+    let mut ticks = tokio::time::interval(Duration::from_secs(1) / per_s);
+    let requests = (lasts.as_secs_f64() * f64::from(per_s)) as usize;
+    let mut asked = Vec::new();
+    for place in 0..requests {
+        ticks.tick().await;
+        let node = nodes[place % nodes.len()];
+        let outcomes = Arc::clone(&outcomes);
+        asked.push(tokio::spawn(async move {
+            let headers =
+                format!("x-id: {tenant}-{place}\r\nhost: a.example\r\nx-key: {tenant}\r\n");
+            let answer = support::get(node, &headers, "/r/x").await;
+            let mut outcomes = outcomes.lock().expect("no panic");
+            let outcome = outcomes.entry(tenant).or_default();
+            outcome.asked += 1;
+            outcome.served += u32::from(answer.starts_with("HTTP/1.1 200"));
+        }));
+    }
+    futures_util::future::join_all(asked).await;
+}
+
+/// Callers have a thread of their own, as nodes share one here.
+async fn storm(nodes: Arc<[SocketAddr]>) -> HashMap<&'static str, Outcome> {
+    let (done, outcome) = tokio::sync::oneshot::channel();
+    thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        let outcomes = runtime.block_on(async {
+            let outcomes = Outcomes::default();
+            let ask = |tenant, per_s, lasts| {
+                ask(
+                    Arc::clone(&nodes),
+                    tenant,
+                    per_s,
+                    lasts,
+                    Arc::clone(&outcomes),
+                )
+            };
+            let small = SMALL.map(|tenant| ask(tenant, SMALL_PER_S, CALM + STORM));
+            let big = async {
+                tokio::time::sleep(CALM).await;
+                ask("big", BIG_PER_S, STORM).await;
+            };
+            futures_util::future::join(futures_util::future::join_all(small), big).await;
+            let outcomes = outcomes.lock().expect("no panic");
+            outcomes.clone()
+        });
+        done.send(outcomes).expect("the test waits");
+    });
+    outcome.await.expect("the callers end")
+}
+
+#[actix_rt::test]
+async fn a_storm_of_one_tenant_costs_the_others_nothing() {
+    let first = TestNode::start().await;
+    first.declare_tenants(1, &["big", SMALL[0], SMALL[1], SMALL[2]], 3);
+    let mut nodes = vec![first.callers];
+    for name in ["node-2", "node-3", "node-4", "node-5"] {
+        nodes.push(first.start_beside(name).await.callers);
+    }
+    let engines: Vec<TestEngine> = (0..4).map(|_| TestEngine::start(bounded)).collect();
+    for (place, engine) in engines.iter().enumerate() {
+        first.list(&format!("e{place}"), engine, "ready");
+    }
+    // Nodes find each other by their entries.
+    actix_rt::time::sleep(Duration::from_millis(2_500)).await;
+    let outcomes = storm(nodes.into()).await;
+    let heads: usize = engines
+        .iter()
+        .map(|engine| {
+            engine
+                .heads()
+                .iter()
+                .filter(|head| head.contains("x-id: "))
+                .count()
+        })
+        .sum();
+    println!("{outcomes:?}, {heads} sends");
+    for tenant in SMALL {
+        let share = outcomes[tenant].served_share();
+        assert!(share >= SERVED, "{tenant}: {share}");
+    }
+    let of_small = f64::from(SMALL_PER_S) * SMALL.len() as f64;
+    let rest = (ROOM_PER_S - of_small) / f64::from(BIG_PER_S);
+    let big = outcomes["big"].served_share();
+    println!("rest {rest}, big {big}");
+}
