Fair shares of tenants by the sums of all nodes: first whole path

Change: routing::room::shares (weighted max-min, pool short or not, part of a tenant's requests that passes), routing::room::tenant_meters (64 largest tenants of a pool and one row for the others), the driver, a weight for tenants in declarations, counters, fields of the account line.

--- a/crates/dissemination/src/lib.rs
+++ b/crates/dissemination/src/lib.rs
@@ -46,6 +46,4 @@
 pub use permits::{EngineLimit, EngineLimits, PermitAnswer, PermitNeed, PermitRequest};
 pub use subscribers::Subscribers;
 pub use subscription::{ReportTarget, Subscription};
-pub use sums::{
-    ClassRow, SlownessRow, SumScope, SummedRows, SumsMessage, TenantCode, TenantRow, TenantRows,
-};
+pub use sums::{ClassRow, SlownessRow, SumScope, SummedRows, SumsMessage, TenantRow, TenantRows};
--- a/crates/dissemination/src/sums.rs
+++ b/crates/dissemination/src/sums.rs
@@ -1,6 +1,6 @@
 //! Figures of pools, tenants and engines on their way between nodes.
 
-use dalestand_routing::{ClassFigures, SlownessFigures, TenantFigures, WorkKind};
+use dalestand_routing::{ClassFigures, SlownessFigures, TenantCode, TenantFigures, WorkKind};
 use dalestand_types::PoolName;
 use serde::{Deserialize, Serialize};
 
@@ -29,11 +29,6 @@
     pub figures: ClassFigures,
 }
 
-/// A short number for a tenant: names may be long.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Deserialize, Serialize)]
-#[serde(transparent)]
-pub struct TenantCode(pub u64);
-
 /// What one tenant asks of one pool.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
 pub struct TenantRow {
--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -33,6 +33,7 @@
 use crate::roles::demand::DemandMeter;
 use crate::serve::class_counts::ClassCounts;
 use crate::serve::held_bytes::HeldBytes;
+use crate::serve::tenant_shares::TenantShares;
 use crate::spread::Spread;
 
 /// A node has at least this many connections to each engine, however many nodes there are.
@@ -82,6 +83,8 @@
     pub(crate) role_changes: RefCell<Vec<(EngineKey, Duration)>>,
     /// Requests of this node by pool and priority.
     pub(crate) classes: Rc<ClassCounts>,
+    /// Requests of this node by tenant, and the shares of tenants.
+    pub(crate) tenant_shares: Rc<TenantShares>,
     /// Figures that add up over all nodes.
     pub(crate) sums: FleetSums,
     /// Requests that end engines.
@@ -131,6 +134,7 @@
             demand: RefCell::default(),
             role_changes: RefCell::default(),
             classes: Rc::default(),
+            tenant_shares: Rc::default(),
             sums: FleetSums::default(),
             quarantine: Quarantine::default(),
             store_era: watch::Sender::new(0),
@@ -323,6 +327,17 @@
     pub(crate) fn count_own_figures(&self, now: MonotonicTime) {
         let classes = self.classes.figures(now);
         self.sums.classes.borrow_mut().set_own(classes);
+        let tenants = self.tenant_shares.figures(now);
+        self.sums.tenants.borrow_mut().set_own(tenants);
+    }
+
+    /// Works the shares of tenants out from the figures of all nodes.
+    pub(crate) fn divide_room(&self, now: MonotonicTime) {
+        if let Some(table) = self.table() {
+            let fleet = self.fleet();
+            let engines = |pool: &PoolName| fleet.pool(pool);
+            self.tenant_shares.refresh(now, &self.sums, &table, engines);
+        }
     }
 
     /// Has relays say what they know of kept parts.
--- a/crates/forwarding/src/fleet_sums.rs
+++ b/crates/forwarding/src/fleet_sums.rs
@@ -6,9 +6,11 @@
 use std::cell::RefCell;
 use std::time::Duration;
 
-use dalestand_dissemination::{EngineCode, TenantCode};
+use dalestand_dissemination::EngineCode;
 use dalestand_routing::staged::LoadSource;
-use dalestand_routing::{ClassFigures, SlownessFigures, SourceSums, TenantFigures, WorkKind};
+use dalestand_routing::{
+    ClassFigures, SlownessFigures, SourceSums, TenantCode, TenantFigures, WorkKind,
+};
 use dalestand_types::{MonotonicTime, PoolName};
 
 /// A row of a pool or a tenant counts for this long: three reports, so that one that is lost changes nothing,
--- a/crates/forwarding/src/node/metrics/mod.rs
+++ b/crates/forwarding/src/node/metrics/mod.rs
@@ -9,6 +9,7 @@
 use dalestand_http_server::StatusCode;
 use dalestand_routes::RouteKind;
 use dalestand_routing::CallPurpose;
+use dalestand_types::PoolName;
 use prometheus::{
     Histogram, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry,
 };
@@ -58,6 +59,8 @@
     signals: SignalFigures,
     crashes: IntCounter,
     requests_stopped: IntGauge,
+    over_share: IntCounterVec,
+    tenants_over_share: IntGaugeVec,
 }
 
 impl ForwardingMetrics {
@@ -186,6 +189,16 @@
                 "requests_stopped",
                 "Requests that are refused because engines ended under them.",
             )?,
+            over_share: figures.counters(
+                "requests_over_share_total",
+                "Requests that were refused because their tenant was over its share, by pool.",
+                &["pool"],
+            )?,
+            tenants_over_share: figures.gauges(
+                "tenants_over_share",
+                "Tenants that ask for more than their share, by pool; all small ones count as one.",
+                &["pool"],
+            )?,
             signals: SignalFigures::new(&figures)?,
             registry: figures.into_registry(),
         })
@@ -246,6 +259,11 @@
         self.bulk_dropped.inc_by(count);
     }
 
+    /// Notes a request that was refused because its tenant was over its share.
+    pub(crate) fn over_share(&self, pool: &PoolName) {
+        self.over_share.with_label_values(&[pool.as_str()]).inc();
+    }
+
     /// Notes a request that was at an engine when that ended.
     pub(crate) fn crash_attributed(&self) {
         self.crashes.inc();
--- a/crates/forwarding/src/node/metrics/page.rs
+++ b/crates/forwarding/src/node/metrics/page.rs
@@ -47,6 +47,7 @@
         }
         self.requests_stopped.set(stopped_count(context) as i64);
         self.set_repeats_left(context);
+        self.set_tenants_over_share(context);
         let mut buffer = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut buffer)?;
         Ok(String::from_utf8_lossy(&buffer).into_owned())
@@ -63,6 +64,14 @@
             gauge.set(left.floor() as i64);
         }
     }
+
+    fn set_tenants_over_share(&self, context: &Context) {
+        self.tenants_over_share.reset();
+        for (pool, tenants) in context.tenant_shares.tenants_cut(context.now()) {
+            let gauge = self.tenants_over_share.with_label_values(&[pool.as_str()]);
+            gauge.set(tenants as i64);
+        }
+    }
 }
 
 fn standing_signals(context: &Context) -> StandingSignals {
--- a/crates/forwarding/src/serve/account.rs
+++ b/crates/forwarding/src/serve/account.rs
@@ -20,6 +20,9 @@
 
 /// Notes a request without an answer of an engine.
 pub(crate) fn log_failed(context: &Context, progress: &Progress, failure: Failure) {
+    let account = progress.share;
+    let share = account.and_then(|account| account.share);
+    let age = account.and_then(|account| account.age);
     log_event!(context.logger, Event::RequestFailed,
         "request" => progress.facts.id.as_deref().unwrap_or_default(),
         "route" => &progress.route.name, "reason" => ?failure,
@@ -30,6 +33,10 @@
         "engines" => context.fleet().len(),
         "expected_ms" => progress.expected.map(|expected| milliseconds(expected.whole_s)),
         "queue_ms" => progress.expected.map(|expected| milliseconds(expected.queue_s)),
+        "tenant" => progress.caller.tenant().map(|tenant| tenant.name.as_str()),
+        "tenant_share" => share.map(|share| share.share_per_s),
+        "tenant_demand" => share.map(|share| share.asked_per_s),
+        "tenant_figures_age_ms" => age.map(|age| age.as_millis() as u64),
         "calls" => progress.account());
 }
 
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -151,6 +151,11 @@
                 AttemptResult::Sound(took)
             };
             work.begun();
+            if let Some(tenant) = progress.tenant.clone()
+                && call.purpose == CallPurpose::Run
+            {
+                work.counts_for(tenant);
+            }
             let answer = EngineAnswer {
                 before: before.starting,
                 head: exchange.head,
--- a/crates/forwarding/src/serve/class_counts.rs
+++ b/crates/forwarding/src/serve/class_counts.rs
@@ -4,10 +4,12 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use dalestand_clock::BootInstant;
 use dalestand_routing::{ClassFigures, ClassMeter};
 use dalestand_types::MonotonicTime;
 
-use crate::fleet_sums::ClassKey;
+use crate::fleet_sums::{ClassKey, TenantKey};
+use crate::serve::tenant_shares::TenantShares;
 
 /// Rates below this, in events a second, are not reported: nothing came for many seconds.
 const LEAST_REPORTED_PER_S: f32 = 1e-3;
@@ -61,6 +63,9 @@
 pub(crate) struct BusySlot {
     counts: Rc<ClassCounts>,
     class: ClassKey,
+    taken_at: BootInstant,
+    /// Whose slot time it is, once an engine has taken the request up.
+    tenant: Option<(Rc<TenantShares>, TenantKey)>,
 }
 
 impl BusySlot {
@@ -70,8 +75,15 @@
         Self {
             counts: Rc::clone(counts),
             class: class.clone(),
+            taken_at: BootInstant::now(),
+            tenant: None,
         }
     }
+
+    /// Has the time that the slot is held count for a tenant.
+    pub(crate) fn counts_for(&mut self, shares: &Rc<TenantShares>, tenant: TenantKey) {
+        self.tenant = Some((Rc::clone(shares), tenant));
+    }
 }
 
 impl Drop for BusySlot {
@@ -79,5 +91,8 @@
         self.counts.note(&self.class, |meter| {
             meter.busy_slots = meter.busy_slots.saturating_sub(1);
         });
+        if let Some((shares, tenant)) = &self.tenant {
+            shares.held_slot(tenant, self.taken_at.elapsed());
+        }
     }
 }
--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -8,6 +8,7 @@
 use dalestand_engine_link::ResponseHead;
 use dalestand_http_server::{Answer, ConnectionType, Request};
 use dalestand_routing::CallPurpose;
+use dalestand_routing::room::ShareStanding;
 use dalestand_routing::staged::{
     AttemptResult, EngineChoice, StagedEngine, TimeBounds, refused_for,
 };
@@ -100,9 +101,22 @@
         .classes
         .note(&progress.class, |meter| match failure {
             None => meter.begun.count(now, 1.0),
-            Some(failure) if failure.retry_after().is_some() => meter.refused.count(now, 1.0),
+            Some(failure) if failure.retry_after().is_some() => {
+                meter.refused.count(now, 1.0);
+                if matches!(failure, Failure::OverShare(_)) {
+                    meter.over_share.count(now, 1.0);
+                }
+            }
             Some(_) => {}
         });
+    match (&progress.tenant, failure) {
+        (Some(tenant), None) => {
+            let shares = &context.tenant_shares;
+            shares.begun(now, tenant, progress.unread_tokens);
+        }
+        (Some((pool, _)), Some(Failure::OverShare(_))) => context.metrics.over_share(pool),
+        (Some(_) | None, _) => {}
+    }
 }
 
 /// During a planned stop each answer tells the caller to connect anew.
@@ -211,6 +225,12 @@
     let plan = choose(context, progress).ok_or_else(|| final_failure(context, progress))?;
     let link_s = context.uplink.borrow().wait(context.now()).as_secs_f64();
     progress.expected = plan.expected.map(|expected| expected.behind(link_s));
+    if progress.share.is_none() {
+        progress.unread_tokens = plan.unread_tokens();
+        if let Some(failure) = over_share(context, progress) {
+            return Err(failure);
+        }
+    }
     if let Some(failure) = refused(progress) {
         return Err(failure);
     }
@@ -227,6 +247,18 @@
     }
 }
 
+/// Counts a request for its tenant; the answer to one that lies beyond the tenant's share.
+fn over_share(context: &Context, progress: &mut Progress) -> Option<Failure> {
+    let tenant = progress.tenant.as_ref()?;
+    let shares = &context.tenant_shares;
+    let account = shares.asked(context.now(), tenant, progress.unread_tokens, &context.sums);
+    progress.share = Some(account);
+    let is_over = account.standing == ShareStanding::Over;
+    let share = account.share.filter(|_| is_over && progress.runs == 0)?;
+    let wait = share.catches_up_in(progress.time_left(), rand::random());
+    Some(Failure::OverShare(wait))
+}
+
 /// The answer to a request that has not run and cannot be answered in time.
 fn refused(progress: &Progress) -> Option<Failure> {
     if progress.runs > 0 {
--- a/crates/forwarding/src/serve/mod.rs
+++ b/crates/forwarding/src/serve/mod.rs
@@ -18,4 +18,5 @@
 pub(crate) mod progress;
 pub(crate) mod relay;
 pub(crate) mod relay_error;
+pub(crate) mod tenant_shares;
 pub(crate) mod work_guard;
--- a/crates/forwarding/src/serve/plan.rs
+++ b/crates/forwarding/src/serve/plan.rs
@@ -31,6 +31,14 @@
     Prefill(EngineChoice),
 }
 
+impl Plan {
+    /// Prompt tokens that the engine of the first call has to prefill.
+    pub(crate) fn unread_tokens(&self) -> u32 {
+        let (Step::Whole(choice) | Step::Prefill(choice)) = &self.step;
+        choice.unread_tokens
+    }
+}
+
 /// The next step for a request; `None` where no pool of its route has an engine for it.
 pub(crate) fn choose(context: &Context, progress: &Progress) -> Option<Plan> {
     let fleet = context.fleet();
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -17,8 +17,9 @@
 use dalestand_routing::{CallCounts, CallPurpose};
 use dalestand_types::{EngineSignals, LimitSignal, PoolName, RequestRate};
 
-use crate::fleet_sums::ClassKey;
+use crate::fleet_sums::{ClassKey, TenantKey};
 use crate::node::settings::ForwardingSettings;
+use crate::serve::tenant_shares::{ShareAccount, code_of};
 
 /// Most calls made for one request, whatever came of them.
 const MAX_CALLS: usize = 6;
@@ -158,6 +159,12 @@
     pub(crate) route: Arc<RouteTerms>,
     /// The first of its pools and its priority.
     pub(crate) class: ClassKey,
+    /// The first of its pools and its tenant's number, where tenants are declared.
+    pub(crate) tenant: Option<TenantKey>,
+    /// How it stands against its tenant's share, once an engine was chosen.
+    pub(crate) share: Option<ShareAccount>,
+    /// Prompt tokens that the engine first chosen would have to prefill.
+    pub(crate) unread_tokens: u32,
     /// The pools that may serve it, in the order in which they are to be asked.
     pub(crate) pools: Vec<PoolName>,
     pub(crate) started: BootInstant,
@@ -194,6 +201,7 @@
             started,
         } = admitted;
         let limit = Duration::from_millis(route.time_limit_ms);
+        let tenant = code_of(&caller).map(|code| (class.0.clone(), code));
         let held = facts.deadline.map_or(limit, |deadline| deadline.min(limit));
         Self {
             facts,
@@ -202,6 +210,9 @@
             table,
             route,
             class,
+            tenant,
+            share: None,
+            unread_tokens: 0,
             pools,
             fingerprint,
             is_trial: false,
--- a/crates/forwarding/src/serve/work_guard.rs
+++ b/crates/forwarding/src/serve/work_guard.rs
@@ -6,6 +6,7 @@
 use dalestand_routing::staged::{EngineKey, PromptPart, StagedEngine};
 
 use crate::context::Context;
+use crate::fleet_sums::TenantKey;
 use crate::serve::class_counts::BusySlot;
 
 /// Prompt tokens from which a change of an engine's work is told to peers at once.
@@ -19,7 +20,7 @@
     parts: Vec<PromptPart>,
     is_read: bool,
     has_begun: bool,
-    _slot: BusySlot,
+    slot: BusySlot,
 }
 
 impl WorkGuard {
@@ -49,7 +50,7 @@
             parts: parts.to_vec(),
             is_read: false,
             has_begun: false,
-            _slot: slot,
+            slot,
         };
         guard.tell();
         guard
@@ -62,6 +63,11 @@
         }
     }
 
+    /// Has the time that the request is at the engine count for a tenant.
+    pub(crate) fn counts_for(&mut self, tenant: TenantKey) {
+        self.slot.counts_for(&self.context.tenant_shares, tenant);
+    }
+
     /// Notes that the prompt was read.
     pub(crate) fn prompt_read(&mut self) {
         if !std::mem::replace(&mut self.is_read, true) && !self.parts.is_empty() {
--- a/crates/forwarding/src/spread/sums.rs
+++ b/crates/forwarding/src/spread/sums.rs
@@ -9,6 +9,7 @@
     ClassRow, Message, ReportTarget, SlownessRow, SumScope, SummedRows, SumsMessage, TenantRow,
     TenantRows,
 };
+use dalestand_routing::room::tenant_meters::largest;
 use dalestand_routing::staged::LoadSource;
 use tokio::net::UdpSocket;
 
@@ -28,9 +29,6 @@
 /// Rows of pools, of tenants or of engines in one message: 1.2 KB, what a path carries in one packet.
 const ROWS_PER_MESSAGE: usize = 32;
 
-/// Tenants of one pool that are reported, the largest first. The others are small beside them.
-const TENANTS_REPORTED: usize = 64;
-
 /// Engines reported in one round; larger fleets go by turns.
 const ENGINES_PER_ROUND: usize = 128;
 
@@ -49,6 +47,7 @@
         }
         context.count_own_figures(now);
         context.sums.refresh(now);
+        context.divide_room(now);
         let sent_bytes = if is_relay {
             send_as_relay(&context, &socket, turn)
         } else {
@@ -132,19 +131,14 @@
     let tenants = context.sums.tenants.borrow();
     let mut pools = std::collections::BTreeMap::new();
     for ((pool, tenant), figures) in tenants.sum_of(context.now(), counts) {
-        let rows: &mut Vec<TenantRow> = pools.entry(pool).or_default();
-        rows.push(TenantRow { tenant, figures });
+        let rows: &mut Vec<_> = pools.entry(pool).or_default();
+        rows.push((tenant, figures));
     }
     let mut messages = Vec::new();
-    for (pool, mut rows) in pools {
-        rows.sort_by(|one, other| {
-            let by_demand = other
-                .figures
-                .asked_per_s
-                .total_cmp(&one.figures.asked_per_s);
-            by_demand.then_with(|| one.tenant.cmp(&other.tenant))
-        });
-        rows.truncate(TENANTS_REPORTED);
+    for (pool, rows) in pools {
+        let rows = largest(rows).into_iter();
+        let rows = rows.map(|(tenant, figures)| TenantRow { tenant, figures });
+        let rows: Vec<TenantRow> = rows.collect();
         let chunks = rows.chunks(ROWS_PER_MESSAGE);
         messages.extend(chunks.map(|rows| {
             SummedRows::Tenants(TenantRows {
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -9,7 +9,7 @@
 use crate::tenant::{Caller, KeyIndex, PresentedKey, Tenant, TenantTerms, Unauthorized};
 
 /// Why a declaration cannot come into force.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
 pub enum RouteFault {
     /// The text is not a declaration.
     #[error("not a route file: {0}")]
@@ -38,6 +38,9 @@
     /// A key is declared twice.
     #[error("tenant {0}: a key is declared twice")]
     KeyTwice(TenantName),
+    /// A weight is no number above 0.
+    #[error("tenant {tenant}: weight {weight} must be a number above 0")]
+    Weight { tenant: TenantName, weight: f64 },
 }
 
 /// Routes by host and path.
@@ -50,6 +53,8 @@
     callers: CallerBounds,
     /// `None` where no tenants are declared.
     keys: Option<KeyIndex>,
+    /// Weights of the tenants that have one.
+    tenant_weights: HashMap<TenantName, f64>,
 }
 
 impl RouteTable {
@@ -77,6 +82,7 @@
             routes.push(Arc::new(route));
         }
         if !file.tenants.is_empty() {
+            table.tenant_weights = weights(&file.tenants, &mut faults);
             table.keys = Some(index_keys(file.tenants, &mut faults));
         }
         for routes in table.hosts.values_mut() {
@@ -169,6 +175,16 @@
         }
     }
 
+    /// Whether tenants are declared.
+    pub fn has_tenants(&self) -> bool {
+        self.keys.is_some()
+    }
+
+    /// Weights of the tenants that have one; that of others is 1.
+    pub fn tenant_weights(&self) -> &HashMap<TenantName, f64> {
+        &self.tenant_weights
+    }
+
     /// A pool by its name.
     pub fn pool(&self, name: &PoolName) -> Option<&Arc<PoolTerms>> {
         self.pools.get(name)
@@ -185,6 +201,22 @@
     }
 }
 
+/// The weights that tenants are declared with.
+fn weights(tenants: &[TenantTerms], faults: &mut Vec<RouteFault>) -> HashMap<TenantName, f64> {
+    let weights = tenants.iter().filter_map(|terms| {
+        let weight = terms.weight?;
+        if weight.is_finite() && weight > 0.0 {
+            return Some((terms.name.clone(), weight));
+        }
+        faults.push(RouteFault::Weight {
+            tenant: terms.name.clone(),
+            weight,
+        });
+        None
+    });
+    weights.collect()
+}
+
 /// Keeps the keys of all tenants, as hashes.
 fn index_keys(tenants: Vec<TenantTerms>, faults: &mut Vec<RouteFault>) -> KeyIndex {
     let mut keys = KeyIndex::new();
--- a/crates/routes/src/tenant.rs
+++ b/crates/routes/src/tenant.rs
@@ -42,6 +42,9 @@
     /// Importance of its requests in place of the route's; 0 is the highest.
     #[serde(default)]
     pub priority: Option<u8>,
+    /// Its part of a pool that is short of room, against 1 for tenants without one; above 0.
+    #[serde(default)]
+    pub weight: Option<f64>,
 }
 
 /// The key that came with a request.
--- a/crates/routes/tests/tenants.rs
+++ b/crates/routes/tests/tenants.rs
@@ -115,6 +115,32 @@
     assert!(!format!("{faults:?}").contains("same-key"));
 }
 
+#[rstest]
+#[case("0.0", "0")]
+#[case("-2.5", "-2.5")]
+#[case("nan", "NaN")]
+#[case("inf", "inf")]
+fn weights_that_are_no_numbers_above_0_are_all_listed(#[case] weight: &str, #[case] shown: &str) {
+    let tenant = |name| format!("[[tenant]]\nname = \"{name}\"\nweight = {weight}\n");
+    let text = format!("{ROUTES}{}{}", tenant("one"), tenant("two"));
+    let faults = RouteTable::parse(&text).expect_err("faults");
+    let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    let expected = ["one", "two"]
+        .map(|name| format!("tenant {name}: weight {shown} must be a number above 0"));
+    assert_eq!(faults, expected);
+}
+
+#[rstest]
+fn weights_are_kept_of_those_who_have_one() {
+    let weighted = "[[tenant]]\nname = \"weighted\"\nweight = 2.5\n";
+    let table = table(&format!("{TENANTS}{weighted}"));
+    let weights = table.tenant_weights().iter();
+    let weights: Vec<_> = weights
+        .map(|(name, weight)| (name.as_str(), *weight))
+        .collect();
+    assert_eq!(weights, [("weighted", 2.5)]);
+}
+
 proptest! {
     #[test]
     fn no_debug_text_contains_a_key(text in "[a-z0-9]{12,24}") {
--- a/crates/routing/src/class_meter.rs
+++ b/crates/routing/src/class_meter.rs
@@ -22,6 +22,12 @@
         self.counted_at = now;
     }
 
+    /// Takes in what another counted.
+    pub fn add(&mut self, now: MonotonicTime, other: &Self) {
+        self.per_s = self.at(now) + other.at(now);
+        self.counted_at = now;
+    }
+
     /// The rate at `now`, a second.
     pub fn at(&self, now: MonotonicTime) -> f64 {
         let passed_s = now.since(self.counted_at).as_secs_f64();
@@ -40,6 +46,8 @@
     pub begun: FadingRate,
     /// Requests that were refused.
     pub refused: FadingRate,
+    /// Those among them whose tenant was over its share.
+    pub over_share: FadingRate,
     /// Calls that engines refused.
     pub engine_refusals: FadingRate,
     /// Prompt tokens that engines had to prefill.
@@ -60,6 +68,7 @@
             returned_per_s: self.returned.at(now) as f32,
             begun_per_s: self.begun.at(now) as f32,
             refused_per_s: self.refused.at(now) as f32,
+            over_share_per_s: self.over_share.at(now) as f32,
             engine_refusals_per_s: self.engine_refusals.at(now) as f32,
             busy_slots: self.busy_slots as f32,
             prefill_tokens_per_s: self.prefill_tokens.at(now) as f32,
--- a/crates/routing/src/figures.rs
+++ b/crates/routing/src/figures.rs
@@ -2,8 +2,11 @@
 
 use std::ops::AddAssign;
 
+use dalestand_types::TenantName;
 use serde::{Deserialize, Serialize};
 
+use crate::prefix::text_hash;
+
 /// Above this a figure is taken for an error: a hundred times what the largest fleet is asked in a second.
 const MOST_PER_S: f32 = 1e6;
 
@@ -25,6 +28,8 @@
     pub begun_per_s: f32,
     /// Requests a second that were refused.
     pub refused_per_s: f32,
+    /// Those among them whose tenant was over its share.
+    pub over_share_per_s: f32,
     /// Calls a second that engines refused.
     pub engine_refusals_per_s: f32,
     /// Slots of engines that answers took up, on average.
@@ -45,6 +50,7 @@
             self.returned_per_s,
             self.begun_per_s,
             self.refused_per_s,
+            self.over_share_per_s,
             self.engine_refusals_per_s,
             self.busy_slots,
             self.waiting,
@@ -62,6 +68,7 @@
         self.returned_per_s += other.returned_per_s;
         self.begun_per_s += other.begun_per_s;
         self.refused_per_s += other.refused_per_s;
+        self.over_share_per_s += other.over_share_per_s;
         self.engine_refusals_per_s += other.engine_refusals_per_s;
         self.busy_slots += other.busy_slots;
         self.prefill_tokens_per_s += other.prefill_tokens_per_s;
@@ -70,26 +77,66 @@
     }
 }
 
-/// What one tenant asks of a pool, in the unit in which the pool is short.
+/// Work of requests, in both units in which a pool can be short.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct WorkRate {
+    /// Slots of engines that it takes up, on average.
+    pub slots: f32,
+    /// Prompt tokens a second that engines have to prefill for it.
+    pub prompt_tokens_per_s: f32,
+}
+
+impl WorkRate {
+    fn is_sound(&self) -> bool {
+        is_rate(self.slots, MOST_PER_S) && is_rate(self.prompt_tokens_per_s, MOST_TOKENS_PER_S)
+    }
+}
+
+impl AddAssign<&Self> for WorkRate {
+    fn add_assign(&mut self, other: &Self) {
+        self.slots += other.slots;
+        self.prompt_tokens_per_s += other.prompt_tokens_per_s;
+    }
+}
+
+/// What one tenant asks of a pool. Each is a mean over the last seconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct TenantFigures {
-    /// Units a second that it asks for, first tries only, served or not.
-    pub asked_per_s: f32,
-    /// Units a second that engines began for it.
-    pub begun_per_s: f32,
+    /// Work that it asks for, served or not, repeats among it.
+    pub asked: WorkRate,
+    /// Work that engines began for it.
+    pub begun: WorkRate,
 }
 
 impl TenantFigures {
     /// Whether each figure is one that a node can have counted.
     pub fn is_sound(&self) -> bool {
-        is_rate(self.asked_per_s, MOST_TOKENS_PER_S) && is_rate(self.begun_per_s, MOST_TOKENS_PER_S)
+        self.asked.is_sound() && self.begun.is_sound()
     }
 }
 
 impl AddAssign<&Self> for TenantFigures {
     fn add_assign(&mut self, other: &Self) {
-        self.asked_per_s += other.asked_per_s;
-        self.begun_per_s += other.begun_per_s;
+        self.asked += &other.asked;
+        self.begun += &other.begun;
+    }
+}
+
+/// A short number for a tenant: names may be long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct TenantCode(pub u64);
+
+impl TenantCode {
+    /// All tenants that no other row names.
+    pub const OTHERS: Self = Self(0);
+
+    /// Callers that show no key, together.
+    pub const ANONYMOUS: Self = Self(1);
+
+    /// The number of a tenant, the same at all nodes. Two tenants with the same number share one part.
+    pub fn of(name: &TenantName) -> Self {
+        Self(text_hash(name.as_str()).max(Self::ANONYMOUS.0 + 1))
     }
 }
 
--- a/crates/routing/src/source_sums.rs
+++ b/crates/routing/src/source_sums.rs
@@ -76,6 +76,12 @@
         sums
     }
 
+    /// When another node last reported anything that still counts.
+    pub fn newest_report(&self) -> Option<MonotonicTime> {
+        let rows = self.reported.values().flat_map(HashMap::values);
+        rows.map(|(_, reported_at)| *reported_at).max()
+    }
+
     /// Forgets rows that have lapsed, and adds up the totals anew. The sums of the fleet have this node's own
     /// figures in them: where they are known, they are the totals.
     pub fn refresh(&mut self, now: MonotonicTime) {
--- a/crates/routing/tests/source_sums.rs
+++ b/crates/routing/tests/source_sums.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use dalestand_routing::staged::LoadSource;
-use dalestand_routing::{ClassFigures, ClassMeter, SlownessFigures, SourceSums, TenantFigures};
+use dalestand_routing::{
+    ClassFigures, ClassMeter, SlownessFigures, SourceSums, TenantFigures, WorkRate,
+};
 use dalestand_types::MonotonicTime;
 use proptest::prelude::*;
 use rstest::rstest;
@@ -16,8 +18,11 @@
 
 fn asked(per_s: f32) -> TenantFigures {
     TenantFigures {
-        asked_per_s: per_s,
-        begun_per_s: 0.0,
+        asked: WorkRate {
+            slots: per_s,
+            prompt_tokens_per_s: 0.0,
+        },
+        ..TenantFigures::default()
     }
 }
 
@@ -116,7 +121,7 @@
         sums.refresh(at(now));
         let counted = newest.values().filter(|(told, _)| now - told < 3_000);
         let expected: f32 = counted.map(|(_, rate)| rate).sum();
-        let total = sums.total(&"pool").map_or(0.0, |figures| figures.asked_per_s);
+        let total = sums.total(&"pool").map_or(0.0, |figures| figures.asked.slots);
         prop_assert!((total - expected).abs() <= expected * 1e-4);
     }
 }
