--- a/crates/forwarding/src/node/metrics/mod.rs
+++ b/crates/forwarding/src/node/metrics/mod.rs
@@ -3,6 +3,7 @@
 mod engine_signals;
 mod figures;
 pub(crate) mod page;
+mod sums;
 
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 
 use self::engine_signals::SignalFigures;
 use self::figures::Figures;
+use self::sums::SumFigures;
 use crate::serve::progress::CallRecord;
 
 /// Upper bounds of the latency histograms, in seconds.
@@ -57,6 +59,7 @@
     code_collisions: IntGauge,
     entries_unreadable: IntCounter,
     signals: SignalFigures,
+    sums: SumFigures,
     crashes: IntCounter,
     requests_stopped: IntGauge,
     over_share: IntCounterVec,
@@ -200,6 +203,7 @@
                 &["pool"],
             )?,
             signals: SignalFigures::new(&figures)?,
+            sums: SumFigures::new(&figures)?,
             registry: figures.into_registry(),
         })
     }
--- a/crates/forwarding/src/serve/tenant_shares.rs
+++ b/crates/forwarding/src/serve/tenant_shares.rs
@@ -74,11 +74,12 @@
         let tenants = of_pool(&mut pools, pool);
         tenants.meters.asked(now, *tenant, tokens);
         let share = tenants.shares.share(now, *tenant);
-        let newest = sums.tenants.borrow().newest_report();
+        let totals = sums.tenants.borrow();
+        let age = totals.heard(now).map(|(_, age)| age).min();
         ShareAccount {
             standing: tenants.shares.admit(now, *tenant, rand::random()),
             share,
-            age: newest.map(|newest| now.since(newest)),
+            age,
         }
     }
 
@@ -165,12 +166,14 @@
         if known.revision == table.revision() {
             return;
         }
-        let weights = table.tenant_weights().iter();
+        let weights = table.tenants();
+        let weights = weights.filter_map(|tenant| {
+            let weight = tenant.weight?;
+            Some((TenantCode::of(&tenant.name), weight))
+        });
         *known = TenantWeights {
             revision: table.revision(),
-            weights: weights
-                .map(|(name, weight)| (TenantCode::of(name), *weight))
-                .collect(),
+            weights: weights.collect(),
         };
     }
 }
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -1,6 +1,6 @@
 //! The checked form of a declaration, in which requests are looked up.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 use dalestand_types::{PoolName, Revision, TenantName};
@@ -51,10 +51,9 @@
     hosts: HashMap<String, Vec<Arc<RouteTerms>>>,
     pools: HashMap<PoolName, Arc<PoolTerms>>,
     callers: CallerBounds,
+    tenants: Vec<Arc<Tenant>>,
     /// `None` where no tenants are declared.
     keys: Option<KeyIndex>,
-    /// Weights of the tenants that have one.
-    tenant_weights: HashMap<TenantName, f64>,
 }
 
 impl RouteTable {
@@ -82,8 +81,9 @@
             routes.push(Arc::new(route));
         }
         if !file.tenants.is_empty() {
-            table.tenant_weights = weights(&file.tenants, &mut faults);
-            table.keys = Some(index_keys(file.tenants, &mut faults));
+            let (keys, tenants) = index_keys(file.tenants, &mut faults);
+            table.keys = Some(keys);
+            table.tenants = tenants;
         }
         for routes in table.hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
@@ -180,11 +180,6 @@
         self.keys.is_some()
     }
 
-    /// Weights of the tenants that have one; that of others is 1.
-    pub fn tenant_weights(&self) -> &HashMap<TenantName, f64> {
-        &self.tenant_weights
-    }
-
     /// A pool by its name.
     pub fn pool(&self, name: &PoolName) -> Option<&Arc<PoolTerms>> {
         self.pools.get(name)
@@ -195,39 +190,48 @@
         self.pools.values()
     }
 
+    /// The declared tenants.
+    pub fn tenants(&self) -> impl Iterator<Item = &Arc<Tenant>> {
+        self.tenants.iter()
+    }
+
+    /// The priorities that requests may have.
+    pub fn priorities(&self) -> BTreeSet<u8> {
+        let routes = self.hosts.values().flatten().map(|route| route.priority);
+        let tenants = self.tenants.iter().filter_map(|tenant| tenant.priority);
+        routes.chain(tenants).collect()
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
     }
 }
 
-/// The weights that tenants are declared with.
-fn weights(tenants: &[TenantTerms], faults: &mut Vec<RouteFault>) -> HashMap<TenantName, f64> {
-    let weights = tenants.iter().filter_map(|terms| {
-        let weight = terms.weight?;
-        if weight.is_finite() && weight > 0.0 {
-            return Some((terms.name.clone(), weight));
-        }
-        faults.push(RouteFault::Weight {
-            tenant: terms.name.clone(),
-            weight,
-        });
-        None
-    });
-    weights.collect()
-}
-
-/// Keeps the keys of all tenants, as hashes.
-fn index_keys(tenants: Vec<TenantTerms>, faults: &mut Vec<RouteFault>) -> KeyIndex {
+/// Keeps the keys of all tenants, as hashes, and the tenants themselves.
+fn index_keys(
+    tenants: Vec<TenantTerms>,
+    faults: &mut Vec<RouteFault>,
+) -> (KeyIndex, Vec<Arc<Tenant>>) {
     let mut keys = KeyIndex::new();
+    let mut known = Vec::new();
     let mut names = HashSet::new();
     for terms in tenants {
         if !names.insert(terms.name.clone()) {
             faults.push(RouteFault::TenantTwice(terms.name.clone()));
         }
+        if let Some(weight) = terms.weight
+            && !(weight.is_finite() && weight > 0.0)
+        {
+            faults.push(RouteFault::Weight {
+                tenant: terms.name.clone(),
+                weight,
+            });
+        }
         let tenant = Arc::new(Tenant {
             name: terms.name.clone(),
             priority: terms.priority,
+            weight: terms.weight,
         });
         for key in &terms.keys {
             if key.is_empty() {
@@ -236,8 +240,9 @@
                 faults.push(RouteFault::KeyTwice(terms.name.clone()));
             }
         }
+        known.push(tenant);
     }
-    keys
+    (keys, known)
 }
 
 /// Host names are compared without case, port and trailing dot.
--- a/crates/routes/src/tenant.rs
+++ b/crates/routes/src/tenant.rs
@@ -60,16 +60,18 @@
 }
 
 /// A tenant as requests carry it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
     /// Its name.
     pub name: TenantName,
     /// Importance in place of the route's.
     pub priority: Option<u8>,
+    /// Its part of a pool that is short of room, if one is declared.
+    pub weight: Option<f64>,
 }
 
 /// Whose request it is.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub enum Caller {
     /// No tenants are declared.
     #[default]
--- a/crates/routes/tests/tenants.rs
+++ b/crates/routes/tests/tenants.rs
@@ -134,10 +134,9 @@
 fn weights_are_kept_of_those_who_have_one() {
     let weighted = "[[tenant]]\nname = \"weighted\"\nweight = 2.5\n";
     let table = table(&format!("{TENANTS}{weighted}"));
-    let weights = table.tenant_weights().iter();
-    let weights: Vec<_> = weights
-        .map(|(name, weight)| (name.as_str(), *weight))
-        .collect();
+    let weights = table.tenants();
+    let weights = weights.filter_map(|tenant| Some((tenant.name.as_str(), tenant.weight?)));
+    let weights: Vec<_> = weights.collect();
     assert_eq!(weights, [("weighted", 2.5)]);
 }
 
--- a/crates/routing/src/source_sums.rs
+++ b/crates/routing/src/source_sums.rs
@@ -76,12 +76,6 @@
         sums
     }
 
-    /// When another node last reported anything that still counts.
-    pub fn newest_report(&self) -> Option<MonotonicTime> {
-        let rows = self.reported.values().flat_map(HashMap::values);
-        rows.map(|(_, reported_at)| *reported_at).max()
-    }
-
     /// Forgets rows that have lapsed, and adds up the totals anew. The sums of the fleet have this node's own
     /// figures in them: where they are known, they are the totals.
     pub fn refresh(&mut self, now: MonotonicTime) {
@@ -101,6 +95,15 @@
         };
     }
 
+    /// Sources of which rows count at `now`, with the age of the newest one of each.
+    pub fn heard(&self, now: MonotonicTime) -> impl Iterator<Item = (LoadSource, Duration)> + '_ {
+        self.reported.iter().filter_map(move |(source, rows)| {
+            let newest = rows.values().map(|(_, reported_at)| *reported_at).max()?;
+            let age = now.since(newest);
+            (age < self.counts_for).then_some((*source, age))
+        })
+    }
+
     /// The total of one key, as of the last [`Self::refresh`].
     pub fn total(&self, key: &K) -> Option<&V> {
         self.totals.get(key)
