--- a/crates/routing/src/room/shares.rs
+++ b/crates/routing/src/room/shares.rs
@@ -19,6 +19,9 @@
 /// Time over which a share makes good what was asked beyond it: that of the rates from which it is worked out.
 const CATCHES_UP_IN: Duration = Duration::from_secs(2);
 
+/// Callers come back within this part of the time that they have left: there is time to be served then.
+const RETURN_SHARE: f64 = 1.0 / 3.0;
+
 /// Shortest time after which a refused caller is asked to come back; sooner, nothing has changed.
 const SHORTEST_RETURN: Duration = Duration::from_millis(100);
 
@@ -44,9 +47,10 @@
     /// Time after which the share has caught up with what was asked, within a third of what the caller has `left`.
     /// Callers that are refused together are spread by `draw`, from 0 to 1.
     pub fn catches_up_in(self, left: Duration, draw: f64) -> Duration {
-        let behind = (1.0 / self.part().max(f64::MIN_POSITIVE) - 1.0) * (0.5 + draw);
-        let wait_s = (CATCHES_UP_IN.as_secs_f64() * behind).min(left.as_secs_f64() / 3.0);
-        Duration::from_secs_f64(wait_s).max(SHORTEST_RETURN)
+        let behind = 1.0 / self.part().max(f64::MIN_POSITIVE) - 1.0;
+        let longest_s = left.as_secs_f64() * RETURN_SHARE;
+        let wait_s = (CATCHES_UP_IN.as_secs_f64() * behind).min(longest_s);
+        Duration::from_secs_f64(wait_s * (1.0 + draw) / 2.0).max(SHORTEST_RETURN)
     }
 }
 
