Shares of tenants stand for one priority, and failed requests say that it is short

Half of the calls were refused by engines there whatever the load, so the pool stayed short and room never grew; a tenant's urgent and less urgent requests were refused alike; and a cut tenant's request whose prompt was prefilled was dropped at the first refusal of a decode engine.

Change: shares by pool and priority, in rows of such; requests that found no room say that a class is short, not calls; only requests of opaque pools are limited to one call.

--- a/crates/dissemination/src/sums.rs
+++ b/crates/dissemination/src/sums.rs
@@ -38,11 +38,13 @@
     pub figures: TenantFigures,
 }
 
-/// What tenants ask of one pool: the largest of them.
+/// What tenants ask of one pool at one priority: the largest of them.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct TenantRows {
     /// The pool.
     pub pool: PoolName,
+    /// The priority; 0 is the most urgent.
+    pub priority: u8,
     /// The tenants.
     pub rows: Vec<TenantRow>,
 }
--- a/crates/dissemination/tests/sums.rs
+++ b/crates/dissemination/tests/sums.rs
@@ -30,6 +30,7 @@
         scope: SumScope::Fleet,
         rows: SummedRows::Tenants(TenantRows {
             pool: PoolName::from("guide-llm"),
+            priority: 2,
             rows: (0..TENANTS_NAMED / 2).map(row).collect(),
         }),
     });
--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -340,7 +340,7 @@
         }
     }
 
-    /// Notes that an engine refused a tenant's request: shares that decide nothing yet are worked out at once.
+    /// Notes that a tenant's request found no room: shares that decide nothing yet are worked out at once.
     pub(crate) fn room_is_short(&self, now: MonotonicTime) {
         if self.tenant_shares.wants_figures(now) {
             self.count_own_figures(now);
--- a/crates/forwarding/src/fleet_sums.rs
+++ b/crates/forwarding/src/fleet_sums.rs
@@ -23,8 +23,8 @@
 /// Names the requests of one pool and one priority.
 pub(crate) type ClassKey = (PoolName, u8);
 
-/// Names what one tenant asks of one pool.
-pub(crate) type TenantKey = (PoolName, TenantCode);
+/// Names what one tenant asks of one pool at one priority.
+pub(crate) type TenantKey = (ClassKey, TenantCode);
 
 /// Names one engine's slowness at one kind of work.
 pub(crate) type SlownessKey = (EngineCode, WorkKind);
--- a/crates/forwarding/src/node/room.rs
+++ b/crates/forwarding/src/node/room.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use dalestand_routing::staged::{LoadSource, Stage};
-use dalestand_routing::{SlownessFigures, TenantCode, WorkKind};
+use dalestand_routing::{SlownessFigures, TenantCode, TenantFigures, WorkKind};
 use dalestand_types::{MonotonicTime, PoolName, ZoneName};
 
 use crate::context::Context;
@@ -136,14 +136,16 @@
 /// The tenants with the most demand, and how many more there are.
 fn tenant_demand(context: &Context, pool: &PoolName) -> (Vec<TenantDemand>, usize) {
     let tenants = context.sums.tenants.borrow();
-    let of_pool = tenants
-        .totals()
-        .iter()
-        .filter(|((name, _), _)| name == pool);
-    let tenants = of_pool.map(|((_, code), figures)| TenantDemand {
+    let mut by_code: BTreeMap<TenantCode, TenantFigures> = BTreeMap::new();
+    for (((name, _), code), figures) in tenants.totals() {
+        if name == pool {
+            *by_code.entry(*code).or_default() += figures;
+        }
+    }
+    let tenants = by_code.into_iter().map(|(code, figures)| TenantDemand {
         name: None,
-        code: *code,
-        figures: *figures,
+        code,
+        figures,
     });
     let mut tenants: Vec<TenantDemand> = tenants.collect();
     tenants.sort_by(|one, other| {
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -178,9 +178,6 @@
             context.classes.note(&progress.class, |meter| {
                 meter.engine_refusals.count(now, 1.0)
             });
-            if progress.tenant.is_some() {
-                context.room_is_short(now);
-            }
             (AttemptEnd::Refused, "refused", Some(AttemptResult::Refused))
         }
         Judged::NotSent => {
--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -118,7 +118,8 @@
             let shares = &context.tenant_shares;
             shares.begun(now, tenant, progress.unread_tokens);
         }
-        (Some((pool, _)), Some(Failure::OverShare(_))) => context.metrics.over_share(pool),
+        (Some(((pool, _), _)), Some(Failure::OverShare(_))) => context.metrics.over_share(pool),
+        (Some(_), Some(failure)) if failure.retry_after().is_some() => context.room_is_short(now),
         (Some(_) | None, _) => {}
     }
 }
@@ -215,7 +216,7 @@
         return false;
     }
     let is_repeat = progress.call_counts.is_repeat();
-    if is_repeat && progress.runs == 0 && is_cut(context, progress) {
+    if is_repeat && progress.runs == 0 && progress.expected.is_none() && is_cut(context, progress) {
         return false;
     }
     let Some(pool) = progress.pools.first().filter(|_| is_repeat) else {
@@ -225,7 +226,8 @@
     context.budget.borrow_mut().left(now, pool) >= 1.0
 }
 
-/// Whether its tenant asks for more than its share: what it may repeat is left to the others.
+/// Whether its tenant asks for more than its share: what it may repeat is left to the others, unless an engine may
+/// have prefilled its prompt.
 fn is_cut(context: &Context, progress: &Progress) -> bool {
     share_now(context, progress).is_some_and(|share| share.part() < 1.0)
 }
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -159,7 +159,7 @@
     pub(crate) route: Arc<RouteTerms>,
     /// The first of its pools and its priority.
     pub(crate) class: ClassKey,
-    /// The first of its pools and its tenant's number, where tenants are declared.
+    /// Its class and its tenant's number, where tenants are declared.
     pub(crate) tenant: Option<TenantKey>,
     /// How it stands against its tenant's share, once an engine was chosen.
     pub(crate) share: Option<ShareAccount>,
@@ -201,7 +201,7 @@
             started,
         } = admitted;
         let limit = Duration::from_millis(route.time_limit_ms);
-        let tenant = code_of(&caller).map(|code| (class.0.clone(), code));
+        let tenant = code_of(&caller).map(|code| (class.clone(), code));
         let held = facts.deadline.map_or(limit, |deadline| deadline.min(limit));
         Self {
             facts,
--- a/crates/forwarding/src/serve/tenant_shares.rs
+++ b/crates/forwarding/src/serve/tenant_shares.rs
@@ -2,7 +2,7 @@
 //! refuses what lies beyond a share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use dalestand_routes::{Caller, RouteTable};
@@ -11,18 +11,18 @@
 use dalestand_routing::room::shortage::{PoolTries, RoomUnit};
 use dalestand_routing::room::tenant_meters::TenantMeters;
 use dalestand_routing::staged::EnginePool;
-use dalestand_routing::{ClassFigures, TenantCode, TenantFigures};
+use dalestand_routing::{TenantCode, TenantFigures};
 use dalestand_types::{MonotonicTime, PoolName, Revision};
 
-use crate::fleet_sums::{FleetSums, TenantKey};
+use crate::fleet_sums::{ClassKey, FleetSums, TenantKey};
 
-/// Shortest time between two times that shares are worked out because an engine refused a request. In a pool that turns
+/// Shortest time between two times that shares are worked out because a request found no room. In a pool that turns
 /// short tenants under their share are refused until then.
 const SHORTEST_INTERVAL: Duration = Duration::from_millis(50);
 
-/// The tenants of one pool.
+/// The tenants of one pool and one priority.
 #[derive(Default)]
-struct PoolTenants {
+struct ClassTenants {
     meters: TenantMeters,
     shares: PoolShares,
 }
@@ -37,7 +37,7 @@
 /// This node's counts of tenants, and their shares.
 #[derive(Default)]
 pub(crate) struct TenantShares {
-    pools: RefCell<HashMap<PoolName, PoolTenants>>,
+    classes: RefCell<HashMap<ClassKey, ClassTenants>>,
     weights: RefCell<TenantWeights>,
     refreshed_at: Cell<MonotonicTime>,
 }
@@ -66,12 +66,12 @@
     pub(crate) fn asked(
         &self,
         now: MonotonicTime,
-        (pool, tenant): &TenantKey,
+        (class, tenant): &TenantKey,
         tokens: u32,
         sums: &FleetSums,
     ) -> ShareAccount {
-        let mut pools = self.pools.borrow_mut();
-        let tenants = of_pool(&mut pools, pool);
+        let mut classes = self.classes.borrow_mut();
+        let tenants = of_class(&mut classes, class);
         tenants.meters.asked(now, *tenant, tokens);
         let share = tenants.shares.share(now, *tenant);
         let totals = sums.tenants.borrow();
@@ -87,31 +87,33 @@
     pub(crate) fn share(
         &self,
         now: MonotonicTime,
-        (pool, tenant): &TenantKey,
+        (class, tenant): &TenantKey,
     ) -> Option<TenantShare> {
-        let pools = self.pools.borrow();
-        pools.get(pool)?.shares.share(now, *tenant)
+        let classes = self.classes.borrow();
+        classes.get(class)?.shares.share(now, *tenant)
     }
 
     /// Counts a request that an engine began.
-    pub(crate) fn begun(&self, now: MonotonicTime, (pool, tenant): &TenantKey, tokens: u32) {
-        let mut pools = self.pools.borrow_mut();
-        of_pool(&mut pools, pool).meters.begun(now, *tenant, tokens);
+    pub(crate) fn begun(&self, now: MonotonicTime, (class, tenant): &TenantKey, tokens: u32) {
+        let mut classes = self.classes.borrow_mut();
+        of_class(&mut classes, class)
+            .meters
+            .begun(now, *tenant, tokens);
     }
 
     /// Notes for how long a request that was answered held a slot.
-    pub(crate) fn held_slot(&self, (pool, tenant): &TenantKey, held: Duration) {
-        let mut pools = self.pools.borrow_mut();
-        let meters = &mut of_pool(&mut pools, pool).meters;
+    pub(crate) fn held_slot(&self, (class, tenant): &TenantKey, held: Duration) {
+        let mut classes = self.classes.borrow_mut();
+        let meters = &mut of_class(&mut classes, class).meters;
         meters.held_slot(*tenant, held.as_secs_f64());
     }
 
     /// This node's rows.
     pub(crate) fn figures(&self, now: MonotonicTime) -> Vec<(TenantKey, TenantFigures)> {
-        let mut pools = self.pools.borrow_mut();
-        let rows = pools.iter_mut().flat_map(|(pool, tenants)| {
+        let mut classes = self.classes.borrow_mut();
+        let rows = classes.iter_mut().flat_map(|(class, tenants)| {
             let rows = tenants.meters.figures(now).into_iter();
-            rows.map(|(code, figures)| ((pool.clone(), code), figures))
+            rows.map(|(code, figures)| ((class.clone(), code), figures))
         });
         rows.collect()
     }
@@ -125,40 +127,41 @@
         engines: impl Fn(&PoolName) -> &'e EnginePool,
     ) {
         self.refreshed_at.set(now);
-        let mut pools = self.pools.borrow_mut();
-        pools.retain(|pool, _| table.has_tenants() && table.pool(pool).is_some());
+        let mut classes = self.classes.borrow_mut();
+        classes.retain(|(pool, _), _| table.has_tenants() && table.pool(pool).is_some());
         self.read_weights(table);
         let weights = &self.weights.borrow().weights;
-        for (pool, tenants) in pools.iter_mut() {
-            let all = all_classes(sums, pool);
-            let engines = engines(pool);
+        for (class, tenants) in classes.iter_mut() {
+            let engines = engines(&class.0);
             let slots: f64 = engines.iter().map(|engine| f64::from(engine.slots)).sum();
-            let busy_slots = f64::from(all.busy_slots);
+            let busy_slots = busy_slots(sums, &class.0);
             let unit = RoomUnit::of_pool(engines.serves_prompts(), busy_slots, slots);
             let totals = sums.tenants.borrow();
-            let totals = totals.totals().iter().filter(|((of, _), _)| of == pool);
+            let totals = totals.totals().iter().filter(|((of, _), _)| of == class);
             let figures = totals.map(|((_, code), figures)| (*code, *figures));
             let weight = |code| weights.get(&code).copied().unwrap_or(1.0);
             let figures = figures.collect();
             tenants
                 .shares
-                .refresh(now, unit, tries(&all), &figures, weight);
+                .refresh(now, unit, tries(sums, class), &figures, weight);
         }
     }
 
     /// Whether shares decide nothing yet and are not just worked out.
     pub(crate) fn wants_figures(&self, now: MonotonicTime) -> bool {
-        let pools = self.pools.borrow();
+        let classes = self.classes.borrow();
         now.since(self.refreshed_at.get()) >= SHORTEST_INTERVAL
-            && !pools.values().any(|tenants| tenants.shares.acts(now))
+            && !classes.values().any(|tenants| tenants.shares.acts(now))
     }
 
-    /// Tenants that are over their share, by pool, with all small ones for one.
-    pub(crate) fn tenants_cut(&self, now: MonotonicTime) -> Vec<(PoolName, usize)> {
-        let pools = self.pools.borrow();
-        let cut = pools.iter();
-        cut.map(|(pool, tenants)| (pool.clone(), tenants.shares.tenants_cut(now)))
-            .collect()
+    /// Tenants that are over their share, by pool: each once a priority, and all small ones as one.
+    pub(crate) fn tenants_cut(&self, now: MonotonicTime) -> BTreeMap<PoolName, usize> {
+        let classes = self.classes.borrow();
+        let mut cut = BTreeMap::new();
+        for ((pool, _), tenants) in classes.iter() {
+            *cut.entry(pool.clone()).or_default() += tenants.shares.tenants_cut(now);
+        }
+        cut
     }
 
     fn read_weights(&self, table: &RouteTable) {
@@ -178,31 +181,32 @@
     }
 }
 
-fn of_pool<'p>(
-    pools: &'p mut HashMap<PoolName, PoolTenants>,
-    pool: &PoolName,
-) -> &'p mut PoolTenants {
-    if !pools.contains_key(pool) {
-        pools.insert(pool.clone(), PoolTenants::default());
+fn of_class<'c>(
+    classes: &'c mut HashMap<ClassKey, ClassTenants>,
+    class: &ClassKey,
+) -> &'c mut ClassTenants {
+    if !classes.contains_key(class) {
+        classes.insert(class.clone(), ClassTenants::default());
     }
-    pools.get_mut(pool).expect("just put there")
+    classes.get_mut(class).expect("just put there")
 }
 
-/// The figures of a pool's requests of all priorities.
-fn all_classes(sums: &FleetSums, pool: &PoolName) -> ClassFigures {
+/// Slots of a pool that requests of all priorities take up.
+fn busy_slots(sums: &FleetSums, pool: &PoolName) -> f64 {
     let classes = sums.classes.borrow();
     let of_pool = classes.totals().iter().filter(|((of, _), _)| of == pool);
-    of_pool.fold(ClassFigures::default(), |mut all, (_, figures)| {
-        all += figures;
-        all
-    })
+    let busy = of_pool.map(|(_, figures)| f64::from(figures.busy_slots));
+    busy.sum()
 }
 
-/// Refusals of engines and of nodes, but those for being over a share.
-fn tries(all: &ClassFigures) -> PoolTries {
-    let refused = f64::from(all.refused_per_s) - f64::from(all.over_share_per_s);
+/// How requests of a class fare. Those that are refused for being over a share don't count: a class would stay short by
+/// itself.
+fn tries(sums: &FleetSums, class: &ClassKey) -> PoolTries {
+    let classes = sums.classes.borrow();
+    let figures = classes.total(class).copied().unwrap_or_default();
+    let refused = f64::from(figures.refused_per_s) - f64::from(figures.over_share_per_s);
     PoolTries {
-        begun_per_s: f64::from(all.begun_per_s),
-        failed_per_s: f64::from(all.engine_refusals_per_s) + refused.max(0.0),
+        begun_per_s: f64::from(figures.begun_per_s),
+        failed_per_s: refused.max(0.0),
     }
 }
--- a/crates/forwarding/src/spread/sums.rs
+++ b/crates/forwarding/src/spread/sums.rs
@@ -129,13 +129,13 @@
 
 fn tenant_rows(context: &Context, counts: impl Fn(LoadSource) -> bool) -> Vec<SummedRows> {
     let tenants = context.sums.tenants.borrow();
-    let mut pools = std::collections::BTreeMap::new();
-    for ((pool, tenant), figures) in tenants.sum_of(context.now(), counts) {
-        let rows: &mut Vec<_> = pools.entry(pool).or_default();
+    let mut classes = std::collections::BTreeMap::new();
+    for ((class, tenant), figures) in tenants.sum_of(context.now(), counts) {
+        let rows: &mut Vec<_> = classes.entry(class).or_default();
         rows.push((tenant, figures));
     }
     let mut messages = Vec::new();
-    for (pool, rows) in pools {
+    for ((pool, priority), rows) in classes {
         let rows = largest(rows).into_iter();
         let rows = rows.map(|(tenant, figures)| TenantRow { tenant, figures });
         let rows: Vec<TenantRow> = rows.collect();
@@ -143,6 +143,7 @@
         messages.extend(chunks.map(|rows| {
             SummedRows::Tenants(TenantRows {
                 pool: pool.clone(),
+                priority,
                 rows: rows.to_vec(),
             })
         }));
@@ -220,11 +221,15 @@
             sums.classes.borrow_mut().reported(now, source, rows);
             unsound
         }
-        SummedRows::Tenants(TenantRows { pool, rows }) => {
+        SummedRows::Tenants(TenantRows {
+            pool,
+            priority,
+            rows,
+        }) => {
             let told = rows.len();
             let rows = rows.into_iter().filter(|row| row.figures.is_sound());
             let rows: Vec<_> = rows
-                .map(|row| ((pool.clone(), row.tenant), row.figures))
+                .map(|row| (((pool.clone(), priority), row.tenant), row.figures))
                 .collect();
             let unsound = told - rows.len();
             sums.tenants.borrow_mut().reported(now, source, rows);
--- a/crates/routing/src/room/shortage.rs
+++ b/crates/routing/src/room/shortage.rs
@@ -62,7 +62,8 @@
 pub struct PoolTries {
     /// Requests a second that engines began.
     pub begun_per_s: f64,
-    /// Calls a second that engines refused, and requests that nodes refused since they would have been late.
+    /// Requests a second that no engine took and that would have been late. Calls that an engine refused and another
+    /// took don't count: they follow from the choice of engines as well.
     pub failed_per_s: f64,
 }
 
