--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -159,9 +159,11 @@
 
 /// Whether a request that all engines refused tries them once more: places come free for tenants within their share.
 fn waits_for_place(context: &Context, progress: &Progress) -> bool {
-    let standing = share_now(context, progress);
-    let is_within = standing.is_some_and(|share| share.part() >= 1.0);
-    is_within && !progress.tried.is_empty() && may_call_again(context, progress)
+    if progress.tenant.is_none() || progress.tried.is_empty() {
+        return false;
+    }
+    let share = share_now(context, progress);
+    share.is_none_or(|share| share.part() >= 1.0) && may_call_again(context, progress)
 }
 
 /// The answer to a request that ends the engines that run it. One of them may run once now and then.
