A request beyond its tenant's share is refused only where it meets a queue

Cause: sums of 63 nodes are up to three seconds old, and failures fade in two: shares went on cutting for ten seconds after a burst, while engines stood idle.

Change: where queues are known, a request over its share is refused only if they take half of its objective; shares act in pools of language-model engines again.

--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -37,6 +37,10 @@
 /// Parts of its objective for which a request within its tenant's share waits before it tries all engines again.
 const PAUSES_FOR_PLACE: u32 = 2;
 
+/// Part of its objective that queues may take of a request beyond its tenant's share: one within a share that comes
+/// next still has the rest. Sums of all nodes are up to three seconds old, queues a tenth of one.
+const QUEUE_OVER_SHARE: f64 = 0.5;
+
 /// Serves a request.
 pub(crate) async fn forward(context: Rc<Context>, mut request: Request) -> Answer {
     let in_flight = context.in_flight.enter();
@@ -287,12 +291,19 @@
     let shares = &context.tenant_shares;
     let account = shares.asked(context.now(), tenant, progress.unread_tokens, &context.sums);
     progress.share = Some(account);
-    let is_over = account.standing == ShareStanding::Over;
+    let is_over = account.standing == ShareStanding::Over && !finds_room(progress);
     let share = account.share.filter(|_| is_over && progress.runs == 0)?;
     let wait = share.catches_up_in(progress.time_left(), rand::random());
     Some(Failure::OverShare(wait))
 }
 
+/// Whether the engine chosen has so short a queue that the request takes no other's place, where queues are known.
+fn finds_room(progress: &Progress) -> bool {
+    let objective = Duration::from_millis(progress.route.objective_ms);
+    let queue_s = progress.expected.map(|expected| expected.queue_s);
+    queue_s.is_some_and(|queue_s| queue_s < objective.as_secs_f64() * QUEUE_OVER_SHARE)
+}
+
 /// The answer to a request that has not run and cannot be answered in time.
 fn refused(progress: &Progress) -> Option<Failure> {
     if progress.runs > 0 {
--- a/crates/forwarding/src/serve/tenant_shares.rs
+++ b/crates/forwarding/src/serve/tenant_shares.rs
@@ -133,11 +133,6 @@
         let weights = &self.weights.borrow().weights;
         for (class, tenants) in classes.iter_mut() {
             let engines = engines(&class.0);
-            // Requests that would be late are refused there before they are begun, whoever sent them: cut by shares
-            // as well, tenants were left without room that stood idle.
-            if engines.serves_prompts() {
-                continue;
-            }
             let slots: f64 = engines.iter().map(|engine| f64::from(engine.slots)).sum();
             let busy_slots = busy_slots(sums, &class.0);
             let unit = RoomUnit::of_pool(engines.serves_prompts(), busy_slots, slots);
