--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -33,6 +33,7 @@
 use crate::roles::demand::DemandMeter;
 use crate::serve::class_counts::ClassCounts;
 use crate::serve::held_bytes::HeldBytes;
+use crate::serve::tenant_shares::TenantShares;
 use crate::spread::Spread;
 
 /// A node has at least this many connections to each engine, however many nodes there are.
@@ -82,6 +83,8 @@
     pub(crate) role_changes: RefCell<Vec<(EngineKey, Duration)>>,
     /// Requests of this node by pool and priority.
     pub(crate) classes: Rc<ClassCounts>,
+    /// Requests of this node by tenant, and the shares of tenants.
+    pub(crate) tenant_shares: Rc<TenantShares>,
     /// Figures that add up over all nodes.
     pub(crate) sums: FleetSums,
     /// What was weighed when engines were last ordered, by pool; empty unless this node orders them.
@@ -133,6 +136,7 @@
             demand: RefCell::default(),
             role_changes: RefCell::default(),
             classes: Rc::default(),
+            tenant_shares: Rc::default(),
             sums: FleetSums::default(),
             scaling_accounts: RefCell::default(),
             quarantine: Quarantine::default(),
@@ -341,6 +345,26 @@
     pub(crate) fn count_own_figures(&self, now: MonotonicTime) {
         let classes = self.classes.figures(now);
         self.sums.classes.borrow_mut().set_own(classes);
+        let tenants = self.tenant_shares.figures(now);
+        self.sums.tenants.borrow_mut().set_own(tenants);
+    }
+
+    /// Works the shares of tenants out from the figures of all nodes.
+    pub(crate) fn divide_room(&self, now: MonotonicTime) {
+        if let Some(table) = self.table() {
+            let fleet = self.fleet();
+            let engines = |pool: &PoolName| fleet.pool(pool);
+            self.tenant_shares.refresh(now, &self.sums, &table, engines);
+        }
+    }
+
+    /// Notes that a tenant's request found no room: shares that decide nothing yet are worked out at once.
+    pub(crate) fn room_is_short(&self, now: MonotonicTime) {
+        if self.tenant_shares.wants_figures(now) {
+            self.count_own_figures(now);
+            self.sums.refresh_demand(now);
+            self.divide_room(now);
+        }
     }
 
     /// Has relays say what they know of kept parts.
--- a/crates/forwarding/src/node/room_report.rs
+++ b/crates/forwarding/src/node/room_report.rs
@@ -1,7 +1,6 @@
 //! Room and demand of all pools as one node knows them, in the form in which operators read them.
 
-use dalestand_dissemination::TenantCode;
-use dalestand_routing::{ClassFigures, TenantFigures, WorkKind};
+use dalestand_routing::{ClassFigures, TenantCode, TenantFigures, WorkKind};
 use dalestand_types::{NodeId, PoolName, Revision, ZoneName};
 use serde::{Deserialize, Serialize};
 
@@ -124,7 +123,7 @@
     pub name: Option<String>,
     /// Its short number.
     pub code: TenantCode,
-    /// The figures, in the unit in which the pool is short.
+    /// The figures, in both units in which a pool can be short.
     #[serde(flatten)]
     pub figures: TenantFigures,
 }
