Room: requests wait in order for places in a pool that is short

Cause: a node judges a request by its own objective alone, and engines refuse what they have no room for. Change: routing::room (account, order, queue, returns) and the driver serve::admission; return_schedule is room::returns for both serving paths. Engines are told the priority where routes of a pool differ in it. Not measured yet.

--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -31,6 +31,7 @@
 use crate::quarantine::state::Quarantine;
 use crate::roles::authority::Authority;
 use crate::roles::demand::DemandMeter;
+use crate::serve::admission::Rooms;
 use crate::serve::class_counts::ClassCounts;
 use crate::serve::held_bytes::HeldBytes;
 use crate::spread::Spread;
@@ -82,6 +83,8 @@
     pub(crate) role_changes: RefCell<Vec<(EngineKey, Duration)>>,
     /// Requests of this node by pool and priority.
     pub(crate) classes: Rc<ClassCounts>,
+    /// Who waits for a place in a pool that is short.
+    pub(crate) rooms: Rooms,
     /// Figures that add up over all nodes.
     pub(crate) sums: FleetSums,
     /// Requests that end engines.
@@ -131,6 +134,7 @@
             demand: RefCell::default(),
             role_changes: RefCell::default(),
             classes: Rc::default(),
+            rooms: Rooms::default(),
             sums: FleetSums::default(),
             quarantine: Quarantine::default(),
             store_era: watch::Sender::new(0),
--- a/crates/forwarding/src/node/metrics/mod.rs
+++ b/crates/forwarding/src/node/metrics/mod.rs
@@ -3,6 +3,7 @@
 mod engine_signals;
 mod figures;
 pub(crate) mod page;
+mod room;
 
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 
 use self::engine_signals::SignalFigures;
 use self::figures::Figures;
+use self::room::RoomFigures;
 use crate::serve::progress::CallRecord;
 
 /// Upper bounds of the latency histograms, in seconds.
@@ -50,6 +52,7 @@
     load_age_seconds: Histogram,
     news_dropped: IntCounter,
     rows_unsound: IntCounter,
+    room: RoomFigures,
     bulk_dropped: IntCounter,
     entries: IntGauge,
     parts: IntGauge,
@@ -161,6 +164,7 @@
                 "peer_sums_unsound_total",
                 "Rows of figures of other nodes that were passed over because no node can have counted them.",
             )?,
+            room: RoomFigures::new(&figures)?,
             bulk_dropped: figures.counter(
                 "peer_answers_dropped_total",
                 "Datagrams of long answers to other nodes that were dropped because too many waited.",
@@ -241,6 +245,11 @@
         self.rows_unsound.inc_by(count as u64);
     }
 
+    /// Notes what became of a request for a place in a pool that is short, and for how long it waited.
+    pub(crate) fn room_decision(&self, outcome: &str, waited: Duration) {
+        self.room.decided(outcome, waited);
+    }
+
     /// Notes datagrams of long answers that were dropped.
     pub(crate) fn bulk_dropped(&self, count: u64) {
         self.bulk_dropped.inc_by(count);
--- a/crates/forwarding/src/node/metrics/page.rs
+++ b/crates/forwarding/src/node/metrics/page.rs
@@ -47,6 +47,7 @@
         }
         self.requests_stopped.set(stopped_count(context) as i64);
         self.set_repeats_left(context);
+        self.room.set(context.rooms.standing());
         let mut buffer = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut buffer)?;
         Ok(String::from_utf8_lossy(&buffer).into_owned())
--- a/crates/forwarding/src/serve/account.rs
+++ b/crates/forwarding/src/serve/account.rs
@@ -5,6 +5,7 @@
 use dalestand_telemetry::{Event, log_event};
 
 use crate::context::Context;
+use crate::serve::admission::AdmissionRecord;
 use crate::serve::answer::Failure;
 use crate::serve::progress::Progress;
 
@@ -30,9 +31,15 @@
         "engines" => context.fleet().len(),
         "expected_ms" => progress.expected.map(|expected| milliseconds(expected.whole_s)),
         "queue_ms" => progress.expected.map(|expected| milliseconds(expected.queue_s)),
+        "room" => room(progress),
         "calls" => progress.account());
 }
 
+/// What decided whether it got a place, where the pool was short.
+fn room(progress: &Progress) -> Option<String> {
+    progress.admission.as_ref().map(AdmissionRecord::account)
+}
+
 fn milliseconds(seconds: f64) -> u64 {
     (seconds * 1_000.0) as u64
 }
@@ -50,5 +57,6 @@
         "route" => &progress.route.name, "status" => status,
         "configuration" => progress.table.revision().0,
         "took_ms" => progress.started.elapsed().as_millis() as u64,
+        "room" => room(progress),
         "calls" => progress.account());
 }
--- a/crates/forwarding/src/serve/answer.rs
+++ b/crates/forwarding/src/serve/answer.rs
@@ -34,6 +34,9 @@
     EnginesBackOff(Duration),
     /// It cannot be answered in time, and it did not run; its caller may come back after this time.
     Overloaded(Duration),
+    /// The pool is short, and it would get no place in its time; it did not run, and its caller may come back after
+    /// this time.
+    NoRoom(Duration),
     /// Engines ended under it, and it did not run this time; it may be tried again after so long.
     EndsEngines(Duration),
     /// The time is over, and it did not run.
@@ -52,6 +55,7 @@
             | Self::NoEngine
             | Self::EnginesBackOff(_)
             | Self::Overloaded(_)
+            | Self::NoRoom(_)
             | Self::EndsEngines(_)
             | Self::TimeOverNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -68,9 +72,10 @@
         match self {
             Self::NoConfiguration => Some(Duration::from_millis(500)),
             Self::NoEngine => Some(Duration::from_millis(300)),
-            Self::Overloaded(time) | Self::EndsEngines(time) | Self::EnginesBackOff(time) => {
-                Some(time)
-            }
+            Self::Overloaded(time)
+            | Self::NoRoom(time)
+            | Self::EndsEngines(time)
+            | Self::EnginesBackOff(time) => Some(time),
             Self::TimeOverNotRun => Some(Duration::from_secs(1)),
             _ => None,
         }
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -107,6 +107,7 @@
     let before = context.router.borrow().work.total(engine.key);
     let slot = BusySlot::taken(&context.classes, &progress.class);
     let mut work = WorkGuard::new(context, &engine, call.choice.unread_tokens, &parts, slot);
+    progress.place = None;
     count_prefill(context, progress, call.choice.unread_tokens);
     let mut head = progress.head();
     let terms = EngineTerms {
@@ -114,6 +115,7 @@
         deadline: progress.deadline_left(),
         run: &engine.run,
         caller: progress.caller.clone(),
+        priority: progress.told_priority(),
         ..call.terms
     };
     context.dialect.write_request(&mut head.headers, &terms);
--- a/crates/forwarding/src/serve/class_counts.rs
+++ b/crates/forwarding/src/serve/class_counts.rs
@@ -6,6 +6,7 @@
 
 use dalestand_routing::{ClassFigures, ClassMeter};
 use dalestand_types::MonotonicTime;
+use tokio::sync::Notify;
 
 use crate::fleet_sums::ClassKey;
 
@@ -16,6 +17,8 @@
 #[derive(Default)]
 pub(crate) struct ClassCounts {
     meters: RefCell<HashMap<ClassKey, ClassMeter>>,
+    /// Rung when a request of this node is no longer at an engine.
+    pub(crate) freed: Notify,
 }
 
 impl ClassCounts {
@@ -79,5 +82,6 @@
         self.counts.note(&self.class, |meter| {
             meter.busy_slots = meter.busy_slots.saturating_sub(1);
         });
+        self.counts.freed.notify_waiters();
     }
 }
--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -17,13 +17,14 @@
 use crate::quarantine::evidence::is_stopped;
 use crate::quarantine::trial::{may_try, trial_in};
 use crate::serve::account::{log_failed, log_served, log_unadmitted};
+use crate::serve::admission::{Admission, get_place};
 use crate::serve::admit::admit;
 use crate::serve::answer::{Failure, streamed};
 use crate::serve::attempt::{AttemptEnd, Call, EngineAnswer, attempt, is_refused};
 use crate::serve::deliver::{Served, deliver};
 use crate::serve::held_bytes::in_pieces;
 use crate::serve::patience::run_patience;
-use crate::serve::plan::{Step, choose, choose_again};
+use crate::serve::plan::{Plan, Step, choose, choose_again};
 use crate::serve::prefill::{HeldPrompt, PrefillEnd, prefill};
 use crate::serve::progress::Progress;
 use crate::serve::relay::Relay;
@@ -208,12 +209,7 @@
             final_failure(context, progress)
         });
     }
-    let plan = choose(context, progress).ok_or_else(|| final_failure(context, progress))?;
-    let link_s = context.uplink.borrow().wait(context.now()).as_secs_f64();
-    progress.expected = plan.expected.map(|expected| expected.behind(link_s));
-    if let Some(failure) = refused(progress) {
-        return Err(failure);
-    }
+    let plan = admitted_plan(context, progress).await?;
     let pool = plan.pool;
     match plan.step {
         Step::Whole(choice) => {
@@ -227,6 +223,37 @@
     }
 }
 
+/// The next plan of a request that may be begun. The first call waits for a place where the pool is short; a plan
+/// that was made before that is made anew.
+async fn admitted_plan(context: &Rc<Context>, progress: &mut Progress) -> Result<Plan, Failure> {
+    let plan = next_plan(context, progress)?;
+    let Step::Whole(choice) = &plan.step else {
+        return refused(progress).map_or(Ok(plan), Err);
+    };
+    if !progress.calls.is_empty() {
+        return refused(progress).map_or(Ok(plan), Err);
+    }
+    match get_place(context, progress, &plan.pool, choice).await? {
+        Admission::Ungated => refused(progress).map_or(Ok(plan), Err),
+        Admission::Placed(place, waited) => {
+            progress.place = Some(place);
+            if waited.is_zero() {
+                Ok(plan)
+            } else {
+                next_plan(context, progress)
+            }
+        }
+    }
+}
+
+/// The next plan, with what is expected of it.
+fn next_plan(context: &Context, progress: &mut Progress) -> Result<Plan, Failure> {
+    let plan = choose(context, progress).ok_or_else(|| final_failure(context, progress))?;
+    let link_s = context.uplink.borrow().wait(context.now()).as_secs_f64();
+    progress.expected = plan.expected.map(|expected| expected.behind(link_s));
+    Ok(plan)
+}
+
 /// The answer to a request that has not run and cannot be answered in time.
 fn refused(progress: &Progress) -> Option<Failure> {
     if progress.runs > 0 {
--- a/crates/forwarding/src/serve/mod.rs
+++ b/crates/forwarding/src/serve/mod.rs
@@ -1,6 +1,7 @@
 //! One request: its route, its calls to engines, its answer.
 
 pub(crate) mod account;
+pub(crate) mod admission;
 pub(crate) mod admit;
 pub(crate) mod answer;
 pub(crate) mod attempt;
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -19,6 +19,7 @@
 
 use crate::fleet_sums::ClassKey;
 use crate::node::settings::ForwardingSettings;
+use crate::serve::admission::{AdmissionRecord, Place};
 
 /// Most calls made for one request, whatever came of them.
 const MAX_CALLS: usize = 6;
@@ -178,6 +179,10 @@
     pub(crate) calls: Vec<CallRecord>,
     /// What was last expected of it, where its time is worked out.
     pub(crate) expected: Option<Expectation>,
+    /// Its place in a pool that is short, until it is sent.
+    pub(crate) place: Option<Place>,
+    /// What decided whether it got one.
+    pub(crate) admission: Option<AdmissionRecord>,
 }
 
 impl Progress {
@@ -213,6 +218,8 @@
             call_counts: CallCounts::default(),
             calls: Vec::new(),
             expected: None,
+            place: None,
+            admission: None,
         }
     }
 
@@ -285,6 +292,12 @@
             .collect()
     }
 
+    /// Its importance as engines are told it, where routes of its pool differ in that.
+    pub(crate) fn told_priority(&self) -> Option<u8> {
+        let (pool, priority) = &self.class;
+        Some(*priority).filter(|_| self.table.differs_in_priority(pool))
+    }
+
     /// What the choice among the engines of `pool` must know.
     pub(crate) fn staged(&self, settings: &ForwardingSettings, pool: &PoolName) -> StagedRequest {
         let terms = self.table.pool(pool);
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -48,6 +48,8 @@
     hosts: HashMap<String, Vec<Arc<RouteTerms>>>,
     pools: HashMap<PoolName, Arc<PoolTerms>>,
     callers: CallerBounds,
+    /// Pools whose requests are not all as urgent as each other.
+    ranked: HashSet<PoolName>,
     /// `None` where no tenants are declared.
     keys: Option<KeyIndex>,
 }
@@ -76,6 +78,8 @@
             let routes = table.hosts.entry(host_of(&route.host)).or_default();
             routes.push(Arc::new(route));
         }
+        let tenants_ranked = file.tenants.iter().any(|tenant| tenant.priority.is_some());
+        table.ranked = table.ranked_pools(tenants_ranked);
         if !file.tenants.is_empty() {
             table.keys = Some(index_keys(file.tenants, &mut faults));
         }
@@ -179,6 +183,33 @@
         self.pools.values()
     }
 
+    /// Whether routes of a pool differ in priority, or tenants have priorities of their own.
+    pub fn differs_in_priority(&self, pool: &PoolName) -> bool {
+        self.ranked.contains(pool)
+    }
+
+    /// Whether requests for a pool compete by anything but the time they come: by priority, or by tenant.
+    pub fn is_competed_for(&self, pool: &PoolName) -> bool {
+        self.keys.is_some() || self.differs_in_priority(pool)
+    }
+
+    /// Pools whose requests differ in priority.
+    fn ranked_pools(&self, tenants_ranked: bool) -> HashSet<PoolName> {
+        if tenants_ranked {
+            return self.pools.keys().cloned().collect();
+        }
+        let mut first = HashMap::new();
+        let mut ranked = HashSet::new();
+        for route in self.hosts.values().flatten() {
+            for part in route.pools.iter().filter(|part| part.weight > 0) {
+                if *first.entry(&part.pool).or_insert(route.priority) != route.priority {
+                    ranked.insert(part.pool.clone());
+                }
+            }
+        }
+        ranked
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/crates/routing/src/class_meter.rs
+++ b/crates/routing/src/class_meter.rs
@@ -9,23 +9,39 @@
 const RATE_TIME_S: f64 = 2.0;
 
 /// An event rate that fades.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct FadingRate {
+    time_s: f64,
     per_s: f64,
     counted_at: MonotonicTime,
 }
 
+impl Default for FadingRate {
+    fn default() -> Self {
+        Self::over(RATE_TIME_S)
+    }
+}
+
 impl FadingRate {
+    /// No events yet; they fade with a time constant of `time_s` seconds.
+    pub fn over(time_s: f64) -> Self {
+        Self {
+            time_s,
+            per_s: 0.0,
+            counted_at: MonotonicTime::ZERO,
+        }
+    }
+
     /// Counts `amount` at `now`.
     pub fn count(&mut self, now: MonotonicTime, amount: f64) {
-        self.per_s = self.at(now) + amount / RATE_TIME_S;
+        self.per_s = self.at(now) + amount / self.time_s;
         self.counted_at = now;
     }
 
     /// The rate at `now`, a second.
     pub fn at(&self, now: MonotonicTime) -> f64 {
         let passed_s = now.since(self.counted_at).as_secs_f64();
-        self.per_s * (-passed_s / RATE_TIME_S).exp()
+        self.per_s * (-passed_s / self.time_s).exp()
     }
 }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -15,7 +15,7 @@
 mod prefix;
 mod request;
 mod retry_budget;
-mod return_schedule;
+pub mod room;
 mod router;
 mod sample;
 pub mod shared_rate;
--- /dev/null
+++ b/crates/routing/src/room/pool_room.rs
@@ -0,0 +1,233 @@
+//! Decides for one pool, at one node, which requests go to engines now, which wait, and which are refused.
+
+use std::time::Duration;
+
+use dalestand_types::MonotonicTime;
+
+use super::account::{Fill, PoolLoad, RoomAccount};
+use super::order::{Claim, LEAST_SHARE};
+use super::queue::{RoomQueue, WaitNumber};
+use super::returns::{ReturnBounds, ReturnSchedule, ReturnSlot};
+use super::ShareStanding;
+use crate::staged::{Expectation, TimeBounds};
+
+/// Share of an objective, or of the time left, that may be planned with: expectations err.
+const PLANNED_SHARE: f64 = 0.9;
+
+/// Most requests that wait at a node: with the bodies that callers send, a tenth of the memory of a small node.
+const MOST_WAITING: usize = 512;
+
+/// Callers come back within this share of the time that they have left.
+const RETURN_WITHIN: f64 = 1.0 / 3.0;
+
+/// Shortest time after which a caller is asked to come back: a place that comes free is known no sooner.
+const SHORTEST_RETURN: Duration = Duration::from_millis(50);
+
+/// A request that wants a place.
+#[derive(Clone, Copy, Debug)]
+pub struct RoomRequest {
+    /// Importance; 0 is the highest.
+    pub priority: u8,
+    /// Whether its tenant is within its share.
+    pub standing: ShareStanding,
+    /// The time that it has.
+    pub bounds: TimeBounds,
+    /// What is expected of it at an engine.
+    pub expected: Expectation,
+    /// First tries a second of more urgent requests, at this node.
+    pub urgent_per_s: f64,
+    /// First tries a second of requests as urgent as this one, at this node.
+    pub alike_per_s: f64,
+}
+
+impl RoomRequest {
+    /// The claim that it has at `now`. Its objective is that of an answer, so what it takes at the engine is taken
+    /// off. One that takes longer than that by itself is not late because of the load: it may wait as long as others.
+    fn claim(&self, now: MonotonicTime) -> Claim {
+        let left_s = self.bounds.left.as_secs_f64() * PLANNED_SHARE - self.expected.whole_s;
+        let wanted_s = self.bounds.objective.as_secs_f64() * PLANNED_SHARE;
+        let own_s = self.expected.whole_s - self.expected.queue_s;
+        let in_time_s = if wanted_s <= 0.0 {
+            left_s
+        } else if own_s <= wanted_s {
+            wanted_s - self.expected.whole_s
+        } else {
+            wanted_s
+        };
+        Claim {
+            priority: self.priority,
+            standing: self.standing,
+            in_time_until: now + seconds(in_time_s.min(left_s)),
+            hopeless_from: now + seconds(left_s),
+        }
+    }
+}
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds.max(0.0)).unwrap_or(Duration::MAX)
+}
+
+/// What becomes of a request that comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Arrival {
+    /// It goes to an engine, as without an account: the pool is not short, or not known.
+    Ungated,
+    /// It has a place.
+    Placed,
+    /// It waits, for this time at most.
+    Waits(WaitNumber, Duration),
+    /// It cannot be served in its time.
+    Refused(ReturnSlot),
+}
+
+/// A decision, with what decided it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RoomDecision {
+    /// What becomes of the request.
+    pub arrival: Arrival,
+    /// The account, where there was one.
+    pub account: Option<RoomAccount>,
+    /// Requests that waited here.
+    pub waiting: usize,
+}
+
+/// Room of one pool at one node.
+#[derive(Clone, Debug, Default)]
+pub struct PoolRoom {
+    account: Option<RoomAccount>,
+    fill: Option<Fill>,
+    is_short: bool,
+    queue: RoomQueue,
+    returns: ReturnSchedule<()>,
+    /// Requests that have a place and have not been sent.
+    placed: u32,
+}
+
+impl PoolRoom {
+    /// Brings the account up to what the node knows now. Whether the pool became short, or ceased to be.
+    pub fn look(&mut self, now: MonotonicTime, load: &PoolLoad) -> bool {
+        let fill = self.fill.get_or_insert(Fill::whole(now));
+        self.account = RoomAccount::of(load, *fill);
+        if let Some(account) = &self.account {
+            fill.follow(now, account.refused_share);
+        }
+        let was_short = self.is_short;
+        let waiting = self.queue.len();
+        let is_short = |account: &RoomAccount| account.is_short(was_short, waiting);
+        self.is_short = self.account.as_ref().is_some_and(is_short);
+        self.is_short != was_short
+    }
+
+    /// Whether the pool is short.
+    pub fn is_short(&self) -> bool {
+        self.is_short
+    }
+
+    /// The account, as of the last look.
+    pub fn account(&self) -> Option<&RoomAccount> {
+        self.account.as_ref()
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Decides about a request; `own_taken` are the requests of this node at the pool's engines.
+    pub fn arrives(
+        &mut self,
+        now: MonotonicTime,
+        request: &RoomRequest,
+        own_taken: u32,
+    ) -> RoomDecision {
+        let waiting = self.queue.len();
+        let account = self.account.filter(|_| self.is_short);
+        let arrival = match &account {
+            None => Arrival::Ungated,
+            Some(account) => self.arrives_short(now, request, own_taken, account),
+        };
+        RoomDecision {
+            arrival,
+            account,
+            waiting,
+        }
+    }
+
+    fn arrives_short(
+        &mut self,
+        now: MonotonicTime,
+        request: &RoomRequest,
+        own_taken: u32,
+        account: &RoomAccount,
+    ) -> Arrival {
+        if self.queue.is_empty() && self.has_place(own_taken) {
+            self.placed += 1;
+            return Arrival::Placed;
+        }
+        let claim = request.claim(now);
+        if self.can_be_served(now, request, &claim, account) && self.queue.len() < MOST_WAITING {
+            let number = self.queue.enter(now, claim);
+            Arrival::Waits(number, claim.hopeless_from.since(now))
+        } else {
+            Arrival::Refused(self.refused(now, request))
+        }
+    }
+
+    /// Whether a request is expected to get a place within its time. Those who cannot be in time get what the others
+    /// leave, and the least share at worst.
+    fn can_be_served(
+        &self,
+        now: MonotonicTime,
+        request: &RoomRequest,
+        claim: &Claim,
+        account: &RoomAccount,
+    ) -> bool {
+        let ahead = self.queue.ahead(claim);
+        let least_per_s = account.own_freed_per_s * LEAST_SHARE;
+        let in_time_per_s = (account.own_freed_per_s - request.urgent_per_s).max(least_per_s);
+        let late_per_s = (in_time_per_s - request.alike_per_s).max(least_per_s);
+        let fits = |ahead: usize, per_s: f64, until: MonotonicTime| {
+            let wait_s = (ahead + 1) as f64 / per_s;
+            wait_s <= until.since(now).as_secs_f64()
+        };
+        fits(ahead.in_time, in_time_per_s, claim.in_time_until)
+            || fits(ahead.late, late_per_s, claim.hopeless_from)
+    }
+
+    /// The slot of a request that is refused.
+    pub fn refused(&mut self, now: MonotonicTime, request: &RoomRequest) -> ReturnSlot {
+        let freed_per_s = self.account.map_or(0.0, |account| account.own_freed_per_s);
+        let bounds = ReturnBounds {
+            shortest: SHORTEST_RETURN,
+            longest: request.bounds.left.mul_f64(RETURN_WITHIN),
+        };
+        let returns = &mut self.returns;
+        returns.refused(now, &(), request.priority, freed_per_s, bounds)
+    }
+
+    fn has_place(&self, own_taken: u32) -> bool {
+        let taken = f64::from(own_taken + self.placed);
+        let has_place = |account: &RoomAccount| taken + 1.0 <= account.own_places;
+        !self.is_short || self.account.as_ref().is_none_or(has_place)
+    }
+
+    /// The request that takes a place which is free; all go one after another once the pool is not short any more.
+    pub fn release(&mut self, now: MonotonicTime, own_taken: u32) -> Option<WaitNumber> {
+        if self.queue.is_empty() || !self.has_place(own_taken) {
+            return None;
+        }
+        let released = self.queue.release(now)?;
+        self.placed += 1;
+        Some(released)
+    }
+
+    /// Notes that a request that had a place was sent, or will not be.
+    pub fn sent(&mut self) {
+        self.placed = self.placed.saturating_sub(1);
+    }
+
+    /// Takes a request out that waits no longer.
+    pub fn leaves(&mut self, number: WaitNumber) {
+        self.queue.leave(number);
+    }
+}
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -1,23 +1,33 @@
 //! The router of one node.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use dalestand_decision::Candidate;
-use dalestand_types::{EngineId, MonotonicTime, Role};
+use dalestand_types::{EngineId, ModelName, MonotonicTime, Priority, Role};
 use rand::Rng;
 
 use crate::admission::wait_if_unreachable;
 use crate::choice::{Choice, Chooser};
+use crate::class_meter::FadingRate;
 use crate::config::RouterConfig;
 use crate::estimate::Estimator;
 use crate::learning::Learned;
 use crate::prefix::{PrefixMemory, engine_hash};
 use crate::request::{Placement, RouteDecision, RoutePhase, RouteRefusal, RouteRequest};
-use crate::return_schedule::ReturnSchedule;
+use crate::room::{ReturnBounds, ReturnSchedule};
 use crate::track::{Completion, Ticket, Tracks};
 use crate::usables::{Usables, home_weight};
 use crate::view::{EngineView, FleetView};
 
+/// Time constant of the rate of admissions, in seconds: a model that is asked for rarely has some in it.
+const ADMISSION_RATE_TIME_S: f64 = 10.0;
+
+/// Callers of models rank the more important request higher; slots go to the lowest rank first.
+fn urgency(priority: Priority) -> u8 {
+    u8::MAX - priority.0
+}
+
 /// Chooses engines on a picture that is always somewhat old, corrected by what this node itself
 /// has sent, at speeds learnt from what the engines did with it.
 #[derive(Clone, Debug)]
@@ -26,7 +36,9 @@
     learned: Learned,
     tracks: Tracks,
     prefixes: PrefixMemory,
-    returns: ReturnSchedule,
+    /// Requests admitted a second, by model.
+    admitted: HashMap<ModelName, FadingRate>,
+    returns: ReturnSchedule<ModelName>,
 }
 
 impl Router {
@@ -36,6 +48,7 @@
             learned: Learned::new(config.prior_speeds),
             tracks: Tracks::default(),
             prefixes: PrefixMemory::new(config.prefixes_remembered),
+            admitted: HashMap::new(),
             returns: ReturnSchedule::default(),
             config,
         }
@@ -94,13 +107,13 @@
                 let longest = self.config.longest_retry_after;
                 return RouteDecision::Refuse {
                     reason,
-                    retry_after: self.returns.refused(now, &request.model, wait, longest),
+                    retry_after: self.return_slot(now, request, wait, longest),
                     candidates,
                 };
             }
         };
         if request.phase == RoutePhase::Start && request.tried.is_empty() {
-            self.returns.admitted(now, &request.model);
+            self.count_admitted(now, &request.model);
         }
         RouteDecision::Send {
             engine: choice.engine.clone(),
@@ -110,6 +123,30 @@
         }
     }
 
+    fn count_admitted(&mut self, now: MonotonicTime, model: &ModelName) {
+        let new_rate = || FadingRate::over(ADMISSION_RATE_TIME_S);
+        let rate = self.admitted.entry(model.clone()).or_insert_with(new_rate);
+        rate.count(now, 1.0);
+    }
+
+    /// After how long a refused caller is to come back.
+    fn return_slot(
+        &mut self,
+        now: MonotonicTime,
+        request: &RouteRequest,
+        shortest: Duration,
+        longest: Duration,
+    ) -> Duration {
+        let admitted = self.admitted.get(&request.model);
+        let admitted_per_s = admitted.map_or(0.0, |rate| rate.at(now));
+        let bounds = ReturnBounds { shortest, longest };
+        let urgency = urgency(request.priority);
+        let slot =
+            self.returns
+                .refused(now, &request.model, urgency, admitted_per_s, bounds);
+        slot.told().min(longest)
+    }
+
     /// Notes that a request was sent; the ticket is to be given back when it is over.
     pub fn sent(
         &mut self,
--- a/crates/routing/src/staged/admission.rs
+++ b/crates/routing/src/staged/admission.rs
@@ -31,7 +31,7 @@
 }
 
 /// What is expected of a request before it is begun.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Expectation {
     /// Seconds until its answer begins.
     pub whole_s: f64,
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -146,6 +146,10 @@
     EngineCountOrdered = (1711, Info, "engine count ordered");
     /// The number of engines of a zone could not be ordered yet.
     EngineCountFailed = (1712, Warning, "engine count not ordered yet");
+    /// A pool has become short of places.
+    PoolShort = (1631, Info, "pool short");
+    /// A pool is no longer short of places.
+    PoolNotShort = (1632, Info, "pool not short");
     /// The settings file was read again.
     SettingsRead = (1605, Info, "settings read again");
     /// The settings file changed and cannot be used.
