--- a/crates/forwarding/src/serve/admission.rs
+++ b/crates/forwarding/src/serve/admission.rs
@@ -13,7 +13,7 @@
     Arrival, PoolLoad, PoolRoom, ReturnSlot, RoomAccount, RoomDecision, RoomRequest, ShareStanding,
     WaitNumber,
 };
-use dalestand_routing::staged::{EngineChoice, Stage, TimeBounds};
+use dalestand_routing::staged::{Stage, TimeBounds};
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::{MonotonicTime, PoolName};
 use tokio::sync::oneshot;
@@ -114,18 +114,21 @@
     }
 }
 
-/// Gets a request a place among those of `choice`'s pool and stage, or refuses it.
+/// Gets a request a place at an engine of `pool` that answers, or refuses it.
 pub(crate) async fn get_place(
     context: &Rc<Context>,
     progress: &mut Progress,
     pool: &PoolName,
-    choice: &EngineChoice,
 ) -> Result<Admission, Failure> {
     if !progress.table.is_competed_for(pool) {
         return Ok(Admission::Ungated);
     }
     let desk = context.rooms.desk(pool);
-    let stage = choice.engine.stage;
+    let stage = if context.fleet().pool(pool).serves_prompts() {
+        Stage::Decode
+    } else {
+        Stage::Opaque
+    };
     look(context, &desk, pool, stage);
     let request = room_request(&desk, progress);
     let own_taken = own_taken(context, pool, stage);
@@ -166,10 +169,7 @@
 fn room_request(desk: &Desk, progress: &Progress) -> RoomRequest {
     let (_, priority) = progress.class;
     let asked = desk.asked.borrow();
-    let sum = |counts: &dyn Fn(u8) -> bool| {
-        let counted = asked.iter().filter(|(class, _)| counts(*class));
-        counted.map(|(_, per_s)| *per_s).sum()
-    };
+    let urgent = asked.iter().filter(|(class, _)| *class < priority);
     RoomRequest {
         priority,
         standing: ShareStanding::Within,
@@ -178,8 +178,7 @@
             objective: Duration::from_millis(progress.route.objective_ms),
         },
         expected: progress.expected.unwrap_or_default(),
-        urgent_per_s: sum(&|class| class < priority),
-        alike_per_s: sum(&|class| class == priority),
+        urgent_per_s: urgent.map(|(_, per_s)| *per_s).sum(),
     }
 }
 
@@ -224,7 +223,7 @@
     let router = context.router.borrow();
     let engines = fleet.pool(pool).iter();
     let engines =
-        engines.filter(|engine| engine.stage == stage && !router.health.is_avoided(now, engine.key));
+        engines.filter(|engine| engine.stage == stage && !router.health.is_silent(now, engine.key));
     for engine in engines {
         load.engines += 1;
         load.slots += engine.slots;
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -107,7 +107,10 @@
     let before = context.router.borrow().work.total(engine.key);
     let slot = BusySlot::taken(&context.classes, &progress.class);
     let mut work = WorkGuard::new(context, &engine, call.choice.unread_tokens, &parts, slot);
-    progress.place = None;
+    if call.purpose == CallPurpose::Run {
+        // From here on it counts among the requests at engines.
+        progress.place = None;
+    }
     count_prefill(context, progress, call.choice.unread_tokens);
     let mut head = progress.head();
     let terms = EngineTerms {
--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -223,27 +223,26 @@
     }
 }
 
-/// The next plan of a request that may be begun. The first call waits for a place where the pool is short; a plan
-/// that was made before that is made anew.
+/// The next plan of a request that may be begun. One that has not run waits for a place where the pool is short, and
+/// its plan is then made anew.
 async fn admitted_plan(context: &Rc<Context>, progress: &mut Progress) -> Result<Plan, Failure> {
     let plan = next_plan(context, progress)?;
-    let Step::Whole(choice) = &plan.step else {
-        return refused(progress).map_or(Ok(plan), Err);
-    };
-    if !progress.calls.is_empty() {
-        return refused(progress).map_or(Ok(plan), Err);
-    }
-    match get_place(context, progress, &plan.pool, choice).await? {
-        Admission::Ungated => refused(progress).map_or(Ok(plan), Err),
-        Admission::Placed(place, waited) => {
-            progress.place = Some(place);
-            if waited.is_zero() {
-                Ok(plan)
-            } else {
-                next_plan(context, progress)
+    let plan = if progress.runs > 0 || progress.place.is_some() {
+        plan
+    } else {
+        match get_place(context, progress, &plan.pool).await? {
+            Admission::Ungated => plan,
+            Admission::Placed(place, waited) => {
+                progress.place = Some(place);
+                if waited.is_zero() {
+                    plan
+                } else {
+                    next_plan(context, progress)?
+                }
             }
         }
-    }
+    };
+    refused(progress).map_or(Ok(plan), Err)
 }
 
 /// The next plan, with what is expected of it.
--- a/crates/routes/tests/table.rs
+++ b/crates/routes/tests/table.rs
@@ -1,7 +1,7 @@
 //! Lookup, checks and shares of routes.
 
 use dalestand_routes::{RouteFault, RouteTable, SplitPicker};
-use dalestand_types::Revision;
+use dalestand_types::{PoolName, Revision};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -97,3 +97,32 @@
         }
     }
 }
+
+#[rstest]
+#[case::alike("", "", "", false, false)]
+#[case::routes_differ("priority = 2", "", "", true, true)]
+#[case::tenants("", "[[tenant]]\nname = \"one\"\nkeys = [\"k\"]", "", false, true)]
+#[case::tenants_rank(
+    "",
+    "[[tenant]]\nname = \"one\"\nkeys = [\"k\"]",
+    "priority = 1",
+    true,
+    true
+)]
+fn requests_compete_for_a_pool_by_priority_or_by_tenant(
+    #[case] route: &str,
+    #[case] tenant: &str,
+    #[case] tenant_priority: &str,
+    #[case] differs: bool,
+    #[case] competed_for: bool,
+) {
+    let text = format!("{FILE}{route}\n{tenant}\n{tenant_priority}\n");
+    let table = RouteTable::parse(&text).expect("a sound file");
+    let records = PoolName::from("records");
+    assert_eq!(table.differs_in_priority(&records), differs);
+    assert_eq!(table.is_competed_for(&records), competed_for);
+    // One route alone names the other pool.
+    let captions = PoolName::from("captions");
+    let by_tenant = !tenant_priority.is_empty();
+    assert_eq!(table.differs_in_priority(&captions), by_tenant);
+}
--- a/crates/routing/src/room/account.rs
+++ b/crates/routing/src/room/account.rs
@@ -9,8 +9,8 @@
 
 use crate::figures::ClassFigures;
 
-/// Requests that engines are given for each that they work on: one more waits there, so that an engine which ends
-/// one begins the next before a node has heard of it.
+/// Requests that engines are given for each that they work on: one more waits there, so that an engine which ends one
+/// begins the next before a node has heard of it.
 const REQUESTS_A_SLOT: f64 = 2.0;
 
 /// Share of the places that is taken when a pool becomes short: loads are known some tens of milliseconds late.
@@ -24,9 +24,10 @@
 const REFUSED_SHARE: f64 = 0.05;
 
 /// What the assumed places are multiplied by for each second in which engines refuse more than that.
-const SHRINK_A_SECOND: f64 = 0.7;
+const SHRINK_A_SECOND: f64 = 0.9;
 
-/// The same for each second in which they refuse less: slower, since each error costs callers refused calls.
+/// The same for each second in which they refuse less: slower, since each error costs callers refused calls. Both are
+/// slow against the mean of two seconds by which refusals are known.
 const GROWTH_A_SECOND: f64 = 1.05;
 
 /// Least share of the assumed places: an engine takes at least what it works on at once.
@@ -90,7 +91,14 @@
         let places = f64::from(load.slots) * REQUESTS_A_SLOT * fill.share;
         let taken = f64::from(load.taken);
         let part = part(load);
-        let of_free = f64::from(load.own_taken) + part * (places - taken).max(0.0);
+        let own_taken = f64::from(load.own_taken);
+        let of_demand = part * places;
+        let own_places = if taken < places {
+            of_demand.max(own_taken + part * (places - taken))
+        } else {
+            // All nodes give up the same share of what they have, and come to their parts of the demand meanwhile.
+            f64::midpoint(own_taken * places / taken, of_demand)
+        };
         let all = &load.all;
         let calls = f64::from(all.begun_per_s + all.engine_refusals_per_s);
         let refused_share = if calls > 0.0 {
@@ -102,7 +110,7 @@
             places,
             taken,
             part,
-            own_places: (part * places).max(of_free).max(1.0),
+            own_places: own_places.max(1.0),
             own_freed_per_s: part * f64::from(all.begun_per_s),
             waiting: f64::from(all.waiting),
             refused_share,
--- a/crates/routing/src/room/pool_room.rs
+++ b/crates/routing/src/room/pool_room.rs
@@ -4,16 +4,20 @@
 
 use dalestand_types::MonotonicTime;
 
+use super::ShareStanding;
 use super::account::{Fill, PoolLoad, RoomAccount};
 use super::order::{Claim, LEAST_SHARE};
 use super::queue::{RoomQueue, WaitNumber};
-use super::returns::{ReturnBounds, ReturnSchedule, ReturnSlot};
-use super::ShareStanding;
+use super::returns::{RETURN_SHARE, ReturnBounds, ReturnSchedule, ReturnSlot};
 use crate::staged::{Expectation, TimeBounds};
 
-/// Share of an objective, or of the time left, that may be planned with: expectations err.
+/// Share of the time left that may be planned with: expectations err.
 const PLANNED_SHARE: f64 = 0.9;
 
+/// Share of an objective that may go to waiting here and to work at an engine, as both are expected: they are means,
+/// and a request that waits longer than expected has to be answered in time still.
+const IN_TIME_SHARE: f64 = 0.6;
+
 /// Most requests that wait at a node: with the bodies that callers send, a tenth of the memory of a small node.
 const MOST_WAITING: usize = 512;
 
@@ -36,8 +40,6 @@
     pub expected: Expectation,
     /// First tries a second of more urgent requests, at this node.
     pub urgent_per_s: f64,
-    /// First tries a second of requests as urgent as this one, at this node.
-    pub alike_per_s: f64,
 }
 
 impl RoomRequest {
@@ -45,7 +47,7 @@
     /// off. One that takes longer than that by itself is not late because of the load: it may wait as long as others.
     fn claim(&self, now: MonotonicTime) -> Claim {
         let left_s = self.bounds.left.as_secs_f64() * PLANNED_SHARE - self.expected.whole_s;
-        let wanted_s = self.bounds.objective.as_secs_f64() * PLANNED_SHARE;
+        let wanted_s = self.bounds.objective.as_secs_f64() * IN_TIME_SHARE;
         let own_s = self.expected.whole_s - self.expected.queue_s;
         let in_time_s = if wanted_s <= 0.0 {
             left_s
@@ -173,8 +175,9 @@
         }
     }
 
-    /// Whether a request is expected to get a place within its time. Those who cannot be in time get what the others
-    /// leave, and the least share at worst.
+    /// Whether a request may get a place within its time. One that cannot be in time is kept if it could be answered
+    /// were it not for those that come after it: bursts end within the time that callers have, and one that is refused
+    /// comes back to the same queue.
     fn can_be_served(
         &self,
         now: MonotonicTime,
@@ -185,13 +188,14 @@
         let ahead = self.queue.ahead(claim);
         let least_per_s = account.own_freed_per_s * LEAST_SHARE;
         let in_time_per_s = (account.own_freed_per_s - request.urgent_per_s).max(least_per_s);
-        let late_per_s = (in_time_per_s - request.alike_per_s).max(least_per_s);
         let fits = |ahead: usize, per_s: f64, until: MonotonicTime| {
             let wait_s = (ahead + 1) as f64 / per_s;
             wait_s <= until.since(now).as_secs_f64()
         };
+        let returning_per_s = in_time_per_s * RETURN_SHARE;
         fits(ahead.in_time, in_time_per_s, claim.in_time_until)
-            || fits(ahead.late, late_per_s, claim.hopeless_from)
+            || fits(ahead.returning, returning_per_s, claim.in_time_until)
+            || fits(ahead.late, in_time_per_s, claim.hopeless_from)
     }
 
     /// The slot of a request that is refused.
--- a/crates/routing/src/room/queue.rs
+++ b/crates/routing/src/room/queue.rs
@@ -9,24 +9,63 @@
 
 use super::ShareStanding;
 use super::order::{Claim, ClassTurns};
+use super::returns::RETURN_SHARE;
 
 /// Names a request that waits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct WaitNumber(u64);
 
-/// Place of a request among those of its class.
+/// Place of a request among those of its class: tenants within their share first, then by when it must be sent.
 type Place = (ShareStanding, MonotonicTime, WaitNumber);
 
+fn in_time_place(claim: &Claim, number: WaitNumber) -> Place {
+    (claim.standing, claim.in_time_until, number)
+}
+
+fn late_place(claim: &Claim, number: WaitNumber) -> Place {
+    (claim.standing, claim.hopeless_from, number)
+}
+
 /// Requests of one class.
 #[derive(Clone, Debug, Default)]
 struct ClassQueue {
     /// Those that a place lets be answered in time.
     in_time: BTreeSet<Place>,
+    /// The same by the time that they have left: those who were refused once and came back have least.
+    returning: BTreeSet<Place>,
     /// Those that it would let be answered late.
     late: BTreeSet<Place>,
+    /// Part of a release that is owed to those with least time left.
+    owed: f64,
 }
 
 impl ClassQueue {
+    fn insert(&mut self, claim: &Claim, number: WaitNumber, now: MonotonicTime) {
+        if claim.in_time_until > now {
+            self.in_time.insert(in_time_place(claim, number));
+            self.returning.insert(late_place(claim, number));
+        } else {
+            self.late.insert(late_place(claim, number));
+        }
+    }
+
+    fn remove(&mut self, claim: &Claim, number: WaitNumber) {
+        self.in_time.remove(&in_time_place(claim, number));
+        self.returning.remove(&late_place(claim, number));
+        self.late.remove(&late_place(claim, number));
+    }
+
+    fn next(&mut self) -> Option<WaitNumber> {
+        self.owed += RETURN_SHARE;
+        let place = if self.owed >= 1.0 {
+            self.owed -= 1.0;
+            self.returning.first()
+        } else {
+            self.in_time.first()
+        };
+        place.or(self.late.first()).map(|place| place.2)
+    }
+
     fn is_empty(&self) -> bool {
         self.in_time.is_empty() && self.late.is_empty()
     }
@@ -46,6 +85,8 @@
 pub struct Ahead {
     /// Those before it if it can be answered in time.
     pub in_time: usize,
+    /// Those before it if it can, and goes by the time that it has left.
+    pub returning: usize,
     /// Those before it if it cannot.
     pub late: usize,
 }
@@ -76,13 +117,18 @@
         let Some(class) = self.classes.get(&claim.priority) else {
             return Ahead {
                 in_time: urgent,
+                returning: urgent,
                 late: urgent,
             };
         };
-        let place = (claim.standing, claim.hopeless_from, WaitNumber(u64::MAX));
+        let last = WaitNumber(u64::MAX);
+        let in_time = class.in_time.range(..in_time_place(claim, last));
+        let returning = class.returning.range(..late_place(claim, last));
+        let late = class.late.range(..late_place(claim, last));
         Ahead {
-            in_time: urgent + class.in_time.range(..place).count(),
-            late: urgent + class.in_time.len() + class.late.range(..place).count(),
+            in_time: urgent + in_time.count(),
+            returning: urgent + returning.count(),
+            late: urgent + class.in_time.len() + late.count(),
         }
     }
 
@@ -91,12 +137,7 @@
         let number = WaitNumber(self.next_number);
         self.next_number += 1;
         let class = self.classes.entry(claim.priority).or_default();
-        let place = (claim.standing, claim.hopeless_from, number);
-        if claim.in_time_until > now {
-            class.in_time.insert(place);
-        } else {
-            class.late.insert(place);
-        }
+        class.insert(&claim, number, now);
         self.claims.insert(number, claim);
         number
     }
@@ -107,9 +148,7 @@
             return;
         };
         if let Some(class) = self.classes.get_mut(&claim.priority) {
-            let place = (claim.standing, claim.hopeless_from, number);
-            class.in_time.remove(&place);
-            class.late.remove(&place);
+            class.remove(&claim, number);
             if class.is_empty() {
                 self.classes.remove(&claim.priority);
             }
@@ -121,8 +160,7 @@
         self.sort_out(now);
         let waiting: Vec<u8> = self.classes.keys().copied().collect();
         let priority = self.turns.next(&waiting)?;
-        let class = self.classes.get(&priority)?;
-        let (_, _, number) = *class.in_time.first().or(class.late.first())?;
+        let number = self.classes.get_mut(&priority)?.next()?;
         self.leave(number);
         Some(number)
     }
@@ -135,14 +173,12 @@
             self.leave(number);
         }
         for class in self.classes.values_mut() {
-            let is_late = |place: &Place| {
-                let claim = self.claims.get(&place.2);
-                claim.is_none_or(|claim| claim.in_time_until <= now)
-            };
-            let late: Vec<Place> = class.in_time.iter().copied().filter(is_late).collect();
-            for place in late {
-                class.in_time.remove(&place);
-                class.late.insert(place);
+            let late = class.in_time.iter().filter(|place| place.1 <= now);
+            for place in late.copied().collect::<Vec<_>>() {
+                if let Some(claim) = self.claims.get(&place.2) {
+                    class.remove(claim, place.2);
+                    class.insert(claim, place.2, now);
+                }
             }
         }
     }
--- a/crates/routing/src/room/returns.rs
+++ b/crates/routing/src/room/returns.rs
@@ -11,7 +11,7 @@
 use dalestand_types::MonotonicTime;
 
 /// Part of the places that come free which is kept for callers who come back.
-const RETURN_SHARE: f64 = 0.25;
+pub const RETURN_SHARE: f64 = 0.25;
 
 /// Lowest rate of places assumed, a second: there is a slot at some time.
 const LOWEST_RATE: f64 = 0.2;
@@ -72,9 +72,7 @@
         let rate = freed_per_s.max(LOWEST_RATE) * RETURN_SHARE;
         let next = self.next.entry(key.clone()).or_default();
         let urgent = next.range(..=priority).map(|(_, slot)| *slot).max();
-        let slot = urgent
-            .unwrap_or_default()
-            .max(now + bounds.shortest);
+        let slot = urgent.unwrap_or_default().max(now + bounds.shortest);
         let wait = slot.since(now);
         if wait >= bounds.longest {
             return ReturnSlot::NoneWithin(wait);
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -141,9 +141,9 @@
         let admitted_per_s = admitted.map_or(0.0, |rate| rate.at(now));
         let bounds = ReturnBounds { shortest, longest };
         let urgency = urgency(request.priority);
-        let slot =
-            self.returns
-                .refused(now, &request.model, urgency, admitted_per_s, bounds);
+        let slot = self
+            .returns
+            .refused(now, &request.model, urgency, admitted_per_s, bounds);
         slot.told().min(longest)
     }
 
--- a/crates/routing/src/staged/health.rs
+++ b/crates/routing/src/staged/health.rs
@@ -119,6 +119,14 @@
         record.is_some_and(|record| now < record.avoided_until.max(record.changes_until))
     }
 
+    /// Whether an engine gave no answer when it was last called, and that is not long ago.
+    pub fn is_silent(&self, now: MonotonicTime, engine: EngineKey) -> bool {
+        let record = self.engines.get(&engine);
+        record.is_some_and(|record| {
+            record.silences > 0 && now.since(record.updated_at) < LONGEST_AVOIDANCE
+        })
+    }
+
     /// Share of its attempts that failed lately, 0 to 1.
     pub fn failed_share(&self, now: MonotonicTime, engine: EngineKey) -> f64 {
         let record = self.engines.get(&engine);
--- /dev/null
+++ b/crates/routing/tests/room.rs
@@ -0,0 +1,344 @@
+//! Who is served when a pool is short, and that all nodes together keep to its places.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use dalestand_routing::ClassFigures;
+use dalestand_routing::room::{
+    Arrival, Claim, ClassTurns, Fill, LEAST_SHARE, PoolLoad, PoolRoom, ReturnBounds,
+    ReturnSchedule, ReturnSlot, RoomAccount, RoomQueue, RoomRequest, ShareStanding, WaitNumber,
+};
+use dalestand_routing::staged::{Expectation, TimeBounds};
+use dalestand_types::MonotonicTime;
+use proptest::prelude::*;
+use rstest::rstest;
+
+const NOW: MonotonicTime = MonotonicTime::from_millis(10_000);
+
+fn after(milliseconds: u64) -> MonotonicTime {
+    NOW + Duration::from_millis(milliseconds)
+}
+
+fn figures(asked_per_s: f32, begun_per_s: f32) -> ClassFigures {
+    ClassFigures {
+        asked_per_s,
+        begun_per_s,
+        ..ClassFigures::default()
+    }
+}
+
+/// Places of the pool of these tests: two for each of its slots.
+const PLACES: u32 = 400;
+
+/// Those of this node, a tenth.
+const OWN_PLACES: u32 = 40;
+
+/// A pool of 20 engines with 10 slots each, full, asked for twice what it serves; this node has a tenth of it.
+fn full() -> PoolLoad {
+    PoolLoad {
+        engines: 20,
+        slots: 200,
+        taken: PLACES,
+        own_taken: OWN_PLACES,
+        taken_age: Duration::from_millis(50),
+        own: figures(400.0, 200.0),
+        all: figures(4_000.0, 2_000.0),
+        heard: Some(Duration::from_millis(300)),
+        nodes: 10,
+    }
+}
+
+fn account(load: &PoolLoad) -> Option<RoomAccount> {
+    RoomAccount::of(load, Fill::whole(NOW))
+}
+
+fn request(priority: u8, objective_ms: u64, left_ms: u64) -> RoomRequest {
+    RoomRequest {
+        priority,
+        standing: ShareStanding::Within,
+        bounds: TimeBounds {
+            left: Duration::from_millis(left_ms),
+            objective: Duration::from_millis(objective_ms),
+        },
+        expected: Expectation {
+            whole_s: 0.1,
+            queue_s: 0.0,
+        },
+        urgent_per_s: 0.0,
+    }
+}
+
+fn claim(priority: u8, standing: ShareStanding, in_time_ms: u64, hopeless_ms: u64) -> Claim {
+    Claim {
+        priority,
+        standing,
+        in_time_until: after(in_time_ms),
+        hopeless_from: after(hopeless_ms),
+    }
+}
+
+fn short_room() -> PoolRoom {
+    let mut room = PoolRoom::default();
+    room.look(NOW, &full());
+    assert!(room.is_short());
+    room
+}
+
+#[rstest]
+#[case::never_heard(PoolLoad { heard: None, ..full() })]
+#[case::alone(PoolLoad { nodes: 1, ..full() })]
+#[case::one_engine(PoolLoad { engines: 1, ..full() })]
+#[case::no_slots(PoolLoad { slots: 0, ..full() })]
+fn without_knowledge_there_is_no_account_and_requests_go_as_before(#[case] load: PoolLoad) {
+    assert_eq!(account(&load), None);
+    let mut room = PoolRoom::default();
+    room.look(NOW, &load);
+    let decision = room.arrives(NOW, &request(2, 1_000, 3_000), load.own_taken);
+    assert_eq!(decision.arrival, Arrival::Ungated);
+}
+
+proptest! {
+    /// Whatever the nodes' parts, their places add up to the pool's, but for the one that each has at least.
+    #[test]
+    fn all_nodes_together_keep_to_the_places(
+        nodes in prop::sample::select(vec![5_usize, 70, 986]),
+        demands in prop::collection::vec(0.5_f32..50.0, 986),
+        slots in 20_u32..5_000,
+        taken_share in 0.0_f64..1.2,
+    ) {
+        let demands = &demands[..nodes];
+        let sum: f32 = demands.iter().sum();
+        let all_places = f64::from(slots) * f64::from(PLACES) / f64::from(full().slots);
+        let taken = (all_places * taken_share) as u32;
+        let places: f64 = demands.iter().map(|asked| {
+            let part = f64::from(asked / sum);
+            let load = PoolLoad {
+                engines: 10,
+                slots,
+                taken,
+                own_taken: (f64::from(taken) * part) as u32,
+                own: figures(*asked, 0.0),
+                all: figures(sum, 0.0),
+                nodes,
+                ..full()
+            };
+            account(&load).map_or(0.0, |account| account.own_places)
+        }).sum();
+        prop_assert!(places <= all_places + nodes as f64 + 1.0, "{places} of {all_places}");
+    }
+
+    /// However urgent the others are and however many: each class that waits gets its least share.
+    #[test]
+    fn no_class_starves(classes in prop::collection::btree_set(0_u8..=255, 1..40)) {
+        let waiting: Vec<u8> = classes.into_iter().collect();
+        let share = LEAST_SHARE.min(1.0 / waiting.len() as f64);
+        let rounds = 400;
+        let mut turns = ClassTurns::default();
+        let mut released: BTreeMap<u8, u32> = BTreeMap::new();
+        for _ in 0..rounds {
+            let next = turns.next(&waiting).expect("some wait");
+            *released.entry(next).or_default() += 1;
+        }
+        for class in &waiting {
+            let got = f64::from(released.get(class).copied().unwrap_or_default());
+            prop_assert!(got >= f64::from(rounds) * share - 2.0, "{class}: {got}");
+        }
+        prop_assert_eq!(released.values().sum::<u32>(), rounds);
+    }
+
+    /// Nobody is released for whom it would be too late, nor twice, and all others are.
+    #[test]
+    fn each_request_is_released_once_or_too_late(
+        claims in prop::collection::vec((0_u8..4, 0_u64..500, 1_u64..1_000), 1..60),
+        at in 0_u64..1_000,
+    ) {
+        let mut queue = RoomQueue::default();
+        let mut live = Vec::new();
+        for (priority, in_time, hopeless) in claims {
+            let claim = claim(priority, ShareStanding::Within, in_time, hopeless);
+            let number = queue.enter(NOW, claim);
+            if hopeless > at {
+                live.push(number);
+            }
+        }
+        let mut released: Vec<WaitNumber> = std::iter::from_fn(|| queue.release(after(at))).collect();
+        released.sort();
+        prop_assert_eq!(released, live);
+        prop_assert!(queue.is_empty());
+    }
+
+    /// Within any span the slots of one pool come no faster than its part of the places that come free.
+    #[test]
+    fn returns_keep_below_the_rate_of_places(
+        freed_per_s in 1.0_f64..2_000.0,
+        priorities in prop::collection::vec(0_u8..3, 1..300),
+    ) {
+        let bounds = ReturnBounds { shortest: Duration::from_millis(50), longest: Duration::from_secs(1) };
+        let mut returns = ReturnSchedule::default();
+        let mut slots = Vec::new();
+        let mut sorted = priorities;
+        sorted.sort_unstable();
+        for priority in sorted {
+            if let ReturnSlot::After(wait) = returns.refused(NOW, &"pool", priority, freed_per_s, bounds) {
+                slots.push(wait);
+            }
+        }
+        let span = slots.iter().max().copied().unwrap_or_default().saturating_sub(bounds.shortest);
+        prop_assert!(slots.len() as f64 <= freed_per_s * span.as_secs_f64() + 1.0);
+    }
+}
+
+#[rstest]
+fn a_caller_that_was_refused_once_does_not_wait_for_all_that_came_meanwhile() {
+    let mut queue = RoomQueue::default();
+    for newcomer in 0..20 {
+        queue.enter(NOW, claim(2, ShareStanding::Within, 800 + newcomer, 2_700));
+    }
+    let returned = queue.enter(NOW, claim(2, ShareStanding::Within, 900, 1_700));
+    let released: Vec<_> = (0..4).filter_map(|_| queue.release(NOW)).collect();
+    assert_eq!(
+        released[3], returned,
+        "a quarter of the places goes to those with least time left"
+    );
+}
+
+#[rstest]
+fn the_urgent_go_first_then_the_timely_then_tenants_within_their_share() {
+    let mut queue = RoomQueue::default();
+    let late = queue.enter(NOW, claim(2, ShareStanding::Within, 0, 500));
+    let over = queue.enter(NOW, claim(2, ShareStanding::Over, 800, 500));
+    let within = queue.enter(NOW, claim(2, ShareStanding::Within, 800, 900));
+    let urgent = queue.enter(NOW, claim(0, ShareStanding::Over, 800, 900));
+    let released: Vec<_> = std::iter::from_fn(|| queue.release(NOW)).collect();
+    assert_eq!(released, [urgent, within, over, late]);
+}
+
+#[rstest]
+fn a_request_that_can_no_longer_be_in_time_gives_way_while_it_waits() {
+    let mut queue = RoomQueue::default();
+    let first = queue.enter(NOW, claim(2, ShareStanding::Within, 100, 2_000));
+    let second = queue.enter(NOW, claim(2, ShareStanding::Within, 900, 2_500));
+    assert_eq!(queue.release(after(200)), Some(second));
+    assert_eq!(queue.release(after(200)), Some(first));
+}
+
+#[rstest]
+fn a_full_pool_has_requests_wait_and_places_that_come_free_are_given_in_order() {
+    let mut room = short_room();
+    let waits = room
+        .arrives(NOW, &request(2, 1_000, 3_000), OWN_PLACES)
+        .arrival;
+    let urgent = room
+        .arrives(NOW, &request(0, 1_000, 3_000), OWN_PLACES)
+        .arrival;
+    let (Arrival::Waits(less, _), Arrival::Waits(urgent, _)) = (waits, urgent) else {
+        panic!("{waits:?} {urgent:?}");
+    };
+    assert_eq!(room.release(NOW, OWN_PLACES), None);
+    assert_eq!(room.release(NOW, OWN_PLACES - 1), Some(urgent));
+    assert_eq!(
+        room.release(NOW, OWN_PLACES - 1),
+        None,
+        "its place is taken until it is sent"
+    );
+    room.sent();
+    assert_eq!(room.release(NOW, OWN_PLACES - 1), Some(less));
+}
+
+#[rstest]
+fn what_cannot_be_served_in_its_time_is_refused_at_once_with_a_slot() {
+    let mut room = short_room();
+    // Places come free at 200 a second: some 160 can wait for an answer within a second.
+    let arrivals: Vec<Arrival> = (0..400)
+        .map(|_| {
+            room.arrives(NOW, &request(2, 1_000, 1_000), OWN_PLACES)
+                .arrival
+        })
+        .collect();
+    let waiting = arrivals
+        .iter()
+        .filter(|arrival| matches!(arrival, Arrival::Waits(..)))
+        .count();
+    assert!((150..=180).contains(&waiting), "{waiting}");
+    let Arrival::Refused(ReturnSlot::After(first)) = arrivals[waiting] else {
+        panic!("{:?}", arrivals[waiting]);
+    };
+    assert!(first < Duration::from_millis(100), "{first:?}");
+    let Some(Arrival::Refused(ReturnSlot::NoneWithin(none))) = arrivals.last() else {
+        panic!("{:?}", arrivals.last());
+    };
+    assert!(*none >= Duration::from_millis(333), "told truly: {none:?}");
+    // The more urgent still gets in.
+    let urgent = room
+        .arrives(NOW, &request(0, 500, 1_000), OWN_PLACES)
+        .arrival;
+    assert!(matches!(urgent, Arrival::Waits(..)), "{urgent:?}");
+}
+
+#[rstest]
+fn those_that_wait_go_on_once_sums_are_lost() {
+    let mut room = short_room();
+    let request = request(2, 1_000, 3_000);
+    assert!(matches!(
+        room.arrives(NOW, &request, OWN_PLACES).arrival,
+        Arrival::Waits(..)
+    ));
+    room.look(
+        after(100),
+        &PoolLoad {
+            heard: None,
+            ..full()
+        },
+    );
+    assert!(!room.is_short());
+    assert!(room.release(after(100), OWN_PLACES).is_some());
+}
+
+#[rstest]
+fn a_pool_at_its_limit_does_not_go_to_and_fro() {
+    let mut room = short_room();
+    for taken in [PLACES * 85 / 100, PLACES * 88 / 100, PLACES * 75 / 100] {
+        let changed = room.look(after(50), &PoolLoad { taken, ..full() });
+        assert!(!changed && room.is_short(), "{taken}");
+    }
+    assert!(room.look(
+        after(100),
+        &PoolLoad {
+            taken: PLACES * 65 / 100,
+            ..full()
+        }
+    ));
+    assert!(!room.is_short());
+}
+
+#[rstest]
+fn engines_that_refuse_are_given_less_and_more_again_by_and_by() {
+    let mut fill = Fill::whole(NOW);
+    for step in 1..40 {
+        fill.follow(after(step * 250), 0.3);
+    }
+    assert_eq!(fill.share(), 0.5, "no less than engines work on at once");
+    fill.follow(after(10_250), 0.0);
+    assert!((0.5..0.54).contains(&fill.share()));
+    let before = fill.share();
+    // A clock that went back, and a node that stood still for ten seconds: one second's change at most.
+    fill.follow(NOW, 0.3);
+    assert_eq!(fill.share(), before);
+    fill.follow(after(60_000), 0.0);
+    assert!(fill.share() <= before * 1.06);
+}
+
+#[rstest]
+fn the_more_urgent_takes_the_next_slot() {
+    let bounds = ReturnBounds {
+        shortest: Duration::from_millis(50),
+        longest: Duration::from_secs(1),
+    };
+    let mut returns = ReturnSchedule::default();
+    let mut slot = |priority| returns.refused(NOW, &"pool", priority, 40.0, bounds);
+    let ms = |milliseconds| ReturnSlot::After(Duration::from_millis(milliseconds));
+    assert_eq!(slot(2), ms(50));
+    assert_eq!(slot(2), ms(150));
+    assert_eq!(slot(0), ms(50));
+    assert_eq!(slot(2), ms(350));
+}
