Room: places to the nearest whole one; late requests are kept for what a burst leaves behind it

Cause: rounded down, each of 73 nodes left half a place of some five empty; late answers came after deadlines.

--- a/crates/forwarding/src/serve/admission.rs
+++ b/crates/forwarding/src/serve/admission.rs
@@ -239,7 +239,7 @@
     let sums = context.sums.classes.borrow();
     let all = sums.totals().iter().filter(|((of, _), _)| of == pool);
     load.all = sum(all.map(|(_, figures)| figures));
-    load.heard = sums.heard_at().map(|heard_at| now.since(heard_at));
+    load.heard = sums.heard(now).map(|(_, age)| age).min();
     (load, asked)
 }
 
--- a/crates/routing/src/room/pool_room.rs
+++ b/crates/routing/src/room/pool_room.rs
@@ -11,8 +11,9 @@
 use super::returns::{RETURN_SHARE, ReturnBounds, ReturnSchedule, ReturnSlot};
 use crate::staged::{Expectation, TimeBounds};
 
-/// Share of the time left that may be planned with: expectations err.
-const PLANNED_SHARE: f64 = 0.9;
+/// Share of the time left that may be planned with: expectations err, and an answer that comes after the deadline has
+/// cost an engine's work for nothing.
+const PLANNED_SHARE: f64 = 0.8;
 
 /// Share of an objective that may go to waiting here and to work at an engine, as both are expected: they are means,
 /// and a request that waits longer than expected has to be answered in time still.
@@ -211,7 +212,8 @@
 
     fn has_place(&self, own_taken: u32) -> bool {
         let taken = f64::from(own_taken + self.placed);
-        let has_place = |account: &RoomAccount| taken + 1.0 <= account.own_places;
+        // To the nearest whole place: rounded down, each node would leave half a place empty.
+        let has_place = |account: &RoomAccount| taken + 0.5 <= account.own_places;
         !self.is_short || self.account.as_ref().is_none_or(has_place)
     }
 
--- a/crates/routing/src/source_sums.rs
+++ b/crates/routing/src/source_sums.rs
@@ -59,12 +59,6 @@
         known.extend(rows.into_iter().map(|(key, figures)| (key, (figures, now))));
     }
 
-    /// When a row of another node was last taken in, of those that count.
-    pub fn heard_at(&self) -> Option<MonotonicTime> {
-        let rows = self.reported.values().flat_map(HashMap::values);
-        rows.map(|(_, reported_at)| *reported_at).max()
-    }
-
     /// Forgets what a source reported.
     pub fn forget(&mut self, source: LoadSource) {
         self.reported.remove(&source);
