--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -31,6 +31,7 @@
 use crate::quarantine::state::Quarantine;
 use crate::roles::authority::Authority;
 use crate::roles::demand::DemandMeter;
+use crate::serve::admission::Rooms;
 use crate::serve::class_counts::ClassCounts;
 use crate::serve::held_bytes::HeldBytes;
 use crate::serve::tenant_shares::TenantShares;
@@ -85,6 +86,8 @@
     pub(crate) classes: Rc<ClassCounts>,
     /// Requests of this node by tenant, and the shares of tenants.
     pub(crate) tenant_shares: Rc<TenantShares>,
+    /// Who waits for a place in a pool that is short.
+    pub(crate) rooms: Rooms,
     /// Figures that add up over all nodes.
     pub(crate) sums: FleetSums,
     /// What was weighed when engines were last ordered, by pool; empty unless this node orders them.
@@ -137,6 +140,7 @@
             role_changes: RefCell::default(),
             classes: Rc::default(),
             tenant_shares: Rc::default(),
+            rooms: Rooms::default(),
             sums: FleetSums::default(),
             scaling_accounts: RefCell::default(),
             quarantine: Quarantine::default(),
--- a/crates/forwarding/src/node/metrics/page.rs
+++ b/crates/forwarding/src/node/metrics/page.rs
@@ -54,6 +54,7 @@
         self.set_repeats_left(context);
         self.scaling.set(&context.scaling_accounts.borrow());
         self.set_tenants_over_share(context);
+        self.room.set(context.rooms.standing());
         self.sums.set(context, now);
         let mut buffer = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut buffer)?;
--- a/crates/forwarding/src/serve/answer.rs
+++ b/crates/forwarding/src/serve/answer.rs
@@ -37,6 +37,9 @@
     /// Its pool is short of room and its tenant over its share, and it did not run; its caller may come back after
     /// this time.
     OverShare(Duration),
+    /// The pool is short, and it would get no place in its time; it did not run, and its caller may come back after
+    /// this time.
+    NoRoom(Duration),
     /// Engines ended under it, and it did not run this time; it may be tried again after so long.
     EndsEngines(Duration),
     /// The time is over, and it did not run.
@@ -56,6 +59,7 @@
             | Self::EnginesBackOff(_)
             | Self::Overloaded(_)
             | Self::OverShare(_)
+            | Self::NoRoom(_)
             | Self::EndsEngines(_)
             | Self::TimeOverNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -74,6 +78,7 @@
             Self::NoEngine => Some(Duration::from_millis(300)),
             Self::Overloaded(time)
             | Self::OverShare(time)
+            | Self::NoRoom(time)
             | Self::EndsEngines(time)
             | Self::EnginesBackOff(time) => Some(time),
             Self::TimeOverNotRun => Some(Duration::from_secs(1)),
--- a/crates/forwarding/src/serve/class_counts.rs
+++ b/crates/forwarding/src/serve/class_counts.rs
@@ -7,6 +7,7 @@
 use dalestand_clock::BootInstant;
 use dalestand_routing::{ClassFigures, ClassMeter};
 use dalestand_types::MonotonicTime;
+use tokio::sync::Notify;
 
 use crate::fleet_sums::{ClassKey, TenantKey};
 use crate::serve::tenant_shares::TenantShares;
@@ -18,6 +19,8 @@
 #[derive(Default)]
 pub(crate) struct ClassCounts {
     meters: RefCell<HashMap<ClassKey, ClassMeter>>,
+    /// Rung when a request of this node is no longer at an engine.
+    pub(crate) freed: Notify,
 }
 
 impl ClassCounts {
@@ -94,5 +97,6 @@
         if let Some((shares, tenant)) = &self.tenant {
             shares.held_slot(tenant, self.taken_at.elapsed());
         }
+        self.counts.freed.notify_waiters();
     }
 }
--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -19,13 +19,14 @@
 use crate::quarantine::evidence::is_stopped;
 use crate::quarantine::trial::{may_try, trial_in};
 use crate::serve::account::{log_failed, log_served, log_unadmitted};
+use crate::serve::admission::{Admission, get_place};
 use crate::serve::admit::admit;
 use crate::serve::answer::{Failure, streamed};
 use crate::serve::attempt::{AttemptEnd, Call, EngineAnswer, attempt, is_refused};
 use crate::serve::deliver::{Served, deliver};
 use crate::serve::held_bytes::in_pieces;
 use crate::serve::patience::run_patience;
-use crate::serve::plan::{Step, choose, choose_again};
+use crate::serve::plan::{Plan, Step, choose, choose_again};
 use crate::serve::prefill::{HeldPrompt, PrefillEnd, prefill};
 use crate::serve::progress::Progress;
 use crate::serve::relay::Relay;
@@ -260,18 +261,7 @@
             final_failure(context, progress)
         });
     }
-    let plan = choose(context, progress).ok_or_else(|| final_failure(context, progress))?;
-    let link_s = context.uplink.borrow().wait(context.now()).as_secs_f64();
-    progress.expected = plan.expected.map(|expected| expected.behind(link_s));
-    if progress.share.is_none() {
-        progress.unread_tokens = plan.unread_tokens();
-        if let Some(failure) = over_share(context, progress) {
-            return Err(failure);
-        }
-    }
-    if let Some(failure) = refused(progress) {
-        return Err(failure);
-    }
+    let plan = admitted_plan(context, progress).await?;
     let pool = plan.pool;
     match plan.step {
         Step::Whole(choice) => {
@@ -285,6 +275,42 @@
     }
 }
 
+/// The next plan of a request that may be begun. One that has not run waits for a place where the pool is short, and
+/// its plan is then made anew.
+async fn admitted_plan(context: &Rc<Context>, progress: &mut Progress) -> Result<Plan, Failure> {
+    let plan = next_plan(context, progress)?;
+    if progress.share.is_none() {
+        progress.unread_tokens = plan.unread_tokens();
+        if let Some(failure) = over_share(context, progress) {
+            return Err(failure);
+        }
+    }
+    let plan = if progress.runs > 0 || progress.place.is_some() {
+        plan
+    } else {
+        match get_place(context, progress, &plan.pool).await? {
+            Admission::Ungated => plan,
+            Admission::Placed(place, waited) => {
+                progress.place = Some(place);
+                if waited.is_zero() {
+                    plan
+                } else {
+                    next_plan(context, progress)?
+                }
+            }
+        }
+    };
+    refused(progress).map_or(Ok(plan), Err)
+}
+
+/// The next plan, with what is expected of it.
+fn next_plan(context: &Context, progress: &mut Progress) -> Result<Plan, Failure> {
+    let plan = choose(context, progress).ok_or_else(|| final_failure(context, progress))?;
+    let link_s = context.uplink.borrow().wait(context.now()).as_secs_f64();
+    progress.expected = plan.expected.map(|expected| expected.behind(link_s));
+    Ok(plan)
+}
+
 /// Counts a request for its tenant; the answer to one that lies beyond the tenant's share.
 fn over_share(context: &Context, progress: &mut Progress) -> Option<Failure> {
     let tenant = progress.tenant.as_ref()?;
--- a/crates/routing/tests/stale_loads.rs
+++ b/crates/routing/tests/stale_loads.rs
@@ -20,6 +20,9 @@
 /// A report's way from a node over relays to all others.
 const REPORT_AGE: Duration = Duration::from_millis(70);
 
+/// Time until nodes know how often they send.
+const WARM_UP: Duration = Duration::from_secs(1);
+
 /// Time over which engines are to get their parts.
 const PLAYED: Duration = Duration::from_secs(2);
 
@@ -124,9 +127,9 @@
     let mut under_way: Vec<Sent> = Vec::new();
     let mut reported_at = MonotonicTime::ZERO;
     let pause = Duration::from_secs(1) / requests_per_s as u32;
-    let counted_from = MonotonicTime::ZERO + Duration::from_secs(1);
+    let counted_from = MonotonicTime::ZERO + WARM_UP;
     let mut now = MonotonicTime::ZERO;
-    for number in 0..requests_per_s * 3 {
+    for number in 0..requests_per_s * (WARM_UP + PLAYED).as_secs() {
         now = now + pause;
         end_answers(now, &mut routers, &mut engines_state, &mut under_way);
         if now.since(reported_at) >= REPORT_AGE {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -148,6 +148,10 @@
     EngineCountFailed = (1712, Warning, "engine count not ordered yet");
     /// Spot engines of one or more zones were taken away.
     SpotEnginesLost = (1713, Warning, "spot engines taken away");
+    /// A pool has become short of places.
+    PoolShort = (1631, Info, "pool short");
+    /// A pool is no longer short of places.
+    PoolNotShort = (1632, Info, "pool not short");
     /// The settings file was read again.
     SettingsRead = (1605, Info, "settings read again");
     /// The settings file changed and cannot be used.
