What is refused beside free slots needs no engines; losses are written after orders

At 18 s 803 a second were asked for and 715 begun, by means over seconds that fall, while 141 of 792 slots were busy: taken for more work than engines do, 61 busy engines. Change: more work than engines do is told by their slots. A loss is written once orders are given, so that a store that does not answer holds up none.

--- a/crates/forwarding/src/duties/scaling/mod.rs
+++ b/crates/forwarding/src/duties/scaling/mod.rs
@@ -45,6 +45,8 @@
     own: BTreeMap<ZoneName, u32>,
     orders: EngineOrders,
     kept_losses: Option<KeptLosses>,
+    /// A loss is not written yet.
+    has_new_loss: bool,
 }
 
 /// What a relay knows of one pool.
@@ -213,8 +215,20 @@
             };
             self.pools.entry(pool.clone()).or_default().held = Some(held);
         }
-        self.follow_losses(pool, &standing).await;
-        let Some(account) = self.decide(pool, terms, &standing) else {
+        self.follow_losses(pool, &standing);
+        self.order(pool, terms, &standing).await;
+        // Last: a store that does not answer holds up no order for what was lost.
+        self.keep_losses(pool).await;
+    }
+
+    /// Gives the orders that are due.
+    async fn order(
+        &mut self,
+        pool: &PoolName,
+        terms: &ScalingTerms,
+        standing: &BTreeMap<ZoneName, ZoneEngines>,
+    ) {
+        let Some(account) = self.decide(pool, terms, standing) else {
             return;
         };
         let orders = self.due(pool, &account);
@@ -257,10 +271,11 @@
             own,
             orders: EngineOrders::default(),
             kept_losses,
+            has_new_loss: false,
         })
     }
 
-    async fn follow_losses(&mut self, pool: &PoolName, standing: &BTreeMap<ZoneName, ZoneEngines>) {
+    fn follow_losses(&mut self, pool: &PoolName, standing: &BTreeMap<ZoneName, ZoneEngines>) {
         let now = self.context.now();
         let leaving = self.context.leaving_spot_engines(pool);
         let Some(known) = self.pools.get_mut(pool) else {
@@ -285,9 +300,24 @@
         let logger = &self.context.logger;
         log_event!(logger, Event::SpotEnginesLost, "pool" => %pool, "losses" => record.losses,
             "zones_at_once" => record.zones_at_once, "leaving" => ?leaving);
+        held.has_new_loss = true;
+    }
+
+    /// Writes losses that are new. What could not be written goes out with the next.
+    async fn keep_losses(&mut self, pool: &PoolName) {
+        let Some(known) = self.pools.get_mut(pool) else {
+            return;
+        };
+        let Some(held) = &mut known.held else {
+            return;
+        };
+        if !std::mem::take(&mut held.has_new_loss) {
+            return;
+        }
         if let Some(kept) = &mut held.kept_losses
-            && let Err(error) = kept.write(&*self.store, &record).await
+            && let Err(error) = kept.write(&*self.store, known.demand.losses.record()).await
         {
+            let logger = &self.context.logger;
             log_unkept(logger, pool, "write losses", error.current_context());
         }
     }
--- a/crates/planner/src/engine_scaling/work.rs
+++ b/crates/planner/src/engine_scaling/work.rs
@@ -97,10 +97,9 @@
         in_slots + in_prefill
     }
 
-    /// Whether all is served and requests do not wait for each other.
+    /// Whether requests do not wait for each other. What is refused then is not for want of engines.
     fn is_calm(&self) -> bool {
-        let total = self.total();
-        total.busy_slots <= self.slots * CALM_USE && total.unserved() <= CALM_UNSERVED
+        self.total().busy_slots <= self.slots * CALM_USE
     }
 
     fn is_sound(&self) -> bool {
@@ -128,7 +127,9 @@
         }
         let busy = work.engines_busy(&work.total());
         if work.is_calm() {
-            self.learn(now, work);
+            if work.total().unserved() <= CALM_UNSERVED {
+                self.learn(now, work);
+            }
             return Some(busy);
         }
         // Under more work than engines do, what is busy and waits says little of what is asked for.
--- a/crates/planner/tests/engines_by_demand.rs
+++ b/crates/planner/tests/engines_by_demand.rs
@@ -296,6 +296,7 @@
 #[case::slots(work(100.0, 100.0, 60.0, 0.0), Some(5.0))]
 #[case::prompts_too(work(100.0, 100.0, 60.0, 2e5), Some(7.0))]
 #[case::half_is_refused(work(200.0, 100.0, 120.0, 0.0), Some(20.0))]
+#[case::refused_beside_free_slots(work(200.0, 100.0, 60.0, 0.0), Some(5.0))]
 #[case::nothing(work(0.0, 0.0, 0.0, 0.0), Some(0.0))]
 #[case::no_number(work(0.0, 0.0, f64::NAN, 0.0), None)]
 #[case::no_engines(PoolWork::default(), None)]
