Calls of a request that engines refuse are spread over its objective

Cause: where a pool just turned short, six calls within milliseconds found the same full engines.

Change: in opaque pools, after two engines refused, a request within its tenant's share (or of a tenant whose share isn't known yet) pauses for a quarter of its objective before the next call.

--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -34,8 +34,11 @@
 /// alike, and two engines that were chosen as the least busy are rarely full at once.
 const REFUSALS_OF_MEMORY: u32 = 2;
 
-/// Parts of its objective for which a request within its tenant's share waits before it tries all engines again.
-const PAUSES_FOR_PLACE: u32 = 2;
+/// Pauses of a request that engines refuse, in one objective: the calls that it may make are spread over it.
+const PAUSES_FOR_PLACE: u32 = 4;
+
+/// Engines that a request asks one after the other before it pauses: if both are full, so are most.
+const CALLS_AT_ONCE: usize = 2;
 
 /// Part of its objective that queues may take of a request beyond its tenant's share: one within a share that comes
 /// next still has the rest. Sums of all nodes are up to three seconds old, queues a tenth of one.
@@ -149,11 +152,15 @@
                 fallback = Some(Served::Whole(head, body, room));
             }
             Ok(Some(served)) => return Ok(served),
-            Ok(None) if may_call_again(context, progress) => {}
+            Ok(None) if may_call_again(context, progress) => {
+                let is_refused = progress.calls.len() >= CALLS_AT_ONCE;
+                if is_refused && progress.expected.is_none() && waits_for_place(context, progress) {
+                    pause_for_place(progress).await;
+                }
+            }
             Ok(None) => return fallback.ok_or(final_failure(context, progress)),
             Err(Failure::NoEngine) if waits_for_place(context, progress) => {
-                let objective = Duration::from_millis(progress.route.objective_ms);
-                actix_rt::time::sleep(objective / PAUSES_FOR_PLACE).await;
+                pause_for_place(progress).await;
                 progress.tried.clear();
             }
             Err(failure) => return fallback.ok_or(failure),
@@ -161,7 +168,13 @@
     }
 }
 
-/// Whether a request that all engines refused tries them once more: places come free for tenants within their share.
+async fn pause_for_place(progress: &Progress) {
+    let objective = Duration::from_millis(progress.route.objective_ms);
+    actix_rt::time::sleep(objective / PAUSES_FOR_PLACE).await;
+}
+
+/// Whether a request that engines refused waits before it tries the next: places come free for tenants within their
+/// share.
 fn waits_for_place(context: &Context, progress: &Progress) -> bool {
     if progress.tenant.is_none() || progress.tried.is_empty() {
         return false;
