--- a/crates/dissemination/src/sums.rs
+++ b/crates/dissemination/src/sums.rs
@@ -4,8 +4,8 @@
 use dalestand_types::PoolName;
 use serde::{Deserialize, Serialize};
 
+use crate::loads::EngineCode;
 use crate::membership::NodeNumber;
-use crate::message::EngineCode;
 
 /// Whose figures a message has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
--- a/crates/forwarding/tests/support/mod.rs
+++ b/crates/forwarding/tests/support/mod.rs
@@ -1,9 +1,9 @@
-//! A node in this process, before a store in memory and engines that do as they are told.
+//! A node in this process, before a store in memory and engines that answer by scripts.
 
 mod dialect;
 mod engine;
 mod node;
 mod store;
 
-pub use engine::{Script, TestEngine, answer, id_of};
-pub use node::{TestNode, get};
+pub use engine::{Script, TestEngine, answer, id_of, refusing, sound};
+pub use node::{TestNode, get, status};
