--- a/crates/forwarding/tests/figures/mod.rs
+++ b/crates/forwarding/tests/figures/mod.rs
@@ -1,17 +1,17 @@
-//! The figures of a node: what they are called, and that they move. `docs/OPERATIONS.md` lists them.
+//! The figures of a node: what they are called, and that they change. `docs/OPERATIONS.md` lists them.
 
 use std::collections::BTreeSet;
 
-use crate::support::{TestEngine, TestNode, get};
+use crate::support::{TestEngine, TestNode, get, sound};
 
 const CATALOGUE: &str = include_str!("../../../../docs/OPERATIONS.md");
 
 async fn figures_after_one_request() -> String {
     let node = TestNode::start().await;
-    let engine = TestEngine::start(crate::sound);
+    let engine = TestEngine::start(sound);
     node.declare(1, "repeatable", 2, 1_000);
     node.list("e", &engine, "ready");
-    node.settle().await;
+    node.has_heard_of(1).await;
     let served = node.request("1", "/r/x").await;
     assert!(served.starts_with("HTTP/1.1 200"), "{served}");
     get(node.metrics, "host: a.example\r\n", "/metrics").await
@@ -36,13 +36,13 @@
 #[actix_rt::test]
 async fn the_catalogue_lists_every_figure() {
     let figures = figures_after_one_request().await;
-    let told: BTreeSet<&str> = figures
+    let reported: BTreeSet<&str> = figures
         .lines()
         .filter_map(|line| line.strip_prefix("# TYPE "))
         .filter_map(|line| line.split(' ').next())
         .collect();
-    assert!(told.len() >= 10, "{told:?}");
-    let unlisted: Vec<&&str> = told
+    assert!(reported.len() >= 10, "{reported:?}");
+    let unlisted: Vec<&&str> = reported
         .iter()
         .filter(|name| !CATALOGUE.contains(&format!("`{name}`")))
         .collect();
