--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -118,7 +118,6 @@
         deadline: progress.deadline_left(),
         run: &engine.run,
         caller: progress.caller.clone(),
-        priority: progress.told_priority(),
         ..call.terms
     };
     context.dialect.write_request(&mut head.headers, &terms);
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -292,12 +292,6 @@
             .collect()
     }
 
-    /// Its importance as engines are told it, where routes of its pool differ in that.
-    pub(crate) fn told_priority(&self) -> Option<u8> {
-        let (pool, priority) = &self.class;
-        Some(*priority).filter(|_| self.table.differs_in_priority(pool))
-    }
-
     /// What the choice among the engines of `pool` must know.
     pub(crate) fn staged(&self, settings: &ForwardingSettings, pool: &PoolName) -> StagedRequest {
         let terms = self.table.pool(pool);
