--- a/cmd/src/room/table.rs
+++ b/cmd/src/room/table.rs
@@ -85,7 +85,13 @@
     push_rows(text, classes, pool.classes.iter().map(class_row));
     push_rows(
         text,
-        ["tenant", "asked/s", "begun/s"],
+        [
+            "tenant",
+            "asked slots",
+            "begun slots",
+            "asked tokens/s",
+            "begun tokens/s",
+        ],
         pool.tenants.iter().map(tenant_row),
     );
     push_unlisted(text, pool.tenants_unlisted, "tenant");
@@ -135,12 +141,14 @@
     ]
 }
 
-fn tenant_row(tenant: &TenantDemand) -> [String; 3] {
+fn tenant_row(tenant: &TenantDemand) -> [String; 5] {
     let name = tenant.name.as_deref().map(printable);
     [
         name.unwrap_or_else(|| format!("#{:016x}", tenant.code.0)),
-        one_digit(tenant.figures.asked_per_s),
-        one_digit(tenant.figures.begun_per_s),
+        one_digit(tenant.figures.asked.slots),
+        one_digit(tenant.figures.begun.slots),
+        one_digit(tenant.figures.asked.prompt_tokens_per_s),
+        one_digit(tenant.figures.begun.prompt_tokens_per_s),
     ]
 }
 
--- a/crates/dissemination/src/sums.rs
+++ b/crates/dissemination/src/sums.rs
@@ -1,8 +1,7 @@
 //! Figures of pools, tenants and engines on their way between nodes.
 
-use dalestand_routing::staged::EngineKey;
-use dalestand_routing::{ClassFigures, SlownessFigures, TenantFigures, WorkKind};
-use dalestand_types::{PoolName, TenantName};
+use dalestand_routing::{ClassFigures, SlownessFigures, TenantCode, TenantFigures, WorkKind};
+use dalestand_types::PoolName;
 use serde::{Deserialize, Serialize};
 
 use crate::loads::EngineCode;
@@ -30,18 +29,6 @@
     pub figures: ClassFigures,
 }
 
-/// A short number for a tenant: names may be long.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Deserialize, Serialize)]
-#[serde(transparent)]
-pub struct TenantCode(pub u64);
-
-impl TenantCode {
-    /// The short number of a tenant, the same at all nodes.
-    pub fn of(name: &TenantName) -> Self {
-        Self(EngineKey::of(name.as_str()).0)
-    }
-}
-
 /// What one tenant asks of one pool.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
 pub struct TenantRow {
@@ -51,11 +38,13 @@
     pub figures: TenantFigures,
 }
 
-/// What tenants ask of one pool: the largest of them.
+/// What tenants ask of one pool at one priority: the largest of them.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct TenantRows {
     /// The pool.
     pub pool: PoolName,
+    /// The priority; 0 is the most urgent.
+    pub priority: u8,
     /// The tenants.
     pub rows: Vec<TenantRow>,
 }
--- a/crates/forwarding/src/fleet_sums.rs
+++ b/crates/forwarding/src/fleet_sums.rs
@@ -6,9 +6,11 @@
 use std::cell::RefCell;
 use std::time::Duration;
 
-use dalestand_dissemination::{EngineCode, TenantCode};
+use dalestand_dissemination::EngineCode;
 use dalestand_routing::staged::LoadSource;
-use dalestand_routing::{ClassFigures, SlownessFigures, SourceSums, TenantFigures, WorkKind};
+use dalestand_routing::{
+    ClassFigures, SlownessFigures, SourceSums, TenantCode, TenantFigures, WorkKind,
+};
 use dalestand_types::{MonotonicTime, PoolName};
 
 /// A row of a pool or a tenant counts for this long. Reports come once a second at least, so that one that is lost
@@ -22,8 +24,8 @@
 /// Names the requests of one pool and one priority.
 pub(crate) type ClassKey = (PoolName, u8);
 
-/// Names what one tenant asks of one pool.
-pub(crate) type TenantKey = (PoolName, TenantCode);
+/// Names what one tenant asks of one pool at one priority.
+pub(crate) type TenantKey = (ClassKey, TenantCode);
 
 /// Names one engine's slowness at one kind of work.
 pub(crate) type SlownessKey = (EngineCode, WorkKind);
@@ -48,9 +50,14 @@
 impl FleetSums {
     /// Forgets rows that have lapsed and adds up the totals.
     pub(crate) fn refresh(&self, now: MonotonicTime) {
+        self.refresh_demand(now);
+        self.slowness.borrow_mut().refresh(now);
+    }
+
+    /// The same for pools and tenants only.
+    pub(crate) fn refresh_demand(&self, now: MonotonicTime) {
         self.classes.borrow_mut().refresh(now);
         self.tenants.borrow_mut().refresh(now);
-        self.slowness.borrow_mut().refresh(now);
     }
 
     /// Forgets what `source` reported.
--- a/crates/forwarding/src/node/room.rs
+++ b/crates/forwarding/src/node/room.rs
@@ -4,9 +4,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use dalestand_dissemination::TenantCode;
 use dalestand_routing::staged::{LoadSource, Stage};
-use dalestand_routing::{SlownessFigures, WorkKind};
+use dalestand_routing::{SlownessFigures, TenantCode, TenantFigures, WorkKind};
 use dalestand_types::{MonotonicTime, PoolName, ZoneName};
 
 use crate::context::Context;
@@ -138,21 +137,25 @@
 /// The tenants with the most demand, and how many more there are.
 fn tenant_demand(context: &Context, pool: &PoolName) -> (Vec<TenantDemand>, usize) {
     let tenants = context.sums.tenants.borrow();
-    let of_pool = tenants
-        .totals()
-        .iter()
-        .filter(|((name, _), _)| name == pool);
-    let tenants = of_pool.map(|((_, code), figures)| TenantDemand {
+    let mut by_code: BTreeMap<TenantCode, TenantFigures> = BTreeMap::new();
+    for (((name, _), code), figures) in tenants.totals() {
+        if name == pool {
+            *by_code.entry(*code).or_default() += figures;
+        }
+    }
+    let tenants = by_code.into_iter().map(|(code, figures)| TenantDemand {
         name: None,
-        code: *code,
-        figures: *figures,
+        code,
+        figures,
     });
     let mut tenants: Vec<TenantDemand> = tenants.collect();
     tenants.sort_by(|one, other| {
-        let by_demand = other
-            .figures
-            .asked_per_s
-            .total_cmp(&one.figures.asked_per_s);
+        let (one_asked, other_asked) = (one.figures.asked, other.figures.asked);
+        let by_slots = other_asked.slots.total_cmp(&one_asked.slots);
+        let by_tokens = other_asked
+            .prompt_tokens_per_s
+            .total_cmp(&one_asked.prompt_tokens_per_s);
+        let by_demand = by_slots.then(by_tokens);
         by_demand.then_with(|| one.code.cmp(&other.code))
     });
     let unlisted = tenants.len().saturating_sub(TENANTS_LISTED);
@@ -206,8 +209,13 @@
     speed.slowness.ln().abs()
 }
 
-/// The name of a tenant of the declaration in force.
+/// The name of a tenant of the declaration in force, or what a number stands for that is no single tenant's.
 fn tenant_name(context: &Context, code: TenantCode) -> Option<String> {
+    match code {
+        TenantCode::OTHERS => return Some("(all others)".to_owned()),
+        TenantCode::ANONYMOUS => return Some("(no key)".to_owned()),
+        TenantCode(_) => {}
+    }
     let table = context.table()?;
     let mut tenants = table.tenants();
     let tenant = tenants.find(|tenant| TenantCode::of(&tenant.name) == code)?;
--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -8,6 +8,8 @@
 use dalestand_engine_link::ResponseHead;
 use dalestand_http_server::{Answer, ConnectionType, Request};
 use dalestand_routing::CallPurpose;
+use dalestand_routing::room::ShareStanding;
+use dalestand_routing::room::shares::TenantShare;
 use dalestand_routing::staged::{
     AttemptResult, EngineChoice, StagedEngine, TimeBounds, refused_for,
 };
@@ -32,6 +34,13 @@
 /// alike, and two engines that were chosen as the least busy are rarely full at once.
 const REFUSALS_OF_MEMORY: u32 = 2;
 
+/// Parts of its objective for which a request within its tenant's share waits before it tries all engines again.
+const PAUSES_FOR_PLACE: u32 = 2;
+
+/// Part of its objective that queues may take of a request beyond its tenant's share: one within a share that comes
+/// next still has the rest. Sums of all nodes are up to three seconds old, queues a tenth of one.
+const QUEUE_OVER_SHARE: f64 = 0.5;
+
 /// Serves a request.
 pub(crate) async fn forward(context: Rc<Context>, mut request: Request) -> Answer {
     let in_flight = context.in_flight.enter();
@@ -100,9 +109,23 @@
         .classes
         .note(&progress.class, |meter| match failure {
             None => meter.begun.count(now, 1.0),
-            Some(failure) if failure.retry_after().is_some() => meter.refused.count(now, 1.0),
+            Some(failure) if failure.retry_after().is_some() => {
+                meter.refused.count(now, 1.0);
+                if matches!(failure, Failure::OverShare(_)) {
+                    meter.over_share.count(now, 1.0);
+                }
+            }
             Some(_) => {}
         });
+    match (&progress.tenant, failure) {
+        (Some(tenant), None) => {
+            let shares = &context.tenant_shares;
+            shares.begun(now, tenant, progress.unread_tokens);
+        }
+        (Some(((pool, _), _)), Some(Failure::OverShare(_))) => context.metrics.over_share(pool),
+        (Some(_), Some(failure)) if failure.retry_after().is_some() => context.room_is_short(now),
+        (Some(_) | None, _) => {}
+    }
 }
 
 /// During a planned stop each answer tells the caller to connect anew.
@@ -128,11 +151,25 @@
             Ok(Some(served)) => return Ok(served),
             Ok(None) if may_call_again(context, progress) => {}
             Ok(None) => return fallback.ok_or(final_failure(context, progress)),
+            Err(Failure::NoEngine) if waits_for_place(context, progress) => {
+                let objective = Duration::from_millis(progress.route.objective_ms);
+                actix_rt::time::sleep(objective / PAUSES_FOR_PLACE).await;
+                progress.tried.clear();
+            }
             Err(failure) => return fallback.ok_or(failure),
         }
     }
 }
 
+/// Whether a request that all engines refused tries them once more: places come free for tenants within their share.
+fn waits_for_place(context: &Context, progress: &Progress) -> bool {
+    if progress.tenant.is_none() || progress.tried.is_empty() {
+        return false;
+    }
+    let share = share_now(context, progress);
+    share.is_none_or(|share| share.part() >= 1.0) && may_call_again(context, progress)
+}
+
 /// The answer to a request that ends the engines that run it. One of them may run once now and then.
 async fn ends_engines(context: &Context, progress: &mut Progress) -> Option<Failure> {
     let fingerprint = progress.fingerprint?;
@@ -185,6 +222,9 @@
         return false;
     }
     let is_repeat = progress.call_counts.is_repeat();
+    if is_repeat && progress.runs == 0 && progress.expected.is_none() && is_cut(context, progress) {
+        return false;
+    }
     let Some(pool) = progress.pools.first().filter(|_| is_repeat) else {
         return true;
     };
@@ -192,6 +232,18 @@
     context.budget.borrow_mut().left(now, pool) >= 1.0
 }
 
+/// Whether its tenant asks for more than its share: what it may repeat is left to the others, unless an engine may
+/// have prefilled its prompt.
+fn is_cut(context: &Context, progress: &Progress) -> bool {
+    share_now(context, progress).is_some_and(|share| share.part() < 1.0)
+}
+
+/// The share of its tenant, where shares decide anything.
+fn share_now(context: &Context, progress: &Progress) -> Option<TenantShare> {
+    let tenant = progress.tenant.as_ref()?;
+    context.tenant_shares.share(context.now(), tenant)
+}
+
 /// One plan and its calls; `None` if it gave no answer.
 async fn serve_once(
     context: &Rc<Context>,
@@ -211,6 +263,12 @@
     let plan = choose(context, progress).ok_or_else(|| final_failure(context, progress))?;
     let link_s = context.uplink.borrow().wait(context.now()).as_secs_f64();
     progress.expected = plan.expected.map(|expected| expected.behind(link_s));
+    if progress.share.is_none() {
+        progress.unread_tokens = plan.unread_tokens();
+        if let Some(failure) = over_share(context, progress) {
+            return Err(failure);
+        }
+    }
     if let Some(failure) = refused(progress) {
         return Err(failure);
     }
@@ -227,6 +285,25 @@
     }
 }
 
+/// Counts a request for its tenant; the answer to one that lies beyond the tenant's share.
+fn over_share(context: &Context, progress: &mut Progress) -> Option<Failure> {
+    let tenant = progress.tenant.as_ref()?;
+    let shares = &context.tenant_shares;
+    let account = shares.asked(context.now(), tenant, progress.unread_tokens, &context.sums);
+    progress.share = Some(account);
+    let is_over = account.standing == ShareStanding::Over && !finds_room(progress);
+    let share = account.share.filter(|_| is_over && progress.runs == 0)?;
+    let wait = share.catches_up_in(progress.time_left(), rand::random());
+    Some(Failure::OverShare(wait))
+}
+
+/// Whether the engine chosen has so short a queue that the request takes no other's place, where queues are known.
+fn finds_room(progress: &Progress) -> bool {
+    let objective = Duration::from_millis(progress.route.objective_ms);
+    let queue_s = progress.expected.map(|expected| expected.queue_s);
+    queue_s.is_some_and(|queue_s| queue_s < objective.as_secs_f64() * QUEUE_OVER_SHARE)
+}
+
 /// The answer to a request that has not run and cannot be answered in time.
 fn refused(progress: &Progress) -> Option<Failure> {
     if progress.runs > 0 {
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -9,7 +9,7 @@
 use crate::tenant::{Caller, KeyIndex, PresentedKey, Tenant, TenantTerms, Unauthorized};
 
 /// Why a declaration cannot come into force.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
 pub enum RouteFault {
     /// The text is not a declaration.
     #[error("not a route file: {0}")]
@@ -38,6 +38,9 @@
     /// A key is declared twice.
     #[error("tenant {0}: a key is declared twice")]
     KeyTwice(TenantName),
+    /// A weight is no number above 0.
+    #[error("tenant {tenant}: weight {weight} must be a number above 0")]
+    Weight { tenant: TenantName, weight: f64 },
 }
 
 /// Routes by host and path.
@@ -172,6 +175,11 @@
         }
     }
 
+    /// Whether tenants are declared.
+    pub fn has_tenants(&self) -> bool {
+        self.keys.is_some()
+    }
+
     /// A pool by its name.
     pub fn pool(&self, name: &PoolName) -> Option<&Arc<PoolTerms>> {
         self.pools.get(name)
@@ -212,9 +220,18 @@
         if !names.insert(terms.name.clone()) {
             faults.push(RouteFault::TenantTwice(terms.name.clone()));
         }
+        if let Some(weight) = terms.weight
+            && !(weight.is_finite() && weight > 0.0)
+        {
+            faults.push(RouteFault::Weight {
+                tenant: terms.name.clone(),
+                weight,
+            });
+        }
         let tenant = Arc::new(Tenant {
             name: terms.name.clone(),
             priority: terms.priority,
+            weight: terms.weight,
         });
         for key in &terms.keys {
             if key.is_empty() {
