Golden bytes of figures of the whole fleet

Change: messages of figures in each form and scope stand in golden/sums.txt; a test that a node of the build before them reads all other messages, and passes these over.

--- a/crates/dissemination/tests/golden.rs
+++ b/crates/dissemination/tests/golden.rs
@@ -9,15 +9,20 @@
 use std::net::SocketAddr;
 
 use dalestand_dissemination::{
-    DeclarationPart, DeclarationRequest, EngineCode, EngineLimit, EngineLimits, EngineLoad,
-    EngineNotices, EngineStart, EntriesPage, EntriesRequest, EntryRecord, Exchange, HolderAddress,
-    IncludedReport, LoadScope, LoadSlice, LoadsMessage, MESSAGE_VERSION, Message, News, NewsBatch,
-    NodeEntry, NodeNumber, PartsRequest, PermitAnswer, PermitNeed, PermitRequest, PlacedPart,
-    Placement, PlacementState, PoolDemand, Relay, Report, RoleChange, Table, UsageReport,
+    ClassRow, DeclarationPart, DeclarationRequest, EngineCode, EngineLimit, EngineLimits,
+    EngineLoad, EngineNotices, EngineStart, EntriesPage, EntriesRequest, EntryRecord, Exchange,
+    HolderAddress, IncludedReport, LoadScope, LoadSlice, LoadsMessage, MESSAGE_VERSION, Message,
+    News, NewsBatch, NodeEntry, NodeNumber, PartsRequest, PermitAnswer, PermitNeed, PermitRequest,
+    PlacedPart, Placement, PlacementState, PoolDemand, Relay, Report, RoleChange, SlownessRow,
+    SumScope, SummedRows, SumsMessage, Table, TenantRow, TenantRows, UsageReport,
 };
 use dalestand_duties::NodeLife;
 use dalestand_quarantine::{CrashRecord, EngineRun, RequestFingerprint};
-use dalestand_types::{PoolName, RequestRate, ZoneName};
+use dalestand_routing::{
+    ClassFigures, SlownessFigures, TenantCode, TenantFigures, WorkKind, WorkRate,
+};
+use dalestand_types::{PoolName, RequestRate, TenantName, ZoneName};
+use serde::Deserialize;
 
 /// What the landed build wrote.
 const GOLDEN: &str = include_str!("golden/first-of-upgrades.txt");
@@ -25,6 +30,9 @@
 /// What the build wrote that brought permits: the kinds of messages that came after the first.
 const GOLDEN_OF_PERMITS: &str = include_str!("golden/permits.txt");
 
+/// What the build wrote that brought figures of the whole fleet.
+const GOLDEN_OF_SUMS: &str = include_str!("golden/sums.txt");
+
 fn address() -> SocketAddr {
     SocketAddr::from(([10, 1, 0, 35], 7_660))
 }
@@ -247,6 +255,76 @@
     ])
 }
 
+fn class_figures() -> ClassFigures {
+    ClassFigures {
+        asked_per_s: 402.5,
+        returned_per_s: 88.25,
+        begun_per_s: 131.5,
+        refused_per_s: 352.0,
+        over_share_per_s: 40.0,
+        engine_refusals_per_s: 7.5,
+        busy_slots: 231.75,
+        prefill_tokens_per_s: 93_000.0,
+        waiting: 41.0,
+        returns_due: 310.0,
+    }
+}
+
+fn tenant_figures() -> TenantFigures {
+    let work = |slots, prompt_tokens_per_s| WorkRate {
+        slots,
+        prompt_tokens_per_s,
+    };
+    TenantFigures {
+        asked: work(12.5, 17_000.0),
+        begun: work(3.25, 4_000.0),
+    }
+}
+
+/// Figures in each form and scope.
+fn sums_samples() -> BTreeMap<&'static str, Message> {
+    let sums = |scope, rows| {
+        let node = NodeNumber(1);
+        Message::Sums(SumsMessage { node, scope, rows })
+    };
+    let classes = vec![ClassRow {
+        pool: PoolName::from("captions"),
+        priority: 3,
+        figures: class_figures(),
+    }];
+    let tenants = TenantRows {
+        pool: PoolName::from("captions"),
+        priority: 3,
+        rows: vec![TenantRow {
+            tenant: TenantCode::of(&TenantName::from("crag")),
+            figures: tenant_figures(),
+        }],
+    };
+    let slowness = [WorkKind::Prefill, WorkKind::Decode, WorkKind::Opaque];
+    let slowness = slowness.map(|kind| SlownessRow {
+        engine: EngineCode(70_000),
+        kind,
+        figures: SlownessFigures {
+            weight: 12.5,
+            log_slowness: -1.25,
+        },
+    });
+    BTreeMap::from([
+        (
+            "sums-classes",
+            sums(SumScope::Node, SummedRows::Classes(classes)),
+        ),
+        (
+            "sums-tenants",
+            sums(SumScope::Members, SummedRows::Tenants(tenants)),
+        ),
+        (
+            "sums-slowness",
+            sums(SumScope::Fleet, SummedRows::Slowness(slowness.to_vec())),
+        ),
+    ])
+}
+
 fn usage() -> UsageReport {
     UsageReport {
         origin: NodeLife { node: 1, life: 5 },
@@ -297,6 +375,7 @@
 fn messages_are_those_of_the_landed_build() {
     if let Ok(file) = std::env::var("GOLDEN_OUT") {
         let samples = samples().into_iter().chain(later_samples());
+        let samples = samples.chain(sums_samples());
         let samples: BTreeMap<&str, Message> = samples.collect();
         let lines = samples
             .iter()
@@ -309,6 +388,7 @@
     let golden = lines_of(GOLDEN);
     hold(&golden, samples());
     hold(&lines_of(GOLDEN_OF_PERMITS), later_samples());
+    hold(&lines_of(GOLDEN_OF_SUMS), sums_samples());
     let entry = NodeEntry::parse(golden["node-entry"]).expect("an entry");
     assert_eq!(entry, node_entry());
     let text = node_entry().to_text().expect("a text");
@@ -321,3 +401,40 @@
     let read = rmp_serde::from_slice::<(u8, Message)>(&unknown.expect("encoded"));
     assert!(read.is_err());
 }
+
+/// The messages of the build before figures of the whole fleet.
+#[derive(Debug, Deserialize)]
+#[expect(dead_code, reason = "only whether they are read matters")]
+enum FormerMessage {
+    Report(Report),
+    Exchange(Exchange),
+    Table(Table),
+    News(NewsBatch),
+    Loads(LoadsMessage),
+    Changes(Vec<EntryRecord>),
+    PartsRequest(PartsRequest),
+    EntriesRequest(EntriesRequest),
+    Entries(EntriesPage),
+    Usage(UsageReport),
+    DeclarationRequest(DeclarationRequest),
+    Declaration(DeclarationPart),
+    Engines(EngineNotices),
+    Limits(EngineLimits),
+    PermitRequest(PermitRequest),
+    PermitAnswer(PermitAnswer),
+}
+
+/// A node of that build passes figures over, and loses nothing that it had before.
+#[test]
+fn a_former_build_reads_all_but_the_figures() {
+    let is_read = |message: &Message| {
+        let read: Result<(u8, FormerMessage), _> = rmp_serde::from_slice(&encoded(message));
+        read.is_ok()
+    };
+    for (kind, message) in samples().into_iter().chain(later_samples()) {
+        assert!(is_read(&message), "{kind}");
+    }
+    for (kind, message) in sums_samples() {
+        assert!(!is_read(&message), "{kind}");
+    }
+}
