--- a/cmd/tests/soak.rs
+++ b/cmd/tests/soak.rs
@@ -43,6 +43,9 @@
     FaultKind::EngineCrashed,
 ];
 
+/// A storm of one tenant beside engines that turn slow by turns: no trouble of nodes excuses a request.
+const HARD_LOAD_KINDS: [FaultKind; 2] = [FaultKind::TenantStorm, FaultKind::EngineTurnsSlow];
+
 /// Seeds that once broke something stand here for good, with what it was.
 #[rstest]
 #[case::faults_of_all_kinds(1, &FAULT_KINDS)]
@@ -55,6 +58,13 @@
     breaks_nothing(seed, kinds, CallerLoad::Light);
 }
 
+/// Tenants compete for the room of uneven engines, and one of them storms.
+#[rstest]
+#[case::tenants_that_compete_for_room(41)]
+fn a_seeded_run_under_hard_load_breaks_nothing(#[case] seed: u64) {
+    breaks_nothing(seed, &HARD_LOAD_KINDS, CallerLoad::Tenants);
+}
+
 fn breaks_nothing(seed: u64, kinds: &[FaultKind], load: CallerLoad) {
     let folder = std::env::temp_dir().join(format!("dalestand-soak-{}", std::process::id()));
     let terms = RunTerms {
