Room: groups of callers have names, and a declared tenant is named by its code

Change: the table says 'all others' and 'without a key' where the sums have one row for many callers. Tests: the printer; a node under a declaration with a tenant.

--- a/cmd/src/room/table.rs
+++ b/cmd/src/room/table.rs
@@ -4,7 +4,7 @@
     ClassDemand, EngineGroup, EngineScaling, EngineSpeed, FigureAges, PoolRoom, ReportSources,
     RoomReport, TenantDemand,
 };
-use dalestand_routing::WorkKind;
+use dalestand_routing::{TenantCode, WorkKind};
 
 /// Stands before each row of a pool.
 const INDENT: &str = "  ";
@@ -142,9 +142,8 @@
 }
 
 fn tenant_row(tenant: &TenantDemand) -> [String; 5] {
-    let name = tenant.name.as_deref().map(printable);
     [
-        name.unwrap_or_else(|| format!("#{:016x}", tenant.code.0)),
+        tenant_name(tenant),
         one_digit(tenant.figures.asked.slots),
         one_digit(tenant.figures.begun.slots),
         one_digit(tenant.figures.asked.prompt_tokens_per_s),
@@ -152,6 +151,16 @@
     ]
 }
 
+/// Numbers stand for tenants that the declaration does not name, and for groups of callers.
+fn tenant_name(tenant: &TenantDemand) -> String {
+    match (&tenant.name, tenant.code) {
+        (Some(name), _) => printable(name),
+        (None, TenantCode::OTHERS) => "(all others)".to_owned(),
+        (None, TenantCode::ANONYMOUS) => "(without a key)".to_owned(),
+        (None, code) => format!("#{:016x}", code.0),
+    }
+}
+
 fn speed_row(speed: &EngineSpeed) -> [String; 5] {
     [
         printable(&speed.engine),
--- a/cmd/tests/room.rs
+++ b/cmd/tests/room.rs
@@ -66,7 +66,11 @@
                 ..ClassFigures::default()
             },
         }],
-        tenants: vec![tenant(Some("summit"), 1, 90.0), tenant(None, 255, 30.0)],
+        tenants: vec![
+            tenant(Some("summit"), 7, 90.0),
+            tenant(None, 255, 30.0),
+            tenant(None, TenantCode::OTHERS.0, 20.0),
+        ],
         tenants_unlisted: 1,
         speeds: vec![EngineSpeed {
             engine: "i-9\u{1b}[2J".to_owned(),
@@ -139,6 +143,7 @@
             "  tenant             asked slots  begun slots  asked tokens/s  begun tokens/s",
             "  summit             90.0         20.0         1500.0          300.0",
             "  #00000000000000ff  30.0         20.0         1500.0          300.0",
+            "  (all others)       20.0         20.0         1500.0          300.0",
             "  and 1 tenant more",
             "  engine   zone  work     times the usual time  observations",
             "  i-9?[2J  a     prefill  1.62                  12.0",
--- a/crates/forwarding/tests/room.rs
+++ b/crates/forwarding/tests/room.rs
@@ -67,6 +67,9 @@
     assert_eq!(pool.engines, [group]);
     let figures = &pool.classes[0].figures;
     assert!(figures.asked_per_s > 0.0 && figures.begun_per_s > 0.0);
+    let tenants = pool.tenants.iter();
+    let names: Vec<Option<&str>> = tenants.map(|tenant| tenant.name.as_deref()).collect();
+    assert_eq!(names, [Some("curators")]);
     let text = get(node.metrics, "host: a.example\r\n", "/room").await;
     assert!(!text.contains("key-1"), "{text}");
 }
