--- a/crates/forwarding/src/node/metrics/mod.rs
+++ b/crates/forwarding/src/node/metrics/mod.rs
@@ -3,6 +3,7 @@
 mod engine_signals;
 mod figures;
 pub(crate) mod page;
+mod scaling;
 mod sums;
 
 use std::time::Duration;
@@ -17,6 +18,7 @@
 
 use self::engine_signals::SignalFigures;
 use self::figures::Figures;
+use self::scaling::ScalingFigures;
 use self::sums::SumFigures;
 use crate::serve::progress::CallRecord;
 
@@ -64,6 +66,7 @@
     requests_stopped: IntGauge,
     over_share: IntCounterVec,
     tenants_over_share: IntGaugeVec,
+    scaling: ScalingFigures,
 }
 
 impl ForwardingMetrics {
@@ -203,6 +206,7 @@
                 &["pool"],
             )?,
             signals: SignalFigures::new(&figures)?,
+            scaling: ScalingFigures::new(&figures)?,
             sums: SumFigures::new(&figures)?,
             registry: figures.into_registry(),
         })
--- a/crates/forwarding/src/node/metrics/page.rs
+++ b/crates/forwarding/src/node/metrics/page.rs
@@ -53,6 +53,7 @@
         self.requests_stopped.set(stopped_count(context) as i64);
         self.set_repeats_left(context);
         self.set_tenants_over_share(context);
+        self.scaling.set(&context.scaling_accounts.borrow());
         self.sums.set(context, now);
         let mut buffer = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut buffer)?;
