--- a/crates/forwarding/src/node/room.rs
+++ b/crates/forwarding/src/node/room.rs
@@ -11,8 +11,8 @@
 use crate::context::Context;
 use crate::fleet_sums::{FleetSums, SlownessKey};
 use crate::node::room_report::{
-    ClassDemand, EngineGroup, EngineSpeed, FigureAges, PoolRoom, ReportSources, RoomReport,
-    TenantDemand,
+    ClassDemand, EngineGroup, EngineScaling, EngineSpeed, FigureAges, PoolRoom, ReportSources,
+    RoomReport, TenantDemand,
 };
 
 /// Tenants listed of one pool: what a screen shows.
@@ -92,11 +92,23 @@
         tenants_unlisted,
         speeds,
         speeds_unlisted,
-        scaling: None,
+        scaling: engine_scaling(context, &pool),
         pool,
     }
 }
 
+/// The numbers of engines that this node last decided, if it orders them.
+fn engine_scaling(context: &Context, pool: &PoolName) -> Option<EngineScaling> {
+    let accounts = context.scaling_accounts.borrow();
+    let account = accounts.get(pool)?;
+    let wanted = account.wanted();
+    Some(EngineScaling {
+        on_demand: wanted.on_demand,
+        spot: wanted.spot,
+        weighed: account.to_string(),
+    })
+}
+
 fn engine_groups(context: &Context, pool: &PoolName) -> Vec<EngineGroup> {
     let mut groups: BTreeMap<(ZoneName, WorkKind), EngineGroup> = BTreeMap::new();
     for engine in context.fleet().pool(pool).iter() {
