--- a/crates/forwarding/src/serve/relay.rs
+++ b/crates/forwarding/src/serve/relay.rs
@@ -9,6 +9,7 @@
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::PoolName;
 use futures_util::stream::{self, Stream};
+use tokio::task::yield_now;
 
 use crate::context::Context;
 use crate::node::counts::InFlightGuard;
@@ -93,6 +94,8 @@
                     "took_ms" => self.progress.started.elapsed().as_millis() as u64,
                     "last_event" => self.last_event,
                     "calls" => self.progress.account());
+                // The server ends the connection on an error without writing what it holds: it writes first.
+                yield_now().await;
             }
             None => self.ended = true,
         }
--- a/crates/forwarding/tests/serving.rs
+++ b/crates/forwarding/tests/serving.rs
@@ -356,3 +356,28 @@
     let runs: usize = engines.iter().map(|engine| engine.heads().len()).sum();
     assert_eq!(runs, 1);
 }
+
+/// Two events and the engine's end come to the node at once.
+fn ending_after_two_events(head: &str, stream: &mut TcpStream) {
+    let id = id_of(head);
+    let events = ["id: 1\ndata: piece 1\n\n", "id: 2\ndata: piece 2\n\n"];
+    let chunks = events.map(|event| format!("{:x}\r\n{event}\r\n", event.len()));
+    let text = format!(
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\ntransfer-encoding: chunked\r\n\r\n{}",
+        chunks.concat()
+    );
+    let _ = stream.write_all(text.as_bytes());
+    let _ = stream.shutdown(std::net::Shutdown::Both);
+}
+
+/// Seen on busy machines: what came together with an engine's end was dropped, as the server ends a connection
+/// without writing what it holds for it.
+#[actix_rt::test]
+async fn events_that_come_together_with_the_engines_end_reach_the_caller() {
+    let (node, _engines) = node("stream", 1, &[ending_after_two_events]).await;
+    for request in 0..20 {
+        let answer = node.request(&request.to_string(), "/r/x").await;
+        assert!(answer.contains("piece 2"), "{answer}");
+        assert!(!answer.ends_with("0\r\n\r\n"), "it is not complete");
+    }
+}
