Engines' speeds are learnt by all nodes, and requests level their queues

Cause: each node learnt the prefill slowness of each engine by itself, from nothing, bounded below at 0.7; took the engine that answered it a little faster the last time; and sent to the engine that was best in the last report, as all others did. Nothing read the load that engines report.

Change: routing::speeds keeps pace by pool and slowness by an engine's start and kind of work; both are sums over all nodes (rows of slowness, and new rows of paces, in the sums' messages; a build without them passes them over). Opaque requests go by the last answers too. level_draw draws requests without a long shared part so that what no report shows levels the queues.

The tests of forwarding were not run on the final code.

--- a/crates/dissemination/src/lib.rs
+++ b/crates/dissemination/src/lib.rs
@@ -47,5 +47,6 @@
 pub use subscribers::Subscribers;
 pub use subscription::{ReportTarget, Subscription};
 pub use sums::{
-    ClassRow, SlownessRow, SumScope, SummedRows, SumsMessage, TenantCode, TenantRow, TenantRows,
+    ClassRow, PaceRow, SlownessRow, SumScope, SummedRows, SumsMessage, TenantCode, TenantRow,
+    TenantRows,
 };
--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -23,6 +23,7 @@
 use crate::duties::usage_counts::UsageCounts;
 use crate::fleet::engines::Fleet;
 use crate::fleet::placements::Placements;
+use crate::fleet::speeds::count_own_speeds;
 use crate::fleet_sums::FleetSums;
 use crate::node::counts::InFlight;
 use crate::node::metrics::ForwardingMetrics;
@@ -323,6 +324,7 @@
     pub(crate) fn count_own_figures(&self, now: MonotonicTime) {
         let classes = self.classes.figures(now);
         self.sums.classes.borrow_mut().set_own(classes);
+        count_own_speeds(self, now);
     }
 
     /// Has relays say what they know of kept parts.
--- a/crates/forwarding/src/fleet_sums.rs
+++ b/crates/forwarding/src/fleet_sums.rs
@@ -7,15 +7,18 @@
 use std::time::Duration;
 
 use dalestand_dissemination::{EngineCode, TenantCode};
+use dalestand_routing::speeds::PaceKey;
 use dalestand_routing::staged::LoadSource;
-use dalestand_routing::{ClassFigures, SlownessFigures, SourceSums, TenantFigures, WorkKind};
+use dalestand_routing::{
+    ClassFigures, FitSums, SlownessFigures, SourceSums, TenantFigures, WorkKind,
+};
 use dalestand_types::{MonotonicTime, PoolName};
 
 /// A row of a pool or a tenant counts for this long: three reports, so that one that is lost changes nothing,
 /// and shorter than the waves of demand.
 const DEMAND_COUNTS: Duration = Duration::from_secs(3);
 
-/// A row of an engine's slowness counts for this long. It changes slowly, and rows of large fleets go out by turns.
+/// A row of an engine's slowness, or of a pool's pace, counts for this long. It changes slowly, and rows of large fleets go out by turns.
 const SLOWNESS_COUNTS: Duration = Duration::from_secs(30);
 
 /// Names the requests of one pool and one priority.
@@ -24,7 +27,7 @@
 /// Names what one tenant asks of one pool.
 pub(crate) type TenantKey = (PoolName, TenantCode);
 
-/// Names one engine's slowness at one kind of work.
+/// Names the slowness of one start of an engine at one kind of work.
 pub(crate) type SlownessKey = (EngineCode, WorkKind);
 
 /// Figures of this node and of the others.
@@ -32,6 +35,7 @@
     pub(crate) classes: RefCell<SourceSums<ClassKey, ClassFigures>>,
     pub(crate) tenants: RefCell<SourceSums<TenantKey, TenantFigures>>,
     pub(crate) slowness: RefCell<SourceSums<SlownessKey, SlownessFigures>>,
+    pub(crate) paces: RefCell<SourceSums<PaceKey, FitSums>>,
 }
 
 impl Default for FleetSums {
@@ -40,6 +44,7 @@
             classes: RefCell::new(SourceSums::new(DEMAND_COUNTS)),
             tenants: RefCell::new(SourceSums::new(DEMAND_COUNTS)),
             slowness: RefCell::new(SourceSums::new(SLOWNESS_COUNTS)),
+            paces: RefCell::new(SourceSums::new(SLOWNESS_COUNTS)),
         }
     }
 }
@@ -50,6 +55,7 @@
         self.classes.borrow_mut().refresh(now);
         self.tenants.borrow_mut().refresh(now);
         self.slowness.borrow_mut().refresh(now);
+        self.paces.borrow_mut().refresh(now);
     }
 
     /// Forgets what `source` reported.
@@ -57,5 +63,6 @@
         self.classes.borrow_mut().forget(source);
         self.tenants.borrow_mut().forget(source);
         self.slowness.borrow_mut().forget(source);
+        self.paces.borrow_mut().forget(source);
     }
 }
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -10,7 +10,9 @@
 use dalestand_edge::routed::EngineTerms;
 use dalestand_engine_link::{AnswerBody, Exchange, LinkTarget, ResponseHead, SendError};
 use dalestand_quarantine::CRASHES_ALLOWED;
-use dalestand_routing::staged::{AttemptResult, ClosedFor, EngineChoice, EngineKey};
+use dalestand_routing::staged::{
+    AttemptResult, ClosedFor, EngineChoice, EngineKey, EngineWork, PoolKey, Stage,
+};
 use dalestand_routing::{CallArrival, CallPurpose, RepeatedSend};
 use dalestand_types::{PoolName, RequestRate};
 
@@ -34,8 +36,8 @@
     pub(crate) sent_at: BootInstant,
     /// Where it was sent.
     pub(crate) target: LinkTarget,
-    /// Requests at the engine, of all nodes, that had not begun when it was sent.
-    pub(crate) before: u32,
+    /// Work at the engine, of all nodes, when it was sent.
+    pub(crate) before: EngineWork,
 }
 
 /// How a call came out.
@@ -152,7 +154,7 @@
             };
             work.begun();
             let answer = EngineAnswer {
-                before: before.starting,
+                before,
                 head: exchange.head,
                 body: exchange.body,
                 choice: call.choice,
@@ -206,6 +208,12 @@
         let now = context.now();
         let mut router = context.router.borrow_mut();
         router.health.note(now, engine.key, result);
+        if let (Stage::Opaque, AttemptResult::Sound(took)) = (engine.stage, result) {
+            let pool_key = PoolKey::of(call.pool);
+            router
+                .speeds
+                .observe_opaque(now, pool_key, engine.key, took);
+        }
     }
     if call.purpose == CallPurpose::Run && matches!(end, AttemptEnd::Refused | AttemptEnd::NotSent)
     {
--- a/crates/routing/src/staged/candidates.rs
+++ b/crates/routing/src/staged/candidates.rs
@@ -9,7 +9,7 @@
 use std::cell::RefCell;
 
 use dalestand_types::ZoneName;
-use rand::SeedableRng as _;
+use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
 use super::parts::PartDirectory;
@@ -54,6 +54,11 @@
         Self(RefCell::new(ChaCha8Rng::seed_from_u64(seed)))
     }
 
+    /// A number from 0 to 1.
+    pub(super) fn chance(&self) -> f64 {
+        self.0.borrow_mut().random_range(0.0..1.0)
+    }
+
     /// Engines of `stage` for a prompt, `target` and holders of its parts among them.
     pub(super) fn for_prompt<'p>(
         &self,
--- a/crates/routing/src/staged/chooser.rs
+++ b/crates/routing/src/staged/chooser.rs
@@ -6,14 +6,15 @@
 use super::candidates::{CandidateDraws, KnownCandidates};
 use super::cost::EngineCost;
 use super::health::EngineHealth;
+use super::level_draw::draw;
 use super::parts::PartDirectory;
 use super::pool::EnginePool;
-use super::reading::ReadingSpeeds;
 use super::signals::SignalLedger;
 use super::starts::StartSpeeds;
 use super::unreported::UnreportedSends;
 use super::work::WorkTable;
 use super::{EngineKey, Expectation, Stage, StagedEngine, StagedRequest};
+use crate::speeds::{BelievedSlowness, EngineSpeeds};
 
 /// An engine with what is expected of it.
 #[derive(Clone, Debug, PartialEq)]
@@ -31,6 +32,8 @@
     pub unread_tokens: u32,
     /// The engine from which it is to take what it does not keep of the prompt.
     pub fetch_from: Option<EngineKey>,
+    /// How slow it is believed to be.
+    pub slowness: BelievedSlowness,
 }
 
 impl EngineChoice {
@@ -42,6 +45,7 @@
             cost_s: cost.cost_s,
             unread_tokens: cost.unread_tokens,
             fetch_from: cost.fetch_from,
+            slowness: cost.slowness,
         }
     }
 
@@ -76,8 +80,8 @@
     pub health: EngineHealth,
     /// What they say of themselves.
     pub signals: SignalLedger,
-    /// How fast they read.
-    pub speeds: ReadingSpeeds,
+    /// How fast they work.
+    pub speeds: EngineSpeeds,
     /// How fast they begin answers.
     pub starts: StartSpeeds,
     /// What others may have sent since they reported.
@@ -120,8 +124,9 @@
         let engines = self
             .draws
             .for_opaque(pool, zone, request, self.is_open(now));
-        let costs = self.opaque_costs(now, zone, &engines);
-        best(engines.into_iter().zip(costs))
+        let costs = self.opaque_costs(now, zone, pool.key(), &engines);
+        let unseen = self.expected_sends(now, Stage::Opaque, pool).mean;
+        self.one_of(unseen, engines.into_iter().zip(costs))
     }
 
     /// The best plan for a prompt.
@@ -192,7 +197,12 @@
         let costs = engines
             .into_iter()
             .map(|engine| (engine, self.prefill_cost(&terms, engine)));
-        best(costs)
+        if terms.affinity.is_some() {
+            // One prefill of the long part serves all of them where they stay together.
+            best(costs)
+        } else {
+            self.one_of(terms.unreported.mean, costs)
+        }
     }
 
     /// The best engine to go on from the memory that `prefill` holds.
@@ -213,10 +223,20 @@
             self.draws
                 .for_prompt(pool, Stage::Decode, zone, request, known, self.is_open(now));
         let costs = engines.into_iter().map(|engine| {
-            let cost = self.decode_cost(now, request, prefill, unreported, engine);
+            let cost = self.decode_cost(now, pool.key(), request, prefill, unreported, engine);
             (engine, cost)
         });
-        best(costs)
+        self.one_of(unreported.mean, costs)
+    }
+
+    /// The engine of one request where nodes may have sent `unseen` to each that no report shows.
+    fn one_of<'e>(
+        &self,
+        unseen: f64,
+        costs: impl Iterator<Item = (&'e StagedEngine, EngineCost)>,
+    ) -> Option<EngineChoice> {
+        let (engine, cost) = draw(costs.collect(), unseen, self.draws.chance())?;
+        Some(EngineChoice::new(engine, &cost))
     }
 
     /// Whether another engine of its stage could take a request that `current` has. One with a limit may have no
--- a/crates/routing/src/staged/cost.rs
+++ b/crates/routing/src/staged/cost.rs
@@ -6,7 +6,8 @@
 use super::chooser::StagedRouter;
 use super::pool::EnginePool;
 use super::unreported::ExpectedSends;
-use super::{EngineKey, Stage, StagedEngine, StagedRequest};
+use super::{EngineKey, PoolKey, Stage, StagedEngine, StagedRequest};
+use crate::speeds::BelievedSlowness;
 
 /// Added time of an engine in another zone than the node's, in seconds.
 const OTHER_ZONE_S: f64 = 3e-3;
@@ -44,12 +45,12 @@
 /// Moving memory between zones takes this multiple of the time within one.
 const OTHER_ZONE_MOVE_FACTOR: f64 = 2.0;
 
+/// Requests of others are taken to add this share of what the request itself adds, at least.
+const LEAST_EACH_OF_OWN: f64 = 0.5;
+
 /// Added time for each request of a batch, as a share of a slot, in seconds.
 const BATCH_S: f64 = 0.25;
 
-/// Time of an opaque request where no engine's is known, in seconds.
-const PRIOR_OPAQUE_S: f64 = 30e-3;
-
 /// What is expected of an engine, and what it is compared by.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct EngineCost {
@@ -63,12 +64,17 @@
     pub(super) unread_tokens: u32,
     /// The engine from which it is to take what it does not keep of the prompt.
     pub(super) fetch_from: Option<EngineKey>,
+    /// What one more request adds, in seconds.
+    pub(super) each_s: f64,
+    /// How slow it is believed to be.
+    pub(super) slowness: BelievedSlowness,
 }
 
 /// What is the same for all engines that are compared to read one prompt.
 pub(super) struct PrefillTerms<'a> {
     pub(super) now: MonotonicTime,
     pub(super) zone: &'a ZoneName,
+    pub(super) pool: PoolKey,
     pub(super) request: &'a StagedRequest,
     /// The part by which prompts stay together.
     pub(super) affinity: Option<u64>,
@@ -89,7 +95,7 @@
         stage: Stage,
         request: &'a StagedRequest,
     ) -> PrefillTerms<'a> {
-        let affinity = self.affinity(stage, request);
+        let affinity = self.affinity(pool.key(), stage, request);
         let is_open = self.is_open(now);
         let is_new = |key| !request.tried.contains(&key) && is_open(key);
         let target = affinity.and_then(|part| pool.affinity_target(stage, part, is_new));
@@ -99,6 +105,7 @@
         PrefillTerms {
             now,
             zone,
+            pool: pool.key(),
             request,
             affinity,
             target,
@@ -109,13 +116,13 @@
 
     /// The part by which prompts stay together: the one at whose end a reading has taken longer than
     /// what an engine other than the target is charged. The last part is the request's own.
-    fn affinity(&self, stage: Stage, request: &StagedRequest) -> Option<u64> {
+    fn affinity(&self, pool: PoolKey, stage: Stage, request: &StagedRequest) -> Option<u64> {
         let (_, shared) = request.parts.split_last()?;
         let mut tokens = 0_u32;
         shared.iter().find_map(|part| {
             tokens = tokens.saturating_add(part.tokens);
-            let takes_s =
-                self.speeds.usual_s(stage, f64::from(tokens)) - self.speeds.usual_s(stage, 0.0);
+            let usual_s = |tokens| self.speeds.usual_s(pool, stage, tokens);
+            let takes_s = usual_s(f64::from(tokens)) - usual_s(0.0);
             (takes_s >= NOT_TARGET_S).then_some(part.id)
         })
     }
@@ -139,8 +146,9 @@
         let fetch_s = move_s(request, fetched, false);
         let unread = request.prompt_tokens.saturating_sub(kept);
         let work = self.work.total(engine.key);
-        let slowness = self.speeds.slowness(engine.key);
-        let reading_s = |tokens| self.speeds.usual_s(engine.stage, tokens) * slowness;
+        let slowness = self.speeds.believed(terms.pool, engine.key, engine.stage);
+        let reading_s =
+            |tokens| self.speeds.usual_s(terms.pool, engine.stage, tokens) * slowness.slowness;
         let ahead = work.unread_tokens as f64 + f64::from(unread);
         let starts_s = |starting| match engine.stage {
             Stage::Decode => self.starts.queue_s(starting),
@@ -152,8 +160,12 @@
         let nothing_s = reading_s(0.0);
         let expected_s = request.send_s + ahead_s + own_starts_s + fetch_s;
         let displaced_s = (reading_s(f64::from(fetched)) - nothing_s) * READ_AGAIN_FOR_FETCHED;
+        // Requests without a part by which they stay together are drawn by the level of queues instead.
+        let unreported = terms
+            .affinity
+            .map_or_else(Default::default, |_| terms.unreported);
         let chance = self.unreported.chance(engine.key, terms.affinity);
-        let drawn = terms.unreported.draw(work, chance);
+        let drawn = unreported.draw(work, chance);
         let drawn_ahead = drawn.unread_tokens as f64 + f64::from(unread);
         let drawn_request_s =
             reading_s(terms.unreported.tokens_each) - nothing_s + self.starts.queue_s(1);
@@ -165,7 +177,7 @@
             Stage::Prefill | Stage::Opaque => 0.0,
         };
         let cost_s = expected_s
-            + terms.unreported.draw_part(chance) * drawn_request_s
+            + unreported.draw_part(chance) * drawn_request_s
             + (starts_s(drawn.starting) - own_starts_s)
             + (reading_s(drawn_ahead) - ahead_s)
             + displaced_s
@@ -180,6 +192,9 @@
             cost_s,
             unread_tokens: unread,
             fetch_from: terms.holder.filter(|_| fetched > 0).map(|(key, _)| key),
+            // Of what others send nothing is known before this node has sent.
+            each_s: drawn_request_s.max((unread_s - nothing_s) * LEAST_EACH_OF_OWN),
+            slowness,
         }
     }
 
@@ -187,6 +202,7 @@
     pub(super) fn decode_cost(
         &self,
         now: MonotonicTime,
+        pool: PoolKey,
         request: &StagedRequest,
         prefill: &StagedEngine,
         unreported: ExpectedSends,
@@ -195,28 +211,27 @@
         let kept = self.parts.kept_tokens(engine.key, &request.parts);
         let moved = request.prompt_tokens.saturating_sub(kept);
         let work = self.work.total(engine.key);
-        let slowness = self.speeds.slowness(engine.key);
-        let reading_s = |tokens| self.speeds.usual_s(engine.stage, tokens) * slowness;
+        let slowness = self.speeds.believed(pool, engine.key, engine.stage);
+        let reading_s =
+            |tokens| self.speeds.usual_s(pool, engine.stage, tokens) * slowness.slowness;
         let waiting_s = reading_s(work.unread_tokens as f64);
         let queue_s = self.starts.queue_s(work.starting);
         let expected_s = request.send_s
-            + self.starts.expected_s(work.starting)
+            + self.starts.expected_s(work.starting) * slowness.slowness
             + move_s(request, moved, engine.zone == prefill.zone)
             + waiting_s.min(STEP_WITH_READING_S);
-        let chance = self.unreported.chance(engine.key, None);
-        let drawn = unreported.draw(work, chance);
         let drawn_request_s =
             reading_s(unreported.tokens_each) - reading_s(0.0) + self.starts.queue_s(1);
         let cost_s = expected_s
-            + unreported.draw_part(chance) * drawn_request_s
-            + (self.starts.queue_s(drawn.starting) - queue_s)
-            + batch_s(engine, drawn.requests)
+            + batch_s(engine, work.requests)
             + self.avoided_s(now, engine)
             + self.failing_s(now, engine);
         EngineCost {
             expected_s,
             queue_s,
             cost_s,
+            each_s: drawn_request_s,
+            slowness,
             ..EngineCost::default()
         }
     }
@@ -226,6 +241,7 @@
         &self,
         now: MonotonicTime,
         zone: &ZoneName,
+        pool: PoolKey,
         engines: &[&StagedEngine],
     ) -> Vec<EngineCost> {
         let failed_share = |engine: &&StagedEngine| self.health.failed_share(now, engine.key);
@@ -233,29 +249,33 @@
             .iter()
             .map(failed_share)
             .fold(f64::INFINITY, f64::min);
-        let known_s = |engine: &&StagedEngine| self.health.latency_ms(engine.key) / 1_000.0;
-        let known: Vec<f64> = engines.iter().map(known_s).filter(|s| *s > 0.0).collect();
-        // An engine not used yet is taken for a usual one: taken for a slow one, it would never be.
-        let usual_s = if known.is_empty() {
-            PRIOR_OPAQUE_S
-        } else {
-            known.iter().sum::<f64>() / known.len() as f64
-        };
+        let usual_s = self.speeds.usual_opaque_s(pool);
         let cost = |engine: &&StagedEngine| {
-            let own_s = Some(known_s(engine)).filter(|s| *s > 0.0);
-            let requests = f64::from(self.work.total(engine.key).requests);
+            let slowness = self.speeds.opaque_slowness(now, pool, engine.key);
+            let requests = self.requests(now, engine);
             let load = requests / f64::from(engine.slots.max(1));
             let failing = failed_share(engine) - least_failing;
-            let expected_s = own_s.unwrap_or(usual_s) * (0.5 + load);
+            let expected_s = usual_s * slowness * (0.5 + load);
             EngineCost {
                 expected_s,
                 cost_s: expected_s + failing * FAILURE_S + self.common_s(now, zone, engine),
+                each_s: usual_s * slowness,
+                slowness: BelievedSlowness {
+                    slowness,
+                    ..self.speeds.believed(pool, engine.key, Stage::Opaque)
+                },
                 ..EngineCost::default()
             }
         };
         engines.iter().map(cost).collect()
     }
 
+    /// Requests at an engine, as nodes count them and as it reported.
+    fn requests(&self, now: MonotonicTime, engine: &StagedEngine) -> f64 {
+        let known = self.work.total(engine.key).requests;
+        self.speeds.requests(now, engine.key, known)
+    }
+
     /// What others may have sent to each engine of a stage since they reported.
     pub(super) fn expected_sends(
         &self,
