--- a/crates/routing/src/staged/chooser.rs
+++ b/crates/routing/src/staged/chooser.rs
@@ -6,16 +6,20 @@
 use super::candidates::{CandidateDraws, KnownCandidates};
 use super::cost::EngineCost;
 use super::health::EngineHealth;
-use super::level_draw::draw;
+use super::levelled::{Costed, draw_levelled};
 use super::parts::PartDirectory;
 use super::pool::EnginePool;
 use super::signals::SignalLedger;
 use super::starts::StartSpeeds;
-use super::unreported::UnreportedSends;
+use super::unreported::{ExpectedSends, UnreportedSends};
 use super::work::WorkTable;
 use super::{EngineKey, Expectation, Stage, StagedEngine, StagedRequest};
 use crate::speeds::{BelievedSlowness, EngineSpeeds};
 
+/// Requests an engine that are taken to be under way unreported, at least: engines that differ by less than a part of one
+/// request are alike.
+const LEAST_UNREPORTED: f64 = 0.5;
+
 /// An engine with what is expected of it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineChoice {
@@ -125,8 +129,8 @@
             .draws
             .for_opaque(pool, zone, request, self.is_open(now));
         let costs = self.opaque_costs(now, zone, pool.key(), &engines);
-        let unseen = self.expected_sends(now, Stage::Opaque, pool).mean;
-        self.one_of(unseen, engines.into_iter().zip(costs))
+        let unreported = self.expected_sends(now, Stage::Opaque, pool);
+        self.levelled(engines.into_iter().zip(costs).collect(), unreported)
     }
 
     /// The best plan for a prompt.
@@ -201,7 +205,7 @@
             // One prefill of the long part serves all of them where they stay together.
             best(costs)
         } else {
-            self.one_of(terms.unreported.mean, costs)
+            self.levelled(costs.collect(), terms.unreported)
         }
     }
 
@@ -226,16 +230,13 @@
             let cost = self.decode_cost(now, pool.key(), request, prefill, unreported, engine);
             (engine, cost)
         });
-        self.one_of(unreported.mean, costs)
+        self.levelled(costs.collect(), unreported)
     }
 
-    /// The engine of one request where nodes may have sent `unseen` to each that no report shows.
-    fn one_of<'e>(
-        &self,
-        unseen: f64,
-        costs: impl Iterator<Item = (&'e StagedEngine, EngineCost)>,
-    ) -> Option<EngineChoice> {
-        let (engine, cost) = draw(costs.collect(), unseen, self.draws.chance())?;
+    /// One of the engines, which fill up to one level with the requests that others may have sent.
+    fn levelled(&self, costs: Vec<Costed<'_>>, unreported: ExpectedSends) -> Option<EngineChoice> {
+        let sends = unreported.mean.max(LEAST_UNREPORTED) * costs.len() as f64;
+        let (engine, cost) = draw_levelled(costs, sends, self.draws.chance())?;
         Some(EngineChoice::new(engine, &cost))
     }
 
--- a/crates/routing/src/staged/cost.rs
+++ b/crates/routing/src/staged/cost.rs
@@ -46,7 +46,7 @@
 const OTHER_ZONE_MOVE_FACTOR: f64 = 2.0;
 
 /// Requests of others are taken to add this share of what the request itself adds, at least.
-const LEAST_EACH_OF_OWN: f64 = 0.5;
+const LEAST_ADDED_OF_OWN: f64 = 0.5;
 
 /// Added time for each request of a batch, as a share of a slot, in seconds.
 const BATCH_S: f64 = 0.25;
@@ -60,12 +60,12 @@
     pub(super) queue_s: f64,
     /// The expected time with what risks, other requests and other nodes add, in seconds.
     pub(super) cost_s: f64,
+    /// What another request adds to it, in seconds.
+    pub(super) added_s: f64,
     /// Prompt tokens that it still has to read.
     pub(super) unread_tokens: u32,
     /// The engine from which it is to take what it does not keep of the prompt.
     pub(super) fetch_from: Option<EngineKey>,
-    /// What one more request adds, in seconds.
-    pub(super) each_s: f64,
     /// How slow it is believed to be.
     pub(super) slowness: BelievedSlowness,
 }
@@ -160,15 +160,18 @@
         let nothing_s = reading_s(0.0);
         let expected_s = request.send_s + ahead_s + own_starts_s + fetch_s;
         let displaced_s = (reading_s(f64::from(fetched)) - nothing_s) * READ_AGAIN_FOR_FETCHED;
-        // Requests without a part by which they stay together are drawn by the level of queues instead.
-        let unreported = terms
-            .affinity
-            .map_or_else(Default::default, |_| terms.unreported);
         let chance = self.unreported.chance(engine.key, terms.affinity);
-        let drawn = unreported.draw(work, chance);
+        let drawn = match terms.affinity {
+            Some(_) => terms.unreported.draw(work, chance),
+            None => work,
+        };
         let drawn_ahead = drawn.unread_tokens as f64 + f64::from(unread);
         let drawn_request_s =
             reading_s(terms.unreported.tokens_each) - nothing_s + self.starts.queue_s(1);
+        let drawn_part = match terms.affinity {
+            Some(_) => terms.unreported.draw_part(chance),
+            None => 0.0,
+        };
         let others_s = match engine.stage {
             Stage::Decode => {
                 let others = f64::from(drawn.requests.min(OTHERS_COUNTED));
@@ -177,7 +180,7 @@
             Stage::Prefill | Stage::Opaque => 0.0,
         };
         let cost_s = expected_s
-            + unreported.draw_part(chance) * drawn_request_s
+            + drawn_part * drawn_request_s
             + (starts_s(drawn.starting) - own_starts_s)
             + (reading_s(drawn_ahead) - ahead_s)
             + displaced_s
@@ -190,10 +193,12 @@
             expected_s,
             queue_s: ahead_s - unread_s + own_starts_s,
             cost_s,
+            // Of what others send nothing is known before this node has sent.
+            added_s: drawn_request_s.max((unread_s - nothing_s) * LEAST_ADDED_OF_OWN)
+                + batch_s(engine, drawn.requests + 1)
+                - batch_s(engine, drawn.requests),
             unread_tokens: unread,
             fetch_from: terms.holder.filter(|_| fetched > 0).map(|(key, _)| key),
-            // Of what others send nothing is known before this node has sent.
-            each_s: drawn_request_s.max((unread_s - nothing_s) * LEAST_EACH_OF_OWN),
             slowness,
         }
     }
@@ -220,8 +225,10 @@
             + self.starts.expected_s(work.starting) * slowness.slowness
             + move_s(request, moved, engine.zone == prefill.zone)
             + waiting_s.min(STEP_WITH_READING_S);
-        let drawn_request_s =
-            reading_s(unreported.tokens_each) - reading_s(0.0) + self.starts.queue_s(1);
+        let added_s = reading_s(unreported.tokens_each) - reading_s(0.0)
+            + self.starts.queue_s(1)
+            + batch_s(engine, work.requests + 1)
+            - batch_s(engine, work.requests);
         let cost_s = expected_s
             + batch_s(engine, work.requests)
             + self.avoided_s(now, engine)
@@ -230,8 +237,8 @@
             expected_s,
             queue_s,
             cost_s,
-            each_s: drawn_request_s,
             slowness,
+            added_s,
             ..EngineCost::default()
         }
     }
@@ -259,7 +266,7 @@
             EngineCost {
                 expected_s,
                 cost_s: expected_s + failing * FAILURE_S + self.common_s(now, zone, engine),
-                each_s: usual_s * slowness,
+                added_s: usual_s * slowness,
                 slowness: BelievedSlowness {
                     slowness,
                     ..self.speeds.believed(pool, engine.key, Stage::Opaque)
--- a/crates/routing/src/staged/mod.rs
+++ b/crates/routing/src/staged/mod.rs
@@ -13,7 +13,7 @@
 mod chooser;
 mod cost;
 mod health;
-mod level_draw;
+mod levelled;
 mod link_queue;
 mod named_limits;
 mod parts;
