--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -23,6 +23,7 @@
 use crate::duties::usage_counts::UsageCounts;
 use crate::fleet::engines::Fleet;
 use crate::fleet::placements::Placements;
+use crate::fleet::speeds::count_own_speeds;
 use crate::fleet_sums::FleetSums;
 use crate::node::counts::InFlight;
 use crate::node::metrics::ForwardingMetrics;
@@ -351,6 +352,7 @@
         self.sums.classes.borrow_mut().set_own(classes);
         let tenants = self.tenant_shares.figures(now);
         self.sums.tenants.borrow_mut().set_own(tenants);
+        count_own_speeds(self, now);
     }
 
     /// Works the shares of tenants out from the figures of all nodes.
