--- a/crates/forwarding/src/node/settings.rs
+++ b/crates/forwarding/src/node/settings.rs
@@ -97,11 +97,11 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ScalingMode {
-    /// Demand, prices and losses.
-    #[default]
-    Demand,
     /// The operator's own number and prices.
+    #[default]
     Fixed,
+    /// Demand, prices and losses.
+    Demand,
 }
 
 /// Name of the duty to report usage by tenant.
