--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -23,7 +23,6 @@
 use crate::duties::usage_counts::UsageCounts;
 use crate::fleet::engines::Fleet;
 use crate::fleet::placements::Placements;
-use crate::fleet::speeds::count_own_speeds;
 use crate::fleet_sums::FleetSums;
 use crate::node::counts::InFlight;
 use crate::node::metrics::ForwardingMetrics;
@@ -32,9 +31,9 @@
 use crate::quarantine::state::Quarantine;
 use crate::roles::authority::Authority;
 use crate::roles::demand::DemandMeter;
-use crate::serve::admission::Rooms;
 use crate::serve::class_counts::ClassCounts;
 use crate::serve::held_bytes::HeldBytes;
+use crate::serve::rooms::Rooms;
 use crate::serve::tenant_shares::TenantShares;
 use crate::spread::Spread;
 
@@ -346,33 +345,6 @@
         self.work_changed.notify_one();
     }
 
-    /// Replaces this node's own rows among the figures of all nodes.
-    pub(crate) fn count_own_figures(&self, now: MonotonicTime) {
-        let classes = self.classes.figures(now);
-        self.sums.classes.borrow_mut().set_own(classes);
-        let tenants = self.tenant_shares.figures(now);
-        self.sums.tenants.borrow_mut().set_own(tenants);
-        count_own_speeds(self, now);
-    }
-
-    /// Works the shares of tenants out from the figures of all nodes.
-    pub(crate) fn divide_room(&self, now: MonotonicTime) {
-        if let Some(table) = self.table() {
-            let fleet = self.fleet();
-            let engines = |pool: &PoolName| fleet.pool(pool);
-            self.tenant_shares.refresh(now, &self.sums, &table, engines);
-        }
-    }
-
-    /// Notes that a tenant's request found no room: shares that decide nothing yet are worked out at once.
-    pub(crate) fn room_is_short(&self, now: MonotonicTime) {
-        if self.tenant_shares.wants_figures(now) {
-            self.count_own_figures(now);
-            self.sums.refresh_demand(now);
-            self.divide_room(now);
-        }
-    }
-
     /// Has relays say what they know of kept parts.
     pub(crate) fn ask_for_parts(&self) {
         self.asks_for_parts.set(true);
--- a/crates/forwarding/src/node/room.rs
+++ b/crates/forwarding/src/node/room.rs
@@ -14,6 +14,7 @@
     ClassDemand, EngineGroup, EngineScaling, EngineSpeed, FigureAges, PoolRoom, ReportSources,
     RoomReport, TenantDemand,
 };
+use crate::spread::own_figures::count_own_figures;
 
 /// Tenants listed of one pool: what a screen shows.
 const TENANTS_LISTED: usize = 16;
@@ -35,7 +36,7 @@
 /// What this node knows at `now`.
 pub(crate) fn room_report(context: &Context, now: MonotonicTime) -> RoomReport {
     // What lapsed while the process stood still must not be shown.
-    context.count_own_figures(now);
+    count_own_figures(context, now);
     context.sums.refresh(now);
     let table = context.table();
     let mut names: Vec<PoolName> = table
--- a/crates/forwarding/src/serve/account.rs
+++ b/crates/forwarding/src/serve/account.rs
@@ -5,9 +5,9 @@
 use dalestand_telemetry::{Event, log_event};
 
 use crate::context::Context;
-use crate::serve::admission::AdmissionRecord;
 use crate::serve::answer::Failure;
 use crate::serve::progress::Progress;
+use crate::serve::rooms::AdmissionRecord;
 
 /// Notes a request that was not taken in.
 pub(crate) fn log_unadmitted(context: &Context, request: &Request, failure: Failure) {
--- a/crates/forwarding/src/serve/admission.rs
+++ b/crates/forwarding/src/serve/admission.rs
@@ -1,17 +1,14 @@
 //! Has requests wait for a place in a pool that is short, and refuses those that get none in their time.
 //!
-//! [`PoolRoom`] decides; this hands it what the node knows of the pool and carries out what it says.
+//! `routing::room::PoolRoom` decides; this hands it what the node knows of the pool and carries out what it says.
 
-use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use dalestand_clock::timeout;
 use dalestand_routing::ClassFigures;
 use dalestand_routing::room::{
-    Arrival, PoolLoad, PoolRoom, ReturnSlot, RoomAccount, RoomDecision, RoomRequest, ShareStanding,
-    WaitNumber,
+    Arrival, PoolLoad, ReturnSlot, RoomDecision, RoomRequest, ShareStanding, WaitNumber,
 };
 use dalestand_routing::staged::{Stage, TimeBounds};
 use dalestand_telemetry::{Event, log_event};
@@ -22,6 +19,7 @@
 use crate::fleet_sums::ClassKey;
 use crate::serve::answer::Failure;
 use crate::serve::progress::Progress;
+use crate::serve::rooms::{AdmissionRecord, Desk, Place};
 
 /// Shortest time between two looks at a pool: load reports are some tens of milliseconds old.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
@@ -32,33 +30,6 @@
 /// Longest time until a place that other nodes left is given to a request that waits here.
 const RELEASE_INTERVAL: Duration = Duration::from_millis(20);
 
-/// The rooms of one node, by pool.
-#[derive(Default)]
-pub(crate) struct Rooms {
-    desks: RefCell<HashMap<PoolName, Rc<Desk>>>,
-}
-
-/// One pool's room, and who waits for it.
-#[derive(Default)]
-struct Desk {
-    room: RefCell<PoolRoom>,
-    waiters: RefCell<HashMap<WaitNumber, oneshot::Sender<Place>>>,
-    looked_at: Cell<Option<MonotonicTime>>,
-    /// First tries a second at this node, by priority.
-    asked: RefCell<Vec<(u8, f64)>>,
-    is_releasing: Cell<bool>,
-}
-
-/// A place at an engine that a request has and has not been sent to. It is given back when dropped: from the send on
-/// the request counts among those at engines.
-pub(crate) struct Place(Rc<Desk>);
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.0.room.borrow_mut().sent();
-    }
-}
-
 /// How a request came through.
 pub(crate) enum Admission {
     /// The pool is not short, or not known.
@@ -67,53 +38,6 @@
     Placed(Place, Duration),
 }
 
-/// What decided about a request, for its account.
-pub(crate) struct AdmissionRecord {
-    outcome: &'static str,
-    account: RoomAccount,
-    waiting: usize,
-    waited: Duration,
-}
-
-impl AdmissionRecord {
-    /// The record as the log tells it.
-    pub(crate) fn account(&self) -> String {
-        let account = &self.account;
-        format!(
-            "{} after {}ms ({:.0} of {:.0} places taken, part {:.3}, {:.1} here, {:.1} a second come free here, \
-             {} wait here, {:.0} at all nodes, known {}ms ago)",
-            self.outcome,
-            self.waited.as_millis(),
-            account.taken,
-            account.places,
-            account.part,
-            account.own_places,
-            account.own_freed_per_s,
-            self.waiting,
-            account.waiting,
-            account.age.as_millis(),
-        )
-    }
-}
-
-impl Rooms {
-    /// Requests that wait, and places that this node may have, by pool that has an account.
-    pub(crate) fn standing(&self) -> Vec<(PoolName, usize, f64)> {
-        let desks = self.desks.borrow();
-        let standing = desks.iter().map(|(pool, desk)| {
-            let room = desk.room.borrow();
-            let places = room.account().map_or(0.0, |account| account.own_places);
-            (pool.clone(), room.waiting(), places)
-        });
-        standing.collect()
-    }
-
-    fn desk(&self, pool: &PoolName) -> Rc<Desk> {
-        let mut desks = self.desks.borrow_mut();
-        Rc::clone(desks.entry(pool.clone()).or_default())
-    }
-}
-
 /// Gets a request a place at an engine of `pool` that answers, or refuses it.
 pub(crate) async fn get_place(
     context: &Rc<Context>,
--- /dev/null
+++ b/crates/forwarding/src/serve/final_failure.rs
@@ -0,0 +1,39 @@
+//! What a caller is told where no engine answers.
+
+use std::time::Duration;
+
+use dalestand_routing::staged::StagedEngine;
+
+use crate::context::Context;
+use crate::serve::answer::Failure;
+use crate::serve::progress::Progress;
+
+/// What the caller is told where no further call may be made.
+pub(super) fn final_failure(context: &Context, progress: &Progress) -> Failure {
+    match (progress.runs, progress.time_left().is_zero()) {
+        (0, true) => Failure::TimeOverNotRun,
+        (0, false) => {
+            engines_open_in(context, progress).map_or(Failure::NoEngine, Failure::EnginesBackOff)
+        }
+        (_, true) => Failure::TimeOver,
+        (_, false) => Failure::Unknown,
+    }
+}
+
+/// After how long an engine may take the request, where none does now because of what they said. `None` if
+/// there is one that wants calls.
+fn engines_open_in(context: &Context, progress: &Progress) -> Option<Duration> {
+    let fleet = context.fleet();
+    let now = context.now();
+    let router = context.router.borrow();
+    let is_of = |engine| {
+        let mut pools = progress.pools.iter();
+        pools.any(|pool| fleet.pool(pool).get(engine).is_some())
+    };
+    let wants_calls = |engine: &StagedEngine| router.signals.closed(now, engine.key).is_none();
+    let mut pools = progress.pools.iter();
+    if pools.any(|pool| fleet.pool(pool).iter().any(wants_calls)) {
+        return None;
+    }
+    router.signals.opens_in(now, is_of)
+}
--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -8,42 +8,34 @@
 use dalestand_engine_link::ResponseHead;
 use dalestand_http_server::{Answer, ConnectionType, Request};
 use dalestand_routing::CallPurpose;
-use dalestand_routing::room::ShareStanding;
-use dalestand_routing::room::shares::TenantShare;
-use dalestand_routing::staged::{
-    AttemptResult, EngineChoice, PoolKey, Stage, StagedEngine, TimeBounds, refused_for,
-};
+use dalestand_routing::staged::{AttemptResult, EngineChoice, PoolKey, Stage};
 use dalestand_types::PoolName;
 
 use crate::context::Context;
 use crate::quarantine::evidence::is_stopped;
 use crate::quarantine::trial::{may_try, trial_in};
 use crate::serve::account::{log_failed, log_served, log_unadmitted};
-use crate::serve::admission::{Admission, get_place};
 use crate::serve::admit::admit;
+use crate::serve::admitted_plan::admitted_plan;
 use crate::serve::answer::{Failure, streamed};
 use crate::serve::attempt::{AttemptEnd, Call, EngineAnswer, attempt, is_refused};
 use crate::serve::deliver::{Served, deliver};
+use crate::serve::final_failure::final_failure;
 use crate::serve::held_bytes::in_pieces;
 use crate::serve::patience::run_patience;
-use crate::serve::plan::{Plan, Step, choose, choose_again};
+use crate::serve::plan::{Step, choose_again};
 use crate::serve::prefill::{HeldPrompt, PrefillEnd, prefill};
 use crate::serve::progress::Progress;
 use crate::serve::relay::Relay;
+use crate::serve::repeated_calls::{
+    CALLS_AT_ONCE, may_call_again, pause_for_place, waits_for_place,
+};
+use crate::spread::own_figures::room_is_short;
 
 /// Refusals from which memory is taken to be gone rather than the engines to be full: both are told
 /// alike, and two engines that were chosen as the least busy are rarely full at once.
 const REFUSALS_OF_MEMORY: u32 = 2;
 
-/// Pauses of a request that engines refuse, in one objective: the calls that it may make are spread over it.
-const PAUSES_FOR_PLACE: u32 = 4;
-
-/// Engines that a request asks one after the other before it pauses: if both are full, so are most.
-const CALLS_AT_ONCE: usize = 2;
-
-/// Part of its objective that queues may take of a request beyond its tenant's share: one within a share that comes
-/// next still has the rest. Sums of all nodes are up to three seconds old, queues a tenth of one.
-const QUEUE_OVER_SHARE: f64 = 0.5;
 /// No prefill takes less, in seconds: what is left of an answer's time is less where queues were taken for longer
 /// than they were.
 const LEAST_PREFILL_S: f64 = 1e-3;
@@ -130,7 +122,7 @@
             shares.begun(now, tenant, progress.unread_tokens);
         }
         (Some(((pool, _), _)), Some(Failure::OverShare(_))) => context.metrics.over_share(pool),
-        (Some(_), Some(failure)) if failure.retry_after().is_some() => context.room_is_short(now),
+        (Some(_), Some(failure)) if failure.retry_after().is_some() => room_is_short(context, now),
         (Some(_) | None, _) => {}
     }
 }
@@ -172,21 +164,6 @@
     }
 }
 
-async fn pause_for_place(progress: &Progress) {
-    let objective = Duration::from_millis(progress.route.objective_ms);
-    actix_rt::time::sleep(objective / PAUSES_FOR_PLACE).await;
-}
-
-/// Whether a request that engines refused waits before it tries the next: places come free for tenants within their
-/// share.
-fn waits_for_place(context: &Context, progress: &Progress) -> bool {
-    if progress.tenant.is_none() || progress.tried.is_empty() {
-        return false;
-    }
-    let share = share_now(context, progress);
-    share.is_none_or(|share| share.part() >= 1.0) && may_call_again(context, progress)
-}
-
 /// The answer to a request that ends the engines that run it. One of them may run once now and then.
 async fn ends_engines(context: &Context, progress: &mut Progress) -> Option<Failure> {
     let fingerprint = progress.fingerprint?;
@@ -198,69 +175,6 @@
     (!progress.is_trial).then_some(failure)
 }
 
-/// What the caller is told where no further call may be made.
-fn final_failure(context: &Context, progress: &Progress) -> Failure {
-    match (progress.runs, progress.time_left().is_zero()) {
-        (0, true) => Failure::TimeOverNotRun,
-        (0, false) => {
-            engines_open_in(context, progress).map_or(Failure::NoEngine, Failure::EnginesBackOff)
-        }
-        (_, true) => Failure::TimeOver,
-        (_, false) => Failure::Unknown,
-    }
-}
-
-/// After how long an engine may take the request, where none does now because of what they said. `None` if
-/// there is one that wants calls.
-fn engines_open_in(context: &Context, progress: &Progress) -> Option<Duration> {
-    let fleet = context.fleet();
-    let now = context.now();
-    let router = context.router.borrow();
-    let is_of = |engine| {
-        let mut pools = progress.pools.iter();
-        pools.any(|pool| fleet.pool(pool).get(engine).is_some())
-    };
-    let wants_calls = |engine: &StagedEngine| router.signals.closed(now, engine.key).is_none();
-    let mut pools = progress.pools.iter();
-    if pools.any(|pool| fleet.pool(pool).iter().any(wants_calls)) {
-        return None;
-    }
-    router.signals.opens_in(now, is_of)
-}
-
-/// Whether another engine may be asked, as far as the request and the budget allow. The call itself
-/// takes its send from the budget.
-fn may_call_again(context: &Context, progress: &Progress) -> bool {
-    if !progress.may_run_again()
-        || progress.time_left().is_zero()
-        || progress.is_trial
-        || is_refused(context, progress)
-    {
-        return false;
-    }
-    let is_repeat = progress.call_counts.is_repeat();
-    if is_repeat && progress.runs == 0 && progress.expected.is_none() && is_cut(context, progress) {
-        return false;
-    }
-    let Some(pool) = progress.pools.first().filter(|_| is_repeat) else {
-        return true;
-    };
-    let now = context.now();
-    context.budget.borrow_mut().left(now, pool) >= 1.0
-}
-
-/// Whether its tenant asks for more than its share: what it may repeat is left to the others, unless an engine may
-/// have prefilled its prompt.
-fn is_cut(context: &Context, progress: &Progress) -> bool {
-    share_now(context, progress).is_some_and(|share| share.part() < 1.0)
-}
-
-/// The share of its tenant, where shares decide anything.
-fn share_now(context: &Context, progress: &Progress) -> Option<TenantShare> {
-    let tenant = progress.tenant.as_ref()?;
-    context.tenant_shares.share(context.now(), tenant)
-}
-
 /// One plan and its calls; `None` if it gave no answer.
 async fn serve_once(
     context: &Rc<Context>,
@@ -294,73 +208,6 @@
     }
 }
 
-/// The next plan of a request that may be begun. One that has not run waits for a place where the pool is short, and
-/// its plan is then made anew.
-async fn admitted_plan(context: &Rc<Context>, progress: &mut Progress) -> Result<Plan, Failure> {
-    let plan = next_plan(context, progress)?;
-    if progress.share.is_none() {
-        progress.unread_tokens = plan.unread_tokens();
-        if let Some(failure) = over_share(context, progress) {
-            return Err(failure);
-        }
-    }
-    let plan = if progress.runs > 0 || progress.place.is_some() {
-        plan
-    } else {
-        match get_place(context, progress, &plan.pool).await? {
-            Admission::Ungated => plan,
-            Admission::Placed(place, waited) => {
-                progress.place = Some(place);
-                if waited.is_zero() {
-                    plan
-                } else {
-                    next_plan(context, progress)?
-                }
-            }
-        }
-    };
-    refused(progress).map_or(Ok(plan), Err)
-}
-
-/// The next plan, with what is expected of it.
-fn next_plan(context: &Context, progress: &mut Progress) -> Result<Plan, Failure> {
-    let plan = choose(context, progress).ok_or_else(|| final_failure(context, progress))?;
-    let link_s = context.uplink.borrow().wait(context.now()).as_secs_f64();
-    progress.expected = plan.expected.map(|expected| expected.behind(link_s));
-    Ok(plan)
-}
-
-/// Counts a request for its tenant; the answer to one that lies beyond the tenant's share.
-fn over_share(context: &Context, progress: &mut Progress) -> Option<Failure> {
-    let tenant = progress.tenant.as_ref()?;
-    let shares = &context.tenant_shares;
-    let account = shares.asked(context.now(), tenant, progress.unread_tokens, &context.sums);
-    progress.share = Some(account);
-    let is_over = account.standing == ShareStanding::Over && !finds_room(progress);
-    let share = account.share.filter(|_| is_over && progress.runs == 0)?;
-    let wait = share.catches_up_in(progress.time_left(), rand::random());
-    Some(Failure::OverShare(wait))
-}
-
-/// Whether the engine chosen has so short a queue that the request takes no other's place, where queues are known.
-fn finds_room(progress: &Progress) -> bool {
-    let objective = Duration::from_millis(progress.route.objective_ms);
-    let queue_s = progress.expected.map(|expected| expected.queue_s);
-    queue_s.is_some_and(|queue_s| queue_s < objective.as_secs_f64() * QUEUE_OVER_SHARE)
-}
-
-/// The answer to a request that has not run and cannot be answered in time.
-fn refused(progress: &Progress) -> Option<Failure> {
-    if progress.runs > 0 {
-        return None;
-    }
-    let bounds = TimeBounds {
-        left: progress.time_left(),
-        objective: Duration::from_millis(progress.route.objective_ms),
-    };
-    refused_for(progress.expected?, bounds).map(Failure::Overloaded)
-}
-
 /// Goes on from held memory. What was read is the dearest thing in the fleet: an engine that refuses
 /// is most often full, and another one goes on from the same memory.
 async fn decode(
--- a/crates/forwarding/src/spread/mod.rs
+++ b/crates/forwarding/src/spread/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod engine_notices;
 mod news_queue;
 pub(crate) mod notice_queue;
+pub(crate) mod own_figures;
 mod own_reports;
 mod pacing;
 pub(crate) mod receive;
--- a/crates/forwarding/src/spread/sums.rs
+++ b/crates/forwarding/src/spread/sums.rs
@@ -17,6 +17,7 @@
 use crate::context::Context;
 use crate::fleet::speeds::believe_fleet_speeds;
 use crate::fleet_sums::FleetSums;
+use crate::spread::own_figures::{count_own_figures, divide_room};
 use crate::spread::transmit::send;
 
 /// Time between two messages. Shares and room follow demand that turns within three seconds.
@@ -47,9 +48,9 @@
             // A relay has the sums of its own members and of the other relays instead.
             context.sums.forget(LoadSource::Fleet);
         }
-        context.count_own_figures(now);
+        count_own_figures(&context, now);
         context.sums.refresh(now);
-        context.divide_room(now);
+        divide_room(&context, now);
         believe_fleet_speeds(&context, turn);
         let sent_bytes = if is_relay {
             send_as_relay(&context, &socket, turn)
