--- a/crates/dissemination/src/lib.rs
+++ b/crates/dissemination/src/lib.rs
@@ -49,6 +49,4 @@
 pub use placement::{PlacedPart, Placement, PlacementState};
 pub use subscribers::Subscribers;
 pub use subscription::{ReportTarget, Subscription};
-pub use sums::{
-    ClassRow, PaceRow, SlownessRow, SumScope, SummedRows, SumsMessage, TenantRow, TenantRows,
-};
+pub use sums::{ClassRow, SlownessRow, SumScope, SummedRows, SumsMessage, TenantRow, TenantRows};
--- a/crates/dissemination/src/sums.rs
+++ b/crates/dissemination/src/sums.rs
@@ -1,8 +1,6 @@
 //! Figures of pools, tenants and engines on their way between nodes.
 
-use dalestand_routing::{
-    ClassFigures, FitSums, SlownessFigures, TenantCode, TenantFigures, WorkKind,
-};
+use dalestand_routing::{ClassFigures, SlownessFigures, TenantCode, TenantFigures, WorkKind};
 use dalestand_types::PoolName;
 use serde::{Deserialize, Serialize};
 
@@ -62,17 +60,6 @@
     pub figures: SlownessFigures,
 }
 
-/// How long usual engines of a pool take at one kind of work, by prompt tokens.
-#[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
-pub struct PaceRow {
-    /// The pool's number.
-    pub pool: u64,
-    /// The kind of work.
-    pub kind: WorkKind,
-    /// What nodes observed.
-    pub observed: FitSums,
-}
-
 /// The figures of one message.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub enum SummedRows {
@@ -82,8 +69,6 @@
     Tenants(TenantRows),
     /// Of engines.
     Slowness(Vec<SlownessRow>),
-    /// Of pools' speeds. Nodes of builds without them pass the message over.
-    Paces(Vec<PaceRow>),
 }
 
 /// Figures that add up over all nodes. Nodes of builds without it take it for unreadable: they know the fleet
--- a/crates/forwarding/src/duties/scaling/mod.rs
+++ b/crates/forwarding/src/duties/scaling/mod.rs
@@ -18,7 +18,7 @@
 };
 use dalestand_routes::ScalingTerms;
 use dalestand_routing::ClassFigures;
-use dalestand_routing::staged::{PoolKey, Stage};
+use dalestand_routing::staged::Stage;
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::{PoolName, ZoneName};
 use error_stack::Report;
@@ -118,7 +118,7 @@
     let engines = fleet.pool(pool);
     Some(PoolWork {
         classes,
-        prefill_token_s: prefill_token_s(context, pool),
+        prefill_token_s: prefill_token_s(context),
         slots: engines.iter().map(|engine| f64::from(engine.slots)).sum(),
         engines: engines.len() as f64,
     })
@@ -140,14 +140,13 @@
     let prompts = terms.and_then(|terms| terms.prompt_engine);
     let tokens = prompts.map_or(0.0, |engine| engine.memory_tokens as f64);
     // A time that is none is taken for no time.
-    Duration::try_from_secs_f64(tokens * prefill_token_s(context, pool)).unwrap_or_default()
+    Duration::try_from_secs_f64(tokens * prefill_token_s(context)).unwrap_or_default()
 }
 
 /// Time to prefill one token, as learnt, in seconds.
-fn prefill_token_s(context: &Context, pool: &PoolName) -> f64 {
+fn prefill_token_s(context: &Context) -> f64 {
     let speeds = &context.router.borrow().speeds;
-    let pool = PoolKey::of(pool);
-    speeds.usual_s(pool, Stage::Prefill, 1.0) - speeds.usual_s(pool, Stage::Prefill, 0.0)
+    speeds.usual_s(Stage::Prefill, 1.0) - speeds.usual_s(Stage::Prefill, 0.0)
 }
 
 fn boot(terms: &ScalingTerms) -> Duration {
--- a/crates/forwarding/src/fleet/engines.rs
+++ b/crates/forwarding/src/fleet/engines.rs
@@ -8,7 +8,7 @@
 use dalestand_edge::routed::EngineEntry;
 use dalestand_engine_link::LinkTarget;
 use dalestand_routes::{PoolTerms, RouteTable};
-use dalestand_routing::staged::{EngineKey, EnginePool, PoolKey, Stage, StagedEngine};
+use dalestand_routing::staged::{EngineKey, EnginePool, Stage, StagedEngine};
 use dalestand_types::{PoolName, Role};
 
 /// Stands between the name of a run and its start in the names of connections: those to a former start are
@@ -98,8 +98,7 @@
             run: Arc::clone(&entry.run),
             born: entry.born,
         };
-        let pool = self.pools.entry(entry.pool.clone());
-        let pool = pool.or_insert_with(|| EnginePool::of(PoolKey::of(&entry.pool)));
+        let pool = self.pools.entry(entry.pool.clone()).or_default();
         pool.set(staged);
         self.engines.insert(key, engine);
         self.codes.insert((EngineCode::of(key), key));
@@ -148,11 +147,6 @@
         true
     }
 
-    /// All pools with engines.
-    pub fn pools(&self) -> impl Iterator<Item = &EnginePool> {
-        self.pools.values()
-    }
-
     /// Engines of a pool.
     pub fn pool(&self, pool: &PoolName) -> &EnginePool {
         self.pools.get(pool).unwrap_or(&self.no_engines)
--- a/crates/forwarding/src/fleet/mod.rs
+++ b/crates/forwarding/src/fleet/mod.rs
@@ -11,4 +11,3 @@
 pub(crate) mod registration;
 pub(crate) mod restored_entries;
 pub(crate) mod signals;
-pub(crate) mod speeds;
--- a/crates/forwarding/src/fleet/signals.rs
+++ b/crates/forwarding/src/fleet/signals.rs
@@ -6,7 +6,7 @@
 use dalestand_dissemination::{EngineLimit, EngineStart};
 use dalestand_routing::staged::{EngineKey, LimitChange, StagedEngine};
 use dalestand_telemetry::{Event, log_event};
-use dalestand_types::{EngineSignals, LimitSignal, LoadSignal, MonotonicTime, RequestRate};
+use dalestand_types::{EngineSignals, LimitSignal, MonotonicTime, RequestRate};
 
 use crate::context::Context;
 use crate::quarantine::engine_end::{EndProof, engine_ended};
@@ -21,7 +21,6 @@
     request_sent_at: Option<MonotonicTime>,
 ) {
     take_limit(context, engine, said.limit, request_sent_at);
-    take_load(context, engine, said.load);
     if said.drains {
         let born = context.router.borrow().signals.born(engine.key);
         take_drain(context, engine.key, born, NoticeSource::OwnAnswer);
@@ -37,22 +36,6 @@
     }
 }
 
-fn take_load(context: &Context, engine: &StagedEngine, said: LoadSignal) {
-    match said {
-        LoadSignal::Absent => {}
-        LoadSignal::Reported(report) => {
-            let now = context.now();
-            let mut router = context.router.borrow_mut();
-            router.speeds.note_report(now, engine.key, report);
-        }
-        LoadSignal::Unreadable => {
-            if context.metrics.load_unreadable() {
-                log_event!(context.logger, Event::EngineLoadUnreadable, "engine" => &*engine.run);
-            }
-        }
-    }
-}
-
 fn take_limit(
     context: &Context,
     engine: &StagedEngine,
--- a/crates/forwarding/src/fleet_sums.rs
+++ b/crates/forwarding/src/fleet_sums.rs
@@ -7,10 +7,9 @@
 use std::time::Duration;
 
 use dalestand_dissemination::EngineCode;
-use dalestand_routing::speeds::PaceKey;
 use dalestand_routing::staged::LoadSource;
 use dalestand_routing::{
-    ClassFigures, FitSums, SlownessFigures, SourceSums, TenantCode, TenantFigures, WorkKind,
+    ClassFigures, SlownessFigures, SourceSums, TenantCode, TenantFigures, WorkKind,
 };
 use dalestand_types::{MonotonicTime, PoolName};
 
@@ -19,7 +18,7 @@
 /// which pass through another relay.
 const DEMAND_COUNTS: Duration = Duration::from_millis(2_500);
 
-/// A row of an engine's slowness, or of a pool's pace, counts for this long. It changes slowly, and rows of large fleets go out by turns.
+/// A row of an engine's slowness counts for this long. It changes slowly, and rows of large fleets go out by turns.
 const SLOWNESS_COUNTS: Duration = Duration::from_secs(30);
 
 /// Names the requests of one pool and one priority.
@@ -28,7 +27,7 @@
 /// Names what one tenant asks of one pool at one priority.
 pub(crate) type TenantKey = (ClassKey, TenantCode);
 
-/// Names the slowness of one start of an engine at one kind of work.
+/// Names one engine's slowness at one kind of work.
 pub(crate) type SlownessKey = (EngineCode, WorkKind);
 
 /// Figures of this node and of the others.
@@ -36,7 +35,6 @@
     pub(crate) classes: RefCell<SourceSums<ClassKey, ClassFigures>>,
     pub(crate) tenants: RefCell<SourceSums<TenantKey, TenantFigures>>,
     pub(crate) slowness: RefCell<SourceSums<SlownessKey, SlownessFigures>>,
-    pub(crate) paces: RefCell<SourceSums<PaceKey, FitSums>>,
 }
 
 impl Default for FleetSums {
@@ -45,7 +43,6 @@
             classes: RefCell::new(SourceSums::new(DEMAND_COUNTS)),
             tenants: RefCell::new(SourceSums::new(DEMAND_COUNTS)),
             slowness: RefCell::new(SourceSums::new(SLOWNESS_COUNTS)),
-            paces: RefCell::new(SourceSums::new(SLOWNESS_COUNTS)),
         }
     }
 }
@@ -55,7 +52,6 @@
     pub(crate) fn refresh(&self, now: MonotonicTime) {
         self.refresh_demand(now);
         self.slowness.borrow_mut().refresh(now);
-        self.paces.borrow_mut().refresh(now);
     }
 
     /// The same for pools and tenants only.
@@ -69,6 +65,5 @@
         self.classes.borrow_mut().forget(source);
         self.tenants.borrow_mut().forget(source);
         self.slowness.borrow_mut().forget(source);
-        self.paces.borrow_mut().forget(source);
     }
 }
--- a/crates/forwarding/src/node/metrics/engine_signals.rs
+++ b/crates/forwarding/src/node/metrics/engine_signals.rs
@@ -1,22 +1,12 @@
 //! Figures of what engines say of themselves, and of what follows from it.
 
 use dalestand_edge::unknown_headers::UnknownSender;
-use dalestand_routing::WorkKind;
-use dalestand_routing::speeds::EngineSpeeds;
 use dalestand_routing::staged::ClosedFor;
-use prometheus::{IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
+use prometheus::{IntCounter, IntCounterVec, IntGauge};
 
 use super::figures::Figures;
-use crate::fleet::engines::Fleet;
 use crate::serve::progress::CallRecord;
 
-/// Kinds of work, as figures name them.
-const WORK_LABELS: [(WorkKind, &str); 3] = [
-    (WorkKind::Prefill, "prefill"),
-    (WorkKind::Decode, "decode"),
-    (WorkKind::Opaque, "opaque"),
-];
-
 /// Numbers of engines, as they stand.
 pub(super) struct StandingSignals {
     /// Those that have said that they drain.
@@ -36,10 +26,7 @@
     engines_backing_off: IntGauge,
     engines_limited: IntGauge,
     pub(super) limits_unreadable: IntCounter,
-    pub(super) loads_unreadable: IntCounter,
     calls_limited: IntCounter,
-    engines_known: IntGaugeVec,
-    slowness_percent: IntGaugeVec,
     pub(super) permits: IntCounterVec,
     issued_for: IntGauge,
     unknown_headers: IntCounterVec,
@@ -69,20 +56,6 @@
                 "engine_limits_unreadable_total",
                 "Answers of engines that named something as their limit that is no rate.",
             )?,
-            loads_unreadable: figures.counter(
-                "engine_loads_unreadable_total",
-                "Answers of engines that reported something as their load that is none.",
-            )?,
-            engines_known: figures.gauges(
-                "engine_speeds_known",
-                "Engines of whose speed something is known, by kind of work.",
-                &["work"],
-            )?,
-            slowness_percent: figures.gauges(
-                "engine_slowness_percent",
-                "Time that the fastest and the slowest engine take, in hundredths of a usual one's, by kind of work.",
-                &["work", "engine"],
-            )?,
             calls_limited: figures.counter(
                 "engine_calls_limited_total",
                 "Requests that this node sent to engines that it knew to have a limit.",
@@ -127,34 +100,6 @@
         self.issued_for.set(standing.issued_for as i64);
     }
 
-    /// Sets what is believed of engines' speeds.
-    pub(super) fn set_speeds(&self, fleet: &Fleet, speeds: &EngineSpeeds) {
-        self.engines_known.reset();
-        self.slowness_percent.reset();
-        for (kind, label) in WORK_LABELS {
-            let engines = fleet
-                .pools()
-                .flat_map(|pool| pool.iter().map(|engine| (pool.key(), engine)))
-                .filter(|(_, engine)| WorkKind::from(engine.stage) == kind);
-            let believed =
-                engines.map(|(pool, engine)| speeds.believed(pool, engine.key, engine.stage));
-            let known =
-                believed.filter(|believed| believed.own_weight + believed.fleet_weight > 0.0);
-            let mut percents: Vec<i64> = known
-                .map(|believed| (believed.slowness * 100.0).round() as i64)
-                .collect();
-            percents.sort_unstable();
-            let count = self.engines_known.with_label_values(&[label]);
-            count.set(percents.len() as i64);
-            for (engine, percent) in [("fastest", percents.first()), ("slowest", percents.last())] {
-                if let Some(percent) = percent {
-                    let gauge = self.slowness_percent.with_label_values(&[label, engine]);
-                    gauge.set(*percent);
-                }
-            }
-        }
-    }
-
     /// Counts unknown headers of a sender, of which `seen` came since the start.
     pub(super) fn count_unknown_headers(&self, sender: UnknownSender, seen: u64) {
         let label = match sender {
--- a/crates/forwarding/src/node/metrics/mod.rs
+++ b/crates/forwarding/src/node/metrics/mod.rs
@@ -296,13 +296,6 @@
         self.signals.limits_unreadable.inc();
     }
 
-    /// Notes an answer whose load is none; whether it is the first.
-    pub(crate) fn load_unreadable(&self) -> bool {
-        let is_first = self.signals.loads_unreadable.get() == 0;
-        self.signals.loads_unreadable.inc();
-        is_first
-    }
-
     /// Notes an engine's entry that names no engine.
     pub(crate) fn entry_unreadable(&self) {
         self.entries_unreadable.inc();
--- a/crates/forwarding/src/node/metrics/page.rs
+++ b/crates/forwarding/src/node/metrics/page.rs
@@ -46,10 +46,6 @@
         self.usage_counted.set(context.usage.counted() as i64);
         self.report_age_ms.set(report_age.as_millis() as i64);
         self.signals.set(&standing_signals(context));
-        let fleet = context.fleet();
-        self.signals
-            .set_speeds(&fleet, &context.router.borrow().speeds);
-        drop(fleet);
         for sender in UNKNOWN_SENDERS {
             let seen = context.unknown_headers.seen(sender);
             self.signals.count_unknown_headers(sender, seen);
--- a/crates/forwarding/src/roles/role_control.rs
+++ b/crates/forwarding/src/roles/role_control.rs
@@ -159,7 +159,7 @@
     let router = context.router.borrow();
     let token_s = |stage| {
         let speeds = &router.speeds;
-        speeds.usual_s(engines.key(), stage, 1.0) - speeds.usual_s(engines.key(), stage, 0.0)
+        speeds.usual_s(stage, 1.0) - speeds.usual_s(stage, 0.0)
     };
     let decode = || {
         let engines = engines.iter();
@@ -188,9 +188,7 @@
         let queued: Vec<f64> = of_stage
             .map(|engine| {
                 let unread = router.work.total(engine.key).unread_tokens as f64;
-                let speeds = &router.speeds;
-                let prefill_s =
-                    |tokens| speeds.expected_s(engines.key(), engine.key, wanted, tokens);
+                let prefill_s = |tokens| router.speeds.expected_s(engine.key, wanted, tokens);
                 prefill_s(unread) - prefill_s(0.0)
             })
             .collect();
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -10,9 +10,7 @@
 use dalestand_edge::routed::EngineTerms;
 use dalestand_engine_link::{AnswerBody, Exchange, LinkTarget, ResponseHead, SendError};
 use dalestand_quarantine::CRASHES_ALLOWED;
-use dalestand_routing::staged::{
-    AttemptResult, ClosedFor, EngineChoice, EngineKey, EngineWork, PoolKey, Stage,
-};
+use dalestand_routing::staged::{AttemptResult, ClosedFor, EngineChoice, EngineKey};
 use dalestand_routing::{CallArrival, CallPurpose, RepeatedSend};
 use dalestand_types::{PoolName, RequestRate};
 
@@ -36,8 +34,8 @@
     pub(crate) sent_at: BootInstant,
     /// Where it was sent.
     pub(crate) target: LinkTarget,
-    /// Work at the engine, of all nodes, when it was sent.
-    pub(crate) before: EngineWork,
+    /// Requests at the engine, of all nodes, that had not begun when it was sent.
+    pub(crate) before: u32,
 }
 
 /// How a call came out.
@@ -163,7 +161,7 @@
                 work.counts_for(tenant);
             }
             let answer = EngineAnswer {
-                before,
+                before: before.starting,
                 head: exchange.head,
                 body: exchange.body,
                 choice: call.choice,
@@ -217,12 +215,6 @@
         let now = context.now();
         let mut router = context.router.borrow_mut();
         router.health.note(now, engine.key, result);
-        if let (Stage::Opaque, AttemptResult::Sound(took)) = (engine.stage, result) {
-            let pool_key = PoolKey::of(call.pool);
-            router
-                .speeds
-                .observe_opaque(now, pool_key, engine.key, took);
-        }
     }
     if call.purpose == CallPurpose::Run && matches!(end, AttemptEnd::Refused | AttemptEnd::NotSent)
     {
--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -8,7 +8,7 @@
 use dalestand_engine_link::ResponseHead;
 use dalestand_http_server::{Answer, ConnectionType, Request};
 use dalestand_routing::CallPurpose;
-use dalestand_routing::staged::{AttemptResult, EngineChoice, PoolKey, Stage};
+use dalestand_routing::staged::{AttemptResult, EngineChoice};
 use dalestand_types::PoolName;
 
 use crate::context::Context;
@@ -36,10 +36,6 @@
 /// alike, and two engines that were chosen as the least busy are rarely full at once.
 const REFUSALS_OF_MEMORY: u32 = 2;
 
-/// No prefill takes less, in seconds: what is left of an answer's time is less where queues were taken for longer
-/// than they were.
-const LEAST_PREFILL_S: f64 = 1e-3;
-
 /// Serves a request.
 pub(crate) async fn forward(context: Rc<Context>, mut request: Request) -> Answer {
     let in_flight = context.in_flight.enter();
@@ -196,9 +192,6 @@
     match plan.step {
         Step::Whole(choice) => {
             let ended = run(context, progress, &pool, choice, None).await;
-            if let AttemptEnd::Answered(answer) = &ended {
-                note_whole(context, progress, &pool, answer);
-            }
             Ok(deliver(context, progress, pool, ended).await)
         }
         Step::Prefill(choice) => match prefill(context, progress, &pool, choice).await {
@@ -269,48 +262,11 @@
 
 /// Learns from an answer how long engines take to begin one.
 fn note_start(context: &Context, answer: &EngineAnswer) {
-    let now = context.now();
-    let mut router = context.router.borrow_mut();
-    let before = answer.before.starting;
-    let usual_s = router.starts.expected_s(before);
-    let choice = &answer.choice;
-    let moving_s = choice.expected_s - usual_s * choice.slowness.slowness;
-    let start_s = answer.sent_at.elapsed().as_secs_f64() - moving_s;
-    router.starts.observe(before, start_s);
-    let engine = &choice.engine;
-    let ratio = start_s / usual_s;
-    router
-        .speeds
-        .observe_ratio(now, engine.key, engine.stage, ratio);
-}
-
-/// Learns from the head of an answer, which comes with its first token, how long engines take to prefill a prompt
-/// beside the answers that they generate.
-fn note_whole(context: &Context, progress: &Progress, pool: &PoolName, answer: &EngineAnswer) {
-    let choice = &answer.choice;
-    let engine = &choice.engine;
-    // What it takes from another engine comes at the pace of the link.
-    let is_prefilled = answer.head.status.is_success() && choice.fetch_from.is_none();
-    if engine.stage != Stage::Decode || !is_prefilled {
-        return;
-    }
-    let now = context.now();
     let mut router = context.router.borrow_mut();
-    let before = answer.before;
-    let sending_s = context.settings.link_time(progress.sent_bytes());
+    let starts = &mut router.starts;
+    let moving_s = answer.choice.expected_s - starts.expected_s(answer.before);
     let took_s = answer.sent_at.elapsed().as_secs_f64();
-    let prefill_s = took_s - sending_s.as_secs_f64() - router.starts.queue_s(before.starting);
-    let ahead = before.unread_tokens as f64 + f64::from(choice.unread_tokens);
-    let speeds = &mut router.speeds;
-    let prefill_s = prefill_s.max(LEAST_PREFILL_S);
-    speeds.observe(
-        now,
-        PoolKey::of(pool),
-        engine.key,
-        engine.stage,
-        ahead,
-        prefill_s,
-    );
+    starts.observe(answer.before, took_s - moving_s);
 }
 
 /// Has an engine run the request.
--- a/crates/forwarding/src/serve/plan.rs
+++ b/crates/forwarding/src/serve/plan.rs
@@ -2,7 +2,7 @@
 
 use dalestand_clock::BootInstant;
 use dalestand_routing::staged::{
-    EngineChoice, EnginePool, Expectation, PoolKey, PromptPlan, Stage, StagedRouter,
+    EngineChoice, EnginePool, Expectation, PromptPlan, Stage, StagedRouter,
 };
 use dalestand_types::PoolName;
 
@@ -107,11 +107,7 @@
     let (Step::Whole(choice) | Step::Prefill(choice)) = step;
     let tokens = choice.unread_tokens;
     let key = choice.engine.key;
-    let pool_key = PoolKey::of(pool);
-    let reading_s = |tokens| {
-        let speeds = &router.speeds;
-        speeds.expected_s(pool_key, key, Stage::Decode, tokens)
-    };
+    let reading_s = |tokens| router.speeds.expected_s(key, Stage::Decode, tokens);
     let colocated_s = reading_s(f64::from(tokens)) - reading_s(0.0);
     let place = if colocated_s > WORTH_DISAGGREGATING_S {
         PrefillPlace::Disaggregated
--- a/crates/forwarding/src/serve/prefill.rs
+++ b/crates/forwarding/src/serve/prefill.rs
@@ -9,7 +9,7 @@
 use dalestand_edge::routed::{EngineTerms, HeldMemory};
 use dalestand_engine_link::LinkTarget;
 use dalestand_routing::CallPurpose;
-use dalestand_routing::staged::{AttemptResult, EngineChoice, PoolKey, StagedEngine};
+use dalestand_routing::staged::{AttemptResult, EngineChoice, StagedEngine};
 use dalestand_types::PoolName;
 
 use crate::context::Context;
@@ -149,16 +149,7 @@
         return PrefillEnd::Failed;
     };
     let seen_s = answer.sent_at.elapsed().as_secs_f64();
-    let pool_key = PoolKey::of(pool);
-    let speeds = &mut router.speeds;
-    speeds.observe(
-        now,
-        pool_key,
-        engine.key,
-        engine.stage,
-        tokens_ahead,
-        seen_s,
-    );
+    router.speeds.observe(engine.key, tokens_ahead, seen_s);
     PrefillEnd::Held(Box::new(HeldPrompt {
         context: Rc::clone(context),
         pool: pool.clone(),
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -11,7 +11,6 @@
 use dalestand_edge::routed::RequestFacts;
 use dalestand_quarantine::RequestFingerprint;
 use dalestand_routes::{Caller, RouteTable, RouteTerms};
-use dalestand_routing::speeds::BelievedSlowness;
 use dalestand_routing::staged::{
     ClosedFor, EngineChoice, EngineKey, Expectation, PromptPart, StagedRequest,
 };
@@ -30,9 +29,6 @@
 /// they look idle, and each has to be asked for once.
 const MAX_CHOICES: usize = 4 * MAX_CALLS;
 
-/// An engine's slowness is told from this logarithm on: a fifth more or less than a usual one takes.
-const TOLD_FROM_LOG_SLOWNESS: f64 = 0.2;
-
 /// Bytes that a request's head and the packets around it take, about.
 const HEAD_BYTES: usize = 600;
 
@@ -59,8 +55,6 @@
     unread_tokens: u32,
     /// Whether it was to take the rest from another engine.
     fetches: bool,
-    /// How slow the engine was believed to be.
-    slowness: BelievedSlowness,
     /// What was known and learnt of the engine beside.
     pub(crate) signals: CallSignals,
 }
@@ -137,25 +131,12 @@
         if self.fetches {
             text.push_str(", fetches");
         }
-        text.push_str(&slowness_account(&self.slowness));
         text.push_str(&self.signals.account());
         text.push(')');
         text
     }
 }
 
-/// What was believed of an engine's speed, by how many observations of this node and of all, where it is not a usual
-/// one.
-fn slowness_account(believed: &BelievedSlowness) -> String {
-    if believed.slowness.ln().abs() < TOLD_FROM_LOG_SLOWNESS {
-        return String::new();
-    }
-    format!(
-        ", slowness {:.2} by {:.1} own of {:.1} seen",
-        believed.slowness, believed.own_weight, believed.fleet_weight
-    )
-}
-
 /// A request that is to be served.
 pub(crate) struct Admitted {
     pub(crate) facts: RequestFacts,
@@ -293,7 +274,6 @@
             expected_s: choice.expected_s,
             unread_tokens: choice.unread_tokens,
             fetches: choice.fetch_from.is_some(),
-            slowness: choice.slowness,
             signals,
         })
     }
--- a/crates/forwarding/src/serve/work_guard.rs
+++ b/crates/forwarding/src/serve/work_guard.rs
@@ -35,7 +35,6 @@
         {
             let mut router = context.router.borrow_mut();
             router.work.sent(engine.key, unread_tokens);
-            router.speeds.sent(engine.key);
             let now = context.now();
             router.unreported.sent(now, engine.stage, unread_tokens);
             if !parts.is_empty() {
--- a/crates/forwarding/src/spread/own_figures.rs
+++ b/crates/forwarding/src/spread/own_figures.rs
@@ -3,7 +3,6 @@
 use dalestand_types::{MonotonicTime, PoolName};
 
 use crate::context::Context;
-use crate::fleet::speeds::count_own_speeds;
 
 /// Replaces this node's own rows among the figures of all nodes.
 pub(crate) fn count_own_figures(context: &Context, now: MonotonicTime) {
@@ -11,7 +10,6 @@
     context.sums.classes.borrow_mut().set_own(classes);
     let tenants = context.tenant_shares.figures(now);
     context.sums.tenants.borrow_mut().set_own(tenants);
-    count_own_speeds(context, now);
 }
 
 /// Works the shares of tenants out from the figures of all nodes.
--- a/crates/forwarding/src/spread/sums.rs
+++ b/crates/forwarding/src/spread/sums.rs
@@ -6,16 +6,14 @@
 use std::time::Duration;
 
 use dalestand_dissemination::{
-    ClassRow, Message, PaceRow, ReportTarget, SlownessRow, SumScope, SummedRows, SumsMessage,
-    TenantRow, TenantRows,
+    ClassRow, Message, ReportTarget, SlownessRow, SumScope, SummedRows, SumsMessage, TenantRow,
+    TenantRows,
 };
 use dalestand_routing::room::tenant_meters::largest;
-use dalestand_routing::speeds::PaceKey;
-use dalestand_routing::staged::{LoadSource, PoolKey};
+use dalestand_routing::staged::LoadSource;
 use tokio::net::UdpSocket;
 
 use crate::context::Context;
-use crate::fleet::speeds::believe_fleet_speeds;
 use crate::fleet_sums::FleetSums;
 use crate::spread::own_figures::{count_own_figures, divide_room};
 use crate::spread::transmit::send;
@@ -51,7 +49,6 @@
         count_own_figures(&context, now);
         context.sums.refresh(now);
         divide_room(&context, now);
-        believe_fleet_speeds(&context, turn);
         let sent_bytes = if is_relay {
             send_as_relay(&context, &socket, turn)
         } else {
@@ -113,7 +110,6 @@
     let mut messages = class_rows(context, counts);
     messages.extend(tenant_rows(context, counts));
     messages.extend(slowness_rows(context, turn, counts));
-    messages.extend(pace_rows(context, counts));
     messages
 }
 
@@ -183,21 +179,6 @@
         .collect()
 }
 
-fn pace_rows(context: &Context, counts: impl Fn(LoadSource) -> bool) -> Vec<SummedRows> {
-    let paces = context.sums.paces.borrow();
-    let sums = paces.sum_of(context.now(), counts).into_iter();
-    let rows = sums.map(|(PaceKey { pool, kind }, observed)| PaceRow {
-        pool: pool.0,
-        kind,
-        observed,
-    });
-    let rows: Vec<PaceRow> = rows.collect();
-    let messages = rows.chunks(ROWS_PER_MESSAGE);
-    messages
-        .map(|rows| SummedRows::Paces(rows.to_vec()))
-        .collect()
-}
-
 /// Takes in figures of another node. Rows that no node can have counted are passed over.
 pub(super) fn take(context: &Context, message: SumsMessage) {
     let now = context.now();
@@ -265,20 +246,5 @@
             sums.slowness.borrow_mut().reported(now, source, rows);
             unsound
         }
-        SummedRows::Paces(rows) => {
-            let told = rows.len();
-            let rows = rows.into_iter().filter(|row| row.observed.is_sound());
-            let rows: Vec<_> = rows.map(|row| (pace_key(&row), row.observed)).collect();
-            let unsound = told - rows.len();
-            sums.paces.borrow_mut().reported(now, source, rows);
-            unsound
-        }
-    }
-}
-
-fn pace_key(row: &PaceRow) -> PaceKey {
-    PaceKey {
-        pool: PoolKey(row.pool),
-        kind: row.kind,
     }
 }
--- a/crates/forwarding/tests/support/dialect.rs
+++ b/crates/forwarding/tests/support/dialect.rs
@@ -12,9 +12,7 @@
     StageOrder, StageOrderOutcome,
 };
 use dalestand_routes::{ApiKey, PresentedKey, RouteFile};
-use dalestand_types::{
-    EngineSignals, LimitSignal, LoadSignal, PoolName, RequestRate, Role, ZoneName,
-};
+use dalestand_types::{EngineSignals, LimitSignal, PoolName, RequestRate, Role, ZoneName};
 
 const ID: HeaderName = HeaderName::from_static("x-id");
 const REFUSED: HeaderName = HeaderName::from_static("x-refused");
@@ -86,7 +84,6 @@
                         .and_then(RequestRate::per_second)
                         .map_or(LimitSignal::Unreadable, LimitSignal::Named),
                 },
-                load: LoadSignal::Absent,
             },
         }
     }
--- a/crates/routing/src/figures.rs
+++ b/crates/routing/src/figures.rs
@@ -181,52 +181,6 @@
     }
 }
 
-/// What a line is fitted from: weighted sums over observations of `y` at `x`. Those of several nodes are the sums of
-/// theirs.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct FitSums {
-    /// Observations, older ones counted less.
-    pub weight: f64,
-    /// Sum of `x`.
-    pub x: f64,
-    /// Sum of `y`.
-    pub y: f64,
-    /// Sum of the squares of `x`.
-    pub xx: f64,
-    /// Sum of the products of `x` and `y`.
-    pub xy: f64,
-}
-
-/// Prompt tokens ahead of one prefill, at most.
-const MOST_TOKENS_AHEAD: f64 = 1e8;
-
-/// Time that one observation can have taken, in seconds.
-const MOST_TIME_S: f64 = 3_600.0;
-
-impl FitSums {
-    /// Whether the sums are such that nodes can have counted them of tokens and seconds.
-    pub fn is_sound(&self) -> bool {
-        let bounds = [
-            (self.weight, f64::from(MOST_WEIGHT) * 1e3),
-            (self.x, self.weight * MOST_TOKENS_AHEAD),
-            (self.y, self.weight * MOST_TIME_S),
-            (self.xx, self.x * MOST_TOKENS_AHEAD),
-            (self.xy, self.x * MOST_TIME_S),
-        ];
-        bounds.iter().all(|(sum, most)| (0.0..=*most).contains(sum))
-    }
-}
-
-impl AddAssign<&Self> for FitSums {
-    fn add_assign(&mut self, other: &Self) {
-        self.weight += other.weight;
-        self.x += other.x;
-        self.y += other.y;
-        self.xx += other.xx;
-        self.xy += other.xy;
-    }
-}
-
 /// Kinds of work at which an engine may be slow by itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum WorkKind {
--- a/crates/routing/src/learning.rs
+++ b/crates/routing/src/learning.rs
@@ -4,8 +4,6 @@
 
 use dalestand_types::{EngineId, ModelName, PoolName, Role};
 
-use crate::figures::FitSums;
-
 /// Weight kept by older observations when a new one comes in.
 const FORGETTING: f64 = 0.98;
 
@@ -45,45 +43,51 @@
     }
 }
 
-/// Weight that a fit has which has forgotten all but its newest observations.
-const MOST_WEIGHT: f64 = 1.0 / (1.0 - FORGETTING);
-
 /// A line through recent observations, held near a prior while there are few.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct LinearFit(FitSums);
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LinearFit {
+    weight: f64,
+    x: f64,
+    y: f64,
+    xx: f64,
+    xy: f64,
+}
 
 impl LinearFit {
     /// A fit that follows `offset + slope * x` around `scale` until it has learnt.
     pub(crate) fn prior(offset: f64, slope: f64, scale: f64) -> Self {
-        let mut sums = FitSums::default();
+        let mut fit = Self {
+            weight: 0.0,
+            x: 0.0,
+            y: 0.0,
+            xx: 0.0,
+            xy: 0.0,
+        };
         for x in [0.0, scale] {
-            sums.add(x, offset + slope * x, PRIOR_WEIGHT / 2.0);
+            fit.add(x, offset + slope * x, PRIOR_WEIGHT / 2.0);
         }
-        Self(sums)
-    }
-
-    /// A fit to the observations of several, held near `prior` for as long as one node would be that had as many.
-    pub(crate) fn learnt(observed: FitSums, prior: Self) -> Self {
-        let kept = (1.0 - observed.weight / MOST_WEIGHT).max(0.0);
-        let mut sums = observed;
-        sums += &prior.0.faded(kept);
-        Self(sums)
+        fit
     }
 
     /// Takes in one observation.
     pub(crate) fn observe(&mut self, x: f64, y: f64) {
-        self.0.observe(x, y);
+        for sum in [
+            &mut self.weight,
+            &mut self.x,
+            &mut self.y,
+            &mut self.xx,
+            &mut self.xy,
+        ] {
+            *sum *= FORGETTING;
+        }
+        self.add(x, y, 1.0);
     }
 
     /// The value expected at `x`; never negative, and never falling with `x`.
     pub(crate) fn at(&self, x: f64) -> f64 {
-        let sums = &self.0;
-        if sums.weight <= 0.0 {
-            return 0.0;
-        }
-        let (mean_x, mean_y) = (sums.x / sums.weight, sums.y / sums.weight);
-        let variance = sums.xx / sums.weight - mean_x * mean_x;
-        let covariance = sums.xy / sums.weight - mean_x * mean_y;
+        let (mean_x, mean_y) = (self.x / self.weight, self.y / self.weight);
+        let variance = self.xx / self.weight - mean_x * mean_x;
+        let covariance = self.xy / self.weight - mean_x * mean_y;
         let slope = if variance > f64::EPSILON {
             (covariance / variance).max(0.0)
         } else {
@@ -94,31 +98,13 @@
 
     /// How far it has left its prior behind, from 0 to 1.
     pub(crate) fn confidence(&self) -> f64 {
-        (1.0 - PRIOR_WEIGHT / self.0.weight).max(0.0)
+        (1.0 - PRIOR_WEIGHT / self.weight).max(0.0)
     }
 
     /// How much the value rises for each unit of `x`, as seen over `span` from zero.
     pub(crate) fn slope(&self, span: f64) -> f64 {
         (self.at(span) - self.at(0.0)) / span
     }
-}
-
-impl FitSums {
-    /// Takes in one observation; older ones count less.
-    pub(crate) fn observe(&mut self, x: f64, y: f64) {
-        *self = self.faded(FORGETTING);
-        self.add(x, y, 1.0);
-    }
-
-    fn faded(&self, kept: f64) -> Self {
-        Self {
-            weight: self.weight * kept,
-            x: self.x * kept,
-            y: self.y * kept,
-            xx: self.xx * kept,
-            xy: self.xy * kept,
-        }
-    }
 
     fn add(&mut self, x: f64, y: f64, weight: f64) {
         self.weight += weight;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -21,7 +21,6 @@
 pub mod shared_rate;
 mod shared_retry_budget;
 mod source_sums;
-pub mod speeds;
 pub mod staged;
 mod tenant_limits;
 mod track;
@@ -32,9 +31,7 @@
 pub use call_counts::{CallArrival, CallCounts, CallPurpose};
 pub use class_meter::{ClassMeter, FadingRate};
 pub use config::RouterConfig;
-pub use figures::{
-    ClassFigures, FitSums, SlownessFigures, TenantCode, TenantFigures, WorkKind, WorkRate,
-};
+pub use figures::{ClassFigures, SlownessFigures, TenantCode, TenantFigures, WorkKind, WorkRate};
 pub use learning::PriorSpeeds;
 pub use node_count::NodeCount;
 pub use prefix::{PromptBlock, prompt_blocks};
--- a/crates/routing/src/staged/chooser.rs
+++ b/crates/routing/src/staged/chooser.rs
@@ -9,16 +9,12 @@
 use super::levelled::{Costed, draw_levelled};
 use super::parts::PartDirectory;
 use super::pool::EnginePool;
+use super::reading::ReadingSpeeds;
 use super::signals::SignalLedger;
 use super::starts::StartSpeeds;
 use super::unreported::{ExpectedSends, UnreportedSends};
 use super::work::WorkTable;
 use super::{EngineKey, Expectation, Stage, StagedEngine, StagedRequest};
-use crate::speeds::{BelievedSlowness, EngineSpeeds};
-
-/// Requests an engine that are taken to be under way unreported, at least: engines that differ by less than a part of one
-/// request are alike.
-const LEAST_UNREPORTED: f64 = 0.5;
 
 /// An engine with what is expected of it.
 #[derive(Clone, Debug, PartialEq)]
@@ -36,8 +32,6 @@
     pub unread_tokens: u32,
     /// The engine from which it is to take what it does not keep of the prompt.
     pub fetch_from: Option<EngineKey>,
-    /// How slow it is believed to be.
-    pub slowness: BelievedSlowness,
 }
 
 impl EngineChoice {
@@ -49,7 +43,6 @@
             cost_s: cost.cost_s,
             unread_tokens: cost.unread_tokens,
             fetch_from: cost.fetch_from,
-            slowness: cost.slowness,
         }
     }
 
@@ -84,8 +77,8 @@
     pub health: EngineHealth,
     /// What they say of themselves.
     pub signals: SignalLedger,
-    /// How fast they work.
-    pub speeds: EngineSpeeds,
+    /// How fast they read.
+    pub speeds: ReadingSpeeds,
     /// How fast they begin answers.
     pub starts: StartSpeeds,
     /// What others may have sent since they reported.
@@ -128,9 +121,8 @@
         let engines = self
             .draws
             .for_opaque(pool, zone, request, self.is_open(now));
-        let costs = self.opaque_costs(now, zone, pool.key(), &engines);
-        let unreported = self.expected_sends(now, Stage::Opaque, pool);
-        self.levelled(engines.into_iter().zip(costs).collect(), unreported)
+        let costs = self.opaque_costs(now, zone, &engines);
+        best(engines.into_iter().zip(costs))
     }
 
     /// The best plan for a prompt.
@@ -227,7 +219,7 @@
             self.draws
                 .for_prompt(pool, Stage::Decode, zone, request, known, self.is_open(now));
         let costs = engines.into_iter().map(|engine| {
-            let cost = self.decode_cost(now, pool.key(), request, prefill, unreported, engine);
+            let cost = self.decode_cost(now, request, prefill, unreported, engine);
             (engine, cost)
         });
         self.levelled(costs.collect(), unreported)
@@ -235,7 +227,7 @@
 
     /// One of the engines, which fill up to one level with the requests that others may have sent.
     fn levelled(&self, costs: Vec<Costed<'_>>, unreported: ExpectedSends) -> Option<EngineChoice> {
-        let sends = unreported.mean.max(LEAST_UNREPORTED) * costs.len() as f64;
+        let sends = unreported.mean * costs.len() as f64;
         let (engine, cost) = draw_levelled(costs, sends, self.draws.chance())?;
         Some(EngineChoice::new(engine, &cost))
     }
--- a/crates/routing/src/staged/cost.rs
+++ b/crates/routing/src/staged/cost.rs
@@ -6,8 +6,7 @@
 use super::chooser::StagedRouter;
 use super::pool::EnginePool;
 use super::unreported::ExpectedSends;
-use super::{EngineKey, PoolKey, Stage, StagedEngine, StagedRequest};
-use crate::speeds::BelievedSlowness;
+use super::{EngineKey, Stage, StagedEngine, StagedRequest};
 
 /// Added time of an engine in another zone than the node's, in seconds.
 const OTHER_ZONE_S: f64 = 3e-3;
@@ -45,12 +44,12 @@
 /// Moving memory between zones takes this multiple of the time within one.
 const OTHER_ZONE_MOVE_FACTOR: f64 = 2.0;
 
-/// Requests of others are taken to add this share of what the request itself adds, at least.
-const LEAST_ADDED_OF_OWN: f64 = 0.5;
-
 /// Added time for each request of a batch, as a share of a slot, in seconds.
 const BATCH_S: f64 = 0.25;
 
+/// Time of an opaque request where no engine's is known, in seconds.
+const PRIOR_OPAQUE_S: f64 = 30e-3;
+
 /// What is expected of an engine, and what it is compared by.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct EngineCost {
@@ -66,15 +65,12 @@
     pub(super) unread_tokens: u32,
     /// The engine from which it is to take what it does not keep of the prompt.
     pub(super) fetch_from: Option<EngineKey>,
-    /// How slow it is believed to be.
-    pub(super) slowness: BelievedSlowness,
 }
 
 /// What is the same for all engines that are compared to read one prompt.
 pub(super) struct PrefillTerms<'a> {
     pub(super) now: MonotonicTime,
     pub(super) zone: &'a ZoneName,
-    pub(super) pool: PoolKey,
     pub(super) request: &'a StagedRequest,
     /// The part by which prompts stay together.
     pub(super) affinity: Option<u64>,
@@ -95,7 +91,7 @@
         stage: Stage,
         request: &'a StagedRequest,
     ) -> PrefillTerms<'a> {
-        let affinity = self.affinity(pool.key(), stage, request);
+        let affinity = self.affinity(stage, request);
         let is_open = self.is_open(now);
         let is_new = |key| !request.tried.contains(&key) && is_open(key);
         let target = affinity.and_then(|part| pool.affinity_target(stage, part, is_new));
@@ -105,7 +101,6 @@
         PrefillTerms {
             now,
             zone,
-            pool: pool.key(),
             request,
             affinity,
             target,
@@ -116,13 +111,13 @@
 
     /// The part by which prompts stay together: the one at whose end a reading has taken longer than
     /// what an engine other than the target is charged. The last part is the request's own.
-    fn affinity(&self, pool: PoolKey, stage: Stage, request: &StagedRequest) -> Option<u64> {
+    fn affinity(&self, stage: Stage, request: &StagedRequest) -> Option<u64> {
         let (_, shared) = request.parts.split_last()?;
         let mut tokens = 0_u32;
         shared.iter().find_map(|part| {
             tokens = tokens.saturating_add(part.tokens);
-            let usual_s = |tokens| self.speeds.usual_s(pool, stage, tokens);
-            let takes_s = usual_s(f64::from(tokens)) - usual_s(0.0);
+            let takes_s =
+                self.speeds.usual_s(stage, f64::from(tokens)) - self.speeds.usual_s(stage, 0.0);
             (takes_s >= NOT_TARGET_S).then_some(part.id)
         })
     }
@@ -146,9 +141,8 @@
         let fetch_s = move_s(request, fetched, false);
         let unread = request.prompt_tokens.saturating_sub(kept);
         let work = self.work.total(engine.key);
-        let slowness = self.speeds.believed(terms.pool, engine.key, engine.stage);
-        let reading_s =
-            |tokens| self.speeds.usual_s(terms.pool, engine.stage, tokens) * slowness.slowness;
+        let slowness = self.speeds.slowness(engine.key);
+        let reading_s = |tokens| self.speeds.usual_s(engine.stage, tokens) * slowness;
         let ahead = work.unread_tokens as f64 + f64::from(unread);
         let starts_s = |starting| match engine.stage {
             Stage::Decode => self.starts.queue_s(starting),
@@ -193,13 +187,10 @@
             expected_s,
             queue_s: ahead_s - unread_s + own_starts_s,
             cost_s,
-            // Of what others send nothing is known before this node has sent.
-            added_s: drawn_request_s.max((unread_s - nothing_s) * LEAST_ADDED_OF_OWN)
-                + batch_s(engine, drawn.requests + 1)
+            added_s: drawn_request_s + batch_s(engine, drawn.requests + 1)
                 - batch_s(engine, drawn.requests),
             unread_tokens: unread,
             fetch_from: terms.holder.filter(|_| fetched > 0).map(|(key, _)| key),
-            slowness,
         }
     }
 
@@ -207,7 +198,6 @@
     pub(super) fn decode_cost(
         &self,
         now: MonotonicTime,
-        pool: PoolKey,
         request: &StagedRequest,
         prefill: &StagedEngine,
         unreported: ExpectedSends,
@@ -216,13 +206,12 @@
         let kept = self.parts.kept_tokens(engine.key, &request.parts);
         let moved = request.prompt_tokens.saturating_sub(kept);
         let work = self.work.total(engine.key);
-        let slowness = self.speeds.believed(pool, engine.key, engine.stage);
-        let reading_s =
-            |tokens| self.speeds.usual_s(pool, engine.stage, tokens) * slowness.slowness;
+        let slowness = self.speeds.slowness(engine.key);
+        let reading_s = |tokens| self.speeds.usual_s(engine.stage, tokens) * slowness;
         let waiting_s = reading_s(work.unread_tokens as f64);
         let queue_s = self.starts.queue_s(work.starting);
         let expected_s = request.send_s
-            + self.starts.expected_s(work.starting) * slowness.slowness
+            + self.starts.expected_s(work.starting)
             + move_s(request, moved, engine.zone == prefill.zone)
             + waiting_s.min(STEP_WITH_READING_S);
         let added_s = reading_s(unreported.tokens_each) - reading_s(0.0)
@@ -237,7 +226,6 @@
             expected_s,
             queue_s,
             cost_s,
-            slowness,
             added_s,
             ..EngineCost::default()
         }
@@ -248,7 +236,6 @@
         &self,
         now: MonotonicTime,
         zone: &ZoneName,
-        pool: PoolKey,
         engines: &[&StagedEngine],
     ) -> Vec<EngineCost> {
         let failed_share = |engine: &&StagedEngine| self.health.failed_share(now, engine.key);
@@ -256,33 +243,29 @@
             .iter()
             .map(failed_share)
             .fold(f64::INFINITY, f64::min);
-        let usual_s = self.speeds.usual_opaque_s(pool);
+        let known_s = |engine: &&StagedEngine| self.health.latency_ms(engine.key) / 1_000.0;
+        let known: Vec<f64> = engines.iter().map(known_s).filter(|s| *s > 0.0).collect();
+        // An engine not used yet is taken for a usual one: taken for a slow one, it would never be.
+        let usual_s = if known.is_empty() {
+            PRIOR_OPAQUE_S
+        } else {
+            known.iter().sum::<f64>() / known.len() as f64
+        };
         let cost = |engine: &&StagedEngine| {
-            let slowness = self.speeds.opaque_slowness(now, pool, engine.key);
-            let requests = self.requests(now, engine);
+            let own_s = Some(known_s(engine)).filter(|s| *s > 0.0);
+            let requests = f64::from(self.work.total(engine.key).requests);
             let load = requests / f64::from(engine.slots.max(1));
             let failing = failed_share(engine) - least_failing;
-            let expected_s = usual_s * slowness * (0.5 + load);
+            let expected_s = own_s.unwrap_or(usual_s) * (0.5 + load);
             EngineCost {
                 expected_s,
                 cost_s: expected_s + failing * FAILURE_S + self.common_s(now, zone, engine),
-                added_s: usual_s * slowness,
-                slowness: BelievedSlowness {
-                    slowness,
-                    ..self.speeds.believed(pool, engine.key, Stage::Opaque)
-                },
                 ..EngineCost::default()
             }
         };
         engines.iter().map(cost).collect()
     }
 
-    /// Requests at an engine, as nodes count them and as it reported.
-    fn requests(&self, now: MonotonicTime, engine: &StagedEngine) -> f64 {
-        let known = self.work.total(engine.key).requests;
-        self.speeds.requests(now, engine.key, known)
-    }
-
     /// What others may have sent to each engine of a stage since they reported.
     pub(super) fn expected_sends(
         &self,
--- a/crates/routing/src/staged/mod.rs
+++ b/crates/routing/src/staged/mod.rs
@@ -4,8 +4,7 @@
 //! Callers name the parts that their prompts are made of, and engines keep the parts they have
 //! read. The router remembers which engine was sent which parts ([`PartDirectory`]), counts the
 //! work that this node and its peers have at each engine ([`WorkTable`]), notes how engines fail
-//! ([`EngineHealth`]) and believes how fast they work
-//! ([`EngineSpeeds`](crate::speeds::EngineSpeeds)). It has no clock and sends
+//! ([`EngineHealth`]) and learns how fast they read ([`ReadingSpeeds`]). It has no clock and sends
 //! nothing.
 
 mod admission;
@@ -18,6 +17,7 @@
 mod named_limits;
 mod parts;
 mod pool;
+mod reading;
 mod remembered;
 mod signals;
 mod starts;
@@ -33,6 +33,7 @@
 pub use named_limits::{LimitChange, NamedLimits};
 pub use parts::PartDirectory;
 pub use pool::{EnginePool, SampleSize};
+pub use reading::ReadingSpeeds;
 pub use signals::{CallEnd, ClosedFor, ReturningCall, SignalLedger};
 pub use starts::StartSpeeds;
 pub use unreported::{ExpectedSends, UnreportedSends};
@@ -40,7 +41,7 @@
 
 use std::sync::Arc;
 
-use dalestand_types::{PoolName, ZoneName};
+use dalestand_types::ZoneName;
 
 /// A number for an engine's run that all nodes agree on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -53,17 +54,6 @@
     }
 }
 
-/// A number for a pool that all nodes agree on.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct PoolKey(pub u64);
-
-impl PoolKey {
-    /// The number of the pool of this name.
-    pub fn of(pool: &PoolName) -> Self {
-        Self(crate::prefix::text_hash(pool.as_str()))
-    }
-}
-
 /// A part of a prompt, as the caller names it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
--- a/crates/routing/src/staged/pool.rs
+++ b/crates/routing/src/staged/pool.rs
@@ -9,7 +9,7 @@
 use rand::Rng;
 use rand::seq::index;
 
-use super::{EngineKey, PoolKey, Stage, StagedEngine};
+use super::{EngineKey, Stage, StagedEngine};
 use crate::prefix::rendezvous_weight;
 
 /// Engines among which the affinity target of a part is chosen by rendezvous. The arcs of a ring of
@@ -35,7 +35,6 @@
 /// Engines of one pool.
 #[derive(Clone, Debug, Default)]
 pub struct EnginePool {
-    key: PoolKey,
     engines: HashMap<EngineKey, Placed>,
     stages: HashMap<Stage, StageEngines>,
 }
@@ -69,19 +68,6 @@
 }
 
 impl EnginePool {
-    /// The pool of this number, without engines.
-    pub fn of(key: PoolKey) -> Self {
-        Self {
-            key,
-            ..Self::default()
-        }
-    }
-
-    /// Its number.
-    pub fn key(&self) -> PoolKey {
-        self.key
-    }
-
     /// Adds an engine, in place of the one with the same key.
     pub fn set(&mut self, engine: StagedEngine) {
         self.remove(engine.key);
--- a/crates/routing/src/staged/unreported.rs
+++ b/crates/routing/src/staged/unreported.rs
@@ -20,16 +20,12 @@
 /// is built for, and shorter than the waves of demand that were seen (11 s).
 const WINDOW: Duration = Duration::from_secs(3);
 
-/// A rate is taken over this time at least: a node that has sent its first request knows no rate yet.
-const LEAST_WINDOW: Duration = Duration::from_millis(250);
-
 /// Most requests drawn for one engine. More cannot matter: it is avoided by then.
 const MOST_DRAWN: u32 = 30;
 
 /// Sends of this node to the engines of one stage within a window that ends at `at`.
 #[derive(Clone, Copy, Debug, Default)]
 struct OwnSends {
-    first_at: MonotonicTime,
     at: MonotonicTime,
     /// Sends, each counted less the longer ago it was.
     count: f64,
@@ -38,13 +34,6 @@
 }
 
 impl OwnSends {
-    /// The weights of all times since the first send: those of a window that fades add up to its length.
-    fn window_s(&self, now: MonotonicTime) -> f64 {
-        let since_first = now.since(self.first_at).max(LEAST_WINDOW);
-        let windows = since_first.as_secs_f64() / WINDOW.as_secs_f64();
-        WINDOW.as_secs_f64() * (1.0 - (-windows).exp())
-    }
-
     fn fade(&mut self, now: MonotonicTime) {
         let kept = (-now.since(self.at).as_secs_f64() / WINDOW.as_secs_f64()).exp();
         self.count *= kept;
@@ -93,10 +82,7 @@
 
     /// Notes a request of this node. Others are taken to send as many and as long ones.
     pub fn sent(&mut self, now: MonotonicTime, stage: Stage, unread_tokens: u32) {
-        let own = self.own.entry(stage).or_insert_with(|| OwnSends {
-            first_at: now,
-            ..OwnSends::default()
-        });
+        let own = self.own.entry(stage).or_default();
         own.fade(now);
         own.count += 1.0;
         own.tokens += f64::from(unread_tokens);
@@ -118,7 +104,8 @@
         if own.count <= 0.0 || engines == 0 {
             return ExpectedSends::default();
         }
-        let own_per_s = own.count / own.window_s(now);
+        // The weights of a window that fades add up to its length.
+        let own_per_s = own.count / WINDOW.as_secs_f64();
         let others_per_s = own_per_s * self.nodes.saturating_sub(1) as f64;
         ExpectedSends {
             mean: others_per_s * age.as_secs_f64() / engines as f64,
--- a/crates/routing/tests/overload.rs
+++ b/crates/routing/tests/overload.rs
@@ -138,7 +138,7 @@
     let tokens = f64::from(PROMPT_TOKENS);
     let service_s = router
         .speeds
-        .expected_s(pool.key(), engines[0].key, Stage::Decode, tokens);
+        .expected_s(engines[0].key, Stage::Decode, tokens);
     let per_s = load * ENGINES as f64 / service_s;
     let mut random = ChaCha8Rng::seed_from_u64(7);
     let mut free_at_s = [0.0_f64; ENGINES];
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -132,8 +132,6 @@
     EngineBacksOff = (1622, Info, "engine asks for backoff");
     /// An engine named a limit of its requests, another one, or none any more.
     EngineLimit = (1624, Info, "engine names a limit");
-    /// An engine reported something as its load that is none.
-    EngineLoadUnreadable = (1626, Warning, "engine load unreadable");
     /// An engine or the key-value service sends a header that nothing here knows.
     HeaderUnknown = (1625, Warning, "unknown header");
     /// What the key-value service keeps of a stopped request could not be read.
--- a/crates/types/src/engine_signals.rs
+++ b/crates/types/src/engine_signals.rs
@@ -48,56 +48,6 @@
     Unreadable,
 }
 
-/// What an engine reports of its load.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct EngineLoadReport {
-    /// Requests that it works on.
-    pub running: u32,
-    /// Requests that wait there.
-    pub waiting: u32,
-    /// Requests that it works on at once.
-    pub slots: u32,
-    /// How long work takes there now, in hundredths of the usual time; never zero.
-    pub work_time_percent: Option<u32>,
-}
-
-/// Requests at one engine, and hundredths of the usual time, that are taken for an error above: a hundred times what
-/// the largest engines hold, and a thousand times the usual time.
-const MOST_REPORTED: u32 = 100_000;
-
-impl EngineLoadReport {
-    /// A report; `None` of figures that no engine can have.
-    pub fn new(
-        running: u32,
-        waiting: u32,
-        slots: u32,
-        work_time_percent: Option<u32>,
-    ) -> Option<Self> {
-        let counts = [running, waiting, slots];
-        let is_sound = counts.iter().all(|count| *count <= MOST_REPORTED)
-            && slots > 0
-            && work_time_percent.is_none_or(|percent| (1..=MOST_REPORTED).contains(&percent));
-        is_sound.then_some(Self {
-            running,
-            waiting,
-            slots,
-            work_time_percent,
-        })
-    }
-}
-
-/// What an answer says of its engine's load.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum LoadSignal {
-    /// Nothing.
-    #[default]
-    Absent,
-    /// This.
-    Reported(EngineLoadReport),
-    /// Something that is no load.
-    Unreadable,
-}
-
 /// What the head of one answer says of the engine that sent it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EngineSignals {
@@ -107,8 +57,6 @@
     pub backoff: Option<Duration>,
     /// How many requests it takes.
     pub limit: LimitSignal,
-    /// Its load.
-    pub load: LoadSignal,
 }
 
 impl EngineSignals {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod role;
 pub mod time;
 
-pub use engine_signals::{EngineLoadReport, EngineSignals, LimitSignal, LoadSignal, RequestRate};
+pub use engine_signals::{EngineSignals, LimitSignal, RequestRate};
 pub use generation::{
     AttemptId, CacheHandle, FinishReason, GenerationFrame, GenerationRequest, Placement, Priority,
     Refusal, RefusalReason, RequestId, RunState, Usage,
