--- a/cmd/tests/soak.rs
+++ b/cmd/tests/soak.rs
@@ -73,6 +73,7 @@
         length: Duration::from_secs(30),
         nodes: 3,
         engines: 6,
+        zones: 1,
         program: env!("CARGO_BIN_EXE_dalestand").into(),
         alternate_program: None,
         folder: folder.join(format!("seed-{seed}")),
