Sight: on which entry a request was sent, how old the entries are, removals held back, entries that contradict a drain

Change: each call in a request's line names the revision of the entry by which it was made and the age of the last proof; gauges engine_entries_age_ms and engine_entry_removals_held; events 1626 and 1627. A member still shows 'unproved': it has its entries from a relay, which does not say how old they are.

Measured: tests of forwarding, telemetry and dissemination pass; no decision is changed.

--- a/crates/dissemination/src/entry_table.rs
+++ b/crates/dissemination/src/entry_table.rs
@@ -88,6 +88,11 @@
         true
     }
 
+    /// The last known change of a key.
+    pub fn get(&self, key: &str) -> Option<&EntryRecord> {
+        self.records.get(&HashedKey::of(key))
+    }
+
     /// Whether `record` is an entry that was removed in an earlier era and now exists again at a
     /// revision number no higher than the removal's: the service was restored from a backup taken
     /// before the removal. An entry that was rewritten since the restore looks the same.
--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -23,6 +23,7 @@
 use crate::dissemination::Dissemination;
 use crate::duties::usage_counts::UsageCounts;
 use crate::fleet::engines::Fleet;
+use crate::fleet::entries_proof::EntriesProof;
 use crate::fleet::placements::Placements;
 use crate::fleet_sums::FleetSums;
 use crate::node::in_flight::InFlight;
@@ -72,6 +73,8 @@
     pub(crate) work_changed: Notify,
     /// Fleet-wide state that nodes send each other.
     pub(crate) dissemination: Dissemination,
+    /// How current the known engine entries are.
+    pub(crate) entries_proof: EntriesProof,
     /// Prompt parts sent to engines that were not yet announced to other nodes.
     pub(crate) placements: RefCell<Placements>,
     /// Permits to send requests to engines with a rate limit.
@@ -137,6 +140,7 @@
             permits: PermitState::default(),
             fleet_lease: FleetLease::default(),
             usage: UsageCounts::new(NodeNumber::of(settings.node.as_str()), settings.usage()),
+            entries_proof: EntriesProof::default(),
             placements: RefCell::default(),
             demand: RefCell::default(),
             role_changes: RefCell::default(),
--- a/crates/forwarding/src/fleet/engine_entries.rs
+++ b/crates/forwarding/src/fleet/engine_entries.rs
@@ -1,10 +1,11 @@
 //! Engine entries from the key-value service or from a relay.
 
 use std::cell::RefCell;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
-use dalestand_clock::sleep;
+use dalestand_clock::{BootInstant, sleep};
 use dalestand_dissemination::EntryRecord;
 use dalestand_edge::routed::EngineEntry;
 use dalestand_edge::{Entry, Listing, WatchEvent};
@@ -103,8 +104,13 @@
         }
         let (engine, era) = (EngineKey::of(&entry.run), Revision(record.revision).era());
         let mut router = context.router.borrow_mut();
+        let was_draining = router.signals.is_draining(engine);
         router.signals.record_entry(engine, entry.accepting, era);
         drop(router);
+        if entry.accepting && was_draining {
+            log_event!(context.logger, Event::EntryContradictsDrain, "engine" => &*entry.run,
+                "revision" => record.revision, "source" => ?source);
+        }
         changes.push((record.key, Some(entry)));
     }
     context.apply_entry_changes(changes);
@@ -181,6 +187,23 @@
         "source" => ?source);
 }
 
+/// Number of known entries that a listing lacks.
+fn missing_count(context: &Context, listing: &Listing, records: &[EntryRecord]) -> usize {
+    let present: HashSet<&str> = records.iter().map(|record| record.key.as_str()).collect();
+    let entries = context.dissemination.entries.borrow();
+    let missing = entries.live().filter(|known| {
+        known.revision <= listing.revision.0 && !present.contains(known.key.as_str())
+    });
+    missing.count()
+}
+
+/// Records and logs that removals are held back.
+fn log_held(context: &Context, count: usize, wait: Duration) {
+    context.entries_proof.hold(count);
+    log_event!(context.logger, Event::EntryRemovalsHeld, "entries" => count,
+        "for_ms" => wait.as_millis() as u64);
+}
+
 /// Whether so many engines disappeared at once without draining that their entries must have expired
 /// while the engines still run.
 fn is_mass_lapse(context: &Context, records: &[EntryRecord]) -> bool {
@@ -220,6 +243,10 @@
 }
 
 impl Follower for EngineFollower {
+    fn confirm(&self, called_at: BootInstant) {
+        self.context.entries_proof.confirm(called_at);
+    }
+
     fn begin_listing(&self) {
         self.listed.borrow_mut().clear();
     }
@@ -251,8 +278,13 @@
         }
         // Entries expire while the service is unavailable and are rewritten when it is back: present
         // entries apply at once, missing ones are removed after a grace period unless rewritten.
+        let missing = missing_count(&context, &listing, &records);
+        if missing > 0 {
+            log_held(&context, missing, LAPSED_ENTRY_GRACE);
+        }
         actix_rt::spawn(async move {
             sleep(LAPSED_ENTRY_GRACE).await;
+            context.entries_proof.release(missing);
             let withheld = {
                 let entries = context.dissemination.entries.borrow();
                 let withheld = records
@@ -290,8 +322,12 @@
             .partition(|record| record.value.is_some());
         merge(&context, present, ChangeSource::Store);
         let wait = LAPSED_ENTRY_GRACE.min(context.settings.engine_drain() / 2);
+        let removed: Vec<EntryRecord> = removed;
+        let count = removed.len();
+        log_held(&context, count, wait);
         actix_rt::spawn(async move {
             sleep(wait).await;
+            context.entries_proof.release(count);
             merge(&context, removed, ChangeSource::Store);
             let mut entries = context.dissemination.entries.borrow_mut();
             entries.advance_complete_to(newest.unwrap_or_default());
--- a/crates/forwarding/src/node/metrics/mod.rs
+++ b/crates/forwarding/src/node/metrics/mod.rs
@@ -60,6 +60,8 @@
     admission: AdmissionMetrics,
     bulk_dropped: IntCounter,
     entries: IntGauge,
+    entries_age_ms: IntGauge,
+    entry_removals_held: IntGauge,
     parts: IntGauge,
     code_collisions: IntGauge,
     entries_unreadable: IntCounter,
@@ -179,6 +181,14 @@
                 "Datagrams of long answers to other nodes that were dropped because too many waited.",
             )?,
             entries: metrics.gauge("engine_entries", "Engines' entries known.")?,
+            entries_age_ms: metrics.gauge(
+                "engine_entries_age_ms",
+                "Time since the known engine entries were last proved complete; -1 if they never were.",
+            )?,
+            entry_removals_held: metrics.gauge(
+                "engine_entry_removals_held",
+                "Removals of engine entries that are held back for a grace period.",
+            )?,
             parts: metrics.gauge(
                 "prompt_parts_known",
                 "Parts of prompts known to be kept by engines.",
--- a/crates/forwarding/src/node/metrics/page.rs
+++ b/crates/forwarding/src/node/metrics/page.rs
@@ -32,6 +32,11 @@
         self.code_collisions.set(collisions as i64);
         self.entries
             .set(context.dissemination.entries.borrow().len() as i64);
+        let age = context.entries_proof.age();
+        self.entries_age_ms
+            .set(age.map_or(-1, |age| age.as_millis() as i64));
+        self.entry_removals_held
+            .set(context.entries_proof.held_removals() as i64);
         self.parts.set(context.router.borrow().parts.len() as i64);
         self.nodes.set(context.node_count() as i64);
         let revision = context.table().map_or(0, |table| table.revision().0);
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -23,7 +23,7 @@
 use crate::serve::engine_send::{
     CallContent, CallError, EngineCall, EngineReply, closed_reason, send,
 };
-use crate::serve::progress::{CallSignals, Progress};
+use crate::serve::progress::{CallSignals, EntryUsed, Progress};
 use crate::serve::work_guard::WorkGuard;
 
 /// The response to a call, after its head was found to belong to the request.
@@ -141,6 +141,7 @@
     let mut watch = RunWatch::new(context, progress, &engine, call.pool);
     let sent_at = BootInstant::now();
     let known_limit = rate_limit(context, engine.key);
+    let entry = entry_used(context, &engine.run);
     context.record_sent_bytes(progress.sent_bytes());
     let target = known.target();
     let sent = send(
@@ -159,6 +160,7 @@
     let took = sent_at.elapsed();
     let (verdict, mut signals) = classify(answered.ok());
     signals.known_limit = known_limit;
+    signals.entry = entry;
     let (outcome, label, result) = match verdict {
         Verdict::Valid(exchange) => {
             let result = if exchange.head.status.is_server_error() {
@@ -286,6 +288,16 @@
     limit.map(|(rate, _)| rate)
 }
 
+/// The entry by which an engine is called now.
+fn entry_used(context: &Context, run: &str) -> Option<EntryUsed> {
+    let key = format!("{}{run}", context.store_format.engine_prefix());
+    let entries = context.dissemination.entries.borrow();
+    Some(EntryUsed {
+        revision: entries.get(&key)?.revision,
+        age: context.entries_proof.age(),
+    })
+}
+
 /// Address of an engine; `None` once it takes no new requests.
 fn engine_address(context: &Context, engine: EngineKey) -> Option<SocketAddr> {
     let fleet = context.fleet();
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -68,6 +68,17 @@
     pub(crate) known_limit: Option<RequestRate>,
     /// Signals in the answer.
     pub(crate) reported: EngineSignals,
+    /// The entry of the engine by which the call was made.
+    pub(crate) entry: Option<EntryUsed>,
+}
+
+/// The entry of an engine by which a call was made.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct EntryUsed {
+    /// Revision of its last change.
+    pub(crate) revision: u64,
+    /// Time since this node's entries were last proved complete; `None` if they never were.
+    pub(crate) age: Option<Duration>,
 }
 
 impl From<ClosedReason> for CallSignals {
@@ -90,6 +101,13 @@
             Some(ClosedReason::Limit(_)) => text.push_str(", no permit"),
             None => {}
         }
+        if let Some(entry) = self.entry {
+            text.push_str(&format!(", by entry {}", entry.revision));
+            match entry.age {
+                Some(age) => text.push_str(&format!(" proved {}ms ago", age.as_millis())),
+                None => text.push_str(" unproved"),
+            }
+        }
         if self.reported.draining {
             text.push_str(", says it drains");
         }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -131,6 +131,11 @@
     EngineLimit = (1624, Info, "engine names a limit");
     /// An engine or the key-value service sent an unknown header.
     HeaderUnknown = (1625, Warning, "unknown header");
+    /// Many engine entries expired at once or are missing after an outage; they are removed only after a
+    /// grace period.
+    EntryRemovalsHeld = (1626, Info, "removal of engine entries held back");
+    /// An entry says that an engine accepts work which had said that it drains.
+    EntryContradictsDrain = (1627, Warning, "entry contradicts a drain");
     /// A stopped request's entry in the key-value service could not be parsed.
     StoppedRequestUnreadable = (1615, Warning, "stopped request unreadable");
     /// The usage of a time window was reported.
