A watch that is not answered in time is given up, and readers watch for a part of the drain bound only

What callers saw: for up to 28 s requests went to engines that had left, of all zones and from all nodes.

Cause: a watch waited for 25 s and was given up 3 s later. If its answer is lost on a connection that says nothing more, its node hears of no change until then; a change is answered to all watches in the same moment, so that one disturbance takes the watches of all relays. TCP does not help: the peer's kernel acknowledges keep-alives. Other idle connections may be as silent, and each cost a call its 3 s.

Change: a reader's watch of entries, and a relay's of the declaration, waits for a quarter of the drain bound; of nodes and the lease holder for a third of the lease. An answer is awaited as long again (0.3 to 3 s); after that idle connections are closed and all keys listed. Each unanswered watch doubles both, up to eight times, as a slow service would otherwise be listed each time; each answer halves them. Why it works: a change is known a half of the bound and a listing after it was acknowledged at the latest.

--- a/crates/edge/src/key_value.rs
+++ b/crates/edge/src/key_value.rs
@@ -134,4 +134,8 @@
 
     /// Revokes a lease.
     async fn revoke_lease(&self, lease: LeaseId) -> Result<(), Report<PlatformError>>;
+
+    /// Closes the connections that are not in use: a call was not answered, and others that were opened
+    /// with its connection may be as silent.
+    fn discard_connections(&self) {}
 }
--- a/crates/forwarding/src/fleet/follow.rs
+++ b/crates/forwarding/src/fleet/follow.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dalestand_clock::BootInstant;
+use dalestand_clock::{BootInstant, TimedOut, timeout};
 use dalestand_edge::{Entry, KeyValue, Listing, PlatformError, WatchEvent};
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::Revision;
@@ -18,6 +18,16 @@
 /// Longest wait of one watch.
 pub(crate) const WATCH_WAIT: Duration = Duration::from_secs(25);
 
+/// Shortest time for the answer to a watch after its wait: some round trips of a busy service.
+const MIN_ANSWER_TIME: Duration = Duration::from_millis(300);
+
+/// Longest time for the answer to a watch after its wait.
+const MAX_ANSWER_TIME: Duration = Duration::from_secs(3);
+
+/// After unanswered watches, the wait and the time for the answer are up to this multiple: a service may be
+/// slow, and a watch that never succeeds costs a listing each time.
+const MAX_PATIENCE: u32 = 8;
+
 /// Delay after the first failure.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(60);
 
@@ -73,8 +83,9 @@
     /// Prefix of the keys.
     pub(crate) prefix: String,
     pub(crate) recovery: RecoverySignal,
-    /// Longest wait of one watch.
-    pub(crate) watch_wait: Duration,
+    /// Longest wait of the next watch. A change is noticed at most this long, the time for an answer, and a
+    /// listing after it was made, even if the answers to earlier watches were lost.
+    pub(crate) watch_wait: Box<dyn Fn() -> Duration>,
     pub(crate) logger: Logger,
 }
 
@@ -87,6 +98,33 @@
     /// Era of the last answer.
     era: u64,
     failures: u32,
+    patience: Patience,
+}
+
+/// Multiple of the wait of a watch and of the time for its answer.
+struct Patience(u32);
+
+impl Default for Patience {
+    fn default() -> Self {
+        Self(1)
+    }
+}
+
+impl Patience {
+    fn record(&mut self, was_answered: bool) {
+        self.0 = if was_answered {
+            (self.0 / 2).max(1)
+        } else {
+            (self.0 * 2).min(MAX_PATIENCE)
+        };
+    }
+
+    /// Wait of the next watch, and the time after which it counts as unanswered.
+    fn limits(&self, wait: Duration) -> (Duration, Duration) {
+        let wait = (wait * self.0).min(WATCH_WAIT);
+        let answer_time = wait.clamp(MIN_ANSWER_TIME, MAX_ANSWER_TIME);
+        (wait, wait + answer_time)
+    }
 }
 
 /// Follows the keys of `task` while `enabled` is true, until dropped. Lists all keys each time that
@@ -164,7 +202,7 @@
 /// Watches for changes, or lists all keys.
 async fn call_service(
     task: &FollowTask,
-    progress: &Progress,
+    progress: &mut Progress,
     follower: &impl Follower,
 ) -> Result<Followed, Report<PlatformError>> {
     let FollowTask { store, prefix, .. } = task;
@@ -179,7 +217,16 @@
             has_changed: false,
         });
     };
-    let batch = store.watch(prefix, position, task.watch_wait).await?;
+    let (wait, limit) = progress.patience.limits((task.watch_wait)());
+    let answered = timeout(limit, store.watch(prefix, position, wait)).await;
+    progress.patience.record(answered.is_ok());
+    let batch = answered.unwrap_or_else(|TimedOut| {
+        store.discard_connections();
+        Err(Report::new(PlatformError::InDoubt {
+            system: "key-value service",
+            message: "a watch was not answered".to_owned(),
+        }))
+    })?;
     if batch.compacted {
         return Ok(Followed {
             position: None,
--- a/crates/forwarding/src/fleet/follow/tests.rs
+++ b/crates/forwarding/src/fleet/follow/tests.rs
@@ -95,7 +95,7 @@
         store,
         prefix: KEY.to_owned(),
         recovery,
-        watch_wait: WATCH_WAIT,
+        watch_wait: Box::new(|| WATCH_WAIT),
         logger: discard_logger(),
     }
 }
--- a/crates/forwarding/src/node/era_store.rs
+++ b/crates/forwarding/src/node/era_store.rs
@@ -353,4 +353,8 @@
     async fn revoke_lease(&self, lease: LeaseId) -> Result<(), Report<PlatformError>> {
         self.store.revoke_lease(lease).await
     }
+
+    fn discard_connections(&self) {
+        self.store.discard_connections();
+    }
 }
--- a/crates/forwarding/src/node/metered_store.rs
+++ b/crates/forwarding/src/node/metered_store.rs
@@ -107,4 +107,8 @@
         self.meter("revoke-lease", self.store.revoke_lease(lease))
             .await
     }
+
+    fn discard_connections(&self) {
+        self.store.discard_connections();
+    }
 }
--- a/crates/forwarding/src/node/start.rs
+++ b/crates/forwarding/src/node/start.rs
@@ -183,28 +183,52 @@
     connections
 }
 
+/// A watch waits for this part of the drain bound. The rest is for the time for its answer, as long
+/// again, the listing after an unanswered watch, and the way through relays.
+const WATCHES_PER_DRAIN: u32 = 4;
+
+/// A watch of the nodes and the lease holder waits for this part of the lease.
+const WATCHES_PER_LEASE: u32 = 3;
+
+/// Longest wait of a watch of the declaration.
+fn declaration_wait(context: &Context) -> Duration {
+    let role = context.dissemination.role(context.now());
+    // Relays inform the other nodes of a new declaration.
+    let wait = if role.is_relay {
+        engine_entry_wait(context)
+    } else {
+        WATCH_WAIT
+    };
+    // It is confirmed three times within its validity, as a call may be lost.
+    let validity = context.settings.declaration_validity();
+    validity.map_or(wait, |validity| wait.min(validity / 3))
+}
+
+fn engine_entry_wait(context: &Context) -> Duration {
+    context.settings.engine_drain() / WATCHES_PER_DRAIN
+}
+
 /// Starts the tasks that follow the key-value service, hold the fleet lease and control engine roles.
 fn start_followers(context: &Rc<Context>, store: &Rc<dyn KeyValue>) -> FleetLease {
     let recovery = RecoverySignal::default();
-    let start = |prefix: &str| FollowTask {
-        store: Rc::clone(store),
-        prefix: prefix.to_owned(),
-        recovery: recovery.clone(),
-        watch_wait: WATCH_WAIT,
-        logger: context.logger.clone(),
+    let start = |prefix: &str, wait: fn(&Context) -> Duration| {
+        let waiting = Rc::clone(context);
+        FollowTask {
+            store: Rc::clone(store),
+            prefix: prefix.to_owned(),
+            recovery: recovery.clone(),
+            watch_wait: Box::new(move || wait(&waiting)),
+            logger: context.logger.clone(),
+        }
     };
     let declaration = DeclarationFollower(Rc::clone(context));
-    let mut task = start(context.store_format.configuration_key());
-    if let Some(validity) = context.settings.declaration_validity() {
-        // Confirm it three times within its validity, as a call may be lost.
-        task.watch_wait = validity / 3;
-    }
+    let task = start(context.store_format.configuration_key(), declaration_wait);
     // Every node watches the declaration itself, because it changes rarely and must take effect soon. Relays
     // pass it on to nodes whose watch the service refuses.
     let always = watch::channel(true).1;
     actix_rt::spawn(follow(task, declaration, always));
     let engines = EngineFollower::new(Rc::clone(context));
-    let task = start(context.store_format.engine_prefix());
+    let task = start(context.store_format.engine_prefix(), engine_entry_wait);
     actix_rt::spawn(follow(
         task,
         engines,
@@ -213,7 +237,9 @@
     let fleet_lease = context.fleet_lease.clone();
     let nodes = NodeFollower::new(Rc::clone(context), fleet_lease.clone());
     actix_rt::spawn(follow(
-        start(OWN_PREFIX),
+        start(OWN_PREFIX, |context| {
+            context.settings.lease() / WATCHES_PER_LEASE
+        }),
         nodes,
         context.dissemination.subscribe_reads_store(),
     ));
--- /dev/null
+++ b/crates/forwarding/tests/leaving_engines.rs
@@ -0,0 +1,75 @@
+//! Engines whose leaving the key-value service has acknowledged get no requests after the drain bound.
+
+#[allow(
+    dead_code,
+    unused_imports,
+    reason = "each test program uses a part of it"
+)]
+mod support;
+
+use std::net::TcpStream;
+use std::time::Duration;
+
+use support::{TestEngine, TestNode, answer, id_of};
+
+/// The drain bound of test nodes.
+const DRAIN_BOUND: Duration = Duration::from_secs(2);
+
+/// Time after the start until a node's role no longer changes, so that it watches without interruption.
+const STEADY_TIME: Duration = Duration::from_millis(2_500);
+
+/// Requests sent after the bound. If a leaving engine still took every second one, it would get one
+/// almost certainly.
+const REQUESTS: usize = 16;
+
+fn succeeding(head: &str, stream: &mut TcpStream) {
+    let id = id_of(head);
+    answer(stream, "200 OK", &format!("x-id: {id}\r\n"), "whole");
+}
+
+/// A node with an engine that stays and one that is about to leave, both known to it.
+async fn start() -> (TestNode, TestEngine, TestEngine) {
+    let node = TestNode::start().await;
+    node.declare(1, "repeatable", 2, 1_000);
+    let (staying, leaving) = (TestEngine::start(succeeding), TestEngine::start(succeeding));
+    node.write_entry("staying", &staying, "ready");
+    node.write_entry("leaving", &leaving, "ready");
+    node.wait_for_engines(2).await;
+    node.wait_for_declaration(1).await;
+    actix_rt::time::sleep(STEADY_TIME).await;
+    (node, staying, leaving)
+}
+
+/// Number of requests out of [`REQUESTS`] that reach `leaving`.
+async fn count_reaching(node: &TestNode, leaving: &TestEngine) -> usize {
+    let before = leaving.heads().len();
+    for index in 0..REQUESTS {
+        node.request(&format!("late-{index}"), "/r/x").await;
+    }
+    leaving.heads().len() - before
+}
+
+/// Guards against a watch whose answer was lost, on a connection that says nothing more: for 28 s the
+/// node heard of no change.
+#[actix_rt::test]
+async fn an_engine_that_drains_while_a_watch_is_silent_gets_no_requests() {
+    let (node, _staying, leaving) = start().await;
+    node.store.silence_watches();
+    node.write_entry("leaving", &leaving, "draining");
+    actix_rt::time::sleep(DRAIN_BOUND).await;
+    assert_eq!(count_reaching(&node, &leaving).await, 0);
+}
+
+/// Guards against the same for the declaration: routes that were added answered 404 for 28 s.
+#[actix_rt::test]
+async fn a_declaration_written_while_a_watch_is_silent_is_applied() {
+    let (node, _staying, _leaving) = start().await;
+    node.store.silence_watches();
+    node.declare(2, "repeatable", 2, 1_000);
+    actix_rt::time::sleep(DRAIN_BOUND).await;
+    let metrics = support::get(node.metrics, "host: a.example\r\n", "/metrics").await;
+    assert!(
+        metrics.contains("dalestand_declaration_revision 2"),
+        "{metrics}"
+    );
+}
--- a/crates/forwarding/tests/support/store.rs
+++ b/crates/forwarding/tests/support/store.rs
@@ -20,6 +20,8 @@
     events: RefCell<Vec<WatchEvent>>,
     is_unavailable: Cell<bool>,
     mutes_watches: Cell<bool>,
+    /// Watches that began before it was last increased are never answered.
+    silences: Cell<u64>,
     refused_prefix: RefCell<Option<&'static str>>,
     /// The era that it reports; 0 for none.
     era: Cell<u64>,
@@ -51,6 +53,11 @@
         self.mutes_watches.set(mute);
     }
 
+    /// Never answers the watches that wait now; later ones are answered.
+    pub fn silence_watches(&self) {
+        self.silences.set(self.silences.get() + 1);
+    }
+
     /// Keys under a prefix, with their values.
     pub fn entries(&self, prefix: &str) -> Vec<(String, String)> {
         let entries = self.entries.borrow();
@@ -192,7 +199,11 @@
         wait: Duration,
     ) -> Result<WatchBatch, Report<PlatformError>> {
         let until = tokio::time::Instant::now() + wait;
+        let silences = self.silences.get();
         loop {
+            if self.silences.get() != silences {
+                std::future::pending::<()>().await;
+            }
             self.check_available()?;
             if after.era() != self.era.get() {
                 return Ok(WatchBatch {
