Engine entries: how long removals of many are held back follows from the last proof

Cause: a constant hold is too long after a watch that was noticed late, and too short after one that failed at once. Why it works: the sum is bounded whatever was spent before; what was not spent is left to engines that return.

--- a/crates/forwarding/src/fleet/engine_entries.rs
+++ b/crates/forwarding/src/fleet/engine_entries.rs
@@ -39,9 +39,12 @@
 /// that end without draining first are few at a time.
 const MIN_LAPSED_SHARE: f64 = 0.1;
 
-/// Removals of many entries at once are held back for this part of the drain bound: most of it may have
-/// passed before they were noticed.
-const HOLDS_PER_DRAIN: u32 = 4;
+/// Removals of many entries at once are held back for this part of the drain bound at most.
+const MAX_HOLD_SHARE: f64 = 0.5;
+
+/// They are applied at the latest this part of the drain bound after the entries were last proved complete:
+/// the entries may have been removed right after that. The rest is for the way through relays.
+const HOLD_END_SHARE: f64 = 0.75;
 
 /// Limit on changes that are logged individually; a start changes all engines at once.
 const MAX_LOGGED_EACH: usize = 16;
@@ -218,7 +221,11 @@
 
 /// How long removals of many entries at once are held back.
 fn mass_lapse_hold(context: &Context) -> Duration {
-    LAPSED_ENTRY_GRACE.min(context.settings.engine_drain() / HOLDS_PER_DRAIN)
+    let bound = context.settings.engine_drain();
+    let unproved_for = context.entries_proof.age().unwrap_or(bound);
+    let left = bound.mul_f64(HOLD_END_SHARE).saturating_sub(unproved_for);
+    left.min(bound.mul_f64(MAX_HOLD_SHARE))
+        .min(LAPSED_ENTRY_GRACE)
 }
 
 /// Applies a full listing of the key-value service.
