An engine that said it drains gets no requests again, whatever a later entry says

What callers saw: requests reached engines up to 4 s after their leaving had been acknowledged, from all nodes, for as long as a late write of the engine stood in the key-value service.

Cause: an entry that accepts work took back a draining one of the same era, as written later. A write without an answer may be carried out seconds later, after newer ones, so a higher revision does not mean a newer state of the engine. What engines say in answers was final already; what they say in their entries was not. Class: the order of writes taken for the order of facts.

--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -219,8 +219,8 @@
         Some(entry)
     }
 
-    /// Whether the engine's run said in an answer that it drains.
-    fn is_draining(&self, engine: EngineKey) -> bool {
+    /// Whether the engine's run said, in an answer or by its entry, that it drains.
+    pub(crate) fn is_draining(&self, engine: EngineKey) -> bool {
         self.router.borrow().signals.is_draining(engine)
     }
 
--- a/crates/forwarding/src/fleet/engine_entries.rs
+++ b/crates/forwarding/src/fleet/engine_entries.rs
@@ -11,7 +11,6 @@
 use dalestand_edge::{Entry, Listing, WatchEvent};
 use dalestand_routing::staged::EngineKey;
 use dalestand_telemetry::{Event, log_event};
-use dalestand_types::Revision;
 
 use crate::context::Context;
 use crate::dissemination::notice_queue::NoticeSource;
@@ -108,12 +107,10 @@
         if is_logged_each {
             log_listed(context, &entry, record.revision, source);
         }
-        let (engine, era) = (EngineKey::of(&entry.run), Revision(record.revision).era());
-        let mut router = context.router.borrow_mut();
-        let was_draining = router.signals.is_draining(engine);
-        router.signals.record_entry(engine, entry.accepting, era);
-        drop(router);
-        if entry.accepting && was_draining {
+        let engine = EngineKey::of(&entry.run);
+        if !entry.accepting {
+            context.router.borrow_mut().signals.record_draining(engine);
+        } else if context.is_draining(engine) {
             log_event!(context.logger, Event::EntryContradictsDrain, "engine" => &*entry.run,
                 "revision" => record.revision, "source" => ?source);
         }
--- a/crates/forwarding/tests/leaving_engines.rs
+++ b/crates/forwarding/tests/leaving_engines.rs
@@ -94,6 +94,44 @@
     assert_eq!(count_reaching(&node, &leaving).await, 0);
 }
 
+/// Guards against an earlier write of an engine, carried out after the one that says that it drains: it made the
+/// engine eligible again at all nodes.
+#[rstest]
+#[case::written_again(&[Some("ready")])]
+#[case::gone_and_written_again(&[None, Some("ready")])]
+#[case::written_again_with_another_role(&[Some("ready prefill"), Some("ready")])]
+#[actix_rt::test]
+async fn an_entry_that_contradicts_a_drain_brings_no_requests(#[case] later: &[Option<&str>]) {
+    let (node, _staying, leaving) = start().await;
+    node.write_entry("leaving", &leaving, "draining");
+    node.wait_for_engines(1).await;
+    for state in later {
+        match state {
+            Some(state) => node.write_entry("leaving", &leaving, state),
+            None => node.store.write("engines/leaving", None),
+        }
+        node.settle().await;
+    }
+    let metrics = support::get(node.metrics, "host: a.example\r\n", "/metrics").await;
+    assert!(
+        metrics.contains("dalestand_engines_accepting 1\n"),
+        "{metrics}"
+    );
+    assert_eq!(count_reaching(&node, &leaving).await, 0);
+}
+
+/// An engine that starts again under its name is used again, although its former start drained.
+#[actix_rt::test]
+async fn another_start_of_a_drained_engine_gets_requests() {
+    let (node, _staying, leaving) = start().await;
+    node.write_entry("leaving", &leaving, "ready started 1000");
+    node.settle().await;
+    node.write_entry("leaving", &leaving, "draining started 1000");
+    node.wait_for_engines(1).await;
+    node.write_entry("leaving", &leaving, "ready started 2000");
+    node.wait_for_engines(2).await;
+}
+
 /// Guards against the same for the declaration: routes that were added answered 404 for 28 s.
 #[actix_rt::test]
 async fn a_declaration_written_while_a_watch_is_silent_is_applied() {
--- a/crates/routing/src/staged/signals.rs
+++ b/crates/routing/src/staged/signals.rs
@@ -82,9 +82,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct SignalTable {
     draining: BoundedMap<()>,
-    /// Engines whose registry entries say that they are draining, with the era of the key-value service that
-    /// reported it.
-    entry_draining: BoundedMap<u64>,
     /// Start times of engines by their own clocks, in milliseconds since the Unix epoch.
     starts: BoundedMap<u64>,
     limits: EngineRateLimits,
@@ -96,31 +93,20 @@
 }
 
 impl SignalTable {
-    /// Records that an engine is draining. Returns whether that is new.
+    /// Records that an engine is draining, according to a response or to its registry entry. Returns whether that is
+    /// new.
+    ///
+    /// Only another start of the engine reverts it. An entry that says otherwise may be an earlier write that was
+    /// carried out late, or come from a backup.
     pub fn record_draining(&mut self, engine: EngineKey) -> bool {
         self.draining.set(engine, ())
     }
 
-    /// Records an engine's registry entry, as reported by the key-value service in `era`.
-    ///
-    /// An entry that is not draining reverts a draining entry of the same era, because it was written later: the engine
-    /// has restarted, or another writer had marked it as draining. It does not revert one of an earlier era, because the new era
-    /// may have started from an older backup.
-    pub fn record_entry(&mut self, engine: EngineKey, accepting: bool, era: u64) {
-        let known = self.entry_draining.get(engine);
-        if !accepting {
-            self.entry_draining.set(engine, era);
-        } else if known.is_some_and(|known| *known >= era) {
-            self.entry_draining.remove(engine);
-        }
-    }
-
     /// Records when an engine started, in milliseconds since the Unix epoch. Discards all signals of a previous
     /// start.
     pub fn record_start(&mut self, engine: EngineKey, started_at_ms: u64) {
         if !self.starts.set(engine, started_at_ms) {
             self.draining.remove(engine);
-            self.entry_draining.remove(engine);
             self.limits.forget(engine);
             self.permits.forget(engine);
             self.backoffs.remove(&engine);
@@ -221,7 +207,7 @@
 
     /// Whether the engine is draining, according to a response or to its registry entry.
     pub fn is_draining(&self, engine: EngineKey) -> bool {
-        self.draining.get(engine).is_some() || self.entry_draining.get(engine).is_some()
+        self.draining.get(engine).is_some()
     }
 
     /// Why the engine is closed to requests at `now`; `None` if it is open.
