Relays tell how current their entries are, and one that the service refuses takes what it missed from another

What callers saw: a request of a node whose reading the key-value service refused reached an engine 4.1 s after its drain was acknowledged, while all other nodes had known it for 4 s.

Cause: members compare digests with their relay, relays with nobody: each reads for itself. A relay that is turned away knows only what other relays send it, in three datagrams and only if they take it for a relay; what it misses it never learns until it can read again. Class: repair hangs on the one path that has failed.

Its lines: entry 122 at ten nodes within 30 ms by a relay, at node 11, a relay whose watch was refused from then on, 4.5 s later by its own listing; 123 and 124, of other relays, it had at once.

Change: eight times per drain bound a relay sends members and relays the age of its last proof and its digest, in a message kind of its own (golden bytes). The same digest proves the receiver's entries, so that a member's lines and gauge say how old they are; a relay whose own proof is older than half of the bound asks the sender for what differs, as members do. An empty answer to a watch proves the time at which it was given, not made. Why it works: 1.0 s until stale + 0.25 s + a round trip, of a bound of 2 s, whoever takes whom for a relay.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -35,6 +35,11 @@
         Self::now().saturating_duration_since(self)
     }
 
+    /// The point `duration` before this one.
+    pub fn minus(self, duration: Duration) -> Self {
+        Self(self.0.saturating_sub(duration))
+    }
+
     /// Time elapsed since `earlier`; zero if `earlier` is later.
     pub fn saturating_duration_since(self, earlier: Self) -> Duration {
         self.0.saturating_sub(earlier.0)
--- a/crates/dissemination/src/lib.rs
+++ b/crates/dissemination/src/lib.rs
@@ -44,8 +44,9 @@
 pub use loads::{EngineCode, EngineLoad, LoadScope, LoadSlice, LoadsMessage};
 pub use membership::{NodeDirectory, NodeEntry, NodeNumber, RELAYS_PER_ZONE, Relay};
 pub use message::{
-    EntriesPage, EntriesRequest, Exchange, IncludedReport, LeaseHolder, MESSAGE_VERSION, Message,
-    News, NewsBatch, PartsRequest, PoolDemand, Report, RoleChange, Table, UsageReport,
+    EntriesFreshness, EntriesPage, EntriesRequest, Exchange, IncludedReport, LeaseHolder,
+    MESSAGE_VERSION, Message, News, NewsBatch, PartsRequest, PoolDemand, Report, RoleChange, Table,
+    UsageReport,
 };
 pub use permits::{EngineLimit, EngineLimits, PermitAnswer, PermitNeed, PermitRequest};
 pub use placement::{PlacedPart, Placement, PlacementState};
--- a/crates/dissemination/src/message.rs
+++ b/crates/dissemination/src/message.rs
@@ -57,6 +57,8 @@
     PermitAnswer(PermitAnswer),
     /// Statistics that are summed over all nodes.
     Sums(SumsMessage),
+    /// How current a relay's engine entries are. Unreadable to builds without this variant.
+    Freshness(EntriesFreshness),
 }
 
 /// The node that holds the lease under which one node acts for the whole fleet.
@@ -235,6 +237,17 @@
     pub max_bytes: u32,
 }
 
+/// How current a relay's engine entries are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub struct EntriesFreshness {
+    /// The relay.
+    pub node: NodeNumber,
+    /// Time since its entries were last proved complete, in milliseconds.
+    pub age_ms: u32,
+    /// Digest of its entries.
+    pub digest: u64,
+}
+
 /// All entries whose key hashes lie in a range.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
 pub struct EntriesPage {
--- a/crates/dissemination/tests/golden.rs
+++ b/crates/dissemination/tests/golden.rs
@@ -10,11 +10,12 @@
 
 use dalestand_dissemination::{
     ClassRow, DeclarationPart, DeclarationRequest, EngineCode, EngineLimit, EngineLimits,
-    EngineLoad, EngineNotices, EngineStart, EntriesPage, EntriesRequest, EntryRecord, Exchange,
-    IncludedReport, LeaseHolder, LoadScope, LoadSlice, LoadsMessage, MESSAGE_VERSION, Message,
-    News, NewsBatch, NodeEntry, NodeNumber, PartsRequest, PermitAnswer, PermitNeed, PermitRequest,
-    PlacedPart, Placement, PlacementState, PoolDemand, Relay, Report, RoleChange, SlownessRow,
-    SumScope, SummedRows, SumsMessage, Table, TenantRow, TenantRows, UsageReport,
+    EngineLoad, EngineNotices, EngineStart, EntriesFreshness, EntriesPage, EntriesRequest,
+    EntryRecord, Exchange, IncludedReport, LeaseHolder, LoadScope, LoadSlice, LoadsMessage,
+    MESSAGE_VERSION, Message, News, NewsBatch, NodeEntry, NodeNumber, PartsRequest, PermitAnswer,
+    PermitNeed, PermitRequest, PlacedPart, Placement, PlacementState, PoolDemand, Relay, Report,
+    RoleChange, SlownessRow, SumScope, SummedRows, SumsMessage, Table, TenantRow, TenantRows,
+    UsageReport,
 };
 use dalestand_duties::NodeIncarnation;
 use dalestand_quarantine::{CrashRecord, EngineRunId, RequestFingerprint};
@@ -33,6 +34,9 @@
 /// Written by the build that introduced fleet-wide statistics.
 const GOLDEN_OF_SUMS: &str = include_str!("golden/sums.txt");
 
+/// Written by the build that introduced the freshness of entries.
+const GOLDEN_OF_FRESHNESS: &str = include_str!("golden/freshness.txt");
+
 fn address() -> SocketAddr {
     SocketAddr::from(([10, 1, 0, 35], 7_660))
 }
@@ -339,6 +343,15 @@
     rmp_serde::to_vec(&(MESSAGE_VERSION, message)).expect("encoded")
 }
 
+fn freshness_samples() -> BTreeMap<&'static str, Message> {
+    let freshness = EntriesFreshness {
+        node: NodeNumber(7),
+        age_ms: 612,
+        digest: 1 << 60,
+    };
+    BTreeMap::from([("freshness", Message::Freshness(freshness))])
+}
+
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
@@ -378,7 +391,7 @@
 fn messages_match_the_released_builds() {
     if let Ok(file) = std::env::var("GOLDEN_OUT") {
         let samples = samples().into_iter().chain(later_samples());
-        let samples = samples.chain(sums_samples());
+        let samples = samples.chain(sums_samples()).chain(freshness_samples());
         let samples: BTreeMap<&str, Message> = samples.collect();
         let lines = samples
             .iter()
@@ -392,6 +405,7 @@
     check_format(&golden, samples());
     check_format(&lines_of(GOLDEN_OF_PERMITS), later_samples());
     check_format(&lines_of(GOLDEN_OF_SUMS), sums_samples());
+    check_format(&lines_of(GOLDEN_OF_FRESHNESS), freshness_samples());
     let entry = NodeEntry::parse(golden["node-entry"]).expect("an entry");
     assert_eq!(entry, node_entry());
     let text = node_entry().to_text().expect("a text");
@@ -451,7 +465,7 @@
     for (kind, message) in samples().into_iter().chain(later_samples()) {
         assert!(is_read(&message), "{kind}");
     }
-    for (kind, message) in sums_samples() {
+    for (kind, message) in sums_samples().into_iter().chain(freshness_samples()) {
         assert!(!is_read(&message), "{kind}");
     }
 }
--- a/crates/forwarding/src/dissemination/datagram.rs
+++ b/crates/forwarding/src/dissemination/datagram.rs
@@ -28,5 +28,6 @@
         Message::PermitRequest(_) => "permit-request",
         Message::PermitAnswer(_) => "permit-answer",
         Message::Sums(_) => "sums",
+        Message::Freshness(_) => "freshness",
     }
 }
--- a/crates/forwarding/src/dissemination/mod.rs
+++ b/crates/forwarding/src/dissemination/mod.rs
@@ -9,6 +9,7 @@
 mod contents;
 mod datagram;
 pub(crate) mod engine_notices;
+mod freshness;
 mod news_queue;
 pub(crate) mod notice_queue;
 pub(crate) mod own_figures;
@@ -125,6 +126,8 @@
     pub(crate) changes: RefCell<RecentChanges>,
     /// Schedule of requests for entries that differ from the relay's.
     pub(crate) entry_sync: RefCell<EntrySync>,
+    /// The relay that a relay last requested entries from.
+    entries_source: Cell<Option<NodeNumber>>,
     /// Pages of the last answer to an entries request.
     pub(crate) page_cache: RefCell<Option<PageCache>>,
     /// Nodes that wait for the known cached prompt parts.
@@ -165,6 +168,7 @@
             withheld_entries: RefCell::default(),
             changes: RefCell::default(),
             entry_sync: RefCell::default(),
+            entries_source: Cell::new(None),
             page_cache: RefCell::default(),
             parts_requesters: RefCell::default(),
             notices: NoticeQueue::default(),
@@ -215,6 +219,19 @@
         withheld.drop_withheld(&entries, now, records)
     }
 
+    /// Records that this relay requests entries from `relay`.
+    fn set_entries_source(&self, relay: NodeNumber) {
+        self.entries_source.set(Some(relay));
+    }
+
+    /// Whether pages of entries from `node` are to be applied: those of the relay that this node follows or has
+    /// requested entries from.
+    fn takes_entries_from(&self, node: NodeNumber) -> bool {
+        let subscription = self.subscription.borrow();
+        let current = subscription.current();
+        current.is_some_and(|relay| relay.number == node) || self.entries_source.get() == Some(node)
+    }
+
     /// The lease holder, if known.
     pub(crate) fn lease_holder(&self) -> Option<LeaseHolder> {
         self.lease_holder.get()
--- a/crates/forwarding/src/dissemination/receive/entries.rs
+++ b/crates/forwarding/src/dissemination/receive/entries.rs
@@ -22,7 +22,11 @@
 const MAX_ENTRIES_BYTES: u32 = 256 << 10;
 
 /// Requests the entries that differ from a relay's, if a request is due.
-pub(super) fn request_if_due(context: &Context, socket: &UdpSocket, relay: SocketAddr) {
+pub(in crate::dissemination) fn request_if_due(
+    context: &Context,
+    socket: &UdpSocket,
+    relay: SocketAddr,
+) {
     if !context
         .dissemination
         .entry_sync
@@ -76,14 +80,9 @@
     *sent = Some(answer);
 }
 
-/// Applies a page if it comes from the followed relay.
+/// Applies a page if it comes from the followed relay, or from one that was asked for it.
 pub(super) fn handle_page(context: &Context, page: EntriesPage) {
-    let is_followed = {
-        let subscription = context.dissemination.subscription.borrow();
-        let current = subscription.current();
-        current.is_some_and(|relay| relay.number == page.node)
-    };
-    if !is_followed {
+    if !context.dissemination.takes_entries_from(page.node) {
         return;
     }
     let records = context
--- a/crates/forwarding/src/dissemination/receive/mod.rs
+++ b/crates/forwarding/src/dissemination/receive/mod.rs
@@ -19,6 +19,7 @@
 use crate::context::Context;
 use crate::dissemination::datagram::kind_label;
 use crate::dissemination::engine_notices;
+use crate::dissemination::freshness;
 use crate::dissemination::recent_changes::ChangeSource;
 use crate::dissemination::sums;
 use crate::fleet::engine_entries;
@@ -78,6 +79,7 @@
         Message::PermitRequest(request) => grants::respond(context, socket, sender, &request),
         Message::PermitAnswer(answer) => requester::handle_answer(context, answer),
         Message::Sums(sums) => sums::handle(context, sums),
+        Message::Freshness(freshness) => freshness::handle(context, socket, sender, freshness),
         Message::Usage(report) => context.usage.merge_report(report),
     }
 }
--- a/crates/forwarding/src/dissemination/tables.rs
+++ b/crates/forwarding/src/dissemination/tables.rs
@@ -11,6 +11,7 @@
 use crate::context::Context;
 use crate::dissemination::TABLE_INTERVAL;
 use crate::dissemination::contents::{summed_loads, take_batches_of};
+use crate::dissemination::freshness;
 use crate::dissemination::pacing::pause_after;
 use crate::dissemination::receive::news::answer_parts_requests;
 use crate::dissemination::transmit::{LoadHeader, send, send_changes, send_loads, send_news};
@@ -29,6 +30,7 @@
 pub(crate) async fn send_tables(context: Rc<Context>, socket: Rc<UdpSocket>) {
     let mut relays_sent_at = BootInstant::now();
     let mut parts_sent_at = BootInstant::now();
+    let mut freshness_sent_at = BootInstant::now();
     loop {
         let now = context.now();
         let dissemination = &context.dissemination;
@@ -37,6 +39,13 @@
             parts_sent_at = BootInstant::now();
             answer_parts_requests(&context);
         }
+        if freshness_sent_at.elapsed() >= freshness::interval(&context)
+            && dissemination.role(now).is_relay
+        {
+            freshness_sent_at = BootInstant::now();
+            let sent_bytes = freshness::send_freshness(&context, &socket);
+            context.record_sent_bytes(sent_bytes);
+        }
         let members = dissemination.subscribers.borrow().addresses();
         if members.is_empty() || !dissemination.role(now).is_relay {
             // No recipients.
--- a/crates/forwarding/src/fleet/declaration.rs
+++ b/crates/forwarding/src/fleet/declaration.rs
@@ -44,8 +44,8 @@
 pub(crate) struct DeclarationFollower(pub(crate) Rc<Context>);
 
 impl Follower for DeclarationFollower {
-    fn confirm(&self, called_at: BootInstant) {
-        self.0.confirm_declaration(called_at);
+    fn confirm(&self, at: BootInstant) {
+        self.0.confirm_declaration(at);
     }
 
     fn apply_listing(&self, listing: Listing, _after_outage: bool) {
--- a/crates/forwarding/src/fleet/engine_entries.rs
+++ b/crates/forwarding/src/fleet/engine_entries.rs
@@ -251,8 +251,8 @@
 }
 
 impl Follower for EngineFollower {
-    fn confirm(&self, called_at: BootInstant) {
-        self.context.entries_proof.confirm(called_at);
+    fn confirm(&self, at: BootInstant) {
+        self.context.entries_proof.confirm(at);
     }
 
     fn begin_listing(&self) {
--- a/crates/forwarding/src/fleet/follow.rs
+++ b/crates/forwarding/src/fleet/follow.rs
@@ -71,8 +71,8 @@
     /// Receives changes, oldest first.
     fn apply_events(&self, events: Vec<WatchEvent>);
 
-    /// The service has answered: the known entries are current as of `called_at`.
-    fn confirm(&self, _called_at: BootInstant) {}
+    /// The service has answered: the known entries are current as of `at`.
+    fn confirm(&self, _at: BootInstant) {}
 
     /// Delay before the next watch after a change, so that it returns several changes at once: where
     /// many nodes follow many writers, each change would otherwise cost a call of every node.
@@ -167,11 +167,10 @@
 /// Makes one call or listing, and waits after a failure.
 async fn follow_step(task: &FollowTask, follower: &impl Follower, progress: &mut Progress) {
     let prefix = &task.prefix;
-    let called_at = BootInstant::now();
     match call_service(task, progress, follower).await {
         Ok(followed) => {
             let next = followed.position;
-            follower.confirm(called_at);
+            follower.confirm(followed.current_as_of);
             if progress.failures > 0 {
                 log_event!(task.logger, Event::KeyValueRecovered, "prefix" => prefix,
                     "failures" => progress.failures,
@@ -179,7 +178,7 @@
                 task.recovery.notify();
             }
             progress.failures = 0;
-            progress.answered_at = Some(called_at);
+            progress.answered_at = Some(followed.current_as_of);
             progress.was_listed = true;
             progress.era = next.map_or(progress.era, Revision::era);
             progress.position = next;
@@ -212,6 +211,8 @@
     /// Where to continue; `None` if the keys must be listed again.
     position: Option<Revision>,
     has_changed: bool,
+    /// The answer includes all changes made until then.
+    current_as_of: BootInstant,
 }
 
 /// Watches for changes, or lists all keys.
@@ -221,6 +222,7 @@
     follower: &impl Follower,
 ) -> Result<Followed, Report<PlatformError>> {
     let FollowTask { store, prefix, .. } = task;
+    let called_at = BootInstant::now();
     let Some(position) = progress.position else {
         let listing = list_all(task, follower).await?;
         let revision = listing.revision;
@@ -230,6 +232,7 @@
         return Ok(Followed {
             position: Some(revision),
             has_changed: false,
+            current_as_of: called_at,
         });
     };
     let (wait, limit) = progress.patience.limits((task.watch_wait)());
@@ -246,15 +249,23 @@
         return Ok(Followed {
             position: None,
             has_changed: false,
+            current_as_of: called_at,
         });
     }
     let has_changed = !batch.events.is_empty();
     if has_changed {
         follower.apply_events(batch.events);
     }
+    // The service waits before it answers that there was no change.
+    let has_waited = !has_changed && called_at.elapsed() >= wait;
     Ok(Followed {
         position: Some(batch.revision.max(position)),
         has_changed,
+        current_as_of: if has_waited {
+            called_at + wait
+        } else {
+            called_at
+        },
     })
 }
 
--- a/crates/forwarding/tests/leaving_engines.rs
+++ b/crates/forwarding/tests/leaving_engines.rs
@@ -19,6 +19,9 @@
 /// Time after the start until a node's role no longer changes, so that it watches without interruption.
 const STEADY_TIME: Duration = Duration::from_millis(2_500);
 
+/// Longer than a relay sends a change repeatedly.
+const TRANSMISSION_TIME: Duration = Duration::from_millis(700);
+
 /// Requests sent after the bound. If a leaving engine still took every second one, it would get one
 /// almost certainly.
 const REQUESTS: usize = 24;
@@ -94,6 +97,30 @@
     assert_eq!(count_reaching(&node, &leaving).await, 0);
 }
 
+/// Guards against a relay whose reading the service refuses and that misses the messages of other relays: it heard
+/// of a drain by neither way.
+#[actix_rt::test]
+async fn a_refused_relay_that_missed_a_drain_takes_it_from_another() {
+    let (node, _staying, leaving) = start().await;
+    let refused = node.start_beside("node-2").await;
+    refused.wait_for_engines(2).await;
+    actix_rt::time::sleep(STEADY_TIME).await;
+    refused.own_store.set_refuses(true);
+    refused.set_paused(true);
+    refused.flood_peer_socket();
+    node.write_entry("leaving", &leaving, "draining");
+    node.wait_for_engines(1).await;
+    actix_rt::time::sleep(TRANSMISSION_TIME).await;
+    refused.set_paused(false);
+    actix_rt::time::sleep(DRAIN_BOUND).await;
+    let metrics = support::get(refused.metrics, "host: a.example\r\n", "/metrics").await;
+    assert!(
+        metrics.contains("dalestand_engines_accepting 1\n"),
+        "{metrics}"
+    );
+    assert_eq!(count_reaching(&refused, &leaving).await, 0);
+}
+
 /// Guards against an earlier write of an engine, carried out after the one that says that it drains: it made the
 /// engine eligible again at all nodes.
 #[rstest]
--- a/crates/forwarding/tests/support/node.rs
+++ b/crates/forwarding/tests/support/node.rs
@@ -1,8 +1,12 @@
 //! A node in the test process.
 
+use std::cell::Cell;
+use std::future::poll_fn;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use dalestand_edge::KeyValue;
@@ -14,7 +18,7 @@
 
 use super::dialect::{PlainDialect, PlainFormat};
 use super::engine::TestEngine;
-use super::store::MemoryStore;
+use super::store::{MemoryStore, RefusableStore};
 
 /// Latency objective of the routes of most tests.
 const OBJECTIVE_MS: u64 = 100;
@@ -22,6 +26,13 @@
 /// Timeout for a node to learn of entries, even on a busy machine.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// How often a paused node checks whether it may go on.
+const PAUSE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Datagrams of a flood: several times what a socket buffers. They are the shortest possible, so that no room is
+/// left for a message.
+const FLOOD_DATAGRAMS: usize = 4_000;
+
 /// Attempts to start a node, each with new ports.
 const START_ATTEMPTS: u32 = 5;
 
@@ -33,8 +44,13 @@
     pub ready: SocketAddr,
     /// Address of the metrics endpoint.
     pub metrics: SocketAddr,
+    /// Address for messages of other nodes.
+    pub peers: SocketAddr,
     /// The key-value service.
     pub store: Rc<MemoryStore>,
+    /// The node's own view of it.
+    pub own_store: Rc<RefusableStore>,
+    is_paused: Rc<Cell<bool>>,
     running: JoinHandle<()>,
 }
 
@@ -152,27 +168,45 @@
         );
         let settings = ForwardingSettings::parse(&settings).expect("valid settings");
         let known = settings.clone();
+        let own_store = Rc::new(RefusableStore::new(Rc::clone(&store)));
         let node = ForwardingNode {
             unknown_headers: UnknownHeaders::default(),
             settings,
             read_settings: Box::new(move || Ok(known.clone())),
             dialect: Rc::new(PlainDialect),
             store_format: Rc::new(PlainFormat),
-            store: Rc::clone(&store) as Rc<dyn KeyValue>,
+            store: Rc::clone(&own_store) as Rc<dyn KeyValue>,
             duty_calls: None,
             logger: discard_logger(),
         };
         // A separate task set ends with the node.
         let tasks = LocalSet::new();
+        let is_paused = Rc::new(Cell::new(false));
+        let paused = Rc::clone(&is_paused);
         let running = actix_rt::spawn(async move {
             let run = dalestand_forwarding::run(node);
-            tasks.run_until(run).await.expect("a node");
+            let mut run = pin!(tasks.run_until(run));
+            let ended = poll_fn(|context| {
+                if paused.get() {
+                    let waker = context.waker().clone();
+                    actix_rt::spawn(async move {
+                        actix_rt::time::sleep(PAUSE_CHECK_INTERVAL).await;
+                        waker.wake();
+                    });
+                    return Poll::Pending;
+                }
+                run.as_mut().poll(context)
+            });
+            ended.await.expect("a node");
         });
         let node = Self {
             callers,
             ready,
             metrics,
+            peers,
             store,
+            own_store,
+            is_paused,
             running,
         };
         while tokio::net::TcpStream::connect(callers).await.is_err() {
@@ -189,6 +223,20 @@
         self.running.abort();
     }
 
+    /// Stops the node's process, or lets it go on.
+    pub fn set_paused(&self, is_paused: bool) {
+        self.is_paused.set(is_paused);
+    }
+
+    /// Fills the buffer of the node's socket for messages of other nodes, so that those that follow are lost.
+    pub fn flood_peer_socket(&self) {
+        let socket = UdpSocket::bind((own_host(), 0)).expect("a free port");
+        for _ in 0..FLOOD_DATAGRAMS {
+            // Losses are the purpose.
+            let _ = socket.send_to(&[0], self.peers);
+        }
+    }
+
     /// The capacity report of the node.
     pub async fn capacity_report(&self) -> CapacityReport {
         let answer = get(self.metrics, "host: a.example\r\n", "/room").await;
--- a/crates/forwarding/tests/support/store.rs
+++ b/crates/forwarding/tests/support/store.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -251,3 +252,90 @@
         Ok(())
     }
 }
+
+/// One node's view of a [`MemoryStore`], which may refuse that node.
+#[derive(Default)]
+pub struct RefusableStore {
+    store: Rc<MemoryStore>,
+    refuses: Cell<bool>,
+}
+
+impl RefusableStore {
+    /// A view of `store`.
+    pub fn new(store: Rc<MemoryStore>) -> Self {
+        Self {
+            store,
+            refuses: Cell::new(false),
+        }
+    }
+
+    /// Refuses all calls, or none.
+    pub fn set_refuses(&self, refuses: bool) {
+        self.refuses.set(refuses);
+    }
+
+    /// The result of a call, unless it is refused when made or when answered.
+    async fn unless_refused<T>(
+        &self,
+        call: impl Future<Output = Result<T, Report<PlatformError>>>,
+    ) -> Result<T, Report<PlatformError>> {
+        self.check()?;
+        let result = call.await;
+        self.check()?;
+        result
+    }
+
+    fn check(&self) -> Result<(), Report<PlatformError>> {
+        if self.refuses.get() {
+            return Err(Report::new(PlatformError::OutOfService {
+                system: "store",
+                retry_after: None,
+            }));
+        }
+        Ok(())
+    }
+}
+
+#[async_trait(?Send)]
+impl KeyValue for RefusableStore {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, Report<PlatformError>> {
+        self.unless_refused(self.store.get(key)).await
+    }
+
+    async fn range(&self, prefix: &str) -> Result<Listing, Report<PlatformError>> {
+        self.unless_refused(self.store.range(prefix)).await
+    }
+
+    async fn compare_and_swap(
+        &self,
+        key: &str,
+        expectation: WriteExpectation,
+        value: Option<&str>,
+        lease: Option<LeaseId>,
+    ) -> Result<CasOutcome, Report<PlatformError>> {
+        let swapped = self.store.compare_and_swap(key, expectation, value, lease);
+        self.unless_refused(swapped).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<WatchBatch, Report<PlatformError>> {
+        self.unless_refused(self.store.watch(prefix, after, wait))
+            .await
+    }
+
+    async fn grant_lease(&self, time: Duration) -> Result<LeaseId, Report<PlatformError>> {
+        self.unless_refused(self.store.grant_lease(time)).await
+    }
+
+    async fn renew_lease(&self, lease: LeaseId) -> Result<bool, Report<PlatformError>> {
+        self.unless_refused(self.store.renew_lease(lease)).await
+    }
+
+    async fn revoke_lease(&self, lease: LeaseId) -> Result<(), Report<PlatformError>> {
+        self.unless_refused(self.store.revoke_lease(lease)).await
+    }
+}
