Entries: an older copy of an entry removed before the table was filled is not taken for a new one

What callers saw: none so far. Found by the search for the same class (a removal that is forgotten).

Cause: a table that was filled by a listing has no tombstones of what was removed before. A record that another node sends late (a relay that was paused, a listing's changes still queued) counts as new; the next event of that key never comes, and a relay spreads it to its members, whose digests then agree with its own.

Evidence: forwarding/tests/leaving_engines.rs sends a started node such a copy: the engine is used again; failed 1 of 1 without the change, passes 2 of 2.

Change: a table that is complete up to a revision takes no record of an unknown key at or below it from another node. Why it works: completeness means that each live key up to that revision is known; tables of members are never complete and are repaired by digests.

--- a/crates/dissemination/src/entry_table.rs
+++ b/crates/dissemination/src/entry_table.rs
@@ -93,6 +93,14 @@
         self.records.get(&HashedKey::of(key))
     }
 
+    /// Whether `record` is an older copy of an entry that was removed before this table was filled: the table is
+    /// complete up to a later revision and has no such key.
+    pub fn is_removed_before_complete(&self, record: &EntryRecord) -> bool {
+        record.value.is_some()
+            && record.revision <= self.complete_to
+            && self.get(&record.key).is_none()
+    }
+
     /// Whether `record` is an entry that was removed in an earlier era and now exists again at a
     /// revision number no higher than the removal's: the service was restored from a backup taken
     /// before the removal. An entry that was rewritten since the restore looks the same.
--- a/crates/forwarding/src/fleet/engine_entries.rs
+++ b/crates/forwarding/src/fleet/engine_entries.rs
@@ -62,6 +62,14 @@
             context.dissemination.drop_withheld(context.now(), records)
         }
     };
+    let is_outdated = |record: &EntryRecord| {
+        let entries = context.dissemination.entries.borrow();
+        source == ChangeSource::Relay && entries.is_removed_before_complete(record)
+    };
+    let records: Vec<EntryRecord> = records
+        .into_iter()
+        .filter(|record| !is_outdated(record))
+        .collect();
     let mut entries = context.dissemination.entries.borrow_mut();
     let taken = records
         .into_iter()
--- a/crates/forwarding/tests/leaving_engines.rs
+++ b/crates/forwarding/tests/leaving_engines.rs
@@ -7,9 +7,10 @@
 )]
 mod support;
 
-use std::net::TcpStream;
+use std::net::{TcpStream, UdpSocket};
 use std::time::Duration;
 
+use dalestand_dissemination::{EntryRecord, MESSAGE_VERSION, Message};
 use rstest::rstest;
 use support::{TestEngine, TestNode, answer, id_of};
 
@@ -121,6 +122,37 @@
     assert_eq!(count_reaching(&refused, &leaving).await, 0);
 }
 
+/// Guards against an entry that another node still had when this one listed the service, after its removal: the node
+/// knows no removal of it, and took it for a new entry until its next listing.
+#[actix_rt::test]
+async fn an_older_copy_of_an_entry_removed_before_the_start_brings_no_requests() {
+    let (node, _staying, leaving) = start().await;
+    let copy = EntryRecord {
+        key: "engines/leaving".to_owned(),
+        value: Some(format!(
+            r#"["engines/leaving","pool","{}","here",4,true,null,"o"]"#,
+            leaving.address
+        )),
+        revision: 1,
+    };
+    node.store.write("engines/leaving", None);
+    node.wait_for_engines(1).await;
+    actix_rt::time::sleep(TRANSMISSION_TIME).await;
+    let later = node.start_beside("node-2").await;
+    later.wait_for_engines(1).await;
+    actix_rt::time::sleep(STEADY_TIME).await;
+    let message = (MESSAGE_VERSION, Message::Changes(vec![copy]));
+    let datagram = rmp_serde::to_vec(&message).expect("encoded");
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    socket.send_to(&datagram, later.peers).expect("sent");
+    later.settle().await;
+    let metrics = support::get(later.metrics, "host: a.example\r\n", "/metrics").await;
+    assert!(
+        metrics.contains("dalestand_engines_accepting 1\n"),
+        "{metrics}"
+    );
+}
+
 /// Guards against an earlier write of an engine, carried out after the one that says that it drains: it made the
 /// engine eligible again at all nodes.
 #[rstest]
