--- a/cmd/tests/soak.rs
+++ b/cmd/tests/soak.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use dalestand_soak::run::{CallerLoad, RunConfig, execute};
-use dalestand_soak::schedule::{FAULT_KINDS, FaultKind};
+use dalestand_soak::run::{CallerLoad, RunConfig, RunReport, execute};
+use dalestand_soak::schedule::{FAULT_KINDS, FaultKind, LEAVING_KINDS};
 use rstest::rstest;
 
 /// Planned changes, and requests that crash engines; the checks count none of these as a disruption.
@@ -42,9 +42,29 @@
     FaultKind::EngineCrashed,
 ];
 
+/// Engines that leave while the connections to the store go silent.
+const SILENT_STORE_KINDS: [FaultKind; 5] = [
+    FaultKind::StoreConnectionsSilent,
+    FaultKind::EngineDrained,
+    FaultKind::EngineGone,
+    FaultKind::EnginesDrainTogether,
+    FaultKind::EnginesGoneTogether,
+];
+
+/// Engines whose draining entries are overwritten by earlier writes, and planned changes.
+const REWRITTEN_ENTRY_KINDS: [FaultKind; 4] = [
+    FaultKind::EntryRewritten,
+    FaultKind::EnginesDrainTogether,
+    FaultKind::NodeStopped,
+    FaultKind::RouteAdded,
+];
+
 /// A request storm of one tenant and engines that become slow in turn, without node failures.
 const HEAVY_LOAD_KINDS: [FaultKind; 2] = [FaultKind::TenantStorm, FaultKind::EngineTurnsSlow];
 
+/// A run in which fewer requests could have reached a leaving engine proves little.
+const MIN_JUDGED_REQUESTS: usize = 200;
+
 /// Seeds that once failed are kept as regression cases, named after the failure.
 #[rstest]
 #[case::faults_of_all_kinds(1, &FAULT_KINDS)]
@@ -57,6 +77,20 @@
     assert_no_violations(seed, kinds, CallerLoad::Light);
 }
 
+/// Engines with stages in two zones leave in every way.
+#[rstest]
+#[case::engines_that_leave_in_every_way(1, &LEAVING_KINDS)]
+#[case::engines_that_leave_while_connections_to_the_store_are_silent(21, &SILENT_STORE_KINDS)]
+#[case::engines_whose_entries_contradict_their_drains(3, &REWRITTEN_ENTRY_KINDS)]
+fn a_seeded_run_with_leaving_engines_has_no_violations(
+    #[case] seed: u64,
+    #[case] kinds: &[FaultKind],
+) {
+    let report = assert_no_violations(seed, kinds, CallerLoad::Prompts);
+    let judged: usize = report.leaving().values().map(|counts| counts.judged).sum();
+    assert!(judged >= MIN_JUDGED_REQUESTS, "{:#?}", report.leaving());
+}
+
 /// Tenants compete for the capacity of engines of different speeds, and one of them sends a request storm.
 #[rstest]
 #[case::tenants_that_compete_for_capacity(41)]
@@ -64,16 +98,16 @@
     assert_no_violations(seed, &HEAVY_LOAD_KINDS, CallerLoad::Tenants);
 }
 
-fn assert_no_violations(seed: u64, kinds: &[FaultKind], load: CallerLoad) {
+fn assert_no_violations(seed: u64, kinds: &[FaultKind], load: CallerLoad) -> RunReport {
     let folder = std::env::temp_dir().join(format!("dalestand-soak-{}", std::process::id()));
     let config = RunConfig {
         seed,
         kinds: kinds.to_vec(),
         load,
         length: Duration::from_secs(30),
-        nodes: 3,
-        engines: 6,
-        zones: 1,
+        nodes: if load == CallerLoad::Prompts { 8 } else { 3 },
+        engines: if load == CallerLoad::Prompts { 18 } else { 6 },
+        zones: if load == CallerLoad::Prompts { 2 } else { 1 },
         program: env!("CARGO_BIN_EXE_dalestand").into(),
         alternate_program: None,
         folder: folder.join(format!("seed-{seed}")),
@@ -88,4 +122,5 @@
     );
     // Logs are needed only after a violation; a failure to remove them is harmless.
     let _ = std::fs::remove_dir_all(&config.folder);
+    report
 }
