One relay a zone watches the key-value service closely, the others hear from it

What they miss on a silent watch reaches them by exchanges, and else by digests: their entries count as stale after half of the bound.

Tests of leaving engines pass.

--- a/crates/forwarding/src/dissemination/mod.rs
+++ b/crates/forwarding/src/dissemination/mod.rs
@@ -37,7 +37,7 @@
     Relay, Subscribers, Subscription,
 };
 use dalestand_routing::staged::{EngineKey, rendezvous_weight};
-use dalestand_types::MonotonicTime;
+use dalestand_types::{MonotonicTime, ZoneName};
 use rand::RngExt as _;
 use tokio::sync::watch;
 
@@ -97,6 +97,7 @@
 /// Fleet-wide state at this node.
 pub(crate) struct Dissemination {
     pub(crate) node: NodeNumber,
+    zone: ZoneName,
     /// Registered nodes, including this one. Updated only while this node reads the key-value service.
     directory: RefCell<NodeDirectory>,
     /// Relays elected from `directory`.
@@ -151,6 +152,7 @@
         let subscription = Subscription::new(node, settings.zone.clone(), RELAY_SILENCE_LIMIT);
         Self {
             node,
+            zone: settings.zone.clone(),
             directory: RefCell::default(),
             relays: RefCell::default(),
             exchange_peers: RefCell::default(),
@@ -295,6 +297,15 @@
         before.count() as u32
     }
 
+    /// Whether this node's watches of the key-value service are short: the first relay of each zone bounds
+    /// the time until a silent watch is noticed, and tells the others. So does a node that is no relay but reads
+    /// the service, as it hears from none.
+    pub(crate) fn watches_closely(&self) -> bool {
+        let relays = self.relays.borrow();
+        let first = relays.iter().find(|relay| relay.zone == self.zone);
+        first.is_none_or(|first| first.number == self.node) || !self.is_elected()
+    }
+
     fn is_elected(&self) -> bool {
         let relays = self.relays.borrow();
         relays.iter().any(|relay| relay.number == self.node)
--- a/crates/forwarding/src/node/start.rs
+++ b/crates/forwarding/src/node/start.rs
@@ -190,11 +190,29 @@
 /// A watch of the nodes and the lease holder waits for this part of the lease.
 const WATCHES_PER_LEASE: u32 = 3;
 
+/// Longest wait of a watch of engine entries.
+fn engine_entry_wait(context: &Context) -> Duration {
+    if context.dissemination.watches_closely() {
+        context.settings.engine_drain() / WATCHES_PER_DRAIN
+    } else {
+        WATCH_WAIT
+    }
+}
+
+/// Longest wait of a watch of nodes and the lease holder.
+fn node_entry_wait(context: &Context) -> Duration {
+    if context.dissemination.watches_closely() {
+        context.settings.lease() / WATCHES_PER_LEASE
+    } else {
+        WATCH_WAIT
+    }
+}
+
 /// Longest wait of a watch of the declaration.
 fn declaration_wait(context: &Context) -> Duration {
-    let role = context.dissemination.role(context.now());
-    // Relays inform the other nodes of a new declaration.
-    let wait = if role.is_relay {
+    let is_relay = context.dissemination.role(context.now()).is_relay;
+    // All nodes watch it; relays inform the others of a new declaration.
+    let wait = if is_relay {
         engine_entry_wait(context)
     } else {
         WATCH_WAIT
@@ -204,10 +222,6 @@
     validity.map_or(wait, |validity| wait.min(validity / 3))
 }
 
-fn engine_entry_wait(context: &Context) -> Duration {
-    context.settings.engine_drain() / WATCHES_PER_DRAIN
-}
-
 /// Starts the tasks that follow the key-value service, hold the fleet lease and control engine roles.
 fn start_followers(context: &Rc<Context>, store: &Rc<dyn KeyValue>) -> FleetLease {
     let recovery = RecoverySignal::default();
@@ -237,9 +251,7 @@
     let fleet_lease = context.fleet_lease.clone();
     let nodes = NodeFollower::new(Rc::clone(context), fleet_lease.clone());
     actix_rt::spawn(follow(
-        start(OWN_PREFIX, |context| {
-            context.settings.lease() / WATCHES_PER_LEASE
-        }),
+        start(OWN_PREFIX, node_entry_wait),
         nodes,
         context.dissemination.subscribe_reads_store(),
     ));
