--- a/crates/forwarding/src/node/metrics/engine_signals.rs
+++ b/crates/forwarding/src/node/metrics/engine_signals.rs
@@ -81,6 +81,7 @@
         if let Some(closed) = call.signals.closed {
             let signal = match closed {
                 ClosedReason::Draining => "draining",
+                ClosedReason::Removed => "removed",
                 ClosedReason::Backoff(_) | ClosedReason::Probing => "backoff",
                 ClosedReason::Limit(_) => "limit",
             };
--- a/crates/forwarding/src/serve/engine_send.rs
+++ b/crates/forwarding/src/serve/engine_send.rs
@@ -1,10 +1,13 @@
 //! The only place that sends to engines: callers' requests as well as internal calls.
 //!
 //! Some time may pass between the planning of a call and its sending, for a prefill elsewhere or a
-//! new connection. The engine's own signals (draining, backoff, rate limit) are therefore checked
-//! again at the moment of sending, and those in an answer are applied before anything else is done
+//! new connection. The engine's own signals (draining, backoff, rate limit) and its entry are
+//! therefore checked again at the moment of sending, and those in an answer are applied before anything else is done
 //! with it.
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::Arc;
 
 use actix_http::RequestHead;
@@ -50,9 +53,15 @@
         }
     }
 
-    /// Whether the call may be sent even though the engine is closed.
-    fn bypasses(&self, closed: ClosedReason) -> bool {
-        *self == Self::Internal && closed == ClosedReason::Draining
+    /// Why an engine is closed to the call, given why it is closed by its signals and whether it accepts
+    /// work by its registry entry.
+    fn closed(&self, signalled: Option<ClosedReason>, is_accepting: bool) -> Option<ClosedReason> {
+        match self {
+            Self::Internal => signalled.filter(|closed| *closed != ClosedReason::Draining),
+            Self::Request(_) => {
+                signalled.or_else(|| (!is_accepting).then_some(ClosedReason::Removed))
+            }
+        }
     }
 }
 
@@ -92,8 +101,9 @@
     content: &CallContent,
 ) -> Option<ClosedReason> {
     let router = context.router.borrow();
-    let closed = router.signals.closed(context.now(), engine.key);
-    closed.filter(|closed| !content.bypasses(*closed))
+    let signalled = router.signals.closed(context.now(), engine.key);
+    let is_accepting = context.fleet().engine(engine.key).is_some();
+    content.closed(signalled, is_accepting)
 }
 
 /// Sends a call unless its engine is closed to it, and waits for the response head.
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -96,6 +96,7 @@
         let mut text = String::new();
         match self.closed {
             Some(ClosedReason::Draining) => text.push_str(", it drains"),
+            Some(ClosedReason::Removed) => text.push_str(", its entry is gone"),
             Some(ClosedReason::Backoff(_)) => text.push_str(", in its backoff"),
             Some(ClosedReason::Probing) => text.push_str(", just after its backoff"),
             Some(ClosedReason::Limit(_)) => text.push_str(", no permit"),
--- a/crates/routing/src/staged/signals.rs
+++ b/crates/routing/src/staged/signals.rs
@@ -40,6 +40,8 @@
 pub enum ClosedReason {
     /// It has signalled that it is draining.
     Draining,
+    /// Its registry entry was removed.
+    Removed,
     /// It has asked for no calls until this time.
     Backoff(MonotonicTime),
     /// Its backoff is over, and the maximum number of probe calls is unanswered.
@@ -243,7 +245,7 @@
         let closed = self.backoffs.keys().copied().chain(self.permits.closed());
         let closed = closed.filter(|engine| engines(*engine));
         let waits = closed.filter_map(|engine| match self.closed(now, engine)? {
-            ClosedReason::Draining => None,
+            ClosedReason::Draining | ClosedReason::Removed => None,
             ClosedReason::Backoff(until) | ClosedReason::Limit(until) => {
                 Some(until.since(now).max(PROBE_RETRY_AFTER))
             }
