Soak: a run has a directory of its own, and two runs with one seed no longer share it

Cause: cmd/tests/soak.rs names the directory of a run after its seed. Since the runs with leaving engines came, two runs with seed 1 are executed at once, and both write node-0.toml to node-2.toml. A node that restarts takes the settings of whichever run wrote last: it tries to listen on the other run's addresses and ends, or serves the other run's callers until its own run kills it.

--- a/cmd/tests/soak.rs
+++ b/cmd/tests/soak.rs
@@ -100,6 +100,8 @@
 
 fn assert_no_violations(seed: u64, kinds: &[FaultKind], load: CallerLoad) -> RunReport {
     let folder = std::env::temp_dir().join(format!("dalestand-soak-{}", std::process::id()));
+    // Runs with one seed and different loads are executed at the same time.
+    let name = format!("seed-{seed}-{load:?}").to_lowercase();
     let config = RunConfig {
         seed,
         kinds: kinds.to_vec(),
@@ -110,7 +112,7 @@
         zones: if load == CallerLoad::Prompts { 2 } else { 1 },
         program: env!("CARGO_BIN_EXE_dalestand").into(),
         alternate_program: None,
-        folder: folder.join(format!("seed-{seed}")),
+        folder: folder.join(name),
     };
     let report = execute(&config).expect("a run");
     assert!(!report.history.attempts.is_empty());
