Engine entries: a relay that asks one relay for entries no longer drops its pages when another sends its freshness

A relay that the key-value service refuses takes what it missed from another one. Requests to engines that leave would go on until then.

Cause: freshness::handle noted the sender of each freshness message as the source of entries, whether a request was due or not, and pages of any other relay were dropped. With n other relays one sends its freshness each 375/n ms (drain bound 3 s), an answer takes a round trip and its place in the queue of long answers: the relay that was asked is often not the last one that was heard.

Fix: what is noted is a request that was sent, with its time; pages of each relay that was asked within the last 3 s are taken. Pages of others are still refused. Entries are ordered by revision, so two answers don't harm each other.

Test: pages_of_each_relay_that_was_asked_are_taken.

--- a/crates/forwarding/src/dissemination/mod.rs
+++ b/crates/forwarding/src/dissemination/mod.rs
@@ -85,6 +85,9 @@
 /// of its messages, which are at most 0.3 s apart.
 const PEER_RELAY_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for the answer to a request for entries: the whole of a large fleet's at the pace of a slow link.
+const ENTRIES_ANSWER_TIME: Duration = Duration::from_secs(3);
+
 /// This node's role in dissemination.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct DisseminationRole {
@@ -127,8 +130,8 @@
     pub(crate) changes: RefCell<RecentChanges>,
     /// Schedule of requests for entries that differ from the relay's.
     pub(crate) entry_sync: RefCell<EntrySync>,
-    /// The relay that a relay last requested entries from.
-    entries_source: Cell<Option<NodeNumber>>,
+    /// Relays that this node requested entries from, with the time of the last request.
+    entries_requests: RefCell<HashMap<NodeNumber, MonotonicTime>>,
     /// Pages of the last answer to an entries request.
     pub(crate) page_cache: RefCell<Option<PageCache>>,
     /// Nodes that wait for the known cached prompt parts.
@@ -170,7 +173,7 @@
             withheld_entries: RefCell::default(),
             changes: RefCell::default(),
             entry_sync: RefCell::default(),
-            entries_source: Cell::new(None),
+            entries_requests: RefCell::default(),
             page_cache: RefCell::default(),
             parts_requesters: RefCell::default(),
             notices: NoticeQueue::default(),
@@ -221,17 +224,21 @@
         withheld.drop_withheld(&entries, now, records)
     }
 
-    /// Records that this relay requests entries from `relay`.
-    fn set_entries_source(&self, relay: NodeNumber) {
-        self.entries_source.set(Some(relay));
+    /// Records that this node requests entries from `relay`.
+    fn record_entries_request(&self, now: MonotonicTime, relay: NodeNumber) {
+        let mut requests = self.entries_requests.borrow_mut();
+        requests.retain(|_, asked_at| now.since(*asked_at) < ENTRIES_ANSWER_TIME);
+        requests.insert(relay, now);
     }
 
     /// Whether pages of entries from `node` are to be applied: those of the relay that this node follows or has
     /// requested entries from.
-    fn takes_entries_from(&self, node: NodeNumber) -> bool {
+    fn takes_entries_from(&self, now: MonotonicTime, node: NodeNumber) -> bool {
         let subscription = self.subscription.borrow();
         let current = subscription.current();
-        current.is_some_and(|relay| relay.number == node) || self.entries_source.get() == Some(node)
+        let asked_at = self.entries_requests.borrow().get(&node).copied();
+        current.is_some_and(|relay| relay.number == node)
+            || asked_at.is_some_and(|asked_at| now.since(asked_at) < ENTRIES_ANSWER_TIME)
     }
 
     /// The lease holder, if known.
--- a/crates/forwarding/src/dissemination/receive/entries.rs
+++ b/crates/forwarding/src/dissemination/receive/entries.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use dalestand_dissemination::{
-    EntriesPage, EntriesRequest, Message, entries_pages, entries_request,
+    EntriesPage, EntriesRequest, Message, NodeNumber, entries_pages, entries_request,
 };
 use tokio::net::UdpSocket;
 
@@ -25,16 +25,18 @@
 pub(in crate::dissemination) fn request_if_due(
     context: &Context,
     socket: &UdpSocket,
-    relay: SocketAddr,
+    (number, relay): (NodeNumber, SocketAddr),
 ) {
+    let now = context.now();
     if !context
         .dissemination
         .entry_sync
         .borrow_mut()
-        .try_start_request(context.now())
+        .try_start_request(now)
     {
         return;
     }
+    context.dissemination.record_entries_request(now, number);
     let carried = context.settings.link_bytes(ENTRIES_LINK_TIME);
     let max_bytes = carried.min(MAX_ENTRIES_BYTES);
     let request = {
@@ -82,12 +84,11 @@
 
 /// Applies a page if it comes from the followed relay, or from one that was asked for it.
 pub(super) fn handle_page(context: &Context, page: EntriesPage) {
-    if !context.dissemination.takes_entries_from(page.node) {
+    let now = context.now();
+    if !context.dissemination.takes_entries_from(now, page.node) {
         return;
     }
-    let records = context
-        .dissemination
-        .drop_withheld(context.now(), page.records);
+    let records = context.dissemination.drop_withheld(now, page.records);
     let changes = {
         let mut entries = context.dissemination.entries.borrow_mut();
         entries.apply_range(page.revision, page.first..=page.last, records)
--- a/crates/forwarding/src/dissemination/receive/table.rs
+++ b/crates/forwarding/src/dissemination/receive/table.rs
@@ -60,6 +60,6 @@
     if dissemination.entries.borrow().digest() == table.entries_digest {
         dissemination.entry_sync.borrow_mut().reset_delay();
     } else {
-        request_if_due(context, socket, relay);
+        request_if_due(context, socket, (table.node, relay));
     }
 }
--- a/crates/forwarding/src/dissemination/tests.rs
+++ b/crates/forwarding/src/dissemination/tests.rs
@@ -11,12 +11,12 @@
 use dalestand_types::MonotonicTime;
 use rstest::rstest;
 
-use super::Dissemination;
 use super::bulk_queue::BulkQueue;
 use super::datagram::Datagram;
 use super::news_queue::NewsQueue;
 use super::own_reports::OwnReports;
 use super::recent_changes::{ChangeSource, RecentChanges};
+use super::{Dissemination, ENTRIES_ANSWER_TIME};
 
 use super::pacing::{MAX_LINK_SHARE, MAX_PAUSE, pause_after};
 use crate::node::settings::{ForwardingSettings, SettingsFault};
@@ -310,3 +310,19 @@
         "the silent relay has expired"
     );
 }
+
+/// Guards against pages that a refused relay had requested and then dropped, because another relay had sent its
+/// freshness meanwhile.
+#[rstest]
+fn pages_of_each_relay_that_was_asked_are_taken() {
+    let dissemination = Dissemination::new(&settings(""));
+    let (asked, also_asked, not_asked) = (NodeNumber(1), NodeNumber(2), NodeNumber(3));
+    let now = MonotonicTime::from_millis(1_000);
+    dissemination.record_entries_request(now, asked);
+    dissemination.record_entries_request(now, also_asked);
+    assert!(dissemination.takes_entries_from(now, asked));
+    assert!(dissemination.takes_entries_from(now, also_asked));
+    assert!(!dissemination.takes_entries_from(now, not_asked));
+    let late = now + ENTRIES_ANSWER_TIME;
+    assert!(!dissemination.takes_entries_from(late, asked));
+}
