Engine entries: a member whose relay's answers bring no progress asks the other relays, within the drain bound

Cause: repair that hangs on the path which has failed. Members ask only the relay that they follow for the entries in which they differ from it. Each request that brings nothing doubles the time to the next, up to 2 s, as if the relay had nothing to tell; but a relay with a full link loses tables, requests and pages alike. 0 + 0.15 + 0.3 + 0.6 + 1.2 + 2 s is beyond each site's drain bound, and nothing held that sum against it.

Fix: two requests go to the followed relay, the next two of three to other relays in turn, those of the own zone first. Within the drain bound the pause is a quarter of it at most; it grows only while both digests stay the same, so that a later change is asked about after 0.15 s whatever came before. Pages are taken from relays that were asked. Event 1628 and the gauge engine_entries_differ_ms say whom a member asks and since when it differs. No message changes, so that builds mix.

Three tests of the schedule in virtual time. requests_without_progress_back_off has its former bounds (10 requests in 10 s, none after 100 ms, one after 200 ms); it found a pause that doubled after progress while this was written.

--- a/crates/dissemination/src/entry_sync.rs
+++ b/crates/dissemination/src/entry_sync.rs
@@ -2,7 +2,8 @@
 //!
 //! Key hashes are divided into equal ranges. A member sends a digest per range; its relay answers with
 //! the entries of the ranges whose digests differ. Only one request is in flight at a time and the
-//! member limits the size of the answer, so that repair does not saturate a slow link.
+//! member limits the size of the answer, so that repair does not saturate a slow link. If its relay's answers bring
+//! no progress, it asks others.
 
 use std::ops::RangeInclusive;
 use std::time::Duration;
@@ -24,40 +25,121 @@
 /// 10 Mbit/s.
 const INITIAL_DELAY: Duration = Duration::from_millis(150);
 
-/// Upper bound of the delay while answers change nothing, as when the relay knows fewer entries.
+/// Upper bound of the delay while answers change nothing for longer than the drain bound, as when the relay
+/// knows fewer entries.
 const MAX_DELAY: Duration = Duration::from_secs(2);
 
-/// Schedule of a member's requests, with exponential backoff.
+/// Within the drain bound the delay is at most this part of it: requests or answers may be lost.
+const MIN_REQUESTS_PER_DRAIN: u32 = 4;
+
+/// Requests without progress to the followed relay before others are asked: its link may be full.
+const MIN_REQUESTS_TO_FOLLOWED: usize = 2;
+
+/// After them, one request in this many goes to the followed relay.
+const FOLLOWED_ONE_IN: usize = 3;
+
+/// Digests of two tables that differ.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DifferingDigests {
+    /// Digest of the member's entries.
+    pub own: u64,
+    /// Digest of its relay's entries.
+    pub relay: u64,
+}
+
+/// The relay to send a request to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestTarget {
+    /// The relay whose digest differs.
+    Followed,
+    /// Another one: this index modulo their number.
+    Other(usize),
+}
+
+/// Schedule of a member's requests.
+///
+/// The delay grows only while both digests stay as they are, as asking again then helps only if a message was
+/// lost. Requests that bring no progress go to other relays in turn.
 #[derive(Clone, Copy, Debug)]
 pub struct EntrySync {
-    next_request_at: MonotonicTime,
+    drain_bound: Duration,
+    last_request_at: Option<MonotonicTime>,
     delay: Duration,
+    /// Digests at the last request.
+    compared: Option<DifferingDigests>,
+    /// Requests since the last progress.
+    requests_without_progress: usize,
+    /// When the first of them was sent.
+    differs_since: MonotonicTime,
 }
 
-impl Default for EntrySync {
-    fn default() -> Self {
+impl EntrySync {
+    /// A schedule that tries several relays within `drain_bound`.
+    pub fn new(drain_bound: Duration) -> Self {
         Self {
-            next_request_at: MonotonicTime::ZERO,
+            drain_bound,
+            last_request_at: None,
             delay: INITIAL_DELAY,
+            compared: None,
+            requests_without_progress: 0,
+            differs_since: MonotonicTime::ZERO,
         }
     }
-}
 
-impl EntrySync {
-    /// Whether a request may be sent at `now`; if so, schedules the next one.
-    pub fn try_start_request(&mut self, now: MonotonicTime) -> bool {
-        if now < self.next_request_at {
-            return false;
+    /// Where to send a request at `now`, if one is due; if so, schedules the next one.
+    pub fn next_request(
+        &mut self,
+        now: MonotonicTime,
+        digests: DifferingDigests,
+    ) -> Option<RequestTarget> {
+        if self.compared != Some(digests) {
+            self.delay = INITIAL_DELAY;
         }
-        self.next_request_at = now + self.delay;
-        self.delay = (self.delay * 2).min(MAX_DELAY);
-        true
+        let last = self.last_request_at;
+        if last.is_some_and(|last| now.since(last) < self.delay) {
+            return None;
+        }
+        if self.requests_without_progress == 0 {
+            self.differs_since = now;
+        }
+        let target = target(self.requests_without_progress);
+        if now.since(self.differs_since) >= self.drain_bound {
+            self.delay = MAX_DELAY;
+        } else if self.compared == Some(digests) {
+            let max_delay = self.drain_bound / MIN_REQUESTS_PER_DRAIN;
+            self.delay = (self.delay * 2).min(max_delay);
+        }
+        self.compared = Some(digests);
+        self.last_request_at = Some(now);
+        self.requests_without_progress += 1;
+        Some(target)
+    }
+
+    /// Records that an answer changed entries or that the digests agree.
+    pub fn record_progress(&mut self) {
+        self.compared = None;
+        self.requests_without_progress = 0;
     }
 
-    /// Resets the backoff after an answer changed entries or the digests agree.
-    pub fn reset_delay(&mut self) {
-        self.delay = INITIAL_DELAY;
+    /// Time at `now` since the first request without progress; zero if there was none.
+    pub fn differs_for(&self, now: MonotonicTime) -> Duration {
+        if self.requests_without_progress == 0 {
+            return Duration::ZERO;
+        }
+        now.since(self.differs_since)
+    }
+}
+
+/// Where to send a request after `earlier` ones without progress.
+fn target(earlier: usize) -> RequestTarget {
+    let Some(further) = earlier.checked_sub(MIN_REQUESTS_TO_FOLLOWED) else {
+        return RequestTarget::Followed;
+    };
+    let (round, step) = (further / FOLLOWED_ONE_IN, further % FOLLOWED_ONE_IN);
+    if step == FOLLOWED_ONE_IN - 1 {
+        return RequestTarget::Followed;
     }
+    RequestTarget::Other(round * (FOLLOWED_ONE_IN - 1) + step)
 }
 
 /// A request for the entries that differ from `table`, about `max_bytes` at most.
--- a/crates/dissemination/tests/entry_sync.rs
+++ b/crates/dissemination/tests/entry_sync.rs
@@ -1,9 +1,11 @@
 //! Members receive exactly the entries that differ from their relay's.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use dalestand_dissemination::{
-    EntriesPage, EntryRecord, EntrySync, EntryTable, NodeNumber, entries_pages, entries_request,
+    DifferingDigests, EntriesPage, EntryRecord, EntrySync, EntryTable, NodeNumber, RequestTarget,
+    entries_pages, entries_request,
 };
 use dalestand_types::MonotonicTime;
 use proptest::prelude::*;
@@ -113,18 +115,70 @@
     assert_eq!(member.live().count(), 101);
 }
 
+/// The shortest drain bound of an operator.
+const DRAIN_BOUND: Duration = Duration::from_secs(2);
+
+const DIFFERING: DifferingDigests = DifferingDigests { own: 1, relay: 2 };
+
+/// Times, in milliseconds, at which requests are sent while nothing changes, and their targets.
+fn requests_of(sync: &mut EntrySync, milliseconds: Range<u64>) -> Vec<(u64, RequestTarget)> {
+    let targets = milliseconds.map(|millisecond| {
+        let now = MonotonicTime::from_millis(millisecond);
+        Some((millisecond, sync.next_request(now, DIFFERING)?))
+    });
+    targets.flatten().collect()
+}
+
 #[rstest]
 fn requests_without_progress_back_off() {
-    let mut sync = EntrySync::default();
-    let asked = (0..10_000)
-        .filter(|millisecond| sync.try_start_request(MonotonicTime::from_millis(*millisecond)))
-        .count();
+    let mut sync = EntrySync::new(DRAIN_BOUND);
+    let asked = requests_of(&mut sync, 0..10_000).len();
     assert!(asked <= 10, "{asked}");
-    sync.reset_delay();
+    sync.record_progress();
     let now = MonotonicTime::from_millis(20_000);
-    assert!(sync.try_start_request(now));
-    assert!(!sync.try_start_request(now + Duration::from_millis(100)));
-    assert!(sync.try_start_request(now + Duration::from_millis(200)));
+    assert!(sync.next_request(now, DIFFERING).is_some());
+    let early = now + Duration::from_millis(100);
+    assert!(sync.next_request(early, DIFFERING).is_none());
+    let later = now + Duration::from_millis(200);
+    assert!(sync.next_request(later, DIFFERING).is_some());
+}
+
+/// Guards against a member that asked only the relay that answers nothing: with two relays more, both are asked
+/// within half of the drain bound.
+#[rstest]
+fn requests_without_progress_go_to_each_other_relay_in_time() {
+    let mut sync = EntrySync::new(DRAIN_BOUND);
+    let asked = requests_of(&mut sync, 0..DRAIN_BOUND.as_millis() as u64 / 2);
+    let targets: Vec<RequestTarget> = asked.into_iter().map(|(_, target)| target).collect();
+    assert!(targets.contains(&RequestTarget::Other(0)), "{targets:?}");
+    assert!(targets.contains(&RequestTarget::Other(1)), "{targets:?}");
+}
+
+/// Guards against a delay of 2 s that had grown while nothing could be told, and applied to a later change.
+#[rstest]
+fn a_changed_digest_is_asked_about_at_once() {
+    let mut sync = EntrySync::new(DRAIN_BOUND);
+    requests_of(&mut sync, 0..10_000);
+    let now = MonotonicTime::from_millis(10_000);
+    let changed = DifferingDigests {
+        relay: 3,
+        ..DIFFERING
+    };
+    let waited = (0..500).find(|millisecond| {
+        let now = now + Duration::from_millis(*millisecond);
+        sync.next_request(now, changed).is_some()
+    });
+    assert!(waited.is_some());
+}
+
+/// Progress of one answer does not count as an answer to what comes later.
+#[rstest]
+fn requests_after_progress_go_to_the_followed_relay() {
+    let mut sync = EntrySync::new(DRAIN_BOUND);
+    requests_of(&mut sync, 0..1_000);
+    sync.record_progress();
+    let asked = requests_of(&mut sync, 1_500..1_700);
+    assert_eq!(asked[0].1, RequestTarget::Followed);
 }
 
 proptest! {
--- a/crates/forwarding/src/dissemination/freshness.rs
+++ b/crates/forwarding/src/dissemination/freshness.rs
@@ -68,6 +68,6 @@
     let is_relay = dissemination.role(context.now()).is_relay;
     // Members request what differs from their own relay's entries when it sends a table.
     if is_relay && age < stale_age && own_age.is_none_or(|own_age| own_age > stale_age) {
-        request_if_due(context, socket, (freshness.node, relay));
+        request_if_due(context, socket, (freshness.node, relay), freshness.digest);
     }
 }
--- a/crates/forwarding/src/dissemination/mod.rs
+++ b/crates/forwarding/src/dissemination/mod.rs
@@ -172,7 +172,7 @@
             unreadable_entries: RefCell::default(),
             withheld_entries: RefCell::default(),
             changes: RefCell::default(),
-            entry_sync: RefCell::default(),
+            entry_sync: RefCell::new(EntrySync::new(settings.engine_drain())),
             entries_requests: RefCell::default(),
             page_cache: RefCell::default(),
             parts_requesters: RefCell::default(),
@@ -241,6 +241,20 @@
             || asked_at.is_some_and(|asked_at| now.since(asked_at) < ENTRIES_ANSWER_TIME)
     }
 
+    /// A relay other than `relay`, those of the own zone first; `index` counts through them in turn.
+    fn other_entries_source(&self, relay: NodeNumber, index: usize) -> Option<Relay> {
+        let subscription = self.subscription.borrow();
+        let others = subscription.relays().iter();
+        let others = others.filter(|other| other.number != relay);
+        let (own, foreign): (Vec<&Relay>, Vec<&Relay>) =
+            others.partition(|other| other.zone == self.zone);
+        let others: Vec<&Relay> = own.into_iter().chain(foreign).collect();
+        others
+            .get(index.checked_rem(others.len())?)
+            .copied()
+            .cloned()
+    }
+
     /// The lease holder, if known.
     pub(crate) fn lease_holder(&self) -> Option<LeaseHolder> {
         self.lease_holder.get()
--- a/crates/forwarding/src/dissemination/receive/entries.rs
+++ b/crates/forwarding/src/dissemination/receive/entries.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use dalestand_dissemination::{
-    EntriesPage, EntriesRequest, Message, NodeNumber, entries_pages, entries_request,
+    DifferingDigests, EntriesPage, EntriesRequest, Message, NodeNumber, RequestTarget,
+    entries_pages, entries_request,
 };
+use dalestand_telemetry::{Event, log_event};
 use tokio::net::UdpSocket;
 
 use crate::context::Context;
@@ -21,30 +23,46 @@
 /// Limit on the bytes of entries per answer, however fast the link.
 const MAX_ENTRIES_BYTES: u32 = 256 << 10;
 
-/// Requests the entries that differ from a relay's, if a request is due.
+/// Requests the entries that differ from those of the relay at `relay`, if a request is due. One that follows others
+/// without progress goes to another relay.
 pub(in crate::dissemination) fn request_if_due(
     context: &Context,
     socket: &UdpSocket,
-    (number, relay): (NodeNumber, SocketAddr),
+    relay: (NodeNumber, SocketAddr),
+    relay_digest: u64,
 ) {
+    let dissemination = &context.dissemination;
     let now = context.now();
-    if !context
-        .dissemination
+    let digests = DifferingDigests {
+        own: dissemination.entries.borrow().digest(),
+        relay: relay_digest,
+    };
+    let target = dissemination
         .entry_sync
         .borrow_mut()
-        .try_start_request(now)
-    {
+        .next_request(now, digests);
+    let Some(target) = target else {
         return;
+    };
+    let other = match target {
+        RequestTarget::Followed => None,
+        RequestTarget::Other(index) => dissemination.other_entries_source(relay.0, index),
+    };
+    if let Some(other) = &other {
+        let differs_for = dissemination.entry_sync.borrow().differs_for(now);
+        log_event!(context.logger, Event::EntriesRequestedElsewhere, "relay" => relay.0.0,
+            "asked" => other.number.0, "differs_for_ms" => differs_for.as_millis() as u64);
     }
-    context.dissemination.record_entries_request(now, number);
+    let (asked, address) = other.map_or(relay, |other| (other.number, other.address));
+    dissemination.record_entries_request(now, asked);
     let carried = context.settings.link_bytes(ENTRIES_LINK_TIME);
     let max_bytes = carried.min(MAX_ENTRIES_BYTES);
     let request = {
-        let entries = context.dissemination.entries.borrow();
-        entries_request(context.dissemination.node, &entries, max_bytes)
+        let entries = dissemination.entries.borrow();
+        entries_request(dissemination.node, &entries, max_bytes)
     };
     let message = Message::EntriesRequest(request);
-    let sent_bytes = send_message(context, socket, &[relay], &message);
+    let sent_bytes = send_message(context, socket, &[address], &message);
     context.record_sent_bytes(sent_bytes);
 }
 
@@ -94,7 +112,11 @@
         entries.apply_range(page.revision, page.first..=page.last, records)
     };
     if !changes.is_empty() {
-        context.dissemination.entry_sync.borrow_mut().reset_delay();
+        context
+            .dissemination
+            .entry_sync
+            .borrow_mut()
+            .record_progress();
     }
     engine_entries::apply_changes(context, changes, ChangeSource::Relay);
 }
--- a/crates/forwarding/src/dissemination/receive/table.rs
+++ b/crates/forwarding/src/dissemination/receive/table.rs
@@ -58,8 +58,8 @@
     engine_entries::merge(context, table.changes, ChangeSource::Relay);
     request_if_newer(context, socket, relay, table.declaration);
     if dissemination.entries.borrow().digest() == table.entries_digest {
-        dissemination.entry_sync.borrow_mut().reset_delay();
+        dissemination.entry_sync.borrow_mut().record_progress();
     } else {
-        request_if_due(context, socket, (table.node, relay));
+        request_if_due(context, socket, (table.node, relay), table.entries_digest);
     }
 }
--- a/crates/forwarding/src/node/metrics/mod.rs
+++ b/crates/forwarding/src/node/metrics/mod.rs
@@ -61,6 +61,7 @@
     bulk_dropped: IntCounter,
     entries: IntGauge,
     entries_age_ms: IntGauge,
+    entries_differ_ms: IntGauge,
     entry_removals_held: IntGauge,
     parts: IntGauge,
     code_collisions: IntGauge,
@@ -185,6 +186,10 @@
                 "engine_entries_age_ms",
                 "Time since the known engine entries were last proved complete; -1 if they never were.",
             )?,
+            entries_differ_ms: metrics.gauge(
+                "engine_entries_differ_ms",
+                "Time since requests for the engine entries that differ from the relay's bring no progress; 0 if none differ.",
+            )?,
             entry_removals_held: metrics.gauge(
                 "engine_entry_removals_held",
                 "Removals of engine entries that are held back for a grace period.",
--- a/crates/forwarding/src/node/metrics/page.rs
+++ b/crates/forwarding/src/node/metrics/page.rs
@@ -35,6 +35,9 @@
         let age = context.entries_proof.age();
         self.entries_age_ms
             .set(age.map_or(-1, |age| age.as_millis() as i64));
+        let entry_sync = context.dissemination.entry_sync.borrow();
+        let differ_for = entry_sync.differs_for(context.now());
+        self.entries_differ_ms.set(differ_for.as_millis() as i64);
         self.entry_removals_held
             .set(context.entries_proof.held_removals() as i64);
         self.parts.set(context.router.borrow().parts.len() as i64);
--- a/crates/forwarding/tests/support/mod.rs
+++ b/crates/forwarding/tests/support/mod.rs
@@ -3,7 +3,10 @@
 mod dialect;
 mod engine;
 mod node;
+mod relay;
 mod store;
 
 pub use engine::{Script, TestEngine, answer, id_of, refusing, succeeding};
 pub use node::{TestNode, get, status};
+pub use relay::{RelayScript, ScriptedRelay};
+pub use store::MemoryStore;
--- a/crates/forwarding/tests/support/node.rs
+++ b/crates/forwarding/tests/support/node.rs
@@ -63,7 +63,7 @@
 
 /// A loopback address that is unique to this process, so that nodes of concurrent test processes are not
 /// mistaken for this one's.
-fn own_host() -> Ipv4Addr {
+pub(super) fn own_host() -> Ipv4Addr {
     let [_, second, third, fourth] = std::process::id().to_be_bytes();
     Ipv4Addr::new(127, second, third, fourth)
 }
@@ -92,11 +92,10 @@
         Self::start_with(slack, "").await
     }
 
-    /// Starts a node on an empty key-value service in the given era.
-    pub async fn start_in_era(era: u64) -> Self {
+    /// Starts a node on a key-value service.
+    pub async fn start_on(store: &Rc<MemoryStore>) -> Self {
         for _ in 0..START_ATTEMPTS {
-            let store: Rc<MemoryStore> = Rc::default();
-            store.set_era(era);
+            let store = Rc::clone(store);
             if let Some(node) = Self::try_start_on(store, "node-1", 50, "", "").await {
                 return node;
             }
@@ -104,6 +103,13 @@
         panic!("no node could be started");
     }
 
+    /// Starts a node on an empty key-value service in the given era.
+    pub async fn start_in_era(era: u64) -> Self {
+        let store: Rc<MemoryStore> = Rc::default();
+        store.set_era(era);
+        Self::start_on(&store).await
+    }
+
     /// Starts a node with a link of `link_mbps`.
     pub async fn start_with_link(link_mbps: f64) -> Self {
         Self::start_with(50, &format!("link_mbps = {link_mbps}\n")).await
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -136,6 +136,8 @@
     EntryRemovalsHeld = (1626, Info, "removal of engine entries held back");
     /// An entry says that an engine accepts work which had said that it drains.
     EntryContradictsDrain = (1627, Warning, "entry contradicts a drain");
+    /// Requests to a relay for the entries that differ brought no progress, so another relay was asked.
+    EntriesRequestedElsewhere = (1628, Info, "entries requested from another relay");
     /// A stopped request's entry in the key-value service could not be parsed.
     StoppedRequestUnreadable = (1615, Warning, "stopped request unreadable");
     /// The usage of a time window was reported.
