Relays: one with a slow link leaves members to relays of its zone with much faster links

Cause: a zone has three relays, elected by the speed of their links, but a member follows whichever answers first and keeps it. On the incident's deployment a zone has two nodes with 200 Mbit/s; the third relay has 10, which callers' requests use as well.

Fix: a relay that has heard an exchange within the last second from a relay of its zone whose link is at least twice as fast answers no probes and sends no tables, so that its members take another one after 0.6 s of silence. When the faster ones fall silent it answers again after a second at most; members read the key-value service themselves after 1.2 s as before. It stays a relay in all else. Nodes of unknown speed, and zones of equal links, are as before. No message changes; beside former builds a slow relay of theirs may still be followed.

--- a/crates/dissemination/src/membership.rs
+++ b/crates/dissemination/src/membership.rs
@@ -16,6 +16,10 @@
 /// at 29 KB/s each takes a relay 15 Mbit/s, a twelfth of its expected link capacity.
 pub const NODES_PER_RELAY: usize = 64;
 
+/// A relay leaves members to those of its zone whose links are at least this many times as fast: tables for a
+/// whole zone fill a link that callers' requests use as well.
+const FASTER_LINK_FACTOR: u32 = 2;
+
 /// Number of relays for a zone of `nodes` nodes.
 fn relay_count(nodes: usize) -> usize {
     nodes.div_ceil(NODES_PER_RELAY).max(RELAYS_PER_ZONE)
@@ -132,4 +136,22 @@
         relays.sort_by_key(|relay| relay.number);
         relays
     }
+
+    /// Addresses of the `relays` of `node`'s zone whose links are much faster than its own; none if its own speed is
+    /// unknown.
+    pub fn faster_relays(&self, node: NodeNumber, relays: &[Relay]) -> Vec<SocketAddr> {
+        let entry_of = |number: NodeNumber| {
+            let mut nodes = self.nodes.iter();
+            let found = nodes.find(|(name, _)| NodeNumber::of(name) == number);
+            found.map(|(_, entry)| entry)
+        };
+        let Some(own) = entry_of(node).filter(|own| own.link_mbps > 0) else {
+            return Vec::new();
+        };
+        let fast = own.link_mbps.saturating_mul(FASTER_LINK_FACTOR);
+        let of_zone = relays.iter().filter(|relay| relay.zone == own.zone);
+        let faster = of_zone
+            .filter(|relay| entry_of(relay.number).is_some_and(|entry| entry.link_mbps >= fast));
+        faster.map(|relay| relay.address).collect()
+    }
 }
--- a/crates/dissemination/tests/relays.rs
+++ b/crates/dissemination/tests/relays.rs
@@ -67,6 +67,27 @@
     }
 }
 
+/// Guards against a zone whose members all followed a relay with a full link, while others had faster ones.
+#[rstest]
+#[case::much_faster(10, 200, 1)]
+#[case::hardly_faster(120, 200, 0)]
+#[case::own_speed_unknown(0, 200, 0)]
+#[case::other_speed_unknown(10, 0, 0)]
+fn relays_with_much_faster_links_of_the_zone_are_found(
+    #[case] own: u32,
+    #[case] other: u32,
+    #[case] expected: usize,
+) {
+    let mut directory = NodeDirectory::default();
+    directory.set("own", Some(entry("east", 1, own)));
+    directory.set("other", Some(entry("east", 2, other)));
+    directory.set("elsewhere", Some(entry("west", 3, 1_000)));
+    let relays = directory.relays();
+    assert_eq!(relays.len(), 3);
+    let faster = directory.faster_relays(NodeNumber::of("own"), &relays);
+    assert_eq!(faster.len(), expected);
+}
+
 #[rstest]
 fn an_entry_reads_back_as_it_was_written() {
     let entry = entry("east", 77, 200);
--- a/crates/forwarding/src/dissemination/mod.rs
+++ b/crates/forwarding/src/dissemination/mod.rs
@@ -105,6 +105,8 @@
     directory: RefCell<NodeDirectory>,
     /// Relays elected from `directory`.
     relays: RefCell<Vec<Relay>>,
+    /// Relays of the own zone whose links are much faster than this node's.
+    faster_relays: RefCell<Vec<SocketAddr>>,
     /// Relays that sent this node an exchange, with the time of the last one.
     exchange_peers: RefCell<HashMap<SocketAddr, MonotonicTime>>,
     /// Until when this node acts as a relay because another relay sent it an exchange.
@@ -158,6 +160,7 @@
             zone: settings.zone.clone(),
             directory: RefCell::default(),
             relays: RefCell::default(),
+            faster_relays: RefCell::default(),
             exchange_peers: RefCell::default(),
             relay_until: Cell::new(MonotonicTime::ZERO),
             read_jitter_fraction: rand::rng().random_range(0.0..1.0),
@@ -190,6 +193,8 @@
         let mut directory = self.directory.borrow_mut();
         change(&mut directory);
         let relays = directory.relays();
+        let faster = directory.faster_relays(self.node, &relays);
+        self.faster_relays.replace(faster);
         self.subscription.borrow_mut().set_relays(relays.clone());
         self.relays.replace(relays);
     }
@@ -291,6 +296,15 @@
         heard_at.is_some_and(|heard_at| now.since(*heard_at) < PEER_RELAY_TIMEOUT)
     }
 
+    /// Whether members are left to a relay of the zone with a much faster link. It is reachable: it sent an exchange
+    /// recently.
+    pub(crate) fn leaves_members_to_others(&self, now: MonotonicTime) -> bool {
+        let faster = self.faster_relays.borrow();
+        faster
+            .iter()
+            .any(|address| self.was_heard_recently(*address, now))
+    }
+
     /// Whether this node knows of others but received nothing from them for [`ISOLATION_TIMEOUT`].
     pub(crate) fn is_isolated(&self, now: MonotonicTime) -> bool {
         let peers = self.exchange_peers.borrow();
--- a/crates/forwarding/src/dissemination/receive/report.rs
+++ b/crates/forwarding/src/dissemination/receive/report.rs
@@ -9,13 +9,17 @@
 use crate::dissemination::receive::loads::{apply_demand, apply_work};
 use crate::dissemination::receive::news::apply_news;
 
-/// Applies a report. A node that is not a relay does not answer, so that the member probes others.
+/// Applies a report. A node that is not a relay does not answer, nor does one that leaves members to others, so that
+/// the member probes others.
 pub(super) fn handle(context: &Context, sender: SocketAddr, report: Report) {
     let now = context.now();
     let dissemination = &context.dissemination;
     if !dissemination.role(now).is_relay {
         return;
     }
+    if report.is_probe && dissemination.leaves_members_to_others(now) {
+        return;
+    }
     let is_new = dissemination.subscribers.borrow_mut().record_report(
         now,
         report.node,
--- a/crates/forwarding/src/dissemination/tables.rs
+++ b/crates/forwarding/src/dissemination/tables.rs
@@ -47,8 +47,11 @@
             context.record_sent_bytes(sent_bytes);
         }
         let members = dissemination.subscribers.borrow().addresses();
-        if members.is_empty() || !dissemination.role(now).is_relay {
-            // No recipients.
+        let has_recipients = !members.is_empty()
+            && dissemination.role(now).is_relay
+            // Members that receive no tables probe other relays.
+            && !dissemination.leaves_members_to_others(now);
+        if !has_recipients {
             dissemination.table_news.borrow_mut().take_batches();
             dissemination.changes.borrow_mut().clear_tables();
             actix_rt::time::sleep(TABLE_INTERVAL).await;
--- a/crates/forwarding/tests/support/node.rs
+++ b/crates/forwarding/tests/support/node.rs
@@ -94,9 +94,14 @@
 
     /// Starts a node on a key-value service.
     pub async fn start_on(store: &Rc<MemoryStore>) -> Self {
+        Self::start_on_with(store, "").await
+    }
+
+    /// Starts a node with further settings on a key-value service.
+    pub async fn start_on_with(store: &Rc<MemoryStore>, extra: &str) -> Self {
         for _ in 0..START_ATTEMPTS {
             let store = Rc::clone(store);
-            if let Some(node) = Self::try_start_on(store, "node-1", 50, "", "").await {
+            if let Some(node) = Self::try_start_on(store, "node-1", 50, extra, "").await {
                 return node;
             }
         }
@@ -325,7 +330,7 @@
     }
 
     /// Waits until a metric has a value.
-    async fn wait_for_metric(&self, name: &str, value: usize) {
+    pub async fn wait_for_metric(&self, name: &str, value: usize) {
         let expected = format!("{name} {value}");
         let until = Instant::now() + WAIT_TIMEOUT;
         loop {
