Listings: a page whose last value cannot be decoded no longer ends a listing

What callers would see: engines that are there are taken for removed, or the declaration for missing, as soon as a page of the key-value service holds only values that cannot be decoded, with more pages after it.

Cause: the key to go on from was that of the last decoded entry; without one the listing ended as if complete.

--- a/crates/edge/src/key_value.rs
+++ b/crates/edge/src/key_value.rs
@@ -37,8 +37,8 @@
 pub struct ListingPage {
     /// The entries of this page.
     pub listing: Listing,
-    /// Whether more entries follow the last one.
-    pub has_more: bool,
+    /// The key after which the next page begins; `None` for the last page.
+    pub next_after: Option<String>,
 }
 
 /// Precondition of a compare-and-swap.
@@ -104,7 +104,7 @@
             .retain(|entry| after.is_none_or(|after| entry.key.as_str() > after));
         Ok(ListingPage {
             listing,
-            has_more: false,
+            next_after: None,
         })
     }
 
--- a/crates/forwarding/src/fleet/follow.rs
+++ b/crates/forwarding/src/fleet/follow.rs
@@ -282,10 +282,9 @@
     let mut entries = Vec::new();
     loop {
         follower.apply_page(&page.listing.entries);
-        let last = page.listing.entries.last().map(|entry| entry.key.clone());
         entries.append(&mut page.listing.entries);
-        match last.filter(|_| page.has_more) {
-            Some(last) => page = store.page(prefix, Some(&last)).await?,
+        match page.next_after {
+            Some(next_after) => page = store.page(prefix, Some(&next_after)).await?,
             None => return Ok(Listing { revision, entries }),
         }
     }
--- a/crates/forwarding/src/node/era_store.rs
+++ b/crates/forwarding/src/node/era_store.rs
@@ -250,7 +250,7 @@
         let page = self.store.page(prefix, after).await?;
         Ok(ListingPage {
             listing: self.to_node_listing(page.listing).await?,
-            has_more: page.has_more,
+            next_after: page.next_after,
         })
     }
 
