Engine entries: requests for what differs are repeated without waiting for the relay's next table

Cause: a request, also to another relay, was made only when a table of the followed relay arrived. A relay that loses nine tables of ten delays the third request, the first to another relay, by two seconds; each table that does arrive makes the relay count as alive again.

Fix: what a relay announced last is kept until it agrees, and compared again in each round of the task that sends this node's state (0.1 s); the schedule of requests is as it was. What is older than the drain bound is dropped.

Test: a_member_whose_relay_answers_no_requests_hears_of_a_drain_from_another has a case more, few_tables_arrive; before: failed in three of three runs (3 requests to its relay, none to the others); now passes, three of three.

--- a/crates/forwarding/src/dissemination/freshness.rs
+++ b/crates/forwarding/src/dissemination/freshness.rs
@@ -13,7 +13,8 @@
 use tokio::net::UdpSocket;
 
 use crate::context::Context;
-use crate::dissemination::receive::entries::request_if_due;
+use crate::dissemination::AnnouncedEntries;
+use crate::dissemination::receive::entries::compare;
 use crate::dissemination::transmit::send;
 
 /// Messages of a relay per drain bound.
@@ -68,6 +69,12 @@
     let is_relay = dissemination.role(context.now()).is_relay;
     // Members request what differs from their own relay's entries when it sends a table.
     if is_relay && age < stale_age && own_age.is_none_or(|own_age| own_age > stale_age) {
-        request_if_due(context, socket, (freshness.node, relay), freshness.digest);
+        let announced = AnnouncedEntries {
+            relay: freshness.node,
+            address: relay,
+            digest: freshness.digest,
+            announced_at: context.now(),
+        };
+        compare(context, socket, announced);
     }
 }
--- a/crates/forwarding/src/dissemination/mod.rs
+++ b/crates/forwarding/src/dissemination/mod.rs
@@ -88,6 +88,16 @@
 /// Time for the answer to a request for entries: the whole of a large fleet's at the pace of a slow link.
 const ENTRIES_ANSWER_TIME: Duration = Duration::from_secs(3);
 
+/// The entries that a relay announced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct AnnouncedEntries {
+    pub(crate) relay: NodeNumber,
+    pub(crate) address: SocketAddr,
+    /// Digest of its entries.
+    pub(crate) digest: u64,
+    pub(crate) announced_at: MonotonicTime,
+}
+
 /// This node's role in dissemination.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct DisseminationRole {
@@ -132,6 +142,8 @@
     pub(crate) changes: RefCell<RecentChanges>,
     /// Schedule of requests for entries that differ from the relay's.
     pub(crate) entry_sync: RefCell<EntrySync>,
+    /// Entries of a relay that differed from this node's when they were announced, until they agree.
+    pub(crate) differing_entries: Cell<Option<AnnouncedEntries>>,
     /// Relays that this node requested entries from, with the time of the last request.
     entries_requests: RefCell<HashMap<NodeNumber, MonotonicTime>>,
     /// Pages of the last answer to an entries request.
@@ -176,6 +188,7 @@
             withheld_entries: RefCell::default(),
             changes: RefCell::default(),
             entry_sync: RefCell::new(EntrySync::new(settings.engine_drain())),
+            differing_entries: Cell::new(None),
             entries_requests: RefCell::default(),
             page_cache: RefCell::default(),
             parts_requesters: RefCell::default(),
--- a/crates/forwarding/src/dissemination/receive/entries.rs
+++ b/crates/forwarding/src/dissemination/receive/entries.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use dalestand_dissemination::{
-    DifferingDigests, EntriesPage, EntriesRequest, Message, NodeNumber, RequestTarget,
-    entries_pages, entries_request,
+    DifferingDigests, EntriesPage, EntriesRequest, Message, RequestTarget, entries_pages,
+    entries_request,
 };
 use dalestand_telemetry::{Event, log_event};
 use tokio::net::UdpSocket;
 
 use crate::context::Context;
+use crate::dissemination::AnnouncedEntries;
 use crate::dissemination::page_cache::PageCache;
 use crate::dissemination::recent_changes::ChangeSource;
 use crate::dissemination::transmit::{encode, send as send_message};
@@ -23,20 +24,51 @@
 /// Limit on the bytes of entries per answer, however fast the link.
 const MAX_ENTRIES_BYTES: u32 = 256 << 10;
 
-/// Requests the entries that differ from those of the relay at `relay`, if a request is due. One that follows others
-/// without progress goes to another relay.
-pub(in crate::dissemination) fn request_if_due(
+/// Compares this node's entries with those that a relay announced, and requests what differs if a request is due.
+pub(in crate::dissemination) fn compare(
     context: &Context,
     socket: &UdpSocket,
-    relay: (NodeNumber, SocketAddr),
-    relay_digest: u64,
+    announced: AnnouncedEntries,
 ) {
     let dissemination = &context.dissemination;
-    let now = context.now();
+    let own = dissemination.entries.borrow().digest();
+    if own == announced.digest {
+        dissemination.differing_entries.set(None);
+        dissemination.entry_sync.borrow_mut().record_progress();
+        return;
+    }
+    dissemination.differing_entries.set(Some(announced));
     let digests = DifferingDigests {
-        own: dissemination.entries.borrow().digest(),
-        relay: relay_digest,
+        own,
+        relay: announced.digest,
+    };
+    request_if_due(context, socket, announced, digests);
+}
+
+/// Requests again what differed at the last comparison, if a request is due: the next announcement may be lost.
+pub(in crate::dissemination) fn retry_if_due(context: &Context, socket: &UdpSocket) {
+    let Some(announced) = context.dissemination.differing_entries.get() else {
+        return;
     };
+    // A relay that reads the key-value service again compares nothing.
+    let age = context.now().since(announced.announced_at);
+    if age < context.settings.engine_drain() {
+        compare(context, socket, announced);
+    } else {
+        context.dissemination.differing_entries.set(None);
+    }
+}
+
+/// Requests the entries that differ, if a request is due. One that follows others without progress goes to another
+/// relay.
+fn request_if_due(
+    context: &Context,
+    socket: &UdpSocket,
+    announced: AnnouncedEntries,
+    digests: DifferingDigests,
+) {
+    let dissemination = &context.dissemination;
+    let now = context.now();
     let target = dissemination
         .entry_sync
         .borrow_mut()
@@ -46,14 +78,16 @@
     };
     let other = match target {
         RequestTarget::Followed => None,
-        RequestTarget::Other(index) => dissemination.other_entries_source(relay.0, index),
+        RequestTarget::Other(index) => dissemination.other_entries_source(announced.relay, index),
     };
     if let Some(other) = &other {
         let differs_for = dissemination.entry_sync.borrow().differs_for(now);
-        log_event!(context.logger, Event::EntriesRequestedElsewhere, "relay" => relay.0.0,
+        log_event!(context.logger, Event::EntriesRequestedElsewhere, "relay" => announced.relay.0,
             "asked" => other.number.0, "differs_for_ms" => differs_for.as_millis() as u64);
     }
-    let (asked, address) = other.map_or(relay, |other| (other.number, other.address));
+    let (asked, address) = other.map_or((announced.relay, announced.address), |other| {
+        (other.number, other.address)
+    });
     dissemination.record_entries_request(now, asked);
     let carried = context.settings.link_bytes(ENTRIES_LINK_TIME);
     let max_bytes = carried.min(MAX_ENTRIES_BYTES);
--- a/crates/forwarding/src/dissemination/receive/table.rs
+++ b/crates/forwarding/src/dissemination/receive/table.rs
@@ -7,8 +7,9 @@
 use tokio::net::UdpSocket;
 
 use crate::context::Context;
+use crate::dissemination::AnnouncedEntries;
 use crate::dissemination::receive::declaration::request_if_newer;
-use crate::dissemination::receive::entries::request_if_due;
+use crate::dissemination::receive::entries::compare;
 use crate::dissemination::receive::loads::apply_fleet_slice;
 use crate::dissemination::receive::news::apply_news;
 use crate::dissemination::recent_changes::ChangeSource;
@@ -57,9 +58,11 @@
     apply_records(context, &table.stopped);
     engine_entries::merge(context, table.changes, ChangeSource::Relay);
     request_if_newer(context, socket, relay, table.declaration);
-    if dissemination.entries.borrow().digest() == table.entries_digest {
-        dissemination.entry_sync.borrow_mut().record_progress();
-    } else {
-        request_if_due(context, socket, (table.node, relay), table.entries_digest);
-    }
+    let announced = AnnouncedEntries {
+        relay: table.node,
+        address: relay,
+        digest: table.entries_digest,
+        announced_at: now,
+    };
+    compare(context, socket, announced);
 }
--- a/crates/forwarding/src/dissemination/send.rs
+++ b/crates/forwarding/src/dissemination/send.rs
@@ -17,6 +17,7 @@
     demand, prompt_loads, summed_loads, take_batches_of, take_own_news,
 };
 use crate::dissemination::pacing::{REPORT_INTERVAL, exchange_interval, pause_after};
+use crate::dissemination::receive::entries::retry_if_due;
 use crate::dissemination::transmit::{LoadHeader, send, send_changes, send_loads, send_news};
 use crate::dissemination::{DisseminationRole, TABLE_INTERVAL};
 use crate::quarantine::evidence::stopped_records;
@@ -57,6 +58,7 @@
             previous = Some(role);
         }
         ask_for_parts(&context, &socket);
+        retry_if_due(&context, &socket);
         let pause = if role.is_relay {
             send_to_relays(&context, &socket, &mut last)
         } else {
--- a/crates/forwarding/tests/member_repair.rs
+++ b/crates/forwarding/tests/member_repair.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use dalestand_dissemination::EntryRecord;
+use rstest::rstest;
 use support::{MemoryStore, RelayScript, ScriptedRelay, TestEngine, TestNode, answer, get, id_of};
 
 /// The drain bound of test nodes.
@@ -76,16 +77,21 @@
 }
 
 /// Guards against requests to engines that had left for 3.7 s: a relay with a full link lost the changes and the
-/// answers to its members' requests, and they asked nobody else.
+/// answers to its members' requests, and they asked nobody else, or only when one of its tables arrived.
+#[rstest]
+#[case::all_tables_arrive(RelayScript::Reports)]
+#[case::few_tables_arrive(RelayScript::RareReports)]
 #[actix_rt::test]
-async fn a_member_whose_relay_answers_no_requests_hears_of_a_drain_from_another() {
+async fn a_member_whose_relay_answers_no_requests_hears_of_a_drain_from_another(
+    #[case] script: RelayScript,
+) {
     let Members {
         node,
         relays,
         engine,
     } = start().await;
     assert!(metrics(&node).await.contains("dalestand_reads_store 0\n"));
-    relays[0].set_script(RelayScript::Reports);
+    relays[0].set_script(script);
     let drain = record("leaving", &engine, false, 2);
     for relay in &relays {
         let mut entries = relay.entries.borrow_mut();
--- a/crates/forwarding/tests/support/relay.rs
+++ b/crates/forwarding/tests/support/relay.rs
@@ -28,8 +28,13 @@
     Requests,
     /// Reports, but no requests for entries.
     Reports,
+    /// The same, but most tables are lost.
+    RareReports,
 }
 
+/// One table in this many arrives if most are lost.
+const RARE_TABLE_ONE_IN: usize = 10;
+
 /// A relay, registered in a key-value service, that sends tables to the last node that reported to it. Its
 /// tables carry no changes, as if those that did were lost.
 pub struct ScriptedRelay {
@@ -81,6 +86,7 @@
 ) {
     let mut buffer = vec![0; 64 << 10];
     let mut member = None;
+    let mut tables = 0;
     let mut interval = actix_rt::time::interval(TABLE_INTERVAL);
     loop {
         tokio::select! {
@@ -90,7 +96,7 @@
                     Ok((_, Message::Report(_))) => member = Some(sender),
                     Ok((_, Message::EntriesRequest(request))) => {
                         requests.set(requests.get() + 1);
-                        if script.get() != RelayScript::Reports {
+                        if matches!(script.get(), RelayScript::All | RelayScript::Requests) {
                             let pages = entries_pages(number, &entries.borrow(), &request, 0);
                             for page in pages {
                                 send(&socket, sender, Message::Entries(page)).await;
@@ -101,7 +107,13 @@
                 }
             }
             _ = interval.tick() => {
-                if let Some(member) = member.filter(|_| script.get() != RelayScript::Requests) {
+                tables += 1;
+                let is_sent = match script.get() {
+                    RelayScript::All | RelayScript::Reports => true,
+                    RelayScript::Requests => false,
+                    RelayScript::RareReports => tables % RARE_TABLE_ONE_IN == 0,
+                };
+                if let Some(member) = member.filter(|_| is_sent) {
                     let digest = entries.borrow().digest();
                     send(&socket, member, Message::Table(table(number, digest))).await;
                 }
