--- a/cmd/tests/soak.rs
+++ b/cmd/tests/soak.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use dalestand_soak::run::{CallerLoad, RunConfig, RunReport, execute};
-use dalestand_soak::schedule::{FAULT_KINDS, FaultKind, LEAVING_KINDS};
+use dalestand_soak::schedule::{COLD_START_KINDS, FAULT_KINDS, FaultKind, LEAVING_KINDS};
 use rstest::rstest;
 
 /// Planned changes, and requests that crash engines; the checks count none of these as a disruption.
@@ -82,6 +82,7 @@
 #[case::engines_that_leave_in_every_way(1, &LEAVING_KINDS)]
 #[case::engines_that_leave_while_connections_to_the_store_are_silent(21, &SILENT_STORE_KINDS)]
 #[case::engines_whose_entries_contradict_their_drains(3, &REWRITTEN_ENTRY_KINDS)]
+#[case::engines_that_leave_while_all_nodes_start_again(5, &COLD_START_KINDS)]
 fn a_seeded_run_with_leaving_engines_has_no_violations(
     #[case] seed: u64,
     #[case] kinds: &[FaultKind],
