Relays: the message that proves members' entries follows the table instead of preceding it

Cause: a relay sent the age of its proof and the digest of its entries right before the table with the changes that this digest covers. A member has those changes only after the table, so its digest differed whenever something had changed in the last 0.1 s, and its entries counted as unproved although it missed nothing. Lines of calls then tell ages near the drain bound that mean nothing, and hide those that do.

Change: the message goes right after the table. Nothing decides by a member's age; a relay's is its own reading's as before.

--- a/crates/forwarding/src/dissemination/tables.rs
+++ b/crates/forwarding/src/dissemination/tables.rs
@@ -39,13 +39,6 @@
             parts_sent_at = BootInstant::now();
             answer_parts_requests(&context);
         }
-        if freshness_sent_at.elapsed() >= freshness::interval(&context)
-            && dissemination.role(now).is_relay
-        {
-            freshness_sent_at = BootInstant::now();
-            let sent_bytes = freshness::send_freshness(&context, &socket);
-            context.record_sent_bytes(sent_bytes);
-        }
         let members = dissemination.subscribers.borrow().addresses();
         let has_recipients = !members.is_empty()
             && dissemination.role(now).is_relay
@@ -54,6 +47,7 @@
         if !has_recipients {
             dissemination.table_news.borrow_mut().take_batches();
             dissemination.changes.borrow_mut().clear_tables();
+            send_freshness_if_due(&context, &socket, &mut freshness_sent_at);
             actix_rt::time::sleep(TABLE_INTERVAL).await;
             continue;
         }
@@ -63,6 +57,8 @@
         }
         let sent_bytes = send_table(&context, &socket, &members, includes_relays);
         context.record_sent_bytes(sent_bytes);
+        // After the table, so that members know the changes that the digest covers.
+        send_freshness_if_due(&context, &socket, &mut freshness_sent_at);
         let member_bytes = sent_bytes as f64 / members.len() as f64;
         let member_pause = Duration::from_secs_f64(member_bytes / MAX_MEMBER_BYTES_PER_S);
         // Exceeding the limit must not delay the next table so much that members consider their
@@ -73,6 +69,17 @@
     }
 }
 
+fn send_freshness_if_due(context: &Context, socket: &UdpSocket, sent_at: &mut BootInstant) {
+    if sent_at.elapsed() < freshness::interval(context)
+        || !context.dissemination.role(context.now()).is_relay
+    {
+        return;
+    }
+    *sent_at = BootInstant::now();
+    let sent_bytes = freshness::send_freshness(context, socket);
+    context.record_sent_bytes(sent_bytes);
+}
+
 fn send_table(
     context: &Context,
     socket: &UdpSocket,
