Watches: one that waits longer than the node's role asks for is given up and begun again

Cause: how long a watch waits is decided when it begins: 25 s, or a part of the drain bound at relays that watch closely, so that a connection that says nothing more is noticed in time. The declaration's first watch begins with the node's start, before the node knows that it is a relay; it went on for 25 s at all nodes. The same holds for each node that becomes the first relay of its zone while a watch of 25 s waits.

Fix: while a watch waits, its wait is compared four times a second with what the role asks for now; if that is shorter, the watch is dropped and begun again from the same revision, without counting as answered or as failed, and without proof.

The older test of the declaration passed because its declaration is written after the start, which ends the first watch.

--- a/crates/forwarding/src/fleet/follow.rs
+++ b/crates/forwarding/src/fleet/follow.rs
@@ -24,6 +24,9 @@
 /// Longest time for the answer to a watch after its wait.
 const MAX_ANSWER_TIME: Duration = Duration::from_secs(3);
 
+/// How often a waiting watch is compared with the wait that the node's present role asks for.
+const WAIT_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// After unanswered watches, the wait and the time for the answer are up to this multiple: a service may be
 /// slow, and a watch that never succeeds costs a listing each time.
 const MAX_PATIENCE: u32 = 8;
@@ -116,6 +119,7 @@
 }
 
 /// Multiple of the wait of a watch and of the time for its answer.
+#[derive(Clone, Copy)]
 struct Patience(u32);
 
 impl Default for Patience {
@@ -168,7 +172,8 @@
 async fn follow_step(task: &FollowTask, follower: &impl Follower, progress: &mut Progress) {
     let prefix = &task.prefix;
     match call_service(task, progress, follower).await {
-        Ok(followed) => {
+        Ok(None) => {}
+        Ok(Some(followed)) => {
             let next = followed.position;
             follower.confirm(followed.current_as_of);
             if progress.failures > 0 {
@@ -215,12 +220,12 @@
     current_as_of: BootInstant,
 }
 
-/// Watches for changes, or lists all keys.
+/// Watches for changes, or lists all keys. `None` if the watch was given up for a shorter one.
 async fn call_service(
     task: &FollowTask,
     progress: &mut Progress,
     follower: &impl Follower,
-) -> Result<Followed, Report<PlatformError>> {
+) -> Result<Option<Followed>, Report<PlatformError>> {
     let FollowTask { store, prefix, .. } = task;
     let called_at = BootInstant::now();
     let Some(position) = progress.position else {
@@ -229,14 +234,17 @@
         // A restored backup lacks recent writes, which are soon repeated, as after an outage.
         let is_restored = progress.was_listed && revision.era() != progress.era;
         follower.apply_listing(listing, progress.is_after_outage() || is_restored);
-        return Ok(Followed {
+        return Ok(Some(Followed {
             position: Some(revision),
             has_changed: false,
             current_as_of: called_at,
-        });
+        }));
     };
     let (wait, limit) = progress.patience.limits((task.watch_wait)());
-    let answered = timeout(limit, store.watch(prefix, position, wait)).await;
+    let answered = tokio::select! {
+        answered = timeout(limit, store.watch(prefix, position, wait)) => answered,
+        () = wait_until_shorter(task, progress.patience, wait) => return Ok(None),
+    };
     progress.patience.record(answered.is_ok());
     let batch = answered.unwrap_or_else(|TimedOut| {
         store.discard_connections();
@@ -246,11 +254,11 @@
         }))
     })?;
     if batch.compacted {
-        return Ok(Followed {
+        return Ok(Some(Followed {
             position: None,
             has_changed: false,
             current_as_of: called_at,
-        });
+        }));
     }
     let has_changed = !batch.events.is_empty();
     if has_changed {
@@ -258,7 +266,7 @@
     }
     // The service waits before it answers that there was no change.
     let has_waited = !has_changed && called_at.elapsed() >= wait;
-    Ok(Followed {
+    Ok(Some(Followed {
         position: Some(batch.revision.max(position)),
         has_changed,
         current_as_of: if has_waited {
@@ -266,7 +274,17 @@
         } else {
             called_at
         },
-    })
+    }))
+}
+
+/// Waits until a watch has to wait for less than `wait`, as when this node becomes a relay.
+async fn wait_until_shorter(task: &FollowTask, patience: Patience, wait: Duration) {
+    loop {
+        actix_rt::time::sleep(WAIT_CHECK_INTERVAL).await;
+        if patience.limits((task.watch_wait)()).0 < wait {
+            return;
+        }
+    }
 }
 
 /// Lists all keys page by page. The pages are not a snapshot: a watch from the first page's revision
--- a/crates/forwarding/tests/leaving_engines.rs
+++ b/crates/forwarding/tests/leaving_engines.rs
@@ -8,11 +8,12 @@
 mod support;
 
 use std::net::{TcpStream, UdpSocket};
+use std::rc::Rc;
 use std::time::Duration;
 
 use dalestand_dissemination::{EntryRecord, MESSAGE_VERSION, Message};
 use rstest::rstest;
-use support::{TestEngine, TestNode, answer, id_of};
+use support::{MemoryStore, TestEngine, TestNode, answer, declaration, id_of};
 
 /// The drain bound of test nodes.
 const DRAIN_BOUND: Duration = Duration::from_secs(2);
@@ -191,6 +192,26 @@
     node.wait_for_engines(2).await;
 }
 
+/// Guards against a watch that began before the node knew that it is a relay, and went on waiting for as long as those of
+/// other nodes: routes that were added right after a start answered 404 until it ended.
+#[actix_rt::test]
+async fn a_declaration_written_while_the_first_watch_is_silent_is_applied() {
+    let store: Rc<MemoryStore> = Rc::default();
+    let text = declaration(1, "", "repeatable", 2, 1_000, 1_000);
+    store.write("declaration", Some(&text));
+    let node = TestNode::start_on(&store).await;
+    node.wait_for_declaration(1).await;
+    actix_rt::time::sleep(STEADY_TIME).await;
+    store.silence_watches();
+    node.declare(2, "repeatable", 2, 1_000);
+    actix_rt::time::sleep(DRAIN_BOUND).await;
+    let metrics = support::get(node.metrics, "host: a.example\r\n", "/metrics").await;
+    assert!(
+        metrics.contains("dalestand_declaration_revision 2"),
+        "{metrics}"
+    );
+}
+
 /// Guards against the same for the declaration: routes that were added answered 404 for 28 s.
 #[actix_rt::test]
 async fn a_declaration_written_while_a_watch_is_silent_is_applied() {
--- a/crates/forwarding/tests/support/mod.rs
+++ b/crates/forwarding/tests/support/mod.rs
@@ -7,6 +7,6 @@
 mod store;
 
 pub use engine::{Script, TestEngine, answer, id_of, refusing, succeeding};
-pub use node::{TestNode, get, status};
+pub use node::{TestNode, declaration, get, status};
 pub use relay::{RelayScript, ScriptedRelay};
 pub use store::MemoryStore;
--- a/crates/forwarding/tests/support/node.rs
+++ b/crates/forwarding/tests/support/node.rs
@@ -360,7 +360,7 @@
 }
 
 /// A declaration of one route to one pool.
-fn declaration(
+pub fn declaration(
     revision: u64,
     extra: &str,
     kind: &str,
