Retries: each is named in its request's account with the budget it was taken from

Cause: of a repeated send the log told nothing; a request that was retried with success was logged only in a sample, and the one figure was the sum that is left at one moment.

Change: a call's account names what was left before a retry, by what allows it (requests, slack, nodes counted); denied ones too. Requests that were retried are all logged. Counters of taken, returned and denied sends; the gauge of what is left by part. No logic is changed.

--- a/crates/forwarding/src/node/metrics/mod.rs
+++ b/crates/forwarding/src/node/metrics/mod.rs
@@ -30,6 +30,27 @@
 /// Upper bounds of the histogram of the time to choose engines, in seconds.
 const CHOICE_BOUNDS: [f64; 8] = [25e-6, 50e-6, 100e-6, 250e-6, 500e-6, 1e-3, 5e-3, 25e-3];
 
+/// What became of a repeated send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RetryOutcome {
+    /// It was taken from the budget.
+    Taken,
+    /// It was given back, as it does not count.
+    Returned,
+    /// The budget did not allow it.
+    Denied,
+}
+
+impl RetryOutcome {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Taken => "taken",
+            Self::Returned => "returned",
+            Self::Denied => "denied",
+        }
+    }
+}
+
 /// Metrics of a forwarding node.
 pub(crate) struct ForwardingMetrics {
     registry: Registry,
@@ -47,6 +68,7 @@
     usage_counted: IntGauge,
     authority_token: IntGauge,
     duty_calls: IntCounterVec,
+    retries: IntCounterVec,
     retries_left: IntGaugeVec,
     in_flight: IntGauge,
     held_bytes: IntGauge,
@@ -145,10 +167,15 @@
                 "load_age_ms",
                 "Mean age of the work that other nodes reported, in milliseconds.",
             )?,
+            retries: metrics.counters(
+                "repeated_sends_total",
+                "Repeated sends taken from the budget, given back to it as not sent, and denied by it, by pool.",
+                &["pool", "outcome"],
+            )?,
             retries_left: metrics.gauges(
                 "repeated_sends_left",
-                "Repeated sends that this node may make now, by pool.",
-                &["pool"],
+                "Repeated sends that this node may make now, by pool and by what allows them.",
+                &["pool", "part"],
             )?,
             in_flight: metrics.gauge("forwarded_in_flight", "Requests under way.")?,
             held_bytes: metrics.gauge(
@@ -253,6 +280,12 @@
         latency.observe(call.took.as_secs_f64());
     }
 
+    /// Records what became of a repeated send.
+    pub(crate) fn retry(&self, pool: &PoolName, outcome: RetryOutcome) {
+        let labels = [pool.as_str(), outcome.label()];
+        self.retries.with_label_values(&labels).inc();
+    }
+
     /// Records a call to the key-value service.
     pub(crate) fn store_call(&self, call: &str, outcome: &str, took: Duration) {
         self.store_calls.with_label_values(&[call, outcome]).inc();
--- a/crates/forwarding/src/node/metrics/page.rs
+++ b/crates/forwarding/src/node/metrics/page.rs
@@ -76,9 +76,12 @@
         let now = context.now();
         let table = context.table();
         for pool in table.iter().flat_map(|table| table.pools()) {
-            let left = context.budget.borrow_mut().available(now, &pool.name);
-            let gauge = self.retries_left.with_label_values(&[pool.name.as_str()]);
-            gauge.set(left.floor() as i64);
+            let balance = context.budget.borrow_mut().balance(now, &pool.name);
+            for (part, left) in [("earned", balance.earned), ("slack", balance.slack)] {
+                let labels = [pool.name.as_str(), part];
+                let gauge = self.retries_left.with_label_values(&labels);
+                gauge.set(left.floor() as i64);
+            }
         }
     }
 
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -11,10 +11,11 @@
 use dalestand_engine_link::{Exchange, LinkTarget, ResponseBody, ResponseHead, SendError};
 use dalestand_quarantine::STOP_AFTER_CRASHES;
 use dalestand_routing::staged::{AttemptResult, ClosedReason, EngineChoice, EngineKey};
-use dalestand_routing::{CallOutcome, CallPurpose, RepeatedSend};
+use dalestand_routing::{CallOutcome, CallPurpose, RepeatedSend, RetryBalance};
 use dalestand_types::{PoolName, RequestRate};
 
 use crate::context::Context;
+use crate::node::metrics::RetryOutcome;
 use crate::permits::send_permission::SendPermission;
 use crate::quarantine::engine_end::{EndProof, check_listener, record_engine_end};
 use crate::quarantine::evidence::{crash_count, is_stopped};
@@ -82,6 +83,7 @@
             "stopped",
             Duration::ZERO,
             CallSignals::default(),
+            None,
         );
         return AttemptOutcome::NotSent;
     }
@@ -96,12 +98,10 @@
         }
     };
     let retry = if progress.call_counts.is_repeat() {
-        let Some(send) = take_from_budget(context, progress, call.pool) else {
-            let (no_time, no_signals) = (Duration::ZERO, CallSignals::default());
-            progress.record(call.purpose, &call.choice, "no budget", no_time, no_signals);
-            return AttemptOutcome::NotSent;
-        };
-        Some(send)
+        match take_from_budget(context, progress, call.pool) {
+            (Some(send), balance) => Some((send, balance)),
+            (None, balance) => return record_denied(context, progress, &call, balance),
+        }
     } else {
         None
     };
@@ -260,10 +260,12 @@
         AttemptOutcome::NotSent => CallOutcome::NotDelivered,
     };
     let is_free = progress.call_counts.record(call.purpose, call_outcome);
-    if let Some(send) = retry.filter(|_| is_free) {
+    if let Some((send, _)) = retry.filter(|_| is_free) {
         context.budget.borrow_mut().give_back(call.pool, send);
+        context.metrics.retry(call.pool, RetryOutcome::Returned);
     }
-    let record = progress.record(call.purpose, &choice, label, took, signals);
+    let balance = retry.map(|(_, balance)| balance);
+    let record = progress.record(call.purpose, &choice, label, took, signals, balance);
     context.metrics.call(record);
     outcome
 }
@@ -276,7 +278,34 @@
     closed: ClosedReason,
 ) -> AttemptOutcome {
     let (no_time, signals) = (Duration::ZERO, closed.into());
-    let record = progress.record(call.purpose, &call.choice, "withheld", no_time, signals);
+    let record = progress.record(
+        call.purpose,
+        &call.choice,
+        "withheld",
+        no_time,
+        signals,
+        None,
+    );
+    context.metrics.call(record);
+    AttemptOutcome::NotSent
+}
+
+/// Records a retry that the budget did not allow.
+fn record_denied(
+    context: &Context,
+    progress: &mut Progress,
+    call: &Call<'_>,
+    balance: RetryBalance,
+) -> AttemptOutcome {
+    let (no_time, no_signals) = (Duration::ZERO, CallSignals::default());
+    let record = progress.record(
+        call.purpose,
+        &call.choice,
+        "no budget",
+        no_time,
+        no_signals,
+        Some(balance),
+    );
     context.metrics.call(record);
     AttemptOutcome::NotSent
 }
@@ -339,13 +368,22 @@
     }
 }
 
+/// Takes a retry from the budget, if it allows one; with the budget before that.
 fn take_from_budget(
     context: &Context,
     progress: &Progress,
     pool: &PoolName,
-) -> Option<RepeatedSend> {
+) -> (Option<RepeatedSend>, RetryBalance) {
     let (now, tenant) = (context.now(), progress.tenant_code());
-    context.budget.borrow_mut().take(now, pool, tenant)
+    let mut budget = context.budget.borrow_mut();
+    let balance = budget.balance(now, pool);
+    let send = budget.take(now, pool, tenant);
+    let outcome = match send {
+        Some(_) => RetryOutcome::Taken,
+        None => RetryOutcome::Denied,
+    };
+    context.metrics.retry(pool, outcome);
+    (send, balance)
 }
 
 /// Classification of the result of a call.
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -14,7 +14,7 @@
 use dalestand_routing::staged::{
     ClosedReason, EngineChoice, EngineKey, LatencyEstimate, PromptPart, StagedRequest,
 };
-use dalestand_routing::{CallCounts, CallPurpose, TenantCode};
+use dalestand_routing::{CallCounts, CallPurpose, RetryBalance, TenantCode};
 use dalestand_types::{EngineSignals, LimitSignal, PoolName, RequestRate};
 
 use crate::fleet_sums::{ClassKey, TenantKey};
@@ -57,6 +57,8 @@
     fetches: bool,
     /// Signals of the engine.
     pub(crate) signals: CallSignals,
+    /// For a retry, the budget before it; whether it was taken or denied is in the outcome.
+    pub(crate) retry: Option<RetryBalance>,
 }
 
 /// What the engine signalled about itself, before or in answer to a call.
@@ -151,11 +153,25 @@
             text.push_str(", fetches");
         }
         text.push_str(&self.signals.summary());
+        if let Some(balance) = self.retry {
+            text.push_str(&retry_summary(balance));
+        }
         text.push(')');
         text
     }
 }
 
+/// Formats the budget that a retry was taken from.
+fn retry_summary(balance: RetryBalance) -> String {
+    let RetryBalance {
+        earned,
+        slack,
+        nodes,
+    } = balance;
+    let nodes = nodes.map_or("unused".to_owned(), |nodes| format!("of {nodes} nodes"));
+    format!(", retry with {earned:.1} earned and {slack:.1} slack {nodes}")
+}
+
 /// A request that has been accepted.
 pub(crate) struct AcceptedRequest {
     pub(crate) facts: RequestMetadata,
@@ -288,6 +304,7 @@
         outcome: &'static str,
         took: Duration,
         signals: CallSignals,
+        retry: Option<RetryBalance>,
     ) -> &CallRecord {
         self.calls.push_mut(CallRecord {
             purpose,
@@ -299,9 +316,15 @@
             unprefilled_tokens: choice.unprefilled_tokens,
             fetches: choice.fetch_from.is_some(),
             signals,
+            retry,
         })
     }
 
+    /// Whether a call of it was a retry.
+    pub(crate) fn was_retried(&self) -> bool {
+        self.calls.iter().any(|call| call.retry.is_some())
+    }
+
     /// The head to send to an engine, without the headers added for each call.
     pub(crate) fn request_head(&self) -> RequestHead {
         let mut head = RequestHead::default();
--- a/crates/forwarding/src/serve/request_log.rs
+++ b/crates/forwarding/src/serve/request_log.rs
@@ -51,13 +51,13 @@
     (seconds * 1_000.0) as u64
 }
 
-/// Logs an answered request if it is sampled, took three or more calls, or has a 5xx status.
+/// Logs an answered request if it is sampled, was retried, took three or more calls, or has a 5xx status.
 pub(crate) fn log_served(context: &Context, progress: &Progress, status: u16) {
     let id = progress.facts.id.as_deref().unwrap_or_default();
     let sampled = EngineKey::of(id)
         .0
         .is_multiple_of(context.settings.log.complete_one_in);
-    if !sampled && progress.calls.len() < 3 && status < 500 {
+    if !sampled && !progress.was_retried() && progress.calls.len() < 3 && status < 500 {
         return;
     }
     log_event!(context.logger, Event::RequestComplete, "request" => id,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -41,7 +41,7 @@
 pub use retry_budget::{FailedAttempt, FailureKind, RetryBudget, RetryBudgetConfig, RetryDecision};
 pub use router::Router;
 pub use sent_requests::{Completion, Ticket};
-pub use shared_retry_budget::{RepeatedSend, SharedRetryBudget, SharedRetryLimits};
+pub use shared_retry_budget::{RepeatedSend, RetryBalance, SharedRetryBudget, SharedRetryLimits};
 pub use source_sums::{SourceSums, Summable};
 pub use tenant_limits::{TenantDemand, TenantLimits, TenantRule, TenantTotals, summing_node};
 pub use view::{EngineView, FleetView};
--- a/crates/routing/src/shared_retry_budget.rs
+++ b/crates/routing/src/shared_retry_budget.rs
@@ -43,6 +43,24 @@
     tenant: Option<TenantCode>,
 }
 
+/// What a node's part of the budget is made up of at one moment. Either part may be fractional or negative.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryBalance {
+    /// Repeated sends left of those that the pool's requests at this node allow.
+    pub earned: f64,
+    /// Repeated sends left of this node's part of the slack.
+    pub slack: f64,
+    /// Nodes among which the slack is divided; `None` if this node uses none of it.
+    pub nodes: Option<usize>,
+}
+
+impl RetryBalance {
+    /// Repeated sends left.
+    pub fn total(&self) -> f64 {
+        self.earned + self.slack
+    }
+}
+
 /// Events of one kind within the window, with their tenants.
 #[derive(Clone, Debug, Default)]
 struct WindowCounts {
@@ -107,6 +125,8 @@
     ratio: f64,
     /// This node's part of the slack.
     slack: f64,
+    /// Nodes among which the slack is divided; `None` if this node uses none of it.
+    nodes: Option<usize>,
 }
 
 /// This node's part of the shared budget.
@@ -189,8 +209,13 @@
 
     /// Repeated sends available now, whatever their tenant; may be fractional or negative.
     pub fn available(&mut self, now: MonotonicTime, pool: &PoolName) -> f64 {
+        self.balance(now, pool).total()
+    }
+
+    /// What is left now, whatever the tenant.
+    pub fn balance(&mut self, now: MonotonicTime, pool: &PoolName) -> RetryBalance {
         let limit = self.limit(now);
-        self.counts(now, pool).available(limit)
+        self.counts(now, pool).balance(limit)
     }
 
     /// Repeated sends available now to requests of `tenant`; may be fractional or negative.
@@ -222,11 +247,12 @@
         } = self.limits;
         let usage_unknown = self.restarted_at.is_some_and(|at| now.since(at) < window);
         let nodes = self.nodes.get(now);
-        let slack = match nodes.filter(|_| !usage_unknown && !self.is_isolated) {
-            Some(nodes) => slack / nodes as f64,
-            None => 0.0,
-        };
-        PoolLimit { ratio, slack }
+        let nodes = nodes.filter(|_| !usage_unknown && !self.is_isolated);
+        PoolLimit {
+            ratio,
+            slack: nodes.map_or(0.0, |nodes| slack / nodes as f64),
+            nodes,
+        }
     }
 }
 
@@ -237,7 +263,16 @@
     }
 
     fn available(&self, limit: PoolLimit) -> f64 {
-        self.allowed(limit) - self.repeats.total()
+        self.balance(limit).total()
+    }
+
+    fn balance(&self, limit: PoolLimit) -> RetryBalance {
+        let earned = limit.ratio * self.requests.total() * USABLE_FRACTION;
+        RetryBalance {
+            earned: earned - self.repeats.total(),
+            slack: limit.slack * USABLE_FRACTION,
+            nodes: limit.nodes,
+        }
     }
 
     fn allowed(&self, limit: PoolLimit) -> f64 {
