Soak: judges the budget of repeated sends in every window, from what engines read

Cause: the soak had no check of this promise, no load that uses the budget up and no engine that reads late.

--- a/cmd/tests/soak.rs
+++ b/cmd/tests/soak.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use dalestand_soak::run::{CallerLoad, RunConfig, RunReport, execute};
-use dalestand_soak::schedule::{COLD_START_KINDS, FAULT_KINDS, FaultKind, LEAVING_KINDS};
+use dalestand_soak::schedule::{
+    COLD_START_KINDS, FAULT_KINDS, FaultKind, LEAVING_KINDS, RETRY_KINDS,
+};
 use rstest::rstest;
 
 /// Planned changes, and requests that crash engines; the checks count none of these as a disruption.
@@ -62,6 +64,22 @@
 /// A request storm of one tenant and engines that become slow in turn, without node failures.
 const HEAVY_LOAD_KINDS: [FaultKind; 2] = [FaultKind::TenantStorm, FaultKind::EngineTurnsSlow];
 
+/// Engines that fail most requests for a while, and nodes that are killed together before, during and after; between them
+/// the retry budget fills up again.
+const RESTART_KINDS: [FaultKind; 8] = [
+    FaultKind::EnginesFail,
+    FaultKind::EnginesFail,
+    FaultKind::NodesKilledTogether,
+    FaultKind::RouteAdded,
+    FaultKind::RouteAdded,
+    FaultKind::RouteAdded,
+    FaultKind::RouteAdded,
+    FaultKind::RouteAdded,
+];
+
+/// A run that uses less of the retry budget proves little.
+const MIN_BUDGET_USE: f64 = 0.5;
+
 /// A run in which fewer requests could have reached a leaving engine proves little.
 const MIN_JUDGED_REQUESTS: usize = 200;
 
@@ -99,18 +117,35 @@
     assert_no_violations(seed, &HEAVY_LOAD_KINDS, CallerLoad::Tenants);
 }
 
+/// Guards against restarted nodes retrying again what their former processes had retried, so that engines get more
+/// repeated requests than all nodes together may send.
+#[rstest]
+#[case::nodes_killed_together(11, &RESTART_KINDS)]
+#[case::all_kinds(1, &RETRY_KINDS)]
+fn a_seeded_run_stays_within_the_retry_budget(#[case] seed: u64, #[case] kinds: &[FaultKind]) {
+    let report = assert_no_violations(seed, kinds, CallerLoad::Failures);
+    let worst = report.worst_retry_window().expect("retries");
+    assert!(worst.used_share() >= MIN_BUDGET_USE, "{worst:?}");
+}
+
 fn assert_no_violations(seed: u64, kinds: &[FaultKind], load: CallerLoad) -> RunReport {
     let folder = std::env::temp_dir().join(format!("dalestand-soak-{}", std::process::id()));
     // Runs with one seed and different loads are executed at the same time.
     let name = format!("seed-{seed}-{load:?}").to_lowercase();
+    let (length_s, nodes, engines, zones) = match load {
+        CallerLoad::Light | CallerLoad::Tenants => (30, 3, 6, 1),
+        CallerLoad::Prompts => (30, 8, 18, 2),
+        // Several windows of the retry budget.
+        CallerLoad::Failures => (40, 9, 18, 1),
+    };
     let config = RunConfig {
         seed,
         kinds: kinds.to_vec(),
         load,
-        length: Duration::from_secs(30),
-        nodes: if load == CallerLoad::Prompts { 8 } else { 3 },
-        engines: if load == CallerLoad::Prompts { 18 } else { 6 },
-        zones: if load == CallerLoad::Prompts { 2 } else { 1 },
+        length: Duration::from_secs(length_s),
+        nodes,
+        engines,
+        zones,
         program: env!("CARGO_BIN_EXE_dalestand").into(),
         alternate_program: None,
         folder: folder.join(name),
