Retry budget: credits of requests lapse after a second, so that restarts and moved callers do not renew them

Cause: a node could retry a fifth of its own requests of the last ten seconds at any moment, up to all of it at once. A node that starts again has forgotten what its former process had spent and earns anew from its first request on; the callers of a node that ended or lost them earn credit at other nodes, while what their former node spent stays in the window. Class: a bound over a window that each process keeps by its own memory, which lives shorter than the window.

Change: each request earns a credit that only its node can spend and that lapses after a tenth of the window. The repeats of any window are then paid for by requests of the window and of 1.7 s before it, whichever nodes and processes received them; the credit is the ratio times 10 / 11.7 for that. Nobody has to remember or be told anything. The slack is used once in a window and the time until arrival. A node's part of the slack after a restart is as before.

--- a/crates/routing/src/shared_retry_budget.rs
+++ b/crates/routing/src/shared_retry_budget.rs
@@ -1,9 +1,14 @@
 //! A budget of repeated sends that all nodes share without a message for each request.
 //!
 //! Within any time window, the sends to a pool beyond the first of each request may not exceed a ratio of its requests
-//! plus a fixed slack. Each node counts its own requests and uses an equal part of the slack, divided by the node count
-//! ([`NodeCount`]). The parts add up to at most the whole, so all nodes together stay within the budget, provided that
-//! each takes every counted send ([`crate::CallCounts`]) from its budget before sending.
+//! plus a fixed slack. All nodes together stay within it, provided that each takes every counted send
+//! ([`crate::CallCounts`]) from its budget before sending:
+//!
+//! * A request at a node earns a credit of slightly less than the ratio, which can be spent by this node only and lapses
+//!   soon. The repeated sends of a window are thus paid for by requests of that window and of a short time before it,
+//!   whichever nodes received them. A node that restarts or whose callers move to other nodes leaves no debt that another
+//!   node would have to know: nobody could have saved the credits of a whole window.
+//! * A node uses an equal part of the slack, divided by the node count ([`NodeCount`]), once in a window.
 //!
 //! Tenants of a pool share its budget. A tenant's own part is what its requests add to the budget, and an equal part of
 //! the slack. Beyond its own part it leaves a reserve to the others, whose requests could otherwise not be retried while
@@ -17,9 +22,15 @@
 use crate::figures::TenantCode;
 use crate::node_count::NodeCount;
 
-/// Fraction of the budget that is used. The rest is a margin for sends that arrive in a later window than the one in
-/// which they were taken, and for nodes that learn of each other with a delay.
-const USABLE_FRACTION: f64 = 0.95;
+/// Fraction of the slack that is used. The rest is a margin for nodes that learn of each other with a delay.
+const USABLE_SLACK_FRACTION: f64 = 0.95;
+
+/// Fraction of the window for which a credit can be spent. Longer ones would pay for larger bursts, but each takes away
+/// from what may be sent continuously.
+const CREDIT_LIFETIME_FRACTION: f64 = 0.1;
+
+/// Longest time from taking a send to its arrival at a sound engine: connecting, and packets that are lost once.
+const ARRIVAL_MARGIN: Duration = Duration::from_millis(700);
 
 /// Fraction of the budget that tenants beyond their own part leave to the others.
 const RESERVED_FRACTION: f64 = 0.5;
@@ -35,18 +46,43 @@
     pub window: Duration,
 }
 
+impl SharedRetryLimits {
+    /// Time for which the credit of a request can be spent.
+    fn credit_lifetime(&self) -> Duration {
+        self.window.mul_f64(CREDIT_LIFETIME_FRACTION)
+    }
+
+    /// Credit that a request earns. The sends that arrive in a window were paid for by the requests of the window, of one
+    /// lifetime and of the time until arrival before it; under a constant load their credits add up to the ratio of the
+    /// requests of the window.
+    fn credit_per_request(&self) -> f64 {
+        let window_s = self.window.as_secs_f64();
+        let paying_s = window_s + (self.credit_lifetime() + ARRIVAL_MARGIN).as_secs_f64();
+        self.ratio * window_s / paying_s
+    }
+
+    /// Time until the slack that a send used can be used again.
+    fn slack_interval(&self) -> Duration {
+        self.window + ARRIVAL_MARGIN
+    }
+}
+
 /// A repeated send taken from a budget.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 #[must_use]
 pub struct RepeatedSend {
     at: MonotonicTime,
     tenant: Option<TenantCode>,
+    /// When the oldest of the credits that it used was earned.
+    earned_at: MonotonicTime,
+    /// How much of it was paid by credits; the rest by the slack.
+    earned: f64,
 }
 
-/// What a node's part of the budget is made up of at one moment. Either part may be fractional or negative.
+/// What a node's part of the budget is made up of at one moment. The parts may be fractional.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryBalance {
-    /// Repeated sends left of those that the pool's requests at this node allow.
+    /// Unspent credits of requests.
     pub earned: f64,
     /// Repeated sends left of this node's part of the slack.
     pub slack: f64,
@@ -103,8 +139,9 @@
         }
     }
 
-    fn total(&self) -> f64 {
-        self.events.len() as f64
+    fn count_within(&self, now: MonotonicTime, time: Duration) -> usize {
+        let events = self.events.iter().rev();
+        events.take_while(|(at, _)| now.since(*at) <= time).count()
     }
 
     fn of(&self, tenant: TenantCode) -> f64 {
@@ -112,17 +149,74 @@
     }
 }
 
+/// Amounts with the time of each, oldest first.
+#[derive(Clone, Debug, Default)]
+struct TimedAmounts(VecDeque<(MonotonicTime, f64)>);
+
+impl TimedAmounts {
+    fn add(&mut self, at: MonotonicTime, amount: f64) {
+        self.0.push_back((at, amount));
+    }
+
+    fn expire(&mut self, now: MonotonicTime, lifetime: Duration) {
+        while self
+            .0
+            .front()
+            .is_some_and(|(at, _)| now.since(*at) > lifetime)
+        {
+            self.0.pop_front();
+        }
+    }
+
+    fn total(&self) -> f64 {
+        self.0.iter().map(|(_, amount)| amount).sum()
+    }
+
+    /// Takes up to `wanted`, the oldest first. Returns the time of the oldest and how much was taken.
+    fn take(&mut self, wanted: f64) -> Option<(MonotonicTime, f64)> {
+        let (oldest, _) = *self.0.front()?;
+        let mut taken = 0.0;
+        while let Some((_, amount)) = self.0.front_mut() {
+            let part = amount.min(wanted - taken);
+            *amount -= part;
+            taken += part;
+            if *amount > 0.0 {
+                break;
+            }
+            self.0.pop_front();
+        }
+        Some((oldest, taken))
+    }
+
+    /// Gives back an amount that was taken.
+    fn give_back(&mut self, at: MonotonicTime, amount: f64) {
+        let index = self.0.partition_point(|(other, _)| *other < at);
+        self.0.insert(index, (at, amount));
+    }
+
+    /// Removes an amount that was added at `at`.
+    fn remove(&mut self, at: MonotonicTime, amount: f64) {
+        let index = self.0.iter().rposition(|one| *one == (at, amount));
+        index.and_then(|index| self.0.remove(index));
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct PoolCounts {
     requests: WindowCounts,
     repeats: WindowCounts,
+    /// Unspent credits of requests.
+    credits: TimedAmounts,
+    /// Sends, or fractions of sends, that used the slack.
+    slack_uses: TimedAmounts,
 }
 
-/// Limits of a pool's repeated sends at this node within the window.
+/// Limits of a pool's repeated sends at this node.
 #[derive(Clone, Copy, Debug)]
 struct PoolLimit {
-    /// Repeated sends allowed per request.
-    ratio: f64,
+    /// Credit that a request earns.
+    credit_per_request: f64,
+    credit_lifetime: Duration,
     /// This node's part of the slack.
     slack: f64,
     /// Nodes among which the slack is divided; `None` if this node uses none of it.
@@ -181,10 +275,10 @@
         pool: &PoolName,
         tenant: Option<TenantCode>,
     ) {
-        let window = self.limits.window;
-        let counts = self.pools.entry(pool.clone()).or_default();
-        counts.expire(now, window);
+        let limits = self.limits;
+        let counts = self.counts(now, pool);
         counts.requests.push(now, tenant);
+        counts.credits.add(now, limits.credit_per_request());
     }
 
     /// Takes one repeated send of a tenant's request; `None` if none is available to it.
@@ -197,17 +291,28 @@
         let allowed = self.available_to(now, pool, tenant) >= 1.0;
         let counts = self.pools.get_mut(pool).filter(|_| allowed)?;
         counts.repeats.push(now, tenant);
-        Some(RepeatedSend { at: now, tenant })
+        let (earned_at, earned) = counts.credits.take(1.0).unwrap_or((now, 0.0));
+        if earned < 1.0 {
+            counts.slack_uses.add(now, 1.0 - earned);
+        }
+        Some(RepeatedSend {
+            at: now,
+            tenant,
+            earned_at,
+            earned,
+        })
     }
 
     /// Gives back a send that did not count.
     pub fn give_back(&mut self, pool: &PoolName, send: RepeatedSend) {
         if let Some(counts) = self.pools.get_mut(pool) {
             counts.repeats.remove(send);
+            counts.credits.give_back(send.earned_at, send.earned);
+            counts.slack_uses.remove(send.at, 1.0 - send.earned);
         }
     }
 
-    /// Repeated sends available now, whatever their tenant; may be fractional or negative.
+    /// Repeated sends available now, whatever their tenant; may be fractional.
     pub fn available(&mut self, now: MonotonicTime, pool: &PoolName) -> f64 {
         self.balance(now, pool).total()
     }
@@ -227,29 +332,25 @@
     ) -> f64 {
         let limit = self.limit(now);
         let counts = self.counts(now, pool);
-        let reserve = tenant.map_or(0.0, |tenant| counts.reserve_against(tenant, limit));
-        counts.available(limit) - reserve
+        let reserve = tenant.map_or(0.0, |tenant| counts.reserve_against(now, tenant, limit));
+        counts.balance(limit).total() - reserve
     }
 
-    /// The counts of a pool within the window.
-    fn counts(&mut self, now: MonotonicTime, pool: &PoolName) -> &PoolCounts {
-        let window = self.limits.window;
+    /// The current counts of a pool.
+    fn counts(&mut self, now: MonotonicTime, pool: &PoolName) -> &mut PoolCounts {
         let counts = self.pools.entry(pool.clone()).or_default();
-        counts.expire(now, window);
+        counts.expire(now, self.limits);
         counts
     }
 
     fn limit(&mut self, now: MonotonicTime) -> PoolLimit {
-        let SharedRetryLimits {
-            ratio,
-            slack,
-            window,
-        } = self.limits;
+        let SharedRetryLimits { slack, window, .. } = self.limits;
         let usage_unknown = self.restarted_at.is_some_and(|at| now.since(at) < window);
         let nodes = self.nodes.get(now);
         let nodes = nodes.filter(|_| !usage_unknown && !self.is_isolated);
         PoolLimit {
-            ratio,
+            credit_per_request: self.limits.credit_per_request(),
+            credit_lifetime: self.limits.credit_lifetime(),
             slack: nodes.map_or(0.0, |nodes| slack / nodes as f64),
             nodes,
         }
@@ -257,40 +358,42 @@
 }
 
 impl PoolCounts {
-    fn expire(&mut self, now: MonotonicTime, window: Duration) {
-        self.requests.expire(now, window);
-        self.repeats.expire(now, window);
-    }
-
-    fn available(&self, limit: PoolLimit) -> f64 {
-        self.balance(limit).total()
+    fn expire(&mut self, now: MonotonicTime, limits: SharedRetryLimits) {
+        self.requests.expire(now, limits.window);
+        self.repeats.expire(now, limits.window);
+        self.credits.expire(now, limits.credit_lifetime());
+        self.slack_uses.expire(now, limits.slack_interval());
     }
 
     fn balance(&self, limit: PoolLimit) -> RetryBalance {
-        let earned = limit.ratio * self.requests.total() * USABLE_FRACTION;
+        let slack = limit.slack * USABLE_SLACK_FRACTION - self.slack_uses.total();
         RetryBalance {
-            earned: earned - self.repeats.total(),
-            slack: limit.slack * USABLE_FRACTION,
+            earned: self.credits.total(),
+            // The part may have become smaller than what was used of it.
+            slack: slack.max(0.0),
             nodes: limit.nodes,
         }
     }
 
-    fn allowed(&self, limit: PoolLimit) -> f64 {
-        (limit.ratio * self.requests.total() + limit.slack) * USABLE_FRACTION
+    /// Repeated sends that could be available at once.
+    fn capacity(&self, now: MonotonicTime, limit: PoolLimit) -> f64 {
+        let requests = self.requests.count_within(now, limit.credit_lifetime);
+        limit.credit_per_request * requests as f64 + limit.slack * USABLE_SLACK_FRACTION
     }
 
     /// What a tenant leaves to the others: nothing while it stays within its own part.
-    fn reserve_against(&self, tenant: TenantCode, limit: PoolLimit) -> f64 {
+    fn reserve_against(&self, now: MonotonicTime, tenant: TenantCode, limit: PoolLimit) -> f64 {
         let tenants = self.requests.by_tenant.len();
         if tenants < 2 {
             return 0.0;
         }
         let slack_part = limit.slack / tenants as f64;
-        let own_part = limit.ratio * self.requests.of(tenant) + slack_part;
-        if self.repeats.of(tenant) + 1.0 <= own_part * USABLE_FRACTION {
+        let own_part = limit.credit_per_request * self.requests.of(tenant)
+            + slack_part * USABLE_SLACK_FRACTION;
+        if self.repeats.of(tenant) + 1.0 <= own_part {
             0.0
         } else {
-            self.allowed(limit) * RESERVED_FRACTION
+            self.capacity(now, limit) * RESERVED_FRACTION
         }
     }
 }
--- a/crates/routing/tests/shared_retry_budget.rs
+++ b/crates/routing/tests/shared_retry_budget.rs
@@ -153,6 +153,144 @@
     assert_eq!(take_all(&mut budget, later), taken_before);
 }
 
+/// A time in which the same nodes receive all requests, at a constant rate.
+#[derive(Clone, Debug)]
+struct Phase {
+    length_ms: u64,
+    /// The nodes that receive the requests: this many from this one on.
+    first_node: usize,
+    nodes: usize,
+    /// Whether engines fail all requests, so that nodes retry as much as they may.
+    fails: bool,
+    /// Nodes that restart at its start: this many from the first one on.
+    restarts: usize,
+}
+
+fn phase(max_restarts: usize) -> impl Strategy<Value = Phase> {
+    let nodes = prop_oneof![Just(NODES), 1..=NODES];
+    (
+        100_u64..8_000,
+        0..NODES,
+        nodes,
+        any::<bool>(),
+        0..=max_restarts,
+    )
+        .prop_map(|(length_ms, first_node, nodes, fails, restarts)| Phase {
+            length_ms,
+            first_node,
+            nodes,
+            fails,
+            restarts,
+        })
+}
+
+/// Requests of all nodes, and arrivals beyond the first of each.
+#[derive(Default)]
+struct FleetLoad {
+    requests_ms: Vec<u64>,
+    repeats_ms: Vec<u64>,
+}
+
+/// Time between two requests of the fleet.
+const REQUEST_INTERVAL_MS: u64 = 10;
+
+/// Latest arrival of a repeated send.
+const MAX_ARRIVAL_MS: u64 = 700;
+
+/// Nodes retry as much as they may through `phases`.
+fn play(phases: &[Phase]) -> FleetLoad {
+    let pool = PoolName::from("captions");
+    let counted = |now| {
+        let mut budget = SharedRetryBudget::new(LIMITS);
+        budget.set_nodes(now, NODES);
+        budget
+    };
+    let mut nodes: Vec<SharedRetryBudget> =
+        (0..NODES).map(|_| counted(MonotonicTime::ZERO)).collect();
+    let mut load = FleetLoad::default();
+    let mut at_ms = 0;
+    for phase in phases {
+        let now = MonotonicTime::from_millis(at_ms);
+        for number in 0..phase.restarts {
+            let node = &mut nodes[(phase.first_node + number) % NODES];
+            *node = counted(now);
+            node.record_restart(now);
+        }
+        let until_ms = at_ms + phase.length_ms;
+        while at_ms < until_ms {
+            let now = MonotonicTime::from_millis(at_ms);
+            let number = at_ms / REQUEST_INTERVAL_MS;
+            let node = (phase.first_node + number as usize % phase.nodes) % NODES;
+            nodes[node].record_request(now, &pool, None);
+            load.requests_ms.push(at_ms);
+            while phase.fails && nodes[node].take(now, &pool, None).is_some() {
+                let delay_ms = load.repeats_ms.len() as u64 * 97 % (MAX_ARRIVAL_MS + 1);
+                load.repeats_ms.push(at_ms + delay_ms);
+            }
+            at_ms += REQUEST_INTERVAL_MS;
+        }
+    }
+    load.repeats_ms.sort_unstable();
+    load
+}
+
+/// The window in which most is used of what is allowed: the repeats, and the users' limit. Of the requests, those of the
+/// window, of the one before it or of the one half a window earlier count, whichever are most.
+fn worst_window(load: &FleetLoad) -> (f64, f64) {
+    let window_ms = LIMITS.window.as_millis() as u64;
+    let count = |times: &[u64], from_ms: u64| {
+        let before = |end_ms| times.partition_point(|at_ms| *at_ms < end_ms);
+        before(from_ms + window_ms) - before(from_ms)
+    };
+    let windows = load.repeats_ms.iter().map(|from_ms| {
+        let starts = [
+            *from_ms,
+            from_ms.saturating_sub(window_ms),
+            from_ms.saturating_sub(window_ms / 2),
+        ];
+        let requests = starts.map(|from_ms| count(&load.requests_ms, from_ms));
+        let requests = requests.into_iter().max().unwrap_or_default() as f64;
+        let repeats = count(&load.repeats_ms, *from_ms) as f64;
+        (repeats, LIMITS.ratio * requests + LIMITS.slack)
+    });
+    let worst = windows.max_by(|one, other| (one.0 / one.1).total_cmp(&(other.0 / other.1)));
+    worst.unwrap_or((0.0, LIMITS.slack))
+}
+
+proptest! {
+    /// Guards against restarted nodes retrying again what their former processes had retried in the same window.
+    #[test]
+    fn restarts_do_not_renew_the_budget(
+        phases in proptest::collection::vec(phase(NODES), 1..12),
+    ) {
+        let (repeats, allowed) = worst_window(&play(&phases));
+        prop_assert!(repeats <= allowed, "{repeats} of {allowed}");
+    }
+
+    /// Guards against callers that move to other nodes taking along what their former nodes have used already.
+    #[test]
+    fn callers_that_move_do_not_renew_the_budget(
+        phases in proptest::collection::vec(phase(0), 1..12),
+    ) {
+        let (repeats, allowed) = worst_window(&play(&phases));
+        prop_assert!(repeats <= allowed, "{repeats} of {allowed}");
+    }
+}
+
+/// Most of the budget can be used while engines fail continuously.
+#[test]
+fn a_constant_load_of_failures_uses_most_of_the_budget() {
+    let failing = Phase {
+        length_ms: 30_000,
+        first_node: 0,
+        nodes: NODES,
+        fails: true,
+        restarts: 0,
+    };
+    let (repeats, allowed) = worst_window(&play(&[failing]));
+    assert!(repeats >= 0.8 * allowed, "{repeats} of {allowed}");
+}
+
 fn purpose() -> impl Strategy<Value = CallPurpose> {
     prop_oneof![Just(CallPurpose::Prefill), Just(CallPurpose::Run)]
 }
