Retry budget: no process uses the slack until a window after its first count of nodes

A process that had just begun to count nodes used what it counted first. Class: a bound that is right only when something outside says so at each start.

Evidence: a_restarted_node_does_not_use_the_slack_of_a_window_again failed before: three processes of one node in one window made 33 calls beyond the first where 12 are allowed.

Change: the setting is gone. The slack is used from a window and 0.7 s after the process first knows a count of nodes, at every start. By then nothing that a former process sent is in the window, and the count holds the highest of the last minute. retries.slack_delay_s shortens it for nodes that are started once (most tests).

Tests: the one above; a_process_uses_its_part_of_the_slack_a_window_after_its_first_count replaces a_restarted_node_uses_its_part_of_the_slack_once: the same after 10.7 s instead of 10, and without being told of the restart; restarts_do_not_renew_the_budget plays processes that nobody tells.

Measured: cargo test of routing and forwarding passes.

--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -133,7 +133,7 @@
             held_bytes: HeldBytes::default(),
             router: RefCell::new(StagedRouter::seeded(rand::rng().random())),
             uplink: RefCell::default(),
-            budget: RefCell::new(retry_budget(&settings)),
+            budget: RefCell::new(SharedRetryBudget::new(settings.retry_limits())),
             splits: RefCell::default(),
             work_changed: Notify::new(),
             dissemination: Dissemination::new(&settings),
@@ -405,12 +405,3 @@
         (all / nodes).max(MIN_CONNECTIONS)
     }
 }
-
-/// Creates the retry budget of a starting node.
-fn retry_budget(settings: &ForwardingSettings) -> SharedRetryBudget {
-    let mut budget = SharedRetryBudget::new(settings.retry_limits());
-    if settings.retries.is_restart {
-        budget.record_restart(MonotonicTime::ZERO);
-    }
-    budget
-}
--- a/crates/forwarding/src/node/settings.rs
+++ b/crates/forwarding/src/node/settings.rs
@@ -168,9 +168,10 @@
     pub slack: f64,
     /// Window over which requests and retries are counted, in seconds.
     pub window_s: f64,
-    /// Whether the node may have sent retries before this start.
-    #[serde(default, rename = "former_life")]
-    pub is_restart: bool,
+    /// Time after a start until the node uses its part of `slack`, in seconds. By default so long that nothing that a
+    /// former process sent counts any more. Shorter only for nodes that are started once.
+    #[serde(default)]
+    pub slack_delay_s: Option<f64>,
 }
 
 /// Graceful shutdown.
@@ -256,6 +257,10 @@
         let at_least_0 = [
             ("retries.ratio", self.retries.ratio),
             ("retries.slack", self.retries.slack),
+            (
+                "retries.slack_delay_s",
+                self.retries.slack_delay_s.unwrap_or(0.0),
+            ),
         ];
         let above_0 = [
             ("retries.window_s", self.retries.window_s),
@@ -350,6 +355,7 @@
             ratio: self.retries.ratio,
             slack: self.retries.slack,
             window: Duration::from_secs_f64(self.retries.window_s),
+            slack_delay: self.retries.slack_delay_s.map(Duration::from_secs_f64),
         }
     }
 
--- a/crates/forwarding/tests/call_budget.rs
+++ b/crates/forwarding/tests/call_budget.rs
@@ -9,10 +9,11 @@
 
 use std::collections::HashMap;
 use std::net::TcpStream;
+use std::rc::Rc;
 use std::time::Duration;
 
 use rstest::rstest;
-use support::{TestEngine, TestNode, answer, get, id_of};
+use support::{MemoryStore, TestEngine, TestNode, answer, get, id_of};
 
 fn succeeding(head: &str, stream: &mut TcpStream) {
     let headers = format!("x-id: {}\r\n", id_of(head));
@@ -87,3 +88,45 @@
     assert!(beyond as f64 <= spent, "{beyond} calls beyond the first");
     assert!(beyond > 0, "the budget is used");
 }
+
+/// Guards against each start of a node renewing its part of the slack: a node that starts cannot know what its former
+/// process used, whatever its settings say.
+#[actix_rt::test]
+async fn a_restarted_node_does_not_use_the_slack_of_a_window_again() {
+    const SLACK: u32 = 12;
+    const REQUESTS: usize = 20;
+    let engines: Vec<TestEngine> = (0..6).map(|_| TestEngine::start(refusing)).collect();
+    let store: Rc<MemoryStore> = Rc::default();
+    let mut node = TestNode::start_with_default_budget(&store, SLACK).await;
+    node.declare(1, "repeatable", 4, 1_000);
+    for (index, engine) in engines.iter().enumerate() {
+        node.write_entry(&format!("e{index}"), engine, "ready");
+    }
+    // Until the node uses its part of the slack.
+    actix_rt::time::sleep(Duration::from_millis(11_500)).await;
+    let refuses = [true; 6];
+    let mut beyond_before_restart = 0;
+    for restart in 0..3 {
+        if restart > 0 {
+            node.crash();
+            node = TestNode::start_with_default_budget(&store, SLACK).await;
+        }
+        node.wait_for_engines(engines.len()).await;
+        node.wait_for_declaration(1).await;
+        for index in 0..REQUESTS {
+            let headers = format!("x-id: {restart}-{index}\r\nhost: a.example\r\n");
+            get(node.callers, &headers, "/r/x").await;
+            // After this time, engines that refused may be called again.
+            actix_rt::time::sleep(Duration::from_millis(25)).await;
+        }
+        if restart == 0 {
+            beyond_before_restart = calls_beyond_the_first(&engines, &refuses);
+        }
+    }
+    assert!(beyond_before_restart > 0, "the budget is used");
+    let beyond = calls_beyond_the_first(&engines, &refuses);
+    assert!(
+        beyond <= SLACK as usize,
+        "{beyond} calls beyond the first, {beyond_before_restart} of them before the restarts"
+    );
+}
--- a/crates/forwarding/tests/support/node.rs
+++ b/crates/forwarding/tests/support/node.rs
@@ -81,6 +81,49 @@
     }
 }
 
+/// Slack from which a budget also has a ratio.
+const SLACK_OF_ORDINARY_BUDGETS: u32 = 50;
+
+/// A node's part of the retry budget.
+#[derive(Clone, Copy)]
+struct TestBudget {
+    /// Retries, regardless of the number of requests.
+    slack: u32,
+    /// Whether the slack is used from the start on; by default it is not.
+    from_start: bool,
+}
+
+impl TestBudget {
+    fn new(slack: u32) -> Self {
+        Self {
+            slack,
+            from_start: true,
+        }
+    }
+
+    fn from_default_start(slack: u32) -> Self {
+        Self {
+            slack,
+            from_start: false,
+        }
+    }
+
+    fn settings(self) -> String {
+        let Self { slack, from_start } = self;
+        let ratio = if slack < SLACK_OF_ORDINARY_BUDGETS {
+            0.0
+        } else {
+            0.2
+        };
+        let delay = if from_start {
+            "slack_delay_s = 0\n"
+        } else {
+            ""
+        };
+        format!("ratio = {ratio}\nslack = {slack}\n{delay}")
+    }
+}
+
 impl TestNode {
     /// Starts a node on an empty key-value service.
     pub async fn start() -> Self {
@@ -97,11 +140,26 @@
         Self::start_on_with(store, "").await
     }
 
+    /// Starts a node on a key-value service, with a budget of `slack` retries and the default rules for its use after a
+    /// start.
+    pub async fn start_with_default_budget(store: &Rc<MemoryStore>, slack: u32) -> Self {
+        for _ in 0..START_ATTEMPTS {
+            let store = Rc::clone(store);
+            let budget = TestBudget::from_default_start(slack);
+            if let Some(node) = Self::try_start_on(store, "node-1", budget, "", "").await {
+                return node;
+            }
+        }
+        panic!("no node could be started");
+    }
+
     /// Starts a node with further settings on a key-value service.
     pub async fn start_on_with(store: &Rc<MemoryStore>, extra: &str) -> Self {
         for _ in 0..START_ATTEMPTS {
             let store = Rc::clone(store);
-            if let Some(node) = Self::try_start_on(store, "node-1", 50, extra, "").await {
+            if let Some(node) =
+                Self::try_start_on(store, "node-1", TestBudget::new(50), extra, "").await
+            {
                 return node;
             }
         }
@@ -149,7 +207,9 @@
     pub async fn start_beside_with_slack(&self, name: &str, slack: u32) -> Self {
         for _ in 0..START_ATTEMPTS {
             let store = Rc::clone(&self.store);
-            if let Some(node) = Self::try_start_on(store, name, slack, "", "").await {
+            if let Some(node) =
+                Self::try_start_on(store, name, TestBudget::new(slack), "", "").await
+            {
                 return node;
             }
         }
@@ -157,24 +217,25 @@
     }
 
     async fn try_start(slack: u32, extra: &str, table: &str) -> Option<Self> {
-        Self::try_start_on(Rc::default(), "node-1", slack, extra, table).await
+        let budget = TestBudget::new(slack);
+        Self::try_start_on(Rc::default(), "node-1", budget, extra, table).await
     }
 
     async fn try_start_on(
         store: Rc<MemoryStore>,
         name: &str,
-        slack: u32,
+        budget: TestBudget,
         extra: &str,
         table: &str,
     ) -> Option<Self> {
-        let ratio = if slack < 50 { 0.0 } else { 0.2 };
+        let budget = budget.settings();
         let (callers, ready, peers) = (free_address(), free_address(), free_address());
         let metrics = free_address();
         let settings = format!(
             "node = \"{name}\"\nzone = \"here\"\ncaller_listen = \"{callers}\"\n\
              ready_listen = \"{ready}\"\npeer_listen = \"{peers}\"\nkey_value = \"{peers}\"\n\
              metrics_listen = \"{metrics}\"\n{extra}\
-             [retries]\nratio = {ratio}\nslack = {slack}\nwindow_s = 10\n[stop]\ngrace_s = 8\n\
+             [retries]\n{budget}window_s = 10\n[stop]\ngrace_s = 8\n\
              [roles]\nlease_ms = 3000\n{table}"
         );
         let settings = ForwardingSettings::parse(&settings).expect("valid settings");
--- a/crates/routing/src/shared_retry_budget.rs
+++ b/crates/routing/src/shared_retry_budget.rs
@@ -8,7 +8,9 @@
 //!   soon. The repeated sends of a window are thus paid for by requests of that window and of a short time before it,
 //!   whichever nodes received them. A node that restarts or whose callers move to other nodes leaves no debt that another
 //!   node would have to know: nobody could have saved the credits of a whole window.
-//! * A node uses an equal part of the slack, divided by the node count ([`NodeCount`]), once in a window.
+//! * A node uses an equal part of the slack, divided by the node count ([`NodeCount`]), once in a window. A process does
+//!   not know what a former one on its node used, and may count too few nodes at first, so it uses none until a window
+//!   after its first count.
 //!
 //! Tenants of a pool share its budget. A tenant's own part is what its requests add to the budget, and an equal part of
 //! the slack. Beyond its own part it leaves a reserve to the others, whose requests could otherwise not be retried while
@@ -44,6 +46,9 @@
     pub slack: f64,
     /// Length of the sliding time window.
     pub window: Duration,
+    /// Time from a process's first count of nodes until it uses its part of the slack; by default
+    /// [`Self::slack_interval`].
+    pub slack_delay: Option<Duration>,
 }
 
 impl SharedRetryLimits {
@@ -62,7 +67,7 @@
     }
 
     /// Time until the slack that a send used can be used again.
-    fn slack_interval(&self) -> Duration {
+    pub fn slack_interval(&self) -> Duration {
         self.window + ARRIVAL_MARGIN
     }
 }
@@ -230,8 +235,8 @@
     nodes: NodeCount,
     /// Whether this node has no contact to any other, although there are others.
     is_isolated: bool,
-    /// When this node restarted; its former process may have used the budget of the same window.
-    restarted_at: Option<MonotonicTime>,
+    /// When this process first knew a count of nodes.
+    counted_at: Option<MonotonicTime>,
     pools: HashMap<PoolName, PoolCounts>,
 }
 
@@ -242,23 +247,19 @@
             limits,
             nodes: NodeCount::default(),
             is_isolated: false,
-            restarted_at: None,
+            counted_at: None,
             pools: HashMap::new(),
         }
     }
 
-    /// Records that the node restarted at `now`. What the former process used is unknown, so this node gets no slack
-    /// for the length of a window.
-    pub fn record_restart(&mut self, now: MonotonicTime) {
-        self.restarted_at = Some(now);
-    }
-
     pub fn set_limits(&mut self, limits: SharedRetryLimits) {
         self.limits = limits;
     }
 
-    /// Sets the number of nodes among which the slack is divided, as known at `now`. Until then there is no slack.
+    /// Sets the number of nodes among which the slack is divided, as known at `now`. Until some time after the first
+    /// there is no slack.
     pub fn set_nodes(&mut self, now: MonotonicTime, nodes: usize) {
+        self.counted_at.get_or_insert(now);
         self.nodes.set(now, nodes);
     }
 
@@ -344,10 +345,12 @@
     }
 
     fn limit(&mut self, now: MonotonicTime) -> PoolLimit {
-        let SharedRetryLimits { slack, window, .. } = self.limits;
-        let usage_unknown = self.restarted_at.is_some_and(|at| now.since(at) < window);
+        let slack = self.limits.slack;
+        let delay = self.limits.slack_delay;
+        let delay = delay.unwrap_or_else(|| self.limits.slack_interval());
+        let uses_slack = self.counted_at.is_some_and(|at| now.since(at) >= delay);
         let nodes = self.nodes.get(now);
-        let nodes = nodes.filter(|_| !usage_unknown && !self.is_isolated);
+        let nodes = nodes.filter(|_| uses_slack && !self.is_isolated);
         PoolLimit {
             credit_per_request: self.limits.credit_per_request(),
             credit_lifetime: self.limits.credit_lifetime(),
--- a/crates/routing/tests/shared_retry_budget.rs
+++ b/crates/routing/tests/shared_retry_budget.rs
@@ -13,6 +13,13 @@
     ratio: 0.2,
     slack: 54.0,
     window: Duration::from_secs(10),
+    slack_delay: Some(Duration::ZERO),
+};
+
+/// The same for processes that may have had a former one.
+const LIMITS_WITH_RESTARTS: SharedRetryLimits = SharedRetryLimits {
+    slack_delay: None,
+    ..LIMITS
 };
 
 proptest! {
@@ -129,9 +136,10 @@
     assert_eq!(budget.take(now, &pool, None).is_some(), is_counted);
 }
 
-/// Guards against a restarted node using its part of the slack a second time within a window.
+/// Guards against a restarted node using its part of the slack a second time within a window, and against the use of a
+/// count of nodes that was just begun.
 #[rstest]
-fn a_restarted_node_uses_its_part_of_the_slack_once() {
+fn a_process_uses_its_part_of_the_slack_a_window_after_its_first_count() {
     let pool = PoolName::from("pool");
     let take_all = |budget: &mut SharedRetryBudget, now| {
         let mut taken = 0;
@@ -140,17 +148,20 @@
         }
         taken
     };
-    let start = MonotonicTime::from_millis(5_000);
-    let mut before_restart = SharedRetryBudget::new(LIMITS);
+    let mut before_restart = SharedRetryBudget::new(LIMITS_WITH_RESTARTS);
     before_restart.set_nodes(MonotonicTime::ZERO, 1);
+    let start = MonotonicTime::from_millis(30_000);
     let taken_before = take_all(&mut before_restart, start);
     assert!(taken_before > 0);
-    let mut budget = SharedRetryBudget::new(LIMITS);
-    budget.set_nodes(MonotonicTime::ZERO, 1);
-    budget.record_restart(start);
-    assert_eq!(take_all(&mut budget, start + Duration::from_secs(9)), 0);
-    let later = start + Duration::from_secs(10);
-    assert_eq!(take_all(&mut budget, later), taken_before);
+    let mut budget = SharedRetryBudget::new(LIMITS_WITH_RESTARTS);
+    assert_eq!(take_all(&mut budget, start), 0);
+    let counted = start + Duration::from_secs(20);
+    budget.set_nodes(counted, 1);
+    let interval = LIMITS.slack_interval();
+    let just_before = counted + (interval - Duration::from_millis(1));
+    assert_eq!(take_all(&mut budget, just_before), 0);
+    budget.set_nodes(just_before, 1);
+    assert_eq!(take_all(&mut budget, counted + interval), taken_before);
 }
 
 /// A time in which the same nodes receive all requests, at a constant rate.
@@ -201,7 +212,7 @@
 fn play(phases: &[Phase]) -> FleetLoad {
     let pool = PoolName::from("captions");
     let counted = |now| {
-        let mut budget = SharedRetryBudget::new(LIMITS);
+        let mut budget = SharedRetryBudget::new(LIMITS_WITH_RESTARTS);
         budget.set_nodes(now, NODES);
         budget
     };
@@ -212,9 +223,7 @@
     for phase in phases {
         let now = MonotonicTime::from_millis(at_ms);
         for number in 0..phase.restarts {
-            let node = &mut nodes[(phase.first_node + number) % NODES];
-            *node = counted(now);
-            node.record_restart(now);
+            nodes[(phase.first_node + number) % NODES] = counted(now);
         }
         let until_ms = at_ms + phase.length_ms;
         while at_ms < until_ms {
