Streams: an engine that has begun to answer is not given up without a retry, nor in the moment of its head

What callers saw: 200, no event, and the connection closed.

Cause: the limit for the first event runs from the send, so that nothing of it was left when the head came late; and unlike the limit for the head it did not ask whether the retry budget allows another call. The node ended the run and then found that it may not resume it. Class: an action is undone before it is known that its replacement is allowed.

Change: both limits ask the same question (may_abandon); after the head an engine has the shortest pause for its first event.

Test: a_stream_that_begins_late_is_not_given_up_without_a_retry failed before (200 without an event). Tests of serving, prompts, crashing requests and suspension pass.

--- a/crates/forwarding/src/serve/answer_stream.rs
+++ b/crates/forwarding/src/serve/answer_stream.rs
@@ -20,7 +20,7 @@
 use crate::serve::event_stream::EventSplitter;
 use crate::serve::forward::resume;
 use crate::serve::progress::Progress;
-use crate::serve::response_timeout::has_other_engine;
+use crate::serve::response_timeout::may_abandon;
 
 /// A stream is resumed elsewhere after a pause of this multiple of the pause objective.
 const PAUSE_FACTOR: u32 = 3;
@@ -181,7 +181,7 @@
         let route = &self.progress.route;
         let engine = &self.answer.choice.engine;
         if !self.progress.may_call_another()
-            || !has_other_engine(&self.context, &self.progress, &self.pool, engine)
+            || !may_abandon(&self.context, &self.progress, &self.pool, engine)
         {
             return self.progress.time_left();
         }
@@ -193,7 +193,11 @@
         let objective = Duration::from_millis(route.objective_ms) * FIRST_EVENT_FACTOR;
         let since_sent = self.answer.sent_at.elapsed();
         let expected_s = self.answer.choice.expected_s;
-        response_timeout(expected_s, objective.max(MIN_PAUSE_TIMEOUT)).saturating_sub(since_sent)
+        let limit = response_timeout(expected_s, objective.max(MIN_PAUSE_TIMEOUT));
+        // An engine that has just sent the head of its answer is not unresponsive.
+        let since_head = self.answer.answered_at.elapsed();
+        let head_limit = MIN_PAUSE_TIMEOUT.saturating_sub(since_head);
+        limit.saturating_sub(since_sent).max(head_limit)
     }
 
     /// Resumes the stream at another engine after the last event sent to the caller.
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -35,6 +35,8 @@
     pub(crate) work: WorkGuard,
     pub(crate) watch: RunWatch,
     pub(crate) sent_at: BootInstant,
+    /// When the head of the response arrived.
+    pub(crate) answered_at: BootInstant,
     /// Where the call was sent.
     pub(crate) target: LinkTarget,
     /// Requests at the engine, of all nodes, that had not started when the call was sent.
@@ -182,6 +184,7 @@
                 work,
                 watch,
                 sent_at,
+                answered_at: BootInstant::now(),
                 target,
             };
             (
--- a/crates/forwarding/src/serve/response_timeout.rs
+++ b/crates/forwarding/src/serve/response_timeout.rs
@@ -33,10 +33,7 @@
     if !progress.route.kind.is_repeatable() || is_last {
         return left;
     }
-    let now = context.now();
-    if context.budget.borrow_mut().available(now, pool) < RESERVED_RETRIES
-        || !has_other_engine(context, progress, pool, &choice.engine)
-    {
+    if !may_abandon(context, progress, pool, &choice.engine) {
         return left;
     }
     let objective = Duration::from_millis(progress.route.objective_ms);
@@ -51,15 +48,19 @@
     ))
 }
 
-/// Whether another engine could take a request that is at `current`; if not, abandoning it would
-/// end the request.
-pub(crate) fn has_other_engine(
+/// Whether the request may be taken from `current`, an unresponsive engine: another engine could take it, and the retry
+/// budget allows that. If not, abandoning the engine would end the request.
+pub(crate) fn may_abandon(
     context: &Context,
     progress: &Progress,
     pool: &PoolName,
     current: &StagedEngine,
 ) -> bool {
+    let now = context.now();
+    if context.budget.borrow_mut().available(now, pool) < RESERVED_RETRIES {
+        return false;
+    }
     let fleet = context.fleet();
     let router = context.router.borrow();
-    router.has_alternative(context.now(), fleet.pool(pool), current, &progress.tried)
+    router.has_alternative(now, fleet.pool(pool), current, &progress.tried)
 }
--- a/crates/forwarding/tests/serving.rs
+++ b/crates/forwarding/tests/serving.rs
@@ -345,6 +345,37 @@
     assert_eq!(runs, 2);
 }
 
+/// Sends the head only after several objectives, and the events a little later.
+fn late_stream(head: &str, stream: &mut TcpStream) {
+    thread::sleep(Duration::from_millis(1_500));
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nx-id: {}\r\ntransfer-encoding: chunked\r\n\r\n",
+        id_of(head)
+    );
+    let _ = stream.write_all(head.as_bytes());
+    thread::sleep(Duration::from_millis(50));
+    let event = "id: 1\ndata: piece 1\n\n";
+    let _ = stream.write_all(format!("{:x}\r\n{event}\r\n0\r\n\r\n", event.len()).as_bytes());
+}
+
+/// Guards against giving up an engine that has just begun to answer, although the retry budget allows no other call:
+/// the caller's stream would end without an event.
+#[actix_rt::test]
+async fn a_stream_that_begins_late_is_not_given_up_without_a_retry() {
+    let node = TestNode::start_with_slack(0).await;
+    node.declare(1, "resumable-stream", 3, LIMIT_MS);
+    let engines = [late_stream, late_stream].map(|script| TestEngine::start(script));
+    for (index, engine) in engines.iter().enumerate() {
+        node.write_entry(&format!("e{index}"), engine, "ready");
+    }
+    node.wait_for_engines(engines.len()).await;
+    node.wait_for_declaration(1).await;
+    let answer = node.request("1", "/r/x").await;
+    assert_eq!(status(&answer), "200");
+    assert!(answer.contains("piece 1"), "{answer}");
+    assert!(answer.ends_with("0\r\n\r\n"), "the answer is complete");
+}
+
 #[actix_rt::test]
 async fn a_stream_that_may_run_only_once_is_not_resumed() {
     let (node, engines) = node("stream", 2, &[breaking_stream, breaking_stream]).await;
