Retry budget: calls that engines read late are charged when they answer again

What callers saw: an engine that stood still for seconds read, when it went on, all that had been sent to it, also what nodes had given up and sent elsewhere. Those arrivals came beside as many other repeated sends as if they had not.

Cause: a retry is charged when it is sent. If the first call was given up and read later, the retry was the first arrival, and the late one is the repeat, in another window, in which nobody charges it. A given-up call cannot be kept from arriving: over loopback the other side reads what it has received after FIN and after RST, from the backlog too. Class: sent and arrived are two moments.

Change: a node remembers calls that it gave up at an engine that has answered nothing since they were sent (UnreadCalls). When that engine answers anything again they are charged; what the budget cannot pay is owed by the credits that follow. Calls are given up only while those outstanding are less than half of a window's budget. TimedAmounts and WindowCounts have a file of their own.

--- a/crates/forwarding/src/node/metrics/mod.rs
+++ b/crates/forwarding/src/node/metrics/mod.rs
@@ -39,6 +39,8 @@
     Returned,
     /// The budget did not allow it.
     Denied,
+    /// An engine read a call late, after it had been given up.
+    ReadLate,
 }
 
 impl RetryOutcome {
@@ -47,6 +49,7 @@
             Self::Taken => "taken",
             Self::Returned => "returned",
             Self::Denied => "denied",
+            Self::ReadLate => "read late",
         }
     }
 }
@@ -169,7 +172,7 @@
             )?,
             retries: metrics.counters(
                 "repeated_sends_total",
-                "Repeated sends taken from the budget, given back to it as not sent, and denied by it, by pool.",
+                "Repeated sends taken from the budget, given back to it as not sent, denied by it, and charged as read late, by pool.",
                 &["pool", "outcome"],
             )?,
             retries_left: metrics.gauges(
--- a/crates/forwarding/src/node/start.rs
+++ b/crates/forwarding/src/node/start.rs
@@ -322,6 +322,9 @@
         context.budget.borrow_mut().set_isolated(is_isolated);
         let fleet = context.fleet();
         context.link.sweep(|target| fleet.has_target(target));
+        let mut unread_calls = context.unread_calls.borrow_mut();
+        unread_calls.retain(|engine| fleet.engine(engine).is_some());
+        drop(unread_calls);
         context.router.borrow_mut().work.remove_expired(now);
     }
 }
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -142,6 +142,7 @@
     }
     let mut watch = RunWatch::new(context, progress, &engine, call.pool);
     let sent_at = BootInstant::now();
+    let sent_time = context.now();
     let known_limit = rate_limit(context, engine.key);
     let entry = entry_used(context, &engine.run);
     context.record_sent_bytes(progress.sent_bytes());
@@ -237,6 +238,11 @@
         }
         Verdict::NoResponse => {
             watch.record_unfinished(UnfinishedReason::Silent);
+            // Without a retry, a late arrival is the only one of its request.
+            if progress.may_call_another() {
+                let mut unread_calls = context.unread_calls.borrow_mut();
+                unread_calls.record_given_up(engine.key, call.pool, sent_time);
+            }
             (
                 AttemptOutcome::Unknown,
                 "silent",
--- a/crates/forwarding/src/serve/engine_send.rs
+++ b/crates/forwarding/src/serve/engine_send.rs
@@ -21,6 +21,7 @@
 
 use crate::context::Context;
 use crate::fleet::signals;
+use crate::node::metrics::RetryOutcome;
 use crate::permits::send_permission::SendPermission;
 
 /// A call to be sent.
@@ -149,6 +150,7 @@
         }
         error => CallError::Link(error),
     })?;
+    charge_read_calls(context, engine.key);
     let answer = &exchange.head;
     let names = answer.headers.keys().map(HeaderName::as_str);
     for name in names.filter(|name| context.dialect.is_unknown_header(name)) {
@@ -169,6 +171,15 @@
     Ok(reply)
 }
 
+/// Charges the calls that were given up at an engine while it answered nothing, and that it has read by now.
+fn charge_read_calls(context: &Context, engine: EngineKey) {
+    let now = context.now();
+    for pool in context.unread_calls.borrow_mut().record_answer(now, engine) {
+        context.budget.borrow_mut().charge(now, &pool);
+        context.metrics.retry(&pool, RetryOutcome::ReadLate);
+    }
+}
+
 /// A call that probes whether an engine accepts calls again after its backoff. If dropped before an
 /// accepted answer, the probe counts as not accepted.
 struct Probe<'a> {
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -166,10 +166,16 @@
     let RetryBalance {
         earned,
         slack,
+        owed,
         nodes,
     } = balance;
     let nodes = nodes.map_or("unused".to_owned(), |nodes| format!("of {nodes} nodes"));
-    format!(", retry with {earned:.1} earned and {slack:.1} slack {nodes}")
+    let owed = if owed > 0.0 {
+        format!(", {owed:.1} owed")
+    } else {
+        String::new()
+    };
+    format!(", retry with {earned:.1} earned and {slack:.1} slack {nodes}{owed}")
 }
 
 /// A request that has been accepted.
--- a/crates/forwarding/src/serve/response_timeout.rs
+++ b/crates/forwarding/src/serve/response_timeout.rs
@@ -48,8 +48,9 @@
     ))
 }
 
-/// Whether the request may be taken from `current`, an unresponsive engine: another engine could take it, and the retry
-/// budget allows that. If not, abandoning the engine would end the request.
+/// Whether the request may be taken from `current`, an unresponsive engine: another engine could take it, the retry budget
+/// allows that, and would still do if the engine read the abandoned calls late. If not, abandoning the engine would end the
+/// request or exceed the budget.
 pub(crate) fn may_abandon(
     context: &Context,
     progress: &Progress,
@@ -57,9 +58,14 @@
     current: &StagedEngine,
 ) -> bool {
     let now = context.now();
-    if context.budget.borrow_mut().available(now, pool) < RESERVED_RETRIES {
+    let unread = context.unread_calls.borrow().count(pool);
+    let mut budget = context.budget.borrow_mut();
+    if budget.available(now, pool) < RESERVED_RETRIES
+        || unread >= budget.max_unread_calls(now, pool)
+    {
         return false;
     }
+    drop(budget);
     let fleet = context.fleet();
     let router = context.router.borrow();
     router.has_alternative(now, fleet.pool(pool), current, &progress.tried)
--- a/crates/forwarding/tests/call_budget.rs
+++ b/crates/forwarding/tests/call_budget.rs
@@ -10,6 +10,7 @@
 use std::collections::HashMap;
 use std::net::TcpStream;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use rstest::rstest;
@@ -130,3 +131,50 @@
         "{beyond} calls beyond the first, {beyond_before_restart} of them before the restarts"
     );
 }
+
+/// Whether the stalling engine reads nothing.
+static IS_STALLED: AtomicBool = AtomicBool::new(true);
+
+fn stalling(head: &str, stream: &mut TcpStream) {
+    while IS_STALLED.load(Ordering::SeqCst) {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    succeeding(head, stream);
+}
+
+/// Guards against calls that are given up at a suspended engine counting nowhere when it reads them: by then the retry
+/// elsewhere was the first arrival of the request.
+#[actix_rt::test]
+async fn calls_that_an_engine_reads_late_are_charged_to_the_budget() {
+    let node = TestNode::start().await;
+    node.declare(1, "repeatable", 3, 10_000);
+    let engines = [stalling, succeeding].map(|script| TestEngine::start(script));
+    for (index, engine) in engines.iter().enumerate() {
+        node.write_entry(&format!("e{index}"), engine, "ready");
+    }
+    node.wait_for_engines(engines.len()).await;
+    node.wait_for_declaration(1).await;
+    for index in 0..10 {
+        let headers = format!("x-id: {index}\r\nhost: a.example\r\n");
+        let served = get(node.callers, &headers, "/r/x").await;
+        assert!(served.starts_with("HTTP/1.1 200"), "{served}");
+    }
+    let given_up = engines[0].heads().len();
+    assert!(given_up > 0, "the stalled engine was called");
+    IS_STALLED.store(false, Ordering::SeqCst);
+    // So that the engine that goes on is called again.
+    node.write_entry("e1", &engines[1], "draining");
+    node.wait_for_engines(1).await;
+    let charged =
+        format!("dalestand_repeated_sends_total{{outcome=\"read late\",pool=\"pool\"}} {given_up}");
+    for index in 10..200 {
+        let headers = format!("x-id: {index}\r\nhost: a.example\r\n");
+        get(node.callers, &headers, "/r/x").await;
+        let metrics = get(node.metrics, "host: a.example\r\n", "/metrics").await;
+        if metrics.lines().any(|line| line == charged) {
+            return;
+        }
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("{charged} is not among the metrics");
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -25,6 +25,8 @@
 mod source_sums;
 pub mod staged;
 mod tenant_limits;
+mod timed_counts;
+mod unread_calls;
 mod view;
 
 pub use admission::aged_priority;
@@ -44,4 +46,5 @@
 pub use shared_retry_budget::{RepeatedSend, RetryBalance, SharedRetryBudget, SharedRetryLimits};
 pub use source_sums::{SourceSums, Summable};
 pub use tenant_limits::{TenantDemand, TenantLimits, TenantRule, TenantTotals, summing_node};
+pub use unread_calls::UnreadCalls;
 pub use view::{EngineView, FleetView};
--- a/crates/routing/src/shared_retry_budget.rs
+++ b/crates/routing/src/shared_retry_budget.rs
@@ -16,17 +16,22 @@
 //! the slack. Beyond its own part it leaves a reserve to the others, whose requests could otherwise not be retried while
 //! it overloads the pool.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::time::Duration;
 
 use dalestand_types::{MonotonicTime, PoolName};
 
 use crate::figures::TenantCode;
 use crate::node_count::NodeCount;
+use crate::timed_counts::{TimedAmounts, WindowCounts};
 
 /// Fraction of the slack that is used. The rest is a margin for nodes that learn of each other with a delay.
 const USABLE_SLACK_FRACTION: f64 = 0.95;
 
+/// Fraction of a window's budget up to which calls may be given up that could all arrive late in one window, beside its
+/// other repeated sends.
+const MAX_UNREAD_FRACTION: f64 = 0.5;
+
 /// Fraction of the window for which a credit can be spent. Longer ones would pay for larger bursts, but each takes away
 /// from what may be sent continuously.
 const CREDIT_LIFETIME_FRACTION: f64 = 0.1;
@@ -91,6 +96,8 @@
     pub earned: f64,
     /// Repeated sends left of this node's part of the slack.
     pub slack: f64,
+    /// Repeated sends that arrived without having been taken and are still to be paid for.
+    pub owed: f64,
     /// Nodes among which the slack is divided; `None` if this node uses none of it.
     pub nodes: Option<usize>,
 }
@@ -98,111 +105,7 @@
 impl RetryBalance {
     /// Repeated sends left.
     pub fn total(&self) -> f64 {
-        self.earned + self.slack
-    }
-}
-
-/// Events of one kind within the window, with their tenants.
-#[derive(Clone, Debug, Default)]
-struct WindowCounts {
-    events: VecDeque<(MonotonicTime, Option<TenantCode>)>,
-    by_tenant: HashMap<TenantCode, usize>,
-}
-
-impl WindowCounts {
-    fn push(&mut self, now: MonotonicTime, tenant: Option<TenantCode>) {
-        self.events.push_back((now, tenant));
-        if let Some(tenant) = tenant {
-            *self.by_tenant.entry(tenant).or_default() += 1;
-        }
-    }
-
-    fn expire(&mut self, now: MonotonicTime, window: Duration) {
-        while let Some((at, tenant)) = self.events.front().copied()
-            && now.since(at) > window
-        {
-            self.events.pop_front();
-            self.uncount(tenant);
-        }
-    }
-
-    fn remove(&mut self, send: RepeatedSend) {
-        let event = (send.at, send.tenant);
-        if let Some(index) = self.events.iter().rposition(|one| *one == event) {
-            self.events.remove(index);
-            self.uncount(send.tenant);
-        }
-    }
-
-    fn uncount(&mut self, tenant: Option<TenantCode>) {
-        let Some(tenant) = tenant else { return };
-        if let Some(count) = self.by_tenant.get_mut(&tenant) {
-            *count -= 1;
-            if *count == 0 {
-                self.by_tenant.remove(&tenant);
-            }
-        }
-    }
-
-    fn count_within(&self, now: MonotonicTime, time: Duration) -> usize {
-        let events = self.events.iter().rev();
-        events.take_while(|(at, _)| now.since(*at) <= time).count()
-    }
-
-    fn of(&self, tenant: TenantCode) -> f64 {
-        self.by_tenant.get(&tenant).copied().unwrap_or_default() as f64
-    }
-}
-
-/// Amounts with the time of each, oldest first.
-#[derive(Clone, Debug, Default)]
-struct TimedAmounts(VecDeque<(MonotonicTime, f64)>);
-
-impl TimedAmounts {
-    fn add(&mut self, at: MonotonicTime, amount: f64) {
-        self.0.push_back((at, amount));
-    }
-
-    fn expire(&mut self, now: MonotonicTime, lifetime: Duration) {
-        while self
-            .0
-            .front()
-            .is_some_and(|(at, _)| now.since(*at) > lifetime)
-        {
-            self.0.pop_front();
-        }
-    }
-
-    fn total(&self) -> f64 {
-        self.0.iter().map(|(_, amount)| amount).sum()
-    }
-
-    /// Takes up to `wanted`, the oldest first. Returns the time of the oldest and how much was taken.
-    fn take(&mut self, wanted: f64) -> Option<(MonotonicTime, f64)> {
-        let (oldest, _) = *self.0.front()?;
-        let mut taken = 0.0;
-        while let Some((_, amount)) = self.0.front_mut() {
-            let part = amount.min(wanted - taken);
-            *amount -= part;
-            taken += part;
-            if *amount > 0.0 {
-                break;
-            }
-            self.0.pop_front();
-        }
-        Some((oldest, taken))
-    }
-
-    /// Gives back an amount that was taken.
-    fn give_back(&mut self, at: MonotonicTime, amount: f64) {
-        let index = self.0.partition_point(|(other, _)| *other < at);
-        self.0.insert(index, (at, amount));
-    }
-
-    /// Removes an amount that was added at `at`.
-    fn remove(&mut self, at: MonotonicTime, amount: f64) {
-        let index = self.0.iter().rposition(|one| *one == (at, amount));
-        index.and_then(|index| self.0.remove(index));
+        self.earned + self.slack - self.owed
     }
 }
 
@@ -214,6 +117,8 @@
     credits: TimedAmounts,
     /// Sends, or fractions of sends, that used the slack.
     slack_uses: TimedAmounts,
+    /// Sends that arrived without having been taken, as far as they are not paid for.
+    debts: TimedAmounts,
 }
 
 /// Limits of a pool's repeated sends at this node.
@@ -279,7 +184,11 @@
         let limits = self.limits;
         let counts = self.counts(now, pool);
         counts.requests.push(now, tenant);
-        counts.credits.add(now, limits.credit_per_request());
+        let credit = limits.credit_per_request();
+        let paid = counts.debts.take(credit).map_or(0.0, |(_, paid)| paid);
+        if paid < credit {
+            counts.credits.add(now, credit - paid);
+        }
     }
 
     /// Takes one repeated send of a tenant's request; `None` if none is available to it.
@@ -304,10 +213,34 @@
         })
     }
 
+    /// Calls at silent engines that this node may have given up at a time ([`crate::UnreadCalls`]).
+    pub fn max_unread_calls(&mut self, now: MonotonicTime, pool: &PoolName) -> usize {
+        let limit = self.limit(now);
+        let requests = self.counts(now, pool).requests.len() as f64;
+        let budget = limit.credit_per_request * requests + limit.slack;
+        (budget * MAX_UNREAD_FRACTION) as usize
+    }
+
+    /// Charges a repeated send that arrived now although another was taken in its stead earlier. What the budget cannot
+    /// pay at once is paid by the requests that follow.
+    pub fn charge(&mut self, now: MonotonicTime, pool: &PoolName) {
+        let slack = self.balance(now, pool).slack;
+        let counts = self.counts(now, pool);
+        let earned = counts.credits.take(1.0).map_or(0.0, |(_, earned)| earned);
+        let from_slack = slack.min(1.0 - earned);
+        if from_slack > 0.0 {
+            counts.slack_uses.add(now, from_slack);
+        }
+        let owed = 1.0 - earned - from_slack;
+        if owed > 0.0 {
+            counts.debts.add(now, owed);
+        }
+    }
+
     /// Gives back a send that did not count.
     pub fn give_back(&mut self, pool: &PoolName, send: RepeatedSend) {
         if let Some(counts) = self.pools.get_mut(pool) {
-            counts.repeats.remove(send);
+            counts.repeats.remove(send.at, send.tenant);
             counts.credits.give_back(send.earned_at, send.earned);
             counts.slack_uses.remove(send.at, 1.0 - send.earned);
         }
@@ -366,6 +299,7 @@
         self.repeats.expire(now, limits.window);
         self.credits.expire(now, limits.credit_lifetime());
         self.slack_uses.expire(now, limits.slack_interval());
+        self.debts.expire(now, limits.slack_interval());
     }
 
     fn balance(&self, limit: PoolLimit) -> RetryBalance {
@@ -374,6 +308,7 @@
             earned: self.credits.total(),
             // The part may have become smaller than what was used of it.
             slack: slack.max(0.0),
+            owed: self.debts.total(),
             nodes: limit.nodes,
         }
     }
@@ -386,7 +321,7 @@
 
     /// What a tenant leaves to the others: nothing while it stays within its own part.
     fn reserve_against(&self, now: MonotonicTime, tenant: TenantCode, limit: PoolLimit) -> f64 {
-        let tenants = self.requests.by_tenant.len();
+        let tenants = self.requests.tenants();
         if tenants < 2 {
             return 0.0;
         }
--- a/crates/routing/tests/shared_retry_budget.rs
+++ b/crates/routing/tests/shared_retry_budget.rs
@@ -175,6 +175,9 @@
     fails: bool,
     /// Nodes that restart at its start: this many from the first one on.
     restarts: usize,
+    /// Whether the engines that are called first read nothing until its end. Their calls are given up and made again at
+    /// other engines.
+    stalls: bool,
 }
 
 fn phase(max_restarts: usize) -> impl Strategy<Value = Phase> {
@@ -192,9 +195,20 @@
             nodes,
             fails,
             restarts,
+            stalls: false,
         })
 }
 
+/// A phase at the same nodes, in which engines may stall.
+fn stalling_phase() -> impl Strategy<Value = Phase> {
+    (phase(0), any::<bool>()).prop_map(|(phase, stalls)| Phase {
+        nodes: NODES,
+        first_node: 0,
+        stalls,
+        ..phase
+    })
+}
+
 /// Requests of all nodes, and arrivals beyond the first of each.
 #[derive(Default)]
 struct FleetLoad {
@@ -208,6 +222,44 @@
 /// Latest arrival of a repeated send.
 const MAX_ARRIVAL_MS: u64 = 700;
 
+/// Time from the end of a stall to the first answer of the engines.
+const ANSWER_AFTER_STALL: Duration = Duration::from_millis(300);
+
+/// Calls that were given up at stalled engines and made again elsewhere, by node.
+#[derive(Default)]
+struct GivenUpCalls {
+    by_node: [usize; NODES],
+    /// Those that the engines have read, until nodes notice.
+    read_by_node: [usize; NODES],
+    /// When nodes notice that the engines answer again.
+    noticed_at: Option<MonotonicTime>,
+}
+
+impl GivenUpCalls {
+    /// The engines read all calls at `now`.
+    fn end_stall(&mut self, now: MonotonicTime, at_ms: u64, load: &mut FleetLoad) {
+        let given_up = std::mem::take(&mut self.by_node);
+        for (read, given_up) in self.read_by_node.iter_mut().zip(given_up) {
+            load.repeats_ms.extend((0..given_up).map(|_| at_ms));
+            *read += given_up;
+        }
+        self.noticed_at = Some(now + ANSWER_AFTER_STALL);
+    }
+
+    /// Nodes that notice the end of a stall pay for the calls that were read.
+    fn pay(&mut self, now: MonotonicTime, pool: &PoolName, nodes: &mut [SharedRetryBudget]) {
+        if self.noticed_at.is_none_or(|at| now < at) {
+            return;
+        }
+        self.noticed_at = None;
+        for (node, read) in nodes.iter_mut().zip(std::mem::take(&mut self.read_by_node)) {
+            for _ in 0..read {
+                node.charge(now, pool);
+            }
+        }
+    }
+}
+
 /// Nodes retry as much as they may through `phases`.
 fn play(phases: &[Phase]) -> FleetLoad {
     let pool = PoolName::from("captions");
@@ -219,6 +271,7 @@
     let mut nodes: Vec<SharedRetryBudget> =
         (0..NODES).map(|_| counted(MonotonicTime::ZERO)).collect();
     let mut load = FleetLoad::default();
+    let mut given_up = GivenUpCalls::default();
     let mut at_ms = 0;
     for phase in phases {
         let now = MonotonicTime::from_millis(at_ms);
@@ -232,12 +285,24 @@
             let node = (phase.first_node + number as usize % phase.nodes) % NODES;
             nodes[node].record_request(now, &pool, None);
             load.requests_ms.push(at_ms);
+            given_up.pay(now, &pool, &mut nodes);
+            let is_noticed = given_up.noticed_at.is_none();
+            let may_give_up = phase.stalls
+                && is_noticed
+                && given_up.by_node[node] < nodes[node].max_unread_calls(now, &pool);
+            if may_give_up && nodes[node].take(now, &pool, None).is_some() {
+                // The retry is the first arrival.
+                given_up.by_node[node] += 1;
+            }
             while phase.fails && nodes[node].take(now, &pool, None).is_some() {
                 let delay_ms = load.repeats_ms.len() as u64 * 97 % (MAX_ARRIVAL_MS + 1);
                 load.repeats_ms.push(at_ms + delay_ms);
             }
             at_ms += REQUEST_INTERVAL_MS;
         }
+        if phase.stalls {
+            given_up.end_stall(MonotonicTime::from_millis(at_ms), at_ms, &mut load);
+        }
     }
     load.repeats_ms.sort_unstable();
     load
@@ -286,6 +351,37 @@
     }
 }
 
+proptest! {
+    /// Guards against calls that were given up at suspended engines arriving together, beside as many other repeated sends
+    /// as if they had not.
+    #[test]
+    fn calls_that_engines_read_late_stay_within_the_budget(
+        phases in proptest::collection::vec(stalling_phase(), 1..12),
+    ) {
+        let (repeats, allowed) = worst_window(&play(&phases));
+        prop_assert!(repeats <= allowed, "{repeats} of {allowed}");
+    }
+}
+
+/// What the budget cannot pay at once is paid by the requests that follow.
+#[test]
+fn sends_that_are_charged_are_paid_by_later_requests() {
+    let pool = PoolName::from("pool");
+    let now = MonotonicTime::from_millis(5_000);
+    let mut budget = SharedRetryBudget::new(LIMITS);
+    budget.set_nodes(MonotonicTime::ZERO, 50);
+    for _ in 0..4 {
+        budget.charge(now, &pool);
+    }
+    let balance = budget.balance(now, &pool);
+    assert!(balance.slack == 0.0 && balance.owed > 2.0, "{balance:?}");
+    for _ in 0..30 {
+        budget.record_request(now, &pool, None);
+    }
+    let balance = budget.balance(now, &pool);
+    assert!(balance.owed == 0.0 && balance.earned > 1.0, "{balance:?}");
+}
+
 /// Most of the budget can be used while engines fail continuously.
 #[test]
 fn a_constant_load_of_failures_uses_most_of_the_budget() {
@@ -295,6 +391,7 @@
         nodes: NODES,
         fails: true,
         restarts: 0,
+        stalls: false,
     };
     let (repeats, allowed) = worst_window(&play(&[failing]));
     assert!(repeats >= 0.8 * allowed, "{repeats} of {allowed}");
