--- a/crates/dissemination/src/membership.rs
+++ b/crates/dissemination/src/membership.rs
@@ -9,11 +9,12 @@
 use serde::{Deserialize, Serialize};
 
 /// Minimum number of relays per zone. A zone loses all three only if these machines fail within the
-/// time to live of their entries.
+/// time to live of their entries. With up to three nodes per zone, all nodes exchange directly.
 pub const RELAYS_PER_ZONE: usize = 3;
 
 /// Members per relay in zones that need more than [`RELAYS_PER_ZONE`]. Sending tables to 64 members
-/// at 29 KB/s each takes a relay 15 Mbit/s, a twelfth of its expected link capacity.
+/// at 29 KB/s each takes a relay 15 Mbit/s, a twelfth of its expected link capacity. After a start,
+/// sending an entry of each of 10,000 engines to all of them takes its link two seconds.
 pub const NODES_PER_RELAY: usize = 64;
 
 /// A relay leaves members to those of its zone whose links are at least this many times as fast: tables for a
--- a/crates/dissemination/src/subscription.rs
+++ b/crates/dissemination/src/subscription.rs
@@ -11,9 +11,9 @@
 /// Relays of other zones that are probed in addition to those of the member's zone.
 const MAX_OTHER_ZONE_PROBES: usize = 2;
 
-/// Relays of other zones are probed after this multiple of the silence limit: relays of the member's
-/// own zone get time to answer first, because tables from another zone use bandwidth of the links
-/// between zones.
+/// Relays of other zones are probed after this multiple of the silence limit: relays of the
+/// member's own zone get time to answer first, because tables from another zone use bandwidth of
+/// the links between zones. After a start these are all entries.
 const OTHER_ZONES_SILENCE_FACTOR: f64 = 1.5;
 
 /// How often a member that follows a relay of another zone probes one of its own zone.
--- a/crates/forwarding/src/fleet/engine_entries.rs
+++ b/crates/forwarding/src/fleet/engine_entries.rs
@@ -34,8 +34,9 @@
 /// guaranteed by the platform. An engine that has not done so by then is gone.
 const LAPSED_ENTRY_GRACE: Duration = Duration::from_secs(2);
 
-/// Minimum share of the engines that must disappear at once to be treated as expired entries. Engines
-/// that end without draining first are few at a time.
+/// Minimum share of the engines that must disappear at once to be treated as expired entries.
+/// Engines that end without draining first are few at a time. Such engines serve on for the drain
+/// bound, so that treating them as expired does no harm before half of it is over.
 const MIN_LAPSED_SHARE: f64 = 0.1;
 
 /// Removals of many entries at once are held back for this part of the drain bound at most.
@@ -45,7 +46,8 @@
 /// the entries may have been removed right after that. The rest is for the way through relays.
 const HOLD_END_SHARE: f64 = 0.75;
 
-/// Limit on changes that are logged individually; a start changes all engines at once.
+/// Limit on changes that are logged individually; a start changes all engines at once. A line for
+/// each of 10,000 engines would take longer than applying their entries.
 const MAX_LOGGED_EACH: usize = 16;
 
 /// Limit on unreadable entries that are logged, one line each.
--- a/crates/forwarding/src/fleet/part_recovery.rs
+++ b/crates/forwarding/src/fleet/part_recovery.rs
@@ -34,7 +34,7 @@
 const MAX_PARTS_SENT: usize = 4_096;
 
 /// Concurrent queries of a relay to engines. Querying all assigned engines at once would delay the
-/// tables that its members need after a start.
+/// tables that its members need after a start. In a large fleet these are hundreds.
 const MAX_CONCURRENT_REQUESTS: usize = 8;
 
 /// Recovers the cached parts; returns when all queries are done.
--- a/crates/forwarding/src/roles/role_control.rs
+++ b/crates/forwarding/src/roles/role_control.rs
@@ -31,7 +31,8 @@
 /// role later, it rejects requests for the old one.
 const UNANSWERED_AVOID_TIME: Duration = Duration::from_millis(1_000);
 
-/// Maximum number of concurrent orders; each makes two short calls to its engine.
+/// Maximum number of concurrent orders; each makes two short calls to its engine. They take a few
+/// milliseconds together, so that a hundred engines get their orders within a tenth of a second.
 const MAX_CONCURRENT_ORDERS: usize = 16;
 
 /// Changes the stages of engines while this node holds the fleet lease; never returns.
--- a/crates/routing/src/class_meter.rs
+++ b/crates/routing/src/class_meter.rs
@@ -4,8 +4,9 @@
 
 use crate::figures::ClassFigures;
 
-/// Time constant of the rates, in seconds: short enough to follow changes in demand, long enough for a stable rate at a
-/// node with few requests.
+/// Time constant of the rates, in seconds: short enough to follow changes in demand, long enough
+/// for a stable rate at a node with few requests. Demand shifts within three seconds; at ten
+/// requests per second a node sees some tens in this time.
 pub(crate) const RATE_TIME_CONSTANT_S: f64 = 2.0;
 
 /// Rate of events, averaged with exponential decay.
--- a/crates/routing/src/overload/shortage.rs
+++ b/crates/routing/src/overload/shortage.rs
@@ -11,7 +11,8 @@
 use crate::class_meter::RATE_TIME_CONSTANT_S;
 use crate::figures::WorkRate;
 
-/// Fraction of failed attempts above which a pool is short of capacity.
+/// Fraction of failed attempts above which a pool is short of capacity. Above it, a caller that
+/// tries twice is refused both times more than once in 400 requests.
 const MAX_FAILED_FRACTION: f64 = 0.05;
 
 /// Largest fraction by which the estimate exceeds the current throughput: reached while no attempt fails, so that new
--- a/crates/routing/src/overload/tenant_meters.rs
+++ b/crates/routing/src/overload/tenant_meters.rs
@@ -10,7 +10,8 @@
 use crate::class_meter::DecayingRate;
 use crate::figures::{TenantCode, TenantFigures, WorkRate};
 
-/// Most tenants of one pool that have a row of their own in the reported figures. All others share one row.
+/// Most tenants of one pool that have a row of their own in the reported figures. All others share
+/// one row. The others are small beside the largest ones.
 pub const MAX_NAMED_TENANTS: usize = 64;
 
 /// Most tenants counted individually between two reports. More than are reported, because which ones have the largest
--- a/crates/routing/src/shared_rate/issuer.rs
+++ b/crates/routing/src/shared_rate/issuer.rs
@@ -25,7 +25,8 @@
 /// announces a new limit in its responses.
 const MIN_RATE: f64 = 0.1;
 
-/// Longest retry delay of a node that gets no permit.
+/// Longest retry delay of a node that gets no permit. A node that was told to wait and has no
+/// request by then leaves its turn to others.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
 
 /// Number of buckets from which unused ones are removed.
--- a/crates/routing/src/staged/candidate_sampler.rs
+++ b/crates/routing/src/staged/candidate_sampler.rs
@@ -15,7 +15,8 @@
 use super::part_directory::PartDirectory;
 use super::{EngineKey, Stage, StagedEngine, StagedRequest};
 
-/// Engines of one stage compared for a prompt. If the stage has no more engines than this, all are compared.
+/// Engines of one stage compared for a prompt. If the stage has no more engines than this, all are
+/// compared. On average, the best of 32 is among the best 3 percent.
 const PROMPT_SAMPLE: SampleSize = SampleSize {
     engines: 32,
     preferred_zone: 24,
--- a/crates/routing/src/staged/part_directory.rs
+++ b/crates/routing/src/staged/part_directory.rs
@@ -11,8 +11,9 @@
 /// Share of an engine's KV cache assumed to hold cached parts; running requests use the rest.
 const CACHED_SHARE: f64 = 0.95;
 
-/// Maximum number of entries over all engines; beyond it the least recently used ones are removed. At
-/// some 250 bytes each, the directory and its indexes take up to 16 MB.
+/// Maximum number of entries over all engines; beyond it the least recently used ones are removed.
+/// At some 250 bytes each, the directory and its indexes take up to 16 MB. That is a quarter of the
+/// memory of a node; a removed entry costs one prefill if its part is used again.
 const MAX_ENTRIES: usize = 65_536;
 
 /// Maximum number of holders of a prompt's parts considered in one choice, most recently used first.
