Retry budget: the window keeps room for given-up calls that may arrive late, also of engines whose entries expired

What was seen: nothing by callers; engines of a pool can get more repeated sends within ten seconds than all nodes together may make, when engines that were silent go on while others refuse.

Cause, two faults of one class (an arrival at an unknown time, paid for when it is noticed): - A call that was given up at a silent engine was charged when the engine answered again, to the requests that follow. It counts in the ten seconds before as well, whose budget may have been spent. Up to half of a window's budget may be outstanding in this way, so that a window could hold up to half as much again. - Given-up calls were forgotten when the engine's entry had gone, as if its process had ended. A suspended engine sends no heartbeats; its entry expires after three, and it reads everything when it goes on. Beyond 64 calls at one engine none was remembered at all.

Evidence: the property test of late reads drew stalls of up to 8 s, shorter than the window.

Change: as long as calls may arrive late, repeated sends are taken only while those of the window and the calls that are older than it fit into the node's part (RetryBalance::reserved, named in the account of a retry). A call is recorded when its repetition is taken, not when it is given up: without one, a late arrival is the only one of its request. It is forgotten when its engine has started again or nothing listens at its address, or after a minute. The budget owns the given-up calls now.

Tests replaced: calls_at_ended_engines_are_forgotten_and_their_number_is_bounded pinned both faults (an entry that goes ends the process; 64 calls). What it held stands in calls_are_kept_until_their_engine_has_ended and calls_that_are_taken_as_lost_are_dropped; the bound is the budget, as each call was replaced by a send of it.

Not covered, as before: a node that restarts or loses its callers while calls are outstanding.

--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -14,7 +14,7 @@
 use dalestand_planner::{ScalingDecision, ZoneEngines};
 use dalestand_routes::{RouteTable, WeightedRoundRobin};
 use dalestand_routing::staged::{EngineKey, LinkQueue, StagedRouter};
-use dalestand_routing::{NodeCount, SharedRetryBudget, UnreadCalls};
+use dalestand_routing::{NodeCount, SharedRetryBudget};
 use dalestand_types::{MonotonicTime, PoolName, ZoneName};
 use rand::RngExt as _;
 use slog::Logger;
@@ -67,8 +67,6 @@
     pub(crate) uplink: RefCell<LinkQueue>,
     /// Retry budget, shared with the other nodes.
     pub(crate) budget: RefCell<SharedRetryBudget>,
-    /// Calls given up at silent engines, which may arrive later.
-    pub(crate) unread_calls: RefCell<UnreadCalls>,
     /// Picks the pools of requests on routes that are split between pools.
     pub(crate) splits: RefCell<WeightedRoundRobin>,
     /// Notified when this node's work at an engine has changed.
@@ -135,7 +133,6 @@
             held_bytes: HeldBytes::default(),
             router: RefCell::new(StagedRouter::seeded(rand::rng().random())),
             uplink: RefCell::default(),
-            unread_calls: RefCell::default(),
             budget: RefCell::new(SharedRetryBudget::new(settings.retry_limits())),
             splits: RefCell::default(),
             work_changed: Notify::new(),
--- a/crates/forwarding/src/node/start.rs
+++ b/crates/forwarding/src/node/start.rs
@@ -322,9 +322,8 @@
         context.budget.borrow_mut().set_isolated(is_isolated);
         let fleet = context.fleet();
         context.link.sweep(|target| fleet.has_target(target));
-        let mut unread_calls = context.unread_calls.borrow_mut();
-        unread_calls.retain(|engine| fleet.engine(engine).is_some());
-        drop(unread_calls);
+        let is_known = |engine| fleet.engine(engine).is_some();
+        context.budget.borrow_mut().sweep(now, is_known);
         context.router.borrow_mut().work.remove_expired(now);
     }
 }
--- a/crates/forwarding/src/quarantine/engine_end.rs
+++ b/crates/forwarding/src/quarantine/engine_end.rs
@@ -62,6 +62,10 @@
 /// Records that an engine run has ended, and attributes a crash to each request unfinished there.
 pub(crate) fn record_engine_end(context: &Context, engine: EngineKey, name: &str, proof: EndProof) {
     let run = engine_run_id(context, engine);
+    // Without an entry a process may still run and read what was sent to it.
+    if proof != EndProof::EntryGone {
+        context.budget.borrow_mut().forget_engine(engine);
+    }
     let requests = {
         let mut runs = context.quarantine.unfinished.borrow_mut();
         if runs.has_ended(run) {
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -24,7 +24,7 @@
 use crate::serve::engine_send::{
     CallContent, CallError, EngineCall, EngineReply, closed_reason, send,
 };
-use crate::serve::progress::{CallSignals, EntryUsed, Progress};
+use crate::serve::progress::{CallSignals, EntryUsed, Progress, SilentCall};
 use crate::serve::work_guard::WorkGuard;
 
 /// The response to a call, after its head was found to belong to the request.
@@ -101,7 +101,10 @@
     };
     let retry = if progress.call_counts.is_repeat() {
         match take_from_budget(context, progress, call.pool) {
-            (Some(send), balance) => Some((send, balance)),
+            (Some(send), balance) => {
+                record_given_up(context, progress);
+                Some((send, balance))
+            }
             (None, balance) => return record_denied(context, progress, &call, balance),
         }
     } else {
@@ -238,11 +241,11 @@
         }
         Verdict::NoResponse => {
             watch.record_unfinished(UnfinishedReason::Silent);
-            // Without a retry, a late arrival is the only one of its request.
-            if progress.may_call_another() {
-                let mut unread_calls = context.unread_calls.borrow_mut();
-                unread_calls.record_given_up(engine.key, call.pool, sent_time);
-            }
+            progress.silent_calls.push(SilentCall {
+                engine: engine.key,
+                pool: call.pool.clone(),
+                sent_at: sent_time,
+            });
             (
                 AttemptOutcome::Unknown,
                 "silent",
@@ -395,6 +398,16 @@
     (send, balance)
 }
 
+/// Records that the calls of a request that engines did not answer are made again. Without a retry, a late arrival
+/// would be the only one of its request.
+fn record_given_up(context: &Context, progress: &mut Progress) {
+    let now = context.now();
+    let mut budget = context.budget.borrow_mut();
+    for call in progress.silent_calls.drain(..) {
+        budget.record_given_up(now, call.engine, &call.pool, call.sent_at);
+    }
+}
+
 /// Classification of the result of a call.
 enum Verdict {
     Valid(Box<Exchange>),
--- a/crates/forwarding/src/serve/engine_send.rs
+++ b/crates/forwarding/src/serve/engine_send.rs
@@ -174,8 +174,7 @@
 /// Charges the calls that were given up at an engine while it answered nothing, and that it has read by now.
 fn charge_read_calls(context: &Context, engine: EngineKey) {
     let now = context.now();
-    for pool in context.unread_calls.borrow_mut().record_answer(now, engine) {
-        context.budget.borrow_mut().charge(now, &pool);
+    for pool in context.budget.borrow_mut().record_answer(now, engine) {
         context.metrics.retry(&pool, RetryOutcome::ReadLate);
     }
 }
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -15,7 +15,7 @@
     ClosedReason, EngineChoice, EngineKey, LatencyEstimate, PromptPart, StagedRequest,
 };
 use dalestand_routing::{CallCounts, CallPurpose, RetryBalance, TenantCode};
-use dalestand_types::{EngineSignals, LimitSignal, PoolName, RequestRate};
+use dalestand_types::{EngineSignals, LimitSignal, MonotonicTime, PoolName, RequestRate};
 
 use crate::fleet_sums::{ClassKey, TenantKey};
 use crate::node::settings::ForwardingSettings;
@@ -61,6 +61,13 @@
     pub(crate) retry: Option<RetryBalance>,
 }
 
+/// A call that was given up without an answer. The engine may read it later.
+pub(crate) struct SilentCall {
+    pub(crate) engine: EngineKey,
+    pub(crate) pool: PoolName,
+    pub(crate) sent_at: MonotonicTime,
+}
+
 /// What the engine signalled about itself, before or in answer to a call.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct CallSignals {
@@ -167,6 +174,7 @@
         earned,
         slack,
         owed,
+        reserved,
         nodes,
     } = balance;
     let nodes = nodes.map_or("unused".to_owned(), |nodes| format!("of {nodes} nodes"));
@@ -175,7 +183,12 @@
     } else {
         String::new()
     };
-    format!(", retry with {earned:.1} earned and {slack:.1} slack {nodes}{owed}")
+    let reserved = if reserved > 0.0 {
+        format!(", {reserved:.1} reserved for late arrivals")
+    } else {
+        String::new()
+    };
+    format!(", retry with {earned:.1} earned and {slack:.1} slack {nodes}{owed}{reserved}")
 }
 
 /// A request that has been accepted.
@@ -224,6 +237,8 @@
     pub(crate) runs: u32,
     /// Calls that count against the retry budget.
     pub(crate) call_counts: CallCounts,
+    /// Calls that were given up without an answer and not made again yet.
+    pub(crate) silent_calls: Vec<SilentCall>,
     pub(crate) calls: Vec<CallRecord>,
     /// Latest latency estimate, where there is one.
     pub(crate) expected: Option<LatencyEstimate>,
@@ -268,6 +283,7 @@
             usage_counted: false,
             runs: 0,
             call_counts: CallCounts::default(),
+            silent_calls: Vec::new(),
             calls: Vec::new(),
             expected: None,
             reservation: None,
--- a/crates/forwarding/src/serve/response_timeout.rs
+++ b/crates/forwarding/src/serve/response_timeout.rs
@@ -49,7 +49,7 @@
 }
 
 /// Whether the request may be taken from `current`, an unresponsive engine: another engine could take it, the retry budget
-/// allows that, and would still do if the engine read the abandoned calls late. If not, abandoning the engine would end the
+/// allows that and has room for further calls that engines may read late. If not, abandoning the engine would end the
 /// request or exceed the budget.
 pub(crate) fn may_abandon(
     context: &Context,
@@ -58,11 +58,8 @@
     current: &StagedEngine,
 ) -> bool {
     let now = context.now();
-    let unread = context.unread_calls.borrow().count(pool);
     let mut budget = context.budget.borrow_mut();
-    if budget.available(now, pool) < RESERVED_RETRIES
-        || unread >= budget.max_unread_calls(now, pool)
-    {
+    if budget.available(now, pool) < RESERVED_RETRIES || !budget.may_give_up(now, pool) {
         return false;
     }
     drop(budget);
--- a/crates/forwarding/tests/call_budget.rs
+++ b/crates/forwarding/tests/call_budget.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use support::{MemoryStore, TestEngine, TestNode, answer, get, id_of};
+use support::{MemoryStore, Script, TestEngine, TestNode, answer, get, id_of};
 
 fn succeeding(head: &str, stream: &mut TcpStream) {
     let headers = format!("x-id: {}\r\n", id_of(head));
@@ -132,23 +132,42 @@
     );
 }
 
-/// Whether the stalling engine reads nothing.
+/// Whether the engine of `stalling` reads nothing.
 static IS_STALLED: AtomicBool = AtomicBool::new(true);
 
 fn stalling(head: &str, stream: &mut TcpStream) {
-    while IS_STALLED.load(Ordering::SeqCst) {
+    wait_while(&IS_STALLED);
+    succeeding(head, stream);
+}
+
+/// Whether the engine of `suspended` reads nothing and writes no heartbeats.
+static IS_SUSPENDED: AtomicBool = AtomicBool::new(true);
+
+fn suspended(head: &str, stream: &mut TcpStream) {
+    wait_while(&IS_SUSPENDED);
+    succeeding(head, stream);
+}
+
+fn wait_while(condition: &AtomicBool) {
+    while condition.load(Ordering::SeqCst) {
         std::thread::sleep(Duration::from_millis(5));
     }
-    succeeding(head, stream);
 }
 
 /// Guards against calls that are given up at a suspended engine counting nowhere when it reads them: by then the retry
-/// elsewhere was the first arrival of the request.
+/// elsewhere was the first arrival of the request. The engine's entry may expire meanwhile, as it sends no heartbeats.
+#[rstest]
+#[case::its_entry_stays(stalling, &IS_STALLED, false)]
+#[case::its_entry_expires(suspended, &IS_SUSPENDED, true)]
 #[actix_rt::test]
-async fn calls_that_an_engine_reads_late_are_charged_to_the_budget() {
+async fn calls_that_an_engine_reads_late_are_charged_to_the_budget(
+    #[case] script: Script,
+    #[case] is_stalled: &AtomicBool,
+    #[case] its_entry_expires: bool,
+) {
     let node = TestNode::start().await;
     node.declare(1, "repeatable", 3, 10_000);
-    let engines = [stalling, succeeding].map(|script| TestEngine::start(script));
+    let engines = [script, succeeding].map(TestEngine::start);
     for (index, engine) in engines.iter().enumerate() {
         node.write_entry(&format!("e{index}"), engine, "ready");
     }
@@ -161,7 +180,15 @@
     }
     let given_up = engines[0].heads().len();
     assert!(given_up > 0, "the stalled engine was called");
-    IS_STALLED.store(false, Ordering::SeqCst);
+    if its_entry_expires {
+        node.store.write("engines/e0", None);
+        node.wait_for_engines(1).await;
+        // Longer than the interval at which nodes remove what has expired.
+        actix_rt::time::sleep(Duration::from_millis(1_200)).await;
+        node.write_entry("e0", &engines[0], "ready");
+        node.wait_for_engines(2).await;
+    }
+    is_stalled.store(false, Ordering::SeqCst);
     // So that the engine that goes on is called again.
     node.write_entry("e1", &engines[1], "draining");
     node.wait_for_engines(1).await;
--- a/crates/routing/src/shared_retry_budget.rs
+++ b/crates/routing/src/shared_retry_budget.rs
@@ -11,6 +11,8 @@
 //! * A node uses an equal part of the slack, divided by the node count ([`NodeCount`]), once in a window. A process does
 //!   not know what a former one on its node used, and may count too few nodes at first, so it uses none until a window
 //!   after its first count.
+//! * A call that was given up at a silent engine may arrive at any later moment, beyond the first of its request. As long
+//!   as it may, sends are only taken as far as the window would have room for it.
 //!
 //! Tenants of a pool share its budget. A tenant's own part is what its requests add to the budget, and an equal part of
 //! the slack. Beyond its own part it leaves a reserve to the others, whose requests could otherwise not be retried while
@@ -23,13 +25,15 @@
 
 use crate::figures::TenantCode;
 use crate::node_count::NodeCount;
+use crate::staged::EngineKey;
 use crate::timed_counts::{TimedAmounts, WindowCounts};
+use crate::unread_calls::UnreadCalls;
 
 /// Fraction of the slack that is used. The rest is a margin for nodes that learn of each other with a delay.
 const USABLE_SLACK_FRACTION: f64 = 0.95;
 
-/// Fraction of a window's budget up to which calls may be given up that could all arrive late in one window, beside its
-/// other repeated sends.
+/// Fraction of a window's budget that calls may take up that were given up and could all arrive in one window. The rest
+/// stays for other repeated sends.
 const MAX_UNREAD_FRACTION: f64 = 0.5;
 
 /// Fraction of the window for which a credit can be spent. Longer ones would pay for larger bursts, but each takes away
@@ -98,6 +102,8 @@
     pub slack: f64,
     /// Repeated sends that arrived without having been taken and are still to be paid for.
     pub owed: f64,
+    /// What is kept for calls that were given up at silent engines and may arrive later.
+    pub reserved: f64,
     /// Nodes among which the slack is divided; `None` if this node uses none of it.
     pub nodes: Option<usize>,
 }
@@ -105,13 +111,14 @@
 impl RetryBalance {
     /// Repeated sends left.
     pub fn total(&self) -> f64 {
-        self.earned + self.slack - self.owed
+        self.earned + self.slack - self.owed - self.reserved
     }
 }
 
 #[derive(Clone, Debug, Default)]
 struct PoolCounts {
     requests: WindowCounts,
+    /// Repeated sends that may arrive within the window.
     repeats: WindowCounts,
     /// Unspent credits of requests.
     credits: TimedAmounts,
@@ -127,10 +134,22 @@
     /// Credit that a request earns.
     credit_per_request: f64,
     credit_lifetime: Duration,
+    /// Repeated sends allowed per request.
+    ratio: f64,
     /// This node's part of the slack.
     slack: f64,
     /// Nodes among which the slack is divided; `None` if this node uses none of it.
     nodes: Option<usize>,
+    /// Given-up calls that may arrive later, if there are any.
+    unread: Option<UnreadLoad>,
+}
+
+/// Given-up calls of a pool that may arrive later.
+#[derive(Clone, Copy, Debug)]
+struct UnreadLoad {
+    /// Those whose repetition is no longer among the repeated sends of the window. The others need no room of their own
+    /// yet: of a call and its repetition one arrival counts.
+    older_than_window: usize,
 }
 
 /// This node's part of the shared budget.
@@ -143,6 +162,7 @@
     /// When this process first knew a count of nodes.
     counted_at: Option<MonotonicTime>,
     pools: HashMap<PoolName, PoolCounts>,
+    unread: UnreadCalls,
 }
 
 impl SharedRetryBudget {
@@ -154,6 +174,7 @@
             is_isolated: false,
             counted_at: None,
             pools: HashMap::new(),
+            unread: UnreadCalls::default(),
         }
     }
 
@@ -213,12 +234,44 @@
         })
     }
 
-    /// Calls at silent engines that this node may have given up at a time ([`crate::UnreadCalls`]).
-    pub fn max_unread_calls(&mut self, now: MonotonicTime, pool: &PoolName) -> usize {
-        let limit = self.limit(now);
+    /// Whether a further call may be given up at a silent engine and made again elsewhere.
+    pub fn may_give_up(&mut self, now: MonotonicTime, pool: &PoolName) -> bool {
+        let limit = self.limit(now, pool);
         let requests = self.counts(now, pool).requests.len() as f64;
         let budget = limit.credit_per_request * requests + limit.slack;
-        (budget * MAX_UNREAD_FRACTION) as usize
+        let max_unread = (budget * MAX_UNREAD_FRACTION) as usize;
+        self.unread.count(pool) < max_unread
+    }
+
+    /// Records that a call sent to `engine` at `sent_at` was given up without an answer and is made again elsewhere.
+    pub fn record_given_up(
+        &mut self,
+        now: MonotonicTime,
+        engine: EngineKey,
+        pool: &PoolName,
+        sent_at: MonotonicTime,
+    ) {
+        self.unread.record_given_up(now, engine, pool, sent_at);
+    }
+
+    /// Records that an engine answered, and charges the given-up calls that it has read by then. Returns their pools, one
+    /// for each call.
+    pub fn record_answer(&mut self, now: MonotonicTime, engine: EngineKey) -> Vec<PoolName> {
+        let read = self.unread.record_answer(now, engine);
+        for pool in &read {
+            self.charge(now, pool);
+        }
+        read
+    }
+
+    /// Forgets the calls given up at an engine whose process has ended.
+    pub fn forget_engine(&mut self, engine: EngineKey) {
+        self.unread.forget(engine);
+    }
+
+    /// Removes expired state; that of engines that are not `known` is kept as long as calls may arrive there.
+    pub fn sweep(&mut self, now: MonotonicTime, known: impl Fn(EngineKey) -> bool) {
+        self.unread.sweep(now, known);
     }
 
     /// Charges a repeated send that arrived now although another was taken in its stead earlier. What the budget cannot
@@ -226,6 +279,7 @@
     pub fn charge(&mut self, now: MonotonicTime, pool: &PoolName) {
         let slack = self.balance(now, pool).slack;
         let counts = self.counts(now, pool);
+        counts.repeats.push(now, None);
         let earned = counts.credits.take(1.0).map_or(0.0, |(_, earned)| earned);
         let from_slack = slack.min(1.0 - earned);
         if from_slack > 0.0 {
@@ -253,7 +307,7 @@
 
     /// What is left now, whatever the tenant.
     pub fn balance(&mut self, now: MonotonicTime, pool: &PoolName) -> RetryBalance {
-        let limit = self.limit(now);
+        let limit = self.limit(now, pool);
         self.counts(now, pool).balance(limit)
     }
 
@@ -264,7 +318,7 @@
         pool: &PoolName,
         tenant: Option<TenantCode>,
     ) -> f64 {
-        let limit = self.limit(now);
+        let limit = self.limit(now, pool);
         let counts = self.counts(now, pool);
         let reserve = tenant.map_or(0.0, |tenant| counts.reserve_against(now, tenant, limit));
         counts.balance(limit).total() - reserve
@@ -277,7 +331,7 @@
         counts
     }
 
-    fn limit(&mut self, now: MonotonicTime) -> PoolLimit {
+    fn limit(&mut self, now: MonotonicTime, pool: &PoolName) -> PoolLimit {
         let slack = self.limits.slack;
         let delay = self.limits.slack_delay;
         let delay = delay.unwrap_or_else(|| self.limits.slack_interval());
@@ -287,16 +341,25 @@
         PoolLimit {
             credit_per_request: self.limits.credit_per_request(),
             credit_lifetime: self.limits.credit_lifetime(),
+            ratio: self.limits.ratio,
             slack: nodes.map_or(0.0, |nodes| slack / nodes as f64),
             nodes,
+            unread: self.unread_load(now, pool),
         }
     }
+
+    fn unread_load(&self, now: MonotonicTime, pool: &PoolName) -> Option<UnreadLoad> {
+        let window_start = now.saturating_sub(self.limits.slack_interval());
+        (self.unread.count(pool) > 0).then(|| UnreadLoad {
+            older_than_window: self.unread.count_before(window_start, pool),
+        })
+    }
 }
 
 impl PoolCounts {
     fn expire(&mut self, now: MonotonicTime, limits: SharedRetryLimits) {
         self.requests.expire(now, limits.window);
-        self.repeats.expire(now, limits.window);
+        self.repeats.expire(now, limits.slack_interval());
         self.credits.expire(now, limits.credit_lifetime());
         self.slack_uses.expire(now, limits.slack_interval());
         self.debts.expire(now, limits.slack_interval());
@@ -304,13 +367,26 @@
 
     fn balance(&self, limit: PoolLimit) -> RetryBalance {
         let slack = limit.slack * USABLE_SLACK_FRACTION - self.slack_uses.total();
-        RetryBalance {
+        let mut balance = RetryBalance {
             earned: self.credits.total(),
             // The part may have become smaller than what was used of it.
             slack: slack.max(0.0),
             owed: self.debts.total(),
+            reserved: 0.0,
             nodes: limit.nodes,
+        };
+        if let Some(unread) = limit.unread {
+            let room = self.window_room(limit) - unread.older_than_window as f64;
+            balance.reserved = (balance.total() - room).max(0.0);
         }
+        balance
+    }
+
+    /// Repeated sends that could still arrive in the window that ends now.
+    fn window_room(&self, limit: PoolLimit) -> f64 {
+        let allowed =
+            limit.ratio * self.requests.len() as f64 + limit.slack * USABLE_SLACK_FRACTION;
+        allowed - self.repeats.len() as f64
     }
 
     /// Repeated sends that could be available at once.
--- a/crates/routing/src/unread_calls.rs
+++ b/crates/routing/src/unread_calls.rs
@@ -1,8 +1,7 @@
 //! Calls that were given up at engines that answered nothing at the time, and that may arrive later.
 //!
 //! An engine that is suspended reads what was sent to it once it goes on, also what its sender has given up meanwhile. A
-//! retry made elsewhere has then become the first arrival of its request, and the late one is the repeated send. It has
-//! to be paid for in the window in which it arrives.
+//! retry made elsewhere has then become the first arrival of its request, and the late one is the repeated send.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -11,74 +10,70 @@
 
 use crate::staged::EngineKey;
 
-/// Time after which a call at a silent engine is taken as lost: its entry lapses long before.
+/// Time after which a call at a silent engine is taken as lost.
 const MAX_UNREAD_TIME: Duration = Duration::from_secs(60);
 
-/// Calls that are remembered for one engine.
-const MAX_CALLS_PER_ENGINE: usize = 64;
-
 /// A call that was given up.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct UnreadCall {
     pool: PoolName,
     sent_at: MonotonicTime,
+    given_up_at: MonotonicTime,
 }
 
-/// What is known of one engine.
-#[derive(Clone, Debug, Default)]
-struct EngineState {
-    /// When it last answered anything.
-    answered_at: Option<MonotonicTime>,
-    unread: Vec<UnreadCall>,
-}
-
-/// The given-up calls of this node, by engine.
+/// The given-up calls of this node. Their number is bounded by the repeated sends that the retry budget allows within
+/// [`MAX_UNREAD_TIME`], as each was replaced by one.
 #[derive(Clone, Debug, Default)]
 pub struct UnreadCalls {
-    engines: HashMap<EngineKey, EngineState>,
+    /// Calls by engine; none is empty.
+    unread: HashMap<EngineKey, Vec<UnreadCall>>,
+    /// When engines last answered anything.
+    answered_at: HashMap<EngineKey, MonotonicTime>,
     /// Number of unread calls by pool; asked for with each request.
     counts: HashMap<PoolName, usize>,
 }
 
 impl UnreadCalls {
-    /// Records that a call sent at `sent_at` was given up without an answer. An engine that has answered others since is
-    /// taken to have read it at once.
-    pub fn record_given_up(&mut self, engine: EngineKey, pool: &PoolName, sent_at: MonotonicTime) {
-        let state = self.engines.entry(engine).or_default();
-        let reads = state.answered_at.is_some_and(|at| at >= sent_at);
-        if !reads && state.unread.len() < MAX_CALLS_PER_ENGINE {
-            state.unread.push(UnreadCall {
-                pool: pool.clone(),
-                sent_at,
-            });
-            *self.counts.entry(pool.clone()).or_default() += 1;
+    /// Records at `now` that a call sent at `sent_at` was given up without an answer and is made again elsewhere. An
+    /// engine that has answered others since is taken to have read it at once.
+    pub fn record_given_up(
+        &mut self,
+        now: MonotonicTime,
+        engine: EngineKey,
+        pool: &PoolName,
+        sent_at: MonotonicTime,
+    ) {
+        let answered_at = self.answered_at.get(&engine);
+        if answered_at.is_some_and(|at| *at >= sent_at) {
+            return;
         }
+        self.unread.entry(engine).or_default().push(UnreadCall {
+            pool: pool.clone(),
+            sent_at,
+            given_up_at: now,
+        });
+        *self.counts.entry(pool.clone()).or_default() += 1;
     }
 
     /// Records that an engine answered at `now`. Returns the pools of the given-up calls that it has read by then, one for
     /// each call.
     pub fn record_answer(&mut self, now: MonotonicTime, engine: EngineKey) -> Vec<PoolName> {
-        let state = self.engines.entry(engine).or_default();
-        state.answered_at = Some(now);
-        let read = std::mem::take(&mut state.unread);
-        self.uncount(&read);
-        let recent = read
-            .into_iter()
-            .filter(|call| now.since(call.sent_at) <= MAX_UNREAD_TIME);
-        recent.map(|call| call.pool).collect()
+        self.expire(now);
+        self.answered_at.insert(engine, now);
+        let read = self.remove(engine);
+        read.into_iter().map(|call| call.pool).collect()
     }
 
-    /// Forgets engines for which `keep` returns false: a process that has ended reads nothing.
-    pub fn retain(&mut self, keep: impl Fn(EngineKey) -> bool) {
-        let mut forgotten = Vec::new();
-        self.engines.retain(|engine, state| {
-            let is_kept = keep(*engine);
-            if !is_kept {
-                forgotten.append(&mut state.unread);
-            }
-            is_kept
-        });
-        self.uncount(&forgotten);
+    /// Forgets an engine whose process has ended: it reads nothing more. An engine whose entry has gone may still run.
+    pub fn forget(&mut self, engine: EngineKey) {
+        self.answered_at.remove(&engine);
+        self.remove(engine);
+    }
+
+    /// Drops calls that are taken as lost, and answers of engines that are not `known`.
+    pub fn sweep(&mut self, now: MonotonicTime, known: impl Fn(EngineKey) -> bool) {
+        self.expire(now);
+        self.answered_at.retain(|engine, _| known(*engine));
     }
 
     /// Number of given-up calls of a pool that may arrive later.
@@ -86,6 +81,31 @@
         self.counts.get(pool).copied().unwrap_or_default()
     }
 
+    /// Those of them that were given up before `at`.
+    pub fn count_before(&self, at: MonotonicTime, pool: &PoolName) -> usize {
+        let calls = self.unread.values().flatten();
+        calls
+            .filter(|call| call.pool == *pool && call.given_up_at < at)
+            .count()
+    }
+
+    /// Removes the unread calls of an engine.
+    fn remove(&mut self, engine: EngineKey) -> Vec<UnreadCall> {
+        let calls = self.unread.remove(&engine).unwrap_or_default();
+        self.uncount(&calls);
+        calls
+    }
+
+    fn expire(&mut self, now: MonotonicTime) {
+        let mut lost = Vec::new();
+        let is_lost = |call: &mut UnreadCall| now.since(call.sent_at) > MAX_UNREAD_TIME;
+        self.unread.retain(|_, calls| {
+            lost.extend(calls.extract_if(.., is_lost));
+            !calls.is_empty()
+        });
+        self.uncount(&lost);
+    }
+
     fn uncount(&mut self, calls: &[UnreadCall]) {
         for call in calls {
             if let Some(count) = self.counts.get_mut(&call.pool) {
--- a/crates/routing/tests/shared_retry_budget.rs
+++ b/crates/routing/tests/shared_retry_budget.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use dalestand_routing::staged::EngineKey;
 use dalestand_routing::{
     CallCounts, CallOutcome, CallPurpose, SharedRetryBudget, SharedRetryLimits, TenantCode,
 };
@@ -175,8 +176,8 @@
     fails: bool,
     /// Nodes that restart at its start: this many from the first one on.
     restarts: usize,
-    /// Whether the engines that are called first read nothing until its end. Their calls are given up and made again at
-    /// other engines.
+    /// Whether the engines that are called first read nothing until its end, or that of the last of several such phases.
+    /// Their calls are given up and made again at other engines.
     stalls: bool,
 }
 
@@ -225,12 +226,13 @@
 /// Time from the end of a stall to the first answer of the engines.
 const ANSWER_AFTER_STALL: Duration = Duration::from_millis(300);
 
+/// The stalled engines, as one.
+const STALLED_ENGINE: EngineKey = EngineKey(1);
+
 /// Calls that were given up at stalled engines and made again elsewhere, by node.
 #[derive(Default)]
 struct GivenUpCalls {
     by_node: [usize; NODES],
-    /// Those that the engines have read, until nodes notice.
-    read_by_node: [usize; NODES],
     /// When nodes notice that the engines answer again.
     noticed_at: Option<MonotonicTime>,
 }
@@ -239,23 +241,19 @@
     /// The engines read all calls at `now`.
     fn end_stall(&mut self, now: MonotonicTime, at_ms: u64, load: &mut FleetLoad) {
         let given_up = std::mem::take(&mut self.by_node);
-        for (read, given_up) in self.read_by_node.iter_mut().zip(given_up) {
-            load.repeats_ms.extend((0..given_up).map(|_| at_ms));
-            *read += given_up;
-        }
+        let given_up = given_up.iter().sum::<usize>();
+        load.repeats_ms.extend((0..given_up).map(|_| at_ms));
         self.noticed_at = Some(now + ANSWER_AFTER_STALL);
     }
 
-    /// Nodes that notice the end of a stall pay for the calls that were read.
-    fn pay(&mut self, now: MonotonicTime, pool: &PoolName, nodes: &mut [SharedRetryBudget]) {
+    /// Nodes notice the end of a stall by an answer.
+    fn notice(&mut self, now: MonotonicTime, nodes: &mut [SharedRetryBudget]) {
         if self.noticed_at.is_none_or(|at| now < at) {
             return;
         }
         self.noticed_at = None;
-        for (node, read) in nodes.iter_mut().zip(std::mem::take(&mut self.read_by_node)) {
-            for _ in 0..read {
-                node.charge(now, pool);
-            }
+        for node in nodes {
+            node.record_answer(now, STALLED_ENGINE);
         }
     }
 }
@@ -273,7 +271,7 @@
     let mut load = FleetLoad::default();
     let mut given_up = GivenUpCalls::default();
     let mut at_ms = 0;
-    for phase in phases {
+    for (index, phase) in phases.iter().enumerate() {
         let now = MonotonicTime::from_millis(at_ms);
         for number in 0..phase.restarts {
             nodes[(phase.first_node + number) % NODES] = counted(now);
@@ -285,14 +283,13 @@
             let node = (phase.first_node + number as usize % phase.nodes) % NODES;
             nodes[node].record_request(now, &pool, None);
             load.requests_ms.push(at_ms);
-            given_up.pay(now, &pool, &mut nodes);
+            given_up.notice(now, &mut nodes);
             let is_noticed = given_up.noticed_at.is_none();
-            let may_give_up = phase.stalls
-                && is_noticed
-                && given_up.by_node[node] < nodes[node].max_unread_calls(now, &pool);
+            let may_give_up = phase.stalls && is_noticed && nodes[node].may_give_up(now, &pool);
             if may_give_up && nodes[node].take(now, &pool, None).is_some() {
                 // The retry is the first arrival.
                 given_up.by_node[node] += 1;
+                nodes[node].record_given_up(now, STALLED_ENGINE, &pool, now);
             }
             while phase.fails && nodes[node].take(now, &pool, None).is_some() {
                 let delay_ms = load.repeats_ms.len() as u64 * 97 % (MAX_ARRIVAL_MS + 1);
@@ -300,7 +297,8 @@
             }
             at_ms += REQUEST_INTERVAL_MS;
         }
-        if phase.stalls {
+        let stalls_on = phases.get(index + 1).is_some_and(|next| next.stalls);
+        if phase.stalls && !stalls_on {
             given_up.end_stall(MonotonicTime::from_millis(at_ms), at_ms, &mut load);
         }
     }
@@ -353,7 +351,7 @@
 
 proptest! {
     /// Guards against calls that were given up at suspended engines arriving together, beside as many other repeated sends
-    /// as if they had not.
+    /// as if they had not, also when engines stall for longer than a window.
     #[test]
     fn calls_that_engines_read_late_stay_within_the_budget(
         phases in proptest::collection::vec(stalling_phase(), 1..12),
--- a/crates/routing/tests/unread_calls.rs
+++ b/crates/routing/tests/unread_calls.rs
@@ -32,7 +32,7 @@
         assert!(calls.record_answer(at(answered_ms), ENGINE).is_empty());
     }
     for _ in 0..2 {
-        calls.record_given_up(ENGINE, &pool, at(1_000));
+        calls.record_given_up(at(1_500), ENGINE, &pool, at(1_000));
     }
     assert!(calls.record_answer(at(again_ms - 1), OTHER).is_empty());
     assert_eq!(calls.record_answer(at(again_ms), ENGINE).len(), read);
@@ -43,19 +43,35 @@
     );
 }
 
-/// A process that has ended reads nothing, and a silent engine must not fill the memory.
+/// Guards against calls counting nowhere when an engine whose entry expired while it was suspended reads them. Only a
+/// process that has ended reads nothing.
 #[test]
-fn calls_at_ended_engines_are_forgotten_and_their_number_is_bounded() {
+fn calls_are_kept_until_their_engine_has_ended() {
     let pool = PoolName::from("pool");
     let mut calls = UnreadCalls::default();
-    for _ in 0..1_000 {
-        calls.record_given_up(ENGINE, &pool, at(1_000));
-        calls.record_given_up(OTHER, &pool, at(1_000));
+    for _ in 0..100 {
+        calls.record_given_up(at(1_500), ENGINE, &pool, at(1_000));
+        calls.record_given_up(at(1_700), OTHER, &pool, at(1_000));
     }
-    assert!(calls.count(&pool) <= 128, "{}", calls.count(&pool));
-    calls.retain(|engine| engine == OTHER);
-    assert_eq!(calls.count(&pool), 64);
-    assert!(calls.record_answer(at(2_000), ENGINE).is_empty());
-    assert!(!calls.record_answer(at(2_000), OTHER).is_empty());
+    assert_eq!(calls.count(&pool), 200);
+    assert_eq!(calls.count_before(at(1_600), &pool), 100);
+    let no_engine_has_an_entry = |_| false;
+    calls.sweep(at(5_000), no_engine_has_an_entry);
+    assert_eq!(calls.count(&pool), 200);
+    calls.forget(ENGINE);
+    assert_eq!(calls.count(&pool), 100);
+    assert!(calls.record_answer(at(6_000), ENGINE).is_empty());
+    assert_eq!(calls.record_answer(at(6_000), OTHER).len(), 100);
     assert_eq!(calls.count(&pool), 0);
 }
+
+/// What will not arrive any more takes up no memory.
+#[test]
+fn calls_that_are_taken_as_lost_are_dropped() {
+    let pool = PoolName::from("pool");
+    let mut calls = UnreadCalls::default();
+    calls.record_given_up(at(1_500), ENGINE, &pool, at(1_000));
+    calls.sweep(at(62_000), |_| true);
+    assert_eq!(calls.count(&pool), 0);
+    assert!(calls.record_answer(at(62_001), ENGINE).is_empty());
+}
