Engine entries: removals of many are not held back while the service answers

Half of the bound was spent by design, so that a relay lost at that moment (0.6 s until its members notice, and a request to another) left nothing.

Cause: removals of a tenth of the engines or more were held back for half of the bound, as the entries might have expired while the service was away and the engines run on. Entries expire after three heartbeats of silence at once only if the service did not take heartbeats; a node that had an answer less than two heartbeats ago knows that it did. After an outage as long as that the hold was nothing at all at a bound of 2 or 3 s (three quarters of the bound less the age of the proof), and the listing that follows an outage has a grace period of its own. So it cost most when it was useless.

Change: removals are held back only if the last proof of completeness is older than MIN_OUTAGE (2 s).

Test: engines_whose_entries_go_at_once_are_dropped_as_soon_as_a_single_one failed on the former code (4 engines accepting half a second after three of them went) and passes now.

--- a/crates/forwarding/src/fleet/engine_entries.rs
+++ b/crates/forwarding/src/fleet/engine_entries.rs
@@ -16,7 +16,7 @@
 use crate::dissemination::notice_queue::NoticeSource;
 use crate::dissemination::recent_changes::ChangeSource;
 use crate::fleet::entry_text;
-use crate::fleet::follow::Follower;
+use crate::fleet::follow::{Follower, MIN_OUTAGE};
 use crate::fleet::restored_entries::RESTORED_ENTRY_HOLD_TIME;
 use crate::fleet::signals::apply_start;
 use crate::quarantine::engine_end::{EndProof, record_engine_end};
@@ -226,10 +226,14 @@
     count > 1 && share >= MIN_LAPSED_SHARE
 }
 
-/// How long removals of many entries at once are held back.
+/// How long removals of many entries at once are held back. Not at all while the service answers: entries expire at once
+/// only if it was away.
 fn mass_lapse_hold(context: &Context) -> Duration {
     let bound = context.settings.engine_drain();
     let unproved_for = context.entries_proof.age().unwrap_or(bound);
+    if unproved_for < MIN_OUTAGE {
+        return Duration::ZERO;
+    }
     let left = bound.mul_f64(HOLD_END_SHARE).saturating_sub(unproved_for);
     left.min(bound.mul_f64(MAX_HOLD_SHARE))
         .min(LAPSED_ENTRY_GRACE)
@@ -298,9 +302,12 @@
         } else if is_mass_lapse(&context, missing.iter().map(String::as_str)) {
             mass_lapse_hold(&context)
         } else {
+            Duration::ZERO
+        };
+        if grace.is_zero() {
             apply_listing(&context, listing.revision.0, records);
             return;
-        };
+        }
         let missing = missing.len();
         if missing > 0 {
             log_held(&context, missing, grace);
@@ -333,7 +340,12 @@
         });
         let records: Vec<EntryRecord> = records.collect();
         let removed = records.iter().filter(|record| record.value.is_none());
-        if !is_mass_lapse(&context, removed.map(|record| record.key.as_str())) {
+        let wait = if is_mass_lapse(&context, removed.map(|record| record.key.as_str())) {
+            mass_lapse_hold(&context)
+        } else {
+            Duration::ZERO
+        };
+        if wait.is_zero() {
             merge(&context, records, ChangeSource::Store);
             let mut entries = context.dissemination.entries.borrow_mut();
             entries.advance_complete_to(newest.unwrap_or_default());
@@ -345,7 +357,6 @@
             .into_iter()
             .partition(|record| record.value.is_some());
         merge(&context, present, ChangeSource::Store);
-        let wait = mass_lapse_hold(&context);
         let removed: Vec<EntryRecord> = removed;
         let count = removed.len();
         log_held(&context, count, wait);
--- a/crates/forwarding/src/fleet/follow.rs
+++ b/crates/forwarding/src/fleet/follow.rs
@@ -42,7 +42,7 @@
 
 /// Without an answer for less than this, the service was not away for long enough that entries could expire
 /// because they were not renewed: that takes two missed heartbeats at least.
-const MIN_OUTAGE: Duration = Duration::from_secs(2);
+pub(crate) const MIN_OUTAGE: Duration = Duration::from_secs(2);
 
 /// Wakes the other followers of a node when one of them reaches the service again.
 #[derive(Clone, Debug, Default)]
--- a/crates/forwarding/tests/leaving_engines.rs
+++ b/crates/forwarding/tests/leaving_engines.rs
@@ -99,6 +99,31 @@
     assert_eq!(count_reaching(&node, &leaving).await, 0);
 }
 
+/// Guards against removals that were held back for half of the drain bound because they were many, though the service
+/// answered all the time, so that no entry can have expired: the rest of the bound was too short for a further fault.
+#[actix_rt::test]
+async fn engines_whose_entries_go_at_once_are_dropped_as_soon_as_a_single_one() {
+    let node = TestNode::start().await;
+    node.declare(1, "repeatable", 2, 1_000);
+    let engine = TestEngine::start(succeeding);
+    for name in ["staying", "leaving-1", "leaving-2", "leaving-3"] {
+        node.write_entry(name, &engine, "ready");
+    }
+    node.wait_for_engines(4).await;
+    node.wait_for_declaration(1).await;
+    actix_rt::time::sleep(STEADY_TIME).await;
+    for name in ["leaving-1", "leaving-2", "leaving-3"] {
+        node.store.write(&format!("engines/{name}"), None);
+    }
+    // The wait before the next watch, with a margin for a busy machine.
+    actix_rt::time::sleep(DRAIN_BOUND / 4).await;
+    let metrics = support::get(node.metrics, "host: a.example\r\n", "/metrics").await;
+    assert!(
+        metrics.contains("dalestand_engines_accepting 1\n"),
+        "{metrics}"
+    );
+}
+
 /// Guards against a relay whose reading the service refuses and that misses the messages of other relays: it heard
 /// of a drain by neither way.
 #[actix_rt::test]
