Relays: queued pages of entries are sent as the entries are at that time

A page of entries that waited for a relay's link (up to 9 MB at half of the link: seconds) was sent as it had been encoded when it was asked for. It named engines as accepting that had drained since. A member that had got the change keeps it, by its revision; one that had lost it took the page for new and sent the engine requests, until its digest was compared and the relay's queue for it had emptied.

Cause: a decision that outlives the view it was made from.

Change: a queued page carries its span of key hashes and the digest of that range; if the range has changed when its turn comes, its span is encoded again. No page is dropped, so that filling tables after a start takes no longer.

--- a/crates/dissemination/src/entry_sync.rs
+++ b/crates/dissemination/src/entry_sync.rs
@@ -11,7 +11,7 @@
 use dalestand_types::MonotonicTime;
 
 use crate::entry_table::{EntryRecord, EntryTable, key_hash};
-use crate::hash_ranges::{RANGE_COUNT, hashes_of_range};
+use crate::hash_ranges::{RANGE_COUNT, hashes_of_range, range_of};
 use crate::membership::NodeNumber;
 use crate::message::{EntriesPage, EntriesRequest};
 
@@ -38,6 +38,31 @@
 /// After them, one request in this many goes to the followed relay.
 const FOLLOWED_ONE_IN: usize = 3;
 
+/// The range of key hashes of a page.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PageSpan {
+    /// First hash.
+    pub first: u64,
+    /// Last hash.
+    pub last: u64,
+}
+
+impl PageSpan {
+    /// The span of `page`.
+    pub fn of(page: &EntriesPage) -> Self {
+        Self {
+            first: page.first,
+            last: page.last,
+        }
+    }
+
+    /// Digest of the entries of `table` whose pages may have this span. Pages do not extend beyond one of the ranges by
+    /// which tables are compared.
+    pub fn digest(self, table: &EntryTable) -> u64 {
+        table.range_digest(range_of(self.first))
+    }
+}
+
 /// Digests of two tables that differ.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DifferingDigests {
@@ -214,6 +239,11 @@
     pages
 }
 
+/// Pages of the entries that `table` has now in the span of an earlier page.
+pub fn renewed_pages(node: NodeNumber, table: &EntryTable, span: PageSpan) -> Vec<EntriesPage> {
+    pages_of(node, table, span.first..=span.last)
+}
+
 fn record_bytes(record: &EntryRecord) -> usize {
     let value = record.value.as_ref().map_or(0, String::len);
     record.key.len() + value + RECORD_OVERHEAD_BYTES
--- a/crates/dissemination/src/lib.rs
+++ b/crates/dissemination/src/lib.rs
@@ -39,7 +39,10 @@
     declaration_parts,
 };
 pub use engine_notices::{EngineNotices, EngineStart};
-pub use entry_sync::{DifferingDigests, EntrySync, RequestTarget, entries_pages, entries_request};
+pub use entry_sync::{
+    DifferingDigests, EntrySync, PageSpan, RequestTarget, entries_pages, entries_request,
+    renewed_pages,
+};
 pub use entry_table::{EntryRecord, EntryTable};
 pub use loads::{EngineCode, EngineLoad, LoadScope, LoadSlice, LoadsMessage};
 pub use membership::{NodeDirectory, NodeEntry, NodeNumber, RELAYS_PER_ZONE, Relay};
--- a/crates/forwarding/src/dissemination/bulk_queue.rs
+++ b/crates/forwarding/src/dissemination/bulk_queue.rs
@@ -8,11 +8,10 @@
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::rc::Rc;
 
 use tokio::sync::Notify;
 
-use crate::dissemination::datagram::Datagram;
+use crate::dissemination::datagram::AnswerPart;
 
 /// Limit on queued datagrams: 9 MB, which takes 0.7 s at half the speed of a link of 200 Mbit/s.
 /// Answers that were dropped are requested again.
@@ -23,7 +22,7 @@
     address: SocketAddr,
     /// Label of the datagrams.
     kind: &'static str,
-    datagrams: VecDeque<Rc<Datagram>>,
+    parts: VecDeque<AnswerPart>,
 }
 
 impl Answer {
@@ -44,20 +43,20 @@
 
 impl BulkQueue {
     /// Adds a datagram; drops and counts it if the queue is full.
-    pub(super) fn push(&self, address: SocketAddr, datagram: Rc<Datagram>) {
+    pub(super) fn push(&self, address: SocketAddr, part: AnswerPart) {
         if self.pending.get() >= MAX_QUEUED_DATAGRAMS {
             self.dropped.set(self.dropped.get() + 1);
             return;
         }
         self.pending.set(self.pending.get() + 1);
         let mut answers = self.answers.borrow_mut();
-        let kind = datagram.kind;
+        let kind = part.kind();
         match answers.iter_mut().find(|answer| answer.is(address, kind)) {
-            Some(answer) => answer.datagrams.push_back(datagram),
+            Some(answer) => answer.parts.push_back(part),
             None => answers.push_back(Answer {
                 address,
                 kind,
-                datagrams: VecDeque::from([datagram]),
+                parts: VecDeque::from([part]),
             }),
         }
         self.added.notify_one();
@@ -69,13 +68,13 @@
         answers.iter().any(|answer| answer.is(address, kind))
     }
 
-    /// The next datagram, with its recipient.
-    pub(super) fn pop(&self) -> Option<(SocketAddr, Rc<Datagram>)> {
+    /// The next part, with its recipient.
+    pub(super) fn pop(&self) -> Option<(SocketAddr, AnswerPart)> {
         let mut answers = self.answers.borrow_mut();
         let mut answer = answers.pop_front()?;
-        let next = answer.datagrams.pop_front()?;
+        let next = answer.parts.pop_front()?;
         let address = answer.address;
-        if !answer.datagrams.is_empty() {
+        if !answer.parts.is_empty() {
             answers.push_back(answer);
         }
         self.pending.set(self.pending.get() - 1);
--- a/crates/forwarding/src/dissemination/datagram.rs
+++ b/crates/forwarding/src/dissemination/datagram.rs
@@ -1,6 +1,8 @@
 //! Encoded messages.
 
-use dalestand_dissemination::Message;
+use std::rc::Rc;
+
+use dalestand_dissemination::{EntryTable, Message, PageSpan};
 
 /// An encoded message.
 pub(crate) struct Datagram {
@@ -8,6 +10,41 @@
     pub(super) bytes: Vec<u8>,
 }
 
+/// An encoded page of entries.
+#[derive(Clone)]
+pub(crate) struct EncodedPage {
+    pub(super) datagram: Rc<Datagram>,
+    pub(super) span: PageSpan,
+    /// Digest of the entries when it was encoded.
+    pub(super) digest: u64,
+}
+
+impl EncodedPage {
+    /// Whether no entry of its range has changed since.
+    pub(super) fn is_current(&self, table: &EntryTable) -> bool {
+        self.span.digest(table) == self.digest
+    }
+}
+
+/// A queued part of a long answer.
+#[derive(Clone)]
+pub(super) enum AnswerPart {
+    /// Sent as it was encoded.
+    Fixed(Rc<Datagram>),
+    /// Sent as the entries are at that time.
+    Page(EncodedPage),
+}
+
+impl AnswerPart {
+    /// The label of its message.
+    pub(super) fn kind(&self) -> &'static str {
+        match self {
+            Self::Fixed(datagram) => datagram.kind,
+            Self::Page(page) => page.datagram.kind,
+        }
+    }
+}
+
 /// Label of pages of entries.
 pub(super) const ENTRIES: &str = "entries";
 
--- a/crates/forwarding/src/dissemination/page_cache.rs
+++ b/crates/forwarding/src/dissemination/page_cache.rs
@@ -1,17 +1,15 @@
 //! Cache of the last answer to an entries request.
 
-use std::rc::Rc;
-
 use dalestand_dissemination::EntriesRequest;
 
-use crate::dissemination::datagram::Datagram;
+use crate::dissemination::datagram::EncodedPage;
 
 /// Pages of the last answer, reused for members that send the same digests: after a start all members
 /// of a relay have no entries and request the same pages.
 pub(crate) struct PageCache {
     pub(super) request: EntriesRequest,
     pub(super) table_digest: u64,
-    pub(super) pages: Vec<Rc<Datagram>>,
+    pub(super) pages: Vec<EncodedPage>,
 }
 
 impl PageCache {
--- a/crates/forwarding/src/dissemination/receive/declaration.rs
+++ b/crates/forwarding/src/dissemination/receive/declaration.rs
@@ -7,7 +7,7 @@
 use tokio::net::UdpSocket;
 
 use crate::context::Context;
-use crate::dissemination::datagram;
+use crate::dissemination::datagram::{self, AnswerPart};
 use crate::dissemination::transmit::{encode, send as send_message};
 use crate::fleet::declaration;
 
@@ -48,7 +48,7 @@
             context
                 .dissemination
                 .bulk
-                .push(requester, Rc::new(datagram));
+                .push(requester, AnswerPart::Fixed(Rc::new(datagram)));
         }
     }
 }
--- a/crates/forwarding/src/dissemination/receive/entries.rs
+++ b/crates/forwarding/src/dissemination/receive/entries.rs
@@ -5,15 +5,15 @@
 use std::time::Duration;
 
 use dalestand_dissemination::{
-    DifferingDigests, EntriesPage, EntriesRequest, Message, RequestTarget, entries_pages,
-    entries_request,
+    DifferingDigests, EntriesPage, EntriesRequest, EntryTable, Message, PageSpan, RequestTarget,
+    entries_pages, entries_request,
 };
 use dalestand_telemetry::{Event, log_event};
 use tokio::net::UdpSocket;
 
 use crate::context::Context;
 use crate::dissemination::AnnouncedEntries;
-use crate::dissemination::datagram;
+use crate::dissemination::datagram::{self, AnswerPart, EncodedPage};
 use crate::dissemination::page_cache::PageCache;
 use crate::dissemination::recent_changes::ChangeSource;
 use crate::dissemination::transmit::{encode, send as send_message};
@@ -122,21 +122,31 @@
             &request,
             rand::random(),
         );
-        let pages = pages.into_iter().map(Message::Entries);
+        let pages = pages.into_iter();
+        let pages = pages.filter_map(|page| encode_page(context, &entries, page));
         PageCache {
             request,
             table_digest,
-            pages: pages
-                .filter_map(|page| encode(context, &page).map(Rc::new))
-                .collect(),
+            pages: pages.collect(),
         }
     });
     for page in &answer.pages {
-        context.dissemination.bulk.push(member, Rc::clone(page));
+        let part = AnswerPart::Page(page.clone());
+        context.dissemination.bulk.push(member, part);
     }
     *sent = Some(answer);
 }
 
+fn encode_page(context: &Context, entries: &EntryTable, page: EntriesPage) -> Option<EncodedPage> {
+    let span = PageSpan::of(&page);
+    let datagram = encode(context, &Message::Entries(page))?;
+    Some(EncodedPage {
+        datagram: Rc::new(datagram),
+        span,
+        digest: span.digest(entries),
+    })
+}
+
 /// Applies a page if it comes from the followed relay, or from one that was asked for it.
 pub(super) fn handle_page(context: &Context, page: EntriesPage) {
     let now = context.now();
--- a/crates/forwarding/src/dissemination/receive/news.rs
+++ b/crates/forwarding/src/dissemination/receive/news.rs
@@ -8,6 +8,7 @@
 use dalestand_routing::staged::{EngineKey, PromptPart};
 
 use crate::context::Context;
+use crate::dissemination::datagram::AnswerPart;
 use crate::dissemination::news_queue::NewsQueue;
 use crate::dissemination::transmit::encode;
 use crate::fleet::part_recovery::known_parts;
@@ -105,7 +106,7 @@
             context
                 .dissemination
                 .bulk
-                .push(*requester, Rc::clone(&datagram));
+                .push(*requester, AnswerPart::Fixed(Rc::clone(&datagram)));
         }
     }
 }
--- a/crates/forwarding/src/dissemination/tests.rs
+++ b/crates/forwarding/src/dissemination/tests.rs
@@ -12,7 +12,7 @@
 use rstest::rstest;
 
 use super::bulk_queue::BulkQueue;
-use super::datagram::Datagram;
+use super::datagram::{AnswerPart, Datagram};
 use super::news_queue::NewsQueue;
 use super::own_reports::OwnReports;
 use super::recent_changes::{ChangeSource, RecentChanges};
@@ -237,11 +237,11 @@
     assert_eq!(sent.len(), records.len());
 }
 
-fn datagram(byte: u8) -> Rc<Datagram> {
-    Rc::new(Datagram {
+fn datagram(byte: u8) -> AnswerPart {
+    AnswerPart::Fixed(Rc::new(Datagram {
         kind: "entries",
         bytes: vec![byte],
-    })
+    }))
 }
 
 /// After a start all members request all pages. Answers are interleaved, so that one member's pages
@@ -259,6 +259,9 @@
     for page in 0..100 {
         for node in &nodes {
             let (address, sent) = queue.pop().expect("a page");
+            let AnswerPart::Fixed(sent) = sent else {
+                panic!("not as it was queued");
+            };
             assert_eq!((address, &sent.bytes), (*node, &vec![page]));
         }
     }
--- a/crates/forwarding/tests/long_answers.rs
+++ b/crates/forwarding/tests/long_answers.rs
@@ -50,6 +50,9 @@
     entries_request(NodeNumber::of("member"), &EntryTable::default(), u32::MAX)
 }
 
+/// Engines whose entries a relay sends in about a second.
+const ENGINES: usize = 1_500;
+
 async fn start() -> TestNode {
     let node = TestNode::start_with_link(LINK_MBPS).await;
     node.wait_for_metric("dalestand_is_relay", 1).await;
@@ -87,3 +90,31 @@
     let page = next_page(member, FIRST_PAGE_TIME).await;
     assert!(page.is_some(), "no entries within {FIRST_PAGE_TIME:?}");
 }
+
+/// Guards against pages that told a member of an engine as accepting that had drained while they were queued: if the
+/// change itself was lost, the member sent it requests until a further repair.
+#[actix_rt::test]
+async fn pages_hold_the_entries_of_the_time_at_which_they_are_sent() {
+    let node = start().await;
+    let engine = TestEngine::start(succeeding);
+    for index in 0..ENGINES {
+        node.write_entry(&format!("e{index}"), &engine, "ready");
+    }
+    node.wait_for_engines(ENGINES).await;
+    let member = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+    send(&member, &node, Message::EntriesRequest(request_for_all())).await;
+    next_page(&member, FIRST_PAGE_TIME).await.expect("a page");
+    for index in 0..ENGINES {
+        node.write_entry(&format!("e{index}"), &engine, "draining");
+    }
+    node.wait_for_engines(0).await;
+    // What had been sent before.
+    while next_page(&member, Duration::from_millis(1)).await.is_some() {}
+    let page = next_page(&member, FIRST_PAGE_TIME).await;
+    let records = page.expect("pages were still queued").records;
+    let accepting = records.iter().filter(|record| {
+        let value = record.value.as_deref().unwrap_or_default();
+        value.contains("true")
+    });
+    assert_eq!(accepting.count(), 0, "{:?}", records.first());
+}
