--- a/cmd/tests/soak.rs
+++ b/cmd/tests/soak.rs
@@ -4,7 +4,7 @@
 
 use dalestand_soak::run::{CallerLoad, RunConfig, RunReport, execute};
 use dalestand_soak::schedule::{
-    COLD_START_KINDS, FAULT_KINDS, FaultKind, LEAVING_KINDS, RETRY_KINDS,
+    COLD_START_KINDS, FAULT_KINDS, FaultKind, LEAVING_KINDS, RETRY_KINDS, SUSPENSION_KINDS,
 };
 use rstest::rstest;
 
@@ -122,6 +122,7 @@
 #[rstest]
 #[case::nodes_killed_together(11, &RESTART_KINDS)]
 #[case::all_kinds(1, &RETRY_KINDS)]
+#[case::engines_suspended_for_longer_than_a_window(9003, &SUSPENSION_KINDS)]
 fn a_seeded_run_stays_within_the_retry_budget(#[case] seed: u64, #[case] kinds: &[FaultKind]) {
     let report = assert_no_violations(seed, kinds, CallerLoad::Failures);
     let worst = report.worst_retry_window().expect("retries");
