--- a/crates/routing/tests/shared_retry_budget.rs
+++ b/crates/routing/tests/shared_retry_budget.rs
@@ -361,6 +361,33 @@
     }
 }
 
+/// Guards against calls that a former process gave up at a suspended engine arriving beside all that the budget allows: the
+/// processes that follow know nothing of them.
+#[test]
+fn calls_read_late_after_their_nodes_restarted_stay_within_the_budget() {
+    let stalling = Phase {
+        length_ms: 6_000,
+        first_node: 0,
+        nodes: NODES,
+        fails: false,
+        restarts: NODES,
+        stalls: true,
+    };
+    let failing = Phase {
+        fails: true,
+        restarts: 0,
+        ..stalling
+    };
+    let (repeats, allowed) = worst_window(&play(&[
+        stalling.clone(),
+        stalling.clone(),
+        stalling.clone(),
+        stalling,
+        failing,
+    ]));
+    assert!(repeats <= allowed, "{repeats} of {allowed}");
+}
+
 /// What the budget cannot pay at once is paid by the requests that follow.
 #[test]
 fn sends_that_are_charged_are_paid_by_later_requests() {
