--- a/crates/routing/src/shared_retry_budget.rs
+++ b/crates/routing/src/shared_retry_budget.rs
@@ -32,9 +32,9 @@
 /// Fraction of the slack that is used. The rest is a margin for nodes that learn of each other with a delay.
 const USABLE_SLACK_FRACTION: f64 = 0.95;
 
-/// Fraction of a window's budget that calls may take up that were given up and could all arrive in one window. As much of
-/// what the ratio allows is not spent otherwise ([`SharedRetryLimits::credit_per_request`]): there is room for the calls
-/// of a former process, which nobody remembers.
+/// Fraction of a window's budget that calls may take up that were given up and could all arrive in one window. Credits
+/// leave that much of the ratio unspent ([`SharedRetryLimits::credit_per_request`]), so that there is room also for the
+/// calls of a former process, which nobody remembers.
 const MAX_UNREAD_FRACTION: f64 = 0.14;
 
 /// Fraction of the window for which a credit can be spent. Longer ones would pay for larger bursts, but each takes away
