--- a/crates/engine-link/src/lib.rs
+++ b/crates/engine-link/src/lib.rs
@@ -17,6 +17,6 @@
 
 pub use error::{BodyError, SendError};
 pub use link::{EngineLink, LinkLimits, LinkTarget};
-pub use response::{Exchange, ResponseBody};
+pub use response::{BodyFraming, Exchange, ResponseBody};
 
 pub use actix_http::{RequestHead, ResponseHead};
--- a/crates/engine-link/src/response.rs
+++ b/crates/engine-link/src/response.rs
@@ -23,6 +23,28 @@
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
+/// How the end of a body is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// By its length.
+    Length,
+    /// By a last chunk.
+    Chunked,
+    /// By the end of the connection, so that a truncated body may look complete.
+    ConnectionClose,
+}
+
+impl BodyFraming {
+    /// Name for logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunked => "chunked",
+            Self::ConnectionClose => "connection close",
+        }
+    }
+}
+
 /// An HTTP exchange whose response head has been received.
 pub struct Exchange {
     /// The response head.
@@ -83,10 +105,13 @@
         self.length
     }
 
-    /// Whether a length or chunked encoding marks the end of the body. Otherwise the body ends when the
-    /// engine closes the connection, and a truncated body may look complete.
-    pub fn is_self_delimited(&self) -> bool {
-        !self.close_delimited
+    /// How the end of the body is marked.
+    pub fn framing(&self) -> BodyFraming {
+        match (self.close_delimited, self.length) {
+            (true, _) => BodyFraming::ConnectionClose,
+            (false, Some(_)) => BodyFraming::Length,
+            (false, None) => BodyFraming::Chunked,
+        }
     }
 
     /// The next chunk; `None` after the end of the body or after an error.
--- a/crates/forwarding/src/node/metrics/mod.rs
+++ b/crates/forwarding/src/node/metrics/mod.rs
@@ -9,6 +9,7 @@
 
 use std::time::Duration;
 
+use dalestand_engine_link::BodyFraming;
 use dalestand_http_server::StatusCode;
 use dalestand_routes::RouteKind;
 use dalestand_routing::CallPurpose;
@@ -54,12 +55,37 @@
     }
 }
 
+/// How an engine's answer ended that was passed on as it arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RunEnd {
+    /// After its last event.
+    Complete,
+    /// Within an event, though its end was marked.
+    InsideEvent,
+    /// Before its end was marked.
+    BrokenOff,
+    /// The engine sent nothing for too long.
+    Silent,
+}
+
+impl RunEnd {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::InsideEvent => "inside an event",
+            Self::BrokenOff => "broken off",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 /// Metrics of a forwarding node.
 pub(crate) struct ForwardingMetrics {
     registry: Registry,
     requests: IntCounterVec,
     head_seconds: HistogramVec,
     calls: IntCounterVec,
+    run_ends: IntCounterVec,
     call_seconds: HistogramVec,
     store_calls: IntCounterVec,
     store_seconds: HistogramVec,
@@ -121,6 +147,11 @@
                 "Calls to engines by purpose and outcome.",
                 &["purpose", "outcome"],
             )?,
+            run_ends: metrics.counters(
+                "streamed_runs_total",
+                "Engines' answers that were passed on as they arrived, by how their end is marked and how they ended.",
+                &["framing", "end"],
+            )?,
             call_seconds: metrics.histograms(
                 "engine_call_seconds",
                 "Time of calls to engines, by purpose.",
@@ -283,6 +314,12 @@
         latency.observe(call.took.as_secs_f64());
     }
 
+    /// Records the end of an engine's answer that was passed on as it arrived.
+    pub(crate) fn streamed_run(&self, framing: BodyFraming, end: RunEnd) {
+        let labels = [framing.label(), end.label()];
+        self.run_ends.with_label_values(&labels).inc();
+    }
+
     /// Records what became of a repeated send.
     pub(crate) fn retry(&self, pool: &PoolName, outcome: RetryOutcome) {
         let labels = [pool.as_str(), outcome.label()];
--- a/crates/forwarding/src/quarantine/run_watch.rs
+++ b/crates/forwarding/src/quarantine/run_watch.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use dalestand_engine_link::ResponseBody;
+use dalestand_engine_link::{BodyFraming, ResponseBody};
 use dalestand_quarantine::{EngineRunId, RequestFingerprint};
 use dalestand_routing::staged::StagedEngine;
 use dalestand_telemetry::{Event, log_event};
@@ -72,7 +72,8 @@
     /// self-delimiting: without a length, a body also ends when the engine crashes.
     pub(crate) fn record_answer(&mut self, body: &ResponseBody) {
         self.is_over = true;
-        if let Some(fingerprint) = self.fingerprint.filter(|_| body.is_self_delimited()) {
+        let may_be_truncated = body.framing() == BodyFraming::ConnectionClose;
+        if let Some(fingerprint) = self.fingerprint.filter(|_| !may_be_truncated) {
             record_completion(&self.context, fingerprint);
         }
     }
--- a/crates/forwarding/src/serve/answer_stream.rs
+++ b/crates/forwarding/src/serve/answer_stream.rs
@@ -14,6 +14,7 @@
 
 use crate::context::Context;
 use crate::node::in_flight::InFlightGuard;
+use crate::node::metrics::RunEnd;
 use crate::quarantine::run_watch::UnfinishedReason;
 use crate::serve::answer_stream_error::AnswerStreamError;
 use crate::serve::attempt::EngineAnswer;
@@ -109,11 +110,16 @@
             let next = self.answer.body.next().await;
             self.answer.work.record_prefilled();
             match &next {
-                None => self.answer.watch.record_answer(&self.answer.body),
-                Some(Err(_)) => self
-                    .answer
-                    .watch
-                    .record_unfinished(UnfinishedReason::BrokenOff),
+                None => {
+                    self.count_end(RunEnd::Complete);
+                    self.answer.watch.record_answer(&self.answer.body);
+                }
+                Some(Err(_)) => {
+                    self.count_end(RunEnd::BrokenOff);
+                    self.answer
+                        .watch
+                        .record_unfinished(UnfinishedReason::BrokenOff);
+                }
                 Some(Ok(_)) => {}
             }
             return next.map(|chunk| chunk.map_err(|_| AnswerStreamError::BrokenOff));
@@ -173,9 +179,19 @@
         let rest = self.splitter.take()?;
         self.ended = true;
         let rest = rest.pending();
+        self.count_end(if rest.is_empty() {
+            RunEnd::Complete
+        } else {
+            RunEnd::InsideEvent
+        });
         (!rest.is_empty()).then(|| Ok(Bytes::copy_from_slice(rest)))
     }
 
+    fn count_end(&self, end: RunEnd) {
+        let framing = self.answer.body.framing();
+        self.context.metrics.streamed_run(framing, end);
+    }
+
     /// How long the engine may send nothing before the stream is resumed elsewhere.
     fn event_timeout(&self) -> Duration {
         let route = &self.progress.route;
@@ -209,10 +225,12 @@
             .borrow_mut()
             .health
             .record(now, failed, result);
-        self.answer.watch.record_unfinished(match result {
-            AttemptResult::NoResponse => UnfinishedReason::Silent,
-            _ => UnfinishedReason::BrokenOff,
-        });
+        let (reason, end) = match result {
+            AttemptResult::NoResponse => (UnfinishedReason::Silent, RunEnd::Silent),
+            _ => (UnfinishedReason::BrokenOff, RunEnd::BrokenOff),
+        };
+        self.answer.watch.record_unfinished(reason);
+        self.count_end(end);
         // Ends the previous run before another one starts.
         self.answer.body.abort();
         self.progress.facts.last_event = self.last_event;
