--- /dev/null
+++ b/crates/forwarding/tests/truncated_streams.rs
@@ -0,0 +1,237 @@
+//! Event streams whose end is marked by the end of the connection only, and that an engine breaks off.
+
+#[allow(
+    dead_code,
+    unused_imports,
+    reason = "each test program uses a part of it"
+)]
+mod support;
+
+use std::io::Write as _;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use rstest::rstest;
+use support::{Script, TestEngine, TestNode, get, id_of, status};
+
+/// Time limit of requests; no test depends on it.
+const LIMIT_MS: u64 = 10_000;
+
+/// Events of a whole stream.
+const EVENTS: u64 = 5;
+
+/// The event within which engines break off.
+const CUT_EVENT: u64 = 3;
+
+/// Time between two writes of an engine, so that they arrive apart.
+const WRITE_PAUSE: Duration = Duration::from_millis(10);
+
+/// Value of a parameter in the path of a request.
+fn parameter(head: &str, name: &str) -> Option<usize> {
+    let (path, _) = head.split_once(" HTTP/")?;
+    let (_, query) = path.split_once('?')?;
+    let mut parameters = query.split('&').filter_map(|pair| pair.split_once('='));
+    let (_, value) = parameters.find(|(key, _)| *key == name)?;
+    value.parse().ok()
+}
+
+/// The text of an event, with the line ends that the request asks for.
+fn event_text(head: &str, event: u64) -> String {
+    let padding = "x".repeat(parameter(head, "padding").unwrap_or_default());
+    let text = format!("id: {event}\ndata: piece {event}{padding}\n\n");
+    match parameter(head, "carriage_returns") {
+        Some(_) => text.replace('\n', "\r\n"),
+        None => text,
+    }
+}
+
+/// The first event that the request still lacks.
+fn first_event(head: &str) -> u64 {
+    let last = head
+        .lines()
+        .find_map(|line| line.strip_prefix("last-event-id: "));
+    last.and_then(|last| last.parse().ok())
+        .map_or(1, |last: u64| last + 1)
+}
+
+fn write_unframed_head(head: &str, stream: &mut TcpStream) {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nx-id: {}\r\ncontent-type: text/event-stream\r\n\r\n",
+        id_of(head)
+    );
+    let _ = stream.write_all(head.as_bytes());
+}
+
+/// Streams without a length or chunks. Closes the connection when `cut` bytes of the third event are sent; `cut` is
+/// counted from the event's end with `cut_from_end`. Whole if the request asks for no cut or has the events before it.
+fn unframed(head: &str, stream: &mut TcpStream) {
+    write_unframed_head(head, stream);
+    let first = first_event(head);
+    for event in first..=EVENTS {
+        let text = event_text(head, event);
+        let cut = parameter(head, "cut").or_else(|| {
+            let from_end = parameter(head, "cut_from_end")?;
+            Some(text.len() - from_end)
+        });
+        let cut = cut.filter(|_| event == CUT_EVENT && first == 1);
+        let _ = stream.write_all(&text.as_bytes()[..cut.unwrap_or(text.len())]);
+        thread::sleep(WRITE_PAUSE);
+        if cut.is_some() {
+            break;
+        }
+    }
+    let _ = stream.shutdown(std::net::Shutdown::Both);
+}
+
+/// Ends the connection right after the head.
+fn empty(head: &str, stream: &mut TcpStream) {
+    write_unframed_head(head, stream);
+    let _ = stream.shutdown(std::net::Shutdown::Both);
+}
+
+/// Streams all events.
+fn whole(head: &str, stream: &mut TcpStream) {
+    write_unframed_head(head, stream);
+    for event in first_event(head)..=EVENTS {
+        let _ = stream.write_all(event_text(head, event).as_bytes());
+    }
+    let _ = stream.shutdown(std::net::Shutdown::Both);
+}
+
+async fn start(
+    slack: u32,
+    kind: &str,
+    attempts: u32,
+    scripts: &[Script],
+) -> (TestNode, Vec<TestEngine>) {
+    let node = TestNode::start_with_slack(slack).await;
+    node.declare_with_long_objective(1, kind, attempts, LIMIT_MS);
+    let engines: Vec<TestEngine> = scripts
+        .iter()
+        .map(|script| TestEngine::start(*script))
+        .collect();
+    for (index, engine) in engines.iter().enumerate() {
+        node.write_entry(&format!("e{index}"), engine, "ready");
+    }
+    node.wait_for_engines(engines.len()).await;
+    node.wait_for_declaration(1).await;
+    (node, engines)
+}
+
+fn runs(engines: &[TestEngine]) -> usize {
+    engines.iter().map(|engine| engine.heads().len()).sum()
+}
+
+/// Numbers of the pieces in an answer, in their order.
+fn pieces(answer: &str) -> Vec<u64> {
+    let lines = answer.lines();
+    let pieces = lines.filter_map(|line| line.strip_prefix("data: piece "));
+    let numbers = pieces.map(|piece| piece.trim_end_matches(['x', '\r']));
+    numbers
+        .map(|piece| piece.parse().expect("a number"))
+        .collect()
+}
+
+fn looks_complete(answer: &str) -> bool {
+    answer.ends_with("0\r\n\r\n")
+}
+
+/// Value of the counter of streamed runs without framing that ended like this.
+async fn unframed_ends(node: &TestNode, end: &str) -> u64 {
+    let name =
+        format!("dalestand_streamed_runs_total{{end=\"{end}\",framing=\"connection close\"}} ");
+    let metrics = get(node.metrics, "host: a.example\r\n", "/metrics").await;
+    let value = metrics.lines().find_map(|line| line.strip_prefix(&name));
+    value.map_or(0, |value| value.parse().expect("a number"))
+}
+
+/// Guards against a stream that its engine broke off within an event and that reached the caller as complete, because
+/// the end of the connection was taken for the end of the answer.
+#[rstest]
+#[case::after_its_first_byte("cut=1")]
+#[case::after_its_id("cut=6")]
+#[case::within_its_data("cut=14")]
+#[case::before_the_empty_line("cut_from_end=1")]
+#[case::with_carriage_returns_before_the_empty_line("carriage_returns=1&cut_from_end=2")]
+#[case::with_carriage_returns_within_the_empty_line("carriage_returns=1&cut_from_end=1")]
+#[case::of_many_reads("padding=60000&cut_from_end=1")]
+#[actix_rt::test]
+async fn an_unframed_stream_that_ends_inside_an_event_goes_on_at_another_engine(
+    #[case] query: &str,
+) {
+    let scripts = [unframed as Script, unframed];
+    let (node, engines) = start(50, "resumable-stream", 3, &scripts).await;
+    let answer = node.request("1", &format!("/r/x?{query}")).await;
+    assert_eq!(status(&answer), "200");
+    assert_eq!(pieces(&answer), [1, 2, 3, 4, 5], "{}", answer.len());
+    assert!(looks_complete(&answer));
+    assert_eq!(runs(&engines), 2);
+    assert_eq!(unframed_ends(&node, "inside an event").await, 1);
+    assert_eq!(unframed_ends(&node, "complete").await, 1);
+}
+
+/// Guards against the same where the stream can't go on: the caller must see that it is incomplete, and get nothing of
+/// the event that was cut.
+#[rstest]
+#[case::it_runs_only_once("stream", 3, 50)]
+#[case::no_attempt_is_left("resumable-stream", 1, 50)]
+#[case::no_retry_is_left("resumable-stream", 3, 0)]
+#[actix_rt::test]
+async fn an_unframed_stream_that_ends_inside_an_event_does_not_look_complete(
+    #[case] kind: &str,
+    #[case] attempts: u32,
+    #[case] slack: u32,
+    #[values("cut=1", "cut=14", "cut_from_end=1", "padding=60000&cut_from_end=1")] query: &str,
+) {
+    let scripts = [unframed as Script, unframed];
+    let (node, engines) = start(slack, kind, attempts, &scripts).await;
+    let answer = node.request("1", &format!("/r/x?{query}")).await;
+    assert!(!looks_complete(&answer));
+    assert_eq!(pieces(&answer), [1, 2]);
+    let (_, rest) = answer.rsplit_once("data: piece 2").expect("two pieces");
+    assert!(
+        !rest.contains("id"),
+        "a part of the third event: {}",
+        &rest[..40]
+    );
+    assert_eq!(runs(&engines), 1);
+    assert_eq!(unframed_ends(&node, "inside an event").await, 1);
+    assert_eq!(unframed_ends(&node, "complete").await, 0);
+}
+
+/// Guards against a stream without a single event that passed for a complete answer.
+#[rstest]
+#[case::resumable("resumable-stream", true)]
+#[case::once("stream", false)]
+#[actix_rt::test]
+async fn an_unframed_stream_without_an_event_is_not_complete(
+    #[case] kind: &str,
+    #[case] is_resumed: bool,
+) {
+    let (node, engines) = start(50, kind, 3, &[empty, whole]).await;
+    for request in 0..50 {
+        let answer = node.request(&request.to_string(), "/r/x").await;
+        if engines[0].heads().is_empty() {
+            continue;
+        }
+        assert_eq!(looks_complete(&answer), is_resumed, "{answer}");
+        assert_eq!(!pieces(&answer).is_empty(), is_resumed, "{answer}");
+        return;
+    }
+    panic!("the first engine was never called");
+}
+
+#[rstest]
+#[actix_rt::test]
+async fn a_whole_unframed_stream_is_complete(
+    #[values("stream", "resumable-stream")] kind: &str,
+    #[values("", "carriage_returns=1", "padding=60000")] query: &str,
+) {
+    let (node, engines) = start(50, kind, 3, &[whole]).await;
+    let answer = node.request("1", &format!("/r/x?{query}")).await;
+    assert_eq!(pieces(&answer), [1, 2, 3, 4, 5]);
+    assert!(looks_complete(&answer));
+    assert_eq!(runs(&engines), 1);
+    assert_eq!(unframed_ends(&node, "complete").await, 1);
+}
