Streams: an end of the connection inside an event is the engine's failure, not the end of the answer

Cause: ResponseBody reports the end of the connection as the end of such a body, and AnswerStream passed on what was left of the cut event and ended the caller's chunked body. Streams that may not be resumed weren't split into events at all. Class: the end of a connection taken for the end of a message.

Change: all event streams are split, and only whole events are passed on. Answers whose framing marks their end are believed as before. An event is held up to 1 MiB. Lines that end in a carriage return alone end events too, or such streams would now be held to their end. A broken-off stream that may run only once now counts in the engine's health as well, as the others did.

Why it works: a whole stream ends with an empty line, so a rest proves the cut. What it can't tell: a clean end exactly between two events.

--- a/crates/forwarding/src/quarantine/run_watch.rs
+++ b/crates/forwarding/src/quarantine/run_watch.rs
@@ -23,6 +23,11 @@
     NoAnswer,
     /// The response body broke off.
     BrokenOff,
+    /// The connection ended inside an event of a stream, and nothing else marks the stream's end.
+    InsideEvent {
+        /// Bytes received of that event.
+        pending_bytes: usize,
+    },
     /// The call timed out.
     Silent,
     /// The caller disconnected, or the request's time limit was reached.
@@ -101,7 +106,9 @@
             attribute_crash(context, &self.engine.run, run, fingerprint);
         } else if matches!(
             reason,
-            UnfinishedReason::NoAnswer | UnfinishedReason::BrokenOff
+            UnfinishedReason::NoAnswer
+                | UnfinishedReason::BrokenOff
+                | UnfinishedReason::InsideEvent { .. }
         ) {
             spawn_listener_check(context, &self.pool, &self.engine);
         }
--- a/crates/forwarding/src/serve/answer_stream.rs
+++ b/crates/forwarding/src/serve/answer_stream.rs
@@ -4,8 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::header::CONTENT_TYPE;
 use bytes::Bytes;
 use dalestand_clock::{timeout, timeout_at};
+use dalestand_engine_link::{BodyError, BodyFraming, ResponseHead};
 use dalestand_routing::staged::{AttemptResult, response_timeout};
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::PoolName;
@@ -23,6 +25,9 @@
 use crate::serve::progress::Progress;
 use crate::serve::response_timeout::may_abandon;
 
+/// Media type of event streams.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// A stream is resumed elsewhere after a pause of this multiple of the pause objective.
 const PAUSE_FACTOR: u32 = 3;
 
@@ -35,6 +40,9 @@
 /// Minimum pause after which a stream is resumed elsewhere.
 const MIN_PAUSE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// The longest event that is held until its end has arrived.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// The body of an answer on its way to the caller.
 pub(crate) struct AnswerStream {
     context: Rc<Context>,
@@ -42,8 +50,10 @@
     pool: PoolName,
     answer: EngineAnswer,
     _in_flight: InFlightGuard,
-    /// Splits the stream into events if it can be resumed.
+    /// Splits an event stream into events, so that incomplete ones are held back. `None` for other bodies.
     splitter: Option<EventSplitter>,
+    /// Whether another engine may go on after the last event.
+    is_resumable: bool,
     last_event: Option<u64>,
     any_sent: bool,
     ended: bool,
@@ -57,11 +67,13 @@
         answer: EngineAnswer,
         in_flight: InFlightGuard,
     ) -> Self {
-        let resumable = progress.route.kind.is_stream() && progress.route.kind.is_repeatable();
+        let kind = progress.route.kind;
+        let is_event_stream = kind.is_stream() && may_be_event_stream(&answer.head);
         Self {
             context,
             last_event: progress.facts.last_event,
-            splitter: resumable.then(EventSplitter::default),
+            splitter: is_event_stream.then(EventSplitter::default),
+            is_resumable: is_event_stream && kind.is_repeatable(),
             progress,
             pool,
             answer,
@@ -71,6 +83,12 @@
         }
     }
 
+    /// Length of the body, if it is known: a stream that is resumed may get another one.
+    pub(crate) fn length(&self) -> Option<u64> {
+        let length = self.answer.body.length();
+        length.filter(|_| !self.is_resumable)
+    }
+
     /// The body as a stream of chunks.
     pub(crate) fn into_stream(self) -> impl Stream<Item = Result<Bytes, AnswerStreamError>> {
         stream::unfold(self, |mut stream| async move {
@@ -106,59 +124,51 @@
     }
 
     async fn next_chunk(&mut self) -> Option<Result<Bytes, AnswerStreamError>> {
-        if self.splitter.is_none() {
-            let next = self.answer.body.next().await;
-            self.answer.work.record_prefilled();
-            match &next {
-                None => {
-                    self.count_end(RunEnd::Complete);
-                    self.answer.watch.record_answer(&self.answer.body);
-                }
-                Some(Err(_)) => {
-                    self.count_end(RunEnd::BrokenOff);
-                    self.answer
-                        .watch
-                        .record_unfinished(UnfinishedReason::BrokenOff);
-                }
-                Some(Ok(_)) => {}
-            }
-            return next.map(|chunk| chunk.map_err(|_| AnswerStreamError::BrokenOff));
-        }
         loop {
             if let Some(events) = self.take_events() {
                 self.any_sent = true;
                 return Some(Ok(events));
             }
-            let event_timeout = self.event_timeout();
-            let next = timeout(event_timeout, self.answer.body.next()).await;
+            if self.pending_bytes() > MAX_EVENT_BYTES {
+                return Some(Err(AnswerStreamError::EventTooLong));
+            }
+            let next = self.read().await;
             self.answer.work.record_prefilled();
-            match next {
-                Ok(Some(Ok(bytes))) => {
-                    if let Some(splitter) = &mut self.splitter {
-                        splitter.push(&bytes);
-                    }
-                }
-                Ok(None) => return self.remaining_bytes(),
-                Ok(Some(Err(_))) => {
-                    if let Err(error) = self.resume_elsewhere(AttemptResult::Failed).await {
-                        return Some(Err(error));
-                    }
-                }
-                Err(_) => {
-                    if let Err(error) = self.resume_elsewhere(AttemptResult::NoResponse).await {
-                        return Some(Err(error));
-                    }
+            let failure = match next {
+                Some(Some(Ok(bytes))) => {
+                    let Some(splitter) = &mut self.splitter else {
+                        return Some(Ok(bytes));
+                    };
+                    splitter.push(&bytes);
+                    continue;
                 }
+                Some(None) if !self.is_truncated() => return self.finish(),
+                Some(None) => RunFailure::InsideEvent,
+                Some(Some(Err(_))) => RunFailure::BrokenOff,
+                None => RunFailure::Silent,
+            };
+            let error = self.fail_run(failure);
+            if !self.is_resumable || !self.resume_elsewhere().await {
+                return Some(Err(error));
             }
         }
     }
 
+    /// The next chunk of the engine's answer; `None` if the engine is to be abandoned.
+    async fn read(&mut self) -> Option<Option<Result<Bytes, BodyError>>> {
+        if !self.is_resumable {
+            return Some(self.answer.body.next().await);
+        }
+        let event_timeout = self.event_timeout();
+        timeout(event_timeout, self.answer.body.next()).await.ok()
+    }
+
     /// Complete events received that the caller does not have yet.
     fn take_events(&mut self) -> Option<Bytes> {
         let splitter = self.splitter.as_mut()?;
         let mut events = Vec::new();
         while let Some(event) = splitter.next_event() {
-            if let (Some(id), Some(last)) = (event.id, self.last_event)
+            if let (true, Some(id), Some(last)) = (self.is_resumable, event.id, self.last_event)
                 && id <= last
             {
                 continue;
@@ -173,20 +183,66 @@
         }
     }
 
-    /// The incomplete event left at the end of a complete body.
-    fn remaining_bytes(&mut self) -> Option<Result<Bytes, AnswerStreamError>> {
+    /// Bytes received of an event whose end is missing.
+    fn pending_bytes(&self) -> usize {
+        let splitter = self.splitter.as_ref();
+        splitter.map_or(0, |splitter| splitter.pending().len())
+    }
+
+    /// Whether a stream whose end nothing but the end of the connection marks ended inside an event or before the first.
+    fn is_truncated(&self) -> bool {
+        let Some(splitter) = &self.splitter else {
+            return false;
+        };
+        let lacks_events = !self.any_sent && self.last_event.is_none();
+        self.answer.body.framing() == BodyFraming::ConnectionClose
+            && (lacks_events || splitter.is_inside_event())
+    }
+
+    /// Ends a complete answer with the bytes that follow its last event.
+    fn finish(&mut self) -> Option<Result<Bytes, AnswerStreamError>> {
+        self.count_end(RunEnd::Complete);
         self.answer.watch.record_answer(&self.answer.body);
-        let rest = self.splitter.take()?;
         self.ended = true;
+        let rest = self.splitter.take()?;
         let rest = rest.pending();
-        self.count_end(if rest.is_empty() {
-            RunEnd::Complete
-        } else {
-            RunEnd::InsideEvent
-        });
         (!rest.is_empty()).then(|| Ok(Bytes::copy_from_slice(rest)))
     }
 
+    /// Records that the engine did not complete the answer, and cancels its run; with the error for the caller.
+    fn fail_run(&mut self, failure: RunFailure) -> AnswerStreamError {
+        let pending_bytes = self.pending_bytes();
+        let (result, reason, end) = match failure {
+            RunFailure::InsideEvent => (
+                AttemptResult::Failed,
+                UnfinishedReason::InsideEvent { pending_bytes },
+                RunEnd::InsideEvent,
+            ),
+            RunFailure::BrokenOff => (
+                AttemptResult::Failed,
+                UnfinishedReason::BrokenOff,
+                RunEnd::BrokenOff,
+            ),
+            RunFailure::Silent => (
+                AttemptResult::NoResponse,
+                UnfinishedReason::Silent,
+                RunEnd::Silent,
+            ),
+        };
+        let engine = self.answer.choice.engine.key;
+        let now = self.context.now();
+        let mut router = self.context.router.borrow_mut();
+        router.health.record(now, engine, result);
+        drop(router);
+        self.answer.watch.record_unfinished(reason);
+        self.count_end(end);
+        self.answer.body.abort();
+        match failure {
+            RunFailure::InsideEvent => AnswerStreamError::InsideEvent { pending_bytes },
+            RunFailure::BrokenOff | RunFailure::Silent => AnswerStreamError::BrokenOff,
+        }
+    }
+
     fn count_end(&self, end: RunEnd) {
         let framing = self.answer.body.framing();
         self.context.metrics.streamed_run(framing, end);
@@ -216,27 +272,37 @@
         limit.saturating_sub(since_sent).max(head_limit)
     }
 
-    /// Resumes the stream at another engine after the last event sent to the caller.
-    async fn resume_elsewhere(&mut self, result: AttemptResult) -> Result<(), AnswerStreamError> {
-        let failed = self.answer.choice.engine.key;
-        let now = self.context.now();
-        self.context
-            .router
-            .borrow_mut()
-            .health
-            .record(now, failed, result);
-        let (reason, end) = match result {
-            AttemptResult::NoResponse => (UnfinishedReason::Silent, RunEnd::Silent),
-            _ => (UnfinishedReason::BrokenOff, RunEnd::BrokenOff),
-        };
-        self.answer.watch.record_unfinished(reason);
-        self.count_end(end);
-        // Ends the previous run before another one starts.
-        self.answer.body.abort();
+    /// Resumes the stream at another engine after the last event sent to the caller; false if that is not possible.
+    async fn resume_elsewhere(&mut self) -> bool {
         self.progress.facts.last_event = self.last_event;
         let resumed = resume(&self.context, &mut self.progress, &self.pool).await;
-        self.answer = resumed.ok_or(AnswerStreamError::BrokenOff)?;
+        let Some(answer) = resumed else {
+            return false;
+        };
+        self.answer = answer;
         self.splitter = Some(EventSplitter::default());
-        Ok(())
+        true
     }
 }
+
+/// Why an engine's run did not complete the answer.
+#[derive(Clone, Copy)]
+enum RunFailure {
+    /// The connection ended inside an event or before the first, and nothing else marks the end.
+    InsideEvent,
+    /// The answer broke off before its marked end.
+    BrokenOff,
+    /// The engine sent nothing for too long.
+    Silent,
+}
+
+/// Whether an answer on a route of event streams can be one.
+fn may_be_event_stream(head: &ResponseHead) -> bool {
+    let content_type = head.headers.get(CONTENT_TYPE);
+    let content_type = content_type.map(|value| value.to_str().unwrap_or_default());
+    let is_declared = content_type.is_none_or(|value| {
+        let media_type = value.split(';').next().unwrap_or_default();
+        media_type.trim().eq_ignore_ascii_case(EVENT_STREAM)
+    });
+    head.status.is_success() && is_declared
+}
--- a/crates/forwarding/src/serve/answer_stream_error.rs
+++ b/crates/forwarding/src/serve/answer_stream_error.rs
@@ -7,6 +7,15 @@
     /// The engine's answer broke off.
     #[error("the engine's answer broke off")]
     BrokenOff,
+    /// The engine's answer ended with its connection, inside an event.
+    #[error("the engine's answer ended with its connection, {pending_bytes} bytes into an event")]
+    InsideEvent {
+        /// Bytes received of that event.
+        pending_bytes: usize,
+    },
+    /// An event exceeds the size limit.
+    #[error("an event of the engine's answer exceeds the size limit")]
+    EventTooLong,
     /// The time limit of the request was reached.
     #[error("the time limit of the request was reached")]
     TimeOver,
--- a/crates/forwarding/src/serve/event_stream.rs
+++ b/crates/forwarding/src/serve/event_stream.rs
@@ -37,10 +37,16 @@
         Some(StreamEvent { bytes, id })
     }
 
-    /// Bytes of the incomplete event at the end.
+    /// Bytes received after the last complete event.
     pub fn pending(&self) -> &[u8] {
         &self.pending
     }
+
+    /// Whether some of an event has been received whose end has not. Line ends alone are not an event.
+    pub fn is_inside_event(&self) -> bool {
+        let mut pending = self.pending.iter();
+        pending.any(|byte| !matches!(byte, b'\r' | b'\n'))
+    }
 }
 
 /// End of the first event that ends at or after `from`.
@@ -53,13 +59,16 @@
         if bytes[place..].starts_with(b"\n\r\n") {
             return Some(place + 3);
         }
+        if bytes[place..].starts_with(b"\r\r") {
+            return Some(place + 2);
+        }
         place += 1;
     }
     None
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
-    let mut lines = event.split(|byte| *byte == b'\n');
+    let mut lines = event.split(|byte| matches!(byte, b'\n' | b'\r'));
     let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -77,8 +77,6 @@
         Ok(Served::Stream(pool, engine_answer)) => {
             log_served(&context, &progress, engine_answer.head.status.as_u16());
             let head = &engine_answer.head;
-            let resumable = progress.route.kind.is_stream() && progress.route.kind.is_repeatable();
-            let length = engine_answer.body.length().filter(|_| !resumable);
             let mut forwarded_head = ResponseHead::new(head.status);
             forwarded_head.headers = head.headers.clone();
             let stream = AnswerStream::new(
@@ -88,7 +86,7 @@
                 *engine_answer,
                 in_flight,
             );
-            streaming_answer(&forwarded_head, length, stream.into_stream())
+            streaming_answer(&forwarded_head, stream.length(), stream.into_stream())
         }
         Err(failure) => {
             log_failed(&context, &progress, failure);
--- a/crates/forwarding/tests/crashing_requests.rs
+++ b/crates/forwarding/tests/crashing_requests.rs
@@ -30,6 +30,10 @@
 /// Path of the request that crashes engines.
 const CRASHING_PATH: &str = "/r/crashing";
 
+/// Path of a request that crashes engines while they stream without a length or chunks. Begins with
+/// [`CRASHING_PATH`].
+const UNFRAMED_CRASHING_PATH: &str = "/r/crashing-unframed";
+
 /// Path of a request that takes a while.
 const SLOW_PATH: &str = "/r/slow";
 
@@ -43,9 +47,11 @@
         answer(stream, "200 OK", &format!("x-id: {id}\r\n"), "whole");
         return;
     }
-    let begun = format!(
-        "HTTP/1.1 200 OK\r\nx-id: {id}\r\ntransfer-encoding: chunked\r\n\r\n9\r\nid: 1\nda"
-    );
+    let begun = if head.contains(UNFRAMED_CRASHING_PATH) {
+        format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\n\r\nid: 1\nda")
+    } else {
+        format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\ntransfer-encoding: chunked\r\n\r\n9\r\nid: 1\nda")
+    };
     let _ = stream.write_all(begun.as_bytes());
 }
 
@@ -80,12 +86,11 @@
 }
 
 /// Sends the crashing request repeatedly, to the nodes in turn and under new ids.
-async fn send_crashing_request(nodes: &[&TestNode], engines: &[TestEngine]) {
+async fn send_crashing_request(nodes: &[&TestNode], engines: &[TestEngine], path: &str) {
     let arrivals = async {
         for arrival in 0..ARRIVALS {
             let node = nodes[arrival % nodes.len()];
-            node.request(&format!("crashing-{arrival}"), CRASHING_PATH)
-                .await;
+            node.request(&format!("crashing-{arrival}"), path).await;
             node.settle().await;
         }
     };
@@ -100,22 +105,25 @@
 }
 
 #[rstest]
-#[case::resumed_at_other_engines("resumable-stream", 3)]
-#[case::streamed("stream", 1)]
-#[case::buffered("once", 1)]
-#[case::repeated("repeatable", 2)]
+#[case::resumed_at_other_engines("resumable-stream", 3, CRASHING_PATH)]
+#[case::resumed_without_framing("resumable-stream", 3, UNFRAMED_CRASHING_PATH)]
+#[case::streamed("stream", 1, CRASHING_PATH)]
+#[case::streamed_without_framing("stream", 1, UNFRAMED_CRASHING_PATH)]
+#[case::buffered("once", 1, CRASHING_PATH)]
+#[case::repeated("repeatable", 2, CRASHING_PATH)]
 #[actix_rt::test]
 async fn a_crashing_request_is_stopped_however_often_it_is_sent(
     #[case] kind: &str,
     #[case] attempts: u32,
+    #[case] path: &str,
 ) {
     let node = TestNode::start().await;
     node.declare(1, kind, attempts, 1_000);
     let engines = engines(&node, 2 * ARRIVALS);
     node.settle().await;
-    send_crashing_request(&[&node], &engines).await;
+    send_crashing_request(&[&node], &engines, path).await;
     assert_eq!(crashed_count(&engines), STOP_AFTER_CRASHES);
-    let refused = node.request("again", CRASHING_PATH).await;
+    let refused = node.request("again", path).await;
     assert_eq!(status(&refused), "503", "{refused}");
     assert!(refused.contains("retry-after: "), "{refused}");
     let other = node.request("other", "/r/other").await;
@@ -131,7 +139,7 @@
     let third = first.start_beside("node-3").await;
     // Nodes need a moment to find each other by their entries.
     actix_rt::time::sleep(Duration::from_millis(1_500)).await;
-    send_crashing_request(&[&first, &second, &third], &engines).await;
+    send_crashing_request(&[&first, &second, &third], &engines, CRASHING_PATH).await;
     assert_eq!(crashed_count(&engines), STOP_AFTER_CRASHES);
 }
 
@@ -141,10 +149,10 @@
     first.declare(1, "once", 1, 1_000);
     let engines = engines(&first, ARRIVALS);
     first.settle().await;
-    send_crashing_request(&[&first], &engines).await;
+    send_crashing_request(&[&first], &engines, CRASHING_PATH).await;
     let later = first.start_beside("node-2").await;
     later.settle().await;
-    send_crashing_request(&[&later], &engines).await;
+    send_crashing_request(&[&later], &engines, CRASHING_PATH).await;
     assert_eq!(crashed_count(&engines), STOP_AFTER_CRASHES);
 }
 
@@ -157,13 +165,13 @@
     first.declare(1, "once", 1, 1_000);
     let engines = engines(&first, ARRIVALS);
     first.settle().await;
-    send_crashing_request(&[&first], &engines).await;
+    send_crashing_request(&[&first], &engines, CRASHING_PATH).await;
     assert!(first.store.entries(STOPPED_PREFIX).is_empty());
     let later = first.start_beside("node-2").await;
     // Nodes need a moment to find each other by their entries, and repeat stopped requests every
     // second.
     actix_rt::time::sleep(Duration::from_millis(2_500)).await;
-    send_crashing_request(&[&later], &engines).await;
+    send_crashing_request(&[&later], &engines, CRASHING_PATH).await;
     assert_eq!(crashed_count(&engines), STOP_AFTER_CRASHES);
 }
 
@@ -221,7 +229,7 @@
     node.declare(1, "once", 1, 1_000);
     let engines = engines(&node, ARRIVALS);
     node.settle().await;
-    send_crashing_request(&[&node], &engines).await;
+    send_crashing_request(&[&node], &engines, CRASHING_PATH).await;
     let stopped = node.store.entries(STOPPED_PREFIX);
     let (key, value) = stopped.first().expect("a stopped request");
     let released = value.replace("\"is_released\":false", "\"is_released\":true");
@@ -272,6 +280,6 @@
         assert_eq!(status(&served), "200", "{served}");
     }
     // The completed trials have cleared the other request, so the crashing one is the only suspect.
-    send_crashing_request(&[&node], &engines).await;
+    send_crashing_request(&[&node], &engines, CRASHING_PATH).await;
     assert_eq!(crashed_count(&engines), 0);
 }
