Unframed answers: an end between events, or of a plain body, is checked against the engine's listener

Callers could see 200 and a complete body that lacks events, or the rest of a plain body, when an engine crashed while it answered with neither a length nor chunks and the cut fell between two events.

Cause: the bytes can't tell a crash between events from the end. The node may know more: a crashed engine does not listen.

Change: when only the end of the connection marks an answer's end, the node opens the engine's next connection at once, as it would for the next call. Refused, and the engine had neither said that it drains nor lost its entry: the answer counts as broken off. An engine that had announced its end is believed, unless the stream can go on elsewhere after its last event, which shows it. Anything else (opened, timed out, reset) proves nothing and the answer stands.

Evidence: four of the six new cases in truncated_streams.rs fail with the check taken out (crash between events, resumable and once; plain body, repeatable and once) and pass with it; the two on engines that leave pass both ways. What remains open: an engine that ends one stream between events and goes on listening.

--- a/crates/forwarding/src/serve/answer_stream.rs
+++ b/crates/forwarding/src/serve/answer_stream.rs
@@ -24,6 +24,8 @@
 use crate::serve::forward::resume;
 use crate::serve::progress::Progress;
 use crate::serve::response_timeout::may_abandon;
+use crate::serve::retries::may_retry;
+use crate::serve::unmarked_end::{EngineState, check_engine};
 
 /// Media type of event streams.
 const EVENT_STREAM: &str = "text/event-stream";
@@ -142,8 +144,13 @@
                     splitter.push(&bytes);
                     continue;
                 }
-                Some(None) if !self.is_truncated() => return self.finish(),
-                Some(None) => RunFailure::InsideEvent,
+                Some(None) if self.is_truncated() => RunFailure::InsideEvent,
+                Some(None) => match check_engine(&self.context, &self.pool, &self.answer).await {
+                    EngineState::Alive => return self.finish(),
+                    // The answer may be whole. Another engine can tell, as it goes on after the last event.
+                    EngineState::Left if !self.can_resume() => return self.finish(),
+                    EngineState::Left | EngineState::Crashed => RunFailure::BrokenOff,
+                },
                 Some(Some(Err(_))) => RunFailure::BrokenOff,
                 None => RunFailure::Silent,
             };
@@ -154,6 +161,10 @@
         }
     }
 
+    fn can_resume(&self) -> bool {
+        self.is_resumable && may_retry(&self.context, &self.progress)
+    }
+
     /// The next chunk of the engine's answer; `None` if the engine is to be abandoned.
     async fn read(&mut self) -> Option<Option<Result<Bytes, BodyError>>> {
         if !self.is_resumable {
--- a/crates/forwarding/src/serve/deliver.rs
+++ b/crates/forwarding/src/serve/deliver.rs
@@ -1,5 +1,7 @@
 //! Turns the outcome of a call into an answer for the caller, buffered or streamed.
 
+use std::rc::Rc;
+
 use bytes::Bytes;
 use dalestand_engine_link::ResponseHead;
 use dalestand_routing::staged::AttemptResult;
@@ -11,6 +13,7 @@
 use crate::serve::attempt::{AttemptOutcome, EngineAnswer};
 use crate::serve::held_bytes::HeldReservation;
 use crate::serve::progress::Progress;
+use crate::serve::unmarked_end::{EngineState, check_engine};
 
 /// Maximum length of a body that is buffered before it is sent on, so that a broken answer can be
 /// replaced.
@@ -29,7 +32,7 @@
 
 /// Turns the outcome of a call into an answer for the caller; `None` if there is none.
 pub(super) async fn deliver(
-    context: &Context,
+    context: &Rc<Context>,
     progress: &Progress,
     pool: PoolName,
     outcome: AttemptOutcome,
@@ -58,14 +61,17 @@
     let Some(mut reservation) = reservation.filter(|_| !is_streamed) else {
         return (!is_false_guarantee).then(|| Served::Stream(pool, answer));
     };
-    match answer.body.collect(MAX_BUFFERED_BYTES).await {
-        Ok(body) => {
+    let body = answer.body.collect(MAX_BUFFERED_BYTES).await;
+    let has_crashed =
+        body.is_ok() && check_engine(context, &pool, &answer).await == EngineState::Crashed;
+    match body {
+        Ok(body) if !has_crashed => {
             answer.watch.record_answer(&answer.body);
             reservation.resize(body.len());
             let whole = Served::Whole(answer.head, body, reservation);
             Some(whole).filter(|_| !is_false_guarantee)
         }
-        Err(_) => {
+        Ok(_) | Err(_) => {
             answer.watch.record_unfinished(UnfinishedReason::BrokenOff);
             let now = context.now();
             let mut router = context.router.borrow_mut();
--- a/crates/forwarding/src/serve/mod.rs
+++ b/crates/forwarding/src/serve/mod.rs
@@ -24,4 +24,5 @@
 pub(crate) mod response_timeout;
 mod retries;
 pub(crate) mod tenant_shares;
+pub(crate) mod unmarked_end;
 pub(crate) mod work_guard;
--- /dev/null
+++ b/crates/forwarding/src/serve/unmarked_end.rs
@@ -0,0 +1,50 @@
+//! Answers whose end is marked by nothing but the end of the connection.
+//!
+//! An engine that crashes ends its connections just as one that has finished such an answer does. Whether it still
+//! listens tells the two apart.
+
+use std::rc::Rc;
+
+use dalestand_engine_link::{BodyFraming, SendError};
+use dalestand_types::PoolName;
+
+use crate::context::Context;
+use crate::quarantine::engine_end::{EndProof, record_engine_end};
+use crate::serve::attempt::EngineAnswer;
+
+/// What is known of an engine after its connection has ended an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EngineState {
+    /// It still listens, or that is not known.
+    Alive,
+    /// It has ended, as it had announced.
+    Left,
+    /// It has ended unannounced.
+    Crashed,
+}
+
+/// Checks whether the engine of an answer has ended, if only the end of the connection marks the answer's end. A
+/// connection that opens is kept for the next call.
+pub(crate) async fn check_engine(
+    context: &Rc<Context>,
+    pool: &PoolName,
+    answer: &EngineAnswer,
+) -> EngineState {
+    if answer.body.framing() != BodyFraming::ConnectionClose {
+        return EngineState::Alive;
+    }
+    let max_connections = context.max_connections(pool);
+    let opened = context.link.open(&answer.target, max_connections).await;
+    if !matches!(opened, Err(SendError::NoListener(_))) {
+        return EngineState::Alive;
+    }
+    let engine = answer.choice.engine.key;
+    let is_listed = context.fleet().engine(engine).is_some();
+    let is_draining = context.router.borrow().signals.is_draining(engine);
+    record_engine_end(context, engine, &answer.target.run, EndProof::NoListener);
+    if is_listed && !is_draining {
+        EngineState::Crashed
+    } else {
+        EngineState::Left
+    }
+}
--- a/crates/forwarding/tests/truncated_streams.rs
+++ b/crates/forwarding/tests/truncated_streams.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use support::{Script, TestEngine, TestNode, get, id_of, status};
+use support::{Script, TestEngine, TestNode, get, id_of, status, succeeding};
 
 /// Time limit of requests; no test depends on it.
 const LIMIT_MS: u64 = 10_000;
@@ -27,6 +27,12 @@
 /// Time between two writes of an engine, so that they arrive apart.
 const WRITE_PAUSE: Duration = Duration::from_millis(10);
 
+/// Longer than a test.
+const HANGING_TIME: Duration = Duration::from_secs(5);
+
+/// Time for a request to reach its engine, and for the first bytes of the answer to come back.
+const CRASH_DELAY: Duration = Duration::from_millis(60);
+
 /// Value of a parameter in the path of a request.
 fn parameter(head: &str, name: &str) -> Option<usize> {
     let (path, _) = head.split_once(" HTTP/")?;
@@ -99,6 +105,49 @@
     let _ = stream.shutdown(std::net::Shutdown::Both);
 }
 
+/// Sends two whole events and waits for the crash.
+fn two_events(head: &str, stream: &mut TcpStream) {
+    write_unframed_head(head, stream);
+    for event in first_event(head)..=2 {
+        let _ = stream.write_all(event_text(head, event).as_bytes());
+    }
+    thread::sleep(HANGING_TIME);
+}
+
+/// Sends all events and waits for the crash.
+fn whole_before_crash(head: &str, stream: &mut TcpStream) {
+    write_unframed_head(head, stream);
+    for event in first_event(head)..=EVENTS {
+        let _ = stream.write_all(event_text(head, event).as_bytes());
+    }
+    thread::sleep(HANGING_TIME);
+}
+
+/// Sends a part of a body that is no stream and waits for the crash.
+fn part_of_a_body(head: &str, stream: &mut TcpStream) {
+    let head = format!("HTTP/1.1 200 OK\r\nx-id: {}\r\n\r\npart", id_of(head));
+    let _ = stream.write_all(head.as_bytes());
+    thread::sleep(HANGING_TIME);
+}
+
+/// Requests until one is at the engine, then crashes it; with the answer to that request.
+async fn request_and_crash(node: &TestNode, engine: &TestEngine) -> String {
+    for request in 0..50 {
+        let crash = async {
+            actix_rt::time::sleep(CRASH_DELAY).await;
+            if !engine.heads().is_empty() {
+                engine.crash();
+            }
+        };
+        let id = request.to_string();
+        let (answer, ()) = futures_util::join!(node.request(&id, "/r/x"), crash);
+        if engine.has_crashed() {
+            return answer;
+        }
+    }
+    panic!("the engine was never called");
+}
+
 async fn start(
     slack: u32,
     kind: &str,
@@ -235,3 +284,62 @@
     assert_eq!(runs(&engines), 1);
     assert_eq!(unframed_ends(&node, "complete").await, 1);
 }
+
+/// Guards against a stream that its engine's crash ended between two events and that passed for complete.
+#[rstest]
+#[case::resumable("resumable-stream", &[1, 2, 3, 4, 5], true)]
+#[case::once("stream", &[1, 2], false)]
+#[actix_rt::test]
+async fn an_unframed_stream_that_a_crash_ends_between_events_is_not_complete(
+    #[case] kind: &str,
+    #[case] expected: &[u64],
+    #[case] is_complete: bool,
+) {
+    let (node, engines) = start(50, kind, 3, &[two_events, whole]).await;
+    let answer = request_and_crash(&node, &engines[0]).await;
+    assert_eq!(pieces(&answer), expected, "{answer}");
+    assert_eq!(looks_complete(&answer), is_complete, "{answer}");
+}
+
+/// Guards against the same with other bodies.
+#[rstest]
+#[case::repeatable("repeatable", "200")]
+#[case::once("once", "502")]
+#[actix_rt::test]
+async fn an_unframed_body_that_a_crash_ends_is_not_complete(
+    #[case] kind: &str,
+    #[case] expected: &str,
+) {
+    let (node, engines) = start(50, kind, 3, &[part_of_a_body, succeeding]).await;
+    let answer = request_and_crash(&node, &engines[0]).await;
+    assert_eq!(status(&answer), expected, "{answer}");
+    assert!(!answer.ends_with("part"), "{answer}");
+}
+
+/// A stream of an engine that ends as it has announced is whole, and its events come once.
+#[rstest]
+#[actix_rt::test]
+async fn a_whole_unframed_stream_of_an_engine_that_leaves_is_complete(
+    #[values("stream", "resumable-stream")] kind: &str,
+) {
+    let (node, engines) = start(50, kind, 3, &[whole_before_crash, whole]).await;
+    let leave = async {
+        while engines[0].heads().is_empty() {
+            actix_rt::time::sleep(WRITE_PAUSE).await;
+        }
+        node.write_entry("e0", &engines[0], "draining");
+        node.wait_for_engines(1).await;
+        engines[0].crash();
+    };
+    let requests = async {
+        for request in 0.. {
+            let answer = node.request(&request.to_string(), "/r/x").await;
+            assert_eq!(pieces(&answer), [1, 2, 3, 4, 5], "{answer}");
+            assert!(looks_complete(&answer), "{answer}");
+            if engines[0].has_crashed() {
+                return;
+            }
+        }
+    };
+    futures_util::join!(leave, requests);
+}
