Soak: engines stream without a length or chunks and cut some streams at any byte

The existing check (a whole response equals the engine's) judges them; the engine's cut excuses a cut at the caller.

--- a/cmd/tests/soak.rs
+++ b/cmd/tests/soak.rs
@@ -4,7 +4,8 @@
 
 use dalestand_soak::run::{CallerLoad, RunConfig, RunReport, execute};
 use dalestand_soak::schedule::{
-    COLD_START_KINDS, FAULT_KINDS, FaultKind, LEAVING_KINDS, RETRY_KINDS, SUSPENSION_KINDS,
+    COLD_START_KINDS, CUT_STREAM_KINDS, FAULT_KINDS, FaultKind, LEAVING_KINDS, RETRY_KINDS,
+    SUSPENSION_KINDS,
 };
 use rstest::rstest;
 
@@ -95,6 +96,18 @@
     assert_no_violations(seed, kinds, CallerLoad::Light);
 }
 
+/// A run in which engines cut fewer streams proves little.
+const MIN_CUT_STREAMS: usize = 20;
+
+/// Guards against streams without a length or chunks that their engines cut inside an event and that callers got as
+/// complete.
+#[test]
+fn a_seeded_run_with_cut_streams_has_no_violations() {
+    let report = assert_no_violations(61, &CUT_STREAM_KINDS, CallerLoad::Light);
+    let cut_streams = report.cut_streams();
+    assert!(cut_streams.cut >= MIN_CUT_STREAMS, "{cut_streams:?}");
+}
+
 /// Engines with stages in two zones leave in every way.
 #[rstest]
 #[case::engines_that_leave_in_every_way(1, &LEAVING_KINDS)]
