--- a/cmd/tests/soak.rs
+++ b/cmd/tests/soak.rs
@@ -142,16 +142,46 @@
     assert!(worst.used_share() >= MIN_BUDGET_USE, "{worst:?}");
 }
 
+/// First tries at cut nodes must be served this often, relative to those at the others: nearly as often.
+const MIN_RELATIVE_SHARE: f64 = 0.98;
+
+/// A run in which fewer first tries came to cut nodes proves little.
+const MIN_FIRST_TRIES: usize = 100;
+
+/// Guards against nodes that lost their links to all engines and failed nearly every request, while other nodes reached
+/// the same engines.
+#[rstest]
+#[case::links_that_lose_all_packets(5, FaultKind::NodesCutOffSilently)]
+#[case::links_that_are_reset(5, FaultKind::NodesCutOffByResets)]
+#[case::links_that_take_no_new_connections(5, FaultKind::NodesCutOffForNewConnections)]
+fn nodes_cut_off_from_all_engines_serve_their_callers(#[case] seed: u64, #[case] kind: FaultKind) {
+    let report = assert_no_violations_on(seed, &[kind], CallerLoad::Light, (40, 6, 12, 2));
+    let tries = report.first_tries_in_partitions();
+    assert!(tries.cut >= MIN_FIRST_TRIES, "{tries:?}");
+    assert!(tries.relative_share() >= MIN_RELATIVE_SHARE, "{tries:?}");
+}
+
 fn assert_no_violations(seed: u64, kinds: &[FaultKind], load: CallerLoad) -> RunReport {
-    let folder = std::env::temp_dir().join(format!("dalestand-soak-{}", std::process::id()));
-    // Runs with one seed and different loads are executed at the same time.
-    let name = format!("seed-{seed}-{load:?}").to_lowercase();
-    let (length_s, nodes, engines, zones) = match load {
+    let size = match load {
         CallerLoad::Light | CallerLoad::Tenants => (30, 3, 6, 1),
         CallerLoad::Prompts => (30, 8, 18, 2),
         // Several windows of the retry budget.
         CallerLoad::Failures => (40, 9, 18, 1),
     };
+    assert_no_violations_on(seed, kinds, load, size)
+}
+
+/// A run of a size: seconds, nodes, engines and zones.
+fn assert_no_violations_on(
+    seed: u64,
+    kinds: &[FaultKind],
+    load: CallerLoad,
+    (length_s, nodes, engines, zones): (u64, usize, usize, usize),
+) -> RunReport {
+    let folder = std::env::temp_dir().join(format!("dalestand-soak-{}", std::process::id()));
+    // Runs with one seed and different loads or kinds are executed at the same time.
+    let first = kinds[0];
+    let name = format!("seed-{seed}-{load:?}-{first:?}").to_lowercase();
     let config = RunConfig {
         seed,
         kinds: kinds.to_vec(),
--- a/crates/engine-link/src/connect.rs
+++ b/crates/engine-link/src/connect.rs
@@ -1,24 +1,25 @@
 //! Opens TCP connections.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 use crate::error::SendError;
+use crate::link::LinkLimits;
 
 /// Idle time before TCP keep-alive probes, and the interval between them, to detect a dead peer.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Opens a connection, which fails if sent data stays unacknowledged for `tcp_user_timeout`.
+/// Opens a connection within the limits.
 pub(crate) async fn connect(
     address: SocketAddr,
-    connect_timeout: Duration,
-    tcp_user_timeout: Duration,
+    limits: &LinkLimits,
 ) -> Result<TcpStream, SendError> {
-    let opened = tokio::time::timeout(connect_timeout, TcpStream::connect(address)).await;
+    let connecting = connect_from(limits.source, address);
+    let opened = tokio::time::timeout(limits.connect_timeout, connecting).await;
     let stream = match opened {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
@@ -30,7 +31,7 @@
     // Errors are ignored: without these options a dead peer is only detected later.
     let _ = stream.set_nodelay(true);
     let socket = SockRef::from(&stream);
-    let _ = socket.set_tcp_user_timeout(Some(tcp_user_timeout));
+    let _ = socket.set_tcp_user_timeout(Some(limits.tcp_user_timeout));
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
@@ -38,3 +39,16 @@
     let _ = socket.set_tcp_keepalive(&keepalive);
     Ok(stream)
 }
+
+async fn connect_from(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
--- a/crates/engine-link/src/link.rs
+++ b/crates/engine-link/src/link.rs
@@ -1,6 +1,6 @@
 //! Client that sends requests to engines.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,6 +31,8 @@
     pub connect_timeout: Duration,
     /// Longest time for which sent data may stay unacknowledged before the connection fails.
     pub tcp_user_timeout: Duration,
+    /// Local address of the connections; chosen by the system if absent.
+    pub source: Option<IpAddr>,
 }
 
 impl Default for LinkLimits {
@@ -38,6 +40,7 @@
         Self {
             connect_timeout: Duration::from_millis(400),
             tcp_user_timeout: Duration::from_secs(2),
+            source: None,
         }
     }
 }
@@ -122,12 +125,7 @@
             .reserve_slot(target, max_connections)
             .map_err(SendError::ConnectionLimitReached)?;
         let limits = &self.limits;
-        let stream = connect(
-            target.address,
-            limits.connect_timeout,
-            limits.tcp_user_timeout,
-        )
-        .await?;
+        let stream = connect(target.address, limits).await?;
         Ok(PooledConnection::new(Connection::new(stream), slot))
     }
 
--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -127,7 +127,10 @@
             dialect,
             store_format,
             unknown_headers,
-            link: EngineLink::new(LinkLimits::default()),
+            link: EngineLink::new(LinkLimits {
+                source: settings.engine_source_ip,
+                ..LinkLimits::default()
+            }),
             logger,
             in_flight: InFlight::default(),
             held_bytes: HeldBytes::default(),
--- a/crates/forwarding/src/node/settings.rs
+++ b/crates/forwarding/src/node/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a forwarding node.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use dalestand_planner::ScalingPolicy;
@@ -25,6 +25,9 @@
     /// Address of the metrics endpoint (`/metrics`); no metrics are served if absent.
     #[serde(default)]
     pub metrics_listen: Option<SocketAddr>,
+    /// Local address of connections to engines, on machines with several; chosen by the system if absent.
+    #[serde(default)]
+    pub engine_source_ip: Option<IpAddr>,
     /// Bandwidth of the node's network link, in megabits per second; unlimited if absent.
     #[serde(default)]
     pub link_mbps: Option<f64>,
