Detours: a node that is cut off from all engines reaches them through other nodes

Cause: a fault of the node's own links was recorded against each engine, one by one, after 400 ms each; kept connections that hang took the rest of the caller's time; and there was no other way to an engine than the node's own connections. Class: a fault of the observer taken for one of the observed.

Change: all decisions stay with the node that took the request; only bytes go through another node. It opens a connection to an engine of its own list, for registered nodes only, directly, and copies bytes (crate tunnel, TCP on the peer address; bounded in number, in all and by node). Bytes from the engine come in frames, so that the end of the carrying node is not taken for the end of an answer. A new connection that is not open after 50 ms, or is refused, is asked of other nodes as well: connecting runs nothing. Two engines to which only others could open a connection, with no byte on a new connection of the node's own since, mean that it is cut off (pure state machine, routing::reachability): then it uses other nodes first and no kept direct connection, and tries its own links four times a second until two engines are reached. Kept connections are not used either while calls wait and no engine has sent a byte for 0.3 s.

A refused connection proves an engine's end only if another node that reaches engines finds the same, or, where there is no other node, if another engine accepts a connection: otherwise a cut node would count crashes for all nodes and forget calls that engines still hold. As the evidence takes longer, a request one crash short of being stopped waits for checks under way. Orders to engines only go directly, since an engine is to see one machine give them; a cut node lets go of the lease. Events 1641 and 1642, metrics, and 'via ADDRESS' in a call's line. A node that stops refuses new tunnels and waits for those it carries, which are not reused after 3 s.

--- a/crates/dissemination/src/membership.rs
+++ b/crates/dissemination/src/membership.rs
@@ -97,6 +97,12 @@
         self.nodes.clear();
     }
 
+    /// The nodes with their names.
+    pub fn nodes(&self) -> impl Iterator<Item = (&str, &NodeEntry)> {
+        let nodes = self.nodes.iter();
+        nodes.map(|(name, entry)| (name.as_str(), entry))
+    }
+
     /// Names of the nodes.
     pub fn names(&self) -> Vec<String> {
         self.nodes.keys().cloned().collect()
--- a/crates/engine-link/src/connection.rs
+++ b/crates/engine-link/src/connection.rs
@@ -8,10 +8,12 @@
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig};
 use bytes::{Bytes, BytesMut};
 use dalestand_clock::BootInstant;
-use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use dalestand_tunnel::FrameDecoder;
+use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
 use crate::error::SendError;
+use crate::paths::Path;
 
 /// Buffer space reserved for each read.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
@@ -22,12 +24,19 @@
 /// An open connection, which carries one exchange at a time.
 pub(crate) struct Connection {
     pub(crate) stream: TcpStream,
+    pub(crate) path: Path,
+    /// When it was opened.
+    pub(crate) opened_at: BootInstant,
+    /// Whether an exchange on it has been completed.
+    pub(crate) is_kept: bool,
     /// Bytes received and not yet decoded.
     pub(crate) received: BytesMut,
     /// When the connection became idle.
     pub(crate) idle_since: BootInstant,
     /// When reuse must stop according to the engine's `Keep-Alive` header, if it sent one.
     pub(crate) keep_alive_until: Option<BootInstant>,
+    /// Frames of the carrying node, if there is one.
+    frames: FrameDecoder,
 }
 
 /// A response head, with the codec that decodes the body.
@@ -39,9 +48,13 @@
 }
 
 impl Connection {
-    pub(crate) fn new(stream: TcpStream) -> Self {
+    pub(crate) fn new(stream: TcpStream, path: Path) -> Self {
         Self {
             stream,
+            path,
+            opened_at: BootInstant::now(),
+            is_kept: false,
+            frames: FrameDecoder::default(),
             received: BytesMut::new(),
             idle_since: BootInstant::now(),
             keep_alive_until: None,
@@ -53,9 +66,22 @@
         let mut probe = [0_u8; 1];
         let read = self.stream.try_read(&mut probe);
         self.received.is_empty()
+            && self.frames.is_empty()
             && read.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Reads more bytes of the response; 0 after the engine has ended the connection.
+    pub(crate) async fn read_more(&mut self) -> io::Result<usize> {
+        let Self {
+            stream,
+            path,
+            received,
+            frames,
+            ..
+        } = self;
+        read_response(stream, *path, frames, received).await
+    }
+
     /// Sends a request and waits for the response head. Reads while writing, since an engine may
     /// respond before it has read the whole body.
     pub(crate) async fn exchange(
@@ -83,7 +109,6 @@
                     "the response head exceeds the size limit".to_owned(),
                 ));
             }
-            self.received.reserve(READ_BUFFER_BYTES);
             let (mut reader, mut writer) = self.stream.split();
             tokio::select! {
                 written = writer.write(&outgoing), if !outgoing.is_empty() => {
@@ -99,7 +124,7 @@
                         Err(error) => return Err(SendError::NotSent(error.to_string())),
                     }
                 }
-                read = reader.read_buf(&mut self.received) => match read {
+                read = read_response(&mut reader, self.path, &mut self.frames, &mut self.received) => match read {
                     Ok(0) => return Err(connection_error(any_byte_sent, "the engine closed the connection")),
                     Ok(_) => {}
                     Err(error) => return Err(connection_error(any_byte_sent, &error.to_string())),
@@ -114,7 +139,9 @@
         mut codec: ClientCodec,
         error: &io::Error,
     ) -> Result<ReceivedHead, SendError> {
-        let _ = self.stream.try_read_buf(&mut self.received);
+        if self.path.is_direct() {
+            let _ = self.stream.try_read_buf(&mut self.received);
+        }
         match decode(&mut codec, &mut self.received)? {
             Some(head) => Ok(ReceivedHead {
                 head,
@@ -126,6 +153,30 @@
     }
 }
 
+/// Reads bytes of a response into `received`; 0 after the engine has ended the connection. A carrying node that ends is an
+/// error.
+async fn read_response(
+    reader: &mut (impl AsyncRead + Unpin),
+    path: Path,
+    frames: &mut FrameDecoder,
+    received: &mut BytesMut,
+) -> io::Result<usize> {
+    if path.is_direct() {
+        received.reserve(READ_BUFFER_BYTES);
+        return reader.read_buf(received).await;
+    }
+    let before = received.len();
+    loop {
+        frames.decode(received).map_err(io::Error::other)?;
+        if received.len() > before || frames.has_ended() {
+            return Ok(received.len() - before);
+        }
+        if reader.read_buf(frames.buffer()).await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+}
+
 /// The error for a lost connection. The engine may have run the request only if part of it was sent.
 fn connection_error(any_byte_sent: bool, message: &str) -> SendError {
     if any_byte_sent {
--- a/crates/engine-link/src/connection_pool.rs
+++ b/crates/engine-link/src/connection_pool.rs
@@ -10,10 +10,19 @@
 
 use crate::connection::Connection;
 use crate::link::LinkTarget;
+use crate::paths::Path;
 
 /// Time for which an idle connection may be reused if the engine sent no keep-alive timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 
+/// Time for which an idle connection through another node may be reused: such nodes are to be free of connections soon after
+/// they are no longer needed.
+const DETOUR_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A connection through another node is not reused at a greater age, so that one that stops is rid of them within its grace
+/// period.
+const DETOUR_MAX_AGE: Duration = Duration::from_secs(3);
+
 /// Connections of one engine.
 #[derive(Default)]
 struct EngineConnections {
@@ -77,12 +86,18 @@
 }
 
 impl ConnectionPool {
-    /// The most recently used idle connection that has neither expired nor received anything.
-    pub(crate) fn take_idle(self: &Rc<Self>, target: &LinkTarget) -> Option<PooledConnection> {
+    /// The most recently used idle connection by a path that `is_usable` that has neither expired nor received anything.
+    pub(crate) fn take_idle(
+        self: &Rc<Self>,
+        target: &LinkTarget,
+        is_usable: impl Fn(Path) -> bool,
+    ) -> Option<PooledConnection> {
         let now = BootInstant::now();
         let mut engines = self.engines.borrow_mut();
         let engine = engines.get_mut(target)?;
-        while let Some(connection) = engine.idle.pop() {
+        let usable = |connection: &Connection| is_usable(connection.path);
+        while let Some(index) = engine.idle.iter().rposition(usable) {
+            let connection = engine.idle.remove(index);
             if is_unexpired(&connection, now) && connection.has_no_input() {
                 engine.in_use += 1;
                 drop(engines);
@@ -129,6 +144,12 @@
 }
 
 fn is_unexpired(connection: &Connection, now: BootInstant) -> bool {
+    if !connection.path.is_direct()
+        && (now >= connection.opened_at + DETOUR_MAX_AGE
+            || now >= connection.idle_since + DETOUR_IDLE_TIMEOUT)
+    {
+        return false;
+    }
     let limit = connection
         .keep_alive_until
         .unwrap_or(connection.idle_since + DEFAULT_KEEP_ALIVE);
--- a/crates/engine-link/src/lib.rs
+++ b/crates/engine-link/src/lib.rs
@@ -13,10 +13,13 @@
 mod connection_pool;
 mod error;
 mod link;
+mod open;
+mod paths;
 mod response;
 
 pub use error::{BodyError, SendError};
 pub use link::{EngineLink, LinkLimits, LinkTarget};
+pub use paths::{AllowedPaths, Detour, DetourError, LinkObservation, LinkPaths, Path};
 pub use response::{BodyFraming, Exchange, ResponseBody};
 
 pub use actix_http::{RequestHead, ResponseHead};
--- a/crates/engine-link/src/link.rs
+++ b/crates/engine-link/src/link.rs
@@ -1,5 +1,6 @@
 //! Client that sends requests to engines.
 
+use std::cell::OnceCell;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -7,11 +8,13 @@
 
 use actix_http::{RequestHead, ServiceConfig};
 use bytes::Bytes;
+use tokio::net::TcpStream;
 
 use crate::connect::connect;
-use crate::connection::Connection;
 use crate::connection_pool::{ConnectionPool, PooledConnection};
 use crate::error::SendError;
+use crate::open::open;
+use crate::paths::{AllowedPaths, DirectCall, LinkObservation, LinkPaths, Path};
 use crate::response::Exchange;
 
 /// One run of an engine at an address. A restarted engine is a different target, so that connections
@@ -51,6 +54,7 @@
     pool: Rc<ConnectionPool>,
     limits: LinkLimits,
     config: ServiceConfig,
+    paths: Rc<OnceCell<Rc<dyn LinkPaths>>>,
 }
 
 impl EngineLink {
@@ -60,9 +64,15 @@
             pool: Rc::default(),
             limits,
             config: ServiceConfig::default(),
+            paths: Rc::default(),
         }
     }
 
+    /// Lets `paths` decide how connections are opened. Without it they are opened directly. Only the first call has an effect.
+    pub fn set_paths(&self, paths: Rc<dyn LinkPaths>) {
+        let _ = self.paths.set(paths);
+    }
+
     /// Sends a request and waits for the response head. Fails if there is no idle connection to
     /// the target and `max_connections` are in use. Dropping the future closes the connection.
     pub async fn send(
@@ -73,7 +83,8 @@
         body: &Bytes,
     ) -> Result<Exchange, SendError> {
         let is_eligible = || true;
-        self.send_if(target, max_connections, head, body, is_eligible)
+        let allowed = AllowedPaths::Any;
+        self.send_if(target, max_connections, allowed, head, body, is_eligible)
             .await
     }
 
@@ -83,50 +94,78 @@
         &self,
         target: &LinkTarget,
         max_connections: usize,
+        allowed: AllowedPaths,
         head: RequestHead,
         body: &Bytes,
         is_eligible: impl FnOnce() -> bool,
     ) -> Result<Exchange, SendError> {
-        let mut connection = self.connection(target, max_connections).await?;
+        let mut connection = self.connection(target, max_connections, allowed).await?;
         if !is_eligible() {
             connection.return_to_pool();
             return Err(SendError::NotEligible);
         }
-        let received = connection.exchange(self.config.clone(), head, body).await?;
-        Ok(Exchange::new(connection, received))
+        let paths = self.paths.get().filter(|_| connection.path.is_direct());
+        let mut call = paths
+            .map(|paths| DirectCall::new(paths, target, connection.opened_at, connection.is_kept));
+        let received = connection.exchange(self.config.clone(), head, body).await;
+        match (&received, &mut call) {
+            (Ok(_), Some(call)) => call.record_bytes(),
+            (Err(_), Some(call)) => call.record_broken(),
+            (_, None) => {}
+        }
+        if let (Err(_), Path::Detour(carrier), Some(paths)) =
+            (&received, connection.path, self.paths.get())
+        {
+            paths.observe(LinkObservation::DetourBroke(carrier));
+        }
+        Ok(Exchange::new(connection, received?, call))
     }
 
     /// Opens a connection and adds it to the pool. Shows whether the target accepts connections.
     pub async fn open(&self, target: &LinkTarget, max_connections: usize) -> Result<(), SendError> {
-        self.new_connection(target, max_connections)
+        self.new_connection(target, max_connections, AllowedPaths::Any)
             .await?
             .return_to_pool();
         Ok(())
     }
 
+    /// Opens a connection directly, for another node or as a trial; it is not added to the pool.
+    pub async fn open_directly(&self, address: SocketAddr) -> Result<TcpStream, SendError> {
+        connect(address, &self.limits).await
+    }
+
     async fn connection(
         &self,
         target: &LinkTarget,
         max_connections: usize,
+        allowed: AllowedPaths,
     ) -> Result<PooledConnection, SendError> {
-        if let Some(idle) = self.pool.take_idle(target) {
+        let paths = self.paths.get();
+        let uses_direct = paths.is_none_or(|paths| paths.trusts_kept());
+        let uses_detours =
+            allowed == AllowedPaths::Any && paths.is_some_and(|paths| paths.prefers_detour());
+        let is_usable = |path: Path| match path {
+            Path::Direct => uses_direct,
+            Path::Detour(_) => uses_detours,
+        };
+        if let Some(idle) = self.pool.take_idle(target, is_usable) {
             return Ok(idle);
         }
-        self.new_connection(target, max_connections).await
+        self.new_connection(target, max_connections, allowed).await
     }
 
     async fn new_connection(
         &self,
         target: &LinkTarget,
         max_connections: usize,
+        allowed: AllowedPaths,
     ) -> Result<PooledConnection, SendError> {
         let slot = self
             .pool
             .reserve_slot(target, max_connections)
             .map_err(SendError::ConnectionLimitReached)?;
-        let limits = &self.limits;
-        let stream = connect(target.address, limits).await?;
-        Ok(PooledConnection::new(Connection::new(stream), slot))
+        let connection = open(target, &self.limits, self.paths.get(), allowed).await?;
+        Ok(PooledConnection::new(connection, slot))
     }
 
     /// Closes idle connections that have expired and those to targets for which `keep` returns false.
--- a/crates/engine-link/src/response.rs
+++ b/crates/engine-link/src/response.rs
@@ -8,14 +8,11 @@
 use actix_http::{ResponseHead, StatusCode};
 use bytes::Bytes;
 use dalestand_clock::BootInstant;
-use tokio::io::AsyncReadExt as _;
 
 use crate::connection::{Connection, ReceivedHead};
 use crate::connection_pool::PooledConnection;
 use crate::error::BodyError;
-
-/// Buffer space reserved for each read.
-const READ_BUFFER_BYTES: usize = 8 * 1024;
+use crate::paths::{DirectCall, Path};
 
 /// A connection is no longer reused this long before the engine's keep-alive timeout, so that a request
 /// does not race with the engine's close.
@@ -51,10 +48,16 @@
     pub head: ResponseHead,
     /// The response body.
     pub body: ResponseBody,
+    /// How the connection reaches the engine.
+    pub path: Path,
 }
 
 impl Exchange {
-    pub(crate) fn new(connection: PooledConnection, received: ReceivedHead) -> Self {
+    pub(crate) fn new(
+        connection: PooledConnection,
+        received: ReceivedHead,
+        direct_call: Option<DirectCall>,
+    ) -> Self {
         let ReceivedHead {
             head,
             codec,
@@ -65,7 +68,9 @@
         let has_body = close_delimited || codec.message_type() != MessageType::None;
         let closes = has_connection_close(&head.headers);
         let reusable = request_written && !close_delimited && !closes && codec.keep_alive();
+        let path = connection.path;
         let mut body = ResponseBody {
+            direct_call,
             connection: Some(connection),
             codec: codec.into_payload_codec(),
             close_delimited,
@@ -77,7 +82,7 @@
         if !has_body {
             body.finish();
         }
-        Self { head, body }
+        Self { head, body, path }
     }
 }
 
@@ -91,12 +96,15 @@
     keep_alive_timeout: Option<Duration>,
     length: Option<u64>,
     ended: bool,
+    /// The call, if its connection is direct and observed.
+    direct_call: Option<DirectCall>,
 }
 
 impl ResponseBody {
     /// Closes the connection and ends the body early.
     pub fn abort(&mut self) {
         self.ended = true;
+        self.direct_call = None;
         self.connection = None;
     }
 
@@ -131,8 +139,7 @@
                 Err(error) => return Some(Err(self.fail(error))),
             }
             let connection: &mut Connection = self.connection.as_mut()?;
-            connection.received.reserve(READ_BUFFER_BYTES);
-            match connection.stream.read_buf(&mut connection.received).await {
+            match connection.read_more().await {
                 Ok(0) if self.close_delimited => {
                     self.finish();
                     return None;
@@ -142,7 +149,11 @@
                         BodyError::Incomplete("the engine closed the connection".to_owned());
                     return Some(Err(self.fail(error)));
                 }
-                Ok(_) => {}
+                Ok(_) => {
+                    if let Some(call) = &mut self.direct_call {
+                        call.record_bytes();
+                    }
+                }
                 Err(error) => {
                     let error = BodyError::Incomplete(error.to_string());
                     return Some(Err(self.fail(error)));
@@ -180,6 +191,11 @@
 
     fn fail(&mut self, error: BodyError) -> BodyError {
         self.ended = true;
+        if let Some(mut call) = self.direct_call.take()
+            && matches!(error, BodyError::Incomplete(_))
+        {
+            call.record_broken();
+        }
         self.connection = None;
         error
     }
@@ -187,6 +203,7 @@
     /// Returns the connection to the pool if the exchange on it is complete.
     fn finish(&mut self) {
         self.ended = true;
+        self.direct_call = None;
         let Some(mut connection) = self.connection.take() else {
             return;
         };
@@ -195,6 +212,7 @@
         }
         let now = BootInstant::now();
         connection.idle_since = now;
+        connection.is_kept = true;
         connection.keep_alive_until = self
             .keep_alive_timeout
             .map(|timeout| now + timeout.saturating_sub(KEEP_ALIVE_MARGIN));
--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -20,6 +20,7 @@
 use slog::Logger;
 use tokio::sync::{Notify, watch};
 
+use crate::detour::DetourState;
 use crate::dissemination::Dissemination;
 use crate::duties::usage_counts::UsageCounts;
 use crate::fleet::engines::Fleet;
@@ -99,6 +100,8 @@
     pub(crate) scaling_decisions: RefCell<BTreeMap<PoolName, ScalingDecision>>,
     /// Requests that crash engines.
     pub(crate) quarantine: QuarantineState,
+    /// Connections to engines through other nodes.
+    pub(crate) detours: DetourState,
     pub(crate) metrics: ForwardingMetrics,
     /// Era of the key-value service; changes when the service is restored from a backup.
     pub(crate) store_era: watch::Sender<u64>,
@@ -153,6 +156,7 @@
             sums: FleetSums::default(),
             scaling_decisions: RefCell::default(),
             quarantine: QuarantineState::default(),
+            detours: DetourState::default(),
             store_era: watch::Sender::new(0),
             started: BootInstant::now(),
             table: RefCell::default(),
--- a/crates/forwarding/src/dissemination/mod.rs
+++ b/crates/forwarding/src/dissemination/mod.rs
@@ -28,14 +28,15 @@
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, HashMap, HashSet};
-use std::net::SocketAddr;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use dalestand_dissemination::{
     DeclarationSync, EntryRecord, EntrySync, EntryTable, LeaseHolder, NodeDirectory, NodeNumber,
     Relay, Subscribers, Subscription,
 };
+use dalestand_routing::reachability::Peer;
 use dalestand_routing::staged::{EngineKey, rendezvous_weight};
 use dalestand_types::{MonotonicTime, ZoneName};
 use rand::RngExt as _;
@@ -345,6 +346,36 @@
         before.count() as u32
     }
 
+    /// Other known nodes: the registered ones as far as this node knows them, and the relays.
+    pub(crate) fn peers(&self) -> Vec<Peer> {
+        let directory = self.directory.borrow();
+        let registered = directory.nodes().filter_map(|(name, entry)| {
+            (NodeNumber::of(name) != self.node).then_some((entry.address, &entry.zone))
+        });
+        let subscription = self.subscription.borrow();
+        let relays = subscription.relays().iter();
+        let relays = relays.filter(|relay| relay.number != self.node);
+        let relays = relays.map(|relay| (relay.address, &relay.zone));
+        let known: BTreeMap<SocketAddr, bool> = registered
+            .chain(relays)
+            .map(|(address, zone)| (address, *zone == self.zone))
+            .collect();
+        let peers = known.into_iter();
+        peers
+            .map(|(address, is_own_zone)| Peer {
+                address,
+                is_own_zone,
+            })
+            .collect()
+    }
+
+    /// Whether a node is registered under this name at this address.
+    pub(crate) fn knows_node(&self, name: &str, address: IpAddr) -> bool {
+        let directory = self.directory.borrow();
+        let entry = directory.get(name);
+        entry.is_some_and(|entry| entry.address.ip() == address)
+    }
+
     /// Whether this node's watches of the key-value service are short: the first relay of each zone bounds
     /// the time until a silent watch is noticed, and tells the others. So does a node that is no relay but reads
     /// the service, as it hears from none.
--- a/crates/forwarding/src/fleet/engines.rs
+++ b/crates/forwarding/src/fleet/engines.rs
@@ -30,6 +30,11 @@
     pub kv_cache_tokens: u64,
 }
 
+/// The name of the engine's run that a target is for.
+pub(crate) fn engine_name(target: &LinkTarget) -> &str {
+    target.run.split(START_SEPARATOR).next().unwrap_or_default()
+}
+
 impl FleetEngine {
     /// The target of connections to this start of the engine.
     pub fn target(&self) -> LinkTarget {
@@ -170,8 +175,7 @@
 
     /// Whether the run accepts new work at that address.
     pub fn has_target(&self, target: &LinkTarget) -> bool {
-        let name = target.run.split(START_SEPARATOR).next().unwrap_or_default();
-        let engine = self.engines.get(&EngineKey::of(name));
+        let engine = self.engines.get(&EngineKey::of(engine_name(target)));
         engine.is_some_and(|engine| engine.target() == *target)
     }
 
--- a/crates/forwarding/src/fleet/part_recovery.rs
+++ b/crates/forwarding/src/fleet/part_recovery.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use dalestand_dissemination::{Placement, PlacementState};
+use dalestand_engine_link::AllowedPaths;
 use dalestand_routing::staged::{EngineKey, PromptPart, StagedEngine, rendezvous_weight};
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::PoolName;
@@ -92,7 +93,8 @@
 
 async fn recover_from_engine(context: Rc<Context>, pool: PoolName, engine: StagedEngine) {
     let head = context.dialect.cached_parts_request();
-    let answered = call_engine(&context, &pool, &engine, head, Bytes::new()).await;
+    let paths = AllowedPaths::Any;
+    let answered = call_engine(&context, &pool, &engine, head, Bytes::new(), paths).await;
     let Some((status, body)) = answered else {
         log_event!(context.logger, Event::EngineUnresponsive, "engine" => &*engine.run);
         return;
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -4,6 +4,7 @@
 //!   chooses the engines.
 //! * [`fleet`]: engines and nodes, from the key-value service and relays.
 //! * [`fleet_sums`]: figures of pools, tenants and engines, summed over all nodes.
+//! * [`detour`]: connections to engines through other nodes, while a node is cut off from all engines.
 //! * [`dissemination`]: exchange of fleet-wide state between nodes.
 //! * [`roles`]: the fleet lease, under which one node acts for the fleet, and control of engine roles.
 //! * [`duties`]: the lease holder's calls to the platform: usage reports and engine counts.
@@ -14,6 +15,7 @@
 //! Traits of `dalestand_edge::routed` supply the formats and headers of the platform.
 
 mod context;
+mod detour;
 mod dissemination;
 mod duties;
 mod error;
--- a/crates/forwarding/src/node/metrics/mod.rs
+++ b/crates/forwarding/src/node/metrics/mod.rs
@@ -1,6 +1,7 @@
 //! Prometheus metrics of a forwarding node.
 
 mod admission;
+mod detours;
 mod engine_signals;
 pub(crate) mod page;
 mod registry;
@@ -19,6 +20,7 @@
 };
 
 use self::admission::AdmissionMetrics;
+use self::detours::DetourMetrics;
 use self::engine_signals::SignalMetrics;
 use self::registry::MetricsRegistry;
 use self::scaling::ScalingMetrics;
@@ -86,6 +88,7 @@
     head_seconds: HistogramVec,
     calls: IntCounterVec,
     run_ends: IntCounterVec,
+    pub(crate) detours: DetourMetrics,
     call_seconds: HistogramVec,
     store_calls: IntCounterVec,
     store_seconds: HistogramVec,
@@ -285,6 +288,7 @@
                 "Tenants that ask for more than their share, by pool; all small ones count as one.",
                 &["pool"],
             )?,
+            detours: DetourMetrics::new(&metrics)?,
             signals: SignalMetrics::new(&metrics)?,
             scaling: ScalingMetrics::new(&metrics)?,
             sums: FleetSumMetrics::new(&metrics)?,
--- a/crates/forwarding/src/node/metrics/page.rs
+++ b/crates/forwarding/src/node/metrics/page.rs
@@ -55,6 +55,12 @@
             .set(context.usage.counted_requests() as i64);
         self.report_age_ms.set(report_age.as_millis() as i64);
         self.signals.set(&signal_counts(context));
+        let detours = &context.detours;
+        self.detours.set(
+            detours.is_cut_off(),
+            detours.tunnels.open(),
+            detours.tunnels.counts(),
+        );
         for sender in HEADER_SENDERS {
             let seen = context.unknown_headers.count(sender);
             self.signals.count_unknown_headers(sender, seen);
--- a/crates/forwarding/src/node/settings.rs
+++ b/crates/forwarding/src/node/settings.rs
@@ -20,7 +20,8 @@
     pub caller_listen: SocketAddr,
     /// Address of the readiness endpoint.
     pub ready_listen: SocketAddr,
-    /// UDP address on which the node receives messages from other nodes.
+    /// Address on which the node receives messages from other nodes (UDP), and connections to engines that it is to carry for
+    /// them (TCP).
     pub peer_listen: SocketAddr,
     /// Address of the metrics endpoint (`/metrics`); no metrics are served if absent.
     #[serde(default)]
--- a/crates/forwarding/src/node/start.rs
+++ b/crates/forwarding/src/node/start.rs
@@ -11,6 +11,7 @@
 use dalestand_edge::unknown_headers::UnknownHeaders;
 use dalestand_http_server::{Connections, ServerLimits, serve};
 use dalestand_telemetry::{Event, log_event};
+use dalestand_tunnel::serve_tunnels;
 use error_stack::{Report, ResultExt as _};
 use slog::Logger;
 use tokio::net::{TcpListener, UdpSocket};
@@ -18,6 +19,9 @@
 use tokio::sync::watch;
 
 use crate::context::{Context, ContextParts};
+use crate::detour::carrier::Carrier;
+use crate::detour::link_paths::ContextPaths;
+use crate::detour::trials::try_direct_links;
 use crate::dissemination::bulk::send_bulk;
 use crate::dissemination::engine_notices::send_notices;
 use crate::dissemination::receive::receive_state;
@@ -122,6 +126,7 @@
     }
     actix_rt::spawn(sweep(Rc::clone(&context)));
     actix_rt::spawn(reload(Rc::clone(&context), node.read_settings, hangup));
+    start_detours(&context).await;
     start_ready(&context, ready_listener);
     let connections = start_callers(&context, callers);
     tokio::select! {
@@ -172,6 +177,25 @@
     }
 }
 
+/// Lets connections to engines take paths through other nodes, and carries those of others. A node that cannot listen for
+/// them serves without carrying.
+async fn start_detours(context: &Rc<Context>) {
+    context.link.set_paths(Rc::new(ContextPaths::new(context)));
+    actix_rt::spawn(try_direct_links(Rc::clone(context)));
+    let address = context.settings.peer_listen;
+    match TcpListener::bind(address).await {
+        Ok(listener) => {
+            let carrier = Rc::new(Carrier(Rc::clone(context)));
+            let tunnels = context.detours.tunnels.clone();
+            actix_rt::spawn(serve_tunnels(listener, tunnels, carrier));
+        }
+        Err(error) => {
+            log_event!(context.logger, Event::ListenFailed, "address" => %address,
+                "error" => %error);
+        }
+    }
+}
+
 fn start_callers(context: &Rc<Context>, listener: TcpListener) -> Connections {
     let connections = Connections::default();
     let counted = connections.clone();
--- a/crates/forwarding/src/node/stop.rs
+++ b/crates/forwarding/src/node/stop.rs
@@ -27,12 +27,15 @@
     let drained = async {
         connections.stop_accepting().await;
         connections.drain().await;
+        // Nodes that are cut off from engines close theirs soon, as no new ones are opened.
+        context.detours.tunnels.ended().await;
     };
     let left = grace.saturating_sub(begun.elapsed());
     let in_time = timeout(left, drained).await.is_ok();
     if !in_time {
         log_event!(context.logger, Event::StopAbandonedConnections,
-            "in_flight" => context.in_flight.count(), "connections" => connections.open());
+            "in_flight" => context.in_flight.count(), "connections" => connections.open(),
+            "tunnels" => context.detours.tunnels.open());
     }
     log_event!(context.logger, Event::StopCompleted,
         "took_ms" => begun.elapsed().as_millis() as u64);
--- a/crates/forwarding/src/quarantine/engine_end.rs
+++ b/crates/forwarding/src/quarantine/engine_end.rs
@@ -2,7 +2,9 @@
 //! unfinished there.
 
 use std::rc::Rc;
+use std::time::Duration;
 
+use dalestand_clock::{sleep, timeout};
 use dalestand_engine_link::SendError;
 use dalestand_routing::staged::{EngineKey, StagedEngine};
 use dalestand_telemetry::{Event, log_event};
@@ -47,6 +49,23 @@
     });
 }
 
+/// Longest wait for checks under way: a check asks other nodes too.
+const CHECKS_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// How often [`await_listener_checks`] looks.
+const CHECKS_POLL_INTERVAL: Duration = Duration::from_millis(1);
+
+/// Waits until no check is under way, for a limited time.
+pub(crate) async fn await_listener_checks(context: &Context) {
+    let done = async {
+        while !context.quarantine.listener_checks.borrow().is_empty() {
+            sleep(CHECKS_POLL_INTERVAL).await;
+        }
+    };
+    // After the time limit the request goes on: an engine that does not answer is no evidence.
+    let _ = timeout(CHECKS_TIMEOUT, done).await;
+}
+
 /// Checks whether an engine still listens, and waits for the result.
 pub(crate) async fn check_listener(context: &Rc<Context>, pool: &PoolName, engine: EngineKey) {
     let Some(known) = context.fleet().engine(engine).cloned() else {
--- a/crates/forwarding/src/roles/lease_keeper.rs
+++ b/crates/forwarding/src/roles/lease_keeper.rs
@@ -35,6 +35,10 @@
     loop {
         let relay_index = context.dissemination.relay_index();
         sleep(CHECK_INTERVAL + RELAY_STAGGER * relay_index).await;
+        if context.detours.is_cut_off() {
+            // Leaves the lease to nodes that reach engines, if there are any.
+            sleep(context.settings.lease()).await;
+        }
         let is_relay = context.dissemination.role(context.now()).is_relay;
         if !is_relay || fleet_lease.is_taken.get() || context.is_stopping() || !context.is_ready() {
             continue;
@@ -111,7 +115,8 @@
     let mut renewed_at = acquired_at;
     while let Some(held) = fleet_lease.held.get() {
         sleep(time_to_live / RENEWALS_PER_LEASE).await;
-        if context.is_stopping() {
+        // A node that reaches no engine can give no orders; another one may.
+        if context.is_stopping() || context.detours.is_cut_off() {
             fleet_lease.held.set(None);
             let _ = store.revoke_lease(lease).await;
             return;
--- a/crates/forwarding/src/roles/role_control.rs
+++ b/crates/forwarding/src/roles/role_control.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use dalestand_edge::routed::{RoleChangeOrder, RoleChangeOutcome};
+use dalestand_engine_link::AllowedPaths;
 use dalestand_planner::{
     PendingChanges, StageBalancer, StageBalancerConfig, StageChange, StageCounts, StageDemand,
     StageQueueTimes, StageUtilization,
@@ -203,6 +204,9 @@
     }
 }
 
+/// Engines take orders of one node only, which they must not see come from the machine of another.
+const ORDER_PATHS: AllowedPaths = AllowedPaths::DirectOnly;
+
 /// Sends the order; returns whether the engine accepted it or may still execute it.
 async fn send_order(
     context: &Rc<Context>,
@@ -230,7 +234,7 @@
         },
     };
     let (head, body) = context.dialect.role_change_order(&order);
-    let sent = call_engine(context, pool, engine, head, body);
+    let sent = call_engine(context, pool, engine, head, body, ORDER_PATHS);
     let answered = while_held(fleet_lease, held.token, || context.now(), sent).await;
     let answered = answered.flatten();
     // An order without an answer may be executed later, or never.
@@ -263,6 +267,6 @@
     engine: &StagedEngine,
 ) -> Option<u64> {
     let head = context.dialect.report_request();
-    let (_, body) = call_engine(context, pool, engine, head, Bytes::new()).await?;
+    let (_, body) = call_engine(context, pool, engine, head, Bytes::new(), ORDER_PATHS).await?;
     context.dialect.read_report_sequence(&body)
 }
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -8,7 +8,9 @@
 use actix_http::header::CONTENT_ENCODING;
 use dalestand_clock::{BootInstant, timeout};
 use dalestand_edge::routed::EngineRequestOptions;
-use dalestand_engine_link::{Exchange, LinkTarget, ResponseBody, ResponseHead, SendError};
+use dalestand_engine_link::{
+    AllowedPaths, Exchange, LinkTarget, ResponseBody, ResponseHead, SendError,
+};
 use dalestand_quarantine::STOP_AFTER_CRASHES;
 use dalestand_routing::staged::{AttemptResult, ClosedReason, EngineChoice, EngineKey};
 use dalestand_routing::{CallOutcome, CallPurpose, RepeatedSend, RetryBalance};
@@ -17,7 +19,9 @@
 use crate::context::Context;
 use crate::node::metrics::RetryOutcome;
 use crate::permits::send_permission::SendPermission;
-use crate::quarantine::engine_end::{EndProof, check_listener, record_engine_end};
+use crate::quarantine::engine_end::{
+    EndProof, await_listener_checks, check_listener, record_engine_end,
+};
 use crate::quarantine::evidence::{crash_count, is_stopped};
 use crate::quarantine::run_watch::{RunWatch, UnfinishedReason};
 use crate::serve::class_counts::BusySlot;
@@ -159,6 +163,7 @@
             head,
             body: &progress.forwarded.body,
             content,
+            paths: AllowedPaths::Any,
             permission,
         },
     );
@@ -351,14 +356,15 @@
 }
 
 /// If one more crash would stop the request, checks whether the previously called engine has
-/// crashed. Otherwise an immediate retry could crash another engine before the crash is detected.
+/// crashed, and awaits checks of others. Otherwise an immediate retry could crash another engine before the crash is detected.
 async fn check_previous_engine(context: &Rc<Context>, progress: &Progress, pool: &PoolName) {
-    let Some(previous) = progress.tried.last().filter(|_| progress.runs > 0) else {
+    if crash_count(context, progress.fingerprint) + 1 < STOP_AFTER_CRASHES {
         return;
-    };
-    if crash_count(context, progress.fingerprint) + 1 >= STOP_AFTER_CRASHES {
+    }
+    if let Some(previous) = progress.tried.last().filter(|_| progress.runs > 0) {
         check_listener(context, pool, *previous).await;
     }
+    await_listener_checks(context).await;
 }
 
 /// Counts the prompt tokens that an engine has to prefill.
@@ -430,6 +436,7 @@
     };
     let signals = CallSignals {
         reported: reply.signals(),
+        path: reply.exchange.path,
         ..no_signals
     };
     if !reply.is_matching {
--- a/crates/forwarding/src/serve/engine_call.rs
+++ b/crates/forwarding/src/serve/engine_call.rs
@@ -5,6 +5,7 @@
 
 use actix_http::{RequestHead, StatusCode};
 use bytes::Bytes;
+use dalestand_engine_link::AllowedPaths;
 use dalestand_routing::staged::StagedEngine;
 use dalestand_types::PoolName;
 
@@ -25,6 +26,7 @@
     engine: &StagedEngine,
     head: RequestHead,
     body: Bytes,
+    paths: AllowedPaths,
 ) -> Option<(StatusCode, Bytes)> {
     let target = context.fleet().engine(engine.key)?.target();
     let call = EngineCall {
@@ -34,6 +36,7 @@
         head,
         body: &body,
         content: CallContent::Internal,
+        paths,
         permission: SendPermission::for_internal_call(context, engine.key),
     };
     let exchange = async {
--- a/crates/forwarding/src/serve/engine_send.rs
+++ b/crates/forwarding/src/serve/engine_send.rs
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use dalestand_edge::routed::ResponseMetadata;
 use dalestand_edge::unknown_headers::HeaderSender;
-use dalestand_engine_link::{Exchange, LinkTarget, SendError};
+use dalestand_engine_link::{AllowedPaths, Exchange, LinkTarget, SendError};
 use dalestand_routing::staged::{ClosedReason, EngineKey, ProbeCall, ProbeOutcome, StagedEngine};
 use dalestand_types::{EngineSignals, PoolName};
 
@@ -32,6 +32,8 @@
     pub(crate) head: RequestHead,
     pub(crate) body: &'a Bytes,
     pub(crate) content: CallContent,
+    /// Paths that it may take.
+    pub(crate) paths: AllowedPaths,
     /// Permission to send it.
     pub(crate) permission: SendPermission<'a>,
 }
@@ -119,6 +121,7 @@
         head,
         body,
         content,
+        paths,
         mut permission,
     } = call;
     // A rate limit does not close the engine to this call, as the call holds a permission.
@@ -143,7 +146,7 @@
         is_open
     };
     let link = &context.link;
-    let sent = link.send_if(target, max_connections, head, body, is_open);
+    let sent = link.send_if(target, max_connections, paths, head, body, is_open);
     let exchange = sent.await.map_err(|error| match error {
         SendError::NotEligible => {
             CallError::Closed(closed().unwrap_or(ClosedReason::Limit(context.now())))
--- a/crates/forwarding/src/serve/prefill.rs
+++ b/crates/forwarding/src/serve/prefill.rs
@@ -7,7 +7,7 @@
 use actix_http::RequestHead;
 use bytes::Bytes;
 use dalestand_edge::routed::{EngineRequestOptions, HeldKvCache};
-use dalestand_engine_link::LinkTarget;
+use dalestand_engine_link::{AllowedPaths, LinkTarget};
 use dalestand_routing::CallPurpose;
 use dalestand_routing::staged::{AttemptResult, EngineChoice, StagedEngine};
 use dalestand_types::PoolName;
@@ -74,6 +74,7 @@
                 head,
                 body: &Bytes::new(),
                 content: CallContent::Internal,
+                paths: AllowedPaths::Any,
                 permission: SendPermission::for_internal_call(&context, engine.key),
             };
             let sent = send(&context, call);
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use dalestand_clock::BootInstant;
 use dalestand_edge::routed::RequestMetadata;
+use dalestand_engine_link::Path;
 use dalestand_quarantine::RequestFingerprint;
 use dalestand_routes::{Caller, RouteConfig, RouteTable};
 use dalestand_routing::staged::{
@@ -79,6 +80,8 @@
     pub(crate) reported: EngineSignals,
     /// The entry of the engine by which the call was made.
     pub(crate) entry: Option<EntryUsed>,
+    /// How the answer came.
+    pub(crate) path: Path,
 }
 
 /// The entry of an engine by which a call was made.
@@ -118,6 +121,9 @@
                 None => text.push_str(" unproved"),
             }
         }
+        if let Path::Detour(carrier) = self.path {
+            text.push_str(&format!(", via {carrier}"));
+        }
         if self.reported.draining {
             text.push_str(", says it drains");
         }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -15,6 +15,7 @@
 mod node_count;
 pub mod overload;
 mod prefix;
+pub mod reachability;
 mod request;
 mod retry_budget;
 mod router;
--- a/crates/routing/src/staged/health.rs
+++ b/crates/routing/src/staged/health.rs
@@ -142,6 +142,16 @@
         record.map_or(0.0, |record| record.latency_ms)
     }
 
+    /// Forgets attempts without a response: they were due to this node's links, not to the engines.
+    pub fn forget_unanswered(&mut self) {
+        for record in self.engines.values_mut() {
+            if std::mem::take(&mut record.unanswered) > 0 {
+                record.avoided_until = MonotonicTime::ZERO;
+                record.failure_rate = 0.0;
+            }
+        }
+    }
+
     /// Drops the record of an engine.
     pub fn forget(&mut self, engine: EngineKey) {
         self.engines.remove(&engine);
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -152,6 +152,10 @@
     EngineCountFailed = (1712, Warning, "engine count not ordered yet");
     /// Spot engines of one or more zones were reclaimed.
     SpotEnginesLost = (1713, Warning, "spot engines taken away");
+    /// This node reaches no engine directly, while other nodes reach them.
+    EnginesUnreachable = (1641, Warning, "cut off from engines");
+    /// This node reaches engines directly again.
+    EnginesReachable = (1642, Info, "engines reached again");
     /// A pool became short of slots.
     PoolShortageStarted = (1631, Info, "pool short");
     /// A pool is no longer short of slots.
