Engine connections outlive a silence of two seconds

Requests at sound engines whose machine was silent for a second or two were lost: the connection was given up under them, and one that may run only once ended as unknown.

Cause: TCP_USER_TIMEOUT of 2 s beside keep-alive probes after 1 s. When it is set, it decides when probes give up, and the time counts from the last packet before the first probe: a silence of 1.1 s that begins 0.9 s after the last packet was enough. Class: two timers of which one overrides the other.

Evidence: silent_engines.rs drops an engine's packets for 1.9 s by a socket filter, while the connection is idle, the engine works, or it answers; with 2 s the last two failed (Connection timed out), with 5 s all three pass. Calls to the platform's services keep 2 s: they are made again. What remains: a connection that is silent for good is noticed 3 s later, where no limit of the request's own comes first.

--- a/crates/engine-link/src/link.rs
+++ b/crates/engine-link/src/link.rs
@@ -32,7 +32,8 @@
 pub struct LinkLimits {
     /// Time limit for opening a connection.
     pub connect_timeout: Duration,
-    /// Longest time for which sent data may stay unacknowledged before the connection fails.
+    /// Longest time without an acknowledgement before the connection fails. Also decides when keep-alive probes give up, and
+    /// then counts from the last packet before the first probe.
     pub tcp_user_timeout: Duration,
     /// Local address of the connections; chosen by the system if absent.
     pub source: Option<IpAddr>,
@@ -42,7 +43,8 @@
     fn default() -> Self {
         Self {
             connect_timeout: Duration::from_millis(400),
-            tcp_user_timeout: Duration::from_secs(2),
+            // Longer than a silence of two seconds that begins just before a keep-alive probe.
+            tcp_user_timeout: Duration::from_secs(5),
             source: None,
         }
     }
