Unframed answers: an engine that can't be reached at their end is no proof that they are whole

Cause: since the detours, a refused connection proves an engine's end only if another node confirms it; where none answered, the refusal counted for nothing, and the check of the stream's end took the engine for alive. Class: an unknown taken for a good state.

Change: where no other node can tell, another engine that accepts a connection confirms the refusal, as where there is no other node. An engine that could not be reached for other reasons is unknown rather than alive: a stream that can go on elsewhere does.

Evidence: an_unframed_stream_that_a_crash_ends_is_not_complete_while_no_other_node_answers failed in both cases before and passes.

--- a/crates/engine-link/src/open.rs
+++ b/crates/engine-link/src/open.rs
@@ -97,8 +97,7 @@
     };
     let is_confirmed = match failure {
         DetourError::NoListener => true,
-        DetourError::NoPeers => paths.confirms_refusal(target).await,
-        DetourError::Unavailable => false,
+        DetourError::NoPeers | DetourError::Unavailable => paths.confirms_refusal(target).await,
     };
     Err(if is_confirmed {
         SendError::NoListener(message)
--- a/crates/engine-link/src/paths.rs
+++ b/crates/engine-link/src/paths.rs
@@ -90,7 +90,7 @@
         target: &LinkTarget,
     ) -> LocalBoxFuture<'static, Result<Detour, DetourError>>;
 
-    /// Whether a refused connection shows that the engine has ended, where no other node could be asked.
+    /// Whether a refused connection shows that the engine has ended, where no other node could tell.
     fn confirms_refusal(&self, target: &LinkTarget) -> LocalBoxFuture<'static, bool>;
 
     /// Records an observation.
--- a/crates/forwarding/src/serve/answer_stream.rs
+++ b/crates/forwarding/src/serve/answer_stream.rs
@@ -148,8 +148,12 @@
                 Some(None) => match check_engine(&self.context, &self.pool, &self.answer).await {
                     EngineState::Alive => return self.finish(),
                     // The answer may be whole. Another engine can tell, as it goes on after the last event.
-                    EngineState::Left if !self.can_resume() => return self.finish(),
-                    EngineState::Left | EngineState::Crashed => RunFailure::BrokenOff,
+                    EngineState::Left | EngineState::Unknown if !self.can_resume() => {
+                        return self.finish();
+                    }
+                    EngineState::Left | EngineState::Unknown | EngineState::Crashed => {
+                        RunFailure::BrokenOff
+                    }
                 },
                 Some(Some(Err(_))) => RunFailure::BrokenOff,
                 None => RunFailure::Silent,
--- a/crates/forwarding/src/serve/unmarked_end.rs
+++ b/crates/forwarding/src/serve/unmarked_end.rs
@@ -15,8 +15,10 @@
 /// What is known of an engine after its connection has ended an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum EngineState {
-    /// It still listens, or that is not known.
+    /// It still listens.
     Alive,
+    /// No connection could be opened, which does not show why.
+    Unknown,
     /// It has ended, as it had announced.
     Left,
     /// It has ended unannounced.
@@ -35,8 +37,10 @@
     }
     let max_connections = context.max_connections(pool);
     let opened = context.link.open(&answer.target, max_connections).await;
-    if !matches!(opened, Err(SendError::NoListener(_))) {
-        return EngineState::Alive;
+    match opened {
+        Ok(()) | Err(SendError::ConnectionLimitReached(_)) => return EngineState::Alive,
+        Err(SendError::NoListener(_)) => {}
+        Err(_) => return EngineState::Unknown,
     }
     let engine = answer.choice.engine.key;
     let is_listed = context.fleet().engine(engine).is_some();
--- a/crates/forwarding/tests/truncated_streams.rs
+++ b/crates/forwarding/tests/truncated_streams.rs
@@ -301,6 +301,25 @@
     assert_eq!(looks_complete(&answer), is_complete, "{answer}");
 }
 
+/// Guards against the same while the other nodes, which were asked whether the engine had ended, could not answer.
+#[rstest]
+#[case::resumable("resumable-stream", &[1, 2, 3, 4, 5], true)]
+#[case::once("stream", &[1, 2], false)]
+#[actix_rt::test]
+async fn an_unframed_stream_that_a_crash_ends_is_not_complete_while_no_other_node_answers(
+    #[case] kind: &str,
+    #[case] expected: &[u64],
+    #[case] is_complete: bool,
+) {
+    let (node, engines) = start(50, kind, 3, &[two_events, whole]).await;
+    let other = node.start_beside("node-2").await;
+    node.wait_for_metric("dalestand_nodes_known", 2).await;
+    other.crash();
+    let answer = request_and_crash(&node, &engines[0]).await;
+    assert_eq!(pieces(&answer), expected, "{answer}");
+    assert_eq!(looks_complete(&answer), is_complete, "{answer}");
+}
+
 /// Guards against the same with other bodies.
 #[rstest]
 #[case::repeatable("repeatable", "200")]
