Detours: what is left of a carrying node's connections is closed when one of them breaks

Change: when a connection through a node breaks, the idle ones through the same node are closed, so that the next call asks another.

--- a/crates/engine-link/src/connection_pool.rs
+++ b/crates/engine-link/src/connection_pool.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::ops::{Deref, DerefMut};
 use std::rc::Rc;
 use std::time::Duration;
@@ -76,6 +77,13 @@
         Self { connection, slot }
     }
 
+    /// Closes the connection, which broke, and the idle ones through the same node.
+    pub(crate) fn discard(self) {
+        if let Path::Detour(carrier) = self.connection.path {
+            self.slot.pool.discard_detours(carrier);
+        }
+    }
+
     /// Makes the connection available for the next exchange.
     pub(crate) fn return_to_pool(self) {
         let Self { connection, slot } = self;
@@ -129,6 +137,15 @@
         })
     }
 
+    /// Closes idle connections through the node at `carrier`: one of them broke, and the others may have too.
+    pub(crate) fn discard_detours(&self, carrier: SocketAddr) {
+        for engine in self.engines.borrow_mut().values_mut() {
+            engine
+                .idle
+                .retain(|connection| connection.path != Path::Detour(carrier));
+        }
+    }
+
     /// Closes idle connections that have expired and those to targets for which `keep` returns false.
     pub(crate) fn sweep(&self, keep: impl Fn(&LinkTarget) -> bool) {
         let now = BootInstant::now();
--- a/crates/engine-link/src/link.rs
+++ b/crates/engine-link/src/link.rs
@@ -119,6 +119,7 @@
             (&received, connection.path, self.paths.get())
         {
             paths.observe(LinkObservation::DetourBroke(carrier));
+            self.pool.discard_detours(carrier);
         }
         Ok(Exchange::new(connection, received?, call))
     }
--- a/crates/engine-link/src/response.rs
+++ b/crates/engine-link/src/response.rs
@@ -196,7 +196,9 @@
         {
             call.record_broken();
         }
-        self.connection = None;
+        if let Some(connection) = self.connection.take() {
+            connection.discard();
+        }
         error
     }
 
