--- a/crates/forwarding/src/quarantine/run_watch.rs
+++ b/crates/forwarding/src/quarantine/run_watch.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use dalestand_engine_link::{BodyFraming, ResponseBody};
-use dalestand_quarantine::{EngineRunId, RequestFingerprint};
+use dalestand_quarantine::{EngineRunId, PartFingerprint, RequestFingerprint};
 use dalestand_routing::staged::StagedEngine;
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::PoolName;
@@ -16,6 +16,9 @@
 use crate::quarantine::evidence::{attribute_crash, record_completion};
 use crate::serve::progress::Progress;
 
+/// Maximum number of prompt parts of a request in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
+
 /// Why a call ended without a complete answer. Logged by `Debug`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum UnfinishedReason {
@@ -43,6 +46,7 @@
     pool: PoolName,
     request: Option<Arc<str>>,
     fingerprint: Option<RequestFingerprint>,
+    shared_parts: Rc<[PartFingerprint]>,
     is_over: bool,
 }
 
@@ -62,6 +66,7 @@
             pool: pool.clone(),
             request: progress.facts.id.clone(),
             fingerprint: progress.fingerprint,
+            shared_parts: Rc::clone(&progress.shared_parts),
             // The engine run had ended before, so this call cannot have crashed it.
             is_over: unfinished.has_ended(run),
             run,
@@ -96,7 +101,8 @@
         if reason != UnfinishedReason::Left {
             log_event!(context.logger, Event::RunUnfinished,
                 "request" => self.request.as_deref().unwrap_or_default(),
-                "fingerprint" => %fingerprint, "engine" => &*self.engine.run, "how" => ?reason);
+                "fingerprint" => %fingerprint, "parts" => list_parts(&self.shared_parts),
+                "engine" => &*self.engine.run, "how" => ?reason);
         }
         let run = self.run;
         let mut runs = context.quarantine.unfinished.borrow_mut();
@@ -115,6 +121,13 @@
     }
 }
 
+/// The first prompt parts of a request for a log line, in order.
+fn list_parts(parts: &[PartFingerprint]) -> String {
+    let parts = parts.iter().take(MAX_LOGGED_PARTS);
+    let parts: Vec<String> = parts.map(PartFingerprint::to_string).collect();
+    parts.join(" ")
+}
+
 impl Drop for RunWatch {
     fn drop(&mut self) {
         self.record_unfinished(UnfinishedReason::Left);
--- a/crates/forwarding/src/serve/accept.rs
+++ b/crates/forwarding/src/serve/accept.rs
@@ -1,12 +1,14 @@
 //! Acceptance of requests: configuration, route, caller's key and body.
 
+use std::rc::Rc;
 use std::sync::Arc;
 
 use actix_http::header::HOST;
 use bytes::Bytes;
 use dalestand_clock::BootInstant;
+use dalestand_edge::routed::RequestMetadata;
 use dalestand_http_server::{HttpMessage as _, HttpServerError, Request, read_body};
-use dalestand_quarantine::{RequestFingerprint, RequestIdentity};
+use dalestand_quarantine::{PartFingerprint, RequestFingerprint, RequestIdentity};
 use dalestand_routes::{Caller, RouteConfig};
 use dalestand_types::PoolName;
 
@@ -37,6 +39,7 @@
         _ => Failure::BodyUnreadable,
     })?;
     let fingerprint = request_fingerprint(context, request, &caller, &body);
+    let shared_parts = shared_parts(context, &facts);
     let forwarded = ForwardedRequest {
         method: request.method().clone(),
         uri: request.uri().clone(),
@@ -64,6 +67,7 @@
         route,
         pools,
         fingerprint,
+        shared_parts,
         class,
         started,
     }))
@@ -98,6 +102,13 @@
     Some(key.fingerprint(&identity))
 }
 
+/// The fingerprints of the prompt parts that the request shares with others; none until the fleet's key is loaded.
+fn shared_parts(context: &Context, facts: &RequestMetadata) -> Rc<[PartFingerprint]> {
+    let key = context.quarantine.key();
+    let parts = key.map(|key| key.shared_parts(facts.parts.iter().map(|(id, _)| *id)));
+    parts.unwrap_or_default().into()
+}
+
 /// The host that a request names.
 fn host(request: &Request) -> &str {
     let host = request.headers().get(HOST);
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -10,7 +10,7 @@
 use dalestand_clock::BootInstant;
 use dalestand_edge::routed::RequestMetadata;
 use dalestand_engine_link::Path;
-use dalestand_quarantine::RequestFingerprint;
+use dalestand_quarantine::{PartFingerprint, RequestFingerprint};
 use dalestand_routes::{Caller, RouteConfig, RouteTable};
 use dalestand_routing::staged::{
     ClosedReason, EngineChoice, EngineKey, EnginePool, LatencyEstimate, PromptPart, StagedRequest,
@@ -215,6 +215,7 @@
     pub(crate) route: Arc<RouteConfig>,
     pub(crate) pools: Vec<PoolName>,
     pub(crate) fingerprint: Option<RequestFingerprint>,
+    pub(crate) shared_parts: Rc<[PartFingerprint]>,
     pub(crate) class: ClassKey,
     pub(crate) started: BootInstant,
 }
@@ -240,6 +241,8 @@
     pub(crate) started: BootInstant,
     /// Identifies the request if it is sent again; `None` until the fleet's key is loaded.
     pub(crate) fingerprint: Option<RequestFingerprint>,
+    /// The prompt parts that it shares with others; empty until the fleet's key is loaded.
+    pub(crate) shared_parts: Rc<[PartFingerprint]>,
     /// Whether it is stopped and runs as a trial.
     pub(crate) is_trial: bool,
     /// Deadline for the complete answer.
@@ -275,6 +278,7 @@
             route,
             pools,
             fingerprint,
+            shared_parts,
             class,
             started,
         } = accepted;
@@ -293,6 +297,7 @@
             unprefilled_tokens: 0,
             pools,
             fingerprint,
+            shared_parts,
             is_trial: false,
             started,
             due: started + time_limit,
--- a/crates/quarantine/src/fingerprint.rs
+++ b/crates/quarantine/src/fingerprint.rs
@@ -1,4 +1,5 @@
-//! Request fingerprints: equal for the same request whatever its id, connection and node.
+//! Fingerprints of requests and of parts of their prompts: equal for the same request or part, whatever the id of the
+//! attempt, the connection and the node.
 
 use std::fmt;
 
@@ -61,8 +62,41 @@
         hasher.finalize_xof().fill(&mut fingerprint);
         RequestFingerprint(fingerprint)
     }
+
+    /// Computes the fingerprint of the prompt part with this id.
+    pub fn part(&self, id: u64) -> PartFingerprint {
+        let mut hasher = blake3::Hasher::new_keyed(&self.0);
+        hasher.update(PART_DOMAIN);
+        hasher.update(&id.to_le_bytes());
+        let mut fingerprint = [0; size_of::<u64>()];
+        hasher.finalize_xof().fill(&mut fingerprint);
+        PartFingerprint(u64::from_le_bytes(fingerprint))
+    }
+
+    /// Computes the fingerprints of the prompt parts that a request shares with others: all but the last, which belongs
+    /// to the request or its session, without duplicates and in order.
+    pub fn shared_parts(&self, ids: impl ExactSizeIterator<Item = u64>) -> Vec<PartFingerprint> {
+        let shared = ids.len().saturating_sub(1);
+        let mut parts = Vec::with_capacity(shared.min(MAX_SHARED_PARTS));
+        for id in ids.take(shared) {
+            let part = self.part(id);
+            if !parts.contains(&part) {
+                parts.push(part);
+            }
+            if parts.len() == MAX_SHARED_PARTS {
+                break;
+            }
+        }
+        parts
+    }
 }
 
+/// Keeps the hashes of parts apart from those of requests.
+const PART_DOMAIN: &[u8] = b"prompt part";
+
+/// Maximum number of shared parts of one request, so that its crash record fits into a datagram.
+const MAX_SHARED_PARTS: usize = 64;
+
 /// The properties that identify a request when it is sent again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RequestIdentity<'r> {
@@ -124,3 +158,35 @@
         write!(formatter, "RequestFingerprint({self})")
     }
 }
+
+/// Keyed hash of the id of a prompt part, the same at every node. Among 100,000 parts, the chance of a collision is about
+/// 1 in 4 billion.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct PartFingerprint(u64);
+
+/// The text is not a valid fingerprint of a prompt part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("fingerprint of a prompt part must have {} hexadecimal digits", 2 * size_of::<u64>())]
+pub struct ParsePartFingerprintError;
+
+impl PartFingerprint {
+    /// Parses a fingerprint written as hexadecimal digits.
+    pub fn parse(text: &str) -> Result<Self, ParsePartFingerprintError> {
+        let mut bytes = [0; size_of::<u64>()];
+        hex::decode_to_slice(text, &mut bytes).map_err(|_| ParsePartFingerprintError)?;
+        Ok(Self(u64::from_be_bytes(bytes)))
+    }
+}
+
+impl fmt::Display for PartFingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
+
+impl fmt::Debug for PartFingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "PartFingerprint({self})")
+    }
+}
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -19,7 +19,8 @@
 mod unfinished;
 
 pub use fingerprint::{
-    FingerprintKey, ParseFingerprintError, ParseKeyError, RequestFingerprint, RequestIdentity,
+    FingerprintKey, ParseFingerprintError, ParseKeyError, ParsePartFingerprintError,
+    PartFingerprint, RequestFingerprint, RequestIdentity,
 };
 pub use ledger::{ApplyOutcome, CrashLedger, CrashRecord, STOP_AFTER_CRASHES, TRIAL_INTERVAL};
 pub use stopped_entry::StoppedRequestEntry;
--- a/crates/quarantine/tests/ledger.rs
+++ b/crates/quarantine/tests/ledger.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use dalestand_quarantine::{
-    ApplyOutcome, CrashLedger, CrashRecord, EngineRunId, FingerprintKey, RequestFingerprint,
-    RequestIdentity, STOP_AFTER_CRASHES, StoppedRequestEntry, TRIAL_INTERVAL, UnfinishedRuns,
+    ApplyOutcome, CrashLedger, CrashRecord, EngineRunId, FingerprintKey, PartFingerprint,
+    RequestFingerprint, RequestIdentity, STOP_AFTER_CRASHES, StoppedRequestEntry, TRIAL_INTERVAL,
+    UnfinishedRuns,
 };
 use dalestand_types::MonotonicTime;
 use proptest::prelude::*;
@@ -355,3 +356,23 @@
     assert_eq!(stopped_often, 0);
     assert!(stopped_once * 100 < seen, "{stopped_once} of {seen}");
 }
+
+/// Guards against suspecting a part that belongs to a request alone, and against a request with very many parts.
+#[rstest]
+#[case::no_parts(vec![], 0)]
+#[case::own_part_only(vec![1], 0)]
+#[case::shared_and_own(vec![1, 2, 3], 2)]
+#[case::listed_twice(vec![1, 2, 1, 3], 2)]
+#[case::very_many((0..500).collect(), 64)]
+fn the_shared_parts_of_a_prompt_are_all_but_the_last(
+    #[case] ids: Vec<u64>,
+    #[case] expected: usize,
+) {
+    let parts = key().shared_parts(ids.iter().copied());
+    assert_eq!(parts.len(), expected);
+    let known = parts
+        .iter()
+        .map(|part| PartFingerprint::parse(&part.to_string()));
+    assert!(known.eq(parts.iter().copied().map(Ok)));
+    assert!(!parts.contains(&FingerprintKey::generate().part(1)));
+}
