Tests: requests with one part that crashes engines (known red)

What callers saw: requests with one part in their prompts crashed engine after engine, at any node, no two alike; sound ones broke off at the same engines.

--- a/crates/forwarding/tests/support/dialect.rs
+++ b/crates/forwarding/tests/support/dialect.rs
@@ -22,6 +22,7 @@
 const BACKOFF_MS: HeaderName = HeaderName::from_static("x-backoff-ms");
 const LIMIT: HeaderName = HeaderName::from_static("x-limit");
 const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
+const PARTS: HeaderName = HeaderName::from_static("x-parts");
 const PROMPT: HeaderName = HeaderName::from_static("x-prompt");
 const PREFILL: HeaderName = HeaderName::from_static("x-prefill");
 const KV_CACHE: HeaderName = HeaderName::from_static("x-memory");
@@ -30,6 +31,13 @@
 const RESUMES: HeaderName = HeaderName::from_static("x-resumes");
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 
+/// Tokens of each part of a prompt whose parts are listed.
+const PART_TOKENS: u32 = 100;
+
+fn part_of_equal_size(id: &str) -> (u64, u32) {
+    (id.parse().expect("a part id"), PART_TOKENS)
+}
+
 /// Uses plain headers for all properties of requests and answers.
 pub struct PlainDialect;
 
@@ -42,7 +50,10 @@
             id: text(&ID).map(Arc::from),
             deadline: deadline.map(Duration::from_millis),
             prompt_tokens: prompt.unwrap_or_default(),
-            parts: prompt.map(|tokens| (1, tokens)).into_iter().collect(),
+            parts: match text(&PARTS) {
+                Some(ids) => ids.split(' ').map(part_of_equal_size).collect(),
+                None => prompt.map(|tokens| (1, tokens)).into_iter().collect(),
+            },
             last_event: text(&LAST_EVENT).and_then(|text| text.parse().ok()),
             resumes: text(&RESUMES).map(Arc::from),
             key: match text(&KEY) {
