--- a/crates/dissemination/src/lib.rs
+++ b/crates/dissemination/src/lib.rs
@@ -28,6 +28,7 @@
 mod loads;
 mod membership;
 mod message;
+mod part_evidence;
 mod permits;
 mod placement;
 mod software;
@@ -53,6 +54,7 @@
     MESSAGE_VERSION, Message, News, NewsBatch, PartsRequest, PoolDemand, Report, RoleChange, Table,
     UsageReport,
 };
+pub use part_evidence::PartEvidence;
 pub use permits::{EngineLimit, EngineLimits, PermitAnswer, PermitNeed, PermitRequest};
 pub use placement::{PlacedPart, Placement, PlacementState};
 pub use software::{EnginesOfVersion, SoftwareRequest, SoftwareVersions};
--- a/crates/dissemination/src/message.rs
+++ b/crates/dissemination/src/message.rs
@@ -12,6 +12,7 @@
 use crate::entry_table::EntryRecord;
 use crate::loads::{EngineLoad, LoadSlice, LoadsMessage};
 use crate::membership::{NodeNumber, Relay};
+use crate::part_evidence::PartEvidence;
 use crate::permits::{EngineLimits, PermitAnswer, PermitRequest};
 use crate::placement::Placement;
 use crate::software::{SoftwareRequest, SoftwareVersions};
@@ -73,6 +74,8 @@
     OriginRequest(OriginRequest),
     /// The answer to an [`OriginRequest`].
     OriginAnswer(OriginAnswer),
+    /// Evidence against prompt parts that crash engines. Unreadable to builds without this variant, which hold no parts.
+    PartEvidence(PartEvidence),
 }
 
 /// The node that holds the lease under which one node acts for the whole fleet.
--- a/crates/dissemination/tests/golden.rs
+++ b/crates/dissemination/tests/golden.rs
@@ -13,13 +13,16 @@
     EngineLoad, EngineNotices, EngineStart, EnginesOfVersion, EntriesFreshness, EntriesPage,
     EntriesRequest, EntryRecord, Exchange, IncludedReport, LeaseHolder, LoadScope, LoadSlice,
     LoadsMessage, MESSAGE_VERSION, Message, News, NewsBatch, NodeEntry, NodeNumber, OriginAnswer,
-    OriginRequest, PartsRequest, PermitAnswer, PermitNeed, PermitRequest, PlacedPart, Placement,
-    PlacementState, PoolDemand, RecordedStream, RecordedStreams, Relay, Report, RoleChange,
-    SlownessRow, SoftwareRequest, SoftwareVersions, SumScope, SummedRows, SumsMessage, Table,
-    TenantRow, TenantRows, UsageReport,
+    OriginRequest, PartEvidence, PartsRequest, PermitAnswer, PermitNeed, PermitRequest, PlacedPart,
+    Placement, PlacementState, PoolDemand, RecordedStream, RecordedStreams, Relay, Report,
+    RoleChange, SlownessRow, SoftwareRequest, SoftwareVersions, SumScope, SummedRows, SumsMessage,
+    Table, TenantRow, TenantRows, UsageReport,
 };
 use dalestand_duties::NodeIncarnation;
-use dalestand_quarantine::{CrashRecord, EngineRunId, RequestFingerprint};
+use dalestand_quarantine::{
+    CrashRecord, EngineRunId, PartCompletion, PartCrash, PartFingerprint, RequestFingerprint,
+    SuspectPart,
+};
 use dalestand_routing::{
     ClassFigures, SlownessFigures, TenantCode, TenantFigures, WorkKind, WorkRate,
 };
@@ -42,6 +45,9 @@
 /// Written by the build that introduced software versions and origins of streams.
 const GOLDEN_OF_STREAMS: &str = include_str!("golden/streams.txt");
 
+/// Written by the build that introduced evidence against prompt parts.
+const GOLDEN_OF_PARTS: &str = include_str!("golden/parts.txt");
+
 fn address() -> SocketAddr {
     SocketAddr::from(([10, 1, 0, 35], 7_660))
 }
@@ -408,6 +414,27 @@
     ])
 }
 
+fn part_samples() -> BTreeMap<&'static str, Message> {
+    let part = PartFingerprint::parse("7a9b01ef7431becd").expect("a fingerprint");
+    let suspect = |completed_ms| SuspectPart {
+        part,
+        arrivals: 300,
+        completed_ms,
+    };
+    let evidence = PartEvidence {
+        node: NodeNumber(7),
+        crashes: vec![PartCrash {
+            engine: EngineRunId(9),
+            age_ms: 1_500,
+            request: 70_000,
+            is_trial: true,
+            parts: vec![suspect(None), suspect(Some(40))],
+        }],
+        completions: vec![PartCompletion { part, age_ms: 300 }],
+    };
+    BTreeMap::from([("part-evidence", Message::PartEvidence(evidence))])
+}
+
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
@@ -448,7 +475,7 @@
     if let Ok(file) = std::env::var("GOLDEN_OUT") {
         let samples = samples().into_iter().chain(later_samples());
         let samples = samples.chain(sums_samples()).chain(freshness_samples());
-        let samples = samples.chain(stream_samples());
+        let samples = samples.chain(stream_samples()).chain(part_samples());
         let samples: BTreeMap<&str, Message> = samples.collect();
         let lines = samples
             .iter()
@@ -464,6 +491,7 @@
     check_format(&lines_of(GOLDEN_OF_SUMS), sums_samples());
     check_format(&lines_of(GOLDEN_OF_FRESHNESS), freshness_samples());
     check_format(&lines_of(GOLDEN_OF_STREAMS), stream_samples());
+    check_format(&lines_of(GOLDEN_OF_PARTS), part_samples());
     let entry = NodeEntry::parse(golden["node-entry"]).expect("an entry");
     assert_eq!(entry, node_entry());
     let text = node_entry().to_text().expect("a text");
--- a/crates/forwarding/src/dissemination/datagram.rs
+++ b/crates/forwarding/src/dissemination/datagram.rs
@@ -77,5 +77,6 @@
         Message::RecordedStreams(_) => "streams",
         Message::OriginRequest(_) => "origin-request",
         Message::OriginAnswer(_) => "origin-answer",
+        Message::PartEvidence(_) => "part-evidence",
     }
 }
--- a/crates/forwarding/src/dissemination/engine_notices.rs
+++ b/crates/forwarding/src/dissemination/engine_notices.rs
@@ -166,7 +166,7 @@
 }
 
 /// Whether a notice came from a relay or from a member.
-fn notice_source(context: &Context, node: NodeNumber) -> NoticeSource {
+pub(super) fn notice_source(context: &Context, node: NodeNumber) -> NoticeSource {
     let mut relays = context.dissemination.other_relays().into_iter();
     if relays.any(|relay| relay.number == node) {
         NoticeSource::Relay
--- a/crates/forwarding/src/dissemination/mod.rs
+++ b/crates/forwarding/src/dissemination/mod.rs
@@ -16,6 +16,7 @@
 mod own_reports;
 mod pacing;
 mod page_cache;
+pub(crate) mod part_evidence;
 pub(crate) mod receive;
 pub(crate) mod recent_changes;
 pub(crate) mod retransmit_queue;
--- a/crates/forwarding/src/dissemination/receive/mod.rs
+++ b/crates/forwarding/src/dissemination/receive/mod.rs
@@ -20,6 +20,7 @@
 use crate::dissemination::datagram::kind_label;
 use crate::dissemination::engine_notices;
 use crate::dissemination::freshness;
+use crate::dissemination::part_evidence;
 use crate::dissemination::recent_changes::ChangeSource;
 use crate::dissemination::software;
 use crate::dissemination::sums;
@@ -91,6 +92,7 @@
         Message::OriginAnswer(answer) => {
             streams::lookup::handle_answer(context, sender, answer);
         }
+        Message::PartEvidence(evidence) => part_evidence::handle(context, evidence),
         Message::Usage(report) => context.usage.merge_report(report),
     }
 }
--- a/crates/forwarding/src/dissemination/retransmit_queue.rs
+++ b/crates/forwarding/src/dissemination/retransmit_queue.rs
@@ -19,7 +19,7 @@
     queue: VecDeque<(T, u8)>,
 }
 
-impl<T: Copy> RetransmitQueue<T> {
+impl<T: Clone> RetransmitQueue<T> {
     pub(crate) fn new(policy: RetransmitPolicy) -> Self {
         Self {
             policy,
@@ -34,13 +34,23 @@
         self.queue.push_back((news, self.policy.transmissions));
     }
 
+    /// Adds an item unless it is queued already.
+    pub(crate) fn push_once(&mut self, news: T)
+    where
+        T: PartialEq,
+    {
+        if !self.queue.iter().any(|(queued, _)| *queued == news) {
+            self.push(news);
+        }
+    }
+
     /// Items for the next message. Those to be sent again move to the end of the queue.
     pub(crate) fn take(&mut self) -> Vec<T> {
         let count = self.queue.len().min(self.policy.max_per_message);
         let taken: Vec<_> = self.queue.drain(..count).collect();
         let again = taken.iter().filter(|(_, left)| *left > 1);
         self.queue
-            .extend(again.map(|(news, left)| (*news, left - 1)));
+            .extend(again.map(|(news, left)| (news.clone(), left - 1)));
         taken.into_iter().map(|(news, _)| news).collect()
     }
 
--- a/crates/forwarding/src/fleet/registration.rs
+++ b/crates/forwarding/src/fleet/registration.rs
@@ -18,6 +18,7 @@
 use crate::fleet::follow::Follower;
 use crate::node::settings::ForwardingSettings;
 use crate::quarantine::fleet_key::QUARANTINE_PREFIX;
+use crate::quarantine::parts::held_entries::apply_stored_part;
 use crate::quarantine::stopped_entries::apply_stored;
 use crate::roles::fleet_lease::FleetLease;
 use crate::roles::lease_keeper::HOLDER_KEY;
@@ -101,6 +102,7 @@
             let holder = value.map(|name| (name.to_owned(), revision));
             self.holder.replace(holder);
         } else if key.starts_with(QUARANTINE_PREFIX) {
+            apply_stored_part(&self.context, key, value);
             let crashes = apply_stored(&self.context, key, value);
             // Forwarded, because members do not read the key-value service.
             let origin = self.context.dissemination.node;
--- a/crates/forwarding/src/node/metrics/mod.rs
+++ b/crates/forwarding/src/node/metrics/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod detours;
 mod engine_signals;
+pub(crate) mod held_parts;
 pub(crate) mod page;
 mod registry;
 mod scaling;
@@ -23,6 +24,7 @@
 use self::admission::AdmissionMetrics;
 use self::detours::DetourMetrics;
 use self::engine_signals::SignalMetrics;
+use self::held_parts::HeldPartMetrics;
 use self::registry::MetricsRegistry;
 use self::scaling::ScalingMetrics;
 use self::streams::StreamMetrics;
@@ -90,6 +92,7 @@
     head_seconds: HistogramVec,
     calls: IntCounterVec,
     run_ends: IntCounterVec,
+    pub(crate) held_parts: HeldPartMetrics,
     pub(crate) streams: StreamMetrics,
     pub(crate) detours: DetourMetrics,
     call_seconds: HistogramVec,
@@ -158,6 +161,7 @@
                 "Engines' answers that were passed on as they arrived, by how their end is marked and how they ended.",
                 &["framing", "end"],
             )?,
+            held_parts: HeldPartMetrics::new(&metrics)?,
             streams: StreamMetrics::new(&metrics)?,
             call_seconds: metrics.histograms(
                 "engine_call_seconds",
--- a/crates/forwarding/src/node/start.rs
+++ b/crates/forwarding/src/node/start.rs
@@ -24,6 +24,7 @@
 use crate::detour::trials::try_direct_links;
 use crate::dissemination::bulk::send_bulk;
 use crate::dissemination::engine_notices::send_notices;
+use crate::dissemination::part_evidence::send_part_evidence;
 use crate::dissemination::receive::receive_state;
 use crate::dissemination::send::send_state;
 use crate::dissemination::sums::send_sums;
@@ -46,6 +47,8 @@
 use crate::node::settings::ForwardingSettings;
 use crate::node::stop::stop;
 use crate::quarantine::fleet_key::load_fingerprint_key;
+use crate::quarantine::parts::evidence::expire_part_evidence;
+use crate::quarantine::parts::held_entries::persist_held_parts;
 use crate::quarantine::stopped_entries::persist_stopped_requests;
 use crate::roles::fleet_lease::FleetLease;
 use crate::roles::lease_keeper::acquire_and_renew;
@@ -322,6 +325,7 @@
     actix_rt::spawn(send_notices(Rc::clone(context), Rc::clone(&socket)));
     actix_rt::spawn(send_sums(Rc::clone(context), Rc::clone(&socket)));
     actix_rt::spawn(send_usage(Rc::clone(context), Rc::clone(&socket)));
+    actix_rt::spawn(send_part_evidence(Rc::clone(context), Rc::clone(&socket)));
     actix_rt::spawn(send_origins(Rc::clone(context), Rc::clone(&socket)));
     actix_rt::spawn(stored_versions::load(Rc::clone(context), Rc::clone(store)));
     actix_rt::spawn(send_state(Rc::clone(context), socket));
@@ -331,6 +335,7 @@
         Rc::clone(context),
         Rc::clone(store),
     ));
+    actix_rt::spawn(persist_held_parts(Rc::clone(context), Rc::clone(store)));
     actix_rt::spawn(load_fingerprint_key(Rc::clone(context), Rc::clone(store)));
     actix_rt::spawn(keep_registered(Rc::clone(context), Rc::clone(store)));
 }
@@ -358,5 +363,6 @@
         let is_known = |engine| fleet.engine(engine).is_some();
         context.budget.borrow_mut().sweep(now, is_known);
         context.router.borrow_mut().work.remove_expired(now);
+        expire_part_evidence(&context);
     }
 }
--- a/crates/forwarding/src/quarantine/engine_end.rs
+++ b/crates/forwarding/src/quarantine/engine_end.rs
@@ -94,7 +94,7 @@
     };
     log_event!(context.logger, Event::EngineEnded, "engine" => name, "proof" => ?proof,
         "requests" => requests.len());
-    for fingerprint in requests {
-        attribute_crash(context, name, run, fingerprint);
+    for request in requests {
+        attribute_crash(context, name, run, &request);
     }
 }
--- a/crates/forwarding/src/quarantine/evidence.rs
+++ b/crates/forwarding/src/quarantine/evidence.rs
@@ -1,10 +1,13 @@
 //! Collects crash evidence from this node and others, and answers which requests are stopped.
 
-use dalestand_quarantine::{ApplyOutcome, CrashRecord, EngineRunId, RequestFingerprint};
+use dalestand_quarantine::{
+    ApplyOutcome, CrashRecord, EngineRunId, RequestFingerprint, UnfinishedRequest,
+};
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::MonotonicTime;
 
 use crate::context::Context;
+use crate::quarantine::parts::evidence::attribute_to_parts;
 
 /// Maximum number of stopped requests in one relay message, about 1 KB.
 const MAX_REQUESTS_PER_MESSAGE: usize = 10;
@@ -12,14 +15,16 @@
 /// Maximum number of requests kept as seen here before those without crashes are dropped.
 const MAX_OBSERVED: usize = 4_096;
 
-/// Attributes an engine crash to a request that was unfinished there, and queues the record for the
-/// other nodes.
+/// Attributes an engine crash to a request that was unfinished there, and to the parts of its prompt; queues the records
+/// for the other nodes.
 pub(crate) fn attribute_crash(
     context: &Context,
     engine_name: &str,
     engine: EngineRunId,
-    fingerprint: RequestFingerprint,
+    request: &UnfinishedRequest,
 ) {
+    attribute_to_parts(context, engine, request);
+    let fingerprint = request.fingerprint;
     let record = CrashRecord {
         fingerprint,
         engine,
--- a/crates/forwarding/src/quarantine/fleet_key.rs
+++ b/crates/forwarding/src/quarantine/fleet_key.rs
@@ -11,6 +11,7 @@
 use rand::RngExt as _;
 
 use crate::context::Context;
+use crate::quarantine::parts::held_entries::apply_stored_part;
 use crate::quarantine::stopped_entries::apply_stored;
 
 /// Prefix of all keys of quarantine data.
@@ -55,6 +56,7 @@
     let _ = context.quarantine.key.set(key);
     for entry in &listing.entries {
         apply_stored(context, &entry.key, Some(&entry.value));
+        apply_stored_part(context, &entry.key, Some(&entry.value));
     }
     Ok(())
 }
--- a/crates/forwarding/src/quarantine/mod.rs
+++ b/crates/forwarding/src/quarantine/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod evidence;
 pub(crate) mod fleet_key;
 pub(crate) mod operator;
+pub(crate) mod parts;
 pub(crate) mod run_watch;
 pub(crate) mod state;
 pub(crate) mod stopped_entries;
--- a/crates/forwarding/src/quarantine/run_watch.rs
+++ b/crates/forwarding/src/quarantine/run_watch.rs
@@ -4,17 +4,19 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use dalestand_engine_link::{BodyFraming, ResponseBody};
-use dalestand_quarantine::{EngineRunId, PartFingerprint, RequestFingerprint};
+use actix_http::StatusCode;
+use dalestand_quarantine::{EngineRunId, PartFingerprint, UnfinishedRequest};
 use dalestand_routing::staged::StagedEngine;
 use dalestand_telemetry::{Event, log_event};
-use dalestand_types::PoolName;
+use dalestand_types::{MonotonicTime, PoolName};
 
 use crate::context::Context;
 use crate::quarantine::engine_end::spawn_listener_check;
 use crate::quarantine::engine_run_id::engine_run_id;
 use crate::quarantine::evidence::{attribute_crash, record_completion};
+use crate::quarantine::parts::evidence::record_part_completions;
 use crate::serve::progress::Progress;
+use crate::serve::unmarked_end::EngineState;
 
 /// Maximum number of prompt parts of a request in a log line.
 const MAX_LOGGED_PARTS: usize = 8;
@@ -45,8 +47,9 @@
     run: EngineRunId,
     pool: PoolName,
     request: Option<Arc<str>>,
-    fingerprint: Option<RequestFingerprint>,
-    shared_parts: Rc<[PartFingerprint]>,
+    /// `None` until the fleet's key is loaded: crashes can't be attributed then.
+    run_request: Option<UnfinishedRequest>,
+    began_at: MonotonicTime,
     is_over: bool,
 }
 
@@ -65,8 +68,12 @@
             engine: engine.clone(),
             pool: pool.clone(),
             request: progress.facts.id.clone(),
-            fingerprint: progress.fingerprint,
-            shared_parts: Rc::clone(&progress.shared_parts),
+            run_request: progress.fingerprint.map(|fingerprint| UnfinishedRequest {
+                fingerprint,
+                shared_parts: Rc::clone(&progress.shared_parts),
+                is_part_trial: progress.is_part_trial(),
+            }),
+            began_at: context.now(),
             // The engine run had ended before, so this call cannot have crashed it.
             is_over: unfinished.has_ended(run),
             run,
@@ -78,13 +85,20 @@
         self.is_over = true;
     }
 
-    /// Records a complete answer. It counts as a completion only if the response is
-    /// self-delimiting: without a length, a body also ends when the engine crashes.
-    pub(crate) fn record_answer(&mut self, body: &ResponseBody) {
+    /// Records an answer that seems complete, after which the engine was in `state`. It counts as a completion only if the
+    /// engine is alive: without a length, a body also ends when the engine crashes.
+    pub(crate) fn record_answer(&mut self, status: StatusCode, state: EngineState) {
         self.is_over = true;
-        let may_be_truncated = body.framing() == BodyFraming::ConnectionClose;
-        if let Some(fingerprint) = self.fingerprint.filter(|_| !may_be_truncated) {
-            record_completion(&self.context, fingerprint);
+        let Some(request) = &self.run_request else {
+            return;
+        };
+        if state != EngineState::Alive {
+            return;
+        }
+        record_completion(&self.context, request.fingerprint);
+        // An engine may report an error without running the request.
+        if status.is_success() {
+            record_part_completions(&self.context, &request.shared_parts, self.began_at);
         }
     }
 
@@ -93,7 +107,7 @@
         if std::mem::replace(&mut self.is_over, true) {
             return;
         }
-        let Some(fingerprint) = self.fingerprint else {
+        let Some(request) = self.run_request.take() else {
             return;
         };
         let context = &self.context;
@@ -101,15 +115,16 @@
         if reason != UnfinishedReason::Left {
             log_event!(context.logger, Event::RunUnfinished,
                 "request" => self.request.as_deref().unwrap_or_default(),
-                "fingerprint" => %fingerprint, "parts" => list_parts(&self.shared_parts),
+                "fingerprint" => %request.fingerprint,
+                "parts" => list_parts(&request.shared_parts),
                 "engine" => &*self.engine.run, "how" => ?reason);
         }
         let run = self.run;
         let mut runs = context.quarantine.unfinished.borrow_mut();
-        let has_ended = runs.record_unfinished(context.now(), run, fingerprint);
+        let has_ended = runs.record_unfinished(context.now(), run, request.clone());
         drop(runs);
         if has_ended {
-            attribute_crash(context, &self.engine.run, run, fingerprint);
+            attribute_crash(context, &self.engine.run, run, &request);
         } else if matches!(
             reason,
             UnfinishedReason::NoAnswer
--- a/crates/forwarding/src/quarantine/state.rs
+++ b/crates/forwarding/src/quarantine/state.rs
@@ -7,13 +7,14 @@
 
 use dalestand_edge::KeyValue;
 use dalestand_quarantine::{
-    CrashLedger, CrashRecord, FingerprintKey, RequestFingerprint, UnfinishedRuns,
+    CrashLedger, CrashRecord, FingerprintKey, RequestFingerprint, UnfinishedRequest, UnfinishedRuns,
 };
 use dalestand_routing::staged::EngineKey;
 use dalestand_types::MonotonicTime;
 use tokio::sync::Notify;
 
 use crate::dissemination::retransmit_queue::{RetransmitPolicy, RetransmitQueue};
+use crate::quarantine::parts::state::PartQuarantine;
 
 /// Lease of a trial, held by one node. Longer than callers wait for an answer, and than other nodes
 /// need to learn of a crash.
@@ -37,8 +38,10 @@
 pub(crate) struct QuarantineState {
     /// The fleet's fingerprint key, once loaded.
     pub(super) key: OnceCell<FingerprintKey>,
-    pub(super) unfinished: RefCell<UnfinishedRuns>,
+    pub(super) unfinished: RefCell<UnfinishedRuns<UnfinishedRequest>>,
     pub(super) ledger: RefCell<CrashLedger>,
+    /// The same for parts of prompts.
+    pub(crate) parts: PartQuarantine,
     /// Crash records of this node that are still to be sent to other nodes.
     pub(crate) outgoing_records: RefCell<RetransmitQueue<CrashRecord>>,
     /// Requests of which this node saw a crash. It stores them in the key-value service once they
@@ -62,6 +65,7 @@
             key: OnceCell::new(),
             unfinished: RefCell::new(UnfinishedRuns::new(MATCH_WINDOW)),
             ledger: RefCell::default(),
+            parts: PartQuarantine::default(),
             outgoing_records: RefCell::new(RetransmitQueue::new(CRASH_RECORD_POLICY)),
             observed_here: RefCell::default(),
             pending_writes: RefCell::default(),
@@ -79,7 +83,7 @@
         self.key.get()
     }
 
-    /// Queues all stopped requests seen here for writing, because the key-value service lost its
+    /// Queues all stopped requests and held parts seen here for writing, because the key-value service lost its
     /// leases and with them the entries.
     pub(crate) fn rewrite_stored(&self) {
         let seen = self.observed_here.borrow();
@@ -87,26 +91,23 @@
             .borrow_mut()
             .extend(seen.iter().copied());
         self.write_queued.notify_one();
+        self.parts.rewrite_stored();
     }
 }
 
-/// Earliest time of the next trial request for each stopped request. Without this limit, the
+/// Earliest time of the next trial request for each stopped request and held part, by the key of the trial. Without this limit, the
 /// key-value service would get a call for each arrival of the request.
 #[derive(Debug, Default)]
-pub(crate) struct TrialRequests(HashMap<RequestFingerprint, MonotonicTime>);
+pub(crate) struct TrialRequests(HashMap<String, MonotonicTime>);
 
 impl TrialRequests {
     /// Whether to request a trial now. If so, no further one is requested for [`TRIAL_LEASE`].
-    pub(super) fn may_request(
-        &mut self,
-        now: MonotonicTime,
-        fingerprint: RequestFingerprint,
-    ) -> bool {
+    pub(super) fn may_request(&mut self, now: MonotonicTime, key: &str) -> bool {
         self.0.retain(|_, until| now < *until);
-        if self.0.contains_key(&fingerprint) {
+        if self.0.contains_key(key) {
             return false;
         }
-        self.0.insert(fingerprint, now + TRIAL_LEASE);
+        self.0.insert(key.to_owned(), now + TRIAL_LEASE);
         true
     }
 }
--- a/crates/forwarding/src/quarantine/trial.rs
+++ b/crates/forwarding/src/quarantine/trial.rs
@@ -1,20 +1,24 @@
-//! Trials of stopped requests: at intervals, one node runs a stopped request once. A wrongly
-//! stopped request is thereby released without an operator, and a crashing one ends at most one
-//! engine per trial.
+//! Trials of stopped requests and held prompt parts: at intervals, one node runs a stopped request once, or one request
+//! with a held part. What was stopped wrongly is thereby released without an operator, and what crashes engines ends at
+//! most one engine per trial.
 
 use std::time::Duration;
 
 use dalestand_edge::{CasOutcome, KeyValue, PlatformError, WriteExpectation};
-use dalestand_quarantine::RequestFingerprint;
+use dalestand_quarantine::{PartFingerprint, RequestFingerprint};
 use dalestand_telemetry::{Event, log_event};
 use error_stack::Report;
 
 use crate::context::Context;
 use crate::quarantine::state::TRIAL_LEASE;
+use crate::serve::progress::Progress;
 
-/// Prefix of the keys that grant a trial to one node; the fingerprint follows.
+/// Prefix of the keys that grant a trial of a request to one node; the fingerprint follows.
 const TRIAL_PREFIX: &str = "dalestand/quarantine/trial/";
 
+/// Prefix of the keys that grant a trial of a prompt part to one node; the fingerprint follows.
+const PART_TRIAL_PREFIX: &str = "dalestand/quarantine/part-trial/";
+
 /// Time limit for the key-value service to grant a trial, as the caller is waiting.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -29,42 +33,76 @@
     left.unwrap_or_default().max(MIN_RETRY_AFTER)
 }
 
+/// Retry delay to give to the caller of a request with held parts: the time until the next trial, at least one second;
+/// `None` if no part is held.
+pub(crate) fn part_retry_after(context: &Context, parts: &[PartFingerprint]) -> Option<Duration> {
+    let now = context.now();
+    let ledger = context.quarantine.parts.ledger.borrow();
+    let held = ledger.held_among(parts);
+    let delays = held.map(|(_, held)| held.trial_at(parts) - now);
+    Some(delays.max()?.max(MIN_RETRY_AFTER))
+}
+
 /// Whether this node may run a stopped request once now.
 pub(crate) async fn acquire_trial(context: &Context, fingerprint: RequestFingerprint) -> bool {
-    let Some(store) = context.quarantine.store.get() else {
-        return false;
-    };
     let now = context.now();
     let quarantine = &context.quarantine;
     let due = quarantine.ledger.borrow().time_to_trial(now, fingerprint);
     if !due.is_some_and(|left| left.is_zero()) {
         return false;
     }
-    if !quarantine
-        .trial_requests
-        .borrow_mut()
-        .may_request(now, fingerprint)
-    {
+    let key = format!("{TRIAL_PREFIX}{fingerprint}");
+    let is_granted = request_grant(context, &key).await == Some(true);
+    if is_granted {
+        log_event!(context.logger, Event::StoppedRequestTried, "fingerprint" => %fingerprint);
+    }
+    is_granted
+}
+
+/// Whether this node may run a request once now although a part of its prompt is held. With several held parts, the trial
+/// would not tell which of them crashes engines.
+pub(crate) async fn acquire_part_trial(context: &Context, progress: &Progress) -> bool {
+    let Some(part) = due_part(context, &progress.shared_parts) else {
+        return false;
+    };
+    let key = format!("{PART_TRIAL_PREFIX}{part}");
+    if request_grant(context, &key).await != Some(true) {
         return false;
     }
-    let granted = dalestand_clock::timeout(
-        GRANT_TIMEOUT,
-        write_trial_key(context, &**store, fingerprint),
-    )
-    .await;
-    match granted {
-        Ok(Ok(is_granted)) => {
-            if is_granted {
-                log_event!(context.logger, Event::StoppedRequestTried, "fingerprint" => %fingerprint);
-            }
-            is_granted
-        }
+    // Another node may have tried it, or released it, while this one waited.
+    if due_part(context, &progress.shared_parts) != Some(part) {
+        return false;
+    }
+    context.metrics.held_parts.record_trial();
+    log_event!(context.logger, Event::HeldPartTried, "part" => %part,
+        "request" => progress.facts.id.as_deref().unwrap_or_default());
+    true
+}
+
+/// The only held part among these, if it may be tried now.
+fn due_part(context: &Context, parts: &[PartFingerprint]) -> Option<PartFingerprint> {
+    let ledger = context.quarantine.parts.ledger.borrow();
+    let mut held = ledger.held_among(parts);
+    let (part, trial) = held.next()?;
+    (held.next().is_none() && trial.trial_at(parts) <= context.now()).then_some(part)
+}
+
+/// Requests the key that grants a trial; `None` if the service can't tell, or was asked recently.
+async fn request_grant(context: &Context, key: &str) -> Option<bool> {
+    let store = context.quarantine.store.get()?;
+    let requests = &context.quarantine.trial_requests;
+    if !requests.borrow_mut().may_request(context.now(), key) {
+        return None;
+    }
+    let written = write_trial_key(context, &**store, key);
+    match dalestand_clock::timeout(GRANT_TIMEOUT, written).await {
+        Ok(Ok(is_granted)) => Some(is_granted),
         Ok(Err(error)) => {
             log_event!(context.logger, Event::KeyValueFailed, "prefix" => TRIAL_PREFIX,
                 "error" => %error.current_context());
-            false
+            None
         }
-        Err(_) => false,
+        Err(_) => None,
     }
 }
 
@@ -72,13 +110,12 @@
 async fn write_trial_key(
     context: &Context,
     store: &dyn KeyValue,
-    fingerprint: RequestFingerprint,
+    key: &str,
 ) -> Result<bool, Report<PlatformError>> {
-    let key = format!("{TRIAL_PREFIX}{fingerprint}");
     let lease = store.grant_lease(TRIAL_LEASE).await?;
     let node = context.settings.node.as_str();
     let written = store
-        .compare_and_swap(&key, WriteExpectation::Absent, Some(node), Some(lease))
+        .compare_and_swap(key, WriteExpectation::Absent, Some(node), Some(lease))
         .await?;
     Ok(matches!(written, CasOutcome::Written { .. }))
 }
--- a/crates/forwarding/src/serve/accept.rs
+++ b/crates/forwarding/src/serve/accept.rs
@@ -14,6 +14,7 @@
 
 use crate::context::Context;
 use crate::fleet_sums::ClassKey;
+use crate::quarantine::parts::evidence::record_arrival;
 use crate::serve::answer::Failure;
 use crate::serve::headers::forwarded_headers;
 use crate::serve::progress::{AcceptedRequest, ForwardedRequest, Progress};
@@ -40,6 +41,7 @@
     })?;
     let fingerprint = request_fingerprint(context, request, &caller, &body);
     let shared_parts = shared_parts(context, &facts);
+    record_arrival(context, &shared_parts);
     let forwarded = ForwardedRequest {
         method: request.method().clone(),
         uri: request.uri().clone(),
--- a/crates/forwarding/src/serve/answer.rs
+++ b/crates/forwarding/src/serve/answer.rs
@@ -45,6 +45,9 @@
     /// The request is stopped because engines crashed while running it, and it did not run; it may
     /// be tried after this time.
     EndsEngines(Duration),
+    /// A part of the prompt is held because engines crashed while running requests with it, and the request did not run; it
+    /// may be tried after this time.
+    HeldPart(Duration),
     /// The request resumes a stream that any of several software versions may have begun; it did not run.
     StreamOriginUnknown,
     /// The request resumes a stream, and no engine of the software version that began it takes new work; it did not
@@ -69,6 +72,7 @@
             | Self::OverShare(_)
             | Self::NoRoom(_)
             | Self::EndsEngines(_)
+            | Self::HeldPart(_)
             | Self::StreamOriginUnknown
             | Self::StreamVersionEnded
             | Self::TimeOverNotRun => StatusCode::SERVICE_UNAVAILABLE,
@@ -90,6 +94,7 @@
             | Self::OverShare(time)
             | Self::NoRoom(time)
             | Self::EndsEngines(time)
+            | Self::HeldPart(time)
             | Self::EnginesBackOff(time) => Some(time),
             // Another node may know the origin.
             Self::StreamOriginUnknown => Some(Duration::from_millis(100)),
--- a/crates/forwarding/src/serve/answer_stream.rs
+++ b/crates/forwarding/src/serve/answer_stream.rs
@@ -151,10 +151,10 @@
                 }
                 Some(None) if self.is_truncated() => RunFailure::InsideEvent,
                 Some(None) => match check_engine(&self.context, &self.pool, &self.answer).await {
-                    EngineState::Alive => return self.finish(),
+                    state @ EngineState::Alive => return self.finish(state),
                     // The answer may be whole. Another engine can tell, as it goes on after the last event.
-                    EngineState::Left | EngineState::Unknown if !self.can_resume() => {
-                        return self.finish();
+                    state @ (EngineState::Left | EngineState::Unknown) if !self.can_resume() => {
+                        return self.finish(state);
                     }
                     EngineState::Left | EngineState::Unknown | EngineState::Crashed => {
                         RunFailure::BrokenOff
@@ -245,10 +245,11 @@
             && (lacks_events || splitter.is_inside_event())
     }
 
-    /// Ends a complete answer with the bytes that follow its last event.
-    fn finish(&mut self) -> Option<Result<Bytes, AnswerStreamError>> {
+    /// Ends a complete answer with the bytes that follow its last event; the engine was in `state` after it.
+    fn finish(&mut self, state: EngineState) -> Option<Result<Bytes, AnswerStreamError>> {
         self.count_end(RunEnd::Complete);
-        self.answer.watch.record_answer(&self.answer.body);
+        let status = self.answer.head.status;
+        self.answer.watch.record_answer(status, state);
         self.ended = true;
         let rest = self.splitter.take()?;
         let rest = rest.pending();
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -23,6 +23,7 @@
     EndProof, await_listener_checks, check_listener, record_engine_end,
 };
 use crate::quarantine::evidence::{crash_count, is_stopped};
+use crate::quarantine::parts::evidence::{held_part, part_crash_count};
 use crate::quarantine::run_watch::{RunWatch, UnfinishedReason};
 use crate::serve::class_counts::BusySlot;
 use crate::serve::engine_send::{
@@ -368,15 +369,19 @@
     fleet.engine(engine).map(|engine| engine.address)
 }
 
-/// Whether the request is stopped, and this is not a trial.
+/// Whether the request is stopped or has a held part, and this is not a trial.
 pub(crate) fn is_blocked(context: &Context, progress: &Progress) -> bool {
-    !progress.is_trial && is_stopped(context, progress.fingerprint)
+    progress.trial.is_none()
+        && (is_stopped(context, progress.fingerprint)
+            || held_part(context, &progress.shared_parts).is_some())
 }
 
 /// If one more crash would stop the request, checks whether the previously called engine has
 /// crashed, and awaits checks of others. Otherwise an immediate retry could crash another engine before the crash is detected.
 async fn check_previous_engine(context: &Rc<Context>, progress: &Progress, pool: &PoolName) {
-    if crash_count(context, progress.fingerprint) + 1 < STOP_AFTER_CRASHES {
+    let crashes = crash_count(context, progress.fingerprint)
+        .max(part_crash_count(context, &progress.shared_parts));
+    if crashes + 1 < STOP_AFTER_CRASHES {
         return;
     }
     if let Some(previous) = progress.tried.last().filter(|_| progress.runs > 0) {
--- a/crates/forwarding/src/serve/deliver.rs
+++ b/crates/forwarding/src/serve/deliver.rs
@@ -62,11 +62,13 @@
         return (!is_false_guarantee).then(|| Served::Stream(pool, answer));
     };
     let body = answer.body.collect(MAX_BUFFERED_BYTES).await;
-    let has_crashed =
-        body.is_ok() && check_engine(context, &pool, &answer).await == EngineState::Crashed;
+    let state = match body {
+        Ok(_) => check_engine(context, &pool, &answer).await,
+        Err(_) => EngineState::Unknown,
+    };
     match body {
-        Ok(body) if !has_crashed => {
-            answer.watch.record_answer(&answer.body);
+        Ok(body) if state != EngineState::Crashed => {
+            answer.watch.record_answer(answer.head.status, state);
             reservation.resize(body.len());
             let whole = Served::Whole(answer.head, body, reservation);
             Some(whole).filter(|_| !is_false_guarantee)
--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -14,7 +14,8 @@
 use crate::context::Context;
 use crate::dissemination::own_figures::on_shortage;
 use crate::quarantine::evidence::is_stopped;
-use crate::quarantine::trial::{acquire_trial, retry_after};
+use crate::quarantine::parts::evidence::held_part;
+use crate::quarantine::trial::{acquire_part_trial, acquire_trial, part_retry_after, retry_after};
 use crate::serve::accept::accept;
 use crate::serve::admitted_plan::admitted_plan;
 use crate::serve::answer::{Failure, streaming_answer};
@@ -25,7 +26,7 @@
 use crate::serve::held_bytes::in_chunks;
 use crate::serve::plan::{Step, choose_for_resume};
 use crate::serve::prefill::{PrefillOutcome, PrefilledPrompt, prefill};
-use crate::serve::progress::Progress;
+use crate::serve::progress::{Progress, TrialKind};
 use crate::serve::request_log::{log_failed, log_rejected, log_served};
 use crate::serve::response_timeout::run_timeout;
 use crate::serve::retries::{
@@ -164,15 +165,33 @@
     }
 }
 
-/// Refuses a stopped request, unless this node may run it as a trial.
+/// Refuses a stopped request and one with a held part, unless this node may run it as a trial.
 async fn refuse_if_stopped(context: &Context, progress: &mut Progress) -> Option<Failure> {
     let fingerprint = progress.fingerprint?;
-    if !is_stopped(context, Some(fingerprint)) {
+    if is_stopped(context, Some(fingerprint)) {
+        let may_try = acquire_trial(context, fingerprint).await;
+        progress.trial = may_try.then_some(TrialKind::Request);
+    } else if held_part(context, &progress.shared_parts).is_some() {
+        let may_try = acquire_part_trial(context, progress).await;
+        progress.trial = may_try.then_some(TrialKind::Part);
+    }
+    if progress.trial.is_some() {
         return None;
     }
-    progress.is_trial = acquire_trial(context, fingerprint).await;
-    let failure = Failure::EndsEngines(retry_after(context, fingerprint));
-    (!progress.is_trial).then_some(failure)
+    let failure = blocked_failure(context, progress);
+    if let Some(Failure::HeldPart(_)) = failure {
+        context.metrics.held_parts.record_refused();
+    }
+    failure
+}
+
+/// How a request that is stopped or has a held part is refused; `None` if neither is the case.
+fn blocked_failure(context: &Context, progress: &Progress) -> Option<Failure> {
+    let fingerprint = progress.fingerprint?;
+    if is_stopped(context, Some(fingerprint)) {
+        return Some(Failure::EndsEngines(retry_after(context, fingerprint)));
+    }
+    part_retry_after(context, &progress.shared_parts).map(Failure::HeldPart)
 }
 
 /// Makes one plan and its calls; `None` if they gave no answer.
@@ -180,13 +199,15 @@
     context: &Rc<Context>,
     progress: &mut Progress,
 ) -> Result<Option<Served>, Failure> {
-    if let Some(fingerprint) = progress
-        .fingerprint
-        .filter(|_| is_blocked(context, progress))
+    if let Some(failure) =
+        blocked_failure(context, progress).filter(|_| is_blocked(context, progress))
     {
-        // The request was stopped while this node was serving it.
+        // This happened while this node was serving the request.
+        if let Failure::HeldPart(_) = failure {
+            context.metrics.held_parts.record_interrupted();
+        }
         return Err(if progress.runs == 0 {
-            Failure::EndsEngines(retry_after(context, fingerprint))
+            failure
         } else {
             final_failure(context, progress)
         });
--- a/crates/forwarding/src/serve/plan.rs
+++ b/crates/forwarding/src/serve/plan.rs
@@ -79,7 +79,9 @@
             expected: None,
         });
     }
-    let may_split = progress.runs == 0 && progress.facts.last_event.is_none();
+    // A prefill at another engine would be one more request with the held part.
+    let may_split =
+        progress.runs == 0 && progress.facts.last_event.is_none() && !progress.is_part_trial();
     let began = BootInstant::now();
     let plan = if may_split {
         router.plan_prompt(now, zone, engines, &request)?
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -206,6 +206,15 @@
     format!(", retry with {earned:.1} earned and {slack:.1} slack {nodes}{owed}{reserved}")
 }
 
+/// What the trial of a request is to show.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum TrialKind {
+    /// Whether the request still crashes engines.
+    Request,
+    /// Whether a part of its prompt still crashes engines.
+    Part,
+}
+
 /// A request that has been accepted.
 pub(crate) struct AcceptedRequest {
     pub(crate) facts: RequestMetadata,
@@ -243,8 +252,8 @@
     pub(crate) fingerprint: Option<RequestFingerprint>,
     /// The prompt parts that it shares with others; empty until the fleet's key is loaded.
     pub(crate) shared_parts: Rc<[PartFingerprint]>,
-    /// Whether it is stopped and runs as a trial.
-    pub(crate) is_trial: bool,
+    /// Whether it is stopped, or has a held part, and runs as a trial.
+    pub(crate) trial: Option<TrialKind>,
     /// Deadline for the complete answer.
     pub(crate) due: BootInstant,
     /// Which engines may serve it, if it is a stream of which the caller has events.
@@ -298,7 +307,7 @@
             pools,
             fingerprint,
             shared_parts,
-            is_trial: false,
+            trial: None,
             started,
             due: started + time_limit,
             binding: StreamBinding::default(),
@@ -314,6 +323,11 @@
         }
     }
 
+    /// Whether it runs although a part of its prompt is held.
+    pub(crate) fn is_part_trial(&self) -> bool {
+        self.trial == Some(TrialKind::Part)
+    }
+
     /// The code of its tenant, where tenants are declared.
     pub(crate) fn tenant_code(&self) -> Option<TenantCode> {
         self.tenant.as_ref().map(|(_, code)| *code)
--- a/crates/forwarding/src/serve/request_log.rs
+++ b/crates/forwarding/src/serve/request_log.rs
@@ -5,6 +5,7 @@
 use dalestand_telemetry::{Event, log_event};
 
 use crate::context::Context;
+use crate::quarantine::parts::evidence::held_part;
 use crate::serve::answer::Failure;
 use crate::serve::pool_admissions::AdmissionRecord;
 use crate::serve::progress::Progress;
@@ -32,6 +33,7 @@
         "route" => &progress.route.name, "reason" => ?failure,
         "status" => failure.status().as_u16(),
         "fingerprint" => progress.fingerprint.map(|fingerprint| fingerprint.to_string()),
+        "held_part" => held_part(context, &progress.shared_parts).map(|part| part.to_string()),
         "configuration" => progress.table.revision().0,
         "took_ms" => progress.started.elapsed().as_millis() as u64,
         "engines" => context.fleet().len(),
--- a/crates/forwarding/src/serve/retries.rs
+++ b/crates/forwarding/src/serve/retries.rs
@@ -50,7 +50,7 @@
 pub(super) fn may_retry(context: &Context, progress: &Progress) -> bool {
     if !progress.may_call_another()
         || progress.time_left().is_zero()
-        || progress.is_trial
+        || progress.trial.is_some()
         || is_blocked(context, progress)
     {
         return false;
--- a/crates/quarantine/src/fingerprint.rs
+++ b/crates/quarantine/src/fingerprint.rs
@@ -147,6 +147,14 @@
     }
 }
 
+impl RequestFingerprint {
+    /// A part of the fingerprint, to tell a few requests apart.
+    pub fn short(self) -> u32 {
+        let [first, second, third, fourth, ..] = self.0;
+        u32::from_be_bytes([first, second, third, fourth])
+    }
+}
+
 impl fmt::Display for RequestFingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(&hex::encode(self.0))
--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -5,7 +5,7 @@
 //! permanently once the request completes elsewhere, as that shows that it does not crash every
 //! engine. Which requests are stopped is a function of the set, so nodes with the same set agree.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use dalestand_types::MonotonicTime;
@@ -65,10 +65,17 @@
 }
 
 impl Suspect {
-    fn countable_crashes(&self, now: MonotonicTime) -> impl Iterator<Item = &Crash> {
-        let crashes = self.crashes.iter();
-        crashes
-            .filter(move |crash| !crash.is_cleared && now.since(crash.crashed_at) < CRASH_RETENTION)
+    /// The crashes that count; those of `explained` engine runs do not.
+    fn countable_crashes<'s>(
+        &'s self,
+        now: MonotonicTime,
+        explained: &'s HashSet<EngineRunId>,
+    ) -> impl Iterator<Item = &'s Crash> {
+        self.crashes.iter().filter(move |crash| {
+            !crash.is_cleared
+                && now.since(crash.crashed_at) < CRASH_RETENTION
+                && !explained.contains(&crash.engine)
+        })
     }
 
     fn expire(&mut self, now: MonotonicTime) {
@@ -77,11 +84,15 @@
     }
 
     /// Time of the last crash if the request is stopped.
-    fn stopped_at(&self, now: MonotonicTime) -> Option<MonotonicTime> {
-        if self.countable_crashes(now).count() < STOP_AFTER_CRASHES {
+    fn stopped_at(
+        &self,
+        now: MonotonicTime,
+        explained: &HashSet<EngineRunId>,
+    ) -> Option<MonotonicTime> {
+        if self.countable_crashes(now, explained).count() < STOP_AFTER_CRASHES {
             return None;
         }
-        self.countable_crashes(now)
+        self.countable_crashes(now, explained)
             .map(|crash| crash.crashed_at)
             .max()
     }
@@ -104,6 +115,8 @@
 pub struct CrashLedger {
     requests: HashMap<RequestFingerprint, Suspect>,
     completions: Completions,
+    /// Engine runs whose ends have another cause than a single request.
+    explained: HashSet<EngineRunId>,
 }
 
 impl CrashLedger {
@@ -173,10 +186,15 @@
             .collect()
     }
 
+    /// Sets the engine runs whose ends do not count against any request, because a prompt part explains them.
+    pub fn set_explained(&mut self, explained: HashSet<EngineRunId>) {
+        self.explained = explained;
+    }
+
     /// Whether a request is stopped.
     pub fn is_stopped(&self, now: MonotonicTime, fingerprint: RequestFingerprint) -> bool {
         let suspect = self.requests.get(&fingerprint);
-        suspect.is_some_and(|suspect| suspect.stopped_at(now).is_some())
+        suspect.is_some_and(|suspect| suspect.stopped_at(now, &self.explained).is_some())
     }
 
     /// Time until a stopped request may be tried once, zero if it may be tried now; `None` if it is
@@ -188,9 +206,10 @@
         fingerprint: RequestFingerprint,
     ) -> Option<Duration> {
         let suspect = self.requests.get(&fingerprint)?;
-        let stopped_at = suspect.stopped_at(now)?;
+        let stopped_at = suspect.stopped_at(now, &self.explained)?;
         let delay = if self.may_be_bystander(now, fingerprint, suspect) {
-            let trials = suspect.countable_crashes(now).count() - STOP_AFTER_CRASHES;
+            let trials =
+                suspect.countable_crashes(now, &self.explained).count() - STOP_AFTER_CRASHES;
             let factor = 10_u32.saturating_pow(u32::try_from(trials).unwrap_or(u32::MAX));
             FIRST_TRIAL_DELAY.saturating_mul(factor).min(TRIAL_INTERVAL)
         } else {
@@ -202,10 +221,11 @@
     /// The stopped requests with their crashes, in order of their last crash, oldest first.
     pub fn stopped(&self, now: MonotonicTime) -> Vec<(RequestFingerprint, Vec<CrashRecord>)> {
         let requests = self.requests.iter();
-        let stopped = requests.filter(|(_, suspect)| suspect.stopped_at(now).is_some());
+        let stopped =
+            requests.filter(|(_, suspect)| suspect.stopped_at(now, &self.explained).is_some());
         let mut stopped: Vec<_> = stopped
             .map(|(fingerprint, suspect)| {
-                let crashes = suspect.countable_crashes(now);
+                let crashes = suspect.countable_crashes(now, &self.explained);
                 let records = crashes.map(|crash| to_record(now, *fingerprint, crash));
                 (*fingerprint, records.collect::<Vec<_>>())
             })
@@ -220,7 +240,9 @@
     /// Number of crashes that count against a request.
     pub fn crash_count(&self, now: MonotonicTime, fingerprint: RequestFingerprint) -> usize {
         let suspect = self.requests.get(&fingerprint);
-        suspect.map_or(0, |suspect| suspect.countable_crashes(now).count())
+        suspect.map_or(0, |suspect| {
+            suspect.countable_crashes(now, &self.explained).count()
+        })
     }
 
     /// Number of requests with crashes on record.
@@ -245,13 +267,18 @@
         let is_explained = |crash: &Crash| {
             let mut others = self.requests.iter();
             others.any(|(other, other_suspect)| {
-                let mut crashes = other_suspect.countable_crashes(now);
+                let mut crashes = other_suspect.countable_crashes(now, &self.explained);
                 *other != fingerprint
                     && crashes.any(|one| one.engine == crash.engine)
-                    && other_suspect.countable_crashes(now).count() > 1
+                    && other_suspect
+                        .countable_crashes(now, &self.explained)
+                        .count()
+                        > 1
             })
         };
-        suspect.countable_crashes(now).all(is_explained)
+        suspect
+            .countable_crashes(now, &self.explained)
+            .all(is_explained)
     }
 
     /// Evicts one request if the ledger is full: the one with the fewest crashes, and the oldest
@@ -262,11 +289,11 @@
         }
         let evicted = self.requests.iter().min_by_key(|(fingerprint, suspect)| {
             let newest = suspect
-                .countable_crashes(now)
+                .countable_crashes(now, &self.explained)
                 .map(|crash| crash.crashed_at)
                 .max();
             (
-                suspect.countable_crashes(now).count(),
+                suspect.countable_crashes(now, &self.explained).count(),
                 newest,
                 **fingerprint,
             )
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -8,6 +8,8 @@
 //! * [`UnfinishedRuns`] matches runs without a complete answer with engines that ended.
 //! * [`CrashLedger`] holds the resulting evidence, as a set that nodes merge, and decides which
 //!   requests are stopped.
+//! * [`PartLedger`] does the same for parts of prompts: requests with nothing else in common crash engines because of one
+//!   part, which is then *held*.
 //! * [`StoppedRequestEntry`] is the form in which the key-value service keeps a stopped request.
 //!
 //! This crate does no I/O and has no clock: callers pass the time in.
@@ -15,6 +17,7 @@
 mod completions;
 mod fingerprint;
 mod ledger;
+mod parts;
 mod stopped_entry;
 mod unfinished;
 
@@ -23,5 +26,9 @@
     PartFingerprint, RequestFingerprint, RequestIdentity,
 };
 pub use ledger::{ApplyOutcome, CrashLedger, CrashRecord, STOP_AFTER_CRASHES, TRIAL_INTERVAL};
+pub use parts::{
+    HeldPart, HeldPartEntry, PartActivity, PartChange, PartCompletion, PartCrash, PartLedger,
+    SuspectPart,
+};
 pub use stopped_entry::StoppedRequestEntry;
-pub use unfinished::{EngineRunId, UnfinishedRuns};
+pub use unfinished::{EngineRunId, UnfinishedRequest, UnfinishedRuns};
--- /dev/null
+++ b/crates/quarantine/src/parts/ledger.rs
@@ -0,0 +1,284 @@
+//! The crashes and completions of parts known to one node, and the parts that are held for them.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::time::Duration;
+
+use dalestand_types::MonotonicTime;
+
+use crate::fingerprint::PartFingerprint;
+use crate::parts::evidence::{PartEvidence, time_before};
+use crate::parts::record::{HeldPartEntry, PartCompletion, PartCrash, SuspectPart};
+use crate::parts::selection::{explains_as_well, select};
+use crate::unfinished::EngineRunId;
+
+/// Maximum number of parts kept: 0.5 MB where most have a few crashes.
+const MAX_PARTS: usize = 2_048;
+
+/// Delay of the first trial of a part that may be held wrongly: by then crashed engines have restarted.
+const TRIAL_DELAY_IN_DOUBT: Duration = Duration::from_secs(2);
+
+/// Delay of the first trial of any other. A trial of a guilty part costs an engine.
+const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(30);
+
+/// Delay of the second trial. Each further one takes ten times as long, so that a guilty part crashes three engines in the
+/// first two hours and one more in the day.
+const SECOND_TRIAL_DELAY: Duration = Duration::from_secs(600);
+
+const TRIAL_DELAY_FACTOR: u32 = 10;
+
+/// How long it is remembered that a part completed, so that late or repeated records of its crashes don't count.
+const COMPLETION_RETENTION: Duration = Duration::from_secs(60);
+
+/// A part whose requests are refused.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeldPart {
+    /// Number of crashes at which it was present.
+    pub crashes: usize,
+    /// Number of these that were trials.
+    pub trials: u32,
+    /// Time of the last one.
+    pub last_crash_at: MonotonicTime,
+    /// Whether requests with it had completed before.
+    had_completed: bool,
+    /// Other parts that would explain these crashes about as well.
+    alternatives: Vec<PartFingerprint>,
+}
+
+impl HeldPart {
+    /// When a request with these parts may be tried. Early if it can tell this part from another that may be guilty
+    /// instead, or if this part had been harmless.
+    pub fn trial_at(&self, request_parts: &[PartFingerprint]) -> MonotonicTime {
+        let mut alternatives = self.alternatives.iter();
+        let is_in_doubt =
+            self.had_completed || alternatives.any(|part| !request_parts.contains(part));
+        let delay = match self.trials.checked_sub(1) {
+            None if is_in_doubt => TRIAL_DELAY_IN_DOUBT,
+            None => FIRST_TRIAL_DELAY,
+            Some(further) => {
+                let factor = TRIAL_DELAY_FACTOR.saturating_pow(further);
+                SECOND_TRIAL_DELAY.saturating_mul(factor)
+            }
+        };
+        self.last_crash_at + delay
+    }
+}
+
+/// A part that begins or ceases to be held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PartChange {
+    /// Requests with it are refused from now on.
+    Held(PartFingerprint),
+    /// Requests with it may run: it has completed or was released.
+    Cleared(PartFingerprint),
+    /// Requests with it may run: other parts explain its crashes better, or these have expired.
+    Explained(PartFingerprint),
+}
+
+/// The evidence known to one node.
+#[derive(Clone, Debug, Default)]
+pub struct PartLedger {
+    parts: HashMap<PartFingerprint, PartEvidence>,
+    held: BTreeMap<PartFingerprint, HeldPart>,
+    explained: HashSet<EngineRunId>,
+}
+
+impl PartLedger {
+    /// Applies a crash record of this node or another one; returns whether it was new.
+    pub fn apply_crash(&mut self, now: MonotonicTime, crash: &PartCrash) -> bool {
+        let mut is_new = false;
+        for suspect in &crash.parts {
+            self.evict_for(suspect.part);
+            let evidence = self.parts.entry(suspect.part).or_default();
+            is_new |= evidence.add_crash(now, crash, suspect);
+        }
+        is_new
+    }
+
+    /// Applies the completion of a run that began at `begin`; returns whether it is the first one
+    /// known of the part, or a crash no longer counts.
+    pub fn apply_completion(&mut self, part: PartFingerprint, begin: MonotonicTime) -> bool {
+        let evidence = self.parts.get_mut(&part);
+        evidence.is_some_and(|evidence| evidence.add_completion(begin))
+    }
+
+    /// Applies a completion that another node reports; returns the same as [`Self::apply_completion`].
+    pub fn apply_reported_completion(
+        &mut self,
+        now: MonotonicTime,
+        completion: &PartCompletion,
+    ) -> bool {
+        self.apply_completion(completion.part, time_before(now, completion.age_ms))
+    }
+
+    /// Whether a later completion than those known of a part would matter: one that began after a crash of it, or shows
+    /// that it had completed before.
+    pub fn lacks_completion(&self, part: PartFingerprint, begin: MonotonicTime) -> bool {
+        self.parts.get(&part).is_some_and(|evidence| {
+            evidence.crashes().len() > 0
+                && (evidence.completed_begin().is_none()
+                    || evidence.crashes().any(|(_, crash)| crash.at < begin))
+        })
+    }
+
+    /// Whether there is no evidence against any part.
+    pub fn is_empty(&self) -> bool {
+        self.parts.is_empty()
+    }
+
+    /// Updates which parts are held after the evidence has changed; returns the changes.
+    pub fn update(&mut self, now: MonotonicTime) -> Vec<PartChange> {
+        self.parts.retain(|_, evidence| {
+            evidence.expire(now);
+            evidence.crashes().len() > 0
+                || evidence
+                    .completed_begin()
+                    .is_some_and(|begin| now.since(begin) < COMPLETION_RETENTION)
+        });
+        let selection = select(self.parts.iter());
+        let held = selection.parts.iter().filter_map(|part| {
+            let evidence = self.parts.get(part)?;
+            Some((*part, self.held_part(*part, evidence)?))
+        });
+        let held: BTreeMap<PartFingerprint, HeldPart> = held.collect();
+        let begun = held.keys().filter(|part| !self.held.contains_key(part));
+        let begun = begun.map(|part| PartChange::Held(*part));
+        let ended = self.held.keys().filter(|part| !held.contains_key(part));
+        let ended = ended.map(|part| match self.parts.get(part) {
+            Some(evidence) if evidence.crashes().len() > 0 => PartChange::Explained(*part),
+            Some(_) => PartChange::Cleared(*part),
+            None => PartChange::Explained(*part),
+        });
+        let changes = begun.chain(ended).collect();
+        self.held = held;
+        self.explained = selection.explained;
+        changes
+    }
+
+    /// The held parts.
+    pub fn held(&self) -> &BTreeMap<PartFingerprint, HeldPart> {
+        &self.held
+    }
+
+    /// The held parts among `parts`.
+    pub fn held_among<'p>(
+        &'p self,
+        parts: &'p [PartFingerprint],
+    ) -> impl Iterator<Item = (PartFingerprint, &'p HeldPart)> {
+        let parts = if self.held.is_empty() { &[] } else { parts };
+        parts
+            .iter()
+            .filter_map(|part| Some((*part, self.held.get(part)?)))
+    }
+
+    /// The engine runs whose ends held parts explain.
+    pub fn explained(&self) -> &HashSet<EngineRunId> {
+        &self.explained
+    }
+
+    /// Number of crashes that count against a part.
+    pub fn crash_count(&self, part: PartFingerprint) -> usize {
+        let evidence = self.parts.get(&part);
+        evidence.map_or(0, |evidence| evidence.crashes().len())
+    }
+
+    /// Number of parts with evidence.
+    pub fn len(&self) -> usize {
+        self.parts.len()
+    }
+
+    /// The most recent requests with a part that any node had observed when an engine ended.
+    pub fn arrivals(&self, part: PartFingerprint) -> u16 {
+        let evidence = self.parts.get(&part);
+        evidence.map_or(0, |evidence| evidence.arrivals)
+    }
+
+    /// The latest known completion of a part as a record for other nodes.
+    pub fn completion(&self, now: MonotonicTime, part: PartFingerprint) -> Option<PartCompletion> {
+        let begin = self.parts.get(&part)?.completed_begin()?;
+        Some(PartCompletion {
+            part,
+            age_ms: age_ms(now, begin),
+        })
+    }
+
+    /// The newest `limit` crashes of a part as records, for nodes that missed them. They name no other parts.
+    pub fn crash_records(
+        &self,
+        now: MonotonicTime,
+        part: PartFingerprint,
+        limit: usize,
+    ) -> Vec<PartCrash> {
+        let Some(evidence) = self.parts.get(&part) else {
+            return Vec::new();
+        };
+        let suspect = SuspectPart {
+            part,
+            arrivals: evidence.arrivals,
+            completed_ms: evidence.completed_begin().map(|begin| age_ms(now, begin)),
+        };
+        let mut crashes: Vec<_> = evidence.crashes().collect();
+        crashes.sort_unstable_by_key(|(engine, crash)| (std::cmp::Reverse(crash.at), *engine));
+        let crashes = (0_u32..).zip(crashes.into_iter().take(limit));
+        crashes
+            .map(|(index, (engine, crash))| PartCrash {
+                engine,
+                age_ms: age_ms(now, crash.at),
+                request: index,
+                is_trial: crash.is_trial,
+                parts: vec![suspect],
+            })
+            .collect()
+    }
+
+    /// The stored form of a held part; `None` if it is not held. `unix_time` is the current time since the Unix epoch.
+    pub fn entry(
+        &self,
+        now: MonotonicTime,
+        part: PartFingerprint,
+        unix_time: Duration,
+    ) -> Option<HeldPartEntry> {
+        let held = self.held.get(&part)?;
+        let evidence = self.parts.get(&part)?;
+        let last_crash = unix_time.saturating_sub(now.since(held.last_crash_at));
+        let mut crashes: Vec<_> = evidence.crashes().collect();
+        crashes.sort_by_key(|(engine, crash)| (!crash.is_trial, *engine));
+        Some(HeldPartEntry {
+            engines: crashes.into_iter().map(|(engine, _)| engine).collect(),
+            trials: held.trials,
+            last_crash_unix_ms: u64::try_from(last_crash.as_millis()).unwrap_or(u64::MAX),
+            is_released: false,
+        })
+    }
+
+    fn held_part(&self, part: PartFingerprint, evidence: &PartEvidence) -> Option<HeldPart> {
+        let trials = evidence.crashes().filter(|(_, crash)| crash.is_trial);
+        let others = self.parts.iter().filter(|(other, _)| **other != part);
+        let alternatives = others.filter(|(_, other)| explains_as_well(other, evidence));
+        Some(HeldPart {
+            crashes: evidence.crashes().len(),
+            trials: trials.count() as u32,
+            last_crash_at: evidence.last_crash_at()?,
+            had_completed: evidence.completed_begin().is_some(),
+            alternatives: alternatives.map(|(other, _)| *other).collect(),
+        })
+    }
+
+    /// Evicts one part if the ledger is full: one that is not held with the fewest crashes, the oldest among those.
+    fn evict_for(&mut self, incoming: PartFingerprint) {
+        if self.parts.len() < MAX_PARTS || self.parts.contains_key(&incoming) {
+            return;
+        }
+        let others = self.parts.iter();
+        let others = others.filter(|(part, _)| !self.held.contains_key(part));
+        let evicted = others.min_by_key(|(part, evidence)| {
+            (evidence.crashes().len(), evidence.last_crash_at(), **part)
+        });
+        if let Some(part) = evicted.map(|(part, _)| *part) {
+            self.parts.remove(&part);
+        }
+    }
+}
+
+fn age_ms(now: MonotonicTime, at: MonotonicTime) -> u32 {
+    u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/quarantine/src/parts/selection.rs
@@ -0,0 +1,123 @@
+//! Chooses the parts to hold so that they explain the crashes.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use crate::fingerprint::PartFingerprint;
+use crate::parts::evidence::{Crash, PartEvidence, involve_several_requests};
+use crate::unfinished::EngineRunId;
+
+/// Number of crashes for which a part is held. Two may be due to chance.
+const HOLD_AFTER_CRASHES: usize = 3;
+
+/// Crashes that follow each other faster count once, unless one request was at both: when engines crash together, a power
+/// supply or a network is the usual cause.
+const SIMULTANEOUS: Duration = Duration::from_millis(40);
+
+/// Time over which a part must have crashed engines, without a completion, if requests with it had completed before. Parts that
+/// most requests share complete again within this time unless everything crashes.
+const DOUBT_TIME: Duration = Duration::from_secs(2);
+
+/// How long before its first crash a completion speaks for a part.
+const COMPLETION_VALIDITY: Duration = Duration::from_secs(60);
+
+/// A part is considered if it explains at least this share of the crashes that the best one explains: engines also
+/// crash for other reasons, at which the parts that most requests share are present too.
+const CONSIDERED_SHARE: f64 = 0.75;
+
+/// A part with the crashes at which it was present.
+struct Candidate<'e> {
+    part: PartFingerprint,
+    evidence: &'e PartEvidence,
+    unexplained: Vec<(EngineRunId, &'e Crash)>,
+}
+
+impl Candidate<'_> {
+    fn may_be_held(&self) -> bool {
+        if self.unexplained.len() < HOLD_AFTER_CRASHES {
+            return false;
+        }
+        let crashes = self.unexplained.iter().map(|(_, crash)| *crash);
+        let mut crashes: Vec<&Crash> = crashes.collect();
+        crashes.sort_unstable_by_key(|crash| crash.at);
+        let (Some(first), Some(last)) = (crashes.first(), crashes.last()) else {
+            return false;
+        };
+        let completed = self.evidence.completed_begin();
+        let had_completed =
+            completed.is_some_and(|begin| first.at.since(begin) < COMPLETION_VALIDITY);
+        separate_crashes(&crashes) >= HOLD_AFTER_CRASHES
+            && (!had_completed || last.at.since(first.at) >= DOUBT_TIME)
+            && involve_several_requests(crashes.into_iter())
+    }
+}
+
+/// Number of crashes, in order of time, that were not simultaneous with the one counted before.
+fn separate_crashes(crashes: &[&Crash]) -> usize {
+    let mut counted = 0;
+    let mut last: Option<&Crash> = None;
+    for crash in crashes {
+        let is_separate = last.is_none_or(|last| {
+            crash.at.since(last.at) >= SIMULTANEOUS || crash.request == last.request
+        });
+        if is_separate {
+            counted += 1;
+            last = Some(crash);
+        }
+    }
+    counted
+}
+
+/// The parts to hold, and the engine runs whose ends they explain.
+#[derive(Debug, Default)]
+pub(super) struct Selection {
+    /// In order of selection.
+    pub(super) parts: Vec<PartFingerprint>,
+    pub(super) explained: HashSet<EngineRunId>,
+}
+
+/// Selects parts until no other explains enough of the remaining crashes. A function of the evidence, so that nodes with
+/// the same evidence hold the same parts.
+pub(super) fn select<'e>(
+    evidence: impl Iterator<Item = (&'e PartFingerprint, &'e PartEvidence)>,
+) -> Selection {
+    let suspects = evidence.filter(|(_, one)| one.crashes().len() >= HOLD_AFTER_CRASHES);
+    let suspects: Vec<(PartFingerprint, &PartEvidence)> =
+        suspects.map(|(part, one)| (*part, one)).collect();
+    let mut selection = Selection::default();
+    while let Some(chosen) = best_candidate(&suspects, &selection.explained) {
+        selection.parts.push(chosen.part);
+        let explained = chosen.evidence.crashes().map(|(engine, _)| engine);
+        selection.explained.extend(explained);
+    }
+    selection
+}
+
+fn best_candidate<'e>(
+    suspects: &[(PartFingerprint, &'e PartEvidence)],
+    explained: &HashSet<EngineRunId>,
+) -> Option<Candidate<'e>> {
+    let candidates = suspects.iter().map(|(part, evidence)| {
+        let crashes = evidence.crashes();
+        Candidate {
+            part: *part,
+            evidence,
+            unexplained: crashes
+                .filter(|(engine, _)| !explained.contains(engine))
+                .collect(),
+        }
+    });
+    let candidates: Vec<Candidate<'_>> = candidates.filter(Candidate::may_be_held).collect();
+    let most = candidates.iter().map(|one| one.unexplained.len()).max()?;
+    let considered = candidates
+        .into_iter()
+        .filter(|one| one.unexplained.len() as f64 >= most as f64 * CONSIDERED_SHARE);
+    considered.min_by_key(|one| (one.evidence.arrivals, one.part))
+}
+
+/// Whether one part was present at about as many of the crashes of another as that part itself, and at enough to be held.
+pub(super) fn explains_as_well(one: &PartEvidence, other: &PartEvidence) -> bool {
+    let shared = one.crashes().filter(|(engine, _)| other.has_crash(*engine));
+    let shared = shared.count();
+    shared >= HOLD_AFTER_CRASHES && shared as f64 >= other.crashes().len() as f64 * CONSIDERED_SHARE
+}
--- a/crates/quarantine/src/unfinished.rs
+++ b/crates/quarantine/src/unfinished.rs
@@ -5,12 +5,13 @@
 //! of the two.
 
 use std::collections::VecDeque;
+use std::rc::Rc;
 use std::time::Duration;
 
 use dalestand_types::MonotonicTime;
 use serde::{Deserialize, Serialize};
 
-use crate::fingerprint::RequestFingerprint;
+use crate::fingerprint::{PartFingerprint, RequestFingerprint};
 
 /// Maximum number of unfinished runs kept: 256 engines with 16 slots each.
 const MAX_RUNS: usize = 4_096;
@@ -23,22 +24,33 @@
 #[serde(transparent)]
 pub struct EngineRunId(pub u64);
 
-#[derive(Clone, Copy, Debug)]
-struct UnfinishedRun {
+/// A request whose run did not finish.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct UnfinishedRequest {
+    /// The request.
+    pub fingerprint: RequestFingerprint,
+    /// The prompt parts that it shares with others.
+    pub shared_parts: Rc<[PartFingerprint]>,
+    /// Whether it ran as the trial of a held part.
+    pub is_part_trial: bool,
+}
+
+#[derive(Clone, Debug)]
+struct UnfinishedRun<R> {
     engine: EngineRunId,
-    fingerprint: RequestFingerprint,
+    request: R,
     ended_at: MonotonicTime,
 }
 
-/// Recently seen unfinished runs and ended engines.
+/// Recently seen unfinished runs of requests `R`, and ended engines.
 #[derive(Clone, Debug)]
-pub struct UnfinishedRuns {
+pub struct UnfinishedRuns<R> {
     window: Duration,
-    runs: VecDeque<UnfinishedRun>,
+    runs: VecDeque<UnfinishedRun<R>>,
     ended_engines: VecDeque<(EngineRunId, MonotonicTime)>,
 }
 
-impl UnfinishedRuns {
+impl<R: Clone + Ord> UnfinishedRuns<R> {
     /// Creates an empty collection. A run and the end of its engine are matched if they are learned
     /// within `window` of each other.
     pub fn new(window: Duration) -> Self {
@@ -55,7 +67,7 @@
         &mut self,
         now: MonotonicTime,
         engine: EngineRunId,
-        fingerprint: RequestFingerprint,
+        request: R,
     ) -> bool {
         self.expire(now);
         if self.has_ended(engine) {
@@ -66,7 +78,7 @@
         }
         self.runs.push_back(UnfinishedRun {
             engine,
-            fingerprint,
+            request,
             ended_at: now,
         });
         false
@@ -74,11 +86,7 @@
 
     /// Records that an engine has ended. Returns the requests that were unfinished there, without
     /// duplicates; empty if the end was known already.
-    pub fn record_engine_end(
-        &mut self,
-        now: MonotonicTime,
-        engine: EngineRunId,
-    ) -> Vec<RequestFingerprint> {
+    pub fn record_engine_end(&mut self, now: MonotonicTime, engine: EngineRunId) -> Vec<R> {
         self.expire(now);
         if self.has_ended(engine) {
             return Vec::new();
@@ -88,7 +96,7 @@
         }
         self.ended_engines.push_back((engine, now));
         let at_engine = self.runs.iter().filter(|run| run.engine == engine);
-        let mut requests: Vec<_> = at_engine.map(|run| run.fingerprint).collect();
+        let mut requests: Vec<_> = at_engine.map(|run| run.request.clone()).collect();
         requests.sort_unstable();
         requests.dedup();
         self.runs.retain(|run| run.engine != engine);
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -127,6 +127,12 @@
     RequestReleased = (1614, Info, "request released");
     /// A stopped request is given one trial run.
     StoppedRequestTried = (1616, Info, "stopped request tried");
+    /// Requests with a prompt part are refused because engines ended while running them.
+    PartHeld = (1617, Warning, "prompt part held");
+    /// Requests with a held prompt part may run again.
+    PartReleased = (1618, Info, "prompt part released");
+    /// A request with a held prompt part is given one trial run.
+    HeldPartTried = (1619, Info, "held prompt part tried");
     /// An engine announced in a response, to this node or another, that it is draining.
     EngineDraining = (1621, Info, "engine drains");
     /// An engine restarted under the same name.
