Quarantine: operators list and release held parts; a part that may be held wrongly is tried while the store is away

dalestand stopped lists held prompt parts beside stopped requests and releases either by its fingerprint. An entry that an operator released is written over for new crashes only. Tests: a held part is listed and released (node and command); engines that crash together hold none.

--- a/cmd/tests/stopped.rs
+++ b/cmd/tests/stopped.rs
@@ -9,6 +9,8 @@
 
 const FINGERPRINT: &str = "000102030405060708090a0b0c0d0e0f";
 
+const PART: &str = "0001020304050607";
+
 fn settings(store: &Store, name: &str) -> PathBuf {
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("stopped-{name}.toml"));
     let text = format!(
@@ -57,6 +59,23 @@
     assert!(listed.contains(" released: "), "{listed}");
 }
 
+#[rstest]
+fn a_held_prompt_part_is_listed_and_released() {
+    let store = Store::start().expect("a store");
+    let settings = settings(&store, "held");
+    store.write(
+        &format!("dalestand/quarantine/part/{PART}"),
+        r#"{"crashes":[{"engine":1,"unix_ms":5,"request":7,"is_trial":false}]}"#,
+    );
+    let listed = text(&stopped(&settings, &[]).stdout);
+    let expected = format!("{PART} held: a prompt part; engines ended 1 times");
+    assert!(listed.starts_with(&expected), "{listed}");
+    let released = stopped(&settings, &["--release", PART]);
+    assert!(released.status.success(), "{released:?}");
+    let listed = text(&stopped(&settings, &[]).stdout);
+    assert!(listed.contains(" released: "), "{listed}");
+}
+
 #[rstest]
 #[case::no_fingerprint("5a", 2)]
 #[case::not_stopped(FINGERPRINT, 1)]
--- a/crates/forwarding/src/quarantine/parts/held_entries.rs
+++ b/crates/forwarding/src/quarantine/parts/held_entries.rs
@@ -88,9 +88,11 @@
         (None, Some(_)) => WriteExpectation::Absent,
         (Some(stored), entry) => {
             let known = serde_json::from_str::<HeldPartEntry>(&stored.value);
-            let covers = |known: HeldPartEntry| {
-                // A released entry stays for nodes that have not read it yet.
-                known.is_released || entry.as_ref().is_some_and(|entry| known.covers(entry))
+            let covers = |known: HeldPartEntry| match entry {
+                // A released entry is not written over for the crashes for which it was released.
+                Some(entry) => known.covers(entry),
+                // It stays for nodes that have not read it yet.
+                None => known.is_released,
             };
             if known.is_ok_and(covers) {
                 return Ok(());
--- a/crates/forwarding/src/quarantine/trial.rs
+++ b/crates/forwarding/src/quarantine/trial.rs
@@ -8,6 +8,7 @@
 use dalestand_quarantine::{PartFingerprint, RequestFingerprint};
 use dalestand_telemetry::{Event, log_event};
 use error_stack::Report;
+use rand::RngExt as _;
 
 use crate::context::Context;
 use crate::quarantine::state::TRIAL_LEASE;
@@ -52,7 +53,7 @@
         return false;
     }
     let key = format!("{TRIAL_PREFIX}{fingerprint}");
-    let is_granted = request_grant(context, &key).await == Some(true);
+    let is_granted = request_grant(context, &key).await == Grant::Granted;
     if is_granted {
         log_event!(context.logger, Event::StoppedRequestTried, "fingerprint" => %fingerprint);
     }
@@ -66,7 +67,12 @@
         return false;
     };
     let key = format!("{PART_TRIAL_PREFIX}{part}");
-    if request_grant(context, &key).await != Some(true) {
+    let is_granted = match request_grant(context, &key).await {
+        Grant::Granted => true,
+        Grant::Denied => false,
+        Grant::Unavailable => may_try_without_grant(context, part, &progress.shared_parts),
+    };
+    if !is_granted {
         return false;
     }
     // Another node may have tried it, or released it, while this one waited.
@@ -79,6 +85,18 @@
     true
 }
 
+/// Whether this node tries a part that may be held wrongly while the key-value service can't grant it: one node of all, on
+/// average, so that a part that most requests share is not refused for as long as the service is away.
+fn may_try_without_grant(
+    context: &Context,
+    part: PartFingerprint,
+    parts: &[PartFingerprint],
+) -> bool {
+    let ledger = context.quarantine.parts.ledger.borrow();
+    ledger.may_be_held_wrongly(part, parts)
+        && rand::rng().random_range(0..context.node_count().max(1)) == 0
+}
+
 /// The only held part among these, if it may be tried now.
 fn due_part(context: &Context, parts: &[PartFingerprint]) -> Option<PartFingerprint> {
     let ledger = context.quarantine.parts.ledger.borrow();
@@ -88,22 +106,35 @@
     (held.next().is_none() && trial_at <= context.now()).then_some(part)
 }
 
-/// Requests the key that grants a trial; `None` if the service can't tell, or was asked recently.
-async fn request_grant(context: &Context, key: &str) -> Option<bool> {
-    let store = context.quarantine.store.get()?;
+/// Answer to the request for a trial.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Grant {
+    Granted,
+    /// Another node has it, or this one asked recently.
+    Denied,
+    /// The key-value service did not answer in time.
+    Unavailable,
+}
+
+/// Requests the key that grants a trial.
+async fn request_grant(context: &Context, key: &str) -> Grant {
+    let Some(store) = context.quarantine.store.get() else {
+        return Grant::Unavailable;
+    };
     let requests = &context.quarantine.trial_requests;
     if !requests.borrow_mut().may_request(context.now(), key) {
-        return None;
+        return Grant::Denied;
     }
     let written = write_trial_key(context, &**store, key);
     match dalestand_clock::timeout(GRANT_TIMEOUT, written).await {
-        Ok(Ok(is_granted)) => Some(is_granted),
+        Ok(Ok(true)) => Grant::Granted,
+        Ok(Ok(false)) => Grant::Denied,
         Ok(Err(error)) => {
             log_event!(context.logger, Event::KeyValueFailed, "prefix" => TRIAL_PREFIX,
                 "error" => %error.current_context());
-            None
+            Grant::Unavailable
         }
-        Err(_) => None,
+        Err(_) => Grant::Unavailable,
     }
 }
 
--- a/crates/forwarding/tests/crashing_parts.rs
+++ b/crates/forwarding/tests/crashing_parts.rs
@@ -266,3 +266,50 @@
     send(&[&later], &engines, IN_THE_MIDDLE, "/r/x").await;
     assert!(engines.arrivals() - before <= MAX_LATE_ARRIVALS);
 }
+
+/// Guards against a part that stays refused after its engines were repaired.
+#[actix_rt::test]
+async fn an_operator_can_release_a_held_part() {
+    let node = TestNode::start().await;
+    node.declare(1, "stream", 1, 1_000);
+    let engines = Engines::start(&node, 30, &["ready"]).await;
+    send(&[&node], &engines, IN_THE_MIDDLE, "/r/x").await;
+    node.wait_for_metric("dalestand_prompt_parts_held", 1).await;
+    let held = node.store.entries("dalestand/quarantine/part/");
+    let (key, value) = held.first().expect("a held part");
+    let released = value.replace("\"is_released\":false", "\"is_released\":true");
+    node.store.write(key, Some(&released));
+    node.wait_for_metric("dalestand_prompt_parts_held", 0).await;
+    let before = engines.arrivals();
+    request(&node, ARRIVALS, IN_THE_MIDDLE, "/r/x").await;
+    assert_eq!(engines.arrivals(), before + 1);
+}
+
+/// Guards against taking the parts of frequent requests for guilty when all engines crash at once, as in a power failure.
+#[actix_rt::test]
+async fn engines_that_crash_together_hold_no_part() {
+    let node = TestNode::start().await;
+    node.declare(1, "repeatable", 1, 1_000);
+    let engines = Engines::start(&node, 16, &["ready"]).await;
+    for round in 0..3 {
+        let first = 100 * round;
+        let requests = (first..first + 24).map(|number| request(&node, number, SOUND, "/r/x"));
+        let crash = async {
+            actix_rt::time::sleep(Duration::from_millis(8)).await;
+            let engines = engines.engines.borrow();
+            engines
+                .iter()
+                .skip(round as usize * 4)
+                .take(4)
+                .for_each(TestEngine::crash);
+        };
+        tokio::join!(futures_util::future::join_all(requests), crash);
+        actix_rt::time::sleep(Duration::from_millis(300)).await;
+    }
+    let after = request(&node, 900, SOUND, "/r/x").await;
+    let again = request(&node, 901, SOUND, "/r/x").await;
+    assert!(
+        status(&after) == "200" || status(&again) == "200",
+        "{after} {again}"
+    );
+}
--- a/crates/quarantine/src/parts/ledger.rs
+++ b/crates/quarantine/src/parts/ledger.rs
@@ -202,6 +202,17 @@
         Some(held.last_crash_at + delay)
     }
 
+    /// Whether a held part may be held wrongly, as far as a request with these parts can tell, and was not tried yet.
+    pub fn may_be_held_wrongly(
+        &self,
+        part: PartFingerprint,
+        request_parts: &[PartFingerprint],
+    ) -> bool {
+        let is_untried = self.held.get(&part).is_some_and(|held| held.trials == 0);
+        let evidence = self.parts.get(&part).filter(|_| is_untried);
+        evidence.is_some_and(|evidence| self.is_in_doubt(evidence, request_parts))
+    }
+
     /// Whether parts that a request lacks explain the crashes of a held part, or it had been harmless before.
     fn is_in_doubt(&self, held: &PartEvidence, request_parts: &[PartFingerprint]) -> bool {
         let others = self.parts.iter();
