Quarantine: several parts that crash engines at once are told from the parts that all requests share

Change: parts are ordered by their crashes times the crashes per request with them; a common part is in many requests at each crash. A request with several held parts is tried when all of them are due. A part in doubt is tried again after ten seconds, as another part may have crashed the engine of the first trial. Test: several_guilty_parts_are_held_rather_than_a_common_one.

--- a/crates/forwarding/src/quarantine/trial.rs
+++ b/crates/forwarding/src/quarantine/trial.rs
@@ -60,8 +60,7 @@
     is_granted
 }
 
-/// Whether this node may run a request once now although a part of its prompt is held. With several held parts, the trial
-/// would not tell which of them crashes engines.
+/// Whether this node may run a request once now although parts of its prompt are held. The key of the first one grants it.
 pub(crate) async fn acquire_part_trial(context: &Context, progress: &Progress) -> bool {
     let Some(part) = due_part(context, &progress.shared_parts) else {
         return false;
@@ -97,13 +96,14 @@
         && rand::rng().random_range(0..context.node_count().max(1)) == 0
 }
 
-/// The only held part among these, if it may be tried now.
+/// The first held part among these, if all of them may be tried now.
 fn due_part(context: &Context, parts: &[PartFingerprint]) -> Option<PartFingerprint> {
+    let now = context.now();
     let ledger = context.quarantine.parts.ledger.borrow();
     let mut held = ledger.held_among(parts);
-    let part = held.next()?;
-    let trial_at = ledger.trial_at(part, parts)?;
-    (held.next().is_none() && trial_at <= context.now()).then_some(part)
+    let is_due = |part| ledger.trial_at(part, parts).is_some_and(|at| at <= now);
+    let first = held.next()?;
+    (is_due(first) && held.all(is_due)).then_some(first)
 }
 
 /// Answer to the request for a trial.
--- a/crates/quarantine/src/parts/evidence.rs
+++ b/crates/quarantine/src/parts/evidence.rs
@@ -1,6 +1,6 @@
 //! The crashes at which one part was present.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use dalestand_types::MonotonicTime;
@@ -14,24 +14,26 @@
 /// Maximum number of crashes kept for a part, the newest: more than a fleet loses until a part is held.
 const MAX_CRASHES_PER_PART: usize = 128;
 
+/// Maximum number of requests counted at one crash: the slots of a small engine.
+const MAX_REQUESTS_PER_CRASH: usize = 16;
+
 /// A crash at which a part was present.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Crash {
     pub(super) at: MonotonicTime,
-    /// The first request with the part that is known to have been unfinished there.
-    pub(super) request: u32,
-    /// Whether there was another one.
-    has_several_requests: bool,
+    /// The requests with the part that were unfinished there, as records name them.
+    pub(super) requests: BTreeSet<u32>,
     pub(super) is_trial: bool,
 }
 
 impl Crash {
-    /// Requests that were unfinished there, as records name them; two if there were several.
-    pub(super) fn requests(&self) -> impl Iterator<Item = u32> + use<> {
-        let another = self
-            .has_several_requests
-            .then(|| self.request.wrapping_add(1));
-        std::iter::once(self.request).chain(another)
+    /// Adds a request; returns whether that changes anything. Which are kept does not depend on their order.
+    fn add_request(&mut self, request: u32) -> bool {
+        let is_new = self.requests.insert(request);
+        if self.requests.len() > MAX_REQUESTS_PER_CRASH {
+            return self.requests.pop_last() != Some(request);
+        }
+        is_new
     }
 }
 
@@ -60,31 +62,20 @@
         if !self.counts(now, at) {
             return was_cleared;
         }
-        match self.crashes.get_mut(&crash.engine) {
-            Some(known) => {
-                known.at = known.at.min(at);
-                let is_other = known.request != crash.request && !known.has_several_requests;
-                known.has_several_requests |= is_other;
-                let is_first_trial = crash.is_trial && !known.is_trial;
-                known.is_trial |= crash.is_trial;
-                is_other || is_first_trial || was_cleared
-            }
-            None => {
-                self.crashes.insert(
-                    crash.engine,
-                    Crash {
-                        at,
-                        request: crash.request,
-                        has_several_requests: false,
-                        is_trial: crash.is_trial,
-                    },
-                );
-                if self.crashes.len() > MAX_CRASHES_PER_PART {
-                    self.remove_oldest();
-                }
-                true
-            }
+        let is_new = !self.crashes.contains_key(&crash.engine);
+        let known = self.crashes.entry(crash.engine).or_insert_with(|| Crash {
+            at,
+            requests: BTreeSet::new(),
+            is_trial: false,
+        });
+        known.at = known.at.min(at);
+        let is_first_trial = crash.is_trial && !known.is_trial;
+        known.is_trial |= crash.is_trial;
+        let is_other_request = known.add_request(crash.request);
+        if self.crashes.len() > MAX_CRASHES_PER_PART {
+            self.remove_oldest();
         }
+        is_new || is_other_request || is_first_trial || was_cleared
     }
 
     /// Records that a run completed; returns whether it is the first one known, or a crash no longer counts.
@@ -131,15 +122,6 @@
     }
 }
 
-/// Whether these crashes involve more than one request.
-pub(super) fn involve_several_requests<'c>(mut crashes: impl Iterator<Item = &'c Crash>) -> bool {
-    let Some(first) = crashes.next() else {
-        return false;
-    };
-    first.has_several_requests
-        || crashes.any(|crash| crash.has_several_requests || crash.request != first.request)
-}
-
 /// The time `age_ms` milliseconds before `now`.
 pub(super) fn time_before(now: MonotonicTime, age_ms: u32) -> MonotonicTime {
     now.saturating_sub(Duration::from_millis(u64::from(age_ms)))
--- a/crates/quarantine/src/parts/ledger.rs
+++ b/crates/quarantine/src/parts/ledger.rs
@@ -26,6 +26,12 @@
 
 const TRIAL_DELAY_FACTOR: u32 = 10;
 
+/// Delay of the second trial of a part that may be held wrongly: another part may have crashed the engine of the first.
+const SECOND_TRIAL_DELAY_IN_DOUBT: Duration = Duration::from_secs(10);
+
+/// Requests named for each resent or stored crash: enough to show that there were several.
+const RESENT_REQUESTS: usize = 2;
+
 /// Of the oldest and of the newest crashes, so many are stored.
 const MAX_STORED_CRASHES: usize = 32;
 
@@ -191,11 +197,12 @@
     ) -> Option<MonotonicTime> {
         let held = self.held.get(&part)?;
         let evidence = self.parts.get(&part)?;
-        let delay = match held.trials.checked_sub(1) {
-            None if self.is_in_doubt(evidence, request_parts) => TRIAL_DELAY_IN_DOUBT,
-            None => FIRST_TRIAL_DELAY,
-            Some(further) => {
-                let factor = TRIAL_DELAY_FACTOR.saturating_pow(further);
+        let delay = match (held.trials, self.is_in_doubt(evidence, request_parts)) {
+            (0, true) => TRIAL_DELAY_IN_DOUBT,
+            (0, false) => FIRST_TRIAL_DELAY,
+            (1, true) => SECOND_TRIAL_DELAY_IN_DOUBT,
+            (trials, _) => {
+                let factor = TRIAL_DELAY_FACTOR.saturating_pow(trials - 1);
                 SECOND_TRIAL_DELAY.saturating_mul(factor)
             }
         };
@@ -243,13 +250,17 @@
         let (oldest, others) = crashes.split_at(limit.min(crashes.len()));
         let newest = others.iter().skip(newest - limit);
         let records = oldest.iter().chain(newest).flat_map(|(engine, crash)| {
-            crash.requests().map(|request| PartCrash {
-                engine: *engine,
-                age_ms: age_ms(now, crash.at),
-                request,
-                is_trial: crash.is_trial,
-                parts: vec![suspect],
-            })
+            crash
+                .requests
+                .iter()
+                .take(RESENT_REQUESTS)
+                .map(|request| PartCrash {
+                    engine: *engine,
+                    age_ms: age_ms(now, crash.at),
+                    request: *request,
+                    is_trial: crash.is_trial,
+                    parts: vec![suspect],
+                })
         });
         records.collect()
     }
--- a/crates/quarantine/src/parts/selection.rs
+++ b/crates/quarantine/src/parts/selection.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::fingerprint::PartFingerprint;
-use crate::parts::evidence::{Crash, PartEvidence, involve_several_requests};
+use crate::parts::evidence::{Crash, PartEvidence};
 use crate::unfinished::EngineRunId;
 
 /// Number of crashes for which a part is held. Two may be due to chance.
@@ -21,34 +21,54 @@
 /// How long before its first crash a completion speaks for a part.
 const COMPLETION_VALIDITY: Duration = Duration::from_secs(60);
 
-/// A part is considered if it explains at least this share of the crashes that the best one explains: engines also
-/// crash for other reasons, at which the parts that most requests share are present too.
+/// Parts whose score is at least this share of the best one's are about as likely to be guilty.
 const CONSIDERED_SHARE: f64 = 0.75;
 
 /// A part with the crashes at which it was present.
 struct Candidate<'e> {
     part: PartFingerprint,
     evidence: &'e PartEvidence,
-    unexplained: Vec<(EngineRunId, &'e Crash)>,
+    /// In order of time.
+    unexplained: Vec<&'e Crash>,
 }
 
-impl Candidate<'_> {
-    fn may_be_held(&self) -> bool {
-        if self.unexplained.len() < HOLD_AFTER_CRASHES {
-            return false;
+impl<'e> Candidate<'e> {
+    fn new(
+        part: PartFingerprint,
+        evidence: &'e PartEvidence,
+        explained: &HashSet<EngineRunId>,
+    ) -> Self {
+        let crashes = evidence.crashes();
+        let unexplained = crashes.filter(|(engine, _)| !explained.contains(engine));
+        let mut unexplained: Vec<&Crash> = unexplained.map(|(_, crash)| crash).collect();
+        unexplained.sort_unstable_by_key(|crash| crash.at);
+        Self {
+            part,
+            evidence,
+            unexplained,
         }
-        let crashes = self.unexplained.iter().map(|(_, crash)| *crash);
-        let mut crashes: Vec<&Crash> = crashes.collect();
-        crashes.sort_unstable_by_key(|crash| crash.at);
-        let (Some(first), Some(last)) = (crashes.first(), crashes.last()) else {
+    }
+
+    fn may_be_held(&self) -> bool {
+        let (Some(first), Some(last)) = (self.unexplained.first(), self.unexplained.last()) else {
             return false;
         };
         let completed = self.evidence.completed_begin();
         let had_completed =
             completed.is_some_and(|begin| first.at.since(begin) < COMPLETION_VALIDITY);
-        separate_crashes(&crashes) >= HOLD_AFTER_CRASHES
+        let requests = self.unexplained.iter().flat_map(|crash| &crash.requests);
+        let requests: HashSet<&u32> = requests.collect();
+        separate_crashes(&self.unexplained) >= HOLD_AFTER_CRASHES
             && (!had_completed || last.at.since(first.at) >= DOUBT_TIME)
-            && involve_several_requests(crashes.into_iter())
+            && requests.len() > 1
+    }
+
+    /// How well the part explains the crashes: their number, reduced by the number of requests with it at each. One request
+    /// with a guilty part suffices for a crash, so that there are seldom several, while parts that most requests share are in many.
+    fn score(&self) -> f64 {
+        let crashes = self.unexplained.len() as f64;
+        let runs = self.unexplained.iter().map(|crash| crash.requests.len());
+        crashes * crashes / runs.sum::<usize>().max(1) as f64
     }
 }
 
@@ -58,7 +78,7 @@
     let mut last: Option<&Crash> = None;
     for crash in crashes {
         let is_separate = last.is_none_or(|last| {
-            crash.at.since(last.at) >= SIMULTANEOUS || crash.request == last.request
+            crash.at.since(last.at) >= SIMULTANEOUS || !crash.requests.is_disjoint(&last.requests)
         });
         if is_separate {
             counted += 1;
@@ -93,25 +113,21 @@
     selection
 }
 
+/// Of the parts that explain the crashes about as well, the one that the fewest requests have.
 fn best_candidate<'e>(
     suspects: &[(PartFingerprint, &'e PartEvidence)],
     explained: &HashSet<EngineRunId>,
 ) -> Option<Candidate<'e>> {
-    let candidates = suspects.iter().map(|(part, evidence)| {
-        let crashes = evidence.crashes();
-        Candidate {
-            part: *part,
-            evidence,
-            unexplained: crashes
-                .filter(|(engine, _)| !explained.contains(engine))
-                .collect(),
-        }
-    });
+    let candidates = suspects.iter();
+    let candidates = candidates.map(|(part, evidence)| Candidate::new(*part, evidence, explained));
     let candidates: Vec<Candidate<'_>> = candidates.filter(Candidate::may_be_held).collect();
-    let most = candidates.iter().map(|one| one.unexplained.len()).max()?;
+    let best = candidates
+        .iter()
+        .map(Candidate::score)
+        .max_by(f64::total_cmp)?;
     let considered = candidates
         .into_iter()
-        .filter(|one| one.unexplained.len() as f64 >= most as f64 * CONSIDERED_SHARE);
+        .filter(|one| one.score() >= best * CONSIDERED_SHARE);
     considered.min_by_key(|one| (one.evidence.arrivals, one.part))
 }
 
--- a/crates/quarantine/tests/parts.rs
+++ b/crates/quarantine/tests/parts.rs
@@ -179,6 +179,31 @@
     assert!(!held(&ledger).contains(&part(1)));
 }
 
+/// Guards against refusing all requests of a route for several parts that crash engines at the same time, where none completes any
+/// more: the route's common part is at every crash, each guilty one at a few.
+#[rstest]
+fn several_guilty_parts_are_held_rather_than_a_common_one() {
+    let mut ledger = PartLedger::default();
+    for step in 0..100_u64 {
+        let guilty = GUILTY + step % 4;
+        let is_held = ledger.held().contains_key(&part(guilty));
+        let sound = (0..3).map(|run| (run, vec![(1, 300)]));
+        let bad = (!is_held).then(|| (9, vec![(1, 300), (guilty, 9)]));
+        for (run, parts) in sound.chain(bad) {
+            let mut record = crash(step, (10 * step + run) as u32, &parts);
+            record.parts[0].completed_ms = Some(500 + 30 * step as u32);
+            ledger.apply_crash(at(30 * step), &record);
+        }
+        ledger.update(at(30 * step));
+        if ledger.held().len() == 4 {
+            break;
+        }
+    }
+    let mut guilty: Vec<PartFingerprint> = (0..4).map(|index| part(GUILTY + index)).collect();
+    guilty.sort_unstable();
+    assert_eq!(held(&ledger), guilty);
+}
+
 /// Guards against refusing a route for long: after a start nothing has completed, and no single other part explains all crashes.
 #[rstest]
 fn a_common_part_held_for_two_guilty_ones_is_tried_soon() {
@@ -212,7 +237,7 @@
         trial_after(&ledger, &without_the_other),
         Duration::from_secs(2)
     );
-    for (trial, delay_s) in [(0, 600), (1, 6_000)] {
+    for (trial, delay_s, delay_in_doubt_s) in [(0, 600, 10), (1, 6_000, 6_000)] {
         let record = PartCrash {
             is_trial: true,
             ..crash(50 + trial, 9, &[(1, 300), (GUILTY, 9)])
@@ -221,6 +246,8 @@
         ledger.update(at(60_000 * (trial + 1)));
         let delay = Duration::from_secs(delay_s);
         assert_eq!(trial_after(&ledger, &with_both), delay);
+        let delay = Duration::from_secs(delay_in_doubt_s);
+        assert_eq!(trial_after(&ledger, &without_the_other), delay);
     }
 }
 
