Quarantine: evidence that is older than a node keeps its times

What callers saw: none yet; found by a test of a node that the store refuses. A node's clock begins at its start, so that crashes before it all counted as from then. Test: a_node_holds_parts_for_crashes_that_are_older_than_itself waited ten seconds for the part in vain before and passes.

--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -42,6 +42,9 @@
 use crate::streams::share::update_sharing;
 use crate::streams::state::StreamState;
 
+/// Longer than evidence counts.
+const EVIDENCE_ORIGIN_BEFORE_START: Duration = Duration::from_secs(2 * 24 * 3_600);
+
 /// Lower bound on the connections of a node to each engine, whatever the number of nodes.
 const MIN_CONNECTIONS: usize = 8;
 
@@ -184,6 +187,12 @@
         MonotonicTime(self.started.elapsed().as_micros() as u64)
     }
 
+    /// Time for evidence against requests and prompt parts. Its origin is well before the node's start, as evidence of other
+    /// nodes and of the key-value service may be older than the node.
+    pub(crate) fn evidence_time(&self) -> MonotonicTime {
+        self.now() + EVIDENCE_ORIGIN_BEFORE_START
+    }
+
     /// Routes of the current declaration.
     pub(crate) fn table(&self) -> Option<Rc<RouteTable>> {
         self.table.borrow().clone()
--- a/crates/forwarding/src/dissemination/part_evidence.rs
+++ b/crates/forwarding/src/dissemination/part_evidence.rs
@@ -99,7 +99,7 @@
     addresses: &[SocketAddr],
     queued: Vec<QueuedEvidence>,
 ) -> usize {
-    let now = context.now();
+    let now = context.evidence_time();
     let ledger = context.quarantine.parts.ledger.borrow();
     let mut crashes = Vec::new();
     let mut completions = Vec::new();
@@ -118,7 +118,7 @@
 }
 
 fn resend_held(context: &Context, socket: &UdpSocket, round: usize) -> usize {
-    let now = context.now();
+    let now = context.evidence_time();
     let ledger = context.quarantine.parts.ledger.borrow();
     let rounds = ledger.held().len().div_ceil(PARTS_PER_ROUND).max(1);
     let parts = ledger.held().keys();
--- a/crates/forwarding/src/quarantine/engine_end.rs
+++ b/crates/forwarding/src/quarantine/engine_end.rs
@@ -90,7 +90,7 @@
         if runs.has_ended(run) {
             return;
         }
-        runs.record_engine_end(context.now(), run)
+        runs.record_engine_end(context.evidence_time(), run)
     };
     log_event!(context.logger, Event::EngineEnded, "engine" => name, "proof" => ?proof,
         "requests" => requests.len());
--- a/crates/forwarding/src/quarantine/evidence.rs
+++ b/crates/forwarding/src/quarantine/evidence.rs
@@ -41,7 +41,7 @@
     let crashes = quarantine
         .ledger
         .borrow()
-        .crash_count(context.now(), fingerprint);
+        .crash_count(context.evidence_time(), fingerprint);
     log_event!(context.logger, Event::CrashAttributed, "fingerprint" => %fingerprint,
         "engine" => engine_name, "crashes" => crashes);
     if outcome == ApplyOutcome::New {
@@ -55,7 +55,7 @@
 fn record_observed(context: &Context, fingerprint: RequestFingerprint) {
     let mut observed = context.quarantine.observed_here.borrow_mut();
     if observed.len() >= MAX_OBSERVED {
-        let now = context.now();
+        let now = context.evidence_time();
         let ledger = context.quarantine.ledger.borrow();
         observed.retain(|fingerprint| ledger.crash_count(now, *fingerprint) > 0);
     }
@@ -78,7 +78,7 @@
 }
 
 fn apply(context: &Context, record: &CrashRecord) -> ApplyOutcome {
-    let now = context.now();
+    let now = context.evidence_time();
     let quarantine = &context.quarantine;
     let mut ledger = quarantine.ledger.borrow_mut();
     let fingerprint = record.fingerprint;
@@ -106,7 +106,7 @@
 /// Records that an engine has completed a request, which clears the crashes attributed to it.
 pub(crate) fn record_completion(context: &Context, fingerprint: RequestFingerprint) {
     let mut ledger = context.quarantine.ledger.borrow_mut();
-    let cleared = ledger.record_completion(context.now(), fingerprint);
+    let cleared = ledger.record_completion(context.evidence_time(), fingerprint);
     drop(ledger);
     if cleared.is_empty() {
         return;
@@ -122,14 +122,14 @@
 /// Whether a request is stopped.
 pub(crate) fn is_stopped(context: &Context, fingerprint: Option<RequestFingerprint>) -> bool {
     let ledger = context.quarantine.ledger.borrow();
-    fingerprint.is_some_and(|fingerprint| ledger.is_stopped(context.now(), fingerprint))
+    fingerprint.is_some_and(|fingerprint| ledger.is_stopped(context.evidence_time(), fingerprint))
 }
 
 /// Number of crashes that count against a request.
 pub(crate) fn crash_count(context: &Context, fingerprint: Option<RequestFingerprint>) -> usize {
     let ledger = context.quarantine.ledger.borrow();
     fingerprint.map_or(0, |fingerprint| {
-        ledger.crash_count(context.now(), fingerprint)
+        ledger.crash_count(context.evidence_time(), fingerprint)
     })
 }
 
@@ -140,10 +140,10 @@
     if ledger.is_empty() {
         return Vec::new();
     }
-    let stopped = ledger.stopped(context.now());
+    let stopped = ledger.stopped(context.evidence_time());
     let parts = stopped.len().div_ceil(MAX_REQUESTS_PER_MESSAGE).max(1);
     // Such messages are sent about once a second.
-    let seconds = context.now().since(MonotonicTime::ZERO).as_secs();
+    let seconds = context.evidence_time().since(MonotonicTime::ZERO).as_secs();
     let part_index = (seconds % parts as u64) as usize;
     let part = stopped
         .into_iter()
@@ -155,5 +155,5 @@
 /// Number of stopped requests.
 pub(crate) fn stopped_count(context: &Context) -> usize {
     let ledger = context.quarantine.ledger.borrow();
-    ledger.stopped(context.now()).len()
+    ledger.stopped(context.evidence_time()).len()
 }
--- a/crates/forwarding/src/quarantine/parts/evidence.rs
+++ b/crates/forwarding/src/quarantine/parts/evidence.rs
@@ -23,7 +23,9 @@
 pub(crate) fn record_arrival(context: &Context, parts: &[PartFingerprint]) {
     if !parts.is_empty() {
         let activity = &context.quarantine.parts.activity;
-        activity.borrow_mut().record_arrival(context.now(), parts);
+        activity
+            .borrow_mut()
+            .record_arrival(context.evidence_time(), parts);
     }
 }
 
@@ -36,7 +38,7 @@
     if request.shared_parts.is_empty() {
         return;
     }
-    let now = context.now();
+    let now = context.evidence_time();
     let parts = &context.quarantine.parts;
     let activity = parts.activity.borrow();
     let suspects = request.shared_parts.iter().map(|part| SuspectPart {
@@ -80,7 +82,7 @@
     completed: &[PartFingerprint],
     begin: MonotonicTime,
 ) {
-    let now = context.now();
+    let now = context.evidence_time();
     let parts = &context.quarantine.parts;
     let mut activity = parts.activity.borrow_mut();
     let mut ledger = parts.ledger.borrow_mut();
@@ -103,7 +105,7 @@
 
 /// Applies crash records of other nodes or of the key-value service, and forwards those that are new.
 pub(crate) fn apply_crashes(context: &Context, crashes: Vec<PartCrash>, source: NoticeSource) {
-    let now = context.now();
+    let now = context.evidence_time();
     let parts = &context.quarantine.parts;
     let mut has_changed = false;
     for crash in crashes {
@@ -147,7 +149,7 @@
     completions: &[PartCompletion],
     source: NoticeSource,
 ) {
-    let now = context.now();
+    let now = context.evidence_time();
     let parts = &context.quarantine.parts;
     let mut has_changed = false;
     for completion in completions {
@@ -172,7 +174,7 @@
 
 /// Decides anew which parts are held, after the evidence has changed.
 fn update(context: &Context) {
-    let now = context.now();
+    let now = context.evidence_time();
     let parts = &context.quarantine.parts;
     let mut ledger = parts.ledger.borrow_mut();
     let changes = ledger.update(now);
--- a/crates/forwarding/src/quarantine/parts/held_entries.rs
+++ b/crates/forwarding/src/quarantine/parts/held_entries.rs
@@ -76,7 +76,7 @@
     let stored = store.get(&key).await?;
     let entry = {
         let ledger = context.quarantine.parts.ledger.borrow();
-        ledger.entry(context.now(), part, unix_time())
+        ledger.entry(context.evidence_time(), part, unix_time())
     };
     let text = entry.as_ref().map(serde_json::to_string).transpose();
     let text = text.change_context_lazy(|| PlatformError::Malformed {
--- a/crates/forwarding/src/quarantine/run_watch.rs
+++ b/crates/forwarding/src/quarantine/run_watch.rs
@@ -73,7 +73,7 @@
                 shared_parts: Rc::clone(&progress.shared_parts),
                 is_part_trial: progress.is_part_trial(),
             }),
-            began_at: context.now(),
+            began_at: context.evidence_time(),
             // The engine run had ended before, so this call cannot have crashed it.
             is_over: unfinished.has_ended(run),
             run,
@@ -121,7 +121,7 @@
         }
         let run = self.run;
         let mut runs = context.quarantine.unfinished.borrow_mut();
-        let has_ended = runs.record_unfinished(context.now(), run, request.clone());
+        let has_ended = runs.record_unfinished(context.evidence_time(), run, request.clone());
         drop(runs);
         if has_ended {
             attribute_crash(context, &self.engine.run, run, &request);
--- a/crates/forwarding/src/quarantine/stopped_entries.rs
+++ b/crates/forwarding/src/quarantine/stopped_entries.rs
@@ -67,7 +67,7 @@
 ) -> Result<(), Report<PlatformError>> {
     let records = {
         let ledger = context.quarantine.ledger.borrow();
-        let stopped = ledger.stopped(context.now());
+        let stopped = ledger.stopped(context.evidence_time());
         let mut matching = stopped.into_iter().filter(|(one, _)| *one == fingerprint);
         matching.next().map(|(_, records)| records)
     };
--- a/crates/forwarding/src/quarantine/trial.rs
+++ b/crates/forwarding/src/quarantine/trial.rs
@@ -30,14 +30,14 @@
 /// one second.
 pub(crate) fn retry_after(context: &Context, fingerprint: RequestFingerprint) -> Duration {
     let ledger = context.quarantine.ledger.borrow();
-    let left = ledger.time_to_trial(context.now(), fingerprint);
+    let left = ledger.time_to_trial(context.evidence_time(), fingerprint);
     left.unwrap_or_default().max(MIN_RETRY_AFTER)
 }
 
 /// Retry delay to give to the caller of a request with held parts: the time until the next trial, at least one second;
 /// `None` if no part is held.
 pub(crate) fn part_retry_after(context: &Context, parts: &[PartFingerprint]) -> Option<Duration> {
-    let now = context.now();
+    let now = context.evidence_time();
     let ledger = context.quarantine.parts.ledger.borrow();
     let held = ledger.held_among(parts);
     let delays = held.filter_map(|part| Some(ledger.trial_at(part, parts)? - now));
@@ -46,7 +46,7 @@
 
 /// Whether this node may run a stopped request once now.
 pub(crate) async fn acquire_trial(context: &Context, fingerprint: RequestFingerprint) -> bool {
-    let now = context.now();
+    let now = context.evidence_time();
     let quarantine = &context.quarantine;
     let due = quarantine.ledger.borrow().time_to_trial(now, fingerprint);
     if !due.is_some_and(|left| left.is_zero()) {
@@ -98,7 +98,7 @@
 
 /// The first held part among these, if all of them may be tried now.
 fn due_part(context: &Context, parts: &[PartFingerprint]) -> Option<PartFingerprint> {
-    let now = context.now();
+    let now = context.evidence_time();
     let ledger = context.quarantine.parts.ledger.borrow();
     let mut held = ledger.held_among(parts);
     let is_due = |part| ledger.trial_at(part, parts).is_some_and(|at| at <= now);
@@ -122,7 +122,10 @@
         return Grant::Unavailable;
     };
     let requests = &context.quarantine.trial_requests;
-    if !requests.borrow_mut().may_request(context.now(), key) {
+    if !requests
+        .borrow_mut()
+        .may_request(context.evidence_time(), key)
+    {
         return Grant::Denied;
     }
     let written = write_trial_key(context, &**store, key);
--- a/crates/forwarding/tests/crashing_parts.rs
+++ b/crates/forwarding/tests/crashing_parts.rs
@@ -313,3 +313,15 @@
         "{after} {again}"
     );
 }
+
+/// Guards against a started node that took all crashes before its start for simultaneous ones, and held no part for them.
+#[actix_rt::test]
+async fn a_node_holds_parts_for_crashes_that_are_older_than_itself() {
+    let first = TestNode::start().await;
+    first.declare(1, "stream", 1, 1_000);
+    let engines = Engines::start(&first, 30, &["ready"]).await;
+    send(&[&first], &engines, IN_THE_MIDDLE, "/r/x").await;
+    first.crash();
+    let later = first.start_beside("node-2").await;
+    later.wait_for_metric("dalestand_prompt_parts_held", 1).await;
+}
--- a/crates/quarantine/tests/parts.rs
+++ b/crates/quarantine/tests/parts.rs
@@ -281,6 +281,19 @@
     assert_eq!((guilty.crashes, guilty.trials), (5, 1));
 }
 
+/// Guards against a part that is held for the fewest crashes and not held where they are received.
+#[rstest]
+fn the_fewest_crashes_suffice_where_they_are_received() {
+    let mut ledger = PartLedger::default();
+    let now = apply_in_turn(&mut ledger, 3, &[(1, 300), (GUILTY, 9)]);
+    let mut started = PartLedger::default();
+    for record in ledger.crash_records(now, part(GUILTY), 4) {
+        started.apply_crash(now, &record);
+    }
+    started.update(now);
+    assert_eq!(held(&started), held(&ledger));
+}
+
 #[rstest]
 fn a_flood_of_parts_evicts_no_held_one() {
     let mut ledger = PartLedger::default();
