Quarantine: a node that can't read the fleet's fingerprint key gets it from another node, and asks the store again after a second

Cause: a node without the key recognizes neither requests nor parts, and passes all on. Change: a node without the key asks relays five times a second; the call to the store is given up after a second and made again. Both message kinds are new, with golden lines. Tests: a_node_that_the_store_refuses_from_its_start_holds_parts (200 where 503 is wanted) and the_fleet_key_is_read_soon_after_the_store_was_silent (4 arrivals for 3) failed with the requests and the time limit taken out, and pass.

--- a/crates/dissemination/src/lib.rs
+++ b/crates/dissemination/src/lib.rs
@@ -24,6 +24,7 @@
 mod engine_notices;
 mod entry_sync;
 mod entry_table;
+mod fingerprint_key;
 mod hash_ranges;
 mod loads;
 mod membership;
@@ -47,6 +48,7 @@
     renewed_pages,
 };
 pub use entry_table::{EntryRecord, EntryTable};
+pub use fingerprint_key::{FingerprintKeyAnswer, FingerprintKeyRequest};
 pub use loads::{EngineCode, EngineLoad, LoadScope, LoadSlice, LoadsMessage};
 pub use membership::{NodeDirectory, NodeEntry, NodeNumber, RELAYS_PER_ZONE, Relay};
 pub use message::{
--- a/crates/dissemination/src/message.rs
+++ b/crates/dissemination/src/message.rs
@@ -10,6 +10,7 @@
 use crate::declaration::{DeclarationPart, DeclarationRequest};
 use crate::engine_notices::EngineNotices;
 use crate::entry_table::EntryRecord;
+use crate::fingerprint_key::{FingerprintKeyAnswer, FingerprintKeyRequest};
 use crate::loads::{EngineLoad, LoadSlice, LoadsMessage};
 use crate::membership::{NodeNumber, Relay};
 use crate::part_evidence::PartEvidence;
@@ -76,6 +77,10 @@
     OriginAnswer(OriginAnswer),
     /// Evidence against prompt parts that crash engines. Unreadable to builds without this variant, which hold no parts.
     PartEvidence(PartEvidence),
+    /// Asks for the fleet's fingerprint key. Unreadable to builds without this variant, which answer nothing.
+    FingerprintKeyRequest(FingerprintKeyRequest),
+    /// The answer to a [`FingerprintKeyRequest`].
+    FingerprintKeyAnswer(FingerprintKeyAnswer),
 }
 
 /// The node that holds the lease under which one node acts for the whole fleet.
--- a/crates/dissemination/tests/golden.rs
+++ b/crates/dissemination/tests/golden.rs
@@ -11,12 +11,13 @@
 use dalestand_dissemination::{
     ClassRow, DeclarationPart, DeclarationRequest, EngineCode, EngineLimit, EngineLimits,
     EngineLoad, EngineNotices, EngineStart, EnginesOfVersion, EntriesFreshness, EntriesPage,
-    EntriesRequest, EntryRecord, Exchange, IncludedReport, LeaseHolder, LoadScope, LoadSlice,
-    LoadsMessage, MESSAGE_VERSION, Message, News, NewsBatch, NodeEntry, NodeNumber, OriginAnswer,
-    OriginRequest, PartEvidence, PartsRequest, PermitAnswer, PermitNeed, PermitRequest, PlacedPart,
-    Placement, PlacementState, PoolDemand, RecordedStream, RecordedStreams, Relay, Report,
-    RoleChange, SlownessRow, SoftwareRequest, SoftwareVersions, SumScope, SummedRows, SumsMessage,
-    Table, TenantRow, TenantRows, UsageReport,
+    EntriesRequest, EntryRecord, Exchange, FingerprintKeyAnswer, FingerprintKeyRequest,
+    IncludedReport, LeaseHolder, LoadScope, LoadSlice, LoadsMessage, MESSAGE_VERSION, Message,
+    News, NewsBatch, NodeEntry, NodeNumber, OriginAnswer, OriginRequest, PartEvidence,
+    PartsRequest, PermitAnswer, PermitNeed, PermitRequest, PlacedPart, Placement, PlacementState,
+    PoolDemand, RecordedStream, RecordedStreams, Relay, Report, RoleChange, SlownessRow,
+    SoftwareRequest, SoftwareVersions, SumScope, SummedRows, SumsMessage, Table, TenantRow,
+    TenantRows, UsageReport,
 };
 use dalestand_duties::NodeIncarnation;
 use dalestand_quarantine::{
@@ -432,7 +433,17 @@
         }],
         completions: vec![PartCompletion { part, age_ms: 300 }],
     };
-    BTreeMap::from([("part-evidence", Message::PartEvidence(evidence))])
+    let request = FingerprintKeyRequest {
+        node: NodeNumber(7),
+    };
+    let answer = FingerprintKeyAnswer {
+        key: "5a".repeat(32),
+    };
+    BTreeMap::from([
+        ("part-evidence", Message::PartEvidence(evidence)),
+        ("key-request", Message::FingerprintKeyRequest(request)),
+        ("key", Message::FingerprintKeyAnswer(answer)),
+    ])
 }
 
 fn hex(bytes: &[u8]) -> String {
--- a/crates/forwarding/src/dissemination/datagram.rs
+++ b/crates/forwarding/src/dissemination/datagram.rs
@@ -78,5 +78,7 @@
         Message::OriginRequest(_) => "origin-request",
         Message::OriginAnswer(_) => "origin-answer",
         Message::PartEvidence(_) => "part-evidence",
+        Message::FingerprintKeyRequest(_) => "fingerprint-key-request",
+        Message::FingerprintKeyAnswer(_) => "fingerprint-key",
     }
 }
--- a/crates/forwarding/src/dissemination/mod.rs
+++ b/crates/forwarding/src/dissemination/mod.rs
@@ -9,6 +9,7 @@
 mod contents;
 mod datagram;
 pub(crate) mod engine_notices;
+mod fingerprint_key;
 mod freshness;
 mod news_queue;
 pub(crate) mod notice_queue;
@@ -46,6 +47,7 @@
 use tokio::sync::watch;
 
 use crate::dissemination::bulk_queue::BulkQueue;
+use crate::dissemination::fingerprint_key::KeyRequests;
 use crate::dissemination::news_queue::NewsQueue;
 use crate::dissemination::notice_queue::NoticeQueue;
 use crate::dissemination::own_reports::OwnReports;
@@ -159,6 +161,8 @@
     software_requested_at: Cell<MonotonicTime>,
     /// Requests for software versions since none was missing.
     software_requests: Cell<usize>,
+    /// Requests for the fleet's fingerprint key.
+    key_requests: KeyRequests,
     /// Pages of the last answer to an entries request.
     pub(crate) page_cache: RefCell<Option<PageCache>>,
     /// Nodes that wait for the known cached prompt parts.
@@ -206,6 +210,7 @@
             software_missing_since: Cell::new(None),
             software_requested_at: Cell::new(MonotonicTime::ZERO),
             software_requests: Cell::new(0),
+            key_requests: KeyRequests::default(),
             page_cache: RefCell::default(),
             parts_requesters: RefCell::default(),
             notices: NoticeQueue::default(),
@@ -447,6 +452,20 @@
         known.chain(peers.keys().copied()).collect()
     }
 
+    /// Addresses of the relays that this node may ask: those that it exchanges with, or that it may follow.
+    fn known_relays(&self, now: MonotonicTime) -> Vec<SocketAddr> {
+        let subscription = self.subscription.borrow();
+        let followed = subscription.current().into_iter();
+        let relays = followed.chain(subscription.relays());
+        let mut addresses = self.exchange_addresses(now);
+        addresses.extend(
+            relays
+                .filter(|relay| relay.number != self.node)
+                .map(|relay| relay.address),
+        );
+        addresses.into_iter().collect()
+    }
+
     /// Sets the number of nodes reported by this node's relay.
     pub(crate) fn set_reported_node_count(&self, nodes: usize) {
         self.reported_node_count.set(nodes);
--- a/crates/forwarding/src/dissemination/receive/mod.rs
+++ b/crates/forwarding/src/dissemination/receive/mod.rs
@@ -19,6 +19,7 @@
 use crate::context::Context;
 use crate::dissemination::datagram::kind_label;
 use crate::dissemination::engine_notices;
+use crate::dissemination::fingerprint_key;
 use crate::dissemination::freshness;
 use crate::dissemination::part_evidence;
 use crate::dissemination::recent_changes::ChangeSource;
@@ -93,6 +94,8 @@
             streams::lookup::handle_answer(context, sender, answer);
         }
         Message::PartEvidence(evidence) => part_evidence::handle(context, evidence),
+        Message::FingerprintKeyRequest(_) => fingerprint_key::answer(context, socket, sender),
+        Message::FingerprintKeyAnswer(answer) => fingerprint_key::handle(context, &answer),
         Message::Usage(report) => context.usage.merge_report(report),
     }
 }
--- a/crates/forwarding/src/dissemination/send.rs
+++ b/crates/forwarding/src/dissemination/send.rs
@@ -16,6 +16,7 @@
 use crate::dissemination::contents::{
     demand, prompt_loads, summed_loads, take_batches_of, take_own_news,
 };
+use crate::dissemination::fingerprint_key::request_if_missing;
 use crate::dissemination::pacing::{REPORT_INTERVAL, exchange_interval, pause_after};
 use crate::dissemination::receive::entries::retry_if_due;
 use crate::dissemination::software::request_missing;
@@ -61,6 +62,7 @@
         ask_for_parts(&context, &socket);
         retry_if_due(&context, &socket);
         request_missing(&context, &socket);
+        request_if_missing(&context, &socket);
         let pause = if role.is_relay {
             send_to_relays(&context, &socket, &mut last)
         } else {
--- a/crates/forwarding/src/quarantine/fleet_key.rs
+++ b/crates/forwarding/src/quarantine/fleet_key.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dalestand_clock::timeout;
 use dalestand_edge::{CasOutcome, KeyValue, PlatformError, WriteExpectation};
 use dalestand_quarantine::FingerprintKey;
 use dalestand_telemetry::{Event, log_event};
@@ -28,18 +29,25 @@
 /// succeeds.
 pub(crate) async fn load_fingerprint_key(context: Rc<Context>, store: Rc<dyn KeyValue>) {
     loop {
-        match load(&context, &*store).await {
-            Ok(()) => return,
-            Err(error) => {
+        match timeout(LOAD_TIMEOUT, load(&context, &*store)).await {
+            Ok(Ok(())) => return,
+            Ok(Err(error)) => {
                 log_event!(context.logger, Event::KeyValueFailed, "prefix" => QUARANTINE_PREFIX,
                     "error" => %error.current_context());
-                let factor = rand::rng().random_range(0.5..1.0);
-                actix_rt::time::sleep(MAX_RETRY_DELAY.mul_f64(factor)).await;
+            }
+            Err(_) => {
+                log_event!(context.logger, Event::KeyValueFailed, "prefix" => QUARANTINE_PREFIX,
+                    "error" => "no answer in time");
             }
         }
+        let factor = rand::rng().random_range(0.5..1.0);
+        actix_rt::time::sleep(MAX_RETRY_DELAY.mul_f64(factor)).await;
     }
 }
 
+/// Time after which another attempt may succeed, as connections opened in an outage stay silent.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
+
 async fn load(context: &Context, store: &dyn KeyValue) -> Result<(), Report<PlatformError>> {
     let listing = store.range(QUARANTINE_PREFIX).await?;
     let stored = listing.entries.iter().find(|entry| entry.key == FLEET_KEY);
@@ -52,8 +60,7 @@
         system: "fingerprint key",
         message: "is not a valid fingerprint key".to_owned(),
     })?;
-    // Already set only if it was loaded before.
-    let _ = context.quarantine.key.set(key);
+    context.quarantine.set_key(key);
     for entry in &listing.entries {
         apply_stored(context, &entry.key, Some(&entry.value));
         apply_stored_part(context, &entry.key, Some(&entry.value));
--- a/crates/forwarding/src/quarantine/state.rs
+++ b/crates/forwarding/src/quarantine/state.rs
@@ -83,6 +83,11 @@
         self.key.get()
     }
 
+    /// Sets the fleet's fingerprint key, unless it is known: it never changes.
+    pub(crate) fn set_key(&self, key: FingerprintKey) {
+        self.key.get_or_init(|| key);
+    }
+
     /// Queues all stopped requests and held parts seen here for writing, because the key-value service lost its
     /// leases and with them the entries.
     pub(crate) fn rewrite_stored(&self) {
--- a/crates/forwarding/tests/crashing_parts.rs
+++ b/crates/forwarding/tests/crashing_parts.rs
@@ -323,5 +323,65 @@
     send(&[&first], &engines, IN_THE_MIDDLE, "/r/x").await;
     first.crash();
     let later = first.start_beside("node-2").await;
-    later.wait_for_metric("dalestand_prompt_parts_held", 1).await;
+    later
+        .wait_for_metric("dalestand_prompt_parts_held", 1)
+        .await;
+}
+
+/// Guards against a node that starts while the key-value service refuses it: without the fleet's key it recognized no part,
+/// and passed on requests with those that other nodes held.
+#[actix_rt::test]
+async fn a_node_that_the_store_refuses_from_its_start_holds_parts() {
+    let first = TestNode::start().await;
+    first.declare(1, "stream", 1, 1_000);
+    let engines = Engines::start(&first, 30, &["ready"]).await;
+    send(&[&first], &engines, IN_THE_MIDDLE, "/r/x").await;
+    first.store.refuse_new_nodes(true);
+    let other = first.start_beside("node-2").await;
+    // Known to the others from before, as a node that has started again.
+    let entry = format!(
+        "{{\"address\":\"{}\",\"zone\":\"here\",\"link_mbps\":0}}",
+        other.peers
+    );
+    first
+        .store
+        .write("dalestand/nodes/here/node-2", Some(&entry));
+    other.wait_for_engines(30).await;
+    other.wait_for_declaration(1).await;
+    other
+        .wait_for_metric("dalestand_prompt_parts_held", 1)
+        .await;
+    actix_rt::time::sleep(Duration::from_millis(800)).await;
+    let before = engines.arrivals();
+    for number in ARRIVALS..2 * ARRIVALS {
+        let refused = request(&other, number, IN_THE_MIDDLE, "/r/x").await;
+        assert_eq!(status(&refused), "503", "{refused}");
+    }
+    assert_eq!(engines.arrivals(), before);
+    let sound = request(&other, SOUND_NUMBERS, SOUND, "/r/x").await;
+    assert_eq!(status(&sound), "200", "{sound}");
+}
+
+/// Guards against a node whose request for the fleet's key hangs: it recognized no part for seconds.
+#[actix_rt::test]
+async fn the_fleet_key_is_read_soon_after_the_store_was_silent() {
+    let first = TestNode::start().await;
+    first.declare(1, "stream", 1, 1_000);
+    let engines = Engines::start(&first, 30, &["ready"]).await;
+    send(&[&first], &engines, IN_THE_MIDDLE, "/r/x").await;
+    first.crash();
+    first.store.set_silent(true);
+    let later = first.start_beside("node-2").await;
+    later.settle().await;
+    first.store.set_silent(false);
+    later
+        .wait_for_metric("dalestand_prompt_parts_held", 1)
+        .await;
+    // Half of the time after which a node counts as connected.
+    actix_rt::time::sleep(Duration::from_millis(1_500)).await;
+    let before = engines.arrivals();
+    for number in ARRIVALS..2 * ARRIVALS {
+        request(&later, number, IN_THE_MIDDLE, "/r/x").await;
+    }
+    assert_eq!(engines.arrivals(), before);
 }
