Callers: their connections take at most half of a node's descriptors, and a crowded node asks them to close after the answer

Cause: the limit was a constant. Class: a bound that knows nothing of what it shares its resource with. Change: max_open_files in the settings (the platform fills it in); half of what is not kept for files is for callers. Beyond that a connection is closed on arrival, unread, so that its caller comes again at another node; from half of the limit on, answers carry Connection: close, so that connections at rest don't keep new ones out.

--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -1,6 +1,6 @@
 //! State shared by all tasks of a node. A node runs on one thread, so it needs no locks.
 
-use std::cell::{Cell, Ref, RefCell};
+use std::cell::{Cell, OnceCell, Ref, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,6 +11,7 @@
 use dalestand_edge::routed::{Dialect, EngineEntry, StoreFormat};
 use dalestand_edge::unknown_headers::UnknownHeaders;
 use dalestand_engine_link::{EngineLink, LinkLimits};
+use dalestand_http_server::Connections;
 use dalestand_planner::{ScalingDecision, ZoneEngines};
 use dalestand_routes::{RouteTable, WeightedRoundRobin};
 use dalestand_routing::staged::{EngineKey, LinkQueue, StagedRouter};
@@ -106,6 +107,8 @@
     pub(crate) scaling_decisions: RefCell<BTreeMap<PoolName, ScalingDecision>>,
     /// Requests that crash engines.
     pub(crate) quarantine: QuarantineState,
+    /// Connections of callers; set once at startup.
+    pub(crate) caller_connections: OnceCell<Connections>,
     /// Origins of streams.
     pub(crate) streams: StreamState,
     /// Connections to engines through other nodes.
@@ -166,6 +169,7 @@
             sums: FleetSums::default(),
             scaling_decisions: RefCell::default(),
             quarantine: QuarantineState::default(),
+            caller_connections: OnceCell::new(),
             streams: StreamState::default(),
             detours: DetourState::default(),
             store_era: watch::Sender::new(0),
--- a/crates/forwarding/src/node/metrics/mod.rs
+++ b/crates/forwarding/src/node/metrics/mod.rs
@@ -130,6 +130,8 @@
     sums: FleetSumMetrics,
     crashes: IntCounter,
     requests_stopped: IntGauge,
+    caller_connections: IntGauge,
+    caller_connections_refused: IntGauge,
     scaling: ScalingMetrics,
     over_share: IntCounterVec,
     tenants_over_share: IntGaugeVec,
@@ -286,6 +288,14 @@
                 "requests_stopped",
                 "Requests that are refused because engines ended under them.",
             )?,
+            caller_connections: metrics.gauge(
+                "caller_connections",
+                "Open connections of callers.",
+            )?,
+            caller_connections_refused: metrics.gauge(
+                "caller_connections_refused",
+                "Connections of callers that were closed on arrival since the start, because too many were open.",
+            )?,
             over_share: metrics.counters(
                 "requests_over_share_total",
                 "Requests that were refused because their tenant was over its share, by pool.",
--- a/crates/forwarding/src/node/metrics/page.rs
+++ b/crates/forwarding/src/node/metrics/page.rs
@@ -68,6 +68,11 @@
             self.signals.count_unknown_headers(sender, seen);
         }
         self.requests_stopped.set(stopped_count(context) as i64);
+        if let Some(connections) = context.caller_connections.get() {
+            self.caller_connections.set(connections.open() as i64);
+            self.caller_connections_refused
+                .set(connections.refused() as i64);
+        }
         self.set_retries_left(context);
         self.scaling.set(&context.scaling_decisions.borrow());
         self.set_tenants_over_share(context);
--- a/crates/forwarding/src/node/settings.rs
+++ b/crates/forwarding/src/node/settings.rs
@@ -8,6 +8,9 @@
 use dalestand_types::{NodeId, ZoneName};
 use serde::Deserialize;
 
+/// Descriptors that are kept for files, as on the users' machines.
+const DESCRIPTORS_FOR_FILES: usize = 200;
+
 /// Settings of a forwarding node, from a TOML file.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -32,6 +35,9 @@
     /// Bandwidth of the node's network link, in megabits per second; unlimited if absent.
     #[serde(default)]
     pub link_mbps: Option<f64>,
+    /// Maximum number of open descriptors of the process; unlimited if absent.
+    #[serde(default)]
+    pub max_open_files: Option<usize>,
     /// Address of the key-value service.
     pub key_value: SocketAddr,
     /// Time for which a draining engine still serves after its entry was changed or removed, in
@@ -276,6 +282,11 @@
                     .map_or(f64::MAX, |keys| keys.bound_ms as f64),
             ),
             ("link_mbps", self.link_mbps.unwrap_or(f64::MAX)),
+            (
+                "max_open_files",
+                self.max_caller_connections()
+                    .map_or(f64::MAX, |connections| connections as f64),
+            ),
         ];
         let mut faults = self.duty_faults();
         for (field, value) in at_least_0 {
@@ -386,6 +397,13 @@
         self.link_mbps.map_or(u32::MAX, |mbps| bytes(mbps) as u32)
     }
 
+    /// Maximum number of callers' connections, if descriptors are limited: half of those that are not kept for files. The others
+    /// are for connections to engines, other nodes and the key-value service.
+    pub fn max_caller_connections(&self) -> Option<usize> {
+        let limit = self.max_open_files?;
+        Some(limit.saturating_sub(DESCRIPTORS_FOR_FILES) / 2)
+    }
+
     /// Time after which the platform kills the process.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.stop.grace_s)
--- a/crates/forwarding/src/node/start.rs
+++ b/crates/forwarding/src/node/start.rs
@@ -9,7 +9,7 @@
 use dalestand_edge::duty_calls::DutyCalls;
 use dalestand_edge::routed::{Dialect, StoreFormat};
 use dalestand_edge::unknown_headers::UnknownHeaders;
-use dalestand_http_server::{Connections, ServerLimits, serve};
+use dalestand_http_server::{Answer, ConnectionType, Connections, ServerLimits, serve};
 use dalestand_telemetry::{Event, log_event};
 use dalestand_tunnel::serve_tunnels;
 use error_stack::{Report, ResultExt as _};
@@ -204,14 +204,39 @@
 fn start_callers(context: &Rc<Context>, listener: TcpListener) -> Connections {
     let connections = Connections::default();
     let counted = connections.clone();
+    // This is the only place that sets it, so it cannot fail.
+    let _ = context.caller_connections.set(connections.clone());
     let context = Rc::clone(context);
     actix_rt::spawn(async move {
-        let handler = move |request| forward(Rc::clone(&context), request);
-        serve(listener, limits(), counted, handler).await;
+        let max_connections = context.settings.max_caller_connections();
+        let limits = ServerLimits {
+            max_connections: max_connections.unwrap_or(limits().max_connections),
+            max_excess_connections: 0,
+            ..limits()
+        };
+        let crowded_from = limits.max_connections / 2;
+        let open = counted.clone();
+        let handler = move |request| {
+            let (context, open) = (Rc::clone(&context), open.clone());
+            async move {
+                let answer = forward(context, request).await;
+                close_if_crowded(answer, open.open() > crowded_from)
+            }
+        };
+        serve(listener, limits, counted, handler).await;
     });
     connections
 }
 
+/// Tells the caller to close its connection after the answer while many are open, so that connections at rest do not take
+/// the place of new ones.
+fn close_if_crowded(mut answer: Answer, is_crowded: bool) -> Answer {
+    if is_crowded {
+        answer.head_mut().set_connection_type(ConnectionType::Close);
+    }
+    answer
+}
+
 /// A watch waits for this part of the drain bound. The rest is for the time for its answer, as long
 /// again, the listing after an unanswered watch, and the way through relays.
 const WATCHES_PER_DRAIN: u32 = 4;
--- a/crates/http-server/src/connections.rs
+++ b/crates/http-server/src/connections.rs
@@ -15,6 +15,8 @@
 pub struct Connections {
     /// Number of open connections.
     open: Arc<AtomicUsize>,
+    /// Number of connections that were closed on arrival.
+    refused: Arc<AtomicUsize>,
     /// Number of accept loops whose listening sockets are open.
     listening: Arc<AtomicUsize>,
     /// Whether the accept loops must end.
@@ -29,6 +31,16 @@
         self.open.load(Ordering::SeqCst)
     }
 
+    /// Number of connections that were closed on arrival, because too many were open.
+    pub fn refused(&self) -> usize {
+        self.refused.load(Ordering::Relaxed)
+    }
+
+    /// Counts a connection that is closed on arrival.
+    pub(crate) fn record_refused(&self) {
+        self.refused.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Ends every accept loop and returns when all listening sockets are closed. Each loop first accepts
     /// the connections in its backlog, which closing the socket would drop.
     pub async fn stop_accepting(&self) {
--- a/crates/http-server/src/server.rs
+++ b/crates/http-server/src/server.rs
@@ -24,10 +24,6 @@
 /// Maximum time for which an ending accept loop waits for connections.
 const BACKLOG_DRAIN_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Number of connections above the limit that are still accepted, so that their requests can be
-/// refused with an answer.
-const MAX_EXCESS_CONNECTIONS: usize = 256;
-
 /// Data attached to a connection when it is opened.
 struct ConnectionData {
     over_limit: bool,
@@ -42,9 +38,11 @@
 /// Limits of one server.
 #[derive(Clone, Debug)]
 pub struct ServerLimits {
-    /// Maximum number of open connections. Requests on a limited number of excess connections are
-    /// marked, see [`is_over_limit`]; further connections are closed immediately.
+    /// Maximum number of open connections.
     pub max_connections: usize,
+    /// Number of connections above that which are still accepted: their requests are marked, see [`is_over_limit`], so that
+    /// they can be refused with an answer. Further connections are closed immediately, with what was sent on them unread.
+    pub max_excess_connections: usize,
     /// Time limit for receiving the head of a request.
     pub head_timeout: Duration,
     /// How long an idle connection is kept open.
@@ -55,6 +53,7 @@
     fn default() -> Self {
         Self {
             max_connections: 16_384,
+            max_excess_connections: 256,
             head_timeout: Duration::from_secs(10),
             keep_alive: Duration::from_secs(75),
         }
@@ -100,7 +99,8 @@
     };
     let connection_service = Rc::new(connection_service);
     let accept = |stream: TcpStream| {
-        if connections.open() >= limits.max_connections + MAX_EXCESS_CONNECTIONS {
+        if connections.open() >= limits.max_connections + limits.max_excess_connections {
+            connections.record_refused();
             return;
         }
         let guard = connections.enter();
