--- a/crates/forwarding/src/quarantine/parts/evidence.rs
+++ b/crates/forwarding/src/quarantine/parts/evidence.rs
@@ -14,7 +14,7 @@
 use crate::quarantine::parts::state::QueuedEvidence;
 
 /// Crashes after which other nodes are told that requests with a part completed before, if none of them knows that.
-const CRASHES_TO_VOUCH: usize = 2;
+const CRASHES_TO_REPORT_COMPLETIONS: usize = 2;
 
 /// Maximum number of parts kept as seen here before those without crashes are dropped.
 const MAX_OBSERVED: usize = 4_096;
@@ -117,7 +117,7 @@
     for crash in crashes {
         if parts.ledger.borrow_mut().apply_crash(now, &crash) {
             has_changed = true;
-            vouch(context, &crash);
+            report_completions(context, &crash);
             let evidence = QueuedEvidence::Crash(Rc::new(crash), now);
             parts.outgoing.push(evidence, source);
         }
@@ -128,7 +128,7 @@
 }
 
 /// Tells other nodes of completions seen here that matter for parts of this crash.
-fn vouch(context: &Context, crash: &PartCrash) {
+fn report_completions(context: &Context, crash: &PartCrash) {
     let parts = &context.quarantine.parts;
     let activity = parts.activity.borrow();
     let mut ledger = parts.ledger.borrow_mut();
@@ -142,7 +142,7 @@
         let crashes = ledger.crash_count(suspect.part);
         ledger.apply_completion(suspect.part, begin);
         let was_cleared = ledger.crash_count(suspect.part) < crashes;
-        if was_cleared || crashes >= CRASHES_TO_VOUCH {
+        if was_cleared || crashes >= CRASHES_TO_REPORT_COMPLETIONS {
             let evidence = QueuedEvidence::Completion(suspect.part);
             parts.outgoing.push(evidence, NoticeSource::OwnAnswer);
         }
--- a/crates/quarantine/src/parts/ledger.rs
+++ b/crates/quarantine/src/parts/ledger.rs
@@ -17,10 +17,10 @@
 /// Delay of the first trial of a part that may be held wrongly: by then crashed engines have restarted.
 const TRIAL_DELAY_IN_DOUBT: Duration = Duration::from_secs(2);
 
-/// Delay of the first trial of any other. A trial of a guilty part costs an engine.
+/// Delay of the first trial of any other. A trial of a part that crashes engines costs one.
 const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(30);
 
-/// Delay of the second trial. Each further one takes ten times as long, so that a guilty part crashes three engines in the
+/// Delay of the second trial. Each further one takes ten times as long, so that a crashing part ends three engines in the
 /// first two hours and one more in the day.
 const SECOND_TRIAL_DELAY: Duration = Duration::from_secs(600);
 
@@ -189,7 +189,7 @@
     }
 
     /// When a request with these parts, one of them the held `part`, may be tried; `None` if that is not held. Early if the
-    /// trial can tell this part from others that may be guilty instead, or if this part had been harmless.
+    /// trial can tell this part from others that may crash engines instead, or if requests with this part had completed.
     pub fn trial_at(
         &self,
         part: PartFingerprint,
@@ -220,7 +220,7 @@
         evidence.is_some_and(|evidence| self.is_in_doubt(evidence, request_parts))
     }
 
-    /// Whether parts that a request lacks explain the crashes of a held part, or it had been harmless before.
+    /// Whether parts that a request lacks explain the crashes of a held part, or requests with it had completed before.
     fn is_in_doubt(&self, held: &PartEvidence, request_parts: &[PartFingerprint]) -> bool {
         let others = self.parts.iter();
         let others = others.filter(|(part, _)| !request_parts.contains(part));
--- a/crates/quarantine/src/parts/mod.rs
+++ b/crates/quarantine/src/parts/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Such requests have nothing in common but the part, so that no single request is ever seen to crash several engines.
 //! At an engine that ends there are many requests, and parts that most requests share are present at every crash. Three
-//! things tell the guilty part: no request with it completes that began after a crash, it is present at many crashes in
+//! things tell the crashing part: no request with it completes that began after a crash, it is present at many crashes in
 //! few requests each, and among the parts of which this is about as true it is the one that the fewest requests have. Such
 //! a part is *held*: nodes refuse requests with it. Crashes at which a held part was present count against nothing else.
 //!
--- a/crates/quarantine/src/parts/selection.rs
+++ b/crates/quarantine/src/parts/selection.rs
@@ -21,7 +21,7 @@
 /// How long before its first crash a completion speaks for a part.
 const COMPLETION_VALIDITY: Duration = Duration::from_secs(60);
 
-/// Parts whose score is at least this share of the best one's are about as likely to be guilty.
+/// Parts whose score is at least this share of the best one's are about as likely to crash engines.
 const CONSIDERED_SHARE: f64 = 0.75;
 
 /// A part with the crashes at which it was present.
@@ -64,7 +64,7 @@
     }
 
     /// How well the part explains the crashes: their number, reduced by the number of requests with it at each. One request
-    /// with a guilty part suffices for a crash, so that there are seldom several, while parts that most requests share are in many.
+    /// with a crashing part suffices for a crash, so that there are seldom several, while parts that most requests share are in many.
     fn score(&self) -> f64 {
         let crashes = self.unexplained.len() as f64;
         let runs = self.unexplained.iter().map(|crash| crash.requests.len());
