--- a/cmd/tests/soak.rs
+++ b/cmd/tests/soak.rs
@@ -1,13 +1,15 @@
 //! Short seeded soak runs of real nodes under faults. docs/SOAK.md describes longer runs.
 
-use std::time::Duration;
+#[path = "support/soak_run.rs"]
+mod soak_run;
 
-use dalestand_soak::run::{CallerLoad, RunConfig, RunReport, execute};
+use dalestand_soak::run::{CallerLoad, RunReport};
 use dalestand_soak::schedule::{
-    COLD_START_KINDS, CRASHING_PART_KINDS, CUT_STREAM_KINDS, FAULT_KINDS, FaultKind, LEAVING_KINDS,
-    RELEASE_KINDS, RETRY_KINDS, SUSPENSION_KINDS,
+    COLD_START_KINDS, CUT_STREAM_KINDS, FAULT_KINDS, FaultKind, LEAVING_KINDS, RELEASE_KINDS,
+    RETRY_KINDS, SUSPENSION_KINDS,
 };
 use rstest::rstest;
+use soak_run::assert_no_violations_on;
 
 /// Planned changes, and requests that crash engines; the checks count none of these as a disruption.
 const NON_DISRUPTIVE_KINDS: [FaultKind; 4] = [
@@ -157,40 +159,6 @@
     assert!(worst.used_share() >= MIN_BUDGET_USE, "{worst:?}");
 }
 
-/// A run in which fewer sound first tries came beside requests with a part that crashes engines proves little.
-const MIN_SOUND_TRIES: usize = 20;
-
-/// Guards against requests with a part that crashes engines that nodes pass on because they could not read the fleet's key, and
-/// against refusing requests that share other parts.
-#[rstest]
-#[case::nodes_that_the_store_refused(725)]
-#[case::nodes_that_started_while_the_store_was_silent(728)]
-fn a_seeded_run_with_crashing_parts_has_no_violations(#[case] seed: u64) {
-    let kinds = &CRASHING_PART_KINDS;
-    let report = assert_no_violations_on(seed, kinds, CallerLoad::Light, (40, 6, 16, 2));
-    let parts = report.crashing_parts();
-    assert!(
-        parts.iter().any(|part| part.fifth_crash_ms.is_some()),
-        "{parts:?}"
-    );
-    assert!(
-        parts.iter().any(|part| part.sound >= MIN_SOUND_TRIES),
-        "{parts:?}"
-    );
-}
-
-/// A run in which fewer first tries came while most connections went to one node proves little.
-const MIN_SKEWED_TRIES: usize = 200;
-
-/// Guards against a node that fails the requests of most of its region's new connections.
-#[test]
-fn a_node_that_gets_most_new_connections_serves_them() {
-    let kinds = [FaultKind::EntrySkewed];
-    let report = assert_no_violations_on(31, &kinds, CallerLoad::Failures, (30, 6, 18, 2));
-    let tries: usize = report.entry_skews().iter().map(|skew| skew.all).sum();
-    assert!(tries >= MIN_SKEWED_TRIES, "{:?}", report.entry_skews());
-}
-
 /// First tries at cut nodes must be served this often, relative to those at the others: nearly as often.
 const MIN_RELATIVE_SHARE: f64 = 0.98;
 
@@ -219,39 +187,3 @@
     };
     assert_no_violations_on(seed, kinds, load, size)
 }
-
-/// A run of a size: seconds, nodes, engines and zones.
-fn assert_no_violations_on(
-    seed: u64,
-    kinds: &[FaultKind],
-    load: CallerLoad,
-    (length_s, nodes, engines, zones): (u64, usize, usize, usize),
-) -> RunReport {
-    let folder = std::env::temp_dir().join(format!("dalestand-soak-{}", std::process::id()));
-    // Runs with one seed and different loads or kinds are executed at the same time.
-    let first = kinds[0];
-    let name = format!("seed-{seed}-{load:?}-{first:?}").to_lowercase();
-    let config = RunConfig {
-        seed,
-        kinds: kinds.to_vec(),
-        load,
-        length: Duration::from_secs(length_s),
-        nodes,
-        engines,
-        zones,
-        program: env!("CARGO_BIN_EXE_dalestand").into(),
-        alternate_program: None,
-        folder: folder.join(name),
-    };
-    let report = execute(&config).expect("a run");
-    assert!(!report.history.attempts.is_empty());
-    assert!(
-        report.violations.is_empty(),
-        "logs in {}: {:#?}",
-        config.folder.display(),
-        report.violations
-    );
-    // Logs are needed only after a violation; a failure to remove them is harmless.
-    let _ = std::fs::remove_dir_all(&config.folder);
-    report
-}
