--- a/crates/forwarding/src/permits/send_permission.rs
+++ b/crates/forwarding/src/permits/send_permission.rs
@@ -1,5 +1,7 @@
 //! Permission to send one call to an engine.
 
+use std::rc::Rc;
+
 use dalestand_routing::shared_rate::Permit;
 use dalestand_routing::staged::{ClosedReason, EngineKey};
 use dalestand_types::MonotonicTime;
@@ -8,17 +10,17 @@
 use crate::permits::requester;
 
 /// Permission to send one call. If dropped unused, its permit is returned.
-pub(crate) struct SendPermission<'a> {
-    context: &'a Context,
+pub(crate) struct SendPermission {
+    context: Rc<Context>,
     /// `None` if the engine has no limit, or after the permit has been used.
     permit: Option<Permit>,
 }
 
-impl<'a> SendPermission<'a> {
+impl SendPermission {
     /// Acquires permission for a caller's request, or returns why there is none. If the engine has
     /// a limit, this may wait for the answer of the issuing node.
     pub(crate) async fn for_request(
-        context: &'a Context,
+        context: &Rc<Context>,
         engine: EngineKey,
     ) -> Result<Self, ClosedReason> {
         let permit = if has_limit(context, engine) {
@@ -26,16 +28,19 @@
         } else {
             None
         };
-        Ok(Self { context, permit })
+        Ok(Self {
+            context: Rc::clone(context),
+            permit,
+        })
     }
 
     /// Permission for an internal call, which is sent despite any limit but counts against it.
-    pub(crate) fn for_internal_call(context: &'a Context, engine: EngineKey) -> Self {
+    pub(crate) fn for_internal_call(context: &Rc<Context>, engine: EngineKey) -> Self {
         if has_limit(context, engine) {
             requester::report_internal_call(context, engine);
         }
         Self {
-            context,
+            context: Rc::clone(context),
             permit: None,
         }
     }
@@ -53,7 +58,7 @@
     }
 }
 
-impl Drop for SendPermission<'_> {
+impl Drop for SendPermission {
     fn drop(&mut self) {
         if let Some(permit) = self.permit.take() {
             let mut router = self.context.router.borrow_mut();
--- a/crates/forwarding/src/quarantine/run_watch.rs
+++ b/crates/forwarding/src/quarantine/run_watch.rs
@@ -33,7 +33,7 @@
         /// Bytes received of that event.
         pending_bytes: usize,
     },
-    /// The call timed out.
+    /// The engine was silent for too long.
     Silent,
     /// The caller disconnected, or the request's time limit was reached.
     Left,
@@ -50,6 +50,8 @@
     /// `None` until the fleet's key is loaded: crashes can't be attributed then.
     run_request: Option<UnfinishedRequest>,
     began_at: MonotonicTime,
+    /// Whether it is recorded as unfinished because the engine is silent, though it may still go on.
+    is_silent: bool,
     is_over: bool,
 }
 
@@ -74,6 +76,7 @@
                 is_part_trial: progress.is_part_trial(),
             }),
             began_at: context.evidence_time(),
+            is_silent: false,
             // The engine run had ended before, so this call cannot have crashed it.
             is_over: unfinished.has_ended(run),
             run,
@@ -83,12 +86,44 @@
     /// Stops tracking, because the engine did not run the request or its answer is complete.
     pub(crate) fn dismiss(&mut self) {
         self.is_over = true;
+        self.withdraw_silence();
+    }
+
+    /// Records that the engine has fallen silent. It may have crashed, or go on with the run.
+    pub(crate) fn record_silence(&mut self) {
+        let Some(request) = &self.run_request else {
+            return;
+        };
+        if self.is_over || std::mem::replace(&mut self.is_silent, true) {
+            return;
+        }
+        self.log_unfinished(request, UnfinishedReason::Silent);
+        let (context, run) = (&self.context, self.run);
+        let mut runs = context.quarantine.unfinished.borrow_mut();
+        let has_ended = runs.record_unfinished(context.evidence_time(), run, request.clone());
+        drop(runs);
+        if has_ended {
+            attribute_crash(context, &self.engine.run, run, request);
+            self.is_over = true;
+        }
+    }
+
+    /// Records that the engine goes on with the run.
+    pub(crate) fn withdraw_silence(&mut self) {
+        if !std::mem::replace(&mut self.is_silent, false) {
+            return;
+        }
+        if let Some(request) = &self.run_request {
+            let mut runs = self.context.quarantine.unfinished.borrow_mut();
+            runs.withdraw(self.run, request);
+        }
     }
 
     /// Records an answer that seems complete, after which the engine was in `state`. It counts as a completion only if the
     /// engine is alive: without a length, a body also ends when the engine crashes.
     pub(crate) fn record_answer(&mut self, status: StatusCode, state: EngineState) {
         self.is_over = true;
+        self.withdraw_silence();
         let Some(request) = &self.run_request else {
             return;
         };
@@ -107,17 +142,17 @@
         if std::mem::replace(&mut self.is_over, true) {
             return;
         }
+        let was_silent = self.is_silent;
+        // Recorded anew below, as of now.
+        self.withdraw_silence();
         let Some(request) = self.run_request.take() else {
             return;
         };
         let context = &self.context;
+        let is_logged = was_silent && reason == UnfinishedReason::Silent;
         // Callers disconnect too often for this to be logged.
-        if reason != UnfinishedReason::Left {
-            log_event!(context.logger, Event::RunUnfinished,
-                "request" => self.request.as_deref().unwrap_or_default(),
-                "fingerprint" => %request.fingerprint,
-                "parts" => list_parts(&request.shared_parts),
-                "engine" => &*self.engine.run, "how" => ?reason);
+        if reason != UnfinishedReason::Left && !is_logged {
+            self.log_unfinished(&request, reason);
         }
         let run = self.run;
         let mut runs = context.quarantine.unfinished.borrow_mut();
@@ -134,6 +169,14 @@
             spawn_listener_check(context, &self.pool, &self.engine);
         }
     }
+
+    fn log_unfinished(&self, request: &UnfinishedRequest, reason: UnfinishedReason) {
+        log_event!(self.context.logger, Event::RunUnfinished,
+            "request" => self.request.as_deref().unwrap_or_default(),
+            "fingerprint" => %request.fingerprint,
+            "parts" => list_parts(&request.shared_parts),
+            "engine" => &*self.engine.run, "how" => ?reason);
+    }
 }
 
 /// The first prompt parts of a request for a log line, in order.
--- a/crates/forwarding/src/serve/answer_stream.rs
+++ b/crates/forwarding/src/serve/answer_stream.rs
@@ -11,7 +11,7 @@
 use dalestand_routing::staged::{AttemptResult, response_timeout};
 use dalestand_stream_origins::StreamBinding;
 use dalestand_telemetry::{Event, log_event};
-use dalestand_types::{PoolName, SoftwareVersion};
+use dalestand_types::SoftwareVersion;
 use futures_util::stream::{self, Stream};
 use tokio::task::yield_now;
 
@@ -26,7 +26,7 @@
 use crate::serve::forward::resume;
 use crate::serve::plan::choose_for_resume;
 use crate::serve::progress::Progress;
-use crate::serve::response_timeout::may_abandon;
+use crate::serve::response_timeout::may_hedge;
 use crate::serve::retries::may_retry;
 use crate::serve::unmarked_end::{EngineState, check_engine};
 use crate::streams::share::record_origin;
@@ -53,7 +53,6 @@
 pub(crate) struct AnswerStream {
     context: Rc<Context>,
     progress: Progress,
-    pool: PoolName,
     answer: EngineAnswer,
     _in_flight: InFlightGuard,
     /// Splits an event stream into events, so that incomplete ones are held back. `None` for other bodies.
@@ -69,7 +68,6 @@
     pub(crate) fn new(
         context: Rc<Context>,
         progress: Progress,
-        pool: PoolName,
         answer: EngineAnswer,
         in_flight: InFlightGuard,
     ) -> Self {
@@ -81,7 +79,6 @@
             splitter: is_event_stream.then(EventSplitter::default),
             is_resumable: is_event_stream && kind.is_repeatable(),
             progress,
-            pool,
             answer,
             _in_flight: in_flight,
             any_sent: false,
@@ -150,7 +147,7 @@
                     continue;
                 }
                 Some(None) if self.is_truncated() => RunFailure::InsideEvent,
-                Some(None) => match check_engine(&self.context, &self.pool, &self.answer).await {
+                Some(None) => match check_engine(&self.context, &self.answer).await {
                     state @ EngineState::Alive => return self.finish(state),
                     // The answer may be whole. Another engine can tell, as it goes on after the last event.
                     state @ (EngineState::Left | EngineState::Unknown) if !self.can_resume() => {
@@ -179,7 +176,7 @@
                 .take()
                 .or_else(|| self.current_software());
             let software = self.answer.software.as_ref();
-            self.progress.binding = StreamBinding::to(&self.pool, software);
+            self.progress.binding = StreamBinding::to(&self.answer.pool, software);
             let id = self.progress.facts.id.as_deref();
             record_origin(&self.context, id, &self.progress.binding);
         }
@@ -197,7 +194,7 @@
     fn can_resume(&self) -> bool {
         self.is_resumable
             && may_retry(&self.context, &self.progress)
-            && choose_for_resume(&self.context, &self.progress, &self.pool).is_some()
+            && choose_for_resume(&self.context, &self.progress, &self.answer.pool).is_some()
     }
 
     /// The next chunk of the engine's answer; `None` if the engine is to be abandoned.
@@ -300,7 +297,7 @@
         let route = &self.progress.route;
         let engine = &self.answer.choice.engine;
         if !self.progress.may_call_another()
-            || !may_abandon(&self.context, &self.progress, &self.pool, engine)
+            || !may_hedge(&self.context, &self.progress, &self.answer.pool, engine)
         {
             return self.progress.time_left();
         }
@@ -322,7 +319,7 @@
     /// Resumes the stream at another engine after the last event sent to the caller; false if that is not possible.
     async fn resume_elsewhere(&mut self) -> bool {
         self.progress.facts.last_event = self.last_event;
-        let resumed = resume(&self.context, &mut self.progress, &self.pool).await;
+        let resumed = resume(&self.context, &mut self.progress, &self.answer.pool).await;
         let Some(answer) = resumed else {
             return false;
         };
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -1,16 +1,13 @@
-//! Makes one call to one engine and classifies the result.
+//! Makes calls to engines and records their outcomes.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::StatusCode;
-use actix_http::header::CONTENT_ENCODING;
-use dalestand_clock::{BootInstant, timeout};
+use actix_http::RequestHead;
+use dalestand_clock::{BootInstant, timeout_at};
 use dalestand_edge::routed::EngineRequestOptions;
-use dalestand_engine_link::{
-    AllowedPaths, Exchange, LinkTarget, ResponseBody, ResponseHead, SendError,
-};
+use dalestand_engine_link::{LinkTarget, ResponseBody, ResponseHead};
 use dalestand_quarantine::STOP_AFTER_CRASHES;
 use dalestand_routing::staged::{AttemptResult, ClosedReason, EngineChoice, EngineKey};
 use dalestand_routing::{CallOutcome, CallPurpose, RepeatedSend, RetryBalance};
@@ -25,10 +22,10 @@
 use crate::quarantine::evidence::{crash_count, is_stopped};
 use crate::quarantine::parts::evidence::{held_part, part_crash_count};
 use crate::quarantine::run_watch::{RunWatch, UnfinishedReason};
+use crate::serve::call_verdict::{Verdict, classify};
 use crate::serve::class_counts::BusySlot;
-use crate::serve::engine_send::{
-    CallContent, CallError, EngineCall, EngineReply, closed_reason, send,
-};
+use crate::serve::engine_send::{CallContent, CallError, EngineReply, closed_reason};
+use crate::serve::open_call::{OpenCall, OwnedCall, next_reply, send_owned};
 use crate::serve::progress::{CallSignals, EntryUsed, Progress, SilentCall};
 use crate::serve::work_guard::WorkGuard;
 
@@ -36,6 +33,8 @@
 pub(crate) struct EngineAnswer {
     pub(crate) head: ResponseHead,
     pub(crate) body: ResponseBody,
+    /// The engine's pool.
+    pub(crate) pool: PoolName,
     pub(crate) choice: EngineChoice,
     /// Version of the engine's software when the call was made, if known.
     pub(crate) software: Option<SoftwareVersion>,
@@ -62,6 +61,16 @@
     Unknown,
 }
 
+impl AttemptOutcome {
+    /// Whether it ends the search for an answer: the engine answers and reports no failure.
+    fn is_final_answer(&self) -> bool {
+        match self {
+            Self::Answered(answer) => !answer.head.status.is_server_error(),
+            Self::Refused | Self::NotSent | Self::Unknown => false,
+        }
+    }
+}
+
 /// One call to be made.
 pub(crate) struct Call<'a> {
     pub(crate) purpose: CallPurpose,
@@ -73,33 +82,81 @@
 }
 
 /// Makes one call. Records the outcome in `progress` and in the engine's health.
+///
+/// If the engine stays silent for the call's time limit, the call stays open, as far as the request may be repeated: the
+/// engine may go on before another one answers. The answer returned may thus be that of an earlier call.
 pub(crate) async fn attempt(
     context: &Rc<Context>,
     progress: &mut Progress,
     call: Call<'_>,
 ) -> AttemptOutcome {
-    let choice = call.choice.clone();
-    let engine = choice.engine.clone();
+    let time_limit = call.timeout;
+    match open_call(context, progress, call).await {
+        Ok(call) => progress.open_calls.push(call),
+        Err(outcome) => return outcome,
+    }
+    let until = BootInstant::now() + time_limit;
+    loop {
+        let replied = timeout_at(until, next_reply(&mut progress.open_calls)).await;
+        let Ok((call, reply)) = replied else {
+            return record_silence(context, progress);
+        };
+        let is_own = !call.is_silent();
+        let outcome = settle(context, progress, call, Some(reply));
+        if outcome.is_final_answer() {
+            abandon_open_calls(context, progress);
+        }
+        if is_own || matches!(outcome, AttemptOutcome::Answered(_)) {
+            return outcome;
+        }
+    }
+}
+
+/// Waits for an answer to a call that is still open; `None` if none of them gets one.
+pub(crate) async fn await_open_calls(
+    context: &Context,
+    progress: &mut Progress,
+) -> Option<Box<EngineAnswer>> {
+    while !progress.open_calls.is_empty() {
+        let (call, reply) = next_reply(&mut progress.open_calls).await;
+        let outcome = settle(context, progress, call, Some(reply));
+        if outcome.is_final_answer() {
+            abandon_open_calls(context, progress);
+        }
+        if let AttemptOutcome::Answered(answer) = outcome {
+            return Some(answer);
+        }
+    }
+    None
+}
+
+/// Prepares a call and counts it as sent, unless it may not be made.
+async fn open_call(
+    context: &Rc<Context>,
+    progress: &mut Progress,
+    call: Call<'_>,
+) -> Result<OpenCall, AttemptOutcome> {
+    let engine = call.choice.engine.clone();
     let Some(known) = context.fleet().engine(engine.key).cloned() else {
-        return AttemptOutcome::NotSent;
+        return Err(AttemptOutcome::NotSent);
     };
     // The engine may have been chosen before the caller got events of another one.
     if !progress.binding.allows(call.pool, known.software.as_ref()) {
-        return record_not_sent(progress, &call, "other software");
+        return Err(record_not_sent(progress, &call, "other software"));
     }
     check_previous_engine(context, progress, call.pool).await;
     // Checked for each call, as the request may have been stopped since it arrived.
     if is_blocked(context, progress) {
-        return record_not_sent(progress, &call, "stopped");
+        return Err(record_not_sent(progress, &call, "stopped"));
     }
     let content = CallContent::Request(progress.facts.id.clone());
     if let Some(closed) = closed_reason(context, &engine, &content) {
-        return record_withheld(context, progress, &call, closed);
+        return Err(record_withheld(context, progress, &call, closed));
     }
     let permission = match SendPermission::for_request(context, engine.key).await {
         Ok(permission) => permission,
         Err(closed) => {
-            return record_withheld(context, progress, &call, closed);
+            return Err(record_withheld(context, progress, &call, closed));
         }
     };
     let retry = if progress.call_counts.is_repeat() {
@@ -108,18 +165,61 @@
                 record_given_up(context, progress);
                 Some((send, balance))
             }
-            (None, balance) => return record_denied(context, progress, &call, balance),
+            (None, balance) => return Err(record_denied(context, progress, &call, balance)),
         }
     } else {
         None
     };
+    let not_started_before = context.router.borrow().work.total(engine.key).starting;
+    let work = occupy_engine(context, progress, &call);
+    let head = call_head(context, progress, &call);
+    progress.tried.push(engine.key);
+    // If the request is dropped before the response head arrives, it is unknown whether it ran.
+    if call.purpose == CallPurpose::Run {
+        progress.runs += 1;
+    }
+    context.record_sent_bytes(progress.sent_bytes());
+    let target = known.target();
+    let sending = send_owned(
+        Rc::clone(context),
+        OwnedCall {
+            pool: call.pool.clone(),
+            engine: engine.clone(),
+            target: target.clone(),
+            head,
+            body: progress.forwarded.body.clone(),
+            content,
+            permission,
+        },
+    );
+    Ok(OpenCall {
+        sending: Box::pin(sending),
+        watch: RunWatch::new(context, progress, &engine, call.pool),
+        work,
+        purpose: call.purpose,
+        pool: call.pool.clone(),
+        known_limit: rate_limit(context, engine.key),
+        entry: entry_used(context, &engine.run),
+        choice: call.choice,
+        target,
+        software: known.software,
+        sent_at: BootInstant::now(),
+        sent_time: context.now(),
+        not_started_before,
+        retry,
+        silent_record: None,
+    })
+}
+
+/// Counts the request at the engine of a call that is about to be sent.
+fn occupy_engine(context: &Rc<Context>, progress: &mut Progress, call: &Call<'_>) -> WorkGuard {
+    let choice = &call.choice;
     let parts = progress.prompt_parts();
-    let work_before = context.router.borrow().work.total(engine.key);
     let slot = BusySlot::occupy(&context.classes, &progress.class);
-    let mut work = WorkGuard::new(
+    let work = WorkGuard::new(
         context,
-        &engine,
-        call.choice.unprefilled_tokens,
+        &choice.engine,
+        choice.unprefilled_tokens,
         &parts,
         slot,
     );
@@ -127,7 +227,12 @@
         // From now on the request counts among those at engines, so its reservation ends.
         progress.reservation = None;
     }
-    count_prefill(context, progress, call.choice.unprefilled_tokens);
+    count_prefill(context, progress, choice.unprefilled_tokens);
+    work
+}
+
+/// The head of the request as it is sent with a call.
+fn call_head(context: &Context, progress: &Progress, call: &Call<'_>) -> RequestHead {
     let mut head = progress.request_head();
     let terms = EngineRequestOptions {
         fetch_from: call
@@ -135,157 +240,182 @@
             .fetch_from
             .and_then(|key| engine_address(context, key)),
         deadline: progress.deadline_left(),
-        run: &engine.run,
+        run: &call.choice.engine.run,
         caller: progress.caller.clone(),
-        ..call.terms
+        ..call.terms.clone()
     };
     context.dialect.write_request(&mut head.headers, &terms);
-    progress.tried.push(engine.key);
-    // If this future is dropped before the response head arrives, it is unknown whether the request
-    // ran.
-    if call.purpose == CallPurpose::Run {
-        progress.runs += 1;
+    head
+}
+
+/// Records that the engine of the newest call has not answered in time. A run that may be repeated stays open.
+fn record_silence(context: &Context, progress: &mut Progress) -> AttemptOutcome {
+    let Some(mut call) = progress.open_calls.pop() else {
+        return AttemptOutcome::Unknown;
+    };
+    progress.silent_calls.push(SilentCall {
+        engine: call.choice.engine.key,
+        pool: call.pool.clone(),
+        sent_at: call.sent_time,
+    });
+    let stays_open = call.purpose == CallPurpose::Run && progress.route.kind.is_repeatable();
+    if !stays_open {
+        return settle(context, progress, call, None);
     }
-    let mut watch = RunWatch::new(context, progress, &engine, call.pool);
-    let sent_at = BootInstant::now();
-    let sent_time = context.now();
-    let known_limit = rate_limit(context, engine.key);
-    let entry = entry_used(context, &engine.run);
-    context.record_sent_bytes(progress.sent_bytes());
-    let target = known.target();
-    let sent = send(
+    call.watch.record_silence();
+    record_health(context, &call, AttemptResult::NoResponse);
+    record_outcome(
         context,
-        EngineCall {
-            pool: call.pool,
-            engine: &engine,
-            target: &target,
-            head,
-            body: &progress.forwarded.body,
-            content,
-            paths: AllowedPaths::Any,
-            permission,
-        },
+        progress,
+        &mut call,
+        "silent",
+        CallSignals::default(),
     );
-    let answered = timeout(call.timeout, sent).await;
-    let took = sent_at.elapsed();
-    let (verdict, mut signals) = classify(answered.ok());
-    signals.known_limit = known_limit;
-    signals.entry = entry;
-    signals.software = known.software.clone();
-    let (outcome, label, result) = match verdict {
-        Verdict::Valid(exchange) => {
-            let result = if exchange.head.status.is_server_error() {
-                AttemptResult::Failed
-            } else {
-                AttemptResult::Success(took)
-            };
-            work.record_started();
-            if let Some(tenant) = progress.tenant.clone()
-                && call.purpose == CallPurpose::Run
-            {
-                work.set_tenant(tenant);
-            }
-            let answer = EngineAnswer {
-                not_started_before: work_before.starting,
-                head: exchange.head,
-                body: exchange.body,
-                choice: call.choice,
-                software: known.software,
-                work,
-                watch,
-                sent_at,
-                answered_at: BootInstant::now(),
-                target,
-            };
-            (
-                AttemptOutcome::Answered(Box::new(answer)),
-                "answered",
-                Some(result),
-            )
+    progress
+        .call_counts
+        .record(CallPurpose::Run, CallOutcome::NotAccepted);
+    call.silent_record = Some(progress.calls.len() - 1);
+    progress.open_calls.push(call);
+    AttemptOutcome::Unknown
+}
+
+/// Gives up the calls that are still open, because the request has an answer.
+pub(crate) fn abandon_open_calls(context: &Context, progress: &mut Progress) {
+    for mut call in std::mem::take(&mut progress.open_calls) {
+        if call.is_silent() {
+            call.watch.record_unfinished(UnfinishedReason::Silent);
+            continue;
         }
+        let (now, engine) = (context.now(), call.choice.engine.key);
+        let mut budget = context.budget.borrow_mut();
+        // The engine may read the call later.
+        budget.record_given_up(now, engine, &call.pool, call.sent_time);
+        drop(budget);
+        record_outcome(
+            context,
+            progress,
+            &mut call,
+            "overtaken",
+            CallSignals::default(),
+        );
+        let counts = &mut progress.call_counts;
+        counts.record(call.purpose, CallOutcome::NotAccepted);
+    }
+}
+
+/// Records the newest call as unanswered at the request's time limit.
+pub(crate) fn record_unanswered(context: &Context, progress: &mut Progress) {
+    let Some(mut call) = progress.open_calls.pop() else {
+        return;
+    };
+    if !call.is_silent() {
+        let no_signals = CallSignals::default();
+        record_outcome(context, progress, &mut call, "unanswered", no_signals);
+    }
+    progress.open_calls.push(call);
+}
+
+/// Classifies the result of a call and records it; `None` if the call is given up without one.
+fn settle(
+    context: &Context,
+    progress: &mut Progress,
+    mut call: OpenCall,
+    reply: Option<Result<EngineReply, CallError>>,
+) -> AttemptOutcome {
+    let was_answered = reply.is_some();
+    let (verdict, signals) = classify(reply);
+    let took = call.sent_at.elapsed();
+    let (label, result) = verdict.label_and_result(took);
+    match &verdict {
+        Verdict::Refused
+        | Verdict::NotSent
+        | Verdict::NoListener
+        | Verdict::Withheld
+        | Verdict::NoConnection => call.watch.dismiss(),
+        Verdict::Broken => call.watch.record_unfinished(UnfinishedReason::NoAnswer),
+        Verdict::NoResponse => call.watch.record_unfinished(UnfinishedReason::Silent),
+        Verdict::Valid(_) => {}
+    }
+    match &verdict {
         Verdict::Refused => {
-            watch.dismiss();
             let now = context.now();
             context.classes.update(&progress.class, |meter| {
                 meter.engine_refusals.count(now, 1.0)
             });
-            (
-                AttemptOutcome::Refused,
-                "refused",
-                Some(AttemptResult::Refused),
-            )
-        }
-        Verdict::NotSent => {
-            watch.dismiss();
-            (
-                AttemptOutcome::NotSent,
-                "not sent",
-                Some(AttemptResult::NoResponse),
-            )
         }
         Verdict::NoListener => {
-            watch.dismiss();
+            let engine = &call.choice.engine;
             record_engine_end(context, engine.key, &engine.run, EndProof::NoListener);
-            let silent = Some(AttemptResult::NoResponse);
-            (AttemptOutcome::NotSent, "no listener", silent)
-        }
-        Verdict::Withheld => {
-            watch.dismiss();
-            (AttemptOutcome::NotSent, "withheld", None)
-        }
-        Verdict::NoConnection => {
-            watch.dismiss();
-            (AttemptOutcome::NotSent, "no connection", None)
-        }
-        Verdict::Broken => {
-            watch.record_unfinished(UnfinishedReason::NoAnswer);
-            (
-                AttemptOutcome::Unknown,
-                "broken",
-                Some(AttemptResult::Failed),
-            )
         }
-        Verdict::NoResponse => {
-            watch.record_unfinished(UnfinishedReason::Silent);
-            progress.silent_calls.push(SilentCall {
-                engine: engine.key,
-                pool: call.pool.clone(),
-                sent_at: sent_time,
-            });
-            (
-                AttemptOutcome::Unknown,
-                "silent",
-                Some(AttemptResult::NoResponse),
-            )
-        }
-    };
+        _ => {}
+    }
     if let Some(result) = result {
-        let now = context.now();
-        let mut router = context.router.borrow_mut();
-        router.health.record(now, engine.key, result);
+        record_health(context, &call, result);
+    }
+    if was_answered {
+        let engine = call.choice.engine.key;
+        let silent_calls = &mut progress.silent_calls;
+        silent_calls.retain(|silent| silent.engine != engine || silent.sent_at != call.sent_time);
     }
-    if call.purpose == CallPurpose::Run
-        && matches!(outcome, AttemptOutcome::Refused | AttemptOutcome::NotSent)
-    {
+    record_outcome(context, progress, &mut call, label, signals);
+    let call_outcome = verdict.call_outcome();
+    if call.purpose == CallPurpose::Run && verdict.shows_not_run() {
         progress.runs -= 1;
     }
-    if call.purpose == CallPurpose::Run && matches!(outcome, AttemptOutcome::Answered(_)) {
-        count_usage(context, progress);
+    // The count of a silent call was taken when it fell silent.
+    if !call.is_silent() {
+        let is_free = progress.call_counts.record(call.purpose, call_outcome);
+        if let Some((send, _)) = call.retry.filter(|_| is_free) {
+            context.budget.borrow_mut().give_back(&call.pool, send);
+            context.metrics.retry(&call.pool, RetryOutcome::Returned);
+        }
+    }
+    match verdict {
+        Verdict::Valid(exchange) => {
+            if call.purpose == CallPurpose::Run {
+                if let Some(tenant) = progress.tenant.clone() {
+                    call.work.set_tenant(tenant);
+                }
+                count_usage(context, progress);
+            }
+            AttemptOutcome::Answered(Box::new(call.into_answer(*exchange)))
+        }
+        Verdict::Refused => AttemptOutcome::Refused,
+        Verdict::NotSent | Verdict::NoListener | Verdict::Withheld | Verdict::NoConnection => {
+            AttemptOutcome::NotSent
+        }
+        Verdict::Broken | Verdict::NoResponse => AttemptOutcome::Unknown,
     }
-    let call_outcome = match &outcome {
-        AttemptOutcome::Answered(_) => CallOutcome::Accepted,
-        AttemptOutcome::Refused | AttemptOutcome::Unknown => CallOutcome::NotAccepted,
-        AttemptOutcome::NotSent => CallOutcome::NotDelivered,
+}
+
+fn record_health(context: &Context, call: &OpenCall, result: AttemptResult) {
+    let now = context.now();
+    let mut router = context.router.borrow_mut();
+    router.health.record(now, call.choice.engine.key, result);
+}
+
+/// Records the outcome of a call for the log and the metrics. That of a call that was silent before replaces the former
+/// one.
+fn record_outcome(
+    context: &Context,
+    progress: &mut Progress,
+    call: &mut OpenCall,
+    outcome: &'static str,
+    mut signals: CallSignals,
+) {
+    signals.known_limit = call.known_limit;
+    signals.entry = call.entry;
+    signals.software = call.software.clone();
+    let took = call.sent_at.elapsed();
+    let balance = call.retry.map(|(_, balance)| balance);
+    let (purpose, choice) = (call.purpose, &call.choice);
+    let record = match call.silent_record {
+        Some(index) => progress.record_late(index, outcome, took, signals),
+        None => Some(progress.record(purpose, choice, outcome, took, signals, balance)),
     };
-    let is_free = progress.call_counts.record(call.purpose, call_outcome);
-    if let Some((send, _)) = retry.filter(|_| is_free) {
-        context.budget.borrow_mut().give_back(call.pool, send);
-        context.metrics.retry(call.pool, RetryOutcome::Returned);
+    if let Some(record) = record {
+        context.metrics.call(record);
     }
-    let balance = retry.map(|(_, balance)| balance);
-    let record = progress.record(call.purpose, &choice, label, took, signals, balance);
-    context.metrics.call(record);
-    outcome
 }
 
 /// Records a call that the request itself may not make.
@@ -436,52 +566,3 @@
         budget.record_given_up(now, call.engine, &call.pool, call.sent_at);
     }
 }
-
-/// Classification of the result of a call.
-enum Verdict {
-    Valid(Box<Exchange>),
-    Refused,
-    NotSent,
-    NoListener,
-    NoConnection,
-    Withheld,
-    Broken,
-    NoResponse,
-}
-
-fn classify(answered: Option<Result<EngineReply, CallError>>) -> (Verdict, CallSignals) {
-    let no_signals = CallSignals::default();
-    let reply = match answered {
-        None => return (Verdict::NoResponse, no_signals),
-        Some(Err(CallError::Closed(closed))) => return (Verdict::Withheld, closed.into()),
-        Some(Err(CallError::Link(error))) => return (classify_error(&error), no_signals),
-        Some(Ok(reply)) => reply,
-    };
-    let signals = CallSignals {
-        reported: reply.signals(),
-        path: reply.exchange.path,
-        ..no_signals
-    };
-    if !reply.is_matching {
-        // A stray answer to another request says nothing about this one; the connection is closed.
-        return (Verdict::Broken, signals);
-    }
-    if reply.facts.refused {
-        return (Verdict::Refused, signals);
-    }
-    let head = &reply.exchange.head;
-    if head.status == StatusCode::OK && head.headers.contains_key(CONTENT_ENCODING) {
-        return (Verdict::Broken, signals);
-    }
-    (Verdict::Valid(Box::new(reply.exchange)), signals)
-}
-
-fn classify_error(error: &SendError) -> Verdict {
-    match error {
-        SendError::ConnectionLimitReached(_) => Verdict::NoConnection,
-        SendError::NoListener(_) => Verdict::NoListener,
-        SendError::NotSent(_) => Verdict::NotSent,
-        SendError::NotEligible => Verdict::Withheld,
-        SendError::MayHaveRun(_) => Verdict::Broken,
-    }
-}
--- /dev/null
+++ b/crates/forwarding/src/serve/call_verdict.rs
@@ -0,0 +1,112 @@
+//! Classifies the results of calls to engines.
+
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use actix_http::header::CONTENT_ENCODING;
+use dalestand_engine_link::{Exchange, SendError};
+use dalestand_routing::CallOutcome;
+use dalestand_routing::staged::AttemptResult;
+
+use crate::serve::engine_send::{CallError, EngineReply};
+use crate::serve::progress::CallSignals;
+
+/// Classification of the result of a call.
+pub(super) enum Verdict {
+    /// A response to the request.
+    Valid(Box<Exchange>),
+    /// The engine reported that it did not run the request.
+    Refused,
+    /// Nothing was sent.
+    NotSent,
+    /// Nothing was sent, since nothing listens at the engine's address.
+    NoListener,
+    /// Nothing was sent, since all connections to the engine are in use.
+    NoConnection,
+    /// Nothing was sent, since the engine is closed to the call.
+    Withheld,
+    /// There is no valid response, and the request may have run.
+    Broken,
+    /// There was no response in time.
+    NoResponse,
+}
+
+impl Verdict {
+    /// Name for logs and metrics, and what the result says about the engine's health after a call of `took`.
+    pub(super) fn label_and_result(&self, took: Duration) -> (&'static str, Option<AttemptResult>) {
+        match self {
+            Self::Valid(exchange) if exchange.head.status.is_server_error() => {
+                ("answered", Some(AttemptResult::Failed))
+            }
+            Self::Valid(_) => ("answered", Some(AttemptResult::Success(took))),
+            Self::Refused => ("refused", Some(AttemptResult::Refused)),
+            Self::NotSent => ("not sent", Some(AttemptResult::NoResponse)),
+            Self::NoListener => ("no listener", Some(AttemptResult::NoResponse)),
+            Self::Withheld => ("withheld", None),
+            Self::NoConnection => ("no connection", None),
+            Self::Broken => ("broken", Some(AttemptResult::Failed)),
+            Self::NoResponse => ("silent", Some(AttemptResult::NoResponse)),
+        }
+    }
+
+    /// Whether the result shows that the engine did not run the request.
+    pub(super) fn shows_not_run(&self) -> bool {
+        match self {
+            Self::Refused
+            | Self::NotSent
+            | Self::NoListener
+            | Self::Withheld
+            | Self::NoConnection => true,
+            Self::Valid(_) | Self::Broken | Self::NoResponse => false,
+        }
+    }
+
+    /// How the call counts among those of its request.
+    pub(super) fn call_outcome(&self) -> CallOutcome {
+        match self {
+            Self::Valid(_) => CallOutcome::Accepted,
+            Self::Refused | Self::Broken | Self::NoResponse => CallOutcome::NotAccepted,
+            Self::NotSent | Self::NoListener | Self::Withheld | Self::NoConnection => {
+                CallOutcome::NotDelivered
+            }
+        }
+    }
+}
+
+/// Classifies the result of a call, `None` if it was given up; with what the engine signalled.
+pub(super) fn classify(answered: Option<Result<EngineReply, CallError>>) -> (Verdict, CallSignals) {
+    let no_signals = CallSignals::default();
+    let reply = match answered {
+        None => return (Verdict::NoResponse, no_signals),
+        Some(Err(CallError::Closed(closed))) => return (Verdict::Withheld, closed.into()),
+        Some(Err(CallError::Link(error))) => return (classify_error(&error), no_signals),
+        Some(Ok(reply)) => reply,
+    };
+    let signals = CallSignals {
+        reported: reply.signals(),
+        path: reply.exchange.path,
+        ..no_signals
+    };
+    if !reply.is_matching {
+        // A stray answer to another request says nothing about this one; the connection is closed.
+        return (Verdict::Broken, signals);
+    }
+    if reply.facts.refused {
+        return (Verdict::Refused, signals);
+    }
+    let head = &reply.exchange.head;
+    if head.status == StatusCode::OK && head.headers.contains_key(CONTENT_ENCODING) {
+        return (Verdict::Broken, signals);
+    }
+    (Verdict::Valid(Box::new(reply.exchange)), signals)
+}
+
+fn classify_error(error: &SendError) -> Verdict {
+    match error {
+        SendError::ConnectionLimitReached(_) => Verdict::NoConnection,
+        SendError::NoListener(_) => Verdict::NoListener,
+        SendError::NotSent(_) => Verdict::NotSent,
+        SendError::NotEligible => Verdict::Withheld,
+        SendError::MayHaveRun(_) => Verdict::Broken,
+    }
+}
--- a/crates/forwarding/src/serve/deliver.rs
+++ b/crates/forwarding/src/serve/deliver.rs
@@ -1,16 +1,15 @@
-//! Turns the outcome of a call into an answer for the caller, buffered or streamed.
+//! Turns an engine's answer into one for the caller, buffered or streamed.
 
 use std::rc::Rc;
 
 use bytes::Bytes;
 use dalestand_engine_link::ResponseHead;
 use dalestand_routing::staged::AttemptResult;
-use dalestand_types::PoolName;
 
 use crate::context::Context;
 use crate::quarantine::run_watch::UnfinishedReason;
 use crate::serve::answer::guarantees_not_run;
-use crate::serve::attempt::{AttemptOutcome, EngineAnswer};
+use crate::serve::attempt::EngineAnswer;
 use crate::serve::held_bytes::HeldReservation;
 use crate::serve::progress::Progress;
 use crate::serve::unmarked_end::{EngineState, check_engine};
@@ -27,20 +26,15 @@
     /// A completely received answer.
     Whole(ResponseHead, Bytes, HeldReservation),
     /// An answer whose body is still being received.
-    Stream(PoolName, Box<EngineAnswer>),
+    Stream(Box<EngineAnswer>),
 }
 
-/// Turns the outcome of a call into an answer for the caller; `None` if there is none.
+/// Turns an engine's answer into one for the caller; `None` if it is broken or must not be passed on.
 pub(super) async fn deliver(
     context: &Rc<Context>,
     progress: &Progress,
-    pool: PoolName,
-    outcome: AttemptOutcome,
+    mut answer: Box<EngineAnswer>,
 ) -> Option<Served> {
-    let mut answer = match outcome {
-        AttemptOutcome::Answered(answer) => answer,
-        AttemptOutcome::Refused | AttemptOutcome::NotSent | AttemptOutcome::Unknown => return None,
-    };
     let is_long = answer
         .body
         .length()
@@ -59,11 +53,11 @@
     let reservation = context.held_bytes.reserve(expected);
     let is_streamed = is_stream || (is_long && !is_false_guarantee);
     let Some(mut reservation) = reservation.filter(|_| !is_streamed) else {
-        return (!is_false_guarantee).then(|| Served::Stream(pool, answer));
+        return (!is_false_guarantee).then(|| Served::Stream(answer));
     };
     let body = answer.body.collect(MAX_BUFFERED_BYTES).await;
     let state = match body {
-        Ok(_) => check_engine(context, &pool, &answer).await,
+        Ok(_) => check_engine(context, &answer).await,
         Err(_) => EngineState::Unknown,
     };
     match body {
--- a/crates/forwarding/src/serve/engine_send.rs
+++ b/crates/forwarding/src/serve/engine_send.rs
@@ -35,7 +35,7 @@
     /// Paths that it may take.
     pub(crate) paths: AllowedPaths,
     /// Permission to send it.
-    pub(crate) permission: SendPermission<'a>,
+    pub(crate) permission: SendPermission,
 }
 
 /// What a call carries.
--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -20,7 +20,9 @@
 use crate::serve::admitted_plan::admitted_plan;
 use crate::serve::answer::{Failure, streaming_answer};
 use crate::serve::answer_stream::AnswerStream;
-use crate::serve::attempt::{AttemptOutcome, Call, EngineAnswer, attempt, is_blocked};
+use crate::serve::attempt::{
+    AttemptOutcome, Call, EngineAnswer, attempt, await_open_calls, is_blocked, record_unanswered,
+};
 use crate::serve::deliver::{Served, deliver};
 use crate::serve::final_failure::final_failure;
 use crate::serve::held_bytes::in_chunks;
@@ -55,6 +57,7 @@
     let due = progress.due;
     let served = timeout_at(due, serve(&context, &mut progress)).await;
     let served = served.unwrap_or_else(|_| {
+        record_unanswered(&context, &mut progress);
         Err(if progress.runs == 0 {
             Failure::TimeOverNotRun
         } else {
@@ -63,7 +66,7 @@
     });
     let status = match &served {
         Ok(Served::Whole(head, ..)) => head.status,
-        Ok(Served::Stream(_, answer)) => answer.head.status,
+        Ok(Served::Stream(answer)) => answer.head.status,
         Err(failure) => failure.status(),
     };
     count_outcome(&context, &progress, served.as_ref().err().copied());
@@ -76,18 +79,13 @@
             let length = body.len() as u64;
             streaming_answer(&head, Some(length), in_chunks(body, reservation))
         }
-        Ok(Served::Stream(pool, engine_answer)) => {
+        Ok(Served::Stream(engine_answer)) => {
             log_served(&context, &progress, engine_answer.head.status.as_u16());
             let head = &engine_answer.head;
             let mut forwarded_head = ResponseHead::new(head.status);
             forwarded_head.headers = head.headers.clone();
-            let stream = AnswerStream::new(
-                Rc::clone(&context),
-                progress,
-                pool,
-                *engine_answer,
-                in_flight,
-            );
+            let stream =
+                AnswerStream::new(Rc::clone(&context), progress, *engine_answer, in_flight);
             streaming_answer(&forwarded_head, stream.length(), stream.into_stream())
         }
         Err(failure) => {
@@ -138,12 +136,13 @@
     }
     bind_resumed(context, progress).await?;
     let mut fallback = None;
-    loop {
+    let failure = loop {
         match serve_once(context, progress).await {
-            Ok(Some(Served::Whole(head, body, reservation)))
-                if head.status.is_server_error() && may_retry(context, progress) =>
-            {
+            Ok(Some(Served::Whole(head, body, reservation))) if head.status.is_server_error() => {
                 fallback = Some(Served::Whole(head, body, reservation));
+                if !may_retry(context, progress) {
+                    break Failure::Unknown;
+                }
             }
             Ok(Some(served)) => return Ok(served),
             Ok(None) if may_retry(context, progress) => {
@@ -155,14 +154,21 @@
                     pause_before_retry(progress).await;
                 }
             }
-            Ok(None) => return fallback.ok_or(final_failure(context, progress)),
+            Ok(None) => break final_failure(context, progress),
             Err(Failure::NoEngine) if should_wait_for_place(context, progress) => {
                 pause_before_retry(progress).await;
                 progress.tried.clear();
             }
-            Err(failure) => return fallback.ok_or(failure),
+            Err(failure) => break failure,
+        }
+    };
+    // Engines that have fallen silent may go on.
+    while let Some(answer) = await_open_calls(context, progress).await {
+        if let Some(served) = deliver(context, progress, answer).await {
+            return Ok(served);
         }
     }
+    fallback.ok_or(failure)
 }
 
 /// Refuses a stopped request and one with a held part, unless this node may run it as a trial.
@@ -217,7 +223,7 @@
     match plan.step {
         Step::Whole(choice) => {
             let outcome = run_on_engine(context, progress, &pool, choice, None).await;
-            Ok(deliver(context, progress, pool, outcome).await)
+            Ok(deliver_outcome(context, progress, outcome).await)
         }
         Step::Prefill(choice) => match prefill(context, progress, &pool, choice).await {
             PrefillOutcome::Held(held) => decode(context, progress, pool, *held).await,
@@ -261,17 +267,29 @@
         Some(AttemptOutcome::Answered(answer)) => {
             record_decode_start(context, &answer);
             held.mark_fetched();
-            Ok(deliver(context, progress, pool, AttemptOutcome::Answered(answer)).await)
+            Ok(deliver(context, progress, answer).await)
         }
         Some(outcome) => {
             if matches!(outcome, AttemptOutcome::Unknown) {
                 held.mark_fetched();
             }
-            Ok(deliver(context, progress, pool, outcome).await)
+            Ok(deliver_outcome(context, progress, outcome).await)
         }
     }
 }
 
+/// Turns the outcome of a call into an answer for the caller; `None` if there is none.
+async fn deliver_outcome(
+    context: &Rc<Context>,
+    progress: &Progress,
+    outcome: AttemptOutcome,
+) -> Option<Served> {
+    match outcome {
+        AttemptOutcome::Answered(answer) => deliver(context, progress, answer).await,
+        AttemptOutcome::Refused | AttemptOutcome::NotSent | AttemptOutcome::Unknown => None,
+    }
+}
+
 /// Chooses the engine that continues from the KV cache.
 fn choose_decode(
     context: &Context,
@@ -319,14 +337,16 @@
     attempt(context, progress, call).await
 }
 
-/// Resumes a stream at another engine; `None` if that is not allowed or no engine answers.
+/// Resumes a stream at another engine; `None` if that is not allowed or no engine accepts it.
 pub(crate) async fn resume(
     context: &Rc<Context>,
     progress: &mut Progress,
     pool: &PoolName,
 ) -> Option<EngineAnswer> {
     while may_retry(context, progress) {
-        let choice = choose_for_resume(context, progress, pool)?;
+        let Some(choice) = choose_for_resume(context, progress, pool) else {
+            break;
+        };
         if let AttemptOutcome::Answered(answer) =
             run_on_engine(context, progress, pool, choice, None).await
             && answer.head.status.is_success()
@@ -334,5 +354,10 @@
             return Some(*answer);
         }
     }
+    while let Some(answer) = await_open_calls(context, progress).await {
+        if answer.head.status.is_success() {
+            return Some(*answer);
+        }
+    }
     None
 }
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -24,6 +24,7 @@
 use crate::fleet::engines::Fleet;
 use crate::fleet_sums::{ClassKey, TenantKey};
 use crate::node::settings::ForwardingSettings;
+use crate::serve::open_call::OpenCall;
 use crate::serve::pool_admissions::{AdmissionRecord, Reservation};
 use crate::serve::tenant_shares::{ShareStatus, tenant_code};
 
@@ -52,6 +53,8 @@
     pub(crate) engine: Arc<str>,
     pub(crate) outcome: &'static str,
     pub(crate) took: Duration,
+    /// Whether the engine was silent for the call's time limit before this outcome.
+    was_silent: bool,
     /// Time from the arrival of the request to the choice of the engine.
     chosen_after: Duration,
     /// Estimated seconds until the answer starts, including queues and risk margins.
@@ -66,7 +69,7 @@
     pub(crate) retry: Option<RetryBalance>,
 }
 
-/// A call that was given up without an answer. The engine may read it later.
+/// A call whose engine has fallen silent. The engine may read it later.
 pub(crate) struct SilentCall {
     pub(crate) engine: EngineKey,
     pub(crate) pool: PoolName,
@@ -160,9 +163,10 @@
     /// Formats the call for the log: `PURPOSE ENGINE OUTCOME TIME (details)`.
     fn summary(&self) -> String {
         let mut text = format!(
-            "{:?} {} {} {}ms (at {}ms, expected {}ms",
+            "{:?} {} {}{} {}ms (at {}ms, expected {}ms",
             self.purpose,
             self.engine,
+            if self.was_silent { "silent, then " } else { "" },
             self.outcome,
             self.took.as_millis(),
             self.chosen_after.as_millis(),
@@ -266,9 +270,11 @@
     pub(crate) runs: u32,
     /// Calls that count against the retry budget.
     pub(crate) call_counts: CallCounts,
-    /// Calls that were given up without an answer and not made again yet.
+    /// Calls whose engines have fallen silent, as long as no other call was made in their stead.
     pub(crate) silent_calls: Vec<SilentCall>,
     pub(crate) calls: Vec<CallRecord>,
+    /// Calls that engines may still answer: the newest one, and earlier runs whose engines have fallen silent.
+    pub(crate) open_calls: Vec<OpenCall>,
     /// Latest latency estimate, where there is one.
     pub(crate) expected: Option<LatencyEstimate>,
     /// Its reserved place in a pool that is short of capacity, until it is sent.
@@ -317,6 +323,7 @@
             call_counts: CallCounts::default(),
             silent_calls: Vec::new(),
             calls: Vec::new(),
+            open_calls: Vec::new(),
             expected: None,
             reservation: None,
             admission: None,
@@ -370,6 +377,7 @@
             engine: Arc::clone(&choice.engine.run),
             outcome,
             took,
+            was_silent: false,
             chosen_after: self.started.elapsed().saturating_sub(took),
             expected_s: choice.expected_s,
             unprefilled_tokens: choice.unprefilled_tokens,
@@ -379,6 +387,22 @@
         })
     }
 
+    /// Replaces the outcome of a call that was recorded as silent.
+    pub(crate) fn record_late(
+        &mut self,
+        index: usize,
+        outcome: &'static str,
+        took: Duration,
+        signals: CallSignals,
+    ) -> Option<&CallRecord> {
+        let record = self.calls.get_mut(index)?;
+        record.outcome = outcome;
+        record.took = took;
+        record.was_silent = true;
+        record.signals = signals;
+        Some(record)
+    }
+
     /// Whether a call of it was a retry.
     pub(crate) fn was_retried(&self) -> bool {
         self.calls.iter().any(|call| call.retry.is_some())
--- a/crates/forwarding/src/serve/response_timeout.rs
+++ b/crates/forwarding/src/serve/response_timeout.rs
@@ -1,4 +1,4 @@
-//! Time limits after which an unresponsive engine is abandoned.
+//! Time limits after which a second engine is called beside a silent one.
 
 use std::time::Duration;
 
@@ -15,11 +15,11 @@
 /// Minimum time limit.
 const MIN_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Retries that are reserved for failed requests: with fewer left in the budget, unresponsive
-/// engines are not abandoned.
+/// Retries that are reserved for failed requests: with fewer left in the budget, no second engine is called beside a
+/// silent one.
 const RESERVED_RETRIES: f64 = 3.0;
 
-/// How long to wait for an engine's response head before another engine is called. If no other
+/// How long to wait for an engine's response head before another engine is called beside it. If no other
 /// engine may be called, this is the remaining time of the request: a late answer is better than
 /// none.
 pub(crate) fn run_timeout(
@@ -33,7 +33,7 @@
     if !progress.route.kind.is_repeatable() || is_last {
         return left;
     }
-    if !may_abandon(context, progress, pool, &choice.engine) {
+    if !may_hedge(context, progress, pool, &choice.engine) {
         return left;
     }
     let objective = Duration::from_millis(progress.route.objective_ms);
@@ -48,10 +48,9 @@
     ))
 }
 
-/// Whether the request may be taken from `current`, an unresponsive engine: another engine could take it, the retry budget
-/// allows that and has room for further calls that engines may read late. If not, abandoning the engine would end the
-/// request or exceed the budget.
-pub(crate) fn may_abandon(
+/// Whether a second engine may be called beside `current`, which is silent: another engine could take the request, the
+/// retry budget allows that and has room for further calls that engines may read late.
+pub(crate) fn may_hedge(
     context: &Context,
     progress: &Progress,
     pool: &PoolName,
--- a/crates/forwarding/src/serve/unmarked_end.rs
+++ b/crates/forwarding/src/serve/unmarked_end.rs
@@ -6,7 +6,6 @@
 use std::rc::Rc;
 
 use dalestand_engine_link::{BodyFraming, SendError};
-use dalestand_types::PoolName;
 
 use crate::context::Context;
 use crate::quarantine::engine_end::{EndProof, record_engine_end};
@@ -27,15 +26,11 @@
 
 /// Checks whether the engine of an answer has ended, if only the end of the connection marks the answer's end. A
 /// connection that opens is kept for the next call.
-pub(crate) async fn check_engine(
-    context: &Rc<Context>,
-    pool: &PoolName,
-    answer: &EngineAnswer,
-) -> EngineState {
+pub(crate) async fn check_engine(context: &Rc<Context>, answer: &EngineAnswer) -> EngineState {
     if answer.body.framing() != BodyFraming::ConnectionClose {
         return EngineState::Alive;
     }
-    let max_connections = context.max_connections(pool);
+    let max_connections = context.max_connections(&answer.pool);
     let opened = context.link.open(&answer.target, max_connections).await;
     match opened {
         Ok(()) | Err(SendError::ConnectionLimitReached(_)) => return EngineState::Alive,
--- /dev/null
+++ b/crates/forwarding/tests/silent_engines.rs
@@ -0,0 +1,179 @@
+//! Engines that fall silent for a second, keep their connections, and go on.
+
+#[allow(
+    dead_code,
+    unused_imports,
+    reason = "each test program uses a part of it"
+)]
+mod support;
+
+use std::collections::HashSet;
+use std::io::Write as _;
+use std::net::{Shutdown, TcpStream};
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+use rstest::rstest;
+use support::{TestEngine, TestNode, answer, id_of, refusing, status, succeeding};
+
+/// Time limit of requests.
+const LIMIT_MS: u64 = 3_400;
+
+/// Longer than the pauses after which a node calls a second engine, and shorter than the time limit.
+const SILENCE: Duration = Duration::from_millis(1_200);
+
+/// Events of a stream.
+const EVENTS: u64 = 5;
+
+/// The place after the last event.
+const BEFORE_THE_END: u64 = EVENTS + 1;
+
+/// Time between two writes of an engine, so that they arrive apart.
+const WRITE_PAUSE: Duration = Duration::from_millis(5);
+
+/// Requests that an engine has received.
+static RECEIVED: Mutex<Option<HashSet<String>>> = Mutex::new(None);
+
+/// Whether this is the first call for a request.
+fn is_first_call(head: &str) -> bool {
+    let mut received = RECEIVED.lock().expect("no panic");
+    received.get_or_insert_default().insert(id_of(head))
+}
+
+/// Whether the path of a request has this word.
+fn asks_for(head: &str, word: &str) -> bool {
+    let path = head.split(' ').nth(1).unwrap_or_default();
+    path.split(['/', '?', '&']).any(|part| part == word)
+}
+
+/// The place of the silence that a request asks for: 0 is before the head, others before the event.
+fn silent_place(head: &str) -> Option<u64> {
+    (0..=BEFORE_THE_END).find(|place| asks_for(head, &format!("silent-at-{place}")))
+}
+
+/// The first event that the request still lacks.
+fn first_event(head: &str) -> u64 {
+    let last = head
+        .lines()
+        .find_map(|line| line.strip_prefix("last-event-id: "));
+    last.and_then(|last| last.parse().ok())
+        .map_or(1, |last: u64| last + 1)
+}
+
+/// Streams events, with a silence before `place`. Returns early when the node has closed the connection.
+fn stream_events(head: &str, stream: &mut TcpStream, place: Option<u64>) -> std::io::Result<()> {
+    let is_chunked = !asks_for(head, "unframed");
+    let pause_at = |at: u64| {
+        thread::sleep(if place == Some(at) {
+            SILENCE
+        } else {
+            WRITE_PAUSE
+        })
+    };
+    pause_at(0);
+    let framing = if is_chunked {
+        "transfer-encoding: chunked\r\n"
+    } else {
+        ""
+    };
+    let id = id_of(head);
+    write!(stream, "HTTP/1.1 200 OK\r\nx-id: {id}\r\n{framing}\r\n")?;
+    for event in first_event(head)..=EVENTS {
+        pause_at(event);
+        let text = format!("id: {event}\ndata: piece {event}\n\n");
+        if is_chunked {
+            write!(stream, "{:x}\r\n{text}\r\n", text.len())?;
+        } else {
+            stream.write_all(text.as_bytes())?;
+        }
+    }
+    pause_at(BEFORE_THE_END);
+    if is_chunked {
+        stream.write_all(b"0\r\n\r\n")
+    } else {
+        stream.shutdown(Shutdown::Both)
+    }
+}
+
+/// Falls silent in the first call for a request, and does in the second what the request asks for.
+fn falling_silent(head: &str, stream: &mut TcpStream) {
+    let place = silent_place(head);
+    // The node may close the connection, which ends the call.
+    let _ = match is_first_call(head) {
+        true => stream_events(head, stream, place),
+        false if asks_for(head, "second-serves") => stream_events(head, stream, None),
+        false if asks_for(head, "second-silent") => stream_events(head, stream, Some(0)),
+        false if asks_for(head, "second-stalls") => {
+            stream_events(head, stream, Some(first_event(head)))
+        }
+        false => {
+            refusing(head, stream);
+            Ok(())
+        }
+    };
+}
+
+/// Answers the first call for a request late, and refuses the others.
+fn answering_late(head: &str, stream: &mut TcpStream) {
+    if is_first_call(head) {
+        thread::sleep(SILENCE);
+        succeeding(head, stream);
+    } else if asks_for(head, "second-fails") {
+        let headers = format!("x-id: {}\r\n", id_of(head));
+        answer(stream, "500 Internal Server Error", &headers, "broken");
+    } else {
+        refusing(head, stream);
+    }
+}
+
+async fn node(kind: &str, script: support::Script) -> (TestNode, Vec<TestEngine>) {
+    let node = TestNode::start().await;
+    node.declare(1, kind, 3, LIMIT_MS);
+    let engines = [script; 3].map(TestEngine::start);
+    for (index, engine) in engines.iter().enumerate() {
+        node.write_entry(&format!("e{index}"), engine, "ready");
+    }
+    node.wait_for_engines(engines.len()).await;
+    node.wait_for_declaration(1).await;
+    (node, engines.into())
+}
+
+/// Fails unless the answer is a whole stream with each event once.
+fn assert_whole_stream(answer: &str, case: &str) {
+    assert_eq!(status(answer), "200", "{case}: {answer}");
+    let pieces: Vec<&str> = answer
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "))
+        .collect();
+    let all = ["piece 1", "piece 2", "piece 3", "piece 4", "piece 5"];
+    assert_eq!(pieces, all, "{case}: {answer}");
+    assert!(answer.ends_with("0\r\n\r\n"), "{case} is whole: {answer}");
+}
+
+/// Guards against answering a stream with an error although its engine, silent before the head, goes on in time.
+#[rstest]
+#[case::refused("second-refuses")]
+#[case::also_silent("second-silent")]
+#[actix_rt::test]
+async fn a_stream_whose_engine_is_silent_before_the_head_is_whole(
+    #[case] second: &str,
+    #[values("chunked", "unframed")] framing: &str,
+) {
+    let (node, _engines) = node("resumable-stream", falling_silent).await;
+    let case = format!("{framing}/{second}/silent-at-0");
+    let answer = node.request(&case, &format!("/r/{case}")).await;
+    assert_whole_stream(&answer, &case);
+}
+
+/// Guards against answering a repeatable request with an error although its engine, which was silent, answers in time.
+#[rstest]
+#[case::refused("second-refuses")]
+#[case::failed("second-fails")]
+#[actix_rt::test]
+async fn a_repeatable_request_gets_the_late_answer_of_a_silent_engine(#[case] second: &str) {
+    let (node, _engines) = node("repeatable", answering_late).await;
+    let answer = node.request(second, &format!("/r/{second}")).await;
+    assert_eq!(status(&answer), "200", "{answer}");
+    assert!(answer.ends_with("whole"), "{answer}");
+}
--- a/crates/quarantine/src/unfinished.rs
+++ b/crates/quarantine/src/unfinished.rs
@@ -84,6 +84,14 @@
         false
     }
 
+    /// Withdraws a recorded run that has gone on.
+    pub fn withdraw(&mut self, engine: EngineRunId, request: &R) {
+        let is_it = |run: &UnfinishedRun<R>| run.engine == engine && run.request == *request;
+        if let Some(index) = self.runs.iter().rposition(is_it) {
+            self.runs.remove(index);
+        }
+    }
+
     /// Records that an engine has ended. Returns the requests that were unfinished there, without
     /// duplicates; empty if the end was known already.
     pub fn record_engine_end(&mut self, now: MonotonicTime, engine: EngineRunId) -> Vec<R> {
