http-server: a refusal given before the body has arrived no longer resets the connection

Callers saw: a request refused by its head (no route, no key, too long, no configuration yet) while its body was still on its way ended in a failed write or a reset instead of the refusal. Cause: the server closed the connection with unread bytes. The kernel then sends a reset, which discards what of the answer is still in the send buffer. actix-http lingers only if a disconnect timeout is set, and none was. Fix: a disconnect timeout of 3 s. After such an answer, which says `Connection: close`, the server reads and discards until the caller closes, for that time at most.

--- a/crates/http-server/src/server.rs
+++ b/crates/http-server/src/server.rs
@@ -24,6 +24,11 @@
 /// Maximum time for which an ending accept loop waits for connections.
 const BACKLOG_DRAIN_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// After an answer to a request whose body has not arrived completely, the connection is read for this time at most before it
+/// is closed. Closing it with unread bytes would reset it, which discards the answer on its way and fails the caller's
+/// writes.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Data attached to a connection when it is opened.
 struct ConnectionData {
     over_limit: bool,
@@ -83,6 +88,7 @@
     let factory = HttpService::build()
         .client_request_timeout(limits.head_timeout)
         .keep_alive(limits.keep_alive)
+        .client_disconnect_timeout(LINGER_TIMEOUT)
         // A peer that closes its sending side is treated as disconnected: its request is dropped,
         // which cancels the work for it.
         .h1_allow_half_closed(false)
