http-server: a panic in a handler is answered with 500

Callers saw: nothing has been seen. A panic while a request was handled would have ended its connection without a byte of an answer. Cause: the panic unwound through the connection's task, which dropped the socket. Fix: the handler's panic is caught where the handler is called. The connection goes on; the panic hook reports the panic as before. 500 promises nothing, as the request may have run. A panic while the body of an answer is produced still cuts that answer.

--- a/crates/http-server/src/server.rs
+++ b/crates/http-server/src/server.rs
@@ -2,18 +2,20 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::panic::AssertUnwindSafe;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use actix_http::{Extensions, HttpService, Request};
+use actix_http::{Extensions, HttpService, Request, StatusCode};
 use actix_rt::net::TcpStream;
 use actix_rt::time::timeout;
 use actix_service::{IntoServiceFactory as _, ServiceFactory as _, fn_service};
+use futures_util::FutureExt as _;
 use futures_util::future::poll_immediate;
 use tokio::net::TcpListener;
 
-use crate::{Answer, Connections};
+use crate::{Answer, Connections, status_answer};
 
 /// Delay before a retry after a failed accept, such as one for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -82,7 +84,8 @@
     let handler = Rc::new(handler);
     let service = fn_service(move |request: Request| {
         let handler = Rc::clone(&handler);
-        async move { Ok::<Answer, Infallible>(handler(request).await) }
+        let answer = async move { handler(request).await };
+        async move { Ok::<Answer, Infallible>(answer_despite_panic(answer).await) }
     });
     let open_connections = connections.clone();
     let factory = HttpService::build()
@@ -132,6 +135,14 @@
     drop(listener);
 }
 
+/// The answer of a handler, or an error answer if it panics, as unwinding further would end the connection without an answer.
+async fn answer_despite_panic(answer: impl Future<Output = Answer>) -> Answer {
+    // State that handlers share is behind cells, whose borrows end with the unwinding.
+    let answered = AssertUnwindSafe(answer).catch_unwind().await;
+    // The panic hook has reported the panic.
+    answered.unwrap_or_else(|_| status_answer(StatusCode::INTERNAL_SERVER_ERROR))
+}
+
 /// Accepts the connections in the backlog of a socket that is about to be closed.
 async fn drain_backlog(listener: &TcpListener, accept: impl Fn(TcpStream)) {
     let started = Instant::now();
