http-server: a request that has arrived when a stop closes the connections is answered

Callers saw: a request sent on a kept or a new connection in the moment in which a planned stop closed the connections got the end of the connection. Where the event loop had noticed its bytes, they had even been read and were thrown away, so that the caller had to take the request for run. Cause: actix-http looks at the signal to close before it reads, and then starts no request. One turn of the event loop decides. Evidence, the new test before the change, on a kept and on a new connection: the answer is "" where a status line is wanted. Fix: the signal of a connection is given only when nothing lies unread in its socket. To look, the signal shares the socket with the connection. What arrives after that finds the socket closed, unread.

--- a/crates/http-server/src/connections.rs
+++ b/crates/http-server/src/connections.rs
@@ -1,13 +1,14 @@
 //! Open connections of a server: their count and graceful shutdown.
 
-use std::future::Future;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use tokio::sync::watch;
 
-/// Interval at which a shutdown checks whether connections or accept loops remain.
+use crate::shared_stream::SharedStream;
+
+/// Interval at which a shutdown checks whether connections, accept loops or unread requests remain.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Connections of one server, across all its arbiters.
@@ -78,22 +79,18 @@
         ConnectionGuard(self.clone())
     }
 
-    /// Returns a factory of futures, one per connection, that complete when connections must close.
-    pub(crate) fn drain_signal(&self) -> impl Fn() -> DrainSignal + 'static {
-        let draining = Arc::clone(&self.draining);
-        move || {
-            let mut receiver = draining.subscribe();
-            Box::pin(async move {
-                // Fails only if the sender is dropped, which lives as long as the server.
-                let _ = receiver.wait_for(|draining| *draining).await;
-            })
+    /// Completes when a connection must close. That is postponed while a request lies unread in its socket, which would be
+    /// dropped without an answer.
+    pub(crate) async fn draining(&self, stream: Option<SharedStream>) {
+        let mut receiver = self.draining.subscribe();
+        // Fails only if the sender is dropped, which lives as long as the server.
+        let _ = receiver.wait_for(|draining| *draining).await;
+        while stream.as_ref().is_some_and(SharedStream::has_unread_bytes) {
+            actix_rt::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
     }
 }
 
-/// Completes when connections must close.
-type DrainSignal = std::pin::Pin<Box<dyn Future<Output = ()>>>;
-
 /// Counts an accept loop until dropped.
 pub(crate) struct ListeningGuard(Connections);
 
--- a/crates/http-server/src/lib.rs
+++ b/crates/http-server/src/lib.rs
@@ -9,6 +9,7 @@
 mod connections;
 mod error;
 mod server;
+mod shared_stream;
 
 pub use answer::{Answer, json_answer, status_answer, stream_answer, text_answer};
 pub use body::{read_body, read_json};
--- a/crates/http-server/src/server.rs
+++ b/crates/http-server/src/server.rs
@@ -1,7 +1,9 @@
 //! Accept loop on the current arbiter.
 
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::pin::pin;
 use std::rc::Rc;
@@ -10,11 +12,12 @@
 use actix_http::{Extensions, HttpService, Request, StatusCode};
 use actix_rt::net::TcpStream;
 use actix_rt::time::timeout;
-use actix_service::{IntoServiceFactory as _, ServiceFactory as _, fn_service};
+use actix_service::{IntoServiceFactory as _, Service, ServiceFactory as _, fn_service};
 use futures_util::FutureExt as _;
 use futures_util::future::poll_immediate;
 use tokio::net::TcpListener;
 
+use crate::shared_stream::SharedStream;
 use crate::{Answer, Connections, status_answer};
 
 /// Delay before a retry after a failed accept, such as one for lack of file descriptors.
@@ -88,6 +91,10 @@
         async move { Ok::<Answer, Infallible>(answer_despite_panic(answer).await) }
     });
     let open_connections = connections.clone();
+    let draining = connections.clone();
+    // The socket of the connection that is being opened, for the signal that is created for it next.
+    let opened: Rc<RefCell<Option<SharedStream>>> = Rc::default();
+    let opening = Rc::clone(&opened);
     let factory = HttpService::build()
         .client_request_timeout(limits.head_timeout)
         .keep_alive(limits.keep_alive)
@@ -95,14 +102,17 @@
         // A peer that closes its sending side is treated as disconnected: its request is dropped,
         // which cancels the work for it.
         .h1_allow_half_closed(false)
-        .on_connect_ext(move |_: &TcpStream, data: &mut Extensions| {
+        .on_connect_ext(move |stream: &SharedStream, data: &mut Extensions| {
+            opening.replace(Some(stream.clone()));
             data.insert(ConnectionData {
                 over_limit: open_connections.open() > limits.max_connections,
             });
         })
-        .graceful_shutdown_signal(connections.drain_signal())
-        .h1(service.into_factory())
-        .tcp();
+        .graceful_shutdown_signal(move || {
+            let (draining, stream) = (draining.clone(), opened.take());
+            async move { draining.draining(stream).await }
+        })
+        .h1(service.into_factory());
     let Ok(connection_service) = factory.new_service(()).await else {
         return;
     };
@@ -160,10 +170,11 @@
 
 async fn serve_connection<S>(service: &S, stream: TcpStream)
 where
-    S: actix_service::Service<TcpStream>,
+    S: Service<(SharedStream, Option<SocketAddr>)>,
 {
     // Disable Nagle's algorithm: small writes must not wait for earlier acknowledgements.
     let _ = stream.set_nodelay(true);
     // A connection error affects only its peer; requests on it report their own outcome.
-    let _ = service.call(stream).await;
+    let peer = stream.peer_addr().ok();
+    let _ = service.call((SharedStream::new(stream), peer)).await;
 }
--- a/crates/http-server/tests/connection_ends.rs
+++ b/crates/http-server/tests/connection_ends.rs
@@ -2,10 +2,12 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use dalestand_http_server::{
     Answer, Connections, Request, ServerLimits, StatusCode, serve, text_answer,
 };
+use rstest::rstest;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -52,3 +54,28 @@
         );
     }
 }
+
+/// Guards against a request that is dropped because it arrives when a planned stop closes the connections: it lies in the
+/// socket, so its caller can't know that it was not run.
+#[rstest]
+#[case::on_a_kept_connection(1)]
+#[case::on_a_new_connection(0)]
+#[actix_rt::test]
+async fn a_request_that_has_arrived_when_draining_begins_is_answered(#[case] earlier: usize) {
+    let (address, connections) = start(|_| async { text_answer(StatusCode::OK, "whole") }).await;
+    let mut caller = TcpStream::connect(address).await.expect("connected");
+    for _ in 0..earlier {
+        caller.write_all(REQUEST).await.expect("written");
+        read_some(&mut caller).await;
+    }
+    while connections.open() == 0 {
+        actix_rt::time::sleep(Duration::from_millis(1)).await;
+    }
+    // Both happen in the same turn of the event loop.
+    caller.write_all(REQUEST).await.expect("written");
+    let drained = actix_rt::spawn(async move { connections.drain().await });
+    let answer = read_some(&mut caller).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+    assert_eq!(read_some(&mut caller).await, "", "the connection has ended");
+    drained.await.expect("drained");
+}
