http-server: a request behind an answer that closes the connection is not run

Callers saw: a caller that had sent a further request before the answer to the one ahead of it arrived, and closed the connection as that answer asked (crowded or stopping node), had a request that ran without an answer. Cause: actix-http takes up the requests that it has read, whatever the answers before them said. RFC 9112, 9.6 forbids it. Evidence, the new test before the change: of three requests sent at once, three ran where one is wanted ("left: 3, right: 1"). Fix: the connection notes that an answer has said that it closes; requests behind it get 503 without reaching the handler.

--- a/crates/http-server/src/server.rs
+++ b/crates/http-server/src/server.rs
@@ -1,6 +1,6 @@
 //! Accept loop on the current arbiter.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use actix_http::{Extensions, HttpService, Request, StatusCode};
+use actix_http::{ConnectionType, Extensions, HttpService, Request, StatusCode};
 use actix_rt::net::TcpStream;
 use actix_rt::time::timeout;
 use actix_service::{IntoServiceFactory as _, Service, ServiceFactory as _, fn_service};
@@ -37,6 +37,8 @@
 /// Data attached to a connection when it is opened.
 struct ConnectionData {
     over_limit: bool,
+    /// Whether an answer on it has said that it closes.
+    closes: Rc<Cell<bool>>,
 }
 
 /// Whether the request arrived on a connection above the server's limit and must be refused.
@@ -87,8 +89,18 @@
     let handler = Rc::new(handler);
     let service = fn_service(move |request: Request| {
         let handler = Rc::clone(&handler);
+        let data = request.conn_data::<ConnectionData>();
+        let closes = data.map(|data| Rc::clone(&data.closes)).unwrap_or_default();
         let answer = async move { handler(request).await };
-        async move { Ok::<Answer, Infallible>(answer_despite_panic(answer).await) }
+        async move {
+            // The caller ignores what follows such an answer (RFC 9112, 9.6).
+            if closes.get() {
+                return Ok::<Answer, Infallible>(status_answer(StatusCode::SERVICE_UNAVAILABLE));
+            }
+            let answer = answer_despite_panic(answer).await;
+            closes.set(answer.head().connection_type() == ConnectionType::Close);
+            Ok(answer)
+        }
     });
     let open_connections = connections.clone();
     let draining = connections.clone();
@@ -106,6 +118,7 @@
             opening.replace(Some(stream.clone()));
             data.insert(ConnectionData {
                 over_limit: open_connections.open() > limits.max_connections,
+                closes: Rc::default(),
             });
         })
         .graceful_shutdown_signal(move || {
--- a/crates/http-server/tests/connection_ends.rs
+++ b/crates/http-server/tests/connection_ends.rs
@@ -2,10 +2,11 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use dalestand_http_server::{
-    Answer, Connections, Request, ServerLimits, StatusCode, serve, text_answer,
+    Answer, ConnectionType, Connections, Request, ServerLimits, StatusCode, serve, text_answer,
 };
 use rstest::rstest;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -79,3 +80,29 @@
     assert_eq!(read_some(&mut caller).await, "", "the connection has ended");
     drained.await.expect("drained");
 }
+
+/// Guards against a request that runs although its caller can't get the answer: it was sent behind one whose answer closes
+/// the connection.
+#[actix_rt::test]
+async fn a_request_behind_an_answer_that_closes_the_connection_is_not_run() {
+    let runs = Rc::new(Cell::new(0));
+    let counted = Rc::clone(&runs);
+    let (address, _connections) = start(move |_| {
+        counted.set(counted.get() + 1);
+        async {
+            // The next request arrives meanwhile.
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+            let mut answer = text_answer(StatusCode::OK, "whole");
+            answer.head_mut().set_connection_type(ConnectionType::Close);
+            answer
+        }
+    })
+    .await;
+    let mut caller = TcpStream::connect(address).await.expect("connected");
+    caller.write_all(&REQUEST.repeat(3)).await.expect("written");
+    let mut answers = String::new();
+    caller.read_to_string(&mut answers).await.expect("the end");
+    assert_eq!(runs.get(), 1);
+    assert_eq!(answers.matches("HTTP/1.1 200").count(), 1, "{answers}");
+    assert_eq!(answers.matches("HTTP/1.1 503").count(), 2, "{answers}");
+}
