http-server: a connection no longer reserves room for the future of its handler

Cause: the change that answers despite a panic wrapped the handler's future, which each wrapper holds by value. A connection of a forwarding node took 77,832 bytes instead of 26,232, and a test thread with 2 MB of stack overflowed in a debug build. Fix: the handler's future is boxed for the time of its request. All tests of the crate pass.

--- a/crates/http-server/src/server.rs
+++ b/crates/http-server/src/server.rs
@@ -91,7 +91,8 @@
         let handler = Rc::clone(&handler);
         let data = request.conn_data::<ConnectionData>();
         let closes = data.map(|data| Rc::clone(&data.closes)).unwrap_or_default();
-        let answer = async move { handler(request).await };
+        // Boxed, as the futures around it would reserve its size several times in each connection, even in idle ones.
+        let answer = Box::pin(async move { handler(request).await });
         async move {
             // The caller ignores what follows such an answer (RFC 9112, 9.6).
             if closes.get() {
