engine-link: the rest of a request is sent while its response arrives

Callers saw: a request with a body beyond the buffers of the sockets, at an engine that begins its answer early and ends it only when it has read the body, ended at its time limit (504) or within its answer. Cause: once the head of the response had arrived, what was not written yet of the request was dropped, so that the engine waited for it. Fix: the connection keeps the bytes that are not written and writes them while it reads the response. A failed write only ends the writing, as the response may be whole. As before, a connection whose response began before its request was written is not used again.

--- a/crates/engine-link/src/connection.rs
+++ b/crates/engine-link/src/connection.rs
@@ -6,7 +6,7 @@
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, Message};
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig};
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf as _, Bytes, BytesMut};
 use dalestand_clock::BootInstant;
 use dalestand_tunnel::FrameDecoder;
 use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWriteExt as _};
@@ -31,6 +31,10 @@
     pub(crate) is_kept: bool,
     /// Bytes received and not yet decoded.
     pub(crate) received: BytesMut,
+    /// Bytes of the request that were not written yet.
+    unwritten: BytesMut,
+    /// Whether writing has failed; the response may still be complete.
+    write_failed: bool,
     /// When the connection became idle.
     pub(crate) idle_since: BootInstant,
     /// When reuse must stop according to the engine's `Keep-Alive` header, if it sent one.
@@ -56,6 +60,8 @@
             is_kept: false,
             frames: FrameDecoder::default(),
             received: BytesMut::new(),
+            unwritten: BytesMut::new(),
+            write_failed: false,
             idle_since: BootInstant::now(),
             keep_alive_until: None,
         }
@@ -70,16 +76,28 @@
             && read.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Reads more bytes of the response; 0 after the engine has ended the connection.
+    /// Reads more bytes of the response; 0 after the engine has ended the connection. Writes the rest of the request meanwhile,
+    /// as the engine may need it to complete its response.
     pub(crate) async fn read_more(&mut self) -> io::Result<usize> {
-        let Self {
-            stream,
-            path,
-            received,
-            frames,
-            ..
-        } = self;
-        read_response(stream, *path, frames, received).await
+        loop {
+            let may_write = !self.unwritten.is_empty() && !self.write_failed;
+            let (mut reader, mut writer) = self.stream.split();
+            tokio::select! {
+                written = writer.write(&self.unwritten), if may_write => match written {
+                    Ok(count) => self.record_written(count),
+                    Err(_) => self.write_failed = true,
+                },
+                read = read_response(&mut reader, self.path, &mut self.frames, &mut self.received) => return read,
+            }
+        }
+    }
+
+    fn record_written(&mut self, count: usize) {
+        self.unwritten.advance(count);
+        if self.unwritten.is_empty() {
+            // Releases its memory: responses may take long.
+            self.unwritten = BytesMut::new();
+        }
     }
 
     /// Sends a request and waits for the response head. Reads while writing, since an engine may
@@ -91,7 +109,7 @@
         body: &Bytes,
     ) -> Result<ReceivedHead, SendError> {
         let mut codec = ClientCodec::new(config);
-        let mut outgoing = encode(&mut codec, head, body)?;
+        self.unwritten = encode(&mut codec, head, body)?;
         let mut any_byte_sent = false;
         loop {
             if let Some(head) = decode(&mut codec, &mut self.received)? {
@@ -101,7 +119,7 @@
                 return Ok(ReceivedHead {
                     head,
                     codec,
-                    request_written: outgoing.is_empty(),
+                    request_written: self.unwritten.is_empty(),
                 });
             }
             if self.received.len() > MAX_HEAD_BYTES {
@@ -111,10 +129,10 @@
             }
             let (mut reader, mut writer) = self.stream.split();
             tokio::select! {
-                written = writer.write(&outgoing), if !outgoing.is_empty() => {
+                written = writer.write(&self.unwritten), if !self.unwritten.is_empty() => {
                     match written {
                         Ok(count) => {
-                            let _ = outgoing.split_to(count);
+                            self.record_written(count);
                             any_byte_sent |= count > 0;
                         }
                         // The engine may have responded before it closed the connection.
@@ -139,6 +157,7 @@
         mut codec: ClientCodec,
         error: &io::Error,
     ) -> Result<ReceivedHead, SendError> {
+        self.write_failed = true;
         if self.path.is_direct() {
             let _ = self.stream.try_read_buf(&mut self.received);
         }
--- a/crates/engine-link/tests/exchanges.rs
+++ b/crates/engine-link/tests/exchanges.rs
@@ -259,3 +259,36 @@
     assert_eq!(get_body(&link, &target).await, Ok(Bytes::from("ab")));
     thread.join().expect("two connections");
 }
+
+/// Length of a request body that exceeds what the buffers of both sockets hold.
+const LONG_BODY_BYTES: usize = 16 << 20;
+
+/// Answers after it has read the head, and ends the answer when it has read the body.
+fn answer_before_the_body(stream: &mut TcpStream) {
+    read_head(stream);
+    write(stream, "HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nfirst");
+    thread::sleep(Duration::from_millis(50));
+    let mut body = vec![0; LONG_BODY_BYTES];
+    if stream.read_exact(&mut body).is_ok() {
+        write(stream, ".");
+    }
+}
+
+/// Guards against an answer that never ends, because the rest of the request is not sent once the answer has begun.
+#[actix_rt::test]
+async fn the_rest_of_a_request_is_sent_while_its_response_arrives() {
+    let (target, thread) = engine(vec![answer_before_the_body]);
+    let mut head = RequestHead::default();
+    head.method = Method::POST;
+    head.uri = "/a/b".parse().expect("a path");
+    let body = Bytes::from(vec![b'~'; LONG_BODY_BYTES]);
+    let link = link();
+    let mut exchange = link
+        .send(&target, 4, head, &body)
+        .await
+        .expect("a response");
+    let collected = exchange.body.collect(BODY_LIMIT_BYTES);
+    let collected = tokio::time::timeout(Duration::from_secs(2), collected).await;
+    assert_eq!(collected, Ok(Ok(Bytes::from("first."))));
+    thread.join().expect("the engine");
+}
