forwarding: a request whose connection ends before its answer is complete is counted and logged

Cause: a future or a body that is dropped with its connection left no line, so that such ends could not be told from answers delivered, nor which declaration was in force. Change: each request is watched from its arrival to the end of its answer, around the handler and the body, without a change to either. Event 1508 names the request, how far it had come, how long it took, the bytes passed on, the declaration in force at its arrival and at its end, and whether the node was stopping. At most a line each half second and phase, with the number of the others; the counter `dalestand_callers_left_total` has all. What a node ends itself is event 1502 as before.

--- a/crates/forwarding/src/node/metrics/mod.rs
+++ b/crates/forwarding/src/node/metrics/mod.rs
@@ -29,6 +29,7 @@
 use self::scaling::ScalingMetrics;
 use self::streams::StreamMetrics;
 use self::sums::FleetSumMetrics;
+use crate::serve::caller_watch::RequestPhase;
 use crate::serve::progress::CallRecord;
 
 /// Upper bounds of the latency histograms, in seconds.
@@ -110,6 +111,7 @@
     retries_left: IntGaugeVec,
     in_flight: IntGauge,
     held_bytes: IntGauge,
+    callers_left: IntCounterVec,
     engines: IntGauge,
     nodes: IntGauge,
     declaration_revision: IntGauge,
@@ -229,6 +231,11 @@
                 "held_answer_bytes",
                 "Bytes of whole answers that callers have not read yet.",
             )?,
+            callers_left: metrics.counters(
+                "callers_left_total",
+                "Requests whose callers' connections ended before their answers were complete, by how far they had come.",
+                &["phase"],
+            )?,
             engines: metrics.gauge("engines_accepting", "Engines that take new work.")?,
             nodes: metrics.gauge("nodes_known", "Nodes, this one among them.")?,
             declaration_revision: metrics.gauge("declaration_revision", "Revision in force; 0 for none.")?,
@@ -323,6 +330,11 @@
         latency.observe(took.as_secs_f64());
     }
 
+    /// Records a request whose caller's connection ended before its answer was complete.
+    pub(crate) fn caller_left(&self, phase: RequestPhase) {
+        self.callers_left.with_label_values(&[phase.label()]).inc();
+    }
+
     /// Records a call to an engine.
     pub(crate) fn call(&self, call: &CallRecord) {
         let purpose = match call.purpose {
--- a/crates/forwarding/src/node/start.rs
+++ b/crates/forwarding/src/node/start.rs
@@ -53,6 +53,7 @@
 use crate::roles::fleet_lease::FleetLease;
 use crate::roles::lease_keeper::acquire_and_renew;
 use crate::roles::role_control::control_roles;
+use crate::serve::caller_watch::{CallerWatch, DepartureLog};
 use crate::serve::forward::forward;
 use crate::streams::share::send_origins;
 use crate::streams::stored_versions;
@@ -216,11 +217,13 @@
         };
         let crowded_from = limits.max_connections / 2;
         let open = counted.clone();
+        let departures = Rc::<DepartureLog>::default();
         let handler = move |request| {
+            let watch = CallerWatch::new(&context, &departures, &request);
             let (context, open) = (Rc::clone(&context), open.clone());
             async move {
                 let answer = forward(context, request).await;
-                close_if_crowded(answer, open.open() > crowded_from)
+                watch.follow(close_if_crowded(answer, open.open() > crowded_from))
             }
         };
         serve(listener, limits, counted, handler).await;
--- a/crates/forwarding/src/serve/accept.rs
+++ b/crates/forwarding/src/serve/accept.rs
@@ -16,6 +16,7 @@
 use crate::fleet_sums::ClassKey;
 use crate::quarantine::parts::evidence::record_arrival;
 use crate::serve::answer::Failure;
+use crate::serve::caller_watch::record_read;
 use crate::serve::headers::forwarded_headers;
 use crate::serve::progress::{AcceptedRequest, ForwardedRequest, Progress};
 use crate::serve::tenant_shares::tenant_code;
@@ -39,6 +40,7 @@
         HttpServerError::BodyTooLarge { .. } => Failure::BodyTooLong,
         _ => Failure::BodyUnreadable,
     })?;
+    record_read(request, facts.id.as_ref());
     let fingerprint = request_fingerprint(context, request, &caller, &body);
     let shared_parts = shared_parts(context, &facts);
     record_arrival(context, &shared_parts);
--- a/crates/forwarding/src/serve/mod.rs
+++ b/crates/forwarding/src/serve/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod answer_stream;
 pub(crate) mod answer_stream_error;
 pub(crate) mod attempt;
+pub(crate) mod caller_watch;
 pub(crate) mod class_counts;
 mod deliver;
 pub(crate) mod engine_call;
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -105,6 +105,8 @@
     StreamResumptionDecided = (1506, Info, "stream resumption decided");
     /// The stored software versions of a pool could not be parsed.
     VersionsUnreadable = (1507, Warning, "stored versions unreadable");
+    /// The connection of a caller ended before its answer was complete.
+    CallerLeft = (1508, Info, "caller left");
     /// Many engine entries were added, changed or removed at once.
     EnginesListed = (1608, Info, "engines listed");
     /// An engine's entry was added or changed.
