--- a/crates/forwarding/src/serve/mod.rs
+++ b/crates/forwarding/src/serve/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod answer_stream_error;
 pub(crate) mod attempt;
 mod call_verdict;
+pub(crate) mod caller_watch;
 pub(crate) mod class_counts;
 mod deliver;
 pub(crate) mod engine_call;
--- a/crates/http-server/src/server.rs
+++ b/crates/http-server/src/server.rs
@@ -1,19 +1,24 @@
 //! Accept loop on the current arbiter.
 
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::Future;
+use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use actix_http::{Extensions, HttpService, Request};
+use actix_http::{ConnectionType, Extensions, HttpService, Request, StatusCode};
 use actix_rt::net::TcpStream;
 use actix_rt::time::timeout;
-use actix_service::{IntoServiceFactory as _, ServiceFactory as _, fn_service};
+use actix_service::{IntoServiceFactory as _, Service, ServiceFactory as _, fn_service};
+use futures_util::FutureExt as _;
 use futures_util::future::poll_immediate;
 use tokio::net::TcpListener;
 
-use crate::{Answer, Connections};
+use crate::shared_stream::SharedStream;
+use crate::{Answer, Connections, status_answer};
 
 /// Delay before a retry after a failed accept, such as one for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -24,9 +29,16 @@
 /// Maximum time for which an ending accept loop waits for connections.
 const BACKLOG_DRAIN_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// After an answer to a request whose body has not arrived completely, the connection is read for this time at most before it
+/// is closed. Closing it with unread bytes would reset it, which discards the answer on its way and fails the caller's
+/// writes.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Data attached to a connection when it is opened.
 struct ConnectionData {
     over_limit: bool,
+    /// Whether an answer on it has said that it closes.
+    closes: Rc<Cell<bool>>,
 }
 
 /// Whether the request arrived on a connection above the server's limit and must be refused.
@@ -77,23 +89,44 @@
     let handler = Rc::new(handler);
     let service = fn_service(move |request: Request| {
         let handler = Rc::clone(&handler);
-        async move { Ok::<Answer, Infallible>(handler(request).await) }
+        let data = request.conn_data::<ConnectionData>();
+        let closes = data.map(|data| Rc::clone(&data.closes)).unwrap_or_default();
+        // Boxed, as the futures around it would reserve its size several times in each connection, even in idle ones.
+        let answer = Box::pin(async move { handler(request).await });
+        async move {
+            // The caller ignores what follows such an answer (RFC 9112, 9.6).
+            if closes.get() {
+                return Ok::<Answer, Infallible>(status_answer(StatusCode::SERVICE_UNAVAILABLE));
+            }
+            let answer = answer_despite_panic(answer).await;
+            closes.set(answer.head().connection_type() == ConnectionType::Close);
+            Ok(answer)
+        }
     });
     let open_connections = connections.clone();
+    let draining = connections.clone();
+    // The socket of the connection that is being opened, for the signal that is created for it next.
+    let opened: Rc<RefCell<Option<SharedStream>>> = Rc::default();
+    let opening = Rc::clone(&opened);
     let factory = HttpService::build()
         .client_request_timeout(limits.head_timeout)
         .keep_alive(limits.keep_alive)
+        .client_disconnect_timeout(LINGER_TIMEOUT)
         // A peer that closes its sending side is treated as disconnected: its request is dropped,
         // which cancels the work for it.
         .h1_allow_half_closed(false)
-        .on_connect_ext(move |_: &TcpStream, data: &mut Extensions| {
+        .on_connect_ext(move |stream: &SharedStream, data: &mut Extensions| {
+            opening.replace(Some(stream.clone()));
             data.insert(ConnectionData {
                 over_limit: open_connections.open() > limits.max_connections,
+                closes: Rc::default(),
             });
         })
-        .graceful_shutdown_signal(connections.drain_signal())
-        .h1(service.into_factory())
-        .tcp();
+        .graceful_shutdown_signal(move || {
+            let (draining, stream) = (draining.clone(), opened.take());
+            async move { draining.draining(stream).await }
+        })
+        .h1(service.into_factory());
     let Ok(connection_service) = factory.new_service(()).await else {
         return;
     };
@@ -126,6 +159,14 @@
     drop(listener);
 }
 
+/// The answer of a handler, or an error answer if it panics, as unwinding further would end the connection without an answer.
+async fn answer_despite_panic(answer: impl Future<Output = Answer>) -> Answer {
+    // State that handlers share is behind cells, whose borrows end with the unwinding.
+    let answered = AssertUnwindSafe(answer).catch_unwind().await;
+    // The panic hook has reported the panic.
+    answered.unwrap_or_else(|_| status_answer(StatusCode::INTERNAL_SERVER_ERROR))
+}
+
 /// Accepts the connections in the backlog of a socket that is about to be closed.
 async fn drain_backlog(listener: &TcpListener, accept: impl Fn(TcpStream)) {
     let started = Instant::now();
@@ -143,10 +184,11 @@
 
 async fn serve_connection<S>(service: &S, stream: TcpStream)
 where
-    S: actix_service::Service<TcpStream>,
+    S: Service<(SharedStream, Option<SocketAddr>)>,
 {
     // Disable Nagle's algorithm: small writes must not wait for earlier acknowledgements.
     let _ = stream.set_nodelay(true);
     // A connection error affects only its peer; requests on it report their own outcome.
-    let _ = service.call(stream).await;
+    let peer = stream.peer_addr().ok();
+    let _ = service.call((SharedStream::new(stream), peer)).await;
 }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -107,6 +107,8 @@
     VersionsUnreadable = (1507, Warning, "stored versions unreadable");
     /// An engine was silent within a stream: it went on, another engine took over, or none did so far.
     StreamSilent = (1508, Info, "stream was silent");
+    /// The connection of a caller ended before its answer was complete.
+    CallerLeft = (1509, Info, "caller left");
     /// Many engine entries were added, changed or removed at once.
     EnginesListed = (1608, Info, "engines listed");
     /// An engine's entry was added or changed.
