Idle connections that the engine closed while the node was busy are not used

What callers saw: 502 for a request that must not run twice, sent on an idle connection that its engine had already closed.

Cause: has_no_input() read through the runtime, which answers "would block" from its own flag until it has waited for events again. A close or reset that came in while the node's thread was busy was not seen.

Why it works: the kernel is asked (MSG_PEEK without waiting), which costs one system call for each idle connection taken, as the read did where the flag was set.

--- a/crates/engine-link/src/connection.rs
+++ b/crates/engine-link/src/connection.rs
@@ -1,6 +1,7 @@
 //! One connection to an engine.
 
 use std::io;
+use std::mem::MaybeUninit;
 
 use actix_codec::{Decoder as _, Encoder as _};
 use actix_http::body::BodySize;
@@ -9,6 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use dalestand_clock::BootInstant;
 use dalestand_tunnel::FrameDecoder;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
@@ -63,11 +65,11 @@
 
     /// Whether the idle connection has received neither data nor a close.
     pub(crate) fn has_no_input(&self) -> bool {
-        let mut probe = [0_u8; 1];
-        let read = self.stream.try_read(&mut probe);
+        // Asks the kernel: the runtime learns of input only when it next waits for events.
+        let peeked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
         self.received.is_empty()
             && self.frames.is_empty()
-            && read.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+            && peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// Reads more bytes of the response; 0 after the engine has ended the connection.
--- a/crates/engine-link/tests/exchanges.rs
+++ b/crates/engine-link/tests/exchanges.rs
@@ -238,6 +238,23 @@
     thread.join().expect("the engine");
 }
 
+/// Guards against requests on connections that the engine had closed while the node was busy: the runtime had not yet
+/// received the close.
+#[actix_rt::test]
+async fn a_connection_closed_while_the_node_was_busy_is_not_reused() {
+    let serve: fn(&mut TcpStream) = |stream| {
+        read_head(stream);
+        write(stream, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nab");
+        thread::sleep(Duration::from_millis(30));
+    };
+    let (target, thread) = engine(vec![serve, serve]);
+    let link = link();
+    assert_eq!(get_body(&link, &target).await, Ok(Bytes::from("ab")));
+    thread::sleep(Duration::from_millis(100));
+    assert_eq!(get_body(&link, &target).await, Ok(Bytes::from("ab")));
+    thread.join().expect("the engine");
+}
+
 /// The engine closes the connection while the node is suspended. A request sent on it would fail, and
 /// may have run.
 #[actix_rt::test]
