Calls that must not run twice go only on connections that their engine has accepted

Cause: a node opened up to 8 connections to each engine, whatever the engine accepts and the others use, and the whole number while it knew no count of nodes. The engine resets what is beyond, and a request that was sent on such a connection may have run.

Repeatable calls wait only at engines that have recently reset new connections. A reset of a new connection counts as `ResetWhenNew`: unknown whether it ran, no mark against the engine's health, and beyond the share no sign of cut links.

The platform's store client, which uses the same link, sends at once as before.

--- a/crates/engine-link/src/connection.rs
+++ b/crates/engine-link/src/connection.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::mem::MaybeUninit;
+use std::time::Duration;
 
 use actix_codec::{Decoder as _, Encoder as _};
 use actix_http::body::BodySize;
@@ -16,6 +17,7 @@
 
 use crate::error::SendError;
 use crate::paths::Path;
+use crate::rejections::CONTENDED_SETTLE_TIME;
 
 /// Buffer space reserved for each read.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
@@ -72,6 +74,30 @@
             && peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Waits until the connection has been open for `time`; returns whether it has received neither data nor a close.
+    pub(crate) async fn settles(&self, time: Duration) -> bool {
+        loop {
+            let left = time.saturating_sub(self.opened_at.elapsed());
+            // A reset makes the stream readable.
+            if tokio::time::timeout(left, self.stream.readable())
+                .await
+                .is_err()
+            {
+                return self.has_no_input();
+            }
+            // Readiness may be spurious; a read that would block clears it.
+            let read = self.stream.try_read(&mut [0]);
+            if !read.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock) {
+                return false;
+            }
+        }
+    }
+
+    /// Whether a reset of the connection may be due to a lack of room at the engine.
+    pub(crate) fn may_be_rejected(&self) -> bool {
+        !self.is_kept && self.opened_at.elapsed() < CONTENDED_SETTLE_TIME
+    }
+
     /// Reads more bytes of the response; 0 after the engine has ended the connection.
     pub(crate) async fn read_more(&mut self) -> io::Result<usize> {
         let Self {
@@ -129,7 +155,7 @@
                 read = read_response(&mut reader, self.path, &mut self.frames, &mut self.received) => match read {
                     Ok(0) => return Err(connection_error(any_byte_sent, "the engine closed the connection")),
                     Ok(_) => {}
-                    Err(error) => return Err(connection_error(any_byte_sent, &error.to_string())),
+                    Err(error) => return Err(self.read_error(any_byte_sent, &error)),
                 },
             }
         }
@@ -150,8 +176,20 @@
                 codec,
                 request_written: false,
             }),
-            None => Err(SendError::MayHaveRun(error.to_string())),
+            None => Err(self.read_error(true, error)),
+        }
+    }
+
+    /// The error for a connection that failed before a response.
+    fn read_error(&self, any_byte_sent: bool, error: &io::Error) -> SendError {
+        let is_reset = matches!(
+            error.kind(),
+            io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe
+        );
+        if any_byte_sent && is_reset && self.received.is_empty() && self.may_be_rejected() {
+            return SendError::ResetWhenNew(error.to_string());
         }
+        connection_error(any_byte_sent, &error.to_string())
     }
 }
 
--- a/crates/engine-link/src/connection_pool.rs
+++ b/crates/engine-link/src/connection_pool.rs
@@ -12,6 +12,7 @@
 use crate::connection::Connection;
 use crate::link::LinkTarget;
 use crate::paths::Path;
+use crate::rejections::Rejections;
 
 /// Time for which an idle connection may be reused if the engine sent no keep-alive timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
@@ -29,6 +30,7 @@
 struct EngineConnections {
     idle: Vec<Connection>,
     in_use: usize,
+    rejections: Rejections,
 }
 
 /// Connections of all engines.
@@ -119,6 +121,38 @@
         None
     }
 
+    /// Like [`reserve_slot`](Self::reserve_slot), but fails also while the engine resets new connections.
+    pub(crate) fn reserve_accepted_slot(
+        self: &Rc<Self>,
+        target: &LinkTarget,
+        limit: usize,
+    ) -> Result<ConnectionSlot, usize> {
+        let slot = self.reserve_slot(target, limit)?;
+        let now = BootInstant::now();
+        if self.rejections(target, |rejections| rejections.begin_open(now)) {
+            return Ok(slot);
+        }
+        drop(slot);
+        Err(self.in_use(target))
+    }
+
+    /// Number of connections in use to a target.
+    pub(crate) fn in_use(&self, target: &LinkTarget) -> usize {
+        let engines = self.engines.borrow();
+        engines.get(target).map_or(0, |engine| engine.in_use)
+    }
+
+    /// Calls `access` with the resets of new connections by a target.
+    pub(crate) fn rejections<T>(
+        &self,
+        target: &LinkTarget,
+        access: impl FnOnce(&mut Rejections) -> T,
+    ) -> T {
+        let mut engines = self.engines.borrow_mut();
+        let engine = engines.entry(target.clone()).or_default();
+        access(&mut engine.rejections)
+    }
+
     /// Reserves a slot for a new connection; fails with the number in use if that is `limit` or more.
     pub(crate) fn reserve_slot(
         self: &Rc<Self>,
@@ -150,13 +184,15 @@
     pub(crate) fn sweep(&self, keep: impl Fn(&LinkTarget) -> bool) {
         let now = BootInstant::now();
         let mut engines = self.engines.borrow_mut();
-        for (target, engine) in engines.iter_mut() {
+        engines.retain(|target, engine| {
             let is_wanted = keep(target);
             engine
                 .idle
                 .retain(|connection| is_wanted && is_unexpired(connection, now));
-        }
-        engines.retain(|_, engine| engine.in_use > 0 || !engine.idle.is_empty());
+            engine.in_use > 0
+                || !engine.idle.is_empty()
+                || (is_wanted && engine.rejections.is_contended(now))
+        });
     }
 }
 
--- a/crates/engine-link/src/error.rs
+++ b/crates/engine-link/src/error.rs
@@ -9,14 +9,18 @@
     /// The connection was refused, since nothing listens at the engine's address; nothing was sent.
     #[error("not sent: nothing listens: {0}")]
     NoListener(String),
-    /// The limit on connections to the engine, of which this many are in use, was reached; nothing was
-    /// sent.
-    #[error("not sent: all {0} connections are in use")]
+    /// No further connection to the engine may be opened beside this many in use, by the limit or since the engine resets
+    /// new ones; nothing was sent.
+    #[error("not sent: no connection beside {0} in use")]
     ConnectionLimitReached(usize),
     /// The engine stopped being eligible for the request while the connection was opened; nothing was
     /// sent.
     #[error("not sent: the engine is no longer eligible for the request")]
     NotEligible,
+    /// The engine reset a new connection, as it does with those that it has no room for. At least part of the request was
+    /// sent, so it may have run.
+    #[error("the new connection was reset: {0}")]
+    ResetWhenNew(String),
     /// At least part of the request was sent and no valid response head was received, so the engine may
     /// have run it.
     #[error("no response: {0}")]
--- a/crates/engine-link/src/lib.rs
+++ b/crates/engine-link/src/lib.rs
@@ -5,6 +5,9 @@
 //! bytes were received. If the engine sends anything on an idle connection, such as a late response,
 //! the connection is closed and not used for another request.
 //!
+//! An engine resets new connections beyond those that it accepts from all nodes together. A request that must not run twice
+//! is therefore sent only on a connection that has carried a response or has stayed open for a moment.
+//!
 //! [`SendError`] says whether the engine may have run the request, since this decides whether the
 //! request may be sent again.
 
@@ -15,10 +18,11 @@
 mod link;
 mod open;
 mod paths;
+mod rejections;
 mod response;
 
 pub use error::{BodyError, SendError};
-pub use link::{EngineLink, LinkLimits, LinkTarget};
+pub use link::{ConnectionTerms, EngineLink, LinkLimits, LinkTarget, NewConnection};
 pub use paths::{AllowedPaths, Detour, DetourError, LinkObservation, LinkPaths, Path};
 pub use response::{BodyFraming, Exchange, ResponseBody};
 
--- a/crates/engine-link/src/link.rs
+++ b/crates/engine-link/src/link.rs
@@ -8,6 +8,7 @@
 
 use actix_http::{RequestHead, ServiceConfig};
 use bytes::Bytes;
+use dalestand_clock::BootInstant;
 use tokio::net::TcpStream;
 
 use crate::connect::connect;
@@ -15,6 +16,7 @@
 use crate::error::SendError;
 use crate::open::open;
 use crate::paths::{AllowedPaths, DirectCall, LinkObservation, LinkPaths, Path};
+use crate::rejections::Rejections;
 use crate::response::Exchange;
 
 /// One run of an engine at an address. A restarted engine is a different target, so that connections
@@ -50,6 +52,30 @@
     }
 }
 
+/// When a call is sent on a new connection, which a target with a limit on connections may reset.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NewConnection {
+    /// At once: the target has no such limit.
+    AtOnce,
+    /// At once, as the call may be sent again; unless the target has recently reset new connections.
+    AtOnceIfRoom,
+    /// Once the target has accepted it, as the call must not be sent again.
+    Accepted,
+}
+
+/// Terms on which a call gets a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionTerms {
+    /// Maximum number of connections in use to the engine.
+    pub max_connections: usize,
+    /// Number of connections for which the engine has room, whatever the other nodes use.
+    pub share: usize,
+    /// Paths that the call may take.
+    pub paths: AllowedPaths,
+    /// When the call is sent on a new connection.
+    pub new_connection: NewConnection,
+}
+
 /// HTTP client for engines. Clones share one connection pool, which belongs to one thread.
 #[derive(Clone)]
 pub struct EngineLink {
@@ -84,10 +110,13 @@
         head: RequestHead,
         body: &Bytes,
     ) -> Result<Exchange, SendError> {
-        let is_eligible = || true;
-        let allowed = AllowedPaths::Any;
-        self.send_if(target, max_connections, allowed, head, body, is_eligible)
-            .await
+        let terms = ConnectionTerms {
+            max_connections,
+            share: max_connections,
+            paths: AllowedPaths::Any,
+            new_connection: NewConnection::AtOnce,
+        };
+        self.send_if(target, terms, head, body, || true).await
     }
 
     /// Like [`send`](Self::send), but checks `is_eligible` once there is a connection: the engine may have
@@ -95,13 +124,12 @@
     pub async fn send_if(
         &self,
         target: &LinkTarget,
-        max_connections: usize,
-        allowed: AllowedPaths,
+        terms: ConnectionTerms,
         head: RequestHead,
         body: &Bytes,
         is_eligible: impl FnOnce() -> bool,
     ) -> Result<Exchange, SendError> {
-        let mut connection = self.connection(target, max_connections, allowed).await?;
+        let mut connection = self.settled_connection(target, terms).await?;
         if !is_eligible() {
             connection.return_to_pool();
             return Err(SendError::NotEligible);
@@ -110,25 +138,47 @@
         let mut call = paths
             .map(|paths| DirectCall::new(paths, target, connection.opened_at, connection.is_kept));
         let received = connection.exchange(self.config.clone(), head, body).await;
+        let is_observed = terms.new_connection != NewConnection::AtOnce;
+        let is_unsent = matches!(received, Err(SendError::NotSent(_)));
+        let is_rejected = is_observed
+            && (matches!(received, Err(SendError::ResetWhenNew(_)))
+                || (is_unsent && connection.may_be_rejected()));
         match (&received, &mut call) {
             (Ok(_), Some(call)) => call.record_bytes(),
+            // The engine is more likely to lack room.
+            (Err(_), Some(_)) if is_rejected && self.is_beyond_share(target, terms) => {}
             (Err(_), Some(call)) => call.record_broken(),
             (_, None) => {}
         }
+        if is_rejected {
+            self.record_rejected(target);
+        } else if received.is_ok() && !connection.is_kept {
+            self.pool.rejections(target, Rejections::record_accepted);
+        }
         if let (Err(_), Path::Detour(carrier), Some(paths)) =
             (&received, connection.path, self.paths.get())
         {
             paths.observe(LinkObservation::DetourBroke(carrier));
             self.pool.discard_detours(carrier);
         }
-        Ok(Exchange::new(connection, received?, call))
+        match received {
+            Err(_) if is_rejected && is_unsent => {
+                drop(connection);
+                Err(SendError::ConnectionLimitReached(self.pool.in_use(target)))
+            }
+            received => Ok(Exchange::new(connection, received?, call)),
+        }
     }
 
     /// Opens a connection and adds it to the pool. Shows whether the target accepts connections.
     pub async fn open(&self, target: &LinkTarget, max_connections: usize) -> Result<(), SendError> {
-        self.new_connection(target, max_connections, AllowedPaths::Any)
-            .await?
-            .return_to_pool();
+        let slot = self
+            .pool
+            .reserve_slot(target, max_connections)
+            .map_err(SendError::ConnectionLimitReached)?;
+        let paths = self.paths.get();
+        let connection = open(target, &self.limits, paths, AllowedPaths::Any).await?;
+        PooledConnection::new(connection, slot).return_to_pool();
         Ok(())
     }
 
@@ -137,12 +187,67 @@
         connect(address, &self.limits).await
     }
 
+    /// A connection on which the call may be sent: if the call must not run twice or the engine has recently reset new
+    /// connections, one that the engine has accepted.
+    async fn settled_connection(
+        &self,
+        target: &LinkTarget,
+        terms: ConnectionTerms,
+    ) -> Result<PooledConnection, SendError> {
+        loop {
+            let connection = self.connection(target, terms).await?;
+            if connection.is_kept {
+                return Ok(connection);
+            }
+            let now = BootInstant::now();
+            let is_beyond_share = self.is_beyond_share(target, terms);
+            let (is_contended, settle_time) = self.pool.rejections(target, |rejections| {
+                let settle_time = rejections.settle_time(now, is_beyond_share);
+                (rejections.is_contended(now), settle_time)
+            });
+            let is_used_at_once = match terms.new_connection {
+                NewConnection::AtOnce => true,
+                NewConnection::AtOnceIfRoom => !is_contended,
+                NewConnection::Accepted => false,
+            };
+            if is_used_at_once {
+                return Ok(connection);
+            }
+            if connection.settles(settle_time).await {
+                self.pool.rejections(target, Rejections::record_accepted);
+                return Ok(connection);
+            }
+            // With less than its share, the node has to check whether its own links are at fault.
+            let is_suspicious = connection.path.is_direct() && !is_beyond_share;
+            connection.discard();
+            self.record_rejected(target);
+            if let Some(paths) = self.paths.get().filter(|_| is_suspicious) {
+                paths.observe(LinkObservation::NewBroke(target));
+            }
+        }
+    }
+
+    /// Whether the connections in use are more than those for which the engine has room, whatever the other nodes use.
+    fn is_beyond_share(&self, target: &LinkTarget, terms: ConnectionTerms) -> bool {
+        self.pool.in_use(target) > terms.share
+    }
+
+    fn record_rejected(&self, target: &LinkTarget) {
+        let now = BootInstant::now();
+        self.pool
+            .rejections(target, |rejections| rejections.record_rejected(now));
+    }
+
     async fn connection(
         &self,
         target: &LinkTarget,
-        max_connections: usize,
-        allowed: AllowedPaths,
+        terms: ConnectionTerms,
     ) -> Result<PooledConnection, SendError> {
+        let ConnectionTerms {
+            max_connections,
+            paths: allowed,
+            ..
+        } = terms;
         let paths = self.paths.get();
         let uses_direct = paths.is_none_or(|paths| paths.trusts_kept());
         let uses_detours =
@@ -154,20 +259,11 @@
         if let Some(idle) = self.pool.take_idle(target, is_usable) {
             return Ok(idle);
         }
-        self.new_connection(target, max_connections, allowed).await
-    }
-
-    async fn new_connection(
-        &self,
-        target: &LinkTarget,
-        max_connections: usize,
-        allowed: AllowedPaths,
-    ) -> Result<PooledConnection, SendError> {
         let slot = self
             .pool
-            .reserve_slot(target, max_connections)
+            .reserve_accepted_slot(target, max_connections)
             .map_err(SendError::ConnectionLimitReached)?;
-        let connection = open(target, &self.limits, self.paths.get(), allowed).await?;
+        let connection = open(target, &self.limits, paths, allowed).await?;
         Ok(PooledConnection::new(connection, slot))
     }
 
--- a/crates/engine-link/tests/exchanges.rs
+++ b/crates/engine-link/tests/exchanges.rs
@@ -10,7 +10,8 @@
 use bytes::Bytes;
 use dalestand_clock::test_util::suspend;
 use dalestand_engine_link::{
-    BodyError, EngineLink, Exchange, LinkLimits, LinkTarget, RequestHead, SendError,
+    AllowedPaths, BodyError, ConnectionTerms, EngineLink, Exchange, LinkLimits, LinkTarget,
+    NewConnection, RequestHead, SendError,
 };
 use rstest::rstest;
 
@@ -219,6 +220,29 @@
     thread.join().expect("the engine");
 }
 
+/// Guards against an engine without room for connections that is taken for a crashed or failing one.
+#[actix_rt::test]
+async fn a_reset_of_a_new_connection_is_reported_and_followed_by_a_pause() {
+    let (target, thread) = engine(vec![|stream: &mut TcpStream| {
+        read_head(stream);
+        reset_on_close(stream);
+    }]);
+    let link = link();
+    let terms = ConnectionTerms {
+        max_connections: 4,
+        share: 4,
+        paths: AllowedPaths::Any,
+        new_connection: NewConnection::AtOnceIfRoom,
+    };
+    let (head, body) = (RequestHead::default(), Bytes::new());
+    let send = || link.send_if(&target, terms, head.clone(), &body, || true);
+    let first = send().await;
+    assert!(matches!(first, Err(SendError::ResetWhenNew(_))));
+    let second = send().await;
+    assert!(matches!(second, Err(SendError::ConnectionLimitReached(0))));
+    thread.join().expect("the engine");
+}
+
 #[actix_rt::test]
 async fn a_response_before_the_body_is_read_is_returned() {
     let (target, thread) = engine(vec![|stream: &mut TcpStream| {
--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -46,9 +46,14 @@
 /// Longer than evidence counts.
 const EVIDENCE_ORIGIN_BEFORE_START: Duration = Duration::from_secs(2 * 24 * 3_600);
 
-/// Lower bound on the connections of a node to each engine, whatever the number of nodes.
+/// Lower bound on the connections of a node to each engine, whatever the number of nodes, if the engine accepts so many:
+/// most nodes don't use their share at the same time, and a reset of a new connection does no harm.
 const MIN_CONNECTIONS: usize = 8;
 
+/// An engine that accepts this many connections has room for one more of each node, however many nodes there are: not all of
+/// them use it at the same time.
+const MANY_CONNECTIONS: usize = 64;
+
 /// Parts of the context besides the settings.
 pub(crate) struct ContextParts {
     pub(crate) dialect: Rc<dyn Dialect>,
@@ -495,10 +500,24 @@
 
     /// Maximum number of connections of this node to one engine of the pool.
     pub(crate) fn max_connections(&self, pool: &PoolName) -> usize {
+        let share = self.connection_share(pool);
+        share
+            .max(MIN_CONNECTIONS)
+            .min(self.accepted_connections(pool))
+    }
+
+    /// This node's share of the connections that one engine of the pool accepts; none while the number of nodes is unknown.
+    pub(crate) fn connection_share(&self, pool: &PoolName) -> usize {
+        let accepted = self.accepted_connections(pool);
+        let nodes = self.nodes.borrow_mut().get(self.now());
+        let share = nodes.map_or(0, |nodes| accepted / nodes);
+        share.max(usize::from(accepted >= MANY_CONNECTIONS))
+    }
+
+    /// Number of connections that one engine of the pool accepts from all nodes together.
+    fn accepted_connections(&self, pool: &PoolName) -> usize {
         let table = self.table.borrow();
-        let config = table.as_ref().and_then(|table| table.pool(pool).cloned());
-        let all = config.map_or(MIN_CONNECTIONS, |config| config.max_connections as usize);
-        let nodes = self.nodes.borrow_mut().get(self.now()).unwrap_or(1);
-        (all / nodes).max(MIN_CONNECTIONS)
+        let config = table.as_ref().and_then(|table| table.pool(pool));
+        config.map_or(MIN_CONNECTIONS, |config| config.max_connections as usize)
     }
 }
--- a/crates/forwarding/src/detour/link_check.rs
+++ b/crates/forwarding/src/detour/link_check.rs
@@ -8,7 +8,7 @@
 use crate::context::Context;
 use crate::detour::apply_change;
 use crate::detour::open_detour::open_detour;
-use crate::detour::reach::engine_of;
+use crate::detour::reach::{SETTLE_TIME, engine_of, stays_open};
 
 /// Records that a direct connection to an engine failed although another node reaches it.
 pub(super) fn record_failed_open(context: &Context, engine: EngineKey) {
@@ -30,7 +30,11 @@
     }
     let (context, target) = (Rc::clone(context), target.clone());
     actix_rt::spawn(async move {
-        if open_detour(Rc::clone(&context), target).await.is_ok() {
+        let opened = open_detour(Rc::clone(&context), target).await;
+        // An engine without room resets a connection of another node too.
+        if let Ok(detour) = opened
+            && stays_open(&detour.stream, SETTLE_TIME).await
+        {
             record_failed_open(&context, engine);
         }
         context.detours.checks.borrow_mut().remove(&engine);
--- a/crates/forwarding/src/detour/reach.rs
+++ b/crates/forwarding/src/detour/reach.rs
@@ -18,7 +18,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// A connection that is not reset within this time has reached its engine: a link that is cut may reset it late.
-const SETTLE_TIME: Duration = Duration::from_millis(20);
+pub(super) const SETTLE_TIME: Duration = Duration::from_millis(20);
 
 /// Engines that are tried before this node takes itself to be cut off.
 const ENGINES_TRIED: usize = 3;
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -163,6 +163,7 @@
             body: &progress.forwarded.body,
             content,
             paths: AllowedPaths::Any,
+            is_repeatable: progress.route.kind.is_repeatable(),
             permission,
         },
     );
@@ -245,6 +246,10 @@
                 Some(AttemptResult::Failed),
             )
         }
+        Verdict::ResetWhenNew => {
+            watch.record_unfinished(UnfinishedReason::NoAnswer);
+            (AttemptOutcome::Unknown, "reset", None)
+        }
         Verdict::NoResponse => {
             watch.record_unfinished(UnfinishedReason::Silent);
             progress.silent_calls.push(SilentCall {
@@ -446,6 +451,8 @@
     NoConnection,
     Withheld,
     Broken,
+    /// The engine reset a new connection, which says nothing about its health.
+    ResetWhenNew,
     NoResponse,
 }
 
@@ -482,6 +489,7 @@
         SendError::NoListener(_) => Verdict::NoListener,
         SendError::NotSent(_) => Verdict::NotSent,
         SendError::NotEligible => Verdict::Withheld,
+        SendError::ResetWhenNew(_) => Verdict::ResetWhenNew,
         SendError::MayHaveRun(_) => Verdict::Broken,
     }
 }
--- a/crates/forwarding/src/serve/engine_call.rs
+++ b/crates/forwarding/src/serve/engine_call.rs
@@ -37,6 +37,7 @@
         body: &body,
         content: CallContent::Internal,
         paths,
+        is_repeatable: false,
         permission: SendPermission::for_internal_call(context, engine.key),
     };
     let exchange = async {
--- a/crates/forwarding/src/serve/engine_send.rs
+++ b/crates/forwarding/src/serve/engine_send.rs
@@ -15,7 +15,9 @@
 use bytes::Bytes;
 use dalestand_edge::routed::ResponseMetadata;
 use dalestand_edge::unknown_headers::HeaderSender;
-use dalestand_engine_link::{AllowedPaths, Exchange, LinkTarget, SendError};
+use dalestand_engine_link::{
+    AllowedPaths, ConnectionTerms, Exchange, LinkTarget, NewConnection, SendError,
+};
 use dalestand_routing::staged::{ClosedReason, EngineKey, ProbeCall, ProbeOutcome, StagedEngine};
 use dalestand_types::{EngineSignals, PoolName};
 
@@ -34,6 +36,8 @@
     pub(crate) content: CallContent,
     /// Paths that it may take.
     pub(crate) paths: AllowedPaths,
+    /// Whether it may be sent again if it may have run.
+    pub(crate) is_repeatable: bool,
     /// Permission to send it.
     pub(crate) permission: SendPermission<'a>,
 }
@@ -122,6 +126,7 @@
         body,
         content,
         paths,
+        is_repeatable,
         mut permission,
     } = call;
     // A rate limit does not close the engine to this call, as the call holds a permission.
@@ -134,7 +139,16 @@
     }
     let probe = Probe::new(context, engine.key);
     let sent_at = context.now();
-    let max_connections = context.max_connections(pool);
+    let terms = ConnectionTerms {
+        max_connections: context.max_connections(pool),
+        share: context.connection_share(pool),
+        paths,
+        new_connection: if is_repeatable {
+            NewConnection::AtOnceIfRoom
+        } else {
+            NewConnection::Accepted
+        },
+    };
     // After a backoff, the call is itself one of the probes, so the limit on probes does not close
     // the engine to it.
     let is_open = || {
@@ -146,7 +160,7 @@
         is_open
     };
     let link = &context.link;
-    let sent = link.send_if(target, max_connections, paths, head, body, is_open);
+    let sent = link.send_if(target, terms, head, body, is_open);
     let exchange = sent.await.map_err(|error| match error {
         SendError::NotEligible => {
             CallError::Closed(closed().unwrap_or(ClosedReason::Limit(context.now())))
--- a/crates/forwarding/src/serve/prefill.rs
+++ b/crates/forwarding/src/serve/prefill.rs
@@ -75,6 +75,7 @@
                 body: &Bytes::new(),
                 content: CallContent::Internal,
                 paths: AllowedPaths::Any,
+                is_repeatable: true,
                 permission: SendPermission::for_internal_call(&context, engine.key),
             };
             let sent = send(&context, call);
--- a/crates/forwarding/tests/support/engine.rs
+++ b/crates/forwarding/tests/support/engine.rs
@@ -26,20 +26,36 @@
 impl TestEngine {
     /// Starts an engine.
     pub fn start(script: Script) -> Self {
+        Self::start_limited(script, usize::MAX, Duration::ZERO)
+    }
+
+    /// Starts an engine that resets connections beyond `max_connections` after `reset_delay`.
+    pub fn start_limited(script: Script, max_connections: usize, reset_delay: Duration) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let heads = Arc::new(Mutex::new(Vec::new()));
         let seen = Arc::clone(&heads);
         let connections: Connections = Arc::new(Mutex::new(Some(Vec::new())));
         let open = Arc::clone(&connections);
+        let places = Arc::new(());
         thread::spawn(move || {
             while let Ok((stream, _)) = listener.accept() {
                 let Some(connections) = &mut *open.lock().expect("no panic") else {
                     return;
                 };
+                if Arc::strong_count(&places) > max_connections {
+                    thread::spawn(move || {
+                        thread::sleep(reset_delay);
+                        reset(stream);
+                    });
+                    continue;
+                }
                 connections.push(stream.try_clone().expect("a second handle"));
-                let seen = Arc::clone(&seen);
-                thread::spawn(move || serve(stream, script, &seen));
+                let (seen, place) = (Arc::clone(&seen), Arc::clone(&places));
+                thread::spawn(move || {
+                    serve(stream, script, &seen);
+                    drop(place);
+                });
             }
         });
         Self {
@@ -85,6 +101,13 @@
     }
 }
 
+/// Closes a connection with a reset.
+fn reset(stream: TcpStream) {
+    let socket = socket2::SockRef::from(&stream);
+    socket.set_linger(Some(Duration::ZERO)).expect("linger");
+    drop(stream);
+}
+
 fn serve(mut stream: TcpStream, script: Script, seen: &Mutex<Vec<String>>) {
     while let Some(head) = read_head(&mut stream) {
         seen.lock().expect("no panic").push(head.clone());
