--- a/crates/engine-link/src/connection.rs
+++ b/crates/engine-link/src/connection.rs
@@ -1,6 +1,8 @@
 //! One connection to an engine.
 
 use std::io;
+use std::mem::MaybeUninit;
+use std::time::Duration;
 
 use actix_codec::{Decoder as _, Encoder as _};
 use actix_http::body::BodySize;
@@ -9,11 +11,13 @@
 use bytes::{Buf as _, Bytes, BytesMut};
 use dalestand_clock::BootInstant;
 use dalestand_tunnel::FrameDecoder;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
 use crate::error::SendError;
 use crate::paths::Path;
+use crate::rejections::CONTENDED_SETTLE_TIME;
 
 /// Buffer space reserved for each read.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
@@ -69,11 +73,35 @@
 
     /// Whether the idle connection has received neither data nor a close.
     pub(crate) fn has_no_input(&self) -> bool {
-        let mut probe = [0_u8; 1];
-        let read = self.stream.try_read(&mut probe);
+        // Asks the kernel: the runtime learns of input only when it next waits for events.
+        let peeked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
         self.received.is_empty()
             && self.frames.is_empty()
-            && read.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+            && peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Waits until the connection has been open for `time`; returns whether it has received neither data nor a close.
+    pub(crate) async fn settles(&self, time: Duration) -> bool {
+        loop {
+            let left = time.saturating_sub(self.opened_at.elapsed());
+            // A reset makes the stream readable.
+            if tokio::time::timeout(left, self.stream.readable())
+                .await
+                .is_err()
+            {
+                return self.has_no_input();
+            }
+            // Readiness may be spurious; a read that would block clears it.
+            let read = self.stream.try_read(&mut [0]);
+            if !read.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock) {
+                return false;
+            }
+        }
+    }
+
+    /// Whether a reset of the connection may be due to a lack of room at the engine.
+    pub(crate) fn may_be_rejected(&self) -> bool {
+        !self.is_kept && self.opened_at.elapsed() < CONTENDED_SETTLE_TIME
     }
 
     /// Reads more bytes of the response; 0 after the engine has ended the connection. Writes the rest of the request meanwhile,
@@ -145,7 +173,7 @@
                 read = read_response(&mut reader, self.path, &mut self.frames, &mut self.received) => match read {
                     Ok(0) => return Err(connection_error(any_byte_sent, "the engine closed the connection")),
                     Ok(_) => {}
-                    Err(error) => return Err(connection_error(any_byte_sent, &error.to_string())),
+                    Err(error) => return Err(self.read_error(any_byte_sent, &error)),
                 },
             }
         }
@@ -167,8 +195,20 @@
                 codec,
                 request_written: false,
             }),
-            None => Err(SendError::MayHaveRun(error.to_string())),
+            None => Err(self.read_error(true, error)),
+        }
+    }
+
+    /// The error for a connection that failed before a response.
+    fn read_error(&self, any_byte_sent: bool, error: &io::Error) -> SendError {
+        let is_reset = matches!(
+            error.kind(),
+            io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe
+        );
+        if any_byte_sent && is_reset && self.received.is_empty() && self.may_be_rejected() {
+            return SendError::ResetWhenNew(error.to_string());
         }
+        connection_error(any_byte_sent, &error.to_string())
     }
 }
 
--- a/crates/engine-link/tests/exchanges.rs
+++ b/crates/engine-link/tests/exchanges.rs
@@ -10,7 +10,8 @@
 use bytes::Bytes;
 use dalestand_clock::test_util::suspend;
 use dalestand_engine_link::{
-    BodyError, EngineLink, Exchange, LinkLimits, LinkTarget, RequestHead, SendError,
+    AllowedPaths, BodyError, ConnectionTerms, EngineLink, Exchange, LinkLimits, LinkTarget,
+    NewConnection, RequestHead, SendError,
 };
 use rstest::rstest;
 
@@ -219,6 +220,29 @@
     thread.join().expect("the engine");
 }
 
+/// Guards against an engine without room for connections that is taken for a crashed or failing one.
+#[actix_rt::test]
+async fn a_reset_of_a_new_connection_is_reported_and_followed_by_a_pause() {
+    let (target, thread) = engine(vec![|stream: &mut TcpStream| {
+        read_head(stream);
+        reset_on_close(stream);
+    }]);
+    let link = link();
+    let terms = ConnectionTerms {
+        max_connections: 4,
+        share: 4,
+        paths: AllowedPaths::Any,
+        new_connection: NewConnection::AtOnceIfRoom,
+    };
+    let (head, body) = (RequestHead::default(), Bytes::new());
+    let send = || link.send_if(&target, terms, head.clone(), &body, || true);
+    let first = send().await;
+    assert!(matches!(first, Err(SendError::ResetWhenNew(_))));
+    let second = send().await;
+    assert!(matches!(second, Err(SendError::ConnectionLimitReached(0))));
+    thread.join().expect("the engine");
+}
+
 #[actix_rt::test]
 async fn a_response_before_the_body_is_read_is_returned() {
     let (target, thread) = engine(vec![|stream: &mut TcpStream| {
@@ -238,6 +262,23 @@
     thread.join().expect("the engine");
 }
 
+/// Guards against requests on connections that the engine had closed while the node was busy: the runtime had not yet
+/// received the close.
+#[actix_rt::test]
+async fn a_connection_closed_while_the_node_was_busy_is_not_reused() {
+    let serve: fn(&mut TcpStream) = |stream| {
+        read_head(stream);
+        write(stream, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nab");
+        thread::sleep(Duration::from_millis(30));
+    };
+    let (target, thread) = engine(vec![serve, serve]);
+    let link = link();
+    assert_eq!(get_body(&link, &target).await, Ok(Bytes::from("ab")));
+    thread::sleep(Duration::from_millis(100));
+    assert_eq!(get_body(&link, &target).await, Ok(Bytes::from("ab")));
+    thread.join().expect("the engine");
+}
+
 /// The engine closes the connection while the node is suspended. A request sent on it would fail, and
 /// may have run.
 #[actix_rt::test]
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -189,6 +189,7 @@
             head,
             body: progress.forwarded.body.clone(),
             content,
+            is_repeatable: progress.route.kind.is_repeatable(),
             permission,
         },
     );
@@ -332,7 +333,9 @@
         | Verdict::NoListener
         | Verdict::Withheld
         | Verdict::NoConnection => call.watch.dismiss(),
-        Verdict::Broken => call.watch.record_unfinished(UnfinishedReason::NoAnswer),
+        Verdict::Broken | Verdict::ResetWhenNew => {
+            call.watch.record_unfinished(UnfinishedReason::NoAnswer);
+        }
         Verdict::NoResponse => call.watch.record_unfinished(UnfinishedReason::Silent),
         Verdict::Valid(_) => {}
     }
@@ -384,7 +387,7 @@
         Verdict::NotSent | Verdict::NoListener | Verdict::Withheld | Verdict::NoConnection => {
             AttemptOutcome::NotSent
         }
-        Verdict::Broken | Verdict::NoResponse => AttemptOutcome::Unknown,
+        Verdict::Broken | Verdict::ResetWhenNew | Verdict::NoResponse => AttemptOutcome::Unknown,
     }
 }
 
--- a/crates/forwarding/src/serve/call_verdict.rs
+++ b/crates/forwarding/src/serve/call_verdict.rs
@@ -27,6 +27,8 @@
     Withheld,
     /// There is no valid response, and the request may have run.
     Broken,
+    /// The engine reset a new connection, probably for lack of room, and the request may have run.
+    ResetWhenNew,
     /// There was no response in time.
     NoResponse,
 }
@@ -45,6 +47,7 @@
             Self::Withheld => ("withheld", None),
             Self::NoConnection => ("no connection", None),
             Self::Broken => ("broken", Some(AttemptResult::Failed)),
+            Self::ResetWhenNew => ("reset", None),
             Self::NoResponse => ("silent", Some(AttemptResult::NoResponse)),
         }
     }
@@ -57,7 +60,7 @@
             | Self::NoListener
             | Self::Withheld
             | Self::NoConnection => true,
-            Self::Valid(_) | Self::Broken | Self::NoResponse => false,
+            Self::Valid(_) | Self::Broken | Self::ResetWhenNew | Self::NoResponse => false,
         }
     }
 
@@ -65,7 +68,9 @@
     pub(super) fn call_outcome(&self) -> CallOutcome {
         match self {
             Self::Valid(_) => CallOutcome::Accepted,
-            Self::Refused | Self::Broken | Self::NoResponse => CallOutcome::NotAccepted,
+            Self::Refused | Self::Broken | Self::ResetWhenNew | Self::NoResponse => {
+                CallOutcome::NotAccepted
+            }
             Self::NotSent | Self::NoListener | Self::Withheld | Self::NoConnection => {
                 CallOutcome::NotDelivered
             }
@@ -107,6 +112,7 @@
         SendError::NoListener(_) => Verdict::NoListener,
         SendError::NotSent(_) => Verdict::NotSent,
         SendError::NotEligible => Verdict::Withheld,
+        SendError::ResetWhenNew(_) => Verdict::ResetWhenNew,
         SendError::MayHaveRun(_) => Verdict::Broken,
     }
 }
--- a/crates/forwarding/src/serve/open_call.rs
+++ b/crates/forwarding/src/serve/open_call.rs
@@ -96,6 +96,7 @@
     pub(super) head: RequestHead,
     pub(super) body: Bytes,
     pub(super) content: CallContent,
+    pub(super) is_repeatable: bool,
     pub(super) permission: SendPermission,
 }
 
@@ -112,6 +113,7 @@
         body: &call.body,
         content: call.content,
         paths: AllowedPaths::Any,
+        is_repeatable: call.is_repeatable,
         permission: call.permission,
     };
     send(&context, call).await
