--- a/crates/forwarding/src/serve/answer_stream.rs
+++ b/crates/forwarding/src/serve/answer_stream.rs
@@ -7,7 +7,7 @@
 
 use actix_http::header::CONTENT_TYPE;
 use bytes::Bytes;
-use dalestand_clock::{BootInstant, timeout, timeout_at};
+use dalestand_clock::{BootInstant, sleep, timeout, timeout_at};
 use dalestand_engine_link::{BodyFraming, ResponseHead};
 use dalestand_routing::staged::{AttemptResult, response_timeout};
 use dalestand_stream_origins::StreamBinding;
@@ -47,6 +47,10 @@
 /// Minimum pause after which a stream is resumed elsewhere.
 const MIN_PAUSE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// How often an engine that can't be reached is checked, if an answer may have ended with its connection and no other engine
+/// goes on with it.
+const ENGINE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
 /// The longest event that is held until its end has arrived.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -152,18 +156,18 @@
                 BodyRead::End if self.is_truncated() => RunFailure::InsideEvent,
                 BodyRead::End => match check_engine(&self.context, &self.answer).await {
                     state @ EngineState::Alive => return self.finish(state),
-                    state @ (EngineState::Left | EngineState::Unknown) => {
-                        // The answer may be whole. Another engine can tell, as it goes on after the last event.
-                        if !self.can_resume() {
-                            return self.finish(state);
-                        }
+                    // The answer may be whole. Another engine can tell, as it goes on after the last event.
+                    state @ (EngineState::Left | EngineState::Unknown) if !self.can_resume() => {
+                        return self.finish(state);
+                    }
+                    EngineState::Unknown => {
                         self.record_failure(RunFailure::BrokenOff);
                         if !self.resume_elsewhere().await {
-                            return self.finish(state);
+                            sleep(ENGINE_CHECK_INTERVAL).await;
                         }
                         continue;
                     }
-                    EngineState::Crashed => RunFailure::BrokenOff,
+                    EngineState::Left | EngineState::Crashed => RunFailure::BrokenOff,
                 },
                 BodyRead::BrokenOff => RunFailure::BrokenOff,
             };
@@ -224,6 +228,9 @@
     async fn read_answer(&mut self) -> BodyRead {
         let read = self.answer.body.next().await.into();
         self.answer.work.record_prefilled();
+        if matches!(read, BodyRead::Bytes(_)) && self.last_search_end.take().is_some() {
+            self.record_going_on();
+        }
         read
     }
 
@@ -247,8 +254,9 @@
                     BodyRead::Bytes(bytes) => {
                         let splitter = self.splitter.get_or_insert_default();
                         splitter.push(&bytes);
+                        self.answer.work.record_prefilled();
                         // Less than an event does not show that the engine goes on.
-                        if splitter.has_event() {
+                        if splitter.has_event() || splitter.pending().len() > MAX_EVENT_BYTES {
                             break Err(BodyRead::WentOn);
                         }
                     }
@@ -263,8 +271,7 @@
         let (outcome, read) = match found {
             Err(read) => {
                 abandon_open_calls(&self.context, &mut self.progress);
-                self.answer.watch.withdraw_silence();
-                self.end_silence();
+                self.record_going_on();
                 (SilenceEnd::WentOn, Some(read))
             }
             Ok(Some(replacement)) => {
@@ -384,8 +391,10 @@
         router.health.record(now, engine, result);
     }
 
-    /// Lets the engine be used again as before its silence.
-    fn end_silence(&self) {
+    /// Lets the engine, and those that refused the stream meanwhile, be used again as before the silence.
+    fn record_going_on(&mut self) {
+        self.answer.watch.withdraw_silence();
+        self.progress.end_silence(self.answer.choice.engine.key);
         let now = self.context.now();
         let mut router = self.context.router.borrow_mut();
         let engine = self.answer.choice.engine.key;
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -61,13 +61,10 @@
     Unknown,
 }
 
-impl AttemptOutcome {
-    /// Whether it ends the search for an answer: the engine answers and reports no failure.
-    fn is_final_answer(&self) -> bool {
-        match self {
-            Self::Answered(answer) => !answer.head.status.is_server_error(),
-            Self::Refused | Self::NotSent | Self::Unknown => false,
-        }
+impl EngineAnswer {
+    /// Whether the engine reports a failure of its own.
+    pub(super) fn is_server_error(&self) -> bool {
+        self.head.status.is_server_error()
     }
 }
 
@@ -91,43 +88,57 @@
     call: Call<'_>,
 ) -> AttemptOutcome {
     let time_limit = call.timeout;
-    match open_call(context, progress, call).await {
-        Ok(call) => progress.open_calls.push(call),
+    let call = match open_call(context, progress, call).await {
+        Ok(call) => call,
         Err(outcome) => return outcome,
-    }
+    };
+    let own = call.id();
+    progress.open_calls.push(call);
     let until = BootInstant::now() + time_limit;
     loop {
         let replied = timeout_at(until, next_reply(&mut progress.open_calls)).await;
         let Ok((call, reply)) = replied else {
             return record_silence(context, progress);
         };
-        let is_own = !call.is_silent();
-        let outcome = settle(context, progress, call, Some(reply));
-        if outcome.is_final_answer() {
-            abandon_open_calls(context, progress);
-        }
-        if is_own || matches!(outcome, AttemptOutcome::Answered(_)) {
-            return outcome;
+        let is_own = call.id() == own;
+        match settle(context, progress, call, Some(reply)) {
+            AttemptOutcome::Answered(answer) if is_own || !answer.is_server_error() => {
+                abandon_if_taken_over(context, progress, &answer);
+                return AttemptOutcome::Answered(answer);
+            }
+            AttemptOutcome::Answered(answer) => progress.late_error = Some(answer),
+            outcome if is_own => return outcome,
+            _ => {}
         }
     }
 }
 
-/// Waits for an answer to a call that is still open; `None` if none of them gets one.
+/// Waits for an answer to a call that is still open, if possible one without a server error; `None` if there is none.
 pub(crate) async fn await_open_calls(
     context: &Context,
     progress: &mut Progress,
 ) -> Option<Box<EngineAnswer>> {
     while !progress.open_calls.is_empty() {
         let (call, reply) = next_reply(&mut progress.open_calls).await;
-        let outcome = settle(context, progress, call, Some(reply));
-        if outcome.is_final_answer() {
-            abandon_open_calls(context, progress);
-        }
-        if let AttemptOutcome::Answered(answer) = outcome {
-            return Some(answer);
+        match settle(context, progress, call, Some(reply)) {
+            AttemptOutcome::Answered(answer) if answer.is_server_error() => {
+                progress.late_error = Some(answer);
+            }
+            AttemptOutcome::Answered(answer) => {
+                abandon_if_taken_over(context, progress, &answer);
+                return Some(answer);
+            }
+            AttemptOutcome::Refused | AttemptOutcome::NotSent | AttemptOutcome::Unknown => {}
         }
     }
-    None
+    progress.late_error.take()
+}
+
+/// Gives up the open calls of a stream that an engine has accepted. A whole answer has to arrive first.
+fn abandon_if_taken_over(context: &Context, progress: &mut Progress, answer: &EngineAnswer) {
+    if progress.route.kind.is_stream() && answer.head.status.is_success() {
+        abandon_open_calls(context, progress);
+    }
 }
 
 /// Prepares a call and counts it as sent, unless it may not be made.
@@ -282,6 +293,7 @@
 
 /// Gives up the calls that are still open, because the request has an answer.
 pub(crate) fn abandon_open_calls(context: &Context, progress: &mut Progress) {
+    progress.late_error = None;
     for mut call in std::mem::take(&mut progress.open_calls) {
         if call.is_silent() {
             call.watch.record_unfinished(UnfinishedReason::Silent);
--- a/crates/forwarding/src/serve/deliver.rs
+++ b/crates/forwarding/src/serve/deliver.rs
@@ -9,7 +9,7 @@
 use crate::context::Context;
 use crate::quarantine::run_watch::UnfinishedReason;
 use crate::serve::answer::guarantees_not_run;
-use crate::serve::attempt::EngineAnswer;
+use crate::serve::attempt::{EngineAnswer, abandon_open_calls};
 use crate::serve::held_bytes::HeldReservation;
 use crate::serve::progress::Progress;
 use crate::serve::unmarked_end::{EngineState, check_engine};
@@ -22,7 +22,7 @@
 const UNKNOWN_LENGTH_BYTES: usize = 64 << 10;
 
 /// An answer for the caller.
-pub(super) enum Served {
+pub(crate) enum Served {
     /// A completely received answer.
     Whole(ResponseHead, Bytes, HeldReservation),
     /// An answer whose body is still being received.
@@ -32,7 +32,7 @@
 /// Turns an engine's answer into one for the caller; `None` if it is broken or must not be passed on.
 pub(super) async fn deliver(
     context: &Rc<Context>,
-    progress: &Progress,
+    progress: &mut Progress,
     mut answer: Box<EngineAnswer>,
 ) -> Option<Served> {
     let is_long = answer
@@ -62,6 +62,9 @@
     };
     match body {
         Ok(body) if state != EngineState::Crashed => {
+            if !answer.is_server_error() {
+                abandon_open_calls(context, progress);
+            }
             answer.watch.record_answer(answer.head.status, state);
             reservation.resize(body.len());
             let whole = Served::Whole(answer.head, body, reservation);
--- a/crates/forwarding/src/serve/event_stream.rs
+++ b/crates/forwarding/src/serve/event_stream.rs
@@ -38,8 +38,12 @@
     }
 
     /// Whether a complete event has been received.
-    pub fn has_event(&self) -> bool {
-        event_end(&self.pending, self.searched).is_some()
+    pub fn has_event(&mut self) -> bool {
+        let has_event = event_end(&self.pending, self.searched).is_some();
+        if !has_event {
+            self.searched = self.pending.len().saturating_sub(3);
+        }
+        has_event
     }
 
     /// Bytes received after the last complete event.
--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -58,7 +58,7 @@
     let served = timeout_at(due, serve(&context, &mut progress)).await;
     let served = served.unwrap_or_else(|_| {
         record_unanswered(&context, &mut progress);
-        Err(if progress.runs == 0 {
+        progress.fallback.take().ok_or(if progress.runs == 0 {
             Failure::TimeOverNotRun
         } else {
             Failure::TimeOver
@@ -135,11 +135,10 @@
         return Err(failure);
     }
     bind_resumed(context, progress).await?;
-    let mut fallback = None;
     let failure = loop {
         match serve_once(context, progress).await {
             Ok(Some(Served::Whole(head, body, reservation))) if head.status.is_server_error() => {
-                fallback = Some(Served::Whole(head, body, reservation));
+                progress.fallback = Some(Served::Whole(head, body, reservation));
                 if !may_retry(context, progress) {
                     break Failure::Unknown;
                 }
@@ -157,7 +156,8 @@
             Ok(None) => break final_failure(context, progress),
             Err(Failure::NoEngine) if should_wait_for_place(context, progress) => {
                 pause_before_retry(progress).await;
-                progress.tried.clear();
+                let open_calls = progress.open_calls.iter();
+                progress.tried = open_calls.map(|call| call.id().0).collect();
             }
             Err(failure) => break failure,
         }
@@ -168,7 +168,14 @@
             return Ok(served);
         }
     }
-    fallback.ok_or(failure)
+    if let Some(fallback) = progress.fallback.take() {
+        return Ok(fallback);
+    }
+    // A late refusal shows that the request did not run.
+    Err(match failure {
+        Failure::Unknown => final_failure(context, progress),
+        failure => failure,
+    })
 }
 
 /// Refuses a stopped request and one with a held part, unless this node may run it as a trial.
@@ -281,7 +288,7 @@
 /// Turns the outcome of a call into an answer for the caller; `None` if there is none.
 async fn deliver_outcome(
     context: &Rc<Context>,
-    progress: &Progress,
+    progress: &mut Progress,
     outcome: AttemptOutcome,
 ) -> Option<Served> {
     match outcome {
--- a/crates/forwarding/src/serve/open_call.rs
+++ b/crates/forwarding/src/serve/open_call.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use dalestand_clock::BootInstant;
 use dalestand_engine_link::{AllowedPaths, Exchange, LinkTarget};
-use dalestand_routing::staged::{EngineChoice, StagedEngine};
+use dalestand_routing::staged::{EngineChoice, EngineKey, StagedEngine};
 use dalestand_routing::{CallPurpose, RepeatedSend, RetryBalance};
 use dalestand_types::{MonotonicTime, PoolName, RequestRate, SoftwareVersion};
 
@@ -55,6 +55,11 @@
         self.silent_record.is_some()
     }
 
+    /// Identifies the call among those of its request: an engine is called once at a time.
+    pub(super) fn id(&self) -> (EngineKey, BootInstant) {
+        (self.choice.engine.key, self.sent_at)
+    }
+
     pub(super) fn into_answer(mut self, exchange: Exchange) -> EngineAnswer {
         self.work.record_started();
         EngineAnswer {
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -24,6 +24,8 @@
 use crate::fleet::engines::Fleet;
 use crate::fleet_sums::{ClassKey, TenantKey};
 use crate::node::settings::ForwardingSettings;
+use crate::serve::attempt::EngineAnswer;
+use crate::serve::deliver::Served;
 use crate::serve::open_call::OpenCall;
 use crate::serve::pool_admissions::{AdmissionRecord, Reservation};
 use crate::serve::tenant_shares::{ShareStatus, tenant_code};
@@ -275,6 +277,12 @@
     pub(crate) calls: Vec<CallRecord>,
     /// Calls that engines may still answer: the newest one, and earlier runs whose engines have fallen silent.
     pub(crate) open_calls: Vec<OpenCall>,
+    /// An answer that reports a server error, and arrived while another call was open.
+    pub(crate) late_error: Option<Box<EngineAnswer>>,
+    /// An answer to deliver if no engine gives a better one.
+    pub(crate) fallback: Option<Served>,
+    /// Calls before this index belong to silences that have ended, and do not count against [`MAX_CALLS`].
+    past_calls: usize,
     /// Latest latency estimate, where there is one.
     pub(crate) expected: Option<LatencyEstimate>,
     /// Its reserved place in a pool that is short of capacity, until it is sent.
@@ -324,6 +332,9 @@
             silent_calls: Vec::new(),
             calls: Vec::new(),
             open_calls: Vec::new(),
+            late_error: None,
+            fallback: None,
+            past_calls: 0,
             expected: None,
             reservation: None,
             admission: None,
@@ -354,12 +365,13 @@
     /// Whether the request may be sent to another engine.
     pub(crate) fn may_call_another(&self) -> bool {
         let may_have_run = self.runs > 0;
-        let withheld = self.calls.iter().filter(|call| call.is_withheld());
-        let sent = self.calls.len() - withheld.count();
+        let calls = &self.calls[self.past_calls..];
+        let withheld = calls.iter().filter(|call| call.is_withheld());
+        let sent = calls.len() - withheld.count();
         (!may_have_run || self.route.kind.is_repeatable())
             && self.runs < self.route.max_attempts
             && sent < MAX_CALLS
-            && self.calls.len() < MAX_CHOICES
+            && calls.len() < MAX_CHOICES
     }
 
     /// Records the outcome of a call.
@@ -387,6 +399,12 @@
         })
     }
 
+    /// Makes the engines that refused the request during a silence available again, as its engine goes on.
+    pub(crate) fn end_silence(&mut self, engine: EngineKey) {
+        self.tried.retain(|tried| *tried == engine);
+        self.past_calls = self.calls.len();
+    }
+
     /// Replaces the outcome of a call that was recorded as silent.
     pub(crate) fn record_late(
         &mut self,
--- a/crates/forwarding/src/serve/replacement.rs
+++ b/crates/forwarding/src/serve/replacement.rs
@@ -15,6 +15,7 @@
 use crate::serve::event_stream::EventSplitter;
 use crate::serve::forward::resume;
 use crate::serve::progress::Progress;
+use crate::serve::unmarked_end::{EngineState, check_engine};
 
 /// Longest time for which the former run goes on after another engine has accepted the stream. Engines send their first
 /// event when they begin a run, so both would otherwise work on it.
@@ -61,7 +62,9 @@
             answer,
             splitter: EventSplitter::default(),
         };
-        match timeout(MAX_OVERLAP, replacement.read_first_event()).await {
+        let has_events = progress.facts.last_event.is_some();
+        let first_event = replacement.read_first_event(context, has_events);
+        match timeout(MAX_OVERLAP, first_event).await {
             Ok(true) | Err(_) => return Some(replacement),
             Ok(false) => replacement.record_failure(context),
         }
@@ -70,8 +73,9 @@
 }
 
 impl Replacement {
-    /// Reads until an event or the end of the answer has been received; false if it broke off before.
-    async fn read_first_event(&mut self) -> bool {
+    /// Reads until an event or the end of the answer has been received; false if it broke off before, or if its end is not
+    /// certain. A stream of which the caller has no events does not end without one.
+    async fn read_first_event(&mut self, context: &Rc<Context>, has_events: bool) -> bool {
         loop {
             if self.splitter.has_event() {
                 return true;
@@ -80,7 +84,14 @@
             self.answer.work.record_prefilled();
             match read {
                 BodyRead::Bytes(bytes) => self.splitter.push(&bytes),
-                BodyRead::End => return !self.is_truncated(),
+                BodyRead::End if self.answer.body.framing() != BodyFraming::ConnectionClose => {
+                    return true;
+                }
+                BodyRead::End => {
+                    return has_events
+                        && !self.splitter.is_inside_event()
+                        && check_engine(context, &self.answer).await == EngineState::Alive;
+                }
                 BodyRead::BrokenOff | BodyRead::WentOn => return false,
             }
         }
--- a/crates/forwarding/tests/silent_engines.rs
+++ b/crates/forwarding/tests/silent_engines.rs
@@ -7,7 +7,7 @@
 )]
 mod support;
 
-use std::collections::HashSet;
+use std::collections::BTreeMap;
 use std::io::Write as _;
 use std::net::{Shutdown, TcpStream};
 use std::sync::Mutex;
@@ -35,13 +35,15 @@
 /// Time between two writes of an engine, so that they arrive apart.
 const WRITE_PAUSE: Duration = Duration::from_millis(5);
 
-/// Requests that an engine has received.
-static RECEIVED: Mutex<Option<HashSet<String>>> = Mutex::new(None);
+/// Calls that engines have received, by request.
+static RECEIVED: Mutex<BTreeMap<String, u32>> = Mutex::new(BTreeMap::new());
 
-/// Whether this is the first call for a request.
-fn is_first_call(head: &str) -> bool {
+/// Counts a call of a request; returns how many there were before.
+fn earlier_calls(head: &str) -> u32 {
     let mut received = RECEIVED.lock().expect("no panic");
-    received.get_or_insert_default().insert(id_of(head))
+    let calls = received.entry(id_of(head)).or_default();
+    *calls += 1;
+    *calls - 1
 }
 
 /// Whether the path of a request has this word.
@@ -84,6 +86,9 @@
     write!(stream, "HTTP/1.1 200 OK\r\nx-id: {id}\r\n{framing}\r\n")?;
     for event in first_event(head)..=EVENTS {
         pause_at(event);
+        if place.is_some() && asks_for(head, &format!("broken-at-{event}")) {
+            return stream.shutdown(Shutdown::Both);
+        }
         let text = format!("id: {event}\ndata: piece {event}\n\n");
         if is_chunked {
             write!(stream, "{:x}\r\n{text}\r\n", text.len())?;
@@ -103,28 +108,48 @@
 fn falling_silent(head: &str, stream: &mut TcpStream) {
     let place = silent_place(head);
     // The node may close the connection, which ends the call.
-    let _ = match is_first_call(head) {
-        true => stream_events(head, stream, place),
-        false if asks_for(head, "second-serves") => stream_events(head, stream, None),
-        false if asks_for(head, "second-silent") => stream_events(head, stream, Some(0)),
-        false if asks_for(head, "second-stalls") => {
+    let _ = match earlier_calls(head) {
+        0 => stream_events(head, stream, place),
+        _ if asks_for(head, "second-serves") => stream_events(head, stream, None),
+        3 if asks_for(head, "fourth-serves") => stream_events(head, stream, None),
+        _ if asks_for(head, "second-silent") => stream_events(head, stream, Some(0)),
+        _ if asks_for(head, "second-stalls") => {
             stream_events(head, stream, Some(first_event(head)))
         }
-        false => {
+        _ if asks_for(head, "second-empty") => {
+            let head = format!("HTTP/1.1 200 OK\r\nx-id: {}\r\n\r\n", id_of(head));
+            let written = stream.write_all(head.as_bytes());
+            written.and_then(|()| stream.shutdown(Shutdown::Both))
+        }
+        _ => {
             refusing(head, stream);
             Ok(())
         }
     };
 }
 
-/// Answers the first call for a request late, and refuses the others.
+fn failing(head: &str, stream: &mut TcpStream) {
+    let headers = format!("x-id: {}\r\n", id_of(head));
+    answer(stream, "500 Internal Server Error", &headers, "broken");
+}
+
+/// Answers the first call for a request late, and does in the others what the request asks for.
 fn answering_late(head: &str, stream: &mut TcpStream) {
-    if is_first_call(head) {
+    let calls = earlier_calls(head);
+    if calls < 2 && asks_for(head, "first-fails") {
+        thread::sleep(SILENCE);
+        [failing, succeeding][calls as usize](head, stream);
+    } else if calls == 0 {
         thread::sleep(SILENCE);
         succeeding(head, stream);
     } else if asks_for(head, "second-fails") {
-        let headers = format!("x-id: {}\r\n", id_of(head));
-        answer(stream, "500 Internal Server Error", &headers, "broken");
+        failing(head, stream);
+    } else if asks_for(head, "second-breaks") {
+        let id = id_of(head);
+        let text = format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-length: 9\r\n\r\nwh");
+        // The node may have closed the connection.
+        let _ = stream.write_all(text.as_bytes());
+        let _ = stream.shutdown(Shutdown::Both);
     } else {
         refusing(head, stream);
     }
@@ -159,6 +184,7 @@
 #[case::refused("second-refuses")]
 #[case::also_silent("second-silent")]
 #[case::accepted_without_an_event("second-stalls")]
+#[case::ended_without_an_event("second-empty")]
 #[case::taken_over("second-serves")]
 #[actix_rt::test]
 async fn a_stream_whose_engine_falls_silent_is_whole(
@@ -166,13 +192,27 @@
     #[values("chunked", "unframed")] framing: &str,
 ) {
     let (node, _engines) = node("resumable-stream", falling_silent).await;
-    for place in [0, 1, 3, BEFORE_THE_END] {
+    // An empty rest of a stream may be whole; a stream without any event is not.
+    let places = match second {
+        "second-empty" => &[1][..],
+        _ => &[0, 1, 3, BEFORE_THE_END][..],
+    };
+    for place in places {
         let case = format!("{framing}/{second}/silent-at-{place}");
         let answer = node.request(&case, &format!("/r/{case}")).await;
         assert_whole_stream(&answer, &case);
     }
 }
 
+/// Guards against a stream that a crash cuts because engines that were full during an earlier silence are not asked again.
+#[actix_rt::test]
+async fn a_stream_that_breaks_off_after_a_silence_goes_on_elsewhere() {
+    let (node, _engines) = node("resumable-stream", falling_silent).await;
+    let path = "/r/silent-at-3/broken-at-4/fourth-serves";
+    let answer = node.request("breaks-later", path).await;
+    assert_whole_stream(&answer, path);
+}
+
 /// Guards against waiting for a silent engine although another one goes on with the stream.
 #[actix_rt::test]
 async fn a_stream_whose_engine_falls_silent_goes_on_elsewhere_meanwhile() {
@@ -208,6 +248,8 @@
 #[rstest]
 #[case::refused("second-refuses")]
 #[case::failed("second-fails")]
+#[case::broken_off("second-breaks")]
+#[case::both_late_and_the_first_failed("first-fails")]
 #[actix_rt::test]
 async fn a_repeatable_request_gets_the_late_answer_of_a_silent_engine(#[case] second: &str) {
     let (node, _engines) = node("repeatable", answering_late).await;
