Idle connections beyond a node's share are closed after half a second

What callers saw: 503 at a node without connections to an engine, while another node kept all that the engine accepts, unused, until their keep-alive time was over (4 s, or as long as the engine allows).

Cause: idle connections count at the engine, and nodes kept as many as they had used at once.

Evidence: a_node_gives_up_idle_connections_beyond_its_share in crates/forwarding/tests/connection_limits.rs: two nodes, one engine of 4 connections; 1.5 s after four requests together at one node, two at the other. Before: 0 of 2 answered; now 2 of 2.

Sites whose nodes use less than their share keep connections as before, and one to each engine that accepts 64 or more. What it costs in new connections at a loaded site wasn't measured.

--- a/crates/engine-link/src/connection_pool.rs
+++ b/crates/engine-link/src/connection_pool.rs
@@ -25,6 +25,10 @@
 /// period.
 const DETOUR_MAX_AGE: Duration = Duration::from_secs(3);
 
+/// Time after which an idle connection beyond the node's share is closed. Longer than the pauses between requests at an engine
+/// that the node uses all the time.
+const EXCESS_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Connections of one engine.
 #[derive(Default)]
 struct EngineConnections {
@@ -33,6 +37,18 @@
     rejections: Rejections,
 }
 
+impl EngineConnections {
+    /// Closes idle connections beyond `share`, which keep out those of other nodes.
+    fn close_excess(&mut self, share: usize, now: BootInstant) {
+        let mut excess = (self.in_use + self.idle.len()).saturating_sub(share);
+        self.idle.retain(|connection| {
+            let is_closed = excess > 0 && now >= connection.idle_since + EXCESS_IDLE_TIMEOUT;
+            excess -= usize::from(is_closed);
+            !is_closed
+        });
+    }
+}
+
 /// Connections of all engines.
 #[derive(Default)]
 pub(crate) struct ConnectionPool {
@@ -180,15 +196,18 @@
         }
     }
 
-    /// Closes idle connections that have expired and those to targets for which `keep` returns false.
-    pub(crate) fn sweep(&self, keep: impl Fn(&LinkTarget) -> bool) {
+    /// Closes idle connections that have expired, those beyond this node's `share` of a target's connections that have been idle
+    /// for a moment, and those to targets without a share.
+    pub(crate) fn sweep(&self, share: impl Fn(&LinkTarget) -> Option<usize>) {
         let now = BootInstant::now();
         let mut engines = self.engines.borrow_mut();
         engines.retain(|target, engine| {
-            let is_wanted = keep(target);
+            let share = share(target);
+            let is_wanted = share.is_some();
             engine
                 .idle
                 .retain(|connection| is_wanted && is_unexpired(connection, now));
+            engine.close_excess(share.unwrap_or_default(), now);
             engine.in_use > 0
                 || !engine.idle.is_empty()
                 || (is_wanted && engine.rejections.is_contended(now))
--- a/crates/engine-link/src/link.rs
+++ b/crates/engine-link/src/link.rs
@@ -267,8 +267,9 @@
         Ok(PooledConnection::new(connection, slot))
     }
 
-    /// Closes idle connections that have expired and those to targets for which `keep` returns false.
-    pub fn sweep(&self, keep: impl Fn(&LinkTarget) -> bool) {
-        self.pool.sweep(keep);
+    /// Closes idle connections that have expired, those beyond this node's `share` of a target's connections that have been idle
+    /// for a moment, and those to targets without a share.
+    pub fn sweep(&self, share: impl Fn(&LinkTarget) -> Option<usize>) {
+        self.pool.sweep(share);
     }
 }
--- a/crates/forwarding/src/fleet/engines.rs
+++ b/crates/forwarding/src/fleet/engines.rs
@@ -241,10 +241,10 @@
         pairs.filter(|(code, next)| code == next).count()
     }
 
-    /// Whether the run accepts new work at that address.
-    pub fn has_target(&self, target: &LinkTarget) -> bool {
-        let engine = self.engines.get(&EngineKey::of(engine_name(target)));
-        engine.is_some_and(|engine| engine.target() == *target)
+    /// The pool of the run, if it accepts new work at that address.
+    pub fn pool_of(&self, target: &LinkTarget) -> Option<&PoolName> {
+        let engine = self.engines.get(&EngineKey::of(engine_name(target)))?;
+        (engine.target() == *target).then_some(&engine.pool)
     }
 
     /// Capacity of an engine's KV cache in tokens; 0 if the engine is unknown.
--- a/crates/forwarding/src/node/start.rs
+++ b/crates/forwarding/src/node/start.rs
@@ -384,7 +384,10 @@
         let is_isolated = context.dissemination.is_isolated(now);
         context.budget.borrow_mut().set_isolated(is_isolated);
         let fleet = context.fleet();
-        context.link.sweep(|target| fleet.has_target(target));
+        context.link.sweep(|target| {
+            let pool = fleet.pool_of(target)?;
+            Some(context.connection_share(pool))
+        });
         let is_known = |engine| fleet.engine(engine).is_some();
         context.budget.borrow_mut().sweep(now, is_known);
         context.router.borrow_mut().work.remove_expired(now);
--- a/crates/forwarding/tests/connection_limits.rs
+++ b/crates/forwarding/tests/connection_limits.rs
@@ -27,6 +27,9 @@
 /// Time after which an engine that is short of processor time resets a connection.
 const SLOW_RESET: Duration = Duration::from_millis(25);
 
+/// Time within which a node gives up idle connections beyond its share; shorter than they may be kept.
+const GIVEN_UP_WITHIN: Duration = Duration::from_millis(1_500);
+
 /// Time in which the requests of a run are sent.
 const RUN_TIME: Duration = Duration::from_secs(3);
 
@@ -183,3 +186,27 @@
     let answered = count("200") as f64 / requests as f64;
     assert!(answered >= MIN_ANSWERED, "{statuses:?}");
 }
+
+/// Sends requests together; returns the number of answers with status 200.
+async fn answered_together(node: &TestNode, count: usize) -> usize {
+    let ids: Vec<String> = (0..count).map(|request| request.to_string()).collect();
+    let answers = ids.iter().map(|id| node.request(id, "/r/x"));
+    let answers = futures_util::future::join_all(answers).await;
+    let answered = answers
+        .iter()
+        .filter(|answer| support::status(answer) == "200");
+    answered.count()
+}
+
+/// Guards against nodes that keep connections which they no longer use from nodes that have none: requests there were
+/// refused until the keep-alive time was over.
+#[actix_rt::test]
+async fn a_node_gives_up_idle_connections_beyond_its_share() {
+    const LIMIT: usize = 4;
+    let engines = [TestEngine::start_limited(working, LIMIT, Duration::ZERO)];
+    let nodes = start_nodes(2, &engines, "once", LIMIT).await;
+    assert_eq!(answered_together(&nodes[0], LIMIT).await, LIMIT);
+    actix_rt::time::sleep(GIVEN_UP_WITHIN).await;
+    let share = LIMIT / nodes.len();
+    assert_eq!(answered_together(&nodes[1], share).await, share);
+}
