Engines that accept few connections: nodes keep to their shares, and repeatable requests that found no room try again

Cause: nodes went beyond their shares of few connections, so that no share was certain; a silent engine accepts or resets a connection only when it goes on, which no wait at the node can tell apart. Calls that found no connection counted against the limit on calls.

--- a/crates/engine-link/src/link.rs
+++ b/crates/engine-link/src/link.rs
@@ -70,6 +70,8 @@
     pub max_connections: usize,
     /// Number of connections for which the engine has room, whatever the other nodes use.
     pub share: usize,
+    /// Whether the engine accepts so few connections that other nodes may use this node's share.
+    pub is_scarce: bool,
     /// Paths that the call may take.
     pub paths: AllowedPaths,
     /// When the call is sent on a new connection.
@@ -113,6 +115,7 @@
         let terms = ConnectionTerms {
             max_connections,
             share: max_connections,
+            is_scarce: false,
             paths: AllowedPaths::Any,
             new_connection: NewConnection::AtOnce,
         };
@@ -202,7 +205,7 @@
             let now = BootInstant::now();
             let is_beyond_share = self.is_beyond_share(target, terms);
             let (is_contended, settle_time) = self.pool.rejections(target, |rejections| {
-                let settle_time = rejections.settle_time(now, is_beyond_share);
+                let settle_time = rejections.settle_time(now, is_beyond_share || terms.is_scarce);
                 (rejections.is_contended(now), settle_time)
             });
             let is_used_at_once = match terms.new_connection {
--- a/crates/engine-link/src/rejections.rs
+++ b/crates/engine-link/src/rejections.rs
@@ -91,8 +91,8 @@
     }
 
     /// Time without a reset after which a new connection counts as accepted.
-    pub(crate) fn settle_time(&self, now: BootInstant, is_beyond_share: bool) -> Duration {
-        if is_beyond_share || self.is_contended(now) {
+    pub(crate) fn settle_time(&self, now: BootInstant, is_reset_likely: bool) -> Duration {
+        if is_reset_likely || self.is_contended(now) {
             CONTENDED_SETTLE_TIME
         } else {
             SETTLE_TIME
--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -501,9 +501,12 @@
     /// Maximum number of connections of this node to one engine of the pool.
     pub(crate) fn max_connections(&self, pool: &PoolName) -> usize {
         let share = self.connection_share(pool);
-        share
-            .max(MIN_CONNECTIONS)
-            .min(self.accepted_connections(pool))
+        let minimum = if self.has_scarce_connections(pool) {
+            1
+        } else {
+            MIN_CONNECTIONS
+        };
+        share.max(minimum).min(self.accepted_connections(pool))
     }
 
     /// This node's share of the connections that one engine of the pool accepts; none while the number of nodes is unknown.
@@ -514,6 +517,11 @@
         share.max(usize::from(accepted >= MANY_CONNECTIONS))
     }
 
+    /// Whether engines of the pool accept so few connections that other nodes may use this node's share.
+    pub(crate) fn has_scarce_connections(&self, pool: &PoolName) -> bool {
+        self.accepted_connections(pool) < MANY_CONNECTIONS
+    }
+
     /// Number of connections that one engine of the pool accepts from all nodes together.
     fn accepted_connections(&self, pool: &PoolName) -> usize {
         let table = self.table.borrow();
--- a/crates/forwarding/src/serve/call_verdict.rs
+++ b/crates/forwarding/src/serve/call_verdict.rs
@@ -9,7 +9,7 @@
 use dalestand_routing::staged::AttemptResult;
 
 use crate::serve::engine_send::{CallError, EngineReply};
-use crate::serve::progress::CallSignals;
+use crate::serve::progress::{CallSignals, NO_CONNECTION};
 
 /// Classification of the result of a call.
 pub(super) enum Verdict {
@@ -45,7 +45,7 @@
             Self::NotSent => ("not sent", Some(AttemptResult::NoResponse)),
             Self::NoListener => ("no listener", Some(AttemptResult::NoResponse)),
             Self::Withheld => ("withheld", None),
-            Self::NoConnection => ("no connection", None),
+            Self::NoConnection => (NO_CONNECTION, None),
             Self::Broken => ("broken", Some(AttemptResult::Failed)),
             Self::ResetWhenNew => ("reset", None),
             Self::NoResponse => ("silent", Some(AttemptResult::NoResponse)),
--- a/crates/forwarding/src/serve/engine_send.rs
+++ b/crates/forwarding/src/serve/engine_send.rs
@@ -142,6 +142,7 @@
     let terms = ConnectionTerms {
         max_connections: context.max_connections(pool),
         share: context.connection_share(pool),
+        is_scarce: context.has_scarce_connections(pool),
         paths,
         new_connection: if is_repeatable {
             NewConnection::AtOnceIfRoom
--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -159,6 +159,13 @@
                 let open_calls = progress.open_calls.iter();
                 progress.tried = open_calls.map(|call| call.id().0).collect();
             }
+            // It may have run, so that it can't be refused, and engines that had no room may have some.
+            Err(Failure::Unknown)
+                if progress.open_calls.is_empty() && may_retry(context, progress) =>
+            {
+                pause_before_retry(progress).await;
+                progress.tried.clear();
+            }
             Err(failure) => break failure,
         }
     };
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -37,6 +37,9 @@
 /// Rate-limited engines look idle, and each is found to be closed only when a permit is requested.
 const MAX_CHOICES: usize = 4 * MAX_CALLS;
 
+/// Outcome of a call that found no room for a connection.
+pub(super) const NO_CONNECTION: &str = "no connection";
+
 /// Estimated bytes of a request's head and packet headers.
 const HEAD_OVERHEAD_BYTES: usize = 600;
 
@@ -157,9 +160,9 @@
 }
 
 impl CallRecord {
-    /// Whether the call was not sent because the engine was closed.
+    /// Whether the call was not sent because the engine was closed, or had no room for a connection.
     fn is_withheld(&self) -> bool {
-        self.signals.closed.is_some()
+        self.signals.closed.is_some() || self.outcome == NO_CONNECTION
     }
 
     /// Formats the call for the log: `PURPOSE ENGINE OUTCOME TIME (details)`.
