forwarding: a long answer without a length is passed on instead of given up

Callers saw: an answer of more than 1 MiB that names no length (in chunks, or until its connection ends), on a route that is no stream, ended as 502. Its request had run; a repeatable one was run again, with the same end, and the engine counted as failed. Cause: such an answer was buffered whole, and one beyond the buffer was taken for broken off. Fix: what was read of a body that proves too long is put back, and the answer is passed on as it comes, as one with a long length is. It can't be replaced then if its engine breaks off. The megabyte that was read isn't part of the limit on held bytes; it is passed on first.

--- a/crates/engine-link/src/response.rs
+++ b/crates/engine-link/src/response.rs
@@ -6,7 +6,7 @@
 use actix_http::h1::{ClientPayloadCodec, MessageType};
 use actix_http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
 use actix_http::{ResponseHead, StatusCode};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use dalestand_clock::BootInstant;
 
 use crate::connection::{Connection, ReceivedHead};
@@ -78,6 +78,7 @@
             keep_alive_timeout: keep_alive_timeout(&head.headers),
             length: content_length(&head.headers),
             ended: false,
+            put_back: None,
         };
         if !has_body {
             body.finish();
@@ -96,6 +97,8 @@
     keep_alive_timeout: Option<Duration>,
     length: Option<u64>,
     ended: bool,
+    /// Bytes that were read and are to be returned again.
+    put_back: Option<Bytes>,
     /// The call, if its connection is direct and observed.
     direct_call: Option<DirectCall>,
 }
@@ -104,6 +107,7 @@
     /// Closes the connection and ends the body early.
     pub fn abort(&mut self) {
         self.ended = true;
+        self.put_back = None;
         self.direct_call = None;
         self.connection = None;
     }
@@ -124,6 +128,9 @@
 
     /// The next chunk; `None` after the end of the body or after an error.
     pub async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
+        if let Some(bytes) = self.put_back.take() {
+            return Some(Ok(bytes));
+        }
         if self.ended {
             return None;
         }
@@ -164,17 +171,22 @@
 
     /// Reads the whole body; fails if it exceeds `limit` bytes.
     pub async fn collect(&mut self, limit: usize) -> Result<Bytes, BodyError> {
-        let mut collected = bytes::BytesMut::new();
+        let collected = self.collect_if_short(limit).await?;
+        collected.ok_or_else(|| BodyError::Malformed("the body exceeds the size limit".to_owned()))
+    }
+
+    /// Reads the whole body if it has at most `limit` bytes. If it is longer, returns `None`, and [`next`](Self::next) starts again
+    /// with what was read.
+    pub async fn collect_if_short(&mut self, limit: usize) -> Result<Option<Bytes>, BodyError> {
+        let mut collected = BytesMut::new();
         while let Some(chunk) = self.next().await {
-            let chunk = chunk?;
-            if collected.len() + chunk.len() > limit {
-                return Err(BodyError::Malformed(
-                    "the body exceeds the size limit".to_owned(),
-                ));
+            collected.extend_from_slice(&chunk?);
+            if collected.len() > limit {
+                self.put_back = Some(collected.freeze());
+                return Ok(None);
             }
-            collected.extend_from_slice(&chunk);
         }
-        Ok(collected.freeze())
+        Ok(Some(collected.freeze()))
     }
 
     fn decode(&mut self) -> Result<Option<Option<Bytes>>, BodyError> {
--- a/crates/forwarding/src/serve/deliver.rs
+++ b/crates/forwarding/src/serve/deliver.rs
@@ -61,7 +61,12 @@
     let Some(mut reservation) = reservation.filter(|_| !is_streamed) else {
         return (!is_false_guarantee).then(|| Served::Stream(pool, answer));
     };
-    let body = answer.body.collect(MAX_BUFFERED_BYTES).await;
+    let body = match answer.body.collect_if_short(MAX_BUFFERED_BYTES).await {
+        Ok(Some(body)) => Ok(body),
+        // Its length was unknown.
+        Ok(None) => return (!is_false_guarantee).then(|| Served::Stream(pool, answer)),
+        Err(error) => Err(error),
+    };
     let state = match body {
         Ok(_) => check_engine(context, &pool, &answer).await,
         Err(_) => EngineState::Unknown,
