--- a/crates/engine-link/tests/exchanges.rs
+++ b/crates/engine-link/tests/exchanges.rs
@@ -230,6 +230,7 @@
     let link = link();
     let terms = ConnectionTerms {
         max_connections: 4,
+        is_scarce: false,
         share: 4,
         paths: AllowedPaths::Any,
         new_connection: NewConnection::AtOnceIfRoom,
--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -501,12 +501,9 @@
     /// Maximum number of connections of this node to one engine of the pool.
     pub(crate) fn max_connections(&self, pool: &PoolName) -> usize {
         let share = self.connection_share(pool);
-        let minimum = if self.has_scarce_connections(pool) {
-            1
-        } else {
-            MIN_CONNECTIONS
-        };
-        share.max(minimum).min(self.accepted_connections(pool))
+        share
+            .max(MIN_CONNECTIONS)
+            .min(self.accepted_connections(pool))
     }
 
     /// This node's share of the connections that one engine of the pool accepts; none while the number of nodes is unknown.
--- a/crates/forwarding/src/serve/deliver.rs
+++ b/crates/forwarding/src/serve/deliver.rs
@@ -58,7 +58,7 @@
     let body = match answer.body.collect_if_short(MAX_BUFFERED_BYTES).await {
         Ok(Some(body)) => Ok(body),
         // Its length was unknown.
-        Ok(None) => return (!is_false_guarantee).then(|| Served::Stream(pool, answer)),
+        Ok(None) => return (!is_false_guarantee).then(|| Served::Stream(answer)),
         Err(error) => Err(error),
     };
     let state = match body {
