Repeatable requests are tried again when the silent engine that they waited for ends their calls

Cause: once no further call could be made, only the open calls were waited for; when these ended without an answer, the request ended too.

Change: it is then tried again with all engines, unless an engine's own error answer is at hand. Each round needs a call that was open, so that attempts and the limit on calls bound the rounds.

--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -135,12 +135,41 @@
         return Err(failure);
     }
     bind_resumed(context, progress).await?;
-    let failure = loop {
+    loop {
+        let failure = match call_engines(context, progress).await {
+            Ok(served) => return Ok(served),
+            Err(failure) => failure,
+        };
+        // Engines that have fallen silent may go on.
+        let is_awaited = !progress.open_calls.is_empty();
+        while let Some(answer) = await_open_calls(context, progress).await {
+            if let Some(served) = deliver(context, progress, answer).await {
+                return Ok(served);
+            }
+        }
+        if is_awaited && progress.fallback.is_none() && may_retry(context, progress) {
+            progress.tried.clear();
+            continue;
+        }
+        if let Some(fallback) = progress.fallback.take() {
+            return Ok(fallback);
+        }
+        // A late refusal shows that the request did not run.
+        return Err(match failure {
+            Failure::Unknown => final_failure(context, progress),
+            failure => failure,
+        });
+    }
+}
+
+/// Calls engines until one answers or no further call can be made now.
+async fn call_engines(context: &Rc<Context>, progress: &mut Progress) -> Result<Served, Failure> {
+    loop {
         match serve_once(context, progress).await {
             Ok(Some(Served::Whole(head, body, reservation))) if head.status.is_server_error() => {
                 progress.fallback = Some(Served::Whole(head, body, reservation));
                 if !may_retry(context, progress) {
-                    break Failure::Unknown;
+                    return Err(Failure::Unknown);
                 }
             }
             Ok(Some(served)) => return Ok(served),
@@ -153,7 +182,7 @@
                     pause_before_retry(progress).await;
                 }
             }
-            Ok(None) => break final_failure(context, progress),
+            Ok(None) => return Err(final_failure(context, progress)),
             Err(Failure::NoEngine) if should_wait_for_place(context, progress) => {
                 pause_before_retry(progress).await;
                 let open_calls = progress.open_calls.iter();
@@ -161,28 +190,16 @@
             }
             // It may have run, so that it can't be refused, and engines that had no room may have some.
             Err(Failure::Unknown)
-                if progress.open_calls.is_empty() && may_retry(context, progress) =>
+                if progress.open_calls.is_empty()
+                    && progress.fallback.is_none()
+                    && may_retry(context, progress) =>
             {
                 pause_before_retry(progress).await;
                 progress.tried.clear();
             }
-            Err(failure) => break failure,
-        }
-    };
-    // Engines that have fallen silent may go on.
-    while let Some(answer) = await_open_calls(context, progress).await {
-        if let Some(served) = deliver(context, progress, answer).await {
-            return Ok(served);
+            Err(failure) => return Err(failure),
         }
     }
-    if let Some(fallback) = progress.fallback.take() {
-        return Ok(fallback);
-    }
-    // A late refusal shows that the request did not run.
-    Err(match failure {
-        Failure::Unknown => final_failure(context, progress),
-        failure => failure,
-    })
 }
 
 /// Refuses a stopped request and one with a held part, unless this node may run it as a trial.
