Review case 3: streams go on at another software version while the store is away

An engine that crashes and starts again under its id with other software keeps its former version at the nodes until its new entry comes, though they have seen that nothing listened at its address. While the store is down that lasts, and streams of the former version go on there: their answers hold events of two versions (ORDER).

--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -111,6 +111,8 @@
         self.next_lease = 1000
         self.changed = asyncio.Condition()
         self.port = None
+        # While it is down, every call is answered 503, and nothing is done.
+        self.is_down = False
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, HOST, 0)
@@ -121,6 +123,8 @@
         while True:
             await asyncio.sleep(0.05)
             now = time.monotonic()
+            if self.is_down:
+                continue
             for lease in [one for one, (until, _) in self.leases.items() if until <= now]:
                 await self.end_lease(lease)
 
@@ -170,7 +174,19 @@
         finally:
             writer.close()
 
+    async def set_down(self, is_down):
+        self.is_down = is_down
+        self.record.line("the store is " + ("down" if is_down else "back"))
+        if not is_down:
+            # Leases wait while the store is down.
+            now = time.monotonic()
+            self.leases = {one: (now + ttl_ms / 1000, ttl_ms) for one, (_, ttl_ms) in self.leases.items()}
+        async with self.changed:
+            self.changed.notify_all()
+
     async def answer(self, method, target, body):
+        if self.is_down:
+            return 503, {}
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query))
         path = url.path
@@ -209,6 +225,8 @@
     async def watch(self, prefix, after, wait_ms):
         until = time.monotonic() + wait_ms / 1000
         while True:
+            if self.is_down:
+                return 503, {}
             events = [one for one in self.history if one["revision"] > after and one["key"].startswith(prefix)]
             left = until - time.monotonic()
             if events or left <= 0:
