Call records name the connection and tell stray answers

A second send of a request may be refused by its engine, or may be answered by a late copy of the refusal of the first one; both were 'refused' lines.

Change: an entry of 'calls' (events 1501, 1502) names the connection and the call's place on it, and marks an answer with another request's id; dalestand_engine_answers_total counts answers by connection (new, kept) and owner (own, stray). No decision changes.

--- a/crates/engine-link/src/connection.rs
+++ b/crates/engine-link/src/connection.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::mem::MaybeUninit;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use actix_codec::{Decoder as _, Encoder as _};
@@ -25,10 +26,24 @@
 /// Maximum size of a response head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Number of connections opened by this process.
+static CONNECTIONS_OPENED: AtomicU64 = AtomicU64::new(0);
+
+/// The connection that a call was sent on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionUse {
+    /// Number of the connection among those opened by this process.
+    pub connection: u64,
+    /// Number of the call among those on the connection, from 1.
+    pub call: u32,
+}
+
 /// An open connection, which carries one exchange at a time.
 pub(crate) struct Connection {
     pub(crate) stream: TcpStream,
     pub(crate) path: Path,
+    /// Its last call.
+    pub(crate) last_use: ConnectionUse,
     /// When it was opened.
     pub(crate) opened_at: BootInstant,
     /// Whether an exchange on it has been completed.
@@ -60,6 +75,10 @@
         Self {
             stream,
             path,
+            last_use: ConnectionUse {
+                connection: CONNECTIONS_OPENED.fetch_add(1, Ordering::Relaxed) + 1,
+                call: 0,
+            },
             opened_at: BootInstant::now(),
             is_kept: false,
             frames: FrameDecoder::default(),
@@ -136,6 +155,7 @@
         head: RequestHead,
         body: &Bytes,
     ) -> Result<ReceivedHead, SendError> {
+        self.last_use.call += 1;
         let mut codec = ClientCodec::new(config);
         self.unwritten = encode(&mut codec, head, body)?;
         let mut any_byte_sent = false;
--- a/crates/engine-link/src/lib.rs
+++ b/crates/engine-link/src/lib.rs
@@ -21,6 +21,7 @@
 mod rejections;
 mod response;
 
+pub use connection::ConnectionUse;
 pub use error::{BodyError, SendError};
 pub use link::{ConnectionTerms, EngineLink, LinkLimits, LinkTarget, NewConnection};
 pub use paths::{AllowedPaths, Detour, DetourError, LinkObservation, LinkPaths, Path};
--- a/crates/engine-link/src/response.rs
+++ b/crates/engine-link/src/response.rs
@@ -9,7 +9,7 @@
 use bytes::{Bytes, BytesMut};
 use dalestand_clock::BootInstant;
 
-use crate::connection::{Connection, ReceivedHead};
+use crate::connection::{Connection, ConnectionUse, ReceivedHead};
 use crate::connection_pool::PooledConnection;
 use crate::error::BodyError;
 use crate::paths::{DirectCall, Path};
@@ -50,6 +50,8 @@
     pub body: ResponseBody,
     /// How the connection reaches the engine.
     pub path: Path,
+    /// The connection.
+    pub connection: ConnectionUse,
 }
 
 impl Exchange {
@@ -68,7 +70,7 @@
         let has_body = close_delimited || codec.message_type() != MessageType::None;
         let closes = has_connection_close(&head.headers);
         let reusable = request_written && !close_delimited && !closes && codec.keep_alive();
-        let path = connection.path;
+        let (path, last_use) = (connection.path, connection.last_use);
         let mut body = ResponseBody {
             direct_call,
             connection: Some(connection),
@@ -83,7 +85,12 @@
         if !has_body {
             body.finish();
         }
-        Self { head, body, path }
+        Self {
+            head,
+            body,
+            path,
+            connection: last_use,
+        }
     }
 }
 
--- a/crates/forwarding/src/node/metrics/mod.rs
+++ b/crates/forwarding/src/node/metrics/mod.rs
@@ -92,6 +92,7 @@
     requests: IntCounterVec,
     head_seconds: HistogramVec,
     calls: IntCounterVec,
+    answers: IntCounterVec,
     run_ends: IntCounterVec,
     pub(crate) held_parts: HeldPartMetrics,
     pub(crate) streams: StreamMetrics,
@@ -160,6 +161,11 @@
                 "Calls to engines by purpose and outcome.",
                 &["purpose", "outcome"],
             )?,
+            answers: metrics.counters(
+                "engine_answers_total",
+                "Answers of engines to calls, by the connection and by whose answer it is.",
+                &["connection", "answer"],
+            )?,
             run_ends: metrics.counters(
                 "streamed_runs_total",
                 "Engines' answers that were passed on as they arrived, by how their end is marked and how they ended.",
@@ -344,6 +350,16 @@
         let calls = self.calls.with_label_values(&[purpose, call.outcome]);
         calls.inc();
         self.signals.call(call);
+        if let Some(used) = call.signals.connection {
+            let connection = if used.call > 1 { "kept" } else { "new" };
+            let answer = if call.signals.is_stray {
+                "stray"
+            } else {
+                "own"
+            };
+            let answers = self.answers.with_label_values(&[connection, answer]);
+            answers.inc();
+        }
         let latency = self.call_seconds.with_label_values(&[purpose]);
         latency.observe(call.took.as_secs_f64());
     }
--- a/crates/forwarding/src/serve/call_verdict.rs
+++ b/crates/forwarding/src/serve/call_verdict.rs
@@ -90,6 +90,8 @@
     let signals = CallSignals {
         reported: reply.signals(),
         path: reply.exchange.path,
+        connection: Some(reply.exchange.connection),
+        is_stray: !reply.is_matching,
         ..no_signals
     };
     if !reply.is_matching {
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use dalestand_clock::BootInstant;
 use dalestand_edge::routed::RequestMetadata;
-use dalestand_engine_link::Path;
+use dalestand_engine_link::{ConnectionUse, Path};
 use dalestand_quarantine::{PartFingerprint, RequestFingerprint};
 use dalestand_routes::{Caller, RouteConfig, RouteTable};
 use dalestand_routing::staged::{
@@ -94,6 +94,10 @@
     pub(crate) entry: Option<EntryUsed>,
     /// How the answer came.
     pub(crate) path: Path,
+    /// The connection on which an answer came.
+    pub(crate) connection: Option<ConnectionUse>,
+    /// Whether the answer carried the id of another request.
+    pub(crate) is_stray: bool,
     /// Version of the engine's software.
     pub(crate) software: Option<SoftwareVersion>,
 }
@@ -138,6 +142,12 @@
                 None => text.push_str(" unproved"),
             }
         }
+        if let Some(ConnectionUse { connection, call }) = self.connection {
+            text.push_str(&format!(", call {call} on connection {connection}"));
+        }
+        if self.is_stray {
+            text.push_str(", with the id of another request");
+        }
         if let Path::Detour(carrier) = self.path {
             text.push_str(&format!(", via {carrier}"));
         }
