A connection carries one call of a request, so that a late copy is not taken for a later call's answer

Cause: an answer names its request, not a call. A refused request of a tenant is sent to the same engine again, most often on the connection that carried the refusal. A copy of that refusal, sent late in the place of the second call's answer, has the right id and was taken for it.

With the nodes' logs kept (a trial): '... refused 0ms (at 0ms, call 35 on connection 11); ... refused 0ms (at 76ms, call 36 on connection 11)', while the engine refused once, sent the copy at 76 ms and ran the request at 123 ms. The three requests that were traced all show two calls on one connection.

Change: every call to an engine has a key, from its request's id or for 'no id'; a connection carries each key once. The connection and the id together name the call, whatever an engine repeats. Where the connection that can't be used would make the node exceed its share, it is closed for the new one.

--- a/crates/engine-link/src/connection.rs
+++ b/crates/engine-link/src/connection.rs
@@ -16,6 +16,7 @@
 use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
+use crate::carried_calls::{CallKey, CarriedCalls};
 use crate::error::SendError;
 use crate::paths::Path;
 use crate::rejections::CONTENDED_SETTLE_TIME;
@@ -35,15 +36,19 @@
     /// Number of the connection among those opened by this process.
     pub connection: u64,
     /// Number of the call among those on the connection, from 1.
-    pub call: u32,
+    pub call: u64,
 }
 
 /// An open connection, which carries one exchange at a time.
 pub(crate) struct Connection {
     pub(crate) stream: TcpStream,
     pub(crate) path: Path,
-    /// Its last call.
-    pub(crate) last_use: ConnectionUse,
+    /// Number of the connection among those opened by this process.
+    number: u64,
+    /// Number of calls that it has carried.
+    calls: u64,
+    /// Those of them by whose keys answers are recognised.
+    pub(crate) carried: CarriedCalls,
     /// When it was opened.
     pub(crate) opened_at: BootInstant,
     /// Whether an exchange on it has been completed.
@@ -75,10 +80,9 @@
         Self {
             stream,
             path,
-            last_use: ConnectionUse {
-                connection: CONNECTIONS_OPENED.fetch_add(1, Ordering::Relaxed) + 1,
-                call: 0,
-            },
+            number: CONNECTIONS_OPENED.fetch_add(1, Ordering::Relaxed) + 1,
+            calls: 0,
+            carried: CarriedCalls::default(),
             opened_at: BootInstant::now(),
             is_kept: false,
             frames: FrameDecoder::default(),
@@ -90,6 +94,14 @@
         }
     }
 
+    /// The connection as used by its last call.
+    pub(crate) fn last_use(&self) -> ConnectionUse {
+        ConnectionUse {
+            connection: self.number,
+            call: self.calls,
+        }
+    }
+
     /// Whether the idle connection has received neither data nor a close.
     pub(crate) fn has_no_input(&self) -> bool {
         // Asks the kernel: the runtime learns of input only when it next waits for events.
@@ -147,15 +159,19 @@
         }
     }
 
-    /// Sends a request and waits for the response head. Reads while writing, since an engine may
+    /// Sends the request of a call and waits for the response head. Reads while writing, since an engine may
     /// respond before it has read the whole body.
     pub(crate) async fn exchange(
         &mut self,
         config: ServiceConfig,
+        call: Option<CallKey>,
         head: RequestHead,
         body: &Bytes,
     ) -> Result<ReceivedHead, SendError> {
-        self.last_use.call += 1;
+        self.calls += 1;
+        if let Some(call) = call {
+            self.carried.record(call);
+        }
         let mut codec = ClientCodec::new(config);
         self.unwritten = encode(&mut codec, head, body)?;
         let mut any_byte_sent = false;
--- a/crates/engine-link/src/connection_pool.rs
+++ b/crates/engine-link/src/connection_pool.rs
@@ -9,6 +9,7 @@
 
 use dalestand_clock::BootInstant;
 
+use crate::carried_calls::CallKey;
 use crate::connection::Connection;
 use crate::link::LinkTarget;
 use crate::paths::Path;
@@ -102,9 +103,12 @@
         }
     }
 
-    /// Makes the connection available for the next exchange.
+    /// Makes the connection available for the next exchange, unless it has carried as many calls as it may.
     pub(crate) fn return_to_pool(self) {
         let Self { connection, slot } = self;
+        if connection.carried.is_full() {
+            return;
+        }
         let mut engines = slot.pool.engines.borrow_mut();
         let engine = engines.entry(slot.target.clone()).or_default();
         engine.idle.push(connection);
@@ -112,16 +116,21 @@
 }
 
 impl ConnectionPool {
-    /// The most recently used idle connection by a path that `is_usable` that has neither expired nor received anything.
+    /// The most recently used idle connection by a path that `is_usable` that has neither expired nor received anything, nor
+    /// carried another call with the same key.
     pub(crate) fn take_idle(
         self: &Rc<Self>,
         target: &LinkTarget,
+        call: Option<CallKey>,
         is_usable: impl Fn(Path) -> bool,
     ) -> Option<PooledConnection> {
         let now = BootInstant::now();
         let mut engines = self.engines.borrow_mut();
         let engine = engines.get_mut(target)?;
-        let usable = |connection: &Connection| is_usable(connection.path);
+        let usable = |connection: &Connection| {
+            let is_repeated = call.is_some_and(|call| connection.carried.contains(call));
+            is_usable(connection.path) && !is_repeated
+        };
         while let Some(index) = engine.idle.iter().rposition(usable) {
             let connection = engine.idle.remove(index);
             if is_unexpired(&connection, now) && connection.has_no_input() {
@@ -137,6 +146,22 @@
         None
     }
 
+    /// Closes an idle connection that has carried another call with the same key, if one more than those open would exceed this
+    /// node's `share`.
+    pub(crate) fn make_room(&self, target: &LinkTarget, call: CallKey, share: usize) {
+        let mut engines = self.engines.borrow_mut();
+        let Some(engine) = engines.get_mut(target) else {
+            return;
+        };
+        let idle = &mut engine.idle;
+        if engine.in_use + idle.len() < share {
+            return;
+        }
+        if let Some(index) = idle.iter().position(|one| one.carried.contains(call)) {
+            idle.remove(index);
+        }
+    }
+
     /// Like [`reserve_slot`](Self::reserve_slot), but fails also while the engine resets new connections.
     pub(crate) fn reserve_accepted_slot(
         self: &Rc<Self>,
--- a/crates/engine-link/src/lib.rs
+++ b/crates/engine-link/src/lib.rs
@@ -5,12 +5,16 @@
 //! bytes were received. If the engine sends anything on an idle connection, such as a late response,
 //! the connection is closed and not used for another request.
 //!
+//! No connection carries two calls of one request, so that an answer which names its request and comes on the call's connection
+//! is that to the call.
+//!
 //! An engine resets new connections beyond those that it accepts from all nodes together. A request that must not run twice
 //! is therefore sent only on a connection that has carried a response or has stayed open for a moment.
 //!
 //! [`SendError`] says whether the engine may have run the request, since this decides whether the
 //! request may be sent again.
 
+mod carried_calls;
 mod connect;
 mod connection;
 mod connection_pool;
@@ -21,6 +25,7 @@
 mod rejections;
 mod response;
 
+pub use carried_calls::CallKey;
 pub use connection::ConnectionUse;
 pub use error::{BodyError, SendError};
 pub use link::{ConnectionTerms, EngineLink, LinkLimits, LinkTarget, NewConnection};
--- a/crates/engine-link/src/link.rs
+++ b/crates/engine-link/src/link.rs
@@ -11,6 +11,7 @@
 use dalestand_clock::BootInstant;
 use tokio::net::TcpStream;
 
+use crate::carried_calls::CallKey;
 use crate::connect::connect;
 use crate::connection_pool::{ConnectionPool, PooledConnection};
 use crate::error::SendError;
@@ -66,6 +67,9 @@
 /// Terms on which a call gets a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConnectionTerms {
+    /// What the call's answer is recognised by: the connection has carried no other call with this key. `None` if the target
+    /// answers each call once.
+    pub call: Option<CallKey>,
     /// Maximum number of connections in use to the engine.
     pub max_connections: usize,
     /// Number of connections for which the engine has room, whatever the other nodes use.
@@ -103,7 +107,7 @@
         let _ = self.paths.set(paths);
     }
 
-    /// Sends a request and waits for the response head. Fails if there is no idle connection to
+    /// Sends a request to a target that answers each call once, and waits for the response head. Fails if there is no idle connection to
     /// the target and `max_connections` are in use. Dropping the future closes the connection.
     pub async fn send(
         &self,
@@ -113,6 +117,7 @@
         body: &Bytes,
     ) -> Result<Exchange, SendError> {
         let terms = ConnectionTerms {
+            call: None,
             max_connections,
             share: max_connections,
             is_scarce: false,
@@ -140,7 +145,9 @@
         let paths = self.paths.get().filter(|_| connection.path.is_direct());
         let mut call = paths
             .map(|paths| DirectCall::new(paths, target, connection.opened_at, connection.is_kept));
-        let received = connection.exchange(self.config.clone(), head, body).await;
+        let received = connection
+            .exchange(self.config.clone(), terms.call, head, body)
+            .await;
         let is_observed = terms.new_connection != NewConnection::AtOnce;
         let is_unsent = matches!(received, Err(SendError::NotSent(_)));
         let is_rejected = is_observed
@@ -247,7 +254,9 @@
         terms: ConnectionTerms,
     ) -> Result<PooledConnection, SendError> {
         let ConnectionTerms {
+            call,
             max_connections,
+            share,
             paths: allowed,
             ..
         } = terms;
@@ -259,9 +268,12 @@
             Path::Direct => uses_direct,
             Path::Detour(_) => uses_detours,
         };
-        if let Some(idle) = self.pool.take_idle(target, is_usable) {
+        if let Some(idle) = self.pool.take_idle(target, call, is_usable) {
             return Ok(idle);
         }
+        if let Some(call) = call {
+            self.pool.make_room(target, call, share);
+        }
         let slot = self
             .pool
             .reserve_accepted_slot(target, max_connections)
--- a/crates/engine-link/src/response.rs
+++ b/crates/engine-link/src/response.rs
@@ -70,7 +70,7 @@
         let has_body = close_delimited || codec.message_type() != MessageType::None;
         let closes = has_connection_close(&head.headers);
         let reusable = request_written && !close_delimited && !closes && codec.keep_alive();
-        let (path, last_use) = (connection.path, connection.last_use);
+        let (path, last_use) = (connection.path, connection.last_use());
         let mut body = ResponseBody {
             direct_call,
             connection: Some(connection),
--- a/crates/engine-link/tests/exchanges.rs
+++ b/crates/engine-link/tests/exchanges.rs
@@ -10,8 +10,8 @@
 use bytes::Bytes;
 use dalestand_clock::test_util::suspend;
 use dalestand_engine_link::{
-    AllowedPaths, BodyError, ConnectionTerms, EngineLink, Exchange, LinkLimits, LinkTarget,
-    NewConnection, RequestHead, SendError,
+    AllowedPaths, BodyError, CallKey, ConnectionTerms, ConnectionUse, EngineLink, Exchange,
+    LinkLimits, LinkTarget, NewConnection, RequestHead, SendError,
 };
 use rstest::rstest;
 
@@ -37,6 +37,31 @@
     }
 }
 
+/// An engine that answers every request on every connection.
+fn answering_engine() -> LinkTarget {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || answer_until_close(&mut { stream }));
+        }
+    });
+    target(address)
+}
+
+/// Answers the requests on a connection, which have no bodies, until it closes.
+fn answer_until_close(stream: &mut TcpStream) {
+    let mut read = Vec::new();
+    let mut byte = [0_u8; 1];
+    while stream.read(&mut byte).is_ok_and(|count| count > 0) {
+        read.push(byte[0]);
+        if read.ends_with(b"\r\n\r\n") {
+            read.clear();
+            write(stream, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+        }
+    }
+}
+
 /// Reads a request that has no body.
 fn read_head(stream: &mut TcpStream) -> String {
     let mut read = Vec::new();
@@ -62,6 +87,29 @@
     EngineLink::new(LinkLimits::default())
 }
 
+/// Calls the engine for a request and reads the whole response; returns the connection used.
+async fn call(
+    link: &EngineLink,
+    target: &LinkTarget,
+    max_connections: usize,
+    request: Option<&str>,
+) -> ConnectionUse {
+    let terms = ConnectionTerms {
+        call: Some(CallKey::new(request)),
+        max_connections,
+        share: max_connections,
+        is_scarce: false,
+        paths: AllowedPaths::Any,
+        new_connection: NewConnection::AtOnce,
+    };
+    let (head, body) = (RequestHead::default(), Bytes::new());
+    let sent = link.send_if(target, terms, head, &body, || true);
+    let mut exchange = sent.await.expect("a response");
+    let read = exchange.body.collect(BODY_LIMIT_BYTES).await;
+    read.expect("a whole body");
+    exchange.connection
+}
+
 async fn get(link: &EngineLink, target: &LinkTarget) -> Result<Exchange, SendError> {
     let mut head = RequestHead::default();
     head.method = Method::GET;
@@ -229,6 +277,7 @@
     }]);
     let link = link();
     let terms = ConnectionTerms {
+        call: None,
         max_connections: 4,
         is_scarce: false,
         share: 4,
@@ -334,3 +383,51 @@
     assert_eq!(collected, Ok(Ok(Bytes::from("first."))));
     thread.join().expect("the engine");
 }
+
+/// Guards against the late copy of an answer that is taken for the answer to a later call of the same request.
+#[rstest]
+#[case::at_once(&[Some("a"), Some("a")])]
+#[case::after_other_requests(&[Some("a"), Some("b"), Some("c"), Some("a")])]
+#[case::without_a_request_id(&[None, Some("b"), None])]
+#[actix_rt::test]
+async fn a_connection_carries_one_call_of_a_request(#[case] requests: &[Option<&str>]) {
+    let target = answering_engine();
+    let link = link();
+    let mut used = Vec::new();
+    for request in requests {
+        used.push(call(&link, &target, 4, *request).await);
+    }
+    let (last, others) = used.split_last().expect("calls");
+    assert_eq!(last.call, 1, "a new connection");
+    let first = others[0].connection;
+    assert!(others.iter().all(|other| other.connection == first));
+}
+
+/// Guards against connections beyond the node's share: one that cannot carry a call is closed before another is opened for it.
+#[actix_rt::test]
+async fn a_connection_that_carried_the_request_is_replaced() {
+    // The engine accepts the second connection once the first one is closed.
+    let (target, thread) = engine(vec![answer_until_close, answer_until_close]);
+    let link = link();
+    for _ in 0..2 {
+        call(&link, &target, 1, Some("a")).await;
+    }
+    drop(link);
+    thread.join().expect("the engine");
+}
+
+/// Guards against a connection whose record of its calls grows without a bound.
+#[actix_rt::test]
+async fn a_connection_is_closed_after_many_calls() {
+    let (target, thread) = engine(vec![answer_until_close, answer_until_close]);
+    let link = link();
+    let first = call(&link, &target, 1, Some("first")).await;
+    let mut last = first;
+    while last.connection == first.connection {
+        assert!(last.call <= 10_000, "the connection is still open");
+        let request = last.call.to_string();
+        last = call(&link, &target, 1, Some(&request)).await;
+    }
+    drop(link);
+    thread.join().expect("the engine");
+}
--- a/crates/forwarding/src/serve/engine_send.rs
+++ b/crates/forwarding/src/serve/engine_send.rs
@@ -16,7 +16,7 @@
 use dalestand_edge::routed::ResponseMetadata;
 use dalestand_edge::unknown_headers::HeaderSender;
 use dalestand_engine_link::{
-    AllowedPaths, ConnectionTerms, Exchange, LinkTarget, NewConnection, SendError,
+    AllowedPaths, CallKey, ConnectionTerms, Exchange, LinkTarget, NewConnection, SendError,
 };
 use dalestand_routing::staged::{ClosedReason, EngineKey, ProbeCall, ProbeOutcome, StagedEngine};
 use dalestand_types::{EngineSignals, PoolName};
@@ -140,6 +140,7 @@
     let probe = Probe::new(context, engine.key);
     let sent_at = context.now();
     let terms = ConnectionTerms {
+        call: Some(CallKey::new(content.id().map(|id| &**id))),
         max_connections: context.max_connections(pool),
         share: context.connection_share(pool),
         is_scarce: context.has_scarce_connections(pool),
