An answer without framing is whole only if its engine listens after its end

Cause: after the end of such a connection the node checks whether the engine listens. If it did not, but had announced its end, or if it could not be reached, the answer passed for whole. An announcement says when an engine ends, not that it waits for its answers.

Change: whole only if the engine listens; otherwise the stream goes on elsewhere, the request is sent again, or the answer is broken off.

One test was wrong: a_whole_unframed_stream_of_an_engine_that_leaves_is_complete::stream asked that a stream whose leaving engine ends after its last event is complete, though the node sees the same of a stream that is cut between two events. It is replaced by an_unframed_stream_that_a_leaving_engine_cuts_is_not_complete::after_the_last_event and a_whole_unframed_stream_of_a_leaving_engine_that_listens_is_complete; its other case stays as an_unframed_stream_of_an_engine_that_leaves_goes_on_at_another.

--- a/crates/forwarding/src/quarantine/run_watch.rs
+++ b/crates/forwarding/src/quarantine/run_watch.rs
@@ -16,7 +16,6 @@
 use crate::quarantine::evidence::{attribute_crash, record_completion};
 use crate::quarantine::parts::evidence::record_part_completions;
 use crate::serve::progress::Progress;
-use crate::serve::unmarked_end::EngineState;
 
 /// Maximum number of prompt parts of a request in a log line.
 const MAX_LOGGED_PARTS: usize = 8;
@@ -119,17 +118,13 @@
         }
     }
 
-    /// Records an answer that seems complete, after which the engine was in `state`. It counts as a completion only if the
-    /// engine is alive: without a length, a body also ends when the engine crashes.
-    pub(crate) fn record_answer(&mut self, status: StatusCode, state: EngineState) {
+    /// Records a complete answer.
+    pub(crate) fn record_answer(&mut self, status: StatusCode) {
         self.is_over = true;
         self.withdraw_silence();
         let Some(request) = &self.run_request else {
             return;
         };
-        if state != EngineState::Alive {
-            return;
-        }
         record_completion(&self.context, request.fingerprint);
         // An engine may report an error without running the request.
         if status.is_success() {
--- a/crates/forwarding/src/serve/answer_stream.rs
+++ b/crates/forwarding/src/serve/answer_stream.rs
@@ -29,7 +29,9 @@
 use crate::serve::replacement::{BodyRead, Replacement, find_replacement};
 use crate::serve::response_timeout::may_hedge;
 use crate::serve::retries::may_retry;
-use crate::serve::unmarked_end::{EngineState, check_engine};
+use crate::serve::unmarked_end::{
+    ENGINE_CHECK_INTERVAL, EngineState, await_engine_state, check_engine,
+};
 use crate::streams::share::record_origin;
 
 /// Media type of event streams.
@@ -47,10 +49,6 @@
 /// Minimum pause after which a stream is resumed elsewhere.
 const MIN_PAUSE_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// How often an engine that can't be reached is checked, if an answer may have ended with its connection and no other engine
-/// goes on with it.
-const ENGINE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
-
 /// The longest event that is held until its end has arrived.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -154,20 +152,17 @@
                 }
                 BodyRead::WentOn => continue,
                 BodyRead::End if self.is_truncated() => RunFailure::InsideEvent,
-                BodyRead::End => match check_engine(&self.context, &self.answer).await {
-                    state @ EngineState::Alive => return self.finish(state),
+                BodyRead::End => match self.engine_state_after_end().await {
+                    EngineState::Alive => return self.finish(),
                     // The answer may be whole. Another engine can tell, as it goes on after the last event.
-                    state @ (EngineState::Left | EngineState::Unknown) if !self.can_resume() => {
-                        return self.finish(state);
-                    }
-                    EngineState::Unknown => {
+                    EngineState::Unknown if self.can_resume() => {
                         self.record_failure(RunFailure::BrokenOff);
                         if !self.resume_elsewhere().await {
                             sleep(ENGINE_CHECK_INTERVAL).await;
                         }
                         continue;
                     }
-                    EngineState::Left | EngineState::Crashed => RunFailure::BrokenOff,
+                    EngineState::Unknown | EngineState::Ended => RunFailure::BrokenOff,
                 },
                 BodyRead::BrokenOff => RunFailure::BrokenOff,
             };
@@ -178,6 +173,16 @@
         }
     }
 
+    /// What is known of the engine after the end of its answer. If no other engine can go on with the answer, it is checked
+    /// until that is known, as far as possible.
+    async fn engine_state_after_end(&self) -> EngineState {
+        let state = check_engine(&self.context, &self.answer).await;
+        if state == EngineState::Unknown && !self.can_resume() {
+            return await_engine_state(&self.context, &self.answer).await;
+        }
+        state
+    }
+
     /// Binds a stream to the software version that sends its first event.
     fn bind(&mut self) {
         if self.is_resumable && self.progress.binding == StreamBinding::Unbound {
@@ -337,11 +342,11 @@
             && (lacks_events || splitter.is_inside_event())
     }
 
-    /// Ends a complete answer with the bytes that follow its last event; the engine was in `state` after it.
-    fn finish(&mut self, state: EngineState) -> Option<Result<Bytes, AnswerStreamError>> {
+    /// Ends a complete answer with the bytes that follow its last event.
+    fn finish(&mut self) -> Option<Result<Bytes, AnswerStreamError>> {
         self.count_end(RunEnd::Complete);
         let status = self.answer.head.status;
-        self.answer.watch.record_answer(status, state);
+        self.answer.watch.record_answer(status);
         self.ended = true;
         let rest = self.splitter.take()?;
         let rest = rest.pending();
--- a/crates/forwarding/src/serve/deliver.rs
+++ b/crates/forwarding/src/serve/deliver.rs
@@ -12,7 +12,8 @@
 use crate::serve::attempt::{EngineAnswer, abandon_open_calls};
 use crate::serve::held_bytes::HeldReservation;
 use crate::serve::progress::Progress;
-use crate::serve::unmarked_end::{EngineState, check_engine};
+use crate::serve::retries::may_retry;
+use crate::serve::unmarked_end::{EngineState, await_engine_state, check_engine};
 
 /// Maximum length of a body that is buffered before it is sent on, so that a broken answer can be
 /// replaced.
@@ -62,15 +63,16 @@
         Err(error) => Err(error),
     };
     let state = match body {
-        Ok(_) => check_engine(context, &answer).await,
+        Ok(_) if may_retry(context, progress) => check_engine(context, &answer).await,
+        Ok(_) => await_engine_state(context, &answer).await,
         Err(_) => EngineState::Unknown,
     };
     match body {
-        Ok(body) if state != EngineState::Crashed => {
+        Ok(body) if state == EngineState::Alive => {
             if !answer.is_server_error() {
                 abandon_open_calls(context, progress);
             }
-            answer.watch.record_answer(answer.head.status, state);
+            answer.watch.record_answer(answer.head.status);
             reservation.resize(body.len());
             let whole = Served::Whole(answer.head, body, reservation);
             Some(whole).filter(|_| !is_false_guarantee)
--- a/crates/forwarding/tests/truncated_streams.rs
+++ b/crates/forwarding/tests/truncated_streams.rs
@@ -335,30 +335,102 @@
     assert!(!answer.ends_with("part"), "{answer}");
 }
 
-/// A stream of an engine that ends as it has announced is whole, and its events come once.
+/// Announces the end of the first engine once it has a request, and ends it.
+async fn leave(node: &TestNode, engine: &TestEngine) {
+    while engine.heads().is_empty() {
+        actix_rt::time::sleep(WRITE_PAUSE).await;
+    }
+    node.write_entry("e0", engine, "draining");
+    node.wait_for_engines(1).await;
+    engine.crash();
+}
+
+/// Requests until the engine has ended; with the answers to the requests that it had received.
+async fn answers_of_leaving(node: &TestNode, engine: &TestEngine) -> Vec<String> {
+    let mut answers = Vec::new();
+    for request in 0.. {
+        let known = engine.heads().len();
+        let answer = node.request(&request.to_string(), "/r/x").await;
+        if engine.heads().len() > known {
+            answers.push(answer);
+        }
+        if engine.has_crashed() {
+            break;
+        }
+    }
+    answers
+}
+
+/// A stream that may be whole and whose engine ends as it has announced goes on at another one, and its events come once.
+#[actix_rt::test]
+async fn an_unframed_stream_of_an_engine_that_leaves_goes_on_at_another() {
+    let (node, engines) = start(50, "resumable-stream", 3, &[whole_before_crash, whole]).await;
+    let requests = answers_of_leaving(&node, &engines[0]);
+    let ((), answers) = futures_util::join!(leave(&node, &engines[0]), requests);
+    assert!(!answers.is_empty());
+    for answer in answers {
+        assert_eq!(pieces(&answer), [1, 2, 3, 4, 5], "{answer}");
+        assert!(looks_complete(&answer), "{answer}");
+    }
+}
+
+/// Guards against a stream that its engine cut by ending, as it had announced, and that passed for complete. Whether the
+/// events were all is not known.
+#[rstest]
+#[case::between_events(two_events, &[1, 2])]
+#[case::after_the_last_event(whole_before_crash, &[1, 2, 3, 4, 5])]
+#[actix_rt::test]
+async fn an_unframed_stream_that_a_leaving_engine_cuts_is_not_complete(
+    #[case] script: Script,
+    #[case] expected: &[u64],
+    #[values(("stream", 3), ("resumable-stream", 1))] (kind, attempts): (&str, u32),
+) {
+    let (node, engines) = start(50, kind, attempts, &[script, whole]).await;
+    let requests = answers_of_leaving(&node, &engines[0]);
+    let ((), answers) = futures_util::join!(leave(&node, &engines[0]), requests);
+    assert!(!answers.is_empty());
+    for answer in answers {
+        assert_eq!(pieces(&answer), expected, "{answer}");
+        assert!(!looks_complete(&answer), "{answer}");
+    }
+}
+
+/// Guards against the same with other bodies.
 #[rstest]
+#[case::repeatable("repeatable", "200")]
+#[case::once("once", "502")]
 #[actix_rt::test]
-async fn a_whole_unframed_stream_of_an_engine_that_leaves_is_complete(
+async fn an_unframed_body_that_a_leaving_engine_cuts_is_not_complete(
+    #[case] kind: &str,
+    #[case] expected: &str,
+) {
+    let (node, engines) = start(50, kind, 3, &[part_of_a_body, succeeding]).await;
+    let requests = answers_of_leaving(&node, &engines[0]);
+    let ((), answers) = futures_util::join!(leave(&node, &engines[0]), requests);
+    assert!(!answers.is_empty());
+    for answer in answers {
+        assert_eq!(status(&answer), expected, "{answer}");
+        assert!(!answer.ends_with("part"), "{answer}");
+    }
+}
+
+/// Guards against whole streams that are broken off because their engine is leaving: it ends them itself while it listens.
+#[rstest]
+#[actix_rt::test]
+async fn a_whole_unframed_stream_of_a_leaving_engine_that_listens_is_complete(
     #[values("stream", "resumable-stream")] kind: &str,
 ) {
-    let (node, engines) = start(50, kind, 3, &[whole_before_crash, whole]).await;
-    let leave = async {
+    let (node, engines) = start(50, kind, 1, &[unframed]).await;
+    let request = node.request("1", "/r/x");
+    let announce = async {
         while engines[0].heads().is_empty() {
             actix_rt::time::sleep(WRITE_PAUSE).await;
         }
         node.write_entry("e0", &engines[0], "draining");
-        node.wait_for_engines(1).await;
-        engines[0].crash();
+        node.wait_for_engines(0).await;
     };
-    let requests = async {
-        for request in 0.. {
-            let answer = node.request(&request.to_string(), "/r/x").await;
-            assert_eq!(pieces(&answer), [1, 2, 3, 4, 5], "{answer}");
-            assert!(looks_complete(&answer), "{answer}");
-            if engines[0].has_crashed() {
-                return;
-            }
-        }
-    };
-    futures_util::join!(leave, requests);
+    let (answer, ()) = futures_util::join!(request, announce);
+    assert_eq!(pieces(&answer), [1, 2, 3, 4, 5], "{answer}");
+    assert!(looks_complete(&answer), "{answer}");
+    assert_eq!(unframed_ends(&node, "complete").await, 1);
 }
