Answers to other requests are skipped, so that a call's own answer is read

What callers saw: where an engine sends a late copy of another request's answer, a request that can't be repeated was answered 502 although its own answer came next on the connection; others used a retry.

Cause: an answer with another id ended its call and its connection. A stray answer without a body even returned the connection to the pool, as its exchange looked complete, while the call's own answer was still due there.

Change: the link asks whether an answer is the call's own before anything is made of it, and skips those that are not by their own framing, up to eight and 1 MiB a call, for two seconds. One whose end is not known ends the call as before. Calls' lines and dalestand_engine_stray_answers_total count them.

--- a/crates/engine-link/src/connection.rs
+++ b/crates/engine-link/src/connection.rs
@@ -174,7 +174,15 @@
         }
         let mut codec = ClientCodec::new(config);
         self.unwritten = encode(&mut codec, head, body)?;
-        let mut any_byte_sent = false;
+        self.receive_head(codec, false).await
+    }
+
+    /// Waits for a response head and writes the rest of the request meanwhile.
+    pub(crate) async fn receive_head(
+        &mut self,
+        mut codec: ClientCodec,
+        mut any_byte_sent: bool,
+    ) -> Result<ReceivedHead, SendError> {
         loop {
             if let Some(head) = decode(&mut codec, &mut self.received)? {
                 if head.status.is_informational() {
--- a/crates/engine-link/src/error.rs
+++ b/crates/engine-link/src/error.rs
@@ -21,6 +21,9 @@
     /// sent, so it may have run.
     #[error("the new connection was reset: {0}")]
     ResetWhenNew(String),
+    /// A response to another call came in the place of this one's, and could not be skipped. The engine may have run the request.
+    #[error("no response: {0}")]
+    StrayResponse(String),
     /// At least part of the request was sent and no valid response head was received, so the engine may
     /// have run it.
     #[error("no response: {0}")]
--- a/crates/engine-link/src/lib.rs
+++ b/crates/engine-link/src/lib.rs
@@ -6,7 +6,7 @@
 //! the connection is closed and not used for another request.
 //!
 //! No connection carries two calls of one request, so that an answer which names its request and comes on the call's connection
-//! is that to the call.
+//! is that to the call. Responses to other calls in its place are skipped.
 //!
 //! An engine resets new connections beyond those that it accepts from all nodes together. A request that must not run twice
 //! is therefore sent only on a connection that has carried a response or has stayed open for a moment.
@@ -24,6 +24,7 @@
 mod paths;
 mod rejections;
 mod response;
+mod stray_responses;
 
 pub use carried_calls::CallKey;
 pub use connection::ConnectionUse;
--- a/crates/engine-link/src/link.rs
+++ b/crates/engine-link/src/link.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_http::{RequestHead, ServiceConfig};
+use actix_http::{RequestHead, ResponseHead, ServiceConfig};
 use bytes::Bytes;
 use dalestand_clock::BootInstant;
 use tokio::net::TcpStream;
@@ -19,6 +19,7 @@
 use crate::paths::{AllowedPaths, DirectCall, LinkObservation, LinkPaths, Path};
 use crate::rejections::Rejections;
 use crate::response::Exchange;
+use crate::stray_responses::skip_stray_responses;
 
 /// One run of an engine at an address. A restarted engine is a different target, so that connections
 /// to the previous run are not used for it.
@@ -124,11 +125,12 @@
             paths: AllowedPaths::Any,
             new_connection: NewConnection::AtOnce,
         };
-        self.send_if(target, terms, head, body, || true).await
+        self.send_if(target, terms, head, body, || true, |_| true)
+            .await
     }
 
     /// Like [`send`](Self::send), but checks `is_eligible` once there is a connection: the engine may have
-    /// become ineligible while it was opened.
+    /// become ineligible while it was opened. Responses that are not the call's own by `is_own` are skipped.
     pub async fn send_if(
         &self,
         target: &LinkTarget,
@@ -136,6 +138,7 @@
         head: RequestHead,
         body: &Bytes,
         is_eligible: impl FnOnce() -> bool,
+        is_own: impl FnMut(&ResponseHead) -> bool,
     ) -> Result<Exchange, SendError> {
         let mut connection = self.settled_connection(target, terms).await?;
         if !is_eligible() {
@@ -148,6 +151,10 @@
         let received = connection
             .exchange(self.config.clone(), terms.call, head, body)
             .await;
+        let received = match received {
+            Ok(received) => skip_stray_responses(&mut connection, received, is_own).await,
+            Err(error) => Err(error),
+        };
         let is_observed = terms.new_connection != NewConnection::AtOnce;
         let is_unsent = matches!(received, Err(SendError::NotSent(_)));
         let is_rejected = is_observed
@@ -176,7 +183,10 @@
                 drop(connection);
                 Err(SendError::ConnectionLimitReached(self.pool.in_use(target)))
             }
-            received => Ok(Exchange::new(connection, received?, call)),
+            received => {
+                let (received, skipped) = received?;
+                Ok(Exchange::new(connection, received, skipped, call))
+            }
         }
     }
 
--- a/crates/engine-link/src/response.rs
+++ b/crates/engine-link/src/response.rs
@@ -52,12 +52,15 @@
     pub path: Path,
     /// The connection.
     pub connection: ConnectionUse,
+    /// Number of responses to other calls that were skipped before this one.
+    pub skipped_responses: usize,
 }
 
 impl Exchange {
     pub(crate) fn new(
         connection: PooledConnection,
         received: ReceivedHead,
+        skipped_responses: usize,
         direct_call: Option<DirectCall>,
     ) -> Self {
         let ReceivedHead {
@@ -90,6 +93,7 @@
             body,
             path,
             connection: last_use,
+            skipped_responses,
         }
     }
 }
@@ -243,7 +247,7 @@
 
 /// Whether the end of the connection marks the end of the body, since the head has neither a length nor
 /// a transfer encoding.
-fn is_close_delimited(head: &ResponseHead) -> bool {
+pub(crate) fn is_close_delimited(head: &ResponseHead) -> bool {
     let bodiless = matches!(
         head.status,
         StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
@@ -252,7 +256,7 @@
     !bodiless && !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
 }
 
-fn has_connection_close(headers: &HeaderMap) -> bool {
+pub(crate) fn has_connection_close(headers: &HeaderMap) -> bool {
     let mut values = headers.get_all(CONNECTION);
     values.any(|value| {
         let text = value.to_str().unwrap_or_default();
--- a/crates/engine-link/tests/exchanges.rs
+++ b/crates/engine-link/tests/exchanges.rs
@@ -103,7 +103,7 @@
         new_connection: NewConnection::AtOnce,
     };
     let (head, body) = (RequestHead::default(), Bytes::new());
-    let sent = link.send_if(target, terms, head, &body, || true);
+    let sent = link.send_if(target, terms, head, &body, || true, |_| true);
     let mut exchange = sent.await.expect("a response");
     let read = exchange.body.collect(BODY_LIMIT_BYTES).await;
     read.expect("a whole body");
@@ -285,7 +285,7 @@
         new_connection: NewConnection::AtOnceIfRoom,
     };
     let (head, body) = (RequestHead::default(), Bytes::new());
-    let send = || link.send_if(&target, terms, head.clone(), &body, || true);
+    let send = || link.send_if(&target, terms, head.clone(), &body, || true, |_| true);
     let first = send().await;
     assert!(matches!(first, Err(SendError::ResetWhenNew(_))));
     let second = send().await;
--- a/crates/forwarding/src/node/metrics/mod.rs
+++ b/crates/forwarding/src/node/metrics/mod.rs
@@ -93,6 +93,7 @@
     head_seconds: HistogramVec,
     calls: IntCounterVec,
     answers: IntCounterVec,
+    stray_answers: IntCounter,
     run_ends: IntCounterVec,
     pub(crate) held_parts: HeldPartMetrics,
     pub(crate) streams: StreamMetrics,
@@ -163,8 +164,12 @@
             )?,
             answers: metrics.counters(
                 "engine_answers_total",
-                "Answers of engines to calls, by the connection and by whose answer it is.",
-                &["connection", "answer"],
+                "Answers of engines to calls, by whether the connection was new or kept.",
+                &["connection"],
+            )?,
+            stray_answers: metrics.counter(
+                "engine_stray_answers_total",
+                "Answers of engines that belong to other requests than the one that was due.",
             )?,
             run_ends: metrics.counters(
                 "streamed_runs_total",
@@ -352,14 +357,9 @@
         self.signals.call(call);
         if let Some(used) = call.signals.connection {
             let connection = if used.call > 1 { "kept" } else { "new" };
-            let answer = if call.signals.is_stray {
-                "stray"
-            } else {
-                "own"
-            };
-            let answers = self.answers.with_label_values(&[connection, answer]);
-            answers.inc();
+            self.answers.with_label_values(&[connection]).inc();
         }
+        self.stray_answers.inc_by(call.signals.stray_answers as u64);
         let latency = self.call_seconds.with_label_values(&[purpose]);
         latency.observe(call.took.as_secs_f64());
     }
--- a/crates/forwarding/src/serve/call_verdict.rs
+++ b/crates/forwarding/src/serve/call_verdict.rs
@@ -84,20 +84,23 @@
     let reply = match answered {
         None => return (Verdict::NoResponse, no_signals),
         Some(Err(CallError::Closed(closed))) => return (Verdict::Withheld, closed.into()),
-        Some(Err(CallError::Link(error))) => return (classify_error(&error), no_signals),
+        Some(Err(CallError::Link(error))) => {
+            let is_stray = matches!(error, SendError::StrayResponse(_));
+            let signals = CallSignals {
+                stray_answers: usize::from(is_stray),
+                ..no_signals
+            };
+            return (classify_error(&error), signals);
+        }
         Some(Ok(reply)) => reply,
     };
     let signals = CallSignals {
-        reported: reply.signals(),
+        reported: reply.facts.signals,
         path: reply.exchange.path,
         connection: Some(reply.exchange.connection),
-        is_stray: !reply.is_matching,
+        stray_answers: reply.exchange.skipped_responses,
         ..no_signals
     };
-    if !reply.is_matching {
-        // A stray answer to another request says nothing about this one; the connection is closed.
-        return (Verdict::Broken, signals);
-    }
     if reply.facts.refused {
         return (Verdict::Refused, signals);
     }
@@ -115,6 +118,6 @@
         SendError::NotSent(_) => Verdict::NotSent,
         SendError::NotEligible => Verdict::Withheld,
         SendError::ResetWhenNew(_) => Verdict::ResetWhenNew,
-        SendError::MayHaveRun(_) => Verdict::Broken,
+        SendError::StrayResponse(_) | SendError::MayHaveRun(_) => Verdict::Broken,
     }
 }
--- a/crates/forwarding/src/serve/engine_send.rs
+++ b/crates/forwarding/src/serve/engine_send.rs
@@ -16,10 +16,11 @@
 use dalestand_edge::routed::ResponseMetadata;
 use dalestand_edge::unknown_headers::HeaderSender;
 use dalestand_engine_link::{
-    AllowedPaths, CallKey, ConnectionTerms, Exchange, LinkTarget, NewConnection, SendError,
+    AllowedPaths, CallKey, ConnectionTerms, Exchange, LinkTarget, NewConnection, ResponseHead,
+    SendError,
 };
 use dalestand_routing::staged::{ClosedReason, EngineKey, ProbeCall, ProbeOutcome, StagedEngine};
-use dalestand_types::{EngineSignals, PoolName};
+use dalestand_types::PoolName;
 
 use crate::context::Context;
 use crate::fleet::signals;
@@ -76,20 +77,6 @@
 pub(crate) struct EngineReply {
     pub(crate) exchange: Exchange,
     pub(crate) facts: ResponseMetadata,
-    /// Whether it answers this call. A stray answer to another call does not describe the engine's
-    /// present state.
-    pub(crate) is_matching: bool,
-}
-
-impl EngineReply {
-    /// The engine's signals.
-    pub(crate) fn signals(&self) -> EngineSignals {
-        if self.is_matching {
-            self.facts.signals
-        } else {
-            EngineSignals::default()
-        }
-    }
 }
 
 /// Why there is no response head.
@@ -161,8 +148,14 @@
         }
         is_open
     };
+    let mut facts = ResponseMetadata::default();
+    // An answer to another call does not describe the engine's present state.
+    let is_own = |answer: &ResponseHead| {
+        facts = context.dialect.read_answer(answer.status, &answer.headers);
+        facts.id.as_ref() == content.id()
+    };
     let link = &context.link;
-    let sent = link.send_if(target, terms, head, body, is_open);
+    let sent = link.send_if(target, terms, head, body, is_open, is_own);
     let exchange = sent.await.map_err(|error| match error {
         SendError::NotEligible => {
             CallError::Closed(closed().unwrap_or(ClosedReason::Limit(context.now())))
@@ -175,16 +168,11 @@
     for name in names.filter(|name| context.dialect.is_unknown_header(name)) {
         context.unknown_headers.record(HeaderSender::Engine, name);
     }
-    let facts = context.dialect.read_answer(answer.status, &answer.headers);
-    let reply = EngineReply {
-        is_matching: facts.id.as_ref() == content.id(),
-        facts,
-        exchange,
-    };
+    let reply = EngineReply { exchange, facts };
     let is_accepted = content != CallContent::Internal && !reply.facts.refused;
     let request_sent_at = is_accepted.then_some(sent_at);
-    signals::apply_answer(context, engine, reply.signals(), request_sent_at);
-    if reply.is_matching && !reply.facts.refused {
+    signals::apply_answer(context, engine, reply.facts.signals, request_sent_at);
+    if !reply.facts.refused {
         probe.accepted();
     }
     Ok(reply)
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -96,8 +96,8 @@
     pub(crate) path: Path,
     /// The connection on which an answer came.
     pub(crate) connection: Option<ConnectionUse>,
-    /// Whether the answer carried the id of another request.
-    pub(crate) is_stray: bool,
+    /// Number of answers with the ids of other requests that came first.
+    pub(crate) stray_answers: usize,
     /// Version of the engine's software.
     pub(crate) software: Option<SoftwareVersion>,
 }
@@ -145,8 +145,8 @@
         if let Some(ConnectionUse { connection, call }) = self.connection {
             text.push_str(&format!(", call {call} on connection {connection}"));
         }
-        if self.is_stray {
-            text.push_str(", with the id of another request");
+        if self.stray_answers > 0 {
+            text.push_str(&format!(", after {} to other requests", self.stray_answers));
         }
         if let Path::Detour(carrier) = self.path {
             text.push_str(&format!(", via {carrier}"));
