A call fails after 16 informational responses

Cause: informational heads were skipped without a bound.

Evidence: exchanges.rs, informational_responses_without_end_fail_the_call, on the code before: no end of the call within two seconds.

--- a/crates/engine-link/src/connection.rs
+++ b/crates/engine-link/src/connection.rs
@@ -27,6 +27,9 @@
 /// Maximum size of a response head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Informational heads that are accepted before a response. An engine that sends more may never send a response.
+const MAX_INFORMATIONAL_HEADS: usize = 16;
+
 /// Number of connections opened by this process.
 static CONNECTIONS_OPENED: AtomicU64 = AtomicU64::new(0);
 
@@ -183,9 +186,15 @@
         mut codec: ClientCodec,
         mut any_byte_sent: bool,
     ) -> Result<ReceivedHead, SendError> {
+        let mut informational_heads = 0;
         loop {
             if let Some(head) = decode(&mut codec, &mut self.received)? {
                 if head.status.is_informational() {
+                    informational_heads += 1;
+                    if informational_heads > MAX_INFORMATIONAL_HEADS {
+                        let message = "too many informational responses";
+                        return Err(SendError::MayHaveRun(message.to_owned()));
+                    }
                     continue;
                 }
                 return Ok(ReceivedHead {
--- a/crates/engine-link/tests/exchanges.rs
+++ b/crates/engine-link/tests/exchanges.rs
@@ -431,3 +431,18 @@
     drop(link);
     thread.join().expect("the engine");
 }
+
+/// Guards against an engine that sends informational responses without end, for which a call waited as long as its request had time.
+#[actix_rt::test]
+async fn informational_responses_without_end_fail_the_call() {
+    let (target, thread) = engine(vec![|stream: &mut TcpStream| {
+        read_head(stream);
+        let part = b"HTTP/1.1 103 Early Hints\r\n\r\n";
+        while stream.write_all(part).is_ok() {}
+    }]);
+    let link = link();
+    let called = tokio::time::timeout(Duration::from_secs(2), get(&link, &target)).await;
+    let error = called.expect("an end of the call").err().expect("an error");
+    assert!(matches!(error, SendError::MayHaveRun(_)), "{error}");
+    thread.join().expect("the engine");
+}
