An answer fails after 64 KiB of chunk extensions or trailers

Cause: the decoder reads past extensions and trailers without a bound, and nothing else counts them.

Change: bytes that are received without a piece of the body are counted until the next piece; beyond the bound the answer is malformed.

--- a/crates/engine-link/src/response.rs
+++ b/crates/engine-link/src/response.rs
@@ -18,6 +18,9 @@
 /// does not race with the engine's close.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Bytes that may come between two chunks of a body, or after the last one, as extensions or trailers.
+const MAX_FRAMING_BYTES: usize = 64 << 10;
+
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// How the end of a body is marked.
@@ -83,6 +86,7 @@
             keep_alive_timeout: keep_alive_timeout(&head.headers),
             length: content_length(&head.headers),
             ended: false,
+            framing_bytes: 0,
             put_back: None,
         };
         if !has_body {
@@ -108,6 +112,8 @@
     keep_alive_timeout: Option<Duration>,
     length: Option<u64>,
     ended: bool,
+    /// Bytes received since the last chunk.
+    framing_bytes: usize,
     /// Bytes that were read and are to be returned again.
     put_back: Option<Bytes>,
     /// The call, if its connection is direct and observed.
@@ -148,11 +154,19 @@
         loop {
             match self.decode() {
                 Ok(Some(Some(chunk))) if chunk.is_empty() => continue,
-                Ok(Some(Some(chunk))) => return Some(Ok(chunk)),
+                Ok(Some(Some(chunk))) => {
+                    self.framing_bytes = 0;
+                    return Some(Ok(chunk));
+                }
                 Ok(Some(None)) => {
                     self.finish();
                     return None;
                 }
+                Ok(None) if self.framing_bytes > MAX_FRAMING_BYTES => {
+                    let message = "too many bytes between chunks or after the last one";
+                    let error = BodyError::Malformed(message.to_owned());
+                    return Some(Err(self.fail(error)));
+                }
                 Ok(None) => {}
                 Err(error) => return Some(Err(self.fail(error))),
             }
@@ -167,7 +181,8 @@
                         BodyError::Incomplete("the engine closed the connection".to_owned());
                     return Some(Err(self.fail(error)));
                 }
-                Ok(_) => {
+                Ok(count) => {
+                    self.framing_bytes += count;
                     if let Some(call) = &mut self.direct_call {
                         call.record_bytes();
                     }
