The listener of an engine is checked 50 ms after the end of its answer

Cause: a process that ends closes its connections and its listener one after the other. The check for a listener came between the two and found one, so that a cut stream passed for whole. A check that found no room for its own connection counted as a listener found, too.

The cause is shown by truncated_streams.rs, an_unframed_stream_whose_engine_closes_its_listener_last_is_not_complete (20 ms): 2 of 2 cases failed before.

Change: the check waits for 50 ms, which only answers without framing pay.

--- a/crates/forwarding/src/serve/unmarked_end.rs
+++ b/crates/forwarding/src/serve/unmarked_end.rs
@@ -14,6 +14,9 @@
 use crate::quarantine::engine_end::{EndProof, record_engine_end};
 use crate::serve::attempt::EngineAnswer;
 
+/// Time from the end of an answer to the check. When a process ends, its connections may close before its listener.
+const LISTENER_CLOSE_DELAY: Duration = Duration::from_millis(50);
+
 /// How often an engine that can't be reached is checked.
 pub(crate) const ENGINE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -38,10 +41,11 @@
     if answer.body.framing() != BodyFraming::ConnectionClose {
         return EngineState::Alive;
     }
+    sleep(LISTENER_CLOSE_DELAY).await;
     let max_connections = context.max_connections(&answer.pool);
     let opened = context.link.open(&answer.target, max_connections).await;
     match opened {
-        Ok(()) | Err(SendError::ConnectionLimitReached(_)) => return EngineState::Alive,
+        Ok(()) => return EngineState::Alive,
         Err(SendError::NoListener(_)) => {}
         Err(_) => return EngineState::Unknown,
     }
--- a/crates/forwarding/tests/support/engine.rs
+++ b/crates/forwarding/tests/support/engine.rs
@@ -65,6 +65,17 @@
         }
     }
 
+    /// Simulates the end of a process whose connections close `delay` before its listener.
+    pub fn end_connections_first(&self, delay: Duration) {
+        let connections = self.connections.lock().expect("no panic");
+        for connection in connections.iter().flatten() {
+            let _ = connection.shutdown(std::net::Shutdown::Both);
+        }
+        drop(connections);
+        thread::sleep(delay);
+        self.crash();
+    }
+
     /// Simulates a crash: closes the connections and the listener.
     pub fn crash(&self) {
         let connections = self.connections.lock().expect("no panic").take();
--- a/crates/forwarding/tests/truncated_streams.rs
+++ b/crates/forwarding/tests/truncated_streams.rs
@@ -30,6 +30,9 @@
 /// Longer than a test.
 const HANGING_TIME: Duration = Duration::from_secs(5);
 
+/// Time from the end of an engine's connections to that of its listener.
+const LISTENER_DELAY: Duration = Duration::from_millis(20);
+
 /// Time for a request to reach its engine, and for the first bytes of the answer to come back.
 const CRASH_DELAY: Duration = Duration::from_millis(60);
 
@@ -434,3 +437,32 @@
     assert!(looks_complete(&answer), "{answer}");
     assert_eq!(unframed_ends(&node, "complete").await, 1);
 }
+
+/// Guards against a check of the listener that comes between the end of an engine's connections and that of its listener: the
+/// stream passed for complete.
+#[rstest]
+#[actix_rt::test]
+async fn an_unframed_stream_whose_engine_closes_its_listener_last_is_not_complete(
+    #[values("ready", "draining")] state: &str,
+) {
+    let (node, engines) = start(50, "stream", 3, &[two_events]).await;
+    let engine = engines.into_iter().next().expect("an engine");
+    let entry = engine.address;
+    // On its own thread, as the node goes on meanwhile.
+    let ending = thread::spawn(move || {
+        while engine.heads().is_empty() {
+            thread::sleep(WRITE_PAUSE);
+        }
+        thread::sleep(CRASH_DELAY);
+        engine.end_connections_first(LISTENER_DELAY);
+    });
+    let announce = async {
+        actix_rt::time::sleep(WRITE_PAUSE).await;
+        let text = format!("{entry} {state}");
+        node.store.write("engines/e0", Some(&text));
+    };
+    let (answer, ()) = futures_util::join!(node.request("1", "/r/x"), announce);
+    ending.join().expect("the engine");
+    assert_eq!(pieces(&answer), [1, 2], "{answer}");
+    assert!(!looks_complete(&answer), "{answer}");
+}
