--- a/cmd/tests/soak.rs
+++ b/cmd/tests/soak.rs
@@ -6,7 +6,7 @@
 use dalestand_soak::run::{CallerLoad, RunReport};
 use dalestand_soak::schedule::{
     COLD_START_KINDS, CUT_STREAM_KINDS, FAULT_KINDS, FaultKind, LEAVING_KINDS, RELEASE_KINDS,
-    RETRY_KINDS, SUSPENSION_KINDS,
+    REPEATED_RESPONSE_KINDS, RETRY_KINDS, SUSPENSION_KINDS,
 };
 use rstest::rstest;
 use soak_run::assert_no_violations_on;
@@ -110,6 +110,17 @@
     assert!(cut_streams.cut >= MIN_CUT_STREAMS, "{cut_streams:?}");
 }
 
+/// A run in which engines send fewer responses again proves little.
+const MIN_REPEATED_RESPONSES: u64 = 100;
+
+/// Guards against late copies of responses that are taken for the responses to later calls.
+#[test]
+fn a_seeded_run_with_repeated_responses_has_no_violations() {
+    let report = assert_no_violations(76, &REPEATED_RESPONSE_KINDS, CallerLoad::Tenants);
+    let repeated = report.repeated_responses();
+    assert!(repeated >= MIN_REPEATED_RESPONSES, "{repeated}");
+}
+
 /// A run in which callers resume fewer streams while several software versions serve proves little.
 const MIN_RESUMED_AMONG_SEVERAL: usize = 30;
 
