Test: the engine announces its end once it has the request

Where the node learnt of it before it had sent the request, the request was refused and the engine's thread waited for it without end. The test now announces it once the request is at the engine, as the others do. The checks are the same.

--- a/crates/forwarding/tests/truncated_streams.rs
+++ b/crates/forwarding/tests/truncated_streams.rs
@@ -9,6 +9,7 @@
 
 use std::io::Write as _;
 use std::net::TcpStream;
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
@@ -445,24 +446,19 @@
 async fn an_unframed_stream_whose_engine_closes_its_listener_last_is_not_complete(
     #[values("ready", "draining")] state: &str,
 ) {
-    let (node, engines) = start(50, "stream", 3, &[two_events]).await;
-    let engine = engines.into_iter().next().expect("an engine");
-    let entry = engine.address;
-    // On its own thread, as the node goes on meanwhile.
-    let ending = thread::spawn(move || {
+    let (node, mut engines) = start(50, "stream", 3, &[two_events]).await;
+    let engine = Arc::new(engines.remove(0));
+    let end = async {
         while engine.heads().is_empty() {
-            thread::sleep(WRITE_PAUSE);
+            actix_rt::time::sleep(WRITE_PAUSE).await;
         }
-        thread::sleep(CRASH_DELAY);
-        engine.end_connections_first(LISTENER_DELAY);
-    });
-    let announce = async {
-        actix_rt::time::sleep(WRITE_PAUSE).await;
-        let text = format!("{entry} {state}");
-        node.store.write("engines/e0", Some(&text));
+        node.write_entry("e0", &engine, state);
+        actix_rt::time::sleep(CRASH_DELAY).await;
+        let ending = Arc::clone(&engine);
+        // On its own thread, as the node goes on meanwhile.
+        thread::spawn(move || ending.end_connections_first(LISTENER_DELAY));
     };
-    let (answer, ()) = futures_util::join!(node.request("1", "/r/x"), announce);
-    ending.join().expect("the engine");
+    let (answer, ()) = futures_util::join!(node.request("1", "/r/x"), end);
     assert_eq!(pieces(&answer), [1, 2], "{answer}");
     assert!(!looks_complete(&answer), "{answer}");
 }
