Streams: a version is stored before a stream begins at its engines

Callers saw streams joined from two software versions: the first part from an engine of the newer version, the rest from the older one, after all nodes were killed soon after the newer version had joined and its engines had ended with them.

Cause: what must outlive all nodes was written after its use. The holder of the fleet lease stored the versions of a pool within half a second of their appearance, and nobody did between two holders; streams began at the new engines at once. A node that started then read one version from the key-value service and took it for the one that began every stream. After a restore of the service from a backup the same happened.

Change: an engine's version counts only once it is stored for its pool (EngineVersions::get). Any relay stores it by compare-and-swap when it lists such an engine, the lease holder first. Until then resumable streams begin at other engines (StreamBinding::Beginning); a new fleet's first streams wait for it, 500 ms at most. Versions whose engines have ended are retired first, and removed after the lifetime of streams, so that a node which hasn't heard of it yet joins nothing. The stored text names its era; in a later one, and as an earlier build wrote it, it tells that unknown versions may have served. Engines without a version count as one of their own. Cost: one write a version and pool, and two more when it has ended.

The property test covered neither kills of all nodes, nor unanswered writes, nor restores; its model stored versions at once.

One test waited for the old text of the key and asked for a resumption before any version was stored, when no stream can have begun; it now waits for the store first.

--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -1,7 +1,7 @@
 //! State shared by all tasks of a node. A node runs on one thread, so it needs no locks.
 
 use std::cell::{Cell, OnceCell, Ref, RefCell};
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,7 +16,7 @@
 use dalestand_routes::{RouteTable, WeightedRoundRobin};
 use dalestand_routing::staged::{EngineKey, LinkQueue, StagedRouter};
 use dalestand_routing::{NodeCount, SharedRetryBudget};
-use dalestand_stream_origins::EngineVersions;
+use dalestand_stream_origins::{EngineVersions, StoredVersions};
 use dalestand_types::{MonotonicTime, PoolName, SoftwareVersion, ZoneName};
 use rand::RngExt as _;
 use slog::Logger;
@@ -274,9 +274,7 @@
     pub(crate) fn reset_engine(&self, engine: EngineKey) {
         self.router.borrow_mut().forget_engine(engine);
         let started_at_ms = self.started_at_ms(engine);
-        let mut versions = self.engine_versions.borrow_mut();
-        versions.forget(self.now(), engine);
-        drop(versions);
+        self.engine_versions.borrow_mut().forget(engine);
         let mut fleet = self.fleet.borrow_mut();
         fleet.set_started_at_ms(engine, started_at_ms);
         fleet.set_software(engine, None);
@@ -321,7 +319,7 @@
                 let engine = EngineKey::of(&entry.run);
                 entry.started_at_ms = self.started_at_ms(engine);
                 let mut versions = self.engine_versions.borrow_mut();
-                versions.list(self.now(), engine, &entry.pool);
+                versions.list(engine, &entry.pool);
                 drop(versions);
                 changed_pools.insert(entry.pool.clone());
                 entry.software = self.software_of(engine);
@@ -331,14 +329,14 @@
             }
         }
         if self.engine_versions().missing().len() > 0 {
-            // Requests them.
+            // Requests them, or stores them.
             self.work_changed.notify_one();
+            self.streams.unstored.notify_one();
         }
         let mut router = self.router.borrow_mut();
         for engine in removed {
             router.forget_engine(engine);
-            let mut versions = self.engine_versions.borrow_mut();
-            versions.unlist(self.now(), engine);
+            self.engine_versions.borrow_mut().unlist(engine);
         }
         drop((router, fleet, entries));
         for pool in changed_pools {
@@ -346,7 +344,7 @@
         }
     }
 
-    /// Version of the engine's software, if known.
+    /// Version of the engine's software, once it is stored for all nodes.
     pub(crate) fn software_of(&self, engine: EngineKey) -> Option<SoftwareVersion> {
         self.engine_versions.borrow().get(engine).cloned()
     }
@@ -356,37 +354,62 @@
         self.engine_versions.borrow()
     }
 
-    /// Records the version of an engine's software.
+    /// Records the version of an engine's software as its entry names it.
     pub(crate) fn record_software(&self, engine: EngineKey, software: SoftwareVersion) {
+        let former = self.software_of(engine);
+        self.engine_versions.borrow_mut().record(engine, software);
+        self.apply_software(engine, former.as_ref());
+    }
+
+    /// Records the version of an engine's software as another node has told it, for which it is stored.
+    pub(crate) fn record_stored_software(&self, engine: EngineKey, software: SoftwareVersion) {
+        let former = self.software_of(engine);
         let mut versions = self.engine_versions.borrow_mut();
-        if !versions.record(self.now(), engine, software.clone()) {
-            return;
-        }
-        let pool = versions.pool_of(engine).cloned();
+        versions.record_stored_elsewhere(engine, software);
         drop(versions);
-        let mut fleet = self.fleet.borrow_mut();
-        fleet.set_software(engine, Some(software));
-        drop(fleet);
+        self.apply_software(engine, former.as_ref());
+    }
+
+    /// Makes a changed version count for requests.
+    fn apply_software(&self, engine: EngineKey, former: Option<&SoftwareVersion>) {
+        let software = self.software_of(engine);
+        if software.as_ref() != former {
+            self.fleet.borrow_mut().set_software(engine, software);
+        }
+        let pool = self.engine_versions().pool_of(engine).cloned();
         if let Some(pool) = pool {
+            if !self.engine_versions().unstored(&pool).is_empty() {
+                self.streams.unstored.notify_one();
+            }
             update_sharing(self, &pool);
         }
     }
 
-    /// Records that no engine served before this node started.
-    pub(crate) fn set_nothing_served_before(&self) {
+    /// Records what is stored of the software versions that may have begun streams of a pool.
+    pub(crate) fn record_stored_versions(&self, pool: &PoolName, stored: Option<StoredVersions>) {
         let mut versions = self.engine_versions.borrow_mut();
-        versions.history_mut().set_nothing_before();
+        let changed = versions.set_stored(pool, stored);
+        drop(versions);
+        self.update_software(changed);
+        update_sharing(self, pool);
     }
 
-    /// Records the software versions that served in a pool recently, as they have just been stored for all nodes.
-    pub(crate) fn record_stored_versions(
-        &self,
-        pool: &PoolName,
-        stored: BTreeSet<SoftwareVersion>,
-    ) {
+    fn update_software(&self, engines: Vec<EngineKey>) {
+        let mut fleet = self.fleet.borrow_mut();
+        for engine in engines {
+            fleet.set_software(engine, self.software_of(engine));
+        }
+    }
+
+    /// What to store of the versions of a pool after some have been without engines for long.
+    pub(crate) fn expired_versions(&self, pool: &PoolName) -> Option<StoredVersions> {
         let mut versions = self.engine_versions.borrow_mut();
-        let history = versions.history_mut();
-        history.record_stored(self.now(), pool, stored);
+        versions.without_expired(self.now(), pool)
+    }
+
+    /// Forgets for how long versions have been without engines, as this node may have missed some.
+    pub(crate) fn restart_version_watch(&self) {
+        self.engine_versions.borrow_mut().restart_watch();
     }
 
     /// Number of engines of a pool that accept new work, by zone.
@@ -438,6 +461,10 @@
     pub(crate) fn begin_store_era(&self, era: u64) {
         self.fleet_lease.clear();
         self.quarantine.rewrite_stored();
+        self.streams.begin_store_era(era);
+        let no_longer_stored = self.engine_versions.borrow_mut().clear_stored();
+        self.update_software(no_longer_stored);
+        self.streams.unstored.notify_one();
         self.store_era.send_replace(era);
     }
 
--- a/crates/forwarding/src/dissemination/software.rs
+++ b/crates/forwarding/src/dissemination/software.rs
@@ -88,7 +88,7 @@
     }
 }
 
-/// Answers a request with the versions that this node knows.
+/// Answers a request with the versions that this node knows to be stored.
 pub(super) fn answer(
     context: &Context,
     socket: &UdpSocket,
@@ -126,7 +126,7 @@
         for engine in engines.into_iter().map(EngineKey) {
             let is_missing = context.engine_versions().get(engine).is_none();
             if is_missing {
-                context.record_software(engine, software.clone());
+                context.record_stored_software(engine, software.clone());
             }
         }
     }
--- a/crates/forwarding/src/fleet/engine_entries.rs
+++ b/crates/forwarding/src/fleet/engine_entries.rs
@@ -164,9 +164,9 @@
     );
     if let Some(entry) = &read {
         apply_entry_start(context, entry, source);
-        if let Some(software) = &entry.software {
-            context.record_software(EngineKey::of(&entry.run), software.clone());
-        }
+        let software = entry.software.clone();
+        let software = software.unwrap_or_else(SoftwareVersion::unknown);
+        context.record_software(EngineKey::of(&entry.run), software);
     }
     EntryRecord {
         value: read.as_ref().map(entry_text::write),
@@ -201,7 +201,8 @@
     log_event!(context.logger, Event::EngineListed, "engine" => &*entry.run,
         "pool" => %entry.pool, "address" => %entry.address, "zone" => %entry.zone,
         "accepting" => entry.accepting, "role" => ?entry.role,
-        "software" => context.software_of(EngineKey::of(&entry.run)).as_ref().map(SoftwareVersion::as_str),
+        "software" => context.engine_versions().software(EngineKey::of(&entry.run))
+            .map(SoftwareVersion::as_str),
         "revision" => revision,
         "source" => ?source);
 }
--- a/crates/forwarding/src/fleet/engines.rs
+++ b/crates/forwarding/src/fleet/engines.rs
@@ -30,7 +30,7 @@
     pub started_at_ms: Option<u64>,
     /// Capacity of its KV cache in tokens; 0 if it has none.
     pub kv_cache_tokens: u64,
-    /// Version of its software, if known.
+    /// Version of its software, once streams may begin there.
     pub software: Option<SoftwareVersion>,
 }
 
@@ -212,10 +212,31 @@
         engines.unwrap_or(&self.empty_pool)
     }
 
+    /// Engines of a pool at which a stream may begin. While streams may not begin at some, those of one version,
+    /// drawn by their number.
+    fn engines_for_new_stream(&self, pool: &PoolName) -> &EnginePool {
+        let all = self.pool(pool);
+        let Some(versions) = self.versions.get(pool) else {
+            return &self.empty_pool;
+        };
+        let count: usize = versions.values().map(EnginePool::len).sum();
+        if count == all.len() {
+            return all;
+        }
+        let mut left = rand::random_range(0..count.max(1));
+        let drawn = versions.values().find(|engines| {
+            let is_drawn = left < engines.len();
+            left = left.saturating_sub(engines.len());
+            is_drawn
+        });
+        drawn.unwrap_or(&self.empty_pool)
+    }
+
     /// Engines of a pool that may send the next events of a stream with this binding.
     pub fn engines_for(&self, pool: &PoolName, binding: &StreamBinding) -> &EnginePool {
         match binding {
             StreamBinding::Unbound => self.pool(pool),
+            StreamBinding::Beginning => self.engines_for_new_stream(pool),
             StreamBinding::Origin(origin) if origin.pool == *pool => {
                 self.engines_of_version(pool, &origin.software)
             }
--- a/crates/forwarding/src/serve/answer_stream.rs
+++ b/crates/forwarding/src/serve/answer_stream.rs
@@ -185,7 +185,7 @@
 
     /// Binds a stream to the software version that sends its first event.
     fn bind(&mut self) {
-        if self.is_resumable && self.progress.binding == StreamBinding::Unbound {
+        if self.is_resumable && self.progress.binding == StreamBinding::Beginning {
             self.answer.software = self
                 .answer
                 .software
--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -34,6 +34,7 @@
 use crate::serve::retries::{
     CALLS_BEFORE_PAUSE, may_retry, pause_before_retry, should_wait_for_place,
 };
+use crate::streams::begin::await_stored_versions;
 use crate::streams::resume::bind_resumed;
 
 /// Number of refusals after which the prefilled KV cache is assumed to be gone. An engine refuses
@@ -135,6 +136,7 @@
         return Err(failure);
     }
     bind_resumed(context, progress).await?;
+    await_stored_versions(context, progress).await;
     loop {
         let failure = match call_engines(context, progress).await {
             Ok(served) => return Ok(served),
--- a/crates/forwarding/src/streams/lookup.rs
+++ b/crates/forwarding/src/streams/lookup.rs
@@ -187,7 +187,6 @@
     answers: &[OriginAnswer],
     asked: usize,
 ) -> Vec<PoolEvidence> {
-    let now = context.now();
     let age = context.entries_proof.age();
     let is_current = age.is_some_and(|age| age <= CURRENT_ENTRIES_AGE);
     let versions = context.engine_versions();
@@ -196,7 +195,7 @@
         let views = answers.iter();
         let views = views.filter_map(|answer| answer.versions.get(index).cloned());
         PoolEvidence {
-            own: versions.history().serving(now, pool),
+            own: versions.serving(pool),
             is_current,
             peers: views.collect(),
             all_answered: asked > 0 && answers.len() >= asked,
@@ -212,7 +211,6 @@
     sender: SocketAddr,
     request: &OriginRequest,
 ) {
-    let now = context.now();
     let recorded = match find_locally(context, request.stream) {
         Some(LookupResult::Known(origin, _, age)) => Some(RecordedStream {
             stream: request.stream,
@@ -224,9 +222,7 @@
     let versions: Vec<VersionsServing> = {
         let versions = context.engine_versions();
         let pools = request.pools.iter();
-        pools
-            .map(|pool| versions.history().serving(now, pool))
-            .collect()
+        pools.map(|pool| versions.serving(pool)).collect()
     };
     let answer = OriginAnswer {
         node: context.dissemination.node,
--- a/crates/forwarding/src/streams/mod.rs
+++ b/crates/forwarding/src/streams/mod.rs
@@ -2,10 +2,10 @@
 //!
 //! Every node records the origins of the streams that it begins. While streams of a pool may be of several versions,
 //! it sends them to relays at once ([`share`]); a node to which a caller comes to resume a stream asks these
-//! ([`lookup`]). A stream without a known origin is resumed only if one version alone can have begun it, which the nodes'
-//! [`VersionHistory`](dalestand_stream_origins::VersionHistory) tells, and for starting nodes the key-value service
-//! ([`stored_versions`]).
+//! ([`lookup`]). No stream begins at an engine before its version is in the key-value service ([`stored_versions`], [`begin`]). A
+//! stream of which no node has a record is resumed only if one version alone can have begun it.
 
+pub(crate) mod begin;
 pub(crate) mod lookup;
 pub(crate) mod resume;
 pub(crate) mod share;
--- a/crates/forwarding/src/streams/share.rs
+++ b/crates/forwarding/src/streams/share.rs
@@ -43,28 +43,27 @@
 /// Begins or ends sharing of the origins of a pool, after its versions or their history have changed.
 pub(crate) fn update_sharing(context: &Context, pool: &PoolName) {
     let state = &context.streams;
-    let serving = {
-        let versions = context.engine_versions();
-        versions.history().serving(context.now(), pool)
-    };
-    let mut shared = state.shared_pools.borrow_mut();
-    match serving {
+    let serving = context.engine_versions().serving(pool);
+    let reason = match serving {
         VersionsServing::Sole(_) => {
-            shared.remove(pool);
-        }
-        VersionsServing::Several => {
-            let former = shared.insert(pool.clone(), SharingReason::SeveralVersions);
-            drop(shared);
-            if former != Some(SharingReason::SeveralVersions) {
-                share_own(context, Some(pool));
-            }
+            state.shared_pools.borrow_mut().remove(pool);
+            return;
         }
+        VersionsServing::Several => SharingReason::SeveralVersions,
         // Often only until the version of a new engine is known, so that older streams are not worth sending.
-        VersionsServing::Unknown => {
-            shared
-                .entry(pool.clone())
-                .or_insert(SharingReason::UnknownVersions);
-        }
+        VersionsServing::Unknown => SharingReason::UnknownVersions,
+    };
+    let mut shared = state.shared_pools.borrow_mut();
+    let former = shared.get(pool).copied();
+    if reason == SharingReason::UnknownVersions && former.is_some() {
+        return;
+    }
+    shared.insert(pool.clone(), reason);
+    drop(shared);
+    if reason != SharingReason::UnknownVersions
+        && former.is_none_or(|former| former == SharingReason::UnknownVersions)
+    {
+        share_own(context, Some(pool));
     }
 }
 
--- a/crates/forwarding/src/streams/state.rs
+++ b/crates/forwarding/src/streams/state.rs
@@ -35,6 +35,10 @@
     pub(super) last_lookup: Cell<u64>,
     /// Revisions of the stored versions of each pool.
     pub(super) stored: RefCell<BTreeMap<PoolName, Revision>>,
+    /// The newest era of the key-value service that this node knows of.
+    era: Cell<u64>,
+    /// Notified when the version of a listed engine is to be stored.
+    pub(crate) unstored: Notify,
 }
 
 impl Default for StreamState {
@@ -49,11 +53,29 @@
             // A random start, so that answers to lookups from before a restart are not mistaken for new ones.
             last_lookup: Cell::new(rand::random::<u32>().into()),
             stored: RefCell::default(),
+            era: Cell::default(),
+            unstored: Notify::new(),
         }
     }
 }
 
 impl StreamState {
+    /// The newest era of the key-value service that this node knows of.
+    pub(super) fn era(&self) -> u64 {
+        self.era.get()
+    }
+
+    /// Records that the key-value service has told of this era.
+    pub(super) fn observe_era(&self, era: u64) {
+        self.era.set(self.era.get().max(era));
+    }
+
+    /// Forgets what is stored: the key-value service has been restored from a backup, in this era.
+    pub(crate) fn begin_store_era(&self, era: u64) {
+        self.observe_era(era);
+        self.stored.borrow_mut().clear();
+    }
+
     /// Number of streams whose origins this node has, of its own and of others.
     pub(crate) fn recorded(&self) -> (usize, usize) {
         (self.own.borrow().len(), self.held.borrow().len())
--- a/crates/forwarding/src/streams/stored_versions.rs
+++ b/crates/forwarding/src/streams/stored_versions.rs
@@ -1,51 +1,63 @@
-//! The software versions that served in each pool recently, in the key-value service.
+//! The software versions that may have begun streams, in the key-value service.
 //!
-//! A node that starts sees the engines of now. What the service holds tells it of versions that served shortly before. The
-//! holder of the fleet lease writes it: once for a pool, when another version appears, and when the streams of the former one
-//! have expired.
+//! A version is stored for its pool before the first stream begins at one of its engines, by whichever relay lists such an
+//! engine first, so that nodes which start later know of it.
+//! The holder of the fleet lease retires versions whose engines have ended, and removes them when their streams have expired.
 
-use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
+use dalestand_clock::{TimedOut, timeout};
 use dalestand_edge::{CasOutcome, KeyValue, PlatformError, WriteExpectation};
+use dalestand_stream_origins::StoredVersions;
 use dalestand_telemetry::{Event, log_event};
-use dalestand_types::{PoolName, Revision, SoftwareVersion};
+use dalestand_types::{PoolName, Revision};
 use error_stack::{Report, ResultExt as _};
 
 use crate::context::Context;
+use crate::fleet::follow::MIN_OUTAGE;
 use crate::roles::fleet_lease::FleetLease;
 use crate::streams::share::update_sharing;
 
-/// Prefix of the keys; the pool follows. The value is a JSON list of versions.
+/// Prefix of the keys; the pool follows. The value is a [`StoredVersions`] as JSON.
 const PREFIX: &str = "dalestand/versions/";
 
-/// How often the holder compares what is stored with what it knows.
+/// How often each relay compares what is stored with the engines that it lists, if no change makes it do so earlier.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Longest delay before a relay that does not hold the fleet lease stores a version: the holder is to be first.
+const MAX_RELAY_DELAY: Duration = Duration::from_millis(50);
+
+/// Time limit of a write. It may still be carried out later; its precondition keeps it harmless.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Writes of one pool in a row, each after another node has written first.
+const MAX_WRITES_IN_A_ROW: usize = 4;
+
 /// Delay after the versions could not be read.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(300);
 
-/// Reads the stored versions after the start. Until then, what served before is unknown.
+/// Reads the stored versions after the start. Until then, no stream begins.
 pub(crate) async fn load(context: Rc<Context>, store: Rc<dyn KeyValue>) {
-    if context.settings.first_start {
-        context.set_nothing_served_before();
+    while let Err(error) = read_all(&context, &*store).await {
+        report_failure(&context, &error);
+        actix_rt::time::sleep(READ_RETRY_DELAY).await;
     }
-    loop {
-        match store.range(PREFIX).await {
-            Ok(listing) => {
-                for entry in &listing.entries {
-                    apply(&context, &entry.key, Some((&entry.value, entry.revision)));
-                }
-                return;
-            }
-            Err(error) => {
-                log_event!(context.logger, Event::KeyValueFailed, "prefix" => PREFIX,
-                    "error" => %error.current_context());
-                actix_rt::time::sleep(READ_RETRY_DELAY).await;
-            }
-        }
+}
+
+/// Reads what is stored for all pools.
+async fn read_all(context: &Context, store: &dyn KeyValue) -> Result<(), Report<PlatformError>> {
+    let listing = store.range(PREFIX).await?;
+    context.streams.observe_era(listing.revision.era());
+    for entry in &listing.entries {
+        apply(context, &entry.key, Some((&entry.value, entry.revision)));
     }
+    Ok(())
+}
+
+fn report_failure(context: &Context, error: &Report<PlatformError>) {
+    log_event!(context.logger, Event::KeyValueFailed, "prefix" => PREFIX,
+        "error" => %error.current_context());
 }
 
 /// Whether a key is one of stored versions.
@@ -53,85 +65,136 @@
     key.starts_with(PREFIX)
 }
 
+/// The pool of a key and what is stored under it, as it counts in the present era.
+fn parse(context: &Context, key: &str, text: &str) -> Option<(PoolName, StoredVersions)> {
+    let pool = key.strip_prefix(PREFIX).map(PoolName::from)?;
+    match serde_json::from_str::<StoredVersions>(text) {
+        Ok(versions) => Some((pool, versions.in_era(context.streams.era()))),
+        Err(error) => {
+            log_event!(context.logger, Event::VersionsUnreadable, "key" => key, "error" => %error);
+            None
+        }
+    }
+}
+
 /// Applies what is stored under `key`, with its revision; `None` if it was removed. An unreadable value counts as
 /// removed.
 pub(crate) fn apply(context: &Context, key: &str, stored: Option<(&str, Revision)>) {
     let Some(pool) = key.strip_prefix(PREFIX).map(PoolName::from) else {
         return;
     };
-    let read = stored.and_then(|(text, revision)| {
-        match serde_json::from_str::<BTreeSet<SoftwareVersion>>(text) {
-            Ok(versions) => Some((versions, revision)),
-            Err(error) => {
-                log_event!(context.logger, Event::VersionsUnreadable, "key" => key,
-                    "error" => %error);
-                None
-            }
-        }
-    });
-    let state = &context.streams;
-    let Some((versions, revision)) = read else {
-        state.stored.borrow_mut().remove(&pool);
+    let revision = stored.map(|(_, revision)| revision);
+    let known = context.streams.stored.borrow().get(&pool).copied();
+    if revision.is_some() && revision <= known {
         return;
-    };
-    let former = state.stored.borrow_mut().insert(pool.clone(), revision);
-    if former != Some(revision) {
-        context.record_stored_versions(&pool, versions);
-        update_sharing(context, &pool);
     }
+    context
+        .streams
+        .observe_era(revision.map_or(0, Revision::era));
+    match revision {
+        Some(revision) => context
+            .streams
+            .stored
+            .borrow_mut()
+            .insert(pool.clone(), revision),
+        None => context.streams.stored.borrow_mut().remove(&pool),
+    };
+    let versions = stored.and_then(|(text, _)| parse(context, key, text));
+    context.record_stored_versions(&pool, versions.map(|(_, versions)| versions));
 }
 
-/// Writes the versions of each pool while this node holds the fleet lease; never returns.
+/// Stores the versions of listed engines while this node is a relay, and removes expired ones while it holds the fleet lease;
+/// never returns.
 pub(crate) async fn keep(context: Rc<Context>, store: Rc<dyn KeyValue>, fleet_lease: FleetLease) {
     loop {
-        actix_rt::time::sleep(CHECK_INTERVAL).await;
-        let pools: Vec<PoolName> = {
-            let versions = context.engine_versions();
-            versions.history().pools().cloned().collect()
-        };
+        // Ends with an error when it is time for a check.
+        let _ = timeout(CHECK_INTERVAL, context.streams.unstored.notified()).await;
+        let is_holder = fleet_lease.held_token().is_some();
+        if !is_holder && context.dissemination.role(context.now()).is_relay {
+            let delay = MAX_RELAY_DELAY.mul_f64(rand::random_range(0.0..1.0));
+            actix_rt::time::sleep(delay).await;
+        }
+        let pools: Vec<PoolName> = context.engine_versions().pools().cloned().collect();
         for pool in pools {
             update_sharing(&context, &pool);
-            if fleet_lease.held_token().is_none() {
+            if !is_holder && !context.dissemination.role(context.now()).is_relay {
                 continue;
             }
-            if let Err(error) = keep_pool(&context, &*store, &pool).await {
-                log_event!(context.logger, Event::KeyValueFailed, "prefix" => PREFIX,
-                    "error" => %error.current_context());
+            match timeout(
+                WRITE_TIMEOUT,
+                keep_pool(&context, &*store, &pool, is_holder),
+            )
+            .await
+            {
+                Ok(Ok(())) => {}
+                Ok(Err(error)) => report_failure(&context, &error),
+                Err(TimedOut) => store.discard_connections(),
             }
         }
     }
 }
 
-/// Writes the versions of one pool, if they have changed.
+/// Writes the versions of one pool, if they are to change.
 async fn keep_pool(
     context: &Context,
     store: &dyn KeyValue,
     pool: &PoolName,
+    is_holder: bool,
 ) -> Result<(), Report<PlatformError>> {
-    let wanted = {
-        let versions = context.engine_versions();
-        versions.history().to_store(context.now(), pool)
-    };
-    let Some(wanted) = wanted else {
-        return Ok(());
-    };
-    let revision = context.streams.stored.borrow().get(pool).copied();
-    let expectation = revision.map_or(WriteExpectation::Absent, WriteExpectation::At);
     let key = format!("{PREFIX}{pool}");
-    let text = serde_json::to_string(&wanted).change_context_lazy(|| PlatformError::Malformed {
-        system: "software versions",
-        message: "cannot be written".to_owned(),
-    })?;
-    let written = store
-        .compare_and_swap(&key, expectation, Some(&text), None)
-        .await?;
-    match written {
-        CasOutcome::Written { revision } => apply(context, &key, Some((&text, revision))),
-        CasOutcome::Conflict { current } => {
-            let current = current.as_ref();
-            let current = current.map(|current| (current.value.as_str(), current.revision));
-            apply(context, &key, current);
+    for _ in 0..MAX_WRITES_IN_A_ROW {
+        let Some(wanted) = wanted(context, pool, is_holder) else {
+            return Ok(());
+        };
+        let revision = context.streams.stored.borrow().get(pool).copied();
+        let expectation = revision.map_or(WriteExpectation::Absent, WriteExpectation::At);
+        let text =
+            serde_json::to_string(&wanted).change_context_lazy(|| PlatformError::Malformed {
+                system: "software versions",
+                message: "cannot be written".to_owned(),
+            })?;
+        let written = store
+            .compare_and_swap(&key, expectation, Some(&text), None)
+            .await?;
+        match written {
+            CasOutcome::Written { revision } => {
+                log_event!(context.logger, Event::VersionsStored, "pool" => %pool, "versions" => &text,
+                    "revision" => revision.0);
+                apply(context, &key, Some((&text, revision)));
+                return Ok(());
+            }
+            CasOutcome::Conflict { current } => {
+                let current = current.as_ref();
+                let current = current.map(|current| (current.value.as_str(), current.revision));
+                apply(context, &key, current);
+            }
         }
     }
     Ok(())
 }
+
+/// What this node wants to be stored for a pool instead of what is stored.
+fn wanted(context: &Context, pool: &PoolName, is_holder: bool) -> Option<StoredVersions> {
+    let unstored = context.engine_versions().unstored(pool);
+    if !unstored.is_empty() {
+        let era = context.streams.era();
+        let stored = context.engine_versions().stored(pool).cloned();
+        let mut wanted = stored.unwrap_or_else(|| {
+            let nothing_before = context.settings.first_start && era == 0;
+            StoredVersions::new(era, nothing_before)
+        });
+        unstored
+            .into_iter()
+            .for_each(|software| wanted.serve(software));
+        return Some(wanted);
+    }
+    if !is_holder {
+        return None;
+    }
+    let unproved_for = context.entries_proof.age();
+    if unproved_for.is_none_or(|age| age >= MIN_OUTAGE) {
+        context.restart_version_watch();
+        return None;
+    }
+    context.expired_versions(pool)
+}
--- a/crates/forwarding/tests/software_versions.rs
+++ b/crates/forwarding/tests/software_versions.rs
@@ -7,86 +7,24 @@
 )]
 mod support;
 
-use std::io::Write as _;
-use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
-use support::{MemoryStore, TestEngine, TestNode, get, id_of, status};
+use support::streams::{
+    EVENTS, LAST_BEFORE_CUT, STREAMS, events, former, is_of_one_version, newer, request_stream,
+};
+use support::{MemoryStore, TestEngine, TestNode, get, status};
 
 /// Time limit of requests; no test depends on it.
 const LIMIT_MS: u64 = 10_000;
 
-/// Events of a whole stream.
-const EVENTS: u64 = 6;
-
-/// The last event before engines break off a stream that they begin.
-const LAST_BEFORE_CUT: u64 = 3;
-
-/// Streams a test.
-const STREAMS: usize = 24;
-
 /// Time within which a stream that can't go on is refused: far below the time limit, and enough for a busy machine.
 const REFUSAL_TIME: Duration = Duration::from_millis(500);
 
 /// Time for a node to take the fleet lease and store the versions.
 const STORING_TIME: Duration = Duration::from_secs(10);
 
-/// The first event that the request still lacks.
-fn first_event(head: &str) -> u64 {
-    let last = head
-        .lines()
-        .find_map(|line| line.strip_prefix("last-event-id: "));
-    last.and_then(|last| last.parse().ok())
-        .map_or(1, |last: u64| last + 1)
-}
-
-/// Streams events that carry the version of the engine's software. A stream that begins here breaks off.
-fn stream(version: &str, head: &str, stream: &mut TcpStream) {
-    let first = first_event(head);
-    let last = if first == 1 { LAST_BEFORE_CUT } else { EVENTS };
-    let events: String = (first..=last)
-        .map(|event| format!("id: {event}\ndata: {version}\n\n"))
-        .collect();
-    let missing = if last < EVENTS { 1_000 } else { 0 };
-    let head = format!(
-        "HTTP/1.1 200 OK\r\nx-id: {}\r\ncontent-type: text/event-stream\r\ncontent-length: {}\r\n\r\n",
-        id_of(head),
-        events.len() + missing
-    );
-    let _ = stream.write_all(format!("{head}{events}").as_bytes());
-    if last < EVENTS {
-        let _ = stream.shutdown(std::net::Shutdown::Both);
-    }
-}
-
-fn former(head: &str, connection: &mut TcpStream) {
-    stream("v1", head, connection);
-}
-
-fn newer(head: &str, connection: &mut TcpStream) {
-    stream("v1.1", head, connection);
-}
-
-/// Versions and ids of the events in an answer.
-fn events(answer: &str) -> Vec<(u64, String)> {
-    let mut ids = answer.lines().filter_map(|line| line.strip_prefix("id: "));
-    let versions = answer
-        .lines()
-        .filter_map(|line| line.strip_prefix("data: "));
-    let ids = std::iter::from_fn(|| ids.next().and_then(|id| id.parse().ok()));
-    ids.zip(versions.map(str::to_owned)).collect()
-}
-
-/// Whether the events are those of one version, in order and without gaps.
-fn is_of_one_version(events: &[(u64, String)]) -> bool {
-    let mut expected = 1..;
-    events.iter().all(|(id, version)| {
-        expected.next() == Some(*id) && events.first().is_some_and(|(_, first)| first == version)
-    })
-}
-
 /// Two engines of each version.
 struct Engines {
     all: Vec<(String, TestEngine, &'static str)>,
@@ -112,17 +50,6 @@
     }
 }
 
-/// A request for a stream, or to go on with one after its last event.
-async fn request_stream(node: &TestNode, id: &str, resumed: Option<(&str, u64)>) -> String {
-    let resumed =
-        resumed.map(|(attempt, last)| format!("x-resumes: {attempt}\r\nlast-event-id: {last}\r\n"));
-    let headers = format!(
-        "x-id: {id}\r\nhost: a.example\r\n{}",
-        resumed.unwrap_or_default()
-    );
-    get(node.callers, &headers, "/r/x").await
-}
-
 /// A node that knows engines of both versions.
 async fn node_with_both(engines: &Engines, attempts: u32) -> TestNode {
     let node = TestNode::start().await;
@@ -310,12 +237,13 @@
     }
 }
 
-/// Waits until the key-value service holds these versions of the pool.
+/// Waits until the key-value service holds these versions of the pool, as serving.
 async fn wait_for_stored(store: &MemoryStore, expected: &str) {
+    let expected = format!("{{\"era\":0,\"serving\":{expected},\"retired\":[]}}");
     let until = Instant::now() + STORING_TIME;
     loop {
         let stored = store.entries("dalestand/versions/");
-        if stored.iter().any(|(_, versions)| versions == expected) {
+        if stored.iter().any(|(_, versions)| *versions == expected) {
             return;
         }
         assert!(Instant::now() < until, "{expected} in {stored:?}");
@@ -343,12 +271,13 @@
     node.declare(1, "resumable-stream", 3, LIMIT_MS);
     engines.list(&node, |version| version == "v1");
     node.wait_for_engines(2).await;
+    // No stream begins before that.
+    wait_for_stored(&store, "[\"v1\"]").await;
     let unknown = Some(("unknown", LAST_BEFORE_CUT));
     let answer = request_stream(&node, "q1", unknown).await;
     let left = (EVENTS - LAST_BEFORE_CUT) as usize;
     assert_eq!(events(&answer).len(), left, "{answer}");
 
-    wait_for_stored(&store, "[\"v1\"]").await;
     let node = start_again(&node, 2).await;
     let answer = request_stream(&node, "q2", unknown).await;
     assert_eq!(events(&answer).len(), left, "{answer}");
--- a/crates/forwarding/tests/support/mod.rs
+++ b/crates/forwarding/tests/support/mod.rs
@@ -5,6 +5,7 @@
 mod node;
 mod relay;
 mod store;
+pub mod streams;
 
 pub use engine::{Script, TestEngine, answer, id_of, refusing, succeeding};
 pub use node::{TestNode, declaration, get, status};
--- a/crates/stream-origins/src/binding.rs
+++ b/crates/stream-origins/src/binding.rs
@@ -15,9 +15,11 @@
 /// Which engines may send the next events of a stream.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum StreamBinding {
-    /// All: the caller has no event yet.
+    /// All: the request is no stream that may be resumed.
     #[default]
     Unbound,
+    /// Those whose version is stored: the caller has no event yet.
+    Beginning,
     /// Those of the origin's pool and version.
     Origin(StreamOrigin),
     /// None: the version that began the stream is unknown.
@@ -28,11 +30,11 @@
     /// The binding of a stream whose first event came from an engine of `pool` with this software.
     pub fn to(pool: &PoolName, software: Option<&SoftwareVersion>) -> Self {
         match software {
-            Some(software) => Self::Origin(StreamOrigin {
+            Some(software) if software.is_known() => Self::Origin(StreamOrigin {
                 pool: pool.clone(),
                 software: software.clone(),
             }),
-            None => Self::Unknown,
+            Some(_) | None => Self::Unknown,
         }
     }
 
@@ -40,6 +42,7 @@
     pub fn allows(&self, pool: &PoolName, software: Option<&SoftwareVersion>) -> bool {
         match self {
             Self::Unbound => true,
+            Self::Beginning => software.is_some(),
             Self::Origin(origin) => origin.pool == *pool && Some(&origin.software) == software,
             Self::Unknown => false,
         }
--- a/crates/stream-origins/src/lib.rs
+++ b/crates/stream-origins/src/lib.rs
@@ -5,8 +5,8 @@
 //! the version that sent its first event.
 //!
 //! * [`StreamBinding`] is what a request is bound to.
-//! * [`EngineVersions`] holds the versions of the listed engines.
-//! * [`VersionHistory`] holds which versions have served in each pool recently.
+//! * [`EngineVersions`] holds the versions of the listed engines, and which of them are stored.
+//! * [`StoredVersions`] is what the nodes store for a pool, before a stream begins at an engine of another version.
 //! * [`OriginTable`] holds which engines began recent streams.
 //! * [`PoolEvidence`] tells whether one version alone can have begun a stream that is in no such table.
 //!
@@ -15,11 +15,13 @@
 mod binding;
 mod engine_versions;
 mod origin_table;
+mod pool_versions;
 mod sole_version;
-mod version_history;
+mod stored_versions;
 
 pub use binding::{StreamBinding, StreamOrigin};
 pub use engine_versions::EngineVersions;
 pub use origin_table::{OriginTable, StreamKey};
+pub use pool_versions::{STREAM_LIFETIME, VersionsServing};
 pub use sole_version::PoolEvidence;
-pub use version_history::{STREAM_LIFETIME, VersionHistory, VersionsServing};
+pub use stored_versions::StoredVersions;
--- a/crates/stream-origins/src/origin_table.rs
+++ b/crates/stream-origins/src/origin_table.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::binding::StreamOrigin;
-use crate::version_history::STREAM_LIFETIME;
+use crate::pool_versions::STREAM_LIFETIME;
 
 /// Streams in a table, some 100 bytes each: two minutes of a hundred a second. The newest are kept.
 const MAX_STREAMS: usize = 16_384;
--- a/crates/stream-origins/src/sole_version.rs
+++ b/crates/stream-origins/src/sole_version.rs
@@ -2,7 +2,7 @@
 
 use dalestand_types::SoftwareVersion;
 
-use crate::version_history::VersionsServing;
+use crate::pool_versions::VersionsServing;
 
 /// What nodes know of the versions of a pool, when a stream without a known origin is to be resumed.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/stream-origins/tests/resumed_streams.rs
+++ b/crates/stream-origins/tests/resumed_streams.rs
@@ -1,11 +1,12 @@
-//! No sequence of entries, records, losses of messages, starts and tries lets a stream go on at another version.
+//! No sequence of starts, ends, entries, kills, cuts, lost writes, records, losses of messages and restores lets a stream go on at
+//! another version.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashSet;
 use std::time::Duration;
 
 use dalestand_routing::staged::EngineKey;
 use dalestand_stream_origins::{
-    EngineVersions, OriginTable, PoolEvidence, STREAM_LIFETIME, StreamKey, StreamOrigin,
+    EngineVersions, OriginTable, STREAM_LIFETIME, StoredVersions, StreamKey, StreamOrigin,
     VersionsServing,
 };
 use dalestand_types::{MonotonicTime, PoolName, SoftwareVersion};
@@ -14,20 +15,33 @@
 
 const NODES: usize = 3;
 
+/// Part of the lifetime of streams in which callers resume them, and for which a node may miss what is stored.
+const MAX_STALENESS: u32 = 4;
+
 #[derive(Clone, Debug)]
 enum Step {
     /// An engine of this version starts.
     Start(u8),
     /// The oldest engine, or the second oldest, ends.
     End(bool),
-    /// A node reads all entries; without versions if it takes them from another node.
-    Read(usize, bool),
+    /// The key-value service answers a node no more, or again.
+    Cut(usize, bool),
+    /// A node reads the engines' entries.
+    ReadEntries(usize),
+    /// A node reads what is stored.
+    ReadStored(usize),
+    /// A node stores what it lacks, or removes what has expired; if `is_answered` is false, it does not learn that it has.
+    Store(usize, bool),
+    /// Another node tells a node of the versions that are stored.
+    Tell(usize, usize),
     /// A node passes on the first event of a stream from an engine that it knows; the bits are nodes that get its record.
     Begin(usize, usize, u8),
-    /// A node loses all that it knows.
-    Restart(usize),
-    /// Time passes, in tenths of the lifetime of streams.
+    /// Nodes lose all that they know; the bits are those that do.
+    Restart(u8),
+    /// Time passes, in parts of the time for which a node may miss what is stored.
     Wait(u8),
+    /// The service is restored from the backup that the last such step made.
+    Restore,
     /// A stream is resumed at a node; the bits are other nodes that answer.
     Resume(usize, usize, u8),
 }
@@ -35,24 +49,41 @@
 fn steps() -> impl Strategy<Value = Vec<Step>> {
     let node = 0..NODES;
     let step = prop_oneof![
-        2 => (0_u8..3).prop_map(Step::Start),
-        1 => any::<bool>().prop_map(Step::End),
-        4 => (node.clone(), any::<bool>()).prop_map(|(node, whole)| Step::Read(node, whole)),
-        4 => (node.clone(), 0_usize..4, any::<u8>()).prop_map(|(n, e, lost)| Step::Begin(n, e, lost)),
-        1 => node.clone().prop_map(Step::Restart),
-        1 => (1_u8..12).prop_map(Step::Wait),
-        4 => (node, any::<usize>(), any::<u8>()).prop_map(|(n, s, heard)| Step::Resume(n, s, heard)),
+        3 => (0_u8..3).prop_map(Step::Start),
+        2 => any::<bool>().prop_map(Step::End),
+        2 => (node.clone(), any::<bool>()).prop_map(|(node, is_cut)| Step::Cut(node, is_cut)),
+        5 => node.clone().prop_map(Step::ReadEntries),
+        3 => node.clone().prop_map(Step::ReadStored),
+        5 => (node.clone(), any::<bool>()).prop_map(|(node, is_answered)| Step::Store(node, is_answered)),
+        2 => (node.clone(), node.clone()).prop_map(|(from, to)| Step::Tell(from, to)),
+        6 => (node.clone(), 0_usize..4, any::<u8>()).prop_map(|(n, e, lost)| Step::Begin(n, e, lost)),
+        2 => any::<u8>().prop_map(Step::Restart),
+        2 => (1_u8..6).prop_map(Step::Wait),
+        1 => Just(Step::Restore),
+        6 => (node, any::<usize>(), any::<u8>()).prop_map(|(n, s, heard)| Step::Resume(n, s, heard)),
     ];
-    proptest::collection::vec(step, 1..120)
+    proptest::collection::vec(step, 1..160)
 }
 
 #[derive(Default)]
 struct Node {
     versions: EngineVersions,
     records: OriginTable,
-    known: HashMap<EngineKey, Option<SoftwareVersion>>,
-    is_current: bool,
+    known: HashSet<EngineKey>,
+    is_cut: bool,
+    /// Revision of what it knows to be stored.
     stored_revision: Option<u64>,
+    /// When it last read what is stored.
+    read_at: MonotonicTime,
+    /// When it last read the entries.
+    listed_at: MonotonicTime,
+}
+
+#[derive(Clone, Default)]
+struct Service {
+    era: u64,
+    revision: u64,
+    stored: Option<(StoredVersions, u64)>,
 }
 
 #[derive(Default)]
@@ -60,8 +91,10 @@
     now: MonotonicTime,
     engines: Vec<(EngineKey, SoftwareVersion)>,
     nodes: [Node; NODES],
-    /// What is stored for all nodes, with its revision.
-    stored: Option<(BTreeSet<SoftwareVersion>, u64)>,
+    service: Service,
+    backup: Option<Service>,
+    /// Whether the nodes are those of the fleet's first start.
+    is_first: [bool; NODES],
     streams: Vec<(StreamKey, SoftwareVersion, MonotonicTime)>,
     started: u64,
     resumed: usize,
@@ -73,13 +106,15 @@
 
 impl World {
     fn first_start() -> Self {
-        let mut world = Self::default();
-        for node in &mut world.nodes {
-            node.versions.history_mut().set_nothing_before();
-        }
-        // Nodes know the first engines before there are callers.
+        let mut world = Self {
+            is_first: [true; NODES],
+            ..Self::default()
+        };
         world.start(1);
-        (0..NODES).for_each(|node| world.read(node, true));
+        for node in 0..NODES {
+            world.read_entries(node);
+            world.store(node, true);
+        }
         world
     }
 
@@ -87,54 +122,93 @@
         self.started += 1;
         let version = SoftwareVersion::from(format!("v{version}"));
         self.engines.push((EngineKey(self.started), version));
-        for node in &mut self.nodes {
-            node.is_current = false;
+    }
+
+    fn read_entries(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        if node.is_cut {
+            return;
+        }
+        for engine in node.known.clone() {
+            if self.engines.iter().all(|(listed, _)| *listed != engine) {
+                node.versions.unlist(engine);
+                node.known.remove(&engine);
+            }
+        }
+        for (engine, version) in &self.engines {
+            node.versions.record(*engine, version.clone());
+            node.versions.list(*engine, &pool());
+            node.known.insert(*engine);
         }
+        node.listed_at = self.now;
     }
 
-    fn serving(&self, node: usize) -> VersionsServing {
-        let history = self.nodes[node].versions.history();
-        history.serving(self.now, &pool())
+    /// What is stored, as it counts in the present era.
+    fn stored(&self) -> Option<StoredVersions> {
+        let stored = self.service.stored.clone();
+        stored.map(|(stored, _)| stored.in_era(self.service.era))
     }
 
-    fn read(&mut self, index: usize, with_versions: bool) {
-        let (now, engines) = (self.now, self.engines.clone());
+    fn read_stored(&mut self, index: usize) {
+        let stored = self.stored();
+        let revision = self.service.stored.as_ref().map(|(_, revision)| *revision);
         let node = &mut self.nodes[index];
-        for engine in node.known.keys().copied().collect::<Vec<_>>() {
-            if engines.iter().all(|(listed, _)| *listed != engine) {
-                node.versions.unlist(now, engine);
-                node.known.remove(&engine);
-            }
+        if !node.is_cut {
+            node.versions.set_stored(&pool(), stored);
+            node.stored_revision = revision;
+            node.read_at = self.now;
         }
-        for (engine, version) in engines {
-            let known = node.known.entry(engine).or_default();
-            if with_versions {
-                node.versions.record(now, engine, version.clone());
-                *known = Some(version);
-            }
-            node.versions.list(now, engine, &pool());
+    }
+
+    /// Stores what a node lacks or has found expired, if it knows what is stored.
+    fn store(&mut self, index: usize, is_answered: bool) {
+        let (now, era) = (self.now, self.service.era);
+        let is_first = self.is_first[index];
+        let node = &mut self.nodes[index];
+        if node.is_cut {
+            return;
         }
-        self.nodes[index].is_current = true;
-        if let Some((stored, revision)) = &self.stored {
-            let node = &mut self.nodes[index];
-            if node.stored_revision.replace(*revision) != Some(*revision) {
-                let history = node.versions.history_mut();
-                history.record_stored(now, &pool(), stored.clone());
+        let unstored = node.versions.unstored(&pool());
+        let wanted = if unstored.is_empty() {
+            // A node that may have missed an engine removes nothing.
+            if node.listed_at != now {
+                node.versions.restart_watch();
             }
+            node.versions.without_expired(now, &pool())
+        } else {
+            let stored = node.versions.stored(&pool()).cloned();
+            let mut wanted =
+                stored.unwrap_or_else(|| StoredVersions::new(era, is_first && era == 0));
+            unstored
+                .into_iter()
+                .for_each(|software| wanted.serve(software));
+            Some(wanted)
+        };
+        let expected = node.stored_revision;
+        let current = self.service.stored.as_ref().map(|(_, revision)| *revision);
+        let Some(wanted) = wanted.filter(|_| expected == current) else {
+            self.read_stored(index);
+            return;
+        };
+        self.service.revision += 1;
+        self.service.stored = Some((wanted, self.service.revision));
+        if is_answered {
+            self.read_stored(index);
         }
-        self.store(index);
     }
 
-    /// Stores what a node that has just read all entries knows, as the lease holder does.
-    fn store(&mut self, index: usize) {
-        let history = self.nodes[index].versions.history();
-        if let Some(wanted) = history.to_store(self.now, &pool()) {
-            let revision = self.stored.as_ref().map_or(0, |(_, revision)| revision + 1);
-            self.stored = Some((wanted.clone(), revision));
-            let node = &mut self.nodes[index];
-            node.stored_revision = Some(revision);
-            let history = node.versions.history_mut();
-            history.record_stored(self.now, &pool(), wanted);
+    fn tell(&mut self, from: usize, to: usize) {
+        let told: Vec<(EngineKey, SoftwareVersion)> = {
+            let versions = self.nodes[from].versions.listed();
+            let known = versions.filter_map(|(engine, version)| Some((engine, version?.clone())));
+            known.collect()
+        };
+        // A node counts what it is told only about engines that it lacks.
+        let node = &mut self.nodes[to];
+        for (engine, version) in told {
+            if node.versions.get(engine).is_none() && node.known.contains(&engine) {
+                node.versions.record_stored_elsewhere(engine, version);
+            }
         }
     }
 
@@ -142,11 +216,7 @@
         let Some((engine, version)) = self.engines.get(engine).cloned() else {
             return;
         };
-        let Some(known) = self.nodes[node].known.get(&engine).cloned() else {
-            return;
-        };
-        // An engine whose version the node does not know yet, some milliseconds after its start, is left out.
-        let Some(software) = known else {
+        let Some(software) = self.nodes[node].versions.get(engine).cloned() else {
             return;
         };
         let stream = StreamKey(self.streams.len() as u64);
@@ -155,7 +225,8 @@
             pool: pool(),
             software,
         };
-        let is_shared = !matches!(self.serving(node), VersionsServing::Sole(_));
+        let serving = self.nodes[node].versions.serving(&pool());
+        let is_shared = !matches!(serving, VersionsServing::Sole(_));
         for (index, other) in self.nodes.iter_mut().enumerate() {
             if index == node || (is_shared && received & (1 << index) != 0) {
                 other
@@ -168,19 +239,58 @@
     /// The version at which the stream goes on, if it may.
     fn resume(&self, node: usize, stream: StreamKey, heard: u8) -> Option<SoftwareVersion> {
         let others = (0..NODES).filter(|other| *other != node);
-        let answering: Vec<usize> = others.filter(|other| heard & (1 << other) != 0).collect();
-        let asked = std::iter::once(node).chain(answering.iter().copied());
+        let answering = others.filter(|other| heard & (1 << other) != 0);
+        let asked = std::iter::once(node).chain(answering);
         let mut records = asked.filter_map(|node| self.nodes[node].records.get(self.now, stream));
         if let Some((origin, _)) = records.next() {
             return Some(origin.software.clone());
         }
-        let evidence = PoolEvidence {
-            own: self.serving(node),
-            is_current: self.nodes[node].is_current,
-            peers: answering.iter().map(|other| self.serving(*other)).collect(),
-            all_answered: answering.len() == NODES - 1,
-        };
-        evidence.sole_version().cloned()
+        let stored = self.stored().filter(|_| !self.nodes[node].is_cut);
+        stored.and_then(|stored| stored.sole().cloned())
+    }
+
+    fn restart(&mut self, restarted: u8) {
+        for index in (0..NODES).filter(|index| restarted & (1 << index) != 0) {
+            self.nodes[index] = Node {
+                is_cut: self.nodes[index].is_cut,
+                read_at: self.now,
+                ..Node::default()
+            };
+            self.is_first[index] = false;
+        }
+    }
+
+    /// Time passes, in which all nodes that the service answers read what is stored; the others have missed too much after a while
+    /// and are left out.
+    fn wait(&mut self, parts: u8) {
+        for _ in 0..parts {
+            self.now = self.now + STREAM_LIFETIME / (4 * MAX_STALENESS);
+            for index in 0..NODES {
+                self.read_entries(index);
+                self.read_stored(index);
+                let unread_for = self.now.since(self.nodes[index].read_at);
+                if unread_for >= STREAM_LIFETIME / 2 {
+                    self.restart(1 << index);
+                }
+            }
+        }
+    }
+
+    fn restore(&mut self) {
+        if let Some(backup) = self.backup.clone() {
+            let (era, revision) = (self.service.era + 1, self.service.revision + 1);
+            self.service = Service {
+                era,
+                revision,
+                stored: backup.stored.map(|(stored, _)| (stored, revision)),
+            };
+            // Nodes notice with the next answer, before they use it.
+            for node in &mut self.nodes {
+                node.versions.clear_stored();
+                node.stored_revision = None;
+            }
+        }
+        self.backup = Some(self.service.clone());
     }
 
     fn apply(&mut self, step: &Step) -> Result<(), TestCaseError> {
@@ -190,23 +300,23 @@
                 let index = usize::from(is_second);
                 if index < self.engines.len() {
                     self.engines.remove(index);
-                    for node in &mut self.nodes {
-                        node.is_current = false;
-                    }
                 }
             }
-            Step::Read(node, with_versions) => self.read(node, with_versions),
+            Step::Cut(node, is_cut) => self.nodes[node].is_cut = is_cut,
+            Step::ReadEntries(node) => self.read_entries(node),
+            Step::ReadStored(node) => self.read_stored(node),
+            Step::Store(node, is_answered) => self.store(node, is_answered),
+            Step::Tell(from, to) => self.tell(from, to),
             Step::Begin(node, engine, received) => self.begin(node, engine, received),
-            Step::Restart(node) => self.nodes[node] = Node::default(),
-            Step::Wait(tenths) => {
-                self.now = self.now + STREAM_LIFETIME * u32::from(tenths) / 10;
-            }
+            Step::Restart(nodes) => self.restart(nodes),
+            Step::Wait(parts) => self.wait(parts),
+            Step::Restore => self.restore(),
             Step::Resume(node, index, heard) => {
                 let Some(index) = index.checked_rem(self.streams.len()) else {
                     return Ok(());
                 };
                 let (stream, version, began_at) = self.streams[index].clone();
-                if self.now.since(began_at) < STREAM_LIFETIME
+                if self.now.since(began_at) < STREAM_LIFETIME / MAX_STALENESS
                     && let Some(chosen) = self.resume(node, stream, heard)
                 {
                     self.resumed += 1;
@@ -236,14 +346,15 @@
     let mut world = World::first_start();
     let both = [
         Step::Begin(0, 0, 0),
-        Step::Restart(0),
-        Step::Read(0, true),
-        Step::Resume(1, 0, 0b101),
+        Step::Restart(0b111),
+        Step::Resume(1, 0, 0),
+        Step::ReadEntries(0),
+        Step::ReadStored(0),
         Step::Start(2),
-        Step::Read(0, true),
-        Step::Read(1, true),
+        Step::ReadEntries(0),
+        Step::Store(0, true),
         Step::Begin(0, 1, 0b100),
-        Step::Restart(0),
+        Step::Restart(0b001),
         Step::Resume(1, 1, 0b101),
     ];
     for step in &both {
@@ -252,31 +363,6 @@
     assert_eq!(world.resumed, 2);
 }
 
-/// A node that was cut off has missed the second version; its own view alone is not enough.
-#[rstest]
-#[case::not_current_and_nobody_answers(false, &[], false)]
-#[case::current(true, &[], true)]
-#[case::not_current_and_all_agree(false, &[Some("v1"), Some("v1")], true)]
-#[case::not_current_and_one_knows_nothing(false, &[Some("v1"), None], false)]
-#[case::another_knows_another_version(true, &[Some("v1"), Some("v2")], false)]
-fn a_sole_version_needs_current_entries_or_the_agreement_of_all(
-    #[case] is_current: bool,
-    #[case] peers: &[Option<&str>],
-    #[case] is_certain: bool,
-) {
-    let view = |version: &Option<&str>| match version {
-        Some(version) => VersionsServing::Sole(SoftwareVersion::from(*version)),
-        None => VersionsServing::Unknown,
-    };
-    let evidence = PoolEvidence {
-        own: view(&Some("v1")),
-        is_current,
-        peers: peers.iter().map(view).collect(),
-        all_answered: !peers.is_empty(),
-    };
-    assert_eq!(evidence.sole_version().is_some(), is_certain);
-}
-
 /// Records are bounded in number and in time; the first origin of a stream is kept.
 #[rstest]
 fn origins_expire_and_the_newest_are_kept() {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -109,6 +109,8 @@
     StreamSilent = (1508, Info, "stream was silent");
     /// The connection of a caller ended before its answer was complete.
     CallerLeft = (1509, Info, "caller left");
+    /// A node stored the software versions that may have begun streams of a pool.
+    VersionsStored = (1510, Info, "software versions stored");
     /// Many engine entries were added, changed or removed at once.
     EnginesListed = (1608, Info, "engines listed");
     /// An engine's entry was added or changed.
--- a/crates/types/src/identifier.rs
+++ b/crates/types/src/identifier.rs
@@ -93,6 +93,18 @@
     /// Version of an engine's software, within its pool. Versions are equal or not; they have no order.
     SoftwareVersion
 );
+impl SoftwareVersion {
+    /// Stands for versions that are not known, as of engines that name none. No two of them count as equal.
+    pub fn unknown() -> Self {
+        Self::from("")
+    }
+
+    /// Whether it names a version.
+    pub fn is_known(&self) -> bool {
+        !self.as_str().is_empty()
+    }
+}
+
 text_identifier!(
     /// Name of a zone: a failure domain of machines.
     ZoneName
