Streams: without a record, only what the store says now tells the version

Callers saw streams joined from two software versions at a node that had heard nothing of the key-value service and of its peers for half a second or for two, while engines of a newer version joined and streams began there through other nodes.

Cause: a node took its own view of the versions for current if it had been confirmed within three seconds, whatever the time at which the stream began; and relays that did not answer were left out, as if they had agreed. Evidence had an age that was not compared with the moment that matters.

Change: a stream of which no node has a record goes on only if the service names one version in answer to a read that began after the request had arrived. As a version is stored before its first stream, such a read can't miss it, whichever nodes have ended or are silent. Reads are joined: one at a time for all that wait. No answer within 250 ms: refused. While a relay gets no answers from the service it sends the origins of its streams to relays, so that these go on through records. The votes of relays (PoolEvidence) are gone; their message keeps its form.

The test of a sole version by votes went with them; what it held (old views and silence prove nothing) is held by the new cases and by the property test, in which nodes are cut off at any time.

--- a/crates/forwarding/src/node/start.rs
+++ b/crates/forwarding/src/node/start.rs
@@ -356,6 +356,10 @@
     actix_rt::spawn(send_part_evidence(Rc::clone(context), Rc::clone(&socket)));
     actix_rt::spawn(send_origins(Rc::clone(context), Rc::clone(&socket)));
     actix_rt::spawn(stored_versions::load(Rc::clone(context), Rc::clone(store)));
+    actix_rt::spawn(stored_versions::serve_reads(
+        Rc::clone(context),
+        Rc::clone(store),
+    ));
     actix_rt::spawn(send_state(Rc::clone(context), socket));
     actix_rt::spawn(recover_parts(Rc::clone(context)));
     actix_rt::spawn(find_relays(Rc::clone(context), Rc::clone(store)));
--- a/crates/forwarding/src/streams/lookup.rs
+++ b/crates/forwarding/src/streams/lookup.rs
@@ -2,18 +2,22 @@
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 
 use dalestand_clock::{BootInstant, timeout_at};
 use dalestand_dissemination::{Message, OriginAnswer, OriginRequest, RecordedStream};
-use dalestand_stream_origins::{PoolEvidence, StreamKey, StreamOrigin, VersionsServing};
-use dalestand_types::PoolName;
+use dalestand_stream_origins::{StreamKey, StreamOrigin, VersionsServing};
+use dalestand_types::{PoolName, SoftwareVersion};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
 use crate::context::Context;
 use crate::dissemination::transmit::send;
 use crate::streams::share::HOLDERS;
+use crate::streams::state::MAX_LOOKUPS;
+use crate::streams::stored_versions::{self, VersionsByPool};
 
 /// How long a lookup waits for answers: some round trips between zones, and far less than callers notice.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(60);
@@ -21,13 +25,6 @@
 /// Time after which a relay that has not answered is asked again: the request or the answer may be lost.
 const REPEAT_DELAY: Duration = Duration::from_millis(20);
 
-/// Lookups at one time; a caller beyond them is told to come again.
-const MAX_LOOKUPS: usize = 256;
-
-/// Age up to which this node's entries of engines are current: less than the time in which a node that was cut off counts
-/// as connected again.
-const CURRENT_ENTRIES_AGE: Duration = Duration::from_secs(3);
-
 /// Who knew the origin of a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum OriginSource {
@@ -44,8 +41,8 @@
 pub(crate) enum LookupResult {
     /// The origin, who knew it, and how long ago the stream began.
     Known(StreamOrigin, OriginSource, Duration),
-    /// No origin; with what is known of the versions of each pool asked for, in that order.
-    Unknown(Vec<PoolEvidence>),
+    /// No origin; with what is stored of the versions that have served, if the key-value service has told it.
+    Unknown(Option<Rc<VersionsByPool>>),
 }
 
 /// A finished lookup.
@@ -58,46 +55,53 @@
     pub(crate) answered: usize,
 }
 
-/// Looks up the origin of the stream that the attempt `resumed` began. A request that names no attempt, with the id
-/// `request`, has no origin to look up; other nodes are then asked for the versions of `pools`, if this node's own view
-/// is not enough.
+/// Looks up the origin of the stream that the attempt `resumed` began: in this node's records, then at the relays that would
+/// have it. Reads at the same time which versions are stored, in case no node has a record; one version that is stored for
+/// each of `pools` makes the relays' answers needless.
 pub(crate) async fn find_origin(
     context: &Context,
-    request: &str,
     resumed: Option<&str>,
     pools: &[PoolName],
 ) -> Lookup {
     let stream = resumed.map(StreamKey::of);
-    let local = match stream {
-        Some(stream) => find_locally(context, stream),
-        None => {
-            let own = evidence(context, pools, &[], 0);
-            let is_enough = own.iter().all(|pool| pool.sole_version().is_some());
-            is_enough.then_some(LookupResult::Unknown(own))
-        }
-    };
-    if let Some(result) = local {
+    if let Some(result) = stream.and_then(|stream| find_locally(context, stream)) {
         return Lookup {
             result,
             asked: 0,
             answered: 0,
         };
     }
-    let asked_for = stream.unwrap_or_else(|| StreamKey::of(request));
-    let dissemination = &context.dissemination;
-    let holders = dissemination.origin_holders(context.now(), asked_for, HOLDERS);
-    let answers = ask(context, asked_for, pools, &holders).await;
-    let recorded = answers.iter().filter(|_| stream.is_some());
-    let known = recorded
-        .filter_map(|answer| answer.recorded.as_ref())
-        .next();
+    let holders = stream.map_or_else(Vec::new, |stream| {
+        let dissemination = &context.dissemination;
+        dissemination.origin_holders(context.now(), stream, HOLDERS)
+    });
+    let mut read = pin!(stored_versions::read(context));
+    let mut stored = None;
+    let mut answers = Vec::new();
+    if let Some(stream) = stream {
+        let mut asked = pin!(ask(context, stream, &holders));
+        tokio::select! {
+            answered = &mut asked => answers = answered,
+            versions = &mut read => {
+                stored = Some(versions);
+                let versions = stored.iter().flatten();
+                if !versions.into_iter().any(|versions| sole_versions(versions, pools).is_some()) {
+                    answers = asked.await;
+                }
+            }
+        }
+    }
+    let known = answers.iter().find_map(|answer| answer.recorded.as_ref());
     let result = match known {
         Some(recorded) => LookupResult::Known(
             recorded.origin.clone(),
             OriginSource::Peer,
             Duration::from_millis(recorded.age_ms.into()),
         ),
-        None => LookupResult::Unknown(evidence(context, pools, &answers, holders.len())),
+        None => LookupResult::Unknown(match stored {
+            Some(stored) => stored,
+            None => read.await,
+        }),
     };
     Lookup {
         result,
@@ -106,6 +110,15 @@
     }
 }
 
+/// The version that began every stream of each pool, in their order; `None` if there may be several in one.
+pub(crate) fn sole_versions<'v>(
+    stored: &'v VersionsByPool,
+    pools: &[PoolName],
+) -> Option<Vec<&'v SoftwareVersion>> {
+    let soles = pools.iter().map(|pool| stored.get(pool)?.sole());
+    soles.collect()
+}
+
 /// The origin of a stream in this node's own records.
 fn find_locally(context: &Context, stream: StreamKey) -> Option<LookupResult> {
     let now = context.now();
@@ -122,12 +135,7 @@
 }
 
 /// Asks all holders at once; returns as soon as one knows the origin, all have answered or the time is over.
-async fn ask(
-    context: &Context,
-    stream: StreamKey,
-    pools: &[PoolName],
-    holders: &[SocketAddr],
-) -> Vec<OriginAnswer> {
+async fn ask(context: &Context, stream: StreamKey, holders: &[SocketAddr]) -> Vec<OriginAnswer> {
     let state = &context.streams;
     let is_full = state.lookups.borrow().len() >= MAX_LOOKUPS;
     let Some(socket) = context.permits.socket.get().filter(|_| !is_full) else {
@@ -142,7 +150,7 @@
         node: context.dissemination.node,
         number,
         stream,
-        pools: pools.to_vec(),
+        pools: Vec::new(),
     });
     let due = BootInstant::now() + LOOKUP_TIMEOUT;
     let mut answers: Vec<OriginAnswer> = Vec::new();
@@ -180,30 +188,6 @@
     }
 }
 
-/// What is known of the versions of each pool.
-fn evidence(
-    context: &Context,
-    pools: &[PoolName],
-    answers: &[OriginAnswer],
-    asked: usize,
-) -> Vec<PoolEvidence> {
-    let age = context.entries_proof.age();
-    let is_current = age.is_some_and(|age| age <= CURRENT_ENTRIES_AGE);
-    let versions = context.engine_versions();
-    let pools = pools.iter().enumerate();
-    let evidence = pools.map(|(index, pool)| {
-        let views = answers.iter();
-        let views = views.filter_map(|answer| answer.versions.get(index).cloned());
-        PoolEvidence {
-            own: versions.serving(pool),
-            is_current,
-            peers: views.collect(),
-            all_answered: asked > 0 && answers.len() >= asked,
-        }
-    });
-    evidence.collect()
-}
-
 /// Answers another node's lookup.
 pub(crate) fn respond(
     context: &Context,
--- a/crates/forwarding/src/streams/resume.rs
+++ b/crates/forwarding/src/streams/resume.rs
@@ -11,7 +11,7 @@
 use crate::serve::answer::Failure;
 use crate::serve::progress::Progress;
 use crate::serve::request_log::resumed_attempt;
-use crate::streams::lookup::{Lookup, LookupResult, OriginSource, find_origin};
+use crate::streams::lookup::{Lookup, LookupResult, OriginSource, find_origin, sole_versions};
 
 /// How a request that resumes a stream was bound, or why it was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,9 +53,8 @@
         return Ok(());
     }
     let began = BootInstant::now();
-    let request = progress.facts.id.as_deref().unwrap_or_default();
     let resumed = progress.facts.resumes.as_deref();
-    let lookup = find_origin(context, request, resumed, &progress.pools).await;
+    let lookup = find_origin(context, resumed, &progress.pools).await;
     let (outcome, origin) = decide(context, &progress.pools, &lookup);
     report(context, progress, &lookup, outcome, origin.as_ref(), began);
     match (outcome, origin) {
@@ -82,10 +81,10 @@
         LookupResult::Known(origin, source, _) => {
             (ResumeOutcome::OriginKnown(*source), origin.clone())
         }
-        LookupResult::Unknown(evidence) => {
+        LookupResult::Unknown(stored) => {
             // In several pools, any of their versions may have begun it; the request goes on in the first.
-            let soles = evidence.iter().map(|evidence| evidence.sole_version());
-            let soles: Option<Vec<_>> = soles.collect();
+            let stored = stored.as_ref();
+            let soles = stored.and_then(|stored| sole_versions(stored, pools));
             let first = soles.as_ref().and_then(|soles| soles.first());
             let (Some(pool), Some(software)) = (pools.first(), first) else {
                 return (ResumeOutcome::UnknownOrigin, None);
@@ -120,7 +119,8 @@
     let milliseconds = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
     let versions = match &lookup.result {
         LookupResult::Known(..) => None,
-        LookupResult::Unknown(evidence) => Some(format!("{evidence:?}")),
+        LookupResult::Unknown(Some(stored)) => Some(format!("{stored:?}")),
+        LookupResult::Unknown(None) => Some("not told by the key-value service".to_owned()),
     };
     log_event!(context.logger, Event::StreamResumptionDecided,
         "request" => progress.facts.id.as_deref().unwrap_or_default(),
--- a/crates/forwarding/src/streams/share.rs
+++ b/crates/forwarding/src/streams/share.rs
@@ -11,6 +11,7 @@
 
 use crate::context::Context;
 use crate::dissemination::transmit::send;
+use crate::fleet::follow::MIN_OUTAGE;
 use crate::streams::state::SharingReason;
 
 /// Relays that keep a stream's origin. While one machine in three restarts, at least one of them has it in nine cases
@@ -45,6 +46,7 @@
     let state = &context.streams;
     let serving = context.engine_versions().serving(pool);
     let reason = match serving {
+        VersionsServing::Sole(_) if is_service_silent(context) => SharingReason::NoService,
         VersionsServing::Sole(_) => {
             state.shared_pools.borrow_mut().remove(pool);
             return;
@@ -67,6 +69,13 @@
     }
 }
 
+/// Whether this node would get no answer from the key-value service, as far as it can tell.
+fn is_service_silent(context: &Context) -> bool {
+    let is_followed = context.dissemination.watches_closely();
+    let age = context.entries_proof.age();
+    is_followed && age.is_none_or(|age| age >= MIN_OUTAGE)
+}
+
 /// Queues the origins of all streams that this node began, of one pool or of all: a second version has appeared, or the
 /// node stops.
 pub(crate) fn share_own(context: &Context, pool: Option<&PoolName>) {
--- a/crates/forwarding/src/streams/state.rs
+++ b/crates/forwarding/src/streams/state.rs
@@ -4,10 +4,17 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 
+use std::rc::Rc;
+
 use dalestand_dissemination::OriginAnswer;
 use dalestand_stream_origins::{OriginTable, StreamKey};
 use dalestand_types::{PoolName, Revision};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, oneshot};
+
+use crate::streams::stored_versions::VersionsByPool;
+
+/// Lookups at one time; a caller beyond them is told to come again.
+pub(super) const MAX_LOOKUPS: usize = 256;
 
 /// Why the origins of a pool's streams are shared.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -16,6 +23,8 @@
     UnknownVersions,
     /// Several versions served. The streams that this node had begun before were shared as well.
     SeveralVersions,
+    /// The key-value service does not answer, so that it can't be asked for the versions. Earlier streams were shared too.
+    NoService,
 }
 
 /// Origins of streams at one node.
@@ -39,6 +48,10 @@
     era: Cell<u64>,
     /// Notified when the version of a listed engine is to be stored.
     pub(crate) unstored: Notify,
+    /// Lookups that wait for a read of the stored versions.
+    pub(super) readers: RefCell<Vec<oneshot::Sender<Rc<VersionsByPool>>>>,
+    /// Notified when [`Self::readers`] gets an entry.
+    pub(super) read_requested: Notify,
 }
 
 impl Default for StreamState {
@@ -55,6 +68,8 @@
             stored: RefCell::default(),
             era: Cell::default(),
             unstored: Notify::new(),
+            readers: RefCell::default(),
+            read_requested: Notify::new(),
         }
     }
 }
--- a/crates/forwarding/src/streams/stored_versions.rs
+++ b/crates/forwarding/src/streams/stored_versions.rs
@@ -1,9 +1,11 @@
 //! The software versions that may have begun streams, in the key-value service.
 //!
 //! A version is stored for its pool before the first stream begins at one of its engines, by whichever relay lists such an
-//! engine first, so that nodes which start later know of it.
+//! engine first. A node to which a caller comes with a stream that no node has a record of reads what is stored: if it is one
+//! version, that version began the stream, whatever this node has missed and whichever nodes have ended since.
 //! The holder of the fleet lease retires versions whose engines have ended, and removes them when their streams have expired.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,11 +15,13 @@
 use dalestand_telemetry::{Event, log_event};
 use dalestand_types::{PoolName, Revision};
 use error_stack::{Report, ResultExt as _};
+use tokio::sync::oneshot;
 
 use crate::context::Context;
 use crate::fleet::follow::MIN_OUTAGE;
 use crate::roles::fleet_lease::FleetLease;
 use crate::streams::share::update_sharing;
+use crate::streams::state::MAX_LOOKUPS;
 
 /// Prefix of the keys; the pool follows. The value is a [`StoredVersions`] as JSON.
 const PREFIX: &str = "dalestand/versions/";
@@ -37,6 +41,12 @@
 /// Delay after the versions could not be read.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// Time limit of a read for callers that wait: many times what the service takes, and less than callers notice.
+const READ_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// What is stored for each pool.
+pub(crate) type VersionsByPool = BTreeMap<PoolName, StoredVersions>;
+
 /// Reads the stored versions after the start. Until then, no stream begins.
 pub(crate) async fn load(context: Rc<Context>, store: Rc<dyn KeyValue>) {
     while let Err(error) = read_all(&context, &*store).await {
@@ -46,13 +56,55 @@
 }
 
 /// Reads what is stored for all pools.
-async fn read_all(context: &Context, store: &dyn KeyValue) -> Result<(), Report<PlatformError>> {
+async fn read_all(
+    context: &Context,
+    store: &dyn KeyValue,
+) -> Result<VersionsByPool, Report<PlatformError>> {
     let listing = store.range(PREFIX).await?;
     context.streams.observe_era(listing.revision.era());
+    let mut by_pool = VersionsByPool::new();
     for entry in &listing.entries {
         apply(context, &entry.key, Some((&entry.value, entry.revision)));
+        if let Some((pool, versions)) = parse(context, &entry.key, &entry.value) {
+            by_pool.insert(pool, versions);
+        }
+    }
+    Ok(by_pool)
+}
+
+/// Reads what is stored now for a lookup that waits; `None` if the service does not tell in time.
+pub(crate) async fn read(context: &Context) -> Option<Rc<VersionsByPool>> {
+    let (sender, receiver) = oneshot::channel();
+    {
+        let mut readers = context.streams.readers.borrow_mut();
+        if readers.len() >= MAX_LOOKUPS {
+            return None;
+        }
+        readers.push(sender);
+    }
+    context.streams.read_requested.notify_one();
+    // Both errors mean that there is no answer in time.
+    timeout(READ_TIMEOUT, receiver).await.ok()?.ok()
+}
+
+/// Reads what is stored for all lookups that wait, with one call at a time; never returns. A lookup gets the answer to a call
+/// that was made after it began.
+pub(crate) async fn serve_reads(context: Rc<Context>, store: Rc<dyn KeyValue>) {
+    loop {
+        context.streams.read_requested.notified().await;
+        let readers = std::mem::take(&mut *context.streams.readers.borrow_mut());
+        match timeout(READ_TIMEOUT, read_all(&context, &*store)).await {
+            Ok(Ok(by_pool)) => {
+                let by_pool = Rc::new(by_pool);
+                for reader in readers {
+                    // A lookup may have ended in the meantime.
+                    let _ = reader.send(Rc::clone(&by_pool));
+                }
+            }
+            Ok(Err(error)) => report_failure(&context, &error),
+            Err(TimedOut) => store.discard_connections(),
+        }
     }
-    Ok(())
 }
 
 fn report_failure(context: &Context, error: &Report<PlatformError>) {
--- a/crates/forwarding/tests/rejoined_streams.rs
+++ b/crates/forwarding/tests/rejoined_streams.rs
@@ -161,6 +161,35 @@
     resume_all(&node, begun).await;
 }
 
+/// Guards against a node that takes its own old view for the truth: it heard nothing of the service and of its peers while a second
+/// version joined.
+#[rstest]
+#[case::half_a_second(Duration::from_millis(500))]
+#[case::two_seconds(Duration::from_secs(2))]
+#[actix_rt::test]
+async fn no_stream_goes_on_at_a_node_that_missed_its_version(#[case] silence: Duration) {
+    let engines = Engines::start();
+    let node = first_node(&engines).await;
+    let other = node.start_beside("node-2").await;
+    other.wait_for_engines(2).await;
+    node.wait_for_metric("dalestand_nodes_known", 2).await;
+    other.wait_for_metric("dalestand_nodes_known", 2).await;
+    other.settle().await;
+    other.set_paused(true);
+    other.own_store.set_refuses(true);
+    other.flood_peer_socket();
+    engines.list_newer(&node);
+    node.wait_for_engines(4).await;
+    let began = Instant::now();
+    let mut begun = begin_streams(&node, "q").await;
+    begun.retain(|(_, events)| events[0].1 == "v1.1");
+    assert!(!begun.is_empty());
+    actix_rt::time::sleep(silence.saturating_sub(began.elapsed())).await;
+    node.crash();
+    other.set_paused(false);
+    assert_eq!(resume_all(&other, begun).await, 0);
+}
+
 /// Guards against streams of the only version that are refused at a node that began none of them.
 #[actix_rt::test]
 async fn streams_go_on_after_all_nodes_were_killed_while_one_version_has_served() {
--- a/crates/stream-origins/src/lib.rs
+++ b/crates/stream-origins/src/lib.rs
@@ -8,7 +8,6 @@
 //! * [`EngineVersions`] holds the versions of the listed engines, and which of them are stored.
 //! * [`StoredVersions`] is what the nodes store for a pool, before a stream begins at an engine of another version.
 //! * [`OriginTable`] holds which engines began recent streams.
-//! * [`PoolEvidence`] tells whether one version alone can have begun a stream that is in no such table.
 //!
 //! This crate does no I/O and has no clock: callers pass the time in.
 
@@ -16,12 +15,10 @@
 mod engine_versions;
 mod origin_table;
 mod pool_versions;
-mod sole_version;
 mod stored_versions;
 
 pub use binding::{StreamBinding, StreamOrigin};
 pub use engine_versions::EngineVersions;
 pub use origin_table::{OriginTable, StreamKey};
 pub use pool_versions::{STREAM_LIFETIME, VersionsServing};
-pub use sole_version::PoolEvidence;
 pub use stored_versions::StoredVersions;
