Streams: a relay's report does not replace what a node has read in an entry

What callers would see: streams labelled with the former version of an engine that has started again in place, and joined with others of that version. Found by review.

Cause: a relay that has read an entry whose version is not stored yet (writes slow or refused) counts the engine as missing and asks another relay; the answer of one that had missed the restart replaced the version that the entry names.

Change: a report of another version than the entry's is dropped; a report of the same one says that it is stored.

--- a/crates/stream-origins/src/engine_versions.rs
+++ b/crates/stream-origins/src/engine_versions.rs
@@ -15,7 +15,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct ReportedVersion {
     software: SoftwareVersion,
-    /// Whether another node has told that it is stored.
+    /// Whether another node has reported that it is stored.
     is_stored: bool,
 }
 
@@ -68,8 +68,13 @@
         }
     }
 
-    /// Records the version of an engine as another node has told it, for which it is stored.
+    /// Records the version of an engine from another node, for which it is stored. An entry that this node has read
+    /// outweighs it.
     pub fn record_stored_elsewhere(&mut self, engine: EngineKey, software: SoftwareVersion) {
+        let known = self.software(engine);
+        if known.is_some_and(|known| *known != software) {
+            return;
+        }
         let is_stored = true;
         let reported = ReportedVersion {
             software,
