Streams: on a route to several pools, no single version can be told

What callers would see: a stream that one of a split route's pools began goes on in the other, at engines of another service. Found by review.

Cause: where each pool had one version, a stream without a record was bound to the pool that the round robin put first, right in about half of the cases.

Change: without a record a stream goes on only on a route to one pool. The test's case of two pools failed on the code before by construction: it returned the first pool. Open: a route that a configuration has moved to another pool since the stream began.

--- a/crates/forwarding/src/streams/lookup.rs
+++ b/crates/forwarding/src/streams/lookup.rs
@@ -1,5 +1,8 @@
 //! Finds the origin of a stream that a caller resumes: in this node's own records, or by asking the relays that keep it.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -9,7 +12,7 @@
 use dalestand_clock::{BootInstant, timeout_at};
 use dalestand_dissemination::{Message, OriginAnswer, OriginRequest, RecordedStream};
 use dalestand_stream_origins::{StreamKey, StreamOrigin, VersionsServing};
-use dalestand_types::{PoolName, SoftwareVersion};
+use dalestand_types::PoolName;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
@@ -56,8 +59,8 @@
 }
 
 /// Looks up the origin of the stream that the attempt `resumed` began: in this node's records, then at the relays that would
-/// have it. Reads at the same time which versions are stored, in case no node has a record; one version that is stored for
-/// each of `pools` makes the relays' answers needless.
+/// have it. Reads at the same time which versions are stored, in case no node has a record; if that is one, the relays' answers
+/// are needless.
 pub(crate) async fn find_origin(
     context: &Context,
     resumed: Option<&str>,
@@ -85,7 +88,7 @@
             versions = &mut read => {
                 stored = Some(versions);
                 let versions = stored.iter().flatten();
-                if !versions.into_iter().any(|versions| sole_versions(versions, pools).is_some()) {
+                if !versions.into_iter().any(|versions| sole_origin(versions, pools).is_some()) {
                     answers = asked.await;
                 }
             }
@@ -110,13 +113,16 @@
     }
 }
 
-/// The version that began every stream of each pool, in their order; `None` if there may be several in one.
-pub(crate) fn sole_versions<'v>(
-    stored: &'v VersionsByPool,
-    pools: &[PoolName],
-) -> Option<Vec<&'v SoftwareVersion>> {
-    let soles = pools.iter().map(|pool| stored.get(pool)?.sole());
-    soles.collect()
+/// The pool and version that began every stream of a route that leads to `pools`; `None` if there may be several.
+pub(crate) fn sole_origin(stored: &VersionsByPool, pools: &[PoolName]) -> Option<StreamOrigin> {
+    let [pool] = pools else {
+        return None;
+    };
+    let software = stored.get(pool)?.sole()?;
+    Some(StreamOrigin {
+        pool: pool.clone(),
+        software: software.clone(),
+    })
 }
 
 /// The origin of a stream in this node's own records.
--- a/crates/forwarding/src/streams/resume.rs
+++ b/crates/forwarding/src/streams/resume.rs
@@ -11,7 +11,7 @@
 use crate::serve::answer::Failure;
 use crate::serve::progress::Progress;
 use crate::serve::request_log::resumed_attempt;
-use crate::streams::lookup::{Lookup, LookupResult, OriginSource, find_origin, sole_versions};
+use crate::streams::lookup::{Lookup, LookupResult, OriginSource, find_origin, sole_origin};
 
 /// How a request that resumes a stream was bound, or why it was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -82,17 +82,10 @@
             (ResumeOutcome::OriginKnown(*source), origin.clone())
         }
         LookupResult::Unknown(stored) => {
-            // In several pools, any of their versions may have begun it; the request goes on in the first.
             let stored = stored.as_ref();
-            let soles = stored.and_then(|stored| sole_versions(stored, pools));
-            let first = soles.as_ref().and_then(|soles| soles.first());
-            let (Some(pool), Some(software)) = (pools.first(), first) else {
+            let Some(origin) = stored.and_then(|stored| sole_origin(stored, pools)) else {
                 return (ResumeOutcome::UnknownOrigin, None);
             };
-            let origin = StreamOrigin {
-                pool: pool.clone(),
-                software: (*software).clone(),
-            };
             (ResumeOutcome::SoleVersion, origin)
         }
     };
