Streams: one draw of a version for each request; all streams begin at stored versions

While the versions of some engines were not stored, each look at the engines drew a version anew, so that a prompt read at one version's engines could find no engine for its answer in the next draw. The draw is now made once, when the request is accepted. Streams that may not be resumed took engines of unstored versions, though a later attempt with a last event is bound to the sole version: all streams are held to it now.

--- a/crates/forwarding/src/fleet/engines.rs
+++ b/crates/forwarding/src/fleet/engines.rs
@@ -56,7 +56,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     pools: HashMap<PoolName, EnginePool>,
-    /// The engines of `pools` whose software version is known, by that version.
+    /// The engines of `pools` whose software version is stored, by that version.
     versions: HashMap<PoolName, HashMap<SoftwareVersion, EnginePool>>,
     empty_pool: EnginePool,
     engines: HashMap<EngineKey, FleetEngine>,
@@ -214,7 +214,7 @@
 
     /// Engines of a pool at which a stream may begin. While streams may not begin at some, those of one version,
     /// drawn by their number.
-    fn engines_for_new_stream(&self, pool: &PoolName) -> &EnginePool {
+    fn engines_for_new_stream(&self, pool: &PoolName, draw: u32) -> &EnginePool {
         let all = self.pool(pool);
         let Some(versions) = self.versions.get(pool) else {
             return &self.empty_pool;
@@ -223,7 +223,7 @@
         if count == all.len() {
             return all;
         }
-        let mut left = rand::random_range(0..count.max(1));
+        let mut left = draw as usize % count.max(1);
         let drawn = versions.values().find(|engines| {
             let is_drawn = left < engines.len();
             left = left.saturating_sub(engines.len());
@@ -236,7 +236,7 @@
     pub fn engines_for(&self, pool: &PoolName, binding: &StreamBinding) -> &EnginePool {
         match binding {
             StreamBinding::Unbound => self.pool(pool),
-            StreamBinding::Beginning => self.engines_for_new_stream(pool),
+            StreamBinding::Beginning { draw } => self.engines_for_new_stream(pool, *draw),
             StreamBinding::Origin(origin) if origin.pool == *pool => {
                 self.engines_of_version(pool, &origin.software)
             }
--- a/crates/forwarding/src/serve/answer_stream.rs
+++ b/crates/forwarding/src/serve/answer_stream.rs
@@ -185,7 +185,8 @@
 
     /// Binds a stream to the software version that sends its first event.
     fn bind(&mut self) {
-        if self.is_resumable && self.progress.binding == StreamBinding::Beginning {
+        let is_beginning = matches!(self.progress.binding, StreamBinding::Beginning { .. });
+        if self.is_resumable && is_beginning {
             self.answer.software = self
                 .answer
                 .software
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -275,7 +275,7 @@
     pub(crate) trial: Option<TrialKind>,
     /// Deadline for the complete answer.
     pub(crate) due: BootInstant,
-    /// Which engines may serve it, if it is a stream that may be resumed.
+    /// Which engines may serve it, if it is a stream.
     pub(crate) binding: StreamBinding,
     /// Engines already called, which are avoided.
     pub(crate) tried: Vec<EngineKey>,
@@ -321,9 +321,9 @@
         let limit = Duration::from_millis(route.time_limit_ms);
         let tenant = tenant_code(&caller).map(|code| (class.clone(), code));
         let time_limit = facts.deadline.map_or(limit, |deadline| deadline.min(limit));
-        let can_be_resumed = route.kind.is_stream() && route.kind.is_repeatable();
-        let binding = if can_be_resumed {
-            StreamBinding::Beginning
+        let binding = if route.kind.is_stream() {
+            let draw = rand::random();
+            StreamBinding::Beginning { draw }
         } else {
             StreamBinding::Unbound
         };
--- a/crates/forwarding/src/streams/begin.rs
+++ b/crates/forwarding/src/streams/begin.rs
@@ -17,7 +17,7 @@
 /// Waits, for a limited time, while there are engines but none whose version is stored, as after the first start of a fleet.
 pub(crate) async fn await_stored_versions(context: &Context, progress: &Progress) {
     let due = progress.due.min(BootInstant::now() + MAX_WAIT);
-    while progress.binding == StreamBinding::Beginning
+    while matches!(progress.binding, StreamBinding::Beginning { .. })
         && has_only_unstored(context, progress)
         && BootInstant::now() < due
     {
--- a/crates/stream-origins/src/binding.rs
+++ b/crates/stream-origins/src/binding.rs
@@ -15,11 +15,14 @@
 /// Which engines may send the next events of a stream.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum StreamBinding {
-    /// All: the request is no stream that may be resumed.
+    /// All: the request is no stream.
     #[default]
     Unbound,
-    /// Those whose version is stored: the caller has no event yet.
-    Beginning,
+    /// Those whose version is stored: the caller has no event yet. While that leaves some out, `draw` picks the version.
+    Beginning {
+        /// A random number, so that one request sees one choice of engines.
+        draw: u32,
+    },
     /// Those of the origin's pool and version.
     Origin(StreamOrigin),
     /// None: the version that began the stream is unknown.
@@ -42,7 +45,7 @@
     pub fn allows(&self, pool: &PoolName, software: Option<&SoftwareVersion>) -> bool {
         match self {
             Self::Unbound => true,
-            Self::Beginning => software.is_some(),
+            Self::Beginning { .. } => software.is_some(),
             Self::Origin(origin) => origin.pool == *pool && Some(&origin.software) == software,
             Self::Unknown => false,
         }
