Streams: a node that has been cut off for ten minutes begins none

What callers would see: a zone cut off from the key-value service for minutes goes on to begin streams at a version that the lease holder has removed meanwhile; taken up elsewhere, they go on at the version that is left. Found by review.

Cause: a version was removed one lifetime of streams after it was retired, and nothing bounded for how long a node may act on what it knew before. The property test hid it: it reset nodes after a minute and resumed streams for a quarter of their lifetime only.

Change: a node whose view of the engines is older than ten minutes refuses new streams; a retired version is removed after that time and the lifetime of streams. A node counts absences only while it holds the lease and its entries are current, so that a holder which lost the lease doesn't count on from before. Cost: streams without a record are refused for twelve minutes after a release, not for two and a half; those with one go on as before.

--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -136,7 +136,7 @@
         return Err(failure);
     }
     bind_resumed(context, progress).await?;
-    await_stored_versions(context, progress).await;
+    await_stored_versions(context, progress).await?;
     loop {
         let failure = match call_engines(context, progress).await {
             Ok(served) => return Ok(served),
--- a/crates/forwarding/src/streams/begin.rs
+++ b/crates/forwarding/src/streams/begin.rs
@@ -1,11 +1,12 @@
-//! Delays streams until they may begin.
+//! Delays or refuses streams that may not begin yet.
 
 use std::time::Duration;
 
 use dalestand_clock::{BootInstant, sleep};
-use dalestand_stream_origins::StreamBinding;
+use dalestand_stream_origins::{MAX_VIEW_AGE, StreamBinding};
 
 use crate::context::Context;
+use crate::serve::answer::Failure;
 use crate::serve::progress::Progress;
 
 /// Longest wait until the versions of a new fleet are stored: some calls of the key-value service.
@@ -15,14 +16,23 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Waits, for a limited time, while there are engines but none whose version is stored, as after the first start of a fleet.
-pub(crate) async fn await_stored_versions(context: &Context, progress: &Progress) {
+/// Refuses a stream at a node that has been cut off for so long that versions may have been removed since.
+pub(crate) async fn await_stored_versions(
+    context: &Context,
+    progress: &Progress,
+) -> Result<(), Failure> {
+    if !matches!(progress.binding, StreamBinding::Beginning { .. }) {
+        return Ok(());
+    }
+    let view_age = context.entries_proof.age();
+    if view_age.is_some_and(|age| age > MAX_VIEW_AGE) {
+        return Err(Failure::NoEngine);
+    }
     let due = progress.due.min(BootInstant::now() + MAX_WAIT);
-    while matches!(progress.binding, StreamBinding::Beginning { .. })
-        && has_only_unstored(context, progress)
-        && BootInstant::now() < due
-    {
+    while has_only_unstored(context, progress) && BootInstant::now() < due {
         sleep(POLL_INTERVAL).await;
     }
+    Ok(())
 }
 
 fn has_only_unstored(context: &Context, progress: &Progress) -> bool {
--- a/crates/forwarding/src/streams/stored_versions.rs
+++ b/crates/forwarding/src/streams/stored_versions.rs
@@ -93,6 +93,10 @@
     loop {
         context.streams.read_requested.notified().await;
         let readers = std::mem::take(&mut *context.streams.readers.borrow_mut());
+        if readers.is_empty() {
+            // They came before the last call and got its answer.
+            continue;
+        }
         match timeout(READ_TIMEOUT, read_all(&context, &*store)).await {
             Ok(Ok(by_pool)) => {
                 let by_pool = Rc::new(by_pool);
@@ -240,11 +244,8 @@
             .for_each(|software| wanted.serve(software));
         return Some(wanted);
     }
-    if !is_holder {
-        return None;
-    }
     let unproved_for = context.entries_proof.age();
-    if unproved_for.is_none_or(|age| age >= MIN_OUTAGE) {
+    if !is_holder || unproved_for.is_none_or(|age| age >= MIN_OUTAGE) {
         context.restart_version_watch();
         return None;
     }
--- a/crates/stream-origins/src/lib.rs
+++ b/crates/stream-origins/src/lib.rs
@@ -20,5 +20,5 @@
 pub use binding::{StreamBinding, StreamOrigin};
 pub use engine_versions::EngineVersions;
 pub use origin_table::{OriginTable, StreamKey};
-pub use pool_versions::{STREAM_LIFETIME, VersionsServing};
+pub use pool_versions::{MAX_VIEW_AGE, STREAM_LIFETIME, VersionsServing};
 pub use stored_versions::StoredVersions;
--- a/crates/stream-origins/src/pool_versions.rs
+++ b/crates/stream-origins/src/pool_versions.rs
@@ -12,6 +12,10 @@
 /// requests, which bound all attempts together.
 pub const STREAM_LIFETIME: Duration = Duration::from_secs(120);
 
+/// Age of what a node knows of the stored versions and of the engines beyond which it begins no streams: longer than most
+/// outages of the key-value service, as streams go on to begin until then.
+pub const MAX_VIEW_AGE: Duration = Duration::from_secs(600);
+
 /// Time without engines after which a version is retired: longer than an engine that crashed takes to start again.
 const RETIREMENT_DELAY: Duration = Duration::from_secs(30);
 
@@ -94,7 +98,7 @@
         }
     }
 
-    /// Forgets for how long versions have been without engines: this node may have missed some.
+    /// Forgets for how long versions have been without engines: this node may have missed some, or other nodes' writes.
     pub(crate) fn restart_watch(&mut self) {
         self.absent_since.clear();
     }
@@ -111,10 +115,10 @@
             if stored.is_serving(version) {
                 if now.since(since) >= RETIREMENT_DELAY {
                     next.retire(version);
-                    // Its streams expire from now on: other nodes may have begun some until they learn of it.
+                    // Nodes that do not hear of it may begin streams there until their view is too old.
                     self.absent_since.insert(version.clone(), now);
                 }
-            } else if now.since(since) >= STREAM_LIFETIME {
+            } else if now.since(since) >= MAX_VIEW_AGE + STREAM_LIFETIME {
                 next.expire(version);
             }
         }
--- a/crates/stream-origins/tests/resumed_streams.rs
+++ b/crates/stream-origins/tests/resumed_streams.rs
@@ -6,8 +6,8 @@
 
 use dalestand_routing::staged::EngineKey;
 use dalestand_stream_origins::{
-    EngineVersions, OriginTable, STREAM_LIFETIME, StoredVersions, StreamKey, StreamOrigin,
-    VersionsServing,
+    EngineVersions, MAX_VIEW_AGE, OriginTable, STREAM_LIFETIME, StoredVersions, StreamKey,
+    StreamOrigin, VersionsServing,
 };
 use dalestand_types::{MonotonicTime, PoolName, SoftwareVersion};
 use proptest::prelude::*;
@@ -15,15 +15,14 @@
 
 const NODES: usize = 3;
 
-/// Part of the lifetime of streams in which callers resume them, and for which a node may miss what is stored.
-const MAX_STALENESS: u32 = 4;
-
 #[derive(Clone, Debug)]
 enum Step {
     /// An engine of this version starts.
     Start(u8),
     /// The oldest engine, or the second oldest, ends.
     End(bool),
+    /// The entry of the oldest engine, or of the second oldest, goes, but the engine serves on.
+    Lapse(bool),
     /// The key-value service answers a node no more, or again.
     Cut(usize, bool),
     /// A node reads the engines' entries.
@@ -38,7 +37,7 @@
     Begin(usize, usize, u8),
     /// Nodes lose all that they know; the bits are those that do.
     Restart(u8),
-    /// Time passes, in parts of the time for which a node may miss what is stored.
+    /// Time passes, in tenths of the lifetime of streams.
     Wait(u8),
     /// The service is restored from the backup that the last such step made.
     Restore,
@@ -51,6 +50,7 @@
     let step = prop_oneof![
         3 => (0_u8..3).prop_map(Step::Start),
         2 => any::<bool>().prop_map(Step::End),
+        2 => any::<bool>().prop_map(Step::Lapse),
         2 => (node.clone(), any::<bool>()).prop_map(|(node, is_cut)| Step::Cut(node, is_cut)),
         5 => node.clone().prop_map(Step::ReadEntries),
         3 => node.clone().prop_map(Step::ReadStored),
@@ -58,7 +58,7 @@
         2 => (node.clone(), node.clone()).prop_map(|(from, to)| Step::Tell(from, to)),
         6 => (node.clone(), 0_usize..4, any::<u8>()).prop_map(|(n, e, lost)| Step::Begin(n, e, lost)),
         2 => any::<u8>().prop_map(Step::Restart),
-        2 => (1_u8..6).prop_map(Step::Wait),
+        2 => (1_u8..80).prop_map(Step::Wait),
         1 => Just(Step::Restore),
         6 => (node, any::<usize>(), any::<u8>()).prop_map(|(n, s, heard)| Step::Resume(n, s, heard)),
     ];
@@ -89,7 +89,10 @@
 #[derive(Default)]
 struct World {
     now: MonotonicTime,
+    /// Engines that are listed.
     engines: Vec<(EngineKey, SoftwareVersion)>,
+    /// Engines that serve although their entries have gone.
+    lapsed: Vec<(EngineKey, SoftwareVersion)>,
     nodes: [Node; NODES],
     service: Service,
     backup: Option<Service>,
@@ -213,12 +216,17 @@
     }
 
     fn begin(&mut self, node: usize, engine: usize, received: u8) {
-        let Some((engine, version)) = self.engines.get(engine).cloned() else {
+        let mut running = self.engines.iter().chain(&self.lapsed);
+        let Some((engine, version)) = running.nth(engine).cloned() else {
             return;
         };
         let Some(software) = self.nodes[node].versions.get(engine).cloned() else {
             return;
         };
+        let read_at = self.nodes[node].read_at.min(self.nodes[node].listed_at);
+        if self.now.since(read_at) > MAX_VIEW_AGE {
+            return;
+        }
         let stream = StreamKey(self.streams.len() as u64);
         self.streams.push((stream, version, self.now));
         let origin = StreamOrigin {
@@ -260,18 +268,13 @@
         }
     }
 
-    /// Time passes, in which all nodes that the service answers read what is stored; the others have missed too much after a while
-    /// and are left out.
-    fn wait(&mut self, parts: u8) {
-        for _ in 0..parts {
-            self.now = self.now + STREAM_LIFETIME / (4 * MAX_STALENESS);
+    /// Time passes, in which all nodes that the service answers read what is stored.
+    fn wait(&mut self, tenths: u8) {
+        for _ in 0..tenths {
+            self.now = self.now + STREAM_LIFETIME / 10;
             for index in 0..NODES {
                 self.read_entries(index);
                 self.read_stored(index);
-                let unread_for = self.now.since(self.nodes[index].read_at);
-                if unread_for >= STREAM_LIFETIME / 2 {
-                    self.restart(1 << index);
-                }
             }
         }
     }
@@ -302,6 +305,12 @@
                     self.engines.remove(index);
                 }
             }
+            Step::Lapse(is_second) => {
+                let index = usize::from(is_second);
+                if index < self.engines.len() {
+                    self.lapsed.push(self.engines.remove(index));
+                }
+            }
             Step::Cut(node, is_cut) => self.nodes[node].is_cut = is_cut,
             Step::ReadEntries(node) => self.read_entries(node),
             Step::ReadStored(node) => self.read_stored(node),
@@ -316,7 +325,7 @@
                     return Ok(());
                 };
                 let (stream, version, began_at) = self.streams[index].clone();
-                if self.now.since(began_at) < STREAM_LIFETIME / MAX_STALENESS
+                if self.now.since(began_at) < STREAM_LIFETIME
                     && let Some(chosen) = self.resume(node, stream, heard)
                 {
                     self.resumed += 1;
@@ -363,6 +372,40 @@
     assert_eq!(world.resumed, 2);
 }
 
+/// Guards against streams of a version that was removed while a node which could not know of it went on to begin them.
+#[rstest]
+#[case::the_last_moment_of_its_view(49, true)]
+#[case::its_view_is_too_old(51, false)]
+fn a_node_that_is_cut_off_begins_streams_only_while_they_are_safe(
+    #[case] tenths: u8,
+    #[case] begins: bool,
+) {
+    let mut world = World::first_start();
+    let mut steps = vec![
+        Step::Start(2),
+        Step::ReadEntries(0),
+        Step::Store(0, true),
+        Step::ReadEntries(1),
+        Step::ReadStored(1),
+        Step::Cut(0, true),
+        Step::Lapse(true),
+        Step::ReadEntries(1),
+    ];
+    // Another node removes the version as soon as it may.
+    let removal =
+        (0..tenths).flat_map(|_| [Step::Wait(1), Step::ReadEntries(1), Step::Store(1, true)]);
+    steps.extend(removal);
+    steps.extend([Step::Begin(0, 1, 0), Step::Restart(0b001)]);
+    let waits = (0..9).flat_map(|_| [Step::Wait(1), Step::ReadEntries(1), Step::Store(1, true)]);
+    steps.extend(waits);
+    steps.push(Step::Resume(1, 0, 0));
+    for step in &steps {
+        world.apply(step).expect("no other version");
+    }
+    assert_eq!(world.streams.len(), usize::from(begins));
+    assert_eq!(world.resumed, 0);
+}
+
 /// Records are bounded in number and in time; the first origin of a stream is kept.
 #[rstest]
 fn origins_expire_and_the_newest_are_kept() {
