Keep the revision of store entries whose bytes are not text

What operators would see: bytes that are not text under a key that a node writes (its own node entry, the versions of a pool, a stopped request) make that key absent for reads and for failed conditions. The node's registration then tries to create it in a loop without a pause, at one priced writing call after the other, until the store refuses calls with 429; it never registers, so no other node knows it. Unreadable engine entries were dropped without a count or a log line, and a watch reported them as removals.

Cause: the conversion of an item dropped the whole entry, with its revision, if its value could not be decoded.

Fix: such an entry exists, with its key and revision and a named value that is empty. No reader accepts that value, so each reports it as it reports other unreadable values, and writers replace it at its revision.

--- a/crates/edge/src/key_value.rs
+++ b/crates/edge/src/key_value.rs
@@ -14,6 +14,9 @@
 #[serde(transparent)]
 pub struct LeaseId(pub u64);
 
+/// The value of an entry whose bytes are not text. The entry exists and has a revision, but no reader accepts its value.
+pub const UNDECODABLE_VALUE: &str = "";
+
 /// A key with its value and the revision that wrote it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,8 +23,8 @@
 pub use engine_client::HttpEngine;
 pub use error::PlatformError;
 pub use key_value::{
-    CasOutcome, Entry, KeyValue, LeaseId, Listing, ListingPage, WatchBatch, WatchEvent,
-    WriteExpectation,
+    CasOutcome, Entry, KeyValue, LeaseId, Listing, ListingPage, UNDECODABLE_VALUE, WatchBatch,
+    WatchEvent, WriteExpectation,
 };
 pub use key_value_client::HttpKeyValue;
 pub use machine_list::{HttpMachineList, MachineList};
