--- a/crates/forwarding/src/serve/admission.rs
+++ b/crates/forwarding/src/serve/admission.rs
@@ -164,7 +164,8 @@
         .filter(|engine| engine.stage == stage && !router.health.is_unresponsive(now, engine.key));
     for engine in engines {
         load.engines += 1;
-        load.slots += engine.slots;
+        // Another node may report any number.
+        load.slots = load.slots.saturating_add(engine.slots);
         load.taken += router.work.total(engine.key).requests;
     }
     load.taken_age = router.work.mean_report_age(now, |_| true);
