--- a/crates/forwarding/src/fleet/engines.rs
+++ b/crates/forwarding/src/fleet/engines.rs
@@ -14,8 +14,8 @@
 use dalestand_types::{PoolName, Role, SoftwareVersion};
 
 /// Separates the run from its start time in connection targets, so that connections to a previous
-/// start are not reused.
-const START_SEPARATOR: char = '@';
+/// start are not reused. Names of runs are sent in headers as one word, so that none holds it.
+const START_SEPARATOR: char = ' ';
 
 /// One run of an engine.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/forwarding/tests/fleet.rs
+++ b/crates/forwarding/tests/fleet.rs
@@ -114,3 +114,13 @@
     assert_eq!(left, [EngineKey::of(&second)]);
     assert_eq!(fleet.code_collisions(), 0);
 }
+
+/// Guards against an engine whose id reads like another engine's start, and whose events would count for that one.
+#[test]
+fn an_id_that_ends_like_a_start_time_is_told_from_a_start() {
+    let mut fleet = Fleet::default();
+    fleet.set(&named("i-7@1000"), None, |_| false);
+    let engine = fleet.engine(EngineKey::of("i-7@1000"));
+    let target = engine.expect("the engine").target();
+    assert_eq!(fleet.pool_of(&target), Some(&PoolName::from("pool-0")));
+}
