List stopped requests and held parts beside unreadable entries

What operators saw: with one unreadable entry under a prefix of stopped requests or held parts, the listing fails as a whole ('stopped request or held part sent a malformed answer: cannot be read or written') without the key; no stopped request can be seen, nor its fingerprint, without which none can be released.

Cause: the first unreadable key or value was returned as the error of the listing.

Evidence: an_unreadable_entry_is_listed_beside_the_stopped_requests, reduced to the number of entries, failed on the code before with that error.

Fix: each entry is read by itself; the keys that cannot be read are returned beside the others and printed to stderr.

--- a/cmd/src/stopped.rs
+++ b/cmd/src/stopped.rs
@@ -83,7 +83,7 @@
         Ok(held) => held,
         Err(report) => return failure(format!("{report:?}")),
     };
-    for (fingerprint, entry) in stopped {
+    for (fingerprint, entry) in stopped.entries {
         let state = if entry.is_released {
             "released"
         } else {
@@ -95,7 +95,7 @@
             entry.last_crash_unix_ms
         );
     }
-    for (part, entry) in held {
+    for (part, entry) in held.entries {
         let state = if entry.is_released {
             "released"
         } else {
@@ -107,6 +107,9 @@
             entry.last_crash_unix_ms().unwrap_or_default()
         );
     }
+    for key in stopped.unreadable_keys.iter().chain(&held.unreadable_keys) {
+        eprintln!("{key} cannot be read and stops nothing");
+    }
     Exit::Success
 }
 
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -37,5 +37,7 @@
 };
 pub use node::settings::{DutySettings, ForwardingSettings, SettingsFault, UsageSettings};
 pub use node::start::{ForwardingNode, ReadSettings, run};
-pub use quarantine::operator::{held_parts, release_part, release_request, stopped_requests};
+pub use quarantine::operator::{
+    ReleasableEntries, held_parts, release_part, release_request, stopped_requests,
+};
 pub use serve::event_stream::{EventSplitter, StreamEvent};
--- a/crates/forwarding/src/quarantine/operator.rs
+++ b/crates/forwarding/src/quarantine/operator.rs
@@ -44,48 +44,49 @@
     }
 }
 
-/// Lists the stopped requests in the key-value service by fingerprint. Released requests are
-/// included until their entries expire.
+/// The entries that an operator can release, by fingerprint.
+#[derive(Clone, Debug)]
+pub struct ReleasableEntries<F, E> {
+    pub entries: Vec<(F, E)>,
+    /// Keys whose entries no node can read: they stop nothing.
+    pub unreadable_keys: Vec<String>,
+}
+
+/// Lists the stopped requests in the key-value service. Released requests are included until their entries expire.
 pub async fn stopped_requests(
     store: &dyn KeyValue,
-) -> Result<Vec<(RequestFingerprint, StoppedRequestEntry)>, Report<PlatformError>> {
-    let entries = list(store, STOPPED_PREFIX).await?.into_iter();
-    entries
-        .map(|(text, entry)| {
-            let fingerprint = RequestFingerprint::parse(&text).change_context_lazy(malformed)?;
-            Ok((fingerprint, entry))
-        })
-        .collect()
+) -> Result<ReleasableEntries<RequestFingerprint, StoppedRequestEntry>, Report<PlatformError>> {
+    list(store, STOPPED_PREFIX, |text| {
+        RequestFingerprint::parse(text).ok()
+    })
+    .await
 }
 
-/// Lists the held prompt parts in the key-value service by fingerprint. Released parts are included until their entries
-/// expire.
+/// Lists the held prompt parts in the key-value service. Released parts are included until their entries expire.
 pub async fn held_parts(
     store: &dyn KeyValue,
-) -> Result<Vec<(PartFingerprint, HeldPartEntry)>, Report<PlatformError>> {
-    let entries = list(store, PART_PREFIX).await?.into_iter();
-    entries
-        .map(|(text, entry)| {
-            let part = PartFingerprint::parse(&text).change_context_lazy(malformed)?;
-            Ok((part, entry))
-        })
-        .collect()
+) -> Result<ReleasableEntries<PartFingerprint, HeldPartEntry>, Report<PlatformError>> {
+    list(store, PART_PREFIX, |text| PartFingerprint::parse(text).ok()).await
 }
 
-/// The entries under a prefix, by the rest of their keys.
-async fn list<E: Releasable>(
+/// The entries under a prefix, by the fingerprint with which their keys end.
+async fn list<F, E: Releasable>(
     store: &dyn KeyValue,
     prefix: &str,
-) -> Result<Vec<(String, E)>, Report<PlatformError>> {
-    let listing = store.range(prefix).await?;
-    let entries = listing.entries.iter();
-    entries
-        .map(|entry| {
-            let name = entry.key.strip_prefix(prefix).unwrap_or_default();
-            let parsed = serde_json::from_str(&entry.value).change_context_lazy(malformed)?;
-            Ok((name.to_owned(), parsed))
-        })
-        .collect()
+    parse_fingerprint: impl Fn(&str) -> Option<F>,
+) -> Result<ReleasableEntries<F, E>, Report<PlatformError>> {
+    let (mut entries, mut unreadable_keys) = (Vec::new(), Vec::new());
+    for entry in store.range(prefix).await?.entries {
+        let fingerprint = entry.key.strip_prefix(prefix).and_then(&parse_fingerprint);
+        match (fingerprint, serde_json::from_str(&entry.value)) {
+            (Some(fingerprint), Ok(read)) => entries.push((fingerprint, read)),
+            _ => unreadable_keys.push(entry.key),
+        }
+    }
+    Ok(ReleasableEntries {
+        entries,
+        unreadable_keys,
+    })
 }
 
 /// Releases a stopped request at all nodes. Returns whether it was stopped.
--- a/crates/forwarding/tests/crashing_requests.rs
+++ b/crates/forwarding/tests/crashing_requests.rs
@@ -15,6 +15,7 @@
 use std::thread;
 use std::time::Duration;
 
+use dalestand_forwarding::stopped_requests;
 use rstest::rstest;
 use support::{TestEngine, TestNode, answer, id_of};
 
@@ -283,3 +284,20 @@
     send_crashing_request(&[&node], &engines, CRASHING_PATH).await;
     assert_eq!(crashed_count(&engines), 0);
 }
+
+/// Guards against one unreadable entry that hides all stopped requests and held parts from the operator.
+#[actix_rt::test]
+async fn an_unreadable_entry_is_listed_beside_the_stopped_requests() {
+    let store = support::MemoryStore::default();
+    let key = format!("{STOPPED_PREFIX}{}", "0".repeat(32));
+    store.write(&key, Some(r#"{"engines":[1],"last_crash_unix_ms":5}"#));
+    let (no_entry, no_fingerprint) = (
+        format!("{STOPPED_PREFIX}{}", "1".repeat(32)),
+        format!("{STOPPED_PREFIX}x"),
+    );
+    store.write(&no_entry, Some("[[["));
+    store.write(&no_fingerprint, Some("{}"));
+    let listed = stopped_requests(&store).await.expect("a listing");
+    assert_eq!(listed.entries.len(), 1);
+    assert_eq!(listed.unreadable_keys, [no_entry, no_fingerprint]);
+}
