Take start times in the far future as unknown

What callers would see: an entry of another writer, or of an engine whose clock is wrong, gives a start of 18,446,744,073,709,551,615 ms. No start read in a listing or told by another node is later than that, so that what is known of the former start stays: an engine that drained and started again gets no requests, and drain notices of its later starts are ignored.

Cause: starts are compared, and any number was taken as one.

Evidence: a_start_in_the_far_future_does_not_hide_the_next_one failed on the code before ('left: "503", right: "200"').

--- a/crates/forwarding/src/fleet/signals.rs
+++ b/crates/forwarding/src/fleet/signals.rs
@@ -10,8 +10,12 @@
 
 use crate::context::Context;
 use crate::dissemination::notice_queue::{EngineNotice, NoticeSource};
+use crate::duties::usage_counts::unix_time;
 use crate::quarantine::engine_end::{EndProof, record_engine_end};
 
+/// How far an engine's clock may be ahead of this node's: more than a clock that is set to another time zone.
+const MAX_CLOCK_LEAD: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// Applies the signals of an engine's answer. `request_sent_at` is when the request was sent that the
 /// answer accepts, if it accepts one.
 pub(crate) fn apply_answer(
@@ -154,7 +158,12 @@
         .push(EngineNotice::Drains(start), source);
 }
 
-/// Applies a start time. A restart resets all that is known of the engine. Start times reported by other
+/// Whether a start time is too far in the future to be one. No true start would count as later than it.
+fn is_far_ahead(started_at_ms: u64) -> bool {
+    Duration::from_millis(started_at_ms) > unix_time() + MAX_CLOCK_LEAD
+}
+
+/// Applies a start time; one that cannot be true is taken as unknown. A restart resets all that is known of the engine. Start times reported by other
 /// nodes must be later than the known one, because messages about a previous start may be delayed.
 pub(crate) fn apply_start(
     context: &Context,
@@ -162,6 +171,9 @@
     started_at_ms: u64,
     source: NoticeSource,
 ) {
+    if is_far_ahead(started_at_ms) {
+        return;
+    }
     let known = context.router.borrow().signals.started_at_ms(engine);
     let is_reported = source != NoticeSource::Entry;
     if started_at_ms == known || started_at_ms == 0 || (is_reported && started_at_ms < known) {
--- a/crates/forwarding/tests/engine_restarts.rs
+++ b/crates/forwarding/tests/engine_restarts.rs
@@ -68,6 +68,29 @@
     assert_eq!(status(&node.request("3", "/r/x").await), "200");
 }
 
+/// Guards against an entry of another writer with a start time that no later start exceeds.
+#[actix_rt::test]
+async fn a_start_in_the_far_future_does_not_hide_the_next_one() {
+    let node = TestNode::start().await;
+    node.declare(1, "once", 1, 1_000);
+    let previous = TestEngine::start(draining);
+    node.write_entry("e", &previous, "ready started 1000");
+    node.settle().await;
+    node.request("1", "/r/x").await;
+    let odd = format!("ready started {}", u64::MAX);
+    node.write_entry("e", &previous, &odd);
+    node.settle().await;
+    node.request("2", "/r/x").await;
+    // The next start is read in a listing, which may be older than what is known.
+    node.store.set_unavailable(true);
+    actix_rt::time::sleep(Duration::from_millis(100)).await;
+    let later = TestEngine::start(succeeding);
+    node.write_entry("e", &later, "ready started 2000");
+    node.store.set_unavailable(false);
+    actix_rt::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(status(&node.request("3", "/r/x").await), "200");
+}
+
 #[actix_rt::test]
 async fn connections_to_a_previous_start_are_not_reused() {
     let node = TestNode::start().await;
