--- a/cmd/tests/soak.rs
+++ b/cmd/tests/soak.rs
@@ -193,6 +193,7 @@
     let size = match load {
         CallerLoad::Light | CallerLoad::Tenants | CallerLoad::Silence => (30, 3, 6, 1),
         CallerLoad::Prompts => (30, 8, 18, 2),
+        CallerLoad::Rejoin => (30, 7, 16, 4),
         // Several windows of the retry budget.
         CallerLoad::Failures => (40, 9, 18, 1),
     };
