--- a/cmd/tests/soak.rs
+++ b/cmd/tests/soak.rs
@@ -5,8 +5,8 @@
 
 use dalestand_soak::run::{CallerLoad, RunReport};
 use dalestand_soak::schedule::{
-    COLD_START_KINDS, CUT_STREAM_KINDS, FAULT_KINDS, FaultKind, LEAVING_KINDS, RELEASE_KINDS,
-    REPEATED_RESPONSE_KINDS, RETRY_KINDS, SUSPENSION_KINDS,
+    COLD_START_KINDS, CUT_STREAM_KINDS, FAULT_KINDS, FaultKind, LEAVING_KINDS, REJOIN_KINDS,
+    RELEASE_KINDS, REPEATED_RESPONSE_KINDS, RETRY_KINDS, SUSPENSION_KINDS,
 };
 use rstest::rstest;
 use soak_run::assert_no_violations_on;
@@ -136,6 +136,21 @@
     );
 }
 
+/// A run in which callers resume fewer streams of a version proves little.
+const MIN_RESUMED_OF_A_VERSION: usize = 20;
+
+/// Guards against streams that go on at another software version after all nodes were killed, or at a node that missed a
+/// release.
+#[test]
+fn a_seeded_run_with_nodes_that_miss_releases_has_no_violations() {
+    let report = assert_no_violations(38, &REJOIN_KINDS, CallerLoad::Rejoin);
+    let resumed = report.resumed_by_version();
+    let judging = resumed
+        .values()
+        .filter(|counts| counts.resumed >= MIN_RESUMED_OF_A_VERSION);
+    assert!(judging.count() >= 2, "{resumed:?}");
+}
+
 /// Engines with stages in two zones leave in every way.
 #[rstest]
 #[case::engines_that_leave_in_every_way(1, &LEAVING_KINDS)]
