Streams: the version of an engine's run ends with the run

Callers saw streams that look whole and hold events of two software versions. An engine crashes and starts again under its id, at its address, with another version, while the store is down or before its new entry is read. Then streams of the former version go on at it.

Cause: an engine's version comes from its entry and stayed until an entry with another `born` was read. That the run had ended (NoListener) changed nothing of it, though nothing is known of what listens at the address later.

Now the end of a run withholds the version (`fleet/engine_runs.rs`): it is forgotten, re-reading the entry of that start, or another node's answer, does not bring it back, and an entry of a later start does. The node that found the end reports it to the others (message EngineRuns), as one without a connection to that engine doesn't see it. An entry of another start than the known one no longer sets the version either. Entries without `born` are as before: each start has an id of its own.

Cost: one datagram three times an ended run, no calls to engines.

--- a/crates/dissemination/src/engine_notices.rs
+++ b/crates/dissemination/src/engine_notices.rs
@@ -24,3 +24,14 @@
     /// do not know about starts can read them.
     pub starts: Vec<EngineStart>,
 }
+
+/// What a node has found about the runs of engines.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub struct EngineRuns {
+    /// The sender.
+    pub node: NodeNumber,
+    /// Starts that have ended: nothing listened at the engine's address.
+    pub ended: Vec<EngineStart>,
+    /// Starts that the engine itself has just confirmed.
+    pub confirmed: Vec<EngineStart>,
+}
--- a/crates/dissemination/src/lib.rs
+++ b/crates/dissemination/src/lib.rs
@@ -42,7 +42,7 @@
     DeclarationPart, DeclarationRequest, DeclarationSync, MAX_RELAYED_DECLARATION_BYTES,
     declaration_parts,
 };
-pub use engine_notices::{EngineNotices, EngineStart};
+pub use engine_notices::{EngineNotices, EngineRuns, EngineStart};
 pub use entry_sync::{
     DifferingDigests, EntrySync, PageSpan, RequestTarget, entries_pages, entries_request,
     renewed_pages,
--- a/crates/dissemination/src/message.rs
+++ b/crates/dissemination/src/message.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::declaration::{DeclarationPart, DeclarationRequest};
-use crate::engine_notices::EngineNotices;
+use crate::engine_notices::{EngineNotices, EngineRuns};
 use crate::entry_table::EntryRecord;
 use crate::fingerprint_key::{FingerprintKeyAnswer, FingerprintKeyRequest};
 use crate::loads::{EngineLoad, LoadSlice, LoadsMessage};
@@ -81,6 +81,9 @@
     FingerprintKeyRequest(FingerprintKeyRequest),
     /// The answer to a [`FingerprintKeyRequest`].
     FingerprintKeyAnswer(FingerprintKeyAnswer),
+    /// Reports which starts of engines have ended. Unreadable to builds without this variant, which learn of an end by
+    /// their own calls or by the engine's next entry.
+    EngineRuns(EngineRuns),
 }
 
 /// The node that holds the lease under which one node acts for the whole fleet.
--- a/crates/dissemination/tests/golden.rs
+++ b/crates/dissemination/tests/golden.rs
@@ -10,14 +10,14 @@
 
 use dalestand_dissemination::{
     ClassRow, DeclarationPart, DeclarationRequest, EngineCode, EngineLimit, EngineLimits,
-    EngineLoad, EngineNotices, EngineStart, EnginesOfVersion, EntriesFreshness, EntriesPage,
-    EntriesRequest, EntryRecord, Exchange, FingerprintKeyAnswer, FingerprintKeyRequest,
-    IncludedReport, LeaseHolder, LoadScope, LoadSlice, LoadsMessage, MESSAGE_VERSION, Message,
-    News, NewsBatch, NodeEntry, NodeNumber, OriginAnswer, OriginRequest, PartEvidence,
-    PartsRequest, PermitAnswer, PermitNeed, PermitRequest, PlacedPart, Placement, PlacementState,
-    PoolDemand, RecordedStream, RecordedStreams, Relay, Report, RoleChange, SlownessRow,
-    SoftwareRequest, SoftwareVersions, SumScope, SummedRows, SumsMessage, Table, TenantRow,
-    TenantRows, UsageReport,
+    EngineLoad, EngineNotices, EngineRuns, EngineStart, EnginesOfVersion, EntriesFreshness,
+    EntriesPage, EntriesRequest, EntryRecord, Exchange, FingerprintKeyAnswer,
+    FingerprintKeyRequest, IncludedReport, LeaseHolder, LoadScope, LoadSlice, LoadsMessage,
+    MESSAGE_VERSION, Message, News, NewsBatch, NodeEntry, NodeNumber, OriginAnswer, OriginRequest,
+    PartEvidence, PartsRequest, PermitAnswer, PermitNeed, PermitRequest, PlacedPart, Placement,
+    PlacementState, PoolDemand, RecordedStream, RecordedStreams, Relay, Report, RoleChange,
+    SlownessRow, SoftwareRequest, SoftwareVersions, SumScope, SummedRows, SumsMessage, Table,
+    TenantRow, TenantRows, UsageReport,
 };
 use dalestand_duties::NodeIncarnation;
 use dalestand_quarantine::{
@@ -49,6 +49,9 @@
 /// Written by the build that introduced evidence against prompt parts.
 const GOLDEN_OF_PARTS: &str = include_str!("golden/parts.txt");
 
+/// Written by the build that introduced ends of engine runs.
+const GOLDEN_OF_RUNS: &str = include_str!("golden/runs.txt");
+
 fn address() -> SocketAddr {
     SocketAddr::from(([10, 1, 0, 35], 7_660))
 }
@@ -446,6 +449,19 @@
     ])
 }
 
+fn run_samples() -> BTreeMap<&'static str, Message> {
+    let start = |engine| EngineStart {
+        engine,
+        started_at_ms: 1_790_000_000_000,
+    };
+    let runs = EngineRuns {
+        node: NodeNumber(7),
+        ended: vec![start(9)],
+        confirmed: vec![start(u64::MAX)],
+    };
+    BTreeMap::from([("engine-runs", Message::EngineRuns(runs))])
+}
+
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
@@ -487,6 +503,7 @@
         let samples = samples().into_iter().chain(later_samples());
         let samples = samples.chain(sums_samples()).chain(freshness_samples());
         let samples = samples.chain(stream_samples()).chain(part_samples());
+        let samples = samples.chain(run_samples());
         let samples: BTreeMap<&str, Message> = samples.collect();
         let lines = samples
             .iter()
@@ -503,6 +520,7 @@
     check_format(&lines_of(GOLDEN_OF_FRESHNESS), freshness_samples());
     check_format(&lines_of(GOLDEN_OF_STREAMS), stream_samples());
     check_format(&lines_of(GOLDEN_OF_PARTS), part_samples());
+    check_format(&lines_of(GOLDEN_OF_RUNS), run_samples());
     let entry = NodeEntry::parse(golden["node-entry"]).expect("an entry");
     assert_eq!(entry, node_entry());
     let text = node_entry().to_text().expect("a text");
--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -25,6 +25,7 @@
 use crate::detour::DetourState;
 use crate::dissemination::Dissemination;
 use crate::duties::usage_counts::UsageCounts;
+use crate::fleet::engine_runs::EngineRuns;
 use crate::fleet::engines::Fleet;
 use crate::fleet::entries_proof::EntriesProof;
 use crate::fleet::placements::Placements;
@@ -86,6 +87,8 @@
     pub(crate) work_changed: Notify,
     /// Fleet-wide state that nodes send each other.
     pub(crate) dissemination: Dissemination,
+    /// Which starts of engines have ended.
+    pub(crate) engine_runs: EngineRuns,
     /// How current the known engine entries are.
     pub(crate) entries_proof: EntriesProof,
     /// Prompt parts sent to engines that were not yet announced to other nodes.
@@ -164,6 +167,7 @@
             permits: PermitState::default(),
             fleet_lease: FleetLease::default(),
             usage: UsageCounts::new(NodeNumber::of(settings.node.as_str()), settings.usage()),
+            engine_runs: EngineRuns::default(),
             entries_proof: EntriesProof::default(),
             placements: RefCell::default(),
             demand: RefCell::default(),
@@ -270,6 +274,14 @@
         is_new && self.fleet.borrow_mut().drain(engine)
     }
 
+    /// Forgets the version of an engine's software.
+    pub(crate) fn forget_software(&self, engine: EngineKey) {
+        let mut versions = self.engine_versions.borrow_mut();
+        versions.forget(self.now(), engine);
+        drop(versions);
+        self.fleet.borrow_mut().set_software(engine, None);
+    }
+
     /// Resets the state of an engine that has restarted, except its entry.
     pub(crate) fn reset_engine(&self, engine: EngineKey) {
         self.router.borrow_mut().forget_engine(engine);
@@ -337,6 +349,7 @@
         let mut router = self.router.borrow_mut();
         for engine in removed {
             router.forget_engine(engine);
+            self.engine_runs.forget(engine);
             let mut versions = self.engine_versions.borrow_mut();
             versions.unlist(self.now(), engine);
         }
@@ -356,8 +369,13 @@
         self.engine_versions.borrow()
     }
 
-    /// Records the version of an engine's software.
+    /// Records the version of an engine's software, unless the run that had it has ended.
     pub(crate) fn record_software(&self, engine: EngineKey, software: SoftwareVersion) {
+        let started_at_ms = self.router.borrow().signals.started_at_ms(engine);
+        let runs = &self.engine_runs;
+        if started_at_ms > 0 && runs.withhold(engine, started_at_ms, &software) {
+            return;
+        }
         let mut versions = self.engine_versions.borrow_mut();
         if !versions.record(self.now(), engine, software.clone()) {
             return;
--- a/crates/forwarding/src/dissemination/datagram.rs
+++ b/crates/forwarding/src/dissemination/datagram.rs
@@ -67,6 +67,7 @@
         Message::DeclarationRequest(_) => "declaration-request",
         Message::Declaration(_) => DECLARATION,
         Message::Engines(_) => "engines",
+        Message::EngineRuns(_) => "engine-runs",
         Message::Limits(_) => "limits",
         Message::PermitRequest(_) => "permit-request",
         Message::PermitAnswer(_) => "permit-answer",
--- a/crates/forwarding/src/dissemination/engine_notices.rs
+++ b/crates/forwarding/src/dissemination/engine_notices.rs
@@ -12,7 +12,7 @@
 
 use dalestand_clock::BootInstant;
 use dalestand_dissemination::{
-    EngineLimits, EngineNotices, EngineStart, Message, NodeNumber, ReportTarget,
+    EngineLimits, EngineNotices, EngineRuns, EngineStart, Message, NodeNumber, ReportTarget,
 };
 use dalestand_routing::staged::EngineKey;
 use tokio::net::UdpSocket;
@@ -20,6 +20,7 @@
 use crate::context::Context;
 use crate::dissemination::notice_queue::{EngineNotice, MAX_NOTICES_PER_MESSAGE, NoticeSource};
 use crate::dissemination::transmit::send;
+use crate::fleet::engine_runs::apply_end;
 use crate::fleet::signals::{apply_drain, apply_reported_limit, apply_start, known_limit};
 
 /// Interval between retransmissions of a notice.
@@ -146,11 +147,17 @@
         draining: Vec::new(),
         starts: Vec::new(),
     };
+    let mut runs = EngineRuns {
+        node,
+        ended: Vec::new(),
+        confirmed: Vec::new(),
+    };
     let mut limits = Vec::new();
     for notice in notices {
         match notice {
             EngineNotice::Drains(start) => starts.draining.push(*start),
             EngineNotice::Started(start) => starts.starts.push(*start),
+            EngineNotice::Ended(start) => runs.ended.push(*start),
             EngineNotice::Limit(engine) => limits.push(known_limit(context, *engine)),
         }
     }
@@ -158,6 +165,9 @@
     if !starts.draining.is_empty() || !starts.starts.is_empty() {
         sent_bytes += send(context, socket, addresses, &Message::Engines(starts));
     }
+    if !runs.ended.is_empty() {
+        sent_bytes += send(context, socket, addresses, &Message::EngineRuns(runs));
+    }
     if !limits.is_empty() {
         let limits = Message::Limits(EngineLimits { node, limits });
         sent_bytes += send(context, socket, addresses, &limits);
@@ -183,6 +193,14 @@
     }
 }
 
+/// Applies what another node found about runs of engines.
+pub(crate) fn handle_runs(context: &Context, runs: &EngineRuns) {
+    let source = notice_source(context, runs.node);
+    for start in &runs.ended {
+        apply_end(context, *start, source);
+    }
+}
+
 /// Applies notices of another node. Notices for unknown engines are dropped, because this node sends
 /// them no requests; relays resend the notices.
 pub(crate) fn handle(context: &Context, notices: &EngineNotices) {
--- a/crates/forwarding/src/dissemination/notice_queue.rs
+++ b/crates/forwarding/src/dissemination/notice_queue.rs
@@ -39,6 +39,8 @@
     Drains(EngineStart),
     /// It started.
     Started(EngineStart),
+    /// A start of it has ended, and nothing is known of what listens at its address.
+    Ended(EngineStart),
     /// Its rate limit changed; the limit known at the time of sending is sent.
     Limit(EngineKey),
 }
--- a/crates/forwarding/src/dissemination/receive/mod.rs
+++ b/crates/forwarding/src/dissemination/receive/mod.rs
@@ -79,6 +79,7 @@
         }
         Message::Declaration(part) => declaration::handle(context, part),
         Message::Engines(notices) => engine_notices::handle(context, &notices),
+        Message::EngineRuns(runs) => engine_notices::handle_runs(context, &runs),
         Message::Limits(limits) => engine_notices::handle_limits(context, &limits),
         Message::PermitRequest(request) => grants::respond(context, socket, sender, &request),
         Message::PermitAnswer(answer) => requester::handle_answer(context, answer),
--- a/crates/forwarding/src/dissemination/software.rs
+++ b/crates/forwarding/src/dissemination/software.rs
@@ -14,6 +14,7 @@
 use crate::context::Context;
 use crate::dissemination::TABLE_INTERVAL;
 use crate::dissemination::transmit::send;
+use crate::fleet::engine_runs::is_withheld;
 
 /// Engines per request; the request takes 4.6 KB. All of a fleet of 10,000 are asked for in 20 requests, which
 /// take two seconds.
@@ -32,7 +33,10 @@
     let dissemination = &context.dissemination;
     let engines: Vec<u64> = {
         let versions = context.engine_versions();
-        let missing = versions.missing().take(MAX_ENGINES_PER_REQUEST);
+        let missing = versions
+            .missing()
+            .filter(|engine| !is_withheld(context, *engine))
+            .take(MAX_ENGINES_PER_REQUEST);
         missing.map(|engine| engine.0).collect()
     };
     if engines.is_empty() {
--- a/crates/forwarding/src/fleet/engine_entries.rs
+++ b/crates/forwarding/src/fleet/engine_entries.rs
@@ -164,7 +164,9 @@
     );
     if let Some(entry) = &read {
         apply_entry_start(context, entry, source);
-        if let Some(software) = &entry.software {
+        if let Some(software) = &entry.software
+            && !is_of_former_start(context, entry)
+        {
             context.record_software(EngineKey::of(&entry.run), software.clone());
         }
     }
@@ -188,6 +190,14 @@
     }
 }
 
+/// Whether the entry describes another start of the engine than the one that is known.
+fn is_of_former_start(context: &Context, entry: &EngineEntry) -> bool {
+    let engine = EngineKey::of(&entry.run);
+    let known = context.router.borrow().signals.started_at_ms(engine);
+    let started_at_ms = entry.started_at_ms;
+    started_at_ms.is_some_and(|started_at_ms| started_at_ms > 0 && started_at_ms != known)
+}
+
 /// Counts an unreadable entry and logs it once per key, since it may be rewritten repeatedly.
 fn report_unreadable(context: &Context, key: &str, error: &str) {
     context.metrics.entry_unreadable();
--- a/crates/forwarding/src/fleet/mod.rs
+++ b/crates/forwarding/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod declaration;
 pub(crate) mod declaration_text;
 pub(crate) mod engine_entries;
+pub(crate) mod engine_runs;
 pub(crate) mod engines;
 pub(crate) mod entries_proof;
 pub(crate) mod entry_text;
--- a/crates/forwarding/src/quarantine/engine_end.rs
+++ b/crates/forwarding/src/quarantine/engine_end.rs
@@ -11,6 +11,7 @@
 use dalestand_types::PoolName;
 
 use crate::context::Context;
+use crate::fleet::engine_runs::record_no_listener;
 use crate::quarantine::engine_run_id::engine_run_id;
 use crate::quarantine::evidence::attribute_crash;
 
@@ -72,8 +73,10 @@
         return;
     };
     let max_connections = context.max_connections(pool);
-    let opened = context.link.open(&known.target(), max_connections).await;
+    let target = known.target();
+    let opened = context.link.open(&target, max_connections).await;
     if matches!(opened, Err(SendError::NoListener(_))) {
+        record_no_listener(context, engine, &target);
         record_engine_end(context, engine, &known.run, EndProof::NoListener);
     }
 }
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -14,6 +14,7 @@
 use dalestand_types::{PoolName, RequestRate, SoftwareVersion};
 
 use crate::context::Context;
+use crate::fleet::engine_runs::record_no_listener;
 use crate::node::metrics::RetryOutcome;
 use crate::permits::send_permission::SendPermission;
 use crate::quarantine::engine_end::{
@@ -360,6 +361,7 @@
         }
         Verdict::NoListener => {
             let engine = &call.choice.engine;
+            record_no_listener(context, engine.key, &call.target);
             record_engine_end(context, engine.key, &engine.run, EndProof::NoListener);
         }
         _ => {}
--- a/crates/forwarding/src/serve/unmarked_end.rs
+++ b/crates/forwarding/src/serve/unmarked_end.rs
@@ -11,6 +11,7 @@
 use dalestand_engine_link::{BodyFraming, SendError};
 
 use crate::context::Context;
+use crate::fleet::engine_runs::record_no_listener;
 use crate::quarantine::engine_end::{EndProof, record_engine_end};
 use crate::serve::attempt::EngineAnswer;
 
@@ -50,6 +51,7 @@
         Err(_) => return EngineState::Unknown,
     }
     let engine = answer.choice.engine.key;
+    record_no_listener(context, engine, &answer.target);
     let is_listed = context.fleet().engine(engine).is_some();
     let is_draining = context.router.borrow().signals.is_draining(engine);
     if is_listed && !is_draining {
--- a/crates/forwarding/tests/support/dialect.rs
+++ b/crates/forwarding/tests/support/dialect.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
-use actix_http::{Method, RequestHead, StatusCode};
+use actix_http::{Method, RequestHead, StatusCode, Uri};
 use bytes::Bytes;
 use dalestand_edge::duty_calls::ProvisioningModel;
 use dalestand_edge::routed::{
@@ -122,7 +122,9 @@
     }
 
     fn report_request(&self) -> RequestHead {
-        RequestHead::default()
+        let mut head = RequestHead::default();
+        head.uri = Uri::from_static("/report");
+        head
     }
 
     fn read_report_sequence(&self, _body: &[u8]) -> Option<u64> {
--- a/crates/forwarding/tests/support/engine.rs
+++ b/crates/forwarding/tests/support/engine.rs
@@ -32,6 +32,21 @@
     /// Starts an engine that resets connections beyond `max_connections` after `reset_delay`.
     pub fn start_limited(script: Script, max_connections: usize, reset_delay: Duration) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        Self::start_on(listener, script, max_connections, reset_delay)
+    }
+
+    /// Starts an engine at the address of one that has crashed.
+    pub fn start_at(address: SocketAddr, script: Script) -> Self {
+        let listener = TcpListener::bind(address).expect("the former engine's port");
+        Self::start_on(listener, script, usize::MAX, Duration::ZERO)
+    }
+
+    fn start_on(
+        listener: TcpListener,
+        script: Script,
+        max_connections: usize,
+        reset_delay: Duration,
+    ) -> Self {
         let address = listener.local_addr().expect("an address");
         let heads = Arc::new(Mutex::new(Vec::new()));
         let seen = Arc::clone(&heads);
