Streams: engines are asked whether they still run the start in their entry

Callers saw streams of two software versions where no node saw an engine's run end: after all nodes started again while entries were old; where an engine started again so fast that it always listened; while the store was away and no node had a connection to the engine. The entry was believed in each case.

Now a start is confirmed before a stream that can be resumed is sent to its engine (`fleet/run_check.rs`): once a start, by `GET /v1/report` (`born`), and again once it is in doubt: a call broke off, the engine ended an idle connection, or entries are older than the drain bound and no connection to it is open. The confirming node sends that to the others. Another start is applied like that of an entry, without a version; an engine that doesn't answer has none until it does (asked again once a second); one whose report names no `born` is believed by its entry. A version withheld at an end comes back if the engine confirms that start.

Failed before, in tests/engine_runs.rs: `a_started_node_asks_engines_for_their_runs::case_1_that_report_another_start` and `a_restart_that_only_broke_connections_is_noticed`, each "24 mixed: [HTTP/1.1 200 OK ...". `a_restart_without_open_connections_is_noticed_in_an_outage` was written after the code and not run without it.

--- a/crates/edge/src/routed.rs
+++ b/crates/edge/src/routed.rs
@@ -129,6 +129,9 @@
     /// Reads the number of orders that an engine has accepted from its status report.
     fn read_report_sequence(&self, body: &[u8]) -> Option<u64>;
 
+    /// Reads when the engine started from its status report, in milliseconds since the Unix epoch, if it says so.
+    fn read_report_start(&self, body: &[u8]) -> Option<u64>;
+
     /// Head of the request for the prompt parts that an engine has cached.
     fn cached_parts_request(&self) -> RequestHead;
 
--- a/crates/engine-link/src/connection_pool.rs
+++ b/crates/engine-link/src/connection_pool.rs
@@ -183,6 +183,30 @@
         engines.get(target).map_or(0, |engine| engine.in_use)
     }
 
+    /// Whether a connection to a target is in use, or idle and not ended.
+    pub(crate) fn is_connected(&self, target: &LinkTarget) -> bool {
+        let engines = self.engines.borrow();
+        engines.get(target).is_some_and(|engine| {
+            engine.in_use > 0 || engine.idle.iter().any(|one| one.has_no_input())
+        })
+    }
+
+    /// Closes the idle connections to a target if it has ended the most recently used one before its keep-alive time;
+    /// returns whether it has.
+    pub(crate) fn close_ended(&self, target: &LinkTarget) -> bool {
+        let now = BootInstant::now();
+        let mut engines = self.engines.borrow_mut();
+        let Some(engine) = engines.get_mut(target) else {
+            return false;
+        };
+        let last = engine.idle.last();
+        let has_ended = last.is_some_and(|last| is_unexpired(last, now) && !last.has_no_input());
+        if has_ended {
+            engine.idle.clear();
+        }
+        has_ended
+    }
+
     /// Calls `access` with the resets of new connections by a target.
     pub(crate) fn rejections<T>(
         &self,
--- a/crates/engine-link/src/error.rs
+++ b/crates/engine-link/src/error.rs
@@ -9,6 +9,9 @@
     /// The connection was refused, since nothing listens at the engine's address; nothing was sent.
     #[error("not sent: nothing listens: {0}")]
     NoListener(String),
+    /// The connection was refused, which no other node confirms: this node may be cut off. Nothing was sent.
+    #[error("not sent: refused, which no other node confirms: {0}")]
+    Refused(String),
     /// No further connection to the engine may be opened beside this many in use, by the limit or since the engine resets
     /// new ones; nothing was sent.
     #[error("not sent: no connection beside {0} in use")]
@@ -37,6 +40,7 @@
             self,
             Self::NotSent(_)
                 | Self::NoListener(_)
+                | Self::Refused(_)
                 | Self::ConnectionLimitReached(_)
                 | Self::NotEligible
         )
--- a/crates/engine-link/src/link.rs
+++ b/crates/engine-link/src/link.rs
@@ -202,6 +202,17 @@
         Ok(())
     }
 
+    /// Whether a connection to the target is open, so that its process goes on.
+    pub fn is_connected(&self, target: &LinkTarget) -> bool {
+        self.pool.is_connected(target)
+    }
+
+    /// Closes the idle connections to the target if it has ended the most recently used one, as it does when its process
+    /// ends; returns whether it has.
+    pub fn close_ended(&self, target: &LinkTarget) -> bool {
+        self.pool.close_ended(target)
+    }
+
     /// Opens a connection directly, for another node or as a trial; it is not added to the pool.
     pub async fn open_directly(&self, address: SocketAddr) -> Result<TcpStream, SendError> {
         connect(address, &self.limits).await
--- a/crates/engine-link/src/open.rs
+++ b/crates/engine-link/src/open.rs
@@ -102,7 +102,7 @@
     Err(if is_confirmed {
         SendError::NoListener(message)
     } else {
-        SendError::NotSent(format!("refused, which no other node confirms: {message}"))
+        SendError::Refused(message)
     })
 }
 
--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -25,7 +25,7 @@
 use crate::detour::DetourState;
 use crate::dissemination::Dissemination;
 use crate::duties::usage_counts::UsageCounts;
-use crate::fleet::engine_runs::EngineRuns;
+use crate::fleet::engine_runs::{EngineRuns, known_start};
 use crate::fleet::engines::Fleet;
 use crate::fleet::entries_proof::EntriesProof;
 use crate::fleet::placements::Placements;
@@ -87,7 +87,7 @@
     pub(crate) work_changed: Notify,
     /// Fleet-wide state that nodes send each other.
     pub(crate) dissemination: Dissemination,
-    /// Which starts of engines have ended.
+    /// Which starts of engines are known to go on, and which have ended.
     pub(crate) engine_runs: EngineRuns,
     /// How current the known engine entries are.
     pub(crate) entries_proof: EntriesProof,
@@ -369,11 +369,10 @@
         self.engine_versions.borrow()
     }
 
-    /// Records the version of an engine's software, unless the run that had it has ended.
+    /// Records the version of an engine's software, unless it is withheld.
     pub(crate) fn record_software(&self, engine: EngineKey, software: SoftwareVersion) {
-        let started_at_ms = self.router.borrow().signals.started_at_ms(engine);
-        let runs = &self.engine_runs;
-        if started_at_ms > 0 && runs.withhold(engine, started_at_ms, &software) {
+        let start = known_start(self, engine);
+        if start.is_some_and(|start| self.engine_runs.keep_withheld(start, &software)) {
             return;
         }
         let mut versions = self.engine_versions.borrow_mut();
--- a/crates/forwarding/src/dissemination/engine_notices.rs
+++ b/crates/forwarding/src/dissemination/engine_notices.rs
@@ -21,6 +21,7 @@
 use crate::dissemination::notice_queue::{EngineNotice, MAX_NOTICES_PER_MESSAGE, NoticeSource};
 use crate::dissemination::transmit::send;
 use crate::fleet::engine_runs::apply_end;
+use crate::fleet::run_check::apply_confirmed;
 use crate::fleet::signals::{apply_drain, apply_reported_limit, apply_start, known_limit};
 
 /// Interval between retransmissions of a notice.
@@ -93,7 +94,7 @@
 
 /// The current state, in chunks if it exceeds one message.
 struct CurrentNotices {
-    /// Drain notices that the entries do not show, and rate limits.
+    /// Drain notices that the entries do not show, rate limits, and starts that have ended.
     announced: Vec<EngineNotice>,
     /// Start times of engines.
     started: Vec<EngineNotice>,
@@ -116,6 +117,11 @@
     let started = started.map(|(engine, _)| EngineNotice::Started(start(engine)));
     let mut announced = chunk_for_turn(draining.collect(), turn);
     announced.extend(chunk_for_turn(limits.collect(), turn));
+    let ended = context.engine_runs.ended().into_iter();
+    announced.extend(chunk_for_turn(
+        ended.map(EngineNotice::Ended).collect(),
+        turn,
+    ));
     CurrentNotices {
         announced,
         started: chunk_for_turn(started.collect(), turn),
@@ -158,6 +164,7 @@
             EngineNotice::Drains(start) => starts.draining.push(*start),
             EngineNotice::Started(start) => starts.starts.push(*start),
             EngineNotice::Ended(start) => runs.ended.push(*start),
+            EngineNotice::Confirmed(start) => runs.confirmed.push(*start),
             EngineNotice::Limit(engine) => limits.push(known_limit(context, *engine)),
         }
     }
@@ -165,7 +172,7 @@
     if !starts.draining.is_empty() || !starts.starts.is_empty() {
         sent_bytes += send(context, socket, addresses, &Message::Engines(starts));
     }
-    if !runs.ended.is_empty() {
+    if !runs.ended.is_empty() || !runs.confirmed.is_empty() {
         sent_bytes += send(context, socket, addresses, &Message::EngineRuns(runs));
     }
     if !limits.is_empty() {
@@ -199,6 +206,9 @@
     for start in &runs.ended {
         apply_end(context, *start, source);
     }
+    for start in &runs.confirmed {
+        apply_confirmed(context, *start, source);
+    }
 }
 
 /// Applies notices of another node. Notices for unknown engines are dropped, because this node sends
--- a/crates/forwarding/src/dissemination/notice_queue.rs
+++ b/crates/forwarding/src/dissemination/notice_queue.rs
@@ -41,6 +41,8 @@
     Started(EngineStart),
     /// A start of it has ended, and nothing is known of what listens at its address.
     Ended(EngineStart),
+    /// It has just confirmed that a start of it goes on.
+    Confirmed(EngineStart),
     /// Its rate limit changed; the limit known at the time of sending is sent.
     Limit(EngineKey),
 }
--- a/crates/forwarding/src/fleet/mod.rs
+++ b/crates/forwarding/src/fleet/mod.rs
@@ -12,4 +12,5 @@
 pub(crate) mod placements;
 pub(crate) mod registration;
 pub(crate) mod restored_entries;
+pub(crate) mod run_check;
 pub(crate) mod signals;
--- a/crates/forwarding/src/fleet/signals.rs
+++ b/crates/forwarding/src/fleet/signals.rs
@@ -163,7 +163,7 @@
     source: NoticeSource,
 ) {
     let known = context.router.borrow().signals.started_at_ms(engine);
-    let is_reported = source != NoticeSource::Entry;
+    let is_reported = matches!(source, NoticeSource::Member | NoticeSource::Relay);
     if started_at_ms == known || started_at_ms == 0 || (is_reported && started_at_ms < known) {
         return;
     }
--- a/crates/forwarding/src/node/start.rs
+++ b/crates/forwarding/src/node/start.rs
@@ -38,6 +38,7 @@
 use crate::fleet::follow::{FollowTask, RecoverySignal, WATCH_WAIT, follow};
 use crate::fleet::part_recovery::recover_parts;
 use crate::fleet::registration::{NodeFollower, OWN_PREFIX, find_relays, keep_registered};
+use crate::fleet::run_check::recheck_withheld;
 use crate::node::era_store::EraStore;
 use crate::node::metered_store::MeteredStore;
 use crate::node::metrics::ForwardingMetrics;
@@ -358,6 +359,7 @@
     actix_rt::spawn(stored_versions::load(Rc::clone(context), Rc::clone(store)));
     actix_rt::spawn(send_state(Rc::clone(context), socket));
     actix_rt::spawn(recover_parts(Rc::clone(context)));
+    actix_rt::spawn(recheck_withheld(Rc::clone(context)));
     actix_rt::spawn(find_relays(Rc::clone(context), Rc::clone(store)));
     actix_rt::spawn(persist_stopped_requests(
         Rc::clone(context),
--- a/crates/forwarding/src/quarantine/engine_end.rs
+++ b/crates/forwarding/src/quarantine/engine_end.rs
@@ -11,7 +11,7 @@
 use dalestand_types::PoolName;
 
 use crate::context::Context;
-use crate::fleet::engine_runs::record_no_listener;
+use crate::fleet::engine_runs::{record_no_listener, record_refused};
 use crate::quarantine::engine_run_id::engine_run_id;
 use crate::quarantine::evidence::attribute_crash;
 
@@ -30,6 +30,7 @@
 /// A crashed engine's entry takes seconds to lapse, while a connection attempt takes one round
 /// trip; a connection that opens is kept for the next call.
 pub(crate) fn spawn_listener_check(context: &Rc<Context>, pool: &PoolName, engine: &StagedEngine) {
+    context.engine_runs.doubt(engine.key);
     let is_first = context
         .quarantine
         .listener_checks
@@ -75,6 +76,9 @@
     let max_connections = context.max_connections(pool);
     let target = known.target();
     let opened = context.link.open(&target, max_connections).await;
+    if matches!(opened, Err(SendError::Refused(_))) {
+        record_refused(context, engine, &target);
+    }
     if matches!(opened, Err(SendError::NoListener(_))) {
         record_no_listener(context, engine, &target);
         record_engine_end(context, engine, &known.run, EndProof::NoListener);
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -15,6 +15,7 @@
 
 use crate::context::Context;
 use crate::fleet::engine_runs::record_no_listener;
+use crate::fleet::run_check::confirm_run;
 use crate::node::metrics::RetryOutcome;
 use crate::permits::send_permission::SendPermission;
 use crate::quarantine::engine_end::{
@@ -149,6 +150,10 @@
     call: Call<'_>,
 ) -> Result<OpenCall, AttemptOutcome> {
     let engine = call.choice.engine.clone();
+    let kind = progress.route.kind;
+    if call.purpose == CallPurpose::Run && kind.is_stream() && kind.is_repeatable() {
+        confirm_run(context, call.pool, &engine).await;
+    }
     let Some(known) = context.fleet().engine(engine.key).cloned() else {
         return Err(AttemptOutcome::NotSent);
     };
--- a/crates/forwarding/src/serve/call_verdict.rs
+++ b/crates/forwarding/src/serve/call_verdict.rs
@@ -115,7 +115,7 @@
     match error {
         SendError::ConnectionLimitReached(_) => Verdict::NoConnection,
         SendError::NoListener(_) => Verdict::NoListener,
-        SendError::NotSent(_) => Verdict::NotSent,
+        SendError::NotSent(_) | SendError::Refused(_) => Verdict::NotSent,
         SendError::NotEligible => Verdict::Withheld,
         SendError::ResetWhenNew(_) => Verdict::ResetWhenNew,
         SendError::StrayResponse(_) | SendError::MayHaveRun(_) => Verdict::Broken,
--- a/crates/forwarding/tests/engine_runs.rs
+++ b/crates/forwarding/tests/engine_runs.rs
@@ -9,10 +9,11 @@
 
 use std::io::Write as _;
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::rc::Rc;
 use std::time::Duration;
 
 use rstest::rstest;
-use support::{Script, TestEngine, TestNode, answer, id_of};
+use support::{MemoryStore, Script, TestEngine, TestNode, answer, id_of};
 
 /// Time limit of requests; no test depends on it.
 const LIMIT_MS: u64 = 10_000;
@@ -29,6 +30,9 @@
 /// Longer than the interval at which a node asks engines for the run that it takes for ended.
 const RECHECK_TIME: Duration = Duration::from_millis(1_500);
 
+/// Longer than the time for which a node relies on entries that it can't read again.
+const OUTAGE: Duration = Duration::from_millis(3_500);
+
 /// Path of an engine's report.
 const REPORT: &str = "GET /report ";
 
@@ -71,6 +75,19 @@
     serve("v2", Some("started 2000"), head, connection);
 }
 
+/// Serves whole streams, so that its connections stay open.
+fn former_of_whole_streams(head: &str, connection: &mut TcpStream) {
+    if head.starts_with(REPORT) {
+        return former(head, connection);
+    }
+    let events = (1..=EVENTS).map(|event| format!("id: {event}\ndata: v1\n\n"));
+    let headers = format!(
+        "x-id: {}\r\ncontent-type: text/event-stream\r\n",
+        id_of(head)
+    );
+    answer(connection, "200 OK", &headers, &events.collect::<String>());
+}
+
 fn former_without_report(head: &str, connection: &mut TcpStream) {
     serve("v1", None, head, connection);
 }
@@ -111,6 +128,12 @@
         node.wait_for_engines(2).await;
     }
 
+    /// Requests for reports that the engines have got.
+    fn reports(&self) -> usize {
+        let heads = [self.restarting.heads(), self.steady.heads()].concat();
+        heads.iter().filter(|head| head.starts_with(REPORT)).count()
+    }
+
     fn address(&self) -> SocketAddr {
         self.restarting.address
     }
@@ -173,3 +196,65 @@
     assert!(mixed.is_empty(), "{} mixed: {mixed:?}", mixed.len());
     assert_eq!(whole, STREAMS);
 }
+
+/// Guards against streams that go on at an engine that has started again between two calls, so that it always listened.
+#[actix_rt::test]
+async fn a_restart_that_only_broke_connections_is_noticed() {
+    let engines = Engines::start(former);
+    let node = TestNode::start().await;
+    engines.list(&node).await;
+    let (whole, _) = send_streams(&node, "before").await;
+    assert_eq!(whole, STREAMS);
+    // The engine breaks off the streams that it begins, as when it ends.
+    engines.restarting.crash();
+    let _restarted = TestEngine::start_at(engines.address(), newer);
+    let (_, mixed) = send_streams(&node, "after").await;
+    assert!(mixed.is_empty(), "{} mixed: {mixed:?}", mixed.len());
+}
+
+/// Guards against streams that go on at an engine that started again, seen by no node, while the store is away.
+#[actix_rt::test]
+async fn a_restart_without_open_connections_is_noticed_in_an_outage() {
+    let engines = Engines::start(former_of_whole_streams);
+    let node = TestNode::start().await;
+    engines.list(&node).await;
+    let (whole, _) = send_streams(&node, "before").await;
+    assert_eq!(whole, STREAMS);
+    assert_eq!(engines.reports(), 2, "one a run");
+    node.store.set_unavailable(true);
+    actix_rt::time::sleep(OUTAGE).await;
+    engines.restarting.crash();
+    let _restarted = TestEngine::start_at(engines.address(), newer);
+    let (_, mixed) = send_streams(&node, "after").await;
+    assert!(mixed.is_empty(), "{} mixed: {mixed:?}", mixed.len());
+}
+
+/// Guards against a node that has started and believes entries of runs that ended while no node was there to see it.
+#[rstest]
+#[case::that_report_another_start(newer, 0)]
+#[case::that_report_the_same_start(former, STREAMS)]
+#[case::without_report(former_without_report, STREAMS)]
+#[actix_rt::test]
+async fn a_started_node_asks_engines_for_their_runs(
+    #[case] restarted: Script,
+    #[case] expected_whole: usize,
+) {
+    let store: Rc<MemoryStore> = Rc::default();
+    let node = TestNode::start_on(&store).await;
+    let mut engines = Engines::start(if expected_whole > 0 {
+        restarted
+    } else {
+        former
+    });
+    engines.list(&node).await;
+    node.crash();
+    if expected_whole == 0 {
+        engines.restarting.crash();
+        engines.restarting = TestEngine::start_at(engines.address(), restarted);
+    }
+    let node = TestNode::start_on(&store).await;
+    node.wait_for_engines(2).await;
+    let (whole, mixed) = send_streams(&node, "q").await;
+    assert!(mixed.is_empty(), "{} mixed: {mixed:?}", mixed.len());
+    assert_eq!(whole, expected_whole);
+}
--- a/crates/forwarding/tests/support/dialect.rs
+++ b/crates/forwarding/tests/support/dialect.rs
@@ -131,6 +131,11 @@
         None
     }
 
+    fn read_report_start(&self, body: &[u8]) -> Option<u64> {
+        let text = std::str::from_utf8(body).ok()?;
+        text.strip_prefix("started ")?.parse().ok()
+    }
+
     fn cached_parts_request(&self) -> RequestHead {
         RequestHead::default()
     }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -154,7 +154,7 @@
     EntryContradictsDrain = (1627, Warning, "entry contradicts a drain");
     /// Requests to a relay for the entries that differ brought no progress, so another relay was asked.
     EntriesRequestedElsewhere = (1628, Info, "entries requested from another relay");
-    /// An engine's run has ended, so that the version in its entry is not that of what listens at its address.
+    /// The version in an engine's entry may not be that of what listens at its address.
     EngineVersionWithheld = (1629, Info, "engine version withheld");
     /// A stopped request's entry in the key-value service could not be parsed.
     StoppedRequestUnreadable = (1615, Warning, "stopped request unreadable");
