--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -25,6 +25,7 @@
 use crate::detour::DetourState;
 use crate::dissemination::Dissemination;
 use crate::duties::usage_counts::UsageCounts;
+use crate::fleet::engine_runs::{EngineRuns, is_withheld, known_start};
 use crate::fleet::engines::Fleet;
 use crate::fleet::entries_proof::EntriesProof;
 use crate::fleet::placements::Placements;
@@ -86,6 +87,8 @@
     pub(crate) work_changed: Notify,
     /// Fleet-wide state that nodes send each other.
     pub(crate) dissemination: Dissemination,
+    /// Which starts of engines are known to go on, and which have ended.
+    pub(crate) engine_runs: EngineRuns,
     /// How current the known engine entries are.
     pub(crate) entries_proof: EntriesProof,
     /// Prompt parts sent to engines that were not yet announced to other nodes.
@@ -164,6 +167,7 @@
             permits: PermitState::default(),
             fleet_lease: FleetLease::default(),
             usage: UsageCounts::new(NodeNumber::of(settings.node.as_str()), settings.usage()),
+            engine_runs: EngineRuns::default(),
             entries_proof: EntriesProof::default(),
             placements: RefCell::default(),
             demand: RefCell::default(),
@@ -270,6 +274,12 @@
         is_new && self.fleet.borrow_mut().drain(engine)
     }
 
+    /// Forgets the version of an engine's software.
+    pub(crate) fn forget_software(&self, engine: EngineKey) {
+        self.engine_versions.borrow_mut().forget(engine);
+        self.fleet.borrow_mut().set_software(engine, None);
+    }
+
     /// Resets the state of an engine that has restarted, except its entry.
     pub(crate) fn reset_engine(&self, engine: EngineKey) {
         self.router.borrow_mut().forget_engine(engine);
@@ -336,6 +346,7 @@
         let mut router = self.router.borrow_mut();
         for engine in removed {
             router.forget_engine(engine);
+            self.engine_runs.forget(engine);
             self.engine_versions.borrow_mut().unlist(engine);
         }
         drop((router, fleet, entries));
@@ -354,15 +365,22 @@
         self.engine_versions.borrow()
     }
 
-    /// Records the version of an engine's software as its entry names it.
+    /// Records the version of an engine's software as its entry names it, unless it is withheld.
     pub(crate) fn record_software(&self, engine: EngineKey, software: SoftwareVersion) {
+        let start = known_start(self, engine);
+        if start.is_some_and(|start| self.engine_runs.keep_withheld(start, &software)) {
+            return;
+        }
         let former = self.software_of(engine);
         self.engine_versions.borrow_mut().record(engine, software);
         self.apply_software(engine, former.as_ref());
     }
 
-    /// Records the version of an engine's software as another node has told it, for which it is stored.
+    /// Records the version of an engine's software from another node, for which it is stored, unless it is withheld.
     pub(crate) fn record_stored_software(&self, engine: EngineKey, software: SoftwareVersion) {
+        if is_withheld(self, engine) {
+            return;
+        }
         let former = self.software_of(engine);
         let mut versions = self.engine_versions.borrow_mut();
         versions.record_stored_elsewhere(engine, software);
--- a/crates/forwarding/src/dissemination/engine_notices.rs
+++ b/crates/forwarding/src/dissemination/engine_notices.rs
@@ -12,7 +12,7 @@
 
 use dalestand_clock::BootInstant;
 use dalestand_dissemination::{
-    EngineLimits, EngineNotices, EngineStart, Message, NodeNumber, ReportTarget,
+    EngineLimits, EngineNotices, EngineRuns, EngineStart, Message, NodeNumber, ReportTarget,
 };
 use dalestand_routing::staged::EngineKey;
 use tokio::net::UdpSocket;
@@ -20,6 +20,8 @@
 use crate::context::Context;
 use crate::dissemination::notice_queue::{EngineNotice, MAX_NOTICES_PER_MESSAGE, NoticeSource};
 use crate::dissemination::transmit::send;
+use crate::fleet::engine_runs::apply_end;
+use crate::fleet::run_check::apply_confirmed;
 use crate::fleet::signals::{apply_drain, apply_reported_limit, apply_start, known_limit};
 
 /// Interval between retransmissions of a notice.
@@ -92,7 +94,7 @@
 
 /// The current state, in chunks if it exceeds one message.
 struct CurrentNotices {
-    /// Drain notices that the entries do not show, and rate limits.
+    /// Drain notices that the entries do not show, rate limits, and starts that have ended.
     announced: Vec<EngineNotice>,
     /// Start times of engines.
     started: Vec<EngineNotice>,
@@ -115,6 +117,11 @@
     let started = started.map(|(engine, _)| EngineNotice::Started(start(engine)));
     let mut announced = chunk_for_turn(draining.collect(), turn);
     announced.extend(chunk_for_turn(limits.collect(), turn));
+    let ended = context.engine_runs.ended().into_iter();
+    announced.extend(chunk_for_turn(
+        ended.map(EngineNotice::Ended).collect(),
+        turn,
+    ));
     CurrentNotices {
         announced,
         started: chunk_for_turn(started.collect(), turn),
@@ -146,11 +153,18 @@
         draining: Vec::new(),
         starts: Vec::new(),
     };
+    let mut runs = EngineRuns {
+        node,
+        ended: Vec::new(),
+        confirmed: Vec::new(),
+    };
     let mut limits = Vec::new();
     for notice in notices {
         match notice {
             EngineNotice::Drains(start) => starts.draining.push(*start),
             EngineNotice::Started(start) => starts.starts.push(*start),
+            EngineNotice::Ended(start) => runs.ended.push(*start),
+            EngineNotice::Confirmed(start) => runs.confirmed.push(*start),
             EngineNotice::Limit(engine) => limits.push(known_limit(context, *engine)),
         }
     }
@@ -158,6 +172,9 @@
     if !starts.draining.is_empty() || !starts.starts.is_empty() {
         sent_bytes += send(context, socket, addresses, &Message::Engines(starts));
     }
+    if !runs.ended.is_empty() || !runs.confirmed.is_empty() {
+        sent_bytes += send(context, socket, addresses, &Message::EngineRuns(runs));
+    }
     if !limits.is_empty() {
         let limits = Message::Limits(EngineLimits { node, limits });
         sent_bytes += send(context, socket, addresses, &limits);
@@ -183,6 +200,17 @@
     }
 }
 
+/// Applies what another node found about runs of engines.
+pub(crate) fn handle_runs(context: &Context, runs: &EngineRuns) {
+    let source = notice_source(context, runs.node);
+    for start in &runs.ended {
+        apply_end(context, *start, source);
+    }
+    for start in &runs.confirmed {
+        apply_confirmed(context, *start, source);
+    }
+}
+
 /// Applies notices of another node. Notices for unknown engines are dropped, because this node sends
 /// them no requests; relays resend the notices.
 pub(crate) fn handle(context: &Context, notices: &EngineNotices) {
--- a/crates/forwarding/src/fleet/mod.rs
+++ b/crates/forwarding/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod declaration;
 pub(crate) mod declaration_text;
 pub(crate) mod engine_entries;
+pub(crate) mod engine_runs;
 pub(crate) mod engines;
 pub(crate) mod entries_proof;
 pub(crate) mod entry_text;
@@ -11,4 +12,5 @@
 pub(crate) mod placements;
 pub(crate) mod registration;
 pub(crate) mod restored_entries;
+pub(crate) mod run_check;
 pub(crate) mod signals;
