Streams: members read the stored versions now and then; failed writes are not repeated at once

In fleets with members, a member read what is stored at its start only. At a first start that was before anything was stored, so that it sent the origin of each of its streams to three relays for good; after a release its view stayed that of the former version. Members now read it once in a minute, and each node once a second while nothing is known of a pool. Found by review. Cost: one read a member and minute.

Writes and reads that are not answered in time have a line. Sharing of origins is updated for all pools before the first write.

The restore test asserts that a stream of the lost version had begun and that none goes on.

--- a/crates/forwarding/src/streams/stored_versions.rs
+++ b/crates/forwarding/src/streams/stored_versions.rs
@@ -32,7 +32,7 @@
 /// Longest delay before a relay that does not hold the fleet lease stores a version: the holder is to be first.
 const MAX_RELAY_DELAY: Duration = Duration::from_millis(50);
 
-/// Time limit of a write. It may still be carried out later; its precondition keeps it harmless.
+/// Time limit of the writes of one pool. The last may still be carried out later; its precondition keeps it harmless.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Writes of one pool in a row, each after another node has written first.
@@ -41,20 +41,45 @@
 /// Delay after the versions could not be read.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// How often the versions are read while nothing is known of a pool, as at the first start of a fleet.
+const UNKNOWN_READ_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Longest time between reads of a member. An old view makes it send origins to relays for longer than needed.
+const MEMBER_READ_INTERVAL: Duration = Duration::from_secs(60);
+
 /// Time limit of a read for callers that wait: many times what the service takes, and less than callers notice.
 const READ_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// What is stored for each pool.
 pub(crate) type VersionsByPool = BTreeMap<PoolName, StoredVersions>;
 
-/// Reads the stored versions after the start. Until then, no stream begins.
+/// Reads the stored versions after the start, and now and then at a member, which does not follow them; never returns.
 pub(crate) async fn load(context: Rc<Context>, store: Rc<dyn KeyValue>) {
-    while let Err(error) = read_all(&context, &*store).await {
-        report_failure(&context, &error);
-        actix_rt::time::sleep(READ_RETRY_DELAY).await;
+    loop {
+        let reads_store = context.dissemination.role(context.now()).reads_store;
+        if (is_any_unknown(&context) || !reads_store)
+            && let Err(error) = read_all(&context, &*store).await
+        {
+            report_failure(&context, &error);
+            actix_rt::time::sleep(READ_RETRY_DELAY).await;
+            continue;
+        }
+        let interval = if is_any_unknown(&context) {
+            UNKNOWN_READ_INTERVAL
+        } else {
+            MEMBER_READ_INTERVAL.mul_f64(rand::random_range(0.5..1.0))
+        };
+        actix_rt::time::sleep(interval).await;
     }
 }
 
+/// Whether nothing is known to be stored for some pool, or no pool is known yet.
+fn is_any_unknown(context: &Context) -> bool {
+    let versions = context.engine_versions();
+    let mut pools = versions.pools().peekable();
+    pools.peek().is_none() || pools.any(|pool| versions.stored(pool).is_none())
+}
+
 /// Reads what is stored for all pools.
 async fn read_all(
     context: &Context,
@@ -106,7 +131,11 @@
                 }
             }
             Ok(Err(error)) => report_failure(&context, &error),
-            Err(TimedOut) => store.discard_connections(),
+            Err(TimedOut) => {
+                log_event!(context.logger, Event::KeyValueFailed, "prefix" => PREFIX,
+                    "error" => "a read was not answered");
+                store.discard_connections();
+            }
         }
     }
 }
@@ -171,23 +200,41 @@
             actix_rt::time::sleep(delay).await;
         }
         let pools: Vec<PoolName> = context.engine_versions().pools().cloned().collect();
-        for pool in pools {
-            update_sharing(&context, &pool);
-            if !is_holder && !context.dissemination.role(context.now()).is_relay {
-                continue;
+        pools.iter().for_each(|pool| update_sharing(&context, pool));
+        if !is_holder && !context.dissemination.role(context.now()).is_relay {
+            continue;
+        }
+        if !keep_pools(&context, &*store, &pools, is_holder).await {
+            // Not at once again, however many engines are listed meanwhile.
+            actix_rt::time::sleep(CHECK_INTERVAL).await;
+        }
+    }
+}
+
+/// Writes the versions of pools, if they are to change; returns whether no write failed.
+async fn keep_pools(
+    context: &Context,
+    store: &dyn KeyValue,
+    pools: &[PoolName],
+    is_holder: bool,
+) -> bool {
+    let mut is_kept = true;
+    for pool in pools {
+        match timeout(WRITE_TIMEOUT, keep_pool(context, store, pool, is_holder)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => {
+                report_failure(context, &error);
+                is_kept = false;
             }
-            match timeout(
-                WRITE_TIMEOUT,
-                keep_pool(&context, &*store, &pool, is_holder),
-            )
-            .await
-            {
-                Ok(Ok(())) => {}
-                Ok(Err(error)) => report_failure(&context, &error),
-                Err(TimedOut) => store.discard_connections(),
+            Err(TimedOut) => {
+                log_event!(context.logger, Event::KeyValueFailed, "prefix" => PREFIX,
+                    "error" => "a write was not answered");
+                store.discard_connections();
+                is_kept = false;
             }
         }
     }
+    is_kept
 }
 
 /// Writes the versions of one pool, if they are to change.
--- a/crates/forwarding/tests/rejoined_streams.rs
+++ b/crates/forwarding/tests/rejoined_streams.rs
@@ -212,11 +212,12 @@
     node.wait_for_metric("dalestand_engine_versions_missing", 0)
         .await;
     let begun = begin_streams(&node, "q").await;
+    assert!(begun.iter().any(|(_, events)| events[0].1 == "v1.1"));
     node.crash();
     engines.remove_newer(&node.store);
     node.store.restore(&backup);
     let node = TestNode::start_on(&node.store).await;
     node.wait_for_engines(2).await;
     node.settle().await;
-    resume_all(&node, begun).await;
+    assert_eq!(resume_all(&node, begun).await, 0);
 }
