Streams: a run is confirmed anew when no connection to the engine is open

Cause: a node without a connection to the engine believed what another node had confirmed before the restart, as long as its entries were younger than the drain bound. Nothing it had could have broken.

Change: whenever no connection to the engine is open, the engine is asked before a stream relies on its entry. Engines whose reports name no start are believed as before. The report goes over the connection that the stream then takes. Cost: a report where a stream would have opened the first connection to an engine whose entry names a start.

--- a/crates/forwarding/src/fleet/run_check.rs
+++ b/crates/forwarding/src/fleet/run_check.rs
@@ -36,6 +36,7 @@
         ask_once(context, pool, engine).await;
     } else if let Some(start) = known_start(context, engine.key)
         && context.engine_runs.is_unreported(start)
+        && has_old_entries(context)
         && may_have_restarted(context, engine.key)
     {
         withhold(context, start, false, NoticeSource::OwnAnswer);
@@ -50,22 +51,19 @@
         || (context.engine_runs.is_confirmed(start) && may_have_restarted(context, engine))
 }
 
-/// Whether a restart of the engine could have gone unnoticed: it has ended an idle connection, or its entry may be old and
-/// no connection to it is open, which would have broken.
+/// Whether a restart of the engine could have gone unnoticed: it has ended an idle connection, or no connection to it is
+/// open, which would have broken.
 fn may_have_restarted(context: &Context, engine: EngineKey) -> bool {
     let target = context.fleet().engine(engine).map(|known| known.target());
-    let Some(target) = target else {
-        return false;
-    };
-    if context.link.close_ended(&target) {
-        return true;
-    }
+    target.is_some_and(|target| {
+        context.link.close_ended(&target) || !context.link.is_connected(&target)
+    })
+}
+
+/// Whether the entry of an engine may be older than its restart.
+fn has_old_entries(context: &Context) -> bool {
     let entries_age = context.entries_proof.age();
-    let max_age = context.settings.engine_drain();
-    if entries_age.is_some_and(|age| age < max_age) {
-        return false;
-    }
-    !context.link.is_connected(&target)
+    entries_age.is_none_or(|age| age >= context.settings.engine_drain())
 }
 
 /// Asks the engine, unless it is being asked, and waits for its answer. The version of one that does not answer in time is
--- a/crates/forwarding/tests/engine_runs.rs
+++ b/crates/forwarding/tests/engine_runs.rs
@@ -242,6 +242,26 @@
     assert!(mixed.is_empty(), "{} mixed: {mixed:?}", mixed.len());
 }
 
+/// Guards against a node that believes what another node has confirmed of a run that has ended since.
+#[actix_rt::test]
+async fn a_run_that_another_node_has_confirmed_is_confirmed_anew() {
+    let engines = Engines::start(former_of_whole_streams);
+    let node = TestNode::start().await;
+    let other = node.start_beside("node-2").await;
+    engines.list(&node).await;
+    other.wait_for_engines(2).await;
+    node.wait_for_metric("dalestand_nodes_known", 2).await;
+    let (whole, _) = send_streams(&node, "before").await;
+    assert_eq!(whole, STREAMS);
+    other.settle().await;
+    // It does not see its connections end.
+    node.set_paused(true);
+    engines.restarting.crash();
+    let _restarted = TestEngine::start_at(engines.address(), newer);
+    let (_, mixed) = send_streams(&other, "after").await;
+    assert!(mixed.is_empty(), "{} mixed: {mixed:?}", mixed.len());
+}
+
 /// Guards against a node that has started and believes entries of runs that ended while no node was there to see it.
 #[rstest]
 #[case::that_report_another_start(newer, 0)]
