--- a/crates/forwarding/src/node/settings.rs
+++ b/crates/forwarding/src/node/settings.rs
@@ -35,6 +35,9 @@
     /// Bandwidth of the node's network link, in megabits per second; unlimited if absent.
     #[serde(default)]
     pub link_mbps: Option<f64>,
+    /// Memory of the machine that the process may use, in megabytes; 1,024 if absent.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
     /// Maximum number of open descriptors of the process; unlimited if absent.
     #[serde(default)]
     pub max_open_files: Option<usize>,
@@ -139,6 +142,10 @@
     pub report_deadline: Duration,
 }
 
+fn default_memory_mb() -> u64 {
+    1_024
+}
+
 fn default_engine_drain_ms() -> u64 {
     2_000
 }
