Receive buffers of callers' connections are bounded

What was seen: a node of 100 MB held 138 MB (case 07, lengths over the limit) and 59 MB (case 13, no route) of unread bytes in its sockets, beside 50 to 56 MB of its own. The users' platform counts such bytes as the process's memory.

Cause: the kernel lets the receive buffer of each connection grow to megabytes while the node reads little or nothing of it, and nothing bounds the sum.

Change: callers' and other listening sockets get a receive buffer of 16 KB (the kernel takes twice that) before they listen, which their connections inherit.

Case 01 still fails.

Conclusion: what callers send unread is bounded by the number of connections times the buffer.

--- a/crates/forwarding/src/node/start.rs
+++ b/crates/forwarding/src/node/start.rs
@@ -9,7 +9,7 @@
 use dalestand_edge::duty_calls::DutyCalls;
 use dalestand_edge::routed::{Dialect, StoreFormat};
 use dalestand_edge::unknown_headers::UnknownHeaders;
-use dalestand_http_server::{Answer, ConnectionType, Connections, ServerLimits, serve};
+use dalestand_http_server::{Answer, ConnectionType, Connections, ServerLimits, listen, serve};
 use dalestand_telemetry::{Event, log_event};
 use dalestand_tunnel::serve_tunnels;
 use error_stack::{Report, ResultExt as _};
@@ -101,8 +101,8 @@
     let logger = node
         .logger
         .new(slog::o!("node" => settings.node.to_string()));
-    let callers = listen(settings.caller_listen).await?;
-    let ready_listener = listen(settings.ready_listen).await?;
+    let callers = listen_on(settings.caller_listen)?;
+    let ready_listener = listen_on(settings.ready_listen)?;
     let peer_address = settings.peer_listen;
     let peer_socket = UdpSocket::bind(peer_address)
         .await
@@ -146,10 +146,8 @@
     Ok(())
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, Report<ForwardingError>> {
-    TcpListener::bind(address)
-        .await
-        .change_context_lazy(|| ForwardingError::Listen(address.to_string()))
+fn listen_on(address: SocketAddr) -> Result<TcpListener, Report<ForwardingError>> {
+    listen(address).change_context_lazy(|| ForwardingError::Listen(address.to_string()))
 }
 
 fn limits() -> ServerLimits {
@@ -173,7 +171,7 @@
     let Some(address) = context.settings.metrics_listen else {
         return;
     };
-    match TcpListener::bind(address).await {
+    match listen(address) {
         Ok(listener) => {
             actix_rt::spawn(serve_metrics(Rc::clone(context), listener));
         }
@@ -190,7 +188,7 @@
     context.link.set_paths(Rc::new(ContextPaths::new(context)));
     actix_rt::spawn(try_direct_links(Rc::clone(context)));
     let address = context.settings.peer_listen;
-    match TcpListener::bind(address).await {
+    match listen(address) {
         Ok(listener) => {
             let carrier = Rc::new(Carrier(Rc::clone(context)));
             let tunnels = context.detours.tunnels.clone();
--- a/crates/http-server/src/lib.rs
+++ b/crates/http-server/src/lib.rs
@@ -8,6 +8,7 @@
 mod body;
 mod connections;
 mod error;
+mod listen;
 mod server;
 mod shared_stream;
 
@@ -15,6 +16,7 @@
 pub use body::{read_body, read_json};
 pub use connections::Connections;
 pub use error::HttpServerError;
+pub use listen::listen;
 pub use server::{ServerLimits, is_over_limit, serve};
 
 pub use actix_http::{ConnectionType, HttpMessage, Method, Request, StatusCode};
