Bodies of requests are bounded in all, and held once

Callers saw: a node that ran out of memory and ended while callers sent large bodies, whole, in pieces or in chunks, and stopped just short of their end; while it lived, ordinary requests were refused or not answered.

Cause: a body was bounded for each request and never in all. It was collected in a buffer that doubles as it grows, and copied once more for its call to an engine.

Change: an account for the bodies of a process (crates/request-bodies), a quarter of the machine's memory (setting memory_mb, from the deploy file). A body is held in segments, which are allocated and counted as they arrive, so that announced lengths count nothing; the call to an engine writes the same segments. When the account is full, bodies that are still arriving give way, since their requests have not run: those of the owner (tenant or address) that holds most, those without progress first, then the slowest. They are answered 503 with Retry-After, as is a body to which none gives way. A quarter of the account is left to bodies of 64 KB or less, and the first 4 KB of a body are not counted. Answers that callers have yet to read are bounded by a sixteenth of the memory, and callers' connections by half of it (128 KB each), where descriptors do not bound them before.

A property test holds that the account never exceeds its bound and returns to zero, whatever bodies do; unit tests hold who gives way. The single bodies of the longest length are served as before.

Conclusion: what a body may take depends on what all bodies take, and complete ones are never lost to incomplete ones.

--- a/crates/engine-link/src/connection.rs
+++ b/crates/engine-link/src/connection.rs
@@ -1,6 +1,8 @@
 //! One connection to an engine.
 
+use std::collections::VecDeque;
 use std::io;
+use std::iter;
 use std::mem::MaybeUninit;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -11,6 +13,7 @@
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig};
 use bytes::{Buf as _, Bytes, BytesMut};
 use dalestand_clock::BootInstant;
+use dalestand_request_bodies::Body;
 use dalestand_tunnel::FrameDecoder;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWriteExt as _};
@@ -24,6 +27,9 @@
 /// Buffer space reserved for each read.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 
+/// Longest body that is copied behind its head.
+const MAX_COPIED_BODY_BYTES: usize = 4 * 1024;
+
 /// Maximum size of a response head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
@@ -58,8 +64,8 @@
     pub(crate) is_kept: bool,
     /// Bytes received and not yet decoded.
     pub(crate) received: BytesMut,
-    /// Bytes of the request that were not written yet.
-    unwritten: BytesMut,
+    /// Parts of the request that were not written yet.
+    unwritten: VecDeque<Bytes>,
     /// Whether writing has failed; the response may still be complete.
     write_failed: bool,
     /// When the connection became idle.
@@ -90,7 +96,7 @@
             is_kept: false,
             frames: FrameDecoder::default(),
             received: BytesMut::new(),
-            unwritten: BytesMut::new(),
+            unwritten: VecDeque::new(),
             write_failed: false,
             idle_since: BootInstant::now(),
             keep_alive_until: None,
@@ -145,7 +151,7 @@
             let may_write = !self.unwritten.is_empty() && !self.write_failed;
             let (mut reader, mut writer) = self.stream.split();
             tokio::select! {
-                written = writer.write(&self.unwritten), if may_write => match written {
+                written = writer.write(next_part(&self.unwritten)), if may_write => match written {
                     Ok(count) => self.record_written(count),
                     Err(_) => self.write_failed = true,
                 },
@@ -155,10 +161,12 @@
     }
 
     fn record_written(&mut self, count: usize) {
-        self.unwritten.advance(count);
-        if self.unwritten.is_empty() {
-            // Releases its memory: responses may take long.
-            self.unwritten = BytesMut::new();
+        let Some(part) = self.unwritten.front_mut() else {
+            return;
+        };
+        part.advance(count);
+        if part.is_empty() {
+            self.unwritten.pop_front();
         }
     }
 
@@ -169,7 +177,7 @@
         config: ServiceConfig,
         call: Option<CallKey>,
         head: RequestHead,
-        body: &Bytes,
+        body: &Body,
     ) -> Result<ReceivedHead, SendError> {
         self.calls += 1;
         if let Some(call) = call {
@@ -210,7 +218,7 @@
             }
             let (mut reader, mut writer) = self.stream.split();
             tokio::select! {
-                written = writer.write(&self.unwritten), if !self.unwritten.is_empty() => {
+                written = writer.write(next_part(&self.unwritten)), if !self.unwritten.is_empty() => {
                     match written {
                         Ok(count) => {
                             self.record_written(count);
@@ -298,22 +306,36 @@
     }
 }
 
-fn encode(codec: &mut ClientCodec, head: RequestHead, body: &Bytes) -> Result<BytesMut, SendError> {
+/// The part of a request that is written next.
+fn next_part(unwritten: &VecDeque<Bytes>) -> &[u8] {
+    unwritten.front().map_or(&[], |part| part)
+}
+
+/// The head, and a short body with it so that both are written at once; then the segments of a long body, which are shared with
+/// the request.
+fn encode(
+    codec: &mut ClientCodec,
+    head: RequestHead,
+    body: &Body,
+) -> Result<VecDeque<Bytes>, SendError> {
     let bodiless = matches!(head.method, Method::GET | Method::HEAD | Method::DELETE);
     let size = if body.is_empty() && bodiless {
         BodySize::None
     } else {
         BodySize::Sized(body.len() as u64)
     };
-    let mut outgoing = BytesMut::with_capacity(READ_BUFFER_BYTES + body.len());
+    let mut outgoing = BytesMut::with_capacity(READ_BUFFER_BYTES);
     let not_sent = |error: io::Error| SendError::NotSent(error.to_string());
     let item = Message::Item((RequestHeadType::from(head), size));
     codec.encode(item, &mut outgoing).map_err(not_sent)?;
-    if !body.is_empty() {
-        let chunk = Message::Chunk(Some(body.clone()));
-        codec.encode(chunk, &mut outgoing).map_err(not_sent)?;
+    if body.len() > MAX_COPIED_BODY_BYTES {
+        let segments = body.segments().iter().cloned();
+        return Ok(iter::once(outgoing.freeze()).chain(segments).collect());
+    }
+    for segment in body.segments() {
+        outgoing.extend_from_slice(segment);
     }
-    Ok(outgoing)
+    Ok(VecDeque::from([outgoing.freeze()]))
 }
 
 fn decode(
--- a/crates/engine-link/src/lib.rs
+++ b/crates/engine-link/src/lib.rs
@@ -34,3 +34,4 @@
 pub use response::{BodyFraming, Exchange, ResponseBody};
 
 pub use actix_http::{RequestHead, ResponseHead};
+pub use dalestand_request_bodies::Body;
--- a/crates/engine-link/src/link.rs
+++ b/crates/engine-link/src/link.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use actix_http::{RequestHead, ResponseHead, ServiceConfig};
-use bytes::Bytes;
 use dalestand_clock::BootInstant;
+use dalestand_request_bodies::Body;
 use tokio::net::TcpStream;
 
 use crate::carried_calls::CallKey;
@@ -115,7 +115,7 @@
         target: &LinkTarget,
         max_connections: usize,
         head: RequestHead,
-        body: &Bytes,
+        body: &Body,
     ) -> Result<Exchange, SendError> {
         let terms = ConnectionTerms {
             call: None,
@@ -136,7 +136,7 @@
         target: &LinkTarget,
         terms: ConnectionTerms,
         head: RequestHead,
-        body: &Bytes,
+        body: &Body,
         is_eligible: impl FnOnce() -> bool,
         is_own: impl FnMut(&ResponseHead) -> bool,
     ) -> Result<Exchange, SendError> {
--- a/crates/engine-link/tests/exchanges.rs
+++ b/crates/engine-link/tests/exchanges.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use dalestand_clock::test_util::suspend;
 use dalestand_engine_link::{
-    AllowedPaths, BodyError, CallKey, ConnectionTerms, ConnectionUse, EngineLink, Exchange,
+    AllowedPaths, Body, BodyError, CallKey, ConnectionTerms, ConnectionUse, EngineLink, Exchange,
     LinkLimits, LinkTarget, NewConnection, RequestHead, SendError,
 };
 use rstest::rstest;
@@ -102,7 +102,7 @@
         paths: AllowedPaths::Any,
         new_connection: NewConnection::AtOnce,
     };
-    let (head, body) = (RequestHead::default(), Bytes::new());
+    let (head, body) = (RequestHead::default(), Body::default());
     let sent = link.send_if(target, terms, head, &body, || true, |_| true);
     let mut exchange = sent.await.expect("a response");
     let read = exchange.body.collect(BODY_LIMIT_BYTES).await;
@@ -114,7 +114,7 @@
     let mut head = RequestHead::default();
     head.method = Method::GET;
     head.uri = "/a/b".parse().expect("a path");
-    link.send(target, 4, head, &Bytes::new()).await
+    link.send(target, 4, head, &Body::default()).await
 }
 
 /// Gets a path and reads the whole response body.
@@ -254,11 +254,11 @@
     }]);
     let link = link();
     let mut first = link
-        .send(&target, 1, RequestHead::default(), &Bytes::new())
+        .send(&target, 1, RequestHead::default(), &Body::default())
         .await
         .expect("a response");
     let second = link
-        .send(&target, 1, RequestHead::default(), &Bytes::new())
+        .send(&target, 1, RequestHead::default(), &Body::default())
         .await;
     assert!(matches!(second, Err(SendError::ConnectionLimitReached(1))));
     assert_eq!(
@@ -284,7 +284,7 @@
         paths: AllowedPaths::Any,
         new_connection: NewConnection::AtOnceIfRoom,
     };
-    let (head, body) = (RequestHead::default(), Bytes::new());
+    let (head, body) = (RequestHead::default(), Body::default());
     let send = || link.send_if(&target, terms, head.clone(), &body, || true, |_| true);
     let first = send().await;
     assert!(matches!(first, Err(SendError::ResetWhenNew(_))));
@@ -305,7 +305,7 @@
     }]);
     let mut head = RequestHead::default();
     head.method = Method::POST;
-    let long = Bytes::from(vec![b'x'; 32 << 20]);
+    let long = Body::from(Bytes::from(vec![b'x'; 32 << 20]));
     let exchange = link().send(&target, 1, head, &long).await;
     let exchange = exchange.expect("a response");
     assert_eq!(exchange.head.status.as_u16(), 503);
@@ -372,7 +372,7 @@
     let mut head = RequestHead::default();
     head.method = Method::POST;
     head.uri = "/a/b".parse().expect("a path");
-    let body = Bytes::from(vec![b'~'; LONG_BODY_BYTES]);
+    let body = Body::from(Bytes::from(vec![b'~'; LONG_BODY_BYTES]));
     let link = link();
     let mut exchange = link
         .send(&target, 4, head, &body)
--- a/crates/engine-link/tests/silent_engines.rs
+++ b/crates/engine-link/tests/silent_engines.rs
@@ -5,8 +5,7 @@
 use std::thread;
 use std::time::Duration;
 
-use bytes::Bytes;
-use dalestand_engine_link::{EngineLink, LinkLimits, LinkTarget, RequestHead};
+use dalestand_engine_link::{Body, EngineLink, LinkLimits, LinkTarget, RequestHead};
 use rstest::rstest;
 use socket2::{SockFilter, SockRef};
 
@@ -100,7 +99,7 @@
     };
     for request in 0..2 {
         let head = RequestHead::default();
-        let exchange = link.send(&target, 1, head, &Bytes::new()).await;
+        let exchange = link.send(&target, 1, head, &Body::default()).await;
         let mut body = exchange
             .unwrap_or_else(|error| panic!("{request}: {error}"))
             .body;
--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -12,6 +12,7 @@
 use dalestand_edge::unknown_headers::UnknownHeaders;
 use dalestand_engine_link::{EngineLink, LinkLimits};
 use dalestand_http_server::Connections;
+use dalestand_http_server::MemoryAccount;
 use dalestand_planner::{ScalingDecision, ZoneEngines};
 use dalestand_routes::{RouteTable, WeightedRoundRobin};
 use dalestand_routing::staged::{EngineKey, LinkQueue, StagedRouter};
@@ -74,6 +75,8 @@
     pub(crate) link: EngineLink,
     pub(crate) logger: Logger,
     pub(crate) in_flight: InFlight,
+    /// Memory of request bodies.
+    pub(crate) bodies: MemoryAccount,
     /// Size of buffered answers that callers have not read yet.
     pub(crate) held_bytes: HeldBytes,
     pub(crate) router: RefCell<StagedRouter>,
@@ -157,7 +160,8 @@
             }),
             logger,
             in_flight: InFlight::default(),
-            held_bytes: HeldBytes::default(),
+            bodies: MemoryAccount::new(settings.body_memory_bytes()),
+            held_bytes: HeldBytes::new(settings.answer_memory_bytes()),
             router: RefCell::new(StagedRouter::seeded(rand::rng().random())),
             uplink: RefCell::default(),
             budget: RefCell::new(SharedRetryBudget::new(settings.retry_limits())),
--- a/crates/forwarding/src/node/settings.rs
+++ b/crates/forwarding/src/node/settings.rs
@@ -8,6 +8,20 @@
 use dalestand_types::{NodeId, ZoneName};
 use serde::Deserialize;
 
+const BYTES_PER_MB: u64 = 1_000_000;
+
+/// One in this many parts of the memory is for callers' connections.
+const CONNECTION_MEMORY_PARTS: usize = 2;
+
+/// One in this many parts of the memory is for the bodies of requests.
+const BODY_MEMORY_PARTS: usize = 4;
+
+/// One in this many parts of the memory is for answers that callers have yet to read.
+const ANSWER_MEMORY_PARTS: usize = 16;
+
+/// Memory of a connection with a head, buffers and bytes in its socket that were not read, in bytes.
+const CONNECTION_BYTES: usize = 128 << 10;
+
 /// Descriptors that are kept for files, as on the users' machines.
 const DESCRIPTORS_FOR_FILES: usize = 200;
 
@@ -288,11 +302,12 @@
                 self.revocation
                     .map_or(f64::MAX, |keys| keys.bound_ms as f64),
             ),
+            ("memory_mb", self.memory_mb as f64),
             ("link_mbps", self.link_mbps.unwrap_or(f64::MAX)),
             (
                 "max_open_files",
-                self.max_caller_connections()
-                    .map_or(f64::MAX, |connections| connections as f64),
+                self.max_open_files
+                    .map_or(f64::MAX, |_| self.max_caller_connections() as f64),
             ),
         ];
         let mut faults = self.duty_faults();
@@ -404,11 +419,29 @@
         self.link_mbps.map_or(u32::MAX, |mbps| bytes(mbps) as u32)
     }
 
-    /// Maximum number of callers' connections, if descriptors are limited: half of those that are not kept for files. The others
-    /// are for connections to engines, other nodes and the key-value service.
-    pub fn max_caller_connections(&self) -> Option<usize> {
-        let limit = self.max_open_files?;
-        Some(limit.saturating_sub(DESCRIPTORS_FOR_FILES) / 2)
+    /// Maximum number of callers' connections: their part of the memory, and half of the descriptors that are not kept for files.
+    /// The other descriptors are for connections to engines, other nodes and the key-value service.
+    pub fn max_caller_connections(&self) -> usize {
+        let by_memory = self.memory_bytes() / CONNECTION_MEMORY_PARTS / CONNECTION_BYTES;
+        let by_descriptors = self
+            .max_open_files
+            .map(|limit| limit.saturating_sub(DESCRIPTORS_FOR_FILES) / 2);
+        by_descriptors.map_or(by_memory, |descriptors| descriptors.min(by_memory))
+    }
+
+    /// Memory for the bodies of requests, in bytes.
+    pub fn body_memory_bytes(&self) -> usize {
+        self.memory_bytes() / BODY_MEMORY_PARTS
+    }
+
+    /// Memory for answers that are held until their callers read them, in bytes.
+    pub fn answer_memory_bytes(&self) -> usize {
+        self.memory_bytes() / ANSWER_MEMORY_PARTS
+    }
+
+    fn memory_bytes(&self) -> usize {
+        let bytes = self.memory_mb.saturating_mul(BYTES_PER_MB);
+        usize::try_from(bytes).unwrap_or(usize::MAX)
     }
 
     /// Time after which the platform kills the process.
--- a/crates/forwarding/src/node/start.rs
+++ b/crates/forwarding/src/node/start.rs
@@ -208,10 +208,10 @@
     let _ = context.caller_connections.set(connections.clone());
     let context = Rc::clone(context);
     actix_rt::spawn(async move {
-        let max_connections = context.settings.max_caller_connections();
         let limits = ServerLimits {
-            max_connections: max_connections.unwrap_or(limits().max_connections),
+            max_connections: context.settings.max_caller_connections(),
             max_excess_connections: 0,
+            bodies: context.bodies.clone(),
             ..limits()
         };
         let crowded_from = limits.max_connections / 2;
--- a/crates/forwarding/src/serve/accept.rs
+++ b/crates/forwarding/src/serve/accept.rs
@@ -4,12 +4,14 @@
 use std::sync::Arc;
 
 use actix_http::header::HOST;
-use bytes::Bytes;
 use dalestand_clock::BootInstant;
 use dalestand_edge::routed::RequestMetadata;
-use dalestand_http_server::{HttpMessage as _, HttpServerError, Request, read_body};
+use dalestand_http_server::{
+    Body, BodyLimits, HttpMessage as _, HttpServerError, Owner, Request, read_body,
+};
 use dalestand_quarantine::{PartFingerprint, RequestFingerprint, RequestIdentity};
 use dalestand_routes::{Caller, RouteConfig};
+use dalestand_routing::TenantCode;
 use dalestand_types::PoolName;
 
 use crate::context::Context;
@@ -35,11 +37,13 @@
     if caller.tenant().is_some() && !context.keys_are_current() {
         return Err(Failure::NoConfiguration);
     }
-    let body = read_body(request, table.callers().max_body_bytes).await;
-    let body = body.map_err(|error| match error {
-        HttpServerError::BodyTooLarge { .. } => Failure::BodyTooLong,
-        _ => Failure::BodyUnreadable,
-    })?;
+    let limits = BodyLimits {
+        owner: caller
+            .tenant()
+            .map(|tenant| Owner::Tenant(TenantCode::of(&tenant.name).0)),
+        ..BodyLimits::bytes(table.callers().max_body_bytes)
+    };
+    let body = read_body(request, limits).await.map_err(body_failure)?;
     record_read(request, facts.id.as_ref());
     let fingerprint = request_fingerprint(context, request, &caller, &body);
     let shared_parts = shared_parts(context, &facts);
@@ -77,6 +81,16 @@
     }))
 }
 
+fn body_failure(error: HttpServerError) -> Failure {
+    match error {
+        HttpServerError::BodyTooLarge { .. } => Failure::BodyTooLong,
+        HttpServerError::NoMemory(_) => Failure::NoBodyMemory,
+        HttpServerError::Displaced(_) => Failure::BodyDisplaced,
+        HttpServerError::BodyTooSlow => Failure::BodyTooSlow,
+        _ => Failure::BodyUnreadable,
+    }
+}
+
 /// The class under which a request is counted: its pool and priority. The empty name is a fallback
 /// only, as every declared route has a pool.
 fn class_key(route: &RouteConfig, caller: &Caller, pools: &[PoolName]) -> ClassKey {
@@ -92,7 +106,7 @@
     context: &Context,
     request: &Request,
     caller: &Caller,
-    body: &Bytes,
+    body: &Body,
 ) -> Option<RequestFingerprint> {
     let key = context.quarantine.key()?;
     let path = request.uri().path_and_query();
@@ -101,7 +115,7 @@
         host: host(request),
         path: path.map_or("", |path| path.as_str()),
         tenant: caller.tenant().map(|tenant| tenant.name.as_str()),
-        body,
+        body: body.segments(),
     };
     Some(key.fingerprint(&identity))
 }
--- a/crates/forwarding/src/serve/answer.rs
+++ b/crates/forwarding/src/serve/answer.rs
@@ -15,6 +15,9 @@
 
 const RETRY_AFTER: HeaderName = HeaderName::from_static("retry-after");
 
+/// By then bodies without progress have given way.
+const BODY_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Why a request gets no engine's answer. Logged by `Debug`.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Failure {
@@ -28,6 +31,12 @@
     BodyTooLong,
     /// The body could not be read completely.
     BodyUnreadable,
+    /// The body did not arrive in time, and the request did not run.
+    BodyTooSlow,
+    /// There is no memory for the body, and the request did not run.
+    NoBodyMemory,
+    /// The body gave way to others before it had arrived, and the request did not run.
+    BodyDisplaced,
     /// No engine can take the request, and it did not run.
     NoEngine,
     /// All suitable engines are closed by their own signals (draining, backoff or rate limit), and
@@ -75,10 +84,13 @@
             | Self::HeldPart(_)
             | Self::StreamOriginUnknown
             | Self::StreamVersionEnded
+            | Self::NoBodyMemory
+            | Self::BodyDisplaced
             | Self::TimeOverNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::BodyUnreadable => StatusCode::BAD_REQUEST,
             Self::TimeOver => StatusCode::GATEWAY_TIMEOUT,
             Self::Unknown => StatusCode::BAD_GATEWAY,
@@ -100,6 +112,7 @@
             Self::StreamOriginUnknown => Some(Duration::from_millis(100)),
             // An engine that crashed comes back with its version.
             Self::StreamVersionEnded => Some(Duration::from_millis(300)),
+            Self::NoBodyMemory | Self::BodyDisplaced => Some(BODY_MEMORY_RETRY_AFTER),
             Self::TimeOverNotRun => Some(Duration::from_secs(1)),
             _ => None,
         }
--- a/crates/forwarding/src/serve/engine_call.rs
+++ b/crates/forwarding/src/serve/engine_call.rs
@@ -34,7 +34,7 @@
         engine,
         target: &target,
         head,
-        body: &body,
+        body: &body.into(),
         content: CallContent::Internal,
         paths,
         is_repeatable: false,
--- a/crates/forwarding/src/serve/engine_send.rs
+++ b/crates/forwarding/src/serve/engine_send.rs
@@ -12,13 +12,13 @@
 
 use actix_http::RequestHead;
 use actix_http::header::HeaderName;
-use bytes::Bytes;
 use dalestand_edge::routed::ResponseMetadata;
 use dalestand_edge::unknown_headers::HeaderSender;
 use dalestand_engine_link::{
     AllowedPaths, CallKey, ConnectionTerms, Exchange, LinkTarget, NewConnection, ResponseHead,
     SendError,
 };
+use dalestand_http_server::Body;
 use dalestand_routing::staged::{ClosedReason, EngineKey, ProbeCall, ProbeOutcome, StagedEngine};
 use dalestand_types::PoolName;
 
@@ -33,7 +33,7 @@
     pub(crate) engine: &'a StagedEngine,
     pub(crate) target: &'a LinkTarget,
     pub(crate) head: RequestHead,
-    pub(crate) body: &'a Bytes,
+    pub(crate) body: &'a Body,
     pub(crate) content: CallContent,
     /// Paths that it may take.
     pub(crate) paths: AllowedPaths,
--- a/crates/forwarding/src/serve/held_bytes.rs
+++ b/crates/forwarding/src/serve/held_bytes.rs
@@ -15,15 +15,15 @@
 
 use crate::serve::answer_stream_error::AnswerStreamError;
 
-/// Maximum number of bytes held for all callers: a quarter of a node's memory budget of 64 MB.
-const MAX_HELD_BYTES: usize = 16 << 20;
-
 /// Bytes of an answer that are handed to the connection at a time.
 const CHUNK_BYTES: usize = 16 << 10;
 
 /// Bytes held by one node.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct HeldBytes(Rc<Cell<usize>>);
+#[derive(Clone, Debug)]
+pub(crate) struct HeldBytes {
+    held: Rc<Cell<usize>>,
+    limit: usize,
+}
 
 /// A reservation for one answer, until dropped.
 #[derive(Debug)]
@@ -33,13 +33,21 @@
 }
 
 impl HeldBytes {
+    /// No bytes, of at most `limit` for all callers.
+    pub(crate) fn new(limit: usize) -> Self {
+        Self {
+            held: Rc::default(),
+            limit,
+        }
+    }
+
     /// Reserves a number of bytes; `None` if that would exceed the limit.
     pub(crate) fn reserve(&self, bytes: usize) -> Option<HeldReservation> {
-        let held = self.0.get() + bytes;
-        if held > MAX_HELD_BYTES {
+        let held = self.held.get() + bytes;
+        if held > self.limit {
             return None;
         }
-        self.0.set(held);
+        self.held.set(held);
         Some(HeldReservation {
             held: self.clone(),
             bytes,
@@ -48,22 +56,22 @@
 
     /// Bytes held now.
     pub(crate) fn get(&self) -> usize {
-        self.0.get()
+        self.held.get()
     }
 }
 
 impl HeldReservation {
     /// Adjusts the reservation to the actual length of the answer.
     pub(crate) fn resize(&mut self, bytes: usize) {
-        let others = self.held.0.get() - self.bytes;
-        self.held.0.set(others + bytes);
+        let others = self.held.get() - self.bytes;
+        self.held.held.set(others + bytes);
         self.bytes = bytes;
     }
 }
 
 impl Drop for HeldReservation {
     fn drop(&mut self) {
-        self.held.0.set(self.held.0.get() - self.bytes);
+        self.held.held.set(self.held.get() - self.bytes);
     }
 }
 
--- a/crates/forwarding/src/serve/held_bytes/tests.rs
+++ b/crates/forwarding/src/serve/held_bytes/tests.rs
@@ -3,13 +3,15 @@
 use bytes::Bytes;
 use futures_util::StreamExt as _;
 
-use super::{CHUNK_BYTES, HeldBytes, MAX_HELD_BYTES, in_chunks};
+use super::{CHUNK_BYTES, HeldBytes, in_chunks};
+
+const MAX_HELD_BYTES: usize = 16 << 20;
 
 const LONG: usize = 1_000_000;
 
 #[test]
 fn reservations_never_exceed_the_limit() {
-    let held = HeldBytes::default();
+    let held = HeldBytes::new(MAX_HELD_BYTES);
     let reservations: Vec<_> = (0..500).filter_map(|_| held.reserve(LONG)).collect();
     assert_eq!(reservations.len(), MAX_HELD_BYTES / LONG);
     assert!(held.get() <= MAX_HELD_BYTES);
@@ -20,7 +22,7 @@
 
 #[test]
 fn a_reservation_is_resized_to_the_length_of_the_answer() {
-    let held = HeldBytes::default();
+    let held = HeldBytes::new(MAX_HELD_BYTES);
     let mut reservation = held.reserve(64).expect("reservation");
     reservation.resize(LONG);
     assert_eq!(held.get(), LONG);
@@ -30,7 +32,7 @@
 
 #[actix_rt::test]
 async fn an_answer_is_streamed_in_chunks_and_then_released() {
-    let held = HeldBytes::default();
+    let held = HeldBytes::new(MAX_HELD_BYTES);
     let body = Bytes::from(vec![b'x'; LONG]);
     let reservation = held.reserve(LONG).expect("reservation");
     let mut chunks = Box::pin(in_chunks(body, reservation));
@@ -46,7 +48,7 @@
 
 #[actix_rt::test]
 async fn bytes_are_released_when_the_caller_disconnects() {
-    let held = HeldBytes::default();
+    let held = HeldBytes::new(MAX_HELD_BYTES);
     let reservation = held.reserve(LONG).expect("reservation");
     let mut chunks = Box::pin(in_chunks(Bytes::from(vec![b'x'; LONG]), reservation));
     chunks.next().await.expect("a chunk").expect("bytes");
--- a/crates/forwarding/src/serve/open_call.rs
+++ b/crates/forwarding/src/serve/open_call.rs
@@ -6,9 +6,9 @@
 use std::task::Poll;
 
 use actix_http::RequestHead;
-use bytes::Bytes;
 use dalestand_clock::BootInstant;
 use dalestand_engine_link::{AllowedPaths, Exchange, LinkTarget};
+use dalestand_http_server::Body;
 use dalestand_routing::staged::{EngineChoice, EngineKey, StagedEngine};
 use dalestand_routing::{CallPurpose, RepeatedSend, RetryBalance};
 use dalestand_types::{MonotonicTime, PoolName, RequestRate, SoftwareVersion};
@@ -99,7 +99,7 @@
     pub(super) engine: StagedEngine,
     pub(super) target: LinkTarget,
     pub(super) head: RequestHead,
-    pub(super) body: Bytes,
+    pub(super) body: Body,
     pub(super) content: CallContent,
     pub(super) is_repeatable: bool,
     pub(super) permission: SendPermission,
--- a/crates/forwarding/src/serve/prefill.rs
+++ b/crates/forwarding/src/serve/prefill.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use actix_http::RequestHead;
-use bytes::Bytes;
 use dalestand_edge::routed::{EngineRequestOptions, HeldKvCache};
 use dalestand_engine_link::{AllowedPaths, LinkTarget};
+use dalestand_http_server::Body;
 use dalestand_routing::CallPurpose;
 use dalestand_routing::staged::{AttemptResult, EngineChoice, StagedEngine};
 use dalestand_types::PoolName;
@@ -72,7 +72,7 @@
                 engine: &engine,
                 target: &target,
                 head,
-                body: &Bytes::new(),
+                body: &Body::default(),
                 content: CallContent::Internal,
                 paths: AllowedPaths::Any,
                 is_repeatable: true,
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -6,10 +6,10 @@
 
 use actix_http::header::HeaderMap;
 use actix_http::{Method, RequestHead, Uri};
-use bytes::Bytes;
 use dalestand_clock::BootInstant;
 use dalestand_edge::routed::RequestMetadata;
 use dalestand_engine_link::{ConnectionUse, Path};
+use dalestand_http_server::Body;
 use dalestand_quarantine::{PartFingerprint, RequestFingerprint};
 use dalestand_routes::{Caller, RouteConfig, RouteTable};
 use dalestand_routing::staged::{
@@ -49,7 +49,7 @@
     pub(crate) uri: Uri,
     /// Headers to forward.
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: Body,
 }
 
 /// A call and its outcome, for the request's log line.
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -12,6 +12,9 @@
 /// Header that states whether a failed request ran.
 pub(crate) const RUN_STATE_HEADER: HeaderName = HeaderName::from_static("x-dalestand-run-state");
 
+/// Retry delay of a request for whose body there was no memory. By then bodies without progress have given way.
+const BODY_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Why a request failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum CallerError {
@@ -227,6 +230,10 @@
                 param: Some(field),
             },
             HttpServerError::BodyTooSlow => Self::TooSlow(error.to_string()),
+            HttpServerError::NoMemory(_) | HttpServerError::Displaced(_) => Self::Unavailable {
+                message: error.to_string(),
+                retry_after: BODY_MEMORY_RETRY_AFTER,
+            },
         }
     }
 }
--- a/crates/http-server/src/body.rs
+++ b/crates/http-server/src/body.rs
@@ -1,25 +1,55 @@
-//! Reads request bodies within limits on size, time and nesting.
+//! Reads request bodies within limits on size, time, memory and nesting.
 
 use std::time::Duration;
 
 use actix_http::header::CONTENT_LENGTH;
-use actix_http::{HttpMessage as _, Request};
-use bytes::{Bytes, BytesMut};
+use actix_http::{HttpMessage as _, Payload, Request};
+use bytes::Bytes;
+use dalestand_clock::{BootInstant, timeout_at};
+use dalestand_request_bodies::{Body, BodyBuilder, MemoryAccount, Owner};
 use futures_util::StreamExt as _;
 use serde::de::DeserializeOwned;
 
 use crate::HttpServerError;
+use crate::server::ConnectionData;
 
-/// Time limit for receiving a whole body.
+/// Time limit for receiving a whole body, where nothing else is set.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Reads the whole body, of at most `limit` bytes. A body with a larger `Content-Length` is refused
-/// without being read.
-pub async fn read_body(request: &mut Request, limit: usize) -> Result<Bytes, HttpServerError> {
-    if declared_length(request).is_some_and(|length| length > limit as u64) {
+/// Limits of one body.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyLimits {
+    /// Maximum length in bytes.
+    pub max_bytes: usize,
+    /// Time limit for receiving all of it.
+    pub timeout: Duration,
+    /// On whose account it is held; by the caller's address if `None`.
+    pub owner: Option<Owner>,
+}
+
+impl BodyLimits {
+    /// At most `max_bytes`, in the default time.
+    pub fn bytes(max_bytes: usize) -> Self {
+        Self {
+            max_bytes,
+            timeout: BODY_TIMEOUT,
+            owner: None,
+        }
+    }
+}
+
+/// Reads the whole body. A body with a larger `Content-Length` than allowed is refused without being read.
+pub async fn read_body(request: &mut Request, limits: BodyLimits) -> Result<Body, HttpServerError> {
+    let declared = declared_length(request);
+    let limit = limits.max_bytes;
+    if declared.is_some_and(|length| length > limit as u64) {
         return Err(HttpServerError::BodyTooLarge { limit });
     }
-    let collected = actix_rt::time::timeout(BODY_TIMEOUT, collect(request, limit)).await;
+    if matches!(request.payload(), Payload::None) {
+        return Ok(Body::default());
+    }
+    let until = BootInstant::now() + limits.timeout;
+    let collected = timeout_at(until, collect(request, limits)).await;
     collected.unwrap_or(Err(HttpServerError::BodyTooSlow))
 }
 
@@ -28,17 +58,44 @@
     value.to_str().ok()?.parse().ok()
 }
 
-async fn collect(request: &mut Request, limit: usize) -> Result<Bytes, HttpServerError> {
+async fn collect(request: &mut Request, limits: BodyLimits) -> Result<Body, HttpServerError> {
     let mut payload = request.take_payload();
-    let mut collected = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
+    let declared = declared_length(request).and_then(|length| length.try_into().ok());
+    let account = body_account(request);
+    let owner = limits.owner.unwrap_or_else(|| address_owner(request));
+    let mut body = BodyBuilder::new(account.open(owner), declared);
+    loop {
+        let chunk = tokio::select! {
+            biased;
+            displaced = body.reservation().displaced() => return Err(displaced.into()),
+            chunk = payload.next() => chunk,
+        };
+        let Some(chunk) = chunk else {
+            break;
+        };
         let chunk = chunk.map_err(|error| HttpServerError::BodyUnreadable(error.to_string()))?;
-        if collected.len() + chunk.len() > limit {
+        let limit = limits.max_bytes;
+        if body.len() + chunk.len() > limit {
             return Err(HttpServerError::BodyTooLarge { limit });
         }
-        collected.extend_from_slice(&chunk);
+        body.append(&chunk).await?;
     }
-    Ok(collected.freeze())
+    Ok(body.finish())
+}
+
+/// The memory that the bodies of the request's connection use.
+fn body_account(request: &Request) -> MemoryAccount {
+    let data = request.conn_data::<ConnectionData>();
+    // A request that no server has received is not bounded.
+    data.map_or_else(
+        || MemoryAccount::new(usize::MAX),
+        |data| data.bodies.clone(),
+    )
+}
+
+fn address_owner(request: &Request) -> Owner {
+    let peer = request.peer_addr();
+    peer.map_or(Owner::Unknown, |peer| Owner::Address(peer.ip()))
 }
 
 /// Maximum nesting depth of arrays and objects in a JSON body.
@@ -70,7 +127,9 @@
     request: &mut Request,
     limit: usize,
 ) -> Result<T, HttpServerError> {
-    let body = read_body(request, limit).await?;
+    let body: Bytes = read_body(request, BodyLimits::bytes(limit))
+        .await?
+        .to_bytes();
     if exceeds_depth(&body, MAX_DEPTH) {
         return Err(HttpServerError::BodyTooDeep { limit: MAX_DEPTH });
     }
--- a/crates/http-server/src/error.rs
+++ b/crates/http-server/src/error.rs
@@ -1,6 +1,7 @@
 //! Errors of the HTTP layer.
 
 use actix_http::StatusCode;
+use dalestand_request_bodies::{Displaced, NoMemory};
 
 /// Why a request could not be read.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -14,6 +15,12 @@
     /// The body did not arrive within the time limit.
     #[error("the body did not arrive in time")]
     BodyTooSlow,
+    /// There is no memory for the body.
+    #[error(transparent)]
+    NoMemory(#[from] NoMemory),
+    /// The body gave way to others before it had been received.
+    #[error(transparent)]
+    Displaced(#[from] Displaced),
     /// The connection failed while the body was being read.
     #[error("the body could not be read: {0}")]
     BodyUnreadable(String),
@@ -27,6 +34,7 @@
     pub fn status(&self) -> StatusCode {
         match self {
             Self::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::NoMemory(_) | Self::Displaced(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::BodyTooDeep { .. } | Self::BodyUnreadable(_) | Self::InvalidJson { .. } => {
                 StatusCode::BAD_REQUEST
--- a/crates/http-server/src/lib.rs
+++ b/crates/http-server/src/lib.rs
@@ -13,10 +13,12 @@
 mod shared_stream;
 
 pub use answer::{Answer, json_answer, status_answer, stream_answer, text_answer};
-pub use body::{read_body, read_json};
+pub use body::{BodyLimits, read_body, read_json};
 pub use connections::Connections;
 pub use error::HttpServerError;
 pub use listen::listen;
 pub use server::{ServerLimits, is_over_limit, serve};
 
+pub use dalestand_request_bodies::{Body, MemoryAccount, Owner, Usage};
+
 pub use actix_http::{ConnectionType, HttpMessage, Method, Request, StatusCode};
--- a/crates/http-server/src/server.rs
+++ b/crates/http-server/src/server.rs
@@ -13,6 +13,7 @@
 use actix_rt::net::TcpStream;
 use actix_rt::time::timeout;
 use actix_service::{IntoServiceFactory as _, Service, ServiceFactory as _, fn_service};
+use dalestand_request_bodies::MemoryAccount;
 use futures_util::FutureExt as _;
 use futures_util::future::poll_immediate;
 use tokio::net::TcpListener;
@@ -35,8 +36,10 @@
 const LINGER_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Data attached to a connection when it is opened.
-struct ConnectionData {
+pub(crate) struct ConnectionData {
     over_limit: bool,
+    /// The memory of bodies.
+    pub(crate) bodies: MemoryAccount,
     /// Whether an answer on it has said that it closes.
     closes: Rc<Cell<bool>>,
 }
@@ -55,17 +58,23 @@
     /// Number of connections above that which are still accepted: their requests are marked, see [`is_over_limit`], so that
     /// they can be refused with an answer. Further connections are closed immediately, with what was sent on them unread.
     pub max_excess_connections: usize,
+    /// The memory for request bodies. Servers of one thread may share it.
+    pub bodies: MemoryAccount,
     /// Time limit for receiving the head of a request.
     pub head_timeout: Duration,
     /// How long an idle connection is kept open.
     pub keep_alive: Duration,
 }
 
+/// Memory for the bodies of a server's requests, where nothing else is set.
+const DEFAULT_BODY_MEMORY_BYTES: usize = 64 << 20;
+
 impl Default for ServerLimits {
     fn default() -> Self {
         Self {
             max_connections: 16_384,
             max_excess_connections: 256,
+            bodies: MemoryAccount::new(DEFAULT_BODY_MEMORY_BYTES),
             head_timeout: Duration::from_secs(10),
             keep_alive: Duration::from_secs(75),
         }
@@ -104,6 +113,7 @@
         }
     });
     let open_connections = connections.clone();
+    let (bodies, max_connections) = (limits.bodies.clone(), limits.max_connections);
     let draining = connections.clone();
     // The socket of the connection that is being opened, for the signal that is created for it next.
     let opened: Rc<RefCell<Option<SharedStream>>> = Rc::default();
@@ -118,7 +128,8 @@
         .on_connect_ext(move |stream: &SharedStream, data: &mut Extensions| {
             opening.replace(Some(stream.clone()));
             data.insert(ConnectionData {
-                over_limit: open_connections.open() > limits.max_connections,
+                over_limit: open_connections.open() > max_connections,
+                bodies: bodies.clone(),
                 closes: Rc::default(),
             });
         })
--- a/crates/quarantine/benches/fingerprint.rs
+++ b/crates/quarantine/benches/fingerprint.rs
@@ -1,5 +1,6 @@
 //! Cost of a request's fingerprint by body length, and of recording a completion.
 
+use bytes::Bytes;
 use std::hint::black_box;
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
@@ -10,7 +11,7 @@
     let key = FingerprintKey::generate();
     let mut group = criterion.benchmark_group("fingerprint");
     for length in [0_usize, 400, 17_000, 100_000, 1 << 20] {
-        let body = vec![7; length];
+        let body = [Bytes::from(vec![7; length])];
         let identity = RequestIdentity {
             method: "POST",
             host: "a.example",
@@ -41,7 +42,7 @@
                 host: "a",
                 path: "/",
                 tenant: None,
-                body: &number.to_le_bytes(),
+                body: &[Bytes::copy_from_slice(&number.to_le_bytes())],
             });
             ledger.record_completion(MonotonicTime(number * 1_000), fingerprint)
         });
--- a/crates/quarantine/src/fingerprint.rs
+++ b/crates/quarantine/src/fingerprint.rs
@@ -3,6 +3,7 @@
 
 use std::fmt;
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 /// Length of a fingerprint in bytes. Among a million requests, the chance of a collision is about 1
@@ -57,7 +58,9 @@
             hasher.update(&(field.len() as u64).to_le_bytes());
             hasher.update(field);
         }
-        hasher.update(identity.body);
+        for segment in identity.body {
+            hasher.update(segment);
+        }
         let mut fingerprint = [0; FINGERPRINT_BYTES];
         hasher.finalize_xof().fill(&mut fingerprint);
         RequestFingerprint(fingerprint)
@@ -108,8 +111,8 @@
     pub path: &'r str,
     /// Name of the tenant; `None` where callers have no keys.
     pub tenant: Option<&'r str>,
-    /// Request body.
-    pub body: &'r [u8],
+    /// Request body, in any number of segments.
+    pub body: &'r [Bytes],
 }
 
 /// Keyed hash of a request's identity, the same at every node.
--- a/crates/quarantine/tests/ledger.rs
+++ b/crates/quarantine/tests/ledger.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
+use bytes::Bytes;
 use dalestand_quarantine::{
     ApplyOutcome, CrashLedger, CrashRecord, EngineRunId, FingerprintKey, PartFingerprint,
     RequestFingerprint, RequestIdentity, STOP_AFTER_CRASHES, StoppedRequestEntry, TRIAL_INTERVAL,
@@ -26,7 +27,7 @@
         host: "a.example",
         path: &format!("/r/{number}"),
         tenant: None,
-        body: b"",
+        body: &[],
     })
 }
 
@@ -185,13 +186,15 @@
     #[case] caller: Option<&str>,
     #[case] body: &[u8],
 ) {
-    let of = |method, host, path, tenant, body| {
+    let of = |method, host, path, tenant, body: &[u8]| {
+        let (first, second) = body.split_at(body.len() / 2);
+        let segments = [first, second].map(Bytes::copy_from_slice);
         key().fingerprint(&RequestIdentity {
             method,
             host,
             path,
             tenant,
-            body,
+            body: &segments,
         })
     };
     let known = of("POST", "a.example", "/r/1", None, b"body");
@@ -207,7 +210,7 @@
         host: "a.example",
         path: "/r/1",
         tenant: None,
-        body: b"guessed",
+        body: &[Bytes::from_static(b"guessed")],
     };
     let other = FingerprintKey::generate();
     assert_ne!(key().fingerprint(&identity), other.fingerprint(&identity));
