Connections are read no further than their requests need

Cause: the HTTP library reads a connection until its own buffers are full. Bytes of framing never fill them, so that a connection with endless framing is read without end and without a pause, and each chunk of one byte keeps an entry of 32 bytes and a read buffer.

Change: the server grants each connection what may be read (crates/http-server, intake.rs): the bytes of a head, then 4 KB at a time as a body is taken, then 4 KB beyond, which show that the caller has left. After 4 KB other connections have their turn. A head over the operator's max_header_bytes is answered 431. The rest of a body that is not wanted is discarded for 3 s and 64 MB at most, and its connection is closed, also where it is chunked, which the library drains without end.

Conclusion: what a connection holds is bounded by what its request needs, and no connection keeps the others from their turn.

--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -14,7 +14,7 @@
 use dalestand_http_server::Connections;
 use dalestand_http_server::MemoryAccount;
 use dalestand_planner::{ScalingDecision, ZoneEngines};
-use dalestand_routes::{RouteTable, WeightedRoundRobin};
+use dalestand_routes::{CallerLimits, RouteTable, WeightedRoundRobin};
 use dalestand_routing::staged::{EngineKey, LinkQueue, StagedRouter};
 use dalestand_routing::{NodeCount, SharedRetryBudget};
 use dalestand_stream_origins::{EngineVersions, StoredVersions};
@@ -77,6 +77,8 @@
     pub(crate) in_flight: InFlight,
     /// Memory of request bodies.
     pub(crate) bodies: MemoryAccount,
+    /// Maximum size of the head of a request, by the declaration.
+    pub(crate) max_head_bytes: Rc<Cell<usize>>,
     /// Size of buffered answers that callers have not read yet.
     pub(crate) held_bytes: HeldBytes,
     pub(crate) router: RefCell<StagedRouter>,
@@ -161,6 +163,7 @@
             logger,
             in_flight: InFlight::default(),
             bodies: MemoryAccount::new(settings.body_memory_bytes()),
+            max_head_bytes: Rc::new(Cell::new(CallerLimits::default().max_head_bytes)),
             held_bytes: HeldBytes::new(settings.answer_memory_bytes()),
             router: RefCell::new(StagedRouter::seeded(rand::rng().random())),
             uplink: RefCell::default(),
@@ -234,6 +237,7 @@
         if current.is_some_and(|current| table.revision() <= current) {
             return false;
         }
+        self.max_head_bytes.set(table.callers().max_head_bytes);
         let previous = self.table.replace(Some(Rc::new(table)));
         let pools_changed = previous.is_none_or(|previous| {
             let table = self.table.borrow();
--- a/crates/forwarding/src/node/start.rs
+++ b/crates/forwarding/src/node/start.rs
@@ -212,6 +212,7 @@
             max_connections: context.settings.max_caller_connections(),
             max_excess_connections: 0,
             bodies: context.bodies.clone(),
+            max_head_bytes: context.max_head_bytes.clone(),
             ..limits()
         };
         let crowded_from = limits.max_connections / 2;
--- a/crates/http-server/src/body.rs
+++ b/crates/http-server/src/body.rs
@@ -53,18 +53,25 @@
     collected.unwrap_or(Err(HttpServerError::BodyTooSlow))
 }
 
-fn declared_length(request: &Request) -> Option<u64> {
+/// The length of the body that the request announces, in bytes.
+pub(crate) fn declared_length(request: &Request) -> Option<u64> {
     let value = request.headers().get(CONTENT_LENGTH)?;
     value.to_str().ok()?.parse().ok()
 }
 
 async fn collect(request: &mut Request, limits: BodyLimits) -> Result<Body, HttpServerError> {
     let mut payload = request.take_payload();
+    let intake = request
+        .conn_data::<ConnectionData>()
+        .map(|data| data.intake.clone());
     let declared = declared_length(request).and_then(|length| length.try_into().ok());
     let account = body_account(request);
     let owner = limits.owner.unwrap_or_else(|| address_owner(request));
     let mut body = BodyBuilder::new(account.open(owner), declared);
     loop {
+        if let Some(intake) = &intake {
+            intake.read_body();
+        }
         let chunk = tokio::select! {
             biased;
             displaced = body.reservation().displaced() => return Err(displaced.into()),
@@ -80,6 +87,9 @@
         }
         body.append(&chunk).await?;
     }
+    if let Some(intake) = &intake {
+        intake.read_ahead();
+    }
     Ok(body.finish())
 }
 
--- a/crates/http-server/src/lib.rs
+++ b/crates/http-server/src/lib.rs
@@ -5,9 +5,11 @@
 //! limits on connections, headers and bodies and the graceful shutdown are implemented once.
 
 mod answer;
+mod answer_body;
 mod body;
 mod connections;
 mod error;
+mod intake;
 mod listen;
 mod server;
 mod shared_stream;
--- a/crates/http-server/src/server.rs
+++ b/crates/http-server/src/server.rs
@@ -9,7 +9,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use actix_http::{ConnectionType, Extensions, HttpService, Request, StatusCode};
+use actix_http::body::{BodySize, BoxBody, MessageBody as _};
+use actix_http::{ConnectionType, Extensions, HttpService, Payload, Request, StatusCode};
 use actix_rt::net::TcpStream;
 use actix_rt::time::timeout;
 use actix_service::{IntoServiceFactory as _, Service, ServiceFactory as _, fn_service};
@@ -18,6 +19,9 @@
 use futures_util::future::poll_immediate;
 use tokio::net::TcpListener;
 
+use crate::answer_body::AnswerBody;
+use crate::body::declared_length;
+use crate::intake::{Intake, LINGER_TIMEOUT};
 use crate::shared_stream::SharedStream;
 use crate::{Answer, Connections, status_answer};
 
@@ -30,14 +34,11 @@
 /// Maximum time for which an ending accept loop waits for connections.
 const BACKLOG_DRAIN_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// After an answer to a request whose body has not arrived completely, the connection is read for this time at most before it
-/// is closed. Closing it with unread bytes would reset it, which discards the answer on its way and fails the caller's
-/// writes.
-const LINGER_TIMEOUT: Duration = Duration::from_secs(3);
-
 /// Data attached to a connection when it is opened.
 pub(crate) struct ConnectionData {
     over_limit: bool,
+    /// How much of it is read.
+    pub(crate) intake: Intake,
     /// The memory of bodies.
     pub(crate) bodies: MemoryAccount,
     /// Whether an answer on it has said that it closes.
@@ -58,6 +59,8 @@
     /// Number of connections above that which are still accepted: their requests are marked, see [`is_over_limit`], so that
     /// they can be refused with an answer. Further connections are closed immediately, with what was sent on them unread.
     pub max_excess_connections: usize,
+    /// Maximum size of the head of a request, in bytes. May change while the server runs.
+    pub max_head_bytes: Rc<Cell<usize>>,
     /// The memory for request bodies. Servers of one thread may share it.
     pub bodies: MemoryAccount,
     /// Time limit for receiving the head of a request.
@@ -66,6 +69,9 @@
     pub keep_alive: Duration,
 }
 
+/// Maximum size of a head, where nothing else is set.
+const DEFAULT_MAX_HEAD_BYTES: usize = 16 << 10;
+
 /// Memory for the bodies of a server's requests, where nothing else is set.
 const DEFAULT_BODY_MEMORY_BYTES: usize = 64 << 20;
 
@@ -74,6 +80,7 @@
         Self {
             max_connections: 16_384,
             max_excess_connections: 256,
+            max_head_bytes: Rc::new(Cell::new(DEFAULT_MAX_HEAD_BYTES)),
             bodies: MemoryAccount::new(DEFAULT_BODY_MEMORY_BYTES),
             head_timeout: Duration::from_secs(10),
             keep_alive: Duration::from_secs(75),
@@ -96,10 +103,14 @@
     F: Future<Output = Answer> + 'static,
 {
     let handler = Rc::new(handler);
-    let service = fn_service(move |request: Request| {
+    let service = fn_service(move |mut request: Request| {
         let handler = Rc::clone(&handler);
         let data = request.conn_data::<ConnectionData>();
         let closes = data.map(|data| Rc::clone(&data.closes)).unwrap_or_default();
+        let intake = data.map(|data| data.intake.clone());
+        if let Some(intake) = &intake {
+            begin_request(intake, &mut request);
+        }
         // Boxed, as the futures around it would reserve its size several times in each connection, even in idle ones.
         let answer = Box::pin(async move { handler(request).await });
         async move {
@@ -108,6 +119,10 @@
                 return Ok::<Answer, Infallible>(status_answer(StatusCode::SERVICE_UNAVAILABLE));
             }
             let answer = answer_despite_panic(answer).await;
+            let answer = match intake {
+                Some(intake) => end_request(intake, answer),
+                None => answer,
+            };
             closes.set(answer.head().connection_type() == ConnectionType::Close);
             Ok(answer)
         }
@@ -129,6 +144,7 @@
             opening.replace(Some(stream.clone()));
             data.insert(ConnectionData {
                 over_limit: open_connections.open() > max_connections,
+                intake: stream.intake().clone(),
                 bodies: bodies.clone(),
                 closes: Rc::default(),
             });
@@ -147,11 +163,16 @@
             connections.record_refused();
             return;
         }
+        // Disable Nagle's algorithm: small writes must not wait for earlier acknowledgements.
+        let _ = stream.set_nodelay(true);
+        let peer = stream.peer_addr().ok();
         let guard = connections.enter();
         let connection_service = Rc::clone(&connection_service);
+        let intake = Intake::new(Rc::clone(&limits.max_head_bytes));
         actix_rt::spawn(async move {
             let _guard = guard;
-            serve_connection(&*connection_service, stream).await;
+            let stream = SharedStream::new(stream, intake);
+            serve_connection(&*connection_service, stream, peer).await;
         });
     };
     let _listening = connections.listen();
@@ -193,13 +214,35 @@
     }
 }
 
-async fn serve_connection<S>(service: &S, stream: TcpStream)
+async fn serve_connection<S>(service: &S, stream: SharedStream, peer: Option<SocketAddr>)
 where
     S: Service<(SharedStream, Option<SocketAddr>)>,
 {
-    // Disable Nagle's algorithm: small writes must not wait for earlier acknowledgements.
-    let _ = stream.set_nodelay(true);
     // A connection error affects only its peer; requests on it report their own outcome.
-    let peer = stream.peer_addr().ok();
-    let _ = service.call((SharedStream::new(stream), peer)).await;
+    let _ = service.call((stream, peer)).await;
+}
+
+/// Reads no more of a connection than the request's handler takes.
+fn begin_request(intake: &Intake, request: &mut Request) {
+    let has_body = !matches!(request.payload(), Payload::None);
+    if !has_body || declared_length(request) == Some(0) {
+        intake.read_ahead();
+    } else {
+        intake.read_body();
+    }
+}
+
+/// Reads the next request after the answer. If the body of this one was not read to its end, the rest is discarded, and the
+/// connection is closed.
+fn end_request(intake: Intake, mut answer: Answer) -> Answer {
+    if !intake.is_received() {
+        intake.discard();
+        answer.head_mut().set_connection_type(ConnectionType::Close);
+        return answer;
+    }
+    if matches!(answer.body().size(), BodySize::None | BodySize::Sized(0)) {
+        intake.read_head();
+        return answer;
+    }
+    answer.map_body(|_, body| BoxBody::new(AnswerBody { body, intake }))
 }
--- a/crates/request-bodies/src/account.rs
+++ b/crates/request-bodies/src/account.rs
@@ -83,9 +83,7 @@
         let shared = &self.account.0;
         loop {
             let released = shared.released.notified();
-            let mut ledger = shared.ledger.borrow_mut();
-            let decision = ledger.grow(self.id, bytes, Instant::now());
-            drop(ledger);
+            let decision = self.decide(bytes);
             match decision {
                 Decision::Granted => return Ok(()),
                 Decision::Refused => return Err(NoMemory),
@@ -102,6 +100,11 @@
         }
     }
 
+    fn decide(&self, bytes: usize) -> Decision {
+        let mut ledger = self.account.0.ledger.borrow_mut();
+        ledger.grow(self.id, bytes, Instant::now())
+    }
+
     /// Records that bytes of the body have arrived.
     pub fn record_progress(&self) {
         let mut ledger = self.account.0.ledger.borrow_mut();
