Connections that are quiet give way to new ones at the limit

Callers saw: while a crowd had taken all of a node's connections and sent parts of heads on them, new callers were closed on arrival, until the time for a head (60 s) was over.

Cause: at the limit new connections were refused, whatever the others did.

Change: the server knows of each connection what it is read for and since when. At the limit the one ends that has been quiet longest, a second at least, or has been at the same head or body for three; one with a body is answered 503. A connection whose request is being served never ends so. Up to 64 that are ending may be above the limit, from the descriptors that are kept for files.

Its limit of 30 s is a caller's patience, six deadlines, and less than the time for a head.

Conclusion: connections are kept for those that use them.

--- a/cmd/tests/misbehaving_clients.rs
+++ b/cmd/tests/misbehaving_clients.rs
@@ -25,6 +25,9 @@
 /// Clients that misbehave. Their bodies together are twice the machine's memory.
 const CLIENTS: usize = 200;
 
+/// Clients that stay connected: more than half of the descriptors of the machine.
+const CONNECTED_CLIENTS: usize = 600;
+
 /// Engines that are still busy with some bodies when others arrive.
 const SLOW_ENGINES: EngineConfig = EngineConfig {
     work: Duration::from_secs(1),
@@ -34,6 +37,10 @@
 /// Time limit of waiting; only a failing test reaches it.
 const WAIT_LIMIT: Duration = Duration::from_secs(60);
 
+/// A caller gives up after six times its deadline. Shorter than the time for which a head may take, so that a crowd's connections do not
+/// end meanwhile.
+const CALLER_PATIENCE: Duration = Duration::from_secs(30);
+
 /// One crowd at a time: its memory and its load would count against another.
 static CROWD: Mutex<()> = Mutex::new(());
 
@@ -69,16 +76,16 @@
             _engines: engines,
             folder,
         };
-        site.serve_one(&ordinary_request);
+        site.serve_one(WAIT_LIMIT);
         site
     }
 
-    /// Sends requests one after the other until one is served.
-    fn serve_one(&self, request: &dyn Fn(usize) -> Vec<u8>) {
-        let until = Instant::now() + WAIT_LIMIT;
+    /// Sends ordinary requests one after the other until one is served.
+    fn serve_one(&self, patience: Duration) {
+        let until = Instant::now() + patience;
         let mut last = None;
         for number in 0.. {
-            match exchange(self.node.caller_address, &request(number)) {
+            match exchange(self.node.caller_address, &ordinary_request(number)) {
                 Some(answer) if answer.status() == 200 => return,
                 answer => last = answer.or(last),
             }
@@ -191,11 +198,15 @@
     let crowd = Crowd::start(&addresses, &[kind], CLIENTS, "crowd").expect("a crowd");
     let has_settled = crowd.wait_until_settled(WAIT_LIMIT);
     if has_settled {
-        site.serve_one(&ordinary_request);
+        site.serve_one(WAIT_LIMIT);
     }
     let report = crowd.stop();
     let peak_kb = site.node.peak_memory_kb();
     let (most_unread, descriptors) = watch.stop();
+    println!(
+        "{kind:?}: {peak_kb:?} kB, {most_unread} B unread, {descriptors} descriptors, {:?}",
+        report.answers
+    );
     assert!(!site.node.has_ended(), "the process has ended: {report:?}");
     assert!(has_settled, "the node takes no more bytes: {report:?}");
     let most_bytes = peak_kb.expect("a process") * 1_024 + most_unread as u64;
@@ -210,6 +221,27 @@
     let _ = std::fs::remove_dir_all(&site.folder);
 }
 
+/// Guards against callers that take all connections of a node and send little or nothing on them.
+#[test]
+fn a_crowd_that_takes_all_connections_does_not_keep_other_callers_out() {
+    let _one_at_a_time = CROWD.lock().unwrap_or_else(PoisonError::into_inner);
+    let site = Site::start("crowd-connections", AMPLE_CAPACITY);
+    let watch = Watch::start(&site.node);
+    let addresses = [site.node.caller_address];
+    let kinds = [CrowdKind::UnfinishedHead];
+    let crowd = Crowd::start(&addresses, &kinds, CONNECTED_CLIENTS, "crowd").expect("a crowd");
+    let has_settled = crowd.wait_until_settled(WAIT_LIMIT);
+    if has_settled {
+        site.serve_one(CALLER_PATIENCE);
+    }
+    let report = crowd.stop();
+    let (_, descriptors) = watch.stop();
+    assert!(!site.node.has_ended(), "the process has ended: {report:?}");
+    assert!(has_settled, "the node takes no connections: {report:?}");
+    assert!(descriptors <= LIMITS.max_open_files, "{descriptors}");
+    let _ = std::fs::remove_dir_all(&site.folder);
+}
+
 fn assert_refused_have_not_run(recorder: &Recorder, refused: &[String]) {
     let history = recorder.history();
     let has_run = |id: &&String| history.runs.iter().any(|run| run.id == **id);
--- a/crates/forwarding/src/node/start.rs
+++ b/crates/forwarding/src/node/start.rs
@@ -66,6 +66,10 @@
 /// Time for which an idle connection is kept open; long for the same reason.
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
 
+/// Callers' connections above the limit while those are ending that gave way to new ones. Some of the descriptors that are kept for
+/// files.
+const MAX_ENDING_CONNECTIONS: usize = 64;
+
 /// How often expired state is removed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -211,6 +215,7 @@
         let limits = ServerLimits {
             max_connections: context.settings.max_caller_connections(),
             max_excess_connections: 0,
+            max_ending_connections: MAX_ENDING_CONNECTIONS,
             bodies: context.bodies.clone(),
             max_head_bytes: context.max_head_bytes.clone(),
             ..limits()
--- a/crates/http-server/src/connections.rs
+++ b/crates/http-server/src/connections.rs
@@ -18,6 +18,8 @@
     open: Arc<AtomicUsize>,
     /// Number of connections that were closed on arrival.
     refused: Arc<AtomicUsize>,
+    /// Number of connections that were ended in favour of new ones.
+    displaced: Arc<AtomicUsize>,
     /// Number of accept loops whose listening sockets are open.
     listening: Arc<AtomicUsize>,
     /// Whether the accept loops must end.
@@ -79,6 +81,16 @@
         ConnectionGuard(self.clone())
     }
 
+    /// Number of connections that were ended in favour of new ones.
+    pub fn displaced(&self) -> usize {
+        self.displaced.load(Ordering::Relaxed)
+    }
+
+    /// Counts a connection that is ended in favour of a new one.
+    pub(crate) fn record_displaced(&self) {
+        self.displaced.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Completes when a connection must close. That is postponed while a request lies unread in its socket, which would be
     /// dropped without an answer.
     pub(crate) async fn draining(&self, stream: Option<SharedStream>) {
--- a/crates/http-server/src/intake.rs
+++ b/crates/http-server/src/intake.rs
@@ -8,9 +8,11 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_rt::time::{Sleep, sleep};
+use dalestand_request_bodies::Displaced;
+use tokio::sync::Notify;
 
 /// Bytes that are read before other connections have their turn.
 const TURN_BYTES: usize = 4 << 10;
@@ -29,6 +31,12 @@
 /// writes.
 pub(crate) const LINGER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// A connection that is delayed by less gives no way to others.
+const MIN_DELAY: Duration = Duration::from_secs(1);
+
+/// Time at the same head or body counts this much less than time without any bytes.
+const PHASE_WEIGHT: u32 = 3;
+
 /// What a connection is read for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Phase {
@@ -65,6 +73,13 @@
     /// Bytes read in this turn.
     read_in_turn: Cell<usize>,
     max_head_bytes: Rc<Cell<usize>>,
+    /// When bytes arrived last, or the phase began.
+    active_at: Cell<Instant>,
+    phase_since: Cell<Instant>,
+    is_displaced: Cell<bool>,
+    /// Whether nothing more may be read.
+    is_over: Cell<bool>,
+    displaced: Notify,
     /// Ends the discarding of an unwanted body.
     linger: RefCell<Option<Pin<Box<Sleep>>>>,
     waiting: RefCell<Option<Waker>>,
@@ -78,6 +93,11 @@
             granted: Cell::new(max_head_bytes.get() + BEYOND_HEAD_BYTES),
             read_in_turn: Cell::default(),
             max_head_bytes,
+            active_at: Cell::new(Instant::now()),
+            phase_since: Cell::new(Instant::now()),
+            is_displaced: Cell::default(),
+            is_over: Cell::default(),
+            displaced: Notify::new(),
             linger: RefCell::default(),
             waiting: RefCell::default(),
         }))
@@ -91,6 +111,9 @@
             context.waker().wake_by_ref();
             return Poll::Pending;
         }
+        if state.is_over.get() {
+            return Poll::Ready(Permission::Over);
+        }
         if let Some(linger) = &mut *state.linger.borrow_mut()
             && linger.as_mut().poll(context).is_ready()
         {
@@ -115,6 +138,7 @@
         let state = &self.0;
         match bytes {
             Some(bytes) => {
+                state.active_at.set(Instant::now());
                 state.read_in_turn.set(state.read_in_turn.get() + bytes);
                 state.granted.set(state.granted.get().saturating_sub(bytes));
             }
@@ -152,9 +176,45 @@
         self.grant(Phase::Discard, MAX_DISCARDED_BYTES);
     }
 
+    /// How far the connection is behind those that serve their peers: longer for one that is quiet, or has been at the same head
+    /// or body for long. `None` while a request is being served or none has been delayed.
+    pub(crate) fn delay(&self, now: Instant) -> Option<Duration> {
+        let state = &self.0;
+        if state.phase.get() == Phase::ReadAhead || state.is_displaced.get() {
+            return None;
+        }
+        let quiet = now.saturating_duration_since(state.active_at.get());
+        let in_phase = now.saturating_duration_since(state.phase_since.get());
+        let delay = quiet.max(in_phase / PHASE_WEIGHT);
+        (delay >= MIN_DELAY).then_some(delay)
+    }
+
+    /// Ends the connection in favour of another, with an answer if a request has begun to arrive.
+    pub(crate) fn displace(&self) {
+        self.0.is_displaced.set(true);
+        // It has its answer.
+        self.0.is_over.set(self.0.phase.get() == Phase::Discard);
+        self.0.displaced.notify_waiters();
+        if let Some(waker) = self.0.waiting.take() {
+            waker.wake();
+        }
+    }
+
+    /// Completes when the connection must end in favour of another.
+    pub(crate) async fn displaced(&self) -> Displaced {
+        while !self.0.is_displaced.get() {
+            self.0.displaced.notified().await;
+        }
+        Displaced
+    }
+
     fn grant(&self, phase: Phase, bytes: usize) {
         let state = &self.0;
-        state.phase.set(phase);
+        if state.phase.replace(phase) != phase {
+            let now = Instant::now();
+            state.active_at.set(now);
+            state.phase_since.set(now);
+        }
         state.granted.set(bytes);
         if let Some(waker) = state.waiting.take() {
             waker.wake();
--- a/crates/http-server/src/lib.rs
+++ b/crates/http-server/src/lib.rs
@@ -11,6 +11,7 @@
 mod error;
 mod intake;
 mod listen;
+mod open_connections;
 mod server;
 mod shared_stream;
 
--- a/crates/http-server/src/server.rs
+++ b/crates/http-server/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{Future, pending};
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::pin::pin;
@@ -14,7 +14,7 @@
 use actix_rt::net::TcpStream;
 use actix_rt::time::timeout;
 use actix_service::{IntoServiceFactory as _, Service, ServiceFactory as _, fn_service};
-use dalestand_request_bodies::MemoryAccount;
+use dalestand_request_bodies::{Displaced, MemoryAccount};
 use futures_util::FutureExt as _;
 use futures_util::future::poll_immediate;
 use tokio::net::TcpListener;
@@ -22,6 +22,7 @@
 use crate::answer_body::AnswerBody;
 use crate::body::declared_length;
 use crate::intake::{Intake, LINGER_TIMEOUT};
+use crate::open_connections::OpenConnections;
 use crate::shared_stream::SharedStream;
 use crate::{Answer, Connections, status_answer};
 
@@ -59,6 +60,8 @@
     /// Number of connections above that which are still accepted: their requests are marked, see [`is_over_limit`], so that
     /// they can be refused with an answer. Further connections are closed immediately, with what was sent on them unread.
     pub max_excess_connections: usize,
+    /// Number of connections above [`max_connections`](Self::max_connections) while those are ending that gave way to new ones.
+    pub max_ending_connections: usize,
     /// Maximum size of the head of a request, in bytes. May change while the server runs.
     pub max_head_bytes: Rc<Cell<usize>>,
     /// The memory for request bodies. Servers of one thread may share it.
@@ -80,6 +83,7 @@
         Self {
             max_connections: 16_384,
             max_excess_connections: 256,
+            max_ending_connections: 0,
             max_head_bytes: Rc::new(Cell::new(DEFAULT_MAX_HEAD_BYTES)),
             bodies: MemoryAccount::new(DEFAULT_BODY_MEMORY_BYTES),
             head_timeout: Duration::from_secs(10),
@@ -151,15 +155,22 @@
         })
         .graceful_shutdown_signal(move || {
             let (draining, stream) = (draining.clone(), opened.take());
-            async move { draining.draining(stream).await }
+            async move {
+                let intake = stream.as_ref().map(|stream| stream.intake().clone());
+                tokio::select! {
+                    () = draining.draining(stream) => {}
+                    Displaced = displaced(intake) => {}
+                }
+            }
         })
         .h1(service.into_factory());
     let Ok(connection_service) = factory.new_service(()).await else {
         return;
     };
     let connection_service = Rc::new(connection_service);
+    let open = OpenConnections::default();
     let accept = |stream: TcpStream| {
-        if connections.open() >= limits.max_connections + limits.max_excess_connections {
+        if !make_room(&open, &connections, &limits) {
             connections.record_refused();
             return;
         }
@@ -169,8 +180,9 @@
         let guard = connections.enter();
         let connection_service = Rc::clone(&connection_service);
         let intake = Intake::new(Rc::clone(&limits.max_head_bytes));
+        let entry = open.add(intake.clone());
         actix_rt::spawn(async move {
-            let _guard = guard;
+            let (_guard, _entry) = (guard, entry);
             let stream = SharedStream::new(stream, intake);
             serve_connection(&*connection_service, stream, peer).await;
         });
@@ -191,6 +203,23 @@
     drop(listener);
 }
 
+/// Whether a new connection is accepted. At the limit, another one is ended for it; those that are ending may be above the limit.
+fn make_room(open: &OpenConnections, connections: &Connections, limits: &ServerLimits) -> bool {
+    let excess = (connections.open() + 1).saturating_sub(limits.max_connections);
+    if excess > 0 && excess <= limits.max_ending_connections && open.displace_one() {
+        connections.record_displaced();
+        return true;
+    }
+    excess <= limits.max_excess_connections
+}
+
+async fn displaced(intake: Option<Intake>) -> Displaced {
+    match intake {
+        Some(intake) => intake.displaced().await,
+        None => pending().await,
+    }
+}
+
 /// The answer of a handler, or an error answer if it panics, as unwinding further would end the connection without an answer.
 async fn answer_despite_panic(answer: impl Future<Output = Answer>) -> Answer {
     // State that handlers share is behind cells, whose borrows end with the unwinding.
