Answers of unknown length reserve what they hold

What was seen: with 20 answers of 900 KB whose end does not come, a node held 18 MB where 2 MB were for answers, and no caller got the head of its answer.

Cause: an answer without a length reserved 64 KB and was collected up to 1 MB; the reservation was adjusted at its end.

Change: its reservation grows with it, and what does not fit is passed on as it arrives, as answers with a length are.

A unit test holds that reservations do not grow beyond the bound.

Conclusion: the same class as callers' bodies, bounded for each and not in all, at the engines' side.

--- a/crates/forwarding/src/serve/deliver.rs
+++ b/crates/forwarding/src/serve/deliver.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use dalestand_engine_link::ResponseHead;
+use dalestand_engine_link::{BodyError, ResponseHead};
 use dalestand_routing::staged::AttemptResult;
 
 use crate::context::Context;
@@ -30,6 +30,25 @@
     Stream(Box<EngineAnswer>),
 }
 
+/// Reads a body for which `reserved` bytes are reserved, and reserves more as it turns out to be longer. `None` if it is too long
+/// to be held.
+async fn collect_body(
+    answer: &mut EngineAnswer,
+    reservation: &mut HeldReservation,
+    mut reserved: usize,
+) -> Result<Option<Bytes>, BodyError> {
+    loop {
+        let body = answer.body.collect_if_short(reserved).await?;
+        if body.is_some() || reserved >= MAX_BUFFERED_BYTES {
+            return Ok(body);
+        }
+        reserved = (2 * reserved).clamp(UNKNOWN_LENGTH_BYTES, MAX_BUFFERED_BYTES);
+        if !reservation.extend(reserved) {
+            return Ok(None);
+        }
+    }
+}
+
 /// Turns an engine's answer into one for the caller; `None` if it is broken or must not be passed on.
 pub(super) async fn deliver(
     context: &Rc<Context>,
@@ -56,7 +75,7 @@
     let Some(mut reservation) = reservation.filter(|_| !is_streamed) else {
         return (!is_false_guarantee).then(|| Served::Stream(answer));
     };
-    let body = match answer.body.collect_if_short(MAX_BUFFERED_BYTES).await {
+    let body = match collect_body(&mut answer, &mut reservation, expected).await {
         Ok(Some(body)) => Ok(body),
         // Its length was unknown.
         Ok(None) => return (!is_false_guarantee).then(|| Served::Stream(answer)),
--- a/crates/forwarding/src/serve/held_bytes.rs
+++ b/crates/forwarding/src/serve/held_bytes.rs
@@ -61,6 +61,16 @@
 }
 
 impl HeldReservation {
+    /// Extends the reservation to `bytes` unless that would exceed the limit; returns whether it did.
+    pub(crate) fn extend(&mut self, bytes: usize) -> bool {
+        let others = self.held.get() - self.bytes;
+        let is_within = others + bytes <= self.held.limit;
+        if is_within {
+            self.resize(bytes);
+        }
+        is_within
+    }
+
     /// Adjusts the reservation to the actual length of the answer.
     pub(crate) fn resize(&mut self, bytes: usize) {
         let others = self.held.get() - self.bytes;
--- a/crates/forwarding/src/serve/held_bytes/tests.rs
+++ b/crates/forwarding/src/serve/held_bytes/tests.rs
@@ -30,6 +30,20 @@
     assert_eq!(held.get(), 10);
 }
 
+/// Guards against answers of unknown length that hold more than was reserved for them.
+#[test]
+fn a_reservation_is_not_extended_beyond_the_limit() {
+    let held = HeldBytes::new(MAX_HELD_BYTES);
+    let mut first = held.reserve(64).expect("reservation");
+    let mut second = held.reserve(64).expect("reservation");
+    assert!(first.extend(MAX_HELD_BYTES - 64));
+    assert!(!second.extend(65));
+    assert_eq!(held.get(), MAX_HELD_BYTES);
+    drop(first);
+    assert!(second.extend(65));
+    assert_eq!(held.get(), 65);
+}
+
 #[actix_rt::test]
 async fn an_answer_is_streamed_in_chunks_and_then_released() {
     let held = HeldBytes::new(MAX_HELD_BYTES);
