--- a/crates/forwarding/src/serve/accept.rs
+++ b/crates/forwarding/src/serve/accept.rs
@@ -20,7 +20,7 @@
 use crate::serve::answer::Failure;
 use crate::serve::caller_watch::record_read;
 use crate::serve::headers::forwarded_headers;
-use crate::serve::progress::{AcceptedRequest, ForwardedRequest, Progress};
+use crate::serve::progress::{AcceptedRequest, ForwardedRequest, Progress, time_limit};
 use crate::serve::tenant_shares::tenant_code;
 
 /// Finds the route and the caller of a request and reads its body.
@@ -38,6 +38,7 @@
         return Err(Failure::NoConfiguration);
     }
     let limits = BodyLimits {
+        timeout: time_limit(&facts, &route),
         owner: caller
             .tenant()
             .map(|tenant| Owner::Tenant(TenantCode::of(&tenant.name).0)),
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -304,6 +304,12 @@
     pub(crate) admission: Option<AdmissionRecord>,
 }
 
+/// Time from the arrival of a request to the moment when its complete answer is due.
+pub(crate) fn time_limit(facts: &RequestMetadata, route: &RouteConfig) -> Duration {
+    let limit = Duration::from_millis(route.time_limit_ms);
+    facts.deadline.map_or(limit, |deadline| deadline.min(limit))
+}
+
 impl Progress {
     pub(crate) fn new(accepted: AcceptedRequest) -> Self {
         let AcceptedRequest {
@@ -318,9 +324,8 @@
             class,
             started,
         } = accepted;
-        let limit = Duration::from_millis(route.time_limit_ms);
+        let time_limit = time_limit(&facts, &route);
         let tenant = tenant_code(&caller).map(|code| (class.clone(), code));
-        let time_limit = facts.deadline.map_or(limit, |deadline| deadline.min(limit));
         let binding = if route.kind.is_stream() {
             let draw = rand::random();
             StreamBinding::Beginning { draw }
