Expect: 100-continue is answered by what the head says

Callers saw: a caller that waits for permission to send its body was asked for it in every case, and then refused: without a route (404), above the limit (413), without memory (503).

Cause: the HTTP library asks for the body before the request's handler sees the head.

Change: the server asks the application first; a forwarding node decides by route, key, announced length and by whether the account would have memory for a body of that length.

Test: a_body_is_asked_for_only_if_it_is_wanted: three of four cases failed before (100 in place of the refusal) and pass; the fourth, a wanted body, passed before and does.

Conclusion: refusals come before the bytes that they concern.

--- a/crates/forwarding/src/node/start.rs
+++ b/crates/forwarding/src/node/start.rs
@@ -9,7 +9,9 @@
 use dalestand_edge::duty_calls::DutyCalls;
 use dalestand_edge::routed::{Dialect, StoreFormat};
 use dalestand_edge::unknown_headers::UnknownHeaders;
-use dalestand_http_server::{Answer, ConnectionType, Connections, ServerLimits, listen, serve};
+use dalestand_http_server::{
+    Answer, ConnectionType, Connections, Expectation, ServerLimits, listen, serve,
+};
 use dalestand_telemetry::{Event, log_event};
 use dalestand_tunnel::serve_tunnels;
 use error_stack::{Report, ResultExt as _};
@@ -55,7 +57,7 @@
 use crate::roles::lease_keeper::acquire_and_renew;
 use crate::roles::role_control::control_roles;
 use crate::serve::caller_watch::{CallerWatch, DepartureLog};
-use crate::serve::forward::forward;
+use crate::serve::forward::{decide_expectation, forward};
 use crate::streams::share::send_origins;
 use crate::streams::stored_versions;
 
@@ -210,13 +212,14 @@
     let counted = connections.clone();
     // This is the only place that sets it, so it cannot fail.
     let _ = context.caller_connections.set(connections.clone());
-    let context = Rc::clone(context);
+    let (context, expecting) = (Rc::clone(context), Rc::clone(context));
     actix_rt::spawn(async move {
         let limits = ServerLimits {
             max_connections: context.settings.max_caller_connections(),
             max_excess_connections: 0,
             max_ending_connections: MAX_ENDING_CONNECTIONS,
             bodies: context.bodies.clone(),
+            expectation: Expectation::new(move |request| decide_expectation(&expecting, request)),
             max_head_bytes: context.max_head_bytes.clone(),
             ..limits()
         };
--- a/crates/forwarding/src/serve/accept.rs
+++ b/crates/forwarding/src/serve/accept.rs
@@ -7,10 +7,11 @@
 use dalestand_clock::BootInstant;
 use dalestand_edge::routed::RequestMetadata;
 use dalestand_http_server::{
-    Body, BodyLimits, HttpMessage as _, HttpServerError, Owner, Request, read_body,
+    Body, BodyLimits, HttpMessage as _, HttpServerError, Owner, Request, address_owner,
+    check_declared_length, declared_length, read_body,
 };
 use dalestand_quarantine::{PartFingerprint, RequestFingerprint, RequestIdentity};
-use dalestand_routes::{Caller, RouteConfig};
+use dalestand_routes::{Caller, RouteConfig, RouteTable};
 use dalestand_routing::TenantCode;
 use dalestand_types::PoolName;
 
@@ -23,9 +24,27 @@
 use crate::serve::progress::{AcceptedRequest, ForwardedRequest, Progress, time_limit};
 use crate::serve::tenant_shares::tenant_code;
 
-/// Finds the route and the caller of a request and reads its body.
-pub(crate) async fn accept(context: &Context, request: &mut Request) -> Result<Progress, Failure> {
-    let started = BootInstant::now();
+/// What the head of a request says.
+struct AcceptedHead {
+    facts: RequestMetadata,
+    table: Rc<RouteTable>,
+    route: Arc<RouteConfig>,
+    caller: Caller,
+}
+
+impl AcceptedHead {
+    fn body_limits(&self) -> BodyLimits {
+        let tenant = self.caller.tenant();
+        BodyLimits {
+            timeout: time_limit(&self.facts, &self.route),
+            owner: tenant.map(|tenant| Owner::Tenant(TenantCode::of(&tenant.name).0)),
+            ..BodyLimits::bytes(self.table.callers().max_body_bytes)
+        }
+    }
+}
+
+/// Finds the route and the caller of a request.
+fn accept_head(context: &Context, request: &Request) -> Result<AcceptedHead, Failure> {
     let facts = context.dialect.read_request(request.headers());
     let table = context.table().ok_or(Failure::NoConfiguration)?;
     let route = table
@@ -37,14 +56,39 @@
     if caller.tenant().is_some() && !context.keys_are_current() {
         return Err(Failure::NoConfiguration);
     }
-    let limits = BodyLimits {
-        timeout: time_limit(&facts, &route),
-        owner: caller
-            .tenant()
-            .map(|tenant| Owner::Tenant(TenantCode::of(&tenant.name).0)),
-        ..BodyLimits::bytes(table.callers().max_body_bytes)
-    };
-    let body = read_body(request, limits).await.map_err(body_failure)?;
+    Ok(AcceptedHead {
+        facts,
+        table,
+        route,
+        caller,
+    })
+}
+
+/// Decides by the head of a request whether its body is to be sent.
+pub(crate) fn check_expectation(context: &Context, request: &Request) -> Result<(), Failure> {
+    let limits = accept_head(context, request)?.body_limits();
+    check_declared_length(request, limits.max_bytes).map_err(body_failure)?;
+    let declared = declared_length(request).and_then(|length| length.try_into().ok());
+    let owner = limits.owner.unwrap_or_else(|| address_owner(request));
+    if context.bodies.has_room(owner, declared.unwrap_or(0)) {
+        Ok(())
+    } else {
+        Err(Failure::NoBodyMemory)
+    }
+}
+
+/// Finds the route and the caller of a request and reads its body.
+pub(crate) async fn accept(context: &Context, request: &mut Request) -> Result<Progress, Failure> {
+    let started = BootInstant::now();
+    let head = accept_head(context, request)?;
+    let body = read_body(request, head.body_limits()).await;
+    let body = body.map_err(body_failure)?;
+    let AcceptedHead {
+        facts,
+        table,
+        route,
+        caller,
+    } = head;
     record_read(request, facts.id.as_ref());
     let fingerprint = request_fingerprint(context, request, &caller, &body);
     let shared_parts = shared_parts(context, &facts);
--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -16,7 +16,7 @@
 use crate::quarantine::evidence::is_stopped;
 use crate::quarantine::parts::evidence::held_part;
 use crate::quarantine::trial::{acquire_part_trial, acquire_trial, part_retry_after, retry_after};
-use crate::serve::accept::accept;
+use crate::serve::accept::{accept, check_expectation};
 use crate::serve::admitted_plan::admitted_plan;
 use crate::serve::answer::{Failure, streaming_answer};
 use crate::serve::answer_stream::AnswerStream;
@@ -47,13 +47,7 @@
     let in_flight = context.in_flight.enter();
     let mut progress = match accept(&context, &mut request).await {
         Ok(progress) => progress,
-        Err(failure) => {
-            log_rejected(&context, &request, failure);
-            context
-                .metrics
-                .request(None, failure.status(), Duration::ZERO);
-            return close_if_stopping(&context, failure.answer());
-        }
+        Err(failure) => return reject(&context, &request, failure),
     };
     let due = progress.due;
     let served = timeout_at(due, serve(&context, &mut progress)).await;
@@ -97,6 +91,20 @@
     close_if_stopping(&context, answer)
 }
 
+/// Refuses a request with `Expect: 100-continue` before its body is sent, if that is not wanted.
+pub(crate) fn decide_expectation(context: &Context, request: &Request) -> Result<(), Answer> {
+    let checked = check_expectation(context, request);
+    checked.map_err(|failure| reject(context, request, failure))
+}
+
+/// Answers a request that is not accepted.
+fn reject(context: &Context, request: &Request, failure: Failure) -> Answer {
+    log_rejected(context, request, failure);
+    let metrics = &context.metrics;
+    metrics.request(None, failure.status(), Duration::ZERO);
+    close_if_stopping(context, failure.answer())
+}
+
 /// Counts a request as started by an engine or as refused.
 fn count_outcome(context: &Context, progress: &Progress, failure: Option<Failure>) {
     let now = context.now();
--- a/crates/forwarding/tests/request_bodies.rs
+++ b/crates/forwarding/tests/request_bodies.rs
@@ -44,6 +44,26 @@
     String::from_utf8_lossy(&answer[..length]).into_owned()
 }
 
+/// Guards against callers that are asked for a body which is refused when it has been sent.
+#[rstest]
+#[case::wanted("/r/x", 100, "100")]
+#[case::without_route("/none", 100, "404")]
+#[case::too_long("/r/x", 1 << 30, "413")]
+#[case::without_memory("/r/x", 1 << 20, "503")]
+#[actix_rt::test]
+async fn a_body_is_asked_for_only_if_it_is_wanted(
+    #[case] path: &str,
+    #[case] length: usize,
+    #[case] expected: &str,
+) {
+    let (node, _engine) = start().await;
+    let headers = format!("content-length: {length}\r\nexpect: 100-continue\r\n");
+    let answer = first_answer(&node, path, &headers, "").await;
+    assert_eq!(status(&answer), expected, "{answer}");
+    let has_delay = answer.contains("retry-after");
+    assert_eq!(has_delay, expected == "503", "{answer}");
+}
+
 /// Guards against requests that wait for their bodies when nobody waits for their answers any more, and against a refusal that does
 /// not say that they have not run.
 #[rstest]
--- a/crates/http-server/src/body.rs
+++ b/crates/http-server/src/body.rs
@@ -42,11 +42,7 @@
 
 /// Reads the whole body. A body with a larger `Content-Length` than allowed is refused without being read.
 pub async fn read_body(request: &mut Request, limits: BodyLimits) -> Result<Body, HttpServerError> {
-    let declared = declared_length(request);
-    let limit = limits.max_bytes;
-    if declared.is_some_and(|length| length > limit as u64) {
-        return Err(HttpServerError::BodyTooLarge { limit });
-    }
+    check_declared_length(request, limits.max_bytes)?;
     if matches!(request.payload(), Payload::None) {
         return Ok(Body::default());
     }
@@ -55,8 +51,17 @@
     collected.unwrap_or(Err(HttpServerError::BodyTooSlow))
 }
 
+/// Refuses a body with a larger `Content-Length` than `limit`.
+pub fn check_declared_length(request: &Request, limit: usize) -> Result<(), HttpServerError> {
+    let declared = declared_length(request);
+    if declared.is_some_and(|length| length > limit as u64) {
+        return Err(HttpServerError::BodyTooLarge { limit });
+    }
+    Ok(())
+}
+
 /// The length of the body that the request announces, in bytes.
-pub(crate) fn declared_length(request: &Request) -> Option<u64> {
+pub fn declared_length(request: &Request) -> Option<u64> {
     let value = request.headers().get(CONTENT_LENGTH)?;
     value.to_str().ok()?.parse().ok()
 }
@@ -113,7 +118,8 @@
     )
 }
 
-fn address_owner(request: &Request) -> Owner {
+/// The owner of bodies of callers without tenants: the address of the connection.
+pub fn address_owner(request: &Request) -> Owner {
     let peer = request.peer_addr();
     peer.map_or(Owner::Unknown, |peer| Owner::Address(peer.ip()))
 }
--- a/crates/http-server/src/lib.rs
+++ b/crates/http-server/src/lib.rs
@@ -9,6 +9,7 @@
 mod body;
 mod connections;
 mod error;
+mod expectation;
 mod intake;
 mod listen;
 mod open_connections;
@@ -16,9 +17,12 @@
 mod shared_stream;
 
 pub use answer::{Answer, json_answer, status_answer, stream_answer, text_answer};
-pub use body::{BodyLimits, read_body, read_json};
+pub use body::{
+    BodyLimits, address_owner, check_declared_length, declared_length, read_body, read_json,
+};
 pub use connections::Connections;
 pub use error::HttpServerError;
+pub use expectation::Expectation;
 pub use listen::listen;
 pub use server::{ServerLimits, is_over_limit, serve};
 
--- a/crates/http-server/src/server.rs
+++ b/crates/http-server/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
-use std::future::{Future, pending};
+use std::future::{Future, pending, ready};
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::pin::pin;
@@ -24,7 +24,7 @@
 use crate::intake::{Intake, LINGER_TIMEOUT};
 use crate::open_connections::OpenConnections;
 use crate::shared_stream::SharedStream;
-use crate::{Answer, Connections, status_answer};
+use crate::{Answer, Connections, Expectation, status_answer};
 
 /// Delay before a retry after a failed accept, such as one for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -66,6 +66,8 @@
     pub max_head_bytes: Rc<Cell<usize>>,
     /// The memory for request bodies. Servers of one thread may share it.
     pub bodies: MemoryAccount,
+    /// Which requests with `Expect: 100-continue` are refused before their bodies are sent.
+    pub expectation: Expectation,
     /// Time limit for receiving the head of a request.
     pub head_timeout: Duration,
     /// How long an idle connection is kept open.
@@ -85,6 +87,7 @@
             max_excess_connections: 256,
             max_ending_connections: 0,
             max_head_bytes: Rc::new(Cell::new(DEFAULT_MAX_HEAD_BYTES)),
+            expectation: Expectation::default(),
             bodies: MemoryAccount::new(DEFAULT_BODY_MEMORY_BYTES),
             head_timeout: Duration::from_secs(10),
             keep_alive: Duration::from_secs(75),
@@ -132,6 +135,7 @@
         }
     });
     let open_connections = connections.clone();
+    let expectation = limits.expectation.clone();
     let (bodies, max_connections) = (limits.bodies.clone(), limits.max_connections);
     let draining = connections.clone();
     // The socket of the connection that is being opened, for the signal that is created for it next.
@@ -163,6 +167,9 @@
                 }
             }
         })
+        .expect(fn_service(move |request: Request| {
+            ready(check_expectation(&expectation, request))
+        }))
         .h1(service.into_factory());
     let Ok(connection_service) = factory.new_service(()).await else {
         return;
@@ -251,6 +258,17 @@
     let _ = service.call((stream, peer)).await;
 }
 
+/// Refuses a request whose body is not to be sent. The caller may send it all the same.
+fn check_expectation(expectation: &Expectation, request: Request) -> Result<Request, Answer> {
+    let checked = expectation.check(&request);
+    if checked.is_err()
+        && let Some(data) = request.conn_data::<ConnectionData>()
+    {
+        data.intake.discard();
+    }
+    checked.map(|()| request)
+}
+
 /// Reads no more of a connection than the request's handler takes.
 fn begin_request(intake: &Intake, request: &mut Request) {
     let has_body = !matches!(request.payload(), Payload::None);
--- a/crates/request-bodies/src/account.rs
+++ b/crates/request-bodies/src/account.rs
@@ -56,6 +56,12 @@
         self.0.ledger.borrow().usage()
     }
 
+    /// Whether a body of `bytes` that is about to arrive would get memory.
+    pub fn has_room(&self, owner: Owner, bytes: usize) -> bool {
+        let mut ledger = self.0.ledger.borrow_mut();
+        ledger.has_room(owner, bytes, Instant::now())
+    }
+
     /// A reservation of no bytes, for a body that is about to be received.
     pub fn open(&self, owner: Owner) -> Reservation {
         let id = self.0.ledger.borrow_mut().open(owner, Instant::now());
--- a/crates/request-bodies/src/ledger.rs
+++ b/crates/request-bodies/src/ledger.rs
@@ -186,6 +186,16 @@
         }
     }
 
+    /// Whether a body of `bytes` that is about to arrive would get memory.
+    pub(crate) fn has_room(&mut self, owner: Owner, bytes: usize, now: Instant) -> bool {
+        let id = self.open(owner, now);
+        let missing = self.shortage(id, bytes, self.held_after_release());
+        let has_room =
+            missing.is_none() || self.choose_displaced(id, bytes, missing, now).is_some();
+        self.close(id);
+        has_room
+    }
+
     /// Gives `bytes` more to a body, or chooses those that give way to it.
     pub(crate) fn grow(&mut self, id: EntryId, bytes: usize, now: Instant) -> Decision {
         if self.is_displaced(id) {
