--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, OnceCell, Ref, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::mem::Discriminant;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -38,8 +39,10 @@
 use crate::quarantine::state::QuarantineState;
 use crate::roles::demand::DemandMeter;
 use crate::roles::fleet_lease::FleetLease;
+use crate::serve::answer::Failure;
 use crate::serve::class_counts::ClassCounts;
 use crate::serve::held_bytes::HeldBytes;
+use crate::serve::line_limit::LineLimit;
 use crate::serve::pool_admissions::PoolAdmissions;
 use crate::serve::tenant_shares::TenantShares;
 use crate::streams::share::update_sharing;
@@ -75,6 +78,8 @@
     pub(crate) link: EngineLink,
     pub(crate) logger: Logger,
     pub(crate) in_flight: InFlight,
+    /// Limits the log lines on requests that are rejected for their bodies.
+    pub(crate) body_refusals: LineLimit<Discriminant<Failure>>,
     /// Memory of request bodies.
     pub(crate) bodies: MemoryAccount,
     /// Maximum size of the head of a request, by the declaration.
@@ -162,6 +167,7 @@
             }),
             logger,
             in_flight: InFlight::default(),
+            body_refusals: LineLimit::default(),
             bodies: MemoryAccount::new(settings.body_memory_bytes()),
             max_head_bytes: Rc::new(Cell::new(CallerLimits::default().max_head_bytes)),
             held_bytes: HeldBytes::new(settings.answer_memory_bytes()),
--- a/crates/forwarding/src/node/metrics/mod.rs
+++ b/crates/forwarding/src/node/metrics/mod.rs
@@ -1,6 +1,7 @@
 //! Prometheus metrics of a forwarding node.
 
 mod admission;
+pub(crate) mod bodies;
 mod detours;
 mod engine_signals;
 pub(crate) mod held_parts;
@@ -22,6 +23,7 @@
 };
 
 use self::admission::AdmissionMetrics;
+use self::bodies::BodyMetrics;
 use self::detours::DetourMetrics;
 use self::engine_signals::SignalMetrics;
 use self::held_parts::HeldPartMetrics;
@@ -113,6 +115,7 @@
     retries_left: IntGaugeVec,
     in_flight: IntGauge,
     held_bytes: IntGauge,
+    pub(crate) bodies: BodyMetrics,
     callers_left: IntCounterVec,
     engines: IntGauge,
     nodes: IntGauge,
@@ -136,6 +139,7 @@
     requests_stopped: IntGauge,
     caller_connections: IntGauge,
     caller_connections_refused: IntGauge,
+    caller_connections_displaced: IntGauge,
     scaling: ScalingMetrics,
     over_share: IntCounterVec,
     tenants_over_share: IntGaugeVec,
@@ -242,6 +246,7 @@
                 "held_answer_bytes",
                 "Bytes of whole answers that callers have not read yet.",
             )?,
+            bodies: BodyMetrics::new(&metrics)?,
             callers_left: metrics.counters(
                 "callers_left_total",
                 "Requests whose callers' connections ended before their answers were complete, by how far they had come.",
@@ -314,6 +319,10 @@
                 "caller_connections_refused",
                 "Connections of callers that were closed on arrival since the start, because too many were open.",
             )?,
+            caller_connections_displaced: metrics.gauge(
+                "caller_connections_displaced",
+                "Connections of callers that were ended since the start in favour of new ones, as they were quiet.",
+            )?,
             over_share: metrics.counters(
                 "requests_over_share_total",
                 "Requests that were refused because their tenant was over its share, by pool.",
--- a/crates/forwarding/src/node/metrics/page.rs
+++ b/crates/forwarding/src/node/metrics/page.rs
@@ -26,6 +26,7 @@
     /// Updates the gauges and encodes all metrics as text.
     fn encode(&self, context: &Context) -> Result<String, prometheus::Error> {
         self.in_flight.set(context.in_flight.count() as i64);
+        self.bodies.set(context.bodies.usage());
         self.held_bytes.set(context.held_bytes.get() as i64);
         self.engines.set(context.fleet().len() as i64);
         let collisions = context.fleet().code_collisions();
@@ -72,6 +73,8 @@
             self.caller_connections.set(connections.open() as i64);
             self.caller_connections_refused
                 .set(connections.refused() as i64);
+            self.caller_connections_displaced
+                .set(connections.displaced() as i64);
         }
         self.set_retries_left(context);
         self.scaling.set(&context.scaling_decisions.borrow());
--- a/crates/forwarding/src/serve/answer.rs
+++ b/crates/forwarding/src/serve/answer.rs
@@ -97,6 +97,18 @@
         }
     }
 
+    /// Whether it is due to the length, the pace or the memory of the request's body.
+    pub(crate) fn concerns_body(self) -> bool {
+        matches!(
+            self,
+            Self::BodyTooLong
+                | Self::BodyUnreadable
+                | Self::BodyTooSlow
+                | Self::NoBodyMemory
+                | Self::BodyDisplaced
+        )
+    }
+
     /// Retry delay for the caller, if the request did not run.
     pub(crate) fn retry_after(self) -> Option<Duration> {
         match self {
--- a/crates/forwarding/src/serve/caller_watch.rs
+++ b/crates/forwarding/src/serve/caller_watch.rs
@@ -9,25 +9,21 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{Poll, ready};
-use std::time::Duration;
 
 use actix_http::body::{BodySize, BoxBody, MessageBody};
 use bytes::Bytes;
 use dalestand_clock::BootInstant;
 use dalestand_http_server::{Answer, HttpMessage as _, Request};
 use dalestand_telemetry::{Event, log_event};
-use dalestand_types::MonotonicTime;
 
 use crate::context::Context;
-
-/// Shortest time between two log lines of one phase; callers cancel streams often.
-const LOG_INTERVAL: Duration = Duration::from_millis(500);
+use crate::serve::line_limit::LineLimit;
 
 /// Longest request id in a log line. Callers choose it.
 const MAX_LOGGED_ID_BYTES: usize = 64;
 
 /// How far a request has come.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub(crate) enum RequestPhase {
     /// Its body has not arrived completely. One that breaks off is refused as unreadable and does not count as left.
     #[default]
@@ -39,8 +35,6 @@
 }
 
 impl RequestPhase {
-    const ALL: [Self; 3] = [Self::Receiving, Self::Waiting, Self::Answering];
-
     /// Name for logs and metrics.
     pub(crate) fn label(self) -> &'static str {
         match self {
@@ -66,26 +60,8 @@
     }
 }
 
-/// Limits the log lines on requests left by their callers.
-#[derive(Debug, Default)]
-pub(crate) struct DepartureLog {
-    /// The last line on each phase, and the number of departures since.
-    lines: [Cell<(Option<MonotonicTime>, u64)>; RequestPhase::ALL.len()],
-}
-
-impl DepartureLog {
-    /// Whether a departure may be logged now: the number of those since the last line that were not.
-    fn admit(&self, now: MonotonicTime, phase: RequestPhase) -> Option<u64> {
-        let line = &self.lines[phase as usize];
-        let (logged_at, unlogged) = line.get();
-        if logged_at.is_some_and(|at| now < at + LOG_INTERVAL) {
-            line.set((logged_at, unlogged + 1));
-            return None;
-        }
-        line.set((Some(now), 0));
-        Some(unlogged)
-    }
-}
+/// Limits the log lines on requests left by their callers, by phase.
+pub(crate) type DepartureLog = LineLimit<RequestPhase>;
 
 /// Watches one request from its arrival to the end of its answer. If it is dropped before, the connection has ended.
 pub(crate) struct CallerWatch {
--- a/crates/forwarding/src/serve/caller_watch/tests.rs
+++ b/crates/forwarding/src/serve/caller_watch/tests.rs
@@ -2,7 +2,8 @@
 
 use dalestand_types::MonotonicTime;
 
-use super::{DepartureLog, LOG_INTERVAL, RequestPhase};
+use super::{DepartureLog, RequestPhase};
+use crate::serve::line_limit::LOG_INTERVAL;
 
 /// Guards against a log that grows with each stream that a caller cancels, and against rare departures lost among those.
 #[test]
--- a/crates/forwarding/src/serve/mod.rs
+++ b/crates/forwarding/src/serve/mod.rs
@@ -18,6 +18,7 @@
 pub(crate) mod forward;
 pub(crate) mod headers;
 pub(crate) mod held_bytes;
+pub(crate) mod line_limit;
 pub(crate) mod open_call;
 pub(crate) mod plan;
 pub(crate) mod pool_admissions;
--- a/crates/forwarding/src/serve/request_log.rs
+++ b/crates/forwarding/src/serve/request_log.rs
@@ -1,5 +1,7 @@
 //! Log lines for finished requests.
 
+use std::mem::discriminant;
+
 use dalestand_http_server::{HttpMessage as _, Request};
 use dalestand_routing::staged::EngineKey;
 use dalestand_telemetry::{Event, log_event};
@@ -13,14 +15,28 @@
 /// Longest id of a resumed attempt in a log line. Callers choose it.
 const MAX_LOGGED_ID_BYTES: usize = 64;
 
-/// Logs a request that was rejected before it had a route and a caller.
+/// Logs a request that was rejected before it had been received. Of those rejected for their bodies, which many callers may send
+/// at once, one each half second and reason.
 pub(crate) fn log_rejected(context: &Context, request: &Request, failure: Failure) {
+    let mut unlogged = None;
+    if failure.concerns_body() {
+        context.metrics.bodies.record_refused(failure);
+        unlogged = context
+            .body_refusals
+            .admit(context.now(), discriminant(&failure));
+        if unlogged.is_none() {
+            return;
+        }
+    }
+    let bodies = context.bodies.usage();
     let facts = context.dialect.read_request(request.headers());
     log_event!(context.logger, Event::RequestFailed,
         "request" => facts.id.as_deref().unwrap_or_default(),
         "path" => request.path(), "reason" => ?failure,
         "status" => failure.status().as_u16(),
-        "configuration" => context.table().map(|table| table.revision().0));
+        "configuration" => context.table().map(|table| table.revision().0),
+        "body_bytes" => bodies.bytes, "body_bytes_limit" => bodies.limit_bytes,
+        "bodies" => bodies.bodies, "unlogged" => unlogged);
 }
 
 /// Logs a request for which no engine gave an answer.
