Soak: crowds of callers that misbehave, beside restarts and changes

Two kinds of a crowd at a time come to all nodes while these are stopped, killed and paused, routes are added and the store is silent. Checked: a node's largest memory and its unread bytes stay within its machine (100 MB), what was refused has not run, no process ends by itself, and all checks that there were.

--- a/cmd/tests/soak.rs
+++ b/cmd/tests/soak.rs
@@ -206,7 +206,9 @@
 
 fn assert_no_violations(seed: u64, kinds: &[FaultKind], load: CallerLoad) -> RunReport {
     let size = match load {
-        CallerLoad::Light | CallerLoad::Tenants | CallerLoad::Silence => (30, 3, 6, 1),
+        CallerLoad::Light | CallerLoad::Tenants | CallerLoad::Silence | CallerLoad::Crowds => {
+            (30, 3, 6, 1)
+        }
         CallerLoad::Prompts => (30, 8, 18, 2),
         CallerLoad::Rejoin => (30, 7, 16, 4),
         // Several windows of the retry budget.
