--- a/cmd/tests/forwarding_files.rs
+++ b/cmd/tests/forwarding_files.rs
@@ -51,7 +51,8 @@
 fn every_fault_is_reported_and_the_exit_code_is_2(#[case] command: &[&str]) {
     let text = SETTINGS
         .replace("ratio = 0.2", "ratio = -1")
-        .replace("grace_s = 8", "grace_s = 0");
+        .replace("grace_s = 8", "grace_s = 0")
+        .replace("zone = ", "memory_mb = 0\nzone = ");
     let path = file(&format!("faulty-{}.toml", command[0]), &text);
     let mut arguments = command.to_vec();
     arguments.push(path.to_str().expect("a path"));
@@ -59,7 +60,9 @@
     assert_eq!(output.status.code(), Some(2));
     let output_text = String::from_utf8_lossy(&output.stderr).into_owned();
     assert!(
-        output_text.contains("retries.ratio") && output_text.contains("stop.grace_s"),
+        ["retries.ratio", "stop.grace_s", "memory_mb"]
+            .iter()
+            .all(|field| output_text.contains(field)),
         "{output_text}"
     );
 }
--- a/crates/forwarding/tests/request_bodies.rs
+++ b/crates/forwarding/tests/request_bodies.rs
@@ -81,5 +81,6 @@
     assert!(engine.heads().is_empty(), "it has not run");
     let refused = "dalestand_request_bodies_refused_total{reason=\"BodyTooSlow\"}";
     node.wait_for_metric(refused, 1).await;
-    node.wait_for_metric("dalestand_request_body_bytes", 0).await;
+    node.wait_for_metric("dalestand_request_body_bytes", 0)
+        .await;
 }
