--- a/crates/http-server/src/body.rs
+++ b/crates/http-server/src/body.rs
@@ -1,18 +1,17 @@
 //! Reads request bodies within limits on size, time, memory and nesting.
 
-use std::future::pending;
 use std::time::Duration;
 
 use actix_http::header::CONTENT_LENGTH;
 use actix_http::{HttpMessage as _, Payload, Request};
 use bytes::Bytes;
 use dalestand_clock::{BootInstant, timeout_at};
-use dalestand_request_bodies::{Body, BodyBuilder, Displaced, MemoryAccount, Owner};
+use dalestand_request_bodies::{Body, BodyBuilder, MemoryAccount, Owner};
 use futures_util::StreamExt as _;
 use serde::de::DeserializeOwned;
 
 use crate::HttpServerError;
-use crate::intake::Intake;
+use crate::intake::displaced;
 use crate::server::ConnectionData;
 
 /// Time limit for receiving a whole body, where nothing else is set.
@@ -82,7 +81,7 @@
         let chunk = tokio::select! {
             biased;
             displaced = body.reservation().displaced() => return Err(displaced.into()),
-            displaced = connection_displaced(intake.as_ref()) => return Err(displaced.into()),
+            displaced = displaced(intake.as_ref()) => return Err(displaced.into()),
             chunk = payload.next() => chunk,
         };
         let Some(chunk) = chunk else {
@@ -101,13 +100,6 @@
     Ok(body.finish())
 }
 
-async fn connection_displaced(intake: Option<&Intake>) -> Displaced {
-    match intake {
-        Some(intake) => intake.displaced().await,
-        None => pending().await,
-    }
-}
-
 /// The memory that the bodies of the request's connection use.
 fn body_account(request: &Request) -> MemoryAccount {
     let data = request.conn_data::<ConnectionData>();
--- a/crates/http-server/src/intake.rs
+++ b/crates/http-server/src/intake.rs
@@ -4,7 +4,7 @@
 //! body as fast as it is taken, then a few beyond, which show that the peer has closed the connection.
 
 use std::cell::{Cell, RefCell};
-use std::future::Future as _;
+use std::future::{Future as _, pending};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
@@ -200,8 +200,7 @@
         }
     }
 
-    /// Completes when the connection must end in favour of another.
-    pub(crate) async fn displaced(&self) -> Displaced {
+    async fn displaced(&self) -> Displaced {
         while !self.0.is_displaced.get() {
             self.0.displaced.notified().await;
         }
@@ -221,3 +220,11 @@
         }
     }
 }
+
+/// Completes when the connection must end in favour of another; never for a request that came over none.
+pub(crate) async fn displaced(intake: Option<&Intake>) -> Displaced {
+    match intake {
+        Some(intake) => intake.displaced().await,
+        None => pending().await,
+    }
+}
--- a/crates/http-server/src/server.rs
+++ b/crates/http-server/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
-use std::future::{Future, pending, ready};
+use std::future::{Future, ready};
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::pin::pin;
@@ -21,7 +21,7 @@
 
 use crate::answer_body::AnswerBody;
 use crate::body::declared_length;
-use crate::intake::{Intake, LINGER_TIMEOUT};
+use crate::intake::{Intake, LINGER_TIMEOUT, displaced};
 use crate::open_connections::OpenConnections;
 use crate::shared_stream::SharedStream;
 use crate::{Answer, Connections, Expectation, status_answer};
@@ -163,7 +163,7 @@
                 let intake = stream.as_ref().map(|stream| stream.intake().clone());
                 tokio::select! {
                     () = draining.draining(stream) => {}
-                    Displaced = displaced(intake) => {}
+                    Displaced = displaced(intake.as_ref()) => {}
                 }
             }
         })
@@ -220,13 +220,6 @@
     excess <= limits.max_excess_connections
 }
 
-async fn displaced(intake: Option<Intake>) -> Displaced {
-    match intake {
-        Some(intake) => intake.displaced().await,
-        None => pending().await,
-    }
-}
-
 /// The answer of a handler, or an error answer if it panics, as unwinding further would end the connection without an answer.
 async fn answer_despite_panic(answer: impl Future<Output = Answer>) -> Answer {
     // State that handlers share is behind cells, whose borrows end with the unwinding.
