The tests of crowds take the platform's names from the soak

What was seen: no_other_source_contains_names_of_the_platform failed, as the tests of crowds wrote the operator's key and a configuration themselves.

Change: the soak, which is part of platform/, writes that configuration. Crowds, bounds and checks are unchanged.

--- a/cmd/tests/misbehaving_clients.rs
+++ b/cmd/tests/misbehaving_clients.rs
@@ -8,8 +8,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use dalestand_soak::crowd::{Crowd, CrowdKind, MAX_BODY_BYTES};
-use dalestand_soak::engines::{AMPLE_CAPACITY, EngineConfig, EngineLayout, Engines, POOL};
+use dalestand_soak::crowd::{Crowd, CrowdKind, MAX_BODY_BYTES, write_configuration};
+use dalestand_soak::engines::{AMPLE_CAPACITY, EngineConfig, EngineLayout, Engines};
 use dalestand_soak::history::Recorder;
 use dalestand_soak::http::{HttpConnection, Message};
 use dalestand_soak::nodes::{MachineLimits, Node, NodeOptions};
@@ -57,7 +57,7 @@
         let folder = std::env::temp_dir().join(format!("dalestand-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
         let (store, recorder) = (Store::start().expect("a store"), Recorder::default());
-        store.write("op/config", &configuration());
+        write_configuration(&store);
         let layout = EngineLayout {
             engines: 3,
             with_stages: 0,
@@ -95,18 +95,6 @@
     }
 }
 
-fn configuration() -> String {
-    serde_json::json!({
-        "version": 1,
-        "limits": {"max_header_bytes": 16_384, "max_body_bytes": MAX_BODY_BYTES,
-            "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000},
-        "services": [{"name": POOL, "max_connections": 200}],
-        "routes": [{"name": "once", "host": "a.example", "path_prefix": "/once/", "kind": "unsafe",
-            "timeout_ms": 5_000, "target_latency_ms": 500, "service": POOL, "max_attempts": 3}],
-    })
-    .to_string()
-}
-
 fn head(number: usize, framing: &str) -> String {
     format!(
         "POST /once/ordinary HTTP/1.1\r\nhost: a.example\r\nrequest-id: ordinary-{number}\r\n\
