Engine link: a response reset beside an upload is incomplete

Cause: the system reports a reset once, to whichever call comes first. Connection::read_more writes the rest of the request while it reads; when the write met the reset, its error was dropped, and the read that followed returned 0 bytes, as after an orderly end. A timeout of the connection took the same way. read_early_response dropped the error of a read alike.

Change: the connection keeps the error of a write. The end of a direct connection marks the end of an unframed body only if no write has failed; a carried one marks it by its own frame. What was received before the failure is still read, also where it is more than one read, so that a framed response that arrived whole stays whole.

--- a/crates/engine-link/src/connection.rs
+++ b/crates/engine-link/src/connection.rs
@@ -66,8 +66,8 @@
     pub(crate) received: BytesMut,
     /// Parts of the request that were not written yet.
     unwritten: VecDeque<Bytes>,
-    /// Whether writing has failed; the response may still be complete.
-    write_failed: bool,
+    /// Why writing the request failed; the response may still be complete.
+    write_error: Option<io::Error>,
     /// When the connection became idle.
     pub(crate) idle_since: BootInstant,
     /// When reuse must stop according to the engine's `Keep-Alive` header, if it sent one.
@@ -97,7 +97,7 @@
             frames: FrameDecoder::default(),
             received: BytesMut::new(),
             unwritten: VecDeque::new(),
-            write_failed: false,
+            write_error: None,
             idle_since: BootInstant::now(),
             keep_alive_until: None,
         }
@@ -148,18 +148,26 @@
     /// as the engine may need it to complete its response.
     pub(crate) async fn read_more(&mut self) -> io::Result<usize> {
         loop {
-            let may_write = !self.unwritten.is_empty() && !self.write_failed;
+            let may_write = !self.unwritten.is_empty() && self.write_error.is_none();
             let (mut reader, mut writer) = self.stream.split();
             tokio::select! {
                 written = writer.write(next_part(&self.unwritten)), if may_write => match written {
                     Ok(count) => self.record_written(count),
-                    Err(_) => self.write_failed = true,
+                    // What was received before can still be read.
+                    Err(error) => self.write_error = Some(error),
                 },
                 read = read_response(&mut reader, self.path, &mut self.frames, &mut self.received) => return read,
             }
         }
     }
 
+    /// Why the end of the received bytes may not be where the engine ended its response. The system reports a reset once, to a
+    /// write or to a read; reads after a failed write look like an orderly end.
+    pub(crate) fn abnormal_end(&self) -> Option<&io::Error> {
+        // A carrying node marks the engine's orderly end.
+        self.write_error.as_ref().filter(|_| self.path.is_direct())
+    }
+
     fn record_written(&mut self, count: usize) {
         let Some(part) = self.unwritten.front_mut() else {
             return;
@@ -216,23 +224,20 @@
                     "the response head exceeds the size limit".to_owned(),
                 ));
             }
+            let may_write = !self.unwritten.is_empty() && self.write_error.is_none();
             let (mut reader, mut writer) = self.stream.split();
             tokio::select! {
-                written = writer.write(next_part(&self.unwritten)), if !self.unwritten.is_empty() => {
-                    match written {
-                        Ok(count) => {
-                            self.record_written(count);
-                            any_byte_sent |= count > 0;
-                        }
-                        // The engine may have responded before it closed the connection.
-                        Err(error) if any_byte_sent => {
-                            return self.read_early_response(codec, &error).await;
-                        }
-                        Err(error) => return Err(SendError::NotSent(error.to_string())),
+                written = writer.write(next_part(&self.unwritten)), if may_write => match written {
+                    Ok(count) => {
+                        self.record_written(count);
+                        any_byte_sent |= count > 0;
                     }
-                }
+                    // The engine may have responded before it closed the connection.
+                    Err(error) if any_byte_sent => self.write_error = Some(error),
+                    Err(error) => return Err(SendError::NotSent(error.to_string())),
+                },
                 read = read_response(&mut reader, self.path, &mut self.frames, &mut self.received) => match read {
-                    Ok(0) => return Err(connection_error(any_byte_sent, "the engine closed the connection")),
+                    Ok(0) => return Err(self.end_error(any_byte_sent)),
                     Ok(_) => {}
                     Err(error) => return Err(self.read_error(any_byte_sent, &error)),
                 },
@@ -240,23 +245,11 @@
         }
     }
 
-    /// Reads a response that was received before a write failed; returns the write error if none was.
-    async fn read_early_response(
-        &mut self,
-        mut codec: ClientCodec,
-        error: &io::Error,
-    ) -> Result<ReceivedHead, SendError> {
-        self.write_failed = true;
-        if self.path.is_direct() {
-            let _ = self.stream.try_read_buf(&mut self.received);
-        }
-        match decode(&mut codec, &mut self.received)? {
-            Some(head) => Ok(ReceivedHead {
-                head,
-                codec,
-                request_written: false,
-            }),
-            None => Err(self.read_error(true, error)),
+    /// The error for a connection that has ended before a response.
+    fn end_error(&self, any_byte_sent: bool) -> SendError {
+        match &self.write_error {
+            Some(error) => self.read_error(any_byte_sent, error),
+            None => connection_error(any_byte_sent, "the engine closed the connection"),
         }
     }
 
--- a/crates/engine-link/src/response.rs
+++ b/crates/engine-link/src/response.rs
@@ -172,15 +172,19 @@
             }
             let connection: &mut Connection = self.connection.as_mut()?;
             match connection.read_more().await {
-                Ok(0) if self.close_delimited => {
-                    self.finish();
-                    return None;
-                }
-                Ok(0) => {
-                    let error =
-                        BodyError::Incomplete("the engine closed the connection".to_owned());
-                    return Some(Err(self.fail(error)));
-                }
+                Ok(0) => match connection.abnormal_end() {
+                    None if self.close_delimited => {
+                        self.finish();
+                        return None;
+                    }
+                    cause => {
+                        let message = cause.map_or_else(
+                            || "the engine closed the connection".to_owned(),
+                            |error| format!("the request could not be written: {error}"),
+                        );
+                        return Some(Err(self.fail(BodyError::Incomplete(message))));
+                    }
+                },
                 Ok(count) => {
                     self.framing_bytes += count;
                     if let Some(call) = &mut self.direct_call {
