--- a/crates/engine-link/src/connection.rs
+++ b/crates/engine-link/src/connection.rs
@@ -7,10 +7,10 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use actix_codec::{Decoder as _, Encoder as _};
+use actix_codec::Encoder as _;
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, Message};
-use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig};
+use actix_http::{Method, RequestHead, RequestHeadType, ServiceConfig};
 use bytes::{Buf as _, Bytes, BytesMut};
 use dalestand_clock::BootInstant;
 use dalestand_request_bodies::Body;
@@ -23,6 +23,7 @@
 use crate::error::SendError;
 use crate::paths::Path;
 use crate::rejections::CONTENDED_SETTLE_TIME;
+use crate::response_head::{DecodedHead, MalformedResponse, decode_head};
 
 /// Buffer space reserved for each read.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
@@ -64,6 +65,8 @@
     pub(crate) is_kept: bool,
     /// Bytes received and not yet decoded.
     pub(crate) received: BytesMut,
+    /// Method of the last call.
+    method: Method,
     /// Parts of the request that were not written yet.
     unwritten: VecDeque<Bytes>,
     /// Why writing the request failed; the response may still be complete.
@@ -76,10 +79,9 @@
     frames: FrameDecoder,
 }
 
-/// A response head, with the codec that decodes the body.
+/// The head of a response that is not informational.
 pub(crate) struct ReceivedHead {
-    pub(crate) head: ResponseHead,
-    pub(crate) codec: ClientCodec,
+    pub(crate) decoded: DecodedHead,
     /// Whether the whole request was written before the head was received.
     pub(crate) request_written: bool,
 }
@@ -96,6 +98,7 @@
             is_kept: false,
             frames: FrameDecoder::default(),
             received: BytesMut::new(),
+            method: Method::GET,
             unwritten: VecDeque::new(),
             write_error: None,
             idle_since: BootInstant::now(),
@@ -191,38 +194,33 @@
         if let Some(call) = call {
             self.carried.record(call);
         }
-        let mut codec = ClientCodec::new(config);
-        self.unwritten = encode(&mut codec, head, body)?;
-        self.receive_head(codec, false).await
+        self.method = head.method.clone();
+        self.unwritten = encode(&mut ClientCodec::new(config), head, body)?;
+        self.receive_head(false).await
     }
 
     /// Waits for a response head and writes the rest of the request meanwhile.
     pub(crate) async fn receive_head(
         &mut self,
-        mut codec: ClientCodec,
         mut any_byte_sent: bool,
     ) -> Result<ReceivedHead, SendError> {
         let mut informational_heads = 0;
         loop {
-            if let Some(head) = decode(&mut codec, &mut self.received)? {
-                if head.status.is_informational() {
+            if let Some(decoded) = decode_head(&self.method, &mut self.received)? {
+                if decoded.head.status.is_informational() {
                     informational_heads += 1;
                     if informational_heads > MAX_INFORMATIONAL_HEADS {
-                        let message = "too many informational responses";
-                        return Err(SendError::MayHaveRun(message.to_owned()));
+                        return Err(MalformedResponse::TooManyInformational.into());
                     }
                     continue;
                 }
                 return Ok(ReceivedHead {
-                    head,
-                    codec,
+                    decoded,
                     request_written: self.unwritten.is_empty(),
                 });
             }
             if self.received.len() > MAX_HEAD_BYTES {
-                return Err(SendError::MayHaveRun(
-                    "the response head exceeds the size limit".to_owned(),
-                ));
+                return Err(MalformedResponse::HeadTooLong.into());
             }
             let may_write = !self.unwritten.is_empty() && self.write_error.is_none();
             let (mut reader, mut writer) = self.stream.split();
@@ -330,14 +328,3 @@
     }
     Ok(VecDeque::from([outgoing.freeze()]))
 }
-
-fn decode(
-    codec: &mut ClientCodec,
-    received: &mut BytesMut,
-) -> Result<Option<ResponseHead>, SendError> {
-    if received.is_empty() {
-        return Ok(None);
-    }
-    let decoded = codec.decode(received);
-    decoded.map_err(|error| SendError::MayHaveRun(error.to_string()))
-}
--- a/crates/engine-link/src/error.rs
+++ b/crates/engine-link/src/error.rs
@@ -1,5 +1,7 @@
 //! Errors of exchanges.
 
+use crate::response_head::MalformedResponse;
+
 /// Why no response head was received.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum SendError {
@@ -27,6 +29,9 @@
     /// A response to another call came in the place of this one's, and could not be skipped. The engine may have run the request.
     #[error("no response: {0}")]
     StrayResponse(String),
+    /// What came in the place of a response is not one, and nothing of it is used. The engine may have run the request.
+    #[error("no response: {0}")]
+    Malformed(#[from] MalformedResponse),
     /// At least part of the request was sent and no valid response head was received, so the engine may
     /// have run it.
     #[error("no response: {0}")]
--- a/crates/engine-link/src/lib.rs
+++ b/crates/engine-link/src/lib.rs
@@ -14,6 +14,7 @@
 //! [`SendError`] says whether the engine may have run the request, since this decides whether the
 //! request may be sent again.
 
+mod body_decoder;
 mod carried_calls;
 mod connect;
 mod connection;
@@ -24,6 +25,7 @@
 mod paths;
 mod rejections;
 mod response;
+mod response_head;
 mod stray_responses;
 
 pub use carried_calls::CallKey;
@@ -32,6 +34,7 @@
 pub use link::{ConnectionTerms, EngineLink, LinkLimits, LinkTarget, NewConnection};
 pub use paths::{AllowedPaths, Detour, DetourError, LinkObservation, LinkPaths, Path};
 pub use response::{BodyFraming, Exchange, ResponseBody};
+pub use response_head::MalformedResponse;
 
 pub use actix_http::{RequestHead, ResponseHead};
 pub use dalestand_request_bodies::Body;
--- a/crates/engine-link/src/response.rs
+++ b/crates/engine-link/src/response.rs
@@ -2,17 +2,17 @@
 
 use std::time::Duration;
 
-use actix_codec::Decoder as _;
-use actix_http::h1::{ClientPayloadCodec, MessageType};
-use actix_http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
-use actix_http::{ResponseHead, StatusCode};
+use actix_http::ResponseHead;
+use actix_http::header::{HeaderMap, HeaderName};
 use bytes::{Bytes, BytesMut};
 use dalestand_clock::BootInstant;
 
+use crate::body_decoder::{BodyDecoder, Decoded};
 use crate::connection::{Connection, ConnectionUse, ReceivedHead};
 use crate::connection_pool::PooledConnection;
 use crate::error::BodyError;
 use crate::paths::{DirectCall, Path};
+use crate::response_head::{DecodedHead, Framing};
 
 /// A connection is no longer reused this long before the engine's keep-alive timeout, so that a request
 /// does not race with the engine's close.
@@ -67,29 +67,27 @@
         direct_call: Option<DirectCall>,
     ) -> Self {
         let ReceivedHead {
-            head,
-            codec,
+            decoded,
             request_written,
         } = received;
-        // The codec treats a response without a length as one without a body.
-        let close_delimited = is_close_delimited(&head);
-        let has_body = close_delimited || codec.message_type() != MessageType::None;
-        let closes = has_connection_close(&head.headers);
-        let reusable = request_written && !close_delimited && !closes && codec.keep_alive();
+        let DecodedHead {
+            head,
+            framing,
+            keeps_alive,
+        } = decoded;
         let (path, last_use) = (connection.path, connection.last_use());
         let mut body = ResponseBody {
             direct_call,
             connection: Some(connection),
-            codec: codec.into_payload_codec(),
-            close_delimited,
-            reusable,
+            decoder: BodyDecoder::new(framing),
+            framing,
+            reusable: request_written && keeps_alive,
             keep_alive_timeout: keep_alive_timeout(&head.headers),
-            length: content_length(&head.headers),
             ended: false,
             framing_bytes: 0,
             put_back: None,
         };
-        if !has_body {
+        if framing == Framing::Empty {
             body.finish();
         }
         Self {
@@ -106,11 +104,10 @@
 /// engine can cancel the request.
 pub struct ResponseBody {
     connection: Option<PooledConnection>,
-    codec: ClientPayloadCodec,
-    close_delimited: bool,
+    decoder: BodyDecoder,
+    framing: Framing,
     reusable: bool,
     keep_alive_timeout: Option<Duration>,
-    length: Option<u64>,
     ended: bool,
     /// Bytes received since the last chunk.
     framing_bytes: usize,
@@ -129,17 +126,21 @@
         self.connection = None;
     }
 
-    /// The value of `Content-Length`, if present.
+    /// Length of the body, if the head tells it.
     pub fn length(&self) -> Option<u64> {
-        self.length
+        match self.framing {
+            Framing::Empty => Some(0),
+            Framing::Length(length) => Some(length),
+            Framing::Chunked | Framing::UntilClose => None,
+        }
     }
 
     /// How the end of the body is marked.
     pub fn framing(&self) -> BodyFraming {
-        match (self.close_delimited, self.length) {
-            (true, _) => BodyFraming::ConnectionClose,
-            (false, Some(_)) => BodyFraming::Length,
-            (false, None) => BodyFraming::Chunked,
+        match self.framing {
+            Framing::Empty | Framing::Length(_) => BodyFraming::Length,
+            Framing::Chunked => BodyFraming::Chunked,
+            Framing::UntilClose => BodyFraming::ConnectionClose,
         }
     }
 
@@ -152,28 +153,30 @@
             return None;
         }
         loop {
-            match self.decode() {
-                Ok(Some(Some(chunk))) if chunk.is_empty() => continue,
-                Ok(Some(Some(chunk))) => {
+            let connection: &mut Connection = self.connection.as_mut()?;
+            match self.decoder.decode(&mut connection.received) {
+                Ok(Decoded::Data(chunk)) => {
                     self.framing_bytes = 0;
                     return Some(Ok(chunk));
                 }
-                Ok(Some(None)) => {
+                Ok(Decoded::End) => {
                     self.finish();
                     return None;
                 }
-                Ok(None) if self.framing_bytes > MAX_FRAMING_BYTES => {
+                Ok(Decoded::Incomplete) if self.framing_bytes > MAX_FRAMING_BYTES => {
                     let message = "too many bytes between chunks or after the last one";
                     let error = BodyError::Malformed(message.to_owned());
                     return Some(Err(self.fail(error)));
                 }
-                Ok(None) => {}
-                Err(error) => return Some(Err(self.fail(error))),
+                Ok(Decoded::Incomplete) => {}
+                Err(error) => {
+                    let error = BodyError::Malformed(error.to_string());
+                    return Some(Err(self.fail(error)));
+                }
             }
-            let connection: &mut Connection = self.connection.as_mut()?;
             match connection.read_more().await {
                 Ok(0) => match connection.abnormal_end() {
-                    None if self.close_delimited => {
+                    None if self.framing == Framing::UntilClose => {
                         self.finish();
                         return None;
                     }
@@ -209,7 +212,7 @@
     /// with what was read.
     pub async fn collect_if_short(&mut self, limit: usize) -> Result<Option<Bytes>, BodyError> {
         // A buffer that grows may hold twice the bytes that it was given.
-        let expected = self.length.and_then(|length| length.try_into().ok());
+        let expected = self.length().and_then(|length| length.try_into().ok());
         let expected = expected.map_or(0, |length: usize| length.min(limit));
         let mut collected = BytesMut::with_capacity(expected);
         while let Some(chunk) = self.next().await {
@@ -222,18 +225,6 @@
         Ok(Some(collected.freeze()))
     }
 
-    fn decode(&mut self) -> Result<Option<Option<Bytes>>, BodyError> {
-        let Some(connection) = self.connection.as_mut() else {
-            return Ok(None);
-        };
-        if self.close_delimited {
-            let received = connection.received.split().freeze();
-            return Ok((!received.is_empty()).then_some(Some(received)));
-        }
-        let decoded = self.codec.decode(&mut connection.received);
-        decoded.map_err(|error| BodyError::Malformed(error.to_string()))
-    }
-
     fn fail(&mut self, error: BodyError) -> BodyError {
         self.ended = true;
         if let Some(mut call) = self.direct_call.take()
@@ -267,26 +258,6 @@
     }
 }
 
-/// Whether the end of the connection marks the end of the body, since the head has neither a length nor
-/// a transfer encoding.
-pub(crate) fn is_close_delimited(head: &ResponseHead) -> bool {
-    let bodiless = matches!(
-        head.status,
-        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-    );
-    let headers = &head.headers;
-    !bodiless && !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
-}
-
-pub(crate) fn has_connection_close(headers: &HeaderMap) -> bool {
-    let mut values = headers.get_all(CONNECTION);
-    values.any(|value| {
-        let text = value.to_str().unwrap_or_default();
-        text.split(',')
-            .any(|option| option.trim().eq_ignore_ascii_case("close"))
-    })
-}
-
 /// The engine's timeout for idle connections, from `Keep-Alive: timeout=SECONDS`.
 fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get(KEEP_ALIVE)?.to_str().ok()?;
@@ -296,7 +267,3 @@
     })?;
     Some(Duration::from_secs(seconds))
 }
-
-fn content_length(headers: &HeaderMap) -> Option<u64> {
-    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
-}
--- a/crates/engine-link/src/stray_responses.rs
+++ b/crates/engine-link/src/stray_responses.rs
@@ -2,13 +2,12 @@
 
 use std::time::Duration;
 
-use actix_codec::Decoder as _;
 use actix_http::ResponseHead;
-use actix_http::h1::{ClientCodec, MessageType};
 
+use crate::body_decoder::{BodyDecoder, Decoded};
 use crate::connection::{Connection, ReceivedHead};
 use crate::error::SendError;
-use crate::response::{has_connection_close, is_close_delimited};
+use crate::response_head::DecodedHead;
 
 /// Number of stray responses that are skipped for one call.
 const MAX_STRAY_RESPONSES: usize = 8;
@@ -26,7 +25,7 @@
     received: ReceivedHead,
     mut is_own: impl FnMut(&ResponseHead) -> bool,
 ) -> Result<(ReceivedHead, usize), SendError> {
-    if is_own(&received.head) {
+    if is_own(&received.decoded.head) {
         return Ok((received, 0));
     }
     let own = receive_own(connection, received, is_own);
@@ -42,9 +41,9 @@
 ) -> Result<(ReceivedHead, usize), SendError> {
     let mut bytes_left = MAX_STRAY_BYTES;
     for skipped in 1..=MAX_STRAY_RESPONSES {
-        let codec = skip_body(connection, received, &mut bytes_left).await?;
-        received = connection.receive_head(codec, true).await?;
-        if is_own(&received.head) {
+        skip_body(connection, received.decoded, &mut bytes_left).await?;
+        received = connection.receive_head(true).await?;
+        if is_own(&received.decoded.head) {
             return Ok((received, skipped));
         }
     }
@@ -54,28 +53,23 @@
 /// Reads a body to its end, which its length or chunks mark.
 async fn skip_body(
     connection: &mut Connection,
-    received: ReceivedHead,
+    decoded: DecodedHead,
     bytes_left: &mut usize,
-) -> Result<ClientCodec, SendError> {
-    let ReceivedHead { head, codec, .. } = received;
-    let is_last = has_connection_close(&head.headers) || !codec.keep_alive();
-    if is_last || is_close_delimited(&head) {
+) -> Result<(), SendError> {
+    if !decoded.keeps_alive {
         return Err(stray("a response to another call ends the connection"));
     }
-    if codec.message_type() == MessageType::None {
-        return Ok(codec);
-    }
-    let mut codec = codec.into_payload_codec();
+    let mut decoder = BodyDecoder::new(decoded.framing);
     loop {
-        let decoded = codec.decode(&mut connection.received);
-        match decoded.map_err(|error| stray(&error.to_string()))? {
-            Some(Some(chunk)) => {
+        let part = decoder.decode(&mut connection.received);
+        match part.map_err(|error| stray(&error.to_string()))? {
+            Decoded::Data(chunk) => {
                 let left = bytes_left.checked_sub(chunk.len());
                 *bytes_left =
                     left.ok_or_else(|| stray("a response to another call is too long"))?;
             }
-            Some(None) => return Ok(codec.into_message_codec()),
-            None => match connection.read_more().await {
+            Decoded::End => return Ok(()),
+            Decoded::Incomplete => match connection.read_more().await {
                 Ok(0) => return Err(stray("a response to another call is incomplete")),
                 Ok(_) => {}
                 Err(error) => return Err(stray(&error.to_string())),
--- a/crates/engine-link/tests/exchanges.rs
+++ b/crates/engine-link/tests/exchanges.rs
@@ -11,7 +11,7 @@
 use dalestand_clock::test_util::suspend;
 use dalestand_engine_link::{
     AllowedPaths, Body, BodyError, CallKey, ConnectionTerms, ConnectionUse, EngineLink, Exchange,
-    LinkLimits, LinkTarget, NewConnection, RequestHead, SendError,
+    LinkLimits, LinkTarget, MalformedResponse, NewConnection, RequestHead, SendError,
 };
 use rstest::rstest;
 
@@ -443,6 +443,7 @@
     let link = link();
     let called = tokio::time::timeout(Duration::from_secs(2), get(&link, &target)).await;
     let error = called.expect("an end of the call").err().expect("an error");
-    assert!(matches!(error, SendError::MayHaveRun(_)), "{error}");
+    let expected = SendError::Malformed(MalformedResponse::TooManyInformational);
+    assert_eq!(error, expected);
     thread.join().expect("the engine");
 }
--- a/crates/forwarding/src/node/metrics/mod.rs
+++ b/crates/forwarding/src/node/metrics/mod.rs
@@ -96,6 +96,7 @@
     calls: IntCounterVec,
     answers: IntCounterVec,
     stray_answers: IntCounter,
+    malformed_answers: IntCounterVec,
     run_ends: IntCounterVec,
     pub(crate) held_parts: HeldPartMetrics,
     pub(crate) streams: StreamMetrics,
@@ -175,6 +176,11 @@
                 "engine_stray_answers_total",
                 "Answers of engines that belong to other requests than the one that was due.",
             )?,
+            malformed_answers: metrics.counters(
+                "engine_malformed_answers_total",
+                "What engines sent in the place of an answer, by why it was not one.",
+                &["reason"],
+            )?,
             run_ends: metrics.counters(
                 "streamed_runs_total",
                 "Engines' answers that were passed on as they arrived, by how their end is marked and how they ended.",
@@ -369,6 +375,10 @@
             self.answers.with_label_values(&[connection]).inc();
         }
         self.stray_answers.inc_by(call.signals.stray_answers as u64);
+        if let Some(reason) = call.signals.malformed {
+            let labels = [reason.label()];
+            self.malformed_answers.with_label_values(&labels).inc();
+        }
         let latency = self.call_seconds.with_label_values(&[purpose]);
         latency.observe(call.took.as_secs_f64());
     }
--- a/crates/forwarding/src/serve/call_verdict.rs
+++ b/crates/forwarding/src/serve/call_verdict.rs
@@ -86,8 +86,13 @@
         Some(Err(CallError::Closed(closed))) => return (Verdict::Withheld, closed.into()),
         Some(Err(CallError::Link(error))) => {
             let is_stray = matches!(error, SendError::StrayResponse(_));
+            let malformed = match error {
+                SendError::Malformed(reason) => Some(reason),
+                _ => None,
+            };
             let signals = CallSignals {
                 stray_answers: usize::from(is_stray),
+                malformed,
                 ..no_signals
             };
             return (classify_error(&error), signals);
@@ -118,6 +123,8 @@
         SendError::NotSent(_) | SendError::Refused(_) => Verdict::NotSent,
         SendError::NotEligible => Verdict::Withheld,
         SendError::ResetWhenNew(_) => Verdict::ResetWhenNew,
-        SendError::StrayResponse(_) | SendError::MayHaveRun(_) => Verdict::Broken,
+        SendError::StrayResponse(_) | SendError::Malformed(_) | SendError::MayHaveRun(_) => {
+            Verdict::Broken
+        }
     }
 }
--- a/crates/forwarding/src/serve/deliver.rs
+++ b/crates/forwarding/src/serve/deliver.rs
@@ -96,7 +96,10 @@
             let whole = Served::Whole(answer.head, body, reservation);
             Some(whole).filter(|_| !is_false_guarantee)
         }
-        Ok(_) | Err(_) => {
+        body => {
+            if let Err(error) = body {
+                progress.record_body_error(error);
+            }
             answer.watch.record_unfinished(UnfinishedReason::BrokenOff);
             let now = context.now();
             let mut router = context.router.borrow_mut();
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -8,7 +8,7 @@
 use actix_http::{Method, RequestHead, Uri};
 use dalestand_clock::BootInstant;
 use dalestand_edge::routed::RequestMetadata;
-use dalestand_engine_link::{ConnectionUse, Path};
+use dalestand_engine_link::{BodyError, ConnectionUse, MalformedResponse, Path};
 use dalestand_http_server::Body;
 use dalestand_quarantine::{PartFingerprint, RequestFingerprint};
 use dalestand_routes::{Caller, RouteConfig, RouteTable};
@@ -98,6 +98,10 @@
     pub(crate) connection: Option<ConnectionUse>,
     /// Number of answers with the ids of other requests that came first.
     pub(crate) stray_answers: usize,
+    /// Why what came in the place of an answer was not one.
+    pub(crate) malformed: Option<MalformedResponse>,
+    /// Why the body of the answer could not be used.
+    pub(crate) body_error: Option<BodyError>,
     /// Version of the engine's software.
     pub(crate) software: Option<SoftwareVersion>,
 }
@@ -148,6 +152,12 @@
         if self.stray_answers > 0 {
             text.push_str(&format!(", after {} to other requests", self.stray_answers));
         }
+        if let Some(reason) = self.malformed {
+            text.push_str(&format!(", malformed: {}", reason.label()));
+        }
+        if let Some(error) = &self.body_error {
+            text.push_str(&format!(", body: {error}"));
+        }
         if let Path::Detour(carrier) = self.path {
             text.push_str(&format!(", via {carrier}"));
         }
@@ -445,6 +455,13 @@
         Some(record)
     }
 
+    /// Records that the body of the last call's answer could not be used.
+    pub(crate) fn record_body_error(&mut self, error: BodyError) {
+        if let Some(call) = self.calls.last_mut() {
+            call.signals.body_error = Some(error);
+        }
+    }
+
     /// Whether a call of it was a retry.
     pub(crate) fn was_retried(&self) -> bool {
         self.calls.iter().any(|call| call.retry.is_some())
