Planned stop: what is taken late is answered, or refused as not run

Callers saw: requests that came late in the grace of a planned stop were taken and passed on, and cut with no answer at its end, among them such that may not be repeated (LOST).

Cause: the stop waits for requests in flight until shortly before the grace ends, and then lets the process end with them. Nothing asked whether a request could still be answered in the time left: a body that was half read when the stop closed idle connections was read on, and its request was sent to an engine seconds later.

Change: node/shutdown.rs knows two moments of a shutdown. Until callers have learned of it (two probes), requests are served as before. After that one is taken only if its time limit ends before the grace; others are refused at once with 503, as not run, and a short Retry-After. 300 ms before the process ends all that are left are answered: 503 if no engine was called, else 504, and streams are broken off, with a line in the log.

Holds already: quick requests, those that wait for room, new connections, and the node of the project's own interface, which refuses from the signal on and waits a minute for what is in flight.

--- a/crates/forwarding/src/context.rs
+++ b/crates/forwarding/src/context.rs
@@ -35,6 +35,7 @@
 use crate::node::in_flight::InFlight;
 use crate::node::metrics::ForwardingMetrics;
 use crate::node::settings::ForwardingSettings;
+use crate::node::shutdown::Shutdown;
 use crate::permits::state::PermitState;
 use crate::quarantine::state::QuarantineState;
 use crate::roles::demand::DemandMeter;
@@ -142,7 +143,7 @@
     /// Software versions of engines. Entries as sent between nodes lack them.
     engine_versions: RefCell<EngineVersions>,
     fleet: RefCell<Fleet>,
-    stopping: Cell<bool>,
+    pub(crate) shutdown: Shutdown,
     parts_requested: Cell<bool>,
     nodes: RefCell<NodeCount>,
 }
@@ -201,7 +202,7 @@
             entries: RefCell::default(),
             engine_versions: RefCell::default(),
             fleet: RefCell::default(),
-            stopping: Cell::new(false),
+            shutdown: Shutdown::default(),
             parts_requested: Cell::new(false),
             nodes: RefCell::default(),
             settings,
@@ -531,12 +532,7 @@
 
     /// Whether graceful shutdown has begun.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.get()
-    }
-
-    /// Begins graceful shutdown.
-    pub(crate) fn begin_stop(&self) {
-        self.stopping.set(true);
+        self.shutdown.has_begun()
     }
 
     /// Whether the platform should send callers to this node.
--- a/crates/forwarding/src/node/mod.rs
+++ b/crates/forwarding/src/node/mod.rs
@@ -9,5 +9,6 @@
 pub(crate) mod ready;
 pub(crate) mod reload;
 pub(crate) mod settings;
+pub(crate) mod shutdown;
 pub(crate) mod start;
 pub(crate) mod stop;
--- a/crates/forwarding/src/node/stop.rs
+++ b/crates/forwarding/src/node/stop.rs
@@ -8,6 +8,7 @@
 use dalestand_telemetry::{Event, log_event};
 
 use crate::context::Context;
+use crate::node::shutdown::ShutdownTimes;
 use crate::streams::share::share_own;
 
 /// Time until the platform has noticed that the node is not ready: two probes, one second apart, and a
@@ -17,16 +18,23 @@
 /// The process exits this long before the platform would kill it.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 
+/// Requests are answered this long before the process exits, so that their answers are written by then.
+const ANSWER_MARGIN: Duration = Duration::from_millis(300);
+
 /// Shuts the node down; returns when the process may exit.
 pub(crate) async fn stop(context: Rc<Context>, connections: Connections) {
     let begun = BootInstant::now();
     let grace = context.settings.grace().saturating_sub(GRACE_MARGIN);
-    context.begin_stop();
+    let notice_time = UNREADY_NOTICE_TIME.min(grace / 3);
+    context.shutdown.begin(ShutdownTimes {
+        noticed_at: begun + notice_time,
+        answers_due: begun + grace.saturating_sub(ANSWER_MARGIN),
+    });
     // A version that appears later would find no record of the streams that this node began.
     share_own(&context, None);
     log_event!(context.logger, Event::StopStarted, "in_flight" => context.in_flight.count(),
         "connections" => connections.open());
-    sleep(UNREADY_NOTICE_TIME.min(grace / 3)).await;
+    sleep(notice_time).await;
     let drained = async {
         connections.stop_accepting().await;
         connections.drain().await;
--- a/crates/forwarding/src/serve/answer.rs
+++ b/crates/forwarding/src/serve/answer.rs
@@ -18,6 +18,9 @@
 /// By then bodies without progress have given way.
 const BODY_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Other nodes take the request at once.
+const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// Why a request gets no engine's answer. Logged by `Debug`.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Failure {
@@ -66,6 +69,10 @@
     TimeOverNotRun,
     /// The time limit was reached, and the request may have run.
     TimeOver,
+    /// The node is shutting down, and the request did not run.
+    ShuttingDown,
+    /// The node's shutdown ended before the answer, and the request may have run.
+    ShutDown,
     /// The request may have run, and there is no valid answer.
     Unknown,
 }
@@ -86,13 +93,14 @@
             | Self::StreamVersionEnded
             | Self::NoBodyMemory
             | Self::BodyDisplaced
+            | Self::ShuttingDown
             | Self::TimeOverNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::BodyUnreadable => StatusCode::BAD_REQUEST,
-            Self::TimeOver => StatusCode::GATEWAY_TIMEOUT,
+            Self::TimeOver | Self::ShutDown => StatusCode::GATEWAY_TIMEOUT,
             Self::Unknown => StatusCode::BAD_GATEWAY,
         }
     }
@@ -125,6 +133,7 @@
             // An engine that crashed comes back with its version.
             Self::StreamVersionEnded => Some(Duration::from_millis(300)),
             Self::NoBodyMemory | Self::BodyDisplaced => Some(BODY_MEMORY_RETRY_AFTER),
+            Self::ShuttingDown => Some(SHUTDOWN_RETRY_AFTER),
             Self::TimeOverNotRun => Some(Duration::from_secs(1)),
             _ => None,
         }
--- a/crates/forwarding/src/serve/answer_stream.rs
+++ b/crates/forwarding/src/serve/answer_stream.rs
@@ -7,7 +7,7 @@
 
 use actix_http::header::CONTENT_TYPE;
 use bytes::Bytes;
-use dalestand_clock::{BootInstant, sleep, timeout, timeout_at};
+use dalestand_clock::{BootInstant, TimedOut, sleep, timeout, timeout_at};
 use dalestand_engine_link::{BodyFraming, ResponseHead};
 use dalestand_routing::staged::{AttemptResult, response_timeout};
 use dalestand_stream_origins::StreamBinding;
@@ -111,8 +111,13 @@
             return None;
         }
         let due = self.progress.due;
-        let next = timeout_at(due, self.next_chunk()).await;
-        let next = next.unwrap_or(Some(Err(AnswerStreamError::TimeOver)));
+        let context = Rc::clone(&self.context);
+        let next = timeout_at(due, self.next_chunk());
+        let next = match context.shutdown.limit(next).await {
+            Ok(Ok(next)) => next,
+            Ok(Err(TimedOut)) => Some(Err(AnswerStreamError::TimeOver)),
+            Err(TimedOut) => Some(Err(AnswerStreamError::ShutDown)),
+        };
         match &next {
             Some(Ok(_)) => {}
             Some(Err(error)) => {
--- a/crates/forwarding/src/serve/answer_stream_error.rs
+++ b/crates/forwarding/src/serve/answer_stream_error.rs
@@ -16,6 +16,9 @@
     /// An event exceeds the size limit.
     #[error("an event of the engine's answer exceeds the size limit")]
     EventTooLong,
+    /// The node's shutdown ended.
+    #[error("the node has shut down")]
+    ShutDown,
     /// The time limit of the request was reached.
     #[error("the time limit of the request was reached")]
     TimeOver,
--- a/crates/forwarding/src/serve/forward.rs
+++ b/crates/forwarding/src/serve/forward.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dalestand_clock::timeout_at;
+use dalestand_clock::{TimedOut, timeout_at};
 use dalestand_edge::routed::EngineRequestOptions;
 use dalestand_engine_link::ResponseHead;
 use dalestand_http_server::{Answer, ConnectionType, Request};
@@ -45,20 +45,24 @@
 /// Serves a request.
 pub(crate) async fn forward(context: Rc<Context>, mut request: Request) -> Answer {
     let in_flight = context.in_flight.enter();
-    let mut progress = match accept(&context, &mut request).await {
+    let shutdown = &context.shutdown;
+    let accepted = shutdown.limit(accept(&context, &mut request)).await;
+    let mut progress = match accepted.unwrap_or(Err(Failure::ShuttingDown)) {
         Ok(progress) => progress,
         Err(failure) => return reject(&context, &request, failure),
     };
-    let due = progress.due;
-    let served = timeout_at(due, serve(&context, &mut progress)).await;
-    let served = served.unwrap_or_else(|_| {
-        record_unanswered(&context, &mut progress);
-        progress.fallback.take().ok_or(if progress.runs == 0 {
-            Failure::TimeOverNotRun
-        } else {
-            Failure::TimeOver
-        })
-    });
+    let serving = timeout_at(progress.due, serve(&context, &mut progress));
+    let served = match shutdown.limit(serving).await {
+        Ok(Ok(served)) => served,
+        Ok(Err(TimedOut)) => {
+            let failures = (Failure::TimeOverNotRun, Failure::TimeOver);
+            end_unanswered(&context, &mut progress, failures)
+        }
+        Err(TimedOut) => {
+            let failures = (Failure::ShuttingDown, Failure::ShutDown);
+            end_unanswered(&context, &mut progress, failures)
+        }
+    };
     let status = match &served {
         Ok(Served::Whole(head, ..)) => head.status,
         Ok(Served::Stream(answer)) => answer.head.status,
@@ -91,6 +95,20 @@
     close_if_stopping(&context, answer)
 }
 
+/// Ends a request that has no answer in time: the former failure is for one that did not run.
+fn end_unanswered(
+    context: &Context,
+    progress: &mut Progress,
+    (not_run, may_have_run): (Failure, Failure),
+) -> Result<Served, Failure> {
+    record_unanswered(context, progress);
+    progress.fallback.take().ok_or(if progress.runs == 0 {
+        not_run
+    } else {
+        may_have_run
+    })
+}
+
 /// Refuses a request with `Expect: 100-continue` before its body is sent, if that is not wanted.
 pub(crate) fn decide_expectation(context: &Context, request: &Request) -> Result<(), Answer> {
     let checked = check_expectation(context, request);
@@ -140,6 +158,9 @@
 }
 
 async fn serve(context: &Rc<Context>, progress: &mut Progress) -> Result<Served, Failure> {
+    if !context.shutdown.accepts(progress.due) {
+        return Err(Failure::ShuttingDown);
+    }
     if let Some(failure) = refuse_if_stopped(context, progress).await {
         return Err(failure);
     }
