Streams: events without end are held within the memory for answers

Cause: whole answers are held within a reservation; the splitter that holds back incomplete events had none, and the search for a replacement read until an event was complete.

Change: an event of more than 16 KiB is held in memory that is reserved like that of whole answers, up to 1 MiB. If there is none, or the event is longer, the run has failed: the engine's health is charged, and a stream that may be resumed goes on elsewhere; before, a long event ended the stream at once and counted as no failure. A replacement is taken after 16 KiB without a complete event, and then treated alike.

What already holds (endless_answers, unbounded_answers): heads, status lines, informational heads, chunk extensions, trailers, refusals without an end, surplus after an answer, bodies of unknown length: all within bounds or with backpressure, and other engines serve what may be repeated.

--- a/crates/forwarding/src/node/metrics/mod.rs
+++ b/crates/forwarding/src/node/metrics/mod.rs
@@ -73,6 +73,8 @@
     InsideEvent,
     /// Before its end was marked.
     BrokenOff,
+    /// An event was too long to be held.
+    EventTooLong,
     /// The engine sent nothing for too long.
     Silent,
 }
@@ -83,6 +85,7 @@
             Self::Complete => "complete",
             Self::InsideEvent => "inside an event",
             Self::BrokenOff => "broken off",
+            Self::EventTooLong => "event too long",
             Self::Silent => "silent",
         }
     }
--- a/crates/forwarding/src/serve/answer_stream.rs
+++ b/crates/forwarding/src/serve/answer_stream.rs
@@ -24,6 +24,7 @@
 use crate::serve::answer_stream_error::AnswerStreamError;
 use crate::serve::attempt::{EngineAnswer, abandon_open_calls};
 use crate::serve::event_stream::EventSplitter;
+use crate::serve::held_bytes::HeldReservation;
 use crate::serve::plan::choose_for_resume;
 use crate::serve::progress::Progress;
 use crate::serve::replacement::{BodyRead, Replacement, find_replacement};
@@ -52,6 +53,9 @@
 /// The longest event that is held until its end has arrived.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Bytes of an event that are held without a reservation. Engines send far shorter ones.
+pub(super) const SHORT_EVENT_BYTES: usize = 16 << 10;
+
 /// The body of an answer on its way to the caller.
 pub(crate) struct AnswerStream {
     context: Rc<Context>,
@@ -60,6 +64,8 @@
     _in_flight: InFlightGuard,
     /// Splits an event stream into events, so that incomplete ones are held back. `None` for other bodies.
     splitter: Option<EventSplitter>,
+    /// Memory for an event that is not a short one.
+    event_memory: Option<HeldReservation>,
     /// Whether another engine may go on after the last event.
     is_resumable: bool,
     last_event: Option<u64>,
@@ -83,6 +89,7 @@
             last_event: progress.facts.last_event,
             splitter: is_event_stream.then(EventSplitter::default),
             is_resumable: is_event_stream && kind.is_repeatable(),
+            event_memory: None,
             progress,
             answer,
             _in_flight: in_flight,
@@ -144,32 +151,33 @@
                 self.bind();
                 return Some(Ok(events));
             }
-            if self.pending_bytes() > MAX_EVENT_BYTES {
-                return Some(Err(AnswerStreamError::EventTooLong));
-            }
-            let failure = match self.read().await {
-                BodyRead::Bytes(bytes) => {
-                    let Some(splitter) = &mut self.splitter else {
-                        return Some(Ok(bytes));
-                    };
-                    splitter.push(&bytes);
-                    continue;
-                }
-                BodyRead::WentOn => continue,
-                BodyRead::End if self.is_truncated() => RunFailure::InsideEvent,
-                BodyRead::End => match self.engine_state_after_end().await {
-                    EngineState::Alive => return self.finish(),
-                    // The answer may be whole. Another engine can tell, as it goes on after the last event.
-                    EngineState::Unknown if self.can_resume() => {
-                        self.record_failure(RunFailure::BrokenOff);
-                        if !self.resume_elsewhere().await {
-                            sleep(ENGINE_CHECK_INTERVAL).await;
-                        }
+            let failure = if self.reserve_event() {
+                match self.read().await {
+                    BodyRead::Bytes(bytes) => {
+                        let Some(splitter) = &mut self.splitter else {
+                            return Some(Ok(bytes));
+                        };
+                        splitter.push(&bytes);
                         continue;
                     }
-                    EngineState::Unknown | EngineState::Ended => RunFailure::BrokenOff,
-                },
-                BodyRead::BrokenOff => RunFailure::BrokenOff,
+                    BodyRead::WentOn => continue,
+                    BodyRead::End if self.is_truncated() => RunFailure::InsideEvent,
+                    BodyRead::End => match self.engine_state_after_end().await {
+                        EngineState::Alive => return self.finish(),
+                        // The answer may be whole. Another engine can tell, as it goes on after the last event.
+                        EngineState::Unknown if self.can_resume() => {
+                            self.record_failure(RunFailure::BrokenOff);
+                            if !self.resume_elsewhere().await {
+                                sleep(ENGINE_CHECK_INTERVAL).await;
+                            }
+                            continue;
+                        }
+                        EngineState::Unknown | EngineState::Ended => RunFailure::BrokenOff,
+                    },
+                    BodyRead::BrokenOff => RunFailure::BrokenOff,
+                }
+            } else {
+                RunFailure::EventTooLong
             };
             let error = self.fail_run(failure);
             if !self.is_resumable || !self.resume_elsewhere().await {
@@ -266,8 +274,8 @@
                         let splitter = self.splitter.get_or_insert_default();
                         splitter.push(&bytes);
                         self.answer.work.record_prefilled();
-                        // Less than an event does not show that the engine goes on.
-                        if splitter.has_event() || splitter.pending().len() > MAX_EVENT_BYTES {
+                        // Less than a short event does not show that the engine goes on.
+                        if splitter.has_event() || splitter.pending().len() > SHORT_EVENT_BYTES {
                             break Err(BodyRead::WentOn);
                         }
                     }
@@ -338,6 +346,25 @@
         splitter.map_or(0, |splitter| splitter.pending().len())
     }
 
+    /// Reserves memory for the event that is being received; false if it is too long, or if there is no memory.
+    fn reserve_event(&mut self) -> bool {
+        let bytes = self.pending_bytes();
+        if bytes <= SHORT_EVENT_BYTES {
+            self.event_memory = None;
+            return true;
+        }
+        if bytes > MAX_EVENT_BYTES {
+            return false;
+        }
+        match &mut self.event_memory {
+            Some(memory) => memory.extend(bytes),
+            None => {
+                self.event_memory = self.context.held_bytes.reserve(bytes);
+                self.event_memory.is_some()
+            }
+        }
+    }
+
     /// Whether a stream whose end nothing but the end of the connection marks ended inside an event or before the first.
     fn is_truncated(&self) -> bool {
         let Some(splitter) = &self.splitter else {
@@ -366,6 +393,7 @@
         self.end_run(failure);
         match failure {
             RunFailure::InsideEvent => AnswerStreamError::InsideEvent { pending_bytes },
+            RunFailure::EventTooLong => AnswerStreamError::EventTooLong,
             RunFailure::BrokenOff | RunFailure::Silent => AnswerStreamError::BrokenOff,
         }
     }
@@ -375,7 +403,7 @@
         let pending_bytes = self.pending_bytes();
         self.answer.watch.record_unfinished(match failure {
             RunFailure::InsideEvent => UnfinishedReason::InsideEvent { pending_bytes },
-            RunFailure::BrokenOff => UnfinishedReason::BrokenOff,
+            RunFailure::BrokenOff | RunFailure::EventTooLong => UnfinishedReason::BrokenOff,
             RunFailure::Silent => UnfinishedReason::Silent,
         });
         self.record_health(AttemptResult::Failed);
@@ -385,11 +413,14 @@
     fn end_run(&mut self, failure: RunFailure) {
         self.answer.watch.record_unfinished(match failure {
             RunFailure::Silent => UnfinishedReason::Silent,
-            RunFailure::InsideEvent | RunFailure::BrokenOff => UnfinishedReason::BrokenOff,
+            RunFailure::InsideEvent | RunFailure::BrokenOff | RunFailure::EventTooLong => {
+                UnfinishedReason::BrokenOff
+            }
         });
         self.count_end(match failure {
             RunFailure::InsideEvent => RunEnd::InsideEvent,
             RunFailure::BrokenOff => RunEnd::BrokenOff,
+            RunFailure::EventTooLong => RunEnd::EventTooLong,
             RunFailure::Silent => RunEnd::Silent,
         });
         self.answer.body.abort();
@@ -458,6 +489,7 @@
         self.record_resumption(&replacement.answer);
         self.answer = replacement.answer;
         self.splitter = Some(replacement.splitter);
+        self.event_memory = None;
         self.last_search_end = None;
     }
 
@@ -494,6 +526,8 @@
     InsideEvent,
     /// The answer broke off before its marked end.
     BrokenOff,
+    /// An event was too long, or there was no memory for it.
+    EventTooLong,
     /// The engine sent nothing for too long.
     Silent,
 }
--- a/crates/forwarding/src/serve/answer_stream_error.rs
+++ b/crates/forwarding/src/serve/answer_stream_error.rs
@@ -13,8 +13,8 @@
         /// Bytes received of that event.
         pending_bytes: usize,
     },
-    /// An event exceeds the size limit.
-    #[error("an event of the engine's answer exceeds the size limit")]
+    /// An event exceeds the size limit, or there is no memory for it.
+    #[error("an event of the engine's answer exceeds the size limit or the memory for answers")]
     EventTooLong,
     /// The node's shutdown ended.
     #[error("the node has shut down")]
--- a/crates/forwarding/src/serve/replacement.rs
+++ b/crates/forwarding/src/serve/replacement.rs
@@ -11,6 +11,7 @@
 
 use crate::context::Context;
 use crate::quarantine::run_watch::UnfinishedReason;
+use crate::serve::answer_stream::SHORT_EVENT_BYTES;
 use crate::serve::attempt::EngineAnswer;
 use crate::serve::event_stream::EventSplitter;
 use crate::serve::forward::resume;
@@ -73,11 +74,11 @@
 }
 
 impl Replacement {
-    /// Reads until an event or the end of the answer has been received; false if it broke off before, or if its end is not
+    /// Reads until an event, more than a short one or the end of the answer has been received; false if it broke off before, or if its end is not
     /// certain. A stream of which the caller has no events does not end without one.
     async fn read_first_event(&mut self, context: &Rc<Context>, has_events: bool) -> bool {
         loop {
-            if self.splitter.has_event() {
+            if self.splitter.has_event() || self.splitter.pending().len() > SHORT_EVENT_BYTES {
                 return true;
             }
             let read = self.answer.body.next().await.into();
