Own interface: broken responses are read by the same strict reader

Lists and reports that were cut off behind their text were taken for whole, frames that were cut off between two ended without an error, a node's answer that was cut off was passed on to an operator as whole.

Cause: the clients of engines, the key-value service and the machine list, forwarded questions and dalestandctl read with awc. It reports a body that ends before its length like one that is whole, reads heads as leniently as actix-http, and each answer could take 64 MiB.

Change: edge/http_client.rs makes these calls through the engine link, whose reader is strict. An engine's answers to calls take 1 MiB at most, a list of machines 8, the key-value service's 16.

A status of 000 was no response before either.

--- a/cmd/src/operator/client.rs
+++ b/cmd/src/operator/client.rs
@@ -1,9 +1,12 @@
 //! HTTP client of a node's operator API.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
-use awc::http::StatusCode;
+use actix_http::header::{AUTHORIZATION, CONTENT_TYPE, HeaderValue};
+use actix_http::{Method, StatusCode};
 use bytes::Bytes;
+use dalestand_edge::{HttpCall, HttpClient};
 use getopts::Matches;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -16,6 +19,9 @@
 /// Maximum size of a response body.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 
+/// Time limit of a call. Longer than those of the calls that a node makes for it.
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// A call to a node failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum ClientError {
@@ -40,7 +46,6 @@
 pub(crate) struct Client {
     node: SocketAddr,
     key: Option<String>,
-    http: awc::Client,
 }
 
 impl Client {
@@ -51,29 +56,21 @@
             Some(path) => Some(files::read(&path).map_err(|error| error.to_string())?),
             None => None,
         };
+        let node = node.unwrap_or_else(|| SocketAddr::from(DEFAULT_NODE));
         Ok(Self {
-            node: node.unwrap_or_else(|| SocketAddr::from(DEFAULT_NODE)),
             key: key.map(|key| key.trim().to_owned()),
-            http: awc::Client::default(),
+            ..Self::new(node)
         })
     }
 
     /// Creates a client without a key.
     pub(crate) fn new(node: SocketAddr) -> Self {
-        Self {
-            node,
-            key: None,
-            http: awc::Client::default(),
-        }
+        Self { node, key: None }
     }
 
     /// Sends a GET request; a response without a success status is an error.
     pub(crate) async fn get(&self, path: &str) -> Result<Bytes, ClientError> {
-        let mut request = self.http.get(self.url(path));
-        if let Some(key) = &self.key {
-            request = request.bearer_auth(key);
-        }
-        let response = self.read(request.send().await).await?;
+        let response = self.call(HttpCall::get(path)).await?;
         if response.status.is_success() {
             return Ok(response.body);
         }
@@ -90,33 +87,37 @@
         path: &str,
         body: &B,
     ) -> Result<Response, ClientError> {
-        let mut request = self.http.post(self.url(path));
-        if let Some(key) = &self.key {
-            request = request.bearer_auth(key);
-        }
-        self.read(request.send_json(body).await).await
+        let body = serde_json::to_vec(body).map_err(|error| self.unreachable(&error))?;
+        let json = HeaderValue::from_static("application/json");
+        let call = HttpCall {
+            method: Method::POST,
+            headers: vec![(CONTENT_TYPE, json)],
+            body: body.into(),
+            ..HttpCall::get(path)
+        };
+        self.call(call).await
     }
 
-    fn url(&self, path: &str) -> String {
-        format!("http://{}{path}", self.node)
+    async fn call(&self, mut call: HttpCall) -> Result<Response, ClientError> {
+        if let Some(key) = &self.key {
+            let value = HeaderValue::from_str(&format!("Bearer {key}"));
+            let value = value.map_err(|error| self.unreachable(&error))?;
+            call.headers.push((AUTHORIZATION, value));
+        }
+        let client = HttpClient::new(self.node);
+        let response = client.call(call, CALL_TIMEOUT, MAX_RESPONSE_BYTES).await;
+        let response = response.map_err(|error| self.unreachable(&error))?;
+        Ok(Response {
+            status: response.status,
+            body: response.body,
+        })
     }
 
-    async fn read<S>(
-        &self,
-        response: Result<awc::ClientResponse<S>, awc::error::SendRequestError>,
-    ) -> Result<Response, ClientError>
-    where
-        S: futures_util::Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
-    {
-        let unreachable = |message: String| ClientError::Unreachable {
+    fn unreachable(&self, error: &impl ToString) -> ClientError {
+        ClientError::Unreachable {
             node: self.node,
-            message,
-        };
-        let mut response = response.map_err(|error| unreachable(error.to_string()))?;
-        let status = response.status();
-        let body = response.body().limit(MAX_RESPONSE_BYTES).await;
-        let body = body.map_err(|error| unreachable(error.to_string()))?;
-        Ok(Response { status, body })
+            message: error.to_string(),
+        }
     }
 }
 
--- a/crates/edge/src/engine_client.rs
+++ b/crates/edge/src/engine_client.rs
@@ -5,17 +5,18 @@
 
 use actix_http::StatusCode;
 use async_trait::async_trait;
-use awc::{Client, Connector};
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
+use dalestand_engine_link::ResponseBody;
 use dalestand_types::{
     AttemptId, EngineLoad, EngineOrders, Epoch, GenerationFrame, GenerationRequest, Order,
     OrderOutcome, Refusal, Sequence,
 };
 use error_stack::Report;
-use futures_util::{Stream, StreamExt as _, stream};
+use futures_util::stream;
 
 use crate::frame_line::parse_frame;
-use crate::http::{JsonClient, proves_nothing_sent};
+use crate::http::{JsonClient, post_json};
+use crate::http_client::{HttpCallError, HttpClient};
 use crate::wire::Empty;
 use crate::wire::engine::{
     CACHE_EVENTS, CACHE_EVENTS_AFTER, CANCEL, CancelRequest, EPOCH, GENERATE, LOAD, ORDERS,
@@ -32,15 +33,8 @@
 /// Largest body of an error answer accepted from an engine, in bytes.
 const MAX_REFUSAL_BYTES: usize = 16 << 10;
 
-/// How long an idle connection is kept; well below the engines' own limit, so that a request is
-/// rarely sent on a connection that the engine is closing.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
-
-/// Age at which a connection is no longer reused.
-const CONNECTION_LIFETIME: Duration = Duration::from_secs(600);
-
-/// Time limit for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest answer accepted from an engine to a call other than `generate`, in bytes.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
 
 /// HTTP client of one engine.
 ///
@@ -49,8 +43,7 @@
 /// the request ran.
 pub struct HttpEngine {
     json_client: JsonClient,
-    pooled: Client,
-    unpooled: Client,
+    pooled: HttpClient,
     address: SocketAddr,
 }
 
@@ -58,52 +51,29 @@
     /// Creates a client of the engine at `address`.
     pub fn new(address: SocketAddr) -> Self {
         Self {
-            json_client: JsonClient::new("engine", address, CALL_TIMEOUT),
-            pooled: client(IDLE_TIMEOUT),
-            unpooled: client(Duration::ZERO),
+            json_client: JsonClient::new("engine", address, CALL_TIMEOUT, MAX_ANSWER_BYTES),
+            pooled: HttpClient::new(address),
             address,
         }
     }
 }
 
-fn client(idle_timeout: Duration) -> Client {
-    let connector = Connector::new()
-        .timeout(CONNECT_TIMEOUT)
-        .conn_keep_alive(idle_timeout)
-        .conn_lifetime(CONNECTION_LIFETIME)
-        // No limit here: the node limits its requests in flight.
-        .limit(0);
-    Client::builder()
-        .connector(connector)
-        .disable_timeout()
-        .disable_redirects()
-        .finish()
-}
-
 #[async_trait(?Send)]
 impl Engine for HttpEngine {
     async fn generate(&self, request: &GenerationRequest) -> Result<FrameStream, AttemptError> {
-        let url = format!("http://{}{GENERATE}", self.address);
         let client = match request.once_key {
-            Some(_) => &self.unpooled,
-            None => &self.pooled,
+            Some(_) => HttpClient::new(self.address),
+            None => self.pooled.clone(),
         };
-        let mut response = client.post(url).send_json(request).await.map_err(|error| {
-            if proves_nothing_sent(&error) {
-                AttemptError::NotSent(error.to_string())
-            } else {
-                AttemptError::BrokenOff(error.to_string())
-            }
-        })?;
-        if response.status() == StatusCode::OK {
-            return Ok(frames(response));
+        let call = post_json(GENERATE, request)
+            .map_err(|error| AttemptError::NotSent(error.to_string()))?;
+        let mut response = client.send(call).await.map_err(attempt_error)?;
+        let status = response.head.status;
+        if status == StatusCode::OK {
+            return Ok(frames(response.body));
         }
-        let status = response.status();
-        let body = response
-            .body()
-            .limit(MAX_REFUSAL_BYTES)
-            .await
-            .map_err(|error| AttemptError::BrokenOff(error.to_string()))?;
+        let body = response.body.collect(MAX_REFUSAL_BYTES).await;
+        let body = body.map_err(|error| AttemptError::BrokenOff(error.to_string()))?;
         Err(response_error(status, &body))
     }
 
@@ -139,6 +109,14 @@
     }
 }
 
+fn attempt_error(error: HttpCallError) -> AttemptError {
+    if error.is_not_sent() {
+        AttemptError::NotSent(error.to_string())
+    } else {
+        AttemptError::BrokenOff(error.to_string())
+    }
+}
+
 fn response_error(status: StatusCode, body: &[u8]) -> AttemptError {
     let text = String::from_utf8_lossy(body);
     if matches!(status, StatusCode::CONFLICT | StatusCode::TOO_MANY_REQUESTS) {
@@ -154,10 +132,7 @@
 }
 
 /// Splits the body of an answer into lines and parses each line into a frame.
-fn frames<S>(body: S) -> FrameStream
-where
-    S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin + 'static,
-{
+fn frames(body: ResponseBody) -> FrameStream {
     // Boxed, because `unfold` moves the state for each frame.
     let reader = Box::new(FrameReader {
         body,
@@ -171,16 +146,13 @@
     }))
 }
 
-struct FrameReader<S> {
-    body: S,
+struct FrameReader {
+    body: ResponseBody,
     buffer: BytesMut,
     ended: bool,
 }
 
-impl<S> FrameReader<S>
-where
-    S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
-{
+impl FrameReader {
     async fn next_frame(&mut self) -> Option<Result<GenerationFrame, AttemptError>> {
         loop {
             if self.ended {
--- a/crates/edge/src/http.rs
+++ b/crates/edge/src/http.rs
@@ -3,41 +3,53 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use actix_http::StatusCode;
-use awc::Client;
-use awc::error::{ConnectError, SendRequestError};
+use actix_http::header::{CONTENT_TYPE, HeaderValue};
+use actix_http::{Method, StatusCode};
 use error_stack::Report;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use crate::PlatformError;
+use crate::http_client::{HttpCall, HttpCallError, HttpClient, HttpResponse};
 use crate::wire::RetryAfter;
 
-/// Largest answer accepted from an external system, in bytes.
-const MAX_ANSWER_BYTES: usize = 64 << 20;
-
 /// Retry delay for a 429 answer whose body names none.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// Makes JSON calls to one system at one address.
 #[derive(Clone)]
 pub(crate) struct JsonClient {
-    client: Client,
-    address: SocketAddr,
+    client: HttpClient,
     system: &'static str,
+    timeout: Duration,
+    max_answer_bytes: usize,
+}
+
+/// A POST request with a JSON body.
+pub(crate) fn post_json<B: Serialize>(path: &str, body: &B) -> Result<HttpCall, serde_json::Error> {
+    let json = HeaderValue::from_static("application/json");
+    Ok(HttpCall {
+        method: Method::POST,
+        path: path.to_owned(),
+        headers: vec![(CONTENT_TYPE, json)],
+        body: serde_json::to_vec(body)?.into(),
+    })
 }
 
 impl JsonClient {
-    /// Creates a client of `system` at `address`; calls time out after `timeout`.
-    pub(crate) fn new(system: &'static str, address: SocketAddr, timeout: Duration) -> Self {
-        let client = Client::builder()
-            .timeout(timeout)
-            .disable_redirects()
-            .finish();
+    /// Creates a client of `system` at `address`; calls time out after `timeout`, and answers of more than `max_answer_bytes`
+    /// are not read.
+    pub(crate) fn new(
+        system: &'static str,
+        address: SocketAddr,
+        timeout: Duration,
+        max_answer_bytes: usize,
+    ) -> Self {
         Self {
-            client,
-            address,
+            client: HttpClient::new(address),
             system,
+            timeout,
+            max_answer_bytes,
         }
     }
 
@@ -47,9 +59,7 @@
         B: Serialize,
         A: DeserializeOwned,
     {
-        let url = format!("http://{}{path}", self.address);
-        let response = self.client.post(url).send_json(body).await;
-        self.parse(response).await
+        self.post_within(path, body, self.timeout).await
     }
 
     /// Posts `body` with `timeout` in place of the default time limit and parses the answer.
@@ -63,9 +73,15 @@
         B: Serialize,
         A: DeserializeOwned,
     {
-        let url = format!("http://{}{path}", self.address);
-        let response = self.client.post(url).timeout(timeout).send_json(body).await;
-        self.parse(response).await
+        let call = post_json(path, body).map_err(|error| {
+            let message = error.to_string();
+            Report::new(PlatformError::Rejected {
+                system: self.system,
+                message,
+            })
+        })?;
+        let answer = self.client.call(call, timeout, self.max_answer_bytes).await;
+        self.parse(answer)
     }
 
     /// Gets `path` and parses the answer.
@@ -73,30 +89,21 @@
         &self,
         path: &str,
     ) -> Result<A, Report<PlatformError>> {
-        let url = format!("http://{}{path}", self.address);
-        let response = self.client.get(url).send().await;
-        self.parse(response).await
+        let call = HttpCall::get(path);
+        let max_bytes = self.max_answer_bytes;
+        let answer = self.client.call(call, self.timeout, max_bytes).await;
+        self.parse(answer)
     }
 
-    async fn parse<A, S>(
+    fn parse<A: DeserializeOwned>(
         &self,
-        response: Result<awc::ClientResponse<S>, SendRequestError>,
-    ) -> Result<A, Report<PlatformError>>
-    where
-        A: DeserializeOwned,
-        S: futures_util::Stream<Item = Result<bytes::Bytes, awc::error::PayloadError>> + Unpin,
-    {
-        let mut response = response.map_err(|error| Report::new(self.send_error(&error)))?;
-        let status = response.status();
-        let body = response
-            .body()
-            .limit(MAX_ANSWER_BYTES)
-            .await
-            .map_err(|error| Report::new(self.in_doubt(error.to_string())))?;
-        if let Some(error) = self.status_error(status, &body) {
+        answer: Result<HttpResponse, HttpCallError>,
+    ) -> Result<A, Report<PlatformError>> {
+        let answer = answer.map_err(|error| Report::new(self.call_error(&error)))?;
+        if let Some(error) = self.status_error(answer.status, &answer.body) {
             return Err(Report::new(error));
         }
-        serde_json::from_slice(&body).map_err(|error| {
+        serde_json::from_slice(&answer.body).map_err(|error| {
             let message = error.to_string();
             Report::new(PlatformError::Malformed {
                 system: self.system,
@@ -134,33 +141,12 @@
         Some(PlatformError::InDoubt { system, message })
     }
 
-    fn send_error(&self, error: &SendRequestError) -> PlatformError {
-        if proves_nothing_sent(error) {
-            let message = error.to_string();
-            return PlatformError::Unreachable {
-                system: self.system,
-                message,
-            };
+    fn call_error(&self, error: &HttpCallError) -> PlatformError {
+        let (system, message) = (self.system, error.to_string());
+        if error.is_not_sent() {
+            PlatformError::Unreachable { system, message }
+        } else {
+            PlatformError::InDoubt { system, message }
         }
-        self.in_doubt(error.to_string())
-    }
-
-    fn in_doubt(&self, message: String) -> PlatformError {
-        PlatformError::InDoubt {
-            system: self.system,
-            message,
-        }
-    }
-}
-
-/// Whether a failed send proves that no byte of the request left this process.
-///
-/// `Disconnected` does not: the client library also returns it when a connection closes after the
-/// request was written and before the head of the answer arrived.
-pub(crate) fn proves_nothing_sent(error: &SendRequestError) -> bool {
-    match error {
-        SendRequestError::Url(_) => true,
-        SendRequestError::Connect(error) => !matches!(error, ConnectError::Disconnected),
-        _ => false,
     }
 }
--- a/crates/edge/src/key_value_client.rs
+++ b/crates/edge/src/key_value_client.rs
@@ -21,6 +21,9 @@
 /// Time limit of a call, in addition to the time that a watch waits for changes.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Largest answer accepted, in bytes. A listing is one answer.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
 /// HTTP client of the key-value service.
 pub struct HttpKeyValue {
     client: JsonClient,
@@ -30,7 +33,7 @@
     /// Creates a client of the service at `address`.
     pub fn new(address: SocketAddr) -> Self {
         Self {
-            client: JsonClient::new("key-value service", address, CALL_TIMEOUT),
+            client: JsonClient::new("key-value service", address, CALL_TIMEOUT, MAX_ANSWER_BYTES),
         }
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod error;
 mod frame_line;
 mod http;
+pub mod http_client;
 pub mod key_value;
 pub mod key_value_client;
 pub mod machine_list;
@@ -22,6 +23,7 @@
 pub use engine::{AttemptError, Engine, FrameStream};
 pub use engine_client::HttpEngine;
 pub use error::PlatformError;
+pub use http_client::{HttpCall, HttpCallError, HttpClient, HttpResponse};
 pub use key_value::{
     CasOutcome, Entry, KeyValue, LeaseId, Listing, ListingPage, UNDECODABLE_VALUE, WatchBatch,
     WatchEvent, WriteExpectation,
--- a/crates/edge/src/machine_list.rs
+++ b/crates/edge/src/machine_list.rs
@@ -14,6 +14,9 @@
 /// Time limit of a call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Largest list accepted, in bytes.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+
 /// Operations of the machine list.
 #[async_trait(?Send)]
 pub trait MachineList {
@@ -30,7 +33,7 @@
     /// Creates a client of the list at `address`.
     pub fn new(address: SocketAddr) -> Self {
         Self {
-            client: JsonClient::new("machine list", address, CALL_TIMEOUT),
+            client: JsonClient::new("machine list", address, CALL_TIMEOUT, MAX_ANSWER_BYTES),
         }
     }
 }
--- a/crates/edge/tests/proof_of_not_run.rs
+++ b/crates/edge/tests/proof_of_not_run.rs
@@ -49,6 +49,14 @@
 #[case::not_http(b"hello\r\n\r\n")]
 #[case::server_error(b"HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n")]
 #[case::truncated_refusal(b"HTTP/1.1 429 Full\r\ncontent-length: 90\r\n\r\n{\"reason\":\"full\"")]
+#[case::refusal_that_is_shorter_than_its_length(
+    b"HTTP/1.1 429 Full\r\ncontent-length: 90\r\n\r\n{\"reason\":\"full\",\"retry_after_ms\":1}"
+)]
+#[case::truncated_rejection(b"HTTP/1.1 400 Bad Request\r\ncontent-length: 90\r\n\r\nunknown")]
+#[case::rejection_in_a_malformed_head(
+    b"HTTP/1.1 400 Bad Request\r\nx-more : 1\r\ncontent-length: 0\r\n\r\n"
+)]
+#[case::rejection_without_a_status(b"HTTP/1.1 000 Bad Request\r\ncontent-length: 0\r\n\r\n")]
 #[actix_rt::test]
 async fn a_connection_closed_after_the_request_does_not_prove_not_run(
     #[case] answer: &'static [u8],
--- a/crates/node/src/admin/forward.rs
+++ b/crates/node/src/admin/forward.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use actix_http::header::CONTENT_TYPE;
-use awc::Client;
+use actix_http::header::{AUTHORIZATION, CONTENT_TYPE, HeaderName, HeaderValue};
+use dalestand_edge::{HttpCall, HttpCallError, HttpClient};
 use dalestand_http_server::{Answer, Request, StatusCode, text_answer};
 use dalestand_types::{EngineId, RequestId};
 
@@ -13,8 +13,6 @@
 /// Header of a forwarded request, which must not be forwarded again.
 const FORWARDED: &str = "x-dalestand-forwarded";
 
-const AUTHORIZATION: &str = "authorization";
-
 const FORWARD_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Size limit of a forwarded answer, in bytes.
@@ -56,28 +54,30 @@
         let Some(owner) = owner else {
             return answer;
         };
-        let client = Client::builder()
-            .timeout(FORWARD_TIMEOUT)
-            .disable_redirects()
-            .finish();
-        let url = format!("http://{owner}{}", request.path());
-        let mut forward_request = client.get(url).insert_header((FORWARDED, "1"));
+        let mut call = HttpCall::get(request.path());
+        let forwarded = HeaderValue::from_static("1");
+        call.headers
+            .push((HeaderName::from_static(FORWARDED), forwarded));
         if let Some(key) = headers.get(AUTHORIZATION) {
-            forward_request = forward_request.insert_header((AUTHORIZATION, key.clone()));
+            call.headers.push((AUTHORIZATION, key.clone()));
         }
-        let Ok(mut response) = forward_request.send().await else {
-            let message = format!("the node at {owner} owns the record but did not answer");
-            return text_answer(StatusCode::BAD_GATEWAY, message);
-        };
-        let Ok(body) = response.body().limit(MAX_ANSWER_BYTES).await else {
-            return text_answer(
-                StatusCode::BAD_GATEWAY,
-                "the forwarded answer was incomplete or too long",
-            );
+        let client = HttpClient::new(owner);
+        let response = match client.call(call, FORWARD_TIMEOUT, MAX_ANSWER_BYTES).await {
+            Ok(response) => response,
+            Err(HttpCallError::Body(_)) => {
+                return text_answer(
+                    StatusCode::BAD_GATEWAY,
+                    "the forwarded answer was incomplete or too long",
+                );
+            }
+            Err(_) => {
+                let message = format!("the node at {owner} owns the record but did not answer");
+                return text_answer(StatusCode::BAD_GATEWAY, message);
+            }
         };
-        let text = String::from_utf8_lossy(&body).into_owned();
-        let mut forwarded_answer = text_answer(response.status(), text);
-        if let Some(kind) = response.headers().get(CONTENT_TYPE) {
+        let text = String::from_utf8_lossy(&response.body).into_owned();
+        let mut forwarded_answer = text_answer(response.status, text);
+        if let Some(kind) = response.headers.get(CONTENT_TYPE) {
             forwarded_answer
                 .headers_mut()
                 .insert(CONTENT_TYPE, kind.clone());
