--- a/crates/forwarding/src/node/metrics/mod.rs
+++ b/crates/forwarding/src/node/metrics/mod.rs
@@ -379,8 +379,7 @@
         }
         self.stray_answers.inc_by(call.signals.stray_answers as u64);
         if let Some(reason) = call.signals.malformed {
-            let labels = [reason.label()];
-            self.malformed_answers.with_label_values(&labels).inc();
+            self.malformed_answers.with_label_values(&[reason]).inc();
         }
         let latency = self.call_seconds.with_label_values(&[purpose]);
         latency.observe(call.took.as_secs_f64());
--- a/crates/forwarding/src/serve/attempt.rs
+++ b/crates/forwarding/src/serve/attempt.rs
@@ -342,7 +342,7 @@
     reply: Option<Result<EngineReply, CallError>>,
 ) -> AttemptOutcome {
     let was_answered = reply.is_some();
-    let (verdict, signals) = classify(reply);
+    let (verdict, signals) = classify(call.purpose, reply);
     let took = call.sent_at.elapsed();
     let (label, result) = verdict.label_and_result(took);
     match &verdict {
--- a/crates/forwarding/src/serve/call_verdict.rs
+++ b/crates/forwarding/src/serve/call_verdict.rs
@@ -2,11 +2,10 @@
 
 use std::time::Duration;
 
-use actix_http::StatusCode;
 use actix_http::header::CONTENT_ENCODING;
 use dalestand_engine_link::{Exchange, SendError};
-use dalestand_routing::CallOutcome;
 use dalestand_routing::staged::AttemptResult;
+use dalestand_routing::{CallOutcome, CallPurpose};
 
 use crate::serve::engine_send::{CallError, EngineReply};
 use crate::serve::progress::{CallSignals, NO_CONNECTION};
@@ -78,8 +77,17 @@
     }
 }
 
+/// Why an answer without the mark of requests that ran can't be passed on, for logs and metrics.
+const UNMARKED: &str = "unmarked";
+
+/// Why an answer with an encoding, which was not asked for, can't be passed on.
+const ENCODED: &str = "content encoding";
+
 /// Classifies the result of a call, `None` if it was given up; with what the engine signalled.
-pub(super) fn classify(answered: Option<Result<EngineReply, CallError>>) -> (Verdict, CallSignals) {
+pub(super) fn classify(
+    purpose: CallPurpose,
+    answered: Option<Result<EngineReply, CallError>>,
+) -> (Verdict, CallSignals) {
     let no_signals = CallSignals::default();
     let reply = match answered {
         None => return (Verdict::NoResponse, no_signals),
@@ -87,7 +95,7 @@
         Some(Err(CallError::Link(error))) => {
             let is_stray = matches!(error, SendError::StrayResponse(_));
             let malformed = match error {
-                SendError::Malformed(reason) => Some(reason),
+                SendError::Malformed(reason) => Some(reason.label()),
                 _ => None,
             };
             let signals = CallSignals {
@@ -109,13 +117,30 @@
     if reply.facts.refused {
         return (Verdict::Refused, signals);
     }
-    let head = &reply.exchange.head;
-    if head.status == StatusCode::OK && head.headers.contains_key(CONTENT_ENCODING) {
+    let malformed = unusable_success(purpose, &reply);
+    if malformed.is_some() {
+        let signals = CallSignals {
+            malformed,
+            ..signals
+        };
         return (Verdict::Broken, signals);
     }
     (Verdict::Valid(Box::new(reply.exchange)), signals)
 }
 
+/// Why an answer says that the request succeeded and still can't be the engine's own.
+fn unusable_success(purpose: CallPurpose, reply: &EngineReply) -> Option<&'static str> {
+    let head = &reply.exchange.head;
+    if !head.status.is_success() {
+        return None;
+    }
+    if purpose == CallPurpose::Run && !reply.facts.marked {
+        return Some(UNMARKED);
+    }
+    let is_encoded = head.headers.contains_key(CONTENT_ENCODING);
+    is_encoded.then_some(ENCODED)
+}
+
 fn classify_error(error: &SendError) -> Verdict {
     match error {
         SendError::ConnectionLimitReached(_) => Verdict::NoConnection,
--- a/crates/forwarding/src/serve/progress.rs
+++ b/crates/forwarding/src/serve/progress.rs
@@ -8,7 +8,7 @@
 use actix_http::{Method, RequestHead, Uri};
 use dalestand_clock::BootInstant;
 use dalestand_edge::routed::RequestMetadata;
-use dalestand_engine_link::{BodyError, ConnectionUse, MalformedResponse, Path};
+use dalestand_engine_link::{BodyError, ConnectionUse, Path};
 use dalestand_http_server::Body;
 use dalestand_quarantine::{PartFingerprint, RequestFingerprint};
 use dalestand_routes::{Caller, RouteConfig, RouteTable};
@@ -99,7 +99,7 @@
     /// Number of answers with the ids of other requests that came first.
     pub(crate) stray_answers: usize,
     /// Why what came in the place of an answer was not one.
-    pub(crate) malformed: Option<MalformedResponse>,
+    pub(crate) malformed: Option<&'static str>,
     /// Why the body of the answer could not be used.
     pub(crate) body_error: Option<BodyError>,
     /// Version of the engine's software.
@@ -153,7 +153,7 @@
             text.push_str(&format!(", after {} to other requests", self.stray_answers));
         }
         if let Some(reason) = self.malformed {
-            text.push_str(&format!(", malformed: {}", reason.label()));
+            text.push_str(&format!(", malformed: {reason}"));
         }
         if let Some(error) = &self.body_error {
             text.push_str(&format!(", body: {error}"));
--- a/crates/forwarding/tests/broken_answers.rs
+++ b/crates/forwarding/tests/broken_answers.rs
@@ -69,6 +69,23 @@
     write_and_close(&text, stream);
 }
 
+/// Answers without the mark of a request that ran.
+fn unmarked(head: &str, stream: &mut TcpStream) {
+    let id = id_of(head);
+    let text =
+        format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-unmarked: 1\r\ncontent-length: 4\r\n\r\nsent");
+    write_and_close(&text, stream);
+}
+
+/// Answers with a body that is not the engine's own.
+fn encoded(head: &str, stream: &mut TcpStream) {
+    let id = id_of(head);
+    let text = format!(
+        "HTTP/1.1 203 OK\r\nx-id: {id}\r\ncontent-encoding: gzip\r\ncontent-length: 4\r\n\r\nsent"
+    );
+    write_and_close(&text, stream);
+}
+
 /// Refuses the request in a head that is broken.
 fn refusing_in_a_broken_head(head: &str, stream: &mut TcpStream) {
     let id = id_of(head);
@@ -108,7 +125,7 @@
     #[values(
         broken::<0>, broken::<1>, broken::<2>, broken::<3>, broken::<4>,
         broken::<5>, broken::<6>, broken::<7>, broken::<8>, broken::<9>,
-        stopped_in_its_head, stopped_at_the_end_of_its_head, refusing_in_a_broken_head
+        stopped_in_its_head, stopped_at_the_end_of_its_head, refusing_in_a_broken_head, unmarked, encoded
     )]
     script: Script,
 ) {
--- a/crates/forwarding/tests/support/dialect.rs
+++ b/crates/forwarding/tests/support/dialect.rs
@@ -18,6 +18,7 @@
 
 const ID: HeaderName = HeaderName::from_static("x-id");
 const REFUSED: HeaderName = HeaderName::from_static("x-refused");
+const UNMARKED: HeaderName = HeaderName::from_static("x-unmarked");
 const DRAINS: HeaderName = HeaderName::from_static("x-drains");
 const BACKOFF_MS: HeaderName = HeaderName::from_static("x-backoff-ms");
 const LIMIT: HeaderName = HeaderName::from_static("x-limit");
@@ -89,7 +90,7 @@
         ResponseMetadata {
             id: id.map(Arc::from),
             refused: headers.contains_key(REFUSED),
-            marked: true,
+            marked: !headers.contains_key(UNMARKED),
             signals: EngineSignals {
                 draining: headers.contains_key(DRAINS),
                 backoff: backoff_ms.map(Duration::from_millis),
