Unframed answers: a process that listens later proves nothing

Cause: after the end of an unframed answer the node connects to the engine, and takes one that listens for the one that ended the answer itself. A refused connection is not believed while no node reaches any engine, so that the check went on for two seconds, and then found the next process.

Change: a refused connection that no other node could confirm or make leaves nothing to wait for; the answer counts as cut, without evidence against the request. The opposite mistake, a whole answer shown as cut, takes a node whose new connections are all refused while those that it has go on, and no other node that reaches an engine.

--- a/crates/forwarding/src/serve/unmarked_end.rs
+++ b/crates/forwarding/src/serve/unmarked_end.rs
@@ -32,7 +32,7 @@
     Alive,
     /// No connection could be opened, which does not show why.
     Unknown,
-    /// It has ended, so that the answer may be incomplete.
+    /// It has ended, or nothing listened at its address, so that the answer may be incomplete.
     Ended,
 }
 
@@ -48,6 +48,8 @@
     match opened {
         Ok(()) => return EngineState::Alive,
         Err(SendError::NoListener(_)) => {}
+        // No node reaches the engine now. Whoever listens there later may be another process, so that waiting shows nothing.
+        Err(SendError::Refused(_)) => return EngineState::Ended,
         Err(_) => return EngineState::Unknown,
     }
     let engine = answer.choice.engine.key;
--- a/crates/forwarding/tests/truncated_streams.rs
+++ b/crates/forwarding/tests/truncated_streams.rs
@@ -462,3 +462,42 @@
     assert_eq!(pieces(&answer), [1, 2], "{answer}");
     assert!(!looks_complete(&answer), "{answer}");
 }
+
+/// Time for which crashed engines are away, less than that for which an engine that can't be reached is checked.
+const RESTART_TIME: Duration = Duration::from_millis(600);
+
+/// Guards against a stream that ends as complete since another process listens at the address of its engine, after all engines
+/// crashed: while none can be reached, no node knows whether it is itself cut off.
+#[rstest]
+#[case::a_stream("stream", two_events)]
+#[case::a_stream_that_may_be_resumed("resumable-stream", two_events)]
+#[case::a_body("once", part_of_a_body)]
+#[actix_rt::test]
+async fn an_answer_of_engines_that_all_crash_and_come_back_does_not_look_complete(
+    #[case] kind: &str,
+    #[case] script: Script,
+) {
+    let node = TestNode::start().await;
+    node.declare_with_long_objective(1, kind, 2, LIMIT_MS);
+    let engines = [TestEngine::start(script), TestEngine::start(script)];
+    for (index, engine) in engines.iter().enumerate() {
+        node.write_entry(&format!("e{index}"), engine, "ready");
+    }
+    node.wait_for_engines(engines.len()).await;
+    node.wait_for_declaration(1).await;
+    let crash_and_restart = async {
+        actix_rt::time::sleep(CRASH_DELAY).await;
+        for engine in &engines {
+            engine.crash();
+        }
+        actix_rt::time::sleep(RESTART_TIME).await;
+        engines
+            .each_ref()
+            .map(|engine| TestEngine::start_at(engine.address, empty))
+    };
+    let (answer, _restarted) =
+        futures_util::future::join(node.request("1", "/r/x"), crash_and_restart).await;
+    let looks_complete = status(&answer) == "200"
+        && (answer.ends_with("0\r\n\r\n") || answer.contains("content-length"));
+    assert!(!looks_complete, "{answer}");
+}
