Engine link: a malformed response is no evidence of a cut link

Cause: a call whose response was malformed counted as a connection that broke, which is evidence that the links of this machine are cut, or those of the node that carried it.

Change: bytes that arrive show that the link works, whatever they say. A head that its engine cuts off by closing is malformed too, with a reason of its own ("truncated head").

Evidence: three cases in engine-link's paths failed before and pass.

--- a/crates/engine-link/src/connection.rs
+++ b/crates/engine-link/src/connection.rs
@@ -264,6 +264,7 @@
     fn end_error(&self, any_byte_sent: bool) -> SendError {
         match &self.write_error {
             Some(error) => self.read_error(any_byte_sent, error),
+            None if !self.received.is_empty() => MalformedResponse::TruncatedHead.into(),
             None => connection_error(any_byte_sent, "the engine closed the connection"),
         }
     }
--- a/crates/engine-link/src/link.rs
+++ b/crates/engine-link/src/link.rs
@@ -162,7 +162,8 @@
             && (matches!(received, Err(SendError::ResetWhenNew(_)))
                 || (is_unsent && connection.may_be_rejected()));
         match (&received, &mut call) {
-            (Ok(_), Some(call)) => call.record_bytes(),
+            // Bytes that arrive show that the link works.
+            (Ok(_) | Err(SendError::Malformed(_)), Some(call)) => call.record_bytes(),
             // The engine is more likely to lack room.
             (Err(_), Some(_)) if is_rejected && self.is_beyond_share(target, terms) => {}
             (Err(_), Some(call)) => call.record_broken(),
@@ -173,8 +174,9 @@
         } else if received.is_ok() && !connection.is_kept {
             self.pool.rejections(target, Rejections::record_accepted);
         }
-        if let (Err(_), Path::Detour(carrier), Some(paths)) =
-            (&received, connection.path, self.paths.get())
+        let is_broken = !matches!(received, Ok(_) | Err(SendError::Malformed(_)));
+        if let (true, Path::Detour(carrier), Some(paths)) =
+            (is_broken, connection.path, self.paths.get())
         {
             paths.observe(LinkObservation::DetourBroke(carrier));
             self.pool.discard_detours(carrier);
--- a/crates/engine-link/src/response_head.rs
+++ b/crates/engine-link/src/response_head.rs
@@ -40,6 +40,9 @@
     /// The status does not allow a body, but the fields announce one.
     #[error("a body where none is allowed")]
     UnexpectedBody,
+    /// The engine ended the connection within the head.
+    #[error("truncated head")]
+    TruncatedHead,
     /// The head is too long.
     #[error("head too long")]
     HeadTooLong,
@@ -59,6 +62,7 @@
             Self::Length => "length",
             Self::TransferCoding => "transfer coding",
             Self::UnexpectedBody => "unexpected body",
+            Self::TruncatedHead => "truncated head",
             Self::HeadTooLong => "head too long",
             Self::TooManyInformational => "too many informational responses",
         }
--- a/crates/engine-link/tests/paths.rs
+++ b/crates/engine-link/tests/paths.rs
@@ -6,7 +6,8 @@
 use std::time::{Duration, Instant};
 
 use dalestand_engine_link::{
-    Detour, DetourError, EngineLink, LinkLimits, LinkObservation, LinkPaths, LinkTarget, SendError,
+    Body, Detour, DetourError, EngineLink, LinkLimits, LinkObservation, LinkPaths, LinkTarget,
+    RequestHead, SendError,
 };
 use futures_util::FutureExt as _;
 use futures_util::future::LocalBoxFuture;
@@ -28,6 +29,9 @@
     confirms: bool,
     asked: Cell<usize>,
     failed_opens: RefCell<usize>,
+    /// Connections that broke, and bytes that were received.
+    broken: Cell<usize>,
+    received: Cell<usize>,
 }
 
 impl LinkPaths for StubPaths {
@@ -66,8 +70,13 @@
     }
 
     fn observe(&self, observation: LinkObservation<'_>) {
-        if matches!(observation, LinkObservation::OpenFailed(_)) {
-            *self.failed_opens.borrow_mut() += 1;
+        match observation {
+            LinkObservation::OpenFailed(_) => *self.failed_opens.borrow_mut() += 1,
+            LinkObservation::NewBroke(_)
+            | LinkObservation::KeptBroke(_)
+            | LinkObservation::DetourBroke(_) => self.broken.set(self.broken.get() + 1),
+            LinkObservation::Received { .. } => self.received.set(self.received.get() + 1),
+            LinkObservation::CallStarted | LinkObservation::CallEnded => {}
         }
     }
 }
@@ -79,6 +88,8 @@
         confirms,
         asked: Cell::default(),
         failed_opens: RefCell::default(),
+        broken: Cell::default(),
+        received: Cell::default(),
     });
     let link = EngineLink::new(LinkLimits::default());
     link.set_paths(Rc::clone(&paths) as Rc<dyn LinkPaths>);
@@ -167,3 +178,27 @@
     );
     assert_eq!((paths.asked.get(), *paths.failed_opens.borrow()), (1, 1));
 }
+
+/// Guards against a node that takes itself to be cut off from engines since they send what is not a response: bytes that arrive
+/// show that the link works.
+#[rstest]
+#[case::no_field("HTTP/1.1 200 OK\r\nno field\r\n\r\n")]
+#[case::no_status("HTTP/1.1 000 OK\r\n\r\n")]
+#[case::cut_off("HTTP/1.1 200 OK\r\ncontent-le")]
+#[actix_rt::test]
+async fn a_malformed_response_is_no_evidence_of_a_cut(#[case] response: &'static str) {
+    let (link, paths) = link(Peers::Open, false, false);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let target = target(listener.local_addr().expect("an address"));
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let _ = std::io::Read::read(&mut stream, &mut [0; 1_024]);
+        let written = std::io::Write::write_all(&mut stream, response.as_bytes());
+        written.expect("written");
+    });
+    let head = RequestHead::default();
+    let sent = link.send(&target, 1, head, &Body::default()).await;
+    let error = sent.err().expect("no response");
+    assert!(matches!(error, SendError::Malformed(_)), "{error}");
+    assert_eq!((paths.broken.get(), paths.received.get()), (0, 1));
+}
