--- a/cmd/tests/soak.rs
+++ b/cmd/tests/soak.rs
@@ -5,8 +5,9 @@
 
 use dalestand_soak::run::{CallerLoad, RunReport};
 use dalestand_soak::schedule::{
-    COLD_START_KINDS, CUT_STREAM_KINDS, FAULT_KINDS, FaultKind, LEAVING_KINDS, REJOIN_KINDS,
-    RELEASE_KINDS, REPEATED_RESPONSE_KINDS, RETRY_KINDS, SUSPENSION_KINDS,
+    BROKEN_RESPONSE_KINDS, COLD_START_KINDS, CUT_STREAM_KINDS, FAULT_KINDS, FaultKind,
+    LEAVING_KINDS, REJOIN_KINDS, RELEASE_KINDS, REPEATED_RESPONSE_KINDS, RETRY_KINDS,
+    SUSPENSION_KINDS,
 };
 use rstest::rstest;
 use soak_run::assert_no_violations_on;
@@ -110,6 +111,17 @@
     assert!(cut_streams.cut >= MIN_CUT_STREAMS, "{cut_streams:?}");
 }
 
+/// A run in which engines break fewer responses proves little.
+const MIN_BROKEN_RESPONSES: u64 = 50;
+
+/// Guards against broken responses of engines that callers get as answers.
+#[test]
+fn a_seeded_run_with_broken_responses_has_no_violations() {
+    let report = assert_no_violations(89, &BROKEN_RESPONSE_KINDS, CallerLoad::Light);
+    let broken = report.broken_responses();
+    assert!(broken >= MIN_BROKEN_RESPONSES, "{broken}");
+}
+
 /// A run in which engines send fewer responses again proves little.
 const MIN_REPEATED_RESPONSES: u64 = 100;
 
