Engine link: an empty body ends with its head

Found on reading the diff; the test in exchanges failed before. Callers saw nothing wrong, but engines more new connections.

--- a/crates/engine-link/src/response.rs
+++ b/crates/engine-link/src/response.rs
@@ -87,7 +87,7 @@
             framing_bytes: 0,
             put_back: None,
         };
-        if framing == Framing::Empty {
+        if body.length() == Some(0) {
             body.finish();
         }
         Self {
--- a/crates/engine-link/tests/exchanges.rs
+++ b/crates/engine-link/tests/exchanges.rs
@@ -185,6 +185,23 @@
     thread.join().expect("the engine");
 }
 
+/// Guards against connections that are closed since nobody reads the body of a refusal, which has none.
+#[actix_rt::test]
+async fn a_connection_is_reused_after_an_empty_response_that_is_not_read() {
+    let (target, thread) = engine(vec![|stream: &mut TcpStream| {
+        for _ in 0..2 {
+            read_head(stream);
+            write(stream, "HTTP/1.1 503 Full\r\ncontent-length: 0\r\n\r\n");
+        }
+    }]);
+    let link = link();
+    for call in 1..=2 {
+        let exchange = get(&link, &target).await.expect("a response");
+        assert_eq!(exchange.connection.call, call);
+    }
+    thread.join().expect("the engine");
+}
+
 #[rstest]
 #[case::surplus_at_once(
     "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n",
