Test of software versions waits for the declaration

Trace: its first streams were answered 503 with a Retry-After of 0.50 s, which a node without a configuration answers: the test waited for the engines and not for the declaration of its route. What is checked is unchanged.

--- a/crates/forwarding/tests/software_versions.rs
+++ b/crates/forwarding/tests/software_versions.rs
@@ -55,6 +55,7 @@
     let node = TestNode::start().await;
     node.declare(1, "resumable-stream", attempts, LIMIT_MS);
     engines.list(&node, |_| true);
+    node.wait_for_declaration(1).await;
     node.wait_for_engines(4).await;
     node
 }
