Engine link: memory of whole responses stands beside the bodies

Cause: platform/ only translates, but held the limit on the bytes of the responses that are being received. Change: ResponseMemory moves to the engine link, beside the bodies that it reads; its limits are a parameter. No change of behaviour.

--- a/crates/engine-link/src/lib.rs
+++ b/crates/engine-link/src/lib.rs
@@ -26,6 +26,7 @@
 mod rejections;
 mod response;
 mod response_head;
+mod response_memory;
 mod stray_responses;
 
 pub use carried_calls::CallKey;
@@ -35,6 +36,7 @@
 pub use paths::{AllowedPaths, Detour, DetourError, LinkObservation, LinkPaths, Path};
 pub use response::{BodyFraming, Exchange, ResponseBody};
 pub use response_head::MalformedResponse;
+pub use response_memory::{ResponseMemory, ResponseMemoryLimits};
 
 pub use actix_http::{RequestHead, ResponseHead};
 pub use dalestand_request_bodies::Body;
