Tunnel: an engine that reads a long request late keeps its carried connection

Cause: the carrying node opens connections to engines with a TCP_USER_TIMEOUT, which also counts while the engine acknowledges probes of its closed window.

Change: the carrying node removes the limit once more than 16 KiB were sent since the engine last answered, as the engine link does for long requests. That limit was also what ended a tunnel whose asking node had left: while the engine has no room, the carrying node does not read, and does not see a close behind the rest of the body. Asking nodes therefore reset the connections that they leave, which is seen at once, and a write to an engine lasts no longer than the longest time limit of a route, after which no call waits for it.

--- a/crates/forwarding/src/detour/carrier.rs
+++ b/crates/forwarding/src/detour/carrier.rs
@@ -19,6 +19,9 @@
 /// Time limit for the connection to the engine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Time limit of calls before a declaration is known.
+const UNDECLARED_CALL_LIMIT: Duration = Duration::from_secs(5);
+
 /// A connection that is reset within this time has not reached its engine.
 const SETTLE_TIME: Duration = Duration::from_millis(5);
 
@@ -34,6 +37,11 @@
         Box::pin(connect(&self.0, source, request))
     }
 
+    fn call_limit(&self) -> Duration {
+        let table = self.0.table();
+        table.map_or(UNDECLARED_CALL_LIMIT, |table| table.max_time_limit())
+    }
+
     fn record_reply(&self, reply: TunnelReply) {
         self.0.metrics.detours.record_reply(reply);
     }
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 use dalestand_types::{PoolName, Revision, TenantName};
 
@@ -240,6 +241,13 @@
         routes.chain(tenants).collect()
     }
 
+    /// Longest time limit of a request on any route; zero without routes.
+    pub fn max_time_limit(&self) -> Duration {
+        let routes = self.hosts.values().flatten();
+        let longest = routes.map(|route| route.time_limit_ms).max();
+        Duration::from_millis(longest.unwrap_or(0))
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/crates/routes/tests/table.rs
+++ b/crates/routes/tests/table.rs
@@ -1,5 +1,7 @@
 //! Lookup and validation of routes, and the split of their requests by weight.
 
+use std::time::Duration;
+
 use dalestand_routes::{RouteFileError, RouteTable, WeightedRoundRobin};
 use dalestand_types::{PoolName, Revision};
 use proptest::prelude::*;
@@ -58,6 +60,11 @@
     assert_eq!(table.revision(), Revision(7));
 }
 
+#[rstest]
+fn the_longest_time_limit_is_that_of_any_route() {
+    assert_eq!(table().max_time_limit(), Duration::from_secs(5));
+}
+
 #[rstest]
 fn all_errors_are_reported() {
     let text = FILE
--- a/crates/tunnel/src/client.rs
+++ b/crates/tunnel/src/client.rs
@@ -49,6 +49,8 @@
     socket.bind(SocketAddr::new(source, 0))?;
     let mut stream = socket.connect(carrier).await?;
     stream.set_nodelay(true)?;
+    // The carrying node learns at once when this one leaves, also behind bytes that it has no room for.
+    stream.set_zero_linger()?;
     write_message(&mut stream, request).await?;
     let reply = read_message(&mut stream).await?;
     Ok((stream, reply))
--- a/crates/tunnel/src/server.rs
+++ b/crates/tunnel/src/server.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use futures_util::future::LocalBoxFuture;
-use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _, Interest};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
@@ -30,18 +31,25 @@
 /// Delay before a retry after a failed accept, such as one for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Bytes for which an engine has room though it does not read: far fewer than the usual buffers.
+const MAX_UNREAD_BYTES: usize = 16 * 1024;
+
 /// How often [`Tunnels::ended`] looks.
 const END_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Decides on tunnels.
 pub trait TunnelPolicy {
-    /// Opens the connection to the engine, or says why not. `source` is the address of the asking node.
+    /// Opens the connection to the engine, or says why not. `source` is the address of the asking node. A TCP user timeout
+    /// of the connection is removed while an engine that reads late may have no room.
     fn connect(
         &self,
         source: IpAddr,
         request: TunnelRequest,
     ) -> LocalBoxFuture<'_, Result<TcpStream, TunnelReply>>;
 
+    /// Longest time that a call may take, and so an engine may leave one unread.
+    fn call_limit(&self) -> Duration;
+
     /// Records the answer to a request.
     fn record_reply(&self, reply: TunnelReply);
 }
@@ -154,6 +162,7 @@
     node: TcpStream,
     engine: TcpStream,
     slot: TunnelSlot,
+    call_limit: Duration,
 }
 
 async fn handshake(
@@ -182,9 +191,12 @@
     };
     policy.record_reply(reply);
     write_message(&mut node, &reply).await?;
-    Ok(opened
-        .ok()
-        .map(|(engine, slot)| Tunnel { node, engine, slot }))
+    Ok(opened.ok().map(|(engine, slot)| Tunnel {
+        node,
+        engine,
+        slot,
+        call_limit: policy.call_limit(),
+    }))
 }
 
 impl Tunnel {
@@ -195,17 +207,30 @@
             mut node,
             mut engine,
             slot,
+            call_limit,
         } = self;
         let (mut from_node, mut to_node) = node.split();
         let (mut from_engine, mut to_engine) = engine.split();
+        let unanswered_bytes = Cell::new(0);
         let to_engine = async {
             let mut buffer = vec![0; MAX_FRAME_BYTES];
+            let mut is_limited = true;
             loop {
                 let length = from_node.read(&mut buffer).await?;
                 if length == 0 {
                     return Ok::<(), io::Error>(());
                 }
-                to_engine.write_all(&buffer[..length]).await?;
+                unanswered_bytes.set(unanswered_bytes.get() + length);
+                if is_limited && unanswered_bytes.get() > MAX_UNREAD_BYTES {
+                    allow_late_reads(to_engine.as_ref());
+                    is_limited = false;
+                }
+                let written = timeout(call_limit, to_engine.write_all(&buffer[..length]));
+                tokio::select! {
+                    written = written => written??,
+                    // While the engine has no room, nothing is read that shows that the node has left.
+                    _ = from_node.ready(Interest::ERROR) => return Ok(()),
+                }
                 let tunnels = &slot.tunnels;
                 tunnels.count(|counts| counts.bytes_to_engines += length as u64);
             }
@@ -214,6 +239,7 @@
             let mut buffer = vec![0; HEADER_BYTES + MAX_FRAME_BYTES];
             loop {
                 let length = from_engine.read(&mut buffer[HEADER_BYTES..]).await?;
+                unanswered_bytes.set(0);
                 let header = (length as u32).to_be_bytes();
                 buffer[..HEADER_BYTES].copy_from_slice(&header);
                 to_node.write_all(&buffer[..HEADER_BYTES + length]).await?;
@@ -231,3 +257,9 @@
         }
     }
 }
+
+/// Removes the limit on the time without an acknowledgement, which counts also while an engine acknowledges but does not read.
+fn allow_late_reads(engine: &TcpStream) {
+    // With the limit a late reader is taken for dead, as before.
+    let _ = SockRef::from(engine).set_tcp_user_timeout(None);
+}
