--- a/crates/engine-link/src/response_head.rs
+++ b/crates/engine-link/src/response_head.rs
@@ -13,7 +13,7 @@
 /// Maximum number of fields in a head or in the trailers of a body.
 pub(crate) const MAX_FIELDS: usize = 96;
 
-/// Statuses that are defined; the first digit tells the class.
+/// First digits of defined statuses.
 const STATUS_CLASSES: std::ops::RangeInclusive<u16> = 1..=5;
 
 /// Why the bytes of a response are not one.
--- a/crates/engine-link/tests/broken_responses.rs
+++ b/crates/engine-link/tests/broken_responses.rs
@@ -60,7 +60,7 @@
     "x-more: 1\n\n",
 ];
 
-/// Lines that tell the length of a body of 2 bytes, which they do not.
+/// Invalid fields where the length of a body of 2 bytes is expected.
 const LENGTHS: [&str; 22] = [
     "content-length:",
     "content-length: two",
@@ -86,7 +86,7 @@
     "content-length: 3",
 ];
 
-/// Lines that tell the transfer coding of a chunked body, which they do not.
+/// Invalid fields where the transfer coding of a chunked body is expected.
 const CODINGS: [&str; 11] = [
     "transfer-encoding:",
     "transfer-encoding: identity",
--- a/crates/engine-link/tests/exchanges.rs
+++ b/crates/engine-link/tests/exchanges.rs
@@ -185,7 +185,7 @@
     thread.join().expect("the engine");
 }
 
-/// Guards against connections that are closed since nobody reads the body of a refusal, which has none.
+/// Guards against a connection that is closed because nobody reads the body of a refusal, though it is empty.
 #[actix_rt::test]
 async fn a_connection_is_reused_after_an_empty_response_that_is_not_read() {
     let (target, thread) = engine(vec![|stream: &mut TcpStream| {
