Tunnel: calls of other nodes may follow another declaration

Cause: a carrying node took the longest time limit of its own declaration as that of all calls. A declaration without routes, or a new one with shorter limits, would have ended writes of calls that began under the former. Change: never less than five seconds, which the limit on the connection was before.

--- a/crates/forwarding/src/detour/carrier.rs
+++ b/crates/forwarding/src/detour/carrier.rs
@@ -19,8 +19,8 @@
 /// Time limit for the connection to the engine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Time limit of calls before a declaration is known.
-const UNDECLARED_CALL_LIMIT: Duration = Duration::from_secs(5);
+/// Shortest limit on calls of other nodes, which may follow an older declaration, or one that this node does not know yet.
+const MIN_CALL_LIMIT: Duration = Duration::from_secs(5);
 
 /// A connection that is reset within this time has not reached its engine.
 const SETTLE_TIME: Duration = Duration::from_millis(5);
@@ -38,8 +38,8 @@
     }
 
     fn call_limit(&self) -> Duration {
-        let table = self.0.table();
-        table.map_or(UNDECLARED_CALL_LIMIT, |table| table.max_time_limit())
+        let declared = self.0.table().map(|table| table.max_time_limit());
+        declared.unwrap_or_default().max(MIN_CALL_LIMIT)
     }
 
     fn record_reply(&self, reply: TunnelReply) {
